--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,196 @@
+"""The wire's records against bytes worked out from its tables, and every kind of bad input."""
+
+from __future__ import annotations
+
+import io
+import subprocess
+import sys
+
+import pytest
+
+from meadowpulley import interface as i
+from meadowpulley.drill.codec import (
+    Batch,
+    Kill,
+    Ledger,
+    Reply,
+    Topology,
+    Up,
+    WireError,
+    parse_settings,
+    read_batch,
+    records,
+)
+from tests import wire
+from tests.wire import event, f32, f64, u8, u16, u32, u64
+
+RID = 0x00006ED05D3A91C4
+
+
+def one(raw: bytes, tail: bytes = b"") -> tuple[int | None, object]:
+    batch = read_batch(io.BytesIO(wire.batch(240.0, [raw], tail)))
+    assert batch is not None and batch.clock_ms == 240.0
+    [(gateway, record, _)] = list(records(batch))
+    return gateway, record
+
+
+def test_the_page_s_own_example_of_a_request() -> None:
+    raw = bytes.fromhex(
+        "1b 00000003 00006ed05d3a91c4 00 00000000 91f03b7c55d20a64"
+        "40c0e62000000000 4028000000000000 01 0000000000"
+    )
+    expect = i.Request(RID, 0, 0, 0x91F03B7C55D20A64, 8652.25, 12.0)
+    assert one(raw) == (3, expect)
+
+
+def test_every_event_is_read() -> None:
+    assert one(event(17, u32(3))) == (3, Kill())
+    assert one(event(19, u32(3), u64(77))) == (3, i.Timer(77))
+    assert one(event(25, u32(3), u64(RID))) == (3, i.RequestGone(RID))
+    assert one(event(27, u32(3), u64(RID), u8(1), u32(2), u64(9), f64(5.0), f64(7.0), u8(6))) == (
+        3, i.Request(RID, 1, 2, 9, 5.0, None, True, True))  # fmt: skip
+    assert one(event(28, u32(3), u32(8), u8(1), f64(4.5))) == (3, i.WrongAnswer(8, 1, 4.5))
+    assert one(event(21, u32(3), u16(42), u8(0), u32(180), u32(4), f64(21.5), f64(1252.0))) == (
+        3, i.Tally(42, 0, 180, 4, 21.5, 1252.0))  # fmt: skip
+    assert one(event(23, u32(3), u16(42), f32(0.125), u8(2), u8(1), u8(0), f64(310.0), u16(200))) == (
+        3, i.BuildNews(42, 2, i.Phase.TRIAL, 0.125, 310.0, i.Result.OK, True))  # fmt: skip
+    done = event(26, u32(3), u64(RID), u8(1), u32(8), u16(502), f64(9.5), u8(1), u8(2), f32(1.5), f32(2.5))
+    assert one(done) == (3, i.Outcome(RID, 1, 8, i.Result.ERROR, 9.5, True, (1.5, 2.5)))
+    bare = event(26, u32(3), u64(RID), u8(0), u32(8), u16(408), f64(9.5), u8(0))
+    assert one(bare) == (3, i.Outcome(RID, 0, 8, i.Result.TIMEOUT, 9.5, False, ()))
+    assert one(event(24, u32(3), u64(RID), u8(0), u32(8), f64(9.25))) == (3, i.AnswerStarted(RID, 0, 8, 9.25))
+    pong = event(16, u32(3), u32(8), u16(200), f64(1.5), u8(1), f32(4.0))
+    assert one(pong) == (3, i.ProbeResult(8, i.Result.OK, 1.5, (4.0,)))
+    assert one(event(20, u32(3), u32(2), u32(1), u32(2)), b"xhi") == (3, i.PeerMessage(2, b"hi"))
+    assert one(event(29, u32(3), u8(2), u32(5), u32(41))) == (3, Topology(i.ListKind.CACHED, 5, 41))
+
+
+def test_a_ledger_reads_its_entries() -> None:
+    tail = bytes.fromhex("03124a07 0000 00 02 42240000 0000000000000000 0000 3f800000") + wire.entry(
+        9, state=1, build=42, started=6100.0, cell=3, zone=1
+    )
+    assert one(event(18, u32(2), u32(0), u32(2)), tail) == (
+        None,
+        Ledger(2, (
+            i.ServerEntry(0x03124A07, 0, 0, i.ServerState.READY, 41, 0.0, 0, 1.0),
+            i.ServerEntry(9, 3, 1, i.ServerState.DRAINING, 42, 6100.0, 0, 1.0),
+        )),
+    )  # fmt: skip
+
+
+def test_an_instance_starts_with_its_settings() -> None:
+    report = {"columns": ["busy_reqs", "new"], "source": "inline"}
+    raw = wire.settings(**{"not-yet-known": {"a": 1}, "report": report})
+    gateway, up = one(event(22, u32(3), u64(5), u32(0), u32(len(raw))), raw)
+    assert gateway == 3 and isinstance(up, Up) and up.seed == 5
+    s = up.settings
+    assert [c.effect for c in s.classes] == [i.Effect.SAFE, i.Effect.UNSAFE, i.Effect.KEYED]
+    assert s.classes[2].window_ms == 2500.0 and s.classes[2].group is i.Group.ALL
+    assert s.rollout.caps == (0.1, 0.5, 1.0) and s.rollout.gate is i.Gate.ANY and not s.rollout.in_place
+    assert s.report_columns == ("in_flight", "new") and s.reports_in_answers
+    assert s.rules.fall_multiple == 2.0 and s.rules.drain_grace_ms == 2000.0 and not s.must_ask
+
+
+def test_absent_settings_take_plain_values() -> None:
+    s = parse_settings(b"{}", "here")
+    assert s.balancers == 1 and s.classes == () and s.tenants == () and s.rollout.caps == ()
+
+
+@pytest.mark.parametrize(
+    ("raw", "text"),
+    [
+        (b"{", "no JSON"),
+        (b"[]", "no object"),
+        (b'{"me": "x"}', "'me' has the wrong type"),
+        (b'{"classes": {}}', "'classes' has the wrong type"),
+        (b'{"discovery": "often"}', "'discovery' is 'often'"),
+        (b'{"classes": [{"repeat": "maybe"}]}', "'repeat' is 'maybe'"),
+        (b'{"family-info": {"caps": ["a"]}}', "no number"),
+    ],
+)
+def test_bad_settings_are_named(raw: bytes, text: str) -> None:
+    with pytest.raises(WireError, match=text):
+        parse_settings(raw, "here")
+
+
+def test_every_action_is_written_as_the_tables_say() -> None:
+    reply = Reply()
+    actions: list[tuple[i.Action, bytes]] = [
+        (i.Send(RID, 0x03124A07, 80.0), u8(20) + u32(3) + u64(RID) + u32(0x03124A07) + f64(80.0)),
+        (i.SetTimer(500.0, 77), u8(27) + u32(3) + f64(500.0) + u64(77)),
+        (i.Vote(42, 2, i.Verdict.ON), u8(16) + u32(3) + u16(42) + u8(2) + u8(1)),
+        (i.Cancel(RID, 1), u8(24) + u32(3) + u64(RID) + u8(1)),
+        (i.Fail(RID), u8(23) + u32(3) + u64(RID)),
+        (i.Refuse(RID, 250.0), u8(18) + u32(3) + u64(RID) + f64(250.0)),
+        (i.Probe(9), u8(19) + u32(3) + u32(9)),
+        (i.CloseIdle(9), u8(21) + u32(3) + u32(9)),
+        (i.FetchList(), u8(25) + u32(3)),
+        (i.Watch(), u8(22) + u32(3) + u8(1)),
+        (i.Watch(on=False), u8(22) + u32(3) + u8(0)),
+        (i.TellPeer(None, b"hi"), u8(17) + u32(3) + u16(0xFFFF) + u32(0) + u32(2)),
+        (i.TellPeer(2, b"yo"), u8(17) + u32(3) + u16(2) + u32(2) + u32(2)),
+        (i.LogLine("two"), u8(26) + u32(3) + u32(4) + u32(3)),
+    ]
+    for action, _ in actions:
+        reply.add(3, action)
+    reply.fault(5, "bad")
+    body = b"".join(raw.ljust(32, b"\0") for _, raw in actions)
+    body += (u8(28) + u32(5) + u32(7) + u32(3)).ljust(32, b"\0") + b"hiyotwobad"
+    assert reply.encode() == u32(8 + len(body)) + u32(len(actions) + 1) + body
+
+
+def test_an_empty_batch_and_its_reply() -> None:
+    raw = bytes.fromhex("40c06e2000000000 00000010 00000000")
+    assert read_batch(io.BytesIO(raw)) == Batch(8412.25, b"", b"", 0)
+    assert Reply().encode() == bytes.fromhex("00000008 00000000")
+
+
+@pytest.mark.parametrize(
+    ("raw", "text"),
+    [
+        (b"\0" * 5, "ended inside a batch header"),
+        (f64(1.0) + u32(15) + u32(0), "too short"),
+        (f64(1.0) + u32(63) + u32(1), "too short"),
+        (f64(1.0) + u32(64) + u32(1) + b"\x11", "ended inside a batch"),
+        (f64(float("nan")) + u32(16) + u32(0), "no time"),
+    ],
+)
+def test_bad_frames_are_named(raw: bytes, text: str) -> None:
+    with pytest.raises(WireError, match=text):
+        read_batch(io.BytesIO(raw))
+
+
+@pytest.mark.parametrize(
+    ("raw", "text"),
+    [
+        (event(99, u32(3)), "record 0: unknown event code 99"),
+        (event(18, u32(16), u32(0), u32(0)), "ledger number 16"),
+        (event(18, u32(2), u32(0), u32(1)), "outside the tail"),
+        (event(20, u32(3), u32(2), u32(5), u32(2)), "outside the tail"),
+        (event(29, u32(3), u8(4), u32(0), u32(0)), "4 is no known ListKind"),
+        (event(16, u32(3), u32(8), u16(200), f64(1.5), u8(5)), "5 values"),
+        (event(16, u32(3), u32(8), u16(299), f64(1.5), u8(0)), "299 is no known Result"),
+        (event(23, u32(3), u16(42), f32(0.1), u8(0), u8(0), u8(9), f64(0), u16(200)), "9 is no known Phase"),
+    ],
+)
+def test_bad_records_are_named(raw: bytes, text: str) -> None:
+    with pytest.raises(WireError, match=text):
+        one(raw)
+
+
+def run(raw: bytes) -> subprocess.CompletedProcess[bytes]:
+    command = [sys.executable, "-m", "meadowpulley.drill"]
+    return subprocess.run(command, input=raw, capture_output=True, timeout=60)
+
+
+def test_the_adapter_ends_cleanly_between_frames_and_in_error_inside_one() -> None:
+    clean = run(wire.batch(1.0, []))
+    assert (clean.returncode, clean.stdout, clean.stderr) == (0, bytes.fromhex("0000000800000000"), b"")
+    cut = run(wire.batch(1.0, []) + b"\0\0")
+    assert cut.returncode != 0 and cut.stderr.count(b"\n") == 1 and b"ended inside" in cut.stderr
+
+
+def test_the_adapter_names_an_unknown_instance_and_writes_no_half_reply() -> None:
+    bad = run(wire.batch(1.0, [event(19, u32(5), u64(1))]))
+    assert bad.returncode != 0 and bad.stdout == b""
+    assert bad.stderr == b"meadowpulley: record 0 (code 19): no instance 5\n"
