Failure guard by class and server, short Q sums, coin follows warm trial machines

Causes: (1) at 0.8 of the cap the first machines of a stage got the load of all, and the crowding was blamed on the build; (2) sums over 20 later requests drown a build that fails one class. The guard should also catch builds that fail late or under load; it could harm where a trouble of machines strikes the only trial server.

--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -9,6 +9,7 @@
 import math
 from collections import deque
 from collections.abc import Sequence
+from itertools import accumulate
 from random import Random
 from statistics import fmean
 
@@ -16,22 +17,30 @@
 
 # The design's own figures (its page marks them as starting values).
 COIN_SHARE = 0.8  # of the cap: leaves room for requests that must follow their key or find no other server
-SUM_LENGTH = 20  # later requests whose costs are added to each request's own
+SUM_LENGTH = 20  # at most: later requests whose costs are added to each request's own
 MARGIN = 0.25  # of the earlier build's mean latency
 LEAST_SAMPLE = 20  # outcomes per build before the bounds may speak
 FALLBACK_MS = 4000.0  # after the latest trial start
 HOLD_MS = 3000.0  # the longest hold of one stage under a clock
 # Ours.
 TICK_MS = 50.0  # how often waiting requests, health and votes are looked at
+BLOCK_MS = 1000.0  # builds are compared within blocks of this length
 HISTORY = 600  # logged requests kept for judging
 COLD_MARGIN = 0.6  # of the cold budget: capacity is only estimated and work is random
+FAIL_FLOOR = 0.02  # failure share that any build may have
+FAIL_MORE = 0.1  # more than the earlier build fails: the least that is looked for
+PROOF = 5.0  # log odds: about three failures more than the earlier build's
+IN_DOUBT = 0.5  # of the proof: no vote to go on until it is settled
+ONE_SERVER = 0.7  # of the proof, at most, from one of several servers
 RATE_MS = 4000.0  # memory of the request and work rates
 FAIL_STEP = 0.2  # weight of the newest outcome in a server's failure share
 FAIL_OUT = 0.45  # failure share that takes a server out of the choice: three in a row, or half of many
 REST_MS = 1000.0  # first rest of a server taken out; doubles with each failed trial request
 REST_MAX_MS = 8000.0
 RETRY_SHARE = 0.1  # further attempts for each request taken, so that retries cannot feed a jam
-LATE_SHARE = 0.9  # of the aim: a request whose expected answer is later is refused at once
+LATE_SHARE = 0.5  # of the aim: a request whose mean expected answer is later is refused at once
+FULL_MS = 200.0  # how long a server that turned a request away as full is left alone
+SILENT_TIMES = 4.0  # the usual latency without a word, and a server counts as silent
 WAIT_SHARE = 0.25  # of the aim: how long a request may wait for a server it may go to
 LOST_MS = 10_000.0  # a watch that has not answered for this long is asked for again
 RETRY_LIST_MS = 1500.0  # between a failed list call and the next
@@ -59,10 +68,10 @@
 class Sample:
     """The logged costs of one request's first attempt."""
 
-    __slots__ = ("build", "latency", "queue", "sent")
+    __slots__ = ("build", "latency", "queue", "sent", "tossed", "warmth")
 
-    def __init__(self, build: int, queue: float, sent: float) -> None:
-        self.build, self.queue, self.sent = build, queue, sent
+    def __init__(self, build: int, queue: float, sent: float, warmth: float, tossed: bool) -> None:
+        self.build, self.queue, self.sent, self.warmth, self.tossed = build, queue, sent, warmth, tossed
         self.latency: float | None = None
 
 
@@ -102,6 +111,33 @@
         return self.sum * math.exp((self.at - now) / RATE_MS) / RATE_MS
 
 
+class Failures:
+    """Whether one build fails more than the earlier one: the log of the odds, summed by class and server.
+
+    Sums never fall under 0, so that a build that turns bad late is seen as soon as one that starts bad. One
+    server counts for no more than ONE_SERVER of the proof where there are others: a broken machine is not a
+    bad build. It covers every way of failing, for one class or all; it could harm where a trouble of machines
+    strikes just the only trial server.
+    """
+
+    def __init__(self) -> None:
+        self.sums: dict[int, dict[int, float]] = {}
+
+    def add(self, cls: int, server: int, failed: float, ok: float, usual: float) -> None:
+        low = min(max(usual, FAIL_FLOOR), 0.8)
+        high = low + FAIL_MORE
+        gain = failed * math.log(high / low) + ok * math.log((1 - high) / (1 - low))
+        for part in (cls, -1):
+            sums = self.sums.setdefault(part, {})
+            sums[server] = max(sums.get(server, 0.0) + gain, 0.0)
+
+    def proof(self, servers: int) -> float:
+        """1 or more: proven. `servers` is how many run the build."""
+        most = ONE_SERVER if servers > 1 else 1.0
+        parts = [sum(min(s / PROOF, most) for s in sums.values()) for sums in self.sums.values()]
+        return max(parts, default=0.0)
+
+
 class Estimate:
     """Trial minus earlier mean mixed Q, its error, and the margin it is held against."""
 
@@ -110,28 +146,47 @@
 
 
 def mixed_q(
-    latency: Sequence[float], queue: Sequence[float], trial: Sequence[bool], length: int, rate: float
-) -> tuple[float, float, int, int] | None:
-    """The mixed Differences-in-Q estimate: difference, error, and how many Q there are of each build."""
+    latency: Sequence[float], queue: Sequence[float], arm: Sequence[int], block: Sequence[int],
+    length: int, rate: float,
+) -> tuple[float, float, int, int] | None:  # fmt: skip
+    """The mixed Differences-in-Q estimate: difference, error, and how many Q there are of each build.
+
+    `arm` is 1 for the trial build, 0 for the earlier one, -1 for neither (such a request only adds to sums).
+    Builds are compared within a block of time, and blocks weighed as the error formula weighs its counts.
+    With one block this is the design's estimate. What slows both builds alike stays out of the contrast.
+    """
     n = len(latency) - length
     if n <= 1 or rate <= 0:
         return None
-    qw = [sum(latency[j : j + length + 1]) for j in range(n)]
-    qq = [sum(queue[j : j + length + 1]) for j in range(n)]
-    mw, mq = fmean(qw), fmean(qq)
-    vw = fmean([(w - mw) ** 2 for w in qw])
-    vq = fmean([(q - mq) ** 2 for q in qq])
-    cwq = fmean([(w - mw) * (q - mq) for w, q in zip(qw, qq, strict=True)])
+    sums_w, sums_q = [0.0, *accumulate(latency)], [0.0, *accumulate(queue)]
+    groups: dict[int, tuple[list[int], list[int]]] = {}
+    for j in range(n):
+        if arm[j] >= 0:
+            groups.setdefault(block[j], ([], []))[arm[j]].append(j)
+    both = [(old, new) for old, new in groups.values() if old and new]
+    if not both:
+        return None
+    qw = [sums_w[j + length + 1] - sums_w[j] for j in range(n)]
+    qq = [sums_q[j + length + 1] - sums_q[j] for j in range(n)]
+    vw = vq = cwq = 0.0
+    for old, new in both:
+        members = old + new
+        mw, mq = fmean([qw[j] for j in members]), fmean([qq[j] for j in members])
+        vw += sum((qw[j] - mw) ** 2 for j in members)
+        vq += sum((qq[j] - mq) ** 2 for j in members)
+        cwq += sum((qw[j] - mw) * (qq[j] - mq) for j in members)
     spread = rate * rate * vw + vq - 2 * rate * cwq
     alpha = (vq - rate * cwq) / spread if spread > 1e-12 else 1.0
     mixed = [alpha * w + (1 - alpha) * q / rate for w, q in zip(qw, qq, strict=True)]
-    new = [m for m, is_trial in zip(mixed, trial, strict=False) if is_trial]
-    old = [m for m, is_trial in zip(mixed, trial, strict=False) if not is_trial]
-    if not new or not old:
-        return None
-    mean = fmean(mixed)
-    variance = fmean([(m - mean) ** 2 for m in mixed])
-    return fmean(new) - fmean(old), math.sqrt(variance * (1 / len(new) + 1 / len(old))), len(new), len(old)
+    weights = total = squares = 0.0
+    for old, new in both:
+        weight = 1 / (1 / len(new) + 1 / len(old))
+        weights += weight
+        total += weight * (fmean([mixed[j] for j in new]) - fmean([mixed[j] for j in old]))
+        mean = fmean([mixed[j] for j in old + new])
+        squares += sum((mixed[j] - mean) ** 2 for j in old + new)
+    trial, earlier = sum(len(new) for _, new in both), sum(len(old) for old, _ in both)
+    return total / weights, math.sqrt(squares / (trial + earlier) / weights), trial, earlier
 
 
 class Balancer:
@@ -148,6 +203,8 @@
         # Rates of what this gateway takes and of the work that comes back done.
         self.taken, self.done = Rate(), Rate()
         self.retries_left = 1.0
+        self.followed = 0.0  # share of requests whose key binds them to the trial build
+        self.usual_ms = 0.0  # usual latency of answers that came
         # Exposure: what was taken and what went to each build on trial in the window.
         self.window_taken: dict[int, deque[float]] = {}
         self.window_sent: dict[tuple[int, int], deque[float]] = {}
@@ -160,6 +217,8 @@
         self.best: i.BuildNews | None = None
         self.stage_began = 0.0
         self.samples: deque[Sample] = deque(maxlen=HISTORY)
+        self.failures: dict[int, Failures] = {}
+        self.fail_usual: dict[int, float] = {}  # by class: the earlier build's failure share
         self.back_for = -1  # the build this balancer wants taken off
         self.hold_began: dict[tuple[int, int], float] = {}
         self.vote: tuple[int, int, i.Verdict] | None = None  # the vote last sent
@@ -285,24 +344,29 @@
             self._health(server, o.result)
         if o.result is i.Result.OK:
             self.done.add(self.now, 1.0)
-            if held.r.key and self.roll.one_way and self._on_trial(server.build):
+            self.usual_ms += 0.05 * (o.elapsed_ms - self.usual_ms) if self.usual_ms else o.elapsed_ms
+            if held.r.key and self.roll.one_way and (self.told is None or server.build >= self.told.build):
                 self.key_build[held.r.key] = max(server.build, self.key_build.get(held.r.key, 0))
+        if o.result in (i.Result.OK, i.Result.ERROR, i.Result.RESET):
+            self._count(held.r.cls, server, o.result is not i.Result.OK)
         if attempt.sample is not None:
             attempt.sample.latency = o.elapsed_ms if o.result is i.Result.OK else held.cls.deadline_ms
         if o.over:
             self.held.pop(o.request, None)
             self._call_off(held)
         elif self.held.get(o.request) is held and held.out == 0:
-            again = o.result in NEVER_RAN or self.retries_left >= 1
-            if not (again and self._route(held)):
+            if self.retries_left < 1 or not self._route(held):
                 self._give_up(held)
-            elif o.result not in NEVER_RAN:
+            else:
                 self.retries_left -= 1
 
     # Health
 
     def _health(self, server: Server, result: i.Result) -> None:
         server.heard = self.now
+        if result is i.Result.FULL:
+            server.rest_until = max(server.rest_until, self.now + FULL_MS)
+            return
         failed = result is not i.Result.OK
         server.fail_share += FAIL_STEP * (failed - server.fail_share)
         if not failed:
@@ -318,13 +382,21 @@
             server.rest_until = self.now + server.rest_ms
 
     def _look_for_silence(self) -> None:
-        """A server that lets requests wait past every aim without a word is silent, hung or cut off."""
-        limit = min(c.aim_ms for c in self.s.classes)
+        """A server that holds requests far longer than usual without a word is silent, hung or cut off. It
+        rests, and what it holds that may run again is called off and goes elsewhere. Could harm where one
+        request of a quiet gateway is merely costly: that repeats its work, within the retry budget."""
+        least = min(c.aim_ms for c in self.s.classes)
+        limit = min(max(SILENT_TIMES * self.usual_ms, least / 2), least)
         for server in self.servers.values():
-            if server.out:
-                oldest = next(iter(server.out.values()))
-                if self.now - oldest > limit and server.heard < oldest:
-                    self._rest(server)
+            oldest = next(iter(server.out.values()), self.now)
+            if self.now - oldest <= limit or server.heard >= oldest:
+                continue
+            self._rest(server)
+            for rid, n in list(server.out):
+                held = self.attempts[rid, n].held
+                again = held.cls.effect is not i.Effect.UNSAFE and held.tries < self.s.limits.max_attempts
+                if again and rid in self.held and self.s.limits.cancel and self.retries_left >= 1:
+                    self.acts.append(i.Cancel(rid, n))
 
     def _usable(self, server: Server) -> bool:
         return self.now >= server.rest_until and not (server.rest_ms and server.out)
@@ -404,13 +476,17 @@
         return len(sent) + 1 <= self.roll.exposure_free + cap * len(taken)
 
     def _coin(self, trial: list[Server], earlier: list[Server]) -> float:
-        """The odds of the trial build: 0.8 of the cap."""
+        """The odds of the trial build: 0.8 of the cap, but no more than its warm machines are of the fleet
+        that will serve once it is released. Else the first machines of a stage get the load of all, and their
+        crowding is blamed on the build. Keys that must follow the trial build count against the odds."""
         cap, _ = self._cap_and_stage(trial[0].build)
         if self.best is not None and self.best.phase is i.Phase.GOING_BACK:
             # A condemned build gets only what the earlier one has no room for yet.
             room = sum(self._warmth(s) for s in earlier) / (0.75 * (len(earlier) + len(trial)))
             return min(max(1 - room, 0.0), cap)
-        return COIN_SHARE * cap
+        places = len(earlier) + len(trial) if self.roll.in_place else max(len(earlier), len(trial))
+        odds = min(COIN_SHARE * cap, sum(self._warmth(s) for s in trial) / places)
+        return max(odds - self.followed, 0.0) / max(1 - self.followed, 0.01)
 
     def _route(self, held: Held) -> bool:
         allowed = [s for s in self.servers.values() if self._may_send(held, s)]
@@ -421,20 +497,22 @@
         trial = [s for s in pool if self._on_trial(s.build)]
         earlier = [s for s in pool if not self._on_trial(s.build)]
         tossed = bool(trial and earlier)
+        followed = bool(trial and held.r.key and held.r.key in self.key_build)
+        self.followed += 0.02 * (followed - self.followed)
         if tossed:
             pool = trial if self.rng.random() < self._coin(trial, earlier) else earlier
         first, second = self.rng.choice(pool), self.rng.choice(pool)
         server = min((first, second), key=self._crowding)
-        self._send(held, server, (len(first.out) + len(second.out)) / 2)
+        self._send(held, server, (len(first.out) + len(second.out)) / 2, tossed)
         return True
 
     def _crowding(self, server: Server) -> float:
         return (len(server.out) + 1) / self._warmth(server) + (0.5 if server.zone != self.s.zone else 0.0)
 
-    def _send(self, held: Held, server: Server, queue: float) -> None:
+    def _send(self, held: Held, server: Server, queue: float, tossed: bool) -> None:
         sample = None
         if held.tries == 0:
-            sample = Sample(server.build, queue, self.now)
+            sample = Sample(server.build, queue, self.now, self._warmth(server), tossed)
             self.samples.append(sample)
         attempt = Attempt(held, held.tries, server, self.now, sample)
         key = (held.r.request, attempt.n)
@@ -448,13 +526,9 @@
             server.sends.append((self.now, 1.0))
         if self._on_trial(server.build):
             self.window_sent.setdefault((server.build, self._counted(held.r.cls)), deque()).append(self.now)
-        self.acts.append(i.Send(held.r.request, server.id, self._limit(held)))
-
-    def _limit(self, held: Held) -> float:
-        """A time-out only where another attempt may follow it: at the aim, for silent servers."""
-        left = held.r.deadline_ms - self.now
-        more = held.tries < self.s.limits.max_attempts and held.cls.effect is not i.Effect.UNSAFE
-        return held.cls.aim_ms * 0.6 if more and left > held.cls.aim_ms * 1.2 else 0.0
+        # No time-out before the deadline: work given up runs on at many sites, and repeats feed a jam.
+        # Servers that have gone silent are found by `_look_for_silence` instead.
+        self.acts.append(i.Send(held.r.request, server.id))
 
     # Judging and votes
 
@@ -476,18 +550,27 @@
         order = {i.Phase.TRIAL: 0, i.Phase.RELEASED: 1, i.Phase.GOING_BACK: 2, i.Phase.WITHDRAWN: 3}
         return n.build, order[n.phase], n.stage
 
+    def _count(self, cls: int, server: Server, failed: bool) -> None:
+        if self.best is None or server.build < self.best.build:
+            usual = self.fail_usual.get(cls, 0.0)
+            self.fail_usual[cls] = usual + 0.02 * (failed - usual)
+        else:
+            build = self.failures.setdefault(server.build, Failures())
+            build.add(cls, server.id, float(failed), float(not failed), self.fail_usual.get(cls, 0.0))
+
     def estimate(self, build: int) -> Estimate | None:
         samples = list(self.samples)
-        if not any(s.build == build for s in samples):
-            return None
-        latency = [s.latency if s.latency is not None else self.now - s.sent for s in samples]
-        trial = [s.build == build for s in samples]
+        # A cold server is slow whatever it runs: its costs count as if it were warm.
+        latency = [s.warmth * (s.latency if s.latency is not None else self.now - s.sent) for s in samples]
+        queue = [s.warmth * s.queue for s in samples]
+        arm = [-1 if not s.tossed or s.build > build else int(s.build == build) for s in samples]
         rate = self.taken.value(self.now) / max(len(self.servers), 1)
-        found = mixed_q(latency, [s.queue for s in samples], trial, SUM_LENGTH, rate)
+        length = min(math.ceil(rate * self.usual_ms), SUM_LENGTH)
+        found = mixed_q(latency, queue, arm, [int(s.sent // BLOCK_MS) for s in samples], length, rate)
         if found is None:
             return None
         diff, error, new, old = found
-        earlier = [w for w, is_trial in zip(latency, trial, strict=True) if not is_trial]
+        earlier = [w for w, a in zip(latency, arm, strict=True) if a == 0]
         return Estimate(diff, error, MARGIN * fmean(earlier), new, old)
 
     def _verdict(self, n: i.BuildNews) -> i.Verdict:
@@ -496,6 +579,12 @@
         z = 2 + 0.5 * math.log(max(self.s.balancers, 1))
         e = self.estimate(n.build)
         decided = False
+        starts = [s.started for s in self.servers.values() if s.build == n.build]
+        failing = self.failures.setdefault(n.build, Failures()).proof(len(starts))
+        if failing >= 1:
+            self.back_for = n.build
+            self._log(f"back {n.build}: it fails more than the earlier build, proof {failing:.1f}")
+            return i.Verdict.BACK
         if e is not None and min(e.trial, e.earlier) >= LEAST_SAMPLE:
             if e.diff - z * e.error > e.margin:
                 self.back_for = n.build
@@ -507,9 +596,8 @@
             decided = e.diff + z * e.error < e.margin
         if self.roll.gate is i.Gate.TIMER or n.phase is not i.Phase.TRIAL:
             return i.Verdict.NONE
-        starts = [s.started for s in self.servers.values() if s.build == n.build]
         ripe = bool(starts) and self.now >= max(*starts, self.stage_began) + FALLBACK_MS
-        return i.Verdict.ON if decided or ripe else i.Verdict.NONE
+        return i.Verdict.ON if (decided or ripe) and failing < IN_DOUBT else i.Verdict.NONE
 
     def _judge(self) -> None:
         n = self.best
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import io
+import struct
 
 import pytest
 
@@ -42,8 +43,8 @@
     found = []
     for at in range(8, 8 + 32 * int.from_bytes(reply[4:8], "big"), 32):
         if reply[at] == 20:
-            gateway, rid, server = reply[at + 1 : at + 5], reply[at + 5 : at + 13], reply[at + 13 : at + 17]
-            found.append((int.from_bytes(gateway, "big"), int.from_bytes(rid, "big"), int.from_bytes(server, "big")))
+            gateway, rid, server = struct.unpack_from(">xIQI", reply, at)
+            found.append((gateway, rid, server))
     return found
 
 
