Odds swing while both builds are slow; kinds compared alike; room learnt from lateness

Shared builds slow both arms and the contrast is blind: when the earlier build takes longer than before the trial (by confidence bound) the odds go off until it recovers, then on; slow again, the build goes back.

--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from itertools import accumulate
 from random import Random
-from statistics import fmean
+from statistics import fmean, stdev
 
 from meadowpulley import interface as i
 
@@ -24,6 +24,9 @@
 HOLD_MS = 3000.0  # the longest hold of one stage under a clock
 # Ours.
 TICK_MS = 50.0  # how often waiting requests, health and votes are looked at
+DOUBT_SOAKS = 5.0  # soak times that a slowdown of both builds may stay in doubt
+OFF_SHARE = 0.8  # of the fleet: the earlier machines that must be there to take all of the traffic
+SERVER_SPREAD = 0.15  # how servers of one kind differ in speed, as a share of the mean latency
 BLOCK_MS = 1000.0  # builds are compared within blocks of this length
 HISTORY = 600  # logged requests kept for judging
 COLD_MARGIN = 0.6  # of the cold budget: capacity is only estimated and work is random
@@ -35,12 +38,14 @@
 RATE_MS = 4000.0  # memory of the request and work rates
 FAIL_STEP = 0.2  # weight of the newest outcome in a server's failure share
 FAIL_OUT = 0.45  # failure share that takes a server out of the choice: three in a row, or half of many
-REST_MS = 1000.0  # first rest of a server taken out; doubles with each failed trial request
-REST_MAX_MS = 8000.0
+REST_MS = (1000.0, 8000.0)  # first and longest rest of a server taken out; each failed try doubles it
 RETRY_SHARE = 0.1  # further attempts for each request taken, so that retries cannot feed a jam
-LATE_SHARE = 0.5  # of the aim: a request whose mean expected answer is later is refused at once
+ROOM_STEP = 0.1  # how an answer in time widens the room for requests in flight
+LATE_STEP = 0.4  # how a late one narrows it: it settles where one answer in five is late
+FLOOR_EACH = 2.0  # requests in flight a server, from all gateways, that are never too many
 FULL_MS = 200.0  # how long a server that turned a request away as full is left alone
 SILENT_TIMES = 4.0  # the usual latency without a word, and a server counts as silent
+AWAY = 0.5  # requests that a server in another zone counts as busier, since crossing has a price
 WAIT_SHARE = 0.25  # of the aim: how long a request may wait for a server it may go to
 LOST_MS = 10_000.0  # a watch that has not answered for this long is asked for again
 RETRY_LIST_MS = 1500.0  # between a failed list call and the next
@@ -52,26 +57,21 @@
     """One start of one server. A restart or another build under the same id is a new one."""
 
     def __init__(self, entry: i.ServerEntry) -> None:
-        self.id, self.cell, self.zone = entry.server, entry.cell, entry.zone
+        self.id, self.cell, self.zone, self.kind = entry.server, entry.cell, entry.zone, entry.kind
         self.build, self.started, self.state = entry.build, entry.started_ms, entry.state
         self.out: dict[tuple[int, int], float] = {}  # attempts out and when they were sent, oldest first
         self.sends: deque[tuple[float, float]] = deque()  # time and work of what it got while cold
-        self.fail_share = 0.0
+        self.fail_share = self.rest_until = 0.0
         self.rest_ms = 0.0  # 0 while trusted; else the rest it has had, and one request at a time goes there
-        self.rest_until = 0.0
-        self.heard = -math.inf  # last answer of any kind
-
-    def same_start(self, entry: i.ServerEntry) -> bool:
-        return self.build == entry.build and self.started == entry.started_ms
+        self.failed_at = self.heard = -math.inf  # last failure, last answer of any kind
 
 
 class Sample:
     """The logged costs of one request's first attempt."""
 
-    __slots__ = ("build", "latency", "queue", "sent", "tossed", "warmth")
-
-    def __init__(self, build: int, queue: float, sent: float, warmth: float, tossed: bool) -> None:
-        self.build, self.queue, self.sent, self.warmth, self.tossed = build, queue, sent, warmth, tossed
+    def __init__(self, server: Server, queue: float, sent: float, warmth: float, tossed: bool) -> None:
+        self.build, self.kind, self.tossed = server.build, server.kind, tossed
+        self.queue, self.sent, self.warmth = queue, sent, warmth
         self.latency: float | None = None
 
 
@@ -80,22 +80,19 @@
 
     def __init__(self, r: i.Request, cls: i.RequestClass, now: float) -> None:
         self.r, self.cls, self.arrived = r, cls, now
-        self.work = r.work_hint_ms if r.work_hint_ms and r.work_hint_ms > 0 else None
-        self.tries = 0
-        self.out = 0
+        self.tries = self.out = 0
         self.tried: list[int] = []
         self.maybe: list[Attempt] = []  # attempts that ran, may have run, or are still out
         self.streaming = False
 
     def may_refuse(self) -> bool:
-        if self.cls.effect is i.Effect.SAFE or not self.maybe:
-            return True
-        return self.cls.effect is i.Effect.KEYED and self.cls.group is i.Group.ALL
+        everywhere = self.cls.effect is i.Effect.KEYED and self.cls.group is i.Group.ALL
+        return self.cls.effect is i.Effect.SAFE or not self.maybe or everywhere
 
 
 class Attempt:
-    def __init__(self, held: Held, n: int, server: Server, sent: float, sample: Sample | None) -> None:
-        self.held, self.n, self.server, self.sent, self.sample = held, n, server, sent, sample
+    def __init__(self, held: Held, server: Server, sent: float, sample: Sample) -> None:
+        self.held, self.n, self.server, self.sent, self.sample = held, held.tries, server, sent, sample
 
 
 class Rate:
@@ -113,11 +110,10 @@
 
 class Failures:
     """Whether one build fails more than the earlier one: the log of the odds, summed by class and server.
-
-    Sums never fall under 0, so that a build that turns bad late is seen as soon as one that starts bad. One
-    server counts for no more than ONE_SERVER of the proof where there are others: a broken machine is not a
-    bad build. It covers every way of failing, for one class or all; it could harm where a trouble of machines
-    strikes just the only trial server.
+    Sums never fall under 0, so that a build that turns bad late is seen as soon as one that starts bad. Where
+    there are other trial servers, or earlier ones are broken too, no server counts for all of the proof: a
+    broken machine is not a bad build. Covers every way of failing, for one class or all; could harm where a
+    trouble of machines strikes just the only trial server.
     """
 
     def __init__(self) -> None:
@@ -131,71 +127,68 @@
             sums = self.sums.setdefault(part, {})
             sums[server] = max(sums.get(server, 0.0) + gain, 0.0)
 
-    def proof(self, servers: int) -> float:
-        """1 or more: proven. `servers` is how many run the build."""
-        most = ONE_SERVER if servers > 1 else 1.0
+    def proof(self, servers: int, broken: bool) -> float:
+        """1 or more: proven. `servers` run the build; `broken`: earlier ones fail as well."""
+        most = (1.0 if servers <= 1 else min(2 / servers, ONE_SERVER)) * (0.5 if broken else 1.0)
         parts = [sum(min(s / PROOF, most) for s in sums.values()) for sums in self.sums.values()]
         return max(parts, default=0.0)
 
 
-class Estimate:
-    """Trial minus earlier mean mixed Q, its error, and the margin it is held against."""
-
-    def __init__(self, diff: float, error: float, margin: float, trial: int, earlier: int) -> None:
-        self.diff, self.error, self.margin, self.trial, self.earlier = diff, error, margin, trial, earlier
-
-
 def mixed_q(
-    latency: Sequence[float], queue: Sequence[float], arm: Sequence[int], block: Sequence[int],
+    latency: Sequence[float], queue: Sequence[float], arm: Sequence[int], block: Sequence[object],
     length: int, rate: float,
-) -> tuple[float, float, int, int] | None:  # fmt: skip
+) -> tuple[float, float, int, int]:  # fmt: skip
     """The mixed Differences-in-Q estimate: difference, error, and how many Q there are of each build.
 
-    `arm` is 1 for the trial build, 0 for the earlier one, -1 for neither (such a request only adds to sums).
-    Builds are compared within a block of time, and blocks weighed as the error formula weighs its counts.
-    With one block this is the design's estimate. What slows both builds alike stays out of the contrast.
+    `arm`: 1 for the trial build, 0 for the earlier one, -1 for neither (such a request only adds to sums).
+    Builds are compared within a block (a time and a kind of machine), blocks weighed by the error formula.
+    With one block this is the design's estimate. What slows both stays out.
     """
     n = len(latency) - length
     if n <= 1 or rate <= 0:
-        return None
+        return 0.0, math.inf, 0, 0
     sums_w, sums_q = [0.0, *accumulate(latency)], [0.0, *accumulate(queue)]
-    groups: dict[int, tuple[list[int], list[int]]] = {}
+    groups: dict[object, tuple[list[int], list[int]]] = {}
     for j in range(n):
         if arm[j] >= 0:
             groups.setdefault(block[j], ([], []))[arm[j]].append(j)
     both = [(old, new) for old, new in groups.values() if old and new]
     if not both:
-        return None
+        return 0.0, math.inf, 0, 0
     qw = [sums_w[j + length + 1] - sums_w[j] for j in range(n)]
     qq = [sums_q[j + length + 1] - sums_q[j] for j in range(n)]
-    vw = vq = cwq = 0.0
-    for old, new in both:
-        members = old + new
-        mw, mq = fmean([qw[j] for j in members]), fmean([qq[j] for j in members])
-        vw += sum((qw[j] - mw) ** 2 for j in members)
-        vq += sum((qq[j] - mq) ** 2 for j in members)
-        cwq += sum((qw[j] - mw) * (qq[j] - mq) for j in members)
+
+    def cross(xs: Sequence[float], ys: Sequence[float]) -> float:
+        total = 0.0
+        for members in [old + new for old, new in both]:
+            mx, my = fmean([xs[j] for j in members]), fmean([ys[j] for j in members])
+            total += sum((xs[j] - mx) * (ys[j] - my) for j in members)
+        return total
+
+    vw, vq, cwq = cross(qw, qw), cross(qq, qq), cross(qw, qq)
     spread = rate * rate * vw + vq - 2 * rate * cwq
     alpha = (vq - rate * cwq) / spread if spread > 1e-12 else 1.0
     mixed = [alpha * w + (1 - alpha) * q / rate for w, q in zip(qw, qq, strict=True)]
-    weights = total = squares = 0.0
-    for old, new in both:
-        weight = 1 / (1 / len(new) + 1 / len(old))
-        weights += weight
-        total += weight * (fmean([mixed[j] for j in new]) - fmean([mixed[j] for j in old]))
-        mean = fmean([mixed[j] for j in old + new])
-        squares += sum((mixed[j] - mean) ** 2 for j in old + new)
+    weights = [1 / (1 / len(new) + 1 / len(old)) for old, new in both]
+    diffs = [fmean([mixed[j] for j in new]) - fmean([mixed[j] for j in old]) for old, new in both]
+    diff = sum(w * d for w, d in zip(weights, diffs, strict=True)) / sum(weights)
     trial, earlier = sum(len(new) for _, new in both), sum(len(old) for old, _ in both)
-    return total / weights, math.sqrt(squares / (trial + earlier) / weights), trial, earlier
+    return diff, math.sqrt(cross(mixed, mixed) / (trial + earlier) / sum(weights)), trial, earlier
+
+
+def _rank(n: i.BuildNews) -> tuple[int, int, int]:
+    """How far a build has come; late news of an earlier state must not undo what is known."""
+    order = (i.Phase.TRIAL, i.Phase.RELEASED, i.Phase.GOING_BACK, i.Phase.WITHDRAWN)
+    return n.build, order.index(n.phase), n.stage
 
 
 class Balancer:
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.s, self.rules, self.roll = settings, settings.rules, settings.rollout
         self.rng = Random(seed)
-        self.now = 0.0
+        self.z = 2 + 0.5 * math.log(max(settings.balancers, 1))
+        self.now, self.ticking = 0.0, False
         self.acts: list[i.Action] = []
-        self.ticking = False
         self.servers: dict[int, Server] = {}
         self.held: dict[int, Held] = {}
         self.waiting: list[Held] = []
@@ -204,18 +197,19 @@
         self.taken, self.done = Rate(), Rate()
         self.retries_left = 1.0
         self.followed = 0.0  # share of requests whose key binds them to the trial build
+        self.room = math.inf  # requests in flight, above which new ones are refused
         self.usual_ms = 0.0  # usual latency of answers that came
         # Exposure: what was taken and what went to each build on trial in the window.
         self.window_taken: dict[int, deque[float]] = {}
         self.window_sent: dict[tuple[int, int], deque[float]] = {}
         self.key_build: dict[int, int] = {}  # one-way keys: the build that has answered each
-        # The list.
-        self.asked_at: float | None = None
-        self.ask_again_at: float | None = None
+        self.ask_again_at = math.inf  # when to ask for the list again
         # Judging and votes. `told` is the last news to the letter, for the rules; `best` the furthest known.
         self.told: i.BuildNews | None = None
         self.best: i.BuildNews | None = None
-        self.stage_began = 0.0
+        self.stage_began = self.before_ms = 0.0  # before_ms: mean cost before the newest build
+        self.swing, self.swung_at = "", -math.inf  # "off" or "on" while a slowdown of both builds is in doubt
+        self.cleared: tuple[int, float] | None = None  # the build and stage that a swing has cleared
         self.samples: deque[Sample] = deque(maxlen=HISTORY)
         self.failures: dict[int, Failures] = {}
         self.fail_usual: dict[int, float] = {}  # by class: the earlier build's failure share
@@ -248,29 +242,23 @@
             case i.AnswerStarted(request):
                 if (held := self.held.get(request)) is not None:
                     held.streaming = True
-            case i.ProbeResult() | i.Tally() | i.WrongAnswer() | i.PeerMessage() | i.Timer():
-                pass
         return self.acts
 
     def _tick(self) -> None:
         self.acts.append(i.SetTimer(TICK_MS, TICK))
-        if self.ask_again_at is not None and self.now >= self.ask_again_at:
+        if self.now >= self.ask_again_at:
             self._watch()
         self._look_for_silence()
-        for held in [h for h in self.waiting if h.r.request in self.held]:
-            until = min(held.arrived + held.cls.aim_ms * WAIT_SHARE, held.r.deadline_ms - 2 * TICK_MS)
-            if self._route(held):
-                self.waiting.remove(held)
-            elif self.now >= until:  # before the deadline by more than a tick: the answer must be in time
-                self._give_up(held)
-        self.waiting = [h for h in self.waiting if h.r.request in self.held]
+        waiting, self.waiting = self.waiting, []
+        for held in waiting:
+            if held.r.request in self.held:
+                self._route_or_wait(held)
         self._judge()
 
-    # The list of servers
 
     def _watch(self) -> None:
         self.acts.append(i.Watch())
-        self.asked_at, self.ask_again_at = self.now, self.now + LOST_MS
+        self.ask_again_at = self.now + LOST_MS
 
     def _list(self, event: i.ServerList) -> None:
         if event.kind is i.ListKind.FAILED:
@@ -279,7 +267,7 @@
                 self.ask_again_at = self.now + RETRY_LIST_MS * (1 + self.rng.random())
             return
         if event.kind is not i.ListKind.CACHED:
-            self.ask_again_at = None
+            self.ask_again_at = math.inf
         named = {e.server: e for e in event.entries}
         if event.kind is not i.ListKind.CHANGES:
             for gone in [s for s in self.servers if s not in named]:
@@ -288,12 +276,11 @@
             known = self.servers.get(entry.server)
             if entry.state is i.ServerState.GONE:
                 self.servers.pop(entry.server, None)
-            elif known is not None and known.same_start(entry):
+            elif known and (known.build, known.started) == (entry.build, entry.started_ms):
                 known.state, known.cell, known.zone = entry.state, entry.cell, entry.zone
             else:
                 self.servers[entry.server] = Server(entry)
 
-    # Requests
 
     def _request(self, r: i.Request) -> None:
         cls = self.s.classes[r.cls]
@@ -301,46 +288,52 @@
         self.taken.add(self.now, 1.0)
         self.retries_left = min(self.retries_left + RETRY_SHARE, 10.0)
         self.window_taken.setdefault(self._counted(r.cls), deque()).append(self.now)
-        if self._too_late(held):
+        if len(self.attempts) > self.room:
+            self._give_up(held)  # at once: it would come too late
+        else:
+            self._route_or_wait(held)
+
+    def _route_or_wait(self, held: Held) -> None:
+        # Given up before the deadline by more than a tick: the answer must be in time.
+        until = min(held.arrived + held.cls.aim_ms * WAIT_SHARE, held.r.deadline_ms - 2 * TICK_MS)
+        if not self._route(held) and self.now < until:
+            self.waiting.append(held)
+        elif not held.tries:
             self._give_up(held)
-        elif not self._route(held):
-            if r.deadline_ms - self.now > 2 * TICK_MS:
-                self.waiting.append(held)
-            else:
-                self._give_up(held)
 
-    def _too_late(self, held: Held) -> bool:
-        """Refuse at once what would come too late: by Little's law a new request waits for what is in flight
-        over the rate of answers. Covers overload, bursts and anything else that slows the whole fleet."""
-        out, rate = len(self.attempts), self.done.value(self.now)
-        return out > 2 * len(self.servers) and out > rate * held.cls.aim_ms * LATE_SHARE and held.may_refuse()
+    def _learn_room(self, held: Held, o: i.Outcome) -> None:
+        """Answers within the aim widen the room for requests in flight while it is in use, late ones narrow
+        it. Covers overload, bursts, all that slows the whole fleet. In a jam no answer comes in time: a few
+        requests a server then find the way out."""
+        out = len(self.attempts) + 1
+        if o.result is i.Result.OK and o.elapsed_ms <= held.cls.aim_ms:
+            self.room += ROOM_STEP if 2 * out > self.room else 0.0
+        elif o.result in (i.Result.OK, i.Result.TIMEOUT):
+            self.room = min(self.room, 2.0 * out + 1) - LATE_STEP
+        self.room = max(self.room, FLOOR_EACH * len(self.servers) / max(self.s.balancers, 1))
 
     def _give_up(self, held: Held) -> None:
-        self.held.pop(held.r.request, None)
-        if held.may_refuse():
-            advice = self.s.limits.max_retry_after_ms if self.s.limits.retry_after else 0.0
-            self.acts.append(i.Refuse(held.r.request, advice))
-        else:
-            self.acts.append(i.Fail(held.r.request))
+        rid = held.r.request
+        self.held.pop(rid, None)
+        advice = self.s.limits.max_retry_after_ms if self.s.limits.retry_after else 0.0
+        self.acts.append(i.Refuse(rid, advice) if held.may_refuse() else i.Fail(rid))
         self._call_off(held)
 
     def _call_off(self, held: Held) -> None:
         """Takes back attempts whose request is over, so that they burden no server that can drop them."""
-        if self.s.limits.cancel and not held.streaming:
-            for attempt in held.maybe:
-                if (held.r.request, attempt.n) in self.attempts:
-                    self.acts.append(i.Cancel(held.r.request, attempt.n))
+        rid, able = held.r.request, self.s.limits.cancel and not held.streaming
+        self.acts += [i.Cancel(rid, a.n) for a in held.maybe if able and (rid, a.n) in self.attempts]
 
     def _outcome(self, o: i.Outcome) -> None:
         attempt = self.attempts.pop((o.request, o.attempt), None)
         if attempt is None:
             return
         held, server = attempt.held, attempt.server
-        server.out.pop((o.request, o.attempt), None)
+        del server.out[o.request, o.attempt]
         held.out -= 1
         if o.result in NEVER_RAN:
             held.maybe.remove(attempt)
-        if o.result is not i.Result.CANCELLED and o.result is not i.Result.MOOT:
+        if o.result not in (i.Result.CANCELLED, i.Result.MOOT):
             self._health(server, o.result)
         if o.result is i.Result.OK:
             self.done.add(self.now, 1.0)
@@ -349,8 +342,8 @@
                 self.key_build[held.r.key] = max(server.build, self.key_build.get(held.r.key, 0))
         if o.result in (i.Result.OK, i.Result.ERROR, i.Result.RESET):
             self._count(held.r.cls, server, o.result is not i.Result.OK)
-        if attempt.sample is not None:
-            attempt.sample.latency = o.elapsed_ms if o.result is i.Result.OK else held.cls.deadline_ms
+        self._learn_room(held, o)
+        attempt.sample.latency = o.elapsed_ms if o.result is i.Result.OK else held.cls.deadline_ms
         if o.over:
             self.held.pop(o.request, None)
             self._call_off(held)
@@ -360,7 +353,6 @@
             else:
                 self.retries_left -= 1
 
-    # Health
 
     def _health(self, server: Server, result: i.Result) -> None:
         server.heard = self.now
@@ -368,17 +360,19 @@
             server.rest_until = max(server.rest_until, self.now + FULL_MS)
             return
         failed = result is not i.Result.OK
+        if failed and server.failed_at == self.now:
+            return  # one event that breaks several attempts at once is one failure
+        server.failed_at = self.now if failed else server.failed_at
         server.fail_share += FAIL_STEP * (failed - server.fail_share)
-        if not failed:
-            if server.rest_ms and server.fail_share < FAIL_OUT:
-                server.rest_ms = 0.0
-        elif server.fail_share >= FAIL_OUT or server.rest_ms:
+        if failed and (server.fail_share >= FAIL_OUT or server.rest_ms):
             self._rest(server)
+        elif server.fail_share < FAIL_OUT:
+            server.rest_ms = 0.0
 
     def _rest(self, server: Server) -> None:
         """Takes a server out of the choice for a while; afterwards one request at a time tries it."""
         if self.now >= server.rest_until:
-            server.rest_ms = min(max(REST_MS, 2 * server.rest_ms), REST_MAX_MS)
+            server.rest_ms = min(max(REST_MS[0], 2 * server.rest_ms), REST_MS[1])
             server.rest_until = self.now + server.rest_ms
 
     def _look_for_silence(self) -> None:
@@ -398,17 +392,12 @@
                 if again and rid in self.held and self.s.limits.cancel and self.retries_left >= 1:
                     self.acts.append(i.Cancel(rid, n))
 
-    def _usable(self, server: Server) -> bool:
-        return self.now >= server.rest_until and not (server.rest_ms and server.out)
-
     def _warmth(self, server: Server, age_less: float = 0.0) -> float:
         """The least part of its capacity that a server has by now."""
         age = max(self.now - server.started - age_less, 0.0)
-        if not server.started or age >= self.rules.cold_ms:
-            return 1.0
-        return self.rules.cold_from + (1 - self.rules.cold_from) * age / self.rules.cold_ms
+        part = age / self.rules.cold_ms if server.started and age < self.rules.cold_ms else 1.0
+        return self.rules.cold_from + (1 - self.rules.cold_from) * part
 
-    # Routing
 
     def _on_trial(self, build: int) -> bool:
         if self.told is None or build > self.told.build:
@@ -419,9 +408,8 @@
         return cls if self.roll.exposure_per_class else -1
 
     def _cap_and_stage(self, build: int) -> tuple[float, int]:
-        if self.told is not None and build == self.told.build:
-            return self.told.cap, self.told.stage
-        return (self.roll.caps[0] if self.roll.caps else 0.0), 0
+        told = self.told is not None and build == self.told.build
+        return (self.told.cap, self.told.stage) if self.told and told else ((*self.roll.caps, 0.0)[0], 0)
 
     def _may_send(self, held: Held, server: Server) -> bool:
         """The one check that every attempt passes: all five rules."""
@@ -433,14 +421,11 @@
         if server.state is not i.ServerState.READY or self.servers.get(server.id) is not server:
             return False
         for earlier in held.maybe:
-            if cls.effect is i.Effect.UNSAFE:
+            there = earlier.server
+            same = {i.Group.ZONE: there.zone == server.zone, i.Group.CELL: there.cell == server.cell}
+            in_window = same.get(cls.group, True) and now - earlier.sent < cls.window_ms - self.s.tick_ms
+            if cls.effect is i.Effect.UNSAFE or (cls.effect is i.Effect.KEYED and not in_window):
                 return False
-            if cls.effect is i.Effect.KEYED:
-                where = earlier.server
-                same = (cls.group is i.Group.ALL or (cls.group is i.Group.ZONE and where.zone == server.zone)
-                        or (cls.group is i.Group.CELL and where.cell == server.cell))  # fmt: skip
-                if not same or now - earlier.sent >= cls.window_ms - self.s.tick_ms:
-                    return False
         return self._within_cold_budget(server) and self._within_exposure(held, server)
 
     def _within_cold_budget(self, server: Server) -> bool:
@@ -456,11 +441,10 @@
         return not server.sends or sum(w for _, w in server.sends) + 1.0 <= budget
 
     def _within_exposure(self, held: Held, server: Server) -> bool:
-        key_build = self.key_build.get(held.r.key, -1) if held.r.key else -1
-        if key_build > server.build and self.told is not None and key_build >= self.told.build:
-            back = self.told.phase in (i.Phase.GOING_BACK, i.Phase.WITHDRAWN)
-            if key_build > self.told.build or not back:
-                return False
+        back = self.told is not None and self.told.phase in (i.Phase.GOING_BACK, i.Phase.WITHDRAWN)
+        key_build, told = self._bound(held), self.told.build if self.told is not None else -1
+        if key_build > server.build and (key_build > told or (key_build == told and not back)):
+            return False
         if not self._on_trial(server.build):
             return True
         cap, stage = self._cap_and_stage(server.build)
@@ -475,6 +459,10 @@
             sent.popleft()
         return len(sent) + 1 <= self.roll.exposure_free + cap * len(taken)
 
+    def _bound(self, held: Held) -> int:
+        """The build that has answered this key, where keys go one way."""
+        return self.key_build.get(held.r.key, -1) if held.r.key else -1
+
     def _coin(self, trial: list[Server], earlier: list[Server]) -> float:
         """The odds of the trial build: 0.8 of the cap, but no more than its warm machines are of the fleet
         that will serve once it is released. Else the first machines of a stage get the load of all, and their
@@ -486,38 +474,36 @@
             return min(max(1 - room, 0.0), cap)
         places = len(earlier) + len(trial) if self.roll.in_place else max(len(earlier), len(trial))
         odds = min(COIN_SHARE * cap, sum(self._warmth(s) for s in trial) / places)
+        odds = 0.0 if self.swing == "off" and len(earlier) >= OFF_SHARE * places else odds
         return max(odds - self.followed, 0.0) / max(1 - self.followed, 0.01)
 
     def _route(self, held: Held) -> bool:
         allowed = [s for s in self.servers.values() if self._may_send(held, s)]
-        fresh = [s for s in allowed if self._usable(s) and s.id not in held.tried]
-        pool = fresh or [s for s in allowed if self._usable(s)] or allowed
+        usable = [s for s in allowed if self.now >= s.rest_until and not (s.rest_ms and s.out)]
+        pool = [s for s in usable if s.id not in held.tried] or usable
         if not pool:
             return False
         trial = [s for s in pool if self._on_trial(s.build)]
         earlier = [s for s in pool if not self._on_trial(s.build)]
         tossed = bool(trial and earlier)
-        followed = bool(trial and held.r.key and held.r.key in self.key_build)
+        followed = bool(trial) and self._bound(held) >= trial[0].build
         self.followed += 0.02 * (followed - self.followed)
         if tossed:
             pool = trial if self.rng.random() < self._coin(trial, earlier) else earlier
-        first, second = self.rng.choice(pool), self.rng.choice(pool)
-        server = min((first, second), key=self._crowding)
-        self._send(held, server, (len(first.out) + len(second.out)) / 2, tossed)
+        two = self.rng.sample(pool, min(2, len(pool)))
+        away = [AWAY if s.zone != self.s.zone else 0.0 for s in two]
+        crowding = [(len(s.out) + 1) / self._warmth(s) + a for s, a in zip(two, away, strict=True)]
+        server = two[crowding.index(min(crowding))]
+        self._send(held, server, fmean([len(s.out) for s in two]), tossed)
         return True
 
-    def _crowding(self, server: Server) -> float:
-        return (len(server.out) + 1) / self._warmth(server) + (0.5 if server.zone != self.s.zone else 0.0)
-
     def _send(self, held: Held, server: Server, queue: float, tossed: bool) -> None:
-        sample = None
+        sample = Sample(server, queue, self.now, self._warmth(server), tossed)
+        attempt = Attempt(held, server, self.now, sample)
         if held.tries == 0:
-            sample = Sample(server.build, queue, self.now, self._warmth(server), tossed)
             self.samples.append(sample)
-        attempt = Attempt(held, held.tries, server, self.now, sample)
-        key = (held.r.request, attempt.n)
-        self.attempts[key] = attempt
-        server.out[key] = self.now
+        self.attempts[held.r.request, attempt.n] = attempt
+        server.out[held.r.request, attempt.n] = self.now
         held.tries += 1
         held.out += 1
         held.tried.append(server.id)
@@ -530,7 +516,6 @@
         # Servers that have gone silent are found by `_look_for_silence` instead.
         self.acts.append(i.Send(held.r.request, server.id))
 
-    # Judging and votes
 
     def _news(self, n: i.BuildNews) -> None:
         if n.answers_vote:
@@ -540,16 +525,12 @@
         if n.result is not i.Result.OK:
             return
         self.told = n
-        if self.best is None or self._rank(n) > self._rank(self.best):
+        if self.best is None or n.build > self.best.build:
+            self.before_ms, self.swing = fmean([self._cost(s) for s in self.samples] or [0.0]), ""
+        if self.best is None or _rank(n) > _rank(self.best):
             self.stage_began = self.now - n.age_ms
             self.best = n
 
-    @staticmethod
-    def _rank(n: i.BuildNews) -> tuple[int, int, int]:
-        """How far a build has come; late news of an earlier state must not undo what is known."""
-        order = {i.Phase.TRIAL: 0, i.Phase.RELEASED: 1, i.Phase.GOING_BACK: 2, i.Phase.WITHDRAWN: 3}
-        return n.build, order[n.phase], n.stage
-
     def _count(self, cls: int, server: Server, failed: bool) -> None:
         if self.best is None or server.build < self.best.build:
             usual = self.fail_usual.get(cls, 0.0)
@@ -558,46 +539,77 @@
             build = self.failures.setdefault(server.build, Failures())
             build.add(cls, server.id, float(failed), float(not failed), self.fail_usual.get(cls, 0.0))
 
-    def estimate(self, build: int) -> Estimate | None:
+    def _cost(self, s: Sample) -> float:
+        """A cold server is slow whatever it runs: its costs count as if it were warm."""
+        return s.warmth * (s.latency if s.latency is not None else self.now - s.sent)
+
+    def estimate(self, build: int) -> tuple[float, float, float, int]:
+        """Bounds of the estimate of trial against earlier build, the margin, and the lesser count."""
         samples = list(self.samples)
-        # A cold server is slow whatever it runs: its costs count as if it were warm.
-        latency = [s.warmth * (s.latency if s.latency is not None else self.now - s.sent) for s in samples]
-        queue = [s.warmth * s.queue for s in samples]
+        latency, queue = [self._cost(s) for s in samples], [s.warmth * s.queue for s in samples]
         arm = [-1 if not s.tossed or s.build > build else int(s.build == build) for s in samples]
         rate = self.taken.value(self.now) / max(len(self.servers), 1)
         length = min(math.ceil(rate * self.usual_ms), SUM_LENGTH)
-        found = mixed_q(latency, queue, arm, [int(s.sent // BLOCK_MS) for s in samples], length, rate)
-        if found is None:
-            return None
-        diff, error, new, old = found
-        earlier = [w for w, a in zip(latency, arm, strict=True) if a == 0]
-        return Estimate(diff, error, MARGIN * fmean(earlier), new, old)
+        blocks = [(s.sent // BLOCK_MS, s.kind) for s in samples]
+        diff, error, new, old = mixed_q(latency, queue, arm, blocks, length, rate)
+        mean = fmean([w for w, a in zip(latency, arm, strict=True) if a == 0] or [0.0])
+        # One slow machine is not a slow build: few trial servers prove less.
+        count = sum(1 for s in self.servers.values() if s.build == build)
+        error = math.hypot(error, SERVER_SPREAD * mean / math.sqrt(max(count, 1)))
+        return diff - self.z * error, diff + self.z * error, MARGIN * mean, min(new, old)
+
+    def _doubt(self, build: int) -> bool:
+        """Whether both builds may be slow because of the trial build: the earlier one takes clearly longer
+        than before the trial. Then the odds swing: off until it recovers, then on. Slow once more, the trial
+        build is to blame. A dependency, a burst or a jam looks alike at first but does not follow the odds.
+        Could harm where troubles come and go with the swing; delays a build while all is slow."""
+        recent = [self._cost(s) for s in self.samples if s.build < build and s.sent > self.swung_at]
+        recent = recent[-2 * LEAST_SAMPLE :]
+        known = len(recent) >= LEAST_SAMPLE
+        least = fmean(recent) - self.z * stdev(recent) / math.sqrt(len(recent)) if known else 0.0
+        slow = least > (1 + MARGIN) * self.before_ms > 0
+        over = self.now > self.swung_at + DOUBT_SOAKS * self.roll.soak_ms
+        was = self.swing
+        if not was and slow and self.cleared != (build, self.stage_began):
+            self.swing = "off"
+        elif was == "off" and (over or (known and not slow and self.now > self.swung_at + 2 * BLOCK_MS)):
+            self.swing = "" if over else "on"
+        elif was == "on" and slow:
+            self._back(build, f"both builds slow with its traffic, {fmean(recent):.0f} ms")
+        elif was == "on" and self.now > self.swung_at + self.roll.soak_ms:
+            self.swing = ""
+        if self.swing != was:
+            self.swung_at = self.now
+            self.cleared = self.cleared if self.swing else (build, self.stage_began)
+        return bool(self.swing) or slow
+
+    def _back(self, build: int, why: str) -> None:
+        self.back_for, self.swing = build, ""
+        self.acts.append(i.LogLine(f"back {build}: {why}"))
 
     def _verdict(self, n: i.BuildNews) -> i.Verdict:
         if self.back_for == n.build:
             return i.Verdict.BACK
-        z = 2 + 0.5 * math.log(max(self.s.balancers, 1))
-        e = self.estimate(n.build)
-        decided = False
+        low, high, margin, least = self.estimate(n.build)
+        sure = least >= LEAST_SAMPLE
         starts = [s.started for s in self.servers.values() if s.build == n.build]
-        failing = self.failures.setdefault(n.build, Failures()).proof(len(starts))
+        broken = any(s.fail_share >= FAIL_OUT for s in self.servers.values() if s.build < n.build)
+        failing = self.failures.setdefault(n.build, Failures()).proof(len(starts), broken)
         if failing >= 1:
-            self.back_for = n.build
-            self._log(f"back {n.build}: it fails more than the earlier build, proof {failing:.1f}")
+            self._back(n.build, f"fails more than the earlier build, proof {failing:.1f}")
+        elif sure and low > margin and n.phase is i.Phase.TRIAL:
+            self._back(n.build, f"slower by {low:.0f} to {high:.0f} ms, margin {margin:.0f}")
+        doubt = n.phase is i.Phase.TRIAL and self._doubt(n.build)
+        if self.back_for == n.build:
             return i.Verdict.BACK
-        if e is not None and min(e.trial, e.earlier) >= LEAST_SAMPLE:
-            if e.diff - z * e.error > e.margin:
-                self.back_for = n.build
-                self._log(f"back {n.build}: diff {e.diff:.0f} error {e.error:.0f} margin {e.margin:.0f} ms")
-                return i.Verdict.BACK
-            if self.roll.gate is i.Gate.TIMER and e.diff - z * e.error > e.margin / 2:
-                began = self.hold_began.setdefault((n.build, n.stage), self.now)
-                return i.Verdict.HOLD if self.now - began < HOLD_MS else i.Verdict.NONE
-            decided = e.diff + z * e.error < e.margin
+        if self.roll.gate is i.Gate.TIMER and sure and low > margin / 2:
+            began = self.hold_began.setdefault((n.build, n.stage), self.now)
+            return i.Verdict.HOLD if self.now - began < HOLD_MS else i.Verdict.NONE
         if self.roll.gate is i.Gate.TIMER or n.phase is not i.Phase.TRIAL:
             return i.Verdict.NONE
         ripe = bool(starts) and self.now >= max(*starts, self.stage_began) + FALLBACK_MS
-        return i.Verdict.ON if (decided or ripe) and failing < IN_DOUBT else i.Verdict.NONE
+        decided = sure and high < margin
+        return i.Verdict.ON if (decided or ripe) and failing < IN_DOUBT and not doubt else i.Verdict.NONE
 
     def _judge(self) -> None:
         n = self.best
@@ -610,16 +622,12 @@
         if verdict is i.Verdict.NONE and (not voted or self.vote == wanted):
             return
         # Votes and their answers get lost: an unanswered one is sent again, a standing one renewed in time.
-        if self.now < self.vote_sent + TICK_MS * 4:
-            return
         waiting = not self.vote_answered and self.now < self.vote_sent + self.roll.call_timeout_ms
         standing = self.vote_stands_until - self.now > self.roll.vote_life_ms / 2
-        if self.vote == wanted and (waiting or standing):
+        soon = self.now < self.vote_sent + 4 * TICK_MS
+        if soon or (self.vote == wanted and (waiting or standing)):
             return
         if self.vote != wanted:
             self.vote_stands_until = -math.inf
         self.vote, self.vote_sent, self.vote_answered = wanted, self.now, False
         self.acts.append(i.Vote(*wanted))
-
-    def _log(self, text: str) -> None:
-        self.acts.append(i.LogLine(text))
