Slowness without an earlier build, failures proven by several servers, crowding in the margin

Broken connections no longer count against a build. Could harm: a dependency slow for longer than 3 soak times right after a release takes the build off.

--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -8,10 +8,9 @@
 
 import math
 from collections import deque
-from collections.abc import Sequence
 from itertools import accumulate
 from random import Random
-from statistics import fmean, stdev
+from statistics import fmean, median, stdev
 
 from meadowpulley import interface as i
 
@@ -25,7 +24,7 @@
 # Ours.
 TICK_MS = 50.0  # how often waiting requests, health and votes are looked at
 DOUBT_SOAKS = 5.0  # soak times that a slowdown of both builds may stay in doubt
-OFF_SHARE = 0.8  # of the fleet: the earlier machines that must be there to take all of the traffic
+ALONE_SOAKS = 3.0  # soak times of slowness, without an earlier build to compare, that condemn a build
 SERVER_SPREAD = 0.15  # how servers of one kind differ in speed, as a share of the mean latency
 BLOCK_MS = 1000.0  # builds are compared within blocks of this length
 HISTORY = 600  # logged requests kept for judging
@@ -34,9 +33,10 @@
 FAIL_MORE = 0.1  # more than the earlier build fails: the least that is looked for
 PROOF = 5.0  # log odds: about three failures more than the earlier build's
 IN_DOUBT = 0.5  # of the proof: no vote to go on until it is settled
-ONE_SERVER = 0.7  # of the proof, at most, from one of several servers
+ONE_SERVER = 0.35  # of the proof, at most, from one of many servers: three must fail
 RATE_MS = 4000.0  # memory of the request and work rates
 FAIL_STEP = 0.2  # weight of the newest outcome in a server's failure share
+BROKEN = 0.3  # failure share that shows a trouble of machines: two of the last few
 FAIL_OUT = 0.45  # failure share that takes a server out of the choice: three in a row, or half of many
 REST_MS = (1000.0, 8000.0)  # first and longest rest of a server taken out; each failed try doubles it
 RETRY_SHARE = 0.1  # further attempts for each request taken, so that retries cannot feed a jam
@@ -47,9 +47,9 @@
 SILENT_TIMES = 4.0  # the usual latency without a word, and a server counts as silent
 AWAY = 0.5  # requests that a server in another zone counts as busier, since crossing has a price
 WAIT_SHARE = 0.25  # of the aim: how long a request may wait for a server it may go to
-LOST_MS = 10_000.0  # a watch that has not answered for this long is asked for again
 RETRY_LIST_MS = 1500.0  # between a failed list call and the next
 NEVER_RAN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
+ALL = -2  # in place of a server: all of them together
 TICK = 1  # the token of the only timer
 
 
@@ -60,7 +60,7 @@
         self.id, self.cell, self.zone, self.kind = entry.server, entry.cell, entry.zone, entry.kind
         self.build, self.started, self.state = entry.build, entry.started_ms, entry.state
         self.out: dict[tuple[int, int], float] = {}  # attempts out and when they were sent, oldest first
-        self.sends: deque[tuple[float, float]] = deque()  # time and work of what it got while cold
+        self.sends: deque[float] = deque()  # when it got requests while cold
         self.fail_share = self.rest_until = 0.0
         self.rest_ms = 0.0  # 0 while trusted; else the rest it has had, and one request at a time goes there
         self.failed_at = self.heard = -math.inf  # last failure, last answer of any kind
@@ -78,13 +78,17 @@
 class Held:
     """A request that is owed its final answer."""
 
-    def __init__(self, r: i.Request, cls: i.RequestClass, now: float) -> None:
+    def __init__(self, r: i.Request, cls: i.RequestClass, now: float, per_class: bool) -> None:
         self.r, self.cls, self.arrived = r, cls, now
         self.tries = self.out = 0
+        self.counted = r.cls if per_class else -1  # with which requests its exposure is counted
         self.tried: list[int] = []
         self.maybe: list[Attempt] = []  # attempts that ran, may have run, or are still out
         self.streaming = False
 
+    def bound(self, key_build: dict[int, int]) -> int:
+        return key_build.get(self.r.key, -1) if self.r.key else -1
+
     def may_refuse(self) -> bool:
         everywhere = self.cls.effect is i.Effect.KEYED and self.cls.group is i.Group.ALL
         return self.cls.effect is i.Effect.SAFE or not self.maybe or everywhere
@@ -95,8 +99,7 @@
         self.held, self.n, self.server, self.sent, self.sample = held, held.tries, server, sent, sample
 
 
-class Rate:
-    """A count that fades, as an amount per millisecond."""
+class Rate:  # a count that fades, as an amount per millisecond
 
     def __init__(self) -> None:
         self.sum, self.at = 0.0, 0.0
@@ -108,12 +111,17 @@
         return self.sum * math.exp((self.at - now) / RATE_MS) / RATE_MS
 
 
+def _since(times: deque[float], start: float) -> int:
+    while times and times[0] < start:
+        times.popleft()
+    return len(times)
+
+
 class Failures:
-    """Whether one build fails more than the earlier one: the log of the odds, summed by class and server.
-    Sums never fall under 0, so that a build that turns bad late is seen as soon as one that starts bad. Where
-    there are other trial servers, or earlier ones are broken too, no server counts for all of the proof: a
-    broken machine is not a bad build. Covers every way of failing, for one class or all; could harm where a
-    trouble of machines strikes just the only trial server.
+    """Whether one build fails more than the earlier one: log odds, summed by class, for each server and ALL.
+    Sums never fall under 0, so that a build that turns bad late is seen as soon. Where there are other trial
+    servers, or earlier ones are broken too, none counts for all of the proof: a broken machine is not a bad
+    build. Covers every way of failing; could harm where a trouble strikes just the only trial server.
     """
 
     def __init__(self) -> None:
@@ -125,17 +133,19 @@
         gain = failed * math.log(high / low) + ok * math.log((1 - high) / (1 - low))
         for part in (cls, -1):
             sums = self.sums.setdefault(part, {})
-            sums[server] = max(sums.get(server, 0.0) + gain, 0.0)
+            for one in (server, ALL):
+                sums[one] = max(sums.get(one, 0.0) + gain, 0.0)
 
     def proof(self, servers: int, broken: bool) -> float:
-        """1 or more: proven. `servers` run the build; `broken`: earlier ones fail as well."""
-        most = (1.0 if servers <= 1 else min(2 / servers, ONE_SERVER)) * (0.5 if broken else 1.0)
-        parts = [sum(min(s / PROOF, most) for s in sums.values()) for sums in self.sums.values()]
-        return max(parts, default=0.0)
+        """1 or more: proven. So many servers run the build; `broken`: earlier ones fail as well."""
+        most = (1.0 if servers <= 1 else max(min(2 / servers, 0.7), ONE_SERVER)) * (0.5 if broken else 1.0)
+        each = [sum(min(s, most * PROOF) for k, s in x.items() if k != ALL) for x in self.sums.values()]
+        whole = [x[ALL] for x in self.sums.values()]
+        return max((min(both) for both in zip(each, whole, strict=True)), default=0.0) / PROOF
 
 
 def mixed_q(
-    latency: Sequence[float], queue: Sequence[float], arm: Sequence[int], block: Sequence[object],
+    latency: list[float], queue: list[float], arm: list[int], block: list[tuple[float, int]],
     length: int, rate: float,
 ) -> tuple[float, float, int, int]:  # fmt: skip
     """The mixed Differences-in-Q estimate: difference, error, and how many Q there are of each build.
@@ -148,7 +158,7 @@
     if n <= 1 or rate <= 0:
         return 0.0, math.inf, 0, 0
     sums_w, sums_q = [0.0, *accumulate(latency)], [0.0, *accumulate(queue)]
-    groups: dict[object, tuple[list[int], list[int]]] = {}
+    groups: dict[tuple[float, int], tuple[list[int], list[int]]] = {}
     for j in range(n):
         if arm[j] >= 0:
             groups.setdefault(block[j], ([], []))[arm[j]].append(j)
@@ -158,7 +168,7 @@
     qw = [sums_w[j + length + 1] - sums_w[j] for j in range(n)]
     qq = [sums_q[j + length + 1] - sums_q[j] for j in range(n)]
 
-    def cross(xs: Sequence[float], ys: Sequence[float]) -> float:
+    def cross(xs: list[float], ys: list[float]) -> float:
         total = 0.0
         for members in [old + new for old, new in both]:
             mx, my = fmean([xs[j] for j in members]), fmean([ys[j] for j in members])
@@ -193,26 +203,25 @@
         self.held: dict[int, Held] = {}
         self.waiting: list[Held] = []
         self.attempts: dict[tuple[int, int], Attempt] = {}
-        # Rates of what this gateway takes and of the work that comes back done.
-        self.taken, self.done = Rate(), Rate()
+        self.taken, self.done = Rate(), Rate()  # requests, without clients' repeats, and answers
         self.retries_left = 1.0
         self.followed = 0.0  # share of requests whose key binds them to the trial build
         self.room = math.inf  # requests in flight, above which new ones are refused
         self.usual_ms = 0.0  # usual latency of answers that came
-        # Exposure: what was taken and what went to each build on trial in the window.
-        self.window_taken: dict[int, deque[float]] = {}
+        self.window_taken: dict[int, deque[float]] = {}  # exposure: taken, and sent to each build on trial
         self.window_sent: dict[tuple[int, int], deque[float]] = {}
         self.key_build: dict[int, int] = {}  # one-way keys: the build that has answered each
-        self.ask_again_at = math.inf  # when to ask for the list again
+        self.ask_again_at = -math.inf if settings.must_ask else math.inf  # when to ask for the list
         # Judging and votes. `told` is the last news to the letter, for the rules; `best` the furthest known.
         self.told: i.BuildNews | None = None
         self.best: i.BuildNews | None = None
-        self.stage_began = self.before_ms = 0.0  # before_ms: mean cost before the newest build
+        self.stage_began = self.before_ms = self.before_rate = 0.0  # cost and rate before the newest build
+        self.slow_since = math.inf
         self.swing, self.swung_at = "", -math.inf  # "off" or "on" while a slowdown of both builds is in doubt
         self.cleared: tuple[int, float] | None = None  # the build and stage that a swing has cleared
         self.samples: deque[Sample] = deque(maxlen=HISTORY)
         self.failures: dict[int, Failures] = {}
-        self.fail_usual: dict[int, float] = {}  # by class: the earlier build's failure share
+        self.fail_usual: dict[tuple[int, bool], float] = {}  # the earlier build's, by class and if tallied
         self.back_for = -1  # the build this balancer wants taken off
         self.hold_began: dict[tuple[int, int], float] = {}
         self.vote: tuple[int, int, i.Verdict] | None = None  # the vote last sent
@@ -223,8 +232,6 @@
         if not self.ticking:
             self.ticking = True
             self.acts.append(i.SetTimer(TICK_MS, TICK))
-            if self.s.must_ask:
-                self._watch()
         match event:
             case i.Request():
                 self._request(event)
@@ -236,18 +243,19 @@
                 self._list(event)
             case i.BuildNews():
                 self._news(event)
-            case i.RequestGone(request):
-                if (held := self.held.pop(request, None)) is not None:
-                    self._call_off(held)
-            case i.AnswerStarted(request):
-                if (held := self.held.get(request)) is not None:
-                    held.streaming = True
+            case i.Tally():
+                self._count(event.cls, event.build, -1, event.failed, event.attempts - event.failed)
+            case i.RequestGone(request) if request in self.held:
+                self._call_off(self.held.pop(request))
+            case i.AnswerStarted(request) if request in self.held:
+                self.held[request].streaming = True
         return self.acts
 
     def _tick(self) -> None:
         self.acts.append(i.SetTimer(TICK_MS, TICK))
         if self.now >= self.ask_again_at:
-            self._watch()
+            self.acts.append(i.Watch())  # an answer that never comes is asked for again
+            self.ask_again_at = self.now + max(self.rules.ask_within_ms, RETRY_LIST_MS)
         self._look_for_silence()
         waiting, self.waiting = self.waiting, []
         for held in waiting:
@@ -256,15 +264,11 @@
         self._judge()
 
 
-    def _watch(self) -> None:
-        self.acts.append(i.Watch())
-        self.ask_again_at = self.now + LOST_MS
-
     def _list(self, event: i.ServerList) -> None:
         if event.kind is i.ListKind.FAILED:
             # The notice does not say whether the watch still stands, so it is always asked for again.
-            if self.s.must_ask:
-                self.ask_again_at = self.now + RETRY_LIST_MS * (1 + self.rng.random())
+            again = self.now + RETRY_LIST_MS * (1 + self.rng.random())
+            self.ask_again_at = again if self.s.must_ask else math.inf
             return
         if event.kind is not i.ListKind.CACHED:
             self.ask_again_at = math.inf
@@ -284,10 +288,10 @@
 
     def _request(self, r: i.Request) -> None:
         cls = self.s.classes[r.cls]
-        held = self.held[r.request] = Held(r, cls, self.now)
-        self.taken.add(self.now, 1.0)
+        held = self.held[r.request] = Held(r, cls, self.now, self.roll.exposure_per_class)
+        self.taken.add(self.now, 0.0 if r.repeat else 1.0)
         self.retries_left = min(self.retries_left + RETRY_SHARE, 10.0)
-        self.window_taken.setdefault(self._counted(r.cls), deque()).append(self.now)
+        self.window_taken.setdefault(held.counted, deque()).append(self.now)
         if len(self.attempts) > self.room:
             self._give_up(held)  # at once: it would come too late
         else:
@@ -315,7 +319,7 @@
     def _give_up(self, held: Held) -> None:
         rid = held.r.request
         self.held.pop(rid, None)
-        advice = self.s.limits.max_retry_after_ms if self.s.limits.retry_after else 0.0
+        advice = self.s.limits.retry_after * self.s.limits.max_retry_after_ms
         self.acts.append(i.Refuse(rid, advice) if held.may_refuse() else i.Fail(rid))
         self._call_off(held)
 
@@ -340,8 +344,9 @@
             self.usual_ms += 0.05 * (o.elapsed_ms - self.usual_ms) if self.usual_ms else o.elapsed_ms
             if held.r.key and self.roll.one_way and (self.told is None or server.build >= self.told.build):
                 self.key_build[held.r.key] = max(server.build, self.key_build.get(held.r.key, 0))
-        if o.result in (i.Result.OK, i.Result.ERROR, i.Result.RESET):
-            self._count(held.r.cls, server, o.result is not i.Result.OK)
+        if o.result in (i.Result.OK, i.Result.ERROR):  # a broken connection is the network's or the machine's
+            failed = o.result is not i.Result.OK
+            self._count(held.r.cls, server.build, server.id, int(failed), int(not failed))
         self._learn_room(held, o)
         attempt.sample.latency = o.elapsed_ms if o.result is i.Result.OK else held.cls.deadline_ms
         if o.over:
@@ -364,7 +369,9 @@
             return  # one event that breaks several attempts at once is one failure
         server.failed_at = self.now if failed else server.failed_at
         server.fail_share += FAIL_STEP * (failed - server.fail_share)
-        if failed and (server.fail_share >= FAIL_OUT or server.rest_ms):
+        # Where most servers fail it is no fault of this one, and resting them would jam the others.
+        usual = median(s.fail_share for s in self.servers.values()) if self.servers else 0.0
+        if failed and (server.fail_share >= FAIL_OUT + usual or server.rest_ms):
             self._rest(server)
         elif server.fail_share < FAIL_OUT:
             server.rest_ms = 0.0
@@ -376,10 +383,9 @@
             server.rest_until = self.now + server.rest_ms
 
     def _look_for_silence(self) -> None:
-        """A server that holds requests far longer than usual without a word is silent, hung or cut off. It
-        rests, and what it holds that may run again is called off and goes elsewhere. Could harm where one
-        request of a quiet gateway is merely costly: that repeats its work, within the retry budget."""
-        least = min(c.aim_ms for c in self.s.classes)
+        """A server that holds requests far longer than usual without a word is silent or cut off. It rests,
+        and what may run again goes elsewhere. Could harm where a request is merely costly: it repeats."""
+        least = min((c.aim_ms for c in self.s.classes), default=0.0)
         limit = min(max(SILENT_TIMES * self.usual_ms, least / 2), least)
         for server in self.servers.values():
             oldest = next(iter(server.out.values()), self.now)
@@ -404,9 +410,6 @@
             return True
         return build == self.told.build and self.told.phase is not i.Phase.RELEASED
 
-    def _counted(self, cls: int) -> int:
-        return cls if self.roll.exposure_per_class else -1
-
     def _cap_and_stage(self, build: int) -> tuple[float, int]:
         told = self.told is not None and build == self.told.build
         return (self.told.cap, self.told.stage) if self.told and told else ((*self.roll.caps, 0.0)[0], 0)
@@ -414,11 +417,10 @@
     def _may_send(self, held: Held, server: Server) -> bool:
         """The one check that every attempt passes: all five rules."""
         cls, now = held.cls, self.now
-        if held.r.request not in self.held or held.streaming or now >= held.r.deadline_ms:
-            return False
-        if held.tries >= self.s.limits.max_attempts or (held.out and not self.s.limits.second_copies):
-            return False
-        if server.state is not i.ServerState.READY or self.servers.get(server.id) is not server:
+        owed = held.r.request in self.held and not held.streaming and now < held.r.deadline_ms
+        more = held.tries < self.s.limits.max_attempts and (self.s.limits.second_copies or not held.out)
+        ready = server.state is i.ServerState.READY and self.servers.get(server.id) is server
+        if not (owed and more and ready):
             return False
         for earlier in held.maybe:
             there = earlier.server
@@ -434,15 +436,13 @@
         span = self.rules.fall_ms
         if self._warmth(server, span) >= 1.0:
             return True
-        while server.sends and server.sends[0][0] <= self.now - span:
-            server.sends.popleft()
         each = self.done.value(self.now) / max(len(self.servers), 1)
         budget = self.rules.fall_multiple * self._warmth(server, span / 2) * each * span * COLD_MARGIN
-        return not server.sends or sum(w for _, w in server.sends) + 1.0 <= budget
+        return _since(server.sends, self.now - span) + 1 <= max(budget, 1.0)
 
     def _within_exposure(self, held: Held, server: Server) -> bool:
         back = self.told is not None and self.told.phase in (i.Phase.GOING_BACK, i.Phase.WITHDRAWN)
-        key_build, told = self._bound(held), self.told.build if self.told is not None else -1
+        key_build, told = held.bound(self.key_build), self.told.build if self.told is not None else -1
         if key_build > server.build and (key_build > told or (key_build == told and not back)):
             return False
         if not self._on_trial(server.build):
@@ -450,18 +450,10 @@
         cap, stage = self._cap_and_stage(server.build)
         if cap <= 0 or (stage < self.roll.guarded_stages and held.cls.effect is not i.Effect.SAFE):
             return False
-        counted, window, tick = self._counted(held.r.cls), self.roll.exposure_window_ms, self.s.tick_ms
-        taken = self.window_taken.setdefault(counted, deque())
-        while taken and taken[0] <= self.now - window + tick:
-            taken.popleft()
-        sent = self.window_sent.setdefault((server.build, counted), deque())
-        while sent and sent[0] < self.now - window - tick:
-            sent.popleft()
-        return len(sent) + 1 <= self.roll.exposure_free + cap * len(taken)
-
-    def _bound(self, held: Held) -> int:
-        """The build that has answered this key, where keys go one way."""
-        return self.key_build.get(held.r.key, -1) if held.r.key else -1
+        counted, window, tick = held.counted, self.roll.exposure_window_ms, self.s.tick_ms
+        taken = _since(self.window_taken.setdefault(counted, deque()), self.now - window + tick)
+        sent = _since(self.window_sent.setdefault((server.build, counted), deque()), self.now - window - tick)
+        return sent + 1 <= self.roll.exposure_free + cap * taken
 
     def _coin(self, trial: list[Server], earlier: list[Server]) -> float:
         """The odds of the trial build: 0.8 of the cap, but no more than its warm machines are of the fleet
@@ -469,12 +461,11 @@
         crowding is blamed on the build. Keys that must follow the trial build count against the odds."""
         cap, _ = self._cap_and_stage(trial[0].build)
         if self.best is not None and self.best.phase is i.Phase.GOING_BACK:
-            # A condemned build gets only what the earlier one has no room for yet.
             room = sum(self._warmth(s) for s in earlier) / (0.75 * (len(earlier) + len(trial)))
-            return min(max(1 - room, 0.0), cap)
+            return min(max(1 - room, 0.0), cap)  # only what the earlier build has no room for
         places = len(earlier) + len(trial) if self.roll.in_place else max(len(earlier), len(trial))
         odds = min(COIN_SHARE * cap, sum(self._warmth(s) for s in trial) / places)
-        odds = 0.0 if self.swing == "off" and len(earlier) >= OFF_SHARE * places else odds
+        odds = 0.0 if self.swing == "off" and len(earlier) >= (1 - MARGIN) * places else odds
         return max(odds - self.followed, 0.0) / max(1 - self.followed, 0.01)
 
     def _route(self, held: Held) -> bool:
@@ -486,7 +477,7 @@
         trial = [s for s in pool if self._on_trial(s.build)]
         earlier = [s for s in pool if not self._on_trial(s.build)]
         tossed = bool(trial and earlier)
-        followed = bool(trial) and self._bound(held) >= trial[0].build
+        followed = bool(trial) and held.bound(self.key_build) >= trial[0].build
         self.followed += 0.02 * (followed - self.followed)
         if tossed:
             pool = trial if self.rng.random() < self._coin(trial, earlier) else earlier
@@ -509,35 +500,36 @@
         held.tried.append(server.id)
         held.maybe.append(attempt)
         if self._warmth(server, self.rules.fall_ms) < 1.0:
-            server.sends.append((self.now, 1.0))
+            server.sends.append(self.now)
         if self._on_trial(server.build):
-            self.window_sent.setdefault((server.build, self._counted(held.r.cls)), deque()).append(self.now)
-        # No time-out before the deadline: work given up runs on at many sites, and repeats feed a jam.
-        # Servers that have gone silent are found by `_look_for_silence` instead.
+            self.window_sent.setdefault((server.build, held.counted), deque()).append(self.now)
+        # No early time-out: work given up runs on at many sites, and repeats feed a jam.
         self.acts.append(i.Send(held.r.request, server.id))
 
 
     def _news(self, n: i.BuildNews) -> None:
-        if n.answers_vote:
-            self.vote_answered = True
-            if n.result is i.Result.OK:
-                self.vote_stands_until = self.now + self.roll.vote_life_ms
+        self.vote_answered |= n.answers_vote
+        if n.answers_vote and n.result is i.Result.OK:
+            self.vote_stands_until = self.now + self.roll.vote_life_ms
         if n.result is not i.Result.OK:
             return
         self.told = n
         if self.best is None or n.build > self.best.build:
             self.before_ms, self.swing = fmean([self._cost(s) for s in self.samples] or [0.0]), ""
+            self.before_rate, self.slow_since = self.taken.value(self.now), math.inf
         if self.best is None or _rank(n) > _rank(self.best):
             self.stage_began = self.now - n.age_ms
             self.best = n
 
-    def _count(self, cls: int, server: Server, failed: bool) -> None:
-        if self.best is None or server.build < self.best.build:
-            usual = self.fail_usual.get(cls, 0.0)
-            self.fail_usual[cls] = usual + 0.02 * (failed - usual)
+    def _count(self, cls: int, build: int, server: int, failed: int, ok: int) -> None:
+        """Own outcomes by server, and the platform's tallies as one more server (-1), which count more ways
+        of failing and so have a usual share of their own."""
+        usual = self.fail_usual.get((cls, server < 0), 0.0)
+        if self.best is None or build < self.best.build:
+            weight = min(0.02 * (failed + ok), 0.5)
+            self.fail_usual[cls, server < 0] = usual + weight * (failed / max(failed + ok, 1) - usual)
         else:
-            build = self.failures.setdefault(server.build, Failures())
-            build.add(cls, server.id, float(failed), float(not failed), self.fail_usual.get(cls, 0.0))
+            self.failures.setdefault(build, Failures()).add(cls, server, failed, ok, usual)
 
     def _cost(self, s: Sample) -> float:
         """A cold server is slow whatever it runs: its costs count as if it were warm."""
@@ -553,21 +545,30 @@
         blocks = [(s.sent // BLOCK_MS, s.kind) for s in samples]
         diff, error, new, old = mixed_q(latency, queue, arm, blocks, length, rate)
         mean = fmean([w for w, a in zip(latency, arm, strict=True) if a == 0] or [0.0])
-        # One slow machine is not a slow build: few trial servers prove less.
-        count = sum(1 for s in self.servers.values() if s.build == build)
-        error = math.hypot(error, SERVER_SPREAD * mean / math.sqrt(max(count, 1)))
-        return diff - self.z * error, diff + self.z * error, MARGIN * mean, min(new, old)
+        # One slow machine is not a slow build: few trial servers prove less. Nor is a crowded one: the margin
+        # grows with what a trial server gets for each request of an earlier one.
+        count = max(sum(1 for s in self.servers.values() if s.build == build), 1)
+        error = math.hypot(error, SERVER_SPREAD * mean / math.sqrt(count))
+        crowd = max(new * max(len(self.servers) - count, 1) / max(old * count, 1), 1.0)
+        return diff - self.z * error, diff + self.z * error, MARGIN * mean * crowd, min(new, old)
 
     def _doubt(self, build: int) -> bool:
-        """Whether both builds may be slow because of the trial build: the earlier one takes clearly longer
-        than before the trial. Then the odds swing: off until it recovers, then on. Slow once more, the trial
-        build is to blame. A dependency, a burst or a jam looks alike at first but does not follow the odds.
-        Could harm where troubles come and go with the swing; delays a build while all is slow."""
-        recent = [self._cost(s) for s in self.samples if s.build < build and s.sent > self.swung_at]
-        recent = recent[-2 * LEAST_SAMPLE :]
+        """Whether both builds may be slow through the trial build: the earlier one takes clearly longer than
+        before. Then the odds swing: off until it recovers, then on. Slow once more, the trial build is to
+        blame. A dependency, burst or jam does not follow the odds; one that chances to would mislead."""
+        alone = not any(s.build < build for s in self.servers.values())
+        seen = [s for s in self.samples if s.sent > self.swung_at and (alone or s.build < build)]
+        recent = [self._cost(s) for s in seen[-2 * LEAST_SAMPLE :]]
         known = len(recent) >= LEAST_SAMPLE
-        least = fmean(recent) - self.z * stdev(recent) / math.sqrt(len(recent)) if known else 0.0
-        slow = least > (1 + MARGIN) * self.before_ms > 0
+        error = stdev(recent) / math.sqrt(len(recent)) if known else math.inf
+        slow = known and fmean(recent) - self.z * error > (1 + MARGIN) * self.before_ms > 0
+        if alone:
+            # No earlier build to compare with: slow for longer than troubles last, without more new requests.
+            more = self.taken.value(self.now) > (1 + MARGIN) * self.before_rate
+            self.slow_since = min(self.slow_since, self.now) if slow and not more else math.inf
+            if self.now > self.slow_since + ALONE_SOAKS * self.roll.soak_ms:
+                self._back(build, f"slow since the earlier build has gone, {fmean(recent):.0f} ms")
+            return slow
         over = self.now > self.swung_at + DOUBT_SOAKS * self.roll.soak_ms
         was = self.swing
         if not was and slow and self.cleared != (build, self.stage_began):
@@ -593,18 +594,18 @@
         low, high, margin, least = self.estimate(n.build)
         sure = least >= LEAST_SAMPLE
         starts = [s.started for s in self.servers.values() if s.build == n.build]
-        broken = any(s.fail_share >= FAIL_OUT for s in self.servers.values() if s.build < n.build)
+        broken = any(s.fail_share >= BROKEN for s in self.servers.values() if s.build < n.build)
         failing = self.failures.setdefault(n.build, Failures()).proof(len(starts), broken)
         if failing >= 1:
             self._back(n.build, f"fails more than the earlier build, proof {failing:.1f}")
         elif sure and low > margin and n.phase is i.Phase.TRIAL:
             self._back(n.build, f"slower by {low:.0f} to {high:.0f} ms, margin {margin:.0f}")
-        doubt = n.phase is i.Phase.TRIAL and self._doubt(n.build)
+        doubt = self._doubt(n.build)
         if self.back_for == n.build:
             return i.Verdict.BACK
         if self.roll.gate is i.Gate.TIMER and sure and low > margin / 2:
             began = self.hold_began.setdefault((n.build, n.stage), self.now)
-            return i.Verdict.HOLD if self.now - began < HOLD_MS else i.Verdict.NONE
+            return i.Verdict.HOLD if self.now < began + HOLD_MS else i.Verdict.NONE
         if self.roll.gate is i.Gate.TIMER or n.phase is not i.Phase.TRIAL:
             return i.Verdict.NONE
         ripe = bool(starts) and self.now >= max(*starts, self.stage_began) + FALLBACK_MS
@@ -627,7 +628,6 @@
         soon = self.now < self.vote_sent + 4 * TICK_MS
         if soon or (self.vote == wanted and (waiting or standing)):
             return
-        if self.vote != wanted:
-            self.vote_stands_until = -math.inf
-        self.vote, self.vote_sent, self.vote_answered = wanted, self.now, False
+        self.vote, self.vote_sent = wanted, self.now
+        self.vote_answered, self.vote_stands_until = False, -math.inf
         self.acts.append(i.Vote(*wanted))
