--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -48,7 +48,7 @@
 
 
 def test_a_least_alpha_keeps_latency_in_the_mix_where_counts_do_not_vary() -> None:
-    # A gateway that sees little mostly finds nothing in flight; the formula would then trust the counts alone.
+    # A gateway that sees little mostly holds nothing; the formula would then trust the counts alone.
     diff, _, _, _ = mixed_q([100, 300, 100, 300], [0] * 4, [0, 1, 0, 1], ONE, 0, 0.01, 0.5)
     assert diff == pytest.approx(100.0)
 
