--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -24,7 +24,6 @@
 HOLD_MS = 3000.0  # the longest hold of one stage under a clock
 # Ours.
 TICK_MS = 50.0  # how often waiting requests, health and votes are looked at
-DOUBT_SOAKS = 5.0  # soak times that a slowdown of both builds may stay in doubt
 LEAST_SWING = 0.1  # odds of the trial build: with less it hardly slows all servers
 ALONE_SOAKS = 3.0  # soak times of slowness, without an earlier build to compare, that condemn a build
 SERVER_SPREAD = 0.15  # how servers of one kind differ in speed, as a share of the mean latency
@@ -568,11 +567,11 @@
             if self.now > self.slow_since + ALONE_SOAKS * self.roll.soak_ms:
                 self._back(build, f"slow since the earlier build has gone, {fmean(recent):.0f} ms")
             return slow
-        over, was = self.now > self.swung_at + DOUBT_SOAKS * self.roll.soak_ms, self.swing
+        was = self.swing
         if not was and slow and self.odds >= LEAST_SWING and self.cleared != (build, self.stage_began):
             self.swing, self.swings = "off", 1
-        elif was == "off" and (over or (known and not slow and self.now > self.swung_at + 2 * BLOCK_MS)):
-            self.swing = "" if over else "on"
+        elif was == "off" and known and not slow and self.now > self.swung_at + 2 * BLOCK_MS:
+            self.swing = "on"
         elif was == "on" and slow and self.swings < 2:
             self.swing, self.swings = "off", self.swings + 1
         elif was == "on" and slow:
