No vote to go on while all is slow; the time before the trial kept fresh early

Cause: the baseline of latency was a few early requests, up to twice the truth, so that slowness was seen late, and a build could be released while everything was slow. Could harm: a stage waits for as long as a burst or a dependency slows everything.

--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -186,8 +186,7 @@
     return diff, math.sqrt(cross(mixed, mixed) / (trial + earlier) / sum(weights)), trial, earlier
 
 
-def _rank(n: i.BuildNews) -> tuple[int, int, int]:
-    """How far a build has come; late news of an earlier state must not undo what is known."""
+def _rank(n: i.BuildNews) -> tuple[int, int, int]:  # late news of an earlier state undoes nothing
     order = (i.Phase.TRIAL, i.Phase.RELEASED, i.Phase.GOING_BACK, i.Phase.WITHDRAWN)
     return n.build, order.index(n.phase), n.stage
 
@@ -217,7 +216,6 @@
         self.stage_began = self.before_ms = self.before_rate = 0.0  # cost and rate before the newest build
         self.slow_since, self.swung_at = math.inf, -math.inf
         self.swing, self.swings = "", 0  # "off" or "on" while a slowdown of both is in doubt; how often
-        self.cleared: tuple[int, float] | None = None  # the build and stage that a swing has cleared
         self.samples: deque[Sample] = deque(maxlen=HISTORY)
         self.failures: dict[int, Failures] = {}
         self.fail_usual: dict[tuple[int, bool], float] = {}  # the earlier build's, by class and if tallied
@@ -550,38 +548,43 @@
         crowd = max(new * max(len(self.servers) - count, 1) / max(old * count, 1), 1.0)
         return diff - self.z * error, diff + self.z * error, MARGIN * mean * crowd, min(new, old)
 
+    def _slow(self, seen: list[Sample]) -> bool:
+        """Whether these requests took clearly longer than those before the newest build."""
+        recent = [self._cost(s) for s in seen[-2 * LEAST_SAMPLE :]]
+        if len(recent) < LEAST_SAMPLE:
+            return False
+        least = fmean(recent) - self.z * stdev(recent) / math.sqrt(len(recent))
+        return least > (1 + MARGIN) * self.before_ms > 0
+
     def _doubt(self, build: int) -> bool:
-        """Whether both builds may be slow through the trial build: the earlier one takes clearly longer than
-        before. Then the odds swing: off until it recovers, then on. Slow once more, the trial build is to
-        blame. A dependency, burst or jam does not follow the odds; one that chances to would mislead."""
+        """Whether both builds may be slow through the trial build: the earlier one takes clearly longer. Then
+        the odds swing: off until it recovers, then on. Slow a second time, the trial build is to blame. No
+        dependency or jam follows the odds; one that chances to would mislead. All slow: no vote to go on."""
         alone = not any(s.build < build for s in self.servers.values())
         until = self.now - 2 * self.before_ms  # whoever is still out by then counts as slow
-        seen = [s for s in self.samples if self.swung_at < s.sent < until and (alone or s.build < build)]
-        recent = [self._cost(s) for s in seen[-2 * LEAST_SAMPLE :]]
-        known = len(recent) >= LEAST_SAMPLE
-        error = stdev(recent) / math.sqrt(len(recent)) if known else math.inf
-        slow = known and fmean(recent) - self.z * error > (1 + MARGIN) * self.before_ms > 0
+        old = [s for s in self.samples if s.sent < until]
+        seen = [s for s in old if s.sent > self.swung_at and (alone or s.build < build)]
+        known, slow, was = len(seen) >= LEAST_SAMPLE, self._slow(seen), self.swing
         if alone:  # slow for longer than troubles last, without more new requests
             more = self.taken.value(self.now) > (1 + MARGIN) * self.before_rate
             self.slow_since = min(self.slow_since, self.now) if slow and not more else math.inf
             if self.now > self.slow_since + ALONE_SOAKS * self.roll.soak_ms:
-                self._back(build, f"slow since the earlier build has gone, {fmean(recent):.0f} ms")
+                self._back(build, f"slow since the earlier build has gone, usually {self.before_ms:.0f} ms")
             return slow
-        was = self.swing
-        if not was and slow and self.odds >= LEAST_SWING and self.cleared != (build, self.stage_began):
+        if self.odds < LEAST_SWING and known and not slow:  # too little traffic to slow the earlier build
+            self.before_ms = fmean([self._cost(s) for s in seen])
+        elif not was and slow and self.odds >= LEAST_SWING:
             self.swing, self.swings = "off", 1
         elif was == "off" and known and not slow and self.now > self.swung_at + 2 * BLOCK_MS:
             self.swing = "on"
-        elif was == "on" and slow and self.swings < 2:
-            self.swing, self.swings = "off", self.swings + 1
         elif was == "on" and slow:
-            self._back(build, f"both builds slow with its traffic, {fmean(recent):.0f} ms")
+            self.swing, self.swings = "off", self.swings + 1
+            if self.swings > 2:
+                self._back(build, f"both builds slow with its traffic, usually {self.before_ms:.0f} ms")
         elif was == "on" and self.now > self.swung_at + self.roll.soak_ms:
             self.swing = ""
-        if self.swing != was:
-            self.swung_at = self.now
-            self.cleared = self.cleared if self.swing else (build, self.stage_began)
-        return bool(self.swing) or slow or (not known and self.cleared == (build, self.stage_began))
+        self.swung_at = self.now if self.swing != was else self.swung_at
+        return bool(self.swing) or slow or self._slow(old) or (not known and self.swung_at > self.stage_began)
 
     def _back(self, build: int, why: str) -> None:
         self.back_for, self.swing = build, ""
@@ -616,8 +619,7 @@
         if n is None or n.phase in (i.Phase.GOING_BACK, i.Phase.WITHDRAWN):
             return
         verdict = self._verdict(n)
-        stage = n.stage if verdict in (i.Verdict.ON, i.Verdict.HOLD) else 0
-        wanted = (n.build, stage, verdict)
+        wanted = (n.build, n.stage if verdict in (i.Verdict.ON, i.Verdict.HOLD) else 0, verdict)
         voted = self.vote is not None and self.vote[0] == n.build
         if verdict is i.Verdict.NONE and (not voted or self.vote == wanted):
             return
