Slowness from more requests, judged after release whatever the list says

Causes: 40 requests are too few to see half as much again, a stale list hid that the earlier build had gone, and the refreshed baseline took in the slowdown of a second stage. More new requests excuse slowness from half as many again.

--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -550,28 +550,28 @@
 
     def _slow(self, seen: list[Sample]) -> bool:
         """Whether these requests took clearly longer than those before the newest build."""
-        recent = [self._cost(s) for s in seen[-2 * LEAST_SAMPLE :]]
+        recent = [self._cost(s) for s in seen[-8 * LEAST_SAMPLE :]]
         if len(recent) < LEAST_SAMPLE:
             return False
         least = fmean(recent) - self.z * stdev(recent) / math.sqrt(len(recent))
         return least > (1 + MARGIN) * self.before_ms > 0
 
-    def _doubt(self, build: int) -> bool:
+    def _doubt(self, build: int, released: bool) -> bool:
         """Whether both builds may be slow through the trial build: the earlier one takes clearly longer. Then
         the odds swing: off until it recovers, then on. Slow a second time, the trial build is to blame. No
         dependency or jam follows the odds; one that chances to would mislead. All slow: no vote to go on."""
-        alone = not any(s.build < build for s in self.servers.values())
+        alone = released or not any(s.build < build for s in self.servers.values())
         until = self.now - 2 * self.before_ms  # whoever is still out by then counts as slow
         old = [s for s in self.samples if s.sent < until]
         seen = [s for s in old if s.sent > self.swung_at and (alone or s.build < build)]
         known, slow, was = len(seen) >= LEAST_SAMPLE, self._slow(seen), self.swing
         if alone:  # slow for longer than troubles last, without more new requests
-            more = self.taken.value(self.now) > (1 + MARGIN) * self.before_rate
+            more = self.taken.value(self.now) > (1 + 2 * MARGIN) * self.before_rate
             self.slow_since = min(self.slow_since, self.now) if slow and not more else math.inf
             if self.now > self.slow_since + ALONE_SOAKS * self.roll.soak_ms:
                 self._back(build, f"slow since the earlier build has gone, usually {self.before_ms:.0f} ms")
             return slow
-        if self.odds < LEAST_SWING and known and not slow:  # too little traffic to slow the earlier build
+        if self.odds < LEAST_SWING / 2 and known and not slow:  # too little to slow the earlier build
             self.before_ms = fmean([self._cost(s) for s in seen])
         elif not was and slow and self.odds >= LEAST_SWING:
             self.swing, self.swings = "off", 1
@@ -602,7 +602,7 @@
             self._back(n.build, f"fails more than the earlier build, proof {failing:.1f}")
         elif sure and low > margin and n.phase is i.Phase.TRIAL:
             self._back(n.build, f"slower by {low:.0f} to {high:.0f} ms, margin {margin:.0f}")
-        doubt = self._doubt(n.build)
+        doubt = self._doubt(n.build, n.phase is i.Phase.RELEASED)
         if self.back_for == n.build:
             return i.Verdict.BACK
         if self.roll.gate is i.Gate.TIMER and sure and low > margin / 2:
