The rate of requests before the trial is taken over the first stage

Cause: a balancer's rate reads low in its first seconds, when the first build comes, and the growth that followed excused slowness after release. Could harm: a burst in the first stage excuses slowness up to half above it.

--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -255,9 +255,8 @@
             self.ask_again_at = self.now + max(self.rules.ask_within_ms, RETRY_LIST_MS)
         self._look_for_silence()
         waiting, self.waiting = self.waiting, []
-        for held in waiting:
-            if held.r.request in self.held:
-                self._route_or_wait(held)
+        for held in [h for h in waiting if h.r.request in self.held]:
+            self._route_or_wait(held)
         self._judge()
 
 
@@ -512,9 +511,8 @@
             return
         self.told = n
         if self.best is None or n.build > self.best.build:
-            self.odds, self.swing, self.slow_since = 0.0, "", math.inf
+            self.odds, self.swing, self.slow_since, self.before_rate = 0.0, "", math.inf, 0.0
             self.before_ms = fmean([self._cost(s) for s in self.samples] or [0.0])
-            self.before_rate = self.taken.value(self.now)
         if self.best is None or _rank(n) > _rank(self.best):
             self.stage_began = self.now - n.age_ms
             self.best = n
@@ -618,6 +616,8 @@
         n = self.best
         if n is None or n.phase in (i.Phase.GOING_BACK, i.Phase.WITHDRAWN):
             return
+        if n.stage == 0:  # the rate of a balancer's first seconds reads low
+            self.before_rate = max(self.before_rate, self.taken.value(self.now))
         verdict = self._verdict(n)
         wanted = (n.build, n.stage if verdict in (i.Verdict.ON, i.Verdict.HOLD) else 0, verdict)
         voted = self.vote is not None and self.vote[0] == n.build
