--- /dev/null
+++ b/meadowpulley/__main__.py
@@ -0,0 +1,53 @@
+"""Runs one real gateway until it is told to stop."""
+
+from __future__ import annotations
+
+import gc
+import signal
+import sys
+import time
+
+from twisted.internet import error, main
+from twisted.internet.epollreactor import EPollReactor
+
+from meadowpulley.net.config import ConfigError, read_config
+from meadowpulley.net.gateway import Gateway
+from meadowpulley.net.log import open_log
+
+GC_THRESHOLDS = (20_000, 20, 50)  # few objects are in cycles: full collections would only cost pauses
+
+
+class MonotonicReactor(EPollReactor):  # type: ignore[misc,unused-ignore]
+    """Its timers follow the clock that the gateway follows, which never jumps."""
+
+    def seconds(self) -> float:
+        return time.monotonic()
+
+
+def run() -> int:
+    try:
+        config = read_config()
+    except ConfigError as bad:
+        print(f"meadowpulley: {bad}", file=sys.stderr)
+        return 2
+    reactor = MonotonicReactor()  # type: ignore[no-untyped-call]
+    main.installReactor(reactor)  # type: ignore[no-untyped-call]
+    log = open_log(gateway=config.name)
+    gateway = Gateway(config, reactor, log)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+        signal.signal(number, gateway.on_signal)
+    try:
+        gateway.start()
+    except error.CannotListenError as bad:
+        print(f"meadowpulley: {bad}", file=sys.stderr)
+        return 2
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+    reactor.run(installSignalHandlers=False)
+    gateway.print_counters()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- a/meadowpulley/interface.py
+++ b/meadowpulley/interface.py
@@ -124,6 +124,7 @@
     max_retry_after_ms: float = 0.0
     connect_timeout_ms: float = 0.0
     max_open: int = 0
+    idle_ms: float = 0.0  # after which a server may close a connection that stands idle; 0: never
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,6 +177,7 @@
     over_share_worth: float = 1.0
     prices: tuple[tuple[str, float], ...] = ()
     goal: tuple[tuple[str, float], ...] = ()
+    kinds: tuple[str, ...] = ()  # names of the kinds of machine, in the order of their numbers
 
 
 # Events
--- /dev/null
+++ b/meadowpulley/net/control.py
@@ -0,0 +1,310 @@
+"""The platform: news of builds on one followed connection, and votes written one behind another on it."""
+
+from __future__ import annotations
+
+import json
+import math
+import random
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from meadowpulley import interface as i
+from meadowpulley.net import names
+from meadowpulley.net.deadlines import Deadline
+from meadowpulley.net.link import Link, connect
+
+if TYPE_CHECKING:
+    from meadowpulley.net.gateway import Gateway
+
+LINE_MAX = 8 * 1024
+RING_BOUND = LINE_MAX + 64 * 1024
+CONNECT_MS = 2_000.0
+SILENT_MS = 3_500.0  # a sign of life comes every second: after three that failed to, the line is dead
+AGAIN_MS = (100.0, 2_000.0)  # first and longest pause before the next connection
+CALL_MS = 5_000.0  # for a vote's answer, where the settings name no time
+
+
+class UnreadableError(ValueError):
+    """A line, or what it says of a build, that can't be read."""
+
+
+def read_news(raw: Any, answers_vote: bool = False) -> i.BuildNews:
+    try:
+        cap, age = float(raw[names.NEWS_CAP]), float(raw[names.NEWS_AGE])
+        build, stage = int(raw[names.NEWS_BUILD]), int(raw[names.NEWS_STAGE])
+        if not (0.0 <= cap <= 1.0 and math.isfinite(age) and stage >= 0):
+            raise ValueError("a figure is out of its range")
+        phase = names.PHASES[raw[names.NEWS_PHASE]]
+        return i.BuildNews(build, stage, phase, cap, max(age, 0.0), i.Result.OK, answers_vote)
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
+        raise UnreadableError(f"news of a build: {type(error).__name__}: {error}") from None
+
+
+class Call:
+    """A line that awaits its answer; votes carry what was voted."""
+
+    def __init__(self, number: int, vote: i.Vote | None) -> None:
+        self.number, self.vote = number, vote
+        self.written = self.over = False
+        self.limit: Deadline | None = None
+
+
+class PlatformLink(Link):
+    def __init__(self, platform: Platform) -> None:
+        super().__init__(platform.gateway.deadlines, RING_BOUND, RING_BOUND)
+        self.platform = platform
+        self.calls: deque[Call] = deque()  # in the order they were written, which that of answers is too
+        self._seen = 0
+        self._silent: Deadline | None = None
+
+    def opened(self) -> None:
+        self._alive()
+
+    def _alive(self) -> None:
+        self.deadlines.call_off(self._silent)
+        self._silent = self.deadlines.after(SILENT_MS, self._is_silent)
+
+    def _is_silent(self) -> None:
+        self.platform.gateway.counters.add("platform.silent")
+        self.drop()
+
+    def write(self, call: Call, method: str, params: dict[str, Any] | None) -> None:
+        line: dict[str, Any] = {"jsonrpc": "2.0", "id": call.number, "method": method}
+        if params is not None:
+            line["params"] = params
+        self.calls.append(call)
+        self.send(json.dumps(line, separators=(",", ":")).encode() + b"\n")
+
+    def flushed(self) -> None:
+        for call in self.calls:
+            call.written = True
+
+    def received(self) -> None:
+        while self.up:
+            end = self.inward.find(b"\n", self._seen)
+            if end < 0 and len(self.inward) < LINE_MAX:
+                self._seen = len(self.inward)
+                return
+            if end < 0 or end >= LINE_MAX:
+                self.platform.garbage("line too long")
+                self.drop()
+                return
+            self._seen = 0
+            line = self.inward.take(end + 1).strip()
+            self._alive()
+            if line:
+                self.platform.read(self, line)
+
+    def closed(self) -> None:
+        self.deadlines.call_off(self._silent)
+        self.platform.left(self)
+
+    def drop(self) -> None:
+        was_up = self.up
+        super().drop()
+        if was_up:
+            self.closed()
+
+
+class Platform:
+    def __init__(self, gateway: Gateway) -> None:
+        self.gateway = gateway
+        self.link: PlatformLink | None = None
+        self.opening: Deferred[Any] | None = None
+        self._limit: Deadline | None = None
+        self._again: Deadline | None = None
+        self._failures = self._numbers = 0
+        self._random = random.Random(gateway.config.seed + 1)
+        self._classes = {c.name: n for n, c in enumerate(gateway.config.settings.classes)}
+
+    def start(self) -> None:
+        news = self.gateway.config.news
+        if news is not None:
+            try:
+                self.gateway.tell(read_news(news))
+            except UnreadableError as error:
+                self.garbage(str(error))
+        self._connect()
+
+    def stop(self) -> None:
+        self.gateway.deadlines.call_off(self._again)
+        if self.opening is not None:
+            self.opening.cancel()
+        if self.link is not None:
+            self.link.drop()
+
+    # The connection
+
+    def _connect(self) -> None:
+        address = self.gateway.config.platform
+        if address is None or self.gateway.stopping:
+            return
+        self.gateway.counters.add("platform.connects")
+        self.opening = connect(self.gateway.reactor, address, lambda: PlatformLink(self))
+        self._limit = self.gateway.deadlines.after(CONNECT_MS, self._never_up)
+        self.opening.addCallbacks(self._connected, self._refused)
+        self.opening.addErrback(lambda _: self.gateway.failed("platform"))
+
+    def _connected(self, link: PlatformLink) -> None:
+        self.opening = None
+        self.gateway.deadlines.call_off(self._limit)
+        if not link.up or self.gateway.stopping:
+            link.drop()
+            self._later()
+            return
+        self.link = link
+        link.write(self._call(None), names.FOLLOW, None)
+
+    def _never_up(self) -> None:
+        if self.opening is not None:
+            self.opening.cancel()
+
+    def _refused(self, _: Failure) -> None:
+        self.opening = None
+        self.gateway.deadlines.call_off(self._limit)
+        self._later()
+
+    def left(self, link: PlatformLink) -> None:
+        if self.link is not link:
+            return
+        self.link = None
+        self.gateway.log.warning("platform connection lost", calls=len(link.calls))
+        for call in link.calls:
+            # A line that was never written whole was not carried out; of any other nobody knows.
+            self._finish(call, i.Result.TIMEOUT if call.written else i.Result.CONNECT_FAILED)
+        link.calls.clear()
+        self._later()
+
+    def _later(self) -> None:
+        if self.gateway.stopping:
+            return
+        pause = min(AGAIN_MS[0] * 2 ** min(self._failures, 10), AGAIN_MS[1])
+        self._failures += 1
+        self._again = self.gateway.deadlines.after(pause * self._random.uniform(0.5, 1.5), self._connect)
+
+    # Calls
+
+    def _call(self, vote: i.Vote | None) -> Call:
+        self._numbers += 1
+        return Call(self._numbers, vote)
+
+    def vote(self, vote: i.Vote) -> None:
+        self.gateway.counters.add("platform.votes")
+        call = self._call(vote)
+        if self.link is None:
+            self._finish(call, i.Result.CONNECT_FAILED)
+            return
+        limit = self.gateway.config.settings.rollout.call_timeout_ms or CALL_MS
+        call.limit = self.gateway.deadlines.after(limit, lambda: self._finish(call, i.Result.TIMEOUT))
+        params = {
+            names.NEWS_BUILD: vote.build,
+            names.NEWS_STAGE: vote.stage,
+            names.VERDICT: names.VERDICTS[vote.verdict],
+        }
+        self.link.write(call, names.VOTE, params)
+
+    def _finish(self, call: Call, result: i.Result, news: i.BuildNews | None = None) -> None:
+        """The one reply to a vote; news that comes with a late one is still news."""
+        self.gateway.deadlines.call_off(call.limit)
+        if call.vote is None or call.over:
+            if news is not None:
+                self.gateway.tell(i.BuildNews(news.build, news.stage, news.phase, news.cap, news.age_ms))
+            return
+        call.over = True
+        self.gateway.counters.add(f"platform.vote_{result.name.lower()}")
+        if news is None:
+            news = i.BuildNews(
+                call.vote.build, call.vote.stage, i.Phase.TRIAL, 0.0, 0.0, result, answers_vote=True
+            )
+        self.gateway.tell(news)
+
+    # Lines
+
+    def garbage(self, why: str) -> None:
+        self.gateway.counters.add("platform.garbage")
+        self.gateway.log.warning("platform wrote what can't be read", why=why)
+
+    def read(self, link: PlatformLink, line: bytes) -> None:
+        try:
+            raw = json.loads(line)
+            if not isinstance(raw, dict):
+                raise UnreadableError("a line is no object")
+        except (ValueError, RecursionError):
+            # It stands where an answer may have stood: that call's answer can't be read.
+            self.garbage("a line is no JSON object")
+            if link.calls:
+                self._finish(link.calls.popleft(), i.Result.TIMEOUT)
+            return
+        if "method" in raw:
+            self._notified(raw)
+        else:
+            self._answered(link, raw)
+
+    def _answered(self, link: PlatformLink, raw: dict[str, Any]) -> None:
+        number = raw.get("id")
+        if number not in [call.number for call in link.calls]:
+            self.garbage("an answer to no call")
+            return
+        while True:
+            call = link.calls.popleft()
+            if call.number == number:
+                break
+            self._finish(call, i.Result.TIMEOUT)  # its answer was passed over or could not be read
+        self._failures = 0
+        if call.vote is None:
+            return
+        error = raw.get("error")
+        if isinstance(error, dict):
+            self._finish(call, names.CALL_ERRORS.get(str(error.get("message")), i.Result.TIMEOUT))
+            return
+        try:
+            self._finish(call, i.Result.OK, read_news(raw.get("result"), answers_vote=True))
+        except UnreadableError as unreadable:
+            self.garbage(str(unreadable))
+            self._finish(call, i.Result.TIMEOUT)
+
+    def _notified(self, raw: dict[str, Any]) -> None:
+        method, params = raw.get("method"), raw.get("params")
+        try:
+            if method == names.NEWS:
+                self.gateway.counters.add("platform.news")
+                self.gateway.tell(read_news(params))
+            elif method == names.TALLY:
+                self.gateway.tell(self._tally(params))
+            elif method == names.WRONG:
+                wrong = self._wrong(params)
+                if wrong is not None:
+                    self.gateway.tell(wrong)
+            elif method != names.ALIVE:
+                self.garbage(f"unknown notification {str(method)[:40]!r}")
+        except UnreadableError as error:
+            self.garbage(str(error))
+
+    def _class(self, raw: Any) -> int:
+        if isinstance(raw, str) and raw in self._classes:
+            return self._classes[raw]
+        if isinstance(raw, int) and 0 <= raw < len(self._classes):
+            return raw
+        raise UnreadableError(f"unknown class {str(raw)[:40]!r}")
+
+    def _tally(self, raw: Any) -> i.Tally:
+        try:
+            many, failed = int(raw[names.TALLY_MANY]), int(raw[names.TALLY_FAILED])
+            mean, age = float(raw[names.TALLY_MEAN]), float(raw[names.NEWS_AGE])
+            if not (0 <= failed <= many and math.isfinite(mean) and math.isfinite(age)):
+                raise ValueError("a figure is out of its range")
+            return i.Tally(int(raw[names.NEWS_BUILD]), self._class(raw[names.CLASS]), many, failed, mean, age)
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
+            raise UnreadableError(f"tally: {type(error).__name__}: {error}") from None
+
+    def _wrong(self, raw: Any) -> i.WrongAnswer | None:
+        """None for an instance that this gateway does not know."""
+        try:
+            server = self.gateway.discovery.entries.numbers.get(str(raw[names.WRONG_SERVER]))
+            cls, age = self._class(raw[names.CLASS]), float(raw[names.NEWS_AGE])
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
+            raise UnreadableError(f"wrong answer: {type(error).__name__}: {error}") from None
+        return None if server is None else i.WrongAnswer(server, cls, age)
--- /dev/null
+++ b/meadowpulley/net/discovery.py
@@ -0,0 +1,329 @@
+"""The list of instances: fetched once, or watched, over one kept connection to discovery."""
+
+from __future__ import annotations
+
+import json
+import math
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from meadowpulley import interface as i
+from meadowpulley.net import names
+from meadowpulley.net.config import Address, parse_address
+from meadowpulley.net.deadlines import Deadline
+from meadowpulley.net.http1 import BadMessageError, Message, Parser, request_bytes
+from meadowpulley.net.link import Link, connect
+
+if TYPE_CHECKING:
+    from meadowpulley.net.gateway import Gateway
+
+WAIT_MS = 10_000.0  # how long a watch waits for news, unless the settings have it ask more often
+MOST_WAIT_MS = 60_000.0
+GRACE_MS = 3_000.0  # beyond the wait, until a call without an answer has failed
+AGAIN_MS = (500.0, 4_000.0)  # where the list comes unasked: first and longest pause after a failed watch
+LIST_BOUND = 8 * 1024 * 1024  # a list of thousands of instances
+
+
+class CallFailedError(Exception):
+    """Discovery gave no list: out of reach, out of order, or not to be read."""
+
+
+class Entries:
+    """Turns discovery's entries into the interface's, and names into numbers."""
+
+    def __init__(self, settings: i.Settings, clock_offset: float) -> None:
+        self._zones = {name: n for n, name in enumerate(settings.zones)}
+        self._kinds = {name: n for n, name in enumerate(settings.kinds)}
+        self._offset = clock_offset  # from Unix time to the gateway's clock, set once
+        self.numbers: dict[str, int] = {}
+        self._last = 0
+
+    def number(self, name: str) -> int:
+        if name not in self.numbers:
+            self._last += 1
+            self.numbers[name] = self._last
+        return self.numbers[name]
+
+    def forget(self, gone: set[int]) -> None:
+        self.numbers = {name: n for name, n in self.numbers.items() if n not in gone}
+
+    def _place(self, places: dict[str, int], name: Any) -> int:
+        """Names that the settings do not list get the numbers after theirs."""
+        return places.setdefault(str(name), len(places))
+
+    def read(self, raw: Any) -> tuple[bool, int, list[tuple[i.ServerEntry, Address | None]]]:
+        """Whether the list is whole, its version, and its entries with their addresses."""
+        try:
+            if raw[names.WHOLE] not in (True, False):
+                raise ValueError(f"'{names.WHOLE}' is {raw[names.WHOLE]!r}")
+            return raw[names.WHOLE], int(raw[names.VERSION]), [self._entry(e) for e in raw[names.ENTRIES]]
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+            raise CallFailedError(f"unreadable list: {type(error).__name__}: {error}") from None
+
+    def _entry(self, raw: Any) -> tuple[i.ServerEntry, Address | None]:
+        name, state = raw[names.NAME], names.STATES[raw[names.STATE]]
+        if not isinstance(name, str) or not name:
+            raise ValueError(f"'{names.NAME}' is {name!r}")
+        gone = state is i.ServerState.GONE
+        since, weight = float(raw.get(names.STARTED, 0)), float(raw.get(names.WEIGHT, 1.0))
+        if not (math.isfinite(since) and math.isfinite(weight)):
+            raise ValueError("a figure of an entry is no number")
+        entry = i.ServerEntry(
+            server=self.number(name),
+            cell=int(raw.get(names.CELL, 0)),
+            zone=self._place(self._zones, raw.get(names.ZONE, "")),
+            state=state,
+            build=int(raw.get(names.BUILD, 0)),
+            started_ms=since - self._offset if since > 0 else 0.0,
+            kind=self._place(self._kinds, raw.get(names.KIND, "")),
+            weight=weight,
+        )
+        return entry, None if gone and names.ADDRESS not in raw else parse_address(raw[names.ADDRESS])
+
+
+class DiscoveryLink(Link):
+    def __init__(self, discovery: Discovery) -> None:
+        super().__init__(discovery.gateway.deadlines, LIST_BOUND, 4096)
+        self.parser = Parser(self.inward, requests=False, body_max=LIST_BOUND)
+        self.answer: Deferred[Message] | None = None
+
+    def ask(self, target: str) -> Deferred[Message]:
+        answer: Deferred[Message] = Deferred()
+        self.answer = answer
+        self.send(request_bytes("GET", target, {"host": "discovery"}))
+        return answer
+
+    def received(self) -> None:
+        try:
+            message = self.parser.next()
+        except BadMessageError as error:
+            self._fail(error)
+            self.drop()
+            return
+        if message is not None:
+            self._give(message)
+
+    def _give(self, message: Message) -> None:
+        answer, self.answer = self.answer, None
+        if not message.keep_alive or answer is None or self.parser.begun:
+            self.drop()
+        if answer is not None:
+            answer.callback(message)
+
+    def _fail(self, error: Exception) -> None:
+        answer, self.answer = self.answer, None
+        if answer is not None:
+            answer.errback(CallFailedError(str(error)))
+
+    def closed(self) -> None:
+        message = self.parser.end()
+        if message is not None:
+            self._give(message)
+        else:
+            self._fail(CallFailedError("the connection broke"))
+
+    def overflowed(self) -> None:
+        self._fail(CallFailedError("the list is too long"))
+        self.drop()
+
+
+class Call:
+    """One call, from the connection it may need to its answer, with one deadline over all of it."""
+
+    def __init__(
+        self, discovery: Discovery, target: str, limit_ms: float, done: Callable[[Any], None],
+        failed: Callable[[str], None],
+    ) -> None:  # fmt: skip
+        self.discovery, self.target = discovery, target
+        self._done, self._failed = done, failed
+        self.over = False
+        self.link: DiscoveryLink | None = None
+        self.opening: Deferred[Any] | None = None
+        self.limit: Deadline = discovery.gateway.deadlines.after(limit_ms, self._late)
+        kept, discovery.kept = discovery.kept, None
+        if kept is not None and kept.up and not kept.unread():
+            self._ask(kept)
+            return
+        if kept is not None:
+            kept.drop()
+        gateway = discovery.gateway
+        self.opening = connect(gateway.reactor, gateway.config.discovery, lambda: DiscoveryLink(discovery))
+        self.opening.addCallbacks(self._ask, self._broke)
+        self.opening.addErrback(lambda _: discovery.gateway.failed("discovery"))
+
+    def _ask(self, link: DiscoveryLink) -> None:
+        self.opening = None
+        if self.over:
+            link.drop()
+            return
+        self.link = link
+        link.ask(self.target).addCallbacks(self._answered, self._broke).addErrback(
+            lambda _: self.discovery.gateway.failed("discovery")
+        )
+
+    def _answered(self, message: Message) -> None:
+        if self.over:
+            return
+        link, self.link = self.link, None
+        if message.status != 200:
+            self._finish(f"status {message.status}", link)
+            return
+        try:
+            raw = json.loads(message.body)
+        except (ValueError, RecursionError):
+            self._finish("no JSON", link)
+            return
+        self._close_call()
+        if link is not None and link.up:
+            self.discovery.kept = link
+        self._done(raw)
+
+    def _broke(self, failure: Failure) -> None:
+        self.opening = None
+        if not self.over:
+            self._finish(failure.getErrorMessage(), None)
+
+    def _late(self) -> None:
+        self._finish("no answer in time", self.link)
+
+    def _close_call(self) -> None:
+        self.over = True
+        self.discovery.gateway.deadlines.call_off(self.limit)
+
+    def _finish(self, why: str, link: DiscoveryLink | None) -> None:
+        self.abandon()
+        if link is not None:
+            link.drop()
+        self._failed(why)
+
+    def abandon(self) -> None:
+        """Ends the call without a word to anyone."""
+        self._close_call()
+        opening, self.opening = self.opening, None
+        link, self.link = self.link, None
+        if opening is not None:
+            opening.cancel()
+        if link is not None:
+            link.drop()
+
+
+class Discovery:
+    def __init__(self, gateway: Gateway, clock_offset: float) -> None:
+        self.gateway = gateway
+        self.entries = Entries(gateway.config.settings, clock_offset)
+        self.kept: DiscoveryLink | None = None
+        self.version = 0
+        self._watch: Call | None = None
+        self._fetch: Call | None = None
+        self._answer_due = False  # the decisions asked, and are owed one list, be it empty
+        self._failures = 0
+        ask_within = gateway.config.settings.rules.ask_within_ms
+        self._wait = min(ask_within or WAIT_MS, MOST_WAIT_MS)
+        self._random = random.Random(gateway.config.seed)
+
+    def start(self) -> None:
+        known = self.gateway.config.known
+        if known is not None:
+            try:
+                self._tell(known, i.ListKind.CACHED)
+            except CallFailedError as error:
+                self.gateway.counters.add("list.garbage")
+                self.gateway.log.warning("known list passed over", why=str(error))
+        if not self.gateway.config.settings.must_ask:
+            self.watch(True)
+
+    def stop(self) -> None:
+        for call in (self._watch, self._fetch):
+            if call is not None:
+                call.abandon()
+        self._watch = self._fetch = None
+        if self.kept is not None:
+            self.kept.drop()
+
+    # Watching
+
+    def watch(self, on: bool) -> None:
+        """What changed since the last list comes first, at once, and after that every change."""
+        if self._watch is not None:
+            self._watch.abandon()
+            self._watch = None
+        if on:
+            self._answer_due = True
+            self._ask(0.0)
+
+    def _ask(self, wait: float) -> None:
+        target = f"{names.LIST}?{names.AFTER}={self.version}&{names.WAIT}={wait:.0f}"
+        self.gateway.counters.add("list.watches")
+        self._watch = Call(self, target, wait + GRACE_MS, self._news, self._watch_failed)
+
+    def _news(self, raw: Any) -> None:
+        self._watch = None
+        try:
+            self._tell(raw, None)
+        except CallFailedError as error:
+            self.gateway.counters.add("list.garbage")
+            self._watch_failed(str(error))
+            return
+        self._failures = 0
+        if self._watch is None and not self.gateway.stopping:
+            self._ask(self._wait)
+
+    def _watch_failed(self, why: str) -> None:
+        self._watch = None
+        self._failed(why)
+        if not self.gateway.config.settings.must_ask and not self.gateway.stopping:
+            self._failures += 1
+            pause = min(AGAIN_MS[0] * 2 ** min(self._failures, 10), AGAIN_MS[1])
+            self.gateway.deadlines.after(pause * self._random.uniform(0.5, 1.0), lambda: self.watch(True))
+
+    def _failed(self, why: str) -> None:
+        self.gateway.counters.add("list.failed")
+        self.gateway.log.warning("discovery call failed", why=why)
+        self._answer_due = False
+        self.gateway.tell(i.ServerList(i.ListKind.FAILED, self.version))
+
+    # Fetching
+
+    def fetch(self) -> None:
+        if self._fetch is None:
+            self.gateway.counters.add("list.fetches")
+            self._fetch = Call(self, names.LIST, GRACE_MS, self._fetched, self._fetch_failed)
+
+    def _fetched(self, raw: Any) -> None:
+        self._fetch = None
+        try:
+            self._tell(raw, None)
+        except CallFailedError as error:
+            self._fetch_failed(str(error))
+
+    def _fetch_failed(self, why: str) -> None:
+        self._fetch = None
+        self._failed(why)
+
+    def _tell(self, raw: Any, kind: i.ListKind | None) -> None:
+        whole, version, found = self.entries.read(raw)
+        for entry, address in found:
+            if address is not None and entry.state is not i.ServerState.GONE:
+                self.gateway.instances.place(entry.server, address)
+        listed = {entry.server for entry, _ in found if entry.state is not i.ServerState.GONE}
+        gone = {entry.server for entry, _ in found if entry.state is i.ServerState.GONE}
+        if whole or kind is i.ListKind.CACHED:
+            gone |= set(self.entries.numbers.values()) - listed
+        for entry, _ in found:
+            if entry.state is i.ServerState.DRAINING:
+                self.gateway.instances.close_idle(entry.server)
+        self.version = version
+        if kind is None:
+            kind = i.ListKind.FULL if whole else i.ListKind.CHANGES
+        self.gateway.counters.add("list.entries", len(found))
+        if found or whole or self._answer_due:
+            if kind is not i.ListKind.CACHED:
+                self._answer_due = False
+            self.gateway.tell(i.ServerList(kind, version, tuple(entry for entry, _ in found)))
+        for server in gone:
+            self.gateway.instances.forget(server)
+        self.entries.forget(gone)
--- /dev/null
+++ b/meadowpulley/net/gateway.py
@@ -0,0 +1,167 @@
+"""One gateway: its phases, and the one place where events reach the decisions and actions leave them."""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections import deque
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+from structlog.typing import FilteringBoundLogger
+
+from meadowpulley import interface as i
+from meadowpulley.balance import Balancer
+from meadowpulley.net.clients import Clients
+from meadowpulley.net.config import Config
+from meadowpulley.net.control import Platform
+from meadowpulley.net.counters import Counters
+from meadowpulley.net.deadlines import Deadlines
+from meadowpulley.net.discovery import Discovery
+from meadowpulley.net.instances import Instances
+from meadowpulley.net.peers import Peers
+
+KEPT_BACK = 40  # descriptors for the program itself, the platform, discovery and its calls
+CLIENT_PART = 0.45  # of the others; the rest is for instances, where repeats and cold starts need more
+ACCEPT_ON_MS = 700.0  # after SIGTERM, while connections still come
+TIMER_AGAIN_MS = 1000.0  # a timer on which the decisions failed comes again
+
+
+class Phase(Enum):
+    STARTING = "starting"
+    READY = "ready"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+
+
+class Gateway:
+    def __init__(
+        self,
+        config: Config,
+        reactor: Any,
+        log: FilteringBoundLogger,
+        make: Callable[[i.Settings, int], Any] = Balancer,
+    ) -> None:
+        self.config, self.reactor, self.log = config, reactor, log
+        self.phase = Phase.STARTING
+        self.counters = Counters()
+        self.deadlines = Deadlines(reactor, self.failed)
+        self._events: deque[i.Event] = deque()
+        self._telling = False
+        self._accepting = True
+        self.balancer = make(config.settings, config.seed)
+        free = config.sockets - KEPT_BACK
+        clients = int(free * CLIENT_PART)
+        instances = free - clients
+        # A request is owed its answer on a client's connection, or outlives it on an instance's.
+        self.clients = Clients(self, clients, clients + instances)
+        self.instances = Instances(self, instances)
+        self.discovery = Discovery(self, time.time() * 1000.0 - self.deadlines.now())
+        self.platform = Platform(self)
+        self.peers = Peers(self)
+        self._actions: dict[type, Callable[[Any], None]] = {
+            i.Send: self.instances.send,
+            i.Cancel: self.instances.cancel,
+            i.Refuse: self.clients.refuse,
+            i.Fail: self.clients.fail,
+            i.Probe: self.instances.probe,
+            i.Vote: self.platform.vote,
+            i.SetTimer: self._set_timer,
+            i.Watch: lambda action: self.discovery.watch(action.on),
+            i.FetchList: lambda _: self.discovery.fetch(),
+            i.TellPeer: self.peers.tell,
+            i.CloseIdle: lambda action: self.instances.close_idle(action.server),
+            i.LogLine: lambda action: self.log.info("decision", line=action.text),
+        }
+
+    # Phases
+
+    @property
+    def ready(self) -> bool:
+        return self.phase is Phase.READY
+
+    @property
+    def stopping(self) -> bool:
+        return self.phase is Phase.STOPPED
+
+    def start(self) -> None:
+        """Ready from what the configuration holds, even with discovery and the platform out of reach."""
+        self.discovery.start()
+        self.platform.start()
+        self.peers.start()
+        self.clients.listen()
+        self.phase = Phase.READY
+        host, port = self.config.listen
+        self.log.info("ready", listen=f"{host}:{port}", clients=self.clients.links.size)
+
+    def drain(self) -> None:
+        if self.phase is not Phase.READY:
+            return
+        self.phase = Phase.DRAINING
+        self.log.info("draining", requests=len(self.clients.requests), connections=len(self.clients.links))
+        self.clients.drain()
+        self.deadlines.after(ACCEPT_ON_MS, self._stop_accepting)
+
+    def _stop_accepting(self) -> None:
+        self._accepting = False
+        self.clients.stop_listening()
+        self.settled()
+
+    def settled(self) -> None:
+        """Asked whenever a connection ends: the last one of a draining gateway ends the gateway."""
+        if self.phase is Phase.DRAINING and not self._accepting and not len(self.clients.links):
+            self.phase = Phase.STOPPED
+            self.discovery.stop()
+            self.platform.stop()
+            self.peers.stop()
+            self.log.info("stopped")
+            self.reactor.callLater(0, self.reactor.stop)
+
+    def print_counters(self) -> None:
+        self.log.info("counters", phase=self.phase.value, **self.counters.all())
+
+    def on_signal(self, number: int, _: Any) -> None:
+        """Signals only wake the reactor: what they ask for runs in its turn."""
+        if number == signal.SIGUSR1:
+            self.reactor.callFromThread(self.print_counters)
+        else:
+            self.reactor.callFromThread(self.drain)
+
+    # Between sockets and decisions
+
+    def failed(self, where: str) -> None:
+        """Called while an exception is handled: it is logged and counted, and ends nothing."""
+        self.counters.add(f"fault.{where}")
+        self.log.error("fault", where=where, exc_info=True)
+
+    def tell(self, event: i.Event) -> None:
+        """Hands an event to the decisions and carries out what they decide; one at a time, in order."""
+        self._events.append(event)
+        if self._telling:
+            return
+        self._telling = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._telling = False
+
+    def _handle(self, event: i.Event) -> None:
+        try:
+            actions = self.balancer.handle(self.deadlines.now(), event)
+        except Exception:
+            self.failed("decisions")
+            if isinstance(event, i.Request | i.Outcome):
+                self.clients.broke(event.request)
+            elif isinstance(event, i.Timer):
+                self.deadlines.after(TIMER_AGAIN_MS, lambda: self.tell(event))
+            return
+        for action in actions:
+            try:
+                self._actions[type(action)](action)
+            except Exception:
+                self.failed("action")
+
+    def _set_timer(self, action: i.SetTimer) -> None:
+        self.deadlines.after(action.delay_ms, lambda: self.tell(i.Timer(action.token)))
--- /dev/null
+++ b/meadowpulley/settings.py
@@ -0,0 +1,180 @@
+"""The settings object that a balancer is given, read alike by the simulator's adapter and the gateway."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from meadowpulley import interface as i
+
+
+class SettingsError(ValueError):
+    """A malformed settings object; the text says what is wrong and where."""
+
+
+_EFFECTS = {"pure": i.Effect.SAFE, "token": i.Effect.KEYED, "side_effect": i.Effect.UNSAFE}
+COLUMNS = {
+    "busy_reqs": "in_flight",
+    "pending": "queued",
+    "cpu_share": "cpu",
+    "svc_ms": "service_ms",
+    "served_ps": "served_per_s",
+    "failed_ps": "failed_per_s",
+}
+_WEIGHTS = {"off": "none"}
+
+
+class Fields:
+    """Reads one settings object: unknown keys are passed over, absent ones take the given value."""
+
+    def __init__(self, raw: Any, where: str) -> None:
+        if not isinstance(raw, dict):
+            raise SettingsError(f"{where} is no object")
+        self._raw: dict[str, Any] = raw
+        self._where = where
+
+    def _take(self, key: str, default: Any, kinds: tuple[type, ...]) -> Any:
+        value = self._raw.get(key)
+        if value is None:
+            return default
+        if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
+            raise SettingsError(f"{self._where}: '{key}' has the wrong type ({type(value).__name__})")
+        return value
+
+    def number(self, key: str, default: float = 0.0) -> float:
+        return float(self._take(key, default, (int, float)))
+
+    def whole(self, key: str, default: int = 0) -> int:
+        return int(self._take(key, default, (int, float)))
+
+    def flag(self, key: str) -> bool:
+        return bool(self._take(key, False, (bool,)))
+
+    def text(self, key: str, default: str = "") -> str:
+        return str(self._take(key, default, (str,)))
+
+    def items(self, key: str) -> list[Any]:
+        return list(self._take(key, [], (list,)))
+
+    def numbers(self, key: str) -> tuple[float, ...]:
+        values = self.items(key)
+        if not all(isinstance(value, int | float) for value in values):
+            raise SettingsError(f"{self._where}: '{key}' holds something that is no number")
+        return tuple(float(value) for value in values)
+
+    def inner(self, key: str) -> Fields:
+        return Fields(self._take(key, {}, (dict,)), f"{self._where}: '{key}'")
+
+    def each(self, key: str) -> list[Fields]:
+        return [Fields(raw, f"{self._where}: '{key}' {n}") for n, raw in enumerate(self.items(key))]
+
+    def choice(self, key: str, known: dict[str, Any], default: Any) -> Any:
+        name = self.text(key)
+        if name and name not in known:
+            raise SettingsError(f"{self._where}: '{key}' is '{name}', not one of {', '.join(known)}")
+        return known[name] if name else default
+
+    def pairs(self) -> tuple[tuple[str, float], ...]:
+        return tuple((k, float(v)) for k, v in sorted(self._raw.items()) if isinstance(v, int | float))
+
+
+def _class(f: Fields) -> i.RequestClass:
+    groups = {group.value: group for group in i.Group}
+    return i.RequestClass(
+        name=f.text("name"),
+        aim_ms=f.number("target-ms"),
+        deadline_ms=f.number("hard-limit-ms"),
+        effect=f.choice("repeat", _EFFECTS, i.Effect.UNSAFE),
+        group=f.choice("group", groups, i.Group.ALL),
+        window_ms=f.number("dedup-window-ms"),
+        worth=f.number("worth", 1.0),
+        late_worth=f.number("late-worth"),
+        stream=f.flag("stream"),
+        aim_stretch=f.number("aim-stretch"),
+    )
+
+
+def _rollout(f: Fields) -> i.Rollout:
+    gates = {gate.value: gate for gate in i.Gate}
+    return i.Rollout(
+        gate=f.choice("gate-mode", gates, i.Gate.ANY),
+        in_place=f.choice("style", {"beside": False, "in_place": True}, False),
+        stage_shares=f.numbers("steps"),
+        caps=f.numbers("caps"),
+        soak_ms=f.number("soak-ms"),
+        stage_time_ms=f.number("stage-time-ms"),
+        on_votes=f.whole("on-votes"),
+        hold_votes=f.whole("votes-to-hold"),
+        back_votes=f.whole("votes-to-revert"),
+        vote_life_ms=f.number("ballot-ttl-ms"),
+        votes_per_s=f.number("votes-per-s"),
+        call_timeout_ms=f.number("api-timeout-ms"),
+        news_period_ms=f.number("news-period-ms"),
+        tally_period_ms=f.number("metrics-period-ms"),
+        tally_sample=f.number("sampled-share"),
+        flag_share=f.number("reported-share"),
+        exposure_window_ms=f.number("exposure-window-ms"),
+        exposure_free=f.number("free"),
+        exposure_per_class=f.choice("per", {"all": False, "class": True}, False),
+        guarded_stages=f.whole("safe-only-stages"),
+        one_way=f.flag("one-way"),
+        warm_keys=f.flag("warm-keys"),
+        behind_price=f.number("behind-price"),
+        harm_price=f.number("blast-price"),
+    )
+
+
+def parse_settings(raw: bytes, where: str) -> i.Settings:
+    try:
+        loaded = json.loads(raw)
+    except (ValueError, RecursionError) as error:
+        raise SettingsError(f"{where}: settings are no JSON: {error}") from None
+    return read_settings(loaded, where)
+
+
+def read_settings(loaded: Any, where: str) -> i.Settings:
+    f = Fields(loaded, f"{where}: settings")
+    rules, bounds, report = f.inner("rules"), f.inner("bounds"), f.inner("report")
+    columns = [str(name) for name in report.items("columns")]
+    return i.Settings(
+        me=f.whole("me"),
+        balancers=f.whole("balancers", 1),
+        zone=f.whole("az"),
+        zones=tuple(str(name) for name in f.items("zones")),
+        kinds=tuple(str(name) for name in f.items("machine-types")),
+        tick_ms=f.number("period-ms"),
+        classes=tuple(_class(c) for c in f.each("classes")),
+        tenants=tuple(
+            i.Tenant(t.text("name"), t.number("share"), t.number("quota-rps")) for t in f.each("tenants")
+        ),
+        rules=i.Rules(
+            answer_slack_ms=rules.number("answer-slack-ms"),
+            ask_within_ms=rules.number("ask-within-ms"),
+            cold_from=rules.number("cold-from", 1.0),
+            cold_ms=rules.number("cold-ms"),
+            fall_multiple=rules.number("fall-multiple", 1.0),
+            fall_ms=rules.number("tip-after-ms"),
+            drain_grace_ms=rules.number("stop-sending-within-ms"),
+        ),
+        limits=i.Limits(
+            max_attempts=bounds.whole("most-tries", 1),
+            second_copies=bounds.flag("may-duplicate"),
+            cancel=bounds.flag("cancelling"),
+            probes=bounds.flag("probing"),
+            peers=bounds.flag("may-tell"),
+            retry_after=bounds.flag("retry-after"),
+            max_retry_after_ms=bounds.number("max-retry-after-ms"),
+            connect_timeout_ms=bounds.number("connect-timeout-ms"),
+            max_open=bounds.whole("max-open"),
+            idle_ms=bounds.number("conn-idle-ms"),
+        ),
+        rollout=_rollout(f.inner("family-info")),
+        must_ask=f.choice("discovery", {"automatic": False, "subscribe": True}, False),
+        report_columns=tuple(COLUMNS.get(name, name) for name in columns),
+        reports_in_answers=report.text("source") == "inline",
+        weights=_WEIGHTS.get(f.text("weight-source"), f.text("weight-source", "none")),
+        worth_by_work=f.text("worth-by") == "work",
+        over_share_worth=f.number("over-share-worth", 1.0),
+        prices=f.inner("prices").pairs(),
+        goal=f.inner("score-parts").pairs(),
+    )
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -17,10 +17,10 @@
     Topology,
     Up,
     WireError,
-    parse_settings,
     read_batch,
     records,
 )
+from meadowpulley.settings import SettingsError, parse_settings
 from tests import wire
 from tests.wire import event, f32, f64, u8, u16, u32, u64
 
@@ -109,7 +109,7 @@
     ],
 )
 def test_bad_settings_are_named(raw: bytes, text: str) -> None:
-    with pytest.raises(WireError, match=text):
+    with pytest.raises(SettingsError, match=text):
         parse_settings(raw, "here")
 
 
