--- a/meadowpulley/net/clients.py
+++ b/meadowpulley/net/clients.py
@@ -140,7 +140,7 @@
 
     def answer(self, status: int, headers: dict[str, str], body: bytes) -> None:
         self.state, self.taken = State.ANSWERING, None
-        self.closing = self.closing or self.clients.closing
+        self.closing = self.closing or self.clients.crowded
         self.limit.set(IDLE_MS, self.drop)  # a client that does not read its answer is bounded too
         self.send(answer_bytes(status, headers, body, self.closing))
 
@@ -170,8 +170,12 @@
         self.limit.set(LINGER_MS, self.drop)
         self.wire.loseConnection()
 
+    @property
+    def idle(self) -> bool:
+        return self.up and self.state is State.WAITING and not self.parser.begun
+
     def part_if_idle(self) -> None:
-        if self.state is State.WAITING and not self.parser.begun and not self.unread():
+        if self.idle and not self.unread():
             self.part()
 
     def _silent(self) -> None:
@@ -224,12 +228,13 @@
             self.gateway.counters.add("in.pauses")
             self.gateway.log.warning("accepting paused", connections=len(self.links))
             self.port.stopReading()
+            self._make_room()
 
     def left(self, link: ClientLink) -> None:
         if link.handle >= 0:
             self.links.free(link.handle)
             link.handle = -1
-        if self._paused and len(self.links) <= self.links.size - 2 * SPARE and self.port is not None:
+        if self._paused and len(self.links) <= self.links.size - SPARE - ACCEPTS and self.port is not None:
             self._paused = False
             self.port.startReading()
         taken, link.taken = link.taken, None
@@ -239,6 +244,19 @@
             self.gateway.tell(i.RequestGone(taken.handle))
         self.gateway.settled()
 
+    def _make_room(self) -> None:
+        """Connections that stand idle go, the longest idle first, and so do others as they become idle: who
+        waits to be accepted may have sent a request by now, and nobody would answer it."""
+        idle = [link for link in self.links if link.idle]
+        idle.sort(key=lambda link: link.limit.at)
+        for link in idle[: 2 * ACCEPTS]:
+            self.gateway.counters.add("in.made_room")
+            link.part_if_idle()
+
+    @property
+    def crowded(self) -> bool:
+        return self.closing or self._paused
+
     def drain(self) -> None:
         """From now on every connection closes once nothing is owed on it."""
         self.closing = True
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -23,7 +23,7 @@
 from meadowpulley.net.peers import Peers
 
 KEPT_BACK = 40  # descriptors for the program itself, the platform, discovery and its calls
-CLIENT_PART = 0.45  # of the others; the rest is for instances, where repeats and cold starts need more
+CLIENT_PART = 0.5  # of the others; the rest is for instances: what is in flight needs one of each
 ACCEPT_ON_MS = 700.0  # after SIGTERM, while connections still come
 TIMER_AGAIN_MS = 1000.0  # a timer on which the decisions failed comes again
 
--- a/meadowpulley/net/http1.py
+++ b/meadowpulley/net/http1.py
@@ -143,7 +143,7 @@
         if end < 0:
             if len(ring) >= HEAD_MAX:
                 raise BadMessageError(431, "head too large")
-            self._seen = len(ring)
+            self._seen = 0 if data == b"\r" else len(ring)  # an empty line may still come before the request
             return False
         ring.take(end + 4)
         first = data.find(b"\r\n")
