--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,244 @@
+"""Stand-ins, written from the protocol, for the parties that a gateway speaks with, and a gateway that is
+started the way the operators start it. Whatever waits here waits for an event, with a limit."""
+
+from __future__ import annotations
+
+import json
+import os
+import queue
+import socket
+import subprocess
+import sys
+import threading
+import tomllib
+from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).parent.parent
+LIMIT_S = 20.0
+RELEASED = {"release": 41, "tranche": 2, "mode": "stable", "exposure": 1.0, "old_ms": 60_000}
+TRIAL = {"release": 42, "tranche": 0, "mode": "canary", "exposure": 0.3, "old_ms": 60_000}
+
+SETTINGS: dict[str, Any] = {
+    "me": 0, "balancers": 1, "az": 0, "zones": ["a"], "period-ms": 5.0, "discovery": "subscribe",
+    "machine-types": ["m2"],
+    "bounds": {"most-tries": 3, "cancelling": True, "retry-after": True, "max-retry-after-ms": 500.0,
+               "connect-timeout-ms": 250.0, "conn-idle-ms": 30000.0, "may-tell": True},
+    "classes": [
+        {"name": "look", "repeat": "pure", "target-ms": 1000.0, "hard-limit-ms": 5000.0},
+        {"name": "pay", "repeat": "side_effect", "target-ms": 1000.0, "hard-limit-ms": 5000.0},
+    ],
+    "rules": {"answer-slack-ms": 20.0, "ask-within-ms": 10000.0, "stop-sending-within-ms": 2000.0,
+              "cold-ms": 1000.0, "cold-from": 0.5, "fall-multiple": 2.0, "tip-after-ms": 1500.0},
+    "family-info": {"gate-mode": "any", "caps": [0.3, 1.0], "steps": [0.3, 1.0], "soak-ms": 1000.0,
+                    "on-votes": 1, "votes-to-revert": 1, "votes-per-s": 50.0, "ballot-ttl-ms": 6000.0,
+                    "api-timeout-ms": 1200.0, "exposure-window-ms": 6000.0, "free": 3.0, "per": "all"},
+}  # fmt: skip
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def answer(handler: BaseHTTPRequestHandler, status: int, body: bytes, **headers: str) -> None:
+    handler.send_response(status)
+    for name, value in headers.items():
+        handler.send_header(name.replace("_", "-"), value)
+    handler.send_header("Content-Length", str(len(body)))
+    handler.end_headers()
+    handler.wfile.write(body)
+
+
+class HttpStandIn:
+    def __init__(self, act: Callable[[BaseHTTPRequestHandler, bytes], None]) -> None:
+        self.connections = 0
+        outer = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def setup(self) -> None:
+                outer.connections += 1
+                super().setup()
+
+            def do_GET(self) -> None:
+                try:
+                    act(self, self.rfile.read(int(self.headers.get("Content-Length", 0))))
+                except (BrokenPipeError, ConnectionResetError):
+                    self.close_connection = True  # the gateway has given it up
+
+            do_POST = do_GET  # noqa: N815
+
+            def log_message(self, format: str, *args: Any) -> None:
+                pass
+
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        self.address = f"127.0.0.1:{self.server.server_address[1]}"
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+
+class Instance(HttpStandIn):
+    """Echoes the body, unless told to act otherwise; keeps what it was asked."""
+
+    def __init__(self, act: Callable[[BaseHTTPRequestHandler, bytes], None] | None = None) -> None:
+        self.asked: queue.Queue[tuple[str, str, dict[str, str], bytes]] = queue.Queue()
+
+        def take(handler: BaseHTTPRequestHandler, body: bytes) -> None:
+            headers = {name.lower(): value for name, value in handler.headers.items()}
+            self.asked.put((handler.command, handler.path, headers, body))
+            if act is None:
+                answer(handler, 200, b"served " + body)
+            else:
+                act(handler, body)
+
+        super().__init__(take)
+
+
+def entry(name: str, address: str, build: int = 41, status: str = "in_service") -> dict[str, Any]:
+    return {
+        "name": name, "address": address, "zone": "a", "type": "m2", "group": 1, "status": status,
+        "weight": 1.0, "since_ms": 0, "revision_no": build,
+    }  # fmt: skip
+
+
+class Discovery(HttpStandIn):
+    def __init__(self, entries: list[dict[str, Any]]) -> None:
+        self.changed = threading.Condition()
+        self.index, self.entries = 5, entries
+        self.garbage = False
+        super().__init__(self._act)
+
+    def change(self, entries: list[dict[str, Any]]) -> None:
+        with self.changed:
+            self.index, self.entries = self.index + 1, entries
+            self.changed.notify_all()
+
+    def _act(self, handler: BaseHTTPRequestHandler, _: bytes) -> None:
+        query = dict(part.split("=") for part in handler.path.partition("?")[2].split("&") if part)
+        after, wait = int(query.get("after", -1)), float(query.get("wait_ms", 0)) / 1000
+        with self.changed:
+            self.changed.wait_for(lambda: self.index > after, wait)
+            news = self.entries if self.index > after else []
+            whole = {"index": self.index, "snapshot": bool(news), "endpoints": news}
+        answer(handler, 200, b'{"index": "x' if self.garbage else json.dumps(whole).encode())
+
+
+class Platform:
+    """Speaks the line protocol; `before` is written ahead of the news on every followed connection."""
+
+    def __init__(self, news: dict[str, Any], before: bytes = b"") -> None:
+        self.news, self.before = news, before
+        self.votes: queue.Queue[dict[str, Any]] = queue.Queue()
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            connection, _ = self.server.accept()
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        def write(**fields: Any) -> None:
+            connection.sendall(json.dumps({"jsonrpc": "2.0", **fields}).encode() + b"\n")
+
+        try:
+            for line in connection.makefile("rb"):
+                call = json.loads(line)
+                if call["method"] == "follow":
+                    write(id=call["id"], result=True)
+                    connection.sendall(self.before)
+                    write(method="ROLLOUT", params=self.news)
+                else:
+                    self.votes.put(call["params"])
+                    write(id=call["id"], result=self.news)
+        except OSError:
+            return
+
+
+class Gateway:
+    """The program, started by the deploy file's `run`."""
+
+    def __init__(
+        self, folder: Path, known: list[dict[str, Any]], discovery: str = "", platform: str = "",
+        news: dict[str, Any] = RELEASED, **more: Any,
+    ) -> None:  # fmt: skip
+        subprocess.run([sys.executable, str(ROOT / "deploy" / "compile.py")], check=True)
+        self.port = free_port()
+        self.peer_port = free_port()
+        config = {
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
+            "discovery": discovery or f"127.0.0.1:{free_port()}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "peer_listen": f"127.0.0.1:{self.peer_port}", "peers": [f"127.0.0.1:{self.peer_port}"],
+            "platform": {"address": platform or f"127.0.0.1:{free_port()}", "news": news},
+            "known": {"index": 4, "snapshot": True, "endpoints": known},
+            "settings": SETTINGS, **more,
+        }  # fmt: skip
+        path = folder / "config.json"
+        path.write_text(json.dumps(config))
+        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        self.process = subprocess.Popen(
+            ["/bin/sh", "-c", run], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+            env={**os.environ, "PROXY_CONFIG": str(path)},
+        )  # fmt: skip
+        self.lines: queue.Queue[dict[str, Any]] = queue.Queue()
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def _read(self) -> None:
+        assert self.process.stderr is not None
+        for line in self.process.stderr:
+            self.lines.put(json.loads(line) if line.startswith("{") else {"event": "plain", "line": line})
+        self.lines.put({"event": "closed"})
+
+    def wait_for(self, event: str) -> dict[str, Any]:
+        while True:
+            line = self.lines.get(timeout=LIMIT_S)
+            if line["event"] == event:
+                return line
+            assert line["event"] != "closed", f"the gateway ended before '{event}'"
+
+    def client(self) -> Client:
+        return Client(self.port)
+
+    def stop(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait(LIMIT_S)
+
+
+class Client:
+    def __init__(self, port: int) -> None:
+        self.socket = socket.create_connection(("127.0.0.1", port), timeout=LIMIT_S)
+        self.file = self.socket.makefile("rb")
+        self.count = 0
+
+    def send(self, method: str, path: str, body: bytes = b"", **headers: str) -> None:
+        self.count += 1
+        head = {"Host": "app.svc", "X-Txn": f"{self.count:016x}", "X-Remaining": "4000m", **headers}
+        if body:
+            head["Content-Length"] = str(len(body))
+        lines = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in head.items())
+        self.socket.sendall(f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
+
+    def answer(self) -> tuple[int, dict[str, str], bytes]:
+        """Status, headers and body; status 0 when the connection ended instead."""
+        start = self.file.readline()
+        if not start:
+            return 0, {}, b""
+        headers = {}
+        while (line := self.file.readline().strip()) != b"":
+            name, _, value = line.decode().partition(":")
+            headers[name.lower()] = value.strip()
+        return int(start.split()[1]), headers, self.file.read(int(headers.get("content-length", 0)))
+
+    def ask(
+        self, method: str, path: str, body: bytes = b"", **headers: str
+    ) -> tuple[int, dict[str, str], bytes]:
+        self.send(method, path, body, **headers)
+        return self.answer()
