Connections to instances opened ahead; only long-idle client connections make room

Only connections idle for a second go now, the longest idle first, and answers keep theirs. More slots go to clients, and four connections to each instance are opened at the start, since all clients come within a quarter of a second.

--- a/meadowpulley/net/clients.py
+++ b/meadowpulley/net/clients.py
@@ -29,6 +29,8 @@
 
 IDLE_MS = 60_000.0  # a client may stay silent between requests
 HALF_MS = 10_000.0  # and take this long to send one
+LONG_IDLE_MS = 1_000.0  # idle for so long, a connection may go when others wait to be accepted
+ROOM_AGAIN_MS = 50.0
 LINGER_MS = 2_000.0  # after a bad request, so that its answer is read before the connection breaks
 BACKLOG = 128  # what waits here counts as taken: better a connection that never comes up than one unheard
 ACCEPTS = 32  # connections accepted in one turn of the reactor
@@ -140,7 +142,7 @@
 
     def answer(self, status: int, headers: dict[str, str], body: bytes) -> None:
         self.state, self.taken = State.ANSWERING, None
-        self.closing = self.closing or self.clients.crowded
+        self.closing = self.closing or self.clients.closing
         self.limit.set(IDLE_MS, self.drop)  # a client that does not read its answer is bounded too
         self.send(answer_bytes(status, headers, body, self.closing))
 
@@ -230,13 +232,16 @@
             self.port.stopReading()
             self._make_room()
 
+    def _resume(self) -> None:
+        if self._paused and len(self.links) <= self.links.size - SPARE - ACCEPTS and self.port is not None:
+            self._paused = False
+            self.port.startReading()
+
     def left(self, link: ClientLink) -> None:
         if link.handle >= 0:
             self.links.free(link.handle)
             link.handle = -1
-        if self._paused and len(self.links) <= self.links.size - SPARE - ACCEPTS and self.port is not None:
-            self._paused = False
-            self.port.startReading()
+        self._resume()
         taken, link.taken = link.taken, None
         if taken is not None and not taken.over:
             self.gateway.counters.add("in.gone")
@@ -245,17 +250,17 @@
         self.gateway.settled()
 
     def _make_room(self) -> None:
-        """Connections that stand idle go, the longest idle first, and so do others as they become idle: who
-        waits to be accepted may have sent a request by now, and nobody would answer it."""
-        idle = [link for link in self.links if link.idle]
+        """While accepting pauses, connections that have long stood idle go, the longest idle first: who waits
+        to be accepted may have sent a request by now. Ones used lately stay: a request may be on its way."""
+        if not self._paused or self.closing:
+            return
+        latest = self.gateway.deadlines.now() + IDLE_MS - LONG_IDLE_MS
+        idle = [link for link in self.links if link.idle and link.limit.at < latest]
         idle.sort(key=lambda link: link.limit.at)
         for link in idle[: 2 * ACCEPTS]:
             self.gateway.counters.add("in.made_room")
             link.part_if_idle()
-
-    @property
-    def crowded(self) -> bool:
-        return self.closing or self._paused
+        self.gateway.deadlines.after(ROOM_AGAIN_MS, self._make_room)
 
     def drain(self) -> None:
         """From now on every connection closes once nothing is owed on it."""
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -23,7 +23,7 @@
 from meadowpulley.net.peers import Peers
 
 KEPT_BACK = 40  # descriptors for the program itself, the platform, discovery and its calls
-CLIENT_PART = 0.5  # of the others; the rest is for instances: what is in flight needs one of each
+CLIENT_PART = 0.6  # of the others; clients keep connections that they do not use, instances' ones are shared
 ACCEPT_ON_MS = 700.0  # after SIGTERM, while connections still come
 TIMER_AGAIN_MS = 1000.0  # a timer on which the decisions failed comes again
 
@@ -88,6 +88,7 @@
     def start(self) -> None:
         """Ready from what the configuration holds, even with discovery and the platform out of reach."""
         self.discovery.start()
+        self.instances.warm()
         self.platform.start()
         self.peers.start()
         self.clients.listen()
--- a/meadowpulley/net/instances.py
+++ b/meadowpulley/net/instances.py
@@ -31,6 +31,8 @@
 if TYPE_CHECKING:
     from meadowpulley.net.gateway import Gateway
 
+WARM = 4  # connections opened to each instance at the start
+WARM_MS = 1000.0  # for them to come up, where the settings name no time
 IDLE_PART = 0.75  # of the time after which an instance may close a connection: ours goes before
 
 
@@ -155,8 +157,8 @@
 class Pool:
     """The connections to one address."""
 
-    def __init__(self, instances: Instances, address: Address) -> None:
-        self.instances, self.address = instances, address
+    def __init__(self, instances: Instances, server: int, address: Address) -> None:
+        self.instances, self.server, self.address = instances, server, address
         self.idle: list[InstanceLink] = []  # oldest first; the newest is used first
 
     def take(self) -> InstanceLink | None:
@@ -199,7 +201,7 @@
         pool = self.pools.get(server)
         if pool is None or pool.address != address:
             self.forget(server)
-            self.pools[server] = Pool(self, address)
+            self.pools[server] = Pool(self, server, address)
 
     def forget(self, server: int) -> None:
         pool = self.pools.pop(server, None)
@@ -218,6 +220,30 @@
         self.sockets -= 1
         self.gateway.settled()
 
+    def warm(self) -> None:
+        """At the start a few connections to each instance are opened ahead: clients come all at once, and a
+        first request that waits for its connection holds up those behind it."""
+        for pool in list(self.pools.values()):
+            for _ in range(min(WARM, self.size // (2 * len(self.pools)))):
+                self.sockets += 1
+                opening = connect(self.gateway.reactor, pool.address, partial(InstanceLink, pool))
+                wait = self.limits.connect_timeout_ms or WARM_MS
+                limit = self.gateway.deadlines.after(wait, opening.cancel)
+                opening.addCallbacks(
+                    self._warmed, self._not_warmed, callbackArgs=(pool, limit), errbackArgs=(limit,)
+                )
+
+    def _warmed(self, link: InstanceLink, pool: Pool, limit: Deadline) -> None:
+        self.gateway.deadlines.call_off(limit)
+        if link.up and self.pools.get(pool.server) is pool:
+            pool.rest(link)
+        else:
+            link.drop()
+
+    def _not_warmed(self, _: Failure, limit: Deadline) -> None:
+        self.gateway.deadlines.call_off(limit)
+        self.sockets -= 1
+
     def _make_room(self) -> bool:
         """Closes the connection that has stood idle longest when all sockets for instances are in use."""
         if self.sockets < self.size:
@@ -239,7 +265,7 @@
         n, taken.tries = taken.tries, taken.tries + 1
         until = taken.deadline if action.limit_ms == 0 else min(taken.deadline, now + action.limit_ms)
         pool = self.pools.get(action.server)
-        attempt = Attempt(action.server, pool or Pool(self, ("", 0)), taken, n, now, until)
+        attempt = Attempt(action.server, pool or Pool(self, action.server, ("", 0)), taken, n, now, until)
         taken.out[n] = attempt
         if taken.over or until <= now or n >= self.limits.max_attempts:
             self._end(attempt, i.Result.MOOT)
@@ -259,7 +285,7 @@
         now = self.gateway.deadlines.now()
         until = now + max(self.limits.connect_timeout_ms, 1.0)
         pool = self.pools.get(action.server)
-        attempt = Attempt(action.server, pool or Pool(self, ("", 0)), None, 0, now, until)
+        attempt = Attempt(action.server, pool or Pool(self, action.server, ("", 0)), None, 0, now, until)
         if pool is None:
             self._end(attempt, i.Result.CONNECT_FAILED)
             return
