--- a/meadowpulley/net/clients.py
+++ b/meadowpulley/net/clients.py
@@ -201,6 +201,8 @@
     def __init__(self, gateway: Gateway, size: int, requests: int) -> None:
         self.gateway = gateway
         self.links: Slots[ClientLink] = Slots(size)
+        self.spare = min(SPARE, size // 3)
+        self.accepts = min(ACCEPTS, max(self.spare // 2, 1))
         self.requests: Slots[Taken] = Slots(requests)
         self.classes = {c.name: n for n, c in enumerate(gateway.config.settings.classes)}
         self.tenants = {t.name: n for n, t in enumerate(gateway.config.settings.tenants)}
@@ -212,7 +214,7 @@
         self.port = self.gateway.reactor.listenTCP(
             port, LinkFactory(lambda: ClientLink(self)), backlog=BACKLOG, interface=host
         )
-        self.port.numberAccepts = ACCEPTS
+        self.port.numberAccepts = self.accepts
 
     # Connections
 
@@ -224,8 +226,8 @@
             link.wire.abortConnection()
             return
         link.handle = self.links.put(link)
-        self.port.numberAccepts = min(self.port.numberAccepts, ACCEPTS)
-        if not self._paused and len(self.links) > self.links.size - SPARE:
+        self.port.numberAccepts = min(self.port.numberAccepts, self.accepts)
+        if not self._paused and len(self.links) > self.links.size - self.spare:
             self._paused = True
             self.gateway.counters.add("in.pauses")
             self.gateway.log.warning("accepting paused", connections=len(self.links))
@@ -233,7 +235,11 @@
             self._make_room()
 
     def _resume(self) -> None:
-        if self._paused and len(self.links) <= self.links.size - SPARE - ACCEPTS and self.port is not None:
+        if (
+            self._paused
+            and len(self.links) <= self.links.size - self.spare - self.accepts
+            and self.port is not None
+        ):
             self._paused = False
             self.port.startReading()
 
@@ -257,7 +263,7 @@
         latest = self.gateway.deadlines.now() + IDLE_MS - LONG_IDLE_MS
         idle = [link for link in self.links if link.idle and link.limit.at < latest]
         idle.sort(key=lambda link: link.limit.at)
-        for link in idle[: 2 * ACCEPTS]:
+        for link in idle[: 2 * self.accepts]:
             self.gateway.counters.add("in.made_room")
             link.part_if_idle()
         self.gateway.deadlines.after(ROOM_AGAIN_MS, self._make_room)
--- a/meadowpulley/net/config.py
+++ b/meadowpulley/net/config.py
@@ -12,7 +12,7 @@
 from meadowpulley.net import names
 from meadowpulley.settings import SettingsError, read_settings
 
-LEAST_SOCKETS = 64
+LEAST_SOCKETS = 128
 Address = tuple[str, int]
 
 
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -22,8 +22,8 @@
 from meadowpulley.net.instances import Instances
 from meadowpulley.net.peers import Peers
 
-KEPT_BACK = 40  # descriptors for the program itself, the platform, discovery and its calls
-CLIENT_PART = 0.6  # of the others; clients keep connections that they do not use, instances' ones are shared
+KEPT_BACK = 72  # descriptors for the program itself, the platform, discovery and connections just ending
+CLIENT_PART = 0.45  # of the others; the rest is for instances, where warm connections stand ready
 ACCEPT_ON_MS = 700.0  # after SIGTERM, while connections still come
 TIMER_AGAIN_MS = 1000.0  # a timer on which the decisions failed comes again
 
