--- a/tests/standins.py
+++ b/tests/standins.py
@@ -78,7 +78,7 @@
 
         self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
         self.server.daemon_threads = True
-        self.server.handle_error = lambda request, client: None  # type: ignore[method-assign,assignment,misc]
+        self.server.handle_error = lambda request, client: None  # type: ignore[method-assign,assignment]
         self.address = f"127.0.0.1:{self.server.server_address[1]}"
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
