--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -161,7 +161,7 @@
 def test_servers_that_were_not_tried_come_first() -> None:
     for seed in range(30):
         d = Driver(seed=seed)
-        d.listed(entry(n) for n in range(2))
+        d.listed(entry(n) for n in range(10))
         [first] = sends(d.ask(SAFE))
         [again] = sends(d.end(first, i.Result.CONNECT_FAILED))
         assert again.server != first.server
