SIGHUP reloads, spoilt input ends its connection, keys that may be answered are bound

Clients: one limit over connecting and the first request, 2 s; open ids and absurd times are 4xx; room is made when it is short by closing mute connections first; 32 descriptors kept back in place of 72. Tables: windows, notes of keys and evidence of builds are bounded; a returned id with another build or start inherits no connection.

--- a/meadowpulley/__main__.py
+++ b/meadowpulley/__main__.py
@@ -41,6 +41,7 @@
 
 
 def run() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before it is ready there is nothing to read again
     try:
         config = read_config()
     except ConfigError as bad:
@@ -51,7 +52,7 @@
     log = open_log(gateway=config.name)
     gateway = Gateway(config, reactor, log)
     reactor.turned = gateway.deadlines.turn
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
         signal.signal(number, gateway.on_signal)
     try:
         gateway.start()
--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -5,15 +5,16 @@
 from __future__ import annotations
 
 import math
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Callable
+from functools import partial
 from itertools import accumulate, islice, takewhile
 from random import Random
 from statistics import fmean, median
 from typing import Any
 
 from meadowpulley import interface as i
-from meadowpulley.records import Attempt, Held, Rate, Server
+from meadowpulley.records import Attempt, Held, Rate, Seen, Server, Window
 
 # First the design's own figures (its page marks them as starting values); ours from TICK_MS on.
 COIN_SHARE = 0.8  # of the cap: leaves room for requests that must follow their key or find no other server
@@ -57,33 +58,29 @@
 SPARSE = 0.3  # own requests in flight a server, under which two servers are asked before one is chosen
 TIE = 0.5  # requests: the mean of the chance that tells servers apart which hold as many
 WAIT_SHARE = 0.25  # of the aim: how long a request may wait for a server it may go to
-RETRY_LIST_MS = 1500.0  # between a failed list call and the next
+RETRY_LIST_MS = 1500.0  # between the second failed list call in a row and the next
+KEYS = 8000  # notes of keys, beyond which they go once no server needs them: then older builds get no key
 NEVER_RAN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
+BACK = (i.Phase.GOING_BACK, i.Phase.WITHDRAWN)
+NO_ANSWER = (*NEVER_RAN, i.Result.ERROR)
 ALL, TALLY = -2, -1  # in place of a server: all of them together, and the platform's count
 TICK = 1  # the only timer's token
 
 
-def _since(times: deque[float], start: float) -> int:
-    while times and times[0] < start:
-        times.popleft()
-    return len(times)
-
-
 class Failures:
     """Whether one build fails more than the earlier one: log odds by class, by server, never under 0. One of
     several servers is a broken machine; a tally alone proves nothing. Could harm on an only server."""
 
     def __init__(self) -> None:
-        self.sums: dict[int, dict[int, float]] = {}
+        self.sums: dict[int, dict[int, float]] = defaultdict(lambda: defaultdict(float))
 
     def add(self, cls: int, server: int, failed: float, ok: float, usual: float) -> None:
         low = min(max(usual, FAIL_FLOOR), 0.8)
         high = low + max(FAIL_MORE, low / 2) * (1 - low)
         gain = failed * math.log(high / low) + ok * math.log((1 - high) / (1 - low))
         for part in (cls, -1):
-            sums = self.sums.setdefault(part, {})
             for one in (server, ALL) if server != TALLY else (TALLY,):
-                sums[one] = max(sums.get(one, 0.0) + gain, 0.0)
+                self.sums[part][one] = max(self.sums[part][one] + gain, 0.0)
 
     def proof(self, servers: int, broken: bool, needed: float = PROOF) -> float:  # 1: proven
         most = (1.0 if servers <= 1 else max(min(2 / servers, 0.7), ONE_SERVER)) * (0.5 if broken else 1.0)
@@ -160,10 +157,13 @@
         self.odds_until = -math.inf  # the odds are worked out anew by then
         self.usual_ms = 0.0  # usual latency of answers that came
         self.kind_ms: dict[int, float] = {}  # the same by kind of machine, as if warm
-        self.window_taken: dict[int, deque[float]] = {}  # exposure: taken, and sent to each build on trial
-        self.window_sent: dict[tuple[int, int], deque[float]] = {}
-        self.key_build: dict[int, int] = {}  # one-way keys: the build that has answered each
+        window = partial(Window, self.roll.exposure_window_ms)
+        self.window_taken: dict[int, Window] = defaultdict(window)  # exposure: when requests were taken
+        self.builds: dict[int, Seen] = defaultdict(lambda: Seen(Failures(), defaultdict(window)))
+        self.key_build: dict[int, int] = {}  # one-way keys: the build that may have answered each
+        self.floor = -1  # the build under which no key goes: what these had answered is forgotten
         self.ask_again_at = -math.inf if settings.must_ask else math.inf  # when to ask for the list
+        self.list_fails = 0
         self.told: i.BuildNews | None = None  # the last news to the letter, for the rules
         self.best: i.BuildNews | None = None  # the furthest known, for judging and votes
         self.before = -1  # the build that the newest is compared with
@@ -171,11 +171,8 @@
         self.slow_since, self.swung_at = math.inf, -math.inf
         self.off, self.swings = False, 0  # no traffic to the trial build while all is slow; how often
         self.samples: deque[Attempt] = deque(maxlen=HISTORY)
-        self.failures: dict[int, Failures] = {}
-        self.fail_usual: dict[tuple[int, int, bool], float] = {}  # by build, see _count
         self.due: deque[tuple[float, int, int, int, int, int]] = deque()  # outcomes to count, and when
         self.back_for = -1  # the build this balancer wants taken off
-        self.hold_began: dict[tuple[int, int], float] = {}
         self.vote = (-1, 0, i.Verdict.NONE)  # the vote last sent
         self.vote_sent = self.vote_stands_until = self.vote_after = -math.inf
         self.vote_answered = True
@@ -223,11 +220,12 @@
 
     def _list(self, event: i.ServerList) -> None:
         if event.kind is i.ListKind.FAILED:  # whether the watch still stands is not said
-            pause = RETRY_LIST_MS * (1 + self.rng.random()) if self.s.must_ask else math.inf
-            self.ask_again_at = self.now + pause
+            pause = self.list_fails * RETRY_LIST_MS * (0.5 + self.rng.random())
+            self.ask_again_at = self.now + pause if self.s.must_ask else math.inf
+            self.list_fails = min(self.list_fails + 1, 3)
             return
         if event.kind is not i.ListKind.CACHED:
-            self.ask_again_at = math.inf
+            self.ask_again_at, self.list_fails = math.inf, 0
         named = {e.server: e for e in event.entries}
         if event.kind is not i.ListKind.CHANGES:
             self.servers = {n: s for n, s in self.servers.items() if n in named}
@@ -244,6 +242,9 @@
         ready = [s for s in self.servers.values() if s.state is i.ServerState.READY]
         self.trial = [s for s in ready if self._on_trial(s.build)]
         self.earlier = [s for s in ready if not self._on_trial(s.build)]
+        low = min((s.build for s in ready), default=-1)
+        if len(self.key_build) > KEYS and low > self.floor:
+            self.floor, self.key_build = low, {k: b for k, b in self.key_build.items() if b > low}
         self.odds_until, self.judge_at = -math.inf, min(self.judge_at, self.now)
         self.fleet = max(self.fleet, len(ready))
 
@@ -251,7 +252,7 @@
         held = self.held[r.request] = Held(r, self.s.classes[r.cls], self.now, self.roll.exposure_per_class)
         self.taken.value(self.now, 0.0 if r.repeat else 1.0)
         self.retries_left = min(self.retries_left + RETRY_SHARE, 10.0)
-        self.window_taken.setdefault(held.counted, deque()).append(self.now)
+        self.window_taken[held.counted].add(self.now)
         if len(self.attempts) + self.rng.random() > self.room:  # by chance: many have room for less than one
             self._give_up(held)  # at once: it would come too late
         else:
@@ -301,15 +302,14 @@
             self._health(server, o.result)
         if ok:
             self.done.value(self.now, 1.0)
-            if held.r.key and self.roll.one_way and (self.told is None or server.build >= self.told.build):
-                self.key_build[held.r.key] = max(server.build, self.key_build.get(held.r.key, 0))
+        if o.result not in NO_ANSWER and held.r.key and server.build > self.floor and self.roll.one_way:
+            self.key_build[held.r.key] = max(server.build, self.key_build.get(held.r.key, 0))
         if ok or o.result is i.Result.ERROR:  # a broken connection is the network's or the machine's
             due = -math.inf if ok else attempt.sent + FAIL_AFTER * self.usual_ms
             self.due.append((due, held.r.cls, server.build, server.id, int(not ok), int(ok)))
         if known:
             self._learn_room(held, o)
-        broken = server.fail_share >= BROKEN
-        attempt.lost = not known or (not ok and (broken or o.result is not i.Result.ERROR))
+        attempt.lost = not (known and (ok or (o.result is i.Result.ERROR and server.fail_share < BROKEN)))
         attempt.latency = self.usual_ms if attempt.lost else o.elapsed_ms if ok else held.cls.deadline_ms
         if ok and known:
             self.usual_ms += 0.05 * (o.elapsed_ms - self.usual_ms) if self.usual_ms else o.elapsed_ms
@@ -388,18 +388,16 @@
         return server.left >= 1
 
     def _within_exposure(self, held: Held, server: Server) -> bool:
-        told, bound = self.told, self.key_build.get(held.r.key, -1)
-        back = told is not None and told.phase in (i.Phase.GOING_BACK, i.Phase.WITHDRAWN)
-        if bound > server.build and not (back and told is not None and bound <= told.build):
+        free = self.told.build if self.told is not None and self.told.phase in BACK else -1
+        if held.r.key and self.key_build.get(held.r.key, self.floor) > max(server.build, free):
             return False
         if not self._on_trial(server.build):
             return True
         cap, stage = self._cap_and_stage(server.build)
         if cap <= 0 or (stage < self.roll.guarded_stages and held.cls.effect is not i.Effect.SAFE):
             return False
-        counted, window, tick = held.counted, self.roll.exposure_window_ms, self.s.tick_ms
-        taken = _since(self.window_taken.setdefault(counted, deque()), self.now - window + tick)
-        sent = _since(self.window_sent.setdefault((server.build, counted), deque()), self.now - window - tick)
+        taken = self.window_taken[held.counted].within(self.now, -self.s.tick_ms)
+        sent = self.builds[server.build].sent[held.counted].within(self.now, self.s.tick_ms)
         return sent + 1 <= self.roll.exposure_free + cap * taken
 
     def _coin(self) -> float:
@@ -419,8 +417,7 @@
         return max(odds - self.followed, 0.0) / max(1 - self.followed, 0.01)
 
     def _two(self, held: Held, group: list[Server]) -> list[Server]:  # at random, but untried ones first
-        order = self.rng.sample(group, len(group))
-        order.sort(key=lambda s: s.id in held.tried)
+        order = sorted(self.rng.sample(group, len(group)), key=lambda s: s.id in held.tried)
         fit = filter(lambda s: self.now >= s.rest_until and not (s.rest_ms and s.out), order)
         return list(islice(filter(lambda s: self._may_send(held, s), fit), 2))
 
@@ -462,11 +459,9 @@
             self.samples.append(attempt)
         self.attempts[held.r.request, attempt.n] = attempt
         server.out, server.left = server.out + 1, server.left - 1
-        held.tries, held.out = held.tries + 1, held.out + 1
-        held.tried.append(server.id)
-        held.maybe.append(attempt)
+        held.sent(attempt)
         if self._on_trial(server.build):
-            self.window_sent.setdefault((server.build, held.counted), deque()).append(self.now)
+            self.builds[server.build].sent[held.counted].add(self.now)
         # No early time-out: work given up runs on at many sites, and repeats feed a jam.
         self.acts.append(i.Send(held.r.request, server.id))
 
@@ -485,6 +480,10 @@
             self.before_ms = fmean([self._cost(s) for s in self.samples] or [0.0])
             if self.best is not None and self.best.phase is i.Phase.RELEASED:
                 self.before = self.best.build
+            self.floor = min(self.floor, self.before)  # the keys of builds that were taken off are free
+            self.key_build = {key: build for key, build in self.key_build.items() if build <= self.before}
+            for build in set(self.builds) - {n.build, self.before}:
+                del self.builds[build]
         if self.best is None or _rank(n) > _rank(self.best):
             self.stage_began = self.now - n.age_ms
             self.best = n
@@ -492,13 +491,13 @@
 
     def _count(self, cls: int, build: int, server: int, failed: int, ok: int) -> None:
         """Own outcomes and tallies, against the build before: what is new everywhere is not the build's."""
-        of, share = (build, cls, server == TALLY), failed / max(failed + ok, 1)
-        usual = self.fail_usual.setdefault(of, share)
-        self.fail_usual[of] += min(0.05 * (failed + ok), 0.6) * (share - usual)
-        usual = self.fail_usual.get((self.before, *of[1:]), -1.0)
+        seen, of, share = self.builds[build], (cls, server == TALLY), failed / max(failed + ok, 1)
+        usual = seen.fail_usual.setdefault(of, share)
+        seen.fail_usual[of] += min(0.05 * (failed + ok), 0.6) * (share - usual)
+        usual = self.builds[self.before].fail_usual.get(of, -1.0)
         if self.best is not None and build == self.best.build and usual >= 0:
             machine = min(1 / max(len(self.trial), 1), MACHINE) if server == TALLY else 0.0
-            self.failures.setdefault(build, Failures()).add(cls, server, failed, ok, usual + machine)
+            seen.failures.add(cls, server, failed, ok, usual + machine)
 
     def _cost(self, s: Attempt) -> float:  # a cold server is slow whatever it runs: counted as if warm
         return s.warmth * (s.latency if s.latency is not None else self.now - s.sent)
@@ -573,7 +572,7 @@
         low, high, margin, least = self.estimate(n.build)
         sure = least >= LEAST_SAMPLE
         shares = [s.fail_share for s in self.servers.values() if s.build < n.build]
-        failing = self.failures.setdefault(n.build, Failures()).proof(
+        failing = self.builds[n.build].failures.proof(
             len(self.servers) - len(shares), max(shares, default=0.0) >= BROKEN, self.needed
         )
         if self.back_for == n.build:
@@ -586,7 +585,7 @@
         if self.back_for == n.build:
             return i.Verdict.BACK
         if self.roll.gate is i.Gate.TIMER and sure and low > margin / 2:
-            began = self.hold_began.setdefault((n.build, n.stage), self.now)
+            began = self.builds[n.build].hold_began.setdefault(n.stage, self.now)
             return i.Verdict.HOLD if self.now < began + HOLD_MS else i.Verdict.NONE
         may = self.roll.gate is not i.Gate.TIMER and n.phase is i.Phase.TRIAL
         on = may and ((sure and high < margin) or self._ripe(n)) and failing < IN_DOUBT and not doubt
@@ -594,10 +593,10 @@
 
     def _judge(self) -> None:
         n, self.judge_at = self.best, math.inf
-        if n is None or n.phase in (i.Phase.GOING_BACK, i.Phase.WITHDRAWN):
+        if n is None or n.phase in BACK:
             return
-        judged = n.phase is i.Phase.TRIAL or self.before >= 0
-        if judged and n.build in {s.build for s in self.servers.values()}:
+        judged = {s.build for s in self.servers.values() if n.phase is i.Phase.TRIAL or self.before >= 0}
+        if n.build in judged:
             self.judge_at = self.now + JUDGE_MS
         self.before_rate = max(self.before_rate, self.taken.value(self.now) if n.stage == 0 else 0.0)
         verdict = self._verdict(n)
--- a/meadowpulley/net/clients.py
+++ b/meadowpulley/net/clients.py
@@ -27,15 +27,20 @@
     from meadowpulley.net.gateway import Gateway
     from meadowpulley.net.instances import Attempt
 
-IDLE_MS = 60_000.0  # a client may stay silent between requests
-HALF_MS = 10_000.0  # and take this long to send one
+FIRST_MS = 2_000.0  # from its connecting until a client's first request is there, whole
+HALF_MS = 2_000.0  # a later request, from its first byte to its last
+IDLE_MS = 5_000.0  # a client may stay silent between requests, or leave an answer unread
 LONG_IDLE_MS = 1_000.0  # idle for so long, a connection may go when others wait to be accepted
-ROOM_AGAIN_MS = 50.0
-LINGER_MS = 2_000.0  # after a bad request, so that its answer is read before the connection breaks
-BACKLOG = 128  # what waits here counts as taken: better a connection that never comes up than one unheard
-ACCEPTS = 32  # connections accepted in one turn of the reactor
-SPARE = 56  # slots beyond which accepting pauses: the reactor accepts a few more before it hears of it
+MUTE_MS = 20.0  # and one on which nothing ever came: a client that means it sends as soon as it may
+ROOM_AGAIN_MS = 20.0
+LINGER_MS = 1_000.0  # after a bad request, so that its answer is read before the connection breaks
+LINGER_BYTES = 256 * 1024  # of what it still sends are thrown away, the rest is left to the kernel to hold up
+BACKLOG = 256  # what waits here counts as taken: better a connection that never comes up than one unheard
+ACCEPTS = 16  # connections accepted in one turn of the reactor
+SPARE = 24  # slots beyond which room is made: the reactor accepts a few more before it hears of it
+REMAINING_OVER_MS = 1_000.0  # what a request may claim beyond its class's limit: clients round
 _REMAINING = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
+_ID = re.compile(r"[!-+\--~]{1,128}")  # neither blanks nor commas: those would be two ids in one
 _KEY = re.compile(r"[0-9a-fA-F]{1,16}")
 _METHODS = {i.Effect.SAFE: ("GET",), i.Effect.KEYED: ("POST", "PUT"), i.Effect.UNSAFE: ("POST",)}
 
@@ -85,15 +90,21 @@
         self.handle = -1
         self.taken: Taken | None = None
         self.closing = self._working = self._paused = False
-        self._half = False
+        self._half = self.mute = True  # until the first request is there one limit is over all of it
+        self._thrown = 0
 
     def opened(self) -> None:
         self.clients.joined(self)
-        self.limit.set(IDLE_MS, self._silent)
+        self.limit.set(FIRST_MS, self._silent)
 
     def received(self) -> None:
+        self.mute = False
         if self.state is State.LINGERING:
+            self._thrown += len(self.inward)
             self.inward.clear()
+            if self._thrown > LINGER_BYTES and not self._paused:
+                self._paused = True
+                self.wire.stopReading()
         elif self.state is State.WAITING:
             self._work()
         if not self._paused and self.up and self.inward.room < READ_MAX:
@@ -181,11 +192,14 @@
             self.part()
 
     def _silent(self) -> None:
+        if self.parser.begun:
+            self._half_sent()
+            return
         self.clients.gateway.counters.add("in.silent")
         self.part()
 
     def _half_sent(self) -> None:
-        self.refuse_input(BadMessageError(400, "the request did not come whole"))
+        self.refuse_input(BadMessageError(408, "the request did not come whole"))
 
     def closed(self) -> None:
         self.clients.left(self)
@@ -204,6 +218,7 @@
         self.spare = min(SPARE, size // 3)
         self.accepts = min(ACCEPTS, max(self.spare // 2, 1))
         self.requests: Slots[Taken] = Slots(requests)
+        self.ids: dict[str, Taken] = {}  # of the requests that are owed an answer
         self.classes = {c.name: n for n, c in enumerate(gateway.config.settings.classes)}
         self.tenants = {t.name: n for n, t in enumerate(gateway.config.settings.tenants)}
         self.closing = self._paused = False
@@ -227,19 +242,21 @@
             return
         link.handle = self.links.put(link)
         self.port.numberAccepts = min(self.port.numberAccepts, self.accepts)
-        if not self._paused and len(self.links) > self.links.size - self.spare:
-            self._paused = True
-            self.gateway.counters.add("in.pauses")
-            self.gateway.log.warning("accepting paused", connections=len(self.links))
-            self.port.stopReading()
-            self._make_room()
+        if not self._paused and self._crowded and not self.closing:
+            self._clear_room()
+            if self._crowded:
+                self._paused = True
+                self.gateway.counters.add("in.pauses")
+                self.gateway.log.warning("accepting paused", connections=len(self.links))
+                self.port.stopReading()
+                self.gateway.deadlines.after(ROOM_AGAIN_MS, self._make_room)
+
+    @property
+    def _crowded(self) -> bool:
+        return len(self.links) > self.links.size - self.spare
 
     def _resume(self) -> None:
-        if (
-            self._paused
-            and len(self.links) <= self.links.size - self.spare - self.accepts
-            and self.port is not None
-        ):
+        if self._paused and not self._crowded and self.port is not None:
             self._paused = False
             self.port.startReading()
 
@@ -255,18 +272,26 @@
             self.gateway.tell(i.RequestGone(taken.handle))
         self.gateway.settled()
 
+    def _clear_room(self) -> None:
+        """Room for those that wait to be accepted, who may have sent a request by now: first go connections
+        on which the last word is said, then mute ones, then those that have long stood idle, the longest
+        first. Ones used lately stay: a request may be on its way."""
+        now = self.gateway.deadlines.now()
+        over = [link for link in self.links if link.state is State.LINGERING]
+        mute = [k for k in self.links if k.mute and k.idle and k.limit.at < now + FIRST_MS - MUTE_MS]
+        idle = [k for k in self.links if not k.mute and k.idle and k.limit.at < now + IDLE_MS - LONG_IDLE_MS]
+        for group in (over, mute, idle):
+            for link in sorted(group, key=lambda link: link.limit.at)[: 2 * self.accepts]:
+                if len(self.links) <= self.links.size - self.spare - self.accepts:
+                    return
+                if link.state is State.LINGERING or not link.unread():
+                    self.gateway.counters.add("in.made_room")
+                    link.drop()
+
     def _make_room(self) -> None:
-        """While accepting pauses, connections that have long stood idle go, the longest idle first: who waits
-        to be accepted may have sent a request by now. Ones used lately stay: a request may be on its way."""
-        if not self._paused or self.closing:
-            return
-        latest = self.gateway.deadlines.now() + IDLE_MS - LONG_IDLE_MS
-        idle = [link for link in self.links if link.idle and link.limit.at < latest]
-        idle.sort(key=lambda link: link.limit.at)
-        for link in idle[: 2 * self.accepts]:
-            self.gateway.counters.add("in.made_room")
-            link.part_if_idle()
-        self.gateway.deadlines.after(ROOM_AGAIN_MS, self._make_room)
+        if self._paused and not self.closing:
+            self._clear_room()
+            self.gateway.deadlines.after(ROOM_AGAIN_MS, self._make_room)
 
     def drain(self) -> None:
         """From now on every connection closes once nothing is owed on it."""
@@ -298,6 +323,8 @@
             return
         settings = self.gateway.config.settings
         allowed = _METHODS[settings.classes[cls].effect]
+        if message.method == "GET" and message.body:
+            raise BadMessageError(400, "a GET with a body")
         if message.method not in allowed:
             self.gateway.counters.add("in.wrong_method")
             link.closing = link.closing or not message.keep_alive
@@ -321,14 +348,20 @@
         )
 
     def _request(self, link: ClientLink, message: Message, cls: int) -> Taken:
-        if not message.headers.get(names.ID):
-            raise BadMessageError(400, f"no '{names.ID}'")
+        name = message.headers.get(names.ID, "")
+        if not _ID.fullmatch(name):
+            raise BadMessageError(400, f"no '{names.ID}', or not just one")
+        if name in self.ids:  # that request goes on; an attempt for this one would be its second copy
+            raise BadMessageError(409, f"'{names.ID}' is that of an open request")
         now, settings = self.gateway.deadlines.came(), self.gateway.config.settings
         told = message.headers.get(names.REMAINING)
-        remaining = settings.classes[cls].deadline_ms if told is None else parse_remaining(told)
+        most = settings.classes[cls].deadline_ms
+        remaining = most if told is None else parse_remaining(told)
+        if remaining > most + REMAINING_OVER_MS:
+            raise BadMessageError(400, f"'{names.REMAINING}' is more than its class may take")
         taken = Taken(message, cls, link, now, now + remaining)
         taken.handle = self.requests.put(taken)
-        link.taken = taken
+        link.taken = self.ids[name] = taken
         taken.limit = self.gateway.deadlines.at(taken.deadline, partial(self._due, taken))
         return taken
 
@@ -392,6 +425,7 @@
 
     def _end(self, taken: Taken) -> None:
         taken.over, taken.link = True, None
+        self.ids.pop(taken.message.headers[names.ID], None)
         self.gateway.deadlines.call_off(taken.limit)
         self.release(taken)
 
--- a/meadowpulley/net/config.py
+++ b/meadowpulley/net/config.py
@@ -72,6 +72,11 @@
         raise ConfigError(f"'seed': {seed!r} is no number") from None
 
 
+def reread_config(environ: Mapping[str, str] = os.environ) -> Config:
+    """At a reload the file says where discovery is: the environment holds what was true at the start."""
+    return read_config({key: value for key, value in environ.items() if key != names.ENV_DISCOVERY})
+
+
 def read_config(environ: Mapping[str, str] = os.environ) -> Config:
     path = environ.get(names.ENV_CONFIG)
     if not path:
--- a/meadowpulley/net/control.py
+++ b/meadowpulley/net/control.py
@@ -23,7 +23,9 @@
 RING_BOUND = LINE_MAX + 64 * 1024
 CONNECT_MS = 2_000.0
 SILENT_MS = 3_500.0  # a sign of life comes every second: after three that failed to, the line is dead
-AGAIN_MS = (100.0, 2_000.0)  # first and longest pause before the next connection
+PART_MS = 500.0  # for the rest of a line that has begun: lines are written whole
+STEADY_MS = 1_000.0  # a connection that lasted so long is followed by the next at once
+AGAIN_MS = (100.0, 2_000.0)  # first and longest pause before the next connection, after others
 CALL_MS = 5_000.0  # for a vote's answer, where the settings name no time
 
 
@@ -57,11 +59,18 @@
         super().__init__(platform.gateway.deadlines, RING_BOUND, RING_BOUND)
         self.platform = platform
         self.calls: deque[Call] = deque()  # in the order they were written, which that of answers is too
+        self.retired = False  # the platform has moved: what was asked here is still answered here
         self._seen = 0
+        self._partly = False
 
     def opened(self) -> None:
         self._alive()
 
+    def retire(self) -> None:
+        self.retired = True
+        if not any(call.vote is not None and not call.over for call in self.calls):
+            self.drop()
+
     def _alive(self) -> None:
         self.limit.set(SILENT_MS, self._is_silent)
 
@@ -85,17 +94,25 @@
             end = self.inward.find(b"\n", self._seen)
             if end < 0 and len(self.inward) < LINE_MAX:
                 self._seen = len(self.inward)
+                if self._seen and not self._partly:
+                    self._partly = True
+                    self.limit.set(PART_MS, self._cut_short)
                 return
             if end < 0 or end >= LINE_MAX:
-                self.platform.garbage("line too long")
-                self.drop()
+                self.platform.spoilt(self, "line too long")
                 return
-            self._seen = 0
+            self._seen, self._partly = 0, False
             line = self.inward.take(end + 1).strip()
             self._alive()
             if line:
                 self.platform.read(self, line)
 
+    def _cut_short(self) -> None:
+        if self.unread():  # this gateway is late, not the rest of the line
+            self.limit.set(PART_MS, self._cut_short)
+        else:
+            self.platform.spoilt(self, "only a part of a line")
+
     def closed(self) -> None:
         self.platform.left(self)
 
@@ -111,8 +128,10 @@
         self.gateway = gateway
         self.link: PlatformLink | None = None
         self.opening: Deferred[Any] | None = None
+        self._retired: list[PlatformLink] = []
         self._limit: Deadline | None = None
         self._again: Deadline | None = None
+        self._began = -math.inf
         self._failures = self._numbers = 0
         self._random = random.Random(gateway.config.seed + 1)
         self._classes = {c.name: n for n, c in enumerate(gateway.config.settings.classes)}
@@ -130,8 +149,22 @@
         self.gateway.deadlines.call_off(self._again)
         if self.opening is not None:
             self.opening.cancel()
-        if self.link is not None:
-            self.link.drop()
+        for link in (self.link, *self._retired):
+            if link is not None:
+                link.drop()
+
+    def moved(self) -> None:
+        """The platform is elsewhere now. Its news is followed there at once; votes under way are neither
+        dropped nor sent twice: they are answered where they were cast, for as long as that lasts."""
+        if self.opening is not None:
+            self.opening.cancel()
+        link, self.link = self.link, None
+        if link is not None:
+            self._retired.append(link)
+            link.retire()
+        self.gateway.deadlines.call_off(self._again)
+        self._failures = 0
+        self._connect()
 
     # The connection
 
@@ -140,6 +173,7 @@
         if address is None or self.gateway.stopping:
             return
         self.gateway.counters.add("platform.connects")
+        self._began = self.gateway.deadlines.now()
         self.opening = connect(self.gateway.reactor, address, lambda: PlatformLink(self))
         self._limit = self.gateway.deadlines.after(CONNECT_MS, self._never_up)
         self.opening.addCallbacks(self._connected, self._refused)
@@ -165,21 +199,25 @@
         self._later()
 
     def left(self, link: PlatformLink) -> None:
-        if self.link is not link:
-            return
-        self.link = None
-        self.gateway.log.warning("platform connection lost", calls=len(link.calls))
-        for call in link.calls:
+        followed = self.link is link
+        if followed:
+            self.link = None
+            self.gateway.log.warning("platform connection lost", calls=len(link.calls))
+        elif link in self._retired:
+            self._retired.remove(link)
+        calls, link.calls = link.calls, deque()
+        for call in calls:
             # A line that was never written whole was not carried out; of any other nobody knows.
             self._finish(call, i.Result.TIMEOUT if call.written else i.Result.CONNECT_FAILED)
-        link.calls.clear()
-        self._later()
+        if followed:
+            self._later()
 
     def _later(self) -> None:
         if self.gateway.stopping:
             return
-        pause = min(AGAIN_MS[0] * 2 ** min(self._failures, 10), AGAIN_MS[1])
-        self._failures += 1
+        now = self.gateway.deadlines.now()
+        self._failures = 0 if now - self._began >= STEADY_MS else self._failures + 1
+        pause = min(AGAIN_MS[0] * 2 ** min(self._failures, 10), AGAIN_MS[1]) if self._failures else 0.0
         self._again = self.gateway.deadlines.after(pause * self._random.uniform(0.5, 1.5), self._connect)
 
     # Calls
@@ -224,61 +262,62 @@
         self.gateway.counters.add("platform.garbage")
         self.gateway.log.warning("platform wrote what can't be read", why=why)
 
+    def spoilt(self, link: PlatformLink, why: str) -> None:
+        """After a line that can't be read nothing more of use comes on its connection: whatever waits there
+        has no answer, and the next connection is made."""
+        self.garbage(why)
+        link.drop()
+
     def read(self, link: PlatformLink, line: bytes) -> None:
         try:
             raw = json.loads(line)
             if not isinstance(raw, dict):
                 raise UnreadableError("a line is no object")
         except (ValueError, RecursionError):
-            # It stands where an answer may have stood: that call's answer can't be read.
-            self.garbage("a line is no JSON object")
-            if link.calls:
-                self._finish(link.calls.popleft(), i.Result.TIMEOUT)
+            self.spoilt(link, "a line is no JSON object")
             return
-        if "method" in raw:
-            self._notified(raw)
-        else:
-            self._answered(link, raw)
+        try:
+            if "method" not in raw:
+                self._answered(link, raw)
+            elif not link.retired:  # the new connection tells it too, and later
+                self._notified(raw)
+        except UnreadableError as error:
+            self.spoilt(link, str(error))
+            return
+        if link.retired and not link.calls:
+            link.drop()
 
     def _answered(self, link: PlatformLink, raw: dict[str, Any]) -> None:
         number = raw.get("id")
         if number not in [call.number for call in link.calls]:
-            self.garbage("an answer to no call")
-            return
-        while True:
-            call = link.calls.popleft()
-            if call.number == number:
-                break
-            self._finish(call, i.Result.TIMEOUT)  # its answer was passed over or could not be read
-        self._failures = 0
-        if call.vote is None:
-            return
-        error = raw.get("error")
-        if isinstance(error, dict):
-            self._finish(call, names.CALL_ERRORS.get(str(error.get("message")), i.Result.TIMEOUT))
-            return
-        try:
-            self._finish(call, i.Result.OK, read_news(raw.get("result"), answers_vote=True))
-        except UnreadableError as unreadable:
-            self.garbage(str(unreadable))
-            self._finish(call, i.Result.TIMEOUT)
+            raise UnreadableError("an answer to no call")
+        while link.calls[0].number != number:
+            self._finish(link.calls.popleft(), i.Result.TIMEOUT)  # its answer was passed over
+        call, error, news = link.calls[0], raw.get("error"), None
+        if isinstance(error, dict) and str(error.get("message")) in names.CALL_ERRORS:
+            result = names.CALL_ERRORS[str(error["message"])]
+        elif call.vote is not None:
+            result, news = i.Result.OK, read_news(raw.get("result"), answers_vote=True)
+        elif raw.get("result") is not True:
+            raise UnreadableError("no answer to the call that follows news")
+        else:
+            result = i.Result.OK
+        link.calls.popleft()
+        self._finish(call, result, news)
 
     def _notified(self, raw: dict[str, Any]) -> None:
         method, params = raw.get("method"), raw.get("params")
-        try:
-            if method == names.NEWS:
-                self.gateway.counters.add("platform.news")
-                self.gateway.tell(read_news(params))
-            elif method == names.TALLY:
-                self.gateway.tell(self._tally(params))
-            elif method == names.WRONG:
-                wrong = self._wrong(params)
-                if wrong is not None:
-                    self.gateway.tell(wrong)
-            elif method != names.ALIVE:
-                self.garbage(f"unknown notification {str(method)[:40]!r}")
-        except UnreadableError as error:
-            self.garbage(str(error))
+        if method == names.NEWS:
+            self.gateway.counters.add("platform.news")
+            self.gateway.tell(read_news(params))
+        elif method == names.TALLY:
+            self.gateway.tell(self._tally(params))
+        elif method == names.WRONG:
+            wrong = self._wrong(params)
+            if wrong is not None:
+                self.gateway.tell(wrong)
+        elif method != names.ALIVE:
+            raise UnreadableError(f"unknown notification {str(method)[:40]!r}")
 
     def _class(self, raw: Any) -> int:
         if isinstance(raw, str) and raw in self._classes:
--- a/meadowpulley/net/discovery.py
+++ b/meadowpulley/net/discovery.py
@@ -21,10 +21,11 @@
 if TYPE_CHECKING:
     from meadowpulley.net.gateway import Gateway
 
+PART_MS = 500.0  # for the rest of an answer that has begun: answers are written whole
 WAIT_MS = 10_000.0  # how long a watch waits for news, unless the settings have it ask more often
 MOST_WAIT_MS = 60_000.0
-GRACE_MS = 3_000.0  # beyond the wait, until a call without an answer has failed
-AGAIN_MS = (500.0, 4_000.0)  # where the list comes unasked: first and longest pause after a failed watch
+GRACE_MS = 2_000.0  # beyond the wait, until a call without an answer has failed
+AGAIN_MS = (500.0, 4_000.0)  # where the list comes unasked: pauses after failed watches but the first
 LIST_BOUND = 8 * 1024 * 1024  # a list of thousands of instances
 
 
@@ -106,9 +107,19 @@
             return
         if message is not None:
             self._give(message)
+        elif self.parser.begun and self.limit.at == math.inf:
+            self.limit.set(PART_MS, self._cut_short)
+
+    def _cut_short(self) -> None:
+        if self.unread():  # this gateway is late, not the rest of the answer
+            self.limit.set(PART_MS, self._cut_short)
+            return
+        self._fail(CallFailedError("only a part of an answer"))
+        self.drop()
 
     def _give(self, message: Message) -> None:
         answer, self.answer = self.answer, None
+        self.limit.lift()
         if not message.keep_alive or answer is None or self.parser.begun:
             self.drop()
         if answer is not None:
@@ -219,6 +230,7 @@
         self.version = 0
         self._watch: Call | None = None
         self._fetch: Call | None = None
+        self._wanted = False  # a watch, by the decisions' last word
         self._answer_due = False  # the decisions asked, and are owed one list, be it empty
         self._failures = 0
         ask_within = gateway.config.settings.rules.ask_within_ms
@@ -244,10 +256,24 @@
         if self.kept is not None:
             self.kept.drop()
 
+    def moved(self) -> None:
+        """Discovery is elsewhere now: what was asked of the old address is asked of the new one at once."""
+        kept, self.kept = self.kept, None
+        if kept is not None:
+            kept.drop()
+        self._failures = 0
+        fetch, self._fetch = self._fetch, None
+        if fetch is not None:
+            fetch.abandon()
+            self.fetch()
+        if self._wanted:
+            self.watch(True)
+
     # Watching
 
     def watch(self, on: bool) -> None:
         """What changed since the last list comes first, at once, and after that every change."""
+        self._wanted = on
         if self._watch is not None:
             self._watch.abandon()
             self._watch = None
@@ -265,7 +291,7 @@
         try:
             self._tell(raw, None)
         except CallFailedError as error:
-            self.gateway.counters.add("list.garbage")
+            self._spoilt()
             self._watch_failed(str(error))
             return
         self._failures = 0
@@ -276,8 +302,8 @@
         self._watch = None
         self._failed(why)
         if not self.gateway.config.settings.must_ask and not self.gateway.stopping:
+            pause = min(AGAIN_MS[0] * 2 ** min(self._failures, 10), AGAIN_MS[1]) if self._failures else 0.0
             self._failures += 1
-            pause = min(AGAIN_MS[0] * 2 ** min(self._failures, 10), AGAIN_MS[1])
             self.gateway.deadlines.after(pause * self._random.uniform(0.5, 1.0), lambda: self.watch(True))
 
     def _failed(self, why: str) -> None:
@@ -286,6 +312,13 @@
         self._answer_due = False
         self.gateway.tell(i.ServerList(i.ListKind.FAILED, self.version))
 
+    def _spoilt(self) -> None:
+        """After a list that can't be read its connection is of no further use."""
+        self.gateway.counters.add("list.garbage")
+        kept, self.kept = self.kept, None
+        if kept is not None:
+            kept.drop()
+
     # Fetching
 
     def fetch(self) -> None:
@@ -298,6 +331,7 @@
         try:
             self._tell(raw, None)
         except CallFailedError as error:
+            self._spoilt()
             self._fetch_failed(str(error))
 
     def _fetch_failed(self, why: str) -> None:
@@ -308,7 +342,7 @@
         whole, version, found = self.entries.read(raw)
         for entry, address in found:
             if address is not None and entry.state is not i.ServerState.GONE:
-                self.gateway.instances.place(entry.server, address)
+                self.gateway.instances.place(entry.server, address, (entry.build, entry.started_ms))
         listed = {entry.server for entry, _ in found if entry.state is not i.ServerState.GONE}
         gone = {entry.server for entry, _ in found if entry.state is i.ServerState.GONE}
         if whole or kind is i.ListKind.CACHED:
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -6,6 +6,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from enum import Enum
 from typing import Any
 
@@ -14,7 +15,7 @@
 from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
 from meadowpulley.net.clients import Clients
-from meadowpulley.net.config import Config
+from meadowpulley.net.config import Config, ConfigError, reread_config
 from meadowpulley.net.control import Platform
 from meadowpulley.net.counters import Counters
 from meadowpulley.net.deadlines import Deadlines
@@ -22,8 +23,8 @@
 from meadowpulley.net.instances import Instances
 from meadowpulley.net.peers import Peers
 
-KEPT_BACK = 72  # descriptors for the program itself, the platform, discovery and connections just ending
-CLIENT_PART = 0.45  # of the others; the rest is for instances, where warm connections stand ready
+KEPT_BACK = 32  # descriptors for the program itself, the platform, discovery and connections just ending
+CLIENT_PART = 0.58  # of the others: clients hold a third of all for requests, and the rest of it says nothing
 ACCEPT_ON_MS = 700.0  # after SIGTERM, while connections still come
 TIMER_AGAIN_MS = 1000.0  # a timer on which the decisions failed comes again
 
@@ -42,8 +43,9 @@
         reactor: Any,
         log: FilteringBoundLogger,
         make: Callable[[i.Settings, int], Any] = Balancer,
+        reread: Callable[[], Config] = reread_config,
     ) -> None:
-        self.config, self.reactor, self.log = config, reactor, log
+        self.config, self.reactor, self.log, self._reread = config, reactor, log, reread
         self.phase = Phase.STARTING
         self.counters = Counters()
         self.deadlines = Deadlines(reactor, self.failed)
@@ -119,6 +121,26 @@
             self.log.info("stopped")
             self.reactor.callLater(0, self.reactor.stop)
 
+    def reload(self) -> None:
+        """The configuration was replaced: where discovery and the platform are now. Nothing else of it is
+        taken over, and what is known, owed and under way stays as it is."""
+        if self.phase not in (Phase.READY, Phase.DRAINING):
+            return
+        try:
+            fresh = self._reread()
+        except ConfigError as bad:
+            self.counters.add("reload.refused")
+            self.log.error("reload refused", why=str(bad))
+            return
+        before = self.config
+        self.config = replace(before, discovery=fresh.discovery, platform=fresh.platform)
+        self.counters.add("reload.done")
+        self.log.info("reloaded", discovery=fresh.discovery, platform=fresh.platform)
+        if fresh.discovery != before.discovery:
+            self.discovery.moved()
+        if fresh.platform != before.platform:
+            self.platform.moved()
+
     def print_counters(self) -> None:
         self.log.info("counters", phase=self.phase.value, **self.counters.all())
 
@@ -126,6 +148,8 @@
         """Signals only wake the reactor: what they ask for runs in its turn."""
         if number == signal.SIGUSR1:
             self.reactor.callFromThread(self.print_counters)
+        elif number == signal.SIGHUP:
+            self.reactor.callFromThread(self.reload)
         else:
             self.reactor.callFromThread(self.drain)
 
--- a/meadowpulley/net/http1.py
+++ b/meadowpulley/net/http1.py
@@ -18,6 +18,7 @@
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 _REQUEST = re.compile(r"([!#$%&'*+.^_`|~0-9A-Za-z-]+) ([!-~]+) HTTP/1\.([01])")
 _STATUS = re.compile(r"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [\t -~\x80-\xff]*)?")
+_VERSION = b"HTTP/1."
 _FIRST = re.compile(_TOKEN + rb"|\r")
 _FIELDS = re.compile(rb"(?:" + _TOKEN + rb":[\t -~\x80-\xff]*\r\n)*")
 _LENGTH = re.compile(r"[0-9]{1,10}")
@@ -30,6 +31,8 @@
     400: "Bad Request",
     404: "Not Found",
     405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
     413: "Content Too Large",
     431: "Request Header Fields Too Large",
     502: "Bad Gateway",
@@ -137,12 +140,16 @@
         while self._requests and self._seen == 0 and data.startswith(b"\r\n"):
             ring.take(2)  # an empty line before a request is passed over, as RFC 9112 has it
             data = data[2:]
+        if not self._requests and not data.startswith(_VERSION[: len(data)]):
+            raise BadMessageError(502, "no status line")  # noise may never end: it is told by its first bytes
         if data and not _FIRST.match(data):
             raise BadMessageError(400, "no start line")
         end = data.find(b"\r\n\r\n", max(self._seen - 3, 0))
         if end < 0:
             if len(ring) >= HEAD_MAX:
                 raise BadMessageError(431, "head too large")
+            if (first := data.find(b"\r\n")) > 0:  # the rest of a head may never come
+                self._start_line(data[:first].decode("latin-1"))
             self._seen = 0 if data == b"\r" else len(ring)  # an empty line may still come before the request
             return False
         ring.take(end + 4)
--- a/meadowpulley/net/instances.py
+++ b/meadowpulley/net/instances.py
@@ -33,6 +33,7 @@
 
 WARM = 4  # connections opened to each instance at the start
 WARM_MS = 1000.0  # for them to come up, where the settings name no time
+PART_MS = 500.0  # for the rest of an answer that has begun: answers are written whole
 IDLE_PART = 0.75  # of the time after which an instance may close a connection: ours goes before
 
 
@@ -116,10 +117,20 @@
             return
         if answer is not None:
             self._answered(attempt, answer)
+        elif self.parser.begun and self.limit.at == math.inf:
+            self.limit.set(PART_MS, self._cut_short)
+
+    def _cut_short(self) -> None:
+        """An answer began and did not end: what its head says of its length was wrong."""
+        if self.unread():  # this gateway is late, not the rest of the answer
+            self.limit.set(PART_MS, self._cut_short)
+        elif self.attempt is not None:
+            self.pool.instances.garbage(self.attempt)
 
     def _answered(self, attempt: Attempt, answer: Message) -> None:
         again = answer.keep_alive and attempt.written and not self.parser.begun
         self.attempt = None
+        self.limit.lift()
         if again and self.up:
             self.state = State.IDLE
             self.pool.rest(self)
@@ -157,8 +168,10 @@
 class Pool:
     """The connections to one address."""
 
-    def __init__(self, instances: Instances, server: int, address: Address) -> None:
-        self.instances, self.server, self.address = instances, server, address
+    def __init__(
+        self, instances: Instances, server: int, address: Address, start: tuple[int, float] = (0, 0.0)
+    ) -> None:
+        self.instances, self.server, self.address, self.start = instances, server, address, start
         self.idle: list[InstanceLink] = []  # oldest first; the newest is used first
 
     def take(self) -> InstanceLink | None:
@@ -196,12 +209,13 @@
 
     # Connections
 
-    def place(self, server: int, address: Address) -> None:
-        """Discovery has told where a server is."""
+    def place(self, server: int, address: Address, start: tuple[int, float]) -> None:
+        """Discovery has told where a server is, and which build it runs since when: an id and an address that
+        come back with another one inherit no connection, since those may lead nowhere and never say so."""
         pool = self.pools.get(server)
-        if pool is None or pool.address != address:
+        if pool is None or (pool.address, pool.start) != (address, start):
             self.forget(server)
-            self.pools[server] = Pool(self, server, address)
+            self.pools[server] = Pool(self, server, address, start)
 
     def forget(self, server: int) -> None:
         pool = self.pools.pop(server, None)
@@ -354,8 +368,9 @@
         self._end(attempt, i.Result.RESET if attempt.written else i.Result.CONNECT_FAILED)
 
     def garbage(self, attempt: Attempt) -> None:
+        """What came is no answer: the request has run, or may have, and who spoilt it is not said."""
         self.gateway.counters.add("up.garbage")
-        self._end(attempt, i.Result.ERROR)
+        self._end(attempt, i.Result.RESET)
 
     def answered(self, attempt: Attempt, answer: Message) -> None:
         result = read_result(answer)
--- a/meadowpulley/records.py
+++ b/meadowpulley/records.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+from collections import defaultdict, deque
+from typing import Any
 
 from meadowpulley import interface as i
 
@@ -32,6 +34,11 @@
         self.streaming = self.tossed = False  # tossed: the coin chose between both builds
         self.asked: list[int] = []  # servers that were probed for it
 
+    def sent(self, attempt: Attempt) -> None:
+        self.tries, self.out = self.tries + 1, self.out + 1
+        self.tried.append(attempt.server.id)
+        self.maybe.append(attempt)
+
 
 class Attempt:
     """One attempt; the first of each request is logged as a sample of its build's costs."""
@@ -53,3 +60,34 @@
     def value(self, now: float, added: float = 0.0) -> float:
         self.sum, self.at = self.sum * math.exp((self.at - now) / self.memory_ms) + added, now
         return self.sum / self.memory_ms
+
+
+FRINGE_MS = 1000.0  # a window keeps so much more than its length, for who counts generously
+
+
+class Window:
+    """When something happened, for as long as that may be asked for."""
+
+    def __init__(self, memory_ms: float) -> None:
+        self.memory_ms = memory_ms
+        self.times: deque[float] = deque()
+
+    def add(self, now: float) -> None:
+        self.times.append(now)
+        self.within(now, FRINGE_MS)
+
+    def within(self, now: float, more_ms: float = 0.0) -> int:
+        """How often lately; what was longer ago is forgotten."""
+        while self.times and self.times[0] < now - self.memory_ms - more_ms:
+            self.times.popleft()
+        return len(self.times)
+
+
+class Seen:
+    """What is known of one build, kept while it is the newest or the one before."""
+
+    def __init__(self, failures: Any, sent: defaultdict[int, Window]) -> None:
+        self.failures = failures
+        self.fail_usual: dict[tuple[int, bool], float] = {}  # by class, and whether by a tally
+        self.hold_began: dict[int, float] = {}  # by stage
+        self.sent = sent  # attempts, by what is counted
