Cold trial machines do not crowd warm ones; a clearly quicker trial goes on

Of its eight machines the two warm ones got 38 and 32 requests in 3 s, the six cold ones 12 to 19: the coin's odds were for all eight, and _two passed over those whose cold budget was spent, to their neighbours. At a burst these were slow by that alone. Lines: _two and _route; _verdict, the term with doubt.

--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -99,9 +99,8 @@
     Builds are compared within a block (a time and a kind of machine), weighed by the error formula."""
     n = len(latency) - length
     groups: dict[tuple[float, int], tuple[list[int], list[int]]] = {}
-    for j in range(n):
-        if arm[j] >= 0:
-            groups.setdefault(block[j], ([], []))[arm[j]].append(j)
+    for j in [j for j in range(n) if arm[j] >= 0]:
+        groups.setdefault(block[j], ([], []))[arm[j]].append(j)
     both = [(old, new) for old, new in groups.values() if old and new]
     if not both or rate <= 0:
         return 0.0, math.inf, 0, 0
@@ -220,9 +219,9 @@
 
     def _list(self, event: i.ServerList) -> None:
         if event.kind is i.ListKind.FAILED:  # whether the watch still stands is not said
-            pause = self.list_fails * RETRY_LIST_MS * (0.5 + self.rng.random())
-            self.ask_again_at = self.now + pause if self.s.must_ask else math.inf
-            self.list_fails = min(self.list_fails + 1, 3)
+            pause = RETRY_LIST_MS * min(self.list_fails, 3) if self.s.must_ask else math.inf
+            self.ask_again_at = self.now + pause * (0.5 + self.rng.random())
+            self.list_fails += 1
             return
         if event.kind is not i.ListKind.CACHED:
             self.ask_again_at, self.list_fails = math.inf, 0
@@ -242,8 +241,7 @@
         ready = [s for s in self.servers.values() if s.state is i.ServerState.READY]
         self.trial = [s for s in ready if self._on_trial(s.build)]
         self.earlier = [s for s in ready if not self._on_trial(s.build)]
-        low = min((s.build for s in ready), default=-1)
-        if len(self.key_build) > KEYS and low > self.floor:
+        if len(self.key_build) > KEYS and (low := min((s.build for s in ready), default=-1)) > self.floor:
             self.floor, self.key_build = low, {k: b for k, b in self.key_build.items() if b > low}
         self.odds_until, self.judge_at = -math.inf, min(self.judge_at, self.now)
         self.fleet = max(self.fleet, len(ready))
@@ -416,8 +414,8 @@
         odds = 0.0 if self.off and len(trial) < len(earlier) else self.odds
         return max(odds - self.followed, 0.0) / max(1 - self.followed, 0.01)
 
-    def _two(self, held: Held, group: list[Server]) -> list[Server]:  # at random, but untried ones first
-        order = sorted(self.rng.sample(group, len(group)), key=lambda s: s.id in held.tried)
+    def _two(self, held: Held, group: list[Server], drawn: int) -> list[Server]:  # untried ones first
+        order = sorted(self.rng.sample(group, min(drawn, len(group))), key=lambda s: s.id in held.tried)
         fit = filter(lambda s: self.now >= s.rest_until and not (s.rest_ms and s.out), order)
         return list(islice(filter(lambda s: self._may_send(held, s), fit), 2))
 
@@ -431,9 +429,10 @@
         self.followed += 0.02 * (followed - self.followed)
         tossed = bool(trial and earlier) and not followed
         first = trial if trial and (not earlier or self.rng.random() < self._coin()) else earlier
-        two = self._two(held, first)
+        # What a cold trial machine may not have goes to the earlier build, or it would crowd a warm one.
+        two = self._two(held, first, 2 if tossed and first is trial else len(first))
         if not two and trial and earlier:
-            tossed, two = False, self._two(held, earlier if first is trial else trial)
+            tossed, two = False, self._two(held, earlier if first is trial else trial, len(self.servers))
         dense = min(len(self.attempts) / max(len(self.servers), 1), 1.0)
         if len(two) > 1 and self.s.limits.probes and dense < SPARSE and not held.tries and not held.asked:
             held.asked, held.tossed = [s.id for s in two], tossed  # own counts say nothing: the servers tell
@@ -570,18 +569,19 @@
 
     def _verdict(self, n: i.BuildNews) -> i.Verdict:
         low, high, margin, least = self.estimate(n.build)
-        sure = least >= LEAST_SAMPLE
+        # Quicker by the margin: both may be slow, but not through this build, which is the way out.
+        sure, quicker = least >= LEAST_SAMPLE, low + high < -2 * margin
         shares = [s.fail_share for s in self.servers.values() if s.build < n.build]
-        failing = self.builds[n.build].failures.proof(
-            len(self.servers) - len(shares), max(shares, default=0.0) >= BROKEN, self.needed
-        )
+        broken, new = max(shares, default=0.0) >= BROKEN, len(self.servers) - len(shares)
+        failing = self.builds[n.build].failures.proof(new, broken, self.needed)
         if self.back_for == n.build:
             return i.Verdict.BACK
         if failing >= 1:
             self._back(n.build, f"fails more than the earlier build, proof {failing:.1f}")
         elif sure and low > margin and n.phase is i.Phase.TRIAL:
             self._back(n.build, f"slower by {low:.0f} to {high:.0f} ms, margin {margin:.0f}")
-        doubt = self._doubt(n.build, n.phase is i.Phase.RELEASED)
+        self.off &= not quicker
+        doubt = not quicker and self._doubt(n.build, n.phase is i.Phase.RELEASED)
         if self.back_for == n.build:
             return i.Verdict.BACK
         if self.roll.gate is i.Gate.TIMER and sure and low > margin / 2:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -169,6 +169,19 @@
     assert 3 < work(d, 74, 20.0).get(9, 0) <= 2.0 * 0.55 * 15
 
 
+def test_what_cold_trial_servers_may_not_have_does_not_crowd_a_warm_one() -> None:
+    # Found on a day of spoilt answers: two warm trial servers got the part of six cold ones, three times an
+    # earlier one's, were slow by that, and a good build went back.
+    d = Driver()
+    fleet(d, 8)
+    d.listed([*(entry(n) for n in range(8)), entry(10, 42)])
+    d.news(42, 1, 1.0)
+    work(d, 400, 2.0)
+    d.listed([*(entry(n) for n in range(8)), entry(10, 42), *(entry(n, 42, d.now) for n in range(11, 18))])
+    got = work(d, 2500, 2.0)
+    assert got[10] < 1.5 * sum(got[n] for n in range(8)) / 8
+
+
 def test_a_restarted_or_reused_id_is_a_new_cold_server() -> None:
     for again in (entry(0, started=9000.0), entry(0, build=40, started=9000.0)):
         d = Driver()
