--- a/tests/test_net_program.py
+++ b/tests/test_net_program.py
@@ -341,6 +341,31 @@
     assert gateway.wait_for("counters")["reload.refused"] == 1
 
 
+def test_a_reload_while_it_drains_loses_nothing(start: Start) -> None:
+    go = threading.Event()
+
+    def hold(handler: BaseHTTPRequestHandler, body: bytes) -> None:
+        go.wait(LIMIT_S)
+        answer(handler, 200, body)
+
+    instance = Instance(hold)
+    entries = [entry("s-1", instance.address)]
+    gateway = start(entries, discovery=Discovery(entries).address)
+    client = gateway.client()
+    client.send("POST", "/pay", b"kept")
+    instance.asked.get(timeout=LIMIT_S)
+    gateway.process.send_signal(signal.SIGTERM)
+    gateway.wait_for("draining")
+    gateway.reload(discovery=Discovery(entries).address)
+    gateway.wait_for("reloaded")
+    go.set()
+    assert client.answer()[::2] == (200, b"kept")
+    client.file.close()
+    client.socket.close()
+    gateway.wait_for("stopped")
+    assert gateway.process.wait(LIMIT_S) == 0
+
+
 def test_a_vote_under_way_at_a_reload_is_answered_where_it_was_cast(start: Start) -> None:
     old, new = Platform(TRIAL), Platform(TRIAL)
     entries = [entry("s-1", Instance().address), entry("s-2", Instance().address, build=42)]
