Emulator of the fleet around real decisions, with a checker of the five rules and a demo

The build lays out the gateway's own modules only, under a lock, so that run imports nothing of the laboratory and two builds don't disturb each other.

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -1,11 +1,13 @@
 """Lays out the gateway as it runs: the package, with its hot modules compiled by mypyc.
 
 The compiled copy goes to a folder of its own, so that no compiled module can stand in for a source that was
-edited since. Where nothing can be compiled the plain copy serves, only slower.
+edited since. Where nothing can be compiled the plain copy serves, only slower. It holds what a gateway needs
+and nothing else: no tool of the laboratory can be imported by it. One build at a time; a second one waits.
 """
 
 from __future__ import annotations
 
+import fcntl
 import hashlib
 import shutil
 import subprocess
@@ -14,6 +16,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 PACKAGE = "meadowpulley"
+PARTS = ("__init__.py", "__main__.py", "balance.py", "interface.py", "records.py", "settings.py", "net")
 HOT = (
     "balance.py",
     "interface.py",
@@ -28,9 +31,14 @@
 LIMIT_S = 900
 
 
+def sources() -> list[Path]:
+    parts = [ROOT / PACKAGE / name for name in PARTS]
+    return sorted(path for part in parts for path in (part.rglob("*.py") if part.is_dir() else [part]))
+
+
 def digest() -> str:
     found = hashlib.sha256(sys.version.encode())
-    for path in sorted([*(ROOT / PACKAGE).rglob("*.py"), Path(__file__)]):
+    for path in [*sources(), Path(__file__)]:
         found.update(str(path.relative_to(ROOT)).encode() + b"\0" + path.read_bytes())
     return found.hexdigest()
 
@@ -50,13 +58,23 @@
 
 
 def main() -> int:
+    TARGET.parent.mkdir(exist_ok=True)
+    with open(TARGET.with_name("gateway.lock"), "w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        return build()
+
+
+def build() -> int:
     stamp, wanted = TARGET / "stamp", digest()
     if stamp.is_file() and stamp.read_text() == wanted:
         return 0
     fresh = TARGET.with_name("gateway.new")
     for old in (fresh, TARGET):
         shutil.rmtree(old, ignore_errors=True)
-    shutil.copytree(ROOT / PACKAGE, fresh / PACKAGE, ignore=shutil.ignore_patterns("__pycache__", "*.so"))
+    for path in sources():
+        copy = fresh / path.relative_to(ROOT)
+        copy.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copyfile(path, copy)
     if not compile_in(fresh):
         for broken in fresh.rglob("*.so"):
             broken.unlink()
--- /dev/null
+++ b/meadowpulley/cli/main.py
@@ -0,0 +1,23 @@
+"""All commands, each with every option as a variable: MEADOWPULLEY_COMMAND_OPTION."""
+
+from __future__ import annotations
+
+import click
+
+from meadowpulley.cli.demo import demo
+from meadowpulley.cli.emulate import emulate
+from meadowpulley.cli.load import load
+
+
+@click.group(context_settings={"auto_envvar_prefix": "MEADOWPULLEY", "help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="meadowpulley")
+def main() -> None:
+    """Trial builds on live traffic: the tools around the gateway.
+
+    Exit codes: 0 good, 1 the goal is missed or a rule was broken, 2 bad input, 3 the rig itself was the
+    limit.
+    """
+
+
+for command in (demo, emulate, load):
+    main.add_command(command)
--- /dev/null
+++ b/meadowpulley/emulator/__init__.py
@@ -0,0 +1,32 @@
+"""Our own model of the systems that a gateway serves, in virtual time: one seed replays everything.
+
+Reading order: `clock` (virtual time and named random streams), `machine` (a server's cores, slots, queue,
+warm-up and falling over), `builds` (what a release does to the machines that run it), `scenario` (the file
+that says what happens in a run), `faults` (troubles put on and taken off), `network`, `discovery`,
+`platform`, `clients` (the parties around a gateway), `gateway` (hosts one real `Balancer`), `world` (all of
+them together) and `results` (what came of it). No part does I/O or reads a clock.
+"""
+
+from meadowpulley.emulator.builds import Build
+from meadowpulley.emulator.clock import Clock, Streams
+from meadowpulley.emulator.machine import Job, Machine
+from meadowpulley.emulator.results import ClassResult, Result, ServerResult
+from meadowpulley.emulator.scenario import Fault, Release, Scenario, parse_scenario
+from meadowpulley.emulator.world import World, emulate
+
+__all__ = [
+    "Build",
+    "ClassResult",
+    "Clock",
+    "Fault",
+    "Job",
+    "Machine",
+    "Release",
+    "Result",
+    "Scenario",
+    "ServerResult",
+    "Streams",
+    "World",
+    "emulate",
+    "parse_scenario",
+]
--- /dev/null
+++ b/meadowpulley/emulator/discovery.py
@@ -0,0 +1,116 @@
+"""Discovery: a list that lags behind the servers, asked for as a whole or watched, and out of reach at
+times."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+import numpy as np
+
+from meadowpulley import interface as i
+from meadowpulley.emulator.clock import Clock, between
+from meadowpulley.fleet import DiscoveryModel
+
+
+@dataclass(slots=True)
+class _Watch:
+    told: int  # the version told last
+    telling: bool = False
+
+
+class Discovery:
+    """Keeps the list as discovery knows it, and tells it to those who ask: `tell(gateway, news)`."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: np.random.Generator,
+        figures: DiscoveryModel,
+        tell: Callable[[int, i.ServerList], None],
+    ) -> None:
+        self._clock, self._rng, self.figures, self._tell_gateway = clock, rng, figures, tell
+        self.down = False
+        self.lag_ms = 0.0  # on top of the usual
+        self.version = 1
+        self._entries: dict[int, tuple[int, i.ServerEntry]] = {}
+        self._listed_at: dict[int, float] = {}  # when the latest change of a server is listed
+        self._watches: dict[int, _Watch] = {}
+
+    # The list
+
+    def known(self) -> tuple[i.ServerEntry, ...]:
+        """The whole list as it stands."""
+        return tuple(e for _, e in self._entries.values() if e.state is not i.ServerState.GONE)
+
+    def begin(self, entry: i.ServerEntry) -> None:
+        """A server that has been listed for long."""
+        self._entries[entry.server] = (self.version, entry)
+
+    def change(self, entry: i.ServerEntry) -> None:
+        """A server has changed; discovery will know of it in its own time, in the order of its changes."""
+        new = entry.server not in self._listed_at and entry.server not in self._entries
+        span = self.figures.add_ms if new else self.figures.notice_ms
+        when = self._clock.now + between(self._rng, span) + self.lag_ms
+        when = max(when, self._listed_at.get(entry.server, 0.0))
+        self._listed_at[entry.server] = when
+        self._clock.at(when, lambda: self._list(entry))
+
+    def _list(self, entry: i.ServerEntry) -> None:
+        self.version += 1
+        self._entries[entry.server] = (self.version, entry)
+        for gateway, watch in list(self._watches.items()):
+            self._tell_soon(gateway, watch)
+
+    # Those who ask
+
+    def forget(self, gateway: int) -> None:
+        self._watches.pop(gateway, None)
+
+    def watch(self, gateway: int) -> None:
+        if self.down:
+            self._clock.after(self.figures.timeout_ms, lambda: self._fail(gateway))
+            return
+        watch = self._watches.get(gateway)
+        if watch is None:
+            self._watches[gateway] = watch = _Watch(0)
+            self._tell_soon(gateway, watch)
+
+    def fetch(self, gateway: int) -> None:
+        """The whole list, once."""
+        self._clock.after(between(self._rng, self.figures.period_ms), lambda: self._give_whole(gateway))
+
+    def go_down(self) -> None:
+        self.down = True
+        for gateway in list(self._watches):
+            wait = float(self._rng.random()) * self.figures.timeout_ms
+            self._clock.after(wait, partial(self._fail, gateway))
+        self._watches.clear()
+
+    def _fail(self, gateway: int) -> None:
+        self._tell_gateway(gateway, i.ServerList(i.ListKind.FAILED, self.version))
+
+    def _tell_soon(self, gateway: int, watch: _Watch) -> None:
+        if not watch.telling:
+            watch.telling = True
+            self._clock.after(between(self._rng, self.figures.period_ms), lambda: self._tell(gateway, watch))
+
+    def _tell(self, gateway: int, watch: _Watch) -> None:
+        watch.telling = False
+        if self._watches.get(gateway) is not watch:
+            return
+        if not watch.told:
+            watch.told = self.version
+            self._give_whole(gateway)
+            return
+        news = tuple(entry for version, entry in self._entries.values() if version > watch.told)
+        watch.told = self.version
+        if news:
+            self._tell_gateway(gateway, i.ServerList(i.ListKind.CHANGES, self.version, news))
+
+    def _give_whole(self, gateway: int) -> None:
+        if self.down:
+            self._fail(gateway)
+        else:
+            self._tell_gateway(gateway, i.ServerList(i.ListKind.FULL, self.version, self.known()))
--- /dev/null
+++ b/meadowpulley/emulator/scenario.py
@@ -0,0 +1,82 @@
+"""What happens in a run besides its load: releases and faults, at their times. A file of intent, in TOML."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+from msgspec import Struct
+
+from meadowpulley.emulator.builds import Build
+from meadowpulley.fleet import Fleet, FleetError, read_intent
+from meadowpulley.fleet.model import Name, NotNegative, Positive, PositiveShare
+
+FaultKind = Literal[
+    "fast_errors", "silence", "lost_answers", "slowness", "dependency", "neighbour", "vanish", "site_cut",
+    "discovery_down", "discovery_stale", "platform_down", "platform_late", "peers_lost", "gateway_crash",
+]  # fmt: skip
+
+
+class Release(Struct, frozen=True, forbid_unknown_fields=True):
+    """A build offered at `at_ms`; a trial that is still on is then taken off."""
+
+    at_ms: NotNegative
+    build: Build
+
+
+class Fault(Struct, frozen=True, forbid_unknown_fields=True):
+    """A trouble from `at_ms` for `for_ms`. `part`: share of the servers (or gateways) it meets, of `site` if
+    one is named. `amount`: share of answers for errors and losses, times slower for slowness, milliseconds
+    for lateness.
+    """
+
+    kind: FaultKind
+    at_ms: NotNegative
+    for_ms: Positive
+    amount: NotNegative = 1.0
+    part: PositiveShare = 1.0
+    site: Name | None = None
+
+
+class Scenario(Struct, frozen=True, forbid_unknown_fields=True):
+    version: int = 1
+    first_build: int = 1
+    releases: tuple[Release, ...] = ()
+    faults: tuple[Fault, ...] = ()
+
+
+def parse_scenario(raw: bytes, where: str, fleet: Fleet) -> Scenario:
+    """A scenario file, checked against its fleet. Raises FleetError, one line."""
+    scenario = read_intent(raw, where, Scenario)
+    check_scenario(scenario, where, fleet)
+    return scenario
+
+
+def check_scenario(scenario: Scenario, where: str, fleet: Fleet) -> None:
+    sites, classes = [s.name for s in fleet.sites], [c.name for c in fleet.classes]
+    last, last_at = scenario.first_build, -1.0
+    for n, release in enumerate(scenario.releases):
+        path = f"{where}: releases[{n}]"
+        if release.build.number <= last:
+            raise FleetError(
+                f"{path}.build.number: {release.build.number} is not above {last}; builds only rise"
+            )
+        if release.at_ms <= last_at:
+            raise FleetError(
+                f"{path}.at_ms: {release.at_ms:g} is not after the release before; put them in order"
+            )
+        if release.build.fails_class is not None and release.build.fails_class not in classes:
+            known = ", ".join(classes)
+            raise FleetError(
+                f"{path}.build.fails_class: '{release.build.fails_class}' is no class; known are {known}"
+            )
+        last, last_at = release.build.number, release.at_ms
+    for n, fault in enumerate(scenario.faults):
+        path = f"{where}: faults[{n}]"
+        if fault.site is not None and fault.site not in sites:
+            raise FleetError(f"{path}.site: '{fault.site}' is not described; known are {', '.join(sites)}")
+        if fault.kind == "site_cut" and fault.site is None:
+            raise FleetError(f"{path}.site: missing; a cut names the site")
+        if fault.kind in ("fast_errors", "lost_answers") and fault.amount > 1:
+            raise FleetError(f"{path}.amount: {fault.amount:g} is no share; give 0 to 1")
+        if fault.kind in ("slowness", "dependency", "neighbour") and fault.amount < 1:
+            raise FleetError(f"{path}.amount: {fault.amount:g} would make it quicker; give 1 or more")
--- /dev/null
+++ b/meadowpulley/load/arrivals.py
@@ -0,0 +1,164 @@
+"""One arrival, and the file of arrivals: JSON lines, a header first, gzip where the name ends in `.gz`.
+
+A file is streamed both ways, so that its length is bounded by the disk and not by memory.
+"""
+
+from __future__ import annotations
+
+import gzip
+import heapq
+import math
+import os
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import IO, Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+from msgspec.structs import replace
+
+VERSION = 1
+BACK_MS = 1000.0  # an arrival so much before the latest is a clock that jumped, a smaller step is disorder
+
+NotNegative = Annotated[float, Meta(ge=0)]
+
+
+class LoadError(ValueError):
+    """A load that can't be used; the text is one line: what, where, and what to do."""
+
+
+class Header(Struct, frozen=True, forbid_unknown_fields=True):
+    """The first line. `started` is Unix time in milliseconds at `at_ms` 0, 0 where that means nothing."""
+
+    format: str = "meadowpulley-load"
+    version: int = VERSION
+    source: str = ""
+    started: float = 0.0
+    dropped: int = 0  # arrivals known to be missing, as counted when the capture was closed
+
+
+class Arrival(Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    """One request as somebody wanted it. `key` is a hash, `work_ms` standard-core milliseconds."""
+
+    at_ms: NotNegative
+    cls: str
+    site: str = ""
+    key: int = 0
+    work_ms: NotNegative = 0.0
+    bytes: Annotated[int, Meta(ge=0)] = 0
+    patience_ms: NotNegative = 0.0  # 0: its class's deadline
+
+
+_header = msgspec.json.Decoder(Header).decode
+_arrival = msgspec.json.Decoder(Arrival).decode
+_encode = msgspec.json.Encoder().encode
+
+
+def _open(path: Path, mode: str) -> IO[bytes]:
+    if path.suffix == ".gz":
+        return gzip.open(path, mode, compresslevel=5)  # type: ignore[return-value]
+    return open(path, mode)
+
+
+class Reader:
+    """Reads a load file, in order of time. Arrivals that come a little out of order are put right within
+    `BACK_MS`; a step further back is a clock that jumped, and the rest is moved on by it (`jumps` counts
+    them).
+
+    Iterating raises LoadError at the first line that can't be read; a last line without its end is a file
+    that was cut off, and is dropped and noted in `truncated`.
+    """
+
+    def __init__(self, path: Path, classes: frozenset[str] | None = None) -> None:
+        self.path, self._classes = path, classes
+        self.jumps = self.disordered = self.count = 0
+        self.truncated = False
+        try:
+            with _open(path, "rb") as file:
+                first = file.readline()
+        except (OSError, EOFError) as error:
+            raise LoadError(
+                f"{path}: {getattr(error, 'strerror', None) or error}; give a load file"
+            ) from None
+        try:
+            self.header = _header(first)
+        except msgspec.MsgspecError as error:
+            raise LoadError(f"{path}: line 1: no header of a load: {error}") from None
+        if self.header.format != "meadowpulley-load" or self.header.version != VERSION:
+            told = f"{self.header.format} {self.header.version}"
+            raise LoadError(
+                f"{path}: line 1: '{told}' is not known here; this program reads version {VERSION}"
+            )
+
+    def __iter__(self) -> Iterator[Arrival]:
+        self.jumps = self.disordered = self.count = 0
+        self.truncated = False
+        waiting: list[tuple[float, int, Arrival]] = []  # a heap of the latest `BACK_MS`
+        latest, moved = 0.0, 0.0
+        for arrival in self._lines():
+            at = arrival.at_ms + moved
+            if at < latest - BACK_MS:
+                self.jumps += 1
+                moved += latest - at
+                at = latest
+            elif at < latest:
+                self.disordered += 1
+            latest = max(latest, at)
+            heapq.heappush(waiting, (at, self.count, replace(arrival, at_ms=at) if moved else arrival))
+            while waiting[0][0] < latest - BACK_MS:
+                yield heapq.heappop(waiting)[2]
+        while waiting:
+            yield heapq.heappop(waiting)[2]
+        if not self.count:
+            raise LoadError(f"{self.path}: no arrivals; capture some, or make a load with 'load synth'")
+
+    def _lines(self) -> Iterator[Arrival]:
+        with _open(self.path, "rb") as file:
+            file.readline()
+            number = 1
+            while True:
+                number += 1
+                try:
+                    line = file.readline()
+                except EOFError:
+                    self.truncated = True
+                    return
+                if not line:
+                    return
+                try:
+                    arrival = _arrival(line)
+                except msgspec.MsgspecError as error:
+                    if not line.endswith(b"\n"):
+                        self.truncated = True
+                        return
+                    raise LoadError(f"{self.path}: line {number}: {error}") from None
+                if not all(map(math.isfinite, (arrival.at_ms, arrival.work_ms, arrival.patience_ms))):
+                    raise LoadError(f"{self.path}: line {number}: a figure is not finite; give a number")
+                if self._classes is not None and arrival.cls not in self._classes:
+                    known = ", ".join(sorted(self._classes))
+                    told = f"class '{arrival.cls}' is not of the fleet; known are {known}"
+                    raise LoadError(f"{self.path}: line {number}: {told}")
+                self.count += 1
+                yield arrival
+
+
+def read_load(path: Path, classes: frozenset[str] | None = None) -> Reader:
+    """A load file, its header checked; iterate for its arrivals. Raises LoadError, one line."""
+    return Reader(path, classes)
+
+
+def write_load(path: Path, arrivals: Iterable[Arrival], header: Header | None = None) -> int:
+    """Writes a load whole or not at all; how many arrivals. Raises OSError where the place can't be
+    written."""
+    fresh = path.with_name(f".{path.name}.new{path.suffix}")
+    count = 0
+    try:
+        with _open(fresh, "wb") as file:
+            file.write(_encode(header or Header()) + b"\n")
+            for arrival in arrivals:
+                file.write(_encode(arrival) + b"\n")
+                count += 1
+        os.replace(fresh, path)
+    finally:
+        fresh.unlink(missing_ok=True)
+    return count
--- /dev/null
+++ b/meadowpulley/load/profiles.py
@@ -0,0 +1,120 @@
+"""Made loads: open-loop arrivals of a described fleet, by a profile of the rate over time."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+import numpy as np
+
+from meadowpulley.fleet import Fleet, RequestKind
+from meadowpulley.load.arrivals import Arrival
+
+DAY_MS = 86_400_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """How a load runs over its length. `rate(x)`: times the mean, x from 0 to 1; never above `peak`.
+
+    `costly(x)`: share of requests that cost `cost` times the usual; `shift(x)`: part of all load that moves
+    to the first site.
+    """
+
+    name: str
+    text: str
+    rate: Callable[[float], float]
+    peak: float
+    costly: Callable[[float], float] = lambda x: 0.0
+    cost: float = 1.0
+    shift: Callable[[float], float] = lambda x: 0.0
+
+
+def _bump(x: float, middle: float, width: float) -> float:
+    return math.exp(-(((x - middle) / width) ** 2))
+
+
+def _steady(x: float) -> float:
+    return 1.0
+
+
+def _day(x: float) -> float:
+    """A day: quiet at night, lunch, and dinner above it."""
+    return 0.25 + _bump(x, 0.53, 0.09) + 1.9 * _bump(x, 0.78, 0.10) + 0.5 * _bump(x, 0.66, 0.16)
+
+
+def _evening(x: float) -> float:
+    """Friday dinner: up to its top at half of the time, and down again."""
+    return 0.55 + _bump(x, 0.5, 0.25)
+
+
+def _even(shape: Callable[[float], float], points: int = 4000) -> tuple[Callable[[float], float], float]:
+    """A shape scaled to a mean of one, and its top (midpoint rule)."""
+    values = [shape((n + 0.5) / points) for n in range(points)]
+    mean = sum(values) / points
+    return (lambda x: shape(x) / mean), max(values) / mean * 1.001
+
+
+PROFILES = {
+    p.name: p
+    for p in (
+        Profile("steady", "the same rate throughout", _steady, 1.0),
+        Profile("daily", "one day: night, lunch, dinner", *_even(_day)),
+        Profile("friday-dinner", "up to a broad top and down again", *_even(_evening)),
+        Profile(
+            "footy-final", "steady, and in the middle fifth one request in eight costs six times the usual",
+            _steady, 1.0, costly=lambda x: 0.125 if 0.4 <= x < 0.6 else 0.0, cost=6.0,
+        ),
+        Profile(
+            "site-shift", "from the middle on half of all load comes by the first site", _steady, 1.0,
+            shift=lambda x: min(max((x - 0.45) / 0.1, 0.0), 1.0) * 0.5,
+        ),
+    )
+}  # fmt: skip
+
+
+def draw_work(cls: RequestKind, rng: np.random.Generator) -> float:
+    """Work of one request: its mean is the class's, its coefficient of variation the class's spread."""
+    if cls.work == "fixed" or not cls.spread:
+        return cls.work_ms
+    if cls.work == "exponential":
+        return cls.work_ms * float(rng.standard_exponential())
+    sigma = math.sqrt(math.log(1 + cls.spread**2))
+    return cls.work_ms * math.exp(sigma * float(rng.standard_normal()) - sigma * sigma / 2)
+
+
+class KeyDraw:
+    """Keys by Zipf's law over a bounded number of them, by inverting its distribution."""
+
+    def __init__(self, count: int, skew: float) -> None:
+        weights = np.arange(1, count + 1, dtype=float) ** -skew
+        self._sums = np.cumsum(weights) / weights.sum()
+
+    def __call__(self, rng: np.random.Generator) -> int:
+        return int(np.searchsorted(self._sums, rng.random())) + 1
+
+
+def synthesize(fleet: Fleet, profile: Profile, per_s: float, seconds: float, seed: int) -> Iterator[Arrival]:
+    """Arrivals of a Poisson process whose rate follows the profile (thinning, Lewis and Shedler 1979).
+
+    `per_s`: mean rate of the steady profile. The same arguments give the same arrivals.
+    """
+    rng = np.random.Generator(np.random.PCG64(np.random.SeedSequence([seed, 0x10AD])))
+    classes, sites = fleet.classes, fleet.sites
+    by_class = np.cumsum([c.share for c in classes]) / sum(c.share for c in classes)
+    by_site = np.cumsum([s.load for s in sites]) / sum(s.load for s in sites)
+    keys = KeyDraw(fleet.keys.count, fleet.keys.skew) if fleet.keys.count else None
+    at, end = 0.0, seconds * 1000.0
+    while per_s > 0:
+        at += float(rng.standard_exponential()) * 1000.0 / (per_s * profile.peak)
+        if at >= end:
+            return
+        x = at / end
+        if rng.random() * profile.peak >= profile.rate(x):
+            continue
+        cls = classes[int(np.searchsorted(by_class, rng.random(), side="right"))]
+        moved = rng.random() < profile.shift(x)
+        site = sites[0 if moved else int(np.searchsorted(by_site, rng.random(), side="right"))]
+        work = draw_work(cls, rng) * (profile.cost if rng.random() < profile.costly(x) else 1.0)
+        yield Arrival(round(at, 3), cls.name, site.name, keys(rng) if keys else 0, round(work, 3))
--- /dev/null
+++ b/meadowpulley/load/summary.py
@@ -0,0 +1,80 @@
+"""What a load holds: rates, classes, sites, keys and work, in bounded memory."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from meadowpulley.load.arrivals import Arrival
+
+KEYS = 200_000  # distinct keys counted to the letter, beyond which it is said that there are more
+
+
+@dataclass(frozen=True, slots=True)
+class ClassSummary:
+    name: str
+    count: int
+    share: float
+    work_ms: float
+    spread: float  # coefficient of variation of its work
+
+
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """Rates are per second; `peak_per_s` is the busiest whole second."""
+
+    count: int
+    seconds: float
+    per_s: float
+    peak_per_s: float
+    work_per_s: float  # standard-core milliseconds a second
+    classes: tuple[ClassSummary, ...]
+    sites: dict[str, float]
+    keys: int
+    more_keys: bool
+    bytes: int
+
+    def table(self) -> dict[str, Any]:
+        return asdict(self)
+
+
+def summarize(arrivals: Iterable[Arrival]) -> Summary:
+    """One pass over a load, in order of time."""
+    counts: Counter[str] = Counter()
+    sums: dict[str, tuple[float, float]] = {}
+    sites: Counter[str] = Counter()
+    keys: set[int] = set()
+    more = False
+    count = size = in_second = peak = 0
+    second, last = -1, 0.0
+    for a in arrivals:
+        count += 1
+        last = a.at_ms
+        counts[a.cls] += 1
+        sites[a.site] += 1
+        total, squares = sums.get(a.cls, (0.0, 0.0))
+        sums[a.cls] = total + a.work_ms, squares + a.work_ms**2
+        size += a.bytes
+        if a.key and len(keys) < KEYS:
+            keys.add(a.key)
+        elif a.key and a.key not in keys:
+            more = True
+        if int(a.at_ms // 1000) != second:
+            second, in_second = int(a.at_ms // 1000), 0
+        in_second += 1
+        peak = max(peak, in_second)
+    seconds = max(math.ceil(last / 1000), 1)
+    classes = []
+    for name in sorted(counts):
+        mean = sums[name][0] / counts[name]
+        variance = max(sums[name][1] / counts[name] - mean * mean, 0.0)
+        spread = math.sqrt(variance) / mean if mean else 0.0
+        classes.append(ClassSummary(name, counts[name], counts[name] / count, mean, spread))
+    work = sum(total for total, _ in sums.values())
+    return Summary(
+        count, float(seconds), count / seconds, float(peak), work / seconds, tuple(classes),
+        {name: n / count for name, n in sorted(sites.items())}, len(keys), more, size,
+    )  # fmt: skip
--- /dev/null
+++ b/meadowpulley/report/__init__.py
@@ -0,0 +1,19 @@
+"""Reports: pages from templates with charts, for every rig and tool.
+
+Reading order: `charts` (figures as pictures), `pages` (HTML and Markdown).
+"""
+
+from meadowpulley.report.charts import Chart, Line, line_chart, run_charts
+from meadowpulley.report.pages import Page, Section, TableOf, write_page, write_run_report
+
+__all__ = [
+    "Chart",
+    "Line",
+    "Page",
+    "Section",
+    "TableOf",
+    "line_chart",
+    "run_charts",
+    "write_page",
+    "write_run_report",
+]
--- /dev/null
+++ b/meadowpulley/rules/checker.py
@@ -0,0 +1,350 @@
+"""The checker of the five rules: it reads a trace record by record and names every breach of it.
+
+The rules are the users' (answers, effects, drains, cold servers, exposure with one-way keys). The checker
+knows nothing of how a gateway decides: it keeps its own books from what the rig wrote down.
+"""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_right
+from collections import Counter, defaultdict, deque
+from dataclasses import dataclass, field
+from typing import Literal
+
+from meadowpulley.interface import Effect, Group
+from meadowpulley.interface import Settings as GatewaySettings
+from meadowpulley.rules.trace import (
+    Answered,
+    Died,
+    Fell,
+    Gone,
+    KeyAnswered,
+    Listed,
+    News,
+    Outcome,
+    Record,
+    Sent,
+    Started,
+    Taken,
+)
+
+RuleName = Literal["answers", "effects", "drains", "cold", "exposure", "one-way"]
+KEPT = 1000  # breaches kept to the letter; the rest are only counted
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    rule: RuleName
+    at: float
+    gateway: int  # -1: no single gateway's doing
+    text: str
+
+    def __str__(self) -> str:
+        who = f" gateway {self.gateway}" if self.gateway >= 0 else ""
+        return f"{self.at / 1000:.3f} s{who}: {self.rule}: {self.text}"
+
+
+@dataclass(frozen=True, slots=True)
+class ClassRules:
+    effect: Effect
+    group: Group
+    window_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """The rules' figures, of the deployment and of the rig: on sockets, times get `slack_ms` more."""
+
+    classes: tuple[ClassRules, ...]
+    drain_grace_ms: float
+    answer_slack_ms: float
+    window_ms: float
+    free: float
+    first_cap: float
+    per_class: bool
+    guarded_stages: int
+    one_way: bool
+    slack_ms: float = 0.0
+    over_cap: float = 0.0  # attempts that pass beyond the cap
+    over_share: float = 0.0  # and the share of requests
+
+    @classmethod
+    def of(cls, s: GatewaySettings, slack_ms: float = 0.0) -> Figures:
+        roll = s.rollout
+        return cls(
+            classes=tuple(ClassRules(c.effect, c.group, c.window_ms) for c in s.classes),
+            drain_grace_ms=s.rules.drain_grace_ms,
+            answer_slack_ms=s.rules.answer_slack_ms,
+            window_ms=roll.exposure_window_ms,
+            free=roll.exposure_free,
+            first_cap=roll.caps[0] if roll.caps else 0.0,
+            per_class=roll.exposure_per_class,
+            guarded_stages=roll.guarded_stages,
+            one_way=roll.one_way,
+            slack_ms=slack_ms,
+        )
+
+
+@dataclass(slots=True)
+class _Try:
+    server: int
+    build: int
+    at: float
+    maybe: bool = True  # it ran, may have run, or is still out
+    cell: int = 0
+    site: int = 0
+
+
+@dataclass(slots=True)
+class _Held:
+    taken: Taken
+    tries: list[_Try] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class _Known:
+    state: str
+    build: int
+    told: float  # when it was last told to be no longer ready
+    cell: int
+    site: int
+
+
+def _place(group: Group, there: _Try | _Known) -> int:
+    return {Group.ALL: 0, Group.ZONE: there.site, Group.CELL: there.cell}[group]
+
+
+class _Gateway:
+    """The books of one life of one gateway."""
+
+    def __init__(self) -> None:
+        self.held: dict[int, _Held] = {}
+        self.over: set[int] = set()
+        self.over_order: deque[tuple[float, int]] = deque()
+        self.servers: dict[int, _Known] = {}
+        self.news: list[News] = []
+        self.taken: dict[int, list[float]] = defaultdict(list)
+        self.sent: dict[tuple[int, int], deque[float]] = defaultdict(deque)
+        self.keys: dict[int, dict[int, int]] = defaultdict(dict)  # build -> key -> 1
+
+
+class Checker:
+    """Feed it a trace with `see`, in order, then `finish`; `breaches` and `counts` tell the rest."""
+
+    def __init__(self, figures: Figures) -> None:
+        self.figures = figures
+        self.breaches: list[Breach] = []
+        self.counts: Counter[str] = Counter()
+        self.seen = 0
+        self._gateways: dict[int, _Gateway] = defaultdict(_Gateway)
+        self._handlers = {
+            Started: self._started, Died: self._died, Taken: self._taken, Sent: self._sent,
+            Outcome: self._outcome, Answered: self._answered, Gone: self._gone, Listed: self._listed,
+            News: self._news, KeyAnswered: self._key, Fell: self._fell,
+        }  # fmt: skip
+
+    @property
+    def kept(self) -> bool:
+        return not self.counts
+
+    def see(self, record: Record) -> None:
+        self.seen += 1
+        self._handlers[type(record)](record)  # type: ignore[operator]
+
+    def finish(self, at: float) -> None:
+        """The trace ends: what is past its time and still owed was lost."""
+        for number, gateway in self._gateways.items():
+            for request, held in list(gateway.held.items()):
+                limit = held.taken.deadline + self.figures.answer_slack_ms + self.figures.slack_ms
+                if at > limit:
+                    self._breach("answers", limit, number, f"request {request} got no final answer")
+
+    def _breach(self, rule: RuleName, at: float, gateway: int, text: str) -> None:
+        self.counts[rule] += 1
+        if len(self.breaches) < KEPT:
+            self.breaches.append(Breach(rule, at, gateway, text))
+
+    # One final answer
+
+    def _started(self, r: Started) -> None:
+        self._gateways[r.gateway] = _Gateway()
+
+    def _died(self, r: Died) -> None:
+        self._gateways.pop(r.gateway, None)
+
+    def _taken(self, r: Taken) -> None:
+        gateway = self._gateways[r.gateway]
+        if r.request in gateway.held or r.request in gateway.over:
+            self._breach("answers", r.at, r.gateway, f"request {r.request} was taken twice")
+            return
+        gateway.held[r.request] = _Held(r)
+        gateway.taken[self._counted(r.cls)].append(r.at)
+        if len(gateway.taken[self._counted(r.cls)]) > 200_000:
+            del gateway.taken[self._counted(r.cls)][:100_000]
+
+    def _end(self, gateway: _Gateway, request: int, at: float) -> _Held | None:
+        held = gateway.held.pop(request, None)
+        if held is not None:
+            gateway.over.add(request)
+            gateway.over_order.append((at, request))
+            longest = 120_000.0
+            while gateway.over_order and gateway.over_order[0][0] < at - longest:
+                gateway.over.discard(gateway.over_order.popleft()[1])
+        return held
+
+    def _answered(self, r: Answered) -> None:
+        gateway = self._gateways[r.gateway]
+        held = self._end(gateway, r.request, r.at)
+        if held is None:
+            what = "a second answer" if r.request in gateway.over else "an answer that nobody asked for"
+            self._breach("answers", r.at, r.gateway, f"request {r.request} got {what}")
+            return
+        late = r.at - held.taken.deadline - self.figures.answer_slack_ms - self.figures.slack_ms
+        if late > 1e-6:
+            self._breach("answers", r.at, r.gateway, f"request {r.request} was answered {late:.1f} ms late")
+        if r.answer == "refused" and any(t.maybe for t in held.tries):
+            cls = self.figures.classes[held.taken.cls]
+            everywhere = cls.effect is Effect.KEYED and cls.group is Group.ALL
+            if cls.effect is not Effect.SAFE and not everywhere:
+                self._breach("effects", r.at, r.gateway, f"request {r.request} may have run and was refused")
+
+    def _gone(self, r: Gone) -> None:
+        self._end(self._gateways[r.gateway], r.request, r.at)
+
+    # Effects
+
+    def _outcome(self, r: Outcome) -> None:
+        held = self._gateways[r.gateway].held.get(r.request)
+        if held is not None and r.attempt < len(held.tries) and not r.ran:
+            held.tries[r.attempt].maybe = False
+
+    def _sent(self, r: Sent) -> None:
+        gateway = self._gateways[r.gateway]
+        held = gateway.held.get(r.request)
+        if held is None:
+            over = r.request in gateway.over
+            what = "after its final answer" if over else "that the gateway never took"
+            self._breach("answers", r.at, r.gateway, f"request {r.request} was sent {what}")
+            return
+        known = gateway.servers.get(r.server)
+        self._check_repeat(r, held, known)
+        self._check_drain(r, known)
+        self._check_exposure(r, gateway, held)
+        cell, site = (known.cell, known.site) if known else (0, 0)
+        held.tries.append(_Try(r.server, r.build, r.at, cell=cell, site=site))
+
+    def _check_repeat(self, r: Sent, held: _Held, known: _Known | None) -> None:
+        cls = self.figures.classes[held.taken.cls]
+        if cls.effect is Effect.SAFE:
+            return
+        for earlier in [t for t in held.tries if t.maybe]:
+            if cls.effect is Effect.UNSAFE:
+                self._breach(
+                    "effects", r.at, r.gateway, f"request {r.request} may have run and was sent again"
+                )
+                return
+            same = known is not None and _place(cls.group, earlier) == _place(cls.group, known)
+            if not same or r.at - earlier.at > cls.window_ms:
+                self._breach("effects", r.at, r.gateway, f"keyed request {r.request} left those that know it")
+                return
+
+    # Drains and cold servers
+
+    def _listed(self, r: Listed) -> None:
+        servers = self._gateways[r.gateway].servers
+        known = servers.get(r.server)
+        if r.state == "ready":
+            servers[r.server] = _Known("ready", r.build, math.inf, r.cell, r.site)
+        elif known is not None:
+            known.told = min(known.told, r.at)
+            known.state = r.state
+        else:
+            servers[r.server] = _Known(r.state, r.build, r.at, r.cell, r.site)
+
+    def _check_drain(self, r: Sent, known: _Known | None) -> None:
+        if known is None:
+            self._breach(
+                "drains", r.at, r.gateway, f"request {r.request} went to server {r.server}, never listed"
+            )
+        elif r.at > known.told + self.figures.drain_grace_ms + self.figures.slack_ms:
+            since = r.at - known.told
+            text = f"request {r.request} went to server {r.server}, told {known.state} {since:.0f} ms before"
+            self._breach("drains", r.at, r.gateway, text)
+
+    def _fell(self, r: Fell) -> None:
+        self._breach("cold", r.at, -1, f"cold server {r.server} was pushed over")
+
+    # Exposure
+
+    def _counted(self, cls: int) -> int:
+        return cls if self.figures.per_class else -1
+
+    def _news(self, r: News) -> None:
+        gateway = self._gateways[r.gateway]
+        gateway.news.append(r)
+        if r.phase in ("going_back", "withdrawn"):
+            gateway.keys.pop(r.build, None)  # it is called back: its keys are free
+        oldest = r.at - self.figures.drain_grace_ms - self.figures.window_ms
+        while len(gateway.news) > 2 and gateway.news[1].at < oldest:
+            gateway.news.pop(0)
+
+    def _key(self, r: KeyAnswered) -> None:
+        gateway = self._gateways[r.gateway]
+        newest = gateway.news[-1] if gateway.news else None
+        called_back = newest is not None and newest.build == r.build and newest.phase in (
+            "going_back", "withdrawn",
+        )  # fmt: skip
+        if r.key and not called_back:
+            gateway.keys[r.build][r.key] = 1
+
+    def _caps(self, gateway: _Gateway, build: int, at: float) -> list[tuple[float, int]]:
+        """Caps and stages of a build that may still be acted on: a lower one binds after the grace."""
+        since = at - self.figures.drain_grace_ms - self.figures.slack_ms
+        found: list[tuple[float, int]] = []
+        for n, news in enumerate(gateway.news):
+            until = gateway.news[n + 1].at if n + 1 < len(gateway.news) else math.inf
+            if until < since:
+                continue
+            if news.build == build:
+                found.append((news.cap, news.stage))
+            elif news.build < build:
+                found.append((self.figures.first_cap, 0))
+        return found
+
+    def _check_exposure(self, r: Sent, gateway: _Gateway, held: _Held) -> None:
+        newest = gateway.news[-1] if gateway.news else None
+        if self.figures.one_way and held.taken.key:
+            for build in [b for b in gateway.keys if b > r.build]:
+                if held.taken.key in gateway.keys[build] and not self._freed(gateway, build):
+                    text = (
+                        f"request {r.request}: build {build} answered its key, and it went to build {r.build}"
+                    )
+                    self._breach("one-way", r.at, r.gateway, text)
+                    break
+        on_trial = newest is None or r.build > newest.build or (
+            r.build == newest.build and newest.phase != "released"
+        )  # fmt: skip
+        if not on_trial:
+            return
+        counted = self._counted(held.taken.cls)
+        sent = gateway.sent[r.build, counted]
+        sent.append(r.at)
+        while sent and sent[0] <= r.at - self.figures.window_ms:
+            sent.popleft()
+        caps = self._caps(gateway, r.build, r.at) or [(self.figures.first_cap, 0)]
+        times = gateway.taken[counted]
+        taken = len(times) - bisect_right(times, r.at - self.figures.window_ms)
+        cap = max(cap for cap, _ in caps) + self.figures.over_share
+        most = self.figures.free + self.figures.over_cap + cap * taken
+        if len(sent) > most + 1e-6:
+            text = f"{len(sent)} attempts at build {r.build}, {most:.1f} allowed for {taken} requests"
+            self._breach("exposure", r.at, r.gateway, text)
+        safe = self.figures.classes[held.taken.cls].effect is Effect.SAFE
+        if not safe and max(stage for _, stage in caps) < self.figures.guarded_stages:
+            self._breach(
+                "exposure", r.at, r.gateway, f"request {r.request} has an effect, in a guarded stage"
+            )
+
+    def _freed(self, gateway: _Gateway, build: int) -> bool:
+        return any(n.build == build and n.phase in ("going_back", "withdrawn") for n in gateway.news)
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,101 @@
+"""The command line: exit codes, one-line errors, results for programs."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner, Result
+
+from meadowpulley.cli import main
+
+FLEET = str(Path(__file__).parent.parent / "examples" / "three-sites.toml")
+
+
+def run(*args: object, env: dict[str, str] | None = None) -> Result:
+    return CliRunner(env=env).invoke(main, [str(a) for a in args], auto_envvar_prefix="MEADOWPULLEY")
+
+
+def test_an_emulation_prints_its_result_as_json_and_writes_trace_and_report(tmp_path: Path) -> None:
+    trace, report = tmp_path / "t.jsonl", tmp_path / "r.md"
+    done = run(
+        "emulate",
+        "--fleet",
+        FLEET,
+        "--rate",
+        40,
+        "--seconds",
+        5,
+        "--json",
+        "--trace",
+        trace,
+        "--report",
+        report,
+    )
+    assert done.exit_code == 0, done.output
+    result = json.loads(done.stdout)
+    assert result["rules_broken"] == {} and result["worth_share"] > 0.9
+    assert len(trace.read_bytes().splitlines()) > 3 * sum(c["asked"] for c in result["classes"])
+    assert "## Answers" in report.read_text() and list(tmp_path.glob("r-*.png"))
+
+
+def test_options_are_variables_too() -> None:
+    told = {
+        "MEADOWPULLEY_EMULATE_FLEET": FLEET,
+        "MEADOWPULLEY_EMULATE_SECONDS": "3",
+        "MEADOWPULLEY_EMULATE_RATE": "20",
+    }
+    done = run("emulate", "--json", env=told)
+    assert done.exit_code == 0 and 30 < sum(c["asked"] for c in json.loads(done.stdout)["classes"]) < 100
+
+
+@pytest.mark.parametrize(
+    ("args", "told"),
+    [
+        (("emulate", "--fleet", "/nowhere/f.toml"), "/nowhere/f.toml: No such file or directory"),
+        (("emulate", "--fleet", FLEET, "--load", "/nowhere/l.jsonl"), "/nowhere/l.jsonl: No such file"),
+        (("emulate", "--fleet", FLEET, "--report", "r.pdf"), "r.pdf: reports end in .html or .md"),
+        (("emulate", "--fleet", FLEET, "--trace", "/nowhere/t"), "/nowhere/t: no folder that can be written"),
+        (("load", "describe", "/nowhere/l.jsonl"), "/nowhere/l.jsonl: No such file"),
+    ],
+)
+def test_bad_input_is_one_line_and_exit_code_2(args: tuple[str, ...], told: str) -> None:
+    done = run(*args)
+    assert done.exit_code == 2 and told in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_a_load_is_made_described_and_edited(tmp_path: Path) -> None:
+    one, two = tmp_path / "one.jsonl.gz", tmp_path / "two.jsonl"
+    made = run(
+        "load",
+        "synth",
+        "--fleet",
+        FLEET,
+        "--profile",
+        "friday-dinner",
+        "--rate",
+        50,
+        "--seconds",
+        20,
+        "--out",
+        one,
+    )
+    assert made.exit_code == 0, made.output
+    assert run("load", "edit", one, one, "--scale", 2, "--out", two).exit_code == 0
+    first, second = (json.loads(run("load", "describe", p, "--json").stdout) for p in (one, two))
+    assert second["count"] == pytest.approx(4 * first["count"], rel=0.02)
+    assert run("load", "edit", one, "--out", one).exit_code == 2
+    played = run("emulate", "--fleet", FLEET, "--load", one, "--json")
+    assert (
+        played.exit_code == 0
+        and sum(c["asked"] for c in json.loads(played.stdout)["classes"]) == first["count"]
+    )
+
+
+def test_the_demo_shows_a_good_build_released_and_a_bad_one_sent_back(tmp_path: Path) -> None:
+    report = tmp_path / "demo.html"
+    done = run("demo", "--report", report)
+    assert done.exit_code == 0, done.output
+    assert "good build 2: released" in done.stdout and "bad build 3: sent back" in done.stdout
+    assert report.read_text().count("data:image/png") == 3
