Capacity planner: what breaks first, servers a goal needs, a site lost, a spike

Need: operators ask what a load does to a fleet before it comes. Nothing answered that.

Change: package capacity (queues with their sources, demand of a load, every resource with the multiple at which it breaks, predictions with intervals, search for the number of servers, a site's loss and return, a spike with and without refusals) and package experiment (runs side by side in processes, a store that an interrupted run goes on from, tables, paired comparison), with their commands and report pages.

--- /dev/null
+++ b/meadowpulley/capacity/queues.py
@@ -0,0 +1,70 @@
+"""Queues whose theory is exact or nearly so. Rates and times are in one unit of time throughout."""
+
+from __future__ import annotations
+
+import math
+
+
+def erlang_b(servers: int, offered: float) -> float:
+    """Share of arrivals that M/G/c/c turns away (Erlang 1917), by its stable recursion."""
+    blocked = 1.0
+    for n in range(1, servers + 1):
+        blocked = offered * blocked / (n + offered * blocked)
+    return blocked
+
+
+def erlang_c(servers: int, offered: float) -> float:
+    """Share of arrivals that wait in M/M/c (Erlang 1917); 1 at and beyond saturation."""
+    if offered >= servers:
+        return 1.0
+    blocked = erlang_b(servers, offered)
+    return blocked / (1 - offered / servers * (1 - blocked))
+
+
+def mmc_response(servers: int, per_s: float, service: float) -> float:
+    """Mean time in M/M/c; infinity beyond saturation.
+
+    By the birth and death of its states it is the mean of M/M/c with evenly shared servers too, and there,
+    being insensitive to the distribution of work (Kelly 1979; Cohen 1979), of M/G/c shared evenly.
+    """
+    offered = per_s * service
+    if offered >= servers:
+        return math.inf
+    return service + erlang_c(servers, offered) * service / (servers - offered)
+
+
+def mg1_wait(per_s: float, service: float, spread: float) -> float:
+    """Mean wait in M/G/1, first come first served (Pollaczek 1930, Khinchine 1932). `spread`: coefficient of
+    variation of the service time."""
+    rho = per_s * service
+    return math.inf if rho >= 1 else rho * service * (1 + spread**2) / (2 * (1 - rho))
+
+
+def mgc_wait(servers: int, per_s: float, service: float, spread: float) -> float:
+    """Mean wait in M/G/c: Erlang C times (1 + spread^2)/2 (Lee and Longton 1959; Allen and Cunneen 1978).
+    Exact for c = 1 and for exponential work; within some ten percent for spreads up to 2 above half load."""
+    offered = per_s * service
+    if offered >= servers:
+        return math.inf
+    return erlang_c(servers, offered) * service / (servers - offered) * (1 + spread**2) / 2
+
+
+def crowd_share(servers: int, per_s: float, service: float, more_than: int) -> float:
+    """Share of time that M/M/c, and M/G/c shared evenly, holds more than so many requests."""
+    offered = per_s * service
+    if offered >= servers:
+        return 1.0
+    if more_than < servers:
+        # P(N > k) = P(N >= c) + P(k < N < c): sum the terms below c by their recursion.
+        term, terms = 1.0, [1.0]
+        for n in range(1, servers):
+            term *= offered / n
+            terms.append(term)
+        top = terms[-1] * offered / servers / (1 - offered / servers)
+        return (sum(terms[more_than + 1 :]) + top) / (sum(terms) + top)
+    return erlang_c(servers, offered) * (offered / servers) ** (more_than + 1 - servers)
+
+
+def normal_most(mean: float, arrivals: float) -> float:
+    """What a count with a Poisson spread hardly ever exceeds: mean and 4 standard deviations."""
+    return mean + 4 * math.sqrt(max(arrivals, 0.0))
--- /dev/null
+++ b/meadowpulley/capacity/site.py
@@ -0,0 +1,116 @@
+"""Losing one site, and its return: what spills, who saturates, what is refused, how many servers would hold
+it."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from msgspec.structs import replace
+
+from meadowpulley.capacity.demand import Demand
+from meadowpulley.capacity.predict import at_rate, spread
+from meadowpulley.emulator import Fault, Scenario
+from meadowpulley.experiment import Cell, LoadSpec, Row, Store, run_cells
+from meadowpulley.fleet import Fleet
+
+BEFORE_S, AWAY_S, AFTER_S = 10.0, 20.0, 15.0
+SETTLED_S = 6.0  # after the loss, until discovery has told all gateways
+HOLDS = 0.85  # utilisation up to which the rest is taken to hold the load
+
+
+@dataclass(frozen=True, slots=True)
+class SiteLoss:
+    """Shares from 0 to 1; triples are mean, low and high over the seeds, by the emulator.
+
+    `spilled`: share of all work that was the site's own and goes elsewhere; `rest`: utilisation of the others
+    then; `refused_theory`: share that is beyond them. `more`: servers of each kind, added at the other sites,
+    that would hold it. `pushed_over`: servers that fell over at the return.
+    """
+
+    site: str
+    capacity_share: float
+    spilled: float
+    rest: float
+    refused_theory: float
+    saturates: bool
+    worth_before: tuple[float, float, float]
+    worth_away: tuple[float, float, float]
+    worth_settled: tuple[float, float, float]
+    worth_after: tuple[float, float, float]
+    refused_away: tuple[float, float, float]
+    more: dict[str, int]
+    pushed_over: int
+    timeline: tuple[tuple[float, ...], ...]  # by second: asked, in aim, late, refused, failed, worth
+
+
+def without(fleet: Fleet, site: str) -> float:
+    """What the servers of the other sites can do, standard cores."""
+    others = [s for s in fleet.servers if s.site != site]
+    return sum(s.count * fleet.kind(s.kind).cores * fleet.kind(s.kind).speed for s in others)
+
+
+def more_servers(fleet: Fleet, work: float, left: float) -> dict[str, int]:
+    """Of each kind alone, how many more keep the others at `HOLDS` of their work."""
+    lacking = work / HOLDS - left
+    kinds = {s.kind for s in fleet.servers}
+    return {k.name: max(math.ceil(lacking / (k.cores * k.speed)), 0) for k in fleet.kinds if k.name in kinds}
+
+
+def mean_over(rows: Sequence[Row], first: float, last: float, column: int) -> tuple[float, float, float]:
+    """Over a span of seconds, weighed by what was asked: the worth kept (column 5), else counts a request."""
+    shares = []
+    for row in rows:
+        span = row.seconds[int(first) : int(last)]
+        asked = sum(s[0] for s in span)
+        value = sum(s[0] * s[5] if column == 5 else s[column] for s in span)
+        shares.append(value / asked if asked else 1.0)
+    figures = [replace(row, figures={"x": x}) for row, x in zip(rows, shares, strict=True)]
+    return spread(figures, "x")
+
+
+def lose_site(
+    fleet: Fleet,
+    load: LoadSpec,
+    demand: Demand,
+    site: str,
+    seeds: Sequence[int],
+    workers: int | None = None,
+    store: Store | None = None,
+    progress: Callable[[int, int], None] = lambda done, of: None,
+) -> SiteLoss:
+    """A whole site vanishes without a word, servers and gateways, and returns with cold ones."""
+    left, work = without(fleet, site), demand.busy_per_s / 1000 * demand.work_ms
+    share = 1 - left / fleet.capacity()
+    rest = work / left if left else math.inf
+    faults = [Fault("vanish", BEFORE_S * 1000, AWAY_S * 1000, site=site)]
+    if any(g.site == site for g in fleet.gateways) and len({g.site for g in fleet.gateways}) > 1:
+        faults.append(Fault("gateway_crash", BEFORE_S * 1000, AWAY_S * 1000, site=site))
+    stretch = replace(at_rate(load, demand, demand.busy_per_s), seconds=BEFORE_S + AWAY_S + AFTER_S)
+    cells = [Cell(f"lose {site}", fleet, stretch, seed, Scenario(faults=tuple(faults))) for seed in seeds]
+    rows = run_cells(cells, store, workers, timeline=True, progress=progress)
+    back = BEFORE_S + AWAY_S
+    return SiteLoss(
+        site=site,
+        capacity_share=share,
+        spilled=share,
+        rest=rest,
+        refused_theory=max(1 - 1 / rest, 0.0) if rest else 0.0,
+        saturates=rest >= 1.0,
+        worth_before=mean_over(rows, 2, BEFORE_S, 5),
+        worth_away=mean_over(rows, BEFORE_S, back, 5),
+        worth_settled=mean_over(rows, BEFORE_S + SETTLED_S, back, 5),
+        worth_after=mean_over(rows, back, back + AFTER_S, 5),
+        refused_away=mean_over(rows, BEFORE_S, back, 3),
+        more=more_servers(fleet, work, left),
+        pushed_over=sum(row.broken.get("cold", 0) for row in rows),
+        timeline=mean_timeline(rows),
+    )
+
+
+def mean_timeline(rows: Sequence[Row]) -> tuple[tuple[float, ...], ...]:
+    length = min(len(row.seconds) for row in rows)
+    return tuple(
+        tuple(sum(row.seconds[n][k] for row in rows) / len(rows) for k in range(6)) for n in range(length)
+    )
--- a/meadowpulley/cli/common.py
+++ b/meadowpulley/cli/common.py
@@ -19,6 +19,7 @@
 from meadowpulley.fleet import Fleet, FleetError, parse_fleet
 from meadowpulley.load import LoadError
 
+WIDE = 150  # characters a line, where no terminal says
 GOOD, MISSED, BAD_INPUT, RIG_LIMIT = 0, 1, 2, 3
 P = ParamSpec("P")
 T = TypeVar("T")
@@ -31,7 +32,8 @@
 
 
 def console() -> Console:
-    return Console(highlight=False, soft_wrap=not sys.stdout.isatty())
+    """For results: as wide as the terminal, and wide enough for every table where there is none."""
+    return Console(highlight=False) if sys.stdout.isatty() else Console(highlight=False, width=WIDE)
 
 
 def guarded(command: Callable[P, int | None]) -> Callable[P, None]:
--- a/meadowpulley/cli/main.py
+++ b/meadowpulley/cli/main.py
@@ -4,8 +4,10 @@
 
 import click
 
+from meadowpulley.cli.capacity import capacity
 from meadowpulley.cli.demo import demo
 from meadowpulley.cli.emulate import emulate
+from meadowpulley.cli.experiment import experiment
 from meadowpulley.cli.load import load
 
 
@@ -19,5 +21,5 @@
     """
 
 
-for command in (demo, emulate, load):
+for command in (capacity, demo, emulate, experiment, load):
     main.add_command(command)
--- a/meadowpulley/fleet/model.py
+++ b/meadowpulley/fleet/model.py
@@ -82,6 +82,8 @@
     kept_back: Annotated[int, Meta(ge=0)] = 32  # descriptors for other things than requests
     client_part: PositiveShare = 0.58  # of the others: for clients' connections, the rest for servers'
     memory_mb: Positive = 192.0
+    base_mb: NotNegative = 28.0  # what it needs before its first request
+    connection_kb: NotNegative = 12.0  # and for each connection
 
 
 class Keys(Struct, frozen=True, forbid_unknown_fields=True):
--- a/meadowpulley/load/__init__.py
+++ b/meadowpulley/load/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from meadowpulley.load.arrivals import Arrival, Header, LoadError, Reader, read_load, write_load
-from meadowpulley.load.edit import scaled, spliced, stretched
+from meadowpulley.load.edit import costlier, cut, filled, scaled, spliced, stretched
 from meadowpulley.load.profiles import PROFILES, Profile, synthesize
 from meadowpulley.load.summary import ClassSummary, Summary, summarize
 
@@ -18,6 +18,9 @@
     "Profile",
     "Reader",
     "Summary",
+    "costlier",
+    "cut",
+    "filled",
     "read_load",
     "scaled",
     "spliced",
--- a/meadowpulley/load/edit.py
+++ b/meadowpulley/load/edit.py
@@ -8,7 +8,9 @@
 import numpy as np
 from msgspec.structs import replace
 
+from meadowpulley.fleet import Fleet
 from meadowpulley.load.arrivals import Arrival
+from meadowpulley.load.profiles import draw_work
 
 
 def scaled(
@@ -46,3 +48,38 @@
             end = start + arrival.at_ms
             yield replace(arrival, at_ms=round(end, 3))
         end += pause_ms
+
+
+def filled(arrivals: Iterable[Arrival], fleet: Fleet, seed: int) -> Iterator[Arrival]:
+    """Arrivals without a work hint, as captured ones mostly are, get work drawn from their class's
+    description; those without a site get one by the sites' parts of the load."""
+    rng = np.random.Generator(np.random.PCG64(np.random.SeedSequence([seed, 0xF111])))
+    classes = {c.name: c for c in fleet.classes}
+    by_site = np.cumsum([s.load for s in fleet.sites]) / sum(s.load for s in fleet.sites)
+    for arrival in arrivals:
+        if arrival.work_ms and arrival.site:
+            yield arrival
+            continue
+        work = arrival.work_ms or round(draw_work(classes[arrival.cls], rng), 3)
+        site = arrival.site or fleet.sites[int(np.searchsorted(by_site, rng.random(), side="right"))].name
+        yield replace(arrival, work_ms=work, site=site)
+
+
+def cut(arrivals: Iterable[Arrival], start_ms: float, span_ms: float) -> Iterator[Arrival]:
+    """The arrivals of a span, moved to begin at 0."""
+    for arrival in arrivals:
+        if arrival.at_ms >= start_ms + span_ms:
+            return
+        if arrival.at_ms >= start_ms:
+            yield replace(arrival, at_ms=round(arrival.at_ms - start_ms, 3))
+
+
+def costlier(
+    arrivals: Iterable[Arrival], share: float, times: float, start_ms: float, span_ms: float, seed: int
+) -> Iterator[Arrival]:
+    """In a span, a share of the arrivals has so many times the work; all others stay as they are."""
+    rng = np.random.Generator(np.random.PCG64(np.random.SeedSequence([seed, 0xC057])))
+    for arrival in arrivals:
+        drawn = rng.random() < share  # drawn for each, so that a longer span changes no earlier one
+        inside = start_ms <= arrival.at_ms < start_ms + span_ms
+        yield replace(arrival, work_ms=round(arrival.work_ms * times, 3)) if drawn and inside else arrival
