Verification on loopback: real gateways before the emulator's servers on sockets

Need: a prediction convinces only beside a measurement that it could not know.

Change: package rig (the emulator's servers, discovery and platform behind Twisted sockets in the users' protocol; an open-loop driver that measures from the intended send time; real gateways started by run of the deploy file; the rig says when it was the limit itself), capacity verify (prediction with digest first, then the same arrivals on loopback), and the emulator's servers moved to park.py, which both share. A crash of servers is a fault of its own.

--- /dev/null
+++ b/meadowpulley/capacity/verify.py
@@ -0,0 +1,171 @@
+"""A prediction beside what was measured: the cases that are played, and how far apart the two are.
+
+The prediction comes first, from the emulator, on the very arrivals that are then played over loopback; both
+read the same fleet, scaled to what one machine can carry. Nothing here is fitted to what was measured.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any, Literal
+
+from msgspec.structs import replace
+
+from meadowpulley.capacity.demand import Demand
+from meadowpulley.capacity.predict import at_rate, spread
+from meadowpulley.emulator import Build, Fault, Release, Scenario
+from meadowpulley.experiment import Cell, LoadSpec, Row, Store, run_cells
+from meadowpulley.fleet import Fleet
+
+CaseKind = Literal["below", "beyond", "spike", "site", "cold"]
+LIMIT = 0.15
+LEAST_SHARE = (
+    0.05  # a share predicted under this is compared as if it were so large: 0.1% beside 0.2% is no miss
+)
+BELOW, BEYOND = 0.6, 1.3  # utilisation below the knee, unless the load's own is less, and beyond it
+SPIKE = (0.125, 6.0)  # share and cost
+MOST_PER_S = 420.0  # requests a second that the rig carries on one machine with room to spare
+WARM_MS = 3000.0
+LOOPBACK_MS = 0.05  # one way, as good as none
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One run: what is played, and the figures that are compared."""
+
+    name: str
+    fleet: Fleet
+    load: LoadSpec
+    scenario: Scenario
+    figures: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Compared:
+    """One figure of one case. `error`: measured beside predicted, as a share of the predicted."""
+
+    case: str
+    figure: str
+    predicted: float
+    low: float
+    high: float
+    by: str
+    measured: float
+
+    @property
+    def error(self) -> float:
+        share = self.figure.rpartition(".")[2] in ("worth", "in_aim", "refused", "failed", "busy")
+        base = max(self.predicted, LEAST_SHARE) if share else self.predicted
+        return abs(self.measured - self.predicted) / base if base else math.inf
+
+
+@dataclass(slots=True)
+class Verdict:
+    """All that was compared. `limits`: why the rig itself was the limit; then there is no verdict."""
+
+    compared: list[Compared] = field(default_factory=list)
+    limits: list[str] = field(default_factory=list)
+
+    @property
+    def worst(self) -> float:
+        return max((c.error for c in self.compared), default=0.0)
+
+    @property
+    def holds(self) -> bool:
+        return not self.limits and self.worst <= LIMIT
+
+
+def scaled_fleet(fleet: Fleet, demand: Demand, most_per_s: float = MOST_PER_S) -> tuple[Fleet, float]:
+    """The fleet as one machine carries it, and the part of its size that this is: fewer servers and gateways,
+    the same of each, at loopback's distances."""
+    work = demand.work_ms or fleet.mean_work_ms()
+    top = BEYOND * fleet.capacity() * 1000 / work
+    part = min(most_per_s / top, 1.0)
+    near = replace(
+        fleet.network, same_site_ms=LOOPBACK_MS, cross_site_ms=LOOPBACK_MS, client_ms=0.0, jitter=0.0
+    )
+    if part == 1.0:
+        return replace(fleet, network=near), 1.0
+    servers = tuple(replace(s, count=max(round(s.count * part), 1)) for s in fleet.servers)
+    gateways = tuple(replace(g, count=max(round(g.count * part), 1)) for g in fleet.gateways)
+    smaller = replace(fleet, servers=servers, gateways=gateways, network=near)
+    return smaller, smaller.capacity() / fleet.capacity()
+
+
+def make_cases(
+    fleet: Fleet, load: LoadSpec, demand: Demand, seconds: float, kinds: Sequence[CaseKind], part: float
+) -> list[Case]:  # fmt: skip
+    """The cases to play on a fleet that was scaled by `part`; utilisations are kept."""
+    work = demand.work_ms or fleet.mean_work_ms()
+    top = fleet.capacity() * 1000 / work
+    below = min(demand.busy_utilisation or BELOW, BELOW)
+    names = [c.name for c in fleet.classes]
+    latency = tuple(f"{n}.{q}" for n in names for q in ("p50_ms", "p99_ms"))
+
+    def at(utilisation: float, **more: Any) -> LoadSpec:
+        # The stretch of the load is scaled by the machine's part too: at_rate sees the rate as it was.
+        return replace(at_rate(load, demand, utilisation * top), seconds=seconds, **more)
+
+    middle, third = seconds * 1000 / 3, seconds * 1000 / 3
+    big = max(fleet.sites, key=lambda s: sum(g.count for g in fleet.servers if g.site == s.name)).name
+    found = []
+    for kind in kinds:
+        if kind == "below":
+            figures = ("worth", "in_aim", "busy", *latency)
+            found.append(Case("below the knee", fleet, at(below), Scenario(), figures))
+        elif kind == "beyond":
+            figures = ("served_per_s", "refused", "worth", "busy")
+            found.append(Case("beyond the knee", fleet, at(BEYOND), Scenario(), figures))
+        elif kind == "spike":
+            share, cost = SPIKE
+            spiked = at(below, costly=share, cost=cost, costly_from_ms=middle, costly_for_ms=third)
+            found.append(
+                Case("spike", fleet, spiked, Scenario(), ("worth", "in_aim", "busy", "served_per_s"))
+            )
+        elif kind == "site":
+            crash = Scenario(faults=(Fault("crash", middle, third, site=big),))
+            found.append(
+                Case(f"{big} lost", fleet, at(below), crash, ("worth", "in_aim", "busy", "served_per_s"))
+            )
+        else:
+            build = Scenario(releases=(Release(500.0, Build(number=2)),))
+            figures = ("worth", "in_aim", "busy", *(n for n in latency if n.endswith("p50_ms")))
+            found.append(Case("cold starts", fleet, at(below), build, figures))
+    return found
+
+
+def predict_cases(
+    cases: Sequence[Case], seed: int, seeds: int, workers: int | None, store: Store | None = None
+) -> list[list[Row]]:
+    """Each case emulated on the arrivals of `seed`, under several seeds of all that is not the load."""
+    cells = [
+        Cell(c.name, c.fleet, c.load, 1000 + n, c.scenario, from_ms=WARM_MS, load_seed=seed)
+        for c in cases
+        for n in range(seeds)
+    ]
+    rows = run_cells(cells, store, workers)
+    return [rows[n * seeds : (n + 1) * seeds] for n in range(len(cases))]
+
+
+def prediction_table(cases: Sequence[Case], rows: Sequence[Sequence[Row]]) -> list[dict[str, Any]]:
+    """The prediction as it is written down before anything is measured."""
+    found = []
+    for case, mine in zip(cases, rows, strict=True):
+        for figure in case.figures:
+            mean, low, high = spread(mine, figure)
+            by = f"emulator, {len(mine)} seeds"
+            found.append(
+                {"case": case.name, "figure": figure, "value": mean, "low": low, "high": high, "by": by}
+            )
+    return found
+
+
+def compare(table: Sequence[dict[str, Any]], case: str, measured: dict[str, float]) -> list[Compared]:
+    """The prediction's figures of one case beside the measured ones."""
+    return [
+        Compared(case, p["figure"], p["value"], p["low"], p["high"], p["by"], measured[p["figure"]])
+        for p in table
+        if p["case"] == case
+    ]
--- a/meadowpulley/cli/capacity.py
+++ b/meadowpulley/cli/capacity.py
@@ -166,7 +166,7 @@
 report_option = click.option("--report", type=FILE, help="Write a report there (.html or .md, with charts).")
 
 
-def _report_path(report: Path | None) -> None:
+def report_path(report: Path | None) -> None:
     if report is not None:
         if report.suffix not in (".html", ".md"):
             raise InputError(f"{report}: reports end in .html or .md; name one so")
@@ -191,7 +191,7 @@
 ) -> int:  # fmt: skip
     """What the load does to the fleet, and what breaks first. Exit code 1 if something is broken already."""
     described = read_fleet(fleet)
-    _report_path(report)
+    report_path(report)
     spec = load_spec(described, load, profile, rate, seconds)
     demand = take_demand(described, spec, seed, percentile)
     with Shown("emulating") as progress:
@@ -279,7 +279,7 @@
 ) -> int:  # fmt: skip
     """What losing a site does, and its return. Exit code 1 if the others can't hold the load."""
     described = read_fleet(fleet)
-    _report_path(report)
+    report_path(report)
     names = [s.name for s in described.sites]
     if site is not None and site not in names:
         raise InputError(f"--site: '{site}' is not described; known are {', '.join(names)}")
@@ -336,7 +336,7 @@
 ) -> int:  # fmt: skip
     """What a spike of costly requests does, and what refusals save. Exit code 1 if it saturates the fleet."""
     described = read_fleet(fleet)
-    _report_path(report)
+    report_path(report)
     spec = load_spec(described, load, profile, rate, seconds)
     demand = take_demand(described, spec, seed, percentile)
     with Shown("emulating") as progress:
--- a/meadowpulley/cli/main.py
+++ b/meadowpulley/cli/main.py
@@ -9,6 +9,7 @@
 from meadowpulley.cli.emulate import emulate
 from meadowpulley.cli.experiment import experiment
 from meadowpulley.cli.load import load
+from meadowpulley.cli.verify import verify
 
 
 @click.group(context_settings={"auto_envvar_prefix": "MEADOWPULLEY", "help_option_names": ["-h", "--help"]})
@@ -21,5 +22,6 @@
     """
 
 
+capacity.add_command(verify)
 for command in (capacity, demo, emulate, experiment, load):
     main.add_command(command)
--- a/meadowpulley/emulator/clients.py
+++ b/meadowpulley/emulator/clients.py
@@ -9,7 +9,7 @@
 
 import numpy as np
 
-from meadowpulley.emulator.clock import Clock
+from meadowpulley.emulator.clock import Timeline
 from meadowpulley.emulator.network import Network
 from meadowpulley.emulator.results import Result
 from meadowpulley.fleet import Fleet
@@ -56,7 +56,7 @@
 
     def __init__(
         self,
-        clock: Clock,
+        clock: Timeline,
         rng: np.random.Generator,
         fleet: Fleet,
         network: Network,
--- a/meadowpulley/emulator/clock.py
+++ b/meadowpulley/emulator/clock.py
@@ -5,11 +5,23 @@
 import heapq
 import math
 from collections.abc import Callable
+from typing import Protocol
 
 import numpy as np
 import xxhash
 
 
+class Timeline(Protocol):
+    """A clock that calls back: virtual or real. Times are milliseconds from the start of the run."""
+
+    @property
+    def now(self) -> float: ...
+
+    def at(self, when: float, call: Callable[[], None]) -> None: ...
+
+    def after(self, delay_ms: float, call: Callable[[], None]) -> None: ...
+
+
 class Clock:
     """Runs calls at their moments, in milliseconds. Nothing waits: a run is as fast as its calls."""
 
--- a/meadowpulley/emulator/discovery.py
+++ b/meadowpulley/emulator/discovery.py
@@ -10,7 +10,7 @@
 import numpy as np
 
 from meadowpulley import interface as i
-from meadowpulley.emulator.clock import Clock, between
+from meadowpulley.emulator.clock import Timeline, between
 from meadowpulley.fleet import DiscoveryModel
 
 
@@ -25,12 +25,13 @@
 
     def __init__(
         self,
-        clock: Clock,
+        clock: Timeline,
         rng: np.random.Generator,
         figures: DiscoveryModel,
         tell: Callable[[int, i.ServerList], None],
     ) -> None:
         self._clock, self._rng, self.figures, self._tell_gateway = clock, rng, figures, tell
+        self.changed: Callable[[], None] = lambda: None  # called when the list has changed
         self.down = False
         self.lag_ms = 0.0  # on top of the usual
         self.version = 1
@@ -44,6 +45,10 @@
         """The whole list as it stands."""
         return tuple(e for _, e in self._entries.values() if e.state is not i.ServerState.GONE)
 
+    def since(self, version: int) -> tuple[i.ServerEntry, ...]:
+        """What changed after a version."""
+        return tuple(e for v, e in self._entries.values() if v > version)
+
     def begin(self, entry: i.ServerEntry) -> None:
         """A server that has been listed for long."""
         self._entries[entry.server] = (self.version, entry)
@@ -60,6 +65,7 @@
     def _list(self, entry: i.ServerEntry) -> None:
         self.version += 1
         self._entries[entry.server] = (self.version, entry)
+        self.changed()
         for gateway, watch in list(self._watches.items()):
             self._tell_soon(gateway, watch)
 
@@ -104,7 +110,7 @@
             watch.told = self.version
             self._give_whole(gateway)
             return
-        news = tuple(entry for version, entry in self._entries.values() if version > watch.told)
+        news = self.since(watch.told)
         watch.told = self.version
         if news:
             self._tell_gateway(gateway, i.ServerList(i.ListKind.CHANGES, self.version, news))
--- a/meadowpulley/emulator/faults.py
+++ b/meadowpulley/emulator/faults.py
@@ -9,7 +9,8 @@
 from meadowpulley.emulator.scenario import Fault
 
 if TYPE_CHECKING:
-    from meadowpulley.emulator.world import Host, World
+    from meadowpulley.emulator.park import Host
+    from meadowpulley.emulator.world import World
 
 BURST_MS = (
     200.0,
@@ -134,6 +135,17 @@
 
         return end
 
+    def _crash(self, n: int, fault: Fault) -> Callable[[], None]:
+        hosts = self._hosts(fault)
+        for host in hosts:
+            self._world.crash(host)
+
+        def end() -> None:
+            for host in hosts:
+                self._world.come_back(host)
+
+        return end
+
     # Parties around them
 
     def _site_cut(self, n: int, fault: Fault) -> Callable[[], None]:
--- a/meadowpulley/emulator/gateway.py
+++ b/meadowpulley/emulator/gateway.py
@@ -20,7 +20,8 @@
 from meadowpulley.rules import Answered, Died, Gone, Listed, News, Outcome, Sent, Started, Taken
 
 if TYPE_CHECKING:
-    from meadowpulley.emulator.world import Host, World
+    from meadowpulley.emulator.park import Host
+    from meadowpulley.emulator.world import World
 
 INTAKE = 0.6  # of a request's CPU, the rest is spent on its attempt's answer
 NEVER_RAN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
--- a/meadowpulley/emulator/machine.py
+++ b/meadowpulley/emulator/machine.py
@@ -66,6 +66,7 @@
         self.started, self.speed, self.long_ago = started, kind.speed * speed, long_ago
         self.slowness = 1.0  # times slower than it should be, by faults
         self.draining = self.down = self.fell = self.frozen = False
+        self.lost: list[Job] = []  # what it held when it fell over
         self.running: set[Job] = set()
         self.waiting: deque[Job] = deque()
         self.connections = 0
@@ -252,7 +253,7 @@
         able = self.kind.cores * self.speed * self._able_ms(now - span, now)
         if self._sent_work > self.rules.fall_multiple * able:
             self.fell = True
-            self.stop()
+            self.lost = self.stop()
 
     def _able_ms(self, start: float, end: float) -> float:
         """Warm milliseconds between the two; before its start it counts as it was at its start."""
--- a/meadowpulley/emulator/platform.py
+++ b/meadowpulley/emulator/platform.py
@@ -12,7 +12,7 @@
 
 from meadowpulley import interface as i
 from meadowpulley.emulator.builds import Build
-from meadowpulley.emulator.clock import Clock, between
+from meadowpulley.emulator.clock import Timeline, between
 from meadowpulley.fleet import RolloutModel
 
 
@@ -46,7 +46,7 @@
 
     def __init__(
         self,
-        clock: Clock,
+        clock: Timeline,
         rng: np.random.Generator,
         figures: RolloutModel,
         size: int,
--- a/meadowpulley/emulator/results.py
+++ b/meadowpulley/emulator/results.py
@@ -105,11 +105,13 @@
 
 
 class Result:
-    """Fills while a run goes on. Times are milliseconds; worth is as the fleet's classes have it."""
+    """Fills while a run goes on. Times are milliseconds; worth is as the fleet's classes have it. Asks that
+    began before `from_ms` count in no class, only by the second."""
 
-    def __init__(self, fleet: Fleet) -> None:
-        self.fleet = fleet
+    def __init__(self, fleet: Fleet, from_ms: float = 0.0) -> None:
+        self.fleet, self.from_ms = fleet, from_ms
         self.classes = [ClassResult(c.name) for c in fleet.classes]
+        self._uncounted = ClassResult("")
         self.seconds: list[Second] = []
         self.servers: list[ServerResult] = []
         self.gateways: list[GatewayResult] = []
@@ -118,6 +120,7 @@
         self.broken: Counter[str] = Counter()
         self.spill: Counter[tuple[int, int]] = Counter()  # attempts from a gateway's site to a server's
         self.lasted_ms = 0.0
+        self.used_ms = self.there_ms = 0.0  # core time in the measured span
 
     def second(self, at: float) -> Second:
         n = int(at // 1000)
@@ -127,8 +130,11 @@
 
     # What clients tell
 
+    def _class(self, ask: Ask) -> ClassResult:
+        return self.classes[ask.cls] if ask.first_at >= self.from_ms else self._uncounted
+
     def asked(self, ask: Ask) -> None:
-        c, worth = self.classes[ask.cls], self.fleet.classes[ask.cls].worth
+        c, worth = self._class(ask), self.fleet.classes[ask.cls].worth
         c.asked += 1
         c.worth_asked += worth
         second = self.second(ask.first_at)
@@ -136,13 +142,13 @@
         second.worth_asked += worth
 
     def retried(self, ask: Ask) -> None:
-        self.classes[ask.cls].retries += 1
+        self._class(ask).retries += 1
 
     def unanswered(self, ask: Ask) -> None:
-        self.classes[ask.cls].unanswered += 1
+        self._class(ask).unanswered += 1
 
     def refused_or_failed(self, ask: Ask, refused: bool) -> None:
-        c, second = self.classes[ask.cls], self.second(ask.first_at)
+        c, second = self._class(ask), self.second(ask.first_at)
         c.refused += refused
         c.failed += not refused
         second.refused += refused
@@ -151,7 +157,7 @@
     def ended(self, ask: Ask, took_ms: float | None) -> None:
         if took_ms is None:
             return
-        cls, c, second = self.fleet.classes[ask.cls], self.classes[ask.cls], self.second(ask.first_at)
+        cls, c, second = self.fleet.classes[ask.cls], self._class(ask), self.second(ask.first_at)
         c.latency.record_value(max(int(took_ms * 1000), 1))
         in_aim = took_ms <= cls.aim_ms
         got = cls.worth if in_aim else cls.worth * cls.late_worth
@@ -173,6 +179,11 @@
         asked = sum(c.worth_asked for c in self.classes)
         return sum(c.worth_got for c in self.classes) / asked if asked else 1.0
 
+    @property
+    def busy(self) -> float:
+        """Utilisation of all cores in the measured span; 0 where none was."""
+        return self.used_ms / self.there_ms if self.there_ms > 0 else 0.0
+
     def busy_by(self, what: str) -> dict[str, float]:
         """Mean utilisation by `site` or `kind`, weighed by the time that servers were up and their cores."""
         total: Counter[str] = Counter()
--- a/meadowpulley/emulator/scenario.py
+++ b/meadowpulley/emulator/scenario.py
@@ -11,8 +11,9 @@
 from meadowpulley.fleet.model import Name, NotNegative, Positive, PositiveShare
 
 FaultKind = Literal[
-    "fast_errors", "silence", "lost_answers", "slowness", "dependency", "neighbour", "vanish", "site_cut",
-    "discovery_down", "discovery_stale", "platform_down", "platform_late", "peers_lost", "gateway_crash",
+    "fast_errors", "silence", "lost_answers", "slowness", "dependency", "neighbour", "vanish", "crash",
+    "site_cut", "discovery_down", "discovery_stale", "platform_down", "platform_late", "peers_lost",
+    "gateway_crash",
 ]  # fmt: skip
 
 
--- a/meadowpulley/experiment/cells.py
+++ b/meadowpulley/experiment/cells.py
@@ -64,6 +64,8 @@
     seed: int
     scenario: Scenario = Scenario()
     refuses: bool = True
+    from_ms: float = 0.0  # asks before that are not counted
+    load_seed: int | None = None  # the same load under other seeds
 
     @property
     def key(self) -> str:
@@ -92,16 +94,18 @@
 
 def metrics(result: Result) -> dict[str, float]:
     """Figures of a run by name: shares from 0 to 1, latencies in milliseconds, rates a second."""
-    lasted = max(len(result.seconds), 1)
+    lasted = max(len(result.seconds) - result.from_ms / 1000, 1.0)
     asks = max(result.asks, 1)
+    refused = sum(c.refused for c in result.classes)
     found = {
         "asked": float(result.asks),
         "asked_per_s": result.asks / lasted,
         "worth": result.worth_share,
         "in_aim": sum(c.in_aim for c in result.classes) / asks,
         "served_per_s": sum(c.served for c in result.classes) / lasted,
-        "refused": sum(c.refused for c in result.classes) / asks,
+        "refused": refused / asks,
         "failed": sum(c.failed for c in result.classes) / asks,
+        "busy": result.busy,
         "gateway_busy": max((g.busy for g in result.gateways), default=0.0),
         "most_held": float(max((g.most_held for g in result.gateways), default=0)),
         "most_open": float(max((g.most_open for g in result.gateways), default=0)),
@@ -123,8 +127,10 @@
 def run_cell(cell: Cell, timeline: bool = False) -> Row:
     """Plays one cell to its end."""
     make: Any = Balancer if cell.refuses else Unrefusing
-    load = cell.load.arrivals(cell.fleet, cell.seed)
-    result = World(cell.fleet, load, cell.seed, cell.scenario, make=make).run()
+    load = cell.load.arrivals(cell.fleet, cell.seed if cell.load_seed is None else cell.load_seed)
+    world = World(cell.fleet, load, cell.seed, cell.scenario, make=make, from_ms=cell.from_ms)
+    world.measure(cell.from_ms, max(cell.load.seconds * 1000, cell.from_ms))
+    result = world.run()
     seconds = tuple(
         (
             float(s.asked),
--- a/meadowpulley/report/capacity.py
+++ b/meadowpulley/report/capacity.py
@@ -8,9 +8,11 @@
 from meadowpulley.capacity import Demand, Plan, SiteLoss, SpikeResult
 from meadowpulley.capacity.site import AWAY_S, BEFORE_S
 from meadowpulley.capacity.spike import BEFORE_S as SPIKE_AT_S
+from meadowpulley.capacity.verify import Case, Verdict
 from meadowpulley.fleet import Fleet
 from meadowpulley.report.charts import Chart, Line, line_chart
 from meadowpulley.report.pages import Page, Section, TableOf
+from meadowpulley.rig import Measured
 
 DEMAND = ("class", "a second", "work ms", "spread", "of all cores")
 BREAKS = ("resource", "where", "at times", "use now", "by", "why")
@@ -137,3 +139,29 @@
     ]
     return Page(f"A spike on {fleet.name}", summary, [
         Section("What it does", (), [TableOf(["", "with refusals", "without"], rows)], charts)])  # fmt: skip
+
+
+def verify_page(
+    name: str, seed: int, part: float, cases: Sequence[Case], measured: Sequence[Measured], verdict: Verdict
+) -> Page:  # fmt: skip
+    """Predicted beside measured, with what happened on loopback second by second."""
+    rows = [
+        [
+            c.case,
+            c.figure,
+            f"{c.predicted:.4g}",
+            f"{c.low:.4g} to {c.high:.4g}",
+            f"{c.measured:.4g}",
+            _pct(c.error),
+        ]
+        for c in verdict.compared
+    ]
+    charts = [
+        _timeline(f"Measured: {case.name}", found.seconds, [])
+        for case, found in zip(cases, measured, strict=True)
+    ]
+    told = "; ".join(verdict.limits) or f"Worst error {_pct(verdict.worst)}."
+    size = f"Scaled to {_pct(part)} of its size, at loopback's distances; seed {seed}."
+    columns = ["case", "figure", "predicted", "95% interval", "measured", "error"]
+    return Page(f"Verification of {name}", [size, told], [
+        Section("Predicted and measured", (), [TableOf(columns, rows)], charts)])  # fmt: skip
--- /dev/null
+++ b/meadowpulley/rig/clock.py
@@ -0,0 +1,43 @@
+"""The emulator's timeline in real time, one origin for all processes of a rig, and how late its calls
+came."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from meadowpulley.emulator.results import new_histogram
+from meadowpulley.net.deadlines import Deadlines
+
+
+class RealClock:
+    """Milliseconds since `origin`, which is on the system's monotonic clock (seconds)."""
+
+    def __init__(self, reactor: Any, origin: float, failed: Callable[[str], None]) -> None:
+        self._origin = origin
+        self.deadlines = Deadlines(reactor, failed, clock=lambda: self.now)
+        self.lateness: HdrHistogram = new_histogram()
+
+    @property
+    def now(self) -> float:
+        return (time.monotonic() - self._origin) * 1000.0
+
+    def at(self, when: float, call: Callable[[], None]) -> None:
+        def run() -> None:
+            if when > 0:
+                self.lateness.record_value(max(int((self.now - when) * 1000), 1))
+            call()
+
+        self.deadlines.at(when, run)
+
+    def after(self, delay_ms: float, call: Callable[[], None]) -> None:
+        self.at(self.now + max(delay_ms, 0.0), call)
+
+    def late_ms(self, percentile: float = 99.0) -> float:
+        """How late calls came; 0 when there were none."""
+        if not self.lateness.get_total_count():
+            return 0.0
+        return float(self.lateness.get_value_at_percentile(percentile)) / 1000
--- /dev/null
+++ b/meadowpulley/rig/told.py
@@ -0,0 +1,90 @@
+"""What each process of the rig is told, and what it tells back: plain values, as JSON files in one folder."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from msgspec import Struct
+
+from meadowpulley.emulator import Scenario
+from meadowpulley.experiment.cells import LoadSpec
+from meadowpulley.fleet import Fleet
+
+
+class RigPlan(Struct, frozen=True):
+    """One run on loopback. Asks before `from_ms` are not counted; `load_seed` fixes the arrivals, `seed` the
+    stand-ins and gateways."""
+
+    fleet: Fleet
+    load: LoadSpec
+    seed: int = 1
+    load_seed: int = 1
+    scenario: Scenario = Scenario()
+    from_ms: float = 0.0
+
+
+class Ports(Struct, frozen=True):
+    """Where each gateway listens, and where it finds discovery, the platform and its peers; by its number."""
+
+    host: str  # an address of loopback that no other rig uses
+    clients: tuple[int, ...]
+    discovery: tuple[int, ...]
+    platform: tuple[int, ...]
+    peers: tuple[int, ...]
+
+
+class Job(Struct, frozen=True):
+    """A process's file: the plan, the ports, the origin (seconds of the monotonic clock), where to write."""
+
+    plan: RigPlan
+    ports: Ports
+    origin: float
+    out: str
+
+
+class ServersTold(Struct):
+    """From the stand-ins, at their end."""
+
+    busy: float
+    served: int
+    turned_away: int
+    events: list[tuple[float, str]]
+    stages: list[tuple[float, int, int, str]]  # when (ms), build, stage, phase
+    fell: int
+    late_ms: float
+    cpu_s: float
+    errors: list[str]
+
+
+class ClientsTold(Struct):
+    """From the driver, at its end."""
+
+    figures: dict[str, float]
+    seconds: list[list[float]]
+    wrong: int  # answers with another request's body
+    late_ms: float
+    cpu_s: float
+    errors: list[str]
+
+
+def number_of(name: str) -> int:
+    """The server's number in its name."""
+    return int(name.rpartition("-")[2])
+
+
+def name_of(number: int) -> str:
+    return f"s-{number}"
+
+
+def news_object(news: Any) -> dict[str, Any]:
+    """News of a build in the platform's words."""
+    from meadowpulley.net import names
+
+    phases = {phase: word for word, phase in names.PHASES.items()}
+    return {
+        names.NEWS_BUILD: news.build,
+        names.NEWS_STAGE: news.stage,
+        names.NEWS_PHASE: phases[news.phase],
+        names.NEWS_CAP: news.cap,
+        names.NEWS_AGE: round(max(news.age_ms, 0.0)),
+    }
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -83,6 +83,7 @@
         (faults("silence", part=0.1), 0.85, 0.999),
         (faults("lost_answers", amount=0.5, part=0.2), 0.8, 0.999),
         (faults("vanish", part=0.2), 0.8, 0.9999),
+        (faults("crash", part=0.2), 0.8, 0.9999),
         (faults("site_cut", site="kingston"), 0.6, 0.999),
         (faults("discovery_down"), 0.97, 1.0),
         (faults("discovery_stale", amount=4000.0), 0.97, 1.0),
