A build leaves the gateway in use in its place until the new one is whole

Cause: the build removed the laid-out gateway first and compiled for 10 to 50 s; a gateway started meanwhile found nothing. Change: the old copy is renamed aside at the moment of the swap.

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -69,8 +69,7 @@
     if stamp.is_file() and stamp.read_text() == wanted:
         return 0
     fresh = TARGET.with_name("gateway.new")
-    for old in (fresh, TARGET):
-        shutil.rmtree(old, ignore_errors=True)
+    shutil.rmtree(fresh, ignore_errors=True)
     for path in sources():
         copy = fresh / path.relative_to(ROOT)
         copy.parent.mkdir(parents=True, exist_ok=True)
@@ -81,7 +80,13 @@
     shutil.rmtree(fresh / "build", ignore_errors=True)
     subprocess.run([sys.executable, "-m", "compileall", "-q", str(fresh / PACKAGE)], check=False)
     (fresh / "stamp").write_text(wanted)
+    # The one in use stays until this moment: a gateway may be started at any time.
+    old = TARGET.with_name("gateway.old")
+    shutil.rmtree(old, ignore_errors=True)
+    if TARGET.exists():
+        TARGET.rename(old)
     fresh.rename(TARGET)
+    shutil.rmtree(old, ignore_errors=True)
     return 0
 
 
