The rig's processes load first and get their orders then

Cause: the moment of the first request was set before the stand-ins had loaded their libraries, 2 s on an idle machine and 7 s on a busy one, and the driver loaded its own while requests were due (115 ms late once). Change: both load, say so, and are then given their job with the origin.

--- a/meadowpulley/rig/driver.py
+++ b/meadowpulley/rig/driver.py
@@ -19,7 +19,7 @@
 from meadowpulley.net.link import Link, connect
 from meadowpulley.rig.clock import RealClock
 from meadowpulley.rig.reactor import install
-from meadowpulley.rig.told import ClientsTold, Job, id_of
+from meadowpulley.rig.told import ClientsTold, Job, id_of, take_orders
 from meadowpulley.rig.trace import Tape
 from meadowpulley.rules import Answered, Taken
 
@@ -205,12 +205,12 @@
         reactor.stop()
 
 
-def main(path: str) -> int:
-    job = msgspec.json.decode(Path(path).read_bytes(), type=Job)
+def main() -> int:
+    job = take_orders()
     driver = Driver(job)
     reactor.run(installSignalHandlers=False)
     return 0 if driver.result is not None else 1
 
 
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1]))
+    sys.exit(main())
--- a/meadowpulley/rig/processes.py
+++ b/meadowpulley/rig/processes.py
@@ -25,7 +25,7 @@
 from meadowpulley.rig.trace import check
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-LEAD_S = (5.5, 0.4)  # from the start of the stand-ins to the first request, and more for each gateway
+LEAD_S = (2.5, 0.4)  # from the orders to the first request, and more for each gateway that starts
 READY_S = 30.0
 GRACE_S = 20.0  # beyond the load's end, until the driver is ended
 FULL = 0.75  # of a core: a process of the rig that used more was itself a limit
@@ -154,7 +154,7 @@
         found: dict[str, Any] = json.loads(line)
     except ValueError:
         why = log.read_bytes()[-300:].decode(errors="replace")
-        raise RigError(f"the stand-ins did not start: {why!r}") from None
+        raise RigError(f"a process of the rig did not start: {why!r}") from None
     return found
 
 
@@ -168,23 +168,31 @@
     with tempfile.TemporaryDirectory(prefix="meadowpulley-rig-") as name:
         folder = Path(name)
 
-        def start(what: str, origin: float) -> subprocess.Popen[bytes]:
-            job = Job(plan, ports, origin, str(folder / f"{what}.out"))
-            path = folder / f"{what}.json"
-            path.write_bytes(msgspec.json.encode(job))
+        def start(what: str) -> subprocess.Popen[bytes]:
             with open(folder / f"{what}.log", "wb") as log:
                 process = subprocess.Popen(
-                    [sys.executable, "-m", f"meadowpulley.rig.{what}", str(path)],
-                    cwd=ROOT, stdout=subprocess.PIPE, stderr=log,
+                    [sys.executable, "-m", f"meadowpulley.rig.{what}"],
+                    cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=log,
                 )  # fmt: skip
             processes.append(process)
             return process
 
+        def order(process: subprocess.Popen[bytes], what: str, origin: float) -> None:
+            job = Job(plan, ports, origin, str(folder / f"{what}.out"))
+            path = folder / f"{what}.json"
+            path.write_bytes(msgspec.json.encode(job))
+            assert process.stdin is not None
+            process.stdin.write(f"{path}\n".encode())
+            process.stdin.flush()
+
         gateways: list[_Gateway] = []
         try:
-            # The stand-ins come up first and learn the origin before it is reached.
+            # Both load their libraries, which takes what it takes; then they get their orders.
+            standins, driver = start("standins"), start("driver")
+            for process, what in ((standins, "standins"), (driver, "driver")):
+                _told(process, folder / f"{what}.log")
             origin = time.monotonic() + LEAD_S[0] + LEAD_S[1] * count
-            standins = start("standins", origin)
+            order(standins, "standins", origin)
             told = _told(standins, folder / "standins.log")
             for n in range(count):
                 gateways.append(_Gateway(folder, n, _config(plan, ports, n, told["known"], told["news"])))
@@ -193,7 +201,7 @@
                 gateway.wait_ready(until)
             if time.monotonic() > origin - 0.5:
                 raise RigError("the gateways took too long to start: the machine is too busy")
-            driver = start("driver", origin)
+            order(driver, "driver", origin)
             tell("gateways are ready")
             time.sleep(max(origin - time.monotonic(), 0.0))
             began = [g.cpu_s() for g in gateways]
--- a/meadowpulley/rig/standins.py
+++ b/meadowpulley/rig/standins.py
@@ -28,7 +28,7 @@
 from meadowpulley.net.slots import Slots
 from meadowpulley.rig.clock import RealClock
 from meadowpulley.rig.reactor import install
-from meadowpulley.rig.told import Job, ServersTold, name_of, news_object, request_of
+from meadowpulley.rig.told import Job, ServersTold, name_of, news_object, request_of, take_orders
 from meadowpulley.rig.trace import UNKNOWN, Tape
 from meadowpulley.rules import KeyAnswered, Listed, News, Outcome, Record, Sent, Started
 
@@ -391,8 +391,8 @@
         reactor.stop()
 
 
-def main(path: str) -> int:
-    job = msgspec.json.decode(Path(path).read_bytes(), type=Job)
+def main() -> int:
+    job = take_orders()
     rig = StandIns(job)
     rig.open()
     signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(rig.end))
@@ -401,4 +401,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1]))
+    sys.exit(main())
--- a/meadowpulley/rig/told.py
+++ b/meadowpulley/rig/told.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import sys
+from pathlib import Path
 from typing import Any
 
+import msgspec
 from msgspec import Struct
 
 from meadowpulley.emulator import Scenario
@@ -72,6 +75,12 @@
     return int(name.rpartition("-")[2])
 
 
+def take_orders() -> Job:
+    """Says that all is loaded, and waits on standard input for the path of the job's file."""
+    print("{}", flush=True)
+    return msgspec.json.decode(Path(sys.stdin.readline().strip()).read_bytes(), type=Job)
+
+
 def id_of(request: int, seed: int) -> str:
     """The id that a client gives a request, never twice in a run."""
     return f"{seed & 0xFFFF:04x}{request:012x}"
