Faults that loopback can't play are refused; what nothing calls is taken out

Cause, on reading the change again: a cut site, lost datagrams or a gateway's crash in a rig's scenario were passed over without a word; clients that leave early, two queueing formulas and a count of spilled attempts had no caller; a lost site's 'spilled' was its share of capacity under a second name, by theory and not measured.

Change: the rig refuses such faults by name, with a test; the rest is removed.

--- a/meadowpulley/capacity/queues.py
+++ b/meadowpulley/capacity/queues.py
@@ -33,22 +33,6 @@
     return service + erlang_c(servers, offered) * service / (servers - offered)
 
 
-def mg1_wait(per_s: float, service: float, spread: float) -> float:
-    """Mean wait in M/G/1, first come first served (Pollaczek 1930, Khinchine 1932). `spread`: coefficient of
-    variation of the service time."""
-    rho = per_s * service
-    return math.inf if rho >= 1 else rho * service * (1 + spread**2) / (2 * (1 - rho))
-
-
-def mgc_wait(servers: int, per_s: float, service: float, spread: float) -> float:
-    """Mean wait in M/G/c: Erlang C times (1 + spread^2)/2 (Lee and Longton 1959; Allen and Cunneen 1978).
-    Exact for c = 1 and for exponential work; within some ten percent for spreads up to 2 above half load."""
-    offered = per_s * service
-    if offered >= servers:
-        return math.inf
-    return erlang_c(servers, offered) * service / (servers - offered) * (1 + spread**2) / 2
-
-
 def crowd_share(servers: int, per_s: float, service: float, more_than: int) -> float:
     """Share of time that M/M/c, and M/G/c shared evenly, holds more than so many requests."""
     offered = per_s * service
--- a/meadowpulley/capacity/site.py
+++ b/meadowpulley/capacity/site.py
@@ -24,14 +24,13 @@
 class SiteLoss:
     """Shares from 0 to 1; triples are mean, low and high over the seeds, by the emulator.
 
-    `spilled`: share of all work that was the site's own and goes elsewhere; `rest`: utilisation of the others
-    then; `refused_theory`: share that is beyond them. `more`: servers of each kind, added at the other sites,
-    that would hold it. `pushed_over`: servers that fell over at the return.
+    `capacity_share`: the site's part of all that servers can do, and so of the work, which spills (theory);
+    `rest`: utilisation of the others then; `refused_theory`: share that is beyond them. `more`: servers of
+    each kind, added at the other sites, that would hold it. `pushed_over`: servers that fell over then.
     """
 
     site: str
     capacity_share: float
-    spilled: float
     rest: float
     refused_theory: float
     saturates: bool
@@ -94,7 +93,6 @@
     return SiteLoss(
         site=site,
         capacity_share=share,
-        spilled=share,
         rest=rest,
         refused_theory=max(1 - 1 / rest, 0.0) if rest else 0.0,
         saturates=rest >= 1.0,
--- a/meadowpulley/emulator/clients.py
+++ b/meadowpulley/emulator/clients.py
@@ -24,8 +24,6 @@
 
     def take(self, request: Try) -> None: ...
 
-    def leave(self, request: int) -> None: ...
-
 
 @dataclass(slots=True, eq=False)
 class Ask:
--- a/meadowpulley/emulator/gateway.py
+++ b/meadowpulley/emulator/gateway.py
@@ -17,7 +17,7 @@
 from meadowpulley.emulator.machine import Job
 from meadowpulley.emulator.results import GatewayResult
 from meadowpulley.fleet import settings_of
-from meadowpulley.rules import Answered, Died, Gone, Listed, News, Outcome, Sent, Started, Taken
+from meadowpulley.rules import Answered, Died, Listed, News, Outcome, Sent, Started, Taken
 
 if TYPE_CHECKING:
     from meadowpulley.emulator.park import Host
@@ -189,14 +189,6 @@
             )
         )
 
-    def leave(self, request: int) -> None:
-        """The client has gone."""
-        held = self.held.get(request)
-        if held is not None and not held.over:
-            self._over(held)
-            self.world.record(Gone(self.world.clock.now, self.number, request))
-            self.tell(i.RequestGone(request))
-
     def _time_is_up(self, held: Held) -> None:
         for attempt in list(held.out.values()):
             self._end(attempt, i.Result.TIMEOUT if attempt.connected else i.Result.CONNECT_FAILED)
@@ -248,7 +240,6 @@
         if host is None:
             self._end(attempt, i.Result.CONNECT_FAILED)
             return
-        world.result.spill[self.site, host.entry.zone] += 1
         fresh = not self._reuse(action.server)
         if fresh and not self._make_room():
             self._end(attempt, i.Result.CONNECT_FAILED)
--- a/meadowpulley/emulator/machine.py
+++ b/meadowpulley/emulator/machine.py
@@ -224,7 +224,7 @@
         self.connections += 1
         return True
 
-    def set_slowness(self, now: float, slowness: float) -> None:
+    def set_slowness(self, slowness: float) -> None:
         """From now on so many times slower; call `advance(now)` first."""
         self.slowness = slowness
 
--- a/meadowpulley/emulator/park.py
+++ b/meadowpulley/emulator/park.py
@@ -256,7 +256,7 @@
         host.begun, host.up, host.silent, host.away = now, True, False, False
         host.served = host.turned_away = 0
         host.wake_at = float("inf")
-        host.machine.set_slowness(now, self._product(host))
+        host.machine.set_slowness(self._product(host))
         self.host_began(host)
         self.discovery.change(host.entry)
 
@@ -276,7 +276,7 @@
         """One reason makes a server so many times slower; reasons multiply. A factor of 1 takes it off."""
         self._finish_jobs(host)
         host.slowness[why] = factor
-        host.machine.set_slowness(self.clock.now, self._product(host))
+        host.machine.set_slowness(self._product(host))
         self._plan(host)
 
     def slow_all(self, why: str, factor: float) -> None:
--- a/meadowpulley/emulator/results.py
+++ b/meadowpulley/emulator/results.py
@@ -118,7 +118,6 @@
         self.events: list[tuple[float, str]] = []
         self.breaches: list[str] = []
         self.broken: Counter[str] = Counter()
-        self.spill: Counter[tuple[int, int]] = Counter()  # attempts from a gateway's site to a server's
         self.lasted_ms = 0.0
         self.used_ms = self.there_ms = 0.0  # core time in the measured span
 
--- a/meadowpulley/rig/driver.py
+++ b/meadowpulley/rig/driver.py
@@ -124,9 +124,6 @@
         else:
             driver.clients.answer(request, "failed", 0.0)
 
-    def leave(self, request: int) -> None:
-        pass  # the client's time is over; what comes is thrown away
-
 
 class Driver:
     """Plays the plan's load against the gateways and writes down what clients saw."""
--- a/meadowpulley/rig/processes.py
+++ b/meadowpulley/rig/processes.py
@@ -13,7 +13,6 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -27,6 +26,7 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 LEAD_S = (2.5, 0.4)  # from the orders to the first request, and more for each gateway that starts
 READY_S = 30.0
+NOT_PLAYED = ("site_cut", "vanish", "peers_lost", "gateway_crash")  # loopback has no distances, nor silence
 GRACE_S = 20.0  # beyond the load's end, until the driver is ended
 FULL = 0.75  # of a core: a process of the rig that used more was itself a limit
 LATE_MS = 20.0  # the 99th percentile of how late the rig's own calls may come
@@ -158,8 +158,11 @@
     return found
 
 
-def run_rig(plan: RigPlan, tell: Callable[[str], None] = lambda text: None) -> Measured:
+def run_rig(plan: RigPlan) -> Measured:
     """Plays a plan on loopback, from nothing to nothing. Raises RigError where it could not be set up."""
+    for fault in plan.scenario.faults:
+        if fault.kind in NOT_PLAYED:
+            raise RigError(f"fault '{fault.kind}' can't be played on loopback; emulate it")
     count = len(plan.fleet.gateway_sites())
     host = own_host()
     numbers = free_ports(host, 4 * count)
@@ -202,7 +205,6 @@
             if time.monotonic() > origin - 0.5:
                 raise RigError("the gateways took too long to start: the machine is too busy")
             order(driver, "driver", origin)
-            tell("gateways are ready")
             time.sleep(max(origin - time.monotonic(), 0.0))
             began = [g.cpu_s() for g in gateways]
             limit = plan.load.seconds + GRACE_S
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -22,7 +22,7 @@
     what_breaks,
 )
 from meadowpulley.capacity.demand import saved_by_keys
-from meadowpulley.capacity.queues import crowd_share, erlang_b, erlang_c, mg1_wait, mgc_wait, mmc_response
+from meadowpulley.capacity.queues import crowd_share, erlang_b, erlang_c, mmc_response
 from meadowpulley.experiment import LoadSpec, Store
 from meadowpulley.fleet import Fleet, parse_fleet
 
@@ -61,8 +61,7 @@
     assert erlang_c(5, 3.0) == pytest.approx(0.23615, abs=1e-5)
     assert erlang_c(2, 2.0) == erlang_c(2, 3.0) == 1.0
     assert mmc_response(1, 0.7, 1.0) == pytest.approx(1 / 0.3)
-    assert mgc_wait(1, 0.6, 1.0, 1.5) == pytest.approx(mg1_wait(0.6, 1.0, 1.5))
-    assert math.isinf(mmc_response(2, 2.0, 1.0)) and math.isinf(mg1_wait(1.0, 1.0, 0.0))
+    assert math.isinf(mmc_response(2, 2.0, 1.0))
     for c, rho in ((1, 0.6), (4, 0.8)):  # the states of M/M/c, summed by hand
         a = c * rho
         weights = [
@@ -172,7 +171,7 @@
     load = spec(40.0)
     d = demand(f, load)
     loss = lose_site(f, load, d, "west", (1, 2), workers=1)
-    assert loss.spilled == pytest.approx(0.5) and loss.rest == pytest.approx(2 * d.busy_utilisation)
+    assert loss.capacity_share == pytest.approx(0.5) and loss.rest == pytest.approx(2 * d.busy_utilisation)
     assert loss.pushed_over == 0 and not loss.saturates
     assert loss.worth_before[0] > 0.98 and loss.worth_settled[0] > 0.9
     assert loss.worth_away[0] < loss.worth_before[0]
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -22,7 +22,7 @@
 from meadowpulley.emulator import Build, Fault, Release, Scenario, World
 from meadowpulley.experiment import LoadSpec
 from meadowpulley.load import PROFILES, read_load, synthesize
-from meadowpulley.rig import RigPlan, run_rig
+from meadowpulley.rig import RigError, RigPlan, run_rig
 from tests import standins
 from tests.test_capacity import fleet
 
@@ -139,6 +139,13 @@
     assert not Verdict([], ["the driver used 99% of a core"]).holds
 
 
+@pytest.mark.parametrize("kind", ["site_cut", "vanish", "peers_lost", "gateway_crash"])
+def test_a_fault_that_loopback_can_t_play_is_refused(kind: Any) -> None:
+    scenario = Scenario(faults=(Fault(kind, 1.0, 1.0, site="east"),))
+    with pytest.raises(RigError, match=f"fault '{kind}' can't be played on loopback"):
+        run_rig(RigPlan(fleet(), LoadSpec(per_s=1.0, seconds=1.0), scenario=scenario))
+
+
 def test_no_load_can_t_be_verified() -> None:
     command = ["capacity", "verify", "--fleet", str(ROOT / "examples/one-site.toml"), "--rate", "0"]
     done = CliRunner().invoke(main, command)
