--- a/meadowpulley/capacity/site.py
+++ b/meadowpulley/capacity/site.py
@@ -25,12 +25,14 @@
     """Shares from 0 to 1; triples are mean, low and high over the seeds, by the emulator.
 
     `capacity_share`: the site's part of all that servers can do, and so of the work, which spills (theory);
+    `spilled`: attempts a second at the others, once settled, beyond those before, as a share of all before;
     `rest`: utilisation of the others then; `refused_theory`: share that is beyond them. `more`: servers of
     each kind, added at the other sites, that would hold it. `pushed_over`: servers that fell over then.
     """
 
     site: str
     capacity_share: float
+    spilled: tuple[float, float, float]
     rest: float
     refused_theory: float
     saturates: bool
@@ -69,6 +71,24 @@
     return spread(figures, "x")
 
 
+def spilled_share(rows: Sequence[Row], site: int) -> tuple[float, float, float]:
+    """What the other sites' servers get more while the site is away, once settled, than before: attempts a
+    second, as a share of all attempts a second before. Mean, low and high over the seeds."""
+
+    def per_s(row: Row, first: float, last: float) -> list[float]:
+        span = [s for s in row.sent[int(first) : int(last)] if s]
+        sites = len(span[0]) if span else site + 1
+        return [sum(s[n] for s in span) / (last - first) for n in range(sites)]
+
+    found = []
+    for row in rows:
+        before = per_s(row, 2, BEFORE_S)
+        away = per_s(row, BEFORE_S + SETTLED_S, BEFORE_S + AWAY_S)
+        more = sum(away) - away[site] - (sum(before) - before[site])
+        found.append(replace(row, figures={"x": more / sum(before) if sum(before) else math.nan}))
+    return spread(found, "x")
+
+
 def lose_site(
     fleet: Fleet,
     load: LoadSpec,
@@ -93,6 +113,7 @@
     return SiteLoss(
         site=site,
         capacity_share=share,
+        spilled=spilled_share(rows, [s.name for s in fleet.sites].index(site)),
         rest=rest,
         refused_theory=max(1 - 1 / rest, 0.0) if rest else 0.0,
         saturates=rest >= 1.0,
--- a/meadowpulley/cli/capacity.py
+++ b/meadowpulley/cli/capacity.py
@@ -298,15 +298,16 @@
     else:
         rows = [
             [
-                f.site, percent(f.capacity_share), percent(f.rest) if math.isfinite(f.rest) else "none left",
+                f.site, percent(f.capacity_share), span_text(f.spilled),
+                percent(f.rest) if math.isfinite(f.rest) else "none left",
                 percent(f.refused_theory), span_text(f.worth_before), span_text(f.worth_settled),
                 span_text(f.worth_after),
                 ", ".join(f"{n} {kind}" for kind, n in f.more.items() if n) or "none", str(f.pushed_over),
             ]
             for f in found
         ]  # fmt: skip
-        columns = ["site", "spills", "rest busy", "too much", "worth before", "once settled", "at its return",
-                   "more servers, of either", "pushed over"]  # fmt: skip
+        columns = ["site", "spills", "measured", "rest busy", "too much", "worth before", "once settled",
+                   "at its return", "more servers, of either", "pushed over"]  # fmt: skip
         console().print(make_table("One site lost", columns, rows))
     return MISSED if any(f.saturates or f.pushed_over for f in found) else GOOD
 
--- a/meadowpulley/cli/load.py
+++ b/meadowpulley/cli/load.py
@@ -22,6 +22,7 @@
     make_table,
     percent,
     read_fleet,
+    read_scenario,
     seed_option,
     show_json,
     writable,
@@ -70,6 +71,15 @@
     return synthesize(fleet, PROFILES[profile], per_s, seconds, seed)
 
 
+def written(as_json: bool, out: Path, count: int, about: str, **more: Any) -> int:
+    """Tells of a load file that was written, to people or to programs."""
+    if as_json:
+        show_json({"file": str(out), "arrivals": count, **more})
+    else:
+        console().print(f"{out}: {count} arrivals, {about}")
+    return GOOD
+
+
 @click.group()
 def load() -> None:
     """Loads: make them, look into them, scale and splice them."""
@@ -82,15 +92,17 @@
 @click.option("--seconds", type=click.FloatRange(0, 1e7, min_open=True), default=60.0, show_default=True)
 @seed_option
 @click.option("--out", type=FILE, required=True, help="Where to write it (.jsonl or .jsonl.gz).")
+@json_option
 @guarded
-def synth(fleet: Path, profile: str, rate: float | None, seconds: float, seed: int, out: Path) -> int:
+def synth(
+    fleet: Path, profile: str, rate: float | None, seconds: float, seed: int, out: Path, as_json: bool
+) -> int:
     """Make a load by a profile. The same options make the same file."""
     described = read_fleet(fleet)
     arrivals = open_load(described, None, profile, rate, seconds, seed)
     header = Header(source=f"{profile}, seed {seed}, fleet {described.name}")
     count = write_load(writable(out), arrivals, header)
-    console().print(f"{out}: {count} arrivals, profile {profile}, seed {seed}")
-    return GOOD
+    return written(as_json, out, count, f"profile {profile}, seed {seed}", profile=profile, seed=seed)
 
 
 @load.command()
@@ -128,8 +140,9 @@
 @load.command()
 @click.argument("load_files", type=FILE, nargs=-1, required=True)
 @click.option("--out", type=FILE, required=True, help="Where to write it (.jsonl or .jsonl.gz).")
+@json_option
 @guarded
-def capture(load_files: tuple[Path, ...], out: Path) -> int:
+def capture(load_files: tuple[Path, ...], out: Path, as_json: bool) -> int:
     """Gather what gateways captured (MEADOWPULLEY_CAPTURE=FILE at each) into one load, by Unix time."""
     if out.resolve() in [p.resolve() for p in load_files]:
         raise InputError(f"{out}: is one of the captures that are read; name another file")
@@ -143,22 +156,26 @@
     dropped = sum(reader.header.dropped for reader in readers)
     header = Header(source=", ".join(p.name for p in load_files), started=min(starts), dropped=dropped)
     count = write_load(writable(out), merged(*readers, starts=starts), header)
-    console().print(f"{out}: {count} arrivals of {len(readers)} captures, {dropped} dropped at capture")
-    return GOOD
+    about = f"of {len(readers)} captures, {dropped} dropped at capture"
+    return written(as_json, out, count, about, captures=len(readers), dropped_at_capture=dropped)
 
 
 @load.command()
 @fleet_option
 @load_options
 @seed_option
+@click.option("--scenario", type=FILE, help="Releases and faults (TOML).")
+@click.option("--live/--no-live", help="Show it as it runs: a screen in a terminal, lines elsewhere.")
 @json_option
 @guarded
 def run(
-    fleet: Path, load: Path | None, profile: str, rate: float | None, seconds: float, seed: int, as_json: bool
-) -> int:
+    fleet: Path, load: Path | None, profile: str, rate: float | None, seconds: float, seed: int,
+    scenario: Path | None, live: bool, as_json: bool,
+) -> int:  # fmt: skip
     """Play a load on loopback: real gateways before stand-in servers. Exit code 3 if the rig was the
     limit."""
     from meadowpulley.cli.capacity import load_spec
+    from meadowpulley.cli.view import play_rig
     from meadowpulley.rig import RigError, RigPlan, run_rig
 
     described = read_fleet(fleet)
@@ -170,7 +187,8 @@
             f"--seconds: {spec.seconds:g} is more than {LONGEST_S:g} on loopback; play a part of it"
         )
     try:
-        found = run_rig(RigPlan(described, spec, seed, seed))
+        plan = RigPlan(described, spec, seed, seed, read_scenario(scenario, described))
+        found = play_rig(plan) if live else run_rig(plan)
     except RigError as error:
         raise InputError(f"the rig: {error}") from None
     if as_json:
@@ -213,10 +231,12 @@
 )
 @seed_option
 @click.option("--out", type=FILE, required=True)
+@json_option
 @guarded
 def edit(
-    load_files: tuple[Path, ...], scale: float, stretch: float, pause_ms: float, seed: int, out: Path
-) -> int:
+    load_files: tuple[Path, ...], scale: float, stretch: float, pause_ms: float, seed: int, out: Path,
+    as_json: bool,
+) -> int:  # fmt: skip
     """Splice loads one behind another, scaled and stretched."""
     if out.resolve() in [p.resolve() for p in load_files]:
         raise InputError(f"{out}: is one of the loads that are read; name another file")
@@ -228,5 +248,4 @@
         arrivals = scaled(arrivals, scale, seed)
     source = f"{' + '.join(p.name for p in load_files)}, scale {scale:g}, stretch {stretch:g}, seed {seed}"
     count = write_load(writable(out), arrivals, Header(source=source))
-    console().print(f"{out}: {count} arrivals")
-    return GOOD
+    return written(as_json, out, count, source, source=source)
--- a/meadowpulley/cli/screen.py
+++ b/meadowpulley/cli/screen.py
@@ -3,25 +3,25 @@
 from __future__ import annotations
 
 import time
-from typing import ClassVar
+from typing import ClassVar, TypeVar
 
 from textual.app import App, ComposeResult
 from textual.binding import BindingType
 from textual.containers import Horizontal, Vertical
 from textual.widgets import DataTable, Footer, Header, RichLog, Static
 
-from meadowpulley.cli.view import bar, stage_text
-from meadowpulley.emulator import Result, World
-from meadowpulley.interface import ServerState
+from meadowpulley.cli.view import bar, snapshot
+from meadowpulley.emulator import Result, Snapshot, World, new_events, stage_text
+from meadowpulley.rig import Measured, RigError, RigPlan, run_rig
 
 FRAMES_PER_S = 8.0
 PACES = (0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0)
 COLUMNS = ("server", "site", "kind", "build", "state", "slots in use", "waiting", "warm", "served")
+R = TypeVar("R")
 
 
-class RunScreen(App[Result]):
-    """Plays a world, `pace` seconds of it in one of real time. The result is what it ends with, whole or
-    not."""
+class Screen(App[R]):
+    """Shows snapshots of a run; what plays it, and what it ends with, is its kinds' own."""
 
     TITLE = "meadowpulley"
     CSS = """
@@ -31,20 +31,11 @@
     #answers { height: auto; padding: 0 1; }
     #log { height: 1fr; }
     """
-    BINDINGS: ClassVar[list[BindingType]] = [
-        ("q", "leave", "End"),
-        ("space", "pause", "Pause"),
-        ("plus,equals_sign", "faster", "Faster"),
-        ("minus", "slower", "Slower"),
-    ]
+    BINDINGS: ClassVar[list[BindingType]] = [("q", "leave", "End")]
 
-    def __init__(self, world: World, pace: float) -> None:
+    def __init__(self) -> None:
         super().__init__()
-        self.world, self.pace = world, pace
-        self.paused = False
         self._shown = 0
-        self._last = time.monotonic()
-        self._due = world.clock.now
 
     def compose(self) -> ComposeResult:
         yield Header()
@@ -60,7 +51,74 @@
         table = self.query_one("#servers", DataTable)
         for column in COLUMNS:
             table.add_column(column, key=column)
-        self.show()
+        self.begin()
+
+    def begin(self) -> None:
+        raise NotImplementedError
+
+    def show(self, now: Snapshot) -> None:
+        self.sub_title = now.title
+        self.query_one("#stage", Static).update(f"{stage_text(now.servers)}\n{_rules(now)}")
+        self.query_one("#answers", Static).update(_answers(now))
+        self._show_servers(now)
+        log = self.query_one("#log", RichLog)
+        for line in new_events(now.servers.events, self._shown):
+            log.write(line)
+        self._shown = len(now.servers.events)
+
+    def _show_servers(self, now: Snapshot) -> None:
+        table = self.query_one("#servers", DataTable)
+        wanted = {str(s.number): s for s in now.servers.servers}
+        there = {str(k.value) for k in table.rows}
+        for key in there - set(wanted):
+            table.remove_row(key)
+        for key, s in wanted.items():
+            colour = {"down": "red", "draining": "yellow"}.get(s.state, "green")
+            cells = (
+                key, s.site, s.kind, str(s.build), f"[{colour}]{s.state}[/]",
+                f"{bar(s.slots, 16)} {s.slots:4.0%}", str(s.waiting), f"{s.warm:.0%}", str(s.served),
+            )  # fmt: skip
+            if key in there:
+                for column, cell in zip(COLUMNS, cells, strict=True):
+                    table.update_cell(key, column, cell)
+            else:
+                table.add_row(*cells, key=key)
+
+
+def _rules(now: Snapshot) -> str:
+    if now.broken is None:
+        return "[dim]rules are checked at its end[/]"
+    return "[green]all rules kept[/]" if not now.broken else f"[red]rules broken: {now.broken}[/]"
+
+
+def _answers(now: Snapshot) -> str:
+    lines = []
+    for c in now.classes:
+        lines.append(f"[b]{c.name}[/b]  worth {100 * c.worth:.2f}%")
+        lines.append(f"  {c.asked} asked, {c.in_aim} in aim, {c.late} late")
+        lines.append(f"  {c.refused} refused, {c.failed} failed, p99 {c.p99_ms:.0f} ms")
+    return "\n".join(lines)
+
+
+class RunScreen(Screen[Result]):
+    """Plays a world, `pace` seconds of it in one of real time. The result is what it ends with, whole or
+    not."""
+
+    BINDINGS: ClassVar[list[BindingType]] = [
+        ("space", "pause", "Pause"),
+        ("plus,equals_sign", "faster", "Faster"),
+        ("minus", "slower", "Slower"),
+    ]
+
+    def __init__(self, world: World, pace: float) -> None:
+        super().__init__()
+        self.world, self.pace = world, pace
+        self.paused = False
+        self._last = time.monotonic()
+        self._due = world.clock.now
+
+    def begin(self) -> None:
+        self.show_world()
         self.set_interval(1 / FRAMES_PER_S, self.step)
 
     def step(self) -> None:
@@ -76,59 +134,18 @@
                 self.exit(self.world.finish())
                 return
         self.world.run_until(self._due)
-        self.show()
-
-    def show(self) -> None:
-        world = self.world
-        self.sub_title = f"{world.fleet.name}, {world.clock.now / 1000:.1f} s, {self.pace:g} x" + (
-            ", paused" if self.paused else ""
-        )
-        self.query_one("#stage", Static).update(f"{stage_text(world)}\n{self._rules()}")
-        self.query_one("#answers", Static).update(self._answers())
-        table = self.query_one("#servers", DataTable)
-        wanted = {str(h.entry.server): h for h in world.hosts.values()}
-        for key in [str(k.value) for k in table.rows if str(k.value) not in wanted]:
-            table.remove_row(key)
-        there = {str(k.value) for k in table.rows}
-        for key, h in wanted.items():
-            m = h.machine
-            state = "down" if not h.up else h.entry.state.name.lower()
-            colour = "red" if not h.up else "yellow" if h.entry.state is ServerState.DRAINING else "green"
-            share = len(m.running) / m.kind.slots
-            cells = (
-                key, world.fleet.sites[h.entry.zone].name, m.kind.name, str(h.entry.build),
-                f"[{colour}]{state}[/]", f"{bar(share, 16)} {share:4.0%}", str(len(m.waiting)),
-                f"{m.warmth(world.clock.now):.0%}", str(h.served),
-            )  # fmt: skip
-            if key in there:
-                for column, cell in zip(COLUMNS, cells, strict=True):
-                    table.update_cell(key, column, cell)
-            else:
-                table.add_row(*cells, key=key)
-        log = self.query_one("#log", RichLog)
-        for at, what in world.result.events[self._shown :]:
-            if "votes none" not in what:
-                log.write(f"{at / 1000:6.1f} s  {what}")
-        self._shown = len(world.result.events)
-
-    def _rules(self) -> str:
-        counts = self.world.checker.counts
-        return "[green]all rules kept[/]" if not counts else f"[red]rules broken: {dict(counts)}[/]"
-
-    def _answers(self) -> str:
-        lines = []
-        for c in self.world.result.classes:
-            lines.append(f"[b]{c.name}[/b]  worth {100 * c.worth_share:.2f}%")
-            lines.append(f"  {c.asked} asked, {c.in_aim} in aim, {c.late} late")
-            lines.append(f"  {c.refused} refused, {c.failed} failed, p99 {c.latency_ms(99):.0f} ms")
-        return "\n".join(lines)
+        self.show_world()
+
+    def show_world(self) -> None:
+        self.show(snapshot(self.world))
+        self.sub_title += f", {self.pace:g} x" + (", paused" if self.paused else "")
 
     def action_leave(self) -> None:
         self.exit(self.world.finish())
 
     def action_pause(self) -> None:
         self.paused = not self.paused
-        self.show()
+        self.show_world()
 
     def action_faster(self) -> None:
         self.pace = next((p for p in PACES if p > self.pace), self.pace)
@@ -137,7 +154,43 @@
         self.pace = next((p for p in reversed(PACES) if p < self.pace), self.pace)
 
 
+class RigScreen(Screen[Measured | RigError]):
+    """Shows a run on loopback, which plays in a thread of its own."""
+
+    def __init__(self, plan: RigPlan) -> None:
+        super().__init__()
+        self.plan = plan
+        self.ended = False
+
+    def begin(self) -> None:
+        self.sub_title = "loopback: starting stand-ins and gateways"
+        self.run_worker(self._play, thread=True)
+
+    def _play(self) -> None:
+        found: Measured | RigError
+        try:
+            found = run_rig(self.plan, self._watch)
+        except RigError as error:
+            found = error
+        self.call_from_thread(self.exit, found)
+
+    def _watch(self, now: Snapshot) -> bool:
+        self.call_from_thread(self.show, now)
+        return not self.ended
+
+    def action_leave(self) -> None:
+        self.ended = True
+
+
 def play_on_screen(world: World, pace: float) -> Result:
     """Plays a world on the live screen. Ended early, the result is what there was until then."""
     result = RunScreen(world, pace).run()
     return result if result is not None else world.finish()
+
+
+def play_rig_on_screen(plan: RigPlan) -> Measured:
+    """Plays a plan on loopback on the live screen. Raises RigError, also where it was ended early."""
+    found = RigScreen(plan).run()
+    if isinstance(found, Measured):
+        return found
+    raise found if found is not None else RigError("the screen ended before the run did")
--- a/meadowpulley/emulator/__init__.py
+++ b/meadowpulley/emulator/__init__.py
@@ -4,7 +4,8 @@
 warm-up and falling over), `builds` (what a release does to the machines that run it), `scenario` (the file
 that says what happens in a run), `faults` (troubles put on and taken off), `network`, `discovery`,
 `platform`, `clients` (the parties around a gateway), `gateway` (hosts one real `Balancer`), `world` (all of
-them together) and `results` (what came of it). No part does I/O or reads a clock.
+them together), `results` (what came of it) and `snapshot` (what a run looks like at one moment). No part does
+I/O or reads a clock.
 """
 
 from meadowpulley.emulator.builds import Build
@@ -12,10 +13,21 @@
 from meadowpulley.emulator.machine import Job, Machine
 from meadowpulley.emulator.results import ClassResult, Result, ServerResult
 from meadowpulley.emulator.scenario import Fault, Release, Scenario, parse_scenario
+from meadowpulley.emulator.snapshot import (
+    ClassNow,
+    ServerNow,
+    ServersNow,
+    Snapshot,
+    classes_now,
+    new_events,
+    servers_now,
+    stage_text,
+)
 from meadowpulley.emulator.world import World, emulate
 
 __all__ = [
     "Build",
+    "ClassNow",
     "ClassResult",
     "Clock",
     "Fault",
@@ -24,9 +36,16 @@
     "Release",
     "Result",
     "Scenario",
+    "ServerNow",
     "ServerResult",
+    "ServersNow",
+    "Snapshot",
     "Streams",
     "World",
+    "classes_now",
     "emulate",
+    "new_events",
     "parse_scenario",
+    "servers_now",
+    "stage_text",
 ]
--- a/meadowpulley/emulator/gateway.py
+++ b/meadowpulley/emulator/gateway.py
@@ -235,6 +235,8 @@
         build = host.entry.build if host is not None else 0
         world.record(Sent(now, self.number, action.request, n, action.server, build))
         self.attempts += 1
+        if host is not None:
+            world.result.sent(now, host.entry.zone)
         if until < held.deadline:
             world.clock.at(until, self._this_life(partial(self._end, attempt, i.Result.TIMEOUT)))
         if host is None:
--- a/meadowpulley/emulator/results.py
+++ b/meadowpulley/emulator/results.py
@@ -102,6 +102,7 @@
     stage: int = 0
     phase: str = ""
     build: int = 0
+    sent: list[int] = field(default_factory=list)  # attempts, by the site of the server they went to
 
 
 class Result:
@@ -167,6 +168,15 @@
         second.late += not in_aim
         second.worth_got += got
 
+    # What gateways tell
+
+    def sent(self, at: float, site: int) -> None:
+        """An attempt begins, at a server of this site."""
+        counts = self.second(at).sent
+        if not counts:
+            counts.extend([0] * len(self.fleet.sites))
+        counts[site] += 1
+
     # What it comes to
 
     @property
--- a/meadowpulley/experiment/cells.py
+++ b/meadowpulley/experiment/cells.py
@@ -83,6 +83,7 @@
     figures: dict[str, float]
     broken: dict[str, int]
     seconds: tuple[tuple[float, ...], ...] = ()  # asked, in aim, late, refused, failed, worth share
+    sent: tuple[tuple[int, ...], ...] = ()  # attempts by second and by the site of the server
 
 
 class Unrefusing(Balancer):
@@ -142,6 +143,7 @@
         )
         for s in result.seconds
     )
-    return Row(
-        cell.key, cell.name, cell.seed, metrics(result), dict(result.broken), seconds if timeline else ()
-    )
+    row = Row(cell.key, cell.name, cell.seed, metrics(result), dict(result.broken))
+    if not timeline:
+        return row
+    return msgspec.structs.replace(row, seconds=seconds, sent=tuple(tuple(s.sent) for s in result.seconds))
--- a/meadowpulley/report/capacity.py
+++ b/meadowpulley/report/capacity.py
@@ -102,14 +102,15 @@
 def site_page(fleet: Fleet, demand: Demand, losses: Sequence[SiteLoss]) -> Page:
     rows = [
         [
-            f.site, _pct(f.capacity_share), _pct(f.rest), _pct(f.refused_theory), _pct(f.worth_before[0], 2),
+            f.site, _pct(f.capacity_share), _pct(f.spilled[0]), _pct(f.rest), _pct(f.refused_theory),
+            _pct(f.worth_before[0], 2),
             _pct(f.worth_settled[0], 2), _pct(f.worth_after[0], 2),
             ", ".join(f"{n} {kind}" for kind, n in f.more.items() if n) or "none", str(f.pushed_over),
         ]
         for f in losses
     ]  # fmt: skip
-    columns = ["site", "spills", "rest busy", "too much", "worth before", "once settled", "at its return",
-               "more servers, of either kind", "pushed over"]  # fmt: skip
+    columns = ["site", "spills", "measured", "rest busy", "too much", "worth before", "once settled",
+               "at its return", "more servers, of either kind", "pushed over"]  # fmt: skip
     away = (BEFORE_S, BEFORE_S + AWAY_S, "away")
     charts = [_timeline(f"Without {f.site}", f.timeline, [away]) for f in losses]
     summary = [f"{demand.busy_per_s:.1f} requests a second; a site vanishes without a word and returns cold."]
@@ -141,6 +142,18 @@
         Section("What it does", (), [TableOf(["", "with refusals", "without"], rows)], charts)])  # fmt: skip
 
 
+def rig_page(title: str, found: Measured) -> Page:
+    """A run on loopback: what clients saw, second by second, and where the builds stood."""
+    rows = [[name, f"{value:.5g}"] for name, value in sorted(found.figures.items())]
+    stages = [[f"{at / 1000:.1f}", str(b), str(s + 1), phase] for at, b, s, phase in found.stages]
+    kept = f"Rules broken: {found.broken}." if found.broken else "All rules were kept."
+    return Page(title, [kept, *(f"The rig was the limit: {text}." for text in found.limits)], [
+        Section("Builds", (), [TableOf(["second", "build", "stage", "phase"], stages)],
+                [_timeline("Answers", found.seconds, [])]),
+        Section("What clients saw", (), [TableOf(["figure", "value"], rows)], []),
+    ])  # fmt: skip
+
+
 def verify_page(
     name: str, seed: int, part: float, cases: Sequence[Case], measured: Sequence[Measured], verdict: Verdict
 ) -> Page:  # fmt: skip
--- a/meadowpulley/rig/driver.py
+++ b/meadowpulley/rig/driver.py
@@ -10,7 +10,7 @@
 import msgspec
 from twisted.python.failure import Failure
 
-from meadowpulley.emulator import Result, Streams
+from meadowpulley.emulator import Result, Streams, classes_now
 from meadowpulley.emulator.clients import Clients, Front, Try
 from meadowpulley.emulator.network import Network
 from meadowpulley.experiment.cells import metrics
@@ -19,7 +19,7 @@
 from meadowpulley.net.link import Link, connect
 from meadowpulley.rig.clock import RealClock
 from meadowpulley.rig.reactor import install
-from meadowpulley.rig.told import ClientsTold, Job, id_of, take_orders
+from meadowpulley.rig.told import ClientsNow, ClientsTold, Job, id_of, take_orders, tell_live
 from meadowpulley.rig.trace import Tape
 from meadowpulley.rules import Answered, Taken
 
@@ -145,6 +145,7 @@
             self.clock, streams.of("clients"), plan.fleet, network, load, self._fronts, self.result
         )
         self.clock.after(LOOK_MS, self._look)
+        tell_live(job, self.clock, lambda: ClientsNow(classes_now(self.result)))
 
     def fault(self, text: str) -> None:
         if len(self.errors) < ERRORS:
--- a/meadowpulley/rig/processes.py
+++ b/meadowpulley/rig/processes.py
@@ -13,14 +13,16 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
+from meadowpulley.emulator import ServersNow, Snapshot
 from meadowpulley.fleet import settings_object
-from meadowpulley.rig.told import ClientsTold, Job, Ports, RigPlan, ServersTold
+from meadowpulley.rig.told import ClientsNow, ClientsTold, Job, Ports, RigPlan, ServersTold
 from meadowpulley.rig.trace import check
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -29,9 +31,13 @@
 NOT_PLAYED = ("site_cut", "vanish", "peers_lost", "gateway_crash")  # loopback has no distances, nor silence
 GRACE_S = 20.0  # beyond the load's end, until the driver is ended
 FULL = 0.75  # of a core: a process of the rig that used more was itself a limit
+LIVE_MS = 250.0  # how often a run that is watched tells of itself
 LATE_MS = 20.0  # the 99th percentile of how late the rig's own calls may come
 
 
+Watch = Callable[[Snapshot], bool]
+
+
 class RigError(RuntimeError):
     """The rig could not be set up; the text says why in one line."""
 
@@ -158,8 +164,45 @@
     return found
 
 
-def run_rig(plan: RigPlan) -> Measured:
-    """Plays a plan on loopback, from nothing to nothing. Raises RigError where it could not be set up."""
+class _Live:
+    """Reads what the rig's processes tell while they run: the last whole line of each."""
+
+    def __init__(self, folder: Path, title: str, watch: Watch) -> None:
+        self.folder, self.title, self.watch = folder, title, watch
+
+    def _last(self, what: str) -> bytes:
+        try:
+            lines = (self.folder / f"{what}.out.live").read_bytes().split(b"\n")
+        except OSError:
+            return b""
+        return lines[-2] if len(lines) > 1 else b""
+
+    def show(self) -> bool:
+        """False once whoever watches wants it ended."""
+        servers, clients = self._last("standins"), self._last("driver")
+        if not servers or not clients:
+            return True
+        now = msgspec.json.decode(servers, type=ServersNow)
+        classes = msgspec.json.decode(clients, type=ClientsNow).classes
+        return self.watch(Snapshot(self.title, now, classes))
+
+
+def _wait(driver: subprocess.Popen[bytes], limit_s: float, live: _Live | None) -> None:
+    until = time.monotonic() + limit_s
+    while True:
+        try:
+            driver.wait(limit_s if live is None else LIVE_MS / 1000)
+            return
+        except subprocess.TimeoutExpired:
+            if time.monotonic() >= until:
+                raise RigError("the driver did not end in time") from None
+            if live is not None and not live.show():
+                raise RigError("it was ended before its end; there are no results") from None
+
+
+def run_rig(plan: RigPlan, watch: Watch | None = None) -> Measured:
+    """Plays a plan on loopback, from nothing to nothing. `watch` is shown the run four times a second, and
+    ends it by returning False. Raises RigError where it could not be set up, or was ended."""
     for fault in plan.scenario.faults:
         if fault.kind in NOT_PLAYED:
             raise RigError(f"fault '{fault.kind}' can't be played on loopback; emulate it")
@@ -181,7 +224,8 @@
             return process
 
         def order(process: subprocess.Popen[bytes], what: str, origin: float) -> None:
-            job = Job(plan, ports, origin, str(folder / f"{what}.out"))
+            every = LIVE_MS if watch is not None else 0.0
+            job = Job(plan, ports, origin, str(folder / f"{what}.out"), every)
             path = folder / f"{what}.json"
             path.write_bytes(msgspec.json.encode(job))
             assert process.stdin is not None
@@ -207,11 +251,9 @@
             order(driver, "driver", origin)
             time.sleep(max(origin - time.monotonic(), 0.0))
             began = [g.cpu_s() for g in gateways]
-            limit = plan.load.seconds + GRACE_S
-            try:
-                driver.wait(limit)
-            except subprocess.TimeoutExpired:
-                raise RigError("the driver did not end in time") from None
+            title = f"{plan.fleet.name} on loopback, seed {plan.seed}"
+            live = _Live(folder, title, watch) if watch is not None else None
+            _wait(driver, plan.load.seconds + GRACE_S, live)
             lasted = time.monotonic() - origin
             cpu = [(g.cpu_s() - b) / lasted for g, b in zip(gateways, began, strict=True)]
             memory = [g.memory_mb() for g in gateways]
--- a/meadowpulley/rig/standins.py
+++ b/meadowpulley/rig/standins.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from meadowpulley import interface as i
-from meadowpulley.emulator import Result, Streams
+from meadowpulley.emulator import Result, Streams, servers_now
 from meadowpulley.emulator.clock import between
 from meadowpulley.emulator.faults import Faults
 from meadowpulley.emulator.network import Network
@@ -28,7 +28,7 @@
 from meadowpulley.net.slots import Slots
 from meadowpulley.rig.clock import RealClock
 from meadowpulley.rig.reactor import install
-from meadowpulley.rig.told import Job, ServersTold, name_of, news_object, request_of, take_orders
+from meadowpulley.rig.told import Job, ServersTold, name_of, news_object, request_of, take_orders, tell_live
 from meadowpulley.rig.trace import UNKNOWN, Tape
 from meadowpulley.rules import KeyAnswered, Listed, News, Outcome, Record, Sent, Started
 
@@ -355,6 +355,7 @@
             reactor.listenTCP(ports.platform[number], LinkFactory(make), BACKLOG, self.host)
         self.clock.at(0.0, self._begin_run)
         self._alive()
+        tell_live(self.job, self.clock, lambda: servers_now(self))
         told = {"known": self.listed(self.discovery.known(), True), "news": news_object(self.platform.news())}
         print(json.dumps(told), flush=True)
 
--- a/meadowpulley/rig/told.py
+++ b/meadowpulley/rig/told.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import msgspec
 from msgspec import Struct
 
-from meadowpulley.emulator import Scenario
+from meadowpulley.emulator import ClassNow, Scenario
 from meadowpulley.experiment.cells import LoadSpec
 from meadowpulley.fleet import Fleet
 
@@ -43,6 +44,7 @@
     ports: Ports
     origin: float
     out: str
+    live_ms: float = 0.0  # how often it tells what there is so far, a line each in `out`.live; 0: never
 
 
 class ServersTold(Struct):
@@ -59,6 +61,12 @@
     errors: list[str]
 
 
+class ClientsNow(Struct):
+    """From the driver, while it runs."""
+
+    classes: tuple[ClassNow, ...]
+
+
 class ClientsTold(Struct):
     """From the driver, at its end."""
 
@@ -70,6 +78,20 @@
     errors: list[str]
 
 
+def tell_live(job: Job, clock: Any, now: Callable[[], Struct]) -> None:
+    """Writes what `now` says as a line every `live_ms`, if the job asks for it."""
+    if job.live_ms <= 0:
+        return
+    path = Path(job.out + ".live")
+
+    def tell() -> None:
+        with path.open("ab") as file:
+            file.write(msgspec.json.encode(now()) + b"\n")
+        clock.after(job.live_ms, tell)
+
+    clock.at(0.0, tell)
+
+
 def number_of(name: str) -> int:
     """The server's number in its name."""
     return int(name.rpartition("-")[2])
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -173,6 +173,7 @@
     loss = lose_site(f, load, d, "west", (1, 2), workers=1)
     assert loss.capacity_share == pytest.approx(0.5) and loss.rest == pytest.approx(2 * d.busy_utilisation)
     assert loss.pushed_over == 0 and not loss.saturates
+    assert loss.spilled[1] <= loss.spilled[0] <= loss.spilled[2] and abs(loss.spilled[0] - 0.5) < 0.15
     assert loss.worth_before[0] > 0.98 and loss.worth_settled[0] > 0.9
     assert loss.worth_away[0] < loss.worth_before[0]
     heavy = spec(90.0)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -40,6 +40,15 @@
     assert "## Answers" in report.read_text() and list(tmp_path.glob("r-*.png"))
 
 
+def test_a_load_that_was_written_is_told_as_json(tmp_path: Path) -> None:
+    one, two = tmp_path / "one.jsonl", tmp_path / "two.jsonl"
+    done = run("load", "synth", "--fleet", FLEET, "--rate", 20, "--seconds", 3, "--out", one, "--json")
+    told = json.loads(done.stdout)
+    assert told["file"] == str(one) and told["arrivals"] == len(one.read_bytes().splitlines()) - 1 > 20
+    again = json.loads(run("load", "edit", one, one, "--out", two, "--json").stdout)
+    assert again["arrivals"] == 2 * told["arrivals"]
+
+
 def test_options_are_variables_too() -> None:
     told = {
         "MEADOWPULLEY_EMULATE_FLEET": FLEET,
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -18,7 +18,7 @@
 from meadowpulley.capacity.verify import Compared, Verdict, compare, make_cases, scaled_fleet
 from meadowpulley.cli import main
 from meadowpulley.cli.demo import demo_fleet
-from meadowpulley.cli.screen import RunScreen
+from meadowpulley.cli.screen import RigScreen, RunScreen
 from meadowpulley.emulator import Build, Fault, Release, Scenario, World
 from meadowpulley.experiment import LoadSpec
 from meadowpulley.load import PROFILES, read_load, synthesize
@@ -188,6 +188,27 @@
     assert app.return_value is not None and app.return_value.asks == world.result.asks
 
 
+def test_a_run_on_loopback_is_shown_while_it_runs_and_can_be_ended() -> None:
+    f, near = fleet(), fleet().network
+    f = replace(f, network=replace(near, same_site_ms=0.05, cross_site_ms=0.05, client_ms=0.0))
+    app = RigScreen(RigPlan(f, LoadSpec(per_s=20.0, seconds=30.0), 1, 1))
+    rows: list[int] = []
+
+    async def watch() -> None:
+        async with app.run_test(size=(140, 40)) as pilot:
+            table = app.query_one("#servers")
+            while not (table.row_count and "asked" in str(app.query_one("#answers").render())):  # type: ignore[attr-defined]
+                await pilot.pause(0.05)
+            rows.append(table.row_count)  # type: ignore[attr-defined]
+            await pilot.press("q")
+            while app.return_value is None:
+                await pilot.pause(0.05)
+
+    asyncio.run(watch())
+    assert rows == [len(f.machines())]
+    assert isinstance(app.return_value, RigError) and "ended before its end" in str(app.return_value)
+
+
 def test_a_run_on_the_live_screen_goes_to_its_end() -> None:
     f = demo_fleet()
     world = World(f, synthesize(f, PROFILES["steady"], 20.0, 2.0, 1), 1)
