--- a/meadowpulley/check/connection.py
+++ b/meadowpulley/check/connection.py
@@ -78,7 +78,7 @@
 }  # fmt: skip
 SKIP = {
     "Gateway": frozenset({"config", "log", "_reread", "counters", "_actions", "capture"}),
-    "Balancer": frozenset({"s", "rules", "roll", "handlers", "acts", "many", "z", "needed"}),
+    "Observed": frozenset({"s", "rules", "roll", "handlers", "acts", "many", "z", "needed"}),
     "Held": frozenset({"cls"}),
     "Deadlines": frozenset({"_numbers", "_called_off", "_armed", "_armed_for", "_failed", "turned_at"}),
     "Connection": frozenset({"setting", "scene", "broken", "heard", "log"}),
@@ -96,12 +96,30 @@
     },
     {
         "Ring": lambda w, ring: ("ring", ring.bound, ring.peek(len(ring))),
+        # by value: which parsers share the message that stands for none says nothing
+        "Message": lambda w, m: ("message", m.method, m.target, m.status, w.walk(m.headers), m.body),
         "Failure": lambda w, failure: ("failure", failure.type.__name__),
     },
 )
 _COPIER = Copier()
 
 
+class Observed(Balancer):
+    """The real decisions; each attempt's outcomes are counted on their way in."""
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.ended: set[tuple[int, int]] = set()
+        self.twice: list[tuple[int, int]] = []
+
+    def handle(self, now: float, event: i.Event) -> list[i.Action]:
+        if isinstance(event, i.Outcome):
+            if (event.request, event.attempt) in self.ended:
+                self.twice.append((event.request, event.attempt))
+            self.ended.add((event.request, event.attempt))
+        return super().handle(now, event)
+
+
 class Log:
     """In place of the log: what was an error is kept."""
 
@@ -143,7 +161,9 @@
     """Where a message is cut: after its first byte, around each end of its start line and head, in its
     body."""
     line, head = data.find(b"\r\n"), data.find(b"\r\n\r\n")
-    places = {1, line + 1, line + 2, head + 2, head + 3, head + 4, (head + 4 + len(data)) // 2, len(data)}
+    tail = {len(data) - k for k in (7, 6, 1) if len(data) - k > head + 4}  # around a chunk's end
+    middle = (head + 4 + len(data)) // 2
+    places = tail | {1, line + 1, line + 2, head + 2, head + 3, head + 4, middle, len(data)}
     return tuple(sorted(p for p in places if 0 < p <= len(data)))
 
 
@@ -217,15 +237,9 @@
         config = Config(
             "g0", ("127.0.0.1", 9000), DISCOVERY, None, 7, KEPT_BACK + self.scene.size, settings, news, known
         )
+        log: Any = self.log
         self.reloads: list[Config | None] = []  # what the next reload finds; None: no file that can be used
-        self.gateway = Gateway(
-            config,
-            self.reactor,
-            self.log,
-            Balancer,
-            self._reread,
-            self._now,  # type: ignore[arg-type]
-        )
+        self.gateway = Gateway(config, self.reactor, log, Observed, self._reread, self._now)
         self.gateway.start()
         scripts = [self.scene.scripts[n % len(self.scene.scripts)] for n in range(setting.requests)]
         self.clients = [Client(n, script) for n, script in enumerate(scripts[: max(setting.requests, 1)])]
@@ -342,8 +356,11 @@
 
     def take(self, step: Step) -> tuple[Sequence[int], Sequence[int]]:
         self.heard = []
-        getattr(self, f"_do_{step.do}")(*step.who)
-        self.reactor.run_due()
+        try:
+            getattr(self, f"_do_{step.do}")(*step.who)
+            self.reactor.run_due()
+        except Exception as error:  # the reactor would log it, and end the connection
+            self._fail("logged", f"{type(error).__name__}: {error}")
         self._look()
         return (), ()
 
@@ -375,7 +392,8 @@
 
     def _do_jam(self, side: str, n: int) -> None:
         self.troubles -= 1
-        self._wire(side, n).jammed = True
+        wire = self._wire(side, n)
+        wire.jammed = wire.was_jammed = True
 
     def _do_flow(self, side: str, n: int) -> None:
         self._wire(side, n).flow()
@@ -463,7 +481,10 @@
         for text in self.log.errors:
             self._fail("logged", text)
         self.log.errors = []
-        counters = self.gateway.counters
+        counters, balancer = self.gateway.counters, self.gateway.balancer
+        for request, attempt in balancer.twice:
+            self._fail("outcomes", f"attempt {attempt + 1} of request {request} ended twice")
+        balancer.twice.clear()
         if counters["out.second_answers"]:
             self._fail("answers", "a second final answer was tried")
         if counters["out.overdue"]:
@@ -489,6 +510,10 @@
                 text = f"client {c.number}: answer {n + 1} is {answer.body!r}, not {wanted}"
                 self._fail("connection", text)
         for n in range(c.answers, len(answers)):
+            status = answers[n].status
+            slow = status == 408 and (c.at <= n or c.wire.was_jammed)  # it really had not come whole
+            if 400 <= status < 500 and c.kinds[n] != "garbage" and not slow:
+                self._fail("connection", f"client {c.number}: its sound request {n + 1} got {status}")
             self.heard.append(("gateway", f"client {c.number}", f"answers {answers[n].status}"))
         c.answers = len(answers)
 
@@ -500,6 +525,13 @@
                 if request.method == "POST" and n not in turned:
                     name = request.headers.get(names.ID, "")
                     ran[name] = ran.get(name, 0) + 1
+        refused = {
+            c.names[n] for c in self.clients if c.wire is not None
+            for n, m in enumerate([m for m in parse(c.wire.sent, False)[0] if m.status >= 200])
+            if m.status == 503 and n < len(c.names)
+        }  # fmt: skip
+        for name in sorted(refused & set(ran)):
+            self._fail("effects", f"request {name} came whole to an instance and was refused")
         for name, count in ran.items():
             if count > 1:
                 self._fail("executed", f"request {name} came whole to instances {count} times")
--- a/meadowpulley/check/decisions.py
+++ b/meadowpulley/check/decisions.py
@@ -24,6 +24,7 @@
     CLASSES,
     EARLIER,
     EPSILON_MS,
+    LATER_MS,
     RULES,
     SCENES,
     TRIAL,
@@ -309,6 +310,12 @@
                 found.append(asked.deadline + slack)
         return min(found, default=math.inf)
 
+    def last_due(self) -> float:
+        """By when all that is owed is over; 0 where nothing is."""
+        slack = self.settings.rules.answer_slack_ms
+        waits = [a.deadline + slack for a in self.asked.values()]
+        return max([*waits, *(at for at, _ in self.answers_due), *self.timers[:1]], default=0.0)
+
     def run_due(self, world: Decisions) -> None:
         """What is due now: attempts end at their request's deadline, then timers, then what is overdue."""
         now, slack = world.now, self.settings.rules.answer_slack_ms
@@ -521,12 +528,13 @@
             places = [(edge, "at")]
             if name not in ("timer", "cold"):
                 places = [(edge - EPSILON_MS, "before"), *places, (edge + EPSILON_MS, "after")]
+            if name == "window":  # what counts generously has let go by then
+                places.append((edge + LATER_MS, "later"))
             for at, place in places:
                 if at > self.now and at not in found:
                     found[at] = (at, name, place)
-        due = max([h.next_due() for h in self.hosts if h.next_due() < math.inf], default=self.now)
-        end = max(last, due) + EPSILON_MS
-        if end not in found and (last > self.now or due > self.now):
+        end = max([last, *(h.last_due() for h in self.hosts)]) + EPSILON_MS
+        if end not in found and end > self.now + EPSILON_MS:
             found[end] = (end, "end", "after")
         return sorted(found.values())
 
@@ -821,7 +829,7 @@
         server = world.hosts[who[0]].asked[who[1]].out[who[2]].server
         return f"server {server} {WORDS[who[3]]}: request {who[1]} of gateway {who[0]}"
     if step.do == "wait":
-        place = {"before": "just before", "at": "to", "after": "just past"}[who[1]]
+        place = {"before": "just before", "at": "to", "after": "just past", "later": "well past"}[who[1]]
         return f"time goes on {place} the next {who[0]}"
     if step.do == "news":
         return f"gateway {who[0]} hears: {_news_text(world.hosts[who[0]].news_due[who[1]])}"
--- a/meadowpulley/check/explore.py
+++ b/meadowpulley/check/explore.py
@@ -207,9 +207,14 @@
             self._pool = ProcessPoolExecutor(workers, context, _start, (setting, mutant))
         else:
             _start(setting, mutant)
+            self._own = _expander
 
     def map(self, call: Callable[[Any], Any], tasks: Iterable[Any]) -> Iterable[Any]:
-        return self._pool.map(call, tasks) if self._pool is not None else map(call, tasks)
+        global _expander
+        if self._pool is not None:
+            return self._pool.map(call, tasks)
+        _expander = self._own
+        return map(call, tasks)
 
     def close(self) -> None:
         if self._pool is not None:
--- a/meadowpulley/check/mutants.py
+++ b/meadowpulley/check/mutants.py
@@ -12,6 +12,7 @@
 
 BALANCE, RECORDS = "meadowpulley.balance", "meadowpulley.records"
 DECISIONS = "meadowpulley.check.decisions"
+INSTANCES, CLIENTS = "meadowpulley.net.instances", "meadowpulley.net.clients"
 
 
 def _m(
@@ -21,6 +22,16 @@
     return Mutant(name, why, module, pieces, tuple(by.split()), scene, **more)
 
 
+def _n(
+    name: str, why: str, by: str, scene: str, module: str, *pieces: tuple[str, str], requests: int = 1,
+    troubles: int = 1, waits: int = 1, servers: int = 2,
+) -> Mutant:  # fmt: skip
+    caught = tuple(by.split())
+    return Mutant(
+        name, why, module, pieces, caught, scene, "connection", troubles, requests, 1, servers, waits
+    )
+
+
 _ALL = (
     # Answers
     _m("gone-kept", "a client that left is still served", "answers leftovers", "members",
@@ -114,31 +125,31 @@
        ("        self.window_taken[held.counted].add(self.now)\n",
         "        self.window_taken[held.counted].add(self.now)\n"
         "        self.window_taken[held.counted].add(self.now)\n"), requests=3),
-    _m("window-halved", "attempts are forgotten after half of the window", "exposure", "release",
+    _m("window-halved", "attempts are forgotten after half of the window", "exposure", "window",
        ("window = partial(Window, self.roll.exposure_window_ms)",
         "window = partial(Window, self.roll.exposure_window_ms / 2)"),
-       requests=2, troubles=1, waits=1),
-    _m("window-edge", "attempts are forgotten a little before the window's end", "exposure", "release",
+       requests=2, troubles=1, waits=1, servers=2),
+    _m("window-edge", "attempts are forgotten a little before the window's end", "exposure", "window",
        ("sent[held.counted].within(self.now, self.s.tick_ms)", "sent[held.counted].within(self.now, -2.0)"),
-       requests=2, troubles=1, waits=1),
-    _m("taken-too-long", "requests count for the cap after the window's end", "exposure", "release",
+       requests=2, troubles=1, waits=1, servers=2),
+    _m("taken-too-long", "requests count for the cap after the window's end", "exposure", "window",
        ("self.window_taken[held.counted].within(self.now, -self.s.tick_ms)",
         "self.window_taken[held.counted].within(self.now, 50.0)"),
-       requests=2, troubles=1, waits=1),
-    _m("lower-cap-missed", "a lower cap is not applied", "exposure", "release",
+       requests=2, troubles=1, waits=1, servers=2),
+    _m("lower-cap-missed", "a lower cap is not applied", "exposure", "grace",
        ("        self.told = n\n",
         "        if self.told is None or n.build > self.told.build or n.cap >= self.told.cap:\n"
         "            self.told = n\n"),
-       requests=2, troubles=1, waits=1),
+       requests=2, troubles=1, waits=1, servers=2),
     _m("unannounced-free", "a build not announced yet has no cap", "exposure", "guarded",
        ("else ((*self.roll.caps, 0.0)[0], 0)", "else (1.0, 9)"), requests=2),
     _m("guarded-open", "guarded stages take requests with an effect", "exposure", "guarded",
        ("if cap <= 0 or (stage < self.roll.guarded_stages and held.cls.effect is not i.Effect.SAFE):",
         "if cap <= 0:")),
-    _m("trial-is-service", "the build on trial counts as released", "exposure", "release",
+    _m("trial-is-service", "the build on trial counts as released", "exposure", "grace",
        ("return t is None or build > t.build or (build == t.build and t.phase is not i.Phase.RELEASED)",
         "return t is None or build > t.build"),
-       requests=2, troubles=1, waits=1),
+       requests=2, troubles=1, waits=1, servers=2),
     _m("classes-together", "classes are counted together where each has its cap", "exposure", "guarded",
        ("self.counted = r.cls if per_class else -1", "self.counted = -1"), module=RECORDS,
        requests=3, troubles=2, waits=0),
@@ -172,7 +183,7 @@
        requests=1, troubles=1, servers=1, waits=3),
     _m("list-never-asked-again", "a failed list call is not repeated", "timers", "members",
        ("self.ask_again_at = self.now + pause * (0.5 + self.rng.random())", "self.ask_again_at = math.inf"),
-       requests=1, troubles=1, servers=1, waits=2),
+       requests=0, troubles=2, servers=1, waits=2),
     _m("out-leaks", "a server's count of attempts out only grows", "leftovers", "attempts",
        ("server.out, held.out = server.out - 1, held.out - 1", "held.out = held.out - 1")),
     _m("attempt-limit", "one attempt too many", "attempts", "attempts",
@@ -182,7 +193,7 @@
        ("            server = self.servers.get(n)\n            if not server or",
         "            server = self.servers[n] if self.servers else None\n            if not server or")),
     # The check's own world
-    _m("host-ends-twice", "the host lets an attempt end again and again", "timers leftovers answers",
+    _m("host-ends-twice", "the host lets an attempt end again and again", "timers leftovers answers attempts",
        "attempts",
        ("        out = asked.out.pop(attempt)\n", "        out = asked.out[attempt]\n"),
        module=DECISIONS, requests=1, troubles=1, waits=1),
@@ -191,6 +202,76 @@
         "            if asked.out and asked.deadline < now - 50:\n"),
        ("            if asked.out:\n                found.append(asked.deadline)\n", ""),
        module=DECISIONS),
+    # Connections
+    _n("broken-never-ran", "a connection that breaks after the last byte counts as never used",
+       "executed effects", "unsafe", INSTANCES,
+       ("        self._end(attempt, i.Result.RESET if attempt.written else i.Result.CONNECT_FAILED)\n\n"
+        "    def garbage", "        self._end(attempt, i.Result.CONNECT_FAILED)\n\n    def garbage")),
+    _n("noise-never-ran", "noise in place of an answer counts as never run",
+       "executed effects", "noise", INSTANCES,
+       ("self._end(attempt, i.Result.RESET)\n", "self._end(attempt, i.Result.CONNECT_FAILED)\n")),
+    _n("silence-never-ran", "an attempt without an answer counts as never run",
+       "effects executed", "unsafe", INSTANCES,
+       ("i.Result.TIMEOUT if attempt.written else i.Result.CONNECT_FAILED", "i.Result.CONNECT_FAILED"),
+       waits=2),
+    _n("noise-behind-kept", "a connection with noise behind its answer is used again",
+       "connection logged", "pipelined", INSTANCES,
+       ("again = answer.keep_alive and attempt.written and not self.parser.begun",
+        "again = answer.keep_alive"),
+       servers=1),
+    _n("comes-up-late", "a connection that comes up after its time still carries the request",
+       "executed", "reuse", INSTANCES,
+       ("        if attempt.opening is not None:\n            attempt.opening.cancel()\n", ""),
+       ("        if attempt.ended:\n            link.drop()\n        elif link.up:", "        if link.up:"),
+       requests=2, waits=2),
+    _n("refused-leaks", "a refused connection keeps its place among the sockets",
+       "slots", "reuse", INSTANCES,
+       ("        attempt.opening = None\n        self.sockets -= 1\n        self._end",
+        "        attempt.opening = None\n        self._end"), requests=2, waits=2),
+    _n("closed-leaks", "a closed connection keeps its place among the sockets",
+       "slots", "reuse", INSTANCES,
+       ("        self.sockets -= 1\n        self.gateway.settled()", "        self.gateway.settled()")),
+    _n("ends-twice", "an attempt may end twice",
+       "outcomes answers slots", "reuse", INSTANCES,
+       ("        if attempt.ended:\n            return\n        attempt.ended = True",
+        "        attempt.ended = True"),
+       requests=2, waits=2, servers=2),
+    _n("slot-kept", "an answered request keeps its slot",
+       "slots", "split", CLIENTS,
+       ("            self.requests.free(taken.handle)\n", "            pass\n"), troubles=0),
+    _n("id-kept", "an answered request keeps its id",
+       "slots", "split", CLIENTS,
+       ("self.ids.pop(taken.message.headers[names.ID], None)", "pass"), troubles=0),
+    _n("gone-not-told", "a client that leaves keeps its request",
+       "slots answers", "split", CLIENTS,
+       ("            self._end(taken)\n            self.gateway.tell(i.RequestGone(taken.handle))\n", "")),
+    _n("deadline-not-kept", "attempts run on past the deadline",
+       "answers", "split", CLIENTS,
+       ("            self.gateway.instances.time_out(attempt)\n", "            pass\n"), troubles=0, waits=2),
+    _n("table-unchecked", "a connection too many is let in",
+       "logged slots", "full", CLIENTS,
+       ("        if self.links.full:\n", "        if False:\n"), requests=4),
+    _n("drain-never-ends", "the last connection that ends does not end a drained gateway",
+       "ends", "drain", CLIENTS,
+       ("            self.gateway.tell(i.RequestGone(taken.handle))\n        self.gateway.settled()",
+        "            self.gateway.tell(i.RequestGone(taken.handle))")),
+    _n("deadlines-unarmed", "after deadlines have run the next one is not armed",
+       "answers slots ends", "split", "meadowpulley.net.deadlines",
+       ("            self._running = False\n            self._arm()", "            self._running = False"),
+       ("        if self._armed is None:\n            self._arm()", "        pass"), waits=2),
+    _n("split-head-missed", "the end of a head is missed when it comes in two pieces",
+       "connection", "split", "meadowpulley.net.http1",
+       ("max(self._seen - 3, 0)", "self._seen")),
+    _n("split-chunk-misread", "a chunk is taken before its end has come",
+       "connection", "noise", "meadowpulley.net.http1",
+       ("if len(self._ring) < self._left + 2:", "if len(self._ring) < self._left:")),
+    _n("bad-reload-raises", "a file that can't be used ends the reload with an exception",
+       "logged", "reload", "meadowpulley.net.gateway",
+       ("except ConfigError as bad:", "except ValueError as bad:")),
+    _n("body-of-another", "bytes of one request's body count for the next",
+       "connection", "pipelined", "meadowpulley.net.http1",
+       ("return self._whole(self._ring.take(self._left) if self._left else b\"\")",
+        "return self._whole(self._ring.peek(self._left) if self._left else b\"\")"), requests=1),
 )  # fmt: skip
 
 MUTANTS = {m.name: m for m in _ALL}
--- a/meadowpulley/check/properties.py
+++ b/meadowpulley/check/properties.py
@@ -85,6 +85,11 @@
             "Each request read from a client's connection gets exactly one answer on it, in order, or the "
             "connection ends; bytes of one request never reach another.",
         ),
+        Property(
+            "outcomes",
+            "interface.py: Outcome",
+            "Each attempt has one outcome, and the decisions hear of it once.",
+        ),
         Property(
             "slots", "net/slots.py",
             "Once all connections are closed, every slot, id and descriptor is free again.",
--- a/meadowpulley/check/scenes.py
+++ b/meadowpulley/check/scenes.py
@@ -14,6 +14,7 @@
 SAFE, UNSAFE, KEYED = 0, 1, 2
 EARLIER, TRIAL = 41, 42  # numbers of builds
 EPSILON_MS = 1.0  # just before and just after an edge
+LATER_MS = 20.0  # well after one
 
 CLASSES = (
     i.RequestClass("address-check", 200.0, 400.0, i.Effect.SAFE),
@@ -106,6 +107,24 @@
             ("window", "grace", "timer"),
             news=ON_TRIAL,
         ),
+        Scene(
+            "window",
+            "attempts at the trial build around the edges of the exposure window",
+            ((SAFE, 0), (SAFE, 0), (SAFE, 0), (SAFE, 0)),
+            (EARLIER, TRIAL),
+            frozenset({"error"}),
+            ("window",),
+            news=ON_TRIAL,
+        ),
+        Scene(
+            "grace",
+            "a build called back: the lower cap binds once the grace for drains has passed",
+            ((SAFE, 0), (SAFE, 0), (SAFE, 0), (SAFE, 0)),
+            (EARLIER, TRIAL),
+            frozenset({"call_back", "error"}),
+            ("grace",),
+            news=ON_TRIAL,
+        ),
         Scene(
             "guarded",
             "a first stage closed to requests with an effect; a server of a build not announced yet",
--- a/meadowpulley/check/wire.py
+++ b/meadowpulley/check/wire.py
@@ -94,7 +94,7 @@
         self.ended = False  # the other end has closed, which was not read yet
         self.up = True
         self.reading = True
-        self.jammed = False  # the kernel takes nothing until it flows again
+        self.jammed = self.was_jammed = False  # the kernel takes nothing until it flows again
         self.producer: Any = None
         self.closing = False  # this end has said that it will write no more
         self.held = b""
--- a/meadowpulley/cli/check.py
+++ b/meadowpulley/cli/check.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import click
+from msgspec import to_builtins
 from msgspec.structs import asdict
 from rich.console import Console
 from rich.live import Live
@@ -246,7 +247,7 @@
                 stories.write_tale(tale, out / f"{c.mutant}-{c.seed}.json")
     survived = sorted({c.mutant for c in found if not c.by})
     if as_json:
-        show_json([asdict(c) for c in found])
+        show_json(to_builtins(found))
     else:
         rows = []
         for name in dict.fromkeys(c.mutant for c in found):
@@ -286,7 +287,7 @@
         raise InputError(f"{tale_file}: {error}") from None
     broken = [text for step in told for text in step.broken]
     if as_json:
-        show_json([asdict(t) for t in told])
+        show_json(to_builtins(told))
         return MISSED if broken else GOOD
     shown = console()
     found = PROPERTIES[tale.property]
