Readers fuzzed by grammar; a host for HTTP/1.0, a ring that looks no further than it must

Nothing showed that the readers of foreign bytes keep their word whatever comes. `meadowpulley check fuzz` plays made and spoilt requests, answers, lists, platform lines, configurations and captures: no exception but the reader's own, the same result however the bytes are cut, round trips as they are passed on, work within a bound.

--- /dev/null
+++ b/benchmarks/check_growth.py
@@ -0,0 +1,52 @@
+"""How the search grows with its configuration, and what each reduction saves on the same one.
+
+`.venv/bin/python benchmarks/check_growth.py [SECONDS]`: a Markdown table; states, steps taken and states a
+second are of this machine's cores, ratios are to the row with all reductions in the same run.
+"""
+
+from __future__ import annotations
+
+import sys
+
+from msgspec.structs import replace
+
+from meadowpulley.check import Coverage, Search, Setting
+
+SIZES = ((1, 2, 1), (1, 2, 2), (1, 3, 2), (2, 3, 2), (2, 3, 3), (2, 3, 4))
+REDUCED = Setting(scene="attempts", gateways=2, servers=3, requests=2, troubles=0, waits=1)
+
+
+def play(setting: Setting, budget_s: float) -> Coverage:
+    search = Search(setting)
+    try:
+        return search.run(budget_s=budget_s)
+    finally:
+        search.close()
+
+
+def row(name: str, c: Coverage, ratio: str = "") -> str:
+    speed = c.states / max(c.seconds, 0.001)
+    how = "complete" if c.complete else f"to {c.depth} steps"
+    return (
+        f"| {name} | {c.states} | {c.taken} | {c.depth} | {c.seconds:.1f} | {speed:.0f} | {how} | {ratio} |"
+    )
+
+
+def main() -> None:
+    budget_s = float(sys.argv[1]) if len(sys.argv) > 1 else 60.0
+    print("| configuration | states | steps taken | depth | seconds | states/s | covered | ratio |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    for gateways, servers, requests in SIZES:
+        setting = Setting(scene="attempts", gateways=gateways, servers=servers, requests=requests, troubles=0,
+                          waits=1)  # fmt: skip
+        print(row(f"{setting.size}, 0 troubles, 1 wait", play(setting, budget_s)), flush=True)
+    whole = play(REDUCED, budget_s)
+    print(row("all reductions", whole, "1.00"))
+    for name, off in (("no symmetry", {"symmetry": False}), ("no order of gateways", {"ordered": False}),
+                      ("neither", {"symmetry": False, "ordered": False})):  # fmt: skip
+        found = play(replace(REDUCED, **off), budget_s)
+        print(row(name, found, f"{found.states / whole.states:.2f}"), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/meadowpulley/check/connection.py
+++ b/meadowpulley/check/connection.py
@@ -512,7 +512,8 @@
         for n in range(c.answers, len(answers)):
             status = answers[n].status
             slow = status == 408 and (c.at <= n or c.wire.was_jammed)  # it really had not come whole
-            if 400 <= status < 500 and c.kinds[n] != "garbage" and not slow:
+            sound = n < len(c.kinds) and c.kinds[n] != "garbage"
+            if 400 <= status < 500 and sound and not slow:
                 self._fail("connection", f"client {c.number}: its sound request {n + 1} got {status}")
             self.heard.append(("gateway", f"client {c.number}", f"answers {answers[n].status}"))
         c.answers = len(answers)
--- a/meadowpulley/cli/check.py
+++ b/meadowpulley/cli/check.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import click
+import xxhash
 from msgspec import to_builtins
 from msgspec.structs import asdict
 from rich.console import Console
@@ -382,3 +383,36 @@
         write_page(Page(f"Counterexample: {found.name}", about, [section]), out)
     console().print(f"{out}: {len(told)} steps")
     return GOOD
+
+
+@check.command()
+@click.option("--target", "names", multiple=True, help="Which readers; all else.")
+@click.option("--examples", type=click.IntRange(1, 10**8), default=1000, show_default=True, help="Of each.")
+@click.option("--corpus", type=click.Path(file_okay=False, path_type=Path), default=Path("tests/corpus"),
+              show_default=True, help="Inputs that are played first; what fails is kept there.")  # fmt: skip
+@seed_option
+@json_option
+@guarded
+def fuzz(names: tuple[str, ...], examples: int, corpus: Path, seed: int, as_json: bool) -> int:
+    """Feed the readers of foreign bytes made and spoilt input. Exit code 1 if one breaks its word."""
+    from meadowpulley.check.fuzz import TARGETS, corpus_of
+    from meadowpulley.check.fuzz import fuzz as play
+
+    for name in names:
+        if name not in TARGETS:
+            raise InputError(f"--target: '{name}' is not known; known are {', '.join(TARGETS)}")
+    found = []
+    for name in names or TARGETS:
+        one = play(TARGETS[name], examples, seed, list(corpus_of(corpus, name)))
+        found.append(one)
+        if one.failing is not None:
+            folder = corpus / name
+            folder.mkdir(parents=True, exist_ok=True)
+            (folder / f"found-{xxhash.xxh3_64_hexdigest(one.failing)}").write_bytes(one.failing)
+    if as_json:
+        show_json([{"target": f.target, "corpus": f.corpus, "examples": f.examples, "why": f.why}
+                   for f in found])  # fmt: skip
+    else:
+        rows = [[f.target, str(f.corpus), str(f.examples), f.why or "holds"] for f in found]
+        console().print(make_table(f"Fuzzing, seed {seed}", ["target", "corpus", "examples", "result"], rows))
+    return MISSED if any(f.failing is not None for f in found) else GOOD
--- a/meadowpulley/net/http1.py
+++ b/meadowpulley/net/http1.py
@@ -245,12 +245,14 @@
         return True
 
 
-def passed_on(headers: dict[str, str]) -> dict[str, str]:
-    """The headers that go from end to end."""
+def passed_on(headers: dict[str, str], host: str = "") -> dict[str, str]:
+    """The headers that go from end to end; `host` where there is none: a request of HTTP/1.0 may lack it, one
+    of HTTP/1.1 may not (RFC 9112, 3.2)."""
     drop = _DROPPED
     if "connection" in headers:
         drop = drop | {o.strip().lower() for o in headers["connection"].split(",")}
-    return {name: value for name, value in headers.items() if name not in drop}
+    kept = {name: value for name, value in headers.items() if name not in drop}
+    return {"host": host, **kept} if host and "host" not in kept else kept
 
 
 def _head_bytes(start: str, headers: dict[str, str], body: bytes, sized: bool) -> bytes:
--- a/meadowpulley/net/instances.py
+++ b/meadowpulley/net/instances.py
@@ -332,7 +332,7 @@
             return request_bytes("GET", names.HEALTH, {"host": names.SERVICE})
         message = attempt.taken.message
         left = max(attempt.until - self.gateway.deadlines.now(), 0.0)
-        headers = {**passed_on(message.headers), names.REMAINING: f"{left * 1000:.0f}u"}
+        headers = {**passed_on(message.headers, names.SERVICE), names.REMAINING: f"{left * 1000:.0f}u"}
         return request_bytes(message.method, message.target, headers, message.body)
 
     def _connected(self, link: InstanceLink, attempt: Attempt) -> None:
--- a/meadowpulley/net/ring.py
+++ b/meadowpulley/net/ring.py
@@ -50,8 +50,20 @@
         return bytes(self._bytes[at:]) + bytes(self._bytes[: at + size - capacity])
 
     def find(self, needle: bytes, skip: int = 0) -> int:
-        found = self.peek(self._size, skip).find(needle)
-        return found + skip if found >= 0 else -1
+        """Where `needle` begins, after the first `skip` bytes; -1 where it is not. What lies behind it is not
+        looked at: many short lines that came at once would each cost the whole of the rest."""
+        capacity, end = len(self._bytes), self._start + self._size
+        at = self._bytes.find(needle, self._start + skip, min(end, capacity))
+        if at >= 0 or end <= capacity:
+            return at - self._start if at >= 0 else -1
+        first = capacity - self._start  # bytes before the seam
+        near = max(skip, first - len(needle) + 1)
+        if near < first:
+            at = self.peek(first + len(needle) - 1 - near, near).find(needle)
+            if at >= 0:
+                return at + near
+        at = self._bytes.find(needle, max(skip - first, 0), end - capacity)
+        return at + first if at >= 0 else -1
 
     def take(self, size: int) -> bytes:
         data = self.peek(size)
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from typing import Any
 
 import pytest
 from twisted.internet.task import Clock
@@ -249,3 +250,45 @@
             parse_remaining(bad)
     assert parse_key("7f3a9c21e0b4d655") == 0x7F3A9C21E0B4D655 and parse_key("") == 0
     assert parse_key("user/9") == parse_key("user/9") != parse_key("user/8")
+
+
+def test_a_request_of_http_1_0_is_passed_on_with_a_host() -> None:
+    # An instance answers 400 to one of HTTP/1.1 without it, which counted against the instance.
+    assert passed_on({"x-txn": "7"}, "app.svc") == {"host": "app.svc", "x-txn": "7"}
+    assert passed_on({"host": "a"}, "app.svc") == {"host": "a"}
+
+
+class Watched(bytearray):
+    """Bytes that count how far they were searched."""
+
+    searched = 0
+
+    def find(self, needle: Any, start: Any = 0, end: Any = None) -> int:
+        found = super().find(needle, start, end)
+        Watched.searched += (found if found >= 0 else end) - start
+        return found
+
+
+def test_a_ring_looks_no_further_than_what_it_finds() -> None:
+    # 144 kB of short lines that came at once cost the whole of the rest each.
+    ring = Ring(4 * START)
+    ring.write(b"x\n" * (2 * START))
+    ring._bytes = Watched(ring._bytes)
+    while (end := ring.find(b"\n")) >= 0:
+        ring.take(end + 1)
+        if type(ring._bytes) is not Watched:  # emptied: it is small again
+            break
+    assert 0 < Watched.searched < 4 * START
+
+
+def test_a_ring_finds_as_bytes_do_wherever_its_seam_is() -> None:
+    rng = random.Random(3)
+    for _ in range(2000):
+        ring = Ring(64)
+        ring._bytes = bytearray(16)
+        filled = rng.randrange(16)
+        ring.write(bytes(rng.choices(b"ab", k=filled)))
+        ring.take(rng.randrange(filled + 1))
+        ring.write(bytes(rng.choices(b"ab", k=rng.randrange(17 - len(ring)))))
+        needle, skip = bytes(rng.choices(b"ab", k=rng.randrange(1, 5))), rng.randrange(len(ring) + 2)
+        assert ring.find(needle, skip) == ring.peek(len(ring)).find(needle, skip)
