--- a/meadowpulley/check/connection.py
+++ b/meadowpulley/check/connection.py
@@ -188,6 +188,7 @@
     def __init__(self, wire: Wire) -> None:
         self.wire = wire
         self.answered = 0  # requests
+        self.turned_away: list[int] = []  # which of them were told not to have run
         self.rest = b""  # of an answer that has begun
 
 
@@ -244,7 +245,6 @@
         scripts = [self.scene.scripts[n % len(self.scene.scripts)] for n in range(setting.requests)]
         self.clients = [Client(n, script) for n, script in enumerate(scripts[: max(setting.requests, 1)])]
         self.served: list[Served] = []
-        self.stopped_by = 0.0
         self.ended = False
         for n, opening in enumerate(list(self._openings())):  # of those opened ahead the first comes up
             self._up(opening) if n == 0 else opening.refuse()
@@ -417,7 +417,7 @@
         request = requests[s.answered] if len(requests) > s.answered else None
         s.answered += 1
         if how == "full" and request is not None:
-            s.wire.turned_away = (*getattr(s.wire, "turned_away", ()), s.answered - 1)  # type: ignore[attr-defined]
+            s.turned_away.append(s.answered - 1)
         self._say(n, self._answer_text(request, "ok" if how == "early" else how), f"answers, {how}")
         if how == "close":
             s.wire.ended = True
@@ -521,9 +521,8 @@
     def _look_at_effects(self) -> None:
         ran: dict[str, int] = {}
         for s in self.served:
-            turned = getattr(s.wire, "turned_away", ())
             for n, request in enumerate(parse(s.wire.sent, True)[0]):
-                if request.method == "POST" and n not in turned:
+                if request.method == "POST" and n not in s.turned_away:
                     name = request.headers.get(names.ID, "")
                     ran[name] = ran.get(name, 0) + 1
         refused = {
--- a/meadowpulley/check/mutants.py
+++ b/meadowpulley/check/mutants.py
@@ -192,6 +192,17 @@
     _m("raises-on-unknown", "news of a server that left breaks the decisions", "fault", "members",
        ("            server = self.servers.get(n)\n            if not server or",
         "            server = self.servers[n] if self.servers else None\n            if not server or")),
+    # Written after the check was done: found as well
+    _m("restart-missed", "a server that starts anew counts as the old one", "cold drains", "cold",
+       ("(server.build, server.started) != (entry.build, entry.started_ms)", "server.build != entry.build"),
+       requests=4, troubles=2, waits=1, servers=2),
+    _m("cap-missed", "the cap's share is taken for one", "exposure", "window",
+       ("return sent + 1 <= self.roll.exposure_free + cap * taken",
+        "return sent + 1 <= self.roll.exposure_free + taken"), requests=2, troubles=1, waits=0, servers=2),
+    _m("next-build-as-this", "a build not announced yet goes by news of the one before", "exposure",
+       "guarded",
+       ("if t is not None and build == t.build else", "if t is not None and build >= t.build else"),
+       requests=2, troubles=1, waits=0),
     # The check's own world
     _m("host-ends-twice", "the host lets an attempt end again and again", "timers leftovers answers attempts",
        "attempts",
--- a/meadowpulley/check/story.py
+++ b/meadowpulley/check/story.py
@@ -13,7 +13,7 @@
 
 from meadowpulley.check.choices import ScriptError
 from meadowpulley.check.explore import Counterexample
-from meadowpulley.check.properties import PROPERTIES, Broken
+from meadowpulley.check.properties import PROPERTIES
 from meadowpulley.check.worlds import Setting, Step, World, make_world
 
 VERSION = 1
@@ -178,8 +178,3 @@
         height=y + 2 * ROW, parties=[{"x": x[p], "name": p} for p in parties], notes=notes, arrows=arrows,
         head=HEAD, margin=MARGIN,
     )  # fmt: skip
-
-
-def describe(broken: Broken) -> str:
-    found = PROPERTIES[broken.name]
-    return f"{broken}\n{found.text} ({found.source})"
--- a/meadowpulley/check/wire.py
+++ b/meadowpulley/check/wire.py
@@ -21,12 +21,6 @@
     def reset(self, seconds: float) -> None:
         self.at = self.reactor.now + seconds * 1000.0
 
-    def cancel(self) -> None:
-        self.over = True
-
-    def active(self) -> bool:
-        return not self.over
-
 
 class Connector:
     """A connection in the making."""
