--- a/meadowpulley/check/fuzz.py
+++ b/meadowpulley/check/fuzz.py
@@ -359,22 +359,6 @@
 ).map(_bytes)  # fmt: skip
 
 
-def check_config(data: bytes) -> None:
-    """A configuration: used, or `ConfigError` with one line."""
-    handle, path = tempfile.mkstemp(suffix=".json")
-    try:
-        with os.fdopen(handle, "wb") as file:
-            file.write(data)
-        read_config({names.ENV_CONFIG: path})
-    except ConfigError as error:
-        if "\n" in str(error):
-            raise FuzzError(f"the reason has more than one line: {str(error)!r}") from None
-    except Exception as error:
-        raise FuzzError(f"{type(error).__name__}: {error}") from error
-    finally:
-        os.unlink(path)
-
-
 _arrival = _object(
     at_ms=st.floats(0, 1e6), cls=st.sampled_from(["look", "odd"]), key=st.integers(0, 2**64),
     site=st.text(max_size=4), work_ms=st.floats(), bytes=st.integers(), patience_ms=st.floats(),
@@ -385,22 +369,37 @@
 _capture = st.builds(lambda h, rows: b"\n".join([h, *rows]) + b"\n", _header, st.lists(_arrival, max_size=4))
 
 
-def check_capture(data: bytes) -> None:
-    """A load file: read to its end, or `LoadError` with one line."""
-    handle, path = tempfile.mkstemp(suffix=".jsonl")
-    try:
-        with os.fdopen(handle, "wb") as file:
-            file.write(data)
-        for _ in read_load(Path(path), frozenset({"look"})):
-            pass
-    except LoadError as error:
-        if "\n" in str(error):
-            raise FuzzError(f"the reason has more than one line: {str(error)!r}") from None
-    except Exception as error:
-        raise FuzzError(f"{type(error).__name__}: {error}") from error
-    finally:
-        os.unlink(path)
+def _of_file(suffix: str, read: Callable[[Path], None], own: type[Exception]) -> Callable[[bytes], None]:
+    """A reader of a file: it may raise its own error alone, whose text is one line."""
+
+    def check(data: bytes) -> None:
+        handle, path = tempfile.mkstemp(suffix=suffix)
+        try:
+            with os.fdopen(handle, "wb") as file:
+                file.write(data)
+            read(Path(path))
+        except own as error:
+            if "\n" in str(error):
+                raise FuzzError(f"the reason has more than one line: {str(error)!r}") from None
+        except Exception as error:
+            raise FuzzError(f"{type(error).__name__}: {error}") from error
+        finally:
+            os.unlink(path)
+
+    return check
+
+
+def _read_config(path: Path) -> None:
+    read_config({names.ENV_CONFIG: str(path)})
+
+
+def _read_capture(path: Path) -> None:
+    for _ in read_load(path, frozenset({"look"})):
+        pass
+
 
+check_config = _of_file(".json", _read_config, ConfigError)
+check_capture = _of_file(".jsonl", _read_capture, LoadError)
 
 TARGETS = {
     t.name: t
