--- a/meadowpulley/check/decisions.py
+++ b/meadowpulley/check/decisions.py
@@ -442,6 +442,8 @@
                 yield Step("drain", (e.server,))
             if self._may("gone"):
                 yield Step("gone", (e.server,))
+        if self._may("restart"):  # under the same id, with the same build, and cold
+            yield from (Step("return", (e.server, e.build)) for e in newest)
         if self._may("return"):
             there = {e.server for e in newest}
             for server in sorted({e.server for e in self.lists[0]} - there):
--- a/meadowpulley/check/explore.py
+++ b/meadowpulley/check/explore.py
@@ -320,7 +320,7 @@
             if coverage.counterexample is not None:
                 break
             if time.monotonic() - began > budget_s:
-                coverage.stopped = f"the budget of {budget_s:g} s for walks"
+                coverage.stopped = coverage.stopped or f"the budget of {budget_s:g} s for walks"
                 break
         return coverage
 
--- a/meadowpulley/check/mutants.py
+++ b/meadowpulley/check/mutants.py
@@ -193,9 +193,9 @@
        ("            server = self.servers.get(n)\n            if not server or",
         "            server = self.servers[n] if self.servers else None\n            if not server or")),
     # Written after the check was done: found as well
-    _m("restart-missed", "a server that starts anew counts as the old one", "cold drains", "cold",
+    _m("restart-missed", "a server that starts anew counts as the old one", "cold", "restart",
        ("(server.build, server.started) != (entry.build, entry.started_ms)", "server.build != entry.build"),
-       requests=4, troubles=2, waits=1, servers=2),
+       requests=4, troubles=1, waits=0, servers=3),
     _m("cap-missed", "the cap's share is taken for one", "exposure", "window",
        ("return sent + 1 <= self.roll.exposure_free + cap * taken",
         "return sent + 1 <= self.roll.exposure_free + taken"), requests=2, troubles=1, waits=0, servers=2),
--- a/meadowpulley/check/scenes.py
+++ b/meadowpulley/check/scenes.py
@@ -153,6 +153,14 @@
             ("cold", "timer"),
             cold=True,
         ),
+        Scene(
+            "restart",
+            "a warm server that starts anew under its id with its build: it is cold",
+            ((SAFE, 0), (SAFE, 0), (SAFE, 0), (SAFE, 0)),
+            (EARLIER, EARLIER, EARLIER),
+            frozenset({"restart"}),
+            ("cold",),
+        ),
         Scene(
             "all",
             "everything at once",
