--- a/meadowpulley/check/connection.py
+++ b/meadowpulley/check/connection.py
@@ -82,8 +82,7 @@
     "Held": frozenset({"cls"}),
     "Deadlines": frozenset({"_numbers", "_called_off", "_armed", "_armed_for", "_failed", "turned_at"}),
     "Connection": frozenset({"setting", "scene", "broken", "heard", "log"}),
-    "Reactor": frozenset({"calls", "wires_made"}),
-    "Wire": frozenset({"number"}),
+    "Reactor": frozenset({"calls"}),
     "Discovery": frozenset({"entries"}),
 }
 FORMS = Forms(
--- a/meadowpulley/check/wire.py
+++ b/meadowpulley/check/wire.py
@@ -82,7 +82,6 @@
 
     def __init__(self, reactor: Reactor, link: Any, address: tuple[str, int] | None) -> None:
         self.reactor, self.link, self.address = reactor, link, address
-        self.number = reactor.wires_made
         self.sent = b""
         self.pending = b""  # in the kernel, not read yet
         self.ended = False  # the other end has closed, which was not read yet
@@ -185,7 +184,6 @@
         self.calls: list[Later] = []
         self.openings: list[Connector] = []
         self.wires: list[Wire] = []
-        self.wires_made = 0
         self.ports: list[Port] = []
         self.stopped = False
 
@@ -211,7 +209,6 @@
 
     def join(self, link: Any, address: tuple[str, int] | None) -> Wire:
         wire = Wire(self, link, address)
-        self.wires_made += 1
         self.wires.append(wire)
         link.makeConnection(wire)
         return wire
