--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -59,6 +59,7 @@
 TIE = 0.5  # requests: the mean of the chance that tells servers apart which hold as many
 WAIT_SHARE = 0.25  # of the aim: how long a request may wait for a server it may go to
 RETRY_LIST_MS = 1500.0  # between the second failed list call in a row and the next
+LIST_EACH_MS = 100.0  # and for each other gateway: those that start, or fail, at once call one by one
 KEYS = 8000  # notes of keys, beyond which they go once no server needs them: then older builds get no key
 NEVER_RAN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
 TRIAL, BACK = i.Phase.TRIAL, (i.Phase.GOING_BACK, i.Phase.WITHDRAWN)
@@ -162,7 +163,8 @@
         self.key_build: dict[int, int] = {}  # one-way keys: the build that may have answered each
         self.floor = -1  # the build under which no key goes: what these had answered is forgotten
         self.ask_again_at = -math.inf if settings.must_ask else math.inf  # when to ask for the list
-        self.list_fails = 0
+        self.list_fails, half = 0, (self.rules.ask_within_ms or math.inf) / 2
+        self.list_spread = min(LIST_EACH_MS * (self.many - 1), half)
         self.told: i.BuildNews | None = None  # the last news to the letter, for the rules
         self.best: i.BuildNews | None = None  # the furthest known, for judging and votes
         self.before = -1  # the build that the newest is compared with
@@ -178,6 +180,8 @@
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
         self.now, self.acts = now, []
+        if self.ask_again_at == -math.inf:  # discovery takes a fleet's calls in turn, and not for long
+            self.ask_again_at = now + self.rng.random() * self.list_spread
         if now > self.timer_at + LATE_TURN_MS:
             self.stood_still = now
         while self.due and self.due[0][0] <= now:
@@ -219,8 +223,9 @@
 
     def _list(self, event: i.ServerList) -> None:
         if event.kind is i.ListKind.FAILED:  # whether the watch still stands is not said
-            pause = RETRY_LIST_MS * min(self.list_fails, 3) if self.s.must_ask else math.inf
-            self.ask_again_at = self.now + pause * (0.5 + self.rng.random())
+            pause = RETRY_LIST_MS * min(self.list_fails, 3) * (0.5 + self.rng.random())
+            spread = self.rng.random() * self.list_spread * (1 + min(self.list_fails, 1))
+            self.ask_again_at = self.now + max(pause, spread) if self.s.must_ask else math.inf
             self.list_fails += 1
             return
         if event.kind is not i.ListKind.CACHED:
--- a/meadowpulley/cli/check.py
+++ b/meadowpulley/cli/check.py
@@ -413,8 +413,6 @@
         show_json([{"target": f.target, "corpus": f.corpus, "examples": f.examples, "why": f.why}
                    for f in found])  # fmt: skip
     else:
-        rows = [
-            [TARGETS[f.target].about, str(f.corpus), str(f.examples), f.why or "holds"] for f in found
-        ]
+        rows = [[TARGETS[f.target].about, str(f.corpus), str(f.examples), f.why or "holds"] for f in found]
         console().print(make_table(f"Fuzzing, seed {seed}", ["reader", "corpus", "examples", "result"], rows))
     return MISSED if any(f.failing is not None for f in found) else GOOD
--- a/meadowpulley/net/discovery.py
+++ b/meadowpulley/net/discovery.py
@@ -24,7 +24,9 @@
 PART_MS = 500.0  # for the rest of an answer that has begun: answers are written whole
 WAIT_MS = 10_000.0  # how long a watch waits for news, unless the settings have it ask more often
 MOST_WAIT_MS = 60_000.0
-GRACE_MS = 2_000.0  # beyond the wait, until a call without an answer has failed
+# Beyond the wait, until a call without an answer has failed. Longer than discovery keeps a call waiting: one
+# given up just before its answer costs discovery as much as one that is heard, and is asked again.
+GRACE_MS = 4_000.0
 AGAIN_MS = (500.0, 4_000.0)  # where the list comes unasked: pauses after failed watches but the first
 LIST_BOUND = 8 * 1024 * 1024  # a list of thousands of instances
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -165,3 +165,39 @@
         [first] = sends(d.ask(SAFE))
         [again] = sends(d.end(first, i.Result.CONNECT_FAILED))
         assert again.server != first.server
+
+
+def list_calls(balancers: int, failing_until: float, last: float = 20_000.0) -> list[float]:
+    """When the balancers of a fleet that all start at 0 ask for the list, until each has it; calls that are
+    made before `failing_until` fail 50 ms later."""
+    asked: list[float] = []
+    for seed in range(balancers):
+        d = Driver(settings(must_ask=True, balancers=balancers), seed=seed)
+        d.listed([entry(n) for n in range(4)], i.ListKind.CACHED)
+        while d.now < last:
+            d.now += 50.0
+            if any(isinstance(a, i.Watch) for a in d.tick()):
+                asked.append(d.now)
+                failed = d.now < failing_until
+                d.now += 50.0
+                d.listed([], i.ListKind.FAILED if failed else i.ListKind.CHANGES)
+                if not failed:
+                    break
+    return asked
+
+
+@pytest.mark.parametrize(("failing_until", "after"), [(0.0, 0.0), (5000.0, 5000.0)])
+def test_calls_for_the_list_of_a_fleet_that_starts_or_fails_at_once_are_spread(
+    failing_until: float, after: float
+) -> None:
+    # Forty calls in one instant: discovery takes them in turn, most waited too long, failed, were repeated
+    # at once, all together again; for ten seconds nobody heard of a change.
+    asked = [at for at in list_calls(40, failing_until) if at >= after]
+    assert len(asked) == 40
+    most = max(sum(at <= other < at + 500.0 for other in asked) for at in asked)
+    assert most <= 16
+
+
+def test_a_small_fleet_asks_for_the_list_soon_and_again_soon_after_a_failure() -> None:
+    asked = list_calls(3, failing_until=350.0)
+    assert sum(at < 350.0 for at in asked) >= 3 and max(asked) <= 4000.0
