--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -16,9 +16,19 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 PACKAGE = "meadowpulley"
-PARTS = ("__init__.py", "__main__.py", "balance.py", "interface.py", "records.py", "settings.py", "net")
+PARTS = (
+    "__init__.py",
+    "__main__.py",
+    "balance.py",
+    "digests.py",
+    "interface.py",
+    "records.py",
+    "settings.py",
+    "net",
+)
 HOT = (
     "balance.py",
+    "digests.py",
     "interface.py",
     "records.py",
     "net/counters.py",
--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from meadowpulley import interface as i
+from meadowpulley.digests import Digest, decode, encode
 from meadowpulley.records import Attempt, Held, Rate, Seen, Server, Window
 
 # First the design's own figures (its page marks them as starting values); ours from TICK_MS on.
@@ -26,6 +27,7 @@
 HOLD_MS = 3000.0  # the longest hold of one stage under a clock
 TICK_MS = 50.0  # how often waiting requests are looked at; those that are out four times less often
 JUDGE_MS = 400.0  # how often a build is judged
+TELL_MS = 1000.0  # between two digests of what this gateway saw of the newest build
 LATE_TURN_MS = 250.0  # a timer later than this: this gateway stood still, and what was out only looks slow
 LEAST_SWING = 0.1  # odds of the trial build: with less it hardly slows all servers
 SWING_SOAKS = 2.0  # soak times within which a slowdown that comes back with the traffic counts as the same
@@ -38,7 +40,7 @@
 COLD_MARGIN = 0.6  # of the cold budget: capacity is only estimated and work is random
 COLD_SLOTS = 4  # slots of a span, each with its own allowance: a burst cannot spend that of two spans
 FAIL_FLOOR = 0.02  # failure share that any build may have
-FAIL_MORE = 0.1  # more than the earlier build fails: the least that is looked for
+FAIL_MORE = (0.1, 0.04)  # more than the earlier build fails: what few outcomes show, and what takes many
 MACHINE = 0.4  # at most: failure share in a tally that one broken trial machine explains
 PROOF = 4.0  # log odds, and more among many balancers: about three failures more than the earlier build's
 OWN = 0.4  # of the proof, else tallies prove nothing: they count time-outs of cold or jammed machines
@@ -73,15 +75,22 @@
     several servers is a broken machine; a tally alone proves nothing. Could harm on an only server."""
 
     def __init__(self) -> None:
-        self.sums: dict[int, dict[int, float]] = defaultdict(lambda: defaultdict(float))
+        self.sums: dict[tuple[int, float], dict[int, float]] = defaultdict(lambda: defaultdict(float))
 
     def add(self, cls: int, server: int, failed: float, ok: float, usual: float) -> None:
         low = min(max(usual, FAIL_FLOOR), 0.8)
-        high = low + max(FAIL_MORE, low / 2) * (1 - low)
-        gain = failed * math.log(high / low) + ok * math.log((1 - high) / (1 - low))
-        for part in (cls, -1):
-            for one in (server, ALL) if server != TALLY else (TALLY,):
-                self.sums[part][one] = max(self.sums[part][one] + gain, 0.0)
+        for more in FAIL_MORE:
+            high = low + max(more, low / 2) * (1 - low)
+            gain = failed * math.log(high / low) + ok * math.log((1 - high) / (1 - low))
+            for part in ((cls, more), (-1, more)):
+                for one in {server, ALL} if server != TALLY else (TALLY,):
+                    self.sums[part][one] = max(self.sums[part][one] + gain, 0.0)
+
+    def blame(self, cls: int, server: int, usual: float) -> None:
+        """A failure at a server that another gateway saw, counted among all by `add` already."""
+        for more in FAIL_MORE:
+            for part in ((cls, more), (-1, more)):
+                self.sums[part][server] += math.log((usual + more * (1 - usual)) / usual)
 
     def proof(self, servers: int, broken: bool, needed: float = PROOF) -> float:  # 1: proven
         most = (1.0 if servers <= 1 else max(min(2 / servers, 0.7), ONE_SERVER)) * (0.5 if broken else 1.0)
@@ -142,7 +151,7 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             i.Request: self._request, i.Outcome: self._outcome, i.Timer: self._tick, i.ServerList: self._list,
             i.BuildNews: self._news, i.RequestGone: self._gone, i.AnswerStarted: self._started,
-            i.ProbeResult: self._probed,
+            i.ProbeResult: self._probed, i.PeerMessage: self._peer,
             i.Tally: lambda t: self._count(t.cls, t.build, TALLY, t.failed, t.attempts - t.failed),
         }  # fmt: skip
         self.servers: dict[int, Server] = {}
@@ -173,6 +182,11 @@
         self.off, self.swings = False, 0  # no traffic to the trial build while all is slow; how often
         self.samples: deque[Attempt] = deque(maxlen=HISTORY)
         self.due: deque[tuple[float, int, int, int, int, int]] = deque()  # outcomes to count, and when
+        # What the others are told of the newest build, and by sender and life the last that each told.
+        self.life, self.tellings, self.tell_at = self.rng.getrandbits(32), 0, -math.inf
+        self.untold: deque[tuple[int, int, int, int, int]] = deque(maxlen=HISTORY)
+        self.told_by: dict[tuple[int, int], int] = {}
+        self.strays = 0  # what came from others and could not be used
         self.back_for = -1  # the build this balancer wants taken off
         self.vote = (-1, 0, i.Verdict.NONE)  # the vote last sent
         self.vote_sent = self.vote_stands_until = self.vote_after = -math.inf
@@ -498,6 +512,11 @@
 
     def _count(self, cls: int, build: int, server: int, failed: int, ok: int) -> None:
         """Own outcomes and tallies, against the build before: what is new everywhere is not the build's."""
+        if server != TALLY:
+            self.untold.append((cls, build, server, failed, ok))
+        self._learn(cls, build, server, failed, ok)
+
+    def _learn(self, cls: int, build: int, server: int, failed: int, ok: int) -> None:
         seen, of, share = self.builds[build], (cls, server == TALLY), failed / max(failed + ok, 1)
         usual = seen.fail_usual.setdefault(of, share)
         seen.fail_usual[of] += min(0.05 * (failed + ok), 0.6) * (share - usual)
@@ -506,6 +525,46 @@
             machine = min(1 / max(len(self.trial), 1), MACHINE) if server == TALLY else 0.0
             seen.failures.add(cls, server, failed, ok, usual + machine)
 
+    def _tell(self, build: int) -> None:
+        """One gateway of many sees too few answers of a trial to judge it in time: what each saw since it
+        last told goes to all. Lost, a little evidence is missing."""
+        rows: dict[int, list[int]] = defaultdict(lambda: [0, 0, 0, 0])
+        broken: list[tuple[int, int]] = []
+        for cls, of, server, failed, ok in self.untold:
+            if of in (build, self.before):
+                at = 0 if of == build else 2
+                rows[cls][at], rows[cls][at + 1] = rows[cls][at] + ok, rows[cls][at + 1] + failed
+                broken += [(server, cls)] * (failed if of == build else 0)
+        self.untold.clear()
+        if rows:
+            self.tellings += 1
+            classes = tuple((c, r[0], r[1], r[2], r[3]) for c, r in sorted(rows.items()))
+            told = Digest(self.life, self.tellings, build, classes, tuple(broken))
+            self.acts.append(i.TellPeer(None, encode(told)))
+
+    def _peer(self, m: i.PeerMessage) -> None:
+        """Evidence from another gateway, each digest once. It is about builds: this gateway's own choice of
+        servers, its caps and its lists stay its own."""
+        d = decode(m.data)
+        if d is None or m.sender == self.s.me or self.told_by.get((m.sender, d.life), -1) >= d.number:
+            self.strays += 1
+            return
+        self.told_by.pop((m.sender, d.life), None)
+        self.told_by[m.sender, d.life] = d.number
+        if len(self.told_by) > 4 * self.many:  # lives long over
+            del self.told_by[next(iter(self.told_by))]
+        if self.best is None or d.build != self.best.build:
+            return
+        servers = {s.id % 65536: s.id for s in self.servers.values() if s.build == d.build}
+        for cls, ok, failed, old_ok, old_failed in d.classes:
+            if cls < len(self.s.classes):
+                for build, good, bad in ((self.before, old_ok, old_failed), (d.build, ok, failed)):
+                    if good + bad:
+                        self._learn(cls, build, ALL, bad, good)
+        for server, cls in d.failed:
+            if server in servers and cls < len(self.s.classes):
+                self.builds[d.build].failures.blame(cls, servers[server], FAIL_FLOOR)
+
     def _cost(self, s: Attempt) -> float:  # a cold server is slow whatever it runs: counted as if warm
         return s.warmth * (s.latency if s.latency is not None else self.now - s.sent)
 
@@ -604,6 +663,9 @@
         if n.build in {s.build for s in self.servers.values() if self.before >= 0 or n.phase is TRIAL}:
             self.judge_at = self.now + JUDGE_MS
         self.before_rate = max(self.before_rate, self.taken.value(self.now) if n.stage == 0 else 0.0)
+        if self.s.limits.peers and self.many > 1 and self.now >= self.tell_at:
+            self.tell_at = self.now + TELL_MS
+            self._tell(n.build)
         verdict = self._verdict(n)
         wanted = (n.build, n.stage if verdict in (i.Verdict.ON, i.Verdict.HOLD) else 0, verdict)
         if verdict is i.Verdict.NONE and (self.vote == wanted or self.vote[0] != n.build):
--- a/meadowpulley/net/discovery.py
+++ b/meadowpulley/net/discovery.py
@@ -5,6 +5,7 @@
 import json
 import math
 import random
+import zlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -43,12 +44,14 @@
         self._kinds = {name: n for n, name in enumerate(settings.kinds)}
         self._offset = clock_offset  # from Unix time to the gateway's clock, set once
         self.numbers: dict[str, int] = {}
-        self._last = 0
 
     def number(self, name: str) -> int:
+        """The same at every gateway: they tell each other of servers by it."""
         if name not in self.numbers:
-            self._last += 1
-            self.numbers[name] = self._last
+            number = zlib.crc32(name.encode())
+            while number in self.numbers.values():
+                number += 1
+            self.numbers[name] = number
         return self.numbers[name]
 
     def forget(self, gone: set[int]) -> None:
--- /dev/null
+++ b/tests/test_digests.py
@@ -0,0 +1,163 @@
+"""What gateways tell each other: the bytes, and what forty of them learn together that none learns alone."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from meadowpulley import interface as i
+from meadowpulley.digests import MOST_BYTES, MOST_COUNT, MOST_FAILED, Digest, decode, encode
+from tests.driver import LIMITS, SAFE, UNSAFE, Driver, entry, sends, settings, votes
+
+PEERS = replace(LIMITS, peers=True)
+MANY = 40
+BYTES = st.integers(0, MOST_COUNT)
+
+
+@given(
+    st.integers(0, 2**32 - 1),
+    st.integers(0, 65535),
+    st.integers(0, 2**32 - 1),
+    st.lists(st.tuples(BYTES, BYTES, BYTES, BYTES, BYTES), max_size=8),
+    st.lists(st.tuples(st.integers(0, 65535), BYTES), max_size=MOST_FAILED),
+)
+def test_a_digest_comes_back_as_it_was_told(
+    life: int, number: int, build: int, classes: list[tuple[int, ...]], failed: list[tuple[int, int]]
+) -> None:
+    told = Digest(life, number, build, tuple(classes), tuple(failed))  # type: ignore[arg-type]
+    assert len(encode(told)) <= MOST_BYTES
+    assert decode(encode(told)) == told
+
+
+def test_what_does_not_fit_is_left_out() -> None:
+    told = decode(encode(Digest(1, 2, 3, ((0, 999, 0, 0, 0),) * 20, ((70_000, 0),) * 500)))
+    assert told is not None and told.classes[0][1] == MOST_COUNT and len(told.failed) == MOST_FAILED
+    assert told.failed[0] == (70_000 % 65536, 0)
+
+
+WHOLE = encode(Digest(7, 1, 42, ((SAFE, 5, 1, 9, 0),), ((3, SAFE),)))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\x00",
+        WHOLE[:-1],
+        WHOLE + b"\x00",
+        b"\x01" + WHOLE[1:],
+        WHOLE[:12] + b"\xff" + WHOLE[13:],
+        b"x" * 400,
+    ],
+    ids=["empty", "a byte", "cut short", "longer", "another version", "counts that do not fit", "too long"],
+)
+def test_bytes_that_are_no_digest_are_counted_and_change_nothing(data: bytes) -> None:
+    assert decode(data) is None
+    d = trial_of(0)
+    d.give(i.PeerMessage(3, data))
+    assert d.b.strays == 1 and not d.b.told_by and not d.b.builds[42].failures.sums
+
+
+def trial_of(me: int, balancers: int = MANY) -> Driver:
+    """A gateway of many that knows 20 servers of build 41 and 10 of build 42, on trial."""
+    d = Driver(replace(settings(limits=PEERS, balancers=balancers), me=me), seed=me)
+    d.listed(entry(n) for n in range(20))
+    d.tick()
+    for n in range(40):
+        d.now += 50.0
+        for send in sends(d.ask(SAFE if n % 2 else UNSAFE)):
+            d.end(send)
+    d.news(42, 1, 0.5)
+    d.listed((entry(100 + n, 42, d.now - 5000.0) for n in range(10)), i.ListKind.CHANGES)
+    return d
+
+
+def play(fleet: list[Driver], lost: float, fails: float, seconds: float, told: int = 1) -> list[i.Vote]:
+    """Each gateway takes two requests a second; those at build 42 fail by `fails`. Digests reach every other
+    gateway `told` times, or not, by `lost`."""
+    rng, cast = Random(5), []
+    for _ in range(int(seconds * 20)):
+        for d in fleet:
+            d.now += 50.0
+            acts = d.tick()
+            if rng.random() < 0.1:
+                for send in sends(d.ask(SAFE)):
+                    bad = send.server >= 100 and rng.random() < fails
+                    acts += d.end(send, i.Result.ERROR if bad else i.Result.OK, 80.0, over=True)
+            cast += votes(acts)
+            for act in acts:
+                if isinstance(act, i.TellPeer):
+                    assert act.peer is None and len(act.data) <= MOST_BYTES
+                    for other in fleet:
+                        if other is not d and rng.random() >= lost:
+                            for _ in range(told):
+                                other.give(i.PeerMessage(d.b.s.me, act.data))
+    return cast
+
+
+def backs(cast: list[i.Vote]) -> int:
+    return sum(v.verdict is i.Verdict.BACK and v.build == 42 for v in cast)
+
+
+def test_forty_gateways_find_together_a_build_that_none_finds_alone() -> None:
+    # A build that failed one request in eight was released in ten seconds: each gateway had seen one failure.
+    assert not backs(play([trial_of(n) for n in range(MANY)], lost=1.0, fails=0.125, seconds=6.0))
+    assert backs(play([trial_of(n) for n in range(MANY)], lost=0.0, fails=0.125, seconds=6.0))
+
+
+def test_half_of_the_digests_lost_does_little_harm() -> None:
+    assert backs(play([trial_of(n) for n in range(MANY)], lost=0.5, fails=0.125, seconds=6.0))
+
+
+def test_a_good_build_is_not_sent_back_by_what_is_told_twice() -> None:
+    # One failure in a hundred is any build's; heard over and over it would condemn this one.
+    fleet = [trial_of(n) for n in range(MANY)]
+    assert not backs(play(fleet, lost=0.0, fails=0.01, seconds=8.0, told=3))
+    assert all(d.b.strays > 0 for d in fleet)
+
+
+def test_a_digest_of_another_build_or_from_itself_changes_nothing() -> None:
+    d = trial_of(0)
+    for sender, build in ((3, 41), (3, 77), (0, 42)):
+        told = Digest(build, 1, build, ((SAFE, 0, 200, 0, 0),), tuple((n, SAFE) for n in range(100, 110)))
+        d.give(i.PeerMessage(sender, encode(told)))
+    assert not any(any(s.values()) for s in d.b.builds[42].failures.sums.values())
+
+
+def test_classes_and_servers_that_this_gateway_does_not_know_are_passed_over() -> None:
+    d = trial_of(0)
+    d.give(i.PeerMessage(3, encode(Digest(9, 1, 42, ((200, 0, 50, 0, 0),), ((9999, 0), (100, 200))))))
+    assert not any(any(s.values()) for s in d.b.builds[42].failures.sums.values())
+
+
+def test_one_broken_server_is_not_its_build_however_many_tell_of_it() -> None:
+    d = trial_of(0)
+    for sender in range(1, MANY):
+        told = Digest(sender, 1, 42, ((SAFE, 4, 1, 20, 0),), ((100, SAFE),))
+        d.give(i.PeerMessage(sender, encode(told)))
+    assert d.b.builds[42].failures.proof(10, False, d.b.needed) < 1.0
+
+
+def test_the_lives_that_are_remembered_are_bounded() -> None:
+    d = trial_of(0)
+    for life in range(1000):
+        d.give(i.PeerMessage(1, encode(Digest(life, 1, 42))))
+    assert len(d.b.told_by) <= 4 * MANY
+
+
+def test_where_gateways_may_not_speak_nothing_is_told() -> None:
+    d = Driver(settings(balancers=MANY))
+    d.listed(entry(n) for n in range(4))
+    d.news(42, 1, 0.5)
+    d.listed([entry(100, 42)], i.ListKind.CHANGES)
+    told = []
+    for _ in range(60):
+        d.now += 100.0
+        for send in sends(d.ask(SAFE)):
+            told += d.end(send)
+        told += d.tick()
+    assert not [a for a in told if isinstance(a, i.TellPeer)]
