What gateways tell counts by the second, both builds side by side; checks follow the module

What is usual for the earlier build was a mean over some twenty outcomes: with the outcomes of a hundred gateways it lags a trouble that begins at any server by a second in which dozens of the trial's failures count against a build that has none of its own, and between times it only follows chance.

Change: digests of one second are added up by class and the newest build is compared with the one before it within that second, by log odds of their own (`Seen.pooled`, against 10% and 4% more); own outcomes are judged as before them. Without 20 answers of the earlier build in the second nothing is learnt. Nothing is noted where gateways may not speak.

--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -40,7 +40,8 @@
 COLD_MARGIN = 0.6  # of the cold budget: capacity is only estimated and work is random
 COLD_SLOTS = 4  # slots of a span, each with its own allowance: a burst cannot spend that of two spans
 FAIL_FLOOR = 0.02  # failure share that any build may have
-FAIL_MORE = (0.1, 0.04)  # more than the earlier build fails: what few outcomes show, and what takes many
+FAIL_MORE = 0.1  # more than the earlier build fails: the least that is looked for
+FAIL_MORE_MANY = 0.04  # and the least in the outcomes of many gateways together
 MACHINE = 0.4  # at most: failure share in a tally that one broken trial machine explains
 PROOF = 4.0  # log odds, and more among many balancers: about three failures more than the earlier build's
 OWN = 0.4  # of the proof, else tallies prove nothing: they count time-outs of cold or jammed machines
@@ -74,12 +75,13 @@
     """Whether one build fails more than the earlier one: log odds by class, by server, never under 0. One of
     several servers is a broken machine; a tally alone proves nothing. Could harm on an only server."""
 
-    def __init__(self) -> None:
+    def __init__(self, *more: float) -> None:
+        self.more = more or (FAIL_MORE,)
         self.sums: dict[tuple[int, float], dict[int, float]] = defaultdict(lambda: defaultdict(float))
 
     def add(self, cls: int, server: int, failed: float, ok: float, usual: float) -> None:
         low = min(max(usual, FAIL_FLOOR), 0.8)
-        for more in FAIL_MORE:
+        for more in self.more:
             high = low + max(more, low / 2) * (1 - low)
             gain = failed * math.log(high / low) + ok * math.log((1 - high) / (1 - low))
             for part in ((cls, more), (-1, more)):
@@ -87,10 +89,11 @@
                     self.sums[part][one] = max(self.sums[part][one] + gain, 0.0)
 
     def blame(self, cls: int, server: int, usual: float) -> None:
-        """A failure at a server that another gateway saw, counted among all by `add` already."""
-        for more in FAIL_MORE:
+        """Whose failure it was, of those that `add` has counted among all."""
+        usual = min(max(usual, FAIL_FLOOR), 0.8)
+        for more in self.more:
             for part in ((cls, more), (-1, more)):
-                self.sums[part][server] += math.log((usual + more * (1 - usual)) / usual)
+                self.sums[part][server] += math.log((usual + max(more, usual / 2) * (1 - usual)) / usual)
 
     def proof(self, servers: int, broken: bool, needed: float = PROOF) -> float:  # 1: proven
         most = (1.0 if servers <= 1 else max(min(2 / servers, 0.7), ONE_SERVER)) * (0.5 if broken else 1.0)
@@ -168,7 +171,9 @@
         self.kind_ms: dict[int, float] = {}  # the same by kind of machine, as if warm
         window = partial(Window, self.roll.exposure_window_ms)
         self.window_taken: dict[int, Window] = defaultdict(window)  # exposure: when requests were taken
-        self.builds: dict[int, Seen] = defaultdict(lambda: Seen(Failures(), defaultdict(window)))
+        self.builds: dict[int, Seen] = defaultdict(
+            lambda: Seen(Failures(), Failures(FAIL_MORE, FAIL_MORE_MANY), defaultdict(window))
+        )
         self.key_build: dict[int, int] = {}  # one-way keys: the build that may have answered each
         self.floor = -1  # the build under which no key goes: what these had answered is forgotten
         self.ask_again_at = -math.inf if settings.must_ask else math.inf  # when to ask for the list
@@ -183,10 +188,11 @@
         self.samples: deque[Attempt] = deque(maxlen=HISTORY)
         self.due: deque[tuple[float, int, int, int, int, int]] = deque()  # outcomes to count, and when
         # What the others are told of the newest build, and by sender and life the last that each told.
-        self.life, self.tellings, self.tell_at = self.rng.getrandbits(32), 0, -math.inf
+        self.life, self.tellings, self.tell_at = Random(seed + 1).getrandbits(32), 0, -math.inf
         self.untold: deque[tuple[int, int, int, int, int]] = deque(maxlen=HISTORY)
         self.told_by: dict[tuple[int, int], int] = {}
         self.strays = 0  # what came from others and could not be used
+        self.pooled: list[Digest] = []  # of this second, by all
         self.back_for = -1  # the build this balancer wants taken off
         self.vote = (-1, 0, i.Verdict.NONE)  # the vote last sent
         self.vote_sent = self.vote_stands_until = self.vote_after = -math.inf
@@ -498,6 +504,7 @@
         if self.best is None or n.build > self.best.build:
             self.odds, self.off, self.slow_since, self.before_rate = 0.0, False, math.inf, 0.0
             self.trial_began = self.now
+            self.untold.clear()
             self.before_ms = fmean([self._cost(s) for s in self.samples] or [0.0])
             if self.best is not None and self.best.phase is i.Phase.RELEASED:
                 self.before = self.best.build
@@ -512,11 +519,8 @@
 
     def _count(self, cls: int, build: int, server: int, failed: int, ok: int) -> None:
         """Own outcomes and tallies, against the build before: what is new everywhere is not the build's."""
-        if server != TALLY:
+        if server != TALLY and self.s.limits.peers:
             self.untold.append((cls, build, server, failed, ok))
-        self._learn(cls, build, server, failed, ok)
-
-    def _learn(self, cls: int, build: int, server: int, failed: int, ok: int) -> None:
         seen, of, share = self.builds[build], (cls, server == TALLY), failed / max(failed + ok, 1)
         usual = seen.fail_usual.setdefault(of, share)
         seen.fail_usual[of] += min(0.05 * (failed + ok), 0.6) * (share - usual)
@@ -540,6 +544,7 @@
             self.tellings += 1
             classes = tuple((c, r[0], r[1], r[2], r[3]) for c, r in sorted(rows.items()))
             told = Digest(self.life, self.tellings, build, classes, tuple(broken))
+            self.pooled.append(told)
             self.acts.append(i.TellPeer(None, encode(told)))
 
     def _peer(self, m: i.PeerMessage) -> None:
@@ -553,17 +558,24 @@
         self.told_by[m.sender, d.life] = d.number
         if len(self.told_by) > 4 * self.many:  # lives long over
             del self.told_by[next(iter(self.told_by))]
-        if self.best is None or d.build != self.best.build:
-            return
-        servers = {s.id % 65536: s.id for s in self.servers.values() if s.build == d.build}
-        for cls, ok, failed, old_ok, old_failed in d.classes:
-            if cls < len(self.s.classes):
-                for build, good, bad in ((self.before, old_ok, old_failed), (d.build, ok, failed)):
-                    if good + bad:
-                        self._learn(cls, build, ALL, bad, good)
-        for server, cls in d.failed:
-            if server in servers and cls < len(self.s.classes):
-                self.builds[d.build].failures.blame(cls, servers[server], FAIL_FLOOR)
+        if self.best is not None and d.build == self.best.build and len(self.pooled) < 4 * self.many:
+            self.pooled.append(d)
+
+    def _pool(self, build: int) -> None:
+        """What all saw in one second, the newest build beside the one before in that same second: a trouble
+        that begins everywhere at once is no build's. Without enough of the earlier one nothing is learnt."""
+        pooled, self.pooled = [d for d in self.pooled if d.build == build], []
+        servers = {s.id % 65536: s.id for s in self.servers.values() if s.build == build}
+        failures, shares = self.builds[build].pooled, {}
+        for cls in range(len(self.s.classes)):
+            rows = [r[1:] for d in pooled for r in d.classes if r[0] == cls]
+            ok, failed, old_ok, old_failed = [sum(column) for column in zip(*rows, strict=True)] or [0] * 4
+            if old_ok + old_failed >= LEAST_SAMPLE:
+                shares[cls] = old_failed / (old_ok + old_failed)
+                failures.add(cls, ALL, failed, ok, shares[cls])
+        for server, cls in [f for d in pooled for f in d.failed]:
+            if server in servers and cls in shares:
+                failures.blame(cls, servers[server], shares[cls])
 
     def _cost(self, s: Attempt) -> float:  # a cold server is slow whatever it runs: counted as if warm
         return s.warmth * (s.latency if s.latency is not None else self.now - s.sent)
@@ -639,7 +651,8 @@
         sure = least >= LEAST_SAMPLE
         shares = [s.fail_share for s in self.servers.values() if s.build < n.build]
         broken, new = max(shares, default=0.0) >= BROKEN, len(self.servers) - len(shares)
-        failing = self.builds[n.build].failures.proof(new, broken, self.needed)
+        seen = self.builds[n.build]
+        failing = max([f.proof(new, broken, self.needed) for f in (seen.failures, seen.pooled)])
         if self.back_for == n.build:
             return i.Verdict.BACK
         if failing >= 1:
@@ -666,6 +679,7 @@
         if self.s.limits.peers and self.many > 1 and self.now >= self.tell_at:
             self.tell_at = self.now + TELL_MS
             self._tell(n.build)
+            self._pool(n.build)
         verdict = self._verdict(n)
         wanted = (n.build, n.stage if verdict in (i.Verdict.ON, i.Verdict.HOLD) else 0, verdict)
         if verdict is i.Verdict.NONE and (self.vote == wanted or self.vote[0] != n.build):
--- a/meadowpulley/check/decisions.py
+++ b/meadowpulley/check/decisions.py
@@ -70,6 +70,10 @@
     return tuple([(at, cls, build, walker.server(s), failed, ok) for at, cls, build, s, failed, ok in value])
 
 
+def _untold(walker: Walker, value: Any) -> Any:
+    return tuple([(cls, build, walker.server(s), failed, ok) for cls, build, s, failed, ok in value])
+
+
 def _arms(walker: Walker, value: Any) -> Any:  # which order servers stand in does not matter: all are drawn
     return tuple(sorted([walker.server(s.id) for s in value]))
 
@@ -83,6 +87,7 @@
     ("Balancer", "trial"): _arms,
     ("Balancer", "earlier"): _arms,
     ("Balancer", "due"): _due,
+    ("Balancer", "untold"): _untold,
     ("Balancer", "key_build"): _by_key,
     ("Server", "id"): lambda walker, value: walker.server(value),
     ("Held", "tried"): _servers,
--- a/meadowpulley/check/mutants.py
+++ b/meadowpulley/check/mutants.py
@@ -182,7 +182,7 @@
        ("self.timer_at = math.inf if self.now >= self.timer_at else self.timer_at", "pass"),
        requests=1, troubles=1, servers=1, waits=3),
     _m("list-never-asked-again", "a failed list call is not repeated", "timers", "members",
-       ("self.ask_again_at = self.now + pause * (0.5 + self.rng.random())", "self.ask_again_at = math.inf"),
+       ("max(pause, spread) if self.s.must_ask else math.inf", "math.inf"),
        requests=0, troubles=2, servers=1, waits=2),
     _m("out-leaks", "a server's count of attempts out only grows", "leftovers", "attempts",
        ("server.out, held.out = server.out - 1, held.out - 1", "held.out = held.out - 1")),
--- a/meadowpulley/records.py
+++ b/meadowpulley/records.py
@@ -86,8 +86,8 @@
 class Seen:
     """What is known of one build, kept while it is the newest or the one before."""
 
-    def __init__(self, failures: Any, sent: defaultdict[int, Window]) -> None:
-        self.failures = failures
+    def __init__(self, failures: Any, pooled: Any, sent: defaultdict[int, Window]) -> None:
+        self.failures, self.pooled = failures, pooled  # by own outcomes, and by those of all gateways
         self.fail_usual: dict[tuple[int, bool], float] = {}  # by class, and whether by a tally
         self.hold_began: dict[int, float] = {}  # by stage
         self.sent = sent  # attempts, by what is counted
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -59,7 +59,7 @@
     assert decode(data) is None
     d = trial_of(0)
     d.give(i.PeerMessage(3, data))
-    assert d.b.strays == 1 and not d.b.told_by and not d.b.builds[42].failures.sums
+    assert d.b.strays == 1 and not d.b.told_by and not evidence(d)
 
 
 def trial_of(me: int, balancers: int = MANY) -> Driver:
@@ -76,6 +76,14 @@
     return d
 
 
+def evidence(d: Driver) -> float:
+    """The most that what all gateways saw speaks against build 42, once the second is over."""
+    for _ in range(30):
+        d.now += 50.0
+        d.tick()
+    return max([x for sums in d.b.builds[42].pooled.sums.values() for x in sums.values()], default=0.0)
+
+
 def play(fleet: list[Driver], lost: float, fails: float, seconds: float, told: int = 1) -> list[i.Vote]:
     """Each gateway takes two requests a second; those at build 42 fail by `fails`. Digests reach every other
     gateway `told` times, or not, by `lost`."""
@@ -125,13 +133,14 @@
     for sender, build in ((3, 41), (3, 77), (0, 42)):
         told = Digest(build, 1, build, ((SAFE, 0, 200, 0, 0),), tuple((n, SAFE) for n in range(100, 110)))
         d.give(i.PeerMessage(sender, encode(told)))
-    assert not any(any(s.values()) for s in d.b.builds[42].failures.sums.values())
+    assert not evidence(d)
 
 
 def test_classes_and_servers_that_this_gateway_does_not_know_are_passed_over() -> None:
     d = trial_of(0)
-    d.give(i.PeerMessage(3, encode(Digest(9, 1, 42, ((200, 0, 50, 0, 0),), ((9999, 0), (100, 200))))))
-    assert not any(any(s.values()) for s in d.b.builds[42].failures.sums.values())
+    rows = ((200, 0, 50, 50, 0), (SAFE, 50, 0, 50, 0))
+    d.give(i.PeerMessage(3, encode(Digest(9, 1, 42, rows, ((9999, SAFE), (100, 200))))))
+    assert not evidence(d)
 
 
 def test_one_broken_server_is_not_its_build_however_many_tell_of_it() -> None:
@@ -139,7 +148,29 @@
     for sender in range(1, MANY):
         told = Digest(sender, 1, 42, ((SAFE, 4, 1, 20, 0),), ((100, SAFE),))
         d.give(i.PeerMessage(sender, encode(told)))
-    assert d.b.builds[42].failures.proof(10, False, d.b.needed) < 1.0
+    assert evidence(d) > d.b.needed and d.b.builds[42].pooled.proof(10, False, d.b.needed) < 1.0
+
+
+def test_a_trouble_that_begins_everywhere_at_once_is_not_the_new_builds() -> None:
+    # Requests that fail at any server came all at once. What was usual for the earlier build was still that of
+    # the seconds before: a good build was sent back, and the next one too.
+    d = trial_of(0)
+    for second in range(1, 6):
+        for sender in range(1, MANY):
+            bad = 3 if second > 2 else 0
+            told = Digest(
+                sender, second, 42, ((SAFE, 4, bad, 8, 2 * bad),), ((100 + sender % 10, SAFE),) * bad
+            )
+            d.give(i.PeerMessage(sender, encode(told)))
+        assert evidence(d) >= 0 and d.b.builds[42].pooled.proof(10, False, d.b.needed) < 0.5
+
+
+def test_without_the_earlier_build_beside_it_the_newest_is_not_judged_by_what_others_say() -> None:
+    d = trial_of(0)
+    for sender in range(1, MANY):
+        told = Digest(sender, 1, 42, ((SAFE, 4, 4, 0, 0),), ((100 + sender % 10, SAFE),) * 4)
+        d.give(i.PeerMessage(sender, encode(told)))
+    assert not evidence(d)
 
 
 def test_the_lives_that_are_remembered_are_bounded() -> None:
