--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -152,8 +152,8 @@
 
 
 def test_a_trouble_that_begins_everywhere_at_once_is_not_the_new_builds() -> None:
-    # Requests that fail at any server came all at once. What was usual for the earlier build was still that of
-    # the seconds before: a good build was sent back, and the next one too.
+    # Requests that fail at any server came all at once. What was usual for the earlier build was still that
+    # of the seconds before: a good build was sent back, and the next one too.
     d = trial_of(0)
     for second in range(1, 6):
         for sender in range(1, MANY):
