Failing servers rest by what several gateways tell; no build is blamed for broken machines

Change: digests name failing servers of any build, and go out without a trial too. A server that several gateways say failed 3 in 10 of an average server's requests, and twice as many as servers do on average, rests as if it had failed here. `broken` holds while the earlier build fails by what all tell. Failures told are weighed against good answers server by server.

Also: MEADOWPULLEY_SECONDS writes one line a second of a gateway, `meadowpulley fleet-log` adds up a fleet's; off in `run`.

--- a/meadowpulley/__main__.py
+++ b/meadowpulley/__main__.py
@@ -86,6 +86,10 @@
     except (OSError, ValueError) as bad:
         print(f"meadowpulley: capture: {bad}", file=sys.stderr)
         return 2
+    if os.environ.get("MEADOWPULLEY_SECONDS"):
+        from meadowpulley.net.seconds import Seconds
+
+        Seconds(gateway)
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
         signal.signal(number, gateway.on_signal)
     try:
--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable
 from functools import partial
 from itertools import accumulate, islice, takewhile
@@ -51,6 +51,7 @@
 FAIL_AFTER = 2.0  # usual latencies after it was sent a failure counts: quick ones overtake good answers
 FAIL_STEP = 0.2  # weight of the newest outcome in a server's failure share
 BROKEN = 0.3  # failure share that shows a trouble of machines: two of the last few
+ACCUSED_MS = 2000.0  # how long a failure that another gateway met speaks against a server
 FAIL_OUT = 0.45  # failure share that takes a server out of the choice: three in a row, or half of many
 REST_MS = (1000.0, 8000.0)  # first and longest rest of a server taken out; each failed try doubles it
 RETRY_SHARE = 0.1  # further attempts for each request taken, so that retries cannot feed a jam
@@ -80,21 +81,17 @@
         self.sums: dict[tuple[int, float], dict[int, float]] = defaultdict(lambda: defaultdict(float))
 
     def add(self, cls: int, server: int, failed: float, ok: float, usual: float) -> None:
+        self.add_to((server, ALL) if server != TALLY else (TALLY,), cls, failed, ok, usual)
+
+    def add_to(self, of: tuple[int, ...], cls: int, failed: float, ok: float, usual: float) -> None:
         low = min(max(usual, FAIL_FLOOR), 0.8)
         for more in self.more:
             high = low + max(more, low / 2) * (1 - low)
             gain = failed * math.log(high / low) + ok * math.log((1 - high) / (1 - low))
             for part in ((cls, more), (-1, more)):
-                for one in {server, ALL} if server != TALLY else (TALLY,):
+                for one in of:
                     self.sums[part][one] = max(self.sums[part][one] + gain, 0.0)
 
-    def blame(self, cls: int, server: int, usual: float) -> None:
-        """Whose failure it was, of those that `add` has counted among all."""
-        usual = min(max(usual, FAIL_FLOOR), 0.8)
-        for more in self.more:
-            for part in ((cls, more), (-1, more)):
-                self.sums[part][server] += math.log((usual + max(more, usual / 2) * (1 - usual)) / usual)
-
     def proof(self, servers: int, broken: bool, needed: float = PROOF) -> float:  # 1: proven
         most = (1.0 if servers <= 1 else max(min(2 / servers, 0.7), ONE_SERVER)) * (0.5 if broken else 1.0)
         found = [0.0]
@@ -188,11 +185,14 @@
         self.samples: deque[Attempt] = deque(maxlen=HISTORY)
         self.due: deque[tuple[float, int, int, int, int, int]] = deque()  # outcomes to count, and when
         # What the others are told of the newest build, and by sender and life the last that each told.
-        self.life, self.tellings, self.tell_at = Random(seed + 1).getrandbits(32), 0, -math.inf
+        self.life, self.tellings = Random(seed + 1).getrandbits(32), 0
+        self.tell_at = -math.inf if settings.limits.peers and self.many > 1 else math.inf
         self.untold: deque[tuple[int, int, int, int, int]] = deque(maxlen=HISTORY)
         self.told_by: dict[tuple[int, int], int] = {}
         self.strays = 0  # what came from others and could not be used
         self.pooled: list[Digest] = []  # of this second, by all
+        self.accusations: deque[float] = deque(maxlen=HISTORY)  # failed answers that others met, and when
+        self.troubled = -math.inf  # when the earlier build last failed somewhere, by all
         self.back_for = -1  # the build this balancer wants taken off
         self.vote = (-1, 0, i.Verdict.NONE)  # the vote last sent
         self.vote_sent = self.vote_stands_until = self.vote_after = -math.inf
@@ -238,6 +238,10 @@
         waiting, self.waiting = self.waiting, []
         for held in [h for h in waiting if h.r.request in self.held]:
             self._route_or_wait(held)
+        if self.now >= self.tell_at and self.best is not None:
+            self.tell_at = self.now + TELL_MS
+            self._tell(self.best.build)
+            self._pool(self.best.build)
         if self.now >= self.judge_at:
             self._judge()
 
@@ -534,13 +538,14 @@
         last told goes to all. Lost, a little evidence is missing."""
         rows: dict[int, list[int]] = defaultdict(lambda: [0, 0, 0, 0])
         broken: list[tuple[int, int]] = []
+        judged = self.judge_at < math.inf
         for cls, of, server, failed, ok in self.untold:
-            if of in (build, self.before):
+            if judged and of in (build, self.before):
                 at = 0 if of == build else 2
                 rows[cls][at], rows[cls][at + 1] = rows[cls][at] + ok, rows[cls][at + 1] + failed
-                broken += [(server, cls)] * (failed if of == build else 0)
+            broken += [(server, cls)] * failed
         self.untold.clear()
-        if rows:
+        if rows or broken:
             self.tellings += 1
             classes = tuple((c, r[0], r[1], r[2], r[3]) for c, r in sorted(rows.items()))
             told = Digest(self.life, self.tellings, build, classes, tuple(broken))
@@ -558,24 +563,40 @@
         self.told_by[m.sender, d.life] = d.number
         if len(self.told_by) > 4 * self.many:  # lives long over
             del self.told_by[next(iter(self.told_by))]
+        self._accused(m.sender, d)
         if self.best is not None and d.build == self.best.build and len(self.pooled) < 4 * self.many:
             self.pooled.append(d)
 
+    def _accused(self, sender: int, d: Digest) -> None:
+        """Who fails a good part of all requests rests here before it has cost this gateway its own: several
+        must say so, and it must fail more than most do. It comes back as any that rested, by one request."""
+        servers = {s.id % 65536: s for s in self.servers.values()}
+        each = self.taken.value(self.now) * self.many * ACCUSED_MS / max(len(servers), 1)
+        for server in [servers[n] for n, _ in d.failed if n in servers]:
+            server.accused.append((self.now, sender))
+            self.accusations.append(self.now)
+            lately = [by for at, by in server.accused if at > self.now - ACCUSED_MS]
+            usual = sum(at > self.now - ACCUSED_MS for at in self.accusations) / len(servers)
+            if len({*lately}) > 1 and len(lately) >= max(BROKEN * each, 2 * usual, 2):
+                server.accused.clear()
+                self._rest(server)
+
     def _pool(self, build: int) -> None:
         """What all saw in one second, the newest build beside the one before in that same second: a trouble
         that begins everywhere at once is no build's. Without enough of the earlier one nothing is learnt."""
         pooled, self.pooled = [d for d in self.pooled if d.build == build], []
-        servers = {s.id % 65536: s.id for s in self.servers.values() if s.build == build}
-        failures, shares = self.builds[build].pooled, {}
+        servers = [s.id for s in self.servers.values() if s.build == build]
+        blamed = Counter((server, cls) for d in pooled for server, cls in d.failed)
         for cls in range(len(self.s.classes)):
             rows = [r[1:] for d in pooled for r in d.classes if r[0] == cls]
             ok, failed, old_ok, old_failed = [sum(column) for column in zip(*rows, strict=True)] or [0] * 4
-            if old_ok + old_failed >= LEAST_SAMPLE:
-                shares[cls] = old_failed / (old_ok + old_failed)
-                failures.add(cls, ALL, failed, ok, shares[cls])
-        for server, cls in [f for d in pooled for f in d.failed]:
-            if server in servers and cls in shares:
-                failures.blame(cls, servers[server], shares[cls])
+            if old_ok + old_failed < LEAST_SAMPLE:
+                continue
+            share, failures = old_failed / (old_ok + old_failed), self.builds[build].pooled
+            self.troubled = self.now if share >= FAIL_FLOOR else self.troubled
+            failures.add_to((ALL,), cls, failed, ok, share)
+            for n in servers:  # who gave the good answers is not told: as many by each
+                failures.add_to((n,), cls, blamed[n % 65536, cls], ok / len(servers), share)
 
     def _cost(self, s: Attempt) -> float:  # a cold server is slow whatever it runs: counted as if warm
         return s.warmth * (s.latency if s.latency is not None else self.now - s.sent)
@@ -651,6 +672,9 @@
         sure = least >= LEAST_SAMPLE
         shares = [s.fail_share for s in self.servers.values() if s.build < n.build]
         broken, new = max(shares, default=0.0) >= BROKEN, len(self.servers) - len(shares)
+        broken |= (
+            self.now < self.troubled + RATE_MS
+        )  # the others have met broken machines, where this one has not
         seen = self.builds[n.build]
         failing = max([f.proof(new, broken, self.needed) for f in (seen.failures, seen.pooled)])
         if self.back_for == n.build:
@@ -676,10 +700,6 @@
         if n.build in {s.build for s in self.servers.values() if self.before >= 0 or n.phase is TRIAL}:
             self.judge_at = self.now + JUDGE_MS
         self.before_rate = max(self.before_rate, self.taken.value(self.now) if n.stage == 0 else 0.0)
-        if self.s.limits.peers and self.many > 1 and self.now >= self.tell_at:
-            self.tell_at = self.now + TELL_MS
-            self._tell(n.build)
-            self._pool(n.build)
         verdict = self._verdict(n)
         wanted = (n.build, n.stage if verdict in (i.Verdict.ON, i.Verdict.HOLD) else 0, verdict)
         if verdict is i.Verdict.NONE and (self.vote == wanted or self.vote[0] != n.build):
--- a/meadowpulley/cli/main.py
+++ b/meadowpulley/cli/main.py
@@ -9,6 +9,7 @@
 from meadowpulley.cli.demo import demo
 from meadowpulley.cli.emulate import emulate
 from meadowpulley.cli.experiment import experiment
+from meadowpulley.cli.fleet_log import fleet_log
 from meadowpulley.cli.load import load
 from meadowpulley.cli.verify import verify
 
@@ -24,5 +25,5 @@
 
 
 capacity.add_command(verify)
-for command in (capacity, check, demo, emulate, experiment, load):
+for command in (capacity, check, demo, emulate, experiment, fleet_log, load):
     main.add_command(command)
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -192,3 +192,47 @@
             told += d.end(send)
         told += d.tick()
     assert not [a for a in told if isinstance(a, i.TellPeer)]
+
+
+def accuse(d: Driver, server: int, by: range, number: int = 1) -> None:
+    for sender in by:
+        d.give(i.PeerMessage(sender, encode(Digest(sender, number, 0, (), ((server, SAFE),) * 4))))
+
+
+def asked_of(d: Driver, server: int, requests: int = 60) -> int:
+    return sum(
+        send.server == server for _ in range(requests) for send in sends(d.ask(SAFE)) if not d.end(send)
+    )
+
+
+def test_a_failing_server_rests_before_each_gateway_has_met_it() -> None:
+    # Forty gateways each lost requests to the same failing server until it had failed three of their own.
+    d = trial_of(0)
+    accuse(d, 7, range(1, 9))
+    assert d.b.servers[7].rest_until > d.now and not asked_of(d, 7)
+    assert all(s.rest_until <= d.now for n, s in d.b.servers.items() if n != 7)
+
+
+def test_one_gateways_word_or_a_trouble_of_all_servers_rests_nobody() -> None:
+    d = trial_of(0)
+    for number in range(1, 9):
+        accuse(d, 7, range(1, 2), number)
+    everywhere = trial_of(0)
+    for sender in range(1, MANY):
+        failed = tuple((n, SAFE) for n in (*range(20), 100, 101))
+        everywhere.give(i.PeerMessage(sender, encode(Digest(sender, 1, 0, (), failed))))
+    for one in (d, everywhere):
+        assert all(s.rest_until <= one.now for s in one.b.servers.values())
+
+
+def test_machines_that_fail_elsewhere_too_excuse_a_build() -> None:
+    # Six of the new build's servers were among the fleet's broken ones: a good build was sent back.
+    for old_failed, goes in ((0, True), (3, False)):
+        d = trial_of(0)
+        for second in range(1, 5):
+            for sender in range(1, MANY):
+                rows = ((SAFE, 4, 2, 30, old_failed),)
+                told = Digest(sender, second, 42, rows, ((100 + sender % 6, SAFE),) * 2)
+                d.give(i.PeerMessage(sender, encode(told)))
+            evidence(d)
+        assert (d.b.back_for == 42) == goes
