Servers that others say fail are looked at once a second; builds are not compared while much fails

Change: what several gateways say of a server is added up once a second (`_accuse`), not at every digest. While more than a tenth of the earlier build's answers are failures nothing is learnt of the newest from others. A gateway that knows no server asks for the list at once.

Did not help: leaving what is out at resting servers out of the room in flight.

--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -51,7 +51,6 @@
 FAIL_AFTER = 2.0  # usual latencies after it was sent a failure counts: quick ones overtake good answers
 FAIL_STEP = 0.2  # weight of the newest outcome in a server's failure share
 BROKEN = 0.3  # failure share that shows a trouble of machines: two of the last few
-ACCUSED_MS = 2000.0  # how long a failure that another gateway met speaks against a server
 FAIL_OUT = 0.45  # failure share that takes a server out of the choice: three in a row, or half of many
 REST_MS = (1000.0, 8000.0)  # first and longest rest of a server taken out; each failed try doubles it
 RETRY_SHARE = 0.1  # further attempts for each request taken, so that retries cannot feed a jam
@@ -190,8 +189,7 @@
         self.untold: deque[tuple[int, int, int, int, int]] = deque(maxlen=HISTORY)
         self.told_by: dict[tuple[int, int], int] = {}
         self.strays = 0  # what came from others and could not be used
-        self.pooled: list[Digest] = []  # of this second, by all
-        self.accusations: deque[float] = deque(maxlen=HISTORY)  # failed answers that others met, and when
+        self.pooled: list[tuple[int, Digest]] = []  # of this second, by all
         self.troubled = -math.inf  # when the earlier build last failed somewhere, by all
         self.back_for = -1  # the build this balancer wants taken off
         self.vote = (-1, 0, i.Verdict.NONE)  # the vote last sent
@@ -200,7 +198,7 @@
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
         self.now, self.acts = now, []
-        if self.ask_again_at == -math.inf:  # discovery takes a fleet's calls in turn, and not for long
+        if self.ask_again_at == -math.inf and self.servers:  # discovery takes a fleet's calls in turn
             self.ask_again_at = now + self.rng.random() * self.list_spread
         if now > self.timer_at + LATE_TURN_MS:
             self.stood_still = now
@@ -241,6 +239,7 @@
         if self.now >= self.tell_at and self.best is not None:
             self.tell_at = self.now + TELL_MS
             self._tell(self.best.build)
+            self._accuse()
             self._pool(self.best.build)
         if self.now >= self.judge_at:
             self._judge()
@@ -549,7 +548,7 @@
             self.tellings += 1
             classes = tuple((c, r[0], r[1], r[2], r[3]) for c, r in sorted(rows.items()))
             told = Digest(self.life, self.tellings, build, classes, tuple(broken))
-            self.pooled.append(told)
+            self.pooled.append((self.s.me, told))
             self.acts.append(i.TellPeer(None, encode(told)))
 
     def _peer(self, m: i.PeerMessage) -> None:
@@ -563,37 +562,34 @@
         self.told_by[m.sender, d.life] = d.number
         if len(self.told_by) > 4 * self.many:  # lives long over
             del self.told_by[next(iter(self.told_by))]
-        self._accused(m.sender, d)
-        if self.best is not None and d.build == self.best.build and len(self.pooled) < 4 * self.many:
-            self.pooled.append(d)
+        if len(self.pooled) < 4 * self.many:
+            self.pooled.append((m.sender, d))
 
-    def _accused(self, sender: int, d: Digest) -> None:
+    def _accuse(self) -> None:
         """Who fails a good part of all requests rests here before it has cost this gateway its own: several
         must say so, and it must fail more than most do. It comes back as any that rested, by one request."""
-        servers = {s.id % 65536: s for s in self.servers.values()}
-        each = self.taken.value(self.now) * self.many * ACCUSED_MS / max(len(servers), 1)
-        for server in [servers[n] for n, _ in d.failed if n in servers]:
-            server.accused.append((self.now, sender))
-            self.accusations.append(self.now)
-            lately = [by for at, by in server.accused if at > self.now - ACCUSED_MS]
-            usual = sum(at > self.now - ACCUSED_MS for at in self.accusations) / len(servers)
-            if len({*lately}) > 1 and len(lately) >= max(BROKEN * each, 2 * usual, 2):
-                server.accused.clear()
-                self._rest(server)
+        said = [(n, by) for by, d in self.pooled for n, _ in d.failed]
+        many, by_server = Counter(n for n, _ in said), Counter(n for n, _ in set(said))
+        each = self.taken.value(self.now) * self.many * TELL_MS
+        for s in self.servers.values() if said else ():
+            least = max(BROKEN * each, 2 * len(said)) / len(self.servers)
+            if by_server[s.id % 65536] > 1 and many[s.id % 65536] >= max(least, 2):
+                self._rest(s)
 
     def _pool(self, build: int) -> None:
         """What all saw in one second, the newest build beside the one before in that same second: a trouble
         that begins everywhere at once is no build's. Without enough of the earlier one nothing is learnt."""
-        pooled, self.pooled = [d for d in self.pooled if d.build == build], []
+        pooled, self.pooled = [d for _, d in self.pooled if d.build == build], []
         servers = [s.id for s in self.servers.values() if s.build == build]
         blamed = Counter((server, cls) for d in pooled for server, cls in d.failed)
         for cls in range(len(self.s.classes)):
             rows = [r[1:] for d in pooled for r in d.classes if r[0] == cls]
             ok, failed, old_ok, old_failed = [sum(column) for column in zip(*rows, strict=True)] or [0] * 4
-            if old_ok + old_failed < LEAST_SAMPLE:
-                continue
-            share, failures = old_failed / (old_ok + old_failed), self.builds[build].pooled
+            share, failures = old_failed / max(old_ok + old_failed, 1), self.builds[build].pooled
             self.troubled = self.now if share >= FAIL_FLOOR else self.troubled
+            # Where much fails anyhow, good answers of crowded or cold machines come late and errors do not.
+            if old_ok + old_failed < LEAST_SAMPLE or share > FAIL_MORE:
+                continue
             failures.add_to((ALL,), cls, failed, ok, share)
             for n in servers:  # who gave the good answers is not told: as many by each
                 failures.add_to((n,), cls, blamed[n % 65536, cls], ok / len(servers), share)
--- a/meadowpulley/records.py
+++ b/meadowpulley/records.py
@@ -19,7 +19,6 @@
         self.slot = self.left = -1  # cold: the slot of the span, and what may still be sent in it
         self.fail_share = self.rest_until = 0.0
         self.rest_ms = 0.0  # 0 while trusted; else the rest it has had, and one request at a time goes there
-        self.accused: deque[tuple[float, int]] = deque(maxlen=64)  # failures other gateways met: when, who
         self.failed_at = self.heard = -math.inf  # last failure, last answer of any kind
 
 
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -197,6 +197,8 @@
 def accuse(d: Driver, server: int, by: range, number: int = 1) -> None:
     for sender in by:
         d.give(i.PeerMessage(sender, encode(Digest(sender, number, 0, (), ((server, SAFE),) * 4))))
+    d.now += 1000.0
+    d.tick()
 
 
 def asked_of(d: Driver, server: int, requests: int = 60) -> int:
@@ -221,6 +223,8 @@
     for sender in range(1, MANY):
         failed = tuple((n, SAFE) for n in (*range(20), 100, 101))
         everywhere.give(i.PeerMessage(sender, encode(Digest(sender, 1, 0, (), failed))))
+    everywhere.now += 1000.0
+    everywhere.tick()
     for one in (d, everywhere):
         assert all(s.rest_until <= one.now for s in one.b.servers.values())
 
@@ -236,3 +240,14 @@
                 d.give(i.PeerMessage(sender, encode(told)))
             evidence(d)
         assert (d.b.back_for == 42) == goes
+
+
+def test_while_much_fails_at_the_earlier_build_too_nothing_is_learnt_of_the_newest() -> None:
+    # Requests that fail everywhere, and a new build whose machines are cold: its errors were counted, its
+    # good answers still under way.
+    d = trial_of(0)
+    for second in range(1, 6):
+        for sender in range(1, MANY):
+            told = Digest(sender, second, 42, ((SAFE, 3, 3, 8, 4),), ((100 + sender % 10, SAFE),) * 3)
+            d.give(i.PeerMessage(sender, encode(told)))
+        assert not evidence(d)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -201,3 +201,8 @@
 def test_a_small_fleet_asks_for_the_list_soon_and_again_soon_after_a_failure() -> None:
     asked = list_calls(3, failing_until=350.0)
     assert sum(at < 350.0 for at in asked) >= 3 and max(asked) <= 4000.0
+
+
+def test_without_any_list_a_gateway_of_many_asks_at_once() -> None:
+    d = Driver(settings(must_ask=True, balancers=40), told=False)
+    assert any(isinstance(a, i.Watch) for a in d.tick())
