--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from meadowpulley import interface as i
-from meadowpulley.digests import Digest, decode, encode
+from meadowpulley.digests import SERVERS, Digest, decode, encode
 from meadowpulley.records import Attempt, Held, Rate, Seen, Server, Window
 
 # First the design's own figures (its page marks them as starting values); ours from TICK_MS on.
@@ -27,7 +27,7 @@
 HOLD_MS = 3000.0  # the longest hold of one stage under a clock
 TICK_MS = 50.0  # how often waiting requests are looked at; those that are out four times less often
 JUDGE_MS = 400.0  # how often a build is judged
-TELL_MS = 1000.0  # between two digests of what this gateway saw of the newest build
+TELL_MS = 1000.0  # between two digests of what this gateway saw, and two looks at what others told
 LATE_TURN_MS = 250.0  # a timer later than this: this gateway stood still, and what was out only looks slow
 LEAST_SWING = 0.1  # odds of the trial build: with less it hardly slows all servers
 SWING_SOAKS = 2.0  # soak times within which a slowdown that comes back with the traffic counts as the same
@@ -173,8 +173,8 @@
         self.key_build: dict[int, int] = {}  # one-way keys: the build that may have answered each
         self.floor = -1  # the build under which no key goes: what these had answered is forgotten
         self.ask_again_at = -math.inf if settings.must_ask else math.inf  # when to ask for the list
-        self.list_fails, half = 0, (self.rules.ask_within_ms or math.inf) / 2
-        self.list_spread = min(LIST_EACH_MS * (self.many - 1), half)
+        self.list_fails = 0
+        self.list_spread = min(LIST_EACH_MS * (self.many - 1), (self.rules.ask_within_ms or math.inf) / 2)
         self.told: i.BuildNews | None = None  # the last news to the letter, for the rules
         self.best: i.BuildNews | None = None  # the furthest known, for judging and votes
         self.before = -1  # the build that the newest is compared with
@@ -183,7 +183,7 @@
         self.off, self.swings = False, 0  # no traffic to the trial build while all is slow; how often
         self.samples: deque[Attempt] = deque(maxlen=HISTORY)
         self.due: deque[tuple[float, int, int, int, int, int]] = deque()  # outcomes to count, and when
-        # What the others are told of the newest build, and by sender and life the last that each told.
+        # What the others are told, and by sender and life the last that each told.
         self.life, self.tellings = Random(seed + 1).getrandbits(32), 0
         self.tell_at = -math.inf if settings.limits.peers and self.many > 1 else math.inf
         self.untold: deque[tuple[int, int, int, int, int]] = deque(maxlen=HISTORY)
@@ -208,7 +208,8 @@
             handler(event)
         # One timer, only when there is something to wait for: an idle balancer costs nothing.
         look = TICK_MS if self.waiting else 4 * TICK_MS if self.attempts else math.inf
-        at = max(min(self.judge_at, self.ask_again_at, now + look), now)
+        tell = self.tell_at if self.pooled else math.inf  # an idle gateway too: what is old says nothing
+        at = max(min(self.judge_at, self.ask_again_at, tell, now + look), now)
         if at < self.timer_at:
             self.timer_at = at
             self.acts.append(i.SetTimer(at - now, TICK))
@@ -522,7 +523,7 @@
 
     def _count(self, cls: int, build: int, server: int, failed: int, ok: int) -> None:
         """Own outcomes and tallies, against the build before: what is new everywhere is not the build's."""
-        if server != TALLY and self.s.limits.peers:
+        if server != TALLY and self.tell_at < math.inf:
             self.untold.append((cls, build, server, failed, ok))
         seen, of, share = self.builds[build], (cls, server == TALLY), failed / max(failed + ok, 1)
         usual = seen.fail_usual.setdefault(of, share)
@@ -542,7 +543,7 @@
             if judged and of in (build, self.before):
                 at = 0 if of == build else 2
                 rows[cls][at], rows[cls][at + 1] = rows[cls][at] + ok, rows[cls][at + 1] + failed
-            broken += [(server, cls)] * failed
+            broken += [(server % SERVERS, cls)] * failed
         self.untold.clear()
         if rows or broken:
             self.tellings += 1
@@ -552,8 +553,8 @@
             self.acts.append(i.TellPeer(None, encode(told)))
 
     def _peer(self, m: i.PeerMessage) -> None:
-        """Evidence from another gateway, each digest once. It is about builds: this gateway's own choice of
-        servers, its caps and its lists stay its own."""
+        """Evidence from another gateway, each digest once: of builds, and of servers that fail. Caps, lists
+        and the vote stay this gateway's own."""
         d = decode(m.data)
         if d is None or m.sender == self.s.me or self.told_by.get((m.sender, d.life), -1) >= d.number:
             self.strays += 1
@@ -562,7 +563,7 @@
         self.told_by[m.sender, d.life] = d.number
         if len(self.told_by) > 4 * self.many:  # lives long over
             del self.told_by[next(iter(self.told_by))]
-        if len(self.pooled) < 4 * self.many:
+        if self.best is not None and len(self.pooled) < 4 * self.many:
             self.pooled.append((m.sender, d))
 
     def _accuse(self) -> None:
@@ -570,10 +571,10 @@
         must say so, and it must fail more than most do. It comes back as any that rested, by one request."""
         said = [(n, by) for by, d in self.pooled for n, _ in d.failed]
         many, by_server = Counter(n for n, _ in said), Counter(n for n, _ in set(said))
-        each = self.taken.value(self.now) * self.many * TELL_MS
-        for s in self.servers.values() if said else ():
-            least = max(BROKEN * each, 2 * len(said)) / len(self.servers)
-            if by_server[s.id % 65536] > 1 and many[s.id % 65536] >= max(least, 2):
+        all_taken = self.taken.value(self.now) * self.many * TELL_MS
+        least = max(max(BROKEN * all_taken, 2 * len(said)) / max(len(self.servers), 1), 2)
+        for s in self.servers.values():
+            if by_server[s.id % SERVERS] > 1 and many[s.id % SERVERS] >= least:
                 self._rest(s)
 
     def _pool(self, build: int) -> None:
@@ -592,7 +593,7 @@
                 continue
             failures.add_to((ALL,), cls, failed, ok, share)
             for n in servers:  # who gave the good answers is not told: as many by each
-                failures.add_to((n,), cls, blamed[n % 65536, cls], ok / len(servers), share)
+                failures.add_to((n,), cls, blamed[n % SERVERS, cls], ok / len(servers), share)
 
     def _cost(self, s: Attempt) -> float:  # a cold server is slow whatever it runs: counted as if warm
         return s.warmth * (s.latency if s.latency is not None else self.now - s.sent)
@@ -667,10 +668,9 @@
         low, high, margin, least = self.estimate(n.build)
         sure = least >= LEAST_SAMPLE
         shares = [s.fail_share for s in self.servers.values() if s.build < n.build]
-        broken, new = max(shares, default=0.0) >= BROKEN, len(self.servers) - len(shares)
-        broken |= (
-            self.now < self.troubled + RATE_MS
-        )  # the others have met broken machines, where this one has not
+        # Machines are broken by what this gateway has met, or by what all have.
+        broken = max(shares, default=0.0) >= BROKEN or self.now < self.troubled + RATE_MS
+        new = len(self.servers) - len(shares)
         seen = self.builds[n.build]
         failing = max([f.proof(new, broken, self.needed) for f in (seen.failures, seen.pooled)])
         if self.back_for == n.build:
--- a/meadowpulley/cli/fleet_log.py
+++ b/meadowpulley/cli/fleet_log.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
-import json
 from pathlib import Path
 
 import click
-from rich.table import Table
 
-from meadowpulley.cli.common import InputError, console, guarded
+from meadowpulley.cli.common import (
+    FILE,
+    InputError,
+    console,
+    guarded,
+    json_option,
+    make_table,
+    read_bytes,
+    show_json,
+)
 from meadowpulley.report.seconds import Second, add_up
 
 COLUMNS = (  # heading, counters
@@ -35,39 +42,37 @@
 
 
 @click.command("fleet-log")
-@click.argument("logs", nargs=-1, required=True, type=click.Path(dir_okay=False, path_type=Path))
-@click.option("--json", "as_json", is_flag=True, help="One JSON object a second.")
+@click.argument("logs", nargs=-1, required=True, type=FILE)
+@json_option
 @guarded
 def fleet_log(logs: tuple[Path, ...], as_json: bool) -> None:
     """Adds up the `second` lines of LOGS, one file a gateway, written with MEADOWPULLEY_SECONDS=1."""
-    lines: list[str] = []
-    for path in logs:
-        try:
-            lines += path.read_text(errors="replace").splitlines()
-        except OSError as error:
-            raise InputError(f"{path}: {error.strerror}; name the gateways' log files") from None
-    seconds, unread = add_up(lines)
-    if not any(s.gateways for s in seconds.values()):
+    lines = [line for path in logs for line in read_bytes(path).decode(errors="replace").splitlines()]
+    found, unread = add_up(lines)
+    seconds = {at: s for at, s in found.items() if s.gateways}
+    if not seconds:
         raise InputError(f"{logs[0]}: no 'second' line; start the gateways with MEADOWPULLEY_SECONDS=1")
-    first = min(at for at, s in seconds.items() if s.gateways)
-    out = console()
+    first = min(seconds)
+    said = [line for s in found.values() for line in s.lines]
     if as_json:
-        for at, s in seconds.items():
-            shown = {"second": at - first, "gateways": s.gateways, **row(s), "out": s.out}
-            out.print(
-                json.dumps({**shown, "resting": s.resting, "servers": s.servers, "news": s.news}),
-                soft_wrap=True,
-            )
+        rows = [
+            {
+                **{"second": at - first, "gateways": s.gateways, **row(s)},
+                **{"at servers": s.out, "resting": s.resting, "servers": s.servers, "news": s.news},
+            }
+            for at, s in seconds.items()
+        ]
+        show_json({"seconds": rows, "decisions": said, "unread": unread})
         return
-    table = Table("s", "gateways", *(name for name, _ in COLUMNS), "at servers", "resting", "news of most")
-    for at, s in seconds.items():
-        if s.gateways:
-            news = s.news.most_common(1)[0][0]
-            table.add_row(
-                str(at - first), str(s.gateways), *map(str, row(s).values()), str(s.out), str(s.resting), news
-            )
-    out.print(table)
-    for line in [line for s in seconds.values() for line in s.lines]:
-        out.print(line, soft_wrap=True)
+    shown = [
+        [str(at - first), str(s.gateways), *map(str, row(s).values()), str(s.out), str(s.resting),
+         s.news.most_common(1)[0][0]]
+        for at, s in seconds.items()
+    ]  # fmt: skip
+    headings = ["s", "gateways", *(name for name, _ in COLUMNS), "at servers", "resting", "news of most"]
+    out = console()
+    out.print(make_table("The fleet by the second", headings, shown))
+    for line in said:
+        out.print(line, soft_wrap=True, markup=False)
     if unread:
         out.print(f"{unread} lines could not be read")
--- a/meadowpulley/digests.py
+++ b/meadowpulley/digests.py
@@ -1,8 +1,8 @@
-"""What a gateway tells the others of the newest build: few bytes, lost or repeated without harm.
+"""What a gateway tells the others of builds and servers: few bytes, lost or repeated without harm.
 
 A digest counts what came back since the sender's last one: by class the good and failed answers of the newest
-build and of the one before, and the servers of the newest that failed. Bytes that are no whole digest of this
-version give None, whatever they are. Nothing here decides.
+build and of the one before, and the servers, of any build, that failed. Bytes that are no whole digest of
+this version give None, whatever they are. Nothing here decides.
 """
 
 from __future__ import annotations
@@ -13,10 +13,11 @@
 VERSION = 0xA1
 MOST_BYTES = 256
 MOST_COUNT = 255  # in one digest, of one class and kind
-_HEAD = struct.Struct("!BIHIBB")  # version, life, number, build, classes, failures
+_HEAD = struct.Struct("!BIIIBB")  # version, life, number, build, classes, failures
 _CLASS = struct.Struct("!BBBBB")  # class; good and failed answers of the new build, of the earlier one
 _FAILED = struct.Struct("!HB")  # server, class
-MOST_FAILED = 24
+MOST_CLASSES, MOST_FAILED = 8, 24
+SERVERS, WORD = 1 << 16, 1 << 32  # a server is told by its number modulo the first
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,17 +28,17 @@
     number: int
     build: int
     classes: tuple[tuple[int, int, int, int, int], ...] = ()  # class, new ok, new failed, old ok, old failed
-    failed: tuple[
-        tuple[int, int], ...
-    ] = ()  # (server modulo 65,536, class) for each failed answer of the new build
+    failed: tuple[tuple[int, int], ...] = ()  # server modulo SERVERS, class: one for each failed answer
 
 
 def encode(d: Digest) -> bytes:
-    """At most MOST_BYTES; counts beyond MOST_COUNT and failures beyond MOST_FAILED are left out."""
-    classes, failed = d.classes[:8], d.failed[:MOST_FAILED]
-    head = _HEAD.pack(VERSION, d.life, d.number % 65536, d.build, len(classes), len(failed))
+    """At most MOST_BYTES. Left out: what is beyond MOST_COUNT, MOST_CLASSES and MOST_FAILED, and classes
+    whose number takes more than a byte."""
+    classes = [row for row in d.classes if row[0] <= MOST_COUNT][:MOST_CLASSES]
+    failed = [one for one in d.failed if one[1] <= MOST_COUNT][:MOST_FAILED]
+    head = _HEAD.pack(VERSION, d.life, d.number % WORD, d.build % WORD, len(classes), len(failed))
     parts = [_CLASS.pack(cls, *(min(n, MOST_COUNT) for n in counts)) for cls, *counts in classes]
-    parts += [_FAILED.pack(server % 65536, cls) for server, cls in failed]
+    parts += [_FAILED.pack(server % SERVERS, cls) for server, cls in failed]
     return head + b"".join(parts)
 
 
--- a/meadowpulley/net/discovery.py
+++ b/meadowpulley/net/discovery.py
@@ -44,18 +44,21 @@
         self._kinds = {name: n for n, name in enumerate(settings.kinds)}
         self._offset = clock_offset  # from Unix time to the gateway's clock, set once
         self.numbers: dict[str, int] = {}
+        self._given: set[int] = set()
 
     def number(self, name: str) -> int:
         """The same at every gateway: they tell each other of servers by it."""
         if name not in self.numbers:
             number = zlib.crc32(name.encode())
-            while number in self.numbers.values():
+            while number in self._given:
                 number += 1
             self.numbers[name] = number
+            self._given.add(number)
         return self.numbers[name]
 
     def forget(self, gone: set[int]) -> None:
         self.numbers = {name: n for name, n in self.numbers.items() if n not in gone}
+        self._given -= gone
 
     def _place(self, places: dict[str, int], name: Any) -> int:
         """Names that the settings do not list get the numbers after theirs."""
--- a/meadowpulley/net/peers.py
+++ b/meadowpulley/net/peers.py
@@ -7,12 +7,11 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from meadowpulley import interface as i
+from meadowpulley.digests import MOST_BYTES
 
 if TYPE_CHECKING:
     from meadowpulley.net.gateway import Gateway
 
-MOST_BYTES = 256
-
 
 class Peers(DatagramProtocol):
     noisy = False
--- a/meadowpulley/net/seconds.py
+++ b/meadowpulley/net/seconds.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
@@ -70,7 +69,6 @@
         self._before = counts
         gateway.log.info(
             "second",
-            at=round(time.time(), 3),
             sockets=gateway.instances.sockets,
             counts=new,
             held=held(self._balancer, gateway.deadlines.now()),
--- a/meadowpulley/report/seconds.py
+++ b/meadowpulley/report/seconds.py
@@ -23,6 +23,10 @@
     lines: list[str] = field(default_factory=list)  # what the decisions said
 
 
+def _at(event: dict[str, Any]) -> int:
+    return int(datetime.fromisoformat(event["timestamp"]).timestamp())
+
+
 def _read(event: dict[str, Any]) -> Second:
     """What one gateway's line says; raises ValueError, KeyError, TypeError, AttributeError or IndexError."""
     held = event["held"]
@@ -61,11 +65,11 @@
             if not isinstance(event, dict):
                 raise ValueError("no object")
             if event["event"] == "second":
-                at, one = int(event["at"]), _read(event)
-                _add(found[at], one)
+                one = _read(event)
+                _add(found[_at(event)], one)
             elif event["event"] == "decision":
                 said = f"{event['timestamp']} {event['gateway']}: {event['line']}"
-                found[int(datetime.fromisoformat(event["timestamp"]).timestamp())].lines.append(said)
+                found[_at(event)].lines.append(said)
         except (ValueError, KeyError, TypeError, IndexError, AttributeError, RecursionError):
             unread += 1
     return dict(sorted(found.items())), unread
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -20,7 +20,7 @@
 
 @given(
     st.integers(0, 2**32 - 1),
-    st.integers(0, 65535),
+    st.integers(0, 2**32 - 1),
     st.integers(0, 2**32 - 1),
     st.lists(st.tuples(BYTES, BYTES, BYTES, BYTES, BYTES), max_size=8),
     st.lists(st.tuples(st.integers(0, 65535), BYTES), max_size=MOST_FAILED),
@@ -34,9 +34,11 @@
 
 
 def test_what_does_not_fit_is_left_out() -> None:
-    told = decode(encode(Digest(1, 2, 3, ((0, 999, 0, 0, 0),) * 20, ((70_000, 0),) * 500)))
+    # A build or a class too large for its field raised, and the event that the digest came of was lost.
+    classes, failed = ((300, 1, 1, 1, 1), *((0, 999, 0, 0, 0),) * 20), ((1, 300), *((70_000, 0),) * 500)
+    told = decode(encode(Digest(1, 2**32 + 2, 2**32 + 3, classes, failed)))
     assert told is not None and told.classes[0][1] == MOST_COUNT and len(told.failed) == MOST_FAILED
-    assert told.failed[0] == (70_000 % 65536, 0)
+    assert told.failed[0] == (70_000 % 65536, 0) and (told.number, told.build) == (2, 3)
 
 
 WHOLE = encode(Digest(7, 1, 42, ((SAFE, 5, 1, 9, 0),), ((3, SAFE),)))
@@ -50,7 +52,7 @@
         WHOLE[:-1],
         WHOLE + b"\x00",
         b"\x01" + WHOLE[1:],
-        WHOLE[:12] + b"\xff" + WHOLE[13:],
+        WHOLE[:13] + b"\xff" + WHOLE[14:],
         b"x" * 400,
     ],
     ids=["empty", "a byte", "cut short", "longer", "another version", "counts that do not fit", "too long"],
@@ -121,33 +123,53 @@
     assert backs(play([trial_of(n) for n in range(MANY)], lost=0.5, fails=0.125, seconds=6.0))
 
 
-def test_a_good_build_is_not_sent_back_by_what_is_told_twice() -> None:
-    # One failure in a hundred is any build's; heard over and over it would condemn this one.
-    fleet = [trial_of(n) for n in range(MANY)]
-    assert not backs(play(fleet, lost=0.0, fails=0.01, seconds=8.0, told=3))
-    assert all(d.b.strays > 0 for d in fleet)
+def tell_all(
+    d: Driver, number: int, row: tuple[int, ...], failed: tuple[int, ...] = (), times: int = 1
+) -> None:
+    """Every other gateway tells the same of build 42, `times` times over."""
+    for sender in range(1, MANY):
+        told = Digest(sender, number, 42, (row,), tuple((n, SAFE) for n in failed))  # type: ignore[arg-type]
+        for _ in range(times):
+            d.give(i.PeerMessage(sender, encode(told)))
 
 
-def test_a_digest_of_another_build_or_from_itself_changes_nothing() -> None:
-    d = trial_of(0)
-    for sender, build in ((3, 41), (3, 77), (0, 42)):
-        told = Digest(build, 1, build, ((SAFE, 0, 200, 0, 0),), tuple((n, SAFE) for n in range(100, 110)))
-        d.give(i.PeerMessage(sender, encode(told)))
-    assert not evidence(d)
+def test_what_is_told_again_counts_once() -> None:
+    found = []
+    for times in (1, 3):
+        d = trial_of(0)
+        tell_all(d, 1, (SAFE, 4, 2, 20, 0), (100, 101), times)
+        found.append((evidence(d), d.b.strays))
+    assert found[0][0] == found[1][0] > 0 and [strays for _, strays in found] == [0, 2 * (MANY - 1)]
 
 
-def test_classes_and_servers_that_this_gateway_does_not_know_are_passed_over() -> None:
+BAD = (SAFE, 0, 50, 50, 0)
+
+
+@pytest.mark.parametrize(
+    ("sender", "build", "row", "counts"),
+    [
+        (3, 42, BAD, True),
+        (3, 41, BAD, False),
+        (3, 77, BAD, False),
+        (0, 42, BAD, False),
+        (3, 42, (200, *BAD[1:]), False),
+        (3, 42, (SAFE, 0, 50, 0, 0), False),
+        # Errors of what fails everywhere come at once, good answers of a cold new build's machines late.
+        (3, 42, (SAFE, 20, 50, 40, 10), False),
+    ],
+    ids=["it", "earlier build", "unknown build", "from itself", "unknown class", "no earlier", "much fails"],
+)
+def test_what_counts_against_the_newest_build(
+    sender: int, build: int, row: tuple[int, int, int, int, int], counts: bool
+) -> None:
     d = trial_of(0)
-    rows = ((200, 0, 50, 50, 0), (SAFE, 50, 0, 50, 0))
-    d.give(i.PeerMessage(3, encode(Digest(9, 1, 42, rows, ((9999, SAFE), (100, 200))))))
-    assert not evidence(d)
+    d.give(i.PeerMessage(sender, encode(Digest(9, 1, build, (row,), ((100, SAFE), (9999, SAFE))))))
+    assert (evidence(d) > 0) == counts
 
 
 def test_one_broken_server_is_not_its_build_however_many_tell_of_it() -> None:
     d = trial_of(0)
-    for sender in range(1, MANY):
-        told = Digest(sender, 1, 42, ((SAFE, 4, 1, 20, 0),), ((100, SAFE),))
-        d.give(i.PeerMessage(sender, encode(told)))
+    tell_all(d, 1, (SAFE, 4, 1, 20, 0), (100,))
     assert evidence(d) > d.b.needed and d.b.builds[42].pooled.proof(10, False, d.b.needed) < 1.0
 
 
@@ -156,21 +178,21 @@
     # of the seconds before: a good build was sent back, and the next one too.
     d = trial_of(0)
     for second in range(1, 6):
-        for sender in range(1, MANY):
-            bad = 3 if second > 2 else 0
-            told = Digest(
-                sender, second, 42, ((SAFE, 4, bad, 8, 2 * bad),), ((100 + sender % 10, SAFE),) * bad
-            )
-            d.give(i.PeerMessage(sender, encode(told)))
-        assert evidence(d) >= 0 and d.b.builds[42].pooled.proof(10, False, d.b.needed) < 0.5
+        bad = int(second > 2)
+        tell_all(d, second, (SAFE, 10, bad, 30, 3 * bad), tuple(range(100, 110)) * bad)
+        evidence(d)
+        assert d.b.builds[42].pooled.proof(10, False, d.b.needed) < 0.5
 
 
-def test_without_the_earlier_build_beside_it_the_newest_is_not_judged_by_what_others_say() -> None:
+def test_what_is_heard_while_idle_is_looked_at_in_time() -> None:
+    # Without requests there was no timer: what others had told minutes ago counted with the next request.
     d = trial_of(0)
-    for sender in range(1, MANY):
-        told = Digest(sender, 1, 42, ((SAFE, 4, 4, 0, 0),), ((100 + sender % 10, SAFE),) * 4)
-        d.give(i.PeerMessage(sender, encode(told)))
-    assert not evidence(d)
+    d.now += 60_000.0
+    d.tick()
+    d.b.judge_at = d.b.ask_again_at = d.b.timer_at = float("inf")
+    told = encode(Digest(1, 1, 42, ((SAFE, 1, 0, 1, 0),)))
+    timers = [a.delay_ms for a in d.give(i.PeerMessage(1, told)) if isinstance(a, i.SetTimer)]
+    assert timers and timers[0] <= 1000.0
 
 
 def test_the_lives_that_are_remembered_are_bounded() -> None:
@@ -234,20 +256,19 @@
     for old_failed, goes in ((0, True), (3, False)):
         d = trial_of(0)
         for second in range(1, 5):
-            for sender in range(1, MANY):
-                rows = ((SAFE, 4, 2, 30, old_failed),)
-                told = Digest(sender, second, 42, rows, ((100 + sender % 6, SAFE),) * 2)
-                d.give(i.PeerMessage(sender, encode(told)))
+            tell_all(d, second, (SAFE, 4, 2, 30, old_failed), tuple(range(100, 106)))
             evidence(d)
         assert (d.b.back_for == 42) == goes
 
 
-def test_while_much_fails_at_the_earlier_build_too_nothing_is_learnt_of_the_newest() -> None:
-    # Requests that fail everywhere, and a new build whose machines are cold: its errors were counted, its
-    # good answers still under way.
-    d = trial_of(0)
-    for second in range(1, 6):
-        for sender in range(1, MANY):
-            told = Digest(sender, second, 42, ((SAFE, 3, 3, 8, 4),), ((100 + sender % 10, SAFE),) * 3)
-            d.give(i.PeerMessage(sender, encode(told)))
-        assert not evidence(d)
+def test_own_failures_count_with_those_of_others_whatever_the_servers_number() -> None:
+    # Servers have numbers of 32 bits and are told by 16: a gateway's own digest, unshortened, accused nobody.
+    number = 7 + 3 * 65536
+    d = Driver(settings(limits=PEERS, balancers=2))
+    d.listed([entry(number), *(entry(n) for n in range(20, 40))])
+    d.tick()
+    d.b.untold.extend([(SAFE, 41, number, 1, 0)] * 9)
+    d.give(i.PeerMessage(1, encode(Digest(1, 1, 41, (), ((number, SAFE),) * 2))))
+    d.now += 1000.0
+    d.tick()
+    assert d.b.servers[number].rest_until > d.now
--- a/tests/test_fleet_log.py
+++ b/tests/test_fleet_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any
 
@@ -20,14 +21,16 @@
     news = [42, 1, "trial", 0.5]
     inside = {"servers": {"41.ready": 3}, "out": 2, "resting": 1, "news": news, **more}
     counts = {"list.watches": calls, "in.requests": 5}
-    event = {"event": "second", "gateway": gateway, "at": at, "counts": counts, "held": inside}
+    stamp = datetime.fromtimestamp(at, UTC).isoformat()
+    event = {"event": "second", "gateway": gateway, "timestamp": stamp, "counts": counts, "held": inside}
     return f"{at:.3f} {json.dumps(event)}"
 
 
 def test_lines_of_all_gateways_are_added_up_by_the_second() -> None:
     other = json.dumps({"event": "ready", "gateway": "n0"})
     said = {"event": "decision", "gateway": "n1", "line": "back 42", "timestamp": "1970-01-01T00:01:41Z"}
-    broken = ["{", "no json", '{"event": "second", "at": 7}', '{"event": "second"}', "[1]"]
+    stamped = '{"event": "second", "timestamp": "1970-01-01T00:00:07Z"}'
+    broken = ["{", "no json", stamped, '{"event": "second"}', "[1]"]
     lines = [
         second("n0", 100.2, 1),
         second("n1", 100.9, 2),
@@ -52,7 +55,7 @@
         logs[-1].write_text("\n".join(second(f"n{n}", 50.0 + k, n) for k in range(2)))
     runner = CliRunner()
     shown = runner.invoke(main, ["fleet-log", "--json", *map(str, logs)])
-    rows = [json.loads(line) for line in shown.output.splitlines()]
+    rows = json.loads(shown.output)["seconds"]
     assert shown.exit_code == 0 and [r["list calls"] for r in rows] == [3, 3] and rows[1]["second"] == 1
     assert runner.invoke(main, ["fleet-log", *map(str, logs)]).exit_code == 0
     empty = tmp_path / "empty.log"
