Each gateway goes first to a window of instances, mostly of its zone

At fault: Balancer._two, which draws from the whole group. Change: a window by the gateway's number over the servers sorted by theirs, the same at every gateway and evenly shared out; three quarters of it in the own zone; as many as are asked once in a tenth of the time for which connections may stand idle, eight at least, so that a busy gateway reaches all and small fleets are as before. Servers beyond it are asked when none in it may be. A gateway's part of a cold server follows the window: the sum stays what it was. Tests play 200 balancers in virtual time: pairs of gateway and server, evenness, zone, and the sum on cold servers.

--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -1,6 +1,4 @@
-"""Every decision of meadowpulley; its settings, events and actions are in meadowpulley/interface.py.
-
-One `Balancer` serves one gateway: `handle(now, event)` returns the actions to carry out."""
+"""Every decision of meadowpulley; its settings, events and actions are in meadowpulley/interface.py."""
 
 from __future__ import annotations
 
@@ -17,7 +15,7 @@
 from meadowpulley.digests import SERVERS, Digest, decode, encode
 from meadowpulley.records import Attempt, Held, Rate, Seen, Server, Window
 
-# First the design's own figures (its page marks them as starting values); ours from TICK_MS on.
+# The design's own figures (starting values, by its page); ours from TICK_MS on.
 COIN_SHARE = 0.8  # of the cap: leaves room for requests that must follow their key or find no other server
 SUM_LENGTH = 20  # at most: later requests whose costs are added to each request's own
 LEAST_ALPHA = 0.5  # a gateway that sees little holds hardly any request: its counts say nothing of latency
@@ -28,6 +26,9 @@
 TICK_MS = 50.0  # how often waiting requests are looked at; those that are out four times less often
 JUDGE_MS = 400.0  # how often a build is judged
 TELL_MS = 1000.0  # between two digests of what this gateway saw, and two looks at what others told
+TELLERS = (
+    40  # gateways that tell within it while nothing fails: each hears all, so the sum grows by the square
+)
 LATE_TURN_MS = 250.0  # a timer later than this: this gateway stood still, and what was out only looks slow
 LEAST_SWING = 0.1  # odds of the trial build: with less it hardly slows all servers
 SWING_SOAKS = 2.0  # soak times within which a slowdown that comes back with the traffic counts as the same
@@ -59,6 +60,9 @@
 FULL_MS = 200.0  # how long a server that turned a request away as full is left alone
 SILENT_TIMES = 4.0  # the usual latency without a word, and a server counts as silent
 SPARSE = 0.3  # own requests in flight a server, under which two servers are asked before one is chosen
+NEAR = 8  # servers that a gateway goes to first, at least
+NEAR_PART = 0.1  # of the time for which a connection may stand idle: as many as are asked in it are near
+HOME = 0.75  # of those are in its own zone
 TIE = 0.5  # requests: the mean of the chance that tells servers apart which hold as many
 WAIT_SHARE = 0.25  # of the aim: how long a request may wait for a server it may go to
 RETRY_LIST_MS = 1500.0  # between the second failed list call in a row and the next
@@ -72,24 +76,21 @@
 
 
 class Failures:
-    """Whether one build fails more than the earlier one: log odds by class, by server, never under 0. One of
-    several servers is a broken machine; a tally alone proves nothing. Could harm on an only server."""
+    """Whether a build fails more than the earlier one: log odds by class and server, never under 0."""
 
     def __init__(self, *more: float) -> None:
         self.more = more or (FAIL_MORE,)
         self.sums: dict[tuple[int, float], dict[int, float]] = defaultdict(lambda: defaultdict(float))
 
-    def add(self, cls: int, server: int, failed: float, ok: float, usual: float) -> None:
-        self.add_to((server, ALL) if server != TALLY else (TALLY,), cls, failed, ok, usual)
-
-    def add_to(self, of: tuple[int, ...], cls: int, failed: float, ok: float, usual: float) -> None:
+    def add(self, cls: int, server: int, failed: float, ok: float, usual: float, one: bool = False) -> None:
+        of = (server,) if one or server < 0 else (server, ALL)
         low = min(max(usual, FAIL_FLOOR), 0.8)
         for more in self.more:
             high = low + max(more, low / 2) * (1 - low)
             gain = failed * math.log(high / low) + ok * math.log((1 - high) / (1 - low))
             for part in ((cls, more), (-1, more)):
-                for one in of:
-                    self.sums[part][one] = max(self.sums[part][one] + gain, 0.0)
+                for k in of:
+                    self.sums[part][k] = max(self.sums[part][k] + gain, 0.0)
 
     def proof(self, servers: int, broken: bool, needed: float = PROOF) -> float:  # 1: proven
         most = (1.0 if servers <= 1 else max(min(2 / servers, 0.7), ONE_SERVER)) * (0.5 if broken else 1.0)
@@ -104,8 +105,7 @@
     latency: list[float], queue: list[float], arm: list[int], block: list[tuple[float, int]],
     length: int, rate: float, least_alpha: float,
 ) -> tuple[float, float, int, int]:  # fmt: skip
-    """The mixed Differences-in-Q estimate: difference, error, counts. `arm`: 1 trial, 0 earlier, -1 neither.
-    Builds are compared within a block (a time and a kind of machine), weighed by the error formula."""
+    """The mixed Differences-in-Q estimate within blocks: difference, error, counts; `arm` -1: no build's."""
     n = len(latency) - length
     groups: dict[tuple[float, int], tuple[list[int], list[int]]] = {}
     for j in [j for j in range(n) if arm[j] >= 0]:
@@ -161,6 +161,7 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}  # oldest first
         self.taken, self.done = Rate(RATE_MS), Rate(RATE_MS)  # requests, without repeats, and answers
         self.retries_left, self.room, self.fleet = 1.0, math.inf, 1  # room in flight; most servers ready
+        self.reach = float(NEAR) if settings.limits.idle_ms else math.inf  # how many servers are near
         self.odds = self.followed = 0.0  # of the trial build; share of requests whose key binds them to it
         self.odds_until = -math.inf  # the odds are worked out anew by then
         self.usual_ms = 0.0  # usual latency of answers that came
@@ -183,11 +184,10 @@
         self.off, self.swings = False, 0  # no traffic to the trial build while all is slow; how often
         self.samples: deque[Attempt] = deque(maxlen=HISTORY)
         self.due: deque[tuple[float, int, int, int, int, int]] = deque()  # outcomes to count, and when
-        # What the others are told, and by sender and life the last that each told.
-        self.life, self.tellings = Random(seed + 1).getrandbits(32), 0
+        self.life, self.tellings = Random(seed + 1).getrandbits(32), 0  # what the others are told
         self.tell_at = -math.inf if settings.limits.peers and self.many > 1 else math.inf
         self.untold: deque[tuple[int, int, int, int, int]] = deque(maxlen=HISTORY)
-        self.told_by: dict[tuple[int, int], int] = {}
+        self.told_by: dict[tuple[int, int], int] = {}  # the last that each told, by sender and life
         self.strays = 0  # what came from others and could not be used
         self.pooled: list[tuple[int, Digest]] = []  # of this second, by all
         self.troubled = -math.inf  # when the earlier build last failed somewhere, by all
@@ -239,7 +239,8 @@
             self._route_or_wait(held)
         if self.now >= self.tell_at and self.best is not None:
             self.tell_at = self.now + TELL_MS
-            self._tell(self.best.build)
+            if self.rng.random() * self.many < TELLERS or any(failed for _, _, _, failed, _ in self.untold):
+                self._tell(self.best.build)
             self._accuse()
             self._pool(self.best.build)
         if self.now >= self.judge_at:
@@ -267,7 +268,7 @@
         self._sort()
 
     def _sort(self) -> None:  # ready servers by arm, after news of servers or builds
-        ready = [s for s in self.servers.values() if s.state is i.ServerState.READY]
+        ready = [s for _, s in sorted(self.servers.items()) if s.state is i.ServerState.READY]
         self.trial = [s for s in ready if self._on_trial(s.build)]
         self.earlier = [s for s in ready if not self._on_trial(s.build)]
         if len(self.key_build) > KEYS and (low := min((s.build for s in ready), default=-1)) > self.floor:
@@ -277,7 +278,8 @@
 
     def _request(self, r: i.Request) -> None:
         held = self.held[r.request] = Held(r, self.s.classes[r.cls], self.now, self.roll.exposure_per_class)
-        self.taken.value(self.now, 0.0 if r.repeat else 1.0)
+        rate = self.taken.value(self.now, 0.0 if r.repeat else 1.0)
+        self.reach = max(self.reach, NEAR_PART * self.s.limits.idle_ms * rate)
         self.retries_left = min(self.retries_left + RETRY_SHARE, 10.0)
         self.window_taken[held.counted].add(self.now)
         if len(self.attempts) + self.rng.random() > self.room:  # by chance: many have room for less than one
@@ -323,8 +325,7 @@
         server.out, held.out = server.out - 1, held.out - 1
         if o.result in NEVER_RAN:
             held.maybe.remove(attempt)
-        # What was out while this balancer stood still took nobody knows how long: nothing is learnt of it.
-        known = attempt.sent >= self.stood_still
+        known = attempt.sent >= self.stood_still  # else it took nobody knows how long: nothing is learnt
         if known and o.result not in (i.Result.CANCELLED, i.Result.MOOT):
             self._health(server, o.result)
         if ok:
@@ -401,8 +402,7 @@
         return self._within_exposure(held, server) and self._within_cold_budget(server)
 
     def _within_cold_budget(self, server: Server) -> bool:
-        """This gateway's part of what a cold server may get: an average one's work for it, times multiple and
-        warmth, by the slot, and by chance where it is under one: the parts of hundreds add up."""
+        """This gateway's part of what a cold server may get, by the slot: by chance, as hundreds add up."""
         span = self.rules.fall_ms
         if self._warmth(server, span) >= 1.0:
             return True
@@ -410,8 +410,9 @@
         if server.slot != slot:
             served = max(self.done.value(self.now), self.taken.value(self.now) / 2)  # answers stop in a jam
             budget = self.rules.fall_multiple * self._warmth(server, span / 2) * served / self.fleet
-            part = max(COLD_MARGIN * budget * span / COLD_SLOTS, 1 / self.many) + self.rng.random()
-            server.slot, server.left = slot, int(part)
+            near = self._near(self.trial if self._on_trial(server.build) else self.earlier)
+            part = max(COLD_MARGIN * budget * span / COLD_SLOTS, 1 / self.many) * near.get(server.id, 1.0)
+            server.slot, server.left = slot, int(part + self.rng.random())
         return server.left >= 1
 
     def _within_exposure(self, held: Held, server: Server) -> bool:
@@ -429,8 +430,7 @@
         return sent + 1 <= self.roll.exposure_free + cap * taken
 
     def _coin(self) -> float:
-        """0.8 of the cap, but no more than the trial machines' part of what all can do: neither crowded nor
-        idle ones are a fair measure. Keys bound to the trial build count against the odds."""
+        """0.8 of the cap, but no more than trial machines can do; keys bound to the trial build count."""
         trial, earlier = self.trial, self.earlier
         cap, _ = self._cap_and_stage(trial[0].build)
         if self.now >= self.odds_until:  # warmth changes slowly: worked out a few times a second
@@ -444,8 +444,21 @@
         odds = 0.0 if self.off and len(trial) < len(earlier) else self.odds
         return max(odds - self.followed, 0.0) / max(1 - self.followed, 0.01)
 
-    def _two(self, held: Held, group: list[Server], drawn: int) -> list[Server]:  # untried ones first
-        order = sorted(self.rng.sample(group, min(drawn, len(group))), key=lambda s: s.id in held.tried)
+    def _near(self, group: list[Server]) -> dict[int, float]:
+        """Who is asked first, and how many times an average part of them is this gateway's: a window by its
+        number, mostly of its zone, so that few connections serve and a zone that is cut off costs little."""
+        near: dict[int, float] = {}
+        for home, part in ((True, HOME), (False, 1 - HOME)) if self.reach < len(group) else ():
+            some = [s.id for s in group if (s.zone == self.s.zone) is home]
+            at, count = self.s.me * len(some) // self.many, math.ceil(self.reach * part)
+            near |= dict.fromkeys(
+                (some + some)[at : at + count], part * len(group) / min(count, len(some) or 1)
+            )
+        return near
+
+    def _two(self, held: Held, group: list[Server], drawn: int) -> list[Server]:
+        near, some = self._near(group), self.rng.sample(group, min(drawn, len(group)))
+        order = sorted(some, key=lambda s: (s.id in held.tried, s.id not in near))
         fit = filter(lambda s: self.now >= s.rest_until and not (s.rest_ms and s.out), order)
         return list(islice(filter(lambda s: self._may_send(held, s), fit), 2))
 
@@ -459,8 +472,7 @@
         self.followed += 0.02 * (followed - self.followed)
         tossed = bool(trial and earlier) and not followed
         first = trial if trial and (not earlier or self.rng.random() < self._coin()) else earlier
-        # What a cold trial machine may not have goes to the earlier build, or it would crowd a warm one. Not
-        # among many gateways: there one's part of a cold machine is mostly no whole request.
+        # What a cold trial machine may not have goes to the earlier build, where parts are whole requests.
         drawn = 2 if tossed and first is trial and 2 * self.many < self.fleet else len(first)
         two = self._two(held, first, drawn)
         if not two and trial and earlier:
@@ -534,8 +546,7 @@
             seen.failures.add(cls, server, failed, ok, usual + machine)
 
     def _tell(self, build: int) -> None:
-        """One gateway of many sees too few answers of a trial to judge it in time: what each saw since it
-        last told goes to all. Lost, a little evidence is missing."""
+        """One gateway sees too little of a trial to judge it in time: what each saw since goes to all."""
         rows: dict[int, list[int]] = defaultdict(lambda: [0, 0, 0, 0])
         broken: list[tuple[int, int]] = []
         judged = self.judge_at < math.inf
@@ -553,8 +564,7 @@
             self.acts.append(i.TellPeer(None, encode(told)))
 
     def _peer(self, m: i.PeerMessage) -> None:
-        """Evidence from another gateway, each digest once: of builds, and of servers that fail. Caps, lists
-        and the vote stay this gateway's own."""
+        """Evidence from another gateway, each digest once; caps, lists and the vote stay this one's own."""
         d = decode(m.data)
         if d is None or m.sender == self.s.me or self.told_by.get((m.sender, d.life), -1) >= d.number:
             self.strays += 1
@@ -567,8 +577,7 @@
             self.pooled.append((m.sender, d))
 
     def _accuse(self) -> None:
-        """Who fails a good part of all requests rests here before it has cost this gateway its own: several
-        must say so, and it must fail more than most do. It comes back as any that rested, by one request."""
+        """Who fails a good part of all requests, and more than most do, as several say, rests here too."""
         said = [(n, by) for by, d in self.pooled for n, _ in d.failed]
         many, by_server = Counter(n for n, _ in said), Counter(n for n, _ in set(said))
         all_taken = self.taken.value(self.now) * self.many * TELL_MS
@@ -578,8 +587,7 @@
                 self._rest(s)
 
     def _pool(self, build: int) -> None:
-        """What all saw in one second, the newest build beside the one before in that same second: a trouble
-        that begins everywhere at once is no build's. Without enough of the earlier one nothing is learnt."""
+        """What all saw of both builds in one second: what begins everywhere at once is no build's."""
         pooled, self.pooled = [d for _, d in self.pooled if d.build == build], []
         servers = [s.id for s in self.servers.values() if s.build == build]
         blamed = Counter((server, cls) for d in pooled for server, cls in d.failed)
@@ -591,9 +599,9 @@
             # Where much fails anyhow, good answers of crowded or cold machines come late and errors do not.
             if old_ok + old_failed < LEAST_SAMPLE or share > FAIL_MORE:
                 continue
-            failures.add_to((ALL,), cls, failed, ok, share)
+            failures.add(cls, ALL, failed, ok, share)
             for n in servers:  # who gave the good answers is not told: as many by each
-                failures.add_to((n,), cls, blamed[n % SERVERS, cls], ok / len(servers), share)
+                failures.add(cls, n, blamed[n % SERVERS, cls], ok / len(servers), share, one=True)
 
     def _cost(self, s: Attempt) -> float:  # a cold server is slow whatever it runs: counted as if warm
         return s.warmth * (s.latency if s.latency is not None else self.now - s.sent)
@@ -629,8 +637,7 @@
         return n >= LEAST_SAMPLE and mean - error > (1 + MARGIN) * self.before_ms > 0
 
     def _doubt(self, build: int, released: bool) -> bool:
-        """Whether both builds may be slow through the trial build: the earlier one takes clearly longer. It
-        gets nothing until that recovers; slow a third time, it goes back. No dependency follows its odds."""
+        """Whether the trial build may slow both: it gets nothing till that ends; at the third, it goes."""
         alone = released or not any(s.build < build for s in self.servers.values())
         memory = 2 * RATE_MS if alone else math.inf  # a jam long over is no slowness
         old = [s for s in self.samples if 2 * self.before_ms < self.now - s.sent < memory]  # late if out
--- a/meadowpulley/check/mutants.py
+++ b/meadowpulley/check/mutants.py
@@ -92,7 +92,7 @@
         "            server.until = self.now + self.rules.drain_grace_ms + 1.0"),
        ("ready = server.state is i.ServerState.READY and",
         "ready = (server.state is i.ServerState.READY or now <= server.until) and"),
-       ("ready = [s for s in self.servers.values() if s.state is i.ServerState.READY]",
+       ("ready = [s for _, s in sorted(self.servers.items()) if s.state is i.ServerState.READY]",
         "ready = list(self.servers.values())"),
        troubles=1, requests=1, servers=2, waits=1),
     _m("unsorted-news", "servers are not sorted anew when the list changes, nor checked", "drains", "members",
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -111,11 +111,14 @@
 
 
 class Reckless(Balancer):
-    """A planted bug: the one check of every attempt passes everything."""
+    """A planted bug: the one check of every attempt passes everything, and no window spreads the harm."""
 
     def _may_send(self, held: Held, server: Server) -> bool:
         return True
 
+    def _near(self, group: list[Server]) -> dict[int, float]:
+        return {}
+
 
 class Greedy(Balancer):
     """A planted bug: the coin always falls on the trial build, and exposure is not looked at."""
--- /dev/null
+++ b/tests/test_full_fleet.py
@@ -0,0 +1,65 @@
+"""Two hundred real balancers in virtual time: what is harmless in one and too much in the sum of all."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from random import Random
+
+from meadowpulley import interface as i
+from tests.driver import LIMITS, RULES, SAFE, Driver, entry, sends, settings
+
+GATEWAYS, SERVERS, ZONES = 200, 100, 3
+FLEET = replace(LIMITS, peers=True, idle_ms=30_000.0)
+
+
+def gateway(me: int, cold: bool = False) -> Driver:
+    """One of many that knows a hundred servers in three zones, the first twenty of them perhaps cold."""
+    wanted = settings(limits=FLEET, balancers=GATEWAYS)
+    d = Driver(replace(wanted, me=me, zone=me % ZONES, zones=("a", "b", "c")), seed=me)
+    d.now = 10_000.0
+    d.listed(entry(n, started=9_000.0 if cold and n < 20 else 0.0, zone=n % ZONES) for n in range(SERVERS))
+    return d
+
+
+def play(fleet: list[Driver], seconds: float, per_s: float = 2.0) -> list[tuple[Driver, int]]:
+    """Who sent to whom. Each answer is there before the next request."""
+    rng, sent = Random(5), list[tuple[Driver, int]]()
+    for _ in range(int(seconds * 20)):
+        for d in fleet:
+            d.now += 50.0
+            if rng.random() < per_s / 20:
+                for send in sends(d.ask(SAFE)):
+                    sent.append((d, send.server))
+                    d.end(send)
+    return sent
+
+
+def test_few_connections_serve_a_fleet_and_its_servers_get_even_shares() -> None:
+    # Each request of 200 gateways went to a server that its gateway had not asked before: a connection each.
+    sent = play([gateway(n) for n in range(GATEWAYS)], 15.0)
+    pairs = {(d.b.s.me, server) for d, server in sent}
+    assert len(pairs) < len(sent) / 2
+    shares = Counter(server for _, server in sent)
+    assert len(shares) == SERVERS and max(shares.values()) < 2 * len(sent) / SERVERS
+
+
+def test_most_requests_stay_in_their_zone_so_that_a_cut_costs_little() -> None:
+    sent = play([gateway(n) for n in range(GATEWAYS)], 5.0)
+    assert sum(server % ZONES == d.b.s.zone for d, server in sent) > 0.65 * len(sent)
+
+
+def test_a_busy_gateway_goes_to_more_servers_than_a_quiet_one() -> None:
+    quiet, busy = ({server for _, server in play([gateway(7)], 10.0, per_s)} for per_s in (1.0, 20.0))
+    assert len(quiet) <= 8 and len(busy) > 40
+
+
+def test_what_all_send_cold_servers_stays_within_what_they_can_do() -> None:
+    fleet = [gateway(n, cold=True) for n in range(GATEWAYS)]
+    play(fleet, 0.5, per_s=8.0)
+    sent = play(
+        fleet, RULES.fall_ms / 1000, per_s=8.0
+    )  # they have run for 1.5 to 3 s of the 4 that they are cold
+    shares, average = Counter(server for _, server in sent), len(sent) / SERVERS
+    assert 0 < sum(shares[n] for n in range(20)) / 20 <= 0.7 * average
+    assert max(shares[n] for n in range(20)) <= RULES.fall_multiple * 0.7 * average
