--- a/tests/test_full_fleet.py
+++ b/tests/test_full_fleet.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from meadowpulley import interface as i
+from meadowpulley.balance import TELLERS
 from tests.driver import LIMITS, RULES, SAFE, Driver, entry, sends, settings
 
 GATEWAYS, SERVERS, ZONES = 200, 100, 3
@@ -63,3 +64,20 @@
     shares, average = Counter(server for _, server in sent), len(sent) / SERVERS
     assert 0 < sum(shares[n] for n in range(20)) / 20 <= 0.7 * average
     assert max(shares[n] for n in range(20)) <= RULES.fall_multiple * 0.7 * average
+
+
+def test_a_quiet_fleet_tells_little_and_failures_are_told_at_once() -> None:
+    # 200 that each tell 200 once a second: 40,000 datagrams for 600 requests.
+    def told(d: Driver, result: i.Result) -> int:
+        for send in sends(d.ask(SAFE)):
+            d.end(send, result, over=True)
+        d.now += 1000.0
+        return sum(isinstance(a, i.TellPeer) for a in d.tick())
+
+    fleet = [gateway(n) for n in range(GATEWAYS)]
+    for d in fleet:
+        d.news(42, 1, 0.5)
+        d.listed([entry(200, 42)], i.ListKind.CHANGES)
+    quiet = [sum(told(d, i.Result.OK) for d in fleet) for _ in range(5)]
+    assert 0 < sum(quiet) / len(quiet) < 1.5 * TELLERS
+    assert sum(told(d, i.Result.ERROR) for d in fleet) > 0.9 * GATEWAYS
