A gateway listens once its start is over: what came before was read 0.4 s late, one lost

Their deadlines count from when they are read; one whose instance says nothing is answered so much late, and beyond half a second is lost. At fault: run, which listened in the middle of its start; what a start costs came after it. Change: first the whole start, then a turn of the reactor, then it listens.

Tests: the order of start, turn and listening; an address in use.

--- a/meadowpulley/__main__.py
+++ b/meadowpulley/__main__.py
@@ -21,6 +21,7 @@
 from meadowpulley.net.gateway import Gateway
 from meadowpulley.net.log import open_log
 
+FIRST_TURN_S = 0.001
 GC_THRESHOLDS = (2_000, 5, 5)  # requests and connections end in cycles; what the start leaves is frozen
 
 
@@ -97,14 +98,29 @@
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
         signal.signal(number, gateway.on_signal)
     try:
-        gateway.start()
-    except error.CannotListenError as bad:
+        gateway.prepare()
+    except error.CannotListenError as bad:  # for datagrams
         print(f"meadowpulley: {bad}", file=sys.stderr)
         return 2
     gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
+    failures: list[error.CannotListenError] = []
+
+    def listen() -> None:
+        try:
+            gateway.listen()
+        except error.CannotListenError as bad:
+            failures.append(bad)
+            reactor.stop()
+
+    # Once all that a start costs is over and the reactor has turned: clients may know the address, and what
+    # came while it still started was read a third of a second late, its deadline counted from then.
+    reactor.callLater(FIRST_TURN_S, listen)
     reactor.run(installSignalHandlers=False)
+    if failures:
+        print(f"meadowpulley: {failures[0]}", file=sys.stderr)
+        return 2
     if gateway.capture is not None:
         gateway.capture.close()
     gateway.print_counters()
--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -460,7 +460,8 @@
         near, some = self._near(group), self.rng.sample(group, min(drawn, len(group)))
         order = sorted(some, key=lambda s: (s.id in held.tried, s.id not in near))
         fit = filter(lambda s: self.now >= s.rest_until and not (s.rest_ms and s.out), order)
-        return list(islice(filter(lambda s: self._may_send(held, s), fit), 2))
+        two = list(islice(filter(lambda s: self._may_send(held, s), fit), 2))
+        return [s for s in two if s.id not in held.tried] or two  # chance does not choose a tried one again
 
     def _able(self, s: Server) -> float:  # what it can do by its warmth and its kind's latency, of the best
         usual = self.kind_ms.get(s.kind, 0.0)
--- a/meadowpulley/check/connection.py
+++ b/meadowpulley/check/connection.py
@@ -240,7 +240,8 @@
         log: Any = self.log
         self.reloads: list[Config | None] = []  # what the next reload finds; None: no file that can be used
         self.gateway = Gateway(config, self.reactor, log, Observed, self._reread, self._now)
-        self.gateway.start()
+        self.gateway.prepare()
+        self.gateway.listen()
         scripts = [self.scene.scripts[n % len(self.scene.scripts)] for n in range(setting.requests)]
         self.clients = [Client(n, script) for n, script in enumerate(scripts[: max(setting.requests, 1)])]
         self.served: list[Served] = []
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -92,12 +92,16 @@
     def stopping(self) -> bool:
         return self.phase is Phase.STOPPED
 
-    def start(self) -> None:
-        """Ready from what the configuration holds, even with discovery and the platform out of reach."""
+    def prepare(self) -> None:
+        """All that a start takes from what the configuration holds, but for listening."""
         self.discovery.start()
         self.instances.warm()
         self.platform.start()
         self.peers.start()
+
+    def listen(self) -> None:
+        """Ready, even with discovery and the platform out of reach. Called in a turn of the reactor: whatever
+        waits to be accepted counts as taken, and must not wait for the rest of a start."""
         self.clients.listen()
         self.phase = Phase.READY
         host, port = self.config.listen
--- a/tests/test_net_program.py
+++ b/tests/test_net_program.py
@@ -6,6 +6,8 @@
 import os
 import signal
 import socket
+import subprocess
+import sys
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -463,6 +465,46 @@
         assert gateway.wait_for("counters")["peers.stray"] == 1
 
 
+ORDER = """
+import os
+import meadowpulley.__main__ as program
+from meadowpulley.net.clients import Clients
+
+listen, collect, poll = Clients.listen, program.gc.collect, program.MonotonicReactor.doPoll
+
+def said(name, then):
+    def call(*args):
+        print(name, flush=True)
+        if name == "listen":
+            os._exit(0)
+        return then(*args)
+    return call
+
+Clients.listen, program.gc.collect = said("listen", listen), said("collect", collect)
+program.MonotonicReactor.doIteration = said("turn", poll)
+program.run()
+"""
+
+
+def test_it_listens_once_its_start_is_over_and_the_reactor_has_turned(start: Start) -> None:
+    # 133 gateways came back at once: what came while they still started was read 0.3 to 0.4 s later, its
+    # deadline counted from then: one whose instance was silent was answered too late.
+    gateway = start([])
+    env = {**os.environ, "PROXY_CONFIG": str(gateway.path)}
+    gateway.stop()
+    shown = subprocess.run(
+        [sys.executable, "-c", ORDER], env=env, capture_output=True, text=True, timeout=LIMIT_S, check=True
+    )
+    assert shown.stdout.split()[:2] == ["collect", "turn"] and shown.stdout.split()[-1] == "listen"
+
+
+def test_an_address_in_use_is_one_plain_line_and_no_success(start: Start) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        gateway = start([], wait=False, listen=f"127.0.0.1:{other.getsockname()[1]}")
+        assert "listen" in gateway.wait_for("plain")["line"]
+        assert gateway.process.wait(LIMIT_S) == 2
+
+
 def test_drain_answers_all_that_was_taken_and_exits_well(start: Start) -> None:
     go = threading.Event()
 
