--- a/meadowpulley/check/mutants.py
+++ b/meadowpulley/check/mutants.py
@@ -116,10 +116,10 @@
     _m("exposure-at-the-answer", "exposure is counted when the answer comes", "exposure", "release",
        ("            self.builds[server.build].sent[held.counted].add(self.now)\n        # No early",
         "            pass\n        # No early"),
-       ("        if ok:\n            self.done.value(self.now, 1.0)",
+       ("        self.done.value(self.now, float(ok))",
         "        if self._on_trial(server.build):\n"
         "            self.builds[server.build].sent[held.counted].add(self.now)\n"
-        "        if ok:\n            self.done.value(self.now, 1.0)"),
+        "        self.done.value(self.now, float(ok))"),
        requests=3, troubles=0, waits=0),
     _m("taken-twice", "a request counts twice for the cap", "exposure exposure-sum", "release",
        ("        self.window_taken[held.counted].add(self.now)\n",
