--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -62,7 +62,7 @@
 SPARSE = 0.3  # own requests in flight a server, under which two servers are asked before one is chosen
 NEAR = 8  # servers that a gateway goes to first, at least
 NEAR_PART = 0.1  # of the time for which a connection may stand idle: as many as are asked in it are near
-HOME = 0.75  # of those are in its own zone
+HOME = 0.5  # of those are in its own zone: more would crowd a zone that gets more than its part
 TIE = 0.5  # requests: the mean of the chance that tells servers apart which hold as many
 WAIT_SHARE = 0.25  # of the aim: how long a request may wait for a server it may go to
 RETRY_LIST_MS = 1500.0  # between the second failed list call in a row and the next
@@ -446,7 +446,7 @@
 
     def _near(self, group: list[Server]) -> dict[int, float]:
         """Who is asked first, and how many times an average part of them is this gateway's: a window by its
-        number, mostly of its zone, so that few connections serve and a zone that is cut off costs little."""
+        number, half of its zone, so that few connections serve and a zone that is cut off costs little."""
         near: dict[int, float] = {}
         for home, part in ((True, HOME), (False, 1 - HOME)) if self.reach < len(group) else ():
             some = [s.id for s in group if (s.zone == self.s.zone) is home]
