A gateway binds its address at once and listens after its start; a rig's ports never collide

The rig finds ports for the gateways (`free_ports`), lets go of them, then has the kernel choose the instances' ports on the same address; a gateway binds its own only when it has started.

Lines at fault: rig/standins.py, `listenTCP(0, ..., self.host)`; and, the same fault outside the rig, `__main__.run`, which since the listening moved behind the start has opened connections outwards first: where the address listened on is the one they leave from, one of them could get the port.

Change: the rig's instances have an address of loopback beside the gateways'. The gateway binds before its first connection outwards (`MonotonicReactor.hold`) and listens, as before, in a turn after the start.

--- a/meadowpulley/__main__.py
+++ b/meadowpulley/__main__.py
@@ -5,9 +5,11 @@
 import gc
 import os
 import signal
+import socket
 import sys
 import time
 from collections.abc import Callable
+from typing import Any
 
 if __name__ == "__main__":
     # The log's library looks for this one, to colour terminals. Where the tools are installed beside it the
@@ -30,6 +32,10 @@
 
     turned: Callable[[], None] = staticmethod(lambda: None)  # called when a turn's input is known
 
+    def __init__(self) -> None:
+        self.held: dict[tuple[str, int], socket.socket] = {}
+        super().__init__()  # type: ignore[no-untyped-call]
+
     def seconds(self) -> float:
         return time.monotonic()
 
@@ -46,6 +52,33 @@
 
     doIteration = doPoll  # noqa: N815
 
+    def hold(self, host: str, port: int) -> None:
+        """Binds an address that is listened on later: until then no connection outwards, its own or another
+        process's, is given that port, and whoever comes is refused. Raises CannotListenError."""
+        held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        held.setblocking(False)
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            held.bind((host, port))
+        except OSError as bad:
+            held.close()
+            raise error.CannotListenError(host, port, bad) from None  # type: ignore[no-untyped-call]
+        self.held[host, port] = held
+
+    def listenTCP(  # noqa: N802 (Twisted's name)
+        self, port: int, factory: Any, backlog: int = 50, interface: str = ""
+    ) -> Any:
+        held = self.held.pop((interface, port), None)
+        if held is None:
+            return super().listenTCP(port, factory, backlog, interface)  # type: ignore[no-untyped-call]
+        try:
+            held.listen(backlog)
+            return self.adoptStreamPort(held.fileno(), held.family, factory)  # type: ignore[no-untyped-call]
+        except OSError as bad:
+            raise error.CannotListenError(interface, port, bad) from None  # type: ignore[no-untyped-call]
+        finally:
+            held.close()
+
 
 def start_capture(gateway: Gateway, reactor: MonotonicReactor) -> None:
     """Only where a file is named in the environment: nothing of it is imported else."""
@@ -77,7 +110,7 @@
     except ConfigError as bad:
         print(f"meadowpulley: {bad}", file=sys.stderr)
         return 2
-    reactor = MonotonicReactor()  # type: ignore[no-untyped-call]
+    reactor = MonotonicReactor()
     main.installReactor(reactor)  # type: ignore[no-untyped-call]
     log = open_log(gateway=config.name)
     gateway = Gateway(config, reactor, log)
@@ -98,8 +131,9 @@
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
         signal.signal(number, gateway.on_signal)
     try:
+        reactor.hold(*config.listen)  # before the first connection outwards, which might leave from it
         gateway.prepare()
-    except error.CannotListenError as bad:  # for datagrams
+    except error.CannotListenError as bad:
         print(f"meadowpulley: {bad}", file=sys.stderr)
         return 2
     gc.collect()
--- a/meadowpulley/rig/processes.py
+++ b/meadowpulley/rig/processes.py
@@ -69,6 +69,13 @@
     return f"127.{64 + os.getpid() % 64}.{next(_rigs) % 250}.{1 + os.getpid() // 64 % 250}"
 
 
+def instances_host(host: str) -> str:
+    """The address beside a rig's own on which its instances are: whatever port the kernel gives one of them,
+    a gateway that has not bound its own port yet still finds it free."""
+    _, second, rest = host.split(".", 2)
+    return f"127.{int(second) + 64}.{rest}"
+
+
 def free_ports(host: str, count: int) -> list[int]:
     """Ports of an address that nobody holds at the moment."""
     held = [socket.socket() for _ in range(count)]
@@ -209,7 +216,8 @@
     count = len(plan.fleet.gateway_sites())
     host = own_host()
     numbers = free_ports(host, 4 * count)
-    ports = Ports(host, *(tuple(numbers[k * count : (k + 1) * count]) for k in range(4)))
+    each = (tuple(numbers[k * count : (k + 1) * count]) for k in range(4))
+    ports = Ports(host, instances_host(host), *each)
     processes: list[subprocess.Popen[bytes]] = []
     with tempfile.TemporaryDirectory(prefix="meadowpulley-rig-") as name:
         folder = Path(name)
--- a/meadowpulley/rig/standins.py
+++ b/meadowpulley/rig/standins.py
@@ -235,7 +235,7 @@
     def __init__(self, job: Job) -> None:
         self.job = job
         plan = job.plan
-        self.host = job.ports.host
+        self.host, self.instances = job.ports.host, job.ports.instances
         self.errors: list[str] = []
         self.tape = Tape()
         self.known: dict[int, set[int]] = {}  # by gateway: the servers it was told of
@@ -289,10 +289,10 @@
         if port is not None:  # the same server again: under the same address
             number = int(self.addresses[host.entry.server].rpartition(":")[2])
             port.stopListening()
-            self.ports[host.entry.server] = reactor.listenTCP(number, factory, BACKLOG, self.host)
+            self.ports[host.entry.server] = reactor.listenTCP(number, factory, BACKLOG, self.instances)
             return
-        port = self.ports[host.entry.server] = reactor.listenTCP(0, factory, BACKLOG, self.host)
-        self.addresses[host.entry.server] = f"{self.host}:{port.getHost().port}"
+        port = self.ports[host.entry.server] = reactor.listenTCP(0, factory, BACKLOG, self.instances)
+        self.addresses[host.entry.server] = f"{self.instances}:{port.getHost().port}"
 
     def host_ended(self, host: Host) -> None:
         if host.silent:
--- a/meadowpulley/rig/told.py
+++ b/meadowpulley/rig/told.py
@@ -31,6 +31,7 @@
     """Where each gateway listens, and where it finds discovery, the platform and its peers; by its number."""
 
     host: str  # an address of loopback that no other rig uses
+    instances: str  # another, for the instances: the kernel chooses their ports among those not yet bound
     clients: tuple[int, ...]
     discovery: tuple[int, ...]
     platform: tuple[int, ...]
--- a/tests/test_net_program.py
+++ b/tests/test_net_program.py
@@ -466,17 +466,30 @@
 
 
 ORDER = """
-import os
+import os, socket
 import meadowpulley.__main__ as program
 from meadowpulley.net.clients import Clients
 
 listen, collect, poll = Clients.listen, program.gc.collect, program.MonotonicReactor.doPoll
 
+def taken():
+    address = program.read_config().listen
+    with socket.socket() as client:  # whoever comes is refused, not left waiting
+        print("refused" if client.connect_ex(address) else "let in", flush=True)
+    with socket.socket() as other:  # binds as the kernel does for a connection outwards
+        try:
+            other.bind(address)
+            print("free", flush=True)
+        except OSError:
+            print("held", flush=True)
+
 def said(name, then):
     def call(*args):
         print(name, flush=True)
         if name == "listen":
             os._exit(0)
+        if name == "collect":
+            taken()
         return then(*args)
     return call
 
@@ -495,7 +508,9 @@
     shown = subprocess.run(
         [sys.executable, "-c", ORDER], env=env, capture_output=True, text=True, timeout=LIMIT_S, check=True
     )
-    assert shown.stdout.split()[:2] == ["collect", "turn"] and shown.stdout.split()[-1] == "listen"
+    # Nor may a connection outwards get the port meanwhile, its own among them.
+    assert shown.stdout.split()[:4] == ["collect", "refused", "held", "turn"]
+    assert shown.stdout.split()[-1] == "listen"
 
 
 def test_an_address_in_use_is_one_plain_line_and_no_success(start: Start) -> None:
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 from click.testing import CliRunner
 from msgspec.structs import replace
@@ -23,6 +24,8 @@
 from meadowpulley.experiment import LoadSpec
 from meadowpulley.load import PROFILES, read_load, synthesize
 from meadowpulley.rig import RigError, RigPlan, run_rig
+from meadowpulley.rig.processes import instances_host, own_host
+from meadowpulley.rig.told import Job, Ports
 from tests import standins
 from tests.test_capacity import fleet
 
@@ -54,6 +57,28 @@
     assert any(build == 2 for _, build, _, _ in found.stages)
 
 
+WHERE = """
+import sys, msgspec
+from meadowpulley.rig.told import Job
+from meadowpulley.rig.standins import StandIns
+rig = StandIns(msgspec.json.decode(sys.stdin.buffer.read(), type=Job))
+print(*rig.addresses.values())
+"""
+
+
+def test_an_instance_never_gets_the_port_that_a_gateway_is_about_to_bind() -> None:
+    # One in some hundred rigs failed so: the kernel chose an instance's port among those that `free_ports`
+    # had found for the gateways, on the same address, before the gateway had bound it.
+    host = own_host()
+    ports = Ports(host, instances_host(host), (1,), (2,), (3,), (4,))
+    job = Job(RigPlan(fleet(), LoadSpec(per_s=1.0, seconds=1.0), 3, 1, Scenario(), 0.0), ports, 0.0, "", 0.0)
+    shown = subprocess.run(
+        [sys.executable, "-c", WHERE], input=msgspec.json.encode(job), capture_output=True, check=True
+    )
+    hosts = {address.rpartition(":")[0] for address in shown.stdout.decode().split()}
+    assert hosts == {instances_host(host)} and hosts != {host}
+
+
 def test_what_the_gateway_captures_is_a_load_that_the_tools_read(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:  # fmt: skip
