Configurations that can't be in such a fleet: one line and a stated fallback each; drops counted

Seen, by reading: `me` at or beyond `balancers` gave an empty window of instances and a negative wait before the vote (`_near`, `_ripe`); `balancers` below one was caught in the module only; a gateway that may tell but has no peers, or fewer than the settings say, said nothing of it. Unusable datagrams of peers were counted by the decisions, but no counter of the gateway showed it.

Change: `me` is taken modulo the gateways and `balancers` as one at least where settings are read; read_config lists what it doubts, and the gateway logs each as `configuration doubtful`; `peers.dropped` among the counters. 128 sockets for 150 instances already worked (idle connections close), and has its test now.

Measured: each of the six configurations starts, says its line and serves (tests on loopback).

--- a/meadowpulley/net/config.py
+++ b/meadowpulley/net/config.py
@@ -5,7 +5,7 @@
 import json
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from meadowpulley.interface import Settings
@@ -34,6 +34,7 @@
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
     peers_all: Address | None = None
+    doubts: tuple[str, ...] = ()  # what can't be so in such a fleet, and what is done instead: a line each
 
 
 def parse_address(text: Any) -> Address:
@@ -96,6 +97,25 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def _doubts(c: Config, told: Mapping[str, Any]) -> tuple[str, ...]:
+    """What the operator should know of a configuration that can be used all the same."""
+    s, found = c.settings, list[str]()
+    if (told.get("balancers") or 0) != s.balancers and "balancers" in told:
+        found.append(f"'settings': 'balancers' is {told['balancers']}: taken as {s.balancers}")
+    if (told.get("me") or 0) != s.me:
+        found.append(f"'settings': 'me' is {told['me']} with {s.balancers} gateways: taken as {s.me}")
+    if s.limits.peers and s.balancers > 1:
+        if c.peer_listen is None or c.peers_all is None or not c.peers:
+            missing = [k for k in ("peer_listen", "peers", "peers_all") if not getattr(c, k)]
+            found.append(f"gateways may tell each other, but without {', '.join(missing)}: this one is alone")
+        elif len(c.peers) != s.balancers:
+            found.append(f"'peers' are {len(c.peers)} of {s.balancers} gateways: others are strangers here")
+    known = c.known.get(names.ENTRIES) if isinstance(c.known, dict) else None
+    if isinstance(known, list) and c.sockets < len(known):
+        found.append(f"'limits': {c.sockets} 'sockets' for {len(known)} instances: idle ones close")
+    return tuple(found)
+
+
 def _config(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
     told = (("name", names.ENV_NAME), ("listen", names.ENV_LISTEN), ("discovery", names.ENV_DISCOVERY))
     raw = {**raw, **{key: environ[variable] for key, variable in told if environ.get(variable)}}
@@ -111,7 +131,7 @@
     settings = read_settings(raw.get("settings"), "config")
     if not settings.classes:
         raise ConfigError("'settings' name no classes")
-    return Config(
+    config = Config(
         name=str(raw.get("name", "")),
         listen=listen,
         discovery=discovery,
@@ -125,3 +145,4 @@
         peers=tuple(address for peer in peers if (address := _address({"peers": peer}, "peers"))),
         peers_all=_address(raw, "peers_all", needed=False),
     )
+    return replace(config, doubts=_doubts(config, _object(raw, "settings")))
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -94,6 +94,8 @@
 
     def prepare(self) -> None:
         """All that a start takes from what the configuration holds, but for listening."""
+        for doubt in self.config.doubts:
+            self.log.warning("configuration doubtful", what=doubt)
         self.discovery.start()
         self.instances.warm()
         self.platform.start()
@@ -164,7 +166,8 @@
     def print_counters(self) -> None:
         if self.capture is not None:
             self.log.info("capture", written=self.capture.written, dropped=self.capture.dropped)
-        self.log.info("counters", phase=self.phase.value, **self.counters.all())
+        told = {"peers.dropped": self.balancer.strays} if self.balancer.strays else {}
+        self.log.info("counters", phase=self.phase.value, **self.counters.all(), **told)
 
     def on_signal(self, number: int, _: Any) -> None:
         """Signals only wake the reactor: what they ask for runs in its turn."""
--- a/meadowpulley/settings.py
+++ b/meadowpulley/settings.py
@@ -136,9 +136,10 @@
     f = Fields(loaded, f"{where}: settings")
     rules, bounds, report = f.inner("rules"), f.inner("bounds"), f.inner("report")
     columns = [str(name) for name in report.items("columns")]
+    balancers = max(f.whole("balancers", 1), 1)
     return i.Settings(
-        me=f.whole("me"),
-        balancers=f.whole("balancers", 1),
+        me=f.whole("me") % balancers,  # waits and windows by the number must not come out below none
+        balancers=balancers,
         zone=f.whole("az"),
         zones=tuple(str(name) for name in f.items("zones")),
         kinds=tuple(str(name) for name in f.items("machine-types")),
--- a/tests/test_net_program.py
+++ b/tests/test_net_program.py
@@ -18,6 +18,7 @@
 import pytest
 
 from meadowpulley.__main__ import GC_THRESHOLDS
+from meadowpulley.digests import Digest, encode
 from meadowpulley.net.instances import WARM
 from tests.standins import (
     LIMIT_S,
@@ -465,6 +466,55 @@
         assert gateway.wait_for("counters")["peers.stray"] == 1
 
 
+ODD: list[tuple[dict[str, Any], dict[str, Any], str]] = [  # settings, limits allow telling, what is said
+    ({"me": 250, "balancers": 200}, {}, "'me' is 250 with 200 gateways: taken as 50"),
+    ({"me": -1, "balancers": 200}, {}, "'me' is -1 with 200 gateways: taken as 199"),
+    ({"me": 3, "balancers": 0}, {}, "'balancers' is 0: taken as 1"),
+    ({"balancers": 200}, {"peers": []}, "without peers, peers_all"),
+    ({"balancers": 200}, {"peer_listen": None}, "without peer_listen, peers_all"),
+    ({"balancers": 200}, {"peers_all": "127.0.0.1:9"}, "'peers' are 1 of 200 gateways"),
+]
+
+
+@pytest.mark.parametrize(("wrong", "more", "said"), ODD)
+def test_figures_that_can_t_be_are_one_line_and_the_gateway_serves(
+    start: Start, wrong: dict[str, Any], more: dict[str, Any], said: str
+) -> None:
+    instance = Instance()
+    bounds = {**SETTINGS["bounds"], "may-tell": True}
+    known = [entry(f"s-{n}", instance.address) for n in range(3)]
+    gateway = start(known, wait=False, settings={**SETTINGS, "bounds": bounds, **wrong}, **more)
+    assert said in gateway.wait_for("configuration doubtful")["what"]
+    gateway.wait_for("ready")
+    assert gateway.client().ask("GET", "/look")[0] == 200
+
+
+def test_fewer_sockets_than_instances_serve_by_closing_idle_connections(start: Start) -> None:
+    instance = Instance()
+    known = [entry(f"s-{n}", instance.address) for n in range(150)]
+    gateway = start(known, wait=False, limits={"sockets": 128})
+    assert "128 'sockets' for 150 instances" in gateway.wait_for("configuration doubtful")["what"]
+    gateway.wait_for("ready")
+    client = gateway.client()
+    assert [client.ask("GET", "/look")[0] for _ in range(200)] == [200] * 200
+
+
+def test_what_peers_send_that_can_t_be_used_is_counted(start: Start) -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+        peer.bind(("127.0.0.1", 0))
+        peers = [f"127.0.0.1:{port}" for port in (9, peer.getsockname()[1])]
+        bounds = {**SETTINGS["bounds"], "may-tell": True}
+        gateway = start([], peers=peers, settings={**SETTINGS, "balancers": 2, "bounds": bounds})
+        good = encode(Digest(7, 3, 42))
+        for told in (good, good, good[:-1], b"\xa2" + good[1:], encode(Digest(7, 2, 42)), b"x" * 300):
+            peer.sendto(told, ("127.0.0.1", gateway.peer_port))
+        gateway.client().ask("GET", "/health/ready")
+        os.kill(gateway.process.pid, signal.SIGUSR1)
+        counters = gateway.wait_for("counters")
+    # Again, cut, of another version, older; and one too long to be a digest at all.
+    assert (counters["peers.dropped"], counters["peers.stray"]) == (4, 1)
+
+
 ORDER = """
 import os, socket
 import meadowpulley.__main__ as program
