Errors that hit all builds alike no longer send a good one back: the worst of six seconds counts

Each second's sums over all gateways' logs: for less than a second of every two and a half, servers of every build fail 4 to 10 % (second 30: 49 of 644 at the earlier build, 11 of 117 at the new one).

Cause: 200 gateways tell forty a second, so a second's digests are about five seconds, and not the same five of both builds; `_pool` held the new build's errors of now against the earlier one's share in good answers of before, and went on after the earlier build had gone.

Change: `_pool` counts against the earlier build's worst share (0.1 at most) of the last 1 + gateways / 40 seconds, and nothing once no server of an earlier build is ready. What is told and heard became a record (`Peers`).

--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -13,7 +13,7 @@
 
 from meadowpulley import interface as i
 from meadowpulley.digests import SERVERS, Digest, decode, encode
-from meadowpulley.records import Attempt, Held, Rate, Seen, Server, Window
+from meadowpulley.records import Attempt, Held, Peers, Rate, Seen, Server, Window
 
 # The design's own figures (starting values, by its page); ours from TICK_MS on.
 COIN_SHARE = 0.8  # of the cap: leaves room for requests that must follow their key or find no other server
@@ -26,9 +26,7 @@
 TICK_MS = 50.0  # how often waiting requests are looked at; those that are out four times less often
 JUDGE_MS = 400.0  # how often a build is judged
 TELL_MS = 1000.0  # between two digests of what this gateway saw, and two looks at what others told
-TELLERS = (
-    40  # gateways that tell within it while nothing fails: each hears all, so the sum grows by the square
-)
+TELLERS = 40  # gateways that tell within it while nothing fails: each hears all: sums grow by the square
 LATE_TURN_MS = 250.0  # a timer later than this: this gateway stood still, and what was out only looks slow
 LEAST_SWING = 0.1  # odds of the trial build: with less it hardly slows all servers
 SWING_SOAKS = 2.0  # soak times within which a slowdown that comes back with the traffic counts as the same
@@ -184,13 +182,8 @@
         self.off, self.swings = False, 0  # no traffic to the trial build while all is slow; how often
         self.samples: deque[Attempt] = deque(maxlen=HISTORY)
         self.due: deque[tuple[float, int, int, int, int, int]] = deque()  # outcomes to count, and when
-        self.life, self.tellings = Random(seed + 1).getrandbits(32), 0  # what the others are told
         self.tell_at = -math.inf if settings.limits.peers and self.many > 1 else math.inf
-        self.untold: deque[tuple[int, int, int, int, int]] = deque(maxlen=HISTORY)
-        self.told_by: dict[tuple[int, int], int] = {}  # the last that each told, by sender and life
-        self.strays = 0  # what came from others and could not be used
-        self.pooled: list[tuple[int, Digest]] = []  # of this second, by all
-        self.troubled = -math.inf  # when the earlier build last failed somewhere, by all
+        self.peers = Peers(Random(seed + 1).getrandbits(32), HISTORY, math.ceil(1 + self.many / TELLERS))
         self.back_for = -1  # the build this balancer wants taken off
         self.vote = (-1, 0, i.Verdict.NONE)  # the vote last sent
         self.vote_sent = self.vote_stands_until = self.vote_after = -math.inf
@@ -208,7 +201,7 @@
             handler(event)
         # One timer, only when there is something to wait for: an idle balancer costs nothing.
         look = TICK_MS if self.waiting else 4 * TICK_MS if self.attempts else math.inf
-        tell = self.tell_at if self.pooled else math.inf  # an idle gateway too: what is old says nothing
+        tell = self.tell_at if self.peers.pooled else math.inf  # if idle too: what is old says nothing
         at = max(min(self.judge_at, self.ask_again_at, tell, now + look), now)
         if at < self.timer_at:
             self.timer_at = at
@@ -239,7 +232,7 @@
             self._route_or_wait(held)
         if self.now >= self.tell_at and self.best is not None:
             self.tell_at = self.now + TELL_MS
-            if self.rng.random() * self.many < TELLERS or any(failed for _, _, _, failed, _ in self.untold):
+            if self.rng.random() * self.many < TELLERS or any(told[3] for told in self.peers.untold):
                 self._tell(self.best.build)
             self._accuse()
             self._pool(self.best.build)
@@ -521,7 +514,7 @@
         if self.best is None or n.build > self.best.build:
             self.odds, self.off, self.slow_since, self.before_rate = 0.0, False, math.inf, 0.0
             self.trial_began = self.now
-            self.untold.clear()
+            self.peers.untold.clear()
             self.before_ms = fmean([self._cost(s) for s in self.samples] or [0.0])
             if self.best is not None and self.best.phase is i.Phase.RELEASED:
                 self.before = self.best.build
@@ -537,7 +530,7 @@
     def _count(self, cls: int, build: int, server: int, failed: int, ok: int) -> None:
         """Own outcomes and tallies, against the build before: what is new everywhere is not the build's."""
         if server != TALLY and self.tell_at < math.inf:
-            self.untold.append((cls, build, server, failed, ok))
+            self.peers.untold.append((cls, build, server, failed, ok))
         seen, of, share = self.builds[build], (cls, server == TALLY), failed / max(failed + ok, 1)
         usual = seen.fail_usual.setdefault(of, share)
         seen.fail_usual[of] += min(0.05 * (failed + ok), 0.6) * (share - usual)
@@ -551,35 +544,35 @@
         rows: dict[int, list[int]] = defaultdict(lambda: [0, 0, 0, 0])
         broken: list[tuple[int, int]] = []
         judged = self.judge_at < math.inf
-        for cls, of, server, failed, ok in self.untold:
+        for cls, of, server, failed, ok in self.peers.untold:
             if judged and of in (build, self.before):
                 at = 0 if of == build else 2
                 rows[cls][at], rows[cls][at + 1] = rows[cls][at] + ok, rows[cls][at + 1] + failed
             broken += [(server % SERVERS, cls)] * failed
-        self.untold.clear()
+        self.peers.untold.clear()
         if rows or broken:
-            self.tellings += 1
+            self.peers.tellings += 1
             classes = tuple((c, r[0], r[1], r[2], r[3]) for c, r in sorted(rows.items()))
-            told = Digest(self.life, self.tellings, build, classes, tuple(broken))
-            self.pooled.append((self.s.me, told))
+            told = Digest(self.peers.life, self.peers.tellings, build, classes, tuple(broken))
+            self.peers.pooled.append((self.s.me, told))
             self.acts.append(i.TellPeer(None, encode(told)))
 
     def _peer(self, m: i.PeerMessage) -> None:
         """Evidence from another gateway, each digest once; caps, lists and the vote stay this one's own."""
         d = decode(m.data)
-        if d is None or m.sender == self.s.me or self.told_by.get((m.sender, d.life), -1) >= d.number:
-            self.strays += 1
+        if d is None or m.sender == self.s.me or self.peers.told_by.get((m.sender, d.life), -1) >= d.number:
+            self.peers.strays += 1
             return
-        self.told_by.pop((m.sender, d.life), None)
-        self.told_by[m.sender, d.life] = d.number
-        if len(self.told_by) > 4 * self.many:  # lives long over
-            del self.told_by[next(iter(self.told_by))]
-        if self.best is not None and len(self.pooled) < 4 * self.many:
-            self.pooled.append((m.sender, d))
+        self.peers.told_by.pop((m.sender, d.life), None)
+        self.peers.told_by[m.sender, d.life] = d.number
+        if len(self.peers.told_by) > 4 * self.many:  # lives long over
+            del self.peers.told_by[next(iter(self.peers.told_by))]
+        if self.best is not None and len(self.peers.pooled) < 4 * self.many:
+            self.peers.pooled.append((m.sender, d))
 
     def _accuse(self) -> None:
         """Who fails a good part of all requests, and more than most do, as several say, rests here too."""
-        said = [(n, by) for by, d in self.pooled for n, _ in d.failed]
+        said = [(n, by) for by, d in self.peers.pooled for n, _ in d.failed]
         many, by_server = Counter(n for n, _ in said), Counter(n for n, _ in set(said))
         all_taken = self.taken.value(self.now) * self.many * TELL_MS
         least = max(max(BROKEN * all_taken, 2 * len(said)) / max(len(self.servers), 1), 2)
@@ -589,17 +582,22 @@
 
     def _pool(self, build: int) -> None:
         """What all saw of both builds in one second: what begins everywhere at once is no build's."""
-        pooled, self.pooled = [d for _, d in self.pooled if d.build == build], []
+        pooled, self.peers.pooled = [d for _, d in self.peers.pooled if d.build == build], []
         servers = [s.id for s in self.servers.values() if s.build == build]
+        gone = all(s.build >= build or s.state is not i.ServerState.READY for s in self.servers.values())
         blamed = Counter((server, cls) for d in pooled for server, cls in d.failed)
         for cls in range(len(self.s.classes)):
             rows = [r[1:] for d in pooled for r in d.classes if r[0] == cls]
             ok, failed, old_ok, old_failed = [sum(column) for column in zip(*rows, strict=True)] or [0] * 4
             share, failures = old_failed / max(old_ok + old_failed, 1), self.builds[build].pooled
-            self.troubled = self.now if share >= FAIL_FLOOR else self.troubled
+            self.peers.troubled = self.now if share >= FAIL_FLOOR else self.peers.troubled
+            if gone or old_ok + old_failed < LEAST_SAMPLE:
+                continue
+            self.peers.shares[cls].append(min(share, FAIL_MORE))
             # Where much fails anyhow, good answers of crowded or cold machines come late and errors do not.
-            if old_ok + old_failed < LEAST_SAMPLE or share > FAIL_MORE:
+            if share > FAIL_MORE:
                 continue
+            share = max(self.peers.shares[cls])  # the worst of the seconds that these digests may be about
             failures.add(cls, ALL, failed, ok, share)
             for n in servers:  # who gave the good answers is not told: as many by each
                 failures.add(cls, n, blamed[n % SERVERS, cls], ok / len(servers), share, one=True)
@@ -677,7 +675,7 @@
         sure = least >= LEAST_SAMPLE
         shares = [s.fail_share for s in self.servers.values() if s.build < n.build]
         # Machines are broken by what this gateway has met, or by what all have.
-        broken = max(shares, default=0.0) >= BROKEN or self.now < self.troubled + RATE_MS
+        broken = max(shares, default=0.0) >= BROKEN or self.now < self.peers.troubled + RATE_MS
         new, seen = len(self.servers) - len(shares), self.builds[n.build]
         failing = max([f.proof(new, broken, self.needed) for f in (seen.failures, seen.pooled)])
         if self.back_for == n.build:
--- a/meadowpulley/check/decisions.py
+++ b/meadowpulley/check/decisions.py
@@ -87,7 +87,7 @@
     ("Balancer", "trial"): _arms,
     ("Balancer", "earlier"): _arms,
     ("Balancer", "due"): _due,
-    ("Balancer", "untold"): _untold,
+    ("Peers", "untold"): _untold,
     ("Balancer", "key_build"): _by_key,
     ("Server", "id"): lambda walker, value: walker.server(value),
     ("Held", "tried"): _servers,
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -166,7 +166,7 @@
     def print_counters(self) -> None:
         if self.capture is not None:
             self.log.info("capture", written=self.capture.written, dropped=self.capture.dropped)
-        told = {"peers.dropped": self.balancer.strays} if self.balancer.strays else {}
+        told = {"peers.dropped": self.balancer.peers.strays} if self.balancer.peers.strays else {}
         self.log.info("counters", phase=self.phase.value, **self.counters.all(), **told)
 
     def on_signal(self, number: int, _: Any) -> None:
--- a/meadowpulley/net/seconds.py
+++ b/meadowpulley/net/seconds.py
@@ -30,7 +30,7 @@
         "room": round(min(balancer.room, 1e6), 1),
         "usual_ms": round(balancer.usual_ms),
         "odds": round(balancer.odds, 3),
-        "strays": balancer.strays,
+        "strays": balancer.peers.strays,
         "news": None if best is None else [best.build, best.stage, best.phase.name.lower(), best.cap],
     }
 
--- a/meadowpulley/records.py
+++ b/meadowpulley/records.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from meadowpulley import interface as i
+from meadowpulley.digests import Digest
 
 
 class Server:
@@ -91,3 +92,17 @@
         self.fail_usual: dict[tuple[int, bool], float] = {}  # by class, and whether by a tally
         self.hold_began: dict[int, float] = {}  # by stage
         self.sent = sent  # attempts, by what is counted
+
+
+class Peers:
+    """What gateways tell each other. `life` is drawn at the start; `blur`: how many seconds the digests of
+    one second may be about."""
+
+    def __init__(self, life: int, history: int, blur: int) -> None:
+        self.life, self.tellings = life, 0  # what the others are told of this one, and how often it told
+        self.untold: deque[tuple[int, int, int, int, int]] = deque(maxlen=history)
+        self.told_by: dict[tuple[int, int], int] = {}  # the last that each told, by sender and life
+        self.strays = 0  # what came from others and could not be used
+        self.pooled: list[tuple[int, Digest]] = []  # of this second, by all
+        self.shares: dict[int, deque[float]] = defaultdict(lambda: deque(maxlen=blur))  # the earlier build's
+        self.troubled = -math.inf  # when the earlier build last failed somewhere, by all
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -61,7 +61,7 @@
     assert decode(data) is None
     d = trial_of(0)
     d.give(i.PeerMessage(3, data))
-    assert d.b.strays == 1 and not d.b.told_by and not evidence(d)
+    assert d.b.peers.strays == 1 and not d.b.peers.told_by and not evidence(d)
 
 
 def trial_of(me: int, balancers: int = MANY) -> Driver:
@@ -138,7 +138,7 @@
     for times in (1, 3):
         d = trial_of(0)
         tell_all(d, 1, (SAFE, 4, 2, 20, 0), (100, 101), times)
-        found.append((evidence(d), d.b.strays))
+        found.append((evidence(d), d.b.peers.strays))
     assert found[0][0] == found[1][0] > 0 and [strays for _, strays in found] == [0, 2 * (MANY - 1)]
 
 
@@ -184,6 +184,32 @@
         assert d.b.builds[42].pooled.proof(10, False, d.b.needed) < 0.5
 
 
+def second_of(d: Driver, second: int, row: tuple[int, int, int, int]) -> float:
+    """How far build 42 is proven after what all told in a second: failures spread over its servers."""
+    failed = tuple((100 + n % 10, SAFE) for n in range(row[1]))
+    d.give(i.PeerMessage(1, encode(Digest(7, second, 42, ((SAFE, *row),), failed))))
+    evidence(d)
+    return float(d.b.builds[42].pooled.proof(10, False, d.b.needed))
+
+
+def test_errors_that_come_and_go_everywhere_are_not_the_new_builds() -> None:
+    # For half a second of every two and a half each server of either build failed a tenth. Hundreds' digests
+    # are about five seconds, not all about the same ones: the earlier build's worst of these counts, not the
+    # share in the same second, which was lower by the good answers told late.
+    d = trial_of(0, 200)
+    told = ((50, 12, 181, 19), (66, 4, 185, 5), (124, 11, 240, 3), (133, 19, 175, 17), (142, 17, 93, 4))
+    assert max(second_of(d, n, row) for n, row in enumerate(told, 1)) < 0.5
+    assert second_of(d, 9, (60, 40, 100, 9)) > 1.0  # but what fails far more than that still is
+
+
+def test_errors_after_the_earlier_build_has_gone_are_not_held_against_its_last_good_answers() -> None:
+    # A good build was taken off four seconds after its release: the next of such errors met nobody but it.
+    d = trial_of(0, 200)
+    d.news(42, 2, 1.0, i.Phase.RELEASED)
+    d.listed((entry(n, state=i.ServerState.DRAINING) for n in range(20)), i.ListKind.CHANGES)
+    assert second_of(d, 1, (178, 24, 137, 0)) == 0.0
+
+
 def test_what_is_heard_while_idle_is_looked_at_in_time() -> None:
     # Without requests there was no timer: what others had told minutes ago counted with the next request.
     d = trial_of(0)
@@ -199,7 +225,7 @@
     d = trial_of(0)
     for life in range(1000):
         d.give(i.PeerMessage(1, encode(Digest(life, 1, 42))))
-    assert len(d.b.told_by) <= 4 * MANY
+    assert len(d.b.peers.told_by) <= 4 * MANY
 
 
 def test_where_gateways_may_not_speak_nothing_is_told() -> None:
@@ -267,7 +293,7 @@
     d = Driver(settings(limits=PEERS, balancers=2))
     d.listed([entry(number), *(entry(n) for n in range(20, 40))])
     d.tick()
-    d.b.untold.extend([(SAFE, 41, number, 1, 0)] * 9)
+    d.b.peers.untold.extend([(SAFE, 41, number, 1, 0)] * 9)
     d.give(i.PeerMessage(1, encode(Digest(1, 1, 41, (), ((number, SAFE),) * 2))))
     d.now += 1000.0
     d.tick()
