Own failures too are held against the earlier build's worst; sends by build in the seconds' log

The pooled evidence had stopped by then, so it was their own: `_count` took the earlier build's usual share at this gateway, near zero between bursts, and the gateways that met most of a burst proved it alone. Lines: `usual` in `Balancer._count`. Change: a failure counts against the larger of that share and the worst that all gateways told of lately.

The seconds' lines count sends by build (`build.N.sent`).

Tried and taken back: costs told with the digests (count, mean, deviation of both builds) and judged in place of own ones where all saw more.

--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -528,7 +528,7 @@
         self._sort()
 
     def _count(self, cls: int, build: int, server: int, failed: int, ok: int) -> None:
-        """Own outcomes and tallies, against the build before: what is new everywhere is not the build's."""
+        """Own outcomes and tallies, against the build before, at its worst by all: errors come in bursts."""
         if server != TALLY and self.tell_at < math.inf:
             self.peers.untold.append((cls, build, server, failed, ok))
         seen, of, share = self.builds[build], (cls, server == TALLY), failed / max(failed + ok, 1)
@@ -537,7 +537,7 @@
         usual = self.builds[self.before].fail_usual.get(of, -1.0)
         if self.best is not None and build == self.best.build and usual >= 0:
             machine = min(1 / max(len(self.trial), 1), MACHINE) if server == TALLY else 0.0
-            seen.failures.add(cls, server, failed, ok, usual + machine)
+            seen.failures.add(cls, server, failed, ok, max(usual, *self.peers.shares[cls], 0.0) + machine)
 
     def _tell(self, build: int) -> None:
         """One gateway sees too little of a trial to judge it in time: what each saw since goes to all."""
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -56,7 +56,7 @@
         self._events: deque[i.Event] = deque()
         self._telling = False
         self._accepting = True
-        self.balancer = make(config.settings, config.seed)
+        self.balancer = self._decisions = make(config.settings, config.seed)  # stages before it may be put in
         free = config.sockets - KEPT_BACK
         clients = int(free * CLIENT_PART)
         instances = free - clients
@@ -166,7 +166,8 @@
     def print_counters(self) -> None:
         if self.capture is not None:
             self.log.info("capture", written=self.capture.written, dropped=self.capture.dropped)
-        told = {"peers.dropped": self.balancer.peers.strays} if self.balancer.peers.strays else {}
+        strays = self._decisions.peers.strays
+        told = {"peers.dropped": strays} if strays else {}
         self.log.info("counters", phase=self.phase.value, **self.counters.all(), **told)
 
     def on_signal(self, number: int, _: Any) -> None:
--- a/meadowpulley/net/seconds.py
+++ b/meadowpulley/net/seconds.py
@@ -36,7 +36,7 @@
 
 
 class Tap:
-    """A stage before the decisions that only counts: outcomes by the build that gave them."""
+    """A stage before the decisions that only counts: sends and outcomes by the build that they were of."""
 
     def __init__(self, inner: Any, counters: Counters) -> None:
         self.inner, self._counters = inner, counters
@@ -47,6 +47,9 @@
             if attempt is not None:
                 self._counters.add(f"build.{attempt.server.build}.{event.result.name.lower()}")
         actions: list[i.Action] = self.inner.handle(now, event)
+        for action in actions:
+            if isinstance(action, i.Send) and (server := self.inner.servers.get(action.server)) is not None:
+                self._counters.add(f"build.{server.build}.sent")
         return actions
 
 
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -210,6 +210,22 @@
     assert second_of(d, 1, (178, 24, 137, 0)) == 0.0
 
 
+@pytest.mark.parametrize(("bursts", "goes"), [(9, False), (0, True)])
+def test_own_failures_count_against_what_the_earlier_build_failed_elsewhere(bursts: int, goes: bool) -> None:
+    # Of 208 gateways the eight that met most of such a burst sent a good build back after its release.
+    d = trial_of(0, 200)
+    for n in range(1, 6):
+        second_of(d, n, (0, 0, 100, bursts))
+    d.news(42, 2, 1.0, i.Phase.RELEASED)
+    d.listed((entry(n, state=i.ServerState.DRAINING) for n in range(20)), i.ListKind.CHANGES)
+    for n in range(30):
+        d.now += 50.0
+        for send in sends(d.ask(SAFE)):
+            d.end(send, i.Result.ERROR if n % 3 == 0 else i.Result.OK, 80.0, over=True)
+    evidence(d)
+    assert (d.b.back_for == 42) == goes
+
+
 def test_what_is_heard_while_idle_is_looked_at_in_time() -> None:
     # Without requests there was no timer: what others had told minutes ago counted with the next request.
     d = trial_of(0)
--- a/tests/test_fleet_log.py
+++ b/tests/test_fleet_log.py
@@ -76,5 +76,5 @@
         assert sends(same.b.handle(0.0, asked)) == [sent]
         outcome = i.Outcome(n, 0, sent.server, i.Result.OK, 50.0, True)
         assert tap.handle(0.0, outcome) == same.b.handle(0.0, outcome)
-    assert counters["build.41.ok"] == 4
+    assert counters["build.41.ok"] == counters["build.41.sent"] == 4
     assert held(d.b, 0.0)["servers"] == {"41.ready": 2} and held(d.b, 0.0)["news"][:2] == [41, 2]
--- a/tests/test_net_program.py
+++ b/tests/test_net_program.py
@@ -499,6 +499,18 @@
     assert [client.ask("GET", "/look")[0] for _ in range(200)] == [200] * 200
 
 
+@pytest.mark.parametrize("stage", ["MEADOWPULLEY_SECONDS", "MEADOWPULLEY_STORY"])
+def test_counters_are_told_with_stages_before_the_decisions(
+    start: Start, monkeypatch: pytest.MonkeyPatch, stage: str
+) -> None:
+    # The count of unusable datagrams was looked for at the stage, and the gateway ended with a traceback.
+    monkeypatch.setenv(stage, "1")
+    gateway = start([])
+    gateway.process.send_signal(signal.SIGTERM)
+    assert gateway.wait_for("counters")["phase"] == "stopped"
+    assert gateway.process.wait(LIMIT_S) == 0
+
+
 def test_what_peers_send_that_can_t_be_used_is_counted(start: Start) -> None:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
         peer.bind(("127.0.0.1", 0))
