Time-outs told by build: a build that jams under load goes back before its release

Summed over the gateways' logs: in second 32 time out 72 of 162 outcomes at 493, 32 of 496 at the earlier build; in second 33 165 of 336 against 32 of 434. No gateway said a word of it: `estimate` needs twenty requests of one's own at the trial build, a gateway sends it one a second; `_pool` counts errors only.

Change: a time-out at a warm server is told as a row of a class of its own (255), accuses no server and makes nobody tell at once. Each second `_pool` adds log odds that half of the new build's requests time out, not a tenth, while the earlier build is there and loses a tenth at most; proven, it goes back. Room for it: the vote's and the swing's state became records (`Ballot`, `Swing`). A gateway of an older version reads such a row as a class that it does not know.

--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -13,7 +13,7 @@
 
 from meadowpulley import interface as i
 from meadowpulley.digests import SERVERS, Digest, decode, encode
-from meadowpulley.records import Attempt, Held, Peers, Rate, Seen, Server, Window
+from meadowpulley.records import Attempt, Ballot, Held, Peers, Rate, Seen, Server, Swing, Window, summed
 
 # The design's own figures (starting values, by its page); ours from TICK_MS on.
 COIN_SHARE = 0.8  # of the cap: leaves room for requests that must follow their key or find no other server
@@ -40,6 +40,7 @@
 COLD_SLOTS = 4  # slots of a span, each with its own allowance: a burst cannot spend that of two spans
 FAIL_FLOOR = 0.02  # failure share that any build may have
 FAIL_MORE = 0.1  # more than the earlier build fails: the least that is looked for
+FAIL_LOST = 0.5  # of its requests time out, of the earlier build's FAIL_MORE: paused and cold ones do less
 FAIL_MORE_MANY = 0.04  # and the least in the outcomes of many gateways together
 MACHINE = 0.4  # at most: failure share in a tally that one broken trial machine explains
 PROOF = 4.0  # log odds, and more among many balancers: about three failures more than the earlier build's
@@ -69,6 +70,7 @@
 NEVER_RAN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
 TRIAL, BACK = i.Phase.TRIAL, (i.Phase.GOING_BACK, i.Phase.WITHDRAWN)
 NO_ANSWER = (*NEVER_RAN, i.Result.ERROR)
+LOST = 255  # in place of a class in what gateways tell: time-outs at warm servers
 ALL, TALLY = -2, -1  # in place of a server: all of them together, and the platform's count
 TICK = 1  # the only timer's token
 
@@ -133,8 +135,7 @@
 
 
 def _rank(n: i.BuildNews) -> tuple[int, int, int]:  # late news of an earlier state undoes nothing
-    order = (i.Phase.TRIAL, i.Phase.RELEASED, i.Phase.GOING_BACK, i.Phase.WITHDRAWN)
-    return n.build, order.index(n.phase), n.stage
+    return n.build, (TRIAL, i.Phase.RELEASED, *BACK).index(n.phase), n.stage
 
 
 class Balancer:
@@ -161,8 +162,7 @@
         self.retries_left, self.room, self.fleet = 1.0, math.inf, 1  # room in flight; most servers ready
         self.reach = float(NEAR) if settings.limits.idle_ms else math.inf  # how many servers are near
         self.odds = self.followed = 0.0  # of the trial build; share of requests whose key binds them to it
-        self.odds_until = -math.inf  # the odds are worked out anew by then
-        self.usual_ms = 0.0  # usual latency of answers that came
+        self.odds_until, self.usual_ms = -math.inf, 0.0  # odds are worked out by then; usual latency
         self.kind_ms: dict[int, float] = {}  # the same by kind of machine, as if warm
         window = partial(Window, self.roll.exposure_window_ms)
         self.window_taken: dict[int, Window] = defaultdict(window)  # exposure: when requests were taken
@@ -176,18 +176,14 @@
         self.list_spread = min(LIST_EACH_MS * (self.many - 1), (self.rules.ask_within_ms or math.inf) / 2)
         self.told: i.BuildNews | None = None  # the last news to the letter, for the rules
         self.best: i.BuildNews | None = None  # the furthest known, for judging and votes
-        self.before = -1  # the build that the newest is compared with
+        self.before = self.back_for = -1  # the build that the newest is compared with; that should go back
         self.trial_began = self.stage_began = self.before_ms = self.before_rate = 0.0  # before: the newest
-        self.slow_since, self.swung_at = math.inf, -math.inf
-        self.off, self.swings = False, 0  # no traffic to the trial build while all is slow; how often
+        self.swing = Swing()  # of the traffic to the trial build, while all is slow
         self.samples: deque[Attempt] = deque(maxlen=HISTORY)
         self.due: deque[tuple[float, int, int, int, int, int]] = deque()  # outcomes to count, and when
         self.tell_at = -math.inf if settings.limits.peers and self.many > 1 else math.inf
         self.peers = Peers(Random(seed + 1).getrandbits(32), HISTORY, math.ceil(1 + self.many / TELLERS))
-        self.back_for = -1  # the build this balancer wants taken off
-        self.vote = (-1, 0, i.Verdict.NONE)  # the vote last sent
-        self.vote_sent = self.vote_stands_until = self.vote_after = -math.inf
-        self.vote_answered = True
+        self.ballot = Ballot()
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
         self.now, self.acts = now, []
@@ -328,6 +324,8 @@
         if ok or o.result is i.Result.ERROR:  # a broken connection is the network's or the machine's
             due = -math.inf if ok else attempt.sent + FAIL_AFTER * self.usual_ms
             self.due.append((due, held.r.cls, server.build, server.id, int(not ok), int(ok)))
+        if o.result is i.Result.TIMEOUT and attempt.warmth >= WARM and known:
+            self.peers.untold.append((LOST, server.build, server.id, 0, 1))  # in place of good ones
         if known:
             self._learn_room(held, o)
         attempt.lost = not (known and (ok or (o.result is i.Result.ERROR and server.fail_share < BROKEN)))
@@ -434,7 +432,7 @@
                 self.odds = min(max(1 - old / (0.75 * (new + old)), 0.0), cap)  # what has no room
             else:
                 self.odds = min(COIN_SHARE * cap, new / (new + old))
-        odds = 0.0 if self.off and len(trial) < len(earlier) else self.odds
+        odds = 0.0 if self.swing.off and len(trial) < len(earlier) else self.odds
         return max(odds - self.followed, 0.0) / max(1 - self.followed, 0.01)
 
     def _near(self, group: list[Server]) -> dict[int, float]:
@@ -503,16 +501,16 @@
         self.acts.append(i.Send(held.r.request, server.id))
 
     def _news(self, n: i.BuildNews) -> None:
-        self.vote_answered |= n.answers_vote
+        self.ballot.answered |= n.answers_vote
         if n.answers_vote and n.result is i.Result.OK:
-            self.vote_stands_until = self.now + self.roll.vote_life_ms
+            self.ballot.stands_until = self.now + self.roll.vote_life_ms
         elif n.answers_vote and n.result is i.Result.FULL:  # all called at once: not all again at once
-            self.vote_after = self.now + self.rng.random() * 1000 * self.many / self.roll.votes_per_s
+            self.ballot.after = self.now + self.rng.random() * 1000 * self.many / self.roll.votes_per_s
         if n.result is not i.Result.OK:
             return
         self.told = n
         if self.best is None or n.build > self.best.build:
-            self.odds, self.off, self.slow_since, self.before_rate = 0.0, False, math.inf, 0.0
+            self.odds, self.swing.off, self.swing.since, self.before_rate = 0.0, False, math.inf, 0.0
             self.trial_began = self.now
             self.peers.untold.clear()
             self.before_ms = fmean([self._cost(s) for s in self.samples] or [0.0])
@@ -543,9 +541,8 @@
         """One gateway sees too little of a trial to judge it in time: what each saw since goes to all."""
         rows: dict[int, list[int]] = defaultdict(lambda: [0, 0, 0, 0])
         broken: list[tuple[int, int]] = []
-        judged = self.judge_at < math.inf
         for cls, of, server, failed, ok in self.peers.untold:
-            if judged and of in (build, self.before):
+            if self.judge_at < math.inf and of in (build, self.before):
                 at = 0 if of == build else 2
                 rows[cls][at], rows[cls][at + 1] = rows[cls][at] + ok, rows[cls][at + 1] + failed
             broken += [(server % SERVERS, cls)] * failed
@@ -584,14 +581,19 @@
         """What all saw of both builds in one second: what begins everywhere at once is no build's."""
         pooled, self.peers.pooled = [d for _, d in self.peers.pooled if d.build == build], []
         servers = [s.id for s in self.servers.values() if s.build == build]
-        gone = all(s.build >= build or s.state is not i.ServerState.READY for s in self.servers.values())
         blamed = Counter((server, cls) for d in pooled for server, cls in d.failed)
+        beside, seen = any(s.build < build for s in self.earlier), self.builds[build]
+        answered = [sum(r[n] for d in pooled for r in d.classes if r[0] != LOST) for n in (1, 3)]
+        lost = [sum(r[n] for d in pooled for r in d.classes if r[0] == LOST) for n in (1, 3)]
+        if beside and lost[1] <= FAIL_MORE * answered[1] and answered[1] >= LEAST_SAMPLE:
+            gains = math.log(FAIL_LOST / FAIL_MORE), math.log((1 - FAIL_LOST) / (1 - FAIL_MORE))
+            seen.lost = max(seen.lost + lost[0] * gains[0] + answered[0] * gains[1], 0.0)
         for cls in range(len(self.s.classes)):
             rows = [r[1:] for d in pooled for r in d.classes if r[0] == cls]
             ok, failed, old_ok, old_failed = [sum(column) for column in zip(*rows, strict=True)] or [0] * 4
-            share, failures = old_failed / max(old_ok + old_failed, 1), self.builds[build].pooled
+            share, failures = old_failed / max(old_ok + old_failed, 1), seen.pooled
             self.peers.troubled = self.now if share >= FAIL_FLOOR else self.peers.troubled
-            if gone or old_ok + old_failed < LEAST_SAMPLE:
+            if old_ok + old_failed < LEAST_SAMPLE or not beside:
                 continue
             self.peers.shares[cls].append(min(share, FAIL_MORE))
             # Where much fails anyhow, good answers of crowded or cold machines come late and errors do not.
@@ -630,9 +632,8 @@
         return diff - self.z * error, diff + self.z * error, MARGIN * mean * crowd, min(new, old)
 
     def _slow(self, seen: list[Attempt]) -> bool:  # clearly slower than before the newest build
-        recent = [self._cost(s) for s in seen[-8 * LEAST_SAMPLE :]]
-        mean, n = fmean(recent or [0.0]), len(recent)
-        error = self.z * math.sqrt(sum([(c - mean) ** 2 for c in recent], 0.0)) / max(n - 1, 1)
+        n, mean, deviation = summed([self._cost(s) for s in seen[-8 * LEAST_SAMPLE :]])
+        error = self.z * deviation * math.sqrt(n) / max(n - 1, 1)
         return n >= LEAST_SAMPLE and mean - error > (1 + MARGIN) * self.before_ms > 0
 
     def _doubt(self, build: int, released: bool) -> bool:
@@ -640,28 +641,28 @@
         alone = released or not any(s.build < build for s in self.servers.values())
         memory = 2 * RATE_MS if alone else math.inf  # a jam long over is no slowness
         old = [s for s in self.samples if 2 * self.before_ms < self.now - s.sent < memory]  # late if out
-        seen = [s for s in old if s.sent > self.swung_at and (alone or s.server.build < build)]
-        known, slow, since = len(seen) >= LEAST_SAMPLE, self._slow(seen), self.now - self.swung_at
+        seen = [s for s in old if s.sent > self.swing.at and (alone or s.server.build < build)]
+        known, slow, since = len(seen) >= LEAST_SAMPLE, self._slow(seen), self.now - self.swing.at
         if alone:  # slow for longer than troubles last, without more new requests, nor a jam, which hides all
             more = self.taken.value(self.now) > (1 + 2 * MARGIN) * self.before_rate
             jam = sum(s.lost for s in seen[-2 * LEAST_SAMPLE :]) > LEAST_SAMPLE / 2
-            self.slow_since = min(self.slow_since, self.now) if slow and not more and not jam else math.inf
-            if self.now > self.slow_since + ALONE_SOAKS * self.roll.soak_ms:
+            self.swing.since = min(self.swing.since, self.now) if slow and not more and not jam else math.inf
+            if self.now > self.swing.since + ALONE_SOAKS * self.roll.soak_ms:
                 self._back(build, f"slow since the earlier build has gone, usually {self.before_ms:.0f} ms")
             return slow
         if self.odds < LEAST_SWING / 2 and known and not slow:  # too little to slow the earlier build
             self.before_ms = fmean([self._cost(s) for s in seen])
-        elif not self.off and slow and self.odds >= LEAST_SWING:
-            self.off, self.swung_at = True, self.now
-            self.swings = self.swings + 1 if since < SWING_SOAKS * self.roll.soak_ms else 1
-            if self.swings > 2:
+        elif not self.swing.off and slow and self.odds >= LEAST_SWING:
+            self.swing.off, self.swing.at = True, self.now
+            self.swing.count = self.swing.count + 1 if since < SWING_SOAKS * self.roll.soak_ms else 1
+            if self.swing.count > 2:
                 self._back(build, f"both builds slow with its traffic, usually {self.before_ms:.0f} ms")
-        elif self.off and known and not slow and since > 2 * BLOCK_MS:
-            self.off, self.swung_at = False, self.now
-        return self.off or slow or self._slow(old) or (not known and self.swung_at > self.stage_began)
+        elif self.swing.off and known and not slow and since > 2 * BLOCK_MS:
+            self.swing.off, self.swing.at = False, self.now
+        return self.swing.off or slow or self._slow(old) or (not known and self.swing.at > self.stage_began)
 
     def _back(self, build: int, why: str) -> None:
-        self.back_for, self.off = build, False
+        self.back_for, self.swing.off = build, False
         self.acts.append(i.LogLine(f"back {build}: {why}"))
 
     def _ripe(self, n: i.BuildNews) -> bool:  # old enough for a vote without enough outcomes
@@ -677,7 +678,8 @@
         # Machines are broken by what this gateway has met, or by what all have.
         broken = max(shares, default=0.0) >= BROKEN or self.now < self.peers.troubled + RATE_MS
         new, seen = len(self.servers) - len(shares), self.builds[n.build]
-        failing = max([f.proof(new, broken, self.needed) for f in (seen.failures, seen.pooled)])
+        own, all_saw = [f.proof(new, broken, self.needed) for f in (seen.failures, seen.pooled)]
+        failing = max(own, all_saw, seen.lost / self.needed)
         if self.back_for == n.build:
             return i.Verdict.BACK
         if failing >= 1:
@@ -703,14 +705,14 @@
         self.before_rate = max(self.before_rate, self.taken.value(self.now) if n.stage == 0 else 0.0)
         verdict = self._verdict(n)
         wanted = (n.build, n.stage if verdict in (i.Verdict.ON, i.Verdict.HOLD) else 0, verdict)
-        if verdict is i.Verdict.NONE and (self.vote == wanted or self.vote[0] != n.build):
+        if verdict is i.Verdict.NONE and (self.ballot.vote == wanted or self.ballot.vote[0] != n.build):
             return
         # Votes and their answers get lost: unanswered ones are sent again, standing ones renewed in time.
-        waiting = not self.vote_answered and self.now < self.vote_sent + self.roll.call_timeout_ms
-        standing = self.vote_stands_until - self.now > self.roll.vote_life_ms / 2
-        soon = self.now < max(self.vote_sent + 4 * TICK_MS, self.vote_after)
-        if soon or (self.vote == wanted and (waiting or standing)):
+        waiting = not self.ballot.answered and self.now < self.ballot.sent + self.roll.call_timeout_ms
+        standing = self.ballot.stands_until - self.now > self.roll.vote_life_ms / 2
+        soon = self.now < max(self.ballot.sent + 4 * TICK_MS, self.ballot.after)
+        if soon or (self.ballot.vote == wanted and (waiting or standing)):
             return
-        self.vote, self.vote_sent = wanted, self.now
-        self.vote_answered, self.vote_stands_until = False, -math.inf
+        self.ballot.vote, self.ballot.sent = wanted, self.now
+        self.ballot.answered, self.ballot.stands_until = False, -math.inf
         self.acts.append(i.Vote(*wanted))
--- a/meadowpulley/records.py
+++ b/meadowpulley/records.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import defaultdict, deque
+from statistics import fmean, pstdev
 from typing import Any
 
 from meadowpulley import interface as i
@@ -89,11 +90,34 @@
 
     def __init__(self, failures: Any, pooled: Any, sent: defaultdict[int, Window]) -> None:
         self.failures, self.pooled = failures, pooled  # by own outcomes, and by those of all gateways
+        self.lost = 0.0  # log odds that its requests time out, by all gateways
         self.fail_usual: dict[tuple[int, bool], float] = {}  # by class, and whether by a tally
         self.hold_began: dict[int, float] = {}  # by stage
         self.sent = sent  # attempts, by what is counted
 
 
+def summed(sample: list[float]) -> tuple[int, float, float]:
+    """Count, mean and deviation (of the whole, not of a sample); none of nothing."""
+    return (len(sample), fmean(sample), pstdev(sample)) if sample else (0, 0.0, 0.0)
+
+
+class Ballot:
+    """The vote last sent, and what became of it."""
+
+    def __init__(self) -> None:
+        self.vote = (-1, 0, i.Verdict.NONE)
+        self.sent = self.stands_until = self.after = -math.inf  # after: none before, as too many came
+        self.answered = True
+
+
+class Swing:
+    """Times without traffic to the trial build, while all is slow."""
+
+    def __init__(self) -> None:
+        self.off, self.count, self.at = False, 0, -math.inf  # at: when it last began or ended
+        self.since = math.inf  # slow since then, with no earlier build to compare
+
+
 class Peers:
     """What gateways tell each other. `life` is drawn at the start; `blur`: how many seconds the digests of
     one second may be about."""
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from meadowpulley import interface as i
+from meadowpulley.balance import LOST
 from meadowpulley.digests import MOST_BYTES, MOST_COUNT, MOST_FAILED, Digest, decode, encode
 from tests.driver import LIMITS, SAFE, UNSAFE, Driver, entry, sends, settings, votes
 
@@ -226,6 +227,33 @@
     assert (d.b.back_for == 42) == goes
 
 
+@pytest.mark.parametrize(
+    ("lost", "old_lost", "found"), [(75, 20, True), (30, 10, False), (75, 80, False)],
+    ids=["the build", "paused and cold machines", "all machines"],
+)  # fmt: skip
+def test_a_build_whose_requests_time_out_goes_back(lost: int, old_lost: int, found: bool) -> None:
+    # A build that did a sixth of the work once it was loaded was released, and the fleet served a tenth: no
+    # gateway had the twenty requests that its own judgement takes.
+    d = trial_of(0, 200)
+    for number in range(1, 4):
+        rows = ((SAFE, 90, 0, 240, 0), (LOST, lost, 0, old_lost, 0))
+        d.give(i.PeerMessage(1, encode(Digest(7, number, 42, rows))))
+        evidence(d)
+    assert (d.b.back_for == 42) == found
+
+
+def test_time_outs_are_told_by_build_and_accuse_no_server() -> None:
+    d = trial_of(0, 2)
+    told = []
+    for _ in range(40):
+        for send in sends(d.ask(SAFE)):
+            d.end(send, i.Result.TIMEOUT, 4000.0, over=True)
+        d.now += 100.0
+        told += [decode(a.data) for a in d.tick() if isinstance(a, i.TellPeer)]
+    rows = [row for one in told if one for row in one.classes if row[0] == LOST]
+    assert sum(row[1] + row[3] for row in rows) > 20 and not any(one.failed for one in told if one)
+
+
 def test_what_is_heard_while_idle_is_looked_at_in_time() -> None:
     # Without requests there was no timer: what others had told minutes ago counted with the next request.
     d = trial_of(0)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -121,10 +121,10 @@
     while not votes(d.tick()):
         d.now += 50.0
     d.give(i.BuildNews(42, 0, i.Phase.TRIAL, 0.0, 0.0, i.Result.FULL, True))
-    assert d.b.vote_after > d.now
+    assert d.b.ballot.after > d.now
     while not votes(d.tick()):
         d.now += 50.0
-    assert d.now >= d.b.vote_after
+    assert d.now >= d.b.ballot.after
 
 
 @pytest.mark.parametrize("load", [(), (0.0, 0.0), (1e30, -1.0)])
