A watch that falls silent is found before its misses count as told, and asked anew at once

Replayed with each list call logged (one play, 208 gateways): 44 watches fall silent, opened between 0.2 and 1.4 s with a wait of 10 s, and are given up 4 s after their wait ('no answer in time' at 14.2 to 15.4 s); the next call comes up to 5 s later still. Gateway n2: watch at 1.257, given up at 15.258, asked again at 19.286 s, 104 draining servers heard of at 19.303 s; all its lists from 1.3 to 19.3 s were missed.

Excluded: lists that come late (200 others hear at 16.29 s), discovery that is slow (calls without a wait: median 51 ms, most 101 ms of 250), failed calls (none but the silent ones).

At fault: GRACE_MS of net/discovery.py for a call that may wait (the platform counts what it misses as told 2 s after the wait), and Balancer._list, which gives silence the spread that a fleet's failed calls need (list_spread, half of ask_within).

Change: a waiting call is silent 1.5 s after its wait; the decisions hear SILENT, not FAILED, and ask at once: each finds it at its own time, so there is no herd to spread.

--- a/meadowpulley/balance.py
+++ b/meadowpulley/balance.py
@@ -170,9 +170,8 @@
             lambda: Seen(Failures(), Failures(FAIL_MORE, FAIL_MORE_MANY), defaultdict(window))
         )
         self.key_build: dict[int, int] = {}  # one-way keys: the build that may have answered each
-        self.floor = -1  # the build under which no key goes: what these had answered is forgotten
+        self.floor, self.list_fails = -1, 0  # floor: no key goes under that build, what it had is forgotten
         self.ask_again_at = -math.inf if settings.must_ask else math.inf  # when to ask for the list
-        self.list_fails = 0
         self.list_spread = min(LIST_EACH_MS * (self.many - 1), (self.rules.ask_within_ms or math.inf) / 2)
         self.told: i.BuildNews | None = None  # the last news to the letter, for the rules
         self.best: i.BuildNews | None = None  # the furthest known, for judging and votes
@@ -236,11 +235,12 @@
             self._judge()
 
     def _list(self, event: i.ServerList) -> None:
-        if event.kind is i.ListKind.FAILED:  # whether the watch still stands is not said
+        if event.kind in (i.ListKind.FAILED, i.ListKind.SILENT):  # whether the watch still stands is not said
+            herd = event.kind is i.ListKind.FAILED  # silence is found after seconds, by each at its own time
             pause = RETRY_LIST_MS * min(self.list_fails, 3) * (0.5 + self.rng.random())
             spread = self.rng.random() * self.list_spread * (1 + min(self.list_fails, 1))
-            self.ask_again_at = self.now + max(pause, spread) if self.s.must_ask else math.inf
-            self.list_fails += 1
+            self.ask_again_at = self.now + herd * max(pause, spread) if self.s.must_ask else math.inf
+            self.list_fails += herd
             return
         if event.kind is not i.ListKind.CACHED:
             self.ask_again_at, self.list_fails = math.inf, 0
--- a/meadowpulley/drill/codec.py
+++ b/meadowpulley/drill/codec.py
@@ -152,7 +152,10 @@
 
 def _topology(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, kind, ledger, version = _TOPOLOGY.unpack_from(batch.records, at)
-    return gateway, Topology(_known(i.ListKind, kind, where), ledger, version)
+    known = _known(i.ListKind, kind, where)
+    if known is i.ListKind.SILENT:  # found by those who hold connections: the wire has no word for it
+        raise WireError(f"{where}: {kind} is no known ListKind")
+    return gateway, Topology(known, ledger, version)
 
 
 def _incoming(batch: Batch, at: int, where: str) -> tuple[int, Record]:
--- a/meadowpulley/interface.py
+++ b/meadowpulley/interface.py
@@ -64,6 +64,7 @@
     FULL = 1
     CACHED = 2
     FAILED = 3
+    SILENT = 4  # a call, or a watch, that stood for longer than its answer may take
 
 
 # Events
@@ -83,7 +84,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerList:
-    """News from discovery; `entries` is the whole list unless `kind` is CHANGES, and empty when FAILED."""
+    """News from discovery; `entries` is the whole list unless `kind` is CHANGES, and empty when FAILED
+    or SILENT."""
 
     kind: ListKind
     version: int
--- a/meadowpulley/net/discovery.py
+++ b/meadowpulley/net/discovery.py
@@ -28,6 +28,9 @@
 # Beyond the wait, until a call without an answer has failed. Longer than discovery keeps a call waiting: one
 # given up just before its answer costs discovery as much as one that is heard, and is asked again.
 GRACE_MS = 4_000.0
+# The same for a call that may wait for news: discovery counts what a silent one misses as told 2 s after its
+# wait, and the next call has to be answered by then.
+SILENT_MS = 1_500.0
 AGAIN_MS = (500.0, 4_000.0)  # where the list comes unasked: pauses after failed watches but the first
 LIST_BOUND = 8 * 1024 * 1024  # a list of thousands of instances
 
@@ -155,7 +158,7 @@
 
     def __init__(
         self, discovery: Discovery, target: str, limit_ms: float, done: Callable[[Any], None],
-        failed: Callable[[str], None],
+        failed: Callable[[str, i.ListKind], None],
     ) -> None:  # fmt: skip
         self.discovery, self.target = discovery, target
         self._done, self._failed = done, failed
@@ -207,17 +210,17 @@
             self._finish(failure.getErrorMessage(), None)
 
     def _late(self) -> None:
-        self._finish("no answer in time", self.link)
+        self._finish("no answer in time", self.link, i.ListKind.SILENT)
 
     def _close_call(self) -> None:
         self.over = True
         self.discovery.gateway.deadlines.call_off(self.limit)
 
-    def _finish(self, why: str, link: DiscoveryLink | None) -> None:
+    def _finish(self, why: str, link: DiscoveryLink | None, kind: i.ListKind = i.ListKind.FAILED) -> None:
         self.abandon()
         if link is not None:
             link.drop()
-        self._failed(why)
+        self._failed(why, kind)
 
     def abandon(self) -> None:
         """Ends the call without a word to anyone."""
@@ -292,7 +295,8 @@
     def _ask(self, wait: float) -> None:
         target = f"{names.LIST}?{names.AFTER}={self.version}&{names.WAIT}={wait:.0f}"
         self.gateway.counters.add("list.watches")
-        self._watch = Call(self, target, wait + GRACE_MS, self._news, self._watch_failed)
+        limit = wait + SILENT_MS if wait else GRACE_MS
+        self._watch = Call(self, target, limit, self._news, self._watch_failed)
 
     def _news(self, raw: Any) -> None:
         self._watch = None
@@ -306,19 +310,19 @@
         if self._watch is None and not self.gateway.stopping:
             self._ask(self._wait)
 
-    def _watch_failed(self, why: str) -> None:
+    def _watch_failed(self, why: str, kind: i.ListKind = i.ListKind.FAILED) -> None:
         self._watch = None
-        self._failed(why)
+        self._failed(why, kind)
         if not self.gateway.config.settings.must_ask and not self.gateway.stopping:
             pause = min(AGAIN_MS[0] * 2 ** min(self._failures, 10), AGAIN_MS[1]) if self._failures else 0.0
             self._failures += 1
             self.gateway.deadlines.after(pause * self._random.uniform(0.5, 1.0), lambda: self.watch(True))
 
-    def _failed(self, why: str) -> None:
+    def _failed(self, why: str, kind: i.ListKind) -> None:
         self.gateway.counters.add("list.failed")
         self.gateway.log.warning("discovery call failed", why=why)
         self._answer_due = False
-        self.gateway.tell(i.ServerList(i.ListKind.FAILED, self.version))
+        self.gateway.tell(i.ServerList(kind, self.version))
 
     def _spoilt(self) -> None:
         """After a list that can't be read its connection is of no further use."""
@@ -342,9 +346,9 @@
             self._spoilt()
             self._fetch_failed(str(error))
 
-    def _fetch_failed(self, why: str) -> None:
+    def _fetch_failed(self, why: str, kind: i.ListKind = i.ListKind.FAILED) -> None:
         self._fetch = None
-        self._failed(why)
+        self._failed(why, kind)
 
     def _tell(self, raw: Any, kind: i.ListKind | None) -> None:
         whole, version, found = self.entries.read(raw)
