--- a/tests/test_silent_watch.py
+++ b/tests/test_silent_watch.py
@@ -22,14 +22,14 @@
 ANSWER_MS = 100.0  # of a call that discovery hears
 
 
-class Wire(StringTransport):
+class Wire(StringTransport):  # type: ignore[misc,unused-ignore]
     """A connection with nothing unread behind what was handed over."""
 
     def setTcpNoDelay(self, on: bool) -> None:  # noqa: N802 (Twisted's name)
         pass
 
     def writeSomeData(self, data: bytes) -> int:  # noqa: N802 (Twisted's name)
-        self.write(data)
+        self.write(data)  # type: ignore[no-untyped-call]
         return len(data)
 
     def getHandle(self) -> Any:  # noqa: N802 (Twisted's name)
@@ -46,7 +46,7 @@
     """The real discovery client and the real decisions, with a discovery of ours on a virtual clock."""
 
     def __init__(self, must_ask: bool) -> None:
-        self.reactor = MemoryReactorClock()
+        self.reactor = MemoryReactorClock()  # type: ignore[no-untyped-call]
         self.driver = Driver(settings(must_ask=must_ask, balancers=200), told=False)
         self.answered, self.asked = 0, list[tuple[float, float]]()  # when, and for how long it may wait
         self.silent_from = float("inf")  # calls that come after so many answers are never answered
@@ -64,7 +64,8 @@
             ),
         )  # fmt: skip
         self.failures = failures
-        self.discovery = Discovery(self.gateway, 0.0)
+        gateway: Any = self.gateway
+        self.discovery = Discovery(gateway, 0.0)
 
     @property
     def now(self) -> float:
@@ -86,12 +87,12 @@
             self.reactor.advance(0.01)
             while self.reactor.tcpClients:
                 factory = self.reactor.tcpClients.pop(0)[2]
-                protocol = factory.buildProtocol(None)
-                wire = Wire()
+                protocol: Any = factory.buildProtocol(None)
+                wire: Any = Wire()  # type: ignore[no-untyped-call]
                 protocol.makeConnection(wire)
                 self._serve(protocol, wire)
 
-    def _serve(self, protocol: Any, wire: Wire) -> None:
+    def _serve(self, protocol: Any, wire: Any) -> None:
         """Looks for calls on this connection every 10 ms and answers them."""
         raw = wire.value().decode()
         wire.clear()
