The decision module becomes a package of six files, with one way between them

Change: one record (State, in records.py) holds what a balancer knows, plain functions over it decide: servers, evidence, sending (with _may_send, the one check of every send), requests, judging, and the balancer that hands events out. What keeps books and decides nothing (the digest that is told, the vote last sent, windows) stays with its record. Weighed and left: objects that own a part of the state each (circles, since most decisions read four or five parts) and a chain of classes (docs/design.md).

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -19,7 +19,7 @@
 PARTS = (
     "__init__.py",
     "__main__.py",
-    "balance.py",
+    "balance",
     "digests.py",
     "interface.py",
     "records.py",
@@ -28,7 +28,12 @@
     "net",
 )
 HOT = (
-    "balance.py",
+    "balance/balancer.py",
+    "balance/evidence.py",
+    "balance/judging.py",
+    "balance/requests.py",
+    "balance/sending.py",
+    "balance/servers.py",
     "digests.py",
     "interface.py",
     "records.py",
--- /dev/null
+++ b/meadowpulley/balance/balancer.py
@@ -0,0 +1,73 @@
+"""The balancer: each event goes to whoever decides by it, and there is one timer."""
+
+import math
+from collections import defaultdict
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import Any
+
+from meadowpulley import interface as i
+from meadowpulley.balance.evidence import PROOF, TELLERS, count_outcomes, exchange, hear_peer, new_seen, tally
+from meadowpulley.balance.judging import judge, news
+from meadowpulley.balance.requests import TICK_MS, gone, outcome, request, route_or_wait, started
+from meadowpulley.balance.sending import probed
+from meadowpulley.balance.servers import RETRY_LIST_MS, rest_silent, take_list
+from meadowpulley.records import Peers, State
+
+LATE_TURN_MS = 250.0  # a timer later than this: this gateway stood still, and what was out only looks slow
+NEAR = 8  # servers that a gateway goes to first, at least
+LIST_EACH_MS = 100.0  # and for each other gateway: those that start, or fail, at once call one by one
+TICK = 1  # the only timer's token
+
+
+def tick(b: State, _: i.Timer) -> None:
+    b.timer_at = math.inf if b.now >= b.timer_at else b.timer_at
+    if b.now >= b.ask_again_at:
+        b.acts.append(i.Watch())  # an answer that never comes is asked for again
+        b.ask_again_at = b.now + max(b.rules.ask_within_ms, RETRY_LIST_MS)
+    rest_silent(b)
+    waiting, b.waiting = b.waiting, []
+    for held in [h for h in waiting if h.r.request in b.held]:
+        route_or_wait(b, held)
+    if b.now >= b.tell_at and b.best is not None:
+        exchange(b, b.best.build)
+    if b.now >= b.judge_at:
+        judge(b)
+
+
+HANDLERS: dict[type, Callable[[State, Any], None]] = {
+    i.Request: request, i.Outcome: outcome, i.Timer: tick, i.ServerList: take_list, i.BuildNews: news,
+    i.RequestGone: gone, i.AnswerStarted: started, i.ProbeResult: probed, i.PeerMessage: hear_peer,
+    i.Tally: tally,
+}  # fmt: skip
+
+
+class Balancer(State):
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.z = 2 + 0.5 * math.log(self.many)
+        self.needed = PROOF + math.log(max(self.many / max(self.roll.back_votes, 1), 1.0))
+        self.reach = float(NEAR) if settings.limits.idle_ms else math.inf
+        self.builds = defaultdict(partial(new_seen, self.roll.exposure_window_ms))
+        self.list_spread = min(LIST_EACH_MS * (self.many - 1), (self.rules.ask_within_ms or math.inf) / 2)
+        self.peers = Peers(Random(seed + 1).getrandbits(32), math.ceil(1 + self.many / TELLERS))
+
+    def handle(self, now: float, event: i.Event) -> list[i.Action]:
+        self.now, self.acts = now, []
+        if self.ask_again_at == -math.inf and self.servers:  # discovery takes a fleet's calls in turn
+            self.ask_again_at = now + self.rng.random() * self.list_spread
+        if now > self.timer_at + LATE_TURN_MS:
+            self.stood_still = now
+        while self.due and self.due[0][0] <= now:
+            count_outcomes(self, *self.due.popleft()[1:])
+        if handler := HANDLERS.get(type(event)):
+            handler(self, event)
+        # One timer, only when there is something to wait for: an idle balancer costs nothing.
+        look = TICK_MS if self.waiting else 4 * TICK_MS if self.attempts else math.inf
+        tell = self.tell_at if self.peers.pooled else math.inf  # if idle too: what is old says nothing
+        at = max(min(self.judge_at, self.ask_again_at, tell, now + look), now)
+        if at < self.timer_at:
+            self.timer_at = at
+            self.acts.append(i.SetTimer(at - now, TICK))
+        return self.acts
--- /dev/null
+++ b/meadowpulley/balance/requests.py
@@ -0,0 +1,114 @@
+"""Requests from their intake to the one answer: waiting, room in flight, outcomes, giving up."""
+
+import math
+
+from meadowpulley import interface as i
+from meadowpulley.balance.sending import route
+from meadowpulley.balance.servers import BROKEN, health
+from meadowpulley.digests import LOST
+from meadowpulley.records import Held, State
+
+TICK_MS = 50.0  # how often waiting requests are looked at; those that are out four times less often
+WARM = 0.8  # warmth from which a machine tells of its build: colder ones queue up more than they are slow
+FAIL_AFTER = 2.0  # usual latencies after it was sent a failure counts: quick ones overtake good answers
+RETRY_SHARE = 0.1  # further attempts for each request taken, so that retries cannot feed a jam
+ROOM_STEPS = (0.1, 0.4)  # an answer in time widens the room in flight, a late one narrows it: 1 in 5 is late
+FLOOR_EACH = 2.0  # requests in flight a server, from all gateways, that are never too many
+NEAR_PART = 0.1  # of the time for which a connection may stand idle: as many as are asked in it are near
+WAIT_SHARE = 0.25  # of the aim: how long a request may wait for a server it may go to
+NEVER_RAN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
+NO_ANSWER = (*NEVER_RAN, i.Result.ERROR)
+
+
+def request(b: State, r: i.Request) -> None:
+    held = b.held[r.request] = Held(r, b.s.classes[r.cls], b.now, b.roll.exposure_per_class)
+    rate = b.taken.value(b.now, 0.0 if r.repeat else 1.0)
+    b.reach = max(b.reach, NEAR_PART * b.s.limits.idle_ms * rate)
+    b.retries_left = min(b.retries_left + RETRY_SHARE, 10.0)
+    b.window_taken[held.counted].add(b.now)
+    if len(b.attempts) + b.rng.random() > b.room:  # by chance: many have room for less than one
+        _give_up(b, held)  # at once: it would come too late
+    else:
+        route_or_wait(b, held)
+
+
+def route_or_wait(b: State, held: Held) -> None:
+    # Given up before the deadline by more than a tick: the answer must be in time.
+    until = min(held.arrived + held.cls.aim_ms * WAIT_SHARE, held.r.deadline_ms - 2 * TICK_MS)
+    if not route(b, held) and b.now < until:
+        b.waiting.append(held)
+    elif not held.tries:
+        _give_up(b, held)
+
+
+def _learn_room(b: State, held: Held, o: i.Outcome) -> None:
+    """Answers in time widen the room in flight, late ones narrow it to what ends a jam."""
+    out, late = len(b.attempts) + 1, 2 * b.usual_ms > held.cls.aim_ms
+    if o.result is i.Result.OK and o.elapsed_ms <= held.cls.aim_ms:
+        b.room += ROOM_STEPS[0] if 2 * out > b.room else 0.0
+    elif o.result is i.Result.OK or (o.result is i.Result.TIMEOUT and late):
+        usual = max(out, b.done.value(b.now) * b.usual_ms)  # few in flight vary by chance
+        b.room = min(b.room, usual + max(usual, 3 * math.sqrt(usual)) + 1) - ROOM_STEPS[1]
+    b.room = max(b.room, FLOOR_EACH * len(b.servers) / b.many)
+
+
+def _give_up(b: State, held: Held) -> None:
+    rid = held.r.request
+    b.held.pop(rid, None)
+    advice = b.s.limits.retry_after * b.s.limits.max_retry_after_ms
+    everywhere = held.cls.effect is i.Effect.KEYED and held.cls.group is i.Group.ALL
+    harmless = held.cls.effect is i.Effect.SAFE or not held.maybe or everywhere
+    b.acts.append(i.Refuse(rid, advice) if harmless else i.Fail(rid))
+    _call_off(b, held)
+
+
+def _call_off(b: State, held: Held) -> None:  # what is over should burden no server that can drop it
+    rid, able = held.r.request, b.s.limits.cancel and not held.streaming
+    b.acts += [i.Cancel(rid, a.n) for a in held.maybe if able and (rid, a.n) in b.attempts]
+
+
+def outcome(b: State, o: i.Outcome) -> None:
+    attempt = b.attempts.pop((o.request, o.attempt), None)
+    if attempt is None:
+        return
+    held, server, ok = attempt.held, attempt.server, o.result is i.Result.OK
+    server.out, held.out = server.out - 1, held.out - 1
+    if o.result in NEVER_RAN:
+        held.maybe.remove(attempt)
+    known = attempt.sent >= b.stood_still  # else it took nobody knows how long: nothing is learnt
+    if known and o.result not in (i.Result.CANCELLED, i.Result.MOOT):
+        health(b, server, o.result)
+    b.done.value(b.now, float(ok))
+    if o.result not in NO_ANSWER and held.r.key and server.build > b.floor and b.roll.one_way:
+        b.key_build[held.r.key] = max(server.build, b.key_build.get(held.r.key, 0))
+    if ok or o.result is i.Result.ERROR:  # a broken connection is the network's or the machine's
+        due = -math.inf if ok else attempt.sent + FAIL_AFTER * b.usual_ms
+        b.due.append((due, held.r.cls, server.build, server.id, int(not ok), int(ok)))
+    if o.result is i.Result.TIMEOUT and attempt.warmth >= WARM and known:
+        b.peers.untold.append((LOST, server.build, server.id, 0, 1))  # in place of good ones
+    if known:
+        _learn_room(b, held, o)
+    attempt.lost = not (known and (ok or (o.result is i.Result.ERROR and server.fail_share < BROKEN)))
+    attempt.latency = b.usual_ms if attempt.lost else o.elapsed_ms if ok else held.cls.deadline_ms
+    if ok and known:
+        b.usual_ms += 0.05 * (o.elapsed_ms - b.usual_ms) if b.usual_ms else o.elapsed_ms
+        warm = o.elapsed_ms * attempt.warmth
+        b.kind_ms[server.kind] = b.kind_ms.get(server.kind, warm) * 0.95 + 0.05 * warm
+    if o.over:
+        b.held.pop(o.request, None)
+        _call_off(b, held)
+    elif b.held.get(o.request) is held and held.out == 0:
+        if b.retries_left >= 1 and route(b, held):
+            b.retries_left -= 1
+        else:
+            _give_up(b, held)
+
+
+def gone(b: State, event: i.RequestGone) -> None:
+    if event.request in b.held:
+        _call_off(b, b.held.pop(event.request))
+
+
+def started(b: State, event: i.AnswerStarted) -> None:
+    if event.request in b.held:
+        b.held[event.request].streaming = True
--- a/meadowpulley/digests.py
+++ b/meadowpulley/digests.py
@@ -18,6 +18,7 @@
 _FAILED = struct.Struct("!HB")  # server, class
 MOST_CLASSES, MOST_FAILED = 8, 24
 SERVERS, WORD = 1 << 16, 1 << 32  # a server is told by its number modulo the first
+LOST = 255  # in place of a class: time-outs at warm servers
 
 
 @dataclass(frozen=True, slots=True)
--- a/meadowpulley/records.py
+++ b/meadowpulley/records.py
@@ -4,11 +4,16 @@
 
 import math
 from collections import defaultdict, deque
+from functools import partial
+from random import Random
 from statistics import fmean, pstdev
 from typing import Any
 
 from meadowpulley import interface as i
-from meadowpulley.digests import Digest
+from meadowpulley.digests import SERVERS, Digest
+
+HISTORY = 600  # logged requests kept for judging, and outcomes untold
+RATE_MS = 4000.0  # memory of the request and work rates
 
 
 class Server:
@@ -52,6 +57,10 @@
         self.latency: float | None = None
         self.lost = False  # no answer, or none whose time is known: that is not the build's doing
 
+    def cost(self, now: float) -> float:
+        """Its latency, or its age while out; a cold server is slow whatever it runs: counted as if warm."""
+        return self.warmth * (self.latency if self.latency is not None else now - self.sent)
+
 
 class Rate:
     """A count that fades with the given memory, as an amount per millisecond."""
@@ -85,15 +94,19 @@
         return len(self.times)
 
 
+def windows(memory_ms: float) -> defaultdict[int, Window]:
+    return defaultdict(partial(Window, memory_ms))
+
+
 class Seen:
     """What is known of one build, kept while it is the newest or the one before."""
 
-    def __init__(self, failures: Any, pooled: Any, sent: defaultdict[int, Window]) -> None:
+    def __init__(self, failures: Any, pooled: Any, memory_ms: float) -> None:
         self.failures, self.pooled = failures, pooled  # by own outcomes, and by those of all gateways
         self.lost = 0.0  # log odds that its requests time out, by all gateways
         self.fail_usual: dict[tuple[int, bool], float] = {}  # by class, and whether by a tally
         self.hold_began: dict[int, float] = {}  # by stage
-        self.sent = sent  # attempts, by what is counted
+        self.sent = windows(memory_ms)  # attempts, by what is counted
 
 
 def summed(sample: list[float]) -> tuple[int, float, float]:
@@ -109,6 +122,10 @@
         self.sent = self.stands_until = self.after = -math.inf  # after: none before, as too many came
         self.answered = True
 
+    def cast(self, vote: tuple[int, int, i.Verdict], now: float) -> None:
+        self.vote, self.sent = vote, now
+        self.answered, self.stands_until = False, -math.inf
+
 
 class Swing:
     """Times without traffic to the trial build, while all is slow."""
@@ -122,11 +139,80 @@
     """What gateways tell each other. `life` is drawn at the start; `blur`: how many seconds the digests of
     one second may be about."""
 
-    def __init__(self, life: int, history: int, blur: int) -> None:
+    def __init__(self, life: int, blur: int) -> None:
         self.life, self.tellings = life, 0  # what the others are told of this one, and how often it told
-        self.untold: deque[tuple[int, int, int, int, int]] = deque(maxlen=history)
+        self.untold: deque[tuple[int, int, int, int, int]] = deque(maxlen=HISTORY)
         self.told_by: dict[tuple[int, int], int] = {}  # the last that each told, by sender and life
         self.strays = 0  # what came from others and could not be used
         self.pooled: list[tuple[int, Digest]] = []  # of this second, by all
         self.shares: dict[int, deque[float]] = defaultdict(lambda: deque(maxlen=blur))  # the earlier build's
         self.troubled = -math.inf  # when the earlier build last failed somewhere, by all
+
+    def digest(self, build: int, before: int, judged: bool) -> Digest | None:
+        """What was seen since the last one, if anything: failures of all builds, answers of those judged."""
+        rows: dict[int, list[int]] = defaultdict(lambda: [0, 0, 0, 0])
+        broken: list[tuple[int, int]] = []
+        for cls, of, server, failed, ok in self.untold:
+            if judged and of in (build, before):
+                at = 0 if of == build else 2
+                rows[cls][at], rows[cls][at + 1] = rows[cls][at] + ok, rows[cls][at + 1] + failed
+            broken += [(server % SERVERS, cls)] * failed
+        self.untold.clear()
+        if not (rows or broken):
+            return None
+        self.tellings += 1
+        classes = tuple((c, r[0], r[1], r[2], r[3]) for c, r in sorted(rows.items()))
+        return Digest(self.life, self.tellings, build, classes, tuple(broken))
+
+    def first(self, sender: int, d: Digest, most: int) -> bool:
+        """Whether a digest is new; the last of `most` lives are remembered."""
+        if self.told_by.get((sender, d.life), -1) >= d.number:
+            return False
+        self.told_by.pop((sender, d.life), None)
+        self.told_by[sender, d.life] = d.number
+        if len(self.told_by) > most:  # lives long over
+            del self.told_by[next(iter(self.told_by))]
+        return True
+
+
+class State:
+    """All that one balancer knows; what `meadowpulley/balance/` makes of its settings is set there."""
+
+    z: float  # errors that a bound is off its estimate
+    needed: float  # log odds of failing that prove a build bad
+    reach: float  # how many servers are near
+    list_spread: float  # of list calls, in ms, as discovery takes a fleet's in turn
+    builds: defaultdict[int, Seen]
+    peers: Peers
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        self.s, self.rules, self.roll = settings, settings.rules, settings.rollout
+        self.rng, self.many = Random(seed), max(settings.balancers, 1)
+        self.least_aim_ms = min((c.aim_ms for c in settings.classes), default=0.0)
+        self.now, self.timer_at, self.judge_at, self.stood_still = 0.0, math.inf, math.inf, -math.inf
+        self.acts: list[i.Action] = []
+        self.servers: dict[int, Server] = {}
+        self.trial: list[Server] = []  # ready ones, so that no request looks at the whole fleet
+        self.earlier: list[Server] = []
+        self.held: dict[int, Held] = {}
+        self.waiting: list[Held] = []
+        self.attempts: dict[tuple[int, int], Attempt] = {}  # oldest first
+        self.taken, self.done = Rate(RATE_MS), Rate(RATE_MS)  # requests, without repeats, and answers
+        self.retries_left, self.room, self.fleet = 1.0, math.inf, 1  # room in flight; most servers ready
+        self.odds = self.followed = 0.0  # of the trial build; share of requests whose key binds them to it
+        self.odds_until, self.usual_ms = -math.inf, 0.0  # odds are worked out by then; usual latency
+        self.kind_ms: dict[int, float] = {}  # the same by kind of machine, as if warm
+        self.window_taken = windows(self.roll.exposure_window_ms)  # exposure: when requests were taken
+        self.key_build: dict[int, int] = {}  # one-way keys: the build that may have answered each
+        self.floor = -1  # the build under which no key goes: what these had answered is forgotten
+        self.ask_again_at = -math.inf if settings.must_ask else math.inf  # when to ask for the list
+        self.list_fails = 0
+        self.told: i.BuildNews | None = None  # the last news to the letter, for the rules
+        self.best: i.BuildNews | None = None  # the furthest known, for judging and votes
+        self.before = self.back_for = -1  # the build that the newest is compared with; that should go back
+        self.trial_began = self.stage_began = self.before_ms = self.before_rate = 0.0  # before: the newest
+        self.swing = Swing()  # of the traffic to the trial build, while all is slow
+        self.samples: deque[Attempt] = deque(maxlen=HISTORY)
+        self.due: deque[tuple[float, int, int, int, int, int]] = deque()  # outcomes to count, and when
+        self.tell_at = -math.inf if settings.limits.peers and self.many > 1 else math.inf
+        self.ballot = Ballot()
