Decisions on requests taken over and on arms of placements, off until something fills them

Change: attempts of earlier lives stand among those that may have run, so that _may_send looks at them with the lines it has; they count towards max_attempts, while attempts here are numbered from 0. A taken-over request earns no allowance on the trial build nor further attempts, does not count as demand (a burst of lost work is no growth), binds its key, and is refused only where that promises nothing false.

--- a/meadowpulley/balance/balancer.py
+++ b/meadowpulley/balance/balancer.py
@@ -2,13 +2,13 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 from random import Random
 from typing import Any
 
 from meadowpulley import interface as i
-from meadowpulley.balance.evidence import PROOF, TELLERS, count_outcomes, exchange, hear_peer, new_seen, tally
+from meadowpulley.balance.evidence import PROOF, TALLY, TELLERS, count, exchange, hear_peer, new_seen
 from meadowpulley.balance.judging import judge, news
 from meadowpulley.balance.requests import TICK_MS, gone, outcome, request, route_or_wait, started
 from meadowpulley.balance.sending import probed
@@ -39,13 +39,14 @@
 HANDLERS: dict[type, Callable[[State, Any], None]] = {
     i.Request: request, i.Outcome: outcome, i.Timer: tick, i.ServerList: take_list, i.BuildNews: news,
     i.RequestGone: gone, i.AnswerStarted: started, i.ProbeResult: probed, i.PeerMessage: hear_peer,
-    i.Tally: tally,
+    i.Tally: lambda b, t: count(b, t.cls, t.build, TALLY, t.failed, t.attempts - t.failed),
 }  # fmt: skip
 
 
 class Balancer(State):
-    def __init__(self, settings: i.Settings, seed: int) -> None:
+    def __init__(self, settings: i.Settings, seed: int, placements: Sequence[i.Placement] = ()) -> None:
         super().__init__(settings, seed)
+        self.placements = dict(enumerate(placements[1:], 1))
         self.z = 2 + 0.5 * math.log(self.many)
         self.needed = PROOF + math.log(max(self.many / max(self.roll.back_votes, 1), 1.0))
         self.reach = float(NEAR) if settings.limits.idle_ms else math.inf
@@ -60,7 +61,7 @@
         if now > self.timer_at + LATE_TURN_MS:
             self.stood_still = now
         while self.due and self.due[0][0] <= now:
-            count_outcomes(self, *self.due.popleft()[1:])
+            count(self, *self.due.popleft()[1:])
         if handler := HANDLERS.get(type(event)):
             handler(self, event)
         # One timer, only when there is something to wait for: an idle balancer costs nothing.
--- a/meadowpulley/balance/evidence.py
+++ b/meadowpulley/balance/evidence.py
@@ -86,7 +86,7 @@
     return diff, error, trial, earlier
 
 
-def count_outcomes(b: State, cls: int, build: int, server: int, failed: int, ok: int) -> None:
+def count(b: State, cls: int, build: int, server: int, failed: int, ok: int) -> None:
     """Own outcomes and tallies, against the build before, at its worst by all: errors come in bursts."""
     if server != TALLY and b.tell_at < math.inf:
         b.peers.untold.append((cls, build, server, failed, ok))
@@ -99,10 +99,6 @@
         seen.failures.add(cls, server, failed, ok, max(usual, *b.peers.shares[cls], 0.0) + machine)
 
 
-def tally(b: State, t: i.Tally) -> None:
-    count_outcomes(b, t.cls, t.build, TALLY, t.failed, t.attempts - t.failed)
-
-
 def hear_peer(b: State, m: i.PeerMessage) -> None:
     """Evidence from another gateway, each digest once; caps, lists and the vote stay this one's own."""
     d, most = decode(m.data), 4 * b.many
--- a/meadowpulley/balance/judging.py
+++ b/meadowpulley/balance/judging.py
@@ -45,8 +45,8 @@
     diff, error, new, old = mixed_q(latency, queue, arm, blocks, length, rate, least)
     mean = fmean([w for w, a in zip(latency, arm, strict=True) if a == 0] or [0.0])
     # A slow machine or two are no slow build; nor is a crowded one: the margin grows with what it gets.
-    builds = [s.build for s in b.servers.values() if warmth(b, s, b.roll.soak_ms) >= WARM]
-    count = max(builds.count(build), 1)
+    warm = [s for s in b.servers.values() if warmth(b, s, b.roll.soak_ms) >= WARM and s.build == build]
+    count = max(len(warm), 1)
     error *= 1 + b.z / math.sqrt(4 * max(min(new, old), 1))  # few outcomes tell little of it
     error = math.hypot(error, SERVER_SPREAD * mean / math.sqrt(count))
     crowd = max(new * max(len(b.servers) - count, 1) / max(old * count, 1), 1.0)
--- a/meadowpulley/balance/requests.py
+++ b/meadowpulley/balance/requests.py
@@ -22,10 +22,13 @@
 
 def request(b: State, r: i.Request) -> None:
     held = b.held[r.request] = Held(r, b.s.classes[r.cls], b.now, b.roll.exposure_per_class)
-    rate = b.taken.value(b.now, 0.0 if r.repeat else 1.0)
+    rate = b.taken.value(b.now, 0.0 if r.repeat or r.adopted else 1.0)
     b.reach = max(b.reach, NEAR_PART * b.s.limits.idle_ms * rate)
-    b.retries_left = min(b.retries_left + RETRY_SHARE, 10.0)
-    b.window_taken[held.counted].add(b.now)
+    if not r.adopted:  # it was counted where it was taken
+        b.retries_left = min(b.retries_left + RETRY_SHARE, 10.0)
+        b.window_taken[held.counted].add(b.now)
+    for earlier in held.maybe:
+        _bind(b, held, earlier.server.build)
     if len(b.attempts) + b.rng.random() > b.room:  # by chance: many have room for less than one
         _give_up(b, held)  # at once: it would come too late
     else:
@@ -35,9 +38,10 @@
 def route_or_wait(b: State, held: Held) -> None:
     # Given up before the deadline by more than a tick: the answer must be in time.
     until = min(held.arrived + held.cls.aim_ms * WAIT_SHARE, held.r.deadline_ms - 2 * TICK_MS)
-    if not route(b, held) and b.now < until:
+    hopeless = held.tries >= b.s.limits.max_attempts or (held.maybe and held.cls.effect is i.Effect.UNSAFE)
+    if not route(b, held) and b.now < until and not hopeless:
         b.waiting.append(held)
-    elif not held.tries:
+    elif not held.out:
         _give_up(b, held)
 
 
@@ -55,10 +59,9 @@
 def _give_up(b: State, held: Held) -> None:
     rid = held.r.request
     b.held.pop(rid, None)
-    advice = b.s.limits.retry_after * b.s.limits.max_retry_after_ms
-    everywhere = held.cls.effect is i.Effect.KEYED and held.cls.group is i.Group.ALL
+    everywhere = held.cls.effect is i.Effect.KEYED and held.cls.group is i.Group.ALL and not held.r.tried
     harmless = held.cls.effect is i.Effect.SAFE or not held.maybe or everywhere
-    b.acts.append(i.Refuse(rid, advice) if harmless else i.Fail(rid))
+    b.acts.append(i.Refuse(rid, b.advice_ms) if harmless else i.Fail(rid))
     _call_off(b, held)
 
 
@@ -67,6 +70,11 @@
     b.acts += [i.Cancel(rid, a.n) for a in held.maybe if able and (rid, a.n) in b.attempts]
 
 
+def _bind(b: State, held: Held, build: int) -> None:  # one way: a key goes to no build before this one
+    if held.r.key and build > b.floor and b.roll.one_way:
+        b.key_build[held.r.key] = max(build, b.key_build.get(held.r.key, 0))
+
+
 def outcome(b: State, o: i.Outcome) -> None:
     attempt = b.attempts.pop((o.request, o.attempt), None)
     if attempt is None:
@@ -79,8 +87,8 @@
     if known and o.result not in (i.Result.CANCELLED, i.Result.MOOT):
         health(b, server, o.result)
     b.done.value(b.now, float(ok))
-    if o.result not in NO_ANSWER and held.r.key and server.build > b.floor and b.roll.one_way:
-        b.key_build[held.r.key] = max(server.build, b.key_build.get(held.r.key, 0))
+    if o.result not in NO_ANSWER:
+        _bind(b, held, server.build)
     if ok or o.result is i.Result.ERROR:  # a broken connection is the network's or the machine's
         due = -math.inf if ok else attempt.sent + FAIL_AFTER * b.usual_ms
         b.due.append((due, held.r.cls, server.build, server.id, int(not ok), int(ok)))
--- a/meadowpulley/balance/sending.py
+++ b/meadowpulley/balance/sending.py
@@ -78,10 +78,14 @@
 
 
 def _two(b: State, held: Held, group: list[Server], drawn: int) -> list[Server]:
-    near, some = near_of(b, group), b.rng.sample(group, min(drawn, len(group)))
+    if place := b.placements.get(held.r.arm):
+        seen = [s.candidate(warmth(b, s), b.kind_ms.get(s.kind, 0.0), b.s.zone) for s in group]
+        near, some, most = dict[int, float](), [group[n] for n in place(b.now, held.r, seen)][:drawn], 1
+    else:
+        near, some, most = near_of(b, group), b.rng.sample(group, min(drawn, len(group))), 2
     order = sorted(some, key=lambda s: (s.id in held.tried, s.id not in near))
     fit = filter(lambda s: b.now >= s.rest_until and not (s.rest_ms and s.out), order)
-    two = list(islice(filter(lambda s: _may_send(b, held, s), fit), 2))
+    two = list(islice(filter(lambda s: _may_send(b, held, s), fit), most))
     return [s for s in two if s.id not in held.tried] or two  # chance does not choose a tried one again
 
 
@@ -117,9 +121,8 @@
 
 
 def _send(b: State, held: Held, server: Server, queue: float, tossed: bool) -> None:
-    attempt = Attempt(held, server, queue, b.now, warmth(b, server))
+    attempt = Attempt(held, server, queue, b.now, warmth(b, server), tossed)
     if held.tries == 0:
-        attempt.tossed = tossed
         b.samples.append(attempt)
     b.attempts[held.r.request, attempt.n] = attempt
     server.out, server.left = server.out + 1, server.left - 1
--- a/meadowpulley/balance/servers.py
+++ b/meadowpulley/balance/servers.py
@@ -1,7 +1,6 @@
 """Servers as they stand: the list, their health, warmth and room, and which build is on trial."""
 
 import math
-from itertools import takewhile
 from statistics import median
 
 from meadowpulley import interface as i
@@ -42,8 +41,7 @@
 
 
 def near_of(b: State, group: list[Server]) -> dict[int, float]:
-    """Who is asked first, and how many times an average part of them is this gateway's: a window by its
-    number, half of its zone, so that few connections serve and a zone that is cut off costs little."""
+    """Who is asked first, and how many times an average part of each is this gateway's: windows by number."""
     near: dict[int, float] = {}
     for home, part in ((True, HOME), (False, 1 - HOME)) if b.reach < len(group) else ():
         some = [s.id for s in group if (s.zone == b.s.zone) is home]
@@ -77,7 +75,7 @@
 def rest_silent(b: State) -> None:
     """A server silent on a request far longer than usual rests; no repeat: costly ones would feed a jam."""
     limit = min(max(SILENT_TIMES * b.usual_ms, b.least_aim_ms / 2), b.least_aim_ms)
-    for a in takewhile(lambda a: a.sent < b.now - limit, list(b.attempts.values())):
+    for a in [a for a in b.attempts.values() if a.sent < b.now - limit]:
         if max(a.server.heard, b.stood_still) < a.sent:
             rest(b, a.server)
 
--- a/meadowpulley/interface.py
+++ b/meadowpulley/interface.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import TypeAlias
@@ -112,11 +113,31 @@
     repeat: bool = False
     write: bool = False
     adopted: bool = False  # taken over from a lost gateway: it earns no allowance on the trial build
-    tries: int = 0  # attempts that earlier lives used up
+    tries: int = 0  # attempts that earlier lives used up of `max_attempts`; here they count from 0 anew
     tried: tuple[Tried, ...] = ()  # of these, the ones that are not known never to have run
     arm: int = 0  # of an experiment on placements: which one orders its servers; 0 is the module's own
 
 
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A server as a placement sees it, at the moment of the choice."""
+
+    server: int
+    zone: int
+    cell: int
+    kind: int
+    build: int
+    out: int  # this gateway's attempts that are out there
+    warmth: float  # the least part of its capacity that it has by its age
+    usual_ms: float  # usual latency of its kind, as if warm; 0 while unknown
+    own_zone: bool
+
+
+# Puts servers in order, as places in what it is given, best first; what it leaves out is not asked. A pure
+# function: time comes in, and chance by the request's number.
+Placement: TypeAlias = Callable[[float, Request, Sequence[Candidate]], Sequence[int]]
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerStarted:
     request: int
--- a/meadowpulley/records.py
+++ b/meadowpulley/records.py
@@ -28,16 +28,20 @@
         self.rest_ms = 0.0  # 0 while trusted; else the rest it has had, and one request at a time goes there
         self.failed_at = self.heard = -math.inf  # last failure, last answer of any kind
 
+    def candidate(self, warmth: float, usual_ms: float, home: int) -> i.Candidate:
+        place = (self.id, self.zone, self.cell, self.kind, self.build)
+        return i.Candidate(*place, self.out, warmth, usual_ms, self.zone == home)
+
 
 class Held:
     """A request that is owed its final answer."""
 
     def __init__(self, r: i.Request, cls: i.RequestClass, now: float, per_class: bool) -> None:
         self.r, self.cls, self.arrived = r, cls, now
-        self.tries = self.out = 0
+        self.tries, self.out = r.tries, 0
         self.counted = r.cls if per_class else -1  # with which requests its exposure is counted
-        self.tried: list[int] = []
-        self.maybe: list[Attempt] = []  # attempts that ran, may have run, or are still out
+        self.tried = [t.server for t in r.tried]
+        self.maybe = [_earlier(self, t) for t in r.tried]  # attempts that ran, may have, or are still out
         self.streaming = self.tossed = False  # tossed: the coin chose between both builds
         self.asked: list[int] = []  # servers that were probed for it
 
@@ -50,10 +54,12 @@
 class Attempt:
     """One attempt; the first of each request is logged as a sample of its build's costs."""
 
-    def __init__(self, held: Held, server: Server, queue: float, sent: float, warmth: float) -> None:
-        self.held, self.n, self.server, self.queue = held, held.tries, server, queue
+    def __init__(
+        self, held: Held, server: Server, queue: float, sent: float, warmth: float, tossed: bool
+    ) -> None:
+        self.held, self.n, self.server, self.queue = held, held.tries - held.r.tries, server, queue
         self.sent, self.warmth = sent, warmth
-        self.tossed = False  # the coin chose between both builds
+        self.tossed = tossed and not held.tries  # the coin chose between both builds; of first ones
         self.latency: float | None = None
         self.lost = False  # no answer, or none whose time is known: that is not the build's doing
 
@@ -62,6 +68,14 @@
         return self.warmth * (self.latency if self.latency is not None else now - self.sent)
 
 
+def _earlier(held: Held, t: i.Tried) -> Attempt:
+    """An attempt of an earlier life, kept like one that is out; nobody here knows it by a number."""
+    there = Server(i.ServerEntry(t.server, t.cell, t.zone, i.ServerState.GONE, t.build, 0.0, 0, 0.0))
+    attempt = Attempt(held, there, 0.0, t.sent_ms, 0.0, False)
+    attempt.n = -1
+    return attempt
+
+
 class Rate:
     """A count that fades with the given memory, as an amount per millisecond."""
 
@@ -184,11 +198,13 @@
     list_spread: float  # of list calls, in ms, as discovery takes a fleet's in turn
     builds: defaultdict[int, Seen]
     peers: Peers
+    placements: dict[int, i.Placement]  # by arm; arm 0 is the module's own choice
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.s, self.rules, self.roll = settings, settings.rules, settings.rollout
         self.rng, self.many = Random(seed), max(settings.balancers, 1)
         self.least_aim_ms = min((c.aim_ms for c in settings.classes), default=0.0)
+        self.advice_ms = settings.limits.retry_after * settings.limits.max_retry_after_ms  # to who is refused
         self.now, self.timer_at, self.judge_at, self.stood_still = 0.0, math.inf, math.inf, -math.inf
         self.acts: list[i.Action] = []
         self.servers: dict[int, Server] = {}
