A fleet without cold machines: a server that just started no longer stops the decisions

Need: rules that give a span for cold servers (`tip-after-ms`) but no cold time made the age of a fresh server, less the span, negative, and the warmth divided by 0: every request raised until the server was as old as the span. The age is no less than 0 before it is compared.

--- a/meadowpulley/balance/servers.py
+++ b/meadowpulley/balance/servers.py
@@ -19,10 +19,10 @@
 
 
 def warmth(b: State, server: Server, age_less: float = 0.0) -> float:  # the least part of its capacity
-    age = b.now - server.started - age_less
+    age = max(b.now - server.started - age_less, 0.0)
     if not server.started or age >= b.rules.cold_ms:
         return 1.0
-    return b.rules.cold_from + (1 - b.rules.cold_from) * max(age, 0.0) / b.rules.cold_ms
+    return b.rules.cold_from + (1 - b.rules.cold_from) * age / b.rules.cold_ms
 
 
 def able(b: State, s: Server) -> float:  # what it can do by its warmth and its kind's latency, of the best
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from meadowpulley import interface as i
-from tests.driver import LIMITS, SAFE, Driver, entry, sends, settings
+from tests.driver import LIMITS, RULES, SAFE, Driver, entry, sends, settings
 
 
 def test_a_server_that_fails_fast_is_left_and_tried_again_gently() -> None:
@@ -180,3 +180,11 @@
     assert not sends(d.ask(SAFE))
     d.now += 50.0
     assert len(sends(d.tick())) == 1
+
+
+def test_where_no_machine_is_ever_cold_a_server_that_just_started_is_sent_to() -> None:
+    # Rules with a span for cold servers but no cold time divided by it, and the gateway raised on each request.
+    d = Driver(replace(settings(), rules=replace(RULES, cold_from=1.0, cold_ms=0.0)))
+    d.now = 1000.0
+    d.listed([entry(0, started=d.now)])
+    assert len(sends(d.ask(SAFE))) == 1
