--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -183,7 +183,7 @@
 
 
 def test_where_no_machine_is_ever_cold_a_server_that_just_started_is_sent_to() -> None:
-    # Rules with a span for cold servers but no cold time divided by it, and the gateway raised on each request.
+    # Rules with a span for cold servers and no cold time: each request divided by 0.
     d = Driver(replace(settings(), rules=replace(RULES, cold_from=1.0, cold_ms=0.0)))
     d.now = 1000.0
     d.listed([entry(0, started=d.now)])
