Split net/clients.py and net/instances.py by job; the circle of net/ untied by a narrow Host

Six files of net/ (clients, control, discovery, gateway, instances, peers) knew the whole Gateway and, by way of it, each other; two were over 400 lines. Excluded: mixins (one object in two files is still one object), and a protocol per part (all ask for nearly the same ten names).

--- a/meadowpulley/check/connection.py
+++ b/meadowpulley/check/connection.py
@@ -543,8 +543,8 @@
         taken, gone = counters.get("in.requests", 0), counters.get("in.gone", 0)
         if out + gone != taken:
             self._fail("answers", f"{taken} requests taken, {out} answered, {gone} left by their clients")
-        if len(g.clients.requests) or g.clients.ids:
-            text = f"{len(g.clients.requests)} requests and {len(g.clients.ids)} ids are left over"
+        if len(g.requests.table) or g.requests.ids:
+            text = f"{len(g.requests.table)} requests and {len(g.requests.ids)} ids are left over"
             self._fail("slots", text)
         clients = [w for w in self.reactor.wires if w.address is None]
         if len(g.clients.links) or clients:
--- a/meadowpulley/check/fuzz.py
+++ b/meadowpulley/check/fuzz.py
@@ -261,7 +261,6 @@
         self.told: list[i.Event] = []
         self.log: Any = self
         self.deadlines: Any = self
-        self.discovery: Any = self
         self.entries = Entries(_SETTINGS, 0.0)
         self.stopping = True
 
@@ -304,7 +303,7 @@
 
 def _platform_link() -> tuple[_Gateway, PlatformLink]:
     gateway = _Gateway()
-    platform = Platform(gateway)  # type: ignore[arg-type]
+    platform = Platform(gateway, gateway.entries.numbers.get)  # type: ignore[arg-type]
     link = PlatformLink(platform)
     link.up = True
     link.wire = _NoWire()
--- /dev/null
+++ b/meadowpulley/net/attempts.py
@@ -0,0 +1,201 @@
+"""Attempts: requests on their way to an instance, each with one outcome; and probes."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from meadowpulley import interface as i
+from meadowpulley.net import names
+from meadowpulley.net.deadlines import Deadline
+from meadowpulley.net.host import Host
+from meadowpulley.net.http1 import Message, passed_on, request_bytes
+from meadowpulley.net.instance_link import InstanceLink, Pool
+from meadowpulley.net.instances import Instances
+from meadowpulley.net.link import connect
+from meadowpulley.net.requests import Requests, Taken
+from meadowpulley.settings import COLUMNS
+
+
+def read_result(answer: Message) -> i.Result:
+    if answer.status == 200:
+        return i.Result.OK
+    if answer.status in (503, 504) and answer.headers.get(names.NOT_RUN) == "1":
+        return i.Result.FULL
+    return i.Result.ERROR
+
+
+def read_load(text: str, columns: tuple[str, ...]) -> tuple[float, ...]:
+    """A load report, in the order of the settings' columns; nothing unless every column has a number."""
+    found: dict[str, float] = {}
+    for part in text.split(","):
+        name, _, value = part.strip().partition("=")
+        try:
+            found[COLUMNS.get(name, name)] = float(value)
+        except ValueError:
+            return ()
+    values = tuple(found.get(column, math.nan) for column in columns)
+    return values if all(math.isfinite(v) for v in values) else ()
+
+
+class Attempt:
+    """One attempt of a request, or a probe when `taken` is None. Times are those of the gateway's clock."""
+
+    def __init__(
+        self, attempts: Attempts, server: int, taken: Taken | None, n: int, sent: float, until: float
+    ) -> None:
+        self.attempts, self.server, self.taken, self.n = attempts, server, taken, n
+        self.sent, self.until = sent, until
+        self.link: InstanceLink | None = None
+        self.opening: Deferred[Any] | None = None
+        self.written = self.ended = False  # written: the kernel has the request's last byte
+        self.limit: Deadline | None = None
+        self.connect_limit: Deadline | None = None
+
+    def start(self, pool: Pool) -> None:
+        attempts = self.attempts
+        link = pool.take()
+        if link is not None:
+            link.carry(self, self._bytes())
+            return
+        if not attempts.instances.make_room():
+            attempts.gateway.counters.add("up.no_socket")
+            self.end(i.Result.CONNECT_FAILED)
+            return
+        attempts.instances.sockets += 1
+        timeout = attempts.limits.connect_timeout_ms
+        if timeout > 0:
+            self.connect_limit = attempts.gateway.deadlines.after(timeout, self._never_up)
+        self.opening = connect(attempts.gateway.reactor, pool.address, lambda: InstanceLink(pool))
+        self.opening.addCallbacks(self._connected, self._refused)
+        self.opening.addErrback(lambda _: attempts.gateway.failed("connect"))
+
+    def _bytes(self) -> bytes:
+        if self.taken is None:
+            return request_bytes("GET", names.HEALTH, {"host": names.SERVICE})
+        message = self.taken.message
+        left = max(self.until - self.attempts.gateway.deadlines.now(), 0.0)
+        headers = {**passed_on(message.headers, names.SERVICE), names.REMAINING: f"{left * 1000:.0f}u"}
+        return request_bytes(message.method, message.target, headers, message.body)
+
+    def _connected(self, link: InstanceLink) -> None:
+        self.opening = None
+        self.attempts.gateway.deadlines.call_off(self.connect_limit)
+        if self.ended:
+            link.drop()
+        elif link.up:
+            link.carry(self, self._bytes())
+        else:
+            self.end(i.Result.CONNECT_FAILED)
+
+    def _refused(self, _: Failure) -> None:
+        self.opening = None
+        self.attempts.instances.sockets -= 1
+        self.end(i.Result.CONNECT_FAILED)
+
+    def _never_up(self) -> None:
+        if self.link is None:
+            self.end(i.Result.CONNECT_FAILED)
+
+    def time_out(self) -> None:
+        self.end(i.Result.TIMEOUT if self.written else i.Result.CONNECT_FAILED)
+
+    def cancel(self) -> None:
+        self.attempts.gateway.counters.add("up.cancelled")
+        self.end(i.Result.CANCELLED)
+
+    def broke(self) -> None:
+        self.end(i.Result.RESET if self.written else i.Result.CONNECT_FAILED)
+
+    def garbage(self) -> None:
+        """What came is no answer: the request has run, or may have, and who spoilt it is not said."""
+        self.attempts.gateway.counters.add("up.garbage")
+        self.end(i.Result.RESET)
+
+    def answered(self, answer: Message) -> None:
+        result, taken = read_result(answer), self.taken
+        if result is i.Result.OK and taken is not None and not taken.over:
+            kind = answer.headers.get("content-type")
+            headers = {"content-type": kind} if kind else {}
+            taken.out.pop(self.n, None)
+            self.attempts.requests.answer(taken, 200, headers, answer.body)
+        self.end(result, read_load(answer.headers.get(names.LOAD, ""), self.attempts.columns))
+
+    def end(self, result: i.Result, load: tuple[float, ...] = ()) -> None:
+        """The one outcome of an attempt; whatever is left of it on the network is closed."""
+        if self.ended:
+            return
+        self.ended = True
+        gateway = self.attempts.gateway
+        gateway.deadlines.call_off(self.limit)
+        gateway.deadlines.call_off(self.connect_limit)
+        link, self.link = self.link, None
+        if link is not None and link.attempt is self:
+            link.attempt = None
+            link.drop()
+        if self.opening is not None:
+            self.opening.cancel()
+        elapsed, taken = gateway.deadlines.now() - self.sent, self.taken
+        gateway.counters.add(f"up.{result.name.lower()}")
+        if taken is None:
+            gateway.tell(i.ProbeResult(self.server, result, elapsed, load))
+            return
+        taken.out.pop(self.n, None)
+        over = taken.over
+        self.attempts.requests.release(taken)
+        gateway.tell(i.Outcome(taken.handle, self.n, self.server, result, elapsed, over, load))
+
+
+class Attempts:
+    """Carries out what the decisions say of attempts and probes."""
+
+    def __init__(self, gateway: Host, instances: Instances, requests: Requests) -> None:
+        self.gateway, self.instances, self.requests = gateway, instances, requests
+        self.limits = gateway.config.settings.limits
+        self.columns = gateway.config.settings.report_columns
+
+    def send(self, action: i.Send) -> None:
+        taken = self.requests.table.get(action.request)
+        now = self.gateway.deadlines.now()
+        if taken is None:
+            self.gateway.counters.add("up.late_actions")
+            return
+        n, taken.tries = taken.tries, taken.tries + 1
+        until = taken.deadline if action.limit_ms == 0 else min(taken.deadline, now + action.limit_ms)
+        pool = self.instances.pools.get(action.server)
+        attempt = Attempt(self, action.server, taken, n, now, until)
+        taken.out[n] = attempt
+        if taken.over or until <= now or n >= self.limits.max_attempts:
+            attempt.end(i.Result.MOOT)
+        elif pool is None:
+            attempt.end(i.Result.CONNECT_FAILED)
+        else:
+            self.gateway.counters.add("up.attempts")
+            if until < taken.deadline:
+                attempt.limit = self.gateway.deadlines.at(until, attempt.time_out)
+            try:
+                attempt.start(pool)
+            except Exception:  # the decisions hear of it, and the request goes on
+                self.gateway.failed("send")
+                attempt.broke()
+
+    def probe(self, action: i.Probe) -> None:
+        now = self.gateway.deadlines.now()
+        until = now + max(self.limits.connect_timeout_ms, 1.0)
+        pool = self.instances.pools.get(action.server)
+        attempt = Attempt(self, action.server, None, 0, now, until)
+        if pool is None:
+            attempt.end(i.Result.CONNECT_FAILED)
+            return
+        self.gateway.counters.add("up.probes")
+        attempt.limit = self.gateway.deadlines.at(until, attempt.time_out)
+        attempt.start(pool)
+
+    def cancel(self, action: i.Cancel) -> None:
+        taken = self.requests.table.get(action.request)
+        attempt = taken.out.get(action.attempt) if taken is not None else None
+        if attempt is not None:
+            attempt.cancel()
--- /dev/null
+++ b/meadowpulley/net/client_link.py
@@ -0,0 +1,177 @@
+"""A client's connection: its requests one behind another, its silence and its end."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Protocol
+
+from meadowpulley.net.host import Host
+from meadowpulley.net.http1 import READ_MAX, RING_BOUND, BadMessageError, Parser, answer_bytes
+from meadowpulley.net.intake import Intake
+from meadowpulley.net.link import Link
+from meadowpulley.net.requests import Requests, Taken
+
+FIRST_MS = 2_000.0  # from its connecting until a client's first request is there, whole
+HALF_MS = 2_000.0  # a later request, from its first byte to its last
+IDLE_MS = 2_100.0  # a client may stay silent between requests, or leave an answer unread
+ROOM_AGAIN_MS = 20.0
+LINGER_MS = 1_000.0  # after a bad request, so that its answer is read before the connection breaks
+LINGER_BYTES = 256 * 1024  # of what it still sends are thrown away, the rest is left to the kernel to hold up
+
+
+class Table(Protocol):
+    """What a connection asks of the table of connections that it stands in."""
+
+    gateway: Host
+    intake: Intake
+    requests: Requests
+    closing: bool
+
+    @property
+    def half_full(self) -> bool: ...
+
+    def joined(self, link: ClientLink) -> None: ...
+
+    def left(self, link: ClientLink) -> None: ...
+
+
+class State(Enum):
+    WAITING = "waiting"  # for a request, or the rest of one
+    HOLDING = "holding"  # a request that was taken
+    ANSWERING = "answering"  # until the kernel has the whole answer
+    LINGERING = "lingering"  # the last answer is out: what still comes is thrown away
+
+
+class ClientLink(Link):
+    def __init__(self, clients: Table) -> None:
+        super().__init__(clients.gateway.deadlines, RING_BOUND, RING_BOUND)
+        self.clients = clients
+        self.parser = Parser(self.inward, requests=True)
+        self.state = State.WAITING
+        self.handle = -1
+        self.taken: Taken | None = None
+        self.closing = self._working = self._paused = False
+        self._half = self.mute = True  # until the first request is there one limit is over all of it
+        self._thrown = 0
+
+    def opened(self) -> None:
+        self.clients.joined(self)
+        self.limit.set(FIRST_MS, self._silent)
+
+    def received(self) -> None:
+        self.mute = False
+        if self.state is State.LINGERING:
+            self._thrown += len(self.inward)
+            self.inward.clear()
+            if self._thrown > LINGER_BYTES and not self._paused:
+                self._paused = True
+                self.wire.stopReading()
+        elif self.state is State.WAITING:
+            self._work()
+        if not self._paused and self.up and self.inward.room < READ_MAX:
+            self._paused = True  # a client that writes ahead waits until what it wrote is answered
+            self.wire.stopReading()
+
+    def _work(self) -> None:
+        if self._working:
+            return
+        self._working = True
+        try:
+            while self.up and self.state is State.WAITING:
+                message = self.parser.next()
+                if message is None:
+                    break
+                self._half = False
+                self.state = State.HOLDING
+                self.limit.lift()
+                self.clients.intake.take(self, message)
+        except BadMessageError as error:
+            self.refuse_input(error)
+        except Exception:  # a fault of ours: the request fails, the gateway goes on
+            self.clients.gateway.failed("intake")
+            self.closing = True
+            if self.taken is not None:
+                self.clients.requests.answer(self.taken, 502, {}, b"")
+            elif self.state in (State.WAITING, State.HOLDING):
+                self.answer(502, {}, b"")
+        finally:
+            self._working = False
+        if self.up and self.state is State.WAITING:
+            if self.parser.expects:
+                self.parser.expects = False
+                self.send(answer_bytes(100, {}))
+            if self._paused and self.inward.room >= READ_MAX:
+                self._paused = False
+                self.wire.startReading()
+            if self.parser.begun and not self._half:
+                self._half = True
+                self.limit.set(HALF_MS, self._half_sent)
+
+    def refuse_input(self, error: BadMessageError) -> None:
+        self.clients.gateway.counters.add(f"in.bad.{error.status}")
+        self.closing = True
+        self.answer(error.status, {}, f"{error}\n".encode())
+
+    def answer(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        self.state, self.taken = State.ANSWERING, None
+        # Clients may open only so many: with half of the table in use an answer ends its connection, or those
+        # that asked once and stay leave none for the next request.
+        self.closing = self.closing or self.clients.closing or self.clients.half_full
+        self.limit.set(IDLE_MS, self.drop)  # a client that does not read its answer is bounded too
+        self.send(answer_bytes(status, headers, body, self.closing))
+
+    def flushed(self) -> None:
+        if self.state is not State.ANSWERING or not self.up:
+            return
+        if self.closing:
+            self.leave()
+            return
+        self.state = State.WAITING
+        self.limit.set(IDLE_MS, self._silent)
+        self._work()
+
+    def leave(self) -> None:
+        """Ends this side of the connection, and the whole of it once the client has ended its own."""
+        self.state = State.LINGERING
+        self.inward.clear()
+        if self._paused:
+            self._paused = False
+            self.wire.startReading()
+        self.limit.set(LINGER_MS, self.drop)
+        self.wire.loseWriteConnection()
+
+    def part(self) -> None:
+        """Closes between requests: a client whose next one crosses this sends it again elsewhere."""
+        self.state = State.LINGERING
+        self.limit.set(LINGER_MS, self.drop)
+        self.wire.loseConnection()
+
+    @property
+    def idle(self) -> bool:
+        return self.up and self.state is State.WAITING and not self.parser.begun
+
+    def part_if_idle(self) -> None:
+        if self.idle and not self.unread():
+            self.part()
+
+    def _silent(self) -> None:
+        if self.parser.begun:
+            self._half_sent()
+            return
+        if self.unread():  # this gateway is late, not the client
+            self.limit.set(ROOM_AGAIN_MS, self._silent)
+            return
+        self.clients.gateway.counters.add("in.silent")
+        self.part()
+
+    def _half_sent(self) -> None:
+        self.refuse_input(BadMessageError(408, "the request did not come whole"))
+
+    def closed(self) -> None:
+        self.clients.left(self)
+
+    def drop(self) -> None:
+        was_up = self.up
+        super().drop()
+        if was_up:
+            self.closed()
--- a/meadowpulley/net/control.py
+++ b/meadowpulley/net/control.py
@@ -6,7 +6,8 @@
 import math
 import random
 from collections import deque
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable
+from typing import Any
 
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
@@ -14,11 +15,9 @@
 from meadowpulley import interface as i
 from meadowpulley.net import names
 from meadowpulley.net.deadlines import Deadline
+from meadowpulley.net.host import Host
 from meadowpulley.net.link import Link, connect
 
-if TYPE_CHECKING:
-    from meadowpulley.net.gateway import Gateway
-
 LINE_MAX = 8 * 1024
 RING_BOUND = LINE_MAX + 64 * 1024
 CONNECT_MS = 2_000.0
@@ -124,8 +123,8 @@
 
 
 class Platform:
-    def __init__(self, gateway: Gateway) -> None:
-        self.gateway = gateway
+    def __init__(self, gateway: Host, number_of: Callable[[str], int | None]) -> None:
+        self.gateway, self._number_of = gateway, number_of
         self.link: PlatformLink | None = None
         self.opening: Deferred[Any] | None = None
         self._retired: list[PlatformLink] = []
@@ -339,7 +338,7 @@
     def _wrong(self, raw: Any) -> i.WrongAnswer | None:
         """None for an instance that this gateway does not know."""
         try:
-            server = self.gateway.discovery.entries.numbers.get(str(raw[names.WRONG_SERVER]))
+            server = self._number_of(str(raw[names.WRONG_SERVER]))
             cls, age = self._class(raw[names.CLASS]), float(raw[names.NEWS_AGE])
         except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise UnreadableError(f"wrong answer: {type(error).__name__}: {error}") from None
--- a/meadowpulley/net/discovery.py
+++ b/meadowpulley/net/discovery.py
@@ -7,7 +7,7 @@
 import random
 import zlib
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
@@ -16,12 +16,10 @@
 from meadowpulley.net import names
 from meadowpulley.net.config import Address, parse_address
 from meadowpulley.net.deadlines import Deadline
+from meadowpulley.net.host import Host
 from meadowpulley.net.http1 import BadMessageError, Message, Parser, request_bytes
 from meadowpulley.net.link import Link, connect
 
-if TYPE_CHECKING:
-    from meadowpulley.net.gateway import Gateway
-
 PART_MS = 500.0  # for the rest of an answer that has begun: answers are written whole
 WAIT_MS = 10_000.0  # how long a watch waits for news, unless the settings have it ask more often
 MOST_WAIT_MS = 60_000.0
@@ -36,6 +34,16 @@
     """Discovery gave no list: out of reach, out of order, or not to be read."""
 
 
+class Places(Protocol):
+    """Who has to know where the instances are."""
+
+    def place(self, server: int, address: Address, start: tuple[int, float]) -> None: ...
+
+    def close_idle(self, server: int) -> None: ...
+
+    def forget(self, server: int) -> None: ...
+
+
 class Entries:
     """Turns discovery's entries into the interface's, and names into numbers."""
 
@@ -231,8 +239,8 @@
 
 
 class Discovery:
-    def __init__(self, gateway: Gateway, clock_offset: float) -> None:
-        self.gateway = gateway
+    def __init__(self, gateway: Host, instances: Places, clock_offset: float) -> None:
+        self.gateway, self.instances = gateway, instances
         self.entries = Entries(gateway.config.settings, clock_offset)
         self.kept: DiscoveryLink | None = None
         self.version = 0
@@ -350,14 +358,14 @@
         whole, version, found = self.entries.read(raw)
         for entry, address in found:
             if address is not None and entry.state is not i.ServerState.GONE:
-                self.gateway.instances.place(entry.server, address, (entry.build, entry.started_ms))
+                self.instances.place(entry.server, address, (entry.build, entry.started_ms))
         listed = {entry.server for entry, _ in found if entry.state is not i.ServerState.GONE}
         gone = {entry.server for entry, _ in found if entry.state is i.ServerState.GONE}
         if whole or kind is i.ListKind.CACHED:
             gone |= set(self.entries.numbers.values()) - listed
         for entry, _ in found:
             if entry.state is i.ServerState.DRAINING:
-                self.gateway.instances.close_idle(entry.server)
+                self.instances.close_idle(entry.server)
         self.version = version
         if kind is None:
             kind = i.ListKind.FULL if whole else i.ListKind.CHANGES
@@ -367,5 +375,5 @@
                 self._answer_due = False
             self.gateway.tell(i.ServerList(kind, version, tuple(entry for entry, _ in found)))
         for server in gone:
-            self.gateway.instances.forget(server)
+            self.instances.forget(server)
         self.entries.forget(gone)
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -14,6 +14,7 @@
 
 from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
+from meadowpulley.net.attempts import Attempts
 from meadowpulley.net.clients import Clients
 from meadowpulley.net.config import Config, ConfigError, reread_config
 from meadowpulley.net.control import Platform
@@ -21,7 +22,9 @@
 from meadowpulley.net.deadlines import Deadlines, now_ms
 from meadowpulley.net.discovery import Discovery
 from meadowpulley.net.instances import Instances
+from meadowpulley.net.intake import Intake
 from meadowpulley.net.peers import Peers
+from meadowpulley.net.requests import Requests
 
 if TYPE_CHECKING:
     from meadowpulley.net.capture import Capture
@@ -61,18 +64,21 @@
         clients = int(free * CLIENT_PART)
         instances = free - clients
         # A request is owed its answer on a client's connection, or outlives it on an instance's.
-        self.clients = Clients(self, clients, clients + instances)
+        self.requests = Requests(self, clients + instances)
+        self.intake = Intake(self, self.requests)
+        self.clients = Clients(self, self.intake, self.requests, clients)
         self.instances = Instances(self, instances)
-        self.discovery = Discovery(self, time.time() * 1000.0 - self.deadlines.now())
-        self.platform = Platform(self)
+        self.attempts = Attempts(self, self.instances, self.requests)
+        self.discovery = Discovery(self, self.instances, time.time() * 1000.0 - self.deadlines.now())
+        self.platform = Platform(self, lambda name: self.discovery.entries.numbers.get(name))
         self.peers = Peers(self)
         self.capture: Capture | None = None  # of what clients ask, where one is wanted
         self._actions: dict[type, Callable[[Any], None]] = {
-            i.Send: self.instances.send,
-            i.Cancel: self.instances.cancel,
-            i.Refuse: self.clients.refuse,
-            i.Fail: self.clients.fail,
-            i.Probe: self.instances.probe,
+            i.Send: self.attempts.send,
+            i.Cancel: self.attempts.cancel,
+            i.Refuse: self.requests.refuse,
+            i.Fail: self.requests.fail,
+            i.Probe: self.attempts.probe,
             i.Vote: self.platform.vote,
             i.SetTimer: self._set_timer,
             i.Watch: lambda action: self.discovery.watch(action.on),
@@ -113,7 +119,7 @@
         if self.phase is not Phase.READY:
             return
         self.phase = Phase.DRAINING
-        self.log.info("draining", requests=len(self.clients.requests), connections=len(self.clients.links))
+        self.log.info("draining", requests=len(self.requests.table), connections=len(self.clients.links))
         self.clients.drain()
         self.deadlines.after(ACCEPT_ON_MS, self._stop_accepting)
 
@@ -204,7 +210,7 @@
         except Exception:
             self.failed("decisions")
             if isinstance(event, i.Request | i.Outcome):
-                self.clients.broke(event.request)
+                self.requests.broke(event.request)
             elif isinstance(event, i.Timer):
                 self.deadlines.after(TIMER_AGAIN_MS, lambda: self.tell(event))
             return
--- /dev/null
+++ b/meadowpulley/net/intake.py
@@ -0,0 +1,109 @@
+"""Intake: what a client's message asks for, and whether it is taken."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import re
+
+from meadowpulley import interface as i
+from meadowpulley.net import names
+from meadowpulley.net.host import Host
+from meadowpulley.net.http1 import BadMessageError, Message
+from meadowpulley.net.requests import Asker, Requests, Taken
+
+REMAINING_OVER_MS = 1_000.0  # what a request may claim beyond its class's limit: clients round
+_REMAINING = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
+_ID = re.compile(r"[!-+\--~]{1,128}")  # neither blanks nor commas: those would be two ids in one
+_KEY = re.compile(r"[0-9a-fA-F]{1,16}")
+_METHODS = {i.Effect.SAFE: ("GET",), i.Effect.KEYED: ("POST", "PUT"), i.Effect.UNSAFE: ("POST",)}
+
+
+def parse_remaining(text: str) -> float:
+    found = _REMAINING.fullmatch(text)
+    if found is None:
+        raise BadMessageError(400, f"'{names.REMAINING}' is no time")
+    return float(found[1]) * (1.0 if found[2] == "m" else 0.001)
+
+
+def parse_key(text: str) -> int:
+    """Keys are numbers to the decisions; one in another form stands for the same number everywhere."""
+    if not text:
+        return 0
+    if _KEY.fullmatch(text):
+        return int(text, 16)
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+def parse_hint(message: Message) -> float | None:
+    try:
+        hint = float(message.headers[names.HINT])
+    except (KeyError, ValueError):
+        return None
+    return hint if math.isfinite(hint) and hint >= 0 else None
+
+
+class Intake:
+    def __init__(self, gateway: Host, requests: Requests) -> None:
+        self.gateway, self.requests = gateway, requests
+        self.classes = {c.name: n for n, c in enumerate(gateway.config.settings.classes)}
+        self.tenants = {t.name: n for n, t in enumerate(gateway.config.settings.tenants)}
+
+    def take(self, link: Asker, message: Message) -> None:
+        """Answers a message at once, or takes it as a request. Raises BadMessageError."""
+        path = message.target.partition("?")[0]
+        if not path.startswith("/"):
+            raise BadMessageError(400, "the target is no path")
+        if path in (names.READY, names.HEALTH):
+            well = path == names.HEALTH or self.gateway.ready
+            link.answer(200 if well else 503, {}, b"ok\n" if well else b"not ready\n")
+            return
+        cls = self.classes.get(path.split("/")[1])
+        if cls is None:
+            self.gateway.counters.add("in.unknown_path")
+            link.closing = link.closing or not message.keep_alive
+            link.answer(404, {}, b"unknown path\n")
+            return
+        settings = self.gateway.config.settings
+        allowed = _METHODS[settings.classes[cls].effect]
+        if message.method == "GET" and message.body:
+            raise BadMessageError(400, "a GET with a body")
+        if message.method not in allowed:
+            self.gateway.counters.add("in.wrong_method")
+            link.closing = link.closing or not message.keep_alive
+            link.answer(405, {"allow": ", ".join(allowed)}, b"wrong method\n")
+            return
+        request = self._request(link, message, cls)
+        handle = request.handle
+        link.closing = link.closing or not message.keep_alive
+        self.gateway.counters.add("in.requests")
+        event = i.Request(
+            request=handle,
+            cls=cls,
+            tenant=self.tenants.get(message.headers.get(names.TENANT, ""), 0),
+            key=parse_key(message.headers.get(names.KEY, "")),
+            deadline_ms=request.deadline,
+            work_hint_ms=parse_hint(message),
+            repeat=message.headers.get(names.REPEAT) == "1",
+            write=message.method != "GET",
+        )
+        if self.gateway.capture is not None:
+            self.gateway.capture.note(event, request.arrived, len(message.body))
+        self.gateway.tell(event)
+
+    def _request(self, link: Asker, message: Message, cls: int) -> Taken:
+        name = message.headers.get(names.ID, "")
+        if not _ID.fullmatch(name):
+            raise BadMessageError(400, f"no '{names.ID}', or not just one")
+        if name in self.requests.ids:  # it goes on; an attempt for this one would be its second copy
+            raise BadMessageError(409, f"'{names.ID}' is that of an open request")
+        now, settings = self.gateway.deadlines.came(), self.gateway.config.settings
+        told = message.headers.get(names.REMAINING)
+        most = settings.classes[cls].deadline_ms
+        remaining = most if told is None else parse_remaining(told)
+        if remaining > most + REMAINING_OVER_MS:
+            raise BadMessageError(400, f"'{names.REMAINING}' is more than its class may take")
+        taken = Taken(message, cls, link, now, now + remaining)
+        self.requests.add(taken)
+        link.taken = taken
+        return taken
--- a/meadowpulley/net/peers.py
+++ b/meadowpulley/net/peers.py
@@ -2,21 +2,19 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from twisted.internet.protocol import DatagramProtocol
 
 from meadowpulley import interface as i
 from meadowpulley.digests import MOST_BYTES
-
-if TYPE_CHECKING:
-    from meadowpulley.net.gateway import Gateway
+from meadowpulley.net.host import Host
 
 
 class Peers(DatagramProtocol):
     noisy = False
 
-    def __init__(self, gateway: Gateway) -> None:
+    def __init__(self, gateway: Host) -> None:
         self.gateway = gateway
         self.numbers = {address: n for n, address in enumerate(gateway.config.peers)}
         self.port: Any = None
--- a/meadowpulley/net/story.py
+++ b/meadowpulley/net/story.py
@@ -10,7 +10,7 @@
 
 from meadowpulley import interface as i
 from meadowpulley.net import names
-from meadowpulley.net.clients import Taken
+from meadowpulley.net.requests import Taken
 
 if TYPE_CHECKING:
     from meadowpulley.net.gateway import Gateway
@@ -27,7 +27,7 @@
             () if wanted == EVERY else tuple(part.strip() for part in wanted.split(",") if part.strip())
         )
         gateway.balancer = self
-        self._answer, gateway.clients.answer = gateway.clients.answer, self.answer  # type: ignore[method-assign]
+        self._answer, gateway.requests.answer = gateway.requests.answer, self.answer  # type: ignore[method-assign]
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
         if isinstance(event, i.Request):
@@ -52,7 +52,7 @@
         return actions
 
     def answer(self, taken: Taken, status: int, headers: dict[str, str], body: bytes) -> None:
-        """In place of the clients' own: the answer goes out first, then its line."""
+        """In place of the requests' own: the answer goes out first, then its line."""
         late = self._gateway.deadlines.now() - taken.deadline
         self._answer(taken, status, headers, body)
         self._line(taken, "answered", status=status, late_ms=round(late))
@@ -63,7 +63,7 @@
         return {} if server is None else {"build": server.build, "zone": server.zone, "out": server.out}
 
     def _write(self, handle: int, step: str, **more: Any) -> None:
-        taken = self._gateway.clients.requests.get(handle)
+        taken = self._gateway.requests.table.get(handle)
         if taken is not None:
             self._line(taken, step, **more)
 
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -8,7 +8,6 @@
 import pytest
 from twisted.internet.task import Clock
 
-from meadowpulley.net.clients import parse_key, parse_remaining
 from meadowpulley.net.deadlines import Deadlines, Limit
 from meadowpulley.net.http1 import (
     BODY_MAX,
@@ -21,6 +20,7 @@
     passed_on,
     request_bytes,
 )
+from meadowpulley.net.intake import parse_key, parse_remaining
 from meadowpulley.net.ring import START, Ring, RingFullError
 from meadowpulley.net.slots import Slots, SlotsFullError
 
