A hook beside the intake: requests seen before the decisions, answers before their client

Work that survives its gateway needs to see each request whole before it starts, to record an answer before it is passed on, to put in requests that no client stands behind, and to know of the end before connections close.

Now: net/hook.py is the contract, one object that is None unless set; Requests.settle, Intake.put_in and Gateway.carry_out are what it asks of the gateway, and tell takes events of any type for stages. A held answer goes out by its deadline and slack whatever the hook does; what it raises costs no answer; a second request of an open id is never started. A draining gateway also waits for requests without a connection.

--- a/meadowpulley/check/mutants.py
+++ b/meadowpulley/check/mutants.py
@@ -251,7 +251,7 @@
        ("            self.table.free(taken.handle)\n", "            pass\n"), troubles=0),
     _n("id-kept", "an answered request keeps its id",
        "slots", "split", REQUESTS,
-       ("self.ids.pop(taken.message.headers[names.ID], None)", "pass"), troubles=0),
+       ("left = self.ids.pop(name) - 1", "left = self.ids[name]"), troubles=0),
     _n("gone-not-told", "a client that leaves keeps its request",
        "slots answers", "split", REQUESTS,
        ("            self._end(taken)\n            self.gateway.tell(i.RequestGone(taken.handle))\n", "")),
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -21,6 +21,7 @@
 from meadowpulley.net.counters import Counters
 from meadowpulley.net.deadlines import Deadlines, now_ms
 from meadowpulley.net.discovery import Discovery
+from meadowpulley.net.hook import Hook
 from meadowpulley.net.instances import Instances
 from meadowpulley.net.intake import Intake
 from meadowpulley.net.peers import Peers
@@ -56,7 +57,7 @@
         self.phase = Phase.STARTING
         self.counters = Counters()
         self.deadlines = Deadlines(reactor, self.failed, clock)
-        self._events: deque[i.Event] = deque()
+        self._events: deque[Any] = deque()
         self._telling = False
         self._accepting = True
         self.balancer = self._decisions = make(config.settings, config.seed)  # stages before it may be put in
@@ -73,6 +74,7 @@
         self.platform = Platform(self, lambda name: self.discovery.entries.numbers.get(name))
         self.peers = Peers(self)
         self.capture: Capture | None = None  # of what clients ask, where one is wanted
+        self.hook: Hook | None = None  # a part beside the intake, where one is wanted
         self._actions: dict[type, Callable[[Any], None]] = {
             i.Send: self.attempts.send,
             i.Cancel: self.attempts.cancel,
@@ -120,6 +122,11 @@
             return
         self.phase = Phase.DRAINING
         self.log.info("draining", requests=len(self.requests.table), connections=len(self.clients.links))
+        if self.hook is not None:
+            try:
+                self.hook.draining()
+            except Exception:
+                self.failed("hook")
         self.clients.drain()
         self.deadlines.after(ACCEPT_ON_MS, self._stop_accepting)
 
@@ -129,8 +136,11 @@
         self.settled()
 
     def settled(self) -> None:
-        """Asked whenever a connection ends: the last one of a draining gateway ends the gateway."""
-        if self.phase is Phase.DRAINING and not self._accepting and not len(self.clients.links):
+        """Asked whenever a connection ends: the last one of a draining gateway ends the gateway, unless a
+        request without one is still owed an answer."""
+        if self.phase is not Phase.DRAINING or self._accepting:
+            return
+        if not len(self.clients.links) and not self.requests.ids:
             self.phase = Phase.STOPPED
             self.discovery.stop()
             self.platform.stop()
@@ -192,8 +202,16 @@
         self.counters.add(f"fault.{where}")
         self.log.error("fault", where=where, exc_info=True)
 
-    def tell(self, event: i.Event) -> None:
-        """Hands an event to the decisions and carries out what they decide; one at a time, in order."""
+    def carry_out(self, kind: type, function: Callable[[Any], None]) -> None:
+        """From now on actions of a type that stages before the decisions bring along are carried out so.
+        Raises ValueError for a type that is carried out already."""
+        if kind in self._actions:
+            raise ValueError(f"{kind.__name__} is carried out already")
+        self._actions[kind] = function
+
+    def tell(self, event: object) -> None:
+        """Hands an event, of whatever type the stages before the decisions know, to them and carries out what
+        they decide; one at a time, in order."""
         self._events.append(event)
         if self._telling:
             return
@@ -204,7 +222,7 @@
         finally:
             self._telling = False
 
-    def _handle(self, event: i.Event) -> None:
+    def _handle(self, event: Any) -> None:
         try:
             actions = self.balancer.handle(self.deadlines.now(), event)
         except Exception:
--- a/meadowpulley/net/host.py
+++ b/meadowpulley/net/host.py
@@ -14,6 +14,7 @@
 from meadowpulley.net.config import Config
 from meadowpulley.net.counters import Counters
 from meadowpulley.net.deadlines import Deadlines
+from meadowpulley.net.hook import Hook
 
 if TYPE_CHECKING:
     from meadowpulley.net.capture import Capture
@@ -40,6 +41,10 @@
     def capture(self) -> Capture | None:
         """Where what clients ask is noted; None unless a file is named."""
 
+    @property
+    def hook(self) -> Hook | None:
+        """A part beside the intake; None unless one was set."""
+
     @property
     def ready(self) -> bool: ...
 
--- a/meadowpulley/net/intake.py
+++ b/meadowpulley/net/intake.py
@@ -5,9 +5,12 @@
 import hashlib
 import math
 import re
+from collections.abc import Callable
+from dataclasses import replace
 
 from meadowpulley import interface as i
 from meadowpulley.net import names
+from meadowpulley.net.hook import Answer, Asked, Hook
 from meadowpulley.net.host import Host
 from meadowpulley.net.http1 import BadMessageError, Message
 from meadowpulley.net.requests import Asker, Requests, Taken
@@ -16,6 +19,8 @@
 _REMAINING = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
 _ID = re.compile(r"[!-+\--~]{1,128}")  # neither blanks nor commas: those would be two ids in one
 _KEY = re.compile(r"[0-9a-fA-F]{1,16}")
+# That one goes on, and an attempt for another would be its second copy.
+_SECOND = f"'{names.ID}' is that of an open request"
 _METHODS = {i.Effect.SAFE: ("GET",), i.Effect.KEYED: ("POST", "PUT"), i.Effect.UNSAFE: ("POST",)}
 
 
@@ -43,6 +48,20 @@
     return hint if math.isfinite(hint) and hint >= 0 else None
 
 
+class Elsewhere:
+    """Who asked for a request that no client's connection stands behind."""
+
+    up, closing = True, False
+
+    def __init__(self, done: Callable[[Answer], None]) -> None:
+        self.taken: Taken | None = None
+        self._done = done
+
+    def answer(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        self.taken = None
+        self._done(Answer(status, headers, body))
+
+
 class Intake:
     def __init__(self, gateway: Host, requests: Requests) -> None:
         self.gateway, self.requests = gateway, requests
@@ -58,7 +77,7 @@
             well = path == names.HEALTH or self.gateway.ready
             link.answer(200 if well else 503, {}, b"ok\n" if well else b"not ready\n")
             return
-        cls = self.classes.get(path.split("/")[1])
+        cls = self._class(path)
         if cls is None:
             self.gateway.counters.add("in.unknown_path")
             link.closing = link.closing or not message.keep_alive
@@ -74,29 +93,72 @@
             link.answer(405, {"allow": ", ".join(allowed)}, b"wrong method\n")
             return
         request = self._request(link, message, cls)
-        handle = request.handle
         link.closing = link.closing or not message.keep_alive
         self.gateway.counters.add("in.requests")
-        event = i.Request(
-            request=handle,
-            cls=cls,
+        event = self._event(request)
+        if self.gateway.capture is not None:
+            self.gateway.capture.note(event, request.arrived, len(message.body))
+        if self.gateway.hook is None or self._passes(self.gateway.hook, link, request, event):
+            self.gateway.tell(event)
+
+    def _class(self, path: str) -> int | None:
+        return self.classes.get(path[1:].partition("/")[0])
+
+    def _event(self, taken: Taken) -> i.Request:
+        message = taken.message
+        return i.Request(
+            request=taken.handle,
+            cls=taken.cls,
             tenant=self.tenants.get(message.headers.get(names.TENANT, ""), 0),
             key=parse_key(message.headers.get(names.KEY, "")),
-            deadline_ms=request.deadline,
+            deadline_ms=taken.deadline,
             work_hint_ms=parse_hint(message),
             repeat=message.headers.get(names.REPEAT) == "1",
             write=message.method != "GET",
         )
-        if self.gateway.capture is not None:
-            self.gateway.capture.note(event, request.arrived, len(message.body))
+
+    def _passes(self, hook: Hook, link: Asker, taken: Taken, event: i.Request) -> bool:
+        name = taken.message.headers[names.ID]
+        second = self.requests.ids[name] > 1
+        if not hook.asked(Asked(name, event, taken.message, taken.arrived, second)):
+            return False
+        if second:
+            link.closing = True
+            self.requests.settle(taken.handle, Answer(409, {}, _SECOND.encode()))
+        return not second
+
+    def put_in(
+        self,
+        message: Message,
+        deadline_ms: float,
+        done: Callable[[Answer], None],
+        tries: int = 0,
+        tried: tuple[i.Tried, ...] = (),
+        arm: int = 0,
+    ) -> int:
+        """Takes a request over that a lost gateway had taken, and gives its handle; the deadline is on this
+        gateway's clock, `tries` to `arm` as in `i.Request`. It is shown to the hook only when answered; then
+        `done` has the answer, before this returns where the decisions refuse it at once. Raises ValueError
+        where it has no id or no class takes such a path, SlotsFullError."""
+        cls = self._class(message.target.partition("?")[0])
+        if cls is None or not _ID.fullmatch(message.headers.get(names.ID, "")):
+            raise ValueError(f"no request of ours: {message.target[:40]!r}")
+        link = Elsewhere(done)
+        taken = Taken(message, cls, link, self.gateway.deadlines.now(), deadline_ms)
+        taken.tries = tries  # attempts are numbered on
+        self.requests.add(taken)
+        link.taken = taken
+        self.gateway.counters.add("in.adopted")
+        event = replace(self._event(taken), adopted=True, tries=tries, tried=tried, arm=arm)
         self.gateway.tell(event)
+        return taken.handle
 
     def _request(self, link: Asker, message: Message, cls: int) -> Taken:
         name = message.headers.get(names.ID, "")
         if not _ID.fullmatch(name):
             raise BadMessageError(400, f"no '{names.ID}', or not just one")
-        if name in self.requests.ids:  # it goes on; an attempt for this one would be its second copy
-            raise BadMessageError(409, f"'{names.ID}' is that of an open request")
+        if name in self.requests.ids and self.gateway.hook is None:
+            raise BadMessageError(409, _SECOND)
         now, settings = self.gateway.deadlines.came(), self.gateway.config.settings
         told = message.headers.get(names.REMAINING)
         most = settings.classes[cls].deadline_ms
--- a/meadowpulley/net/requests.py
+++ b/meadowpulley/net/requests.py
@@ -8,6 +8,7 @@
 from meadowpulley import interface as i
 from meadowpulley.net import names
 from meadowpulley.net.deadlines import Deadline
+from meadowpulley.net.hook import Answer, Hook
 from meadowpulley.net.host import Host
 from meadowpulley.net.http1 import Message
 from meadowpulley.net.slots import Slots
@@ -44,19 +45,38 @@
         self.limit: Deadline | None = None
 
 
+class Held:
+    """An answer that the hook may hold: it goes out once, when released or by its deadline and slack."""
+
+    def __init__(self, requests: Requests, taken: Taken, link: Asker | None, answer: Answer) -> None:
+        self.requests, self.taken, self.link, self.answer = requests, taken, link, answer
+        gateway = requests.gateway
+        until = taken.deadline + gateway.config.settings.rules.answer_slack_ms
+        self.limit = gateway.deadlines.at(until, self._late)
+
+    def release(self) -> None:
+        self.requests.gateway.deadlines.call_off(self.limit)
+        self.requests.pass_on(self.taken, self.link, self.answer)
+
+    def _late(self) -> None:
+        self.requests.gateway.counters.add("out.held_late")
+        self.release()
+
+
 class Requests:
-    """`table`: all whose slot is in use, the answered ones with an attempt still out among them; `ids`: those
-    that are owed an answer."""
+    """`table`: all whose slot is in use, the answered ones with an attempt still out among them; `ids`: how
+    many of each id are owed an answer, more than one only where a hook lets them in."""
 
     def __init__(self, gateway: Host, size: int) -> None:
         self.gateway = gateway
         self.table: Slots[Taken] = Slots(size)
-        self.ids: dict[str, Taken] = {}
+        self.ids: dict[str, int] = {}
 
     def add(self, taken: Taken) -> None:
         """From now on the request is owed an answer, whatever becomes of it."""
         taken.handle = self.table.put(taken)
-        self.ids[taken.message.headers[names.ID]] = taken
+        name = taken.message.headers[names.ID]
+        self.ids[name] = self.ids.get(name, 0) + 1
         taken.limit = self.gateway.deadlines.at(taken.deadline, partial(self._due, taken))
 
     def _due(self, taken: Taken) -> None:
@@ -83,9 +103,37 @@
         link = taken.link
         self._end(taken)
         self.gateway.counters.add(f"out.{status}")
-        if link is not None and link.up and link.taken is taken:
+        if self.gateway.hook is not None:
+            self._show(self.gateway.hook, Held(self, taken, link, Answer(status, headers, body)))
+        elif link is not None and link.up and link.taken is taken:
             link.answer(status, headers, body)
 
+    def _show(self, hook: Hook, held: Held) -> None:
+        try:
+            hook.answering(held.taken.handle, held.answer, held.release)
+        except Exception:
+            self.gateway.failed("hook")
+            held.release()
+
+    def pass_on(self, taken: Taken, link: Asker | None, answer: Answer) -> None:
+        """To whoever still waits for it: once it has an answer a link holds no request, or the next one."""
+        if link is not None and link.up and link.taken is taken:
+            link.answer(answer.status, answer.headers, answer.body)
+        self.gateway.settled()  # no connection may end behind this one
+
+    def settle(self, request: int, answer: Answer) -> bool:
+        """Gives a request an answer that is known from elsewhere, which the hook is not shown again. Attempts
+        that are out are called off. False: it is over already."""
+        taken = self.table.get(request)
+        if taken is None or taken.over:
+            return False
+        link = taken.link
+        self._end(taken)
+        self.gateway.counters.add(f"out.{answer.status}")
+        self.pass_on(taken, link, answer)
+        self.gateway.tell(i.RequestGone(request))
+        return True
+
     def refuse(self, action: i.Refuse) -> None:
         taken = self.table.get(action.request)
         if taken is None:
@@ -111,14 +159,28 @@
 
     def left(self, taken: Taken) -> None:
         """Its client has gone before the answer."""
-        if not taken.over:
+        if taken.over:
+            return
+        if self.gateway.hook is not None and self._goes_on(self.gateway.hook, taken):
+            self.gateway.counters.add("in.left")
+        else:
             self.gateway.counters.add("in.gone")
             self._end(taken)
             self.gateway.tell(i.RequestGone(taken.handle))
 
+    def _goes_on(self, hook: Hook, taken: Taken) -> bool:
+        try:
+            return hook.left(taken.handle)
+        except Exception:
+            self.gateway.failed("hook")
+            return False
+
     def _end(self, taken: Taken) -> None:
         taken.over, taken.link = True, None
-        self.ids.pop(taken.message.headers[names.ID], None)
+        name = taken.message.headers[names.ID]
+        left = self.ids.pop(name) - 1
+        if left:
+            self.ids[name] = left
         self.gateway.deadlines.call_off(taken.limit)
         self.release(taken)
 
