--- a/meadowpulley/check/fuzz.py
+++ b/meadowpulley/check/fuzz.py
@@ -24,7 +24,7 @@
 from meadowpulley.net.config import ConfigError, read_config
 from meadowpulley.net.control import Platform, PlatformLink
 from meadowpulley.net.counters import Counters
-from meadowpulley.net.discovery import CallFailedError, Entries
+from meadowpulley.net.entries import CallFailedError, Entries
 from meadowpulley.net.http1 import (
     BODY_MAX,
     HEAD_MAX,
