Ledger: leases, an append-only log on a lasting disk, and its edge at a gateway

Left: every process holds all records and carries out every entry (8 to 13 us): for a few gateways of one machine.

--- a/meadowpulley/ledger/model.py
+++ b/meadowpulley/ledger/model.py
@@ -92,7 +92,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Renew:
-    """Renews the lease of the life that commits it: its renewal number rises by one."""
+    """Renews the lease of the life that commits it: its renewal number rises by one. Alone in its step."""
 
 
 Write: TypeAlias = Create | Replace | Remove | Unchanged | Seal | Leave | Renew
@@ -142,6 +142,7 @@
     records: tuple[Record, ...] = ()
     removed: tuple[str, ...] = ()
     members: tuple[Member, ...] = ()
+    over: tuple[Life, ...] = ()  # lives, not sealed yet, whose process is known to have ended
 
 
 class LedgerError(Exception):
@@ -173,8 +174,15 @@
     def members(self) -> list[Member]:
         """The last life of every name."""
 
-    def changes(self, after: int, prefixes: Sequence[str] = ("",)) -> Changes:
-        """What changed after that version, at once; 0 asks for all. Members come whatever the prefixes."""
+    def changes(
+        self, after: int, prefixes: Sequence[str] = ("",), watched: Sequence[str] | None = None
+    ) -> Changes:
+        """What changed after that version, at once; 0 asks for all. Members come whatever the prefixes: all
+        that changed, or, where names are `watched`, those that began or were sealed, and the watched ones as
+        they stand. So what a fleet reads of renewals grows with the fleet and not with its square."""
+
+    def notes(self) -> list[str]:
+        """Lines that the operator should read, each given once."""
 
     def close(self) -> None: ...
 
@@ -200,16 +208,49 @@
     owner: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Scan:
+    """Action: all records whose keys begin so, as a sealed life left them. Answered by one `Scanned`."""
+
+    ticket: int
+    prefix: str
+    owner: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Scanned:
+    """Event: the records of one `Scan`, by key; None if the ledger gave no answer."""
+
+    ticket: int
+    records: tuple[Record, ...] | None
+    owner: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Watched:
+    """Action: the members whose renewals this gateway wants to be told of from its next look on, one look
+    at a time; None: all of them."""
+
+    names: tuple[str, ...] | None
+
+
 @dataclass(frozen=True, slots=True)
 class Changed:
-    """Event: what changed in the ledger, in the order of its versions."""
+    """Event: what changed in the ledger, in the order of its versions. Told after each look, also of nothing:
+    that a renewal is still missing says something only if the look began late enough."""
 
     changes: Changes
+    began_ms: float | None = None  # when the look began, by this gateway's clock; None: just now
 
 
 @dataclass(frozen=True, slots=True)
 class Suspected:
-    """Event: these lives let their leases run out by this gateway's clock, or were sealed (`sealed`)."""
+    """Event: these lives let their leases run out by this gateway's clock, or were sealed (`sealed`).
+
+    A life that is not sealed yet may renew and act on: what was its own is free once it is sealed. Each is
+    told once as sealed, at the first look those too that were sealed before; not earlier lives of a name
+    begun anew before that: a stage scans its records once at the start.
+    """
 
     members: tuple[Member, ...]
 
@@ -229,3 +270,7 @@
 @dataclass(frozen=True, slots=True)
 class Ended:
     """Event: this life was sealed by another. Nothing that rests on the ledger may be begun any more."""
+
+
+# No balancer knows any of these.
+LEDGER_EVENTS = (Changed, Committed, Scanned, Suspected, LedgerLost, LedgerBack, Ended)
