Takeover: work in hand written down, rights won before they go out, orphans adopted once

A stage before the decisions holds each Send of a written request until its right is won by one compare-and-set on the request's record, each good answer until it is recorded, and adopts the records of lives that were sealed: never tried as a new request, safe again, keyed inside its group and window, unsafe failed.

An answer that is held can be replaced (net/hook.py), as a life that was sealed has to say another one.

--- a/meadowpulley/net/hook.py
+++ b/meadowpulley/net/hook.py
@@ -14,7 +14,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Protocol, TypeAlias
 
 from meadowpulley import interface as i
 from meadowpulley.net.http1 import Message
@@ -40,6 +40,9 @@
     open: bool  # another request of the same id is owed an answer here
 
 
+Release: TypeAlias = Callable[[Answer], None]
+
+
 class Hook(Protocol):
     def asked(self, asked: Asked) -> bool:
         """Whether the decisions are told of a request from a client. Where not, it is the hook's: it has
@@ -47,9 +50,10 @@
         client goes the decisions are told `RequestGone`, as of any other. One that is `open` is never started
         a second time: where the hook lets it pass it gets 409."""
 
-    def answering(self, request: int, answer: Answer, release: Callable[[], None]) -> None:
-        """The final answer of a request is known, and goes out once `release` is called, or of itself by the
-        request's deadline and slack. Not called for what the hook settled. The handle may be free by now."""
+    def answering(self, request: int, answer: Answer, release: Release) -> None:
+        """The final answer of a request is known, and goes out once `release` is called with it, or with
+        another in its place, or of itself by the request's deadline and slack. Not called for what the hook
+        settled. The handle may be free by now."""
 
     def left(self, request: int) -> bool:
         """The client has gone before the answer: whether the work goes on. If so nobody else hears of it, and
--- a/meadowpulley/net/requests.py
+++ b/meadowpulley/net/requests.py
@@ -54,13 +54,13 @@
         until = taken.deadline + gateway.config.settings.rules.answer_slack_ms
         self.limit = gateway.deadlines.at(until, self._late)
 
-    def release(self) -> None:
+    def release(self, answer: Answer) -> None:
         self.requests.gateway.deadlines.call_off(self.limit)
-        self.requests.pass_on(self.taken, self.link, self.answer)
+        self.requests.pass_on(self.taken, self.link, answer)
 
     def _late(self) -> None:
         self.requests.gateway.counters.add("out.held_late")
-        self.release()
+        self.release(self.answer)
 
 
 class Requests:
@@ -113,7 +113,7 @@
             hook.answering(held.taken.handle, held.answer, held.release)
         except Exception:
             self.gateway.failed("hook")
-            held.release()
+            held.release(held.answer)
 
     def pass_on(self, taken: Taken, link: Asker | None, answer: Answer) -> None:
         """To whoever still waits for it: once it has an answer a link holds no request, or the next one."""
--- a/tests/test_net_hooks.py
+++ b/tests/test_net_hooks.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 import pytest
@@ -12,7 +13,7 @@
 from meadowpulley import interface as i
 from meadowpulley.check.worlds import Setting, make_world
 from meadowpulley.net import names
-from meadowpulley.net.hook import Answer, Asked
+from meadowpulley.net.hook import Answer, Asked, Release
 from meadowpulley.net.http1 import Message, answer_bytes
 
 
@@ -33,12 +34,12 @@
         self.asks.append(asked)
         return self.passes(asked)
 
-    def answering(self, request: int, answer: Answer, release: Callable[[], None]) -> None:
+    def answering(self, request: int, answer: Answer, release: Release) -> None:
         self.shown.append(answer)
         if self.holds:
-            self.held.append(release)
+            self.held.append(partial(release, answer))
         else:
-            release()
+            release(answer)
 
     def left(self, request: int) -> bool:
         self.gone.append(request)
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,331 @@
+"""Work in hand through the loss of its gateway: what runs, who takes it over, what clients are answered."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import Any
+
+import pytest
+
+from meadowpulley import interface as i
+from meadowpulley.ledger import Commit, Create, LedgerBack, LedgerLost, Step
+from meadowpulley.takeover import Pass, Stopping, Written
+from tests.takeover_fleet import ORDER, PAY, READ, TERM, Fleet, Gateway
+
+ONCE = ["200 run 1"]
+
+
+def stop_at(fleet: Fleet, kind: type, skip: int, stop: Callable[[], None], name: str = "a") -> None:
+    """Calls `stop` right before that gateway's action of that kind, once `skip` have passed."""
+    left = [skip]
+
+    def before(action: Any) -> None:
+        if isinstance(action, kind):
+            left[0] -= 1
+            if left[0] == -1:
+                stop()
+
+    fleet[name].before = before
+
+
+def test_a_request_is_written_its_right_won_and_its_answer_recorded_before_each_goes_out() -> None:
+    fleet = Fleet()
+    seen: list[tuple[str, list[str], int]] = []
+    fleet["a"].before = lambda a: seen.append((type(a).__name__, fleet.records(), sum(fleet.ran.values())))
+    fleet["a"].ask("n", PAY)
+    fleet.go(100)
+    of = {name: (records, ran) for name, records, ran in seen if name in ("Send", "Pass")}
+    assert of["Send"] == (["takeover/content/n", "takeover/work/n"], 0)
+    assert of["Pass"] == (["takeover/answer/n", "takeover/work/n"], 1)
+    assert fleet.steps["takeover"] == 2  # one with the right, one with the answer
+
+
+ASKS: list[tuple[str, float, str, bytes, list[str]]] = [
+    ("in hand here", 10, "a", b"b", ONCE * 2),
+    ("in hand elsewhere", 10, "b", b"b", ONCE * 2),
+    ("answered here", 100, "a", b"b", ONCE * 2),
+    ("answered elsewhere", 100, "c", b"b", ONCE * 2),
+    ("another body, in hand", 10, "b", b"x", ["200 run 1", "Fail"]),
+    ("another body, in hand here", 10, "a", b"x", ["200 run 1", "Fail"]),
+    ("another body, answered", 100, "b", b"x", ["200 run 1", "Fail"]),
+]
+
+
+@pytest.mark.parametrize(("after", "where", "body", "said"), [c[1:] for c in ASKS], ids=[c[0] for c in ASKS])
+def test_an_ask_under_a_known_id_gets_that_works_answer_and_starts_nothing(
+    after: float, where: str, body: bytes, said: list[str]
+) -> None:
+    fleet = Fleet()
+    fleet["a"].ask("n", PAY)
+    fleet.go(after)
+    fleet[where].ask("n", PAY, body)
+    fleet.go(500)
+    assert (sorted(fleet.said("n")), fleet.ran["n"]) == (sorted(said), 1)
+
+
+def test_two_gateways_asked_at_once_start_it_once() -> None:
+    fleet = Fleet()
+    for name in "abc":
+        fleet[name].ask("n", PAY)
+    fleet.go(500)
+    assert (fleet.said("n"), fleet.ran["n"]) == (ONCE * 3, 1)
+
+
+@pytest.mark.parametrize(("known", "said"), [(True, ONCE * 2), (False, ["Refuse"])])
+def test_what_is_refused_at_once_is_looked_up_and_not_written(known: bool, said: list[str]) -> None:
+    fleet = Fleet()
+    if known:
+        fleet["b"].ask("n", PAY)
+        fleet.go(10)
+    fleet["a"].decisions.refuses = True
+    fleet["a"].ask("n", PAY)
+    fleet.go(200)
+    assert (fleet.said("n"), fleet.ran["n"], len(fleet.records())) == (said, int(known), 2 * known)
+
+
+def test_what_was_refused_never_ran_and_may_be_asked_anew() -> None:
+    fleet = Fleet()
+    fleet.answers = [i.Result.FULL] * 3 + [i.Result.OK]
+    fleet["a"].ask("n", PAY)
+    fleet.go(200)
+    fleet["b"].ask("n", PAY)
+    fleet.go(200)
+    assert (fleet.said("n"), fleet.ran["n"]) == (["Refuse", "200 run 1"], 1)
+
+
+# By class: how the first attempts end; where a dies: before its n-th action of a kind, or with its attempt
+# out, or with none chosen; what clients that ask again at b and c get; how often it ran; and of each adoption
+# what is proven to the decisions: attempts used, and those that may have run.
+OK, FULL = i.Result.OK, i.Result.FULL
+LOSSES: dict[str, tuple[int, list[i.Result], tuple[type, int] | str, str, int, list[tuple[int, int]]]] = {
+    "unsafe, no right taken": (PAY, [OK], "waits", "200 run 1", 1, [(0, 0)]),
+    "unsafe, right taken, not sent": (PAY, [OK], (i.Send, 0), "Fail", 0, []),
+    "unsafe, sent": (PAY, [OK], "out", "Fail", 1, []),
+    "unsafe, one never ran, the next right taken": (PAY, [FULL, OK], (i.Send, 1), "Fail", 0, []),
+    "unsafe, answer come, not recorded": (PAY, [OK], (Commit, 1), "Fail", 1, []),
+    "unsafe, answer recorded, not passed": (PAY, [OK], (Pass, 0), "200 run 1", 1, []),
+    "safe, right taken, not sent": (READ, [OK], (i.Send, 0), "200 run 1", 1, [(1, 1)]),
+    "safe, sent": (READ, [OK], "out", "200 run 2", 2, [(1, 1)]),
+    "keyed, sent, in its window": (ORDER, [OK], "out", "200 run 2", 2, [(1, 1)]),
+    "keyed, one never ran, the next sent": (ORDER, [FULL, OK], "out", "200 run 2", 2, [(2, 1)]),
+    "safe, one broken, the next sent": (READ, [i.Result.RESET, OK], "out", "200 run 3", 3, [(2, 2)]),
+    "keyed, no right taken": (ORDER, [OK], "waits", "200 run 1", 1, [(0, 0)]),
+}
+
+
+@pytest.mark.parametrize(("cls", "results", "lost", "said", "runs", "proven"), LOSSES.values(), ids=LOSSES)
+def test_what_an_adopter_does_follows_from_what_is_proven(
+    cls: int,
+    results: list[i.Result],
+    lost: tuple[type, int] | str,
+    said: str,
+    runs: int,
+    proven: list[tuple[int, int]],
+) -> None:
+    fleet = Fleet()
+    fleet.answers, fleet.takes_ms = list(results), 30.0
+    if isinstance(lost, tuple):
+        stop_at(fleet, lost[0], lost[1], partial(fleet.kill, "a"))
+    fleet["a"].decisions.waits = lost == "waits"
+    fleet["a"].ask("n", cls)
+    fleet.go(45 if len(results) > 1 and lost == "out" else 20)
+    if isinstance(lost, str):
+        fleet.kill("a")
+    fleet.go(100)
+    assert not fleet["a"].up
+    for name in "bc":
+        fleet[name].ask("n", cls)
+    fleet.go(3500)
+    assert (fleet.said("n"), fleet.ran["n"]) == ([said] * 2, runs)
+    told = [r for name in "bc" for r in fleet[name].decisions.seen if r.adopted]
+    assert [(r.tries, len(r.tried)) for r in told] == proven
+    assert all(t.build == 7 and t.server == 1 for r in told for t in r.tried)
+
+
+def test_a_keyed_request_is_not_repeated_outside_its_window() -> None:
+    fleet = Fleet(step_ms=100.0)
+    fleet["a"].ask("n", ORDER, left=8000.0)
+    fleet.takes_ms = 9000.0
+    fleet.go(2600)  # its lease and a term more pass before it is adopted: over 3500 ms may lie between
+    fleet.kill("a")
+    fleet["b"].ask("n", ORDER, left=6000.0)
+    fleet.go(5000)
+    assert (fleet.said("n"), fleet.ran["n"], len(fleet.adopted)) == (["Fail"], 1, 1)
+
+
+@pytest.mark.parametrize("right_ms", [100.0, 1e6])
+def test_one_that_wakes_between_its_right_and_its_send_sends_nothing(right_ms: float) -> None:
+    fleet = Fleet(right_ms=right_ms)
+    fleet["a"].ask("n", PAY)
+    fleet.go(0.5)
+    fleet["a"].asleep = True  # the right is won by then, and nobody has looked at the answer
+    fleet["b"].ask("n", PAY)
+    fleet.go(3 * TERM)
+    assert fleet.said("n") == ["Fail"]
+    fleet["a"].wake()
+    fleet.go(TERM)
+    assert (fleet.said("n"), fleet.ran["n"]) == (["Fail"] * 2, 0)
+
+
+@pytest.mark.parametrize(("cls", "runs"), [(PAY, 1), (READ, 2)])
+def test_what_is_left_to_the_instance_are_bytes_that_go_out_late(cls: int, runs: int) -> None:
+    fleet = Fleet()
+
+    # after the last check, before the first byte
+    stop_at(fleet, i.Send, 0, partial(setattr, fleet["a"], "asleep", True))
+    fleet["a"].ask("n", cls)
+    fleet["b"].ask("n", cls)
+    fleet.go(3 * TERM)
+    fleet["a"].wake()
+    fleet.go(TERM)
+    assert fleet.ran["n"] == runs  # at most once by each life, and an unsafe one by one life alone
+
+
+# Trouble with a's ledger from before the ask: what its client is told, how often it ran
+TROUBLES = [("cut", ["Fail"], 0), ("unheard", ["Fail"], 0), ("slow", ["Fail"], 0)]
+
+
+@pytest.mark.parametrize(("trouble", "said", "runs"), TROUBLES, ids=[t[0] for t in TROUBLES])
+def test_without_a_won_right_in_time_nothing_goes_out(trouble: str, said: list[str], runs: int) -> None:
+    fleet = Fleet()
+    fleet["a"].trouble = trouble
+    fleet["a"].ask("n", PAY)
+    fleet.go(700)
+    fleet["a"].trouble = ""
+    fleet.go(5000)
+    assert (fleet.said("n"), fleet.ran["n"]) == (said, runs)
+    assert fleet["b"].stage.mirror.open == {}, "its record is at its end"
+
+
+@pytest.mark.parametrize(("asleep", "said"), [(False, ONCE), (True, ["Fail"])])
+def test_an_answer_that_can_not_be_recorded_is_passed_only_under_the_own_lease(
+    asleep: bool, said: list[str]
+) -> None:
+    fleet = Fleet()
+    fleet["a"].ask("n", PAY)
+    fleet.go(20)
+    fleet["a"].trouble = "unheard"
+    if asleep:
+        fleet["a"].keeper.terms = fleet["a"].keeper.terms.__class__(term_ms=TERM, act_part=0.0)
+        fleet["a"].keeper._acts_until = 0.0
+    fleet.go(600)
+    assert fleet.said("n") == said
+    fleet["a"].trouble = ""
+    fleet.go(1000)
+    fleet["b"].ask("n", PAY)
+    fleet.go(100)
+    assert fleet.said("n") == said * 2
+
+
+def test_with_the_ledger_lost_new_work_is_served_unwritten_and_a_second_ask_fails() -> None:
+    fleet = Fleet()
+    fleet["a"].tell(LedgerLost("gone"))
+    fleet["a"].ask("n", PAY)
+    fleet["a"].ask("m", PAY, repeat=True)
+    fleet.go(100)
+    assert (fleet.said("n"), fleet.said("m"), fleet.records()) == (ONCE, ["Fail"], [])
+    fleet["a"].tell(LedgerBack())
+    fleet["a"].ask("o", PAY)
+    fleet.go(100)
+    assert fleet.records() == ["takeover/answer/o", "takeover/work/o"]
+
+
+def test_a_planned_stop_gives_what_waits_away_at_once_and_the_rest_before_it_is_killed() -> None:
+    fleet = Fleet()
+    fleet["a"].decisions.waits = True
+    fleet["a"].ask("n", PAY)
+    fleet["a"].decisions.waits = False
+    fleet.takes_ms = 2000.0
+    fleet["a"].ask("m", READ)
+    fleet.go(10)
+    fleet.takes_ms = 30.0
+    fleet["a"].tell(Stopping(500.0))
+    fleet.go(150)
+    assert (fleet.said("n"), fleet.ran["n"]) == (ONCE, 1)
+    assert fleet.ran["m"] == 1
+    fleet.go(250)
+    assert (fleet.said("m"), fleet.ran["m"]) == (["200 run 2"], 2)
+
+
+def test_kept_answers_are_bounded_in_time_and_bytes() -> None:
+    fleet = Fleet(keep_ms=1000.0, keep_bytes=8)
+    for name in ("n", "m"):
+        fleet["a"].ask(name, PAY)
+        fleet.go(100)
+    assert fleet.records() == ["takeover/answer/m", "takeover/work/m", "takeover/work/n"]
+    fleet["b"].ask("n", PAY)
+    fleet.go(100)
+    assert (fleet["b"].said["n"], fleet.ran["n"]) == (["Fail"], 1)
+    fleet.go(1100)
+    assert fleet.records() == []
+
+
+def test_what_a_dead_life_has_kept_is_removed_by_one_that_starts_later() -> None:
+    fleet = Fleet(keep_ms=1000.0)
+    fleet["a"].ask("n", PAY)
+    fleet.go(100)
+    fleet.kill("a")
+    fleet.go(3000)
+    assert len(fleet.records()) == 2
+    fleet.gateways["d"] = Gateway(fleet, "d")
+    fleet.go(1500)
+    assert fleet.records() == []
+
+
+@pytest.mark.parametrize(
+    ("written", "keys"), [(Written.NONE, 0), (Written.UNREPEATABLE, 4), (Written.ALL, 6)]
+)
+def test_which_classes_are_written_is_a_setting(written: Written, keys: int) -> None:
+    fleet = Fleet(written=written)
+    for cls in (READ, ORDER, PAY):
+        fleet["a"].ask(f"n{cls}", cls)
+    fleet.go(100)
+    assert (len(fleet.records()), fleet.ran.total()) == (keys, 3)
+
+
+def test_a_record_that_can_not_be_read_is_told_and_left_alone() -> None:
+    fleet = Fleet()
+    fleet.store.commit(fleet["c"].life, [Step((Create("takeover/work/n", b"\x81junk"),))])
+    fleet.go(50)
+    assert any("left alone" in line for line in fleet["a"].lines)
+    fleet["a"].ask("n", PAY)
+    fleet.go(100)
+    assert (fleet.said("n"), fleet.ran["n"]) == (["Fail"], 0)
+    assert fleet.store.read("takeover/work/n").value == b"\x81junk"  # type: ignore[union-attr]
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_whatever_fails_by_chance_no_effect_runs_twice_and_all_is_answered_and_ended(seed: int) -> None:
+    rng, fleet = Random(seed), Fleet("abcd")
+    fleet.takes_ms = rng.choice([10.0, 50.0, 300.0, 1500.0])
+    asks: list[tuple[Gateway, int]] = []
+    names = {f"n{n}": rng.randrange(3) for n in range(12)}
+    until = fleet.now + 8000.0
+    while fleet.now < until:
+        fleet.go(rng.expovariate(1 / 40.0))
+        up = [g for g in fleet.gateways.values() if g.up]
+        g, chance, name = rng.choice(up), rng.random(), rng.choice(list(names))
+        if chance < 0.6:
+            if not (g.asleep or g.stage.hands.ended):  # a sealed life serves without a ledger
+                asks.append((g, g.ask(name, names[name], left=rng.choice([500.0, 2000.0, 4000.0]))))
+        elif chance < 0.63 and len(up) > 1:
+            fleet.kill(g.name)
+        elif chance < 0.68 and len(up) > 1 and not g.asleep:
+            at, ms = rng.choice([i.Send, Pass, Commit]), rng.choice([100.0, 700.0, 3000.0])
+            stop_at(fleet, at, 0, partial(fleet.pause, g.name, ms), g.name)
+        elif chance < 0.72:
+            g.trouble = rng.choice(["cut", "unheard", "slow"])
+            fleet.at(fleet.now + rng.choice([100.0, 600.0, 2500.0]), partial(setattr, g, "trouble", ""))
+        elif chance < 0.77:
+            fleet.answers = [rng.choice(list(i.Result)) for _ in range(rng.randrange(6))] + [i.Result.OK]
+        elif chance < 0.78 and len(up) > 2 and not g.asleep:
+            g.tell(Stopping(800.0))
+            fleet.at(fleet.now + 800.0, partial(fleet.kill, g.name))
+    fleet.go(12_000)
+    assert not [n for n, cls in names.items() if cls == PAY and fleet.ran[n] > 1]
+    assert not [(g.name, request) for g, request in asks if g.up and request not in g.over]
+    for g in [g for g in fleet.gateways.values() if g.up and not g.stage.hands.ended]:
+        left = g.stage.hands.by_name, g.stage.hands.by_request, g.stage.orphans.claims, g.stage.asks.by_name
+        assert left == ({}, {}, {}, {}) and g.stage.mirror.open == {}
