--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -44,18 +44,21 @@
     "net/ring.py",
     "net/slots.py",
 )
+# Parts that installations with a lasting disk may turn on, laid out in a folder of their own by `--joint`: what
+# `run` starts has none of them.
+JOINT = ("joint.py", "ledger", "lending", "takeover")
 TARGET = ROOT / ".venv" / "gateway"
 LIMIT_S = 900
 
 
-def sources() -> list[Path]:
-    parts = [ROOT / PACKAGE / name for name in PARTS]
+def sources(joint: bool) -> list[Path]:
+    parts = [ROOT / PACKAGE / name for name in (*PARTS, *(JOINT if joint else ()))]
     return sorted(path for part in parts for path in (part.rglob("*.py") if part.is_dir() else [part]))
 
 
-def digest() -> str:
+def digest(joint: bool) -> str:
     found = hashlib.sha256(sys.version.encode())
-    for path in [*sources(), Path(__file__)]:
+    for path in [*sources(joint), Path(__file__)]:
         found.update(str(path.relative_to(ROOT)).encode() + b"\0" + path.read_bytes())
     return found.hexdigest()
 
@@ -74,20 +77,21 @@
     return done.returncode == 0
 
 
-def main() -> int:
+def main(joint: bool) -> int:
     TARGET.parent.mkdir(exist_ok=True)
     with open(TARGET.with_name("gateway.lock"), "w") as lock:
         fcntl.flock(lock, fcntl.LOCK_EX)
-        return build()
+        return build(joint)
 
 
-def build() -> int:
-    stamp, wanted = TARGET / "stamp", digest()
+def build(joint: bool) -> int:
+    target = TARGET.with_name("gateway-joint") if joint else TARGET
+    stamp, wanted = target / "stamp", digest(joint)
     if stamp.is_file() and stamp.read_text() == wanted:
         return 0
     fresh = TARGET.with_name("gateway.new")
     shutil.rmtree(fresh, ignore_errors=True)
-    for path in sources():
+    for path in sources(joint):
         copy = fresh / path.relative_to(ROOT)
         copy.parent.mkdir(parents=True, exist_ok=True)
         shutil.copyfile(path, copy)
@@ -100,12 +104,12 @@
     # The one in use stays until this moment: a gateway may be started at any time.
     old = TARGET.with_name("gateway.old")
     shutil.rmtree(old, ignore_errors=True)
-    if TARGET.exists():
-        TARGET.rename(old)
-    fresh.rename(TARGET)
+    if target.exists():
+        target.rename(old)
+    fresh.rename(target)
     shutil.rmtree(old, ignore_errors=True)
     return 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main("--joint" in sys.argv[1:]))
--- a/meadowpulley/__main__.py
+++ b/meadowpulley/__main__.py
@@ -103,6 +103,22 @@
         gateway.tap(capture, FLUSH_MS)
 
 
+def start_joint(gateway: Gateway, reactor: MonotonicReactor) -> Callable[[], None]:
+    """Only where the environment names a ledger: nothing of it is imported else. What comes back is called at
+    the end. Raises RefusedError, one line."""
+    if not os.environ.get("MEADOWPULLEY_LEDGER"):
+        return lambda: None
+    from meadowpulley import joint
+
+    client = joint.start(gateway, os.environ, gateway.config.seed, reactor)
+
+    def close() -> None:
+        client.leave()
+        client.close()
+
+    return close
+
+
 def run() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before it is ready there is nothing to read again
     try:
@@ -128,6 +144,13 @@
         from meadowpulley.net.story import Story
 
         Story(gateway, wanted)
+    try:
+        close = start_joint(gateway, reactor)
+    except Exception as bad:
+        if type(bad).__name__ != "RefusedError":  # its module is imported only where the parts are on
+            raise
+        print(f"meadowpulley: {bad}", file=sys.stderr)
+        return 2
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
         signal.signal(number, gateway.on_signal)
     try:
@@ -152,6 +175,7 @@
     # came while it still started was read a third of a second late, its deadline counted from then.
     reactor.callLater(FIRST_TURN_S, listen)
     reactor.run(installSignalHandlers=False)
+    close()
     if failures:
         print(f"meadowpulley: {failures[0]}", file=sys.stderr)
         return 2
