The bug planted at the answer finds the build on trial again

Since the decisions lie in several files it named a function its file did not know, and was caught as an exception, not by the exposure it is meant to break.

--- a/meadowpulley/check/mutants.py
+++ b/meadowpulley/check/mutants.py
@@ -116,6 +116,7 @@
        ("        b.builds[server.build].sent[held.counted].add(b.now)\n    # No early",
         "        pass\n    # No early"),
        ("    b.done.value(b.now, float(ok))",
+        "    from meadowpulley.balance.servers import on_trial\n"
         "    if on_trial(b, server.build):\n"
         "        b.builds[server.build].sent[held.counted].add(b.now)\n"
         "    b.done.value(b.now, float(ok))"),
