--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -44,8 +44,7 @@
     "net/ring.py",
     "net/slots.py",
 )
-# Parts that installations with a lasting disk may turn on, laid out in a folder of their own by `--joint`: what
-# `run` starts has none of them.
+# Parts for installations with a lasting disk, laid out in a folder of their own by `--joint`: `run` has none.
 JOINT = ("joint.py", "ledger", "lending", "takeover")
 TARGET = ROOT / ".venv" / "gateway"
 LIMIT_S = 900
