--- a/meadowpulley/lending/demand.py
+++ b/meadowpulley/lending/demand.py
@@ -13,7 +13,7 @@
 MORE = 1.15  # asked for, of what is seen: arrivals are uneven
 SPREAD = 0.5  # and as much of the root of what is seen: the fewer they are, the more uneven
 LEAST = 0.02  # units a second: less is nothing
-STEADY = (0.85, 1.1)  # of what was told: within it nothing new is told for a while: chance moves no grants
+STEADY = (0.85, 1.06)  # of what was told: within it nothing new is told for a while: chance moves no grants
 
 
 @dataclass(slots=True)
--- a/meadowpulley/lending/holder.py
+++ b/meadowpulley/lending/holder.py
@@ -16,10 +16,10 @@
 
 from meadowpulley.lending.model import Grant, Plan
 
-FOR_GRANTED, FOR_OWN = 0.8, 0.55  # of the gateway's bucket: kept for granted tenants; for owners
+FOR_GRANTED, FOR_OWN = 0.85, 0.65  # of the gateway's bucket: kept for granted tenants; for owners
 SAVED_BURSTS = 3.0  # how much a tenant may save up of its rate, in bursts: in its lulls others had it
 SAVED = 0.4  # of the gateway's bucket: above it worth does not decide
-LEAST_SAVED = 3.0  # costliest requests that fit into a tenant's bucket, however low its rate
+LEAST_SAVED = 6.0  # costliest requests that fit into a tenant's bucket, however low its rate
 LEAST_BURST = 2.0  # of the costliest request: less and a bucket could not hold one above its reserve
 
 
--- a/meadowpulley/lending/seat.py
+++ b/meadowpulley/lending/seat.py
@@ -14,7 +14,7 @@
 from meadowpulley.lending.holder import Holder
 
 EARLY = 0.25  # of a turn between two askings, at least: for what can't wait
-LOWER = 0.97  # of what it went by before: so much less is told at once
+LOWER = 0.99  # of what it went by before: so much less is told at once
 REMEMBERED = 32  # askings whose beginnings are known: older ones have no grant that still counts
 
 
