Placements compared: policies, experiments by keyed hash, honest counts and estimates, a guard

Six policies that order what _may_send allows; an experiment is a checked file whose hash is its version; assignment by xxh3 of unit and version; counts by life, merged in any order; naive, mixed Differences-in-Q (the paper's 12 to 21, C.3) and switchback estimates with confidence sequences; a guard decided once through the ledger.

--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,232 @@
+"""Placement experiments: definitions, assignment, policies, and counts that survive the gateways."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import subprocess
+import sys
+from collections import Counter
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+from msgspec.structs import replace
+from scipy import stats
+
+from meadowpulley import interface as i
+from meadowpulley.cli.demo import demo_fleet
+from meadowpulley.fleet import FleetError, settings_of
+from meadowpulley.interface import Candidate
+from meadowpulley.placement import (
+    POLICIES,
+    Arm,
+    Assignment,
+    End,
+    Experiment,
+    check_running,
+    merge,
+    parse_placement,
+    read_count,
+    read_experiment,
+)
+from meadowpulley.placement.counts import AdoptedEnd, Book, Count, Open
+
+EXAMPLE = Path(__file__).parent.parent / "examples" / "placement.toml"
+
+
+def experiment(**more: Any) -> Experiment:
+    arms = (Arm("now", "two", 0.5), Arm("least", "least", 0.5))
+    fields: dict[str, Any] = {"arms": arms, "end": End(requests=10_000)} | more
+    return Experiment(1, "try", **fields)
+
+
+def request(number: int, key: int = 0, **more: Any) -> i.Request:
+    return i.Request(number, 0, 0, key, 1e9, **more)
+
+
+# Definitions
+
+
+def test_the_example_is_read_and_its_hash_covers_all_it_says() -> None:
+    found = parse_placement(EXAMPLE.read_bytes(), "x.toml")
+    assert found == parse_placement(EXAMPLE.read_bytes() + b"# a remark\n", "y.toml")
+    assert found.digest != replace(found, carry_ms=found.carry_ms + 1).digest
+
+
+BAD = [
+    ("version = 1", "version = 2", "x.toml: version: 2 is not known here"),
+    ('unit = "request"', 'unit = "color"', "x.toml: unit: Invalid enum value 'color'"),
+    ('unit = "request"', "units = 1", "unknown field `units`"),
+    ("part = 0.5", "part = 0.7", "x.toml: arms: parts add up to 1.2, over 1; make them smaller"),
+    ('policy = "least"', 'policy = "best"', "x.toml: arms[1].policy: 'best' is none; known are own, two"),
+    ('name = "fewest"', 'name = "now"', "x.toml: arms[0].name: 'now' is there twice; names must differ"),
+    ("requests = 200000", "", "x.toml: end: neither 'at' nor 'requests'"),
+    ("requests = 200000", "at = 2027-01-01T00:00:00", "x.toml: end.at: without a zone"),
+    ("classes = []", 'classes = ["none"]', "x.toml: classes: 'none' is no class; known are look, buy"),
+    ("worse = 0.1", "worse = 0.0", "x.toml: guard.worse: Expected `float` > 0"),
+]
+
+
+@pytest.mark.parametrize("before, after, said", BAD)
+def test_bad_definitions_are_refused_in_one_line(before: str, after: str, said: str) -> None:
+    raw = EXAMPLE.read_text()
+    assert before in raw
+    with pytest.raises(FleetError) as error:
+        parse_placement(raw.replace(before, after, 1).encode(), "x.toml", ["look", "buy"])
+    assert said in str(error.value) and "\n" not in str(error.value)
+
+
+def test_a_gateway_reads_the_file_that_a_variable_names_or_none() -> None:
+    settings = settings_of(demo_fleet(), 0)
+    assert read_experiment({}, settings) is None
+    assert read_experiment({"MEADOWPULLEY_PLACEMENT": str(EXAMPLE)}, settings) is not None
+    with pytest.raises(FleetError, match="MEADOWPULLEY_PLACEMENT: /none: No such file or directory: name a"):
+        read_experiment({"MEADOWPULLEY_PLACEMENT": "/none"}, settings)
+
+
+def test_a_definition_that_contradicts_the_running_one_is_refused() -> None:
+    mine, theirs = experiment(), experiment(carry_ms=1000.0)
+    check_running(mine, msgspec.json.encode(mine), "x.toml")
+    with pytest.raises(FleetError, match="'try' runs as version"):
+        check_running(mine, msgspec.json.encode(theirs), "x.toml")
+    with pytest.raises(FleetError, match="can't be read"):
+        check_running(mine, b"\x00", "x.toml")
+
+
+# Assignment
+
+
+def test_arms_follow_unit_and_version_alone_and_come_as_their_parts_say() -> None:
+    parts = (Arm("a", "two", 0.5), Arm("b", "least", 0.2), Arm("c", "zone", 0.1))
+    e = experiment(arms=parts)
+    units = [b"%d" % n for n in range(20_000)]
+    found = [Assignment(e).arm(u) for u in units]
+    assert found == [Assignment(e).arm(u) for u in units]
+    counts = Counter(found)
+    assert stats.chisquare([counts[k] for k in (0, 1, 2, -1)], [10_000, 4000, 2000, 4000]).pvalue > 0.01
+    other = [Assignment(replace(e, carry_ms=1.0)).arm(u) for u in units]
+    both = [[Counter(zip(found, other, strict=True))[a, b] for b in (0, 1, 2)] for a in (0, 1, 2)]
+    assert stats.chi2_contingency(both).pvalue > 0.01
+
+
+@pytest.mark.parametrize("unit", ["request", "key", "tenant", "time"])
+def test_each_unit_keeps_its_arm_whichever_gateway_asks(unit: Any) -> None:
+    at = Assignment(experiment(unit=unit, block_ms=1000.0, settle_ms=0.0))
+    same = [at.unit(request(n, 7), "a.1", 5, 1500.0) for n in (1, 2)]
+    assert same[0] == same[1]  # its number here is not what counts
+    other = at.unit(replace_request(request(3, 8), tenant=1), "b.1", 6, 2500.0)
+    assert other != same[0]
+
+
+def replace_request(r: i.Request, **more: Any) -> i.Request:
+    return dataclasses.replace(r, **more)
+
+
+# Policies
+
+
+def candidates(rng: Random, n: int) -> list[Candidate]:
+    return [
+        Candidate(s, 0, 0, 0, 1, rng.randrange(6), 1.0, 50.0, rng.random() < 0.5)
+        for s in rng.sample(range(100), n)
+    ]
+
+
+@pytest.mark.parametrize("name", sorted(POLICIES))
+def test_a_policy_orders_all_servers_once_and_replays_from_its_seed(name: str) -> None:
+    def play(seed: int) -> list[list[int]]:
+        rng, policy = Random(5), POLICIES[name](seed)
+        return [list(policy(0.0, request(n, n % 3), candidates(rng, n % 9))) for n in range(60)]
+
+    for n, order in enumerate(play(1)):
+        assert sorted(order) == list(range(n % 9))
+    assert play(1) == play(1)
+
+
+def test_what_each_policy_prefers() -> None:
+    servers = [Candidate(s, 0, 0, s % 2, 1, s, 1.0, 50.0 + 50 * (s % 2), s % 2 == 1) for s in range(10)]
+    made = {name: POLICIES[name](3) for name in POLICIES}
+    first = {
+        name: Counter(policy(0.0, request(n, 9), servers)[0] for n in range(4000))
+        for name, policy in made.items()
+    }
+    assert first["least"] == {0: 4000}
+    assert first["two"][0] == pytest.approx(4000 * 18 / 90, rel=0.1) and not first["two"][9]
+    assert set(first["round"].values()) == {400}
+    assert set(first["zone"]) == {1, 3, 5, 7}  # of its zone, and never the most crowded of two
+    quick, slow = (sum(first["speed"][s] for s in range(10) if s % 2 == kind) for kind in (0, 1))
+    assert quick / slow == pytest.approx(2.0, rel=0.1)  # half the latency, twice as often
+    assert len(first["key"]) == 1
+    away = [s for s in servers if s.server not in first["key"]]
+    moved = [POLICIES["key"](8)(0.0, request(1, key), servers)[0] for key in range(1, 200)]
+    again = [POLICIES["key"](9)(0.0, request(1, key), away)[0] for key in range(1, 200)]
+    gone = next(iter(first["key"]))
+    assert all(servers[a] == away[b] for a, b in zip(moved, again, strict=True) if servers[a].server != gone)
+
+
+# Counts
+
+
+def lives(seed: int) -> list[Count]:
+    """Two lives that die in the middle, adopted by a third, and by a fourth after the third died too."""
+    rng, books = Random(seed), {name: Book(name) for name in ("a.1", "b.1", "c.1", "d.1")}
+    written: list[Count] = []
+    for n in range(200):
+        for name in ("a.1", "b.1"):
+            books[name].took(Open(n, n % 2, 0, 0))
+        for name in ("a.1", "b.1"):
+            for number in [k for k in books[name].open if rng.random() < 0.2]:
+                books[name].ended(number, rng.choice(["served", "refused", "failed", "gone"]), 10.0)
+        if n % 37 == 0:  # the last writes are long before the death
+            written += [c for b in books.values() if (c := read_count(b.written())) is not None]
+    for name in ("a.1", "b.1"):
+        for number in sorted(books[name].open):
+            for adopter in ("c.1", "d.1") if number % 5 == 0 else ("c.1",) if number % 3 else ():
+                end = AdoptedEnd(name, number, number % 2, 0, 0, "served", 50.0)
+                books[adopter].count.adopted.append(end)
+    written += [c for name in ("c.1", "d.1") if (c := read_count(books[name].written())) is not None]
+    return written
+
+
+def test_counts_merge_without_order_and_count_each_request_once() -> None:
+    written = lives(1)
+    one = merge(written, {"a.1", "b.1"}, {0: 1000.0})
+    again = written * 2
+    Random(2).shuffle(again)
+    two = merge(again, {"a.1", "b.1"}, {0: 1000.0})
+    assert (one.cells, one.moments, one.lost) == (two.cells, two.moments, two.lost)
+    # Of each dead life: all up to its last record, once, and what was taken later and adopted, once.
+    last = {c.life: c for c in written if c.life in ("a.1", "b.1")}
+    late = {(e.life, e.number) for c in written for e in c.adopted if e.number > last[e.life].highest}
+    assert one.requests == sum(c.highest + 1 for c in last.values()) + len(late)
+    still = {(c.life, o.number) for c in last.values() for o in c.open}
+    adopted = {(e.life, e.number) for c in written for e in c.adopted}
+    assert sum(one.lost.values()) == len(still - adopted) > 0
+    assert one.adopted == len(adopted & still) + len(late) > 0
+    assert not one.open
+    for arm, cls in itertools.product((0, 1), (0,)):
+        ended = one.cells[arm, cls].ended + one.lost[arm, cls]
+        assert one.moments[0, arm, cls].n == ended
+    assert sum(m.total for m in one.moments.values()) >= 1000.0 * sum(one.lost.values())
+
+
+def test_what_a_living_life_holds_is_open_and_damaged_records_are_none() -> None:
+    book = Book("a.1")
+    for n in range(3):
+        book.took(Open(n, 0, 0, 0))
+    book.ended(1, "refused", 1000.0)
+    count = read_count(book.written())
+    assert count is not None
+    merged = merge([count], (), {0: 1000.0})
+    assert (merged.open[0, 0], merged.cells[0, 0].refused, merged.requests) == (2, 1, 3)
+    assert read_count(b"\xc1 nothing") is None
+
+
+def test_the_gateway_that_run_starts_imports_nothing_of_it() -> None:
+    code = "import sys, meadowpulley.__main__, meadowpulley.net.gateway; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    names = done.stdout.split()
+    assert "meadowpulley.net.gateway" in names and not [n for n in names if "placement" in n]
