--- a/benchmarks/lending_fleet.py
+++ b/benchmarks/lending_fleet.py
@@ -1,7 +1,7 @@
 """A fleet of lending stages in virtual time over a ledger in memory, with faults: for benchmarks and tests.
 
 Each gateway is the real stage over one that admits everything it is handed, on a clock of its own that
-starts anywhere and runs fast or slow within the plan's drift. Commits and news take a few milliseconds.
+starts anywhere and runs fast or slow within the plan's drift. Commits take milliseconds, news up to a poll.
 Faults are by gateway: `kill`, `restart`, `pause` and `wake`, `cut` and `mend` (from the ledger), and `loses`,
 the part of its commits whose answer is lost: carried out, dropped, or carried out late; `slow_ms`, by which
 what it reads comes late.
@@ -42,6 +42,7 @@
 Rates = Callable[[float, int], dict[int, float]]  # by second and gateway: requests a second by tenant
 SLICE_MS = 250.0  # arrivals are drawn for so long ahead
 DELAY_MS = (1.0, 6.0)  # of a commit, an answer and a change
+POLL_MS = 50.0  # between two looks of a gateway at the ledger
 CHECK_MS = 50.0  # between two looks at the sum of what may be admitted
 
 
@@ -238,7 +239,7 @@
         numbers = {int(key.rsplit("/", 1)[1]) for key in keys - {m.PLAN, m.ALLOCATOR}}
         for g in self.gateways:
             if (common or g.number in numbers or g.watched == (m.ROOT,)) and g.reads_at == math.inf:
-                g.reads_at = self._soon()
+                g.reads_at = self._soon() + POLL_MS * self.rng.random()
                 self.at(g.reads_at, self._read, g, g.epoch, False)
 
     def _watch(self, g: Gateway, anew: bool = False) -> None:
--- a/meadowpulley/lending/demand.py
+++ b/meadowpulley/lending/demand.py
@@ -89,7 +89,7 @@
             rate = sum(r.value for r in rates.values())
             ask = MORE * rate + SPREAD * math.sqrt(rate * self.mean_cost)
             last, at = told.get(tenant, (0.0, -math.inf))
-            keep = low * last < ask < high * last and self.since < at + 2 * self.fall_ms
+            keep = low * last < ask < high * last and self.since < at + 4 * self.fall_ms
             self.told[tenant] = (last, at) if keep else (ask, self.since)
         return {tenant: ask for tenant, (ask, _) in self.told.items()}
 
