Takeover: a sealed life takes on nothing that may not simply be repeated

Excluded: a refusal, since whoever asks unmarked may have work in hand elsewhere. Now it is failed at once, and safe ones are served as before. With the ledger lost a gateway still serves on, as stated.

--- a/meadowpulley/check/shared/books.py
+++ b/meadowpulley/check/shared/books.py
@@ -26,7 +26,7 @@
         self.may_run: dict[str, int] = {}  # attempts whose bytes went out, and that may run yet
         self.told: dict[str, tuple[str, ...]] = {}  # the answers that clients got, each once
         self.left: set[str] = set()  # whose client was told that it was refused
-        self.unwritten: set[str] = set()  # asked of a life that knew of its end: served as without a ledger
+        self.unwritten: set[str] = set()  # safe ones asked of a life that knew of its end: served unwritten
         self.broken: list[Broken] = []
 
     def copy(self) -> Books:
@@ -58,7 +58,7 @@
     def run(self, at: float, name: str, cls: int) -> None:
         self.over(name)
         self.ran[name] = self.ran.get(name, 0) + 1
-        if cls == UNSAFE and self.ran[name] > 1 and name not in self.unwritten:
+        if cls == UNSAFE and self.ran[name] > 1:
             self.fail("executed", at, -1, f"request {name} ran {self.ran[name]} times")
         if name in self.left and cls != 0:
             self.fail("effects", at, -1, f"request {name} was refused, and ran after that")
--- a/meadowpulley/check/shared/node.py
+++ b/meadowpulley/check/shared/node.py
@@ -21,6 +21,7 @@
     LEASES,
     PATHS,
     PLAN,
+    SAFE,
     TAKEOVER,
     Scene,
 )
@@ -199,7 +200,7 @@
         self.slots[self.last].asked_at = world.now
         request = i.Request(self.last, cls, n % 2, n + 1, deadline, repeat=again)
         event: Any = request
-        if self.knows_end:
+        if self.knows_end and cls == SAFE:
             world.books.unwritten.add(name)
         if self.scene.takes_over:
             event = m.Taken(request, name, "POST", PATHS[cls], (), name.encode())
--- a/meadowpulley/takeover/stage.py
+++ b/meadowpulley/takeover/stage.py
@@ -117,8 +117,10 @@
             self.hands.say_again(known)
         elif known is not None:
             self.turn.acts.append(i.Fail(r.request))
-        elif (self.hands.lost or self.hands.ended) and r.repeat:
-            self.turn.acts.append(i.Fail(r.request))  # whether it is in hand elsewhere can't be known
+        elif (self.hands.lost and r.repeat) or (self.hands.ended and (r.repeat or not safe)):
+            # Whether it is in hand elsewhere can't be known; and what ran here unwritten, while the others
+            # have the ledger, would run again where its client asks next.
+            self.turn.acts.append(i.Fail(r.request))
         elif self.hands.lost or self.hands.ended:
             self.hands.pass_on(r)  # as without a ledger: nobody adopts what is not written
         else:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -10,7 +10,7 @@
 import pytest
 
 from meadowpulley import interface as i
-from meadowpulley.ledger import Commit, Create, LedgerBack, LedgerLost, Step
+from meadowpulley.ledger import Commit, Create, Ended, LedgerBack, LedgerLost, Step
 from meadowpulley.takeover import Pass, Stopping, Written
 from tests.takeover_fleet import ORDER, PAY, READ, TERM, Fleet, Gateway
 
@@ -296,6 +296,16 @@
     assert fleet.store.read("takeover/work/n").value == b"\x81junk"  # type: ignore[union-attr]
 
 
+@pytest.mark.parametrize(("cls", "said"), [(PAY, ["Fail"]), (ORDER, ["Fail"]), (READ, ONCE)])
+def test_a_sealed_life_takes_on_nothing_that_may_not_be_repeated(cls: int, said: list[str]) -> None:
+    # Served there unwritten, it ran a second time where its client asked next.
+    fleet = Fleet("ab")
+    fleet.gateways["a"].tell(Ended())
+    fleet.gateways["a"].ask("n", cls)
+    fleet.go(3000.0)
+    assert fleet.said("n") == said and fleet.ran["n"] == (cls == READ)
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_whatever_fails_by_chance_no_effect_runs_twice_and_all_is_answered_and_ended(seed: int) -> None:
     rng, fleet = Random(seed), Fleet("abcd")
@@ -308,7 +318,7 @@
         up = [g for g in fleet.gateways.values() if g.up]
         g, chance, name = rng.choice(up), rng.random(), rng.choice(list(names))
         if chance < 0.6:
-            if not (g.asleep or g.stage.hands.ended):  # a sealed life serves without a ledger
+            if not (g.asleep or (g.stage.hands.ended and names[name] == READ)):  # served unwritten there
                 asks.append((g, g.ask(name, names[name], left=rng.choice([500.0, 2000.0, 4000.0]))))
         elif chance < 0.63 and len(up) > 1:
             fleet.kill(g.name)
