--- a/meadowpulley/emulator/__init__.py
+++ b/meadowpulley/emulator/__init__.py
@@ -3,9 +3,12 @@
 Reading order: `clock` (virtual time and named random streams), `machine` (a server's cores, slots, queue,
 warm-up and falling over), `builds` (what a release does to the machines that run it), `scenario` (the file
 that says what happens in a run), `faults` (troubles put on and taken off), `network`, `discovery`,
-`platform`, `clients` (the parties around a gateway), `gateway` (hosts one real `Balancer`), `world` (all of
-them together), `results` (what came of it) and `snapshot` (what a run looks like at one moment). No part does
-I/O or reads a clock.
+`platform`, `clients` (the parties around a gateway), `process` (killed, paused and woken), `failpoints`
+(named steps at which that may happen), `held` and `connections` (what a gateway holds), `gateway` (hosts one
+real `Balancer`), `world` (all of them together), `results` (what came of it) and `snapshot` (what a run looks
+like at one moment). Where gateways stand in for each other: `ledger` (the one they share, its troubles, a
+port to it), `together` (the stages round a balancer), `joined` (a gateway whose work is taken over),
+`observed` (what the ledger's records say, for the rules). No part does I/O or reads a clock.
 """
 
 from meadowpulley.emulator.builds import Build
--- a/meadowpulley/emulator/clients.py
+++ b/meadowpulley/emulator/clients.py
@@ -35,6 +35,7 @@
     first_at: float
     tries: int = 0
     over: bool = False
+    name: str = ""  # its id on all tries, where gateways stand in for each other
 
 
 @dataclass(slots=True, eq=False)
@@ -45,12 +46,17 @@
     ask: Ask
     sent: float
     deadline: float
+    name: str = ""
     gateway: Front | None = None
     answered: bool = False
 
 
 class Clients:
-    """Plays a load. `fronts(site)` are the gateways that the front of a site hands connections to."""
+    """Plays a load. `fronts(site)` are the gateways that the front of a site hands connections to.
+
+    `named`: all tries of an ask carry one id. `again_ms`: of silence, after which a client leaves and tries
+    another gateway, 0: never; `leave` tells the gateway that it left.
+    """
 
     def __init__(
         self,
@@ -61,7 +67,11 @@
         load: Iterator[Arrival],
         fronts: Callable[[int], list[Front]],
         result: Result,
+        named: bool = False,
+        again_ms: float = 0.0,
+        leave: Callable[[Try], None] = lambda request: None,
     ) -> None:
+        self._named, self._again_ms, self._leave = named, again_ms, leave
         self._clock, self._rng, self.fleet, self._network = clock, rng, fleet, network
         self._load, self._fronts, self._result = load, fronts, result
         self._numbers = 0
@@ -92,9 +102,11 @@
     def _try(self, ask: Ask) -> None:
         now = self._clock.now
         ask.tries += 1
-        self._numbers += 1
+        number = self.number()
+        if self._named and not ask.name:
+            ask.name = f"ask-{number}"
         patience = min(self._patience(ask), ask.first_at + self.fleet.classes[ask.cls].deadline_ms - now)
-        request = Try(self._numbers, ask, now, now + patience)
+        request = Try(number, ask, now, now + patience, ask.name)
         fronts = [g for g in self._fronts(ask.site)]
         if patience <= 0 or not fronts:
             self._end(ask, None)
@@ -102,6 +114,21 @@
         request.gateway = gateway = fronts[int(self._rng.random() * len(fronts))]
         self._travel(lambda: self._reach(request, gateway))
         self._clock.at(request.deadline, lambda: self._gave_up(request))
+        if self._again_ms and ask.tries <= self.fleet.clients.retries:
+            self._clock.after(self._again_ms, lambda: self._ask_elsewhere(request))
+
+    def number(self) -> int:
+        """One that no request had before."""
+        self._numbers += 1
+        return self._numbers
+
+    def _ask_elsewhere(self, request: Try) -> None:
+        """Silence for too long: it leaves, and asks again under the same id."""
+        if not request.answered and self._clock.now < request.deadline:
+            request.answered = True
+            self._leave(request)
+            self._result.retried(request.ask)
+            self._try(request.ask)
 
     def _travel(self, call: Callable[[], None]) -> None:
         """Between a client and its gateway; at once where that takes no time, as on the rig."""
--- a/meadowpulley/emulator/gateway.py
+++ b/meadowpulley/emulator/gateway.py
@@ -6,102 +6,107 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from meadowpulley import interface as i
 from meadowpulley.emulator.clients import Try
-from meadowpulley.emulator.machine import Job
+from meadowpulley.emulator.connections import Connections
+from meadowpulley.emulator.failpoints import StepName
+from meadowpulley.emulator.held import KEPT, NEVER_RAN, Attempt, Held, list_records
+from meadowpulley.emulator.ledger import Port
+from meadowpulley.emulator.process import Process
 from meadowpulley.emulator.results import GatewayResult
-from meadowpulley.fleet import settings_of
-from meadowpulley.rules import Answered, Died, Listed, News, Outcome, Sent, Started, Taken
+from meadowpulley.ledger import Commit, LedgerError, Life, Scan, Watched
+from meadowpulley.rules import (
+    Answered,
+    Died,
+    Gone,
+    News,
+    Outcome,
+    Sent,
+    Started,
+    Stopped,
+    Taken,
+    Woke,
+)
 
 if TYPE_CHECKING:
-    from meadowpulley.emulator.park import Host
     from meadowpulley.emulator.world import World
 
 INTAKE = 0.6  # of a request's CPU, the rest is spent on its attempt's answer
-NEVER_RAN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
-_STATES = {i.ServerState.READY: "ready", i.ServerState.DRAINING: "draining", i.ServerState.GONE: "gone"}
 
 
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One attempt, from its sending to its one outcome."""
-
-    held: Held
-    n: int
-    host: Host | None
-    sent: float
-    until: float
-    ended: bool = False
-    connected: bool = False  # it holds a connection
-    job: Job | None = None
-
-
-@dataclass(slots=True, eq=False)
-class Held:
-    """A request in this gateway's table."""
-
-    request: Try
-    deadline: float
-    tries: int = 0
-    over: bool = False  # it has its final answer; attempts may still be out
-    out: dict[int, Attempt] = field(default_factory=dict)
-
-
-class Gateway:
+class Gateway(Process):
     """One gateway of the emulated fleet, by its number; `start` and `kill` bound its lives."""
 
     def __init__(self, world: World, number: int) -> None:
+        super().__init__(world.clock)
         self.world, self.number = world, number
         self.figures = world.fleet.gateway_figures()[number]
         self.site = world.fleet.gateway_sites()[number]
-        self.settings = settings_of(world.fleet, number)
+        self.settings = world.settings_of(number)
         free = self.figures.descriptors - self.figures.kept_back
         self.client_slots = max(int(free * self.figures.client_part), 1)
         self.instance_slots = max(free - self.client_slots, 1)
-        self.alive, self.died_at = False, -math.inf
-        self.lives = self.requests = self.attempts = self.most_open = self.most_held = 0
+        self.requests = self.attempts = self.most_open = self.most_held = 0
         self.busy_ms = 0.0
-        self.balancer: Any = None
+        self.leaving = False  # told to stop: the front hands it no more clients
+        self.balancer: Any = None  # or the outermost stage round it
+        self.life: Life | None = None  # in the ledger, where the fleet shares one
+        self.port: Port | None = None
         self.decisions: list[tuple[float, str]] = []
         self._actions: dict[type, Callable[[Any], None]] = {
             i.Send: self._send, i.Cancel: self._cancel, i.Refuse: self._refuse, i.Fail: self._fail,
             i.Vote: self._vote, i.SetTimer: self._set_timer, i.Watch: self._watch, i.FetchList: self._fetch,
             i.TellPeer: self._tell_peer, i.CloseIdle: self._close_idle, i.LogLine: self._log,
-            i.Probe: self._probe,
+            i.Probe: self._probe, Commit: self._commit, Watched: self._watched,
+            Scan: self._scan,
         }  # fmt: skip
 
     # Life
 
     def start(self) -> None:
         world = self.world
-        self.lives += 1
-        self.alive = True
+        if world.ledger is not None:
+            try:
+                self.life = world.ledger.begin(self.number)
+            except LedgerError as error:  # it ends with that line, and whoever runs it starts it again
+                world.event(f"gateway {self.number}: {error}")
+                world.clock.after(world.ledger.figures.begin_again_ms, self._start_again)
+                return
+        self.begin_life()
+        self.leaving = False
         self.held: dict[int, Held] = {}
         self.owed = 0  # requests without their final answer
         self._known: set[int] = set()  # servers it was told of
-        self.idle: dict[int, list[float]] = defaultdict(list)  # by server: when each stood idle, newest last
-        self.open = 0  # connections to servers, idle or not
+        self.connections = Connections(self.instance_slots, world.fleet.rules.idle_ms, world.close)
         self._free_at = world.clock.now
-        self.balancer = world.make(self.settings, world.streams.number(f"gateway {self.number} {self.lives}"))
+        seed = world.streams.number(f"gateway {self.number} {self.lives}")
+        self.balancer, first = world.make_stage(self, seed)
         world.record(Started(world.clock.now, self.number))
+        self.in_turn(first, self.act)
         self.tell(i.ServerList(i.ListKind.CACHED, 0, world.discovery.known()))
         self.hear(world.platform.news())
         world.platform.follow(self.number)
         if not world.fleet.discovery.must_ask:
             world.discovery.watch(self.number)
 
+    def _start_again(self) -> None:
+        if not self.alive:
+            self.start()
+
     def kill(self) -> None:
+        if not self.alive:
+            return
         world = self.world
-        self.alive, self.died_at = False, world.clock.now
+        self.end_life()
         world.record(Died(world.clock.now, self.number))
         world.discovery.forget(self.number)
         world.platform.forget(self.number)
+        if world.ledger is not None and self.life is not None:
+            world.ledger.died(self.life)
         for held in self.held.values():
             if not held.over:
                 world.clients.broke(held.request)
@@ -109,27 +114,50 @@
             for attempt in list(held.out.values()):
                 attempt.ended = True
                 self._leave(attempt)
-        for server, times in self.idle.items():
-            world.close(server, len(times))
-        self.held, self.idle = {}, defaultdict(list)
-
-    def _this_life(self, call: Callable[[], None]) -> Callable[[], None]:
-        """A call that only the life that set it hears."""
-        life = self.lives
-
-        def guarded() -> None:
-            if self.alive and self.lives == life:
-                call()
-
-        return guarded
+        self.connections.close_all_idle()
+        self.held = {}
+
+    def stop(self, grace_ms: float) -> None:
+        """A planned stop: the front is told at once, and what is not over within the grace is lost."""
+        self.leaving = True
+        self.clock.after(grace_ms, self.this_life(self.kill))
+
+    def pause(self) -> None:
+        if self.alive and not self.paused:
+            self.world.record(Stopped(self.clock.now, self.number))
+        super().pause()
+
+    def wake(self) -> None:
+        if self.paused:
+            self.world.record(Woke(self.clock.now, self.number))
+        super().wake()
+        for held in [h for h in self.held.values() if not h.over and h.request.answered]:
+            self._left(held)
+
+    def client_left(self, request: Try) -> None:
+        """The client has closed its connection."""
+        held = self.held.get(request.number)
+        if held is not None and not self.held_up(partial(self.client_left, request)):
+            self._left(held)
+
+    def _left(self, held: Held) -> None:
+        """Its client is no longer there."""
+        if not held.over:
+            self._over(held)
+            self.world.record(Gone(self.clock.now, self.number, held.request.number))
+            self.tell(i.RequestGone(held.request.number))
 
     # Events and actions
 
-    def tell(self, event: i.Event) -> None:
+    def tell(self, event: Any) -> None:
+        if self.held_up(partial(self.tell, event)):
+            return
         if isinstance(event, i.ServerList):
             self._book_list(event)
-        for action in self.balancer.handle(self.world.clock.now, event):
-            self._actions[type(action)](action)
+        self.in_turn(self.balancer.handle(self.clock.now, event), self.act)
+
+    def act(self, action: Any) -> None:
+        self._actions[type(action)](action)
 
     def _when_free(self, cost_ms: float, call: Callable[[], None]) -> None:
         """Its one thread does things in turn; each costs CPU."""
@@ -139,23 +167,17 @@
         cost = cost_ms / self.figures.cores
         self._free_at = max(self._free_at, self.world.clock.now) + cost
         self.busy_ms += cost
-        self.world.clock.at(self._free_at, self._this_life(call))
+        self.world.clock.at(self._free_at, self.this_life(call))
 
     def _book_list(self, event: i.ServerList) -> None:
-        if event.kind is i.ListKind.FAILED:
-            return
-        now, record = self.world.clock.now, self.world.record
-        named = {e.server for e in event.entries}
-        if event.kind is not i.ListKind.CHANGES:
-            for server in sorted(self._known - named):
-                record(Listed(now, self.number, server, "gone", 0))
-            self._known = set()
-        self._known |= named
-        for e in event.entries:
-            record(Listed(now, self.number, e.server, _STATES[e.state], e.build, e.cell, e.zone))  # type: ignore[arg-type]
+        if event.kind is not i.ListKind.FAILED:
+            for record in list_records(self.clock.now, self.number, self._known, event):
+                self.world.record(record)
 
     def hear(self, news: i.BuildNews) -> None:
         """News of the newest build, or the answer to a vote."""
+        if self.held_up(partial(self.hear, news)):
+            return
         if news.result is i.Result.OK:
             phase = news.phase.name.lower()
             now = self.world.clock.now
@@ -166,6 +188,8 @@
 
     def take(self, request: Try) -> None:
         """A request has come whole; with all slots in use nobody took it."""
+        if self.held_up(partial(self._take_late, request)):
+            return
         if self.owed >= self.client_slots:
             self.world.clients.broke(request)
             return
@@ -175,25 +199,31 @@
         self.requests += 1
         self.owed += 1
         self.most_held = max(self.most_held, self.owed)
-        self.world.record(Taken(now, self.number, request.number, ask.cls, ask.arrival.key, held.deadline))
-        self.world.clock.at(held.deadline, self._this_life(partial(self._time_is_up, held)))
+        self.world.record(
+            Taken(now, self.number, request.number, ask.cls, ask.arrival.key, held.deadline, request.name)
+        )
+        self.world.clock.at(held.deadline, self.this_life(partial(self._time_is_up, held)))
         self._when_free(self.figures.request_ms * INTAKE, partial(self._hand_on, held))
 
+    def _take_late(self, request: Try) -> None:
+        if not request.answered:  # else the client has left
+            self.take(request)
+
     def _hand_on(self, held: Held) -> None:
-        if held.over:
+        if held.over or self.stopped_at("take", partial(self._hand_on, held)):
             return
-        ask = held.request.ask
-        self.tell(
-            i.Request(
-                held.request.number, ask.cls, 0, ask.arrival.key, held.deadline, None, repeat=ask.tries > 1
-            )
-        )
+        self.tell(self._event_of(held))
+
+    def _event_of(self, held: Held) -> Any:
+        ask, number = held.request.ask, held.request.number
+        tenant = self.world.tenant_of(ask.arrival.key)
+        return i.Request(number, ask.cls, tenant, ask.arrival.key, held.deadline, None, repeat=ask.tries > 1)
 
     def _time_is_up(self, held: Held) -> None:
         for attempt in list(held.out.values()):
             self._end(attempt, i.Result.TIMEOUT if attempt.connected else i.Result.CONNECT_FAILED)
         slack = self.settings.rules.answer_slack_ms
-        self.world.clock.after(slack + 1.0, self._this_life(partial(self._overdue, held)))
+        self.world.clock.after(slack + 1.0, self.this_life(partial(self._overdue, held)))
 
     def _overdue(self, held: Held) -> None:
         """The decisions left it unanswered. The gateway on sockets answers for them; here it is a breach."""
@@ -201,33 +231,49 @@
             self._over(held)
             self.tell(i.RequestGone(held.request.number))
 
+    def stopped_at(self, step: StepName, call: Callable[[], None]) -> bool:
+        """A named step is reached, and a fault that was set there stops it: a pause only puts it off."""
+        self.world.failpoints.reached(self, step)
+        if self.alive and self.paused:
+            self._unfinished.append(call)
+        return self.paused or not self.alive
+
     def _over(self, held: Held) -> None:
         held.over = True
         self.owed -= 1
         if not held.out:
             self.held.pop(held.request.number, None)
 
-    def _answer(self, held: Held, answer: str, retry_after_ms: float) -> None:
+    def _serve(self, attempt: Attempt) -> None:
+        """A good answer has come, the first of its request."""
+        self._answer(attempt.held, "served", 0.0)
+
+    def _answer(self, held: Held, answer: str, retry_after_ms: float, content: str = "") -> None:
         self._over(held)
-        self.world.record(Answered(self.world.clock.now, self.number, held.request.number, answer))  # type: ignore[arg-type]
+        number = held.request.number
+        self.world.record(Answered(self.clock.now, self.number, number, answer, content))  # type: ignore[arg-type]
         self.world.clients.answer(held.request, answer, retry_after_ms)
+        self.world.failpoints.reached(self, "answered")
 
     def _refuse(self, action: i.Refuse) -> None:
         held = self.held.get(action.request)
-        if held is not None and not held.over:
-            self._answer(held, "refused", action.retry_after_ms)
+        if held is None or held.over or self.stopped_at("answer", partial(self._refuse, action)):
+            return
+        self._answer(held, "refused", action.retry_after_ms)
 
     def _fail(self, action: i.Fail) -> None:
         held = self.held.get(action.request)
-        if held is not None and not held.over:
-            self._answer(held, "failed", 0.0)
+        if held is None or held.over or self.stopped_at("answer", partial(self._fail, action)):
+            return
+        self._answer(held, "failed", 0.0)
 
     # Attempts
 
     def _send(self, action: i.Send) -> None:
-        held, world, now = self.held.get(action.request), self.world, self.world.clock.now
-        if held is None:
+        held, world = self.held.get(action.request), self.world
+        if held is None or self.stopped_at("send", partial(self._send, action)):
             return
+        now = self.clock.now
         n, held.tries = held.tries, held.tries + 1
         until = held.deadline if action.limit_ms == 0 else min(held.deadline, now + action.limit_ms)
         host = world.hosts.get(action.server)
@@ -238,84 +284,60 @@
         if host is not None:
             world.result.sent(now, host.entry.zone)
         if until < held.deadline:
-            world.clock.at(until, self._this_life(partial(self._end, attempt, i.Result.TIMEOUT)))
+            world.clock.at(until, self.this_life(partial(self._end, attempt, i.Result.TIMEOUT)))
         if host is None:
             self._end(attempt, i.Result.CONNECT_FAILED)
             return
-        fresh = not self._reuse(action.server)
-        if fresh and not self._make_room():
+        connections = self.connections
+        fresh = not connections.reuse(now, action.server)
+        if fresh and not connections.make_room():
             self._end(attempt, i.Result.CONNECT_FAILED)
             return
         if fresh:
-            self.open += 1
-            self.most_open = max(self.most_open, self.open)
+            connections.open += 1
+            self.most_open = max(self.most_open, connections.open)
         attempt.connected = True
         world.travel(self, attempt, fresh)
-
-    def _reuse(self, server: int) -> bool:
-        times, oldest = self.idle[server], self.world.clock.now - self.world.fleet.rules.idle_ms * 0.9
-        while times and times[0] < oldest:
-            times.pop(0)
-            self._closed(server)
-        if times:
-            times.pop()
-            return True
-        return False
-
-    def _make_room(self) -> bool:
-        if self.open < self.instance_slots:
-            return True
-        resting = [(times[0], server) for server, times in self.idle.items() if times]
-        if not resting:
-            return False
-        _, server = min(resting)
-        self.idle[server].pop(0)
-        self._closed(server)
-        return True
-
-    def _closed(self, server: int) -> None:
-        self.open -= 1
-        self.world.close(server, 1)
+        world.failpoints.reached(self, "sent")
 
     def _leave(self, attempt: Attempt) -> None:
         """An attempt given up closes its connection."""
         if attempt.connected:
             attempt.connected = False
-            self.open -= 1
             if attempt.host is not None:
-                self.world.close(attempt.host.entry.server, 1)
+                self.connections.close(attempt.host.entry.server)
         self.world.drop(attempt)
 
     def arrived(self, attempt: Attempt, result: i.Result) -> None:
         """What came back on an attempt's connection, or that it broke."""
-        if attempt.ended or not self.alive:
+        if attempt.ended or self.held_up(partial(self.arrived, attempt, result)):
             return
         cost = 0.0 if result is i.Result.CONNECT_FAILED else self.figures.request_ms * (1 - INTAKE)
         self._when_free(cost, partial(self._end, attempt, result))
 
     def _end(self, attempt: Attempt, result: i.Result) -> None:
-        if attempt.ended:
+        again = partial(self._end, attempt, result)
+        if attempt.ended or self.stopped_at("outcome", again):
+            return
+        if result is i.Result.OK and not attempt.held.over and self.stopped_at("answer", again):
             return
         attempt.ended = True
-        now, held = self.world.clock.now, attempt.held
+        now, held = self.clock.now, attempt.held
         held.out.pop(attempt.n, None)
         if held.over and not held.out:
             self.held.pop(held.request.number, None)
-        if (
-            result in (i.Result.OK, i.Result.ERROR, i.Result.FULL)
-            and attempt.connected
-            and attempt.host is not None
-        ):
+        if result in KEPT and attempt.connected and attempt.host is not None:
             attempt.connected = False
-            self.idle[attempt.host.entry.server].append(now)
+            self.connections.keep(now, attempt.host.entry.server)
         else:
             self._leave(attempt)
         ran = result not in NEVER_RAN
         if result is i.Result.OK and not held.over:
-            self._answer(held, "served", 0.0)
+            self._serve(attempt)
         self.world.record(Outcome(now, self.number, held.request.number, attempt.n, ran))
         server = attempt.host.entry.server if attempt.host is not None else -1
-        self.tell(i.Outcome(held.request.number, attempt.n, server, result, now - attempt.sent, held.over))
+        over = held.over or result is i.Result.OK
+        self.tell(i.Outcome(held.request.number, attempt.n, server, result, now - attempt.sent, over))
 
     def _cancel(self, action: i.Cancel) -> None:
         held = self.held.get(action.request)
@@ -329,7 +351,7 @@
         self.world.cast(self, vote)
 
     def _set_timer(self, action: i.SetTimer) -> None:
-        self.world.clock.after(action.delay_ms, self._this_life(lambda: self.tell(i.Timer(action.token))))
+        self.world.clock.after(action.delay_ms, self.this_life(lambda: self.tell(i.Timer(action.token))))
 
     def _watch(self, action: i.Watch) -> None:
         if action.on:
@@ -344,9 +366,19 @@
         self.world.datagram(self, action)
 
     def _close_idle(self, action: i.CloseIdle) -> None:
-        for _ in range(len(self.idle[action.server])):
-            self._closed(action.server)
-        self.idle[action.server].clear()
+        self.connections.close_idle(action.server)
+
+    def _commit(self, action: Commit) -> None:
+        if self.port is not None:
+            self.port.ask(action)
+
+    def _scan(self, action: Scan) -> None:
+        if self.port is not None:
+            self.port.scan(action)
+
+    def _watched(self, action: Watched) -> None:
+        if self.port is not None:
+            self.port.watched = action.names
 
     def _probe(self, action: i.Probe) -> None:
         self.tell(i.ProbeResult(action.server, i.Result.CONNECT_FAILED, 0.0))  # described fleets allow none
--- a/meadowpulley/rules/checker.py
+++ b/meadowpulley/rules/checker.py
@@ -10,25 +10,29 @@
 from bisect import bisect_right
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
-from typing import Literal
 
-from meadowpulley.interface import Effect, Group, Settings as GatewaySettings
+from meadowpulley.interface import Effect, Group
+from meadowpulley.rules.figures import Figures
+from meadowpulley.rules.together import RuleName, TogetherChecker
 from meadowpulley.rules.trace import (
+    Adopted,
     Answered,
     Died,
     Fell,
     Gone,
     KeyAnswered,
+    Left,
     Listed,
     News,
     Outcome,
     Record,
     Sent,
     Started,
+    Stopped,
     Taken,
+    Woke,
 )
 
-RuleName = Literal["answers", "effects", "drains", "cold", "exposure", "one-way"]
 KEPT = 1000  # breaches kept to the letter; the rest are only counted
 
 
@@ -44,47 +48,6 @@
         return f"{self.at / 1000:.3f} s{who}: {self.rule}: {self.text}"
 
 
-@dataclass(frozen=True, slots=True)
-class ClassRules:
-    effect: Effect
-    group: Group
-    window_ms: float
-
-
-@dataclass(frozen=True, slots=True)
-class Figures:
-    """The rules' figures, of the deployment and of the rig: on sockets, times get `slack_ms` more."""
-
-    classes: tuple[ClassRules, ...]
-    drain_grace_ms: float
-    answer_slack_ms: float
-    window_ms: float
-    free: float
-    first_cap: float
-    per_class: bool
-    guarded_stages: int
-    one_way: bool
-    slack_ms: float = 0.0
-    over_cap: float = 0.0  # attempts that pass beyond the cap
-    over_share: float = 0.0  # and the share of requests
-
-    @classmethod
-    def of(cls, s: GatewaySettings, slack_ms: float = 0.0) -> Figures:
-        roll = s.rollout
-        return cls(
-            classes=tuple(ClassRules(c.effect, c.group, c.window_ms) for c in s.classes),
-            drain_grace_ms=s.rules.drain_grace_ms,
-            answer_slack_ms=s.rules.answer_slack_ms,
-            window_ms=roll.exposure_window_ms,
-            free=roll.exposure_free,
-            first_cap=roll.caps[0] if roll.caps else 0.0,
-            per_class=roll.exposure_per_class,
-            guarded_stages=roll.guarded_stages,
-            one_way=roll.one_way,
-            slack_ms=slack_ms,
-        )
-
-
 @dataclass(slots=True)
 class _Try:
     server: int
@@ -93,12 +56,15 @@
     maybe: bool = True  # it ran, may have run, or is still out
     cell: int = 0
     site: int = 0
+    gateway: int = -1
 
 
 @dataclass(slots=True)
 class _Held:
     taken: Taken
-    tries: list[_Try] = field(default_factory=list)
+    tries: list[_Try] = field(default_factory=list)  # with those of other gateways under the same id
+    mine: dict[int, _Try] = field(default_factory=dict)  # this gateway's, by number
+    excused: bool = False  # its time passed while its gateway stood still
 
 
 @dataclass(slots=True)
@@ -121,6 +87,7 @@
         self.held: dict[int, _Held] = {}
         self.over: set[int] = set()
         self.over_order: deque[tuple[float, int]] = deque()
+        self.stopped_at = math.inf  # since when it stands still
         self.servers: dict[int, _Known] = {}
         self.news: list[News] = []
         self.taken: dict[int, list[float]] = defaultdict(list)
@@ -137,10 +104,13 @@
         self.counts: Counter[str] = Counter()
         self.seen = 0
         self._gateways: dict[int, _Gateway] = defaultdict(_Gateway)
+        self._together = TogetherChecker(figures.shared, self._breach)
+        self._tries: dict[str, list[_Try]] = {}  # by the client's id: of all gateways that had it
         self._handlers = {
             Started: self._started, Died: self._died, Taken: self._taken, Sent: self._sent,
             Outcome: self._outcome, Answered: self._answered, Gone: self._gone, Listed: self._listed,
-            News: self._news, KeyAnswered: self._key, Fell: self._fell,
+            News: self._news, KeyAnswered: self._key, Fell: self._fell, Stopped: self._stopped,
+            Woke: self._woke, Left: self._left, Adopted: self._adopted,
         }  # fmt: skip
 
     @property
@@ -149,14 +119,18 @@
 
     def see(self, record: Record) -> None:
         self.seen += 1
-        self._handlers[type(record)](record)  # type: ignore[operator]
+        handler = self._handlers.get(type(record))
+        if handler is not None:
+            handler(record)  # type: ignore[operator]
+        self._together.see(record)
 
     def finish(self, at: float) -> None:
         """The trace ends: what is past its time and still owed was lost."""
+        self._together.finish(at)
         for number, gateway in self._gateways.items():
             for request, held in list(gateway.held.items()):
-                limit = held.taken.deadline + self.figures.answer_slack_ms + self.figures.slack_ms
-                if at > limit:
+                limit = self._answer_by(held)
+                if at > limit and not held.excused and limit < gateway.stopped_at:
                     self._breach("answers", limit, number, f"request {request} got no final answer")
 
     def _breach(self, rule: RuleName, at: float, gateway: int, text: str) -> None:
@@ -172,12 +146,37 @@
     def _died(self, r: Died) -> None:
         self._gateways.pop(r.gateway, None)
 
+    def _adopted(self, r: Adopted) -> None:
+        """It earns no allowance, its client is elsewhere, and what was tried of it may have run."""
+        taken = Taken(r.at, r.gateway, r.request, r.cls, r.key, r.deadline, r.id)
+        self._gateways[r.gateway].held[r.request] = _Held(
+            taken, self._tries.setdefault(r.id, []), excused=True
+        )
+
+    def _left(self, r: Left) -> None:
+        held = self._gateways[r.gateway].held.get(r.request)
+        if held is not None:
+            held.excused = True
+
+    def _stopped(self, r: Stopped) -> None:
+        self._gateways[r.gateway].stopped_at = r.at
+
+    def _woke(self, r: Woke) -> None:
+        gateway = self._gateways[r.gateway]
+        for held in gateway.held.values():
+            if gateway.stopped_at < self._answer_by(held) < r.at:
+                held.excused = True
+        gateway.stopped_at = math.inf
+
+    def _answer_by(self, held: _Held) -> float:
+        return held.taken.deadline + self.figures.answer_slack_ms + self.figures.slack_ms
+
     def _taken(self, r: Taken) -> None:
         gateway = self._gateways[r.gateway]
         if r.request in gateway.held or r.request in gateway.over:
             self._breach("answers", r.at, r.gateway, f"request {r.request} was taken twice")
             return
-        gateway.held[r.request] = _Held(r)
+        gateway.held[r.request] = _Held(r, self._tries.setdefault(r.id, []) if r.id else [])
         gateway.taken[self._counted(r.cls)].append(r.at)
         if len(gateway.taken[self._counted(r.cls)]) > 200_000:
             del gateway.taken[self._counted(r.cls)][:100_000]
@@ -199,24 +198,28 @@
             what = "a second answer" if r.request in gateway.over else "an answer that nobody asked for"
             self._breach("answers", r.at, r.gateway, f"request {r.request} got {what}")
             return
-        late = r.at - held.taken.deadline - self.figures.answer_slack_ms - self.figures.slack_ms
-        if late > 1e-6:
+        late = r.at - self._answer_by(held)
+        if late > 1e-6 and not held.excused:
             self._breach("answers", r.at, r.gateway, f"request {r.request} was answered {late:.1f} ms late")
-        if r.answer == "refused" and any(t.maybe for t in held.tries):
+        if r.answer == "refused" and self._maybe(r.gateway, held):
             cls = self.figures.classes[held.taken.cls]
             everywhere = cls.effect is Effect.KEYED and cls.group is Group.ALL
             if cls.effect is not Effect.SAFE and not everywhere:
                 self._breach("effects", r.at, r.gateway, f"request {r.request} may have run and was refused")
 
     def _gone(self, r: Gone) -> None:
-        self._end(self._gateways[r.gateway], r.request, r.at)
+        held = self._end(self._gateways[r.gateway], r.request, r.at)
+        if held is not None and not self._together.wrote(r.gateway, held.taken.id):
+            for tried in held.mine.values():  # its next ask, even here, is another request
+                tried.gateway = -1
 
     # Effects
 
     def _outcome(self, r: Outcome) -> None:
         held = self._gateways[r.gateway].held.get(r.request)
-        if held is not None and r.attempt < len(held.tries) and not r.ran:
-            held.tries[r.attempt].maybe = False
+        tried = held.mine.get(r.attempt) if held is not None else None
+        if tried is not None and not r.ran:
+            tried.maybe = False
 
     def _sent(self, r: Sent) -> None:
         gateway = self._gateways[r.gateway]
@@ -231,13 +234,22 @@
         self._check_drain(r, known)
         self._check_exposure(r, gateway, held)
         cell, site = (known.cell, known.site) if known else (0, 0)
-        held.tries.append(_Try(r.server, r.build, r.at, cell=cell, site=site))
+        tried = held.mine[r.attempt] = _Try(r.server, r.build, r.at, True, cell, site, r.gateway)
+        held.tries.append(tried)
+
+    def _maybe(self, gateway: int, held: _Held) -> list[_Try]:
+        """Attempts that may have run: of this gateway, and of those that had written the same work."""
+        return [
+            t
+            for t in held.tries
+            if t.maybe and (t.gateway == gateway or self._together.wrote(t.gateway, held.taken.id))
+        ]
 
     def _check_repeat(self, r: Sent, held: _Held, known: _Known | None) -> None:
         cls = self.figures.classes[held.taken.cls]
         if cls.effect is Effect.SAFE:
             return
-        for earlier in [t for t in held.tries if t.maybe]:
+        for earlier in self._maybe(r.gateway, held):
             if cls.effect is Effect.UNSAFE:
                 self._breach(
                     "effects", r.at, r.gateway, f"request {r.request} may have run and was sent again"
--- a/meadowpulley/rules/trace.py
+++ b/meadowpulley/rules/trace.py
@@ -27,13 +27,28 @@
     gateway: int
 
 
-class Taken(Struct, frozen=True, tag="taken"):
+class Stopped(Struct, frozen=True, tag="stopped"):
+    """A gateway stands still, as a process under SIGSTOP: until it is woken it can keep no promise."""
+
+    at: float
+    gateway: int
+
+
+class Woke(Struct, frozen=True, tag="woke"):
+    """It goes on where it stood, and learns late what came meanwhile."""
+
+    at: float
+    gateway: int
+
+
+class Taken(Struct, frozen=True, tag="taken", omit_defaults=True):
     at: float
     gateway: int
     request: int
     cls: int
     key: int
     deadline: float  # when the client stops waiting
+    id: str = ""  # the client's, the same on each of its asks, where gateways stand in for each other
 
 
 class Sent(Struct, frozen=True, tag="sent"):
@@ -57,11 +72,12 @@
     ran: bool
 
 
-class Answered(Struct, frozen=True, tag="answered"):
+class Answered(Struct, frozen=True, tag="answered", omit_defaults=True):
     at: float
     gateway: int
     request: int
     answer: Literal["served", "refused", "failed"]
+    content: str = ""  # tells answers apart that were served
 
 
 class Gone(Struct, frozen=True, tag="gone"):
@@ -111,8 +127,112 @@
     server: int
 
 
+# Gateways that stand in for each other
+
+
+class Left(Struct, frozen=True, tag="left"):
+    """The client left, and its work goes on: no answer is owed any more."""
+
+    at: float
+    gateway: int
+    request: int
+
+
+class Sealed(Struct, frozen=True, tag="sealed"):
+    """This gateway's life is over by the ledger, whatever its process still does."""
+
+    at: float
+    gateway: int
+
+
+class Written(Struct, frozen=True, tag="written"):
+    """The ledger has a client's request: it is to be ended whatever becomes of this gateway."""
+
+    at: float
+    gateway: int
+    id: str
+    deadline: float
+
+
+class Claimed(Struct, frozen=True, tag="claimed"):
+    """Another gateway has it now, by the ledger; `lives`: gateways that have had it."""
+
+    at: float
+    gateway: int
+    id: str
+    lives: int
+
+
+class Given(Struct, frozen=True, tag="given"):
+    """The gateway that had it gave it away."""
+
+    at: float
+    gateway: int
+    id: str
+
+
+class Closed(Struct, frozen=True, tag="closed"):
+    """The ledger has its end."""
+
+    at: float
+    gateway: int
+    id: str
+    end: Literal["served", "refused", "failed"]
+
+
+class Adopted(Struct, frozen=True, tag="adopted"):
+    """A gateway begins work that it took over, under a number of its own; nobody waits for it there."""
+
+    at: float
+    gateway: int
+    request: int
+    cls: int
+    key: int
+    deadline: float
+    id: str
+
+
+class Admitted(Struct, frozen=True, tag="admitted"):
+    """So much of the capacity that tenants share was used at this gateway."""
+
+    at: float
+    gateway: int
+    units: float
+
+
+class Counted(Struct, frozen=True, tag="counted"):
+    """An experiment has counted the end of a request; `id` as of the request's first gateway."""
+
+    at: float
+    gateway: int
+    experiment: str
+    id: str
+    arm: int
+
+
 Record: TypeAlias = (
-    Started | Died | Taken | Sent | Outcome | Answered | Gone | Listed | News | KeyAnswered | Fell
+    Started
+    | Died
+    | Stopped
+    | Woke
+    | Taken
+    | Sent
+    | Outcome
+    | Answered
+    | Gone
+    | Listed
+    | News
+    | KeyAnswered
+    | Fell
+    | Left
+    | Sealed
+    | Written
+    | Claimed
+    | Given
+    | Closed
+    | Adopted
+    | Admitted
+    | Counted
 )
 _encode = msgspec.json.Encoder().encode
 _decode = msgspec.json.Decoder(Record).decode
--- /dev/null
+++ b/tests/stories/conftest.py
@@ -0,0 +1,21 @@
+"""The stories' steps are shared: each feature file may use every one."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.stories.tale import Tale
+
+STEPS = tuple(
+    f"tests.stories.steps_{name}" for name in ("fleet", "ledger", "takeover", "lending", "placement")
+)
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    for module in STEPS:
+        config.pluginmanager.import_plugin(module)
+
+
+@pytest.fixture
+def tale() -> Tale:
+    return Tale()
--- /dev/null
+++ b/tests/stories/lost_gateways.feature
@@ -0,0 +1,70 @@
+Feature: Gateways that are lost, stopped or stand still
+  What today's gateways do without anything shared: a lost gateway takes its work in hand with it, and harms
+  nobody else's.
+
+  Background:
+    Given a fleet of 4 gateways
+    And 60 requests a second for 10 s
+
+  Scenario: One gateway is killed, and the others carry on
+    When gateway 1 is killed at 4 s
+    Then at least 95% of the requests are served
+    And gateway 1 takes no request between 4 s and 11 s
+    And every request that a gateway kept has one answer
+    And no rule is broken
+
+  Scenario: Work in hand is lost with its gateway where clients never try again
+    Given clients that never try again
+    When gateway 1 is killed at 4 s
+    Then some requests are lost
+    And at least 90% of the requests are served
+    And no rule is broken
+
+  Scenario: A gateway that is started again serves again
+    When gateway 2 is killed at 3 s
+    And gateway 2 is started again at 5 s
+    Then gateway 2 takes no request between 3 s and 5 s
+    And gateway 2 answers requests again after 5 s
+    And no rule is broken
+
+  Scenario: A stop with notice loses nothing
+    When gateway 3 is told at 4 s to stop within 3 s
+    Then every request is served
+    And gateway 3 takes no request between 4.1 s and 11 s
+    And no rule is broken
+
+  Scenario: All gateways are restarted in turn, and nobody notices
+    Given 60 requests a second for 14 s
+    When each gateway in turn is restarted every 2 s with 1.5 s of notice
+    Then at least 99.5% of the requests are served
+    And gateway 4 answers requests again after 10 s
+    And no rule is broken
+
+  Scenario Outline: A gateway is killed at any step of its work
+    When gateway 1 is killed after 3 s when <moment>
+    Then at least 95% of the requests are served
+    And gateway 1 takes no request between 4 s and 11 s
+    And every request that a gateway kept has one answer
+    And no rule is broken
+
+    Examples:
+      | moment                                                           |
+      | a request has come whole, and the decisions are not told yet     |
+      | an attempt is decided, and none of its bytes has gone out        |
+      | an attempt has gone out                                          |
+      | the end of an attempt has come, and nobody has looked at it      |
+      | a final answer is decided, and none of its bytes has gone out    |
+      | a final answer has gone out                                      |
+
+  Scenario Outline: A gateway stands still at any step of its work, and goes on as if nothing had been
+    When gateway 1 stands still for 4 s after 3 s when <moment>
+    Then at least 93% of the requests are served
+    And gateway 1 answers requests again after 8 s
+    And no rule is broken
+
+    Examples:
+      | moment                                                           |
+      | a request has come whole, and the decisions are not told yet     |
+      | an attempt is decided, and none of its bytes has gone out        |
+      | the end of an attempt has come, and nobody has looked at it      |
+      | a final answer is decided, and none of its bytes has gone out    |
--- a/tests/test_rules_checker.py
+++ b/tests/test_rules_checker.py
@@ -22,11 +22,13 @@
     Record,
     Sent,
     Started,
+    Stopped,
     Taken,
+    Woke,
     read_trace,
     trace_line,
 )
-from meadowpulley.rules.checker import ClassRules
+from meadowpulley.rules.figures import ClassRules
 
 SAFE, UNSAFE, KEYED = 0, 1, 2
 FIGURES = Figures(
@@ -192,3 +194,20 @@
     assert list(read_trace(lines, "run.jsonl")) == records
     with pytest.raises(ValueError, match=r"^run.jsonl: line 2: "):
         list(read_trace([lines[0], b'{"type": "sent", "at": 1}'], "run.jsonl"))
+
+
+@pytest.mark.parametrize(
+    ("what", "records", "found"),
+    [
+        ("stopped over its deadline", [taken(1, 1), Stopped(5, 0), Woke(9000, 0), served(9001, 1)], {}),
+        ("stopped and never woken", [taken(1, 1), Stopped(5, 0)], {}),
+        ("stopped, but woken in time", [taken(1, 1), Stopped(5, 0), Woke(900, 0)], {"answers": 1}),
+        ("stopped after it was owed", [taken(1, 1), Stopped(3500, 0)], {"answers": 1}),
+        ("woken, and an effect twice", [taken(1, 1, UNSAFE), sent(1, 1), Stopped(5, 0), Woke(900, 0),
+                                       sent(901, 1), served(902, 1)], {"effects": 1}),
+    ],
+)  # fmt: skip
+def test_a_gateway_that_stands_still_owes_nothing_meanwhile(
+    what: str, records: list[Record], found: dict[str, int]
+) -> None:
+    assert check(records) == found
