--- a/meadowpulley/emulator/discovery.py
+++ b/meadowpulley/emulator/discovery.py
@@ -38,6 +38,8 @@
         self._entries: dict[int, tuple[int, i.ServerEntry]] = {}
         self._listed_at: dict[int, float] = {}  # when the latest change of a server is listed
         self._watches: dict[int, _Watch] = {}
+        self._silent: dict[int, _Watch] = {}  # that stand, and tell nothing any more
+        self.counts: Callable[[int, i.ServerList], None] = lambda gateway, news: None  # as told, heard or not
 
     # The list
 
@@ -68,13 +70,50 @@
         self.changed()
         for gateway, watch in list(self._watches.items()):
             self._tell_soon(gateway, watch)
+        for gateway, watch in self._silent.items():
+            if watch.telling:  # the time is over in which it need not have known
+                self._count(gateway, watch)
 
     # Those who ask
 
     def forget(self, gateway: int) -> None:
         self._watches.pop(gateway, None)
+        self._silent.pop(gateway, None)
+
+    def fall_silent(self, gateway: int) -> None:
+        """Its watch stands and tells nothing any more. The gateway finds out once the call is overdue; what
+        it misses counts as told after a while, and so does every later change until it has asked anew."""
+        watch = self._watches.pop(gateway, None)
+        if watch is None:
+            return
+        self._silent[gateway] = silent = _Watch(watch.told)
+        left = float(self._rng.random()) * self.figures.wait_ms
+
+        def of_this(call: Callable[[], None]) -> Callable[[], None]:
+            return lambda: call() if self._silent.get(gateway) is silent else None
+
+        def found() -> None:
+            self._tell_gateway(gateway, i.ServerList(i.ListKind.SILENT, silent.told))
+            if not self.figures.must_ask:
+                self.watch(gateway)
+
+        def counts() -> None:
+            silent.telling = True
+            self._count(gateway, silent)
+
+        after_wait, after_silence = self.figures.told_ms
+        self._clock.after(left + self.figures.silent_ms, of_this(found))
+        self._clock.after(max(left + after_wait, after_silence), of_this(counts))
+
+    def _count(self, gateway: int, watch: _Watch) -> None:
+        """Drains and ends alone: which build a server runs is a matter of the list that was heard."""
+        missed, watch.told = self.since(watch.told), self.version
+        news = tuple(e for e in missed if e.state is not i.ServerState.READY)
+        if news:
+            self.counts(gateway, i.ServerList(i.ListKind.CHANGES, self.version, news))
 
     def watch(self, gateway: int) -> None:
+        self._silent.pop(gateway, None)
         if self.down:
             self._clock.after(self.figures.timeout_ms, lambda: self._fail(gateway))
             return
--- a/meadowpulley/emulator/faults.py
+++ b/meadowpulley/emulator/faults.py
@@ -162,6 +162,14 @@
 
         return end
 
+    def _silent_watches(self, n: int, fault: Fault) -> Callable[[], None]:
+        """A share of the gateways' watches, once; how long that lasts is up to the gateways."""
+        gateways = [g.number for g in self._world.gateways if g.alive]
+        count = min(max(round(fault.part * len(gateways)), 1), len(gateways))
+        for c in sorted(int(c) for c in self._rng.permutation(len(gateways))[:count]):
+            self._world.discovery.fall_silent(gateways[c])
+        return lambda: None
+
     def _discovery_stale(self, n: int, fault: Fault) -> Callable[[], None]:
         self._world.discovery.lag_ms = fault.amount
 
--- a/meadowpulley/emulator/gateway.py
+++ b/meadowpulley/emulator/gateway.py
@@ -81,6 +81,7 @@
         self.held: dict[int, Held] = {}
         self.owed = 0  # requests without their final answer
         self._known: set[int] = set()  # servers it was told of
+        self._builds: dict[int, int] = {}  # and their builds, also of those that are gone unheard
         self.connections = Connections(self.instance_slots, world.fleet.rules.idle_ms, world.close)
         self._free_at = world.clock.now
         seed = world.streams.number(f"gateway {self.number} {self.lives}")
@@ -153,7 +154,8 @@
         if self.held_up(partial(self.tell, event)):
             return
         if isinstance(event, i.ServerList):
-            self._book_list(event)
+            self.book_list(event)
+            self._builds |= {e.server: e.build for e in event.entries}
         self.in_turn(self.balancer.handle(self.clock.now, event), self.act)
 
     def act(self, action: Any) -> None:
@@ -169,8 +171,9 @@
         self.busy_ms += cost
         self.world.clock.at(self._free_at, self.this_life(call))
 
-    def _book_list(self, event: i.ServerList) -> None:
-        if event.kind is not i.ListKind.FAILED:
+    def book_list(self, event: i.ServerList) -> None:
+        """What this gateway was told of servers, or counts as told though it did not hear it."""
+        if event.kind not in (i.ListKind.FAILED, i.ListKind.SILENT):
             for record in list_records(self.clock.now, self.number, self._known, event):
                 self.world.record(record)
 
@@ -278,7 +281,7 @@
         until = held.deadline if action.limit_ms == 0 else min(held.deadline, now + action.limit_ms)
         host = world.hosts.get(action.server)
         attempt = held.out[n] = Attempt(held, n, host, now, until)
-        build = host.entry.build if host is not None else 0
+        build = host.entry.build if host is not None else self._builds.get(action.server, 0)
         world.record(Sent(now, self.number, action.request, n, action.server, build))
         self.attempts += 1
         if host is not None:
--- a/meadowpulley/emulator/scenario.py
+++ b/meadowpulley/emulator/scenario.py
@@ -13,7 +13,7 @@
 FaultKind = Literal[
     "fast_errors", "silence", "lost_answers", "slowness", "dependency", "neighbour", "vanish", "crash",
     "site_cut", "discovery_down", "discovery_stale", "platform_down", "platform_late", "peers_lost",
-    "gateway_crash",
+    "gateway_crash", "silent_watches",
 ]  # fmt: skip
 
 
--- a/meadowpulley/emulator/world.py
+++ b/meadowpulley/emulator/world.py
@@ -77,6 +77,7 @@
             clock, self.streams.of("clients"), fleet, self.network, iter(load), self._fronts, self.result,
             joined, together.again_ms if together is not None else 0.0, self._client_left,
         )  # fmt: skip
+        self.discovery.counts = lambda number, news: self.gateways[number].book_list(news)
         for gateway in self.gateways:
             gateway.start()
         Faults(self, self.scenario.faults)
--- a/meadowpulley/fleet/model.py
+++ b/meadowpulley/fleet/model.py
@@ -118,6 +118,9 @@
     notice_ms: Range = (2200.0, 4900.0)  # until it lists any other change
     period_ms: Range = (190.0, 680.0)  # between its answers to one watch
     timeout_ms: Positive = 2000.0
+    wait_ms: Positive = 10_000.0  # how long one call of a watch may wait for news
+    silent_ms: Positive = 1500.0  # beyond its wait, until a gateway gives up a call that is silent
+    told_ms: Range = (2000.0, 6000.0)  # after its wait and its silence: what it misses counts as told
     must_ask: bool = True
 
 
