Placements and takeover at real gateways: who took a request first, counted once there

Work records (format 2) hold the first life and a number that rises there: by slot handles a request taken after the last record of a lost gateway was dropped from the counts.

Three real gateways, one killed: 212 requests in the merged summary, 20 of them adopted, 0 lost, each once.

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -44,6 +44,14 @@
     "net/ring.py",
     "net/slots.py",
 )
+# Experiments on placements, of which the laboratory's tools stay out (requirements-placement.txt).
+PLACEMENT = (
+    "fleet",
+    *(f"placement/{name}.py" for name in (
+        "__init__", "assign", "config", "contrast", "counts", "definition", "estimate", "gateway", "guard",
+        "mixed", "origins", "policies", "stage", "summary",
+    )),
+)  # fmt: skip
 # Parts for installations with a lasting disk, laid out in a folder of their own by `--joint`: `run` has none.
 JOINT = ("joint.py", "ledger", "lending", "takeover")
 TARGET = ROOT / ".venv" / "gateway"
@@ -51,7 +59,7 @@
 
 
 def sources(joint: bool) -> list[Path]:
-    parts = [ROOT / PACKAGE / name for name in (*PARTS, *(JOINT if joint else ()))]
+    parts = [ROOT / PACKAGE / name for name in (*PARTS, *((*JOINT, *PLACEMENT) if joint else ()))]
     return sorted(path for part in parts for path in (part.rglob("*.py") if part.is_dir() else [part]))
 
 
--- a/meadowpulley/ledger/client.py
+++ b/meadowpulley/ledger/client.py
@@ -4,8 +4,8 @@
 The reactor never waits for the disk: one thread has the store, works off one job at a time and gives its
 result back by a turn of the reactor. A job is the commits of the turns since the last one, the scans asked
 for and, at every poll, a look at what changed. A job that takes longer than the stated wait counts as lost:
-whatever waits is answered as unknown, and the gateway serves on without the ledger until a look succeeds
-again.
+whatever waits is answered as unknown, and the gateway serves on without the ledger until it can be read and
+written again.
 """
 
 from __future__ import annotations
@@ -35,10 +35,14 @@
     RefusedError,
     Scan,
     Scanned,
+    Step,
     Store,
+    Unchanged,
     Watched,
 )
 
+PROBE = "probe"  # no record ever has this key
+
 
 class Host(Protocol):
     """What the client needs of a gateway."""
@@ -156,6 +160,7 @@
 
     def close(self) -> None:
         """At the end of the process: no longer than one wait, whatever the disk does."""
+        self._job = None  # the reactor has stopped: of one under way nobody is told, and this goes behind it
         self._pump()
         if self._aside.close(self._settings.wait_ms):
             self._store.close()
@@ -216,21 +221,26 @@
         prefixes = self._watches()
         if prefixes != self._prefixes:
             self._prefixes, self._version = prefixes, 0
-        version, watched = self._version, self._watched
+        version, watched, lost = self._version, self._watched, self.lost
         self._aside(
-            lambda: self._work(job, look, version, prefixes, watched), lambda result: self._done(job, result)
+            lambda: self._work(job, look, lost, version, prefixes, watched),
+            lambda result: self._done(job, result),
         )
 
     def _work(
-        self, job: _Job, look: bool, version: int, prefixes: tuple[str, ...], watched: tuple[str, ...] | None
-    ) -> Result:
-        """In the thread. Whatever fails, its result comes back."""
+        self, job: _Job, look: bool, lost: bool, version: int, prefixes: tuple[str, ...],
+        watched: tuple[str, ...] | None,
+    ) -> Result:  # fmt: skip
+        """In the thread. Whatever fails, its result comes back. A ledger that was lost is back once it can be
+        written: of a full disk, and of one that is read-only, all looks succeed."""
         result = Result()
         try:
             if job.group is not None:
                 result.done = self._store.commit(self.life, job.group.steps)
             for scan in job.scans:
                 result.scans.append(tuple(self._store.scan(scan.prefix)))
+            if look and lost:
+                self._store.commit(self.life, [Step((Unchanged(PROBE, 0),))])
             if look:
                 result.changes = self._store.changes(version, prefixes, watched)
         except LedgerError as bad:
--- a/meadowpulley/ledger/failpoints.py
+++ b/meadowpulley/ledger/failpoints.py
@@ -11,6 +11,7 @@
 import errno
 import os
 import signal
+import threading
 import time
 from collections.abc import Callable
 
@@ -33,7 +34,8 @@
 
 ACTIONS: dict[str, Callable[[], None]] = {
     "kill": lambda: os.kill(os.getpid(), signal.SIGKILL),
-    "stop": lambda: os.kill(os.getpid(), signal.SIGSTOP),
+    # To this thread: sent to the process another one may take it, and this one get a step further.
+    "stop": lambda: signal.pthread_kill(threading.get_ident(), signal.SIGSTOP),
     "full": lambda: _error(errno.ENOSPC),
     "error": lambda: _error(errno.EIO),
     "slow": lambda: time.sleep(SLOW_S),
--- a/meadowpulley/placement/__init__.py
+++ b/meadowpulley/placement/__init__.py
@@ -4,9 +4,10 @@
 `policies` (orders of the servers that a request may go to), `definition` and `config` (the file of an
 experiment), `assign` (which arm a unit belongs to), `contrast` (bins behind the mixed Differences-in-Q
 estimate), `counts` (what each life counts, and how it is merged), `mixed` and `estimate` (differences,
-intervals, confidence sequences), `guard` (when an arm must end), `stage` (labels and counts, around the
-decisions), `summary` (what it came to, for readers), `emulated` (experiments on the emulated fleet, and the
-truth), `supermarket` and `truth` (how good the estimates are, in a quick model where the answer is known).
+intervals, confidence sequences), `guard` (when an arm must end), `origins` (what takeover knows), `stage`
+(labels and counts, around the decisions), `gateway` (at a gateway on sockets), `summary` (what it came to,
+for readers), `emulated` (experiments on the emulated fleet, and the truth), `supermarket` and `truth` (how
+good the estimates are, in a quick model where the answer is known).
 """
 
 from meadowpulley.placement.assign import Assignment
@@ -22,8 +23,9 @@
     placements,
 )
 from meadowpulley.placement.estimate import Estimate, mixed, naive, switchback
+from meadowpulley.placement.origins import Origin, Origins
 from meadowpulley.placement.policies import POLICIES
-from meadowpulley.placement.stage import Origin, PlacementStage
+from meadowpulley.placement.stage import PlacementStage
 from meadowpulley.placement.summary import Comparison, Summary, read_summary, summarize, versions
 
 __all__ = [
@@ -38,6 +40,7 @@
     "Guard",
     "Merged",
     "Origin",
+    "Origins",
     "PlacementStage",
     "Summary",
     "check_running",
--- a/meadowpulley/placement/counts.py
+++ b/meadowpulley/placement/counts.py
@@ -91,7 +91,8 @@
 
 
 class Count(Struct):
-    """All that one life counted. `highest`: number of the last request that it took as its own; numbers rise.
+    """All that one life counted. `highest`: number of the last request that it took as its own and that
+    others may adopt, -1 if none; numbers rise. Those that nobody can adopt have numbers below 0.
 
     `write`: how many times it was written. `outside`: requests of its classes in no arm; `held`: in none as
     the experiment was held, or over.
--- a/meadowpulley/placement/stage.py
+++ b/meadowpulley/placement/stage.py
@@ -10,13 +10,14 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 
 from meadowpulley import interface as i
+from meadowpulley.ledger.keeper import Stage
 from meadowpulley.ledger.model import (
     Changed,
     Commit,
@@ -48,6 +49,7 @@
 )
 from meadowpulley.placement.definition import Experiment, check_placement, labels, read_shared
 from meadowpulley.placement.guard import harmful
+from meadowpulley.placement.origins import Alone, Origin, Origins
 
 TOKEN = 4  # of its timer
 OWNER = "placement"
@@ -55,19 +57,6 @@
 MOST_BLOCKS = 512  # time blocks of a switchback: the record names each
 
 
-class Inner(Protocol):
-    def handle(self, now: float, event: Any) -> list[Any]: ...
-
-
-@dataclass(frozen=True, slots=True)
-class Origin:
-    """Who took an adopted request first: that life, its number there, and when, on this gateway's clock."""
-
-    life: str
-    number: int
-    taken_ms: float
-
-
 @dataclass(slots=True, eq=False)
 class Taken:
     """A request of the experiment's classes, until it is over; `arm` -1: of none."""
@@ -77,30 +66,31 @@
     arm: int
     cls: int  # in the order of the experiment's classes
     group: int
-    origin: Origin | None
+    number: int  # as its first life counts it
+    origin: Origin | None  # of an adopted one
     bin: int | None
 
 
 class PlacementStage:
     """`life`: of this gateway. `clock_ms` makes of its time the one that gateways share (Unix time in ms).
-    `origin_of`: who took a request first that came adopted, None where nobody knows.
+    `origins`: what is known of requests that other lives had or will have.
 
     Raises FleetError, one line, for a definition that names a class which the settings lack.
     """
 
     def __init__(
         self,
-        inner: Inner,
+        inner: Stage,
         experiment: Experiment,
         settings: i.Settings,
         life: Life,
         clock_ms: float = 0.0,
-        origin_of: Callable[[int], Origin | None] = lambda request: None,
+        origins: Origins | None = None,
     ) -> None:
         names = [c.name for c in settings.classes]
         check_placement(experiment, f"experiment '{experiment.name}'", names)
         self.inner, self.e, self.settings, self.life = inner, experiment, settings, life
-        self.clock_ms, self.origin_of = clock_ms, origin_of
+        self.clock_ms, self.origins = clock_ms, origins or Alone()
         wanted = experiment.classes or tuple(names)
         self.classes = {names.index(name): n for n, name in enumerate(wanted)}
         self.deadlines = {n: settings.classes[cls].deadline_ms for cls, n in self.classes.items()}
@@ -155,28 +145,31 @@
         cls = self.classes.get(r.cls, -1)
         if cls < 0:
             return r
-        origin = self.origin_of(r.request) if r.adopted else None
+        origin = self.origins.origin_of(r.request)
         if r.adopted and origin is None:
             return r  # nobody knows whose count it is in: it stays open there
+        # Nobody adopts what has no origin: below 0 its number, which need not rise, is in nobody's way.
+        number = origin.number if origin is not None else -1 - r.request
+        origin = origin if r.adopted else None
         taken_ms = origin.taken_ms if origin is not None else now
-        first = (origin.life, origin.number) if origin is not None else (str(self.life), r.request)
+        first = (origin.life, origin.number) if origin is not None else (str(self.life), number)
         unit = self.assignment.unit(r, *first, taken_ms + self.clock_ms)
         labelled = r.adopted and r.arm in self.labels
         arm = self.labels.index(r.arm) if labelled else self.assignment.arm(unit)
         if origin is None and (self.holds or arm < 0 or arm in self.ended):
             self.book.count.held += self.holds
             self.book.count.outside += not self.holds
-            self.book.saw(r.request)
-            self.taken[r.request] = Taken(r, now, -1, cls, 0, None, self._bin(now, -1, cls, 0))
+            self.book.saw(number)
+            self.taken[r.request] = Taken(r, now, -1, cls, 0, number, None, self._bin(now, -1, cls, 0))
             return r
         if arm < 0:
             return r
         group = self.assignment.group(unit)
         bin = None
         if origin is None:
-            self.book.took(Open(r.request, arm, cls, group))
+            self.book.took(Open(number, arm, cls, group))
             bin = self._bin(now, arm, cls, group)
-        self.taken[r.request] = Taken(r, taken_ms, arm, cls, group, origin, bin)
+        self.taken[r.request] = Taken(r, taken_ms, arm, cls, group, number, origin, bin)
         return replace(r, arm=0 if arm in self.ended else self.labels[arm])
 
     def _bin(self, now: float, arm: int, cls: int, group: int) -> int | None:
@@ -189,7 +182,7 @@
         if isinstance(event, i.Outcome) and event.over:
             self._over(now, event.request, "served" if event.result is i.Result.OK else "failed")
         elif isinstance(event, i.RequestGone):
-            self._over(now, event.request, "gone")
+            self._gone(now, event.request)
         for action in self.acts:
             if isinstance(action, i.Refuse):
                 self._over(now, action.request, "refused")
@@ -211,11 +204,22 @@
             self.bins.end(now + self.clock_ms, t.bin, t.cls, cost)
         if t.arm < 0:
             return
-        self.book.ended(request, how, cost)
+        self.book.ended(t.number, how, cost)
         common = t.taken_ms + self.clock_ms
         if self.e.unit == "time" and common % self.e.block_ms >= self.e.settle_ms:
             self.book.in_block(self.assignment.block(common), t.arm, t.cls, cost)
 
+    def _gone(self, now: float, request: int) -> None:
+        left, t = self.origins.left(request), self.taken.get(request)
+        if left == "gone" or t is None:
+            self._over(now, request, "gone")
+            return
+        del self.taken[request]  # one that moved stays open in the book, for whoever ends it
+        if t.bin is not None:
+            self.bins.end(now + self.clock_ms, t.bin, t.cls, now - t.taken_ms)
+        if left == "known":
+            self.book.open.pop(t.number, None)
+
     # What it hears
 
     def _hear(self, event: Any) -> None:
@@ -351,6 +355,15 @@
             self._settle("over")
         for arm, why in self.ended.items():
             self._settle(f"ended/{arm}", why.encode())
+        self._write(now)
+
+    def leave(self, now: float) -> list[Any]:
+        """At the end of its gateway: what it has counted since its last record."""
+        self.acts = []
+        self._write(now)
+        return self.acts
+
+    def _write(self, now: float) -> None:
         self._write_bins(now)
         key, version = self.e.key(f"count/{self.life}"), self.record_version
         value = self.book.written()
--- a/meadowpulley/takeover/gateway.py
+++ b/meadowpulley/takeover/gateway.py
@@ -1,8 +1,9 @@
 """The stage at a gateway on sockets: its hook beside the intake, and what carries its actions out.
 
-Every request is told to the stage as `Taken`, in place of the `i.Request` that the intake would tell. A good
-answer is held until the stage passes it on, or says another: one that is held can't be refused or failed by
-the usual way, since for the gateway its request is over, so this stands outside all stages and does it.
+A request that is to be written is told to the stage as `Taken`, in place of the `i.Request` that the intake
+tells; of others it sees no more than the decisions do. A good answer is held until the stage passes it on, or
+says another: one that is held can't be refused or failed by the usual way, since for the gateway its request
+is over, so this stands outside all stages and does it.
 """
 
 from __future__ import annotations
@@ -95,6 +96,8 @@
         if asked.open and not self.stage.knows(asked.name):
             return True  # nothing of it is written: as without a ledger
         message = asked.message
+        if not self.stage.writes(asked.event.cls, len(message.body)):
+            return True
         headers = tuple(message.headers.items())
         self.gateway.tell(
             m.Taken(asked.event, asked.name, message.method, message.target, headers, message.body)
@@ -102,8 +105,9 @@
         return False
 
     def answering(self, request: int, answer: Answer, release: Release) -> None:
-        """What is not an instance's good answer was decided by the stages, or is late already."""
-        if answer.status != OK:
+        """What is not an instance's good answer was decided by the stages, or is late already; and of what is
+        not written none is held."""
+        if answer.status != OK or not self.stage.has(request):
             release(answer)
             return
         self.held[request] = release
--- a/meadowpulley/takeover/hand.py
+++ b/meadowpulley/takeover/hand.py
@@ -17,6 +17,7 @@
     WORK,
     Answer,
     Content,
+    First,
     Pass,
     Right,
     State,
@@ -61,6 +62,7 @@
     content: Content
     digest: bytes
     mark: int
+    first: First
     taken_ms: float  # on this gateway's clock; of an adopted one no later than it was
     lives: int = 1
     version: int = 0  # of its record; 0: none that is known
@@ -103,8 +105,8 @@
         )
         hint = min(max(r.work_hint_ms, 0.0), LONG_MS) if r.work_hint_ms is not None else None
         return Work(
-            FORMAT, state, self.cls.name, self.tenant, r.key, self.digest, self.mark, left, waited,
-            hint, r.write, r.arm, self.lives, self.tries, rights,
+            FORMAT, state, self.cls.name, self.tenant, r.key, self.digest, self.mark, self.first,
+            left, waited, hint, r.write, r.arm, self.lives, self.tries, rights,
         )  # fmt: skip
 
     def write(self, now: float) -> Step:
--- a/meadowpulley/takeover/hands.py
+++ b/meadowpulley/takeover/hands.py
@@ -204,8 +204,8 @@
 
     def _withdraw(self, hand: Hand) -> None:
         """The decisions have nothing more to do with it."""
-        self.pass_on(i.RequestGone(hand.request.request))
         hand.gone = True
+        self.pass_on(i.RequestGone(hand.request.request))
         for n in list(hand.waiting):
             self._moot(hand, n)
         self._leave(hand)
--- a/meadowpulley/takeover/model.py
+++ b/meadowpulley/takeover/model.py
@@ -24,7 +24,7 @@
 OWNER = "takeover"  # of its commits
 TOKEN = 2  # of its one timer; others are passed on
 BODY_MAX = 64 * 1024  # bytes; a request with more is not written down
-FORMAT: Literal[1] = 1
+FORMAT: Literal[2] = 2  # 1 did not say who took a request first
 LONG_MS = 1e9  # the longest duration a record can hold
 
 Duration = Annotated[float, msgspec.Meta(ge=0, le=LONG_MS)]
@@ -61,14 +61,23 @@
     won: Annotated[int, msgspec.Meta(ge=0)] = 0  # at which version of the ledger; 0: by this very write
 
 
+class First(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """Who took a request first: that life, and its own number of this piece of work. A life's numbers rise,
+    which those of its requests need not: a slot's number comes back with the slot."""
+
+    life: Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+    number: Annotated[int, msgspec.Meta(ge=0)]
+
+
 class Work(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    v: Literal[1]
+    v: Literal[2]
     state: State
     cls: str
     tenant: str
     key: Annotated[int, msgspec.Meta(ge=0)]
     digest: bytes  # of what the client sent
     mark: Annotated[int, msgspec.Meta(ge=0)]  # its writer's own number of this piece of work
+    first: First
     left_ms: Duration
     waited_ms: Duration  # since it was first taken, at whichever gateway
     hint_ms: Duration | None
@@ -84,7 +93,7 @@
 
 
 class Content(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    v: Literal[1]
+    v: Literal[2]
     method: str
     target: str
     headers: Headers
@@ -92,7 +101,7 @@
 
 
 class Answer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    v: Literal[1]
+    v: Literal[2]
     status: Annotated[int, msgspec.Meta(ge=100, le=599)]
     headers: Headers
     body: bytes
--- a/meadowpulley/takeover/stage.py
+++ b/meadowpulley/takeover/stage.py
@@ -97,18 +97,41 @@
         """Whether a request of that id is in hand here, or waits here for work in hand elsewhere."""
         return name in self.hands.by_name or name in self.asks.by_name
 
+    def writes(self, cls: int, size: int) -> bool:
+        """Whether a request of that class with a body of so many bytes is written down."""
+        which, safe = self.terms.written, self.s.classes[cls].effect is i.Effect.SAFE
+        wanted = which is m.Written.ALL or (which is m.Written.UNREPEATABLE and not safe)
+        return wanted and size <= m.BODY_MAX
+
+    def has(self, request: int) -> bool:
+        """Whether it is written, or has been: then its answer passes here."""
+        return request in self.hands.by_request
+
     def keeps(self, request: int) -> bool:
         """Whether the work of this request goes on without its client."""
         hand = self.hands.by_request.get(request)
         return hand is not None and not hand.gone
 
+    def origin_of(self, request: int) -> tuple[m.First, float] | None:
+        """Who took a written request first, and when on this gateway's clock, no later than it was; None for
+        what is not written. For the stages inside this one, from when they are told of it until its end."""
+        hand = self.hands.by_request.get(request)
+        return (hand.first, hand.taken_ms) if hand is not None else None
+
+    def moved(self, request: int) -> bool | None:
+        """Whether a request of which the stages inside are told that it is gone goes on elsewhere. False: its
+        id was known and it never was one of its own. None: it is gone with its client."""
+        hand = self.hands.by_request.get(request)
+        if hand is None or not (hand.gone or hand.giving):
+            return None
+        return hand.giving or hand.unsure or hand.version > 0
+
     # Intake
 
     def _taken(self, t: m.Taken) -> None:
         r, cls = t.request, self.s.classes[t.request.cls]
-        which, safe = self.terms.written, cls.effect is i.Effect.SAFE
-        wanted = which is m.Written.ALL or (which is m.Written.UNREPEATABLE and not safe)
-        if not wanted or len(t.body) > m.BODY_MAX:
+        safe = cls.effect is i.Effect.SAFE
+        if not self.writes(r.cls, len(t.body)):
             self.hands.pass_on(r)
             return
         digest, known = m.digest_of(t.method, t.target, t.body), self.hands.by_name.get(t.name)
@@ -126,7 +149,9 @@
         else:
             tenant = self.s.tenants[r.tenant].name if r.tenant < len(self.s.tenants) else ""
             content = m.Content(m.FORMAT, t.method, t.target, t.headers, t.body)
-            self.hands.begin(Hand(r, t.name, cls, tenant, content, digest, self.turn.mark(), self.turn.now))
+            mark = self.turn.mark()
+            first = m.First(str(self.hands.me), mark)
+            self.hands.begin(Hand(r, t.name, cls, tenant, content, digest, mark, first, self.turn.now))
 
     def _list(self, event: i.ServerList) -> None:
         if event.kind is i.ListKind.FULL or event.kind is i.ListKind.CACHED:
@@ -223,7 +248,9 @@
             adopted=True, tries=work.tries, tried=adopt.tried(claim.seen), arm=work.arm,
         )  # fmt: skip
         taken = max(claim.seen.floor_ms - work.waited_ms, -m.LONG_MS)
-        hand = Hand(request, event.name, cls, work.tenant, claim.content, work.digest, claim.mark, taken)
+        hand = Hand(
+            request, event.name, cls, work.tenant, claim.content, work.digest, claim.mark, work.first, taken
+        )  # fmt: skip
         hand.lives, hand.version, hand.content_version = work.lives + 1, claim.version, claim.content_version
         hand.earlier, hand.tries, hand.client = claim.rights, work.tries, False
         self.hands.begin(hand)
--- a/tests/test_ledger_client.py
+++ b/tests/test_ledger_client.py
@@ -20,6 +20,7 @@
     Ended,
     How,
     LedgerBack,
+    LedgerError,
     LedgerLost,
     MemoryStore,
     RefusedError,
@@ -173,6 +174,21 @@
     assert at.host.of(Committed)[-1].done[0].how is How.WON
 
 
+def test_a_ledger_that_can_be_read_and_not_written_stays_lost(monkeypatch: pytest.MonkeyPatch) -> None:
+    at = At()
+
+    def full(by: Any, steps: Any) -> Any:
+        raise LedgerError("ledger: /l: No space left on device: see to that disk")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(at.store, "commit", full)
+        at.ask(1, "x/1")
+        at.host.run(5_000.0)
+        assert len(at.host.of(LedgerLost)) == 1 and not at.host.of(LedgerBack)
+    at.host.run(1_000.0)
+    assert len(at.host.of(LedgerBack)) == 1
+
+
 def test_a_disk_that_hangs_leaves_nobody_waiting_and_its_late_answer_counts_for_nothing() -> None:
     at = At()
     at.aside.stuck = True
@@ -195,6 +211,17 @@
     assert [r.key for r in at.store.scan("x/")] == ["x/1"]
 
 
+def test_what_is_asked_at_the_end_goes_behind_a_look_under_way() -> None:
+    at = At()
+    at.aside.stuck = True
+    at.host.run(100.0)
+    assert at.aside.jobs
+    at.ask(1, "x/1")
+    at.client.leave()
+    at.client.close()
+    assert at.store.read("x/1") is not None and at.store.lives["n"].sealed
+
+
 def test_a_sealed_gateway_is_told_once_and_asks_no_more() -> None:
     at = At()
     renewal = at.store.lives["n"].renewal
--- /dev/null
+++ b/tests/test_placement_gateway.py
@@ -0,0 +1,176 @@
+"""An experiment at real gateways on the joint layout: one is killed, and each request counts once."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+from concurrent.futures import Future
+from http.server import BaseHTTPRequestHandler
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from meadowpulley.ledger import RefusedError
+from meadowpulley.ledger.disk import DiskStore
+from meadowpulley.net import names
+from meadowpulley.placement import Assignment, Experiment, Summary, parse_placement, read_count, read_summary
+from meadowpulley.placement.gateway import wanted
+from meadowpulley.rig.joint import Process, Reply, ask, lay_out
+from meadowpulley.settings import read_settings
+from tests.driver import settings
+from tests.processes.world import LEFT_MS, SETTINGS_HERE, World, status, until
+from tests.standins import ROOT
+
+FILE = """
+version = 1
+name = "try"
+unit = "key"
+carry_ms = 500.0
+[[arms]]
+name = "now"
+policy = "own"
+part = 0.5
+[[arms]]
+name = "by-key"
+policy = "key"
+part = 0.5
+[end]
+requests = 100000
+"""
+KEYS, EACH, OPEN = 16, 4, 20
+ASKED = 3 * KEYS * EACH + OPEN
+
+
+class Placed(World):
+    """Notes which server each request went to first."""
+
+    def __init__(self, folder: Path, size: int, environ: dict[str, str]) -> None:
+        self.server: dict[str, Any] = {}
+        super().__init__(folder, size, environ)
+
+    def _act(self, handler: BaseHTTPRequestHandler, body: bytes) -> None:
+        self.server.setdefault(handler.headers[names.ID], handler.server.server_address)
+        super()._act(handler, body)
+
+    def look(self, at: Process, name: str, key: int) -> Future[Reply | None]:
+        return self._clients.submit(ask, at.address, name, "/look", key=f"{key:016x}", left_ms=LEFT_MS - 1000)
+
+    def summary(self, e: Experiment) -> Summary:
+        classes = read_settings(SETTINGS_HERE, "test").classes
+        store = DiskStore(str(self.fleet.ledger))
+        try:
+            return read_summary(e, classes, store.scan("placement/"), store.members())
+        finally:
+            store.close()
+
+    def gateways(self) -> set[str]:
+        store = DiskStore(str(self.fleet.ledger))
+        try:
+            return {member.life.name for member in store.members()}
+        finally:
+            store.close()
+
+    def counts(self, e: Experiment) -> dict[str, Any]:
+        """The record of each life."""
+        store = DiskStore(str(self.fleet.ledger))
+        try:
+            found = [read_count(record.value) for record in store.scan(e.key("count/"))]
+        finally:
+            store.close()
+        return {count.life: count for count in found if count is not None}
+
+
+@pytest.fixture
+def experiment(tmp_path: Path) -> Iterator[tuple[Placed, Experiment]]:
+    lay_out()
+    file = tmp_path / "placement.toml"
+    file.write_text(FILE)
+    world = Placed(tmp_path, 4, {"MEADOWPULLEY_PLACEMENT": str(file)})
+    yield world, parse_placement(FILE.encode(), "file")
+    world.stop()
+
+
+def test_each_request_of_an_experiment_counts_once_though_a_gateway_is_killed(
+    experiment: tuple[Placed, Experiment], tmp_path: Path
+) -> None:
+    world, e = experiment
+    gateways = [world.fleet.launch(n) for n in range(3)]
+    for gateway in gateways:
+        gateway.wait_for("ready")
+    until(lambda: len(world.counts(e)) == 3, "all of them count")
+
+    asked = {
+        (n, key, k): world.look(gateways[n], f"{n:04x}{key:08x}{k:04x}", key)
+        for k in range(EACH) for n in range(3) for key in range(1, KEYS + 1)
+    }  # fmt: skip
+    assert Counter(status(answer) for answer in asked.values()) == {200: 3 * KEYS * EACH}
+    servers: dict[tuple[int, int], Counter[Any]] = defaultdict(Counter)
+    for n, key, k in asked:
+        servers[n, key][world.server[f"{n:04x}{key:08x}{k:04x}"]] += 1
+    arm = {key: Assignment(e).arm(b"key %d" % key) for key in range(1, KEYS + 1)}
+    assert all(len(found) == 1 for (_, key), found in servers.items() if arm[key] == 1)
+    assert any(len(found) > 1 for (_, key), found in servers.items() if arm[key] == 0)
+
+    held = [f"{0xFF:04x}{n:012x}" for n in range(OPEN)]
+    first = [world.ask(gateways[0], name, "/look/hold") for name in held]
+    world.wait_for_send(*held)
+    until(lambda: len(world.counts(e)["g0.1"].open) == OPEN, "its record names them as open")
+    gateways[0].kill()
+    assert [status(answer) for answer in first] == [0] * OPEN
+    again = [world.ask(gateways[1 + n % 2], name, "/look/hold", again=True) for n, name in enumerate(held)]
+    assert [status(answer) for answer in again] == [200] * OPEN
+    until(lambda: world.summary(e).adopted == OPEN, "their ends are written")
+
+    found = world.summary(e)
+    assert (found.requests, found.held, found.outside, found.lives) == (ASKED, 0, 0, 3)
+    whole = [a for a in found.arms if not a.cls]
+    assert sum(a.served for a in whole) == ASKED and all(a.requests > OPEN for a in whole)
+    assert sum(a.open + a.lost + a.gone + a.failed + a.refused for a in whole) == 0
+    assert not [line for gateway in gateways for line in gateway.told("fault")]
+
+    more = [world.look(gateways[2], f"{0xEE:04x}{n:012x}", n + 1) for n in range(KEYS)]
+    assert [status(answer) for answer in more] == [200] * KEYS
+    gateways[2].signal(signal.SIGTERM)
+    assert gateways[2].ended() == 0
+    assert world.summary(e).requests == ASKED + KEYS  # the last ones are not lost with a planned stop
+
+    world.fleet.launch(0).wait_for("ready")  # the killed one comes back with the same file
+    other = tmp_path / "other.toml"
+    other.write_text(FILE.replace("500.0", "700.0"))
+    late = world.fleet.launch(3, {"MEADOWPULLEY_PLACEMENT": str(other)})
+    assert late.ended() == 2
+    (line,) = [line["line"] for line in late.told("plain")]
+    assert f"{other}: name: 'try' runs as version {e.digest[:8]}, this file is" in line
+    assert "g3" not in world.gateways()  # and begun no life
+
+
+BAD = [
+    ("", "name a file that can be read"),
+    (FILE.replace('"own"', '"best"'), "'best' is none; known are own"),
+    (FILE.replace("part = 0.5", "part = 0.6"), "parts add up to 1.2, over 1; make them smaller"),
+]
+
+
+@pytest.mark.parametrize(("text", "found"), BAD)
+def test_a_bad_file_is_refused_in_one_line(tmp_path: Path, text: str, found: str) -> None:
+    file = tmp_path / "placement.toml"
+    if text:
+        file.write_text(text)
+    with pytest.raises(RefusedError, match=found) as bad:
+        wanted(settings(), {"MEADOWPULLEY_PLACEMENT": str(file), "MEADOWPULLEY_LEDGER": str(tmp_path)})
+    assert "\n" not in str(bad.value) and str(file) in str(bad.value)
+
+
+def test_without_its_libraries_the_start_is_refused_in_one_line() -> None:
+    code = (
+        "import sys; from types import SimpleNamespace as N; from meadowpulley import joint\n"
+        "sys.modules['scipy'] = None\n"
+        "joint.start(N(config=N(settings=None)), {'MEADOWPULLEY_PLACEMENT': 'file'}, 0, None)"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=False)
+    line = done.stderr.strip().splitlines()[-1]
+    assert "RefusedError: MEADOWPULLEY_PLACEMENT: " in line and "requirements-placement.txt" in line
--- a/tests/test_placement_stage.py
+++ b/tests/test_placement_stage.py
@@ -20,6 +20,7 @@
     How,
     LedgerBack,
     LedgerLost,
+    Life,
     MemoryStore,
     Seal,
     Step,
@@ -53,6 +54,19 @@
         return answers
 
 
+class Origins:
+    """Of requests taken here their own number, unless told else; none has moved but those in `left_as`."""
+
+    def __init__(self, life: Life, known: dict[int, Origin]) -> None:
+        self.life, self.known, self.left_as = life, known, dict[int, Any]()
+
+    def origin_of(self, request: int) -> Origin | None:
+        return self.known.get(request, Origin(str(self.life), request, 0.0))
+
+    def left(self, request: int) -> Any:
+        return self.left_as.get(request, "gone")
+
+
 class Gateway:
     """A stage on a shared ledger in memory; `cut` loses the ledger, `kill` all that it had not written."""
 
@@ -61,7 +75,8 @@
         self.inner, self.life = Decisions(), store.begin(name, 1000.0)
         fields: dict[str, Any] = {"arms": ARMS, "end": End(requests=10**6), "carry_ms": 500.0} | more
         e = Experiment(1, "try", **fields)
-        self.stage = PlacementStage(self.inner, e, SETTINGS, self.life, origin_of=(origins or {}).get)
+        self.origins = Origins(self.life, origins or {})
+        self.stage = PlacementStage(self.inner, e, SETTINGS, self.life, origins=self.origins)
         self.said: list[str] = []
         self.seen = 0
 
@@ -246,6 +261,18 @@
     assert sum(arm.served for arm in a.summary().arms if not arm.cls) == 1
 
 
+def test_a_gateway_that_leaves_writes_what_it_has_counted_since_its_last_record() -> None:
+    g = began()
+    g.take(1.0, 1)
+    g.look(2.0)
+    g.take(3.0, 2)
+    g.serve(4.0, 1)
+    for action in g.stage.leave(5.0):
+        g.store.commit(g.life, action.steps)
+    arms = [arm for arm in g.summary().arms if not arm.cls]
+    assert (sum(a.served for a in arms), sum(a.open for a in arms)) == (1, 1)
+
+
 def test_a_write_of_unknown_fate_is_not_written_twice_over() -> None:
     a = began()
     a.take(1.0, 1)
--- a/tests/test_takeover_gateway.py
+++ b/tests/test_takeover_gateway.py
@@ -16,13 +16,13 @@
 class Bench(HookBench):
     """Its ledger carries commits out at once; while `waiting` is a list they wait there."""
 
-    def __init__(self) -> None:
+    def __init__(self, written: Written = Written.ALL) -> None:
         super().__init__(None)
         self.store, self.waiting = MemoryStore(), None
         self.life = self.store.begin("a", 2000.0)
         self.may = True
         stage = Takeover(
-            self.gateway.config.settings, self.told, self.life, lambda now: self.may, Terms(Written.ALL)
+            self.gateway.config.settings, self.told, self.life, lambda now: self.may, Terms(written)
         )
         self.gateway.balancer = self.bridge = Bridge(self.gateway, stage, stage, 3000.0)
         self.gateway.carry_out(Commit, self.commit)
@@ -57,6 +57,16 @@
     assert b" 200 " in client.sent and client.sent.endswith(b"r1")
 
 
+def test_what_is_not_written_passes_as_without_a_ledger() -> None:
+    bench = Bench(Written.NONE)
+    bench.waiting = []
+    client = bench.ask("r1")
+    assert bench.sent() == 1
+    assert b" 409 " in bench.ask("r1").sent  # nobody could join it: that one goes on
+    bench.answer()
+    assert b" 200 " in client.sent and not bench.waiting and not bench.bridge.held
+
+
 @pytest.mark.parametrize("answered", [True, False], ids=["answered", "in hand"])
 def test_the_client_that_asks_again_gets_the_same_answer_once(answered: bool) -> None:
     bench = Bench()
