KNOWN-RED.txt: listed tests have to fail, are printed, and can hide nothing else

A listed test runs, and counts as expected to fail (strict): it fails the run once it passes. A line without test, cause and issue, a fourth line, a test listed twice or one that is nowhere ends the run with one line and no success.

--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,48 @@
+"""Tests that fail for a real fault which could not be mended yet, as KNOWN-RED.txt at the root lists them: one
+line each, its test, the cause and the issue, between bars. They run and are printed. A listed test that
+passes, one that is nowhere, a line too many or one that lacks a part fails the run."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+NAME = "KNOWN-RED.txt"
+MOST = 3
+
+
+@dataclass(frozen=True, slots=True)
+class KnownRed:
+    test: str  # its node id, as pytest prints it
+    cause: str
+    issue: str
+
+
+def read(path: Path) -> list[KnownRed]:
+    """The listed tests; none where there is no file. Raises pytest.UsageError, one line."""
+    lines = path.read_text().splitlines() if path.exists() else []
+    if len(lines) > MOST:
+        raise pytest.UsageError(f"{NAME}: line {MOST + 1}: {MOST} at most: mend one before another lands")
+    found: list[KnownRed] = []
+    for number, line in enumerate(lines, 1):
+        parts = [part.strip() for part in line.split("|")]
+        if len(parts) != 3 or not all(parts):
+            raise pytest.UsageError(f"{NAME}: line {number}: not 'test | cause | issue'")
+        if parts[0] in (known.test for known in found):
+            raise pytest.UsageError(f"{NAME}: line {number}: {parts[0]} is listed twice")
+        found.append(KnownRed(*parts))
+    return found
+
+
+def mark(listed: Iterable[KnownRed], items: Iterable[pytest.Item], everything: bool) -> None:
+    """Listed tests have to fail. Raises pytest.UsageError where all were collected and one is not there."""
+    by_id = {item.nodeid: item for item in items}
+    for known in listed:
+        if known.test in by_id:
+            why = f"{known.cause} ({known.issue})"
+            by_id[known.test].add_marker(pytest.mark.xfail(reason=why, strict=True))
+        elif everything:
+            raise pytest.UsageError(f"{NAME}: {known.test}: there is no such test: take its line out")
