--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,5 +1,5 @@
-"""Tests that fail for a real fault which could not be mended yet, as KNOWN-RED.txt at the root lists them: one
-line each, its test, the cause and the issue, between bars. They run and are printed. A listed test that
+"""Tests that fail for a real fault which could not be mended yet, as KNOWN-RED.txt at the root lists them:
+one line each, its test, the cause and the issue, between bars. They run and are printed. A listed test that
 passes, one that is nowhere, a line too many or one that lacks a part fails the run."""
 
 from __future__ import annotations
