Ledger: it is back once a line like the one that failed is written, not by a look

A lost ledger was told as back by a look that had begun before it was lost: the look is given up after WAIT, comes back well, and `_looked` took it for the probe, which only a look begun after the loss carries (client.py: _pump passed `lost` as of its start, _looked asked `lost` as of its end). On a full disk, where all looks succeed, the ledger then came and went with each slow look, and each time counted all others' leases anew. And the probe was a line of some hundred bytes: one that still fits where a record of some KB finds no room.

Now only a job that carried a probe brings the ledger back. The probe is as long as the group that failed, from one block to 64 KiB; it is a step that loses, so that nothing is changed, and goes out once a WAIT and not at each poll, as a disk that takes a write and can't make it lasting grows the log by it.

Test: the table FULL in tests/test_ledger_client.py, a store that reads and fails writes (all of them; those beyond 2,000 bytes; all, after a slow look).

--- a/meadowpulley/ledger/client.py
+++ b/meadowpulley/ledger/client.py
@@ -25,6 +25,7 @@
     Changes,
     Commit,
     Committed,
+    Create,
     Done,
     How,
     LedgerBack,
@@ -42,6 +43,9 @@
 )
 
 PROBE = "probe"  # no record ever has this key
+# A lost ledger is back once a line as long as the one that failed can be written: one shorter than a block of
+# the file system may still fit the log's last block, and a longer one find no room for all of it.
+PROBE_LEAST, PROBE_MOST = 4096, 1 << 16
 
 
 class Host(Protocol):
@@ -87,6 +91,7 @@
     began: float
     group: Group | None
     scans: tuple[Scan, ...]
+    probe: int = 0  # bytes to be written beside its look, as the ledger is lost
     given_up: bool = False
 
 
@@ -128,6 +133,7 @@
         self._version = 0
         self._watched: tuple[str, ...] | None = ()
         self.lost = self.ended = self._leaving = False
+        self._probe, self._probe_at = PROBE_LEAST, 0.0
         self.keeper: Keeper | None = None
         for kind, function in ((Commit, self.commit), (Scan, self.scan), (Watched, self._watch)):
             host.carry_out(kind, function)
@@ -218,29 +224,34 @@
         if group is not None:
             self._host.counters.add("ledger.groups")
         self._job = job = _Job(self._host.deadlines.now(), group, scans)
+        if look and self.lost and job.began >= self._probe_at:
+            # Not at every poll: what a disk takes and can't make lasting grows the log by as much.
+            job.probe, self._probe_at = self._probe, job.began + self._settings.wait_ms
         prefixes = self._watches()
         if prefixes != self._prefixes:
             self._prefixes, self._version = prefixes, 0
-        version, watched, lost = self._version, self._watched, self.lost
+        version, watched = self._version, self._watched
         self._aside(
-            lambda: self._work(job, look, lost, version, prefixes, watched),
+            lambda: self._work(job, look, version, prefixes, watched),
             lambda result: self._done(job, result),
         )
 
     def _work(
-        self, job: _Job, look: bool, lost: bool, version: int, prefixes: tuple[str, ...],
+        self, job: _Job, look: bool, version: int, prefixes: tuple[str, ...],
         watched: tuple[str, ...] | None,
     ) -> Result:  # fmt: skip
         """In the thread. Whatever fails, its result comes back. A ledger that was lost is back once it can be
-        written: of a full disk, and of one that is read-only, all looks succeed."""
+        written: of a full disk, and of one that is read-only, all looks succeed. What is written for that
+        loses, and changes nothing."""
         result = Result()
         try:
             if job.group is not None:
                 result.done = self._store.commit(self.life, job.group.steps)
             for scan in job.scans:
                 result.scans.append(tuple(self._store.scan(scan.prefix)))
-            if look and lost:
-                self._store.commit(self.life, [Step((Unchanged(PROBE, 0),))])
+            if job.probe:
+                line = Step((Unchanged(PROBE, 1), Create(PROBE, bytes(job.probe))))
+                self._store.commit(self.life, [line])
             if look:
                 result.changes = self._store.changes(version, prefixes, watched)
         except LedgerError as bad:
@@ -263,6 +274,8 @@
                 found = result.scans[n] if n < len(result.scans) else None
                 self._host.tell(Scanned(scan.ticket, found, scan.owner))
         if result.why:
+            if job.group is not None and result.done is None:
+                self._probe = max(self._probe, min(job.group.bytes, PROBE_MOST))
             self._lose(result.why)
         elif result.changes is not None:
             self._looked(job, result.changes)
@@ -273,8 +286,8 @@
         mine = [m for m in changes.members if m.life.name == self.life.name]
         if any(m.sealed or m.life != self.life for m in mine):
             self._end()
-        elif self.lost:
-            self.lost = False
+        elif self.lost and job.probe:  # a look from before it was lost says nothing of writes
+            self.lost, self._probe, self._probe_at = False, PROBE_LEAST, 0.0
             self._host.log.info("ledger back", folder=self._settings.folder)
             self._host.tell(LedgerBack())
         self._host.tell(Changed(changes, job.began))
--- a/meadowpulley/ledger/groups.py
+++ b/meadowpulley/ledger/groups.py
@@ -24,6 +24,11 @@
 class Group:
     commits: tuple[Commit, ...]
 
+    @property
+    def bytes(self) -> int:
+        """About those that it takes on the way."""
+        return sum(size(commit) for commit in self.commits)
+
     @property
     def steps(self) -> list[Step]:
         return [step for commit in self.commits for step in commit.steps]
--- a/tests/test_ledger_client.py
+++ b/tests/test_ledger_client.py
@@ -24,6 +24,7 @@
     LedgerLost,
     MemoryStore,
     RefusedError,
+    Renew,
     Scan,
     Scanned,
     Seal,
@@ -31,6 +32,7 @@
 )
 from meadowpulley.ledger.client import LedgerClient, Result, Worker, start_ledger
 from meadowpulley.ledger.config import LedgerSettings, read_settings
+from meadowpulley.ledger.entries import Steps, encode
 from meadowpulley.net.counters import Counters
 
 
@@ -174,19 +176,35 @@
     assert at.host.of(Committed)[-1].done[0].how is How.WON
 
 
-def test_a_ledger_that_can_be_read_and_not_written_stays_lost(monkeypatch: pytest.MonkeyPatch) -> None:
-    at = At()
+# What a disk without room refuses, while all looks succeed: every write, or those that need a new block of
+# it; whether the ledger is lost by such a write, or by a slow look that comes back once the disk is full.
+FULL = {"every write": (0, False), "long writes": (2_000, False), "after a slow look": (0, True)}
+
+
+@pytest.mark.parametrize(("room", "slow_look"), FULL.values(), ids=FULL)
+def test_a_ledger_that_can_be_read_and_not_written_stays_lost(
+    monkeypatch: pytest.MonkeyPatch, room: int, slow_look: bool
+) -> None:
+    at, real = At(), MemoryStore.commit
 
     def full(by: Any, steps: Any) -> Any:
-        raise LedgerError("ledger: /l: No space left on device: see to that disk")
+        lines = tuple(s for s in steps if Renew() not in s.writes)  # a renewal is a name, and no line
+        if lines and len(encode(Steps(by, "", lines))) > room:
+            raise LedgerError("ledger: /l: No space left on device: see to that disk")
+        return real(at.store, by, steps)
 
+    at.aside.stuck = slow_look
+    at.host.run(1_000.0)
     with monkeypatch.context() as patch:
         patch.setattr(at.store, "commit", full)
-        at.ask(1, "x/1")
+        at.aside.stuck = False
+        at.aside.work()
+        if not slow_look:
+            at.client.commit(Commit(1, (Step((Create("x/1", bytes(3_000)),)),), "t"))
         at.host.run(5_000.0)
         assert len(at.host.of(LedgerLost)) == 1 and not at.host.of(LedgerBack)
     at.host.run(1_000.0)
-    assert len(at.host.of(LedgerBack)) == 1
+    assert len(at.host.of(LedgerBack)) == 1 and not at.store.scan("probe")
 
 
 def test_a_disk_that_hangs_leaves_nobody_waiting_and_its_late_answer_counts_for_nothing() -> None:
