Takeover: after a lost ledger, a marked ask of an unknown id fails for one deadline

With the ledger lost a gateway serves on unwritten. One that is then lost itself leaves no trace of what it ran, and the client's next ask, at a gateway whose ledger is back by then, was taken as new (stage.py: _taken, which fails marked asks only while the ledger is lost): an unsafe request, or a keyed one outside its group, ran a second time.

From when a gateway finds its ledger back it now fails, for the longest deadline of the classes that may not simply be repeated, asks of such classes that are marked as asked again and whose id is not known. The id is looked up, as that of a refusal is: a record answers as ever.

Weighed and excluded: failing marked asks of unknown ids at all times (each planned restart makes some of requests that nobody has taken); taking on nothing unsafe while the ledger is lost (a gateway without its ledger serves on, as promised).

Test: the table UNWRITTEN, by class, mark and time, with the rows that stay open.

--- a/meadowpulley/takeover/hands.py
+++ b/meadowpulley/takeover/hands.py
@@ -68,6 +68,11 @@
         self.pass_on(hand.request)
         self.flush(hand)
 
+    def fail_unknown(self, hand: Hand) -> None:
+        """Only looked up: a record of its id answers it; where there is none it may have run unwritten."""
+        self.by_request[hand.request.request] = self.by_name[hand.name] = hand
+        self.final(hand, Final(State.FAILED, i.Fail(hand.request.request)))
+
     def _known(self, hand: Hand, found: Record) -> None:
         """The id of a request just taken has a record already: another gateway's, or of an earlier ask."""
         work: m.Work | None = None
--- a/meadowpulley/takeover/stage.py
+++ b/meadowpulley/takeover/stage.py
@@ -65,6 +65,8 @@
         self.orphans = Orphans(settings, me, self.terms, self.mirror, self.keeping)
         self.give_at = math.inf  # when what is left is given away, as this gateway stops
         self.stops = False
+        # Until then what others have served unwritten, as the ledger was lost, may be asked for once more.
+        self.unsure_until = -math.inf
         self.timer_at = math.inf
         self.ticket = 0
         self.asked: dict[int, list[For]] = {}
@@ -151,7 +153,11 @@
             content = m.Content(m.FORMAT, t.method, t.target, t.headers, t.body)
             mark = self.turn.mark()
             first = m.First(str(self.hands.me), mark)
-            self.hands.begin(Hand(r, t.name, cls, tenant, content, digest, mark, first, self.turn.now))
+            hand = Hand(r, t.name, cls, tenant, content, digest, mark, first, self.turn.now)
+            if r.repeat and not safe and self.turn.now < self.unsure_until:
+                self.hands.fail_unknown(hand)
+            else:
+                self.hands.begin(hand)
 
     def _list(self, event: i.ServerList) -> None:
         if event.kind is i.ListKind.FULL or event.kind is i.ListKind.CACHED:
@@ -228,6 +234,8 @@
 
     def _ledger_back(self, event: LedgerBack) -> None:
         self.hands.lost = False
+        longest = max((c.deadline_ms for c in self.s.classes if c.effect is not i.Effect.SAFE), default=0.0)
+        self.unsure_until = self.turn.now + longest  # by when the last client of those waits no longer
         for hand in list(self.hands.by_name.values()):
             self.hands.flush(hand)
         self.hands.pass_on(event)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -250,6 +250,45 @@
     assert fleet.records() == ["takeover/answer/o", "takeover/work/o"]
 
 
+# A request runs at a while these gateways have lost their ledger, or before that, and a is lost with it. What
+# its client gets that asks at b so long after the ledger is back, marked or not, and how often it ran.
+UNWRITTEN: dict[str, tuple[int, str, bool, bool, float, str, int]] = {
+    "unsafe": (PAY, "ab", False, True, 0, "Fail", 1),
+    "keyed": (ORDER, "ab", False, True, 0, "Fail", 1),
+    "safe": (READ, "ab", False, True, 0, "200 run 2", 2),
+    "just before one deadline": (PAY, "ab", False, True, 5900, "Fail", 1),
+    "written before": (PAY, "ab", True, True, 0, "200 run 1", 1),
+    # What is left: nothing tells these from requests that nobody has seen.
+    "after one deadline": (PAY, "ab", False, True, 6000, "200 run 2", 2),
+    "not marked": (PAY, "ab", False, False, 0, "200 run 2", 2),
+    "lost by its gateway alone": (PAY, "a", False, True, 0, "200 run 2", 2),
+}
+
+
+@pytest.mark.parametrize(
+    ("cls", "lost", "written", "marked", "after", "said", "runs"), UNWRITTEN.values(), ids=UNWRITTEN
+)
+def test_what_ran_unwritten_runs_again_only_for_asks_that_nothing_tells_from_new_ones(
+    cls: int, lost: str, written: bool, marked: bool, after: float, said: str, runs: int
+) -> None:
+    fleet = Fleet()
+    if written:
+        fleet["a"].ask("n", cls)
+        fleet.go(100)
+    for name in lost:
+        fleet[name].tell(LedgerLost("gone"))
+    if not written:
+        fleet["a"].ask("n", cls)
+    fleet.go(10)
+    fleet.kill("a")
+    for name in lost[1:]:
+        fleet[name].tell(LedgerBack())
+    fleet.go(after)
+    fleet["b"].ask("n", cls, repeat=marked)
+    fleet.go(200)
+    assert (fleet["b"].said["n"], fleet.ran["n"]) == ([said], runs)
+
+
 def test_a_planned_stop_gives_what_waits_away_at_once_and_the_rest_before_it_is_killed() -> None:
     fleet = Fleet()
     fleet["a"].decisions.waits = True
