Ledger: at a planned end all groups that wait are written, not the first one alone

`LedgerClient.close` pumped once: one group, of 512 steps or 1 MB at most. What was asked for behind it in the same moment was dropped without a word, the life's own end last of all, so that the others had to find out by themselves that it had gone.

Test: 514 commits, the end of the life, then close. The stand-in for the thread told the reactor of its results at close and so pumped on by itself, which the real one does not, as the reactor has stopped by then; it no longer does. Red without the mend with that stand-in, green with it.

--- a/meadowpulley/ledger/client.py
+++ b/meadowpulley/ledger/client.py
@@ -166,8 +166,11 @@
 
     def close(self) -> None:
         """At the end of the process: no longer than one wait, whatever the disk does."""
-        self._job = None  # the reactor has stopped: of one under way nobody is told, and this goes behind it
-        self._pump()
+        while True:  # the reactor has stopped: of one under way nobody is told, and the rest goes behind it
+            self._job = None
+            self._pump()
+            if not len(self._groups):
+                break
         if self._aside.close(self._settings.wait_ms):
             self._store.close()
 
--- a/tests/test_ledger_client.py
+++ b/tests/test_ledger_client.py
@@ -33,6 +33,7 @@
 from meadowpulley.ledger.client import LedgerClient, Result, Worker, start_ledger
 from meadowpulley.ledger.config import LedgerSettings, read_settings
 from meadowpulley.ledger.entries import Steps, encode
+from meadowpulley.ledger.groups import MOST_STEPS
 from meadowpulley.net.counters import Counters
 
 
@@ -105,7 +106,9 @@
             done(work())
 
     def close(self, wait_ms: float) -> bool:
-        self.work()
+        """The reactor has stopped: nobody is told what became of the jobs."""
+        for work, _ in self.jobs:
+            work()
         return True
 
 
@@ -234,10 +237,11 @@
     at.aside.stuck = True
     at.host.run(100.0)
     assert at.aside.jobs
-    at.ask(1, "x/1")
+    for ticket in range(MOST_STEPS + 2):  # more than go into one group
+        at.ask(ticket, f"x/{ticket}")
     at.client.leave()
     at.client.close()
-    assert at.store.read("x/1") is not None and at.store.lives["n"].sealed
+    assert len(at.store.scan("x/")) == MOST_STEPS + 2 and at.store.lives["n"].sealed
 
 
 def test_a_sealed_gateway_is_told_once_and_asks_no_more() -> None:
