Takeover: the record of a long answer is removed though its write was not heard of

Where a write of the final answer was not heard of and the record is found to be its own, Hand.had_won counted an answer record for each served one. An answer over 64 KiB has none, so that the step by which a life removes what it has kept named a record that never was, lost as a whole, and left the others for as long as the life lasted.

Test: an answer beyond what is kept, its write unheard, `keep_ms` gone by. Red without the mend, green with it.

--- a/meadowpulley/takeover/hand.py
+++ b/meadowpulley/takeover/hand.py
@@ -144,7 +144,9 @@
         if work.mark != self.mark:
             return None
         content = ended == bool(self.content_version)  # it was removed, or made
-        keys = [WORK, *([CONTENT] if content else []), *([ANSWER] if state is State.SERVED else [])]
+        final = self.end_of(state)
+        answer = final is not None and final.answer is not None  # a longer one is not kept
+        keys = [WORK, *([CONTENT] if content else []), *([ANSWER] if answer else [])]
         self.unsure = False
         self._at(tuple(keys), found.version, ended)
         return state
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -9,7 +9,7 @@
 
 from meadowpulley import interface as i
 from meadowpulley.ledger import Commit, Create, Ended, LedgerBack, LedgerLost, Replace, Step
-from meadowpulley.takeover import Pass, Stopping, Written
+from meadowpulley.takeover import Pass, Stopping, Written, model
 from meadowpulley.takeover.model import WORK, State, decode_work
 from tests.takeover_fleet import ORDER, PAY, READ, TERM, Fleet, Gateway, stop_at
 
@@ -304,6 +304,22 @@
     assert fleet.records() == []
 
 
+def test_the_record_of_an_answer_too_long_to_be_kept_goes_too_where_its_write_was_not_heard_of(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(model, "BODY_MAX", len("run 1") - 1)
+    fleet = Fleet(keep_ms=1000.0)
+    fleet["a"].ask("n", PAY)
+    fleet.go(20)
+    fleet["a"].trouble = "unheard"
+    fleet.go(50)
+    fleet["a"].trouble = ""
+    fleet.go(200)
+    assert (fleet.said("n"), fleet.records()) == (ONCE, ["takeover/work/n"])
+    fleet.go(1500)
+    assert fleet.records() == []
+
+
 def test_what_a_dead_life_has_kept_is_removed_by_one_that_starts_later() -> None:
     fleet = Fleet(keep_ms=1000.0)
     fleet["a"].ask("n", PAY)
