Takeover: tests that exclude a stop with an answer held, a full file told as back, a late answer

Orders that were looked at and hold, each forced by a test that stays:

- SIGTERM while an answer is held until it is recorded: the gateway goes on until it is passed, though its listener is closed and no request is owed any more (the connection is what it waits for).
- A log that may not grow (RLIMIT_FSIZE on a started gateway): lost until a write goes through, no "ledger back" in between, unwritten requests served, then written again.
The failpoints that fail writes say so as well now.

--- a/tests/processes/test_takeover.py
+++ b/tests/processes/test_takeover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import resource
 import signal
 from collections.abc import Callable, Iterator
 from functools import partial
@@ -145,6 +146,22 @@
     assert told == [200] * 20
     assert [status(world.ask(whole, f"whole-{n}", "/pay/x")) for n in range(3)] == [200] * 3
     assert max(world.sends.values()) == 1 and cut.process.poll() is None
+    assert not cut.told("ledger back")
+
+
+def test_a_file_that_may_not_grow_is_a_ledger_lost_until_writes_go_through(start: Start) -> None:
+    world = start(1)
+    (gateway,) = world.fleet.start()
+    pid, room = gateway.process.pid, (world.fleet.ledger / "log.00000001").stat().st_size + 700
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (room, resource.RLIM_INFINITY))
+    numbers = iter(range(1000))
+    until(lambda: status(world.ask(gateway, f"a-{next(numbers)}", "/pay/x")) and gateway.told("ledger lost"))
+    assert [status(world.ask(gateway, f"full-{n}", "/pay/x")) for n in range(20)] == [200] * 20
+    assert not gateway.told("ledger back") and max(world.sends.values()) == 1
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+    gateway.wait_for("ledger back")
+    assert status(world.ask(gateway, "back", "/pay/x")) == 200
+    assert "takeover/work/back" in world.records()
 
 
 def test_a_folder_that_is_gone_and_comes_back(start: Start) -> None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -179,10 +179,10 @@
     fleet["a"].trouble = trouble
     fleet["a"].ask("n", PAY)
     fleet.go(700)
+    assert fleet.said("n") == said, "long before its time is over, however slow the ledger"
     fleet["a"].trouble = ""
     fleet.go(5000)
-    assert (fleet.said("n"), fleet.ran["n"]) == (said, runs)
-    assert fleet["b"].stage.mirror.open == {}, "its record is at its end"
+    assert (fleet.said("n"), fleet.ran["n"], fleet["b"].stage.mirror.open) == (said, runs, {})
 
 
 # Trouble with a's ledger as the answer comes, and whether its lease holds when that was held for long enough;
--- a/tests/test_takeover_gateway.py
+++ b/tests/test_takeover_gateway.py
@@ -7,6 +7,7 @@
 import pytest
 
 from meadowpulley.ledger import Changed, Changes, Commit, Committed, Ended, Life, MemoryStore, RefusedError
+from meadowpulley.net.gateway import ACCEPT_ON_MS
 from meadowpulley.takeover import Adopt, Takeover, Terms, Written
 from meadowpulley.takeover.gateway import Bridge, read_terms
 from meadowpulley.takeover.model import Stopping
@@ -128,6 +129,21 @@
     assert [r.key for r in bench.store.scan("takeover/answer/")] == ["takeover/answer/r1"]
 
 
+def test_a_planned_stop_waits_for_an_answer_that_is_held() -> None:
+    bench = Bench()
+    bench.gateway.drain()
+    bench.wait(ACCEPT_ON_MS - 100.0)
+    client, bench.waiting = bench.ask("r1"), []
+    bench.answer()
+    bench.wait(100.0)  # from here on its last connection's end is the gateway's
+    assert client.up and client.sent == b"" and bench.phase == "draining"
+    (commit,), bench.waiting = bench.waiting, None
+    bench.commit(commit)
+    assert b" 200 " in client.sent and client.closing
+    client.lose()
+    assert bench.phase == "stopped"
+
+
 def test_a_planned_stop_is_told_before_connections_close() -> None:
     bench = Bench()
     bench.gateway.drain()
