--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -2,34 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from functools import partial
 from random import Random
-from typing import Any
 
 import pytest
 
 from meadowpulley import interface as i
-from meadowpulley.ledger import Commit, Create, Ended, LedgerBack, LedgerLost, Step
-from meadowpulley.takeover import Pass, Stopping, Written
-from tests.takeover_fleet import ORDER, PAY, READ, TERM, Fleet, Gateway
+from meadowpulley.ledger import Commit, Create, Ended, LedgerBack, LedgerLost, Replace, Step
+from meadowpulley.takeover import Pass, Stopping, Written, model
+from meadowpulley.takeover.model import WORK, State, decode_work
+from tests.takeover_fleet import ORDER, PAY, READ, TERM, Fleet, Gateway, stop_at
 
 ONCE = ["200 run 1"]
 
 
-def stop_at(fleet: Fleet, kind: type, skip: int, stop: Callable[[], None], name: str = "a") -> None:
-    """Calls `stop` right before that gateway's action of that kind, once `skip` have passed."""
-    left = [skip]
-
-    def before(action: Any) -> None:
-        if isinstance(action, kind):
-            left[0] -= 1
-            if left[0] == -1:
-                stop()
-
-    fleet[name].before = before
-
-
 def test_a_request_is_written_its_right_won_and_its_answer_recorded_before_each_goes_out() -> None:
     fleet = Fleet()
     seen: list[tuple[str, list[str], int]] = []
@@ -193,30 +179,47 @@
     fleet["a"].trouble = trouble
     fleet["a"].ask("n", PAY)
     fleet.go(700)
+    assert fleet.said("n") == said, "long before its time is over, however slow the ledger"
     fleet["a"].trouble = ""
     fleet.go(5000)
-    assert (fleet.said("n"), fleet.ran["n"]) == (said, runs)
-    assert fleet["b"].stage.mirror.open == {}, "its record is at its end"
+    assert (fleet.said("n"), fleet.ran["n"], fleet["b"].stage.mirror.open) == (said, runs, {})
+
+
+# Trouble with a's ledger as the answer comes, and whether its lease holds when that was held for long enough;
+# what its own client is told, and what those are who ask after that, and once all has been written.
+HELD: dict[str, tuple[str, bool, list[str], list[str]]] = {
+    "recorded, not heard of": ("unheard", True, ONCE, ONCE),
+    "recorded, not heard of, its lease over": ("unheard", False, ["Fail"], ONCE),
+    "recorded late": ("slow", True, ONCE, ONCE),
+    "recorded late, its lease over": ("slow", False, ["Fail"], ONCE),
+    "not recorded": ("cut", True, ONCE, ONCE),
+    "not recorded, its lease over": ("cut", False, ["Fail"], ["Fail"]),
+}
 
 
-@pytest.mark.parametrize(("asleep", "said"), [(False, ONCE), (True, ["Fail"])])
-def test_an_answer_that_can_not_be_recorded_is_passed_only_under_the_own_lease(
-    asleep: bool, said: list[str]
+@pytest.mark.parametrize(("trouble", "holds", "said", "after"), HELD.values(), ids=HELD)
+def test_an_answer_not_known_to_be_recorded_is_passed_only_under_the_own_lease_and_a_record_stands(
+    trouble: str, holds: bool, said: list[str], after: list[str]
 ) -> None:
-    fleet = Fleet()
+    fleet, written = Fleet(), list[State]()
+    fleet.won = lambda g, step: written.extend(
+        decode_work(w.value).state for w in step.writes if isinstance(w, Create | Replace) and WORK in w.key
+    )
     fleet["a"].ask("n", PAY)
     fleet.go(20)
-    fleet["a"].trouble = "unheard"
-    if asleep:
+    fleet["a"].trouble = trouble
+    if not holds:  # as after a sleep
         fleet["a"].keeper.terms = fleet["a"].keeper.terms.__class__(term_ms=TERM, act_part=0.0)
         fleet["a"].keeper._acts_until = 0.0
-    fleet.go(600)
+    fleet.go(360)
     assert fleet.said("n") == said
-    fleet["a"].trouble = ""
-    fleet.go(1000)
-    fleet["b"].ask("n", PAY)
-    fleet.go(100)
-    assert fleet.said("n") == said * 2
+    for name in "bc":  # at b while a's own write is still to be made, at c after it
+        fleet[name].ask("n", PAY)
+        fleet.go(100 if trouble != "cut" else 240)
+        fleet["a"].trouble = ""
+        fleet.go(1000)
+    assert (fleet["b"].said["n"], fleet["c"].said["n"], fleet.ran["n"]) == (after, after, 1)
+    assert written == [State.OPEN, State.SERVED if after == ONCE else State.FAILED], "its end is written once"
 
 
 def test_with_the_ledger_lost_new_work_is_served_unwritten_and_a_second_ask_fails() -> None:
@@ -232,6 +235,45 @@
     assert fleet.records() == ["takeover/answer/o", "takeover/work/o"]
 
 
+# A request runs at a while these gateways have lost their ledger, or before that, and a is lost with it. What
+# its client gets that asks at b so long after the ledger is back, marked or not, and how often it ran.
+UNWRITTEN: dict[str, tuple[int, str, bool, bool, float, str, int]] = {
+    "unsafe": (PAY, "ab", False, True, 0, "Fail", 1),
+    "keyed": (ORDER, "ab", False, True, 0, "Fail", 1),
+    "safe": (READ, "ab", False, True, 0, "200 run 2", 2),
+    "just before one deadline": (PAY, "ab", False, True, 5900, "Fail", 1),
+    "written before": (PAY, "ab", True, True, 0, "200 run 1", 1),
+    # What is left: nothing tells these from requests that nobody has seen.
+    "after one deadline": (PAY, "ab", False, True, 6000, "200 run 2", 2),
+    "not marked": (PAY, "ab", False, False, 0, "200 run 2", 2),
+    "lost by its gateway alone": (PAY, "a", False, True, 0, "200 run 2", 2),
+}
+
+
+@pytest.mark.parametrize(
+    ("cls", "lost", "written", "marked", "after", "said", "runs"), UNWRITTEN.values(), ids=UNWRITTEN
+)
+def test_what_ran_unwritten_runs_again_only_for_asks_that_nothing_tells_from_new_ones(
+    cls: int, lost: str, written: bool, marked: bool, after: float, said: str, runs: int
+) -> None:
+    fleet = Fleet()
+    if written:
+        fleet["a"].ask("n", cls)
+        fleet.go(100)
+    for name in lost:
+        fleet[name].tell(LedgerLost("gone"))
+    if not written:
+        fleet["a"].ask("n", cls)
+    fleet.go(10)
+    fleet.kill("a")
+    for name in lost[1:]:
+        fleet[name].tell(LedgerBack())
+    fleet.go(after)
+    fleet["b"].ask("n", cls, repeat=marked)
+    fleet.go(200)
+    assert (fleet["b"].said["n"], fleet.ran["n"]) == ([said], runs)
+
+
 def test_a_planned_stop_gives_what_waits_away_at_once_and_the_rest_before_it_is_killed() -> None:
     fleet = Fleet()
     fleet["a"].decisions.waits = True
@@ -262,6 +304,22 @@
     assert fleet.records() == []
 
 
+def test_the_record_of_an_answer_too_long_to_be_kept_goes_too_where_its_write_was_not_heard_of(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(model, "BODY_MAX", len("run 1") - 1)
+    fleet = Fleet(keep_ms=1000.0)
+    fleet["a"].ask("n", PAY)
+    fleet.go(20)
+    fleet["a"].trouble = "unheard"
+    fleet.go(50)
+    fleet["a"].trouble = ""
+    fleet.go(200)
+    assert (fleet.said("n"), fleet.records()) == (ONCE, ["takeover/work/n"])
+    fleet.go(1500)
+    assert fleet.records() == []
+
+
 def test_what_a_dead_life_has_kept_is_removed_by_one_that_starts_later() -> None:
     fleet = Fleet(keep_ms=1000.0)
     fleet["a"].ask("n", PAY)
