One pending next try of a failed watch, called off when a newer watch or none is wanted

Cause: discovery.py `_watch_failed` left `deadlines.after(..., lambda: self.watch(True))` to itself. When SIGHUP (`moved`) or the decisions had opened a newer watch meanwhile, the try abandoned it (one more call, and its answer lost); after `watch(False)` or `stop` it opened a watch that nobody wanted. A watch opened by what the decisions do on hearing of the failure was abandoned the same way, and `_news` opened the next watch though the decisions had just given it up.

Looked at and excluded: the platform's next connection (control.py `_again`) is one already, and `moved` and `stop` call it off.

--- a/meadowpulley/net/discovery.py
+++ b/meadowpulley/net/discovery.py
@@ -190,6 +190,7 @@
         self._wanted = False  # a watch, by the decisions' last word
         self._answer_due = False  # the decisions asked, and are owed one list, be it empty
         self._failures = 0
+        self._again: Deadline | None = None  # the one next try after a failed watch
         ask_within = gateway.config.settings.rules.ask_within_ms
         self._wait = min(ask_within or WAIT_MS, MOST_WAIT_MS)
         self._random = random.Random(gateway.config.seed)
@@ -206,6 +207,7 @@
             self.watch(True)
 
     def stop(self) -> None:
+        self.gateway.deadlines.call_off(self._again)
         for call in (self._watch, self._fetch):
             if call is not None:
                 call.abandon()
@@ -231,10 +233,12 @@
     def watch(self, on: bool) -> None:
         """What changed since the last list comes first, at once, and after that every change."""
         self._wanted = on
+        # A next try that was left pending abandoned the newer watch, or opened one that nobody wanted.
+        self.gateway.deadlines.call_off(self._again)
         if self._watch is not None:
             self._watch.abandon()
             self._watch = None
-        if on:
+        if on and not self.gateway.stopping:
             self._answer_due = True
             self._ask(0.0)
 
@@ -253,16 +257,19 @@
             self._watch_failed(str(error))
             return
         self._failures = 0
-        if self._watch is None and not self.gateway.stopping:
+        if self._watch is None and self._wanted and not self.gateway.stopping:
             self._ask(self._wait)
 
     def _watch_failed(self, why: str, kind: i.ListKind = i.ListKind.FAILED) -> None:
         self._watch = None
         self._failed(why, kind)
+        if self._watch is not None or not self._wanted:  # by what the decisions said to that
+            return
         if not self.gateway.config.settings.must_ask and not self.gateway.stopping:
             pause = min(AGAIN_MS[0] * 2 ** min(self._failures, 10), AGAIN_MS[1]) if self._failures else 0.0
             self._failures += 1
-            self.gateway.deadlines.after(pause * self._random.uniform(0.5, 1.0), lambda: self.watch(True))
+            wait = pause * self._random.uniform(0.5, 1.0)
+            self._again = self.gateway.deadlines.after(wait, lambda: self.watch(True))
 
     def _failed(self, why: str, kind: i.ListKind) -> None:
         self.gateway.counters.add("list.failed")
