An older list that arrives last is not believed, and is asked for again

Cause: discovery.py `_tell` took whatever came last. With `fetch` and the watch out at once, on two connections, an answer from before a newer one, arriving after it, took the version back and told an instance that drains, or is gone, as in service again, though the newer list counts as told once it is written.

A call written after all that was read is answered with what is true by then: its answer is believed, whatever its version. A lower version in the answer to a call written before that may be older, or from after a restart; nobody can tell, so it is counted (`list.overtaken`) and asked for again, which tells. After SIGHUP both calls are made anew, so the new address is believed from its first answer on.

Found beside it: changes since a version that discovery has not reached (it was restarted) say nothing of what it forgot; the gateway asked on from there and could keep an instance for good. The next watch now asks for everything (after=0).

--- a/meadowpulley/net/discovery.py
+++ b/meadowpulley/net/discovery.py
@@ -15,7 +15,7 @@
 from meadowpulley.net import names
 from meadowpulley.net.config import Address
 from meadowpulley.net.deadlines import Deadline
-from meadowpulley.net.entries import CallFailedError, Entries
+from meadowpulley.net.entries import CallFailedError, Entries, OvertakenError
 from meadowpulley.net.host import Host
 from meadowpulley.net.http1 import BadMessageError, Message, Parser, request_bytes
 from meadowpulley.net.link import Link, connect
@@ -103,12 +103,13 @@
     """One call, from the connection it may need to its answer, with one deadline over all of it."""
 
     def __init__(
-        self, discovery: Discovery, target: str, limit_ms: float, done: Callable[[Any], None],
+        self, discovery: Discovery, target: str, limit_ms: float, done: Callable[[Any, int], None],
         failed: Callable[[str, i.ListKind], None],
     ) -> None:  # fmt: skip
         self.discovery, self.target = discovery, target
         self._done, self._failed = done, failed
         self.over = False
+        self._lists = 0  # that had been read when the call was written
         self.link: DiscoveryLink | None = None
         self.opening: Deferred[Any] | None = None
         self.limit: Deadline = discovery.gateway.deadlines.after(limit_ms, self._late)
@@ -128,7 +129,7 @@
         if self.over:
             link.drop()
             return
-        self.link = link
+        self.link, self._lists = link, self.discovery.lists
         link.ask(self.target).addCallbacks(self._answered, self._broke).addErrback(
             lambda _: self.discovery.gateway.failed("discovery")
         )
@@ -148,7 +149,7 @@
         self._close_call()
         if link is not None and link.up:
             self.discovery.kept = link
-        self._done(raw)
+        self._done(raw, self._lists)
 
     def _broke(self, failure: Failure) -> None:
         self.opening = None
@@ -185,6 +186,8 @@
         self.entries = Entries(gateway.config.settings, clock_offset)
         self.kept: DiscoveryLink | None = None
         self.version = 0
+        self.lists = 0  # read so far; a call that is answered was written when so many had been
+        self._after = 0  # the version that the watch asked with
         self._watch: Call | None = None
         self._fetch: Call | None = None
         self._wanted = False  # a watch, by the decisions' last word
@@ -243,15 +246,19 @@
             self._ask(0.0)
 
     def _ask(self, wait: float) -> None:
-        target = f"{names.LIST}?{names.AFTER}={self.version}&{names.WAIT}={wait:.0f}"
+        self._after = self.version
+        target = f"{names.LIST}?{names.AFTER}={self._after}&{names.WAIT}={wait:.0f}"
         self.gateway.counters.add("list.watches")
         limit = wait + SILENT_MS if wait else GRACE_MS
         self._watch = Call(self, target, limit, self._news, self._watch_failed)
 
-    def _news(self, raw: Any) -> None:
+    def _news(self, raw: Any, lists: int) -> None:
         self._watch = None
         try:
-            self._tell(raw, None)
+            self._tell(raw, None, lists)
+        except OvertakenError:
+            self._ask(0.0)
+            return
         except CallFailedError as error:
             self._spoilt()
             self._watch_failed(str(error))
@@ -291,10 +298,12 @@
             self.gateway.counters.add("list.fetches")
             self._fetch = Call(self, names.LIST, GRACE_MS, self._fetched, self._fetch_failed)
 
-    def _fetched(self, raw: Any) -> None:
+    def _fetched(self, raw: Any, lists: int) -> None:
         self._fetch = None
         try:
-            self._tell(raw, None)
+            self._tell(raw, None, lists)
+        except OvertakenError:
+            self.fetch()
         except CallFailedError as error:
             self._spoilt()
             self._fetch_failed(str(error))
@@ -303,8 +312,15 @@
         self._fetch = None
         self._failed(why, kind)
 
-    def _tell(self, raw: Any, kind: i.ListKind | None) -> None:
+    def _tell(self, raw: Any, kind: i.ListKind | None, lists: int = 0) -> None:
+        """Discovery handles calls in turn, so its versions rise; they fall only when it was restarted or has
+        moved. A call written after all that was read is answered with what is true by then, whatever its
+        version. An answer with a lower version to a call written before that is from before the newer list,
+        or from after a restart: as nobody can tell, it is not believed, and asked for again, which tells."""
         whole, version, found = self.entries.read(raw)
+        if version < self.version and lists < self.lists:
+            self.gateway.counters.add("list.overtaken")
+            raise OvertakenError
         for entry, address in found:
             if address is not None and entry.state is not i.ServerState.GONE:
                 self.instances.place(entry.server, address, (entry.build, entry.started_ms))
@@ -315,7 +331,11 @@
         for entry, _ in found:
             if entry.state is i.ServerState.DRAINING:
                 self.instances.close_idle(entry.server)
-        self.version = version
+        # Changes since a version that discovery has not reached, or that this gateway no longer has: it was
+        # restarted, and of what it forgot or never knew they say nothing. The next watch asks for everything.
+        gap = kind is None and not whole and self._after > min(version, self.version)
+        self.version = 0 if gap else version
+        self.lists += 1
         if kind is None:
             kind = i.ListKind.FULL if whole else i.ListKind.CHANGES
         self.gateway.counters.add("list.entries", len(found))
--- a/meadowpulley/net/entries.py
+++ b/meadowpulley/net/entries.py
@@ -15,6 +15,10 @@
     """Discovery gave no list: out of reach, out of order, or not to be read."""
 
 
+class OvertakenError(Exception):
+    """The list may be older than one that was read before it."""
+
+
 class Entries:
     """Turns discovery's entries into the interface's, and names into numbers."""
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,6 +10,7 @@
 
 from meadowpulley import interface as i
 from meadowpulley.net.discovery import Discovery
+from tests.standins import entry
 from tests.test_silent_watch import Rig
 
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s"
@@ -19,6 +20,9 @@
     return json.dumps({"index": index, "snapshot": whole, "endpoints": entries}, indent=2).encode()
 
 
+UP, DRAINS = entry("s-1", "127.0.0.1:9"), entry("s-1", "127.0.0.1:9", status="terminating")
+
+
 class Call:
     """One that came: answered, broken or left alone by the test."""
 
@@ -59,6 +63,23 @@
         assert len(self.calls) == known + 1
         return self.calls[-1]
 
+    def heard(self) -> list[tuple[int, list[i.ServerState]]]:
+        """Versions and states, of what was told since the last look."""
+        events, self.events = self.events, []
+        return [(event.version, [e.state for e in event.entries]) for event in events]
+
+
+READY, DRAINING = i.ServerState.READY, i.ServerState.DRAINING
+
+
+def watching(rig: Held, index: int, *entries: dict[str, Any]) -> Call:
+    """The watch that follows the first list, still open."""
+    rig.discovery.start()
+    rig.call().answer(listed(index, *entries, whole=True))
+    watch = rig.call()
+    assert rig.heard() and watch.target == f"after={index}&wait_ms=10000"
+    return watch
+
 
 def after_failures(rig: Held, many: int) -> None:
     """A watch that failed so often, and whose next try is pending."""
@@ -103,3 +124,68 @@
     rig.call().answer(listed(1))
     rig.run(100.0)
     assert len(rig.calls) == 1
+
+
+def test_an_older_whole_list_that_arrives_last_revives_nothing_and_is_asked_for_again() -> None:
+    # The version went back, and the instance that drains was sent to again until the next change.
+    rig = Held()
+    watch = watching(rig, 41, UP)
+    rig.discovery.fetch()
+    fetch = rig.call()
+    watch.answer(listed(43, DRAINS))
+    fetch.answer(listed(41, UP, whole=True))  # written before that
+    assert rig.heard() == [(43, [DRAINING])]
+    rig.run(20.0)
+    assert [call.target for call in rig.calls[-2:]] == ["after=43&wait_ms=10000", ""]
+    rig.calls[-1].answer(listed(43, DRAINS, whole=True))
+    assert rig.heard() == [(43, [DRAINING])] and not rig.failures
+
+
+def test_older_changes_that_arrive_last_revive_nothing_and_are_asked_for_again() -> None:
+    rig = Held()
+    watch = watching(rig, 41, UP)
+    rig.discovery.fetch()
+    rig.call().answer(listed(43, whole=True))  # it is gone
+    watch.answer(listed(42, UP))
+    assert rig.heard() == [(43, [])]
+    assert rig.call().target == "after=43&wait_ms=0"
+
+
+def test_a_newer_list_is_believed_in_whatever_order_it_was_asked_for() -> None:
+    rig = Held()
+    watch = watching(rig, 41, UP)
+    rig.discovery.fetch()
+    fetch = rig.call()
+    watch.answer(listed(42))
+    fetch.answer(listed(43, DRAINS, whole=True))
+    assert rig.heard() == [(43, [DRAINING])]
+    rig.run(20.0)
+    rig.calls[-1].answer(listed(43, DRAINS))  # all since 42, of which it knows already
+    assert rig.heard() == [(43, [DRAINING])]
+
+
+def restarted(rig: Held, watch: Call) -> Call:
+    watch.breaks()
+    return rig.call()
+
+
+def moved(rig: Held, watch: Call) -> Call:
+    rig.discovery.moved()
+    return rig.call()
+
+
+@pytest.mark.parametrize("how", [restarted, moved])
+@pytest.mark.parametrize(
+    ("whole", "then"),
+    [(True, "after=3&wait_ms=10000"), (False, "after=0&wait_ms=10000")],  # what it never knew may be gone
+)
+def test_versions_that_fall_when_discovery_was_restarted_or_moved_are_believed(
+    how: Callable[[Held, Call], Call], whole: bool, then: str
+) -> None:
+    rig = Held()
+    again = how(rig, watching(rig, 41, UP))
+    assert again.target == "after=41&wait_ms=0"
+    rig.heard()
+    again.answer(listed(3, DRAINS, whole=whole))
+    assert rig.heard() == [(3, [DRAINING])]
+    assert rig.call().target == then
