A gateway that stood still reads the answer that came meanwhile before it gives up its call

Cause: discovery.py `Call._late` did not look whether the answer lies unread in the kernel, as `_cut_short` does. And link.py `dataReceived` runs what is due ahead of the bytes that it was just handed: these are in the kernel no more, so `unread` said no for both, and the answer was thrown away with its connection, the watch counted as silent. A gateway on a shared core stands still for seconds; the list that it was told then was lost, and asked for anew.

Now `_late` waits for what is unread, and `Link.unread` counts the bytes in hand (a flag while the deadlines run; every connection's idle and silent limits that ask `unread` gain by it).

Bound: a connection to discovery that came up in time, but was not yet seen to, is still given up and opened anew at once.

tests/net_program/test_list_races.py stops the program (SIGSTOP) with its watch out, has the answer written, lets the limit pass and continues it: red with `_late` as it was, green with it. tests/test_discovery.py has the four orders, whole answer or its rest, deadlines first or bytes first: all red without the change, and the two of bytes first without the flag (run).

--- a/meadowpulley/net/discovery.py
+++ b/meadowpulley/net/discovery.py
@@ -157,6 +157,9 @@
             self._finish(failure.getErrorMessage(), None)
 
     def _late(self) -> None:
+        if self.link is not None and self.link.unread():  # this gateway is late, not the answer
+            self.limit = self.discovery.gateway.deadlines.after(PART_MS, self._late)
+            return
         self._finish("no answer in time", self.link, i.ListKind.SILENT)
 
     def _close_call(self) -> None:
--- a/meadowpulley/net/link.py
+++ b/meadowpulley/net/link.py
@@ -68,6 +68,7 @@
         self.wire: Any = None
         self.up = False
         self._feeding = False
+        self._in_hand = False  # bytes that the kernel holds no more, while what is due runs ahead of them
 
     def connectionMade(self) -> None:  # noqa: N802
         self.up, self.wire = True, self.transport
@@ -78,7 +79,9 @@
             opening.up.callback(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._in_hand = True
         self.deadlines.run_due()  # what is due runs before new input
+        self._in_hand = False
         if not self.up:
             return
         try:
@@ -124,7 +127,9 @@
         self._feeding = False
 
     def unread(self) -> bool:
-        """Whether the kernel holds bytes, or the end of the connection, that were not read yet."""
+        """Whether bytes, or the end of the connection, have come that were not read yet."""
+        if self._in_hand:
+            return True
         try:
             self.wire.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
--- /dev/null
+++ b/tests/net_program/test_list_races.py
@@ -0,0 +1,32 @@
+"""The program and its list in bad orders, by signals and by peers that answer when the test says so."""
+
+from __future__ import annotations
+
+import os
+import signal
+import threading
+
+from tests.net_program.conftest import Start
+from tests.net_program.test_around import ask_until_it_serves
+from tests.standins import LIMIT_S, SETTINGS, Discovery, Instance, entry
+
+WAIT_MS, LIMIT_MS = 300.0, 1_800.0  # of a watch by these settings, and until it counts as silent
+
+
+def test_an_answer_that_came_in_time_is_read_by_a_gateway_that_is_late(start: Start) -> None:
+    # The call was given up with its answer unread in the kernel, as if discovery had fallen silent.
+    old, new = Instance(), Instance()
+    discovery = Discovery([entry("s-1", old.address)])
+    rules = SETTINGS["rules"] | {"ask-within-ms": WAIT_MS}
+    gateway = start([], discovery=discovery.address, settings=SETTINGS | {"rules": rules})
+    while discovery.asked.get(timeout=LIMIT_S) < 5:
+        pass  # the watch has its first list
+    gateway.process.send_signal(signal.SIGSTOP)
+    os.waitid(os.P_PID, gateway.process.pid, os.WSTOPPED | os.WNOWAIT)
+    discovery.change([entry("s-2", new.address)])
+    threading.Event().wait((LIMIT_MS + 200.0) / 1000.0)  # the clock runs on
+    gateway.process.send_signal(signal.SIGCONT)
+    ask_until_it_serves(gateway.client(), new)
+    os.kill(gateway.process.pid, signal.SIGUSR1)
+    assert "list.failed" not in gateway.wait_for("counters")
+    assert discovery.connections == 1
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -189,3 +190,37 @@
     again.answer(listed(3, DRAINS, whole=whole))
     assert rig.heard() == [(3, [DRAINING])]
     assert rig.call().target == then
+
+
+class Late:
+    """What a gateway does that stood still: its clock runs on, and what came meanwhile lies unread."""
+
+    def __init__(self, rig: Held, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.rig, self.by = rig, 0.0
+        monkeypatch.setattr(Held, "now", property(lambda rig: rig.reactor.seconds() * 1000.0 + self.by))
+
+    def stands_still(self, ms: float, unread: Any = None) -> None:
+        """With bytes in the kernel, by this connection, if the deadlines run before it is read."""
+        if unread is not None:
+            unread.transport.getHandle = lambda: SimpleNamespace(recv=lambda *_: b"H")
+        self.by += ms
+        if unread is not None:
+            self.rig.gateway.deadlines.run_due()
+            del unread.transport.getHandle
+
+
+@pytest.mark.parametrize("in_kernel", [True, False], ids=["deadlines first", "bytes first"])
+@pytest.mark.parametrize("part", [0, 30], ids=["whole", "rest"])
+def test_what_came_in_time_is_read_by_a_gateway_that_stood_still(
+    monkeypatch: pytest.MonkeyPatch, in_kernel: bool, part: int
+) -> None:
+    rig = Held()
+    late = Late(rig, monkeypatch)
+    watch = watching(rig, 41, UP)
+    body = listed(42, DRAINS)
+    whole = HEAD % (len(body), body)
+    if part:
+        watch.protocol.dataReceived(whole[:part])
+    late.stands_still(20_000.0, watch.protocol if in_kernel else None)
+    watch.protocol.dataReceived(whole[part:])
+    assert rig.heard() == [(42, [DRAINING])] and watch.protocol.up
