Pushed lists: discovery's return is found in time for drains, a silent watch at once

Cause: discovery.py `_watch_failed` paused up to 4 s between failed watches whatever the settings say. Where lists are pushed, what discovery tells at its return counts at once, and with a time for drains of 2 s a gateway could still send to what drains for 2 s more. And a watch that fell silent waited out the pause of the failures before it: found after 4 s, asked anew up to 4 s later, while what it missed counts as told after 6 s.

Now the longest pause is half of the settings' time for drains (4 s where they name none, or more than 8 s), with the derivation beside it, and a silent watch is opened anew at once, as the decisions do where lists are asked for (`ListKind.SILENT`): silence is found after seconds, by each gateway at its own time, so that this adds no herd.

Weighed: during an outage a pushed-mode gateway calls about every 0.75 s where the time for drains is 2 s, every 3 s before. At the return it makes one call as before. What is asked for (`subscribe`) has its pauses from the decisions and is as it was.

tests/test_discovery.py: the longest gap between failing calls for 2000 and 400 ms, and the silent watch after an outage, are red without the change (run); no time for drains, 4 s, was and is green.

--- a/meadowpulley/net/discovery.py
+++ b/meadowpulley/net/discovery.py
@@ -29,7 +29,10 @@
 # The same for a call that may wait for news: discovery counts what a silent one misses as told 2 s after its
 # wait, and the next call has to be answered by then.
 SILENT_MS = 1_500.0
-AGAIN_MS = (500.0, 4_000.0)  # where the list comes unasked: pauses after failed watches but the first
+# Where the list comes unasked: first and longest pause after failed watches but the first. What is told when
+# discovery is back counts at once, and after the settings' time for that nothing may be sent any more to what
+# drains: no pause is longer than half of that time, so that the other half is left for the call itself.
+AGAIN_MS = (500.0, 4_000.0)
 LIST_BOUND = 8 * 1024 * 1024  # a list of thousands of instances
 
 
@@ -198,6 +201,7 @@
         self._failures = 0
         self._again: Deadline | None = None  # the one next try after a failed watch
         ask_within = gateway.config.settings.rules.ask_within_ms
+        self._longest = min(gateway.config.settings.rules.drain_grace_ms / 2 or AGAIN_MS[1], AGAIN_MS[1])
         self._wait = min(ask_within or WAIT_MS, MOST_WAIT_MS)
         self._random = random.Random(gateway.config.seed)
 
@@ -276,8 +280,11 @@
         if self._watch is not None or not self._wanted:  # by what the decisions said to that
             return
         if not self.gateway.config.settings.must_ask and not self.gateway.stopping:
-            pause = min(AGAIN_MS[0] * 2 ** min(self._failures, 10), AGAIN_MS[1]) if self._failures else 0.0
-            self._failures += 1
+            pause = min(AGAIN_MS[0] * 2 ** min(self._failures, 10), self._longest) if self._failures else 0.0
+            if kind is i.ListKind.SILENT:  # found after seconds, by each at its own time: it is late already
+                pause = 0.0
+            else:
+                self._failures += 1
             wait = pause * self._random.uniform(0.5, 1.0)
             self._again = self.gateway.deadlines.after(wait, lambda: self.watch(True))
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,6 +4,8 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import replace
+from itertools import pairwise
 from types import SimpleNamespace
 from typing import Any
 
@@ -12,7 +14,7 @@
 from meadowpulley import interface as i
 from meadowpulley.net.discovery import Discovery
 from tests.standins import entry
-from tests.test_silent_watch import Rig
+from tests.test_silent_watch import ANSWER_MS, TOLD_AFTER_SILENCE_MS, Rig
 
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s"
 
@@ -40,11 +42,14 @@
 class Held(Rig):
     """Pushed lists, and no decisions: what they would be told is kept."""
 
-    def __init__(self, must_ask: bool = False) -> None:
+    def __init__(self, must_ask: bool = False, grace_ms: float = 0.0) -> None:
         self.calls: list[Call] = []
         self.events: list[Any] = []
         self.react: Callable[[Any], None] = lambda event: None
         super().__init__(must_ask)
+        told = self.driver.b.s
+        self.gateway.config.settings = replace(told, rules=replace(told.rules, drain_grace_ms=grace_ms))
+        self.discovery = Discovery(self.gateway, self.discovery.instances, 0.0)
 
     def tell(self, event: i.Event) -> None:
         self.events.append(event)
@@ -224,3 +229,38 @@
     late.stands_still(20_000.0, watch.protocol if in_kernel else None)
     watch.protocol.dataReceived(whole[part:])
     assert rig.heard() == [(42, [DRAINING])] and watch.protocol.up
+
+
+def gaps(rig: Held, ms: float) -> list[float]:
+    """Between the calls of a time in which each fails as it comes."""
+    rig.discovery.start()
+    came = [0.0]
+    while rig.now < ms:
+        known = len(rig.calls)
+        rig.run(10.0)
+        for call in rig.calls[known:]:
+            came.append(rig.now)
+            call.breaks()
+    return [after - before for before, after in pairwise(came)]
+
+
+@pytest.mark.parametrize(("grace_ms", "longest"), [(2_000.0, 1_000.0), (400.0, 200.0), (0.0, 4_000.0)])
+def test_where_lists_are_pushed_discovery_s_return_is_found_within_half_the_time_for_drains(
+    grace_ms: float, longest: float
+) -> None:
+    # What is told at the return counts at once; the next try came up to 4 s later, whatever drains allow.
+    found = gaps(Held(grace_ms=grace_ms), 40_000.0)
+    assert longest / 2 < max(found) <= longest + 20.0
+
+
+def test_where_lists_are_pushed_a_watch_silent_after_an_outage_is_opened_anew_at_once() -> None:
+    # Its pause was that of the failures before it: up to 4 s on top of the 4 s after which it was found.
+    rig = Held()
+    assert max(gaps(rig, 10_000.0)) > 1_000.0
+    known = len(rig.calls)
+    while len(rig.calls) == known:
+        rig.run(10.0)
+    fell_silent = rig.now
+    while len(rig.calls) == known + 1:
+        rig.run(10.0)
+    assert rig.now - fell_silent <= TOLD_AFTER_SILENCE_MS - ANSWER_MS
