Of a name that a list holds twice the last word holds, for its address too

Cause: discovery.py `_tell` took each entry of a list by itself. A name that was gone and back in one list ('terminated', then 'in_service' under another build, as a log of what changed would hold it) was told to the decisions as in service, and its address forgotten right after: every request sent there could not connect until the next change of it.

Looked at and excluded: two names at one address are two instances with a pool each; an empty whole list leaves none, an empty list of changes changes nothing; 'terminated' in a whole list takes the entry away.

Now only the last entry of each name counts. tests/test_discovery.py, whole lists and changes: the six cases of a name that comes more than once are red without the change (run; two of them only because the word that did not hold was told as well), the others green.

--- a/meadowpulley/net/discovery.py
+++ b/meadowpulley/net/discovery.py
@@ -328,6 +328,7 @@
         version. An answer with a lower version to a call written before that is from before the newer list,
         or from after a restart: as nobody can tell, it is not believed, and asked for again, which tells."""
         whole, version, found = self.entries.read(raw)
+        found = list({entry.server: (entry, address) for entry, address in found}.values())  # last word holds
         if version < self.version and lists < self.lists:
             self.gateway.counters.add("list.overtaken")
             raise OvertakenError
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -44,12 +44,18 @@
 
     def __init__(self, must_ask: bool = False, grace_ms: float = 0.0) -> None:
         self.calls: list[Call] = []
+        self.placed: dict[int, Any] = {}  # addresses, as the instances' part is told of them
         self.events: list[Any] = []
         self.react: Callable[[Any], None] = lambda event: None
         super().__init__(must_ask)
         told = self.driver.b.s
         self.gateway.config.settings = replace(told, rules=replace(told.rules, drain_grace_ms=grace_ms))
-        self.discovery = Discovery(self.gateway, self.discovery.instances, 0.0)
+        places: Any = SimpleNamespace(
+            place=lambda server, address, _: self.placed.update({server: address}),
+            forget=lambda server: self.placed.pop(server, None),
+            close_idle=lambda _: None,
+        )
+        self.discovery = Discovery(self.gateway, places, 0.0)
 
     def tell(self, event: i.Event) -> None:
         self.events.append(event)
@@ -264,3 +270,30 @@
     while len(rig.calls) == known + 1:
         rig.run(10.0)
     assert rig.now - fell_silent <= TOLD_AFTER_SILENCE_MS - ANSWER_MS
+
+
+GONE = entry("s-1", "127.0.0.1:9", status="terminated")
+ELSEWHERE = entry("s-1", "127.0.0.1:10", build=42)
+OTHER = entry("s-2", "127.0.0.1:9")
+
+
+@pytest.mark.parametrize("whole", [True, False])
+@pytest.mark.parametrize(
+    ("entries", "states", "placed"),
+    [
+        ([GONE, ELSEWHERE], [READY], [10]),  # back under another build: a log of what changed
+        ([ELSEWHERE, GONE], [i.ServerState.GONE], []),
+        ([DRAINS, GONE, UP, ELSEWHERE], [READY], [10]),
+        ([UP, OTHER], [READY, READY], [9, 9]),  # two names at one address are two instances
+        ([], [], []),
+    ],
+)
+def test_of_a_name_that_a_list_holds_twice_the_last_word_holds(
+    entries: list[dict[str, Any]], states: list[i.ServerState], placed: list[int], whole: bool
+) -> None:
+    # An instance that was gone and back in one list was told to the decisions, and its place forgotten.
+    rig = Held()
+    watching(rig, 41).answer(listed(42, *entries, whole=whole))
+    assert rig.heard() == [(42, states)] * (whole or bool(entries))
+    assert [address[1] for address in rig.placed.values()] == placed
+    assert len(rig.discovery.entries.numbers) == len(placed)
