No watch or connection to discovery is lost by a fault, a failure at once or a fetch

Found by reading discovery.py and entries.py for more of the same kind; each shown by a forced order in tests/test_discovery.py:

- `Call.__init__` opened its connection: one that failed inside `connect` told its failure before it was stored (and broke on `self.opening`, None by then), so that a call already over stood as the watch.
Twisted's own `connectTCP` fails in a later turn, so nobody met this; calls are now stored, then started.
- `_answered` put its connection over one kept already by the other call (fetch beside watch): open, and forgotten.
- A kept connection that held a part of an answer nobody asked for was used again; what followed broke the next call.
- An exception of ours while a list was taken ended the watch for good: nothing opens another where lists are pushed, nor do the decisions, that had heard of no failure.
It is logged as a fault and the watch has failed.
- The names in a list before its unreadable entry kept their numbers for good where lists come as changes.

Excluded: a call abandoned while it is answered (over before anything is told); `watch` and `fetch` from within `tell`; indented lists, split at every byte, with a length or ended by the close; empty, cut, endless, non-JSON lists and odd figures: they change nothing.

Run: without the change the four unreadable lists with a readable entry ahead, the fault, the failure at once, the two connections and the part of an answer are red; green with it. The tests of split and of the other unreadable lists were green before and stay.

--- a/meadowpulley/net/discovery.py
+++ b/meadowpulley/net/discovery.py
@@ -116,16 +116,20 @@
         self.link: DiscoveryLink | None = None
         self.opening: Deferred[Any] | None = None
         self.limit: Deadline = discovery.gateway.deadlines.after(limit_ms, self._late)
+
+    def start(self) -> None:
+        """Once the call is stored: one that fails at once would be stored after its failure was told."""
+        discovery = self.discovery
         kept, discovery.kept = discovery.kept, None
-        if kept is not None and kept.up and not kept.unread():
+        if kept is not None and kept.up and not kept.parser.begun and not kept.unread():
             self._ask(kept)
             return
         if kept is not None:
             kept.drop()
         gateway = discovery.gateway
-        self.opening = connect(gateway.reactor, gateway.config.discovery, lambda: DiscoveryLink(discovery))
-        self.opening.addCallbacks(self._ask, self._broke)
-        self.opening.addErrback(lambda _: discovery.gateway.failed("discovery"))
+        opening = connect(gateway.reactor, gateway.config.discovery, lambda: DiscoveryLink(discovery))
+        self.opening = opening
+        opening.addCallbacks(self._ask, self._broke).addErrback(lambda _: gateway.failed("discovery"))
 
     def _ask(self, link: DiscoveryLink) -> None:
         self.opening = None
@@ -151,7 +155,9 @@
             return
         self._close_call()
         if link is not None and link.up:
-            self.discovery.kept = link
+            spare, self.discovery.kept = self.discovery.kept, link
+            if spare is not None:  # of another call, over meanwhile
+                spare.drop()
         self._done(raw, self._lists)
 
     def _broke(self, failure: Failure) -> None:
@@ -258,6 +264,7 @@
         self.gateway.counters.add("list.watches")
         limit = wait + SILENT_MS if wait else GRACE_MS
         self._watch = Call(self, target, limit, self._news, self._watch_failed)
+        self._watch.start()
 
     def _news(self, raw: Any, lists: int) -> None:
         self._watch = None
@@ -270,6 +277,11 @@
             self._spoilt()
             self._watch_failed(str(error))
             return
+        except Exception:  # a fault of ours: the list was not taken, and nobody else would ask for it again
+            self.gateway.failed("discovery")
+            if self._watch is None:
+                self._watch_failed("a fault of this gateway")
+            return
         self._failures = 0
         if self._watch is None and self._wanted and not self.gateway.stopping:
             self._ask(self._wait)
@@ -307,6 +319,7 @@
         if self._fetch is None:
             self.gateway.counters.add("list.fetches")
             self._fetch = Call(self, names.LIST, GRACE_MS, self._fetched, self._fetch_failed)
+            self._fetch.start()
 
     def _fetched(self, raw: Any, lists: int) -> None:
         self._fetch = None
--- a/meadowpulley/net/entries.py
+++ b/meadowpulley/net/entries.py
@@ -49,11 +49,13 @@
 
     def read(self, raw: Any) -> tuple[bool, int, list[tuple[i.ServerEntry, Address | None]]]:
         """Whether the list is whole, its version, and its entries with their addresses."""
+        known = len(self.numbers)
         try:
             if raw[names.WHOLE] not in (True, False):
                 raise ValueError(f"'{names.WHOLE}' is {raw[names.WHOLE]!r}")
             return raw[names.WHOLE], int(raw[names.VERSION]), [self._entry(e) for e in raw[names.ENTRIES]]
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+            self.forget(set(list(self.numbers.values())[known:]))  # names that nothing is told of
             raise CallFailedError(f"unreadable list: {type(error).__name__}: {error}") from None
 
     def _entry(self, raw: Any) -> tuple[i.ServerEntry, Address | None]:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import pytest
+from twisted.python.failure import Failure
 
 from meadowpulley import interface as i
 from meadowpulley.net.discovery import Discovery
@@ -297,3 +298,98 @@
     assert rig.heard() == [(42, states)] * (whole or bool(entries))
     assert [address[1] for address in rig.placed.values()] == placed
     assert len(rig.discovery.entries.numbers) == len(placed)
+
+
+BODY = listed(42, DRAINS)  # indented
+
+
+@pytest.mark.parametrize("ends", [HEAD % (len(BODY), BODY), b"HTTP/1.1 200 OK\r\n\r\n" + BODY])
+def test_an_indented_list_is_read_however_it_is_split(ends: bytes) -> None:
+    rig = Held()
+    watch = watching(rig, 41, UP)
+    for at in range(1, len(ends)):
+        for part in (ends[:at], ends[at:]):
+            watch.protocol.dataReceived(part)
+        if b"content-length" not in ends:
+            watch.breaks()  # the end of the connection is that of the list
+        assert rig.heard() == [(42, [DRAINING])]
+        watch = rig.call()
+    for byte in ends:
+        watch.protocol.dataReceived(bytes([byte]))
+    if b"content-length" not in ends:
+        watch.breaks()
+    assert rig.heard() == [(42, [DRAINING])]
+
+
+NAMED = {**OTHER, "status": "in_service"}
+UNREADABLE = [
+    b"", b" \n", b"null", b"[]", b"{}", b"\xff", b"[" * 100_000, BODY[:-1], BODY + b"}",
+    listed(42, NAMED, {**UP, "status": "lost"}), listed(42, NAMED, {**UP, "address": "s-1:9"}),
+    listed(42, NAMED, {**UP, "name": ""}), listed(42, NAMED, {**UP, "since_ms": None}),
+    BODY.replace(b"42", b"-" + b"9" * 5000), BODY.replace(b"42", b"1e999"), BODY.replace(b"42", b"NaN"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("body", UNREADABLE, ids=range(len(UNREADABLE)))
+def test_an_unreadable_list_changes_nothing_and_is_asked_for_again(body: bytes) -> None:
+    # The names of its entries before the one that can't be read were kept for good.
+    rig = Held()
+    watching(rig, 41, UP).answer(body)
+    assert rig.heard() == [(41, [])] and list(rig.discovery.entries.numbers) == ["s-1"]
+    assert rig.call().target == "after=41&wait_ms=0" and not rig.failures
+
+
+def test_a_fault_while_a_list_is_taken_is_logged_and_the_list_asked_for_again() -> None:
+    # No watch stood from then on: where lists are pushed nothing opened another.
+    rig = Held()
+    watch = watching(rig, 41, UP)
+    place, rig.discovery.instances.place = rig.discovery.instances.place, None  # type: ignore[method-assign,assignment]
+    watch.answer(listed(42, DRAINS))
+    rig.discovery.instances.place = place  # type: ignore[method-assign]
+    assert rig.failures.pop() == "discovery"
+    again = rig.call()
+    assert again.target == "after=41&wait_ms=0"
+    again.answer(listed(42, DRAINS))
+    assert rig.heard() == [(41, []), (42, [DRAINING])] and not rig.failures
+
+
+def test_a_watch_that_fails_as_it_is_opened_is_opened_anew() -> None:
+    # It was stored after its failure was told, as the watch that stands.
+    rig = Held()
+    reactor: Any = rig.reactor
+    connect, fails = reactor.connectTCP, [True, True]
+
+    def refused_at_once(host: str, port: int, factory: Any, **more: Any) -> Any:
+        connector = connect(host, port, factory, **more)
+        if fails and fails.pop():
+            reactor.tcpClients.pop()
+            factory.clientConnectionFailed(connector, Failure(ConnectionRefusedError()))  # type: ignore[no-untyped-call]
+        return connector
+
+    reactor.connectTCP = refused_at_once
+    rig.discovery.start()
+    rig.run(1_100.0)
+    rig.calls[0].answer(listed(41, UP, whole=True))
+    assert rig.call().target == "after=41&wait_ms=10000" and len(rig.calls) == 2
+
+
+def test_of_two_connections_with_nothing_to_ask_one_is_kept() -> None:
+    # The one kept before was forgotten, and stood open until discovery closed it.
+    rig = Held()
+    watch = watching(rig, 41, UP)
+    rig.discovery.fetch()
+    fetch = rig.call()
+    fetch.answer(listed(41, UP, whole=True))
+    rig.react = lambda event: rig.discovery.watch(False)
+    watch.answer(listed(42, DRAINS))
+    assert [call.protocol.up for call in (watch, fetch)] == [True, False]
+
+
+def test_a_connection_with_part_of_an_answer_that_nobody_asked_for_is_not_used_again() -> None:
+    rig = Held()
+    watch = watching(rig, 41, UP)
+    rig.react = lambda event: rig.discovery.watch(False)
+    watch.answer(listed(42, DRAINS))
+    watch.protocol.dataReceived(b"HTTP/1.1 200")
+    rig.discovery.watch(True)
+    assert not watch.protocol.up and rig.call().target == "after=42&wait_ms=0"
