Test: the first watch after SIGHUP or an outage may fall silent, asked for or pushed

Excluded by tests/test_silent_watch.py, real decisions and real client on the virtual clock: a watch silent at its open right after SIGHUP, or after 5 s of failing calls, is found 4 s later and opened anew at once, within the 6 s after which what it missed counts as told, in both modes.

--- a/tests/test_silent_watch.py
+++ b/tests/test_silent_watch.py
@@ -50,6 +50,7 @@
         self.driver = Driver(settings(must_ask=must_ask, balancers=200), told=False)
         self.answered, self.asked = 0, list[tuple[float, float]]()  # when, and for how long it may wait
         self.silent_from = float("inf")  # calls that come after so many answers are never answered
+        self.down_until = 0.0  # each call ends in a reset, open ones too
         self.version, self.told = 1, list[tuple[float, int]]()
         failures: list[str] = []
         self.gateway: Any = SimpleNamespace(
@@ -91,6 +92,9 @@
 
     def _serve(self, protocol: Any, wire: Any) -> None:
         """Looks for calls on this connection every 10 ms and answers them."""
+        if self.now < self.down_until:
+            protocol.connectionLost()
+            return
         raw = wire.value().decode()
         wire.clear()
         if raw:
@@ -142,6 +146,30 @@
     assert not rig.failures
 
 
+@pytest.mark.parametrize("must_ask", [True, False])
+@pytest.mark.parametrize("step", ["moved", "outage"])
+def test_the_first_watch_after_sighup_or_an_outage_may_fall_silent(must_ask: bool, step: str) -> None:
+    rig = Rig(must_ask)
+    rig.tell(i.ServerList(i.ListKind.CACHED, 0, (entry(1),)))
+    if not must_ask:
+        rig.discovery.start()
+    while len(rig.asked) < 2:  # the list has come, and the watch is open
+        rig.run(50.0)
+    rig.silent_from = 1
+    if step == "moved":
+        rig.discovery.moved()
+    else:
+        rig.down_until = rig.now + 5_000.0
+    while len(rig.asked) < 3:
+        rig.run(10.0)
+    since, wait = rig.asked[2]
+    rig.silent_from = float("inf")
+    rig.version += 1
+    rig.run(wait + 8_000.0)
+    heard = [at for at, version in rig.told if at > since and version == rig.version]
+    assert heard and heard[0] <= since + TOLD_AFTER_SILENCE_MS and not rig.failures
+
+
 def test_calls_that_fail_at_all_gateways_are_still_spread() -> None:
     # The other half: only silence, which each finds at its own time, is answered at once.
     def pause(kind: i.ListKind, seed: int) -> float:
