--- a/meadowpulley/net/discovery.py
+++ b/meadowpulley/net/discovery.py
@@ -15,7 +15,7 @@
 from meadowpulley.net import names
 from meadowpulley.net.config import Address
 from meadowpulley.net.deadlines import Deadline
-from meadowpulley.net.entries import CallFailedError, Entries
+from meadowpulley.net.entries import CallFailedError, Entries, OvertakenError
 from meadowpulley.net.host import Host
 from meadowpulley.net.http1 import BadMessageError, Message, Parser, request_bytes
 from meadowpulley.net.link import Link, connect
@@ -29,7 +29,10 @@
 # The same for a call that may wait for news: discovery counts what a silent one misses as told 2 s after its
 # wait, and the next call has to be answered by then.
 SILENT_MS = 1_500.0
-AGAIN_MS = (500.0, 4_000.0)  # where the list comes unasked: pauses after failed watches but the first
+# Where the list comes unasked: first and longest pause after failed watches but the first. What is told when
+# discovery is back counts at once, and after the settings' time for that nothing may be sent any more to what
+# drains: no pause is longer than half of that time, so that the other half is left for the call itself.
+AGAIN_MS = (500.0, 4_000.0)
 LIST_BOUND = 8 * 1024 * 1024  # a list of thousands of instances
 
 
@@ -103,32 +106,37 @@
     """One call, from the connection it may need to its answer, with one deadline over all of it."""
 
     def __init__(
-        self, discovery: Discovery, target: str, limit_ms: float, done: Callable[[Any], None],
+        self, discovery: Discovery, target: str, limit_ms: float, done: Callable[[Any, int], None],
         failed: Callable[[str, i.ListKind], None],
     ) -> None:  # fmt: skip
         self.discovery, self.target = discovery, target
         self._done, self._failed = done, failed
         self.over = False
+        self._lists = 0  # that had been read when the call was written
         self.link: DiscoveryLink | None = None
         self.opening: Deferred[Any] | None = None
         self.limit: Deadline = discovery.gateway.deadlines.after(limit_ms, self._late)
+
+    def start(self) -> None:
+        """Once the call is stored: one that fails at once would be stored after its failure was told."""
+        discovery = self.discovery
         kept, discovery.kept = discovery.kept, None
-        if kept is not None and kept.up and not kept.unread():
+        if kept is not None and kept.up and not kept.parser.begun and not kept.unread():
             self._ask(kept)
             return
         if kept is not None:
             kept.drop()
         gateway = discovery.gateway
-        self.opening = connect(gateway.reactor, gateway.config.discovery, lambda: DiscoveryLink(discovery))
-        self.opening.addCallbacks(self._ask, self._broke)
-        self.opening.addErrback(lambda _: discovery.gateway.failed("discovery"))
+        opening = connect(gateway.reactor, gateway.config.discovery, lambda: DiscoveryLink(discovery))
+        self.opening = opening
+        opening.addCallbacks(self._ask, self._broke).addErrback(lambda _: gateway.failed("discovery"))
 
     def _ask(self, link: DiscoveryLink) -> None:
         self.opening = None
         if self.over:
             link.drop()
             return
-        self.link = link
+        self.link, self._lists = link, self.discovery.lists
         link.ask(self.target).addCallbacks(self._answered, self._broke).addErrback(
             lambda _: self.discovery.gateway.failed("discovery")
         )
@@ -147,8 +155,10 @@
             return
         self._close_call()
         if link is not None and link.up:
-            self.discovery.kept = link
-        self._done(raw)
+            spare, self.discovery.kept = self.discovery.kept, link
+            if spare is not None:  # of another call, over meanwhile
+                spare.drop()
+        self._done(raw, self._lists)
 
     def _broke(self, failure: Failure) -> None:
         self.opening = None
@@ -156,6 +166,9 @@
             self._finish(failure.getErrorMessage(), None)
 
     def _late(self) -> None:
+        if self.link is not None and self.link.unread():  # this gateway is late, not the answer
+            self.limit = self.discovery.gateway.deadlines.after(PART_MS, self._late)
+            return
         self._finish("no answer in time", self.link, i.ListKind.SILENT)
 
     def _close_call(self) -> None:
@@ -185,12 +198,16 @@
         self.entries = Entries(gateway.config.settings, clock_offset)
         self.kept: DiscoveryLink | None = None
         self.version = 0
+        self.lists = 0  # read so far; a call that is answered was written when so many had been
+        self._after = 0  # the version that the watch asked with
         self._watch: Call | None = None
         self._fetch: Call | None = None
         self._wanted = False  # a watch, by the decisions' last word
         self._answer_due = False  # the decisions asked, and are owed one list, be it empty
         self._failures = 0
+        self._again: Deadline | None = None  # the one next try after a failed watch
         ask_within = gateway.config.settings.rules.ask_within_ms
+        self._longest = min(gateway.config.settings.rules.drain_grace_ms / 2 or AGAIN_MS[1], AGAIN_MS[1])
         self._wait = min(ask_within or WAIT_MS, MOST_WAIT_MS)
         self._random = random.Random(gateway.config.seed)
 
@@ -206,6 +223,7 @@
             self.watch(True)
 
     def stop(self) -> None:
+        self.gateway.deadlines.call_off(self._again)
         for call in (self._watch, self._fetch):
             if call is not None:
                 call.abandon()
@@ -231,38 +249,56 @@
     def watch(self, on: bool) -> None:
         """What changed since the last list comes first, at once, and after that every change."""
         self._wanted = on
+        # A next try that was left pending abandoned the newer watch, or opened one that nobody wanted.
+        self.gateway.deadlines.call_off(self._again)
         if self._watch is not None:
             self._watch.abandon()
             self._watch = None
-        if on:
+        if on and not self.gateway.stopping:
             self._answer_due = True
             self._ask(0.0)
 
     def _ask(self, wait: float) -> None:
-        target = f"{names.LIST}?{names.AFTER}={self.version}&{names.WAIT}={wait:.0f}"
+        self._after = self.version
+        target = f"{names.LIST}?{names.AFTER}={self._after}&{names.WAIT}={wait:.0f}"
         self.gateway.counters.add("list.watches")
         limit = wait + SILENT_MS if wait else GRACE_MS
         self._watch = Call(self, target, limit, self._news, self._watch_failed)
+        self._watch.start()
 
-    def _news(self, raw: Any) -> None:
+    def _news(self, raw: Any, lists: int) -> None:
         self._watch = None
         try:
-            self._tell(raw, None)
+            self._tell(raw, None, lists)
+        except OvertakenError:
+            self._ask(0.0)
+            return
         except CallFailedError as error:
             self._spoilt()
             self._watch_failed(str(error))
             return
+        except Exception:  # a fault of ours: the list was not taken, and nobody else would ask for it again
+            self.gateway.failed("discovery")
+            if self._watch is None:
+                self._watch_failed("a fault of this gateway")
+            return
         self._failures = 0
-        if self._watch is None and not self.gateway.stopping:
+        if self._watch is None and self._wanted and not self.gateway.stopping:
             self._ask(self._wait)
 
     def _watch_failed(self, why: str, kind: i.ListKind = i.ListKind.FAILED) -> None:
         self._watch = None
         self._failed(why, kind)
+        if self._watch is not None or not self._wanted:  # by what the decisions said to that
+            return
         if not self.gateway.config.settings.must_ask and not self.gateway.stopping:
-            pause = min(AGAIN_MS[0] * 2 ** min(self._failures, 10), AGAIN_MS[1]) if self._failures else 0.0
-            self._failures += 1
-            self.gateway.deadlines.after(pause * self._random.uniform(0.5, 1.0), lambda: self.watch(True))
+            pause = min(AGAIN_MS[0] * 2 ** min(self._failures, 10), self._longest) if self._failures else 0.0
+            if kind is i.ListKind.SILENT:  # found after seconds, by each at its own time: it is late already
+                pause = 0.0
+            else:
+                self._failures += 1
+            wait = pause * self._random.uniform(0.5, 1.0)
+            self._again = self.gateway.deadlines.after(wait, lambda: self.watch(True))
 
     def _failed(self, why: str, kind: i.ListKind) -> None:
         self.gateway.counters.add("list.failed")
@@ -283,11 +319,14 @@
         if self._fetch is None:
             self.gateway.counters.add("list.fetches")
             self._fetch = Call(self, names.LIST, GRACE_MS, self._fetched, self._fetch_failed)
+            self._fetch.start()
 
-    def _fetched(self, raw: Any) -> None:
+    def _fetched(self, raw: Any, lists: int) -> None:
         self._fetch = None
         try:
-            self._tell(raw, None)
+            self._tell(raw, None, lists)
+        except OvertakenError:
+            self.fetch()
         except CallFailedError as error:
             self._spoilt()
             self._fetch_failed(str(error))
@@ -296,8 +335,16 @@
         self._fetch = None
         self._failed(why, kind)
 
-    def _tell(self, raw: Any, kind: i.ListKind | None) -> None:
+    def _tell(self, raw: Any, kind: i.ListKind | None, lists: int = 0) -> None:
+        """Discovery handles calls in turn, so its versions rise; they fall only when it was restarted or has
+        moved. A call written after all that was read is answered with what is true by then, whatever its
+        version. An answer with a lower version to a call written before that is from before the newer list,
+        or from after a restart: as nobody can tell, it is not believed, and asked for again, which tells."""
         whole, version, found = self.entries.read(raw)
+        found = list({entry.server: (entry, address) for entry, address in found}.values())  # last word holds
+        if version < self.version and lists < self.lists:
+            self.gateway.counters.add("list.overtaken")
+            raise OvertakenError
         for entry, address in found:
             if address is not None and entry.state is not i.ServerState.GONE:
                 self.instances.place(entry.server, address, (entry.build, entry.started_ms))
@@ -308,7 +355,11 @@
         for entry, _ in found:
             if entry.state is i.ServerState.DRAINING:
                 self.instances.close_idle(entry.server)
-        self.version = version
+        # Changes since a version that discovery has not reached, or that this gateway no longer has: it was
+        # restarted, and of what it forgot or never knew they say nothing. The next watch asks for everything.
+        gap = kind is None and not whole and self._after > min(version, self.version)
+        self.version = 0 if gap else version
+        self.lists += 1
         if kind is None:
             kind = i.ListKind.FULL if whole else i.ListKind.CHANGES
         self.gateway.counters.add("list.entries", len(found))
