A signal at any step of a gateway's life is heard, and none ends it unwell

Lines at fault, all confirmed by forced order:

- `Gateway.drain` returned unless READY: a SIGTERM between the installing of the handlers and READY was forgotten, and the gateway then listened and served until it was killed.
Now it stops: nobody was let in, so nothing is owed, and `Gateway.listen` does nothing after it.
- `Gateway.reload` returned unless READY or DRAINING, and `run` ignored SIGHUP from its start: the file had been read before, and the gateway went on asking where discovery was no more.
Now one that comes after the reading is kept and carried out in the first turn.
Before the reading it is still ignored, now from ahead of the imports, which took most of a start and in which it ended the process.
- Between the interpreter's last look for a signal and `epoll_wait` a signal slept until the next event or deadline (seconds at an idle gateway): nothing woke the reactor.
Its own waker is now the interpreter's wake-up descriptor, as in Twisted's own handlers and asyncio.
- After `run` the interpreter gives every signal its usual effect back: SIGHUP in those last milliseconds ended the gateway unwell, with status -1 and not 0.
- A start whose address is in use left its ledger life behind: its name stayed taken until the lease ended.

Excluded: two SIGTERMs, SIGTERM then SIGHUP and SIGHUP then SIGTERM in one turn, all at listening and after the end of the reactor. SIGTERM before the handlers has its usual effect: nothing was begun, and a gateway that ends after SIGTERM has not crashed.

--- a/meadowpulley/__main__.py
+++ b/meadowpulley/__main__.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 if __name__ == "__main__":
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # there is nothing to read again yet
     # The log's library looks for this one, to colour terminals. Where the tools are installed beside it the
     # gateway would find it, and carry 3 MB more for nothing.
     sys.modules.setdefault("rich", None)  # type: ignore[arg-type]
@@ -23,6 +24,7 @@
 from meadowpulley.net.gateway import Gateway
 from meadowpulley.net.log import open_log
 
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 FIRST_TURN_S = 0.001
 GC_THRESHOLDS = (2_000, 5, 5)  # requests and connections end in cycles; what the start leaves is frozen
 
@@ -120,7 +122,8 @@
 
 
 def run() -> int:
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before it is ready there is nothing to read again
+    early: list[int] = []  # one that comes after the reading asks for another
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     try:
         config = read_config()
     except ConfigError as bad:
@@ -131,6 +134,12 @@
     log = open_log(gateway=config.name)
     gateway = Gateway(config, reactor, log)
     reactor.turned = gateway.deadlines.turn
+    # A signal between the last look for one and the wait for events would otherwise sleep as long as they do.
+    signal.set_wakeup_fd(reactor.waker.o, warn_on_full_buffer=False)
+    for number in SIGNALS:
+        signal.signal(number, gateway.on_signal)
+    for asked in early:
+        gateway.on_signal(asked, None)
     try:
         start_capture(gateway, reactor)
     except (OSError, ValueError) as bad:
@@ -151,12 +160,11 @@
             raise
         print(f"meadowpulley: {bad}", file=sys.stderr)
         return 2
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
-        signal.signal(number, gateway.on_signal)
     try:
         reactor.hold(*config.listen)  # before the first connection outwards, which might leave from it
         gateway.prepare()
     except error.CannotListenError as bad:
+        close()  # or the name stays taken for as long as a lease lasts
         print(f"meadowpulley: {bad}", file=sys.stderr)
         return 2
     gc.collect()
@@ -176,6 +184,8 @@
     reactor.callLater(FIRST_TURN_S, listen)
     reactor.run(installSignalHandlers=False)
     close()
+    for number in SIGNALS:  # the interpreter's end would give them back their usual effect
+        signal.signal(number, signal.SIG_IGN)
     if failures:
         print(f"meadowpulley: {failures[0]}", file=sys.stderr)
         return 2
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -112,12 +112,16 @@
     def listen(self) -> None:
         """Ready, even with discovery and the platform out of reach. Called in a turn of the reactor: whatever
         waits to be accepted counts as taken, and must not wait for the rest of a start."""
+        if self.phase is not Phase.STARTING:  # told to end before it was ready
+            return
         self.clients.listen()
         self.phase = Phase.READY
         host, port = self.config.listen
         self.log.info("ready", listen=f"{host}:{port}", clients=self.clients.links.size)
 
     def drain(self) -> None:
+        if self.phase is Phase.STARTING:  # nobody was let in: nothing is owed, and nothing is taken any more
+            self._stop()
         if self.phase is not Phase.READY:
             return
         self.phase = Phase.DRAINING
@@ -141,17 +145,21 @@
         if self.phase is not Phase.DRAINING or self._accepting:
             return
         if not len(self.clients.links) and not self.requests.ids:
-            self.phase = Phase.STOPPED
-            self.discovery.stop()
-            self.platform.stop()
-            self.peers.stop()
-            self.log.info("stopped")
-            self.reactor.callLater(0, self.reactor.stop)
+            self._stop()
+
+    def _stop(self) -> None:
+        self.phase = Phase.STOPPED
+        self.discovery.stop()
+        self.platform.stop()
+        self.peers.stop()
+        self.log.info("stopped")
+        self.reactor.callLater(0, self.reactor.stop)
 
     def reload(self) -> None:
         """The configuration was replaced: where discovery and the platform are now. Nothing else of it is
-        taken over, and what is known, owed and under way stays as it is."""
-        if self.phase not in (Phase.READY, Phase.DRAINING):
+        taken over, and what is known, owed and under way stays as it is. Before it is ready too: the file was
+        read before all that a start asks for, and discovery may be gone from where it said."""
+        if self.stopping:
             return
         try:
             fresh = self._reread()
--- /dev/null
+++ b/tests/net_program/test_signals.py
@@ -0,0 +1,121 @@
+"""Signals at each step of a gateway's life, each forced to come there: a driver sends them to itself."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from tests.net_program.conftest import Start
+from tests.standins import LIMIT_S, ROOT, Discovery
+
+TERM, HUP, USR1 = signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1
+# Sends the signals once the named step is over, the first time, and in the end SIGTERM once it listens.
+DRIVER = """
+import gc, os, runpy, signal, sys
+step, numbers, fresh = sys.argv[1], [int(n) for n in sys.argv[2].split(",")], sys.argv[3]
+
+def send(*_):
+    if numbers and fresh:
+        os.replace(fresh, os.environ["PROXY_CONFIG"])
+    while numbers:
+        os.kill(os.getpid(), numbers.pop(0))
+
+def after(owner, name, call):
+    then = getattr(owner, name)
+    def both(*args):
+        found = then(*args)
+        call(*args)
+        return found
+    setattr(owner, name, both)
+
+from functools import partial
+from operator import call
+from meadowpulley.net import clients, config, deadlines, gateway
+
+class Finder:
+    def find_spec(name, *_):
+        name == "twisted.internet.epollreactor" and send()
+
+class Last:  # goes with the modules, after the interpreter has given up its handlers
+    def __del__(self, kill=os.kill, process=os.getpid(), numbers=numbers):
+        kill(process, *numbers)
+
+class Poller:
+    def __init__(self, reactor):
+        self.reactor, self.real = reactor, reactor._poller
+    def __getattr__(self, name):
+        return getattr(self.real, name)
+    def poll(self, *args):  # no bytecode in between, at which the interpreter would look for a signal
+        os.replace(fresh, os.environ["PROXY_CONFIG"])
+        both = partial(os.kill, os.getpid(), numbers.pop()), partial(self.real.poll, *args)
+        _, events = map(call, both)
+        self.reactor._poller = self.real
+        print('{"event": "%s"}' % ("woken" if events else "slept on"), file=sys.stderr, flush=True)
+        return events
+
+after(clients.Clients, "listen", lambda *_: os.kill(os.getpid(), signal.SIGTERM))
+if step == "imports":
+    sys.meta_path.insert(0, Finder)
+elif step == "ended":
+    sys.last = Last()
+elif step == "about to wait":
+    after(gateway.Gateway, "prepare", lambda made: setattr(made.reactor, "_poller", Poller(made.reactor)))
+else:
+    owner, name = {
+        "read": (config, "read_config"), "made": (gateway.Gateway, "__init__"),
+        "prepared": (gateway.Gateway, "prepare"), "collected": (gc, "collect"),
+        "first turn": (deadlines.Deadlines, "turn"), "listening": (gateway.Gateway, "listen"),
+        "stopped": (gateway.Gateway, "print_counters"),
+    }[step]
+    after(owner, name, send)
+runpy.run_module("meadowpulley", run_name="__main__", alter_sys=True)
+"""
+WHOLE = ["ready", "draining", "stopped", "counters"]
+CASES: list[tuple[str, list[signal.Signals], list[str], int]] = [
+    ("imports", [HUP], WHOLE, 0),  # what it asks for is read anyhow
+    ("read", [HUP], ["reloaded", *WHOLE], 0),
+    ("made", [HUP], ["reloaded", *WHOLE], 0),
+    ("prepared", [HUP], ["reloaded", *WHOLE], 0),
+    ("first turn", [HUP, HUP], ["reloaded", "reloaded", *WHOLE], 0),
+    ("read", [TERM], [], -TERM),  # nothing was begun: the usual effect
+    ("made", [TERM], [], -TERM),
+    ("prepared", [TERM], ["stopped", "counters"], 0),
+    ("collected", [TERM, TERM], ["stopped", "counters"], 0),
+    ("first turn", [TERM], ["stopped", "counters"], 0),
+    ("prepared", [HUP, TERM], ["reloaded", "stopped", "counters"], 0),
+    ("prepared", [TERM, HUP], ["stopped", "counters"], 0),
+    ("listening", [TERM, TERM], WHOLE, 0),
+    ("listening", [HUP], ["ready", "draining", "reloaded", "stopped", "counters"], 0),
+    ("stopped", [HUP, TERM, USR1], WHOLE, 0),
+    ("ended", [HUP], WHOLE, 0),
+    ("ended", [TERM], WHOLE, 0),
+    ("about to wait", [HUP], ["woken", "reloaded", *WHOLE], 0),
+]
+
+
+@pytest.mark.parametrize(("step", "signals", "events", "status"), CASES)
+def test_no_signal_is_forgotten_and_none_ends_it_unwell(
+    start: Start, step: str, signals: list[signal.Signals], events: list[str], status: int
+) -> None:
+    # SIGTERM before READY was forgotten: the gateway then listened and served until it was killed. SIGHUP was
+    # passed over though the configuration had been read before it.
+    gateway, moved = start([], wait=False), Discovery([])
+    gateway.stop()
+    fresh = gateway.path.with_name("moved.json")
+    fresh.write_text(json.dumps({**gateway.config, "discovery": moved.address}))
+    shown = subprocess.run(
+        [sys.executable, "-c", DRIVER, step, ",".join(str(int(n)) for n in signals), str(fresh)],
+        cwd=ROOT, env={**os.environ, "PROXY_CONFIG": str(gateway.path)}, stderr=subprocess.PIPE, text=True,
+        timeout=LIMIT_S,
+    )  # fmt: skip
+    lines = [json.loads(line) for line in shown.stderr.splitlines()]
+    assert shown.returncode == status
+    told = {"reloaded", "woken", "slept on", *WHOLE}
+    assert [line["event"] for line in lines if line["event"] in told] == events
+    if "reloaded" in events[:-2] and TERM not in signals:
+        assert moved.asked.get(timeout=LIMIT_S) >= 4
