A connection closed between requests ends in that turn, and never with one in hand

Change: unread() also says yes to what is in hand; part() ends the connection in the same turn as the check. No descriptor is freed with an event of the same poll still to come: unread() would have seen it. Excluded: a half-close that keeps reading (what it reads can't be answered, and counts as read).

--- a/meadowpulley/check/wire.py
+++ b/meadowpulley/check/wire.py
@@ -152,6 +152,10 @@
     def getHandle(self) -> _Handle:  # noqa: N802
         return _Handle(self)
 
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        self.closing = True
+        self.lose()
+
     # What the other end and the kernel do
 
     def lose(self) -> None:
--- a/meadowpulley/net/client_link.py
+++ b/meadowpulley/net/client_link.py
@@ -141,10 +141,9 @@
         self.wire.loseWriteConnection()
 
     def part(self) -> None:
-        """Closes between requests: a client whose next one crosses this sends it again elsewhere."""
+        """Closes between requests: a client whose next one crosses this, unread, sends it again elsewhere."""
         self.state = State.LINGERING
-        self.limit.set(LINGER_MS, self.drop)
-        self.wire.loseConnection()
+        self.close()
 
     @property
     def idle(self) -> bool:
--- a/meadowpulley/net/link.py
+++ b/meadowpulley/net/link.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 from twisted.python.failure import Failure
 
@@ -15,6 +16,7 @@
 from meadowpulley.net.ring import Ring, RingFullError
 
 PIECE = 64 * 1024  # bytes handed to the transport at a time
+_DONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
 
 
 class LinkFactory(Factory):
@@ -67,7 +69,7 @@
         self.opening: Opening | None = None
         self.wire: Any = None
         self.up = False
-        self._feeding = False
+        self._feeding = self._in_hand = False
 
     def connectionMade(self) -> None:  # noqa: N802
         self.up, self.wire = True, self.transport
@@ -78,7 +80,11 @@
             opening.up.callback(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        self.deadlines.run_due()  # what is due runs before new input
+        # What is due runs before new input. It may ask whether this connection is silent, and the kernel no
+        # longer holds what is in hand here: it was closed with a request that had been read.
+        self._in_hand = True
+        self.deadlines.run_due()
+        self._in_hand = False
         if not self.up:
             return
         try:
@@ -124,7 +130,9 @@
         self._feeding = False
 
     def unread(self) -> bool:
-        """Whether the kernel holds bytes, or the end of the connection, that were not read yet."""
+        """Whether bytes have come, or the end of the connection, that nothing here has looked at yet."""
+        if self._in_hand:
+            return True
         try:
             self.wire.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
@@ -133,6 +141,11 @@
             return True
         return True
 
+    def close(self) -> None:
+        """Ends the connection in this turn, and in order: what the kernel has of an answer still goes out. By
+        the transport's own way it is the next turn, and what came in between was read and lost."""
+        self.wire.connectionLost(_DONE)
+
     def drop(self) -> None:
         """Ends the connection at once, whatever is under way."""
         if self.up:
