The last answer on a connection is never cut off by its own gateway's reset

Cause: client_link.py: leave() set drop() for a second later, and clients.py: _clear_room ended connections in the state LINGERING with drop(). That is a reset (SO_LINGER 0), and what the kernel had not delivered of the answer went with it: a slow client lost the answer that the gateway had passed on whole. Change: finish() frees the place and closes in order, so that the kernel goes on delivering. It closes in the next turn, as drop() did: in this one an event for the old descriptor may still be waiting, and the next client's connection can be given the same number. Excluded: ANSWERING past its limit (bytes are still here, so the answer can't be whole) stays a reset.

test_a_slow_client_gets_the_whole_of_its_last_answer, both cases red (connection reset) without the mend, green with it; the client's receive buffer holds 4 KB of 60.

--- a/meadowpulley/net/client_link.py
+++ b/meadowpulley/net/client_link.py
@@ -137,7 +137,7 @@
         if self._paused:
             self._paused = False
             self.wire.startReading()
-        self.limit.set(LINGER_MS, self.drop)
+        self.limit.set(LINGER_MS, self.finish)
         self.wire.loseWriteConnection()
 
     def part(self) -> None:
@@ -145,6 +145,16 @@
         self.state = State.LINGERING
         self.close()
 
+    def finish(self) -> None:
+        """Frees the place of a connection on which nothing more is said: what the kernel has of its last
+        answer goes out, which a reset would throw away. The descriptor is free in the next turn: in this one
+        there may be an event for it that is not handled yet."""
+        if self.up:
+            self.up = False
+            self.wire.stopReading()
+            self.clients.gateway.reactor.callLater(0, self.close)
+            self.closed()
+
     @property
     def idle(self) -> bool:
         return self.up and self.state is State.WAITING and not self.parser.begun
--- a/meadowpulley/net/clients.py
+++ b/meadowpulley/net/clients.py
@@ -89,7 +89,7 @@
                     return
                 if link.state is State.LINGERING or not link.unread():
                     self.gateway.counters.add("in.made_room")
-                    link.drop()
+                    link.finish()
 
     def _make_room(self) -> None:
         if self._paused and not self.closing:
--- a/tests/test_client_links.py
+++ b/tests/test_client_links.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import select
+import socket
 from collections.abc import Iterator
 from typing import Any
 
@@ -14,7 +15,7 @@
 
 from meadowpulley import interface as i
 from meadowpulley.__main__ import MonotonicReactor
-from meadowpulley.net.client_link import IDLE_MS, ClientLink
+from meadowpulley.net.client_link import IDLE_MS, LINGER_MS, ClientLink
 from meadowpulley.net.config import Config
 from meadowpulley.net.deadlines import now_ms
 from meadowpulley.net.gateway import Gateway
@@ -36,6 +37,11 @@
         return sum(isinstance(event, kind) for event in self.told)
 
 
+def leave(client: Client) -> None:
+    client.file.close()
+    client.socket.close()
+
+
 class Turns:
     def __init__(self, sockets: int = 128) -> None:
         self.reactor: Any = MonotonicReactor()
@@ -57,6 +63,11 @@
             self.turn()
         return client
 
+    def later(self, ms: float) -> None:
+        """What is due by then runs, as it does ahead of new input."""
+        self.skew += ms
+        self.gateway.deadlines.run_due()
+
     @property
     def links(self) -> list[ClientLink]:
         return list(self.gateway.clients.links)
@@ -99,3 +110,33 @@
     assert turns.ask(client) == 200
     turns.gateway.drain()
     assert select.select([client.socket], [], [], 0)[0] and client.answer()[0] == 0
+
+
+class Slow(Client):
+    """Its kernel takes little ahead of what it reads."""
+
+    def __init__(self, port: int) -> None:
+        super().__init__(port)
+        leave(self)
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.socket.connect(("127.0.0.1", port))
+        self.file = self.socket.makefile("rb")
+
+
+@pytest.mark.parametrize("crowded", [False, True])
+def test_a_slow_client_gets_the_whole_of_its_last_answer(turns: Turns, crowded: bool) -> None:
+    # A second after the last byte was the kernel's, or at once to make room, it was thrown away with a reset.
+    client = Slow(turns.port)
+    client.send("GET", "/look", Connection="close")
+    while not turns.decisions.count(i.Request):
+        turns.turn()
+    taken = next(link.taken for link in turns.links if link.taken)
+    turns.gateway.requests.answer(taken, 200, {}, bytes(60_000))
+    if crowded:
+        turns.gateway.clients.spare = turns.gateway.clients.links.size
+        turns.gateway.clients._clear_room()
+    else:
+        turns.later(LINGER_MS)
+    turns.turn(2)
+    assert not turns.links and client.answer()[::2] == (200, bytes(60_000))
