Who waits to be accepted at the end is answered; a turn accepts what there is room for

Causes: - clients.py: stop_listening closed the port (in the next turn) with the kernel's queue unaccepted. Those connections count as taken with the requests on them, and all were reset. Now the queue is emptied first, as far as there is room and else as room comes, and the port closes in the turn that found it empty. - clients.py: drain() closed connections on which nothing had come yet; a new connection closed with no answer is a request refused. They now bring their request until the port closes, and for 20 ms (MUTE_MS) after that. - clients.py: numberAccepts was set back only during a batch; after a batch that was full the port's own doRead adds 20 for the next one: 29 in one turn with 18 places kept free (128 sockets), and joined() reset those too many. The port's doRead is now called with the number set each time, so that a full table is not met. - clients.py: accepting no longer goes on past the spare places while draining; room is made then as well.

tests/test_client_links.py: the three tests (60 clients in the queue at the end; a first request after SIGTERM; 60 clients after a full batch) each red without the mend (reset, closed, reset), green with it. check/wire.py: the scripted port gets the two calls.

--- a/meadowpulley/check/wire.py
+++ b/meadowpulley/check/wire.py
@@ -59,7 +59,10 @@
     def startReading(self) -> None:  # noqa: N802
         self.reading = True
 
-    def stopListening(self) -> None:  # noqa: N802
+    def doRead(self) -> None:  # noqa: N802
+        pass  # nobody waits: the world accepts at once
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         self.open = False
 
 
--- a/meadowpulley/net/clients.py
+++ b/meadowpulley/net/clients.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from meadowpulley.net.client_link import FIRST_MS, IDLE_MS, ROOM_AGAIN_MS, ClientLink, State
 from meadowpulley.net.host import Host
 from meadowpulley.net.intake import Intake
-from meadowpulley.net.link import LinkFactory
+from meadowpulley.net.link import DONE, LinkFactory
 from meadowpulley.net.requests import Requests
 from meadowpulley.net.slots import Slots
 
@@ -15,7 +17,7 @@
 MUTE_MS = 20.0  # and one on which nothing ever came: a client that means it sends as soon as it may
 BACKLOG = 256  # what waits here counts as taken: better a connection that never comes up than one unheard
 ACCEPTS = 16  # connections accepted in one turn of the reactor
-SPARE = 24  # slots beyond which room is made: the reactor accepts a few more before it hears of it
+SPARE = 24  # slots beyond which room is made: a turn accepts half as many before that is seen
 
 
 class Clients:
@@ -24,15 +26,22 @@
         self.links: Slots[ClientLink] = Slots(size)
         self.spare = min(SPARE, size // 3)
         self.accepts = min(ACCEPTS, max(self.spare // 2, 1))
-        self.closing = self._paused = False
+        self.closing = self._paused = self._stopping = False
         self.port: Any = None
+        self._take_waiting: Callable[[], Any] = lambda: None  # the port's own `doRead`
 
     def listen(self) -> None:
         host, port = self.gateway.config.listen
         self.port = self.gateway.reactor.listenTCP(
             port, LinkFactory(lambda: ClientLink(self)), backlog=BACKLOG, interface=host
         )
+        self._take_waiting, self.port.doRead = self.port.doRead, self._accept
+
+    def _accept(self) -> None:
+        """Accepts so many at most that the table has room for them: by itself the port takes twenty more in a
+        turn after one in which it took all that it might."""
         self.port.numberAccepts = self.accepts
+        self._take_waiting()
 
     def joined(self, link: ClientLink) -> None:
         self.gateway.counters.add("in.connections")
@@ -42,8 +51,7 @@
             link.wire.abortConnection()
             return
         link.handle = self.links.put(link)
-        self.port.numberAccepts = min(self.port.numberAccepts, self.accepts)
-        if not self._paused and self._crowded and not self.closing:
+        if not self._paused and self._crowded:
             self._clear_room()
             if self._crowded:
                 self._paused = True
@@ -63,7 +71,10 @@
     def _resume(self) -> None:
         if self._paused and not self._crowded and self.port is not None:
             self._paused = False
-            self.port.startReading()
+            if self._stopping:
+                self.stop_listening()
+            else:
+                self.port.startReading()
 
     def left(self, link: ClientLink) -> None:
         if link.handle >= 0:
@@ -92,18 +103,29 @@
                     link.finish()
 
     def _make_room(self) -> None:
-        if self._paused and not self.closing:
+        if self._paused:
             self._clear_room()
             self.gateway.deadlines.after(ROOM_AGAIN_MS, self._make_room)
 
     def drain(self) -> None:
-        """From now on every connection closes once nothing is owed on it."""
+        """From now on every connection closes once nothing is owed on it. New ones bring what they came for:
+        one closed with no answer is a request refused, one that has had an answer is not."""
         self.closing = True
-        for link in self.links:
-            link.part_if_idle()
+        self._part(mute=False)
 
-    def stop_listening(self) -> Any:
-        port, self.port = self.port, None
+    def _part(self, mute: bool) -> None:
         for link in self.links:
-            link.part_if_idle()
-        return port.stopListening() if port is not None else None
+            if mute or not link.mute:
+                link.part_if_idle()
+
+    def stop_listening(self) -> None:
+        """Closes the listening socket, with nobody behind it: connections that the kernel has completed count
+        as taken with what came on them, and are accepted first; if need be as soon as there is room."""
+        self._stopping = True
+        while self.port is not None and not self._paused:
+            self._accept()
+            if self.port.numberAccepts <= self.accepts:  # else it took all that it might, and more may wait
+                port, self.port = self.port, None
+                port.connectionLost(DONE)  # in this turn: by `stopListening` it is the next one
+                self._part(mute=False)
+                self.gateway.deadlines.after(MUTE_MS, partial(self._part, mute=True))
--- a/meadowpulley/net/link.py
+++ b/meadowpulley/net/link.py
@@ -16,7 +16,7 @@
 from meadowpulley.net.ring import Ring, RingFullError
 
 PIECE = 64 * 1024  # bytes handed to the transport at a time
-_DONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
+DONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
 
 
 class LinkFactory(Factory):
@@ -144,7 +144,7 @@
     def close(self) -> None:
         """Ends the connection in this turn, and in order: what the kernel has of an answer still goes out. By
         the transport's own way it is the next turn, and what came in between was read and lost."""
-        self.wire.connectionLost(_DONE)
+        self.wire.connectionLost(DONE)
 
     def drop(self) -> None:
         """Ends the connection at once, whatever is under way."""
--- a/tests/test_client_links.py
+++ b/tests/test_client_links.py
@@ -16,9 +16,10 @@
 from meadowpulley import interface as i
 from meadowpulley.__main__ import MonotonicReactor
 from meadowpulley.net.client_link import IDLE_MS, LINGER_MS, ClientLink
+from meadowpulley.net.clients import MUTE_MS
 from meadowpulley.net.config import Config
 from meadowpulley.net.deadlines import now_ms
-from meadowpulley.net.gateway import Gateway
+from meadowpulley.net.gateway import ACCEPT_ON_MS, Gateway
 from meadowpulley.settings import read_settings
 from tests.standins import SETTINGS, Client, free_port
 
@@ -112,6 +113,49 @@
     assert select.select([client.socket], [], [], 0)[0] and client.answer()[0] == 0
 
 
+def test_who_waits_to_be_accepted_as_listening_ends_is_answered(turns: Turns) -> None:
+    # The kernel had completed their connections, their requests were there: closing the port reset them all.
+    turns.gateway.drain()
+    waiting = [Client(turns.port) for _ in range(60)]  # more than there are places
+    for client in waiting:
+        client.send("GET", "/health/live")
+    turns.later(ACCEPT_ON_MS)
+    for client in waiting:
+        turns.until(client)
+        assert client.answer()[0] == 200
+        leave(client)
+    with pytest.raises(ConnectionRefusedError):
+        Client(turns.port)
+    turns.turn(3)
+    assert turns.gateway.stopping
+
+
+def test_a_new_connection_brings_its_request_to_a_gateway_that_drains(turns: Turns) -> None:
+    # It was closed with no answer, which is a request refused.
+    client, mute = turns.client(), turns.client()
+    turns.gateway.drain()
+    assert turns.ask(client) == 200
+    turns.later(ACCEPT_ON_MS)
+    turns.later(MUTE_MS)
+    assert mute.answer()[0] == 0
+
+
+def test_a_turn_accepts_no_more_than_there_is_room_for(turns: Turns) -> None:
+    # After a turn in which it took all that it might, the port took twenty more in the next: some were reset.
+    half = [turns.client() for _ in range(28)] + [Client(turns.port) for _ in range(9)]
+    turns.turn(2)
+    waiting = [Client(turns.port) for _ in range(60)]
+    for client in half:
+        client.socket.sendall(b"GET /look HTTP/1.1\r\n")
+    for client in waiting:
+        client.send("GET", "/health/live")
+    for client in waiting:
+        turns.until(client)
+        assert client.answer()[0] == 200
+        leave(client)
+    assert not turns.gateway.counters["in.turned_away"] and turns.gateway.counters["in.pauses"]
+
+
 class Slow(Client):
     """Its kernel takes little ahead of what it reads."""
 
