--- a/meadowpulley/check/wire.py
+++ b/meadowpulley/check/wire.py
@@ -59,7 +59,10 @@
     def startReading(self) -> None:  # noqa: N802
         self.reading = True
 
-    def stopListening(self) -> None:  # noqa: N802
+    def doRead(self) -> None:  # noqa: N802
+        pass  # nobody waits: the world accepts at once
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         self.open = False
 
 
@@ -152,6 +155,10 @@
     def getHandle(self) -> _Handle:  # noqa: N802
         return _Handle(self)
 
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        self.closing = True
+        self.lose()
+
     # What the other end and the kernel do
 
     def lose(self) -> None:
--- a/meadowpulley/net/client_link.py
+++ b/meadowpulley/net/client_link.py
@@ -137,14 +137,23 @@
         if self._paused:
             self._paused = False
             self.wire.startReading()
-        self.limit.set(LINGER_MS, self.drop)
+        self.limit.set(LINGER_MS, self.finish)
         self.wire.loseWriteConnection()
 
     def part(self) -> None:
-        """Closes between requests: a client whose next one crosses this sends it again elsewhere."""
+        """Closes between requests: a client whose next one crosses this, unread, sends it again elsewhere."""
         self.state = State.LINGERING
-        self.limit.set(LINGER_MS, self.drop)
-        self.wire.loseConnection()
+        self.close()
+
+    def finish(self) -> None:
+        """Frees the place of a connection on which nothing more is said: what the kernel has of its last
+        answer goes out, which a reset would throw away. The descriptor is free in the next turn: in this one
+        there may be an event for it that is not handled yet."""
+        if self.up:
+            self.up = False
+            self.wire.stopReading()
+            self.clients.gateway.reactor.callLater(0, self.close)
+            self.closed()
 
     @property
     def idle(self) -> bool:
--- /dev/null
+++ b/tests/test_client_links.py
@@ -0,0 +1,186 @@
+"""Clients' connections on real sockets, the reactor's turns taken one at a time: what comes between two of
+them comes there every time."""
+
+from __future__ import annotations
+
+import select
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from structlog.testing import CapturingLogger
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
+
+from meadowpulley import interface as i
+from meadowpulley.__main__ import MonotonicReactor
+from meadowpulley.net.client_link import IDLE_MS, LINGER_MS, ClientLink
+from meadowpulley.net.clients import MUTE_MS
+from meadowpulley.net.config import Config
+from meadowpulley.net.deadlines import now_ms
+from meadowpulley.net.gateway import ACCEPT_ON_MS, Gateway
+from meadowpulley.settings import read_settings
+from tests.standins import SETTINGS, Client, free_port
+
+
+class Decisions:
+    """Notes what it is told, and leaves every request waiting for its first attempt."""
+
+    def __init__(self) -> None:
+        self.told: list[Any] = []
+
+    def handle(self, now: float, event: Any) -> list[Any]:
+        self.told.append(event)
+        return []
+
+    def count(self, kind: type) -> int:
+        return sum(isinstance(event, kind) for event in self.told)
+
+
+def leave(client: Client) -> None:
+    client.file.close()
+    client.socket.close()
+
+
+class Turns:
+    def __init__(self, sockets: int = 128) -> None:
+        self.reactor: Any = MonotonicReactor()
+        self.skew, self.port = 0.0, free_port()
+        address = ("127.0.0.1", self.port)
+        config = Config("n0", address, address, None, 1, sockets, read_settings(SETTINGS, "test"))
+        self.decisions = Decisions()
+        make, log = (lambda *_: self.decisions), CapturingLogger()
+        self.gateway = Gateway(config, self.reactor, log, make, clock=lambda: now_ms() + self.skew)
+        self.gateway.listen()
+
+    def turn(self, times: int = 1) -> None:
+        for _ in range(times):
+            self.reactor.iterate(0)
+
+    def client(self) -> Client:
+        client = Client(self.port)
+        while not any(link.wire.getPeer().port == client.socket.getsockname()[1] for link in self.links):
+            self.turn()
+        return client
+
+    def later(self, ms: float) -> None:
+        """What is due by then runs, as it does ahead of new input."""
+        self.skew += ms
+        self.gateway.deadlines.run_due()
+
+    @property
+    def links(self) -> list[ClientLink]:
+        return list(self.gateway.clients.links)
+
+    def ask(self, client: Client, path: str = "/health/live") -> int:
+        client.send("GET", path)
+        self.until(client)
+        return client.answer()[0]
+
+    def until(self, client: Client) -> None:
+        """Turns until something has come to a client, or its connection has ended."""
+        for _ in range(100_000):
+            if select.select([client.socket], [], [], 0)[0]:
+                return
+            self.turn()
+        raise AssertionError("nothing came")
+
+
+@pytest.fixture
+def turns() -> Iterator[Turns]:
+    turns = Turns()
+    yield turns
+    for selectable in turns.reactor.removeAll():
+        selectable.connectionLost(Failure(ConnectionDone()))  # type: ignore[no-untyped-call]
+
+
+def test_a_request_that_is_read_as_its_connection_falls_due_is_taken(turns: Turns) -> None:
+    # What is due ran first, and found the connection silent: the kernel no longer held what was in hand.
+    client = turns.client()
+    assert turns.ask(client) == 200
+    turns.skew += IDLE_MS + 1.0  # due, and the reactor's own call for it comes only later
+    client.send("GET", "/look")
+    turns.turn()
+    assert turns.decisions.count(i.Request) == 1 and turns.links[0].taken is not None
+
+
+def test_a_connection_that_is_closed_between_requests_is_closed_in_that_turn(turns: Turns) -> None:
+    # It was closed by way of the next turn: a request that came in between was read, thrown away and lost.
+    client = turns.client()
+    assert turns.ask(client) == 200
+    turns.gateway.drain()
+    assert select.select([client.socket], [], [], 0)[0] and client.answer()[0] == 0
+
+
+def test_who_waits_to_be_accepted_as_listening_ends_is_answered(turns: Turns) -> None:
+    # The kernel had completed their connections, their requests were there: closing the port reset them all.
+    turns.gateway.drain()
+    waiting = [Client(turns.port) for _ in range(60)]  # more than there are places
+    for client in waiting:
+        client.send("GET", "/health/live")
+    turns.later(ACCEPT_ON_MS)
+    for client in waiting:
+        turns.until(client)
+        assert client.answer()[0] == 200
+        leave(client)
+    with pytest.raises(ConnectionRefusedError):
+        Client(turns.port)
+    turns.turn(3)
+    assert turns.gateway.stopping
+
+
+def test_a_new_connection_brings_its_request_to_a_gateway_that_drains(turns: Turns) -> None:
+    # It was closed with no answer, which is a request refused.
+    client, mute = turns.client(), turns.client()
+    turns.gateway.drain()
+    assert turns.ask(client) == 200
+    turns.later(ACCEPT_ON_MS)
+    turns.later(MUTE_MS)
+    assert mute.answer()[0] == 0
+
+
+def test_a_turn_accepts_no_more_than_there_is_room_for(turns: Turns) -> None:
+    # After a turn in which it took all that it might, the port took twenty more in the next: some were reset.
+    half = [turns.client() for _ in range(28)] + [Client(turns.port) for _ in range(9)]
+    turns.turn(2)
+    waiting = [Client(turns.port) for _ in range(60)]
+    for client in half:
+        client.socket.sendall(b"GET /look HTTP/1.1\r\n")
+    for client in waiting:
+        client.send("GET", "/health/live")
+    for client in waiting:
+        turns.until(client)
+        assert client.answer()[0] == 200
+        leave(client)
+    assert not turns.gateway.counters["in.turned_away"] and turns.gateway.counters["in.pauses"]
+
+
+class Slow(Client):
+    """Its kernel takes little ahead of what it reads."""
+
+    def __init__(self, port: int) -> None:
+        super().__init__(port)
+        leave(self)
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.socket.connect(("127.0.0.1", port))
+        self.file = self.socket.makefile("rb")
+
+
+@pytest.mark.parametrize("crowded", [False, True])
+def test_a_slow_client_gets_the_whole_of_its_last_answer(turns: Turns, crowded: bool) -> None:
+    # A second after the last byte was the kernel's, or at once to make room, it was thrown away with a reset.
+    client = Slow(turns.port)
+    client.send("GET", "/look", Connection="close")
+    while not turns.decisions.count(i.Request):
+        turns.turn()
+    taken = next(link.taken for link in turns.links if link.taken)
+    turns.gateway.requests.answer(taken, 200, {}, bytes(60_000))
+    if crowded:
+        turns.gateway.clients.spare = turns.gateway.clients.links.size
+        turns.gateway.clients._clear_room()
+    else:
+        turns.later(LINGER_MS)
+    turns.turn(2)
+    assert not turns.links and client.answer()[::2] == (200, bytes(60_000))
