Bytes that are just being handed over count as unread while deadlines run before them

`Link.dataReceived` runs what is due before it looks at new input (link.py). In that moment the bytes have left the kernel and are not in the ring, so `unread()` said that nothing had come: - `Pool.take` gave a connection whose second answer was in hand to the next request, and its client got another client's answer; - `InstanceLink._cut_short` took an answer whose rest had come in time, to a gateway that stood still, for a spoilt one (the same in discovery and platform links); - `ClientLink._silent` closed a connection whose next request had been read, and threw that request away.

Excluded: the same for a connection's end, which is told by `connectionLost` and runs no deadlines before it.

Change: while deadlines run ahead of new input, `unread()` says yes.

Measured: tests/test_instance_links.py, three orders forced in one turn: red without the change in link.py (3 failed), green with it (3 passed); test_check, test_net_hooks, test_net_parts, test_silent_watch pass.

--- a/meadowpulley/net/link.py
+++ b/meadowpulley/net/link.py
@@ -67,7 +67,7 @@
         self.opening: Opening | None = None
         self.wire: Any = None
         self.up = False
-        self._feeding = False
+        self._feeding = self._in_hand = False
 
     def connectionMade(self) -> None:  # noqa: N802
         self.up, self.wire = True, self.transport
@@ -78,7 +78,9 @@
             opening.up.callback(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._in_hand = True  # no longer in the kernel and not yet in the ring
         self.deadlines.run_due()  # what is due runs before new input
+        self._in_hand = False
         if not self.up:
             return
         try:
@@ -124,7 +126,10 @@
         self._feeding = False
 
     def unread(self) -> bool:
-        """Whether the kernel holds bytes, or the end of the connection, that were not read yet."""
+        """Whether bytes, or the end of the connection, have come here that nobody has looked at yet: in the
+        kernel, or handed over while what was due before them runs."""
+        if self._in_hand:
+            return True
         try:
             self.wire.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
--- /dev/null
+++ b/tests/test_instance_links.py
@@ -0,0 +1,64 @@
+"""Connections to instances, at moments that cut a turn of the gateway in two: bytes that come between a look
+and what follows it. The gateway's own objects, on the checker's reactor, whose time moves when told to."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from meadowpulley.net import names
+from meadowpulley.net.http1 import answer_bytes
+from tests.test_net_hooks import Bench
+
+FIRST = answer_bytes(200, {}, b"r1")
+
+
+def request(name: str, body: bytes = b"") -> bytes:
+    """One that its client waits 0.9 s for."""
+    head = f"host: app.svc\r\n{names.ID}: {name}\r\n{names.REMAINING}: 900m\r\n"
+    size = f"content-length: {len(body)}\r\n" if body else ""
+    return f"{'POST /pay' if body else 'GET /look'} HTTP/1.1\r\n{head}{size}\r\n".encode() + body
+
+
+def ask(bench: Bench, name: str, body: bytes = b"") -> Any:
+    wire = bench.reactor.join(bench.reactor.ports[0].factory.buildProtocol(None), None)
+    wire.arrive(request(name, body))
+    return wire
+
+
+def late(bench: Bench, ms: float) -> None:
+    """The gateway stands still: time goes on, and nothing that is due runs before the next input."""
+    bench.reactor.now += ms
+
+
+# Input that is out of the kernel while what was due before it runs
+
+
+def test_a_connection_whose_second_answer_is_just_being_read_is_not_taken() -> None:
+    bench = Bench(None)
+    ask(bench, "r1")
+    bench.answer(b"r1")
+    clients = []
+    bench.gateway.deadlines.after(100.0, lambda: clients.append(ask(bench, "r2")))
+    late(bench, 101.0)
+    bench.instance.arrive(FIRST)  # run before it: the deadline, and with it the next request
+    assert bench.gateway.counters["up.found_closed"] == 1 and b"r2" not in bench.instance.sent
+    assert not clients[0].sent
+
+
+def test_the_rest_of_an_answer_that_is_just_being_read_is_in_time() -> None:
+    bench = Bench(None)
+    client = ask(bench, "r1")
+    bench.instance.arrive(FIRST[:-1])
+    late(bench, 550.0)
+    bench.instance.arrive(FIRST[-1:])
+    assert client.sent.endswith(b"r1") and b" 200 " in client.sent
+
+
+def test_a_request_that_is_just_being_read_keeps_its_connection() -> None:
+    bench = Bench(None)
+    client = ask(bench, "r1")
+    bench.answer(b"r1")
+    late(bench, 2101.0)
+    client.arrive(request("r2"))
+    bench.answer(b"r2")
+    assert client.sent.count(b" 200 ") == 2 and client.sent.endswith(b"r2")
