A reset is no end of an answer that lasts until its connection closes

`Link.connectionLost` dropped the reason and `InstanceLink.closed` took whatever a close-delimited answer had brought for the whole of it: an answer cut off by a reset was served as good (instance_link.py, link.py). And the kernel tells a reset once: where `unread()` (from `InstanceLink._cut_short`) met it first, the next read saw an end in order (probed: peek gives ECONNRESET, the read after it no bytes).

Excluded: framing by length and by chunks, a half head, 1xx ahead alone: `Parser.end` gives no answer for any of them, whichever way the connection ends. Discovery's answers: a list cut off can't be read.

Change: a link knows whether its connection broke, by the reason or by a look that met the error; then there is no answer, and the attempt ends as reset.

--- a/meadowpulley/net/instance_link.py
+++ b/meadowpulley/net/instance_link.py
@@ -112,7 +112,7 @@
         attempt, self.attempt = self.attempt, None
         if attempt is None:
             return
-        answer = self.parser.end()
+        answer = None if self.broken else self.parser.end()  # a reset is no end of an answer, however framed
         if answer is not None and attempt.written:
             attempt.answered(answer)
         else:
--- a/meadowpulley/net/link.py
+++ b/meadowpulley/net/link.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 from twisted.python.failure import Failure
 
@@ -66,7 +67,7 @@
         self.limit = Limit(deadlines)
         self.opening: Opening | None = None
         self.wire: Any = None
-        self.up = False
+        self.up = self.broken = False  # broken: it did not end, as a reset connection
         self._feeding = self._in_hand = False
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -92,6 +93,8 @@
 
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         self.up = False
+        if reason is not None and not isinstance(reason.value, ConnectionDone):
+            self.broken = True
         self.limit.clear()
         self.closed()
         self.inward.clear()
@@ -135,6 +138,7 @@
         except BlockingIOError:
             return False
         except (OSError, AttributeError):
+            self.broken = True  # the kernel tells it once: to the next read it is an end like any other
             return True
         return True
 
--- a/tests/test_instance_links.py
+++ b/tests/test_instance_links.py
@@ -62,3 +62,22 @@
     client.arrive(request("r2"))
     bench.answer(b"r2")
     assert client.sent.count(b" 200 ") == 2 and client.sent.endswith(b"r2")
+
+
+def test_a_reset_that_a_look_has_found_is_no_end_of_an_answer() -> None:
+    bench = Bench(None)
+    client = ask(bench, "r1")
+    bench.instance.arrive(b"HTTP/1.1 200 OK\r\n\r\npart")
+
+    class Reset:
+        """A socket whose error is told once, as the kernel does; after that it only reads as ended."""
+
+        def recv(self, size: int, flags: int) -> bytes:
+            bench.instance.ended = True
+            raise ConnectionResetError
+
+    bench.instance.getHandle = Reset
+    late(bench, 550.0)
+    bench.reactor.run_due()  # the limit of an answer's rest finds the reset before the reactor does
+    bench.instance.read()
+    assert not bench.instance.up and b" 200 " not in client.sent
