What comes before a request's last byte is written is not its answer and never ran

Excluded: a connection that ends with the request half written (`broke`, and `closed` asks for `written` already); `flushed` before the data is out (writeSomeData took all, or the producer was asked for more after the last byte); an error that writeSomeData gives back is no int and counts as nothing written.

Change: unless it is a turning away, such an answer ends the attempt as never run, and so does noise.

--- a/meadowpulley/net/attempts.py
+++ b/meadowpulley/net/attempts.py
@@ -111,12 +111,18 @@
         self.end(i.Result.RESET if self.written else i.Result.CONNECT_FAILED)
 
     def garbage(self) -> None:
-        """What came is no answer: the request has run, or may have, and who spoilt it is not said."""
+        """What came is no answer: a request that was written has run, or may have; who spoilt it is not
+        said."""
         self.attempts.gateway.counters.add("up.garbage")
-        self.end(i.Result.RESET)
+        self.broke()
 
     def answered(self, answer: Message) -> None:
         result, taken = read_result(answer), self.taken
+        if not self.written and result is not i.Result.FULL:
+            # An instance begins with the last byte, which it can't have: that answers an earlier request.
+            self.attempts.gateway.counters.add("up.unasked")
+            self.broke()
+            return
         if result is i.Result.OK and taken is not None and not taken.over:
             kind = answer.headers.get("content-type")
             headers = {"content-type": kind} if kind else {}
--- a/tests/test_instance_links.py
+++ b/tests/test_instance_links.py
@@ -5,6 +5,8 @@
 
 from typing import Any
 
+import pytest
+
 from meadowpulley.net import names
 from meadowpulley.net.http1 import answer_bytes
 from tests.test_net_hooks import Bench
@@ -25,6 +27,12 @@
     return wire
 
 
+def up(bench: Bench) -> Any:
+    """The connection in the making comes up."""
+    (opening,) = bench.world._openings()
+    return opening.accept()
+
+
 def late(bench: Bench, ms: float) -> None:
     """The gateway stands still: time goes on, and nothing that is due runs before the next input."""
     bench.reactor.now += ms
@@ -81,3 +89,19 @@
     bench.reactor.run_due()  # the limit of an answer's rest finds the reset before the reactor does
     bench.instance.read()
     assert not bench.instance.up and b" 200 " not in client.sent
+
+
+# Answers to a request that the kernel has not taken whole
+
+
+@pytest.mark.parametrize("raw", [answer_bytes(200, {}, b"r0"), answer_bytes(500, {}), b"\x00noise\r\n\r\n"])
+def test_what_comes_before_a_request_is_written_is_not_its_answer(raw: bytes) -> None:
+    bench = Bench(None)
+    bench.instance.jammed = True
+    client = ask(bench, "r1", b"money")
+    bench.instance.arrive(raw)  # a second answer to the request before, say
+    assert not client.sent and not bench.instance.up and not bench.instance.sent
+    again = up(bench)  # it never ran, so that it may go once more
+    assert again.sent.endswith(b"money")
+    again.arrive(FIRST)
+    assert b" 200 " in client.sent and client.sent.endswith(b"r1")
