--- a/meadowpulley/net/link.py
+++ b/meadowpulley/net/link.py
@@ -96,6 +96,8 @@
 
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         self.up = False
+        if reason is not None and not isinstance(reason.value, ConnectionDone):
+            self.broken = True
         self.limit.clear()
         self.closed()
         self.inward.clear()
@@ -138,6 +140,7 @@
         except BlockingIOError:
             return False
         except (OSError, AttributeError):
+            self.broken = True  # the kernel tells it once: to the next read it is an end like any other
             return True
         return True
 
--- /dev/null
+++ b/tests/test_instance_links.py
@@ -0,0 +1,107 @@
+"""Connections to instances, at moments that cut a turn of the gateway in two: bytes that come between a look
+and what follows it. The gateway's own objects, on the checker's reactor, whose time moves when told to."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from meadowpulley.net import names
+from meadowpulley.net.http1 import answer_bytes
+from tests.test_net_hooks import Bench
+
+FIRST = answer_bytes(200, {}, b"r1")
+
+
+def request(name: str, body: bytes = b"") -> bytes:
+    """One that its client waits 0.9 s for."""
+    head = f"host: app.svc\r\n{names.ID}: {name}\r\n{names.REMAINING}: 900m\r\n"
+    size = f"content-length: {len(body)}\r\n" if body else ""
+    return f"{'POST /pay' if body else 'GET /look'} HTTP/1.1\r\n{head}{size}\r\n".encode() + body
+
+
+def ask(bench: Bench, name: str, body: bytes = b"") -> Any:
+    wire = bench.reactor.join(bench.reactor.ports[0].factory.buildProtocol(None), None)
+    wire.arrive(request(name, body))
+    return wire
+
+
+def up(bench: Bench) -> Any:
+    """The connection in the making comes up."""
+    (opening,) = bench.world._openings()
+    return opening.accept()
+
+
+def late(bench: Bench, ms: float) -> None:
+    """The gateway stands still: time goes on, and nothing that is due runs before the next input."""
+    bench.reactor.now += ms
+
+
+# Input that is out of the kernel while what was due before it runs
+
+
+def test_a_connection_whose_second_answer_is_just_being_read_is_not_taken() -> None:
+    bench = Bench(None)
+    ask(bench, "r1")
+    bench.answer(b"r1")
+    clients = []
+    bench.gateway.deadlines.after(100.0, lambda: clients.append(ask(bench, "r2")))
+    late(bench, 101.0)
+    bench.instance.arrive(FIRST)  # run before it: the deadline, and with it the next request
+    assert bench.gateway.counters["up.found_closed"] == 1 and b"r2" not in bench.instance.sent
+    assert not clients[0].sent
+
+
+def test_the_rest_of_an_answer_that_is_just_being_read_is_in_time() -> None:
+    bench = Bench(None)
+    client = ask(bench, "r1")
+    bench.instance.arrive(FIRST[:-1])
+    late(bench, 550.0)
+    bench.instance.arrive(FIRST[-1:])
+    assert client.sent.endswith(b"r1") and b" 200 " in client.sent
+
+
+def test_a_request_that_is_just_being_read_keeps_its_connection() -> None:
+    bench = Bench(None)
+    client = ask(bench, "r1")
+    bench.answer(b"r1")
+    late(bench, 2101.0)
+    client.arrive(request("r2"))
+    bench.answer(b"r2")
+    assert client.sent.count(b" 200 ") == 2 and client.sent.endswith(b"r2")
+
+
+def test_a_reset_that_a_look_has_found_is_no_end_of_an_answer() -> None:
+    bench = Bench(None)
+    client = ask(bench, "r1")
+    bench.instance.arrive(b"HTTP/1.1 200 OK\r\n\r\npart")
+
+    class Reset:
+        """A socket whose error is told once, as the kernel does; after that it only reads as ended."""
+
+        def recv(self, size: int, flags: int) -> bytes:
+            bench.instance.ended = True
+            raise ConnectionResetError
+
+    bench.instance.getHandle = Reset
+    late(bench, 550.0)
+    bench.reactor.run_due()  # the limit of an answer's rest finds the reset before the reactor does
+    bench.instance.read()
+    assert not bench.instance.up and b" 200 " not in client.sent
+
+
+# Answers to a request that the kernel has not taken whole
+
+
+@pytest.mark.parametrize("raw", [answer_bytes(200, {}, b"r0"), answer_bytes(500, {}), b"\x00noise\r\n\r\n"])
+def test_what_comes_before_a_request_is_written_is_not_its_answer(raw: bytes) -> None:
+    bench = Bench(None)
+    bench.instance.jammed = True
+    client = ask(bench, "r1", b"money")
+    bench.instance.arrive(raw)  # a second answer to the request before, say
+    assert not client.sent and not bench.instance.up and not bench.instance.sent
+    again = up(bench)  # it never ran, so that it may go once more
+    assert again.sent.endswith(b"money")
+    again.arrive(FIRST)
+    assert b" 200 " in client.sent and client.sent.endswith(b"r1")
