Classes of tens of ms beside classes of seconds: each by its own aim and deadline

Found on the two variants of the site file (other customers' settings), both lines in the module: - requests.py route_or_wait gave a request up two ticks of 50 ms before its deadline. The look at waiting requests now comes as often as the least wait of a class needs (WAIT_SHARE of the least aim, 50 ms at most), and the margin is two of those. - servers.py rest_silent measured a server's silence by the least aim of all classes: with a class of tens of ms, every request of seconds had its server rested. It is measured by the aim of the request it was asked.

--- a/meadowpulley/balance/balancer.py
+++ b/meadowpulley/balance/balancer.py
@@ -10,7 +10,7 @@
 from meadowpulley import interface as i
 from meadowpulley.balance.evidence import PROOF, TALLY, TELLERS, count, exchange, hear_peer, new_seen
 from meadowpulley.balance.judging import judge, news
-from meadowpulley.balance.requests import TICK_MS, gone, outcome, request, route_or_wait, started
+from meadowpulley.balance.requests import TICK_MS, WAIT_SHARE, gone, outcome, request, route_or_wait, started
 from meadowpulley.balance.sending import probed
 from meadowpulley.balance.servers import RETRY_LIST_MS, rest_silent, take_list
 from meadowpulley.records import Peers, State
@@ -46,6 +46,7 @@
 class Balancer(State):
     def __init__(self, settings: i.Settings, seed: int, placements: Sequence[i.Placement] = ()) -> None:
         super().__init__(settings, seed)
+        self.look_ms = min(TICK_MS, self.least_aim_ms * WAIT_SHARE) or TICK_MS  # no class has to wait longer
         self.placements = dict(enumerate(placements[1:], 1))
         self.z = 2 + 0.5 * math.log(self.many)
         self.needed = PROOF + math.log(max(self.many / max(self.roll.back_votes, 1), 1.0))
@@ -65,7 +66,7 @@
         if handler := HANDLERS.get(type(event)):
             handler(self, event)
         # One timer, only when there is something to wait for: an idle balancer costs nothing.
-        look = TICK_MS if self.waiting else 4 * TICK_MS if self.attempts else math.inf
+        look = self.look_ms if self.waiting else 4 * TICK_MS if self.attempts else math.inf
         tell = self.tell_at if self.peers.pooled else math.inf  # if idle too: what is old says nothing
         at = max(min(self.judge_at, self.ask_again_at, tell, now + look), now)
         if at < self.timer_at:
--- a/meadowpulley/balance/requests.py
+++ b/meadowpulley/balance/requests.py
@@ -37,7 +37,7 @@
 
 def route_or_wait(b: State, held: Held) -> None:
     # Given up before the deadline by more than a tick: the answer must be in time.
-    until = min(held.arrived + held.cls.aim_ms * WAIT_SHARE, held.r.deadline_ms - 2 * TICK_MS)
+    until = min(held.arrived + held.cls.aim_ms * WAIT_SHARE, held.r.deadline_ms - 2 * b.look_ms)
     hopeless = held.tries >= b.s.limits.max_attempts or (held.maybe and held.cls.effect is i.Effect.UNSAFE)
     if not route(b, held) and b.now < until and not hopeless:
         b.waiting.append(held)
--- a/meadowpulley/balance/servers.py
+++ b/meadowpulley/balance/servers.py
@@ -74,9 +74,10 @@
 
 def rest_silent(b: State) -> None:
     """A server silent on a request far longer than usual rests; no repeat: costly ones would feed a jam."""
-    limit = min(max(SILENT_TIMES * b.usual_ms, b.least_aim_ms / 2), b.least_aim_ms)
-    for a in [a for a in b.attempts.values() if a.sent < b.now - limit]:
-        if max(a.server.heard, b.stood_still) < a.sent:
+    for a in list(b.attempts.values()):
+        aim = a.held.cls.aim_ms  # another class's may be a hundred times as long
+        limit = min(max(SILENT_TIMES * b.usual_ms, aim / 2), aim)
+        if max(a.server.heard, b.stood_still) < a.sent < b.now - limit:
             rest(b, a.server)
 
 
--- a/meadowpulley/records.py
+++ b/meadowpulley/records.py
@@ -196,6 +196,7 @@
     needed: float  # log odds of failing that prove a build bad
     reach: float  # how many servers are near
     list_spread: float  # of list calls, in ms, as discovery takes a fleet's in turn
+    look_ms: float  # how often waiting requests are looked at
     builds: defaultdict[int, Seen]
     peers: Peers
     placements: dict[int, i.Placement]  # by arm; arm 0 is the module's own choice
--- /dev/null
+++ b/tests/test_mixed_classes.py
@@ -0,0 +1,40 @@
+"""Classes of tens of milliseconds beside classes of seconds: neither is judged by the other's measure."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from meadowpulley import interface as i
+from tests.driver import LIMITS, Driver, fleet, sends, settings
+
+BRIEF = i.RequestClass("pos-1hz", 45.0, 90.0, i.Effect.SAFE)
+LONG = i.RequestClass("shift", 4000.0, 8000.0, i.Effect.SAFE)
+BOTH = (BRIEF, LONG)
+
+
+@pytest.mark.parametrize(("cls", "probes"), [(0, True), (1, True), (0, False), (1, False)])
+def test_a_class_of_tens_of_ms_is_sent_where_servers_are_asked_first(cls: int, probes: bool) -> None:
+    # A request that waits for two servers' word was given up at once: its deadline less two ticks of 50 ms
+    # had passed as it came. Of a class of 90 ms a quarter was served.
+    d = Driver(settings(limits=replace(LIMITS, probes=probes), classes=BOTH))
+    fleet(d)
+    actions = d.ask(cls, left=BOTH[cls].deadline_ms)
+    if probes:
+        assert not [a for a in actions if isinstance(a, i.Refuse | i.Fail)]
+        [asked, _] = [a.server for a in actions if isinstance(a, i.Probe)]
+        d.now += 1.0
+        actions = d.give(i.ProbeResult(asked, i.Result.OK, 1.0))
+    assert len(sends(actions)) == 1
+
+
+@pytest.mark.parametrize(("cls", "rests"), [(0, True), (1, False)])
+def test_a_server_is_silent_by_the_aim_of_what_it_was_asked(cls: int, rests: bool) -> None:
+    # By the least aim of all classes each request of seconds had its server rested after tens of ms.
+    d = Driver(settings(classes=BOTH))
+    fleet(d, count=1)
+    assert sends(d.ask(cls, left=BOTH[cls].deadline_ms))
+    d.now += 2 * BRIEF.aim_ms
+    d.tick()
+    assert bool(sends(d.ask(0, left=BRIEF.deadline_ms))) is not rests
