A connection that comes up once the client has gone carries nothing

Cause: attempts.py: _connected() wrote the request whenever the attempt had not ended. The attempt now ends as MOOT: not sent, the request was over. Excluded: with cancelling the decisions call the attempt off, and the opening with it; an attempt that finds a connection in the pool is written in the same turn, so that nothing waits there.

test_a_connection_that_comes_up_once_the_client_has_gone_carries_nothing: red without the mend, green with it.

--- a/meadowpulley/net/attempts.py
+++ b/meadowpulley/net/attempts.py
@@ -84,6 +84,8 @@
     def _connected(self, link: InstanceLink) -> None:
         self.opening = None
         self.attempts.gateway.deadlines.call_off(self.connect_limit)
+        if self.taken is not None and self.taken.over:  # its client has gone: nothing is sent for it
+            self.end(i.Result.MOOT)
         if self.ended:
             link.drop()
         elif link.up:
--- a/tests/test_client_links.py
+++ b/tests/test_client_links.py
@@ -16,6 +16,7 @@
 
 from meadowpulley import interface as i
 from meadowpulley.__main__ import MonotonicReactor
+from meadowpulley.check.connection.scenes import INSTANCES
 from meadowpulley.net.client_link import FIRST_MS, IDLE_MS, LINGER_MS, TURN_REQUESTS, ClientLink
 from meadowpulley.net.clients import MUTE_MS
 from meadowpulley.net.config import Config
@@ -23,6 +24,7 @@
 from meadowpulley.net.gateway import ACCEPT_ON_MS, Gateway
 from meadowpulley.settings import read_settings
 from tests.standins import SETTINGS, Client, free_port
+from tests.test_net_hooks import Bench
 
 
 class Decisions:
@@ -265,3 +267,27 @@
     assert len(link.outward)
     turns.gateway.drain()
     assert turns.rest(client).endswith(bytes(150_000)) and not turns.links
+
+
+class Sends(Decisions):
+    """Sends every request to one instance and calls nothing off, as where no settings allow it."""
+
+    def __init__(self, server: int) -> None:
+        super().__init__()
+        self.server = server
+
+    def handle(self, now: float, event: Any) -> list[Any]:
+        super().handle(now, event)
+        return [i.Send(event.request, self.server)] if isinstance(event, i.Request) else []
+
+
+def test_a_connection_that_comes_up_once_the_client_has_gone_carries_nothing() -> None:
+    bench = Bench(None)
+    bench.gateway.balancer = decisions = Sends(next(iter(bench.gateway.instances.pools)))
+    bench.ask("r1")
+    bench.ask("r2").lose()
+    (opening,) = [o for o in bench.reactor.openings if o.address in INSTANCES]
+    up = opening.accept()
+    assert not up.sent and not up.up
+    (outcome,) = [e for e in decisions.told if isinstance(e, i.Outcome)]
+    assert outcome.result is i.Result.MOOT and not bench.gateway.requests.still_out
