An id is not taken again while an attempt of its earlier request is still out

Cause: requests.py: _end() freed the id when the client had gone (or had its answer), although an attempt might be out still: where the settings allow no cancelling the same id, sent again, went on as a second copy beside the first, on an open connection, also for classes that may not simply be repeated. intake.py now answers 409 until the last attempt has ended. Excluded: with cancelling the first attempt's connection is closed by then (the test holds it); an id that comes again after its answer, with nothing out, is taken as a request of its own, as after a refusal.

tests/net_program/test_client_races.py, the program by `run`: the case without cancelling red without the mend (the instance was asked twice), both green with it.

--- a/meadowpulley/net/intake.py
+++ b/meadowpulley/net/intake.py
@@ -157,7 +157,8 @@
         name = message.headers.get(names.ID, "")
         if not _ID.fullmatch(name):
             raise BadMessageError(400, f"no '{names.ID}', or not just one")
-        if name in self.requests.ids and self.gateway.hook is None:
+        open_ = name in self.requests.ids or name in self.requests.still_out
+        if open_ and self.gateway.hook is None:
             raise BadMessageError(409, _SECOND)
         now, settings = self.gateway.deadlines.came(), self.gateway.config.settings
         told = message.headers.get(names.REMAINING)
--- a/meadowpulley/net/requests.py
+++ b/meadowpulley/net/requests.py
@@ -65,12 +65,14 @@
 
 class Requests:
     """`table`: all whose slot is in use, the answered ones with an attempt still out among them; `ids`: how
-    many of each id are owed an answer, more than one only where a hook lets them in."""
+    many of each id are owed an answer, more than one only where a hook lets them in; `still_out`: the ids of
+    those that are over with an attempt still out, whose second copy another one would be."""
 
     def __init__(self, gateway: Host, size: int) -> None:
         self.gateway = gateway
         self.table: Slots[Taken] = Slots(size)
         self.ids: dict[str, int] = {}
+        self.still_out: set[str] = set()
 
     def add(self, taken: Taken) -> None:
         """From now on the request is owed an answer, whatever becomes of it."""
@@ -182,9 +184,12 @@
         if left:
             self.ids[name] = left
         self.gateway.deadlines.call_off(taken.limit)
+        if taken.out:
+            self.still_out.add(name)
         self.release(taken)
 
     def release(self, taken: Taken) -> None:
         """Frees the slot once the answer is out and no attempt is."""
         if taken.over and not taken.out:
             self.table.free(taken.handle)
+            self.still_out.discard(taken.message.headers[names.ID])
