A connection to a server that was replaced carries nothing more and is not kept

`Instances.place` and `forget` close the idle connections of a pool, but not those in the making or in use: - one that came up afterwards carried its request (`Attempt._connected`): chosen for one build, it ran at another that came back at the same address, past the checks of exposure and of keys bound to a build; - one in use rested in the old pool after its answer (`Pool.rest`), where nothing takes or closes it before its idle limit, and nothing ever where the settings name none, while it counts as a socket in use.

Excluded: connections opened ahead (`_warmed` looked at the pool), a link taken from an old pool (`send` and `probe` look the pool up anew).

Change: a pool that was replaced or forgotten says so; a connection that comes up for it is closed, so that its attempt ends as never run and the decisions choose anew, and one in use closes with its answer.

Measured: the two tests of a replaced server in tests/test_instance_links.py, both red without the change and green with it; test_check and test_net_hooks pass.

--- a/meadowpulley/net/instance_link.py
+++ b/meadowpulley/net/instance_link.py
@@ -58,6 +58,8 @@
 
     def opened(self) -> None:
         self.pool.instances.joined(self)
+        if self.pool.over:  # another build may run there by now, for which its request was not meant
+            self.drop()
 
     def carry(self, attempt: Carried, data: bytes) -> None:
         self.limit.lift()
@@ -139,6 +141,7 @@
     ) -> None:
         self.instances, self.server, self.address, self.start = instances, server, address, start
         self.idle: list[InstanceLink] = []  # oldest first; the newest is used first
+        self.over = False  # the server has gone, or another build runs under its name
 
     def take(self) -> InstanceLink | None:
         while self.idle:
@@ -150,6 +153,9 @@
         return None
 
     def rest(self, link: InstanceLink) -> None:
+        if self.over:  # nobody would take it again, nor close it
+            link.drop()
+            return
         self.idle.append(link)
         if self.instances.idle_ms > 0:
             link.limit.set(self.instances.idle_ms * IDLE_PART, link.drop)
--- a/meadowpulley/net/instances.py
+++ b/meadowpulley/net/instances.py
@@ -36,6 +36,7 @@
     def forget(self, server: int) -> None:
         pool = self.pools.pop(server, None)
         if pool is not None:
+            pool.over = True
             pool.close_idle()
 
     def close_idle(self, server: int) -> None:
@@ -67,10 +68,8 @@
 
     def _warmed(self, link: InstanceLink, pool: Pool, limit: Deadline) -> None:
         self.gateway.deadlines.call_off(limit)
-        if link.up and self.pools.get(pool.server) is pool:
+        if link.up:
             pool.rest(link)
-        else:
-            link.drop()
 
     def _not_warmed(self, _: Failure, limit: Deadline) -> None:
         self.gateway.deadlines.call_off(limit)
--- a/tests/test_instance_links.py
+++ b/tests/test_instance_links.py
@@ -105,3 +105,31 @@
     assert again.sent.endswith(b"money")
     again.arrive(FIRST)
     assert b" 200 " in client.sent and client.sent.endswith(b"r1")
+
+
+# A server that comes back with another build, at the same address
+
+
+def replace_build(bench: Bench, started_ms: float = 5.0) -> None:
+    instances = bench.gateway.instances
+    ((server, pool),) = instances.pools.items()
+    instances.place(server, pool.address, (42, started_ms))
+
+
+def test_a_connection_that_comes_up_after_its_server_was_replaced_carries_nothing() -> None:
+    bench = Bench(None)
+    ask(bench, "r1")
+    client = ask(bench, "r2")  # the one connection is in use: its own is opened
+    replace_build(bench)
+    late_one = up(bench)
+    assert not late_one.up and not late_one.sent and not client.sent
+    again = up(bench)  # that attempt never ran: the decisions choose anew
+    assert b"r2" in again.sent
+
+
+def test_a_connection_whose_server_was_replaced_under_its_request_is_closed_with_the_answer() -> None:
+    bench = Bench(None)
+    client = ask(bench, "r1")
+    replace_build(bench)
+    bench.answer(b"r1")
+    assert b" 200 " in client.sent and not bench.instance.up and bench.gateway.instances.sockets == 0
