An attempt whose connection fails as it is asked for ends at once, a probe's too

`Attempt.start` stored the deferred and then called it by that name, which `_refused` had cleared if the failure was told within `connect`: an AttributeError in place of an outcome of its own making. If `connect` raised, the socket stayed counted, and `Attempts.probe` let the error pass to the gateway's loop: the probe ended only by its time-out. A callback that raised left its attempt open until the request's deadline.

Also excluded: sockets counted down twice.

Change: the socket counts once the connection is under way, callbacks are set on the deferred itself, and sends and probes share the one place where an error ends the attempt.

Measured: the two cases of test_a_connection_that_fails_as_it_is_asked_for_ends_its_attempt_at_once fail without the change and pass with it; test_check and test_net_hooks pass.

--- a/meadowpulley/net/attempts.py
+++ b/meadowpulley/net/attempts.py
@@ -65,13 +65,18 @@
             attempts.gateway.counters.add("up.no_socket")
             self.end(i.Result.CONNECT_FAILED)
             return
+        opening = connect(attempts.gateway.reactor, pool.address, lambda: InstanceLink(pool))
         attempts.instances.sockets += 1
         timeout = attempts.limits.connect_timeout_ms
         if timeout > 0:
             self.connect_limit = attempts.gateway.deadlines.after(timeout, self._never_up)
-        self.opening = connect(attempts.gateway.reactor, pool.address, lambda: InstanceLink(pool))
-        self.opening.addCallbacks(self._connected, self._refused)
-        self.opening.addErrback(lambda _: attempts.gateway.failed("connect"))
+        self.opening = opening  # before its callbacks, which forget it and may run at once
+        opening.addCallbacks(self._connected, self._refused)
+        opening.addErrback(self._failed_connecting)
+
+    def _failed_connecting(self, _: Failure) -> None:
+        self.attempts.gateway.failed("connect")
+        self.broke()
 
     def _bytes(self) -> bytes:
         if self.taken is None:
@@ -182,11 +187,14 @@
             self.gateway.counters.add("up.attempts")
             if until < taken.deadline:
                 attempt.limit = self.gateway.deadlines.at(until, attempt.time_out)
-            try:
-                attempt.start(pool)
-            except Exception:  # the decisions hear of it, and the request goes on
-                self.gateway.failed("send")
-                attempt.broke()
+            self._start(attempt, pool, "send")
+
+    def _start(self, attempt: Attempt, pool: Pool, where: str) -> None:
+        try:
+            attempt.start(pool)
+        except Exception:  # the decisions hear of it, and the request goes on
+            self.gateway.failed(where)
+            attempt.broke()
 
     def probe(self, action: i.Probe) -> None:
         now = self.gateway.deadlines.now()
@@ -198,7 +206,7 @@
             return
         self.gateway.counters.add("up.probes")
         attempt.limit = self.gateway.deadlines.at(until, attempt.time_out)
-        attempt.start(pool)
+        self._start(attempt, pool, "probe")
 
     def cancel(self, action: i.Cancel) -> None:
         taken = self.requests.table.get(action.request)
--- a/tests/test_instance_links.py
+++ b/tests/test_instance_links.py
@@ -6,7 +6,10 @@
 from typing import Any
 
 import pytest
+from twisted.internet.error import ConnectError
+from twisted.python.failure import Failure
 
+from meadowpulley import interface as i
 from meadowpulley.net import names
 from meadowpulley.net.http1 import answer_bytes
 from tests.test_net_hooks import Bench
@@ -133,3 +136,28 @@
     replace_build(bench)
     bench.answer(b"r1")
     assert b" 200 " in client.sent and not bench.instance.up and bench.gateway.instances.sockets == 0
+
+
+# Connections that fail before whoever asked for them has heard of them
+
+
+@pytest.mark.parametrize("how", ["told", "raised"])
+def test_a_connection_that_fails_as_it_is_asked_for_ends_its_attempt_at_once(how: str) -> None:
+    bench = Bench(None)
+    (server,) = bench.gateway.instances.pools
+    bench.gateway.instances.close_idle(server)
+
+    def connect(host: str, port: int, factory: Any, timeout: Any = None) -> None:
+        if how == "raised":
+            raise OSError("out of ports")
+        factory.clientConnectionFailed(None, Failure(ConnectError()))  # type: ignore[no-untyped-call]
+
+    bench.reactor.connectTCP = connect
+    assert b" 503 " in ask(bench, "r1", b"money").sent
+    bench.gateway.attempts.probe(i.Probe(server))
+    ends = [e for e in bench.told.events if isinstance(e, i.Outcome | i.ProbeResult)]
+    assert len(ends) > 1 and isinstance(ends[-1], i.ProbeResult)
+    assert {e.result for e in ends} == {i.Result.CONNECT_FAILED}
+    assert bench.gateway.instances.sockets == 0 and not len(bench.gateway.requests.table)
+    faults = [e.partition(":")[0] for e in bench.world.log.errors]
+    assert faults == (["send"] * (len(ends) - 1) + ["probe"] if how == "raised" else [])
