--- a/tests/test_instance_links.py
+++ b/tests/test_instance_links.py
@@ -6,7 +6,10 @@
 from typing import Any
 
 import pytest
+from twisted.internet.error import ConnectError
+from twisted.python.failure import Failure
 
+from meadowpulley import interface as i
 from meadowpulley.net import names
 from meadowpulley.net.http1 import answer_bytes
 from tests.test_net_hooks import Bench
@@ -105,3 +108,56 @@
     assert again.sent.endswith(b"money")
     again.arrive(FIRST)
     assert b" 200 " in client.sent and client.sent.endswith(b"r1")
+
+
+# A server that comes back with another build, at the same address
+
+
+def replace_build(bench: Bench, started_ms: float = 5.0) -> None:
+    instances = bench.gateway.instances
+    ((server, pool),) = instances.pools.items()
+    instances.place(server, pool.address, (42, started_ms))
+
+
+def test_a_connection_that_comes_up_after_its_server_was_replaced_carries_nothing() -> None:
+    bench = Bench(None)
+    ask(bench, "r1")
+    client = ask(bench, "r2")  # the one connection is in use: its own is opened
+    replace_build(bench)
+    late_one = up(bench)
+    assert not late_one.up and not late_one.sent and not client.sent
+    again = up(bench)  # that attempt never ran: the decisions choose anew
+    assert b"r2" in again.sent
+
+
+def test_a_connection_whose_server_was_replaced_under_its_request_is_closed_with_the_answer() -> None:
+    bench = Bench(None)
+    client = ask(bench, "r1")
+    replace_build(bench)
+    bench.answer(b"r1")
+    assert b" 200 " in client.sent and not bench.instance.up and bench.gateway.instances.sockets == 0
+
+
+# Connections that fail before whoever asked for them has heard of them
+
+
+@pytest.mark.parametrize("how", ["told", "raised"])
+def test_a_connection_that_fails_as_it_is_asked_for_ends_its_attempt_at_once(how: str) -> None:
+    bench = Bench(None)
+    (server,) = bench.gateway.instances.pools
+    bench.gateway.instances.close_idle(server)
+
+    def connect(host: str, port: int, factory: Any, timeout: Any = None) -> None:
+        if how == "raised":
+            raise OSError("out of ports")
+        factory.clientConnectionFailed(None, Failure(ConnectError()))  # type: ignore[no-untyped-call]
+
+    bench.reactor.connectTCP = connect
+    assert b" 503 " in ask(bench, "r1", b"money").sent
+    bench.gateway.attempts.probe(i.Probe(server))
+    ends = [e for e in bench.told.events if isinstance(e, i.Outcome | i.ProbeResult)]
+    assert len(ends) > 1 and isinstance(ends[-1], i.ProbeResult)
+    assert {e.result for e in ends} == {i.Result.CONNECT_FAILED}
+    assert bench.gateway.instances.sockets == 0 and not len(bench.gateway.requests.table)
+    faults = [e.partition(":")[0] for e in bench.world.log.errors]
+    assert faults == (["send"] * (len(ends) - 1) + ["probe"] if how == "raised" else [])
