--- a/tests/processes/test_takeover.py
+++ b/tests/processes/test_takeover.py
@@ -134,6 +134,41 @@
     assert {cls: (*expected[cls][:1], world.sends[cls]) for cls in PATHS} == expected, "sent after it ended"
 
 
+# The survivor that seals the lost life and claims all of its work is gone in between: after the first move of
+# the seal; after the seal; before the claims; after them; after the rights of its own attempts were won.
+CLAIMANT = [
+    "seal.renamed={}@1",
+    "log.appended={}@2",
+    "log.append={}@3",
+    "log.appended={}@3",
+    "log.appended={}@4",
+]
+
+
+@pytest.mark.parametrize("action", ["kill", "stop"])
+@pytest.mark.parametrize("step", CLAIMANT)
+def test_a_claimant_gone_at_a_named_step_leaves_its_work_to_the_next(
+    start: Start, step: str, action: str
+) -> None:
+    world = start()
+    faults = [{}, {FAIL: step.format(action)}, {}]
+    lost, claimant, left = gateways = [world.fleet.launch(n, fault) for n, fault in enumerate(faults)]
+    for each in gateways:
+        each.wait_for("ready")
+    asked = {cls: world.ask(lost, cls, path) for cls, path in PATHS.items()}
+    world.wait_for_send(*PATHS)
+    joined = {cls: world.ask(left, cls, path, again=True) for cls, path in PATHS.items()}
+    lost.kill()
+    claimant.wait_until_stopped()
+    assert {cls: status(a) for cls, a in joined.items()} == {c: s for c, (s, _) in AFTER_LOSS.items()}
+    if action == "stop":
+        until(partial(world.sealed, {claimant.name}))
+        claimant.signal(signal.SIGCONT)
+        claimant.wait_for("ledger ended")
+    assert [status(a) for a in asked.values()] == [0] * 3
+    assert dict(world.sends) == {cls: sends for cls, (_, sends) in AFTER_LOSS.items()}
+
+
 @pytest.mark.parametrize("fault", ["call=error@40+", "log.append=full@3+", "log.append=error@3+"])
 def test_one_without_its_ledger_serves_on(start: Start, fault: str) -> None:
     world = start(2)
