Ledger: nothing is told of looks while it is lost

With the probe once a WAIT, looks between two probes came back well and their changes were told to the stages while the ledger was lost to them, which they never were before: suspicions and seals were asked for that could only be answered as unknown. While it is lost a look now goes out with a probe or not at all, and one from before the loss that comes back is dropped; what it brought comes again with the next.

Test: the table FULL also counts the looks told while writes fail. All three rows are red without this.

--- a/meadowpulley/ledger/client.py
+++ b/meadowpulley/ledger/client.py
@@ -212,7 +212,7 @@
             and now - self._job.began > self._settings.wait_ms
         ):
             self._lose(f"ledger: {self._settings.folder}: no answer for {self._settings.wait_ms:g} ms")
-        self._look = True
+        self._look = not self.lost or now >= self._probe_at
         self._pump()
         self._host.deadlines.after(self._settings.poll_ms, self._tick)
 
@@ -227,7 +227,7 @@
         if group is not None:
             self._host.counters.add("ledger.groups")
         self._job = job = _Job(self._host.deadlines.now(), group, scans)
-        if look and self.lost and job.began >= self._probe_at:
+        if look and self.lost:
             # Not at every poll: what a disk takes and can't make lasting grows the log by as much.
             job.probe, self._probe_at = self._probe, job.began + self._settings.wait_ms
         prefixes = self._watches()
@@ -285,14 +285,16 @@
         self._pump()
 
     def _looked(self, job: _Job, changes: Changes) -> None:
-        self._version = changes.version
         mine = [m for m in changes.members if m.life.name == self.life.name]
         if any(m.sealed or m.life != self.life for m in mine):
             self._end()
-        elif self.lost and job.probe:  # a look from before it was lost says nothing of writes
+        elif self.lost:
+            if not job.probe:
+                return  # from before it was lost: it says nothing of writes, and the next one has it too
             self.lost, self._probe, self._probe_at = False, PROBE_LEAST, 0.0
             self._host.log.info("ledger back", folder=self._settings.folder)
             self._host.tell(LedgerBack())
+        self._version = changes.version
         self._host.tell(Changed(changes, job.began))
 
     def _end(self) -> None:
--- a/tests/test_ledger_client.py
+++ b/tests/test_ledger_client.py
@@ -204,8 +204,10 @@
         at.aside.work()
         if not slow_look:
             at.client.commit(Commit(1, (Step((Create("x/1", bytes(3_000)),)),), "t"))
+        looks = len(at.host.of(Changed))
         at.host.run(5_000.0)
         assert len(at.host.of(LedgerLost)) == 1 and not at.host.of(LedgerBack)
+        assert len(at.host.of(Changed)) == looks, "nothing rests on looks while it is lost"
     at.host.run(1_000.0)
     assert len(at.host.of(LedgerBack)) == 1 and not at.store.scan("probe")
 
