Settings: no NaN, Infinity or figure below 0, no two classes of a name: a line with the path

json.load lets Infinity and whole numbers beyond a float pass: int(inf) and float(10**400) raised OverflowError, which read_config doesn't catch, so a gateway ended with a traceback instead of one line and exit 2, and a reload ended in the log as a fault (settings.py: Fields.number, Fields.whole). NaN and figures below 0 were taken as they came, most-tries 0 refused every request, and of two classes of one name only the last could be asked for (Intake.classes).

--- a/meadowpulley/settings.py
+++ b/meadowpulley/settings.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import math
+import sys
 from typing import Any
 
 from meadowpulley import interface as i
@@ -22,6 +24,7 @@
     "failed_ps": "failed_per_s",
 }
 _WEIGHTS = {"off": "none"}
+NO_LEAST = -sys.float_info.max  # taken as something else, and doubted by the gateway
 
 
 class Fields:
@@ -38,14 +41,24 @@
         if value is None:
             return default
         if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
-            raise SettingsError(f"{self._where}: '{key}' has the wrong type ({type(value).__name__})")
+            raise self.wrong(key, f"has the wrong type ({type(value).__name__})")
         return value
 
-    def number(self, key: str, default: float = 0.0) -> float:
-        return float(self._take(key, default, (int, float)))
+    def wrong(self, key: str, what: str) -> SettingsError:
+        return SettingsError(f"{self._where}: '{key}' {what}")
+
+    def number(self, key: str, default: float = 0.0, least: float = 0.0) -> float:
+        """JSON's reader lets NaN and Infinity pass, and whole numbers that no float can hold."""
+        try:
+            value = float(self._take(key, default, (int, float)))
+        except OverflowError:
+            value = math.inf
+        if not least <= value < math.inf:
+            raise self.wrong(key, f"is {value:g}, no figure of {least:g} or more")
+        return value
 
-    def whole(self, key: str, default: int = 0) -> int:
-        return int(self._take(key, default, (int, float)))
+    def whole(self, key: str, default: int = 0, least: float = 0.0) -> int:
+        return int(self.number(key, default, least))
 
     def flag(self, key: str) -> bool:
         return bool(self._take(key, False, (bool,)))
@@ -59,8 +72,8 @@
     def numbers(self, key: str) -> tuple[float, ...]:
         values = self.items(key)
         if not all(isinstance(value, int | float) for value in values):
-            raise SettingsError(f"{self._where}: '{key}' holds something that is no number")
-        return tuple(float(value) for value in values)
+            raise self.wrong(key, "holds something that is no number")
+        return tuple(Fields({key: value}, self._where).number(key) for value in values)
 
     def inner(self, key: str) -> Fields:
         return Fields(self._take(key, {}, (dict,)), f"{self._where}: '{key}'")
@@ -71,11 +84,12 @@
     def choice(self, key: str, known: dict[str, Any], default: Any) -> Any:
         name = self.text(key)
         if name and name not in known:
-            raise SettingsError(f"{self._where}: '{key}' is '{name}', not one of {', '.join(known)}")
+            raise self.wrong(key, f"is '{name}', not one of {', '.join(known)}")
         return known[name] if name else default
 
     def pairs(self) -> tuple[tuple[str, float], ...]:
-        return tuple((k, float(v)) for k, v in sorted(self._raw.items()) if isinstance(v, int | float))
+        named = [key for key, value in sorted(self._raw.items()) if type(value) in (int, float)]
+        return tuple((key, self.number(key, least=NO_LEAST)) for key in named)
 
 
 def _class(f: Fields) -> i.RequestClass:
@@ -124,6 +138,19 @@
     )
 
 
+def _classes(f: Fields) -> tuple[i.RequestClass, ...]:
+    """Each found by its name, as the first part of a path: none without one, and no two with the same."""
+    found = dict[str, i.RequestClass]()
+    for one in f.each("classes"):
+        cls = _class(one)
+        if not cls.name or cls.name in found:
+            raise one.wrong("name", f"is '{cls.name}', that of another class" if cls.name else "is missing")
+        if not cls.deadline_ms:
+            raise one.wrong("hard-limit-ms", "is 0: no answer could come in time")
+        found[cls.name] = cls
+    return tuple(found.values())
+
+
 def parse_settings(raw: bytes, where: str) -> i.Settings:
     try:
         loaded = json.loads(raw)
@@ -136,15 +163,15 @@
     f = Fields(loaded, f"{where}: settings")
     rules, bounds, report = f.inner("rules"), f.inner("bounds"), f.inner("report")
     columns = [str(name) for name in report.items("columns")]
-    balancers = max(f.whole("balancers", 1), 1)
+    balancers = max(f.whole("balancers", 1, NO_LEAST), 1)
     return i.Settings(
-        me=f.whole("me") % balancers,  # waits and windows by the number must not come out below none
+        me=f.whole("me", 0, NO_LEAST) % balancers,  # waits and windows by the number must not be below none
         balancers=balancers,
         zone=f.whole("az"),
         zones=tuple(str(name) for name in f.items("zones")),
         kinds=tuple(str(name) for name in f.items("machine-types")),
         tick_ms=f.number("period-ms"),
-        classes=tuple(_class(c) for c in f.each("classes")),
+        classes=_classes(f),
         tenants=tuple(
             i.Tenant(t.text("name"), t.number("share"), t.number("quota-rps")) for t in f.each("tenants")
         ),
@@ -158,7 +185,7 @@
             drain_grace_ms=rules.number("stop-sending-within-ms"),
         ),
         limits=i.Limits(
-            max_attempts=bounds.whole("most-tries", 1),
+            max_attempts=bounds.whole("most-tries", 1, least=1),
             second_copies=bounds.flag("may-duplicate"),
             cancel=bounds.flag("cancelling"),
             probes=bounds.flag("probing"),
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -106,6 +106,18 @@
         (b'{"discovery": "often"}', "'discovery' is 'often'"),
         (b'{"classes": [{"repeat": "maybe"}]}', "'repeat' is 'maybe'"),
         (b'{"family-info": {"caps": ["a"]}}', "no number"),
+        (b'{"family-info": {"caps": [0.1, NaN]}}', "'family-info': 'caps' is nan"),
+        (b'{"me": Infinity}', "'me' is inf"),
+        (b'{"balancers": 1' + b"0" * 400 + b"}", "'balancers' is inf"),
+        (b'{"rules": {"stop-sending-within-ms": -1}}', "'rules': 'stop-sending-within-ms' is -1"),
+        (b'{"bounds": {"most-tries": 0}}', "'most-tries' is 0, no figure of 1 or more"),
+        (b'{"prices": {"waste": -Infinity}}', "'prices': 'waste' is -inf"),
+        (b'{"classes": [{"hard-limit-ms": 9}]}', "'classes' 0: 'name' is missing"),
+        (b'{"classes": [{"name": "a"}]}', "'classes' 0: 'hard-limit-ms' is 0"),
+        (
+            b'{"classes": [{"name": "a", "hard-limit-ms": 9}, {"name": "a", "hard-limit-ms": 5}]}',
+            "'classes' 1: 'name' is 'a', that of another class",
+        ),
     ],
 )
 def test_bad_settings_are_named(raw: bytes, text: str) -> None:
