Checker: signals, half-closed clients, late second answers, a list fetched beside a watch

Four scenes: `signals` (SIGTERM, SIGHUP at any step from before READY on, whole requests unread in the kernel), `halves` (clients that end their sending, or go, with requests behind that pause the reading), `late` (a second answer on a connection that was given back, 10 ms late at most), `lists` (answers of discovery made and come in any order). Rules new or sharper: `gone`, `reload` (SIGHUP changes only addresses), `drains` in world B, whoever wrote a whole request and stayed is owed its answer also when the gateway has ended (a client lost by the gateway counted as gone before), and a gateway told to end ends whenever it was told. The transports: reading that is paused is taken up again, half-closable protocols, resets from who has gone.

--- a/meadowpulley/check/connection/__init__.py
+++ b/meadowpulley/check/connection/__init__.py
@@ -2,8 +2,9 @@
 clock.
 
 Clients write their requests in pieces, cut at the boundaries that matter; instances answer whole, in parts,
-too early, twice or with noise; both close at any point; the kernel takes bytes or does not; SIGTERM and
-SIGHUP come at any point; time moves from deadline to deadline. No socket is opened.
+too early, twice, late or with noise; both close at any point, clients by halves too; the kernel takes bytes
+or does not, and holds some unread; SIGTERM and SIGHUP come at any point; discovery's answers overtake each
+other; time moves from deadline to deadline. No socket is opened.
 
 Reading order: `scenes`, `parties` (clients, instances, what they write), `state` (one gateway at its start),
 `enabled` (what may happen next), `holds` (what must hold), `world` (taking a step).
--- a/meadowpulley/check/connection/holds.py
+++ b/meadowpulley/check/connection/holds.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import math
+from dataclasses import replace
+
 from meadowpulley.check.connection.enabled import Enabled
 from meadowpulley.check.connection.parties import Client, parse
-from meadowpulley.check.connection.scenes import INSTANCES
+from meadowpulley.check.connection.scenes import GONE_MS, INSTANCES, MOVED, RULES, SLACK_MS
 from meadowpulley.net import names
 from meadowpulley.net.gateway import Phase
 
@@ -27,7 +30,10 @@
         for c in self.clients:
             self._look_at_client(c)
         self._look_at_effects()
-        if self.ended:
+        self._look_at_sends()
+        self._look_at_config()
+        if self.reactor.stopped or self.ended:
+            self._look_at_owed()
             self._look_at_end()
 
     def _look_at_client(self, c: Client) -> None:
@@ -71,6 +77,42 @@
             if count > 1:
                 self._fail("executed", f"request {name} came whole to instances {count} times")
 
+    def _look_at_sends(self) -> None:
+        """What became whole at an instance by this step: may it still be sent there, and at all."""
+        wrote = {name: c for c in self.clients for name in c.names}
+        for s in self.served:
+            requests, at = parse(s.wire.sent, True)[0], s.wire.sent_at
+            for request in requests[s.seen :]:
+                name = request.headers.get(names.ID, "")
+                gone_at = wrote[name].gone_at if name in wrote else math.inf
+                if name in self.waited and at > gone_at + GONE_MS:
+                    text = f"request {name} was sent on {at - gone_at:.0f} ms after its client had gone"
+                    self._fail("gone", text)
+                told = self.told.get(s.wire.address or ("", 0), math.inf)
+                if at > told + RULES.drain_grace_ms + SLACK_MS:
+                    text = f"request {name} went to instance {s.wire.address}, "
+                    self._fail("drains", text + f"told not in service {at - told:.0f} ms before")
+            s.seen = len(requests)
+
+    def _look_at_config(self) -> None:
+        now, before = self.gateway.config, self.began_with
+        if replace(now, discovery=before.discovery, platform=before.platform) != before:
+            self._fail("reload", "more than addresses was taken over")
+        if self.gateway.phase in (Phase.READY, Phase.DRAINING) and (now.discovery == MOVED) != self.moved:
+            where = "the new address" if self.moved else "its old address"
+            self._fail("reload", f"discovery is followed at {now.discovery}, and is at {where}")
+
+    def _look_at_owed(self) -> None:
+        """The gateway has ended, or all is over: whoever wrote a whole request and stayed has its answer,
+        unless the answer before it said that the connection closes, or it does not read."""
+        for c in self.clients:
+            if c.wire is None or c.left or c.wire.was_jammed:
+                continue
+            answers = [m for m in parse(c.wire.sent, False)[0] if m.status >= 200]
+            if len(answers) < c.owed and all(m.keep_alive for m in answers):
+                text = f"client {c.number} wrote {c.owed} whole requests and got {len(answers)} answers"
+                self._fail("answers", text)
+
     def _look_at_end(self) -> None:
         g = self.gateway
         counters = g.counters.all()
@@ -89,5 +131,5 @@
         if g.instances.sockets != there:
             self._fail("slots", f"{g.instances.sockets} sockets to instances counted, {there} are open")
         stopped = g.phase is Phase.STOPPED and self.reactor.stopped
-        if g.phase in (Phase.DRAINING, Phase.STOPPED) and not stopped:
-            self._fail("ends", "drained, all connections over, and it did not end")
+        if (self.told_to_end or g.phase in (Phase.DRAINING, Phase.STOPPED)) and not stopped:
+            self._fail("ends", "told to end, all connections over, and it did not end")
--- a/meadowpulley/check/connection/parties.py
+++ b/meadowpulley/check/connection/parties.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import math
+from typing import Any
+
 from meadowpulley.check.wire import Wire
 from meadowpulley.net import names
 from meadowpulley.net.http1 import BadMessageError, Message, Parser
 from meadowpulley.net.ring import Ring
 
+BULK = 60_000
+
 
 def request_text(kind: str, name: str) -> bytes:
     """A request of a script's word."""
@@ -15,6 +20,8 @@
         return f"GET /look HTTP/1.1\r\n{head}\r\n".encode()
     if kind == "post":
         return f"POST /pay HTTP/1.1\r\n{head}content-length: 5\r\n\r\nhello".encode()
+    if kind == "bulk":  # two of them behind another fill what is read ahead
+        return f"POST /pay HTTP/1.1\r\n{head}content-length: {BULK}\r\n\r\n".encode() + b"b" * BULK
     if kind == "chunked":
         body = "5\r\nhello\r\n0\r\n\r\n"
         return f"POST /pay HTTP/1.1\r\n{head}transfer-encoding: chunked\r\n\r\n{body}".encode()
@@ -48,6 +55,8 @@
         self.written = 0  # bytes of it
         self.wire: Wire | None = None
         self.left = False
+        self.gone_at = math.inf  # when it closed its connection
+        self.owed = 0  # requests that were whole before the gateway said that it closes
         self.answers = 0
 
 
@@ -59,6 +68,44 @@
         self.answered = 0  # requests
         self.turned_away: list[int] = []  # which of them were told not to have run
         self.rest = b""  # of an answer that has begun
+        self.last, self.last_at = b"", -math.inf  # its last good answer, which may come once more
+        self.seen = 0  # requests that were whole there when the last step was over
+
+
+class Registry:
+    """Discovery: the state of each instance, and the version that brought it."""
+
+    def __init__(self, addresses: tuple[tuple[str, int], ...]) -> None:
+        self.version = 1
+        self.addresses = addresses
+        self.states = [("in_service", 1)] * len(addresses)
+
+    def change(self, n: int, state: str) -> None:
+        self.version += 1
+        self.states[n] = state, self.version
+
+    def answer(self, after: int | None) -> dict[str, Any]:
+        """The whole list, or what changed after a version."""
+        found = [
+            {names.NAME: f"s{n}", names.ADDRESS: f"{host}:{port}", names.ZONE: "a", names.STATE: state,
+             names.BUILD: 41}
+            for n, ((host, port), (state, since)) in enumerate(zip(self.addresses, self.states, strict=True))
+            if (state != "terminated" if after is None else since > after)
+        ]  # fmt: skip
+        return {names.VERSION: self.version, names.WHOLE: after is None, names.ENTRIES: found}
+
+
+class Called:
+    """One connection at discovery: how many calls were answered, and the answer that is on its way."""
+
+    def __init__(self, wire: Wire) -> None:
+        self.wire = wire
+        self.answered = 0
+        self.made: dict[str, Any] | None = None
+
+    def call(self) -> Message | None:
+        calls, _ = parse(self.wire.sent, True)
+        return calls[self.answered] if len(calls) > self.answered else None
 
 
 def parse(data: bytes, requests: bool) -> tuple[list[Message], bool]:
--- a/meadowpulley/check/connection/scenes.py
+++ b/meadowpulley/check/connection/scenes.py
@@ -12,6 +12,9 @@
     i.RequestClass("look", 200.0, 400.0, i.Effect.SAFE),
     i.RequestClass("pay", 200.0, 400.0, i.Effect.UNSAFE),
 )
+GONE_MS = 300.0  # after its client has gone a request that waits is sent on no more
+LATE_MS = 10.0  # how late a second answer may come: "some milliseconds"
+SLACK_MS = 50.0  # of every limit, on real sockets
 RULES = i.Rules(answer_slack_ms=20.0, ask_within_ms=10_000.0, drain_grace_ms=2000.0)
 LIMITS = i.Limits(
     max_attempts=3, cancel=True, retry_after=True, max_retry_after_ms=500.0, connect_timeout_ms=50.0,
@@ -30,6 +33,9 @@
     troubles: frozenset[str]
     parts: bool = True  # requests and answers come in pieces
     size: int = 8
+    starts: bool = False  # not ready yet: it listens when told to
+    lists: bool = False  # discovery answers
+    edges: frozenset[str] = frozenset({"deadline", "end"})  # where time stops; also at "gone", "drain"
 
 
 CLOSES = frozenset({"leave", "drop", "refused", "fin"})
@@ -54,5 +60,16 @@
         Scene("reuse", "slots used again while something of their last tenant is still out",
               (("get",), ("post",), ("get",)), frozenset({"leave", "drop", "error", "twice", "fin"}),
               parts=False, size=4),
+        Scene("signals", "SIGTERM, SIGHUP at each point from before READY on; requests unread in the kernel",
+              (("get", "post"), ("post",)), frozenset({"sigterm", "sighup", "unread"}),
+              parts=False, starts=True),
+        Scene("halves", "clients that end their sending and wait, or go, with requests behind",
+              (("get", "bulk", "bulk"),), frozenset({"shut", "leave"}),
+              parts=False, edges=frozenset({"deadline", "gone", "end"})),
+        Scene("late", "a second answer, late, on a connection that was given back",
+              (("get", "post"), ("get",)), frozenset({"again"}), parts=False),
+        Scene("lists", "a list fetched beside a watch, their answers made and come in any order",
+              (("get",),), frozenset({"change", "list_failed"}), parts=False, lists=True,
+              edges=frozenset({"drain"})),
     )
 }  # fmt: skip
--- a/meadowpulley/check/connection/state.py
+++ b/meadowpulley/check/connection/state.py
@@ -2,20 +2,23 @@
 
 from __future__ import annotations
 
+import json
 import sys
 from typing import Any, Self
+from urllib.parse import parse_qs, urlsplit
 
 from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
-from meadowpulley.check.connection.parties import Client, Served
+from meadowpulley.check.connection.parties import Called, Client, Registry, Served
 from meadowpulley.check.connection.scenes import CLASSES, DISCOVERY, INSTANCES, LIMITS, RULES, SCENES
 from meadowpulley.check.graph import Copier, Forms, Walker, digest
 from meadowpulley.check.properties import Broken
 from meadowpulley.check.wire import Reactor
 from meadowpulley.check.worlds import Setting
 from meadowpulley.net import names
-from meadowpulley.net.config import Config, ConfigError
+from meadowpulley.net.config import Config, ConfigError, parse_address
 from meadowpulley.net.gateway import KEPT_BACK, Gateway
+from meadowpulley.net.http1 import answer_bytes
 
 SKIP = {
     "Gateway": frozenset({"config", "log", "_reread", "counters", "_actions", "capture"}),
@@ -24,6 +27,7 @@
     "Deadlines": frozenset({"_numbers", "_called_off", "_armed", "_armed_for", "_failed", "turned_at"}),
     "Connection": frozenset({"setting", "scene", "broken", "heard", "log"}),
     "Reactor": frozenset({"calls"}),
+    "Wire": frozenset({"sent_at"}),
     "Discovery": frozenset({"entries"}),
 }
 FORMS = Forms(
@@ -90,14 +94,8 @@
         self.log = Log()
         self.reactor = Reactor()
         instances = INSTANCES[: max(min(setting.servers, len(INSTANCES)), 1)]
-        known = {
-            names.VERSION: 1, names.WHOLE: True,
-            names.ENTRIES: [
-                {names.NAME: f"s{n}", names.ADDRESS: f"{host}:{port}", names.ZONE: "a",
-                 names.STATE: "in_service", names.BUILD: 41}
-                for n, (host, port) in enumerate(instances)
-            ],
-        }  # fmt: skip
+        self.registry = Registry(instances)
+        known = self.registry.answer(None)
         news = {
             names.NEWS_BUILD: 41, names.NEWS_STAGE: 0, names.NEWS_PHASE: "stable", names.NEWS_CAP: 1.0,
             names.NEWS_AGE: 60_000,
@@ -110,10 +108,17 @@
             "g0", ("127.0.0.1", 9000), DISCOVERY, None, 7, KEPT_BACK + self.scene.size, settings, news, known
         )
         log: Any = self.log
-        self.reloads: list[Config | None] = []  # what the next reload finds; None: no file that can be used
+        self.began_with = config
+        self.file: Config | None = config  # what a reload finds; None: no file that can be used
+        self.moved = self.told_to_end = self.fetched = False
+        self.told: dict[tuple[str, int], float] = {}  # instances told to drain or to be gone, and when
+        self.told_version = self.registry.version
+        self.calls: list[Called] = []
+        self.waited: frozenset[str] = frozenset()  # requests with no attempt yet when their client had gone
         self.gateway = Gateway(config, self.reactor, log, Observed, self._reread, self._now)
         self.gateway.prepare()
-        self.gateway.listen()
+        if not self.scene.starts:
+            self.gateway.listen()
         scripts = [self.scene.scripts[n % len(self.scene.scripts)] for n in range(setting.requests)]
         self.clients = [Client(n, script) for n, script in enumerate(scripts[: max(setting.requests, 1)])]
         self.served: list[Served] = []
@@ -121,6 +126,10 @@
         for n, opening in enumerate(list(self._openings())):  # of those opened ahead the first comes up
             self._up(opening) if n == 0 else opening.refuse()
         self.reactor.run_due()
+        self._call_up()
+        for n in range(len(self.calls)):  # the first watch asks for what is new at once
+            self._make(n)
+            self._deliver(n)
 
     def _now(self) -> float:
         return self.reactor.now
@@ -130,10 +139,9 @@
         return self.reactor.now
 
     def _reread(self) -> Config:
-        found = self.reloads.pop(0) if self.reloads else None
-        if found is None:
+        if self.file is None:
             raise ConfigError("no file that can be used")
-        return found
+        return self.file
 
     def _openings(self) -> list[Any]:
         return [o for o in self.reactor.openings if o.address in INSTANCES]
@@ -142,6 +150,37 @@
         wire = opening.accept()
         self.served.append(Served(wire))
 
+    def _call_up(self) -> None:
+        """Connections to discovery come up at once, where it answers."""
+        for opening in [o for o in self.reactor.openings if o.address not in INSTANCES and self.scene.lists]:
+            self.calls.append(Called(opening.accept()))
+
+    def _make(self, n: int) -> None:
+        """Discovery writes its answer to a call: what it holds at this moment."""
+        call = self.calls[n].call()
+        assert call is not None
+        after = parse_qs(urlsplit(call.target).query).get(names.AFTER)
+        self.calls[n].made = self.registry.answer(int(after[0]) if after else None)
+
+    def _deliver(self, n: int) -> None:
+        """The answer arrives: what a newer one told stays told."""
+        c = self.calls[n]
+        raw, c.made = c.made, None
+        assert raw is not None
+        c.answered += 1
+        if raw[names.VERSION] >= self.told_version:
+            self.told_version = raw[names.VERSION]
+            listed = {parse_address(e[names.ADDRESS]): e[names.STATE] for e in raw[names.ENTRIES]}
+            for address in self.registry.addresses:
+                state = listed.get(address, "terminated" if raw[names.WHOLE] else "")
+                if state == "in_service":
+                    self.told.pop(address, None)
+                elif state:
+                    self.told.setdefault(address, self.now)
+        c.wire.arrive(answer_bytes(200, {"content-type": "application/json"}, json.dumps(raw).encode()))
+        self.reactor.run_due()
+        self._call_up()
+
     def _fail(self, name: str, text: str) -> None:
         self.broken.append(Broken(name, self.reactor.now, 0, text))
 
@@ -154,7 +193,9 @@
     def form(self) -> Any:
         walker = Walker(FORMS)
         return walker.walk(self.reactor), [walker.walk(v) for v in (
-            self.gateway, self.clients, self.served, self.troubles, self.waits, self.ended)]  # fmt: skip
+            self.gateway, self.clients, self.served, self.troubles, self.waits, self.ended, self.registry,
+            self.calls, self.moved, self.told_to_end, self.fetched, self.told, self.told_version,
+            self.waited)]  # fmt: skip
 
     def fingerprint(self) -> int:
         return digest(self.form())
--- a/meadowpulley/check/connection/world.py
+++ b/meadowpulley/check/connection/world.py
@@ -7,10 +7,12 @@
 from dataclasses import replace
 
 from meadowpulley.check.connection.holds import Watched
-from meadowpulley.check.connection.parties import parse
+from meadowpulley.check.connection.parties import Client, parse
 from meadowpulley.check.connection.scenes import MOVED
 from meadowpulley.check.wire import Wire
 from meadowpulley.check.worlds import Step
+from meadowpulley.net import names
+from meadowpulley.net.http1 import answer_bytes
 
 LONG_MS = 70_000.0  # by when everything that has a limit has met it
 
@@ -23,6 +25,7 @@
         try:
             getattr(self, f"_do_{step.do}")(*step.who)
             self.reactor.run_due()
+            self._call_up()
         except Exception as error:  # the reactor would log it, and end the connection
             self._fail("logged", f"{type(error).__name__}: {error}")
         self._look()
@@ -35,18 +38,50 @@
     def _do_write(self, c: int, cut: int) -> None:
         client = self.clients[c]
         assert client.wire is not None
+        data = self._text(client, cut)
+        client.wire.arrive(data)
+
+    def _text(self, client: Client, cut: int) -> bytes:
+        """The next bytes that a client writes; a request that is whole now is owed an answer."""
+        assert client.wire is not None
         data = client.texts[client.at][client.written : cut]
         whole = cut == len(client.texts[client.at])
         client.at, client.written = (client.at + 1, 0) if whole else (client.at, cut)
-        self.heard.append((f"client {c}", "gateway", f"{len(data)} bytes" + (", the last" if whole else "")))
-        client.wire.arrive(data)
+        if whole and not client.wire.closing:
+            client.owed = client.at
+        told = f"{len(data)} bytes" + (", the last" if whole else "")
+        self.heard.append((f"client {client.number}", "gateway", told))
+        return data
+
+    def _do_unread(self, c: int) -> None:
+        """A whole request is in the kernel, and the reactor's turn has not come to it."""
+        self.troubles -= 1
+        client = self.clients[c]
+        assert client.wire is not None
+        client.wire.pending += self._text(client, len(client.texts[client.at]))
+
+    def _do_turn(self) -> None:
+        for wire in list(self.reactor.wires):
+            wire.read()
+
+    def _do_listen(self) -> None:
+        if not self.reactor.stopped:  # else its reactor never comes to it
+            self.gateway.listen()
 
     def _do_leave(self, c: int) -> None:
+        client = self.clients[c]
+        assert client.wire is not None
+        client.gone_at, client.wire.gone = self.now, True
+        self.waited = frozenset(client.names) - {
+            m.headers.get(names.ID, "") for s in self.served for m in parse(s.wire.sent, True)[0]
+        }
+        self._do_shut(c)
+
+    def _do_shut(self, c: int) -> None:
         self.troubles -= 1
         client = self.clients[c]
         assert client.wire is not None
-        client.left = True
-        client.wire.ended = True
+        client.left = client.wire.ended = True
         client.wire.read()
 
     def _wire(self, side: str, n: int) -> Wire:
@@ -82,11 +117,20 @@
         s.answered += 1
         if how == "full" and request is not None:
             s.turned_away.append(s.answered - 1)
-        self._say(n, self._answer_text(request, "ok" if how == "early" else how), f"answers, {how}")
+        text = self._answer_text(request, "ok" if how == "early" else how)
+        if how == "ok":
+            s.last, s.last_at = text, self.now
+        self._say(n, text, f"answers, {how}")
         if how == "close":
             s.wire.ended = True
             s.wire.read()
 
+    def _do_again(self, n: int) -> None:
+        self.troubles -= 1
+        s = self.served[n]
+        s.last, text = b"", s.last
+        self._say(n, text, "its last answer once more")
+
     def _do_part(self, n: int, cut: int) -> None:
         s = self.served[n]
         requests, _ = parse(s.wire.sent, True)
@@ -116,25 +160,56 @@
 
     def _do_sigterm(self) -> None:
         self.troubles -= 1
+        self.told_to_end = True
         self.gateway.on_signal(signal.SIGTERM, None)
 
     def _do_sighup(self, how: str) -> None:
         self.troubles -= 1
-        self.reloads.append(replace(self.gateway.config, discovery=MOVED) if how == "moved" else None)
+        self.file = None
+        if how == "moved":
+            self.moved = True
+            self.file = replace(
+                self.began_with, name="other", discovery=MOVED, seed=8, sockets=999, known=None, news=None,
+                listen=("127.0.0.1", 9009), settings=replace(self.began_with.settings, me=1),
+            )  # fmt: skip
         self.gateway.on_signal(signal.SIGHUP, None)
 
+    def _do_change(self, n: int, state: str) -> None:
+        self.troubles -= 1
+        self.registry.change(n, state)
+
+    def _do_fetch(self) -> None:
+        self.fetched = True
+        self.gateway.discovery.fetch()
+
+    def _do_make(self, n: int) -> None:
+        self._make(n)
+
+    def _do_deliver(self, n: int) -> None:
+        self.heard.append(("discovery", "gateway", f"the list of version {self.calls[n].made}"))
+        self._deliver(n)
+
+    def _do_list_failed(self, n: int) -> None:
+        self.troubles -= 1
+        self.calls[n].answered += 1
+        self.calls[n].wire.arrive(answer_bytes(503, {}))
+
     def _do_wait(self, place: str) -> None:
         self.waits -= 1
         if place == "end":
-            for wire in list(self.reactor.wires):
-                if wire.ended:
-                    wire.read()
+            if not self.reactor.ports:
+                self._do_listen()
+            self._do_turn()
             self.reactor.advance(self.reactor.now + LONG_MS)
             self.ended = True
             return
-        at = self.reactor.next_at()
+        at = self._edge(place) if place in self.scene.edges else self.reactor.next_at()
         assert at is not None
-        self.reactor.advance(max(at + {"before": -1.0, "at": 0.0, "after": 1.0}[place], self.reactor.now))
+        to = max(at + {"before": -1.0, "after": 1.0}.get(place, 0.0), self.reactor.now)
+        if to > self.reactor.now + 1.0:  # what has come within a millisecond may be read after what is due
+            self._do_turn()
+        self.reactor.advance(to)
+        self._do_turn()
 
     # For people
 
@@ -154,10 +229,22 @@
             "drop": "the instance closes connection {0}",
             "fin": "the instance closes connection {0}; nobody has looked yet",
             "read": "the gateway's reactor finds connection {0} closed",
+            "unread": "client {0} writes a request that the gateway's reactor has not read yet",
+            "turn": "the gateway's reactor reads what has come",
+            "listen": "the gateway is READY and listens",
+            "shut": "client {0} ends its sending and waits",
+            "again": "the instance on connection {0} writes its last answer once more",
+            "change": "discovery hears that instance {0} is {1}",
+            "fetch": "the decisions ask for the list",
+            "make": "discovery answers the call on connection {0}; the answer is on its way",
+            "deliver": "discovery's answer on connection {0} arrives",
+            "list_failed": "discovery answers the call on connection {0} with 503",
             "sigterm": "SIGTERM",
             "sighup": "SIGHUP, with a file that is {0}",
             "wait": "time goes on: {0} the next deadline",
         }
+        if who in (["gone"], ["drain"]):
+            return f"time goes on until just past the limit of what is {who[0]}"
         if who == ["end"]:
             return "time goes on until all is over"
         return texts[step.do].format(*who)
--- a/meadowpulley/check/mutants.py
+++ b/meadowpulley/check/mutants.py
@@ -14,6 +14,7 @@
 BALANCE, RECORDS = "meadowpulley.balance", "meadowpulley.records"
 HOST = "meadowpulley.check.decisions.host"
 ATTEMPTS, INSTANCES = "meadowpulley.net.attempts", "meadowpulley.net.instances"
+GATEWAY = "meadowpulley.net.gateway"
 INSTANCE_LINK = "meadowpulley.net.instance_link"
 CLIENTS, REQUESTS = "meadowpulley.net.clients", "meadowpulley.net.requests"
 
@@ -282,6 +283,33 @@
        "connection", "pipelined", "meadowpulley.net.http1",
        ("return self._whole(self._ring.take(self._left) if self._left else b\"\")",
         "return self._whole(self._ring.peek(self._left) if self._left else b\"\")"), requests=1),
+    # Rare moments: signals, half-closed clients, late second answers, lists that overtake each other
+    _n("drain-drops-all", "SIGTERM closes every connection, whatever is owed or unread on it",
+       "answers", "signals", GATEWAY,
+       ("        self.clients.drain()\n",
+        "        for link in self.clients.links:\n            link.drop()\n")),
+    _n("ends-with-clients", "a gateway told to end does not wait for its clients' connections",
+       "answers ends slots", "signals", GATEWAY,
+       ("if not len(self.clients.links) and not self.requests.ids:", "if True:"), waits=2),
+    _n("reload-takes-all", "SIGHUP takes over the whole of the file",
+       "reload", "signals", GATEWAY,
+       ("self.config = replace(before, discovery=fresh.discovery, platform=fresh.platform)",
+        "self.config = fresh")),
+    _n("end-of-sending-ignored", "a client that ended its sending is taken to be there whatever it does",
+       "gone slots", "halves", "meadowpulley.net.client_link",
+       ("class ClientLink(Link):\n",
+        "from twisted.internet.interfaces import IHalfCloseableProtocol\n"
+        "from zope.interface import implementer\n\n\n"
+        "@implementer(IHalfCloseableProtocol)\nclass ClientLink(Link):\n"
+        "    def readConnectionLost(self) -> None:\n        pass\n\n")),
+    _n("unasked-kept", "what an instance says unasked is kept and read as the next answer",
+       "connection", "late", INSTANCE_LINK,
+       ("            self.pool.instances.gateway.counters.add(\"up.unasked\")\n            self.drop()\n",
+        "            self.pool.instances.gateway.counters.add(\"up.unasked\")\n"), servers=1),
+    _n("missing-kept", "whoever is missing from a whole list stays in service",
+       "drains", "lists", "meadowpulley.net.discovery",
+       ("kind = i.ListKind.FULL if whole else i.ListKind.CHANGES", "kind = i.ListKind.CHANGES"),
+       ("if whole or kind is i.ListKind.CACHED:", "if kind is i.ListKind.CACHED:"), servers=1),
 )  # fmt: skip
 
 MUTANTS = {m.name: m for m in (*_ALL, *SHARED)}
--- a/meadowpulley/check/properties.py
+++ b/meadowpulley/check/properties.py
@@ -122,6 +122,15 @@
             "lent", "docs/design/lending.md",
             "What all gateways together may admit at any moment is no more than the capacity.",
         ),
+        Property(
+            "gone", "the standing test's term on clients that have gone",
+            "Of requests that waited for their first attempt when their client closed its connection, none "
+            "is sent on more than 0.3 s later.",
+        ),
+        Property(
+            "reload", "net/gateway.py: reload",
+            "SIGHUP changes where discovery and the platform are, as the file says, and nothing else.",
+        ),
         Property(
             "logged", "net/gateway.py: failed",
             "No call ends in an exception that the gateway had to catch.",
--- a/meadowpulley/check/wire.py
+++ b/meadowpulley/check/wire.py
@@ -8,8 +8,11 @@
 from typing import Any
 
 from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.python.failure import Failure
 
+READ_MAX = 64 * 1024  # what the reactor hands over in one piece
+
 
 class Later:
     """A call that the reactor owes, as `callLater` gives it back."""
@@ -83,8 +86,10 @@
     def __init__(self, reactor: Reactor, link: Any, address: tuple[str, int] | None) -> None:
         self.reactor, self.link, self.address = reactor, link, address
         self.sent = b""
+        self.sent_at = 0.0  # when its last bytes went
         self.pending = b""  # in the kernel, not read yet
-        self.ended = False  # the other end has closed, which was not read yet
+        self.ended = False  # the other end has closed, or ended its sending, which was not read yet
+        self.gone = False  # it has closed: what is written there is answered by a reset
         self.up = True
         self.reading = True
         self.jammed = self.was_jammed = False  # the kernel takes nothing until it flows again
@@ -100,7 +105,7 @@
     def writeSomeData(self, data: bytes) -> int:  # noqa: N802
         if not self.up or self.closing or self.jammed:
             return 0
-        self.sent += data
+        self._take(data)
         return len(data)
 
     def write(self, data: bytes) -> None:
@@ -108,7 +113,12 @@
             if self.jammed:
                 self.held += data
             else:
-                self.sent += data
+                self._take(data)
+
+    def _take(self, data: bytes) -> None:
+        self.sent, self.sent_at = self.sent + data, self.reactor.now
+        if self.gone:
+            self.reactor.callLater(0, self.lose)
 
     def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
         self.producer = producer
@@ -125,7 +135,8 @@
     def flow(self) -> None:
         """The kernel takes bytes again."""
         self.jammed = False
-        self.sent, self.held = self.sent + self.held, b""
+        held, self.held = self.held, b""
+        self._take(held)
         self.feed()
         if self.closing and self.up and not self.ended and self.full_close:
             self.lose()
@@ -148,6 +159,8 @@
 
     def startReading(self) -> None:  # noqa: N802
         self.reading = True
+        if self.pending or self.ended:
+            self.reactor.callLater(0, self.read)
 
     def getHandle(self) -> _Handle:  # noqa: N802
         return _Handle(self)
@@ -169,11 +182,16 @@
         self.read()
 
     def read(self) -> None:
-        if self.up and self.reading and self.pending:
-            data, self.pending = self.pending, b""
+        while self.up and self.reading and self.pending:
+            data, self.pending = self.pending[:READ_MAX], self.pending[READ_MAX:]
             self.link.dataReceived(data)
         if self.up and self.reading and self.ended:
-            self.lose()
+            half: Any = IHalfCloseableProtocol(self.link, None)
+            if half is None:
+                self.lose()
+            else:  # as Twisted has it: nothing more is read, and the rest is up to the protocol
+                self.reading = False
+                half.readConnectionLost()
 
 
 class Reactor:
@@ -230,7 +248,7 @@
         raise AssertionError("calls are set again and again for the same moment")
 
     def advance(self, to: float) -> None:
-        while (at := self.next_at()) is not None and at <= to:
+        while not self.stopped and (at := self.next_at()) is not None and at <= to:
             self.now = max(at, self.now)
             self.run_due()
         self.now = to
