No tenant is charged for a stranger's request

Cause: intake.py: _event() took whoever named no tenant, or one that the settings don't name, for tenant 0. Lending has a place of its own for strangers (the number behind the last tenant's: lending/stage.py), and the takeover line writes no name for it (takeover/stage.py); neither was ever reached, and the first tenant's share paid. Excluded: the decisions (balance/) read no tenant, so that `run`, where lending is off, was not touched by this; a class that the settings don't name is answered 404 and never sent on.

test_nobody_is_charged_for_a_stranger: red without the mend ([0, 1, 0, 0, 0]), green with it; tests of lending, takeover and placement beside it pass.

--- a/meadowpulley/net/intake.py
+++ b/meadowpulley/net/intake.py
@@ -67,6 +67,8 @@
         self.gateway, self.requests = gateway, requests
         self.classes = {c.name: n for n, c in enumerate(gateway.config.settings.classes)}
         self.tenants = {t.name: n for n, t in enumerate(gateway.config.settings.tenants)}
+        # Whoever names no tenant of ours: place 0 is a tenant's, who would be charged for it.
+        self.stranger = len(gateway.config.settings.tenants)
 
     def take(self, link: Asker, message: Message) -> None:
         """Answers a message at once, or takes it as a request. Raises BadMessageError."""
@@ -107,7 +109,7 @@
         return i.Request(
             request=taken.handle,
             cls=taken.cls,
-            tenant=self.tenants.get(message.headers.get(names.TENANT, ""), 0),
+            tenant=self.tenants.get(message.headers.get(names.TENANT, ""), self.stranger),
             key=parse_key(message.headers.get(names.KEY, "")),
             deadline_ms=taken.deadline,
             work_hint_ms=parse_hint(message),
--- a/tests/test_client_links.py
+++ b/tests/test_client_links.py
@@ -47,16 +47,21 @@
 
 
 class Turns:
-    def __init__(self, sockets: int = 128) -> None:
+    def __init__(self, sockets: int = 128, **more: Any) -> None:
         self.reactor: Any = MonotonicReactor()
         self.skew, self.port = 0.0, free_port()
         address = ("127.0.0.1", self.port)
-        config = Config("n0", address, address, None, 1, sockets, read_settings(SETTINGS, "test"))
+        settings = read_settings({**SETTINGS, **more}, "test")
+        config = Config("n0", address, address, None, 1, sockets, settings)
         self.decisions = Decisions()
         make, log = (lambda *_: self.decisions), CapturingLogger()
         self.gateway = Gateway(config, self.reactor, log, make, clock=lambda: now_ms() + self.skew)
         self.gateway.listen()
 
+    def close(self) -> None:
+        for selectable in self.reactor.removeAll():
+            selectable.connectionLost(Failure(ConnectionDone()))  # type: ignore[no-untyped-call]
+
     def turn(self, times: int = 1) -> None:
         for _ in range(times):
             self.reactor.iterate(0)
@@ -103,8 +108,7 @@
 def turns() -> Iterator[Turns]:
     turns = Turns()
     yield turns
-    for selectable in turns.reactor.removeAll():
-        selectable.connectionLost(Failure(ConnectionDone()))  # type: ignore[no-untyped-call]
+    turns.close()
 
 
 def test_a_request_that_is_read_as_its_connection_falls_due_is_taken(turns: Turns) -> None:
@@ -277,6 +281,18 @@
     assert b"connection: close" in turns.rest(client)
 
 
+def test_nobody_is_charged_for_a_stranger() -> None:
+    # Who named no tenant, or one that the settings don't name, was taken for the first of them.
+    turns = Turns(tenants=[{"name": name, "share": 0.5, "quota-rps": 9.0} for name in ("a", "a-1")])
+    for n, line in enumerate([b"X-Org: a", b"X-Org: a-1", b"X-Org: a-", b"X-Org: ", b"X-Other: a"]):
+        client = turns.client()
+        client.socket.sendall(b"GET /look HTTP/1.1\r\nHost: a\r\nX-Txn: %d\r\n%b\r\n\r\n" % (n, line))
+        while turns.decisions.count(i.Request) == n:
+            turns.turn()
+    turns.close()
+    assert [e.tenant for e in turns.decisions.told if isinstance(e, i.Request)] == [0, 1, 2, 2, 2]
+
+
 class Sends(Decisions):
     """Sends every request to one instance and calls nothing off, as where no settings allow it."""
 
