--- a/meadowpulley/net/intake.py
+++ b/meadowpulley/net/intake.py
@@ -67,9 +67,12 @@
         self.gateway, self.requests = gateway, requests
         self.classes = {c.name: n for n, c in enumerate(gateway.config.settings.classes)}
         self.tenants = {t.name: n for n, t in enumerate(gateway.config.settings.tenants)}
+        # Whoever names no tenant of ours: place 0 is a tenant's, who would be charged for it.
+        self.stranger = len(gateway.config.settings.tenants)
 
     def take(self, link: Asker, message: Message) -> None:
         """Answers a message at once, or takes it as a request. Raises BadMessageError."""
+        link.closing = link.closing or not message.keep_alive  # before any answer, a health check's too
         path = message.target.partition("?")[0]
         if not path.startswith("/"):
             raise BadMessageError(400, "the target is no path")
@@ -80,7 +83,6 @@
         cls = self._class(path)
         if cls is None:
             self.gateway.counters.add("in.unknown_path")
-            link.closing = link.closing or not message.keep_alive
             link.answer(404, {}, b"unknown path\n")
             return
         settings = self.gateway.config.settings
@@ -89,11 +91,9 @@
             raise BadMessageError(400, "a GET with a body")
         if message.method not in allowed:
             self.gateway.counters.add("in.wrong_method")
-            link.closing = link.closing or not message.keep_alive
             link.answer(405, {"allow": ", ".join(allowed)}, b"wrong method\n")
             return
         request = self._request(link, message, cls)
-        link.closing = link.closing or not message.keep_alive
         self.gateway.counters.add("in.requests")
         event = self._event(request)
         if self.gateway.capture is not None:
@@ -109,7 +109,7 @@
         return i.Request(
             request=taken.handle,
             cls=taken.cls,
-            tenant=self.tenants.get(message.headers.get(names.TENANT, ""), 0),
+            tenant=self.tenants.get(message.headers.get(names.TENANT, ""), self.stranger),
             key=parse_key(message.headers.get(names.KEY, "")),
             deadline_ms=taken.deadline,
             work_hint_ms=parse_hint(message),
