Checker: requests in the accept backlog as a gateway told to end stops listening

Scene `backlog`: a client connects and writes, waits to be accepted, at any step, also within the millisecond before the gateway stops listening. The port accepts as Twisted's does.

--- a/meadowpulley/check/connection/enabled.py
+++ b/meadowpulley/check/connection/enabled.py
@@ -11,6 +11,7 @@
 from meadowpulley.check.connection.state import State
 from meadowpulley.check.worlds import Step
 from meadowpulley.net import names
+from meadowpulley.net.gateway import ACCEPT_ON_MS
 from meadowpulley.net.http1 import Message, answer_bytes
 
 
@@ -43,7 +44,9 @@
             yield Step("up", (n,))
             if self._may("refused"):
                 yield Step("refused", (n,))
-        if any(c.wire is not None and c.wire.up and c.wire.pending and c.wire.reading for c in self.clients):
+        if self._waiting() or any(
+            c.wire is not None and c.wire.up and c.wire.pending and c.wire.reading for c in self.clients
+        ):
             yield Step("turn")
         if self.scene.lists:
             yield from self._list_steps()
@@ -56,12 +59,18 @@
         edges = self.scene.edges if not self.reactor.stopped else frozenset({"end"})
         if "deadline" in edges and self.reactor.next_at() is not None:
             yield from ("before", "at", "after")
-        yield from (n for n in ("drain", "gone", "end") if n in edges and self._edge(n) > self.now)
+        yield from (n for n in ("drain", "gone", "stop", "end") if n in edges and self._edge(n) > self.now)
+
+    def _waiting(self) -> bool:
+        return any(port.open and port.reading and port.waiting for port in self.reactor.ports)
 
     def _edge(self, name: str) -> float:
-        """Just past the next moment of that kind, 0 for none."""
+        """Just past the next moment of that kind (just before the one at which it stops listening), 0 for
+        none."""
         if name == "end":
             return math.inf
+        if name == "stop":
+            return self.told_to_end_at + ACCEPT_ON_MS - 1.0 if self.told_to_end else 0.0
         if name == "gone":
             found = [c.gone_at + GONE_MS for c in self.clients if c.gone_at <= self.now]
         else:
@@ -92,8 +101,11 @@
         wire = c.wire
         if wire is None:
             ports = self.reactor.ports[:1]
-            if not c.left and ports and ports[0].open and ports[0].reading:
+            known = any(c is other for port in ports for other in (*port.lost, *[w[0] for w in port.waiting]))
+            if not c.left and not known and ports and ports[0].open and ports[0].reading:
                 yield Step("connect", (c.number,))
+                if self._may("queue"):
+                    yield Step("queue", (c.number,))
             return
         if not wire.up:
             return
--- a/meadowpulley/check/connection/holds.py
+++ b/meadowpulley/check/connection/holds.py
@@ -32,6 +32,9 @@
         self._look_at_effects()
         self._look_at_sends()
         self._look_at_config()
+        for port in self.reactor.ports:
+            for c in port.lost:
+                self._fail("answers", f"client {c.number} was reset with its request in the accept backlog")
         if self.reactor.stopped or self.ended:
             self._look_at_owed()
             self._look_at_end()
--- a/meadowpulley/check/connection/parties.py
+++ b/meadowpulley/check/connection/parties.py
@@ -5,7 +5,7 @@
 import math
 from typing import Any
 
-from meadowpulley.check.wire import Wire
+from meadowpulley.check.wire import Port, Wire
 from meadowpulley.net import names
 from meadowpulley.net.http1 import BadMessageError, Message, Parser
 from meadowpulley.net.ring import Ring
@@ -60,6 +60,35 @@
         self.answers = 0
 
 
+class Backlog(Port):
+    """A listening port, and those whose connection the kernel has completed and nobody has accepted."""
+
+    def __init__(self, factory: Any) -> None:
+        super().__init__(factory)
+        self.waiting: list[tuple[Client, bytes]] = []
+        self.lost: list[Client] = []
+        self.reactor: Any = None
+
+    def doRead(self) -> None:  # noqa: N802
+        """As Twisted's port does, with the number that it may accept in the next turn."""
+        for n in range(self.numberAccepts):
+            if not self.waiting:
+                self.numberAccepts = n
+                return
+            client, data = self.waiting.pop(0)
+            client.wire = self.reactor.join(self.factory.buildProtocol(None), None)
+            client.wire.pending = data  # read in the next turn
+        self.numberAccepts += 20
+
+    def stopListening(self) -> None:  # noqa: N802
+        self.connectionLost(None)
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        self.open = False
+        self.lost += [client for client, _ in self.waiting]
+        self.waiting = []
+
+
 class Served:
     """One connection at an instance: what came, and what was said."""
 
--- a/meadowpulley/check/connection/scenes.py
+++ b/meadowpulley/check/connection/scenes.py
@@ -35,7 +35,7 @@
     size: int = 8
     starts: bool = False  # not ready yet: it listens when told to
     lists: bool = False  # discovery answers
-    edges: frozenset[str] = frozenset({"deadline", "end"})  # where time stops; also at "gone", "drain"
+    edges: frozenset[str] = frozenset({"deadline", "end"})  # where time stops; also "gone", "drain", "stop"
 
 
 CLOSES = frozenset({"leave", "drop", "refused", "fin"})
@@ -63,6 +63,9 @@
         Scene("signals", "SIGTERM, SIGHUP at each point from before READY on; requests unread in the kernel",
               (("get", "post"), ("post",)), frozenset({"sigterm", "sighup", "unread"}),
               parts=False, starts=True),
+        Scene("backlog", "requests in the accept backlog as the gateway told to end stops listening",
+              (("get",),), frozenset({"sigterm", "queue"}), parts=False,
+              edges=frozenset({"deadline", "stop", "end"})),
         Scene("halves", "clients that end their sending and wait, or go, with requests behind",
               (("get", "bulk", "bulk"),), frozenset({"shut", "leave"}),
               parts=False, edges=frozenset({"deadline", "gone", "end"})),
--- a/meadowpulley/check/connection/state.py
+++ b/meadowpulley/check/connection/state.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import json
+import math
 import sys
 from typing import Any, Self
 from urllib.parse import parse_qs, urlsplit
 
 from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
-from meadowpulley.check.connection.parties import Called, Client, Registry, Served
+from meadowpulley.check.connection.parties import Backlog, Called, Client, Registry, Served
 from meadowpulley.check.connection.scenes import CLASSES, DISCOVERY, INSTANCES, LIMITS, RULES, SCENES
 from meadowpulley.check.graph import Copier, Forms, Walker, digest
 from meadowpulley.check.properties import Broken
@@ -92,7 +93,7 @@
         self.broken: list[Broken] = []
         self.heard: list[tuple[str, str, str]] = []
         self.log = Log()
-        self.reactor = Reactor()
+        self.reactor = Reactor(Backlog)
         instances = INSTANCES[: max(min(setting.servers, len(INSTANCES)), 1)]
         self.registry = Registry(instances)
         known = self.registry.answer(None)
@@ -111,6 +112,7 @@
         self.began_with = config
         self.file: Config | None = config  # what a reload finds; None: no file that can be used
         self.moved = self.told_to_end = self.fetched = False
+        self.told_to_end_at = math.inf
         self.told: dict[tuple[str, int], float] = {}  # instances told to drain or to be gone, and when
         self.told_version = self.registry.version
         self.calls: list[Called] = []
@@ -195,7 +197,7 @@
         return walker.walk(self.reactor), [walker.walk(v) for v in (
             self.gateway, self.clients, self.served, self.troubles, self.waits, self.ended, self.registry,
             self.calls, self.moved, self.told_to_end, self.fetched, self.told, self.told_version,
-            self.waited)]  # fmt: skip
+            self.waited, self.told_to_end_at)]  # fmt: skip
 
     def fingerprint(self) -> int:
         return digest(self.form())
--- a/meadowpulley/check/connection/world.py
+++ b/meadowpulley/check/connection/world.py
@@ -35,6 +35,15 @@
         client = self.clients[c]
         client.wire = self.reactor.join(self.reactor.ports[0].factory.buildProtocol(None), None)
 
+    def _do_queue(self, c: int) -> None:
+        """The kernel has completed its connection and holds its request; it is not accepted yet."""
+        self.troubles -= 1
+        client = self.clients[c]
+        client.at = client.owed = 1
+        port = self.reactor.ports[0]
+        port.reactor = self.reactor
+        port.waiting.append((client, client.texts[0]))
+
     def _do_write(self, c: int, cut: int) -> None:
         client = self.clients[c]
         assert client.wire is not None
@@ -63,6 +72,8 @@
     def _do_turn(self) -> None:
         for wire in list(self.reactor.wires):
             wire.read()
+        if self._waiting():
+            self.reactor.ports[0].doRead()
 
     def _do_listen(self) -> None:
         if not self.reactor.stopped:  # else its reactor never comes to it
@@ -160,7 +171,8 @@
 
     def _do_sigterm(self) -> None:
         self.troubles -= 1
-        self.told_to_end = True
+        if not self.told_to_end:
+            self.told_to_end, self.told_to_end_at = True, self.now
         self.gateway.on_signal(signal.SIGTERM, None)
 
     def _do_sighup(self, how: str) -> None:
@@ -200,6 +212,7 @@
             if not self.reactor.ports:
                 self._do_listen()
             self._do_turn()
+            self._do_turn()  # whom it accepted is read in the next
             self.reactor.advance(self.reactor.now + LONG_MS)
             self.ended = True
             return
@@ -208,6 +221,7 @@
         to = max(at + {"before": -1.0, "after": 1.0}.get(place, 0.0), self.reactor.now)
         if to > self.reactor.now + 1.0:  # what has come within a millisecond may be read after what is due
             self._do_turn()
+            self._do_turn()
         self.reactor.advance(to)
         self._do_turn()
 
@@ -230,6 +244,7 @@
             "fin": "the instance closes connection {0}; nobody has looked yet",
             "read": "the gateway's reactor finds connection {0} closed",
             "unread": "client {0} writes a request that the gateway's reactor has not read yet",
+            "queue": "client {0} connects and writes a request; it waits to be accepted",
             "turn": "the gateway's reactor reads what has come",
             "listen": "the gateway is READY and listens",
             "shut": "client {0} ends its sending and waits",
@@ -243,6 +258,8 @@
             "sighup": "SIGHUP, with a file that is {0}",
             "wait": "time goes on: {0} the next deadline",
         }
+        if who == ["stop"]:
+            return "time goes on until just before the gateway stops listening"
         if who in (["gone"], ["drain"]):
             return f"time goes on until just past the limit of what is {who[0]}"
         if who == ["end"]:
--- a/meadowpulley/check/wire.py
+++ b/meadowpulley/check/wire.py
@@ -197,12 +197,13 @@
 class Reactor:
     """Time in milliseconds that moves only when told to."""
 
-    def __init__(self) -> None:
+    def __init__(self, port: Callable[[Any], Port] = Port) -> None:
         self.now = 1_000_000.0
+        self.make_port = port
         self.calls: list[Later] = []
         self.openings: list[Connector] = []
         self.wires: list[Wire] = []
-        self.ports: list[Port] = []
+        self.ports: list[Any] = []
         self.stopped = False
 
     def callLater(self, seconds: float, call: Callable[..., None], *args: Any) -> Later:  # noqa: N802
@@ -219,8 +220,9 @@
         return connector
 
     def listenTCP(self, port: int, factory: Any, backlog: int = 0, interface: str = "") -> Port:  # noqa: N802
-        self.ports.append(Port(factory))
-        return self.ports[-1]
+        made = self.make_port(factory)
+        self.ports.append(made)
+        return made
 
     def stop(self) -> None:
         self.stopped = True
--- a/tests/test_check_rare.py
+++ b/tests/test_check_rare.py
@@ -10,9 +10,9 @@
 from meadowpulley.check.plant import hunt_all
 from meadowpulley.check.worlds import Step
 
-DEEP = {"signals": 2, "halves": 1, "late": 1, "lists": 1}  # scenes, and how many troubles a path has
-PLANTED = ("drain-drops-all", "ends-with-clients", "reload-takes-all", "end-of-sending-ignored",
-           "unasked-kept", "missing-kept")  # fmt: skip
+DEEP = {"signals": (2, 1), "backlog": (2, 2), "halves": (1, 1), "late": (1, 1), "lists": (1, 1)}
+PLANTED = ("drain-drops-all", "ends-with-clients", "backlog-dropped", "reload-takes-all",
+           "end-of-sending-ignored", "unasked-kept", "missing-kept")  # fmt: skip
 CONNECT, ASK = Step("connect", (0,)), Step("write", (0, len(request_text("get", "c0r0"))))
 
 
@@ -27,9 +27,9 @@
 
 @pytest.mark.parametrize("scene", DEEP)
 def test_no_order_of_a_rare_moment_breaks_a_property(scene: str) -> None:
-    troubles = DEEP[scene]
+    troubles, waits = DEEP[scene]
     setting = Setting(
-        world="connection", scene=scene, servers=1, requests=1, troubles=troubles, waits=1
+        world="connection", scene=scene, servers=1, requests=1, troubles=troubles, waits=waits
     )  # fmt: skip
     coverage = Search(setting, workers=1).run()
     assert coverage.counterexample is None, coverage.counterexample
@@ -49,6 +49,15 @@
     assert not wire.pending and w.served[0].wire.sent
 
 
+def test_who_waits_to_be_accepted_is_accepted_in_one_turn_and_read_in_the_next() -> None:
+    w = world("backlog", Step("queue", (0,)))
+    assert w.clients[0].wire is None and Step("connect", (0,)) not in w.steps()
+    w.take(Step("turn"))
+    assert w.clients[0].wire is not None and not w.served[0].wire.sent
+    w.take(Step("turn"))
+    assert w.served[0].wire.sent
+
+
 def test_a_client_is_gone_at_once_if_it_is_read_and_else_once_it_is_written_to() -> None:
     w = world("halves", CONNECT, ASK, Step("leave", (0,)))
     assert all(k.address for k in w.reactor.wires)
