A client that reads its answer slowly has its whole time for it

Cause: client_link.py: answer() set drop() for 2.1 s later whatever the request's deadline was: an answer of which the kernel had not taken the last byte by then was thrown away with a reset, although the client could read it in time, and lost. The limit is now the deadline and the half second after it up to which an answer is not lost, and 2.1 s at the least. Also: - intake.py: a client that named 'X-Txn' in 'Connection' had its request sent on without an id, and the instance's 404 counted as an error of that instance's build; now 400. - intake.py: an answer to HEAD brings a body, which such a client takes for the start of its next answer; it now ends the connection. - TURN_REQUESTS 4 in place of 16: with every connection of 575 (1024 sockets) in a flood a turn is that much shorter. Excluded: deadlines at zero are answered at once and never sent on (tests/net_program/test_client_races.py); a client that reads nothing is done with after 2.1 s, or half a second past its deadline (test).

Red without the mends: the slow reader (reset), HEAD (no end), 'Connection: close, X-Txn' (200); green with them.

--- a/meadowpulley/net/client_link.py
+++ b/meadowpulley/net/client_link.py
@@ -15,9 +15,10 @@
 HALF_MS = 2_000.0  # a later request, from its first byte to its last
 IDLE_MS = 2_100.0  # a client may stay silent between requests, or leave an answer unread
 ROOM_AGAIN_MS = 20.0
+LATE_MS = 500.0  # past its deadline an answer that a client is still reading is not lost yet
 LINGER_MS = 1_000.0  # after a bad request, so that its answer is read before the connection breaks
 LINGER_BYTES = 256 * 1024  # of what it still sends are thrown away, the rest is left to the kernel to hold up
-TURN_REQUESTS = 16  # of one connection in a turn: usual clients send one, and wait while a flood is worked on
+TURN_REQUESTS = 4  # of one connection in a turn: usual clients send one, and wait while a flood is worked on
 
 
 class Table(Protocol):
@@ -133,11 +134,13 @@
         self.answer(error.status, {}, f"{error}\n".encode())
 
     def answer(self, status: int, headers: dict[str, str], body: bytes) -> None:
-        self.state, self.taken = State.ANSWERING, None
+        taken, self.state, self.taken = self.taken, State.ANSWERING, None
         # Clients may open only so many: with half of the table in use an answer ends its connection, or those
         # that asked once and stay leave none for the next request.
         self.closing = self.closing or self.clients.closing or self.clients.half_full
-        self.limit.set(IDLE_MS, self.drop)  # a client that does not read its answer is bounded too
+        # A client that does not read its answer is bounded too, one that reads it slowly has its whole time.
+        left = taken.deadline - self.deadlines.now() + LATE_MS if taken is not None else 0.0
+        self.limit.set(max(IDLE_MS, left), self.drop)
         self.send(answer_bytes(status, headers, body, self.closing))
 
     def flushed(self) -> None:
--- a/meadowpulley/net/intake.py
+++ b/meadowpulley/net/intake.py
@@ -72,7 +72,8 @@
 
     def take(self, link: Asker, message: Message) -> None:
         """Answers a message at once, or takes it as a request. Raises BadMessageError."""
-        link.closing = link.closing or not message.keep_alive  # before any answer, a health check's too
+        # Before any answer, a health check's too. One to HEAD ends the connection: its body is not expected.
+        link.closing = link.closing or not message.keep_alive or message.method == "HEAD"
         path = message.target.partition("?")[0]
         if not path.startswith("/"):
             raise BadMessageError(400, "the target is no path")
@@ -155,7 +156,8 @@
 
     def _request(self, link: Asker, message: Message, cls: int) -> Taken:
         name = message.headers.get(names.ID, "")
-        if not _ID.fullmatch(name):
+        hop = {option.strip().lower() for option in message.headers.get("connection", "").split(",")}
+        if not _ID.fullmatch(name) or names.ID in hop:  # one of this connection alone would not be sent on
             raise BadMessageError(400, f"no '{names.ID}', or not just one")
         open_ = name in self.requests.ids or name in self.requests.still_out
         if open_ and self.gateway.hook is None:
--- a/tests/net_program/test_client_races.py
+++ b/tests/net_program/test_client_races.py
@@ -49,3 +49,11 @@
 def _counters(gateway: Gateway) -> dict[str, Any]:
     os.kill(gateway.process.pid, signal.SIGUSR1)
     return gateway.wait_for("counters")
+
+
+@pytest.mark.parametrize("remaining", ["0m", "0u", "0.4u"])
+def test_a_request_without_time_is_answered_at_once_and_not_sent_on(start: Start, remaining: str) -> None:
+    instance = Instance()
+    client = start([entry("s-1", instance.address)]).client()
+    assert client.ask("POST", "/pay", b"x", X_Remaining=remaining)[0] in (502, 503, 504)
+    assert client.ask("POST", "/pay", b"y")[0] == 200 and instance.asked.get(timeout=LIMIT_S)[3] == b"y"
--- a/tests/net_program/test_serving.py
+++ b/tests/net_program/test_serving.py
@@ -94,6 +94,7 @@
         (b"GET /look HTTP/1.1\r\n\r\n", 400),
         (b"GET /look HTTP/1.1\r\nHost: a\r\n\r\n", 400),  # no id
         (b"GET /look HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nX-Txn: 2\r\n\r\n", 400),
+        (b"GET /look HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nConnection: close, X-Txn\r\n\r\n", 400),
         (b"GET /look HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nX-Remaining: nan\r\n\r\n", 400),
         (b"GET /look HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nX-Remaining: infm\r\n\r\n", 400),
         (b"GET /look HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nX-Remaining: -5m\r\n\r\n", 400),
--- a/tests/test_client_links.py
+++ b/tests/test_client_links.py
@@ -17,7 +17,7 @@
 from meadowpulley import interface as i
 from meadowpulley.__main__ import MonotonicReactor
 from meadowpulley.check.connection.scenes import INSTANCES
-from meadowpulley.net.client_link import FIRST_MS, IDLE_MS, LINGER_MS, TURN_REQUESTS, ClientLink
+from meadowpulley.net.client_link import FIRST_MS, IDLE_MS, LATE_MS, LINGER_MS, TURN_REQUESTS, ClientLink
 from meadowpulley.net.clients import MUTE_MS
 from meadowpulley.net.config import Config
 from meadowpulley.net.deadlines import now_ms
@@ -184,6 +184,17 @@
         self.file = self.socket.makefile("rb")
 
 
+def hold_up(turns: Turns) -> None:
+    """The one request is answered, and the kernel takes only a part of it."""
+    while not turns.decisions.count(i.Request):
+        turns.turn()
+    (link,) = turns.links
+    link.wire.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    assert link.taken is not None
+    turns.gateway.requests.answer(link.taken, 200, {}, bytes(150_000))
+    assert len(link.outward)
+
+
 @pytest.mark.parametrize("crowded", [False, True])
 def test_a_slow_client_gets_the_whole_of_its_last_answer(turns: Turns, crowded: bool) -> None:
     # A second after the last byte was the kernel's, or at once to make room, it was thrown away with a reset.
@@ -262,13 +273,7 @@
     # It stayed open for 2 s more, and so did the gateway.
     client = Slow(turns.port)
     client.send("GET", "/look")
-    while not turns.decisions.count(i.Request):
-        turns.turn()
-    (link,) = turns.links
-    link.wire.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-    assert link.taken is not None
-    turns.gateway.requests.answer(link.taken, 200, {}, bytes(150_000))
-    assert len(link.outward)
+    hold_up(turns)
     turns.gateway.drain()
     assert turns.rest(client).endswith(bytes(150_000)) and not turns.links
 
@@ -281,6 +286,30 @@
     assert b"connection: close" in turns.rest(client)
 
 
+def test_a_body_behind_the_answer_to_head_is_no_part_of_the_next_answer(turns: Turns) -> None:
+    client = turns.client()
+    client.send("HEAD", "/health/live")
+    assert b"connection: close" in turns.rest(client)
+
+
+def test_a_client_that_reads_slowly_has_its_whole_time_for_the_answer(turns: Turns) -> None:
+    # Bytes of it that the kernel had not taken within 2.1 s were thrown away, and the connection reset.
+    client = Slow(turns.port)
+    client.send("GET", "/look", Connection="close", X_Remaining="4000m")
+    hold_up(turns)
+    turns.later(3900.0)
+    assert turns.rest(client).endswith(bytes(150_000))
+
+
+@pytest.mark.parametrize("past_ms", [IDLE_MS, 4000.0 + LATE_MS])
+def test_a_client_that_reads_nothing_is_done_with(turns: Turns, past_ms: float) -> None:
+    client = Slow(turns.port)
+    client.send("GET", "/look", X_Remaining="4000m" if past_ms > IDLE_MS else "10m")
+    hold_up(turns)
+    turns.later(past_ms)
+    assert not turns.links
+
+
 def test_nobody_is_charged_for_a_stranger() -> None:
     # Who named no tenant, or one that the settings don't name, was taken for the first of them.
     turns = Turns(tenants=[{"name": name, "share": 0.5, "quota-rps": 9.0} for name in ("a", "a-1")])
