A keyed request's further attempt ends unwritten once the window of its first is over

The decisions hold a further attempt of a keyed request against the window when they send it (`balance/sending.py`, `_may_send`: sent + window - tick, counted from the decision for the first attempt, which is never later than that one came). Until its last byte is out a connection may have to come up (connect time-out, or the whole deadline where there is none), a kept one may rest, or the kernel may hold back the body: then it came after the window, and ran a second time (`Attempt._connected`, `Link.resumeProducing`).

Excluded: clock steps (the gateway's clock is monotonic); a first attempt that came late (the window then ends later than it is counted). Left as it is: attempts of an earlier life of the request (`put_in`), whose times the stages before the decisions hold; takeover is off in `run`.

Change: no decision, a deadline. The attempt may be written until the same moment to which the decisions count; after it, it ends as never run. A connection that comes up runs what is due first, as other input does, so that a gateway that stood still keeps to it too. New counter `up.past_window`.

--- a/meadowpulley/net/attempts.py
+++ b/meadowpulley/net/attempts.py
@@ -20,6 +20,8 @@
 from meadowpulley.net.requests import Requests, Taken
 from meadowpulley.settings import COLUMNS
 
+_NEVER_RAN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
+
 
 def read_result(answer: Message) -> i.Result:
     if answer.status == 200:
@@ -55,6 +57,7 @@
         self.written = self.ended = False  # written: the kernel has the request's last byte
         self.limit: Deadline | None = None
         self.connect_limit: Deadline | None = None
+        self.write_limit: Deadline | None = None
 
     def start(self, pool: Pool) -> None:
         attempts = self.attempts
@@ -107,6 +110,7 @@
 
     def _connected(self, link: InstanceLink) -> None:
         self.opening = None
+        self.attempts.gateway.deadlines.run_due()  # a connection is input, too
         self.attempts.gateway.deadlines.call_off(self.connect_limit)
         if self.ended:
             link.drop()
@@ -124,6 +128,12 @@
         if self.link is None:
             self.end(i.Result.CONNECT_FAILED)
 
+    def unwritten(self) -> None:
+        """Its last byte has to be out by now, or what it repeats may be forgotten where it arrives."""
+        if not self.written:
+            self.attempts.gateway.counters.add("up.past_window")
+            self.end(i.Result.CONNECT_FAILED)
+
     def time_out(self) -> None:
         self.end(i.Result.TIMEOUT if self.written else i.Result.CONNECT_FAILED)
 
@@ -162,6 +172,7 @@
         gateway = self.attempts.gateway
         gateway.deadlines.call_off(self.limit)
         gateway.deadlines.call_off(self.connect_limit)
+        gateway.deadlines.call_off(self.write_limit)
         link, self.link = self.link, None
         if link is not None and link.attempt is self:
             link.attempt = None
@@ -174,6 +185,8 @@
             gateway.tell(i.ProbeResult(self.server, result, elapsed, load))
             return
         taken.out.pop(self.n, None)
+        if result not in _NEVER_RAN:
+            taken.ran = min(taken.ran, self.sent)
         over = taken.over
         self.attempts.requests.release(taken)
         gateway.tell(i.Outcome(taken.handle, self.n, self.server, result, elapsed, over, load))
@@ -195,6 +208,7 @@
             return
         n, taken.tries = taken.tries, taken.tries + 1
         until = taken.deadline if action.limit_ms == 0 else min(taken.deadline, now + action.limit_ms)
+        write_by = self._window_end(taken)
         pool = self.instances.pools.get(action.server)
         attempt = Attempt(self, action.server, taken, n, now, until)
         taken.out[n] = attempt
@@ -206,8 +220,19 @@
             self.gateway.counters.add("up.attempts")
             if until < taken.deadline:
                 attempt.limit = self.gateway.deadlines.at(until, attempt.time_out)
+            if write_by < until:
+                attempt.write_limit = self.gateway.deadlines.at(write_by, attempt.unwritten)
             self.start(attempt, pool, "send")
 
+    def _window_end(self, taken: Taken) -> float:
+        """Until when a further attempt of a keyed request may be written: the decisions look at the window
+        when they send, and its connection may come up, or its body go out, well after that."""
+        settings = self.gateway.config.settings
+        cls = settings.classes[taken.cls]
+        if cls.effect is not i.Effect.KEYED:
+            return math.inf
+        return min([taken.ran, *(a.sent for a in taken.out.values())]) + cls.window_ms - settings.tick_ms
+
     def start(self, attempt: Attempt, pool: Pool, where: str) -> None:
         try:
             attempt.start(pool)
--- a/meadowpulley/net/requests.py
+++ b/meadowpulley/net/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import partial
 from typing import Protocol
 
@@ -27,6 +28,8 @@
 class Running(Protocol):
     """An attempt that is out."""
 
+    sent: float
+
     def time_out(self) -> None: ...
 
     def cancel(self) -> None: ...
@@ -40,6 +43,7 @@
         self.link: Asker | None = link
         self.handle = -1
         self.tries = 0
+        self.ran = math.inf  # when the first attempt was sent that is over and may have run
         self.out: dict[int, Running] = {}
         self.over = False
         self.limit: Deadline | None = None
--- a/tests/test_instance_links.py
+++ b/tests/test_instance_links.py
@@ -10,6 +10,7 @@
 from twisted.python.failure import Failure
 
 from meadowpulley import interface as i
+from meadowpulley.check.connection.scenes import CLASSES
 from meadowpulley.net import names
 from meadowpulley.net.http1 import answer_bytes
 from meadowpulley.net.instance_link import REST_MS
@@ -22,7 +23,8 @@
     """One that its client waits 0.9 s for."""
     head = f"host: app.svc\r\n{names.ID}: {name}\r\n{names.REMAINING}: 900m\r\n"
     size = f"content-length: {len(body)}\r\n" if body else ""
-    return f"{'POST /pay' if body else 'GET /look'} HTTP/1.1\r\n{head}{size}\r\n".encode() + body
+    start = "POST /order" if body == b"order" else "POST /pay" if body else "GET /look"
+    return f"{start} HTTP/1.1\r\n{head}{size}\r\n".encode() + body
 
 
 def ask(bench: Bench, name: str, body: bytes = b"") -> Any:
@@ -31,6 +33,9 @@
     return wire
 
 
+ORDER = i.RequestClass("order", 200.0, 400.0, i.Effect.KEYED, window_ms=100.0)
+
+
 def up(bench: Bench) -> Any:
     """The connection in the making comes up."""
     (opening,) = bench.world._openings()
@@ -201,3 +206,37 @@
     bench.answer(b"r1")  # the newest, and it rests
     ask(bench, "r3")
     assert [b"r3" in w.sent for w in wires] == [False, True] and all(b" 200 " in c.sent for c in clients)
+
+
+# Further attempts of a keyed request against the window in which what it repeats is known
+
+
+@pytest.mark.parametrize("how", ["in time", "up late", "up late, and nobody looked", "written late"])
+def test_a_further_attempt_that_is_not_written_within_the_window_never_is(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("meadowpulley.check.connection.state.CLASSES", (*CLASSES, ORDER))
+    bench = Bench(None)
+    ask(bench, "r1")
+    ask(bench, "r2")
+    spare, tick = up(bench), bench.gateway.config.settings.tick_ms
+    spare.arrive(answer_bytes(200, {}, b"r2"))
+    bench.answer(b"r1")
+    bench.wait(REST_MS)
+    if how != "written late":
+        spare.lose()
+    spare.jammed = True
+    client = ask(bench, "r3", b"order")
+    assert bench.instance.sent.endswith(b"order")
+    bench.wait(60.0)
+    bench.instance.lose()  # it may have run, and is sent again: 40 ms of the window are left
+    if how == "up late, and nobody looked":
+        late(bench, 41.0 - tick)
+    else:
+        bench.wait(39.0 - tick if how == "in time" else 41.0 - tick)
+    if how == "written late":
+        spare.flow()
+    openings = bench.world._openings()
+    second = spare if how == "written late" else up(bench) if openings else None
+    assert (second is not None and second.sent.endswith(b"order")) is (how == "in time")
+    assert bool(client.sent) is (how != "in time")  # and not left waiting
