Digests tell of as many classes as fit: a customer's ninth, and time-outs, never came

encode kept the first eight classes by number (digests.py: MOST_CLASSES = 8, no site of ours has more than three). Time-outs stand as class 255 behind them all, so that with eight classes seen in a second no other gateway heard of them, and what failed in later classes proved nothing against a build. The number is now what 256 bytes hold beside the 24 failures, 33. tests/test_digests.py: the new row of twelve classes is red without the change, green with it; the generated round trip now reaches 33 classes. 37 passed.

--- a/meadowpulley/digests.py
+++ b/meadowpulley/digests.py
@@ -16,7 +16,8 @@
 _HEAD = struct.Struct("!BIIIBB")  # version, life, number, build, classes, failures
 _CLASS = struct.Struct("!BBBBB")  # class; good and failed answers of the new build, of the earlier one
 _FAILED = struct.Struct("!HB")  # server, class
-MOST_CLASSES, MOST_FAILED = 8, 24
+MOST_FAILED = 24
+MOST_CLASSES = (MOST_BYTES - _HEAD.size - MOST_FAILED * _FAILED.size) // _CLASS.size  # what is left: 33
 SERVERS, WORD = 1 << 16, 1 << 32  # a server is told by its number modulo the first
 LOST = 255  # in place of a class: time-outs at warm servers
 
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -10,7 +10,7 @@
 
 from meadowpulley import interface as i
 from meadowpulley.balance import LOST
-from meadowpulley.digests import MOST_BYTES, MOST_COUNT, MOST_FAILED, Digest, decode, encode
+from meadowpulley.digests import MOST_BYTES, MOST_CLASSES, MOST_COUNT, MOST_FAILED, Digest, decode, encode
 from tests.driver import LIMITS, SAFE, UNSAFE, Driver, entry, sends, settings, votes
 
 PEERS = replace(LIMITS, peers=True)
@@ -22,7 +22,7 @@
     st.integers(0, 2**32 - 1),
     st.integers(0, 2**32 - 1),
     st.integers(0, 2**32 - 1),
-    st.lists(st.tuples(BYTES, BYTES, BYTES, BYTES, BYTES), max_size=8),
+    st.lists(st.tuples(BYTES, BYTES, BYTES, BYTES, BYTES), max_size=MOST_CLASSES),
     st.lists(st.tuples(st.integers(0, 65535), BYTES), max_size=MOST_FAILED),
 )
 def test_a_digest_comes_back_as_it_was_told(
@@ -41,6 +41,13 @@
     assert told.failed[0] == (70_000 % 65536, 0) and (told.number, told.build) == (2, 3)
 
 
+def test_a_customer_of_many_classes_is_told_of_the_last_ones_and_of_what_is_lost_too() -> None:
+    # Only eight were told, the first by number: LOST stands behind them all, and never came to the others.
+    classes = tuple((cls, 1, 2, 3, 4) for cls in (*range(12), LOST))
+    told = decode(encode(Digest(1, 1, 42, classes, ((3, 11),) * MOST_FAILED)))
+    assert told is not None and told.classes == classes
+
+
 WHOLE = encode(Digest(7, 1, 42, ((SAFE, 5, 1, 9, 0),), ((3, SAFE),)))
 
 
