--- a/tests/test_mixed_classes.py
+++ b/tests/test_mixed_classes.py
@@ -38,3 +38,20 @@
     d.now += 2 * BRIEF.aim_ms
     d.tick()
     assert bool(sends(d.ask(0, left=BRIEF.deadline_ms))) is not rests
+
+
+def test_a_request_of_tens_of_ms_is_looked_at_again_while_it_can_be_in_time() -> None:
+    d = Driver(settings(limits=replace(LIMITS, probes=True), classes=BOTH))
+    fleet(d)
+    d.tick()
+    [timer] = [a for a in d.ask(0, left=BRIEF.deadline_ms) if isinstance(a, i.SetTimer)]
+    d.now += timer.delay_ms
+    assert d.now < BRIEF.aim_ms / 2 and len(sends(d.tick())) == 1  # without the answers to its probes
+
+
+@pytest.mark.parametrize("left", [30.0, 64.0])
+def test_a_request_with_less_left_than_two_ticks_waits_for_what_it_asked(left: float) -> None:
+    d = Driver(settings(limits=replace(LIMITS, probes=True), classes=BOTH))
+    fleet(d)
+    [asked, _] = [a.server for a in d.ask(0, left=left) if isinstance(a, i.Probe)]
+    assert [s.server for s in sends(d.give(i.ProbeResult(asked, i.Result.OK, 1.0)))] == [asked]
