--- a/meadowpulley/net/link.py
+++ b/meadowpulley/net/link.py
@@ -68,7 +68,7 @@
         self.limit = Limit(deadlines)
         self.opening: Opening | None = None
         self.wire: Any = None
-        self.up = False
+        self.up = self.broken = False  # broken: it did not end, as a reset connection
         self._feeding = self._in_hand = False
 
     def connectionMade(self) -> None:  # noqa: N802
