A connection that comes up to a server that drains by now carries nothing

At news of a drain `Instances.close_idle` closed what was idle. A connection in the making came up whenever it did, up to its time-out (or the request's deadline where the settings name none) after the decision, and its request was written then: past the time in which sending to a draining server has to stop, where that is the shorter. One in use rested again after its answer, and stood idle at the draining server until its limit.

Excluded: idle ones (closed at the news), new attempts (`_may_send` looks at the server's state).

Change: the pool of a server that drains is replaced as that of a server that comes back with another build: what is in the making ends as never run, what is in use closes with its answer.

Measured: the two [drains] cases of tests/test_instance_links.py fail without the change and pass with it; test_around, test_check, test_net_hooks, test_silent_watch and the gateways of takeover and placement pass.

--- a/meadowpulley/net/instances.py
+++ b/meadowpulley/net/instances.py
@@ -40,9 +40,12 @@
             pool.close_idle()
 
     def close_idle(self, server: int) -> None:
+        """It wants nothing new: what is idle closes now, what is in use with its answer, and a connection in
+        the making carries nothing, however late it comes up. Should it be ready again, it starts anew."""
         pool = self.pools.get(server)
         if pool is not None:
-            pool.close_idle()
+            self.forget(server)
+            self.pools[server] = Pool(self, server, pool.address, pool.start)
 
     def joined(self, link: InstanceLink) -> None:
         self.gateway.counters.add("up.connections")
--- a/tests/test_instance_links.py
+++ b/tests/test_instance_links.py
@@ -116,30 +116,35 @@
     assert b" 200 " in client.sent and client.sent.endswith(b"r1")
 
 
-# A server that comes back with another build, at the same address
+# A server that comes back with another build, at the same address, or that drains
 
 
-def replace_build(bench: Bench, started_ms: float = 5.0) -> None:
-    instances = bench.gateway.instances
-    ((server, pool),) = instances.pools.items()
-    instances.place(server, pool.address, (42, started_ms))
+def replaced(bench: Bench) -> None:
+    ((server, pool),) = bench.gateway.instances.pools.items()
+    bench.gateway.instances.place(server, pool.address, (42, 5.0))
 
 
-def test_a_connection_that_comes_up_after_its_server_was_replaced_carries_nothing() -> None:
+def drains(bench: Bench) -> None:
+    bench.gateway.instances.close_idle(next(iter(bench.gateway.instances.pools)))
+
+
+@pytest.mark.parametrize("told", [replaced, drains])
+def test_a_connection_that_comes_up_after_its_server_went_carries_nothing(told: Any) -> None:
     bench = Bench(None)
     ask(bench, "r1")
     client = ask(bench, "r2")  # the one connection is in use: its own is opened
-    replace_build(bench)
+    told(bench)
     late_one = up(bench)
     assert not late_one.up and not late_one.sent and not client.sent
     again = up(bench)  # that attempt never ran: the decisions choose anew
     assert b"r2" in again.sent
 
 
-def test_a_connection_whose_server_was_replaced_under_its_request_is_closed_with_the_answer() -> None:
+@pytest.mark.parametrize("told", [replaced, drains])
+def test_a_connection_whose_server_goes_under_its_request_is_closed_with_the_answer(told: Any) -> None:
     bench = Bench(None)
     client = ask(bench, "r1")
-    replace_build(bench)
+    told(bench)
     bench.answer(b"r1")
     assert b" 200 " in client.sent and not bench.instance.up and bench.gateway.instances.sockets == 0
 
@@ -183,7 +188,7 @@
     if then.startswith("gone"):
         client.lose()
     if then == "replaced":
-        replace_build(bench)
+        replaced(bench)
     if then == "end":
         bench.instance.lose()
     bench.instance.arrive(FIRST if "again" in then else b"\x00" if then == "noise" else b"")
