A 1xx that comes in two pieces sets no limit to the answer behind it

`InstanceLink.received` sets the limit of half a second at an answer's first part, and lifted it only with the answer: after a 1xx of two pieces the limit stood, with nothing half received, and an answer that took longer than that to come was given up as spoilt.

Excluded: an answer that comes in drops. Its limit runs from its first byte and is not set anew, so that one byte each 400 ms is cut short after 500; the test stays. Heads without end: bounded by the parser.

Change: whenever no part of a message is there, no limit is.

Measured: test_a_1xx_in_two_pieces_... fails without the change and passes with it; the test of drops passes on both; test_check and test_net_hooks pass.

--- a/meadowpulley/net/instance_link.py
+++ b/meadowpulley/net/instance_link.py
@@ -90,7 +90,9 @@
             return
         if answer is not None:
             self._answered(attempt, answer)
-        elif self.parser.begun and self.limit.at == math.inf:
+        elif not self.parser.begun:
+            self.limit.lift()  # what had begun was a 1xx: the answer itself may take its time
+        elif self.limit.at == math.inf:
             self.limit.set(PART_MS, self._cut_short)
 
     def _cut_short(self) -> None:
--- a/tests/test_instance_links.py
+++ b/tests/test_instance_links.py
@@ -13,7 +13,7 @@
 from meadowpulley.check.connection.scenes import CLASSES
 from meadowpulley.net import names
 from meadowpulley.net.http1 import answer_bytes
-from meadowpulley.net.instance_link import REST_MS
+from meadowpulley.net.instance_link import PART_MS, REST_MS
 from tests.test_net_hooks import Bench
 
 FIRST = answer_bytes(200, {}, b"r1")
@@ -100,6 +100,25 @@
     assert not bench.instance.up and b" 200 " not in client.sent
 
 
+def test_a_1xx_in_two_pieces_sets_no_limit_to_the_answer_behind_it() -> None:
+    bench = Bench(None)
+    client = ask(bench, "r1")
+    for piece in (b"HTTP/1.1 103 Early", b" Hints\r\n\r\n"):
+        bench.instance.arrive(piece)
+    bench.wait(PART_MS + 1.0)
+    bench.answer(b"r1")
+    assert client.sent.endswith(b"r1") and b" 200 " in client.sent
+
+
+def test_an_answer_in_drops_is_cut_short_once_its_time_is_over() -> None:
+    bench = Bench(None)
+    client = ask(bench, "r1", b"money")
+    for n in range(3):  # each drop well within the time
+        bench.instance.arrive(FIRST[n : n + 1])
+        bench.wait(0.8 * PART_MS)
+    assert not bench.instance.up and b" 502 " in client.sent
+
+
 # Answers to a request that the kernel has not taken whole
 
 
