--- a/tests/test_instance_links.py
+++ b/tests/test_instance_links.py
@@ -13,7 +13,7 @@
 from meadowpulley.check.connection.scenes import CLASSES
 from meadowpulley.net import names
 from meadowpulley.net.http1 import answer_bytes
-from meadowpulley.net.instance_link import REST_MS
+from meadowpulley.net.instance_link import PART_MS, REST_MS
 from tests.test_net_hooks import Bench
 
 FIRST = answer_bytes(200, {}, b"r1")
@@ -100,6 +100,25 @@
     assert not bench.instance.up and b" 200 " not in client.sent
 
 
+def test_a_1xx_in_two_pieces_sets_no_limit_to_the_answer_behind_it() -> None:
+    bench = Bench(None)
+    client = ask(bench, "r1")
+    for piece in (b"HTTP/1.1 103 Early", b" Hints\r\n\r\n"):
+        bench.instance.arrive(piece)
+    bench.wait(PART_MS + 1.0)
+    bench.answer(b"r1")
+    assert client.sent.endswith(b"r1") and b" 200 " in client.sent
+
+
+def test_an_answer_in_drops_is_cut_short_once_its_time_is_over() -> None:
+    bench = Bench(None)
+    client = ask(bench, "r1", b"money")
+    for n in range(3):  # each drop well within the time
+        bench.instance.arrive(FIRST[n : n + 1])
+        bench.wait(0.8 * PART_MS)
+    assert not bench.instance.up and b" 502 " in client.sent
+
+
 # Answers to a request that the kernel has not taken whole
 
 
@@ -116,30 +135,35 @@
     assert b" 200 " in client.sent and client.sent.endswith(b"r1")
 
 
-# A server that comes back with another build, at the same address
+# A server that comes back with another build, at the same address, or that drains
+
+
+def replaced(bench: Bench) -> None:
+    ((server, pool),) = bench.gateway.instances.pools.items()
+    bench.gateway.instances.place(server, pool.address, (42, 5.0))
 
 
-def replace_build(bench: Bench, started_ms: float = 5.0) -> None:
-    instances = bench.gateway.instances
-    ((server, pool),) = instances.pools.items()
-    instances.place(server, pool.address, (42, started_ms))
+def drains(bench: Bench) -> None:
+    bench.gateway.instances.close_idle(next(iter(bench.gateway.instances.pools)))
 
 
-def test_a_connection_that_comes_up_after_its_server_was_replaced_carries_nothing() -> None:
+@pytest.mark.parametrize("told", [replaced, drains])
+def test_a_connection_that_comes_up_after_its_server_went_carries_nothing(told: Any) -> None:
     bench = Bench(None)
     ask(bench, "r1")
     client = ask(bench, "r2")  # the one connection is in use: its own is opened
-    replace_build(bench)
+    told(bench)
     late_one = up(bench)
     assert not late_one.up and not late_one.sent and not client.sent
     again = up(bench)  # that attempt never ran: the decisions choose anew
     assert b"r2" in again.sent
 
 
-def test_a_connection_whose_server_was_replaced_under_its_request_is_closed_with_the_answer() -> None:
+@pytest.mark.parametrize("told", [replaced, drains])
+def test_a_connection_whose_server_goes_under_its_request_is_closed_with_the_answer(told: Any) -> None:
     bench = Bench(None)
     client = ask(bench, "r1")
-    replace_build(bench)
+    told(bench)
     bench.answer(b"r1")
     assert b" 200 " in client.sent and not bench.instance.up and bench.gateway.instances.sockets == 0
 
@@ -183,7 +207,7 @@
     if then.startswith("gone"):
         client.lose()
     if then == "replaced":
-        replace_build(bench)
+        replaced(bench)
     if then == "end":
         bench.instance.lose()
     bench.instance.arrive(FIRST if "again" in then else b"\x00" if then == "noise" else b"")
