--- a/tests/test_check_rare.py
+++ b/tests/test_check_rare.py
@@ -10,7 +10,7 @@
 from meadowpulley.check.plant import hunt_all
 from meadowpulley.check.worlds import Step
 
-DEEP = {"signals": (2, 1), "backlog": (2, 2), "halves": (1, 1), "late": (1, 1), "lists": (1, 1)}
+DEEP = {"signals": (2, 1), "backlog": (2, 2), "halves": (1, 1), "late": (1, 2), "lists": (1, 1)}
 PLANTED = ("drain-drops-all", "ends-with-clients", "backlog-dropped", "reload-takes-all",
            "end-of-sending-ignored", "unasked-kept", "missing-kept")  # fmt: skip
 CONNECT, ASK = Step("connect", (0,)), Step("write", (0, len(request_text("get", "c0r0"))))
