Takeover: an adopted stranger is charged to no tenant

stage.py took a tenant that the settings don't name for the first one, as the intake did; lending's place for strangers is the number behind the last tenant. Found by reading; no test of its own beside's.

--- a/meadowpulley/takeover/stage.py
+++ b/meadowpulley/takeover/stage.py
@@ -252,7 +252,7 @@
             self.turn.acts.append(m.Drop(event.request))
             return
         work, (n, cls) = claim.seen.work, self.orphans.classes[claim.seen.work.cls]
-        tenant = self.orphans.tenants.get(work.tenant, 0)
+        tenant = self.orphans.tenants.get(work.tenant, len(self.s.tenants))
         request = i.Request(
             event.request, n, tenant, work.key, claim.deadline_ms, work.hint_ms, write=work.write,
             adopted=True, tries=work.tries, tried=adopt.tried(claim.seen), arm=work.arm,
