A build whose hot modules are not compiled says so each time and is tried again

`deploy/compile.py: build` stamped a plain layout as whole. A machine whose compilers came later kept the slow one for good, and no further build said a word; one that lacked a single extension counted as compiled. Now `compile_in` looks for the extension of every hot module, one line says that plain modules serve and why, and only a whole layout is stamped. It still ends with 0: `run` serves, only slower, and the operators' build must not fail for that.

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -77,11 +77,16 @@
             command, cwd=folder, capture_output=True, text=True, timeout=LIMIT_S, check=False
         )
     except (OSError, subprocess.TimeoutExpired) as error:
-        print(f"compile: {error}: the plain modules serve", file=sys.stderr)
-        return False
-    if done.returncode != 0:
-        print(f"compile: failed, the plain modules serve\n{done.stdout[-2000:]}", file=sys.stderr)
-    return done.returncode == 0
+        why = str(error)
+    else:
+        plain = [
+            name for name in HOT if not list((folder / PACKAGE).glob(f"{name.removesuffix('.py')}.*.so"))
+        ]
+        if done.returncode == 0 and not plain:
+            return True
+        why = (done.stdout + done.stderr)[-2000:] if done.returncode else f"no {', '.join(plain)}"
+    print(f"compile: {why}\ncompile: PLAIN modules serve, slower: mend it and build again", file=sys.stderr)
+    return False
 
 
 def main(joint: bool) -> int:
@@ -102,12 +107,14 @@
         copy = fresh / path.relative_to(ROOT)
         copy.parent.mkdir(parents=True, exist_ok=True)
         shutil.copyfile(path, copy)
-    if not compile_in(fresh):
+    whole = compile_in(fresh)
+    if not whole:
         for broken in fresh.rglob("*.so"):
             broken.unlink()
     shutil.rmtree(fresh / "build", ignore_errors=True)
     subprocess.run([sys.executable, "-m", "compileall", "-q", str(fresh / PACKAGE)], check=False)
-    (fresh / "stamp").write_text(wanted)
+    if whole:  # else the next build tries again
+        (fresh / "stamp").write_text(wanted)
     # The one in use stays until this moment: a gateway may be started at any time.
     old = TARGET.with_name("gateway.old")
     shutil.rmtree(old, ignore_errors=True)
