Platform: an answer from before a move takes no newer state back; late gateways read

- A vote under way at SIGHUP is answered at the old address (`_answered` on a retired connection), and the state in that answer was told as the newest.
Arriving after news of a later state from the new address it took the cap back to the earlier one, which may be higher than the one that holds.
The vote's result now comes with the state last told at the new address, if any was since the move; a late answer to a vote whose time was up tells nothing then.
- `_is_silent` dropped the connection of a gateway that stood still for 3.5 s, with signs of life unread, and each vote under way was taken as lost.
It looks at `unread()` first, as `_cut_short` does.
- An error in answer to the call that follows news was passed over: no news, until the connection was found silent 3.5 s later.
It is spoilt now, and the next one made.
- `_connect` read `self.opening` again after a failure inside `connect` could have cleared it, as discovery.py did.

Excluded: a pending next connection beside a newer one (`moved` and `stop` call it off, every other way leaves one); an answer that breaks off, or votes answered out of turn (the passed-over vote ends as a time-out); a line cut while another follows; a vote out when the old address closes ('timeout' if written). Bound: `flushed` marks written all lines or none, so a vote wholly written before another that is not would end as 'could not connect'; for that the kernel must hold back lines of some 110 bytes for longer than the 3.5 s after which a silent connection ends.

--- a/meadowpulley/net/control.py
+++ b/meadowpulley/net/control.py
@@ -7,6 +7,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -74,6 +75,9 @@
         self.limit.set(SILENT_MS, self._is_silent)
 
     def _is_silent(self) -> None:
+        if self.unread():  # this gateway is late, not the platform
+            self._alive()
+            return
         self.platform.gateway.counters.add("platform.silent")
         self.drop()
 
@@ -130,6 +134,7 @@
         self._retired: list[PlatformLink] = []
         self._limit: Deadline | None = None
         self._again: Deadline | None = None
+        self._told: tuple[float, i.BuildNews] | None = None  # since the last move: when, and what
         self._began = -math.inf
         self._failures = self._numbers = 0
         self._random = random.Random(gateway.config.seed + 1)
@@ -161,6 +166,7 @@
         if link is not None:
             self._retired.append(link)
             link.retire()
+        self._told = None
         self.gateway.deadlines.call_off(self._again)
         self._failures = 0
         self._connect()
@@ -173,10 +179,10 @@
             return
         self.gateway.counters.add("platform.connects")
         self._began = self.gateway.deadlines.now()
-        self.opening = connect(self.gateway.reactor, address, lambda: PlatformLink(self))
         self._limit = self.gateway.deadlines.after(CONNECT_MS, self._never_up)
-        self.opening.addCallbacks(self._connected, self._refused)
-        self.opening.addErrback(lambda _: self.gateway.failed("platform"))
+        self.opening = opening = connect(self.gateway.reactor, address, lambda: PlatformLink(self))
+        opening.addCallbacks(self._connected, self._refused)
+        opening.addErrback(lambda _: self.gateway.failed("platform"))
 
     def _connected(self, link: PlatformLink) -> None:
         self.opening = None
@@ -293,7 +299,11 @@
         while link.calls[0].number != number:
             self._finish(link.calls.popleft(), i.Result.TIMEOUT)  # its answer was passed over
         call, error, news = link.calls[0], raw.get("error"), None
-        if isinstance(error, dict) and str(error.get("message")) in names.CALL_ERRORS:
+        if (
+            call.vote is not None
+            and isinstance(error, dict)
+            and str(error.get("message")) in names.CALL_ERRORS
+        ):
             result = names.CALL_ERRORS[str(error["message"])]
         elif call.vote is not None:
             result, news = i.Result.OK, read_news(raw.get("result"), answers_vote=True)
@@ -302,13 +312,23 @@
         else:
             result = i.Result.OK
         link.calls.popleft()
+        if link.retired and news is not None and self._told is not None:
+            # The platform is followed elsewhere and has told all this there, or will: what it wrote here may
+            # be from before that, and a build's earlier state told last would raise its cap again.
+            at, last = self._told
+            age = last.age_ms + self.gateway.deadlines.now() - at
+            news = replace(last, age_ms=age, answers_vote=True) if not call.over else None
+        elif news is not None and not link.retired:
+            self._told = self.gateway.deadlines.now(), news
         self._finish(call, result, news)
 
     def _notified(self, raw: dict[str, Any]) -> None:
         method, params = raw.get("method"), raw.get("params")
         if method == names.NEWS:
             self.gateway.counters.add("platform.news")
-            self.gateway.tell(read_news(params))
+            news = read_news(params)
+            self._told = self.gateway.deadlines.now(), news
+            self.gateway.tell(news)
         elif method == names.TALLY:
             self.gateway.tell(self._tally(params))
         elif method == names.WRONG:
