--- a/meadowpulley/check/mutants.py
+++ b/meadowpulley/check/mutants.py
@@ -179,7 +179,7 @@
        requests=2, troubles=1, waits=0),
     # Timers and leftovers
     _m("timer-lost", "nothing looks at what waits", "timers answers", "members",
-       ("look = TICK_MS if self.waiting else 4 * TICK_MS", "look = 4 * TICK_MS"),
+       ("look = self.look_ms if self.waiting else 4 * TICK_MS", "look = 4 * TICK_MS"),
        requests=1, troubles=1, servers=1, waits=1),
     _m("timer-once", "the timer is set only once", "timers answers", "members",
        ("b.timer_at = math.inf if b.now >= b.timer_at else b.timer_at", "pass"),
