A part that rests on a ledger is refused in one line where no ledger is named

`start_joint` returned at once without MEADOWPULLEY_LEDGER: MEADOWPULLEY_TAKEOVER, _LENDING_* and _PLACEMENT were silently off, and an installation believed itself covered. Now one line names the variable and what to set, exit 2, and nothing of the parts is imported; set and empty is off, as before. Likewise a ledger named at a build without these parts was a traceback and status 1: one line that names the build and the requirements.

tests/net_program/test_life.py: five cases, in a program that cannot import the parts, pass. The same driver on the former `__main__`: three served on as if nothing were set, the ledger's case ended with a traceback. tests/processes/test_takeover.py turned only the ledger off and left TAKEOVER set, which this refuses: it now turns off both and asserts what it did.

--- a/meadowpulley/__main__.py
+++ b/meadowpulley/__main__.py
@@ -25,6 +25,7 @@
 from meadowpulley.net.log import open_log
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
+ON_A_LEDGER = ("MEADOWPULLEY_TAKEOVER", "MEADOWPULLEY_LENDING_", "MEADOWPULLEY_PLACEMENT")  # how they begin
 FIRST_TURN_S = 0.001
 GC_THRESHOLDS = (2_000, 5, 5)  # requests and connections end in cycles; what the start leaves is frozen
 
@@ -107,10 +108,19 @@
 
 def start_joint(gateway: Gateway, reactor: MonotonicReactor) -> Callable[[], None]:
     """Only where the environment names a ledger: nothing of it is imported else. What comes back is called at
-    the end. Raises RefusedError, one line."""
+    the end. Raises RefusedError or ConfigError, one line."""
     if not os.environ.get("MEADOWPULLEY_LEDGER"):
+        for name in sorted(os.environ):  # one that is set and empty is off
+            if name.startswith(ON_A_LEDGER) and os.environ[name]:
+                raise ConfigError(f"{name}: rests on a ledger: set MEADOWPULLEY_LEDGER too, or leave it out")
         return lambda: None
-    from meadowpulley import joint
+    try:
+        from meadowpulley import joint
+    except ImportError as bad:
+        raise ConfigError(
+            f"MEADOWPULLEY_LEDGER: not in this build ({bad}): use that of `deploy/compile.py --joint`, with"
+            " requirements-ledger.txt installed, or leave it out"
+        ) from None
 
     client = joint.start(gateway, os.environ, gateway.config.seed, reactor)
 
@@ -155,8 +165,8 @@
         Story(gateway, wanted)
     try:
         close = start_joint(gateway, reactor)
-    except Exception as bad:
-        if type(bad).__name__ != "RefusedError":  # its module is imported only where the parts are on
+    except Exception as bad:  # RefusedError's module is imported only where the parts are on
+        if not isinstance(bad, ConfigError) and type(bad).__name__ != "RefusedError":
             raise
         print(f"meadowpulley: {bad}", file=sys.stderr)
         return 2
--- a/tests/net_program/test_life.py
+++ b/tests/net_program/test_life.py
@@ -10,6 +10,8 @@
 import threading
 from http.server import BaseHTTPRequestHandler
 
+import pytest
+
 from tests.net_program.conftest import Start
 from tests.standins import (
     LIMIT_S,
@@ -52,6 +54,14 @@
 program.run()
 """
 
+BARRED = """
+import sys
+for part in ("joint", "ledger", "takeover", "lending", "placement"):
+    sys.modules["meadowpulley." + part] = None  # as in the layout that `run` starts
+import meadowpulley.__main__ as program
+sys.exit(program.run())
+"""
+
 
 def test_it_listens_once_its_start_is_over_and_the_reactor_has_turned(start: Start) -> None:
     # 133 gateways came back at once: what came while they still started was read 0.3 to 0.4 s later, its
@@ -109,3 +119,30 @@
     assert "'classes' has the wrong type" in line
     assert gateway.process.wait(LIMIT_S) == 2
     assert gateway.lines.get(timeout=LIMIT_S)["event"] == "closed"
+
+
+@pytest.mark.parametrize(
+    ("name", "ledger", "said"),
+    [
+        ("MEADOWPULLEY_TAKEOVER", "", "set MEADOWPULLEY_LEDGER too"),
+        ("MEADOWPULLEY_TAKEOVER_LIVES", "", "set MEADOWPULLEY_LEDGER too"),
+        ("MEADOWPULLEY_LENDING_CAPACITY", "", "set MEADOWPULLEY_LEDGER too"),
+        ("MEADOWPULLEY_PLACEMENT", "", "set MEADOWPULLEY_LEDGER too"),
+        ("MEADOWPULLEY_LEDGER", "/nowhere", "compile.py --joint"),
+    ],
+)
+def test_a_part_that_cannot_be_on_is_one_line_and_not_silently_off(
+    start: Start, monkeypatch: pytest.MonkeyPatch, name: str, ledger: str, said: str
+) -> None:
+    gateway = start([], wait=False)
+    gateway.stop()
+    environ = {**os.environ, "PROXY_CONFIG": str(gateway.path), "MEADOWPULLEY_LEDGER": ledger}
+    shown = subprocess.run(
+        [sys.executable, "-c", BARRED], env={**environ, name: ledger or "1"},
+        capture_output=True, text=True, timeout=LIMIT_S,
+    )  # fmt: skip
+    [line] = shown.stderr.splitlines()
+    assert line.startswith(f"meadowpulley: {name}: ") and said in line
+    assert shown.returncode == 2
+    monkeypatch.setenv(name, "")  # set and empty is off
+    start([])
--- a/tests/processes/test_takeover.py
+++ b/tests/processes/test_takeover.py
@@ -233,7 +233,7 @@
 @pytest.mark.parametrize("on", [False, True], ids=["off", "on"])
 def test_without_a_ledger_named_nothing_of_it_is_imported_or_opened(start: Start, on: bool) -> None:
     world = start(1)
-    off = {} if on else {"MEADOWPULLEY_LEDGER": ""}
+    off = {} if on else {"MEADOWPULLEY_LEDGER": "", "MEADOWPULLEY_TAKEOVER": ""}  # it needs a ledger
     gateway = world.fleet.launch(0, {**off, "PYTHONVERBOSE": "1"})
     gateway.wait_for("ready")
     assert status(world.ask(gateway, "a", "/pay/x")) == 200
