Settings that cannot be reckoned with are one line with file and place, at start and at SIGHUP

JSON readers take Infinity, NaN and whole numbers that no float holds. `settings.py: Fields` let them through: `int(inf)` and `float(10**400)` ended a start with a traceback, at SIGHUP the exception was lost in the reactor without a word, and an infinite deadline became a limit that never came. The seed alike. `net/config.py` also took two classes of one name (every request of the second ran under the first one's effect or the other way round), a class without a name and a negative deadline. Each is now refused: `FILE: 'settings': ... : why`.

A deadline of 0 or none is still taken.

--- a/meadowpulley/net/config.py
+++ b/meadowpulley/net/config.py
@@ -69,7 +69,7 @@
     seed = raw.get("seed", 0)
     try:
         return int(seed, 16) if isinstance(seed, str) else int(seed)
-    except (ValueError, TypeError):
+    except (ValueError, TypeError, OverflowError):
         raise ConfigError(f"'seed': {seed!r} is no number") from None
 
 
@@ -131,6 +131,11 @@
     settings = read_settings(raw.get("settings"), "config")
     if not settings.classes:
         raise ConfigError("'settings' name no classes")
+    for n, cls in enumerate(settings.classes):  # a path has to lead to one of them, and there to an answer
+        if not cls.name or cls.name in [other.name for other in settings.classes[:n]]:
+            raise ConfigError(f"'settings': 'classes' {n}: 'name' is {cls.name!r}: one of its own is needed")
+        if cls.deadline_ms < 0:
+            raise ConfigError(f"'settings': 'classes' {n}: 'hard-limit-ms' is {cls.deadline_ms:g}, below 0")
     config = Config(
         name=str(raw.get("name", "")),
         listen=listen,
--- a/meadowpulley/settings.py
+++ b/meadowpulley/settings.py
@@ -12,6 +12,13 @@
     """A malformed settings object; the text says what is wrong and where."""
 
 
+def _is_figure(value: float) -> bool:
+    """Neither infinite nor NaN, which JSON readers take, nor a whole number that no float holds: each would
+    end in a traceback, or in a limit that never comes."""
+    return -MOST <= value <= MOST
+
+
+MOST = 1e18  # beyond any time, count or price
 _EFFECTS = {"pure": i.Effect.SAFE, "token": i.Effect.KEYED, "side_effect": i.Effect.UNSAFE}
 COLUMNS = {
     "busy_reqs": "in_flight",
@@ -39,6 +46,8 @@
             return default
         if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
             raise SettingsError(f"{self._where}: '{key}' has the wrong type ({type(value).__name__})")
+        if isinstance(value, int | float) and not _is_figure(value):
+            raise SettingsError(f"{self._where}: '{key}' is {str(value)[:20]}, which is out of range")
         return value
 
     def number(self, key: str, default: float = 0.0) -> float:
@@ -58,7 +67,7 @@
 
     def numbers(self, key: str) -> tuple[float, ...]:
         values = self.items(key)
-        if not all(isinstance(value, int | float) for value in values):
+        if not all(isinstance(value, int | float) and _is_figure(value) for value in values):
             raise SettingsError(f"{self._where}: '{key}' holds something that is no number")
         return tuple(float(value) for value in values)
 
@@ -75,7 +84,8 @@
         return known[name] if name else default
 
     def pairs(self) -> tuple[tuple[str, float], ...]:
-        return tuple((k, float(v)) for k, v in sorted(self._raw.items()) if isinstance(v, int | float))
+        figures = [k for k, v in sorted(self._raw.items()) if isinstance(v, int | float)]
+        return tuple((k, float(self._take(k, 0.0, (int, float, bool)))) for k in figures)
 
 
 def _class(f: Fields) -> i.RequestClass:
