A vote whose answer lies unread when its time is up is not told as timed out

Cause: control.py `vote` set a deadline that told a time-out without a look at the connection, while a gateway that had stood still held the answer unread: the vote counted as one that may or may not have been carried out, and its answer came as plain news.

Now the deadline waits for what is unread, as those of silent connections and cut lines do.

tests/test_platform_races.py: red without the change, green with it (run); tests/net_program/test_around.py and test_list_races.py green (run).

--- a/meadowpulley/net/control.py
+++ b/meadowpulley/net/control.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -238,7 +239,7 @@
             self._finish(call, i.Result.CONNECT_FAILED)
             return
         limit = self.gateway.config.settings.rollout.call_timeout_ms or CALL_MS
-        call.limit = self.gateway.deadlines.after(limit, lambda: self._finish(call, i.Result.TIMEOUT))
+        call.limit = self.gateway.deadlines.after(limit, partial(self._overdue, call, self.link))
         params = {
             names.NEWS_BUILD: vote.build,
             names.NEWS_STAGE: vote.stage,
@@ -246,6 +247,12 @@
         }
         self.link.write(call, names.VOTE, params)
 
+    def _overdue(self, call: Call, link: PlatformLink) -> None:
+        if link.up and link.unread():  # this gateway is late, not the platform
+            call.limit = self.gateway.deadlines.after(PART_MS, partial(self._overdue, call, link))
+        else:
+            self._finish(call, i.Result.TIMEOUT)
+
     def _finish(self, call: Call, result: i.Result, news: i.BuildNews | None = None) -> None:
         """The one reply to a vote; news that comes with a late one is still news."""
         self.gateway.deadlines.call_off(call.limit)
--- a/tests/test_platform_races.py
+++ b/tests/test_platform_races.py
@@ -10,6 +10,7 @@
 
 from meadowpulley import interface as i
 from meadowpulley.net.control import SILENT_MS, Platform
+from tests.driver import ROLLOUT
 from tests.standins import TRIAL
 from tests.test_discovery import Held
 from tests.test_silent_watch import Wire
@@ -95,3 +96,17 @@
     assert not link.up
     rig.reactor.advance(1.0)
     assert rig.up().up
+
+
+def test_an_answer_that_lies_unread_when_a_vote_s_time_is_up_is_the_vote_s() -> None:
+    # A gateway that stood still told a time-out, and would have voted again.
+    rig = Followed()
+    link = rig.up()
+    rig.says(link, id=1, result=True)
+    rig.platform.vote(VOTE)
+    link.transport.getHandle = lambda: SimpleNamespace(recv=lambda *_: b"{")
+    rig.reactor.advance(ROLLOUT.call_timeout_ms / 1000.0 + 0.01)
+    assert rig.news() == []
+    del link.transport.getHandle
+    rig.says(link, id=2, result=TRIAL)
+    assert rig.news() == [(0, 0.3, True, i.Result.OK)]
