--- a/meadowpulley/net/instance_link.py
+++ b/meadowpulley/net/instance_link.py
@@ -153,7 +153,7 @@
 
     def take(self) -> InstanceLink | None:
         """The newest that may carry a request, or else the one that may soonest: it is kept for whoever takes
-        it, who waits until then. That is no later than a new connection would be of use, and costs none."""
+        it, who waits until then rather than open another, of which an instance holds few."""
         now = self.instances.gateway.deadlines.now()
         while self.idle:
             ready = (n for n in range(len(self.idle) - 1, -1, -1) if self.idle[n].ready_at <= now)
