--- a/meadowpulley/net/config.py
+++ b/meadowpulley/net/config.py
@@ -69,7 +69,7 @@
     seed = raw.get("seed", 0)
     try:
         return int(seed, 16) if isinstance(seed, str) else int(seed)
-    except (ValueError, TypeError):
+    except (ValueError, TypeError, OverflowError):
         raise ConfigError(f"'seed': {seed!r} is no number") from None
 
 
--- a/meadowpulley/settings.py
+++ b/meadowpulley/settings.py
@@ -167,7 +167,7 @@
     return i.Settings(
         me=f.whole("me", 0, NO_LEAST) % balancers,  # waits and windows by the number must not be below none
         balancers=balancers,
-        zone=f.whole("az"),
+        zone=f.whole("az", 0, NO_LEAST),
         zones=tuple(str(name) for name in f.items("zones")),
         kinds=tuple(str(name) for name in f.items("machine-types")),
         tick_ms=f.number("period-ms"),
