Tests: stand-ins end with their test; nothing waits by select() beyond descriptor 1,023

A run of all tests failed thrice (test_client_links a turn accepts..., test_rig twice, one of them without an end): stand-ins of each test kept their sockets, and with the new tests the process passed 1,024 descriptors, beyond which select() raises. Stand-ins now end beside the next test, test reactors close their poller, and the rig waits for its processes by a selector, which has no such bound.

--- a/meadowpulley/rig/processes.py
+++ b/meadowpulley/rig/processes.py
@@ -5,7 +5,7 @@
 import itertools
 import json
 import os
-import select
+import selectors
 import signal
 import socket
 import subprocess
@@ -161,7 +161,9 @@
 
 def _told(process: subprocess.Popen[bytes], log: Path) -> dict[str, Any]:
     assert process.stdout is not None
-    ready, _, _ = select.select([process.stdout], [], [], READY_S)
+    with selectors.DefaultSelector() as waits:  # select() itself ends at descriptor 1,023
+        waits.register(process.stdout, selectors.EVENT_READ)
+        ready = waits.select(READY_S)
     line = process.stdout.readline() if ready else b""
     try:
         found: dict[str, Any] = json.loads(line)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -39,6 +39,16 @@
 }  # fmt: skip
 
 
+# What ends the stand-ins of the test that runs: left open, a run of all tests passed 1,024 descriptors.
+_ends: list[Callable[[], None]] = []
+
+
+def end_all() -> None:
+    """Ends them beside whatever comes next, which need not wait for that."""
+    while _ends:
+        threading.Thread(target=_ends.pop(), daemon=True).start()
+
+
 def free_port() -> int:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -82,6 +92,11 @@
         self.server.handle_error = lambda request, client: None  # type: ignore[method-assign,assignment]
         self.address = f"127.0.0.1:{self.server.server_address[1]}"
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        _ends.append(self._end)
+
+    def _end(self) -> None:
+        self.server.shutdown()
+        self.server.server_close()
 
 
 class Instance(HttpStandIn):
@@ -149,10 +164,18 @@
         self.server = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
+        _ends.append(self._end)
+
+    def _end(self) -> None:
+        self.server.shutdown(socket.SHUT_RDWR)  # wakes who accepts
+        self.server.close()
 
     def _accept(self) -> None:
         while True:
-            connection, _ = self.server.accept()
+            try:
+                connection, _ = self.server.accept()
+            except OSError:
+                return  # the test is over
             threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
 
     def _serve(self, connection: socket.socket) -> None:
--- a/tests/test_client_links.py
+++ b/tests/test_client_links.py
@@ -41,6 +41,13 @@
         return sum(isinstance(event, kind) for event in self.told)
 
 
+def has_come(client: Client) -> bool:
+    """Whether anything has, or the end of its connection. Not by select(), which ends at descriptor 1,023."""
+    poll = select.poll()
+    poll.register(client.socket, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def leave(client: Client) -> None:
     client.file.close()
     client.socket.close()
@@ -61,6 +68,8 @@
     def close(self) -> None:
         for selectable in self.reactor.removeAll():
             selectable.connectionLost(Failure(ConnectionDone()))  # type: ignore[no-untyped-call]
+        self.reactor.waker.connectionLost(Failure(ConnectionDone()))  # type: ignore[no-untyped-call]
+        self.reactor._poller.close()  # what a reactor holds until its process ends
 
     def turn(self, times: int = 1) -> None:
         for _ in range(times):
@@ -98,7 +107,7 @@
     def until(self, client: Client) -> None:
         """Turns until something has come to a client, or its connection has ended."""
         for _ in range(100_000):
-            if select.select([client.socket], [], [], 0)[0]:
+            if has_come(client):
                 return
             self.turn()
         raise AssertionError("nothing came")
@@ -126,7 +135,7 @@
     client = turns.client()
     assert turns.ask(client) == 200
     turns.gateway.drain()
-    assert select.select([client.socket], [], [], 0)[0] and client.answer()[0] == 0
+    assert has_come(client) and client.answer()[0] == 0
 
 
 def test_who_waits_to_be_accepted_as_listening_ends_is_answered(turns: Turns) -> None:
