--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -27,7 +27,7 @@
     tests = folder / "tests"
     tests.mkdir()
     (folder / "pytest.ini").write_text("[pytest]\ntestpaths = tests\naddopts = -p no:cacheprovider\n")
-    for name in ("conftest.py", "known_red.py"):
+    for name in ("conftest.py", "known_red.py", "standins.py"):
         (tests / name).write_text((ROOT / "tests" / name).read_text())
     (tests / "__init__.py").write_text("")
     (tests / "test_it.py").write_text(TESTS)
