--- a/benchmarks/fleet_sums.py
+++ b/benchmarks/fleet_sums.py
@@ -98,7 +98,7 @@
             self.count("connections opened")
         super().travel(gateway, attempt, fresh)
 
-    def datagram(self, gateway: Any, action: i.TellPeer) -> None:
+    def datagram(self, gateway: Any, action: i.SendGossip) -> None:
         self.count("datagrams heard", len(self.gateways) - 1)
         super().datagram(gateway, action)
 
--- a/benchmarks/lending_fleet.py
+++ b/benchmarks/lending_fleet.py
@@ -127,7 +127,7 @@
         g.life = self.store.begin(g.name, self.plan.term_ms)
         g.epoch, g.inner, g.held = g.life.epoch, Admits(), []
         g.paused, g.cut, g.seen, g.watched = False, False, 0, ()
-        own = replace(self.settings, me=g.number)
+        own = replace(self.settings, gateway_index=g.number)
         g.stage = Lending(g.inner, own, self.plan, g.life, self.rng.randrange(1 << 30))
         self._watch(g)
         self.tell(g, i.Timer(3))
@@ -192,7 +192,7 @@
                 self.at(self._soon(), self._scan, g, g.epoch, act)
             elif isinstance(act, i.LogLine):
                 self.logged.append(act.text)
-            elif isinstance(act, i.Refuse):
+            elif isinstance(act, i.Reject):
                 self.refused[g.number] += 1
         if g.stage is not None and g.stage.watches() != g.watched:
             self._watch(g)
@@ -324,12 +324,12 @@
 
 def plain_settings(plan: Plan, gateways: int) -> i.Settings:
     return i.Settings(
-        me=0,
-        balancers=gateways,
+        gateway_index=0,
+        gateway_count=gateways,
         zone=0,
         zones=("a",),
         tick_ms=100.0,
-        classes=(i.RequestClass("read", 500.0, 2000.0, i.Effect.SAFE),),
+        classes=(i.RequestClass("read", 500.0, 2000.0, i.Effect.IDEMPOTENT),),
         tenants=tuple(i.Tenant(t.name, t.part) for t in plan.tenants),
         rules=i.Rules(),
         limits=i.Limits(retry_after=True, max_retry_after_ms=10_000.0),
--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -68,7 +68,7 @@
 
         def end() -> None:
             gateway.tell(AnswerReady(request, 200, (), body))
-            gateway.tell(i.Outcome(request, n, 1, i.Result.OK, self.work[name].takes_ms, over=True))
+            gateway.tell(i.Outcome(request, n, 1, i.Result.OK, self.work[name].takes_ms, request_complete=True))
 
         gateway.later(self.work[name].takes_ms, end)
 
--- a/meadowpulley/balance/balancer.py
+++ b/meadowpulley/balance/balancer.py
@@ -25,7 +25,7 @@
     b.timer_at = math.inf if b.now >= b.timer_at else b.timer_at
     if b.now >= b.ask_again_at:
         b.acts.append(i.Watch())  # an answer that never comes is asked for again
-        b.ask_again_at = b.now + max(b.rules.ask_within_ms, RETRY_LIST_MS)
+        b.ask_again_at = b.now + max(b.rules.max_poll_interval_ms, RETRY_LIST_MS)
     rest_silent(b)
     waiting, b.waiting = b.waiting, []
     for held in [h for h in waiting if h.r.request in b.held]:
@@ -37,9 +37,9 @@
 
 
 HANDLERS: dict[type, Callable[[State, Any], None]] = {
-    i.Request: request, i.Outcome: outcome, i.Timer: tick, i.ServerList: take_list, i.BuildNews: news,
-    i.RequestGone: gone, i.AnswerStarted: started, i.ProbeResult: probed, i.PeerMessage: hear_peer,
-    i.Tally: lambda b, t: count(b, t.cls, t.build, TALLY, t.failed, t.attempts - t.failed),
+    i.Request: request, i.Outcome: outcome, i.Timer: tick, i.EndpointUpdate: take_list, i.RolloutUpdate: news,
+    i.ClientDisconnected: gone, i.ResponseStarted: started, i.ProbeResult: probed, i.GossipReceived: hear_peer,
+    i.BuildStatistics: lambda b, t: count(b, t.cls, t.build, TALLY, t.failed, t.attempts - t.failed),
 }  # fmt: skip
 
 
@@ -49,10 +49,10 @@
         self.look_ms = min(TICK_MS, self.least_aim_ms * WAIT_SHARE) or TICK_MS  # no class has to wait longer
         self.placements = dict(enumerate(placements[1:], 1))
         self.z = 2 + 0.5 * math.log(self.many)
-        self.needed = PROOF + math.log(max(self.many / max(self.roll.back_votes, 1), 1.0))
-        self.reach = float(NEAR) if settings.limits.idle_ms else math.inf
+        self.needed = PROOF + math.log(max(self.many / max(self.roll.rollback_votes, 1), 1.0))
+        self.reach = float(NEAR) if settings.limits.idle_timeout_ms else math.inf
         self.builds = defaultdict(partial(new_seen, self.roll.exposure_window_ms))
-        self.list_spread = min(LIST_EACH_MS * (self.many - 1), (self.rules.ask_within_ms or math.inf) / 2)
+        self.list_spread = min(LIST_EACH_MS * (self.many - 1), (self.rules.max_poll_interval_ms or math.inf) / 2)
         self.peers = Peers(Random(seed + 1).getrandbits(32), math.ceil(1 + self.many / TELLERS))
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
--- a/meadowpulley/balance/evidence.py
+++ b/meadowpulley/balance/evidence.py
@@ -99,10 +99,10 @@
         seen.failures.add(cls, server, failed, ok, max(usual, *b.peers.shares[cls], 0.0) + machine)
 
 
-def hear_peer(b: State, m: i.PeerMessage) -> None:
+def hear_peer(b: State, m: i.GossipReceived) -> None:
     """Evidence from another gateway, each digest once; caps, lists and the vote stay this one's own."""
     d, most = decode(m.data), 4 * b.many
-    if d is None or m.sender == b.s.me or not b.peers.first(m.sender, d, most):
+    if d is None or m.sender == b.s.gateway_index or not b.peers.first(m.sender, d, most):
         b.peers.strays += 1
     elif b.best is not None and len(b.peers.pooled) < most:
         b.peers.pooled.append((m.sender, d))
@@ -152,7 +152,7 @@
     b.tell_at = b.now + TELL_MS
     due = b.rng.random() * b.many < TELLERS or any(told[3] for told in b.peers.untold)
     if due and (told := b.peers.digest(build, b.before, b.judge_at < math.inf)):
-        b.peers.pooled.append((b.s.me, told))
-        b.acts.append(i.TellPeer(None, encode(told)))
+        b.peers.pooled.append((b.s.gateway_index, told))
+        b.acts.append(i.SendGossip(None, encode(told)))
     _accuse(b)
     _pool(b, build)
--- a/meadowpulley/balance/judging.py
+++ b/meadowpulley/balance/judging.py
@@ -24,7 +24,7 @@
 IN_DOUBT = 0.5  # of the proof: no vote to go on until it is settled
 
 
-def _rank(n: i.BuildNews) -> tuple[int, int, int]:  # late news of an earlier state undoes nothing
+def _rank(n: i.RolloutUpdate) -> tuple[int, int, int]:  # late news of an earlier state undoes nothing
     return n.build, (TRIAL, i.Phase.RELEASED, *BACK).index(n.phase), n.stage
 
 
@@ -90,14 +90,14 @@
     b.acts.append(i.LogLine(f"back {build}: {why}"))
 
 
-def _ripe(b: State, n: i.BuildNews) -> bool:  # old enough for a vote without enough outcomes
+def _ripe(b: State, n: i.RolloutUpdate) -> bool:  # old enough for a vote without enough outcomes
     starts = [s.started for s in b.servers.values() if s.build == n.build]
     spread = 1000 * max(b.many / max(b.roll.votes_per_s, 1.0) - 2, 0.0)  # two seconds' at once
-    early = min(spread * (1 - b.s.me / b.many), FALLBACK_MS / 2)
+    early = min(spread * (1 - b.s.gateway_index / b.many), FALLBACK_MS / 2)
     return bool(starts) and b.now >= max(*starts, b.stage_began) + FALLBACK_MS - early
 
 
-def _verdict(b: State, n: i.BuildNews) -> i.Verdict:
+def _verdict(b: State, n: i.RolloutUpdate) -> i.Verdict:
     low, high, margin, least = estimate(b, n.build)
     sure = least >= LEAST_SAMPLE
     shares = [s.fail_share for s in b.servers.values() if s.build < n.build]
@@ -107,20 +107,20 @@
     proofs = [f.proof(new, broken, b.needed) for f in (seen.failures, seen.pooled)]
     failing = max(*proofs, seen.lost / b.needed)
     if b.back_for == n.build:
-        return i.Verdict.BACK
+        return i.Verdict.ROLL_BACK
     if failing >= 1:
         _back(b, n.build, f"fails more than the earlier build, proof {failing:.1f}")
     elif sure and low > margin and n.phase is TRIAL:
         _back(b, n.build, f"slower by {low:.0f} to {high:.0f} ms, margin {margin:.0f}")
     doubt = _doubt(b, n.build, n.phase is i.Phase.RELEASED)
     if b.back_for == n.build:
-        return i.Verdict.BACK
-    if b.roll.gate is i.Gate.TIMER and sure and low > margin / 2:
+        return i.Verdict.ROLL_BACK
+    if b.roll.gate is i.StageGate.TIMER and sure and low > margin / 2:
         began = b.builds[n.build].hold_began.setdefault(n.stage, b.now)
         return i.Verdict.HOLD if b.now < began + HOLD_MS else i.Verdict.NONE
-    may = b.roll.gate is not i.Gate.TIMER and n.phase is TRIAL
+    may = b.roll.gate is not i.StageGate.TIMER and n.phase is TRIAL
     on = may and ((sure and high < margin) or _ripe(b, n)) and failing < IN_DOUBT and not doubt
-    return i.Verdict.ON if on else i.Verdict.NONE
+    return i.Verdict.ADVANCE if on else i.Verdict.NONE
 
 
 def judge(b: State) -> None:
@@ -131,12 +131,12 @@
         b.judge_at = b.now + JUDGE_MS
     b.before_rate = max(b.before_rate, b.taken.value(b.now) if n.stage == 0 else 0.0)
     verdict = _verdict(b, n)
-    wanted = (n.build, n.stage if verdict in (i.Verdict.ON, i.Verdict.HOLD) else 0, verdict)
+    wanted = (n.build, n.stage if verdict in (i.Verdict.ADVANCE, i.Verdict.HOLD) else 0, verdict)
     if verdict is i.Verdict.NONE and (b.ballot.vote == wanted or b.ballot.vote[0] != n.build):
         return
     # Votes and their answers get lost: unanswered ones are sent again, standing ones renewed in time.
     waiting = not b.ballot.answered and b.now < b.ballot.sent + b.roll.call_timeout_ms
-    standing = b.ballot.stands_until - b.now > b.roll.vote_life_ms / 2
+    standing = b.ballot.stands_until - b.now > b.roll.vote_ttl_ms / 2
     soon = b.now < max(b.ballot.sent + 4 * TICK_MS, b.ballot.after)
     if soon or (b.ballot.vote == wanted and (waiting or standing)):
         return
@@ -144,11 +144,11 @@
     b.acts.append(i.Vote(*wanted))
 
 
-def news(b: State, n: i.BuildNews) -> None:
-    b.ballot.answered |= n.answers_vote
-    if n.answers_vote and n.result is i.Result.OK:
-        b.ballot.stands_until = b.now + b.roll.vote_life_ms
-    elif n.answers_vote and n.result is i.Result.FULL:  # all called at once: not all again at once
+def news(b: State, n: i.RolloutUpdate) -> None:
+    b.ballot.answered |= n.is_vote_reply
+    if n.is_vote_reply and n.result is i.Result.OK:
+        b.ballot.stands_until = b.now + b.roll.vote_ttl_ms
+    elif n.is_vote_reply and n.result is i.Result.REJECTED:  # all called at once: not all again at once
         b.ballot.after = b.now + b.rng.random() * 1000 * b.many / b.roll.votes_per_s
     if n.result is not i.Result.OK:
         return
--- a/meadowpulley/balance/requests.py
+++ b/meadowpulley/balance/requests.py
@@ -16,14 +16,14 @@
 FLOOR_EACH = 2.0  # requests in flight a server, from all gateways, that are never too many
 NEAR_PART = 0.1  # of the time for which a connection may stand idle: as many as are asked in it are near
 WAIT_SHARE = 0.25  # of the aim: how long a request may wait for a server it may go to
-NEVER_RAN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
+NEVER_RAN = (i.Result.REJECTED, i.Result.CONNECT_FAILED, i.Result.NOT_SENT)
 NO_ANSWER = (*NEVER_RAN, i.Result.ERROR)
 
 
 def request(b: State, r: i.Request) -> None:
-    held = b.held[r.request] = Held(r, b.s.classes[r.cls], b.now, b.roll.exposure_per_class)
-    rate = b.taken.value(b.now, 0.0 if r.repeat or r.adopted else 1.0)
-    b.reach = max(b.reach, NEAR_PART * b.s.limits.idle_ms * rate)
+    held = b.held[r.request] = Held(r, b.s.classes[r.class_index], b.now, b.roll.exposure_per_class)
+    rate = b.taken.value(b.now, 0.0 if r.client_retry or r.adopted else 1.0)
+    b.reach = max(b.reach, NEAR_PART * b.s.limits.idle_timeout_ms * rate)
     if not r.adopted:  # it was counted where it was taken
         b.retries_left = min(b.retries_left + RETRY_SHARE, 10.0)
         b.window_taken[held.counted].add(b.now)
@@ -37,8 +37,8 @@
 
 def route_or_wait(b: State, held: Held) -> None:
     # Given up before the deadline by more than a tick: the answer must be in time.
-    until = min(held.arrived + held.cls.aim_ms * WAIT_SHARE, held.r.deadline_ms - 2 * b.look_ms)
-    hopeless = held.tries >= b.s.limits.max_attempts or (held.maybe and held.cls.effect is i.Effect.UNSAFE)
+    until = min(held.arrived + held.cls.latency_objective_ms * WAIT_SHARE, held.r.deadline_ms - 2 * b.look_ms)
+    hopeless = held.tries >= b.s.limits.max_attempts or (held.maybe and held.cls.effect is i.Effect.NON_IDEMPOTENT)
     if not route(b, held) and b.now < until and not hopeless:
         b.waiting.append(held)
     elif not held.out:
@@ -47,8 +47,8 @@
 
 def _learn_room(b: State, held: Held, o: i.Outcome) -> None:
     """Answers in time widen the room in flight, late ones narrow it to what ends a jam."""
-    out, late = len(b.attempts) + 1, 2 * b.usual_ms > held.cls.aim_ms
-    if o.result is i.Result.OK and o.elapsed_ms <= held.cls.aim_ms:
+    out, late = len(b.attempts) + 1, 2 * b.usual_ms > held.cls.latency_objective_ms
+    if o.result is i.Result.OK and o.elapsed_ms <= held.cls.latency_objective_ms:
         b.room += ROOM_STEPS[0] if 2 * out > b.room else 0.0
     elif o.result is i.Result.OK or (o.result is i.Result.TIMEOUT and late):
         usual = max(out, b.done.value(b.now) * b.usual_ms)  # few in flight vary by chance
@@ -59,19 +59,19 @@
 def _give_up(b: State, held: Held) -> None:
     rid = held.r.request
     b.held.pop(rid, None)
-    everywhere = held.cls.effect is i.Effect.KEYED and held.cls.group is i.Group.ALL and not held.r.tried
-    harmless = held.cls.effect is i.Effect.SAFE or not held.maybe or everywhere
-    b.acts.append(i.Refuse(rid, b.advice_ms) if harmless else i.Fail(rid))
+    everywhere = held.cls.effect is i.Effect.IDEMPOTENT_WITH_KEY and held.cls.deduplication_scope is i.DeduplicationScope.ALL and not held.r.prior_attempts
+    harmless = held.cls.effect is i.Effect.IDEMPOTENT or not held.maybe or everywhere
+    b.acts.append(i.Reject(rid, b.advice_ms) if harmless else i.Fail(rid))
     _call_off(b, held)
 
 
 def _call_off(b: State, held: Held) -> None:  # what is over should burden no server that can drop it
-    rid, able = held.r.request, b.s.limits.cancel and not held.streaming
+    rid, able = held.r.request, b.s.limits.cancellation and not held.streaming
     b.acts += [i.Cancel(rid, a.n) for a in held.maybe if able and (rid, a.n) in b.attempts]
 
 
 def _bind(b: State, held: Held, build: int) -> None:  # one way: a key goes to no build before this one
-    if held.r.key and build > b.floor and b.roll.one_way:
+    if held.r.key and build > b.floor and b.roll.monotonic_keys:
         b.key_build[held.r.key] = max(build, b.key_build.get(held.r.key, 0))
 
 
@@ -84,14 +84,14 @@
     if o.result in NEVER_RAN:
         held.maybe.remove(attempt)
     known = attempt.sent >= b.stood_still  # else it took nobody knows how long: nothing is learnt
-    if known and o.result not in (i.Result.CANCELLED, i.Result.MOOT):
+    if known and o.result not in (i.Result.CANCELLED, i.Result.NOT_SENT):
         health(b, server, o.result)
     b.done.value(b.now, float(ok))
     if o.result not in NO_ANSWER:
         _bind(b, held, server.build)
     if ok or o.result is i.Result.ERROR:  # a broken connection is the network's or the machine's
         due = -math.inf if ok else attempt.sent + FAIL_AFTER * b.usual_ms
-        b.due.append((due, held.r.cls, server.build, server.id, int(not ok), int(ok)))
+        b.due.append((due, held.r.class_index, server.build, server.id, int(not ok), int(ok)))
     if o.result is i.Result.TIMEOUT and attempt.warmth >= WARM and known:
         b.peers.untold.append((LOST, server.build, server.id, 0, 1))  # in place of good ones
     if known:
@@ -102,7 +102,7 @@
         b.usual_ms += 0.05 * (o.elapsed_ms - b.usual_ms) if b.usual_ms else o.elapsed_ms
         warm = o.elapsed_ms * attempt.warmth
         b.kind_ms[server.kind] = b.kind_ms.get(server.kind, warm) * 0.95 + 0.05 * warm
-    if o.over:
+    if o.request_complete:
         b.held.pop(o.request, None)
         _call_off(b, held)
     elif b.held.get(o.request) is held and held.out == 0:
@@ -112,11 +112,11 @@
             _give_up(b, held)
 
 
-def gone(b: State, event: i.RequestGone) -> None:
+def gone(b: State, event: i.ClientDisconnected) -> None:
     if event.request in b.held:
         _call_off(b, b.held.pop(event.request))
 
 
-def started(b: State, event: i.AnswerStarted) -> None:
+def started(b: State, event: i.ResponseStarted) -> None:
     if event.request in b.held:
         b.held[event.request].streaming = True
--- a/meadowpulley/balance/sending.py
+++ b/meadowpulley/balance/sending.py
@@ -18,28 +18,28 @@
 def _may_send(b: State, held: Held, server: Server) -> bool:  # the one check of every attempt: all rules
     cls, now = held.cls, b.now
     owed = held.r.request in b.held and not held.streaming and now < held.r.deadline_ms
-    more = held.tries < b.s.limits.max_attempts and (b.s.limits.second_copies or not held.out)
+    more = held.tries < b.s.limits.max_attempts and (b.s.limits.hedging or not held.out)
     ready = server.state is i.ServerState.READY and b.servers.get(server.id) is server
     if not (owed and more and ready):
         return False
     for earlier in held.maybe:
         there = earlier.server
-        same = {i.Group.ZONE: there.zone == server.zone, i.Group.CELL: there.cell == server.cell}
-        in_window = same.get(cls.group, True) and now - earlier.sent < cls.window_ms - b.s.tick_ms
-        if cls.effect is i.Effect.UNSAFE or (cls.effect is i.Effect.KEYED and not in_window):
+        same = {i.DeduplicationScope.ZONE: there.zone == server.zone, i.DeduplicationScope.CELL: there.cell == server.cell}
+        in_window = same.get(cls.deduplication_scope, True) and now - earlier.sent < cls.deduplication_window_ms - b.s.tick_ms
+        if cls.effect is i.Effect.NON_IDEMPOTENT or (cls.effect is i.Effect.IDEMPOTENT_WITH_KEY and not in_window):
             return False
     return _within_exposure(b, held, server) and _within_cold_budget(b, server)
 
 
 def _within_cold_budget(b: State, server: Server) -> bool:
     """This gateway's part of what a cold server may get, by the slot: by chance, as hundreds add up."""
-    span = b.rules.fall_ms
+    span = b.rules.overload_window_ms
     if warmth(b, server, span) >= 1.0:
         return True
     slot = int(b.now * COLD_SLOTS / span)
     if server.slot != slot:
         served = max(b.done.value(b.now), b.taken.value(b.now) / 2)  # answers stop in a jam
-        budget = b.rules.fall_multiple * warmth(b, server, span / 2) * served / b.fleet
+        budget = b.rules.overload_multiple * warmth(b, server, span / 2) * served / b.fleet
         near = near_of(b, b.trial if on_trial(b, server.build) else b.earlier)
         part = max(COLD_MARGIN * budget * span / COLD_SLOTS, 1 / b.many) * near.get(server.id, 1.0)
         server.slot, server.left = slot, int(part + b.rng.random())
@@ -52,13 +52,13 @@
         return False
     if not on_trial(b, server.build):  # what is out at a later build may be answered there by now
         later = [a.held.r.key for a in b.attempts.values() if a.server.build > max(server.build, free)]
-        return not (b.roll.one_way and held.r.key and held.r.key in later)
+        return not (b.roll.monotonic_keys and held.r.key and held.r.key in later)
     cap, stage = cap_and_stage(b, server.build)
-    if cap <= 0 or (stage < b.roll.guarded_stages and held.cls.effect is not i.Effect.SAFE):
+    if cap <= 0 or (stage < b.roll.guarded_stages and held.cls.effect is not i.Effect.IDEMPOTENT):
         return False
     taken = b.window_taken[held.counted].within(b.now, -b.s.tick_ms)
     sent = b.builds[server.build].sent[held.counted].within(b.now, b.s.tick_ms)
-    return sent + 1 <= b.roll.exposure_free + cap * taken
+    return sent + 1 <= b.roll.exposure_allowance + cap * taken
 
 
 def _coin(b: State) -> float:
@@ -69,7 +69,7 @@
         b.odds_until = b.now + JUDGE_MS
         # A cold machine is slow at whatever share, so it gets less than it could do: warmth counts twice.
         new, old = [sum([able(b, s) * warmth(b, s) for s in g], 0.0) for g in (trial, earlier)]
-        if b.best is not None and b.best.phase is i.Phase.GOING_BACK:
+        if b.best is not None and b.best.phase is i.Phase.ROLLING_BACK:
             b.odds = min(max(1 - old / (0.75 * (new + old)), 0.0), cap)  # what has no room
         else:
             b.odds = min(COIN_SHARE * cap, new / (new + old))
--- a/meadowpulley/balance/servers.py
+++ b/meadowpulley/balance/servers.py
@@ -15,14 +15,14 @@
 RETRY_LIST_MS = 1500.0  # between the second failed list call in a row and the next
 SILENT_TIMES = 4.0  # the usual latency without a word, and a server counts as silent
 KEYS = 8000  # notes of keys, beyond which they go once no server needs them: then older builds get no key
-TRIAL, BACK = i.Phase.TRIAL, (i.Phase.GOING_BACK, i.Phase.WITHDRAWN)
+TRIAL, BACK = i.Phase.TRIAL, (i.Phase.ROLLING_BACK, i.Phase.ROLLED_BACK)
 
 
 def warmth(b: State, server: Server, age_less: float = 0.0) -> float:  # the least part of its capacity
     age = max(b.now - server.started - age_less, 0.0)
-    if not server.started or age >= b.rules.cold_ms:
+    if not server.started or age >= b.rules.slow_start_ms:
         return 1.0
-    return b.rules.cold_from + (1 - b.rules.cold_from) * age / b.rules.cold_ms
+    return b.rules.slow_start_initial_fraction + (1 - b.rules.slow_start_initial_fraction) * age / b.rules.slow_start_ms
 
 
 def able(b: State, s: Server) -> float:  # what it can do by its warmth and its kind's latency, of the best
@@ -45,7 +45,7 @@
     near: dict[int, float] = {}
     for home, part in ((True, HOME), (False, 1 - HOME)) if b.reach < len(group) else ():
         some = [s.id for s in group if (s.zone == b.s.zone) is home]
-        at, count = b.s.me * len(some) // b.many, math.ceil(b.reach * part)
+        at, count = b.s.gateway_index * len(some) // b.many, math.ceil(b.reach * part)
         near |= dict.fromkeys((some + some)[at : at + count], part * len(group) / min(count, len(some) or 1))
     return near
 
@@ -59,7 +59,7 @@
 def health(b: State, server: Server, result: i.Result) -> None:
     server.heard = b.now
     failed = result is not i.Result.OK
-    if result is i.Result.FULL:
+    if result is i.Result.REJECTED:
         server.rest_until = max(server.rest_until, b.now + FULL_MS)
     elif not failed or server.failed_at < b.now:  # one event that breaks several is one failure
         server.failed_at = b.now if failed else server.failed_at
@@ -75,31 +75,31 @@
 def rest_silent(b: State) -> None:
     """A server silent on a request far longer than usual rests; no repeat: costly ones would feed a jam."""
     for a in list(b.attempts.values()):
-        aim = a.held.cls.aim_ms  # another class's may be a hundred times as long
+        aim = a.held.cls.latency_objective_ms  # another class's may be a hundred times as long
         limit = min(max(SILENT_TIMES * b.usual_ms, aim / 2), aim)
         if max(a.server.heard, b.stood_still) < a.sent < b.now - limit:
             rest(b, a.server)
 
 
-def take_list(b: State, event: i.ServerList) -> None:
-    if event.kind in (i.ListKind.FAILED, i.ListKind.SILENT):  # whether the watch still stands is not said
-        herd = event.kind is i.ListKind.FAILED  # silence is found after seconds, by each at its own time
+def take_list(b: State, event: i.EndpointUpdate) -> None:
+    if event.kind in (i.EndpointUpdateKind.FAILED, i.EndpointUpdateKind.TIMED_OUT):  # whether the watch still stands is not said
+        herd = event.kind is i.EndpointUpdateKind.FAILED  # silence is found after seconds, by each at its own time
         pause = RETRY_LIST_MS * min(b.list_fails, 3) * (0.5 + b.rng.random())
         spread = b.rng.random() * b.list_spread * (1 + min(b.list_fails, 1))
-        b.ask_again_at = b.now + herd * max(pause, spread) if b.s.must_ask else math.inf
+        b.ask_again_at = b.now + herd * max(pause, spread) if b.s.must_poll else math.inf
         b.list_fails += herd
         return
-    if event.kind is not i.ListKind.CACHED:
+    if event.kind is not i.EndpointUpdateKind.CACHED:
         b.ask_again_at, b.list_fails = math.inf, 0
     named = {e.server: e for e in event.entries}
-    if event.kind is not i.ListKind.CHANGES:
+    if event.kind is not i.EndpointUpdateKind.INCREMENTAL:
         b.servers = {n: s for n, s in b.servers.items() if n in named}
     for n, entry in named.items():
         server = b.servers.get(n)
         if not server or (server.build, server.started) != (entry.build, entry.started_ms):
             server = b.servers[n] = Server(entry)
         server.state, server.cell, server.zone = entry.state, entry.cell, entry.zone
-        if entry.state is i.ServerState.GONE:
+        if entry.state is i.ServerState.REMOVED:
             del b.servers[n]
     sort_arms(b)
 
--- a/meadowpulley/check/connection/scenes.py
+++ b/meadowpulley/check/connection/scenes.py
@@ -9,16 +9,16 @@
 INSTANCES = (("127.0.0.1", 9001), ("127.0.0.1", 9002), ("127.0.0.1", 9003))
 DISCOVERY, MOVED = ("127.0.0.1", 9998), ("127.0.0.1", 9999)
 CLASSES = (
-    i.RequestClass("look", 200.0, 400.0, i.Effect.SAFE),
-    i.RequestClass("pay", 200.0, 400.0, i.Effect.UNSAFE),
+    i.RequestClass("look", 200.0, 400.0, i.Effect.IDEMPOTENT),
+    i.RequestClass("pay", 200.0, 400.0, i.Effect.NON_IDEMPOTENT),
 )
 GONE_MS = 300.0  # after its client has gone a request that waits is sent on no more
 LATE_MS = 10.0  # how late a second answer may come: "some milliseconds"
 SLACK_MS = 50.0  # of every limit, on real sockets
-RULES = i.Rules(answer_slack_ms=20.0, ask_within_ms=10_000.0, drain_grace_ms=2000.0)
+RULES = i.Rules(response_slack_ms=20.0, max_poll_interval_ms=10_000.0, drain_grace_ms=2000.0)
 LIMITS = i.Limits(
-    max_attempts=3, cancel=True, retry_after=True, max_retry_after_ms=500.0, connect_timeout_ms=50.0,
-    idle_ms=30_000.0,
+    max_attempts=3, cancellation=True, retry_after=True, max_retry_after_ms=500.0, connect_timeout_ms=50.0,
+    idle_timeout_ms=30_000.0,
 )  # fmt: skip
 
 
--- a/meadowpulley/check/connection/state.py
+++ b/meadowpulley/check/connection/state.py
@@ -103,7 +103,7 @@
         }  # fmt: skip
         settings = i.Settings(
             0, 1, 0, ("a",), 5.0, CLASSES, (), RULES, LIMITS,
-            i.Rollout(caps=(1.0,), stage_shares=(1.0,), exposure_window_ms=300.0, exposure_free=4.0),
+            i.Rollout(caps=(1.0,), stage_shares=(1.0,), exposure_window_ms=300.0, exposure_allowance=4.0),
         )  # fmt: skip
         config = Config(
             "g0", ("127.0.0.1", 9000), DISCOVERY, None, 7, KEPT_BACK + self.scene.size, settings, news, known
--- a/meadowpulley/check/connection/world.py
+++ b/meadowpulley/check/connection/world.py
@@ -182,7 +182,7 @@
             self.moved = True
             self.file = replace(
                 self.began_with, name="other", discovery=MOVED, seed=8, sockets=999, known=None, news=None,
-                listen=("127.0.0.1", 9009), settings=replace(self.began_with.settings, me=1),
+                listen=("127.0.0.1", 9009), settings=replace(self.began_with.settings, gateway_index=1),
             )  # fmt: skip
         self.gateway.on_signal(signal.SIGHUP, None)
 
--- a/meadowpulley/check/decisions/enabled.py
+++ b/meadowpulley/check/decisions/enabled.py
@@ -52,7 +52,7 @@
             yield Step("stage")
         if self._may("call_back") and stand.phase is i.Phase.TRIAL:
             yield Step("call_back")
-        if self._may("withdraw") and stand.phase is i.Phase.GOING_BACK:
+        if self._may("withdraw") and stand.phase is i.Phase.ROLLING_BACK:
             yield Step("withdraw")
         for host in self.hosts:
             for n, (_, at) in enumerate(host.votes):
@@ -111,7 +111,7 @@
 
     def _keyed(self, build: int) -> bool:
         """Whether it matters when this build answers a key."""
-        return self.scene.rollout.one_way and build > EARLIER
+        return self.scene.rollout.monotonic_keys and build > EARLIER
 
     # Moments at which time may stop
 
@@ -146,7 +146,7 @@
             else:
                 yield from host.books.edges(name)
         if name == "cold":
-            slot = RULES.fall_ms / 4
-            cold = [e for e in self.lists[-1] if self.now < e.started_ms + RULES.cold_ms]
+            slot = RULES.overload_window_ms / 4
+            cold = [e for e in self.lists[-1] if self.now < e.started_ms + RULES.slow_start_ms]
             if cold:
                 yield (math.floor(self.now / slot) + 1) * slot
--- a/meadowpulley/check/decisions/host.py
+++ b/meadowpulley/check/decisions/host.py
@@ -17,7 +17,7 @@
 from meadowpulley.check.scenes import CLASSES, Scene
 from meadowpulley.rules import Answered, Gone, KeyAnswered, Listed, News, Outcome, Sent, Started, Taken
 
-NEVER_RAN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
+NEVER_RAN = (i.Result.REJECTED, i.Result.CONNECT_FAILED, i.Result.NOT_SENT)
 
 
 class Around(Protocol):
@@ -59,12 +59,12 @@
         self.asked: dict[int, Asked] = {}
         self.last = 0
         self.known = -1  # the version of the list it knows
-        self.news_due: tuple[i.BuildNews, ...] = ()
+        self.news_due: tuple[i.RolloutUpdate, ...] = ()
         self.heard_of: tuple[int, ...] = ()  # places in the platform's history of the news it was told
         self.timers: list[float] = []
         self.votes: tuple[tuple[i.Vote, float], ...] = ()  # under way, and since when
-        self.answers_due: list[tuple[float, i.BuildNews]] = []  # what a lost vote ends with, and when
-        self.datagrams: tuple[i.TellPeer, ...] = ()
+        self.answers_due: list[tuple[float, i.RolloutUpdate]] = []  # what a lost vote ends with, and when
+        self.datagrams: tuple[i.SendGossip, ...] = ()
         self.ghosts: tuple[
             tuple[int, int], ...
         ] = ()  # key and build of attempts given up that may be answered
@@ -74,12 +74,12 @@
         self.balancer: Any = None
         self._events: deque[i.Event] = deque()
 
-    def begin(self, world: Around, version: int, news: i.BuildNews) -> None:
+    def begin(self, world: Around, version: int, news: i.RolloutUpdate) -> None:
         """A life: it knows a list and news, perhaps old ones."""
         self.balancer = self.make(self.settings, 0)
         self.balancer.rng = CHOICES
         self.books.see(Started(world.now, self.number))
-        self.hear_list(world, version, i.ListKind.CACHED)
+        self.hear_list(world, version, i.EndpointUpdateKind.CACHED)
         self.hear_news(world, news)
         self.balancer.retries_left = world.scene.retries
 
@@ -106,8 +106,8 @@
     def _carry_out(self, world: Around, action: i.Action) -> None:
         if isinstance(action, i.Send):
             self._send(world, action)
-        elif isinstance(action, i.Refuse | i.Fail):
-            self._answer(world, action.request, "refused" if isinstance(action, i.Refuse) else "failed")
+        elif isinstance(action, i.Reject | i.Fail):
+            self._answer(world, action.request, "refused" if isinstance(action, i.Reject) else "failed")
         elif isinstance(action, i.Cancel):
             asked = self.asked.get(action.request)
             if asked is not None and action.attempt in asked.out:
@@ -120,9 +120,9 @@
         elif isinstance(action, i.Vote):
             self.votes = (*self.votes, (action, world.now))
             world.say(f"gateway {self.number}", "platform", f"votes {action.verdict.name.lower()}")
-        elif isinstance(action, i.Watch | i.FetchList):
+        elif isinstance(action, i.Watch | i.FetchEndpoints):
             self.list_asked, self.list_owed = True, False
-        elif isinstance(action, i.TellPeer):
+        elif isinstance(action, i.SendGossip):
             self.datagrams = (*self.datagrams, action)
 
     def _look(self, world: Around) -> None:
@@ -202,12 +202,12 @@
         self.books.see(Gone(world.now, self.number, request))
         self.asked[request].over = True
         self._tidy(request)
-        self.tell(world, i.RequestGone(request))
+        self.tell(world, i.ClientDisconnected(request))
 
     # The list and the news
 
-    def hear_list(self, world: Around, version: int, kind: i.ListKind) -> None:
-        before = world.lists[self.known] if self.known >= 0 and kind is not i.ListKind.CACHED else ()
+    def hear_list(self, world: Around, version: int, kind: i.EndpointUpdateKind) -> None:
+        before = world.lists[self.known] if self.known >= 0 and kind is not i.EndpointUpdateKind.CACHED else ()
         entries = world.lists[version]
         there = {e.server for e in entries}
         self.known, self.list_asked, self.list_owed = version, False, False
@@ -217,13 +217,13 @@
         for e in entries:
             state = e.state.name.lower()
             self.books.see(Listed(world.now, self.number, e.server, state, e.build))  # type: ignore[arg-type]
-        if kind is i.ListKind.CHANGES:
+        if kind is i.EndpointUpdateKind.INCREMENTAL:
             changed = [e for e in entries if e not in before]
-            left = [replace(e, state=i.ServerState.GONE) for e in gone]
+            left = [replace(e, state=i.ServerState.REMOVED) for e in gone]
             entries = (*changed, *left)
-        self.tell(world, i.ServerList(kind, version, entries))
+        self.tell(world, i.EndpointUpdate(kind, version, entries))
 
-    def hear_news(self, world: Around, news: i.BuildNews) -> None:
+    def hear_news(self, world: Around, news: i.RolloutUpdate) -> None:
         if news.result is i.Result.OK:
             phase = news.phase.name.lower()
             self.books.see(News(world.now, self.number, news.build, news.stage, phase, news.cap))  # type: ignore[arg-type]
@@ -233,7 +233,7 @@
 
     def next_due(self) -> float:
         found = [*self.timers[:1], *(at for at, _ in self.answers_due)]
-        slack = self.settings.rules.answer_slack_ms
+        slack = self.settings.rules.response_slack_ms
         for asked in self.asked.values():
             if asked.out:
                 found.append(asked.deadline)
@@ -243,13 +243,13 @@
 
     def last_due(self) -> float:
         """By when all that is owed is over; 0 where nothing is."""
-        slack = self.settings.rules.answer_slack_ms
+        slack = self.settings.rules.response_slack_ms
         waits = [a.deadline + slack for a in self.asked.values()]
         return max([*waits, *(at for at, _ in self.answers_due), *self.timers[:1]], default=0.0)
 
     def run_due(self, world: Around) -> None:
         """What is due now: attempts end at their request's deadline, then timers, then what is overdue."""
-        now, slack = world.now, self.settings.rules.answer_slack_ms
+        now, slack = world.now, self.settings.rules.response_slack_ms
         for request, asked in list(self.asked.items()):
             if asked.out and asked.deadline <= now:
                 for attempt in list(asked.out):
--- a/meadowpulley/check/decisions/state.py
+++ b/meadowpulley/check/decisions/state.py
@@ -37,7 +37,7 @@
         started = START_MS if self.scene.cold else 1.0
         first = tuple(self._entry(n + 1, build, started) for n, build in enumerate(builds))
         self.lists: tuple[tuple[i.ServerEntry, ...], ...] = (first,)
-        self.history: tuple[i.BuildNews, ...] = (self.scene.news,)
+        self.history: tuple[i.RolloutUpdate, ...] = (self.scene.news,)
         self.hosts = [
             Host(n, self.scene.settings(n, setting.gateways), make) for n in range(setting.gateways)
         ]
--- a/meadowpulley/check/decisions/words.py
+++ b/meadowpulley/check/decisions/words.py
@@ -15,7 +15,7 @@
 }  # fmt: skip
 
 
-def news_text(news: i.BuildNews) -> str:
+def news_text(news: i.RolloutUpdate) -> str:
     phase = news.phase.name.lower().replace("_", " ")
     return f"build {news.build} {phase}, stage {news.stage + 1}, cap {news.cap:g}"
 
--- a/meadowpulley/check/decisions/world.py
+++ b/meadowpulley/check/decisions/world.py
@@ -15,7 +15,7 @@
 from meadowpulley.rules import KeyAnswered
 
 RESULTS = {
-    "ok": i.Result.OK, "error": i.Result.ERROR, "reset": i.Result.RESET, "full": i.Result.FULL,
+    "ok": i.Result.OK, "error": i.Result.ERROR, "reset": i.Result.RESET, "full": i.Result.REJECTED,
     "connect_failed": i.Result.CONNECT_FAILED,
 }  # fmt: skip
 
@@ -51,7 +51,7 @@
         self.lists = (*self.lists, tuple(sorted([*others, back], key=lambda e: e.server)))
 
     def _stand(self, phase: i.Phase, stage: int, cap: float, build: int = 0) -> None:
-        news = i.BuildNews(build or self.history[-1].build, stage, phase, cap, 0.0)
+        news = i.RolloutUpdate(build or self.history[-1].build, stage, phase, cap, 0.0)
         self.history = (*self.history, news)
         for n, host in enumerate(self.hosts):
             new = self.hosts[n] = host.copy()
@@ -70,11 +70,11 @@
 
     def _do_call_back(self) -> None:
         self._trouble()
-        self._stand(i.Phase.GOING_BACK, self.history[-1].stage, 0.0)
+        self._stand(i.Phase.ROLLING_BACK, self.history[-1].stage, 0.0)
 
     def _do_withdraw(self) -> None:
         self._trouble()
-        self._stand(i.Phase.WITHDRAWN, self.history[-1].stage, 0.0)
+        self._stand(i.Phase.ROLLED_BACK, self.history[-1].stage, 0.0)
 
     def _do_count(self, g: int, n: int, heard: bool = True) -> None:
         host = self.hosts[g] = self.hosts[g].copy()
@@ -82,19 +82,19 @@
         host.votes = (*host.votes[:n], *host.votes[n + 1 :])
         stand = self.history[-1]
         standing = (vote.build, vote.stage) == (stand.build, stand.stage) and stand.phase is i.Phase.TRIAL
-        if standing and vote.verdict is i.Verdict.ON:
+        if standing and vote.verdict is i.Verdict.ADVANCE:
             self._on()
-        elif vote.build == stand.build and stand.phase is i.Phase.TRIAL and vote.verdict is i.Verdict.BACK:
-            self._stand(i.Phase.GOING_BACK, stand.stage, 0.0)
+        elif vote.build == stand.build and stand.phase is i.Phase.TRIAL and vote.verdict is i.Verdict.ROLL_BACK:
+            self._stand(i.Phase.ROLLING_BACK, stand.stage, 0.0)
         host = self.hosts[g] = self.hosts[g].copy()
         if heard:
-            answer = replace(self.history[-1], result=i.Result.OK, answers_vote=True)
+            answer = replace(self.history[-1], result=i.Result.OK, is_vote_reply=True)
             host.news_due = (*host.news_due, answer)
         else:
             self._lost(host, vote, at)
 
     def _lost(self, host: Host, vote: i.Vote, at: float) -> None:
-        late = i.BuildNews(vote.build, vote.stage, i.Phase.TRIAL, 0.0, 0.0, i.Result.TIMEOUT, True)
+        late = i.RolloutUpdate(vote.build, vote.stage, i.Phase.TRIAL, 0.0, 0.0, i.Result.TIMEOUT, True)
         due = max(at + self.scene.rollout.call_timeout_ms, self.now)
         host.answers_due = [*host.answers_due, (due, late)]
 
@@ -116,7 +116,7 @@
         for other in range(len(self.hosts)):
             if other != g and action.peer in (None, other):
                 to = self.hosts[other] = self.hosts[other].copy()
-                to.tell(self, i.PeerMessage(g, action.data))
+                to.tell(self, i.GossipReceived(g, action.data))
 
     def _do_repeat_datagram(self, g: int, n: int) -> None:
         self._trouble()
@@ -160,17 +160,17 @@
 
     def _do_list(self, g: int, version: int) -> None:
         self.say("discovery", f"gateway {g}", f"list {version}")
-        self._host(g).hear_list(self, version, i.ListKind.CHANGES)
+        self._host(g).hear_list(self, version, i.EndpointUpdateKind.INCREMENTAL)
 
     def _do_whole_list(self, g: int) -> None:
         self.say("discovery", f"gateway {g}", "the whole list")
-        self._host(g).hear_list(self, len(self.lists) - 1, i.ListKind.FULL)
+        self._host(g).hear_list(self, len(self.lists) - 1, i.EndpointUpdateKind.FULL)
 
     def _do_list_failed(self, g: int) -> None:
         self._trouble()
         host = self._host(g)
         host.list_owed = self.scene.must_ask
-        host.tell(self, i.ServerList(i.ListKind.FAILED, max(host.known, 0)))
+        host.tell(self, i.EndpointUpdate(i.EndpointUpdateKind.FAILED, max(host.known, 0)))
 
     def _do_news(self, g: int, n: int) -> None:
         host = self._host(g)
--- a/meadowpulley/check/fuzz/lines.py
+++ b/meadowpulley/check/fuzz/lines.py
@@ -99,7 +99,7 @@
     link.wire = _NoWire()
     platform.link = link
     link.calls.append(platform._call(None))
-    link.calls.append(platform._call(i.Vote(1, 0, i.Verdict.ON)))
+    link.calls.append(platform._call(i.Vote(1, 0, i.Verdict.ADVANCE)))
     return gateway, link
 
 
--- a/meadowpulley/check/fuzz/made.py
+++ b/meadowpulley/check/fuzz/made.py
@@ -12,7 +12,7 @@
 
 PIECES = (1, 2, 3, 7, 64)  # sizes of the pieces that bytes come in, beside all at once
 SETTINGS = i.Settings(
-    0, 1, 0, ("a", "b"), 5.0, (i.RequestClass("look", 100.0, 1000.0, i.Effect.SAFE),), (), i.Rules(),
+    0, 1, 0, ("a", "b"), 5.0, (i.RequestClass("look", 100.0, 1000.0, i.Effect.IDEMPOTENT),), (), i.Rules(),
     i.Limits(), i.Rollout(),
 )  # fmt: skip
 plain_json = st.recursive(
--- a/meadowpulley/check/monitors.py
+++ b/meadowpulley/check/monitors.py
@@ -35,7 +35,7 @@
     # Attempts
 
     def ran(self, at: float, request: int, cls: int) -> None:
-        if self.settings.classes[cls].effect is i.Effect.UNSAFE:
+        if self.settings.classes[cls].effect is i.Effect.NON_IDEMPOTENT:
             self.executed[request] += 1
             if self.executed[request] > 1:
                 self.fail("executed", at, f"request {request} ran at {self.executed[request]} servers")
@@ -48,7 +48,7 @@
         limits = self.settings.limits
         if tries >= limits.max_attempts:
             self.fail("attempts", at, f"attempt {tries + 1}, of {limits.max_attempts} at most")
-        if copies and not limits.second_copies:
+        if copies and not limits.hedging:
             self.fail("attempts", at, "a second copy, which the settings bar")
         if late:
             self.fail("attempts", at, "an attempt begins when the client has stopped waiting")
@@ -58,18 +58,18 @@
     def _cold(self, at: float, server: int, entry: i.ServerEntry) -> None:
         """A quarter of the span: the whole fleet's requests shared out evenly, times multiple and the warmth
         at its end, never less than a gateway's part of one request; and one more by chance."""
-        rules, slot_ms = self.settings.rules, self.settings.rules.fall_ms / 4
+        rules, slot_ms = self.settings.rules, self.settings.rules.overload_window_ms / 4
         age = at - entry.started_ms
-        if not entry.started_ms or age >= rules.cold_ms:
+        if not entry.started_ms or age >= rules.slow_start_ms:
             return
         slot = int(at / slot_ms)
         key = server, slot
         self.cold = {k: n for k, n in self.cold.items() if k[1] == slot}
         self.cold[key] = self.cold.get(key, 0) + 1
-        warmth = min(rules.cold_from + (1 - rules.cold_from) * (age + rules.fall_ms) / rules.cold_ms, 1.0)
+        warmth = min(rules.slow_start_initial_fraction + (1 - rules.slow_start_initial_fraction) * (age + rules.overload_window_ms) / rules.slow_start_ms, 1.0)
         books = self.checker._gateways[self.number]
         taken = sum(len(times) for times in books.taken.values())
-        part = rules.fall_multiple * warmth * taken / max(len(books.servers), 1)
+        part = rules.overload_multiple * warmth * taken / max(len(books.servers), 1)
         most = math.floor(max(part, 1.0) + COLD_MARGIN) + 1
         if self.cold[key] > most:
             self.fail(
@@ -106,5 +106,5 @@
             yield from (q[0] + figures.window_ms for q in books.sent.values() if q)
         elif name == "memory":
             for held in books.held.values():
-                window = self.settings.classes[held.taken.cls].window_ms
+                window = self.settings.classes[held.taken.cls].deduplication_window_ms
                 yield from (t.at + window for t in held.tries if window)
--- a/meadowpulley/check/scenes.py
+++ b/meadowpulley/check/scenes.py
@@ -17,26 +17,26 @@
 LATER_MS = 20.0  # well after one
 
 CLASSES = (
-    i.RequestClass("address-check", 200.0, 400.0, i.Effect.SAFE),
-    i.RequestClass("zone-change", 200.0, 400.0, i.Effect.UNSAFE),
-    i.RequestClass("order", 200.0, 400.0, i.Effect.KEYED, i.Group.ALL, 150.0),
+    i.RequestClass("address-check", 200.0, 400.0, i.Effect.IDEMPOTENT),
+    i.RequestClass("zone-change", 200.0, 400.0, i.Effect.NON_IDEMPOTENT),
+    i.RequestClass("order", 200.0, 400.0, i.Effect.IDEMPOTENT_WITH_KEY, i.DeduplicationScope.ALL, 150.0),
 )
 RULES = i.Rules(
-    answer_slack_ms=20.0, ask_within_ms=1000.0, cold_from=0.5, cold_ms=300.0, fall_multiple=2.0,
-    fall_ms=200.0, drain_grace_ms=100.0,
+    response_slack_ms=20.0, max_poll_interval_ms=1000.0, slow_start_initial_fraction=0.5, slow_start_ms=300.0, overload_multiple=2.0,
+    overload_window_ms=200.0, drain_grace_ms=100.0,
 )  # fmt: skip
 LIMITS = i.Limits(
-    max_attempts=3, second_copies=False, cancel=True, peers=True, retry_after=True, max_retry_after_ms=500.0,
-    connect_timeout_ms=50.0, max_open=100,
+    max_attempts=3, hedging=False, cancellation=True, gossip=True, retry_after=True, max_retry_after_ms=500.0,
+    connect_timeout_ms=50.0, max_open_connections=100,
 )  # fmt: skip
 ROLLOUT = i.Rollout(
-    gate=i.Gate.ANY, stage_shares=(0.5, 1.0), caps=(0.5, 1.0), soak_ms=300.0, on_votes=1, back_votes=1,
-    vote_life_ms=600.0, votes_per_s=50.0, call_timeout_ms=100.0, news_period_ms=400.0,
-    exposure_window_ms=300.0, exposure_free=1.0,
+    gate=i.StageGate.ANY, stage_shares=(0.5, 1.0), caps=(0.5, 1.0), soak_ms=300.0, advance_votes=1, rollback_votes=1,
+    vote_ttl_ms=600.0, votes_per_s=50.0, call_timeout_ms=100.0, update_period_ms=400.0,
+    exposure_window_ms=300.0, exposure_allowance=1.0,
 )  # fmt: skip
 
 
-IN_SERVICE = i.BuildNews(EARLIER, 1, i.Phase.RELEASED, 1.0, 10_000.0)
+IN_SERVICE = i.RolloutUpdate(EARLIER, 1, i.Phase.RELEASED, 1.0, 10_000.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +51,7 @@
     builds: tuple[int, ...]
     troubles: frozenset[str]
     edges: tuple[str, ...]
-    news: i.BuildNews = IN_SERVICE
+    news: i.RolloutUpdate = IN_SERVICE
     rollout: i.Rollout = ROLLOUT
     limits: i.Limits = LIMITS
     retries: float = 3.0
@@ -64,7 +64,7 @@
         )  # fmt: skip
 
 
-ON_TRIAL = i.BuildNews(TRIAL, 0, i.Phase.TRIAL, 0.5, 0.0)
+ON_TRIAL = i.RolloutUpdate(TRIAL, 0, i.Phase.TRIAL, 0.5, 0.0)
 OUTCOMES = frozenset({"error", "reset", "full", "connect_failed"})
 
 SCENES = {
@@ -85,7 +85,7 @@
             (EARLIER, EARLIER, EARLIER),
             OUTCOMES | {"leave"},
             ("deadline", "timer", "memory"),
-            limits=replace(LIMITS, second_copies=True),
+            limits=replace(LIMITS, hedging=True),
         ),
         Scene(
             "members",
@@ -142,7 +142,7 @@
             frozenset({"error", "reset", "full", "leave", "call_back", "withdraw", "kill", "stage"}),
             ("deadline", "timer"),
             news=ON_TRIAL,
-            rollout=replace(ROLLOUT, one_way=True, exposure_free=2.0),
+            rollout=replace(ROLLOUT, monotonic_keys=True, exposure_allowance=2.0),
         ),
         Scene(
             "cold",
@@ -171,7 +171,7 @@
                "lose_news", "lose_vote", "lose_datagram", "repeat_datagram"},
             ("deadline", "drain", "window", "grace", "cold", "timer", "memory"),
             news=ON_TRIAL,
-            rollout=replace(ROLLOUT, one_way=True, exposure_free=2.0),
+            rollout=replace(ROLLOUT, monotonic_keys=True, exposure_allowance=2.0),
         ),
     )
 }  # fmt: skip
--- a/meadowpulley/check/shared/node.py
+++ b/meadowpulley/check/shared/node.py
@@ -31,7 +31,7 @@
 from meadowpulley.takeover import Takeover, model as m
 
 CHOICES = Choices()
-NEWS = i.BuildNews(BUILD, 0, i.Phase.RELEASED, 1.0, 60_000.0)
+NEWS = i.RolloutUpdate(BUILD, 0, i.Phase.RELEASED, 1.0, 60_000.0)
 CHANNELS = ("commits", "looks")
 SKIP = {
     "Balancer": frozenset({"s", "rules", "roll", "rng", "handlers", "acts", "many", "z", "needed"}),
@@ -127,7 +127,7 @@
         entries = tuple(
             i.ServerEntry(n, 0, 0, i.ServerState.READY, BUILD, 1.0, 0, 1.0) for n in (1, 2)
         )  # fmt: skip
-        self.tell(world, i.ServerList(i.ListKind.CACHED, 1, entries))
+        self.tell(world, i.EndpointUpdate(i.EndpointUpdateKind.CACHED, 1, entries))
         self.tell(world, NEWS)
         self.balancer.retries_left = 3.0
         for action in self.keeper.start(world.now):
@@ -163,8 +163,8 @@
                 self.renewing[action.ticket] = world.now
         elif isinstance(action, i.Send):
             self._send(world, action)
-        elif isinstance(action, i.Refuse | i.Fail):
-            self._answer(world, action.request, "refused" if isinstance(action, i.Refuse) else "failed")
+        elif isinstance(action, i.Reject | i.Fail):
+            self._answer(world, action.request, "refused" if isinstance(action, i.Reject) else "failed")
         elif isinstance(action, m.Pass):
             self._answer(world, action.request, action.body.decode())
         elif isinstance(action, m.Drop):
@@ -198,7 +198,7 @@
         name, deadline = f"r{n}", world.now + self.scene.settings(self.number).classes[cls].deadline_ms
         self.slots[self.last] = Slot(name, n, cls, deadline, True)
         self.slots[self.last].asked_at = world.now
-        request = i.Request(self.last, cls, n % 2, n + 1, deadline, repeat=again)
+        request = i.Request(self.last, cls, n % 2, n + 1, deadline, client_retry=again)
         event: Any = request
         if self.knows_end and cls == SAFE:
             world.books.unwritten.add(name)
@@ -265,7 +265,7 @@
 
     def leave(self, world: Around, request: int) -> None:
         self.slots[request].client = False
-        self.tell(world, m.ClientGone(request) if self.scene.takes_over else i.RequestGone(request))
+        self.tell(world, m.ClientGone(request) if self.scene.takes_over else i.ClientDisconnected(request))
 
     def outcome(self, world: Around, request: int, attempt: int, result: i.Result, body: str = "") -> None:
         """The one outcome of an attempt; a good answer is shown to the stages first."""
@@ -310,14 +310,14 @@
         if not self.up or self.stopped:
             return math.inf
         found = [self.killed_at, *(at for at, _ in self.timers[:1])]
-        slack = self.scene.settings(self.number).rules.answer_slack_ms
+        slack = self.scene.settings(self.number).rules.response_slack_ms
         for slot in self.slots.values():
             found += [slot.deadline] if slot.out else []
             found += [] if slot.over else [slot.deadline + slack]
         return min(found, default=math.inf)
 
     def run_due(self, world: Around) -> None:
-        slack = self.scene.settings(self.number).rules.answer_slack_ms
+        slack = self.scene.settings(self.number).rules.response_slack_ms
         for request, slot in list(self.slots.items()):
             for attempt in list(slot.out) if slot.deadline <= world.now else ():
                 self.outcome(world, request, attempt, i.Result.TIMEOUT)
@@ -330,7 +330,7 @@
                 if not late and self.scene.takes_over:
                     self._fail(world, "answers", f"{slot.name} got no answer by its deadline and slack")
                 self._answer(world, request, "failed")
-                self.tell(world, i.RequestGone(request))
+                self.tell(world, i.ClientDisconnected(request))
 
     # Capacity
 
--- a/meadowpulley/check/shared/scenes.py
+++ b/meadowpulley/check/shared/scenes.py
@@ -13,14 +13,14 @@
 BUILD = 41
 TERM_MS = 400.0  # of a lease
 CLASSES = (
-    i.RequestClass("look", 200.0, 2000.0, i.Effect.SAFE),
-    i.RequestClass("pay", 200.0, 2000.0, i.Effect.UNSAFE),
-    i.RequestClass("order", 200.0, 2000.0, i.Effect.KEYED, i.Group.ALL, 5000.0),
+    i.RequestClass("look", 200.0, 2000.0, i.Effect.IDEMPOTENT),
+    i.RequestClass("pay", 200.0, 2000.0, i.Effect.NON_IDEMPOTENT),
+    i.RequestClass("order", 200.0, 2000.0, i.Effect.IDEMPOTENT_WITH_KEY, i.DeduplicationScope.ALL, 5000.0),
 )
 PATHS = ("/look", "/pay", "/order")
-RULES = i.Rules(answer_slack_ms=50.0, ask_within_ms=60_000.0, drain_grace_ms=1000.0)
+RULES = i.Rules(response_slack_ms=50.0, max_poll_interval_ms=60_000.0, drain_grace_ms=1000.0)
 LIMITS = i.Limits(max_attempts=3, retry_after=True, max_retry_after_ms=500.0, connect_timeout_ms=50.0)
-ROLLOUT = i.Rollout(caps=(1.0,), stage_shares=(1.0,), exposure_window_ms=300.0, exposure_free=4.0)
+ROLLOUT = i.Rollout(caps=(1.0,), stage_shares=(1.0,), exposure_window_ms=300.0, exposure_allowance=4.0)
 TENANTS = (i.Tenant("a", 0.5), i.Tenant("b", 0.5))
 LEASES = LeaseTerms(term_ms=TERM_MS, act_part=0.7, drift=0.02)
 TAKEOVER = Terms(
--- a/meadowpulley/check/shared/world.py
+++ b/meadowpulley/check/shared/world.py
@@ -233,7 +233,7 @@
     def _do_full(self, n: int) -> None:
         attempt = self._take(n)
         self.books.over(attempt.name)
-        self._back(attempt, i.Result.FULL)
+        self._back(attempt, i.Result.REJECTED)
 
     def _hold_run(self, n: int, held: bool) -> None:
         one = self.arrived[n]._replace(held=held)
--- a/meadowpulley/drill/codec.py
+++ b/meadowpulley/drill/codec.py
@@ -68,7 +68,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Topology:
-    kind: i.ListKind
+    kind: i.EndpointUpdateKind
     ledger: int
     version: int
 
@@ -113,7 +113,7 @@
     return batch.tail[at : at + size]
 
 
-_E = TypeVar("_E", i.ListKind, i.Result, i.Phase, i.ServerState)
+_E = TypeVar("_E", i.EndpointUpdateKind, i.Result, i.Phase, i.ServerState)
 
 
 def _known(kind: type[_E], value: int, where: str) -> _E:
@@ -152,8 +152,8 @@
 
 def _topology(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, kind, ledger, version = _TOPOLOGY.unpack_from(batch.records, at)
-    known = _known(i.ListKind, kind, where)
-    if known is i.ListKind.SILENT:  # found by those who hold connections: the wire has no word for it
+    known = _known(i.EndpointUpdateKind, kind, where)
+    if known is i.EndpointUpdateKind.TIMED_OUT:  # found by those who hold connections: the wire has no word for it
         raise WireError(f"{where}: {kind} is no known ListKind")
     return gateway, Topology(known, ledger, version)
 
@@ -167,12 +167,12 @@
 
 def _flagged(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, server, cls, age = _FLAGGED.unpack_from(batch.records, at)
-    return gateway, i.WrongAnswer(server, cls, age)
+    return gateway, i.IncorrectResponse(server, cls, age)
 
 
 def _metrics(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, build, cls, attempts, failed, mean, age = _METRICS.unpack_from(batch.records, at)
-    return gateway, i.Tally(build, cls, attempts, failed, mean, age)
+    return gateway, i.BuildStatistics(build, cls, attempts, failed, mean, age)
 
 
 def _kill(batch: Batch, at: int, where: str) -> tuple[int, Record]:
@@ -182,7 +182,7 @@
 def _promotion(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, build, cap, stage, reason, phase, age, how = _PROMOTION.unpack_from(batch.records, at)
     state, result = _known(i.Phase, phase, where), _known(i.Result, how, where)
-    return gateway, i.BuildNews(build, stage, state, cap, age, result, reason == 1)
+    return gateway, i.RolloutUpdate(build, stage, state, cap, age, result, reason == 1)
 
 
 def _wake(batch: Batch, at: int, where: str) -> tuple[int, Record]:
@@ -198,17 +198,17 @@
 
 def _gone(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, rid = _ID.unpack_from(batch.records, at)
-    return gateway, i.RequestGone(rid)
+    return gateway, i.ClientDisconnected(rid)
 
 
 def _from_peer(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, sender, start, size = _FROM_PEER.unpack_from(batch.records, at)
-    return gateway, i.PeerMessage(sender, _slice(batch, start, size, where))
+    return gateway, i.GossipReceived(sender, _slice(batch, start, size, where))
 
 
 def _under_way(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, rid, attempt, server, elapsed = _UNDER_WAY.unpack_from(batch.records, at)
-    return gateway, i.AnswerStarted(rid, attempt, server, elapsed)
+    return gateway, i.ResponseStarted(rid, attempt, server, elapsed)
 
 
 def _pong(batch: Batch, at: int, where: str) -> tuple[int, Record]:
@@ -275,7 +275,7 @@
                 self._put("IQId", 20, gateway, request, server, limit_ms)
             case i.Cancel(request, attempt):
                 self._put("IQB", 24, gateway, request, attempt)
-            case i.Refuse(request, retry_after_ms):
+            case i.Reject(request, retry_after_ms):
                 self._put("IQd", 18, gateway, request, retry_after_ms)
             case i.Fail(request):
                 self._put("IQ", 23, gateway, request)
@@ -287,11 +287,11 @@
                 self._put("IdQ", 27, gateway, delay_ms, token)
             case i.Watch(on):
                 self._put("IB", 22, gateway, on)
-            case i.FetchList():
+            case i.FetchEndpoints():
                 self._put("I", 25, gateway)
-            case i.TellPeer(peer, data):
+            case i.SendGossip(peer, data):
                 self._put("IHII", 17, gateway, EVERY_PEER if peer is None else peer, *self._text(data))
-            case i.CloseIdle(server):
+            case i.CloseIdleConnections(server):
                 self._put("II", 21, gateway, server)
             case i.LogLine(text):
                 self._put("III", 26, gateway, *self._text(text.encode()))
--- a/meadowpulley/drill/host.py
+++ b/meadowpulley/drill/host.py
@@ -9,7 +9,7 @@
 
 from meadowpulley.balance import Balancer
 from meadowpulley.drill.codec import Batch, Kill, Ledger, Reply, Topology, Up, WireError, records
-from meadowpulley.interface import Event, ListKind, ServerEntry, ServerList, Settings
+from meadowpulley.interface import Event, EndpointUpdateKind, ServerEntry, EndpointUpdate, Settings
 
 
 class Host:
@@ -31,8 +31,8 @@
                     if self._balancers.pop(gateway, None) is None:  # type: ignore[arg-type]
                         raise WireError(f"{where}: no instance {gateway} to kill")
                 case Topology(kind, ledger, version):
-                    entries = () if kind is ListKind.FAILED else self._entries(ledger, where)
-                    self._hand(gateway, batch.clock_ms, ServerList(kind, version, entries), where, reply)
+                    entries = () if kind is EndpointUpdateKind.FAILED else self._entries(ledger, where)
+                    self._hand(gateway, batch.clock_ms, EndpointUpdate(kind, version, entries), where, reply)
                 case event:
                     self._hand(gateway, batch.clock_ms, event, where, reply)
         return reply.encode()
--- a/meadowpulley/emulator/discovery.py
+++ b/meadowpulley/emulator/discovery.py
@@ -28,7 +28,7 @@
         clock: Timeline,
         rng: np.random.Generator,
         figures: DiscoveryModel,
-        tell: Callable[[int, i.ServerList], None],
+        tell: Callable[[int, i.EndpointUpdate], None],
     ) -> None:
         self._clock, self._rng, self.figures, self._tell_gateway = clock, rng, figures, tell
         self.changed: Callable[[], None] = lambda: None  # called when the list has changed
@@ -39,13 +39,13 @@
         self._listed_at: dict[int, float] = {}  # when the latest change of a server is listed
         self._watches: dict[int, _Watch] = {}
         self._silent: dict[int, _Watch] = {}  # that stand, and tell nothing any more
-        self.counts: Callable[[int, i.ServerList], None] = lambda gateway, news: None  # as told, heard or not
+        self.counts: Callable[[int, i.EndpointUpdate], None] = lambda gateway, news: None  # as told, heard or not
 
     # The list
 
     def known(self) -> tuple[i.ServerEntry, ...]:
         """The whole list as it stands."""
-        return tuple(e for _, e in self._entries.values() if e.state is not i.ServerState.GONE)
+        return tuple(e for _, e in self._entries.values() if e.state is not i.ServerState.REMOVED)
 
     def since(self, version: int) -> tuple[i.ServerEntry, ...]:
         """What changed after a version."""
@@ -93,7 +93,7 @@
             return lambda: call() if self._silent.get(gateway) is silent else None
 
         def found() -> None:
-            self._tell_gateway(gateway, i.ServerList(i.ListKind.SILENT, silent.told))
+            self._tell_gateway(gateway, i.EndpointUpdate(i.EndpointUpdateKind.TIMED_OUT, silent.told))
             if not self.figures.must_ask:
                 self.watch(gateway)
 
@@ -110,7 +110,7 @@
         missed, watch.told = self.since(watch.told), self.version
         news = tuple(e for e in missed if e.state is not i.ServerState.READY)
         if news:
-            self.counts(gateway, i.ServerList(i.ListKind.CHANGES, self.version, news))
+            self.counts(gateway, i.EndpointUpdate(i.EndpointUpdateKind.INCREMENTAL, self.version, news))
 
     def watch(self, gateway: int) -> None:
         self._silent.pop(gateway, None)
@@ -134,7 +134,7 @@
         self._watches.clear()
 
     def _fail(self, gateway: int) -> None:
-        self._tell_gateway(gateway, i.ServerList(i.ListKind.FAILED, self.version))
+        self._tell_gateway(gateway, i.EndpointUpdate(i.EndpointUpdateKind.FAILED, self.version))
 
     def _tell_soon(self, gateway: int, watch: _Watch) -> None:
         if not watch.telling:
@@ -152,10 +152,10 @@
         news = self.since(watch.told)
         watch.told = self.version
         if news:
-            self._tell_gateway(gateway, i.ServerList(i.ListKind.CHANGES, self.version, news))
+            self._tell_gateway(gateway, i.EndpointUpdate(i.EndpointUpdateKind.INCREMENTAL, self.version, news))
 
     def _give_whole(self, gateway: int) -> None:
         if self.down:
             self._fail(gateway)
         else:
-            self._tell_gateway(gateway, i.ServerList(i.ListKind.FULL, self.version, self.known()))
+            self._tell_gateway(gateway, i.EndpointUpdate(i.EndpointUpdateKind.FULL, self.version, self.known()))
--- a/meadowpulley/emulator/gateway.py
+++ b/meadowpulley/emulator/gateway.py
@@ -58,9 +58,9 @@
         self.port: Port | None = None
         self.decisions: list[tuple[float, str]] = []
         self._actions: dict[type, Callable[[Any], None]] = {
-            i.Send: self._send, i.Cancel: self._cancel, i.Refuse: self._refuse, i.Fail: self._fail,
-            i.Vote: self._vote, i.SetTimer: self._set_timer, i.Watch: self._watch, i.FetchList: self._fetch,
-            i.TellPeer: self._tell_peer, i.CloseIdle: self._close_idle, i.LogLine: self._log,
+            i.Send: self._send, i.Cancel: self._cancel, i.Reject: self._refuse, i.Fail: self._fail,
+            i.Vote: self._vote, i.SetTimer: self._set_timer, i.Watch: self._watch, i.FetchEndpoints: self._fetch,
+            i.SendGossip: self._tell_peer, i.CloseIdleConnections: self._close_idle, i.LogLine: self._log,
             i.Probe: self._probe, Commit: self._commit, Watched: self._watched,
             Scan: self._scan,
         }  # fmt: skip
@@ -88,7 +88,7 @@
         self.balancer, first = world.make_stage(self, seed)
         world.record(Started(world.clock.now, self.number))
         self.in_turn(first, self.act)
-        self.tell(i.ServerList(i.ListKind.CACHED, 0, world.discovery.known()))
+        self.tell(i.EndpointUpdate(i.EndpointUpdateKind.CACHED, 0, world.discovery.known()))
         self.hear(world.platform.news())
         world.platform.follow(self.number)
         if not world.fleet.discovery.must_ask:
@@ -146,14 +146,14 @@
         if not held.over:
             self._over(held)
             self.world.record(Gone(self.clock.now, self.number, held.request.number))
-            self.tell(i.RequestGone(held.request.number))
+            self.tell(i.ClientDisconnected(held.request.number))
 
     # Events and actions
 
     def tell(self, event: Any) -> None:
         if self.held_up(partial(self.tell, event)):
             return
-        if isinstance(event, i.ServerList):
+        if isinstance(event, i.EndpointUpdate):
             self.book_list(event)
             self._builds |= {e.server: e.build for e in event.entries}
         self.in_turn(self.balancer.handle(self.clock.now, event), self.act)
@@ -171,13 +171,13 @@
         self.busy_ms += cost
         self.world.clock.at(self._free_at, self.this_life(call))
 
-    def book_list(self, event: i.ServerList) -> None:
+    def book_list(self, event: i.EndpointUpdate) -> None:
         """What this gateway was told of servers, or counts as told though it did not hear it."""
-        if event.kind not in (i.ListKind.FAILED, i.ListKind.SILENT):
+        if event.kind not in (i.EndpointUpdateKind.FAILED, i.EndpointUpdateKind.TIMED_OUT):
             for record in list_records(self.clock.now, self.number, self._known, event):
                 self.world.record(record)
 
-    def hear(self, news: i.BuildNews) -> None:
+    def hear(self, news: i.RolloutUpdate) -> None:
         """News of the newest build, or the answer to a vote."""
         if self.held_up(partial(self.hear, news)):
             return
@@ -220,19 +220,19 @@
     def _event_of(self, held: Held) -> Any:
         ask, number = held.request.ask, held.request.number
         tenant = self.world.tenant_of(ask.arrival.key)
-        return i.Request(number, ask.cls, tenant, ask.arrival.key, held.deadline, None, repeat=ask.tries > 1)
+        return i.Request(number, ask.cls, tenant, ask.arrival.key, held.deadline, None, client_retry=ask.tries > 1)
 
     def _time_is_up(self, held: Held) -> None:
         for attempt in list(held.out.values()):
             self._end(attempt, i.Result.TIMEOUT if attempt.connected else i.Result.CONNECT_FAILED)
-        slack = self.settings.rules.answer_slack_ms
+        slack = self.settings.rules.response_slack_ms
         self.world.clock.after(slack + 1.0, self.this_life(partial(self._overdue, held)))
 
     def _overdue(self, held: Held) -> None:
         """The decisions left it unanswered. The gateway on sockets answers for them; here it is a breach."""
         if not held.over:
             self._over(held)
-            self.tell(i.RequestGone(held.request.number))
+            self.tell(i.ClientDisconnected(held.request.number))
 
     def stopped_at(self, step: StepName, call: Callable[[], None]) -> bool:
         """A named step is reached, and a fault that was set there stops it: a pause only puts it off."""
@@ -258,7 +258,7 @@
         self.world.clients.answer(held.request, answer, retry_after_ms)
         self.world.failpoints.reached(self, "answered")
 
-    def _refuse(self, action: i.Refuse) -> None:
+    def _refuse(self, action: i.Reject) -> None:
         held = self.held.get(action.request)
         if held is None or held.over or self.stopped_at("answer", partial(self._refuse, action)):
             return
@@ -278,7 +278,7 @@
             return
         now = self.clock.now
         n, held.tries = held.tries, held.tries + 1
-        until = held.deadline if action.limit_ms == 0 else min(held.deadline, now + action.limit_ms)
+        until = held.deadline if action.timeout_ms == 0 else min(held.deadline, now + action.timeout_ms)
         host = world.hosts.get(action.server)
         attempt = held.out[n] = Attempt(held, n, host, now, until)
         build = host.entry.build if host is not None else self._builds.get(action.server, 0)
@@ -357,18 +357,18 @@
         self.world.clock.after(action.delay_ms, self.this_life(lambda: self.tell(i.Timer(action.token))))
 
     def _watch(self, action: i.Watch) -> None:
-        if action.on:
+        if action.enabled:
             self.world.discovery.watch(self.number)
         else:
             self.world.discovery.forget(self.number)
 
-    def _fetch(self, _: i.FetchList) -> None:
+    def _fetch(self, _: i.FetchEndpoints) -> None:
         self.world.discovery.fetch(self.number)
 
-    def _tell_peer(self, action: i.TellPeer) -> None:
+    def _tell_peer(self, action: i.SendGossip) -> None:
         self.world.datagram(self, action)
 
-    def _close_idle(self, action: i.CloseIdle) -> None:
+    def _close_idle(self, action: i.CloseIdleConnections) -> None:
         self.connections.close_idle(action.server)
 
     def _commit(self, action: Commit) -> None:
--- a/meadowpulley/emulator/held.py
+++ b/meadowpulley/emulator/held.py
@@ -13,13 +13,13 @@
 if TYPE_CHECKING:
     from meadowpulley.emulator.park import Host
 
-NEVER_RAN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
+NEVER_RAN = (i.Result.REJECTED, i.Result.CONNECT_FAILED, i.Result.NOT_SENT)
 _STATES: dict[i.ServerState, Literal["ready", "draining", "gone"]] = {
     i.ServerState.READY: "ready",
     i.ServerState.DRAINING: "draining",
-    i.ServerState.GONE: "gone",
+    i.ServerState.REMOVED: "gone",
 }
-KEPT = (i.Result.OK, i.Result.ERROR, i.Result.FULL)  # the connection is good for more
+KEPT = (i.Result.OK, i.Result.ERROR, i.Result.REJECTED)  # the connection is good for more
 
 
 @dataclass(slots=True, eq=False)
@@ -48,10 +48,10 @@
     out: dict[int, Attempt] = field(default_factory=dict)
 
 
-def list_records(now: float, gateway: int, known: set[int], event: i.ServerList) -> list[Listed]:
+def list_records(now: float, gateway: int, known: set[int], event: i.EndpointUpdate) -> list[Listed]:
     """What a gateway learns by a list, and `known` brought up to it: a whole one lacks what is gone."""
     named, found = {e.server for e in event.entries}, list[Listed]()
-    if event.kind is not i.ListKind.CHANGES:
+    if event.kind is not i.EndpointUpdateKind.INCREMENTAL:
         found = [Listed(now, gateway, server, "gone", 0) for server in sorted(known - named)]
         known.clear()
     known |= named
--- a/meadowpulley/emulator/park.py
+++ b/meadowpulley/emulator/park.py
@@ -77,10 +77,10 @@
 
     # What a rig does with them
 
-    def tell_list(self, gateway: int, news: i.ServerList) -> None:
+    def tell_list(self, gateway: int, news: i.EndpointUpdate) -> None:
         raise NotImplementedError
 
-    def tell_news(self, gateway: int, news: i.BuildNews) -> None:
+    def tell_news(self, gateway: int, news: i.RolloutUpdate) -> None:
         raise NotImplementedError
 
     def reply(self, tag: Any, host: Host, result: i.Result) -> None:
@@ -219,7 +219,7 @@
             self.host_ended(host)
         del self.hosts[host.entry.server]
         self.past.append(host)
-        host.entry = replace(host.entry, state=i.ServerState.GONE)
+        host.entry = replace(host.entry, state=i.ServerState.REMOVED)
         self.discovery.change(host.entry)
 
     def _reset_all(self, host: Host, jobs: list[Job]) -> None:
@@ -232,7 +232,7 @@
         host.machine.stop()
         host.up, host.silent, host.away = False, True, True
         self.host_ended(host)
-        self.discovery.change(replace(host.entry, state=i.ServerState.GONE))
+        self.discovery.change(replace(host.entry, state=i.ServerState.REMOVED))
 
     def crash(self, host: Host) -> None:
         """Its process is gone: connections break and new ones are refused; discovery finds out in time."""
@@ -240,7 +240,7 @@
         self._reset_all(host, host.machine.stop())
         host.up, host.away = False, True
         self.host_ended(host)
-        self.discovery.change(replace(host.entry, state=i.ServerState.GONE))
+        self.discovery.change(replace(host.entry, state=i.ServerState.REMOVED))
 
     def come_back(self, host: Host) -> None:
         """The machine is there again, with a fresh and cold start of the same server."""
@@ -310,7 +310,7 @@
         `reply`; the job is None where none was begun."""
         if fresh and not host.machine.connect():
             host.turned_away += 1
-            self.reply(tag, host, i.Result.FULL)
+            self.reply(tag, host, i.Result.REJECTED)
             return None
         self._traffic[host.entry.build] += 1
         if host.error_share and self._rng.random() < host.error_share:
@@ -322,7 +322,7 @@
         offer = host.machine.offer(self.clock.now, job)
         if offer is Offer.FULL:
             host.turned_away += 1
-            self.reply(tag, host, i.Result.FULL)
+            self.reply(tag, host, i.Result.REJECTED)
         elif offer is Offer.DOWN:
             self._fell(host)
             self.reply(tag, host, i.Result.RESET)
@@ -354,7 +354,7 @@
             self.event(f"server {host.entry.server} was pushed over")
             self._reset_all(host, host.machine.lost)
             self.host_ended(host)
-            self.discovery.change(replace(host.entry, state=i.ServerState.GONE))
+            self.discovery.change(replace(host.entry, state=i.ServerState.REMOVED))
 
     def _plan(self, host: Host) -> None:
         """One wake-up is set for a server, at the earliest end that was ever expected; too early ones only
@@ -375,7 +375,7 @@
         for ended in host.machine.advance(self.clock.now):
             tag = ended.job.tag
             if not ended.ran:
-                self.reply(tag, host, i.Result.FULL)
+                self.reply(tag, host, i.Result.REJECTED)
                 continue
             cls = self.fleet.classes[ended.job.cls].name
             fails = host.build.fail_share(cls)
--- a/meadowpulley/emulator/platform.py
+++ b/meadowpulley/emulator/platform.py
@@ -52,7 +52,7 @@
         size: int,
         first: Build,
         servers: Servers,
-        tell: Callable[[int, i.BuildNews], None],
+        tell: Callable[[int, i.RolloutUpdate], None],
     ) -> None:
         self._clock, self._rng, self.figures, self.size = clock, rng, figures, size
         self._servers, self._tell_gateway = servers, tell
@@ -117,7 +117,7 @@
         released = self.stand.phase is i.Phase.RELEASED or self.figures.style == "in_place"
         self._votes.clear()
         if released and lacking > 0:
-            self._move(self.stand.stage, i.Phase.GOING_BACK, self.stand.cap)
+            self._move(self.stand.stage, i.Phase.ROLLING_BACK, self.stand.cap)
             self._servers.start(earlier, lacking, False)
             self._clock.after(self.figures.boot_ms[1], lambda: self._empty(bad))
         else:
@@ -126,13 +126,13 @@
     def _empty(self, bad: int) -> None:
         if self.stand.build != bad:
             return
-        self._move(self.stand.stage, i.Phase.GOING_BACK, 0.0)
+        self._move(self.stand.stage, i.Phase.ROLLING_BACK, 0.0)
         self._servers.drain(lambda number: number == bad)
         self._clock.after(self.figures.drain_ms, lambda: self._withdraw(bad))
 
     def _withdraw(self, bad: int) -> None:
         if self.stand.build == bad:
-            self._move(self.stand.stage, i.Phase.WITHDRAWN, 0.0)
+            self._move(self.stand.stage, i.Phase.ROLLED_BACK, 0.0)
 
     # Votes
 
@@ -145,17 +145,17 @@
         now = self._clock.now
         self._calls = [at for at in self._calls if at > now - 1000.0]
         if len(self._calls) >= self.figures.votes_per_s:
-            self._answer(gateway, i.Result.FULL)
+            self._answer(gateway, i.Result.REJECTED)
             return
         self._calls.append(now)
         self._answer(gateway, self._count(gateway, vote))
 
     def _count(self, gateway: int, vote: i.Vote) -> i.Result:
         stand = self.stand
-        staged = vote.verdict in (i.Verdict.ON, i.Verdict.HOLD)
+        staged = vote.verdict in (i.Verdict.ADVANCE, i.Verdict.HOLD)
         fits = vote.build == stand.build and (not staged or vote.stage == stand.stage)
         if not fits or stand.phase not in (i.Phase.TRIAL, i.Phase.RELEASED):
-            return i.Result.MOOT
+            return i.Result.NOT_SENT
         self._votes[gateway] = (
             vote.verdict,
             vote.build,
@@ -167,7 +167,7 @@
 
     def _standing(self, verdict: i.Verdict) -> int:
         now, stand = self._clock.now, self.stand
-        staged = verdict in (i.Verdict.ON, i.Verdict.HOLD)
+        staged = verdict in (i.Verdict.ADVANCE, i.Verdict.HOLD)
         return sum(
             v is verdict and build == stand.build and (not staged or stage == stand.stage) and until >= now
             for v, build, stage, until in self._votes.values()
@@ -178,7 +178,7 @@
         stand, roll, now = self.stand, self.figures, self._clock.now
         if self.down or stand.phase not in (i.Phase.TRIAL, i.Phase.RELEASED):
             return
-        if self._standing(i.Verdict.BACK) >= roll.back_votes and self._before is not self._build:
+        if self._standing(i.Verdict.ROLL_BACK) >= roll.back_votes and self._before is not self._build:
             self._go_back()
             return
         if stand.phase is not i.Phase.TRIAL:
@@ -190,7 +190,7 @@
                 self._go_on()
             elif over:
                 self._clock.after(500.0, self.consider)
-        elif self._standing(i.Verdict.ON) >= roll.on_votes:
+        elif self._standing(i.Verdict.ADVANCE) >= roll.on_votes:
             if now >= ready_at:
                 self._go_on()
             else:
@@ -205,11 +205,11 @@
         self.gateways.discard(gateway)
         self._votes.pop(gateway, None)
 
-    def news(self, result: i.Result = i.Result.OK, answers: bool = False) -> i.BuildNews:
+    def news(self, result: i.Result = i.Result.OK, answers: bool = False) -> i.RolloutUpdate:
         """Where the newest build stands at this moment."""
         s = self.stand
         age = min(self._clock.now - s.since, 3_600_000.0)
-        return i.BuildNews(s.build, s.stage, s.phase, s.cap, age, result, answers)
+        return i.RolloutUpdate(s.build, s.stage, s.phase, s.cap, age, result, answers)
 
     def _answer(self, gateway: int, result: i.Result) -> None:
         self._tell(gateway, between(self._rng, self.figures.call_ms), self.news(result, True))
@@ -217,7 +217,7 @@
     def _tell_soon(self, gateway: int) -> None:
         self._tell(gateway, between(self._rng, self.figures.told_late_ms) + self.late_ms, self.news())
 
-    def _tell(self, gateway: int, delay: float, news: i.BuildNews) -> None:
+    def _tell(self, gateway: int, delay: float, news: i.RolloutUpdate) -> None:
         """In order for each gateway: news is not overtaken by older news."""
         when = max(self._clock.now + delay, self._told_at.get(gateway, 0.0))
         self._told_at[gateway] = when
@@ -225,8 +225,8 @@
 
         def arrive() -> None:
             age = news.age_ms + self._clock.now - sent
-            late = i.BuildNews(
-                news.build, news.stage, news.phase, news.cap, age, news.result, news.answers_vote
+            late = i.RolloutUpdate(
+                news.build, news.stage, news.phase, news.cap, age, news.result, news.is_vote_reply
             )
             self._tell_gateway(gateway, late)
 
--- a/meadowpulley/emulator/together.py
+++ b/meadowpulley/emulator/together.py
@@ -119,4 +119,4 @@
 
 def admission(now: float, gateway: int, r: i.Request) -> Record | None:
     """What a request that lending let through uses of the capacity; nothing where it was admitted before."""
-    return None if r.adopted and (r.tried or r.tries) else Admitted(now, gateway, 1.0)
+    return None if r.adopted and (r.prior_attempts or r.prior_attempt_count) else Admitted(now, gateway, 1.0)
--- a/meadowpulley/emulator/world.py
+++ b/meadowpulley/emulator/world.py
@@ -216,11 +216,11 @@
         ]
         return [g for g in there if g.site == site] or list(there)
 
-    def tell_list(self, gateway: int, news: i.ServerList) -> None:
+    def tell_list(self, gateway: int, news: i.EndpointUpdate) -> None:
         if self.gateways[gateway].alive:
             self.gateways[gateway].tell(news)
 
-    def tell_news(self, gateway: int, news: i.BuildNews) -> None:
+    def tell_news(self, gateway: int, news: i.RolloutUpdate) -> None:
         if self.gateways[gateway].alive:
             self.gateways[gateway].hear(news)
 
@@ -233,7 +233,7 @@
         wait = between(self._calls, self.fleet.rollout.call_ms)
         self.clock.after(wait, lambda: self.platform.vote(number, vote))
         if self.platform.down:
-            lost = i.BuildNews(vote.build, vote.stage, i.Phase.TRIAL, 0.0, 0.0, i.Result.TIMEOUT, True)
+            lost = i.RolloutUpdate(vote.build, vote.stage, i.Phase.TRIAL, 0.0, 0.0, i.Result.TIMEOUT, True)
 
             def late() -> None:
                 if gateway.alive and gateway.lives == life:
@@ -241,15 +241,15 @@
 
             self.clock.after(self.fleet.rollout.call_timeout_ms, late)
 
-    def datagram(self, gateway: Gateway, action: i.TellPeer) -> None:
-        message = i.PeerMessage(gateway.number, action.data)
+    def datagram(self, gateway: Gateway, action: i.SendGossip) -> None:
+        message = i.GossipReceived(gateway.number, action.data)
         for other in self.gateways:
             if other is not gateway and action.peer in (None, other.number):
                 delay = self.network.datagram(gateway.site, other.site)
                 if delay is not None:
                     self.clock.after(delay, partial(self._hear_peer, other, message))
 
-    def _hear_peer(self, gateway: Gateway, message: i.PeerMessage) -> None:
+    def _hear_peer(self, gateway: Gateway, message: i.GossipReceived) -> None:
         if gateway.alive:
             gateway.tell(message)
 
--- a/meadowpulley/interface.py
+++ b/meadowpulley/interface.py
@@ -14,8 +14,8 @@
 
 from meadowpulley.settings_types import (
     Effect as Effect,
-    Gate as Gate,
-    Group as Group,
+    StageGate as StageGate,
+    DeduplicationScope as DeduplicationScope,
     Limits as Limits,
     RequestClass as RequestClass,
     Rollout as Rollout,
@@ -29,8 +29,8 @@
     """How an attempt, a probe or a vote ended."""
 
     OK = 200
-    MOOT = 409
-    FULL = 429
+    NOT_SENT = 409
+    REJECTED = 429
     TIMEOUT = 408
     CANCELLED = 444
     ERROR = 502
@@ -39,7 +39,7 @@
 
 
 class ServerState(IntEnum):
-    GONE = 0
+    REMOVED = 0
     DRAINING = 1
     READY = 2
 
@@ -48,24 +48,24 @@
     """Where the newest build stands."""
 
     TRIAL = 0
-    GOING_BACK = 1
+    ROLLING_BACK = 1
     RELEASED = 2
-    WITHDRAWN = 3
+    ROLLED_BACK = 3
 
 
 class Verdict(IntEnum):
     NONE = 0
-    ON = 1
+    ADVANCE = 1
     HOLD = 2
-    BACK = 3
+    ROLL_BACK = 3
 
 
-class ListKind(IntEnum):
-    CHANGES = 0
+class EndpointUpdateKind(IntEnum):
+    INCREMENTAL = 0
     FULL = 1
     CACHED = 2
     FAILED = 3
-    SILENT = 4  # a call, or a watch, that stood for longer than its answer may take
+    TIMED_OUT = 4  # a call, or a watch, that stood for longer than its answer may take
 
 
 # Events
@@ -84,17 +84,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServerList:
+class EndpointUpdate:
     """News from discovery; `entries` is the whole list unless `kind` is CHANGES, and empty when FAILED
     or SILENT."""
 
-    kind: ListKind
+    kind: EndpointUpdateKind
     version: int
     entries: tuple[ServerEntry, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
-class Tried:
+class PriorAttempt:
     """An attempt of an earlier life of a request that won its right to go out: it may have run, or may."""
 
     server: int
@@ -107,16 +107,16 @@
 @dataclass(frozen=True, slots=True)
 class Request:
     request: int
-    cls: int
+    class_index: int
     tenant: int
     key: int
     deadline_ms: float
-    work_hint_ms: float | None = None
-    repeat: bool = False
+    expected_work_ms: float | None = None
+    client_retry: bool = False
     write: bool = False
     adopted: bool = False  # taken over from a lost gateway: it earns no allowance on the trial build
-    tries: int = 0  # attempts that earlier lives used up of `max_attempts`; here they count from 0 anew
-    tried: tuple[Tried, ...] = ()  # of these, the ones that are not known never to have run
+    prior_attempt_count: int = 0  # attempts that earlier lives used up of `max_attempts`; here they count from 0 anew
+    prior_attempts: tuple[PriorAttempt, ...] = ()  # of these, the ones that are not known never to have run
     arm: int = 0  # of an experiment on placements: which one orders its servers; 0 is the module's own
 
 
@@ -129,10 +129,10 @@
     cell: int
     kind: int
     build: int
-    out: int  # this gateway's attempts that are out there
-    warmth: float  # the least part of its capacity that it has by its age
-    usual_ms: float  # usual latency of its kind, as if warm; 0 while unknown
-    own_zone: bool
+    outstanding: int  # this gateway's attempts that are out there
+    slow_start_fraction: float  # the least part of its capacity that it has by its age
+    typical_latency_ms: float  # usual latency of its kind, as if warm; 0 while unknown
+    same_zone: bool
 
 
 # Puts servers in order, as places in what it is given, best first; what it leaves out is not asked. A pure
@@ -141,7 +141,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AnswerStarted:
+class ResponseStarted:
     request: int
     attempt: int
     server: int
@@ -155,12 +155,12 @@
     server: int
     result: Result
     elapsed_ms: float
-    over: bool
-    load: tuple[float, ...] = ()
+    request_complete: bool
+    load_report: tuple[float, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
-class RequestGone:
+class ClientDisconnected:
     request: int
 
 
@@ -169,11 +169,11 @@
     server: int
     result: Result
     elapsed_ms: float
-    load: tuple[float, ...] = ()
+    load_report: tuple[float, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
-class PeerMessage:
+class GossipReceived:
     sender: int
     data: bytes
 
@@ -184,7 +184,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BuildNews:
+class RolloutUpdate:
     """Where the newest build stands; as the reply to a vote, `result` says whether the vote counts."""
 
     build: int
@@ -193,13 +193,13 @@
     cap: float
     age_ms: float
     result: Result = Result.OK
-    answers_vote: bool = False
+    is_vote_reply: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class Tally:
+class BuildStatistics:
     build: int
-    cls: int
+    class_index: int
     attempts: int
     failed: int
     mean_ms: float
@@ -207,24 +207,24 @@
 
 
 @dataclass(frozen=True, slots=True)
-class WrongAnswer:
+class IncorrectResponse:
     server: int
-    cls: int
+    class_index: int
     age_ms: float
 
 
 Event: TypeAlias = (
-    ServerList
+    EndpointUpdate
     | Request
-    | AnswerStarted
+    | ResponseStarted
     | Outcome
-    | RequestGone
+    | ClientDisconnected
     | ProbeResult
-    | PeerMessage
+    | GossipReceived
     | Timer
-    | BuildNews
-    | Tally
-    | WrongAnswer
+    | RolloutUpdate
+    | BuildStatistics
+    | IncorrectResponse
 )
 
 
@@ -237,7 +237,7 @@
 
     request: int
     server: int
-    limit_ms: float = 0.0
+    timeout_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,7 +247,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Refuse:
+class Reject:
     request: int
     retry_after_ms: float = 0.0
 
@@ -277,16 +277,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Watch:
-    on: bool = True
+    enabled: bool = True
 
 
 @dataclass(frozen=True, slots=True)
-class FetchList:
+class FetchEndpoints:
     pass
 
 
 @dataclass(frozen=True, slots=True)
-class TellPeer:
+class SendGossip:
     """Sends bytes to one peer, or to every peer when `peer` is None."""
 
     peer: int | None
@@ -294,7 +294,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CloseIdle:
+class CloseIdleConnections:
     server: int
 
 
@@ -306,14 +306,14 @@
 Action: TypeAlias = (
     Send
     | Cancel
-    | Refuse
+    | Reject
     | Fail
     | Probe
     | Vote
     | SetTimer
     | Watch
-    | FetchList
-    | TellPeer
-    | CloseIdle
+    | FetchEndpoints
+    | SendGossip
+    | CloseIdleConnections
     | LogLine
 )
--- a/meadowpulley/lending/config.py
+++ b/meadowpulley/lending/config.py
@@ -44,7 +44,7 @@
     plan = Plan(
         version=int(_number(given, "VERSION", 1.0)),
         capacity_per_s=capacity,
-        gateways=settings.balancers,
+        gateways=settings.gateway_count,
         tenants=_tenants(settings, given, capacity),
         by_work=unit == "work",
         **{name: _number(given, key, 0.0) for key, name in NUMBERS.items() if key in given},
--- a/meadowpulley/lending/stage.py
+++ b/meadowpulley/lending/stage.py
@@ -54,12 +54,12 @@
         self.inner, self.settings, self.life = inner, settings, life
         self.holder = Holder(plan)
         self.demand = Demand(plan.term_ms / 2)
-        self.seat = Seat(settings.me, life, self.holder)
+        self.seat = Seat(settings.gateway_index, life, self.holder)
         self.office = Office(life, plan, Random(seed))
         self.mine: m.Plan | None = plan  # of the settings, until the ledger's is as new
         self.plan_version = 0  # of the ledger's record; 0: none seen
         self.plan_ticket = 0
-        self.worth = {n: c.worth for n, c in enumerate(settings.classes)}
+        self.worth = {n: c.priority_weight for n, c in enumerate(settings.classes)}
         self.places: dict[int, int] = {}
         self.counts: Counter[tuple[int, Admission]] = Counter()  # requests by place, since the start
         self.tickets, self.lost, self.ended, self.left, self.warned = 0, False, False, False, False
@@ -109,19 +109,19 @@
     # Requests
 
     def _request(self, now: float, r: i.Request) -> list[Any]:
-        if r.adopted and (r.tried or r.tries):
+        if r.adopted and (r.prior_attempts or r.prior_attempt_count):
             # Its right was won at a gateway that had admitted it: it counts once, and may have run.
             return self.inner.handle(now, r)
         place, cost = self.places.get(r.tenant, len(self.plan.tenants)), self._cost(r)
-        if not r.repeat:
-            self.demand.add(place, r.cls, cost)
-        how = self.holder.admit(now, place, r.cls, cost)
+        if not r.client_retry:
+            self.demand.add(place, r.class_index, cost)
+        how = self.holder.admit(now, place, r.class_index, cost)
         self.counts[place, how] += 1
         if how is not Admission.REFUSED:
             return self.inner.handle(now, r)
         wait, limits = self.holder.back_in(now, place, cost), self.settings.limits
         wait = min(wait, limits.max_retry_after_ms or math.inf) if limits.retry_after else 0.0
-        return [i.Refuse(r.request, wait), *(self._ask(now, early=True) if self._is_news(place) else [])]
+        return [i.Reject(r.request, wait), *(self._ask(now, early=True) if self._is_news(place) else [])]
 
     def _is_news(self, place: int) -> bool:
         """Whether a tenant asks for clearly more than was told: that can't wait for the next turn."""
@@ -132,7 +132,7 @@
         if not self.plan.by_work:
             return 1.0
         usual = self.plan.work_ms
-        return usual if r.work_hint_ms is None else min(max(r.work_hint_ms, 0.0), MOST_WORK * usual)
+        return usual if r.expected_work_ms is None else min(max(r.expected_work_ms, 0.0), MOST_WORK * usual)
 
     def _map(self) -> None:
         """Places in the plan by the tenants' numbers here: settings may list them in another order."""
--- a/meadowpulley/net/attempts.py
+++ b/meadowpulley/net/attempts.py
@@ -20,14 +20,14 @@
 from meadowpulley.net.requests import Requests, Taken
 from meadowpulley.settings import COLUMNS
 
-_NEVER_RAN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
+_NEVER_RAN = (i.Result.REJECTED, i.Result.CONNECT_FAILED, i.Result.NOT_SENT)
 
 
 def read_result(answer: Message) -> i.Result:
     if answer.status == 200:
         return i.Result.OK
     if answer.status in (503, 504) and answer.headers.get(names.NOT_RUN) == "1":
-        return i.Result.FULL
+        return i.Result.REJECTED
     return i.Result.ERROR
 
 
@@ -113,7 +113,7 @@
         self.attempts.gateway.deadlines.run_due()  # a connection is input, too
         self.attempts.gateway.deadlines.call_off(self.connect_limit)
         if self.taken is not None and self.taken.over:  # its client has gone: nothing is sent for it
-            self.end(i.Result.MOOT)
+            self.end(i.Result.NOT_SENT)
         if self.ended:
             link.drop()
         elif link.up:
@@ -154,7 +154,7 @@
 
     def answered(self, answer: Message) -> None:
         result, taken = read_result(answer), self.taken
-        if not self.written and result is not i.Result.FULL:
+        if not self.written and result is not i.Result.REJECTED:
             # An instance begins with the last byte, which it can't have: that answers an earlier request.
             self.attempts.gateway.counters.add("up.unasked")
             self.broke()
@@ -209,13 +209,13 @@
             self.gateway.counters.add("up.late_actions")
             return
         n, taken.tries = taken.tries, taken.tries + 1
-        until = taken.deadline if action.limit_ms == 0 else min(taken.deadline, now + action.limit_ms)
+        until = taken.deadline if action.timeout_ms == 0 else min(taken.deadline, now + action.timeout_ms)
         write_by = self._window_end(taken)
         pool = self.instances.pools.get(action.server)
         attempt = Attempt(self, action.server, taken, n, now, until)
         taken.out[n] = attempt
         if taken.over or until <= now or n >= self.limits.max_attempts:
-            attempt.end(i.Result.MOOT)
+            attempt.end(i.Result.NOT_SENT)
         elif pool is None:
             attempt.end(i.Result.CONNECT_FAILED)
         else:
@@ -231,9 +231,9 @@
         when they send, and its connection may come up, or its body go out, well after that."""
         settings = self.gateway.config.settings
         cls = settings.classes[taken.cls]
-        if cls.effect is not i.Effect.KEYED:
+        if cls.effect is not i.Effect.IDEMPOTENT_WITH_KEY:
             return math.inf
-        return min([taken.ran, *(a.sent for a in taken.out.values())]) + cls.window_ms - settings.tick_ms
+        return min([taken.ran, *(a.sent for a in taken.out.values())]) + cls.deduplication_window_ms - settings.tick_ms
 
     def start(self, attempt: Attempt, pool: Pool, where: str) -> None:
         try:
--- a/meadowpulley/net/capture.py
+++ b/meadowpulley/net/capture.py
@@ -56,14 +56,14 @@
 
     def note(self, request: i.Request, at: float, size: int) -> None:
         """One request was taken; a client's retry belongs to its first try, which was noted."""
-        if request.repeat:
+        if request.client_retry:
             return
         if self._broken or len(self._pending) >= PENDING:
             self.dropped += 1
             return
-        hint = request.work_hint_ms or 0.0
+        hint = request.expected_work_ms or 0.0
         patience = max(request.deadline_ms - at, 0.0)
-        self._pending.append((max(at - self._began, 0.0), request.cls, request.key, hint, size, patience))
+        self._pending.append((max(at - self._began, 0.0), request.class_index, request.key, hint, size, patience))
 
     def flush(self) -> None:
         """Hands what waits to the thread, one batch at a time: a slow disk holds up nothing but itself."""
--- a/meadowpulley/net/control.py
+++ b/meadowpulley/net/control.py
@@ -34,14 +34,14 @@
     """A line, or what it says of a build, that can't be read."""
 
 
-def read_news(raw: Any, answers_vote: bool = False) -> i.BuildNews:
+def read_news(raw: Any, answers_vote: bool = False) -> i.RolloutUpdate:
     try:
         cap, age = float(raw[names.NEWS_CAP]), float(raw[names.NEWS_AGE])
         build, stage = int(raw[names.NEWS_BUILD]), int(raw[names.NEWS_STAGE])
         if not (0.0 <= cap <= 1.0 and math.isfinite(age) and stage >= 0):
             raise ValueError("a figure is out of its range")
         phase = names.PHASES[raw[names.NEWS_PHASE]]
-        return i.BuildNews(build, stage, phase, cap, max(age, 0.0), i.Result.OK, answers_vote)
+        return i.RolloutUpdate(build, stage, phase, cap, max(age, 0.0), i.Result.OK, answers_vote)
     except (KeyError, TypeError, ValueError, OverflowError) as error:
         raise UnreadableError(f"news of a build: {type(error).__name__}: {error}") from None
 
@@ -135,7 +135,7 @@
         self._retired: list[PlatformLink] = []
         self._limit: Deadline | None = None
         self._again: Deadline | None = None
-        self._told: tuple[float, i.BuildNews] | None = None  # since the last move: when, and what
+        self._told: tuple[float, i.RolloutUpdate] | None = None  # since the last move: when, and what
         self._began = -math.inf
         self._failures = self._numbers = 0
         self._random = random.Random(gateway.config.seed + 1)
@@ -253,18 +253,18 @@
         else:
             self._finish(call, i.Result.TIMEOUT)
 
-    def _finish(self, call: Call, result: i.Result, news: i.BuildNews | None = None) -> None:
+    def _finish(self, call: Call, result: i.Result, news: i.RolloutUpdate | None = None) -> None:
         """The one reply to a vote; news that comes with a late one is still news."""
         self.gateway.deadlines.call_off(call.limit)
         if call.vote is None or call.over:
             if news is not None:
-                self.gateway.tell(i.BuildNews(news.build, news.stage, news.phase, news.cap, news.age_ms))
+                self.gateway.tell(i.RolloutUpdate(news.build, news.stage, news.phase, news.cap, news.age_ms))
             return
         call.over = True
         self.gateway.counters.add(f"platform.vote_{result.name.lower()}")
         if news is None:
-            news = i.BuildNews(
-                call.vote.build, call.vote.stage, i.Phase.TRIAL, 0.0, 0.0, result, answers_vote=True
+            news = i.RolloutUpdate(
+                call.vote.build, call.vote.stage, i.Phase.TRIAL, 0.0, 0.0, result, is_vote_reply=True
             )
         self.gateway.tell(news)
 
@@ -324,7 +324,7 @@
             # be from before that, and a build's earlier state told last would raise its cap again.
             at, last = self._told
             age = last.age_ms + self.gateway.deadlines.now() - at
-            news = replace(last, age_ms=age, answers_vote=True) if not call.over else None
+            news = replace(last, age_ms=age, is_vote_reply=True) if not call.over else None
         elif news is not None and not link.retired:
             self._told = self.gateway.deadlines.now(), news
         self._finish(call, result, news)
@@ -352,21 +352,21 @@
             return raw
         raise UnreadableError(f"unknown class {str(raw)[:40]!r}")
 
-    def _tally(self, raw: Any) -> i.Tally:
+    def _tally(self, raw: Any) -> i.BuildStatistics:
         try:
             many, failed = int(raw[names.TALLY_MANY]), int(raw[names.TALLY_FAILED])
             mean, age = float(raw[names.TALLY_MEAN]), float(raw[names.NEWS_AGE])
             if not (0 <= failed <= many and math.isfinite(mean) and math.isfinite(age)):
                 raise ValueError("a figure is out of its range")
-            return i.Tally(int(raw[names.NEWS_BUILD]), self._class(raw[names.CLASS]), many, failed, mean, age)
+            return i.BuildStatistics(int(raw[names.NEWS_BUILD]), self._class(raw[names.CLASS]), many, failed, mean, age)
         except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise UnreadableError(f"tally: {type(error).__name__}: {error}") from None
 
-    def _wrong(self, raw: Any) -> i.WrongAnswer | None:
+    def _wrong(self, raw: Any) -> i.IncorrectResponse | None:
         """None for an instance that this gateway does not know."""
         try:
             server = self._number_of(str(raw[names.WRONG_SERVER]))
             cls, age = self._class(raw[names.CLASS]), float(raw[names.NEWS_AGE])
         except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise UnreadableError(f"wrong answer: {type(error).__name__}: {error}") from None
-        return None if server is None else i.WrongAnswer(server, cls, age)
+        return None if server is None else i.IncorrectResponse(server, cls, age)
--- a/meadowpulley/net/discovery.py
+++ b/meadowpulley/net/discovery.py
@@ -107,7 +107,7 @@
 
     def __init__(
         self, discovery: Discovery, target: str, limit_ms: float, done: Callable[[Any, int], None],
-        failed: Callable[[str, i.ListKind], None],
+        failed: Callable[[str, i.EndpointUpdateKind], None],
     ) -> None:  # fmt: skip
         self.discovery, self.target = discovery, target
         self._done, self._failed = done, failed
@@ -169,13 +169,13 @@
         if self.link is not None and self.link.unread():  # this gateway is late, not the answer
             self.limit = self.discovery.gateway.deadlines.after(PART_MS, self._late)
             return
-        self._finish("no answer in time", self.link, i.ListKind.SILENT)
+        self._finish("no answer in time", self.link, i.EndpointUpdateKind.TIMED_OUT)
 
     def _close_call(self) -> None:
         self.over = True
         self.discovery.gateway.deadlines.call_off(self.limit)
 
-    def _finish(self, why: str, link: DiscoveryLink | None, kind: i.ListKind = i.ListKind.FAILED) -> None:
+    def _finish(self, why: str, link: DiscoveryLink | None, kind: i.EndpointUpdateKind = i.EndpointUpdateKind.FAILED) -> None:
         self.abandon()
         if link is not None:
             link.drop()
@@ -206,7 +206,7 @@
         self._answer_due = False  # the decisions asked, and are owed one list, be it empty
         self._failures = 0
         self._again: Deadline | None = None  # the one next try after a failed watch
-        ask_within = gateway.config.settings.rules.ask_within_ms
+        ask_within = gateway.config.settings.rules.max_poll_interval_ms
         self._longest = min(gateway.config.settings.rules.drain_grace_ms / 2 or AGAIN_MS[1], AGAIN_MS[1])
         self._wait = min(ask_within or WAIT_MS, MOST_WAIT_MS)
         self._random = random.Random(gateway.config.seed)
@@ -215,11 +215,11 @@
         known = self.gateway.config.known
         if known is not None:
             try:
-                self._tell(known, i.ListKind.CACHED)
+                self._tell(known, i.EndpointUpdateKind.CACHED)
             except CallFailedError as error:
                 self.gateway.counters.add("list.garbage")
                 self.gateway.log.warning("known list passed over", why=str(error))
-        if not self.gateway.config.settings.must_ask:
+        if not self.gateway.config.settings.must_poll:
             self.watch(True)
 
     def stop(self) -> None:
@@ -286,25 +286,25 @@
         if self._watch is None and self._wanted and not self.gateway.stopping:
             self._ask(self._wait)
 
-    def _watch_failed(self, why: str, kind: i.ListKind = i.ListKind.FAILED) -> None:
+    def _watch_failed(self, why: str, kind: i.EndpointUpdateKind = i.EndpointUpdateKind.FAILED) -> None:
         self._watch = None
         self._failed(why, kind)
         if self._watch is not None or not self._wanted:  # by what the decisions said to that
             return
-        if not self.gateway.config.settings.must_ask and not self.gateway.stopping:
+        if not self.gateway.config.settings.must_poll and not self.gateway.stopping:
             pause = min(AGAIN_MS[0] * 2 ** min(self._failures, 10), self._longest) if self._failures else 0.0
-            if kind is i.ListKind.SILENT:  # found after seconds, by each at its own time: it is late already
+            if kind is i.EndpointUpdateKind.TIMED_OUT:  # found after seconds, by each at its own time: it is late already
                 pause = 0.0
             else:
                 self._failures += 1
             wait = pause * self._random.uniform(0.5, 1.0)
             self._again = self.gateway.deadlines.after(wait, lambda: self.watch(True))
 
-    def _failed(self, why: str, kind: i.ListKind) -> None:
+    def _failed(self, why: str, kind: i.EndpointUpdateKind) -> None:
         self.gateway.counters.add("list.failed")
         self.gateway.log.warning("discovery call failed", why=why)
         self._answer_due = False
-        self.gateway.tell(i.ServerList(kind, self.version))
+        self.gateway.tell(i.EndpointUpdate(kind, self.version))
 
     def _spoilt(self) -> None:
         """After a list that can't be read its connection is of no further use."""
@@ -331,11 +331,11 @@
             self._spoilt()
             self._fetch_failed(str(error))
 
-    def _fetch_failed(self, why: str, kind: i.ListKind = i.ListKind.FAILED) -> None:
+    def _fetch_failed(self, why: str, kind: i.EndpointUpdateKind = i.EndpointUpdateKind.FAILED) -> None:
         self._fetch = None
         self._failed(why, kind)
 
-    def _tell(self, raw: Any, kind: i.ListKind | None, lists: int = 0) -> None:
+    def _tell(self, raw: Any, kind: i.EndpointUpdateKind | None, lists: int = 0) -> None:
         """Discovery handles calls in turn, so its versions rise; they fall only when it was restarted or has
         moved. A call written after all that was read is answered with what is true by then, whatever its
         version. An answer with a lower version to a call written before that is from before the newer list,
@@ -346,11 +346,11 @@
             self.gateway.counters.add("list.overtaken")
             raise OvertakenError
         for entry, address in found:
-            if address is not None and entry.state is not i.ServerState.GONE:
+            if address is not None and entry.state is not i.ServerState.REMOVED:
                 self.instances.place(entry.server, address, (entry.build, entry.started_ms))
-        listed = {entry.server for entry, _ in found if entry.state is not i.ServerState.GONE}
-        gone = {entry.server for entry, _ in found if entry.state is i.ServerState.GONE}
-        if whole or kind is i.ListKind.CACHED:
+        listed = {entry.server for entry, _ in found if entry.state is not i.ServerState.REMOVED}
+        gone = {entry.server for entry, _ in found if entry.state is i.ServerState.REMOVED}
+        if whole or kind is i.EndpointUpdateKind.CACHED:
             gone |= set(self.entries.numbers.values()) - listed
         for entry, _ in found:
             if entry.state is i.ServerState.DRAINING:
@@ -361,12 +361,12 @@
         self.version = 0 if gap else version
         self.lists += 1
         if kind is None:
-            kind = i.ListKind.FULL if whole else i.ListKind.CHANGES
+            kind = i.EndpointUpdateKind.FULL if whole else i.EndpointUpdateKind.INCREMENTAL
         self.gateway.counters.add("list.entries", len(found))
         if found or whole or self._answer_due:
-            if kind is not i.ListKind.CACHED:
+            if kind is not i.EndpointUpdateKind.CACHED:
                 self._answer_due = False
-            self.gateway.tell(i.ServerList(kind, version, tuple(entry for entry, _ in found)))
+            self.gateway.tell(i.EndpointUpdate(kind, version, tuple(entry for entry, _ in found)))
         for server in gone:
             self.instances.forget(server)
         self.entries.forget(gone)
--- a/meadowpulley/net/entries.py
+++ b/meadowpulley/net/entries.py
@@ -62,7 +62,7 @@
         name, state = raw[names.NAME], names.STATES[raw[names.STATE]]
         if not isinstance(name, str) or not name:
             raise ValueError(f"'{names.NAME}' is {name!r}")
-        gone = state is i.ServerState.GONE
+        gone = state is i.ServerState.REMOVED
         since, weight = float(raw.get(names.STARTED, 0)), float(raw.get(names.WEIGHT, 1.0))
         if not (math.isfinite(since) and math.isfinite(weight)):
             raise ValueError("a figure of an entry is no number")
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -78,15 +78,15 @@
         self._actions: dict[type, Callable[[Any], None]] = {
             i.Send: self.attempts.send,
             i.Cancel: self.attempts.cancel,
-            i.Refuse: self.requests.refuse,
+            i.Reject: self.requests.refuse,
             i.Fail: self.requests.fail,
             i.Probe: self.attempts.probe,
             i.Vote: self.platform.vote,
             i.SetTimer: self._set_timer,
             i.Watch: lambda action: self.discovery.watch(action.on),
-            i.FetchList: lambda _: self.discovery.fetch(),
-            i.TellPeer: self.peers.tell,
-            i.CloseIdle: lambda action: self.instances.close_idle(action.server),
+            i.FetchEndpoints: lambda _: self.discovery.fetch(),
+            i.SendGossip: self.peers.tell,
+            i.CloseIdleConnections: lambda action: self.instances.close_idle(action.server),
             i.LogLine: lambda action: self.log.info("decision", line=action.text),
         }
 
--- a/meadowpulley/net/instances.py
+++ b/meadowpulley/net/instances.py
@@ -21,7 +21,7 @@
     def __init__(self, gateway: Host, size: int) -> None:
         self.gateway, self.size = gateway, size
         self.limits = gateway.config.settings.limits
-        self.idle_ms = self.limits.idle_ms
+        self.idle_ms = self.limits.idle_timeout_ms
         self.sockets = 0  # open or opening
         self.pools: dict[int, Pool] = {}  # by the number of the server
 
@@ -58,7 +58,7 @@
         """At the start a few connections to each instance are opened ahead: clients come all at once, and a
         first request that waits for its connection holds up those behind it. Not in a large fleet: 200
         gateways with few requests each opened as many connections ahead as they had requests in a day."""
-        part = WARM_ALL // max(self.gateway.config.settings.balancers, 1)
+        part = WARM_ALL // max(self.gateway.config.settings.gateway_count, 1)
         for pool in list(self.pools.values()):
             for _ in range(min(WARM, part, self.size // (2 * len(self.pools)))):
                 self.sockets += 1
--- a/meadowpulley/net/intake.py
+++ b/meadowpulley/net/intake.py
@@ -21,7 +21,7 @@
 _KEY = re.compile(r"[0-9a-fA-F]{1,16}")
 # That one goes on, and an attempt for another would be its second copy.
 _SECOND = f"'{names.ID}' is that of an open request"
-_METHODS = {i.Effect.SAFE: ("GET",), i.Effect.KEYED: ("POST", "PUT"), i.Effect.UNSAFE: ("POST",)}
+_METHODS = {i.Effect.IDEMPOTENT: ("GET",), i.Effect.IDEMPOTENT_WITH_KEY: ("POST", "PUT"), i.Effect.NON_IDEMPOTENT: ("POST",)}
 
 
 def parse_remaining(text: str) -> float:
@@ -109,12 +109,12 @@
         message = taken.message
         return i.Request(
             request=taken.handle,
-            cls=taken.cls,
+            class_index=taken.cls,
             tenant=self.tenants.get(message.headers.get(names.TENANT, ""), self.stranger),
             key=parse_key(message.headers.get(names.KEY, "")),
             deadline_ms=taken.deadline,
-            work_hint_ms=parse_hint(message),
-            repeat=message.headers.get(names.REPEAT) == "1",
+            expected_work_ms=parse_hint(message),
+            client_retry=message.headers.get(names.REPEAT) == "1",
             write=message.method != "GET",
         )
 
@@ -134,7 +134,7 @@
         deadline_ms: float,
         done: Callable[[Answer], None],
         tries: int = 0,
-        tried: tuple[i.Tried, ...] = (),
+        tried: tuple[i.PriorAttempt, ...] = (),
         arm: int = 0,
     ) -> int:
         """Takes a request over that a lost gateway had taken, and gives its handle; the deadline is on this
@@ -150,7 +150,7 @@
         self.requests.add(taken)
         link.taken = taken
         self.gateway.counters.add("in.adopted")
-        event = replace(self._event(taken), adopted=True, tries=tries, tried=tried, arm=arm)
+        event = replace(self._event(taken), adopted=True, prior_attempt_count=tries, prior_attempts=tried, arm=arm)
         self.gateway.tell(event)
         return taken.handle
 
--- a/meadowpulley/net/names.py
+++ b/meadowpulley/net/names.py
@@ -37,7 +37,7 @@
 STATES = {
     "in_service": ServerState.READY,
     "terminating": ServerState.DRAINING,
-    "terminated": ServerState.GONE,
+    "terminated": ServerState.REMOVED,
 }
 
 # The platform.
@@ -48,9 +48,9 @@
 TALLY_MANY, TALLY_FAILED, TALLY_MEAN, WRONG_SERVER = "seen", "broken", "took_ms", "unit"
 PHASES = {
     "canary": Phase.TRIAL,
-    "reverting": Phase.GOING_BACK,
+    "reverting": Phase.ROLLING_BACK,
     "stable": Phase.RELEASED,
-    "reverted": Phase.WITHDRAWN,
+    "reverted": Phase.ROLLED_BACK,
 }
-VERDICTS = {Verdict.NONE: "none", Verdict.ON: "on", Verdict.HOLD: "hold", Verdict.BACK: "back"}
-CALL_ERRORS = {"limit": Result.FULL, "moot": Result.MOOT, "error": Result.ERROR, "malformed": Result.ERROR}
+VERDICTS = {Verdict.NONE: "none", Verdict.ADVANCE: "on", Verdict.HOLD: "hold", Verdict.ROLL_BACK: "back"}
+CALL_ERRORS = {"limit": Result.REJECTED, "moot": Result.NOT_SENT, "error": Result.ERROR, "malformed": Result.ERROR}
--- a/meadowpulley/net/peers.py
+++ b/meadowpulley/net/peers.py
@@ -21,7 +21,7 @@
 
     def start(self) -> None:
         address = self.gateway.config.peer_listen
-        if address is not None and self.gateway.config.settings.limits.peers:
+        if address is not None and self.gateway.config.settings.limits.gossip:
             host, port = address
             self.port = self.gateway.reactor.listenUDP(
                 port, self, interface=host, maxPacketSize=MOST_BYTES + 1
@@ -39,9 +39,9 @@
             self.gateway.counters.add("peers.stray")
             return
         self.gateway.counters.add("peers.in")
-        self.gateway.tell(i.PeerMessage(sender, datagram))
+        self.gateway.tell(i.GossipReceived(sender, datagram))
 
-    def tell(self, action: i.TellPeer) -> None:
+    def tell(self, action: i.SendGossip) -> None:
         config = self.gateway.config
         if action.peer is None:
             address = config.peers_all
--- a/meadowpulley/net/requests.py
+++ b/meadowpulley/net/requests.py
@@ -55,7 +55,7 @@
     def __init__(self, requests: Requests, taken: Taken, link: Asker | None, answer: Answer) -> None:
         self.requests, self.taken, self.link, self.answer = requests, taken, link, answer
         gateway = requests.gateway
-        until = taken.deadline + gateway.config.settings.rules.answer_slack_ms
+        until = taken.deadline + gateway.config.settings.rules.response_slack_ms
         self.limit = gateway.deadlines.at(until, self._late)
 
     def release(self, answer: Answer) -> None:
@@ -87,7 +87,7 @@
 
     def _due(self, taken: Taken) -> None:
         """The client stops waiting: attempts end here, and the decisions have a little time left."""
-        slack = self.gateway.config.settings.rules.answer_slack_ms
+        slack = self.gateway.config.settings.rules.response_slack_ms
         # Whatever goes wrong before the answer, this one still comes in time.
         taken.limit = self.gateway.deadlines.at(taken.deadline + slack, partial(self._overdue, taken))
         for attempt in list(taken.out.values()):
@@ -99,7 +99,7 @@
         self.gateway.counters.add("out.overdue")
         self.gateway.log.error("request was still unanswered past its deadline", cls=taken.cls)
         self.answer(taken, 504, {}, b"")
-        self.gateway.tell(i.RequestGone(taken.handle))
+        self.gateway.tell(i.ClientDisconnected(taken.handle))
 
     def answer(self, taken: Taken, status: int, headers: dict[str, str], body: bytes) -> None:
         """The one final answer; a second one is counted and goes nowhere."""
@@ -137,10 +137,10 @@
         self._end(taken)
         self.gateway.counters.add(f"out.{answer.status}")
         self.pass_on(taken, link, answer)
-        self.gateway.tell(i.RequestGone(request))
+        self.gateway.tell(i.ClientDisconnected(request))
         return True
 
-    def refuse(self, action: i.Refuse) -> None:
+    def refuse(self, action: i.Reject) -> None:
         taken = self.table.get(action.request)
         if taken is None:
             self.gateway.counters.add("out.late_actions")
@@ -161,7 +161,7 @@
         taken = self.table.get(request)
         if taken is not None and not taken.over and not taken.out:
             self.answer(taken, 502, {}, b"")
-            self.gateway.tell(i.RequestGone(request))
+            self.gateway.tell(i.ClientDisconnected(request))
 
     def left(self, taken: Taken) -> None:
         """Its client has gone before the answer."""
@@ -172,7 +172,7 @@
         else:
             self.gateway.counters.add("in.gone")
             self._end(taken)
-            self.gateway.tell(i.RequestGone(taken.handle))
+            self.gateway.tell(i.ClientDisconnected(taken.handle))
 
     def _goes_on(self, hook: Hook, taken: Taken) -> bool:
         try:
--- a/meadowpulley/net/story.py
+++ b/meadowpulley/net/story.py
@@ -31,13 +31,13 @@
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
         if isinstance(event, i.Request):
-            self._write(event.request, "taken", cls=event.cls, left_ms=round(event.deadline_ms - now))
+            self._write(event.request, "taken", cls=event.class_index, left_ms=round(event.deadline_ms - now))
         elif isinstance(event, i.Outcome):
             took, result = round(event.elapsed_ms, 1), event.result.name.lower()
             self._write(
                 event.request, "outcome", n=event.attempt, to=event.server, result=result, took_ms=took
             )
-        elif isinstance(event, i.RequestGone):
+        elif isinstance(event, i.ClientDisconnected):
             self._write(event.request, "gone")
         actions: list[i.Action] = self.inner.handle(now, event)
         for action in actions:
@@ -47,7 +47,7 @@
                 self._write(
                     action.request, "sent", to=action.server, **self._server(action.server), kept=kept
                 )
-            elif isinstance(action, i.Refuse | i.Fail | i.Cancel):
+            elif isinstance(action, i.Reject | i.Fail | i.Cancel):
                 self._write(action.request, type(action).__name__.lower())
         return actions
 
--- a/meadowpulley/placement/emulated.py
+++ b/meadowpulley/placement/emulated.py
@@ -67,9 +67,9 @@
     lives: dict[int, Life] = {}
 
     def make(settings: i.Settings, drawn: int) -> Hosted:
-        if settings.me in lives:
-            store.dead.add(lives[settings.me])
-        life = lives[settings.me] = store.begin(f"gateway-{settings.me}", 1000.0)
+        if settings.gateway_index in lives:
+            store.dead.add(lives[settings.gateway_index])
+        life = lives[settings.gateway_index] = store.begin(f"gateway-{settings.gateway_index}", 1000.0)
         balancer = Balancer(settings, drawn, placements(experiment, drawn))
         return Hosted(store, life, PlacementStage(balancer, experiment, settings, life))
 
--- a/meadowpulley/placement/policies.py
+++ b/meadowpulley/placement/policies.py
@@ -32,7 +32,7 @@
 
     def __call__(self, now: float, request: Request, servers: Sequence[Candidate]) -> Sequence[int]:
         order = drawn(self.seed, now, request).sample(range(len(servers)), len(servers))
-        if len(order) > 1 and servers[order[1]].out < servers[order[0]].out:
+        if len(order) > 1 and servers[order[1]].outstanding < servers[order[0]].outstanding:
             order[0], order[1] = order[1], order[0]
         return order
 
@@ -45,7 +45,7 @@
 
     def __call__(self, now: float, request: Request, servers: Sequence[Candidate]) -> Sequence[int]:
         order = drawn(self.seed, now, request).sample(range(len(servers)), len(servers))
-        return sorted(order, key=lambda n: servers[n].out)
+        return sorted(order, key=lambda n: servers[n].outstanding)
 
 
 class RoundRobin:
@@ -72,10 +72,10 @@
         self.seed = seed
 
     def __call__(self, now: float, request: Request, servers: Sequence[Candidate]) -> Sequence[int]:
-        known = [s.usual_ms for s in servers if s.usual_ms > 0]
+        known = [s.typical_latency_ms for s in servers if s.typical_latency_ms > 0]
         mean = sum(known) / len(known) if known else 1.0
         rng = drawn(self.seed, now, request)
-        clocks = [rng.expovariate(1.0) * (s.usual_ms or mean) / max(s.warmth, 1e-3) for s in servers]
+        clocks = [rng.expovariate(1.0) * (s.typical_latency_ms or mean) / max(s.slow_start_fraction, 1e-3) for s in servers]
         return sorted(range(len(servers)), key=clocks.__getitem__)
 
 
@@ -88,7 +88,7 @@
     def __call__(self, now: float, request: Request, servers: Sequence[Candidate]) -> Sequence[int]:
         found: list[int] = []
         for home in (True, False):
-            part = [n for n, s in enumerate(servers) if s.own_zone is home]
+            part = [n for n, s in enumerate(servers) if s.same_zone is home]
             found += [part[n] for n in self.two(now, request, [servers[n] for n in part])]
         return found
 
--- a/meadowpulley/placement/stage.py
+++ b/meadowpulley/placement/stage.py
@@ -142,7 +142,7 @@
         return not self.known or self.over or self.dead or self.going_back
 
     def _label(self, now: float, r: i.Request) -> i.Request:
-        cls = self.classes.get(r.cls, -1)
+        cls = self.classes.get(r.class_index, -1)
         if cls < 0:
             return r
         origin = self.origins.origin_of(r.request)
@@ -179,12 +179,12 @@
 
     def _note(self, now: float, event: Any) -> None:
         """Which requests are over, by the event and by what was decided on it."""
-        if isinstance(event, i.Outcome) and event.over:
+        if isinstance(event, i.Outcome) and event.request_complete:
             self._over(now, event.request, "served" if event.result is i.Result.OK else "failed")
-        elif isinstance(event, i.RequestGone):
+        elif isinstance(event, i.ClientDisconnected):
             self._gone(now, event.request)
         for action in self.acts:
-            if isinstance(action, i.Refuse):
+            if isinstance(action, i.Reject):
                 self._over(now, action.request, "refused")
             elif isinstance(action, i.Fail):
                 self._over(now, action.request, "failed")
@@ -223,8 +223,8 @@
     # What it hears
 
     def _hear(self, event: Any) -> None:
-        if isinstance(event, i.BuildNews) and event.result is i.Result.OK:
-            self.going_back = event.phase is i.Phase.GOING_BACK
+        if isinstance(event, i.RolloutUpdate) and event.result is i.Result.OK:
+            self.going_back = event.phase is i.Phase.ROLLING_BACK
         elif isinstance(event, Changed):
             self.known, self.cut_off = True, False
             self._members(event.changes.members)
--- a/meadowpulley/records.py
+++ b/meadowpulley/records.py
@@ -38,10 +38,10 @@
 
     def __init__(self, r: i.Request, cls: i.RequestClass, now: float, per_class: bool) -> None:
         self.r, self.cls, self.arrived = r, cls, now
-        self.tries, self.out = r.tries, 0
-        self.counted = r.cls if per_class else -1  # with which requests its exposure is counted
-        self.tried = [t.server for t in r.tried]
-        self.maybe = [_earlier(self, t) for t in r.tried]  # attempts that ran, may have, or are still out
+        self.tries, self.out = r.prior_attempt_count, 0
+        self.counted = r.class_index if per_class else -1  # with which requests its exposure is counted
+        self.tried = [t.server for t in r.prior_attempts]
+        self.maybe = [_earlier(self, t) for t in r.prior_attempts]  # attempts that ran, may have, or are still out
         self.streaming = self.tossed = False  # tossed: the coin chose between both builds
         self.asked: list[int] = []  # servers that were probed for it
 
@@ -57,7 +57,7 @@
     def __init__(
         self, held: Held, server: Server, queue: float, sent: float, warmth: float, tossed: bool
     ) -> None:
-        self.held, self.n, self.server, self.queue = held, held.tries - held.r.tries, server, queue
+        self.held, self.n, self.server, self.queue = held, held.tries - held.r.prior_attempt_count, server, queue
         self.sent, self.warmth = sent, warmth
         self.tossed = tossed and not held.tries  # the coin chose between both builds; of first ones
         self.latency: float | None = None
@@ -68,9 +68,9 @@
         return self.warmth * (self.latency if self.latency is not None else now - self.sent)
 
 
-def _earlier(held: Held, t: i.Tried) -> Attempt:
+def _earlier(held: Held, t: i.PriorAttempt) -> Attempt:
     """An attempt of an earlier life, kept like one that is out; nobody here knows it by a number."""
-    there = Server(i.ServerEntry(t.server, t.cell, t.zone, i.ServerState.GONE, t.build, 0.0, 0, 0.0))
+    there = Server(i.ServerEntry(t.server, t.cell, t.zone, i.ServerState.REMOVED, t.build, 0.0, 0, 0.0))
     attempt = Attempt(held, there, 0.0, t.sent_ms, 0.0, False)
     attempt.n = -1
     return attempt
@@ -203,8 +203,8 @@
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.s, self.rules, self.roll = settings, settings.rules, settings.rollout
-        self.rng, self.many = Random(seed), max(settings.balancers, 1)
-        self.least_aim_ms = min((c.aim_ms for c in settings.classes), default=0.0)
+        self.rng, self.many = Random(seed), max(settings.gateway_count, 1)
+        self.least_aim_ms = min((c.latency_objective_ms for c in settings.classes), default=0.0)
         self.advice_ms = settings.limits.retry_after * settings.limits.max_retry_after_ms  # to who is refused
         self.now, self.timer_at, self.judge_at, self.stood_still = 0.0, math.inf, math.inf, -math.inf
         self.acts: list[i.Action] = []
@@ -222,14 +222,14 @@
         self.window_taken = windows(self.roll.exposure_window_ms)  # exposure: when requests were taken
         self.key_build: dict[int, int] = {}  # one-way keys: the build that may have answered each
         self.floor = -1  # the build under which no key goes: what these had answered is forgotten
-        self.ask_again_at = -math.inf if settings.must_ask else math.inf  # when to ask for the list
+        self.ask_again_at = -math.inf if settings.must_poll else math.inf  # when to ask for the list
         self.list_fails = 0
-        self.told: i.BuildNews | None = None  # the last news to the letter, for the rules
-        self.best: i.BuildNews | None = None  # the furthest known, for judging and votes
+        self.told: i.RolloutUpdate | None = None  # the last news to the letter, for the rules
+        self.best: i.RolloutUpdate | None = None  # the furthest known, for judging and votes
         self.before = self.back_for = -1  # the build that the newest is compared with; that should go back
         self.trial_began = self.stage_began = self.before_ms = self.before_rate = 0.0  # before: the newest
         self.swing = Swing()  # of the traffic to the trial build, while all is slow
         self.samples: deque[Attempt] = deque(maxlen=HISTORY)
         self.due: deque[tuple[float, int, int, int, int, int]] = deque()  # outcomes to count, and when
-        self.tell_at = -math.inf if settings.limits.peers and self.many > 1 else math.inf
+        self.tell_at = -math.inf if settings.limits.gossip and self.many > 1 else math.inf
         self.ballot = Ballot()
--- a/meadowpulley/rig/standins.py
+++ b/meadowpulley/rig/standins.py
@@ -101,13 +101,13 @@
 
     def tell(self, result: i.Result) -> None:
         name, self.request, self.job = self.request, "", None
-        if result is i.Result.FULL:
+        if result is i.Result.REJECTED:
             self.rig.record(Outcome(self.rig.clock.now, UNKNOWN, self.number, self.host.entry.server, False))
         if not self.up:
             return
         if result is i.Result.OK:
             self.send(answer_bytes(200, {"content-type": "text/plain"}, name.encode()))
-        elif result is i.Result.FULL:
+        elif result is i.Result.REJECTED:
             self.send(answer_bytes(503, {names.NOT_RUN: "1"}))
         elif result is i.Result.ERROR:
             self.send(answer_bytes(500, {}))
@@ -217,10 +217,10 @@
             self.calls.append(call["id"])
         self.rig.platform.vote(self.gateway, vote)
 
-    def told(self, news: i.BuildNews) -> None:
+    def told(self, news: i.RolloutUpdate) -> None:
         if news.result is i.Result.OK:
             self.rig.book_news(self.gateway, news)
-        if not news.answers_vote:
+        if not news.is_vote_reply:
             self.write(method=names.NEWS, params=news_object(news))
         elif self.calls:
             number = self.calls.popleft()
@@ -281,7 +281,7 @@
             state = e.state.name.lower()
             self.record(Listed(now, gateway, e.server, state, e.build, e.cell, e.zone))  # type: ignore[arg-type]
 
-    def book_news(self, gateway: int, n: i.BuildNews) -> None:
+    def book_news(self, gateway: int, n: i.RolloutUpdate) -> None:
         phase = n.phase.name.lower()
         self.record(News(self.clock.now, gateway, n.build, n.stage, phase, n.cap))  # type: ignore[arg-type]
 
@@ -313,14 +313,14 @@
     def reply(self, tag: Any, host: Host, result: i.Result) -> None:
         tag.tell(result)
 
-    def tell_list(self, gateway: int, news: i.ServerList) -> None:
+    def tell_list(self, gateway: int, news: i.EndpointUpdate) -> None:
         pass  # whoever asks is told on the connection that asked
 
     def _list_changed(self) -> None:
         for watcher in list(self.watchers):
             watcher.tell_soon()
 
-    def tell_news(self, gateway: int, news: i.BuildNews) -> None:
+    def tell_news(self, gateway: int, news: i.RolloutUpdate) -> None:
         follower = self.followers.get(gateway)
         if follower is not None and follower.up:
             follower.told(news)
--- a/meadowpulley/rules/checker.py
+++ b/meadowpulley/rules/checker.py
@@ -11,7 +11,7 @@
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 
-from meadowpulley.interface import Effect, Group
+from meadowpulley.interface import Effect, DeduplicationScope
 from meadowpulley.rules.figures import Figures
 from meadowpulley.rules.together import RuleName, TogetherChecker
 from meadowpulley.rules.trace import (
@@ -76,8 +76,8 @@
     site: int
 
 
-def _place(group: Group, there: _Try | _Known) -> int:
-    return {Group.ALL: 0, Group.ZONE: there.site, Group.CELL: there.cell}[group]
+def _place(group: DeduplicationScope, there: _Try | _Known) -> int:
+    return {DeduplicationScope.ALL: 0, DeduplicationScope.ZONE: there.site, DeduplicationScope.CELL: there.cell}[group]
 
 
 class _Gateway:
@@ -203,8 +203,8 @@
             self._breach("answers", r.at, r.gateway, f"request {r.request} was answered {late:.1f} ms late")
         if r.answer == "refused" and self._maybe(r.gateway, held):
             cls = self.figures.classes[held.taken.cls]
-            everywhere = cls.effect is Effect.KEYED and cls.group is Group.ALL
-            if cls.effect is not Effect.SAFE and not everywhere:
+            everywhere = cls.effect is Effect.IDEMPOTENT_WITH_KEY and cls.group is DeduplicationScope.ALL
+            if cls.effect is not Effect.IDEMPOTENT and not everywhere:
                 self._breach("effects", r.at, r.gateway, f"request {r.request} may have run and was refused")
 
     def _gone(self, r: Gone) -> None:
@@ -247,10 +247,10 @@
 
     def _check_repeat(self, r: Sent, held: _Held, known: _Known | None) -> None:
         cls = self.figures.classes[held.taken.cls]
-        if cls.effect is Effect.SAFE:
+        if cls.effect is Effect.IDEMPOTENT:
             return
         for earlier in self._maybe(r.gateway, held):
-            if cls.effect is Effect.UNSAFE:
+            if cls.effect is Effect.NON_IDEMPOTENT:
                 self._breach(
                     "effects", r.at, r.gateway, f"request {r.request} may have run and was sent again"
                 )
@@ -351,7 +351,7 @@
         if len(sent) > most + 1e-6:
             text = f"{len(sent)} attempts at build {r.build}, {most:.1f} allowed for {taken} requests"
             self._breach("exposure", r.at, r.gateway, text)
-        safe = self.figures.classes[held.taken.cls].effect is Effect.SAFE
+        safe = self.figures.classes[held.taken.cls].effect is Effect.IDEMPOTENT
         if not safe and max(stage for _, stage in caps) < self.figures.guarded_stages:
             self._breach(
                 "exposure", r.at, r.gateway, f"request {r.request} has an effect, in a guarded stage"
--- a/meadowpulley/rules/figures.py
+++ b/meadowpulley/rules/figures.py
@@ -4,14 +4,14 @@
 
 from dataclasses import dataclass
 
-from meadowpulley.interface import Effect, Group, Settings as GatewaySettings
+from meadowpulley.interface import Effect, DeduplicationScope, Settings as GatewaySettings
 from meadowpulley.rules.together import NOTHING, SharedFigures
 
 
 @dataclass(frozen=True, slots=True)
 class ClassRules:
     effect: Effect
-    group: Group
+    group: DeduplicationScope
     window_ms: float
 
 
@@ -37,14 +37,14 @@
     def of(cls, s: GatewaySettings, slack_ms: float = 0.0) -> Figures:
         roll = s.rollout
         return cls(
-            classes=tuple(ClassRules(c.effect, c.group, c.window_ms) for c in s.classes),
+            classes=tuple(ClassRules(c.effect, c.deduplication_scope, c.deduplication_window_ms) for c in s.classes),
             drain_grace_ms=s.rules.drain_grace_ms,
-            answer_slack_ms=s.rules.answer_slack_ms,
+            answer_slack_ms=s.rules.response_slack_ms,
             window_ms=roll.exposure_window_ms,
-            free=roll.exposure_free,
+            free=roll.exposure_allowance,
             first_cap=roll.caps[0] if roll.caps else 0.0,
             per_class=roll.exposure_per_class,
             guarded_stages=roll.guarded_stages,
-            one_way=roll.one_way,
+            one_way=roll.monotonic_keys,
             slack_ms=slack_ms,
         )
--- a/meadowpulley/settings.py
+++ b/meadowpulley/settings.py
@@ -14,7 +14,7 @@
     """A malformed settings object; the text says what is wrong and where."""
 
 
-_EFFECTS = {"pure": i.Effect.SAFE, "token": i.Effect.KEYED, "side_effect": i.Effect.UNSAFE}
+_EFFECTS = {"pure": i.Effect.IDEMPOTENT, "token": i.Effect.IDEMPOTENT_WITH_KEY, "side_effect": i.Effect.NON_IDEMPOTENT}
 COLUMNS = {
     "busy_reqs": "in_flight",
     "pending": "queued",
@@ -93,47 +93,47 @@
 
 
 def _class(f: Fields) -> i.RequestClass:
-    groups = {group.value: group for group in i.Group}
+    groups = {group.value: group for group in i.DeduplicationScope}
     return i.RequestClass(
         name=f.text("name"),
-        aim_ms=f.number("target-ms"),
+        latency_objective_ms=f.number("target-ms"),
         deadline_ms=f.number("hard-limit-ms"),
-        effect=f.choice("repeat", _EFFECTS, i.Effect.UNSAFE),
-        group=f.choice("group", groups, i.Group.ALL),
-        window_ms=f.number("dedup-window-ms"),
-        worth=f.number("worth", 1.0),
-        late_worth=f.number("late-worth"),
+        effect=f.choice("repeat", _EFFECTS, i.Effect.NON_IDEMPOTENT),
+        deduplication_scope=f.choice("group", groups, i.DeduplicationScope.ALL),
+        deduplication_window_ms=f.number("dedup-window-ms"),
+        priority_weight=f.number("worth", 1.0),
+        late_priority_weight=f.number("late-worth"),
         stream=f.flag("stream"),
-        aim_stretch=f.number("aim-stretch"),
+        objective_stretch=f.number("aim-stretch"),
     )
 
 
 def _rollout(f: Fields) -> i.Rollout:
-    gates = {gate.value: gate for gate in i.Gate}
+    gates = {gate.value: gate for gate in i.StageGate}
     return i.Rollout(
-        gate=f.choice("gate-mode", gates, i.Gate.ANY),
+        gate=f.choice("gate-mode", gates, i.StageGate.ANY),
         in_place=f.choice("style", {"beside": False, "in_place": True}, False),
         stage_shares=f.numbers("steps"),
         caps=f.numbers("caps"),
         soak_ms=f.number("soak-ms"),
         stage_time_ms=f.number("stage-time-ms"),
-        on_votes=f.whole("on-votes"),
+        advance_votes=f.whole("on-votes"),
         hold_votes=f.whole("votes-to-hold"),
-        back_votes=f.whole("votes-to-revert"),
-        vote_life_ms=f.number("ballot-ttl-ms"),
+        rollback_votes=f.whole("votes-to-revert"),
+        vote_ttl_ms=f.number("ballot-ttl-ms"),
         votes_per_s=f.number("votes-per-s"),
         call_timeout_ms=f.number("api-timeout-ms"),
-        news_period_ms=f.number("news-period-ms"),
-        tally_period_ms=f.number("metrics-period-ms"),
-        tally_sample=f.number("sampled-share"),
-        flag_share=f.number("reported-share"),
+        update_period_ms=f.number("news-period-ms"),
+        statistics_period_ms=f.number("metrics-period-ms"),
+        statistics_sample=f.number("sampled-share"),
+        reported_share=f.number("reported-share"),
         exposure_window_ms=f.number("exposure-window-ms"),
-        exposure_free=f.number("free"),
+        exposure_allowance=f.number("free"),
         exposure_per_class=f.choice("per", {"all": False, "class": True}, False),
         guarded_stages=f.whole("safe-only-stages"),
-        one_way=f.flag("one-way"),
+        monotonic_keys=f.flag("one-way"),
         warm_keys=f.flag("warm-keys"),
-        behind_price=f.number("behind-price"),
+        lag_price=f.number("behind-price"),
         harm_price=f.number("blast-price"),
     )
 
@@ -165,8 +165,8 @@
     columns = [str(name) for name in report.items("columns")]
     balancers = max(f.whole("balancers", 1, NO_LEAST), 1)
     return i.Settings(
-        me=f.whole("me", 0, NO_LEAST) % balancers,  # waits and windows by the number must not be below none
-        balancers=balancers,
+        gateway_index=f.whole("me", 0, NO_LEAST) % balancers,  # waits and windows by the number must not be below none
+        gateway_count=balancers,
         zone=f.whole("az", 0, NO_LEAST),
         zones=tuple(str(name) for name in f.items("zones")),
         kinds=tuple(str(name) for name in f.items("machine-types")),
@@ -176,33 +176,33 @@
             i.Tenant(t.text("name"), t.number("share"), t.number("quota-rps")) for t in f.each("tenants")
         ),
         rules=i.Rules(
-            answer_slack_ms=rules.number("answer-slack-ms"),
-            ask_within_ms=rules.number("ask-within-ms"),
-            cold_from=rules.number("cold-from", 1.0),
-            cold_ms=rules.number("cold-ms"),
-            fall_multiple=rules.number("fall-multiple", 1.0),
-            fall_ms=rules.number("tip-after-ms"),
+            response_slack_ms=rules.number("answer-slack-ms"),
+            max_poll_interval_ms=rules.number("ask-within-ms"),
+            slow_start_initial_fraction=rules.number("cold-from", 1.0),
+            slow_start_ms=rules.number("cold-ms"),
+            overload_multiple=rules.number("fall-multiple", 1.0),
+            overload_window_ms=rules.number("tip-after-ms"),
             drain_grace_ms=rules.number("stop-sending-within-ms"),
         ),
         limits=i.Limits(
             max_attempts=bounds.whole("most-tries", 1, least=1),
-            second_copies=bounds.flag("may-duplicate"),
-            cancel=bounds.flag("cancelling"),
+            hedging=bounds.flag("may-duplicate"),
+            cancellation=bounds.flag("cancelling"),
             probes=bounds.flag("probing"),
-            peers=bounds.flag("may-tell"),
+            gossip=bounds.flag("may-tell"),
             retry_after=bounds.flag("retry-after"),
             max_retry_after_ms=bounds.number("max-retry-after-ms"),
             connect_timeout_ms=bounds.number("connect-timeout-ms"),
-            max_open=bounds.whole("max-open"),
-            idle_ms=bounds.number("conn-idle-ms"),
+            max_open_connections=bounds.whole("max-open"),
+            idle_timeout_ms=bounds.number("conn-idle-ms"),
         ),
         rollout=_rollout(f.inner("family-info")),
-        must_ask=f.choice("discovery", {"automatic": False, "subscribe": True}, False),
+        must_poll=f.choice("discovery", {"automatic": False, "subscribe": True}, False),
         report_columns=tuple(COLUMNS.get(name, name) for name in columns),
-        reports_in_answers=report.text("source") == "inline",
+        inline_load_reports=report.text("source") == "inline",
         weights=_WEIGHTS.get(f.text("weight-source"), f.text("weight-source", "none")),
-        worth_by_work=f.text("worth-by") == "work",
-        over_share_worth=f.number("over-share-worth", 1.0),
+        weight_by_work=f.text("worth-by") == "work",
+        over_share_weight=f.number("over-share-worth", 1.0),
         prices=f.inner("prices").pairs(),
         goal=f.inner("score-parts").pairs(),
     )
--- a/meadowpulley/takeover/adopt.py
+++ b/meadowpulley/takeover/adopt.py
@@ -26,10 +26,10 @@
     return seen.work.left_ms * (1 - terms.drift) - age
 
 
-def tried(seen: Seen) -> tuple[i.Tried, ...]:
+def tried(seen: Seen) -> tuple[i.PriorAttempt, ...]:
     """The attempts that may have run, each sent no earlier than its time: after its right was won."""
     return tuple(
-        i.Tried(r.server, r.build, r.zone, r.cell, at)
+        i.PriorAttempt(r.server, r.build, r.zone, r.cell, at)
         for r, at in zip(seen.work.rights, seen.sent_ms, strict=True)
     )
 
@@ -38,7 +38,7 @@
     """OPEN: it may be adopted; else how it ends at once. `spare`: time left beyond what one usually takes."""
     if cls is None or work.lives >= terms.most_lives:
         return State.FAILED
-    if work.rights and cls.effect is i.Effect.UNSAFE:
+    if work.rights and cls.effect is i.Effect.NON_IDEMPOTENT:
         return State.FAILED
     if spare < terms.least_ms:
         return State.FAILED if work.rights else State.REFUSED
--- a/meadowpulley/takeover/answers.py
+++ b/meadowpulley/takeover/answers.py
@@ -28,7 +28,7 @@
     """The answer of ended work, to one that asked for it."""
     if state is State.SERVED and answer is not None:
         return Pass(request, answer.status, answer.headers, answer.body)
-    return i.Refuse(request) if state is State.REFUSED else i.Fail(request)
+    return i.Reject(request) if state is State.REFUSED else i.Fail(request)
 
 
 class Asks:
--- a/meadowpulley/takeover/gateway.py
+++ b/meadowpulley/takeover/gateway.py
@@ -86,7 +86,7 @@
         return [self._instead(a) for a in actions] if self.held else actions
 
     def _instead(self, action: Any) -> Any:
-        if isinstance(action, i.Refuse | i.Fail) and action.request in self.held:
+        if isinstance(action, i.Reject | i.Fail) and action.request in self.held:
             return m.Pass(action.request, FAILED, (), b"")
         return action
 
@@ -96,7 +96,7 @@
         if asked.open and not self.stage.knows(asked.name):
             return True  # nothing of it is written: as without a ledger
         message = asked.message
-        if not self.stage.writes(asked.event.cls, len(message.body)):
+        if not self.stage.writes(asked.event.class_index, len(message.body)):
             return True
         headers = tuple(message.headers.items())
         self.gateway.tell(
--- a/meadowpulley/takeover/hand.py
+++ b/meadowpulley/takeover/hand.py
@@ -38,7 +38,7 @@
 @dataclass(frozen=True, slots=True)
 class Final:
     state: State
-    action: i.Refuse | i.Fail | Pass  # what its own client is told
+    action: i.Reject | i.Fail | Pass  # what its own client is told
     answer: Answer | None = None
 
 
@@ -104,7 +104,7 @@
             min(max(r.deadline_ms - now, 0.0), LONG_MS),
             min(max(now - self.taken_ms, 0.0), LONG_MS),
         )
-        hint = min(max(r.work_hint_ms, 0.0), LONG_MS) if r.work_hint_ms is not None else None
+        hint = min(max(r.expected_work_ms, 0.0), LONG_MS) if r.expected_work_ms is not None else None
         return Work(
             FORMAT, state, self.cls.name, self.tenant, r.key, self.digest, self.mark, self.first,
             left, waited, hint, r.write, r.arm, self.lives, self.tries, rights,
--- a/meadowpulley/takeover/hands.py
+++ b/meadowpulley/takeover/hands.py
@@ -24,7 +24,7 @@
 from meadowpulley.takeover.model import State
 from meadowpulley.takeover.turn import For, Turn, What
 
-NEVER_RAN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
+NEVER_RAN = (i.Result.REJECTED, i.Result.CONNECT_FAILED, i.Result.NOT_SENT)
 USUAL_STEP = 0.1  # weight of the newest
 
 
@@ -36,7 +36,7 @@
         terms: m.Terms, turn: Turn, asks: Asks, keeping: Keeping,
     ) -> None:  # fmt: skip
         self.inner, self.me, self.may_act, self.terms = inner, me, may_act, terms
-        self.slack_ms = settings.rules.answer_slack_ms
+        self.slack_ms = settings.rules.response_slack_ms
         self.turn, self.asks, self.keeping = turn, asks, keeping
         self.by_request: dict[int, Hand] = {}  # until the last outcome of their attempts
         self.by_name: dict[str, Hand] = {}  # those that are this gateway's to end
@@ -48,7 +48,7 @@
     def pass_on(self, event: Any) -> None:
         """To the next stage; what it decides for requests that are not written passes as it is."""
         for action in self.inner.handle(self.turn.now, event):
-            ours = isinstance(action, i.Send | i.Cancel | i.Refuse | i.Fail)
+            ours = isinstance(action, i.Send | i.Cancel | i.Reject | i.Fail)
             hand = self.by_request.get(action.request) if ours else None
             if hand is None:
                 self.turn.acts.append(action)
@@ -58,7 +58,7 @@
                 if action.attempt in hand.passed:
                     self.turn.acts.append(replace(action, attempt=hand.passed.index(action.attempt)))
             elif not hand.gone:
-                state = State.REFUSED if isinstance(action, i.Refuse) else State.FAILED
+                state = State.REFUSED if isinstance(action, i.Reject) else State.FAILED
                 self.final(hand, Final(state, action))
 
     def begin(self, hand: Hand) -> None:
@@ -94,7 +94,7 @@
 
     def _send(self, hand: Hand, send: i.Send) -> None:
         # The decisions number the attempts of each life from 0.
-        n, server = hand.tries - hand.request.tries, self.servers.get(send.server)
+        n, server = hand.tries - hand.request.prior_attempt_count, self.servers.get(send.server)
         where = (server.build, server.zone, server.cell) if server is not None else (0, 0, 0)
         hand.tries += 1
         hand.rights[n] = m.Right(send.server, *where)
@@ -117,7 +117,7 @@
         server = hand.waiting.pop(n).action.server
         del hand.rights[n]
         over = hand.gone or hand.final is not None
-        self.pass_on(i.Outcome(hand.request.request, n, server, i.Result.MOOT, 0.0, over))
+        self.pass_on(i.Outcome(hand.request.request, n, server, i.Result.NOT_SENT, 0.0, over))
 
     def outcome(self, o: i.Outcome) -> None:
         hand = self.by_request.get(o.request)
@@ -131,11 +131,11 @@
             self.usual_ms[hand.cls.name] += USUAL_STEP * (o.elapsed_ms - usual)
         if o.result in NEVER_RAN:
             hand.rights.pop(n, None)
-        over = o.over or hand.final is not None or hand.gone
-        self.pass_on(o if (n, over) == (o.attempt, o.over) else replace(o, attempt=n, over=over))
+        over = o.request_complete or hand.final is not None or hand.gone
+        self.pass_on(o if (n, over) == (o.attempt, o.request_complete) else replace(o, attempt=n, request_complete=over))
         self._forget(hand)
 
-    def started(self, a: i.AnswerStarted) -> None:
+    def started(self, a: i.ResponseStarted) -> None:
         hand = self.by_request.get(a.request)
         self.pass_on(a if hand is None else replace(a, attempt=hand.passed[a.attempt]))
 
@@ -212,7 +212,7 @@
     def _withdraw(self, hand: Hand) -> None:
         """The decisions have nothing more to do with it."""
         hand.gone = True
-        self.pass_on(i.RequestGone(hand.request.request))
+        self.pass_on(i.ClientDisconnected(hand.request.request))
         for n in list(hand.waiting):
             self._moot(hand, n)
         self._leave(hand)
@@ -272,7 +272,7 @@
         """To the others, with what is proven of it."""
         if hand.final is None and not hand.giving:
             hand.giving = True
-            self.pass_on(i.RequestGone(hand.request.request))
+            self.pass_on(i.ClientDisconnected(hand.request.request))
             for n in list(hand.waiting):
                 self._moot(hand, n)
             self.flush(hand)
--- a/meadowpulley/takeover/orphans.py
+++ b/meadowpulley/takeover/orphans.py
@@ -163,7 +163,7 @@
             _, cls = self.classes.get(seen.work.cls, (0, None))
             how = adopt.verdict(seen.work, cls, spare, self.terms)
             if how is State.OPEN and cls is not None:
-                open_.append(adopt.Orphan(name, spare, cls.worth))
+                open_.append(adopt.Orphan(name, spare, cls.priority_weight))
             elif ended < AT_ONCE:
                 ended += 1
                 self._claim(turn, seen, how, now)
--- a/meadowpulley/takeover/stage.py
+++ b/meadowpulley/takeover/stage.py
@@ -73,7 +73,7 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             m.Taken: self._taken, m.AnswerReady: self.hands.ready, m.ClientGone: self._client_gone,
             m.Placed: self._placed, m.Stopping: self._stopping, i.Outcome: self.hands.outcome,
-            i.AnswerStarted: self.hands.started, i.RequestGone: self._request_gone, i.ServerList: self._list,
+            i.ResponseStarted: self.hands.started, i.ClientDisconnected: self._request_gone, i.EndpointUpdate: self._list,
             i.Timer: self._tick, Committed: self._committed, Changed: self._changed,
             Suspected: self._suspected, Ended: self._sealed, LedgerLost: self._ledger_lost,
             LedgerBack: self._ledger_back,
@@ -103,7 +103,7 @@
 
     def writes(self, cls: int, size: int) -> bool:
         """Whether a request of that class with a body of so many bytes is written down."""
-        which, safe = self.terms.written, self.s.classes[cls].effect is i.Effect.SAFE
+        which, safe = self.terms.written, self.s.classes[cls].effect is i.Effect.IDEMPOTENT
         wanted = which is m.Written.ALL or (which is m.Written.UNREPEATABLE and not safe)
         return wanted and size <= m.BODY_MAX
 
@@ -133,9 +133,9 @@
     # Intake
 
     def _taken(self, t: m.Taken) -> None:
-        r, cls = t.request, self.s.classes[t.request.cls]
-        safe = cls.effect is i.Effect.SAFE
-        if not self.writes(r.cls, len(t.body)):
+        r, cls = t.request, self.s.classes[t.request.class_index]
+        safe = cls.effect is i.Effect.IDEMPOTENT
+        if not self.writes(r.class_index, len(t.body)):
             self.hands.pass_on(r)
             return
         digest, known = m.digest_of(t.method, t.target, t.body), self.hands.by_name.get(t.name)
@@ -144,7 +144,7 @@
             self.hands.say_again(known)
         elif known is not None:
             self.turn.acts.append(i.Fail(r.request))
-        elif (self.hands.lost and r.repeat) or (self.hands.ended and (r.repeat or not safe)):
+        elif (self.hands.lost and r.client_retry) or (self.hands.ended and (r.client_retry or not safe)):
             # Whether it is in hand elsewhere can't be known; and what ran here unwritten, while the others
             # have the ledger, would run again where its client asks next.
             self.turn.acts.append(i.Fail(r.request))
@@ -156,16 +156,16 @@
             mark = self.turn.mark()
             first = m.First(str(self.hands.me), mark)
             hand = Hand(r, t.name, cls, tenant, content, digest, mark, first, self.turn.now)
-            if r.repeat and not safe and self.turn.now < self.unsure_until:
+            if r.client_retry and not safe and self.turn.now < self.unsure_until:
                 self.hands.fail_unknown(hand)
             else:
                 self.hands.begin(hand)
 
-    def _list(self, event: i.ServerList) -> None:
-        if event.kind is i.ListKind.FULL or event.kind is i.ListKind.CACHED:
+    def _list(self, event: i.EndpointUpdate) -> None:
+        if event.kind is i.EndpointUpdateKind.FULL or event.kind is i.EndpointUpdateKind.CACHED:
             self.hands.servers = {}
         self.hands.servers |= {e.server: e for e in event.entries}
-        for gone in [e.server for e in event.entries if e.state is i.ServerState.GONE]:
+        for gone in [e.server for e in event.entries if e.state is i.ServerState.REMOVED]:
             del self.hands.servers[gone]
         self.hands.pass_on(event)
 
@@ -177,9 +177,9 @@
             self.turn.acts.append(m.Drop(e.request))
         elif hand is None:
             self.turn.acts.append(m.Drop(e.request))
-            self.hands.pass_on(i.RequestGone(e.request))
+            self.hands.pass_on(i.ClientDisconnected(e.request))
 
-    def _request_gone(self, e: i.RequestGone) -> None:
+    def _request_gone(self, e: i.ClientDisconnected) -> None:
         """The adapter has answered it as failed, past its deadline."""
         hand = self.hands.by_request.get(e.request)
         if self.asks.leave(e.request):
@@ -236,7 +236,7 @@
 
     def _ledger_back(self, event: LedgerBack) -> None:
         self.hands.lost = False
-        longest = max((c.deadline_ms for c in self.s.classes if c.effect is not i.Effect.SAFE), default=0.0)
+        longest = max((c.deadline_ms for c in self.s.classes if c.effect is not i.Effect.IDEMPOTENT), default=0.0)
         self.unsure_until = self.turn.now + longest  # by when the last client of those waits no longer
         for hand in list(self.hands.by_name.values()):
             self.hands.flush(hand)
@@ -255,7 +255,7 @@
         tenant = self.orphans.tenants.get(work.tenant, len(self.s.tenants))
         request = i.Request(
             event.request, n, tenant, work.key, claim.deadline_ms, work.hint_ms, write=work.write,
-            adopted=True, tries=work.tries, tried=adopt.tried(claim.seen), arm=work.arm,
+            adopted=True, prior_attempt_count=work.tries, prior_attempts=adopt.tried(claim.seen), arm=work.arm,
         )  # fmt: skip
         taken = max(claim.seen.floor_ms - work.waited_ms, -m.LONG_MS)
         hand = Hand(
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -11,17 +11,17 @@
 SAFE, UNSAFE, KEYED = 0, 1, 2
 
 CLASSES = (
-    i.RequestClass("look", 1000.0, 3000.0, i.Effect.SAFE),
-    i.RequestClass("pay", 800.0, 2000.0, i.Effect.UNSAFE),
-    i.RequestClass("order", 1000.0, 2500.0, i.Effect.KEYED, i.Group.ALL, 2000.0),
+    i.RequestClass("look", 1000.0, 3000.0, i.Effect.IDEMPOTENT),
+    i.RequestClass("pay", 800.0, 2000.0, i.Effect.NON_IDEMPOTENT),
+    i.RequestClass("order", 1000.0, 2500.0, i.Effect.IDEMPOTENT_WITH_KEY, i.DeduplicationScope.ALL, 2000.0),
 )
 RULES = i.Rules(20.0, 10_000.0, 0.4, 4000.0, 2.0, 1500.0, 500.0)
 LIMITS = i.Limits(4, False, True, False, False, True, 500.0, 250.0, 1000)
 ROLLOUT = i.Rollout(
-    gate=i.Gate.ANY, stage_shares=(0.1, 0.5, 1.0), caps=(0.1, 0.5, 1.0), soak_ms=3000.0, on_votes=1,
-    back_votes=1,
-    vote_life_ms=6000.0, votes_per_s=50.0, call_timeout_ms=1000.0, news_period_ms=4000.0,
-    exposure_window_ms=6000.0, exposure_free=2.0,
+    gate=i.StageGate.ANY, stage_shares=(0.1, 0.5, 1.0), caps=(0.1, 0.5, 1.0), soak_ms=3000.0, advance_votes=1,
+    rollback_votes=1,
+    vote_ttl_ms=6000.0, votes_per_s=50.0, call_timeout_ms=1000.0, update_period_ms=4000.0,
+    exposure_window_ms=6000.0, exposure_allowance=2.0,
 )  # fmt: skip
 
 
@@ -52,13 +52,13 @@
     def give(self, event: i.Event) -> list[i.Action]:
         return self.b.handle(self.now, event)
 
-    def listed(self, entries: Iterable[i.ServerEntry], kind: i.ListKind = i.ListKind.FULL) -> list[i.Action]:
-        return self.give(i.ServerList(kind, 1, tuple(entries)))
+    def listed(self, entries: Iterable[i.ServerEntry], kind: i.EndpointUpdateKind = i.EndpointUpdateKind.FULL) -> list[i.Action]:
+        return self.give(i.EndpointUpdate(kind, 1, tuple(entries)))
 
     def news(
         self, build: int, stage: int = 0, cap: float = 0.1, phase: i.Phase = i.Phase.TRIAL, age: float = 0.0
     ) -> list[i.Action]:
-        return self.give(i.BuildNews(build, stage, phase, cap, age))
+        return self.give(i.RolloutUpdate(build, stage, phase, cap, age))
 
     def ask(self, cls: int = SAFE, key: int = 0, left: float | None = None) -> list[i.Action]:
         self.last += 1
--- a/tests/stories/steps_fleet.py
+++ b/tests/stories/steps_fleet.py
@@ -207,7 +207,7 @@
 def build_is(tale: Tale, number: int, phase: str) -> None:
     _ = tale.result
     stands = {(s.build, s.phase) for s in tale.world.platform.history}
-    wanted = {"released": i.Phase.RELEASED, "withdrawn": i.Phase.WITHDRAWN}[phase]
+    wanted = {"released": i.Phase.RELEASED, "withdrawn": i.Phase.ROLLED_BACK}[phase]
     assert (number, wanted) in stands, stands
 
 
--- a/tests/stories/steps_placement.py
+++ b/tests/stories/steps_placement.py
@@ -74,7 +74,7 @@
 
     def differ(place: Place) -> Any:
         stage: Any = make(place)
-        if place.settings.me == last:
+        if place.settings.gateway_index == last:
             arms = (Arm("first", "own", 0.9), Arm("second", "two", 0.1))
             other = Experiment(1, "story", arms, End(requests=100_000))
             stage = PlacementStage(place.inner, other, place.settings, place.life)
--- a/tests/takeover_fleet.py
+++ b/tests/takeover_fleet.py
@@ -26,7 +26,7 @@
     Terms as Lease,
     Watched,
 )
-from meadowpulley.settings_types import Effect, Group, RequestClass
+from meadowpulley.settings_types import Effect, DeduplicationScope, RequestClass
 from meadowpulley.takeover import (
     OWNER,
     WATCHED,
@@ -43,15 +43,15 @@
 
 TERM = 1000.0
 LOOK = 20.0
-NEVER_RAN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
+NEVER_RAN = (i.Result.REJECTED, i.Result.CONNECT_FAILED, i.Result.NOT_SENT)
 CLASSES = (
-    RequestClass("read", 200.0, 4000.0, Effect.SAFE),
-    RequestClass("order", 200.0, 4000.0, Effect.KEYED, Group.ZONE, 3500.0, 2.0),
-    RequestClass("pay", 200.0, 6000.0, Effect.UNSAFE, worth=3.0),
+    RequestClass("read", 200.0, 4000.0, Effect.IDEMPOTENT),
+    RequestClass("order", 200.0, 4000.0, Effect.IDEMPOTENT_WITH_KEY, DeduplicationScope.ZONE, 3500.0, 2.0),
+    RequestClass("pay", 200.0, 6000.0, Effect.NON_IDEMPOTENT, priority_weight=3.0),
 )
 READ, ORDER, PAY = range(3)
 SETTINGS = i.Settings(
-    0, 3, 0, ("z",), 10.0, CLASSES, (i.Tenant("t"),), i.Rules(answer_slack_ms=50.0),
+    0, 3, 0, ("z",), 10.0, CLASSES, (i.Tenant("t"),), i.Rules(response_slack_ms=50.0),
     i.Limits(max_attempts=3), i.Rollout(),
 )  # fmt: skip
 
@@ -71,32 +71,32 @@
         self.now = now
         if isinstance(event, i.Request):
             if self.refuses:
-                return [i.Refuse(event.request)]
+                return [i.Reject(event.request)]
             self.held[event.request] = event
             self.seen.append(event)
-            self.tries[event.request] = event.tries
-            self.maybe[event.request] = {-1 - n: t.sent_ms for n, t in enumerate(event.tried)}
+            self.tries[event.request] = event.prior_attempt_count
+            self.maybe[event.request] = {-1 - n: t.sent_ms for n, t in enumerate(event.prior_attempts)}
             return [] if self.waits else self._next(event)
         if isinstance(event, i.Outcome):
             if event.result in NEVER_RAN:
                 del self.maybe[event.request][event.attempt]
-            if event.over:
+            if event.request_complete:
                 self.held.pop(event.request, None)
             elif event.request in self.held:
                 return self._next(self.held[event.request])
-        elif isinstance(event, i.RequestGone) and event.request in self.held:
+        elif isinstance(event, i.ClientDisconnected) and event.request in self.held:
             del self.held[event.request]
             return [i.Cancel(event.request, n) for n in self.maybe[event.request] if n >= 0]
         return []
 
     def _next(self, r: i.Request) -> list[Any]:
-        cls, maybe = CLASSES[r.cls], self.maybe[r.request]
-        late = any(self.now - sent >= cls.window_ms for sent in maybe.values())
-        barred = maybe and (cls.effect is Effect.UNSAFE or (cls.effect is Effect.KEYED and late))
+        cls, maybe = CLASSES[r.class_index], self.maybe[r.request]
+        late = any(self.now - sent >= cls.deduplication_window_ms for sent in maybe.values())
+        barred = maybe and (cls.effect is Effect.NON_IDEMPOTENT or (cls.effect is Effect.IDEMPOTENT_WITH_KEY and late))
         if barred or self.tries[r.request] >= 3:
             del self.held[r.request]
-            return [i.Fail(r.request) if maybe else i.Refuse(r.request, 100.0)]
-        maybe[self.tries[r.request] - r.tries] = self.now  # each life numbers its own from 0
+            return [i.Fail(r.request) if maybe else i.Reject(r.request, 100.0)]
+        maybe[self.tries[r.request] - r.prior_attempt_count] = self.now  # each life numbers its own from 0
         self.tries[r.request] += 1
         return [i.Send(r.request, 1)]
 
@@ -122,7 +122,7 @@
         self.before: Callable[[Any], None] = lambda action: None  # called before each action
         self.do(self.keeper.start(self.now))
         self.tell(
-            i.ServerList(i.ListKind.FULL, 1, (i.ServerEntry(1, 0, 0, i.ServerState.READY, 7, 0, 0, 1.0),))
+            i.EndpointUpdate(i.EndpointUpdateKind.FULL, 1, (i.ServerEntry(1, 0, 0, i.ServerState.READY, 7, 0, 0, 1.0),))
         )
         self.look()
 
@@ -177,7 +177,7 @@
             self.adopted.add(self.requests)
             self.fleet.adopted.append((self.name, a.name))
             self.tell(Placed(a.name, self.requests))
-        elif isinstance(a, Pass | i.Refuse | i.Fail):
+        elif isinstance(a, Pass | i.Reject | i.Fail):
             name, _, _ = self.held[a.request]
             word = f"{a.status} {a.body.decode()}" if isinstance(a, Pass) else type(a).__name__
             if a.request not in self.adopted:
@@ -208,7 +208,7 @@
 
     def ask(self, name: str, cls: int, body: bytes = b"b", left: float = 4000.0, repeat: bool = False) -> int:
         self.requests += 1
-        request = i.Request(self.requests, cls, 0, 5, self.now + left, repeat=repeat)
+        request = i.Request(self.requests, cls, 0, 5, self.now + left, client_retry=repeat)
         self.held[self.requests] = (name, cls, self.now + left)
         self.tell(Taken(request, name, "POST", f"/{CLASSES[cls].name}", (), body))
         return self.requests
@@ -264,7 +264,7 @@
             served = result is i.Result.OK
             if served:
                 gateway.tell(AnswerReady(request, 200, (), answer))
-            gateway.tell(i.Outcome(request, n, 1, result, self.takes_ms, over=served))
+            gateway.tell(i.Outcome(request, n, 1, result, self.takes_ms, request_complete=served))
 
         gateway.later(self.takes_ms, end)
 
--- a/tests/test_adopted.py
+++ b/tests/test_adopted.py
@@ -11,10 +11,10 @@
 from tests.driver import CLASSES, LIMITS, ROLLOUT, SAFE, UNSAFE, Driver, entry, sends, settings
 
 KEYED, ZONED, CELLED = 2, 3, 4
-MORE = (*CLASSES, replace(CLASSES[KEYED], group=i.Group.ZONE), replace(CLASSES[KEYED], group=i.Group.CELL))
+MORE = (*CLASSES, replace(CLASSES[KEYED], deduplication_scope=i.DeduplicationScope.ZONE), replace(CLASSES[KEYED], deduplication_scope=i.DeduplicationScope.CELL))
 MOST = LIMITS.max_attempts
-WINDOW_MS = CLASSES[KEYED].window_ms
-HERE = i.Tried(server=77, build=41, zone=0, cell=0, sent_ms=9_900.0)
+WINDOW_MS = CLASSES[KEYED].deduplication_window_ms
+HERE = i.PriorAttempt(server=77, build=41, zone=0, cell=0, sent_ms=9_900.0)
 ELSEWHERE = replace(HERE, zone=1, cell=1)
 LONG_AGO = replace(HERE, sent_ms=10_000.0 - WINDOW_MS)
 
@@ -26,11 +26,11 @@
     return d
 
 
-def adopt(d: Driver, cls: int, tried: Sequence[i.Tried] = (), tries: int = 0, key: int = 0) -> list[i.Action]:
+def adopt(d: Driver, cls: int, tried: Sequence[i.PriorAttempt] = (), tries: int = 0, key: int = 0) -> list[i.Action]:
     d.last += 1
     tries = max(tries, len(tried))
     return d.give(
-        i.Request(d.last, cls, 0, key, d.now + 2000.0, adopted=True, tries=tries, tried=tuple(tried))
+        i.Request(d.last, cls, 0, key, d.now + 2000.0, adopted=True, prior_attempt_count=tries, prior_attempts=tuple(tried))
     )
 
 
@@ -39,7 +39,7 @@
     began = d.now
     while d.now <= began + 2000.0:
         for a in actions:
-            if isinstance(a, i.Send | i.Refuse | i.Fail):
+            if isinstance(a, i.Send | i.Reject | i.Fail):
                 return type(a).__name__, d.now - began
         d.now += 50.0
         actions = d.tick()
@@ -72,7 +72,7 @@
     ],
 )
 def test_what_becomes_of_a_request_taken_over(
-    cls: int, tried: list[i.Tried], tries: int, what: str, at_once: bool
+    cls: int, tried: list[i.PriorAttempt], tries: int, what: str, at_once: bool
 ) -> None:
     d = gateway()
     found, took = became(d, adopt(d, cls, tried, tries))
@@ -82,10 +82,10 @@
 
 @pytest.mark.parametrize(
     ("cls", "tried", "answer"),
-    [(SAFE, [HERE], i.Refuse), (UNSAFE, [], i.Refuse), (UNSAFE, [HERE], i.Fail), (KEYED, [HERE], i.Fail)],
+    [(SAFE, [HERE], i.Reject), (UNSAFE, [], i.Reject), (UNSAFE, [HERE], i.Fail), (KEYED, [HERE], i.Fail)],
 )
 def test_without_room_only_what_cannot_have_run_is_refused(
-    cls: int, tried: list[i.Tried], answer: type[i.Action]
+    cls: int, tried: list[i.PriorAttempt], answer: type[i.Action]
 ) -> None:
     d = gateway()
     d.b.room = -1.0
@@ -101,7 +101,7 @@
         numbers += [n for _, n in d.b.attempts]
         answers = d.end(todo[0], i.Result.ERROR)
         todo = sends(answers)
-    assert numbers == [0, 1] and i.Refuse(1, 500.0) in answers
+    assert numbers == [0, 1] and i.Reject(1, 500.0) in answers
 
 
 def test_a_first_attempt_here_that_never_ran_leaves_the_earlier_life_s_standing() -> None:
@@ -122,7 +122,7 @@
 def test_what_it_leaves_is_called_off_here_and_nowhere_else() -> None:
     d = gateway()
     [send] = sends(adopt(d, SAFE, [HERE]))
-    assert [a for a in d.give(i.RequestGone(send.request)) if isinstance(a, i.Cancel)] == [i.Cancel(1, 0)]
+    assert [a for a in d.give(i.ClientDisconnected(send.request)) if isinstance(a, i.Cancel)] == [i.Cancel(1, 0)]
 
 
 @pytest.mark.parametrize("adopted", [False, True])
@@ -137,12 +137,12 @@
         for send in sends(adopt(d, SAFE) if adopted else d.ask(SAFE)):
             trial += send.server >= 10
             d.end(send)
-    assert (trial <= ROLLOUT.exposure_free) is adopted
+    assert (trial <= ROLLOUT.exposure_allowance) is adopted
     assert (d.b.taken.value(d.now) == 0.0) is adopted and (d.b.retries_left == 0.0) is adopted
 
 
 def test_a_key_stays_with_the_trial_build_that_may_have_answered_it() -> None:
-    rollout = replace(ROLLOUT, one_way=True)
+    rollout = replace(ROLLOUT, monotonic_keys=True)
     for tried, least in ((replace(HERE, build=42), 42), (HERE, 41)):
         builds = set()
         for seed in range(30):
--- a/tests/test_check_worlds.py
+++ b/tests/test_check_worlds.py
@@ -89,9 +89,9 @@
     heard = 0
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
-        if isinstance(event, i.PeerMessage):
+        if isinstance(event, i.GossipReceived):
             self.heard += 1
-        told: list[i.Action] = [i.TellPeer(None, b"x")] if isinstance(event, i.Request) else []
+        told: list[i.Action] = [i.SendGossip(None, b"x")] if isinstance(event, i.Request) else []
         return super().handle(now, event) + told
 
 
@@ -161,7 +161,7 @@
 def test_shrinking_leaves_out_what_is_not_needed() -> None:
     class Leaky(Balancer):
         def handle(self, now: float, event: i.Event) -> list[i.Action]:  # what left is kept: the planted bug
-            return [] if isinstance(event, i.RequestGone) else super().handle(now, event)
+            return [] if isinstance(event, i.ClientDisconnected) else super().handle(now, event)
 
     def worlds(setting: Setting, **_: Any) -> Decisions:
         return Decisions(setting, make=Leaky)
--- a/tests/test_client_links.py
+++ b/tests/test_client_links.py
@@ -238,7 +238,7 @@
         turns.turn()
     client.socket.shutdown(how)
     turns.turn(20)
-    assert not turns.links and turns.decisions.count(i.Request) == turns.decisions.count(i.RequestGone) == 1
+    assert not turns.links and turns.decisions.count(i.Request) == turns.decisions.count(i.ClientDisconnected) == 1
 
 
 def test_a_flood_on_one_connection_leaves_each_turn_to_the_others(turns: Turns) -> None:
@@ -352,4 +352,4 @@
     up = opening.accept()
     assert not up.sent and not up.up
     (outcome,) = [e for e in decisions.told if isinstance(e, i.Outcome)]
-    assert outcome.result is i.Result.MOOT and not bench.gateway.requests.still_out
+    assert outcome.result is i.Result.NOT_SENT and not bench.gateway.requests.still_out
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -46,23 +46,23 @@
 def test_every_event_is_read() -> None:
     assert one(event(17, u32(3))) == (3, Kill())
     assert one(event(19, u32(3), u64(77))) == (3, i.Timer(77))
-    assert one(event(25, u32(3), u64(RID))) == (3, i.RequestGone(RID))
+    assert one(event(25, u32(3), u64(RID))) == (3, i.ClientDisconnected(RID))
     assert one(event(27, u32(3), u64(RID), u8(1), u32(2), u64(9), f64(5.0), f64(7.0), u8(6))) == (
         3, i.Request(RID, 1, 2, 9, 5.0, None, True, True))  # fmt: skip
-    assert one(event(28, u32(3), u32(8), u8(1), f64(4.5))) == (3, i.WrongAnswer(8, 1, 4.5))
+    assert one(event(28, u32(3), u32(8), u8(1), f64(4.5))) == (3, i.IncorrectResponse(8, 1, 4.5))
     assert one(event(21, u32(3), u16(42), u8(0), u32(180), u32(4), f64(21.5), f64(1252.0))) == (
-        3, i.Tally(42, 0, 180, 4, 21.5, 1252.0))  # fmt: skip
+        3, i.BuildStatistics(42, 0, 180, 4, 21.5, 1252.0))  # fmt: skip
     assert one(event(23, u32(3), u16(42), f32(0.125), u8(2), u8(1), u8(0), f64(310.0), u16(200))) == (
-        3, i.BuildNews(42, 2, i.Phase.TRIAL, 0.125, 310.0, i.Result.OK, True))  # fmt: skip
+        3, i.RolloutUpdate(42, 2, i.Phase.TRIAL, 0.125, 310.0, i.Result.OK, True))  # fmt: skip
     done = event(26, u32(3), u64(RID), u8(1), u32(8), u16(502), f64(9.5), u8(1), u8(2), f32(1.5), f32(2.5))
     assert one(done) == (3, i.Outcome(RID, 1, 8, i.Result.ERROR, 9.5, True, (1.5, 2.5)))
     bare = event(26, u32(3), u64(RID), u8(0), u32(8), u16(408), f64(9.5), u8(0))
     assert one(bare) == (3, i.Outcome(RID, 0, 8, i.Result.TIMEOUT, 9.5, False, ()))
-    assert one(event(24, u32(3), u64(RID), u8(0), u32(8), f64(9.25))) == (3, i.AnswerStarted(RID, 0, 8, 9.25))
+    assert one(event(24, u32(3), u64(RID), u8(0), u32(8), f64(9.25))) == (3, i.ResponseStarted(RID, 0, 8, 9.25))
     pong = event(16, u32(3), u32(8), u16(200), f64(1.5), u8(1), f32(4.0))
     assert one(pong) == (3, i.ProbeResult(8, i.Result.OK, 1.5, (4.0,)))
-    assert one(event(20, u32(3), u32(2), u32(1), u32(2)), b"xhi") == (3, i.PeerMessage(2, b"hi"))
-    assert one(event(29, u32(3), u8(2), u32(5), u32(41))) == (3, Topology(i.ListKind.CACHED, 5, 41))
+    assert one(event(20, u32(3), u32(2), u32(1), u32(2)), b"xhi") == (3, i.GossipReceived(2, b"hi"))
+    assert one(event(29, u32(3), u8(2), u32(5), u32(41))) == (3, Topology(i.EndpointUpdateKind.CACHED, 5, 41))
 
 
 def test_a_ledger_reads_its_entries() -> None:
@@ -84,16 +84,16 @@
     gateway, up = one(event(22, u32(3), u64(5), u32(0), u32(len(raw))), raw)
     assert gateway == 3 and isinstance(up, Up) and up.seed == 5
     s = up.settings
-    assert [c.effect for c in s.classes] == [i.Effect.SAFE, i.Effect.UNSAFE, i.Effect.KEYED]
-    assert s.classes[2].window_ms == 2500.0 and s.classes[2].group is i.Group.ALL
-    assert s.rollout.caps == (0.1, 0.5, 1.0) and s.rollout.gate is i.Gate.ANY and not s.rollout.in_place
-    assert s.report_columns == ("in_flight", "new") and s.reports_in_answers
-    assert s.rules.fall_multiple == 2.0 and s.rules.drain_grace_ms == 2000.0 and not s.must_ask
+    assert [c.effect for c in s.classes] == [i.Effect.IDEMPOTENT, i.Effect.NON_IDEMPOTENT, i.Effect.IDEMPOTENT_WITH_KEY]
+    assert s.classes[2].deduplication_window_ms == 2500.0 and s.classes[2].deduplication_scope is i.DeduplicationScope.ALL
+    assert s.rollout.caps == (0.1, 0.5, 1.0) and s.rollout.gate is i.StageGate.ANY and not s.rollout.in_place
+    assert s.report_columns == ("in_flight", "new") and s.inline_load_reports
+    assert s.rules.overload_multiple == 2.0 and s.rules.drain_grace_ms == 2000.0 and not s.must_poll
 
 
 def test_absent_settings_take_plain_values() -> None:
     s = parse_settings(b"{}", "here")
-    assert s.balancers == 1 and s.classes == () and s.tenants == () and s.rollout.caps == ()
+    assert s.gateway_count == 1 and s.classes == () and s.tenants == () and s.rollout.caps == ()
 
 
 @pytest.mark.parametrize(
@@ -130,17 +130,17 @@
     actions: list[tuple[i.Action, bytes]] = [
         (i.Send(RID, 0x03124A07, 80.0), u8(20) + u32(3) + u64(RID) + u32(0x03124A07) + f64(80.0)),
         (i.SetTimer(500.0, 77), u8(27) + u32(3) + f64(500.0) + u64(77)),
-        (i.Vote(42, 2, i.Verdict.ON), u8(16) + u32(3) + u16(42) + u8(2) + u8(1)),
+        (i.Vote(42, 2, i.Verdict.ADVANCE), u8(16) + u32(3) + u16(42) + u8(2) + u8(1)),
         (i.Cancel(RID, 1), u8(24) + u32(3) + u64(RID) + u8(1)),
         (i.Fail(RID), u8(23) + u32(3) + u64(RID)),
-        (i.Refuse(RID, 250.0), u8(18) + u32(3) + u64(RID) + f64(250.0)),
+        (i.Reject(RID, 250.0), u8(18) + u32(3) + u64(RID) + f64(250.0)),
         (i.Probe(9), u8(19) + u32(3) + u32(9)),
-        (i.CloseIdle(9), u8(21) + u32(3) + u32(9)),
-        (i.FetchList(), u8(25) + u32(3)),
+        (i.CloseIdleConnections(9), u8(21) + u32(3) + u32(9)),
+        (i.FetchEndpoints(), u8(25) + u32(3)),
         (i.Watch(), u8(22) + u32(3) + u8(1)),
-        (i.Watch(on=False), u8(22) + u32(3) + u8(0)),
-        (i.TellPeer(None, b"hi"), u8(17) + u32(3) + u16(0xFFFF) + u32(0) + u32(2)),
-        (i.TellPeer(2, b"yo"), u8(17) + u32(3) + u16(2) + u32(2) + u32(2)),
+        (i.Watch(enabled=False), u8(22) + u32(3) + u8(0)),
+        (i.SendGossip(None, b"hi"), u8(17) + u32(3) + u16(0xFFFF) + u32(0) + u32(2)),
+        (i.SendGossip(2, b"yo"), u8(17) + u32(3) + u16(2) + u32(2) + u32(2)),
         (i.LogLine("two"), u8(26) + u32(3) + u32(4) + u32(3)),
     ]
     for action, _ in actions:
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -13,7 +13,7 @@
 from meadowpulley.digests import MOST_BYTES, MOST_CLASSES, MOST_COUNT, MOST_FAILED, Digest, decode, encode
 from tests.driver import LIMITS, SAFE, UNSAFE, Driver, entry, sends, settings, votes
 
-PEERS = replace(LIMITS, peers=True)
+PEERS = replace(LIMITS, gossip=True)
 MANY = 40
 BYTES = st.integers(0, MOST_COUNT)
 
@@ -67,13 +67,13 @@
 def test_bytes_that_are_no_digest_are_counted_and_change_nothing(data: bytes) -> None:
     assert decode(data) is None
     d = trial_of(0)
-    d.give(i.PeerMessage(3, data))
+    d.give(i.GossipReceived(3, data))
     assert d.b.peers.strays == 1 and not d.b.peers.told_by and not evidence(d)
 
 
 def trial_of(me: int, balancers: int = MANY) -> Driver:
     """A gateway of many that knows 20 servers of build 41 and 10 of build 42, on trial."""
-    d = Driver(replace(settings(limits=PEERS, balancers=balancers), me=me), seed=me)
+    d = Driver(replace(settings(limits=PEERS, balancers=balancers), gateway_index=me), seed=me)
     d.listed(entry(n) for n in range(20))
     d.tick()
     for n in range(40):
@@ -81,7 +81,7 @@
         for send in sends(d.ask(SAFE if n % 2 else UNSAFE)):
             d.end(send)
     d.news(42, 1, 0.5)
-    d.listed((entry(100 + n, 42, d.now - 5000.0) for n in range(10)), i.ListKind.CHANGES)
+    d.listed((entry(100 + n, 42, d.now - 5000.0) for n in range(10)), i.EndpointUpdateKind.INCREMENTAL)
     return d
 
 
@@ -107,17 +107,17 @@
                     acts += d.end(send, i.Result.ERROR if bad else i.Result.OK, 80.0, over=True)
             cast += votes(acts)
             for act in acts:
-                if isinstance(act, i.TellPeer):
+                if isinstance(act, i.SendGossip):
                     assert act.peer is None and len(act.data) <= MOST_BYTES
                     for other in fleet:
                         if other is not d and rng.random() >= lost:
                             for _ in range(told):
-                                other.give(i.PeerMessage(d.b.s.me, act.data))
+                                other.give(i.GossipReceived(d.b.s.gateway_index, act.data))
     return cast
 
 
 def backs(cast: list[i.Vote]) -> int:
-    return sum(v.verdict is i.Verdict.BACK and v.build == 42 for v in cast)
+    return sum(v.verdict is i.Verdict.ROLL_BACK and v.build == 42 for v in cast)
 
 
 def test_forty_gateways_find_together_a_build_that_none_finds_alone() -> None:
@@ -137,7 +137,7 @@
     for sender in range(1, MANY):
         told = Digest(sender, number, 42, (row,), tuple((n, SAFE) for n in failed))  # type: ignore[arg-type]
         for _ in range(times):
-            d.give(i.PeerMessage(sender, encode(told)))
+            d.give(i.GossipReceived(sender, encode(told)))
 
 
 def test_what_is_told_again_counts_once() -> None:
@@ -170,7 +170,7 @@
     sender: int, build: int, row: tuple[int, int, int, int, int], counts: bool
 ) -> None:
     d = trial_of(0)
-    d.give(i.PeerMessage(sender, encode(Digest(9, 1, build, (row,), ((100, SAFE), (9999, SAFE))))))
+    d.give(i.GossipReceived(sender, encode(Digest(9, 1, build, (row,), ((100, SAFE), (9999, SAFE))))))
     assert (evidence(d) > 0) == counts
 
 
@@ -194,7 +194,7 @@
 def second_of(d: Driver, second: int, row: tuple[int, int, int, int]) -> float:
     """How far build 42 is proven after what all told in a second: failures spread over its servers."""
     failed = tuple((100 + n % 10, SAFE) for n in range(row[1]))
-    d.give(i.PeerMessage(1, encode(Digest(7, second, 42, ((SAFE, *row),), failed))))
+    d.give(i.GossipReceived(1, encode(Digest(7, second, 42, ((SAFE, *row),), failed))))
     evidence(d)
     return float(d.b.builds[42].pooled.proof(10, False, d.b.needed))
 
@@ -213,7 +213,7 @@
     # A good build was taken off four seconds after its release: the next of such errors met nobody but it.
     d = trial_of(0, 200)
     d.news(42, 2, 1.0, i.Phase.RELEASED)
-    d.listed((entry(n, state=i.ServerState.DRAINING) for n in range(20)), i.ListKind.CHANGES)
+    d.listed((entry(n, state=i.ServerState.DRAINING) for n in range(20)), i.EndpointUpdateKind.INCREMENTAL)
     assert second_of(d, 1, (178, 24, 137, 0)) == 0.0
 
 
@@ -224,7 +224,7 @@
     for n in range(1, 6):
         second_of(d, n, (0, 0, 100, bursts))
     d.news(42, 2, 1.0, i.Phase.RELEASED)
-    d.listed((entry(n, state=i.ServerState.DRAINING) for n in range(20)), i.ListKind.CHANGES)
+    d.listed((entry(n, state=i.ServerState.DRAINING) for n in range(20)), i.EndpointUpdateKind.INCREMENTAL)
     for n in range(30):
         d.now += 50.0
         for send in sends(d.ask(SAFE)):
@@ -243,7 +243,7 @@
     d = trial_of(0, 200)
     for number in range(1, 4):
         rows = ((SAFE, 90, 0, 240, 0), (LOST, lost, 0, old_lost, 0))
-        d.give(i.PeerMessage(1, encode(Digest(7, number, 42, rows))))
+        d.give(i.GossipReceived(1, encode(Digest(7, number, 42, rows))))
         evidence(d)
     assert (d.b.back_for == 42) == found
 
@@ -255,7 +255,7 @@
         for send in sends(d.ask(SAFE)):
             d.end(send, i.Result.TIMEOUT, 4000.0, over=True)
         d.now += 100.0
-        told += [decode(a.data) for a in d.tick() if isinstance(a, i.TellPeer)]
+        told += [decode(a.data) for a in d.tick() if isinstance(a, i.SendGossip)]
     rows = [row for one in told if one for row in one.classes if row[0] == LOST]
     assert sum(row[1] + row[3] for row in rows) > 20 and not any(one.failed for one in told if one)
 
@@ -267,14 +267,14 @@
     d.tick()
     d.b.judge_at = d.b.ask_again_at = d.b.timer_at = float("inf")
     told = encode(Digest(1, 1, 42, ((SAFE, 1, 0, 1, 0),)))
-    timers = [a.delay_ms for a in d.give(i.PeerMessage(1, told)) if isinstance(a, i.SetTimer)]
+    timers = [a.delay_ms for a in d.give(i.GossipReceived(1, told)) if isinstance(a, i.SetTimer)]
     assert timers and timers[0] <= 1000.0
 
 
 def test_the_lives_that_are_remembered_are_bounded() -> None:
     d = trial_of(0)
     for life in range(1000):
-        d.give(i.PeerMessage(1, encode(Digest(life, 1, 42))))
+        d.give(i.GossipReceived(1, encode(Digest(life, 1, 42))))
     assert len(d.b.peers.told_by) <= 4 * MANY
 
 
@@ -282,19 +282,19 @@
     d = Driver(settings(balancers=MANY))
     d.listed(entry(n) for n in range(4))
     d.news(42, 1, 0.5)
-    d.listed([entry(100, 42)], i.ListKind.CHANGES)
+    d.listed([entry(100, 42)], i.EndpointUpdateKind.INCREMENTAL)
     told = []
     for _ in range(60):
         d.now += 100.0
         for send in sends(d.ask(SAFE)):
             told += d.end(send)
         told += d.tick()
-    assert not [a for a in told if isinstance(a, i.TellPeer)]
+    assert not [a for a in told if isinstance(a, i.SendGossip)]
 
 
 def accuse(d: Driver, server: int, by: range, number: int = 1) -> None:
     for sender in by:
-        d.give(i.PeerMessage(sender, encode(Digest(sender, number, 0, (), ((server, SAFE),) * 4))))
+        d.give(i.GossipReceived(sender, encode(Digest(sender, number, 0, (), ((server, SAFE),) * 4))))
     d.now += 1000.0
     d.tick()
 
@@ -320,7 +320,7 @@
     everywhere = trial_of(0)
     for sender in range(1, MANY):
         failed = tuple((n, SAFE) for n in (*range(20), 100, 101))
-        everywhere.give(i.PeerMessage(sender, encode(Digest(sender, 1, 0, (), failed))))
+        everywhere.give(i.GossipReceived(sender, encode(Digest(sender, 1, 0, (), failed))))
     everywhere.now += 1000.0
     everywhere.tick()
     for one in (d, everywhere):
@@ -344,7 +344,7 @@
     d.listed([entry(number), *(entry(n) for n in range(20, 40))])
     d.tick()
     d.b.peers.untold.extend([(SAFE, 41, number, 1, 0)] * 9)
-    d.give(i.PeerMessage(1, encode(Digest(1, 1, 41, (), ((number, SAFE),) * 2))))
+    d.give(i.GossipReceived(1, encode(Digest(1, 1, 41, (), ((number, SAFE),) * 2))))
     d.now += 1000.0
     d.tick()
     assert d.b.servers[number].rest_until > d.now
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -124,7 +124,7 @@
 
 def test_a_watch_opened_on_the_news_of_a_failure_is_the_only_one() -> None:
     rig = Held()
-    rig.react = lambda event: rig.discovery.watch(True) if event.kind is i.ListKind.FAILED else None
+    rig.react = lambda event: rig.discovery.watch(True) if event.kind is i.EndpointUpdateKind.FAILED else None
     after_failures(rig, 2)
     rig.run(3_000.0)
     assert len(rig.calls) == 3 and rig.calls[2].protocol.up
@@ -283,7 +283,7 @@
     ("entries", "states", "placed"),
     [
         ([GONE, ELSEWHERE], [READY], [10]),  # back under another build: a log of what changed
-        ([ELSEWHERE, GONE], [i.ServerState.GONE], []),
+        ([ELSEWHERE, GONE], [i.ServerState.REMOVED], []),
         ([DRAINS, GONE, UP, ELSEWHERE], [READY], [10]),
         ([UP, OTHER], [READY, READY], [9, 9]),  # two names at one address are two instances
         ([], [], []),
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -68,7 +68,7 @@
     world = World(fleet, synthesize(fleet, PROFILES["steady"], 90.0, 52.0, 1), 1, scenario)
     result = world.run()
     stands = {(s.build, s.phase) for s in world.platform.history}
-    assert (2, i.Phase.RELEASED) in stands and (3, i.Phase.WITHDRAWN) in stands
+    assert (2, i.Phase.RELEASED) in stands and (3, i.Phase.ROLLED_BACK) in stands
     assert not result.broken, result.breaches[:3]
     assert result.worth_share > 0.98
 
@@ -130,10 +130,10 @@
     """A planted bug: servers that drain or go stay in use."""
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
-        if isinstance(event, i.ServerList):
+        if isinstance(event, i.EndpointUpdate):
             kept = tuple(e for e in event.entries if e.state is i.ServerState.READY)
-            kind = i.ListKind.CHANGES if event.kind is i.ListKind.FULL else event.kind
-            event = i.ServerList(kind, event.version, kept)
+            kind = i.EndpointUpdateKind.INCREMENTAL if event.kind is i.EndpointUpdateKind.FULL else event.kind
+            event = i.EndpointUpdate(kind, event.version, kept)
         return super().handle(now, event)
 
 
--- a/tests/test_emulator_silent.py
+++ b/tests/test_emulator_silent.py
@@ -34,9 +34,9 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # As it was: given up 4 s after the wait, and asked again with the spread of a fleet's calls.
-    def as_failed(b: State, event: i.ServerList) -> None:
-        silent = event.kind is i.ListKind.SILENT
-        servers.take_list(b, i.ServerList(i.ListKind.FAILED, event.version) if silent else event)
+    def as_failed(b: State, event: i.EndpointUpdate) -> None:
+        silent = event.kind is i.EndpointUpdateKind.TIMED_OUT
+        servers.take_list(b, i.EndpointUpdate(i.EndpointUpdateKind.FAILED, event.version) if silent else event)
 
-    monkeypatch.setitem(balancer.HANDLERS, i.ServerList, as_failed)
+    monkeypatch.setitem(balancer.HANDLERS, i.EndpointUpdate, as_failed)
     assert any("drains" in play(4000.0, seed).broken for seed in (1, 2, 3))
--- a/tests/test_emulator_together.py
+++ b/tests/test_emulator_together.py
@@ -47,7 +47,7 @@
     """What earlier lives of a request tried is not looked at."""
 
     def handle(self, now: float, event: Any) -> list[i.Action]:
-        return super().handle(now, changed(event, tried=()) if isinstance(event, i.Request) else event)
+        return super().handle(now, changed(event, prior_attempts=()) if isinstance(event, i.Request) else event)
 
 
 def always_open(*_: Any) -> State:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -67,12 +67,12 @@
     fleet = parse_fleet((EXAMPLES / "three-sites.toml").read_bytes(), "three-sites.toml")
     parse_scenario((EXAMPLES / "hard-day.toml").read_bytes(), "hard-day.toml", fleet)
     told = settings_of(fleet, 2)
-    assert (told.me, told.balancers, told.zone, told.zones) == (
+    assert (told.gateway_index, told.gateway_count, told.zone, told.zones) == (
         2,
         3,
         2,
         ("hobart-cbd", "glenorchy", "kingston"),
     )
-    assert [c.effect for c in told.classes] == [Effect.SAFE, Effect.UNSAFE]
-    assert told.rules.cold_from == 0.5 and told.rollout.caps == (0.17, 0.68, 1.0)
+    assert [c.effect for c in told.classes] == [Effect.IDEMPOTENT, Effect.NON_IDEMPOTENT]
+    assert told.rules.slow_start_initial_fraction == 0.5 and told.rollout.caps == (0.17, 0.68, 1.0)
     assert fleet.capacity() == 4 * 3 + 2 * 3 + 3 * 2 + 5 * 2
--- a/tests/test_full_fleet.py
+++ b/tests/test_full_fleet.py
@@ -11,13 +11,13 @@
 from tests.driver import LIMITS, RULES, SAFE, Driver, entry, sends, settings
 
 GATEWAYS, SERVERS, ZONES = 200, 100, 3
-FLEET = replace(LIMITS, peers=True, idle_ms=30_000.0)
+FLEET = replace(LIMITS, gossip=True, idle_timeout_ms=30_000.0)
 
 
 def gateway(me: int, cold: bool = False) -> Driver:
     """One of many that knows a hundred servers in three zones, the first twenty of them perhaps cold."""
     wanted = settings(limits=FLEET, balancers=GATEWAYS)
-    d = Driver(replace(wanted, me=me, zone=me % ZONES, zones=("a", "b", "c")), seed=me)
+    d = Driver(replace(wanted, gateway_index=me, zone=me % ZONES, zones=("a", "b", "c")), seed=me)
     d.now = 10_000.0
     d.listed(entry(n, started=9_000.0 if cold and n < 20 else 0.0, zone=n % ZONES) for n in range(SERVERS))
     return d
@@ -39,7 +39,7 @@
 def test_few_connections_serve_a_fleet_and_its_servers_get_even_shares() -> None:
     # Each request of 200 gateways went to a server that its gateway had not asked before: a connection each.
     sent = play([gateway(n) for n in range(GATEWAYS)], 15.0)
-    pairs = {(d.b.s.me, server) for d, server in sent}
+    pairs = {(d.b.s.gateway_index, server) for d, server in sent}
     assert len(pairs) < len(sent) / 2
     shares = Counter(server for _, server in sent)
     assert len(shares) == SERVERS and max(shares.values()) < 2 * len(sent) / SERVERS
@@ -59,11 +59,11 @@
     fleet = [gateway(n, cold=True) for n in range(GATEWAYS)]
     play(fleet, 0.5, per_s=8.0)
     sent = play(
-        fleet, RULES.fall_ms / 1000, per_s=8.0
+        fleet, RULES.overload_window_ms / 1000, per_s=8.0
     )  # they have run for 1.5 to 3 s of the 4 that they are cold
     shares, average = Counter(server for _, server in sent), len(sent) / SERVERS
     assert 0 < sum(shares[n] for n in range(20)) / 20 <= 0.7 * average
-    assert max(shares[n] for n in range(20)) <= RULES.fall_multiple * 0.7 * average
+    assert max(shares[n] for n in range(20)) <= RULES.overload_multiple * 0.7 * average
 
 
 def test_a_quiet_fleet_tells_little_and_failures_are_told_at_once() -> None:
@@ -72,12 +72,12 @@
         for send in sends(d.ask(SAFE)):
             d.end(send, result, over=True)
         d.now += 1000.0
-        return sum(isinstance(a, i.TellPeer) for a in d.tick())
+        return sum(isinstance(a, i.SendGossip) for a in d.tick())
 
     fleet = [gateway(n) for n in range(GATEWAYS)]
     for d in fleet:
         d.news(42, 1, 0.5)
-        d.listed([entry(200, 42)], i.ListKind.CHANGES)
+        d.listed([entry(200, 42)], i.EndpointUpdateKind.INCREMENTAL)
     quiet = [sum(told(d, i.Result.OK) for d in fleet) for _ in range(5)]
     assert 0 < sum(quiet) / len(quiet) < 1.5 * TELLERS
     assert sum(told(d, i.Result.ERROR) for d in fleet) > 0.9 * GATEWAYS
@@ -96,7 +96,7 @@
             d.end(send, took=took)
         if rng.random() < 0.1:
             acts, asked = d.ask(SAFE), asked + 1
-            refused += sum(isinstance(act, i.Refuse) for act in acts)
+            refused += sum(isinstance(act, i.Reject) for act in acts)
             took = 1500.0 if rng.random() < 0.05 else rng.expovariate(1 / 300.0)
             out = sorted(
                 [*out, *((d.now + took, asked, took, send) for send in sends(acts))], key=lambda o: o[:2]
--- a/tests/test_instance_links.py
+++ b/tests/test_instance_links.py
@@ -33,7 +33,7 @@
     return wire
 
 
-ORDER = i.RequestClass("order", 200.0, 400.0, i.Effect.KEYED, window_ms=100.0)
+ORDER = i.RequestClass("order", 200.0, 400.0, i.Effect.IDEMPOTENT_WITH_KEY, deduplication_window_ms=100.0)
 
 
 def up(bench: Bench) -> Any:
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -230,7 +230,7 @@
         m.unpack_plan(b'{"version": 1}')
 
 
-SETTINGS = dataclasses.replace(plain_settings(PLAN, 2), me=0)
+SETTINGS = dataclasses.replace(plain_settings(PLAN, 2), gateway_index=0)
 CAPACITY = {"MEADOWPULLEY_LENDING_CAPACITY": "100"}
 
 
@@ -281,16 +281,16 @@
 def test_the_stage_refuses_at_once_with_when_to_come_back_and_counts_each_once() -> None:
     one = stage()
     acts = [one.handle(1000.0, request(n)) for n in range(60)]
-    refused = [act for turn in acts for act in turn if isinstance(act, i.Refuse)]
+    refused = [act for turn in acts for act in turn if isinstance(act, i.Reject)]
     assert 40 <= len(refused) < 60 and all(0 < r.retry_after_ms <= 10_000.0 for r in refused)
     assert refused[0].retry_after_ms < refused[5].retry_after_ms
-    ran = i.Tried(1, 1, 0, 0, 0.0)
+    ran = i.PriorAttempt(1, 1, 0, 0, 0.0)
     before, tokens = one.demand.noted(0), one.holder.tokens
     assert one.handle(1000.0, request(99, adopted=True, tries=1, tried=(ran,))) == []
     assert one.holder.tokens == tokens  # it was admitted, and counted, where it was taken first
     one.handle(1000.0, request(100, repeat=True))
     assert one.demand.noted(0) == before  # a client's repeat is no further demand
-    assert any(isinstance(a, i.Refuse) for a in one.handle(1000.0, request(101, adopted=True)))
+    assert any(isinstance(a, i.Reject) for a in one.handle(1000.0, request(101, adopted=True)))
 
 
 def test_a_sealed_gateway_has_its_floor_alone_and_one_that_leaves_nothing() -> None:
@@ -299,7 +299,7 @@
     one.handle(1000.0, Ended())
     assert one.holder.rate == 2.0
     one.leave(2000.0)
-    assert any(isinstance(act, i.Refuse) for act in one.handle(5000.0, request(1)))
+    assert any(isinstance(act, i.Reject) for act in one.handle(5000.0, request(1)))
     assert one.handle(5001.0, request(2, adopted=True, tries=1)) == []
 
 
@@ -313,7 +313,7 @@
 @pytest.mark.parametrize(
     "event",
     [
-        i.RequestGone(7),
+        i.ClientDisconnected(7),
         i.Timer(1),
         Committed(1, (Done(How.WON),), "takeover"),
         i.Outcome(1, 1, 1, i.Result.OK, 1, True),
--- a/tests/test_mixed_classes.py
+++ b/tests/test_mixed_classes.py
@@ -9,8 +9,8 @@
 from meadowpulley import interface as i
 from tests.driver import LIMITS, Driver, fleet, sends, settings
 
-BRIEF = i.RequestClass("pos-1hz", 45.0, 90.0, i.Effect.SAFE)
-LONG = i.RequestClass("shift", 4000.0, 8000.0, i.Effect.SAFE)
+BRIEF = i.RequestClass("pos-1hz", 45.0, 90.0, i.Effect.IDEMPOTENT)
+LONG = i.RequestClass("shift", 4000.0, 8000.0, i.Effect.IDEMPOTENT)
 BOTH = (BRIEF, LONG)
 
 
@@ -22,7 +22,7 @@
     fleet(d)
     actions = d.ask(cls, left=BOTH[cls].deadline_ms)
     if probes:
-        assert not [a for a in actions if isinstance(a, i.Refuse | i.Fail)]
+        assert not [a for a in actions if isinstance(a, i.Reject | i.Fail)]
         [asked, _] = [a.server for a in actions if isinstance(a, i.Probe)]
         d.now += 1.0
         actions = d.give(i.ProbeResult(asked, i.Result.OK, 1.0))
@@ -35,7 +35,7 @@
     d = Driver(settings(classes=BOTH))
     fleet(d, count=1)
     assert sends(d.ask(cls, left=BOTH[cls].deadline_ms))
-    d.now += 2 * BRIEF.aim_ms
+    d.now += 2 * BRIEF.latency_objective_ms
     d.tick()
     assert bool(sends(d.ask(0, left=BRIEF.deadline_ms))) is not rests
 
@@ -46,7 +46,7 @@
     d.tick()
     [timer] = [a for a in d.ask(0, left=BRIEF.deadline_ms) if isinstance(a, i.SetTimer)]
     d.now += timer.delay_ms
-    assert d.now < BRIEF.aim_ms / 2 and len(sends(d.tick())) == 1  # without the answers to its probes
+    assert d.now < BRIEF.latency_objective_ms / 2 and len(sends(d.tick())) == 1  # without the answers to its probes
 
 
 @pytest.mark.parametrize("left", [30.0, 64.0])
--- a/tests/test_net_hooks.py
+++ b/tests/test_net_hooks.py
@@ -102,7 +102,7 @@
         return str(self.gateway.phase.value)
 
     def kinds(self) -> list[str]:
-        return [type(e).__name__ for e in self.told.events if isinstance(e, i.Request | i.RequestGone)]
+        return [type(e).__name__ for e in self.told.events if isinstance(e, i.Request | i.ClientDisconnected)]
 
 
 def test_a_request_is_shown_whole_before_the_decisions_hear_of_it() -> None:
@@ -111,7 +111,7 @@
     (asked,) = hook.asks
     told = (asked.name, asked.message.method, asked.message.target, asked.message.body, asked.open)
     assert told == ("r1", "POST", "/pay?n=1", b"hello", False)
-    assert asked.message.headers[names.TENANT] == "t" and asked.event.cls == 1 and asked.event.write
+    assert asked.message.headers[names.TENANT] == "t" and asked.event.class_index == 1 and asked.event.write
     assert asked.event.deadline_ms == asked.arrived_ms + 400.0 and bench.told.events[-1] is asked.event
     bench.answer()
     assert b" 200 " in client.sent and hook.shown[0].body == b"r1"
@@ -165,10 +165,10 @@
 
 def test_a_request_put_in_runs_as_any_other_and_a_draining_gateway_ends_after_it() -> None:
     bench, done = Bench(Fake()), list[Answer]()
-    tried = (i.Tried(5, 41, 0, 0, 0.0),)
+    tried = (i.PriorAttempt(5, 41, 0, 0, 0.0),)
     bench.put_in("lost", done.append, tries=1, tried=tried, arm=2)
     event = next(e for e in bench.told.events if isinstance(e, i.Request))
-    assert event.adopted and (event.tries, event.tried, event.arm) == (1, tried, 2)
+    assert event.adopted and (event.prior_attempt_count, event.prior_attempts, event.arm) == (1, tried, 2)
     bench.gateway.drain()
     bench.wait(1000.0)
     assert bench.phase == "draining" and b"lost" in bench.instance.sent
--- a/tests/test_placement_stage.py
+++ b/tests/test_placement_stage.py
@@ -138,11 +138,11 @@
     for n in range(5):
         g.take(0.0, n)
     g.serve(30.0, 0)
-    g.inner.answers = [i.Refuse(1, 100.0)]
+    g.inner.answers = [i.Reject(1, 100.0)]
     g.tell(31.0, i.Timer(1))
     g.inner.answers = [i.Fail(2)]
     g.tell(32.0, i.Outcome(2, 0, 1, i.Result.RESET, 32.0, False))
-    g.tell(33.0, i.RequestGone(3))
+    g.tell(33.0, i.ClientDisconnected(3))
     g.serve(40.0, 0)  # a second answer counts for nothing
     g.look(50.0)
     arm = g.summary().arms[0]
@@ -183,9 +183,9 @@
     assert g.take(0.0, 1).arm == 0
     g.learn(1.0)
     assert g.take(2.0, 2).arm
-    g.tell(3.0, i.BuildNews(2, 1, i.Phase.GOING_BACK, 0.0, 0.0))
+    g.tell(3.0, i.RolloutUpdate(2, 1, i.Phase.ROLLING_BACK, 0.0, 0.0))
     assert g.take(4.0, 3).arm == 0
-    g.tell(5.0, i.BuildNews(2, 1, i.Phase.WITHDRAWN, 0.0, 0.0))
+    g.tell(5.0, i.RolloutUpdate(2, 1, i.Phase.ROLLED_BACK, 0.0, 0.0))
     assert g.take(6.0, 4).arm
     g.look(10.0)
     assert (g.summary().held, g.summary().requests) == (2, 2)
@@ -319,7 +319,7 @@
 
 def test_who_adopts_a_request_that_was_in_no_arm_does_not_count_it() -> None:
     a = began()
-    a.tell(1.0, i.BuildNews(2, 1, i.Phase.GOING_BACK, 0.0, 0.0))
+    a.tell(1.0, i.RolloutUpdate(2, 1, i.Phase.ROLLING_BACK, 0.0, 0.0))
     assert a.take(2.0, 1).arm == 0
     a.look(3.0)
     a.kill()
