--- a/tests/test_placements_hook.py
+++ b/tests/test_placements_hook.py
@@ -51,7 +51,7 @@
 
 
 def _drains(d: Driver) -> None:
-    d.listed([entry(4, state=i.ServerState.DRAINING)], i.ListKind.CHANGES)
+    d.listed([entry(4, state=i.ServerState.DRAINING)], i.EndpointUpdateKind.INCREMENTAL)
 
 
 def _is_gone(d: Driver) -> None:
@@ -59,7 +59,7 @@
 
 
 def _is_cold(d: Driver) -> None:
-    d.listed([entry(4, started=d.now)], i.ListKind.CHANGES)
+    d.listed([entry(4, started=d.now)], i.EndpointUpdateKind.INCREMENTAL)
     while sends(d.ask(SAFE)):
         if d.b.servers[4].slot >= 0 and d.b.servers[4].left < 1:
             return
@@ -73,7 +73,7 @@
 
 
 def _is_on_trial(d: Driver) -> None:  # and the request's key, the cap being 0, may not go there
-    d.listed([entry(4, 42, 1.0)], i.ListKind.CHANGES)
+    d.listed([entry(4, 42, 1.0)], i.EndpointUpdateKind.INCREMENTAL)
     d.news(42, 0, 0.0)
 
 
@@ -92,8 +92,8 @@
     answers: list[i.Action] = []
     while d.b.held:
         d.now += 50.0
-        answers += [a for a in d.tick() if isinstance(a, i.Refuse | i.Send)]
-    assert answers == [i.Refuse(1, 500.0)]
+        answers += [a for a in d.tick() if isinstance(a, i.Reject | i.Send)]
+    assert answers == [i.Reject(1, 500.0)]
 
 
 def test_a_further_attempt_goes_to_a_server_that_was_not_tried() -> None:
@@ -129,7 +129,7 @@
     part = []
     for arm in (0, 1):
         trial = 0
-        d = gateway(never, highest, s=settings(rollout=replace(ROLLOUT, exposure_free=1e9)))
+        d = gateway(never, highest, s=settings(rollout=replace(ROLLOUT, exposure_allowance=1e9)))
         d.listed([*(entry(n) for n in range(5)), *(entry(n, 42, 1.0) for n in range(10, 15))])
         d.news(42, 1, 0.5)
         for _ in range(2000):
@@ -143,7 +143,7 @@
 
 @pytest.mark.parametrize(("resting", "asked"), [((14,), {13}), ((13, 14), set())])
 def test_of_the_trial_build_no_more_than_two_are_looked_at(resting: tuple[int, ...], asked: set[int]) -> None:
-    d = gateway(never, highest, s=settings(rollout=replace(ROLLOUT, exposure_free=1e9)))
+    d = gateway(never, highest, s=settings(rollout=replace(ROLLOUT, exposure_allowance=1e9)))
     d.listed([*(entry(n) for n in range(5)), *(entry(n, 42, 1.0) for n in range(10, 15))])
     d.news(42, 1, 0.5)
     for n in resting:
--- a/tests/test_platform_races.py
+++ b/tests/test_platform_races.py
@@ -15,7 +15,7 @@
 from tests.test_discovery import Held
 from tests.test_silent_watch import Wire
 
-VOTE = i.Vote(42, 0, i.Verdict.ON)
+VOTE = i.Vote(42, 0, i.Verdict.ADVANCE)
 LATER = TRIAL | {"tranche": 1, "exposure": 0.1}
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,7 +9,7 @@
 from meadowpulley import interface as i
 from tests.driver import CLASSES, KEYED, LIMITS, SAFE, UNSAFE, Driver, entry, fleet, sends, settings
 
-ONE_MORE = (i.Result.FULL, i.Result.CONNECT_FAILED)
+ONE_MORE = (i.Result.REJECTED, i.Result.CONNECT_FAILED)
 
 
 # No request is lost
@@ -22,15 +22,15 @@
     answers: list[i.Action] = []
     while d.now < 400.0:
         d.now += 50.0
-        answers += [a for a in d.tick() if isinstance(a, i.Refuse | i.Fail)]
-    assert answers == [i.Refuse(1, 500.0)]
+        answers += [a for a in d.tick() if isinstance(a, i.Reject | i.Fail)]
+    assert answers == [i.Reject(1, 500.0)]
 
 
 def test_a_request_with_hardly_any_time_left_is_answered_at_once() -> None:
     # A request that waited past its deadline for the next tick was lost on an overloaded day.
     d = Driver()
     d.listed([])
-    assert [a for a in d.ask(SAFE, left=60.0) if isinstance(a, i.Refuse)] == [i.Refuse(1, 500.0)]
+    assert [a for a in d.ask(SAFE, left=60.0) if isinstance(a, i.Reject)] == [i.Reject(1, 500.0)]
 
 
 def test_a_timeout_at_the_deadline_is_answered_and_never_sent_again() -> None:
@@ -39,14 +39,14 @@
     [send] = sends(d.ask(UNSAFE))
     d.now = 2000.0
     assert d.end(send, i.Result.TIMEOUT, 2000.0) == [i.Fail(1)]
-    assert not d.give(i.RequestGone(1))
+    assert not d.give(i.ClientDisconnected(1))
 
 
 def test_outcomes_after_the_end_change_nothing() -> None:
     d = Driver()
     fleet(d)
     [send] = sends(d.ask(SAFE))
-    d.give(i.RequestGone(1))
+    d.give(i.ClientDisconnected(1))
     assert d.end(send, i.Result.CANCELLED, over=True) == []
     assert d.end(send, i.Result.OK) == []
 
@@ -89,7 +89,7 @@
 
 
 def test_a_keyed_request_stays_in_its_group_and_is_not_refused_outside_all() -> None:
-    keyed = replace(CLASSES[KEYED], group=i.Group.CELL)
+    keyed = replace(CLASSES[KEYED], deduplication_scope=i.DeduplicationScope.CELL)
     d = Driver(settings(classes=(*CLASSES[:2], keyed)))
     d.listed([entry(1, cell=1), entry(2, cell=2)])
     [send] = sends(d.ask(KEYED))
@@ -102,7 +102,7 @@
     d = Driver(settings(limits=replace(LIMITS, max_attempts=1)))
     fleet(d)
     [send] = sends(d.ask(SAFE))
-    assert not sends(d.end(send, i.Result.FULL))
+    assert not sends(d.end(send, i.Result.REJECTED))
 
 
 # Drains are kept
@@ -111,7 +111,7 @@
 def test_nothing_goes_to_a_draining_or_gone_server() -> None:
     d = Driver()
     d.listed([entry(1), entry(2), entry(3)])
-    d.listed([entry(1, state=i.ServerState.DRAINING), entry(2, state=i.ServerState.GONE)], i.ListKind.CHANGES)
+    d.listed([entry(1, state=i.ServerState.DRAINING), entry(2, state=i.ServerState.REMOVED)], i.EndpointUpdateKind.INCREMENTAL)
     assert {s.server for _ in range(30) for s in sends(d.ask(SAFE))} <= {3}
 
 
@@ -119,19 +119,19 @@
     d = Driver()
     fleet(d, 3)
     d.listed([entry(2)])
-    d.listed([], i.ListKind.FAILED)
+    d.listed([], i.EndpointUpdateKind.FAILED)
     assert {s.server for _ in range(20) for s in sends(d.ask(SAFE))} == {2}
 
 
 def test_the_list_is_asked_for_and_asked_again_after_a_failure() -> None:
     d = Driver(settings(must_ask=True))
-    d.listed([entry(1)], i.ListKind.CACHED)
+    d.listed([entry(1)], i.EndpointUpdateKind.CACHED)
     assert i.Watch() in d.tick()
     d.listed([entry(1)])
     d.now = 20_000.0
     assert i.Watch() not in d.tick()
     for n in range(3):  # at once after the first failure, then slower
-        d.listed([], i.ListKind.FAILED)
+        d.listed([], i.EndpointUpdateKind.FAILED)
         assert (i.Watch() in d.tick()) == (n == 0)
         d.now += 5_000.0
         assert (i.Watch() in d.tick()) == (n > 0)
--- a/tests/test_rules_checker.py
+++ b/tests/test_rules_checker.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from meadowpulley.interface import Effect, Group
+from meadowpulley.interface import Effect, DeduplicationScope
 from meadowpulley.rules import (
     Answered,
     Checker,
@@ -33,9 +33,9 @@
 SAFE, UNSAFE, KEYED = 0, 1, 2
 FIGURES = Figures(
     classes=(
-        ClassRules(Effect.SAFE, Group.ALL, 0.0),
-        ClassRules(Effect.UNSAFE, Group.ALL, 0.0),
-        ClassRules(Effect.KEYED, Group.CELL, 1000.0),
+        ClassRules(Effect.IDEMPOTENT, DeduplicationScope.ALL, 0.0),
+        ClassRules(Effect.NON_IDEMPOTENT, DeduplicationScope.ALL, 0.0),
+        ClassRules(Effect.IDEMPOTENT_WITH_KEY, DeduplicationScope.CELL, 1000.0),
     ),
     drain_grace_ms=2000.0, answer_slack_ms=20.0, window_ms=6000.0, free=2.0, first_cap=0.1, per_class=False,
     guarded_stages=0, one_way=True,
--- a/tests/test_rules_exposure.py
+++ b/tests/test_rules_exposure.py
@@ -11,7 +11,7 @@
 from meadowpulley.records import FRINGE_MS
 from tests.driver import ROLLOUT, SAFE, UNSAFE, Driver, entry, fleet, sends, settings
 
-ONE_MORE = (i.Result.FULL, i.Result.CONNECT_FAILED)
+ONE_MORE = (i.Result.REJECTED, i.Result.CONNECT_FAILED)
 
 
 # Exposure stays within the cap
@@ -63,7 +63,7 @@
     mixed(d)
     d.news(42, 1, 0.5)
     assert exposed(d, 100, 42)
-    d.news(42, 1, 0.0, i.Phase.GOING_BACK)
+    d.news(42, 1, 0.0, i.Phase.ROLLING_BACK)
     assert not exposed(d, 100, 42)
 
 
@@ -88,7 +88,7 @@
 
 
 def test_a_key_answered_by_the_trial_build_goes_to_no_earlier_one_until_it_goes_back() -> None:
-    d = Driver(settings(rollout=replace(ROLLOUT, one_way=True)))
+    d = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     mixed(d)
     d.news(42, 1, 0.5)
     key = 0
@@ -103,14 +103,14 @@
         for send in sends(d.ask(SAFE, key=key)):
             assert d.b.servers[send.server].build == 42
             d.end(send)
-    d.news(42, 1, 0.0, i.Phase.GOING_BACK)
+    d.news(42, 1, 0.0, i.Phase.ROLLING_BACK)
     [send] = sends(d.ask(SAFE, key=key))
     assert d.b.servers[send.server].build == 41
 
 
 def test_a_key_answered_by_a_released_build_is_bound_too() -> None:
     # Found on a busy day: the key was noted only while the build was on trial.
-    d = Driver(settings(rollout=replace(ROLLOUT, one_way=True)))
+    d = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     d.listed([entry(10, 42)])
     d.news(42, 2, 1.0, i.Phase.RELEASED)
     [send] = sends(d.ask(SAFE, key=5))
@@ -123,7 +123,7 @@
 @pytest.mark.parametrize("result", [i.Result.RESET, i.Result.TIMEOUT, i.Result.CANCELLED])
 def test_a_key_that_the_trial_build_may_have_answered_is_bound_too(result: i.Result) -> None:
     # Found on a day of spoilt answers: one that can't be read, or comes late, counts as an answer.
-    d = Driver(settings(rollout=replace(ROLLOUT, one_way=True)))
+    d = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     d.listed([entry(10, 42)])
     d.news(42, 1, 1.0)
     [send] = sends(d.ask(SAFE, key=5))
@@ -133,9 +133,9 @@
     [send] = sends(d.ask(SAFE, key=6))
 
 
-@pytest.mark.parametrize("result", [i.Result.ERROR, i.Result.FULL, i.Result.CONNECT_FAILED])
+@pytest.mark.parametrize("result", [i.Result.ERROR, i.Result.REJECTED, i.Result.CONNECT_FAILED])
 def test_a_key_that_the_trial_build_did_not_answer_is_free(result: i.Result) -> None:
-    d = Driver(settings(rollout=replace(ROLLOUT, one_way=True)))
+    d = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     d.listed([entry(10, 42)])
     d.news(42, 1, 1.0)
     [send] = sends(d.ask(SAFE, key=5))
@@ -146,14 +146,14 @@
 
 def test_keys_of_a_build_that_was_taken_off_are_free_when_the_next_comes() -> None:
     # They stayed bound to later builds than the one in service: nothing but the next trial could serve them.
-    d = Driver(settings(rollout=replace(ROLLOUT, one_way=True)))
+    d = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     d.listed([entry(10, 42)])
     d.news(42, 1, 1.0)
     [send] = sends(d.ask(SAFE, key=5))
     d.end(send)
     d.listed([entry(1, 41)])
     assert not sends(d.ask(SAFE, key=5))
-    d.news(42, 1, 0.0, i.Phase.WITHDRAWN)
+    d.news(42, 1, 0.0, i.Phase.ROLLED_BACK)
     assert sends(d.ask(SAFE, key=5))
     d.news(43, 0, 0.0)
     assert sends(d.ask(SAFE, key=5))
@@ -161,7 +161,7 @@
 
 def test_a_key_whose_request_is_out_at_the_trial_build_is_bound_already() -> None:
     # Found on a day of silent networks: the answer was written but never came: no note was made yet.
-    d = Driver(settings(rollout=replace(ROLLOUT, one_way=True)))
+    d = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     d.listed([entry(10, 42)])
     d.news(42, 1, 1.0)
     [send] = sends(d.ask(SAFE, key=5))
@@ -173,7 +173,7 @@
 
 def test_what_a_build_answered_before_its_first_news_stays_noted() -> None:
     # Found on a long day with late news: the list names a build first, and the news of it cleared its keys.
-    d = Driver(settings(rollout=replace(ROLLOUT, one_way=True)))
+    d = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     d.news(42, 0, 0.1)
     d.listed([entry(10, 43)])
     [send] = sends(d.ask(SAFE, key=5))
@@ -185,7 +185,7 @@
 
 def test_notes_of_keys_windows_and_builds_are_bounded_whatever_comes() -> None:
     # Keys are always new: the notes of a released build grew with every request, for good.
-    d = Driver(settings(rollout=replace(ROLLOUT, one_way=True)))
+    d = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     for build in range(42, 47):
         d.listed([entry(10, build, d.now + 1)])
         d.news(build, 2, 1.0)
@@ -211,15 +211,15 @@
 
 def test_news_and_tallies_of_strange_builds_and_votes_never_sent() -> None:
     d = Driver(told=False)
-    d.give(i.Tally(99, 0, 0, 0, 0.0, 0.0))
-    d.give(i.Tally(42, 0, 10, 10, 50.0, 0.0))
-    d.give(i.BuildNews(42, 0, i.Phase.TRIAL, 0.1, 0.0, i.Result.MOOT, True))
+    d.give(i.BuildStatistics(99, 0, 0, 0, 0.0, 0.0))
+    d.give(i.BuildStatistics(42, 0, 10, 10, 50.0, 0.0))
+    d.give(i.RolloutUpdate(42, 0, i.Phase.TRIAL, 0.1, 0.0, i.Result.NOT_SENT, True))
     assert d.b.told is None
     d.news(42)
     d.news(40, 2, 1.0, i.Phase.RELEASED)
     assert d.b.best is not None and d.b.best.build == 42
-    d.give(i.PeerMessage(3, b"?"))
-    d.give(i.WrongAnswer(77, 0, 5.0))
+    d.give(i.GossipReceived(3, b"?"))
+    d.give(i.IncorrectResponse(77, 0, 5.0))
     d.give(i.ProbeResult(77, i.Result.OK, 1.0))
     d.give(i.Timer(12345))
     d.tick()
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -54,7 +54,7 @@
         for send in sends(d.ask(SAFE)):
             d.end(send, i.Result.ERROR if n % 3 == 0 else i.Result.OK, 100.0, over=True)
         found += votes(d.tick())
-    assert i.Verdict.BACK not in {v.verdict for v in found}
+    assert i.Verdict.ROLL_BACK not in {v.verdict for v in found}
 
 
 def test_quick_errors_do_not_overtake_the_good_answers_sent_with_them() -> None:
@@ -67,7 +67,7 @@
         for send in sends(d.ask(SAFE)):
             d.end(send, took=200.0)
     d.news(42, 1, 0.5)
-    d.listed([entry(10, 42)], i.ListKind.CHANGES)
+    d.listed([entry(10, 42)], i.EndpointUpdateKind.INCREMENTAL)
     for _ in range(4):
         for send in sends(d.ask(SAFE)):
             d.end(send, i.Result.ERROR, 2.0, over=True)
@@ -106,8 +106,8 @@
 def test_votes_of_hundreds_are_spread_over_what_the_platform_takes() -> None:
     at = []
     for me in (0, MANY // 2, MANY - 1):
-        rollout = replace(ROLLOUT, gate=i.Gate.SHARE, votes_per_s=100.0)
-        s = replace(settings(rollout=rollout, balancers=MANY), me=me)
+        rollout = replace(ROLLOUT, gate=i.StageGate.SHARE, votes_per_s=100.0)
+        s = replace(settings(rollout=rollout, balancers=MANY), gateway_index=me)
         d = Driver(s)
         d.listed([entry(0), entry(1, 42, 1.0)])
         d.news(42, 1, 0.5)
@@ -118,12 +118,12 @@
 
 
 def test_a_vote_refused_as_too_many_waits_a_while_before_the_next() -> None:
-    d = Driver(settings(rollout=replace(ROLLOUT, gate=i.Gate.SHARE), balancers=MANY))
+    d = Driver(settings(rollout=replace(ROLLOUT, gate=i.StageGate.SHARE), balancers=MANY))
     d.listed([entry(0), entry(1, 42, 1.0)])
     d.news(42, 1, 0.5)
     while not votes(d.tick()):
         d.now += 50.0
-    d.give(i.BuildNews(42, 0, i.Phase.TRIAL, 0.0, 0.0, i.Result.FULL, True))
+    d.give(i.RolloutUpdate(42, 0, i.Phase.TRIAL, 0.0, 0.0, i.Result.REJECTED, True))
     assert d.b.ballot.after > d.now
     while not votes(d.tick()):
         d.now += 50.0
@@ -135,18 +135,18 @@
     d = Driver(settings(balancers=MANY))
     d.listed([entry(0), entry(1)])
     for data in (b"", b"\x00" * 7, b"\xff" * 256, b"x" * 10_000):
-        assert d.give(i.PeerMessage(7, data)) == []
+        assert d.give(i.GossipReceived(7, data)) == []
     d.give(i.ProbeResult(0, i.Result.OK, 1.0, load))
     [send] = sends(d.ask(SAFE))
     d.give(i.Outcome(send.request, 0, send.server, i.Result.OK, 50.0, True, load))
-    d.give(i.Tally(41, SAFE, 0, 0, 0.0, 1e9))
-    d.give(i.Tally(41, SAFE, 10, 0, 0.0, 0.0))
-    d.give(i.Tally(41, SAFE, 10, 0, 0.0, 0.0))
+    d.give(i.BuildStatistics(41, SAFE, 0, 0, 0.0, 1e9))
+    d.give(i.BuildStatistics(41, SAFE, 10, 0, 0.0, 0.0))
+    d.give(i.BuildStatistics(41, SAFE, 10, 0, 0.0, 0.0))
     d.now += 3_600_000.0
     d.tick()
-    d.listed([entry(0, state=i.ServerState.GONE), entry(1, state=i.ServerState.GONE)], i.ListKind.CHANGES)
+    d.listed([entry(0, state=i.ServerState.REMOVED), entry(1, state=i.ServerState.REMOVED)], i.EndpointUpdateKind.INCREMENTAL)
     assert not sends(d.ask(SAFE))
-    d.give(i.BuildNews(39, 0, i.Phase.WITHDRAWN, 0.0, 0.0, i.Result.OK, True))
+    d.give(i.RolloutUpdate(39, 0, i.Phase.ROLLED_BACK, 0.0, 0.0, i.Result.OK, True))
     assert d.b.best is not None and d.b.best.build == 41
 
 
@@ -180,14 +180,14 @@
     asked: list[float] = []
     for seed in range(balancers):
         d = Driver(settings(must_ask=True, balancers=balancers), seed=seed)
-        d.listed([entry(n) for n in range(4)], i.ListKind.CACHED)
+        d.listed([entry(n) for n in range(4)], i.EndpointUpdateKind.CACHED)
         while d.now < last:
             d.now += 50.0
             if any(isinstance(a, i.Watch) for a in d.tick()):
                 asked.append(d.now)
                 failed = d.now < failing_until
                 d.now += 50.0
-                d.listed([], i.ListKind.FAILED if failed else i.ListKind.CHANGES)
+                d.listed([], i.EndpointUpdateKind.FAILED if failed else i.EndpointUpdateKind.INCREMENTAL)
                 if not failed:
                     break
     return asked
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -80,7 +80,7 @@
         d.tick()
     held = [s for _ in range(40) for s in sends(d.ask(SAFE))]
     assert len(held) < 40
-    refused = [a for _ in range(20) for a in d.ask(SAFE) if isinstance(a, i.Refuse)]
+    refused = [a for _ in range(20) for a in d.ask(SAFE) if isinstance(a, i.Reject)]
     assert len(refused) > 15 and {a.retry_after_ms for a in refused} == {500.0}
 
 
@@ -93,7 +93,7 @@
         todo = sends(d.ask(SAFE))
         while todo:
             tries += 1
-            todo = sends(d.end(todo[0], i.Result.FULL, 1.0))
+            todo = sends(d.end(todo[0], i.Result.REJECTED, 1.0))
     assert 100 < tries <= 200 * 1.1 + 2
 
 
@@ -184,7 +184,7 @@
 
 def test_where_no_machine_is_ever_cold_a_server_that_just_started_is_sent_to() -> None:
     # Rules with a span for cold servers and no cold time: each request divided by 0.
-    d = Driver(replace(settings(), rules=replace(RULES, cold_from=1.0, cold_ms=0.0)))
+    d = Driver(replace(settings(), rules=replace(RULES, slow_start_initial_fraction=1.0, slow_start_ms=0.0)))
     d.now = 1000.0
     d.listed([entry(0, started=d.now)])
     assert len(sends(d.ask(SAFE))) == 1
--- a/tests/test_silent_watch.py
+++ b/tests/test_silent_watch.py
@@ -70,12 +70,12 @@
         return float(self.reactor.seconds()) * 1000.0
 
     def tell(self, event: i.Event) -> None:
-        if isinstance(event, i.ServerList):
+        if isinstance(event, i.EndpointUpdate):
             self.told.append((self.now, event.version))
         self.driver.now = self.now
         for action in self.driver.give(event):
             if isinstance(action, i.Watch):
-                self.discovery.watch(action.on)
+                self.discovery.watch(action.enabled)
             elif isinstance(action, i.SetTimer):
                 timer = i.Timer(action.token)
                 self.gateway.deadlines.after(action.delay_ms, lambda timer=timer: self.tell(timer))
@@ -130,7 +130,7 @@
     rig = Rig(must_ask)
     rig.silent_from = answers
     if must_ask:
-        rig.tell(i.ServerList(i.ListKind.CACHED, 0, (entry(1),)))
+        rig.tell(i.EndpointUpdate(i.EndpointUpdateKind.CACHED, 0, (entry(1),)))
     else:
         rig.discovery.start()
     for _ in range(500):  # till the call that falls silent
@@ -150,7 +150,7 @@
 @pytest.mark.parametrize("step", ["moved", "outage"])
 def test_the_first_watch_after_sighup_or_an_outage_may_fall_silent(must_ask: bool, step: str) -> None:
     rig = Rig(must_ask)
-    rig.tell(i.ServerList(i.ListKind.CACHED, 0, (entry(1),)))
+    rig.tell(i.EndpointUpdate(i.EndpointUpdateKind.CACHED, 0, (entry(1),)))
     if not must_ask:
         rig.discovery.start()
     while len(rig.asked) < 2:  # the list has come, and the watch is open
@@ -172,11 +172,11 @@
 
 def test_calls_that_fail_at_all_gateways_are_still_spread() -> None:
     # The other half: only silence, which each finds at its own time, is answered at once.
-    def pause(kind: i.ListKind, seed: int) -> float:
+    def pause(kind: i.EndpointUpdateKind, seed: int) -> float:
         d = Driver(settings(must_ask=True, balancers=200), seed=seed)
         d.listed([entry(1)])
         d.listed([], kind)
         return d.b.ask_again_at - d.now
 
-    assert {pause(i.ListKind.SILENT, seed) for seed in range(5)} == {0.0}
-    assert max(pause(i.ListKind.FAILED, seed) for seed in range(20)) > 1_000.0
+    assert {pause(i.EndpointUpdateKind.TIMED_OUT, seed) for seed in range(5)} == {0.0}
+    assert max(pause(i.EndpointUpdateKind.FAILED, seed) for seed in range(20)) > 1_000.0
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -73,7 +73,7 @@
 
 def test_what_was_refused_never_ran_and_may_be_asked_anew() -> None:
     fleet = Fleet()
-    fleet.answers = [i.Result.FULL] * 3 + [i.Result.OK]
+    fleet.answers = [i.Result.REJECTED] * 3 + [i.Result.OK]
     fleet["a"].ask("n", PAY)
     fleet.go(200)
     fleet["b"].ask("n", PAY)
@@ -84,7 +84,7 @@
 # By class: how the first attempts end; where a dies: before its n-th action of a kind, or with its attempt
 # out, or with none chosen; what clients that ask again at b and c get; how often it ran; and of each adoption
 # what is proven to the decisions: attempts used, and those that may have run.
-OK, FULL = i.Result.OK, i.Result.FULL
+OK, FULL = i.Result.OK, i.Result.REJECTED
 LOSSES: dict[str, tuple[int, list[i.Result], tuple[type, int] | str, str, int, list[tuple[int, int]]]] = {
     "unsafe, no right taken": (PAY, [OK], "waits", "200 run 1", 1, [(0, 0)]),
     "unsafe, right taken, not sent": (PAY, [OK], (i.Send, 0), "Fail", 0, []),
@@ -126,8 +126,8 @@
     fleet.go(3500)
     assert (fleet.said("n"), fleet.ran["n"]) == ([said] * 2, runs)
     told = [r for name in "bc" for r in fleet[name].decisions.seen if r.adopted]
-    assert [(r.tries, len(r.tried)) for r in told] == proven
-    assert all(t.build == 7 and t.server == 1 for r in told for t in r.tried)
+    assert [(r.prior_attempt_count, len(r.prior_attempts)) for r in told] == proven
+    assert all(t.build == 7 and t.server == 1 for r in told for t in r.prior_attempts)
 
 
 def test_a_keyed_request_is_not_repeated_outside_its_window() -> None:
