--- a/benchmarks/check_growth.py
+++ b/benchmarks/check_growth.py
@@ -37,13 +37,17 @@
     print("| configuration | states | steps taken | depth | seconds | states/s | covered | ratio |")
     print("| --- | --- | --- | --- | --- | --- | --- | --- |")
     for gateways, servers, requests in SIZES:
-        setting = Setting(scene="attempts", gateways=gateways, servers=servers, requests=requests, troubles=0,
-                          waits=1)  # fmt: skip
+        setting = Setting(
+            scene="attempts", gateways=gateways, servers=servers, requests=requests, troubles=0, waits=1
+        )
         print(row(f"{setting.size}, 0 troubles, 1 wait", play(setting, budget_s)), flush=True)
     whole = play(REDUCED, budget_s)
     print(row("all reductions", whole, "1.00"))
-    for name, off in (("no symmetry", {"symmetry": False}), ("no order of gateways", {"ordered": False}),
-                      ("neither", {"symmetry": False, "ordered": False})):  # fmt: skip
+    for name, off in (
+        ("no symmetry", {"symmetry": False}),
+        ("no order of gateways", {"ordered": False}),
+        ("neither", {"symmetry": False, "ordered": False}),
+    ):
         found = play(replace(REDUCED, **off), budget_s)
         print(row(name, found, f"{found.states / whole.states:.2f}"), flush=True)
 
--- a/benchmarks/fleet_sums.py
+++ b/benchmarks/fleet_sums.py
@@ -14,11 +14,11 @@
 
 from msgspec.structs import replace
 
-from meadowpulley import interface as i
 from meadowpulley.balance import LIST_EACH_MS
 from meadowpulley.cli.demo import demo_fleet
 from meadowpulley.emulator import Build, Fault, Release, Scenario, World
 from meadowpulley.fleet import Fleet
+from meadowpulley.interface import SendGossip, Vote
 from meadowpulley.load import PROFILES, synthesize
 from meadowpulley.rules import Listed, Record, Sent
 
@@ -98,11 +98,11 @@
             self.count("connections opened")
         super().travel(gateway, attempt, fresh)
 
-    def datagram(self, gateway: Any, action: i.SendGossip) -> None:
+    def datagram(self, gateway: Any, action: SendGossip) -> None:
         self.count("datagrams heard", len(self.gateways) - 1)
         super().datagram(gateway, action)
 
-    def cast(self, gateway: Any, vote: i.Vote) -> None:
+    def cast(self, gateway: Any, vote: Vote) -> None:
         self.count("votes")
         super().cast(gateway, vote)
 
--- a/benchmarks/gateway_cost.py
+++ b/benchmarks/gateway_cost.py
@@ -57,8 +57,11 @@
         for folder in given.folders:
             done = subprocess.run(
                 [sys.executable, "-c", PART, str(given.requests)],
-                cwd=folder, capture_output=True, text=True, check=True,
-            )  # fmt: skip
+                cwd=folder,
+                capture_output=True,
+                text=True,
+                check=True,
+            )
             found[folder].append(float(done.stdout))
     first = statistics.median(found[given.folders[0]])
     for folder, costs in found.items():
--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -23,7 +23,7 @@
 from pathlib import Path
 from typing import Any
 
-from meadowpulley import interface as i
+from meadowpulley.interface import SetTimer, Timer
 from meadowpulley.ledger import (
     Changed,
     Commit,
@@ -160,7 +160,7 @@
         for action in actions:
             if isinstance(action, Watched):
                 self.watched = action.names
-            elif isinstance(action, i.SetTimer):
+            elif isinstance(action, SetTimer):
                 self.renew_at = now + action.delay_ms
             elif isinstance(action, Commit):
                 done = self.store.commit(self.keeper.me, action.steps)
@@ -171,7 +171,7 @@
 
     def turn(self, now: float) -> None:
         if now >= self.renew_at:
-            self.carry_out(now, self.keeper.handle(now, i.Timer(5)))
+            self.carry_out(now, self.keeper.handle(now, Timer(5)))
         changes = self.store.changes(self.version, (), self.watched)
         self.version, self.looked = changes.version, self.looked + len(changes.members)
         self.carry_out(now, self.keeper.handle(now, Changed(changes, now)))
@@ -203,8 +203,10 @@
         each = many * seconds
         found[many] = (sum(m.looked for m in members) - looked) / each
         renewals = (sum(m.renewed for m in members) - renewed) / each
-        print(f"  {many} members, each a second: {renewals:.1f} renewals, {found[many]:.0f} leases looked at,"
-              f" {grown / each:.0f} bytes of log, {cpu / each * 1000.0:.1f} ms of CPU")  # fmt: skip
+        print(
+            f"  {many} members, each a second: {renewals:.1f} renewals, {found[many]:.0f} leases looked at,"
+            f" {grown / each:.0f} bytes of log, {cpu / each * 1000.0:.1f} ms of CPU"
+        )
         for member in members:
             member.store.close()
     return found
--- a/benchmarks/ledger_gateway.py
+++ b/benchmarks/ledger_gateway.py
@@ -16,7 +16,7 @@
 
 from twisted.internet import reactor as found_reactor
 
-from meadowpulley import interface as i
+from meadowpulley.interface import SetTimer, Timer
 from meadowpulley.ledger import Commit, Committed, Create, Step, Suspected
 from meadowpulley.ledger.client import start_ledger
 from meadowpulley.net.counters import Counters
@@ -34,7 +34,7 @@
         self.deadlines = Deadlines(reactor, lambda where: self.say(fault=where, error=str(sys.exc_info()[1])))
         self.rate, self.number, self.asked = rate, 0, dict[int, float]()
         self.took, self.groups, self.lates = list[float](), list[int](), list[float]()
-        self.functions: dict[type, Callable[[Any], None]] = {i.SetTimer: self._set_timer}
+        self.functions: dict[type, Callable[[Any], None]] = {SetTimer: self._set_timer}
         client = start_ledger(self, name, os.environ, reactor)
         assert client is not None
         self.client = client
@@ -66,8 +66,8 @@
     def carry_out(self, kind: type, function: Callable[[Any], None]) -> None:
         self.functions[kind] = function
 
-    def _set_timer(self, action: i.SetTimer) -> None:
-        self.deadlines.after(action.delay_ms, lambda: self.tell(i.Timer(action.token)))
+    def _set_timer(self, action: SetTimer) -> None:
+        self.deadlines.after(action.delay_ms, lambda: self.tell(Timer(action.token)))
 
     def handle(self, now: float, event: Any) -> list[Any]:
         if isinstance(event, Suspected):
--- a/benchmarks/lending_fleet.py
+++ b/benchmarks/lending_fleet.py
@@ -19,7 +19,20 @@
 from random import Random
 from typing import Any
 
-from meadowpulley import interface as i
+from meadowpulley.interface import (
+    Effect,
+    Limits,
+    LogLine,
+    Reject,
+    Request,
+    RequestClass,
+    Rollout,
+    Rules,
+    SetTimer,
+    Settings,
+    Tenant,
+    Timer,
+)
 from meadowpulley.ledger.memory import MemoryStore
 from meadowpulley.ledger.model import (
     Changed,
@@ -53,7 +66,7 @@
         self.through: list[Any] = []
 
     def handle(self, now: float, event: Any) -> list[Any]:
-        if isinstance(event, i.Request):
+        if isinstance(event, Request):
             self.through.append(event)
         return []
 
@@ -84,7 +97,7 @@
         gateways: int,
         seed: int,
         rates: Rates,
-        settings: i.Settings | None = None,
+        settings: Settings | None = None,
     ) -> None:
         self.plan, self.rates, self.rng, self.now = plan, rates, Random(seed), 0.0
         self.store = MemoryStore()
@@ -130,7 +143,7 @@
         own = replace(self.settings, gateway_index=g.number)
         g.stage = Lending(g.inner, own, self.plan, g.life, self.rng.randrange(1 << 30))
         self._watch(g)
-        self.tell(g, i.Timer(3))
+        self.tell(g, Timer(3))
 
     def kill(self, g: Gateway) -> None:
         g.stage = None
@@ -150,7 +163,7 @@
             ghost = copy(g)
             g.held, g.reads_at, g.stage = [], math.inf, None
             self.gateways.append(ghost)
-            self.at(self.now, self.tell, ghost, i.Timer(3))
+            self.at(self.now, self.tell, ghost, Timer(3))
         self._start(g)
 
     def lives(self, g: Gateway) -> bool:
@@ -184,15 +197,15 @@
             return
         acts = g.stage.handle(g.clock(self.now), event)
         for act in acts:
-            if isinstance(act, i.SetTimer):
-                self.at(self.now + act.delay_ms / g.speed, self.tell, g, i.Timer(act.token), g.epoch)
+            if isinstance(act, SetTimer):
+                self.at(self.now + act.delay_ms / g.speed, self.tell, g, Timer(act.token), g.epoch)
             elif isinstance(act, Commit):
                 self.commit(g, act)
             elif isinstance(act, Scan):
                 self.at(self._soon(), self._scan, g, g.epoch, act)
-            elif isinstance(act, i.LogLine):
+            elif isinstance(act, LogLine):
                 self.logged.append(act.text)
-            elif isinstance(act, i.Reject):
+            elif isinstance(act, Reject):
                 self.refused[g.number] += 1
         if g.stage is not None and g.stage.watches() != g.watched:
             self._watch(g)
@@ -282,7 +295,7 @@
             return
         before = len(g.inner.through)
         lent = sum(g.stage.counts[p, Admission.BORROWED] for p in (tenant,))
-        self.tell(g, i.Request(next(self.requests), 0, tenant, 0, 1e12))
+        self.tell(g, Request(next(self.requests), 0, tenant, 0, 1e12))
         if len(g.inner.through) > before:
             g.inner.through.clear()
             self.admitted[second][tenant] += 1
@@ -322,16 +335,16 @@
     return k
 
 
-def plain_settings(plan: Plan, gateways: int) -> i.Settings:
-    return i.Settings(
+def plain_settings(plan: Plan, gateways: int) -> Settings:
+    return Settings(
         gateway_index=0,
         gateway_count=gateways,
         zone=0,
         zones=("a",),
         tick_ms=100.0,
-        classes=(i.RequestClass("read", 500.0, 2000.0, i.Effect.IDEMPOTENT),),
-        tenants=tuple(i.Tenant(t.name, t.part) for t in plan.tenants),
-        rules=i.Rules(),
-        limits=i.Limits(retry_after=True, max_retry_after_ms=10_000.0),
-        rollout=i.Rollout(),
+        classes=(RequestClass("read", 500.0, 2000.0, Effect.IDEMPOTENT),),
+        tenants=tuple(Tenant(t.name, t.part) for t in plan.tenants),
+        rules=Rules(),
+        limits=Limits(retry_after=True, max_retry_after_ms=10_000.0),
+        rollout=Rollout(),
     )
--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -20,7 +20,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))  # for the tests' tiny fleet
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Outcome, Result
 from meadowpulley.ledger import Replace, Step
 from meadowpulley.takeover import AnswerReady, Written
 from meadowpulley.takeover.model import WORK, State, decode_work
@@ -68,7 +68,7 @@
 
         def end() -> None:
             gateway.tell(AnswerReady(request, 200, (), body))
-            gateway.tell(i.Outcome(request, n, 1, i.Result.OK, self.work[name].takes_ms, request_complete=True))
+            gateway.tell(Outcome(request, n, 1, Result.OK, self.work[name].takes_ms, request_complete=True))
 
         gateway.later(self.work[name].takes_ms, end)
 
--- a/benchmarks/takeover_processes.py
+++ b/benchmarks/takeover_processes.py
@@ -62,9 +62,11 @@
         self.entries = [entry(f"i{n}", Instance(self._act).address) for n in range(INSTANCES)]
         discovery, platform = Discovery(self.entries), Platform(RELEASED)
         self.config = {
-            "discovery": discovery.address, "platform": {"address": platform.address, "news": RELEASED},
-            "known": {"index": 5, "snapshot": True, "endpoints": self.entries}, "settings": settings(),
-        }  # fmt: skip
+            "discovery": discovery.address,
+            "platform": {"address": platform.address, "news": RELEASED},
+            "known": {"index": 5, "snapshot": True, "endpoints": self.entries},
+            "settings": settings(),
+        }
 
     def _act(self, handler: BaseHTTPRequestHandler, _: bytes) -> None:
         name = handler.headers[names.ID]
@@ -203,8 +205,10 @@
         ]
         more = sum(bool(reply.more) for w in self.work for reply in w.replies)
         others = Counter(w.status for w in self.work if w not in lost)
-        print(f"  {len(self.work)} requests, {len(self.killed)} kills, {len(lost)} in hand at one, the other"
-              f" requests' answers: {dict(others)}")  # fmt: skip
+        print(
+            f"  {len(self.work)} requests, {len(self.killed)} kills, {len(lost)} in hand at one, the other"
+            f" requests' answers: {dict(others)}"
+        )
         for cls in CLASSES:
             of = [w for w in long if w.cls == cls]
             how = dict(Counter(w.status for w in of))
@@ -302,9 +306,12 @@
             w: sum(cpu[w, cls] for cls in CLASSES) / sum(cpu["off", cls] for cls in CLASSES) for w in WRITTEN
         }
         return [
-            (f"a request costs {mix['unrepeatable']:.2f} times with the ledger, a third of each class"
-             f" (all written {mix['all']:.2f})", mix["unrepeatable"] <= COST_AIM),
-        ]  # fmt: skip
+            (
+                f"a request costs {mix['unrepeatable']:.2f} times with the ledger, a third of each class"
+                f" (all written {mix['all']:.2f})",
+                mix["unrepeatable"] <= COST_AIM,
+            ),
+        ]
 
 
 def main() -> int:
--- a/benchmarks/together.py
+++ b/benchmarks/together.py
@@ -117,8 +117,9 @@
         print(
             f"{gateways:8d}  {asks:14.1f}  {done['read'] / each:14.1f}  {len(world.ledger.store.records):7d}"
             f"  {len(claims):7d}  {times[0]:7.2f}  {times[1]:5.2f}  {times[2]:6.2f}"
-            f"  {served(result):6.1%}  {memory:.0f}  {time.monotonic() - began:.0f}", flush=True,
-        )  # fmt: skip
+            f"  {served(result):6.1%}  {memory:.0f}  {time.monotonic() - began:.0f}",
+            flush=True,
+        )
         report(result)
     print(f"rules broken {broken}, seed {seed}")
     return 1 if broken else 0
--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -47,11 +47,26 @@
 # Experiments on placements, of which the laboratory's tools stay out (requirements-placement.txt).
 PLACEMENT = (
     "fleet",
-    *(f"placement/{name}.py" for name in (
-        "__init__", "assign", "config", "contrast", "counts", "definition", "estimate", "gateway", "guard",
-        "mixed", "origins", "policies", "stage", "summary",
-    )),
-)  # fmt: skip
+    *(
+        f"placement/{name}.py"
+        for name in (
+            "__init__",
+            "assign",
+            "config",
+            "contrast",
+            "counts",
+            "definition",
+            "estimate",
+            "gateway",
+            "guard",
+            "mixed",
+            "origins",
+            "policies",
+            "stage",
+            "summary",
+        )
+    ),
+)
 # Parts for installations with a lasting disk, laid out in a folder of their own by `--joint`: `run` has none.
 JOINT = ("joint.py", "ledger", "lending", "takeover")
 TARGET = ROOT / ".venv" / "gateway"
--- a/meadowpulley/balance/balancer.py
+++ b/meadowpulley/balance/balancer.py
@@ -7,12 +7,29 @@
 from random import Random
 from typing import Any
 
-from meadowpulley import interface as i
 from meadowpulley.balance.evidence import PROOF, TALLY, TELLERS, count, exchange, hear_peer, new_seen
 from meadowpulley.balance.judging import judge, news
 from meadowpulley.balance.requests import TICK_MS, WAIT_SHARE, gone, outcome, request, route_or_wait, started
 from meadowpulley.balance.sending import probed
 from meadowpulley.balance.servers import RETRY_LIST_MS, rest_silent, take_list
+from meadowpulley.interface import (
+    Action,
+    BuildStatistics,
+    ClientDisconnected,
+    EndpointUpdate,
+    Event,
+    GossipReceived,
+    Outcome,
+    Placement,
+    ProbeResult,
+    Request,
+    ResponseStarted,
+    RolloutUpdate,
+    SetTimer,
+    Settings,
+    Timer,
+    Watch,
+)
 from meadowpulley.records import Peers, State
 
 LATE_TURN_MS = 250.0  # a timer later than this: this gateway stood still, and what was out only looks slow
@@ -21,10 +38,10 @@
 TICK = 1  # the only timer's token
 
 
-def tick(b: State, _: i.Timer) -> None:
+def tick(b: State, _: Timer) -> None:
     b.timer_at = math.inf if b.now >= b.timer_at else b.timer_at
     if b.now >= b.ask_again_at:
-        b.acts.append(i.Watch())  # an answer that never comes is asked for again
+        b.acts.append(Watch())  # an answer that never comes is asked for again
         b.ask_again_at = b.now + max(b.rules.max_poll_interval_ms, RETRY_LIST_MS)
     rest_silent(b)
     waiting, b.waiting = b.waiting, []
@@ -37,14 +54,21 @@
 
 
 HANDLERS: dict[type, Callable[[State, Any], None]] = {
-    i.Request: request, i.Outcome: outcome, i.Timer: tick, i.EndpointUpdate: take_list, i.RolloutUpdate: news,
-    i.ClientDisconnected: gone, i.ResponseStarted: started, i.ProbeResult: probed, i.GossipReceived: hear_peer,
-    i.BuildStatistics: lambda b, t: count(b, t.cls, t.build, TALLY, t.failed, t.attempts - t.failed),
-}  # fmt: skip
+    Request: request,
+    Outcome: outcome,
+    Timer: tick,
+    EndpointUpdate: take_list,
+    RolloutUpdate: news,
+    ClientDisconnected: gone,
+    ResponseStarted: started,
+    ProbeResult: probed,
+    GossipReceived: hear_peer,
+    BuildStatistics: lambda b, t: count(b, t.cls, t.build, TALLY, t.failed, t.attempts - t.failed),
+}
 
 
 class Balancer(State):
-    def __init__(self, settings: i.Settings, seed: int, placements: Sequence[i.Placement] = ()) -> None:
+    def __init__(self, settings: Settings, seed: int, placements: Sequence[Placement] = ()) -> None:
         super().__init__(settings, seed)
         self.look_ms = min(TICK_MS, self.least_aim_ms * WAIT_SHARE) or TICK_MS  # no class has to wait longer
         self.placements = dict(enumerate(placements[1:], 1))
@@ -52,10 +76,12 @@
         self.needed = PROOF + math.log(max(self.many / max(self.roll.rollback_votes, 1), 1.0))
         self.reach = float(NEAR) if settings.limits.idle_timeout_ms else math.inf
         self.builds = defaultdict(partial(new_seen, self.roll.exposure_window_ms))
-        self.list_spread = min(LIST_EACH_MS * (self.many - 1), (self.rules.max_poll_interval_ms or math.inf) / 2)
+        self.list_spread = min(
+            LIST_EACH_MS * (self.many - 1), (self.rules.max_poll_interval_ms or math.inf) / 2
+        )
         self.peers = Peers(Random(seed + 1).getrandbits(32), math.ceil(1 + self.many / TELLERS))
 
-    def handle(self, now: float, event: i.Event) -> list[i.Action]:
+    def handle(self, now: float, event: Event) -> list[Action]:
         self.now, self.acts = now, []
         if self.ask_again_at == -math.inf and self.servers:  # discovery takes a fleet's calls in turn
             self.ask_again_at = now + self.rng.random() * self.list_spread
@@ -71,5 +97,5 @@
         at = max(min(self.judge_at, self.ask_again_at, tell, now + look), now)
         if at < self.timer_at:
             self.timer_at = at
-            self.acts.append(i.SetTimer(at - now, TICK))
+            self.acts.append(SetTimer(at - now, TICK))
         return self.acts
--- a/meadowpulley/balance/evidence.py
+++ b/meadowpulley/balance/evidence.py
@@ -5,9 +5,9 @@
 from itertools import accumulate, product
 from statistics import fmean
 
-from meadowpulley import interface as i
 from meadowpulley.balance.servers import BROKEN, rest
 from meadowpulley.digests import LOST, SERVERS, decode, encode
+from meadowpulley.interface import GossipReceived, SendGossip
 from meadowpulley.records import Seen, State
 
 LEAST_SAMPLE = 20  # outcomes per build before the bounds may speak
@@ -54,9 +54,14 @@
 
 
 def mixed_q(
-    latency: list[float], queue: list[float], arm: list[int], block: list[tuple[float, int]],
-    length: int, rate: float, least_alpha: float,
-) -> tuple[float, float, int, int]:  # fmt: skip
+    latency: list[float],
+    queue: list[float],
+    arm: list[int],
+    block: list[tuple[float, int]],
+    length: int,
+    rate: float,
+    least_alpha: float,
+) -> tuple[float, float, int, int]:
     """The mixed Differences-in-Q estimate within blocks: difference, error, counts; `arm` -1: no build's."""
     n = len(latency) - length
     groups: dict[tuple[float, int], tuple[list[int], list[int]]] = {}
@@ -99,7 +104,7 @@
         seen.failures.add(cls, server, failed, ok, max(usual, *b.peers.shares[cls], 0.0) + machine)
 
 
-def hear_peer(b: State, m: i.GossipReceived) -> None:
+def hear_peer(b: State, m: GossipReceived) -> None:
     """Evidence from another gateway, each digest once; caps, lists and the vote stay this one's own."""
     d, most = decode(m.data), 4 * b.many
     if d is None or m.sender == b.s.gateway_index or not b.peers.first(m.sender, d, most):
@@ -153,6 +158,6 @@
     due = b.rng.random() * b.many < TELLERS or any(told[3] for told in b.peers.untold)
     if due and (told := b.peers.digest(build, b.before, b.judge_at < math.inf)):
         b.peers.pooled.append((b.s.gateway_index, told))
-        b.acts.append(i.SendGossip(None, encode(told)))
+        b.acts.append(SendGossip(None, encode(told)))
     _accuse(b)
     _pool(b, build)
--- a/meadowpulley/balance/judging.py
+++ b/meadowpulley/balance/judging.py
@@ -3,11 +3,11 @@
 import math
 from statistics import fmean
 
-from meadowpulley import interface as i
 from meadowpulley.balance.evidence import LEAST_SAMPLE, mixed_q
 from meadowpulley.balance.requests import FAIL_AFTER, TICK_MS, WARM
 from meadowpulley.balance.sending import JUDGE_MS
 from meadowpulley.balance.servers import BACK, BROKEN, SILENT_TIMES, TRIAL, sort_arms, warmth
+from meadowpulley.interface import LogLine, Phase, Result, RolloutUpdate, StageGate, Verdict, Vote
 from meadowpulley.records import RATE_MS, Attempt, State, summed
 
 SUM_LENGTH = 20  # at most: later requests whose costs are added to each request's own
@@ -24,8 +24,8 @@
 IN_DOUBT = 0.5  # of the proof: no vote to go on until it is settled
 
 
-def _rank(n: i.RolloutUpdate) -> tuple[int, int, int]:  # late news of an earlier state undoes nothing
-    return n.build, (TRIAL, i.Phase.RELEASED, *BACK).index(n.phase), n.stage
+def _rank(n: RolloutUpdate) -> tuple[int, int, int]:  # late news of an earlier state undoes nothing
+    return n.build, (TRIAL, Phase.RELEASED, *BACK).index(n.phase), n.stage
 
 
 def estimate(b: State, build: int) -> tuple[float, float, float, int]:  # bounds, margin, the lesser count
@@ -87,17 +87,17 @@
 
 def _back(b: State, build: int, why: str) -> None:
     b.back_for, b.swing.off = build, False
-    b.acts.append(i.LogLine(f"back {build}: {why}"))
+    b.acts.append(LogLine(f"back {build}: {why}"))
 
 
-def _ripe(b: State, n: i.RolloutUpdate) -> bool:  # old enough for a vote without enough outcomes
+def _ripe(b: State, n: RolloutUpdate) -> bool:  # old enough for a vote without enough outcomes
     starts = [s.started for s in b.servers.values() if s.build == n.build]
     spread = 1000 * max(b.many / max(b.roll.votes_per_s, 1.0) - 2, 0.0)  # two seconds' at once
     early = min(spread * (1 - b.s.gateway_index / b.many), FALLBACK_MS / 2)
     return bool(starts) and b.now >= max(*starts, b.stage_began) + FALLBACK_MS - early
 
 
-def _verdict(b: State, n: i.RolloutUpdate) -> i.Verdict:
+def _verdict(b: State, n: RolloutUpdate) -> Verdict:
     low, high, margin, least = estimate(b, n.build)
     sure = least >= LEAST_SAMPLE
     shares = [s.fail_share for s in b.servers.values() if s.build < n.build]
@@ -107,20 +107,20 @@
     proofs = [f.proof(new, broken, b.needed) for f in (seen.failures, seen.pooled)]
     failing = max(*proofs, seen.lost / b.needed)
     if b.back_for == n.build:
-        return i.Verdict.ROLL_BACK
+        return Verdict.ROLL_BACK
     if failing >= 1:
         _back(b, n.build, f"fails more than the earlier build, proof {failing:.1f}")
     elif sure and low > margin and n.phase is TRIAL:
         _back(b, n.build, f"slower by {low:.0f} to {high:.0f} ms, margin {margin:.0f}")
-    doubt = _doubt(b, n.build, n.phase is i.Phase.RELEASED)
+    doubt = _doubt(b, n.build, n.phase is Phase.RELEASED)
     if b.back_for == n.build:
-        return i.Verdict.ROLL_BACK
-    if b.roll.gate is i.StageGate.TIMER and sure and low > margin / 2:
+        return Verdict.ROLL_BACK
+    if b.roll.gate is StageGate.TIMER and sure and low > margin / 2:
         began = b.builds[n.build].hold_began.setdefault(n.stage, b.now)
-        return i.Verdict.HOLD if b.now < began + HOLD_MS else i.Verdict.NONE
-    may = b.roll.gate is not i.StageGate.TIMER and n.phase is TRIAL
+        return Verdict.HOLD if b.now < began + HOLD_MS else Verdict.NONE
+    may = b.roll.gate is not StageGate.TIMER and n.phase is TRIAL
     on = may and ((sure and high < margin) or _ripe(b, n)) and failing < IN_DOUBT and not doubt
-    return i.Verdict.ADVANCE if on else i.Verdict.NONE
+    return Verdict.ADVANCE if on else Verdict.NONE
 
 
 def judge(b: State) -> None:
@@ -131,8 +131,8 @@
         b.judge_at = b.now + JUDGE_MS
     b.before_rate = max(b.before_rate, b.taken.value(b.now) if n.stage == 0 else 0.0)
     verdict = _verdict(b, n)
-    wanted = (n.build, n.stage if verdict in (i.Verdict.ADVANCE, i.Verdict.HOLD) else 0, verdict)
-    if verdict is i.Verdict.NONE and (b.ballot.vote == wanted or b.ballot.vote[0] != n.build):
+    wanted = (n.build, n.stage if verdict in (Verdict.ADVANCE, Verdict.HOLD) else 0, verdict)
+    if verdict is Verdict.NONE and (b.ballot.vote == wanted or b.ballot.vote[0] != n.build):
         return
     # Votes and their answers get lost: unanswered ones are sent again, standing ones renewed in time.
     waiting = not b.ballot.answered and b.now < b.ballot.sent + b.roll.call_timeout_ms
@@ -141,16 +141,16 @@
     if soon or (b.ballot.vote == wanted and (waiting or standing)):
         return
     b.ballot.cast(wanted, b.now)
-    b.acts.append(i.Vote(*wanted))
+    b.acts.append(Vote(*wanted))
 
 
-def news(b: State, n: i.RolloutUpdate) -> None:
+def news(b: State, n: RolloutUpdate) -> None:
     b.ballot.answered |= n.is_vote_reply
-    if n.is_vote_reply and n.result is i.Result.OK:
+    if n.is_vote_reply and n.result is Result.OK:
         b.ballot.stands_until = b.now + b.roll.vote_ttl_ms
-    elif n.is_vote_reply and n.result is i.Result.REJECTED:  # all called at once: not all again at once
+    elif n.is_vote_reply and n.result is Result.REJECTED:  # all called at once: not all again at once
         b.ballot.after = b.now + b.rng.random() * 1000 * b.many / b.roll.votes_per_s
-    if n.result is not i.Result.OK:
+    if n.result is not Result.OK:
         return
     b.told = n
     if b.best is None or n.build > b.best.build:
@@ -158,7 +158,7 @@
         b.trial_began = b.now
         b.peers.untold.clear()
         b.before_ms = fmean([s.cost(b.now) for s in b.samples] or [0.0])
-        if b.best is not None and b.best.phase is i.Phase.RELEASED:
+        if b.best is not None and b.best.phase is Phase.RELEASED:
             b.before = b.best.build
         b.floor = min(b.floor, b.before)  # the keys of builds that were taken off are free
         b.key_build = {k: at for k, at in b.key_build.items() if at <= b.before or at >= n.build}
--- a/meadowpulley/balance/sending.py
+++ b/meadowpulley/balance/sending.py
@@ -3,8 +3,17 @@
 from itertools import islice
 from statistics import fmean
 
-from meadowpulley import interface as i
 from meadowpulley.balance.servers import BACK, able, cap_and_stage, near_of, on_trial, warmth
+from meadowpulley.interface import (
+    DeduplicationScope,
+    Effect,
+    Phase,
+    Probe,
+    ProbeResult,
+    Result,
+    Send,
+    ServerState,
+)
 from meadowpulley.records import Attempt, Held, Server, State
 
 COIN_SHARE = 0.8  # of the cap: leaves room for requests that must follow their key or find no other server
@@ -19,14 +28,22 @@
     cls, now = held.cls, b.now
     owed = held.r.request in b.held and not held.streaming and now < held.r.deadline_ms
     more = held.tries < b.s.limits.max_attempts and (b.s.limits.hedging or not held.out)
-    ready = server.state is i.ServerState.READY and b.servers.get(server.id) is server
+    ready = server.state is ServerState.READY and b.servers.get(server.id) is server
     if not (owed and more and ready):
         return False
     for earlier in held.maybe:
         there = earlier.server
-        same = {i.DeduplicationScope.ZONE: there.zone == server.zone, i.DeduplicationScope.CELL: there.cell == server.cell}
-        in_window = same.get(cls.deduplication_scope, True) and now - earlier.sent < cls.deduplication_window_ms - b.s.tick_ms
-        if cls.effect is i.Effect.NON_IDEMPOTENT or (cls.effect is i.Effect.IDEMPOTENT_WITH_KEY and not in_window):
+        same = {
+            DeduplicationScope.ZONE: there.zone == server.zone,
+            DeduplicationScope.CELL: there.cell == server.cell,
+        }
+        in_window = (
+            same.get(cls.deduplication_scope, True)
+            and now - earlier.sent < cls.deduplication_window_ms - b.s.tick_ms
+        )
+        if cls.effect is Effect.NON_IDEMPOTENT or (
+            cls.effect is Effect.IDEMPOTENT_WITH_KEY and not in_window
+        ):
             return False
     return _within_exposure(b, held, server) and _within_cold_budget(b, server)
 
@@ -54,7 +71,7 @@
         later = [a.held.r.key for a in b.attempts.values() if a.server.build > max(server.build, free)]
         return not (b.roll.monotonic_keys and held.r.key and held.r.key in later)
     cap, stage = cap_and_stage(b, server.build)
-    if cap <= 0 or (stage < b.roll.guarded_stages and held.cls.effect is not i.Effect.IDEMPOTENT):
+    if cap <= 0 or (stage < b.roll.guarded_stages and held.cls.effect is not Effect.IDEMPOTENT):
         return False
     taken = b.window_taken[held.counted].within(b.now, -b.s.tick_ms)
     sent = b.builds[server.build].sent[held.counted].within(b.now, b.s.tick_ms)
@@ -69,7 +86,7 @@
         b.odds_until = b.now + JUDGE_MS
         # A cold machine is slow at whatever share, so it gets less than it could do: warmth counts twice.
         new, old = [sum([able(b, s) * warmth(b, s) for s in g], 0.0) for g in (trial, earlier)]
-        if b.best is not None and b.best.phase is i.Phase.ROLLING_BACK:
+        if b.best is not None and b.best.phase is Phase.ROLLING_BACK:
             b.odds = min(max(1 - old / (0.75 * (new + old)), 0.0), cap)  # what has no room
         else:
             b.odds = min(COIN_SHARE * cap, new / (new + old))
@@ -103,7 +120,7 @@
     dense = min(len(b.attempts) / max(len(b.servers), 1), 1.0)
     if len(two) > 1 and b.s.limits.probes and dense < SPARSE and not held.tries and not held.asked:
         held.asked, held.tossed = [s.id for s in two], tossed  # own counts say nothing: the servers tell
-        b.acts += [i.Probe(s) for s in held.asked]
+        b.acts += [Probe(s) for s in held.asked]
         return False
     # Who holds nothing is chosen by chance, in proportion to what each can do.
     crowding = [(s.out + TIE * b.rng.expovariate(1.0)) / able(b, s) ** (2 - dense) for s in two]
@@ -112,9 +129,9 @@
     return bool(two)
 
 
-def probed(b: State, p: i.ProbeResult) -> None:  # the first of the two that answers has the shorter queue
+def probed(b: State, p: ProbeResult) -> None:  # the first of the two that answers has the shorter queue
     server = b.servers.get(p.server)
-    for held in [h for h in b.waiting if p.server in h.asked and p.result is i.Result.OK]:
+    for held in [h for h in b.waiting if p.server in h.asked and p.result is Result.OK]:
         if server and _may_send(b, held, server):
             b.waiting.remove(held)
             _send(b, held, server, server.out, held.tossed)
@@ -130,4 +147,4 @@
     if on_trial(b, server.build):
         b.builds[server.build].sent[held.counted].add(b.now)
     # No early time-out: work given up runs on at many sites, and repeats feed a jam.
-    b.acts.append(i.Send(held.r.request, server.id))
+    b.acts.append(Send(held.r.request, server.id))
--- a/meadowpulley/balance/servers.py
+++ b/meadowpulley/balance/servers.py
@@ -3,7 +3,7 @@
 import math
 from statistics import median
 
-from meadowpulley import interface as i
+from meadowpulley.interface import EndpointUpdate, EndpointUpdateKind, Phase, Result, ServerState
 from meadowpulley.records import Server, State
 
 FAIL_STEP = 0.2  # weight of the newest outcome in a server's failure share
@@ -15,14 +15,17 @@
 RETRY_LIST_MS = 1500.0  # between the second failed list call in a row and the next
 SILENT_TIMES = 4.0  # the usual latency without a word, and a server counts as silent
 KEYS = 8000  # notes of keys, beyond which they go once no server needs them: then older builds get no key
-TRIAL, BACK = i.Phase.TRIAL, (i.Phase.ROLLING_BACK, i.Phase.ROLLED_BACK)
+TRIAL, BACK = Phase.TRIAL, (Phase.ROLLING_BACK, Phase.ROLLED_BACK)
 
 
 def warmth(b: State, server: Server, age_less: float = 0.0) -> float:  # the least part of its capacity
     age = max(b.now - server.started - age_less, 0.0)
     if not server.started or age >= b.rules.slow_start_ms:
         return 1.0
-    return b.rules.slow_start_initial_fraction + (1 - b.rules.slow_start_initial_fraction) * age / b.rules.slow_start_ms
+    return (
+        b.rules.slow_start_initial_fraction
+        + (1 - b.rules.slow_start_initial_fraction) * age / b.rules.slow_start_ms
+    )
 
 
 def able(b: State, s: Server) -> float:  # what it can do by its warmth and its kind's latency, of the best
@@ -32,7 +35,7 @@
 
 def on_trial(b: State, build: int) -> bool:
     t = b.told
-    return t is None or build > t.build or (build == t.build and t.phase is not i.Phase.RELEASED)
+    return t is None or build > t.build or (build == t.build and t.phase is not Phase.RELEASED)
 
 
 def cap_and_stage(b: State, build: int) -> tuple[float, int]:
@@ -56,10 +59,10 @@
         server.rest_until = b.now + server.rest_ms
 
 
-def health(b: State, server: Server, result: i.Result) -> None:
+def health(b: State, server: Server, result: Result) -> None:
     server.heard = b.now
-    failed = result is not i.Result.OK
-    if result is i.Result.REJECTED:
+    failed = result is not Result.OK
+    if result is Result.REJECTED:
         server.rest_until = max(server.rest_until, b.now + FULL_MS)
     elif not failed or server.failed_at < b.now:  # one event that breaks several is one failure
         server.failed_at = b.now if failed else server.failed_at
@@ -81,31 +84,36 @@
             rest(b, a.server)
 
 
-def take_list(b: State, event: i.EndpointUpdate) -> None:
-    if event.kind in (i.EndpointUpdateKind.FAILED, i.EndpointUpdateKind.TIMED_OUT):  # whether the watch still stands is not said
-        herd = event.kind is i.EndpointUpdateKind.FAILED  # silence is found after seconds, by each at its own time
+def take_list(b: State, event: EndpointUpdate) -> None:
+    if event.kind in (
+        EndpointUpdateKind.FAILED,
+        EndpointUpdateKind.TIMED_OUT,
+    ):  # whether the watch still stands is not said
+        herd = (
+            event.kind is EndpointUpdateKind.FAILED
+        )  # silence is found after seconds, by each at its own time
         pause = RETRY_LIST_MS * min(b.list_fails, 3) * (0.5 + b.rng.random())
         spread = b.rng.random() * b.list_spread * (1 + min(b.list_fails, 1))
         b.ask_again_at = b.now + herd * max(pause, spread) if b.s.must_poll else math.inf
         b.list_fails += herd
         return
-    if event.kind is not i.EndpointUpdateKind.CACHED:
+    if event.kind is not EndpointUpdateKind.CACHED:
         b.ask_again_at, b.list_fails = math.inf, 0
     named = {e.server: e for e in event.entries}
-    if event.kind is not i.EndpointUpdateKind.INCREMENTAL:
+    if event.kind is not EndpointUpdateKind.INCREMENTAL:
         b.servers = {n: s for n, s in b.servers.items() if n in named}
     for n, entry in named.items():
         server = b.servers.get(n)
         if not server or (server.build, server.started) != (entry.build, entry.started_ms):
             server = b.servers[n] = Server(entry)
         server.state, server.cell, server.zone = entry.state, entry.cell, entry.zone
-        if entry.state is i.ServerState.REMOVED:
+        if entry.state is ServerState.REMOVED:
             del b.servers[n]
     sort_arms(b)
 
 
 def sort_arms(b: State) -> None:  # ready servers by arm, after news of servers or builds
-    ready = [s for _, s in sorted(b.servers.items()) if s.state is i.ServerState.READY]
+    ready = [s for _, s in sorted(b.servers.items()) if s.state is ServerState.READY]
     b.trial = [s for s in ready if on_trial(b, s.build)]
     b.earlier = [s for s in ready if not on_trial(b, s.build)]
     if len(b.key_build) > KEYS and (low := min((s.build for s in ready), default=-1)) > b.floor:
--- a/meadowpulley/capacity/needs.py
+++ b/meadowpulley/capacity/needs.py
@@ -71,9 +71,18 @@
 
 class _Search:
     def __init__(
-        self, fleet: Fleet, load: LoadSpec, demand: Demand, goal: Goal, site: str, kind: str,
-        seeds: Sequence[int], workers: int | None, store: Store | None, progress: Callable[[str], None],
-    ) -> None:  # fmt: skip
+        self,
+        fleet: Fleet,
+        load: LoadSpec,
+        demand: Demand,
+        goal: Goal,
+        site: str,
+        kind: str,
+        seeds: Sequence[int],
+        workers: int | None,
+        store: Store | None,
+        progress: Callable[[str], None],
+    ) -> None:
         self.fleet, self.load, self.demand, self.goal = fleet, load, demand, goal
         self.site, self.kind, self.seeds = site, kind, seeds
         self.workers, self.store, self.progress = workers, store, progress
--- a/meadowpulley/capacity/verify.py
+++ b/meadowpulley/capacity/verify.py
@@ -97,7 +97,7 @@
 
 def make_cases(
     fleet: Fleet, load: LoadSpec, demand: Demand, seconds: float, kinds: Sequence[CaseKind]
-) -> list[Case]:  # fmt: skip
+) -> list[Case]:
     """The cases to play on a fleet, perhaps a scaled one: utilisations are those of the fleet as
     described."""
     work = demand.work_ms or fleet.mean_work_ms()
--- a/meadowpulley/check/connection/holds.py
+++ b/meadowpulley/check/connection/holds.py
@@ -70,10 +70,12 @@
                     name = request.headers.get(names.ID, "")
                     ran[name] = ran.get(name, 0) + 1
         refused = {
-            c.names[n] for c in self.clients if c.wire is not None
+            c.names[n]
+            for c in self.clients
+            if c.wire is not None
             for n, m in enumerate([m for m in parse(c.wire.sent, False)[0] if m.status >= 200])
             if m.status == 503 and n < len(c.names)
-        }  # fmt: skip
+        }
         for name in sorted(refused & set(ran)):
             self._fail("effects", f"request {name} came whole to an instance and was refused")
         for name, count in ran.items():
--- a/meadowpulley/check/connection/parties.py
+++ b/meadowpulley/check/connection/parties.py
@@ -116,11 +116,16 @@
     def answer(self, after: int | None) -> dict[str, Any]:
         """The whole list, or what changed after a version."""
         found = [
-            {names.NAME: f"s{n}", names.ADDRESS: f"{host}:{port}", names.ZONE: "a", names.STATE: state,
-             names.BUILD: 41}
+            {
+                names.NAME: f"s{n}",
+                names.ADDRESS: f"{host}:{port}",
+                names.ZONE: "a",
+                names.STATE: state,
+                names.BUILD: 41,
+            }
             for n, ((host, port), (state, since)) in enumerate(zip(self.addresses, self.states, strict=True))
             if (state != "terminated" if after is None else since > after)
-        ]  # fmt: skip
+        ]
         return {names.VERSION: self.version, names.WHOLE: after is None, names.ENTRIES: found}
 
 
--- a/meadowpulley/check/connection/scenes.py
+++ b/meadowpulley/check/connection/scenes.py
@@ -4,22 +4,26 @@
 
 from dataclasses import dataclass
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Effect, Limits, RequestClass, Rules
 
 INSTANCES = (("127.0.0.1", 9001), ("127.0.0.1", 9002), ("127.0.0.1", 9003))
 DISCOVERY, MOVED = ("127.0.0.1", 9998), ("127.0.0.1", 9999)
 CLASSES = (
-    i.RequestClass("look", 200.0, 400.0, i.Effect.IDEMPOTENT),
-    i.RequestClass("pay", 200.0, 400.0, i.Effect.NON_IDEMPOTENT),
+    RequestClass("look", 200.0, 400.0, Effect.IDEMPOTENT),
+    RequestClass("pay", 200.0, 400.0, Effect.NON_IDEMPOTENT),
 )
 GONE_MS = 300.0  # after its client has gone a request that waits is sent on no more
 LATE_MS = 10.0  # how late a second answer may come: "some milliseconds"
 SLACK_MS = 50.0  # of every limit, on real sockets
-RULES = i.Rules(response_slack_ms=20.0, max_poll_interval_ms=10_000.0, drain_grace_ms=2000.0)
-LIMITS = i.Limits(
-    max_attempts=3, cancellation=True, retry_after=True, max_retry_after_ms=500.0, connect_timeout_ms=50.0,
+RULES = Rules(response_slack_ms=20.0, max_poll_interval_ms=10_000.0, drain_grace_ms=2000.0)
+LIMITS = Limits(
+    max_attempts=3,
+    cancellation=True,
+    retry_after=True,
+    max_retry_after_ms=500.0,
+    connect_timeout_ms=50.0,
     idle_timeout_ms=30_000.0,
-)  # fmt: skip
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,37 +46,100 @@
 SCENES = {
     s.name: s
     for s in (
-        Scene("split", "one request in pieces, its answer in pieces; either side closes at any point",
-              (("get",),), CLOSES),
-        Scene("unsafe", "a request with an effect and a body: resets, jams, answers before its end",
-              (("post",),), CLOSES | {"jam", "early", "error", "full"}),
-        Scene("pipelined", "two requests written one behind another on one connection",
-              (("get", "post"),), CLOSES | {"twice", "noise"}, parts=False),
-        Scene("noise", "input that is no message, from either side; continuations, chunks",
-              (("chunked",), ("garbage",), ("expect",)), frozenset({"noise", "twice", "close", "leave"})),
-        Scene("full", "more clients than the table holds, and fewer connections than requests",
-              (("get",), ("get",), ("post",), ("get",)), frozenset({"leave", "drop", "refused"}),
-              parts=False, size=4),
-        Scene("drain", "SIGTERM at each point", (("get",), ("post",)),
-              frozenset({"sigterm", "leave", "drop", "jam"}), parts=False),
-        Scene("reload", "SIGHUP at each point, with a file that can be used and one that can't",
-              (("get",), ("post",)), frozenset({"sighup", "leave", "drop"}), parts=False),
-        Scene("reuse", "slots used again while something of their last tenant is still out",
-              (("get",), ("post",), ("get",)), frozenset({"leave", "drop", "error", "twice", "fin"}),
-              parts=False, size=4),
-        Scene("signals", "SIGTERM, SIGHUP at each point from before READY on; requests unread in the kernel",
-              (("get", "post"), ("post",)), frozenset({"sigterm", "sighup", "unread"}),
-              parts=False, starts=True),
-        Scene("backlog", "requests in the accept backlog as the gateway told to end stops listening",
-              (("get",),), frozenset({"sigterm", "queue"}), parts=False,
-              edges=frozenset({"deadline", "stop", "end"})),
-        Scene("halves", "clients that end their sending and wait, or go, with requests behind",
-              (("get", "bulk", "bulk"),), frozenset({"shut", "leave"}),
-              parts=False, edges=frozenset({"deadline", "gone", "end"})),
-        Scene("late", "a second answer, late, on a connection that was given back",
-              (("get", "post"), ("get",)), frozenset({"again"}), parts=False),
-        Scene("lists", "a list fetched beside a watch, their answers made and come in any order",
-              (("get",),), frozenset({"change", "list_failed"}), parts=False, lists=True,
-              edges=frozenset({"drain"})),
+        Scene(
+            "split",
+            "one request in pieces, its answer in pieces; either side closes at any point",
+            (("get",),),
+            CLOSES,
+        ),
+        Scene(
+            "unsafe",
+            "a request with an effect and a body: resets, jams, answers before its end",
+            (("post",),),
+            CLOSES | {"jam", "early", "error", "full"},
+        ),
+        Scene(
+            "pipelined",
+            "two requests written one behind another on one connection",
+            (("get", "post"),),
+            CLOSES | {"twice", "noise"},
+            parts=False,
+        ),
+        Scene(
+            "noise",
+            "input that is no message, from either side; continuations, chunks",
+            (("chunked",), ("garbage",), ("expect",)),
+            frozenset({"noise", "twice", "close", "leave"}),
+        ),
+        Scene(
+            "full",
+            "more clients than the table holds, and fewer connections than requests",
+            (("get",), ("get",), ("post",), ("get",)),
+            frozenset({"leave", "drop", "refused"}),
+            parts=False,
+            size=4,
+        ),
+        Scene(
+            "drain",
+            "SIGTERM at each point",
+            (("get",), ("post",)),
+            frozenset({"sigterm", "leave", "drop", "jam"}),
+            parts=False,
+        ),
+        Scene(
+            "reload",
+            "SIGHUP at each point, with a file that can be used and one that can't",
+            (("get",), ("post",)),
+            frozenset({"sighup", "leave", "drop"}),
+            parts=False,
+        ),
+        Scene(
+            "reuse",
+            "slots used again while something of their last tenant is still out",
+            (("get",), ("post",), ("get",)),
+            frozenset({"leave", "drop", "error", "twice", "fin"}),
+            parts=False,
+            size=4,
+        ),
+        Scene(
+            "signals",
+            "SIGTERM, SIGHUP at each point from before READY on; requests unread in the kernel",
+            (("get", "post"), ("post",)),
+            frozenset({"sigterm", "sighup", "unread"}),
+            parts=False,
+            starts=True,
+        ),
+        Scene(
+            "backlog",
+            "requests in the accept backlog as the gateway told to end stops listening",
+            (("get",),),
+            frozenset({"sigterm", "queue"}),
+            parts=False,
+            edges=frozenset({"deadline", "stop", "end"}),
+        ),
+        Scene(
+            "halves",
+            "clients that end their sending and wait, or go, with requests behind",
+            (("get", "bulk", "bulk"),),
+            frozenset({"shut", "leave"}),
+            parts=False,
+            edges=frozenset({"deadline", "gone", "end"}),
+        ),
+        Scene(
+            "late",
+            "a second answer, late, on a connection that was given back",
+            (("get", "post"), ("get",)),
+            frozenset({"again"}),
+            parts=False,
+        ),
+        Scene(
+            "lists",
+            "a list fetched beside a watch, their answers made and come in any order",
+            (("get",),),
+            frozenset({"change", "list_failed"}),
+            parts=False,
+            lists=True,
+            edges=frozenset({"drain"}),
+        ),
     )
-}  # fmt: skip
+}
--- a/meadowpulley/check/connection/state.py
+++ b/meadowpulley/check/connection/state.py
@@ -8,7 +8,6 @@
 from typing import Any, Self
 from urllib.parse import parse_qs, urlsplit
 
-from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
 from meadowpulley.check.connection.parties import Backlog, Called, Client, Registry, Served
 from meadowpulley.check.connection.scenes import CLASSES, DISCOVERY, INSTANCES, LIMITS, RULES, SCENES
@@ -16,6 +15,7 @@
 from meadowpulley.check.properties import Broken
 from meadowpulley.check.wire import Reactor
 from meadowpulley.check.worlds import Setting
+from meadowpulley.interface import Action, Event, Outcome, Rollout, Settings
 from meadowpulley.net import names
 from meadowpulley.net.config import Config, ConfigError, parse_address
 from meadowpulley.net.gateway import KEPT_BACK, Gateway
@@ -52,13 +52,13 @@
 class Observed(Balancer):
     """The real decisions; each attempt's outcomes are counted on their way in."""
 
-    def __init__(self, settings: i.Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int) -> None:
         super().__init__(settings, seed)
         self.ended: set[tuple[int, int]] = set()
         self.twice: list[tuple[int, int]] = []
 
-    def handle(self, now: float, event: i.Event) -> list[i.Action]:
-        if isinstance(event, i.Outcome):
+    def handle(self, now: float, event: Event) -> list[Action]:
+        if isinstance(event, Outcome):
             if (event.request, event.attempt) in self.ended:
                 self.twice.append((event.request, event.attempt))
             self.ended.add((event.request, event.attempt))
@@ -98,13 +98,24 @@
         self.registry = Registry(instances)
         known = self.registry.answer(None)
         news = {
-            names.NEWS_BUILD: 41, names.NEWS_STAGE: 0, names.NEWS_PHASE: "stable", names.NEWS_CAP: 1.0,
+            names.NEWS_BUILD: 41,
+            names.NEWS_STAGE: 0,
+            names.NEWS_PHASE: "stable",
+            names.NEWS_CAP: 1.0,
             names.NEWS_AGE: 60_000,
-        }  # fmt: skip
-        settings = i.Settings(
-            0, 1, 0, ("a",), 5.0, CLASSES, (), RULES, LIMITS,
-            i.Rollout(caps=(1.0,), stage_shares=(1.0,), exposure_window_ms=300.0, exposure_allowance=4.0),
-        )  # fmt: skip
+        }
+        settings = Settings(
+            0,
+            1,
+            0,
+            ("a",),
+            5.0,
+            CLASSES,
+            (),
+            RULES,
+            LIMITS,
+            Rollout(caps=(1.0,), stage_shares=(1.0,), exposure_window_ms=300.0, exposure_allowance=4.0),
+        )
         config = Config(
             "g0", ("127.0.0.1", 9000), DISCOVERY, None, 7, KEPT_BACK + self.scene.size, settings, news, known
         )
@@ -194,10 +205,26 @@
 
     def form(self) -> Any:
         walker = Walker(FORMS)
-        return walker.walk(self.reactor), [walker.walk(v) for v in (
-            self.gateway, self.clients, self.served, self.troubles, self.waits, self.ended, self.registry,
-            self.calls, self.moved, self.told_to_end, self.fetched, self.told, self.told_version,
-            self.waited, self.told_to_end_at)]  # fmt: skip
+        return walker.walk(self.reactor), [
+            walker.walk(v)
+            for v in (
+                self.gateway,
+                self.clients,
+                self.served,
+                self.troubles,
+                self.waits,
+                self.ended,
+                self.registry,
+                self.calls,
+                self.moved,
+                self.told_to_end,
+                self.fetched,
+                self.told,
+                self.told_version,
+                self.waited,
+                self.told_to_end_at,
+            )
+        ]
 
     def fingerprint(self) -> int:
         return digest(self.form())
--- a/meadowpulley/check/connection/world.py
+++ b/meadowpulley/check/connection/world.py
@@ -181,9 +181,16 @@
         if how == "moved":
             self.moved = True
             self.file = replace(
-                self.began_with, name="other", discovery=MOVED, seed=8, sockets=999, known=None, news=None,
-                listen=("127.0.0.1", 9009), settings=replace(self.began_with.settings, gateway_index=1),
-            )  # fmt: skip
+                self.began_with,
+                name="other",
+                discovery=MOVED,
+                seed=8,
+                sockets=999,
+                known=None,
+                news=None,
+                listen=("127.0.0.1", 9009),
+                settings=replace(self.began_with.settings, gateway_index=1),
+            )
         self.gateway.on_signal(signal.SIGHUP, None)
 
     def _do_change(self, n: int, state: str) -> None:
--- a/meadowpulley/check/decisions/enabled.py
+++ b/meadowpulley/check/decisions/enabled.py
@@ -5,11 +5,11 @@
 import math
 from collections.abc import Iterator
 
-from meadowpulley import interface as i
 from meadowpulley.check.decisions.host import Host
 from meadowpulley.check.decisions.state import State
 from meadowpulley.check.scenes import EARLIER, EPSILON_MS, LATER_MS, RULES, TRIAL
 from meadowpulley.check.worlds import Step
+from meadowpulley.interface import Phase, ServerState
 
 
 class Enabled(State):
@@ -35,7 +35,7 @@
         """Servers, the platform: whatever they do is told to gateways later."""
         newest, stand = self.lists[-1], self.history[-1]
         for e in newest:
-            if self._may("drain") and e.state is i.ServerState.READY:
+            if self._may("drain") and e.state is ServerState.READY:
                 yield Step("drain", (e.server,))
             if self._may("gone"):
                 yield Step("gone", (e.server,))
@@ -46,13 +46,13 @@
             for server in sorted({e.server for e in self.lists[0]} - there):
                 yield from (Step("return", (server, build)) for build in (EARLIER, TRIAL))
             for e in newest:
-                if e.build == EARLIER and e.state is i.ServerState.READY and not self.scene.cold:
+                if e.build == EARLIER and e.state is ServerState.READY and not self.scene.cold:
                     yield Step("return", (e.server, max(stand.build, TRIAL)))
-        if self._may("stage") and stand.phase is i.Phase.TRIAL:
+        if self._may("stage") and stand.phase is Phase.TRIAL:
             yield Step("stage")
-        if self._may("call_back") and stand.phase is i.Phase.TRIAL:
+        if self._may("call_back") and stand.phase is Phase.TRIAL:
             yield Step("call_back")
-        if self._may("withdraw") and stand.phase is i.Phase.ROLLING_BACK:
+        if self._may("withdraw") and stand.phase is Phase.ROLLING_BACK:
             yield Step("withdraw")
         for host in self.hosts:
             for n, (_, at) in enumerate(host.votes):
--- a/meadowpulley/check/decisions/host.py
+++ b/meadowpulley/check/decisions/host.py
@@ -8,16 +8,39 @@
 from dataclasses import replace
 from typing import Any, Protocol
 
-from meadowpulley import interface as i
 from meadowpulley.balance import TICK
 from meadowpulley.check.choices import ScriptError
 from meadowpulley.check.decisions.forms import CHOICES, COPIER, FORMS, NAMELESS
 from meadowpulley.check.graph import Walker, digest
 from meadowpulley.check.monitors import Books
 from meadowpulley.check.scenes import CLASSES, Scene
+from meadowpulley.interface import (
+    Action,
+    Cancel,
+    ClientDisconnected,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    Fail,
+    FetchEndpoints,
+    Outcome as AttemptOutcome,
+    Reject,
+    Request,
+    Result,
+    RolloutUpdate,
+    Send,
+    SendGossip,
+    ServerEntry,
+    ServerState,
+    SetTimer,
+    Settings,
+    Timer,
+    Vote,
+    Watch,
+)
 from meadowpulley.rules import Answered, Gone, KeyAnswered, Listed, News, Outcome, Sent, Started, Taken
 
-NEVER_RAN = (i.Result.REJECTED, i.Result.CONNECT_FAILED, i.Result.NOT_SENT)
+NEVER_RAN = (Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT)
 
 
 class Around(Protocol):
@@ -25,9 +48,9 @@
 
     now: float
     scene: Scene
-    lists: tuple[tuple[i.ServerEntry, ...], ...]
+    lists: tuple[tuple[ServerEntry, ...], ...]
 
-    def entry_at(self, version: int, server: int) -> i.ServerEntry | None: ...
+    def entry_at(self, version: int, server: int) -> ServerEntry | None: ...
 
     def say(self, who: str, whom: str, what: str) -> None: ...
 
@@ -53,18 +76,18 @@
 class Host:
     """One gateway: a real balancer, and what it is owed and owes."""
 
-    def __init__(self, number: int, settings: i.Settings, make: Callable[[i.Settings, int], Any]) -> None:
+    def __init__(self, number: int, settings: Settings, make: Callable[[Settings, int], Any]) -> None:
         self.number, self.settings, self.make = number, settings, make
         self.books = Books(number, settings)
         self.asked: dict[int, Asked] = {}
         self.last = 0
         self.known = -1  # the version of the list it knows
-        self.news_due: tuple[i.RolloutUpdate, ...] = ()
+        self.news_due: tuple[RolloutUpdate, ...] = ()
         self.heard_of: tuple[int, ...] = ()  # places in the platform's history of the news it was told
         self.timers: list[float] = []
-        self.votes: tuple[tuple[i.Vote, float], ...] = ()  # under way, and since when
-        self.answers_due: list[tuple[float, i.RolloutUpdate]] = []  # what a lost vote ends with, and when
-        self.datagrams: tuple[i.SendGossip, ...] = ()
+        self.votes: tuple[tuple[Vote, float], ...] = ()  # under way, and since when
+        self.answers_due: list[tuple[float, RolloutUpdate]] = []  # what a lost vote ends with, and when
+        self.datagrams: tuple[SendGossip, ...] = ()
         self.ghosts: tuple[
             tuple[int, int], ...
         ] = ()  # key and build of attempts given up that may be answered
@@ -72,20 +95,20 @@
         self.list_owed = False  # a call failed, and whoever must ask has not asked again
         self.cache: dict[Any, Any] = {}  # forms of this state, until it steps
         self.balancer: Any = None
-        self._events: deque[i.Event] = deque()
+        self._events: deque[Event] = deque()
 
-    def begin(self, world: Around, version: int, news: i.RolloutUpdate) -> None:
+    def begin(self, world: Around, version: int, news: RolloutUpdate) -> None:
         """A life: it knows a list and news, perhaps old ones."""
         self.balancer = self.make(self.settings, 0)
         self.balancer.rng = CHOICES
         self.books.see(Started(world.now, self.number))
-        self.hear_list(world, version, i.EndpointUpdateKind.CACHED)
+        self.hear_list(world, version, EndpointUpdateKind.CACHED)
         self.hear_news(world, news)
         self.balancer.retries_left = world.scene.retries
 
     # Events in, actions out
 
-    def tell(self, world: Around, event: i.Event) -> None:
+    def tell(self, world: Around, event: Event) -> None:
         self._events.append(event)
         if len(self._events) > 1:
             return
@@ -103,26 +126,26 @@
             self._events.popleft()
         self._look(world)
 
-    def _carry_out(self, world: Around, action: i.Action) -> None:
-        if isinstance(action, i.Send):
+    def _carry_out(self, world: Around, action: Action) -> None:
+        if isinstance(action, Send):
             self._send(world, action)
-        elif isinstance(action, i.Reject | i.Fail):
-            self._answer(world, action.request, "refused" if isinstance(action, i.Reject) else "failed")
-        elif isinstance(action, i.Cancel):
+        elif isinstance(action, Reject | Fail):
+            self._answer(world, action.request, "refused" if isinstance(action, Reject) else "failed")
+        elif isinstance(action, Cancel):
             asked = self.asked.get(action.request)
             if asked is not None and action.attempt in asked.out:
-                self.end(world, action.request, action.attempt, i.Result.CANCELLED)
-        elif isinstance(action, i.SetTimer):
+                self.end(world, action.request, action.attempt, Result.CANCELLED)
+        elif isinstance(action, SetTimer):
             at = world.now + max(action.delay_ms, 0.0)
             if at not in self.timers:
                 self.timers.append(at)
                 self.timers.sort()
-        elif isinstance(action, i.Vote):
+        elif isinstance(action, Vote):
             self.votes = (*self.votes, (action, world.now))
             world.say(f"gateway {self.number}", "platform", f"votes {action.verdict.name.lower()}")
-        elif isinstance(action, i.Watch | i.FetchEndpoints):
+        elif isinstance(action, Watch | FetchEndpoints):
             self.list_asked, self.list_owed = True, False
-        elif isinstance(action, i.SendGossip):
+        elif isinstance(action, SendGossip):
             self.datagrams = (*self.datagrams, action)
 
     def _look(self, world: Around) -> None:
@@ -148,9 +171,9 @@
         deadline = world.now + CLASSES[cls].deadline_ms
         self.asked[self.last] = Asked(kind, deadline)
         self.books.see(Taken(world.now, self.number, self.last, cls, key, deadline))
-        self.tell(world, i.Request(self.last, cls, 0, key, deadline))
+        self.tell(world, Request(self.last, cls, 0, key, deadline))
 
-    def _send(self, world: Around, action: i.Send) -> None:
+    def _send(self, world: Around, action: Send) -> None:
         asked = self.asked.get(action.request)
         entry = world.entry_at(self.known, action.server)
         build = entry.build if entry is not None else -1
@@ -178,36 +201,36 @@
         if asked is not None and asked.over and not asked.out:
             del self.asked[request]
 
-    def end(self, world: Around, request: int, attempt: int, result: i.Result) -> None:
+    def end(self, world: Around, request: int, attempt: int, result: Result) -> None:
         """The one outcome of an attempt."""
         asked = self.asked[request]
         out = asked.out.pop(attempt)
         cls, key = world.scene.kinds[asked.kind]
         ran = result not in NEVER_RAN
-        if result is i.Result.OK and not out.answered and key:
+        if result is Result.OK and not out.answered and key:
             self.books.see(KeyAnswered(world.now, self.number, key, out.build))
         if ran:
             self.books.ran(world.now, request, cls)
-        if result not in (i.Result.OK, i.Result.ERROR) and ran and key and not out.answered:
+        if result not in (Result.OK, Result.ERROR) and ran and key and not out.answered:
             self.ghosts = tuple(sorted({*self.ghosts, (key, out.build)}))
-        if result is i.Result.OK and not asked.over:
+        if result is Result.OK and not asked.over:
             self._answer(world, request, "served")
         over = asked.over
         self.books.see(Outcome(world.now, self.number, request, attempt, ran))
         self._tidy(request)
         elapsed = world.now - out.sent
-        self.tell(world, i.Outcome(request, attempt, out.server, result, elapsed, over))
+        self.tell(world, AttemptOutcome(request, attempt, out.server, result, elapsed, over))
 
     def leave(self, world: Around, request: int) -> None:
         self.books.see(Gone(world.now, self.number, request))
         self.asked[request].over = True
         self._tidy(request)
-        self.tell(world, i.ClientDisconnected(request))
+        self.tell(world, ClientDisconnected(request))
 
     # The list and the news
 
-    def hear_list(self, world: Around, version: int, kind: i.EndpointUpdateKind) -> None:
-        before = world.lists[self.known] if self.known >= 0 and kind is not i.EndpointUpdateKind.CACHED else ()
+    def hear_list(self, world: Around, version: int, kind: EndpointUpdateKind) -> None:
+        before = world.lists[self.known] if self.known >= 0 and kind is not EndpointUpdateKind.CACHED else ()
         entries = world.lists[version]
         there = {e.server for e in entries}
         self.known, self.list_asked, self.list_owed = version, False, False
@@ -217,14 +240,14 @@
         for e in entries:
             state = e.state.name.lower()
             self.books.see(Listed(world.now, self.number, e.server, state, e.build))  # type: ignore[arg-type]
-        if kind is i.EndpointUpdateKind.INCREMENTAL:
+        if kind is EndpointUpdateKind.INCREMENTAL:
             changed = [e for e in entries if e not in before]
-            left = [replace(e, state=i.ServerState.REMOVED) for e in gone]
+            left = [replace(e, state=ServerState.REMOVED) for e in gone]
             entries = (*changed, *left)
-        self.tell(world, i.EndpointUpdate(kind, version, entries))
+        self.tell(world, EndpointUpdate(kind, version, entries))
 
-    def hear_news(self, world: Around, news: i.RolloutUpdate) -> None:
-        if news.result is i.Result.OK:
+    def hear_news(self, world: Around, news: RolloutUpdate) -> None:
+        if news.result is Result.OK:
             phase = news.phase.name.lower()
             self.books.see(News(world.now, self.number, news.build, news.stage, phase, news.cap))  # type: ignore[arg-type]
         self.tell(world, news)
@@ -254,13 +277,13 @@
             if asked.out and asked.deadline <= now:
                 for attempt in list(asked.out):
                     if request in self.asked and attempt in asked.out:
-                        self.end(world, request, attempt, i.Result.TIMEOUT)
+                        self.end(world, request, attempt, Result.TIMEOUT)
         for at, news in [a for a in self.answers_due if a[0] <= now]:
             self.answers_due.remove((at, news))
             self.tell(world, news)
         if self.timers and self.timers[0] <= now:
             self.timers.pop(0)
-            self.tell(world, i.Timer(TICK))
+            self.tell(world, Timer(TICK))
         for request, asked in list(self.asked.items()):
             if not asked.over and asked.deadline + slack <= now and not self.timers_due(now):
                 self.books.fail("answers", now, f"request {request} got no answer by its deadline")
@@ -282,11 +305,19 @@
         """The state of this gateway, with servers renamed."""
         walker = Walker(FORMS, names)
         return (
-            walker.walk(self.balancer), walker.walk(self.books), walker.walk(self.asked), self.known,
-            walker.walk(self.news_due), tuple(self.timers), walker.walk(self.votes),
-            walker.walk(self.answers_due), walker.walk(self.datagrams), self.ghosts,
-            self.list_asked, self.list_owed,
-        )  # fmt: skip
+            walker.walk(self.balancer),
+            walker.walk(self.books),
+            walker.walk(self.asked),
+            self.known,
+            walker.walk(self.news_due),
+            tuple(self.timers),
+            walker.walk(self.votes),
+            walker.walk(self.answers_due),
+            walker.walk(self.datagrams),
+            self.ghosts,
+            self.list_asked,
+            self.list_owed,
+        )
 
     def mark(self, names: dict[int, int]) -> int:
         """64 bits of the form."""
--- a/meadowpulley/check/decisions/state.py
+++ b/meadowpulley/check/decisions/state.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import Any, Self
 
-from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
 from meadowpulley.check.decisions.forms import CHOICES
 from meadowpulley.check.decisions.host import Host
@@ -13,6 +12,7 @@
 from meadowpulley.check.properties import Broken
 from meadowpulley.check.scenes import EARLIER, SCENES, TRIAL
 from meadowpulley.check.worlds import Setting
+from meadowpulley.interface import RolloutUpdate, ServerEntry, ServerState, Settings
 
 START_MS = 100_000.0  # all began long ago: servers are warm, windows empty
 
@@ -20,7 +20,7 @@
 class State:
     """The world, between steps. Copies share hosts until one of them steps."""
 
-    def __init__(self, setting: Setting, make: Callable[[i.Settings, int], Any] = Balancer) -> None:
+    def __init__(self, setting: Setting, make: Callable[[Settings, int], Any] = Balancer) -> None:
         if setting.scene not in SCENES:
             raise ValueError(f"scene: '{setting.scene}' is not known; known are {', '.join(SCENES)}")
         self.setting, self.scene = setting, SCENES[setting.scene]
@@ -36,8 +36,8 @@
             builds[0] = EARLIER
         started = START_MS if self.scene.cold else 1.0
         first = tuple(self._entry(n + 1, build, started) for n, build in enumerate(builds))
-        self.lists: tuple[tuple[i.ServerEntry, ...], ...] = (first,)
-        self.history: tuple[i.RolloutUpdate, ...] = (self.scene.news,)
+        self.lists: tuple[tuple[ServerEntry, ...], ...] = (first,)
+        self.history: tuple[RolloutUpdate, ...] = (self.scene.news,)
         self.hosts = [
             Host(n, self.scene.settings(n, setting.gateways), make) for n in range(setting.gateways)
         ]
@@ -47,10 +47,10 @@
         self._gather()
 
     @staticmethod
-    def _entry(server: int, build: int, started: float) -> i.ServerEntry:
-        return i.ServerEntry(server, 0, 0, i.ServerState.READY, build, started, 0, 1.0)
+    def _entry(server: int, build: int, started: float) -> ServerEntry:
+        return ServerEntry(server, 0, 0, ServerState.READY, build, started, 0, 1.0)
 
-    def entry_at(self, version: int, server: int) -> i.ServerEntry | None:
+    def entry_at(self, version: int, server: int) -> ServerEntry | None:
         return next((e for e in self.lists[version] if e.server == server), None) if version >= 0 else None
 
     def say(self, who: str, whom: str, what: str) -> None:
@@ -117,8 +117,12 @@
         parts = [h.server_marks(numbers) for h in self.hosts]
         marks = []
         for place, number in enumerate(numbers):
-            told = [(int(e.state), e.build, e.started_ms) for entries in self.lists for e in entries
-                    if e.server == number]  # fmt: skip
+            told = [
+                (int(e.state), e.build, e.started_ms)
+                for entries in self.lists
+                for e in entries
+                if e.server == number
+            ]
             there = [any(e.server == number for e in entries) for entries in self.lists]
             marks.append((told, there, sorted(p[place] for p in parts), number))
         marks.sort()
--- a/meadowpulley/check/decisions/words.py
+++ b/meadowpulley/check/decisions/words.py
@@ -4,18 +4,21 @@
 
 from typing import Any
 
-from meadowpulley import interface as i
 from meadowpulley.check.decisions.state import State
 from meadowpulley.check.scenes import CLASSES
 from meadowpulley.check.worlds import Step
+from meadowpulley.interface import RolloutUpdate
 
 OUTCOMES = {
-    "ok": "answers", "error": "answers with an error", "reset": "breaks the connection after the last byte",
-    "full": "turns it away as full", "connect_failed": "breaks the connection before the last byte",
-}  # fmt: skip
+    "ok": "answers",
+    "error": "answers with an error",
+    "reset": "breaks the connection after the last byte",
+    "full": "turns it away as full",
+    "connect_failed": "breaks the connection before the last byte",
+}
 
 
-def news_text(news: i.RolloutUpdate) -> str:
+def news_text(news: RolloutUpdate) -> str:
     phase = news.phase.name.lower().replace("_", " ")
     return f"build {news.build} {phase}, stage {news.stage + 1}, cap {news.cap:g}"
 
--- a/meadowpulley/check/decisions/world.py
+++ b/meadowpulley/check/decisions/world.py
@@ -5,19 +5,32 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-from meadowpulley import interface as i
 from meadowpulley.check.decisions.enabled import Enabled
 from meadowpulley.check.decisions.forms import CHOICES
 from meadowpulley.check.decisions.host import Host
 from meadowpulley.check.decisions.words import OUTCOMES, news_text, text_of
 from meadowpulley.check.properties import Broken
 from meadowpulley.check.worlds import Step
+from meadowpulley.interface import (
+    EndpointUpdate,
+    EndpointUpdateKind,
+    GossipReceived,
+    Phase,
+    Result,
+    RolloutUpdate,
+    ServerState,
+    Verdict,
+    Vote,
+)
 from meadowpulley.rules import KeyAnswered
 
 RESULTS = {
-    "ok": i.Result.OK, "error": i.Result.ERROR, "reset": i.Result.RESET, "full": i.Result.REJECTED,
-    "connect_failed": i.Result.CONNECT_FAILED,
-}  # fmt: skip
+    "ok": Result.OK,
+    "error": Result.ERROR,
+    "reset": Result.RESET,
+    "full": Result.REJECTED,
+    "connect_failed": Result.CONNECT_FAILED,
+}
 
 
 class Decisions(Enabled):
@@ -36,7 +49,7 @@
     def _do_drain(self, server: int) -> None:
         self._trouble()
         changed = [
-            replace(e, state=i.ServerState.DRAINING) if e.server == server else e for e in self.lists[-1]
+            replace(e, state=ServerState.DRAINING) if e.server == server else e for e in self.lists[-1]
         ]
         self.lists = (*self.lists, tuple(changed))
 
@@ -50,8 +63,8 @@
         back = self._entry(server, build, self.now)
         self.lists = (*self.lists, tuple(sorted([*others, back], key=lambda e: e.server)))
 
-    def _stand(self, phase: i.Phase, stage: int, cap: float, build: int = 0) -> None:
-        news = i.RolloutUpdate(build or self.history[-1].build, stage, phase, cap, 0.0)
+    def _stand(self, phase: Phase, stage: int, cap: float, build: int = 0) -> None:
+        news = RolloutUpdate(build or self.history[-1].build, stage, phase, cap, 0.0)
         self.history = (*self.history, news)
         for n, host in enumerate(self.hosts):
             new = self.hosts[n] = host.copy()
@@ -64,37 +77,37 @@
     def _on(self) -> None:
         stand, caps = self.history[-1], self.scene.rollout.caps
         if stand.stage + 1 < len(caps):
-            self._stand(i.Phase.TRIAL, stand.stage + 1, caps[stand.stage + 1])
+            self._stand(Phase.TRIAL, stand.stage + 1, caps[stand.stage + 1])
         else:
-            self._stand(i.Phase.RELEASED, stand.stage, 1.0)
+            self._stand(Phase.RELEASED, stand.stage, 1.0)
 
     def _do_call_back(self) -> None:
         self._trouble()
-        self._stand(i.Phase.ROLLING_BACK, self.history[-1].stage, 0.0)
+        self._stand(Phase.ROLLING_BACK, self.history[-1].stage, 0.0)
 
     def _do_withdraw(self) -> None:
         self._trouble()
-        self._stand(i.Phase.ROLLED_BACK, self.history[-1].stage, 0.0)
+        self._stand(Phase.ROLLED_BACK, self.history[-1].stage, 0.0)
 
     def _do_count(self, g: int, n: int, heard: bool = True) -> None:
         host = self.hosts[g] = self.hosts[g].copy()
         vote, at = host.votes[n]
         host.votes = (*host.votes[:n], *host.votes[n + 1 :])
         stand = self.history[-1]
-        standing = (vote.build, vote.stage) == (stand.build, stand.stage) and stand.phase is i.Phase.TRIAL
-        if standing and vote.verdict is i.Verdict.ADVANCE:
+        standing = (vote.build, vote.stage) == (stand.build, stand.stage) and stand.phase is Phase.TRIAL
+        if standing and vote.verdict is Verdict.ADVANCE:
             self._on()
-        elif vote.build == stand.build and stand.phase is i.Phase.TRIAL and vote.verdict is i.Verdict.ROLL_BACK:
-            self._stand(i.Phase.ROLLING_BACK, stand.stage, 0.0)
+        elif vote.build == stand.build and stand.phase is Phase.TRIAL and vote.verdict is Verdict.ROLL_BACK:
+            self._stand(Phase.ROLLING_BACK, stand.stage, 0.0)
         host = self.hosts[g] = self.hosts[g].copy()
         if heard:
-            answer = replace(self.history[-1], result=i.Result.OK, is_vote_reply=True)
+            answer = replace(self.history[-1], result=Result.OK, is_vote_reply=True)
             host.news_due = (*host.news_due, answer)
         else:
             self._lost(host, vote, at)
 
-    def _lost(self, host: Host, vote: i.Vote, at: float) -> None:
-        late = i.RolloutUpdate(vote.build, vote.stage, i.Phase.TRIAL, 0.0, 0.0, i.Result.TIMEOUT, True)
+    def _lost(self, host: Host, vote: Vote, at: float) -> None:
+        late = RolloutUpdate(vote.build, vote.stage, Phase.TRIAL, 0.0, 0.0, Result.TIMEOUT, True)
         due = max(at + self.scene.rollout.call_timeout_ms, self.now)
         host.answers_due = [*host.answers_due, (due, late)]
 
@@ -116,7 +129,7 @@
         for other in range(len(self.hosts)):
             if other != g and action.peer in (None, other):
                 to = self.hosts[other] = self.hosts[other].copy()
-                to.tell(self, i.GossipReceived(g, action.data))
+                to.tell(self, GossipReceived(g, action.data))
 
     def _do_repeat_datagram(self, g: int, n: int) -> None:
         self._trouble()
@@ -160,17 +173,17 @@
 
     def _do_list(self, g: int, version: int) -> None:
         self.say("discovery", f"gateway {g}", f"list {version}")
-        self._host(g).hear_list(self, version, i.EndpointUpdateKind.INCREMENTAL)
+        self._host(g).hear_list(self, version, EndpointUpdateKind.INCREMENTAL)
 
     def _do_whole_list(self, g: int) -> None:
         self.say("discovery", f"gateway {g}", "the whole list")
-        self._host(g).hear_list(self, len(self.lists) - 1, i.EndpointUpdateKind.FULL)
+        self._host(g).hear_list(self, len(self.lists) - 1, EndpointUpdateKind.FULL)
 
     def _do_list_failed(self, g: int) -> None:
         self._trouble()
         host = self._host(g)
         host.list_owed = self.scene.must_ask
-        host.tell(self, i.EndpointUpdate(i.EndpointUpdateKind.FAILED, max(host.known, 0)))
+        host.tell(self, EndpointUpdate(EndpointUpdateKind.FAILED, max(host.known, 0)))
 
     def _do_news(self, g: int, n: int) -> None:
         host = self._host(g)
--- a/meadowpulley/check/explore.py
+++ b/meadowpulley/check/explore.py
@@ -329,10 +329,18 @@
     def _save(self, path: Path) -> None:
         marks = array("Q", sorted(self.seen)).tobytes()
         kept = _Kept(
-            VERSION, self.setting, self.mutant, code_digest(), self.frontier, marks, self.spent,
-            [(level.depth, level.states, level.taken, level.frontier, level.seconds)
-             for level in self.coverage.levels],
-        )  # fmt: skip
+            VERSION,
+            self.setting,
+            self.mutant,
+            code_digest(),
+            self.frontier,
+            marks,
+            self.spent,
+            [
+                (level.depth, level.states, level.taken, level.frontier, level.seconds)
+                for level in self.coverage.levels
+            ],
+        )
         raw = msgspec.msgpack.encode(kept)
         part = path.with_name(path.name + ".part")
         part.write_bytes(xxhash.xxh3_128_digest(raw) + raw)
--- a/meadowpulley/check/fuzz/files.py
+++ b/meadowpulley/check/fuzz/files.py
@@ -16,28 +16,40 @@
 from meadowpulley.net.config import ConfigError, read_config
 
 _config = object_of(
-    name=st.text(max_size=4), listen=address, discovery=address,
+    name=st.text(max_size=4),
+    listen=address,
+    discovery=address,
     seed=st.one_of(st.integers(), st.text(max_size=4)),
-    limits=object_of(sockets=st.integers(0, 2000)), peers=st.lists(address, max_size=2),
-    platform=object_of(address=address, news=news), known=plain_json,
+    limits=object_of(sockets=st.integers(0, 2000)),
+    peers=st.lists(address, max_size=2),
+    platform=object_of(address=address, news=news),
+    known=plain_json,
     settings=object_of(
-        me=st.integers(-1, 3), balancers=st.integers(-1, 3), az=st.integers(),
+        me=st.integers(-1, 3),
+        balancers=st.integers(-1, 3),
+        az=st.integers(),
         zones=st.lists(st.text(max_size=3)),
         classes=st.lists(
             object_of(name=st.text(max_size=4), repeat=st.sampled_from(["pure", "odd"])), max_size=2
         ),
-        rules=plain_json, bounds=plain_json,
+        rules=plain_json,
+        bounds=plain_json,
     ),
-).map(as_bytes)  # fmt: skip
+).map(as_bytes)
 
 
 _arrival = object_of(
-    at_ms=st.floats(0, 1e6), cls=st.sampled_from(["look", "odd"]), key=st.integers(0, 2**64),
-    site=st.text(max_size=4), work_ms=st.floats(), bytes=st.integers(), patience_ms=st.floats(),
-).map(as_bytes)  # fmt: skip
+    at_ms=st.floats(0, 1e6),
+    cls=st.sampled_from(["look", "odd"]),
+    key=st.integers(0, 2**64),
+    site=st.text(max_size=4),
+    work_ms=st.floats(),
+    bytes=st.integers(),
+    patience_ms=st.floats(),
+).map(as_bytes)
 _header = object_of(
     version=st.just(1), kind=st.just("load"), source=st.text(max_size=4), started=st.floats()
-).map(as_bytes)  # fmt: skip
+).map(as_bytes)
 _capture = st.builds(lambda h, rows: b"\n".join([h, *rows]) + b"\n", _header, st.lists(_arrival, max_size=4))
 
 
--- a/meadowpulley/check/fuzz/http.py
+++ b/meadowpulley/check/fuzz/http.py
@@ -140,12 +140,16 @@
     )
     sized = st.builds(
         lambda a, f, b: a + b"host: a\r\n" + f + b"content-length: %d\r\n\r\n" % len(b) + b,
-        line, extra, st.binary(max_size=40),
-    )  # fmt: skip
+        line,
+        extra,
+        st.binary(max_size=40),
+    )
     chunked = st.builds(
         lambda a, f, b: a + b"host: a\r\n" + f + b"transfer-encoding: chunked\r\n\r\n" + b,
-        line, extra, _chunks,
-    )  # fmt: skip
+        line,
+        extra,
+        _chunks,
+    )
     return st.one_of(loose, sized, chunked)
 
 
--- a/meadowpulley/check/fuzz/lines.py
+++ b/meadowpulley/check/fuzz/lines.py
@@ -7,24 +7,34 @@
 
 from hypothesis import strategies as st
 
-from meadowpulley import interface as i
 from meadowpulley.check.fuzz.made import PIECES, SETTINGS, address, as_bytes, news, object_of, spoilt
 from meadowpulley.check.fuzz.play import FuzzError, Target
+from meadowpulley.interface import Event, Verdict, Vote
 from meadowpulley.net import names
 from meadowpulley.net.control import Platform, PlatformLink
 from meadowpulley.net.counters import Counters
 from meadowpulley.net.entries import CallFailedError, Entries
 
-_entry = object_of(**{
-    names.NAME: st.text(max_size=6), names.ADDRESS: address, names.ZONE: st.sampled_from(["a", "b", "c"]),
-    names.STATE: st.sampled_from([*names.STATES, "odd"]), names.BUILD: st.integers(-5, 2**70),
-    names.STARTED: st.floats(), names.WEIGHT: st.floats(), names.CELL: st.integers(),
-    names.KIND: st.text(max_size=3),
-})  # fmt: skip
-_list = object_of(**{
-    names.VERSION: st.integers(-3, 2**70), names.WHOLE: st.booleans(),
-    names.ENTRIES: st.lists(_entry, max_size=3),
-}).map(as_bytes)  # fmt: skip
+_entry = object_of(
+    **{
+        names.NAME: st.text(max_size=6),
+        names.ADDRESS: address,
+        names.ZONE: st.sampled_from(["a", "b", "c"]),
+        names.STATE: st.sampled_from([*names.STATES, "odd"]),
+        names.BUILD: st.integers(-5, 2**70),
+        names.STARTED: st.floats(),
+        names.WEIGHT: st.floats(),
+        names.CELL: st.integers(),
+        names.KIND: st.text(max_size=3),
+    }
+)
+_list = object_of(
+    **{
+        names.VERSION: st.integers(-3, 2**70),
+        names.WHOLE: st.booleans(),
+        names.ENTRIES: st.lists(_entry, max_size=3),
+    }
+).map(as_bytes)
 
 
 def check_list(data: bytes) -> None:
@@ -53,13 +63,13 @@
 
         self.config = Config("g", ("127.0.0.1", 1), ("127.0.0.1", 2), ("127.0.0.1", 3), 1, 128, SETTINGS)
         self.counters = Counters()
-        self.told: list[i.Event] = []
+        self.told: list[Event] = []
         self.log: Any = self
         self.deadlines: Any = self
         self.entries = Entries(SETTINGS, 0.0)
         self.stopping = True
 
-    def tell(self, event: i.Event) -> None:
+    def tell(self, event: Event) -> None:
         self.told.append(event)
 
     def warning(self, *_: Any, **__: Any) -> None:
@@ -78,17 +88,25 @@
         return 0.0
 
 
-_tally = object_of(**{
-    names.NEWS_BUILD: st.integers(), names.CLASS: st.sampled_from(["look", "odd"]),
-    names.TALLY_MANY: st.integers(), names.TALLY_FAILED: st.integers(), names.TALLY_MEAN: st.floats(),
-    names.NEWS_AGE: st.floats(), names.WRONG_SERVER: st.text(max_size=4),
-})  # fmt: skip
+_tally = object_of(
+    **{
+        names.NEWS_BUILD: st.integers(),
+        names.CLASS: st.sampled_from(["look", "odd"]),
+        names.TALLY_MANY: st.integers(),
+        names.TALLY_FAILED: st.integers(),
+        names.TALLY_MEAN: st.floats(),
+        names.NEWS_AGE: st.floats(),
+        names.WRONG_SERVER: st.text(max_size=4),
+    }
+)
 _line = object_of(
-    jsonrpc=st.just("2.0"), id=st.integers(0, 3), result=st.one_of(st.just(True), news),
+    jsonrpc=st.just("2.0"),
+    id=st.integers(0, 3),
+    result=st.one_of(st.just(True), news),
     method=st.sampled_from([names.NEWS, names.TALLY, names.WRONG, names.ALIVE, "odd"]),
     params=st.one_of(news, _tally),
     error=object_of(code=st.integers(), message=st.sampled_from([*names.CALL_ERRORS, "odd"])),
-).map(as_bytes)  # fmt: skip
+).map(as_bytes)
 
 
 def _platform_link() -> tuple[_Gateway, PlatformLink]:
@@ -99,7 +117,7 @@
     link.wire = _NoWire()
     platform.link = link
     link.calls.append(platform._call(None))
-    link.calls.append(platform._call(i.Vote(1, 0, i.Verdict.ADVANCE)))
+    link.calls.append(platform._call(Vote(1, 0, Verdict.ADVANCE)))
     return gateway, link
 
 
@@ -134,7 +152,9 @@
 LINES = (
     Target("lists", "discovery's lists", check_list, spoilt(_list)),
     Target(
-        "lines", "the platform's lines", check_lines,
+        "lines",
+        "the platform's lines",
+        check_lines,
         st.lists(spoilt(_line), max_size=4).map(lambda lines: b"".join(line + b"\n" for line in lines)),
     ),
-)  # fmt: skip
+)
--- a/meadowpulley/check/fuzz/made.py
+++ b/meadowpulley/check/fuzz/made.py
@@ -7,14 +7,22 @@
 
 from hypothesis import strategies as st
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Effect, Limits, RequestClass, Rollout, Rules, Settings
 from meadowpulley.net import names
 
 PIECES = (1, 2, 3, 7, 64)  # sizes of the pieces that bytes come in, beside all at once
-SETTINGS = i.Settings(
-    0, 1, 0, ("a", "b"), 5.0, (i.RequestClass("look", 100.0, 1000.0, i.Effect.IDEMPOTENT),), (), i.Rules(),
-    i.Limits(), i.Rollout(),
-)  # fmt: skip
+SETTINGS = Settings(
+    0,
+    1,
+    0,
+    ("a", "b"),
+    5.0,
+    (RequestClass("look", 100.0, 1000.0, Effect.IDEMPOTENT),),
+    (),
+    Rules(),
+    Limits(),
+    Rollout(),
+)
 plain_json = st.recursive(
     st.one_of(st.none(), st.booleans(), st.integers(-(2**70), 2**70), st.floats(), st.text(max_size=8)),
     lambda inner: st.one_of(
@@ -36,11 +44,15 @@
 
 address = st.one_of(st.just("127.0.0.1:9001"), st.text(".:0123456789abc", max_size=16))
 
-news = object_of(**{
-    names.NEWS_BUILD: st.integers(-5, 2**70), names.NEWS_STAGE: st.integers(-2, 5),
-    names.NEWS_PHASE: st.sampled_from([*names.PHASES, "odd"]), names.NEWS_CAP: st.floats(),
-    names.NEWS_AGE: st.floats(),
-})  # fmt: skip
+news = object_of(
+    **{
+        names.NEWS_BUILD: st.integers(-5, 2**70),
+        names.NEWS_STAGE: st.integers(-2, 5),
+        names.NEWS_PHASE: st.sampled_from([*names.PHASES, "odd"]),
+        names.NEWS_CAP: st.floats(),
+        names.NEWS_AGE: st.floats(),
+    }
+)
 
 
 def spoilt(whole: st.SearchStrategy[bytes]) -> st.SearchStrategy[bytes]:
--- a/meadowpulley/check/fuzz/play.py
+++ b/meadowpulley/check/fuzz/play.py
@@ -55,9 +55,12 @@
 
     @seed(number)
     @settings(
-        max_examples=examples, database=None, deadline=None, suppress_health_check=list(HealthCheck),
+        max_examples=examples,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
         print_blob=False,
-    )  # fmt: skip
+    )
     @given(target.make)
     def play(data: bytes) -> None:
         found.examples += 1
--- a/meadowpulley/check/graph.py
+++ b/meadowpulley/check/graph.py
@@ -36,9 +36,14 @@
     if issubclass(cls, msgspec.Struct):
         return bool(cls.__struct_config__.frozen)
     return cls in (
-        types.BuiltinFunctionType, types.CodeType, types.MethodDescriptorType, frozenset, re.Pattern, object,
+        types.BuiltinFunctionType,
+        types.CodeType,
+        types.MethodDescriptorType,
+        frozenset,
+        re.Pattern,
+        object,
         types.MappingProxyType,
-    )  # fmt: skip
+    )
 
 
 def slots_of(cls: type) -> tuple[str, ...]:
@@ -89,12 +94,20 @@
         if _is_value(cls):
             return None
         known: dict[type, Callable[[], Copy]] = {
-            dict: self._dicts, defaultdict: self._defaultdicts, Counter: lambda: self._fresh(Counter),
-            OrderedDict: self._dicts, list: self._lists, deque: self._deques, set: self._sets,
-            tuple: self._tuples, bytearray: lambda: self._fresh(bytearray), types.MethodType: self._methods,
-            types.FunctionType: self._functions, partial: self._partials,
+            dict: self._dicts,
+            defaultdict: self._defaultdicts,
+            Counter: lambda: self._fresh(Counter),
+            OrderedDict: self._dicts,
+            list: self._lists,
+            deque: self._deques,
+            set: self._sets,
+            tuple: self._tuples,
+            bytearray: lambda: self._fresh(bytearray),
+            types.MethodType: self._methods,
+            types.FunctionType: self._functions,
+            partial: self._partials,
             random.Random: lambda: self._fresh(_same_random),
-        }  # fmt: skip
+        }
         return known[cls]() if cls in known else self._objects(cls)
 
     def _objects(self, cls: type) -> Copy:
@@ -272,12 +285,15 @@
             return lambda walker, value: (value.__func__.__qualname__, walker.walk(value.__self__))
         if cls is types.FunctionType:
             return lambda walker, value: (
-                value.__qualname__, *walker.parts([c.cell_contents for c in value.__closure__ or ()])
-            )  # fmt: skip
+                value.__qualname__,
+                *walker.parts([c.cell_contents for c in value.__closure__ or ()]),
+            )
         if cls is partial:
             return lambda walker, value: (
-                walker.walk(value.func), *walker.parts(value.args), walker.walk(value.keywords)
-            )  # fmt: skip
+                walker.walk(value.func),
+                *walker.parts(value.args),
+                walker.walk(value.keywords),
+            )
         return self._objects(cls)
 
     def _objects(self, cls: type) -> Callable[[Walker, Any], Any]:
--- a/meadowpulley/check/monitors.py
+++ b/meadowpulley/check/monitors.py
@@ -6,8 +6,8 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from meadowpulley import interface as i
 from meadowpulley.check.properties import Broken
+from meadowpulley.interface import Effect, ServerEntry, Settings
 from meadowpulley.rules import Checker, Figures, Record
 
 COLD_MARGIN = 0.5  # of a request: rounding of a part is no breach
@@ -16,7 +16,7 @@
 class Books:
     """Feed it records and what attempts do; `broken` tells what did not hold since it was last emptied."""
 
-    def __init__(self, number: int, settings: i.Settings) -> None:
+    def __init__(self, number: int, settings: Settings) -> None:
         self.number, self.settings = number, settings
         self.checker = Checker(Figures.of(settings))
         self.broken: list[Broken] = []
@@ -35,14 +35,14 @@
     # Attempts
 
     def ran(self, at: float, request: int, cls: int) -> None:
-        if self.settings.classes[cls].effect is i.Effect.NON_IDEMPOTENT:
+        if self.settings.classes[cls].effect is Effect.NON_IDEMPOTENT:
             self.executed[request] += 1
             if self.executed[request] > 1:
                 self.fail("executed", at, f"request {request} ran at {self.executed[request]} servers")
 
     def sent(
-        self, at: float, server: int, entry: i.ServerEntry | None, copies: bool, tries: int, late: bool
-    ) -> None:  # fmt: skip
+        self, at: float, server: int, entry: ServerEntry | None, copies: bool, tries: int, late: bool
+    ) -> None:
         """An attempt goes out; `copies`: others of its request are out, `tries`: how many went
         before, `late`: its client has stopped waiting."""
         limits = self.settings.limits
@@ -55,7 +55,7 @@
         if entry is not None:
             self._cold(at, server, entry)
 
-    def _cold(self, at: float, server: int, entry: i.ServerEntry) -> None:
+    def _cold(self, at: float, server: int, entry: ServerEntry) -> None:
         """A quarter of the span: the whole fleet's requests shared out evenly, times multiple and the warmth
         at its end, never less than a gateway's part of one request; and one more by chance."""
         rules, slot_ms = self.settings.rules, self.settings.rules.overload_window_ms / 4
@@ -66,7 +66,13 @@
         key = server, slot
         self.cold = {k: n for k, n in self.cold.items() if k[1] == slot}
         self.cold[key] = self.cold.get(key, 0) + 1
-        warmth = min(rules.slow_start_initial_fraction + (1 - rules.slow_start_initial_fraction) * (age + rules.overload_window_ms) / rules.slow_start_ms, 1.0)
+        warmth = min(
+            rules.slow_start_initial_fraction
+            + (1 - rules.slow_start_initial_fraction)
+            * (age + rules.overload_window_ms)
+            / rules.slow_start_ms,
+            1.0,
+        )
         books = self.checker._gateways[self.number]
         taken = sum(len(times) for times in books.taken.values())
         part = rules.overload_multiple * warmth * taken / max(len(books.servers), 1)
--- a/meadowpulley/check/mutate.py
+++ b/meadowpulley/check/mutate.py
@@ -17,10 +17,17 @@
 from typing import Any
 
 UNDER_TEST = (
-    "meadowpulley.balance", "meadowpulley.records", "meadowpulley.net", "meadowpulley.check.decisions",
-    "meadowpulley.check.connection", "meadowpulley.check.monitors", "meadowpulley.ledger",
-    "meadowpulley.takeover", "meadowpulley.lending", "meadowpulley.check.shared",
-)  # fmt: skip
+    "meadowpulley.balance",
+    "meadowpulley.records",
+    "meadowpulley.net",
+    "meadowpulley.check.decisions",
+    "meadowpulley.check.connection",
+    "meadowpulley.check.monitors",
+    "meadowpulley.ledger",
+    "meadowpulley.takeover",
+    "meadowpulley.lending",
+    "meadowpulley.check.shared",
+)
 _applied = ""
 
 
--- a/meadowpulley/check/plant.py
+++ b/meadowpulley/check/plant.py
@@ -35,9 +35,14 @@
 
 def setting_of(mutant: Mutant) -> Setting:
     return Setting(
-        world=mutant.world, scene=mutant.scene, gateways=mutant.gateways, servers=mutant.servers,
-        requests=mutant.requests, troubles=mutant.troubles, waits=mutant.waits,
-    )  # fmt: skip
+        world=mutant.world,
+        scene=mutant.scene,
+        gateways=mutant.gateways,
+        servers=mutant.servers,
+        requests=mutant.requests,
+        troubles=mutant.troubles,
+        waits=mutant.waits,
+    )
 
 
 def hunt(name: str, seed: int, budget_s: float) -> Caught:
@@ -55,16 +60,25 @@
     found = coverage.counterexample
     broken = found.broken if found is not None else None
     return Caught(
-        name, seed, broken.name if broken else "", str(broken or ""), how, coverage.states,
-        found.steps if found is not None else (), time.monotonic() - began,
+        name,
+        seed,
+        broken.name if broken else "",
+        str(broken or ""),
+        how,
+        coverage.states,
+        found.steps if found is not None else (),
+        time.monotonic() - began,
         broken is not None and broken.name in mutant.by,
-    )  # fmt: skip
+    )
 
 
 def hunt_all(
-    names: Sequence[str], seeds: Sequence[int], budget_s: float, workers: int | None = None,
+    names: Sequence[str],
+    seeds: Sequence[int],
+    budget_s: float,
+    workers: int | None = None,
     done: Callable[[Caught], None] = lambda _: None,
-) -> list[Caught]:  # fmt: skip
+) -> list[Caught]:
     """Every mutant under every seed, in the order given. Raises MutantError for one that can't be planted."""
     from meadowpulley.check.mutants import MUTANTS
 
--- a/meadowpulley/check/scenes.py
+++ b/meadowpulley/check/scenes.py
@@ -9,7 +9,18 @@
 
 from dataclasses import dataclass, replace
 
-from meadowpulley import interface as i
+from meadowpulley.interface import (
+    DeduplicationScope,
+    Effect,
+    Limits,
+    Phase,
+    RequestClass,
+    Rollout,
+    RolloutUpdate,
+    Rules,
+    Settings,
+    StageGate,
+)
 
 SAFE, UNSAFE, KEYED = 0, 1, 2
 EARLIER, TRIAL = 41, 42  # numbers of builds
@@ -17,26 +28,46 @@
 LATER_MS = 20.0  # well after one
 
 CLASSES = (
-    i.RequestClass("address-check", 200.0, 400.0, i.Effect.IDEMPOTENT),
-    i.RequestClass("zone-change", 200.0, 400.0, i.Effect.NON_IDEMPOTENT),
-    i.RequestClass("order", 200.0, 400.0, i.Effect.IDEMPOTENT_WITH_KEY, i.DeduplicationScope.ALL, 150.0),
+    RequestClass("address-check", 200.0, 400.0, Effect.IDEMPOTENT),
+    RequestClass("zone-change", 200.0, 400.0, Effect.NON_IDEMPOTENT),
+    RequestClass("order", 200.0, 400.0, Effect.IDEMPOTENT_WITH_KEY, DeduplicationScope.ALL, 150.0),
+)
+RULES = Rules(
+    response_slack_ms=20.0,
+    max_poll_interval_ms=1000.0,
+    slow_start_initial_fraction=0.5,
+    slow_start_ms=300.0,
+    overload_multiple=2.0,
+    overload_window_ms=200.0,
+    drain_grace_ms=100.0,
+)
+LIMITS = Limits(
+    max_attempts=3,
+    hedging=False,
+    cancellation=True,
+    gossip=True,
+    retry_after=True,
+    max_retry_after_ms=500.0,
+    connect_timeout_ms=50.0,
+    max_open_connections=100,
+)
+ROLLOUT = Rollout(
+    gate=StageGate.ANY,
+    stage_shares=(0.5, 1.0),
+    caps=(0.5, 1.0),
+    soak_ms=300.0,
+    advance_votes=1,
+    rollback_votes=1,
+    vote_ttl_ms=600.0,
+    votes_per_s=50.0,
+    call_timeout_ms=100.0,
+    update_period_ms=400.0,
+    exposure_window_ms=300.0,
+    exposure_allowance=1.0,
 )
-RULES = i.Rules(
-    response_slack_ms=20.0, max_poll_interval_ms=1000.0, slow_start_initial_fraction=0.5, slow_start_ms=300.0, overload_multiple=2.0,
-    overload_window_ms=200.0, drain_grace_ms=100.0,
-)  # fmt: skip
-LIMITS = i.Limits(
-    max_attempts=3, hedging=False, cancellation=True, gossip=True, retry_after=True, max_retry_after_ms=500.0,
-    connect_timeout_ms=50.0, max_open_connections=100,
-)  # fmt: skip
-ROLLOUT = i.Rollout(
-    gate=i.StageGate.ANY, stage_shares=(0.5, 1.0), caps=(0.5, 1.0), soak_ms=300.0, advance_votes=1, rollback_votes=1,
-    vote_ttl_ms=600.0, votes_per_s=50.0, call_timeout_ms=100.0, update_period_ms=400.0,
-    exposure_window_ms=300.0, exposure_allowance=1.0,
-)  # fmt: skip
 
 
-IN_SERVICE = i.RolloutUpdate(EARLIER, 1, i.Phase.RELEASED, 1.0, 10_000.0)
+IN_SERVICE = RolloutUpdate(EARLIER, 1, Phase.RELEASED, 1.0, 10_000.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,20 +82,30 @@
     builds: tuple[int, ...]
     troubles: frozenset[str]
     edges: tuple[str, ...]
-    news: i.RolloutUpdate = IN_SERVICE
-    rollout: i.Rollout = ROLLOUT
-    limits: i.Limits = LIMITS
+    news: RolloutUpdate = IN_SERVICE
+    rollout: Rollout = ROLLOUT
+    limits: Limits = LIMITS
     retries: float = 3.0
     must_ask: bool = False
     cold: bool = False
 
-    def settings(self, me: int, gateways: int) -> i.Settings:
-        return i.Settings(
-            me, gateways, 0, ("hobart",), 5.0, CLASSES, (), RULES, self.limits, self.rollout, self.must_ask,
-        )  # fmt: skip
+    def settings(self, me: int, gateways: int) -> Settings:
+        return Settings(
+            me,
+            gateways,
+            0,
+            ("hobart",),
+            5.0,
+            CLASSES,
+            (),
+            RULES,
+            self.limits,
+            self.rollout,
+            self.must_ask,
+        )
 
 
-ON_TRIAL = i.RolloutUpdate(TRIAL, 0, i.Phase.TRIAL, 0.5, 0.0)
+ON_TRIAL = RolloutUpdate(TRIAL, 0, Phase.TRIAL, 0.5, 0.0)
 OUTCOMES = frozenset({"error", "reset", "full", "connect_failed"})
 
 SCENES = {
@@ -167,11 +208,24 @@
             ((SAFE, 1), (UNSAFE, 1), (SAFE, 2), (KEYED, 1)),
             (EARLIER, EARLIER, TRIAL),
             OUTCOMES
-            | {"leave", "drain", "gone", "return", "list_failed", "kill", "stage", "call_back", "withdraw",
-               "lose_news", "lose_vote", "lose_datagram", "repeat_datagram"},
+            | {
+                "leave",
+                "drain",
+                "gone",
+                "return",
+                "list_failed",
+                "kill",
+                "stage",
+                "call_back",
+                "withdraw",
+                "lose_news",
+                "lose_vote",
+                "lose_datagram",
+                "repeat_datagram",
+            },
             ("deadline", "drain", "window", "grace", "cold", "timer", "memory"),
             news=ON_TRIAL,
             rollout=replace(ROLLOUT, monotonic_keys=True, exposure_allowance=2.0),
         ),
     )
-}  # fmt: skip
+}
--- a/meadowpulley/check/shared/node.py
+++ b/meadowpulley/check/shared/node.py
@@ -11,7 +11,6 @@
 from collections import deque
 from typing import Any, Protocol
 
-from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
 from meadowpulley.check.choices import Choices
 from meadowpulley.check.graph import Copier, Forms, Walker, digest
@@ -25,13 +24,31 @@
     TAKEOVER,
     Scene,
 )
+from meadowpulley.interface import (
+    Cancel,
+    ClientDisconnected,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Fail,
+    Outcome,
+    Phase,
+    Reject,
+    Request,
+    Result,
+    RolloutUpdate,
+    Send,
+    ServerEntry,
+    ServerState,
+    SetTimer,
+    Timer,
+)
 from meadowpulley.ledger import Changed, Commit, Committed, How, Life, MemoryStore, Renew, Scan, Scanned
 from meadowpulley.ledger.keeper import OWNER as KEEPER, Keeper
 from meadowpulley.lending import Lending
 from meadowpulley.takeover import Takeover, model as m
 
 CHOICES = Choices()
-NEWS = i.RolloutUpdate(BUILD, 0, i.Phase.RELEASED, 1.0, 60_000.0)
+NEWS = RolloutUpdate(BUILD, 0, Phase.RELEASED, 1.0, 60_000.0)
 CHANNELS = ("commits", "looks")
 SKIP = {
     "Balancer": frozenset({"s", "rules", "roll", "rng", "handlers", "acts", "many", "z", "needed"}),
@@ -90,7 +107,7 @@
         self.late: deque[tuple[Life, Commit]] = deque()  # not heard of any more, and still on their way
         self.answers: deque[Committed | Scanned] = deque()  # carried out, not heard of
         self.bytes: deque[tuple[int, int]] = deque()  # request and attempt: sent, and not out yet
-        self.results: deque[tuple[int, int, i.Result, str]] = deque()  # come, and not heard of
+        self.results: deque[tuple[int, int, Result, str]] = deque()  # come, and not heard of
         self.read: Changed | None = None  # read, and not told
         self.version = 0  # up to which it was told of the ledger
         self.watched: tuple[str, ...] | None = None
@@ -124,10 +141,8 @@
         self.keeper = Keeper(self.life, LEASES, inner)
         if self.scene.takes_over:
             self.keeper.inner = Takeover(settings, inner, self.life, self.keeper.may_act, TAKEOVER)
-        entries = tuple(
-            i.ServerEntry(n, 0, 0, i.ServerState.READY, BUILD, 1.0, 0, 1.0) for n in (1, 2)
-        )  # fmt: skip
-        self.tell(world, i.EndpointUpdate(i.EndpointUpdateKind.CACHED, 1, entries))
+        entries = tuple(ServerEntry(n, 0, 0, ServerState.READY, BUILD, 1.0, 0, 1.0) for n in (1, 2))
+        self.tell(world, EndpointUpdate(EndpointUpdateKind.CACHED, 1, entries))
         self.tell(world, NEWS)
         self.balancer.retries_left = 3.0
         for action in self.keeper.start(world.now):
@@ -161,22 +176,22 @@
             self.outbox.append(action)
             if self.is_renewal(action):
                 self.renewing[action.ticket] = world.now
-        elif isinstance(action, i.Send):
+        elif isinstance(action, Send):
             self._send(world, action)
-        elif isinstance(action, i.Reject | i.Fail):
-            self._answer(world, action.request, "refused" if isinstance(action, i.Reject) else "failed")
+        elif isinstance(action, Reject | Fail):
+            self._answer(world, action.request, "refused" if isinstance(action, Reject) else "failed")
         elif isinstance(action, m.Pass):
             self._answer(world, action.request, action.body.decode())
         elif isinstance(action, m.Drop):
             self._end(action.request)
         elif isinstance(action, m.Adopt):
             self._adopt(world, action)
-        elif isinstance(action, i.SetTimer):
+        elif isinstance(action, SetTimer):
             due = (world.now + max(action.delay_ms, 0.0), action.token)
             if due not in self.timers:
                 self.timers.append(due)
                 self.timers.sort()
-        elif isinstance(action, i.Cancel):
+        elif isinstance(action, Cancel):
             self._cancel(world, action)
 
     @staticmethod
@@ -198,7 +213,7 @@
         name, deadline = f"r{n}", world.now + self.scene.settings(self.number).classes[cls].deadline_ms
         self.slots[self.last] = Slot(name, n, cls, deadline, True)
         self.slots[self.last].asked_at = world.now
-        request = i.Request(self.last, cls, n % 2, n + 1, deadline, client_retry=again)
+        request = Request(self.last, cls, n % 2, n + 1, deadline, client_retry=again)
         event: Any = request
         if self.knows_end and cls == SAFE:
             world.books.unwritten.add(name)
@@ -213,7 +228,7 @@
         world.say("ledger", self.who, f"takes {action.name} over")
         self.tell(world, m.Placed(action.name, self.last))
 
-    def _send(self, world: Around, action: i.Send) -> None:
+    def _send(self, world: Around, action: Send) -> None:
         slot = self.slots.get(action.request)
         if slot is None or slot.over:
             self._fail(world, "answers", f"request {action.request} is over, and sent")
@@ -228,10 +243,10 @@
         slot.tries += 1
         world.say(self.who, f"server {action.server}", f"{slot.name}, decided")
 
-    def _cancel(self, world: Around, action: i.Cancel) -> None:
+    def _cancel(self, world: Around, action: Cancel) -> None:
         slot = self.slots.get(action.request)
         if slot is not None and action.attempt in slot.out:
-            self.outcome(world, action.request, action.attempt, i.Result.CANCELLED)
+            self.outcome(world, action.request, action.attempt, Result.CANCELLED)
 
     def _answer(self, world: Around, request: int, text: str) -> None:
         slot = self.slots.get(request)
@@ -265,14 +280,14 @@
 
     def leave(self, world: Around, request: int) -> None:
         self.slots[request].client = False
-        self.tell(world, m.ClientGone(request) if self.scene.takes_over else i.ClientDisconnected(request))
+        self.tell(world, m.ClientGone(request) if self.scene.takes_over else ClientDisconnected(request))
 
-    def outcome(self, world: Around, request: int, attempt: int, result: i.Result, body: str = "") -> None:
+    def outcome(self, world: Around, request: int, attempt: int, result: Result, body: str = "") -> None:
         """The one outcome of an attempt; a good answer is shown to the stages first."""
         slot = self.slots.get(request)
         if slot is None or attempt not in slot.out:
             return
-        if result is i.Result.OK and not slot.over:
+        if result is Result.OK and not slot.over:
             slot.answered_at = world.now
             if self.scene.takes_over:
                 self.tell(world, m.AnswerReady(request, 200, (), body.encode()))
@@ -280,10 +295,10 @@
                 self._answer(world, request, body)
         slot = self.slots[request]
         out = slot.out.pop(attempt)
-        over = slot.over or result is i.Result.OK
+        over = slot.over or result is Result.OK
         self._tidy(request)
         elapsed = world.now - out.at
-        self.tell(world, i.Outcome(request, attempt, out.server, result, elapsed, over))
+        self.tell(world, Outcome(request, attempt, out.server, result, elapsed, over))
 
     # The ledger
 
@@ -320,17 +335,17 @@
         slack = self.scene.settings(self.number).rules.response_slack_ms
         for request, slot in list(self.slots.items()):
             for attempt in list(slot.out) if slot.deadline <= world.now else ():
-                self.outcome(world, request, attempt, i.Result.TIMEOUT)
+                self.outcome(world, request, attempt, Result.TIMEOUT)
         while self.timers and self.timers[0][0] <= world.now:
             _, token = self.timers.pop(0)
-            self.tell(world, i.Timer(token))
+            self.tell(world, Timer(token))
         for request, slot in list(self.slots.items()):
             if not slot.over and slot.deadline + slack <= world.now:
                 late = world.now > slot.deadline + slack  # a process that stood still answers as it wakes
                 if not late and self.scene.takes_over:
                     self._fail(world, "answers", f"{slot.name} got no answer by its deadline and slack")
                 self._answer(world, request, "failed")
-                self.tell(world, i.ClientDisconnected(request))
+                self.tell(world, ClientDisconnected(request))
 
     # Capacity
 
--- a/meadowpulley/check/shared/scenes.py
+++ b/meadowpulley/check/shared/scenes.py
@@ -4,7 +4,16 @@
 
 from dataclasses import dataclass
 
-from meadowpulley import interface as i
+from meadowpulley.interface import (
+    DeduplicationScope,
+    Effect,
+    Limits,
+    RequestClass,
+    Rollout,
+    Rules,
+    Settings,
+    Tenant,
+)
 from meadowpulley.ledger.keeper import Terms as LeaseTerms
 from meadowpulley.lending.model import Plan, Share
 from meadowpulley.takeover.model import Terms, Written
@@ -13,15 +22,15 @@
 BUILD = 41
 TERM_MS = 400.0  # of a lease
 CLASSES = (
-    i.RequestClass("look", 200.0, 2000.0, i.Effect.IDEMPOTENT),
-    i.RequestClass("pay", 200.0, 2000.0, i.Effect.NON_IDEMPOTENT),
-    i.RequestClass("order", 200.0, 2000.0, i.Effect.IDEMPOTENT_WITH_KEY, i.DeduplicationScope.ALL, 5000.0),
+    RequestClass("look", 200.0, 2000.0, Effect.IDEMPOTENT),
+    RequestClass("pay", 200.0, 2000.0, Effect.NON_IDEMPOTENT),
+    RequestClass("order", 200.0, 2000.0, Effect.IDEMPOTENT_WITH_KEY, DeduplicationScope.ALL, 5000.0),
 )
 PATHS = ("/look", "/pay", "/order")
-RULES = i.Rules(response_slack_ms=50.0, max_poll_interval_ms=60_000.0, drain_grace_ms=1000.0)
-LIMITS = i.Limits(max_attempts=3, retry_after=True, max_retry_after_ms=500.0, connect_timeout_ms=50.0)
-ROLLOUT = i.Rollout(caps=(1.0,), stage_shares=(1.0,), exposure_window_ms=300.0, exposure_allowance=4.0)
-TENANTS = (i.Tenant("a", 0.5), i.Tenant("b", 0.5))
+RULES = Rules(response_slack_ms=50.0, max_poll_interval_ms=60_000.0, drain_grace_ms=1000.0)
+LIMITS = Limits(max_attempts=3, retry_after=True, max_retry_after_ms=500.0, connect_timeout_ms=50.0)
+ROLLOUT = Rollout(caps=(1.0,), stage_shares=(1.0,), exposure_window_ms=300.0, exposure_allowance=4.0)
+TENANTS = (Tenant("a", 0.5), Tenant("b", 0.5))
 LEASES = LeaseTerms(term_ms=TERM_MS, act_part=0.7, drift=0.02)
 TAKEOVER = Terms(
     written=Written.ALL, right_ms=100.0, hold_ms=150.0, again_ms=40.0, step_ms=60.0, keep_ms=60_000.0
@@ -49,8 +58,8 @@
     by_turns: bool = False
     copies: int = 2
 
-    def settings(self, me: int) -> i.Settings:
-        return i.Settings(me, 2, 0, ("hobart",), 5.0, CLASSES, TENANTS, RULES, LIMITS, ROLLOUT)
+    def settings(self, me: int) -> Settings:
+        return Settings(me, 2, 0, ("hobart",), 5.0, CLASSES, TENANTS, RULES, LIMITS, ROLLOUT)
 
 
 LIFE = frozenset({"kill", "stop"})
@@ -61,23 +70,59 @@
     s.name: s
     for s in (
         Scene("lives", "gateways killed, stopped and woken at every step", (UNSAFE, KEYED, SAFE), LIFE),
-        Scene("keyed", "the same, for requests whose repeats are dropped",
-              (KEYED, SAFE, UNSAFE), LIFE | {"late"}),
-        Scene("answers", "answers of the ledger lost or late, whether or not the step was carried out",
-              (UNSAFE, KEYED, SAFE), LEDGER | {"kill", "again"}),
-        Scene("servers", "attempts that break, are turned away or run after others have acted",
-              (UNSAFE, KEYED, SAFE), SERVER | LIFE),
-        Scene("clients", "clients that leave, and ask again at the other gateway with the same id",
-              (UNSAFE, SAFE, KEYED), CLIENT | LIFE),
-        Scene("handover", "planned stops, which hand over what can't end before the kill",
-              (UNSAFE, KEYED, SAFE), frozenset({"term", "kill", "late", "lose"})),
-        Scene("restarts", "a killed gateway that starts anew under its name",
-              (UNSAFE, KEYED, SAFE), frozenset({"kill", "start", "again", "late"})),
-        Scene("all", "all of it", (UNSAFE, KEYED, SAFE),
-              LIFE | LEDGER | SERVER | CLIENT | {"term", "start"}),
-        Scene("stands", "capacity lent, and a gateway that stands still",
-              (SAFE, SAFE, SAFE), frozenset({"stop"}), takes_over=False, lends=True, by_turns=True),
-        Scene("lent", "capacity lent between two tenants: gateways killed, stopped, cut off, started anew",
-              (SAFE, SAFE, SAFE), LIFE | {"hold", "lose", "start", "term"}, takes_over=False, lends=True),
+        Scene(
+            "keyed",
+            "the same, for requests whose repeats are dropped",
+            (KEYED, SAFE, UNSAFE),
+            LIFE | {"late"},
+        ),
+        Scene(
+            "answers",
+            "answers of the ledger lost or late, whether or not the step was carried out",
+            (UNSAFE, KEYED, SAFE),
+            LEDGER | {"kill", "again"},
+        ),
+        Scene(
+            "servers",
+            "attempts that break, are turned away or run after others have acted",
+            (UNSAFE, KEYED, SAFE),
+            SERVER | LIFE,
+        ),
+        Scene(
+            "clients",
+            "clients that leave, and ask again at the other gateway with the same id",
+            (UNSAFE, SAFE, KEYED),
+            CLIENT | LIFE,
+        ),
+        Scene(
+            "handover",
+            "planned stops, which hand over what can't end before the kill",
+            (UNSAFE, KEYED, SAFE),
+            frozenset({"term", "kill", "late", "lose"}),
+        ),
+        Scene(
+            "restarts",
+            "a killed gateway that starts anew under its name",
+            (UNSAFE, KEYED, SAFE),
+            frozenset({"kill", "start", "again", "late"}),
+        ),
+        Scene("all", "all of it", (UNSAFE, KEYED, SAFE), LIFE | LEDGER | SERVER | CLIENT | {"term", "start"}),
+        Scene(
+            "stands",
+            "capacity lent, and a gateway that stands still",
+            (SAFE, SAFE, SAFE),
+            frozenset({"stop"}),
+            takes_over=False,
+            lends=True,
+            by_turns=True,
+        ),
+        Scene(
+            "lent",
+            "capacity lent between two tenants: gateways killed, stopped, cut off, started anew",
+            (SAFE, SAFE, SAFE),
+            LIFE | {"hold", "lose", "start", "term"},
+            takes_over=False,
+            lends=True,
+        ),
     )
-}  # fmt: skip
+}
--- a/meadowpulley/check/shared/state.py
+++ b/meadowpulley/check/shared/state.py
@@ -82,9 +82,16 @@
     def _around(self) -> tuple[Any, ...]:
         walker = Walker(FORMS)
         return (
-            self.now, self.left, self.asked, self.troubles, self.waits, self.ended, walker.walk(self.arrived),
-            walker.walk(self.store), self.books.form(),
-        )  # fmt: skip
+            self.now,
+            self.left,
+            self.asked,
+            self.troubles,
+            self.waits,
+            self.ended,
+            walker.walk(self.arrived),
+            walker.walk(self.store),
+            self.books.form(),
+        )
 
     def form(self) -> Any:
         return self._around(), tuple(n.form() for n in self.nodes)
--- a/meadowpulley/check/shared/world.py
+++ b/meadowpulley/check/shared/world.py
@@ -5,13 +5,13 @@
 import math
 from collections.abc import Sequence
 
-from meadowpulley import interface as i
 from meadowpulley.check.shared.enabled import Enabled
 from meadowpulley.check.shared.node import CHOICES, Node
 from meadowpulley.check.shared.scenes import BURST, CLASSES, PLAN, TERM_MS
 from meadowpulley.check.shared.state import Attempt
 from meadowpulley.check.shared.words import text_of
 from meadowpulley.check.worlds import Step
+from meadowpulley.interface import Result
 from meadowpulley.ledger import Commit, Committed, Done, How, Life, Scan, Scanned, Seal
 from meadowpulley.takeover.model import Stopping
 
@@ -137,7 +137,7 @@
         self.arrived = (*self.arrived[:n], *self.arrived[n + 1 :])
         return attempt
 
-    def _back(self, attempt: Attempt, result: i.Result, body: str = "") -> None:
+    def _back(self, attempt: Attempt, result: Result, body: str = "") -> None:
         node = self.nodes[attempt.gateway]
         if node.up and node.life == attempt.life:
             node = self._node(attempt.gateway)
@@ -148,7 +148,7 @@
         attempt = self._take(n)
         self.books.run(self.now, attempt.name, attempt.cls)
         body = f"{attempt.name} as run {self.books.ran[attempt.name]}"
-        self._back(attempt, i.Result.OK, body)
+        self._back(attempt, Result.OK, body)
 
     # Clients
 
@@ -228,12 +228,12 @@
     def _do_reset(self, n: int) -> None:
         attempt = self._take(n)
         self.books.run(self.now, attempt.name, attempt.cls)
-        self._back(attempt, i.Result.RESET)
+        self._back(attempt, Result.RESET)
 
     def _do_full(self, n: int) -> None:
         attempt = self._take(n)
         self.books.over(attempt.name)
-        self._back(attempt, i.Result.REJECTED)
+        self._back(attempt, Result.REJECTED)
 
     def _hold_run(self, n: int, held: bool) -> None:
         one = self.arrived[n]._replace(held=held)
--- a/meadowpulley/check/story.py
+++ b/meadowpulley/check/story.py
@@ -174,7 +174,12 @@
         loader=PackageLoader("meadowpulley.report"), autoescape=True, undefined=StrictUndefined
     )
     return environment.get_template("sequence.svg.j2").render(
-        title=f"{tale.property}: {tale.text}", width=max(2 * MARGIN + COLUMN * len(parties), 900),
-        height=y + 2 * ROW, parties=[{"x": x[p], "name": p} for p in parties], notes=notes, arrows=arrows,
-        head=HEAD, margin=MARGIN,
-    )  # fmt: skip
+        title=f"{tale.property}: {tale.text}",
+        width=max(2 * MARGIN + COLUMN * len(parties), 900),
+        height=y + 2 * ROW,
+        parties=[{"x": x[p], "name": p} for p in parties],
+        notes=notes,
+        arrows=arrows,
+        head=HEAD,
+        margin=MARGIN,
+    )
--- a/meadowpulley/cli/capacity.py
+++ b/meadowpulley/cli/capacity.py
@@ -55,9 +55,14 @@
         click.option("--seeds", type=click.IntRange(2, 1000), default=4, show_default=True, help="How many."),
         click.option("--workers", type=click.IntRange(1, 1024), help="Processes; one a core else."),
         click.option("--store", type=FILE, help="Keep runs there and go on from it (JSON lines)."),
-        click.option("--percentile", type=click.FloatRange(0, 100), default=95.0, show_default=True,
-                     help="The busy rate: that of this percentile of the load's windows."),
-    ):  # fmt: skip
+        click.option(
+            "--percentile",
+            type=click.FloatRange(0, 100),
+            default=95.0,
+            show_default=True,
+            help="The busy rate: that of this percentile of the load's windows.",
+        ),
+    ):
         command = option(command)
     return command
 
@@ -132,15 +137,18 @@
     if plan.points:
         rows = [
             [
-                f"{p.multiple:.2f} x", percent(p.utilisation), percent(p.worth[0], 2),
+                f"{p.multiple:.2f} x",
+                percent(p.utilisation),
+                percent(p.worth[0], 2),
                 percent(p.in_aim[0], 2),
-                percent(p.refused[0], 2), f"{p.served_per_s[0]:.1f}",
+                percent(p.refused[0], 2),
+                f"{p.served_per_s[0]:.1f}",
                 " ".join(f"{s[0]:.0f}" for s in p.p50_ms.values()),
                 " ".join(f"{s[0]:.0f}" for s in p.p99_ms.values()),
                 f"{p.theory_mean_ms:.0f}" if math.isfinite(p.theory_mean_ms) else "-",
             ]
             for p in plan.points
-        ]  # fmt: skip
+        ]
         columns = [
             "load",
             "busy",
@@ -186,9 +194,19 @@
 @json_option
 @guarded
 def plan(
-    fleet: Path, load: Path | None, profile: str, rate: float | None, seconds: float, seed: int, seeds: int,
-    workers: int | None, store: Path | None, percentile: float, report: Path | None, as_json: bool,
-) -> int:  # fmt: skip
+    fleet: Path,
+    load: Path | None,
+    profile: str,
+    rate: float | None,
+    seconds: float,
+    seed: int,
+    seeds: int,
+    workers: int | None,
+    store: Path | None,
+    percentile: float,
+    report: Path | None,
+    as_json: bool,
+) -> int:
     """What the load does to the fleet, and what breaks first. Exit code 1 if something is broken already."""
     described = read_fleet(fleet)
     report_path(report)
@@ -209,8 +227,13 @@
 @fleet_option
 @load_options
 @seeds_option
-@click.option("--goal", type=click.FloatRange(0, 1, min_open=True), default=0.99, show_default=True,
-              help="Share of worth that each class keeps.")  # fmt: skip
+@click.option(
+    "--goal",
+    type=click.FloatRange(0, 1, min_open=True),
+    default=0.99,
+    show_default=True,
+    help="Share of worth that each class keeps.",
+)
 @click.option(
     "--rollout/--no-rollout", default=True, show_default=True, help="While a build goes through its stages."
 )
@@ -219,10 +242,22 @@
 @json_option
 @guarded
 def needs(
-    fleet: Path, load: Path | None, profile: str, rate: float | None, seconds: float, seed: int, seeds: int,
-    workers: int | None, store: Path | None, percentile: float, goal: float, rollout: bool, site: str | None,
-    kind: str | None, as_json: bool,
-) -> int:  # fmt: skip
+    fleet: Path,
+    load: Path | None,
+    profile: str,
+    rate: float | None,
+    seconds: float,
+    seed: int,
+    seeds: int,
+    workers: int | None,
+    store: Path | None,
+    percentile: float,
+    goal: float,
+    rollout: bool,
+    site: str | None,
+    kind: str | None,
+    as_json: bool,
+) -> int:
     """How many servers a goal needs. Exit code 1 if more than there are, or if no number meets it."""
     described = read_fleet(fleet)
     site = site or described.sites[0].name
@@ -245,9 +280,17 @@
             click.echo(text, file=err)
 
     found = how_many(
-        described, spec, demand, Goal(goal, rollout), site, kind, range(seed, seed + seeds), workers,
-        Store(store), progress=tell,
-    )  # fmt: skip
+        described,
+        spec,
+        demand,
+        Goal(goal, rollout),
+        site,
+        kind,
+        range(seed, seed + seeds),
+        workers,
+        Store(store),
+        progress=tell,
+    )
     if as_json:
         show_json(finite(asdict(found)))
     else:
@@ -273,10 +316,20 @@
 @json_option
 @guarded
 def lose(
-    fleet: Path, load: Path | None, profile: str, rate: float | None, seconds: float, seed: int, seeds: int,
-    workers: int | None, store: Path | None, percentile: float, site: str | None, report: Path | None,
+    fleet: Path,
+    load: Path | None,
+    profile: str,
+    rate: float | None,
+    seconds: float,
+    seed: int,
+    seeds: int,
+    workers: int | None,
+    store: Path | None,
+    percentile: float,
+    site: str | None,
+    report: Path | None,
     as_json: bool,
-) -> int:  # fmt: skip
+) -> int:
     """What losing a site does, and its return. Exit code 1 if the others can't hold the load."""
     described = read_fleet(fleet)
     report_path(report)
@@ -298,16 +351,31 @@
     else:
         rows = [
             [
-                f.site, percent(f.capacity_share), span_text(f.spilled),
+                f.site,
+                percent(f.capacity_share),
+                span_text(f.spilled),
                 percent(f.rest) if math.isfinite(f.rest) else "none left",
-                percent(f.refused_theory), span_text(f.worth_before), span_text(f.worth_settled),
+                percent(f.refused_theory),
+                span_text(f.worth_before),
+                span_text(f.worth_settled),
                 span_text(f.worth_after),
-                ", ".join(f"{n} {kind}" for kind, n in f.more.items() if n) or "none", str(f.pushed_over),
+                ", ".join(f"{n} {kind}" for kind, n in f.more.items() if n) or "none",
+                str(f.pushed_over),
             ]
             for f in found
-        ]  # fmt: skip
-        columns = ["site", "spills", "measured", "rest busy", "too much", "worth before", "once settled",
-                   "at its return", "more servers, of either", "pushed over"]  # fmt: skip
+        ]
+        columns = [
+            "site",
+            "spills",
+            "measured",
+            "rest busy",
+            "too much",
+            "worth before",
+            "once settled",
+            "at its return",
+            "more servers, of either",
+            "pushed over",
+        ]
         console().print(make_table("One site lost", columns, rows))
     return MISSED if any(f.saturates or f.pushed_over for f in found) else GOOD
 
@@ -331,10 +399,22 @@
 @json_option
 @guarded
 def spike_command(
-    fleet: Path, load: Path | None, profile: str, rate: float | None, seconds: float, seed: int, seeds: int,
-    workers: int | None, store: Path | None, percentile: float, share: float, cost: float, for_s: float,
-    report: Path | None, as_json: bool,
-) -> int:  # fmt: skip
+    fleet: Path,
+    load: Path | None,
+    profile: str,
+    rate: float | None,
+    seconds: float,
+    seed: int,
+    seeds: int,
+    workers: int | None,
+    store: Path | None,
+    percentile: float,
+    share: float,
+    cost: float,
+    for_s: float,
+    report: Path | None,
+    as_json: bool,
+) -> int:
     """What a spike of costly requests does, and what refusals save. Exit code 1 if it saturates the fleet."""
     described = read_fleet(fleet)
     report_path(report)
@@ -342,9 +422,15 @@
     demand = take_demand(described, spec, seed, percentile)
     with Shown("emulating") as progress:
         found = play_spike(
-            described, spec, demand, Spike(share, cost, for_s * 1000), range(seed, seed + seeds), workers,
-            Store(store), progress,
-        )  # fmt: skip
+            described,
+            spec,
+            demand,
+            Spike(share, cost, for_s * 1000),
+            range(seed, seed + seeds),
+            workers,
+            Store(store),
+            progress,
+        )
     if report is not None:
         write_page(spike_page(described, found), report)
     if as_json:
--- a/meadowpulley/cli/check.py
+++ b/meadowpulley/cli/check.py
@@ -111,14 +111,20 @@
         click.option("--servers", type=click.IntRange(1, 8), default=3, show_default=True),
         click.option("--requests", type=click.IntRange(0, 12), default=4, show_default=True),
         click.option(
-            "--troubles", type=click.IntRange(0, 20), default=1, show_default=True,
+            "--troubles",
+            type=click.IntRange(0, 20),
+            default=1,
+            show_default=True,
             help="Steps of a path that are somebody's failure.",
         ),
         click.option(
-            "--waits", type=click.IntRange(0, 20), default=1, show_default=True,
+            "--waits",
+            type=click.IntRange(0, 20),
+            default=1,
+            show_default=True,
             help="How often time moves on in a path.",
         ),
-    ):  # fmt: skip
+    ):
         command = option(command)
     return command
 
@@ -128,10 +134,16 @@
 @click.option("--scene", "scenes", multiple=True, help="Which scenes; all of the world else.")
 @bounds_options
 @click.option("--depth", type=click.IntRange(1, 10_000), default=10_000, help="Steps of a path, at most.")
-@click.option("--budget", type=click.FloatRange(1, 1e7), default=60.0, show_default=True,
-              help="Seconds for each scene.")  # fmt: skip
-@click.option("--walks", type=click.IntRange(0, 10**9), default=0, show_default=True,
-              help="Random walks after the search.")  # fmt: skip
+@click.option(
+    "--budget", type=click.FloatRange(1, 1e7), default=60.0, show_default=True, help="Seconds for each scene."
+)
+@click.option(
+    "--walks",
+    type=click.IntRange(0, 10**9),
+    default=0,
+    show_default=True,
+    help="Random walks after the search.",
+)
 @click.option("--walk-steps", type=click.IntRange(1, 100_000), default=80, show_default=True)
 @seed_option
 @click.option("--workers", type=click.IntRange(1, 1024))
@@ -140,10 +152,23 @@
 @json_option
 @guarded
 def run(
-    world: str, scenes: tuple[str, ...], gateways: int, servers: int, requests: int, troubles: int,
-    waits: int, depth: int, budget: float, walks: int, walk_steps: int, seed: int, workers: int | None,
-    checkpoint: Path | None, out: Path | None, as_json: bool,
-) -> int:  # fmt: skip
+    world: str,
+    scenes: tuple[str, ...],
+    gateways: int,
+    servers: int,
+    requests: int,
+    troubles: int,
+    waits: int,
+    depth: int,
+    budget: float,
+    walks: int,
+    walk_steps: int,
+    seed: int,
+    workers: int | None,
+    checkpoint: Path | None,
+    out: Path | None,
+    as_json: bool,
+) -> int:
     """Explore: exit code 0 if nothing was found, 1 if a property is broken."""
     known = scenes_of(world)
     for name in scenes:
@@ -157,13 +182,23 @@
     found: list[Coverage] = []
     with _Progress(as_json) as progress:
         for name in wanted:
-            setting = Setting(world=world, scene=name, gateways=gateways, servers=servers, requests=requests,
-                              troubles=troubles, waits=waits)  # fmt: skip
+            setting = Setting(
+                world=world,
+                scene=name,
+                gateways=gateways,
+                servers=servers,
+                requests=requests,
+                troubles=troubles,
+                waits=waits,
+            )
             try:
                 search = Search(
-                    setting, seed, workers, checkpoint=checkpoint,
+                    setting,
+                    seed,
+                    workers,
+                    checkpoint=checkpoint,
                     progress=lambda c, name=name: progress.show(name, c),  # type: ignore[misc]
-                )  # fmt: skip
+                )
             except (CheckpointError, ValueError) as error:
                 raise InputError(str(error)) from None
             try:
@@ -192,12 +227,17 @@
     shown = console()
     rows = [
         [
-            c.setting.scene, str(c.states), str(c.taken), str(c.depth), f"{c.seconds:.1f}",
-            f"{c.states / max(c.seconds, 0.001):.0f}", f"{c.walks} x {c.walked // max(c.walks, 1)}",
+            c.setting.scene,
+            str(c.states),
+            str(c.taken),
+            str(c.depth),
+            f"{c.seconds:.1f}",
+            f"{c.states / max(c.seconds, 0.001):.0f}",
+            f"{c.walks} x {c.walked // max(c.walks, 1)}",
             "BROKEN" if c.counterexample else _left_out(c),
         ]
         for c in found
-    ]  # fmt: skip
+    ]
     columns = ["scene", "states", "steps", "depth", "seconds", "states/s", "walks", "covered"]
     shown.print(make_table(f"{found[0].setting.world}: {found[0].setting.size}", columns, rows))
     for tale in tales:
@@ -209,26 +249,39 @@
 @click.option("--mutant", "names", multiple=True, help="Which; all else.")
 @click.option("--list", "only_list", is_flag=True, help="Name them, and play none.")
 @click.option("--seeds", type=click.IntRange(1, 100), default=1, show_default=True)
-@click.option("--budget", type=click.FloatRange(1, 1e6), default=60.0, show_default=True,
-              help="Seconds for each search, and as much for walks behind it.")  # fmt: skip
+@click.option(
+    "--budget",
+    type=click.FloatRange(1, 1e6),
+    default=60.0,
+    show_default=True,
+    help="Seconds for each search, and as much for walks behind it.",
+)
 @click.option("--workers", type=click.IntRange(1, 1024))
 @click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="Where counterexamples go.")
 @json_option
 @guarded
 def mutants(
-    names: tuple[str, ...], only_list: bool, seeds: int, budget: float, workers: int | None,
-    out: Path | None, as_json: bool,
-) -> int:  # fmt: skip
+    names: tuple[str, ...],
+    only_list: bool,
+    seeds: int,
+    budget: float,
+    workers: int | None,
+    out: Path | None,
+    as_json: bool,
+) -> int:
     """Plant bugs and look for them. Exit code 1 if one survives."""
     from meadowpulley.check.mutants import MUTANTS
 
     if only_list:
         if as_json:
-            show_json([{"name": m.name, "why": m.why, "module": m.module, "by": m.by}
-                       for m in MUTANTS.values()])  # fmt: skip
+            show_json(
+                [{"name": m.name, "why": m.why, "module": m.module, "by": m.by} for m in MUTANTS.values()]
+            )
         else:
-            rows = [[m.name, m.module.removeprefix("meadowpulley."), ", ".join(m.by), m.why]
-                    for m in MUTANTS.values()]  # fmt: skip
+            rows = [
+                [m.name, m.module.removeprefix("meadowpulley."), ", ".join(m.by), m.why]
+                for m in MUTANTS.values()
+            ]
             console().print(make_table(f"{len(rows)} mutants", ["mutant", "module", "by", "what"], rows))
         return GOOD
     err = Console(stderr=True, highlight=False)
@@ -254,11 +307,16 @@
         rows = []
         for name in dict.fromkeys(c.mutant for c in found):
             mine = [c for c in found if c.mutant == name]
-            rows.append([
-                name, ", ".join(sorted({c.by or "survived" for c in mine})),
-                "/".join(str(len(c.steps)) for c in mine), str(max(c.states for c in mine)),
-                f"{max(c.seconds for c in mine):.1f}", ", ".join(sorted({c.how for c in mine})),
-            ])  # fmt: skip
+            rows.append(
+                [
+                    name,
+                    ", ".join(sorted({c.by or "survived" for c in mine})),
+                    "/".join(str(len(c.steps)) for c in mine),
+                    str(max(c.states for c in mine)),
+                    f"{max(c.seconds for c in mine):.1f}",
+                    ", ".join(sorted({c.how for c in mine})),
+                ]
+            )
         columns = ["mutant", "caught by", "steps, by seed", "states, most", "seconds, most", "how"]
         console().print(make_table(f"{len(rows)} mutants, {seeds} seeds", columns, rows))
         console().print(f"{len(rows) - len(survived)} of {len(rows)} caught under every seed")
@@ -268,8 +326,13 @@
 @check.command()
 @click.option("--target", "names", multiple=True, help="Which readers; all else.")
 @click.option("--examples", type=click.IntRange(1, 10**8), default=1000, show_default=True, help="Of each.")
-@click.option("--corpus", type=click.Path(file_okay=False, path_type=Path), default=Path("tests/corpus"),
-              show_default=True, help="Inputs that are played first; what fails is kept there.")  # fmt: skip
+@click.option(
+    "--corpus",
+    type=click.Path(file_okay=False, path_type=Path),
+    default=Path("tests/corpus"),
+    show_default=True,
+    help="Inputs that are played first; what fails is kept there.",
+)
 @seed_option
 @json_option
 @guarded
@@ -289,8 +352,9 @@
             folder.mkdir(parents=True, exist_ok=True)
             (folder / f"found-{xxhash.xxh3_64_hexdigest(one.failing)}").write_bytes(one.failing)
     if as_json:
-        show_json([{"target": f.target, "corpus": f.corpus, "examples": f.examples, "why": f.why}
-                   for f in found])  # fmt: skip
+        show_json(
+            [{"target": f.target, "corpus": f.corpus, "examples": f.examples, "why": f.why} for f in found]
+        )
     else:
         rows = [[TARGETS[f.target].about, str(f.corpus), str(f.examples), f.why or "holds"] for f in found]
         console().print(make_table(f"Fuzzing, seed {seed}", ["reader", "corpus", "examples", "result"], rows))
--- a/meadowpulley/cli/demo.py
+++ b/meadowpulley/cli/demo.py
@@ -83,10 +83,14 @@
 
 @click.command()
 @seed_option
-@click.option("--pace", type=click.FloatRange(0.1, 1000), default=2.0, show_default=True,
-              help="In a terminal: seconds of virtual time in one of real time.")  # fmt: skip
-@click.option("--sockets", is_flag=True,
-              help="On loopback in real time: real gateways, stand-in servers.")  # fmt: skip
+@click.option(
+    "--pace",
+    type=click.FloatRange(0.1, 1000),
+    default=2.0,
+    show_default=True,
+    help="In a terminal: seconds of virtual time in one of real time.",
+)
+@click.option("--sockets", is_flag=True, help="On loopback in real time: real gateways, stand-in servers.")
 @click.option("--report", type=FILE, default=Path("demo-report.html"), show_default=True)
 @json_option
 @guarded
--- a/meadowpulley/cli/emulate.py
+++ b/meadowpulley/cli/emulate.py
@@ -36,12 +36,18 @@
     out = console()
     rows = [
         [
-            c.name, str(c.asked), percent(c.in_aim / c.asked) if c.asked else "-", str(c.late),
+            c.name,
+            str(c.asked),
+            percent(c.in_aim / c.asked) if c.asked else "-",
+            str(c.late),
             str(c.refused),
-            str(c.failed), percent(c.worth_share), f"{c.latency_ms(50):.0f}", f"{c.latency_ms(99):.0f}",
+            str(c.failed),
+            percent(c.worth_share),
+            f"{c.latency_ms(50):.0f}",
+            f"{c.latency_ms(99):.0f}",
         ]
         for c in result.classes
-    ]  # fmt: skip
+    ]
     columns = ["class", "asked", "in aim", "late", "refused", "failed", "worth", "p50 ms", "p99 ms"]
     out.print(make_table("Answers", columns, rows))
     rows = [
@@ -66,15 +72,29 @@
 @click.option("--trace", type=FILE, help="Write each record of the run there, as JSON lines.")
 @click.option("--report", type=FILE, help="Write a report there (.html or .md, with charts).")
 @click.option("--live", is_flag=True, help="Watch the run as it goes on.")
-@click.option("--pace", type=click.FloatRange(0.1, 1000), default=5.0, show_default=True,
-              help="With --live: seconds of virtual time in one of real time.")  # fmt: skip
+@click.option(
+    "--pace",
+    type=click.FloatRange(0.1, 1000),
+    default=5.0,
+    show_default=True,
+    help="With --live: seconds of virtual time in one of real time.",
+)
 @json_option
 @guarded
 def emulate(
-    fleet: Path, load: Path | None, profile: str, rate: float | None, seconds: float,
-    scenario: Path | None, seed: int, trace: Path | None, report: Path | None, live: bool,
-    pace: float, as_json: bool,
-) -> int:  # fmt: skip
+    fleet: Path,
+    load: Path | None,
+    profile: str,
+    rate: float | None,
+    seconds: float,
+    scenario: Path | None,
+    seed: int,
+    trace: Path | None,
+    report: Path | None,
+    live: bool,
+    pace: float,
+    as_json: bool,
+) -> int:
     """Play a load on an emulated fleet around real decisions; exit code 1 if a rule was broken."""
     described = read_fleet(fleet)
     told = read_scenario(scenario, described)
--- a/meadowpulley/cli/experiment.py
+++ b/meadowpulley/cli/experiment.py
@@ -45,8 +45,12 @@
     try:
         done = subprocess.run(
             ["git", "describe", "--always", "--dirty", "--exclude", "*"],
-            capture_output=True, text=True, timeout=10, check=False, cwd=Path(__file__).parent,
-        )  # fmt: skip
+            capture_output=True,
+            text=True,
+            timeout=10,
+            check=False,
+            cwd=Path(__file__).parent,
+        )
     except OSError:
         return "unknown"
     return done.stdout.strip() or "unknown"
@@ -58,11 +62,14 @@
         raw = json.loads(read_bytes(table))
         return [
             Row(
-                "", str(r["configuration"]), int(r["seed"]),
-                {k: float(v) for k, v in r.items() if isinstance(v, float)}, dict(r["rules_broken"]),
+                "",
+                str(r["configuration"]),
+                int(r["seed"]),
+                {k: float(v) for k, v in r.items() if isinstance(v, float)},
+                dict(r["rules_broken"]),
             )
             for r in raw["rows"]
-        ]  # fmt: skip
+        ]
     except (ValueError, KeyError, TypeError) as error:
         raise InputError(f"{table}: no table of an experiment ({error}); run one first") from None
 
@@ -119,17 +126,33 @@
     except ValueError as error:
         raise InputError(f"{folder / 'table.json'}: {error}") from None
     if as_json:
-        show_json([
-            {"metric": d.metric, first: d.first, second: d.second, "change": d.change.mean,
-             "low": d.change.low,
-             "high": d.change.high, "clear": d.clear} for d in found
-        ])  # fmt: skip
+        show_json(
+            [
+                {
+                    "metric": d.metric,
+                    first: d.first,
+                    second: d.second,
+                    "change": d.change.mean,
+                    "low": d.change.low,
+                    "high": d.change.high,
+                    "clear": d.clear,
+                }
+                for d in found
+            ]
+        )
         return GOOD
     rows = [
-        [d.metric, f"{d.first:.5g}", f"{d.second:.5g}", f"{d.change.mean:+.4g}",
-         f"{d.change.low:+.4g} to {d.change.high:+.4g}", "yes" if d.clear else "no"]
-        for d in found if show_all or d.clear
-    ]  # fmt: skip
+        [
+            d.metric,
+            f"{d.first:.5g}",
+            f"{d.second:.5g}",
+            f"{d.change.mean:+.4g}",
+            f"{d.change.low:+.4g} to {d.change.high:+.4g}",
+            "yes" if d.clear else "no",
+        ]
+        for d in found
+        if show_all or d.clear
+    ]
     columns = ["figure", first, second, "change", "95% interval", "clear"]
     console().print(make_table(f"From {first} to {second}, {found[0].change.n} pairs", columns, rows))
     return GOOD
@@ -150,10 +173,9 @@
     for figure in ("worth", "served_per_s"):
         value = {(r.name, r.seed): r.figures.get(figure, 0.0) for r in rows}
         drawn = [
-            Line(f"seed {seed}", list(range(len(names))),
-                 [value.get((n, seed), 0.0) for n in names], "o-")
+            Line(f"seed {seed}", list(range(len(names))), [value.get((n, seed), 0.0) for n in names], "o-")
             for seed in dict.fromkeys(row.seed for row in rows)
-        ]  # fmt: skip
+        ]
         charts.append(line_chart(figure, f"configuration: {', '.join(names)}", figure, drawn))
     about = json.loads(read_bytes(folder / "table.json"))
     said = [
--- a/meadowpulley/cli/fleet_log.py
+++ b/meadowpulley/cli/fleet_log.py
@@ -65,10 +65,16 @@
         show_json({"seconds": rows, "decisions": said, "unread": unread})
         return
     shown = [
-        [str(at - first), str(s.gateways), *map(str, row(s).values()), str(s.out), str(s.resting),
-         s.news.most_common(1)[0][0]]
+        [
+            str(at - first),
+            str(s.gateways),
+            *map(str, row(s).values()),
+            str(s.out),
+            str(s.resting),
+            s.news.most_common(1)[0][0],
+        ]
         for at, s in seconds.items()
-    ]  # fmt: skip
+    ]
     headings = ["s", "gateways", *(name for name, _ in COLUMNS), "at servers", "resting", "news of most"]
     out = console()
     out.print(make_table("The fleet by the second", headings, shown))
--- a/meadowpulley/cli/load.py
+++ b/meadowpulley/cli/load.py
@@ -113,8 +113,12 @@
     """Tell what a load holds, in one pass and bounded memory."""
     reader = read_load(load_file)
     summary = summarize(reader)
-    notes = {"truncated": reader.truncated, "clock_jumps": reader.jumps, "out_of_order": reader.disordered,
-             "dropped_at_capture": reader.header.dropped}  # fmt: skip
+    notes = {
+        "truncated": reader.truncated,
+        "clock_jumps": reader.jumps,
+        "out_of_order": reader.disordered,
+        "dropped_at_capture": reader.header.dropped,
+    }
     if as_json:
         show_json({**summary.table(), **notes})
         return GOOD
@@ -169,9 +173,16 @@
 @json_option
 @guarded
 def run(
-    fleet: Path, load: Path | None, profile: str, rate: float | None, seconds: float, seed: int,
-    scenario: Path | None, live: bool, as_json: bool,
-) -> int:  # fmt: skip
+    fleet: Path,
+    load: Path | None,
+    profile: str,
+    rate: float | None,
+    seconds: float,
+    seed: int,
+    scenario: Path | None,
+    live: bool,
+    as_json: bool,
+) -> int:
     """Play a load on loopback: real gateways before stand-in servers. Exit code 3 if the rig was the
     limit."""
     from meadowpulley.cli.capacity import load_spec
@@ -234,9 +245,14 @@
 @json_option
 @guarded
 def edit(
-    load_files: tuple[Path, ...], scale: float, stretch: float, pause_ms: float, seed: int, out: Path,
+    load_files: tuple[Path, ...],
+    scale: float,
+    stretch: float,
+    pause_ms: float,
+    seed: int,
+    out: Path,
     as_json: bool,
-) -> int:  # fmt: skip
+) -> int:
     """Splice loads one behind another, scaled and stretched."""
     if out.resolve() in [p.resolve() for p in load_files]:
         raise InputError(f"{out}: is one of the loads that are read; name another file")
--- a/meadowpulley/cli/screen.py
+++ b/meadowpulley/cli/screen.py
@@ -75,9 +75,16 @@
         for key, s in wanted.items():
             colour = {"down": "red", "draining": "yellow"}.get(s.state, "green")
             cells = (
-                key, s.site, s.kind, str(s.build), f"[{colour}]{s.state}[/]",
-                f"{bar(s.slots, 16)} {s.slots:4.0%}", str(s.waiting), f"{s.warm:.0%}", str(s.served),
-            )  # fmt: skip
+                key,
+                s.site,
+                s.kind,
+                str(s.build),
+                f"[{colour}]{s.state}[/]",
+                f"{bar(s.slots, 16)} {s.slots:4.0%}",
+                str(s.waiting),
+                f"{s.warm:.0%}",
+                str(s.served),
+            )
             if key in there:
                 for column, cell in zip(COLUMNS, cells, strict=True):
                     table.update_cell(key, column, cell)
--- a/meadowpulley/cli/verify.py
+++ b/meadowpulley/cli/verify.py
@@ -58,10 +58,16 @@
 
 def _rows(compared: list[Compared]) -> list[list[str]]:
     return [
-        [c.case, c.figure, f"{c.predicted:.4g}", f"{c.low:.4g} to {c.high:.4g}", f"{c.measured:.4g}",
-         percent(c.error)]
+        [
+            c.case,
+            c.figure,
+            f"{c.predicted:.4g}",
+            f"{c.low:.4g} to {c.high:.4g}",
+            f"{c.measured:.4g}",
+            percent(c.error),
+        ]
         for c in compared
-    ]  # fmt: skip
+    ]
 
 
 @click.command()
@@ -78,9 +84,19 @@
 @json_option
 @guarded
 def verify(
-    fleet: Path, load: Path | None, profile: str, rate: float | None, seconds: float, seed: int, quick: bool,
-    cases: tuple[CaseKind, ...], workers: int | None, out: Path | None, report: Path | None, as_json: bool,
-) -> int:  # fmt: skip
+    fleet: Path,
+    load: Path | None,
+    profile: str,
+    rate: float | None,
+    seconds: float,
+    seed: int,
+    quick: bool,
+    cases: tuple[CaseKind, ...],
+    workers: int | None,
+    out: Path | None,
+    report: Path | None,
+    as_json: bool,
+) -> int:
     """Predict, then measure on loopback through real gateways. Exit code 1 if the worst error is over 15%, 3
     if the rig itself was the limit."""
     described = read_fleet(fleet)
--- a/meadowpulley/drill/codec.py
+++ b/meadowpulley/drill/codec.py
@@ -8,7 +8,38 @@
 from dataclasses import dataclass
 from typing import Any, BinaryIO, TypeAlias, TypeVar
 
-from meadowpulley import interface as i
+from meadowpulley.interface import (
+    Action,
+    BuildStatistics,
+    Cancel,
+    ClientDisconnected,
+    CloseIdleConnections,
+    EndpointUpdateKind,
+    Event,
+    Fail,
+    FetchEndpoints,
+    GossipReceived,
+    IncorrectResponse,
+    LogLine,
+    Outcome,
+    Phase,
+    Probe,
+    ProbeResult,
+    Reject,
+    Request,
+    ResponseStarted,
+    Result,
+    RolloutUpdate,
+    Send,
+    SendGossip,
+    ServerEntry,
+    ServerState,
+    SetTimer,
+    Settings,
+    Timer,
+    Vote,
+    Watch,
+)
 from meadowpulley.settings import SettingsError, parse_settings
 
 EVENT_BYTES = 48
@@ -52,7 +83,7 @@
 @dataclass(frozen=True, slots=True)
 class Up:
     seed: int
-    settings: i.Settings
+    settings: Settings
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,17 +94,17 @@
 @dataclass(frozen=True, slots=True)
 class Ledger:
     number: int
-    entries: tuple[i.ServerEntry, ...]
+    entries: tuple[ServerEntry, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class Topology:
-    kind: i.EndpointUpdateKind
+    kind: EndpointUpdateKind
     ledger: int
     version: int
 
 
-Record: TypeAlias = Up | Kill | Ledger | Topology | i.Event
+Record: TypeAlias = Up | Kill | Ledger | Topology | Event
 
 
 def _read_all(source: BinaryIO, size: int) -> bytes:
@@ -113,7 +144,7 @@
     return batch.tail[at : at + size]
 
 
-_E = TypeVar("_E", i.EndpointUpdateKind, i.Result, i.Phase, i.ServerState)
+_E = TypeVar("_E", EndpointUpdateKind, Result, Phase, ServerState)
 
 
 def _known(kind: type[_E], value: int, where: str) -> _E:
@@ -129,10 +160,10 @@
     return values[:count]
 
 
-def _entries(raw: bytes, where: str) -> Iterator[i.ServerEntry]:
+def _entries(raw: bytes, where: str) -> Iterator[ServerEntry]:
     for server, cell, zone, state, build, started, kind, weight in _ENTRY.iter_unpack(raw):
-        known = _known(i.ServerState, state, where)
-        yield i.ServerEntry(server, cell, zone, known, int(build), started, kind, weight)
+        known = _known(ServerState, state, where)
+        yield ServerEntry(server, cell, zone, known, int(build), started, kind, weight)
 
 
 def _up(batch: Batch, at: int, where: str) -> tuple[int, Record]:
@@ -152,8 +183,10 @@
 
 def _topology(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, kind, ledger, version = _TOPOLOGY.unpack_from(batch.records, at)
-    known = _known(i.EndpointUpdateKind, kind, where)
-    if known is i.EndpointUpdateKind.TIMED_OUT:  # found by those who hold connections: the wire has no word for it
+    known = _known(EndpointUpdateKind, kind, where)
+    if (
+        known is EndpointUpdateKind.TIMED_OUT
+    ):  # found by those who hold connections: the wire has no word for it
         raise WireError(f"{where}: {kind} is no known ListKind")
     return gateway, Topology(known, ledger, version)
 
@@ -162,17 +195,17 @@
     gateway, rid, cls, tenant, key, deadline, hint, bits = _INCOMING.unpack_from(batch.records, at)
     work = hint if bits & _HINT_VALID else None
     repeat, write = bool(bits & _REPEAT), bool(bits & _WRITE)
-    return gateway, i.Request(rid, cls, tenant, key, deadline, work, repeat, write)
+    return gateway, Request(rid, cls, tenant, key, deadline, work, repeat, write)
 
 
 def _flagged(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, server, cls, age = _FLAGGED.unpack_from(batch.records, at)
-    return gateway, i.IncorrectResponse(server, cls, age)
+    return gateway, IncorrectResponse(server, cls, age)
 
 
 def _metrics(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, build, cls, attempts, failed, mean, age = _METRICS.unpack_from(batch.records, at)
-    return gateway, i.BuildStatistics(build, cls, attempts, failed, mean, age)
+    return gateway, BuildStatistics(build, cls, attempts, failed, mean, age)
 
 
 def _kill(batch: Batch, at: int, where: str) -> tuple[int, Record]:
@@ -181,40 +214,40 @@
 
 def _promotion(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, build, cap, stage, reason, phase, age, how = _PROMOTION.unpack_from(batch.records, at)
-    state, result = _known(i.Phase, phase, where), _known(i.Result, how, where)
-    return gateway, i.RolloutUpdate(build, stage, state, cap, age, result, reason == 1)
+    state, result = _known(Phase, phase, where), _known(Result, how, where)
+    return gateway, RolloutUpdate(build, stage, state, cap, age, result, reason == 1)
 
 
 def _wake(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, token = _ID.unpack_from(batch.records, at)
-    return gateway, i.Timer(token)
+    return gateway, Timer(token)
 
 
 def _done(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, rid, attempt, server, how, elapsed, over, count, *load = _DONE.unpack_from(batch.records, at)
     report = _load(count, tuple(load), where)
-    return gateway, i.Outcome(rid, attempt, server, _known(i.Result, how, where), elapsed, bool(over), report)
+    return gateway, Outcome(rid, attempt, server, _known(Result, how, where), elapsed, bool(over), report)
 
 
 def _gone(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, rid = _ID.unpack_from(batch.records, at)
-    return gateway, i.ClientDisconnected(rid)
+    return gateway, ClientDisconnected(rid)
 
 
 def _from_peer(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, sender, start, size = _FROM_PEER.unpack_from(batch.records, at)
-    return gateway, i.GossipReceived(sender, _slice(batch, start, size, where))
+    return gateway, GossipReceived(sender, _slice(batch, start, size, where))
 
 
 def _under_way(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, rid, attempt, server, elapsed = _UNDER_WAY.unpack_from(batch.records, at)
-    return gateway, i.ResponseStarted(rid, attempt, server, elapsed)
+    return gateway, ResponseStarted(rid, attempt, server, elapsed)
 
 
 def _pong(batch: Batch, at: int, where: str) -> tuple[int, Record]:
     gateway, server, how, elapsed, count, *load = _PONG.unpack_from(batch.records, at)
     report = _load(count, tuple(load), where)
-    return gateway, i.ProbeResult(server, _known(i.Result, how, where), elapsed, report)
+    return gateway, ProbeResult(server, _known(Result, how, where), elapsed, report)
 
 
 _READERS: dict[int, Callable[[Batch, int, str], tuple[int | None, Record]]] = {
@@ -269,31 +302,31 @@
     def fault(self, gateway: int, text: str) -> None:
         self._put("III", 28, gateway, *self._text(text.encode()))
 
-    def add(self, gateway: int, action: i.Action) -> None:
+    def add(self, gateway: int, action: Action) -> None:
         match action:
-            case i.Send(request, server, limit_ms):
+            case Send(request, server, limit_ms):
                 self._put("IQId", 20, gateway, request, server, limit_ms)
-            case i.Cancel(request, attempt):
+            case Cancel(request, attempt):
                 self._put("IQB", 24, gateway, request, attempt)
-            case i.Reject(request, retry_after_ms):
+            case Reject(request, retry_after_ms):
                 self._put("IQd", 18, gateway, request, retry_after_ms)
-            case i.Fail(request):
+            case Fail(request):
                 self._put("IQ", 23, gateway, request)
-            case i.Probe(server):
+            case Probe(server):
                 self._put("II", 19, gateway, server)
-            case i.Vote(build, stage, verdict):
+            case Vote(build, stage, verdict):
                 self._put("IHBB", 16, gateway, build, stage, verdict)
-            case i.SetTimer(delay_ms, token):
+            case SetTimer(delay_ms, token):
                 self._put("IdQ", 27, gateway, delay_ms, token)
-            case i.Watch(on):
+            case Watch(on):
                 self._put("IB", 22, gateway, on)
-            case i.FetchEndpoints():
+            case FetchEndpoints():
                 self._put("I", 25, gateway)
-            case i.SendGossip(peer, data):
+            case SendGossip(peer, data):
                 self._put("IHII", 17, gateway, EVERY_PEER if peer is None else peer, *self._text(data))
-            case i.CloseIdleConnections(server):
+            case CloseIdleConnections(server):
                 self._put("II", 21, gateway, server)
-            case i.LogLine(text):
+            case LogLine(text):
                 self._put("III", 26, gateway, *self._text(text.encode()))
 
     def encode(self) -> bytes:
--- a/meadowpulley/drill/host.py
+++ b/meadowpulley/drill/host.py
@@ -9,7 +9,7 @@
 
 from meadowpulley.balance import Balancer
 from meadowpulley.drill.codec import Batch, Kill, Ledger, Reply, Topology, Up, WireError, records
-from meadowpulley.interface import Event, EndpointUpdateKind, ServerEntry, EndpointUpdate, Settings
+from meadowpulley.interface import EndpointUpdate, EndpointUpdateKind, Event, ServerEntry, Settings
 
 
 class Host:
--- a/meadowpulley/emulator/discovery.py
+++ b/meadowpulley/emulator/discovery.py
@@ -9,9 +9,9 @@
 
 import numpy as np
 
-from meadowpulley import interface as i
 from meadowpulley.emulator.clock import Timeline, between
 from meadowpulley.fleet import DiscoveryModel
+from meadowpulley.interface import EndpointUpdate, EndpointUpdateKind, ServerEntry, ServerState
 
 
 @dataclass(slots=True)
@@ -28,34 +28,36 @@
         clock: Timeline,
         rng: np.random.Generator,
         figures: DiscoveryModel,
-        tell: Callable[[int, i.EndpointUpdate], None],
+        tell: Callable[[int, EndpointUpdate], None],
     ) -> None:
         self._clock, self._rng, self.figures, self._tell_gateway = clock, rng, figures, tell
         self.changed: Callable[[], None] = lambda: None  # called when the list has changed
         self.down = False
         self.lag_ms = 0.0  # on top of the usual
         self.version = 1
-        self._entries: dict[int, tuple[int, i.ServerEntry]] = {}
+        self._entries: dict[int, tuple[int, ServerEntry]] = {}
         self._listed_at: dict[int, float] = {}  # when the latest change of a server is listed
         self._watches: dict[int, _Watch] = {}
         self._silent: dict[int, _Watch] = {}  # that stand, and tell nothing any more
-        self.counts: Callable[[int, i.EndpointUpdate], None] = lambda gateway, news: None  # as told, heard or not
+        self.counts: Callable[[int, EndpointUpdate], None] = lambda gateway, news: (
+            None
+        )  # as told, heard or not
 
     # The list
 
-    def known(self) -> tuple[i.ServerEntry, ...]:
+    def known(self) -> tuple[ServerEntry, ...]:
         """The whole list as it stands."""
-        return tuple(e for _, e in self._entries.values() if e.state is not i.ServerState.REMOVED)
+        return tuple(e for _, e in self._entries.values() if e.state is not ServerState.REMOVED)
 
-    def since(self, version: int) -> tuple[i.ServerEntry, ...]:
+    def since(self, version: int) -> tuple[ServerEntry, ...]:
         """What changed after a version."""
         return tuple(e for v, e in self._entries.values() if v > version)
 
-    def begin(self, entry: i.ServerEntry) -> None:
+    def begin(self, entry: ServerEntry) -> None:
         """A server that has been listed for long."""
         self._entries[entry.server] = (self.version, entry)
 
-    def change(self, entry: i.ServerEntry) -> None:
+    def change(self, entry: ServerEntry) -> None:
         """A server has changed; discovery will know of it in its own time, in the order of its changes."""
         new = entry.server not in self._listed_at and entry.server not in self._entries
         span = self.figures.add_ms if new else self.figures.notice_ms
@@ -64,7 +66,7 @@
         self._listed_at[entry.server] = when
         self._clock.at(when, lambda: self._list(entry))
 
-    def _list(self, entry: i.ServerEntry) -> None:
+    def _list(self, entry: ServerEntry) -> None:
         self.version += 1
         self._entries[entry.server] = (self.version, entry)
         self.changed()
@@ -93,7 +95,7 @@
             return lambda: call() if self._silent.get(gateway) is silent else None
 
         def found() -> None:
-            self._tell_gateway(gateway, i.EndpointUpdate(i.EndpointUpdateKind.TIMED_OUT, silent.told))
+            self._tell_gateway(gateway, EndpointUpdate(EndpointUpdateKind.TIMED_OUT, silent.told))
             if not self.figures.must_ask:
                 self.watch(gateway)
 
@@ -108,9 +110,9 @@
     def _count(self, gateway: int, watch: _Watch) -> None:
         """Drains and ends alone: which build a server runs is a matter of the list that was heard."""
         missed, watch.told = self.since(watch.told), self.version
-        news = tuple(e for e in missed if e.state is not i.ServerState.READY)
+        news = tuple(e for e in missed if e.state is not ServerState.READY)
         if news:
-            self.counts(gateway, i.EndpointUpdate(i.EndpointUpdateKind.INCREMENTAL, self.version, news))
+            self.counts(gateway, EndpointUpdate(EndpointUpdateKind.INCREMENTAL, self.version, news))
 
     def watch(self, gateway: int) -> None:
         self._silent.pop(gateway, None)
@@ -134,7 +136,7 @@
         self._watches.clear()
 
     def _fail(self, gateway: int) -> None:
-        self._tell_gateway(gateway, i.EndpointUpdate(i.EndpointUpdateKind.FAILED, self.version))
+        self._tell_gateway(gateway, EndpointUpdate(EndpointUpdateKind.FAILED, self.version))
 
     def _tell_soon(self, gateway: int, watch: _Watch) -> None:
         if not watch.telling:
@@ -152,10 +154,10 @@
         news = self.since(watch.told)
         watch.told = self.version
         if news:
-            self._tell_gateway(gateway, i.EndpointUpdate(i.EndpointUpdateKind.INCREMENTAL, self.version, news))
+            self._tell_gateway(gateway, EndpointUpdate(EndpointUpdateKind.INCREMENTAL, self.version, news))
 
     def _give_whole(self, gateway: int) -> None:
         if self.down:
             self._fail(gateway)
         else:
-            self._tell_gateway(gateway, i.EndpointUpdate(i.EndpointUpdateKind.FULL, self.version, self.known()))
+            self._tell_gateway(gateway, EndpointUpdate(EndpointUpdateKind.FULL, self.version, self.known()))
--- a/meadowpulley/emulator/gateway.py
+++ b/meadowpulley/emulator/gateway.py
@@ -10,7 +10,6 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
-from meadowpulley import interface as i
 from meadowpulley.emulator.clients import Try
 from meadowpulley.emulator.connections import Connections
 from meadowpulley.emulator.failpoints import StepName
@@ -18,6 +17,29 @@
 from meadowpulley.emulator.ledger import Port
 from meadowpulley.emulator.process import Process
 from meadowpulley.emulator.results import GatewayResult
+from meadowpulley.interface import (
+    Cancel,
+    ClientDisconnected,
+    CloseIdleConnections,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Fail,
+    FetchEndpoints,
+    LogLine,
+    Outcome as AttemptOutcome,
+    Probe,
+    ProbeResult,
+    Reject,
+    Request,
+    Result,
+    RolloutUpdate,
+    Send,
+    SendGossip,
+    SetTimer,
+    Timer,
+    Vote,
+    Watch,
+)
 from meadowpulley.ledger import Commit, LedgerError, Life, Scan, Watched
 from meadowpulley.rules import (
     Answered,
@@ -58,12 +80,22 @@
         self.port: Port | None = None
         self.decisions: list[tuple[float, str]] = []
         self._actions: dict[type, Callable[[Any], None]] = {
-            i.Send: self._send, i.Cancel: self._cancel, i.Reject: self._refuse, i.Fail: self._fail,
-            i.Vote: self._vote, i.SetTimer: self._set_timer, i.Watch: self._watch, i.FetchEndpoints: self._fetch,
-            i.SendGossip: self._tell_peer, i.CloseIdleConnections: self._close_idle, i.LogLine: self._log,
-            i.Probe: self._probe, Commit: self._commit, Watched: self._watched,
+            Send: self._send,
+            Cancel: self._cancel,
+            Reject: self._refuse,
+            Fail: self._fail,
+            Vote: self._vote,
+            SetTimer: self._set_timer,
+            Watch: self._watch,
+            FetchEndpoints: self._fetch,
+            SendGossip: self._tell_peer,
+            CloseIdleConnections: self._close_idle,
+            LogLine: self._log,
+            Probe: self._probe,
+            Commit: self._commit,
+            Watched: self._watched,
             Scan: self._scan,
-        }  # fmt: skip
+        }
 
     # Life
 
@@ -88,7 +120,7 @@
         self.balancer, first = world.make_stage(self, seed)
         world.record(Started(world.clock.now, self.number))
         self.in_turn(first, self.act)
-        self.tell(i.EndpointUpdate(i.EndpointUpdateKind.CACHED, 0, world.discovery.known()))
+        self.tell(EndpointUpdate(EndpointUpdateKind.CACHED, 0, world.discovery.known()))
         self.hear(world.platform.news())
         world.platform.follow(self.number)
         if not world.fleet.discovery.must_ask:
@@ -146,14 +178,14 @@
         if not held.over:
             self._over(held)
             self.world.record(Gone(self.clock.now, self.number, held.request.number))
-            self.tell(i.ClientDisconnected(held.request.number))
+            self.tell(ClientDisconnected(held.request.number))
 
     # Events and actions
 
     def tell(self, event: Any) -> None:
         if self.held_up(partial(self.tell, event)):
             return
-        if isinstance(event, i.EndpointUpdate):
+        if isinstance(event, EndpointUpdate):
             self.book_list(event)
             self._builds |= {e.server: e.build for e in event.entries}
         self.in_turn(self.balancer.handle(self.clock.now, event), self.act)
@@ -171,17 +203,17 @@
         self.busy_ms += cost
         self.world.clock.at(self._free_at, self.this_life(call))
 
-    def book_list(self, event: i.EndpointUpdate) -> None:
+    def book_list(self, event: EndpointUpdate) -> None:
         """What this gateway was told of servers, or counts as told though it did not hear it."""
-        if event.kind not in (i.EndpointUpdateKind.FAILED, i.EndpointUpdateKind.TIMED_OUT):
+        if event.kind not in (EndpointUpdateKind.FAILED, EndpointUpdateKind.TIMED_OUT):
             for record in list_records(self.clock.now, self.number, self._known, event):
                 self.world.record(record)
 
-    def hear(self, news: i.RolloutUpdate) -> None:
+    def hear(self, news: RolloutUpdate) -> None:
         """News of the newest build, or the answer to a vote."""
         if self.held_up(partial(self.hear, news)):
             return
-        if news.result is i.Result.OK:
+        if news.result is Result.OK:
             phase = news.phase.name.lower()
             now = self.world.clock.now
             self.world.record(News(now, self.number, news.build, news.stage, phase, news.cap))  # type: ignore[arg-type]
@@ -220,11 +252,13 @@
     def _event_of(self, held: Held) -> Any:
         ask, number = held.request.ask, held.request.number
         tenant = self.world.tenant_of(ask.arrival.key)
-        return i.Request(number, ask.cls, tenant, ask.arrival.key, held.deadline, None, client_retry=ask.tries > 1)
+        return Request(
+            number, ask.cls, tenant, ask.arrival.key, held.deadline, None, client_retry=ask.tries > 1
+        )
 
     def _time_is_up(self, held: Held) -> None:
         for attempt in list(held.out.values()):
-            self._end(attempt, i.Result.TIMEOUT if attempt.connected else i.Result.CONNECT_FAILED)
+            self._end(attempt, Result.TIMEOUT if attempt.connected else Result.CONNECT_FAILED)
         slack = self.settings.rules.response_slack_ms
         self.world.clock.after(slack + 1.0, self.this_life(partial(self._overdue, held)))
 
@@ -232,7 +266,7 @@
         """The decisions left it unanswered. The gateway on sockets answers for them; here it is a breach."""
         if not held.over:
             self._over(held)
-            self.tell(i.ClientDisconnected(held.request.number))
+            self.tell(ClientDisconnected(held.request.number))
 
     def stopped_at(self, step: StepName, call: Callable[[], None]) -> bool:
         """A named step is reached, and a fault that was set there stops it: a pause only puts it off."""
@@ -258,13 +292,13 @@
         self.world.clients.answer(held.request, answer, retry_after_ms)
         self.world.failpoints.reached(self, "answered")
 
-    def _refuse(self, action: i.Reject) -> None:
+    def _refuse(self, action: Reject) -> None:
         held = self.held.get(action.request)
         if held is None or held.over or self.stopped_at("answer", partial(self._refuse, action)):
             return
         self._answer(held, "refused", action.retry_after_ms)
 
-    def _fail(self, action: i.Fail) -> None:
+    def _fail(self, action: Fail) -> None:
         held = self.held.get(action.request)
         if held is None or held.over or self.stopped_at("answer", partial(self._fail, action)):
             return
@@ -272,7 +306,7 @@
 
     # Attempts
 
-    def _send(self, action: i.Send) -> None:
+    def _send(self, action: Send) -> None:
         held, world = self.held.get(action.request), self.world
         if held is None or self.stopped_at("send", partial(self._send, action)):
             return
@@ -287,14 +321,14 @@
         if host is not None:
             world.result.sent(now, host.entry.zone)
         if until < held.deadline:
-            world.clock.at(until, self.this_life(partial(self._end, attempt, i.Result.TIMEOUT)))
+            world.clock.at(until, self.this_life(partial(self._end, attempt, Result.TIMEOUT)))
         if host is None:
-            self._end(attempt, i.Result.CONNECT_FAILED)
+            self._end(attempt, Result.CONNECT_FAILED)
             return
         connections = self.connections
         fresh = not connections.reuse(now, action.server)
         if fresh and not connections.make_room():
-            self._end(attempt, i.Result.CONNECT_FAILED)
+            self._end(attempt, Result.CONNECT_FAILED)
             return
         if fresh:
             connections.open += 1
@@ -311,18 +345,18 @@
                 self.connections.close(attempt.host.entry.server)
         self.world.drop(attempt)
 
-    def arrived(self, attempt: Attempt, result: i.Result) -> None:
+    def arrived(self, attempt: Attempt, result: Result) -> None:
         """What came back on an attempt's connection, or that it broke."""
         if attempt.ended or self.held_up(partial(self.arrived, attempt, result)):
             return
-        cost = 0.0 if result is i.Result.CONNECT_FAILED else self.figures.request_ms * (1 - INTAKE)
+        cost = 0.0 if result is Result.CONNECT_FAILED else self.figures.request_ms * (1 - INTAKE)
         self._when_free(cost, partial(self._end, attempt, result))
 
-    def _end(self, attempt: Attempt, result: i.Result) -> None:
+    def _end(self, attempt: Attempt, result: Result) -> None:
         again = partial(self._end, attempt, result)
         if attempt.ended or self.stopped_at("outcome", again):
             return
-        if result is i.Result.OK and not attempt.held.over and self.stopped_at("answer", again):
+        if result is Result.OK and not attempt.held.over and self.stopped_at("answer", again):
             return
         attempt.ended = True
         now, held = self.clock.now, attempt.held
@@ -335,40 +369,40 @@
         else:
             self._leave(attempt)
         ran = result not in NEVER_RAN
-        if result is i.Result.OK and not held.over:
+        if result is Result.OK and not held.over:
             self._serve(attempt)
         self.world.record(Outcome(now, self.number, held.request.number, attempt.n, ran))
         server = attempt.host.entry.server if attempt.host is not None else -1
-        over = held.over or result is i.Result.OK
-        self.tell(i.Outcome(held.request.number, attempt.n, server, result, now - attempt.sent, over))
+        over = held.over or result is Result.OK
+        self.tell(AttemptOutcome(held.request.number, attempt.n, server, result, now - attempt.sent, over))
 
-    def _cancel(self, action: i.Cancel) -> None:
+    def _cancel(self, action: Cancel) -> None:
         held = self.held.get(action.request)
         attempt = held.out.get(action.attempt) if held is not None else None
         if attempt is not None:
-            self._end(attempt, i.Result.CANCELLED)
+            self._end(attempt, Result.CANCELLED)
 
     # The rest
 
-    def _vote(self, vote: i.Vote) -> None:
+    def _vote(self, vote: Vote) -> None:
         self.world.cast(self, vote)
 
-    def _set_timer(self, action: i.SetTimer) -> None:
-        self.world.clock.after(action.delay_ms, self.this_life(lambda: self.tell(i.Timer(action.token))))
+    def _set_timer(self, action: SetTimer) -> None:
+        self.world.clock.after(action.delay_ms, self.this_life(lambda: self.tell(Timer(action.token))))
 
-    def _watch(self, action: i.Watch) -> None:
+    def _watch(self, action: Watch) -> None:
         if action.enabled:
             self.world.discovery.watch(self.number)
         else:
             self.world.discovery.forget(self.number)
 
-    def _fetch(self, _: i.FetchEndpoints) -> None:
+    def _fetch(self, _: FetchEndpoints) -> None:
         self.world.discovery.fetch(self.number)
 
-    def _tell_peer(self, action: i.SendGossip) -> None:
+    def _tell_peer(self, action: SendGossip) -> None:
         self.world.datagram(self, action)
 
-    def _close_idle(self, action: i.CloseIdleConnections) -> None:
+    def _close_idle(self, action: CloseIdleConnections) -> None:
         self.connections.close_idle(action.server)
 
     def _commit(self, action: Commit) -> None:
@@ -383,10 +417,10 @@
         if self.port is not None:
             self.port.watched = action.names
 
-    def _probe(self, action: i.Probe) -> None:
-        self.tell(i.ProbeResult(action.server, i.Result.CONNECT_FAILED, 0.0))  # described fleets allow none
+    def _probe(self, action: Probe) -> None:
+        self.tell(ProbeResult(action.server, Result.CONNECT_FAILED, 0.0))  # described fleets allow none
 
-    def _log(self, action: i.LogLine) -> None:
+    def _log(self, action: LogLine) -> None:
         self.decisions.append((self.world.clock.now, action.text))
         self.world.event(f"gateway {self.number}: {action.text}")
 
--- a/meadowpulley/emulator/held.py
+++ b/meadowpulley/emulator/held.py
@@ -5,21 +5,21 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Literal
 
-from meadowpulley import interface as i
 from meadowpulley.emulator.clients import Try
 from meadowpulley.emulator.machine import Job
+from meadowpulley.interface import EndpointUpdate, EndpointUpdateKind, Result, ServerState
 from meadowpulley.rules import Listed
 
 if TYPE_CHECKING:
     from meadowpulley.emulator.park import Host
 
-NEVER_RAN = (i.Result.REJECTED, i.Result.CONNECT_FAILED, i.Result.NOT_SENT)
-_STATES: dict[i.ServerState, Literal["ready", "draining", "gone"]] = {
-    i.ServerState.READY: "ready",
-    i.ServerState.DRAINING: "draining",
-    i.ServerState.REMOVED: "gone",
+NEVER_RAN = (Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT)
+_STATES: dict[ServerState, Literal["ready", "draining", "gone"]] = {
+    ServerState.READY: "ready",
+    ServerState.DRAINING: "draining",
+    ServerState.REMOVED: "gone",
 }
-KEPT = (i.Result.OK, i.Result.ERROR, i.Result.REJECTED)  # the connection is good for more
+KEPT = (Result.OK, Result.ERROR, Result.REJECTED)  # the connection is good for more
 
 
 @dataclass(slots=True, eq=False)
@@ -48,10 +48,10 @@
     out: dict[int, Attempt] = field(default_factory=dict)
 
 
-def list_records(now: float, gateway: int, known: set[int], event: i.EndpointUpdate) -> list[Listed]:
+def list_records(now: float, gateway: int, known: set[int], event: EndpointUpdate) -> list[Listed]:
     """What a gateway learns by a list, and `known` brought up to it: a whole one lacks what is gone."""
     named, found = {e.server for e in event.entries}, list[Listed]()
-    if event.kind is not i.EndpointUpdateKind.INCREMENTAL:
+    if event.kind is not EndpointUpdateKind.INCREMENTAL:
         found = [Listed(now, gateway, server, "gone", 0) for server in sorted(known - named)]
         known.clear()
     known |= named
--- a/meadowpulley/emulator/park.py
+++ b/meadowpulley/emulator/park.py
@@ -11,7 +11,6 @@
 from functools import partial
 from typing import Any
 
-from meadowpulley import interface as i
 from meadowpulley.emulator.builds import Build
 from meadowpulley.emulator.clock import Streams, Timeline, between
 from meadowpulley.emulator.discovery import Discovery
@@ -20,6 +19,14 @@
 from meadowpulley.emulator.results import Result, ServerResult
 from meadowpulley.emulator.scenario import Scenario
 from meadowpulley.fleet import Fleet
+from meadowpulley.interface import (
+    EndpointUpdate,
+    Phase,
+    Result as AttemptResult,
+    RolloutUpdate,
+    ServerEntry,
+    ServerState,
+)
 from meadowpulley.rules import Fell, Record
 
 CELL = 6  # servers that share a cell
@@ -30,7 +37,7 @@
 class Host:
     """A server: its entry as it truly is, its machine, and the troubles on it."""
 
-    entry: i.ServerEntry
+    entry: ServerEntry
     build: Build
     machine: Machine
     begun: float
@@ -77,13 +84,13 @@
 
     # What a rig does with them
 
-    def tell_list(self, gateway: int, news: i.EndpointUpdate) -> None:
+    def tell_list(self, gateway: int, news: EndpointUpdate) -> None:
         raise NotImplementedError
 
-    def tell_news(self, gateway: int, news: i.RolloutUpdate) -> None:
+    def tell_news(self, gateway: int, news: RolloutUpdate) -> None:
         raise NotImplementedError
 
-    def reply(self, tag: Any, host: Host, result: i.Result) -> None:
+    def reply(self, tag: Any, host: Host, result: AttemptResult) -> None:
         """What a server says to an attempt, or that its connection broke."""
         raise NotImplementedError
 
@@ -142,12 +149,19 @@
         lasted = max(until - host.begun, 0.0)
         busy = host.machine.busy_core_ms / (kind.cores * lasted) if lasted else 0.0
         return ServerResult(
-            host.entry.server, self.fleet.sites[host.entry.zone].name, kind.name, host.entry.build,
-            round(lasted, 3), round(busy, 6), host.served, host.turned_away, host.machine.most_waiting,
+            host.entry.server,
+            self.fleet.sites[host.entry.zone].name,
+            kind.name,
+            host.entry.build,
+            round(lasted, 3),
+            round(busy, 6),
+            host.served,
+            host.turned_away,
+            host.machine.most_waiting,
             host.machine.fell,
-        )  # fmt: skip
+        )
 
-    def _note_stage(self, since: float, build: int, stage: int, phase: i.Phase) -> None:
+    def _note_stage(self, since: float, build: int, stage: int, phase: Phase) -> None:
         for second in self.result.seconds[max(int(since // 1000), 0) :]:
             second.build, second.stage, second.phase = build, stage, phase.name.lower()
 
@@ -161,8 +175,8 @@
             self.fleet.kinds[kind], self.fleet.rules, self.fleet.keys, now, build.speed, long_ago=long_ago
         )
         started = 0.0 if long_ago else max(now, 1e-3)
-        entry = i.ServerEntry(
-            self._numbers, self._numbers // CELL, site, i.ServerState.READY, build.number, started, kind, 1.0
+        entry = ServerEntry(
+            self._numbers, self._numbers // CELL, site, ServerState.READY, build.number, started, kind, 1.0
         )
         host = self.hosts[entry.server] = Host(entry, build, machine, now, base)
         self.host_began(host)
@@ -172,7 +186,7 @@
 
     def up(self, build: int) -> int:
         return sum(
-            h.up and h.entry.build == build and h.entry.state is i.ServerState.READY
+            h.up and h.entry.build == build and h.entry.state is ServerState.READY
             for h in self.hosts.values()
         )
 
@@ -185,7 +199,7 @@
 
     def _boot(self, build: Build, base: int, replacing: bool) -> None:
         stand = self.platform.stand
-        if build.number == stand.build and stand.phase not in (i.Phase.TRIAL, i.Phase.RELEASED):
+        if build.number == stand.build and stand.phase not in (Phase.TRIAL, Phase.RELEASED):
             return  # it was called back while this server was starting
         host = self._begin(build, base)
         self.discovery.change(host.entry)
@@ -197,14 +211,14 @@
 
     @staticmethod
     def _serves(host: Host) -> bool:
-        return host.up and host.entry.state is i.ServerState.READY
+        return host.up and host.entry.state is ServerState.READY
 
     def drain(self, numbers: Callable[[int], bool]) -> None:
         for host in [h for h in self.hosts.values() if numbers(h.entry.build) and self._serves(h)]:
             self._drain(host)
 
     def _drain(self, host: Host) -> None:
-        host.entry = replace(host.entry, state=i.ServerState.DRAINING)
+        host.entry = replace(host.entry, state=ServerState.DRAINING)
         self.discovery.change(host.entry)
         # It serves until all who might be told have been told and their grace is over.
         last = self.fleet.discovery.notice_ms[1] + self.fleet.rules.drain_grace_ms
@@ -219,12 +233,12 @@
             self.host_ended(host)
         del self.hosts[host.entry.server]
         self.past.append(host)
-        host.entry = replace(host.entry, state=i.ServerState.REMOVED)
+        host.entry = replace(host.entry, state=ServerState.REMOVED)
         self.discovery.change(host.entry)
 
     def _reset_all(self, host: Host, jobs: list[Job]) -> None:
         for job in jobs:
-            self.reply(job.tag, host, i.Result.RESET)
+            self.reply(job.tag, host, AttemptResult.RESET)
 
     def vanish(self, host: Host) -> None:
         """Its machine is gone without a word: open connections stay silent, discovery finds out in time."""
@@ -232,7 +246,7 @@
         host.machine.stop()
         host.up, host.silent, host.away = False, True, True
         self.host_ended(host)
-        self.discovery.change(replace(host.entry, state=i.ServerState.REMOVED))
+        self.discovery.change(replace(host.entry, state=ServerState.REMOVED))
 
     def crash(self, host: Host) -> None:
         """Its process is gone: connections break and new ones are refused; discovery finds out in time."""
@@ -240,13 +254,13 @@
         self._reset_all(host, host.machine.stop())
         host.up, host.away = False, True
         self.host_ended(host)
-        self.discovery.change(replace(host.entry, state=i.ServerState.REMOVED))
+        self.discovery.change(replace(host.entry, state=ServerState.REMOVED))
 
     def come_back(self, host: Host) -> None:
         """The machine is there again, with a fresh and cold start of the same server."""
         if self.hosts.get(host.entry.server) is not host or not host.away:
             return
-        if host.entry.state is not i.ServerState.READY:  # it was to be drained: it stays away
+        if host.entry.state is not ServerState.READY:  # it was to be drained: it stays away
             return
         now = self.clock.now
         self.past.append(replace(host))
@@ -305,16 +319,16 @@
 
     def offer(
         self, tag: Any, host: Host, cls: int, key: int, work_ms: float, until: float, fresh: bool
-    ) -> Job | None:  # fmt: skip
+    ) -> Job | None:
         """A request reaches a server that is up, on a new connection or not. What becomes of it comes by
         `reply`; the job is None where none was begun."""
         if fresh and not host.machine.connect():
             host.turned_away += 1
-            self.reply(tag, host, i.Result.REJECTED)
+            self.reply(tag, host, AttemptResult.REJECTED)
             return None
         self._traffic[host.entry.build] += 1
         if host.error_share and self._rng.random() < host.error_share:
-            self.reply(tag, host, i.Result.ERROR)
+            self.reply(tag, host, AttemptResult.ERROR)
             return None
         self._jobs += 1
         job = Job(self._jobs, self._work(host, work_ms, fresh), key, until, cls, tag=tag)
@@ -322,10 +336,10 @@
         offer = host.machine.offer(self.clock.now, job)
         if offer is Offer.FULL:
             host.turned_away += 1
-            self.reply(tag, host, i.Result.REJECTED)
+            self.reply(tag, host, AttemptResult.REJECTED)
         elif offer is Offer.DOWN:
             self._fell(host)
-            self.reply(tag, host, i.Result.RESET)
+            self.reply(tag, host, AttemptResult.RESET)
         self._plan(host)
         return job
 
@@ -354,7 +368,7 @@
             self.event(f"server {host.entry.server} was pushed over")
             self._reset_all(host, host.machine.lost)
             self.host_ended(host)
-            self.discovery.change(replace(host.entry, state=i.ServerState.REMOVED))
+            self.discovery.change(replace(host.entry, state=ServerState.REMOVED))
 
     def _plan(self, host: Host) -> None:
         """One wake-up is set for a server, at the earliest end that was ever expected; too early ones only
@@ -375,18 +389,18 @@
         for ended in host.machine.advance(self.clock.now):
             tag = ended.job.tag
             if not ended.ran:
-                self.reply(tag, host, i.Result.REJECTED)
+                self.reply(tag, host, AttemptResult.REJECTED)
                 continue
             cls = self.fleet.classes[ended.job.cls].name
             fails = host.build.fail_share(cls)
             if fails and self._build_acts(host) and self._rng.random() < fails:
-                self.reply(tag, host, i.Result.ERROR)
+                self.reply(tag, host, AttemptResult.ERROR)
                 continue
             host.served += 1
             if ended.job.key:
                 self.key_answered(tag, host, ended.job.key)
             if not (host.lost_share and self._rng.random() < host.lost_share):
-                self.reply(tag, host, i.Result.OK)
+                self.reply(tag, host, AttemptResult.OK)
 
     def close(self, server: int, count: int) -> None:
         """Connections to a server were closed."""
--- a/meadowpulley/emulator/platform.py
+++ b/meadowpulley/emulator/platform.py
@@ -10,10 +10,10 @@
 
 import numpy as np
 
-from meadowpulley import interface as i
 from meadowpulley.emulator.builds import Build
 from meadowpulley.emulator.clock import Timeline, between
 from meadowpulley.fleet import RolloutModel
+from meadowpulley.interface import Phase, Result, RolloutUpdate, Verdict, Vote
 
 
 class Servers(Protocol):
@@ -36,7 +36,7 @@
 
     build: int
     stage: int
-    phase: i.Phase
+    phase: Phase
     cap: float
     since: float
 
@@ -52,18 +52,18 @@
         size: int,
         first: Build,
         servers: Servers,
-        tell: Callable[[int, i.RolloutUpdate], None],
+        tell: Callable[[int, RolloutUpdate], None],
     ) -> None:
         self._clock, self._rng, self.figures, self.size = clock, rng, figures, size
         self._servers, self._tell_gateway = servers, tell
         last = len(figures.stages) - 1
-        self.stand = Stand(first.number, last, i.Phase.RELEASED, 1.0, -math.inf)
+        self.stand = Stand(first.number, last, Phase.RELEASED, 1.0, -math.inf)
         self.history: list[Stand] = []
         self.down = False
         self.late_ms = 0.0
         self.gateways: set[int] = set()  # those that follow its news
         self._build, self._before = first, first  # the newest, and the one that was in service before it
-        self._votes: dict[int, tuple[i.Verdict, int, int, float]] = {}  # verdict, build, stage, until
+        self._votes: dict[int, tuple[Verdict, int, int, float]] = {}  # verdict, build, stage, until
         self._calls: list[float] = []
         self._told_at: dict[int, float] = {}
         self._waiting: Build | None = None
@@ -76,14 +76,14 @@
         if self.down:
             self._waiting = build
             return
-        if self.stand.phase is i.Phase.TRIAL:
+        if self.stand.phase is Phase.TRIAL:
             old = self.stand.build
             self._servers.drain(lambda number: number == old)
-        elif self.stand.phase is i.Phase.RELEASED:
+        elif self.stand.phase is Phase.RELEASED:
             self._before = self._build
         self._build = build
         self._votes.clear()
-        self._move(0, i.Phase.TRIAL, self.figures.caps[0])
+        self._move(0, Phase.TRIAL, self.figures.caps[0])
         self._grow(0)
 
     def _grow(self, stage: int) -> None:
@@ -95,7 +95,7 @@
         if self.figures.gate == "timer":
             self._clock.after(self.figures.stage_time_ms, self.consider)
 
-    def _move(self, stage: int, phase: i.Phase, cap: float) -> None:
+    def _move(self, stage: int, phase: Phase, cap: float) -> None:
         self.stand = Stand(self._build.number, stage, phase, cap, self._clock.now)
         self.history.append(self.stand)
         for gateway in sorted(self.gateways):
@@ -104,20 +104,20 @@
     def _go_on(self) -> None:
         stage = self.stand.stage + 1
         if stage < len(self.figures.stages):
-            self._move(stage, i.Phase.TRIAL, self.figures.caps[stage])
+            self._move(stage, Phase.TRIAL, self.figures.caps[stage])
             self._grow(stage)
             return
         newest = self._build.number
-        self._move(stage - 1, i.Phase.RELEASED, 1.0)
+        self._move(stage - 1, Phase.RELEASED, 1.0)
         self._servers.drain(lambda number: number < newest)
 
     def _go_back(self) -> None:
         bad, earlier = self._build.number, self._before
         lacking = self.size - self._servers.up(earlier.number)
-        released = self.stand.phase is i.Phase.RELEASED or self.figures.style == "in_place"
+        released = self.stand.phase is Phase.RELEASED or self.figures.style == "in_place"
         self._votes.clear()
         if released and lacking > 0:
-            self._move(self.stand.stage, i.Phase.ROLLING_BACK, self.stand.cap)
+            self._move(self.stand.stage, Phase.ROLLING_BACK, self.stand.cap)
             self._servers.start(earlier, lacking, False)
             self._clock.after(self.figures.boot_ms[1], lambda: self._empty(bad))
         else:
@@ -126,17 +126,17 @@
     def _empty(self, bad: int) -> None:
         if self.stand.build != bad:
             return
-        self._move(self.stand.stage, i.Phase.ROLLING_BACK, 0.0)
+        self._move(self.stand.stage, Phase.ROLLING_BACK, 0.0)
         self._servers.drain(lambda number: number == bad)
         self._clock.after(self.figures.drain_ms, lambda: self._withdraw(bad))
 
     def _withdraw(self, bad: int) -> None:
         if self.stand.build == bad:
-            self._move(self.stand.stage, i.Phase.ROLLED_BACK, 0.0)
+            self._move(self.stand.stage, Phase.ROLLED_BACK, 0.0)
 
     # Votes
 
-    def vote(self, gateway: int, vote: i.Vote) -> None:
+    def vote(self, gateway: int, vote: Vote) -> None:
         """A vote has arrived. Its answer, if one comes, comes as news that answers it."""
         if self.down:
             if self._rng.random() < 0.5:  # nobody is told, but it counts
@@ -145,17 +145,17 @@
         now = self._clock.now
         self._calls = [at for at in self._calls if at > now - 1000.0]
         if len(self._calls) >= self.figures.votes_per_s:
-            self._answer(gateway, i.Result.REJECTED)
+            self._answer(gateway, Result.REJECTED)
             return
         self._calls.append(now)
         self._answer(gateway, self._count(gateway, vote))
 
-    def _count(self, gateway: int, vote: i.Vote) -> i.Result:
+    def _count(self, gateway: int, vote: Vote) -> Result:
         stand = self.stand
-        staged = vote.verdict in (i.Verdict.ADVANCE, i.Verdict.HOLD)
+        staged = vote.verdict in (Verdict.ADVANCE, Verdict.HOLD)
         fits = vote.build == stand.build and (not staged or vote.stage == stand.stage)
-        if not fits or stand.phase not in (i.Phase.TRIAL, i.Phase.RELEASED):
-            return i.Result.NOT_SENT
+        if not fits or stand.phase not in (Phase.TRIAL, Phase.RELEASED):
+            return Result.NOT_SENT
         self._votes[gateway] = (
             vote.verdict,
             vote.build,
@@ -163,11 +163,11 @@
             self._clock.now + self.figures.vote_life_ms,
         )
         self.consider()
-        return i.Result.OK
+        return Result.OK
 
-    def _standing(self, verdict: i.Verdict) -> int:
+    def _standing(self, verdict: Verdict) -> int:
         now, stand = self._clock.now, self.stand
-        staged = verdict in (i.Verdict.ADVANCE, i.Verdict.HOLD)
+        staged = verdict in (Verdict.ADVANCE, Verdict.HOLD)
         return sum(
             v is verdict and build == stand.build and (not staged or stage == stand.stage) and until >= now
             for v, build, stage, until in self._votes.values()
@@ -176,21 +176,21 @@
     def consider(self) -> None:
         """Whether the votes that stand, or the clock, move the build."""
         stand, roll, now = self.stand, self.figures, self._clock.now
-        if self.down or stand.phase not in (i.Phase.TRIAL, i.Phase.RELEASED):
+        if self.down or stand.phase not in (Phase.TRIAL, Phase.RELEASED):
             return
-        if self._standing(i.Verdict.ROLL_BACK) >= roll.back_votes and self._before is not self._build:
+        if self._standing(Verdict.ROLL_BACK) >= roll.back_votes and self._before is not self._build:
             self._go_back()
             return
-        if stand.phase is not i.Phase.TRIAL:
+        if stand.phase is not Phase.TRIAL:
             return
         ready_at = stand.since + roll.soak_ms
         if roll.gate == "timer":
             over = now >= stand.since + roll.stage_time_ms
-            if over and not (roll.hold_votes and self._standing(i.Verdict.HOLD) >= roll.hold_votes):
+            if over and not (roll.hold_votes and self._standing(Verdict.HOLD) >= roll.hold_votes):
                 self._go_on()
             elif over:
                 self._clock.after(500.0, self.consider)
-        elif self._standing(i.Verdict.ADVANCE) >= roll.on_votes:
+        elif self._standing(Verdict.ADVANCE) >= roll.on_votes:
             if now >= ready_at:
                 self._go_on()
             else:
@@ -205,19 +205,19 @@
         self.gateways.discard(gateway)
         self._votes.pop(gateway, None)
 
-    def news(self, result: i.Result = i.Result.OK, answers: bool = False) -> i.RolloutUpdate:
+    def news(self, result: Result = Result.OK, answers: bool = False) -> RolloutUpdate:
         """Where the newest build stands at this moment."""
         s = self.stand
         age = min(self._clock.now - s.since, 3_600_000.0)
-        return i.RolloutUpdate(s.build, s.stage, s.phase, s.cap, age, result, answers)
+        return RolloutUpdate(s.build, s.stage, s.phase, s.cap, age, result, answers)
 
-    def _answer(self, gateway: int, result: i.Result) -> None:
+    def _answer(self, gateway: int, result: Result) -> None:
         self._tell(gateway, between(self._rng, self.figures.call_ms), self.news(result, True))
 
     def _tell_soon(self, gateway: int) -> None:
         self._tell(gateway, between(self._rng, self.figures.told_late_ms) + self.late_ms, self.news())
 
-    def _tell(self, gateway: int, delay: float, news: i.RolloutUpdate) -> None:
+    def _tell(self, gateway: int, delay: float, news: RolloutUpdate) -> None:
         """In order for each gateway: news is not overtaken by older news."""
         when = max(self._clock.now + delay, self._told_at.get(gateway, 0.0))
         self._told_at[gateway] = when
@@ -225,7 +225,7 @@
 
         def arrive() -> None:
             age = news.age_ms + self._clock.now - sent
-            late = i.RolloutUpdate(
+            late = RolloutUpdate(
                 news.build, news.stage, news.phase, news.cap, age, news.result, news.is_vote_reply
             )
             self._tell_gateway(gateway, late)
--- a/meadowpulley/emulator/results.py
+++ b/meadowpulley/emulator/results.py
@@ -53,11 +53,19 @@
 
     def table(self) -> dict[str, Any]:
         return {
-            "class": self.name, "asked": self.asked, "in_aim": self.in_aim, "late": self.late,
-            "refused": self.refused, "failed": self.failed, "retries": self.retries,
-            "unanswered": self.unanswered, "worth_share": round(self.worth_share, 6),
-            "p50_ms": self.latency_ms(50), "p90_ms": self.latency_ms(90), "p99_ms": self.latency_ms(99),
-        }  # fmt: skip
+            "class": self.name,
+            "asked": self.asked,
+            "in_aim": self.in_aim,
+            "late": self.late,
+            "refused": self.refused,
+            "failed": self.failed,
+            "retries": self.retries,
+            "unanswered": self.unanswered,
+            "worth_share": round(self.worth_share, 6),
+            "p50_ms": self.latency_ms(50),
+            "p90_ms": self.latency_ms(90),
+            "p99_ms": self.latency_ms(99),
+        }
 
 
 @dataclass(slots=True)
--- a/meadowpulley/emulator/scenario.py
+++ b/meadowpulley/emulator/scenario.py
@@ -11,10 +11,23 @@
 from meadowpulley.fleet.model import Name, NotNegative, Positive, PositiveShare
 
 FaultKind = Literal[
-    "fast_errors", "silence", "lost_answers", "slowness", "dependency", "neighbour", "vanish", "crash",
-    "site_cut", "discovery_down", "discovery_stale", "platform_down", "platform_late", "peers_lost",
-    "gateway_crash", "silent_watches",
-]  # fmt: skip
+    "fast_errors",
+    "silence",
+    "lost_answers",
+    "slowness",
+    "dependency",
+    "neighbour",
+    "vanish",
+    "crash",
+    "site_cut",
+    "discovery_down",
+    "discovery_stale",
+    "platform_down",
+    "platform_late",
+    "peers_lost",
+    "gateway_crash",
+    "silent_watches",
+]
 
 
 class Release(Struct, frozen=True, forbid_unknown_fields=True):
--- a/meadowpulley/emulator/snapshot.py
+++ b/meadowpulley/emulator/snapshot.py
@@ -86,11 +86,17 @@
     """What clients had so far, by class."""
     return tuple(
         ClassNow(
-            c.name, c.worth_share, c.asked, c.in_aim, c.late, c.refused, c.failed,
+            c.name,
+            c.worth_share,
+            c.asked,
+            c.in_aim,
+            c.late,
+            c.refused,
+            c.failed,
             c.latency_ms(99) if c.served else 0.0,
         )
         for c in result.classes
-    )  # fmt: skip
+    )
 
 
 def stage_text(now: ServersNow) -> str:
