--- a/meadowpulley/emulator/together.py
+++ b/meadowpulley/emulator/together.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from meadowpulley import interface as i
 from meadowpulley.emulator.ledger import LedgerFigures
+from meadowpulley.interface import Request, Settings, Tenant
 from meadowpulley.ledger import Keeper, Life, Stage, Terms as LeaseTerms
 from meadowpulley.lending import Lending, Plan
 from meadowpulley.rules import Admitted, Record, SharedFigures
@@ -24,7 +24,7 @@
 class Place:
     """Where a stage stands: in which gateway, and before which next one."""
 
-    settings: i.Settings
+    settings: Settings
     seed: int
     life: Life
     may_act: Callable[[float], bool]  # whether this life's lease holds
@@ -56,8 +56,8 @@
         lives = self.takeover.most_lives if self.takeover is not None else 0
         return SharedFigures(end, lives, plan.capacity_per_s, burst)
 
-    def settings(self, s: i.Settings) -> i.Settings:
-        return replace(s, tenants=tuple(i.Tenant(name) for name in self.tenants)) if self.tenants else s
+    def settings(self, s: Settings) -> Settings:
+        return replace(s, tenants=tuple(Tenant(name) for name in self.tenants)) if self.tenants else s
 
     def tenant_of(self, key: int) -> int:
         return key % len(self.tenants) if self.tenants else 0
@@ -69,7 +69,7 @@
     def __init__(
         self,
         together: Together,
-        settings: i.Settings,
+        settings: Settings,
         seed: int,
         life: Life,
         balancer: Any,
@@ -112,11 +112,11 @@
         self.inner, self.note = inner, note
 
     def handle(self, now: float, event: Any) -> Any:
-        if isinstance(event, i.Request):
+        if isinstance(event, Request):
             self.note(now, event)
         return self.inner.handle(now, event)
 
 
-def admission(now: float, gateway: int, r: i.Request) -> Record | None:
+def admission(now: float, gateway: int, r: Request) -> Record | None:
     """What a request that lending let through uses of the capacity; nothing where it was admitted before."""
     return None if r.adopted and (r.prior_attempts or r.prior_attempt_count) else Admitted(now, gateway, 1.0)
--- a/meadowpulley/emulator/world.py
+++ b/meadowpulley/emulator/world.py
@@ -7,7 +7,6 @@
 from functools import partial
 from typing import Any
 
-from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
 from meadowpulley.emulator.clients import Clients, Front, Try
 from meadowpulley.emulator.clock import Clock, Streams, between
@@ -24,6 +23,17 @@
 from meadowpulley.emulator.scenario import Scenario
 from meadowpulley.emulator.together import Chain, Together, admission
 from meadowpulley.fleet import Fleet, settings_of
+from meadowpulley.interface import (
+    EndpointUpdate,
+    GossipReceived,
+    Phase,
+    Request,
+    Result as AttemptResult,
+    RolloutUpdate,
+    SendGossip,
+    Settings,
+    Vote,
+)
 from meadowpulley.ledger import Life, Step
 from meadowpulley.load.arrivals import Arrival
 from meadowpulley.rules import Checker, Figures, KeyAnswered, Record
@@ -47,7 +57,7 @@
         load: Iterable[Arrival],
         seed: int,
         scenario: Scenario | None = None,
-        make: Callable[[i.Settings, int], Any] = Balancer,
+        make: Callable[[Settings, int], Any] = Balancer,
         trace: Callable[[Record], None] | None = None,
         from_ms: float = 0.0,
         together: Together | None = None,
@@ -74,9 +84,17 @@
             figures = replace(figures, shared=together.figures())
         self.checker = Checker(figures)
         self.clients = Clients(
-            clock, self.streams.of("clients"), fleet, self.network, iter(load), self._fronts, self.result,
-            joined, together.again_ms if together is not None else 0.0, self._client_left,
-        )  # fmt: skip
+            clock,
+            self.streams.of("clients"),
+            fleet,
+            self.network,
+            iter(load),
+            self._fronts,
+            self.result,
+            joined,
+            together.again_ms if together is not None else 0.0,
+            self._client_left,
+        )
         self.discovery.counts = lambda number, news: self.gateways[number].book_list(news)
         for gateway in self.gateways:
             gateway.start()
@@ -85,7 +103,7 @@
 
     # What gateways have together
 
-    def settings_of(self, number: int) -> i.Settings:
+    def settings_of(self, number: int) -> Settings:
         settings = settings_of(self.fleet, number)
         return self.together.settings(settings) if self.together is not None else settings
 
@@ -99,7 +117,7 @@
             return balancer, []
         number, life = gateway.number, gateway.life
 
-        def note(now: float, request: i.Request) -> None:
+        def note(now: float, request: Request) -> None:
             record = admission(now, number, request)
             if record is not None:
                 self.record(record)
@@ -168,7 +186,7 @@
         if lost:  # a kept connection stays silent until the gateway stops waiting
             if fresh:
                 wait = self.fleet.rules.connect_timeout_ms
-                self.clock.after(wait, lambda: gateway.arrived(attempt, i.Result.CONNECT_FAILED))
+                self.clock.after(wait, lambda: gateway.arrived(attempt, AttemptResult.CONNECT_FAILED))
             return
         delay = self.network.one_way(a, b)
         if fresh:
@@ -181,7 +199,7 @@
         tag = (gateway, attempt)
         if not host.up:
             if not host.silent:
-                self.reply(tag, host, i.Result.CONNECT_FAILED)
+                self.reply(tag, host, AttemptResult.CONNECT_FAILED)
             return
         ask = attempt.held.request.ask
         a = ask.arrival
@@ -190,7 +208,7 @@
     def key_answered(self, tag: Any, host: Host, key: int) -> None:
         self.record(KeyAnswered(self.clock.now, tag[0].number, key, host.entry.build))
 
-    def reply(self, tag: Any, host: Host, result: i.Result) -> None:
+    def reply(self, tag: Any, host: Host, result: AttemptResult) -> None:
         gateway, attempt = tag
         a, b = host.entry.zone, gateway.site
         if self.network.reaches(a, b):
@@ -216,15 +234,15 @@
         ]
         return [g for g in there if g.site == site] or list(there)
 
-    def tell_list(self, gateway: int, news: i.EndpointUpdate) -> None:
+    def tell_list(self, gateway: int, news: EndpointUpdate) -> None:
         if self.gateways[gateway].alive:
             self.gateways[gateway].tell(news)
 
-    def tell_news(self, gateway: int, news: i.RolloutUpdate) -> None:
+    def tell_news(self, gateway: int, news: RolloutUpdate) -> None:
         if self.gateways[gateway].alive:
             self.gateways[gateway].hear(news)
 
-    def cast(self, gateway: Gateway, vote: i.Vote) -> None:
+    def cast(self, gateway: Gateway, vote: Vote) -> None:
         self.event(
             f"gateway {gateway.number} votes {vote.verdict.name.lower()} on build {vote.build} "
             f"stage {vote.stage}"
@@ -233,7 +251,7 @@
         wait = between(self._calls, self.fleet.rollout.call_ms)
         self.clock.after(wait, lambda: self.platform.vote(number, vote))
         if self.platform.down:
-            lost = i.RolloutUpdate(vote.build, vote.stage, i.Phase.TRIAL, 0.0, 0.0, i.Result.TIMEOUT, True)
+            lost = RolloutUpdate(vote.build, vote.stage, Phase.TRIAL, 0.0, 0.0, AttemptResult.TIMEOUT, True)
 
             def late() -> None:
                 if gateway.alive and gateway.lives == life:
@@ -241,15 +259,15 @@
 
             self.clock.after(self.fleet.rollout.call_timeout_ms, late)
 
-    def datagram(self, gateway: Gateway, action: i.SendGossip) -> None:
-        message = i.GossipReceived(gateway.number, action.data)
+    def datagram(self, gateway: Gateway, action: SendGossip) -> None:
+        message = GossipReceived(gateway.number, action.data)
         for other in self.gateways:
             if other is not gateway and action.peer in (None, other.number):
                 delay = self.network.datagram(gateway.site, other.site)
                 if delay is not None:
                     self.clock.after(delay, partial(self._hear_peer, other, message))
 
-    def _hear_peer(self, gateway: Gateway, message: i.GossipReceived) -> None:
+    def _hear_peer(self, gateway: Gateway, message: GossipReceived) -> None:
         if gateway.alive:
             gateway.tell(message)
 
--- a/meadowpulley/experiment/cells.py
+++ b/meadowpulley/experiment/cells.py
@@ -11,10 +11,10 @@
 import xxhash
 from msgspec import Struct
 
-from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
 from meadowpulley.emulator import Result, Scenario, World
 from meadowpulley.fleet import Fleet
+from meadowpulley.interface import Outcome
 from meadowpulley.load import PROFILES, Arrival, costlier, cut, filled, read_load, scaled, synthesize
 from meadowpulley.records import Held
 
@@ -89,7 +89,7 @@
 class Unrefusing(Balancer):
     """The baseline without the limit of requests in flight: what refusals save is measured against it."""
 
-    def _learn_room(self, held: Held, o: i.Outcome) -> None:
+    def _learn_room(self, held: Held, o: Outcome) -> None:
         return
 
 
--- a/meadowpulley/interface.py
+++ b/meadowpulley/interface.py
@@ -13,14 +13,14 @@
 from typing import TypeAlias
 
 from meadowpulley.settings_types import (
-    Effect as Effect,
-    StageGate as StageGate,
     DeduplicationScope as DeduplicationScope,
+    Effect as Effect,
     Limits as Limits,
     RequestClass as RequestClass,
     Rollout as Rollout,
     Rules as Rules,
     Settings as Settings,
+    StageGate as StageGate,
     Tenant as Tenant,
 )
 
@@ -115,7 +115,9 @@
     client_retry: bool = False
     write: bool = False
     adopted: bool = False  # taken over from a lost gateway: it earns no allowance on the trial build
-    prior_attempt_count: int = 0  # attempts that earlier lives used up of `max_attempts`; here they count from 0 anew
+    prior_attempt_count: int = (
+        0  # attempts that earlier lives used up of `max_attempts`; here they count from 0 anew
+    )
     prior_attempts: tuple[PriorAttempt, ...] = ()  # of these, the ones that are not known never to have run
     arm: int = 0  # of an experiment on placements: which one orders its servers; 0 is the module's own
 
--- a/meadowpulley/ledger/client.py
+++ b/meadowpulley/ledger/client.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from meadowpulley import interface as i
+from meadowpulley.interface import SetTimer, Timer
 from meadowpulley.ledger.config import LedgerSettings, read_settings
 from meadowpulley.ledger.groups import Group, Groups
 from meadowpulley.ledger.keeper import TIMER, Keeper, Stage
@@ -121,9 +121,7 @@
 class LedgerClient:
     """`wrap` the stages, make what comes back the outermost one of the gateway, then `start`."""
 
-    def __init__(
-        self, host: Host, store: Store, life: Life, settings: LedgerSettings, aside: Aside
-    ) -> None:  # fmt: skip
+    def __init__(self, host: Host, store: Store, life: Life, settings: LedgerSettings, aside: Aside) -> None:
         self._host, self._store, self.life, self._settings, self._aside = host, store, life, settings, aside
         self._watches: Callable[[], tuple[str, ...]] = tuple
         self._prefixes: tuple[str, ...] = ()
@@ -151,8 +149,8 @@
     def start(self) -> None:
         assert self.keeper is not None
         for action in self.keeper.start(self._host.deadlines.now()):
-            if isinstance(action, i.SetTimer):
-                self._host.deadlines.after(action.delay_ms, lambda: self._host.tell(i.Timer(TIMER)))
+            if isinstance(action, SetTimer):
+                self._host.deadlines.after(action.delay_ms, lambda: self._host.tell(Timer(TIMER)))
             elif isinstance(action, Commit):
                 self.commit(action)
         self._tick()
@@ -240,9 +238,13 @@
         )
 
     def _work(
-        self, job: _Job, look: bool, version: int, prefixes: tuple[str, ...],
+        self,
+        job: _Job,
+        look: bool,
+        version: int,
+        prefixes: tuple[str, ...],
         watched: tuple[str, ...] | None,
-    ) -> Result:  # fmt: skip
+    ) -> Result:
         """In the thread. Whatever fails, its result comes back. A ledger that was lost is back once it can be
         written: of a full disk, and of one that is read-only, all looks succeed. What is written for that
         loses, and changes nothing."""
--- a/meadowpulley/ledger/disk.py
+++ b/meadowpulley/ledger/disk.py
@@ -61,9 +61,7 @@
             raise RefusedError(f"ledger: {path}: {bad.strerror}: make that folder, or name another") from None
         try:
             with self._told():
-                self._log = Log(
-                    self._folder, path, installation, sync, most_bytes, boot or boot_id(), fail
-                )  # fmt: skip
+                self._log = Log(self._folder, path, installation, sync, most_bytes, boot or boot_id(), fail)
                 self._leases = Leases(self._folder, fail)
                 self._leases.clear(self._log.state.lives)
         except LedgerError as bad:
--- a/meadowpulley/ledger/failpoints.py
+++ b/meadowpulley/ledger/failpoints.py
@@ -17,9 +17,20 @@
 
 ENV = "MEADOWPULLEY_FAILPOINTS"
 NAMES = (
-    "call", "begin.locked", "begin.begun", "renew.renamed", "seal.renamed", "log.append", "log.appended",
-    "log.synced", "log.read", "roll.ended", "roll.written", "roll.linked", "roll.opened",
-)  # fmt: skip
+    "call",
+    "begin.locked",
+    "begin.begun",
+    "renew.renamed",
+    "seal.renamed",
+    "log.append",
+    "log.appended",
+    "log.synced",
+    "log.read",
+    "roll.ended",
+    "roll.written",
+    "roll.linked",
+    "roll.opened",
+)
 SLOW_S = 2.0
 Fail = Callable[[str], None]
 
--- a/meadowpulley/ledger/keeper.py
+++ b/meadowpulley/ledger/keeper.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from meadowpulley import interface as i
+from meadowpulley.interface import SetTimer, Timer
 from meadowpulley.ledger.model import (
     Changed,
     Commit,
@@ -82,7 +82,7 @@
         self._wide, self._wide_until = False, -math.inf  # whether it watches all, and how long
         self._looked = -math.inf
         self._own: dict[type, Callable[[float, Any], list[Any]]] = {
-            i.Timer: self._timer,
+            Timer: self._timer,
             Committed: self._committed,
             Changed: self._changed,
             LedgerBack: self._back,
@@ -119,14 +119,14 @@
     def _renew(self, now: float) -> list[Any]:
         if self.ended or self.leaving:
             return []
-        actions: list[Any] = [i.SetTimer(self.terms.term_ms * self.terms.renew_part, TIMER)]
+        actions: list[Any] = [SetTimer(self.terms.term_ms * self.terms.renew_part, TIMER)]
         if not self._renewing:  # one at a time: each is answered, UNKNOWN at worst
             renew = self._commit(Step((Renew(),)))
             self._renewing[renew.ticket] = now
             actions.append(renew)
         return actions
 
-    def _timer(self, now: float, event: i.Timer) -> list[Any]:
+    def _timer(self, now: float, event: Timer) -> list[Any]:
         if event.token != TIMER:
             return self.inner.handle(now, event)
         return [*self._renew(now), *self._seal_due(now)]
--- a/meadowpulley/ledger/leases.py
+++ b/meadowpulley/ledger/leases.py
@@ -55,9 +55,11 @@
             return False
         try:
             os.rename(
-                self._path(life, str(was)), self._path(life, str(was + 1)),
-                src_dir_fd=self._folder, dst_dir_fd=self._folder,
-            )  # fmt: skip
+                self._path(life, str(was)),
+                self._path(life, str(was + 1)),
+                src_dir_fd=self._folder,
+                dst_dir_fd=self._folder,
+            )
         except FileNotFoundError:
             return False
         self._mine[life] = was + 1
@@ -68,9 +70,11 @@
         """Ends its renewals if the last one was this; True too if somebody had ended them at this one."""
         try:
             os.rename(
-                self._path(life, str(renewal)), self._path(life, f"{renewal}{SEALED}"),
-                src_dir_fd=self._folder, dst_dir_fd=self._folder,
-            )  # fmt: skip
+                self._path(life, str(renewal)),
+                self._path(life, f"{renewal}{SEALED}"),
+                src_dir_fd=self._folder,
+                dst_dir_fd=self._folder,
+            )
         except FileNotFoundError:
             found = self.look(life)
             return found is None or found == (renewal, True)
--- a/meadowpulley/lending/config.py
+++ b/meadowpulley/lending/config.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Mapping
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Settings
 from meadowpulley.lending.model import Plan, PlanError, Share, checked
 
 PREFIX = "MEADOWPULLEY_LENDING_"
@@ -24,7 +24,7 @@
 LEAST_TERM_MS = 400.0  # a turn is an eighth of it: shorter ones would ask all the time
 
 
-def read_plan(settings: i.Settings, values: Mapping[str, str]) -> Plan | None:
+def read_plan(settings: Settings, values: Mapping[str, str]) -> Plan | None:
     """The plan of these settings; None where no capacity is named: lending is off.
 
     Raises `PlanError`, one line, for whatever can't be.
@@ -82,7 +82,7 @@
     return ", ".join(sorted(names)[:5]) + (", ..." if len(names) > 5 else "")
 
 
-def _tenants(settings: i.Settings, given: Mapping[str, str], capacity: float) -> tuple[Share, ...]:
+def _tenants(settings: Settings, given: Mapping[str, str], capacity: float) -> tuple[Share, ...]:
     """Shares as set here, else as the settings have them, else their quotas as parts of the capacity. Weights
     as set here, else the shares; the least of them for a tenant without a share."""
     names = {t.name for t in settings.tenants}
--- a/meadowpulley/lending/stage.py
+++ b/meadowpulley/lending/stage.py
@@ -15,7 +15,7 @@
 from random import Random
 from typing import Any, Protocol
 
-from meadowpulley import interface as i
+from meadowpulley.interface import LogLine, Reject, Request, SetTimer, Settings, Timer
 from meadowpulley.ledger.model import (
     LEDGER_EVENTS,
     Changed,
@@ -50,7 +50,7 @@
 class Lending:
     """One gateway's part. `life` is the one its ledger began for it, `plan` the plan of its own settings."""
 
-    def __init__(self, inner: Next, settings: i.Settings, plan: m.Plan, life: Life, seed: int) -> None:
+    def __init__(self, inner: Next, settings: Settings, plan: m.Plan, life: Life, seed: int) -> None:
         self.inner, self.settings, self.life = inner, settings, life
         self.holder = Holder(plan)
         self.demand = Demand(plan.term_ms / 2)
@@ -78,9 +78,9 @@
 
     def handle(self, now: float, event: Any) -> list[Any]:
         kind = type(event)
-        if kind is i.Request:
+        if kind is Request:
             acts = self._request(now, event)
-        elif kind is i.Timer and event.token == TOKEN:
+        elif kind is Timer and event.token == TOKEN:
             return self._tick(now)
         elif kind in (Committed, Scanned) and event.owner == m.OWNER:
             return self._committed(now, event) if kind is Committed else self._scanned(now, event)
@@ -108,7 +108,7 @@
 
     # Requests
 
-    def _request(self, now: float, r: i.Request) -> list[Any]:
+    def _request(self, now: float, r: Request) -> list[Any]:
         if r.adopted and (r.prior_attempts or r.prior_attempt_count):
             # Its right was won at a gateway that had admitted it: it counts once, and may have run.
             return self.inner.handle(now, r)
@@ -121,14 +121,14 @@
             return self.inner.handle(now, r)
         wait, limits = self.holder.back_in(now, place, cost), self.settings.limits
         wait = min(wait, limits.max_retry_after_ms or math.inf) if limits.retry_after else 0.0
-        return [i.Reject(r.request, wait), *(self._ask(now, early=True) if self._is_news(place) else [])]
+        return [Reject(r.request, wait), *(self._ask(now, early=True) if self._is_news(place) else [])]
 
     def _is_news(self, place: int) -> bool:
         """Whether a tenant asks for clearly more than was told: that can't wait for the next turn."""
         usual = self.seat.told.get(place, 0.0) * self.plan.turn_ms / 1000
         return self.demand.noted(place) > LOOK_AGAIN * usual + self.holder.one
 
-    def _cost(self, r: i.Request) -> float:
+    def _cost(self, r: Request) -> float:
         if not self.plan.by_work:
             return 1.0
         usual = self.plan.work_ms
@@ -147,7 +147,7 @@
             return []
         wait = self.plan.turn_ms / TICKS
         self.timer_at = now + 2 * wait  # one that got lost is set anew
-        return [i.SetTimer(wait, TOKEN)]
+        return [SetTimer(wait, TOKEN)]
 
     def _tick(self, now: float) -> list[Any]:
         self.timer_at = -math.inf
@@ -172,7 +172,7 @@
             return []
         self.warned = True
         said = f"lending: number {self.seat.number} is in use by gateway '{self.seat.taken_by}'"
-        return [i.LogLine(f"{said}: give each gateway a number of its own")]
+        return [LogLine(f"{said}: give each gateway a number of its own")]
 
     def _ticket(self) -> int:
         self.tickets += 1
@@ -220,11 +220,11 @@
         try:
             plan = m.unpack_plan(record.value)
         except m.PlanError as error:
-            return [i.LogLine(f"{error}: the earlier shares stay")]
+            return [LogLine(f"{error}: the earlier shares stay")]
         if self.mine is not None and self.mine.version <= plan.version:
             said = f"lending: version {plan.version} of the ledger's shares differs from these settings"
             differs, self.mine = self.mine.version == plan.version and self.mine != plan, None
-            acts: list[Any] = [i.LogLine(f"{said}: the ledger's hold; raise the version")] if differs else []
+            acts: list[Any] = [LogLine(f"{said}: the ledger's hold; raise the version")] if differs else []
         else:
             acts = []
         if plan != self.plan:
--- a/meadowpulley/load/profiles.py
+++ b/meadowpulley/load/profiles.py
@@ -63,15 +63,22 @@
         Profile("daily", "one day: night, lunch, dinner", *_even(_day)),
         Profile("friday-dinner", "up to a broad top and down again", *_even(_evening)),
         Profile(
-            "footy-final", "steady, and in the middle fifth one request in eight costs six times the usual",
-            _steady, 1.0, costly=lambda x: 0.125 if 0.4 <= x < 0.6 else 0.0, cost=6.0,
+            "footy-final",
+            "steady, and in the middle fifth one request in eight costs six times the usual",
+            _steady,
+            1.0,
+            costly=lambda x: 0.125 if 0.4 <= x < 0.6 else 0.0,
+            cost=6.0,
         ),
         Profile(
-            "site-shift", "from the middle on half of all load comes by the first site", _steady, 1.0,
+            "site-shift",
+            "from the middle on half of all load comes by the first site",
+            _steady,
+            1.0,
             shift=lambda x: min(max((x - 0.45) / 0.1, 0.0), 1.0) * 0.5,
         ),
     )
-}  # fmt: skip
+}
 
 
 def draw_work(cls: RequestKind, rng: np.random.Generator) -> float:
--- a/meadowpulley/load/summary.py
+++ b/meadowpulley/load/summary.py
@@ -75,6 +75,14 @@
         classes.append(ClassSummary(name, counts[name], counts[name] / count, mean, spread))
     work = sum(total for total, _ in sums.values())
     return Summary(
-        count, float(seconds), count / seconds, float(peak), work / seconds, tuple(classes),
-        {name: n / count for name, n in sorted(sites.items())}, len(keys), more, size,
-    )  # fmt: skip
+        count,
+        float(seconds),
+        count / seconds,
+        float(peak),
+        work / seconds,
+        tuple(classes),
+        {name: n / count for name, n in sorted(sites.items())},
+        len(keys),
+        more,
+        size,
+    )
--- a/meadowpulley/net/attempts.py
+++ b/meadowpulley/net/attempts.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Cancel, Effect, Outcome, Probe, ProbeResult, Result, Send
 from meadowpulley.net import names
 from meadowpulley.net.deadlines import Deadline
 from meadowpulley.net.host import Host
@@ -20,15 +20,15 @@
 from meadowpulley.net.requests import Requests, Taken
 from meadowpulley.settings import COLUMNS
 
-_NEVER_RAN = (i.Result.REJECTED, i.Result.CONNECT_FAILED, i.Result.NOT_SENT)
+_NEVER_RAN = (Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT)
 
 
-def read_result(answer: Message) -> i.Result:
+def read_result(answer: Message) -> Result:
     if answer.status == 200:
-        return i.Result.OK
+        return Result.OK
     if answer.status in (503, 504) and answer.headers.get(names.NOT_RUN) == "1":
-        return i.Result.REJECTED
-    return i.Result.ERROR
+        return Result.REJECTED
+    return Result.ERROR
 
 
 def read_load(text: str, columns: tuple[str, ...]) -> tuple[float, ...]:
@@ -71,7 +71,7 @@
             return
         if not attempts.instances.make_room():
             attempts.gateway.counters.add("up.no_socket")
-            self.end(i.Result.CONNECT_FAILED)
+            self.end(Result.CONNECT_FAILED)
             return
         opening = connect(attempts.gateway.reactor, pool.address, lambda: InstanceLink(pool))
         attempts.instances.sockets += 1
@@ -89,7 +89,7 @@
                 link.pool.rest(link)
         elif link.pool.over:
             link.drop()
-            self.end(i.Result.CONNECT_FAILED)
+            self.end(Result.CONNECT_FAILED)
         elif link.up and not link.unread():
             link.carry(self, self._bytes())
         else:
@@ -113,38 +113,38 @@
         self.attempts.gateway.deadlines.run_due()  # a connection is input, too
         self.attempts.gateway.deadlines.call_off(self.connect_limit)
         if self.taken is not None and self.taken.over:  # its client has gone: nothing is sent for it
-            self.end(i.Result.NOT_SENT)
+            self.end(Result.NOT_SENT)
         if self.ended:
             link.drop()
         elif link.up:
             link.carry(self, self._bytes())
         else:
-            self.end(i.Result.CONNECT_FAILED)
+            self.end(Result.CONNECT_FAILED)
 
     def _refused(self, _: Failure) -> None:
         self.opening = None
         self.attempts.instances.sockets -= 1
-        self.end(i.Result.CONNECT_FAILED)
+        self.end(Result.CONNECT_FAILED)
 
     def _never_up(self) -> None:
         if self.link is None:
-            self.end(i.Result.CONNECT_FAILED)
+            self.end(Result.CONNECT_FAILED)
 
     def unwritten(self) -> None:
         """Its last byte has to be out by now, or what it repeats may be forgotten where it arrives."""
         if not self.written:
             self.attempts.gateway.counters.add("up.past_window")
-            self.end(i.Result.CONNECT_FAILED)
+            self.end(Result.CONNECT_FAILED)
 
     def time_out(self) -> None:
-        self.end(i.Result.TIMEOUT if self.written else i.Result.CONNECT_FAILED)
+        self.end(Result.TIMEOUT if self.written else Result.CONNECT_FAILED)
 
     def cancel(self) -> None:
         self.attempts.gateway.counters.add("up.cancelled")
-        self.end(i.Result.CANCELLED)
+        self.end(Result.CANCELLED)
 
     def broke(self) -> None:
-        self.end(i.Result.RESET if self.written else i.Result.CONNECT_FAILED)
+        self.end(Result.RESET if self.written else Result.CONNECT_FAILED)
 
     def garbage(self) -> None:
         """What came is no answer: a request that was written has run, or may have; who spoilt it is not
@@ -154,19 +154,19 @@
 
     def answered(self, answer: Message) -> None:
         result, taken = read_result(answer), self.taken
-        if not self.written and result is not i.Result.REJECTED:
+        if not self.written and result is not Result.REJECTED:
             # An instance begins with the last byte, which it can't have: that answers an earlier request.
             self.attempts.gateway.counters.add("up.unasked")
             self.broke()
             return
-        if result is i.Result.OK and taken is not None and not taken.over:
+        if result is Result.OK and taken is not None and not taken.over:
             kind = answer.headers.get("content-type")
             headers = {"content-type": kind} if kind else {}
             taken.out.pop(self.n, None)
             self.attempts.requests.answer(taken, 200, headers, answer.body)
         self.end(result, read_load(answer.headers.get(names.LOAD, ""), self.attempts.columns))
 
-    def end(self, result: i.Result, load: tuple[float, ...] = ()) -> None:
+    def end(self, result: Result, load: tuple[float, ...] = ()) -> None:
         """The one outcome of an attempt; whatever is left of it on the network is closed."""
         if self.ended:
             return
@@ -184,14 +184,14 @@
         elapsed, taken = gateway.deadlines.now() - self.sent, self.taken
         gateway.counters.add(f"up.{result.name.lower()}")
         if taken is None:
-            gateway.tell(i.ProbeResult(self.server, result, elapsed, load))
+            gateway.tell(ProbeResult(self.server, result, elapsed, load))
             return
         taken.out.pop(self.n, None)
         if result not in _NEVER_RAN:
             taken.ran = min(taken.ran, self.sent)
         over = taken.over
         self.attempts.requests.release(taken)
-        gateway.tell(i.Outcome(taken.handle, self.n, self.server, result, elapsed, over, load))
+        gateway.tell(Outcome(taken.handle, self.n, self.server, result, elapsed, over, load))
 
 
 class Attempts:
@@ -202,7 +202,7 @@
         self.limits = gateway.config.settings.limits
         self.columns = gateway.config.settings.report_columns
 
-    def send(self, action: i.Send) -> None:
+    def send(self, action: Send) -> None:
         taken = self.requests.table.get(action.request)
         now = self.gateway.deadlines.now()
         if taken is None:
@@ -215,9 +215,9 @@
         attempt = Attempt(self, action.server, taken, n, now, until)
         taken.out[n] = attempt
         if taken.over or until <= now or n >= self.limits.max_attempts:
-            attempt.end(i.Result.NOT_SENT)
+            attempt.end(Result.NOT_SENT)
         elif pool is None:
-            attempt.end(i.Result.CONNECT_FAILED)
+            attempt.end(Result.CONNECT_FAILED)
         else:
             self.gateway.counters.add("up.attempts")
             if until < taken.deadline:
@@ -231,9 +231,13 @@
         when they send, and its connection may come up, or its body go out, well after that."""
         settings = self.gateway.config.settings
         cls = settings.classes[taken.cls]
-        if cls.effect is not i.Effect.IDEMPOTENT_WITH_KEY:
+        if cls.effect is not Effect.IDEMPOTENT_WITH_KEY:
             return math.inf
-        return min([taken.ran, *(a.sent for a in taken.out.values())]) + cls.deduplication_window_ms - settings.tick_ms
+        return (
+            min([taken.ran, *(a.sent for a in taken.out.values())])
+            + cls.deduplication_window_ms
+            - settings.tick_ms
+        )
 
     def start(self, attempt: Attempt, pool: Pool, where: str) -> None:
         try:
@@ -242,19 +246,19 @@
             self.gateway.failed(where)
             attempt.broke()
 
-    def probe(self, action: i.Probe) -> None:
+    def probe(self, action: Probe) -> None:
         now = self.gateway.deadlines.now()
         until = now + max(self.limits.connect_timeout_ms, 1.0)
         pool = self.instances.pools.get(action.server)
         attempt = Attempt(self, action.server, None, 0, now, until)
         if pool is None:
-            attempt.end(i.Result.CONNECT_FAILED)
+            attempt.end(Result.CONNECT_FAILED)
             return
         self.gateway.counters.add("up.probes")
         attempt.limit = self.gateway.deadlines.at(until, attempt.time_out)
         self.start(attempt, pool, "probe")
 
-    def cancel(self, action: i.Cancel) -> None:
+    def cancel(self, action: Cancel) -> None:
         taken = self.requests.table.get(action.request)
         attempt = taken.out.get(action.attempt) if taken is not None else None
         if attempt is not None:
--- a/meadowpulley/net/capture.py
+++ b/meadowpulley/net/capture.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Mapping
 from typing import IO, Any
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Request, Settings
 
 ENV_FILE, ENV_MB = "MEADOWPULLEY_CAPTURE", "MEADOWPULLEY_CAPTURE_MB"
 PENDING = 4096  # notes that wait for the thread, at most
@@ -31,7 +31,7 @@
     def __init__(
         self,
         path: str,
-        settings: i.Settings,
+        settings: Settings,
         name: str,
         now: Callable[[], float],
         run_aside: Callable[[Callable[[], None], Callable[[bool], None]], None],
@@ -50,11 +50,16 @@
         self._file.write(self._header())
 
     def _header(self) -> bytes:
-        head = {"format": "meadowpulley-load", "version": 1, "source": self._name[:80],
-                "started": round(self._unix), "dropped": self.dropped}  # fmt: skip
+        head = {
+            "format": "meadowpulley-load",
+            "version": 1,
+            "source": self._name[:80],
+            "started": round(self._unix),
+            "dropped": self.dropped,
+        }
         return json.dumps(head).encode().ljust(HEAD - 1) + b"\n"
 
-    def note(self, request: i.Request, at: float, size: int) -> None:
+    def note(self, request: Request, at: float, size: int) -> None:
         """One request was taken; a client's retry belongs to its first try, which was noted."""
         if request.client_retry:
             return
@@ -63,7 +68,9 @@
             return
         hint = request.expected_work_ms or 0.0
         patience = max(request.deadline_ms - at, 0.0)
-        self._pending.append((max(at - self._began, 0.0), request.class_index, request.key, hint, size, patience))
+        self._pending.append(
+            (max(at - self._began, 0.0), request.class_index, request.key, hint, size, patience)
+        )
 
     def flush(self) -> None:
         """Hands what waits to the thread, one batch at a time: a slow disk holds up nothing but itself."""
@@ -125,7 +132,7 @@
 
 def open_capture(
     environ: Mapping[str, str],
-    settings: i.Settings,
+    settings: Settings,
     name: str,
     now: Callable[[], float],
     run_aside: Callable[[Callable[[], None], Callable[[bool], None]], None],
--- a/meadowpulley/net/config.py
+++ b/meadowpulley/net/config.py
@@ -103,13 +103,17 @@
     if (told.get("balancers") or 0) != s.gateway_count and "balancers" in told:
         found.append(f"'settings': 'balancers' is {told['balancers']}: taken as {s.gateway_count}")
     if (told.get("me") or 0) != s.gateway_index:
-        found.append(f"'settings': 'me' is {told['me']} with {s.gateway_count} gateways: taken as {s.gateway_index}")
+        found.append(
+            f"'settings': 'me' is {told['me']} with {s.gateway_count} gateways: taken as {s.gateway_index}"
+        )
     if s.limits.gossip and s.gateway_count > 1:
         if c.peer_listen is None or c.peers_all is None or not c.peers:
             missing = [k for k in ("peer_listen", "peers", "peers_all") if not getattr(c, k)]
             found.append(f"gateways may tell each other, but without {', '.join(missing)}: this one is alone")
         elif len(c.peers) != s.gateway_count:
-            found.append(f"'peers' are {len(c.peers)} of {s.gateway_count} gateways: others are strangers here")
+            found.append(
+                f"'peers' are {len(c.peers)} of {s.gateway_count} gateways: others are strangers here"
+            )
     known = c.known.get(names.ENTRIES) if isinstance(c.known, dict) else None
     if isinstance(known, list) and c.sockets < len(known):
         found.append(f"'limits': {c.sockets} 'sockets' for {len(known)} instances: idle ones close")
--- a/meadowpulley/net/control.py
+++ b/meadowpulley/net/control.py
@@ -14,7 +14,7 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from meadowpulley import interface as i
+from meadowpulley.interface import BuildStatistics, IncorrectResponse, Phase, Result, RolloutUpdate, Vote
 from meadowpulley.net import names
 from meadowpulley.net.deadlines import Deadline
 from meadowpulley.net.host import Host
@@ -34,14 +34,14 @@
     """A line, or what it says of a build, that can't be read."""
 
 
-def read_news(raw: Any, answers_vote: bool = False) -> i.RolloutUpdate:
+def read_news(raw: Any, answers_vote: bool = False) -> RolloutUpdate:
     try:
         cap, age = float(raw[names.NEWS_CAP]), float(raw[names.NEWS_AGE])
         build, stage = int(raw[names.NEWS_BUILD]), int(raw[names.NEWS_STAGE])
         if not (0.0 <= cap <= 1.0 and math.isfinite(age) and stage >= 0):
             raise ValueError("a figure is out of its range")
         phase = names.PHASES[raw[names.NEWS_PHASE]]
-        return i.RolloutUpdate(build, stage, phase, cap, max(age, 0.0), i.Result.OK, answers_vote)
+        return RolloutUpdate(build, stage, phase, cap, max(age, 0.0), Result.OK, answers_vote)
     except (KeyError, TypeError, ValueError, OverflowError) as error:
         raise UnreadableError(f"news of a build: {type(error).__name__}: {error}") from None
 
@@ -49,7 +49,7 @@
 class Call:
     """A line that awaits its answer; votes carry what was voted."""
 
-    def __init__(self, number: int, vote: i.Vote | None) -> None:
+    def __init__(self, number: int, vote: Vote | None) -> None:
         self.number, self.vote = number, vote
         self.written = self.over = False
         self.limit: Deadline | None = None
@@ -135,7 +135,7 @@
         self._retired: list[PlatformLink] = []
         self._limit: Deadline | None = None
         self._again: Deadline | None = None
-        self._told: tuple[float, i.RolloutUpdate] | None = None  # since the last move: when, and what
+        self._told: tuple[float, RolloutUpdate] | None = None  # since the last move: when, and what
         self._began = -math.inf
         self._failures = self._numbers = 0
         self._random = random.Random(gateway.config.seed + 1)
@@ -214,7 +214,7 @@
         calls, link.calls = link.calls, deque()
         for call in calls:
             # A line that was never written whole was not carried out; of any other nobody knows.
-            self._finish(call, i.Result.TIMEOUT if call.written else i.Result.CONNECT_FAILED)
+            self._finish(call, Result.TIMEOUT if call.written else Result.CONNECT_FAILED)
         if followed:
             self._later()
 
@@ -228,15 +228,15 @@
 
     # Calls
 
-    def _call(self, vote: i.Vote | None) -> Call:
+    def _call(self, vote: Vote | None) -> Call:
         self._numbers += 1
         return Call(self._numbers, vote)
 
-    def vote(self, vote: i.Vote) -> None:
+    def vote(self, vote: Vote) -> None:
         self.gateway.counters.add("platform.votes")
         call = self._call(vote)
         if self.link is None:
-            self._finish(call, i.Result.CONNECT_FAILED)
+            self._finish(call, Result.CONNECT_FAILED)
             return
         limit = self.gateway.config.settings.rollout.call_timeout_ms or CALL_MS
         call.limit = self.gateway.deadlines.after(limit, partial(self._overdue, call, self.link))
@@ -251,20 +251,20 @@
         if link.up and link.unread():  # this gateway is late, not the platform
             call.limit = self.gateway.deadlines.after(PART_MS, partial(self._overdue, call, link))
         else:
-            self._finish(call, i.Result.TIMEOUT)
+            self._finish(call, Result.TIMEOUT)
 
-    def _finish(self, call: Call, result: i.Result, news: i.RolloutUpdate | None = None) -> None:
+    def _finish(self, call: Call, result: Result, news: RolloutUpdate | None = None) -> None:
         """The one reply to a vote; news that comes with a late one is still news."""
         self.gateway.deadlines.call_off(call.limit)
         if call.vote is None or call.over:
             if news is not None:
-                self.gateway.tell(i.RolloutUpdate(news.build, news.stage, news.phase, news.cap, news.age_ms))
+                self.gateway.tell(RolloutUpdate(news.build, news.stage, news.phase, news.cap, news.age_ms))
             return
         call.over = True
         self.gateway.counters.add(f"platform.vote_{result.name.lower()}")
         if news is None:
-            news = i.RolloutUpdate(
-                call.vote.build, call.vote.stage, i.Phase.TRIAL, 0.0, 0.0, result, is_vote_reply=True
+            news = RolloutUpdate(
+                call.vote.build, call.vote.stage, Phase.TRIAL, 0.0, 0.0, result, is_vote_reply=True
             )
         self.gateway.tell(news)
 
@@ -304,7 +304,7 @@
         if number not in [call.number for call in link.calls]:
             raise UnreadableError("an answer to no call")
         while link.calls[0].number != number:
-            self._finish(link.calls.popleft(), i.Result.TIMEOUT)  # its answer was passed over
+            self._finish(link.calls.popleft(), Result.TIMEOUT)  # its answer was passed over
         call, error, news = link.calls[0], raw.get("error"), None
         if (
             call.vote is not None
@@ -313,11 +313,11 @@
         ):
             result = names.CALL_ERRORS[str(error["message"])]
         elif call.vote is not None:
-            result, news = i.Result.OK, read_news(raw.get("result"), answers_vote=True)
+            result, news = Result.OK, read_news(raw.get("result"), answers_vote=True)
         elif raw.get("result") is not True:
             raise UnreadableError("no answer to the call that follows news")
         else:
-            result = i.Result.OK
+            result = Result.OK
         link.calls.popleft()
         if link.retired and news is not None and self._told is not None:
             # The platform is followed elsewhere and has told all this there, or will: what it wrote here may
@@ -352,21 +352,23 @@
             return raw
         raise UnreadableError(f"unknown class {str(raw)[:40]!r}")
 
-    def _tally(self, raw: Any) -> i.BuildStatistics:
+    def _tally(self, raw: Any) -> BuildStatistics:
         try:
             many, failed = int(raw[names.TALLY_MANY]), int(raw[names.TALLY_FAILED])
             mean, age = float(raw[names.TALLY_MEAN]), float(raw[names.NEWS_AGE])
             if not (0 <= failed <= many and math.isfinite(mean) and math.isfinite(age)):
                 raise ValueError("a figure is out of its range")
-            return i.BuildStatistics(int(raw[names.NEWS_BUILD]), self._class(raw[names.CLASS]), many, failed, mean, age)
+            return BuildStatistics(
+                int(raw[names.NEWS_BUILD]), self._class(raw[names.CLASS]), many, failed, mean, age
+            )
         except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise UnreadableError(f"tally: {type(error).__name__}: {error}") from None
 
-    def _wrong(self, raw: Any) -> i.IncorrectResponse | None:
+    def _wrong(self, raw: Any) -> IncorrectResponse | None:
         """None for an instance that this gateway does not know."""
         try:
             server = self._number_of(str(raw[names.WRONG_SERVER]))
             cls, age = self._class(raw[names.CLASS]), float(raw[names.NEWS_AGE])
         except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise UnreadableError(f"wrong answer: {type(error).__name__}: {error}") from None
-        return None if server is None else i.IncorrectResponse(server, cls, age)
+        return None if server is None else IncorrectResponse(server, cls, age)
--- a/meadowpulley/net/discovery.py
+++ b/meadowpulley/net/discovery.py
@@ -11,7 +11,7 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from meadowpulley import interface as i
+from meadowpulley.interface import EndpointUpdate, EndpointUpdateKind, ServerState
 from meadowpulley.net import names
 from meadowpulley.net.config import Address
 from meadowpulley.net.deadlines import Deadline
@@ -106,9 +106,13 @@
     """One call, from the connection it may need to its answer, with one deadline over all of it."""
 
     def __init__(
-        self, discovery: Discovery, target: str, limit_ms: float, done: Callable[[Any, int], None],
-        failed: Callable[[str, i.EndpointUpdateKind], None],
-    ) -> None:  # fmt: skip
+        self,
+        discovery: Discovery,
+        target: str,
+        limit_ms: float,
+        done: Callable[[Any, int], None],
+        failed: Callable[[str, EndpointUpdateKind], None],
+    ) -> None:
         self.discovery, self.target = discovery, target
         self._done, self._failed = done, failed
         self.over = False
@@ -169,13 +173,15 @@
         if self.link is not None and self.link.unread():  # this gateway is late, not the answer
             self.limit = self.discovery.gateway.deadlines.after(PART_MS, self._late)
             return
-        self._finish("no answer in time", self.link, i.EndpointUpdateKind.TIMED_OUT)
+        self._finish("no answer in time", self.link, EndpointUpdateKind.TIMED_OUT)
 
     def _close_call(self) -> None:
         self.over = True
         self.discovery.gateway.deadlines.call_off(self.limit)
 
-    def _finish(self, why: str, link: DiscoveryLink | None, kind: i.EndpointUpdateKind = i.EndpointUpdateKind.FAILED) -> None:
+    def _finish(
+        self, why: str, link: DiscoveryLink | None, kind: EndpointUpdateKind = EndpointUpdateKind.FAILED
+    ) -> None:
         self.abandon()
         if link is not None:
             link.drop()
@@ -215,7 +221,7 @@
         known = self.gateway.config.known
         if known is not None:
             try:
-                self._tell(known, i.EndpointUpdateKind.CACHED)
+                self._tell(known, EndpointUpdateKind.CACHED)
             except CallFailedError as error:
                 self.gateway.counters.add("list.garbage")
                 self.gateway.log.warning("known list passed over", why=str(error))
@@ -286,25 +292,27 @@
         if self._watch is None and self._wanted and not self.gateway.stopping:
             self._ask(self._wait)
 
-    def _watch_failed(self, why: str, kind: i.EndpointUpdateKind = i.EndpointUpdateKind.FAILED) -> None:
+    def _watch_failed(self, why: str, kind: EndpointUpdateKind = EndpointUpdateKind.FAILED) -> None:
         self._watch = None
         self._failed(why, kind)
         if self._watch is not None or not self._wanted:  # by what the decisions said to that
             return
         if not self.gateway.config.settings.must_poll and not self.gateway.stopping:
             pause = min(AGAIN_MS[0] * 2 ** min(self._failures, 10), self._longest) if self._failures else 0.0
-            if kind is i.EndpointUpdateKind.TIMED_OUT:  # found after seconds, by each at its own time: it is late already
+            if (
+                kind is EndpointUpdateKind.TIMED_OUT
+            ):  # found after seconds, by each at its own time: it is late already
                 pause = 0.0
             else:
                 self._failures += 1
             wait = pause * self._random.uniform(0.5, 1.0)
             self._again = self.gateway.deadlines.after(wait, lambda: self.watch(True))
 
-    def _failed(self, why: str, kind: i.EndpointUpdateKind) -> None:
+    def _failed(self, why: str, kind: EndpointUpdateKind) -> None:
         self.gateway.counters.add("list.failed")
         self.gateway.log.warning("discovery call failed", why=why)
         self._answer_due = False
-        self.gateway.tell(i.EndpointUpdate(kind, self.version))
+        self.gateway.tell(EndpointUpdate(kind, self.version))
 
     def _spoilt(self) -> None:
         """After a list that can't be read its connection is of no further use."""
@@ -331,11 +339,11 @@
             self._spoilt()
             self._fetch_failed(str(error))
 
-    def _fetch_failed(self, why: str, kind: i.EndpointUpdateKind = i.EndpointUpdateKind.FAILED) -> None:
+    def _fetch_failed(self, why: str, kind: EndpointUpdateKind = EndpointUpdateKind.FAILED) -> None:
         self._fetch = None
         self._failed(why, kind)
 
-    def _tell(self, raw: Any, kind: i.EndpointUpdateKind | None, lists: int = 0) -> None:
+    def _tell(self, raw: Any, kind: EndpointUpdateKind | None, lists: int = 0) -> None:
         """Discovery handles calls in turn, so its versions rise; they fall only when it was restarted or has
         moved. A call written after all that was read is answered with what is true by then, whatever its
         version. An answer with a lower version to a call written before that is from before the newer list,
@@ -346,14 +354,14 @@
             self.gateway.counters.add("list.overtaken")
             raise OvertakenError
         for entry, address in found:
-            if address is not None and entry.state is not i.ServerState.REMOVED:
+            if address is not None and entry.state is not ServerState.REMOVED:
                 self.instances.place(entry.server, address, (entry.build, entry.started_ms))
-        listed = {entry.server for entry, _ in found if entry.state is not i.ServerState.REMOVED}
-        gone = {entry.server for entry, _ in found if entry.state is i.ServerState.REMOVED}
-        if whole or kind is i.EndpointUpdateKind.CACHED:
+        listed = {entry.server for entry, _ in found if entry.state is not ServerState.REMOVED}
+        gone = {entry.server for entry, _ in found if entry.state is ServerState.REMOVED}
+        if whole or kind is EndpointUpdateKind.CACHED:
             gone |= set(self.entries.numbers.values()) - listed
         for entry, _ in found:
-            if entry.state is i.ServerState.DRAINING:
+            if entry.state is ServerState.DRAINING:
                 self.instances.close_idle(entry.server)
         # Changes since a version that discovery has not reached, or that this gateway no longer has: it was
         # restarted, and of what it forgot or never knew they say nothing. The next watch asks for everything.
@@ -361,12 +369,12 @@
         self.version = 0 if gap else version
         self.lists += 1
         if kind is None:
-            kind = i.EndpointUpdateKind.FULL if whole else i.EndpointUpdateKind.INCREMENTAL
+            kind = EndpointUpdateKind.FULL if whole else EndpointUpdateKind.INCREMENTAL
         self.gateway.counters.add("list.entries", len(found))
         if found or whole or self._answer_due:
-            if kind is not i.EndpointUpdateKind.CACHED:
+            if kind is not EndpointUpdateKind.CACHED:
                 self._answer_due = False
-            self.gateway.tell(i.EndpointUpdate(kind, version, tuple(entry for entry, _ in found)))
+            self.gateway.tell(EndpointUpdate(kind, version, tuple(entry for entry, _ in found)))
         for server in gone:
             self.instances.forget(server)
         self.entries.forget(gone)
--- a/meadowpulley/net/entries.py
+++ b/meadowpulley/net/entries.py
@@ -6,7 +6,7 @@
 import zlib
 from typing import Any
 
-from meadowpulley import interface as i
+from meadowpulley.interface import ServerEntry, ServerState, Settings
 from meadowpulley.net import names
 from meadowpulley.net.config import Address, parse_address
 
@@ -22,7 +22,7 @@
 class Entries:
     """Turns discovery's entries into the interface's, and names into numbers."""
 
-    def __init__(self, settings: i.Settings, clock_offset: float) -> None:
+    def __init__(self, settings: Settings, clock_offset: float) -> None:
         self._zones = {name: n for n, name in enumerate(settings.zones)}
         self._kinds = {name: n for n, name in enumerate(settings.kinds)}
         self._offset = clock_offset  # from Unix time to the gateway's clock, set once
@@ -47,7 +47,7 @@
         """Names that the settings do not list get the numbers after theirs."""
         return places.setdefault(str(name), len(places))
 
-    def read(self, raw: Any) -> tuple[bool, int, list[tuple[i.ServerEntry, Address | None]]]:
+    def read(self, raw: Any) -> tuple[bool, int, list[tuple[ServerEntry, Address | None]]]:
         """Whether the list is whole, its version, and its entries with their addresses."""
         known = len(self.numbers)
         try:
@@ -58,15 +58,15 @@
             self.forget(set(list(self.numbers.values())[known:]))  # names that nothing is told of
             raise CallFailedError(f"unreadable list: {type(error).__name__}: {error}") from None
 
-    def _entry(self, raw: Any) -> tuple[i.ServerEntry, Address | None]:
+    def _entry(self, raw: Any) -> tuple[ServerEntry, Address | None]:
         name, state = raw[names.NAME], names.STATES[raw[names.STATE]]
         if not isinstance(name, str) or not name:
             raise ValueError(f"'{names.NAME}' is {name!r}")
-        gone = state is i.ServerState.REMOVED
+        gone = state is ServerState.REMOVED
         since, weight = float(raw.get(names.STARTED, 0)), float(raw.get(names.WEIGHT, 1.0))
         if not (math.isfinite(since) and math.isfinite(weight)):
             raise ValueError("a figure of an entry is no number")
-        entry = i.ServerEntry(
+        entry = ServerEntry(
             server=self.number(name),
             cell=int(raw.get(names.CELL, 0)),
             zone=self._place(self._zones, raw.get(names.ZONE, "")),
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -12,8 +12,25 @@
 
 from structlog.typing import FilteringBoundLogger
 
-from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
+from meadowpulley.interface import (
+    Cancel,
+    CloseIdleConnections,
+    Fail,
+    FetchEndpoints,
+    LogLine,
+    Outcome,
+    Probe,
+    Reject,
+    Request,
+    Send,
+    SendGossip,
+    SetTimer,
+    Settings,
+    Timer,
+    Vote,
+    Watch,
+)
 from meadowpulley.net.attempts import Attempts
 from meadowpulley.net.clients import Clients
 from meadowpulley.net.config import Config, ConfigError, reread_config
@@ -49,7 +66,7 @@
         config: Config,
         reactor: Any,
         log: FilteringBoundLogger,
-        make: Callable[[i.Settings, int], Any] = Balancer,
+        make: Callable[[Settings, int], Any] = Balancer,
         reread: Callable[[], Config] = reread_config,
         clock: Callable[[], float] = now_ms,
     ) -> None:
@@ -76,18 +93,18 @@
         self.capture: Capture | None = None  # of what clients ask, where one is wanted
         self.hook: Hook | None = None  # a part beside the intake, where one is wanted
         self._actions: dict[type, Callable[[Any], None]] = {
-            i.Send: self.attempts.send,
-            i.Cancel: self.attempts.cancel,
-            i.Reject: self.requests.refuse,
-            i.Fail: self.requests.fail,
-            i.Probe: self.attempts.probe,
-            i.Vote: self.platform.vote,
-            i.SetTimer: self._set_timer,
-            i.Watch: lambda action: self.discovery.watch(action.on),
-            i.FetchEndpoints: lambda _: self.discovery.fetch(),
-            i.SendGossip: self.peers.tell,
-            i.CloseIdleConnections: lambda action: self.instances.close_idle(action.server),
-            i.LogLine: lambda action: self.log.info("decision", line=action.text),
+            Send: self.attempts.send,
+            Cancel: self.attempts.cancel,
+            Reject: self.requests.refuse,
+            Fail: self.requests.fail,
+            Probe: self.attempts.probe,
+            Vote: self.platform.vote,
+            SetTimer: self._set_timer,
+            Watch: lambda action: self.discovery.watch(action.on),
+            FetchEndpoints: lambda _: self.discovery.fetch(),
+            SendGossip: self.peers.tell,
+            CloseIdleConnections: lambda action: self.instances.close_idle(action.server),
+            LogLine: lambda action: self.log.info("decision", line=action.text),
         }
 
     # Phases
@@ -235,9 +252,9 @@
             actions = self.balancer.handle(self.deadlines.now(), event)
         except Exception:
             self.failed("decisions")
-            if isinstance(event, i.Request | i.Outcome):
+            if isinstance(event, Request | Outcome):
                 self.requests.broke(event.request)
-            elif isinstance(event, i.Timer):
+            elif isinstance(event, Timer):
                 self.deadlines.after(TIMER_AGAIN_MS, lambda: self.tell(event))
             return
         for action in actions:
@@ -246,5 +263,5 @@
             except Exception:
                 self.failed("action")
 
-    def _set_timer(self, action: i.SetTimer) -> None:
-        self.deadlines.after(action.delay_ms, lambda: self.tell(i.Timer(action.token)))
+    def _set_timer(self, action: SetTimer) -> None:
+        self.deadlines.after(action.delay_ms, lambda: self.tell(Timer(action.token)))
--- a/meadowpulley/net/hook.py
+++ b/meadowpulley/net/hook.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 from typing import Protocol, TypeAlias
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Request
 from meadowpulley.net.http1 import Message
 
 
@@ -34,7 +34,7 @@
     """A request as it was taken. Times are milliseconds on the gateway's clock."""
 
     name: str  # the client's own id of it
-    event: i.Request  # what the decisions are told: its handle, class, tenant, key and deadline among it
+    event: Request  # what the decisions are told: its handle, class, tenant, key and deadline among it
     message: Message  # as it came: method, path with query, headers, body
     arrived_ms: float
     open: bool  # another request of the same id is owed an answer here
--- a/meadowpulley/net/host.py
+++ b/meadowpulley/net/host.py
@@ -10,7 +10,7 @@
 
 from structlog.typing import FilteringBoundLogger
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Event
 from meadowpulley.net.config import Config
 from meadowpulley.net.counters import Counters
 from meadowpulley.net.deadlines import Deadlines
@@ -51,7 +51,7 @@
     @property
     def stopping(self) -> bool: ...
 
-    def tell(self, event: i.Event) -> None:
+    def tell(self, event: Event) -> None:
         """Hands an event to the decisions and carries out what they decide; one at a time, in order."""
 
     def failed(self, where: str) -> None:
--- a/meadowpulley/net/intake.py
+++ b/meadowpulley/net/intake.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Effect, PriorAttempt, Request
 from meadowpulley.net import names
 from meadowpulley.net.hook import Answer, Asked, Hook
 from meadowpulley.net.host import Host
@@ -21,7 +21,11 @@
 _KEY = re.compile(r"[0-9a-fA-F]{1,16}")
 # That one goes on, and an attempt for another would be its second copy.
 _SECOND = f"'{names.ID}' is that of an open request"
-_METHODS = {i.Effect.IDEMPOTENT: ("GET",), i.Effect.IDEMPOTENT_WITH_KEY: ("POST", "PUT"), i.Effect.NON_IDEMPOTENT: ("POST",)}
+_METHODS = {
+    Effect.IDEMPOTENT: ("GET",),
+    Effect.IDEMPOTENT_WITH_KEY: ("POST", "PUT"),
+    Effect.NON_IDEMPOTENT: ("POST",),
+}
 
 
 def parse_remaining(text: str) -> float:
@@ -105,9 +109,9 @@
     def _class(self, path: str) -> int | None:
         return self.classes.get(path[1:].partition("/")[0])
 
-    def _event(self, taken: Taken) -> i.Request:
+    def _event(self, taken: Taken) -> Request:
         message = taken.message
-        return i.Request(
+        return Request(
             request=taken.handle,
             class_index=taken.cls,
             tenant=self.tenants.get(message.headers.get(names.TENANT, ""), self.stranger),
@@ -118,7 +122,7 @@
             write=message.method != "GET",
         )
 
-    def _passes(self, hook: Hook, link: Asker, taken: Taken, event: i.Request) -> bool:
+    def _passes(self, hook: Hook, link: Asker, taken: Taken, event: Request) -> bool:
         name = taken.message.headers[names.ID]
         second = self.requests.ids[name] > 1
         if not hook.asked(Asked(name, event, taken.message, taken.arrived, second)):
@@ -134,7 +138,7 @@
         deadline_ms: float,
         done: Callable[[Answer], None],
         tries: int = 0,
-        tried: tuple[i.PriorAttempt, ...] = (),
+        tried: tuple[PriorAttempt, ...] = (),
         arm: int = 0,
     ) -> int:
         """Takes a request over that a lost gateway had taken, and gives its handle; the deadline is on this
@@ -150,7 +154,9 @@
         self.requests.add(taken)
         link.taken = taken
         self.gateway.counters.add("in.adopted")
-        event = replace(self._event(taken), adopted=True, prior_attempt_count=tries, prior_attempts=tried, arm=arm)
+        event = replace(
+            self._event(taken), adopted=True, prior_attempt_count=tries, prior_attempts=tried, arm=arm
+        )
         self.gateway.tell(event)
         return taken.handle
 
--- a/meadowpulley/net/names.py
+++ b/meadowpulley/net/names.py
@@ -53,4 +53,9 @@
     "reverted": Phase.ROLLED_BACK,
 }
 VERDICTS = {Verdict.NONE: "none", Verdict.ADVANCE: "on", Verdict.HOLD: "hold", Verdict.ROLL_BACK: "back"}
-CALL_ERRORS = {"limit": Result.REJECTED, "moot": Result.NOT_SENT, "error": Result.ERROR, "malformed": Result.ERROR}
+CALL_ERRORS = {
+    "limit": Result.REJECTED,
+    "moot": Result.NOT_SENT,
+    "error": Result.ERROR,
+    "malformed": Result.ERROR,
+}
--- a/meadowpulley/net/peers.py
+++ b/meadowpulley/net/peers.py
@@ -6,8 +6,8 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
-from meadowpulley import interface as i
 from meadowpulley.digests import MOST_BYTES
+from meadowpulley.interface import GossipReceived, SendGossip
 from meadowpulley.net.host import Host
 
 
@@ -39,9 +39,9 @@
             self.gateway.counters.add("peers.stray")
             return
         self.gateway.counters.add("peers.in")
-        self.gateway.tell(i.GossipReceived(sender, datagram))
+        self.gateway.tell(GossipReceived(sender, datagram))
 
-    def tell(self, action: i.SendGossip) -> None:
+    def tell(self, action: SendGossip) -> None:
         config = self.gateway.config
         if action.peer is None:
             address = config.peers_all
--- a/meadowpulley/net/requests.py
+++ b/meadowpulley/net/requests.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import Protocol
 
-from meadowpulley import interface as i
+from meadowpulley.interface import ClientDisconnected, Fail, Reject
 from meadowpulley.net import names
 from meadowpulley.net.deadlines import Deadline
 from meadowpulley.net.hook import Answer, Hook
@@ -99,7 +99,7 @@
         self.gateway.counters.add("out.overdue")
         self.gateway.log.error("request was still unanswered past its deadline", cls=taken.cls)
         self.answer(taken, 504, {}, b"")
-        self.gateway.tell(i.ClientDisconnected(taken.handle))
+        self.gateway.tell(ClientDisconnected(taken.handle))
 
     def answer(self, taken: Taken, status: int, headers: dict[str, str], body: bytes) -> None:
         """The one final answer; a second one is counted and goes nowhere."""
@@ -137,10 +137,10 @@
         self._end(taken)
         self.gateway.counters.add(f"out.{answer.status}")
         self.pass_on(taken, link, answer)
-        self.gateway.tell(i.ClientDisconnected(request))
+        self.gateway.tell(ClientDisconnected(request))
         return True
 
-    def refuse(self, action: i.Reject) -> None:
+    def refuse(self, action: Reject) -> None:
         taken = self.table.get(action.request)
         if taken is None:
             self.gateway.counters.add("out.late_actions")
@@ -149,7 +149,7 @@
         headers = {"retry-after": f"{advice / 1000:.3f}"} if advice > 0 else {}
         self.answer(taken, 503, headers, b"")
 
-    def fail(self, action: i.Fail) -> None:
+    def fail(self, action: Fail) -> None:
         taken = self.table.get(action.request)
         if taken is None:
             self.gateway.counters.add("out.late_actions")
@@ -161,7 +161,7 @@
         taken = self.table.get(request)
         if taken is not None and not taken.over and not taken.out:
             self.answer(taken, 502, {}, b"")
-            self.gateway.tell(i.ClientDisconnected(request))
+            self.gateway.tell(ClientDisconnected(request))
 
     def left(self, taken: Taken) -> None:
         """Its client has gone before the answer."""
@@ -172,7 +172,7 @@
         else:
             self.gateway.counters.add("in.gone")
             self._end(taken)
-            self.gateway.tell(i.ClientDisconnected(taken.handle))
+            self.gateway.tell(ClientDisconnected(taken.handle))
 
     def _goes_on(self, hook: Hook, taken: Taken) -> bool:
         try:
--- a/meadowpulley/net/seconds.py
+++ b/meadowpulley/net/seconds.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Action, Event, Outcome, Send, ServerState
 
 if TYPE_CHECKING:
     from meadowpulley.net.counters import Counters
@@ -20,7 +20,7 @@
 def held(balancer: Any, now: float) -> dict[str, Any]:
     """What a balancer holds: servers by build and state, requests at them and waiting, its room, the news."""
     servers = list(balancer.servers.values())
-    ready = [s for s in servers if s.state is i.ServerState.READY]
+    ready = [s for s in servers if s.state is ServerState.READY]
     best = balancer.best
     return {
         "servers": dict(Counter(f"{s.build}.{s.state.name.lower()}" for s in servers)),
@@ -41,14 +41,14 @@
     def __init__(self, inner: Any, counters: Counters) -> None:
         self.inner, self._counters = inner, counters
 
-    def handle(self, now: float, event: i.Event) -> list[i.Action]:
-        if isinstance(event, i.Outcome):
+    def handle(self, now: float, event: Event) -> list[Action]:
+        if isinstance(event, Outcome):
             attempt = self.inner.attempts.get((event.request, event.attempt))
             if attempt is not None:
                 self._counters.add(f"build.{attempt.server.build}.{event.result.name.lower()}")
-        actions: list[i.Action] = self.inner.handle(now, event)
+        actions: list[Action] = self.inner.handle(now, event)
         for action in actions:
-            if isinstance(action, i.Send) and (server := self.inner.servers.get(action.server)) is not None:
+            if isinstance(action, Send) and (server := self.inner.servers.get(action.server)) is not None:
                 self._counters.add(f"build.{server.build}.sent")
         return actions
 
--- a/meadowpulley/net/story.py
+++ b/meadowpulley/net/story.py
@@ -8,7 +8,17 @@
 
 from typing import TYPE_CHECKING, Any
 
-from meadowpulley import interface as i
+from meadowpulley.interface import (
+    Action,
+    Cancel,
+    ClientDisconnected,
+    Event,
+    Fail,
+    Outcome,
+    Reject,
+    Request,
+    Send,
+)
 from meadowpulley.net import names
 from meadowpulley.net.requests import Taken
 
@@ -29,25 +39,25 @@
         gateway.balancer = self
         self._answer, gateway.requests.answer = gateway.requests.answer, self.answer  # type: ignore[method-assign]
 
-    def handle(self, now: float, event: i.Event) -> list[i.Action]:
-        if isinstance(event, i.Request):
+    def handle(self, now: float, event: Event) -> list[Action]:
+        if isinstance(event, Request):
             self._write(event.request, "taken", cls=event.class_index, left_ms=round(event.deadline_ms - now))
-        elif isinstance(event, i.Outcome):
+        elif isinstance(event, Outcome):
             took, result = round(event.elapsed_ms, 1), event.result.name.lower()
             self._write(
                 event.request, "outcome", n=event.attempt, to=event.server, result=result, took_ms=took
             )
-        elif isinstance(event, i.ClientDisconnected):
+        elif isinstance(event, ClientDisconnected):
             self._write(event.request, "gone")
-        actions: list[i.Action] = self.inner.handle(now, event)
+        actions: list[Action] = self.inner.handle(now, event)
         for action in actions:
-            if isinstance(action, i.Send):
+            if isinstance(action, Send):
                 pool = self._gateway.instances.pools.get(action.server)
                 kept = pool is not None and bool(pool.idle)
                 self._write(
                     action.request, "sent", to=action.server, **self._server(action.server), kept=kept
                 )
-            elif isinstance(action, i.Reject | i.Fail | i.Cancel):
+            elif isinstance(action, Reject | Fail | Cancel):
                 self._write(action.request, type(action).__name__.lower())
         return actions
 
--- a/meadowpulley/placement/emulated.py
+++ b/meadowpulley/placement/emulated.py
@@ -11,11 +11,11 @@
 
 from msgspec.structs import replace
 
-from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
 from meadowpulley.emulator import Scenario, World
 from meadowpulley.experiment import LoadSpec, Row
 from meadowpulley.fleet import Fleet, settings_of
+from meadowpulley.interface import Settings, Timer
 from meadowpulley.ledger import Changed, Commit, Committed, Life, MemoryStore
 from meadowpulley.placement.definition import Arm, Experiment, placements
 from meadowpulley.placement.stage import TOKEN, PlacementStage
@@ -34,7 +34,7 @@
 
     def handle(self, now: float, event: Any) -> list[Any]:
         found: list[Any] = []
-        if self.seen < 0 or (isinstance(event, i.Timer) and event.token == TOKEN):
+        if self.seen < 0 or (isinstance(event, Timer) and event.token == TOKEN):
             changes = self.store.changes(max(self.seen, 0), ("placement/",))
             self.seen = changes.version
             found += self._carried_out(now, self.stage.handle(now, Changed(changes)))
@@ -66,7 +66,7 @@
     store = MemoryStore()
     lives: dict[int, Life] = {}
 
-    def make(settings: i.Settings, drawn: int) -> Hosted:
+    def make(settings: Settings, drawn: int) -> Hosted:
         if settings.gateway_index in lives:
             store.dead.add(lives[settings.gateway_index])
         life = lives[settings.gateway_index] = store.begin(f"gateway-{settings.gateway_index}", 1000.0)
@@ -77,7 +77,7 @@
     result = world.run()
     for gateway in world.gateways:  # what was counted since the last write
         if gateway.alive:
-            gateway.balancer.handle(result.lasted_ms, i.Timer(TOKEN))
+            gateway.balancer.handle(result.lasted_ms, Timer(TOKEN))
     living = [m for m in store.members() if m.life == lives[int(m.life.name.rpartition("-")[2])]]
     members = [m for m in living if m.life not in store.dead]
     classes = settings_of(fleet, 0).classes
--- a/meadowpulley/placement/estimate.py
+++ b/meadowpulley/placement/estimate.py
@@ -87,9 +87,10 @@
 
 def _of(merged: Merged, arm: int, metric: int, without: int | None = None) -> list[Moment]:
     return [
-        m for (g, a, c), m in sorted(merged.moments.items())
+        m
+        for (g, a, c), m in sorted(merged.moments.items())
         if a == arm and g != without and metric in (0, c + 1)
-    ]  # fmt: skip
+    ]
 
 
 def naive(merged: Merged, arm: int, metric: int, alpha: float) -> Estimate:
--- a/meadowpulley/placement/gateway.py
+++ b/meadowpulley/placement/gateway.py
@@ -61,9 +61,14 @@
 
 
 def put_in(
-    inner: Stage, decisions: Decisions, experiment: Experiment, settings: Settings, life: Life,
-    seed: int, now: float,
-) -> PlacementStage:  # fmt: skip
+    inner: Stage,
+    decisions: Decisions,
+    experiment: Experiment,
+    settings: Settings,
+    life: Life,
+    seed: int,
+    now: float,
+) -> PlacementStage:
     """The stage round `inner`, and its policies at the decisions. `now`: the gateway's clock, ms. The common
     time is Unix time as it is now, and goes on by that clock: the machine's may be set later, and jump."""
     decisions.placements.update(enumerate(placements(experiment, seed)[1:], 1))
--- a/meadowpulley/placement/policies.py
+++ b/meadowpulley/placement/policies.py
@@ -75,7 +75,10 @@
         known = [s.typical_latency_ms for s in servers if s.typical_latency_ms > 0]
         mean = sum(known) / len(known) if known else 1.0
         rng = drawn(self.seed, now, request)
-        clocks = [rng.expovariate(1.0) * (s.typical_latency_ms or mean) / max(s.slow_start_fraction, 1e-3) for s in servers]
+        clocks = [
+            rng.expovariate(1.0) * (s.typical_latency_ms or mean) / max(s.slow_start_fraction, 1e-3)
+            for s in servers
+        ]
         return sorted(range(len(servers)), key=clocks.__getitem__)
 
 
--- a/meadowpulley/placement/stage.py
+++ b/meadowpulley/placement/stage.py
@@ -16,7 +16,20 @@
 
 import msgspec
 
-from meadowpulley import interface as i
+from meadowpulley.interface import (
+    ClientDisconnected,
+    Fail,
+    LogLine,
+    Outcome,
+    Phase,
+    Reject,
+    Request,
+    Result,
+    RolloutUpdate,
+    SetTimer,
+    Settings,
+    Timer,
+)
 from meadowpulley.ledger.keeper import Stage
 from meadowpulley.ledger.model import (
     Changed,
@@ -61,7 +74,7 @@
 class Taken:
     """A request of the experiment's classes, until it is over; `arm` -1: of none."""
 
-    request: i.Request
+    request: Request
     taken_ms: float
     arm: int
     cls: int  # in the order of the experiment's classes
@@ -82,7 +95,7 @@
         self,
         inner: Stage,
         experiment: Experiment,
-        settings: i.Settings,
+        settings: Settings,
         life: Life,
         clock_ms: float = 0.0,
         origins: Origins | None = None,
@@ -120,20 +133,20 @@
         if isinstance(event, Committed) and event.owner == OWNER:
             self._committed(event)
             return self.acts
-        if isinstance(event, i.Timer) and event.token == TOKEN:
+        if isinstance(event, Timer) and event.token == TOKEN:
             self._look(now)
             return self.acts
         if self.look_at == -math.inf:
             self._again(now)
         self._hear(event)
-        passed = self._label(now, event) if isinstance(event, i.Request) else event
+        passed = self._label(now, event) if isinstance(event, Request) else event
         self.acts += self.inner.handle(now, passed)
         self._note(now, event)
         return self.acts
 
     def _again(self, now: float) -> None:
         self.look_at = now + LOOK_MS
-        self.acts.append(i.SetTimer(LOOK_MS, TOKEN))
+        self.acts.append(SetTimer(LOOK_MS, TOKEN))
 
     # Requests
 
@@ -141,7 +154,7 @@
     def holds(self) -> bool:
         return not self.known or self.over or self.dead or self.going_back
 
-    def _label(self, now: float, r: i.Request) -> i.Request:
+    def _label(self, now: float, r: Request) -> Request:
         cls = self.classes.get(r.class_index, -1)
         if cls < 0:
             return r
@@ -179,14 +192,14 @@
 
     def _note(self, now: float, event: Any) -> None:
         """Which requests are over, by the event and by what was decided on it."""
-        if isinstance(event, i.Outcome) and event.request_complete:
-            self._over(now, event.request, "served" if event.result is i.Result.OK else "failed")
-        elif isinstance(event, i.ClientDisconnected):
+        if isinstance(event, Outcome) and event.request_complete:
+            self._over(now, event.request, "served" if event.result is Result.OK else "failed")
+        elif isinstance(event, ClientDisconnected):
             self._gone(now, event.request)
         for action in self.acts:
-            if isinstance(action, i.Reject):
+            if isinstance(action, Reject):
                 self._over(now, action.request, "refused")
-            elif isinstance(action, i.Fail):
+            elif isinstance(action, Fail):
                 self._over(now, action.request, "failed")
 
     def _over(self, now: float, request: int, how: Ending) -> None:
@@ -223,8 +236,8 @@
     # What it hears
 
     def _hear(self, event: Any) -> None:
-        if isinstance(event, i.RolloutUpdate) and event.result is i.Result.OK:
-            self.going_back = event.phase is i.Phase.ROLLING_BACK
+        if isinstance(event, RolloutUpdate) and event.result is Result.OK:
+            self.going_back = event.phase is Phase.ROLLING_BACK
         elif isinstance(event, Changed):
             self.known, self.cut_off = True, False
             self._members(event.changes.members)
@@ -285,7 +298,7 @@
                 self.others[count.life] = count
 
     def _say(self, text: str) -> None:
-        self.acts.append(i.LogLine(f"experiment '{self.e.name}': {text}"))
+        self.acts.append(LogLine(f"experiment '{self.e.name}': {text}"))
 
     def _is_over(self) -> None:
         if not self.over:
--- a/meadowpulley/placement/summary.py
+++ b/meadowpulley/placement/summary.py
@@ -98,20 +98,20 @@
     """Of a ledger's records (`Store.scan("placement/")`) and members; other versions' records are left out:
     `versions` names them."""
     counts = [
-        count for r in records if r.key.startswith(experiment.key("count/"))
-        and (count := read_count(r.value)) is not None
-    ]  # fmt: skip
+        count
+        for r in records
+        if r.key.startswith(experiment.key("count/")) and (count := read_count(r.value)) is not None
+    ]
     prefix = experiment.key("bins/")
-    segments = [
-        s for r in records if r.key.startswith(prefix) and (s := read_segment(r.value)) is not None
-    ]  # fmt: skip
+    segments = [s for r in records if r.key.startswith(prefix) and (s := read_segment(r.value)) is not None]
     living = {str(m.life) for m in members if not m.sealed}
     over = ({count.life for count in counts} | {s.life for s in segments}) - living
     prefix = experiment.key("ended/")
     ended = {
         int(r.key.removeprefix(prefix)): r.value.decode(errors="replace")
-        for r in records if r.key.startswith(prefix)
-    }  # fmt: skip
+        for r in records
+        if r.key.startswith(prefix)
+    }
     return summarize(experiment, classes, counts, over, ended, segments=segments)
 
 
@@ -154,10 +154,18 @@
         for metric in range(len(named))
     )
     return Summary(
-        experiment.name, experiment.digest, merged.lives, merged.requests, merged.outside, merged.held,
-        merged.adopted, _split(experiment, arms), arms, comparisons,
+        experiment.name,
+        experiment.digest,
+        merged.lives,
+        merged.requests,
+        merged.outside,
+        merged.held,
+        merged.adopted,
+        _split(experiment, arms),
+        arms,
+        comparisons,
         tuple((experiment.arms[k].name, why) for k, why in sorted(ended.items())),
-    )  # fmt: skip
+    )
 
 
 def _arm(
@@ -184,10 +192,19 @@
         for h in (everything, served_by)
     ]
     return ArmResult(
-        e.arms[arm].name, named[metric], sum(counts.values()) + lost + still,
-        counts["served"], counts["refused"], counts["failed"], counts["gone"], lost, still,
-        mean_ms(merged, arm, metric), at[0], at[1],
-    )  # fmt: skip
+        e.arms[arm].name,
+        named[metric],
+        sum(counts.values()) + lost + still,
+        counts["served"],
+        counts["refused"],
+        counts["failed"],
+        counts["gone"],
+        lost,
+        still,
+        mean_ms(merged, arm, metric),
+        at[0],
+        at[1],
+    )
 
 
 def _compare(e: Experiment, merged: Merged, arm: int, metric: int, cls: str, alpha: float) -> Comparison:
--- a/meadowpulley/records.py
+++ b/meadowpulley/records.py
@@ -9,8 +9,20 @@
 from statistics import fmean, pstdev
 from typing import Any
 
-from meadowpulley import interface as i
 from meadowpulley.digests import SERVERS, Digest
+from meadowpulley.interface import (
+    Action,
+    Candidate,
+    Placement,
+    PriorAttempt,
+    Request,
+    RequestClass,
+    RolloutUpdate,
+    ServerEntry,
+    ServerState,
+    Settings,
+    Verdict,
+)
 
 HISTORY = 600  # logged requests kept for judging, and outcomes untold
 RATE_MS = 4000.0  # memory of the request and work rates
@@ -19,7 +31,7 @@
 class Server:
     """One start of one server. A restart or another build under the same id is a new one."""
 
-    def __init__(self, entry: i.ServerEntry) -> None:
+    def __init__(self, entry: ServerEntry) -> None:
         self.id, self.cell, self.zone, self.kind = entry.server, entry.cell, entry.zone, entry.kind
         self.build, self.started, self.state = entry.build, entry.started_ms, entry.state
         self.out = 0  # this balancer's attempts that are out
@@ -28,20 +40,22 @@
         self.rest_ms = 0.0  # 0 while trusted; else the rest it has had, and one request at a time goes there
         self.failed_at = self.heard = -math.inf  # last failure, last answer of any kind
 
-    def candidate(self, warmth: float, usual_ms: float, home: int) -> i.Candidate:
+    def candidate(self, warmth: float, usual_ms: float, home: int) -> Candidate:
         place = (self.id, self.zone, self.cell, self.kind, self.build)
-        return i.Candidate(*place, self.out, warmth, usual_ms, self.zone == home)
+        return Candidate(*place, self.out, warmth, usual_ms, self.zone == home)
 
 
 class Held:
     """A request that is owed its final answer."""
 
-    def __init__(self, r: i.Request, cls: i.RequestClass, now: float, per_class: bool) -> None:
+    def __init__(self, r: Request, cls: RequestClass, now: float, per_class: bool) -> None:
         self.r, self.cls, self.arrived = r, cls, now
         self.tries, self.out = r.prior_attempt_count, 0
         self.counted = r.class_index if per_class else -1  # with which requests its exposure is counted
         self.tried = [t.server for t in r.prior_attempts]
-        self.maybe = [_earlier(self, t) for t in r.prior_attempts]  # attempts that ran, may have, or are still out
+        self.maybe = [
+            _earlier(self, t) for t in r.prior_attempts
+        ]  # attempts that ran, may have, or are still out
         self.streaming = self.tossed = False  # tossed: the coin chose between both builds
         self.asked: list[int] = []  # servers that were probed for it
 
@@ -57,7 +71,12 @@
     def __init__(
         self, held: Held, server: Server, queue: float, sent: float, warmth: float, tossed: bool
     ) -> None:
-        self.held, self.n, self.server, self.queue = held, held.tries - held.r.prior_attempt_count, server, queue
+        self.held, self.n, self.server, self.queue = (
+            held,
+            held.tries - held.r.prior_attempt_count,
+            server,
+            queue,
+        )
         self.sent, self.warmth = sent, warmth
         self.tossed = tossed and not held.tries  # the coin chose between both builds; of first ones
         self.latency: float | None = None
@@ -68,9 +87,9 @@
         return self.warmth * (self.latency if self.latency is not None else now - self.sent)
 
 
-def _earlier(held: Held, t: i.PriorAttempt) -> Attempt:
+def _earlier(held: Held, t: PriorAttempt) -> Attempt:
     """An attempt of an earlier life, kept like one that is out; nobody here knows it by a number."""
-    there = Server(i.ServerEntry(t.server, t.cell, t.zone, i.ServerState.REMOVED, t.build, 0.0, 0, 0.0))
+    there = Server(ServerEntry(t.server, t.cell, t.zone, ServerState.REMOVED, t.build, 0.0, 0, 0.0))
     attempt = Attempt(held, there, 0.0, t.sent_ms, 0.0, False)
     attempt.n = -1
     return attempt
@@ -132,11 +151,11 @@
     """The vote last sent, and what became of it."""
 
     def __init__(self) -> None:
-        self.vote = (-1, 0, i.Verdict.NONE)
+        self.vote = (-1, 0, Verdict.NONE)
         self.sent = self.stands_until = self.after = -math.inf  # after: none before, as too many came
         self.answered = True
 
-    def cast(self, vote: tuple[int, int, i.Verdict], now: float) -> None:
+    def cast(self, vote: tuple[int, int, Verdict], now: float) -> None:
         self.vote, self.sent = vote, now
         self.answered, self.stands_until = False, -math.inf
 
@@ -199,15 +218,15 @@
     look_ms: float  # how often waiting requests are looked at
     builds: defaultdict[int, Seen]
     peers: Peers
-    placements: dict[int, i.Placement]  # by arm; arm 0 is the module's own choice
+    placements: dict[int, Placement]  # by arm; arm 0 is the module's own choice
 
-    def __init__(self, settings: i.Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int) -> None:
         self.s, self.rules, self.roll = settings, settings.rules, settings.rollout
         self.rng, self.many = Random(seed), max(settings.gateway_count, 1)
         self.least_aim_ms = min((c.latency_objective_ms for c in settings.classes), default=0.0)
         self.advice_ms = settings.limits.retry_after * settings.limits.max_retry_after_ms  # to who is refused
         self.now, self.timer_at, self.judge_at, self.stood_still = 0.0, math.inf, math.inf, -math.inf
-        self.acts: list[i.Action] = []
+        self.acts: list[Action] = []
         self.servers: dict[int, Server] = {}
         self.trial: list[Server] = []  # ready ones, so that no request looks at the whole fleet
         self.earlier: list[Server] = []
@@ -224,8 +243,8 @@
         self.floor = -1  # the build under which no key goes: what these had answered is forgotten
         self.ask_again_at = -math.inf if settings.must_poll else math.inf  # when to ask for the list
         self.list_fails = 0
-        self.told: i.RolloutUpdate | None = None  # the last news to the letter, for the rules
-        self.best: i.RolloutUpdate | None = None  # the furthest known, for judging and votes
+        self.told: RolloutUpdate | None = None  # the last news to the letter, for the rules
+        self.best: RolloutUpdate | None = None  # the furthest known, for judging and votes
         self.before = self.back_for = -1  # the build that the newest is compared with; that should go back
         self.trial_began = self.stage_began = self.before_ms = self.before_rate = 0.0  # before: the newest
         self.swing = Swing()  # of the traffic to the trial build, while all is slow
--- a/meadowpulley/report/capacity.py
+++ b/meadowpulley/report/capacity.py
@@ -29,22 +29,33 @@
         return []
     names = list(plan.points[0].p99_ms)
     latency = [
-        Line(f"{name} {which}", x, [getattr(p, f"{which}_ms")[name][0] for p in plan.points], "o-",
-             [getattr(p, f"{which}_ms")[name][1] for p in plan.points],
-             [getattr(p, f"{which}_ms")[name][2] for p in plan.points])
-        for name in names for which in ("p50", "p99")
-    ]  # fmt: skip
+        Line(
+            f"{name} {which}",
+            x,
+            [getattr(p, f"{which}_ms")[name][0] for p in plan.points],
+            "o-",
+            [getattr(p, f"{which}_ms")[name][1] for p in plan.points],
+            [getattr(p, f"{which}_ms")[name][2] for p in plan.points],
+        )
+        for name in names
+        for which in ("p50", "p99")
+    ]
     theory = [
         (u, p.theory_mean_ms) for u, p in zip(x, plan.points, strict=True) if math.isfinite(p.theory_mean_ms)
     ]
     latency.append(Line("theory, mean at servers", [u for u, _ in theory], [t for _, t in theory], "k--"))
     marks = [(100 * plan.knee, "knee"), (100 * plan.demand.busy_utilisation, "busy rate")]
     shares = [
-        Line(label, x, [getattr(p, field)[0] for p in plan.points], "o-",
-             [getattr(p, field)[1] for p in plan.points],
-             [getattr(p, field)[2] for p in plan.points])
+        Line(
+            label,
+            x,
+            [getattr(p, field)[0] for p in plan.points],
+            "o-",
+            [getattr(p, field)[1] for p in plan.points],
+            [getattr(p, field)[2] for p in plan.points],
+        )
         for label, field in (("worth kept", "worth"), ("within aim", "in_aim"), ("refused", "refused"))
-    ]  # fmt: skip
+    ]
     axis = "work asked, % of all that servers can do"
     return [
         line_chart("Latency against load", axis, "ms", latency, marks),
@@ -55,10 +66,16 @@
 def plan_page(plan: Plan) -> Page:
     d = plan.demand
     breaks = [
-        [b.resource, b.where, f"{b.multiple:.2f}" if math.isfinite(b.multiple) else "never", _pct(b.use),
-         b.theory, b.text]
+        [
+            b.resource,
+            b.where,
+            f"{b.multiple:.2f}" if math.isfinite(b.multiple) else "never",
+            _pct(b.use),
+            b.theory,
+            b.text,
+        ]
         for b in plan.breaks
-    ]  # fmt: skip
+    ]
     predictions = [
         [p.name, f"{p.value:.4g}", f"{p.low:.4g}", f"{p.high:.4g}", p.unit, p.by] for p in plan.predictions
     ]
@@ -82,10 +99,9 @@
         [
             Section("Demand", tables=[TableOf(DEMAND, classes)]),
             Section("What breaks", tables=[TableOf(BREAKS, breaks)]),
-            Section("Predictions", tables=[TableOf(PREDICTED, predictions)],
-                    charts=plan_charts(plan)),
+            Section("Predictions", tables=[TableOf(PREDICTED, predictions)], charts=plan_charts(plan)),
         ],
-    )  # fmt: skip
+    )
 
 
 def _timeline(
@@ -102,15 +118,31 @@
 def site_page(fleet: Fleet, demand: Demand, losses: Sequence[SiteLoss]) -> Page:
     rows = [
         [
-            f.site, _pct(f.capacity_share), _pct(f.spilled[0]), _pct(f.rest), _pct(f.refused_theory),
+            f.site,
+            _pct(f.capacity_share),
+            _pct(f.spilled[0]),
+            _pct(f.rest),
+            _pct(f.refused_theory),
             _pct(f.worth_before[0], 2),
-            _pct(f.worth_settled[0], 2), _pct(f.worth_after[0], 2),
-            ", ".join(f"{n} {kind}" for kind, n in f.more.items() if n) or "none", str(f.pushed_over),
+            _pct(f.worth_settled[0], 2),
+            _pct(f.worth_after[0], 2),
+            ", ".join(f"{n} {kind}" for kind, n in f.more.items() if n) or "none",
+            str(f.pushed_over),
         ]
         for f in losses
-    ]  # fmt: skip
-    columns = ["site", "spills", "measured", "rest busy", "too much", "worth before", "once settled",
-               "at its return", "more servers, of either kind", "pushed over"]  # fmt: skip
+    ]
+    columns = [
+        "site",
+        "spills",
+        "measured",
+        "rest busy",
+        "too much",
+        "worth before",
+        "once settled",
+        "at its return",
+        "more servers, of either kind",
+        "pushed over",
+    ]
     away = (BEFORE_S, BEFORE_S + AWAY_S, "away")
     charts = [_timeline(f"Without {f.site}", f.timeline, [away]) for f in losses]
     summary = [f"{demand.busy_per_s:.1f} requests a second; a site vanishes without a word and returns cold."]
@@ -138,8 +170,11 @@
         f"{_pct(found.spike.share)} of all requests cost {found.spike.cost:g} times the usual for "
         f"{found.spike.for_ms / 1000:g} s: {_pct(found.utilisation)} of the cores are asked."
     ]
-    return Page(f"A spike on {fleet.name}", summary, [
-        Section("What it does", (), [TableOf(["", "with refusals", "without"], rows)], charts)])  # fmt: skip
+    return Page(
+        f"A spike on {fleet.name}",
+        summary,
+        [Section("What it does", (), [TableOf(["", "with refusals", "without"], rows)], charts)],
+    )
 
 
 def rig_page(title: str, found: Measured) -> Page:
@@ -147,16 +182,24 @@
     rows = [[name, f"{value:.5g}"] for name, value in sorted(found.figures.items())]
     stages = [[f"{at / 1000:.1f}", str(b), str(s + 1), phase] for at, b, s, phase in found.stages]
     kept = f"Rules broken: {found.broken}." if found.broken else "All rules were kept."
-    return Page(title, [kept, *(f"The rig was the limit: {text}." for text in found.limits)], [
-        Section("Builds", (), [TableOf(["second", "build", "stage", "phase"], stages)],
-                [_timeline("Answers", found.seconds, [])]),
-        Section("What clients saw", (), [TableOf(["figure", "value"], rows)], []),
-    ])  # fmt: skip
+    return Page(
+        title,
+        [kept, *(f"The rig was the limit: {text}." for text in found.limits)],
+        [
+            Section(
+                "Builds",
+                (),
+                [TableOf(["second", "build", "stage", "phase"], stages)],
+                [_timeline("Answers", found.seconds, [])],
+            ),
+            Section("What clients saw", (), [TableOf(["figure", "value"], rows)], []),
+        ],
+    )
 
 
 def verify_page(
     name: str, seed: int, part: float, cases: Sequence[Case], measured: Sequence[Measured], verdict: Verdict
-) -> Page:  # fmt: skip
+) -> Page:
     """Predicted beside measured, with what happened on loopback second by second."""
     rows = [
         [
@@ -176,5 +219,8 @@
     told = "; ".join(verdict.limits) or f"Worst error {_pct(verdict.worst)}."
     size = f"Scaled to {_pct(part)} of its size, at loopback's distances; seed {seed}."
     columns = ["case", "figure", "predicted", "95% interval", "measured", "error"]
-    return Page(f"Verification of {name}", [size, told], [
-        Section("Predicted and measured", (), [TableOf(columns, rows)], charts)])  # fmt: skip
+    return Page(
+        f"Verification of {name}",
+        [size, told],
+        [Section("Predicted and measured", (), [TableOf(columns, rows)], charts)],
+    )
--- a/meadowpulley/report/charts.py
+++ b/meadowpulley/report/charts.py
@@ -61,8 +61,14 @@
             axes.fill_between(line.x, line.low, line.high, alpha=0.2, color=drawn.get_color(), linewidth=0)
     for start, end, text in bands:
         axes.axvspan(start, end, alpha=0.12, color="grey", linewidth=0)
-        axes.annotate(text, ((start + end) / 2, 1.0), xycoords=("data", "axes fraction"), fontsize=7,
-                      ha="center", va="bottom")  # fmt: skip
+        axes.annotate(
+            text,
+            ((start + end) / 2, 1.0),
+            xycoords=("data", "axes fraction"),
+            fontsize=7,
+            ha="center",
+            va="bottom",
+        )
     for x, text in marks:
         axes.axvline(x, color="grey", linestyle=":", linewidth=1)
         axes.annotate(
--- a/meadowpulley/report/pages.py
+++ b/meadowpulley/report/pages.py
@@ -76,8 +76,16 @@
 
 
 SERVER_COLUMNS = (
-    "server", "site", "kind", "build", "up s", "busy", "served", "turned away", "most waiting",
-)  # fmt: skip
+    "server",
+    "site",
+    "kind",
+    "build",
+    "up s",
+    "busy",
+    "served",
+    "turned away",
+    "most waiting",
+)
 
 
 def run_page(result: Result, title: str) -> Page:
@@ -85,16 +93,32 @@
     columns = ["class", "asked", "in aim", "late", "refused", "failed", "worth kept", "p50 ms", "p99 ms"]
     rows = [
         [
-            c.name, str(c.asked), str(c.in_aim), str(c.late), str(c.refused), str(c.failed),
-            f"{100 * c.worth_share:.2f}%", f"{c.latency_ms(50):.0f}", f"{c.latency_ms(99):.0f}",
+            c.name,
+            str(c.asked),
+            str(c.in_aim),
+            str(c.late),
+            str(c.refused),
+            str(c.failed),
+            f"{100 * c.worth_share:.2f}%",
+            f"{c.latency_ms(50):.0f}",
+            f"{c.latency_ms(99):.0f}",
         ]
         for c in result.classes
-    ]  # fmt: skip
+    ]
     servers = [
-        [str(s.server), s.site, s.kind, str(s.build), f"{s.up_ms / 1000:.0f}", f"{100 * s.busy:.1f}%",
-         str(s.served), str(s.turned_away), str(s.most_waiting)]
+        [
+            str(s.server),
+            s.site,
+            s.kind,
+            str(s.build),
+            f"{s.up_ms / 1000:.0f}",
+            f"{100 * s.busy:.1f}%",
+            str(s.served),
+            str(s.turned_away),
+            str(s.most_waiting),
+        ]
         for s in result.servers
-    ]  # fmt: skip
+    ]
     told = [f"{at / 1000:.1f} s: {what}" for at, what in result.events if "votes none" not in what]
     rules = "All five rules were kept." if not result.broken else f"Rules broken: {dict(result.broken)}."
     return Page(
@@ -110,7 +134,7 @@
             Section("What happened", text=told[:200]),
             *([Section("Breaches", text=result.breaches[:50])] if result.breaches else []),
         ],
-    )  # fmt: skip
+    )
 
 
 def write_run_report(result: Result, path: Path, title: str) -> None:
--- a/meadowpulley/rig/joint.py
+++ b/meadowpulley/rig/joint.py
@@ -46,9 +46,12 @@
             run = run.replace(f"PYTHONPATH={LAYOUT} ", f"PYTHONPATH={LAYOUT}-joint ")
         kept = {k: v for k, v in os.environ.items() if not k.startswith(OURS)}
         self.process = subprocess.Popen(
-            ["/bin/sh", "-c", run], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+            ["/bin/sh", "-c", run],
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+            text=True,
             env={**kept, names.ENV_CONFIG: str(path), **environ},
-        )  # fmt: skip
+        )
         self.lines: list[dict[str, Any]] = []
         self._more = threading.Condition()
         threading.Thread(target=self._read, daemon=True).start()
@@ -107,7 +110,7 @@
 
     def __init__(
         self, folder: Path, size: int, config: Mapping[str, Any], environ: Mapping[str, str]
-    ) -> None:  # fmt: skip
+    ) -> None:
         self.folder, self.size, self.ledger = folder, size, folder / "ledger"
         self.ledger.mkdir()
         self._config, self._environ = config, environ
@@ -118,9 +121,13 @@
     def config(self, number: int) -> dict[str, Any]:
         settings = {**self._config["settings"], "me": number, "balancers": self.size}
         return {
-            "name": f"g{number}", "listen": self.addresses[number], "seed": f"{number + 1:016x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, **self._config, "settings": settings,
-        }  # fmt: skip
+            "name": f"g{number}",
+            "listen": self.addresses[number],
+            "seed": f"{number + 1:016x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            **self._config,
+            "settings": settings,
+        }
 
     def launch(
         self, number: int, environ: Mapping[str, str] | None = None, joint: bool = True, **changed: Any
@@ -152,9 +159,16 @@
 
 
 def ask(
-    address: str, name: str, target: str, body: bytes = b"", *, key: str = "", tenant: str = "",
-    again: bool = False, left_ms: float = 8000.0,
-) -> Reply | None:  # fmt: skip
+    address: str,
+    name: str,
+    target: str,
+    body: bytes = b"",
+    *,
+    key: str = "",
+    tenant: str = "",
+    again: bool = False,
+    left_ms: float = 8000.0,
+) -> Reply | None:
     """One request on a connection of its own, a POST where it has a body. None where nobody was there."""
     host, _, port = address.rpartition(":")
     head = {"host": names.SERVICE, names.ID: name, names.REMAINING: f"{left_ms:.3f}m", "connection": "close"}
--- a/meadowpulley/rig/processes.py
+++ b/meadowpulley/rig/processes.py
@@ -96,9 +96,12 @@
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         environ = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
         self.process = subprocess.Popen(
-            ["/bin/sh", "-c", run], cwd=ROOT, stderr=self.log, stdout=subprocess.DEVNULL,
+            ["/bin/sh", "-c", run],
+            cwd=ROOT,
+            stderr=self.log,
+            stdout=subprocess.DEVNULL,
             env={**environ, "PROXY_CONFIG": str(path)},
-        )  # fmt: skip
+        )
 
     def lines(self) -> list[dict[str, Any]]:
         self.log.seek(0)
@@ -156,7 +159,7 @@
         "platform": {"address": f"{ports.host}:{ports.platform[number]}", "news": news},
         "known": known,
         "settings": settings_object(plan.fleet, number),
-    }  # fmt: skip
+    }
 
 
 def _told(process: subprocess.Popen[bytes], log: Path) -> dict[str, Any]:
@@ -228,8 +231,11 @@
             with open(folder / f"{what}.log", "wb") as log:
                 process = subprocess.Popen(
                     [sys.executable, "-m", f"meadowpulley.rig.{what}"],
-                    cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=log,
-                )  # fmt: skip
+                    cwd=ROOT,
+                    stdin=subprocess.PIPE,
+                    stdout=subprocess.PIPE,
+                    stderr=log,
+                )
             processes.append(process)
             return process
 
@@ -281,9 +287,13 @@
 
 
 def _gather(
-    plan: RigPlan, folder: Path, cpu: list[float], memory: list[float], counters: list[dict[str, Any]],
+    plan: RigPlan,
+    folder: Path,
+    cpu: list[float],
+    memory: list[float],
+    counters: list[dict[str, Any]],
     lasted: float,
-) -> Measured:  # fmt: skip
+) -> Measured:
     try:
         servers = msgspec.json.decode((folder / "standins.out").read_bytes(), type=ServersTold)
         clients = msgspec.json.decode((folder / "driver.out").read_bytes(), type=ClientsTold)
@@ -301,6 +311,16 @@
     broken, breaches = check(plan.fleet, *tapes, lasted * 1000)
     figures = {**clients.figures, "busy": servers.busy, "gateway_busy": max(cpu)}
     return Measured(
-        figures, clients.seconds, servers.events, servers.stages, cpu, counters, memory, limits, servers.fell,
-        clients.wrong, broken, [str(b) for b in breaches[:50]],
-    )  # fmt: skip
+        figures,
+        clients.seconds,
+        servers.events,
+        servers.stages,
+        cpu,
+        counters,
+        memory,
+        limits,
+        servers.fell,
+        clients.wrong,
+        broken,
+        [str(b) for b in breaches[:50]],
+    )
--- a/meadowpulley/rig/standins.py
+++ b/meadowpulley/rig/standins.py
@@ -16,12 +16,12 @@
 
 import msgspec
 
-from meadowpulley import interface as i
 from meadowpulley.emulator import Result, Streams, servers_now
 from meadowpulley.emulator.clock import between
 from meadowpulley.emulator.faults import Faults
 from meadowpulley.emulator.network import Network
 from meadowpulley.emulator.park import Host, Park
+from meadowpulley.interface import EndpointUpdate, Result as AttemptResult, RolloutUpdate, ServerEntry, Vote
 from meadowpulley.net import names
 from meadowpulley.net.http1 import RING_BOUND, BadMessageError, Message, Parser, answer_bytes
 from meadowpulley.net.link import Link, LinkFactory
@@ -99,17 +99,17 @@
         fresh, self.fresh = self.fresh, False
         self.job = self.rig.offer(self, self.host, cls, key, work, until, fresh)
 
-    def tell(self, result: i.Result) -> None:
+    def tell(self, result: AttemptResult) -> None:
         name, self.request, self.job = self.request, "", None
-        if result is i.Result.REJECTED:
+        if result is AttemptResult.REJECTED:
             self.rig.record(Outcome(self.rig.clock.now, UNKNOWN, self.number, self.host.entry.server, False))
         if not self.up:
             return
-        if result is i.Result.OK:
+        if result is AttemptResult.OK:
             self.send(answer_bytes(200, {"content-type": "text/plain"}, name.encode()))
-        elif result is i.Result.REJECTED:
+        elif result is AttemptResult.REJECTED:
             self.send(answer_bytes(503, {names.NOT_RUN: "1"}))
-        elif result is i.Result.ERROR:
+        elif result is AttemptResult.ERROR:
             self.send(answer_bytes(500, {}))
         else:
             self.drop()
@@ -210,22 +210,24 @@
             return
         verdicts = {word: verdict for verdict, word in names.VERDICTS.items()}
         params = call["params"]
-        vote = i.Vote(params[names.NEWS_BUILD], params[names.NEWS_STAGE], verdicts[params[names.VERDICT]])
-        self.rig.event(f"gateway {self.gateway} votes {vote.verdict.name.lower()} on build {vote.build} "
-                       f"stage {vote.stage}")  # fmt: skip
+        vote = Vote(params[names.NEWS_BUILD], params[names.NEWS_STAGE], verdicts[params[names.VERDICT]])
+        self.rig.event(
+            f"gateway {self.gateway} votes {vote.verdict.name.lower()} on build {vote.build} "
+            f"stage {vote.stage}"
+        )
         if not self.rig.platform.down:
             self.calls.append(call["id"])
         self.rig.platform.vote(self.gateway, vote)
 
-    def told(self, news: i.RolloutUpdate) -> None:
-        if news.result is i.Result.OK:
+    def told(self, news: RolloutUpdate) -> None:
+        if news.result is AttemptResult.OK:
             self.rig.book_news(self.gateway, news)
         if not news.is_vote_reply:
             self.write(method=names.NEWS, params=news_object(news))
         elif self.calls:
             number = self.calls.popleft()
             words = {result: word for word, result in names.CALL_ERRORS.items()}
-            if news.result is i.Result.OK:
+            if news.result is AttemptResult.OK:
                 self.write(id=number, result=news_object(news))
             else:
                 self.write(id=number, error={"code": -32000, "message": words[news.result]})
@@ -271,7 +273,7 @@
     def record(self, record: Record) -> None:
         self.tape.record(record)
 
-    def book_list(self, gateway: int, entries: tuple[i.ServerEntry, ...], whole: bool) -> None:
+    def book_list(self, gateway: int, entries: tuple[ServerEntry, ...], whole: bool) -> None:
         now, named = self.clock.now, {e.server for e in entries}
         known = self.known.setdefault(gateway, set())
         for server in sorted(known - named) if whole else ():
@@ -281,7 +283,7 @@
             state = e.state.name.lower()
             self.record(Listed(now, gateway, e.server, state, e.build, e.cell, e.zone))  # type: ignore[arg-type]
 
-    def book_news(self, gateway: int, n: i.RolloutUpdate) -> None:
+    def book_news(self, gateway: int, n: RolloutUpdate) -> None:
         phase = n.phase.name.lower()
         self.record(News(self.clock.now, gateway, n.build, n.stage, phase, n.cap))  # type: ignore[arg-type]
 
@@ -310,28 +312,33 @@
         for link in [k for k in self.links if k.host is host]:
             link.drop()
 
-    def reply(self, tag: Any, host: Host, result: i.Result) -> None:
+    def reply(self, tag: Any, host: Host, result: AttemptResult) -> None:
         tag.tell(result)
 
-    def tell_list(self, gateway: int, news: i.EndpointUpdate) -> None:
+    def tell_list(self, gateway: int, news: EndpointUpdate) -> None:
         pass  # whoever asks is told on the connection that asked
 
     def _list_changed(self) -> None:
         for watcher in list(self.watchers):
             watcher.tell_soon()
 
-    def tell_news(self, gateway: int, news: i.RolloutUpdate) -> None:
+    def tell_news(self, gateway: int, news: RolloutUpdate) -> None:
         follower = self.followers.get(gateway)
         if follower is not None and follower.up:
             follower.told(news)
 
-    def listed(self, entries: tuple[i.ServerEntry, ...], whole: bool) -> dict[str, Any]:
+    def listed(self, entries: tuple[ServerEntry, ...], whole: bool) -> dict[str, Any]:
         """A list as discovery writes it."""
         told = [
-            entry_object(e, self.addresses[e.server], self.fleet.sites[e.zone].name,
-                         self.fleet.kinds[e.kind].name, self._unix)
+            entry_object(
+                e,
+                self.addresses[e.server],
+                self.fleet.sites[e.zone].name,
+                self.fleet.kinds[e.kind].name,
+                self._unix,
+            )
             for e in entries
-        ]  # fmt: skip
+        ]
         return {names.VERSION: self.discovery.version, names.WHOLE: whole, names.ENTRIES: told}
 
     # Life
--- a/meadowpulley/rules/checker.py
+++ b/meadowpulley/rules/checker.py
@@ -11,7 +11,7 @@
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 
-from meadowpulley.interface import Effect, DeduplicationScope
+from meadowpulley.interface import DeduplicationScope, Effect
 from meadowpulley.rules.figures import Figures
 from meadowpulley.rules.together import RuleName, TogetherChecker
 from meadowpulley.rules.trace import (
@@ -77,7 +77,11 @@
 
 
 def _place(group: DeduplicationScope, there: _Try | _Known) -> int:
-    return {DeduplicationScope.ALL: 0, DeduplicationScope.ZONE: there.site, DeduplicationScope.CELL: there.cell}[group]
+    return {
+        DeduplicationScope.ALL: 0,
+        DeduplicationScope.ZONE: there.site,
+        DeduplicationScope.CELL: there.cell,
+    }[group]
 
 
 class _Gateway:
@@ -107,11 +111,22 @@
         self._together = TogetherChecker(figures.shared, self._breach)
         self._tries: dict[str, list[_Try]] = {}  # by the client's id: of all gateways that had it
         self._handlers = {
-            Started: self._started, Died: self._died, Taken: self._taken, Sent: self._sent,
-            Outcome: self._outcome, Answered: self._answered, Gone: self._gone, Listed: self._listed,
-            News: self._news, KeyAnswered: self._key, Fell: self._fell, Stopped: self._stopped,
-            Woke: self._woke, Left: self._left, Adopted: self._adopted,
-        }  # fmt: skip
+            Started: self._started,
+            Died: self._died,
+            Taken: self._taken,
+            Sent: self._sent,
+            Outcome: self._outcome,
+            Answered: self._answered,
+            Gone: self._gone,
+            Listed: self._listed,
+            News: self._news,
+            KeyAnswered: self._key,
+            Fell: self._fell,
+            Stopped: self._stopped,
+            Woke: self._woke,
+            Left: self._left,
+            Adopted: self._adopted,
+        }
 
     @property
     def kept(self) -> bool:
@@ -303,9 +318,15 @@
     def _key(self, r: KeyAnswered) -> None:
         gateway = self._gateways[r.gateway]
         newest = gateway.news[-1] if gateway.news else None
-        called_back = newest is not None and newest.build == r.build and newest.phase in (
-            "going_back", "withdrawn",
-        )  # fmt: skip
+        called_back = (
+            newest is not None
+            and newest.build == r.build
+            and newest.phase
+            in (
+                "going_back",
+                "withdrawn",
+            )
+        )
         if r.key and not called_back:
             gateway.keys[r.build][r.key] = 1
 
@@ -333,9 +354,11 @@
                     )
                     self._breach("one-way", r.at, r.gateway, text)
                     break
-        on_trial = newest is None or r.build > newest.build or (
-            r.build == newest.build and newest.phase != "released"
-        )  # fmt: skip
+        on_trial = (
+            newest is None
+            or r.build > newest.build
+            or (r.build == newest.build and newest.phase != "released")
+        )
         if not on_trial:
             return
         counted = self._counted(held.taken.cls)
--- a/meadowpulley/rules/figures.py
+++ b/meadowpulley/rules/figures.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from meadowpulley.interface import Effect, DeduplicationScope, Settings as GatewaySettings
+from meadowpulley.interface import DeduplicationScope, Effect, Settings as GatewaySettings
 from meadowpulley.rules.together import NOTHING, SharedFigures
 
 
@@ -37,7 +37,9 @@
     def of(cls, s: GatewaySettings, slack_ms: float = 0.0) -> Figures:
         roll = s.rollout
         return cls(
-            classes=tuple(ClassRules(c.effect, c.deduplication_scope, c.deduplication_window_ms) for c in s.classes),
+            classes=tuple(
+                ClassRules(c.effect, c.deduplication_scope, c.deduplication_window_ms) for c in s.classes
+            ),
             drain_grace_ms=s.rules.drain_grace_ms,
             answer_slack_ms=s.rules.response_slack_ms,
             window_ms=roll.exposure_window_ms,
--- a/meadowpulley/rules/together.py
+++ b/meadowpulley/rules/together.py
@@ -35,9 +35,17 @@
 )
 
 RuleName = Literal[
-    "answers", "effects", "drains", "cold", "exposure", "one-way", "takeover", "written", "admissions",
+    "answers",
+    "effects",
+    "drains",
+    "cold",
+    "exposure",
+    "one-way",
+    "takeover",
+    "written",
+    "admissions",
     "counts",
-]  # fmt: skip
+]
 Breach = Callable[[RuleName, float, int, str], None]  # rule, when, gateway, what
 
 
@@ -75,11 +83,22 @@
         self._counted: set[tuple[str, str]] = set()
         self._had: dict[str, set[int]] = defaultdict(set)  # gateways in whose hands the record was
         self._handlers = {
-            Started: self._started, Died: self._died, Taken: self._taken, Answered: self._answered,
-            Sealed: self._sealed, Written: self._written, Claimed: self._claimed, Given: self._given,
-            Closed: self._closed, Adopted: self._begun, Admitted: self._admitted, Counted: self._count,
-            Left: self._left, Gone: self._left, Sent: self._sent,
-        }  # fmt: skip
+            Started: self._started,
+            Died: self._died,
+            Taken: self._taken,
+            Answered: self._answered,
+            Sealed: self._sealed,
+            Written: self._written,
+            Claimed: self._claimed,
+            Given: self._given,
+            Closed: self._closed,
+            Adopted: self._begun,
+            Admitted: self._admitted,
+            Counted: self._count,
+            Left: self._left,
+            Gone: self._left,
+            Sent: self._sent,
+        }
 
     def see(self, record: Record) -> None:
         handler = self._handlers.get(type(record))
--- a/meadowpulley/settings.py
+++ b/meadowpulley/settings.py
@@ -7,14 +7,28 @@
 import sys
 from typing import Any
 
-from meadowpulley import interface as i
+from meadowpulley.interface import (
+    DeduplicationScope,
+    Effect,
+    Limits,
+    RequestClass,
+    Rollout,
+    Rules,
+    Settings,
+    StageGate,
+    Tenant,
+)
 
 
 class SettingsError(ValueError):
     """A malformed settings object; the text says what is wrong and where."""
 
 
-_EFFECTS = {"pure": i.Effect.IDEMPOTENT, "token": i.Effect.IDEMPOTENT_WITH_KEY, "side_effect": i.Effect.NON_IDEMPOTENT}
+_EFFECTS = {
+    "pure": Effect.IDEMPOTENT,
+    "token": Effect.IDEMPOTENT_WITH_KEY,
+    "side_effect": Effect.NON_IDEMPOTENT,
+}
 COLUMNS = {
     "busy_reqs": "in_flight",
     "pending": "queued",
@@ -92,14 +106,14 @@
         return tuple((key, self.number(key, least=NO_LEAST)) for key in named)
 
 
-def _class(f: Fields) -> i.RequestClass:
-    groups = {group.value: group for group in i.DeduplicationScope}
-    return i.RequestClass(
+def _class(f: Fields) -> RequestClass:
+    groups = {group.value: group for group in DeduplicationScope}
+    return RequestClass(
         name=f.text("name"),
         latency_objective_ms=f.number("target-ms"),
         deadline_ms=f.number("hard-limit-ms"),
-        effect=f.choice("repeat", _EFFECTS, i.Effect.NON_IDEMPOTENT),
-        deduplication_scope=f.choice("group", groups, i.DeduplicationScope.ALL),
+        effect=f.choice("repeat", _EFFECTS, Effect.NON_IDEMPOTENT),
+        deduplication_scope=f.choice("group", groups, DeduplicationScope.ALL),
         deduplication_window_ms=f.number("dedup-window-ms"),
         priority_weight=f.number("worth", 1.0),
         late_priority_weight=f.number("late-worth"),
@@ -108,10 +122,10 @@
     )
 
 
-def _rollout(f: Fields) -> i.Rollout:
-    gates = {gate.value: gate for gate in i.StageGate}
-    return i.Rollout(
-        gate=f.choice("gate-mode", gates, i.StageGate.ANY),
+def _rollout(f: Fields) -> Rollout:
+    gates = {gate.value: gate for gate in StageGate}
+    return Rollout(
+        gate=f.choice("gate-mode", gates, StageGate.ANY),
         in_place=f.choice("style", {"beside": False, "in_place": True}, False),
         stage_shares=f.numbers("steps"),
         caps=f.numbers("caps"),
@@ -138,9 +152,9 @@
     )
 
 
-def _classes(f: Fields) -> tuple[i.RequestClass, ...]:
+def _classes(f: Fields) -> tuple[RequestClass, ...]:
     """Each found by its name, as the first part of a path: none without one, and no two with the same."""
-    found = dict[str, i.RequestClass]()
+    found = dict[str, RequestClass]()
     for one in f.each("classes"):
         cls = _class(one)
         if not cls.name or cls.name in found:
@@ -151,7 +165,7 @@
     return tuple(found.values())
 
 
-def parse_settings(raw: bytes, where: str) -> i.Settings:
+def parse_settings(raw: bytes, where: str) -> Settings:
     try:
         loaded = json.loads(raw)
     except (ValueError, RecursionError) as error:
@@ -159,13 +173,14 @@
     return read_settings(loaded, where)
 
 
-def read_settings(loaded: Any, where: str) -> i.Settings:
+def read_settings(loaded: Any, where: str) -> Settings:
     f = Fields(loaded, f"{where}: settings")
     rules, bounds, report = f.inner("rules"), f.inner("bounds"), f.inner("report")
     columns = [str(name) for name in report.items("columns")]
     balancers = max(f.whole("balancers", 1, NO_LEAST), 1)
-    return i.Settings(
-        gateway_index=f.whole("me", 0, NO_LEAST) % balancers,  # waits and windows by the number must not be below none
+    return Settings(
+        gateway_index=f.whole("me", 0, NO_LEAST)
+        % balancers,  # waits and windows by the number must not be below none
         gateway_count=balancers,
         zone=f.whole("az", 0, NO_LEAST),
         zones=tuple(str(name) for name in f.items("zones")),
@@ -173,9 +188,9 @@
         tick_ms=f.number("period-ms"),
         classes=_classes(f),
         tenants=tuple(
-            i.Tenant(t.text("name"), t.number("share"), t.number("quota-rps")) for t in f.each("tenants")
+            Tenant(t.text("name"), t.number("share"), t.number("quota-rps")) for t in f.each("tenants")
         ),
-        rules=i.Rules(
+        rules=Rules(
             response_slack_ms=rules.number("answer-slack-ms"),
             max_poll_interval_ms=rules.number("ask-within-ms"),
             slow_start_initial_fraction=rules.number("cold-from", 1.0),
@@ -184,7 +199,7 @@
             overload_window_ms=rules.number("tip-after-ms"),
             drain_grace_ms=rules.number("stop-sending-within-ms"),
         ),
-        limits=i.Limits(
+        limits=Limits(
             max_attempts=bounds.whole("most-tries", 1, least=1),
             hedging=bounds.flag("may-duplicate"),
             cancellation=bounds.flag("cancelling"),
--- a/meadowpulley/takeover/adopt.py
+++ b/meadowpulley/takeover/adopt.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Effect, PriorAttempt, RequestClass
 from meadowpulley.takeover.mirror import Seen
 from meadowpulley.takeover.model import State, Terms, Work
 
@@ -26,19 +26,19 @@
     return seen.work.left_ms * (1 - terms.drift) - age
 
 
-def tried(seen: Seen) -> tuple[i.PriorAttempt, ...]:
+def tried(seen: Seen) -> tuple[PriorAttempt, ...]:
     """The attempts that may have run, each sent no earlier than its time: after its right was won."""
     return tuple(
-        i.PriorAttempt(r.server, r.build, r.zone, r.cell, at)
+        PriorAttempt(r.server, r.build, r.zone, r.cell, at)
         for r, at in zip(seen.work.rights, seen.sent_ms, strict=True)
     )
 
 
-def verdict(work: Work, cls: i.RequestClass | None, spare: float, terms: Terms) -> State:
+def verdict(work: Work, cls: RequestClass | None, spare: float, terms: Terms) -> State:
     """OPEN: it may be adopted; else how it ends at once. `spare`: time left beyond what one usually takes."""
     if cls is None or work.lives >= terms.most_lives:
         return State.FAILED
-    if work.rights and cls.effect is i.Effect.NON_IDEMPOTENT:
+    if work.rights and cls.effect is Effect.NON_IDEMPOTENT:
         return State.FAILED
     if spare < terms.least_ms:
         return State.FAILED if work.rights else State.REFUSED
--- a/meadowpulley/takeover/answers.py
+++ b/meadowpulley/takeover/answers.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from itertools import islice
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Action, Fail, LogLine, Reject
 from meadowpulley.ledger import Done, How, Remove, Step, Unchanged
 from meadowpulley.takeover.mirror import Mirror
 from meadowpulley.takeover.model import (
@@ -24,11 +24,11 @@
 from meadowpulley.takeover.turn import For, Turn, What
 
 
-def reply(request: int, state: State, answer: Answer | None) -> i.Action | Pass:
+def reply(request: int, state: State, answer: Answer | None) -> Action | Pass:
     """The answer of ended work, to one that asked for it."""
     if state is State.SERVED and answer is not None:
         return Pass(request, answer.status, answer.headers, answer.body)
-    return i.Reject(request) if state is State.REFUSED else i.Fail(request)
+    return Reject(request) if state is State.REFUSED else Fail(request)
 
 
 class Asks:
@@ -99,7 +99,7 @@
             try:
                 answer = decode_answer(done.found.value)
             except RecordError as error:
-                turn.acts.append(i.LogLine(f"takeover: record {done.found.key!r} left alone: {error}"))
+                turn.acts.append(LogLine(f"takeover: record {done.found.key!r} left alone: {error}"))
         self.end(turn, name, State.SERVED, answer)
 
     def due_at(self) -> float:
@@ -116,7 +116,7 @@
         name = self.names.get(request)
         if name is not None and self.by_name[name][request] <= turn.now:
             self.leave(request)
-            turn.acts.append(i.Fail(request))
+            turn.acts.append(Fail(request))
 
 
 AT_ONCE = 64  # records removed in one turn
--- a/meadowpulley/takeover/gateway.py
+++ b/meadowpulley/takeover/gateway.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Protocol
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Fail, Reject
 from meadowpulley.ledger import RefusedError, Stage
 from meadowpulley.net.deadlines import Deadlines
 from meadowpulley.net.hook import Answer, Asked, Hook, Release
@@ -86,7 +86,7 @@
         return [self._instead(a) for a in actions] if self.held else actions
 
     def _instead(self, action: Any) -> Any:
-        if isinstance(action, i.Reject | i.Fail) and action.request in self.held:
+        if isinstance(action, Reject | Fail) and action.request in self.held:
             return m.Pass(action.request, FAILED, (), b"")
         return action
 
--- a/meadowpulley/takeover/hand.py
+++ b/meadowpulley/takeover/hand.py
@@ -7,7 +7,7 @@
 
 from msgspec.structs import replace as changed
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Fail, Reject, Request, RequestClass, Send
 from meadowpulley.ledger import Create, Record, Remove, Replace, Step, Unchanged, Write
 from meadowpulley.takeover.model import (
     ANSWER,
@@ -31,14 +31,14 @@
 class Wait:
     """An attempt that the decisions chose, held until its right is won."""
 
-    action: i.Send
+    action: Send
     until_ms: float
 
 
 @dataclass(frozen=True, slots=True)
 class Final:
     state: State
-    action: i.Reject | i.Fail | Pass  # what its own client is told
+    action: Reject | Fail | Pass  # what its own client is told
     answer: Answer | None = None
 
 
@@ -55,9 +55,9 @@
 
 @dataclass(slots=True, eq=False)
 class Hand:
-    request: i.Request
+    request: Request
     name: str
-    cls: i.RequestClass
+    cls: RequestClass
     tenant: str
     content: Content
     digest: bytes
@@ -106,9 +106,23 @@
         )
         hint = min(max(r.expected_work_ms, 0.0), LONG_MS) if r.expected_work_ms is not None else None
         return Work(
-            FORMAT, state, self.cls.name, self.tenant, r.key, self.digest, self.mark, self.first,
-            left, waited, hint, r.write, r.arm, self.lives, self.tries, rights,
-        )  # fmt: skip
+            FORMAT,
+            state,
+            self.cls.name,
+            self.tenant,
+            r.key,
+            self.digest,
+            self.mark,
+            self.first,
+            left,
+            waited,
+            hint,
+            r.write,
+            r.arm,
+            self.lives,
+            self.tries,
+            rights,
+        )
 
     def write(self, now: float) -> Step:
         """The step that makes the record say so; `flight` is what it would prove.
--- a/meadowpulley/takeover/hands.py
+++ b/meadowpulley/takeover/hands.py
@@ -16,7 +16,20 @@
 from dataclasses import replace
 from typing import Any
 
-from meadowpulley import interface as i
+from meadowpulley.interface import (
+    Cancel,
+    ClientDisconnected,
+    Fail,
+    LogLine,
+    Outcome,
+    Reject,
+    Request,
+    ResponseStarted,
+    Result,
+    Send,
+    ServerEntry,
+    Settings,
+)
 from meadowpulley.ledger import Done, How, Life, Record, Stage
 from meadowpulley.takeover import model as m
 from meadowpulley.takeover.answers import Asks, Keeping, Kept
@@ -24,7 +37,7 @@
 from meadowpulley.takeover.model import State
 from meadowpulley.takeover.turn import For, Turn, What
 
-NEVER_RAN = (i.Result.REJECTED, i.Result.CONNECT_FAILED, i.Result.NOT_SENT)
+NEVER_RAN = (Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT)
 USUAL_STEP = 0.1  # weight of the newest
 
 
@@ -32,15 +45,22 @@
     """`inner` is the next stage; `may_act(now)` whether this life's lease holds."""
 
     def __init__(
-        self, settings: i.Settings, inner: Stage, me: Life, may_act: Callable[[float], bool],
-        terms: m.Terms, turn: Turn, asks: Asks, keeping: Keeping,
-    ) -> None:  # fmt: skip
+        self,
+        settings: Settings,
+        inner: Stage,
+        me: Life,
+        may_act: Callable[[float], bool],
+        terms: m.Terms,
+        turn: Turn,
+        asks: Asks,
+        keeping: Keeping,
+    ) -> None:
         self.inner, self.me, self.may_act, self.terms = inner, me, may_act, terms
         self.slack_ms = settings.rules.response_slack_ms
         self.turn, self.asks, self.keeping = turn, asks, keeping
         self.by_request: dict[int, Hand] = {}  # until the last outcome of their attempts
         self.by_name: dict[str, Hand] = {}  # those that are this gateway's to end
-        self.servers: dict[int, i.ServerEntry] = {}
+        self.servers: dict[int, ServerEntry] = {}
         self.usual_ms: dict[str, float] = {}  # of good attempts, by class
         self.due: list[tuple[float, int]] = []  # when to look at a request; one that is over is passed by
         self.lost = self.ended = False  # the ledger does not answer; this life was sealed
@@ -48,17 +68,17 @@
     def pass_on(self, event: Any) -> None:
         """To the next stage; what it decides for requests that are not written passes as it is."""
         for action in self.inner.handle(self.turn.now, event):
-            ours = isinstance(action, i.Send | i.Cancel | i.Reject | i.Fail)
+            ours = isinstance(action, Send | Cancel | Reject | Fail)
             hand = self.by_request.get(action.request) if ours else None
             if hand is None:
                 self.turn.acts.append(action)
-            elif isinstance(action, i.Send):
+            elif isinstance(action, Send):
                 self._send(hand, action)
-            elif isinstance(action, i.Cancel):
+            elif isinstance(action, Cancel):
                 if action.attempt in hand.passed:
                     self.turn.acts.append(replace(action, attempt=hand.passed.index(action.attempt)))
             elif not hand.gone:
-                state = State.REFUSED if isinstance(action, i.Reject) else State.FAILED
+                state = State.REFUSED if isinstance(action, Reject) else State.FAILED
                 self.final(hand, Final(state, action))
 
     def begin(self, hand: Hand) -> None:
@@ -71,7 +91,7 @@
     def fail_unknown(self, hand: Hand) -> None:
         """Only looked up: a record of its id answers it; where there is none it may have run unwritten."""
         self.by_request[hand.request.request] = self.by_name[hand.name] = hand
-        self.final(hand, Final(State.FAILED, i.Fail(hand.request.request)))
+        self.final(hand, Final(State.FAILED, Fail(hand.request.request)))
 
     def _known(self, hand: Hand, found: Record) -> None:
         """The id of a request just taken has a record already: another gateway's, or of an earlier ask."""
@@ -79,9 +99,9 @@
         try:
             work = m.decode_work(found.value)
         except m.RecordError as error:
-            self.turn.acts.append(i.LogLine(f"takeover: record {found.key!r} left alone: {error}"))
+            self.turn.acts.append(LogLine(f"takeover: record {found.key!r} left alone: {error}"))
         if work is None or work.digest != hand.digest:
-            self._tell(hand, i.Fail(hand.request.request))
+            self._tell(hand, Fail(hand.request.request))
             self._withdraw(hand)
         elif work.state is State.REFUSED and not work.rights and hand.final is None:
             hand.version = found.version  # it never ran, and may be asked anew
@@ -92,7 +112,7 @@
 
     # Attempts
 
-    def _send(self, hand: Hand, send: i.Send) -> None:
+    def _send(self, hand: Hand, send: Send) -> None:
         # The decisions number the attempts of each life from 0.
         n, server = hand.tries - hand.request.prior_attempt_count, self.servers.get(send.server)
         where = (server.build, server.zone, server.cell) if server is not None else (0, 0, 0)
@@ -117,25 +137,29 @@
         server = hand.waiting.pop(n).action.server
         del hand.rights[n]
         over = hand.gone or hand.final is not None
-        self.pass_on(i.Outcome(hand.request.request, n, server, i.Result.NOT_SENT, 0.0, over))
+        self.pass_on(Outcome(hand.request.request, n, server, Result.NOT_SENT, 0.0, over))
 
-    def outcome(self, o: i.Outcome) -> None:
+    def outcome(self, o: Outcome) -> None:
         hand = self.by_request.get(o.request)
         if hand is None:
             self.pass_on(o)
             return
         n = hand.passed[o.attempt]
         hand.out.discard(o.attempt)
-        if o.result is i.Result.OK:
+        if o.result is Result.OK:
             usual = self.usual_ms.setdefault(hand.cls.name, o.elapsed_ms)
             self.usual_ms[hand.cls.name] += USUAL_STEP * (o.elapsed_ms - usual)
         if o.result in NEVER_RAN:
             hand.rights.pop(n, None)
         over = o.request_complete or hand.final is not None or hand.gone
-        self.pass_on(o if (n, over) == (o.attempt, o.request_complete) else replace(o, attempt=n, request_complete=over))
+        self.pass_on(
+            o
+            if (n, over) == (o.attempt, o.request_complete)
+            else replace(o, attempt=n, request_complete=over)
+        )
         self._forget(hand)
 
-    def started(self, a: i.ResponseStarted) -> None:
+    def started(self, a: ResponseStarted) -> None:
         hand = self.by_request.get(a.request)
         self.pass_on(a if hand is None else replace(a, attempt=hand.passed[a.attempt]))
 
@@ -167,7 +191,7 @@
         final, ours = hand.final, self.may_act(self.turn.now) and not hand.giving
         if final is not None and (final.state is State.REFUSED or not ours):
             hand.earlier_final = hand.earlier_final or final
-            hand.final = Final(State.FAILED, i.Fail(hand.request.request))
+            hand.final = Final(State.FAILED, Fail(hand.request.request))
         self._say(hand)
 
     def _say(self, hand: Hand) -> None:
@@ -212,7 +236,7 @@
     def _withdraw(self, hand: Hand) -> None:
         """The decisions have nothing more to do with it."""
         hand.gone = True
-        self.pass_on(i.ClientDisconnected(hand.request.request))
+        self.pass_on(ClientDisconnected(hand.request.request))
         for n in list(hand.waiting):
             self._moot(hand, n)
         self._leave(hand)
@@ -272,7 +296,7 @@
         """To the others, with what is proven of it."""
         if hand.final is None and not hand.giving:
             hand.giving = True
-            self.pass_on(i.ClientDisconnected(hand.request.request))
+            self.pass_on(ClientDisconnected(hand.request.request))
             for n in list(hand.waiting):
                 self._moot(hand, n)
             self.flush(hand)
@@ -282,7 +306,7 @@
         if not self.ended:
             self.ended = True
             for hand in list(self.by_name.values()):
-                self._tell(hand, i.Fail(hand.request.request))
+                self._tell(hand, Fail(hand.request.request))
                 self._withdraw(hand)
             self.asks.end_all(self.turn)
 
@@ -291,7 +315,7 @@
     def _due(self, at: float, hand: Hand) -> None:
         heapq.heappush(self.due, (at, hand.request.request))
 
-    def join(self, name: str, r: i.Request) -> None:
+    def join(self, name: str, r: Request) -> None:
         self.asks.add(name, r.request, r.deadline_ms)
         heapq.heappush(self.due, (r.deadline_ms, r.request))
 
--- a/meadowpulley/takeover/model.py
+++ b/meadowpulley/takeover/model.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Request
 
 WORK, CONTENT, ANSWER = "takeover/work/", "takeover/content/", "takeover/answer/"
 WATCHED = (WORK,)  # the prefixes whose changes the stage needs to be told
@@ -165,7 +165,7 @@
 class Taken:
     """A client's request has come whole, told in place of its `i.Request`, whether or not its id is known."""
 
-    request: i.Request
+    request: Request
     name: str  # the client's id
     method: str
     target: str
--- a/meadowpulley/takeover/orphans.py
+++ b/meadowpulley/takeover/orphans.py
@@ -13,7 +13,7 @@
 
 from msgspec.structs import replace as changed
 
-from meadowpulley import interface as i
+from meadowpulley.interface import LogLine, Settings
 from meadowpulley.ledger import Done, How, Life, Member, Record, Replace, Step, Unchanged, choose
 from meadowpulley.takeover import adopt
 from meadowpulley.takeover.answers import Keeping, Kept
@@ -59,9 +59,7 @@
 
 
 class Orphans:
-    def __init__(
-        self, settings: i.Settings, me: Life, terms: Terms, mirror: Mirror, keeping: Keeping
-    ) -> None:
+    def __init__(self, settings: Settings, me: Life, terms: Terms, mirror: Mirror, keeping: Keeping) -> None:
         self.classes = {c.name: (n, c) for n, c in enumerate(settings.classes)}
         self.tenants = {t.name: n for n, t in enumerate(settings.tenants)}
         self.me, self.terms, self.mirror, self.keeping = me, terms, mirror, keeping
@@ -232,11 +230,11 @@
             try:
                 claim.content = decode_content(done.found.value)
             except RecordError as error:
-                turn.acts.append(i.LogLine(f"takeover: record {done.found.key!r} left alone: {error}"))
+                turn.acts.append(LogLine(f"takeover: record {done.found.key!r} left alone: {error}"))
         if claim.verdict is not State.OPEN:
             self._ended(turn, name, claim)
         elif claim.content is None:
-            turn.acts.append(i.LogLine(f"takeover: {name!r} can't be taken over: its content is not there"))
+            turn.acts.append(LogLine(f"takeover: {name!r} can't be taken over: its content is not there"))
             self._end(turn, name, claim, State.FAILED)
         else:
             n, _ = self.classes[claim.seen.work.cls]
--- a/meadowpulley/takeover/stage.py
+++ b/meadowpulley/takeover/stage.py
@@ -19,7 +19,21 @@
 from collections.abc import Callable
 from typing import Any
 
-from meadowpulley import interface as i
+from meadowpulley.interface import (
+    ClientDisconnected,
+    Effect,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Fail,
+    LogLine,
+    Outcome,
+    Request,
+    ResponseStarted,
+    ServerState,
+    SetTimer,
+    Settings,
+    Timer,
+)
 from meadowpulley.ledger import (
     Changed,
     Commit,
@@ -49,7 +63,7 @@
 
     def __init__(
         self,
-        settings: i.Settings,
+        settings: Settings,
         inner: Stage,
         me: Life,
         may_act: Callable[[float], bool],
@@ -59,9 +73,7 @@
         self.turn, self.mirror = Turn(), Mirror()
         self.asks = Asks(self.terms, self.mirror)
         self.keeping = Keeping(self.terms)
-        self.hands = Hands(
-            settings, inner, me, may_act, self.terms, self.turn, self.asks, self.keeping
-        )  # fmt: skip
+        self.hands = Hands(settings, inner, me, may_act, self.terms, self.turn, self.asks, self.keeping)
         self.orphans = Orphans(settings, me, self.terms, self.mirror, self.keeping)
         self.give_at = math.inf  # when what is left is given away, as this gateway stops
         self.stops = False
@@ -71,13 +83,23 @@
         self.ticket = 0
         self.asked: dict[int, list[For]] = {}
         self.handlers: dict[type, Callable[[Any], None]] = {
-            m.Taken: self._taken, m.AnswerReady: self.hands.ready, m.ClientGone: self._client_gone,
-            m.Placed: self._placed, m.Stopping: self._stopping, i.Outcome: self.hands.outcome,
-            i.ResponseStarted: self.hands.started, i.ClientDisconnected: self._request_gone, i.EndpointUpdate: self._list,
-            i.Timer: self._tick, Committed: self._committed, Changed: self._changed,
-            Suspected: self._suspected, Ended: self._sealed, LedgerLost: self._ledger_lost,
+            m.Taken: self._taken,
+            m.AnswerReady: self.hands.ready,
+            m.ClientGone: self._client_gone,
+            m.Placed: self._placed,
+            m.Stopping: self._stopping,
+            Outcome: self.hands.outcome,
+            ResponseStarted: self.hands.started,
+            ClientDisconnected: self._request_gone,
+            EndpointUpdate: self._list,
+            Timer: self._tick,
+            Committed: self._committed,
+            Changed: self._changed,
+            Suspected: self._suspected,
+            Ended: self._sealed,
+            LedgerLost: self._ledger_lost,
             LedgerBack: self._ledger_back,
-        }  # fmt: skip
+        }
 
     def handle(self, now: float, event: Any) -> list[Any]:
         turn = self.turn
@@ -103,7 +125,7 @@
 
     def writes(self, cls: int, size: int) -> bool:
         """Whether a request of that class with a body of so many bytes is written down."""
-        which, safe = self.terms.written, self.s.classes[cls].effect is i.Effect.IDEMPOTENT
+        which, safe = self.terms.written, self.s.classes[cls].effect is Effect.IDEMPOTENT
         wanted = which is m.Written.ALL or (which is m.Written.UNREPEATABLE and not safe)
         return wanted and size <= m.BODY_MAX
 
@@ -134,7 +156,7 @@
 
     def _taken(self, t: m.Taken) -> None:
         r, cls = t.request, self.s.classes[t.request.class_index]
-        safe = cls.effect is i.Effect.IDEMPOTENT
+        safe = cls.effect is Effect.IDEMPOTENT
         if not self.writes(r.class_index, len(t.body)):
             self.hands.pass_on(r)
             return
@@ -143,11 +165,11 @@
             self.hands.join(t.name, r)
             self.hands.say_again(known)
         elif known is not None:
-            self.turn.acts.append(i.Fail(r.request))
+            self.turn.acts.append(Fail(r.request))
         elif (self.hands.lost and r.client_retry) or (self.hands.ended and (r.client_retry or not safe)):
             # Whether it is in hand elsewhere can't be known; and what ran here unwritten, while the others
             # have the ledger, would run again where its client asks next.
-            self.turn.acts.append(i.Fail(r.request))
+            self.turn.acts.append(Fail(r.request))
         elif self.hands.lost or self.hands.ended:
             self.hands.pass_on(r)  # as without a ledger: nobody adopts what is not written
         else:
@@ -161,11 +183,11 @@
             else:
                 self.hands.begin(hand)
 
-    def _list(self, event: i.EndpointUpdate) -> None:
-        if event.kind is i.EndpointUpdateKind.FULL or event.kind is i.EndpointUpdateKind.CACHED:
+    def _list(self, event: EndpointUpdate) -> None:
+        if event.kind is EndpointUpdateKind.FULL or event.kind is EndpointUpdateKind.CACHED:
             self.hands.servers = {}
         self.hands.servers |= {e.server: e for e in event.entries}
-        for gone in [e.server for e in event.entries if e.state is i.ServerState.REMOVED]:
+        for gone in [e.server for e in event.entries if e.state is ServerState.REMOVED]:
             del self.hands.servers[gone]
         self.hands.pass_on(event)
 
@@ -177,9 +199,9 @@
             self.turn.acts.append(m.Drop(e.request))
         elif hand is None:
             self.turn.acts.append(m.Drop(e.request))
-            self.hands.pass_on(i.ClientDisconnected(e.request))
+            self.hands.pass_on(ClientDisconnected(e.request))
 
-    def _request_gone(self, e: i.ClientDisconnected) -> None:
+    def _request_gone(self, e: ClientDisconnected) -> None:
         """The adapter has answered it as failed, past its deadline."""
         hand = self.hands.by_request.get(e.request)
         if self.asks.leave(e.request):
@@ -188,7 +210,7 @@
         if hand is not None and not hand.gone:
             hand.told = True
             hand.earlier_final, hand.final = hand.earlier_final or hand.final, None
-            self.hands.final(hand, Final(State.FAILED, i.Fail(e.request)))
+            self.hands.final(hand, Final(State.FAILED, Fail(e.request)))
 
     # The ledger
 
@@ -214,7 +236,7 @@
     def _changed(self, event: Changed) -> None:
         began = self.turn.now if event.began_ms is None else event.began_ms
         news = self.mirror.changed(began, event.changes)
-        self.turn.acts += [i.LogLine(line) for line in news.bad]
+        self.turn.acts += [LogLine(line) for line in news.bad]
         for name in news.names:
             if name not in self.hands.by_name:
                 self.asks.changed(self.turn, name)
@@ -236,7 +258,9 @@
 
     def _ledger_back(self, event: LedgerBack) -> None:
         self.hands.lost = False
-        longest = max((c.deadline_ms for c in self.s.classes if c.effect is not i.Effect.IDEMPOTENT), default=0.0)
+        longest = max(
+            (c.deadline_ms for c in self.s.classes if c.effect is not Effect.IDEMPOTENT), default=0.0
+        )
         self.unsure_until = self.turn.now + longest  # by when the last client of those waits no longer
         for hand in list(self.hands.by_name.values()):
             self.hands.flush(hand)
@@ -253,14 +277,23 @@
             return
         work, (n, cls) = claim.seen.work, self.orphans.classes[claim.seen.work.cls]
         tenant = self.orphans.tenants.get(work.tenant, len(self.s.tenants))
-        request = i.Request(
-            event.request, n, tenant, work.key, claim.deadline_ms, work.hint_ms, write=work.write,
-            adopted=True, prior_attempt_count=work.tries, prior_attempts=adopt.tried(claim.seen), arm=work.arm,
-        )  # fmt: skip
+        request = Request(
+            event.request,
+            n,
+            tenant,
+            work.key,
+            claim.deadline_ms,
+            work.hint_ms,
+            write=work.write,
+            adopted=True,
+            prior_attempt_count=work.tries,
+            prior_attempts=adopt.tried(claim.seen),
+            arm=work.arm,
+        )
         taken = max(claim.seen.floor_ms - work.waited_ms, -m.LONG_MS)
         hand = Hand(
             request, event.name, cls, work.tenant, claim.content, work.digest, claim.mark, work.first, taken
-        )  # fmt: skip
+        )
         hand.lives, hand.version, hand.content_version = work.lives + 1, claim.version, claim.content_version
         hand.earlier, hand.tries, hand.client = claim.rights, work.tries, False
         self.hands.begin(hand)
@@ -276,7 +309,7 @@
 
     # Time
 
-    def _tick(self, event: i.Timer) -> None:
+    def _tick(self, event: Timer) -> None:
         if event.token != m.TOKEN:
             self.hands.pass_on(event)
             return
@@ -305,4 +338,4 @@
         )
         if at < self.timer_at:
             self.timer_at = max(at, now)
-            self.turn.acts.append(i.SetTimer(self.timer_at - now, m.TOKEN))
+            self.turn.acts.append(SetTimer(self.timer_at - now, m.TOKEN))
--- a/tests/net_program/test_life.py
+++ b/tests/net_program/test_life.py
@@ -138,9 +138,12 @@
     gateway.stop()
     environ = {**os.environ, "PROXY_CONFIG": str(gateway.path), "MEADOWPULLEY_LEDGER": ledger}
     shown = subprocess.run(
-        [sys.executable, "-c", BARRED], env={**environ, name: ledger or "1"},
-        capture_output=True, text=True, timeout=LIMIT_S,
-    )  # fmt: skip
+        [sys.executable, "-c", BARRED],
+        env={**environ, name: ledger or "1"},
+        capture_output=True,
+        text=True,
+        timeout=LIMIT_S,
+    )
     [line] = shown.stderr.splitlines()
     assert line.startswith(f"meadowpulley: {name}: ") and said in line
     assert shown.returncode == 2
--- a/tests/net_program/test_other_customers.py
+++ b/tests/net_program/test_other_customers.py
@@ -32,32 +32,48 @@
 def a_class(draw: st.DrawFn) -> dict[str, Any]:
     limit = draw(st.sampled_from([30.0, 90.0, 400.0, 3_000.0, LONG_MS, LONG_MS]))
     return {
-        "repeat": draw(st.sampled_from([*METHODS])), "group": draw(st.sampled_from(["all", "zone", "cell"])),
-        "hard-limit-ms": limit, "target-ms": limit * draw(st.sampled_from([0.2, 0.6])),
+        "repeat": draw(st.sampled_from([*METHODS])),
+        "group": draw(st.sampled_from(["all", "zone", "cell"])),
+        "hard-limit-ms": limit,
+        "target-ms": limit * draw(st.sampled_from([0.2, 0.6])),
         "dedup-window-ms": draw(st.sampled_from([0.0, 1.0, 20.0, 150.0])),
         "worth": draw(st.sampled_from([0.0, 0.01, 40.0])),
-    }  # fmt: skip
-
-
-CUSTOMERS = st.fixed_dictionaries({
-    "names": NAMES, "classes": st.lists(a_class(), min_size=5, max_size=5),
-    "tenants": st.one_of(st.just([]), NAMES), "share": st.sampled_from([0.001, 0.3, 1.0]),
-    "bounds": st.fixed_dictionaries({
-        "most-tries": st.sampled_from([1, 2, 30]), "connect-timeout-ms": st.sampled_from([20.0, 5000.0]),
-        "conn-idle-ms": st.sampled_from([0.0, 40.0, 600_000.0]), "max-open": st.sampled_from([1, 100_000]),
-        "max-retry-after-ms": st.sampled_from([0.0, 60_000.0]),
-        **{name: st.booleans() for name in ("cancelling", "probing", "may-duplicate", "retry-after")},
-    }),
-    "grace": st.sampled_from([0.0, 2_000.0]), "discovery": st.sampled_from(["automatic", "subscribe"]),
-    "sockets": st.sampled_from([128, 4096]),
-})  # fmt: skip
+    }
+
+
+CUSTOMERS = st.fixed_dictionaries(
+    {
+        "names": NAMES,
+        "classes": st.lists(a_class(), min_size=5, max_size=5),
+        "tenants": st.one_of(st.just([]), NAMES),
+        "share": st.sampled_from([0.001, 0.3, 1.0]),
+        "bounds": st.fixed_dictionaries(
+            {
+                "most-tries": st.sampled_from([1, 2, 30]),
+                "connect-timeout-ms": st.sampled_from([20.0, 5000.0]),
+                "conn-idle-ms": st.sampled_from([0.0, 40.0, 600_000.0]),
+                "max-open": st.sampled_from([1, 100_000]),
+                "max-retry-after-ms": st.sampled_from([0.0, 60_000.0]),
+                **{name: st.booleans() for name in ("cancelling", "probing", "may-duplicate", "retry-after")},
+            }
+        ),
+        "grace": st.sampled_from([0.0, 2_000.0]),
+        "discovery": st.sampled_from(["automatic", "subscribe"]),
+        "sockets": st.sampled_from([128, 4096]),
+    }
+)
 
 KEYED = {"repeat": "token", "hard-limit-ms": LONG_MS, "target-ms": LONG_MS / 2, "dedup-window-ms": 150.0}
 ONE_CELL = {  # its first class has the whole budget of repeats, and may repeat in one cell alone
-    "names": ["pay", "pay-2", "pay-2-"], "classes": [KEYED | {"group": group} for group in ("cell", "all")],
-    "tenants": ["quay", "quay-2"], "share": 0.3, "grace": 0.0, "discovery": "subscribe", "sockets": 128,
+    "names": ["pay", "pay-2", "pay-2-"],
+    "classes": [KEYED | {"group": group} for group in ("cell", "all")],
+    "tenants": ["quay", "quay-2"],
+    "share": 0.3,
+    "grace": 0.0,
+    "discovery": "subscribe",
+    "sockets": 128,
     "bounds": {"most-tries": 30, "connect-timeout-ms": 5000.0, "conn-idle-ms": 40.0, "may-duplicate": True},
-}  # fmt: skip
+}
 
 
 class Fleet:
@@ -192,9 +208,12 @@
 @given(drawn=CUSTOMERS)
 @example(drawn=ONE_CELL)
 @hypothesis_settings(
-    derandomize=True, max_examples=7, deadline=None, phases=[Phase.explicit, Phase.generate],
+    derandomize=True,
+    max_examples=7,
+    deadline=None,
+    phases=[Phase.explicit, Phase.generate],
     suppress_health_check=[HealthCheck.too_slow],
-)  # fmt: skip
+)
 def test_the_rules_hold_on_the_settings_of_any_customer(
     tmp_path_factory: pytest.TempPathFactory, drawn: dict[str, Any]
 ) -> None:
@@ -202,10 +221,12 @@
     classes = [cls | {"name": name} for name, cls in named]
     classes[0] |= {"hard-limit-ms": LONG_MS, "target-ms": LONG_MS / 2}
     told = SETTINGS | {
-        "classes": classes, "bounds": drawn["bounds"], "discovery": drawn["discovery"],
+        "classes": classes,
+        "bounds": drawn["bounds"],
+        "discovery": drawn["discovery"],
         "tenants": [{"name": t, "share": drawn["share"], "quota-rps": 0.5} for t in drawn["tenants"]],
         "rules": SETTINGS["rules"] | {"stop-sending-within-ms": drawn["grace"]},
-    }  # fmt: skip
+    }
     fleet = Fleet({cls["name"]: cls["dedup-window-ms"] for cls in classes})
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": drawn["sockets"]}
     folder = tmp_path_factory.mktemp("customer")
--- a/tests/net_program/test_signals.py
+++ b/tests/net_program/test_signals.py
@@ -110,9 +110,12 @@
     fresh.write_text(json.dumps({**gateway.config, "discovery": moved.address}))
     shown = subprocess.run(
         [sys.executable, "-c", DRIVER, step, ",".join(str(int(n)) for n in signals), str(fresh)],
-        cwd=ROOT, env={**os.environ, "PROXY_CONFIG": str(gateway.path)}, stderr=subprocess.PIPE, text=True,
+        cwd=ROOT,
+        env={**os.environ, "PROXY_CONFIG": str(gateway.path)},
+        stderr=subprocess.PIPE,
+        text=True,
         timeout=LIMIT_S,
-    )  # fmt: skip
+    )
     lines = [json.loads(line) for line in shown.stderr.splitlines()]
     assert shown.returncode == status
     told = {"reloaded", "woken", "slept on", *WHOLE}
--- a/tests/processes/test_ledger.py
+++ b/tests/processes/test_ledger.py
@@ -26,9 +26,12 @@
     def __init__(self, folder: Path, name: str, most_bytes: int, sync: bool, fail: str) -> None:
         command = [sys.executable, "-m", "tests.processes.ledger_worker", str(folder), name, str(most_bytes)]
         self.process = subprocess.Popen(
-            [*command, "sync" if sync else ""], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-            env={**os.environ, ENV: fail}, text=True,
-        )  # fmt: skip
+            [*command, "sync" if sync else ""],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            env={**os.environ, ENV: fail},
+            text=True,
+        )
 
     def ask(self, *call: Any) -> None:
         assert self.process.stdin is not None
--- a/tests/processes/test_takeover.py
+++ b/tests/processes/test_takeover.py
@@ -263,7 +263,7 @@
     ({"MEADOWPULLEY_TAKEOVER_LIVES": "0"}, "MEADOWPULLEY_TAKEOVER_LIVES: '0' is no number from 1"),
     ({"MEADOWPULLEY_LENDING_CAPACITY": "-1"}, "lending: capacity"),
     ({"MEADOWPULLEY_LENDING_CAPACITY": "9", "MEADOWPULLEY_LENDING_SHARES": "a=0.7,b=0.6"}, "shares add up"),
-]  # fmt: skip
+]
 
 
 def test_settings_that_can_t_be_are_one_line_and_no_success(start: Start) -> None:
--- a/tests/processes/world.py
+++ b/tests/processes/world.py
@@ -56,9 +56,11 @@
         entries = [entry(f"i{n}", each.address) for n, each in enumerate(instances)]
         discovery, platform = Discovery(entries), Platform(RELEASED)
         config = {
-            "discovery": discovery.address, "platform": {"address": platform.address, "news": RELEASED},
-            "known": {"index": 5, "snapshot": True, "endpoints": entries}, "settings": SETTINGS_HERE,
-        }  # fmt: skip
+            "discovery": discovery.address,
+            "platform": {"address": platform.address, "news": RELEASED},
+            "known": {"index": 5, "snapshot": True, "endpoints": entries},
+            "settings": SETTINGS_HERE,
+        }
         self.fleet = Fleet(folder, size, config, {**ENVIRON, **(environ or {})})
         self._clients = ThreadPoolExecutor(32)
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -23,20 +23,50 @@
 TRIAL = {"release": 42, "tranche": 0, "mode": "canary", "exposure": 0.3, "old_ms": 60_000}
 
 SETTINGS: dict[str, Any] = {
-    "me": 0, "balancers": 1, "az": 0, "zones": ["a"], "period-ms": 5.0, "discovery": "subscribe",
+    "me": 0,
+    "balancers": 1,
+    "az": 0,
+    "zones": ["a"],
+    "period-ms": 5.0,
+    "discovery": "subscribe",
     "machine-types": ["m2"],
-    "bounds": {"most-tries": 3, "cancelling": True, "retry-after": True, "max-retry-after-ms": 500.0,
-               "connect-timeout-ms": 250.0, "conn-idle-ms": 30000.0, "may-tell": True},
+    "bounds": {
+        "most-tries": 3,
+        "cancelling": True,
+        "retry-after": True,
+        "max-retry-after-ms": 500.0,
+        "connect-timeout-ms": 250.0,
+        "conn-idle-ms": 30000.0,
+        "may-tell": True,
+    },
     "classes": [
         {"name": "look", "repeat": "pure", "target-ms": 1000.0, "hard-limit-ms": 5000.0},
         {"name": "pay", "repeat": "side_effect", "target-ms": 1000.0, "hard-limit-ms": 5000.0},
     ],
-    "rules": {"answer-slack-ms": 20.0, "ask-within-ms": 10000.0, "stop-sending-within-ms": 2000.0,
-              "cold-ms": 1000.0, "cold-from": 0.5, "fall-multiple": 2.0, "tip-after-ms": 1500.0},
-    "family-info": {"gate-mode": "any", "caps": [0.3, 1.0], "steps": [0.3, 1.0], "soak-ms": 1000.0,
-                    "on-votes": 1, "votes-to-revert": 1, "votes-per-s": 50.0, "ballot-ttl-ms": 6000.0,
-                    "api-timeout-ms": 1200.0, "exposure-window-ms": 6000.0, "free": 3.0, "per": "all"},
-}  # fmt: skip
+    "rules": {
+        "answer-slack-ms": 20.0,
+        "ask-within-ms": 10000.0,
+        "stop-sending-within-ms": 2000.0,
+        "cold-ms": 1000.0,
+        "cold-from": 0.5,
+        "fall-multiple": 2.0,
+        "tip-after-ms": 1500.0,
+    },
+    "family-info": {
+        "gate-mode": "any",
+        "caps": [0.3, 1.0],
+        "steps": [0.3, 1.0],
+        "soak-ms": 1000.0,
+        "on-votes": 1,
+        "votes-to-revert": 1,
+        "votes-per-s": 50.0,
+        "ballot-ttl-ms": 6000.0,
+        "api-timeout-ms": 1200.0,
+        "exposure-window-ms": 6000.0,
+        "free": 3.0,
+        "per": "all",
+    },
+}
 
 
 # What ends the stand-ins of the test that runs: left open, a run of all tests passed 1,024 descriptors.
@@ -118,9 +148,16 @@
 
 def entry(name: str, address: str, build: int = 41, status: str = "in_service") -> dict[str, Any]:
     return {
-        "name": name, "address": address, "zone": "a", "type": "m2", "group": 1, "status": status,
-        "weight": 1.0, "since_ms": 0, "revision_no": build,
-    }  # fmt: skip
+        "name": name,
+        "address": address,
+        "zone": "a",
+        "type": "m2",
+        "group": 1,
+        "status": status,
+        "weight": 1.0,
+        "since_ms": 0,
+        "revision_no": build,
+    }
 
 
 class Discovery(HttpStandIn):
@@ -205,28 +242,40 @@
     """The program, started by the deploy file's `run`."""
 
     def __init__(
-        self, folder: Path, known: list[dict[str, Any]], discovery: str = "", platform: str = "",
-        news: dict[str, Any] = RELEASED, **more: Any,
-    ) -> None:  # fmt: skip
+        self,
+        folder: Path,
+        known: list[dict[str, Any]],
+        discovery: str = "",
+        platform: str = "",
+        news: dict[str, Any] = RELEASED,
+        **more: Any,
+    ) -> None:
         subprocess.run([sys.executable, str(ROOT / "deploy" / "compile.py")], check=True)
         self.port = free_port()
         self.peer_port = free_port()
         config = {
-            "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "seed": "8c1f30d27a5be964",
             "discovery": discovery or f"127.0.0.1:{free_port()}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
-            "peer_listen": f"127.0.0.1:{self.peer_port}", "peers": [f"127.0.0.1:{self.peer_port}"],
+            "peer_listen": f"127.0.0.1:{self.peer_port}",
+            "peers": [f"127.0.0.1:{self.peer_port}"],
             "platform": {"address": platform or f"127.0.0.1:{free_port()}", "news": news},
             "known": {"index": 4, "snapshot": True, "endpoints": known},
-            "settings": SETTINGS, **more,
-        }  # fmt: skip
+            "settings": SETTINGS,
+            **more,
+        }
         self.path, self.config = folder / "config.json", config
         self.path.write_text(json.dumps(config))
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         self.process = subprocess.Popen(
-            ["/bin/sh", "-c", run], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+            ["/bin/sh", "-c", run],
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+            text=True,
             env={**os.environ, "PROXY_CONFIG": str(self.path), "PROXY_DISCOVERY": config["discovery"]},
-        )  # fmt: skip
+        )
         self.lines: queue.Queue[dict[str, Any]] = queue.Queue()
         threading.Thread(target=self._read, daemon=True).start()
 
--- a/tests/stories/steps_fleet.py
+++ b/tests/stories/steps_fleet.py
@@ -8,17 +8,21 @@
 from msgspec.structs import replace
 from pytest_bdd import given, parsers, then, when
 
-from meadowpulley import interface as i
 from meadowpulley.emulator import Build, World
 from meadowpulley.emulator.failpoints import STEPS
+from meadowpulley.interface import Phase
 from meadowpulley.rules import Answered, Sent, Taken
 from tests.stories.fleets import small_fleet
 from tests.stories.tale import Tale
 
 TROUBLES = {
-    "vanish": "vanish", "crash": "crash", "hang": "silence", "answer with errors": "fast_errors",
-    "lose their answers": "lost_answers", "are three times slower": "slowness",
-}  # fmt: skip
+    "vanish": "vanish",
+    "crash": "crash",
+    "hang": "silence",
+    "answer with errors": "fast_errors",
+    "lose their answers": "lost_answers",
+    "are three times slower": "slowness",
+}
 PARTIES = {"discovery": "discovery_down", "the platform": "platform_down", "datagrams": "peers_lost"}
 CLASSES = {"look-ups": "look-up", "bookings": "booking", "transfers": "transfer"}
 
@@ -207,7 +211,7 @@
 def build_is(tale: Tale, number: int, phase: str) -> None:
     _ = tale.result
     stands = {(s.build, s.phase) for s in tale.world.platform.history}
-    wanted = {"released": i.Phase.RELEASED, "withdrawn": i.Phase.ROLLED_BACK}[phase]
+    wanted = {"released": Phase.RELEASED, "withdrawn": Phase.ROLLED_BACK}[phase]
     assert (number, wanted) in stands, stands
 
 
--- a/tests/stories/steps_ledger.py
+++ b/tests/stories/steps_ledger.py
@@ -17,9 +17,13 @@
 from tests.stories.tale import Tale
 
 TROUBLES: dict[str, Trouble] = {
-    "full": "full", "read-only": "read-only", "gone": "gone", "slow": "slow", "cut off": "cut",
+    "full": "full",
+    "read-only": "read-only",
+    "gone": "gone",
+    "slow": "slow",
+    "cut off": "cut",
     "silent": "unheard",
-}  # fmt: skip
+}
 
 
 def notebooks(tale: Tale) -> list[Notebook]:
--- a/tests/stories/steps_placement.py
+++ b/tests/stories/steps_placement.py
@@ -7,10 +7,10 @@
 
 from pytest_bdd import given, parsers, then
 
-from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
 from meadowpulley.emulator.ledger import LedgerFigures
 from meadowpulley.emulator.together import Place, Together
+from meadowpulley.interface import Request, Settings
 from meadowpulley.placement import (
     Arm,
     End,
@@ -26,9 +26,14 @@
 from tests.stories.tale import Tale
 
 POLICY = {
-    "the module's own choice": "own", "random of two": "two", "least outstanding": "least",
-    "round robin": "round", "measured speed": "speed", "zone first": "zone", "key": "key",
-}  # fmt: skip
+    "the module's own choice": "own",
+    "random of two": "two",
+    "least outstanding": "least",
+    "round robin": "round",
+    "measured speed": "speed",
+    "zone first": "zone",
+    "key": "key",
+}
 
 
 class Labels:
@@ -38,7 +43,7 @@
         self.inner, self.tale = inner, tale
 
     def handle(self, now: float, event: Any) -> Any:
-        if isinstance(event, i.Request) and event.arm:
+        if isinstance(event, Request) and event.arm:
             self.tale.labelled.append((event.key, event.arm))
         return self.inner.handle(now, event)
 
@@ -58,7 +63,7 @@
     def make(place: Place) -> PlacementStage:
         return PlacementStage(Labels(place.inner, tale), experiment, place.settings, place.life)
 
-    def decide(settings: i.Settings, seed: int) -> Any:
+    def decide(settings: Settings, seed: int) -> Any:
         return Balancer(settings, seed, placements(experiment, seed))
 
     tale.make = decide
--- a/tests/stories/tale.py
+++ b/tests/stories/tale.py
@@ -49,9 +49,14 @@
         if self._world is None:
             scenario = Scenario(releases=tuple(self.releases), faults=tuple(self.faults))
             self._world = World(
-                self.fleet, self._load(), self.seed, scenario, self.make, self.records.append,
+                self.fleet,
+                self._load(),
+                self.seed,
+                scenario,
+                self.make,
+                self.records.append,
                 together=self.together,
-            )  # fmt: skip
+            )
             for plan in self.plans:
                 plan(self._world)
         return self._world
--- a/tests/takeover_fleet.py
+++ b/tests/takeover_fleet.py
@@ -12,7 +12,28 @@
 from functools import partial
 from typing import Any
 
-from meadowpulley import interface as i
+from meadowpulley.interface import (
+    Cancel,
+    ClientDisconnected,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Fail,
+    Limits,
+    LogLine,
+    Outcome,
+    Reject,
+    Request,
+    Result,
+    Rollout,
+    Rules,
+    Send,
+    ServerEntry,
+    ServerState,
+    SetTimer,
+    Settings,
+    Tenant,
+    Timer,
+)
 from meadowpulley.ledger import (
     Changed,
     Commit,
@@ -26,7 +47,7 @@
     Terms as Lease,
     Watched,
 )
-from meadowpulley.settings_types import Effect, DeduplicationScope, RequestClass
+from meadowpulley.settings_types import DeduplicationScope, Effect, RequestClass
 from meadowpulley.takeover import (
     OWNER,
     WATCHED,
@@ -43,62 +64,72 @@
 
 TERM = 1000.0
 LOOK = 20.0
-NEVER_RAN = (i.Result.REJECTED, i.Result.CONNECT_FAILED, i.Result.NOT_SENT)
+NEVER_RAN = (Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT)
 CLASSES = (
     RequestClass("read", 200.0, 4000.0, Effect.IDEMPOTENT),
     RequestClass("order", 200.0, 4000.0, Effect.IDEMPOTENT_WITH_KEY, DeduplicationScope.ZONE, 3500.0, 2.0),
     RequestClass("pay", 200.0, 6000.0, Effect.NON_IDEMPOTENT, priority_weight=3.0),
 )
 READ, ORDER, PAY = range(3)
-SETTINGS = i.Settings(
-    0, 3, 0, ("z",), 10.0, CLASSES, (i.Tenant("t"),), i.Rules(response_slack_ms=50.0),
-    i.Limits(max_attempts=3), i.Rollout(),
-)  # fmt: skip
+SETTINGS = Settings(
+    0,
+    3,
+    0,
+    ("z",),
+    10.0,
+    CLASSES,
+    (Tenant("t"),),
+    Rules(response_slack_ms=50.0),
+    Limits(max_attempts=3),
+    Rollout(),
+)
 
 
 class Decisions:
     """Sends each request to server 1, again where what is proven allows it, three times at most."""
 
     def __init__(self) -> None:
-        self.held: dict[int, i.Request] = {}
+        self.held: dict[int, Request] = {}
         self.maybe: dict[int, dict[int, float]] = {}
         self.tries: Counter[int] = Counter()
-        self.seen: list[i.Request] = []
+        self.seen: list[Request] = []
         self.waits = self.refuses = False  # finds no server for now; has no room
         self.now = 0.0
 
     def handle(self, now: float, event: Any) -> list[Any]:
         self.now = now
-        if isinstance(event, i.Request):
+        if isinstance(event, Request):
             if self.refuses:
-                return [i.Reject(event.request)]
+                return [Reject(event.request)]
             self.held[event.request] = event
             self.seen.append(event)
             self.tries[event.request] = event.prior_attempt_count
             self.maybe[event.request] = {-1 - n: t.sent_ms for n, t in enumerate(event.prior_attempts)}
             return [] if self.waits else self._next(event)
-        if isinstance(event, i.Outcome):
+        if isinstance(event, Outcome):
             if event.result in NEVER_RAN:
                 del self.maybe[event.request][event.attempt]
             if event.request_complete:
                 self.held.pop(event.request, None)
             elif event.request in self.held:
                 return self._next(self.held[event.request])
-        elif isinstance(event, i.ClientDisconnected) and event.request in self.held:
+        elif isinstance(event, ClientDisconnected) and event.request in self.held:
             del self.held[event.request]
-            return [i.Cancel(event.request, n) for n in self.maybe[event.request] if n >= 0]
+            return [Cancel(event.request, n) for n in self.maybe[event.request] if n >= 0]
         return []
 
-    def _next(self, r: i.Request) -> list[Any]:
+    def _next(self, r: Request) -> list[Any]:
         cls, maybe = CLASSES[r.class_index], self.maybe[r.request]
         late = any(self.now - sent >= cls.deduplication_window_ms for sent in maybe.values())
-        barred = maybe and (cls.effect is Effect.NON_IDEMPOTENT or (cls.effect is Effect.IDEMPOTENT_WITH_KEY and late))
+        barred = maybe and (
+            cls.effect is Effect.NON_IDEMPOTENT or (cls.effect is Effect.IDEMPOTENT_WITH_KEY and late)
+        )
         if barred or self.tries[r.request] >= 3:
             del self.held[r.request]
-            return [i.Fail(r.request) if maybe else i.Reject(r.request, 100.0)]
+            return [Fail(r.request) if maybe else Reject(r.request, 100.0)]
         maybe[self.tries[r.request] - r.prior_attempt_count] = self.now  # each life numbers its own from 0
         self.tries[r.request] += 1
-        return [i.Send(r.request, 1)]
+        return [Send(r.request, 1)]
 
 
 class Gateway:
@@ -122,7 +153,9 @@
         self.before: Callable[[Any], None] = lambda action: None  # called before each action
         self.do(self.keeper.start(self.now))
         self.tell(
-            i.EndpointUpdate(i.EndpointUpdateKind.FULL, 1, (i.ServerEntry(1, 0, 0, i.ServerState.READY, 7, 0, 0, 1.0),))
+            EndpointUpdate(
+                EndpointUpdateKind.FULL, 1, (ServerEntry(1, 0, 0, ServerState.READY, 7, 0, 0, 1.0),)
+            )
         )
         self.look()
 
@@ -159,14 +192,14 @@
         self.later(LOOK, self.look)
 
     def act(self, a: Any) -> None:
-        if isinstance(a, i.SetTimer):
-            self.later(a.delay_ms, lambda: self.tell(i.Timer(a.token)))
+        if isinstance(a, SetTimer):
+            self.later(a.delay_ms, lambda: self.tell(Timer(a.token)))
         elif isinstance(a, Watched):
             self.watched = a.names
         elif isinstance(a, Commit):
             takes = 400.0 if self.trouble == "slow" else 1.0  # one asked for later may be carried out before
             self.fleet.at(self.fleet.now + takes, lambda: self.commit(a))
-        elif isinstance(a, i.Send):
+        elif isinstance(a, Send):
             n, self.tries[a.request] = self.tries[a.request], self.tries[a.request] + 1
             name, cls, _ = self.held[a.request]
             self.fleet.sent.setdefault(name, []).append(self.fleet.now)
@@ -177,16 +210,16 @@
             self.adopted.add(self.requests)
             self.fleet.adopted.append((self.name, a.name))
             self.tell(Placed(a.name, self.requests))
-        elif isinstance(a, Pass | i.Reject | i.Fail):
+        elif isinstance(a, Pass | Reject | Fail):
             name, _, _ = self.held[a.request]
             word = f"{a.status} {a.body.decode()}" if isinstance(a, Pass) else type(a).__name__
             if a.request not in self.adopted:
                 self.said.setdefault(name, []).append(word)
             assert a.request not in self.over, "answered twice"
             self.over.add(a.request)
-        elif isinstance(a, i.LogLine):
+        elif isinstance(a, LogLine):
             self.lines.append(a.text)
-        elif isinstance(a, i.Cancel):
+        elif isinstance(a, Cancel):
             self.fleet.cancelled.append((self.held[a.request][0], a.attempt))
         else:
             assert isinstance(a, Drop), a
@@ -208,7 +241,7 @@
 
     def ask(self, name: str, cls: int, body: bytes = b"b", left: float = 4000.0, repeat: bool = False) -> int:
         self.requests += 1
-        request = i.Request(self.requests, cls, 0, 5, self.now + left, client_retry=repeat)
+        request = Request(self.requests, cls, 0, 5, self.now + left, client_retry=repeat)
         self.held[self.requests] = (name, cls, self.now + left)
         self.tell(Taken(request, name, "POST", f"/{CLASSES[cls].name}", (), body))
         return self.requests
@@ -226,7 +259,7 @@
         self.lost = 0  # records that had changed when they were to be replaced
         self.adopted: list[tuple[str, str]] = []
         self.takes_ms = 30.0
-        self.answers = [i.Result.OK]  # each attempt's in turn, the last again and again
+        self.answers = [Result.OK]  # each attempt's in turn, the last again and again
         self.gateways: dict[str, Gateway] = {}
         for name in names:
             self.gateways[name] = Gateway(self, name)
@@ -261,10 +294,10 @@
         answer = f"run {self.ran[name]}".encode()
 
         def end() -> None:
-            served = result is i.Result.OK
+            served = result is Result.OK
             if served:
                 gateway.tell(AnswerReady(request, 200, (), answer))
-            gateway.tell(i.Outcome(request, n, 1, result, self.takes_ms, request_complete=served))
+            gateway.tell(Outcome(request, n, 1, result, self.takes_ms, request_complete=served))
 
         gateway.later(self.takes_ms, end)
 
--- a/tests/test_adopted.py
+++ b/tests/test_adopted.py
@@ -7,39 +7,69 @@
 
 import pytest
 
-from meadowpulley import interface as i
+from meadowpulley.interface import (
+    Action,
+    Cancel,
+    ClientDisconnected,
+    DeduplicationScope,
+    Fail,
+    Limits,
+    PriorAttempt,
+    Reject,
+    Request,
+    Result,
+    Rollout,
+    Send,
+    ServerState,
+    SetTimer,
+)
 from tests.driver import CLASSES, LIMITS, ROLLOUT, SAFE, UNSAFE, Driver, entry, sends, settings
 
 KEYED, ZONED, CELLED = 2, 3, 4
-MORE = (*CLASSES, replace(CLASSES[KEYED], deduplication_scope=i.DeduplicationScope.ZONE), replace(CLASSES[KEYED], deduplication_scope=i.DeduplicationScope.CELL))
+MORE = (
+    *CLASSES,
+    replace(CLASSES[KEYED], deduplication_scope=DeduplicationScope.ZONE),
+    replace(CLASSES[KEYED], deduplication_scope=DeduplicationScope.CELL),
+)
 MOST = LIMITS.max_attempts
 WINDOW_MS = CLASSES[KEYED].deduplication_window_ms
-HERE = i.PriorAttempt(server=77, build=41, zone=0, cell=0, sent_ms=9_900.0)
+HERE = PriorAttempt(server=77, build=41, zone=0, cell=0, sent_ms=9_900.0)
 ELSEWHERE = replace(HERE, zone=1, cell=1)
 LONG_AGO = replace(HERE, sent_ms=10_000.0 - WINDOW_MS)
 
 
-def gateway(count: int = 4, rollout: i.Rollout = ROLLOUT, limits: i.Limits = LIMITS) -> Driver:
+def gateway(count: int = 4, rollout: Rollout = ROLLOUT, limits: Limits = LIMITS) -> Driver:
     d = Driver(settings(classes=MORE, rollout=rollout, limits=limits))
     d.now = 10_000.0
     d.listed(entry(n) for n in range(count))
     return d
 
 
-def adopt(d: Driver, cls: int, tried: Sequence[i.PriorAttempt] = (), tries: int = 0, key: int = 0) -> list[i.Action]:
+def adopt(
+    d: Driver, cls: int, tried: Sequence[PriorAttempt] = (), tries: int = 0, key: int = 0
+) -> list[Action]:
     d.last += 1
     tries = max(tries, len(tried))
     return d.give(
-        i.Request(d.last, cls, 0, key, d.now + 2000.0, adopted=True, prior_attempt_count=tries, prior_attempts=tuple(tried))
+        Request(
+            d.last,
+            cls,
+            0,
+            key,
+            d.now + 2000.0,
+            adopted=True,
+            prior_attempt_count=tries,
+            prior_attempts=tuple(tried),
+        )
     )
 
 
-def became(d: Driver, actions: list[i.Action]) -> tuple[str, float]:
+def became(d: Driver, actions: list[Action]) -> tuple[str, float]:
     """What was done with a request first, and how long it took."""
     began = d.now
     while d.now <= began + 2000.0:
         for a in actions:
-            if isinstance(a, i.Send | i.Reject | i.Fail):
+            if isinstance(a, Send | Reject | Fail):
                 return type(a).__name__, d.now - began
         d.now += 50.0
         actions = d.tick()
@@ -72,7 +102,7 @@
     ],
 )
 def test_what_becomes_of_a_request_taken_over(
-    cls: int, tried: list[i.PriorAttempt], tries: int, what: str, at_once: bool
+    cls: int, tried: list[PriorAttempt], tries: int, what: str, at_once: bool
 ) -> None:
     d = gateway()
     found, took = became(d, adopt(d, cls, tried, tries))
@@ -82,33 +112,33 @@
 
 @pytest.mark.parametrize(
     ("cls", "tried", "answer"),
-    [(SAFE, [HERE], i.Reject), (UNSAFE, [], i.Reject), (UNSAFE, [HERE], i.Fail), (KEYED, [HERE], i.Fail)],
+    [(SAFE, [HERE], Reject), (UNSAFE, [], Reject), (UNSAFE, [HERE], Fail), (KEYED, [HERE], Fail)],
 )
 def test_without_room_only_what_cannot_have_run_is_refused(
-    cls: int, tried: list[i.PriorAttempt], answer: type[i.Action]
+    cls: int, tried: list[PriorAttempt], answer: type[Action]
 ) -> None:
     d = gateway()
     d.b.room = -1.0
-    assert [type(a) for a in adopt(d, cls, tried) if not isinstance(a, i.SetTimer)] == [answer]
+    assert [type(a) for a in adopt(d, cls, tried) if not isinstance(a, SetTimer)] == [answer]
 
 
 def test_attempts_are_numbered_from_0_here_and_count_with_the_earlier_ones() -> None:
     d = gateway()
     d.b.retries_left = 10.0
     todo = sends(adopt(d, SAFE, [HERE], MOST - 2))
-    numbers, answers = [], list[i.Action]()
+    numbers, answers = [], list[Action]()
     while todo:
         numbers += [n for _, n in d.b.attempts]
-        answers = d.end(todo[0], i.Result.ERROR)
+        answers = d.end(todo[0], Result.ERROR)
         todo = sends(answers)
-    assert numbers == [0, 1] and i.Reject(1, 500.0) in answers
+    assert numbers == [0, 1] and Reject(1, 500.0) in answers
 
 
 def test_a_first_attempt_here_that_never_ran_leaves_the_earlier_life_s_standing() -> None:
     d = gateway()
     [send] = sends(adopt(d, KEYED, [replace(HERE, sent_ms=d.now - WINDOW_MS + 100.0)]))
     d.now += 120.0  # the server's memory of the first is over by now
-    assert i.Fail(1) in d.end(send, i.Result.CONNECT_FAILED)
+    assert Fail(1) in d.end(send, Result.CONNECT_FAILED)
 
 
 def test_servers_tried_before_come_last() -> None:
@@ -122,7 +152,7 @@
 def test_what_it_leaves_is_called_off_here_and_nowhere_else() -> None:
     d = gateway()
     [send] = sends(adopt(d, SAFE, [HERE]))
-    assert [a for a in d.give(i.ClientDisconnected(send.request)) if isinstance(a, i.Cancel)] == [i.Cancel(1, 0)]
+    assert [a for a in d.give(ClientDisconnected(send.request)) if isinstance(a, Cancel)] == [Cancel(1, 0)]
 
 
 @pytest.mark.parametrize("adopted", [False, True])
@@ -154,6 +184,6 @@
                 builds.add(d.b.servers[send.server].build)
         assert min(builds) == least and max(builds) == 42
     alone = gateway(rollout=rollout)
-    alone.listed([*(entry(n) for n in range(4)), entry(10, 42, 1.0, state=i.ServerState.DRAINING)])
+    alone.listed([*(entry(n) for n in range(4)), entry(10, 42, 1.0, state=ServerState.DRAINING)])
     alone.news(42, 1, 0.5)
     assert became(alone, adopt(alone, SAFE, [replace(HERE, build=42)], key=5))[0] == "Refuse"
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -27,8 +27,19 @@
 KEPT = sorted((Path(__file__).parent / "counterexamples").glob("*.json"))
 TINY = Setting(scene="attempts", gateways=1, servers=2, requests=1, troubles=1, waits=1)
 PAIR = Setting(scene="release", gateways=2, servers=2, requests=2, troubles=0, waits=1)
-FAST = ("unsafe-retried", "drain-edge", "window-edge", "late-answer-unbound", "timer-lost", "cold-ignored",
-        "slot-kept", "split-head-missed", "noise-behind-kept", "drain-never-ends", "ends-twice")  # fmt: skip
+FAST = (
+    "unsafe-retried",
+    "drain-edge",
+    "window-edge",
+    "late-answer-unbound",
+    "timer-lost",
+    "cold-ignored",
+    "slot-kept",
+    "split-head-missed",
+    "noise-behind-kept",
+    "drain-never-ends",
+    "ends-twice",
+)
 
 
 def search(setting: Setting, workers: int = 1, **more: Any) -> Coverage:
--- a/tests/test_check_rare.py
+++ b/tests/test_check_rare.py
@@ -11,8 +11,15 @@
 from meadowpulley.check.worlds import Step
 
 DEEP = {"signals": (2, 1), "backlog": (2, 2), "halves": (1, 1), "late": (1, 2), "lists": (1, 1)}
-PLANTED = ("drain-drops-all", "ends-with-clients", "backlog-dropped", "reload-takes-all",
-           "end-of-sending-ignored", "unasked-kept", "missing-kept")  # fmt: skip
+PLANTED = (
+    "drain-drops-all",
+    "ends-with-clients",
+    "backlog-dropped",
+    "reload-takes-all",
+    "end-of-sending-ignored",
+    "unasked-kept",
+    "missing-kept",
+)
 CONNECT, ASK = Step("connect", (0,)), Step("write", (0, len(request_text("get", "c0r0"))))
 
 
@@ -28,9 +35,7 @@
 @pytest.mark.parametrize("scene", DEEP)
 def test_no_order_of_a_rare_moment_breaks_a_property(scene: str) -> None:
     troubles, waits = DEEP[scene]
-    setting = Setting(
-        world="connection", scene=scene, servers=1, requests=1, troubles=troubles, waits=waits
-    )  # fmt: skip
+    setting = Setting(world="connection", scene=scene, servers=1, requests=1, troubles=troubles, waits=waits)
     coverage = Search(setting, workers=1).run()
     assert coverage.counterexample is None, coverage.counterexample
     assert coverage.complete and coverage.states > 300
--- a/tests/test_check_shared.py
+++ b/tests/test_check_shared.py
@@ -13,9 +13,18 @@
 from meadowpulley.check.shared import SCENES, Shared
 from meadowpulley.check.worlds import Step
 
-FAST = ("sealed-commits", "creates-over", "seals-the-renewed", "suspects-early", "takes-from-the-living",
-        "death-missed", "rights-forgotten", "lives-uncounted", "floors-lent-too",
-        "grant-from-hearing")  # fmt: skip
+FAST = (
+    "sealed-commits",
+    "creates-over",
+    "seals-the-renewed",
+    "suspects-early",
+    "takes-from-the-living",
+    "death-missed",
+    "rights-forgotten",
+    "lives-uncounted",
+    "floors-lent-too",
+    "grant-from-hearing",
+)
 
 
 def search(scene: str, depth: int, **more: Any) -> Coverage:
--- a/tests/test_check_worlds.py
+++ b/tests/test_check_worlds.py
@@ -9,7 +9,6 @@
 import pytest
 from click.testing import CliRunner, Result
 
-from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
 from meadowpulley.check import Setting, story as stories
 from meadowpulley.check.connection import Connection, cuts_of, request_text
@@ -17,6 +16,7 @@
 from meadowpulley.check.graph import Copier, Forms, Walker, digest
 from meadowpulley.check.worlds import Step
 from meadowpulley.cli import main
+from meadowpulley.interface import Action, ClientDisconnected, Event, GossipReceived, Request, SendGossip
 
 TINY = Setting(scene="attempts", gateways=1, servers=2, requests=1, troubles=1, waits=1)
 
@@ -88,10 +88,10 @@
 
     heard = 0
 
-    def handle(self, now: float, event: i.Event) -> list[i.Action]:
-        if isinstance(event, i.GossipReceived):
+    def handle(self, now: float, event: Event) -> list[Action]:
+        if isinstance(event, GossipReceived):
             self.heard += 1
-        told: list[i.Action] = [i.SendGossip(None, b"x")] if isinstance(event, i.Request) else []
+        told: list[Action] = [SendGossip(None, b"x")] if isinstance(event, Request) else []
         return super().handle(now, event) + told
 
 
@@ -160,15 +160,20 @@
 
 def test_shrinking_leaves_out_what_is_not_needed() -> None:
     class Leaky(Balancer):
-        def handle(self, now: float, event: i.Event) -> list[i.Action]:  # what left is kept: the planted bug
-            return [] if isinstance(event, i.ClientDisconnected) else super().handle(now, event)
+        def handle(self, now: float, event: Event) -> list[Action]:  # what left is kept: the planted bug
+            return [] if isinstance(event, ClientDisconnected) else super().handle(now, event)
 
     def worlds(setting: Setting, **_: Any) -> Decisions:
         return Decisions(setting, make=Leaky)
 
     setting = Setting(scene="members", gateways=2, servers=1, requests=2, troubles=2, ordered=False)
-    steps = (Step("gone", (1,)), Step("ask", (1, 1)), Step("list", (0, 1)), Step("ask", (0, 0)),
-             Step("leave", (0, 1)))  # fmt: skip
+    steps = (
+        Step("gone", (1,)),
+        Step("ask", (1, 1)),
+        Step("list", (0, 1)),
+        Step("ask", (0, 0)),
+        Step("leave", (0, 1)),
+    )
     patch = pytest.MonkeyPatch()
     patch.setattr(stories, "make_world", worlds)
     try:
@@ -197,8 +202,27 @@
 
 
 def test_the_command_tells_what_was_covered() -> None:
-    done = run("check", "run", "--scene", "window", "--gateways", 1, "--servers", 2, "--requests", 2,
-               "--troubles", 0, "--workers", 1, "--walks", 3, "--walk-steps", 10, "--json")  # fmt: skip
+    done = run(
+        "check",
+        "run",
+        "--scene",
+        "window",
+        "--gateways",
+        1,
+        "--servers",
+        2,
+        "--requests",
+        2,
+        "--troubles",
+        0,
+        "--workers",
+        1,
+        "--walks",
+        3,
+        "--walk-steps",
+        10,
+        "--json",
+    )
     [told] = json.loads(done.stdout)
     assert done.exit_code == 0 and told["complete"] and told["walks"] == 3
     assert told["covered"] == "all within at most 0 troubles and 1 waits a path"
--- a/tests/test_client_links.py
+++ b/tests/test_client_links.py
@@ -14,9 +14,9 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
-from meadowpulley import interface as i
 from meadowpulley.__main__ import MonotonicReactor
 from meadowpulley.check.connection.scenes import INSTANCES
+from meadowpulley.interface import ClientDisconnected, Outcome, Request, Result, Send
 from meadowpulley.net.client_link import FIRST_MS, IDLE_MS, LATE_MS, LINGER_MS, TURN_REQUESTS, ClientLink
 from meadowpulley.net.clients import MUTE_MS
 from meadowpulley.net.config import Config
@@ -127,7 +127,7 @@
     turns.skew += IDLE_MS + 1.0  # due, and the reactor's own call for it comes only later
     client.send("GET", "/look")
     turns.turn()
-    assert turns.decisions.count(i.Request) == 1 and turns.links[0].taken is not None
+    assert turns.decisions.count(Request) == 1 and turns.links[0].taken is not None
 
 
 def test_a_connection_that_is_closed_between_requests_is_closed_in_that_turn(turns: Turns) -> None:
@@ -195,7 +195,7 @@
 
 def hold_up(turns: Turns) -> None:
     """The one request is answered, and the kernel takes only a part of it."""
-    while not turns.decisions.count(i.Request):
+    while not turns.decisions.count(Request):
         turns.turn()
     (link,) = turns.links
     link.wire.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
@@ -209,7 +209,7 @@
     # A second after the last byte was the kernel's, or at once to make room, it was thrown away with a reset.
     client = Slow(turns.port)
     client.send("GET", "/look", Connection="close")
-    while not turns.decisions.count(i.Request):
+    while not turns.decisions.count(Request):
         turns.turn()
     taken = next(link.taken for link in turns.links if link.taken)
     turns.gateway.requests.answer(taken, 200, {}, bytes(60_000))
@@ -234,11 +234,13 @@
     client = turns.client()
     client.send("GET", "/look")
     client.socket.sendall(ahead)
-    while not turns.decisions.count(i.Request):
+    while not turns.decisions.count(Request):
         turns.turn()
     client.socket.shutdown(how)
     turns.turn(20)
-    assert not turns.links and turns.decisions.count(i.Request) == turns.decisions.count(i.ClientDisconnected) == 1
+    assert (
+        not turns.links and turns.decisions.count(Request) == turns.decisions.count(ClientDisconnected) == 1
+    )
 
 
 def test_a_flood_on_one_connection_leaves_each_turn_to_the_others(turns: Turns) -> None:
@@ -264,7 +266,7 @@
                 client.socket.send(request_ * 1000)
             turns.later(1.0)
             turns.turn()
-    assert turns.decisions.count(i.Request) <= 2 * TURN_REQUESTS and turns.ask(turns.client()) == 200
+    assert turns.decisions.count(Request) <= 2 * TURN_REQUESTS and turns.ask(turns.client()) == 200
 
 
 def test_a_request_whose_rest_lies_there_unread_has_come_in_time(turns: Turns) -> None:
@@ -325,10 +327,10 @@
     for n, line in enumerate([b"X-Org: a", b"X-Org: a-1", b"X-Org: a-", b"X-Org: ", b"X-Other: a"]):
         client = turns.client()
         client.socket.sendall(b"GET /look HTTP/1.1\r\nHost: a\r\nX-Txn: %d\r\n%b\r\n\r\n" % (n, line))
-        while turns.decisions.count(i.Request) == n:
+        while turns.decisions.count(Request) == n:
             turns.turn()
     turns.close()
-    assert [e.tenant for e in turns.decisions.told if isinstance(e, i.Request)] == [0, 1, 2, 2, 2]
+    assert [e.tenant for e in turns.decisions.told if isinstance(e, Request)] == [0, 1, 2, 2, 2]
 
 
 class Sends(Decisions):
@@ -340,7 +342,7 @@
 
     def handle(self, now: float, event: Any) -> list[Any]:
         super().handle(now, event)
-        return [i.Send(event.request, self.server)] if isinstance(event, i.Request) else []
+        return [Send(event.request, self.server)] if isinstance(event, Request) else []
 
 
 def test_a_connection_that_comes_up_once_the_client_has_gone_carries_nothing() -> None:
@@ -351,5 +353,5 @@
     (opening,) = [o for o in bench.reactor.openings if o.address in INSTANCES]
     up = opening.accept()
     assert not up.sent and not up.up
-    (outcome,) = [e for e in decisions.told if isinstance(e, i.Outcome)]
-    assert outcome.result is i.Result.NOT_SENT and not bench.gateway.requests.still_out
+    (outcome,) = [e for e in decisions.told if isinstance(e, Outcome)]
+    assert outcome.result is Result.NOT_SENT and not bench.gateway.requests.still_out
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -8,7 +8,6 @@
 
 import pytest
 
-from meadowpulley import interface as i
 from meadowpulley.drill.codec import (
     Batch,
     Kill,
@@ -20,6 +19,40 @@
     read_batch,
     records,
 )
+from meadowpulley.interface import (
+    Action,
+    BuildStatistics,
+    Cancel,
+    ClientDisconnected,
+    CloseIdleConnections,
+    DeduplicationScope,
+    Effect,
+    EndpointUpdateKind,
+    Fail,
+    FetchEndpoints,
+    GossipReceived,
+    IncorrectResponse,
+    LogLine,
+    Outcome,
+    Phase,
+    Probe,
+    ProbeResult,
+    Reject,
+    Request,
+    ResponseStarted,
+    Result,
+    RolloutUpdate,
+    Send,
+    SendGossip,
+    ServerEntry,
+    ServerState,
+    SetTimer,
+    StageGate,
+    Timer,
+    Verdict,
+    Vote,
+    Watch,
+)
 from meadowpulley.settings import SettingsError, parse_settings
 from tests import wire
 from tests.wire import event, f32, f64, u8, u16, u32, u64
@@ -39,30 +72,36 @@
         "1b 00000003 00006ed05d3a91c4 00 00000000 91f03b7c55d20a64"
         "40c0e62000000000 4028000000000000 01 0000000000"
     )
-    expect = i.Request(RID, 0, 0, 0x91F03B7C55D20A64, 8652.25, 12.0)
+    expect = Request(RID, 0, 0, 0x91F03B7C55D20A64, 8652.25, 12.0)
     assert one(raw) == (3, expect)
 
 
 def test_every_event_is_read() -> None:
     assert one(event(17, u32(3))) == (3, Kill())
-    assert one(event(19, u32(3), u64(77))) == (3, i.Timer(77))
-    assert one(event(25, u32(3), u64(RID))) == (3, i.ClientDisconnected(RID))
+    assert one(event(19, u32(3), u64(77))) == (3, Timer(77))
+    assert one(event(25, u32(3), u64(RID))) == (3, ClientDisconnected(RID))
     assert one(event(27, u32(3), u64(RID), u8(1), u32(2), u64(9), f64(5.0), f64(7.0), u8(6))) == (
-        3, i.Request(RID, 1, 2, 9, 5.0, None, True, True))  # fmt: skip
-    assert one(event(28, u32(3), u32(8), u8(1), f64(4.5))) == (3, i.IncorrectResponse(8, 1, 4.5))
+        3,
+        Request(RID, 1, 2, 9, 5.0, None, True, True),
+    )
+    assert one(event(28, u32(3), u32(8), u8(1), f64(4.5))) == (3, IncorrectResponse(8, 1, 4.5))
     assert one(event(21, u32(3), u16(42), u8(0), u32(180), u32(4), f64(21.5), f64(1252.0))) == (
-        3, i.BuildStatistics(42, 0, 180, 4, 21.5, 1252.0))  # fmt: skip
+        3,
+        BuildStatistics(42, 0, 180, 4, 21.5, 1252.0),
+    )
     assert one(event(23, u32(3), u16(42), f32(0.125), u8(2), u8(1), u8(0), f64(310.0), u16(200))) == (
-        3, i.RolloutUpdate(42, 2, i.Phase.TRIAL, 0.125, 310.0, i.Result.OK, True))  # fmt: skip
+        3,
+        RolloutUpdate(42, 2, Phase.TRIAL, 0.125, 310.0, Result.OK, True),
+    )
     done = event(26, u32(3), u64(RID), u8(1), u32(8), u16(502), f64(9.5), u8(1), u8(2), f32(1.5), f32(2.5))
-    assert one(done) == (3, i.Outcome(RID, 1, 8, i.Result.ERROR, 9.5, True, (1.5, 2.5)))
+    assert one(done) == (3, Outcome(RID, 1, 8, Result.ERROR, 9.5, True, (1.5, 2.5)))
     bare = event(26, u32(3), u64(RID), u8(0), u32(8), u16(408), f64(9.5), u8(0))
-    assert one(bare) == (3, i.Outcome(RID, 0, 8, i.Result.TIMEOUT, 9.5, False, ()))
-    assert one(event(24, u32(3), u64(RID), u8(0), u32(8), f64(9.25))) == (3, i.ResponseStarted(RID, 0, 8, 9.25))
+    assert one(bare) == (3, Outcome(RID, 0, 8, Result.TIMEOUT, 9.5, False, ()))
+    assert one(event(24, u32(3), u64(RID), u8(0), u32(8), f64(9.25))) == (3, ResponseStarted(RID, 0, 8, 9.25))
     pong = event(16, u32(3), u32(8), u16(200), f64(1.5), u8(1), f32(4.0))
-    assert one(pong) == (3, i.ProbeResult(8, i.Result.OK, 1.5, (4.0,)))
-    assert one(event(20, u32(3), u32(2), u32(1), u32(2)), b"xhi") == (3, i.GossipReceived(2, b"hi"))
-    assert one(event(29, u32(3), u8(2), u32(5), u32(41))) == (3, Topology(i.EndpointUpdateKind.CACHED, 5, 41))
+    assert one(pong) == (3, ProbeResult(8, Result.OK, 1.5, (4.0,)))
+    assert one(event(20, u32(3), u32(2), u32(1), u32(2)), b"xhi") == (3, GossipReceived(2, b"hi"))
+    assert one(event(29, u32(3), u8(2), u32(5), u32(41))) == (3, Topology(EndpointUpdateKind.CACHED, 5, 41))
 
 
 def test_a_ledger_reads_its_entries() -> None:
@@ -71,11 +110,14 @@
     )
     assert one(event(18, u32(2), u32(0), u32(2)), tail) == (
         None,
-        Ledger(2, (
-            i.ServerEntry(0x03124A07, 0, 0, i.ServerState.READY, 41, 0.0, 0, 1.0),
-            i.ServerEntry(9, 3, 1, i.ServerState.DRAINING, 42, 6100.0, 0, 1.0),
-        )),
-    )  # fmt: skip
+        Ledger(
+            2,
+            (
+                ServerEntry(0x03124A07, 0, 0, ServerState.READY, 41, 0.0, 0, 1.0),
+                ServerEntry(9, 3, 1, ServerState.DRAINING, 42, 6100.0, 0, 1.0),
+            ),
+        ),
+    )
 
 
 def test_an_instance_starts_with_its_settings() -> None:
@@ -84,9 +126,16 @@
     gateway, up = one(event(22, u32(3), u64(5), u32(0), u32(len(raw))), raw)
     assert gateway == 3 and isinstance(up, Up) and up.seed == 5
     s = up.settings
-    assert [c.effect for c in s.classes] == [i.Effect.IDEMPOTENT, i.Effect.NON_IDEMPOTENT, i.Effect.IDEMPOTENT_WITH_KEY]
-    assert s.classes[2].deduplication_window_ms == 2500.0 and s.classes[2].deduplication_scope is i.DeduplicationScope.ALL
-    assert s.rollout.caps == (0.1, 0.5, 1.0) and s.rollout.gate is i.StageGate.ANY and not s.rollout.in_place
+    assert [c.effect for c in s.classes] == [
+        Effect.IDEMPOTENT,
+        Effect.NON_IDEMPOTENT,
+        Effect.IDEMPOTENT_WITH_KEY,
+    ]
+    assert (
+        s.classes[2].deduplication_window_ms == 2500.0
+        and s.classes[2].deduplication_scope is DeduplicationScope.ALL
+    )
+    assert s.rollout.caps == (0.1, 0.5, 1.0) and s.rollout.gate is StageGate.ANY and not s.rollout.in_place
     assert s.report_columns == ("in_flight", "new") and s.inline_load_reports
     assert s.rules.overload_multiple == 2.0 and s.rules.drain_grace_ms == 2000.0 and not s.must_poll
 
@@ -127,21 +176,21 @@
 
 def test_every_action_is_written_as_the_tables_say() -> None:
     reply = Reply()
-    actions: list[tuple[i.Action, bytes]] = [
-        (i.Send(RID, 0x03124A07, 80.0), u8(20) + u32(3) + u64(RID) + u32(0x03124A07) + f64(80.0)),
-        (i.SetTimer(500.0, 77), u8(27) + u32(3) + f64(500.0) + u64(77)),
-        (i.Vote(42, 2, i.Verdict.ADVANCE), u8(16) + u32(3) + u16(42) + u8(2) + u8(1)),
-        (i.Cancel(RID, 1), u8(24) + u32(3) + u64(RID) + u8(1)),
-        (i.Fail(RID), u8(23) + u32(3) + u64(RID)),
-        (i.Reject(RID, 250.0), u8(18) + u32(3) + u64(RID) + f64(250.0)),
-        (i.Probe(9), u8(19) + u32(3) + u32(9)),
-        (i.CloseIdleConnections(9), u8(21) + u32(3) + u32(9)),
-        (i.FetchEndpoints(), u8(25) + u32(3)),
-        (i.Watch(), u8(22) + u32(3) + u8(1)),
-        (i.Watch(enabled=False), u8(22) + u32(3) + u8(0)),
-        (i.SendGossip(None, b"hi"), u8(17) + u32(3) + u16(0xFFFF) + u32(0) + u32(2)),
-        (i.SendGossip(2, b"yo"), u8(17) + u32(3) + u16(2) + u32(2) + u32(2)),
-        (i.LogLine("two"), u8(26) + u32(3) + u32(4) + u32(3)),
+    actions: list[tuple[Action, bytes]] = [
+        (Send(RID, 0x03124A07, 80.0), u8(20) + u32(3) + u64(RID) + u32(0x03124A07) + f64(80.0)),
+        (SetTimer(500.0, 77), u8(27) + u32(3) + f64(500.0) + u64(77)),
+        (Vote(42, 2, Verdict.ADVANCE), u8(16) + u32(3) + u16(42) + u8(2) + u8(1)),
+        (Cancel(RID, 1), u8(24) + u32(3) + u64(RID) + u8(1)),
+        (Fail(RID), u8(23) + u32(3) + u64(RID)),
+        (Reject(RID, 250.0), u8(18) + u32(3) + u64(RID) + f64(250.0)),
+        (Probe(9), u8(19) + u32(3) + u32(9)),
+        (CloseIdleConnections(9), u8(21) + u32(3) + u32(9)),
+        (FetchEndpoints(), u8(25) + u32(3)),
+        (Watch(), u8(22) + u32(3) + u8(1)),
+        (Watch(enabled=False), u8(22) + u32(3) + u8(0)),
+        (SendGossip(None, b"hi"), u8(17) + u32(3) + u16(0xFFFF) + u32(0) + u32(2)),
+        (SendGossip(2, b"yo"), u8(17) + u32(3) + u16(2) + u32(2) + u32(2)),
+        (LogLine("two"), u8(26) + u32(3) + u32(4) + u32(3)),
     ]
     for action, _ in actions:
         reply.add(3, action)
--- a/tests/test_compile.py
+++ b/tests/test_compile.py
@@ -20,9 +20,13 @@
     names = [f"meadowpulley.{name.removesuffix('.py').replace('/', '.')}" for name in HOT]
     show = "import importlib, sys\nfor n in sys.argv[1:]: print(importlib.import_module(n).__file__)"
     shown = subprocess.run(
-        [sys.executable, "-P", "-c", show, *names], cwd=ROOT, capture_output=True, text=True, check=True,
+        [sys.executable, "-P", "-c", show, *names],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
         env={**os.environ, "PYTHONPATH": ".venv/gateway"},
-    )  # fmt: skip
+    )
     plain = [
         file
         for file in shown.stdout.split()
@@ -42,9 +46,13 @@
     def build(compiler: str) -> str:
         mypyc.write_text(compiler)
         done = subprocess.run(
-            [sys.executable, str(tmp_path / "deploy" / "compile.py")], capture_output=True, text=True,
-            check=True, env={**os.environ, "PYTHONPATH": str(mypyc.parent)}, timeout=LIMIT_S * 3,
-        )  # fmt: skip
+            [sys.executable, str(tmp_path / "deploy" / "compile.py")],
+            capture_output=True,
+            text=True,
+            check=True,
+            env={**os.environ, "PYTHONPATH": str(mypyc.parent)},
+            timeout=LIMIT_S * 3,
+        )
         return done.stderr
 
     make = "import sys\nfor name in sys.argv[{}:]: open(name.replace('.py', '.cpython.so'), 'w').close()"
