--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -8,9 +8,19 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from meadowpulley import interface as i
 from meadowpulley.balance import LOST
 from meadowpulley.digests import MOST_BYTES, MOST_CLASSES, MOST_COUNT, MOST_FAILED, Digest, decode, encode
+from meadowpulley.interface import (
+    EndpointUpdateKind,
+    GossipReceived,
+    Phase,
+    Result,
+    SendGossip,
+    ServerState,
+    SetTimer,
+    Verdict,
+    Vote,
+)
 from tests.driver import LIMITS, SAFE, UNSAFE, Driver, entry, sends, settings, votes
 
 PEERS = replace(LIMITS, gossip=True)
@@ -67,7 +77,7 @@
 def test_bytes_that_are_no_digest_are_counted_and_change_nothing(data: bytes) -> None:
     assert decode(data) is None
     d = trial_of(0)
-    d.give(i.GossipReceived(3, data))
+    d.give(GossipReceived(3, data))
     assert d.b.peers.strays == 1 and not d.b.peers.told_by and not evidence(d)
 
 
@@ -81,7 +91,7 @@
         for send in sends(d.ask(SAFE if n % 2 else UNSAFE)):
             d.end(send)
     d.news(42, 1, 0.5)
-    d.listed((entry(100 + n, 42, d.now - 5000.0) for n in range(10)), i.EndpointUpdateKind.INCREMENTAL)
+    d.listed((entry(100 + n, 42, d.now - 5000.0) for n in range(10)), EndpointUpdateKind.INCREMENTAL)
     return d
 
 
@@ -93,7 +103,7 @@
     return max([x for sums in d.b.builds[42].pooled.sums.values() for x in sums.values()], default=0.0)
 
 
-def play(fleet: list[Driver], lost: float, fails: float, seconds: float, told: int = 1) -> list[i.Vote]:
+def play(fleet: list[Driver], lost: float, fails: float, seconds: float, told: int = 1) -> list[Vote]:
     """Each gateway takes two requests a second; those at build 42 fail by `fails`. Digests reach every other
     gateway `told` times, or not, by `lost`."""
     rng, cast = Random(5), []
@@ -104,20 +114,20 @@
             if rng.random() < 0.1:
                 for send in sends(d.ask(SAFE)):
                     bad = send.server >= 100 and rng.random() < fails
-                    acts += d.end(send, i.Result.ERROR if bad else i.Result.OK, 80.0, over=True)
+                    acts += d.end(send, Result.ERROR if bad else Result.OK, 80.0, over=True)
             cast += votes(acts)
             for act in acts:
-                if isinstance(act, i.SendGossip):
+                if isinstance(act, SendGossip):
                     assert act.peer is None and len(act.data) <= MOST_BYTES
                     for other in fleet:
                         if other is not d and rng.random() >= lost:
                             for _ in range(told):
-                                other.give(i.GossipReceived(d.b.s.gateway_index, act.data))
+                                other.give(GossipReceived(d.b.s.gateway_index, act.data))
     return cast
 
 
-def backs(cast: list[i.Vote]) -> int:
-    return sum(v.verdict is i.Verdict.ROLL_BACK and v.build == 42 for v in cast)
+def backs(cast: list[Vote]) -> int:
+    return sum(v.verdict is Verdict.ROLL_BACK and v.build == 42 for v in cast)
 
 
 def test_forty_gateways_find_together_a_build_that_none_finds_alone() -> None:
@@ -137,7 +147,7 @@
     for sender in range(1, MANY):
         told = Digest(sender, number, 42, (row,), tuple((n, SAFE) for n in failed))  # type: ignore[arg-type]
         for _ in range(times):
-            d.give(i.GossipReceived(sender, encode(told)))
+            d.give(GossipReceived(sender, encode(told)))
 
 
 def test_what_is_told_again_counts_once() -> None:
@@ -170,7 +180,7 @@
     sender: int, build: int, row: tuple[int, int, int, int, int], counts: bool
 ) -> None:
     d = trial_of(0)
-    d.give(i.GossipReceived(sender, encode(Digest(9, 1, build, (row,), ((100, SAFE), (9999, SAFE))))))
+    d.give(GossipReceived(sender, encode(Digest(9, 1, build, (row,), ((100, SAFE), (9999, SAFE))))))
     assert (evidence(d) > 0) == counts
 
 
@@ -194,7 +204,7 @@
 def second_of(d: Driver, second: int, row: tuple[int, int, int, int]) -> float:
     """How far build 42 is proven after what all told in a second: failures spread over its servers."""
     failed = tuple((100 + n % 10, SAFE) for n in range(row[1]))
-    d.give(i.GossipReceived(1, encode(Digest(7, second, 42, ((SAFE, *row),), failed))))
+    d.give(GossipReceived(1, encode(Digest(7, second, 42, ((SAFE, *row),), failed))))
     evidence(d)
     return float(d.b.builds[42].pooled.proof(10, False, d.b.needed))
 
@@ -212,8 +222,8 @@
 def test_errors_after_the_earlier_build_has_gone_are_not_held_against_its_last_good_answers() -> None:
     # A good build was taken off four seconds after its release: the next of such errors met nobody but it.
     d = trial_of(0, 200)
-    d.news(42, 2, 1.0, i.Phase.RELEASED)
-    d.listed((entry(n, state=i.ServerState.DRAINING) for n in range(20)), i.EndpointUpdateKind.INCREMENTAL)
+    d.news(42, 2, 1.0, Phase.RELEASED)
+    d.listed((entry(n, state=ServerState.DRAINING) for n in range(20)), EndpointUpdateKind.INCREMENTAL)
     assert second_of(d, 1, (178, 24, 137, 0)) == 0.0
 
 
@@ -223,27 +233,28 @@
     d = trial_of(0, 200)
     for n in range(1, 6):
         second_of(d, n, (0, 0, 100, bursts))
-    d.news(42, 2, 1.0, i.Phase.RELEASED)
-    d.listed((entry(n, state=i.ServerState.DRAINING) for n in range(20)), i.EndpointUpdateKind.INCREMENTAL)
+    d.news(42, 2, 1.0, Phase.RELEASED)
+    d.listed((entry(n, state=ServerState.DRAINING) for n in range(20)), EndpointUpdateKind.INCREMENTAL)
     for n in range(30):
         d.now += 50.0
         for send in sends(d.ask(SAFE)):
-            d.end(send, i.Result.ERROR if n % 3 == 0 else i.Result.OK, 80.0, over=True)
+            d.end(send, Result.ERROR if n % 3 == 0 else Result.OK, 80.0, over=True)
     evidence(d)
     assert (d.b.back_for == 42) == goes
 
 
 @pytest.mark.parametrize(
-    ("lost", "old_lost", "found"), [(75, 20, True), (30, 10, False), (75, 80, False)],
+    ("lost", "old_lost", "found"),
+    [(75, 20, True), (30, 10, False), (75, 80, False)],
     ids=["the build", "paused and cold machines", "all machines"],
-)  # fmt: skip
+)
 def test_a_build_whose_requests_time_out_goes_back(lost: int, old_lost: int, found: bool) -> None:
     # A build that did a sixth of the work once it was loaded was released, and the fleet served a tenth: no
     # gateway had the twenty requests that its own judgement takes.
     d = trial_of(0, 200)
     for number in range(1, 4):
         rows = ((SAFE, 90, 0, 240, 0), (LOST, lost, 0, old_lost, 0))
-        d.give(i.GossipReceived(1, encode(Digest(7, number, 42, rows))))
+        d.give(GossipReceived(1, encode(Digest(7, number, 42, rows))))
         evidence(d)
     assert (d.b.back_for == 42) == found
 
@@ -253,9 +264,9 @@
     told = []
     for _ in range(40):
         for send in sends(d.ask(SAFE)):
-            d.end(send, i.Result.TIMEOUT, 4000.0, over=True)
+            d.end(send, Result.TIMEOUT, 4000.0, over=True)
         d.now += 100.0
-        told += [decode(a.data) for a in d.tick() if isinstance(a, i.SendGossip)]
+        told += [decode(a.data) for a in d.tick() if isinstance(a, SendGossip)]
     rows = [row for one in told if one for row in one.classes if row[0] == LOST]
     assert sum(row[1] + row[3] for row in rows) > 20 and not any(one.failed for one in told if one)
 
@@ -267,14 +278,14 @@
     d.tick()
     d.b.judge_at = d.b.ask_again_at = d.b.timer_at = float("inf")
     told = encode(Digest(1, 1, 42, ((SAFE, 1, 0, 1, 0),)))
-    timers = [a.delay_ms for a in d.give(i.GossipReceived(1, told)) if isinstance(a, i.SetTimer)]
+    timers = [a.delay_ms for a in d.give(GossipReceived(1, told)) if isinstance(a, SetTimer)]
     assert timers and timers[0] <= 1000.0
 
 
 def test_the_lives_that_are_remembered_are_bounded() -> None:
     d = trial_of(0)
     for life in range(1000):
-        d.give(i.GossipReceived(1, encode(Digest(life, 1, 42))))
+        d.give(GossipReceived(1, encode(Digest(life, 1, 42))))
     assert len(d.b.peers.told_by) <= 4 * MANY
 
 
@@ -282,19 +293,19 @@
     d = Driver(settings(balancers=MANY))
     d.listed(entry(n) for n in range(4))
     d.news(42, 1, 0.5)
-    d.listed([entry(100, 42)], i.EndpointUpdateKind.INCREMENTAL)
+    d.listed([entry(100, 42)], EndpointUpdateKind.INCREMENTAL)
     told = []
     for _ in range(60):
         d.now += 100.0
         for send in sends(d.ask(SAFE)):
             told += d.end(send)
         told += d.tick()
-    assert not [a for a in told if isinstance(a, i.SendGossip)]
+    assert not [a for a in told if isinstance(a, SendGossip)]
 
 
 def accuse(d: Driver, server: int, by: range, number: int = 1) -> None:
     for sender in by:
-        d.give(i.GossipReceived(sender, encode(Digest(sender, number, 0, (), ((server, SAFE),) * 4))))
+        d.give(GossipReceived(sender, encode(Digest(sender, number, 0, (), ((server, SAFE),) * 4))))
     d.now += 1000.0
     d.tick()
 
@@ -320,7 +331,7 @@
     everywhere = trial_of(0)
     for sender in range(1, MANY):
         failed = tuple((n, SAFE) for n in (*range(20), 100, 101))
-        everywhere.give(i.GossipReceived(sender, encode(Digest(sender, 1, 0, (), failed))))
+        everywhere.give(GossipReceived(sender, encode(Digest(sender, 1, 0, (), failed))))
     everywhere.now += 1000.0
     everywhere.tick()
     for one in (d, everywhere):
@@ -344,7 +355,7 @@
     d.listed([entry(number), *(entry(n) for n in range(20, 40))])
     d.tick()
     d.b.peers.untold.extend([(SAFE, 41, number, 1, 0)] * 9)
-    d.give(i.GossipReceived(1, encode(Digest(1, 1, 41, (), ((number, SAFE),) * 2))))
+    d.give(GossipReceived(1, encode(Digest(1, 1, 41, (), ((number, SAFE),) * 2))))
     d.now += 1000.0
     d.tick()
     assert d.b.servers[number].rest_until > d.now
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,7 +12,7 @@
 import pytest
 from twisted.python.failure import Failure
 
-from meadowpulley import interface as i
+from meadowpulley.interface import EndpointUpdateKind, Event, ServerState
 from meadowpulley.net.discovery import Discovery
 from tests.standins import entry
 from tests.test_silent_watch import ANSWER_MS, TOLD_AFTER_SILENCE_MS, Rig
@@ -58,7 +58,7 @@
         )
         self.discovery = Discovery(self.gateway, places, 0.0)
 
-    def tell(self, event: i.Event) -> None:
+    def tell(self, event: Event) -> None:
         self.events.append(event)
         self.react(event)
 
@@ -76,13 +76,13 @@
         assert len(self.calls) == known + 1
         return self.calls[-1]
 
-    def heard(self) -> list[tuple[int, list[i.ServerState]]]:
+    def heard(self) -> list[tuple[int, list[ServerState]]]:
         """Versions and states, of what was told since the last look."""
         events, self.events = self.events, []
         return [(event.version, [e.state for e in event.entries]) for event in events]
 
 
-READY, DRAINING = i.ServerState.READY, i.ServerState.DRAINING
+READY, DRAINING = ServerState.READY, ServerState.DRAINING
 
 
 def watching(rig: Held, index: int, *entries: dict[str, Any]) -> Call:
@@ -124,7 +124,7 @@
 
 def test_a_watch_opened_on_the_news_of_a_failure_is_the_only_one() -> None:
     rig = Held()
-    rig.react = lambda event: rig.discovery.watch(True) if event.kind is i.EndpointUpdateKind.FAILED else None
+    rig.react = lambda event: rig.discovery.watch(True) if event.kind is EndpointUpdateKind.FAILED else None
     after_failures(rig, 2)
     rig.run(3_000.0)
     assert len(rig.calls) == 3 and rig.calls[2].protocol.up
@@ -283,14 +283,14 @@
     ("entries", "states", "placed"),
     [
         ([GONE, ELSEWHERE], [READY], [10]),  # back under another build: a log of what changed
-        ([ELSEWHERE, GONE], [i.ServerState.REMOVED], []),
+        ([ELSEWHERE, GONE], [ServerState.REMOVED], []),
         ([DRAINS, GONE, UP, ELSEWHERE], [READY], [10]),
         ([UP, OTHER], [READY, READY], [9, 9]),  # two names at one address are two instances
         ([], [], []),
     ],
 )
 def test_of_a_name_that_a_list_holds_twice_the_last_word_holds(
-    entries: list[dict[str, Any]], states: list[i.ServerState], placed: list[int], whole: bool
+    entries: list[dict[str, Any]], states: list[ServerState], placed: list[int], whole: bool
 ) -> None:
     # An instance that was gone and back in one list was told to the decisions, and its place forgotten.
     rig = Held()
@@ -323,11 +323,23 @@
 
 NAMED = {**OTHER, "status": "in_service"}
 UNREADABLE = [
-    b"", b" \n", b"null", b"[]", b"{}", b"\xff", b"[" * 100_000, BODY[:-1], BODY + b"}",
-    listed(42, NAMED, {**UP, "status": "lost"}), listed(42, NAMED, {**UP, "address": "s-1:9"}),
-    listed(42, NAMED, {**UP, "name": ""}), listed(42, NAMED, {**UP, "since_ms": None}),
-    BODY.replace(b"42", b"-" + b"9" * 5000), BODY.replace(b"42", b"1e999"), BODY.replace(b"42", b"NaN"),
-]  # fmt: skip
+    b"",
+    b" \n",
+    b"null",
+    b"[]",
+    b"{}",
+    b"\xff",
+    b"[" * 100_000,
+    BODY[:-1],
+    BODY + b"}",
+    listed(42, NAMED, {**UP, "status": "lost"}),
+    listed(42, NAMED, {**UP, "address": "s-1:9"}),
+    listed(42, NAMED, {**UP, "name": ""}),
+    listed(42, NAMED, {**UP, "since_ms": None}),
+    BODY.replace(b"42", b"-" + b"9" * 5000),
+    BODY.replace(b"42", b"1e999"),
+    BODY.replace(b"42", b"NaN"),
+]
 
 
 @pytest.mark.parametrize("body", UNREADABLE, ids=range(len(UNREADABLE)))
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -10,11 +10,11 @@
 import pytest
 from msgspec.structs import replace
 
-from meadowpulley import interface as i
 from meadowpulley.balance import Balancer, requests, sending
 from meadowpulley.cli.demo import demo_fleet
 from meadowpulley.emulator import Build, Fault, Release, Result, Scenario, World, emulate, parse_scenario
 from meadowpulley.fleet import Fleet, parse_fleet
+from meadowpulley.interface import Action, EndpointUpdate, EndpointUpdateKind, Event, Phase, ServerState
 from meadowpulley.load import PROFILES, synthesize
 from meadowpulley.rules import Record, trace_line
 
@@ -68,7 +68,7 @@
     world = World(fleet, synthesize(fleet, PROFILES["steady"], 90.0, 52.0, 1), 1, scenario)
     result = world.run()
     stands = {(s.build, s.phase) for s in world.platform.history}
-    assert (2, i.Phase.RELEASED) in stands and (3, i.Phase.ROLLED_BACK) in stands
+    assert (2, Phase.RELEASED) in stands and (3, Phase.ROLLED_BACK) in stands
     assert not result.broken, result.breaches[:3]
     assert result.worth_share > 0.98
 
@@ -99,8 +99,9 @@
     assert least <= result.worth_share <= most
     assert not result.broken, result.breaches[:3]
     assert [what for _, what in result.events if what.startswith("fault")] == [
-        f"fault on: {scenario.faults[0].kind}", f"fault off: {scenario.faults[0].kind}",
-    ]  # fmt: skip
+        f"fault on: {scenario.faults[0].kind}",
+        f"fault off: {scenario.faults[0].kind}",
+    ]
 
 
 def test_the_example_day_keeps_all_rules() -> None:
@@ -129,11 +130,11 @@
 class Stubborn(Balancer):
     """A planted bug: servers that drain or go stay in use."""
 
-    def handle(self, now: float, event: i.Event) -> list[i.Action]:
-        if isinstance(event, i.EndpointUpdate):
-            kept = tuple(e for e in event.entries if e.state is i.ServerState.READY)
-            kind = i.EndpointUpdateKind.INCREMENTAL if event.kind is i.EndpointUpdateKind.FULL else event.kind
-            event = i.EndpointUpdate(kind, event.version, kept)
+    def handle(self, now: float, event: Event) -> list[Action]:
+        if isinstance(event, EndpointUpdate):
+            kept = tuple(e for e in event.entries if e.state is ServerState.READY)
+            kind = EndpointUpdateKind.INCREMENTAL if event.kind is EndpointUpdateKind.FULL else event.kind
+            event = EndpointUpdate(kind, event.version, kept)
         return super().handle(now, event)
 
 
--- a/tests/test_emulator_silent.py
+++ b/tests/test_emulator_silent.py
@@ -5,10 +5,10 @@
 import pytest
 from msgspec.structs import replace
 
-from meadowpulley import interface as i
 from meadowpulley.balance import balancer, servers
 from meadowpulley.cli.demo import demo_fleet
 from meadowpulley.emulator import Build, Fault, Release, Result, Scenario, World
+from meadowpulley.interface import EndpointUpdate, EndpointUpdateKind
 from meadowpulley.load import PROFILES, synthesize
 from meadowpulley.records import State
 
@@ -34,9 +34,9 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # As it was: given up 4 s after the wait, and asked again with the spread of a fleet's calls.
-    def as_failed(b: State, event: i.EndpointUpdate) -> None:
-        silent = event.kind is i.EndpointUpdateKind.TIMED_OUT
-        servers.take_list(b, i.EndpointUpdate(i.EndpointUpdateKind.FAILED, event.version) if silent else event)
+    def as_failed(b: State, event: EndpointUpdate) -> None:
+        silent = event.kind is EndpointUpdateKind.TIMED_OUT
+        servers.take_list(b, EndpointUpdate(EndpointUpdateKind.FAILED, event.version) if silent else event)
 
-    monkeypatch.setitem(balancer.HANDLERS, i.EndpointUpdate, as_failed)
+    monkeypatch.setitem(balancer.HANDLERS, EndpointUpdate, as_failed)
     assert any("drains" in play(4000.0, seed).broken for seed in (1, 2, 3))
--- a/tests/test_emulator_together.py
+++ b/tests/test_emulator_together.py
@@ -8,11 +8,11 @@
 import pytest
 from msgspec.structs import replace
 
-from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
 from meadowpulley.emulator import Result, Scenario, World
 from meadowpulley.emulator.ledger import LedgerFigures
 from meadowpulley.emulator.together import Together
+from meadowpulley.interface import Action, Request, Send
 from meadowpulley.lending import Admission, Plan, Share
 from meadowpulley.lending.holder import Holder
 from meadowpulley.load import PROFILES, synthesize
@@ -46,15 +46,15 @@
 class Forgetful(Balancer):
     """What earlier lives of a request tried is not looked at."""
 
-    def handle(self, now: float, event: Any) -> list[i.Action]:
-        return super().handle(now, changed(event, prior_attempts=()) if isinstance(event, i.Request) else event)
+    def handle(self, now: float, event: Any) -> list[Action]:
+        return super().handle(now, changed(event, prior_attempts=()) if isinstance(event, Request) else event)
 
 
 def always_open(*_: Any) -> State:
     return State.OPEN
 
 
-def at_once(self: Hands, hand: Any, send: i.Send) -> None:
+def at_once(self: Hands, hand: Any, send: Send) -> None:
     hand.tries += 1
     hand.passed.append(hand.tries - 1)
     hand.out.add(len(hand.passed) - 1)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -23,20 +23,25 @@
         ("cores = 2, speed = 1.5", "cores = 0, speed = 1.5", "kinds[0].cores: "),
         ("cores = 2, speed = 1.5", "cores = 2, speed = nan", "kinds[0].speed: nan is no finite number"),
         ("cores = 2, speed = 1.5", "cores = 2, speed = -1", "kinds[0].speed: "),
-        ('site = "hobart", kind = "fast-2core", count = 3', 'site = "perth", kind = "fast-2core", count = 3',
-         "servers[0].site: 'perth' is not described; known are hobart, glenorchy, kingston"),
+        (
+            'site = "hobart", kind = "fast-2core", count = 3',
+            'site = "perth", kind = "fast-2core", count = 3',
+            "servers[0].site: 'perth' is not described; known are hobart, glenorchy, kingston",
+        ),
         ('kind = "std-2core", count = 2', 'kind = "odd", count = 2', "servers[1].kind: 'odd' is not"),
         ('{ name = "kingston" }', '{ name = "hobart" }', "sites: 'hobart' is there twice"),
-        ("deadline_ms = 3000", "deadline_ms = 300",
-         "classes[0].deadline_ms: 300 is under its aim_ms"),
+        ("deadline_ms = 3000", "deadline_ms = 300", "classes[0].deadline_ms: 300 is under its aim_ms"),
         ('effect = "unsafe"', 'effect = "keyed"', "classes[1].window_ms: "),
         ('effect = "unsafe"', 'effect = "maybe"', "classes[1].effect: "),
         ("clients = { retries = 1 }", "rollout = { stages = [0.5, 1.0] }", "rollout.caps: 3 for 2 stages"),
-        ("clients = { retries = 1 }", "rollout = { boot_ms = [9, 1] }",
-         "rollout.boot_ms: least 9 is above most 1"),
+        (
+            "clients = { retries = 1 }",
+            "rollout = { boot_ms = [9, 1] }",
+            "rollout.boot_ms: least 9 is above most 1",
+        ),
         ("version = 1", "version = ", "no TOML: "),
     ],
-)  # fmt: skip
+)
 def test_a_bad_fleet_is_one_line_that_names_file_place_and_remedy(old: str, new: str, told: str) -> None:
     assert old in FLEET
     with pytest.raises(FleetError) as error:
--- a/tests/test_fleet_log.py
+++ b/tests/test_fleet_log.py
@@ -9,8 +9,8 @@
 
 from click.testing import CliRunner
 
-from meadowpulley import interface as i
 from meadowpulley.cli.main import main
+from meadowpulley.interface import Outcome, Request, Result
 from meadowpulley.net.counters import Counters
 from meadowpulley.net.seconds import Tap, held
 from meadowpulley.report.seconds import add_up
@@ -71,10 +71,10 @@
     for driver in (d, same):
         driver.listed([entry(1), entry(2)])
     for n in range(1, 5):
-        asked = i.Request(n, SAFE, 0, 0, 3000.0)
+        asked = Request(n, SAFE, 0, 0, 3000.0)
         (sent,) = sends(tap.handle(0.0, asked))
         assert sends(same.b.handle(0.0, asked)) == [sent]
-        outcome = i.Outcome(n, 0, sent.server, i.Result.OK, 50.0, True)
+        outcome = Outcome(n, 0, sent.server, Result.OK, 50.0, True)
         assert tap.handle(0.0, outcome) == same.b.handle(0.0, outcome)
     assert counters["build.41.ok"] == counters["build.41.sent"] == 4
     assert held(d.b, 0.0)["servers"] == {"41.ready": 2} and held(d.b, 0.0)["news"][:2] == [41, 2]
--- a/tests/test_full_fleet.py
+++ b/tests/test_full_fleet.py
@@ -6,8 +6,8 @@
 from dataclasses import replace
 from random import Random
 
-from meadowpulley import interface as i
 from meadowpulley.balance import TELLERS
+from meadowpulley.interface import EndpointUpdateKind, Reject, Result, Send, SendGossip
 from tests.driver import LIMITS, RULES, SAFE, Driver, entry, sends, settings
 
 GATEWAYS, SERVERS, ZONES = 200, 100, 3
@@ -68,26 +68,26 @@
 
 def test_a_quiet_fleet_tells_little_and_failures_are_told_at_once() -> None:
     # 200 that each tell 200 once a second: 40,000 datagrams for 600 requests.
-    def told(d: Driver, result: i.Result) -> int:
+    def told(d: Driver, result: Result) -> int:
         for send in sends(d.ask(SAFE)):
             d.end(send, result, over=True)
         d.now += 1000.0
-        return sum(isinstance(a, i.SendGossip) for a in d.tick())
+        return sum(isinstance(a, SendGossip) for a in d.tick())
 
     fleet = [gateway(n) for n in range(GATEWAYS)]
     for d in fleet:
         d.news(42, 1, 0.5)
-        d.listed([entry(200, 42)], i.EndpointUpdateKind.INCREMENTAL)
-    quiet = [sum(told(d, i.Result.OK) for d in fleet) for _ in range(5)]
+        d.listed([entry(200, 42)], EndpointUpdateKind.INCREMENTAL)
+    quiet = [sum(told(d, Result.OK) for d in fleet) for _ in range(5)]
     assert 0 < sum(quiet) / len(quiet) < 1.5 * TELLERS
-    assert sum(told(d, i.Result.ERROR) for d in fleet) > 0.9 * GATEWAYS
+    assert sum(told(d, Result.ERROR) for d in fleet) > 0.9 * GATEWAYS
 
 
 def test_a_late_answer_now_and_then_refuses_nobody() -> None:
     # One late answer while nothing else was out left room for two: with one in twenty late, one in ten was
     # refused by gateways that have three requests in flight on average, now none, now eight.
     d, rng, asked, refused = gateway(5), Random(1), 0, 0
-    out: list[tuple[float, int, float, i.Send]] = []
+    out: list[tuple[float, int, float, Send]] = []
     for _ in range(20_000):
         d.now += 10.0
         d.tick()
@@ -96,7 +96,7 @@
             d.end(send, took=took)
         if rng.random() < 0.1:
             acts, asked = d.ask(SAFE), asked + 1
-            refused += sum(isinstance(act, i.Reject) for act in acts)
+            refused += sum(isinstance(act, Reject) for act in acts)
             took = 1500.0 if rng.random() < 0.05 else rng.expovariate(1 / 300.0)
             out = sorted(
                 [*out, *((d.now + took, asked, took, send) for send in sends(acts))], key=lambda o: o[:2]
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
 from meadowpulley.drill.codec import Batch, WireError, read_batch
 from meadowpulley.drill.host import Host
+from meadowpulley.interface import Action, Event
 from tests import wire
 from tests.wire import event, f64, u8, u32, u64
 
@@ -52,10 +52,18 @@
     tail = RAW + wire.entry(7) + wire.entry(8)
     raw = wire.batch(
         1.0,
-        [up(1), up(2), ledger(4, len(RAW), 1), listed(1, 4), ledger(4, len(RAW) + 26, 1), listed(2, 4),
-         request(1, 10), request(2, 20)],
+        [
+            up(1),
+            up(2),
+            ledger(4, len(RAW), 1),
+            listed(1, 4),
+            ledger(4, len(RAW) + 26, 1),
+            listed(2, 4),
+            request(1, 10),
+            request(2, 20),
+        ],
         tail,
-    )  # fmt: skip
+    )
     assert sends(Host().reply(read(raw))) == [(1, 10, 7), (2, 20, 8)]
 
 
@@ -73,7 +81,7 @@
 
 def test_a_failing_decision_is_reported_with_its_text() -> None:
     class Broken(Balancer):
-        def handle(self, now: float, event: i.Event) -> list[i.Action]:
+        def handle(self, now: float, event: Event) -> list[Action]:
             raise ValueError("out of range")
 
     reply = Host(Broken).reply(read(wire.batch(1.0, [up(1), event(19, u32(1), u64(1))], RAW)))
--- a/tests/test_instance_links.py
+++ b/tests/test_instance_links.py
@@ -9,8 +9,8 @@
 from twisted.internet.error import ConnectError
 from twisted.python.failure import Failure
 
-from meadowpulley import interface as i
 from meadowpulley.check.connection.scenes import CLASSES
+from meadowpulley.interface import Effect, Outcome, Probe, ProbeResult, RequestClass, Result
 from meadowpulley.net import names
 from meadowpulley.net.http1 import answer_bytes
 from meadowpulley.net.instance_link import PART_MS, REST_MS
@@ -33,7 +33,7 @@
     return wire
 
 
-ORDER = i.RequestClass("order", 200.0, 400.0, i.Effect.IDEMPOTENT_WITH_KEY, deduplication_window_ms=100.0)
+ORDER = RequestClass("order", 200.0, 400.0, Effect.IDEMPOTENT_WITH_KEY, deduplication_window_ms=100.0)
 
 
 def up(bench: Bench) -> Any:
@@ -184,10 +184,10 @@
 
     bench.reactor.connectTCP = connect
     assert b" 503 " in ask(bench, "r1", b"money").sent
-    bench.gateway.attempts.probe(i.Probe(server))
-    ends = [e for e in bench.told.events if isinstance(e, i.Outcome | i.ProbeResult)]
-    assert len(ends) > 1 and isinstance(ends[-1], i.ProbeResult)
-    assert {e.result for e in ends} == {i.Result.CONNECT_FAILED}
+    bench.gateway.attempts.probe(Probe(server))
+    ends = [e for e in bench.told.events if isinstance(e, Outcome | ProbeResult)]
+    assert len(ends) > 1 and isinstance(ends[-1], ProbeResult)
+    assert {e.result for e in ends} == {Result.CONNECT_FAILED}
     assert bench.gateway.instances.sockets == 0 and not len(bench.gateway.requests.table)
     faults = [e.partition(":")[0] for e in bench.world.log.errors]
     assert faults == (["send"] * (len(ends) - 1) + ["probe"] if how == "raised" else [])
--- a/tests/test_joint.py
+++ b/tests/test_joint.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from meadowpulley import interface as i
+from meadowpulley.interface import LogLine
 from meadowpulley.joint import Joint
 from meadowpulley.ledger import Commit, Create, Step
 
@@ -20,7 +20,7 @@
 
     def leave(self, now: float | None = None) -> list[Any]:
         self.done.append("left" if now is None else f"stage left at {now:g}")
-        return [i.LogLine("said"), LAST]
+        return [LogLine("said"), LAST]
 
 
 LAST = Commit(1, (Step((Create("k", b""),)),))
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from meadowpulley import interface as i
 from meadowpulley.balance import Failures, mixed_q
+from meadowpulley.interface import Phase, Result, RolloutUpdate, StageGate, Verdict, Vote
 from tests.driver import ROLLOUT, SAFE, UNSAFE, Driver, entry, sends, settings, votes
 
 ONE = [(0.0, 0)] * 4
@@ -95,9 +95,9 @@
     assert f.proof(1, False) >= 1
 
 
-def rollout(d: Driver, seconds: float, slow: float = 100.0, fail: int | None = None) -> list[i.Vote]:
+def rollout(d: Driver, seconds: float, slow: float = 100.0, fail: int | None = None) -> list[Vote]:
     """Even traffic at 50 a second over four earlier and two trial servers of build 42."""
-    found: list[i.Vote] = []
+    found: list[Vote] = []
     start = d.now
     while d.now < start + seconds * 1000:
         d.now += 20.0
@@ -108,32 +108,32 @@
             trial = server is not None and server.build == 42
             bad = trial and cls == fail
             took = slow if trial else 100.0 + d.last % 7
-            todo = sends(d.end(todo[0], i.Result.ERROR if bad else i.Result.OK, took))
+            todo = sends(d.end(todo[0], Result.ERROR if bad else Result.OK, took))
         found += votes(d.tick())
     return found
 
 
 def start(d: Driver, stage: int = 1, cap: float = 0.5, before: float = 3.0) -> None:
     d.listed([entry(n) for n in range(4)])
-    d.news(41, 2, 1.0, i.Phase.RELEASED)
+    d.news(41, 2, 1.0, Phase.RELEASED)
     rollout(d, before)
     d.listed([*(entry(n) for n in range(4)), entry(10, 42, d.now), entry(11, 42, d.now)])
     d.news(42, stage, cap)
 
 
-def answer(d: Driver, vote: i.Vote) -> None:
-    d.give(i.RolloutUpdate(vote.build, 1, i.Phase.TRIAL, 0.5, 0.0, i.Result.OK, True))
+def answer(d: Driver, vote: Vote) -> None:
+    d.give(RolloutUpdate(vote.build, 1, Phase.TRIAL, 0.5, 0.0, Result.OK, True))
 
 
-@pytest.mark.parametrize("gate", [i.StageGate.ANY, i.StageGate.SHARE])
-def test_a_good_build_gets_its_on_vote_by_the_stage_age_and_it_is_renewed(gate: i.StageGate) -> None:
+@pytest.mark.parametrize("gate", [StageGate.ANY, StageGate.SHARE])
+def test_a_good_build_gets_its_on_vote_by_the_stage_age_and_it_is_renewed(gate: StageGate) -> None:
     d = Driver(settings(rollout=replace(ROLLOUT, gate=gate)))
     start(d)
     first = rollout(d, 4.2)
-    assert first and set(first) == {i.Vote(42, 1, i.Verdict.ADVANCE)}
+    assert first and set(first) == {Vote(42, 1, Verdict.ADVANCE)}
     answer(d, first[0])
     assert not rollout(d, 2.5)
-    assert i.Vote(42, 1, i.Verdict.ADVANCE) in rollout(d, 1.0)
+    assert Vote(42, 1, Verdict.ADVANCE) in rollout(d, 1.0)
 
 
 def test_a_vote_without_an_answer_is_sent_again_after_the_call_s_time() -> None:
@@ -141,29 +141,29 @@
     start(d)
     rollout(d, 4.2)
     again = rollout(d, 2.5)
-    assert 1 <= len(again) <= 3 and set(again) == {i.Vote(42, 1, i.Verdict.ADVANCE)}
+    assert 1 <= len(again) <= 3 and set(again) == {Vote(42, 1, Verdict.ADVANCE)}
 
 
 def test_a_refused_vote_does_not_count_as_standing() -> None:
     d = Driver()
     start(d)
     [*_, vote] = rollout(d, 4.2)
-    d.give(i.RolloutUpdate(vote.build, 0, i.Phase.TRIAL, 0.0, 0.0, i.Result.REJECTED, True))
-    assert i.Vote(42, 1, i.Verdict.ADVANCE) in rollout(d, 0.5)
+    d.give(RolloutUpdate(vote.build, 0, Phase.TRIAL, 0.0, 0.0, Result.REJECTED, True))
+    assert Vote(42, 1, Verdict.ADVANCE) in rollout(d, 0.5)
 
 
 def test_a_slow_build_goes_back() -> None:
     d = Driver()
     start(d)
-    assert i.Vote(42, 0, i.Verdict.ROLL_BACK) in rollout(d, 8, slow=400.0)
+    assert Vote(42, 0, Verdict.ROLL_BACK) in rollout(d, 8, slow=400.0)
 
 
 def test_a_build_that_fails_one_class_goes_back_and_stays_condemned() -> None:
     d = Driver()
     start(d)
-    assert i.Vote(42, 0, i.Verdict.ROLL_BACK) in rollout(d, 4, fail=UNSAFE)
+    assert Vote(42, 0, Verdict.ROLL_BACK) in rollout(d, 4, fail=UNSAFE)
     later = rollout(d, 8)
-    assert later and {v.verdict for v in later} == {i.Verdict.ROLL_BACK}
+    assert later and {v.verdict for v in later} == {Verdict.ROLL_BACK}
 
 
 def test_a_slow_kind_of_machine_is_not_a_slow_build() -> None:
@@ -171,39 +171,39 @@
     d = Driver()
     start(d)
     d.listed([*(entry(n) for n in range(4)), entry(10, 42, 1.0, kind=1), entry(11, 42, 1.0, kind=1)])
-    assert i.Verdict.ROLL_BACK not in {v.verdict for v in rollout(d, 8, slow=170.0)}
+    assert Verdict.ROLL_BACK not in {v.verdict for v in rollout(d, 8, slow=170.0)}
 
 
 def test_under_a_clock_a_balancer_never_votes_on_and_holds_for_a_while_only() -> None:
-    d = Driver(settings(rollout=replace(ROLLOUT, gate=i.StageGate.TIMER, hold_votes=1)))
+    d = Driver(settings(rollout=replace(ROLLOUT, gate=StageGate.TIMER, hold_votes=1)))
     start(d)
     assert not rollout(d, 6)
-    held = Driver(settings(rollout=replace(ROLLOUT, gate=i.StageGate.TIMER, hold_votes=1)))
+    held = Driver(settings(rollout=replace(ROLLOUT, gate=StageGate.TIMER, hold_votes=1)))
     start(held)
     verdicts = [v.verdict for v in rollout(held, 10, slow=140.0)]
-    assert i.Verdict.ADVANCE not in verdicts
-    if i.Verdict.HOLD in verdicts:
-        assert verdicts[-1] is not i.Verdict.HOLD
+    assert Verdict.ADVANCE not in verdicts
+    if Verdict.HOLD in verdicts:
+        assert verdicts[-1] is not Verdict.HOLD
 
 
 def test_the_back_vote_is_dropped_once_the_build_is_withdrawn() -> None:
     d = Driver()
     start(d)
     rollout(d, 4, fail=UNSAFE)
-    d.news(42, 1, 0.0, i.Phase.ROLLED_BACK)
+    d.news(42, 1, 0.0, Phase.ROLLED_BACK)
     assert not rollout(d, 2)
 
 
 def test_after_release_failures_still_send_a_build_back() -> None:
     d = Driver()
     start(d)
-    d.news(42, 2, 1.0, i.Phase.RELEASED)
-    assert i.Vote(42, 0, i.Verdict.ROLL_BACK) in rollout(d, 4, fail=SAFE)
+    d.news(42, 2, 1.0, Phase.RELEASED)
+    assert Vote(42, 0, Verdict.ROLL_BACK) in rollout(d, 4, fail=SAFE)
 
 
-def swing(d: Driver, seconds: float, shared: bool) -> list[i.Vote]:
+def swing(d: Driver, seconds: float, shared: bool) -> list[Vote]:
     """Both builds slow: in step with the trial build's traffic, or whatever it gets."""
-    found: list[i.Vote] = []
+    found: list[Vote] = []
     end = d.now + seconds * 1000
     recent: list[bool] = []
     while d.now < end:
@@ -219,7 +219,7 @@
 def test_a_build_that_slows_all_servers_goes_back() -> None:
     d = Driver()
     start(d)
-    assert i.Vote(42, 0, i.Verdict.ROLL_BACK) in swing(d, 12, shared=True)
+    assert Vote(42, 0, Verdict.ROLL_BACK) in swing(d, 12, shared=True)
 
 
 def test_a_dependency_that_slows_all_servers_is_waited_out() -> None:
@@ -227,8 +227,8 @@
     start(d)
     assert not swing(d, 10, shared=False)
     after = rollout(d, 8)
-    assert after[-1] == i.Vote(42, 1, i.Verdict.ADVANCE)
-    assert i.Verdict.ROLL_BACK not in {v.verdict for v in after}
+    assert after[-1] == Vote(42, 1, Verdict.ADVANCE)
+    assert Verdict.ROLL_BACK not in {v.verdict for v in after}
 
 
 def test_a_few_answers_that_come_very_late_condemn_no_build() -> None:
@@ -236,7 +236,7 @@
     # the mean of all was over the margin.
     d = Driver()
     start(d)
-    found: list[i.Vote] = []
+    found: list[Vote] = []
     trial = 0
     for _ in range(500):
         d.now += 20.0
@@ -245,7 +245,7 @@
             late = d.b.servers[send.server].build == 42 and trial % 20 == 0
             d.end(send, took=900.0 if late else 10.0 + d.last % 3)
         found += votes(d.tick())
-    assert i.Verdict.ROLL_BACK not in {v.verdict for v in found}
+    assert Verdict.ROLL_BACK not in {v.verdict for v in found}
 
 
 def test_the_same_events_give_the_same_votes() -> None:
@@ -262,6 +262,6 @@
     d = Driver()
     start(d, stage=0)
     rollout(d, 5)
-    d.news(42, 2, 1.0, i.Phase.RELEASED)
-    assert i.Verdict.ROLL_BACK not in {v.verdict for v in swing(d, 6, shared=False)}
-    assert i.Vote(42, 0, i.Verdict.ROLL_BACK) in swing(d, 10, shared=False)
+    d.news(42, 2, 1.0, Phase.RELEASED)
+    assert Verdict.ROLL_BACK not in {v.verdict for v in swing(d, 6, shared=False)}
+    assert Vote(42, 0, Verdict.ROLL_BACK) in swing(d, 10, shared=False)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -53,7 +53,7 @@
         ([RED, ""], 4, "line 2: not 'test | cause | issue'"),
         ([RED, RED], 4, "line 2: tests/test_it.py::test_red is listed twice"),
     ],
-)  # fmt: skip
+)
 def test_a_run_stands_by_its_list(tmp_path: Path, listed: list[str] | None, status: int, said: str) -> None:
     got, shown = play(tmp_path, listed)
     assert (got, said in shown) == (status, True), shown
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from meadowpulley import interface as i
+from meadowpulley.interface import SetTimer, Timer
 from meadowpulley.ledger import (
     Changed,
     Commit,
@@ -93,7 +93,7 @@
         for action in actions:
             if isinstance(action, Watched):
                 self.names = action.names
-            elif isinstance(action, i.SetTimer):
+            elif isinstance(action, SetTimer):
                 self.fleet.at(action.delay_ms / self.rate, self.timer)
             elif isinstance(action, Commit):
                 done = self.fleet.store.commit(self.keeper.me, action.steps)
@@ -109,7 +109,7 @@
 
     def timer(self) -> None:
         if self.awake(self.timer):
-            self.tell(i.Timer(5))
+            self.tell(Timer(5))
 
 
 class Fleet:
--- a/tests/test_ledger_client.py
+++ b/tests/test_ledger_client.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from meadowpulley import interface as i
+from meadowpulley.interface import SetTimer, Timer
 from meadowpulley.ledger import (
     Changed,
     Commit,
@@ -48,7 +48,7 @@
         self.numbers = 0
         self.watches: tuple[str, ...] = ("x/",)
         self.functions: dict[type, Callable[[Any], None]] = {
-            i.SetTimer: lambda a: self.after(a.delay_ms, lambda: self.tell(i.Timer(a.token)))
+            SetTimer: lambda a: self.after(a.delay_ms, lambda: self.tell(Timer(a.token)))
         }
 
     def now(self) -> float:
@@ -143,8 +143,9 @@
     assert not at.host.of(Committed)
     at.host.run(0.0)
     assert groups == [3] and [(c.ticket, [d.how for d in c.done]) for c in at.host.of(Committed)] == [
-        (1, [How.WON, How.WON]), (2, [How.LOST]),
-    ]  # fmt: skip
+        (1, [How.WON, How.WON]),
+        (2, [How.LOST]),
+    ]
     assert [r.key for r in at.host.of(Scanned)[0].records] == ["x/1", "x/2"]
     at.host.run(100.0)
     changes = [r.key for c in at.host.of(Changed) for r in c.changes.records]
@@ -321,4 +322,4 @@
 
 def test_timers_of_the_keeper_come_by_the_gateway() -> None:
     at = At()
-    assert i.Timer(5) in at.host.told
+    assert Timer(5) in at.host.told
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -10,7 +10,17 @@
 from hypothesis import given, settings as hypothesis_settings, strategies as st
 
 from benchmarks.lending_fleet import Admits, plain_settings
-from meadowpulley import interface as i
+from meadowpulley.interface import (
+    ClientDisconnected,
+    Fail,
+    Outcome,
+    PriorAttempt,
+    Reject,
+    Request,
+    Result,
+    Tenant,
+    Timer,
+)
 from meadowpulley.ledger.model import Committed, Done, Ended, How, Life
 from meadowpulley.lending import Admission, Lending, Plan, PlanError, Share, model as m, read_plan
 from meadowpulley.lending.allocator import Allocator
@@ -261,7 +271,7 @@
     assert read_plan(SETTINGS, {"HOME": "/"}) is None
     plan = read_plan(SETTINGS, CAPACITY | {"MEADOWPULLEY_LENDING_WEIGHTS": "z=4"})
     assert plan is not None and plan.tenants[2] == Share("z", 0.2, 4.0) and plan.tenants[0].weight == 0.5
-    quotas = tuple(i.Tenant(t.name, quota_per_s=25.0) for t in PLAN.tenants)
+    quotas = tuple(Tenant(t.name, quota_per_s=25.0) for t in PLAN.tenants)
     by_quota = read_plan(dataclasses.replace(SETTINGS, tenants=quotas), CAPACITY)
     assert by_quota is not None and [t.part for t in by_quota.tenants] == [0.25] * 3
     with pytest.raises(PlanError, match="no tenants"):
@@ -274,23 +284,23 @@
     return one
 
 
-def request(number: int, **more: Any) -> i.Request:
-    return i.Request(number, 0, more.pop("tenant", 0), 0, 1e9, **more)
+def request(number: int, **more: Any) -> Request:
+    return Request(number, 0, more.pop("tenant", 0), 0, 1e9, **more)
 
 
 def test_the_stage_refuses_at_once_with_when_to_come_back_and_counts_each_once() -> None:
     one = stage()
     acts = [one.handle(1000.0, request(n)) for n in range(60)]
-    refused = [act for turn in acts for act in turn if isinstance(act, i.Reject)]
+    refused = [act for turn in acts for act in turn if isinstance(act, Reject)]
     assert 40 <= len(refused) < 60 and all(0 < r.retry_after_ms <= 10_000.0 for r in refused)
     assert refused[0].retry_after_ms < refused[5].retry_after_ms
-    ran = i.PriorAttempt(1, 1, 0, 0, 0.0)
+    ran = PriorAttempt(1, 1, 0, 0, 0.0)
     before, tokens = one.demand.noted(0), one.holder.tokens
     assert one.handle(1000.0, request(99, adopted=True, tries=1, tried=(ran,))) == []
     assert one.holder.tokens == tokens  # it was admitted, and counted, where it was taken first
     one.handle(1000.0, request(100, repeat=True))
     assert one.demand.noted(0) == before  # a client's repeat is no further demand
-    assert any(isinstance(a, i.Reject) for a in one.handle(1000.0, request(101, adopted=True)))
+    assert any(isinstance(a, Reject) for a in one.handle(1000.0, request(101, adopted=True)))
 
 
 def test_a_sealed_gateway_has_its_floor_alone_and_one_that_leaves_nothing() -> None:
@@ -299,7 +309,7 @@
     one.handle(1000.0, Ended())
     assert one.holder.rate == 2.0
     one.leave(2000.0)
-    assert any(isinstance(act, i.Reject) for act in one.handle(5000.0, request(1)))
+    assert any(isinstance(act, Reject) for act in one.handle(5000.0, request(1)))
     assert one.handle(5001.0, request(2, adopted=True, tries=1)) == []
 
 
@@ -313,19 +323,19 @@
 @pytest.mark.parametrize(
     "event",
     [
-        i.ClientDisconnected(7),
-        i.Timer(1),
+        ClientDisconnected(7),
+        Timer(1),
         Committed(1, (Done(How.WON),), "takeover"),
-        i.Outcome(1, 1, 1, i.Result.OK, 1, True),
+        Outcome(1, 1, 1, Result.OK, 1, True),
     ],
 )
 def test_other_events_and_actions_pass_unchanged(event: Any) -> None:
     class Echo:
         def handle(self, now: float, event: Any) -> list[Any]:
-            return [event, i.Fail(5)]
+            return [event, Fail(5)]
 
     one = Lending(Echo(), SETTINGS, PLAN, A, 1)
-    assert one.handle(0.0, event)[:2] == [event, i.Fail(5)]
+    assert one.handle(0.0, event)[:2] == [event, Fail(5)]
 
 
 def test_shares_that_cant_be_change_nothing_in_a_running_gateway() -> None:
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -81,9 +81,7 @@
 
 
 @settings(derandomize=True, max_examples=60, deadline=None)
-@given(
-    st.floats(0.05, 1.0), st.floats(1.0, 10_000.0), st.floats(0.0, 20_000.0), st.floats(0.001, 20_000.0)
-)  # fmt: skip
+@given(st.floats(0.05, 1.0), st.floats(1.0, 10_000.0), st.floats(0.0, 20_000.0), st.floats(0.001, 20_000.0))
 def test_warm_up_is_integrated_and_inverted_exactly(
     start: float, cold: float, at: float, gain: float
 ) -> None:
@@ -96,8 +94,11 @@
 @settings(derandomize=True, max_examples=40, deadline=None)
 @given(
     st.lists(st.tuples(st.floats(0, 300), st.floats(0.1, 500)), min_size=1, max_size=40),
-    st.integers(1, 4), st.integers(1, 12), st.integers(0, 10), st.floats(0.3, 1.0),
-)  # fmt: skip
+    st.integers(1, 4),
+    st.integers(1, 12),
+    st.integers(0, 10),
+    st.floats(0.3, 1.0),
+)
 def test_no_work_is_lost_or_made(
     jobs: list[tuple[float, float]], cores: int, slots: int, queue: int, cold: float
 ) -> None:
--- a/tests/test_mixed_classes.py
+++ b/tests/test_mixed_classes.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Effect, Fail, Probe, ProbeResult, Reject, RequestClass, Result, SetTimer
 from tests.driver import LIMITS, Driver, fleet, sends, settings
 
-BRIEF = i.RequestClass("pos-1hz", 45.0, 90.0, i.Effect.IDEMPOTENT)
-LONG = i.RequestClass("shift", 4000.0, 8000.0, i.Effect.IDEMPOTENT)
+BRIEF = RequestClass("pos-1hz", 45.0, 90.0, Effect.IDEMPOTENT)
+LONG = RequestClass("shift", 4000.0, 8000.0, Effect.IDEMPOTENT)
 BOTH = (BRIEF, LONG)
 
 
@@ -22,10 +22,10 @@
     fleet(d)
     actions = d.ask(cls, left=BOTH[cls].deadline_ms)
     if probes:
-        assert not [a for a in actions if isinstance(a, i.Reject | i.Fail)]
-        [asked, _] = [a.server for a in actions if isinstance(a, i.Probe)]
+        assert not [a for a in actions if isinstance(a, Reject | Fail)]
+        [asked, _] = [a.server for a in actions if isinstance(a, Probe)]
         d.now += 1.0
-        actions = d.give(i.ProbeResult(asked, i.Result.OK, 1.0))
+        actions = d.give(ProbeResult(asked, Result.OK, 1.0))
     assert len(sends(actions)) == 1
 
 
@@ -44,14 +44,16 @@
     d = Driver(settings(limits=replace(LIMITS, probes=True), classes=BOTH))
     fleet(d)
     d.tick()
-    [timer] = [a for a in d.ask(0, left=BRIEF.deadline_ms) if isinstance(a, i.SetTimer)]
+    [timer] = [a for a in d.ask(0, left=BRIEF.deadline_ms) if isinstance(a, SetTimer)]
     d.now += timer.delay_ms
-    assert d.now < BRIEF.latency_objective_ms / 2 and len(sends(d.tick())) == 1  # without the answers to its probes
+    assert (
+        d.now < BRIEF.latency_objective_ms / 2 and len(sends(d.tick())) == 1
+    )  # without the answers to its probes
 
 
 @pytest.mark.parametrize("left", [30.0, 64.0])
 def test_a_request_with_less_left_than_two_ticks_waits_for_what_it_asked(left: float) -> None:
     d = Driver(settings(limits=replace(LIMITS, probes=True), classes=BOTH))
     fleet(d)
-    [asked, _] = [a.server for a in d.ask(0, left=left) if isinstance(a, i.Probe)]
-    assert [s.server for s in sends(d.give(i.ProbeResult(asked, i.Result.OK, 1.0)))] == [asked]
+    [asked, _] = [a.server for a in d.ask(0, left=left) if isinstance(a, Probe)]
+    assert [s.server for s in sends(d.give(ProbeResult(asked, Result.OK, 1.0)))] == [asked]
--- a/tests/test_net_hooks.py
+++ b/tests/test_net_hooks.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from meadowpulley import interface as i
 from meadowpulley.check.worlds import Setting, make_world
+from meadowpulley.interface import ClientDisconnected, Outcome, PriorAttempt, Request
 from meadowpulley.net import names
 from meadowpulley.net.hook import Answer, Asked, Release
 from meadowpulley.net.http1 import Message, answer_bytes
@@ -102,7 +102,7 @@
         return str(self.gateway.phase.value)
 
     def kinds(self) -> list[str]:
-        return [type(e).__name__ for e in self.told.events if isinstance(e, i.Request | i.ClientDisconnected)]
+        return [type(e).__name__ for e in self.told.events if isinstance(e, Request | ClientDisconnected)]
 
 
 def test_a_request_is_shown_whole_before_the_decisions_hear_of_it() -> None:
@@ -165,16 +165,16 @@
 
 def test_a_request_put_in_runs_as_any_other_and_a_draining_gateway_ends_after_it() -> None:
     bench, done = Bench(Fake()), list[Answer]()
-    tried = (i.PriorAttempt(5, 41, 0, 0, 0.0),)
+    tried = (PriorAttempt(5, 41, 0, 0, 0.0),)
     bench.put_in("lost", done.append, tries=1, tried=tried, arm=2)
-    event = next(e for e in bench.told.events if isinstance(e, i.Request))
+    event = next(e for e in bench.told.events if isinstance(e, Request))
     assert event.adopted and (event.prior_attempt_count, event.prior_attempts, event.arm) == (1, tried, 2)
     bench.gateway.drain()
     bench.wait(1000.0)
     assert bench.phase == "draining" and b"lost" in bench.instance.sent
     bench.answer(b"lost")
     assert done == [Answer(200, {"content-type": "text/plain"}, b"lost")] and bench.phase == "stopped"
-    assert [e.attempt for e in bench.told.events if isinstance(e, i.Outcome)] == [1]
+    assert [e.attempt for e in bench.told.events if isinstance(e, Outcome)] == [1]
     for headers, target in (({}, "/look"), ({names.ID: "x"}, "/none"), ({names.ID: "x"}, "")):
         with pytest.raises(ValueError, match="no request of ours"):
             bench.gateway.intake.put_in(Message("GET", target, headers=headers), 0.0, done.append)
@@ -234,7 +234,7 @@
 def test_a_request_is_settled_once_even_before_its_attempts_have_ended() -> None:
     bench, settled = Bench(Fake()), list[bool]()
     client = bench.ask()
-    request = next(e for e in bench.told.events if isinstance(e, i.Request)).request
+    request = next(e for e in bench.told.events if isinstance(e, Request)).request
     answer = Answer(502, {}, b"")
     bench.gateway.carry_out(Mark, lambda _: settled.append(bench.gateway.requests.settle(request, answer)))
     bench.told.marks = 2
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -16,10 +16,9 @@
 from msgspec.structs import replace
 from scipy import stats
 
-from meadowpulley import interface as i
 from meadowpulley.cli.demo import demo_fleet
 from meadowpulley.fleet import FleetError, settings_of
-from meadowpulley.interface import Candidate
+from meadowpulley.interface import Candidate, Request
 from meadowpulley.placement import (
     POLICIES,
     Arm,
@@ -43,8 +42,8 @@
     return Experiment(1, "try", **fields)
 
 
-def request(number: int, key: int = 0, **more: Any) -> i.Request:
-    return i.Request(number, 0, 0, key, 1e9, **more)
+def request(number: int, key: int = 0, **more: Any) -> Request:
+    return Request(number, 0, 0, key, 1e9, **more)
 
 
 # Definitions
@@ -121,7 +120,7 @@
     assert other != same[0]
 
 
-def replace_request(r: i.Request, **more: Any) -> i.Request:
+def replace_request(r: Request, **more: Any) -> Request:
     return dataclasses.replace(r, **more)
 
 
--- a/tests/test_placement_gateway.py
+++ b/tests/test_placement_gateway.py
@@ -105,8 +105,10 @@
 
     asked = {
         (n, key, k): world.look(gateways[n], f"{n:04x}{key:08x}{k:04x}", key)
-        for k in range(EACH) for n in range(3) for key in range(1, KEYS + 1)
-    }  # fmt: skip
+        for k in range(EACH)
+        for n in range(3)
+        for key in range(1, KEYS + 1)
+    }
     assert Counter(status(answer) for answer in asked.values()) == {200: 3 * KEYS * EACH}
     servers: dict[tuple[int, int], Counter[Any]] = defaultdict(Counter)
     for n, key, k in asked:
--- a/tests/test_placement_stage.py
+++ b/tests/test_placement_stage.py
@@ -8,9 +8,21 @@
 
 import pytest
 
-from meadowpulley import interface as i
 from meadowpulley.cli.demo import demo_fleet
 from meadowpulley.fleet import settings_of
+from meadowpulley.interface import (
+    ClientDisconnected,
+    Fail,
+    LogLine,
+    Outcome,
+    Phase,
+    ProbeResult,
+    Reject,
+    Request,
+    Result,
+    RolloutUpdate,
+    Timer,
+)
 from meadowpulley.ledger import (
     Changed,
     Commit,
@@ -86,7 +98,7 @@
             if isinstance(action, Commit) and not self.cut:
                 done = self.store.commit(self.life, action.steps)
                 self.tell(now, Committed(action.ticket, tuple(done), action.owner))
-            elif isinstance(action, i.LogLine):
+            elif isinstance(action, LogLine):
                 self.said.append(action.text)
         return found
 
@@ -96,15 +108,15 @@
         self.tell(now, Changed(changes))
 
     def look(self, now: float) -> None:
-        self.tell(now, i.Timer(4))
+        self.tell(now, Timer(4))
 
-    def take(self, now: float, number: int, **more: Any) -> i.Request:
-        self.tell(now, i.Request(number, 0, 0, 0, now + 2000.0, **more))
-        found: i.Request = self.inner.heard[-1]
+    def take(self, now: float, number: int, **more: Any) -> Request:
+        self.tell(now, Request(number, 0, 0, 0, now + 2000.0, **more))
+        found: Request = self.inner.heard[-1]
         return found
 
     def serve(self, now: float, number: int) -> None:
-        self.tell(now, i.Outcome(number, 0, 1, i.Result.OK, 10.0, True))
+        self.tell(now, Outcome(number, 0, 1, Result.OK, 10.0, True))
 
     def kill(self) -> None:
         self.store.dead.add(self.life)
@@ -125,7 +137,7 @@
     g = began()
     arms = Counter(g.take(1.0, n).arm for n in range(400))
     assert set(arms) == {1, 2} and min(arms.values()) > 150
-    for event in (i.Timer(1), i.ProbeResult(1, i.Result.OK, 1.0), LedgerLost("gone"), LedgerBack()):
+    for event in (Timer(1), ProbeResult(1, Result.OK, 1.0), LedgerLost("gone"), LedgerBack()):
         g.tell(2.0, event)
         assert g.inner.heard[-1] == event
     heard = len(g.inner.heard)
@@ -138,11 +150,11 @@
     for n in range(5):
         g.take(0.0, n)
     g.serve(30.0, 0)
-    g.inner.answers = [i.Reject(1, 100.0)]
-    g.tell(31.0, i.Timer(1))
-    g.inner.answers = [i.Fail(2)]
-    g.tell(32.0, i.Outcome(2, 0, 1, i.Result.RESET, 32.0, False))
-    g.tell(33.0, i.ClientDisconnected(3))
+    g.inner.answers = [Reject(1, 100.0)]
+    g.tell(31.0, Timer(1))
+    g.inner.answers = [Fail(2)]
+    g.tell(32.0, Outcome(2, 0, 1, Result.RESET, 32.0, False))
+    g.tell(33.0, ClientDisconnected(3))
     g.serve(40.0, 0)  # a second answer counts for nothing
     g.look(50.0)
     arm = g.summary().arms[0]
@@ -183,9 +195,9 @@
     assert g.take(0.0, 1).arm == 0
     g.learn(1.0)
     assert g.take(2.0, 2).arm
-    g.tell(3.0, i.RolloutUpdate(2, 1, i.Phase.ROLLING_BACK, 0.0, 0.0))
+    g.tell(3.0, RolloutUpdate(2, 1, Phase.ROLLING_BACK, 0.0, 0.0))
     assert g.take(4.0, 3).arm == 0
-    g.tell(5.0, i.RolloutUpdate(2, 1, i.Phase.ROLLED_BACK, 0.0, 0.0))
+    g.tell(5.0, RolloutUpdate(2, 1, Phase.ROLLED_BACK, 0.0, 0.0))
     assert g.take(6.0, 4).arm
     g.look(10.0)
     assert (g.summary().held, g.summary().requests) == (2, 2)
@@ -211,7 +223,7 @@
 
 def harm(g: Gateway, now: float, number: int, until: int) -> None:
     for n in range(number, until):
-        g.tell(now, i.Request(n, 0, 0, 0, now + 2000.0))
+        g.tell(now, Request(n, 0, 0, 0, now + 2000.0))
         slow = g.inner.heard[-1].arm == OTHER
         g.serve(now + (80.0 if slow else 20.0) + n % 7, n)
 
@@ -276,7 +288,7 @@
 def test_a_write_of_unknown_fate_is_not_written_twice_over() -> None:
     a = began()
     a.take(1.0, 1)
-    for action in a.stage.handle(2.0, i.Timer(4)):
+    for action in a.stage.handle(2.0, Timer(4)):
         if isinstance(action, Commit):  # carried out, but the answer was lost
             a.store.commit(a.life, action.steps)
             a.tell(3.0, Committed(action.ticket, (Done(How.UNKNOWN),), action.owner))
@@ -319,7 +331,7 @@
 
 def test_who_adopts_a_request_that_was_in_no_arm_does_not_count_it() -> None:
     a = began()
-    a.tell(1.0, i.RolloutUpdate(2, 1, i.Phase.ROLLING_BACK, 0.0, 0.0))
+    a.tell(1.0, RolloutUpdate(2, 1, Phase.ROLLING_BACK, 0.0, 0.0))
     assert a.take(2.0, 1).arm == 0
     a.look(3.0)
     a.kill()
--- a/tests/test_placements_hook.py
+++ b/tests/test_placements_hook.py
@@ -7,35 +7,47 @@
 
 import pytest
 
-from meadowpulley import interface as i
 from meadowpulley.balance import Balancer
+from meadowpulley.interface import (
+    Action,
+    Candidate,
+    EndpointUpdateKind,
+    Phase,
+    Placement,
+    Reject,
+    Request,
+    Result,
+    Send,
+    ServerState,
+    Settings,
+)
 from tests.driver import ROLLOUT, SAFE, Driver, entry, sends, settings
 
 
-def highest(now: float, r: i.Request, seen: Sequence[i.Candidate]) -> Sequence[int]:
+def highest(now: float, r: Request, seen: Sequence[Candidate]) -> Sequence[int]:
     return sorted(range(len(seen)), key=lambda n: -seen[n].server)
 
 
-def never(now: float, r: i.Request, seen: Sequence[i.Candidate]) -> Sequence[int]:
+def never(now: float, r: Request, seen: Sequence[Candidate]) -> Sequence[int]:
     raise AssertionError("arm 0 is the module's own choice")
 
 
-def nobody(now: float, r: i.Request, seen: Sequence[i.Candidate]) -> Sequence[int]:
+def nobody(now: float, r: Request, seen: Sequence[Candidate]) -> Sequence[int]:
     return []
 
 
-def gateway(*placements: i.Placement, seed: int = 7, s: i.Settings | None = None) -> Driver:
+def gateway(*placements: Placement, seed: int = 7, s: Settings | None = None) -> Driver:
     d = Driver(s or settings(), seed=seed, told=False)
     d.b = Balancer(s or settings(), seed, placements)
     d.now = 10_000.0
-    d.news(41, 2, 1.0, i.Phase.RELEASED)
+    d.news(41, 2, 1.0, Phase.RELEASED)
     d.listed(entry(n) for n in range(5))
     return d
 
 
-def ask(d: Driver, arm: int = 1, cls: int = SAFE, key: int = 0) -> list[i.Send]:
+def ask(d: Driver, arm: int = 1, cls: int = SAFE, key: int = 0) -> list[Send]:
     d.last += 1
-    return sends(d.give(i.Request(d.last, cls, 0, key, d.now + 2000.0, arm=arm)))
+    return sends(d.give(Request(d.last, cls, 0, key, d.now + 2000.0, arm=arm)))
 
 
 def test_arm_0_and_arms_nobody_knows_are_the_module_s_own_choice_draw_for_draw() -> None:
@@ -51,7 +63,7 @@
 
 
 def _drains(d: Driver) -> None:
-    d.listed([entry(4, state=i.ServerState.DRAINING)], i.EndpointUpdateKind.INCREMENTAL)
+    d.listed([entry(4, state=ServerState.DRAINING)], EndpointUpdateKind.INCREMENTAL)
 
 
 def _is_gone(d: Driver) -> None:
@@ -59,7 +71,7 @@
 
 
 def _is_cold(d: Driver) -> None:
-    d.listed([entry(4, started=d.now)], i.EndpointUpdateKind.INCREMENTAL)
+    d.listed([entry(4, started=d.now)], EndpointUpdateKind.INCREMENTAL)
     while sends(d.ask(SAFE)):
         if d.b.servers[4].slot >= 0 and d.b.servers[4].left < 1:
             return
@@ -68,12 +80,12 @@
 def _rests(d: Driver) -> None:
     for _ in range(4):
         for send in ask(d):
-            d.end(send, i.Result.ERROR, 10.0, over=True)
+            d.end(send, Result.ERROR, 10.0, over=True)
         d.now += 10.0
 
 
 def _is_on_trial(d: Driver) -> None:  # and the request's key, the cap being 0, may not go there
-    d.listed([entry(4, 42, 1.0)], i.EndpointUpdateKind.INCREMENTAL)
+    d.listed([entry(4, 42, 1.0)], EndpointUpdateKind.INCREMENTAL)
     d.news(42, 0, 0.0)
 
 
@@ -89,24 +101,24 @@
 def test_what_is_left_out_is_not_asked_and_the_request_is_answered_all_the_same() -> None:
     d = gateway(never, nobody)
     assert not ask(d)
-    answers: list[i.Action] = []
+    answers: list[Action] = []
     while d.b.held:
         d.now += 50.0
-        answers += [a for a in d.tick() if isinstance(a, i.Reject | i.Send)]
-    assert answers == [i.Reject(1, 500.0)]
+        answers += [a for a in d.tick() if isinstance(a, Reject | Send)]
+    assert answers == [Reject(1, 500.0)]
 
 
 def test_a_further_attempt_goes_to_a_server_that_was_not_tried() -> None:
     d = gateway(never, highest)
     [first] = ask(d)
-    [second] = sends(d.end(first, i.Result.CONNECT_FAILED))
+    [second] = sends(d.end(first, Result.CONNECT_FAILED))
     assert (first.server, second.server) == (4, 3)
 
 
 def test_what_a_placement_is_given() -> None:
-    given: list[tuple[float, i.Request, Sequence[i.Candidate]]] = []
+    given: list[tuple[float, Request, Sequence[Candidate]]] = []
 
-    def first(now: float, r: i.Request, seen: Sequence[i.Candidate]) -> Sequence[int]:
+    def first(now: float, r: Request, seen: Sequence[Candidate]) -> Sequence[int]:
         given.append((now, r, seen))
         return [0]
 
@@ -120,8 +132,9 @@
     (now, r, seen), (_, _, last) = given[0], given[2]
     assert (now, r.key, r.arm) == (d.now, 9, 1)
     assert seen == [
-        i.Candidate(1, 0, 0, 0, 41, 0, 1.0, 0.0, True), i.Candidate(3, 1, 2, 1, 41, 0, 0.7, 0.0, False)
-    ]  # fmt: skip
+        Candidate(1, 0, 0, 0, 41, 0, 1.0, 0.0, True),
+        Candidate(3, 1, 2, 1, 41, 0, 0.7, 0.0, False),
+    ]
     assert last[0] == replace(seen[0], out=1, usual_ms=80.0) and last[1] == seen[1]
 
 
--- a/tests/test_platform_races.py
+++ b/tests/test_platform_races.py
@@ -8,14 +8,14 @@
 
 import pytest
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Result, Verdict, Vote
 from meadowpulley.net.control import SILENT_MS, Platform
 from tests.driver import ROLLOUT
 from tests.standins import TRIAL
 from tests.test_discovery import Held
 from tests.test_silent_watch import Wire
 
-VOTE = i.Vote(42, 0, i.Verdict.ADVANCE)
+VOTE = Vote(42, 0, Verdict.ADVANCE)
 LATER = TRIAL | {"tranche": 1, "exposure": 0.1}
 
 
@@ -38,7 +38,7 @@
     def says(link: Any, **fields: Any) -> None:
         link.dataReceived(json.dumps({"jsonrpc": "2.0", **fields}).encode() + b"\n")
 
-    def news(self) -> list[tuple[int, float, bool, i.Result]]:
+    def news(self) -> list[tuple[int, float, bool, Result]]:
         events, self.events = self.events, []
         return [(e.stage, e.cap, e.answers_vote, e.result) for e in events]
 
@@ -54,13 +54,13 @@
     new = rig.up()
     rig.says(new, id=3, result=True)
     rig.says(new, method="ROLLOUT", params=LATER)
-    assert rig.news() == [(1, 0.1, False, i.Result.OK)]
+    assert rig.news() == [(1, 0.1, False, Result.OK)]
     if late:
-        rig.gateway.deadlines.at(0.0, lambda: rig.platform._finish(old.calls[0], i.Result.TIMEOUT))
+        rig.gateway.deadlines.at(0.0, lambda: rig.platform._finish(old.calls[0], Result.TIMEOUT))
         rig.reactor.advance(0.01)
-        assert [result for *_, result in rig.news()] == [i.Result.TIMEOUT]
+        assert [result for *_, result in rig.news()] == [Result.TIMEOUT]
     rig.says(old, id=2, result=TRIAL)
-    assert rig.news() == ([] if late else [(1, 0.1, True, i.Result.OK)])
+    assert rig.news() == ([] if late else [(1, 0.1, True, Result.OK)])
     assert not old.up and new.up
 
 
@@ -73,7 +73,7 @@
     rig.platform.moved()
     rig.news()
     rig.says(old, id=2, result=LATER)
-    assert rig.news() == [(1, 0.1, True, i.Result.OK)]
+    assert rig.news() == [(1, 0.1, True, Result.OK)]
 
 
 def test_signs_of_life_that_lie_unread_keep_the_connection_of_a_late_gateway() -> None:
@@ -109,4 +109,4 @@
     assert rig.news() == []
     del link.transport.getHandle
     rig.says(link, id=2, result=TRIAL)
-    assert rig.news() == [(0, 0.3, True, i.Result.OK)]
+    assert rig.news() == [(0, 0.3, True, Result.OK)]
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -31,8 +31,17 @@
 
 ROOT = Path(__file__).parent.parent
 LIBRARIES = {
-    "numpy", "scipy", "msgspec", "click", "rich", "textual", "hdrh", "xxhash", "matplotlib", "jinja2",
-}  # fmt: skip
+    "numpy",
+    "scipy",
+    "msgspec",
+    "click",
+    "rich",
+    "textual",
+    "hdrh",
+    "xxhash",
+    "matplotlib",
+    "jinja2",
+}
 
 
 @pytest.fixture(scope="module", autouse=True)
@@ -81,7 +90,7 @@
 
 def test_what_the_gateway_captures_is_a_load_that_the_tools_read(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:  # fmt: skip
+) -> None:
     path, gathered = tmp_path / "captured.jsonl", tmp_path / "all.jsonl.gz"
     monkeypatch.setenv("MEADOWPULLEY_CAPTURE", str(path))
     instance = standins.Instance()
@@ -111,7 +120,7 @@
 
 def test_a_capture_that_can_t_be_opened_ends_the_start_with_one_line(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:  # fmt: skip
+) -> None:
     monkeypatch.setenv("MEADOWPULLEY_CAPTURE", str(tmp_path / "no" / "folder"))
     gateway = standins.Gateway(tmp_path, [])
     try:
@@ -131,7 +140,7 @@
     command = [sys.executable, "-P", "-c", code]
     done = subprocess.run(
         command, env={"PYTHONPATH": str(folder)}, capture_output=True, text=True, check=True
-    )  # fmt: skip
+    )
     loaded = done.stdout.split()
     assert not LIBRARIES & {name.partition(".")[0] for name in loaded}
     ours = {name.split(".")[1] for name in loaded if name.startswith("meadowpulley.")}
--- a/tests/test_rig_trace.py
+++ b/tests/test_rig_trace.py
@@ -76,13 +76,13 @@
         [r for n in range(8) for r in asked(9.0 + n, n)],
         {"exposure": 1},
     ),
-]  # fmt: skip
+]
 
 
 @pytest.mark.parametrize(("what", "servers", "clients", "found"), CASES, ids=[c[0] for c in CASES])
 def test_breaches_on_sockets_are_found(
     tmp_path: Path, what: str, servers: list[Record], clients: list[Record], found: dict[str, int]
-) -> None:  # fmt: skip
+) -> None:
     paths = tmp_path / "servers", tmp_path / "clients"
     for path, records in zip(paths, ([*START, *servers], clients), strict=True):
         path.write_bytes(b"".join(trace_line(r) + b"\n" for r in records))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,10 +6,20 @@
 
 import pytest
 
-from meadowpulley import interface as i
+from meadowpulley.interface import (
+    Action,
+    ClientDisconnected,
+    DeduplicationScope,
+    EndpointUpdateKind,
+    Fail,
+    Reject,
+    Result,
+    ServerState,
+    Watch,
+)
 from tests.driver import CLASSES, KEYED, LIMITS, SAFE, UNSAFE, Driver, entry, fleet, sends, settings
 
-ONE_MORE = (i.Result.REJECTED, i.Result.CONNECT_FAILED)
+ONE_MORE = (Result.REJECTED, Result.CONNECT_FAILED)
 
 
 # No request is lost
@@ -19,18 +29,18 @@
     d = Driver()
     d.listed([])
     assert not sends(d.ask(SAFE, left=400.0))
-    answers: list[i.Action] = []
+    answers: list[Action] = []
     while d.now < 400.0:
         d.now += 50.0
-        answers += [a for a in d.tick() if isinstance(a, i.Reject | i.Fail)]
-    assert answers == [i.Reject(1, 500.0)]
+        answers += [a for a in d.tick() if isinstance(a, Reject | Fail)]
+    assert answers == [Reject(1, 500.0)]
 
 
 def test_a_request_with_hardly_any_time_left_is_answered_at_once() -> None:
     # A request that waited past its deadline for the next tick was lost on an overloaded day.
     d = Driver()
     d.listed([])
-    assert [a for a in d.ask(SAFE, left=60.0) if isinstance(a, i.Reject)] == [i.Reject(1, 500.0)]
+    assert [a for a in d.ask(SAFE, left=60.0) if isinstance(a, Reject)] == [Reject(1, 500.0)]
 
 
 def test_a_timeout_at_the_deadline_is_answered_and_never_sent_again() -> None:
@@ -38,32 +48,32 @@
     fleet(d)
     [send] = sends(d.ask(UNSAFE))
     d.now = 2000.0
-    assert d.end(send, i.Result.TIMEOUT, 2000.0) == [i.Fail(1)]
-    assert not d.give(i.ClientDisconnected(1))
+    assert d.end(send, Result.TIMEOUT, 2000.0) == [Fail(1)]
+    assert not d.give(ClientDisconnected(1))
 
 
 def test_outcomes_after_the_end_change_nothing() -> None:
     d = Driver()
     fleet(d)
     [send] = sends(d.ask(SAFE))
-    d.give(i.ClientDisconnected(1))
-    assert d.end(send, i.Result.CANCELLED, over=True) == []
-    assert d.end(send, i.Result.OK) == []
+    d.give(ClientDisconnected(1))
+    assert d.end(send, Result.CANCELLED, over=True) == []
+    assert d.end(send, Result.OK) == []
 
 
 # No effect happens twice
 
 
 def test_an_unsafe_request_that_may_have_run_is_failed_not_repeated_or_refused() -> None:
-    for result in (i.Result.ERROR, i.Result.TIMEOUT, i.Result.RESET, i.Result.CANCELLED):
+    for result in (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED):
         d = Driver()
         fleet(d)
         [send] = sends(d.ask(UNSAFE))
-        assert d.end(send, result) == [i.Fail(1)]
+        assert d.end(send, result) == [Fail(1)]
 
 
 @pytest.mark.parametrize("result", ONE_MORE)
-def test_an_unsafe_request_that_never_ran_goes_elsewhere(result: i.Result) -> None:
+def test_an_unsafe_request_that_never_ran_goes_elsewhere(result: Result) -> None:
     d = Driver()
     fleet(d)
     [send] = sends(d.ask(UNSAFE))
@@ -75,7 +85,7 @@
     d = Driver()
     fleet(d)
     [send] = sends(d.ask(SAFE))
-    [again] = sends(d.end(send, i.Result.ERROR))
+    [again] = sends(d.end(send, Result.ERROR))
     assert again.server != send.server
 
 
@@ -85,24 +95,24 @@
         fleet(d)
         [send] = sends(d.ask(KEYED))
         d.now = waited
-        assert bool(sends(d.end(send, i.Result.ERROR))) is repeated
+        assert bool(sends(d.end(send, Result.ERROR))) is repeated
 
 
 def test_a_keyed_request_stays_in_its_group_and_is_not_refused_outside_all() -> None:
-    keyed = replace(CLASSES[KEYED], deduplication_scope=i.DeduplicationScope.CELL)
+    keyed = replace(CLASSES[KEYED], deduplication_scope=DeduplicationScope.CELL)
     d = Driver(settings(classes=(*CLASSES[:2], keyed)))
     d.listed([entry(1, cell=1), entry(2, cell=2)])
     [send] = sends(d.ask(KEYED))
-    [again] = sends(d.end(send, i.Result.ERROR))
+    [again] = sends(d.end(send, Result.ERROR))
     assert again.server == send.server
-    assert i.Fail(1) in d.end(again, i.Result.TIMEOUT)
+    assert Fail(1) in d.end(again, Result.TIMEOUT)
 
 
 def test_no_more_attempts_than_allowed() -> None:
     d = Driver(settings(limits=replace(LIMITS, max_attempts=1)))
     fleet(d)
     [send] = sends(d.ask(SAFE))
-    assert not sends(d.end(send, i.Result.REJECTED))
+    assert not sends(d.end(send, Result.REJECTED))
 
 
 # Drains are kept
@@ -111,7 +121,10 @@
 def test_nothing_goes_to_a_draining_or_gone_server() -> None:
     d = Driver()
     d.listed([entry(1), entry(2), entry(3)])
-    d.listed([entry(1, state=i.ServerState.DRAINING), entry(2, state=i.ServerState.REMOVED)], i.EndpointUpdateKind.INCREMENTAL)
+    d.listed(
+        [entry(1, state=ServerState.DRAINING), entry(2, state=ServerState.REMOVED)],
+        EndpointUpdateKind.INCREMENTAL,
+    )
     assert {s.server for _ in range(30) for s in sends(d.ask(SAFE))} <= {3}
 
 
@@ -119,24 +132,24 @@
     d = Driver()
     fleet(d, 3)
     d.listed([entry(2)])
-    d.listed([], i.EndpointUpdateKind.FAILED)
+    d.listed([], EndpointUpdateKind.FAILED)
     assert {s.server for _ in range(20) for s in sends(d.ask(SAFE))} == {2}
 
 
 def test_the_list_is_asked_for_and_asked_again_after_a_failure() -> None:
     d = Driver(settings(must_ask=True))
-    d.listed([entry(1)], i.EndpointUpdateKind.CACHED)
-    assert i.Watch() in d.tick()
+    d.listed([entry(1)], EndpointUpdateKind.CACHED)
+    assert Watch() in d.tick()
     d.listed([entry(1)])
     d.now = 20_000.0
-    assert i.Watch() not in d.tick()
+    assert Watch() not in d.tick()
     for n in range(3):  # at once after the first failure, then slower
-        d.listed([], i.EndpointUpdateKind.FAILED)
-        assert (i.Watch() in d.tick()) == (n == 0)
+        d.listed([], EndpointUpdateKind.FAILED)
+        assert (Watch() in d.tick()) == (n == 0)
         d.now += 5_000.0
-        assert (i.Watch() in d.tick()) == (n > 0)
+        assert (Watch() in d.tick()) == (n > 0)
     d.now += 10_100.0  # no answer came at all
-    assert i.Watch() in d.tick()
+    assert Watch() in d.tick()
 
 
 # A cold server is not pushed over
@@ -158,7 +171,7 @@
     work(d, 400, 20.0)
     # The others drain, so that all would go to the cold one: of 75 requests in its span an average server has
     # done 15, twice that at 0.4 to 0.55 of its capacity (at most 16.5) is the limit.
-    drained = [entry(n, state=i.ServerState.DRAINING) for n in range(4)]
+    drained = [entry(n, state=ServerState.DRAINING) for n in range(4)]
     d.listed([*drained, entry(9, started=d.now)])
     assert 3 < work(d, 74, 20.0).get(9, 0) <= 2.0 * 0.55 * 15
 
--- a/tests/test_rules_checker.py
+++ b/tests/test_rules_checker.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from meadowpulley.interface import Effect, DeduplicationScope
+from meadowpulley.interface import DeduplicationScope, Effect
 from meadowpulley.rules import (
     Answered,
     Checker,
@@ -37,9 +37,15 @@
         ClassRules(Effect.NON_IDEMPOTENT, DeduplicationScope.ALL, 0.0),
         ClassRules(Effect.IDEMPOTENT_WITH_KEY, DeduplicationScope.CELL, 1000.0),
     ),
-    drain_grace_ms=2000.0, answer_slack_ms=20.0, window_ms=6000.0, free=2.0, first_cap=0.1, per_class=False,
-    guarded_stages=0, one_way=True,
-)  # fmt: skip
+    drain_grace_ms=2000.0,
+    answer_slack_ms=20.0,
+    window_ms=6000.0,
+    free=2.0,
+    first_cap=0.1,
+    per_class=False,
+    guarded_stages=0,
+    one_way=True,
+)
 START: list[Record] = [
     Started(0.0, 0),
     Listed(0.0, 0, 1, "ready", 41, cell=1),
@@ -165,7 +171,7 @@
         [KeyAnswered(5, 3, 7, 42), taken(60, 1, key=7), sent(60, 1), served(61, 1)],
         {},
     ),
-]  # fmt: skip
+]
 
 
 @pytest.mark.parametrize(("what", "records", "found"), CASES, ids=[c[0] for c in CASES])
@@ -203,10 +209,13 @@
         ("stopped and never woken", [taken(1, 1), Stopped(5, 0)], {}),
         ("stopped, but woken in time", [taken(1, 1), Stopped(5, 0), Woke(900, 0)], {"answers": 1}),
         ("stopped after it was owed", [taken(1, 1), Stopped(3500, 0)], {"answers": 1}),
-        ("woken, and an effect twice", [taken(1, 1, UNSAFE), sent(1, 1), Stopped(5, 0), Woke(900, 0),
-                                       sent(901, 1), served(902, 1)], {"effects": 1}),
+        (
+            "woken, and an effect twice",
+            [taken(1, 1, UNSAFE), sent(1, 1), Stopped(5, 0), Woke(900, 0), sent(901, 1), served(902, 1)],
+            {"effects": 1},
+        ),
     ],
-)  # fmt: skip
+)
 def test_a_gateway_that_stands_still_owes_nothing_meanwhile(
     what: str, records: list[Record], found: dict[str, int]
 ) -> None:
--- a/tests/test_rules_exposure.py
+++ b/tests/test_rules_exposure.py
@@ -6,12 +6,23 @@
 
 import pytest
 
-from meadowpulley import interface as i
 from meadowpulley.balance import KEYS
+from meadowpulley.interface import (
+    BuildStatistics,
+    GossipReceived,
+    IncorrectResponse,
+    Phase,
+    ProbeResult,
+    Result,
+    Rollout,
+    RolloutUpdate,
+    ServerState,
+    Timer,
+)
 from meadowpulley.records import FRINGE_MS
 from tests.driver import ROLLOUT, SAFE, UNSAFE, Driver, entry, fleet, sends, settings
 
-ONE_MORE = (i.Result.REJECTED, i.Result.CONNECT_FAILED)
+ONE_MORE = (Result.REJECTED, Result.CONNECT_FAILED)
 
 
 # Exposure stays within the cap
@@ -47,7 +58,7 @@
 def test_an_unannounced_build_counts_as_the_first_stage() -> None:
     d = Driver()
     mixed(d, 43)
-    d.news(42, 2, 1.0, i.Phase.RELEASED)
+    d.news(42, 2, 1.0, Phase.RELEASED)
     at = exposed(d, 600, 43)
     assert 0 < len(at) <= 2 * 2 + 0.1 * 600
 
@@ -63,7 +74,7 @@
     mixed(d)
     d.news(42, 1, 0.5)
     assert exposed(d, 100, 42)
-    d.news(42, 1, 0.0, i.Phase.ROLLING_BACK)
+    d.news(42, 1, 0.0, Phase.ROLLING_BACK)
     assert not exposed(d, 100, 42)
 
 
@@ -103,7 +114,7 @@
         for send in sends(d.ask(SAFE, key=key)):
             assert d.b.servers[send.server].build == 42
             d.end(send)
-    d.news(42, 1, 0.0, i.Phase.ROLLING_BACK)
+    d.news(42, 1, 0.0, Phase.ROLLING_BACK)
     [send] = sends(d.ask(SAFE, key=key))
     assert d.b.servers[send.server].build == 41
 
@@ -112,7 +123,7 @@
     # Found on a busy day: the key was noted only while the build was on trial.
     d = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     d.listed([entry(10, 42)])
-    d.news(42, 2, 1.0, i.Phase.RELEASED)
+    d.news(42, 2, 1.0, Phase.RELEASED)
     [send] = sends(d.ask(SAFE, key=5))
     d.end(send)
     d.listed([entry(1, 41)])
@@ -120,8 +131,8 @@
     assert sends(d.ask(SAFE, key=6))
 
 
-@pytest.mark.parametrize("result", [i.Result.RESET, i.Result.TIMEOUT, i.Result.CANCELLED])
-def test_a_key_that_the_trial_build_may_have_answered_is_bound_too(result: i.Result) -> None:
+@pytest.mark.parametrize("result", [Result.RESET, Result.TIMEOUT, Result.CANCELLED])
+def test_a_key_that_the_trial_build_may_have_answered_is_bound_too(result: Result) -> None:
     # Found on a day of spoilt answers: one that can't be read, or comes late, counts as an answer.
     d = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     d.listed([entry(10, 42)])
@@ -133,8 +144,8 @@
     [send] = sends(d.ask(SAFE, key=6))
 
 
-@pytest.mark.parametrize("result", [i.Result.ERROR, i.Result.REJECTED, i.Result.CONNECT_FAILED])
-def test_a_key_that_the_trial_build_did_not_answer_is_free(result: i.Result) -> None:
+@pytest.mark.parametrize("result", [Result.ERROR, Result.REJECTED, Result.CONNECT_FAILED])
+def test_a_key_that_the_trial_build_did_not_answer_is_free(result: Result) -> None:
     d = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     d.listed([entry(10, 42)])
     d.news(42, 1, 1.0)
@@ -153,7 +164,7 @@
     d.end(send)
     d.listed([entry(1, 41)])
     assert not sends(d.ask(SAFE, key=5))
-    d.news(42, 1, 0.0, i.Phase.ROLLED_BACK)
+    d.news(42, 1, 0.0, Phase.ROLLED_BACK)
     assert sends(d.ask(SAFE, key=5))
     d.news(43, 0, 0.0)
     assert sends(d.ask(SAFE, key=5))
@@ -165,9 +176,9 @@
     d.listed([entry(10, 42)])
     d.news(42, 1, 1.0)
     [send] = sends(d.ask(SAFE, key=5))
-    d.listed([entry(10, 42, state=i.ServerState.DRAINING), entry(1, 41)])
+    d.listed([entry(10, 42, state=ServerState.DRAINING), entry(1, 41)])
     assert not sends(d.ask(SAFE, key=5)) and sends(d.ask(SAFE, key=6)) and sends(d.ask(SAFE))
-    d.end(send, i.Result.CONNECT_FAILED, over=True)
+    d.end(send, Result.CONNECT_FAILED, over=True)
     assert sends(d.ask(SAFE, key=5))
 
 
@@ -192,8 +203,8 @@
         for key in range(KEYS // 2 + 100):
             d.now += 5.0
             for send in sends([*d.ask(SAFE, key=1_000_000 * build + key + 1), *d.tick()]):
-                d.end(send, i.Result.ERROR if key % 50 == 0 else i.Result.OK, over=True)
-        d.news(build, 2, 1.0, i.Phase.RELEASED)
+                d.end(send, Result.ERROR if key % 50 == 0 else Result.OK, over=True)
+        d.news(build, 2, 1.0, Phase.RELEASED)
         d.now += 10.0
         d.listed([entry(10, build, d.now)])
     d.now += 5_000.0
@@ -211,17 +222,17 @@
 
 def test_news_and_tallies_of_strange_builds_and_votes_never_sent() -> None:
     d = Driver(told=False)
-    d.give(i.BuildStatistics(99, 0, 0, 0, 0.0, 0.0))
-    d.give(i.BuildStatistics(42, 0, 10, 10, 50.0, 0.0))
-    d.give(i.RolloutUpdate(42, 0, i.Phase.TRIAL, 0.1, 0.0, i.Result.NOT_SENT, True))
+    d.give(BuildStatistics(99, 0, 0, 0, 0.0, 0.0))
+    d.give(BuildStatistics(42, 0, 10, 10, 50.0, 0.0))
+    d.give(RolloutUpdate(42, 0, Phase.TRIAL, 0.1, 0.0, Result.NOT_SENT, True))
     assert d.b.told is None
     d.news(42)
-    d.news(40, 2, 1.0, i.Phase.RELEASED)
+    d.news(40, 2, 1.0, Phase.RELEASED)
     assert d.b.best is not None and d.b.best.build == 42
-    d.give(i.GossipReceived(3, b"?"))
-    d.give(i.IncorrectResponse(77, 0, 5.0))
-    d.give(i.ProbeResult(77, i.Result.OK, 1.0))
-    d.give(i.Timer(12345))
+    d.give(GossipReceived(3, b"?"))
+    d.give(IncorrectResponse(77, 0, 5.0))
+    d.give(ProbeResult(77, Result.OK, 1.0))
+    d.give(Timer(12345))
     d.tick()
 
 
@@ -237,7 +248,7 @@
 
 
 def test_no_classes_and_no_caps_do_not_stop_the_balancer() -> None:
-    d = Driver(settings(classes=(), rollout=i.Rollout()))
+    d = Driver(settings(classes=(), rollout=Rollout()))
     d.listed([entry(1)])
     d.news(42)
     d.tick()
--- a/tests/test_rules_together.py
+++ b/tests/test_rules_together.py
@@ -90,8 +90,16 @@
     ("nobody lives to end it", [*taken(), Died(100, 0), Died(110, 1), Died(120, 2)], {}),
     (
         "nobody lived, then one did",
-        [*taken(), Died(100, 0), Died(110, 1), Died(120, 2), Started(9000, 1), Sealed(9100, 0),
-         Claimed(9200, 1, "a", 2), ends(at=9300)],
+        [
+            *taken(),
+            Died(100, 0),
+            Died(110, 1),
+            Died(120, 2),
+            Started(9000, 1),
+            Sealed(9100, 0),
+            Claimed(9200, 1, "a", 2),
+            ends(at=9300),
+        ],
         {},
     ),
     (
@@ -101,14 +109,30 @@
     ),
     (
         "unsafe, by two gateways, and the first never ran",
-        [*taken(UNSAFE), tried(5, 0, 1), Outcome(9, 0, 1, 0, False), *LOST, CLAIM, begun(UNSAFE),
-         tried(970, 1, 7), ends()],
+        [
+            *taken(UNSAFE),
+            tried(5, 0, 1),
+            Outcome(9, 0, 1, 0, False),
+            *LOST,
+            CLAIM,
+            begun(UNSAFE),
+            tried(970, 1, 7),
+            ends(),
+        ],
         {},
     ),
     (
         "unsafe, the one that woke sends late",
-        [*taken(UNSAFE), Sealed(900, 0), CLAIM, begun(UNSAFE), tried(970, 1, 7), tried(980, 0, 1),
-         told("failed", 990), ends()],
+        [
+            *taken(UNSAFE),
+            Sealed(900, 0),
+            CLAIM,
+            begun(UNSAFE),
+            tried(970, 1, 7),
+            tried(980, 0, 1),
+            told("failed", 990),
+            ends(),
+        ],
         {"effects": 1},
     ),
     (
@@ -122,17 +146,32 @@
         {"effects": 1},
     ),
     ("one answer, asked twice", [*SERVED, *taken(SAFE, 30, 1, 2), told("served", 40, 1, 2)], {}),
-    ("two answers, asked twice", [*SERVED, *taken(SAFE, 30, 1, 2), told("served", 40, 1, 2, "y")],
-     {"answers": 1}),
+    (
+        "two answers, asked twice",
+        [*SERVED, *taken(SAFE, 30, 1, 2), told("served", 40, 1, 2, "y")],
+        {"answers": 1},
+    ),
     ("served, recorded as failed", [*taken(), ends("failed", 20, 0), told("served", 21)], {"answers": 1}),
-    ("told and then changed", [*taken(), ends(at=20, gateway=0), told("served", 21), ends("failed", 30, 0)],
-     {"answers": 1}),
-    ("changed before anybody was told", [*taken(), ends(at=20, gateway=0), ends("failed", 30, 0),
-                                         told("failed", 31)], {}),
+    (
+        "told and then changed",
+        [*taken(), ends(at=20, gateway=0), told("served", 21), ends("failed", 30, 0)],
+        {"answers": 1},
+    ),
+    (
+        "changed before anybody was told",
+        [*taken(), ends(at=20, gateway=0), ends("failed", 30, 0), told("failed", 31)],
+        {},
+    ),
     (
         "two answers, but nobody was there for one",
-        [*taken(), LEFT, told("served", 20), *taken(SAFE, 30, 1, 2), told("served", 40, 1, 2, "y"),
-         ends(at=41)],
+        [
+            *taken(),
+            LEFT,
+            told("served", 20),
+            *taken(SAFE, 30, 1, 2),
+            told("served", 40, 1, 2, "y"),
+            ends(at=41),
+        ],
         {},
     ),
     ("its client left, and the work goes on", [*taken(), Left(9, 0, 1), tried(10, 0, 1), ends()], {}),
@@ -141,7 +180,7 @@
     ("one more", [Admitted(5.0, n % 3, 1.0) for n in range(6)], {"admissions": 1}),
     ("counted once each", [Counted(9, n, e, "a", 0) for n, e in enumerate("ef")], {}),
     ("counted by two gateways", [Counted(9, 0, "e", "a", 0), Counted(10, 1, "e", "a", 0)], {"counts": 1}),
-]  # fmt: skip
+]
 
 
 @pytest.mark.parametrize(("what", "records", "found"), CASES, ids=[c[0] for c in CASES])
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -6,10 +6,24 @@
 
 import pytest
 
-from meadowpulley import interface as i
 from meadowpulley.balance import TALLY, Failures, sending
 from meadowpulley.balance.judging import estimate
 from meadowpulley.balance.sending import _may_send
+from meadowpulley.interface import (
+    BuildStatistics,
+    EndpointUpdateKind,
+    GossipReceived,
+    Outcome,
+    Phase,
+    ProbeResult,
+    Result,
+    RolloutUpdate,
+    ServerState,
+    StageGate,
+    Verdict,
+    Vote,
+    Watch,
+)
 from meadowpulley.records import Held, Server, State
 from tests.driver import ROLLOUT, SAFE, Driver, entry, sends, settings, votes
 
@@ -27,7 +41,7 @@
             d.now += 1000.0
             for send in sends(d.ask(SAFE)):
                 d.end(send)
-        drained = [entry(n, state=i.ServerState.DRAINING) for n in range(10)]
+        drained = [entry(n, state=ServerState.DRAINING) for n in range(10)]
         d.listed([*drained, entry(99, started=d.now)])
         for _ in range(2):
             d.now += 700.0
@@ -40,11 +54,11 @@
     # Requests that fail at any server began before the trial: both builds were condemned.
     d = Driver()
     d.listed(entry(n) for n in range(4))
-    found: list[i.Vote] = []
+    found: list[Vote] = []
     for n in range(400):
         d.now += 20.0
         for send in sends(d.ask(SAFE)):
-            d.end(send, i.Result.ERROR if n % 3 == 0 else i.Result.OK, 100.0, over=True)
+            d.end(send, Result.ERROR if n % 3 == 0 else Result.OK, 100.0, over=True)
         found += votes(d.tick())
     assert not found and all(f.proof(4, False) == 0 for f in [b.failures for b in d.b.builds.values()])
     d.listed([*(entry(n) for n in range(4)), entry(10, 42, d.now), entry(11, 42, d.now)])
@@ -52,9 +66,9 @@
     for n in range(400):
         d.now += 20.0
         for send in sends(d.ask(SAFE)):
-            d.end(send, i.Result.ERROR if n % 3 == 0 else i.Result.OK, 100.0, over=True)
+            d.end(send, Result.ERROR if n % 3 == 0 else Result.OK, 100.0, over=True)
         found += votes(d.tick())
-    assert i.Verdict.ROLL_BACK not in {v.verdict for v in found}
+    assert Verdict.ROLL_BACK not in {v.verdict for v in found}
 
 
 def test_quick_errors_do_not_overtake_the_good_answers_sent_with_them() -> None:
@@ -67,10 +81,10 @@
         for send in sends(d.ask(SAFE)):
             d.end(send, took=200.0)
     d.news(42, 1, 0.5)
-    d.listed([entry(10, 42)], i.EndpointUpdateKind.INCREMENTAL)
+    d.listed([entry(10, 42)], EndpointUpdateKind.INCREMENTAL)
     for _ in range(4):
         for send in sends(d.ask(SAFE)):
-            d.end(send, i.Result.ERROR, 2.0, over=True)
+            d.end(send, Result.ERROR, 2.0, over=True)
     assert 42 not in d.b.builds or not d.b.builds[42].failures.sums
     for _ in range(5):
         d.now += 100.0
@@ -99,14 +113,14 @@
         d.tick()
         for send in sends(d.ask(SAFE)):
             trial = d.b.servers[send.server].build == 42
-            d.end(send, i.Result.TIMEOUT if trial else i.Result.OK, 3000.0 if trial else 100.0, over=True)
+            d.end(send, Result.TIMEOUT if trial else Result.OK, 3000.0 if trial else 100.0, over=True)
     assert estimate(d.b, 42)[3] == 0
 
 
 def test_votes_of_hundreds_are_spread_over_what_the_platform_takes() -> None:
     at = []
     for me in (0, MANY // 2, MANY - 1):
-        rollout = replace(ROLLOUT, gate=i.StageGate.SHARE, votes_per_s=100.0)
+        rollout = replace(ROLLOUT, gate=StageGate.SHARE, votes_per_s=100.0)
         s = replace(settings(rollout=rollout, balancers=MANY), gateway_index=me)
         d = Driver(s)
         d.listed([entry(0), entry(1, 42, 1.0)])
@@ -118,12 +132,12 @@
 
 
 def test_a_vote_refused_as_too_many_waits_a_while_before_the_next() -> None:
-    d = Driver(settings(rollout=replace(ROLLOUT, gate=i.StageGate.SHARE), balancers=MANY))
+    d = Driver(settings(rollout=replace(ROLLOUT, gate=StageGate.SHARE), balancers=MANY))
     d.listed([entry(0), entry(1, 42, 1.0)])
     d.news(42, 1, 0.5)
     while not votes(d.tick()):
         d.now += 50.0
-    d.give(i.RolloutUpdate(42, 0, i.Phase.TRIAL, 0.0, 0.0, i.Result.REJECTED, True))
+    d.give(RolloutUpdate(42, 0, Phase.TRIAL, 0.0, 0.0, Result.REJECTED, True))
     assert d.b.ballot.after > d.now
     while not votes(d.tick()):
         d.now += 50.0
@@ -135,18 +149,21 @@
     d = Driver(settings(balancers=MANY))
     d.listed([entry(0), entry(1)])
     for data in (b"", b"\x00" * 7, b"\xff" * 256, b"x" * 10_000):
-        assert d.give(i.GossipReceived(7, data)) == []
-    d.give(i.ProbeResult(0, i.Result.OK, 1.0, load))
+        assert d.give(GossipReceived(7, data)) == []
+    d.give(ProbeResult(0, Result.OK, 1.0, load))
     [send] = sends(d.ask(SAFE))
-    d.give(i.Outcome(send.request, 0, send.server, i.Result.OK, 50.0, True, load))
-    d.give(i.BuildStatistics(41, SAFE, 0, 0, 0.0, 1e9))
-    d.give(i.BuildStatistics(41, SAFE, 10, 0, 0.0, 0.0))
-    d.give(i.BuildStatistics(41, SAFE, 10, 0, 0.0, 0.0))
+    d.give(Outcome(send.request, 0, send.server, Result.OK, 50.0, True, load))
+    d.give(BuildStatistics(41, SAFE, 0, 0, 0.0, 1e9))
+    d.give(BuildStatistics(41, SAFE, 10, 0, 0.0, 0.0))
+    d.give(BuildStatistics(41, SAFE, 10, 0, 0.0, 0.0))
     d.now += 3_600_000.0
     d.tick()
-    d.listed([entry(0, state=i.ServerState.REMOVED), entry(1, state=i.ServerState.REMOVED)], i.EndpointUpdateKind.INCREMENTAL)
+    d.listed(
+        [entry(0, state=ServerState.REMOVED), entry(1, state=ServerState.REMOVED)],
+        EndpointUpdateKind.INCREMENTAL,
+    )
     assert not sends(d.ask(SAFE))
-    d.give(i.RolloutUpdate(39, 0, i.Phase.ROLLED_BACK, 0.0, 0.0, i.Result.OK, True))
+    d.give(RolloutUpdate(39, 0, Phase.ROLLED_BACK, 0.0, 0.0, Result.OK, True))
     assert d.b.best is not None and d.b.best.build == 41
 
 
@@ -170,7 +187,7 @@
         d = Driver(seed=seed)
         d.listed(entry(n) for n in range(10))
         [first] = sends(d.ask(SAFE))
-        [again] = sends(d.end(first, i.Result.CONNECT_FAILED))
+        [again] = sends(d.end(first, Result.CONNECT_FAILED))
         assert again.server != first.server
 
 
@@ -180,14 +197,14 @@
     asked: list[float] = []
     for seed in range(balancers):
         d = Driver(settings(must_ask=True, balancers=balancers), seed=seed)
-        d.listed([entry(n) for n in range(4)], i.EndpointUpdateKind.CACHED)
+        d.listed([entry(n) for n in range(4)], EndpointUpdateKind.CACHED)
         while d.now < last:
             d.now += 50.0
-            if any(isinstance(a, i.Watch) for a in d.tick()):
+            if any(isinstance(a, Watch) for a in d.tick()):
                 asked.append(d.now)
                 failed = d.now < failing_until
                 d.now += 50.0
-                d.listed([], i.EndpointUpdateKind.FAILED if failed else i.EndpointUpdateKind.INCREMENTAL)
+                d.listed([], EndpointUpdateKind.FAILED if failed else EndpointUpdateKind.INCREMENTAL)
                 if not failed:
                     break
     return asked
@@ -212,4 +229,4 @@
 
 def test_without_any_list_a_gateway_of_many_asks_at_once() -> None:
     d = Driver(settings(must_ask=True, balancers=40), told=False)
-    assert any(isinstance(a, i.Watch) for a in d.tick())
+    assert any(isinstance(a, Watch) for a in d.tick())
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Cancel, Probe, ProbeResult, Reject, Result
 from tests.driver import LIMITS, RULES, SAFE, Driver, entry, sends, settings
 
 
@@ -14,7 +14,7 @@
     for _ in range(60):
         d.now += 20.0
         for send in sends(d.ask(SAFE)):
-            d.end(send, i.Result.ERROR if send.server == 0 else i.Result.OK, 5.0)
+            d.end(send, Result.ERROR if send.server == 0 else Result.OK, 5.0)
     bad = d.b.servers[0]
     assert bad.rest_until > d.now or bad.rest_ms
     d.now = bad.rest_until + 1.0
@@ -29,7 +29,7 @@
     d.listed([entry(0), entry(1)])
     held = [s for _ in range(20) for s in sends(d.ask(SAFE))]
     for send in [s for s in held if s.server == 0]:
-        d.end(send, i.Result.RESET)
+        d.end(send, Result.RESET)
     assert not d.b.servers[0].rest_ms
 
 
@@ -40,7 +40,7 @@
     for _ in range(200):
         d.now += 20.0
         for send in sends(d.ask(SAFE)):
-            d.end(send, i.Result.TIMEOUT, 3000.0, over=True)
+            d.end(send, Result.TIMEOUT, 3000.0, over=True)
     assert sum(bool(s.rest_ms) for s in d.b.servers.values()) <= 2
 
 
@@ -59,7 +59,7 @@
         d.end(send)
     for _ in range(5):
         d.now += 200.0
-        assert not [a for a in d.tick() if isinstance(a, i.Cancel)]
+        assert not [a for a in d.tick() if isinstance(a, Cancel)]
     assert d.b.servers[0].rest_until > d.now
     assert {s.server for _ in range(6) for s in sends(d.ask(SAFE))} == {1}
 
@@ -80,7 +80,7 @@
         d.tick()
     held = [s for _ in range(40) for s in sends(d.ask(SAFE))]
     assert len(held) < 40
-    refused = [a for _ in range(20) for a in d.ask(SAFE) if isinstance(a, i.Reject)]
+    refused = [a for _ in range(20) for a in d.ask(SAFE) if isinstance(a, Reject)]
     assert len(refused) > 15 and {a.retry_after_ms for a in refused} == {500.0}
 
 
@@ -93,7 +93,7 @@
         todo = sends(d.ask(SAFE))
         while todo:
             tries += 1
-            todo = sends(d.end(todo[0], i.Result.REJECTED, 1.0))
+            todo = sends(d.end(todo[0], Result.REJECTED, 1.0))
     assert 100 < tries <= 200 * 1.1 + 2
 
 
@@ -145,7 +145,7 @@
         d.now += 20.0
         for send in sends(d.ask(SAFE)):
             lost = n % 5 == 0
-            d.end(send, i.Result.TIMEOUT if lost else i.Result.OK, 3000.0 if lost else 100.0, over=True)
+            d.end(send, Result.TIMEOUT if lost else Result.OK, 3000.0 if lost else 100.0, over=True)
     assert d.b.room == float("inf")
 
 
@@ -166,12 +166,12 @@
     d = Driver(settings(limits=replace(LIMITS, probes=True)))
     d.listed(entry(n) for n in range(8))
     actions = d.ask(SAFE)
-    asked = [a.server for a in actions if isinstance(a, i.Probe)]
+    asked = [a.server for a in actions if isinstance(a, Probe)]
     assert len(set(asked)) == 2 and not sends(actions)
-    assert not sends(d.give(i.ProbeResult(asked[0], i.Result.TIMEOUT, 250.0)))
-    [send] = sends(d.give(i.ProbeResult(asked[1], i.Result.OK, 2.0)))
+    assert not sends(d.give(ProbeResult(asked[0], Result.TIMEOUT, 250.0)))
+    [send] = sends(d.give(ProbeResult(asked[1], Result.OK, 2.0)))
     assert send.server == asked[1]
-    assert not sends(d.give(i.ProbeResult(asked[0], i.Result.OK, 3.0)))
+    assert not sends(d.give(ProbeResult(asked[0], Result.OK, 3.0)))
 
 
 def test_a_probe_without_answer_holds_a_request_for_one_tick_only() -> None:
--- a/tests/test_silent_watch.py
+++ b/tests/test_silent_watch.py
@@ -10,7 +10,15 @@
 import pytest
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
-from meadowpulley import interface as i
+from meadowpulley.interface import (
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    ServerState,
+    SetTimer,
+    Timer,
+    Watch,
+)
 from meadowpulley.net import names
 from meadowpulley.net.counters import Counters
 from meadowpulley.net.deadlines import Deadlines
@@ -54,13 +62,17 @@
         self.version, self.told = 1, list[tuple[float, int]]()
         failures: list[str] = []
         self.gateway: Any = SimpleNamespace(
-            reactor=self.reactor, counters=Counters(), stopping=False, failed=failures.append,
+            reactor=self.reactor,
+            counters=Counters(),
+            stopping=False,
+            failed=failures.append,
             deadlines=Deadlines(self.reactor, failures.append, lambda: self.now),
-            log=SimpleNamespace(warning=lambda *_, **__: None), tell=self.tell,
+            log=SimpleNamespace(warning=lambda *_, **__: None),
+            tell=self.tell,
             config=SimpleNamespace(
                 settings=self.driver.b.s, discovery=("127.0.0.1", 8500), known=None, seed=3
             ),
-        )  # fmt: skip
+        )
         self.failures = failures
         places: Any = SimpleNamespace(place=lambda *_: None, forget=lambda _: None, close_idle=lambda _: None)
         self.discovery = Discovery(self.gateway, places, 0.0)
@@ -69,15 +81,15 @@
     def now(self) -> float:
         return float(self.reactor.seconds()) * 1000.0
 
-    def tell(self, event: i.Event) -> None:
-        if isinstance(event, i.EndpointUpdate):
+    def tell(self, event: Event) -> None:
+        if isinstance(event, EndpointUpdate):
             self.told.append((self.now, event.version))
         self.driver.now = self.now
         for action in self.driver.give(event):
-            if isinstance(action, i.Watch):
+            if isinstance(action, Watch):
                 self.discovery.watch(action.enabled)
-            elif isinstance(action, i.SetTimer):
-                timer = i.Timer(action.token)
+            elif isinstance(action, SetTimer):
+                timer = Timer(action.token)
                 self.gateway.deadlines.after(action.delay_ms, lambda timer=timer: self.tell(timer))
 
     def run(self, ms: float) -> None:
@@ -113,7 +125,7 @@
             return
         news = [] if after == self.version else [{names.NAME: "s1", names.ADDRESS: "127.0.0.1:9"}]
         for raw in news:
-            raw |= {names.STATE: next(n for n, s in names.STATES.items() if s is i.ServerState.READY)}
+            raw |= {names.STATE: next(n for n, s in names.STATES.items() if s is ServerState.READY)}
         body = json.dumps({names.VERSION: self.version, names.WHOLE: False, names.ENTRIES: news}).encode()
         if protocol.up:
             protocol.dataReceived(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body)
@@ -130,7 +142,7 @@
     rig = Rig(must_ask)
     rig.silent_from = answers
     if must_ask:
-        rig.tell(i.EndpointUpdate(i.EndpointUpdateKind.CACHED, 0, (entry(1),)))
+        rig.tell(EndpointUpdate(EndpointUpdateKind.CACHED, 0, (entry(1),)))
     else:
         rig.discovery.start()
     for _ in range(500):  # till the call that falls silent
@@ -150,7 +162,7 @@
 @pytest.mark.parametrize("step", ["moved", "outage"])
 def test_the_first_watch_after_sighup_or_an_outage_may_fall_silent(must_ask: bool, step: str) -> None:
     rig = Rig(must_ask)
-    rig.tell(i.EndpointUpdate(i.EndpointUpdateKind.CACHED, 0, (entry(1),)))
+    rig.tell(EndpointUpdate(EndpointUpdateKind.CACHED, 0, (entry(1),)))
     if not must_ask:
         rig.discovery.start()
     while len(rig.asked) < 2:  # the list has come, and the watch is open
@@ -172,11 +184,11 @@
 
 def test_calls_that_fail_at_all_gateways_are_still_spread() -> None:
     # The other half: only silence, which each finds at its own time, is answered at once.
-    def pause(kind: i.EndpointUpdateKind, seed: int) -> float:
+    def pause(kind: EndpointUpdateKind, seed: int) -> float:
         d = Driver(settings(must_ask=True, balancers=200), seed=seed)
         d.listed([entry(1)])
         d.listed([], kind)
         return d.b.ask_again_at - d.now
 
-    assert {pause(i.EndpointUpdateKind.TIMED_OUT, seed) for seed in range(5)} == {0.0}
-    assert max(pause(i.EndpointUpdateKind.FAILED, seed) for seed in range(20)) > 1_000.0
+    assert {pause(EndpointUpdateKind.TIMED_OUT, seed) for seed in range(5)} == {0.0}
+    assert max(pause(EndpointUpdateKind.FAILED, seed) for seed in range(20)) > 1_000.0
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Result, Send
 from meadowpulley.ledger import Commit, Create, Ended, LedgerBack, LedgerLost, Replace, Step
 from meadowpulley.takeover import Pass, Stopping, Written, model
 from meadowpulley.takeover.model import WORK, State, decode_work
@@ -73,7 +73,7 @@
 
 def test_what_was_refused_never_ran_and_may_be_asked_anew() -> None:
     fleet = Fleet()
-    fleet.answers = [i.Result.REJECTED] * 3 + [i.Result.OK]
+    fleet.answers = [Result.REJECTED] * 3 + [Result.OK]
     fleet["a"].ask("n", PAY)
     fleet.go(200)
     fleet["b"].ask("n", PAY)
@@ -84,19 +84,19 @@
 # By class: how the first attempts end; where a dies: before its n-th action of a kind, or with its attempt
 # out, or with none chosen; what clients that ask again at b and c get; how often it ran; and of each adoption
 # what is proven to the decisions: attempts used, and those that may have run.
-OK, FULL = i.Result.OK, i.Result.REJECTED
-LOSSES: dict[str, tuple[int, list[i.Result], tuple[type, int] | str, str, int, list[tuple[int, int]]]] = {
+OK, FULL = Result.OK, Result.REJECTED
+LOSSES: dict[str, tuple[int, list[Result], tuple[type, int] | str, str, int, list[tuple[int, int]]]] = {
     "unsafe, no right taken": (PAY, [OK], "waits", "200 run 1", 1, [(0, 0)]),
-    "unsafe, right taken, not sent": (PAY, [OK], (i.Send, 0), "Fail", 0, []),
+    "unsafe, right taken, not sent": (PAY, [OK], (Send, 0), "Fail", 0, []),
     "unsafe, sent": (PAY, [OK], "out", "Fail", 1, []),
-    "unsafe, one never ran, the next right taken": (PAY, [FULL, OK], (i.Send, 1), "Fail", 0, []),
+    "unsafe, one never ran, the next right taken": (PAY, [FULL, OK], (Send, 1), "Fail", 0, []),
     "unsafe, answer come, not recorded": (PAY, [OK], (Commit, 1), "Fail", 1, []),
     "unsafe, answer recorded, not passed": (PAY, [OK], (Pass, 0), "200 run 1", 1, []),
-    "safe, right taken, not sent": (READ, [OK], (i.Send, 0), "200 run 1", 1, [(1, 1)]),
+    "safe, right taken, not sent": (READ, [OK], (Send, 0), "200 run 1", 1, [(1, 1)]),
     "safe, sent": (READ, [OK], "out", "200 run 2", 2, [(1, 1)]),
     "keyed, sent, in its window": (ORDER, [OK], "out", "200 run 2", 2, [(1, 1)]),
     "keyed, one never ran, the next sent": (ORDER, [FULL, OK], "out", "200 run 2", 2, [(2, 1)]),
-    "safe, one broken, the next sent": (READ, [i.Result.RESET, OK], "out", "200 run 3", 3, [(2, 2)]),
+    "safe, one broken, the next sent": (READ, [Result.RESET, OK], "out", "200 run 3", 3, [(2, 2)]),
     "keyed, no right taken": (ORDER, [OK], "waits", "200 run 1", 1, [(0, 0)]),
 }
 
@@ -104,7 +104,7 @@
 @pytest.mark.parametrize(("cls", "results", "lost", "said", "runs", "proven"), LOSSES.values(), ids=LOSSES)
 def test_what_an_adopter_does_follows_from_what_is_proven(
     cls: int,
-    results: list[i.Result],
+    results: list[Result],
     lost: tuple[type, int] | str,
     said: str,
     runs: int,
@@ -160,7 +160,7 @@
     fleet = Fleet()
 
     # after the last check, before the first byte
-    stop_at(fleet, i.Send, 0, partial(setattr, fleet["a"], "asleep", True))
+    stop_at(fleet, Send, 0, partial(setattr, fleet["a"], "asleep", True))
     fleet["a"].ask("n", cls)
     fleet["b"].ask("n", cls)
     fleet.go(3 * TERM)
@@ -381,13 +381,13 @@
         elif chance < 0.63 and len(up) > 1:
             fleet.kill(g.name)
         elif chance < 0.68 and len(up) > 1 and not g.asleep:
-            at, ms = rng.choice([i.Send, Pass, Commit]), rng.choice([100.0, 700.0, 3000.0])
+            at, ms = rng.choice([Send, Pass, Commit]), rng.choice([100.0, 700.0, 3000.0])
             stop_at(fleet, at, 0, partial(fleet.pause, g.name, ms), g.name)
         elif chance < 0.72:
             g.trouble = rng.choice(["cut", "unheard", "slow"])
             fleet.at(fleet.now + rng.choice([100.0, 600.0, 2500.0]), partial(setattr, g, "trouble", ""))
         elif chance < 0.77:
-            fleet.answers = [rng.choice(list(i.Result)) for _ in range(rng.randrange(6))] + [i.Result.OK]
+            fleet.answers = [rng.choice(list(Result)) for _ in range(rng.randrange(6))] + [Result.OK]
         elif chance < 0.78 and len(up) > 2 and not g.asleep:
             g.tell(Stopping(800.0))
             fleet.at(fleet.now + 800.0, partial(fleet.kill, g.name))
--- a/tests/test_takeover_line.py
+++ b/tests/test_takeover_line.py
@@ -81,7 +81,8 @@
         gateway = fleet[fleet.adopted[-1][0]]
         (request,) = gateway.decisions.seen
         early = [
-            at - (t.sent_ms - gateway.offset) for at, t in zip(fleet.sent["n"], request.prior_attempts, strict=False)
+            at - (t.sent_ms - gateway.offset)
+            for at, t in zip(fleet.sent["n"], request.prior_attempts, strict=False)
         ]
         assert len(request.prior_attempts) == many and all(0 <= ms <= 60 for ms in early)
         fleet.kill(gateway.name)
--- a/tests/test_takeover_origin.py
+++ b/tests/test_takeover_origin.py
@@ -7,7 +7,7 @@
 import pytest
 from msgspec.structs import replace
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Request
 from meadowpulley.placement import Arm, End, Experiment, PlacementStage, Summary, read_summary
 from meadowpulley.placement.gateway import TakenOver
 from meadowpulley.takeover import Stopping
@@ -121,7 +121,7 @@
 
     class Inside:
         def handle(self, now: float, event: Any) -> list[Any]:
-            if isinstance(event, i.Request):
+            if isinstance(event, Request):
                 told.append(gateway.stage.origin_of(event.request))
             return []
 
--- a/tests/test_takeover_steps.py
+++ b/tests/test_takeover_steps.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from meadowpulley import interface as i
+from meadowpulley.interface import Send
 from meadowpulley.ledger import Commit
 from meadowpulley.takeover import Adopt, Pass, Stopping
 from tests.takeover_fleet import ORDER, PAY, READ, TERM, Fleet, stop_at
@@ -17,10 +17,10 @@
 # At whose action, the n-th of its kind: the owner's write of the right, its sending, the write of the answer
 # and its passing on; the claimant's claim, its slot, and then the same steps.
 BETWEEN = [
-    *[("a", step, n) for step, n in ((Commit, 0), (i.Send, 0), (Commit, 1), (Pass, 0))],
+    *[("a", step, n) for step, n in ((Commit, 0), (Send, 0), (Commit, 1), (Pass, 0))],
     *[
         (CLAIMANT, step, n)
-        for step, n in ((Commit, 0), (Adopt, 0), (Commit, 1), (i.Send, 0), (Commit, 2), (Pass, 0))
+        for step, n in ((Commit, 0), (Adopt, 0), (Commit, 1), (Send, 0), (Commit, 2), (Pass, 0))
     ],
 ]
 
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -58,17 +58,42 @@
         "classes": [
             {"name": "look", "repeat": "pure", "target-ms": 1000.0, "hard-limit-ms": 3000.0, "worth": 3.0},
             {"name": "pay", "repeat": "side_effect", "target-ms": 800.0, "hard-limit-ms": 2000.0},
-            {"name": "order", "repeat": "token", "group": "all", "dedup-window-ms": 2500.0,
-             "target-ms": 1000.0, "hard-limit-ms": 2500.0},
+            {
+                "name": "order",
+                "repeat": "token",
+                "group": "all",
+                "dedup-window-ms": 2500.0,
+                "target-ms": 1000.0,
+                "hard-limit-ms": 2500.0,
+            },
         ],
         "discovery": "automatic",
-        "bounds": {"most-tries": 4, "may-duplicate": False, "cancelling": True, "retry-after": True,
-                   "max-retry-after-ms": 500.0},
-        "rules": {"answer-slack-ms": 20.0, "cold-from": 0.4, "cold-ms": 4800.0, "fall-multiple": 2.0,
-                  "stop-sending-within-ms": 2000.0, "tip-after-ms": 1500.0},
-        "family-info": {"gate-mode": "any", "caps": [0.1, 0.5, 1.0], "steps": [0.05, 0.4, 1.0], "free": 3.0,
-                        "exposure-window-ms": 6000.0, "soak-ms": 3000.0, "ballot-ttl-ms": 6000.0,
-                        "api-timeout-ms": 1200.0, "style": "beside"},
-    }  # fmt: skip
+        "bounds": {
+            "most-tries": 4,
+            "may-duplicate": False,
+            "cancelling": True,
+            "retry-after": True,
+            "max-retry-after-ms": 500.0,
+        },
+        "rules": {
+            "answer-slack-ms": 20.0,
+            "cold-from": 0.4,
+            "cold-ms": 4800.0,
+            "fall-multiple": 2.0,
+            "stop-sending-within-ms": 2000.0,
+            "tip-after-ms": 1500.0,
+        },
+        "family-info": {
+            "gate-mode": "any",
+            "caps": [0.1, 0.5, 1.0],
+            "steps": [0.05, 0.4, 1.0],
+            "free": 3.0,
+            "exposure-window-ms": 6000.0,
+            "soak-ms": 3000.0,
+            "ballot-ttl-ms": 6000.0,
+            "api-timeout-ms": 1200.0,
+            "style": "beside",
+        },
+    }
     base.update(changes)
     return json.dumps(base).encode()
