--- a/benchmarks/check_growth.py
+++ b/benchmarks/check_growth.py
@@ -10,13 +10,15 @@
 
 from msgspec.structs import replace
 
-from meadowpulley.check import Coverage, Search, Setting
+from meadowpulley.model_checking import Coverage, ModelSettings, Search
 
 SIZES = ((1, 2, 1), (1, 2, 2), (1, 3, 2), (2, 3, 2), (2, 3, 3), (2, 3, 4))
-REDUCED = Setting(scene="attempts", gateways=2, servers=3, requests=2, troubles=0, waits=1)
+REDUCED = ModelSettings(
+    configuration="attempts", gateways=2, servers=3, requests=2, faults=0, time_advances=1
+)
 
 
-def play(setting: Setting, budget_s: float) -> Coverage:
+def play(setting: ModelSettings, budget_s: float) -> Coverage:
     search = Search(setting)
     try:
         return search.run(budget_s=budget_s)
@@ -24,12 +26,11 @@
         search.close()
 
 
-def row(name: str, c: Coverage, ratio: str = "") -> str:
-    speed = c.states / max(c.seconds, 0.001)
-    how = "complete" if c.complete else f"to {c.depth} steps"
-    return (
-        f"| {name} | {c.states} | {c.taken} | {c.depth} | {c.seconds:.1f} | {speed:.0f} | {how} | {ratio} |"
-    )
+def row(name: str, coverage: Coverage, ratio: str = "") -> str:
+    speed = coverage.states / max(coverage.elapsed_s, 0.001)
+    covered = "complete" if coverage.complete else f"to {coverage.depth} steps"
+    counts = f"{coverage.states} | {coverage.transitions} | {coverage.depth} | {coverage.elapsed_s:.1f}"
+    return f"| {name} | {counts} | {speed:.0f} | {covered} | {ratio} |"
 
 
 def main() -> None:
@@ -37,16 +38,21 @@
     print("| configuration | states | steps taken | depth | seconds | states/s | covered | ratio |")
     print("| --- | --- | --- | --- | --- | --- | --- | --- |")
     for gateways, servers, requests in SIZES:
-        setting = Setting(
-            scene="attempts", gateways=gateways, servers=servers, requests=requests, troubles=0, waits=1
+        setting = ModelSettings(
+            configuration="attempts",
+            gateways=gateways,
+            servers=servers,
+            requests=requests,
+            faults=0,
+            time_advances=1,
         )
         print(row(f"{setting.size}, 0 troubles, 1 wait", play(setting, budget_s)), flush=True)
     whole = play(REDUCED, budget_s)
     print(row("all reductions", whole, "1.00"))
     for name, off in (
         ("no symmetry", {"symmetry": False}),
-        ("no order of gateways", {"ordered": False}),
-        ("neither", {"symmetry": False, "ordered": False}),
+        ("no order of gateways", {"ordered_gateways": False}),
+        ("neither", {"symmetry": False, "ordered_gateways": False}),
     ):
         found = play(replace(REDUCED, **off), budget_s)
         print(row(name, found, f"{found.states / whole.states:.2f}"), flush=True)
--- a/benchmarks/emulator_speed.py
+++ b/benchmarks/emulator_speed.py
@@ -12,7 +12,7 @@
 from msgspec.structs import replace
 
 from meadowpulley.cli.demo import demo_fleet
-from meadowpulley.emulator import World
+from meadowpulley.emulator import Emulation
 from meadowpulley.load import PROFILES, synthesize
 
 SIZES = (10, 100, 1000)
@@ -21,12 +21,12 @@
 
 
 def main() -> None:
-    raw = argparse.RawDescriptionHelpFormatter
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=raw)
+    formatter = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=formatter)
     parser.add_argument("--seed", type=int, default=1)
     seed = parser.parse_args().seed
     base = demo_fleet()
-    first = 0.0
+    first_speed = 0.0
     print("| servers | gateways | requests | wall seconds | requests a second | ratio | events a request |")
     print("| --- | --- | --- | --- | --- | --- | --- |")
     for size in SIZES:
@@ -36,16 +36,17 @@
         fleet = replace(base, servers=servers, gateways=gateways)
         per_s = UTILISATION * fleet.capacity() * 1000 / fleet.mean_work_ms()
         load = synthesize(fleet, PROFILES["steady"], per_s, REQUESTS / per_s, seed)
-        world = World(fleet, load, seed)
-        began = time.perf_counter()
-        result = world.run()
-        took = time.perf_counter() - began
-        speed = result.asks / took
-        first = first or speed
-        assert not result.broken
+        emulation = Emulation(fleet, load, seed)
+        started_at = time.perf_counter()
+        result = emulation.run()
+        elapsed_s = time.perf_counter() - started_at
+        speed = result.calls / elapsed_s
+        first_speed = first_speed or speed
+        assert not result.violation_counts
         print(
-            f"| {len(fleet.machines())} | {len(world.gateways)} | {result.asks} | {took:.1f} | {speed:.0f} | "
-            f"{speed / first:.2f} | {world.virtual.ran / result.asks:.1f} |"
+            f"| {len(fleet.machines())} | {len(emulation.gateways)} | {result.calls} | {elapsed_s:.1f} | "
+            f"{speed:.0f} | "
+            f"{speed / first_speed:.2f} | {emulation.virtual_clock.calls_run / result.calls:.1f} |"
         )
 
 
--- a/benchmarks/fleet_sums.py
+++ b/benchmarks/fleet_sums.py
@@ -14,17 +14,17 @@
 
 from msgspec.structs import replace
 
-from meadowpulley.balance import LIST_EACH_MS
 from meadowpulley.cli.demo import demo_fleet
-from meadowpulley.emulator import Build, Fault, Release, Scenario, World
+from meadowpulley.emulator import Build, Emulation, Fault, Release, Scenario
 from meadowpulley.fleet import Fleet
 from meadowpulley.interface import SendGossip, Vote
 from meadowpulley.load import PROFILES, synthesize
-from meadowpulley.rules import Listed, Record, Sent
+from meadowpulley.policy import LIST_CALL_SPACING_MS
+from meadowpulley.rules import AttemptSent, EndpointListed, Record
 
 PER_GATEWAY = 4.0  # requests a second
 SECONDS = 30.0
-RELEASE_MS, CRASH_MS, DOWN_MS = 4000.0, 22_000.0, 4000.0
+RELEASE_MS, CRASH_MS, OUTAGE_MS = 4000.0, 22_000.0, 4000.0
 
 
 def fleet_of(gateways: int) -> Fleet:
@@ -41,78 +41,80 @@
     return replace(fleet, kinds=tuple(replace(k, speed=k.speed * fast) for k in fleet.kinds))
 
 
-class Counted(World):
+class CountingEmulation(Emulation):
     """A run that counts what all gateways do together."""
 
     def __init__(self, fleet: Fleet, seed: int) -> None:
-        self.by_second: dict[str, Counter[int]] = defaultdict(Counter)
-        self.known: dict[tuple[int, int], tuple[str, int]] = {}  # by gateway and server: state and build
+        self.counts_by_second: dict[str, Counter[int]] = defaultdict(Counter)
+        self.entries_known: dict[
+            tuple[int, int], tuple[str, int]
+        ] = {}  # by gateway and server: state and build
         # By server, state and build: when each gateway first knew of the change.
-        self.listed: dict[tuple[int, str, int], dict[int, float]] = defaultdict(dict)
-        self.cold: Counter[tuple[int, int]] = Counter()  # sends by server and span
-        self.cold_most = 0.0  # of what may be sent in a span
+        self.entries_listed: dict[tuple[int, str, int], dict[int, float]] = defaultdict(dict)
+        self.cold_servers: Counter[tuple[int, int]] = Counter()  # sends by server and span
+        self.max_cold_servers = 0.0  # of what may be sent in a span
         load = synthesize(fleet, PROFILES["steady"], PER_GATEWAY * len(fleet.gateway_sites()), SECONDS, seed)
         scenario = Scenario(
             releases=(Release(RELEASE_MS, Build(number=2)),),
-            faults=(Fault("crash", CRASH_MS, DOWN_MS, part=0.05),),
+            faults=(Fault("crash", CRASH_MS, OUTAGE_MS, share=0.05),),
         )
-        super().__init__(fleet, load, seed, scenario, trace=self._see)
-        watch = self.discovery.watch
+        super().__init__(fleet, load, seed, scenario, on_record=self._observe)
+        watch_enabled = self.discovery.subscribe
 
-        def counted(gateway: int) -> None:
+        def count_update(gateway: int) -> None:
             self.count("list calls")
-            watch(gateway)
+            watch_enabled(gateway)
 
-        self.discovery.watch = counted  # type: ignore[method-assign]
+        self.discovery.subscribe = count_update  # type: ignore[method-assign]
 
     def count(self, what: str, times: int = 1) -> None:
-        self.by_second[what][int(self.clock.now / 1000)] += times
+        self.counts_by_second[what][int(self.clock.now / 1000)] += times
 
-    def _see(self, record: Record) -> None:
-        if isinstance(record, Listed):
+    def _observe(self, record: Record) -> None:
+        if isinstance(record, EndpointListed):
             now = (record.state, record.build)
-            if self.known.get((record.gateway, record.server)) != now and record.at > 0.0:
-                self.listed[record.server, *now].setdefault(record.gateway, record.at)
-            self.known[record.gateway, record.server] = now
-        elif isinstance(record, Sent):
-            self._sent(record)
-
-    def _sent(self, sent: Sent) -> None:
-        host, rules = self.hosts.get(sent.server), self.fleet.rules
-        if host is None or not host.entry.started_ms:
+            if self.entries_known.get((record.gateway, record.server)) != now and record.at > 0.0:
+                self.entries_listed[record.server, *now].setdefault(record.gateway, record.at)
+            self.entries_known[record.gateway, record.server] = now
+        elif isinstance(record, AttemptSent):
+            self._attempt_sent(record)
+
+    def _attempt_sent(self, sent: AttemptSent) -> None:
+        server, rules = self.servers.get(sent.server), self.fleet.rules
+        if server is None or not server.entry.started_ms:
             return
-        kind = self.fleet.kinds[host.entry.kind]
-        age = self.clock.now - host.entry.started_ms
-        if age >= kind.cold_ms:
+        kind = self.fleet.kinds[server.entry.kind]
+        age_ms = self.clock.now - server.entry.started_ms
+        if age_ms >= kind.slow_start_ms:
             return
-        span = int(age / rules.fall_ms)
-        self.cold[sent.server, span] += 1
+        window_ms = int(age_ms / rules.overload_window_ms)
+        self.cold_servers[sent.server, window_ms] += 1
         # At the least that it can do in the middle of the span.
-        grown = min((span + 0.5) * rules.fall_ms / kind.cold_ms, 1.0)
-        able = (kind.cold_from + (1 - kind.cold_from) * grown) * kind.cores * kind.speed
-        limit = rules.fall_multiple * able * rules.fall_ms / self.fleet.mean_work_ms()
-        self.cold_most = max(self.cold_most, self.cold[sent.server, span] / limit)
+        grown = min((window_ms + 0.5) * rules.overload_window_ms / kind.slow_start_ms, 1.0)
+        capacity = (kind.slow_start_from + (1 - kind.slow_start_from) * grown) * kind.cores * kind.speed
+        limit = rules.overload_multiple * capacity * rules.overload_window_ms / self.fleet.mean_work_ms()
+        self.max_cold_servers = max(self.max_cold_servers, self.cold_servers[sent.server, window_ms] / limit)
 
-    def travel(self, gateway: Any, attempt: Any, fresh: bool) -> None:
-        if fresh:
+    def transmit(self, gateway: Any, attempt: Any, new_connection: bool) -> None:
+        if new_connection:
             self.count("connections opened")
-        super().travel(gateway, attempt, fresh)
+        super().transmit(gateway, attempt, new_connection)
 
-    def datagram(self, gateway: Any, action: SendGossip) -> None:
+    def send_gossip(self, gateway: Any, action: SendGossip) -> None:
         self.count("datagrams heard", len(self.gateways) - 1)
-        super().datagram(gateway, action)
+        super().send_gossip(gateway, action)
 
-    def cast(self, gateway: Any, vote: Vote) -> None:
+    def send_vote(self, gateway: Any, vote: Vote) -> None:
         self.count("votes")
-        super().cast(gateway, vote)
+        super().send_vote(gateway, vote)
 
 
 def main() -> None:
-    raw = argparse.RawDescriptionHelpFormatter
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=raw)
+    formatter = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=formatter)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--sizes", type=int, nargs="+", default=[40, 100, 200])
-    wanted = parser.parse_args()
+    chosen = parser.parse_args()
     kinds = ("list calls", "connections opened", "datagrams heard", "votes")
     print("| gateways, servers | requests", end="")
     for kind in kinds:
@@ -120,22 +122,25 @@
     print(" | most connections held | a change is known by all after, ms: median, most", end="")
     print(" | most sends on a cold server, of its limit | rules broken |")
     print("| --- " * (len(kinds) + 6) + "|")
-    for size in wanted.sizes:
-        world, held = Counted(fleet_of(size), wanted.seed), 0
-        while not world.over:
-            world.run_until(world.clock.now + 1000.0)
-            held = max(held, sum(g.open for g in world.gateways))
-        result = world.finish()
+    for size in chosen.sizes:
+        emulation, in_flight = CountingEmulation(fleet_of(size), chosen.seed), 0
+        while not emulation.over:
+            emulation.run_until(emulation.clock.now + 1000.0)
+            in_flight = max(in_flight, sum(g.open for g in emulation.gateways))
+        result = emulation.finish()
         # Changes after the first calls for the list, which are spread over time by the number of gateways.
-        changes = [list(times.values()) for times in world.listed.values()]
-        late = [t for t in changes if len(t) == size and min(t) > LIST_EACH_MS * size]
-        known = sorted(max(times) - min(times) for times in late)
-        sums = [world.by_second[k] for k in kinds]
-        print(f"| {size}, {len(world.fleet.machines())} | {result.asks}", end="")
-        for by in sums:
-            print(f" | {by.total()}, {max(by.values(), default=0)}", end="")
+        changes = [list(times.values()) for times in emulation.entries_listed.values()]
+        late_ms = [t for t in changes if len(t) == size and min(t) > LIST_CALL_SPACING_MS * size]
+        known = sorted(max(times) - min(times) for times in late_ms)
+        sums = [emulation.counts_by_second[k] for k in kinds]
+        print(f"| {size}, {len(emulation.fleet.machines())} | {result.calls}", end="")
+        for per_second in sums:
+            print(f" | {per_second.total()}, {max(per_second.values(), default=0)}", end="")
         times = f"{known[len(known) // 2]:.0f}, {known[-1]:.0f}" if known else "-"
-        print(f" | {held} | {times} | {world.cold_most:.2f} | {result.broken or 'none'} |")
+        print(
+            f" | {in_flight} | {times} | {emulation.max_cold_servers:.2f} | "
+            f"{result.violation_counts or 'none'} |"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/gateway_cost.py
+++ b/benchmarks/gateway_cost.py
@@ -13,7 +13,7 @@
 import sys
 from pathlib import Path
 
-PART = """
+MEASUREMENT = """
 import os, sys, tempfile
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -46,28 +46,28 @@
 
 
 def main() -> None:
-    raw = argparse.RawDescriptionHelpFormatter
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=raw)
+    formatter = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=formatter)
     parser.add_argument("folders", type=Path, nargs="+")
     parser.add_argument("--requests", type=int, default=4000)
     parser.add_argument("--rounds", type=int, default=3)
-    given = parser.parse_args()
-    found: dict[Path, list[float]] = {folder: [] for folder in given.folders}
-    for _ in range(given.rounds):
-        for folder in given.folders:
-            done = subprocess.run(
-                [sys.executable, "-c", PART, str(given.requests)],
+    chosen = parser.parse_args()
+    costs_by_folder: dict[Path, list[float]] = {folder: [] for folder in chosen.folders}
+    for _ in range(chosen.rounds):
+        for folder in chosen.folders:
+            process = subprocess.run(
+                [sys.executable, "-c", MEASUREMENT, str(chosen.requests)],
                 cwd=folder,
                 capture_output=True,
                 text=True,
                 check=True,
             )
-            found[folder].append(float(done.stdout))
-    first = statistics.median(found[given.folders[0]])
-    for folder, costs in found.items():
-        middle = statistics.median(costs)
+            costs_by_folder[folder].append(float(process.stdout))
+    baseline = statistics.median(costs_by_folder[chosen.folders[0]])
+    for folder, costs in costs_by_folder.items():
+        median = statistics.median(costs)
         each = ", ".join(f"{c:.0f}" for c in costs)
-        print(f"{folder.name}: {middle:.0f} us of CPU a request ({each}), ratio {middle / first:.2f}")
+        print(f"{folder.name}: {median:.0f} us of CPU a request ({each}), ratio {median / baseline:.2f}")
 
 
 if __name__ == "__main__":
--- a/benchmarks/ledger_gateway.py
+++ b/benchmarks/ledger_gateway.py
@@ -17,80 +17,88 @@
 from twisted.internet import reactor as found_reactor
 
 from meadowpulley.interface import SetTimer, Timer
-from meadowpulley.ledger import Commit, Committed, Create, Step, Suspected
+from meadowpulley.ledger import Commit, CommitCompleted, Create, LeaseExpired, Transaction
 from meadowpulley.ledger.client import start_ledger
 from meadowpulley.net.counters import Counters
 from meadowpulley.net.deadlines import Deadlines, now_ms
 
 reactor: Any = found_reactor
-VALUE = bytes(300)
-KEYS = 500
-LATE_MS = 10.0  # every so often it looks how late its reactor is
+RECORD_VALUE = bytes(300)
+KEY_COUNT = 500
+DELAY_SAMPLE_MS = 10.0  # every so often it looks how late its reactor is
 
 
 class Gateway:
-    def __init__(self, name: str, rate: float) -> None:
+    def __init__(self, name: str, transactions_per_second: float) -> None:
         self.counters, self.log = Counters(), self
-        self.deadlines = Deadlines(reactor, lambda where: self.say(fault=where, error=str(sys.exc_info()[1])))
-        self.rate, self.number, self.asked = rate, 0, dict[int, float]()
-        self.took, self.groups, self.lates = list[float](), list[int](), list[float]()
-        self.functions: dict[type, Callable[[Any], None]] = {SetTimer: self._set_timer}
+        self.deadlines = Deadlines(
+            reactor, lambda where: self.report(fault=where, error=str(sys.exc_info()[1]))
+        )
+        self.transactions_per_second, self.last_ticket, self.commit_started = (
+            transactions_per_second,
+            0,
+            dict[int, float](),
+        )
+        self.commit_ms, self.groups, self.reactor_delays_ms = list[float](), list[int](), list[float]()
+        self.handlers: dict[type, Callable[[Any], None]] = {SetTimer: self._set_timer}
         client = start_ledger(self, name, os.environ, reactor)
         assert client is not None
         self.client = client
-        self.keeper = client.wrap(self, tuple)
-        self.say(began=str(client.life))
+        self.lease_manager = client.wrap(self, tuple)
+        self.report(began=str(client.incarnation))
 
-    def say(self, **what: Any) -> None:
+    def report(self, **what: Any) -> None:
         print(json.dumps({"at": now_ms(), **what}), flush=True)
 
     def info(self, event: str, **fields: Any) -> None:
         if event != "ledger":
-            self.say(log=event, **fields)
+            self.report(log=event, **fields)
 
     warning = error = info
 
     def run(self) -> None:
         self.client.start()
-        self.due = now_ms()
-        self._ask()
-        self.late_from = now_ms()
-        self._late()
+        self.next_commit_at = now_ms()
+        self._commit_due()
+        self.next_sample_at = now_ms()
+        self._sample_delay()
         reactor.addReader(self)
         reactor.run(installSignalHandlers=False)
 
-    def tell(self, event: Any) -> None:
-        for action in self.keeper.handle(self.deadlines.now(), event):
-            self.functions[type(action)](action)
+    def dispatch(self, event: Any) -> None:
+        for action in self.lease_manager.handle(self.deadlines.now(), event):
+            self.handlers[type(action)](action)
 
-    def carry_out(self, kind: type, function: Callable[[Any], None]) -> None:
-        self.functions[kind] = function
+    def register_action(self, kind: type, handler: Callable[[Any], None]) -> None:
+        self.handlers[kind] = handler
 
     def _set_timer(self, action: SetTimer) -> None:
-        self.deadlines.after(action.delay_ms, lambda: self.tell(Timer(action.token)))
+        self.deadlines.after(action.delay_ms, lambda: self.dispatch(Timer(action.token)))
 
     def handle(self, now: float, event: Any) -> list[Any]:
-        if isinstance(event, Suspected):
-            self.say(suspected=[[str(m.life), m.sealed] for m in event.members])
-        elif isinstance(event, Committed):
-            self.took.append(now - self.asked.pop(event.ticket))
+        if isinstance(event, LeaseExpired):
+            self.report(suspected=[[str(m.incarnation), m.fenced] for m in event.members])
+        elif isinstance(event, CommitCompleted):
+            self.commit_ms.append(now - self.commit_started.pop(event.ticket))
         return []
 
-    def _ask(self) -> None:
+    def _commit_due(self) -> None:
         """What came due since: a request's record, its right to go out and its end are about three steps."""
-        while self.due <= now_ms():
-            self.due += 1000.0 / self.rate
-            self.number += 1
-            self.asked[self.number] = now_ms()
-            key = f"w/{self.client.life}/{self.number % KEYS}"
-            self.client.commit(Commit(self.number, (Step((Create(key, VALUE),)),), "bench"))
-        self.deadlines.at(self.due, self._ask)
-
-    def _late(self) -> None:
+        while self.next_commit_at <= now_ms():
+            self.next_commit_at += 1000.0 / self.transactions_per_second
+            self.last_ticket += 1
+            self.commit_started[self.last_ticket] = now_ms()
+            key = f"w/{self.client.incarnation}/{self.last_ticket % KEY_COUNT}"
+            self.client.commit(
+                Commit(self.last_ticket, (Transaction((Create(key, RECORD_VALUE),)),), "bench")
+            )
+        self.deadlines.at(self.next_commit_at, self._commit_due)
+
+    def _sample_delay(self) -> None:
         now = now_ms()
-        self.lates.append(max(now - self.late_from, 0.0))
-        self.late_from = now + LATE_MS
-        self.deadlines.at(self.late_from, self._late)
+        self.reactor_delays_ms.append(max(now - self.next_sample_at, 0.0))
+        self.next_sample_at = now + DELAY_SAMPLE_MS
+        self.deadlines.at(self.next_sample_at, self._sample_delay)
 
     # As a reader of the reactor: its input ends it
 
@@ -105,8 +113,8 @@
 
     def doRead(self) -> None:  # noqa: N802 (Twisted's name)
         os.read(0, 100)
-        self.say(took=self.took, lates=self.lates, counts=self.counters.all())
-        self.client.leave()
+        self.report(took=self.commit_ms, lates=self.reactor_delays_ms, counts=self.counters.snapshot())
+        self.client.release_lease()
         reactor.callLater(0.0, reactor.stop)
 
 
--- a/benchmarks/lending.py
+++ b/benchmarks/lending.py
@@ -22,15 +22,15 @@
 
 
 from benchmarks.lending_faults import random_faults
-from benchmarks.lending_fleet import Fleet, Rates
-from meadowpulley.lending import Plan, Share
-from meadowpulley.lending.split import split
+from benchmarks.lending_fleet import Rates, SimulatedFleet
+from meadowpulley.lending import Quota, QuotaPlan
+from meadowpulley.lending.max_min_fairness import divide_capacity
 
 SIZES = {3: 300.0, 40: 2000.0, 200: 4000.0}  # gateways, and requests a second of all together
 AWAY, BACK, END = 4.0, 12.0, 24.0  # seconds: the owner goes, returns, and the run ends
-AIM = 0.99  # of the owner's due, from one term after its return
-SHARES = (Share("owner", 0.5), Share("b", 0.3, 3.0), Share("c", 0.2, 2.0), Share("d", 0.0, 1.0))
-GROWTH = 1.6  # operations of each gateway at 200, by those at 40, at most
+MIN_RETURN_FRACTION = 0.99  # of the owner's due, from one term after its return
+SHARES = (Quota("owner", 0.5), Quota("b", 0.3, 3.0), Quota("c", 0.2, 2.0), Quota("d", 0.0, 1.0))
+MAX_OPERATIONS_GROWTH = 1.6  # operations of each gateway at 200, by those at 40, at most
 
 
 def returning(gateways: int, capacity: float, asks: float) -> Rates:
@@ -46,51 +46,51 @@
     return rates
 
 
-def ideal(plan: Plan, arrived: Counter[int]) -> tuple[float, float, float]:
+def reference_policies(plan: QuotaPlan, arrived: Counter[int]) -> tuple[float, float, float]:
     """Of one second's arrivals, what an oracle, hard quotas and the first to come admit, by the capacity."""
-    capacity, asks = plan.capacity_per_s, [float(arrived[n]) for n in range(len(plan.tenants))]
-    shares, weights = [t.part * capacity for t in plan.tenants], [t.weight for t in plan.tenants]
-    own, lent = split(capacity, asks, shares, weights)
-    quotas = sum(min(ask, share) for ask, share in zip(asks, shares, strict=True))
-    return (sum(own) + sum(lent)) / capacity, quotas / capacity, min(sum(asks) / capacity, 1.0)
+    capacity, demands = plan.capacity_per_s, [float(arrived[n]) for n in range(len(plan.tenants))]
+    shares, weights = [t.fraction * capacity for t in plan.tenants], [t.weight for t in plan.tenants]
+    own, borrowed = divide_capacity(capacity, demands, shares, weights)
+    quotas = sum(min(ask, share) for ask, share in zip(demands, shares, strict=True))
+    return (sum(own) + sum(borrowed)) / capacity, quotas / capacity, min(sum(demands) / capacity, 1.0)
 
 
-class Verdicts:
+class BenchmarkVerdict:
     def __init__(self) -> None:
         self.failed: list[str] = []
-        self.most_rate, self.most_excess = 0.0, 0.0
+        self.max_rate_fraction, self.max_excess = 0.0, 0.0
 
-    def watch(self, fleet: Fleet, where: str) -> None:
+    def check_sum(self, fleet: SimulatedFleet, where: str) -> None:
         """The sum: of the rates at every look, and of the admissions over every window."""
-        self.most_rate = max(self.most_rate, fleet.most_rate)
-        excess = fleet.most_excess / fleet.stated_burst
-        self.most_excess = max(self.most_excess, excess)
-        if fleet.most_rate > 1 + 1e-9 or excess > 1:
+        self.max_rate_fraction = max(self.max_rate_fraction, fleet.max_rate_fraction)
+        excess = fleet.max_excess / fleet.stated_burst
+        self.max_excess = max(self.max_excess, excess)
+        if fleet.max_rate_fraction > 1 + 1e-9 or excess > 1:
             self.failed.append(
-                f"{where}: rates up to {fleet.most_rate:.4f}, windows to {excess:.2f} of the burst"
+                f"{where}: rates up to {fleet.max_rate_fraction:.4f}, windows to {excess:.2f} of the burst"
             )
 
 
-def owner_returns(verdicts: Verdicts, seed: int) -> dict[int, float]:
+def owner_returns(verdicts: BenchmarkVerdict, seed: int) -> dict[int, float]:
     print("\nAn owner returns (second 0); part of its due admitted, second by second; capacity used")
     backs: dict[int, float] = {}
     for gateways, capacity in SIZES.items():
         for asks in (0.9, 1.2):
-            plan = Plan(1, capacity, gateways, SHARES)
-            fleet = Fleet(plan, gateways, seed, returning(gateways, capacity, asks))
+            plan = QuotaPlan(1, capacity, gateways, SHARES)
+            fleet = SimulatedFleet(plan, gateways, seed, returning(gateways, capacity, asks))
             fleet.run(END * 1000)
-            verdicts.watch(fleet, f"owner returns, {gateways} gateways")
+            verdicts.check_sum(fleet, f"owner returns, {gateways} gateways")
             due = {s: min(fleet.arrived[s][0], 0.5 * capacity) for s in range(int(BACK), int(END))}
             part = {s: fleet.admitted[s][0] / max(due[s], 1) for s in due}
             late = [s for s in due if s >= BACK + plan.term_ms / 1000]
             back = sum(fleet.admitted[s][0] for s in late) / sum(due[s] for s in late)
             backs[gateways] = min(backs.get(gateways, 1.0), back)
-            if back < AIM:
+            if back < MIN_RETURN_FRACTION:
                 verdicts.failed.append(
                     f"owner at {back:.4f} of its due, {gateways} gateways, asking {asks:g}"
                 )
             used = [sum(fleet.admitted[s].values()) / capacity for s in range(6, int(END))]
-            ideals = [ideal(plan, fleet.arrived[s]) for s in range(6, int(END))]
+            ideals = [reference_policies(plan, fleet.arrived[s]) for s in range(6, int(END))]
             means = [sum(column) / len(used) for column in zip(*ideals, strict=True)]
             shown = " ".join(f"{part[s]:.2f}" for s in list(due)[:8])
             print(
@@ -101,18 +101,18 @@
     return backs
 
 
-def borrowers(verdicts: Verdicts, seed: int) -> float:
+def borrowers(verdicts: BenchmarkVerdict, seed: int) -> float:
     """Fairness by weight among those that borrow, how much it moves, and an owner that comes and goes."""
     gateways, capacity = 40, 2000.0
-    steady = Fleet(
-        Plan(1, capacity, gateways, SHARES), gateways, seed, lambda s, g: hungry(capacity / gateways)
+    steady = SimulatedFleet(
+        QuotaPlan(1, capacity, gateways, SHARES), gateways, seed, lambda s, g: hungry(capacity / gateways)
     )
     steady.run(16_000)
-    verdicts.watch(steady, "borrowers")
+    verdicts.check_sum(steady, "borrowers")
     seconds = range(6, 16)
     # What each has beyond its own share, by its weight: alike where the split is max-min by weight.
     lent = [
-        (sum(steady.admitted[s][n] for s in seconds) / len(seconds) - SHARES[n].part * capacity)
+        (sum(steady.admitted[s][n] for s in seconds) / len(seconds) - SHARES[n].fraction * capacity)
         / SHARES[n].weight
         for n in (1, 2, 3)
     ]
@@ -123,9 +123,9 @@
         away = int(second) % 4 >= 2
         return hungry(capacity / gateways) | ({} if away else {0: 0.45 * capacity / gateways})
 
-    flapping = Fleet(Plan(1, capacity, gateways, SHARES), gateways, seed, flaps)
+    flapping = SimulatedFleet(QuotaPlan(1, capacity, gateways, SHARES), gateways, seed, flaps)
     flapping.run(20_000)
-    verdicts.watch(flapping, "flapping owner")
+    verdicts.check_sum(flapping, "flapping owner")
     on = [s for s in range(8, 20) if s % 4 < 2]
     due = sum(min(flapping.arrived[s][0], 0.5 * capacity) for s in on)
     got = sum(flapping.admitted[s][0] for s in on) / due
@@ -149,50 +149,50 @@
     return math.sqrt(sum((v - mean) ** 2 for v in values) / len(values)) / max(mean, 1.0)
 
 
-def below_capacity(verdicts: Verdicts, seed: int) -> None:
+def below_capacity(verdicts: BenchmarkVerdict, seed: int) -> None:
     """What is refused though there is enough: many small tenants, whose arrivals come in lumps."""
     gateways, tenants, capacity = 40, 100, 800.0
-    rng, plan = Random(seed), Plan(1, 800.0, 40, tuple(Share(f"t{n}", 0.01) for n in range(tenants)))
+    rng, plan = Random(seed), QuotaPlan(1, 800.0, 40, tuple(Quota(f"t{n}", 0.01) for n in range(tenants)))
     active = {g: rng.sample(range(tenants), 20) for g in range(gateways)}
     found = []
     for load in (0.5, 0.7, 0.9):
         each = load * capacity / gateways / 20
-        fleet = Fleet(plan, gateways, seed, lambda s, g, e=each: dict.fromkeys(active[g], e))  # type: ignore[misc]
+        fleet = SimulatedFleet(plan, gateways, seed, lambda s, g, e=each: dict.fromkeys(active[g], e))  # type: ignore[misc]
         fleet.run(14_000)
-        verdicts.watch(fleet, f"load {load:g}")
+        verdicts.check_sum(fleet, f"load {load:g}")
         counts = [sum(sum(c[s].values()) for s in range(4, 14)) for c in (fleet.arrived, fleet.admitted)]
         found.append(f"{1 - counts[1] / counts[0]:.3f} at {load:g}")
     print(f"\nRefused below the capacity ({gateways} gateways, 20 tenants each, 20 requests a second each):")
     print(f"{', '.join(found)} of it")
 
 
-def operations(verdicts: Verdicts, seed: int) -> dict[tuple[int, int], float]:
+def operations(verdicts: BenchmarkVerdict, seed: int) -> dict[tuple[int, int], float]:
     """Steps a second of each gateway, by gateways and tenants."""
     print("\nLedger a second (steps, commits, records read; kB written), all tenants at 20 a gateway at most")
     found: dict[tuple[int, int], float] = {}
     for gateways, tenants in ((3, 20), (40, 20), (40, 1000), (200, 20), (200, 1000)):
         rng, capacity = Random(seed), 10.0 * gateways
         active = {g: rng.sample(range(tenants), 20) for g in range(gateways)}
-        plan = Plan(1, capacity, gateways, tuple(Share(f"t{n}", 1 / tenants) for n in range(tenants)))
-        fleet = Fleet(plan, gateways, seed, lambda s, g, a=active: dict.fromkeys(a[g], 0.4))  # type: ignore[misc]
+        plan = QuotaPlan(1, capacity, gateways, tuple(Quota(f"t{n}", 1 / tenants) for n in range(tenants)))
+        fleet = SimulatedFleet(plan, gateways, seed, lambda s, g, a=active: dict.fromkeys(a[g], 0.4))  # type: ignore[misc]
         fleet.run(4000)
-        before, written = Counter(fleet.ops), fleet.values
+        before, written = Counter(fleet.ledger_operations), fleet.bytes_written
         fleet.run(9000)
-        verdicts.watch(fleet, f"{gateways} gateways, {tenants} tenants")
-        each = {kind: (fleet.ops[kind] - before[kind]) / 5 for kind in fleet.ops}
+        verdicts.check_sum(fleet, f"{gateways} gateways, {tenants} tenants")
+        each = {kind: (fleet.ledger_operations[kind] - before[kind]) / 5 for kind in fleet.ledger_operations}
         found[gateways, tenants] = each["steps"] / gateways
         print(
             f"{gateways:4d} gateways, {tenants:4d} tenants: {each['steps']:.0f}, {each['commits']:.0f}, "
-            f"{each['read records']:.0f}; {(fleet.values - written) / 5000:.0f}; "
+            f"{each['read records']:.0f}; {(fleet.bytes_written - written) / 5000:.0f}; "
             f"lost {each.get('lost', 0):.1f}; {each['steps'] / gateways:.2f} steps each"
         )
     growth = max(found[200, t] / found[40, t] for t in (20, 1000))
-    if growth > GROWTH:
+    if growth > MAX_OPERATIONS_GROWTH:
         verdicts.failed.append(f"steps of each gateway grow {growth:.2f} times from 40 to 200")
     return found
 
 
-def faults(verdicts: Verdicts, seed: int, quick: bool) -> int:
+def faults(verdicts: BenchmarkVerdict, seed: int, quick: bool) -> int:
     print("\nRandom faults (gateways killed, stopped, replaced while stopped, cut off, answers lost)")
     total = 0
     runs = [(6, 300.0, 2000.0, n) for n in range(6 if quick else 30)]
@@ -200,16 +200,17 @@
     runs += [] if quick else [(200, 1000.0, 400.0, 0)]
     for gateways, capacity, each_ms, n in runs:
         # Short floors, so that lives of one name meet; clocks as wrong as the plan allows.
-        plan = Plan(1, capacity, gateways, SHARES, floor_term_ms=20_000.0, drift=0.01)
-        fleet = Fleet(plan, gateways, seed * 1000 + n, returning(gateways, capacity, 1.2))
+        plan = QuotaPlan(1, capacity, gateways, SHARES, floor_term_ms=20_000.0, drift=0.01)
+        fleet = SimulatedFleet(plan, gateways, seed * 1000 + n, returning(gateways, capacity, 1.2))
         counts = random_faults(fleet, seed * 1000 + n, 50_000, each_ms)
         fleet.run(60_000)
-        verdicts.watch(fleet, f"faults, {gateways} gateways, seed {seed * 1000 + n}")
+        verdicts.check_sum(fleet, f"faults, {gateways} gateways, seed {seed * 1000 + n}")
         total += sum(counts.values())
         used = sum(sum(fleet.admitted[s].values()) for s in range(60)) / 60 / capacity
         print(
-            f"{gateways:4d} gateways: {sum(counts.values())} faults; rates up to {fleet.most_rate:.4f} of "
-            f"all, windows {fleet.most_excess:.0f} of {fleet.stated_burst:.0f} stated; used {used:.3f}"
+            f"{gateways:4d} gateways: {sum(counts.values())} faults; "
+            f"rates up to {fleet.max_rate_fraction:.4f} of all, "
+            f"windows {fleet.max_excess:.0f} of {fleet.stated_burst:.0f} stated; used {used:.3f}"
         )
     return total
 
@@ -221,7 +222,7 @@
     parser.add_argument("--quick", action="store_true", help="fewer runs with faults: about a minute")
     parser.add_argument("--seed", type=int, default=1)
     given = parser.parse_args()
-    verdicts = Verdicts()
+    verdicts = BenchmarkVerdict()
     backs = owner_returns(verdicts, given.seed)
     jain = borrowers(verdicts, given.seed)
     below_capacity(verdicts, given.seed)
@@ -229,12 +230,12 @@
     count = faults(verdicts, given.seed, given.quick)
     for failure in verdicts.failed:
         print(f"FAILED {failure}")
-    passed, over = "failed" if verdicts.failed else "passed", max(verdicts.most_rate - 1, 0)
+    passed, over = "failed" if verdicts.failed else "passed", max(verdicts.max_rate_fraction - 1, 0)
     owners = ", ".join(f"{back:.3f} ({n} gateways)" for n, back in backs.items())
     print(
         f"\nLending, seed {given.seed}: {passed}: owner one term after its "
         f"return at {owners} of its due; overshoot {over:.4f} under {count} faults, "
-        f"worst window {verdicts.most_excess:.2f} of its stated burst; Jain {jain:.3f}; "
+        f"worst window {verdicts.max_excess:.2f} of its stated burst; Jain {jain:.3f}; "
         f"{steps[40, 1000]:.1f} and {steps[200, 1000]:.1f} ledger steps a second for each of 40 and 200 "
         f"gateways with 1,000 tenants."
     )
--- a/benchmarks/lending_faults.py
+++ b/benchmarks/lending_faults.py
@@ -6,82 +6,88 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from benchmarks.lending_fleet import Fleet, Gateway
+from benchmarks.lending_fleet import SimulatedFleet, SimulatedGateway
 
 
 def random_faults(
-    fleet: Fleet, seed: int, until_ms: float, each_ms: float, kinds: Sequence[str] = ()
+    fleet: SimulatedFleet, seed: int, until_ms: float, each_ms: float, kinds: Sequence[str] = ()
 ) -> Counter[str]:
     """Schedules faults of these kinds (else all) at random, one about every `each_ms`; how many of each."""
     rng, counts, now = Random(seed), Counter[str](), 3000.0
     numbers = range(len(fleet.gateways))
     while (now := now + rng.expovariate(1 / each_ms)) < until_ms:
-        g, kind = fleet.gateways[rng.choice(numbers)], rng.choice(kinds or list(FAULTS))
+        gateway, kind = fleet.gateways[rng.choice(numbers)], rng.choice(kinds or list(FAULTS))
         counts[kind] += 1
         FAULTS[kind](
-            fleet, g, now, rng.choice((200.0, 1000.0, 4000.0, 8000.0, 20_000.0)) * rng.uniform(0.7, 1.3)
+            fleet, gateway, now, rng.choice((200.0, 1000.0, 4000.0, 8000.0, 20_000.0)) * rng.uniform(0.7, 1.3)
         )
     return counts
 
 
-def _kill(fleet: Fleet, g: Gateway, at: float, lasts: float) -> None:
-    fleet.at(at, lambda: fleet.kill(g) if g.stage else None)
-    fleet.at(at + lasts, lambda: fleet.restart(g) if g.stage is None else None)
+def _kill(fleet: SimulatedFleet, gateway: SimulatedGateway, at: float, lasts: float) -> None:
+    fleet.schedule(at, lambda: fleet.kill(gateway) if gateway.stage else None)
+    fleet.schedule(at + lasts, lambda: fleet.restart(gateway) if gateway.stage is None else None)
 
 
-def _pause(fleet: Fleet, g: Gateway, at: float, lasts: float) -> None:
-    fleet.at(at, lambda: fleet.pause(g))
-    fleet.at(at + lasts, lambda: fleet.wake(g))
+def _pause(fleet: SimulatedFleet, gateway: SimulatedGateway, at: float, lasts: float) -> None:
+    fleet.schedule(at, lambda: fleet.pause(gateway))
+    fleet.schedule(at + lasts, lambda: fleet.resume(gateway))
 
 
-def _replaced(fleet: Fleet, g: Gateway, at: float, lasts: float) -> None:
+def _replace_paused(fleet: SimulatedFleet, gateway: SimulatedGateway, at: float, lasts: float) -> None:
     """Stands still, is sealed and replaced, and wakes beside its successor."""
 
     def act() -> None:
-        fleet.pause(g)
+        fleet.pause(gateway)
         before = len(fleet.gateways)
-        fleet.restart(g)
+        fleet.restart(gateway)
         if len(fleet.gateways) > before:
             ghost = fleet.gateways[-1]
-            fleet.at(fleet.now + lasts, lambda: fleet.wake(ghost))
+            fleet.schedule(fleet.now + lasts, lambda: fleet.resume(ghost))
 
-    fleet.at(at, act)
+    fleet.schedule(at, act)
 
 
-def _cut(fleet: Fleet, g: Gateway, at: float, lasts: float) -> None:
-    told = int(at) % 2 == 0
-    fleet.at(at, lambda: fleet.cut(g, told) if g.stage else None)
-    fleet.at(at + lasts, lambda: fleet.mend(g) if g.stage and g.cut else None)
+def _disconnect(fleet: SimulatedFleet, gateway: SimulatedGateway, at: float, lasts: float) -> None:
+    notified = int(at) % 2 == 0
+    fleet.schedule(at, lambda: fleet.disconnect(gateway, notified) if gateway.stage else None)
+    fleet.schedule(
+        at + lasts, lambda: fleet.reconnect(gateway) if gateway.stage and gateway.disconnected else None
+    )
 
 
-def _lose(fleet: Fleet, g: Gateway, at: float, lasts: float) -> None:
-    fleet.at(at, setattr, g, "loses", 0.7)
-    fleet.at(at + lasts, setattr, g, "loses", 0.0)
+def _lose_answers(fleet: SimulatedFleet, gateway: SimulatedGateway, at: float, lasts: float) -> None:
+    fleet.schedule(at, setattr, gateway, "answer_loss_probability", 0.7)
+    fleet.schedule(at + lasts, setattr, gateway, "answer_loss_probability", 0.0)
 
 
-def _slow(fleet: Fleet, g: Gateway, at: float, lasts: float) -> None:
+def _delay_reads(fleet: SimulatedFleet, gateway: SimulatedGateway, at: float, lasts: float) -> None:
     """What it reads of the ledger gets to it seconds late."""
-    fleet.at(at, setattr, g, "slow_ms", 0.4 * lasts)
-    fleet.at(at + lasts, setattr, g, "slow_ms", 0.0)
+    fleet.schedule(at, setattr, gateway, "read_delay_ms", 0.4 * lasts)
+    fleet.schedule(at + lasts, setattr, gateway, "read_delay_ms", 0.0)
 
 
-def _allocator(fleet: Fleet, g: Gateway, at: float, lasts: float) -> None:
+def _pause_allocator(fleet: SimulatedFleet, gateway: SimulatedGateway, at: float, lasts: float) -> None:
     """Stops the one that allocates, whoever it is."""
 
     def act() -> None:
-        for one in fleet.gateways:
-            if one.stage is not None and one.stage.office.needs_all and not one.paused:
-                _pause(fleet, one, fleet.now, lasts)
+        for candidate in fleet.gateways:
+            if (
+                candidate.stage is not None
+                and candidate.stage.election.needs_all_records
+                and not candidate.paused
+            ):
+                _pause(fleet, candidate, fleet.now, lasts)
 
-    fleet.at(at, act)
+    fleet.schedule(at, act)
 
 
-FAULTS: dict[str, Callable[[Fleet, Gateway, float, float], None]] = {
+FAULTS: dict[str, Callable[[SimulatedFleet, SimulatedGateway, float, float], None]] = {
     "kill": _kill,
     "pause": _pause,
-    "replaced": _replaced,
-    "cut": _cut,
-    "lose": _lose,
-    "slow": _slow,
-    "allocator": _allocator,
+    "replaced": _replace_paused,
+    "cut": _disconnect,
+    "lose": _lose_answers,
+    "slow": _delay_reads,
+    "allocator": _pause_allocator,
 }
--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -19,25 +19,33 @@
 PARTS = (
     "__init__.py",
     "__main__.py",
-    "balance",
     "digests.py",
     "interface.py",
-    "records.py",
+    "net",
+    "policy",
     "settings.py",
     "settings_types.py",
-    "net",
+    "state",
 )
 HOT = (
-    "balance/balancer.py",
-    "balance/evidence.py",
-    "balance/judging.py",
-    "balance/requests.py",
-    "balance/sending.py",
-    "balance/servers.py",
     "digests.py",
     "interface.py",
-    "records.py",
+    "policy/admission.py",
+    "policy/endpoints.py",
+    "policy/evidence.py",
+    "policy/outlier_detection.py",
+    "policy/policy.py",
+    "policy/rollout.py",
+    "policy/routing.py",
     "settings_types.py",
+    "state/averages.py",
+    "state/estimation.py",
+    "state/failure_test.py",
+    "state/gossip.py",
+    "state/requests.py",
+    "state/rollout.py",
+    "state/servers.py",
+    "state/state.py",
     "net/counters.py",
     "net/deadlines.py",
     "net/http1.py",
@@ -51,24 +59,28 @@
         f"placement/{name}.py"
         for name in (
             "__init__",
-            "assign",
+            "arm_counters",
+            "assignment",
             "config",
-            "contrast",
-            "counts",
+            "counter_records",
             "definition",
+            "differences_in_q",
             "estimate",
             "gateway",
             "guard",
-            "mixed",
+            "merged_counters",
             "origins",
             "policies",
+            "record_writer",
+            "request_tracker",
             "stage",
             "summary",
+            "time_bins",
         )
     ),
 )
 # Parts for installations with a lasting disk, laid out in a folder of their own by `--joint`: `run` has none.
-JOINT = ("joint.py", "ledger", "lending", "takeover")
+JOINT = ("stage_pipeline.py", "ledger", "lending", "takeover")
 TARGET = ROOT / ".venv" / "gateway"
 LIMIT_S = 900
 
--- a/meadowpulley/capacity/__init__.py
+++ b/meadowpulley/capacity/__init__.py
@@ -6,27 +6,27 @@
 prediction beside what was measured). All of it is pure but for the processes that run emulations.
 """
 
-from meadowpulley.capacity.breaks import Break, what_breaks
-from meadowpulley.capacity.demand import Demand, demand_of
-from meadowpulley.capacity.needs import Goal, Needs, how_many
-from meadowpulley.capacity.predict import Plan, Prediction, make_plan
-from meadowpulley.capacity.site import SiteLoss, lose_site
-from meadowpulley.capacity.spike import Spike, SpikeResult, play_spike
+from meadowpulley.capacity.bottlenecks import Bottleneck, find_bottlenecks
+from meadowpulley.capacity.demand import Demand, measure_demand
+from meadowpulley.capacity.predict import CapacityPlan, Prediction, make_plan
+from meadowpulley.capacity.site_loss import SiteLoss, predict_site_loss
+from meadowpulley.capacity.sizing import Goal, SizingResult, size_fleet
+from meadowpulley.capacity.spike import Spike, SpikeResult, predict_spike
 
 __all__ = [
-    "Break",
+    "Bottleneck",
+    "CapacityPlan",
     "Demand",
     "Goal",
-    "Needs",
-    "Plan",
     "Prediction",
     "SiteLoss",
+    "SizingResult",
     "Spike",
     "SpikeResult",
-    "demand_of",
-    "how_many",
-    "lose_site",
+    "find_bottlenecks",
     "make_plan",
-    "play_spike",
-    "what_breaks",
+    "measure_demand",
+    "predict_site_loss",
+    "predict_spike",
+    "size_fleet",
 ]
--- a/meadowpulley/capacity/demand.py
+++ b/meadowpulley/capacity/demand.py
@@ -9,13 +9,14 @@
 from dataclasses import dataclass
 
 import numpy as np
+from msgspec import Struct, field
 
 from meadowpulley.fleet import Fleet
 from meadowpulley.load import Arrival
 
 WINDOWS = 60  # of the load's length, by which its busy times are told
-LEAST_WINDOW_MS = 1000.0
-KEYS = 200_000
+MIN_WINDOW_MS = 1000.0
+MAX_KEYS = 200_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,8 +31,7 @@
     core_share: float
 
 
-@dataclass(frozen=True, slots=True)
-class Demand:
+class Demand(Struct, frozen=True):
     """`per_s`: mean rate; `busy_per_s`: the rate that only the busiest windows exceed, by `percentile`.
 
     `saved`: share of work that servers which remember keys are expected to save. `utilisation`: of all cores,
@@ -47,7 +47,7 @@
     window_s: float
     classes: tuple[ClassDemand, ...]
     sites: dict[str, float]
-    saved: float
+    work_saved_share: float = field(name="saved")
     work_ms: float  # mean, after what is saved
     utilisation: float
     busy_utilisation: float
@@ -60,14 +60,14 @@
 def saved_by_keys(counts: Counter[int], keyed: int, total: int, seconds: float, fleet: Fleet) -> float:
     """Share of work saved: a server among n meets a key of rate r again within its memory m with chance
     1 - exp(-r m / n), arrivals being Poisson and spread evenly over the servers."""
-    if not fleet.keys.memory_ms or not fleet.keys.gain or not keyed or not seconds:
+    if not fleet.keys.memory_ms or not fleet.keys.work_saved or not keyed or not seconds:
         return 0.0
     memory, servers = fleet.keys.memory_ms / 1000, len(fleet.machines())
-    met = sum(n * -math.expm1(-n / seconds * memory / servers) for n in counts.values())
-    return fleet.keys.gain * met / total
+    repeats = sum(n * -math.expm1(-n / seconds * memory / servers) for n in counts.values())
+    return fleet.keys.work_saved * repeats / total
 
 
-def demand_of(fleet: Fleet, arrivals: Iterable[Arrival], percentile: float = 95.0) -> Demand:
+def measure_demand(fleet: Fleet, arrivals: Iterable[Arrival], percentile: float = 95.0) -> Demand:
     """One pass over a load. Raises ValueError, one line, for a class that the fleet does not describe."""
     known = {c.name: c for c in fleet.classes}
     counts: Counter[str] = Counter()
@@ -77,36 +77,44 @@
     keys: Counter[int] = Counter()
     seconds_of: Counter[int] = Counter()
     last, keyed = 0.0, 0
-    for a in arrivals:
-        if a.cls not in known:
-            raise ValueError(f"class '{a.cls}' of the load is not of fleet {fleet.name}; describe it there")
-        counts[a.cls] += 1
-        works[a.cls] += a.work_ms  # type: ignore[assignment]
-        squares[a.cls] += a.work_ms**2  # type: ignore[assignment]
-        sites[a.site or fleet.sites[0].name] += 1
-        if a.key and (len(keys) < KEYS or a.key in keys):
-            keys[a.key] += 1
+    for arrival in arrivals:
+        if arrival.class_name not in known:
+            raise ValueError(
+                f"class '{arrival.class_name}' of the load is not of fleet {fleet.name}; describe it there"
+            )
+        counts[arrival.class_name] += 1
+        works[arrival.class_name] += arrival.work_ms  # type: ignore[assignment]
+        squares[arrival.class_name] += arrival.work_ms**2  # type: ignore[assignment]
+        sites[arrival.site or fleet.sites[0].name] += 1
+        if arrival.key and (len(keys) < MAX_KEYS or arrival.key in keys):
+            keys[arrival.key] += 1
             keyed += 1
-        last = a.at_ms
-        seconds_of[int(a.at_ms // LEAST_WINDOW_MS)] += 1
+        last = arrival.at_ms
+        seconds_of[int(arrival.at_ms // MIN_WINDOW_MS)] += 1
     total, seconds = sum(counts.values()), math.ceil(last / 1000) if counts else 0.0
     per_s = total / seconds if seconds else 0.0
     step = max(int(seconds // WINDOWS), 1)
     windows = [sum(seconds_of[n + k] for k in range(step)) / step for n in range(0, int(seconds), step)]
     busy = float(np.percentile(windows, percentile)) if windows else 0.0
-    top = windows.index(max(windows)) if windows else 0
-    saved = saved_by_keys(keys, keyed, total, float(seconds), fleet)
+    busiest_window = windows.index(max(windows)) if windows else 0
+    work_saved_share = saved_by_keys(keys, keyed, total, float(seconds), fleet)
     capacity = fleet.capacity()
     classes = []
-    for c in fleet.classes:
-        n = counts[c.name]
-        hinted = works[c.name] > 0
-        mean = works[c.name] / n if n and hinted else c.work_ms
-        variance = squares[c.name] / n - mean**2 if n and hinted else (c.spread * c.work_ms) ** 2
-        rate = n / seconds if seconds else 0.0
-        share = rate / 1000 * mean * (1 - saved) / capacity
-        classes.append(ClassDemand(c.name, rate, mean, math.sqrt(max(variance, 0.0)) / mean, share))
-    work = sum(c.per_s * c.work_ms for c in classes) / per_s * (1 - saved) if per_s else 0.0
+    for request_class in fleet.classes:
+        count = counts[request_class.name]
+        hinted = works[request_class.name] > 0
+        mean = works[request_class.name] / count if count and hinted else request_class.work_ms
+        variance = (
+            squares[request_class.name] / count - mean**2
+            if count and hinted
+            else (request_class.spread * request_class.work_ms) ** 2
+        )
+        rate = count / seconds if seconds else 0.0
+        share = rate / 1000 * mean * (1 - work_saved_share) / capacity
+        classes.append(
+            ClassDemand(request_class.name, rate, mean, math.sqrt(max(variance, 0.0)) / mean, share)
+        )
+    work = sum(c.per_s * c.work_ms for c in classes) / per_s * (1 - work_saved_share) if per_s else 0.0
     utilisation = sum(c.core_share for c in classes)
     return Demand(
         count=total,
@@ -114,11 +122,11 @@
         per_s=per_s,
         percentile=percentile,
         busy_per_s=max(busy, per_s),
-        busiest_ms=1000.0 * top * step,
+        busiest_ms=1000.0 * busiest_window * step,
         window_s=float(step),
         classes=tuple(classes),
         sites={name: n / total for name, n in sorted(sites.items())} if total else {},
-        saved=saved,
+        work_saved_share=work_saved_share,
         work_ms=work,
         utilisation=utilisation,
         busy_utilisation=utilisation * max(busy, per_s) / per_s if per_s else 0.0,
--- a/meadowpulley/capacity/predict.py
+++ b/meadowpulley/capacity/predict.py
@@ -5,16 +5,17 @@
 
 import math
 from collections.abc import Callable, Sequence
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from itertools import pairwise
 from typing import Any, TypeAlias
 
+from msgspec import Struct, field, to_builtins
 from msgspec.structs import replace
 
-from meadowpulley.capacity.breaks import Break, what_breaks
+from meadowpulley.capacity.bottlenecks import Bottleneck, find_bottlenecks
 from meadowpulley.capacity.demand import Demand
 from meadowpulley.capacity.queues import mmc_response
-from meadowpulley.experiment import Cell, LoadSpec, Row, Store, interval, run_cells
+from meadowpulley.experiment import Cell, LoadSpec, ResultStore, RunResult, confidence_interval, run_cells
 from meadowpulley.fleet import Fleet
 
 UTILISATIONS = (
@@ -32,7 +33,7 @@
 KNEE = 0.99  # share within aim, of the share at the least load, below which the knee is passed
 
 
-Span: TypeAlias = tuple[float, float, float]  # mean, low and high
+Estimate: TypeAlias = tuple[float, float, float]  # mean, low and high
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,58 +48,56 @@
     by: str
 
 
-@dataclass(frozen=True, slots=True)
-class Point:
+class CurvePoint(Struct, frozen=True):
     """One load on the curve: shares and milliseconds, each as mean, low and high over the seeds."""
 
     multiple: float
     utilisation: float
-    worth: Span
-    in_aim: Span
-    refused: Span
-    served_per_s: Span
-    p50_ms: dict[str, Span]
-    p99_ms: dict[str, Span]
+    served_weight_share: Estimate = field(name="worth")
+    within_objective: Estimate = field(name="in_aim")
+    rejected: Estimate = field(name="refused")
+    served_per_s: Estimate
+    p50_ms: dict[str, Estimate]
+    p99_ms: dict[str, Estimate]
     theory_mean_ms: float  # of the time at servers; infinity beyond saturation
     gateway_busy: float
-    broken: int
+    violation_count: int = field(name="broken")
 
 
-@dataclass(frozen=True, slots=True)
-class Plan:
+class CapacityPlan(Struct, frozen=True):
     """What a load does to a fleet: its demand, what breaks first, and the curve of latency against load."""
 
     fleet: str
     demand: Demand
-    breaks: tuple[Break, ...]
-    points: tuple[Point, ...]
+    bottlenecks: tuple[Bottleneck, ...] = field(name="breaks")
+    points: tuple[CurvePoint, ...]
     knee: float  # the highest utilisation on the curve within aim
     predictions: tuple[Prediction, ...]
     seeds: tuple[int, ...]
 
     def table(self) -> dict[str, Any]:
         """Plain values; what is endless is null, as JSON knows no infinity."""
-        found: dict[str, Any] = finite(asdict(self))
+        found: dict[str, Any] = without_infinities(to_builtins(self))
         return found
 
 
-def finite(value: Any) -> Any:
+def without_infinities(value: Any) -> Any:
     """The same with null for every figure that is not finite."""
     if isinstance(value, dict):
-        return {k: finite(v) for k, v in value.items()}
+        return {k: without_infinities(v) for k, v in value.items()}
     if isinstance(value, list | tuple):
-        return [finite(v) for v in value]
+        return [without_infinities(v) for v in value]
     return None if isinstance(value, float) and not math.isfinite(value) else value
 
 
-def length_s(per_s: float, requests: float = REQUESTS) -> float:
+def run_length_s(per_s: float, requests: float = REQUESTS) -> float:
     """How long a run takes for about so many requests, within bounds; seconds."""
     return round(min(max(requests / max(per_s, 1e-9), SHORTEST_S), LONGEST_S), 1)
 
 
-def at_rate(load: LoadSpec, demand: Demand, per_s: float) -> LoadSpec:
+def load_at_rate(load: LoadSpec, demand: Demand, per_s: float) -> LoadSpec:
     """A stretch of the load at a rate: a file's busiest stretch scaled to it, else the steady profile."""
-    seconds = length_s(per_s)
+    seconds = run_length_s(per_s)
     if load.file:
         seconds = min(seconds, max(demand.seconds - demand.busiest_ms / 1000, demand.window_s))
         multiple = per_s / demand.busy_per_s if demand.busy_per_s else 1.0
@@ -106,9 +105,9 @@
     return replace(load, profile="steady", per_s=per_s, seconds=seconds, multiple=1.0)
 
 
-def spread(rows: Sequence[Row], figure: str) -> Span:
+def estimate(rows: Sequence[RunResult], figure: str) -> Estimate:
     """Mean, low and high of a figure over seeds."""
-    over = interval([row.figures[figure] for row in rows])
+    over = confidence_interval([row.figures[figure] for row in rows])
     return over.mean, over.low, over.high
 
 
@@ -124,59 +123,90 @@
     return total
 
 
-def _point(fleet: Fleet, demand: Demand, multiple: float, utilisation: float, rows: list[Row]) -> Point:
+def _point(
+    fleet: Fleet, demand: Demand, multiple: float, utilisation: float, rows: list[RunResult]
+) -> CurvePoint:
     names = [c.name for c in fleet.classes]
-    return Point(
+    return CurvePoint(
         multiple=multiple,
         utilisation=utilisation,
-        worth=spread(rows, "worth"),
-        in_aim=spread(rows, "in_aim"),
-        refused=spread(rows, "refused"),
-        served_per_s=spread(rows, "served_per_s"),
-        p50_ms={name: spread(rows, f"{name}.p50_ms") for name in names},
-        p99_ms={name: spread(rows, f"{name}.p99_ms") for name in names},
+        served_weight_share=estimate(rows, "worth"),
+        within_objective=estimate(rows, "in_aim"),
+        rejected=estimate(rows, "refused"),
+        served_per_s=estimate(rows, "served_per_s"),
+        p50_ms={name: estimate(rows, f"{name}.p50_ms") for name in names},
+        p99_ms={name: estimate(rows, f"{name}.p99_ms") for name in names},
         theory_mean_ms=theory_mean(fleet, demand, demand.busy_per_s * multiple),
-        gateway_busy=spread(rows, "gateway_busy")[0],
-        broken=sum(sum(row.broken.values()) for row in rows),
+        gateway_busy=estimate(rows, "gateway_busy")[0],
+        violation_count=sum(sum(row.violation_counts.values()) for row in rows),
     )
 
 
-def _at(points: Sequence[Point], multiple: float, of: Callable[[Point], Span]) -> Span:
+def _interpolate(
+    points: Sequence[CurvePoint], multiple: float, of: Callable[[CurvePoint], Estimate]
+) -> Estimate:
     """A figure at a multiple, between the two points around it (linear); the nearest point's beyond them."""
     if multiple <= points[0].multiple:
         return of(points[0])
-    for a, b in pairwise(points):
-        if multiple <= b.multiple:
-            x = (multiple - a.multiple) / (b.multiple - a.multiple)
-            u, v = of(a), of(b)
-            return u[0] + x * (v[0] - u[0]), u[1] + x * (v[1] - u[1]), u[2] + x * (v[2] - u[2])
+    for lower, upper in pairwise(points):
+        if multiple <= upper.multiple:
+            fraction = (multiple - lower.multiple) / (upper.multiple - lower.multiple)
+            low_estimate, high_estimate = of(lower), of(upper)
+            return (
+                low_estimate[0] + fraction * (high_estimate[0] - low_estimate[0]),
+                low_estimate[1] + fraction * (high_estimate[1] - low_estimate[1]),
+                low_estimate[2] + fraction * (high_estimate[2] - low_estimate[2]),
+            )
     return of(points[-1])
 
 
-def _told(name: str, span: Span, unit: str, by: str) -> Prediction:
+def _prediction(name: str, span: Estimate, unit: str, by: str) -> Prediction:
     return Prediction(name, *span, unit, by)
 
 
-def _predictions(fleet: Fleet, demand: Demand, points: tuple[Point, ...], seeds: int) -> list[Prediction]:
+def _predictions(
+    fleet: Fleet, demand: Demand, points: tuple[CurvePoint, ...], seeds: int
+) -> list[Prediction]:
     by = f"emulator, {seeds} seeds"
-    top = 1000 * fleet.capacity() / demand.work_ms if demand.work_ms else 0.0
-    law, use = "theory: utilisation law", demand.busy_utilisation
-
-    def now(of: Callable[[Point], Span]) -> Span:
-        return _at(points, 1.0, of)
-
-    found = [
-        _told("utilisation of servers", (use, use, use), "share", law),
-        _told("throughput at saturation", (top, top, top), "1/s", law),
-        _told("most served in the emulator", max(p.served_per_s for p in points), "1/s", by),
-        _told("worth kept", now(lambda p: p.worth), "share", by),
-        _told("within aim", now(lambda p: p.in_aim), "share", by),
-        _told("refused", now(lambda p: p.refused), "share", by),
+    saturation_per_s = 1000 * fleet.capacity() / demand.work_ms if demand.work_ms else 0.0
+    utilisation_law, utilisation = "theory: utilisation law", demand.busy_utilisation
+
+    def at_current_load(of: Callable[[CurvePoint], Estimate]) -> Estimate:
+        return _interpolate(points, 1.0, of)
+
+    predictions = [
+        _prediction(
+            "utilisation of servers", (utilisation, utilisation, utilisation), "share", utilisation_law
+        ),
+        _prediction(
+            "throughput at saturation",
+            (saturation_per_s, saturation_per_s, saturation_per_s),
+            "1/s",
+            utilisation_law,
+        ),
+        _prediction("most served in the emulator", max(p.served_per_s for p in points), "1/s", by),
+        _prediction("worth kept", at_current_load(lambda p: p.served_weight_share), "share", by),
+        _prediction("within aim", at_current_load(lambda p: p.within_objective), "share", by),
+        _prediction("refused", at_current_load(lambda p: p.rejected), "share", by),
     ]
-    for c in fleet.classes:
-        found.append(_told(f"{c.name} p50", now(lambda p, n=c.name: p.p50_ms[n]), "ms", by))  # type: ignore[misc]
-        found.append(_told(f"{c.name} p99", now(lambda p, n=c.name: p.p99_ms[n]), "ms", by))  # type: ignore[misc]
-    return found
+    for request_class in fleet.classes:
+        predictions.append(
+            _prediction(
+                f"{request_class.name} p50",
+                at_current_load(lambda p, n=request_class.name: p.p50_ms[n]),  # type: ignore[misc]
+                "ms",
+                by,
+            )
+        )
+        predictions.append(
+            _prediction(
+                f"{request_class.name} p99",
+                at_current_load(lambda p, n=request_class.name: p.p99_ms[n]),  # type: ignore[misc]
+                "ms",
+                by,
+            )
+        )
+    return predictions
 
 
 def make_plan(
@@ -185,17 +215,17 @@
     demand: Demand,
     seeds: Sequence[int],
     workers: int | None = None,
-    store: Store | None = None,
+    store: ResultStore | None = None,
     progress: Callable[[int, int], None] = lambda done, of: None,
     utilisations: Sequence[float] = UTILISATIONS,
-) -> Plan:
+) -> CapacityPlan:
     """The plan of a load, at its busy rate, on a fleet. A load of no requests breaks nothing."""
-    breaks = tuple(what_breaks(fleet, demand))
+    bottlenecks = tuple(find_bottlenecks(fleet, demand))
     if not demand.count or not demand.busy_utilisation:
-        return Plan(fleet.name, demand, breaks, (), 1.0, (), tuple(seeds))
+        return CapacityPlan(fleet.name, demand, bottlenecks, (), 1.0, (), tuple(seeds))
     multiples = sorted({*(u / demand.busy_utilisation for u in utilisations), 1.0})
     cells = [
-        Cell(f"{m:.4f}", fleet, at_rate(load, demand, demand.busy_per_s * m), seed)
+        Cell(f"{m:.4f}", fleet, load_at_rate(load, demand, demand.busy_per_s * m), seed)
         for m in multiples
         for seed in seeds
     ]
@@ -204,11 +234,11 @@
         _point(fleet, demand, m, m * demand.busy_utilisation, rows[n * len(seeds) : (n + 1) * len(seeds)])
         for n, m in enumerate(multiples)
     )
-    good = KNEE * points[0].in_aim[0]
+    threshold = KNEE * points[0].within_objective[0]
     knee = 0.0
     for point in points:
-        if point.in_aim[0] < good:
+        if point.within_objective[0] < threshold:
             break
         knee = point.utilisation
     predictions = tuple(_predictions(fleet, demand, points, len(seeds)))
-    return Plan(fleet.name, demand, breaks, points, knee, predictions, tuple(seeds))
+    return CapacityPlan(fleet.name, demand, bottlenecks, points, knee, predictions, tuple(seeds))
--- a/meadowpulley/capacity/queues.py
+++ b/meadowpulley/capacity/queues.py
@@ -8,8 +8,8 @@
 def erlang_b(servers: int, offered: float) -> float:
     """Share of arrivals that M/G/c/c turns away (Erlang 1917), by its stable recursion."""
     blocked = 1.0
-    for n in range(1, servers + 1):
-        blocked = offered * blocked / (n + offered * blocked)
+    for index in range(1, servers + 1):
+        blocked = offered * blocked / (index + offered * blocked)
     return blocked
 
 
@@ -33,7 +33,7 @@
     return service + erlang_c(servers, offered) * service / (servers - offered)
 
 
-def crowd_share(servers: int, per_s: float, service: float, more_than: int) -> float:
+def overflow_probability(servers: int, per_s: float, service: float, more_than: int) -> float:
     """Share of time that M/M/c, and M/G/c shared evenly, holds more than so many requests."""
     offered = per_s * service
     if offered >= servers:
@@ -41,14 +41,14 @@
     if more_than < servers:
         # P(N > k) = P(N >= c) + P(k < N < c): sum the terms below c by their recursion.
         term, terms = 1.0, [1.0]
-        for n in range(1, servers):
-            term *= offered / n
+        for index in range(1, servers):
+            term *= offered / index
             terms.append(term)
         top = terms[-1] * offered / servers / (1 - offered / servers)
         return (sum(terms[more_than + 1 :]) + top) / (sum(terms) + top)
     return erlang_c(servers, offered) * (offered / servers) ** (more_than + 1 - servers)
 
 
-def normal_most(mean: float, arrivals: float) -> float:
+def upper_bound(mean: float, arrivals: float) -> float:
     """What a count with a Poisson spread hardly ever exceeds: mean and 4 standard deviations."""
     return mean + 4 * math.sqrt(max(arrivals, 0.0))
--- a/meadowpulley/capacity/site.py
+++ b/meadowpulley/capacity/site_loss.py
@@ -10,14 +10,14 @@
 from msgspec.structs import replace
 
 from meadowpulley.capacity.demand import Demand
-from meadowpulley.capacity.predict import at_rate, spread
+from meadowpulley.capacity.predict import estimate, load_at_rate
 from meadowpulley.emulator import Fault, Scenario
-from meadowpulley.experiment import Cell, LoadSpec, Row, Store, run_cells
+from meadowpulley.experiment import Cell, LoadSpec, ResultStore, RunResult, run_cells
 from meadowpulley.fleet import Fleet
 
 BEFORE_S, AWAY_S, AFTER_S = 10.0, 20.0, 15.0
 SETTLED_S = 6.0  # after the loss, until discovery has told all gateways
-HOLDS = 0.85  # utilisation up to which the rest is taken to hold the load
+MAX_UTILISATION = 0.85  # utilisation up to which the rest is taken to hold the load
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,50 +33,52 @@
     site: str
     capacity_share: float
     spilled: tuple[float, float, float]
-    rest: float
-    refused_theory: float
+    remaining_utilisation: float
+    rejected_theory: float
     saturates: bool
-    worth_before: tuple[float, float, float]
-    worth_away: tuple[float, float, float]
-    worth_settled: tuple[float, float, float]
-    worth_after: tuple[float, float, float]
-    refused_away: tuple[float, float, float]
-    more: dict[str, int]
-    pushed_over: int
+    weight_before: tuple[float, float, float]
+    weight_away: tuple[float, float, float]
+    weight_settled: tuple[float, float, float]
+    weight_after: tuple[float, float, float]
+    rejected_away: tuple[float, float, float]
+    extra_servers: dict[str, int]
+    overloaded_servers: int
     timeline: tuple[tuple[float, ...], ...]  # by second: asked, in aim, late, refused, failed, worth
 
 
-def without(fleet: Fleet, site: str) -> float:
+def capacity_without(fleet: Fleet, site: str) -> float:
     """What the servers of the other sites can do, standard cores."""
     others = [s for s in fleet.servers if s.site != site]
     return sum(s.count * fleet.kind(s.kind).cores * fleet.kind(s.kind).speed for s in others)
 
 
-def more_servers(fleet: Fleet, work: float, left: float) -> dict[str, int]:
+def extra_servers(fleet: Fleet, work: float, remaining: float) -> dict[str, int]:
     """Of each kind alone, how many more keep the others at `HOLDS` of their work."""
-    lacking = work / HOLDS - left
+    missing = work / MAX_UTILISATION - remaining
     kinds = {s.kind for s in fleet.servers}
-    return {k.name: max(math.ceil(lacking / (k.cores * k.speed)), 0) for k in fleet.kinds if k.name in kinds}
+    return {k.name: max(math.ceil(missing / (k.cores * k.speed)), 0) for k in fleet.kinds if k.name in kinds}
 
 
-def mean_over(rows: Sequence[Row], first: float, last: float, column: int) -> tuple[float, float, float]:
+def mean_over(
+    rows: Sequence[RunResult], first: float, last: float, column: int
+) -> tuple[float, float, float]:
     """Over a span of seconds, weighed by what was asked: the worth kept (column 5), else counts a request."""
     shares = []
     for row in rows:
         span = row.seconds[int(first) : int(last)]
-        asked = sum(s[0] for s in span)
+        calls = sum(s[0] for s in span)
         value = sum(s[0] * s[5] if column == 5 else s[column] for s in span)
-        shares.append(value / asked if asked else 1.0)
+        shares.append(value / calls if calls else 1.0)
     figures = [replace(row, figures={"x": x}) for row, x in zip(rows, shares, strict=True)]
-    return spread(figures, "x")
+    return estimate(figures, "x")
 
 
-def spilled_share(rows: Sequence[Row], site: int) -> tuple[float, float, float]:
+def spilled_share(rows: Sequence[RunResult], site: int) -> tuple[float, float, float]:
     """What the other sites' servers get more while the site is away, once settled, than before: attempts a
     second, as a share of all attempts a second before. Mean, low and high over the seeds."""
 
-    def per_s(row: Row, first: float, last: float) -> list[float]:
-        span = [s for s in row.sent[int(first) : int(last)] if s]
+    def per_s(row: RunResult, first: float, last: float) -> list[float]:
+        span = [s for s in row.attempts_by_site[int(first) : int(last)] if s]
         sites = len(span[0]) if span else site + 1
         return [sum(s[n] for s in span) / (last - first) for n in range(sites)]
 
@@ -84,29 +86,29 @@
     for row in rows:
         before = per_s(row, 2, BEFORE_S)
         away = per_s(row, BEFORE_S + SETTLED_S, BEFORE_S + AWAY_S)
-        more = sum(away) - away[site] - (sum(before) - before[site])
-        found.append(replace(row, figures={"x": more / sum(before) if sum(before) else math.nan}))
-    return spread(found, "x")
+        increase = sum(away) - away[site] - (sum(before) - before[site])
+        found.append(replace(row, figures={"x": increase / sum(before) if sum(before) else math.nan}))
+    return estimate(found, "x")
 
 
-def lose_site(
+def predict_site_loss(
     fleet: Fleet,
     load: LoadSpec,
     demand: Demand,
     site: str,
     seeds: Sequence[int],
     workers: int | None = None,
-    store: Store | None = None,
+    store: ResultStore | None = None,
     progress: Callable[[int, int], None] = lambda done, of: None,
 ) -> SiteLoss:
     """A whole site vanishes without a word, servers and gateways, and returns with cold ones."""
-    left, work = without(fleet, site), demand.busy_per_s / 1000 * demand.work_ms
-    share = 1 - left / fleet.capacity()
-    rest = work / left if left else math.inf
+    remaining, work = capacity_without(fleet, site), demand.busy_per_s / 1000 * demand.work_ms
+    share = 1 - remaining / fleet.capacity()
+    remaining_utilisation = work / remaining if remaining else math.inf
     faults = [Fault("vanish", BEFORE_S * 1000, AWAY_S * 1000, site=site)]
     if any(g.site == site for g in fleet.gateways) and len({g.site for g in fleet.gateways}) > 1:
         faults.append(Fault("gateway_crash", BEFORE_S * 1000, AWAY_S * 1000, site=site))
-    stretch = replace(at_rate(load, demand, demand.busy_per_s), seconds=BEFORE_S + AWAY_S + AFTER_S)
+    stretch = replace(load_at_rate(load, demand, demand.busy_per_s), seconds=BEFORE_S + AWAY_S + AFTER_S)
     cells = [Cell(f"lose {site}", fleet, stretch, seed, Scenario(faults=tuple(faults))) for seed in seeds]
     rows = run_cells(cells, store, workers, timeline=True, progress=progress)
     back = BEFORE_S + AWAY_S
@@ -114,21 +116,21 @@
         site=site,
         capacity_share=share,
         spilled=spilled_share(rows, [s.name for s in fleet.sites].index(site)),
-        rest=rest,
-        refused_theory=max(1 - 1 / rest, 0.0) if rest else 0.0,
-        saturates=rest >= 1.0,
-        worth_before=mean_over(rows, 2, BEFORE_S, 5),
-        worth_away=mean_over(rows, BEFORE_S, back, 5),
-        worth_settled=mean_over(rows, BEFORE_S + SETTLED_S, back, 5),
-        worth_after=mean_over(rows, back, back + AFTER_S, 5),
-        refused_away=mean_over(rows, BEFORE_S, back, 3),
-        more=more_servers(fleet, work, left),
-        pushed_over=sum(row.broken.get("cold", 0) for row in rows),
+        remaining_utilisation=remaining_utilisation,
+        rejected_theory=max(1 - 1 / remaining_utilisation, 0.0) if remaining_utilisation else 0.0,
+        saturates=remaining_utilisation >= 1.0,
+        weight_before=mean_over(rows, 2, BEFORE_S, 5),
+        weight_away=mean_over(rows, BEFORE_S, back, 5),
+        weight_settled=mean_over(rows, BEFORE_S + SETTLED_S, back, 5),
+        weight_after=mean_over(rows, back, back + AFTER_S, 5),
+        rejected_away=mean_over(rows, BEFORE_S, back, 3),
+        extra_servers=extra_servers(fleet, work, remaining),
+        overloaded_servers=sum(row.violation_counts.get("cold", 0) for row in rows),
         timeline=mean_timeline(rows),
     )
 
 
-def mean_timeline(rows: Sequence[Row]) -> tuple[tuple[float, ...], ...]:
+def mean_timeline(rows: Sequence[RunResult]) -> tuple[tuple[float, ...], ...]:
     length = min(len(row.seconds) for row in rows)
     return tuple(
         tuple(sum(row.seconds[n][k] for row in rows) / len(rows) for k in range(6)) for n in range(length)
--- a/meadowpulley/capacity/verify.py
+++ b/meadowpulley/capacity/verify.py
@@ -14,20 +14,20 @@
 from msgspec.structs import replace
 
 from meadowpulley.capacity.demand import Demand
-from meadowpulley.capacity.predict import at_rate, spread
+from meadowpulley.capacity.predict import estimate, load_at_rate
 from meadowpulley.emulator import Build, Fault, Release, Scenario
-from meadowpulley.experiment import Cell, LoadSpec, Row, Store, run_cells
+from meadowpulley.experiment import Cell, LoadSpec, ResultStore, RunResult, run_cells
 from meadowpulley.fleet import Fleet
 
 CaseKind = Literal["below", "beyond", "spike", "site", "cold"]
-LIMIT = 0.15
-LEAST_SHARE = (
+MAX_ERROR = 0.15
+MIN_SHARE = (
     0.05  # a share predicted under this is compared as if it were so large: 0.1% beside 0.2% is no miss
 )
-BELOW, BEYOND = 0.6, 1.3  # utilisation below the knee, unless the load's own is less, and beyond it
-SPIKE = (0.125, 6.0)  # share and cost
-MOST_PER_S = 420.0  # requests a second that the rig carries on one machine with room to spare
-WARM_MS = 3000.0
+BELOW_KNEE, BEYOND_KNEE = 0.6, 1.3  # utilisation below the knee, unless the load's own is less, and beyond it
+SPIKE_SHAPE = (0.125, 6.0)  # share and cost
+MAX_REQUESTS_PER_S = 420.0  # requests a second that the rig carries on one machine with room to spare
+WARM_UP_MS = 3000.0
 LOOPBACK_MS = 0.05  # one way, as good as none
 
 
@@ -43,7 +43,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Compared:
+class Comparison:
     """One figure of one case. `error`: measured beside predicted, as a share of the predicted."""
 
     case: str
@@ -57,7 +57,7 @@
     @property
     def error(self) -> float:
         share = self.figure.rpartition(".")[2] in ("worth", "in_aim", "refused", "failed", "busy")
-        base = max(self.predicted, LEAST_SHARE) if share else self.predicted
+        base = max(self.predicted, MIN_SHARE) if share else self.predicted
         return abs(self.measured - self.predicted) / base if base else math.inf
 
 
@@ -65,33 +65,33 @@
 class Verdict:
     """All that was compared. `limits`: why the rig itself was the limit; then there is no verdict."""
 
-    compared: list[Compared] = field(default_factory=list)
-    limits: list[str] = field(default_factory=list)
-    breaches: list[str] = field(default_factory=list)  # of the rules, on sockets
+    comparisons: list[Comparison] = field(default_factory=list)
+    limiting_factors: list[str] = field(default_factory=list)
+    violations: list[str] = field(default_factory=list)  # of the rules, on sockets
 
     @property
     def worst(self) -> float:
-        return max((c.error for c in self.compared), default=0.0)
+        return max((c.error for c in self.comparisons), default=0.0)
 
     @property
     def holds(self) -> bool:
-        return not self.limits and not self.breaches and self.worst <= LIMIT
+        return not self.limiting_factors and not self.violations and self.worst <= MAX_ERROR
 
 
-def scaled_fleet(fleet: Fleet, demand: Demand, most_per_s: float = MOST_PER_S) -> tuple[Fleet, float]:
+def scaled_fleet(fleet: Fleet, demand: Demand, most_per_s: float = MAX_REQUESTS_PER_S) -> tuple[Fleet, float]:
     """The fleet as one machine carries it, and the part of its size that this is: fewer servers and gateways,
     the same of each, at loopback's distances."""
     work = demand.work_ms or fleet.mean_work_ms()
-    top = BEYOND * fleet.capacity() * 1000 / work
-    part = min(most_per_s / top, 1.0)
-    near = replace(
+    max_per_s = BEYOND_KNEE * fleet.capacity() * 1000 / work
+    part = min(most_per_s / max_per_s, 1.0)
+    loopback_network = replace(
         fleet.network, same_site_ms=LOOPBACK_MS, cross_site_ms=LOOPBACK_MS, client_ms=0.0, jitter=0.0
     )
     if part == 1.0:
-        return replace(fleet, network=near), 1.0
+        return replace(fleet, network=loopback_network), 1.0
     servers = tuple(replace(s, count=max(round(s.count * part), 1)) for s in fleet.servers)
     gateways = tuple(replace(g, count=max(round(g.count * part), 1)) for g in fleet.gateways)
-    smaller = replace(fleet, servers=servers, gateways=gateways, network=near)
+    smaller = replace(fleet, servers=servers, gateways=gateways, network=loopback_network)
     return smaller, smaller.capacity() / fleet.capacity()
 
 
@@ -102,12 +102,12 @@
     described."""
     work = demand.work_ms or fleet.mean_work_ms()
     top = fleet.capacity() * 1000 / work
-    below = min(demand.busy_utilisation or BELOW, BELOW)
+    below = min(demand.busy_utilisation or BELOW_KNEE, BELOW_KNEE)
     names = [c.name for c in fleet.classes]
     latency = tuple(f"{n}.{q}" for n in names for q in ("p50_ms", "p99_ms"))
 
     def at(utilisation: float, **more: Any) -> LoadSpec:
-        return replace(at_rate(load, demand, utilisation * top), seconds=seconds, **more)
+        return replace(load_at_rate(load, demand, utilisation * top), seconds=seconds, **more)
 
     middle, third = seconds * 1000 / 3, seconds * 1000 / 3
     big = max(fleet.sites, key=lambda s: sum(g.count for g in fleet.servers if g.site == s.name)).name
@@ -118,10 +118,12 @@
             found.append(Case("below the knee", fleet, at(below), Scenario(), figures))
         elif kind == "beyond":
             figures = ("served_per_s", "refused", "worth", "busy")
-            found.append(Case("beyond the knee", fleet, at(BEYOND), Scenario(), figures))
+            found.append(Case("beyond the knee", fleet, at(BEYOND_KNEE), Scenario(), figures))
         elif kind == "spike":
-            share, cost = SPIKE
-            spiked = at(below, costly=share, cost=cost, costly_from_ms=middle, costly_for_ms=third)
+            share, cost = SPIKE_SHAPE
+            spiked = at(
+                below, costly_share=share, cost_factor=cost, costly_from_ms=middle, costly_duration_ms=third
+            )
             found.append(
                 Case("spike", fleet, spiked, Scenario(), ("worth", "in_aim", "busy", "served_per_s"))
             )
@@ -138,11 +140,11 @@
 
 
 def predict_cases(
-    cases: Sequence[Case], seed: int, seeds: int, workers: int | None, store: Store | None = None
-) -> list[list[Row]]:
+    cases: Sequence[Case], seed: int, seeds: int, workers: int | None, store: ResultStore | None = None
+) -> list[list[RunResult]]:
     """Each case emulated on the arrivals of `seed`, under several seeds of all that is not the load."""
     cells = [
-        Cell(c.name, c.fleet, c.load, 1000 + n, c.scenario, from_ms=WARM_MS, load_seed=seed)
+        Cell(c.name, c.fleet, c.load, 1000 + n, c.scenario, from_ms=WARM_UP_MS, load_seed=seed)
         for c in cases
         for n in range(seeds)
     ]
@@ -150,12 +152,12 @@
     return [rows[n * seeds : (n + 1) * seeds] for n in range(len(cases))]
 
 
-def prediction_table(cases: Sequence[Case], rows: Sequence[Sequence[Row]]) -> list[dict[str, Any]]:
+def prediction_table(cases: Sequence[Case], rows: Sequence[Sequence[RunResult]]) -> list[dict[str, Any]]:
     """The prediction as it is written down before anything is measured."""
     found = []
     for case, mine in zip(cases, rows, strict=True):
         for figure in case.figures:
-            mean, low, high = spread(mine, figure)
+            mean, low, high = estimate(mine, figure)
             by = f"emulator, {len(mine)} seeds"
             found.append(
                 {"case": case.name, "figure": figure, "value": mean, "low": low, "high": high, "by": by}
@@ -163,10 +165,10 @@
     return found
 
 
-def compare(table: Sequence[dict[str, Any]], case: str, measured: dict[str, float]) -> list[Compared]:
+def compare(table: Sequence[dict[str, Any]], case: str, measured: dict[str, float]) -> list[Comparison]:
     """The prediction's figures of one case beside the measured ones."""
     return [
-        Compared(case, p["figure"], p["value"], p["low"], p["high"], p["by"], measured[p["figure"]])
+        Comparison(case, p["figure"], p["value"], p["low"], p["high"], p["by"], measured[p["figure"]])
         for p in table
         if p["case"] == case
     ]
--- a/meadowpulley/cli/capacity.py
+++ b/meadowpulley/cli/capacity.py
@@ -14,35 +14,36 @@
 from rich.progress import Progress
 
 from meadowpulley.capacity import (
+    CapacityPlan,
     Demand,
     Goal,
-    Plan,
     Spike,
-    demand_of,
-    how_many,
-    lose_site,
     make_plan,
-    play_spike,
+    measure_demand,
+    predict_site_loss,
+    predict_spike,
+    size_fleet,
 )
-from meadowpulley.capacity.predict import finite
+from meadowpulley.capacity.predict import without_infinities
 from meadowpulley.cli.common import (
     FILE,
-    GOOD,
-    MISSED,
+    GOAL_MISSED,
+    SUCCESS,
     InputError,
     console,
+    exits_with_code,
     fleet_option,
-    guarded,
     json_option,
     make_table,
     percent,
     read_bytes,
     read_fleet,
+    require_writable,
     show_json,
-    writable,
 )
-from meadowpulley.cli.load import USUAL_LOAD, load_options
-from meadowpulley.experiment import LoadSpec, Store
+from meadowpulley.cli.json_keys import SITE_LOSS_KEYS, SIZING_KEYS, SPIKE_KEYS, with_keys
+from meadowpulley.cli.load import DEFAULT_LOAD_FRACTION, load_options
+from meadowpulley.experiment import LoadSpec, ResultStore
 from meadowpulley.fleet import Fleet
 from meadowpulley.load import LoadError, read_load
 from meadowpulley.report import write_page
@@ -73,18 +74,20 @@
         header = read_load(load)
         digest = xxhash.xxh3_128_hexdigest(read_bytes(load))
         return LoadSpec(file=str(header.path), digest=digest, seconds=1e9)
-    per_s = rate if rate is not None else USUAL_LOAD * fleet.capacity() * 1000 / fleet.mean_work_ms()
+    per_s = (
+        rate if rate is not None else DEFAULT_LOAD_FRACTION * fleet.capacity() * 1000 / fleet.mean_work_ms()
+    )
     return LoadSpec(profile=profile, per_s=per_s, seconds=seconds)
 
 
-def take_demand(fleet: Fleet, spec: LoadSpec, seed: int, percentile: float) -> Demand:
+def demand_from_options(fleet: Fleet, spec: LoadSpec, seed: int, percentile: float) -> Demand:
     try:
-        return demand_of(fleet, spec.arrivals(fleet, seed), percentile)
+        return measure_demand(fleet, spec.arrivals(fleet, seed), percentile)
     except ValueError as error:
         raise error if isinstance(error, LoadError) else InputError(str(error)) from None
 
 
-class Shown:
+class ProgressBar:
     """Progress on standard error, where that is a terminal."""
 
     def __init__(self, text: str) -> None:
@@ -97,10 +100,10 @@
         self._progress.start()
         task = self._progress.add_task(self._text, total=None)
 
-        def tell(done: int, of: int) -> None:
-            self._progress.update(task, completed=done, total=of)
+        def update(completed: int, total: int) -> None:
+            self._progress.update(task, completed=completed, total=total)
 
-        return tell
+        return update
 
     def __exit__(self, *_: object) -> None:
         self._progress.stop()
@@ -115,23 +118,24 @@
     return f"{mean:.4g}{unit} ({low:.4g} to {high:.4g})" if math.isfinite(low) else f"{mean:.4g}{unit}"
 
 
-def show_plan(plan: Plan) -> None:
-    out, d = console(), plan.demand
+def show_plan(plan: CapacityPlan) -> None:
+    output, demand = console(), plan.demand
     rows = [
         [c.name, f"{c.per_s:.1f}", f"{c.work_ms:.1f}", f"{c.spread:.2f}", percent(c.core_share)]
-        for c in d.classes
+        for c in demand.classes
     ]
-    out.print(make_table("Demand", ["class", "a second", "work ms", "spread", "of all cores"], rows))
-    out.print(
-        f"{d.per_s:.1f} requests a second, {d.busy_per_s:.1f} by percentile {d.percentile:g}; servers "
-        f"{percent(d.utilisation)} busy, {percent(d.busy_utilisation)} then; "
-        f"keys save {percent(d.saved)} of the work"
+    output.print(make_table("Demand", ["class", "a second", "work ms", "spread", "of all cores"], rows))
+    output.print(
+        f"{demand.per_s:.1f} requests a second, {demand.busy_per_s:.1f} by percentile "
+        f"{demand.percentile:g}; servers "
+        f"{percent(demand.utilisation)} busy, {percent(demand.busy_utilisation)} then; "
+        f"keys save {percent(demand.work_saved_share)} of the work"
     )
     rows = [
-        [b.resource, b.where, multiple_text(b.multiple), percent(b.use), b.theory, b.text]
-        for b in plan.breaks
+        [b.resource, b.where, multiple_text(b.multiple), percent(b.utilisation), b.theory, b.text]
+        for b in plan.bottlenecks
     ]
-    out.print(
+    output.print(
         make_table("What breaks, the first first", ["resource", "where", "at", "use now", "by", "why"], rows)
     )
     if plan.points:
@@ -139,9 +143,9 @@
             [
                 f"{p.multiple:.2f} x",
                 percent(p.utilisation),
-                percent(p.worth[0], 2),
-                percent(p.in_aim[0], 2),
-                percent(p.refused[0], 2),
+                percent(p.served_weight_share[0], 2),
+                percent(p.within_objective[0], 2),
+                percent(p.rejected[0], 2),
                 f"{p.served_per_s[0]:.1f}",
                 " ".join(f"{s[0]:.0f}" for s in p.p50_ms.values()),
                 " ".join(f"{s[0]:.0f}" for s in p.p99_ms.values()),
@@ -160,25 +164,27 @@
             "p99 ms",
             "theory mean ms",
         ]
-        out.print(make_table(f"By load, emulator, {len(plan.seeds)} seeds; classes in order", columns, rows))
+        output.print(
+            make_table(f"By load, emulator, {len(plan.seeds)} seeds; classes in order", columns, rows)
+        )
         rows = [
             [p.name, f"{p.value:.4g}", f"{p.low:.4g}", f"{p.high:.4g}", p.unit, p.by]
             for p in plan.predictions
         ]
-        out.print(
+        output.print(
             make_table("Predictions at the busy rate", ["what", "value", "low", "high", "unit", "by"], rows)
         )
-        out.print(f"knee: {percent(plan.knee)} of the servers' cores busy")
+        output.print(f"knee: {percent(plan.knee)} of the servers' cores busy")
 
 
 report_option = click.option("--report", type=FILE, help="Write a report there (.html or .md, with charts).")
 
 
-def report_path(report: Path | None) -> None:
+def check_report_path(report: Path | None) -> None:
     if report is not None:
         if report.suffix not in (".html", ".md"):
             raise InputError(f"{report}: reports end in .html or .md; name one so")
-        writable(report)
+        require_writable(report)
 
 
 @click.group()
@@ -192,7 +198,7 @@
 @seeds_option
 @report_option
 @json_option
-@guarded
+@exits_with_code
 def plan(
     fleet: Path,
     load: Path | None,
@@ -208,19 +214,21 @@
     as_json: bool,
 ) -> int:
     """What the load does to the fleet, and what breaks first. Exit code 1 if something is broken already."""
-    described = read_fleet(fleet)
-    report_path(report)
-    spec = load_spec(described, load, profile, rate, seconds)
-    demand = take_demand(described, spec, seed, percentile)
-    with Shown("emulating") as progress:
-        made = make_plan(described, spec, demand, range(seed, seed + seeds), workers, Store(store), progress)
+    fleet_description = read_fleet(fleet)
+    check_report_path(report)
+    spec = load_spec(fleet_description, load, profile, rate, seconds)
+    demand = demand_from_options(fleet_description, spec, seed, percentile)
+    with ProgressBar("emulating") as progress:
+        capacity_plan = make_plan(
+            fleet_description, spec, demand, range(seed, seed + seeds), workers, ResultStore(store), progress
+        )
     if report is not None:
-        write_page(plan_page(made), report)
+        write_page(plan_page(capacity_plan), report)
     if as_json:
-        show_json(made.table())
+        show_json(capacity_plan.table())
     else:
-        show_plan(made)
-    return MISSED if made.breaks and made.breaks[0].multiple < 1 else GOOD
+        show_plan(capacity_plan)
+    return GOAL_MISSED if capacity_plan.bottlenecks and capacity_plan.bottlenecks[0].multiple < 1 else SUCCESS
 
 
 @capacity.command()
@@ -240,7 +248,7 @@
 @click.option("--site", help="Where servers may be added; the first site else.")
 @click.option("--kind", help="Which; the first kind at that site else.")
 @json_option
-@guarded
+@exits_with_code
 def needs(
     fleet: Path,
     load: Path | None,
@@ -259,28 +267,32 @@
     as_json: bool,
 ) -> int:
     """How many servers a goal needs. Exit code 1 if more than there are, or if no number meets it."""
-    described = read_fleet(fleet)
-    site = site or described.sites[0].name
-    if site not in [s.name for s in described.sites]:
+    fleet_description = read_fleet(fleet)
+    site = site or fleet_description.sites[0].name
+    if site not in [s.name for s in fleet_description.sites]:
         raise InputError(
-            f"--site: '{site}' is not described; known are {', '.join(s.name for s in described.sites)}"
+            f"--site: '{site}' is not described; "
+            f"known are {', '.join(s.name for s in fleet_description.sites)}"
         )
-    there = [s.kind for s in described.servers if s.site == site] or [described.kinds[0].name]
-    kind = kind or there[0]
-    if kind not in [k.name for k in described.kinds]:
+    kinds_at_site = [s.kind for s in fleet_description.servers if s.site == site] or [
+        fleet_description.kinds[0].name
+    ]
+    kind = kind or kinds_at_site[0]
+    if kind not in [k.name for k in fleet_description.kinds]:
         raise InputError(
-            f"--kind: '{kind}' is not described; known are {', '.join(k.name for k in described.kinds)}"
+            f"--kind: '{kind}' is not described; "
+            f"known are {', '.join(k.name for k in fleet_description.kinds)}"
         )
-    spec = load_spec(described, load, profile, rate, seconds)
-    demand = take_demand(described, spec, seed, percentile)
-    err = sys.stderr
+    spec = load_spec(fleet_description, load, profile, rate, seconds)
+    demand = demand_from_options(fleet_description, spec, seed, percentile)
+    stderr = sys.stderr
 
-    def tell(text: str) -> None:
-        if err.isatty():
-            click.echo(text, file=err)
+    def show_progress(text: str) -> None:
+        if stderr.isatty():
+            click.echo(text, file=stderr)
 
-    found = how_many(
-        described,
+    need = size_fleet(
+        fleet_description,
         spec,
         demand,
         Goal(goal, rollout),
@@ -288,23 +300,23 @@
         kind,
         range(seed, seed + seeds),
         workers,
-        Store(store),
-        progress=tell,
+        ResultStore(store),
+        progress=show_progress,
     )
     if as_json:
-        show_json(finite(asdict(found)))
+        show_json(with_keys(without_infinities(asdict(need)), SIZING_KEYS))
     else:
         rows = [
-            [str(s.servers), s.worst_class, span_text(s.worth), "yes" if s.meets else "no"]
-            for s in found.steps
+            [str(s.servers), s.worst_class, span_text(s.served_weight_share), "yes" if s.meets else "no"]
+            for s in need.steps
         ]
-        out = console()
-        out.print(
+        output = console()
+        output.print(
             make_table(f"{kind} at {site}", ["servers", "worst class", "its worth", "meets the goal"], rows)
         )
-        told = "no number of them meets the goal" if found.servers is None else f"{found.servers} needed"
-        out.print(f"{told}, {found.now} there, {found.floor} at least by theory: {found.why}")
-    return MISSED if found.servers is None or found.servers > found.now else GOOD
+        summary = "no number of them meets the goal" if need.servers is None else f"{need.servers} needed"
+        output.print(f"{summary}, {need.current} there, {need.minimum} at least by theory: {need.reason}")
+    return GOAL_MISSED if need.servers is None or need.servers > need.current else SUCCESS
 
 
 @capacity.command("lose-site")
@@ -314,7 +326,7 @@
 @click.option("--site", help="The site that is lost; all of them, one after another, else.")
 @report_option
 @json_option
-@guarded
+@exits_with_code
 def lose(
     fleet: Path,
     load: Path | None,
@@ -331,38 +343,40 @@
     as_json: bool,
 ) -> int:
     """What losing a site does, and its return. Exit code 1 if the others can't hold the load."""
-    described = read_fleet(fleet)
-    report_path(report)
-    names = [s.name for s in described.sites]
+    fleet_description = read_fleet(fleet)
+    check_report_path(report)
+    names = [s.name for s in fleet_description.sites]
     if site is not None and site not in names:
         raise InputError(f"--site: '{site}' is not described; known are {', '.join(names)}")
-    spec = load_spec(described, load, profile, rate, seconds)
-    demand = take_demand(described, spec, seed, percentile)
-    kept = Store(store)
-    with Shown("emulating") as progress:
-        found = [
-            lose_site(described, spec, demand, name, range(seed, seed + seeds), workers, kept, progress)
+    spec = load_spec(fleet_description, load, profile, rate, seconds)
+    demand = demand_from_options(fleet_description, spec, seed, percentile)
+    run_store = ResultStore(store)
+    with ProgressBar("emulating") as progress:
+        losses = [
+            predict_site_loss(
+                fleet_description, spec, demand, name, range(seed, seed + seeds), workers, run_store, progress
+            )
             for name in ([site] if site else names)
         ]
     if report is not None:
-        write_page(site_page(described, demand, found), report)
+        write_page(site_page(fleet_description, demand, losses), report)
     if as_json:
-        show_json([finite(asdict(loss)) for loss in found])
+        show_json([with_keys(without_infinities(asdict(loss)), SITE_LOSS_KEYS) for loss in losses])
     else:
         rows = [
             [
                 f.site,
                 percent(f.capacity_share),
                 span_text(f.spilled),
-                percent(f.rest) if math.isfinite(f.rest) else "none left",
-                percent(f.refused_theory),
-                span_text(f.worth_before),
-                span_text(f.worth_settled),
-                span_text(f.worth_after),
-                ", ".join(f"{n} {kind}" for kind, n in f.more.items() if n) or "none",
-                str(f.pushed_over),
+                percent(f.remaining_utilisation) if math.isfinite(f.remaining_utilisation) else "none left",
+                percent(f.rejected_theory),
+                span_text(f.weight_before),
+                span_text(f.weight_settled),
+                span_text(f.weight_after),
+                ", ".join(f"{n} {kind}" for kind, n in f.extra_servers.items() if n) or "none",
+                str(f.overloaded_servers),
             ]
-            for f in found
+            for f in losses
         ]
         columns = [
             "site",
@@ -377,7 +391,7 @@
             "pushed over",
         ]
         console().print(make_table("One site lost", columns, rows))
-    return MISSED if any(f.saturates or f.pushed_over for f in found) else GOOD
+    return GOAL_MISSED if any(f.saturates or f.overloaded_servers for f in losses) else SUCCESS
 
 
 @capacity.command("spike")
@@ -397,7 +411,7 @@
 @click.option("--for-s", type=click.FloatRange(1, 3600), default=20.0, show_default=True, help="How long.")
 @report_option
 @json_option
-@guarded
+@exits_with_code
 def spike_command(
     fleet: Path,
     load: Path | None,
@@ -416,45 +430,46 @@
     as_json: bool,
 ) -> int:
     """What a spike of costly requests does, and what refusals save. Exit code 1 if it saturates the fleet."""
-    described = read_fleet(fleet)
-    report_path(report)
-    spec = load_spec(described, load, profile, rate, seconds)
-    demand = take_demand(described, spec, seed, percentile)
-    with Shown("emulating") as progress:
-        found = play_spike(
-            described,
+    fleet_description = read_fleet(fleet)
+    check_report_path(report)
+    spec = load_spec(fleet_description, load, profile, rate, seconds)
+    demand = demand_from_options(fleet_description, spec, seed, percentile)
+    with ProgressBar("emulating") as progress:
+        result = predict_spike(
+            fleet_description,
             spec,
             demand,
             Spike(share, cost, for_s * 1000),
             range(seed, seed + seeds),
             workers,
-            Store(store),
+            ResultStore(store),
             progress,
         )
     if report is not None:
-        write_page(spike_page(described, found), report)
+        write_page(spike_page(fleet_description, result), report)
     if as_json:
-        show_json(finite(asdict(found)))
-        return MISSED if found.utilisation > 1 else GOOD
+        show_json(with_keys(without_infinities(asdict(result)), SPIKE_KEYS))
+        return GOAL_MISSED if result.utilisation > 1 else SUCCESS
     rows = [
         [
             "worth kept during the spike",
-            span_text(found.worth_during),
-            span_text(found.worth_during_unrefused),
+            span_text(result.weight_during),
+            span_text(result.weight_during_unlimited),
         ],
-        ["worth kept over all", span_text(found.worth_whole), span_text(found.worth_whole_unrefused)],
-        ["as before after", _s(found.clears_s), _s(found.clears_unrefused_s)],
+        ["worth kept over all", span_text(result.weight_overall), span_text(result.weight_overall_unlimited)],
+        ["as before after", _seconds_text(result.clears_s), _seconds_text(result.clears_unlimited_s)],
     ]
-    out = console()
-    out.print(make_table("The spike, emulator", ["", "with refusals", "without"], rows))
-    out.print(
-        f"{percent(found.utilisation)} of the servers' cores asked while it lasts; "
-        f"{found.backlog:.1f} core seconds too much, of which servers hold "
-        f"{min(found.held, found.backlog):.1f}; cleared {_s(found.clears_theory_s)} after its end by theory; "
-        f"refusals save {percent(found.saved, 2)} of all worth"
+    output = console()
+    output.print(make_table("The spike, emulator", ["", "with refusals", "without"], rows))
+    output.print(
+        f"{percent(result.utilisation)} of the servers' cores asked while it lasts; "
+        f"{result.backlog:.1f} core seconds too much, of which servers hold "
+        f"{min(result.queued_backlog, result.backlog):.1f}; cleared "
+        f"{_seconds_text(result.clears_theory_s)} after its end by theory; "
+        f"refusals save {percent(result.saved, 2)} of all worth"
     )
-    return MISSED if found.utilisation > 1 else GOOD
+    return GOAL_MISSED if result.utilisation > 1 else SUCCESS
 
 
-def _s(seconds: float) -> str:
+def _seconds_text(seconds: float) -> str:
     return f"{seconds:.1f} s" if math.isfinite(seconds) else "not seen"
--- a/meadowpulley/cli/check.py
+++ b/meadowpulley/cli/check.py
@@ -9,42 +9,47 @@
 import click
 import xxhash
 from msgspec import to_builtins
-from msgspec.structs import asdict
 from rich.console import Console
 from rich.live import Live
 from rich.text import Text
 
-from meadowpulley.check import CheckpointError, Coverage, Search, Setting, story as stories
-from meadowpulley.check.mutate import MutantError
-from meadowpulley.check.plant import Caught, hunt_all, setting_of
 from meadowpulley.cli.common import (
     FILE,
-    GOOD,
-    MISSED,
+    GOAL_MISSED,
+    SUCCESS,
     InputError,
     console,
-    guarded,
+    exits_with_code,
     json_option,
     make_table,
+    require_writable,
     seed_option,
     show_json,
-    writable,
 )
-from meadowpulley.cli.tales import keep, replay, report, shrink
+from meadowpulley.cli.counterexamples import keep, replay, report, shrink
+from meadowpulley.model_checking import (
+    CheckpointError,
+    Coverage,
+    ModelSettings,
+    Search,
+    counterexample as stories,
+)
+from meadowpulley.model_checking.mutation import MutantError
+from meadowpulley.model_checking.mutation_testing import MutationResult, run_mutants, settings_of
 
 WORLDS = ("decisions", "connection", "shared")
 
 
-def scenes_of(world: str) -> list[str]:
+def configuration_names(world: str) -> list[str]:
     if world == "decisions":
-        from meadowpulley.check.scenes import SCENES
+        from meadowpulley.model_checking.policy_model.configurations import CONFIGURATIONS
 
-        return list(SCENES)
+        return list(CONFIGURATIONS)
     if world == "shared":
-        from meadowpulley.check.shared import SCENES as SHARED
+        from meadowpulley.model_checking.shared_state_model import CONFIGURATIONS as SHARED
 
         return list(SHARED)
-    from meadowpulley.check.connection import SCENES as CONNECTIONS
+    from meadowpulley.model_checking.connection_model import CONFIGURATIONS as CONNECTIONS
 
     return list(CONNECTIONS)
 
@@ -55,13 +60,13 @@
     counterexamples."""
 
 
-class _Progress:
+class _SearchProgress:
     """One line that tells how far a search is, on standard error."""
 
     def __init__(self, quiet: bool) -> None:
         self._live = None if quiet else Live(console=Console(stderr=True), transient=True)
 
-    def __enter__(self) -> _Progress:
+    def __enter__(self) -> _SearchProgress:
         if self._live is not None:
             self._live.start()
         return self
@@ -73,35 +78,39 @@
     def show(self, name: str, coverage: Coverage) -> None:
         if self._live is not None and coverage.levels:
             level = coverage.levels[-1]
-            speed = coverage.states / max(coverage.seconds, 0.001)
+            speed = coverage.states / max(coverage.elapsed_s, 0.001)
             text = f"{name}: depth {level.depth}, {coverage.states} states, frontier {level.frontier}, "
             walks = f", {coverage.walks} walks" if coverage.walks else ""
             self._live.update(Text(f"{text}{speed:.0f} states a second{walks}"))
 
 
-def _left_out(coverage: Coverage) -> str:
-    s = coverage.setting
-    bounds = f"at most {s.troubles} troubles and {s.waits} waits a path"
+def _covered_text(coverage: Coverage) -> str:
+    setting = coverage.settings
+    bounds = f"at most {setting.faults} troubles and {setting.time_advances} waits a path"
     if coverage.complete:
         return f"all within {bounds}"
-    return f"all to {coverage.depth} steps within {bounds}; stopped by {coverage.stopped}"
+    return f"all to {coverage.depth} steps within {bounds}; stopped by {coverage.stop_reason}"
 
 
-def coverage_table(coverage: Coverage) -> dict[str, Any]:
-    found = coverage.counterexample
+def coverage_fields(coverage: Coverage) -> dict[str, Any]:
+    counterexample = coverage.counterexample
     return {
-        "setting": asdict(coverage.setting),
+        "setting": to_builtins(coverage.settings),
         "states": coverage.states,
-        "taken": coverage.taken,
+        "taken": coverage.transitions,
         "depth": coverage.depth,
         "complete": coverage.complete,
-        "covered": _left_out(coverage),
-        "seconds": round(coverage.seconds, 2),
+        "covered": _covered_text(coverage),
+        "seconds": round(coverage.elapsed_s, 2),
         "walks": coverage.walks,
-        "walked": coverage.walked,
-        "levels": [[v.depth, v.states, v.taken, v.frontier, round(v.seconds, 2)] for v in coverage.levels],
-        "broken": str(found.broken) if found is not None else None,
-        "steps": [[s.do, *s.who] for s in found.steps] if found is not None else [],
+        "walked": coverage.walk_steps,
+        "levels": [
+            [v.depth, v.new_states, v.transitions, v.frontier, round(v.elapsed_s, 2)] for v in coverage.levels
+        ],
+        "broken": str(counterexample.violation) if counterexample is not None else None,
+        "steps": [[s.action, *s.arguments] for s in counterexample.steps]
+        if counterexample is not None
+        else [],
     }
 
 
@@ -150,7 +159,7 @@
 @click.option("--checkpoint", type=FILE, help="Go on from there, and write it after each level (one scene).")
 @click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="Where counterexamples go.")
 @json_option
-@guarded
+@exits_with_code
 def run(
     world: str,
     scenes: tuple[str, ...],
@@ -170,26 +179,26 @@
     as_json: bool,
 ) -> int:
     """Explore: exit code 0 if nothing was found, 1 if a property is broken."""
-    known = scenes_of(world)
+    known_names = configuration_names(world)
     for name in scenes:
-        if name not in known:
-            raise InputError(f"--scene: '{name}' is not known; known are {', '.join(known)}")
-    wanted = list(scenes) or known
+        if name not in known_names:
+            raise InputError(f"--scene: '{name}' is not known; known are {', '.join(known_names)}")
+    selected = list(scenes) or known_names
     if checkpoint is not None:
-        writable(checkpoint)
-        if len(wanted) != 1:
+        require_writable(checkpoint)
+        if len(selected) != 1:
             raise InputError("--checkpoint: goes with one --scene; name it")
-    found: list[Coverage] = []
-    with _Progress(as_json) as progress:
-        for name in wanted:
-            setting = Setting(
-                world=world,
-                scene=name,
+    coverages: list[Coverage] = []
+    with _SearchProgress(as_json) as progress:
+        for name in selected:
+            setting = ModelSettings(
+                model=world,
+                configuration=name,
                 gateways=gateways,
                 servers=servers,
                 requests=requests,
-                troubles=troubles,
-                waits=waits,
+                faults=troubles,
+                time_advances=waits,
             )
             try:
                 search = Search(
@@ -207,42 +216,44 @@
                     coverage = search.walk(walks, walk_steps, budget)
             finally:
                 search.close()
-            found.append(coverage)
-    return _show(found, out, as_json)
+            coverages.append(coverage)
+    return _show_coverage(coverages, out, as_json)
 
 
-def _show(found: Sequence[Coverage], out: Path | None, as_json: bool) -> int:
-    broken = [c for c in found if c.counterexample is not None]
-    tales = []
+def _show_coverage(coverages: Sequence[Coverage], out: Path | None, as_json: bool) -> int:
+    broken = [c for c in coverages if c.counterexample is not None]
+    counterexamples = []
     for coverage in broken:
         assert coverage.counterexample is not None
-        tale = stories.shrink(stories.tale_of(coverage.setting, coverage.counterexample))
-        tales.append(tale)
+        counterexample = stories.shrink(stories.counterexample_of(coverage.settings, coverage.counterexample))
+        counterexamples.append(counterexample)
         if out is not None:
             out.mkdir(parents=True, exist_ok=True)
-            stories.write_tale(tale, out / f"{coverage.setting.scene}-{tale.property}.json")
+            stories.write_counterexample(
+                counterexample, out / f"{coverage.settings.configuration}-{counterexample.property_name}.json"
+            )
     if as_json:
-        show_json([coverage_table(c) for c in found])
-        return MISSED if broken else GOOD
-    shown = console()
+        show_json([coverage_fields(c) for c in coverages])
+        return GOAL_MISSED if broken else SUCCESS
+    output = console()
     rows = [
         [
-            c.setting.scene,
+            c.settings.configuration,
             str(c.states),
-            str(c.taken),
+            str(c.transitions),
             str(c.depth),
-            f"{c.seconds:.1f}",
-            f"{c.states / max(c.seconds, 0.001):.0f}",
-            f"{c.walks} x {c.walked // max(c.walks, 1)}",
-            "BROKEN" if c.counterexample else _left_out(c),
+            f"{c.elapsed_s:.1f}",
+            f"{c.states / max(c.elapsed_s, 0.001):.0f}",
+            f"{c.walks} x {c.walk_steps // max(c.walks, 1)}",
+            "BROKEN" if c.counterexample else _covered_text(c),
         ]
-        for c in found
+        for c in coverages
     ]
     columns = ["scene", "states", "steps", "depth", "seconds", "states/s", "walks", "covered"]
-    shown.print(make_table(f"{found[0].setting.world}: {found[0].setting.size}", columns, rows))
-    for tale in tales:
-        shown.print("\n".join(stories.lines_of(tale)), soft_wrap=True)
-    return MISSED if broken else GOOD
+    output.print(make_table(f"{coverages[0].settings.model}: {coverages[0].settings.size}", columns, rows))
+    for counterexample in counterexamples:
+        output.print("\n".join(stories.describe_lines(counterexample)), soft_wrap=True)
+    return GOAL_MISSED if broken else SUCCESS
 
 
 @check.command()
@@ -259,7 +270,7 @@
 @click.option("--workers", type=click.IntRange(1, 1024))
 @click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="Where counterexamples go.")
 @json_option
-@guarded
+@exits_with_code
 def mutants(
     names: tuple[str, ...],
     only_list: bool,
@@ -270,57 +281,66 @@
     as_json: bool,
 ) -> int:
     """Plant bugs and look for them. Exit code 1 if one survives."""
-    from meadowpulley.check.mutants import MUTANTS
+    from meadowpulley.model_checking.mutants import MUTANTS
 
     if only_list:
         if as_json:
             show_json(
-                [{"name": m.name, "why": m.why, "module": m.module, "by": m.by} for m in MUTANTS.values()]
+                [
+                    {"name": m.name, "why": m.description, "module": m.module, "by": m.caught_by}
+                    for m in MUTANTS.values()
+                ]
             )
         else:
             rows = [
-                [m.name, m.module.removeprefix("meadowpulley."), ", ".join(m.by), m.why]
+                [m.name, m.module.removeprefix("meadowpulley."), ", ".join(m.caught_by), m.description]
                 for m in MUTANTS.values()
             ]
             console().print(make_table(f"{len(rows)} mutants", ["mutant", "module", "by", "what"], rows))
-        return GOOD
-    err = Console(stderr=True, highlight=False)
+        return SUCCESS
+    stderr = Console(stderr=True, highlight=False)
 
-    def done(c: Caught) -> None:
+    def show_result(result: MutationResult) -> None:
         if not as_json:
-            err.print(f"{c.mutant}, seed {c.seed}: {c.by or 'survived'} in {c.seconds:.1f} s", soft_wrap=True)
+            stderr.print(
+                f"{result.mutant}, seed {result.seed}: {result.violated_property or 'survived'} "
+                f"in {result.elapsed_s:.1f} s",
+                soft_wrap=True,
+            )
 
     try:
-        found = hunt_all(names or list(MUTANTS), range(1, seeds + 1), budget, workers, done)
+        results = run_mutants(names or list(MUTANTS), range(1, seeds + 1), budget, workers, show_result)
     except MutantError as error:
         raise InputError(str(error)) from None
     if out is not None:
         out.mkdir(parents=True, exist_ok=True)
-        for c in found:
-            if c.by:
-                tale = stories.Tale(1, setting_of(MUTANTS[c.mutant]), c.by, c.text, c.steps, c.mutant)
-                stories.write_tale(tale, out / f"{c.mutant}-{c.seed}.json")
-    survived = sorted({c.mutant for c in found if not c.by})
+        for c in results:
+            if c.violated_property:
+                counterexample = stories.Counterexample(
+                    1, settings_of(MUTANTS[c.mutant]), c.violated_property, c.text, c.steps, c.mutant
+                )
+                stories.write_counterexample(counterexample, out / f"{c.mutant}-{c.seed}.json")
+    survived = sorted({c.mutant for c in results if not c.violated_property})
     if as_json:
-        show_json(to_builtins(found))
+        show_json(to_builtins(results))
     else:
         rows = []
-        for name in dict.fromkeys(c.mutant for c in found):
-            mine = [c for c in found if c.mutant == name]
+        for name in dict.fromkeys(c.mutant for c in results):
+            of_mutant = [c for c in results if c.mutant == name]
             rows.append(
                 [
                     name,
-                    ", ".join(sorted({c.by or "survived" for c in mine})),
-                    "/".join(str(len(c.steps)) for c in mine),
-                    str(max(c.states for c in mine)),
-                    f"{max(c.seconds for c in mine):.1f}",
-                    ", ".join(sorted({c.how for c in mine})),
+                    ", ".join(sorted({c.violated_property or "survived" for c in of_mutant})),
+                    "/".join(str(len(c.steps)) for c in of_mutant),
+                    str(max(c.states for c in of_mutant)),
+                    f"{max(c.elapsed_s for c in of_mutant):.1f}",
+                    ", ".join(sorted({c.search_method for c in of_mutant})),
                 ]
             )
         columns = ["mutant", "caught by", "steps, by seed", "states, most", "seconds, most", "how"]
         console().print(make_table(f"{len(rows)} mutants, {seeds} seeds", columns, rows))
         console().print(f"{len(rows) - len(survived)} of {len(rows)} caught under every seed")
-    return MISSED if survived else GOOD
+    return GOAL_MISSED if survived else SUCCESS
 
 
 @check.command()
@@ -335,30 +355,38 @@
 )
 @seed_option
 @json_option
-@guarded
+@exits_with_code
 def fuzz(names: tuple[str, ...], examples: int, corpus: Path, seed: int, as_json: bool) -> int:
     """Feed the readers of foreign bytes made and spoilt input. Exit code 1 if one breaks its word."""
-    from meadowpulley.check.fuzz import TARGETS, corpus_of, fuzz as play
+    from meadowpulley.model_checking.fuzz import TARGETS, corpus_of, run_target as play
 
     for name in names:
         if name not in TARGETS:
             raise InputError(f"--target: '{name}' is not known; known are {', '.join(TARGETS)}")
-    found = []
+    results = []
     for name in names or TARGETS:
-        one = play(TARGETS[name], examples, seed, list(corpus_of(corpus, name)))
-        found.append(one)
-        if one.failing is not None:
+        result = play(TARGETS[name], examples, seed, list(corpus_of(corpus, name)))
+        results.append(result)
+        if result.failing_input is not None:
             folder = corpus / name
             folder.mkdir(parents=True, exist_ok=True)
-            (folder / f"found-{xxhash.xxh3_64_hexdigest(one.failing)}").write_bytes(one.failing)
+            (folder / f"found-{xxhash.xxh3_64_hexdigest(result.failing_input)}").write_bytes(
+                result.failing_input
+            )
     if as_json:
         show_json(
-            [{"target": f.target, "corpus": f.corpus, "examples": f.examples, "why": f.why} for f in found]
+            [
+                {"target": f.target, "corpus": f.corpus_count, "examples": f.example_count, "why": f.reason}
+                for f in results
+            ]
         )
     else:
-        rows = [[TARGETS[f.target].about, str(f.corpus), str(f.examples), f.why or "holds"] for f in found]
+        rows = [
+            [TARGETS[f.target].description, str(f.corpus_count), str(f.example_count), f.reason or "holds"]
+            for f in results
+        ]
         console().print(make_table(f"Fuzzing, seed {seed}", ["reader", "corpus", "examples", "result"], rows))
-    return MISSED if any(f.failing is not None for f in found) else GOOD
+    return GOAL_MISSED if any(f.failing_input is not None for f in results) else SUCCESS
 
 
 for command in (replay, shrink, keep, report):
--- a/meadowpulley/cli/common.py
+++ b/meadowpulley/cli/common.py
@@ -19,8 +19,8 @@
 from meadowpulley.fleet import Fleet, FleetError, parse_fleet
 from meadowpulley.load import LoadError
 
-WIDE = 150  # characters a line, where no terminal says
-GOOD, MISSED, BAD_INPUT, RIG_LIMIT = 0, 1, 2, 3
+DEFAULT_WIDTH = 150  # characters a line, where no terminal says
+SUCCESS, GOAL_MISSED, BAD_INPUT, TEST_BED_LIMITED = 0, 1, 2, 3
 P = ParamSpec("P")
 T = TypeVar("T")
 
@@ -33,14 +33,14 @@
 
 def console() -> Console:
     """For results: as wide as the terminal, and wide enough for every table where there is none."""
-    return Console(highlight=False) if sys.stdout.isatty() else Console(highlight=False, width=WIDE)
+    return Console(highlight=False) if sys.stdout.isatty() else Console(highlight=False, width=DEFAULT_WIDTH)
 
 
-def guarded(command: Callable[P, int | None]) -> Callable[P, None]:
+def exits_with_code(command: Callable[P, int | None]) -> Callable[P, None]:
     """Bad input is one plain line on standard error and exit code 2; else the command's own code."""
 
     @functools.wraps(command)
-    def run(*args: P.args, **kwargs: P.kwargs) -> None:
+    def run_command(*args: P.args, **kwargs: P.kwargs) -> None:
         try:
             code = command(*args, **kwargs)
         except (FleetError, LoadError, InputError) as error:
@@ -48,10 +48,10 @@
             sys.exit(BAD_INPUT)
         except BrokenPipeError:
             os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
-            sys.exit(GOOD)
-        sys.exit(code or GOOD)
+            sys.exit(SUCCESS)
+        sys.exit(code or SUCCESS)
 
-    return run
+    return run_command
 
 
 def read_bytes(path: Path) -> bytes:
@@ -69,7 +69,7 @@
     return Scenario() if path is None else parse_scenario(read_bytes(path), str(path), fleet)
 
 
-def writable(path: Path) -> Path:
+def require_writable(path: Path) -> Path:
     """A place for results, before hours are spent on them. Raises InputError."""
     folder = path.parent
     if not folder.is_dir() or not os.access(folder, os.W_OK):
@@ -83,8 +83,8 @@
 
 def make_table(title: str, columns: list[str], rows: list[list[str]]) -> Table:
     table = Table(title=title, title_justify="left", pad_edge=False)
-    for n, column in enumerate(columns):
-        table.add_column(column, justify="left" if n == 0 else "right")
+    for index, column in enumerate(columns):
+        table.add_column(column, justify="left" if index == 0 else "right")
     for row in rows:
         table.add_row(*row)
     return table
--- a/meadowpulley/cli/demo.py
+++ b/meadowpulley/cli/demo.py
@@ -12,32 +12,36 @@
 
 from meadowpulley.cli.common import (
     FILE,
-    GOOD,
-    MISSED,
+    GOAL_MISSED,
+    SUCCESS,
     InputError,
     console,
-    guarded,
+    exits_with_code,
     json_option,
     make_table,
+    require_writable,
     seed_option,
     show_json,
-    writable,
 )
 from meadowpulley.cli.emulate import show_result
-from meadowpulley.cli.view import play, play_rig
-from meadowpulley.emulator import Build, Release, Scenario, World
+from meadowpulley.cli.json_keys import DEMO_KEYS, with_keys
+from meadowpulley.cli.view import play_emulation, run_loopback_with_progress
+from meadowpulley.emulator import Build, Emulation, Release, Scenario
 from meadowpulley.experiment import LoadSpec
 from meadowpulley.fleet import Fleet, parse_fleet
+from meadowpulley.interface import Phase
 from meadowpulley.load import PROFILES, synthesize
+from meadowpulley.loopback import LoopbackError, LoopbackPlan
 from meadowpulley.report import write_page, write_run_report
-from meadowpulley.report.capacity import rig_page
-from meadowpulley.rig import RigError, RigPlan
+from meadowpulley.report.capacity import loopback_page
+from meadowpulley.rules.trace import PHASE_NAMES
 
-LOAD = 0.45  # of what all servers can do
-SECONDS = 75.0
+LOAD_FRACTION = 0.45  # of what all servers can do
+DURATION_S = 75.0
 GOOD_BUILD, BAD_BUILD = 2, 3
+ROLLBACK_PHASES = (Phase.ROLLING_BACK, Phase.ROLLED_BACK)
 GOOD_AT_MS, BAD_AT_MS = 4_000.0, 36_000.0
-FLEET = """
+FLEET_TOML = """
 version = 1
 name = "demo"
 sites = [{ name = "hobart" }, { name = "glenorchy" }, { name = "kingston" }]
@@ -78,7 +82,7 @@
 
 def demo_fleet() -> Fleet:
     """The fleet of the demo; a description like any other."""
-    return parse_fleet(FLEET.encode(), "demo fleet")
+    return parse_fleet(FLEET_TOML.encode(), "demo fleet")
 
 
 @click.command()
@@ -93,75 +97,80 @@
 @click.option("--sockets", is_flag=True, help="On loopback in real time: real gateways, stand-in servers.")
 @click.option("--report", type=FILE, default=Path("demo-report.html"), show_default=True)
 @json_option
-@guarded
+@exits_with_code
 def demo(seed: int, pace: float, sockets: bool, report: Path, as_json: bool) -> int:
     """Show the main job: a stand-in fleet, gateways and clients, one good build released, one bad one sent
     back."""
     fleet = demo_fleet()
-    writable(report)
-    per_s = LOAD * fleet.capacity() * 1000 / fleet.mean_work_ms()
-    bad = Build(number=BAD_BUILD, fails=0.4, fails_class="zone-change")
-    releases = (Release(GOOD_AT_MS, Build(number=GOOD_BUILD, speed=1.05)), Release(BAD_AT_MS, bad))
+    require_writable(report)
+    per_s = LOAD_FRACTION * fleet.capacity() * 1000 / fleet.mean_work_ms()
+    bad_build = Build(number=BAD_BUILD, failure_share=0.4, failing_class="zone-change")
+    releases = (Release(GOOD_AT_MS, Build(number=GOOD_BUILD, speed=1.05)), Release(BAD_AT_MS, bad_build))
     scenario = Scenario(releases=releases)
-    where = "on loopback in real time" if sockets else "emulated in virtual time"
+    mode = "on loopback in real time" if sockets else "emulated in virtual time"
     if not as_json:
         console().print(
             f"{len(fleet.machines())} servers at {len(fleet.sites)} sites, {len(fleet.gateway_sites())} "
-            f"gateways, {per_s:.0f} requests a second, {where}. Build {GOOD_BUILD} is good; "
+            f"gateways, {per_s:.0f} requests a second, {mode}. Build {GOOD_BUILD} is good; "
             f"build {BAD_BUILD} fails 40% of all zone changes. No gateway is told."
         )
     if sockets:
-        spec = LoadSpec(profile="steady", per_s=per_s, seconds=SECONDS)
-        shown = _on_sockets(RigPlan(fleet, spec, seed, seed, scenario), report, as_json)
+        spec = LoadSpec(profile="steady", per_s=per_s, seconds=DURATION_S)
+        summary = _run_on_loopback(LoopbackPlan(fleet, spec, seed, seed, scenario), report, as_json)
     else:
-        load = synthesize(fleet, PROFILES["steady"], per_s, SECONDS, seed)
-        shown = _emulated(World(fleet, load, seed, scenario), pace, report, f"Demo, seed {seed}", as_json)
-    good = shown.released and shown.withdrawn and not shown.broken
+        load = synthesize(fleet, PROFILES["steady"], per_s, DURATION_S, seed)
+        summary = _run_emulated(
+            Emulation(fleet, load, seed, scenario), pace, report, f"Demo, seed {seed}", as_json
+        )
+    passed = summary.released and summary.rolled_back and not summary.broken
     if as_json:
-        show_json({**asdict(shown), "report": str(report)})
-        return GOOD if good else MISSED
-    out = console()
-    out.print(f"good build {GOOD_BUILD}: {'released' if shown.released else 'NOT released'}")
-    out.print(f"bad build {BAD_BUILD}: {'sent back' if shown.withdrawn else 'NOT sent back'}")
-    out.print(f"rules: {shown.broken or 'all kept'}")
-    out.print(f"report: {report}")
-    return GOOD if good else MISSED
+        show_json({**with_keys(asdict(summary), DEMO_KEYS), "report": str(report)})
+        return SUCCESS if passed else GOAL_MISSED
+    output = console()
+    output.print(f"good build {GOOD_BUILD}: {'released' if summary.released else 'NOT released'}")
+    output.print(f"bad build {BAD_BUILD}: {'sent back' if summary.rolled_back else 'NOT sent back'}")
+    output.print(f"rules: {summary.broken or 'all kept'}")
+    output.print(f"report: {report}")
+    return SUCCESS if passed else GOAL_MISSED
 
 
 @dataclass(frozen=True, slots=True)
-class Shown:
+class DemoSummary:
     """What a demo came to. `broken`: rules broken, by how often."""
 
     released: bool
-    withdrawn: bool
+    rolled_back: bool
     broken: dict[str, int]
 
 
-def _shown(stages: Iterable[tuple[int, str]], broken: dict[str, int]) -> Shown:
-    stood = set(stages)
-    back = {(BAD_BUILD, "going_back"), (BAD_BUILD, "withdrawn")}
-    return Shown((GOOD_BUILD, "released") in stood, bool(back & stood), broken)
+def _summarize(stages: Iterable[tuple[int, str]], broken: dict[str, int]) -> DemoSummary:
+    phases = set(stages)
+    released = (GOOD_BUILD, PHASE_NAMES[Phase.RELEASED]) in phases
+    rolled_back = any((BAD_BUILD, PHASE_NAMES[phase]) in phases for phase in ROLLBACK_PHASES)
+    return DemoSummary(released, rolled_back, broken)
 
 
-def _emulated(world: World, pace: float, report: Path, title: str, quiet: bool) -> Shown:
-    began = time.monotonic()
-    result = play(world, pace)
+def _run_emulated(world: Emulation, pace: float, report: Path, title: str, quiet: bool) -> DemoSummary:
+    started_at = time.monotonic()
+    result = play_emulation(world, pace)
     if not quiet:
-        show_result(result, time.monotonic() - began)
+        show_result(result, time.monotonic() - started_at)
     write_run_report(result, report, title)
-    history = [(s.build, s.phase.name.lower()) for s in world.platform.history]
-    return _shown(history, dict(result.broken))
+    history = [(s.build, PHASE_NAMES[s.phase]) for s in world.platform.history]
+    return _summarize(history, dict(result.violation_counts))
 
 
-def _on_sockets(plan: RigPlan, report: Path, quiet: bool) -> Shown:
+def _run_on_loopback(plan: LoopbackPlan, report: Path, quiet: bool) -> DemoSummary:
     try:
-        found = play_rig(plan)
-    except RigError as error:
+        measurement = run_loopback_with_progress(plan)
+    except LoopbackError as error:
         raise InputError(f"the rig: {error}") from None
     if not quiet:
-        rows = [[name, f"{value:.5g}"] for name, value in sorted(found.figures.items())]
+        rows = [[name, f"{value:.5g}"] for name, value in sorted(measurement.figures.items())]
         console().print(make_table("What clients saw", ["figure", "value"], rows))
-    for text in found.limits:
+    for text in measurement.limiting_factors:
         click.echo(f"the rig was the limit: {text}", err=True)
-    write_page(rig_page(f"Demo on loopback, seed {plan.seed}", found), report)
-    return _shown([(build, phase) for _, build, _, phase in found.stages], found.broken)
+    write_page(loopback_page(f"Demo on loopback, seed {plan.seed}", measurement), report)
+    return _summarize(
+        [(build, phase) for _, build, _, phase in measurement.stages], measurement.violation_counts
+    )
--- a/meadowpulley/cli/emulate.py
+++ b/meadowpulley/cli/emulate.py
@@ -10,57 +10,62 @@
 
 from meadowpulley.cli.common import (
     FILE,
-    GOOD,
-    MISSED,
+    GOAL_MISSED,
+    SUCCESS,
     InputError,
     console,
+    exits_with_code,
     fleet_option,
-    guarded,
     json_option,
     make_table,
     percent,
     read_fleet,
     read_scenario,
+    require_writable,
     seed_option,
     show_json,
-    writable,
 )
 from meadowpulley.cli.load import load_options, open_load
-from meadowpulley.cli.view import play
-from meadowpulley.emulator import Result, World
+from meadowpulley.cli.view import play_emulation
+from meadowpulley.emulator import Emulation, EmulationResult
 from meadowpulley.report import write_run_report
 from meadowpulley.rules import Record, trace_line
 
 
-def show_result(result: Result, took_s: float) -> None:
-    out = console()
+def show_result(result: EmulationResult, took_s: float) -> None:
+    output = console()
     rows = [
         [
             c.name,
-            str(c.asked),
-            percent(c.in_aim / c.asked) if c.asked else "-",
+            str(c.calls),
+            percent(c.within_objective / c.calls) if c.calls else "-",
             str(c.late),
-            str(c.refused),
+            str(c.rejected),
             str(c.failed),
-            percent(c.worth_share),
+            percent(c.served_weight_share),
             f"{c.latency_ms(50):.0f}",
             f"{c.latency_ms(99):.0f}",
         ]
         for c in result.classes
     ]
     columns = ["class", "asked", "in aim", "late", "refused", "failed", "worth", "p50 ms", "p99 ms"]
-    out.print(make_table("Answers", columns, rows))
+    output.print(make_table("Answers", columns, rows))
     rows = [
-        [name, percent(busy)] for name, busy in {**result.busy_by("site"), **result.busy_by("kind")}.items()
+        [name, percent(busy)]
+        for name, busy in {**result.utilisation_by("site"), **result.utilisation_by("kind")}.items()
     ]
-    out.print(make_table("Utilisation of cores", ["site or kind", "busy"], rows))
-    for breach in result.breaches[:10]:
-        out.print(f"[red]rule broken[/] {breach}")
-    verdict = "rules kept" if not result.broken else f"rules broken: {sum(result.broken.values())} times"
-    speed = result.asks / took_s if took_s > 0 else 0.0
-    out.print(
-        f"{result.asks} requests in {result.lasted_ms / 1000:.0f} s of virtual time, worth kept "
-        f"{percent(result.worth_share, 2)}, {verdict}; {speed:.0f} requests a second of real time"
+    output.print(make_table("Utilisation of cores", ["site or kind", "busy"], rows))
+    for breach in result.violations[:10]:
+        output.print(f"[red]rule broken[/] {breach}")
+    verdict = (
+        "rules kept"
+        if not result.violation_counts
+        else f"rules broken: {sum(result.violation_counts.values())} times"
+    )
+    speed = result.calls / took_s if took_s > 0 else 0.0
+    output.print(
+        f"{result.calls} requests in {result.elapsed_ms / 1000:.0f} s of virtual time, worth kept "
+        f"{percent(result.served_weight_share, 2)}, {verdict}; {speed:.0f} requests a second of real time"
     )
 
 
@@ -80,7 +85,7 @@
     help="With --live: seconds of virtual time in one of real time.",
 )
 @json_option
-@guarded
+@exits_with_code
 def emulate(
     fleet: Path,
     load: Path | None,
@@ -96,29 +101,29 @@
     as_json: bool,
 ) -> int:
     """Play a load on an emulated fleet around real decisions; exit code 1 if a rule was broken."""
-    described = read_fleet(fleet)
-    told = read_scenario(scenario, described)
-    arrivals = open_load(described, load, profile, rate, seconds, seed)
+    fleet_description = read_fleet(fleet)
+    run_scenario = read_scenario(scenario, fleet_description)
+    arrivals = open_load(fleet_description, load, profile, rate, seconds, seed)
     if report is not None and report.suffix not in (".html", ".md"):
         raise InputError(f"{report}: reports end in .html or .md; name one so")
     with ExitStack() as stack:
-        record = None
+        write_record = None
         if trace is not None:
-            file = stack.enter_context(open(writable(trace), "wb"))
+            file = stack.enter_context(open(require_writable(trace), "wb"))
 
-            def record(one: Record) -> None:
-                file.write(trace_line(one) + b"\n")
+            def write_record(record: Record) -> None:
+                file.write(trace_line(record) + b"\n")
 
         if report is not None:
-            writable(report)
-        world = World(described, arrivals, seed, told, trace=record)
-        began = time.monotonic()
-        result = play(world, pace) if live else world.run()
-        took = time.monotonic() - began
+            require_writable(report)
+        world = Emulation(fleet_description, arrivals, seed, run_scenario, on_record=write_record)
+        started_at = time.monotonic()
+        result = play_emulation(world, pace) if live else world.run()
+        elapsed_s = time.monotonic() - started_at
     if report is not None:
-        write_run_report(result, report, f"Run of {described.name}, seed {seed}")
+        write_run_report(result, report, f"Run of {fleet_description.name}, seed {seed}")
     if as_json:
         show_json(result.table())
     else:
-        show_result(result, took)
-    return MISSED if result.broken else GOOD
+        show_result(result, elapsed_s)
+    return GOAL_MISSED if result.violation_counts else SUCCESS
--- a/meadowpulley/cli/experiment.py
+++ b/meadowpulley/cli/experiment.py
@@ -10,40 +10,40 @@
 import click
 import msgspec
 
-from meadowpulley.cli.capacity import Shown
+from meadowpulley.cli.capacity import ProgressBar
 from meadowpulley.cli.common import (
     FILE,
-    GOOD,
-    MISSED,
+    GOAL_MISSED,
+    SUCCESS,
     InputError,
     console,
-    guarded,
+    exits_with_code,
     json_option,
     make_table,
     read_bytes,
     show_json,
 )
 from meadowpulley.experiment import (
-    Row,
-    Store,
+    ResultStore,
+    RunResult,
     cells_of,
-    paired,
+    paired_differences,
     parse_experiment,
     run_cells,
     summary_rows,
     write_tables,
 )
-from meadowpulley.report import Page, Section, TableOf, line_chart, write_page
+from meadowpulley.report import Page, PageTable, Section, line_chart, write_page
 from meadowpulley.report.charts import Line
 
-SHOWN = ("worth", "in_aim", "refused", "failed", "served_per_s", "gateway_busy")
+SUMMARY_FIGURES = ("worth", "in_aim", "refused", "failed", "served_per_s", "gateway_busy")
 FOLDER = click.Path(file_okay=False, path_type=Path)
 
 
-def commit() -> str:
+def current_commit() -> str:
     """The repository's commit, for the record; 'unknown' outside one."""
     try:
-        done = subprocess.run(
+        result = subprocess.run(
             ["git", "describe", "--always", "--dirty", "--exclude", "*"],
             capture_output=True,
             text=True,
@@ -53,15 +53,15 @@
         )
     except OSError:
         return "unknown"
-    return done.stdout.strip() or "unknown"
+    return result.stdout.strip() or "unknown"
 
 
-def read_rows(folder: Path) -> list[Row]:
+def read_rows(folder: Path) -> list[RunResult]:
     table = folder / "table.json"
     try:
         raw = json.loads(read_bytes(table))
         return [
-            Row(
+            RunResult(
                 "",
                 str(r["configuration"]),
                 int(r["seed"]),
@@ -86,30 +86,30 @@
 )
 @click.option("--workers", type=click.IntRange(1, 1024), help="Processes; one a core else.")
 @json_option
-@guarded
+@exits_with_code
 def run(experiment_file: Path, out: Path, workers: int | None, as_json: bool) -> int:
     """Run an experiment. Exit code 1 if a rule was broken in any run."""
     plan = parse_experiment(read_bytes(experiment_file), str(experiment_file))
     cells = cells_of(plan, experiment_file, read_bytes)
     out.mkdir(parents=True, exist_ok=True)
-    store = Store(out / "runs.jsonl")
-    with Shown(plan.name) as progress:
+    store = ResultStore(out / "runs.jsonl")
+    with ProgressBar(plan.name) as progress:
         rows = run_cells(cells, store, workers or plan.cores, progress=progress)
-    about: dict[str, Any] = {
+    metadata: dict[str, Any] = {
         "experiment": plan.name,
-        "commit": commit(),
+        "commit": current_commit(),
         "seeds": list(plan.seeds),
         "command": f"meadowpulley experiment run {experiment_file} --out {out}",
     }
-    write_tables(rows, out, about)
+    write_tables(rows, out, metadata)
     if as_json:
-        show_json({**about, "rows": [msgspec.to_builtins(row) for row in rows]})
+        show_json({**metadata, "rows": [msgspec.to_builtins(row) for row in rows]})
     else:
-        lines = summary_rows(rows, SHOWN)
-        columns = ["configuration", "seeds", *SHOWN, "rules broken"]
+        lines = summary_rows(rows, SUMMARY_FIGURES)
+        columns = ["configuration", "seeds", *SUMMARY_FIGURES, "rules broken"]
         console().print(make_table(f"{plan.name}: means, 95% intervals", columns, lines))
         console().print(f"tables: {out}")
-    return MISSED if any(row.broken for row in rows) else GOOD
+    return GOAL_MISSED if any(row.violation_counts for row in rows) else SUCCESS
 
 
 @experiment.command()
@@ -118,11 +118,11 @@
 @click.argument("second")
 @click.option("--all", "show_all", is_flag=True, help="Also figures whose change is not clear.")
 @json_option
-@guarded
+@exits_with_code
 def compare(folder: Path, first: str, second: str, show_all: bool, as_json: bool) -> int:
     """The change of each figure from one configuration to another, paired by seed."""
     try:
-        found = paired(read_rows(folder), first, second)
+        differences = paired_differences(read_rows(folder), first, second)
     except ValueError as error:
         raise InputError(f"{folder / 'table.json'}: {error}") from None
     if as_json:
@@ -135,12 +135,12 @@
                     "change": d.change.mean,
                     "low": d.change.low,
                     "high": d.change.high,
-                    "clear": d.clear,
+                    "clear": d.significant,
                 }
-                for d in found
+                for d in differences
             ]
         )
-        return GOOD
+        return SUCCESS
     rows = [
         [
             d.metric,
@@ -148,44 +148,48 @@
             f"{d.second:.5g}",
             f"{d.change.mean:+.4g}",
             f"{d.change.low:+.4g} to {d.change.high:+.4g}",
-            "yes" if d.clear else "no",
+            "yes" if d.significant else "no",
         ]
-        for d in found
-        if show_all or d.clear
+        for d in differences
+        if show_all or d.significant
     ]
     columns = ["figure", first, second, "change", "95% interval", "clear"]
-    console().print(make_table(f"From {first} to {second}, {found[0].change.n} pairs", columns, rows))
-    return GOOD
+    console().print(
+        make_table(f"From {first} to {second}, {differences[0].change.count} pairs", columns, rows)
+    )
+    return SUCCESS
 
 
 @experiment.command()
 @click.argument("folder", type=FOLDER)
 @click.option("--out", type=FILE, required=True, help="The page (.html or .md).")
-@guarded
+@exits_with_code
 def report(folder: Path, out: Path) -> int:
     """A page of an experiment's table, with charts over its configurations."""
     rows = read_rows(folder)
     if out.suffix not in (".html", ".md"):
         raise InputError(f"{out}: reports end in .html or .md; name one so")
-    lines = summary_rows(rows, SHOWN)
+    summary = summary_rows(rows, SUMMARY_FIGURES)
     names = list(dict.fromkeys(row.name for row in rows))
     charts = []
     for figure in ("worth", "served_per_s"):
-        value = {(r.name, r.seed): r.figures.get(figure, 0.0) for r in rows}
+        values = {(r.name, r.seed): r.figures.get(figure, 0.0) for r in rows}
         drawn = [
-            Line(f"seed {seed}", list(range(len(names))), [value.get((n, seed), 0.0) for n in names], "o-")
+            Line(f"seed {seed}", list(range(len(names))), [values.get((n, seed), 0.0) for n in names], "o-")
             for seed in dict.fromkeys(row.seed for row in rows)
         ]
         charts.append(line_chart(figure, f"configuration: {', '.join(names)}", figure, drawn))
-    about = json.loads(read_bytes(folder / "table.json"))
-    said = [
-        f"Commit {about.get('commit')}, seeds {about.get('seeds')}.",
-        f"Run again: {about.get('command')}",
+    metadata = json.loads(read_bytes(folder / "table.json"))
+    description = [
+        f"Commit {metadata.get('commit')}, seeds {metadata.get('seeds')}.",
+        f"Run again: {metadata.get('command')}",
     ]
-    table = TableOf(["configuration", "seeds", *SHOWN, "rules broken"], lines)
+    table = PageTable(["configuration", "seeds", *SUMMARY_FIGURES, "rules broken"], summary)
     page = Page(
-        str(about.get("experiment", folder.name)), said, [Section("Configurations", (), [table], charts)]
+        str(metadata.get("experiment", folder.name)),
+        description,
+        [Section("Configurations", (), [table], charts)],
     )
     write_page(page, out)
     console().print(f"report: {out}")
-    return GOOD
+    return SUCCESS
--- a/meadowpulley/cli/fleet_log.py
+++ b/meadowpulley/cli/fleet_metrics.py
@@ -10,15 +10,15 @@
     FILE,
     InputError,
     console,
-    guarded,
+    exits_with_code,
     json_option,
     make_table,
     read_bytes,
     show_json,
 )
-from meadowpulley.report.seconds import Second, add_up
+from meadowpulley.report.fleet_metrics import FleetInterval, aggregate_intervals
 
-COLUMNS = (  # heading, counters
+METRIC_COLUMNS = (  # heading, counters
     ("asked", ("in.requests",)),
     ("served", ("out.200",)),
     ("refused", ("out.429", "out.503")),
@@ -36,49 +36,61 @@
 )
 
 
-def row(second: Second) -> dict[str, int]:
+def metric_row(second: FleetInterval) -> dict[str, int]:
     """The table's figures of one second, by heading."""
-    return {name: sum(second.counts[c] for c in counters) for name, counters in COLUMNS}
+    return {name: sum(second.counters[c] for c in counters) for name, counters in METRIC_COLUMNS}
 
 
 @click.command("fleet-log")
 @click.argument("logs", nargs=-1, required=True, type=FILE)
 @json_option
-@guarded
+@exits_with_code
 def fleet_log(logs: tuple[Path, ...], as_json: bool) -> None:
     """Adds up the `second` lines of LOGS, one file a gateway, written with MEADOWPULLEY_SECONDS=1."""
     lines = [line for path in logs for line in read_bytes(path).decode(errors="replace").splitlines()]
-    found, unread = add_up(lines)
-    seconds = {at: s for at, s in found.items() if s.gateways}
+    intervals, unreadable = aggregate_intervals(lines)
+    seconds = {at: s for at, s in intervals.items() if s.gateways}
     if not seconds:
         raise InputError(f"{logs[0]}: no 'second' line; start the gateways with MEADOWPULLEY_SECONDS=1")
     first = min(seconds)
-    said = [line for s in found.values() for line in s.lines]
+    decisions = [line for s in intervals.values() for line in s.decisions]
     if as_json:
         rows = [
             {
-                **{"second": at - first, "gateways": s.gateways, **row(s)},
-                **{"at servers": s.out, "resting": s.resting, "servers": s.servers, "news": s.news},
+                **{"second": at - first, "gateways": s.gateways, **metric_row(s)},
+                **{
+                    "at servers": s.outstanding_requests,
+                    "resting": s.ejected_servers,
+                    "servers": s.servers,
+                    "news": s.rollouts,
+                },
             }
             for at, s in seconds.items()
         ]
-        show_json({"seconds": rows, "decisions": said, "unread": unread})
+        show_json({"seconds": rows, "decisions": decisions, "unread": unreadable})
         return
-    shown = [
+    table_rows = [
         [
             str(at - first),
             str(s.gateways),
-            *map(str, row(s).values()),
-            str(s.out),
-            str(s.resting),
-            s.news.most_common(1)[0][0],
+            *map(str, metric_row(s).values()),
+            str(s.outstanding_requests),
+            str(s.ejected_servers),
+            s.rollouts.most_common(1)[0][0],
         ]
         for at, s in seconds.items()
     ]
-    headings = ["s", "gateways", *(name for name, _ in COLUMNS), "at servers", "resting", "news of most"]
-    out = console()
-    out.print(make_table("The fleet by the second", headings, shown))
-    for line in said:
-        out.print(line, soft_wrap=True, markup=False)
-    if unread:
-        out.print(f"{unread} lines could not be read")
+    headings = [
+        "s",
+        "gateways",
+        *(name for name, _ in METRIC_COLUMNS),
+        "at servers",
+        "resting",
+        "news of most",
+    ]
+    output = console()
+    output.print(make_table("The fleet by the second", headings, table_rows))
+    for line in decisions:
+        output.print(line, soft_wrap=True, markup=False)
+    if unreadable:
+        output.print(f"{unreadable} lines could not be read")
--- a/meadowpulley/cli/load.py
+++ b/meadowpulley/cli/load.py
@@ -11,21 +11,21 @@
 
 from meadowpulley.cli.common import (
     FILE,
-    GOOD,
-    MISSED,
-    RIG_LIMIT,
+    GOAL_MISSED,
+    SUCCESS,
+    TEST_BED_LIMITED,
     InputError,
     console,
+    exits_with_code,
     fleet_option,
-    guarded,
     json_option,
     make_table,
     percent,
     read_fleet,
     read_scenario,
+    require_writable,
     seed_option,
     show_json,
-    writable,
 )
 from meadowpulley.fleet import Fleet
 from meadowpulley.load import (
@@ -42,8 +42,8 @@
     write_load,
 )
 
-LONGEST_S = 600.0  # of a run on loopback
-USUAL_LOAD = 0.5  # of what all servers can do, where no rate is given
+MAX_LOOPBACK_S = 600.0  # of a run on loopback
+DEFAULT_LOAD_FRACTION = 0.5  # of what all servers can do, where no rate is given
 
 
 def load_options(command: Callable[..., Any]) -> Callable[..., Any]:
@@ -67,17 +67,19 @@
 ) -> Iterator[Arrival]:
     if path is not None:
         return iter(read_load(path, frozenset(c.name for c in fleet.classes)))
-    per_s = rate if rate is not None else USUAL_LOAD * fleet.capacity() * 1000 / fleet.mean_work_ms()
+    per_s = (
+        rate if rate is not None else DEFAULT_LOAD_FRACTION * fleet.capacity() * 1000 / fleet.mean_work_ms()
+    )
     return synthesize(fleet, PROFILES[profile], per_s, seconds, seed)
 
 
-def written(as_json: bool, out: Path, count: int, about: str, **more: Any) -> int:
+def report_written(as_json: bool, out: Path, count: int, description: str, **fields: Any) -> int:
     """Tells of a load file that was written, to people or to programs."""
     if as_json:
-        show_json({"file": str(out), "arrivals": count, **more})
+        show_json({"file": str(out), "arrivals": count, **fields})
     else:
-        console().print(f"{out}: {count} arrivals, {about}")
-    return GOOD
+        console().print(f"{out}: {count} arrivals, {description}")
+    return SUCCESS
 
 
 @click.group()
@@ -93,22 +95,22 @@
 @seed_option
 @click.option("--out", type=FILE, required=True, help="Where to write it (.jsonl or .jsonl.gz).")
 @json_option
-@guarded
+@exits_with_code
 def synth(
     fleet: Path, profile: str, rate: float | None, seconds: float, seed: int, out: Path, as_json: bool
 ) -> int:
     """Make a load by a profile. The same options make the same file."""
-    described = read_fleet(fleet)
-    arrivals = open_load(described, None, profile, rate, seconds, seed)
-    header = Header(source=f"{profile}, seed {seed}, fleet {described.name}")
-    count = write_load(writable(out), arrivals, header)
-    return written(as_json, out, count, f"profile {profile}, seed {seed}", profile=profile, seed=seed)
+    fleet_description = read_fleet(fleet)
+    arrivals = open_load(fleet_description, None, profile, rate, seconds, seed)
+    header = Header(source=f"{profile}, seed {seed}, fleet {fleet_description.name}")
+    count = write_load(require_writable(out), arrivals, header)
+    return report_written(as_json, out, count, f"profile {profile}, seed {seed}", profile=profile, seed=seed)
 
 
 @load.command()
 @click.argument("load_file", type=FILE)
 @json_option
-@guarded
+@exits_with_code
 def describe(load_file: Path, as_json: bool) -> int:
     """Tell what a load holds, in one pass and bounded memory."""
     reader = read_load(load_file)
@@ -121,31 +123,37 @@
     }
     if as_json:
         show_json({**summary.table(), **notes})
-        return GOOD
-    shown = console()
+        return SUCCESS
+    output = console()
     rows = [
-        [c.name, str(c.count), percent(c.share), f"{c.work_ms:.1f}", f"{c.spread:.2f}"]
-        for c in summary.classes
+        [
+            class_summary.name,
+            str(class_summary.count),
+            percent(class_summary.share),
+            f"{class_summary.work_ms:.1f}",
+            f"{class_summary.spread:.2f}",
+        ]
+        for class_summary in summary.classes
     ]
-    shown.print(make_table(str(load_file), ["class", "requests", "share", "work ms", "spread"], rows))
+    output.print(make_table(str(load_file), ["class", "requests", "share", "work ms", "spread"], rows))
     sites = ", ".join(f"{name or 'unnamed'} {percent(share)}" for name, share in summary.sites.items())
     keys = f"{summary.keys}{' or more' if summary.more_keys else ''} keys"
-    shown.print(
+    output.print(
         f"{summary.count} requests in {summary.seconds:.0f} s: {summary.per_s:.1f} a second, "
         f"{summary.peak_per_s:.0f} in the busiest; {summary.work_per_s / 1000:.2f} standard cores of work; "
         f"{keys}; sites {sites}"
     )
     for name, value in notes.items():
         if value:
-            shown.print(f"note: {name.replace('_', ' ')}: {value}")
-    return GOOD
+            output.print(f"note: {name.replace('_', ' ')}: {value}")
+    return SUCCESS
 
 
 @load.command()
 @click.argument("load_files", type=FILE, nargs=-1, required=True)
 @click.option("--out", type=FILE, required=True, help="Where to write it (.jsonl or .jsonl.gz).")
 @json_option
-@guarded
+@exits_with_code
 def capture(load_files: tuple[Path, ...], out: Path, as_json: bool) -> int:
     """Gather what gateways captured (MEADOWPULLEY_CAPTURE=FILE at each) into one load, by Unix time."""
     if out.resolve() in [p.resolve() for p in load_files]:
@@ -159,9 +167,9 @@
         )
     dropped = sum(reader.header.dropped for reader in readers)
     header = Header(source=", ".join(p.name for p in load_files), started=min(starts), dropped=dropped)
-    count = write_load(writable(out), merged(*readers, starts=starts), header)
-    about = f"of {len(readers)} captures, {dropped} dropped at capture"
-    return written(as_json, out, count, about, captures=len(readers), dropped_at_capture=dropped)
+    count = write_load(require_writable(out), merged(*readers, starts=starts), header)
+    description = f"of {len(readers)} captures, {dropped} dropped at capture"
+    return report_written(as_json, out, count, description, captures=len(readers), dropped_at_capture=dropped)
 
 
 @load.command()
@@ -171,7 +179,7 @@
 @click.option("--scenario", type=FILE, help="Releases and faults (TOML).")
 @click.option("--live/--no-live", help="Show it as it runs: a screen in a terminal, lines elsewhere.")
 @json_option
-@guarded
+@exits_with_code
 def run(
     fleet: Path,
     load: Path | None,
@@ -186,39 +194,47 @@
     """Play a load on loopback: real gateways before stand-in servers. Exit code 3 if the rig was the
     limit."""
     from meadowpulley.cli.capacity import load_spec
-    from meadowpulley.cli.view import play_rig
-    from meadowpulley.rig import RigError, RigPlan, run_rig
+    from meadowpulley.cli.view import run_loopback_with_progress
+    from meadowpulley.loopback import LoopbackError, LoopbackPlan, run_loopback
 
-    described = read_fleet(fleet)
-    spec = load_spec(described, load, profile, rate, seconds)
+    fleet_description = read_fleet(fleet)
+    spec = load_spec(fleet_description, load, profile, rate, seconds)
     if load is not None:
         spec = replace(spec, seconds=seconds)
-    if spec.seconds > LONGEST_S:
+    if spec.seconds > MAX_LOOPBACK_S:
         raise InputError(
-            f"--seconds: {spec.seconds:g} is more than {LONGEST_S:g} on loopback; play a part of it"
+            f"--seconds: {spec.seconds:g} is more than {MAX_LOOPBACK_S:g} on loopback; play a part of it"
         )
     try:
-        plan = RigPlan(described, spec, seed, seed, read_scenario(scenario, described))
-        found = play_rig(plan) if live else run_rig(plan)
-    except RigError as error:
+        plan = LoopbackPlan(fleet_description, spec, seed, seed, read_scenario(scenario, fleet_description))
+        measurement = run_loopback_with_progress(plan) if live else run_loopback(plan)
+    except LoopbackError as error:
         raise InputError(f"the rig: {error}") from None
     if as_json:
         show_json(
             {
-                "figures": found.figures,
-                "limits": found.limits,
-                "wrong": found.wrong,
-                "rules_broken": found.broken,
+                "figures": measurement.figures,
+                "limits": measurement.limiting_factors,
+                "wrong": measurement.wrong_responses,
+                "rules_broken": measurement.violation_counts,
             }
         )
     else:
-        rows = [[name, f"{value:.5g}"] for name, value in sorted(found.figures.items())]
-        console().print(make_table(f"{described.name} on loopback, seed {seed}", ["figure", "value"], rows))
-    for text in found.breaches[:10]:
+        rows = [[name, f"{value:.5g}"] for name, value in sorted(measurement.figures.items())]
+        console().print(
+            make_table(f"{fleet_description.name} on loopback, seed {seed}", ["figure", "value"], rows)
+        )
+    for text in measurement.violations[:10]:
         click.echo(f"rule broken: {text}", err=True)
-    for text in found.limits:
+    for text in measurement.limiting_factors:
         click.echo(f"the rig was the limit: {text}", err=True)
-    return RIG_LIMIT if found.limits else GOOD if not (found.broken or found.wrong) else MISSED
+    return (
+        TEST_BED_LIMITED
+        if measurement.limiting_factors
+        else SUCCESS
+        if not (measurement.violation_counts or measurement.wrong_responses)
+        else GOAL_MISSED
+    )
 
 
 @load.command()
@@ -243,7 +259,7 @@
 @seed_option
 @click.option("--out", type=FILE, required=True)
 @json_option
-@guarded
+@exits_with_code
 def edit(
     load_files: tuple[Path, ...],
     scale: float,
@@ -263,5 +279,5 @@
     if scale != 1.0:
         arrivals = scaled(arrivals, scale, seed)
     source = f"{' + '.join(p.name for p in load_files)}, scale {scale:g}, stretch {stretch:g}, seed {seed}"
-    count = write_load(writable(out), arrivals, Header(source=source))
-    return written(as_json, out, count, source, source=source)
+    count = write_load(require_writable(out), arrivals, Header(source=source))
+    return report_written(as_json, out, count, source, source=source)
--- a/meadowpulley/cli/main.py
+++ b/meadowpulley/cli/main.py
@@ -9,9 +9,9 @@
 from meadowpulley.cli.demo import demo
 from meadowpulley.cli.emulate import emulate
 from meadowpulley.cli.experiment import experiment
-from meadowpulley.cli.fleet_log import fleet_log
+from meadowpulley.cli.fleet_metrics import fleet_log
 from meadowpulley.cli.load import load
-from meadowpulley.cli.story import story
+from meadowpulley.cli.trace_requests import story
 from meadowpulley.cli.verify import verify
 
 
--- a/meadowpulley/cli/screen.py
+++ b/meadowpulley/cli/screen.py
@@ -11,16 +11,16 @@
 from textual.widgets import DataTable, Footer, Header, RichLog, Static
 
 from meadowpulley.cli.view import bar, snapshot
-from meadowpulley.emulator import Result, Snapshot, World, new_events, stage_text
-from meadowpulley.rig import Measured, RigError, RigPlan, run_rig
+from meadowpulley.emulator import Emulation, EmulationResult, RunSnapshot, new_events, stage_text
+from meadowpulley.loopback import LoopbackError, LoopbackPlan, LoopbackResult, run_loopback
 
 FRAMES_PER_S = 8.0
-PACES = (0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0)
-COLUMNS = ("server", "site", "kind", "build", "state", "slots in use", "waiting", "warm", "served")
+SPEEDS = (0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0)
+SERVER_COLUMNS = ("server", "site", "kind", "build", "state", "slots in use", "waiting", "warm", "served")
 R = TypeVar("R")
 
 
-class Screen(App[R]):
+class RunMonitor(App[R]):
     """Shows snapshots of a run; what plays it, and what it ends with, is its kinds' own."""
 
     TITLE = "meadowpulley"
@@ -35,7 +35,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._shown = 0
+        self._events_shown = 0
 
     def compose(self) -> ComposeResult:
         yield Header()
@@ -49,65 +49,77 @@
 
     def on_mount(self) -> None:
         table = self.query_one("#servers", DataTable)
-        for column in COLUMNS:
+        for column in SERVER_COLUMNS:
             table.add_column(column, key=column)
-        self.begin()
+        self.start_run()
 
-    def begin(self) -> None:
+    def start_run(self) -> None:
         raise NotImplementedError
 
-    def show(self, now: Snapshot) -> None:
-        self.sub_title = now.title
-        self.query_one("#stage", Static).update(f"{stage_text(now.servers)}\n{_rules(now)}")
-        self.query_one("#answers", Static).update(_answers(now))
-        self._show_servers(now)
+    def show(self, snapshot_now: RunSnapshot) -> None:
+        self.sub_title = snapshot_now.title
+        self.query_one("#stage", Static).update(
+            f"{stage_text(snapshot_now.servers)}\n{_rules_text(snapshot_now)}"
+        )
+        self.query_one("#answers", Static).update(_responses_text(snapshot_now))
+        self._show_servers(snapshot_now)
         log = self.query_one("#log", RichLog)
-        for line in new_events(now.servers.events, self._shown):
+        for line in new_events(snapshot_now.servers.events, self._events_shown):
             log.write(line)
-        self._shown = len(now.servers.events)
+        self._events_shown = len(snapshot_now.servers.events)
 
-    def _show_servers(self, now: Snapshot) -> None:
+    def _show_servers(self, snapshot_now: RunSnapshot) -> None:
         table = self.query_one("#servers", DataTable)
-        wanted = {str(s.number): s for s in now.servers.servers}
-        there = {str(k.value) for k in table.rows}
-        for key in there - set(wanted):
+        current_servers = {str(s.number): s for s in snapshot_now.servers.servers}
+        shown_keys = {str(row_key.value) for row_key in table.rows}
+        for key in shown_keys - set(current_servers):
             table.remove_row(key)
-        for key, s in wanted.items():
-            colour = {"down": "red", "draining": "yellow"}.get(s.state, "green")
+        for key, server in current_servers.items():
+            colour = {"down": "red", "draining": "yellow"}.get(server.state, "green")
             cells = (
                 key,
-                s.site,
-                s.kind,
-                str(s.build),
-                f"[{colour}]{s.state}[/]",
-                f"{bar(s.slots, 16)} {s.slots:4.0%}",
-                str(s.waiting),
-                f"{s.warm:.0%}",
-                str(s.served),
+                server.site,
+                server.kind,
+                str(server.build),
+                f"[{colour}]{server.state}[/]",
+                f"{bar(server.slot_use, 16)} {server.slot_use:4.0%}",
+                str(server.queued),
+                f"{server.slow_start_fraction:.0%}",
+                str(server.served),
             )
-            if key in there:
-                for column, cell in zip(COLUMNS, cells, strict=True):
+            if key in shown_keys:
+                for column, cell in zip(SERVER_COLUMNS, cells, strict=True):
                     table.update_cell(key, column, cell)
             else:
                 table.add_row(*cells, key=key)
 
 
-def _rules(now: Snapshot) -> str:
-    if now.broken is None:
+def _rules_text(snapshot_now: RunSnapshot) -> str:
+    if snapshot_now.violation_counts is None:
         return "[dim]rules are checked at its end[/]"
-    return "[green]all rules kept[/]" if not now.broken else f"[red]rules broken: {now.broken}[/]"
+    return (
+        "[green]all rules kept[/]"
+        if not snapshot_now.violation_counts
+        else f"[red]rules broken: {snapshot_now.violation_counts}[/]"
+    )
 
 
-def _answers(now: Snapshot) -> str:
+def _responses_text(snapshot_now: RunSnapshot) -> str:
     lines = []
-    for c in now.classes:
-        lines.append(f"[b]{c.name}[/b]  worth {100 * c.worth:.2f}%")
-        lines.append(f"  {c.asked} asked, {c.in_aim} in aim, {c.late} late")
-        lines.append(f"  {c.refused} refused, {c.failed} failed, p99 {c.p99_ms:.0f} ms")
+    for request_class in snapshot_now.classes:
+        lines.append(f"[b]{request_class.name}[/b]  worth {100 * request_class.served_weight_share:.2f}%")
+        lines.append(
+            f"  {request_class.calls} asked, {request_class.within_objective} in aim, "
+            f"{request_class.late} late"
+        )
+        lines.append(
+            f"  {request_class.rejected} refused, {request_class.failed} failed, "
+            f"p99 {request_class.p99_ms:.0f} ms"
+        )
     return "\n".join(lines)
 
 
-class RunScreen(Screen[Result]):
+class EmulationMonitor(RunMonitor[EmulationResult]):
     """Plays a world, `pace` seconds of it in one of real time. The result is what it ends with, whole or
     not."""
 
@@ -117,30 +129,30 @@
         ("minus", "slower", "Slower"),
     ]
 
-    def __init__(self, world: World, pace: float) -> None:
+    def __init__(self, world: Emulation, pace: float) -> None:
         super().__init__()
         self.world, self.pace = world, pace
         self.paused = False
-        self._last = time.monotonic()
-        self._due = world.clock.now
+        self._last_frame_at = time.monotonic()
+        self._target_ms = world.clock.now
 
-    def begin(self) -> None:
+    def start_run(self) -> None:
         self.show_world()
         self.set_interval(1 / FRAMES_PER_S, self.step)
 
     def step(self) -> None:
         """One frame: as much of the run as its pace asks, and never more than a frame's worth at once."""
         now = time.monotonic()
-        passed, self._last = min(now - self._last, 2 / FRAMES_PER_S), now
+        elapsed_s, self._last_frame_at = min(now - self._last_frame_at, 2 / FRAMES_PER_S), now
         if self.paused:
             return
-        self._due += passed * 1000.0 * self.pace
-        while self._due >= (whole := (int(self.world.clock.now // 1000) + 1) * 1000.0):
-            self.world.run_until(whole)
+        self._target_ms += elapsed_s * 1000.0 * self.pace
+        while self._target_ms >= (next_second_ms := (int(self.world.clock.now // 1000) + 1) * 1000.0):
+            self.world.run_until(next_second_ms)
             if self.world.over:
                 self.exit(self.world.finish())
                 return
-        self.world.run_until(self._due)
+        self.world.run_until(self._target_ms)
         self.show_world()
 
     def show_world(self) -> None:
@@ -155,49 +167,49 @@
         self.show_world()
 
     def action_faster(self) -> None:
-        self.pace = next((p for p in PACES if p > self.pace), self.pace)
+        self.pace = next((p for p in SPEEDS if p > self.pace), self.pace)
 
     def action_slower(self) -> None:
-        self.pace = next((p for p in reversed(PACES) if p < self.pace), self.pace)
+        self.pace = next((p for p in reversed(SPEEDS) if p < self.pace), self.pace)
 
 
-class RigScreen(Screen[Measured | RigError]):
+class LoopbackMonitor(RunMonitor[LoopbackResult | LoopbackError]):
     """Shows a run on loopback, which plays in a thread of its own."""
 
-    def __init__(self, plan: RigPlan) -> None:
+    def __init__(self, plan: LoopbackPlan) -> None:
         super().__init__()
         self.plan = plan
-        self.ended = False
+        self.stop_requested = False
 
-    def begin(self) -> None:
+    def start_run(self) -> None:
         self.sub_title = "loopback: starting stand-ins and gateways"
-        self.run_worker(self._play, thread=True)
+        self.run_worker(self._run, thread=True)
 
-    def _play(self) -> None:
-        found: Measured | RigError
+    def _run(self) -> None:
+        outcome: LoopbackResult | LoopbackError
         try:
-            found = run_rig(self.plan, self._watch)
-        except RigError as error:
-            found = error
-        self.call_from_thread(self.exit, found)
+            outcome = run_loopback(self.plan, self._show_snapshot)
+        except LoopbackError as error:
+            outcome = error
+        self.call_from_thread(self.exit, outcome)
 
-    def _watch(self, now: Snapshot) -> bool:
-        self.call_from_thread(self.show, now)
-        return not self.ended
+    def _show_snapshot(self, snapshot_now: RunSnapshot) -> bool:
+        self.call_from_thread(self.show, snapshot_now)
+        return not self.stop_requested
 
     def action_leave(self) -> None:
-        self.ended = True
+        self.stop_requested = True
 
 
-def play_on_screen(world: World, pace: float) -> Result:
+def play_on_screen(world: Emulation, pace: float) -> EmulationResult:
     """Plays a world on the live screen. Ended early, the result is what there was until then."""
-    result = RunScreen(world, pace).run()
+    result = EmulationMonitor(world, pace).run()
     return result if result is not None else world.finish()
 
 
-def play_rig_on_screen(plan: RigPlan) -> Measured:
+def run_loopback_on_screen(plan: LoopbackPlan) -> LoopbackResult:
     """Plays a plan on loopback on the live screen. Raises RigError, also where it was ended early."""
-    found = RigScreen(plan).run()
-    if isinstance(found, Measured):
-        return found
-    raise found if found is not None else RigError("the screen ended before the run did")
+    outcome = LoopbackMonitor(plan).run()
+    if isinstance(outcome, LoopbackResult):
+        return outcome
+    raise outcome if outcome is not None else LoopbackError("the screen ended before the run did")
--- a/meadowpulley/cli/verify.py
+++ b/meadowpulley/cli/verify.py
@@ -13,10 +13,10 @@
 import xxhash
 
 from meadowpulley.capacity.verify import (
-    WARM_MS,
+    WARM_UP_MS,
     Case,
     CaseKind,
-    Compared,
+    Comparison,
     Verdict,
     compare,
     make_cases,
@@ -24,15 +24,15 @@
     prediction_table,
     scaled_fleet,
 )
-from meadowpulley.cli.capacity import load_spec, report_option, report_path, take_demand
+from meadowpulley.cli.capacity import check_report_path, demand_from_options, load_spec, report_option
 from meadowpulley.cli.common import (
-    GOOD,
-    MISSED,
-    RIG_LIMIT,
+    GOAL_MISSED,
+    SUCCESS,
+    TEST_BED_LIMITED,
     InputError,
     console,
+    exits_with_code,
     fleet_option,
-    guarded,
     json_option,
     make_table,
     percent,
@@ -40,23 +40,23 @@
     seed_option,
     show_json,
 )
-from meadowpulley.cli.experiment import commit
+from meadowpulley.cli.experiment import current_commit
 from meadowpulley.cli.load import load_options
+from meadowpulley.loopback import LoopbackError, LoopbackPlan, LoopbackResult, run_loopback
 from meadowpulley.report import write_page
 from meadowpulley.report.capacity import verify_page
-from meadowpulley.rig import Measured, RigError, RigPlan, run_rig
 
 QUICK_S, FULL_S = 22.0, 60.0
 QUICK_SEEDS, FULL_SEEDS = 4, 8
-AT_ONCE = 2  # runs side by side: each takes about three cores
-KINDS: tuple[CaseKind, ...] = ("below", "beyond", "spike", "site", "cold")
+PARALLEL_RUNS = 2  # runs side by side: each takes about three cores
+CASE_KINDS: tuple[CaseKind, ...] = ("below", "beyond", "spike", "site", "cold")
 
 
-def _play(case: Case, seed: int) -> Measured:
-    return run_rig(RigPlan(case.fleet, case.load, seed, seed, case.scenario, WARM_MS))
+def _run_case(case: Case, seed: int) -> LoopbackResult:
+    return run_loopback(LoopbackPlan(case.fleet, case.load, seed, seed, case.scenario, WARM_UP_MS))
 
 
-def _rows(compared: list[Compared]) -> list[list[str]]:
+def _comparison_rows(compared: list[Comparison]) -> list[list[str]]:
     return [
         [
             c.case,
@@ -75,14 +75,16 @@
 @load_options
 @seed_option
 @click.option("--quick", is_flag=True, help="About a minute; else about three.")
-@click.option("--case", "cases", type=click.Choice(KINDS), multiple=True, help="Which cases [below, beyond].")
+@click.option(
+    "--case", "cases", type=click.Choice(CASE_KINDS), multiple=True, help="Which cases [below, beyond]."
+)
 @click.option("--workers", type=click.IntRange(1, 1024))
 @click.option(
     "--out", type=click.Path(file_okay=False, path_type=Path), help="Keep prediction and result there."
 )
 @report_option
 @json_option
-@guarded
+@exits_with_code
 def verify(
     fleet: Path,
     load: Path | None,
@@ -99,75 +101,77 @@
 ) -> int:
     """Predict, then measure on loopback through real gateways. Exit code 1 if the worst error is over 15%, 3
     if the rig itself was the limit."""
-    described = read_fleet(fleet)
-    report_path(report)
-    spec = load_spec(described, load, profile, rate, seconds)
-    demand = take_demand(described, spec, seed, 95.0)
+    fleet_description = read_fleet(fleet)
+    check_report_path(report)
+    spec = load_spec(fleet_description, load, profile, rate, seconds)
+    demand = demand_from_options(fleet_description, spec, seed, 95.0)
     if not demand.count:
         raise InputError(f"{fleet}: no load to verify; give --rate above 0 or a load file")
-    sized, part = scaled_fleet(described, demand)
-    length, seeds = (QUICK_S, QUICK_SEEDS) if quick else (FULL_S, FULL_SEEDS)
-    made = make_cases(sized, spec, demand, length, cases or ("below", "beyond"))
-    table = prediction_table(made, predict_cases(made, seed, seeds, workers))
-    about: dict[str, Any] = {
-        "fleet": described.name,
-        "scaled_to": part,
-        "servers": len(sized.machines()),
-        "gateways": len(sized.gateway_sites()),
+    scaled, scale = scaled_fleet(fleet_description, demand)
+    duration_s, seeds = (QUICK_S, QUICK_SEEDS) if quick else (FULL_S, FULL_SEEDS)
+    planned_cases = make_cases(scaled, spec, demand, duration_s, cases or ("below", "beyond"))
+    predictions = prediction_table(planned_cases, predict_cases(planned_cases, seed, seeds, workers))
+    metadata: dict[str, Any] = {
+        "fleet": fleet_description.name,
+        "scaled_to": scale,
+        "servers": len(scaled.machines()),
+        "gateways": len(scaled.gateway_sites()),
         "seed": seed,
-        "commit": commit(),
-        "prediction": table,
+        "commit": current_commit(),
+        "prediction": predictions,
     }
-    raw = json.dumps(about, indent=1).encode()
-    digest = xxhash.xxh3_128_hexdigest(raw)
+    encoded = json.dumps(metadata, indent=1).encode()
+    digest = xxhash.xxh3_128_hexdigest(encoded)
     folder = out or Path(tempfile.mkdtemp(prefix="meadowpulley-verify-"))
     folder.mkdir(parents=True, exist_ok=True)
-    (folder / f"prediction-{digest}.json").write_bytes(raw)
-    shown = console()
+    (folder / f"prediction-{digest}.json").write_bytes(encoded)
+    output = console()
     if not as_json:
-        size = "as described" if part == 1.0 else f"scaled to {percent(part)} of its size"
-        shown.print(
-            f"prediction {digest} written before the run; fleet {size}: {len(sized.machines())} servers, "
-            f"{len(sized.gateway_sites())} gateways, network at loopback's distances"
+        size = "as described" if scale == 1.0 else f"scaled to {percent(scale)} of its size"
+        output.print(
+            f"prediction {digest} written before the run; fleet {size}: {len(scaled.machines())} servers, "
+            f"{len(scaled.gateway_sites())} gateways, network at loopback's distances"
         )
     verdict = Verdict()
     try:
-        with ThreadPoolExecutor(AT_ONCE) as pool:
-            measured = list(pool.map(lambda case: _play(case, seed), made))
-    except RigError as error:
+        with ThreadPoolExecutor(PARALLEL_RUNS) as pool:
+            measured = list(pool.map(lambda case: _run_case(case, seed), planned_cases))
+    except LoopbackError as error:
         raise InputError(f"the rig: {error}") from None
-    for case, found in zip(made, measured, strict=True):
-        verdict.compared += compare(table, case.name, found.figures)
-        verdict.limits += [f"{case.name}: {text}" for text in found.limits]
-        verdict.breaches += [f"{case.name}: {text}" for text in found.breaches]
-        if found.wrong:
-            verdict.limits.append(f"{case.name}: {found.wrong} answers belonged to other requests")
+    for case, measurement in zip(planned_cases, measured, strict=True):
+        verdict.comparisons += compare(predictions, case.name, measurement.figures)
+        verdict.limiting_factors += [f"{case.name}: {text}" for text in measurement.limiting_factors]
+        verdict.violations += [f"{case.name}: {text}" for text in measurement.violations]
+        if measurement.wrong_responses:
+            verdict.limiting_factors.append(
+                f"{case.name}: {measurement.wrong_responses} answers belonged to other requests"
+            )
     result = {
-        **about,
+        **metadata,
         "digest": digest,
         "measured": [
             {"case": c.case, "figure": c.figure, "measured": c.measured, "error": c.error}
-            for c in verdict.compared
+            for c in verdict.comparisons
         ],
-        "limits": verdict.limits,
-        "breaches": verdict.breaches,
+        "limits": verdict.limiting_factors,
+        "breaches": verdict.violations,
         "worst_error": verdict.worst,
     }
     (folder / f"result-{digest}.json").write_text(json.dumps(result, indent=1))
     if report is not None:
-        write_page(verify_page(described.name, seed, part, made, measured, verdict), report)
+        write_page(verify_page(fleet_description.name, seed, scale, planned_cases, measured, verdict), report)
     if as_json:
         show_json(result)
     else:
         columns = ["case", "figure", "predicted", "95% interval", "measured", "error"]
-        shown.print(make_table("Predicted and measured", columns, _rows(verdict.compared)))
-    if verdict.limits:
-        for text in verdict.limits:
+        output.print(make_table("Predicted and measured", columns, _comparison_rows(verdict.comparisons)))
+    if verdict.limiting_factors:
+        for text in verdict.limiting_factors:
             click.echo(f"the rig was the limit: {text}", err=True)
         click.echo("no verdict", err=True)
-        return RIG_LIMIT
-    for text in verdict.breaches[:10]:
+        return TEST_BED_LIMITED
+    for text in verdict.violations[:10]:
         click.echo(f"rule broken: {text}", err=True)
     if not as_json:
-        shown.print(f"worst error: {percent(verdict.worst)}")
-    return GOOD if verdict.holds else MISSED
+        output.print(f"worst error: {percent(verdict.worst)}")
+    return SUCCESS if verdict.holds else GOAL_MISSED
--- a/meadowpulley/cli/view.py
+++ b/meadowpulley/cli/view.py
@@ -8,24 +8,26 @@
 from rich.console import Console
 
 from meadowpulley.emulator import (
-    ClassNow,
-    Result,
-    Snapshot,
-    World,
-    classes_now,
+    ClassSnapshot,
+    Emulation,
+    EmulationResult,
+    RunSnapshot,
+    class_snapshots,
+    fleet_snapshot,
     new_events,
-    servers_now,
     stage_text,
 )
-from meadowpulley.rig import Measured, RigPlan, run_rig
+from meadowpulley.loopback import LoopbackPlan, LoopbackResult, run_loopback
 
-LINE_EVERY_S = 2.0  # of the run's time, where there is no terminal
+LINE_INTERVAL_S = 2.0  # of the run's time, where there is no terminal
 
 
-def snapshot(world: World) -> Snapshot:
+def snapshot(world: Emulation) -> RunSnapshot:
     """An emulation as it is now."""
     title = f"{world.fleet.name}, {world.clock.now / 1000:.1f} s"
-    return Snapshot(title, servers_now(world), classes_now(world.result), dict(world.checker.counts))
+    return RunSnapshot(
+        title, fleet_snapshot(world), class_snapshots(world.result), dict(world.checker.counts)
+    )
 
 
 def bar(share: float, width: int) -> str:
@@ -34,29 +36,33 @@
     return "█" * full + "·" * (width - full)
 
 
-class Lines:
+class TextMonitor:
     """A run in plain lines: what happened, and every two seconds how it stands."""
 
     def __init__(self, out: Console) -> None:
         self.out = out
-        self._shown = 0
-        self._line_at = 0.0
-        self._before: Sequence[ClassNow] = ()
+        self._events_shown = 0
+        self._next_line_at = 0.0
+        self._last_classes: Sequence[ClassSnapshot] = ()
 
-    def show(self, now: Snapshot) -> bool:
-        servers = now.servers
-        for line in new_events(servers.events, self._shown):
+    def show(self, snapshot_now: RunSnapshot) -> bool:
+        servers = snapshot_now.servers
+        for line in new_events(servers.events, self._events_shown):
             self.out.print(line, soft_wrap=True)
-        self._shown = len(servers.events)
-        if servers.at_ms >= self._line_at:
-            self._line_at = servers.at_ms + 1000.0 * LINE_EVERY_S
-            asked, in_aim = (
-                sum(getattr(c, n) for c in now.classes) - sum(getattr(c, n) for c in self._before)
-                for n in ("asked", "in_aim")
+        self._events_shown = len(servers.events)
+        if servers.at_ms >= self._next_line_at:
+            self._next_line_at = servers.at_ms + 1000.0 * LINE_INTERVAL_S
+            calls = sum(c.calls for c in snapshot_now.classes) - sum(c.calls for c in self._last_classes)
+            within_objective = sum(c.within_objective for c in snapshot_now.classes) - sum(
+                c.within_objective for c in self._last_classes
+            )
+            self._last_classes = snapshot_now.classes
+            requests_text = "no requests"
+            if calls:
+                requests_text = f"since the last line {calls} asked, {within_objective} in aim"
+            self.out.print(
+                f"{servers.at_ms / 1000:6.1f} s  {stage_text(servers)}; {requests_text}", soft_wrap=True
             )
-            self._before = now.classes
-            told = f"since the last line {asked} asked, {in_aim} in aim" if asked else "no requests"
-            self.out.print(f"{servers.at_ms / 1000:6.1f} s  {stage_text(servers)}; {told}", soft_wrap=True)
         return True
 
 
@@ -64,29 +70,29 @@
     return sys.stdout.isatty() and sys.stdin.isatty()
 
 
-def play(world: World, pace: float) -> Result:
+def play_emulation(world: Emulation, pace: float) -> EmulationResult:
     """Plays a world to its end and shows it meanwhile: in a terminal at a pace (seconds of it in one of real
     time), else as fast as it goes, in lines on standard error."""
     if on_terminal():
         from meadowpulley.cli.screen import play_on_screen
 
         return play_on_screen(world, pace)
-    return play_lines(world, Console(highlight=False, file=sys.stderr))
+    return play_emulation_as_text(world, Console(highlight=False, file=sys.stderr))
 
 
-def play_lines(world: World, out: Console) -> Result:
+def play_emulation_as_text(world: Emulation, out: Console) -> EmulationResult:
     """The same in plain lines."""
-    lines = Lines(out)
+    lines = TextMonitor(out)
     while not world.over:
         world.run_until(world.clock.now + 1000.0)
         lines.show(snapshot(world))
     return world.finish()
 
 
-def play_rig(plan: RigPlan) -> Measured:
+def run_loopback_with_progress(plan: LoopbackPlan) -> LoopbackResult:
     """Plays a plan on loopback and shows it meanwhile, as `play` does. Raises RigError."""
     if on_terminal():
-        from meadowpulley.cli.screen import play_rig_on_screen
+        from meadowpulley.cli.screen import run_loopback_on_screen
 
-        return play_rig_on_screen(plan)
-    return run_rig(plan, Lines(Console(highlight=False, file=sys.stderr)).show)
+        return run_loopback_on_screen(plan)
+    return run_loopback(plan, TextMonitor(Console(highlight=False, file=sys.stderr)).show)
--- a/meadowpulley/emulator/__init__.py
+++ b/meadowpulley/emulator/__init__.py
@@ -12,43 +12,43 @@
 """
 
 from meadowpulley.emulator.builds import Build
-from meadowpulley.emulator.clock import Clock, Streams
+from meadowpulley.emulator.clock import RandomStreams, VirtualClock
+from meadowpulley.emulator.emulation import Emulation, emulate
 from meadowpulley.emulator.machine import Job, Machine
-from meadowpulley.emulator.results import ClassResult, Result, ServerResult
+from meadowpulley.emulator.results import ClassResult, EmulationResult, ServerResult
 from meadowpulley.emulator.scenario import Fault, Release, Scenario, parse_scenario
 from meadowpulley.emulator.snapshot import (
-    ClassNow,
-    ServerNow,
-    ServersNow,
-    Snapshot,
-    classes_now,
+    ClassSnapshot,
+    FleetSnapshot,
+    RunSnapshot,
+    ServerSnapshot,
+    class_snapshots,
+    fleet_snapshot,
     new_events,
-    servers_now,
     stage_text,
 )
-from meadowpulley.emulator.world import World, emulate
 
 __all__ = [
     "Build",
-    "ClassNow",
     "ClassResult",
-    "Clock",
+    "ClassSnapshot",
+    "Emulation",
+    "EmulationResult",
     "Fault",
+    "FleetSnapshot",
     "Job",
     "Machine",
+    "RandomStreams",
     "Release",
-    "Result",
+    "RunSnapshot",
     "Scenario",
-    "ServerNow",
     "ServerResult",
-    "ServersNow",
-    "Snapshot",
-    "Streams",
-    "World",
-    "classes_now",
+    "ServerSnapshot",
+    "VirtualClock",
+    "class_snapshots",
     "emulate",
+    "fleet_snapshot",
     "new_events",
     "parse_scenario",
-    "servers_now",
     "stage_text",
 ]
--- a/meadowpulley/emulator/builds.py
+++ b/meadowpulley/emulator/builds.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from meadowpulley.fleet.model import Name, NotNegative, Positive, Share
 
@@ -17,20 +17,20 @@
 
     number: int
     speed: Positive = 1.0
-    fails: Share = 0.0
-    fails_class: Name | None = None
-    slow: Positive = 1.0
-    late_ms: NotNegative = 0.0
-    above_busy: Share = 0.0
-    drag: Positive = 1.0
+    failure_share: Share = field(default=0.0, name="fails")
+    failing_class: Name | None = field(default=None, name="fails_class")
+    work_factor: Positive = field(default=1.0, name="slow")
+    fault_delay_ms: NotNegative = field(default=0.0, name="late_ms")
+    fault_utilisation: Share = field(default=0.0, name="above_busy")
+    shared_slowdown: Positive = field(default=1.0, name="drag")
 
     @property
-    def bad(self) -> bool:
-        return self.fails > 0 or self.slow >= 1.2 or self.drag >= 1.2
+    def faulty(self) -> bool:
+        return self.failure_share > 0 or self.work_factor >= 1.2 or self.shared_slowdown >= 1.2
 
-    def acts(self, age_ms: float, busy: float) -> bool:
+    def fault_active(self, age_ms: float, utilisation: float) -> bool:
         """Whether its fault shows on a machine of that age whose slots are `busy` in use."""
-        return age_ms >= self.late_ms and busy >= self.above_busy
+        return age_ms >= self.fault_delay_ms and utilisation >= self.fault_utilisation
 
-    def fail_share(self, cls: str) -> float:
-        return self.fails if self.fails_class in (None, cls) else 0.0
+    def failure_share_of(self, class_name: str) -> float:
+        return self.failure_share if self.failing_class in (None, class_name) else 0.0
--- a/meadowpulley/emulator/clients.py
+++ b/meadowpulley/emulator/clients.py
@@ -10,48 +10,48 @@
 import numpy as np
 
 from meadowpulley.emulator.clock import Timeline
-from meadowpulley.emulator.network import Network
-from meadowpulley.emulator.results import Result
+from meadowpulley.emulator.network import SimulatedNetwork
+from meadowpulley.emulator.results import EmulationResult
 from meadowpulley.fleet import Fleet
 from meadowpulley.load.arrivals import Arrival
 
 
-class Front(Protocol):
+class GatewayEndpoint(Protocol):
     """A gateway as a client sees it."""
 
     number: int
     alive: bool
 
-    def take(self, request: Try) -> None: ...
+    def accept(self, request: ClientRequest) -> None: ...
 
 
 @dataclass(slots=True, eq=False)
-class Ask:
+class ClientCall:
     """What somebody wants: one arrival and all tries for it."""
 
     arrival: Arrival
-    cls: int
+    class_index: int
     site: int
-    first_at: float
-    tries: int = 0
-    over: bool = False
-    name: str = ""  # its id on all tries, where gateways stand in for each other
+    first_sent_at: float
+    requests_sent: int = 0
+    finished: bool = False
+    request_id: str = ""  # its id on all tries, where gateways stand in for each other
 
 
 @dataclass(slots=True, eq=False)
-class Try:
+class ClientRequest:
     """One request: a number that never comes twice, and what it asks."""
 
     number: int
-    ask: Ask
-    sent: float
+    call: ClientCall
+    sent_at: float
     deadline: float
-    name: str = ""
-    gateway: Front | None = None
+    request_id: str = ""
+    gateway: GatewayEndpoint | None = None
     answered: bool = False
 
 
-class Clients:
+class SimulatedClients:
     """Plays a load. `fronts(site)` are the gateways that the front of a site hands connections to.
 
     `named`: all tries of an ask carry one id. `again_ms`: of silence, after which a client leaves and tries
@@ -63,131 +63,147 @@
         clock: Timeline,
         rng: np.random.Generator,
         fleet: Fleet,
-        network: Network,
+        network: SimulatedNetwork,
         load: Iterator[Arrival],
-        fronts: Callable[[int], list[Front]],
-        result: Result,
-        named: bool = False,
-        again_ms: float = 0.0,
-        leave: Callable[[Try], None] = lambda request: None,
+        gateways_of: Callable[[int], list[GatewayEndpoint]],
+        result: EmulationResult,
+        stable_request_ids: bool = False,
+        failover_after_ms: float = 0.0,
+        disconnect: Callable[[ClientRequest], None] = lambda request: None,
     ) -> None:
-        self._named, self._again_ms, self._leave = named, again_ms, leave
+        self._stable_request_ids, self._failover_after_ms, self._disconnect = (
+            stable_request_ids,
+            failover_after_ms,
+            disconnect,
+        )
         self._clock, self._rng, self.fleet, self._network = clock, rng, fleet, network
-        self._load, self._fronts, self._result = load, fronts, result
-        self._numbers = 0
-        self._classes = {c.name: n for n, c in enumerate(fleet.classes)}
-        self._sites = fleet.site_numbers()
-        self.done = False  # no arrival is left
-        self.open = 0  # asks that are not over
-        self._next()
-
-    def _next(self) -> None:
+        self._load, self._gateways_of, self._result = load, gateways_of, result
+        self._last_number = 0
+        self._class_indexes = {c.name: n for n, c in enumerate(fleet.classes)}
+        self._site_indexes = fleet.site_indexes()
+        self.arrivals_done = False  # no arrival is left
+        self.open_calls = 0  # asks that are not over
+        self._schedule_next_arrival()
+
+    def _schedule_next_arrival(self) -> None:
         arrival = next(self._load, None)
         if arrival is None:
-            self.done = True
+            self.arrivals_done = True
         else:
-            self._clock.at(arrival.at_ms, lambda: self._arrive(arrival))
-
-    def _arrive(self, arrival: Arrival) -> None:
-        self._next()
-        ask = Ask(arrival, self._classes[arrival.cls], self._sites.get(arrival.site, 0), arrival.at_ms)
-        self.open += 1
-        self._result.asked(ask)
-        self._try(ask)
-
-    def _patience(self, ask: Ask) -> float:
-        deadline = self.fleet.classes[ask.cls].deadline_ms
-        return min(ask.arrival.patience_ms or deadline, deadline)
-
-    def _try(self, ask: Ask) -> None:
+            self._clock.call_at(arrival.at_ms, lambda: self._start_call(arrival))
+
+    def _start_call(self, arrival: Arrival) -> None:
+        self._schedule_next_arrival()
+        call = ClientCall(
+            arrival,
+            self._class_indexes[arrival.class_name],
+            self._site_indexes.get(arrival.site, 0),
+            arrival.at_ms,
+        )
+        self.open_calls += 1
+        self._result.record_call(call)
+        self._send_request(call)
+
+    def _time_limit_ms(self, call: ClientCall) -> float:
+        deadline = self.fleet.classes[call.class_index].deadline_ms
+        return min(call.arrival.timeout_ms or deadline, deadline)
+
+    def _send_request(self, call: ClientCall) -> None:
         now = self._clock.now
-        ask.tries += 1
-        number = self.number()
-        if self._named and not ask.name:
-            ask.name = f"ask-{number}"
-        patience = min(self._patience(ask), ask.first_at + self.fleet.classes[ask.cls].deadline_ms - now)
-        request = Try(number, ask, now, now + patience, ask.name)
-        fronts = [g for g in self._fronts(ask.site)]
-        if patience <= 0 or not fronts:
-            self._end(ask, None)
+        call.requests_sent += 1
+        number = self.next_number()
+        if self._stable_request_ids and not call.request_id:
+            call.request_id = f"ask-{number}"
+        time_limit_ms = min(
+            self._time_limit_ms(call),
+            call.first_sent_at + self.fleet.classes[call.class_index].deadline_ms - now,
+        )
+        request = ClientRequest(number, call, now, now + time_limit_ms, call.request_id)
+        gateways = [g for g in self._gateways_of(call.site)]
+        if time_limit_ms <= 0 or not gateways:
+            self._finish(call, None)
             return
-        request.gateway = gateway = fronts[int(self._rng.random() * len(fronts))]
-        self._travel(lambda: self._reach(request, gateway))
-        self._clock.at(request.deadline, lambda: self._gave_up(request))
-        if self._again_ms and ask.tries <= self.fleet.clients.retries:
-            self._clock.after(self._again_ms, lambda: self._ask_elsewhere(request))
+        request.gateway = gateway = gateways[int(self._rng.random() * len(gateways))]
+        self._deliver(lambda: self._arrive_at_gateway(request, gateway))
+        self._clock.call_at(request.deadline, lambda: self._deadline_passed(request))
+        if self._failover_after_ms and call.requests_sent <= self.fleet.clients.retries:
+            self._clock.call_later(self._failover_after_ms, lambda: self._fail_over(request))
 
-    def number(self) -> int:
+    def next_number(self) -> int:
         """One that no request had before."""
-        self._numbers += 1
-        return self._numbers
+        self._last_number += 1
+        return self._last_number
 
-    def _ask_elsewhere(self, request: Try) -> None:
+    def _fail_over(self, request: ClientRequest) -> None:
         """Silence for too long: it leaves, and asks again under the same id."""
         if not request.answered and self._clock.now < request.deadline:
             request.answered = True
-            self._leave(request)
-            self._result.retried(request.ask)
-            self._try(request.ask)
+            self._disconnect(request)
+            self._result.record_retry(request.call)
+            self._send_request(request.call)
 
-    def _travel(self, call: Callable[[], None]) -> None:
+    def _deliver(self, callback: Callable[[], None]) -> None:
         """Between a client and its gateway; at once where that takes no time, as on the rig."""
-        delay = self._network.client()
-        if delay > 0:
-            self._clock.after(delay, call)
+        delay_ms = self._network.client_one_way()
+        if delay_ms > 0:
+            self._clock.call_later(delay_ms, callback)
         else:
-            call()
+            callback()
 
-    def _reach(self, request: Try, gateway: Front) -> None:
+    def _arrive_at_gateway(self, request: ClientRequest, gateway: GatewayEndpoint) -> None:
         if not request.answered:
             if gateway.alive:
-                gateway.take(request)
+                gateway.accept(request)
             else:
-                self.broke(request)
+                self.connection_lost(request)
 
-    def _gave_up(self, request: Try) -> None:
+    def _deadline_passed(self, request: ClientRequest) -> None:
         """The client's time is over without an answer."""
         if request.answered:
             return
         request.answered = True
-        self._result.unanswered(request.ask)
-        self._retry_or_end(request.ask, 0.0, False)
+        self._result.record_unanswered(request.call)
+        self._retry_or_end(request.call, 0.0, False)
 
     # What gateways say
 
-    def answer(self, request: Try, answer: str, retry_after_ms: float) -> None:
+    def respond(self, request: ClientRequest, response: str, retry_after_ms: float) -> None:
         """The answer leaves the gateway; it reaches the client a little later."""
-        self._travel(lambda: self._answered(request, answer, retry_after_ms))
+        self._deliver(lambda: self._response_received(request, response, retry_after_ms))
 
-    def broke(self, request: Try) -> None:
+    def connection_lost(self, request: ClientRequest) -> None:
         """The connection broke, or nobody was there."""
-        self._travel(lambda: self._answered(request, "broke", 0.0))
+        self._deliver(lambda: self._response_received(request, "broke", 0.0))
 
-    def _answered(self, request: Try, answer: str, retry_after_ms: float) -> None:
+    def _response_received(self, request: ClientRequest, response: str, retry_after_ms: float) -> None:
         if request.answered:
             return
         request.answered = True
-        if answer == "served":
-            self._end(request.ask, self._clock.now - request.ask.first_at)
+        if response == "served":
+            self._finish(request.call, self._clock.now - request.call.first_sent_at)
         else:
-            self._retry_or_end(request.ask, retry_after_ms, answer in ("refused", "broke"))
-
-    def _retry_or_end(self, ask: Ask, advice_ms: float, harmless: bool) -> None:
-        clients, cls = self.fleet.clients, self.fleet.classes[ask.cls]
-        may = harmless or (clients.retries_failed and cls.effect != "unsafe")
-        wait = clients.backoff_ms * 2 ** (ask.tries - 1)
-        if advice_ms and self._rng.random() < clients.honours_advice:
-            wait = max(wait, advice_ms)
-        wait *= 0.5 + float(self._rng.random())
-        if may and ask.tries <= clients.retries and self._clock.now + wait < ask.first_at + cls.deadline_ms:
-            self._result.retried(ask)
-            self._clock.after(wait, lambda: self._try(ask))
+            self._retry_or_end(request.call, retry_after_ms, response in ("refused", "broke"))
+
+    def _retry_or_end(self, call: ClientCall, retry_after_ms: float, not_executed: bool) -> None:
+        model, request_class = self.fleet.clients, self.fleet.classes[call.class_index]
+        retry_allowed = not_executed or (model.retries_failed and request_class.effect != "unsafe")
+        backoff_ms = model.backoff_ms * 2 ** (call.requests_sent - 1)
+        if retry_after_ms and self._rng.random() < model.honours_retry_after:
+            backoff_ms = max(backoff_ms, retry_after_ms)
+        backoff_ms *= 0.5 + float(self._rng.random())
+        if (
+            retry_allowed
+            and call.requests_sent <= model.retries
+            and self._clock.now + backoff_ms < call.first_sent_at + request_class.deadline_ms
+        ):
+            self._result.record_retry(call)
+            self._clock.call_later(backoff_ms, lambda: self._send_request(call))
         else:
-            self._result.refused_or_failed(ask, harmless)
-            self._end(ask, None)
-
-    def _end(self, ask: Ask, took_ms: float | None) -> None:
-        if not ask.over:
-            ask.over = True
-            self.open -= 1
-            self._result.ended(ask, took_ms)
+            self._result.record_rejection_or_failure(call, not_executed)
+            self._finish(call, None)
+
+    def _finish(self, call: ClientCall, took_ms: float | None) -> None:
+        if not call.finished:
+            call.finished = True
+            self.open_calls -= 1
+            self._result.record_end(call, took_ms)
