--- /dev/null
+++ b/meadowpulley/emulator/emulation.py
@@ -0,0 +1,293 @@
+"""All parties together, in virtual time, around real balancers. One seed, one run, to the last record."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from functools import partial
+from typing import Any
+
+from meadowpulley.emulator.clients import ClientRequest, GatewayEndpoint, SimulatedClients
+from meadowpulley.emulator.clock import RandomStreams, VirtualClock, uniform
+from meadowpulley.emulator.failpoints import Failpoints
+from meadowpulley.emulator.faults import FaultInjector
+from meadowpulley.emulator.gateway import SimulatedGateway
+from meadowpulley.emulator.ledger import LedgerPort, SharedLedger
+from meadowpulley.emulator.ledger_observer import LedgerObserver
+from meadowpulley.emulator.network import SimulatedNetwork
+from meadowpulley.emulator.requests import Attempt
+from meadowpulley.emulator.results import EmulationResult
+from meadowpulley.emulator.scenario import Scenario
+from meadowpulley.emulator.server_fleet import ServerFleet, SimulatedServer
+from meadowpulley.emulator.shared_state import SharedState, StageChain, admission_record
+from meadowpulley.emulator.takeover_gateway import TakeoverGateway
+from meadowpulley.fleet import Fleet, gateway_settings
+from meadowpulley.interface import (
+    EndpointUpdate,
+    GossipReceived,
+    Phase,
+    Request,
+    Result as AttemptResult,
+    RolloutUpdate,
+    SendGossip,
+    Settings,
+    Vote,
+)
+from meadowpulley.ledger import Incarnation, Transaction
+from meadowpulley.load.arrivals import Arrival
+from meadowpulley.policy import RolloutPolicy
+from meadowpulley.rules import KeyAnswered, Record, RuleParameters, TraceChecker
+from meadowpulley.takeover import TakeoverStage
+
+FAILURE_DETECTION_MS = 1000.0  # until the front no longer hands clients to a gateway that died
+MAX_TAIL_MS = 30_000.0  # after the last arrival, for what is still open
+
+
+class Emulation(ServerFleet):
+    """A described fleet under a load: `run` plays it to its end, `run_until` in parts.
+
+    `make` builds the decisions of a gateway (a real `Balancer` unless a test says otherwise); `together`
+    says what its gateways share, and which stages stand round those decisions; `trace` sees each record of
+    the run. Raises nothing of its own: what goes wrong in a run is its result.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        load: Iterable[Arrival],
+        seed: int,
+        scenario: Scenario | None = None,
+        build_policy: Callable[[Settings, int], Any] = RolloutPolicy,
+        on_record: Callable[[Record], None] | None = None,
+        from_ms: float = 0.0,
+        shared_state: SharedState | None = None,
+    ) -> None:
+        self.build_policy, self._on_record, self.shared_state = build_policy, on_record, shared_state
+        self.failpoints = Failpoints()
+        clock = VirtualClock()
+        self.virtual_clock = clock
+        self.gateways: list[SimulatedGateway] = []
+        self.network = SimulatedNetwork(fleet.network, RandomStreams(seed).stream("network"))
+        super().__init__(
+            fleet, scenario or Scenario(), clock, RandomStreams(seed), EmulationResult(fleet, from_ms)
+        )
+        self._call_delays = self.streams.stream("calls")
+        self.ledger: SharedLedger | None = None
+        if shared_state is not None:
+            self.ledger = SharedLedger(clock, self.streams.stream("ledger"), shared_state.ledger_model)
+            self.ledger.on_commit = self._on_commit
+        self.chains: dict[int, StageChain] = {}  # of the last life of each gateway
+        self._ledger_observer = LedgerObserver()
+        takeover_enabled = shared_state is not None and shared_state.takeover is not None
+        gateway_class = TakeoverGateway if takeover_enabled else SimulatedGateway
+        self.gateways = [gateway_class(self, n) for n in range(len(fleet.gateway_sites()))]
+        parameters = RuleParameters.from_settings(self.gateways[0].settings)
+        if shared_state is not None:
+            parameters = replace(parameters, shared=shared_state.rule_parameters())
+        self.checker = TraceChecker(parameters)
+        self.clients = SimulatedClients(
+            clock,
+            self.streams.stream("clients"),
+            fleet,
+            self.network,
+            iter(load),
+            self._gateways_of,
+            self.result,
+            takeover_enabled,
+            shared_state.client_failover_ms if shared_state is not None else 0.0,
+            self._client_disconnected,
+        )
+        self.discovery.on_presumed_update = lambda number, news: self.gateways[number].record_endpoints(news)
+        for gateway in self.gateways:
+            gateway.start()
+        FaultInjector(self, self.scenario.faults)
+        self.schedule()
+
+    # What gateways have together
+
+    def settings_of(self, number: int) -> Settings:
+        settings = gateway_settings(self.fleet, number)
+        return self.shared_state.with_tenants(settings) if self.shared_state is not None else settings
+
+    def tenant_of(self, key: int) -> int:
+        return self.shared_state.tenant_of(key) if self.shared_state is not None else 0
+
+    def build_stages(self, gateway: SimulatedGateway, seed: int) -> tuple[Any, list[Any]]:
+        """What decides in a gateway, its balancer or the outermost stage round it; and its first actions."""
+        policy = self.build_policy(gateway.settings, seed)
+        if self.shared_state is None or self.ledger is None or gateway.incarnation is None:
+            return policy, []
+        number, incarnation = gateway.number, gateway.incarnation
+
+        def on_admitted(now: float, request: Request) -> None:
+            record = admission_record(now, number, request)
+            if record is not None:
+                self.record(record)
+
+        chain = self.chains[number] = StageChain(
+            self.shared_state, gateway.settings, seed, incarnation, policy, on_admitted
+        )
+        gateway.ledger_port = LedgerPort(self.ledger, gateway, incarnation, chain.watched_prefixes)
+        return chain.lease_manager, chain.lease_manager.start(self.clock.now)
+
+    def takeover_of(self, gateway: SimulatedGateway) -> TakeoverStage:
+        takeover = self.chains[gateway.number].takeover
+        assert takeover is not None
+        return takeover
+
+    def release_lease(self, gateway: SimulatedGateway) -> list[Any]:
+        return self.chains[gateway.number].release(self.clock.now)
+
+    def _client_disconnected(self, request: ClientRequest) -> None:
+        for gateway in self.gateways:
+            if gateway is request.gateway and gateway.alive:
+                gateway.client_disconnected(request)
+
+    def _on_commit(self, incarnation: Incarnation, step: Transaction) -> None:
+        for record in self._ledger_observer.records_of(self.clock.now, incarnation, step):
+            self.record(record)
+
+    # Running
+
+    def run(self) -> EmulationResult:
+        """Plays all of the load, and what it leaves open."""
+        while not self.over:
+            self.run_until(self.clock.now + 1000.0)
+        return self.finish()
+
+    def run_until(self, when: float) -> None:
+        self.virtual_clock.run(when)
+
+    @property
+    def over(self) -> bool:
+        """Whether the last arrival has come and all that it left open is over."""
+        return self.clients.arrivals_done and not self.clients.open_calls and self.clock.now % 1000.0 == 0.0
+
+    def finish(self) -> EmulationResult:
+        result = self.result
+        self.collect_results()
+        self.checker.finish(self.clock.now)
+        result.gateways = [g.summary(self.clock.now) for g in self.gateways]
+        result.violations = [str(b) for b in self.checker.violations]
+        result.violation_counts = self.checker.counts
+        return result
+
+    # Records
+
+    def record(self, record: Record) -> None:
+        self.checker.observe(record)
+        if self._on_record is not None:
+            self._on_record(record)
+
+    # Attempts on their way
+
+    def transmit(self, gateway: SimulatedGateway, attempt: Attempt, new_connection: bool) -> None:
+        """An attempt leaves its gateway, on a new connection or a kept one."""
+        server = attempt.server
+        assert server is not None
+        source, destination = gateway.site, server.entry.zone
+        lost = server.unreachable or not self.network.reachable(source, destination)
+        if lost:  # a kept connection stays silent until the gateway stops waiting
+            if new_connection:
+                timeout_ms = self.fleet.rules.connect_timeout_ms
+                self.clock.call_later(
+                    timeout_ms, lambda: gateway.response_arrived(attempt, AttemptResult.CONNECT_FAILED)
+                )
+            return
+        delay_ms = self.network.one_way(source, destination)
+        if new_connection:
+            delay_ms += self.network.handshake(source, destination)
+        self.clock.call_later(delay_ms, lambda: self._arrive(gateway, attempt, server, new_connection))
+
+    def _arrive(
+        self, gateway: SimulatedGateway, attempt: Attempt, server: SimulatedServer, new_connection: bool
+    ) -> None:
+        if attempt.ended and new_connection:
+            return
+        tag = (gateway, attempt)
+        if not server.up:
+            if not server.unreachable:
+                self.reply(tag, server, AttemptResult.CONNECT_FAILED)
+            return
+        call = attempt.request.client_request.call
+        arrival = call.arrival
+        attempt.job = self.offer(
+            tag, server, call.class_index, arrival.key, arrival.work_ms, attempt.deadline, new_connection
+        )
+
+    def key_answered(self, tag: Any, server: SimulatedServer, key: int) -> None:
+        self.record(KeyAnswered(self.clock.now, tag[0].number, key, server.entry.build))
+
+    def reply(self, tag: Any, server: SimulatedServer, result: AttemptResult) -> None:
+        gateway, attempt = tag
+        source, destination = server.entry.zone, gateway.site
+        if self.network.reachable(source, destination):
+            self.clock.call_later(
+                self.network.one_way(source, destination), lambda: gateway.response_arrived(attempt, result)
+            )
+
+    def abandon(self, attempt: Attempt) -> None:
+        """Its gateway has given an attempt up, and the server may notice."""
+        server, job = attempt.server, attempt.job
+        if server is not None and job is not None:
+            self.cancel(server, job)
+
+    # Between the parties
+
+    def _gateways_of(self, site: int) -> list[GatewayEndpoint]:
+        """The gateways of a site, else all: dead ones only until the front notices."""
+        now = self.clock.now
+        available = [
+            g
+            for g in self.gateways
+            if not g.draining
+            and (g.alive or now < g.crashed_at + FAILURE_DETECTION_MS)
+            and (not g.paused or now < g.paused_at + FAILURE_DETECTION_MS)
+        ]
+        return [g for g in available if g.site == site] or list(available)
+
+    def send_endpoint_update(self, gateway: int, update: EndpointUpdate) -> None:
+        if self.gateways[gateway].alive:
+            self.gateways[gateway].dispatch(update)
+
+    def send_rollout_update(self, gateway: int, update: RolloutUpdate) -> None:
+        if self.gateways[gateway].alive:
+            self.gateways[gateway].receive_rollout_update(update)
+
+    def send_vote(self, gateway: SimulatedGateway, vote: Vote) -> None:
+        self.log_event(
+            f"gateway {gateway.number} votes {vote.verdict.name.lower()} on build {vote.build} "
+            f"stage {vote.stage}"
+        )
+        incarnation, number = gateway.incarnation_count, gateway.number
+        delay_ms = uniform(self._call_delays, self.fleet.rollout.call_ms)
+        self.clock.call_later(delay_ms, lambda: self.platform.vote(number, vote))
+        if self.platform.unavailable:
+            timed_out = RolloutUpdate(
+                vote.build, vote.stage, Phase.TRIAL, 0.0, 0.0, AttemptResult.TIMEOUT, True
+            )
+
+            def report_timeout() -> None:
+                if gateway.alive and gateway.incarnation_count == incarnation:
+                    gateway.receive_rollout_update(timed_out)
+
+            self.clock.call_later(self.fleet.rollout.call_timeout_ms, report_timeout)
+
+    def send_gossip(self, gateway: SimulatedGateway, action: SendGossip) -> None:
+        message = GossipReceived(gateway.number, action.data)
+        for other in self.gateways:
+            if other is not gateway and action.peer in (None, other.number):
+                delay_ms = self.network.gossip_delay(gateway.site, other.site)
+                if delay_ms is not None:
+                    self.clock.call_later(delay_ms, partial(self._receive_gossip, other, message))
+
+    def _receive_gossip(self, gateway: SimulatedGateway, message: GossipReceived) -> None:
+        if gateway.alive:
+            gateway.dispatch(message)
+
+
+def emulate(
+    fleet: Fleet, load: Iterable[Arrival], seed: int, scenario: Scenario | None = None
+) -> EmulationResult:
+    """Plays a load on an emulated fleet. The same arguments give the same result, to the last figure."""
+    return Emulation(fleet, load, seed, scenario).run()
--- a/meadowpulley/emulator/failpoints.py
+++ b/meadowpulley/emulator/failpoints.py
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING, Literal
 
 if TYPE_CHECKING:
-    from meadowpulley.emulator.gateway import Gateway
+    from meadowpulley.emulator.gateway import SimulatedGateway
 
 StepName = Literal["take", "commit", "written", "told", "send", "sent", "outcome", "answer", "answered"]
-STEPS: dict[StepName, str] = {
+STEP_DESCRIPTIONS: dict[StepName, str] = {
     "take": "a request has come whole, and the decisions are not told yet",
     "commit": "a group of steps is about to leave for the ledger",
     "written": "the ledger has carried a group out, and its answer has not come back",
@@ -24,9 +24,9 @@
 
 
 @dataclass(slots=True)
-class _Trap:
+class _Failpoint:
     step: StepName
-    act: Callable[[Gateway], None]
+    action: Callable[[SimulatedGateway], None]
     gateway: int | None
     skip: int
 
@@ -35,18 +35,24 @@
     """Traps that spring once each, at the first step that fits once `skip` such steps have passed."""
 
     def __init__(self) -> None:
-        self._traps: list[_Trap] = []
-
-    def set(
-        self, step: StepName, act: Callable[[Gateway], None], gateway: int | None = None, skip: int = 0
+        self._failpoints: list[_Failpoint] = []
+
+    def add(
+        self,
+        step: StepName,
+        action: Callable[[SimulatedGateway], None],
+        gateway: int | None = None,
+        skip: int = 0,
     ) -> None:
-        self._traps.append(_Trap(step, act, gateway, skip))
+        self._failpoints.append(_Failpoint(step, action, gateway, skip))
 
-    def reached(self, gateway: Gateway, step: StepName) -> None:
-        if not self._traps:  # hot: most runs set none
+    def reached(self, gateway: SimulatedGateway, step: StepName) -> None:
+        if not self._failpoints:  # hot: most runs set none
             return
-        for trap in [t for t in self._traps if t.step == step and t.gateway in (None, gateway.number)]:
-            trap.skip -= 1
-            if trap.skip < 0:
-                self._traps.remove(trap)
-                trap.act(gateway)
+        for failpoint in [
+            t for t in self._failpoints if t.step == step and t.gateway in (None, gateway.number)
+        ]:
+            failpoint.skip -= 1
+            if failpoint.skip < 0:
+                self._failpoints.remove(failpoint)
+                failpoint.action(gateway)
--- a/meadowpulley/emulator/faults.py
+++ b/meadowpulley/emulator/faults.py
@@ -9,206 +9,208 @@
 from meadowpulley.emulator.scenario import Fault
 
 if TYPE_CHECKING:
-    from meadowpulley.emulator.park import Host
-    from meadowpulley.emulator.world import World
+    from meadowpulley.emulator.emulation import Emulation
+    from meadowpulley.emulator.server_fleet import SimulatedServer
 
-BURST_MS = (
+BURST_LENGTH_MS = (
     200.0,
     800.0,
 )  # a neighbour crowds a machine for so long at a time, and then leaves it alone as long
 
 
-class Faults:
+class FaultInjector:
     """Puts the faults of a scenario on a world, in their order."""
 
-    def __init__(self, world: World, faults: tuple[Fault, ...]) -> None:
-        self._world = world
-        self._rng = world.streams.of("faults")
-        for n, fault in enumerate(faults):
-            world.clock.at(fault.at_ms, partial(self._begin, n, fault))
+    def __init__(self, emulation: Emulation, faults: tuple[Fault, ...]) -> None:
+        self._emulation = emulation
+        self._rng = emulation.streams.stream("faults")
+        for index, fault in enumerate(faults):
+            emulation.clock.call_at(fault.at_ms, partial(self._begin, index, fault))
 
-    def _begin(self, n: int, fault: Fault) -> None:
-        self._world.event(f"fault on: {fault.kind}")
-        end = getattr(self, f"_{fault.kind}")(n, fault)
-        self._world.clock.after(fault.for_ms, lambda: self._end(fault, end))
+    def _begin(self, index: int, fault: Fault) -> None:
+        self._emulation.log_event(f"fault on: {fault.kind}")
+        clear = getattr(self, f"_{fault.kind}")(index, fault)
+        self._emulation.clock.call_later(fault.duration_ms, lambda: self._clear(fault, clear))
 
-    def _end(self, fault: Fault, end: Callable[[], None]) -> None:
-        end()
-        self._world.event(f"fault off: {fault.kind}")
+    def _clear(self, fault: Fault, clear: Callable[[], None]) -> None:
+        clear()
+        self._emulation.log_event(f"fault off: {fault.kind}")
 
-    def _hosts(self, fault: Fault) -> list[Host]:
+    def _affected_servers(self, fault: Fault) -> list[SimulatedServer]:
         """The servers it meets: a share of those that are up, of one site if one is named; at least one."""
-        sites = self._world.fleet.site_numbers()
+        sites = self._emulation.fleet.site_indexes()
         site = sites[fault.site] if fault.site is not None else None
-        hosts = [h for h in self._world.hosts.values() if h.up and site in (None, h.entry.zone)]
-        count = max(round(fault.part * len(hosts)), 1) if hosts else 0
-        chosen = self._rng.permutation(len(hosts))[:count]
-        return [hosts[k] for k in sorted(int(c) for c in chosen)]
+        servers = [h for h in self._emulation.servers.values() if h.up and site in (None, h.entry.zone)]
+        count = max(round(fault.share * len(servers)), 1) if servers else 0
+        chosen = self._rng.permutation(len(servers))[:count]
+        return [servers[k] for k in sorted(int(c) for c in chosen)]
 
     # Servers
 
-    def _fast_errors(self, n: int, fault: Fault) -> Callable[[], None]:
-        hosts = self._hosts(fault)
-        for host in hosts:
-            host.error_share = fault.amount
+    def _fast_errors(self, index: int, fault: Fault) -> Callable[[], None]:
+        servers = self._affected_servers(fault)
+        for server in servers:
+            server.error_rate = fault.amount
 
-        def end() -> None:
-            for host in hosts:
-                host.error_share = 0.0
+        def clear() -> None:
+            for server in servers:
+                server.error_rate = 0.0
 
-        return end
+        return clear
 
-    def _lost_answers(self, n: int, fault: Fault) -> Callable[[], None]:
-        hosts = self._hosts(fault)
-        for host in hosts:
-            host.lost_share = fault.amount
+    def _lost_answers(self, index: int, fault: Fault) -> Callable[[], None]:
+        servers = self._affected_servers(fault)
+        for server in servers:
+            server.response_loss_rate = fault.amount
 
-        def end() -> None:
-            for host in hosts:
-                host.lost_share = 0.0
+        def clear() -> None:
+            for server in servers:
+                server.response_loss_rate = 0.0
 
-        return end
+        return clear
 
-    def _silence(self, n: int, fault: Fault) -> Callable[[], None]:
-        hosts = self._hosts(fault)
-        for host in hosts:
-            self._world.freeze(host, True)
+    def _silence(self, index: int, fault: Fault) -> Callable[[], None]:
+        servers = self._affected_servers(fault)
+        for server in servers:
+            self._emulation.freeze(server, True)
 
-        def end() -> None:
-            for host in hosts:
-                self._world.freeze(host, False)
+        def clear() -> None:
+            for server in servers:
+                self._emulation.freeze(server, False)
 
-        return end
+        return clear
 
-    def _slow(self, n: int, hosts: list[Host], amount: float) -> Callable[[], None]:
-        for host in hosts:
-            self._world.slow(host, f"fault {n}", amount)
+    def _slow(self, index: int, servers: list[SimulatedServer], amount: float) -> Callable[[], None]:
+        for server in servers:
+            self._emulation.set_slowdown(server, f"fault {index}", amount)
 
-        def end() -> None:
-            for host in hosts:
-                self._world.slow(host, f"fault {n}", 1.0)
+        def clear() -> None:
+            for server in servers:
+                self._emulation.set_slowdown(server, f"fault {index}", 1.0)
 
-        return end
+        return clear
 
-    def _slowness(self, n: int, fault: Fault) -> Callable[[], None]:
-        return self._slow(n, self._hosts(fault), fault.amount)
+    def _slowness(self, index: int, fault: Fault) -> Callable[[], None]:
+        return self._slow(index, self._affected_servers(fault), fault.amount)
 
-    def _dependency(self, n: int, fault: Fault) -> Callable[[], None]:
+    def _dependency(self, index: int, fault: Fault) -> Callable[[], None]:
         """Something that all servers depend on is slow: those that start meanwhile are slow too."""
-        self._world.shared_slowness = fault.amount
-        self._world.slow_all("dependency", fault.amount)
+        self._emulation.shared_slowness = fault.amount
+        self._emulation.set_slowdown_of_all("dependency", fault.amount)
 
-        def end() -> None:
-            self._world.shared_slowness = 1.0
-            self._world.slow_all("dependency", 1.0)
+        def clear() -> None:
+            self._emulation.shared_slowness = 1.0
+            self._emulation.set_slowdown_of_all("dependency", 1.0)
 
-        return end
+        return clear
 
-    def _neighbour(self, n: int, fault: Fault) -> Callable[[], None]:
-        hosts, over = self._hosts(fault), [False]
+    def _neighbour(self, index: int, fault: Fault) -> Callable[[], None]:
+        servers, stopped = self._affected_servers(fault), [False]
 
-        def turn(host: Host, on: bool) -> None:
-            on = on and not over[0]
-            self._world.slow(host, f"fault {n}", fault.amount if on else 1.0)
-            if not over[0]:
-                span = BURST_MS[0] + (BURST_MS[1] - BURST_MS[0]) * float(self._rng.random())
-                self._world.clock.after(span, lambda: turn(host, not on))
+        def toggle(server: SimulatedServer, on: bool) -> None:
+            on = on and not stopped[0]
+            self._emulation.set_slowdown(server, f"fault {index}", fault.amount if on else 1.0)
+            if not stopped[0]:
+                burst_ms = BURST_LENGTH_MS[0] + (BURST_LENGTH_MS[1] - BURST_LENGTH_MS[0]) * float(
+                    self._rng.random()
+                )
+                self._emulation.clock.call_later(burst_ms, lambda: toggle(server, not on))
 
-        for host in hosts:
-            turn(host, True)
+        for server in servers:
+            toggle(server, True)
 
-        def end() -> None:
-            over[0] = True
-            for host in hosts:
-                self._world.slow(host, f"fault {n}", 1.0)
+        def clear() -> None:
+            stopped[0] = True
+            for server in servers:
+                self._emulation.set_slowdown(server, f"fault {index}", 1.0)
 
-        return end
+        return clear
 
-    def _vanish(self, n: int, fault: Fault) -> Callable[[], None]:
-        hosts = self._hosts(fault)
-        for host in hosts:
-            self._world.vanish(host)
+    def _vanish(self, index: int, fault: Fault) -> Callable[[], None]:
+        servers = self._affected_servers(fault)
+        for server in servers:
+            self._emulation.vanish(server)
 
-        def end() -> None:
-            for host in hosts:
-                self._world.come_back(host)
+        def clear() -> None:
+            for server in servers:
+                self._emulation.restart(server)
 
-        return end
+        return clear
 
-    def _crash(self, n: int, fault: Fault) -> Callable[[], None]:
-        hosts = self._hosts(fault)
-        for host in hosts:
-            self._world.crash(host)
+    def _crash(self, index: int, fault: Fault) -> Callable[[], None]:
+        servers = self._affected_servers(fault)
+        for server in servers:
+            self._emulation.crash(server)
 
-        def end() -> None:
-            for host in hosts:
-                self._world.come_back(host)
+        def clear() -> None:
+            for server in servers:
+                self._emulation.restart(server)
 
-        return end
+        return clear
 
     # Parties around them
 
-    def _site_cut(self, n: int, fault: Fault) -> Callable[[], None]:
+    def _site_cut(self, index: int, fault: Fault) -> Callable[[], None]:
         assert fault.site is not None
-        site = self._world.fleet.site_numbers()[fault.site]
-        self._world.network.cut.add(site)
-        return lambda: self._world.network.cut.discard(site)
+        site = self._emulation.fleet.site_indexes()[fault.site]
+        self._emulation.network.partitioned_sites.add(site)
+        return lambda: self._emulation.network.partitioned_sites.discard(site)
 
-    def _discovery_down(self, n: int, fault: Fault) -> Callable[[], None]:
-        self._world.discovery.go_down()
+    def _discovery_down(self, index: int, fault: Fault) -> Callable[[], None]:
+        self._emulation.discovery.fail()
 
-        def end() -> None:
-            self._world.discovery.down = False
+        def clear() -> None:
+            self._emulation.discovery.unavailable = False
 
-        return end
+        return clear
 
-    def _silent_watches(self, n: int, fault: Fault) -> Callable[[], None]:
+    def _silent_watches(self, index: int, fault: Fault) -> Callable[[], None]:
         """A share of the gateways' watches, once; how long that lasts is up to the gateways."""
-        gateways = [g.number for g in self._world.gateways if g.alive]
-        count = min(max(round(fault.part * len(gateways)), 1), len(gateways))
-        for c in sorted(int(c) for c in self._rng.permutation(len(gateways))[:count]):
-            self._world.discovery.fall_silent(gateways[c])
+        gateways = [g.number for g in self._emulation.gateways if g.alive]
+        count = min(max(round(fault.share * len(gateways)), 1), len(gateways))
+        for number in sorted(int(c) for c in self._rng.permutation(len(gateways))[:count]):
+            self._emulation.discovery.stall_watch(gateways[number])
         return lambda: None
 
-    def _discovery_stale(self, n: int, fault: Fault) -> Callable[[], None]:
-        self._world.discovery.lag_ms = fault.amount
+    def _discovery_stale(self, index: int, fault: Fault) -> Callable[[], None]:
+        self._emulation.discovery.extra_delay_ms = fault.amount
 
-        def end() -> None:
-            self._world.discovery.lag_ms = 0.0
+        def clear() -> None:
+            self._emulation.discovery.extra_delay_ms = 0.0
 
-        return end
+        return clear
 
-    def _platform_down(self, n: int, fault: Fault) -> Callable[[], None]:
-        self._world.platform.go_down()
-        return self._world.platform.come_back
+    def _platform_down(self, index: int, fault: Fault) -> Callable[[], None]:
+        self._emulation.platform.fail()
+        return self._emulation.platform.recover
 
-    def _platform_late(self, n: int, fault: Fault) -> Callable[[], None]:
-        self._world.platform.late_ms = fault.amount
+    def _platform_late(self, index: int, fault: Fault) -> Callable[[], None]:
+        self._emulation.platform.extra_delay_ms = fault.amount
 
-        def end() -> None:
-            self._world.platform.late_ms = 0.0
+        def clear() -> None:
+            self._emulation.platform.extra_delay_ms = 0.0
 
-        return end
+        return clear
 
-    def _peers_lost(self, n: int, fault: Fault) -> Callable[[], None]:
-        self._world.network.peers_lost = fault.amount
+    def _peers_lost(self, index: int, fault: Fault) -> Callable[[], None]:
+        self._emulation.network.extra_gossip_loss = fault.amount
 
-        def end() -> None:
-            self._world.network.peers_lost = 0.0
+        def clear() -> None:
+            self._emulation.network.extra_gossip_loss = 0.0
 
-        return end
+        return clear
 
-    def _gateway_crash(self, n: int, fault: Fault) -> Callable[[], None]:
-        site = self._world.fleet.site_numbers().get(fault.site or "")
-        gateways = [g for g in self._world.gateways if g.alive and site in (None, g.site)]
-        count = min(max(round(fault.part * len(gateways)), 1), len(gateways))
+    def _gateway_crash(self, index: int, fault: Fault) -> Callable[[], None]:
+        site = self._emulation.fleet.site_indexes().get(fault.site or "")
+        gateways = [g for g in self._emulation.gateways if g.alive and site in (None, g.site)]
+        count = min(max(round(fault.share * len(gateways)), 1), len(gateways))
         chosen = sorted(int(c) for c in self._rng.permutation(len(gateways))[:count])
-        for c in chosen:
-            gateways[c].kill()
+        for number in chosen:
+            gateways[number].kill()
 
-        def end() -> None:
-            for c in chosen:
-                if not gateways[c].alive:
-                    gateways[c].start()
+        def clear() -> None:
+            for number in chosen:
+                if not gateways[number].alive:
+                    gateways[number].start()
 
-        return end
+        return clear
--- a/meadowpulley/emulator/gateway.py
+++ b/meadowpulley/emulator/gateway.py
@@ -10,12 +10,18 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
-from meadowpulley.emulator.clients import Try
-from meadowpulley.emulator.connections import Connections
+from meadowpulley.emulator.clients import ClientRequest
+from meadowpulley.emulator.connection_pool import ConnectionPool
 from meadowpulley.emulator.failpoints import StepName
-from meadowpulley.emulator.held import KEPT, NEVER_RAN, Attempt, Held, list_records
-from meadowpulley.emulator.ledger import Port
-from meadowpulley.emulator.process import Process
+from meadowpulley.emulator.ledger import LedgerPort
+from meadowpulley.emulator.process import SimulatedProcess
+from meadowpulley.emulator.requests import (
+    CONNECTION_REUSABLE,
+    NOT_EXECUTED,
+    Attempt,
+    InFlightRequest,
+    endpoint_records,
+)
 from meadowpulley.emulator.results import GatewayResult
 from meadowpulley.interface import (
     Cancel,
@@ -40,393 +46,455 @@
     Vote,
     Watch,
 )
-from meadowpulley.ledger import Commit, LedgerError, Life, Scan, Watched
+from meadowpulley.ledger import Commit, Incarnation, LedgerError, Scan, WatchRequest
 from meadowpulley.rules import (
-    Answered,
-    Died,
-    Gone,
-    News,
-    Outcome,
-    Sent,
-    Started,
-    Stopped,
-    Taken,
-    Woke,
+    PHASE_NAMES,
+    AttemptEnded,
+    AttemptSent,
+    GatewayCrashed,
+    GatewayPaused,
+    GatewayResumed,
+    GatewayStarted,
+    RequestAbandoned,
+    RequestReceived,
+    ResponseSent,
+    RolloutUpdated,
 )
 
 if TYPE_CHECKING:
-    from meadowpulley.emulator.world import World
+    from meadowpulley.emulator.emulation import Emulation
 
-INTAKE = 0.6  # of a request's CPU, the rest is spent on its attempt's answer
+REQUEST_CPU_SHARE = 0.6  # of a request's CPU, the rest is spent on its attempt's answer
 
 
-class Gateway(Process):
+class SimulatedGateway(SimulatedProcess):
     """One gateway of the emulated fleet, by its number; `start` and `kill` bound its lives."""
 
-    def __init__(self, world: World, number: int) -> None:
-        super().__init__(world.clock)
-        self.world, self.number = world, number
-        self.figures = world.fleet.gateway_figures()[number]
-        self.site = world.fleet.gateway_sites()[number]
-        self.settings = world.settings_of(number)
-        free = self.figures.descriptors - self.figures.kept_back
-        self.client_slots = max(int(free * self.figures.client_part), 1)
-        self.instance_slots = max(free - self.client_slots, 1)
-        self.requests = self.attempts = self.most_open = self.most_held = 0
-        self.busy_ms = 0.0
-        self.leaving = False  # told to stop: the front hands it no more clients
-        self.balancer: Any = None  # or the outermost stage round it
-        self.life: Life | None = None  # in the ledger, where the fleet shares one
-        self.port: Port | None = None
-        self.decisions: list[tuple[float, str]] = []
-        self._actions: dict[type, Callable[[Any], None]] = {
+    def __init__(self, emulation: Emulation, number: int) -> None:
+        super().__init__(emulation.clock)
+        self.emulation, self.number = emulation, number
+        self.group = emulation.fleet.gateway_groups()[number]
+        self.site = emulation.fleet.gateway_sites()[number]
+        self.settings = emulation.settings_of(number)
+        free = self.group.descriptors - self.group.reserved_descriptors
+        self.client_slots = max(int(free * self.group.client_descriptor_share), 1)
+        self.server_slots = max(free - self.client_slots, 1)
+        self.request_count = self.attempt_count = self.max_open_connections = self.max_in_flight = 0
+        self.cpu_ms = 0.0
+        self.draining = False  # told to stop: the front hands it no more clients
+        self.pipeline: Any = None  # or the outermost stage round it
+        self.incarnation: Incarnation | None = None  # in the ledger, where the fleet shares one
+        self.ledger_port: LedgerPort | None = None
+        self.log_lines: list[tuple[float, str]] = []
+        self._action_handlers: dict[type, Callable[[Any], None]] = {
             Send: self._send,
             Cancel: self._cancel,
-            Reject: self._refuse,
+            Reject: self._reject,
             Fail: self._fail,
             Vote: self._vote,
             SetTimer: self._set_timer,
             Watch: self._watch,
             FetchEndpoints: self._fetch,
-            SendGossip: self._tell_peer,
+            SendGossip: self._send_gossip,
             CloseIdleConnections: self._close_idle,
             LogLine: self._log,
             Probe: self._probe,
             Commit: self._commit,
-            Watched: self._watched,
+            WatchRequest: self._watched,
             Scan: self._scan,
         }
 
     # Life
 
     def start(self) -> None:
-        world = self.world
-        if world.ledger is not None:
+        emulation = self.emulation
+        if emulation.ledger is not None:
             try:
-                self.life = world.ledger.begin(self.number)
+                self.incarnation = emulation.ledger.begin_incarnation(self.number)
             except LedgerError as error:  # it ends with that line, and whoever runs it starts it again
-                world.event(f"gateway {self.number}: {error}")
-                world.clock.after(world.ledger.figures.begin_again_ms, self._start_again)
+                emulation.log_event(f"gateway {self.number}: {error}")
+                emulation.clock.call_later(emulation.ledger.model.start_retry_ms, self._retry_start)
                 return
-        self.begin_life()
-        self.leaving = False
-        self.held: dict[int, Held] = {}
-        self.owed = 0  # requests without their final answer
-        self._known: set[int] = set()  # servers it was told of
-        self._builds: dict[int, int] = {}  # and their builds, also of those that are gone unheard
-        self.connections = Connections(self.instance_slots, world.fleet.rules.idle_ms, world.close)
-        self._free_at = world.clock.now
-        seed = world.streams.number(f"gateway {self.number} {self.lives}")
-        self.balancer, first = world.make_stage(self, seed)
-        world.record(Started(world.clock.now, self.number))
-        self.in_turn(first, self.act)
-        self.tell(EndpointUpdate(EndpointUpdateKind.CACHED, 0, world.discovery.known()))
-        self.hear(world.platform.news())
-        world.platform.follow(self.number)
-        if not world.fleet.discovery.must_ask:
-            world.discovery.watch(self.number)
-
-    def _start_again(self) -> None:
+        self.begin_incarnation()
+        self.draining = False
+        self.in_flight: dict[int, InFlightRequest] = {}
+        self.pending_responses = 0  # requests without their final answer
+        self._known_servers: set[int] = set()  # servers it was told of
+        self._known_builds: dict[int, int] = {}  # and their builds, also of those that are gone unheard
+        self.connections = ConnectionPool(
+            self.server_slots, emulation.fleet.rules.idle_ms, emulation.connections_closed
+        )
+        self._cpu_free_at = emulation.clock.now
+        seed = emulation.streams.seed_for(f"gateway {self.number} {self.incarnation_count}")
+        self.pipeline, first_actions = emulation.build_stages(self, seed)
+        emulation.record(GatewayStarted(emulation.clock.now, self.number))
+        self.run_actions(first_actions, self.execute)
+        self.dispatch(EndpointUpdate(EndpointUpdateKind.CACHED, 0, emulation.discovery.current_entries()))
+        self.receive_rollout_update(emulation.platform.current_update())
+        emulation.platform.subscribe(self.number)
+        if not emulation.fleet.discovery.must_subscribe:
+            emulation.discovery.subscribe(self.number)
+
+    def _retry_start(self) -> None:
         if not self.alive:
             self.start()
 
     def kill(self) -> None:
         if not self.alive:
             return
-        world = self.world
-        self.end_life()
-        world.record(Died(world.clock.now, self.number))
-        world.discovery.forget(self.number)
-        world.platform.forget(self.number)
-        if world.ledger is not None and self.life is not None:
-            world.ledger.died(self.life)
-        for held in self.held.values():
-            if not held.over:
-                world.clients.broke(held.request)
-            held.over = True
-            for attempt in list(held.out.values()):
+        emulation = self.emulation
+        self.end_incarnation()
+        emulation.record(GatewayCrashed(emulation.clock.now, self.number))
+        emulation.discovery.unsubscribe(self.number)
+        emulation.platform.unsubscribe(self.number)
+        if emulation.ledger is not None and self.incarnation is not None:
+            emulation.ledger.incarnation_ended(self.incarnation)
+        for request in self.in_flight.values():
+            if not request.finished:
+                emulation.clients.connection_lost(request.client_request)
+            request.finished = True
+            for attempt in list(request.outstanding_attempts.values()):
                 attempt.ended = True
-                self._leave(attempt)
+                self._abandon(attempt)
         self.connections.close_all_idle()
-        self.held = {}
+        self.in_flight = {}
 
     def stop(self, grace_ms: float) -> None:
         """A planned stop: the front is told at once, and what is not over within the grace is lost."""
-        self.leaving = True
-        self.clock.after(grace_ms, self.this_life(self.kill))
+        self.draining = True
+        self.clock.call_later(grace_ms, self.in_this_incarnation(self.kill))
 
     def pause(self) -> None:
         if self.alive and not self.paused:
-            self.world.record(Stopped(self.clock.now, self.number))
+            self.emulation.record(GatewayPaused(self.clock.now, self.number))
         super().pause()
 
-    def wake(self) -> None:
+    def resume(self) -> None:
         if self.paused:
-            self.world.record(Woke(self.clock.now, self.number))
-        super().wake()
-        for held in [h for h in self.held.values() if not h.over and h.request.answered]:
-            self._left(held)
+            self.emulation.record(GatewayResumed(self.clock.now, self.number))
+        super().resume()
+        for request in [h for h in self.in_flight.values() if not h.finished and h.client_request.answered]:
+            self._handle_disconnect(request)
 
-    def client_left(self, request: Try) -> None:
+    def client_disconnected(self, client_request: ClientRequest) -> None:
         """The client has closed its connection."""
-        held = self.held.get(request.number)
-        if held is not None and not self.held_up(partial(self.client_left, request)):
-            self._left(held)
+        request = self.in_flight.get(client_request.number)
+        if request is not None and not self.defer_if_suspended(
+            partial(self.client_disconnected, client_request)
+        ):
+            self._handle_disconnect(request)
 
-    def _left(self, held: Held) -> None:
+    def _handle_disconnect(self, request: InFlightRequest) -> None:
         """Its client is no longer there."""
-        if not held.over:
-            self._over(held)
-            self.world.record(Gone(self.clock.now, self.number, held.request.number))
-            self.tell(ClientDisconnected(held.request.number))
+        if not request.finished:
+            self._finish(request)
+            self.emulation.record(
+                RequestAbandoned(self.clock.now, self.number, request.client_request.number)
+            )
+            self.dispatch(ClientDisconnected(request.client_request.number))
 
     # Events and actions
 
-    def tell(self, event: Any) -> None:
-        if self.held_up(partial(self.tell, event)):
+    def dispatch(self, event: Any) -> None:
+        if self.defer_if_suspended(partial(self.dispatch, event)):
             return
         if isinstance(event, EndpointUpdate):
-            self.book_list(event)
-            self._builds |= {e.server: e.build for e in event.entries}
-        self.in_turn(self.balancer.handle(self.clock.now, event), self.act)
+            self.record_endpoints(event)
+            self._known_builds |= {e.server: e.build for e in event.entries}
+        self.run_actions(self.pipeline.handle(self.clock.now, event), self.execute)
 
-    def act(self, action: Any) -> None:
-        self._actions[type(action)](action)
+    def execute(self, action: Any) -> None:
+        self._action_handlers[type(action)](action)
 
-    def _when_free(self, cost_ms: float, call: Callable[[], None]) -> None:
+    def _run_on_cpu(self, cost_ms: float, callback: Callable[[], None]) -> None:
         """Its one thread does things in turn; each costs CPU."""
         if cost_ms <= 0:
-            call()
+            callback()
             return
-        cost = cost_ms / self.figures.cores
-        self._free_at = max(self._free_at, self.world.clock.now) + cost
-        self.busy_ms += cost
-        self.world.clock.at(self._free_at, self.this_life(call))
+        duration_ms = cost_ms / self.group.cores
+        self._cpu_free_at = max(self._cpu_free_at, self.emulation.clock.now) + duration_ms
+        self.cpu_ms += duration_ms
+        self.emulation.clock.call_at(self._cpu_free_at, self.in_this_incarnation(callback))
 
-    def book_list(self, event: EndpointUpdate) -> None:
+    def record_endpoints(self, event: EndpointUpdate) -> None:
         """What this gateway was told of servers, or counts as told though it did not hear it."""
         if event.kind not in (EndpointUpdateKind.FAILED, EndpointUpdateKind.TIMED_OUT):
-            for record in list_records(self.clock.now, self.number, self._known, event):
-                self.world.record(record)
+            for record in endpoint_records(self.clock.now, self.number, self._known_servers, event):
+                self.emulation.record(record)
 
-    def hear(self, news: RolloutUpdate) -> None:
+    def receive_rollout_update(self, update: RolloutUpdate) -> None:
         """News of the newest build, or the answer to a vote."""
-        if self.held_up(partial(self.hear, news)):
+        if self.defer_if_suspended(partial(self.receive_rollout_update, update)):
             return
-        if news.result is Result.OK:
-            phase = news.phase.name.lower()
-            now = self.world.clock.now
-            self.world.record(News(now, self.number, news.build, news.stage, phase, news.cap))  # type: ignore[arg-type]
-        self.tell(news)
+        if update.result is Result.OK:
+            phase = PHASE_NAMES[update.phase]
+            now = self.emulation.clock.now
+            self.emulation.record(
+                RolloutUpdated(now, self.number, update.build, update.stage, phase, update.cap)
+            )
+        self.dispatch(update)
 
     # Requests
 
-    def take(self, request: Try) -> None:
+    def accept(self, client_request: ClientRequest) -> None:
         """A request has come whole; with all slots in use nobody took it."""
-        if self.held_up(partial(self._take_late, request)):
+        if self.defer_if_suspended(partial(self._accept_after_resume, client_request)):
             return
-        if self.owed >= self.client_slots:
-            self.world.clients.broke(request)
+        if self.pending_responses >= self.client_slots:
+            self.emulation.clients.connection_lost(client_request)
             return
-        now = self.world.clock.now
-        ask = request.ask
-        held = self.held[request.number] = Held(request, request.deadline)
-        self.requests += 1
-        self.owed += 1
-        self.most_held = max(self.most_held, self.owed)
-        self.world.record(
-            Taken(now, self.number, request.number, ask.cls, ask.arrival.key, held.deadline, request.name)
+        now = self.emulation.clock.now
+        call = client_request.call
+        request = self.in_flight[client_request.number] = InFlightRequest(
+            client_request, client_request.deadline
+        )
+        self.request_count += 1
+        self.pending_responses += 1
+        self.max_in_flight = max(self.max_in_flight, self.pending_responses)
+        self.emulation.record(
+            RequestReceived(
+                now,
+                self.number,
+                client_request.number,
+                call.class_index,
+                call.arrival.key,
+                request.deadline,
+                client_request.request_id,
+            )
+        )
+        self.emulation.clock.call_at(
+            request.deadline, self.in_this_incarnation(partial(self._deadline_passed, request))
+        )
+        self._run_on_cpu(
+            self.group.request_cpu_ms * REQUEST_CPU_SHARE, partial(self._dispatch_request, request)
         )
-        self.world.clock.at(held.deadline, self.this_life(partial(self._time_is_up, held)))
-        self._when_free(self.figures.request_ms * INTAKE, partial(self._hand_on, held))
 
-    def _take_late(self, request: Try) -> None:
-        if not request.answered:  # else the client has left
-            self.take(request)
+    def _accept_after_resume(self, client_request: ClientRequest) -> None:
+        if not client_request.answered:  # else the client has left
+            self.accept(client_request)
 
-    def _hand_on(self, held: Held) -> None:
-        if held.over or self.stopped_at("take", partial(self._hand_on, held)):
+    def _dispatch_request(self, request: InFlightRequest) -> None:
+        if request.finished or self.interrupted_at("take", partial(self._dispatch_request, request)):
             return
-        self.tell(self._event_of(held))
+        self.dispatch(self._request_event(request))
 
-    def _event_of(self, held: Held) -> Any:
-        ask, number = held.request.ask, held.request.number
-        tenant = self.world.tenant_of(ask.arrival.key)
+    def _request_event(self, request: InFlightRequest) -> Any:
+        call, request_number = request.client_request.call, request.client_request.number
+        tenant = self.emulation.tenant_of(call.arrival.key)
         return Request(
-            number, ask.cls, tenant, ask.arrival.key, held.deadline, None, client_retry=ask.tries > 1
+            request_number,
+            call.class_index,
+            tenant,
+            call.arrival.key,
+            request.deadline,
+            None,
+            client_retry=call.requests_sent > 1,
         )
 
-    def _time_is_up(self, held: Held) -> None:
-        for attempt in list(held.out.values()):
-            self._end(attempt, Result.TIMEOUT if attempt.connected else Result.CONNECT_FAILED)
-        slack = self.settings.rules.response_slack_ms
-        self.world.clock.after(slack + 1.0, self.this_life(partial(self._overdue, held)))
+    def _deadline_passed(self, request: InFlightRequest) -> None:
+        for attempt in list(request.outstanding_attempts.values()):
+            self._finish_attempt(attempt, Result.TIMEOUT if attempt.connected else Result.CONNECT_FAILED)
+        slack_ms = self.settings.rules.response_slack_ms
+        self.emulation.clock.call_later(
+            slack_ms + 1.0, self.in_this_incarnation(partial(self._response_overdue, request))
+        )
 
-    def _overdue(self, held: Held) -> None:
+    def _response_overdue(self, request: InFlightRequest) -> None:
         """The decisions left it unanswered. The gateway on sockets answers for them; here it is a breach."""
-        if not held.over:
-            self._over(held)
-            self.tell(ClientDisconnected(held.request.number))
+        if not request.finished:
+            self._finish(request)
+            self.dispatch(ClientDisconnected(request.client_request.number))
 
-    def stopped_at(self, step: StepName, call: Callable[[], None]) -> bool:
+    def interrupted_at(self, step: StepName, callback: Callable[[], None]) -> bool:
         """A named step is reached, and a fault that was set there stops it: a pause only puts it off."""
-        self.world.failpoints.reached(self, step)
+        self.emulation.failpoints.reached(self, step)
         if self.alive and self.paused:
-            self._unfinished.append(call)
+            self._unfinished.append(callback)
         return self.paused or not self.alive
 
-    def _over(self, held: Held) -> None:
-        held.over = True
-        self.owed -= 1
-        if not held.out:
-            self.held.pop(held.request.number, None)
+    def _finish(self, request: InFlightRequest) -> None:
+        request.finished = True
+        self.pending_responses -= 1
+        if not request.outstanding_attempts:
+            self.in_flight.pop(request.client_request.number, None)
 
-    def _serve(self, attempt: Attempt) -> None:
+    def _deliver_response(self, attempt: Attempt) -> None:
         """A good answer has come, the first of its request."""
-        self._answer(attempt.held, "served", 0.0)
-
-    def _answer(self, held: Held, answer: str, retry_after_ms: float, content: str = "") -> None:
-        self._over(held)
-        number = held.request.number
-        self.world.record(Answered(self.clock.now, self.number, number, answer, content))  # type: ignore[arg-type]
-        self.world.clients.answer(held.request, answer, retry_after_ms)
-        self.world.failpoints.reached(self, "answered")
-
-    def _refuse(self, action: Reject) -> None:
-        held = self.held.get(action.request)
-        if held is None or held.over or self.stopped_at("answer", partial(self._refuse, action)):
+        self._send_response(attempt.request, "served", 0.0)
+
+    def _send_response(
+        self, request: InFlightRequest, response: str, retry_after_ms: float, content: str = ""
+    ) -> None:
+        self._finish(request)
+        number = request.client_request.number
+        self.emulation.record(ResponseSent(self.clock.now, self.number, number, response, content))  # type: ignore[arg-type]
+        self.emulation.clients.respond(request.client_request, response, retry_after_ms)
+        self.emulation.failpoints.reached(self, "answered")
+
+    def _reject(self, action: Reject) -> None:
+        request = self.in_flight.get(action.request)
+        if (
+            request is None
+            or request.finished
+            or self.interrupted_at("answer", partial(self._reject, action))
+        ):
             return
-        self._answer(held, "refused", action.retry_after_ms)
+        self._send_response(request, "refused", action.retry_after_ms)
 
     def _fail(self, action: Fail) -> None:
-        held = self.held.get(action.request)
-        if held is None or held.over or self.stopped_at("answer", partial(self._fail, action)):
+        request = self.in_flight.get(action.request)
+        if request is None or request.finished or self.interrupted_at("answer", partial(self._fail, action)):
             return
-        self._answer(held, "failed", 0.0)
+        self._send_response(request, "failed", 0.0)
 
     # Attempts
 
     def _send(self, action: Send) -> None:
-        held, world = self.held.get(action.request), self.world
-        if held is None or self.stopped_at("send", partial(self._send, action)):
+        request, emulation = self.in_flight.get(action.request), self.emulation
+        if request is None or self.interrupted_at("send", partial(self._send, action)):
             return
         now = self.clock.now
-        n, held.tries = held.tries, held.tries + 1
-        until = held.deadline if action.timeout_ms == 0 else min(held.deadline, now + action.timeout_ms)
-        host = world.hosts.get(action.server)
-        attempt = held.out[n] = Attempt(held, n, host, now, until)
-        build = host.entry.build if host is not None else self._builds.get(action.server, 0)
-        world.record(Sent(now, self.number, action.request, n, action.server, build))
-        self.attempts += 1
-        if host is not None:
-            world.result.sent(now, host.entry.zone)
-        if until < held.deadline:
-            world.clock.at(until, self.this_life(partial(self._end, attempt, Result.TIMEOUT)))
-        if host is None:
-            self._end(attempt, Result.CONNECT_FAILED)
+        number, request.attempt_count = request.attempt_count, request.attempt_count + 1
+        deadline = (
+            request.deadline if action.timeout_ms == 0 else min(request.deadline, now + action.timeout_ms)
+        )
+        server = emulation.servers.get(action.server)
+        attempt = request.outstanding_attempts[number] = Attempt(request, number, server, now, deadline)
+        build = server.entry.build if server is not None else self._known_builds.get(action.server, 0)
+        emulation.record(AttemptSent(now, self.number, action.request, number, action.server, build))
+        self.attempt_count += 1
+        if server is not None:
+            emulation.result.record_attempt(now, server.entry.zone)
+        if deadline < request.deadline:
+            emulation.clock.call_at(
+                deadline, self.in_this_incarnation(partial(self._finish_attempt, attempt, Result.TIMEOUT))
+            )
+        if server is None:
+            self._finish_attempt(attempt, Result.CONNECT_FAILED)
             return
         connections = self.connections
-        fresh = not connections.reuse(now, action.server)
-        if fresh and not connections.make_room():
-            self._end(attempt, Result.CONNECT_FAILED)
+        new_connection = not connections.take_idle(now, action.server)
+        if new_connection and not connections.reserve():
+            self._finish_attempt(attempt, Result.CONNECT_FAILED)
             return
-        if fresh:
+        if new_connection:
             connections.open += 1
-            self.most_open = max(self.most_open, connections.open)
+            self.max_open_connections = max(self.max_open_connections, connections.open)
         attempt.connected = True
-        world.travel(self, attempt, fresh)
-        world.failpoints.reached(self, "sent")
+        emulation.transmit(self, attempt, new_connection)
+        emulation.failpoints.reached(self, "sent")
 
-    def _leave(self, attempt: Attempt) -> None:
+    def _abandon(self, attempt: Attempt) -> None:
         """An attempt given up closes its connection."""
         if attempt.connected:
             attempt.connected = False
-            if attempt.host is not None:
-                self.connections.close(attempt.host.entry.server)
-        self.world.drop(attempt)
+            if attempt.server is not None:
+                self.connections.close(attempt.server.entry.server)
+        self.emulation.abandon(attempt)
 
-    def arrived(self, attempt: Attempt, result: Result) -> None:
+    def response_arrived(self, attempt: Attempt, result: Result) -> None:
         """What came back on an attempt's connection, or that it broke."""
-        if attempt.ended or self.held_up(partial(self.arrived, attempt, result)):
+        if attempt.ended or self.defer_if_suspended(partial(self.response_arrived, attempt, result)):
             return
-        cost = 0.0 if result is Result.CONNECT_FAILED else self.figures.request_ms * (1 - INTAKE)
-        self._when_free(cost, partial(self._end, attempt, result))
+        cpu_ms = (
+            0.0 if result is Result.CONNECT_FAILED else self.group.request_cpu_ms * (1 - REQUEST_CPU_SHARE)
+        )
+        self._run_on_cpu(cpu_ms, partial(self._finish_attempt, attempt, result))
 
-    def _end(self, attempt: Attempt, result: Result) -> None:
-        again = partial(self._end, attempt, result)
-        if attempt.ended or self.stopped_at("outcome", again):
+    def _finish_attempt(self, attempt: Attempt, result: Result) -> None:
+        retry = partial(self._finish_attempt, attempt, result)
+        if attempt.ended or self.interrupted_at("outcome", retry):
             return
-        if result is Result.OK and not attempt.held.over and self.stopped_at("answer", again):
+        if result is Result.OK and not attempt.request.finished and self.interrupted_at("answer", retry):
             return
         attempt.ended = True
-        now, held = self.clock.now, attempt.held
-        held.out.pop(attempt.n, None)
-        if held.over and not held.out:
-            self.held.pop(held.request.number, None)
-        if result in KEPT and attempt.connected and attempt.host is not None:
+        now, request = self.clock.now, attempt.request
+        request.outstanding_attempts.pop(attempt.number, None)
+        if request.finished and not request.outstanding_attempts:
+            self.in_flight.pop(request.client_request.number, None)
+        if result in CONNECTION_REUSABLE and attempt.connected and attempt.server is not None:
             attempt.connected = False
-            self.connections.keep(now, attempt.host.entry.server)
+            self.connections.release(now, attempt.server.entry.server)
         else:
-            self._leave(attempt)
-        ran = result not in NEVER_RAN
-        if result is Result.OK and not held.over:
-            self._serve(attempt)
-        self.world.record(Outcome(now, self.number, held.request.number, attempt.n, ran))
-        server = attempt.host.entry.server if attempt.host is not None else -1
-        over = held.over or result is Result.OK
-        self.tell(AttemptOutcome(held.request.number, attempt.n, server, result, now - attempt.sent, over))
+            self._abandon(attempt)
+        executed = result not in NOT_EXECUTED
+        if result is Result.OK and not request.finished:
+            self._deliver_response(attempt)
+        self.emulation.record(
+            AttemptEnded(now, self.number, request.client_request.number, attempt.number, executed)
+        )
+        server_id = attempt.server.entry.server if attempt.server is not None else -1
+        request_complete = request.finished or result is Result.OK
+        self.dispatch(
+            AttemptOutcome(
+                request.client_request.number,
+                attempt.number,
+                server_id,
+                result,
+                now - attempt.sent_at,
+                request_complete,
+            )
+        )
 
     def _cancel(self, action: Cancel) -> None:
-        held = self.held.get(action.request)
-        attempt = held.out.get(action.attempt) if held is not None else None
+        request = self.in_flight.get(action.request)
+        attempt = request.outstanding_attempts.get(action.attempt) if request is not None else None
         if attempt is not None:
-            self._end(attempt, Result.CANCELLED)
+            self._finish_attempt(attempt, Result.CANCELLED)
 
     # The rest
 
     def _vote(self, vote: Vote) -> None:
-        self.world.cast(self, vote)
+        self.emulation.send_vote(self, vote)
 
     def _set_timer(self, action: SetTimer) -> None:
-        self.world.clock.after(action.delay_ms, self.this_life(lambda: self.tell(Timer(action.token))))
+        self.emulation.clock.call_later(
+            action.delay_ms, self.in_this_incarnation(lambda: self.dispatch(Timer(action.token)))
+        )
 
     def _watch(self, action: Watch) -> None:
         if action.enabled:
-            self.world.discovery.watch(self.number)
+            self.emulation.discovery.subscribe(self.number)
         else:
-            self.world.discovery.forget(self.number)
+            self.emulation.discovery.unsubscribe(self.number)
 
     def _fetch(self, _: FetchEndpoints) -> None:
-        self.world.discovery.fetch(self.number)
+        self.emulation.discovery.fetch_full_list(self.number)
 
-    def _tell_peer(self, action: SendGossip) -> None:
-        self.world.datagram(self, action)
+    def _send_gossip(self, action: SendGossip) -> None:
+        self.emulation.send_gossip(self, action)
 
     def _close_idle(self, action: CloseIdleConnections) -> None:
         self.connections.close_idle(action.server)
 
     def _commit(self, action: Commit) -> None:
-        if self.port is not None:
-            self.port.ask(action)
+        if self.ledger_port is not None:
+            self.ledger_port.commit(action)
 
     def _scan(self, action: Scan) -> None:
-        if self.port is not None:
-            self.port.scan(action)
+        if self.ledger_port is not None:
+            self.ledger_port.scan(action)
 
-    def _watched(self, action: Watched) -> None:
-        if self.port is not None:
-            self.port.watched = action.names
+    def _watched(self, action: WatchRequest) -> None:
+        if self.ledger_port is not None:
+            self.ledger_port.watched_members = action.names
 
     def _probe(self, action: Probe) -> None:
-        self.tell(ProbeResult(action.server, Result.CONNECT_FAILED, 0.0))  # described fleets allow none
+        self.dispatch(ProbeResult(action.server, Result.CONNECT_FAILED, 0.0))  # described fleets allow none
 
     def _log(self, action: LogLine) -> None:
-        self.decisions.append((self.world.clock.now, action.text))
-        self.world.event(f"gateway {self.number}: {action.text}")
+        self.log_lines.append((self.emulation.clock.now, action.text))
+        self.emulation.log_event(f"gateway {self.number}: {action.text}")
 
-    def summary(self, lasted_ms: float) -> GatewayResult:
-        site = self.world.fleet.sites[self.site].name
-        busy = self.busy_ms / lasted_ms if lasted_ms > 0 else math.nan
+    def summary(self, elapsed_ms: float) -> GatewayResult:
+        site = self.emulation.fleet.sites[self.site].name
+        utilisation = self.cpu_ms / elapsed_ms if elapsed_ms > 0 else math.nan
         return GatewayResult(
-            self.number, site, self.requests, self.attempts, busy, self.most_open, self.most_held
+            self.number,
+            site,
+            self.request_count,
+            self.attempt_count,
+            utilisation,
+            self.max_open_connections,
+            self.max_in_flight,
         )
--- a/meadowpulley/emulator/ledger.py
+++ b/meadowpulley/emulator/ledger.py
@@ -14,107 +14,109 @@
 
 import numpy as np
 
-from meadowpulley.emulator.clock import Timeline, between
+from meadowpulley.emulator.clock import Timeline, uniform
 from meadowpulley.ledger import (
-    Changed,
     Changes,
     Commit,
-    Committed,
-    Group,
-    Groups,
-    How,
-    LedgerBack,
+    CommitBatch,
+    CommitCompleted,
+    CommitQueue,
+    Incarnation,
+    LedgerChanged,
     LedgerError,
-    LedgerLost,
-    Life,
+    LedgerRecovered,
+    LedgerUnavailable,
     MemoryStore,
     Record,
     Scan,
-    Scanned,
-    Step,
+    ScanCompleted,
+    Transaction,
+    TransactionOutcome,
 )
 
 if TYPE_CHECKING:
-    from meadowpulley.emulator.gateway import Gateway
+    from meadowpulley.emulator.gateway import SimulatedGateway
 
-Trouble = Literal["full", "read-only", "gone", "slow", "cut", "unheard"]
-_SAYS = {
+LedgerFault = Literal["full", "read-only", "gone", "slow", "cut", "unheard"]
+_FAULT_MESSAGES = {
     "full": "ledger: no space left: free some",
     "read-only": "ledger: it can't be written: look at its file system",
     "gone": "ledger: its directory is gone: bring it back",
 }
-_WRITES_FAIL = ("full", "read-only", "gone")
+_WRITE_FAULTS = ("full", "read-only", "gone")
 
 
 @dataclass(frozen=True, slots=True)
-class LedgerFigures:
+class LedgerModel:
     """Milliseconds. A life that dies is known to be dead at its next start where all are on one machine."""
 
-    term_ms: float = 2000.0  # of a gateway's lease
+    lease_ms: float = 2000.0  # of a gateway's lease
     one_way_ms: tuple[float, float] = (0.5, 2.0)
     poll_ms: float = 50.0  # between a gateway's looks at what changed
-    wait_ms: float = 400.0  # for an answer
-    slow_ms: float = 120.0  # more, each way, while it is slow
-    begin_again_ms: float = 250.0  # until a gateway that was refused a life asks again
-    one_machine: bool = True
+    timeout_ms: float = 400.0  # for an answer
+    slow_extra_ms: float = 120.0  # more, each way, while it is slow
+    start_retry_ms: float = 250.0  # until a gateway that was refused a life asks again
+    single_host: bool = True
 
 
 class SharedLedger:
     """The store, and its troubles for all gateways or for some."""
 
-    def __init__(self, clock: Timeline, rng: np.random.Generator, figures: LedgerFigures) -> None:
-        self.clock, self._rng, self.figures = clock, rng, figures
+    def __init__(self, clock: Timeline, rng: np.random.Generator, model: LedgerModel) -> None:
+        self.clock, self._rng, self.model = clock, rng, model
         self.store = MemoryStore()
         self.operations: Counter[str] = Counter()
-        self.won: Callable[[Life, Step], None] = lambda life, step: None  # told of each step carried out
-        self._troubles: dict[int | None, Trouble] = {}
+        self.on_commit: Callable[[Incarnation, Transaction], None] = lambda life, step: (
+            None
+        )  # told of each step carried out
+        self._faults: dict[int | None, LedgerFault] = {}
 
-    def trouble(self, what: Trouble | None, gateway: int | None = None) -> None:
+    def set_fault(self, fault: LedgerFault | None, gateway: int | None = None) -> None:
         """Puts a trouble on for one gateway (None: for all), or takes it off.
 
         `cut`: nothing gets to the ledger. `unheard`: all gets there, and no answer comes back.
         """
-        if what is None:
-            self._troubles.pop(gateway, None)
+        if fault is None:
+            self._faults.pop(gateway, None)
         else:
-            self._troubles[gateway] = what
+            self._faults[gateway] = fault
 
-    def trouble_of(self, gateway: int) -> Trouble | None:
-        return self._troubles.get(gateway, self._troubles.get(None))
+    def fault_of(self, gateway: int) -> LedgerFault | None:
+        return self._faults.get(gateway, self._faults.get(None))
 
     def delay(self, gateway: int) -> float:
-        slow = self.figures.slow_ms if self.trouble_of(gateway) == "slow" else 0.0
-        return between(self._rng, self.figures.one_way_ms) + slow
+        slow_ms = self.model.slow_extra_ms if self.fault_of(gateway) == "slow" else 0.0
+        return uniform(self._rng, self.model.one_way_ms) + slow_ms
 
-    def part(self) -> float:
+    def random_fraction(self) -> float:
         """Of a time, by chance."""
         return float(self._rng.random())
 
-    def begin(self, gateway: int) -> Life:
+    def begin_incarnation(self, gateway: int) -> Incarnation:
         """A new life of a gateway. Raises `LedgerError` where it gets none now."""
-        trouble = self.trouble_of(gateway)
-        if trouble not in (None, "slow"):
-            raise LedgerError(_SAYS.get(str(trouble), "ledger: it does not answer"))
+        fault = self.fault_of(gateway)
+        if fault not in (None, "slow"):
+            raise LedgerError(_FAULT_MESSAGES.get(str(fault), "ledger: it does not answer"))
         self.operations["begin"] += 1
-        return self.store.begin(f"g{gateway}", self.figures.term_ms)
+        return self.store.register(f"g{gateway}", self.model.lease_ms)
 
-    def died(self, life: Life) -> None:
-        if self.figures.one_machine:
-            self.store.dead.add(life)
+    def incarnation_ended(self, incarnation: Incarnation) -> None:
+        if self.model.single_host:
+            self.store.dead_incarnations.add(incarnation)
 
-    def commit(self, gateway: int, life: Life, group: Group) -> list[Committed]:
+    def commit(self, gateway: int, incarnation: Incarnation, group: CommitBatch) -> list[CommitCompleted]:
         """Carries a group out. Raises `LedgerError` where it can't."""
-        trouble = self.trouble_of(gateway)
-        if trouble in _WRITES_FAIL:
-            raise LedgerError(_SAYS[str(trouble)])
-        steps = group.steps
+        fault = self.fault_of(gateway)
+        if fault in _WRITE_FAULTS:
+            raise LedgerError(_FAULT_MESSAGES[str(fault)])
+        steps = group.transactions
         self.operations["groups"] += 1
         self.operations["steps"] += len(steps)
-        done = self.store.commit(life, steps)
-        for step, outcome in zip(steps, done, strict=True):
-            if outcome.how is How.WON:
-                self.won(life, step)
-        return group.answers(done)
+        results = self.store.commit(incarnation, steps)
+        for step, result in zip(steps, results, strict=True):
+            if result.outcome is TransactionOutcome.COMMITTED:
+                self.on_commit(incarnation, step)
+        return group.completions(results)
 
     def scan(self, gateway: int, prefix: str) -> tuple[Record, ...]:
         """Raises `LedgerError` where it can't be read."""
@@ -123,8 +125,8 @@
         return tuple(self.store.scan(prefix))
 
     def _check_read(self, gateway: int) -> None:
-        if self.trouble_of(gateway) == "gone":
-            raise LedgerError(_SAYS["gone"])
+        if self.fault_of(gateway) == "gone":
+            raise LedgerError(_FAULT_MESSAGES["gone"])
 
     def changes(
         self, gateway: int, after: int, prefixes: tuple[str, ...], watched: tuple[str, ...] | None
@@ -133,138 +135,151 @@
         self._check_read(gateway)
         self.operations["polls"] += 1
         changes = self.store.changes(after, prefixes, watched)
-        self.operations["read"] += len(changes.records) + len(changes.removed) + len(changes.members)
+        self.operations["read"] += len(changes.records) + len(changes.removed_keys) + len(changes.members)
         return changes
 
 
 @dataclass(slots=True)
-class _Trip:
+class _OutstandingCommit:
     """A group on its way to the ledger and back."""
 
-    group: Group
-    over: bool = False
-    answers: list[Committed] = field(default_factory=list)
+    group: CommitBatch
+    finished: bool = False
+    results: list[CommitCompleted] = field(default_factory=list)
 
 
-class Port:
+class LedgerPort:
     """One life's way to the ledger. Its gateway is told only while that life lives and is awake."""
 
     def __init__(
-        self, ledger: SharedLedger, gateway: Gateway, life: Life, watches: Callable[[], tuple[str, ...]]
+        self,
+        ledger: SharedLedger,
+        gateway: SimulatedGateway,
+        incarnation: Incarnation,
+        watched_prefixes: Callable[[], tuple[str, ...]],
     ) -> None:
-        self.ledger, self.life, self._gateway, self._watches = ledger, life, gateway, watches
+        self.ledger, self.incarnation, self._gateway, self._watched_prefixes = (
+            ledger,
+            incarnation,
+            gateway,
+            watched_prefixes,
+        )
         self._prefixes: tuple[str, ...] = ()
-        self.lost = False
-        self.watched: tuple[str, ...] | None = ()  # members whose renewals are told; None: all
-        self._groups = Groups()
-        self._trip: _Trip | None = None  # one at a time: the next group gathers meanwhile
+        self.disconnected = False
+        self.watched_members: tuple[str, ...] | None = ()  # members whose renewals are told; None: all
+        self._pending_commits = CommitQueue()
+        self._outstanding: _OutstandingCommit | None = None  # one at a time: the next group gathers meanwhile
         self._version = 0
         # Gateways do not look all at the same moment.
-        self._after(ledger.figures.poll_ms * ledger.part(), self._poll)
+        self._call_later(ledger.model.poll_ms * ledger.random_fraction(), self._poll)
 
-    def _after(self, delay_ms: float, call: Callable[[], None]) -> None:
-        self.ledger.clock.after(delay_ms, self._gateway.this_life(call))
+    def _call_later(self, delay_ms: float, callback: Callable[[], None]) -> None:
+        self.ledger.clock.call_later(delay_ms, self._gateway.in_this_incarnation(callback))
 
     # Steps
 
-    def ask(self, commit: Commit) -> None:
+    def commit(self, commit: Commit) -> None:
         """Commits go out together at the end of the turn, or when the group before them is answered."""
-        self._groups.add(commit)
-        if len(self._groups) == 1 and self._trip is None:
-            self._after(0.0, self._send)
+        self._pending_commits.add(commit)
+        if len(self._pending_commits) == 1 and self._outstanding is None:
+            self._call_later(0.0, self._send)
 
     def _send(self) -> None:
-        if self._trip is not None or self._gateway.stopped_at("commit", self._send):
+        if self._outstanding is not None or self._gateway.interrupted_at("commit", self._send):
             return
-        group = self._groups.take()
+        group = self._pending_commits.next_batch()
         if group is None:
             return
-        trip = self._trip = _Trip(group)
-        number, ledger = self._gateway.number, self.ledger
-        if ledger.trouble_of(number) != "cut":
+        commit = self._outstanding = _OutstandingCommit(group)
+        gateway_number, ledger = self._gateway.number, self.ledger
+        if ledger.fault_of(gateway_number) != "cut":
             # Also when the gateway is no more: what has left it is carried out.
-            ledger.clock.after(ledger.delay(number), lambda: self._carry_out(trip))
-        self._after(ledger.figures.wait_ms, lambda: self._give_up(trip))
+            ledger.clock.call_later(ledger.delay(gateway_number), lambda: self._apply(commit))
+        self._call_later(ledger.model.timeout_ms, lambda: self._timed_out(commit))
 
-    def _carry_out(self, trip: _Trip) -> None:
-        number, ledger = self._gateway.number, self.ledger
-        trouble = ""
+    def _apply(self, commit: _OutstandingCommit) -> None:
+        gateway_number, ledger = self._gateway.number, self.ledger
+        fault = ""
         try:
-            trip.answers = ledger.commit(number, self.life, trip.group)
+            commit.results = ledger.commit(gateway_number, self.incarnation, commit.group)
         except LedgerError as error:
-            trouble = str(error)
-        if ledger.trouble_of(number) != "unheard":
-            back = self._gateway.this_life(lambda: self._answered(trip, trouble))
-            ledger.clock.after(ledger.delay(number), back)
-        if self._gateway.alive and self._gateway.life == self.life:
-            self._gateway.world.failpoints.reached(self._gateway, "written")
-
-    def _answered(self, trip: _Trip, trouble: str) -> None:
-        if trip.over or self._gateway.stopped_at("told", lambda: self._answered(trip, trouble)):
+            fault = str(error)
+        if ledger.fault_of(gateway_number) != "unheard":
+            respond = self._gateway.in_this_incarnation(lambda: self._response_received(commit, fault))
+            ledger.clock.call_later(ledger.delay(gateway_number), respond)
+        if self._gateway.alive and self._gateway.incarnation == self.incarnation:
+            self._gateway.emulation.failpoints.reached(self._gateway, "written")
+
+    def _response_received(self, commit: _OutstandingCommit, fault: str) -> None:
+        if commit.finished or self._gateway.interrupted_at(
+            "told", lambda: self._response_received(commit, fault)
+        ):
             return
-        self._close(trip)
-        if trouble:
-            self._lose(trouble)
-        elif self.lost:
-            self.lost = False
-            self._gateway.tell(LedgerBack())
-        for answer in trip.group.unanswered() if trouble else trip.answers:
-            self._gateway.tell(answer)
-
-    def _give_up(self, trip: _Trip) -> None:
-        if trip.over:
+        self._finish(commit)
+        if fault:
+            self._report_lost(fault)
+        elif self.disconnected:
+            self.disconnected = False
+            self._gateway.dispatch(LedgerRecovered())
+        for result in commit.group.unknown_completions() if fault else commit.results:
+            self._gateway.dispatch(result)
+
+    def _timed_out(self, commit: _OutstandingCommit) -> None:
+        if commit.finished:
             return
-        self._close(trip)
-        self._lose("ledger: it does not answer")
-        for answer in trip.group.unanswered():
-            self._gateway.tell(answer)
+        self._finish(commit)
+        self._report_lost("ledger: it does not answer")
+        for result in commit.group.unknown_completions():
+            self._gateway.dispatch(result)
 
-    def _close(self, trip: _Trip) -> None:
-        trip.over, self._trip = True, None
-        if len(self._groups):
-            self._after(0.0, self._send)
+    def _finish(self, commit: _OutstandingCommit) -> None:
+        commit.finished, self._outstanding = True, None
+        if len(self._pending_commits):
+            self._call_later(0.0, self._send)
 
-    def _lose(self, why: str) -> None:
-        if not self.lost:
-            self.lost = True
-            self._gateway.tell(LedgerLost(why))
+    def _report_lost(self, reason: str) -> None:
+        if not self.disconnected:
+            self.disconnected = True
+            self._gateway.dispatch(LedgerUnavailable(reason))
 
     # What is there, and what changed
 
     def scan(self, action: Scan) -> None:
-        number, ledger = self._gateway.number, self.ledger
-        answer = Scanned(action.ticket, None, action.owner)
+        gateway_number, ledger = self._gateway.number, self.ledger
+        result = ScanCompleted(action.ticket, None, action.owner)
 
         def read() -> None:
-            nonlocal answer
+            nonlocal result
             with suppress(LedgerError):
-                answer = Scanned(action.ticket, ledger.scan(number, action.prefix), action.owner)
+                result = ScanCompleted(
+                    action.ticket, ledger.scan(gateway_number, action.prefix), action.owner
+                )
 
-        silent = ledger.trouble_of(number) in ("cut", "unheard")
-        if not silent:
-            self._after(ledger.delay(number), read)
-        wait = ledger.figures.wait_ms if silent else 2.0 * ledger.delay(number)
-        self._after(wait, lambda: self._gateway.tell(answer))
+        unreachable = ledger.fault_of(gateway_number) in ("cut", "unheard")
+        if not unreachable:
+            self._call_later(ledger.delay(gateway_number), read)
+        wait_ms = ledger.model.timeout_ms if unreachable else 2.0 * ledger.delay(gateway_number)
+        self._call_later(wait_ms, lambda: self._gateway.dispatch(result))
 
     def _poll(self) -> None:
-        number, ledger = self._gateway.number, self.ledger
-        if ledger.trouble_of(number) in ("cut", "unheard"):
-            self._after(ledger.figures.poll_ms, self._poll)
+        gateway_number, ledger = self._gateway.number, self.ledger
+        if ledger.fault_of(gateway_number) in ("cut", "unheard"):
+            self._call_later(ledger.model.poll_ms, self._poll)
         else:
-            began = ledger.clock.now
-            self._after(ledger.delay(number), lambda: self._look(began))
+            started_at = ledger.clock.now
+            self._call_later(ledger.delay(gateway_number), lambda: self._read_changes(started_at))
 
-    def _look(self, began: float) -> None:
+    def _read_changes(self, started_at: float) -> None:
         """The next look begins only once this one was told."""
-        number, ledger = self._gateway.number, self.ledger
-        prefixes = self._watches()
+        gateway_number, ledger = self._gateway.number, self.ledger
+        prefixes = self._watched_prefixes()
         if prefixes != self._prefixes:  # all there is under them is to be told
             self._prefixes, self._version = prefixes, 0
         try:
-            changes = ledger.changes(number, self._version, prefixes, self.watched)
+            changes = ledger.changes(gateway_number, self._version, prefixes, self.watched_members)
         except LedgerError as error:
-            self._lose(str(error))
+            self._report_lost(str(error))
         else:
             self._version = changes.version
-            self._gateway.tell(Changed(changes, began))
-        self._after(ledger.figures.poll_ms, self._poll)
+            self._gateway.dispatch(LedgerChanged(changes, started_at))
+        self._call_later(ledger.model.poll_ms, self._poll)
--- a/meadowpulley/emulator/machine.py
+++ b/meadowpulley/emulator/machine.py
@@ -15,12 +15,12 @@
 from enum import Enum
 from typing import Any
 
-from meadowpulley.fleet import Keys, Kind, RuleFigures
+from meadowpulley.fleet import KeyModel, MachineKind, RuleModel
 
 
-class Offer(Enum):
-    TAKEN = "taken"
-    FULL = "full"  # turned away: it never runs
+class OfferResult(Enum):
+    ACCEPTED = "taken"
+    REJECTED = "full"  # turned away: it never runs
     DOWN = "down"  # nobody is there
 
 
@@ -31,19 +31,19 @@
     number: int
     work_ms: float
     key: int = 0
-    until: float = math.inf
-    cls: int = 0
-    begun: float = math.inf
+    deadline: float = math.inf
+    class_index: int = 0
+    started_at: float = math.inf
     dropped: bool = False
     tag: Any = None  # the sender's own
-    due: float = field(default=math.inf)  # attained service at which it ends
+    finish_service: float = field(default=math.inf)  # attained service at which it ends
 
 
 @dataclass(frozen=True, slots=True)
-class Ended:
+class CompletedJob:
     job: Job
     at: float
-    ran: bool  # False: its time had passed before it could begin
+    executed: bool  # False: its time had passed before it could begin
 
 
 class Machine:
@@ -55,152 +55,161 @@
 
     def __init__(
         self,
-        kind: Kind,
-        rules: RuleFigures,
-        keys: Keys,
-        started: float,
+        kind: MachineKind,
+        rules: RuleModel,
+        keys: KeyModel,
+        started_at: float,
         speed: float = 1.0,
-        long_ago: bool = False,
+        warmed_up: bool = False,
     ) -> None:
         self.kind, self.rules, self.keys = kind, rules, keys
-        self.started, self.speed, self.long_ago = started, kind.speed * speed, long_ago
+        self.started_at, self.speed, self.warmed_up = started_at, kind.speed * speed, warmed_up
         self.slowness = 1.0  # times slower than it should be, by faults
-        self.draining = self.down = self.fell = self.frozen = False
-        self.lost: list[Job] = []  # what it held when it fell over
+        self.draining = self.down = self.overloaded = self.frozen = False
+        self.lost_jobs: list[Job] = []  # what it held when it fell over
         self.running: set[Job] = set()
-        self.waiting: deque[Job] = deque()
+        self.queued: deque[Job] = deque()
         self.connections = 0
-        self.busy_core_ms = self.done_work_ms = 0.0
-        self.most_waiting = 0
-        self._now = started
-        self._attained = 0.0  # standard-core milliseconds that each running request got since the start
-        self._ends: list[tuple[float, int, Job]] = []
-        self._ended: list[Ended] = []
-        self._sent: deque[tuple[float, float]] = deque()  # work offered lately, while cold
-        self._sent_work = 0.0
-        self._known: OrderedDict[int, float] = OrderedDict()  # keys, and when they were last met
+        self.busy_core_ms = self.completed_work_ms = 0.0
+        self.max_queued = 0
+        self._now = started_at
+        self._service_attained = (
+            0.0  # standard-core milliseconds that each running request got since the start
+        )
+        self._completions: list[tuple[float, int, Job]] = []
+        self._completed: list[CompletedJob] = []
+        self._recent_work: deque[tuple[float, float]] = deque()  # work offered lately, while cold
+        self._recent_work_ms = 0.0
+        self._remembered_keys: OrderedDict[int, float] = OrderedDict()  # keys, and when they were last met
 
     @property
-    def seen(self) -> float:
+    def advanced_to(self) -> float:
         """The moment up to which its work is known."""
         return self._now
 
     # Warm-up
 
-    def warmth(self, at: float) -> float:
+    def slow_start_fraction(self, at: float) -> float:
         """The part of its capacity that it has by then."""
-        if self.long_ago or at >= self.started + self.kind.cold_ms:
+        if self.warmed_up or at >= self.started_at + self.kind.slow_start_ms:
             return 1.0
-        age = max(at - self.started, 0.0)
-        return self.kind.cold_from + (1 - self.kind.cold_from) * age / self.kind.cold_ms
+        age = max(at - self.started_at, 0.0)
+        return self.kind.slow_start_from + (1 - self.kind.slow_start_from) * age / self.kind.slow_start_ms
 
-    def _warm_ms(self, start: float, end: float) -> float:
+    def _warm_equivalent_ms(self, start: float, end: float) -> float:
         """The integral of its warmth: linear until it is warm, one from then on."""
-        warm_at = -math.inf if self.long_ago else self.started + self.kind.cold_ms
-        cold_end = min(max(warm_at, start), end)
-        cold = (
-            (cold_end - start) * (self.warmth(start) + self.warmth(cold_end)) / 2 if cold_end > start else 0.0
+        warm_at = -math.inf if self.warmed_up else self.started_at + self.kind.slow_start_ms
+        slow_start_end = min(max(warm_at, start), end)
+        slow_start_ms = (
+            (slow_start_end - start)
+            * (self.slow_start_fraction(start) + self.slow_start_fraction(slow_start_end))
+            / 2
+            if slow_start_end > start
+            else 0.0
         )
-        return cold + end - cold_end
+        return slow_start_ms + end - slow_start_end
 
-    def _when_warm_ms(self, start: float, amount: float) -> float:
+    def _time_of_warm_equivalent(self, start: float, amount: float) -> float:
         """When the integral of its warmth from `start` on reaches `amount`: the inverse of `_warm_ms`."""
-        warm_at = -math.inf if self.long_ago else self.started + self.kind.cold_ms
+        warm_at = -math.inf if self.warmed_up else self.started_at + self.kind.slow_start_ms
         if start >= warm_at:
             return start + amount
-        cold = self._warm_ms(start, warm_at)
-        if amount >= cold:
-            return warm_at + amount - cold
-        slope, base = (1 - self.kind.cold_from) / self.kind.cold_ms, self.warmth(start)
+        slow_start_ms = self._warm_equivalent_ms(start, warm_at)
+        if amount >= slow_start_ms:
+            return warm_at + amount - slow_start_ms
+        slope, base = (
+            (1 - self.kind.slow_start_from) / self.kind.slow_start_ms,
+            self.slow_start_fraction(start),
+        )
         if slope <= 0:
             return start + amount / base
         return start + (math.sqrt(base * base + 2 * slope * amount) - base) / slope
 
     # Work
 
-    def _rate(self) -> float:
+    def _service_rate(self) -> float:
         """Standard-core milliseconds that each running request attains in a warm millisecond."""
-        n, cores = len(self.running), self.kind.cores
-        if not n or self.frozen:
+        running, cores = len(self.running), self.kind.cores
+        if not running or self.frozen:
             return 0.0
-        crowd = max(n / cores - self.kind.thrash_at, 0.0)
-        return self.speed / self.slowness * min(1.0, cores / n) / (1.0 + self.kind.thrash * crowd)
+        crowding = max(running / cores - self.kind.thrash_at, 0.0)
+        return self.speed / self.slowness * min(1.0, cores / running) / (1.0 + self.kind.thrash * crowding)
 
-    def _pass(self, until: float) -> None:
+    def _serve_until(self, until: float) -> None:
         if until <= self._now:
             return
-        rate, n = self._rate(), len(self.running)
+        rate, running = self._service_rate(), len(self.running)
         if rate > 0:
-            gained = rate * self._warm_ms(self._now, until)
-            self._attained += gained
-            self.done_work_ms += gained * n
-            self.busy_core_ms += min(n, self.kind.cores) * (until - self._now)
+            gained = rate * self._warm_equivalent_ms(self._now, until)
+            self._service_attained += gained
+            self.completed_work_ms += gained * running
+            self.busy_core_ms += min(running, self.kind.cores) * (until - self._now)
         self._now = until
 
-    def _next_end(self) -> float:
-        while self._ends and self._ends[0][2].dropped:
-            heapq.heappop(self._ends)
-        rate = self._rate()
-        if not self._ends or rate <= 0:
+    def _next_completion(self) -> float:
+        while self._completions and self._completions[0][2].dropped:
+            heapq.heappop(self._completions)
+        rate = self._service_rate()
+        if not self._completions or rate <= 0:
             return math.inf
-        left = max(self._ends[0][0] - self._attained, 0.0)
-        return max(self._when_warm_ms(self._now, left / rate), self._now)
+        remaining = max(self._completions[0][0] - self._service_attained, 0.0)
+        return max(self._time_of_warm_equivalent(self._now, remaining / rate), self._now)
 
-    def next_at(self) -> float:
+    def next_event_at(self) -> float:
         """When the next request ends if nothing else comes; infinity when none runs."""
-        return self._now if self._ended else self._next_end()
+        return self._now if self._completed else self._next_completion()
 
-    def advance(self, now: float) -> list[Ended]:
+    def advance(self, now: float) -> list[CompletedJob]:
         """What ended up to `now`, in order."""
-        while (end := self._next_end()) <= now:
-            self._pass(end)
-            _, _, job = heapq.heappop(self._ends)
+        while (end := self._next_completion()) <= now:
+            self._serve_until(end)
+            _, _, job = heapq.heappop(self._completions)
             self.running.discard(job)
-            self._ended.append(Ended(job, end, True))
-            self._fill()
-        self._pass(now)
-        ended, self._ended = self._ended, []
-        return ended
-
-    def _fill(self) -> None:
-        while self.waiting and len(self.running) < self.kind.slots:
-            job = self.waiting.popleft()
+            self._completed.append(CompletedJob(job, end, True))
+            self._start_queued()
+        self._serve_until(now)
+        completed, self._completed = self._completed, []
+        return completed
+
+    def _start_queued(self) -> None:
+        while self.queued and len(self.running) < self.kind.slots:
+            job = self.queued.popleft()
             if job.dropped:
                 continue
-            if self.kind.drops_expired and self._now > job.until:
-                self._ended.append(Ended(job, self._now, False))
+            if self.kind.drops_expired and self._now > job.deadline:
+                self._completed.append(CompletedJob(job, self._now, False))
                 continue
-            self._begin(job)
+            self._start(job)
 
-    def _begin(self, job: Job) -> None:
+    def _start(self, job: Job) -> None:
         work = job.work_ms
         if job.key and self.keys.memory_ms:
-            met = self._known.get(job.key, -math.inf)
-            if self._now - met <= self.keys.memory_ms:
-                work *= 1 - self.keys.gain
-            self._known[job.key] = self._now
-            self._known.move_to_end(job.key)
-            if len(self._known) > self.keys.most:
-                self._known.popitem(last=False)
-        job.begun, job.due = self._now, self._attained + work
+            last_seen = self._remembered_keys.get(job.key, -math.inf)
+            if self._now - last_seen <= self.keys.memory_ms:
+                work *= 1 - self.keys.work_saved
+            self._remembered_keys[job.key] = self._now
+            self._remembered_keys.move_to_end(job.key)
+            if len(self._remembered_keys) > self.keys.max_remembered:
+                self._remembered_keys.popitem(last=False)
+        job.started_at, job.finish_service = self._now, self._service_attained + work
         self.running.add(job)
-        heapq.heappush(self._ends, (job.due, job.number, job))
+        heapq.heappush(self._completions, (job.finish_service, job.number, job))
 
-    def offer(self, now: float, job: Job) -> Offer:
+    def offer(self, now: float, job: Job) -> OfferResult:
         """A request comes; call `advance(now)` first."""
         if self.down:
-            return Offer.DOWN
-        self._watch_cold(now, job.work_ms)
+            return OfferResult.DOWN
+        self._check_overload(now, job.work_ms)
         if self.down:
-            return Offer.DOWN
-        if self.draining or (len(self.running) >= self.kind.slots and len(self.waiting) >= self.kind.queue):
-            return Offer.FULL
-        if len(self.running) < self.kind.slots and not self.waiting:
-            self._begin(job)
+            return OfferResult.DOWN
+        if self.draining or (len(self.running) >= self.kind.slots and len(self.queued) >= self.kind.queue):
+            return OfferResult.REJECTED
+        if len(self.running) < self.kind.slots and not self.queued:
+            self._start(job)
         else:
-            self.waiting.append(job)
-            self.most_waiting = max(self.most_waiting, len(self.waiting))
-        return Offer.TAKEN
+            self.queued.append(job)
+            self.max_queued = max(self.max_queued, len(self.queued))
+        return OfferResult.ACCEPTED
 
     def cancel(self, now: float, job: Job) -> bool:
         """Its sender no longer wants it; whether it is dropped. Call `advance(now)` first."""
@@ -209,10 +218,10 @@
                 return False
             self.running.discard(job)
             job.dropped = True
-            self._fill()
+            self._start_queued()
             return True
-        if self.kind.cancels_waiting and job in self.waiting:
-            self.waiting.remove(job)
+        if self.kind.cancels_waiting and job in self.queued:
+            self.queued.remove(job)
             job.dropped = True
             return True
         return False
@@ -231,31 +240,31 @@
     def stop(self) -> list[Job]:
         """It dies: what it held is lost with it."""
         self.down = True
-        held = [j for j in [*self.running, *self.waiting] if not j.dropped]
-        for job in held:
+        lost = [j for j in [*self.running, *self.queued] if not j.dropped]
+        for job in lost:
             job.dropped = True
         self.running.clear()
-        self.waiting.clear()
-        self._ends.clear()
-        return sorted(held, key=lambda j: j.number)
+        self.queued.clear()
+        self._completions.clear()
+        return sorted(lost, key=lambda j: j.number)
 
     # Falling over
 
-    def _watch_cold(self, now: float, work_ms: float) -> None:
+    def _check_overload(self, now: float, work_ms: float) -> None:
         """Cold, and sent more than a multiple of what it can do at that moment for a time: it falls over."""
-        span = self.rules.fall_ms
-        if self.long_ago or now >= self.started + self.kind.cold_ms + span:
+        window_ms = self.rules.overload_window_ms
+        if self.warmed_up or now >= self.started_at + self.kind.slow_start_ms + window_ms:
             return
-        self._sent.append((now, work_ms))
-        self._sent_work += work_ms
-        while self._sent[0][0] < now - span:
-            self._sent_work -= self._sent.popleft()[1]
-        able = self.kind.cores * self.speed * self._able_ms(now - span, now)
-        if self._sent_work > self.rules.fall_multiple * able:
-            self.fell = True
-            self.lost = self.stop()
-
-    def _able_ms(self, start: float, end: float) -> float:
+        self._recent_work.append((now, work_ms))
+        self._recent_work_ms += work_ms
+        while self._recent_work[0][0] < now - window_ms:
+            self._recent_work_ms -= self._recent_work.popleft()[1]
+        capacity_ms = self.kind.cores * self.speed * self._capacity_equivalent_ms(now - window_ms, now)
+        if self._recent_work_ms > self.rules.overload_multiple * capacity_ms:
+            self.overloaded = True
+            self.lost_jobs = self.stop()
+
+    def _capacity_equivalent_ms(self, start: float, end: float) -> float:
         """Warm milliseconds between the two; before its start it counts as it was at its start."""
-        before = max(min(self.started, end) - start, 0.0) * self.kind.cold_from
-        return before + self._warm_ms(max(start, self.started), end)
+        before_start = max(min(self.started_at, end) - start, 0.0) * self.kind.slow_start_from
+        return before_start + self._warm_equivalent_ms(max(start, self.started_at), end)
--- a/meadowpulley/emulator/network.py
+++ b/meadowpulley/emulator/network.py
@@ -4,36 +4,44 @@
 
 import numpy as np
 
-from meadowpulley.emulator.clock import between
-from meadowpulley.fleet import Network as Figures
+from meadowpulley.emulator.clock import uniform
+from meadowpulley.fleet import NetworkModel as Figures
 
 
-class Network:
+class SimulatedNetwork:
     """One-way times in milliseconds; a site that is cut off says nothing to any other and hears nothing."""
 
-    def __init__(self, figures: Figures, rng: np.random.Generator) -> None:
-        self.figures, self._rng = figures, rng
-        self.cut: set[int] = set()
-        self.peers_lost = 0.0  # share of datagrams lost on top of the usual
+    def __init__(self, model: Figures, rng: np.random.Generator) -> None:
+        self.model, self._rng = model, rng
+        self.partitioned_sites: set[int] = set()
+        self.extra_gossip_loss = 0.0  # share of datagrams lost on top of the usual
 
-    def reaches(self, a: int, b: int) -> bool:
-        return a == b or not (a in self.cut or b in self.cut)
+    def reachable(self, source: int, destination: int) -> bool:
+        return source == destination or not (
+            source in self.partitioned_sites or destination in self.partitioned_sites
+        )
 
-    def _spread(self, mean: float) -> float:
-        return mean * (1 + self.figures.jitter * float(self._rng.standard_exponential()))
+    def _with_jitter(self, mean_ms: float) -> float:
+        return mean_ms * (1 + self.model.jitter * float(self._rng.standard_exponential()))
 
-    def one_way(self, a: int, b: int) -> float:
-        return self._spread(self.figures.same_site_ms if a == b else self.figures.cross_site_ms)
+    def one_way(self, source: int, destination: int) -> float:
+        return self._with_jitter(
+            self.model.same_site_ms if source == destination else self.model.cross_site_ms
+        )
 
-    def handshake(self, a: int, b: int) -> float:
+    def handshake(self, source: int, destination: int) -> float:
         """What a new connection adds to the first request on it."""
-        mean = self.figures.same_site_ms if a == b else self.figures.cross_site_ms
-        return self._spread(2 * mean * self.figures.handshakes)
+        mean_ms = self.model.same_site_ms if source == destination else self.model.cross_site_ms
+        return self._with_jitter(2 * mean_ms * self.model.handshakes)
 
-    def client(self) -> float:
-        return self._spread(self.figures.client_ms)
+    def client_one_way(self) -> float:
+        return self._with_jitter(self.model.client_ms)
 
-    def datagram(self, a: int, b: int) -> float | None:
+    def gossip_delay(self, source: int, destination: int) -> float | None:
         """How long a datagram between gateways takes; None when it is lost."""
-        lost = self._rng.random() < max(self.figures.peer_loss, self.peers_lost)
-        return None if lost or not self.reaches(a, b) else between(self._rng, self.figures.peer_ms)
+        lost = self._rng.random() < max(self.model.gossip_loss, self.extra_gossip_loss)
+        return (
+            None
+            if lost or not self.reachable(source, destination)
+            else uniform(self._rng, self.model.gossip_delay_ms)
+        )
--- a/meadowpulley/emulator/platform.py
+++ b/meadowpulley/emulator/platform.py
@@ -11,27 +11,27 @@
 import numpy as np
 
 from meadowpulley.emulator.builds import Build
-from meadowpulley.emulator.clock import Timeline, between
+from meadowpulley.emulator.clock import Timeline, uniform
 from meadowpulley.fleet import RolloutModel
 from meadowpulley.interface import Phase, Result, RolloutUpdate, Verdict, Vote
 
 
-class Servers(Protocol):
+class ServerControl(Protocol):
     """What the platform can do with the servers."""
 
-    def start(self, build: Build, count: int, replacing: bool) -> None:
+    def start_servers(self, build: Build, count: int, replacing: bool) -> None:
         """Starts so many servers of a build; where replacing, each drains one of an earlier build once it is
         up."""
 
-    def drain(self, numbers: Callable[[int], bool]) -> None:
+    def drain_builds(self, matches: Callable[[int], bool]) -> None:
         """Drains all servers whose build's number is meant."""
 
-    def up(self, build: int) -> int:
+    def serving_count(self, build: int) -> int:
         """How many servers of a build run."""
 
 
 @dataclass(frozen=True, slots=True)
-class Stand:
+class RolloutState:
     """Where a build stood since a moment (milliseconds)."""
 
     build: int
@@ -41,209 +41,227 @@
     since: float
 
 
-class Platform:
+class RolloutPlatform:
     """`tell(gateway, news)` reaches a gateway; `servers` are what it acts on; `size` is a full fleet."""
 
     def __init__(
         self,
         clock: Timeline,
         rng: np.random.Generator,
-        figures: RolloutModel,
-        size: int,
-        first: Build,
-        servers: Servers,
-        tell: Callable[[int, RolloutUpdate], None],
+        model: RolloutModel,
+        server_count: int,
+        first_build: Build,
+        servers: ServerControl,
+        notify: Callable[[int, RolloutUpdate], None],
     ) -> None:
-        self._clock, self._rng, self.figures, self.size = clock, rng, figures, size
-        self._servers, self._tell_gateway = servers, tell
-        last = len(figures.stages) - 1
-        self.stand = Stand(first.number, last, Phase.RELEASED, 1.0, -math.inf)
-        self.history: list[Stand] = []
-        self.down = False
-        self.late_ms = 0.0
+        self._clock, self._rng, self.model, self.server_count = clock, rng, model, server_count
+        self._servers, self._notify_gateway = servers, notify
+        last_stage = len(model.stages) - 1
+        self.state = RolloutState(first_build.number, last_stage, Phase.RELEASED, 1.0, -math.inf)
+        self.history: list[RolloutState] = []
+        self.unavailable = False
+        self.extra_delay_ms = 0.0
         self.gateways: set[int] = set()  # those that follow its news
-        self._build, self._before = first, first  # the newest, and the one that was in service before it
+        self._newest_build, self._previous_build = (
+            first_build,
+            first_build,
+        )  # the newest, and the one that was in service before it
         self._votes: dict[int, tuple[Verdict, int, int, float]] = {}  # verdict, build, stage, until
-        self._calls: list[float] = []
-        self._told_at: dict[int, float] = {}
-        self._waiting: Build | None = None
-        clock.after(figures.news_period_ms, self._renew)
+        self._recent_calls: list[float] = []
+        self._last_delivery_at: dict[int, float] = {}
+        self._pending_build: Build | None = None
+        clock.call_later(model.update_period_ms, self._broadcast_periodically)
 
     # Stages
 
     def offer(self, build: Build) -> None:
         """The pipeline brings a new build; one still on trial is taken off first."""
-        if self.down:
-            self._waiting = build
+        if self.unavailable:
+            self._pending_build = build
             return
-        if self.stand.phase is Phase.TRIAL:
-            old = self.stand.build
-            self._servers.drain(lambda number: number == old)
-        elif self.stand.phase is Phase.RELEASED:
-            self._before = self._build
-        self._build = build
+        if self.state.phase is Phase.TRIAL:
+            previous = self.state.build
+            self._servers.drain_builds(lambda number: number == previous)
+        elif self.state.phase is Phase.RELEASED:
+            self._previous_build = self._newest_build
+        self._newest_build = build
         self._votes.clear()
-        self._move(0, Phase.TRIAL, self.figures.caps[0])
-        self._grow(0)
+        self._transition(0, Phase.TRIAL, self.model.caps[0])
+        self._start_stage(0)
 
-    def _grow(self, stage: int) -> None:
-        share = self.figures.stages[stage]
-        wanted = math.ceil(share * self.size) - (
-            math.ceil(self.figures.stages[stage - 1] * self.size) if stage else 0
+    def _start_stage(self, stage: int) -> None:
+        share = self.model.stages[stage]
+        count = math.ceil(share * self.server_count) - (
+            math.ceil(self.model.stages[stage - 1] * self.server_count) if stage else 0
         )
-        self._servers.start(self._build, wanted, self.figures.style == "in_place")
-        if self.figures.gate == "timer":
-            self._clock.after(self.figures.stage_time_ms, self.consider)
+        self._servers.start_servers(self._newest_build, count, self.model.style == "in_place")
+        if self.model.gate == "timer":
+            self._clock.call_later(self.model.stage_time_ms, self.evaluate)
 
-    def _move(self, stage: int, phase: Phase, cap: float) -> None:
-        self.stand = Stand(self._build.number, stage, phase, cap, self._clock.now)
-        self.history.append(self.stand)
+    def _transition(self, stage: int, phase: Phase, cap: float) -> None:
+        self.state = RolloutState(self._newest_build.number, stage, phase, cap, self._clock.now)
+        self.history.append(self.state)
         for gateway in sorted(self.gateways):
-            self._tell_soon(gateway)
+            self._notify_later(gateway)
 
-    def _go_on(self) -> None:
-        stage = self.stand.stage + 1
-        if stage < len(self.figures.stages):
-            self._move(stage, Phase.TRIAL, self.figures.caps[stage])
-            self._grow(stage)
+    def _advance(self) -> None:
+        stage = self.state.stage + 1
+        if stage < len(self.model.stages):
+            self._transition(stage, Phase.TRIAL, self.model.caps[stage])
+            self._start_stage(stage)
             return
-        newest = self._build.number
-        self._move(stage - 1, Phase.RELEASED, 1.0)
-        self._servers.drain(lambda number: number < newest)
-
-    def _go_back(self) -> None:
-        bad, earlier = self._build.number, self._before
-        lacking = self.size - self._servers.up(earlier.number)
-        released = self.stand.phase is Phase.RELEASED or self.figures.style == "in_place"
+        newest = self._newest_build.number
+        self._transition(stage - 1, Phase.RELEASED, 1.0)
+        self._servers.drain_builds(lambda number: number < newest)
+
+    def _roll_back(self) -> None:
+        faulty, previous = self._newest_build.number, self._previous_build
+        missing = self.server_count - self._servers.serving_count(previous.number)
+        released = self.state.phase is Phase.RELEASED or self.model.style == "in_place"
         self._votes.clear()
-        if released and lacking > 0:
-            self._move(self.stand.stage, Phase.ROLLING_BACK, self.stand.cap)
-            self._servers.start(earlier, lacking, False)
-            self._clock.after(self.figures.boot_ms[1], lambda: self._empty(bad))
+        if released and missing > 0:
+            self._transition(self.state.stage, Phase.ROLLING_BACK, self.state.cap)
+            self._servers.start_servers(previous, missing, False)
+            self._clock.call_later(self.model.boot_ms[1], lambda: self._drain_faulty(faulty))
         else:
-            self._empty(bad)
+            self._drain_faulty(faulty)
 
-    def _empty(self, bad: int) -> None:
-        if self.stand.build != bad:
+    def _drain_faulty(self, faulty: int) -> None:
+        if self.state.build != faulty:
             return
-        self._move(self.stand.stage, Phase.ROLLING_BACK, 0.0)
-        self._servers.drain(lambda number: number == bad)
-        self._clock.after(self.figures.drain_ms, lambda: self._withdraw(bad))
+        self._transition(self.state.stage, Phase.ROLLING_BACK, 0.0)
+        self._servers.drain_builds(lambda number: number == faulty)
+        self._clock.call_later(self.model.drain_ms, lambda: self._finish_rollback(faulty))
 
-    def _withdraw(self, bad: int) -> None:
-        if self.stand.build == bad:
-            self._move(self.stand.stage, Phase.ROLLED_BACK, 0.0)
+    def _finish_rollback(self, faulty: int) -> None:
+        if self.state.build == faulty:
+            self._transition(self.state.stage, Phase.ROLLED_BACK, 0.0)
 
     # Votes
 
     def vote(self, gateway: int, vote: Vote) -> None:
         """A vote has arrived. Its answer, if one comes, comes as news that answers it."""
-        if self.down:
+        if self.unavailable:
             if self._rng.random() < 0.5:  # nobody is told, but it counts
-                self._count(gateway, vote)
+                self._count_vote(gateway, vote)
             return
         now = self._clock.now
-        self._calls = [at for at in self._calls if at > now - 1000.0]
-        if len(self._calls) >= self.figures.votes_per_s:
-            self._answer(gateway, Result.REJECTED)
+        self._recent_calls = [at for at in self._recent_calls if at > now - 1000.0]
+        if len(self._recent_calls) >= self.model.votes_per_s:
+            self._reply_to_vote(gateway, Result.REJECTED)
             return
-        self._calls.append(now)
-        self._answer(gateway, self._count(gateway, vote))
+        self._recent_calls.append(now)
+        self._reply_to_vote(gateway, self._count_vote(gateway, vote))
 
-    def _count(self, gateway: int, vote: Vote) -> Result:
-        stand = self.stand
+    def _count_vote(self, gateway: int, vote: Vote) -> Result:
+        state = self.state
         staged = vote.verdict in (Verdict.ADVANCE, Verdict.HOLD)
-        fits = vote.build == stand.build and (not staged or vote.stage == stand.stage)
-        if not fits or stand.phase not in (Phase.TRIAL, Phase.RELEASED):
+        fits = vote.build == state.build and (not staged or vote.stage == state.stage)
+        if not fits or state.phase not in (Phase.TRIAL, Phase.RELEASED):
             return Result.NOT_SENT
         self._votes[gateway] = (
             vote.verdict,
             vote.build,
             vote.stage,
-            self._clock.now + self.figures.vote_life_ms,
+            self._clock.now + self.model.vote_ttl_ms,
         )
-        self.consider()
+        self.evaluate()
         return Result.OK
 
-    def _standing(self, verdict: Verdict) -> int:
-        now, stand = self._clock.now, self.stand
+    def _valid_votes(self, verdict: Verdict) -> int:
+        now, state = self._clock.now, self.state
         staged = verdict in (Verdict.ADVANCE, Verdict.HOLD)
         return sum(
-            v is verdict and build == stand.build and (not staged or stage == stand.stage) and until >= now
+            v is verdict and build == state.build and (not staged or stage == state.stage) and until >= now
             for v, build, stage, until in self._votes.values()
         )
 
-    def consider(self) -> None:
+    def evaluate(self) -> None:
         """Whether the votes that stand, or the clock, move the build."""
-        stand, roll, now = self.stand, self.figures, self._clock.now
-        if self.down or stand.phase not in (Phase.TRIAL, Phase.RELEASED):
+        state, model, now = self.state, self.model, self._clock.now
+        if self.unavailable or state.phase not in (Phase.TRIAL, Phase.RELEASED):
             return
-        if self._standing(Verdict.ROLL_BACK) >= roll.back_votes and self._before is not self._build:
-            self._go_back()
+        if (
+            self._valid_votes(Verdict.ROLL_BACK) >= model.rollback_votes
+            and self._previous_build is not self._newest_build
+        ):
+            self._roll_back()
             return
-        if stand.phase is not Phase.TRIAL:
+        if state.phase is not Phase.TRIAL:
             return
-        ready_at = stand.since + roll.soak_ms
-        if roll.gate == "timer":
-            over = now >= stand.since + roll.stage_time_ms
-            if over and not (roll.hold_votes and self._standing(Verdict.HOLD) >= roll.hold_votes):
-                self._go_on()
-            elif over:
-                self._clock.after(500.0, self.consider)
-        elif self._standing(Verdict.ADVANCE) >= roll.on_votes:
+        ready_at = state.since + model.soak_ms
+        if model.gate == "timer":
+            stage_time_over = now >= state.since + model.stage_time_ms
+            if stage_time_over and not (
+                model.hold_votes and self._valid_votes(Verdict.HOLD) >= model.hold_votes
+            ):
+                self._advance()
+            elif stage_time_over:
+                self._clock.call_later(500.0, self.evaluate)
+        elif self._valid_votes(Verdict.ADVANCE) >= model.advance_votes:
             if now >= ready_at:
-                self._go_on()
+                self._advance()
             else:
-                self._clock.at(ready_at, self.consider)
+                self._clock.call_at(ready_at, self.evaluate)
 
     # News
 
-    def follow(self, gateway: int) -> None:
+    def subscribe(self, gateway: int) -> None:
         self.gateways.add(gateway)
 
-    def forget(self, gateway: int) -> None:
+    def unsubscribe(self, gateway: int) -> None:
         self.gateways.discard(gateway)
         self._votes.pop(gateway, None)
 
-    def news(self, result: Result = Result.OK, answers: bool = False) -> RolloutUpdate:
+    def current_update(self, result: Result = Result.OK, is_vote_reply: bool = False) -> RolloutUpdate:
         """Where the newest build stands at this moment."""
-        s = self.stand
-        age = min(self._clock.now - s.since, 3_600_000.0)
-        return RolloutUpdate(s.build, s.stage, s.phase, s.cap, age, result, answers)
-
-    def _answer(self, gateway: int, result: Result) -> None:
-        self._tell(gateway, between(self._rng, self.figures.call_ms), self.news(result, True))
-
-    def _tell_soon(self, gateway: int) -> None:
-        self._tell(gateway, between(self._rng, self.figures.told_late_ms) + self.late_ms, self.news())
+        state = self.state
+        age_ms = min(self._clock.now - state.since, 3_600_000.0)
+        return RolloutUpdate(state.build, state.stage, state.phase, state.cap, age_ms, result, is_vote_reply)
+
+    def _reply_to_vote(self, gateway: int, result: Result) -> None:
+        self._deliver(gateway, uniform(self._rng, self.model.call_ms), self.current_update(result, True))
+
+    def _notify_later(self, gateway: int) -> None:
+        self._deliver(
+            gateway,
+            uniform(self._rng, self.model.update_delay_ms) + self.extra_delay_ms,
+            self.current_update(),
+        )
 
-    def _tell(self, gateway: int, delay: float, news: RolloutUpdate) -> None:
+    def _deliver(self, gateway: int, delay_ms: float, update: RolloutUpdate) -> None:
         """In order for each gateway: news is not overtaken by older news."""
-        when = max(self._clock.now + delay, self._told_at.get(gateway, 0.0))
-        self._told_at[gateway] = when
-        sent = self._clock.now
+        when = max(self._clock.now + delay_ms, self._last_delivery_at.get(gateway, 0.0))
+        self._last_delivery_at[gateway] = when
+        sent_at = self._clock.now
 
         def arrive() -> None:
-            age = news.age_ms + self._clock.now - sent
-            late = RolloutUpdate(
-                news.build, news.stage, news.phase, news.cap, age, news.result, news.is_vote_reply
+            age_ms = update.age_ms + self._clock.now - sent_at
+            delivered = RolloutUpdate(
+                update.build,
+                update.stage,
+                update.phase,
+                update.cap,
+                age_ms,
+                update.result,
+                update.is_vote_reply,
             )
-            self._tell_gateway(gateway, late)
+            self._notify_gateway(gateway, delivered)
 
-        self._clock.at(when, arrive)
+        self._clock.call_at(when, arrive)
 
-    def _renew(self) -> None:
-        if not self.down:
+    def _broadcast_periodically(self) -> None:
+        if not self.unavailable:
             for gateway in sorted(self.gateways):
-                self._tell_soon(gateway)
-        self._clock.after(self.figures.news_period_ms, self._renew)
-
-    def go_down(self) -> None:
-        self.down = True
-
-    def come_back(self) -> None:
-        self.down = False
-        waiting, self._waiting = self._waiting, None
-        if waiting is not None:
-            self.offer(waiting)
-        self.consider()
+                self._notify_later(gateway)
+        self._clock.call_later(self.model.update_period_ms, self._broadcast_periodically)
+
+    def fail(self) -> None:
+        self.unavailable = True
+
+    def recover(self) -> None:
+        self.unavailable = False
+        pending, self._pending_build = self._pending_build, None
+        if pending is not None:
+            self.offer(pending)
+        self.evaluate()
--- a/meadowpulley/emulator/results.py
+++ b/meadowpulley/emulator/results.py
@@ -3,22 +3,23 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from hdrh.histogram import HdrHistogram
+from msgspec import Struct, field as json_field, to_builtins
 
 from meadowpulley.fleet import Fleet
 
 if TYPE_CHECKING:
-    from meadowpulley.emulator.clients import Ask
+    from meadowpulley.emulator.clients import ClientCall
 
-LONGEST_US = 600_000_000
+MAX_LATENCY_US = 600_000_000
 
 
 def new_histogram() -> HdrHistogram:
     """Latencies in microseconds, three digits, up to ten minutes."""
-    return HdrHistogram(1, LONGEST_US, 3)
+    return HdrHistogram(1, MAX_LATENCY_US, 3)
 
 
 @dataclass(slots=True)
@@ -26,24 +27,24 @@
     """One class of requests: counts of asks (a client's retries belong to its first try), and their worth."""
 
     name: str
-    asked: int = 0
-    in_aim: int = 0
+    calls: int = 0
+    within_objective: int = 0
     late: int = 0
-    refused: int = 0
+    rejected: int = 0
     failed: int = 0
     retries: int = 0
     unanswered: int = 0
-    worth_asked: float = 0.0
-    worth_got: float = 0.0
+    weight_offered: float = 0.0
+    weight_served: float = 0.0
     latency: HdrHistogram = field(default_factory=new_histogram)
 
     @property
     def served(self) -> int:
-        return self.in_aim + self.late
+        return self.within_objective + self.late
 
     @property
-    def worth_share(self) -> float:
-        return self.worth_got / self.worth_asked if self.worth_asked else 1.0
+    def served_weight_share(self) -> float:
+        return self.weight_served / self.weight_offered if self.weight_offered else 1.0
 
     def latency_ms(self, percentile: float) -> float:
         """Of served asks, from the client's first sending; 0 when none was served."""
@@ -54,66 +55,65 @@
     def table(self) -> dict[str, Any]:
         return {
             "class": self.name,
-            "asked": self.asked,
-            "in_aim": self.in_aim,
+            "asked": self.calls,
+            "in_aim": self.within_objective,
             "late": self.late,
-            "refused": self.refused,
+            "refused": self.rejected,
             "failed": self.failed,
             "retries": self.retries,
             "unanswered": self.unanswered,
-            "worth_share": round(self.worth_share, 6),
+            "worth_share": round(self.served_weight_share, 6),
             "p50_ms": self.latency_ms(50),
             "p90_ms": self.latency_ms(90),
             "p99_ms": self.latency_ms(99),
         }
 
 
-@dataclass(slots=True)
-class ServerResult:
-    """One start of one server. `busy` is the share of its core time that was in use while it was up."""
+class ServerResult(Struct):
+    """One start of one server. `utilisation` is the share of its core time in use while it was up."""
 
     server: int
     site: str
     kind: str
     build: int
     up_ms: float
-    busy: float
+    utilisation: float = json_field(name="busy")
     served: int
-    turned_away: int
-    most_waiting: int
-    fell: bool
+    rejected: int = json_field(name="turned_away")
+    max_queued: int = json_field(name="most_waiting")
+    overloaded: bool = json_field(name="fell")
 
 
-@dataclass(slots=True)
-class GatewayResult:
+class GatewayResult(Struct):
+    """Figures of one gateway over a run."""
+
     gateway: int
     site: str
     requests: int
     attempts: int
-    busy: float
-    most_open: int  # instance connections
-    most_held: int  # requests
+    utilisation: float = json_field(name="busy")
+    max_open_connections: int = json_field(name="most_open")  # connections to servers
+    max_in_flight: int = json_field(name="most_held")  # requests
 
 
-@dataclass(slots=True)
-class Second:
-    """One second of the run, by when the client first asked (asks) and when it ended (the rest)."""
+class SecondResult(Struct):
+    """One second of a run, by the first request of a call and, for attempts, by their sending."""
 
-    asked: int = 0
-    in_aim: int = 0
+    calls: int = json_field(default=0, name="asked")
+    within_objective: int = json_field(default=0, name="in_aim")
     late: int = 0
-    refused: int = 0
+    rejected: int = json_field(default=0, name="refused")
     failed: int = 0
-    worth_asked: float = 0.0
-    worth_got: float = 0.0
-    busy: float = 0.0  # of all servers that were up
+    weight_offered: float = json_field(default=0.0, name="worth_asked")
+    weight_served: float = json_field(default=0.0, name="worth_got")
+    utilisation: float = json_field(default=0.0, name="busy")  # of all servers that were running
     stage: int = 0
     phase: str = ""
     build: int = 0
-    sent: list[int] = field(default_factory=list)  # attempts, by the site of the server they went to
+    attempts_by_site: list[int] = json_field(default_factory=list, name="sent")  # by the site of their server
 
 
-class Result:
+class EmulationResult:
     """Fills while a run goes on. Times are milliseconds; worth is as the fleet's classes have it. Asks that
     began before `from_ms` count in no class, only by the second."""
 
@@ -121,66 +121,74 @@
         self.fleet, self.from_ms = fleet, from_ms
         self.classes = [ClassResult(c.name) for c in fleet.classes]
         self._uncounted = ClassResult("")
-        self.seconds: list[Second] = []
+        self.seconds: list[SecondResult] = []
         self.servers: list[ServerResult] = []
         self.gateways: list[GatewayResult] = []
         self.events: list[tuple[float, str]] = []
-        self.breaches: list[str] = []
-        self.broken: Counter[str] = Counter()
-        self.lasted_ms = 0.0
-        self.used_ms = self.there_ms = 0.0  # core time in the measured span
+        self.violations: list[str] = []
+        self.violation_counts: Counter[str] = Counter()
+        self.elapsed_ms = 0.0
+        self.used_core_ms = self.available_core_ms = 0.0  # core time in the measured span
 
-    def second(self, at: float) -> Second:
-        n = int(at // 1000)
-        while len(self.seconds) <= n:
-            self.seconds.append(Second())
-        return self.seconds[n]
+    def second(self, at: float) -> SecondResult:
+        index = int(at // 1000)
+        while len(self.seconds) <= index:
+            self.seconds.append(SecondResult())
+        return self.seconds[index]
 
     # What clients tell
 
-    def _class(self, ask: Ask) -> ClassResult:
-        return self.classes[ask.cls] if ask.first_at >= self.from_ms else self._uncounted
+    def _class_result(self, call: ClientCall) -> ClassResult:
+        return self.classes[call.class_index] if call.first_sent_at >= self.from_ms else self._uncounted
 
-    def asked(self, ask: Ask) -> None:
-        c, worth = self._class(ask), self.fleet.classes[ask.cls].worth
-        c.asked += 1
-        c.worth_asked += worth
-        second = self.second(ask.first_at)
-        second.asked += 1
-        second.worth_asked += worth
+    def record_call(self, call: ClientCall) -> None:
+        class_result, weight = self._class_result(call), self.fleet.classes[call.class_index].priority_weight
+        class_result.calls += 1
+        class_result.weight_offered += weight
+        second = self.second(call.first_sent_at)
+        second.calls += 1
+        second.weight_offered += weight
 
-    def retried(self, ask: Ask) -> None:
-        self._class(ask).retries += 1
+    def record_retry(self, call: ClientCall) -> None:
+        self._class_result(call).retries += 1
 
-    def unanswered(self, ask: Ask) -> None:
-        self._class(ask).unanswered += 1
+    def record_unanswered(self, call: ClientCall) -> None:
+        self._class_result(call).unanswered += 1
 
-    def refused_or_failed(self, ask: Ask, refused: bool) -> None:
-        c, second = self._class(ask), self.second(ask.first_at)
-        c.refused += refused
-        c.failed += not refused
-        second.refused += refused
-        second.failed += not refused
+    def record_rejection_or_failure(self, call: ClientCall, rejected: bool) -> None:
+        class_result, second = self._class_result(call), self.second(call.first_sent_at)
+        class_result.rejected += rejected
+        class_result.failed += not rejected
+        second.rejected += rejected
+        second.failed += not rejected
 
-    def ended(self, ask: Ask, took_ms: float | None) -> None:
+    def record_end(self, call: ClientCall, took_ms: float | None) -> None:
         if took_ms is None:
             return
-        cls, c, second = self.fleet.classes[ask.cls], self._class(ask), self.second(ask.first_at)
-        c.latency.record_value(max(int(took_ms * 1000), 1))
-        in_aim = took_ms <= cls.aim_ms
-        got = cls.worth if in_aim else cls.worth * cls.late_worth
-        c.in_aim += in_aim
-        c.late += not in_aim
-        c.worth_got += got
-        second.in_aim += in_aim
-        second.late += not in_aim
-        second.worth_got += got
+        request_class, class_result, second = (
+            self.fleet.classes[call.class_index],
+            self._class_result(call),
+            self.second(call.first_sent_at),
+        )
+        class_result.latency.record_value(max(int(took_ms * 1000), 1))
+        within_objective = took_ms <= request_class.latency_objective_ms
+        weight = (
+            request_class.priority_weight
+            if within_objective
+            else request_class.priority_weight * request_class.late_weight_share
+        )
+        class_result.within_objective += within_objective
+        class_result.late += not within_objective
+        class_result.weight_served += weight
+        second.within_objective += within_objective
+        second.late += not within_objective
+        second.weight_served += weight
 
     # What gateways tell
 
-    def sent(self, at: float, site: int) -> None:
+    def record_attempt(self, at: float, site: int) -> None:
         """An attempt begins, at a server of this site."""
-        counts = self.second(at).sent
+        counts = self.second(at).attempts_by_site
         if not counts:
             counts.extend([0] * len(self.fleet.sites))
         counts[site] += 1
@@ -188,42 +196,42 @@
     # What it comes to
 
     @property
-    def asks(self) -> int:
-        return sum(c.asked for c in self.classes)
+    def calls(self) -> int:
+        return sum(c.calls for c in self.classes)
 
     @property
-    def worth_share(self) -> float:
-        asked = sum(c.worth_asked for c in self.classes)
-        return sum(c.worth_got for c in self.classes) / asked if asked else 1.0
+    def served_weight_share(self) -> float:
+        offered = sum(c.weight_offered for c in self.classes)
+        return sum(c.weight_served for c in self.classes) / offered if offered else 1.0
 
     @property
-    def busy(self) -> float:
+    def utilisation(self) -> float:
         """Utilisation of all cores in the measured span; 0 where none was."""
-        return self.used_ms / self.there_ms if self.there_ms > 0 else 0.0
+        return self.used_core_ms / self.available_core_ms if self.available_core_ms > 0 else 0.0
 
-    def busy_by(self, what: str) -> dict[str, float]:
+    def utilisation_by(self, dimension: str) -> dict[str, float]:
         """Mean utilisation by `site` or `kind`, weighed by the time that servers were up and their cores."""
-        total: Counter[str] = Counter()
+        available: Counter[str] = Counter()
         used: Counter[str] = Counter()
-        for s in self.servers:
-            name, cores = getattr(s, what), self.fleet.kind(s.kind).cores
-            total[name] += s.up_ms * cores  # type: ignore[assignment]
-            used[name] += s.up_ms * cores * s.busy  # type: ignore[assignment]
-        return {name: used[name] / total[name] if total[name] else 0.0 for name in sorted(total)}
+        for server in self.servers:
+            name, cores = getattr(server, dimension), self.fleet.kind(server.kind).cores
+            available[name] += server.up_ms * cores  # type: ignore[assignment]
+            used[name] += server.up_ms * cores * server.utilisation  # type: ignore[assignment]
+        return {name: used[name] / available[name] if available[name] else 0.0 for name in sorted(available)}
 
     def table(self) -> dict[str, Any]:
         """All of it as plain values, the same for the same run."""
         return {
             "fleet": self.fleet.name,
-            "lasted_ms": self.lasted_ms,
-            "worth_share": round(self.worth_share, 6),
+            "lasted_ms": self.elapsed_ms,
+            "worth_share": round(self.served_weight_share, 6),
             "classes": [c.table() for c in self.classes],
-            "busy_by_site": {k: round(v, 6) for k, v in self.busy_by("site").items()},
-            "busy_by_kind": {k: round(v, 6) for k, v in self.busy_by("kind").items()},
-            "servers": [asdict(s) for s in self.servers],
-            "gateways": [asdict(g) for g in self.gateways],
-            "seconds": [asdict(s) for s in self.seconds],
+            "busy_by_site": {k: round(v, 6) for k, v in self.utilisation_by("site").items()},
+            "busy_by_kind": {k: round(v, 6) for k, v in self.utilisation_by("kind").items()},
+            "servers": [to_builtins(s) for s in self.servers],
+            "gateways": [to_builtins(g) for g in self.gateways],
+            "seconds": [to_builtins(s) for s in self.seconds],
             "events": [{"at_ms": at, "what": what} for at, what in self.events],
-            "rules_broken": dict(sorted(self.broken.items())),
-            "breaches": self.breaches,
+            "rules_broken": dict(sorted(self.violation_counts.items())),
+            "breaches": self.violations,
         }
--- a/meadowpulley/emulator/scenario.py
+++ b/meadowpulley/emulator/scenario.py
@@ -4,10 +4,10 @@
 
 from typing import Literal
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from meadowpulley.emulator.builds import Build
-from meadowpulley.fleet import Fleet, FleetError, read_intent
+from meadowpulley.fleet import Fleet, FleetError, read_toml
 from meadowpulley.fleet.model import Name, NotNegative, Positive, PositiveShare
 
 FaultKind = Literal[
@@ -45,9 +45,9 @@
 
     kind: FaultKind
     at_ms: NotNegative
-    for_ms: Positive
+    duration_ms: Positive = field(name="for_ms")
     amount: NotNegative = 1.0
-    part: PositiveShare = 1.0
+    share: PositiveShare = field(default=1.0, name="part")
     site: Name | None = None
 
 
@@ -58,34 +58,35 @@
     faults: tuple[Fault, ...] = ()
 
 
-def parse_scenario(raw: bytes, where: str, fleet: Fleet) -> Scenario:
+def parse_scenario(raw: bytes, file_name: str, fleet: Fleet) -> Scenario:
     """A scenario file, checked against its fleet. Raises FleetError, one line."""
-    scenario = read_intent(raw, where, Scenario)
-    check_scenario(scenario, where, fleet)
+    scenario = read_toml(raw, file_name, Scenario)
+    check_scenario(scenario, file_name, fleet)
     return scenario
 
 
-def check_scenario(scenario: Scenario, where: str, fleet: Fleet) -> None:
+def check_scenario(scenario: Scenario, file_name: str, fleet: Fleet) -> None:
     sites, classes = [s.name for s in fleet.sites], [c.name for c in fleet.classes]
-    last, last_at = scenario.first_build, -1.0
-    for n, release in enumerate(scenario.releases):
-        path = f"{where}: releases[{n}]"
-        if release.build.number <= last:
+    last_build, last_at = scenario.first_build, -1.0
+    for index, release in enumerate(scenario.releases):
+        path = f"{file_name}: releases[{index}]"
+        if release.build.number <= last_build:
             raise FleetError(
-                f"{path}.build.number: {release.build.number} is not above {last}; builds only rise"
+                f"{path}.build.number: {release.build.number} is not above {last_build}; builds only rise"
             )
         if release.at_ms <= last_at:
             raise FleetError(
                 f"{path}.at_ms: {release.at_ms:g} is not after the release before; put them in order"
             )
-        if release.build.fails_class is not None and release.build.fails_class not in classes:
-            known = ", ".join(classes)
+        if release.build.failing_class is not None and release.build.failing_class not in classes:
+            known_classes = ", ".join(classes)
             raise FleetError(
-                f"{path}.build.fails_class: '{release.build.fails_class}' is no class; known are {known}"
+                f"{path}.build.fails_class: '{release.build.failing_class}' is no class; "
+                f"known are {known_classes}"
             )
-        last, last_at = release.build.number, release.at_ms
-    for n, fault in enumerate(scenario.faults):
-        path = f"{where}: faults[{n}]"
+        last_build, last_at = release.build.number, release.at_ms
+    for index, fault in enumerate(scenario.faults):
+        path = f"{file_name}: faults[{index}]"
         if fault.site is not None and fault.site not in sites:
             raise FleetError(f"{path}.site: '{fault.site}' is not described; known are {', '.join(sites)}")
         if fault.kind == "site_cut" and fault.site is None:
--- /dev/null
+++ b/meadowpulley/emulator/shared_state.py
@@ -0,0 +1,136 @@
+"""What the gateways of an emulated installation have together: a ledger, and the stages that rest on it.
+
+From the outside: the keeper of the lease, takeover, lending, those named in `inside`, the balancer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from meadowpulley.emulator.ledger import LedgerModel
+from meadowpulley.interface import Request, Settings, Tenant
+from meadowpulley.ledger import Incarnation, LeaseManager, LeaseTimings as LeaseTerms, Stage
+from meadowpulley.lending import LendingStage, QuotaPlan
+from meadowpulley.rules import CapacityUsed, Record, SharedStateParameters
+from meadowpulley.takeover import TakeoverSettings, TakeoverStage, model
+
+END_SLACK_MS = 1000.0  # beside the terms of the leases of all that had it: to find out, to claim and to end
+MAX_CLAIM_STEPS = 3  # a survivor's place in line, at most, as far as the slack goes
+
+
+@dataclass(frozen=True, slots=True)
+class StageContext:
+    """Where a stage stands: in which gateway, and before which next one."""
+
+    settings: Settings
+    seed: int
+    incarnation: Incarnation
+    holds_lease: Callable[[float], bool]  # whether this life's lease holds
+    inner: Stage
+
+
+@dataclass(frozen=True, slots=True)
+class SharedState:
+    """`inside` and `outside` make more stages, innermost first. Tenants take turns by a request's key."""
+
+    ledger_model: LedgerModel = field(default_factory=LedgerModel)
+    takeover: TakeoverSettings | None = None
+    lending: QuotaPlan | None = None
+    inner_stages: tuple[Callable[[StageContext], Stage], ...] = ()
+    outer_stages: tuple[Callable[[StageContext], Stage], ...] = ()
+    prefixes: tuple[str, ...] = ()  # beginnings of the keys whose changes these stages must be told of
+    tenants: tuple[str, ...] = ()
+    client_failover_ms: float = (
+        0.0  # of silence, after which a client asks another gateway under the same id; 0: never
+    )
+
+    def rule_parameters(self) -> SharedStateParameters:
+        end_ms = 0.0
+        if self.takeover is not None:
+            claim_ms = MAX_CLAIM_STEPS * self.takeover.claim_stagger_ms
+            end_ms = self.takeover.max_owners * (1.1 * self.ledger_model.lease_ms + claim_ms) + END_SLACK_MS
+        if self.lending is None:
+            return SharedStateParameters(end_ms, self.takeover.max_owners if self.takeover is not None else 0)
+        plan = self.lending
+        burst = plan.capacity_per_s * plan.burst_ms / 1000.0 + 2.0 * plan.gateways
+        max_incarnations = self.takeover.max_owners if self.takeover is not None else 0
+        return SharedStateParameters(end_ms, max_incarnations, plan.capacity_per_s, burst)
+
+    def with_tenants(self, settings: Settings) -> Settings:
+        return (
+            replace(settings, tenants=tuple(Tenant(name) for name in self.tenants))
+            if self.tenants
+            else settings
+        )
+
+    def tenant_of(self, key: int) -> int:
+        return key % len(self.tenants) if self.tenants else 0
+
+
+class StageChain:
+    """One life's stages; `keeper` is the outermost."""
+
+    def __init__(
+        self,
+        shared_state: SharedState,
+        settings: Settings,
+        seed: int,
+        incarnation: Incarnation,
+        policy: Any,
+        on_admitted: Callable[[float, Any], None],
+    ) -> None:
+        t, s, self.shared_state = shared_state, settings, shared_state
+        self.lease_manager = LeaseManager(incarnation, LeaseTerms(term_ms=t.ledger_model.lease_ms), policy)
+        self.takeover: TakeoverStage | None = None
+        self.lending: LendingStage | None = None
+        stage: Any = policy
+        for build_stage in t.inner_stages:
+            stage = build_stage(StageContext(s, seed, incarnation, self.lease_manager.holds_lease, stage))
+        if t.lending is not None:
+            stage = self.lending = LendingStage(
+                AdmissionObserver(stage, on_admitted), s, t.lending, incarnation, seed
+            )
+        if t.takeover is not None:
+            stage = self.takeover = TakeoverStage(
+                s, stage, incarnation, self.lease_manager.holds_lease, t.takeover
+            )
+        for build_stage in t.outer_stages:
+            stage = build_stage(StageContext(s, seed, incarnation, self.lease_manager.holds_lease, stage))
+        self.lease_manager.inner = stage
+
+    def watched_prefixes(self) -> tuple[str, ...]:
+        """Beginnings of the keys whose changes the stages must be told of now."""
+        prefixes: tuple[str, ...] = ()
+        if self.takeover is not None:
+            prefixes += model.WATCHED_PREFIXES
+        if self.lending is not None:
+            prefixes += self.lending.watched_prefixes()
+        return prefixes + self.shared_state.prefixes
+
+    def release(self, now: float) -> list[Any]:
+        """A planned stop: what is held of the capacity goes back, then the lease."""
+        returned = self.lending.shut_down(now) if self.lending is not None else []
+        return [*returned, *self.lease_manager.release_lease()]
+
+
+class AdmissionObserver:
+    """Stands behind lending and tells `note` of each request that it lets through."""
+
+    def __init__(self, inner: Stage, on_admitted: Callable[[float, Any], None]) -> None:
+        self.inner, self.on_admitted = inner, on_admitted
+
+    def handle(self, now: float, event: Any) -> Any:
+        if isinstance(event, Request):
+            self.on_admitted(now, event)
+        return self.inner.handle(now, event)
+
+
+def admission_record(now: float, gateway: int, request: Request) -> Record | None:
+    """What a request that lending let through uses of the capacity; nothing where it was admitted before."""
+    return (
+        None
+        if request.adopted and (request.prior_attempts or request.prior_attempt_count)
+        else CapacityUsed(now, gateway, 1.0)
+    )
--- a/meadowpulley/emulator/snapshot.py
+++ b/meadowpulley/emulator/snapshot.py
@@ -7,12 +7,14 @@
 
 from msgspec import Struct
 
+from meadowpulley.rules import PHASE_NAMES, STATE_NAMES
+
 if TYPE_CHECKING:
-    from meadowpulley.emulator.park import Park
-    from meadowpulley.emulator.results import Result
+    from meadowpulley.emulator.results import EmulationResult
+    from meadowpulley.emulator.server_fleet import ServerFleet
 
 
-class ServerNow(Struct, frozen=True):
+class ServerSnapshot(Struct, frozen=True):
     """One server. `slots` and `warm` are shares from 0 to 1; `state` is `down` once it no longer runs."""
 
     number: int
@@ -20,26 +22,26 @@
     kind: str
     build: int
     state: str
-    slots: float
-    waiting: int
-    warm: float
+    slot_use: float
+    queued: int
+    slow_start_fraction: float
     served: int
 
 
-class ClassNow(Struct, frozen=True):
+class ClassSnapshot(Struct, frozen=True):
     """One class since the start; `worth` is the share kept, from 0 to 1."""
 
     name: str
-    worth: float
-    asked: int
-    in_aim: int
+    served_weight_share: float
+    calls: int
+    within_objective: int
     late: int
-    refused: int
+    rejected: int
     failed: int
     p99_ms: float
 
 
-class ServersNow(Struct, frozen=True):
+class FleetSnapshot(Struct, frozen=True):
     """The servers' side, and where the newest build stands. `events`: when (ms) and what, since the start."""
 
     at_ms: float
@@ -47,51 +49,51 @@
     stage: int
     phase: str
     cap: float
-    servers: tuple[ServerNow, ...]
+    servers: tuple[ServerSnapshot, ...]
     events: tuple[tuple[float, str], ...]
 
 
-class Snapshot(Struct, frozen=True):
+class RunSnapshot(Struct, frozen=True):
     """Both sides. `broken`: rules broken so far, by how often; None where only the end can tell."""
 
     title: str
-    servers: ServersNow
-    classes: tuple[ClassNow, ...]
-    broken: dict[str, int] | None = None
+    servers: FleetSnapshot
+    classes: tuple[ClassSnapshot, ...]
+    violation_counts: dict[str, int] | None = None
 
 
-def servers_now(park: Park) -> ServersNow:
+def fleet_snapshot(fleet: ServerFleet) -> FleetSnapshot:
     """The park's servers as they are."""
-    now, stand = park.clock.now, park.platform.stand
+    now, rollout = fleet.clock.now, fleet.platform.state
     servers = tuple(
-        ServerNow(
+        ServerSnapshot(
             number=h.entry.server,
-            site=park.fleet.sites[h.entry.zone].name,
+            site=fleet.fleet.sites[h.entry.zone].name,
             kind=h.machine.kind.name,
             build=h.entry.build,
-            state=h.entry.state.name.lower() if h.up else "down",
-            slots=len(h.machine.running) / h.machine.kind.slots,
-            waiting=len(h.machine.waiting),
-            warm=h.machine.warmth(now),
+            state=STATE_NAMES[h.entry.state] if h.up else "down",
+            slot_use=len(h.machine.running) / h.machine.kind.slots,
+            queued=len(h.machine.queued),
+            slow_start_fraction=h.machine.slow_start_fraction(now),
             served=h.served,
         )
-        for h in park.hosts.values()
+        for h in fleet.servers.values()
     )
-    phase = stand.phase.name.lower().replace("_", " ")
-    events = tuple((at, what) for at, what in park.result.events if "votes none" not in what)
-    return ServersNow(now, stand.build, stand.stage, phase, stand.cap, servers, events)
+    phase = PHASE_NAMES[rollout.phase].replace("_", " ")
+    events = tuple((at, what) for at, what in fleet.result.events if "votes none" not in what)
+    return FleetSnapshot(now, rollout.build, rollout.stage, phase, rollout.cap, servers, events)
 
 
-def classes_now(result: Result) -> tuple[ClassNow, ...]:
+def class_snapshots(result: EmulationResult) -> tuple[ClassSnapshot, ...]:
     """What clients had so far, by class."""
     return tuple(
-        ClassNow(
+        ClassSnapshot(
             c.name,
-            c.worth_share,
-            c.asked,
-            c.in_aim,
+            c.served_weight_share,
+            c.calls,
+            c.within_objective,
             c.late,
-            c.refused,
+            c.rejected,
             c.failed,
             c.latency_ms(99) if c.served else 0.0,
         )
@@ -99,9 +101,9 @@
     )
 
 
-def stage_text(now: ServersNow) -> str:
+def stage_text(snapshot: FleetSnapshot) -> str:
     """Where the newest build stands, in a few words."""
-    return f"build {now.build} {now.phase}, stage {now.stage + 1}, cap {now.cap:.0%}"
+    return f"build {snapshot.build} {snapshot.phase}, stage {snapshot.stage + 1}, cap {snapshot.cap:.0%}"
 
 
 def new_events(events: Sequence[tuple[float, str]], shown: int) -> list[str]:
--- a/meadowpulley/experiment/__init__.py
+++ b/meadowpulley/experiment/__init__.py
@@ -5,10 +5,16 @@
 differences), `tables` (CSV, JSON and charts).
 """
 
-from meadowpulley.experiment.cells import Cell, LoadSpec, Row, metrics, run_cell
-from meadowpulley.experiment.compare import Difference, Interval, interval, paired, wilson
+from meadowpulley.experiment.cells import Cell, LoadSpec, RunResult, metrics, run_cell
+from meadowpulley.experiment.compare import (
+    Difference,
+    Interval,
+    confidence_interval,
+    paired_differences,
+    wilson_interval,
+)
 from meadowpulley.experiment.plan import Configuration, ExperimentFile, cells_of, parse_experiment
-from meadowpulley.experiment.runner import Store, run_cells
+from meadowpulley.experiment.runner import ResultStore, run_cells
 from meadowpulley.experiment.tables import summary_rows, write_tables
 
 __all__ = [
@@ -18,16 +24,16 @@
     "ExperimentFile",
     "Interval",
     "LoadSpec",
-    "Row",
-    "Store",
+    "ResultStore",
+    "RunResult",
     "cells_of",
-    "interval",
+    "confidence_interval",
     "metrics",
-    "paired",
+    "paired_differences",
     "parse_experiment",
     "run_cell",
     "run_cells",
     "summary_rows",
-    "wilson",
+    "wilson_interval",
     "write_tables",
 ]
--- a/meadowpulley/experiment/cells.py
+++ b/meadowpulley/experiment/cells.py
@@ -9,14 +9,14 @@
 
 import msgspec
 import xxhash
-from msgspec import Struct
+from msgspec import Struct, field
 
-from meadowpulley.balance import Balancer
-from meadowpulley.emulator import Result, Scenario, World
+from meadowpulley.emulator import Emulation, EmulationResult, Scenario
 from meadowpulley.fleet import Fleet
 from meadowpulley.interface import Outcome
-from meadowpulley.load import PROFILES, Arrival, costlier, cut, filled, read_load, scaled, synthesize
-from meadowpulley.records import Held
+from meadowpulley.load import PROFILES, Arrival, costlier, cut, filled_in, read_load, scaled, synthesize
+from meadowpulley.policy import RolloutPolicy
+from meadowpulley.state import InFlightRequest
 
 
 class LoadSpec(Struct, frozen=True):
@@ -34,23 +34,25 @@
     seconds: float = 60.0
     multiple: float = 1.0
     start_ms: float = 0.0
-    costly: float = 0.0
-    cost: float = 1.0
+    costly_share: float = field(default=0.0, name="costly")
+    cost_factor: float = field(default=1.0, name="cost")
     costly_from_ms: float = 0.0
-    costly_for_ms: float = 0.0
+    costly_duration_ms: float = field(default=0.0, name="costly_for_ms")
 
     def arrivals(self, fleet: Fleet, seed: int) -> Iterator[Arrival]:
         """The same for the same fleet and seed."""
-        found = self._plain(fleet, seed)
-        if not self.costly:
+        found = self._base_arrivals(fleet, seed)
+        if not self.costly_share:
             return found
-        return costlier(found, self.costly, self.cost, self.costly_from_ms, self.costly_for_ms, seed)
+        return costlier(
+            found, self.costly_share, self.cost_factor, self.costly_from_ms, self.costly_duration_ms, seed
+        )
 
-    def _plain(self, fleet: Fleet, seed: int) -> Iterator[Arrival]:
+    def _base_arrivals(self, fleet: Fleet, seed: int) -> Iterator[Arrival]:
         if not self.file:
             return synthesize(fleet, PROFILES[self.profile], self.per_s * self.multiple, self.seconds, seed)
         reader = read_load(Path(self.file), frozenset(c.name for c in fleet.classes))
-        arrivals = filled(cut(reader, self.start_ms, self.seconds * 1000), fleet, seed)
+        arrivals = filled_in(cut(reader, self.start_ms, self.seconds * 1000), fleet, seed)
         return arrivals if self.multiple == 1.0 else scaled(arrivals, self.multiple, seed)
 
 
@@ -63,7 +65,7 @@
     load: LoadSpec
     seed: int
     scenario: Scenario = Scenario()
-    refuses: bool = True
+    limits_concurrency: bool = field(default=True, name="refuses")
     from_ms: float = 0.0  # asks before that are not counted
     load_seed: int | None = None  # the same load under other seeds
 
@@ -74,76 +76,86 @@
         return xxhash.xxh3_128_hexdigest(plain)
 
 
-class Row(Struct, frozen=True):
+class RunResult(Struct, frozen=True):
     """What came of a cell."""
 
     key: str
     name: str
     seed: int
     figures: dict[str, float]
-    broken: dict[str, int]
+    violation_counts: dict[str, int] = field(name="broken")
     seconds: tuple[tuple[float, ...], ...] = ()  # asked, in aim, late, refused, failed, worth share
-    sent: tuple[tuple[int, ...], ...] = ()  # attempts by second and by the site of the server
+    attempts_by_site: tuple[tuple[int, ...], ...] = field(
+        default=(), name="sent"
+    )  # attempts by second and by the site of the server
 
 
-class Unrefusing(Balancer):
+class WithoutConcurrencyLimit(RolloutPolicy):
     """The baseline without the limit of requests in flight: what refusals save is measured against it."""
 
-    def _learn_room(self, held: Held, o: Outcome) -> None:
+    def _update_concurrency_limit(self, request: InFlightRequest, outcome: Outcome) -> None:
         return
 
 
-def metrics(result: Result) -> dict[str, float]:
+def metrics(result: EmulationResult) -> dict[str, float]:
     """Figures of a run by name: shares from 0 to 1, latencies in milliseconds, rates a second."""
-    lasted = max(len(result.seconds) - result.from_ms / 1000, 1.0)
-    asks = max(result.asks, 1)
-    refused = sum(c.refused for c in result.classes)
-    found = {
-        "asked": float(result.asks),
-        "asked_per_s": result.asks / lasted,
-        "worth": result.worth_share,
-        "in_aim": sum(c.in_aim for c in result.classes) / asks,
-        "served_per_s": sum(c.served for c in result.classes) / lasted,
-        "refused": refused / asks,
-        "failed": sum(c.failed for c in result.classes) / asks,
-        "busy": result.busy,
-        "gateway_busy": max((g.busy for g in result.gateways), default=0.0),
-        "most_held": float(max((g.most_held for g in result.gateways), default=0)),
-        "most_open": float(max((g.most_open for g in result.gateways), default=0)),
-        "most_waiting": float(max((s.most_waiting for s in result.servers), default=0)),
+    elapsed_s = max(len(result.seconds) - result.from_ms / 1000, 1.0)
+    calls = max(result.calls, 1)
+    rejected = sum(c.rejected for c in result.classes)
+    figures = {
+        "asked": float(result.calls),
+        "asked_per_s": result.calls / elapsed_s,
+        "worth": result.served_weight_share,
+        "in_aim": sum(c.within_objective for c in result.classes) / calls,
+        "served_per_s": sum(c.served for c in result.classes) / elapsed_s,
+        "refused": rejected / calls,
+        "failed": sum(c.failed for c in result.classes) / calls,
+        "busy": result.utilisation,
+        "gateway_busy": max((g.utilisation for g in result.gateways), default=0.0),
+        "most_held": float(max((g.max_in_flight for g in result.gateways), default=0)),
+        "most_open": float(max((g.max_open_connections for g in result.gateways), default=0)),
+        "most_waiting": float(max((s.max_queued for s in result.servers), default=0)),
     }
-    for c in result.classes:
-        found |= {
-            f"{c.name}.worth": c.worth_share,
-            f"{c.name}.in_aim": c.in_aim / c.asked if c.asked else 1.0,
-            f"{c.name}.p50_ms": c.latency_ms(50),
-            f"{c.name}.p99_ms": c.latency_ms(99),
+    for class_result in result.classes:
+        figures |= {
+            f"{class_result.name}.worth": class_result.served_weight_share,
+            f"{class_result.name}.in_aim": class_result.within_objective / class_result.calls
+            if class_result.calls
+            else 1.0,
+            f"{class_result.name}.p50_ms": class_result.latency_ms(50),
+            f"{class_result.name}.p99_ms": class_result.latency_ms(99),
         }
-    found |= {
-        f"busy.{name}": busy for what in ("site", "kind") for name, busy in result.busy_by(what).items()
+    figures |= {
+        f"busy.{name}": busy
+        for what in ("site", "kind")
+        for name, busy in result.utilisation_by(what).items()
     }
-    return found
+    return figures
 
 
-def run_cell(cell: Cell, timeline: bool = False) -> Row:
+def run_cell(cell: Cell, timeline: bool = False) -> RunResult:
     """Plays one cell to its end."""
-    make: Any = Balancer if cell.refuses else Unrefusing
+    build_policy: Any = RolloutPolicy if cell.limits_concurrency else WithoutConcurrencyLimit
     load = cell.load.arrivals(cell.fleet, cell.seed if cell.load_seed is None else cell.load_seed)
-    world = World(cell.fleet, load, cell.seed, cell.scenario, make=make, from_ms=cell.from_ms)
-    world.measure(cell.from_ms, max(cell.load.seconds * 1000, cell.from_ms))
-    result = world.run()
+    emulation = Emulation(
+        cell.fleet, load, cell.seed, cell.scenario, build_policy=build_policy, from_ms=cell.from_ms
+    )
+    emulation.measure(cell.from_ms, max(cell.load.seconds * 1000, cell.from_ms))
+    result = emulation.run()
     seconds = tuple(
         (
-            float(s.asked),
-            float(s.in_aim),
+            float(s.calls),
+            float(s.within_objective),
             float(s.late),
-            float(s.refused),
+            float(s.rejected),
             float(s.failed),
-            s.worth_got / s.worth_asked if s.worth_asked else 1.0,
+            s.weight_served / s.weight_offered if s.weight_offered else 1.0,
         )
         for s in result.seconds
     )
-    row = Row(cell.key, cell.name, cell.seed, metrics(result), dict(result.broken))
+    row = RunResult(cell.key, cell.name, cell.seed, metrics(result), dict(result.violation_counts))
     if not timeline:
         return row
-    return msgspec.structs.replace(row, seconds=seconds, sent=tuple(tuple(s.sent) for s in result.seconds))
+    return msgspec.structs.replace(
+        row, seconds=seconds, attempts_by_site=tuple(tuple(s.attempts_by_site) for s in result.seconds)
+    )
--- a/meadowpulley/experiment/compare.py
+++ b/meadowpulley/experiment/compare.py
@@ -8,7 +8,7 @@
 import numpy as np
 from scipy import stats
 
-from meadowpulley.experiment.cells import Row
+from meadowpulley.experiment.cells import RunResult
 
 CONFIDENCE = 0.95
 
@@ -20,10 +20,10 @@
     mean: float
     low: float
     high: float
-    n: int
+    count: int
 
     @property
-    def half(self) -> float:
+    def half_width(self) -> float:
         return (self.high - self.low) / 2
 
 
@@ -37,31 +37,35 @@
     change: Interval
 
     @property
-    def clear(self) -> bool:
+    def significant(self) -> bool:
         return self.change.low > 0 or self.change.high < 0
 
 
-def interval(values: Sequence[float], confidence: float = CONFIDENCE) -> Interval:
+def confidence_interval(values: Sequence[float], confidence: float = CONFIDENCE) -> Interval:
     """Student's t interval of a mean. Of one value nothing is known of its spread: the interval is
     endless."""
-    mean, n = float(np.mean(values)), len(values)
-    if n < 2:
-        return Interval(mean, float("-inf"), float("inf"), n)
-    half = float(stats.sem(values)) * float(stats.t.ppf((1 + confidence) / 2, n - 1))
-    return Interval(mean, mean - half, mean + half, n)
+    mean, count = float(np.mean(values)), len(values)
+    if count < 2:
+        return Interval(mean, float("-inf"), float("inf"), count)
+    half_width = float(stats.sem(values)) * float(stats.t.ppf((1 + confidence) / 2, count - 1))
+    return Interval(mean, mean - half_width, mean + half_width, count)
 
 
-def wilson(count: int, of: int, confidence: float = CONFIDENCE) -> Interval:
+def wilson_interval(count: int, total: int, confidence: float = CONFIDENCE) -> Interval:
     """Wilson's score interval of a share (Wilson 1927)."""
-    if not of:
+    if not total:
         return Interval(0.0, 0.0, 1.0, 0)
-    z, share = float(stats.norm.ppf((1 + confidence) / 2)), count / of
-    middle = (share + z * z / (2 * of)) / (1 + z * z / of)
-    half = z / (1 + z * z / of) * float(np.sqrt(share * (1 - share) / of + z * z / (4 * of * of)))
-    return Interval(share, max(middle - half, 0.0), min(middle + half, 1.0), of)
+    quantile, share = float(stats.norm.ppf((1 + confidence) / 2)), count / total
+    middle = (share + quantile * quantile / (2 * total)) / (1 + quantile * quantile / total)
+    half_width = (
+        quantile
+        / (1 + quantile * quantile / total)
+        * float(np.sqrt(share * (1 - share) / total + quantile * quantile / (4 * total * total)))
+    )
+    return Interval(share, max(middle - half_width, 0.0), min(middle + half_width, 1.0), total)
 
 
-def paired(rows: Sequence[Row], first: str, second: str) -> list[Difference]:
+def paired_differences(rows: Sequence[RunResult], first: str, second: str) -> list[Difference]:
     """Each figure's change from one configuration to another, over the seeds that both have.
 
     Raises ValueError, one line, where they share fewer than two seeds.
@@ -73,7 +77,7 @@
         raise ValueError(f"'{first}' and '{second}' share {len(seeds)} seeds; at least 2 are needed")
     found = []
     for metric in sorted(set(one[seeds[0]]) & set(two[seeds[0]])):
-        a, b = [one[s][metric] for s in seeds], [two[s][metric] for s in seeds]
-        change = interval([y - x for x, y in zip(a, b, strict=True)])
-        found.append(Difference(metric, float(np.mean(a)), float(np.mean(b)), change))
+        first_values, second_values = [one[s][metric] for s in seeds], [two[s][metric] for s in seeds]
+        change = confidence_interval([y - x for x, y in zip(first_values, second_values, strict=True)])
+        found.append(Difference(metric, float(np.mean(first_values)), float(np.mean(second_values)), change))
     return found
--- a/meadowpulley/experiment/plan.py
+++ b/meadowpulley/experiment/plan.py
@@ -7,13 +7,13 @@
 from typing import Annotated
 
 import xxhash
-from msgspec import Meta, Struct
+from msgspec import Meta, Struct, field
 from msgspec.structs import replace
 
 from meadowpulley.emulator import Scenario, parse_scenario
 from meadowpulley.experiment.cells import Cell, LoadSpec
-from meadowpulley.fleet import Fleet, FleetError, parse_fleet, read_intent
-from meadowpulley.fleet.model import Name, Positive, Whole
+from meadowpulley.fleet import Fleet, FleetError, parse_fleet, read_toml
+from meadowpulley.fleet.model import Name, Positive, PositiveInt
 from meadowpulley.load import PROFILES
 
 
@@ -29,7 +29,7 @@
     multiple: Positive = 1.0
     servers: Positive = 1.0
     scenario: str | None = None
-    refuses: bool = True
+    limits_concurrency: bool = field(default=True, name="refuses")
 
 
 class ExperimentFile(Struct, frozen=True, forbid_unknown_fields=True):
@@ -39,53 +39,67 @@
     configurations: Annotated[tuple[Configuration, ...], Meta(min_length=1)]
     seconds: Positive = 60.0
     seeds: Annotated[tuple[Annotated[int, Meta(ge=0)], ...], Meta(min_length=1)] = (1, 2, 3)
-    cores: Whole | None = None
+    cores: PositiveInt | None = None
 
 
-def with_servers(fleet: Fleet, times: float) -> Fleet:
+def with_servers(fleet: Fleet, factor: float) -> Fleet:
     """The fleet with so many times the servers of each group, rounded up."""
-    if times == 1.0:
+    if factor == 1.0:
         return fleet
-    groups = tuple(replace(s, count=max(-(-int(s.count * times * 1000) // 1000), 1)) for s in fleet.servers)
+    groups = tuple(replace(s, count=max(-(-int(s.count * factor * 1000) // 1000), 1)) for s in fleet.servers)
     return replace(fleet, servers=groups)
 
 
-def parse_experiment(raw: bytes, where: str) -> ExperimentFile:
+def parse_experiment(raw: bytes, file_name: str) -> ExperimentFile:
     """An experiment's file, checked. Raises FleetError, one line."""
-    plan = read_intent(raw, where, ExperimentFile)
+    plan = read_toml(raw, file_name, ExperimentFile)
     names = [c.name for c in plan.configurations]
-    for n, c in enumerate(plan.configurations):
-        path = f"{where}: configurations[{n}]"
-        if names.count(c.name) > 1:
-            raise FleetError(f"{path}.name: '{c.name}' is there twice; names must differ")
-        if sum(x is not None for x in (c.share, c.rate, c.load)) > 1:
+    for index, configuration in enumerate(plan.configurations):
+        path = f"{file_name}: configurations[{index}]"
+        if names.count(configuration.name) > 1:
+            raise FleetError(f"{path}.name: '{configuration.name}' is there twice; names must differ")
+        if sum(x is not None for x in (configuration.share, configuration.rate, configuration.load)) > 1:
             raise FleetError(f"{path}: 'share', 'rate' and 'load' exclude each other; give one")
-        if c.profile not in PROFILES:
+        if configuration.profile not in PROFILES:
             raise FleetError(
-                f"{path}.profile: '{c.profile}' is none; known are {', '.join(sorted(PROFILES))}"
+                f"{path}.profile: '{configuration.profile}' is none; known are {', '.join(sorted(PROFILES))}"
             )
     return plan
 
 
-def cells_of(plan: ExperimentFile, where: Path, read: Callable[[Path], bytes]) -> list[Cell]:
+def cells_of(plan: ExperimentFile, where: Path, read_file: Callable[[Path], bytes]) -> list[Cell]:
     """All cells of an experiment, configuration by configuration. Paths in the file are relative to it;
     `read` fetches a file's bytes."""
     folder = where.parent
-    fleet = parse_fleet(read(folder / plan.fleet), str(folder / plan.fleet))
+    fleet = parse_fleet(read_file(folder / plan.fleet), str(folder / plan.fleet))
     cells = []
-    for c in plan.configurations:
+    for configuration in plan.configurations:
         scenario = Scenario()
-        if c.scenario is not None:
-            path = folder / c.scenario
-            scenario = parse_scenario(read(path), str(path), fleet)
-        if c.load is not None:
-            path = folder / c.load
-            digest = xxhash.xxh3_128_hexdigest(read(path))
-            load = LoadSpec(file=str(path), digest=digest, seconds=plan.seconds, multiple=c.multiple)
+        if configuration.scenario is not None:
+            path = folder / configuration.scenario
+            scenario = parse_scenario(read_file(path), str(path), fleet)
+        if configuration.load is not None:
+            path = folder / configuration.load
+            digest = xxhash.xxh3_128_hexdigest(read_file(path))
+            load = LoadSpec(
+                file=str(path), digest=digest, seconds=plan.seconds, multiple=configuration.multiple
+            )
         else:
-            share = c.share if c.share is not None else 0.5
-            per_s = c.rate if c.rate is not None else share * fleet.capacity() * 1000 / fleet.mean_work_ms()
-            load = LoadSpec(profile=c.profile, per_s=per_s, seconds=plan.seconds, multiple=c.multiple)
-        sized = with_servers(fleet, c.servers)
-        cells += [Cell(c.name, sized, load, seed, scenario, c.refuses) for seed in plan.seeds]
+            share = configuration.share if configuration.share is not None else 0.5
+            per_s = (
+                configuration.rate
+                if configuration.rate is not None
+                else share * fleet.capacity() * 1000 / fleet.mean_work_ms()
+            )
+            load = LoadSpec(
+                profile=configuration.profile,
+                per_s=per_s,
+                seconds=plan.seconds,
+                multiple=configuration.multiple,
+            )
+        sized = with_servers(fleet, configuration.servers)
+        cells += [
+            Cell(configuration.name, sized, load, seed, scenario, configuration.limits_concurrency)
+            for seed in plan.seeds
+        ]
     return cells
--- a/meadowpulley/experiment/runner.py
+++ b/meadowpulley/experiment/runner.py
@@ -11,18 +11,18 @@
 
 import msgspec
 
-from meadowpulley.experiment.cells import Cell, Row, run_cell
+from meadowpulley.experiment.cells import Cell, RunResult, run_cell
 
-_decode = msgspec.json.Decoder(Row).decode
+_decode = msgspec.json.Decoder(RunResult).decode
 _encode = msgspec.json.Encoder().encode
 
 
-class Store:
+class ResultStore:
     """Rows by the key of their cell, in a file of JSON lines that only grows. A last line that was cut off,
     as by a crash, is dropped; `path` None keeps rows in memory only."""
 
     def __init__(self, path: Path | None = None) -> None:
-        self.path, self.rows = path, dict[str, Row]()
+        self.path, self.rows = path, dict[str, RunResult]()
         if path is None or not path.exists():
             return
         good = 0
@@ -38,10 +38,10 @@
         if good < path.stat().st_size:
             os.truncate(path, good)
 
-    def get(self, cell: Cell) -> Row | None:
+    def get(self, cell: Cell) -> RunResult | None:
         return self.rows.get(cell.key)
 
-    def add(self, row: Row) -> None:
+    def add(self, row: RunResult) -> None:
         self.rows[row.key] = row
         if self.path is not None:
             with open(self.path, "ab") as file:
@@ -52,15 +52,15 @@
 
 def run_cells(
     cells: Iterable[Cell],
-    store: Store | None = None,
+    store: ResultStore | None = None,
     workers: int | None = None,
     timeline: bool = False,
     progress: Callable[[int, int], None] = lambda done, of: None,
-) -> list[Row]:
+) -> list[RunResult]:
     """Rows of the cells, in their order; those that the store holds are not run again. `workers` 1 runs them
     in this process."""
     cells = list(cells)
-    store = store if store is not None else Store()
+    store = store if store is not None else ResultStore()
     todo = {cell.key: cell for cell in cells if store.get(cell) is None}
     done = len({cell.key for cell in cells}) - len(todo)
     total = done + len(todo)
--- a/meadowpulley/experiment/tables.py
+++ b/meadowpulley/experiment/tables.py
@@ -11,30 +11,32 @@
 from pathlib import Path
 from typing import Any
 
-from meadowpulley.experiment.cells import Row
-from meadowpulley.experiment.compare import interval
+from meadowpulley.experiment.cells import RunResult
+from meadowpulley.experiment.compare import confidence_interval
 
 
-def summary_rows(rows: Sequence[Row], wanted: Sequence[str]) -> list[list[str]]:
+def summary_rows(rows: Sequence[RunResult], figures: Sequence[str]) -> list[list[str]]:
     """A line a configuration: each figure's mean with the half of its interval."""
     found = []
     for name in dict.fromkeys(row.name for row in rows):
         mine = [row for row in rows if row.name == name]
         line = [name, str(len(mine))]
-        for figure in wanted:
-            over = interval([row.figures.get(figure, math.nan) for row in mine])
-            line.append(f"{over.mean:.4g}" + (f" ± {over.half:.2g}" if math.isfinite(over.half) else ""))
-        found.append([*line, str(sum(sum(row.broken.values()) for row in mine))])
+        for figure in figures:
+            over = confidence_interval([row.figures.get(figure, math.nan) for row in mine])
+            line.append(
+                f"{over.mean:.4g}" + (f" ± {over.half_width:.2g}" if math.isfinite(over.half_width) else "")
+            )
+        found.append([*line, str(sum(sum(row.violation_counts.values()) for row in mine))])
     return found
 
 
-def _put(path: Path, text: str) -> None:
-    fresh = path.with_name(f".{path.name}.new")
-    fresh.write_text(text)
-    os.replace(fresh, path)
+def _write_atomically(path: Path, text: str) -> None:
+    temporary = path.with_name(f".{path.name}.new")
+    temporary.write_text(text)
+    os.replace(temporary, path)
 
 
-def write_tables(rows: Sequence[Row], folder: Path, about: dict[str, Any]) -> list[Path]:
+def write_tables(rows: Sequence[RunResult], folder: Path, about: dict[str, Any]) -> list[Path]:
     """`table.csv` and `table.json` in a folder; `about` says what was run and how to run it again."""
     figures = sorted({name for row in rows for name in row.figures})
     out = io.StringIO()
@@ -42,8 +44,11 @@
     writer.writerow(["configuration", "seed", *figures, "rules_broken"])
     for row in rows:
         values = [repr(row.figures[f]) if f in row.figures else "" for f in figures]
-        writer.writerow([row.name, row.seed, *values, sum(row.broken.values())])
-    table = [{"configuration": r.name, "seed": r.seed, **r.figures, "rules_broken": r.broken} for r in rows]
-    _put(folder / "table.csv", out.getvalue())
-    _put(folder / "table.json", json.dumps({**about, "rows": table}, indent=1) + "\n")
+        writer.writerow([row.name, row.seed, *values, sum(row.violation_counts.values())])
+    table = [
+        {"configuration": r.name, "seed": r.seed, **r.figures, "rules_broken": r.violation_counts}
+        for r in rows
+    ]
+    _write_atomically(folder / "table.csv", out.getvalue())
+    _write_atomically(folder / "table.json", json.dumps({**about, "rows": table}, indent=1) + "\n")
     return [folder / "table.csv", folder / "table.json"]
--- /dev/null
+++ b/meadowpulley/fleet/gateway_settings.py
@@ -0,0 +1,87 @@
+"""What a gateway of a described fleet is told at its start: the platform's settings object."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from meadowpulley.fleet.model import Fleet
+from meadowpulley.interface import Settings
+from meadowpulley.settings import read_settings
+
+POLL_INTERVAL_MS = 5.0
+_EFFECT_NAMES = {"safe": "pure", "keyed": "token", "unsafe": "side_effect"}
+
+
+def gateway_settings_object(fleet: Fleet, gateway_index: int) -> dict[str, Any]:
+    """The settings of gateway number `me` as nested JSON, with the names and units of the platform."""
+    rules, rollout = fleet.rules, fleet.rollout
+    return {
+        "me": gateway_index,
+        "balancers": len(fleet.gateway_sites()),
+        "az": fleet.gateway_sites()[gateway_index],
+        "zones": [site.name for site in fleet.sites],
+        "machine-types": [kind.name for kind in fleet.kinds],
+        "period-ms": POLL_INTERVAL_MS,
+        "discovery": "subscribe" if fleet.discovery.must_subscribe else "automatic",
+        "classes": [
+            {
+                "name": c.name,
+                "target-ms": c.latency_objective_ms,
+                "hard-limit-ms": c.deadline_ms,
+                "repeat": _EFFECT_NAMES[c.effect],
+                "group": "all",
+                "dedup-window-ms": c.window_ms,
+                "worth": c.priority_weight,
+                "late-worth": c.late_weight_share,
+            }
+            for c in fleet.classes
+        ],
+        "rules": {
+            "answer-slack-ms": rules.answer_slack_ms,
+            "ask-within-ms": 10_000.0,
+            "cold-from": min(kind.slow_start_from for kind in fleet.kinds),
+            "cold-ms": max(kind.slow_start_ms for kind in fleet.kinds),
+            "fall-multiple": rules.overload_multiple,
+            "tip-after-ms": rules.overload_window_ms,
+            "stop-sending-within-ms": rules.drain_grace_ms,
+        },
+        "bounds": {
+            "most-tries": rules.max_attempts,
+            "may-duplicate": rules.hedging,
+            "cancelling": rules.cancel,
+            "probing": False,
+            "may-tell": rules.gossip,
+            "retry-after": rules.max_retry_after_ms > 0,
+            "max-retry-after-ms": rules.max_retry_after_ms,
+            "connect-timeout-ms": rules.connect_timeout_ms,
+            "max-open": fleet.gateway_groups()[gateway_index].descriptors,
+            "conn-idle-ms": rules.idle_ms,
+        },
+        "family": "rollout",
+        "family-info": {
+            "gate-mode": rollout.gate,
+            "style": rollout.style,
+            "steps": list(rollout.stages),
+            "caps": list(rollout.caps),
+            "soak-ms": rollout.soak_ms,
+            "stage-time-ms": rollout.stage_time_ms,
+            "on-votes": rollout.advance_votes,
+            "votes-to-hold": rollout.hold_votes,
+            "votes-to-revert": rollout.rollback_votes,
+            "ballot-ttl-ms": rollout.vote_ttl_ms,
+            "votes-per-s": rollout.votes_per_s,
+            "api-timeout-ms": rollout.call_timeout_ms,
+            "news-period-ms": rollout.update_period_ms,
+            "exposure-window-ms": rollout.exposure_window_ms,
+            "free": rollout.exposure_free,
+            "per": "class" if rollout.per_class else "all",
+            "safe-only-stages": rollout.guarded_stages,
+            "one-way": rollout.one_way,
+            "warm-keys": fleet.keys.work_saved > 0,
+        },
+    }
+
+
+def gateway_settings(fleet: Fleet, gateway_index: int) -> Settings:
+    """The same, read as the gateway reads it."""
+    return read_settings(gateway_settings_object(fleet, gateway_index), f"gateway {gateway_index}")
--- a/meadowpulley/interface.py
+++ b/meadowpulley/interface.py
@@ -1,7 +1,7 @@
-"""What a balancer is told and what it can do: settings, events and actions.
+"""The policy's interface: its settings, the events that it handles and the actions that it asks for.
 
 These types know nothing of any wire. An adapter turns a protocol into events, hands them one by one to
-`balance.Balancer.handle`, and carries out the actions that come back. Times are milliseconds on the clock
+`policy.RolloutPolicy.handle`, and carries out the actions that come back. Times are milliseconds on the clock
 that the adapter passes along with each event; durations are milliseconds too.
 """
 
@@ -39,13 +39,15 @@
 
 
 class ServerState(IntEnum):
+    """Where a server stands in its life cycle, as discovery lists it."""
+
     REMOVED = 0
     DRAINING = 1
     READY = 2
 
 
 class Phase(IntEnum):
-    """Where the newest build stands."""
+    """The state of the newest build's rollout."""
 
     TRIAL = 0
     ROLLING_BACK = 1
@@ -54,6 +56,8 @@
 
 
 class Verdict(IntEnum):
+    """What a gateway votes about the current stage of a rollout."""
+
     NONE = 0
     ADVANCE = 1
     HOLD = 2
@@ -61,11 +65,13 @@
 
 
 class EndpointUpdateKind(IntEnum):
+    """How an update of the endpoint list is to be read."""
+
     INCREMENTAL = 0
     FULL = 1
     CACHED = 2
     FAILED = 3
-    TIMED_OUT = 4  # a call, or a watch, that stood for longer than its answer may take
+    TIMED_OUT = 4  # a poll or a watch got no answer within its time-out
 
 
 # Events
@@ -73,6 +79,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerEntry:
+    """One server of the endpoint list.
+
+    `started_ms` is on the clock of the events; 0 for a server that is warmed up.
+    """
+
     server: int
     cell: int
     zone: int
@@ -85,8 +96,11 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointUpdate:
-    """News from discovery; `entries` is the whole list unless `kind` is CHANGES, and empty when FAILED
-    or SILENT."""
+    """An update of the endpoint list by discovery.
+
+    `entries` holds the whole list, but only what changed where `kind` is INCREMENTAL, and nothing where it is
+    FAILED or TIMED_OUT.
+    """
 
     kind: EndpointUpdateKind
     version: int
@@ -95,7 +109,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PriorAttempt:
-    """An attempt of an earlier life of a request that won its right to go out: it may have run, or may."""
+    """An attempt of the same request by a gateway that is lost: it may have run, or may still run."""
 
     server: int
     build: int
@@ -106,6 +120,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
+    """A request that was admitted and is owed one final answer; times are on the clock of the events."""
+
     request: int
     class_index: int
     tenant: int
@@ -114,36 +130,36 @@
     expected_work_ms: float | None = None
     client_retry: bool = False
     write: bool = False
-    adopted: bool = False  # taken over from a lost gateway: it earns no allowance on the trial build
-    prior_attempt_count: int = (
-        0  # attempts that earlier lives used up of `max_attempts`; here they count from 0 anew
-    )
-    prior_attempts: tuple[PriorAttempt, ...] = ()  # of these, the ones that are not known never to have run
-    arm: int = 0  # of an experiment on placements: which one orders its servers; 0 is the module's own
+    adopted: bool = False  # taken over from a lost gateway: adds nothing to the exposure allowance
+    prior_attempt_count: int = 0  # of `max_attempts`, used up by earlier gateways; ours are numbered from 0
+    prior_attempts: tuple[PriorAttempt, ...] = ()  # those of them that may have run, or may still run
+    arm: int = 0  # of an experiment on placements: which one orders the servers; 0 is the policy's own
 
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A server as a placement sees it, at the moment of the choice."""
+    """What a placement policy knows of a server at the moment of its choice."""
 
     server: int
     zone: int
     cell: int
     kind: int
     build: int
-    outstanding: int  # this gateway's attempts that are out there
-    slow_start_fraction: float  # the least part of its capacity that it has by its age
-    typical_latency_ms: float  # usual latency of its kind, as if warm; 0 while unknown
+    outstanding: int  # attempts of this gateway at the server
+    slow_start_fraction: float  # of its capacity: the least that it has at its age; 1 once warmed up
+    typical_latency_ms: float  # of servers of its kind, once warmed up; 0 while unknown
     same_zone: bool
 
 
-# Puts servers in order, as places in what it is given, best first; what it leaves out is not asked. A pure
-# function: time comes in, and chance by the request's number.
+# Returns indices into the given servers, best first; a server that it leaves out is not used. A pure
+# function: the time is an argument, and randomness is derived from the request's number.
 Placement: TypeAlias = Callable[[float, Request, Sequence[Candidate]], Sequence[int]]
 
 
 @dataclass(frozen=True, slots=True)
 class ResponseStarted:
+    """The first bytes of an answer went to the client: no other attempt may answer it now."""
+
     request: int
     attempt: int
     server: int
@@ -152,6 +168,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
+    """How one attempt of a request ended; `request_complete` where the client has its final answer."""
+
     request: int
     attempt: int
     server: int
@@ -163,11 +181,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientDisconnected:
+    """The client of a request has gone: nobody waits for its answer."""
+
     request: int
 
 
 @dataclass(frozen=True, slots=True)
 class ProbeResult:
+    """How a health check of one server ended."""
+
     server: int
     result: Result
     elapsed_ms: float
@@ -176,18 +198,25 @@
 
 @dataclass(frozen=True, slots=True)
 class GossipReceived:
+    """Bytes from another gateway: a digest, or anything else."""
+
     sender: int
     data: bytes
 
 
 @dataclass(frozen=True, slots=True)
 class Timer:
+    """The timer that a `SetTimer` with this token asked for has run out."""
+
     token: int
 
 
 @dataclass(frozen=True, slots=True)
 class RolloutUpdate:
-    """Where the newest build stands; as the reply to a vote, `result` says whether the vote counts."""
+    """The state of the newest build's rollout.
+
+    As the reply to a vote (`is_vote_reply`), `result` says whether the vote counts.
+    """
 
     build: int
     stage: int
@@ -200,6 +229,8 @@
 
 @dataclass(frozen=True, slots=True)
 class BuildStatistics:
+    """The platform's count of one build's attempts in one class over its last period."""
+
     build: int
     class_index: int
     attempts: int
@@ -210,6 +241,8 @@
 
 @dataclass(frozen=True, slots=True)
 class IncorrectResponse:
+    """The platform reports that a server gave a wrong answer of one class."""
+
     server: int
     class_index: int
     age_ms: float
@@ -244,28 +277,38 @@
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
+    """Gives up one outstanding attempt of a request."""
+
     request: int
     attempt: int
 
 
 @dataclass(frozen=True, slots=True)
 class Reject:
+    """Sheds a request that surely never ran; `retry_after_ms` advises its client, 0 for no advice."""
+
     request: int
     retry_after_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
+    """Answers a request as failed: an attempt of it may have run."""
+
     request: int
 
 
 @dataclass(frozen=True, slots=True)
 class Probe:
+    """Sends a health check to one server."""
+
     server: int
 
 
 @dataclass(frozen=True, slots=True)
 class Vote:
+    """Sends or renews the vote of this gateway on one stage of a build."""
+
     build: int
     stage: int
     verdict: Verdict
@@ -273,23 +316,27 @@
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
+    """Asks for one `Timer` event after the delay."""
+
     delay_ms: float
     token: int
 
 
 @dataclass(frozen=True, slots=True)
 class Watch:
+    """Opens the watch on the endpoint list anew, or ends it."""
+
     enabled: bool = True
 
 
 @dataclass(frozen=True, slots=True)
 class FetchEndpoints:
-    pass
+    """Polls discovery once for the whole endpoint list."""
 
 
 @dataclass(frozen=True, slots=True)
 class SendGossip:
-    """Sends bytes to one peer, or to every peer when `peer` is None."""
+    """Sends bytes to one other gateway, or to every one when `peer` is None."""
 
     peer: int | None
     data: bytes
@@ -297,11 +344,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CloseIdleConnections:
+    """Closes the connections to one server on which no request is outstanding."""
+
     server: int
 
 
 @dataclass(frozen=True, slots=True)
 class LogLine:
+    """A line of the policy for the log: why it condemned a build."""
+
     text: str
 
 
--- a/meadowpulley/ledger/__init__.py
+++ b/meadowpulley/ledger/__init__.py
@@ -1,86 +1,91 @@
-"""What the gateways of an installation share: lives with leases, and records that change by compare-and-set.
+"""The ledger: state that the gateways of an installation share.
 
-Off unless a setting names it; the gateway that `run` starts neither imports nor opens it. Reading order:
-`model.py` (lives, records, steps, the store's protocol, what stages ask and are told), `memory.py` (the
-store in memory), `keeper.py` (the own lease, the others' watched; the outermost stage), `groups.py`
-(commits of one turn), `rendezvous.py` (who of several lives is the one for a key). On a disk: `lines.py`
-(framing), `entries.py` (what stands in a line), `log.py` (the log and its generations), `leases.py`
-(renewals), `disk.py` (the store); `failpoints.py` (where a test lets a process die). These are imported by
-name, as they need msgspec. The gateway's edge: `config.py` (what it is told), `client.py` (carries out what
-stages ask).
+It holds incarnations with leases, and records that change by compare-and-set. It is off unless a setting
+names it; the gateway that `run` starts neither imports nor opens it. Reading order:
+
+- `model.py`: incarnations, records, transactions, the `Store` protocol, the actions and events of stages
+- `memory.py`: the store in memory, which defines what each transaction does
+- `lease_manager.py`: the outermost stage: renews the own lease, watches the others, fences the lost
+- `commit_batches.py`: the commits of one reactor turn, batched
+- `rendezvous.py`: which of several incarnations is responsible for a key
+- on a disk: `framing.py`, `log_entries.py`, `shared_log.py` (the log), `lease_files.py` (renewals),
+  `disk.py` (the store), `failpoints.py` (where a test lets a process fail)
+- at a gateway: `config.py` (settings), `client.py` (runs the actions of stages on a thread)
+
+The modules of the last two groups are imported by name, since they need msgspec.
 """
 
-from meadowpulley.ledger.groups import Group, Groups
-from meadowpulley.ledger.keeper import Keeper, Stage, Terms
+from meadowpulley.ledger.commit_batches import CommitBatch, CommitQueue
+from meadowpulley.ledger.lease_manager import LeaseManager, LeaseTimings, Stage
 from meadowpulley.ledger.memory import MemoryStore
 from meadowpulley.ledger.model import (
     LEDGER_EVENTS,
-    Changed,
     Changes,
+    CheckVersion,
     Commit,
-    Committed,
+    CommitCompleted,
     Create,
-    Done,
-    Ended,
-    How,
-    Leave,
-    LedgerBack,
+    Fence,
+    Fenced,
+    Incarnation,
+    LeaseExpired,
+    LedgerChanged,
     LedgerError,
-    LedgerLost,
-    Life,
+    LedgerRecovered,
+    LedgerUnavailable,
+    LedgerUnusableError,
     Member,
     Record,
-    RefusedError,
+    ReleaseLease,
     Remove,
-    Renew,
+    RenewLease,
     Replace,
     Scan,
-    Scanned,
-    Seal,
-    Step,
+    ScanCompleted,
     Store,
-    Suspected,
-    Unchanged,
-    Watched,
+    Transaction,
+    TransactionOutcome,
+    TransactionResult,
+    WatchRequest,
     Write,
 )
-from meadowpulley.ledger.rendezvous import choose
+from meadowpulley.ledger.rendezvous import rendezvous_order
 
 __all__ = [
     "LEDGER_EVENTS",
-    "Changed",
     "Changes",
+    "CheckVersion",
     "Commit",
-    "Committed",
+    "CommitBatch",
+    "CommitCompleted",
+    "CommitQueue",
     "Create",
-    "Done",
-    "Ended",
-    "Group",
-    "Groups",
-    "How",
-    "Keeper",
-    "Leave",
-    "LedgerBack",
+    "Fence",
+    "Fenced",
+    "Incarnation",
+    "LeaseExpired",
+    "LeaseManager",
+    "LeaseTimings",
+    "LedgerChanged",
     "LedgerError",
-    "LedgerLost",
-    "Life",
+    "LedgerRecovered",
+    "LedgerUnavailable",
+    "LedgerUnusableError",
     "Member",
     "MemoryStore",
     "Record",
-    "RefusedError",
+    "ReleaseLease",
     "Remove",
-    "Renew",
+    "RenewLease",
     "Replace",
     "Scan",
-    "Scanned",
-    "Seal",
+    "ScanCompleted",
     "Stage",
-    "Step",
     "Store",
-    "Suspected",
-    "Terms",
-    "Unchanged",
-    "Watched",
+    "Transaction",
+    "TransactionOutcome",
+    "TransactionResult",
+    "WatchRequest",
     "Write",
-    "choose",
+    "rendezvous_order",
 ]
--- a/meadowpulley/ledger/config.py
+++ b/meadowpulley/ledger/config.py
@@ -8,12 +8,16 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from meadowpulley.ledger.failpoints import ENV as ENV_FAILPOINTS, Fail, failpoints
-from meadowpulley.ledger.keeper import Terms
-from meadowpulley.ledger.model import RefusedError
+from meadowpulley.ledger.failpoints import (
+    FAILPOINTS_VARIABLE as ENV_FAILPOINTS,
+    FailpointHook,
+    parse_failpoints,
+)
+from meadowpulley.ledger.lease_manager import LeaseTimings
+from meadowpulley.ledger.model import LedgerUnusableError
 
-ENV = "MEADOWPULLEY_LEDGER"
-LEAST_POLL_MS = 5.0
+LEDGER_VARIABLE = "MEADOWPULLEY_LEDGER"
+MIN_POLL_INTERVAL_MS = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,58 +25,63 @@
     """`wait_ms`: what a look or a group of commits may take before the ledger counts as lost."""
 
     folder: str
-    terms: Terms
-    poll_ms: float
-    wait_ms: float
+    timings: LeaseTimings
+    poll_interval_ms: float
+    timeout_ms: float
     sync: bool
     installation: str
-    most_bytes: int
-    fail: Fail
+    max_log_bytes: int
+    failpoint: FailpointHook
 
     @property
-    def unknown_ms(self) -> float:
+    def commit_timeout_ms(self) -> float:
         """By when every commit is answered: one may wait for another's whole wait, and then its own."""
-        return 2.0 * self.wait_ms + self.poll_ms
+        return 2.0 * self.timeout_ms + self.poll_interval_ms
 
 
-def _number(environ: Mapping[str, str], name: str, usual: float, least: float) -> float:
-    text = environ.get(f"{ENV}_{name}", "") or str(usual)
+def _read_number(environ: Mapping[str, str], name: str, default: float, minimum: float) -> float:
+    text = environ.get(f"{LEDGER_VARIABLE}_{name}", "") or str(default)
     try:
         value = float(text)
     except ValueError:
         value = float("nan")
-    if not least <= value < float("inf"):
-        raise RefusedError(f"{ENV}_{name}: '{text}' is no number from {least:g}: set it, or leave it out")
+    if not minimum <= value < float("inf"):
+        raise LedgerUnusableError(
+            f"{LEDGER_VARIABLE}_{name}: '{text}' is no number from {minimum:g}: set it, or leave it out"
+        )
     return value
 
 
 def read_settings(environ: Mapping[str, str]) -> LedgerSettings | None:
     """None where no ledger is wanted. Raises `RefusedError`: one line that says what, where, what to do."""
-    folder = environ.get(ENV, "")
+    folder = environ.get(LEDGER_VARIABLE, "")
     if not folder:
         return None
-    sync = environ.get(f"{ENV}_SYNC", "") or "0"
+    sync = environ.get(f"{LEDGER_VARIABLE}_SYNC", "") or "0"
     if sync not in ("0", "1"):
-        raise RefusedError(f"{ENV}_SYNC: '{sync}' is neither 0 nor 1: set it, or leave it out")
+        raise LedgerUnusableError(
+            f"{LEDGER_VARIABLE}_SYNC: '{sync}' is neither 0 nor 1: set it, or leave it out"
+        )
     try:
-        fail = failpoints(environ.get(ENV_FAILPOINTS, ""))
-    except ValueError as bad:
-        raise RefusedError(str(bad)) from None
+        failpoint = parse_failpoints(environ.get(ENV_FAILPOINTS, ""))
+    except ValueError as error:
+        raise LedgerUnusableError(str(error)) from None
     settings = LedgerSettings(
         folder=folder,
-        terms=Terms(term_ms=_number(environ, "TERM_MS", 2000.0, 1.0)),
-        poll_ms=_number(environ, "POLL_MS", 50.0, LEAST_POLL_MS),
-        wait_ms=_number(environ, "WAIT_MS", 400.0, 1.0),
+        timings=LeaseTimings(term_ms=_read_number(environ, "TERM_MS", 2000.0, 1.0)),
+        poll_interval_ms=_read_number(environ, "POLL_MS", 50.0, MIN_POLL_INTERVAL_MS),
+        timeout_ms=_read_number(environ, "WAIT_MS", 400.0, 1.0),
         sync=sync == "1",
-        installation=environ.get(f"{ENV}_INSTALLATION", ""),
-        most_bytes=int(_number(environ, "MB", 32.0, 1.0) * (1 << 20)),
-        fail=fail,
+        installation=environ.get(f"{LEDGER_VARIABLE}_INSTALLATION", ""),
+        max_log_bytes=int(_read_number(environ, "MB", 32.0, 1.0) * (1 << 20)),
+        failpoint=failpoint,
     )
-    terms = settings.terms
-    slack = terms.act_part - terms.renew_part
-    if settings.unknown_ms > slack * terms.term_ms:
-        raise RefusedError(
-            f"{ENV}_TERM_MS: {terms.term_ms:g} is too short for renewals that may take"
-            f" {settings.unknown_ms:g} ({ENV}_WAIT_MS, _POLL_MS): at least {settings.unknown_ms / slack:g}"
+    timings = settings.timings
+    slack_fraction = timings.hold_fraction - timings.renewal_fraction
+    if settings.commit_timeout_ms > slack_fraction * timings.term_ms:
+        min_term_ms = settings.commit_timeout_ms / slack_fraction
+        raise LedgerUnusableError(
+            f"{LEDGER_VARIABLE}_TERM_MS: {timings.term_ms:g} is too short for renewals that may take"
+            f" {settings.commit_timeout_ms:g} ({LEDGER_VARIABLE}_WAIT_MS, _POLL_MS): at least {min_term_ms:g}"
         )
     return settings
