--- a/meadowpulley/ledger/disk.py
+++ b/meadowpulley/ledger/disk.py
@@ -15,26 +15,26 @@
 from contextlib import contextmanager
 from dataclasses import replace
 
-from meadowpulley.ledger.entries import Begin, Steps
-from meadowpulley.ledger.failpoints import Fail, nothing
-from meadowpulley.ledger.leases import Leases
-from meadowpulley.ledger.log import Log, boot_id
+from meadowpulley.ledger.failpoints import FailpointHook, no_failpoint
+from meadowpulley.ledger.lease_files import LeaseFiles
+from meadowpulley.ledger.log_entries import CommitEntry, RegisterEntry
 from meadowpulley.ledger.model import (
     Changes,
-    Done,
-    How,
+    Fence,
+    Incarnation,
     LedgerError,
-    Life,
+    LedgerUnusableError,
     Member,
     Record,
-    RefusedError,
-    Renew,
-    Seal,
-    Step,
+    RenewLease,
+    Transaction,
+    TransactionOutcome,
+    TransactionResult,
 )
+from meadowpulley.ledger.shared_log import SharedLog, read_boot_id
 
-MOST_BYTES = 32 << 20
-GOOD_NAME = re.compile(r"[A-Za-z0-9_-][A-Za-z0-9._-]{0,63}")
+DEFAULT_MAX_LOG_BYTES = 32 << 20
+VALID_NAME = re.compile(r"[A-Za-z0-9_-][A-Za-z0-9._-]{0,63}")
 
 
 class DiskStore:
@@ -50,142 +50,176 @@
         path: str,
         installation: str = "",
         sync: bool = False,
-        most_bytes: int = MOST_BYTES,
-        boot: str = "",
-        fail: Fail = nothing,
+        max_log_bytes: int = DEFAULT_MAX_LOG_BYTES,
+        machine_boot_id: str = "",
+        failpoint: FailpointHook = no_failpoint,
     ) -> None:
-        self._path, self._fail = path, fail
+        self._path, self._failpoint = path, failpoint
         try:
-            self._folder = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
-        except OSError as bad:
-            raise RefusedError(f"ledger: {path}: {bad.strerror}: make that folder, or name another") from None
+            self._folder_fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+        except OSError as error:
+            raise LedgerUnusableError(
+                f"ledger: {path}: {error.strerror}: make that folder, or name another"
+            ) from None
         try:
-            with self._told():
-                self._log = Log(self._folder, path, installation, sync, most_bytes, boot or boot_id(), fail)
-                self._leases = Leases(self._folder, fail)
-                self._leases.clear(self._log.state.lives)
-        except LedgerError as bad:
-            os.close(self._folder)
-            raise RefusedError(str(bad)) from None
+            with self._os_errors_translated():
+                self._log = SharedLog(
+                    self._folder_fd,
+                    path,
+                    installation,
+                    sync,
+                    max_log_bytes,
+                    machine_boot_id or read_boot_id(),
+                    failpoint,
+                )
+                self._lease_files = LeaseFiles(self._folder_fd, failpoint)
+                self._lease_files.remove_stale(self._log.state.members_by_name)
+        except LedgerError as error:
+            os.close(self._folder_fd)
+            raise LedgerUnusableError(str(error)) from None
 
     @property
     def installation(self) -> str:
-        return self._log.head.installation
+        return self._log.header.installation
 
-    def notes(self) -> list[str]:
-        found, self._log.torn = self._log.torn, []
-        return found
+    def take_warnings(self) -> list[str]:
+        warnings, self._log.torn_frame_warnings = self._log.torn_frame_warnings, []
+        return warnings
 
     @contextmanager
-    def _told(self) -> Iterator[None]:
+    def _os_errors_translated(self) -> Iterator[None]:
         try:
             yield
-        except OSError as bad:
-            raise LedgerError(f"ledger: {self._path}: {bad.strerror}: see to that disk") from None
+        except OSError as error:
+            raise LedgerError(f"ledger: {self._path}: {error.strerror}: see to that disk") from None
 
     @contextmanager
-    def _current(self) -> Iterator[None]:
+    def _caught_up(self) -> Iterator[None]:
         """With all that others wrote known; what fails is told in a line."""
-        with self._told():
-            self._fail("call")
-            here, mine = os.stat(self._path), os.fstat(self._folder)
-            if (here.st_dev, here.st_ino) != (mine.st_dev, mine.st_ino):
+        with self._os_errors_translated():
+            self._failpoint("call")
+            path_status, folder_status = os.stat(self._path), os.fstat(self._folder_fd)
+            if (path_status.st_dev, path_status.st_ino) != (folder_status.st_dev, folder_status.st_ino):
                 raise LedgerError(f"ledger: {self._path} is another folder now: put it back, or start again")
-            name = self._log.name
-            self._log.follow()
-            if self._log.name != name:
-                self._leases.clear(self._log.state.lives)
+            previous_file = self._log.file_name
+            self._log.catch_up()
+            if self._log.file_name != previous_file:
+                self._lease_files.remove_stale(self._log.state.members_by_name)
             yield
 
-    def begin(self, name: str, term_ms: float) -> Life:
-        if not GOOD_NAME.fullmatch(name):
-            raise RefusedError(f"ledger: the name '{name}' is none of letters, digits, '.', '_' and '-'")
-        with self._current():
-            last = self._log.state.lives.get(name)
-            life = Life(name, last.life.epoch + 1 if last is not None else 1)
-            free = last is None or last.sealed or self._leases.over(last.life)
-            if not free or not self._leases.begin(life):
-                raise RefusedError(f"ledger: the name '{name}' is taken by a living gateway: choose another")
-            if not self._log.propose(Begin, life, term_ms, sync=True):
-                raise RefusedError(f"ledger: the name '{name}' was taken meanwhile: choose another")
-            self._fail("begin.begun")
-        return life
-
-    def commit(self, by: Life, steps: Sequence[Step]) -> list[Done]:
-        found: list[Done] = []
-        with self._current():
-            waiting: list[Step] = []
-            for step in steps:
-                if Renew() not in step.writes:
-                    waiting.append(step)
+    def register(self, name: str, term_ms: float) -> Incarnation:
+        if not VALID_NAME.fullmatch(name):
+            raise LedgerUnusableError(
+                f"ledger: the name '{name}' is none of letters, digits, '.', '_' and '-'"
+            )
+        with self._caught_up():
+            previous = self._log.state.members_by_name.get(name)
+            incarnation = Incarnation(name, previous.incarnation.epoch + 1 if previous is not None else 1)
+            is_free = (
+                previous is None
+                or previous.fenced
+                or self._lease_files.has_process_ended(previous.incarnation)
+            )
+            if not is_free or not self._lease_files.acquire(incarnation):
+                raise LedgerUnusableError(
+                    f"ledger: the name '{name}' is taken by a living gateway: choose another"
+                )
+            if not self._log.propose(RegisterEntry, incarnation, term_ms, sync=True):
+                raise LedgerUnusableError(f"ledger: the name '{name}' was taken meanwhile: choose another")
+            self._failpoint("begin.begun")
+        return incarnation
+
+    def commit(
+        self, incarnation: Incarnation, transactions: Sequence[Transaction]
+    ) -> list[TransactionResult]:
+        results: list[TransactionResult] = []
+        with self._caught_up():
+            pending: list[Transaction] = []
+            for transaction in transactions:
+                if RenewLease() not in transaction.writes:
+                    pending.append(transaction)
                     continue
-                if len(step.writes) > 1:
+                if len(transaction.writes) > 1:
                     raise ValueError("Renew stands alone in its step")
-                found += self._propose(by, waiting)
-                waiting = []
-                found.append(self._renew(by))
-            found += self._propose(by, waiting)
-        return found
-
-    def _sealed(self, by: Life) -> bool:
-        member = self._log.state.lives.get(by.name)
-        return member is None or member.life != by or member.sealed
-
-    def _renew(self, by: Life) -> Done:
-        if self._sealed(by) or not self._leases.renew(by):
-            return Done(How.SEALED)
-        return Done(How.WON, version=self._log.state.version)
-
-    def _propose(self, by: Life, steps: list[Step]) -> list[Done]:
-        if not steps:
+                results += self._propose(incarnation, pending)
+                pending = []
+                results.append(self._renew(incarnation))
+            results += self._propose(incarnation, pending)
+        return results
+
+    def _is_fenced(self, incarnation: Incarnation) -> bool:
+        member = self._log.state.members_by_name.get(incarnation.name)
+        return member is None or member.incarnation != incarnation or member.fenced
+
+    def _renew(self, incarnation: Incarnation) -> TransactionResult:
+        if self._is_fenced(incarnation) or not self._lease_files.renew(incarnation):
+            return TransactionResult(TransactionOutcome.FENCED)
+        return TransactionResult(TransactionOutcome.COMMITTED, version=self._log.state.version)
+
+    def _propose(self, incarnation: Incarnation, transactions: list[Transaction]) -> list[TransactionResult]:
+        if not transactions:
             return []
-        if self._sealed(by):
-            return [Done(How.SEALED)] * len(steps)
-        ready = tuple(
-            Step(tuple(self._first_move(by, w) if isinstance(w, Seal) else w for w in step.writes))
-            for step in steps
+        if self._is_fenced(incarnation):
+            return [TransactionResult(TransactionOutcome.FENCED)] * len(transactions)
+        prepared = tuple(
+            Transaction(
+                tuple(self._stop_renewals(incarnation, w) if isinstance(w, Fence) else w for w in step.writes)
+            )
+            for step in transactions
         )
-        found = self._log.propose(Steps, by, ready)
-        assert not isinstance(found, bool)
-        return found
+        results = self._log.propose(CommitEntry, incarnation, prepared)
+        assert not isinstance(results, bool)
+        return results
 
-    def _first_move(self, by: Life, seal: Seal) -> Seal:
+    def _stop_renewals(self, incarnation: Incarnation, fence: Fence) -> Fence:
         """Ends the renewals of a life that is to be sealed. Where its step then loses for another reason,
         that life finds itself sealed at its next renewal, and somebody seals it on missing that."""
-        if seal.life != by and not self._sealed(seal.life) and not self._leases.seal(seal.life, seal.renewal):
-            return replace(seal, renewal=-1)
-        return seal
+        if (
+            fence.incarnation != incarnation
+            and not self._is_fenced(fence.incarnation)
+            and not self._lease_files.fence(fence.incarnation, fence.renewal)
+        ):
+            return replace(fence, renewal=-1)
+        return fence
 
     def read(self, key: str) -> Record | None:
-        with self._current():
+        with self._caught_up():
             return self._log.state.read(key)
 
     def scan(self, prefix: str) -> list[Record]:
-        with self._current():
+        with self._caught_up():
             return self._log.state.scan(prefix)
 
     def members(self) -> list[Member]:
-        with self._current():
-            return [self._member(name) for name in sorted(self._log.state.lives)]
+        with self._caught_up():
+            return [self._current_member(name) for name in sorted(self._log.state.members_by_name)]
 
-    def _member(self, name: str) -> Member:
-        member = self._log.state.lives[name]
-        found = None if member.sealed else self._leases.look(member.life)
-        return replace(member, renewal=found[0]) if found is not None else member
+    def _current_member(self, name: str) -> Member:
+        member = self._log.state.members_by_name[name]
+        lease = None if member.fenced else self._lease_files.read(member.incarnation)
+        return replace(member, renewal=lease[0]) if lease is not None else member
 
     def changes(
-        self, after: int, prefixes: Sequence[str] = ("",), watched: Sequence[str] | None = None
+        self, after_version: int, prefixes: Sequence[str] = ("",), watched_names: Sequence[str] | None = None
     ) -> Changes:
-        with self._current():
+        with self._caught_up():
             state = self._log.state
-            found = state.changes(after, prefixes, ())
-            names = {m.life.name for m in found.members}
-            names.update(state.lives if watched is None else state.lives.keys() & set(watched))
-            members = tuple(self._member(name) for name in sorted(names))
-            over = tuple(m.life for m in members if not m.sealed and self._leases.over(m.life))
-            return replace(found, members=members, over=over)
+            changes = state.changes(after_version, prefixes, ())
+            names = {m.incarnation.name for m in changes.members}
+            names.update(
+                state.members_by_name
+                if watched_names is None
+                else state.members_by_name.keys() & set(watched_names)
+            )
+            members = tuple(self._current_member(name) for name in sorted(names))
+            dead = tuple(
+                m.incarnation
+                for m in members
+                if not m.fenced and self._lease_files.has_process_ended(m.incarnation)
+            )
+            return replace(changes, members=members, dead_incarnations=dead)
 
     def close(self) -> None:
         self._log.close()
-        self._leases.close()
-        os.close(self._folder)
+        self._lease_files.close()
+        os.close(self._folder_fd)
--- a/meadowpulley/ledger/failpoints.py
+++ b/meadowpulley/ledger/failpoints.py
@@ -15,8 +15,8 @@
 import time
 from collections.abc import Callable
 
-ENV = "MEADOWPULLEY_FAILPOINTS"
-NAMES = (
+FAILPOINTS_VARIABLE = "MEADOWPULLEY_FAILPOINTS"
+FAILPOINT_NAMES = (
     "call",
     "begin.locked",
     "begin.begun",
@@ -31,15 +31,15 @@
     "roll.linked",
     "roll.opened",
 )
-SLOW_S = 2.0
-Fail = Callable[[str], None]
+SLOW_CALL_S = 2.0
+FailpointHook = Callable[[str], None]
 
 
-def nothing(name: str) -> None:
+def no_failpoint(name: str) -> None:
     """The failpoint of a process that has none."""
 
 
-def _error(code: int) -> None:
+def _raise_os_error(code: int) -> None:
     raise OSError(code, os.strerror(code))
 
 
@@ -47,32 +47,33 @@
     "kill": lambda: os.kill(os.getpid(), signal.SIGKILL),
     # To this thread: sent to the process another one may take it, and this one get a step further.
     "stop": lambda: signal.pthread_kill(threading.get_ident(), signal.SIGSTOP),
-    "full": lambda: _error(errno.ENOSPC),
-    "error": lambda: _error(errno.EIO),
-    "slow": lambda: time.sleep(SLOW_S),
+    "full": lambda: _raise_os_error(errno.ENOSPC),
+    "error": lambda: _raise_os_error(errno.EIO),
+    "slow": lambda: time.sleep(SLOW_CALL_S),
 }
 
 
-def failpoints(text: str) -> Fail:
+def parse_failpoints(text: str) -> FailpointHook:
     """Raises ValueError where the text names no step or nothing that can be done there."""
     if not text:
-        return nothing
-    plan: dict[str, tuple[str, int, bool]] = {}
+        return no_failpoint
+    triggers: dict[str, tuple[str, int, bool]] = {}
     for part in text.split(","):
-        name, _, rest = part.strip().partition("=")
-        action, _, count = rest.partition("@")
-        on = count.endswith("+")
+        name, _, definition = part.strip().partition("=")
+        action, _, count = definition.partition("@")
+        repeats = count.endswith("+")
         count = count.removesuffix("+") or "1"
-        if name not in NAMES or action not in ACTIONS or not count.isdecimal():
-            raise ValueError(f"{ENV}: '{part}': write STEP=ACTION@COUNT with one of {', '.join(NAMES)}")
-        plan[name] = (action, int(count), on)
-    seen = dict.fromkeys(plan, 0)
+        if name not in FAILPOINT_NAMES or action not in ACTIONS or not count.isdecimal():
+            known = ", ".join(FAILPOINT_NAMES)
+            raise ValueError(f"{FAILPOINTS_VARIABLE}: '{part}': write STEP=ACTION@COUNT with one of {known}")
+        triggers[name] = (action, int(count), repeats)
+    calls = dict.fromkeys(triggers, 0)
 
-    def fail(name: str) -> None:
-        if name in plan:
-            seen[name] += 1
-            action, count, on = plan[name]
-            if seen[name] == count or (on and seen[name] > count):
+    def hit(name: str) -> None:
+        if name in triggers:
+            calls[name] += 1
+            action, count, repeats = triggers[name]
+            if calls[name] == count or (repeats and calls[name] > count):
                 ACTIONS[action]()
 
-    return fail
+    return hit
--- a/meadowpulley/ledger/lines.py
+++ b/meadowpulley/ledger/framing.py
@@ -13,56 +13,58 @@
 from enum import Enum
 from zlib import crc32
 
-HEAD = 24  # hexadecimal: length of the escaped payload, its checksum, and a checksum of these sixteen
+HEADER_LENGTH = (
+    24  # hexadecimal: length of the escaped payload, its checksum, and a checksum of these sixteen
+)
 
 
-class Bad(Enum):
+class CorruptFrame(Enum):
     TORN = "torn"
     DAMAGED = "damaged"
 
 
-def frame(payload: bytes) -> bytes:
+def encode_frame(payload: bytes) -> bytes:
     body = payload.replace(b"\x1b", b"\x1b\x01").replace(b"\n", b"\x1b\x02")
-    first = b"%08x%08x" % (len(body), crc32(body))
-    return b"\n%b%08x%b\n" % (first, crc32(first), body)
+    checked_header = b"%08x%08x" % (len(body), crc32(body))
+    return b"\n%b%08x%b\n" % (checked_header, crc32(checked_header), body)
 
 
-def unframe(line: bytes) -> bytes | Bad:
+def decode_frame(frame: bytes) -> bytes | CorruptFrame:
     """The payload of what stood between two line ends."""
-    first, body = line[:16], line[HEAD:]
-    if line[16:HEAD] != b"%08x" % crc32(first):
+    checked_header, body = frame[:16], frame[HEADER_LENGTH:]
+    if frame[16:HEADER_LENGTH] != b"%08x" % crc32(checked_header):
         # The start of a head; a file system may leave zeros, too, where a machine died.
-        torn = len(line) < HEAD and not line.strip(b"0123456789abcdef")
-        return Bad.TORN if torn or not line.strip(b"\0") else Bad.DAMAGED
-    length = int(first[:8], 16)
-    if len(body) != length or crc32(body) != int(first[8:], 16):
-        return Bad.TORN if len(body) < length else Bad.DAMAGED
+        is_partial_header = len(frame) < HEADER_LENGTH and not frame.strip(b"0123456789abcdef")
+        return CorruptFrame.TORN if is_partial_header or not frame.strip(b"\0") else CorruptFrame.DAMAGED
+    length = int(checked_header[:8], 16)
+    if len(body) != length or crc32(body) != int(checked_header[8:], 16):
+        return CorruptFrame.TORN if len(body) < length else CorruptFrame.DAMAGED
     return body.replace(b"\x1b\x02", b"\n").replace(b"\x1b\x01", b"\x1b") if b"\x1b" in body else body
 
 
-class Lines:
+class FrameReader:
     """Takes a file's bytes as they come; gives each line once it has ended, and where in the file it
     began."""
 
     def __init__(self) -> None:
-        self._rest = b""
-        self._at = 0
+        self._partial = b""
+        self._frame_start = 0
 
     @property
     def offset(self) -> int:
         """Of the next byte to be fed."""
-        return self._at + len(self._rest)
+        return self._frame_start + len(self._partial)
 
     @property
-    def tail(self) -> int:
+    def pending_bytes(self) -> int:
         """Bytes of a line that has not ended: on its way, or torn."""
-        return len(self._rest)
+        return len(self._partial)
 
-    def feed(self, data: bytes) -> Iterator[tuple[int, bytes | Bad]]:
-        parts = (self._rest + data).split(b"\n")
-        self._rest = parts.pop()
+    def feed(self, data: bytes) -> Iterator[tuple[int, bytes | CorruptFrame]]:
+        parts = (self._partial + data).split(b"\n")
+        self._partial = parts.pop()
         for part in parts:
-            at = self._at
-            self._at += len(part) + 1
+            start = self._frame_start
+            self._frame_start += len(part) + 1
             if part:
-                yield at, unframe(part)
+                yield start, decode_frame(part)
--- a/meadowpulley/ledger/model.py
+++ b/meadowpulley/ledger/model.py
@@ -20,7 +20,7 @@
 
 
 @dataclass(frozen=True, slots=True, order=True)
-class Life:
+class Incarnation:
     """One start of one gateway; `epoch` rises with every start of that name, from 1, never given twice."""
 
     name: str
@@ -35,7 +35,7 @@
     key: str
     value: bytes
     version: int  # of the ledger, at the write that left it so
-    by: Life  # who wrote it
+    writer: Incarnation  # who wrote it
 
 
 # What a step is made of
@@ -67,7 +67,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Unchanged:
+class CheckVersion:
     """Writes nothing; wins if the record still has this version (0: if there is none)."""
 
     key: str
@@ -75,60 +75,60 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Seal:
+class Fence:
     """Ends another life: from now on it commits nothing. Wins for exactly one caller, never for that life.
 
     `renewal` is the number of the last renewal that the caller saw: a life that renewed since is not sealed.
     """
 
-    life: Life
+    incarnation: Incarnation
     renewal: int
 
 
 @dataclass(frozen=True, slots=True)
-class Leave:
+class ReleaseLease:
     """Ends the life that commits it, as `Seal` does, once whatever stands before it in the step is done."""
 
 
 @dataclass(frozen=True, slots=True)
-class Renew:
+class RenewLease:
     """Renews the lease of the life that commits it: its renewal number rises by one. Alone in its step."""
 
 
-Write: TypeAlias = Create | Replace | Remove | Unchanged | Seal | Leave | Renew
+Write: TypeAlias = Create | Replace | Remove | CheckVersion | Fence | ReleaseLease | RenewLease
 
 
 @dataclass(frozen=True, slots=True)
-class Step:
+class Transaction:
     """Writes that are carried out together, in this order, or not at all."""
 
     writes: tuple[Write, ...]
 
 
-class How(Enum):
-    WON = "won"
-    LOST = "lost"  # a record was not as the step wanted it: nothing was changed
-    SEALED = "sealed"  # the life that committed it has ended: nothing was changed
+class TransactionOutcome(Enum):
+    COMMITTED = "won"
+    CONFLICT = "lost"  # a record was not as the step wanted it: nothing was changed
+    FENCED = "sealed"  # the life that committed it has ended: nothing was changed
     UNKNOWN = "unknown"  # no answer, or none in time: it may have been carried out, or may yet be
 
 
 @dataclass(frozen=True, slots=True)
-class Done:
+class TransactionResult:
     """What became of one step."""
 
-    how: How
+    outcome: TransactionOutcome
     version: int = 0  # of the ledger, where it won
-    at: int = -1  # which of its writes lost
-    found: Record | None = None  # and what stood there instead, if anything
+    failed_write_index: int = -1  # which of its writes lost
+    existing: Record | None = None  # and what stood there instead, if anything
 
 
 @dataclass(frozen=True, slots=True)
 class Member:
     """A life as the ledger has it."""
 
-    life: Life
+    incarnation: Incarnation
     renewal: int  # how often it was renewed; 0: only begun
-    sealed: bool
+    fenced: bool
     term_ms: float  # of its lease
     version: int
 
@@ -138,18 +138,20 @@
     """All that changed since a version: records written, keys removed, members begun, renewed or sealed."""
 
     version: int  # ask from here next time
-    whole: bool = False  # all there is now, as too much was forgotten since: what is not in it is gone
+    is_snapshot: bool = False  # all there is now, as too much was forgotten since: what is not in it is gone
     records: tuple[Record, ...] = ()
-    removed: tuple[str, ...] = ()
+    removed_keys: tuple[str, ...] = ()
     members: tuple[Member, ...] = ()
-    over: tuple[Life, ...] = ()  # lives, not sealed yet, whose process is known to have ended
+    dead_incarnations: tuple[
+        Incarnation, ...
+    ] = ()  # lives, not sealed yet, whose process is known to have ended
 
 
 class LedgerError(Exception):
     """The ledger gave no answer: full, out of order, gone. Its text is one line: what, where, what to do."""
 
 
-class RefusedError(LedgerError):
+class LedgerUnusableError(LedgerError):
     """It can't be used at all: foreign, of another version, damaged, the name taken. Nothing was changed."""
 
 
@@ -160,10 +162,12 @@
     Every call raises `LedgerError` where the backend fails; after that a step that was on its way is UNKNOWN.
     """
 
-    def begin(self, name: str, term_ms: float) -> Life:
+    def register(self, name: str, term_ms: float) -> Incarnation:
         """A new life of that name, with the next epoch. Raises `RefusedError` while an earlier one lives."""
 
-    def commit(self, by: Life, steps: Sequence[Step]) -> list[Done]:
+    def commit(
+        self, incarnation: Incarnation, transactions: Sequence[Transaction]
+    ) -> list[TransactionResult]:
         """Carries out the steps, in order and each by itself, made lasting together; what became of each."""
 
     def read(self, key: str) -> Record | None: ...
@@ -175,13 +179,13 @@
         """The last life of every name."""
 
     def changes(
-        self, after: int, prefixes: Sequence[str] = ("",), watched: Sequence[str] | None = None
+        self, after_version: int, prefixes: Sequence[str] = ("",), watched_names: Sequence[str] | None = None
     ) -> Changes:
         """What changed after that version, at once; 0 asks for all. Members come whatever the prefixes: all
         that changed, or, where names are `watched`, those that began or were sealed, and the watched ones as
         they stand. So what a fleet reads of renewals grows with the fleet and not with its square."""
 
-    def notes(self) -> list[str]:
+    def take_warnings(self) -> list[str]:
         """Lines that the operator should read, each given once."""
 
     def close(self) -> None: ...
@@ -195,16 +199,16 @@
     """Action: commit these steps in the next group, in order. Answered by one `Committed` of that ticket."""
 
     ticket: int  # the asking stage's own number; `owner` tells stages apart
-    steps: tuple[Step, ...]
+    transactions: tuple[Transaction, ...]
     owner: str = ""
 
 
 @dataclass(frozen=True, slots=True)
-class Committed:
+class CommitCompleted:
     """Event: what became of the steps of one `Commit`, in their order."""
 
     ticket: int
-    done: tuple[Done, ...]
+    results: tuple[TransactionResult, ...]
     owner: str = ""
 
 
@@ -218,7 +222,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Scanned:
+class ScanCompleted:
     """Event: the records of one `Scan`, by key; None if the ledger gave no answer."""
 
     ticket: int
@@ -227,7 +231,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Watched:
+class WatchRequest:
     """Action: the members whose renewals this gateway wants to be told of from its next look on, one look
     at a time; None: all of them."""
 
@@ -235,16 +239,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Changed:
+class LedgerChanged:
     """Event: what changed in the ledger, in the order of its versions. Told after each look, also of nothing:
     that a renewal is still missing says something only if the look began late enough."""
 
     changes: Changes
-    began_ms: float | None = None  # when the look began, by this gateway's clock; None: just now
+    poll_started_ms: float | None = None  # when the look began, by this gateway's clock; None: just now
 
 
 @dataclass(frozen=True, slots=True)
-class Suspected:
+class LeaseExpired:
     """Event: these lives let their leases run out by this gateway's clock, or were sealed (`sealed`).
 
     A life that is not sealed yet may renew and act on: what was its own is free once it is sealed. Each is
@@ -256,21 +260,29 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LedgerLost:
+class LedgerUnavailable:
     """Event: the ledger does not answer. Rights that rest on it end when the own lease does."""
 
-    why: str
+    reason: str
 
 
 @dataclass(frozen=True, slots=True)
-class LedgerBack:
+class LedgerRecovered:
     """Event: it answers again; this life was not sealed in between."""
 
 
 @dataclass(frozen=True, slots=True)
-class Ended:
+class Fenced:
     """Event: this life was sealed by another. Nothing that rests on the ledger may be begun any more."""
 
 
 # No balancer knows any of these.
-LEDGER_EVENTS = (Changed, Committed, Scanned, Suspected, LedgerLost, LedgerBack, Ended)
+LEDGER_EVENTS = (
+    LedgerChanged,
+    CommitCompleted,
+    ScanCompleted,
+    LeaseExpired,
+    LedgerUnavailable,
+    LedgerRecovered,
+    Fenced,
+)
--- a/meadowpulley/lending/allocator.py
+++ b/meadowpulley/lending/allocator.py
@@ -1,264 +1,375 @@
-"""Who may admit what: the one gateway that holds the office answers every asking with a grant.
-
-The promise: at every moment the floors and all grants that any gateway may still go by add up to the
-capacity at most. For each gateway that counts which was granted last and, until its next asking says that it
-goes by that grant, whatever it may have gone by before (`Grant.held`). What is not renewed counts for a term
-(and the clocks' drift) from the moment the allocator first saw it, which is after its holder began it.
-So a grant rises only by what is free; what is lowered is free once its gateway said so; what ended is free
-once a record says that it was returned. Whoever allocates next finds the same sum in the records.
+"""Decide who may admit what: the elected allocator answers every demand report with a grant.
+
+The invariant: at every moment the floors and all grants that any gateway may still use add up to the
+capacity at most. For each gateway that counts the last grant and, until a report acknowledges it, whatever
+the gateway may have used before (`QuotaGrant.reserved`). A grant that is not renewed counts for a term (and
+the clocks' drift) from the moment the allocator first observed it, which is after its holder's term began.
+So a grant rises only by what is free; what is lowered is free once its gateway acknowledged that; what
+expired is free once a record says that it was reclaimed. The next allocator finds the same sum in the
+records.
 """
 
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from meadowpulley.lending.model import Ask, Grant, Plan
-from meadowpulley.lending.split import split
+from meadowpulley.lending.max_min_fairness import divide_capacity
+from meadowpulley.lending.plan import QuotaPlan
+from meadowpulley.lending.records import DemandReport, GrantedRate, QuotaGrant
 
-ROUNDING = 1e-9  # units a second, in comparisons of sums
-SPARE = 0.5  # of what nobody asks for lies ready at all gateways; the rest answers those who ask next
+RATE_TOLERANCE = 1e-9  # units per second, when sums are compared
+SPARE_FRACTION = 0.5  # of what nobody demands is granted to all alike; the rest is for the next reports
 
 
 @dataclass(slots=True)
-class Granted:
-    """The record of a gateway's grant, as the allocator last saw it."""
+class ObservedGrant:
+    """A gateway's grant as the allocator observed it last."""
 
-    grant: Grant
+    grant: QuotaGrant
     version: int
-    seen_at: float
+    observed_at: float
 
 
 @dataclass(slots=True)
-class Asked:
-    ask: Ask
+class ObservedReport:
+    """A gateway's report as the allocator observed it last."""
+
+    report: DemandReport
     version: int
-    seen_at: float
+    observed_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class GrantWrite:
+    """A grant to write in place of the record's version `replaced_version` (0: there is none yet)."""
+
+    gateway_index: int
+    grant: QuotaGrant
+    replaced_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Units per second that are set apart for one gateway already."""
+
+    usable: float  # by the incarnation that reports now
+    predecessors: float  # by earlier incarnations, which may still run
 
 
 @dataclass(slots=True)
-class Divided:
-    """For each place, the parts of what is asked that are given: of its own share, and borrowed."""
+class Allocation:
+    """For each place, the fractions of its demand that are granted: of its own quota, and borrowed."""
 
-    parts: dict[int, tuple[float, float]]
-    spare: float  # for each gateway beside
+    granted_fractions: dict[int, tuple[float, float]]
+    spare_per_gateway: float
 
 
 @dataclass(slots=True)
-class Need:
-    """What one gateway should have, and how much of it it has."""
+class Entitlement:
+    """What one gateway should get, and how much of that is reserved for it already; units per second."""
 
-    rates: list[tuple[int, float, float]]  # place, own, borrowed
-    all_own: float
-    all_lent: float
-    own: float  # of the owners' shares, beyond the floor
-    has: float  # of all beyond the floor, by what is counted for it already
-    lacks_own: float
-    lacks_more: float
+    rates: list[GrantedRate]
+    total_own: float
+    total_borrowed: float
+    own_beyond_floor: float
+    covered: float  # of all beyond the floor, by what is reserved already
+    own_shortfall: float
+    borrowed_shortfall: float
 
     @classmethod
-    def of(cls, ask: Ask, divided: Divided, counted: float) -> Need:
-        parts, none = divided.parts, (0.0, 0.0)
-        rates = [(p, rate * parts.get(p, none)[0], rate * parts.get(p, none)[1]) for p, rate in ask.rates]
-        all_own, all_lent = math.fsum(r[1] for r in rates), math.fsum(r[2] for r in rates)
-        own = max(all_own - ask.uses, 0.0)
-        wanted = max(all_own + all_lent + divided.spare - ask.uses, 0.0)
-        lacks_own, lacks_more = max(own - counted, 0.0), max(wanted - max(counted, own), 0.0)
-        return cls(rates, all_own, all_lent, own, min(wanted, counted), lacks_own, lacks_more)
+    def for_report(cls, report: DemandReport, allocation: Allocation, reserved: float) -> Entitlement:
+        """Compute the entitlement behind one report, of which `reserved` is covered already."""
+        rates = []
+        for place, demand in report.rates:
+            own_fraction, borrowed_fraction = allocation.granted_fractions.get(place, (0.0, 0.0))
+            rates.append((place, demand * own_fraction, demand * borrowed_fraction))
+        total_own = math.fsum(own for _, own, _ in rates)
+        total_borrowed = math.fsum(borrowed for _, _, borrowed in rates)
+        own_beyond_floor = max(total_own - report.floor_in_use, 0.0)
+        wanted = max(total_own + total_borrowed + allocation.spare_per_gateway - report.floor_in_use, 0.0)
+        return cls(
+            rates=rates,
+            total_own=total_own,
+            total_borrowed=total_borrowed,
+            own_beyond_floor=own_beyond_floor,
+            covered=min(wanted, reserved),
+            own_shortfall=max(own_beyond_floor - reserved, 0.0),
+            borrowed_shortfall=max(wanted - max(reserved, own_beyond_floor), 0.0),
+        )
 
 
 class Allocator:
-    """Pure: records and answers in, grants out. Numbers are those of the gateways."""
+    """Turn observed reports and grants into new grants; does no I/O. Gateways are known by their indices."""
 
-    def __init__(self, plan: Plan) -> None:
+    def __init__(self, plan: QuotaPlan) -> None:
         self.plan = plan
-        self.asks: dict[int, Asked] = {}
-        self.grants: dict[int, Granted] = {}
-        self.sums: dict[int, float] = {}  # asked for by all gateways, by place
-        self.owed_until: dict[int, float] = {}  # ends of what earlier lives were granted
-        self.short: dict[int, float] = {}  # what gateways lacked of owners' shares at their last answers
-
-    def saw_ask(self, now: float, number: int, ask: Ask, version: int) -> None:
-        old = self.asks.get(number)
+        self.reports: dict[int, ObservedReport] = {}
+        self.grants: dict[int, ObservedGrant] = {}
+        self.demand_by_place: dict[int, float] = {}  # of all gateways together
+        self.predecessors_until: dict[int, float] = {}  # when grants of earlier incarnations end
+        self.own_shortfalls: dict[int, float] = {}  # of owners at each gateway, at its last answer
+
+    # What is observed
+
+    def observe_report(self, now: float, gateway_index: int, report: DemandReport, version: int) -> None:
+        """Take up a gateway's report, unless one at least as new is known."""
+        old = self.reports.get(gateway_index)
         if old is not None and old.version >= version:
             return
-        self._sum(old, -1)
-        self.asks[number] = Asked(ask, version, now)
-        granted = self.grants.get(number)
-        if ask.left and granted is not None and granted.grant.life == ask.life:
-            granted.grant = replace(granted.grant, total=0.0, held=0.0)
-        self._sum(self.asks[number], 1)
-
-    def _sum(self, asked: Asked | None, sign: int) -> None:
-        if asked is not None and asked.ask.plan == self.plan.version:
-            for place, rate in asked.ask.rates:
-                self.sums[place] = self.sums.get(place, 0.0) + sign * rate
-
-    def saw_grant(self, now: float, number: int, grant: Grant, version: int) -> None:
-        old = self.grants.get(number)
+        self._add_demand(old, -1)
+        self.reports[gateway_index] = ObservedReport(report, version, now)
+        observed = self.grants.get(gateway_index)
+        if report.released and observed is not None and observed.grant.incarnation == report.incarnation:
+            observed.grant = replace(observed.grant, total=0.0, reserved=0.0)
+        self._add_demand(self.reports[gateway_index], 1)
+
+    def _add_demand(self, observed: ObservedReport | None, sign: int) -> None:
+        if observed is None or observed.report.plan_version != self.plan.version:
+            return
+        for place, rate in observed.report.rates:
+            self.demand_by_place[place] = self.demand_by_place.get(place, 0.0) + sign * rate
+
+    def observe_grant(self, now: float, gateway_index: int, grant: QuotaGrant, version: int) -> None:
+        """Take up a gateway's grant, unless one at least as new is known."""
+        old = self.grants.get(gateway_index)
         if old is not None and old.version >= version:
             return
-        self.grants[number] = Granted(grant, version, now)
-        if grant.owed > 0 and number not in self.owed_until:
-            self.owed_until[number] = now + self.plan.others(grant.term_ms)
-
-    def replan(self, plan: Plan) -> None:
-        self.plan, self.sums = plan, {}
-        for asked in self.asks.values():
-            self._sum(asked, 1)
-
-    def counted(self, number: int) -> float:
-        """Units a second set apart for this gateway, in whichever of its lives, until a record says less."""
-        return self.in_use(number) + self.owed(number)
-
-    def in_use(self, number: int) -> float:
-        """What the life that was answered last may go by."""
-        granted, asked = self.grants.get(number), self.asks.get(number)
-        if granted is None:
+        self.grants[gateway_index] = ObservedGrant(grant, version, now)
+        if grant.predecessor_reserved > 0 and gateway_index not in self.predecessors_until:
+            self.predecessors_until[gateway_index] = now + self.plan.observer_term_ms(grant.term_ms)
+
+    def update_plan(self, plan: QuotaPlan) -> None:
+        """Allocate by another plan from now on; demand by another plan's places no longer counts."""
+        self.plan, self.demand_by_place = plan, {}
+        for observed in self.reports.values():
+            self._add_demand(observed, 1)
+
+    # What is reserved
+
+    def reserved(self, gateway_index: int) -> float:
+        """Return the units per second set apart for all incarnations of a gateway by the records."""
+        return self.usable_grant(gateway_index) + self.predecessor_reserved(gateway_index)
+
+    def usable_grant(self, gateway_index: int) -> float:
+        """Return what the incarnation that was answered last may use."""
+        observed_grant, observed_report = self.grants.get(gateway_index), self.reports.get(gateway_index)
+        if observed_grant is None:
             return 0.0
-        if asked is not None and _goes_by(asked.ask, granted.grant):
-            return 0.0 if asked.ask.left else granted.grant.total
-        return granted.grant.held
+        if observed_report is not None and _acknowledges(observed_report.report, observed_grant.grant):
+            return 0.0 if observed_report.report.released else observed_grant.grant.total
+        return observed_grant.grant.reserved
 
-    def owed(self, number: int) -> float:
-        """What earlier lives may go by: nobody can say for them that they don't."""
-        granted = self.grants.get(number)
-        return granted.grant.owed if granted is not None else 0.0
+    def predecessor_reserved(self, gateway_index: int) -> float:
+        """Return what earlier incarnations may use: no report can release it for them."""
+        observed = self.grants.get(gateway_index)
+        return observed.grant.predecessor_reserved if observed is not None else 0.0
 
-    def _end(self, granted: Granted) -> float:
-        """When whoever held that grant has stopped going by it, whatever its clock does."""
-        return granted.seen_at + self.plan.others(granted.grant.term_ms)
+    def _expires_at(self, observed: ObservedGrant) -> float:
+        """Return when the holder of a grant has stopped using it, whatever its clock does."""
+        return observed.observed_at + self.plan.observer_term_ms(observed.grant.term_ms)
 
-    def _bury(self, now: float, number: int) -> tuple[float, float]:
-        """What the asking life may go by already, and what earlier lives may still.
+    def _split_reservation(self, now: float, gateway_index: int) -> Reservation:
+        """Split what is reserved between the reporting incarnation and earlier ones.
 
-        A life that was answered last and asks no more is an earlier one: what it had counts to its end.
+        An incarnation that was answered last and is not the one that reports is an earlier one: what it was
+        granted counts until it expires.
         """
-        granted, life = self.grants.get(number), self.asks[number].ask.life
-        if granted is None:
-            return 0.0, 0.0
-        used, owed = self.in_use(number), self.owed(number)
-        if now >= self.owed_until.get(number, -math.inf):
-            owed = 0.0
-        if granted.grant.life == life:
-            return used, owed
-        end = self._end(granted)
-        if now >= end:
-            return 0.0, owed
-        self.owed_until[number] = max(self.owed_until.get(number, end), end)
-        return 0.0, used + owed
-
-    def _returns(self, now: float, number: int) -> Grant | None:
-        """A grant that ended unrenewed is written as returned before anyone else gets it: once, by one step,
-        so that no later allocator can take it for lent to two."""
-        granted = self.grants[number]
-        grant = granted.grant
-        ended = now >= self._end(granted) and grant.held > 0
-        paid = now >= self.owed_until.get(number, -math.inf) and grant.owed > 0
-        if not ended and not paid:
-            return None
-        if ended:
-            grant = replace(grant, total=0.0, held=0.0, rates=())
-        return replace(grant, owed=0.0) if paid else grant
-
-    def floor_counted(self, now: float, number: int) -> float:
-        """Units a second it may go on with beside, even cut off, in whichever of its lives."""
-        asked, granted, found = self.asks.get(number), self.grants.get(number), 0.0
-        term = self.plan.others(self.plan.floor_term_ms)
-        if asked is not None and now < asked.seen_at + term:
-            found = asked.ask.floor
-        if granted is None or now >= granted.seen_at + term:
-            return found
-        if asked is not None and _goes_by(asked.ask, granted.grant):
-            return found
-        return max(found, granted.grant.floor)
-
-    def floors(self, now: float) -> float:
-        """What is set apart for floors: the plan's, and what any gateway still goes by of an earlier plan."""
-        more = [
-            max(self.floor_counted(now, n) - self.plan.floor_of(n), 0.0)
-            for n in self.asks.keys() | self.grants.keys()
+        observed = self.grants.get(gateway_index)
+        if observed is None:
+            return Reservation(0.0, 0.0)
+        usable, predecessors = self.usable_grant(gateway_index), self.predecessor_reserved(gateway_index)
+        if now >= self.predecessors_until.get(gateway_index, -math.inf):
+            predecessors = 0.0
+        if observed.grant.incarnation == self.reports[gateway_index].report.incarnation:
+            return Reservation(usable, predecessors)
+        expires_at = self._expires_at(observed)
+        if now >= expires_at:
+            return Reservation(0.0, predecessors)
+        until = self.predecessors_until.get(gateway_index, expires_at)
+        self.predecessors_until[gateway_index] = max(until, expires_at)
+        return Reservation(0.0, usable + predecessors)
+
+    def reserved_floor(self, now: float, gateway_index: int) -> float:
+        """Return the units per second a gateway may use beside grants, in any incarnation, even cut off."""
+        observed_report, observed_grant = self.reports.get(gateway_index), self.grants.get(gateway_index)
+        floor = 0.0
+        term = self.plan.observer_term_ms(self.plan.floor_term_ms)
+        if observed_report is not None and now < observed_report.observed_at + term:
+            floor = observed_report.report.reserved_floor
+        if observed_grant is None or now >= observed_grant.observed_at + term:
+            return floor
+        if observed_report is not None and _acknowledges(observed_report.report, observed_grant.grant):
+            return floor
+        return max(floor, observed_grant.grant.floor)
+
+    def reserved_floors(self, now: float) -> float:
+        """Return what all floors take: the plan's, and what gateways still use by an earlier plan."""
+        beyond_plan = [
+            max(self.reserved_floor(now, gateway_index) - self.plan.floor_per_s(gateway_index), 0.0)
+            for gateway_index in self.reports.keys() | self.grants.keys()
         ]
-        return self.plan.floor * self.plan.usable + math.fsum(more)
-
-    def turn(self, now: float) -> list[tuple[int, Grant, int]]:
-        """Answers to all askings since the last turn, and grants returned: number, grant, version of the
-        record it replaces (0: none yet). The caller carries them out before it calls again."""
-        waiting = [n for n, a in sorted(self.asks.items()) if self._waits(now, n, a)]
-        back = [(n, self._returns(now, n)) for n in sorted(self.grants.keys() - set(waiting))]
-        answers = [(n, grant, self._version(n)) for n, grant in back if grant is not None]
-        if not waiting:
-            return answers
-        pool = self.plan.usable - self.floors(now)
-        free = pool - math.fsum(self.counted(n) for n in self.grants)
-        divided = self._divide(now, max(pool, 0.0))
-        had = {n: self._bury(now, n) for n in waiting}
-        needs = {n: Need.of(self.asks[n].ask, divided, had[n][0]) for n in waiting}
-        first = math.fsum(need.lacks_own for need in needs.values())
-        second = math.fsum(need.lacks_more for need in needs.values())
-        # Owners elsewhere that lacked something at their last answer come before anyone borrows.
-        elsewhere = [s for n, s in self.short.items() if n not in needs and self._fresh(now, self.asks[n])]
-        left = max(free - first - math.fsum(elsewhere), 0.0)
-        part_own = min(max(free, 0.0) / first, 1.0) if first > 0 else 1.0
-        part_more = min(left / second, 1.0) if second > 0 else 1.0
-        for n, need in needs.items():
-            total = need.has + part_own * need.lacks_own + part_more * need.lacks_more
-            self.short[n] = max(need.own - total, 0.0)
-            answers.append(
-                (n, self._grant(now, n, need, (total, *had[n]), free >= -ROUNDING), self._version(n))
+        return self.plan.floor * self.plan.usable_per_s + math.fsum(beyond_plan)
+
+    # What is granted
+
+    def run_round(self, now: float) -> list[GrantWrite]:
+        """Answer all reports since the last round, and reclaim what expired.
+
+        The caller must have these written, or give up its lease, before it calls again.
+        """
+        waiting = [
+            gateway_index
+            for gateway_index, observed in sorted(self.reports.items())
+            if self._awaits_grant(now, gateway_index, observed)
+        ]
+        writes = self._reclaim_expired(now, self.grants.keys() - set(waiting))
+        return writes + self._answer(now, waiting) if waiting else writes
+
+    def _reclaim_expired(self, now: float, gateways: Iterable[int]) -> list[GrantWrite]:
+        writes = []
+        for gateway_index in sorted(gateways):
+            grant = self._reclaimed_grant(now, gateway_index)
+            if grant is not None:
+                writes.append(GrantWrite(gateway_index, grant, self._grant_version(gateway_index)))
+        return writes
+
+    def _reclaimed_grant(self, now: float, gateway_index: int) -> QuotaGrant | None:
+        """Return an expired grant marked as reclaimed; None if there is nothing to reclaim.
+
+        That is written before anyone else gets it, once and in one transaction, so that no later allocator
+        can count it as lent to two gateways.
+        """
+        observed = self.grants[gateway_index]
+        grant = observed.grant
+        expired = now >= self._expires_at(observed) and grant.reserved > 0
+        predecessors_expired = (
+            now >= self.predecessors_until.get(gateway_index, -math.inf) and grant.predecessor_reserved > 0
+        )
+        if not expired and not predecessors_expired:
+            return None
+        if expired:
+            grant = replace(grant, total=0.0, reserved=0.0, rates=())
+        return replace(grant, predecessor_reserved=0.0) if predecessors_expired else grant
+
+    def _answer(self, now: float, waiting: list[int]) -> list[GrantWrite]:
+        pool = self.plan.usable_per_s - self.reserved_floors(now)
+        free = pool - math.fsum(self.reserved(gateway_index) for gateway_index in self.grants)
+        allocation = self._allocate(now, max(pool, 0.0))
+        reservations = {index: self._split_reservation(now, index) for index in waiting}
+        entitlements = {
+            index: Entitlement.for_report(self.reports[index].report, allocation, reservations[index].usable)
+            for index in waiting
+        }
+        own_fraction, borrowed_fraction = self._granted_shortfalls(now, free, entitlements)
+        writes = []
+        for index, entitlement in entitlements.items():
+            total = (
+                entitlement.covered
+                + own_fraction * entitlement.own_shortfall
+                + borrowed_fraction * entitlement.borrowed_shortfall
             )
-        return answers
+            self.own_shortfalls[index] = max(entitlement.own_beyond_floor - total, 0.0)
+            has_capacity = free >= -RATE_TOLERANCE
+            grant = self._build_grant(now, index, entitlement, total, reservations[index], has_capacity)
+            writes.append(GrantWrite(index, grant, self._grant_version(index)))
+        return writes
+
+    def _granted_shortfalls(
+        self, now: float, free: float, entitlements: dict[int, Entitlement]
+    ) -> tuple[float, float]:
+        """Return which fractions of all shortfalls can be granted: of owners' quotas, and of the rest."""
+        own_shortfall = math.fsum(entitlement.own_shortfall for entitlement in entitlements.values())
+        borrowed_shortfall = math.fsum(
+            entitlement.borrowed_shortfall for entitlement in entitlements.values()
+        )
+        # Owners at other gateways that fell short at their last answer come before anyone borrows.
+        other_shortfalls = [
+            shortfall
+            for index, shortfall in self.own_shortfalls.items()
+            if index not in entitlements and self._is_fresh(now, self.reports[index])
+        ]
+        remaining = max(free - own_shortfall - math.fsum(other_shortfalls), 0.0)
+        own_fraction = min(max(free, 0.0) / own_shortfall, 1.0) if own_shortfall > 0 else 1.0
+        borrowed_fraction = min(remaining / borrowed_shortfall, 1.0) if borrowed_shortfall > 0 else 1.0
+        return own_fraction, borrowed_fraction
 
-    def _version(self, number: int) -> int:
-        return self.grants[number].version if number in self.grants else 0
+    def _grant_version(self, gateway_index: int) -> int:
+        return self.grants[gateway_index].version if gateway_index in self.grants else 0
 
-    def _waits(self, now: float, number: int, asked: Asked) -> bool:
-        ask, granted = asked.ask, self.grants.get(number)
-        if ask.left or ask.plan != self.plan.version or not self._fresh(now, asked):
+    def _awaits_grant(self, now: float, gateway_index: int, observed: ObservedReport) -> bool:
+        report, observed_grant = observed.report, self.grants.get(gateway_index)
+        if report.released or report.plan_version != self.plan.version or not self._is_fresh(now, observed):
             return False
-        return granted is None or granted.grant.life != ask.life or ask.turn > granted.grant.turn
-
-    def _fresh(self, now: float, asked: Asked) -> bool:
-        return not asked.ask.left and now < asked.seen_at + self.plan.term_ms
-
-    def _divide(self, now: float, pool: float) -> Divided:
-        """Max-min over all that is asked for, of the pool and the floors of those that ask."""
-        for n in [n for n, a in self.asks.items() if not self._fresh(now, a) and a.ask.rates]:
-            self._sum(self.asks[n], -1)
-            self.asks[n].ask = replace(self.asks[n].ask, rates=())
-        fresh = [a.ask for a in self.asks.values() if self._fresh(now, a)]
-        pool += math.fsum(ask.uses for ask in fresh if ask.rates)
-        places = sorted(p for p, rate in self.sums.items() if rate > ROUNDING)
-        tenants, asks = self.plan.tenants, [self.sums[p] for p in places]
-        shares = [tenants[p].part * self.plan.usable if p < len(tenants) else 0.0 for p in places]
-        weights = [tenants[p].weight if p < len(tenants) else 0.0 for p in places]
-        own, lent = split(pool, asks, shares, weights)
-        left = max(pool - math.fsum(own) - math.fsum(lent), 0.0)
-        return Divided(
-            {p: (mine / ask, more / ask) for p, mine, more, ask in zip(places, own, lent, asks, strict=True)},
-            SPARE * left / max(len(fresh), 1),
+        if observed_grant is None or observed_grant.grant.incarnation != report.incarnation:
+            return True
+        return report.round_number > observed_grant.grant.round_number
+
+    def _is_fresh(self, now: float, observed: ObservedReport) -> bool:
+        return not observed.report.released and now < observed.observed_at + self.plan.term_ms
+
+    def _forget_stale_demand(self, now: float) -> None:
+        for observed in self.reports.values():
+            if observed.report.rates and not self._is_fresh(now, observed):
+                self._add_demand(observed, -1)
+                observed.report = replace(observed.report, rates=())
+
+    def _allocate(self, now: float, pool: float) -> Allocation:
+        """Divide the pool, and the floors of the gateways that report, max-min over all demand."""
+        self._forget_stale_demand(now)
+        fresh = [observed.report for observed in self.reports.values() if self._is_fresh(now, observed)]
+        pool += math.fsum(report.floor_in_use for report in fresh if report.rates)
+        places = sorted(place for place, rate in self.demand_by_place.items() if rate > RATE_TOLERANCE)
+        tenants, demands = self.plan.tenants, [self.demand_by_place[place] for place in places]
+        quotas = [
+            tenants[place].fraction * self.plan.usable_per_s if place < len(tenants) else 0.0
+            for place in places
+        ]
+        weights = [tenants[place].weight if place < len(tenants) else 0.0 for place in places]
+        own_rates, borrowed_rates = divide_capacity(pool, demands, quotas, weights)
+        remaining = max(pool - math.fsum(own_rates) - math.fsum(borrowed_rates), 0.0)
+        granted_fractions = {
+            place: (own / demand, borrowed / demand)
+            for place, own, borrowed, demand in zip(places, own_rates, borrowed_rates, demands, strict=True)
+        }
+        return Allocation(granted_fractions, SPARE_FRACTION * remaining / max(len(fresh), 1))
+
+    def _build_grant(
+        self,
+        now: float,
+        gateway_index: int,
+        entitlement: Entitlement,
+        total: float,
+        reservation: Reservation,
+        has_capacity: bool,
+    ) -> QuotaGrant:
+        report, floor = self.reports[gateway_index].report, self.reserved_floor(now, gateway_index)
+        return QuotaGrant(
+            incarnation=report.incarnation,
+            round_number=report.round_number,
+            plan_version=report.plan_version,
+            total=total,
+            reserved=max(total, reservation.usable),
+            predecessor_reserved=reservation.predecessors,
+            floor=max(floor, self.plan.floor_per_s(gateway_index)) if has_capacity else floor,
+            term_ms=self.plan.term_ms,
+            rates=_scaled_rates(entitlement, total + report.floor_in_use),
         )
 
-    def _grant(
-        self, now: float, number: int, need: Need, rates: tuple[float, float, float], room: bool
-    ) -> Grant:
-        total, used, owed = rates
-        ask, floor = self.asks[number].ask, self.floor_counted(now, number)
-        all_in = total + ask.uses
-        scale_own = min(all_in / need.all_own, 1.0) if need.all_own > 0 else 1.0
-        scale_lent = min(max(all_in - need.all_own, 0.0) / need.all_lent, 1.0) if need.all_lent > 0 else 1.0
-        return Grant(
-            ask.life,
-            ask.turn,
-            ask.plan,
-            total,
-            max(total, used),
-            owed,
-            max(floor, self.plan.floor_of(number)) if room else floor,
-            self.plan.term_ms,
-            tuple((p, own * scale_own, lent * scale_lent) for p, own, lent in need.rates if own + lent > 0),
-        )
+
+def _scaled_rates(entitlement: Entitlement, total: float) -> tuple[GrantedRate, ...]:
+    """Scale an entitlement's rates down to a total, the borrowed ones first."""
+    own_scale = min(total / entitlement.total_own, 1.0) if entitlement.total_own > 0 else 1.0
+    borrowed_scale = 1.0
+    if entitlement.total_borrowed > 0:
+        borrowed_scale = min(max(total - entitlement.total_own, 0.0) / entitlement.total_borrowed, 1.0)
+    return tuple(
+        (place, own * own_scale, borrowed * borrowed_scale)
+        for place, own, borrowed in entitlement.rates
+        if own + borrowed > 0
+    )
 
 
-def _goes_by(ask: Ask, grant: Grant) -> bool:
-    return ask.life == grant.life and ask.seen >= grant.turn
+def _acknowledges(report: DemandReport, grant: QuotaGrant) -> bool:
+    return report.incarnation == grant.incarnation and report.acknowledged_round >= grant.round_number
--- /dev/null
+++ b/meadowpulley/lending/allocator_election.py
@@ -0,0 +1,223 @@
+"""Elect the one gateway that allocates, by a lease record that every grant's transaction depends on.
+
+A gateway whose report stays unanswered for a while takes the lease over: it replaces the record, so that
+nothing its predecessor had in flight can still be written, reads all records anew, and allocates from there.
+Taking the lease over too early costs work and nothing else.
+"""
+
+from __future__ import annotations
+
+import math
+from enum import Enum
+from random import Random
+
+from meadowpulley.ledger.model import (
+    CheckVersion,
+    Commit,
+    CommitCompleted,
+    Incarnation,
+    LeaseExpired,
+    Record,
+    Scan,
+    ScanCompleted,
+    Transaction,
+    TransactionOutcome,
+)
+from meadowpulley.lending.allocator import Allocator
+from meadowpulley.lending.plan import QuotaPlan
+from meadowpulley.lending.records import (
+    ALLOCATOR_KEY,
+    GRANT_PREFIX,
+    KEY_PREFIX,
+    OWNER,
+    PLAN_KEY,
+    REPORT_PREFIX,
+    QuotaGrant,
+    conditional_write,
+    decode_grant,
+    decode_incarnation,
+    decode_report,
+    encode_grant,
+    encode_incarnation,
+    record_key,
+    write_if_unchanged,
+)
+
+ELECTION_TIMEOUT_ROUNDS = 2.0  # without an answer, and up to one more at random, before a gateway stands
+COMMIT_TIMEOUT_ROUNDS = 4.0  # without a result of its own commit, after which a leader steps down
+PLAN_CHECK_INDEX = 1  # in a grant's transaction: a conflict there means another plan, not another leader
+
+
+class LeaderState(Enum):
+    """A gateway's part in the election."""
+
+    FOLLOWER = 0
+    CANDIDATE = 1  # its replacement of the lease record is in flight
+    LOADING = 2  # it holds the lease and waits for the scan of all records
+    LEADER = 3
+
+
+class AllocatorElection:
+    """One gateway's part in electing the allocator; while it leads, it runs the allocator's rounds."""
+
+    def __init__(self, incarnation: Incarnation, plan: QuotaPlan, rng: Random) -> None:
+        self.incarnation, self.plan, self.rng = incarnation, plan, rng
+        self.state = LeaderState.FOLLOWER
+        self.lease_version = 0  # of the lease record; 0: none observed
+        self.leader: Incarnation | None = None
+        self.plan_version = 0  # of the plan's record; 0: none observed
+        self.allocator = Allocator(plan)
+        self.ticket, self.pending_since = 0, -math.inf  # of the commit or scan in flight; 0: none
+        self.pending_grants: list[tuple[int, QuotaGrant]] = []
+        self.jitter = rng.random()  # rounds added to the election time-out
+        self.leader_changed_at = -math.inf
+        self.early_election_at = math.inf  # the leader's own lease has expired
+
+    @property
+    def needs_all_records(self) -> bool:
+        """Whether this gateway must observe every gateway's reports and grants."""
+        return self.state in (LeaderState.LOADING, LeaderState.LEADER)
+
+    def step_down(self, now: float) -> None:
+        """Become a follower; forget what was observed as the allocator."""
+        self.state, self.ticket, self.pending_grants = LeaderState.FOLLOWER, 0, []
+        self.leader_changed_at = now
+        self.jitter, self.early_election_at = self.rng.random(), math.inf
+        self.allocator = Allocator(self.plan)
+
+    def update_plan(self, plan: QuotaPlan, version: int) -> None:
+        """Allocate by another plan, of that version of the ledger's record."""
+        self.plan, self.plan_version = plan, version
+        self.allocator.update_plan(plan)
+
+    def on_lease_expired(self, now: float, event: LeaseExpired) -> None:
+        """Stand for election early if the leader's membership lease has expired."""
+        if any(member.incarnation == self.leader for member in event.members):
+            self.early_election_at = now + self.jitter * self.plan.round_ms
+
+    # Records
+
+    def observe(self, now: float, record: Record) -> None:
+        """Take up a changed record of this package."""
+        if record.key == ALLOCATOR_KEY:
+            self._observe_lease(now, record)
+        elif self.needs_all_records:
+            self._observe_for_allocator(now, record)
+
+    def _observe_for_allocator(self, now: float, record: Record) -> None:
+        prefix = REPORT_PREFIX if record.key.startswith(REPORT_PREFIX) else GRANT_PREFIX
+        suffix = record.key[len(prefix) :]
+        if not record.key.startswith(prefix) or not suffix.isdecimal():
+            return
+        gateway_index = int(suffix)
+        try:
+            if prefix == REPORT_PREFIX:
+                report = decode_report(record.value)
+                self.allocator.observe_report(now, gateway_index, report, record.version)
+            else:
+                grant = decode_grant(record.value)
+                self.allocator.observe_grant(now, gateway_index, grant, record.version)
+        except ValueError:
+            self.step_down(now)  # what can't be decoded can't be counted
+
+    def _observe_lease(self, now: float, record: Record) -> None:
+        if record.version <= self.lease_version:
+            return
+        self.lease_version = record.version
+        self.leader = decode_incarnation(record.value)
+        if self.state is not LeaderState.CANDIDATE or self.leader != self.incarnation:
+            self.step_down(now)
+
+    def on_scanned(self, now: float, event: ScanCompleted) -> None:
+        """Take up all records, read after the lease was won: no former leader can write any more."""
+        if self.state is not LeaderState.LOADING or event.ticket != self.ticket:
+            return
+        self.ticket = 0
+        if event.records is None:
+            self.step_down(now)
+            return
+        for record in event.records:
+            self.observe(now, record)
+        if self.state is LeaderState.LOADING:
+            self.state = LeaderState.LEADER
+
+    # Time
+
+    def on_tick(self, now: float, unanswered_since: float, ticket: int) -> list[Commit]:
+        """Return what is to be committed now, under `ticket`.
+
+        `unanswered_since` is when the first report that is still unanswered was sent (infinity: none is).
+        """
+        if self.ticket and now > self.pending_since + COMMIT_TIMEOUT_ROUNDS * self.plan.round_ms:
+            self.step_down(now)
+        if self.ticket:
+            return []
+        if self.state is LeaderState.FOLLOWER and self._must_stand(now, unanswered_since):
+            self.state, self.ticket, self.pending_since = LeaderState.CANDIDATE, ticket, now
+            value = encode_incarnation(self.incarnation)
+            return [conditional_write(ticket, ALLOCATOR_KEY, value, self.lease_version)]
+        if self.state is LeaderState.LEADER:
+            return self._run_round(now, ticket)
+        return []
+
+    def _must_stand(self, now: float, unanswered_since: float) -> bool:
+        if not self.plan_version:
+            return False
+        if not self.lease_version and unanswered_since < now:
+            return True  # nobody has ever led
+        time_out_ms = (ELECTION_TIMEOUT_ROUNDS + self.jitter) * self.plan.round_ms
+        election_due_at = max(unanswered_since, self.leader_changed_at) + time_out_ms
+        return now >= min(election_due_at, self.early_election_at)
+
+    def _run_round(self, now: float, ticket: int) -> list[Commit]:
+        writes = self.allocator.run_round(now)
+        if not writes:
+            return []
+        self.ticket, self.pending_since = ticket, now
+        self.pending_grants = [(write.gateway_index, write.grant) for write in writes]
+        fence = (CheckVersion(ALLOCATOR_KEY, self.lease_version), CheckVersion(PLAN_KEY, self.plan_version))
+        transactions = []
+        for write in writes:
+            key, value = record_key(GRANT_PREFIX, write.gateway_index), encode_grant(write.grant)
+            transactions.append(Transaction((*fence, write_if_unchanged(key, value, write.replaced_version))))
+        return [Commit(ticket, tuple(transactions), OWNER)]
+
+    # Results
+
+    def on_committed(self, now: float, event: CommitCompleted) -> list[Scan]:
+        """Take up the result of an own commit; others' are ignored."""
+        if not self.ticket or event.ticket != self.ticket:
+            return []
+        self.ticket = 0
+        if self.state is LeaderState.CANDIDATE:
+            return self._on_election_result(now, event)
+        if self.state is LeaderState.LEADER:
+            self._on_grants_written(now, event)
+        return []
+
+    def _on_election_result(self, now: float, event: CommitCompleted) -> list[Scan]:
+        result = event.results[0] if event.results else None
+        if result is not None and result.outcome is TransactionOutcome.COMMITTED:
+            self.lease_version, self.leader = max(self.lease_version, result.version), self.incarnation
+            self.state, self.leader_changed_at = LeaderState.LOADING, now
+            self.allocator = Allocator(self.plan)
+            self.ticket, self.pending_since = event.ticket, now
+            return [Scan(event.ticket, KEY_PREFIX, OWNER)]
+        self.step_down(now)
+        if result is not None and result.existing is not None:
+            self.observe(now, result.existing)
+        return []
+
+    def _on_grants_written(self, now: float, event: CommitCompleted) -> None:
+        pending, self.pending_grants = self.pending_grants, []
+        for (gateway_index, grant), result in zip(pending, event.results, strict=False):
+            if result.outcome is TransactionOutcome.COMMITTED:
+                self.allocator.observe_grant(now, gateway_index, grant, result.version)
+            elif (
+                result.outcome is not TransactionOutcome.CONFLICT
+                or result.failed_write_index != PLAN_CHECK_INDEX
+            ):
+                self.step_down(now)  # it may yet be written: the next leader makes sure of that
+                return
+        if len(event.results) != len(pending):
+            self.step_down(now)
--- a/meadowpulley/lending/config.py
+++ b/meadowpulley/lending/config.py
@@ -1,4 +1,4 @@
-"""Settings of lending, checked: what stands in the environment beside the tenants of the gateway's settings.
+"""Read the settings of lending: environment variables beside the tenants of the gateway's own settings.
 
 `read_plan` takes a mapping of names to text (an environment, or flags by the same names) and touches nothing
 else. All names begin with `MEADOWPULLEY_LENDING_`; `deploy/lending.env` lists them.
@@ -9,10 +9,10 @@
 from collections.abc import Mapping
 
 from meadowpulley.interface import Settings
-from meadowpulley.lending.model import Plan, PlanError, Share, checked
+from meadowpulley.lending.plan import Quota, QuotaPlan, QuotaPlanError, validate_plan
 
-PREFIX = "MEADOWPULLEY_LENDING_"
-NUMBERS = {
+ENV_PREFIX = "MEADOWPULLEY_LENDING_"
+NUMERIC_SETTINGS = {  # variable, and the plan's field
     "FLOOR": "floor",
     "TERM_MS": "term_ms",
     "FLOOR_TERM_MS": "floor_term_ms",
@@ -20,82 +20,114 @@
     "BURST_MS": "burst_ms",
     "WORK_MS": "work_ms",
 }
-OTHERS = ("CAPACITY", "VERSION", "UNIT", "SHARES", "WEIGHTS")
-LEAST_TERM_MS = 400.0  # a turn is an eighth of it: shorter ones would ask all the time
+OTHER_SETTINGS = ("CAPACITY", "VERSION", "UNIT", "SHARES", "WEIGHTS")
+MIN_TERM_MS = 400.0  # a round is an eighth of it: with less, gateways would report all the time
 
 
-def read_plan(settings: Settings, values: Mapping[str, str]) -> Plan | None:
-    """The plan of these settings; None where no capacity is named: lending is off.
+def read_plan(settings: Settings, values: Mapping[str, str]) -> QuotaPlan | None:
+    """Return the plan of these settings; None where no capacity is named, and lending is off.
 
-    Raises `PlanError`, one line, for whatever can't be.
+    Raises `QuotaPlanError`, one line, for any setting that is invalid.
     """
-    given = {k[len(PREFIX) :]: v for k, v in values.items() if k.startswith(PREFIX) and v != ""}
+    given = {
+        name.removeprefix(ENV_PREFIX): value
+        for name, value in values.items()
+        if name.startswith(ENV_PREFIX) and value != ""
+    }
     if "CAPACITY" not in given:
         if given:
-            raise PlanError(f"{PREFIX}CAPACITY is missing, though {PREFIX}{min(given)} is set: set it too")
+            raise QuotaPlanError(
+                f"{ENV_PREFIX}CAPACITY is missing, though {ENV_PREFIX}{min(given)} is set: set it too"
+            )
         return None
-    unknown = sorted(given.keys() - NUMBERS.keys() - set(OTHERS))
+    _refuse_unknown(given)
+    capacity_per_s = _parse_number(given, "CAPACITY", 0.0)
+    by_work = _counts_work(given)
+    plan = QuotaPlan(
+        version=int(_parse_number(given, "VERSION", 1.0)),
+        capacity_per_s=capacity_per_s,
+        gateways=settings.gateway_count,
+        tenants=_tenant_quotas(settings, given, capacity_per_s),
+        by_work=by_work,
+        **{name: _parse_number(given, key, 0.0) for key, name in NUMERIC_SETTINGS.items() if key in given},
+    )
+    if plan.term_ms < MIN_TERM_MS:
+        raise QuotaPlanError(f"{ENV_PREFIX}TERM_MS is {plan.term_ms:g}: at least {MIN_TERM_MS:g}")
+    return validate_plan(plan)
+
+
+def _refuse_unknown(given: Mapping[str, str]) -> None:
+    unknown = sorted(given.keys() - NUMERIC_SETTINGS.keys() - set(OTHER_SETTINGS))
     if unknown:
-        raise PlanError(f"{PREFIX}{unknown[0]}: no such setting: one of {', '.join((*OTHERS, *NUMBERS))}")
-    capacity = _number(given, "CAPACITY", 0.0)
+        known = ", ".join((*OTHER_SETTINGS, *NUMERIC_SETTINGS))
+        raise QuotaPlanError(f"{ENV_PREFIX}{unknown[0]}: no such setting: one of {known}")
+
+
+def _counts_work(given: Mapping[str, str]) -> bool:
     unit = given.get("UNIT", "requests")
     if unit not in ("requests", "work"):
-        raise PlanError(f"{PREFIX}UNIT is '{unit}': requests or work")
-    plan = Plan(
-        version=int(_number(given, "VERSION", 1.0)),
-        capacity_per_s=capacity,
-        gateways=settings.gateway_count,
-        tenants=_tenants(settings, given, capacity),
-        by_work=unit == "work",
-        **{name: _number(given, key, 0.0) for key, name in NUMBERS.items() if key in given},
-    )
-    if plan.term_ms < LEAST_TERM_MS:
-        raise PlanError(f"{PREFIX}TERM_MS is {plan.term_ms:g}: at least {LEAST_TERM_MS:g}")
-    return checked(plan)
+        raise QuotaPlanError(f"{ENV_PREFIX}UNIT is '{unit}': requests or work")
+    return unit == "work"
 
 
-def _number(given: Mapping[str, str], key: str, default: float) -> float:
+def _parse_number(given: Mapping[str, str], key: str, default: float) -> float:
     text = given.get(key)
     try:
         return default if text is None else float(text)
     except ValueError:
-        raise PlanError(f"{PREFIX}{key} is '{text}', no number") from None
+        raise QuotaPlanError(f"{ENV_PREFIX}{key} is '{text}', no number") from None
 
 
-def _pairs(given: Mapping[str, str], key: str, names: set[str]) -> dict[str, float]:
-    found: dict[str, float] = {}
-    for part in given.get(key, "").split(","):
-        name, equals, text = part.strip().partition("=")
-        if not part.strip():
+def _parse_tenant_numbers(given: Mapping[str, str], key: str, names: set[str]) -> dict[str, float]:
+    """Parse `TENANT=NUMBER,...`."""
+    numbers: dict[str, float] = {}
+    for entry in given.get(key, "").split(","):
+        name, equals, text = entry.strip().partition("=")
+        if not entry.strip():
             continue
-        if not equals or name in found:
-            raise PlanError(f"{PREFIX}{key}: '{part.strip()}' is not one TENANT=NUMBER for each tenant")
+        if not equals or name in numbers:
+            raise QuotaPlanError(
+                f"{ENV_PREFIX}{key}: '{entry.strip()}' is not one TENANT=NUMBER for each tenant"
+            )
         if name not in names:
-            raise PlanError(f"{PREFIX}{key}: unknown tenant '{name}': the settings name {_some(names)}")
-        found[name] = _number({key: text}, key, 0.0)
-        if found[name] < 0:
-            raise PlanError(f"{PREFIX}{key}: tenant '{name}': {text} is below nothing: 0 or more")
-    return found
+            raise QuotaPlanError(
+                f"{ENV_PREFIX}{key}: unknown tenant '{name}': the settings name {_abbreviate(names)}"
+            )
+        numbers[name] = _parse_number({key: text}, key, 0.0)
+        if numbers[name] < 0:
+            raise QuotaPlanError(f"{ENV_PREFIX}{key}: tenant '{name}': {text} is below 0: use 0 or more")
+    return numbers
 
 
-def _some(names: set[str]) -> str:
+def _abbreviate(names: set[str]) -> str:
     return ", ".join(sorted(names)[:5]) + (", ..." if len(names) > 5 else "")
 
 
-def _tenants(settings: Settings, given: Mapping[str, str], capacity: float) -> tuple[Share, ...]:
-    """Shares as set here, else as the settings have them, else their quotas as parts of the capacity. Weights
-    as set here, else the shares; the least of them for a tenant without a share."""
-    names = {t.name for t in settings.tenants}
+def _tenant_quotas(settings: Settings, given: Mapping[str, str], capacity_per_s: float) -> tuple[Quota, ...]:
+    """Return quotas as set here, else as the gateway's settings have them.
+
+    There they are shares, else rates. Weights are as set here, else equal to the quotas; a tenant without a
+    quota gets the least of the others' weights.
+    """
+    names = {tenant.name for tenant in settings.tenants}
     if not names:
-        raise PlanError(f"{PREFIX}CAPACITY is set, but the settings name no tenants: lending needs some")
-    shares, weights = _pairs(given, "SHARES", names), _pairs(given, "WEIGHTS", names)
-    by_quota = not any(t.share for t in settings.tenants)
-    if by_quota and not shares and capacity > 0:
-        shares = {t.name: t.quota_per_s / capacity for t in settings.tenants}
-    elif not shares:
-        shares = {t.name: t.share for t in settings.tenants}
-    least = min((share for share in shares.values() if share > 0), default=1.0)
-    return tuple(
-        Share(t.name, shares.get(t.name, 0.0), weights.get(t.name, shares.get(t.name, 0.0) or least))
-        for t in settings.tenants
-    )
+        raise QuotaPlanError(
+            f"{ENV_PREFIX}CAPACITY is set, but the settings name no tenants: lending needs some"
+        )
+    fractions = _parse_tenant_numbers(given, "SHARES", names)
+    weights = _parse_tenant_numbers(given, "WEIGHTS", names)
+    if not fractions:
+        fractions = _fractions_of_settings(settings, capacity_per_s)
+    least = min((fraction for fraction in fractions.values() if fraction > 0), default=1.0)
+    quotas = []
+    for tenant in settings.tenants:
+        fraction = fractions.get(tenant.name, 0.0)
+        quotas.append(Quota(tenant.name, fraction, weights.get(tenant.name, fraction or least)))
+    return tuple(quotas)
+
+
+def _fractions_of_settings(settings: Settings, capacity_per_s: float) -> dict[str, float]:
+    has_shares = any(tenant.share for tenant in settings.tenants)
+    if not has_shares and capacity_per_s > 0:
+        return {tenant.name: tenant.quota_per_s / capacity_per_s for tenant in settings.tenants}
+    return {tenant.name: tenant.share for tenant in settings.tenants}
--- /dev/null
+++ b/meadowpulley/lending/quota_client.py
@@ -0,0 +1,176 @@
+"""One gateway's own two records: it reports demand in rounds, and applies what it is granted.
+
+A grant counts from the moment this gateway BEGAN the round that it answers, on its own clock: whoever counts
+the grant as expired observed it later than that, however slow or stopped anyone was in between.
+"""
+
+from __future__ import annotations
+
+import math
+
+from meadowpulley.ledger.model import (
+    Commit,
+    CommitCompleted,
+    Incarnation,
+    Record,
+    TransactionOutcome,
+    TransactionResult,
+)
+from meadowpulley.lending.quota_enforcer import QuotaEnforcer
+from meadowpulley.lending.records import (
+    GRANT_PREFIX,
+    REPORT_PREFIX,
+    DemandReport,
+    QuotaGrant,
+    conditional_write,
+    decode_grant,
+    decode_report,
+    encode_report,
+    record_key,
+)
+
+EARLY_REPORT_FRACTION = 0.25  # of a round, the least interval between reports that can't wait for the next
+LOWERED_RATE_FRACTION = 0.99  # of the previous rate: a grant below that is acknowledged at once
+MAX_REMEMBERED_ROUNDS = 32  # whose start is known; older ones have no grant that still counts
+REPORT_TIMEOUT_ROUNDS = 4  # after which a report without a result is given up
+
+
+class QuotaClient:
+    """Write one gateway's demand reports, and hand its grants to the enforcer."""
+
+    def __init__(self, gateway_index: int, incarnation: Incarnation, enforcer: QuotaEnforcer) -> None:
+        self.gateway_index, self.incarnation, self.enforcer = gateway_index, incarnation, enforcer
+        self.report_key = record_key(REPORT_PREFIX, gateway_index)
+        self.grant_key = record_key(GRANT_PREFIX, gateway_index)
+        self.round_number = self.acknowledged_round = 0
+        self.round_started_at: dict[int, float] = {}
+        self.report_version = 0  # of the own report's record
+        self.ticket, self.reported_at = 0, -math.inf  # of the report in flight; 0: none
+        self.must_acknowledge = False  # a lower grant is applied, and others wait to hear that
+        self.unanswered_since = math.inf
+        self.predecessor_floor = 0.0  # that an earlier incarnation may still use
+        self.predecessor_floor_until = -math.inf
+        self.conflicting_incarnation: Incarnation | None = None  # of another name, with the same index
+        self.conflict_until = -math.inf
+        self.reported_rates: dict[int, float] = {}
+
+    @property
+    def keys(self) -> tuple[str, str]:
+        """The keys of this gateway's report and grant."""
+        return self.report_key, self.grant_key
+
+    def report_due(self, now: float, early: bool) -> bool:
+        """Whether to report now; `early`: for a reason that can't wait for the next round."""
+        round_ms = self.enforcer.plan.round_ms
+        if self.ticket:
+            if now < self.reported_at + REPORT_TIMEOUT_ROUNDS * round_ms:
+                return False
+            self.ticket = 0  # no result: it may have been committed or not
+        interval_ms = round_ms * (EARLY_REPORT_FRACTION if early else 1.0)
+        return now >= max(self.reported_at + interval_ms, self.conflict_until)
+
+    def report(
+        self, now: float, rates: dict[int, float], ticket: int, released: bool = False
+    ) -> list[Commit]:
+        """Begin a round: report this demand, by place in units per second, and which grant is applied."""
+        self.round_number, self.reported_rates = self.round_number + 1, rates
+        self.ticket, self.reported_at, self.must_acknowledge = ticket, now, False
+        self.round_started_at[self.round_number] = now
+        self.round_started_at.pop(self.round_number - MAX_REMEMBERED_ROUNDS, None)
+        self.unanswered_since = min(self.unanswered_since, now)
+        if now >= self.predecessor_floor_until:
+            self.predecessor_floor = 0.0
+        demand_report = DemandReport(
+            incarnation=self.incarnation,
+            round_number=self.round_number,
+            acknowledged_round=self.acknowledged_round,
+            plan_version=self.enforcer.plan.version,
+            reserved_floor=max(self.predecessor_floor, self.enforcer.floor),
+            floor_in_use=self.enforcer.floor,
+            released=released,
+            rates=tuple(sorted(rates.items())),
+        )
+        value = encode_report(demand_report)
+        return [conditional_write(ticket, self.report_key, value, self.report_version)]
+
+    def release(self, now: float, ticket: int) -> list[Commit]:
+        """Give back all that is granted, at a graceful shutdown."""
+        return self.report(now, {}, ticket, released=True) if self.report_version else []
+
+    def on_ledger_lost(self) -> None:
+        """Give up the report in flight: it may have been committed or not."""
+        self.ticket, self.unanswered_since = 0, math.inf
+
+    def on_committed(self, now: float, event: CommitCompleted) -> bool:
+        """Take up the result of the report in flight; whether it was one."""
+        if event.ticket != self.ticket or not self.ticket:
+            return False
+        self.ticket = 0
+        result = event.results[0] if event.results else TransactionResult(TransactionOutcome.UNKNOWN)
+        if result.outcome is TransactionOutcome.COMMITTED:
+            self.report_version = max(self.report_version, result.version)
+            self._renew_floor(now)
+        elif result.outcome is TransactionOutcome.CONFLICT and result.existing is not None:
+            self.observe(now, result.existing)
+        elif result.outcome is TransactionOutcome.CONFLICT:
+            self.report_version = 0
+        return True
+
+    def _renew_floor(self, now: float) -> None:
+        if self.enforcer.floor > 0:
+            plan = self.enforcer.plan
+            until = self.reported_at + plan.holder_term_ms(plan.floor_term_ms)
+            self.enforcer.set_floor(now, self.enforcer.floor, until)
+
+    # Records
+
+    def observe(self, now: float, record: Record) -> None:
+        """Take up one of this gateway's two records, as another gateway or incarnation wrote it."""
+        try:
+            if record.key == self.report_key:
+                self._observe_report(now, record)
+            else:
+                self._observe_grant(now, decode_grant(record.value))
+        except ValueError:  # of a later format: it stays as it is until it is overwritten
+            return
+
+    def _observe_report(self, now: float, record: Record) -> None:
+        self.report_version = max(self.report_version, record.version)
+        report = decode_report(record.value)
+        if report.incarnation == self.incarnation or report.released:
+            return
+        self._defer_floor(now, report.reserved_floor)
+        if report.incarnation.name != self.incarnation.name:
+            plan = self.enforcer.plan
+            self.conflicting_incarnation = report.incarnation
+            self.conflict_until = now + plan.observer_term_ms(plan.term_ms)
+
+    def _defer_floor(self, now: float, floor: float) -> None:
+        """Use no floor for the floor's term, for which an earlier incarnation may go on with its own."""
+        if floor > 0:
+            plan = self.enforcer.plan
+            self.predecessor_floor = max(self.predecessor_floor, floor)
+            self.predecessor_floor_until = now + plan.observer_term_ms(plan.floor_term_ms)
+
+    def _observe_grant(self, now: float, grant: QuotaGrant) -> None:
+        plan = self.enforcer.plan
+        if grant.incarnation != self.incarnation:
+            if self.round_number == 0 and self.report_version:
+                self._defer_floor(now, grant.floor)
+            return
+        is_known_round = grant.round_number in self.round_started_at
+        if grant.round_number <= self.acknowledged_round or not is_known_round:
+            return
+        if grant.plan_version != plan.version:
+            return
+        started_at, previous_rate = self.round_started_at[grant.round_number], self.enforcer.rate
+        self.acknowledged_round = grant.round_number
+        is_latest = grant.round_number == self.round_number
+        self.unanswered_since = math.inf if is_latest else self.round_started_at[grant.round_number + 1]
+        self.enforcer.apply_grant(now, grant, started_at + plan.holder_term_ms(grant.term_ms))
+        floor = min(grant.floor, plan.floor_per_s(self.gateway_index))
+        floor_until = started_at + plan.holder_term_ms(plan.floor_term_ms)
+        if now >= self.predecessor_floor_until and floor_until > now:
+            self.enforcer.set_floor(now, floor, floor_until)
+        is_lowered = self.enforcer.rate < LOWERED_RATE_FRACTION * previous_rate
+        self.must_acknowledge = self.must_acknowledge or is_lowered
--- a/meadowpulley/lending/stage.py
+++ b/meadowpulley/lending/stage.py
@@ -1,11 +1,11 @@
-"""The stage that lends: it lets a request through, or refuses it at once with when to come again.
+"""The lending stage: it admits a request, or rejects it at once with a time to retry after.
 
-`handle(now, event) -> actions`, before the next stage. It asks for capacity in turns, goes by what it was
-granted, and stands ready to allocate for all when the gateway that does so falls silent. It owns timers of
-token 3 and the commits of owner "lending"; everything else passes unchanged.
+It stands before the next stage as `handle(now, event) -> actions`. It reports demand in rounds, applies what
+it is granted, and stands for election as the allocator of all gateways when the current one falls silent. It
+owns the timers of `TIMER_TOKEN` and the commits of owner "lending"; all else passes unchanged.
 
-Whoever carries out its actions tells it what changes under `watches()`, which may change with every event;
-first all there is (`Changes.whole`).
+Whoever carries out its actions sends it the changes of all keys below `watched_prefixes()`, which may differ
+after every event, beginning with a snapshot (`Changes.is_snapshot`).
 """
 
 from __future__ import annotations
@@ -13,247 +13,309 @@
 import math
 from collections import Counter
 from random import Random
-from typing import Any, Protocol
+from typing import Protocol, TypeAlias
 
-from meadowpulley.interface import LogLine, Reject, Request, SetTimer, Settings, Timer
+from meadowpulley.interface import Action, Event, LogLine, Reject, Request, SetTimer, Settings, Timer
 from meadowpulley.ledger.model import (
     LEDGER_EVENTS,
-    Changed,
-    Committed,
-    Ended,
-    How,
-    LedgerBack,
-    LedgerLost,
-    Life,
+    Commit,
+    CommitCompleted,
+    Fenced,
+    Incarnation,
+    LeaseExpired,
+    LedgerChanged,
+    LedgerRecovered,
+    LedgerUnavailable,
     Record,
-    Scanned,
-    Suspected,
+    Scan,
+    ScanCompleted,
+    TransactionOutcome,
 )
-from meadowpulley.lending import model as m
-from meadowpulley.lending.demand import Demand
-from meadowpulley.lending.holder import Admission, Holder
-from meadowpulley.lending.office import Office
-from meadowpulley.lending.seat import Seat
-
-TOKEN = 3
-TICKS = 4  # looks in a turn: how soon news are answered
-MOST_WORK = (
-    20.0  # times the usual work: a hint above it counts as so much, as buckets grow with the costliest
+from meadowpulley.lending.allocator_election import AllocatorElection
+from meadowpulley.lending.demand_estimator import DemandEstimator
+from meadowpulley.lending.plan import QuotaPlan, QuotaPlanError, decode_plan, encode_plan, validate_plan
+from meadowpulley.lending.quota_client import QuotaClient
+from meadowpulley.lending.quota_enforcer import Admission, QuotaEnforcer
+from meadowpulley.lending.records import ALLOCATOR_KEY, KEY_PREFIX, OWNER, PLAN_KEY, conditional_write
+
+TIMER_TOKEN = 3
+TICKS_PER_ROUND = 4  # how soon changes are acted upon
+MAX_WORK_FACTOR = 20.0  # x the plan's `work_ms`: greater estimates count as that, as buckets grow with them
+EARLY_REPORT_FACTOR = 1.3  # demand above so many times the reported one is reported before the round ends
+DEMAND_DECAY_TERMS = 0.5  # the estimator's decay time, in terms of a grant
+
+LedgerEvent: TypeAlias = (
+    CommitCompleted
+    | ScanCompleted
+    | LedgerChanged
+    | LeaseExpired
+    | LedgerUnavailable
+    | LedgerRecovered
+    | Fenced
 )
-LOOK_AGAIN = 1.3  # times what was granted: a demand so much greater is told before the turn is over
-
-
-class Next(Protocol):
-    def handle(self, now: float, event: Any) -> list[Any]: ...
-
-
-class Lending:
-    """One gateway's part. `life` is the one its ledger began for it, `plan` the plan of its own settings."""
-
-    def __init__(self, inner: Next, settings: Settings, plan: m.Plan, life: Life, seed: int) -> None:
-        self.inner, self.settings, self.life = inner, settings, life
-        self.holder = Holder(plan)
-        self.demand = Demand(plan.term_ms / 2)
-        self.seat = Seat(settings.gateway_index, life, self.holder)
-        self.office = Office(life, plan, Random(seed))
-        self.mine: m.Plan | None = plan  # of the settings, until the ledger's is as new
-        self.plan_version = 0  # of the ledger's record; 0: none seen
-        self.plan_ticket = 0
-        self.worth = {n: c.priority_weight for n, c in enumerate(settings.classes)}
-        self.places: dict[int, int] = {}
-        self.counts: Counter[tuple[int, Admission]] = Counter()  # requests by place, since the start
-        self.tickets, self.lost, self.ended, self.left, self.warned = 0, False, False, False, False
-        self.timer_at, self.read = -math.inf, False
-        self._map()
+StageEvent: TypeAlias = Event | LedgerEvent
+StageAction: TypeAlias = Action | Commit | Scan
+
+
+class NextStage(Protocol):
+    """What stands behind this stage."""
+
+    def handle(self, now: float, event: StageEvent) -> list[StageAction]:
+        """Return the actions that follow from an event at `now` (ms)."""
+
+
+class LendingStage:
+    """One gateway's part in lending.
+
+    `incarnation` is the one that the ledger registered for this gateway, `plan` the plan of its own settings.
+    """
+
+    def __init__(
+        self, inner: NextStage, settings: Settings, plan: QuotaPlan, incarnation: Incarnation, seed: int
+    ) -> None:
+        self.inner, self.settings, self.incarnation = inner, settings, incarnation
+        self.enforcer = QuotaEnforcer(plan)
+        self.demand = DemandEstimator(plan.term_ms * DEMAND_DECAY_TERMS)
+        self.client = QuotaClient(settings.gateway_index, incarnation, self.enforcer)
+        self.election = AllocatorElection(incarnation, plan, Random(seed))
+        self.proposed_plan: QuotaPlan | None = plan  # of the settings, until the ledger's is as new
+        self.plan_version = 0  # of the ledger's record; 0: none observed
+        self.plan_ticket = 0  # of the plan's write in flight; 0: none
+        self.priority_weights = {
+            index: request_class.priority_weight for index, request_class in enumerate(settings.classes)
+        }
+        self.tenant_places: dict[int, int] = {}
+        self.admissions: Counter[tuple[int, Admission]] = Counter()  # requests by place, since the start
+        self.last_ticket = 0
+        self.ledger_lost = self.ledger_read = False
+        self.fenced = self.leaving = self.conflict_logged = False
+        self.timer_due_at = -math.inf
+        self._map_tenants()
 
     @property
-    def plan(self) -> m.Plan:
-        return self.holder.plan
-
-    def watches(self) -> tuple[str, ...]:
-        """Beginnings of the keys this stage must be told of now."""
-        if self.office.needs_all:
-            return (m.ROOT,)
-        return (m.PLAN, m.ALLOCATOR, *self.seat.keys)
-
-    def handle(self, now: float, event: Any) -> list[Any]:
-        kind = type(event)
-        if kind is Request:
-            acts = self._request(now, event)
-        elif kind is Timer and event.token == TOKEN:
-            return self._tick(now)
-        elif kind in (Committed, Scanned) and event.owner == m.OWNER:
-            return self._committed(now, event) if kind is Committed else self._scanned(now, event)
-        elif kind in LEDGER_EVENTS:
-            acts = self._ledger(now, event) + self.inner.handle(now, event)
+    def plan(self) -> QuotaPlan:
+        """The plan in force at this gateway."""
+        return self.enforcer.plan
+
+    def watched_prefixes(self) -> tuple[str, ...]:
+        """Return the prefixes of the keys whose changes this stage must be sent now."""
+        if self.election.needs_all_records:
+            return (KEY_PREFIX,)
+        return (PLAN_KEY, ALLOCATOR_KEY, *self.client.keys)
+
+    def handle(self, now: float, event: StageEvent) -> list[StageAction]:
+        """Return the actions that follow from an event at `now` (ms), here and behind."""
+        if isinstance(event, Timer) and event.token == TIMER_TOKEN:
+            return self._on_tick(now)
+        if isinstance(event, CommitCompleted) and event.owner == OWNER:
+            return self._on_committed(now, event)
+        if isinstance(event, ScanCompleted) and event.owner == OWNER:
+            self.election.on_scanned(now, event)
+            return []
+        if isinstance(event, Request):
+            actions = self._on_request(now, event)
+        elif isinstance(event, LEDGER_EVENTS):
+            actions = self._on_ledger_event(now, event) + self.inner.handle(now, event)
         else:
-            acts = self.inner.handle(now, event)
-        return acts if now < self.timer_at else acts + self._set_timer(now)
+            actions = self.inner.handle(now, event)
+        return actions if now < self.timer_due_at else actions + self._schedule_timer(now)
 
-    def replan(self, now: float, plan: m.Plan) -> list[Any]:
-        """Takes shares of new settings to all gateways. Raises `PlanError`, and changes nothing, where they
-        can't be or their version is not above the one that is in force."""
-        m.checked(plan)
-        if plan.version <= self.plan.version and plan != self.plan:
-            raise m.PlanError(f"lending: version {plan.version} is not above {self.plan.version}: raise it")
-        self.mine = plan
-        return self._propose()
+    def update_plan(self, now: float, plan: QuotaPlan) -> list[StageAction]:
+        """Propose the quotas of new settings to all gateways.
 
-    def leave(self, now: float) -> list[Any]:
-        """A planned stop: admits nothing more, and gives back what it holds at once."""
-        self.left = True
-        self.holder.drop(now, floor=True)
-        self.office.resign(now)
-        return self.seat.leave(now, self._ticket())
+        Raises `QuotaPlanError`, and changes nothing, where the plan is invalid or its version is not above
+        the one in force.
+        """
+        validate_plan(plan)
+        if plan.version <= self.plan.version and plan != self.plan:
+            raise QuotaPlanError(
+                f"lending: version {plan.version} is not above {self.plan.version}: raise it"
+            )
+        self.proposed_plan = plan
+        return self._propose_plan()
+
+    def shut_down(self, now: float) -> list[StageAction]:
+        """Admit nothing more, and give back all that is granted, at a graceful shutdown."""
+        self.leaving = True
+        self.enforcer.revoke(now, floor=True)
+        self.election.step_down(now)
+        return [*self.client.release(now, self._next_ticket())]
 
     # Requests
 
-    def _request(self, now: float, r: Request) -> list[Any]:
-        if r.adopted and (r.prior_attempts or r.prior_attempt_count):
-            # Its right was won at a gateway that had admitted it: it counts once, and may have run.
-            return self.inner.handle(now, r)
-        place, cost = self.places.get(r.tenant, len(self.plan.tenants)), self._cost(r)
-        if not r.client_retry:
-            self.demand.add(place, r.class_index, cost)
-        how = self.holder.admit(now, place, r.class_index, cost)
-        self.counts[place, how] += 1
-        if how is not Admission.REFUSED:
-            return self.inner.handle(now, r)
-        wait, limits = self.holder.back_in(now, place, cost), self.settings.limits
-        wait = min(wait, limits.max_retry_after_ms or math.inf) if limits.retry_after else 0.0
-        return [Reject(r.request, wait), *(self._ask(now, early=True) if self._is_news(place) else [])]
-
-    def _is_news(self, place: int) -> bool:
-        """Whether a tenant asks for clearly more than was told: that can't wait for the next turn."""
-        usual = self.seat.told.get(place, 0.0) * self.plan.turn_ms / 1000
-        return self.demand.noted(place) > LOOK_AGAIN * usual + self.holder.one
-
-    def _cost(self, r: Request) -> float:
+    def _on_request(self, now: float, request: Request) -> list[StageAction]:
+        if request.adopted and (request.prior_attempts or request.prior_attempt_count):
+            # It was admitted at the gateway that had it before: it counts once, and may have run.
+            return self.inner.handle(now, request)
+        place = self.tenant_places.get(request.tenant, len(self.plan.tenants))
+        cost = self._request_cost(request)
+        if not request.client_retry:
+            self.demand.record_request(place, request.class_index, cost)
+        admission = self.enforcer.admit(now, place, request.class_index, cost)
+        self.admissions[place, admission] += 1
+        if admission is not Admission.REJECTED:
+            return self.inner.handle(now, request)
+        retry_after_ms = self._retry_after_ms(now, place, cost)
+        actions: list[StageAction] = [Reject(request.request, retry_after_ms)]
+        if self._demand_rose(place):
+            actions += self._report_demand(now, early=True)
+        return actions
+
+    def _retry_after_ms(self, now: float, place: int, cost: float) -> float:
+        retry_after_ms, limits = self.enforcer.retry_after_ms(now, place, cost), self.settings.limits
+        return min(retry_after_ms, limits.max_retry_after_ms or math.inf) if limits.retry_after else 0.0
+
+    def _demand_rose(self, place: int) -> bool:
+        """Whether a tenant demands clearly more than was reported, which can't wait for the next round."""
+        reported_units = self.client.reported_rates.get(place, 0.0) * self.plan.round_ms / 1000
+        threshold = EARLY_REPORT_FACTOR * reported_units + self.enforcer.max_request_cost
+        return self.demand.units_this_round(place) > threshold
+
+    def _request_cost(self, request: Request) -> float:
+        """Return what a request takes, in the plan's units."""
         if not self.plan.by_work:
             return 1.0
-        usual = self.plan.work_ms
-        return usual if r.expected_work_ms is None else min(max(r.expected_work_ms, 0.0), MOST_WORK * usual)
-
-    def _map(self) -> None:
-        """Places in the plan by the tenants' numbers here: settings may list them in another order."""
-        places = {t.name: place for place, t in enumerate(self.plan.tenants)}
-        named = enumerate(self.settings.tenants)
-        self.places = {n: places[t.name] for n, t in named if t.name in places}
+        default_cost = self.plan.work_ms
+        if request.expected_work_ms is None:
+            return default_cost
+        return min(max(request.expected_work_ms, 0.0), MAX_WORK_FACTOR * default_cost)
+
+    def _map_tenants(self) -> None:
+        """Map the tenants' numbers here to their places in the plan, which may list them in another order."""
+        places = {quota.name: place for place, quota in enumerate(self.plan.tenants)}
+        self.tenant_places = {
+            number: places[tenant.name]
+            for number, tenant in enumerate(self.settings.tenants)
+            if tenant.name in places
+        }
 
     # Time
 
-    def _set_timer(self, now: float) -> list[Any]:
-        if now < self.timer_at:
+    def _schedule_timer(self, now: float) -> list[StageAction]:
+        if now < self.timer_due_at:
             return []
-        wait = self.plan.turn_ms / TICKS
-        self.timer_at = now + 2 * wait  # one that got lost is set anew
-        return [SetTimer(wait, TOKEN)]
-
-    def _tick(self, now: float) -> list[Any]:
-        self.timer_at = -math.inf
-        self.holder.look(now)
-        acts: list[Any] = []
-        if self.read and not (self.lost or self.ended or self.left):
-            acts += self._propose() + self._ask(now, early=self.seat.should_tell)
-            acts += self.office.look(now, self.seat.unanswered_since, self._ticket())
-        return acts + self._set_timer(now)
-
-    def _ask(self, now: float, early: bool = False) -> list[Any]:
-        if self.lost or self.ended or self.left or not self.read or self.plan_version == 0:
+        interval_ms = self.plan.round_ms / TICKS_PER_ROUND
+        self.timer_due_at = now + 2 * interval_ms  # after that the timer counts as lost
+        return [SetTimer(interval_ms, TIMER_TOKEN)]
+
+    @property
+    def _can_write(self) -> bool:
+        return self.ledger_read and not (self.ledger_lost or self.fenced or self.leaving)
+
+    def _on_tick(self, now: float) -> list[StageAction]:
+        self.timer_due_at = -math.inf
+        self.enforcer.advance(now)
+        actions: list[StageAction] = []
+        if self._can_write:
+            actions += self._propose_plan()
+            actions += self._report_demand(now, early=self.client.must_acknowledge)
+            actions += self.election.on_tick(now, self.client.unanswered_since, self._next_ticket())
+        return actions + self._schedule_timer(now)
+
+    def _report_demand(self, now: float, early: bool) -> list[StageAction]:
+        if not self._can_write or self.plan_version == 0:
             return []
-        if not self.seat.due(now, early):
-            return self._warn(now)
-        self.demand.turn(now)
-        self.holder.weigh(now, self.demand.by_class(), self.worth)
-        return self.seat.ask(now, self.demand.asks(), self._ticket())
-
-    def _warn(self, now: float) -> list[Any]:
-        if self.warned or now >= self.seat.taken_until:
+        if not self.client.report_due(now, early):
+            return self._log_index_conflict(now)
+        self.demand.end_round(now)
+        self.enforcer.prioritize_classes(now, self.demand.rates_by_class(), self.priority_weights)
+        return [*self.client.report(now, self.demand.demands(), self._next_ticket())]
+
+    def _log_index_conflict(self, now: float) -> list[StageAction]:
+        if self.conflict_logged or now >= self.client.conflict_until:
             return []
-        self.warned = True
-        said = f"lending: number {self.seat.number} is in use by gateway '{self.seat.taken_by}'"
-        return [LogLine(f"{said}: give each gateway a number of its own")]
+        self.conflict_logged = True
+        number, other = self.client.gateway_index, self.client.conflicting_incarnation
+        problem = f"lending: number {number} is in use by gateway '{other}'"
+        return [LogLine(f"{problem}: give each gateway a number of its own")]
 
-    def _ticket(self) -> int:
-        self.tickets += 1
-        return self.tickets
+    def _next_ticket(self) -> int:
+        self.last_ticket += 1
+        return self.last_ticket
 
     # The ledger
 
-    def _ledger(self, now: float, event: Any) -> list[Any]:
-        if isinstance(event, Changed):
-            return self._changed(now, event)
-        if isinstance(event, Suspected):
-            self.office.suspected(now, event)
-        elif isinstance(event, LedgerLost):
-            self.lost = True
-            self.office.resign(now)
-            self.seat.forget()
-        elif isinstance(event, LedgerBack):
-            self.lost = False
-        elif isinstance(event, Ended):
-            # It can't renew anything; its floor it may use: the next life waits for the end of that.
-            self.ended = True
-            self.office.resign(now)
-            self.holder.drop(now, floor=False)
+    def _on_ledger_event(self, now: float, event: LedgerEvent) -> list[StageAction]:
+        if isinstance(event, LedgerChanged):
+            return self._on_changed(now, event)
+        if isinstance(event, LeaseExpired):
+            self.election.on_lease_expired(now, event)
+        elif isinstance(event, LedgerUnavailable):
+            self.ledger_lost = True
+            self.election.step_down(now)
+            self.client.on_ledger_lost()
+        elif isinstance(event, LedgerRecovered):
+            self.ledger_lost = False
+        elif isinstance(event, Fenced):
+            # It can renew nothing. It may use its floor: the next incarnation waits for the end of that.
+            self.fenced = True
+            self.election.step_down(now)
+            self.enforcer.revoke(now, floor=False)
         return []
 
-    def _changed(self, now: float, event: Changed) -> list[Any]:
-        changes, acts = event.changes, []
-        self.read = self.read or changes.whole
-        records = [r for r in changes.records if r.key.startswith(m.ROOT)]
+    def _on_changed(self, now: float, event: LedgerChanged) -> list[StageAction]:
+        changes = event.changes
+        actions: list[StageAction] = []
+        self.ledger_read = self.ledger_read or changes.is_snapshot
+        records = [record for record in changes.records if record.key.startswith(KEY_PREFIX)]
         for record in records:
-            if record.key == m.PLAN:
-                acts += self._plan(now, record)
+            if record.key == PLAN_KEY:
+                actions += self._on_plan_record(now, record)
         for record in records:
-            self.office.saw(now, record)
-            if record.key in self.seat.keys:
-                self.seat.saw(now, record)
-        if self.seat.should_tell:
-            acts += self._ask(now, early=True)
-        return acts
-
-    def _plan(self, now: float, record: Record) -> list[Any]:
+            self.election.observe(now, record)
+            if record.key in self.client.keys:
+                self.client.observe(now, record)
+        if self.client.must_acknowledge:
+            actions += self._report_demand(now, early=True)
+        return actions
+
+    def _on_plan_record(self, now: float, record: Record) -> list[StageAction]:
         if record.version <= self.plan_version:
             return []
         self.plan_version = record.version
         try:
-            plan = m.unpack_plan(record.value)
-        except m.PlanError as error:
+            plan = decode_plan(record.value)
+        except QuotaPlanError as error:
             return [LogLine(f"{error}: the earlier shares stay")]
-        if self.mine is not None and self.mine.version <= plan.version:
-            said = f"lending: version {plan.version} of the ledger's shares differs from these settings"
-            differs, self.mine = self.mine.version == plan.version and self.mine != plan, None
-            acts: list[Any] = [LogLine(f"{said}: the ledger's hold; raise the version")] if differs else []
-        else:
-            acts = []
+        actions = self._drop_proposal(plan)
         if plan != self.plan:
-            self.demand.move(self.plan, plan)
-            self.holder.replan(now, plan)
-            floor = min(self.holder.floor, plan.floor_of(self.seat.number))
-            self.holder.keep_floor(now, floor, self.holder.floor_until)
-            self._map()
-        self.office.replan(plan, record.version)
-        return acts
-
-    def _propose(self) -> list[Any]:
-        """Writes the plan of these settings where the ledger has none, or an older one."""
-        if self.mine is None or self.plan_ticket or not self.read:
+            self._apply_plan(now, plan)
+        self.election.update_plan(plan, record.version)
+        return actions
+
+    def _drop_proposal(self, plan: QuotaPlan) -> list[StageAction]:
+        """Give up the own settings' plan where the ledger's is as new; log where they contradict."""
+        proposed = self.proposed_plan
+        if proposed is None or proposed.version > plan.version:
             return []
-        if self.plan_version and self.mine.version <= self.plan.version:
+        self.proposed_plan = None
+        if proposed.version < plan.version or proposed == plan:
             return []
-        self.plan_ticket = self._ticket()
-        return [m.write(self.plan_ticket, m.PLAN, m.pack_plan(self.mine), self.plan_version)]
-
-    def _scanned(self, now: float, event: Scanned) -> list[Any]:
-        self.office.scanned(now, event)
-        return []
+        problem = f"lending: version {plan.version} of the ledger's shares differs from these settings"
+        return [LogLine(f"{problem}: the ledger's hold; raise the version")]
+
+    def _apply_plan(self, now: float, plan: QuotaPlan) -> None:
+        self.demand.remap_tenants(self.plan, plan)
+        self.enforcer.update_plan(now, plan)
+        floor = min(self.enforcer.floor, plan.floor_per_s(self.client.gateway_index))
+        self.enforcer.set_floor(now, floor, self.enforcer.floor_until)
+        self._map_tenants()
+
+    def _propose_plan(self) -> list[StageAction]:
+        """Write the plan of these settings where the ledger has none, or an older one."""
+        if self.proposed_plan is None or self.plan_ticket or not self.ledger_read:
+            return []
+        if self.plan_version and self.proposed_plan.version <= self.plan.version:
+            return []
+        self.plan_ticket = self._next_ticket()
+        value = encode_plan(self.proposed_plan)
+        return [conditional_write(self.plan_ticket, PLAN_KEY, value, self.plan_version)]
 
-    def _committed(self, now: float, event: Committed) -> list[Any]:
+    def _on_committed(self, now: float, event: CommitCompleted) -> list[StageAction]:
         if event.ticket == self.plan_ticket:
-            self.plan_ticket = 0  # what became of it is told as a change
+            self.plan_ticket = 0  # the result comes as a change
             return []
-        if self.seat.committed(now, event):
-            lost = self.left and event.done[0].how is How.LOST  # an asking was under way
-            return self.seat.leave(now, self._ticket()) if lost else []
-        return self.office.committed(now, event)
+        if not self.client.on_committed(now, event):
+            return [*self.election.on_committed(now, event)]
+        report_lost = self.leaving and event.results[0].outcome is TransactionOutcome.CONFLICT
+        return [*self.client.release(now, self._next_ticket())] if report_lost else []
--- a/meadowpulley/load/__init__.py
+++ b/meadowpulley/load/__init__.py
@@ -4,10 +4,10 @@
 splicing), `summary` (what a load holds).
 """
 
-from meadowpulley.load.arrivals import Arrival, Header, LoadError, Reader, read_load, write_load
-from meadowpulley.load.edit import costlier, cut, filled, merged, scaled, spliced, stretched
+from meadowpulley.load.arrivals import Arrival, Header, LoadError, LoadReader, read_load, write_load
+from meadowpulley.load.edit import costlier, cut, filled_in, merged, scaled, spliced, stretched
 from meadowpulley.load.profiles import PROFILES, Profile, synthesize
-from meadowpulley.load.summary import ClassSummary, Summary, summarize
+from meadowpulley.load.summary import ClassSummary, LoadSummary, summarize
 
 __all__ = [
     "PROFILES",
@@ -15,12 +15,12 @@
     "ClassSummary",
     "Header",
     "LoadError",
+    "LoadReader",
+    "LoadSummary",
     "Profile",
-    "Reader",
-    "Summary",
     "costlier",
     "cut",
-    "filled",
+    "filled_in",
     "merged",
     "read_load",
     "scaled",
--- a/meadowpulley/load/arrivals.py
+++ b/meadowpulley/load/arrivals.py
@@ -14,11 +14,13 @@
 from typing import IO, Annotated
 
 import msgspec
-from msgspec import Meta, Struct
+from msgspec import Meta, Struct, field
 from msgspec.structs import replace
 
-VERSION = 1
-BACK_MS = 1000.0  # an arrival so much before the latest is a clock that jumped, a smaller step is disorder
+FORMAT_VERSION = 1
+MAX_DISORDER_MS = (
+    1000.0  # an arrival so much before the latest is a clock that jumped, a smaller step is disorder
+)
 
 NotNegative = Annotated[float, Meta(ge=0)]
 
@@ -31,7 +33,7 @@
     """The first line. `started` is Unix time in milliseconds at `at_ms` 0, 0 where that means nothing."""
 
     format: str = "meadowpulley-load"
-    version: int = VERSION
+    version: int = FORMAT_VERSION
     source: str = ""
     started: float = 0.0
     dropped: int = 0  # arrivals known to be missing, as counted when the capture was closed
@@ -41,16 +43,16 @@
     """One request as somebody wanted it. `key` is a hash, `work_ms` standard-core milliseconds."""
 
     at_ms: NotNegative
-    cls: str
+    class_name: str = field(name="cls")
     site: str = ""
     key: int = 0
     work_ms: NotNegative = 0.0
     bytes: Annotated[int, Meta(ge=0)] = 0
-    patience_ms: NotNegative = 0.0  # 0: its class's deadline
+    timeout_ms: NotNegative = field(default=0.0, name="patience_ms")  # 0: its class's deadline
 
 
-_header = msgspec.json.Decoder(Header).decode
-_arrival = msgspec.json.Decoder(Arrival).decode
+_decode_header = msgspec.json.Decoder(Header).decode
+_decode_arrival = msgspec.json.Decoder(Arrival).decode
 _encode = msgspec.json.Encoder().encode
 
 
@@ -60,7 +62,7 @@
     return open(path, mode)
 
 
-class Reader:
+class LoadReader:
     """Reads a load file, in order of time. Arrivals that come a little out of order are put right within
     `BACK_MS`; a step further back is a clock that jumped, and the rest is moved on by it (`jumps` counts
     them).
@@ -75,40 +77,40 @@
         self.truncated = False
         try:
             with _open(path, "rb") as file:
-                first = file.readline()
+                first_line = file.readline()
         except (OSError, EOFError) as error:
             raise LoadError(
                 f"{path}: {getattr(error, 'strerror', None) or error}; give a load file"
             ) from None
         try:
-            self.header = _header(first)
+            self.header = _decode_header(first_line)
         except msgspec.MsgspecError as error:
             raise LoadError(f"{path}: line 1: no header of a load: {error}") from None
-        if self.header.format != "meadowpulley-load" or self.header.version != VERSION:
-            told = f"{self.header.format} {self.header.version}"
+        if self.header.format != "meadowpulley-load" or self.header.version != FORMAT_VERSION:
+            found = f"{self.header.format} {self.header.version}"
             raise LoadError(
-                f"{path}: line 1: '{told}' is not known here; this program reads version {VERSION}"
+                f"{path}: line 1: '{found}' is not known here; this program reads version {FORMAT_VERSION}"
             )
 
     def __iter__(self) -> Iterator[Arrival]:
         self.jumps = self.disordered = self.count = 0
         self.truncated = False
-        waiting: list[tuple[float, int, Arrival]] = []  # a heap of the latest `BACK_MS`
-        latest, moved = 0.0, 0.0
+        pending: list[tuple[float, int, Arrival]] = []  # a heap of the latest `BACK_MS`
+        latest, shift_ms = 0.0, 0.0
         for arrival in self._lines():
-            at = arrival.at_ms + moved
-            if at < latest - BACK_MS:
+            at = arrival.at_ms + shift_ms
+            if at < latest - MAX_DISORDER_MS:
                 self.jumps += 1
-                moved += latest - at
+                shift_ms += latest - at
                 at = latest
             elif at < latest:
                 self.disordered += 1
             latest = max(latest, at)
-            heapq.heappush(waiting, (at, self.count, replace(arrival, at_ms=at) if moved else arrival))
-            while waiting[0][0] < latest - BACK_MS:
-                yield heapq.heappop(waiting)[2]
-        while waiting:
-            yield heapq.heappop(waiting)[2]
+            heapq.heappush(pending, (at, self.count, replace(arrival, at_ms=at) if shift_ms else arrival))
+            while pending[0][0] < latest - MAX_DISORDER_MS:
+                yield heapq.heappop(pending)[2]
+        while pending:
+            yield heapq.heappop(pending)[2]
         if not self.count:
             raise LoadError(f"{self.path}: no arrivals; capture some, or make a load with 'load synth'")
 
@@ -126,39 +128,39 @@
                 if not line:
                     return
                 try:
-                    arrival = _arrival(line)
+                    arrival = _decode_arrival(line)
                 except msgspec.MsgspecError as error:
                     if not line.endswith(b"\n"):
                         self.truncated = True
                         return
                     raise LoadError(f"{self.path}: line {number}: {error}") from None
-                if not all(map(math.isfinite, (arrival.at_ms, arrival.work_ms, arrival.patience_ms))):
+                if not all(map(math.isfinite, (arrival.at_ms, arrival.work_ms, arrival.timeout_ms))):
                     raise LoadError(f"{self.path}: line {number}: a figure is not finite; give a number")
-                if self._classes is not None and arrival.cls not in self._classes:
+                if self._classes is not None and arrival.class_name not in self._classes:
                     known = ", ".join(sorted(self._classes))
-                    told = f"class '{arrival.cls}' is not of the fleet; known are {known}"
-                    raise LoadError(f"{self.path}: line {number}: {told}")
+                    problem = f"class '{arrival.class_name}' is not of the fleet; known are {known}"
+                    raise LoadError(f"{self.path}: line {number}: {problem}")
                 self.count += 1
                 yield arrival
 
 
-def read_load(path: Path, classes: frozenset[str] | None = None) -> Reader:
+def read_load(path: Path, classes: frozenset[str] | None = None) -> LoadReader:
     """A load file, its header checked; iterate for its arrivals. Raises LoadError, one line."""
-    return Reader(path, classes)
+    return LoadReader(path, classes)
 
 
 def write_load(path: Path, arrivals: Iterable[Arrival], header: Header | None = None) -> int:
     """Writes a load whole or not at all; how many arrivals. Raises OSError where the place can't be
     written."""
-    fresh = path.with_name(f".{path.name}.new{path.suffix}")
+    temporary = path.with_name(f".{path.name}.new{path.suffix}")
     count = 0
     try:
-        with _open(fresh, "wb") as file:
+        with _open(temporary, "wb") as file:
             file.write(_encode(header or Header()) + b"\n")
             for arrival in arrivals:
                 file.write(_encode(arrival) + b"\n")
                 count += 1
-        os.replace(fresh, path)
+        os.replace(temporary, path)
     finally:
-        fresh.unlink(missing_ok=True)
+        temporary.unlink(missing_ok=True)
     return count
--- a/meadowpulley/load/edit.py
+++ b/meadowpulley/load/edit.py
@@ -19,18 +19,18 @@
     """So many times the arrivals at the same pace: copies lie up to `spread_ms` later, so that they make no
     bursts; a part below one copy is drawn by chance. Keys of copies are kept, as the same customers' are."""
     rng = np.random.Generator(np.random.PCG64(seed))
-    waiting: list[tuple[float, int, Arrival]] = []
-    numbers = 0
+    pending: list[tuple[float, int, Arrival]] = []
+    last_number = 0
     for arrival in arrivals:
-        while waiting and waiting[0][0] <= arrival.at_ms:
-            yield heapq.heappop(waiting)[2]
+        while pending and pending[0][0] <= arrival.at_ms:
+            yield heapq.heappop(pending)[2]
         copies = int(factor) + (rng.random() < factor - int(factor))
         for copy in range(copies):
             at = arrival.at_ms + (float(rng.random()) * spread_ms if copy else 0.0)
-            numbers += 1
-            heapq.heappush(waiting, (at, numbers, replace(arrival, at_ms=round(at, 3))))
-    while waiting:
-        yield heapq.heappop(waiting)[2]
+            last_number += 1
+            heapq.heappush(pending, (at, last_number, replace(arrival, at_ms=round(at, 3))))
+    while pending:
+        yield heapq.heappop(pending)[2]
 
 
 def stretched(arrivals: Iterable[Arrival], factor: float) -> Iterator[Arrival]:
@@ -50,32 +50,32 @@
         end += pause_ms
 
 
-def filled(arrivals: Iterable[Arrival], fleet: Fleet, seed: int) -> Iterator[Arrival]:
+def filled_in(arrivals: Iterable[Arrival], fleet: Fleet, seed: int) -> Iterator[Arrival]:
     """Arrivals without a work hint, as captured ones mostly are, get work drawn from their class's
     description; those without a site get one by the sites' parts of the load."""
     rng = np.random.Generator(np.random.PCG64(np.random.SeedSequence([seed, 0xF111])))
     classes = {c.name: c for c in fleet.classes}
-    by_site = np.cumsum([s.load for s in fleet.sites]) / sum(s.load for s in fleet.sites)
+    site_shares = np.cumsum([s.load for s in fleet.sites]) / sum(s.load for s in fleet.sites)
     for arrival in arrivals:
         if arrival.work_ms and arrival.site:
             yield arrival
             continue
-        work = arrival.work_ms or round(draw_work(classes[arrival.cls], rng), 3)
-        site = arrival.site or fleet.sites[int(np.searchsorted(by_site, rng.random(), side="right"))].name
+        work = arrival.work_ms or round(draw_work(classes[arrival.class_name], rng), 3)
+        site = arrival.site or fleet.sites[int(np.searchsorted(site_shares, rng.random(), side="right"))].name
         yield replace(arrival, work_ms=work, site=site)
 
 
 def merged(*parts: Iterable[Arrival], starts: Iterable[float] = ()) -> Iterator[Arrival]:
     """Several captures of the same time as one, in order; `starts` (Unix ms) puts them on one clock."""
-    first = list(starts) or [0.0] * len(parts)
-    origin = min(first, default=0.0)
-    moved = [_moved(part, start - origin) for part, start in zip(parts, first, strict=True)]
-    yield from heapq.merge(*moved, key=lambda a: a.at_ms)
+    start_times = list(starts) or [0.0] * len(parts)
+    origin = min(start_times, default=0.0)
+    shifted = [_shifted(part, start - origin) for part, start in zip(parts, start_times, strict=True)]
+    yield from heapq.merge(*shifted, key=lambda a: a.at_ms)
 
 
-def _moved(part: Iterable[Arrival], by: float) -> Iterator[Arrival]:
+def _shifted(part: Iterable[Arrival], shift_ms: float) -> Iterator[Arrival]:
     for arrival in part:
-        yield replace(arrival, at_ms=round(arrival.at_ms + by, 3)) if by else arrival
+        yield replace(arrival, at_ms=round(arrival.at_ms + shift_ms, 3)) if shift_ms else arrival
 
 
 def cut(arrivals: Iterable[Arrival], start_ms: float, span_ms: float) -> Iterator[Arrival]:
@@ -88,11 +88,11 @@
 
 
 def costlier(
-    arrivals: Iterable[Arrival], share: float, times: float, start_ms: float, span_ms: float, seed: int
+    arrivals: Iterable[Arrival], share: float, factor: float, start_ms: float, span_ms: float, seed: int
 ) -> Iterator[Arrival]:
     """In a span, a share of the arrivals has so many times the work; all others stay as they are."""
     rng = np.random.Generator(np.random.PCG64(np.random.SeedSequence([seed, 0xC057])))
     for arrival in arrivals:
         drawn = rng.random() < share  # drawn for each, so that a longer span changes no earlier one
         inside = start_ms <= arrival.at_ms < start_ms + span_ms
-        yield replace(arrival, work_ms=round(arrival.work_ms * times, 3)) if drawn and inside else arrival
+        yield replace(arrival, work_ms=round(arrival.work_ms * factor, 3)) if drawn and inside else arrival
--- a/meadowpulley/load/profiles.py
+++ b/meadowpulley/load/profiles.py
@@ -8,7 +8,7 @@
 
 import numpy as np
 
-from meadowpulley.fleet import Fleet, RequestKind
+from meadowpulley.fleet import Fleet, RequestClass
 from meadowpulley.load.arrivals import Arrival
 
 DAY_MS = 86_400_000.0
@@ -23,33 +23,40 @@
     """
 
     name: str
-    text: str
+    description: str
     rate: Callable[[float], float]
     peak: float
-    costly: Callable[[float], float] = lambda x: 0.0
-    cost: float = 1.0
-    shift: Callable[[float], float] = lambda x: 0.0
+    costly_share: Callable[[float], float] = lambda x: 0.0
+    cost_factor: float = 1.0
+    shifted_share: Callable[[float], float] = lambda x: 0.0
 
 
-def _bump(x: float, middle: float, width: float) -> float:
-    return math.exp(-(((x - middle) / width) ** 2))
+def _bump(position: float, middle: float, width: float) -> float:
+    return math.exp(-(((position - middle) / width) ** 2))
 
 
-def _steady(x: float) -> float:
+def _steady(position: float) -> float:
     return 1.0
 
 
-def _day(x: float) -> float:
+def _day(position: float) -> float:
     """A day: quiet at night, lunch, and dinner above it."""
-    return 0.25 + _bump(x, 0.53, 0.09) + 1.9 * _bump(x, 0.78, 0.10) + 0.5 * _bump(x, 0.66, 0.16)
+    return (
+        0.25
+        + _bump(position, 0.53, 0.09)
+        + 1.9 * _bump(position, 0.78, 0.10)
+        + 0.5 * _bump(position, 0.66, 0.16)
+    )
 
 
-def _evening(x: float) -> float:
+def _evening(position: float) -> float:
     """Friday dinner: up to its top at half of the time, and down again."""
-    return 0.55 + _bump(x, 0.5, 0.25)
+    return 0.55 + _bump(position, 0.5, 0.25)
 
 
-def _even(shape: Callable[[float], float], points: int = 4000) -> tuple[Callable[[float], float], float]:
+def _normalized(
+    shape: Callable[[float], float], points: int = 4000
+) -> tuple[Callable[[float], float], float]:
     """A shape scaled to a mean of one, and its top (midpoint rule)."""
     values = [shape((n + 0.5) / points) for n in range(points)]
     mean = sum(values) / points
@@ -60,46 +67,46 @@
     p.name: p
     for p in (
         Profile("steady", "the same rate throughout", _steady, 1.0),
-        Profile("daily", "one day: night, lunch, dinner", *_even(_day)),
-        Profile("friday-dinner", "up to a broad top and down again", *_even(_evening)),
+        Profile("daily", "one day: night, lunch, dinner", *_normalized(_day)),
+        Profile("friday-dinner", "up to a broad top and down again", *_normalized(_evening)),
         Profile(
             "footy-final",
             "steady, and in the middle fifth one request in eight costs six times the usual",
             _steady,
             1.0,
-            costly=lambda x: 0.125 if 0.4 <= x < 0.6 else 0.0,
-            cost=6.0,
+            costly_share=lambda x: 0.125 if 0.4 <= x < 0.6 else 0.0,
+            cost_factor=6.0,
         ),
         Profile(
             "site-shift",
             "from the middle on half of all load comes by the first site",
             _steady,
             1.0,
-            shift=lambda x: min(max((x - 0.45) / 0.1, 0.0), 1.0) * 0.5,
+            shifted_share=lambda x: min(max((x - 0.45) / 0.1, 0.0), 1.0) * 0.5,
         ),
     )
 }
 
 
-def draw_work(cls: RequestKind, rng: np.random.Generator) -> float:
+def draw_work(request_class: RequestClass, rng: np.random.Generator) -> float:
     """Work of one request: its mean is the class's, its coefficient of variation the class's spread."""
-    if cls.work == "fixed" or not cls.spread:
-        return cls.work_ms
-    if cls.work == "exponential":
-        return cls.work_ms * float(rng.standard_exponential())
-    sigma = math.sqrt(math.log(1 + cls.spread**2))
-    return cls.work_ms * math.exp(sigma * float(rng.standard_normal()) - sigma * sigma / 2)
+    if request_class.work == "fixed" or not request_class.spread:
+        return request_class.work_ms
+    if request_class.work == "exponential":
+        return request_class.work_ms * float(rng.standard_exponential())
+    sigma = math.sqrt(math.log(1 + request_class.spread**2))
+    return request_class.work_ms * math.exp(sigma * float(rng.standard_normal()) - sigma * sigma / 2)
 
 
-class KeyDraw:
+class KeySampler:
     """Keys by Zipf's law over a bounded number of them, by inverting its distribution."""
 
     def __init__(self, count: int, skew: float) -> None:
         weights = np.arange(1, count + 1, dtype=float) ** -skew
-        self._sums = np.cumsum(weights) / weights.sum()
+        self._cumulative = np.cumsum(weights) / weights.sum()
 
     def __call__(self, rng: np.random.Generator) -> int:
-        return int(np.searchsorted(self._sums, rng.random())) + 1
+        return int(np.searchsorted(self._cumulative, rng.random())) + 1
 
 
 def synthesize(fleet: Fleet, profile: Profile, per_s: float, seconds: float, seed: int) -> Iterator[Arrival]:
@@ -111,17 +118,19 @@
     classes, sites = fleet.classes, fleet.sites
     by_class = np.cumsum([c.share for c in classes]) / sum(c.share for c in classes)
     by_site = np.cumsum([s.load for s in sites]) / sum(s.load for s in sites)
-    keys = KeyDraw(fleet.keys.count, fleet.keys.skew) if fleet.keys.count else None
+    keys = KeySampler(fleet.keys.count, fleet.keys.skew) if fleet.keys.count else None
     at, end = 0.0, seconds * 1000.0
     while per_s > 0:
         at += float(rng.standard_exponential()) * 1000.0 / (per_s * profile.peak)
         if at >= end:
             return
-        x = at / end
-        if rng.random() * profile.peak >= profile.rate(x):
+        position = at / end
+        if rng.random() * profile.peak >= profile.rate(position):
             continue
-        cls = classes[int(np.searchsorted(by_class, rng.random(), side="right"))]
-        moved = rng.random() < profile.shift(x)
-        site = sites[0 if moved else int(np.searchsorted(by_site, rng.random(), side="right"))]
-        work = draw_work(cls, rng) * (profile.cost if rng.random() < profile.costly(x) else 1.0)
-        yield Arrival(round(at, 3), cls.name, site.name, keys(rng) if keys else 0, round(work, 3))
+        request_class = classes[int(np.searchsorted(by_class, rng.random(), side="right"))]
+        shifted = rng.random() < profile.shifted_share(position)
+        site = sites[0 if shifted else int(np.searchsorted(by_site, rng.random(), side="right"))]
+        work = draw_work(request_class, rng) * (
+            profile.cost_factor if rng.random() < profile.costly_share(position) else 1.0
+        )
+        yield Arrival(round(at, 3), request_class.name, site.name, keys(rng) if keys else 0, round(work, 3))
--- a/meadowpulley/load/summary.py
+++ b/meadowpulley/load/summary.py
@@ -10,7 +10,7 @@
 
 from meadowpulley.load.arrivals import Arrival
 
-KEYS = 200_000  # distinct keys counted to the letter, beyond which it is said that there are more
+MAX_KEYS = 200_000  # distinct keys counted to the letter, beyond which it is said that there are more
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,7 +23,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Summary:
+class LoadSummary:
     """Rates are per second; `peak_per_s` is the busiest whole second."""
 
     count: int
@@ -41,29 +41,29 @@
         return asdict(self)
 
 
-def summarize(arrivals: Iterable[Arrival]) -> Summary:
+def summarize(arrivals: Iterable[Arrival]) -> LoadSummary:
     """One pass over a load, in order of time."""
     counts: Counter[str] = Counter()
     sums: dict[str, tuple[float, float]] = {}
     sites: Counter[str] = Counter()
     keys: set[int] = set()
-    more = False
+    more_keys = False
     count = size = in_second = peak = 0
     second, last = -1, 0.0
-    for a in arrivals:
+    for arrival in arrivals:
         count += 1
-        last = a.at_ms
-        counts[a.cls] += 1
-        sites[a.site] += 1
-        total, squares = sums.get(a.cls, (0.0, 0.0))
-        sums[a.cls] = total + a.work_ms, squares + a.work_ms**2
-        size += a.bytes
-        if a.key and len(keys) < KEYS:
-            keys.add(a.key)
-        elif a.key and a.key not in keys:
-            more = True
-        if int(a.at_ms // 1000) != second:
-            second, in_second = int(a.at_ms // 1000), 0
+        last = arrival.at_ms
+        counts[arrival.class_name] += 1
+        sites[arrival.site] += 1
+        total, squares = sums.get(arrival.class_name, (0.0, 0.0))
+        sums[arrival.class_name] = total + arrival.work_ms, squares + arrival.work_ms**2
+        size += arrival.bytes
+        if arrival.key and len(keys) < MAX_KEYS:
+            keys.add(arrival.key)
+        elif arrival.key and arrival.key not in keys:
+            more_keys = True
+        if int(arrival.at_ms // 1000) != second:
+            second, in_second = int(arrival.at_ms // 1000), 0
         in_second += 1
         peak = max(peak, in_second)
     seconds = max(math.ceil(last / 1000), 1)
@@ -74,7 +74,7 @@
         spread = math.sqrt(variance) / mean if mean else 0.0
         classes.append(ClassSummary(name, counts[name], counts[name] / count, mean, spread))
     work = sum(total for total, _ in sums.values())
-    return Summary(
+    return LoadSummary(
         count,
         float(seconds),
         count / seconds,
@@ -83,6 +83,6 @@
         tuple(classes),
         {name: n / count for name, n in sorted(sites.items())},
         len(keys),
-        more,
+        more_keys,
         size,
     )
--- a/meadowpulley/rig/__init__.py
+++ b/meadowpulley/loopback/__init__.py
@@ -6,7 +6,7 @@
 Everything stays on 127.0.0.1 and is bounded in time.
 """
 
-from meadowpulley.rig.processes import Measured, RigError, Watch, run_rig
-from meadowpulley.rig.told import RigPlan
+from meadowpulley.loopback.messages import LoopbackPlan
+from meadowpulley.loopback.runner import LoopbackError, LoopbackResult, ProgressCallback, run_loopback
 
-__all__ = ["Measured", "RigError", "RigPlan", "Watch", "run_rig"]
+__all__ = ["LoopbackError", "LoopbackPlan", "LoopbackResult", "ProgressCallback", "run_loopback"]
--- a/meadowpulley/rig/clock.py
+++ b/meadowpulley/loopback/clock.py
@@ -16,27 +16,27 @@
 class RealClock:
     """Milliseconds since `origin`, which is on the system's monotonic clock (seconds)."""
 
-    def __init__(self, reactor: Any, origin: float, failed: Callable[[str], None]) -> None:
+    def __init__(self, reactor: Any, origin: float, on_failure: Callable[[str], None]) -> None:
         self._origin = origin
-        self.deadlines = Deadlines(reactor, failed, clock=lambda: self.now)
+        self.deadlines = Deadlines(reactor, on_failure, clock=lambda: self.now)
         self.lateness: HdrHistogram = new_histogram()
 
     @property
     def now(self) -> float:
         return (time.monotonic() - self._origin) * 1000.0
 
-    def at(self, when: float, call: Callable[[], None]) -> None:
+    def call_at(self, when: float, callback: Callable[[], None]) -> None:
         def run() -> None:
             if when > 0:
                 self.lateness.record_value(max(int((self.now - when) * 1000), 1))
-            call()
+            callback()
 
         self.deadlines.at(when, run)
 
-    def after(self, delay_ms: float, call: Callable[[], None]) -> None:
-        self.at(self.now + max(delay_ms, 0.0), call)
+    def call_later(self, delay_ms: float, callback: Callable[[], None]) -> None:
+        self.call_at(self.now + max(delay_ms, 0.0), callback)
 
-    def late_ms(self, percentile: float = 99.0) -> float:
+    def lateness_ms(self, percentile: float = 99.0) -> float:
         """How late calls came; 0 when there were none."""
         if not self.lateness.get_total_count():
             return 0.0
--- a/meadowpulley/rig/joint.py
+++ b/meadowpulley/loopback/gateway_fleet.py
@@ -19,64 +19,67 @@
 from pathlib import Path
 from typing import Any
 
-from meadowpulley.net import names
-from meadowpulley.rig.processes import ROOT, RigError, free_ports, own_host
+from meadowpulley.loopback.runner import ROOT, LoopbackError, free_ports, unique_address
+from meadowpulley.net import protocol
 
-READY_S = 30.0
-LAYOUT = ".venv/gateway"
-OURS = ("PROXY_", "MEADOWPULLEY_")  # variables of a gateway: none is taken over from the rig's own
+READY_TIMEOUT_S = 30.0
+LAYOUT_FOLDER = ".venv/gateway"
+GATEWAY_VARIABLES = (
+    "PROXY_",
+    "MEADOWPULLEY_",
+)  # variables of a gateway: none is taken over from the rig's own
 
 
-def lay_out() -> None:
+def build_layouts() -> None:
     """Both layouts, made anew where a source has changed."""
-    for more in ((), ("--joint",)):
-        subprocess.run([sys.executable, str(ROOT / "deploy" / "compile.py"), *more], check=True)
+    for options in ((), ("--joint",)):
+        subprocess.run([sys.executable, str(ROOT / "deploy" / "compile.py"), *options], check=True)
 
 
-class Process:
+class GatewayProcess:
     """One gateway, and the lines that it logs; those that are no JSON are kept as `plain`."""
 
     def __init__(
-        self, path: Path, config: Mapping[str, Any], environ: Mapping[str, str], joint: bool
+        self, path: Path, config: Mapping[str, Any], environ: Mapping[str, str], with_shared_state: bool
     ) -> None:
         self.name, self.address = config["name"], config["listen"]
         path.write_text(json.dumps(config))
-        run: str = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
-        if joint:
-            run = run.replace(f"PYTHONPATH={LAYOUT} ", f"PYTHONPATH={LAYOUT}-joint ")
-        kept = {k: v for k, v in os.environ.items() if not k.startswith(OURS)}
+        command: str = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        if with_shared_state:
+            command = command.replace(f"PYTHONPATH={LAYOUT_FOLDER} ", f"PYTHONPATH={LAYOUT_FOLDER}-joint ")
+        inherited = {k: v for k, v in os.environ.items() if not k.startswith(GATEWAY_VARIABLES)}
         self.process = subprocess.Popen(
-            ["/bin/sh", "-c", run],
+            ["/bin/sh", "-c", command],
             cwd=ROOT,
             stderr=subprocess.PIPE,
             text=True,
-            env={**kept, names.ENV_CONFIG: str(path), **environ},
+            env={**inherited, protocol.ENV_CONFIG: str(path), **environ},
         )
         self.lines: list[dict[str, Any]] = []
-        self._more = threading.Condition()
+        self._changed = threading.Condition()
         threading.Thread(target=self._read, daemon=True).start()
 
     def _read(self) -> None:
         assert self.process.stderr is not None
         for text in self.process.stderr:
             line = json.loads(text) if text.startswith("{") else {"event": "plain", "line": text.rstrip()}
-            with self._more:
+            with self._changed:
                 self.lines.append(line)
-                self._more.notify_all()
-        with self._more:
+                self._changed.notify_all()
+        with self._changed:
             self.lines.append({"event": "closed"})
-            self._more.notify_all()
+            self._changed.notify_all()
 
-    def wait_for(self, event: str, limit_s: float = READY_S) -> dict[str, Any]:
+    def wait_for(self, event: str, limit_s: float = READY_TIMEOUT_S) -> dict[str, Any]:
         """The first line of that event. Raises RigError where the process ends, or time runs out, before."""
-        with self._more:
-            self._more.wait_for(lambda: self.told(event) or self.told("closed"), limit_s)
+        with self._changed:
+            self._changed.wait_for(lambda: self.events(event) or self.events("closed"), limit_s)
             for line in self.lines:
                 if line["event"] == event:
                     return line
-        raise RigError(f"{self.name}: no '{event}': {self.lines[-3:]}")
+        raise LoopbackError(f"{self.name}: no '{event}': {self.lines[-3:]}")
 
-    def told(self, event: str) -> list[dict[str, Any]]:
+    def events(self, event: str) -> list[dict[str, Any]]:
         return [line for line in self.lines if line["event"] == event]
 
     def signal(self, number: int) -> None:
@@ -93,7 +96,7 @@
             self.process.kill()
             self.process.wait()
 
-    def ended(self, limit_s: float = READY_S) -> int:
+    def wait_for_exit(self, limit_s: float = READY_TIMEOUT_S) -> int:
         """Its exit status, once all it logged is read."""
         status = self.process.wait(limit_s)
         self.wait_for("closed")
@@ -105,7 +108,7 @@
         return sum(int((task / "schedstat").read_text().split()[0]) for task in tasks.iterdir()) / 1e6
 
 
-class Fleet:
+class GatewayFleet:
     """`config`: what all gateways are told alike; `environ`: their variables, the ledger's folder apart."""
 
     def __init__(
@@ -114,9 +117,9 @@
         self.folder, self.size, self.ledger = folder, size, folder / "ledger"
         self.ledger.mkdir()
         self._config, self._environ = config, environ
-        host = own_host()
+        host = unique_address()
         self.addresses = [f"{host}:{port}" for port in free_ports(host, size)]
-        self.processes: list[Process] = []
+        self.processes: list[GatewayProcess] = []
 
     def config(self, number: int) -> dict[str, Any]:
         settings = {**self._config["settings"], "me": number, "balancers": self.size}
@@ -130,21 +133,27 @@
         }
 
     def launch(
-        self, number: int, environ: Mapping[str, str] | None = None, joint: bool = True, **changed: Any
-    ) -> Process:
+        self,
+        number: int,
+        environ: Mapping[str, str] | None = None,
+        with_shared_state: bool = True,
+        **changed: Any,
+    ) -> GatewayProcess:
         """Starts that gateway; None for a variable's value leaves it out."""
-        told = {"MEADOWPULLEY_LEDGER": str(self.ledger), **self._environ, **(environ or {})}
+        variables = {"MEADOWPULLEY_LEDGER": str(self.ledger), **self._environ, **(environ or {})}
         path = self.folder / f"config-{len(self.processes)}.json"
-        given = {k: v for k, v in told.items() if v}
-        self.processes.append(Process(path, {**self.config(number), **changed}, given, joint))
+        environment = {k: v for k, v in variables.items() if v}
+        self.processes.append(
+            GatewayProcess(path, {**self.config(number), **changed}, environment, with_shared_state)
+        )
         return self.processes[-1]
 
-    def start(self) -> list[Process]:
+    def start(self) -> list[GatewayProcess]:
         """All of them, ready."""
-        found = [self.launch(n) for n in range(self.size)]
-        for process in found:
+        processes = [self.launch(n) for n in range(self.size)]
+        for process in processes:
             process.wait_for("ready")
-        return found
+        return processes
 
     def stop(self) -> None:
         for process in self.processes:
@@ -152,43 +161,50 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Reply:
+class HttpResponse:
     status: int  # 0: the connection ended without a whole answer
     body: bytes = b""
-    more: bytes = b""  # what came after the answer: there should be nothing
+    trailing: bytes = b""  # what came after the answer: there should be nothing
 
 
-def ask(
+def send_request(
     address: str,
-    name: str,
+    request_id: str,
     target: str,
     body: bytes = b"",
     *,
     key: str = "",
     tenant: str = "",
-    again: bool = False,
-    left_ms: float = 8000.0,
-) -> Reply | None:
+    client_retry: bool = False,
+    remaining_ms: float = 8000.0,
+) -> HttpResponse | None:
     """One request on a connection of its own, a POST where it has a body. None where nobody was there."""
     host, _, port = address.rpartition(":")
-    head = {"host": names.SERVICE, names.ID: name, names.REMAINING: f"{left_ms:.3f}m", "connection": "close"}
-    head |= {names.KEY: key} if key else {}
-    head |= {names.TENANT: tenant} if tenant else {}
-    head |= {names.REPEAT: "1"} if again else {}
-    head |= {"content-length": str(len(body))} if body else {}
-    lines = "".join(f"{k}: {v}\r\n" for k, v in head.items())
-    start = f"{'POST' if body else 'GET'} {target} HTTP/1.1\r\n{lines}\r\n".encode()
+    headers = {
+        "host": protocol.SERVICE_HOST,
+        protocol.REQUEST_ID_HEADER: request_id,
+        protocol.REMAINING_TIME_HEADER: f"{remaining_ms:.3f}m",
+        "connection": "close",
+    }
+    headers |= {protocol.ENTITY_KEY_HEADER: key} if key else {}
+    headers |= {protocol.TENANT_HEADER: tenant} if tenant else {}
+    headers |= {protocol.RESEND_HEADER: "1"} if client_retry else {}
+    headers |= {"content-length": str(len(body))} if body else {}
+    header_lines = "".join(f"{k}: {v}\r\n" for k, v in headers.items())
+    request_head = f"{'POST' if body else 'GET'} {target} HTTP/1.1\r\n{header_lines}\r\n".encode()
     data = b""
     try:
-        link = socket.create_connection((host, int(port)), timeout=left_ms / 1000 + 2)
+        connection = socket.create_connection((host, int(port)), timeout=remaining_ms / 1000 + 2)
     except OSError:
         return None
-    with link, contextlib.suppress(OSError):
-        link.sendall(start + body)
-        while part := link.recv(65536):
-            data += part
-    told, end, rest = data.partition(b"\r\n\r\n")
-    length = next((int(h[15:]) for h in told.lower().split(b"\r\n") if h.startswith(b"content-length:")), 0)
-    if not end or len(rest) < length:
-        return Reply(0)
-    return Reply(int(told.split()[1]), rest[:length], rest[length:])
+    with connection, contextlib.suppress(OSError):
+        connection.sendall(request_head + body)
+        while chunk := connection.recv(65536):
+            data += chunk
+    response_head, separator, body_received = data.partition(b"\r\n\r\n")
+    length = next(
+        (int(h[15:]) for h in response_head.lower().split(b"\r\n") if h.startswith(b"content-length:")), 0
+    )
+    if not separator or len(body_received) < length:
+        return HttpResponse(0)
+    return HttpResponse(int(response_head.split()[1]), body_received[:length], body_received[length:])
--- a/meadowpulley/rig/told.py
+++ b/meadowpulley/loopback/messages.py
@@ -10,12 +10,12 @@
 import msgspec
 from msgspec import Struct
 
-from meadowpulley.emulator import ClassNow, Scenario
+from meadowpulley.emulator import ClassSnapshot, Scenario
 from meadowpulley.experiment.cells import LoadSpec
 from meadowpulley.fleet import Fleet
 
 
-class RigPlan(Struct, frozen=True):
+class LoopbackPlan(Struct, frozen=True):
     """One run on loopback. Asks before `from_ms` are not counted; `load_seed` fixes the arrivals, `seed` the
     stand-ins and gateways."""
 
@@ -38,116 +38,118 @@
     peers: tuple[int, ...]
 
 
-class Job(Struct, frozen=True):
+class ProcessOrders(Struct, frozen=True):
     """A process's file: the plan, the ports, the origin (seconds of the monotonic clock), where to write."""
 
-    plan: RigPlan
+    plan: LoopbackPlan
     ports: Ports
     origin: float
-    out: str
-    live_ms: float = 0.0  # how often it tells what there is so far, a line each in `out`.live; 0: never
+    output_path: str
+    progress_interval_ms: float = (
+        0.0  # how often it tells what there is so far, a line each in `out`.live; 0: never
+    )
 
 
-class ServersTold(Struct):
+class ServicesReport(Struct):
     """From the stand-ins, at their end."""
 
-    busy: float
+    utilisation: float
     served: int
-    turned_away: int
+    rejected: int
     events: list[tuple[float, str]]
     stages: list[tuple[float, int, int, str]]  # when (ms), build, stage, phase
-    fell: int
-    late_ms: float
+    overloaded: int
+    lateness_ms: float
     cpu_s: float
     errors: list[str]
 
 
-class ClientsNow(Struct):
+class ClientsSnapshot(Struct):
     """From the driver, while it runs."""
 
-    classes: tuple[ClassNow, ...]
+    classes: tuple[ClassSnapshot, ...]
 
 
-class ClientsTold(Struct):
+class ClientsReport(Struct):
     """From the driver, at its end."""
 
     figures: dict[str, float]
     seconds: list[list[float]]
-    wrong: int  # answers with another request's body
-    late_ms: float
+    wrong_responses: int  # answers with another request's body
+    lateness_ms: float
     cpu_s: float
     errors: list[str]
 
 
-def tell_live(job: Job, clock: Any, now: Callable[[], Struct]) -> None:
+def report_progress(orders: ProcessOrders, clock: Any, snapshot: Callable[[], Struct]) -> None:
     """Writes what `now` says as a line every `live_ms`, if the job asks for it."""
-    if job.live_ms <= 0:
+    if orders.progress_interval_ms <= 0:
         return
-    path = Path(job.out + ".live")
+    path = Path(orders.output_path + ".live")
 
-    def tell() -> None:
+    def write() -> None:
         with path.open("ab") as file:
-            file.write(msgspec.json.encode(now()) + b"\n")
-        clock.after(job.live_ms, tell)
+            file.write(msgspec.json.encode(snapshot()) + b"\n")
+        clock.after(orders.progress_interval_ms, write)
 
-    clock.at(0.0, tell)
+    clock.at(0.0, write)
 
 
-def number_of(name: str) -> int:
+def server_number(name: str) -> int:
     """The server's number in its name."""
     return int(name.rpartition("-")[2])
 
 
-def take_orders() -> Job:
+def read_orders() -> ProcessOrders:
     """Says that all is loaded, and waits on standard input for the path of the job's file."""
     print("{}", flush=True)
-    return msgspec.json.decode(Path(sys.stdin.readline().strip()).read_bytes(), type=Job)
+    return msgspec.json.decode(Path(sys.stdin.readline().strip()).read_bytes(), type=ProcessOrders)
 
 
-def id_of(request: int, seed: int) -> str:
+def make_request_id(number: int, seed: int) -> str:
     """The id that a client gives a request, never twice in a run."""
-    return f"{seed & 0xFFFF:04x}{request:012x}"
+    return f"{seed & 0xFFFF:04x}{number:012x}"
 
 
-def request_of(name: str) -> int:
+def request_number(request_id: str) -> int:
     """The request of an id; -1 where no client of the rig made it."""
     try:
-        return int(name[4:], 16) if len(name) == 16 else -1
+        return int(request_id[4:], 16) if len(request_id) == 16 else -1
     except ValueError:
         return -1
 
 
-def name_of(number: int) -> str:
+def server_name(number: int) -> str:
     return f"s-{number}"
 
 
-def entry_object(entry: Any, address: str, zone: str, kind: str, origin_s: float) -> dict[str, Any]:
+def entry_object(entry: Any, address: str, zone: str, kind: str, origin_unix_s: float) -> dict[str, Any]:
     """A server in discovery's words; `origin_s`: Unix time at the start of the run's clock."""
-    from meadowpulley.net import names
+    from meadowpulley.net import protocol
 
-    states = {state: word for word, state in names.STATES.items()}
+    states = {state: word for word, state in protocol.ENDPOINT_STATES.items()}
     return {
-        names.NAME: name_of(entry.server),
-        names.ADDRESS: address,
-        names.ZONE: zone,
-        names.KIND: kind,
-        names.CELL: entry.cell,
-        names.STATE: states[entry.state],
-        names.WEIGHT: entry.weight,
-        names.STARTED: round(origin_s * 1000 + entry.started_ms) if entry.started_ms else 0,
-        names.BUILD: entry.build,
+        protocol.ENDPOINT_NAME: server_name(entry.server),
+        protocol.ENDPOINT_ADDRESS: address,
+        protocol.ENDPOINT_ZONE: zone,
+        protocol.ENDPOINT_KIND: kind,
+        protocol.ENDPOINT_CELL: entry.cell,
+        protocol.ENDPOINT_STATE: states[entry.state],
+        protocol.ENDPOINT_WEIGHT: entry.weight,
+        protocol.ENDPOINT_STARTED: round(origin_unix_s * 1000 + entry.started_ms) if entry.started_ms else 0,
+        protocol.ENDPOINT_BUILD: entry.build,
     }
 
 
-def news_object(news: Any) -> dict[str, Any]:
+def rollout_object(update: Any) -> dict[str, Any]:
     """News of a build in the platform's words."""
-    from meadowpulley.net import names
+    from meadowpulley.net import protocol
 
-    phases = {phase: word for word, phase in names.PHASES.items()}
+    phases = {phase: word for word, phase in protocol.ROLLOUT_PHASES.items()}
     return {
-        names.NEWS_BUILD: news.build,
-        names.NEWS_STAGE: news.stage,
-        names.NEWS_PHASE: phases[news.phase],
-        names.NEWS_CAP: news.cap,
-        names.NEWS_AGE: round(max(news.age_ms, 0.0)),
+        protocol.MESSAGE_BUILD: update.build,
+        protocol.ROLLOUT_STAGE: update.stage,
+        protocol.ROLLOUT_PHASE: phases[update.phase],
+        protocol.ROLLOUT_CAP: update.cap,
+        protocol.MESSAGE_AGE: round(max(update.age_ms, 0.0)),
     }
--- a/meadowpulley/check/__init__.py
+++ b/meadowpulley/model_checking/__init__.py
@@ -8,20 +8,20 @@
 for people). Nothing here does I/O but `explore`, which starts workers and keeps checkpoints.
 """
 
-from meadowpulley.check.explore import CheckpointError, Counterexample, Coverage, Level, Search
-from meadowpulley.check.properties import PROPERTIES, Broken, Property
-from meadowpulley.check.worlds import Setting, Step, make_world
+from meadowpulley.model_checking.model import ModelSettings, Step, make_model
+from meadowpulley.model_checking.properties import PROPERTIES, Property, Violation
+from meadowpulley.model_checking.search import CheckpointError, Coverage, Level, Search, ViolatingPath
 
 __all__ = [
     "PROPERTIES",
-    "Broken",
     "CheckpointError",
-    "Counterexample",
     "Coverage",
     "Level",
+    "ModelSettings",
     "Property",
     "Search",
-    "Setting",
     "Step",
-    "make_world",
+    "ViolatingPath",
+    "Violation",
+    "make_model",
 ]
--- a/meadowpulley/check/connection/__init__.py
+++ b/meadowpulley/model_checking/connection_model/__init__.py
@@ -10,8 +10,8 @@
 `enabled` (what may happen next), `holds` (what must hold), `world` (taking a step).
 """
 
-from meadowpulley.check.connection.parties import cuts_of, request_text
-from meadowpulley.check.connection.scenes import SCENES
-from meadowpulley.check.connection.world import Connection
+from meadowpulley.model_checking.connection_model.configurations import CONFIGURATIONS
+from meadowpulley.model_checking.connection_model.peers import cut_points, request_bytes_of
+from meadowpulley.model_checking.connection_model.transitions import ConnectionModel
 
-__all__ = ["SCENES", "Connection", "cuts_of", "request_text"]
+__all__ = ["CONFIGURATIONS", "ConnectionModel", "cut_points", "request_bytes_of"]
--- /dev/null
+++ b/meadowpulley/model_checking/connection_model/state.py
@@ -0,0 +1,277 @@
+"""A state of world B: one real gateway on a scripted reactor, its clients, its instances."""
+
+from __future__ import annotations
+
+import json
+import math
+import sys
+from typing import Any, Self
+from urllib.parse import parse_qs, urlsplit
+
+from meadowpulley.interface import Action, Event, Outcome, Rollout, Settings
+from meadowpulley.model_checking.connection_model.configurations import (
+    CLASSES,
+    CONFIGURATIONS,
+    DISCOVERY,
+    INSTANCES,
+    LIMITS,
+    RULES,
+)
+from meadowpulley.model_checking.connection_model.peers import (
+    AcceptBacklog,
+    Client,
+    DiscoveryConnection,
+    DiscoveryRegistry,
+    InstanceConnection,
+)
+from meadowpulley.model_checking.graph import Copier, FormRules, FormWriter, fingerprint_of
+from meadowpulley.model_checking.model import ModelSettings
+from meadowpulley.model_checking.policy_model.canonical_form import UNCHANGING_POLICY_FIELDS
+from meadowpulley.model_checking.properties import Violation
+from meadowpulley.model_checking.scripted_reactor import ScriptedReactor
+from meadowpulley.net import protocol
+from meadowpulley.net.config import Config, ConfigError, parse_address
+from meadowpulley.net.gateway import RESERVED_SOCKETS, Gateway
+from meadowpulley.net.http1 import response_bytes
+from meadowpulley.policy import RolloutPolicy
+
+IGNORED_FIELDS = {
+    "Gateway": frozenset({"config", "log", "_load_config", "counters", "_actions", "capture"}),
+    "ObservedPolicy": UNCHANGING_POLICY_FIELDS,
+    "InFlightRequest": frozenset({"request_class"}),
+    "Deadlines": frozenset(
+        {"_last_sequence", "_cancelled", "_reactor_call", "_reactor_call_at", "_report_failure", "polled_at"}
+    ),
+    "ConnectionModel": frozenset({"settings", "configuration", "violations", "messages", "log"}),
+    "ScriptedReactor": frozenset({"delayed_calls"}),
+    "ScriptedTransport": frozenset({"last_sent_at"}),
+    "DiscoveryClient": frozenset({"decoder"}),
+}
+FORM_RULES = FormRules(
+    IGNORED_FIELDS,
+    {
+        ("Deadlines", "_heap"): lambda w, heap: tuple(
+            [
+                (at, w.write(d.callback))
+                for at, n, d in sorted(heap, key=lambda e: e[:2])
+                if d.callback is not None
+            ]
+        ),
+        ("Deadlines", "now"): lambda w, _: None,
+    },
+    {
+        "RingBuffer": lambda w, ring: ("ring", ring.max_bytes, ring.peek(len(ring))),
+        # by value: which parsers share the message that stands for none says nothing
+        "Message": lambda w, m: ("message", m.method, m.target, m.status, w.write(m.headers), m.body),
+        "Failure": lambda w, failure: ("failure", failure.type.__name__),
+    },
+)
+_COPIER = Copier()
+
+
+class ObservedPolicy(RolloutPolicy):
+    """The real decisions; each attempt's outcomes are counted on their way in."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.finished_attempts: set[tuple[int, int]] = set()
+        self.duplicate_outcomes: list[tuple[int, int]] = []
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        if isinstance(event, Outcome):
+            if (event.request, event.attempt) in self.finished_attempts:
+                self.duplicate_outcomes.append((event.request, event.attempt))
+            self.finished_attempts.add((event.request, event.attempt))
+        return super().handle(now, event)
+
+
+class ErrorLog:
+    """In place of the log: what was an error is kept."""
+
+    def __init__(self) -> None:
+        self.errors: list[str] = []
+
+    def info(self, event: str, **_: Any) -> None:
+        pass
+
+    warning = info
+
+    def error(self, event: str, exc_info: bool = False, **fields: Any) -> None:
+        if event == "fault":
+            error_type, value, _ = sys.exc_info()
+            self.errors.append(f"{fields.get('where')}: {error_type.__name__ if error_type else ''}: {value}")
+
+
+class State:
+    """One gateway, its clients and its instances."""
+
+    def __init__(self, settings: ModelSettings) -> None:
+        if settings.configuration not in CONFIGURATIONS:
+            raise ValueError(
+                f"scene: '{settings.configuration}' is not known; known are {', '.join(CONFIGURATIONS)}"
+            )
+        self.settings, self.configuration = settings, CONFIGURATIONS[settings.configuration]
+        self.faults, self.time_advances = settings.faults, settings.time_advances
+        self.violations: list[Violation] = []
+        self.messages: list[tuple[str, str, str]] = []
+        self.log = ErrorLog()
+        self.reactor = ScriptedReactor(AcceptBacklog)
+        instances = INSTANCES[: max(min(settings.servers, len(INSTANCES)), 1)]
+        self.registry = DiscoveryRegistry(instances)
+        endpoint_list = self.registry.endpoint_list(None)
+        rollout_update = {
+            protocol.MESSAGE_BUILD: 41,
+            protocol.ROLLOUT_STAGE: 0,
+            protocol.ROLLOUT_PHASE: "stable",
+            protocol.ROLLOUT_CAP: 1.0,
+            protocol.MESSAGE_AGE: 60_000,
+        }
+        gateway_settings = Settings(
+            0,
+            1,
+            0,
+            ("a",),
+            5.0,
+            CLASSES,
+            (),
+            RULES,
+            LIMITS,
+            Rollout(caps=(1.0,), stage_shares=(1.0,), exposure_window_ms=300.0, exposure_allowance=4.0),
+        )
+        config = Config(
+            "g0",
+            ("127.0.0.1", 9000),
+            DISCOVERY,
+            None,
+            7,
+            RESERVED_SOCKETS + self.configuration.descriptors,
+            gateway_settings,
+            rollout_update,
+            endpoint_list,
+        )
+        log: Any = self.log
+        self.initial_config = config
+        self.reload_file: Config | None = config  # what a reload finds; None: no file that can be used
+        self.discovery_moved = self.stop_requested = self.list_fetched = False
+        self.stop_requested_at = math.inf
+        self.notified_at: dict[tuple[str, int], float] = {}  # instances told to drain or to be gone, and when
+        self.notified_version = self.registry.version
+        self.discovery_connections: list[DiscoveryConnection] = []
+        self.undispatched_requests: frozenset[str] = (
+            frozenset()
+        )  # requests with no attempt yet when their client had gone
+        self.gateway = Gateway(config, self.reactor, log, ObservedPolicy, self._reload_config, self._now)
+        self.gateway.prepare()
+        if not self.configuration.starts_unready:
+            self.gateway.listen()
+        scripts = [
+            self.configuration.scripts[n % len(self.configuration.scripts)] for n in range(settings.requests)
+        ]
+        self.clients = [Client(n, script) for n, script in enumerate(scripts[: max(settings.requests, 1)])]
+        self.instance_connections: list[InstanceConnection] = []
+        self.finished = False
+        for index, pending in enumerate(
+            list(self._pending_instance_connections())
+        ):  # of those opened ahead the first comes up
+            self._accept_instance_connection(pending) if index == 0 else pending.refuse()
+        self.reactor.run_due()
+        self._accept_discovery_connections()
+        for index in range(len(self.discovery_connections)):  # the first watch asks for what is new at once
+            self._prepare_list_response(index)
+            self._deliver_list_response(index)
+
+    def _now(self) -> float:
+        return self.reactor.now
+
+    @property
+    def now(self) -> float:
+        return self.reactor.now
+
+    def _reload_config(self) -> Config:
+        if self.reload_file is None:
+            raise ConfigError("no file that can be used")
+        return self.reload_file
+
+    def _pending_instance_connections(self) -> list[Any]:
+        return [o for o in self.reactor.pending_connections if o.address in INSTANCES]
+
+    def _accept_instance_connection(self, pending: Any) -> None:
+        transport = pending.accept()
+        self.instance_connections.append(InstanceConnection(transport))
+
+    def _accept_discovery_connections(self) -> None:
+        """Connections to discovery come up at once, where it answers."""
+        for pending in [
+            o
+            for o in self.reactor.pending_connections
+            if o.address not in INSTANCES and self.configuration.serves_lists
+        ]:
+            self.discovery_connections.append(DiscoveryConnection(pending.accept()))
+
+    def _prepare_list_response(self, index: int) -> None:
+        """Discovery writes its answer to a call: what it holds at this moment."""
+        request = self.discovery_connections[index].pending_call()
+        assert request is not None
+        after_version = parse_qs(urlsplit(request.target).query).get(protocol.AFTER_PARAMETER)
+        self.discovery_connections[index].prepared_response = self.registry.endpoint_list(
+            int(after_version[0]) if after_version else None
+        )
+
+    def _deliver_list_response(self, index: int) -> None:
+        """The answer arrives: what a newer one told stays told."""
+        connection = self.discovery_connections[index]
+        endpoint_list, connection.prepared_response = connection.prepared_response, None
+        assert endpoint_list is not None
+        connection.response_count += 1
+        if endpoint_list[protocol.LIST_VERSION] >= self.notified_version:
+            self.notified_version = endpoint_list[protocol.LIST_VERSION]
+            listed = {
+                parse_address(e[protocol.ENDPOINT_ADDRESS]): e[protocol.ENDPOINT_STATE]
+                for e in endpoint_list[protocol.LIST_ENDPOINTS]
+            }
+            for address in self.registry.addresses:
+                state = listed.get(address, "terminated" if endpoint_list[protocol.LIST_IS_SNAPSHOT] else "")
+                if state == "in_service":
+                    self.notified_at.pop(address, None)
+                elif state:
+                    self.notified_at.setdefault(address, self.now)
+        connection.transport.receive(
+            response_bytes(200, {"content-type": "application/json"}, json.dumps(endpoint_list).encode())
+        )
+        self.reactor.run_due()
+        self._accept_discovery_connections()
+
+    def _report_violation(self, property_name: str, text: str) -> None:
+        self.violations.append(Violation(property_name, self.reactor.now, 0, text))
+
+    # States
+
+    def copy(self) -> Self:
+        duplicate: Self = _COPIER.copy(self)
+        return duplicate
+
+    def form(self) -> Any:
+        writer = FormWriter(FORM_RULES)
+        return writer.write(self.reactor), [
+            writer.write(v)
+            for v in (
+                self.gateway,
+                self.clients,
+                self.instance_connections,
+                self.faults,
+                self.time_advances,
+                self.finished,
+                self.registry,
+                self.discovery_connections,
+                self.discovery_moved,
+                self.stop_requested,
+                self.list_fetched,
+                self.notified_at,
+                self.notified_version,
+                self.undispatched_requests,
+                self.stop_requested_at,
+            )
+        ]
+
+    def fingerprint(self) -> int:
+        return fingerprint_of(self.form())
--- a/meadowpulley/check/fuzz/__init__.py
+++ b/meadowpulley/model_checking/fuzz/__init__.py
@@ -9,11 +9,11 @@
 `http`, `lines` (lists and the platform's lines), `files` (configurations and captures).
 """
 
-from meadowpulley.check.fuzz.files import FILES
-from meadowpulley.check.fuzz.http import HTTP, parse_pieces
-from meadowpulley.check.fuzz.lines import LINES
-from meadowpulley.check.fuzz.play import Fuzzed, FuzzError, Target, corpus_of, fuzz
+from meadowpulley.model_checking.fuzz.control_plane import LINES
+from meadowpulley.model_checking.fuzz.files import FILES
+from meadowpulley.model_checking.fuzz.http import HTTP, parse_pieces
+from meadowpulley.model_checking.fuzz.runner import FuzzError, FuzzResult, Target, corpus_of, run_target
 
 TARGETS = {t.name: t for t in (*HTTP, *LINES, *FILES)}
 
-__all__ = ["TARGETS", "FuzzError", "Fuzzed", "Target", "corpus_of", "fuzz", "parse_pieces"]
+__all__ = ["TARGETS", "FuzzError", "FuzzResult", "Target", "corpus_of", "parse_pieces", "run_target"]
--- a/meadowpulley/check/fuzz/play.py
+++ b/meadowpulley/model_checking/fuzz/runner.py
@@ -18,21 +18,21 @@
     """`check` takes bytes; `make` is where they come from."""
 
     name: str
-    about: str
+    description: str
     check: Callable[[bytes], None]
-    make: st.SearchStrategy[bytes]
+    inputs: st.SearchStrategy[bytes]
 
 
 @dataclass(slots=True)
-class Fuzzed:
+class FuzzResult:
     """What came of one target: examples played, and the smallest input that fails, if any, with the
     reason."""
 
     target: str
-    corpus: int = 0
-    examples: int = 0
-    failing: bytes | None = None
-    why: str = ""
+    corpus_count: int = 0
+    example_count: int = 0
+    failing_input: bytes | None = None
+    reason: str = ""
 
 
 def corpus_of(folder: Path, target: str) -> Iterator[tuple[str, bytes]]:
@@ -41,34 +41,36 @@
         yield path.name, path.read_bytes()
 
 
-def fuzz(target: Target, examples: int, number: int, corpus: Sequence[tuple[str, bytes]] = ()) -> Fuzzed:
+def run_target(
+    target: Target, max_examples: int, seed_number: int, corpus: Sequence[tuple[str, bytes]] = ()
+) -> FuzzResult:
     """Plays the corpus, then so many made inputs by the seed `number`; stops at the first failure, shrunk."""
-    found = Fuzzed(target.name)
+    result = FuzzResult(target.name)
     for name, data in corpus:
-        found.corpus += 1
+        result.corpus_count += 1
         try:
             target.check(data)
         except FuzzError as error:
-            found.failing, found.why = data, f"corpus {name}: {error}"
-            return found
-    last: list[bytes] = [b""]
+            result.failing_input, result.reason = data, f"corpus {name}: {error}"
+            return result
+    last_input: list[bytes] = [b""]
 
-    @seed(number)
+    @seed(seed_number)
     @settings(
-        max_examples=examples,
+        max_examples=max_examples,
         database=None,
         deadline=None,
         suppress_health_check=list(HealthCheck),
         print_blob=False,
     )
-    @given(target.make)
+    @given(target.inputs)
     def play(data: bytes) -> None:
-        found.examples += 1
-        last[0] = data
+        result.example_count += 1
+        last_input[0] = data
         target.check(data)
 
     try:
         play()
     except FuzzError as error:
-        found.failing, found.why = last[0], str(error)
-    return found
+        result.failing_input, result.reason = last_input[0], str(error)
+    return result
--- a/meadowpulley/check/decisions/__init__.py
+++ b/meadowpulley/model_checking/policy_model/__init__.py
@@ -9,6 +9,6 @@
 next), `words` (for people), `world` (taking a step).
 """
 
-from meadowpulley.check.decisions.world import Decisions
+from meadowpulley.model_checking.policy_model.transitions import PolicyModel
 
-__all__ = ["Decisions"]
+__all__ = ["PolicyModel"]
--- /dev/null
+++ b/meadowpulley/model_checking/policy_model/canonical_form.py
@@ -0,0 +1,81 @@
+"""How a state of the decisions is copied, told from others and written in canonical form."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+from meadowpulley.model_checking.choices import ScriptedRandom
+from meadowpulley.model_checking.graph import Copier, FormRules, FormWriter, WriteFunction
+
+UNCHANGING_POLICY_FIELDS = frozenset(
+    {"settings", "rules", "rollout_settings", "actions", "gateway_count", "confidence_z", "required_evidence"}
+)
+IGNORED_FIELDS = {
+    "RolloutPolicy": UNCHANGING_POLICY_FIELDS | {"rng"},
+    "InFlightRequest": frozenset({"request_class"}),
+    "InvariantMonitor": frozenset({"number", "settings"}),
+    "TraceChecker": frozenset({"parameters", "counts", "record_count", "_handlers"}),
+}
+
+
+def _by_server(writer: FormWriter, value: dict[int, Any]) -> Any:
+    pairs = [(writer.server_number(n), n) for n in value]
+    return tuple([(name, writer.write(value[n])) for name, n in sorted(pairs)])
+
+
+def _servers(writer: FormWriter, value: Sequence[int]) -> Any:
+    return tuple([writer.server_number(n) for n in value])
+
+
+def _evidence_sums(writer: FormWriter, value: dict[int, Any]) -> Any:
+    return tuple(
+        [
+            (k, tuple(sorted((writer.server_number(s), x) for s, x in v.items())))
+            for k, v in sorted(value.items())
+        ]
+    )
+
+
+def _due_statistics(writer: FormWriter, value: Any) -> Any:
+    return tuple(
+        [(at, cls, build, writer.server_number(s), failed, ok) for at, cls, build, s, failed, ok in value]
+    )
+
+
+def _unpublished(writer: FormWriter, value: Any) -> Any:
+    return tuple([(cls, build, writer.server_number(s), failed, ok) for cls, build, s, failed, ok in value])
+
+
+def _unordered_servers(
+    writer: FormWriter, value: Any
+) -> Any:  # which order servers stand in does not matter: all are drawn
+    return tuple(sorted([writer.server_number(s.id) for s in value]))
+
+
+def _by_key(writer: FormWriter, value: dict[Any, Any]) -> Any:
+    return tuple(sorted([(writer.write(k), writer.write(v)) for k, v in value.items()]))
+
+
+FIELD_WRITERS: dict[tuple[str, str], WriteFunction] = {
+    ("RolloutPolicy", "servers"): _by_server,
+    ("RolloutPolicy", "trial_servers"): _unordered_servers,
+    ("RolloutPolicy", "baseline_servers"): _unordered_servers,
+    ("RolloutPolicy", "pending_outcomes"): _due_statistics,
+    ("GossipState", "unpublished"): _unpublished,
+    ("RolloutPolicy", "sticky_builds"): _by_key,
+    ("Server", "id"): lambda writer, value: writer.server_number(value),
+    ("InFlightRequest", "attempted_servers"): _servers,
+    ("InFlightRequest", "probed_servers"): _servers,
+    ("SequentialFailureTest", "log_odds"): _evidence_sums,
+    ("_GatewayState", "servers"): _by_server,
+    ("_ObservedAttempt", "server"): lambda writer, value: writer.server_number(value),
+    ("OutstandingAttempt", "server"): lambda writer, value: writer.server_number(value),
+    ("InvariantMonitor", "slow_start_attempts"): lambda writer, value: tuple(
+        sorted((writer.server_number(s), n, c) for (s, n), c in value.items())
+    ),
+}
+RANDOM = ScriptedRandom()
+FORM_RULES = FormRules(IGNORED_FIELDS, FIELD_WRITERS)
+NAMELESS_FORM_RULES = FormRules({**IGNORED_FIELDS, "Server": frozenset({"id"})}, FIELD_WRITERS)
+COPIER = Copier(shared=(ScriptedRandom,))
--- a/meadowpulley/check/scenes.py
+++ b/meadowpulley/model_checking/policy_model/configurations.py
@@ -22,10 +22,10 @@
     StageGate,
 )
 
-SAFE, UNSAFE, KEYED = 0, 1, 2
-EARLIER, TRIAL = 41, 42  # numbers of builds
-EPSILON_MS = 1.0  # just before and just after an edge
-LATER_MS = 20.0  # well after one
+SAFE, UNSAFE, IDEMPOTENT_WITH_KEY = 0, 1, 2
+BASELINE_BUILD, TRIAL_BUILD = 41, 42  # numbers of builds
+EDGE_MARGIN_MS = 1.0  # just before and just after an edge
+WELL_PAST_EDGE_MS = 20.0  # well after one
 
 CLASSES = (
     RequestClass("address-check", 200.0, 400.0, Effect.IDEMPOTENT),
@@ -67,32 +67,32 @@
 )
 
 
-IN_SERVICE = RolloutUpdate(EARLIER, 1, Phase.RELEASED, 1.0, 10_000.0)
+RELEASED_BUILD = RolloutUpdate(BASELINE_BUILD, 1, Phase.RELEASED, 1.0, 10_000.0)
 
 
 @dataclass(frozen=True, slots=True)
-class Scene:
+class Configuration:
     """`kinds`: class and key of each request, in any order of arrival. `builds`: of the servers at the start.
     `troubles`: which steps may go wrong, `edges`: which moments time stops at, just before, at and after.
     `retries`: how many further attempts a gateway has saved up; `turned`: answers it has had before."""
 
     name: str
-    about: str
+    description: str
     kinds: tuple[tuple[int, int], ...]
     builds: tuple[int, ...]
-    troubles: frozenset[str]
+    faults: frozenset[str]
     edges: tuple[str, ...]
-    news: RolloutUpdate = IN_SERVICE
+    rollout_update: RolloutUpdate = RELEASED_BUILD
     rollout: Rollout = ROLLOUT
     limits: Limits = LIMITS
-    retries: float = 3.0
-    must_ask: bool = False
-    cold: bool = False
+    retry_budget: float = 3.0
+    must_poll: bool = False
+    starts_cold: bool = False
 
-    def settings(self, me: int, gateways: int) -> Settings:
+    def settings(self, gateway_index: int, gateway_count: int) -> Settings:
         return Settings(
-            me,
-            gateways,
+            gateway_index,
+            gateway_count,
             0,
             ("hobart",),
             5.0,
@@ -101,113 +101,113 @@
             RULES,
             self.limits,
             self.rollout,
-            self.must_ask,
+            self.must_poll,
         )
 
 
-ON_TRIAL = RolloutUpdate(TRIAL, 0, Phase.TRIAL, 0.5, 0.0)
-OUTCOMES = frozenset({"error", "reset", "full", "connect_failed"})
+BUILD_ON_TRIAL = RolloutUpdate(TRIAL_BUILD, 0, Phase.TRIAL, 0.5, 0.0)
+OUTCOME_FAULTS = frozenset({"error", "reset", "full", "connect_failed"})
 
-SCENES = {
+CONFIGURATIONS = {
     s.name: s
     for s in (
-        Scene(
+        Configuration(
             "attempts",
             "the life of an attempt: every outcome, silence, late answers, clients that leave",
-            ((SAFE, 1), (UNSAFE, 1), (UNSAFE, 0), (KEYED, 2)),
-            (EARLIER, EARLIER, EARLIER),
-            OUTCOMES | {"leave"},
+            ((SAFE, 1), (UNSAFE, 1), (UNSAFE, 0), (IDEMPOTENT_WITH_KEY, 2)),
+            (BASELINE_BUILD, BASELINE_BUILD, BASELINE_BUILD),
+            OUTCOME_FAULTS | {"leave"},
             ("deadline", "timer"),
         ),
-        Scene(
+        Configuration(
             "copies",
             "second copies allowed: two attempts of one request out at once, whatever they bring",
-            ((SAFE, 1), (KEYED, 1), (UNSAFE, 0), (SAFE, 0)),
-            (EARLIER, EARLIER, EARLIER),
-            OUTCOMES | {"leave"},
+            ((SAFE, 1), (IDEMPOTENT_WITH_KEY, 1), (UNSAFE, 0), (SAFE, 0)),
+            (BASELINE_BUILD, BASELINE_BUILD, BASELINE_BUILD),
+            OUTCOME_FAULTS | {"leave"},
             ("deadline", "timer", "memory"),
             limits=replace(LIMITS, hedging=True),
         ),
-        Scene(
+        Configuration(
             "members",
             "servers drain, go and return with another build; the list late, failing; a gateway killed and "
             "started with an old list",
             ((SAFE, 0), (UNSAFE, 0), (SAFE, 0), (UNSAFE, 0)),
-            (EARLIER, EARLIER, EARLIER),
+            (BASELINE_BUILD, BASELINE_BUILD, BASELINE_BUILD),
             frozenset({"drain", "gone", "return", "list_failed", "kill", "connect_failed", "leave"}),
             ("drain", "timer"),
-            must_ask=True,
+            must_poll=True,
         ),
-        Scene(
+        Configuration(
             "release",
             "a build on trial, its cap raised, called back, released; news late, lost, out of order; "
             "votes lost",
             ((SAFE, 0), (UNSAFE, 0), (SAFE, 0), (UNSAFE, 0)),
-            (EARLIER, EARLIER, TRIAL),
+            (BASELINE_BUILD, BASELINE_BUILD, TRIAL_BUILD),
             frozenset({"stage", "call_back", "withdraw", "lose_news", "lose_vote", "error"}),
             ("window", "grace", "timer"),
-            news=ON_TRIAL,
+            rollout_update=BUILD_ON_TRIAL,
         ),
-        Scene(
+        Configuration(
             "window",
             "attempts at the trial build around the edges of the exposure window",
             ((SAFE, 0), (SAFE, 0), (SAFE, 0), (SAFE, 0)),
-            (EARLIER, TRIAL),
+            (BASELINE_BUILD, TRIAL_BUILD),
             frozenset({"error"}),
             ("window",),
-            news=ON_TRIAL,
+            rollout_update=BUILD_ON_TRIAL,
         ),
-        Scene(
+        Configuration(
             "grace",
             "a build called back: the lower cap binds once the grace for drains has passed",
             ((SAFE, 0), (SAFE, 0), (SAFE, 0), (SAFE, 0)),
-            (EARLIER, TRIAL),
+            (BASELINE_BUILD, TRIAL_BUILD),
             frozenset({"call_back", "error"}),
             ("grace",),
-            news=ON_TRIAL,
+            rollout_update=BUILD_ON_TRIAL,
         ),
-        Scene(
+        Configuration(
             "guarded",
             "a first stage closed to requests with an effect; a server of a build not announced yet",
-            ((SAFE, 1), (UNSAFE, 1), (KEYED, 1), (UNSAFE, 0)),
-            (EARLIER, EARLIER, TRIAL),
+            ((SAFE, 1), (UNSAFE, 1), (IDEMPOTENT_WITH_KEY, 1), (UNSAFE, 0)),
+            (BASELINE_BUILD, BASELINE_BUILD, TRIAL_BUILD),
             frozenset({"stage", "call_back", "return", "lose_news", "full", "reset"}),
             ("window", "grace"),
             rollout=replace(ROLLOUT, guarded_stages=1, exposure_per_class=True),
         ),
-        Scene(
+        Configuration(
             "keys",
             "keys that the trial build may have answered: answers late, lost or cancelled, a gateway killed",
-            ((SAFE, 1), (UNSAFE, 1), (KEYED, 1), (SAFE, 2)),
-            (EARLIER, EARLIER, TRIAL),
+            ((SAFE, 1), (UNSAFE, 1), (IDEMPOTENT_WITH_KEY, 1), (SAFE, 2)),
+            (BASELINE_BUILD, BASELINE_BUILD, TRIAL_BUILD),
             frozenset({"error", "reset", "full", "leave", "call_back", "withdraw", "kill", "stage"}),
             ("deadline", "timer"),
-            news=ON_TRIAL,
+            rollout_update=BUILD_ON_TRIAL,
             rollout=replace(ROLLOUT, monotonic_keys=True, exposure_allowance=2.0),
         ),
-        Scene(
+        Configuration(
             "cold",
             "servers that have just started, one that returns cold, and all requests at once",
             ((SAFE, 0), (UNSAFE, 0), (SAFE, 0), (UNSAFE, 0)),
-            (EARLIER, EARLIER, EARLIER),
+            (BASELINE_BUILD, BASELINE_BUILD, BASELINE_BUILD),
             frozenset({"gone", "return", "full", "reset"}),
             ("cold", "timer"),
-            cold=True,
+            starts_cold=True,
         ),
-        Scene(
+        Configuration(
             "restart",
             "a warm server that starts anew under its id with its build: it is cold",
             ((SAFE, 0), (SAFE, 0), (SAFE, 0), (SAFE, 0)),
-            (EARLIER, EARLIER, EARLIER),
+            (BASELINE_BUILD, BASELINE_BUILD, BASELINE_BUILD),
             frozenset({"restart"}),
             ("cold",),
         ),
-        Scene(
+        Configuration(
             "all",
             "everything at once",
-            ((SAFE, 1), (UNSAFE, 1), (SAFE, 2), (KEYED, 1)),
-            (EARLIER, EARLIER, TRIAL),
-            OUTCOMES
+            ((SAFE, 1), (UNSAFE, 1), (SAFE, 2), (IDEMPOTENT_WITH_KEY, 1)),
+            (BASELINE_BUILD, BASELINE_BUILD, TRIAL_BUILD),
+            OUTCOME_FAULTS
             | {
                 "leave",
                 "drain",
@@ -224,7 +224,7 @@
                 "repeat_datagram",
             },
             ("deadline", "drain", "window", "grace", "cold", "timer", "memory"),
-            news=ON_TRIAL,
+            rollout_update=BUILD_ON_TRIAL,
             rollout=replace(ROLLOUT, monotonic_keys=True, exposure_allowance=2.0),
         ),
     )
--- a/meadowpulley/check/decisions/words.py
+++ b/meadowpulley/model_checking/policy_model/descriptions.py
@@ -4,12 +4,12 @@
 
 from typing import Any
 
-from meadowpulley.check.decisions.state import State
-from meadowpulley.check.scenes import CLASSES
-from meadowpulley.check.worlds import Step
 from meadowpulley.interface import RolloutUpdate
+from meadowpulley.model_checking.model import Step
+from meadowpulley.model_checking.policy_model.configurations import CLASSES
+from meadowpulley.model_checking.policy_model.state import State
 
-OUTCOMES = {
+OUTCOME_TEXTS = {
     "ok": "answers",
     "error": "answers with an error",
     "reset": "breaks the connection after the last byte",
@@ -18,29 +18,33 @@
 }
 
 
-def news_text(news: RolloutUpdate) -> str:
-    phase = news.phase.name.lower().replace("_", " ")
-    return f"build {news.build} {phase}, stage {news.stage + 1}, cap {news.cap:g}"
+def rollout_text(update: RolloutUpdate) -> str:
+    phase = update.phase.name.lower().replace("_", " ")
+    return f"build {update.build} {phase}, stage {update.stage + 1}, cap {update.cap:g}"
 
 
-def text_of(world: State, step: Step) -> str:
-    who: list[Any] = list(step.who)
-    if step.do == "ask":
-        cls, key = world.scene.kinds[who[1] % len(world.scene.kinds)]
+def step_text(state: State, step: Step) -> str:
+    arguments: list[Any] = list(step.arguments)
+    if step.action == "ask":
+        class_index, key = state.configuration.kinds[arguments[1] % len(state.configuration.kinds)]
         with_key = f" with key {key}" if key else ""
-        return f"a client sends gateway {who[0]} a {CLASSES[cls].name}{with_key}"
-    if step.do == "outcome":
-        server = world.hosts[who[0]].asked[who[1]].out[who[2]].server
-        return f"server {server} {OUTCOMES[who[3]]}: request {who[1]} of gateway {who[0]}"
-    if step.do == "wait":
-        place = {"before": "just before", "at": "to", "after": "just past", "later": "well past"}[who[1]]
-        return f"time goes on {place} the next {who[0]}"
-    if step.do == "news":
-        return f"gateway {who[0]} hears: {news_text(world.hosts[who[0]].news_due[who[1]])}"
-    if step.do == "lose_news":
+        return f"a client sends gateway {arguments[0]} a {CLASSES[class_index].name}{with_key}"
+    if step.action == "outcome":
+        pending = state.gateways[arguments[0]].pending_requests[arguments[1]]
+        server = pending.outstanding_attempts[arguments[2]].server
         return (
-            f"news is lost on its way to gateway {who[0]}: {news_text(world.hosts[who[0]].news_due[who[1]])}"
+            f"server {server} {OUTCOME_TEXTS[arguments[3]]}: request {arguments[1]} of gateway {arguments[0]}"
         )
+    if step.action == "wait":
+        place = {"before": "just before", "at": "to", "after": "just past", "later": "well past"}[
+            arguments[1]
+        ]
+        return f"time goes on {place} the next {arguments[0]}"
+    if step.action in ("news", "lose_news"):
+        update = rollout_text(state.gateways[arguments[0]].rollout_updates_due[arguments[1]])
+        if step.action == "news":
+            return f"gateway {arguments[0]} hears: {update}"
+        return f"news is lost on its way to gateway {arguments[0]}: {update}"
     texts = {
         "answered": "server has answered request {1} of gateway {0}; the answer is under way",
         "late": "a server answers an attempt that gateway {0} has given up",
@@ -61,4 +65,4 @@
         "repeat_datagram": "a datagram of gateway {0} arrives, and will again",
         "kill": "gateway {0} is killed and starts anew with list {1}",
     }
-    return texts[step.do].format(*who)
+    return texts[step.action].format(*arguments)
