--- /dev/null
+++ b/meadowpulley/model_checking/policy_model/gateway.py
@@ -0,0 +1,411 @@
+"""One gateway of world A: a real balancer in a small host, which carries actions out as the gateway does."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from typing import Any, Literal, Protocol
+
+from meadowpulley.interface import (
+    Action,
+    Cancel,
+    ClientDisconnected,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    Fail,
+    FetchEndpoints,
+    Outcome as AttemptOutcome,
+    Phase,
+    Reject,
+    Request,
+    Result,
+    RolloutUpdate,
+    Send,
+    SendGossip,
+    ServerEntry,
+    ServerState,
+    SetTimer,
+    Settings,
+    Timer,
+    Vote,
+    Watch,
+)
+from meadowpulley.model_checking.choices import ChoiceScriptError
+from meadowpulley.model_checking.graph import FormWriter, fingerprint_of
+from meadowpulley.model_checking.invariant_monitor import InvariantMonitor
+from meadowpulley.model_checking.policy_model.canonical_form import (
+    COPIER,
+    FORM_RULES,
+    NAMELESS_FORM_RULES,
+    RANDOM,
+)
+from meadowpulley.model_checking.policy_model.configurations import CLASSES, Configuration
+from meadowpulley.policy import TIMER_TOKEN
+from meadowpulley.rules import (
+    AttemptEnded,
+    AttemptSent,
+    EndpointListed,
+    GatewayStarted,
+    KeyAnswered,
+    RequestAbandoned,
+    RequestReceived,
+    ResponseSent,
+    RolloutUpdated,
+)
+
+# The words of the trace, which the rules' checker reads.
+PHASE_WORDS: dict[Phase, Literal["trial", "going_back", "released", "withdrawn"]] = {
+    Phase.TRIAL: "trial",
+    Phase.ROLLING_BACK: "going_back",
+    Phase.RELEASED: "released",
+    Phase.ROLLED_BACK: "withdrawn",
+}
+SERVER_STATE_WORDS: dict[ServerState, Literal["ready", "draining", "gone"]] = {
+    ServerState.REMOVED: "gone",
+    ServerState.DRAINING: "draining",
+    ServerState.READY: "ready",
+}
+NEVER_EXECUTED = (Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT)
+
+
+class Environment(Protocol):
+    """What a host sees of its world."""
+
+    now: float
+    configuration: Configuration
+    server_lists: tuple[tuple[ServerEntry, ...], ...]
+
+    def entry_at(self, version: int, server: int) -> ServerEntry | None: ...
+
+    def record_message(self, sender: str, receiver: str, text: str) -> None: ...
+
+
+class OutstandingAttempt:
+    """One attempt that is out."""
+
+    def __init__(self, server: int, build: int, sent_at: float) -> None:
+        self.server, self.build, self.sent_at = server, build, sent_at
+        self.response_sent = False  # the server has answered; what it said is under way
+
+
+class PendingRequest:
+    """A request in a host's table."""
+
+    def __init__(self, kind: int, deadline_ms: float) -> None:
+        self.kind, self.deadline_ms = kind, deadline_ms
+        self.attempt_count = 0
+        self.answered = False
+        self.outstanding_attempts: dict[int, OutstandingAttempt] = {}
+
+
+class SimulatedGateway:
+    """One gateway: a real balancer, and what it is owed and owes."""
+
+    def __init__(self, number: int, settings: Settings, make_policy: Callable[[Settings, int], Any]) -> None:
+        self.number, self.settings, self.make_policy = number, settings, make_policy
+        self.monitor = InvariantMonitor(number, settings)
+        self.pending_requests: dict[int, PendingRequest] = {}
+        self.last_request = 0
+        self.known_list = -1  # the version of the list it knows
+        self.rollout_updates_due: tuple[RolloutUpdate, ...] = ()
+        self.heard_of: tuple[int, ...] = ()  # places in the platform's history of the news it was told
+        self.timers: list[float] = []
+        self.votes: tuple[tuple[Vote, float], ...] = ()  # under way, and since when
+        self.vote_replies_due: list[tuple[float, RolloutUpdate]] = []  # what a lost vote ends with, and when
+        self.datagrams: tuple[SendGossip, ...] = ()
+        self.abandoned_keys: tuple[
+            tuple[int, int], ...
+        ] = ()  # key and build of attempts given up that may be answered
+        self.list_requested = False
+        self.list_retry_owed = False  # a call failed, and whoever must ask has not asked again
+        self.form_cache: dict[Any, Any] = {}  # forms of this state, until it steps
+        self.policy: Any = None
+        self._events: deque[Event] = deque()
+
+    def start(self, environment: Environment, version: int, update: RolloutUpdate) -> None:
+        """A life: it knows a list and news, perhaps old ones."""
+        self.policy = self.make_policy(self.settings, 0)
+        self.policy.rng = RANDOM
+        self.monitor.observe(GatewayStarted(environment.now, self.number))
+        self.receive_list(environment, version, EndpointUpdateKind.CACHED)
+        self.receive_rollout_update(environment, update)
+        self.policy.retry_budget = environment.configuration.retry_budget
+
+    # Events in, actions out
+
+    def dispatch(self, environment: Environment, event: Event) -> None:
+        self._events.append(event)
+        if len(self._events) > 1:
+            return
+        while self._events:
+            try:
+                actions = self.policy.handle(environment.now, self._events[0])
+            except ChoiceScriptError:
+                raise
+            except Exception as error:
+                self.monitor.report("fault", environment.now, f"{type(error).__name__}: {error}")
+                self._events.clear()
+                return
+            for action in actions:
+                self._carry_out(environment, action)
+            self._events.popleft()
+        self._check_invariants(environment)
+
+    def _carry_out(self, environment: Environment, action: Action) -> None:
+        if isinstance(action, Send):
+            self._send_attempt(environment, action)
+        elif isinstance(action, Reject | Fail):
+            self._answer_client(
+                environment, action.request, "refused" if isinstance(action, Reject) else "failed"
+            )
+        elif isinstance(action, Cancel):
+            pending = self.pending_requests.get(action.request)
+            if pending is not None and action.attempt in pending.outstanding_attempts:
+                self.finish_attempt(environment, action.request, action.attempt, Result.CANCELLED)
+        elif isinstance(action, SetTimer):
+            due_at = environment.now + max(action.delay_ms, 0.0)
+            if due_at not in self.timers:
+                self.timers.append(due_at)
+                self.timers.sort()
+        elif isinstance(action, Vote):
+            self.votes = (*self.votes, (action, environment.now))
+            environment.record_message(
+                f"gateway {self.number}", "platform", f"votes {action.verdict.name.lower()}"
+            )
+        elif isinstance(action, Watch | FetchEndpoints):
+            self.list_requested, self.list_retry_owed = True, False
+        elif isinstance(action, SendGossip):
+            self.datagrams = (*self.datagrams, action)
+
+    def _check_invariants(self, environment: Environment) -> None:
+        """What must hold between events."""
+        unanswered = [
+            r for r, a in self.pending_requests.items() if not a.answered and not a.outstanding_attempts
+        ]
+        if unanswered and not self.timers:
+            self.monitor.report(
+                "timers", environment.now, f"request {unanswered[0]} waits and no timer is set"
+            )
+        if self.list_retry_owed and not self.timers:
+            self.monitor.report(
+                "timers", environment.now, "a list call has failed, and nothing will ask again"
+            )
+        if all(a.answered and not a.outstanding_attempts for a in self.pending_requests.values()):
+            policy = self.policy
+            busy_servers = [s.id for s in policy.servers.values() if s.outstanding]
+            has_waiting = policy.waiting and not self.timers  # one that left is forgotten at the next tick
+            if policy.in_flight or has_waiting or policy.attempts or busy_servers:
+                text = f"{len(policy.in_flight)} requests, {len(policy.waiting)} waiting, "
+                text += f"{len(policy.attempts)} attempts"
+                self.monitor.report(
+                    "leftovers", environment.now, f"all is over, and it holds {text}; busy {busy_servers}"
+                )
+
+    # Requests and attempts
+
+    def receive_request(self, environment: Environment, kind: int) -> None:
+        request_class, key = environment.configuration.kinds[kind]
+        self.last_request += 1
+        deadline_ms = environment.now + CLASSES[request_class].deadline_ms
+        self.pending_requests[self.last_request] = PendingRequest(kind, deadline_ms)
+        self.monitor.observe(
+            RequestReceived(environment.now, self.number, self.last_request, request_class, key, deadline_ms)
+        )
+        self.dispatch(environment, Request(self.last_request, request_class, 0, key, deadline_ms))
+
+    def _send_attempt(self, environment: Environment, action: Send) -> None:
+        pending = self.pending_requests.get(action.request)
+        entry = environment.entry_at(self.known_list, action.server)
+        build = entry.build if entry is not None else -1
+        prior_attempts = pending.attempt_count if pending is not None else 0
+        self.monitor.observe(
+            AttemptSent(environment.now, self.number, action.request, prior_attempts, action.server, build)
+        )
+        hedged = pending is not None and bool(pending.outstanding_attempts)
+        past_deadline = pending is not None and environment.now >= pending.deadline_ms
+        self.monitor.attempt_sent(
+            environment.now, action.server, entry, hedged, prior_attempts, past_deadline
+        )
+        environment.record_message(
+            f"gateway {self.number}", f"server {action.server}", f"request {action.request}"
+        )
+        if pending is None or pending.answered:
+            return
+        pending.attempt_count += 1
+        pending.outstanding_attempts[prior_attempts] = OutstandingAttempt(
+            action.server, build, environment.now
+        )
+
+    def _answer_client(self, environment: Environment, request: int, answer: str) -> None:
+        pending = self.pending_requests.get(request)
+        self.monitor.observe(ResponseSent(environment.now, self.number, request, answer))  # type: ignore[arg-type]
+        environment.record_message(f"gateway {self.number}", "clients", f"request {request} {answer}")
+        if pending is not None and not pending.answered:
+            pending.answered = True
+            self._forget_if_done(request)
+
+    def _forget_if_done(self, request: int) -> None:
+        pending = self.pending_requests.get(request)
+        if pending is not None and pending.answered and not pending.outstanding_attempts:
+            del self.pending_requests[request]
+
+    def finish_attempt(self, environment: Environment, request: int, attempt: int, result: Result) -> None:
+        """The one outcome of an attempt."""
+        pending = self.pending_requests[request]
+        attempt_out = pending.outstanding_attempts.pop(attempt)
+        request_class, key = environment.configuration.kinds[pending.kind]
+        executed = result not in NEVER_EXECUTED
+        if result is Result.OK and not attempt_out.response_sent and key:
+            self.monitor.observe(KeyAnswered(environment.now, self.number, key, attempt_out.build))
+        if executed:
+            self.monitor.attempt_executed(environment.now, request, request_class)
+        if result not in (Result.OK, Result.ERROR) and executed and key and not attempt_out.response_sent:
+            self.abandoned_keys = tuple(sorted({*self.abandoned_keys, (key, attempt_out.build)}))
+        if result is Result.OK and not pending.answered:
+            self._answer_client(environment, request, "served")
+        answered = pending.answered
+        self.monitor.observe(AttemptEnded(environment.now, self.number, request, attempt, executed))
+        self._forget_if_done(request)
+        elapsed_ms = environment.now - attempt_out.sent_at
+        self.dispatch(
+            environment, AttemptOutcome(request, attempt, attempt_out.server, result, elapsed_ms, answered)
+        )
+
+    def client_disconnects(self, environment: Environment, request: int) -> None:
+        self.monitor.observe(RequestAbandoned(environment.now, self.number, request))
+        self.pending_requests[request].answered = True
+        self._forget_if_done(request)
+        self.dispatch(environment, ClientDisconnected(request))
+
+    # The list and the news
+
+    def receive_list(self, environment: Environment, version: int, kind: EndpointUpdateKind) -> None:
+        known_entries = (
+            environment.server_lists[self.known_list]
+            if self.known_list >= 0 and kind is not EndpointUpdateKind.CACHED
+            else ()
+        )
+        entries = environment.server_lists[version]
+        listed = {e.server for e in entries}
+        self.known_list, self.list_requested, self.list_retry_owed = version, False, False
+        removed_entries = [e for e in known_entries if e.server not in listed]
+        for entry in removed_entries:
+            self.monitor.observe(EndpointListed(environment.now, self.number, entry.server, "gone", 0))
+        for entry in entries:
+            state = SERVER_STATE_WORDS[entry.state]
+            self.monitor.observe(
+                EndpointListed(environment.now, self.number, entry.server, state, entry.build)
+            )
+        if kind is EndpointUpdateKind.INCREMENTAL:
+            changed = [e for e in entries if e not in known_entries]
+            removals = [replace(e, state=ServerState.REMOVED) for e in removed_entries]
+            entries = (*changed, *removals)
+        self.dispatch(environment, EndpointUpdate(kind, version, entries))
+
+    def receive_rollout_update(self, environment: Environment, update: RolloutUpdate) -> None:
+        if update.result is Result.OK:
+            phase = PHASE_WORDS[update.phase]
+            self.monitor.observe(
+                RolloutUpdated(environment.now, self.number, update.build, update.stage, phase, update.cap)
+            )
+        self.dispatch(environment, update)
+
+    # Time
+
+    def next_due(self) -> float:
+        due_times = [*self.timers[:1], *(at for at, _ in self.vote_replies_due)]
+        slack_ms = self.settings.rules.response_slack_ms
+        for pending in self.pending_requests.values():
+            if pending.outstanding_attempts:
+                due_times.append(pending.deadline_ms)
+            if not pending.answered:
+                due_times.append(pending.deadline_ms + slack_ms)
+        return min(due_times, default=math.inf)
+
+    def last_due(self) -> float:
+        """By when all that is owed is over; 0 where nothing is."""
+        slack_ms = self.settings.rules.response_slack_ms
+        unanswered = [a.deadline_ms + slack_ms for a in self.pending_requests.values()]
+        return max([*unanswered, *(at for at, _ in self.vote_replies_due), *self.timers[:1]], default=0.0)
+
+    def run_due(self, environment: Environment) -> None:
+        """What is due now: attempts end at their request's deadline, then timers, then what is overdue."""
+        now, slack_ms = environment.now, self.settings.rules.response_slack_ms
+        for request, pending in list(self.pending_requests.items()):
+            if pending.outstanding_attempts and pending.deadline_ms <= now:
+                for attempt in list(pending.outstanding_attempts):
+                    if request in self.pending_requests and attempt in pending.outstanding_attempts:
+                        self.finish_attempt(environment, request, attempt, Result.TIMEOUT)
+        for due_at, update in [a for a in self.vote_replies_due if a[0] <= now]:
+            self.vote_replies_due.remove((due_at, update))
+            self.dispatch(environment, update)
+        if self.timers and self.timers[0] <= now:
+            self.timers.pop(0)
+            self.dispatch(environment, Timer(TIMER_TOKEN))
+        for request, pending in list(self.pending_requests.items()):
+            if not pending.answered and pending.deadline_ms + slack_ms <= now and not self.timer_is_due(now):
+                self.monitor.report("answers", now, f"request {request} got no answer by its deadline")
+                pending.answered = True
+                self._forget_if_done(request)
+
+    def timer_is_due(self, now: float) -> bool:
+        return bool(self.timers) and self.timers[0] <= now
+
+    def copy(self) -> SimulatedGateway:
+        memo: dict[int, Any] = {}
+        duplicate: SimulatedGateway = SimulatedGateway.__new__(SimulatedGateway)
+        for name, value in self.__dict__.items():
+            shared = name in ("settings", "make_policy")
+            duplicate.__dict__[name] = (
+                value if shared else COPIER.copy(value, memo) if name != "form_cache" else {}
+            )
+        return duplicate
+
+    def form(self, server_numbers: dict[int, int]) -> Any:
+        """The state of this gateway, with servers renamed."""
+        writer = FormWriter(FORM_RULES, server_numbers)
+        return (
+            writer.write(self.policy),
+            writer.write(self.monitor),
+            writer.write(self.pending_requests),
+            self.known_list,
+            writer.write(self.rollout_updates_due),
+            tuple(self.timers),
+            writer.write(self.votes),
+            writer.write(self.vote_replies_due),
+            writer.write(self.datagrams),
+            self.abandoned_keys,
+            self.list_requested,
+            self.list_retry_owed,
+        )
+
+    def fingerprint(self, server_numbers: dict[int, int]) -> int:
+        """64 bits of the form."""
+        cache_key = tuple(server_numbers.items())
+        if cache_key not in self.form_cache:
+            self.form_cache[cache_key] = fingerprint_of(self.form(server_numbers))
+        return int(self.form_cache[cache_key])
+
+    def server_fingerprints(self, numbers: Sequence[int]) -> tuple[int, ...]:
+        """What this gateway knows and holds of each server, the number apart."""
+        fingerprints = self.form_cache.get("servers")
+        if fingerprints is None or len(fingerprints) != len(numbers):
+            fingerprints = self.form_cache["servers"] = tuple(self._server_fingerprint(n) for n in numbers)
+        return fingerprints
+
+    def _server_fingerprint(self, number: int) -> int:
+        server = FormWriter(NAMELESS_FORM_RULES, {number: 0}).write(self.policy.servers.get(number))
+        outstanding = [
+            (r, n, o.sent_at)
+            for r, a in self.pending_requests.items()
+            for n, o in a.outstanding_attempts.items()
+            if o.server == number
+        ]
+        in_flight = self.policy.in_flight.items()
+        attempted = [
+            (r, h.attempted_servers.index(number)) for r, h in in_flight if number in h.attempted_servers
+        ]
+        return fingerprint_of((server, tuple(sorted(outstanding)), tuple(sorted(attempted))))
--- /dev/null
+++ b/meadowpulley/model_checking/policy_model/state.py
@@ -0,0 +1,151 @@
+"""A state of world A: gateways, lists, the platform's history, what is left to come."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Self
+
+from meadowpulley.interface import RolloutUpdate, ServerEntry, ServerState, Settings
+from meadowpulley.model_checking.graph import fingerprint_of
+from meadowpulley.model_checking.model import ModelSettings
+from meadowpulley.model_checking.policy_model.canonical_form import RANDOM
+from meadowpulley.model_checking.policy_model.configurations import (
+    BASELINE_BUILD,
+    CONFIGURATIONS,
+    TRIAL_BUILD,
+)
+from meadowpulley.model_checking.policy_model.gateway import SimulatedGateway
+from meadowpulley.model_checking.properties import Violation
+from meadowpulley.policy import RolloutPolicy
+
+START_MS = 100_000.0  # all began long ago: servers are warm, windows empty
+
+
+class State:
+    """The world, between steps. Copies share hosts until one of them steps."""
+
+    def __init__(
+        self, settings: ModelSettings, make_policy: Callable[[Settings, int], Any] = RolloutPolicy
+    ) -> None:
+        if settings.configuration not in CONFIGURATIONS:
+            raise ValueError(
+                f"scene: '{settings.configuration}' is not known; known are {', '.join(CONFIGURATIONS)}"
+            )
+        self.settings, self.configuration = settings, CONFIGURATIONS[settings.configuration]
+        self.now = START_MS
+        self.last_to_step = -1  # who stepped last in this moment; -1: nobody but the parties around
+        self.requests_left = tuple(range(settings.requests))  # requests still to come
+        self.faults, self.time_advances = settings.faults, settings.time_advances
+        self.violations: list[Violation] = []
+        self.messages: list[tuple[str, str, str]] = []
+        count = max(settings.servers, 1)
+        builds = [self.configuration.builds[n % len(self.configuration.builds)] for n in range(count)]
+        if TRIAL_BUILD in builds and BASELINE_BUILD not in builds:
+            builds[0] = BASELINE_BUILD
+        started_ms = START_MS if self.configuration.starts_cold else 1.0
+        initial_list = tuple(self._entry(n + 1, build, started_ms) for n, build in enumerate(builds))
+        self.server_lists: tuple[tuple[ServerEntry, ...], ...] = (initial_list,)
+        self.rollout_history: tuple[RolloutUpdate, ...] = (self.configuration.rollout_update,)
+        self.gateways = [
+            SimulatedGateway(n, self.configuration.settings(n, settings.gateways), make_policy)
+            for n in range(settings.gateways)
+        ]
+        RANDOM.begin(())
+        for gateway in self.gateways:
+            gateway.start(self, 0, self.configuration.rollout_update)
+        self._collect_violations()
+
+    @staticmethod
+    def _entry(server: int, build: int, started_ms: float) -> ServerEntry:
+        return ServerEntry(server, 0, 0, ServerState.READY, build, started_ms, 0, 1.0)
+
+    def entry_at(self, version: int, server: int) -> ServerEntry | None:
+        return (
+            next((e for e in self.server_lists[version] if e.server == server), None)
+            if version >= 0
+            else None
+        )
+
+    def record_message(self, sender: str, receiver: str, text: str) -> None:
+        self.messages.append((sender, receiver, text))
+
+    def _stepping_gateway(self, gateway_index: int) -> SimulatedGateway:
+        """A gateway that steps now; other copies of the world keep theirs."""
+        gateway = self.gateways[gateway_index] = self.gateways[gateway_index].copy()
+        self.last_to_step = gateway_index
+        return gateway
+
+    def _collect_violations(self) -> None:
+        for gateway in self.gateways:
+            if gateway.monitor.violations:
+                self.violations += gateway.monitor.violations
+                gateway.monitor.violations = []
+        exposures = [h.monitor.trial_exposure(self.now) for h in self.gateways]
+        sent, limit = sum(n for n, _ in exposures), sum(m for _, m in exposures)
+        if sent > limit + 1e-6:
+            text = f"{sent} attempts of all gateways at the trial build, {limit:.1f} allowed"
+            self.violations.append(Violation("exposure-sum", self.now, -1, text))
+
+    # Copies and forms
+
+    def copy(self) -> Self:
+        duplicate = type(self).__new__(type(self))
+        duplicate.__dict__.update(self.__dict__)
+        duplicate.gateways, duplicate.violations, duplicate.messages = (
+            list(self.gateways),
+            list(self.violations),
+            [],
+        )
+        return duplicate
+
+    def form(self) -> Any:
+        """The whole state in canonical form."""
+        server_numbers = self._canonical_server_numbers() if self.settings.symmetry else {}
+        gateways = [(self._may_step(h), h.form(server_numbers)) for h in self.gateways]
+        if self.settings.symmetry:
+            gateways.sort(key=repr)
+        return (*self._environment_form(server_numbers), tuple(gateways))
+
+    def fingerprint(self) -> int:
+        server_numbers = self._canonical_server_numbers() if self.settings.symmetry else {}
+        gateways = [(self._may_step(h), h.fingerprint(server_numbers)) for h in self.gateways]
+        if self.settings.symmetry:
+            gateways.sort()
+        return fingerprint_of((*self._environment_form(server_numbers), tuple(gateways)))
+
+    def _may_step(self, gateway: SimulatedGateway) -> bool:
+        return not self.settings.ordered_gateways or gateway.number >= self.last_to_step
+
+    def _environment_form(self, server_numbers: dict[int, int]) -> tuple[Any, ...]:
+        server_lists = tuple(
+            tuple(
+                sorted(
+                    (server_numbers.get(e.server, e.server), int(e.state), e.build, e.started_ms)
+                    for e in entries
+                )
+            )
+            for entries in self.server_lists
+        )
+        kinds = tuple(
+            sorted(self.configuration.kinds[n % len(self.configuration.kinds)] for n in self.requests_left)
+        )
+        environment_may_step = not self.settings.ordered_gateways or self.last_to_step < 0
+        rollout = tuple((n.build, n.stage, int(n.phase), n.cap) for n in self.rollout_history)
+        return self.now, environment_may_step, kinds, self.faults, self.time_advances, server_lists, rollout
+
+    def _canonical_server_numbers(self) -> dict[int, int]:
+        """Servers by what is known and recorded of them, not by their numbers."""
+        server_ids = [e.server for e in self.server_lists[0]]
+        gateway_fingerprints = [h.server_fingerprints(server_ids) for h in self.gateways]
+        orderings = []
+        for position, server_id in enumerate(server_ids):
+            known = [
+                (int(e.state), e.build, e.started_ms)
+                for entries in self.server_lists
+                for e in entries
+                if e.server == server_id
+            ]
+            listed = [any(e.server == server_id for e in entries) for entries in self.server_lists]
+            orderings.append((known, listed, sorted(p[position] for p in gateway_fingerprints), server_id))
+        orderings.sort()
+        return {number: place for place, (*_, number) in enumerate(orderings)}
--- /dev/null
+++ b/meadowpulley/model_checking/policy_model/transitions.py
@@ -0,0 +1,252 @@
+"""Taking a step of world A."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import replace
+
+from meadowpulley.interface import (
+    EndpointUpdate,
+    EndpointUpdateKind,
+    GossipReceived,
+    Phase,
+    Result,
+    RolloutUpdate,
+    ServerState,
+    Verdict,
+    Vote,
+)
+from meadowpulley.model_checking.model import Step
+from meadowpulley.model_checking.policy_model.canonical_form import RANDOM
+from meadowpulley.model_checking.policy_model.descriptions import OUTCOME_TEXTS, rollout_text, step_text
+from meadowpulley.model_checking.policy_model.enabled_steps import EnabledSteps
+from meadowpulley.model_checking.policy_model.gateway import SimulatedGateway
+from meadowpulley.model_checking.properties import Violation
+from meadowpulley.rules import KeyAnswered
+
+RESULTS_BY_NAME = {
+    "ok": Result.OK,
+    "error": Result.ERROR,
+    "reset": Result.RESET,
+    "full": Result.REJECTED,
+    "connect_failed": Result.CONNECT_FAILED,
+}
+
+
+class PolicyModel(EnabledSteps):
+    """The world: each step is a method."""
+
+    def apply(self, step: Step) -> tuple[Sequence[int], Sequence[int]]:
+        RANDOM.begin(step.draws)
+        self.messages = []
+        getattr(self, f"_do_{step.action}")(*step.arguments)
+        self._collect_violations()
+        return RANDOM.chosen, RANDOM.option_counts
+
+    def _spend_fault(self) -> None:
+        self.faults -= 1
+
+    def _do_drain(self, server: int) -> None:
+        self._spend_fault()
+        changed = [
+            replace(e, state=ServerState.DRAINING) if e.server == server else e for e in self.server_lists[-1]
+        ]
+        self.server_lists = (*self.server_lists, tuple(changed))
+
+    def _do_gone(self, server: int) -> None:
+        self._spend_fault()
+        self.server_lists = (
+            *self.server_lists,
+            tuple(e for e in self.server_lists[-1] if e.server != server),
+        )
+
+    def _do_return(self, server: int, build: int) -> None:
+        self._spend_fault()
+        other_entries = [e for e in self.server_lists[-1] if e.server != server]
+        returned = self._entry(server, build, self.now)
+        self.server_lists = (
+            *self.server_lists,
+            tuple(sorted([*other_entries, returned], key=lambda e: e.server)),
+        )
+
+    def _move_rollout(self, phase: Phase, stage: int, cap: float, build: int = 0) -> None:
+        update = RolloutUpdate(build or self.rollout_history[-1].build, stage, phase, cap, 0.0)
+        self.rollout_history = (*self.rollout_history, update)
+        for index, gateway in enumerate(self.gateways):
+            duplicate = self.gateways[index] = gateway.copy()
+            duplicate.rollout_updates_due = (*gateway.rollout_updates_due, update)
+
+    def _do_stage(self) -> None:
+        self._spend_fault()
+        self._advance_rollout()
+
+    def _advance_rollout(self) -> None:
+        rollout, caps = self.rollout_history[-1], self.configuration.rollout.caps
+        if rollout.stage + 1 < len(caps):
+            self._move_rollout(Phase.TRIAL, rollout.stage + 1, caps[rollout.stage + 1])
+        else:
+            self._move_rollout(Phase.RELEASED, rollout.stage, 1.0)
+
+    def _do_call_back(self) -> None:
+        self._spend_fault()
+        self._move_rollout(Phase.ROLLING_BACK, self.rollout_history[-1].stage, 0.0)
+
+    def _do_withdraw(self) -> None:
+        self._spend_fault()
+        self._move_rollout(Phase.ROLLED_BACK, self.rollout_history[-1].stage, 0.0)
+
+    def _do_count(self, gateway_index: int, index: int, reply_arrives: bool = True) -> None:
+        gateway = self.gateways[gateway_index] = self.gateways[gateway_index].copy()
+        vote, sent_at = gateway.votes[index]
+        gateway.votes = (*gateway.votes[:index], *gateway.votes[index + 1 :])
+        rollout = self.rollout_history[-1]
+        counts = (vote.build, vote.stage) == (rollout.build, rollout.stage) and rollout.phase is Phase.TRIAL
+        if counts and vote.verdict is Verdict.ADVANCE:
+            self._advance_rollout()
+        elif (
+            vote.build == rollout.build and rollout.phase is Phase.TRIAL and vote.verdict is Verdict.ROLL_BACK
+        ):
+            self._move_rollout(Phase.ROLLING_BACK, rollout.stage, 0.0)
+        gateway = self.gateways[gateway_index] = self.gateways[gateway_index].copy()
+        if reply_arrives:
+            reply = replace(self.rollout_history[-1], result=Result.OK, is_vote_reply=True)
+            gateway.rollout_updates_due = (*gateway.rollout_updates_due, reply)
+        else:
+            self._lose_vote_reply(gateway, vote, sent_at)
+
+    def _lose_vote_reply(self, gateway: SimulatedGateway, vote: Vote, sent_at: float) -> None:
+        timed_out = RolloutUpdate(vote.build, vote.stage, Phase.TRIAL, 0.0, 0.0, Result.TIMEOUT, True)
+        due_at = max(sent_at + self.configuration.rollout.call_timeout_ms, self.now)
+        gateway.vote_replies_due = [*gateway.vote_replies_due, (due_at, timed_out)]
+
+    def _do_lose_vote(self, gateway_index: int, index: int, outcome: str) -> None:
+        self._spend_fault()
+        if outcome == "counted":
+            self._do_count(gateway_index, index, reply_arrives=False)
+            return
+        gateway = self.gateways[gateway_index] = self.gateways[gateway_index].copy()
+        vote, sent_at = gateway.votes[index]
+        gateway.votes = (*gateway.votes[:index], *gateway.votes[index + 1 :])
+        self._lose_vote_reply(gateway, vote, sent_at)
+
+    def _do_datagram(self, gateway_index: int, index: int, repeat: bool = False) -> None:
+        gateway = self.gateways[gateway_index] = self.gateways[gateway_index].copy()
+        action = gateway.datagrams[index]
+        if not repeat:
+            gateway.datagrams = (*gateway.datagrams[:index], *gateway.datagrams[index + 1 :])
+        for peer_index in range(len(self.gateways)):
+            if peer_index != gateway_index and action.peer in (None, peer_index):
+                peer = self.gateways[peer_index] = self.gateways[peer_index].copy()
+                peer.dispatch(self, GossipReceived(gateway_index, action.data))
+
+    def _do_repeat_datagram(self, gateway_index: int, index: int) -> None:
+        self._spend_fault()
+        self._do_datagram(gateway_index, index, repeat=True)
+
+    def _do_lose_datagram(self, gateway_index: int, index: int) -> None:
+        self._spend_fault()
+        gateway = self.gateways[gateway_index] = self.gateways[gateway_index].copy()
+        gateway.datagrams = (*gateway.datagrams[:index], *gateway.datagrams[index + 1 :])
+
+    def _do_ask(self, gateway_index: int, request_index: int) -> None:
+        self.requests_left = tuple(k for k in self.requests_left if k != request_index)
+        self.record_message("clients", f"gateway {gateway_index}", "asks")
+        self._stepping_gateway(gateway_index).receive_request(
+            self, request_index % len(self.configuration.kinds)
+        )
+
+    def _do_outcome(self, gateway_index: int, request: int, attempt: int, result_name: str) -> None:
+        if result_name != "ok":
+            self._spend_fault()
+        gateway = self._stepping_gateway(gateway_index)
+        self.record_message(
+            f"server {gateway.pending_requests[request].outstanding_attempts[attempt].server}",
+            f"gateway {gateway_index}",
+            OUTCOME_TEXTS[result_name],
+        )
+        gateway.finish_attempt(self, request, attempt, RESULTS_BY_NAME[result_name])
+
+    def _do_answered(self, gateway_index: int, request: int, attempt: int) -> None:
+        gateway = self._stepping_gateway(gateway_index)
+        pending = gateway.pending_requests[request]
+        attempt_out = pending.outstanding_attempts[attempt]
+        attempt_out.response_sent = True
+        key = self.configuration.kinds[pending.kind][1]
+        gateway.monitor.observe(KeyAnswered(self.now, gateway_index, key, attempt_out.build))
+
+    def _do_late(self, gateway_index: int, index: int) -> None:
+        gateway = self._stepping_gateway(gateway_index)
+        key, build = gateway.abandoned_keys[index]
+        gateway.abandoned_keys = (*gateway.abandoned_keys[:index], *gateway.abandoned_keys[index + 1 :])
+        gateway.monitor.observe(KeyAnswered(self.now, gateway_index, key, build))
+
+    def _do_leave(self, gateway_index: int, request: int) -> None:
+        self._spend_fault()
+        self.record_message("clients", f"gateway {gateway_index}", f"leaves request {request}")
+        self._stepping_gateway(gateway_index).client_disconnects(self, request)
+
+    def _do_list(self, gateway_index: int, version: int) -> None:
+        self.record_message("discovery", f"gateway {gateway_index}", f"list {version}")
+        self._stepping_gateway(gateway_index).receive_list(self, version, EndpointUpdateKind.INCREMENTAL)
+
+    def _do_whole_list(self, gateway_index: int) -> None:
+        self.record_message("discovery", f"gateway {gateway_index}", "the whole list")
+        self._stepping_gateway(gateway_index).receive_list(
+            self, len(self.server_lists) - 1, EndpointUpdateKind.FULL
+        )
+
+    def _do_list_failed(self, gateway_index: int) -> None:
+        self._spend_fault()
+        gateway = self._stepping_gateway(gateway_index)
+        gateway.list_retry_owed = self.configuration.must_poll
+        gateway.dispatch(self, EndpointUpdate(EndpointUpdateKind.FAILED, max(gateway.known_list, 0)))
+
+    def _do_news(self, gateway_index: int, index: int) -> None:
+        gateway = self._stepping_gateway(gateway_index)
+        update = gateway.rollout_updates_due[index]
+        gateway.rollout_updates_due = (
+            *gateway.rollout_updates_due[:index],
+            *gateway.rollout_updates_due[index + 1 :],
+        )
+        self.record_message("platform", f"gateway {gateway_index}", rollout_text(update))
+        gateway.receive_rollout_update(self, update)
+
+    def _do_lose_news(self, gateway_index: int, index: int) -> None:
+        self._spend_fault()
+        gateway = self._stepping_gateway(gateway_index)
+        gateway.rollout_updates_due = (
+            *gateway.rollout_updates_due[:index],
+            *gateway.rollout_updates_due[index + 1 :],
+        )
+
+    def _do_kill(self, gateway_index: int, version: int) -> None:
+        self._spend_fault()
+        killed = self.gateways[gateway_index]  # its books end with it: what it held is no longer its duty
+        gateway = self.gateways[gateway_index] = SimulatedGateway(
+            gateway_index, killed.settings, killed.make_policy
+        )
+        self.last_to_step = gateway_index
+        gateway.start(self, version, self.rollout_history[-1])
+
+    def _do_wait(self, edge: str, place: str) -> None:
+        self.time_advances -= 1
+        target = next(at for at, n, p in self._time_stops() if (n, p) == (edge, place))
+        self.gateways = [h.copy() for h in self.gateways]
+        for _ in range(10_000):
+            due_at = min(h.next_due() for h in self.gateways)
+            if due_at > target:
+                break
+            self.now = max(due_at, self.now)
+            for gateway in self.gateways:
+                if gateway.next_due() <= self.now:
+                    gateway.run_due(self)
+        else:
+            self.violations.append(
+                Violation("timers", self.now, -1, "a timer is set again and again for the same moment")
+            )
+        self.now, self.last_to_step = target, -1
+
+    # For people
+
+    def describe(self, step: Step) -> str:
+        return step_text(self, step)
--- a/meadowpulley/check/properties.py
+++ b/meadowpulley/model_checking/properties.py
@@ -164,15 +164,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Broken:
+class Violation:
     """A property that does not hold, when (milliseconds) and how; `gateway` -1 where it is no single
     one's."""
 
     name: str
-    at: float
+    at_ms: float
     gateway: int
     text: str
 
     def __str__(self) -> str:
-        who = f" gateway {self.gateway}" if self.gateway >= 0 else ""
-        return f"{self.at:.0f} ms{who}: {self.name}: {self.text}"
+        subject = f" gateway {self.gateway}" if self.gateway >= 0 else ""
+        return f"{self.at_ms:.0f} ms{subject}: {self.name}: {self.text}"
--- /dev/null
+++ b/meadowpulley/model_checking/scripted_reactor.py
@@ -0,0 +1,269 @@
+"""A reactor, ports and transports without sockets or time: what the gateway's classes stand on when
+checked."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.python.failure import Failure
+
+MAX_READ_BYTES = 64 * 1024  # what the reactor hands over in one piece
+
+
+class DelayedCall:
+    """A call that the reactor owes, as `callLater` gives it back."""
+
+    def __init__(self, reactor: ScriptedReactor, due_at: float, function: Callable[[], None]) -> None:
+        self.reactor, self.due_at, self.function = reactor, due_at, function
+        self.done = False
+
+    def reset(self, seconds: float) -> None:
+        self.due_at = self.reactor.now + seconds * 1000.0
+
+
+class PendingConnection:
+    """A connection in the making."""
+
+    def __init__(self, reactor: ScriptedReactor, address: tuple[str, int], factory: Any) -> None:
+        self.reactor, self.address, self.factory = reactor, address, factory
+        self.done = False
+
+    def disconnect(self) -> None:
+        self.refuse()
+
+    def refuse(self) -> None:
+        if not self.done:
+            self.done = True
+            self.reactor.pending_connections.remove(self)
+            self.factory.clientConnectionFailed(self, Failure(ConnectionRefusedError()))  # type: ignore[no-untyped-call]
+
+    def accept(self) -> ScriptedTransport:
+        self.done = True
+        self.reactor.pending_connections.remove(self)
+        protocol = self.factory.buildProtocol(None)
+        return self.reactor.attach(protocol, self.address)
+
+
+class ScriptedPort:
+    """A listening port; who connects is up to the world."""
+
+    def __init__(self, factory: Any) -> None:
+        self.factory = factory
+        self.numberAccepts = 1
+        self.is_reading = self.is_open = True
+
+    def stopReading(self) -> None:  # noqa: N802
+        self.is_reading = False
+
+    def startReading(self) -> None:  # noqa: N802
+        self.is_reading = True
+
+    def doRead(self) -> None:  # noqa: N802
+        pass  # nobody waits: the world accepts at once
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        self.is_open = False
+
+
+class _SocketHandle:
+    """In place of the socket: whether the kernel holds something that was not read."""
+
+    def __init__(self, transport: ScriptedTransport) -> None:
+        self.transport = transport
+
+    def recv(self, size: int, flags: int) -> bytes:
+        if self.transport.end_of_input:
+            return b""
+        if self.transport.unread:
+            return self.transport.unread[:size]
+        raise BlockingIOError
+
+
+class ScriptedTransport:
+    """The transport of one link, and the other end's view: `sent` is what came there."""
+
+    def __init__(self, reactor: ScriptedReactor, protocol: Any, address: tuple[str, int] | None) -> None:
+        self.reactor, self.protocol, self.address = reactor, protocol, address
+        self.received_by_peer = b""
+        self.last_sent_at = 0.0  # when its last bytes went
+        self.unread = b""  # in the kernel, not read yet
+        self.end_of_input = False  # the other end has closed, or ended its sending, which was not read yet
+        self.peer_closed = False  # it has closed: what is written there is answered by a reset
+        self.connected = True
+        self.is_reading = True
+        self.write_blocked = self.was_write_blocked = False  # the kernel takes nothing until it flows again
+        self.producer: Any = None
+        self.closing = False  # this end has said that it will write no more
+        self.write_buffer = b""
+
+    # What a protocol calls
+
+    def setTcpNoDelay(self, on: bool) -> None:  # noqa: N802
+        pass
+
+    def writeSomeData(self, data: bytes) -> int:  # noqa: N802
+        if not self.connected or self.closing or self.write_blocked:
+            return 0
+        self._transmit(data)
+        return len(data)
+
+    def write(self, data: bytes) -> None:
+        if self.connected and not self.closing:
+            if self.write_blocked:
+                self.write_buffer += data
+            else:
+                self._transmit(data)
+
+    def _transmit(self, data: bytes) -> None:
+        self.received_by_peer, self.last_sent_at = self.received_by_peer + data, self.reactor.now
+        if self.peer_closed:
+            self.reactor.callLater(0, self.disconnect)
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
+        self.producer = producer
+        if not self.write_blocked:
+            self.resume_producer()
+
+    def unregisterProducer(self) -> None:  # noqa: N802
+        self.producer = None
+
+    def resume_producer(self) -> None:
+        while self.producer is not None and not self.write_blocked and self.connected:
+            self.producer.resumeProducing()
+
+    def unblock_writes(self) -> None:
+        """The kernel takes bytes again."""
+        self.write_blocked = False
+        buffered, self.write_buffer = self.write_buffer, b""
+        self._transmit(buffered)
+        self.resume_producer()
+        if self.closing and self.connected and not self.end_of_input and self.closing_both_ways:
+            self.disconnect()
+
+    closing_both_ways = False
+
+    def loseConnection(self) -> None:  # noqa: N802
+        self.closing = self.closing_both_ways = True
+        if not self.write_blocked:
+            self.reactor.callLater(0, self.disconnect)
+
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        self.closing = True
+
+    def abortConnection(self) -> None:  # noqa: N802
+        self.disconnect()
+
+    def stopReading(self) -> None:  # noqa: N802
+        self.is_reading = False
+
+    def startReading(self) -> None:  # noqa: N802
+        self.is_reading = True
+        if self.unread or self.end_of_input:
+            self.reactor.callLater(0, self.deliver)
+
+    def getHandle(self) -> _SocketHandle:  # noqa: N802
+        return _SocketHandle(self)
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        self.closing = True
+        self.disconnect()
+
+    # What the other end and the kernel do
+
+    def disconnect(self) -> None:
+        """The connection is over, at both ends."""
+        if self.connected:
+            self.connected = False
+            self.reactor.transports.remove(self)
+            self.protocol.connectionLost(Failure(ConnectionDone()))  # type: ignore[no-untyped-call]
+
+    def receive(self, data: bytes) -> None:
+        """Bytes come and are read at once, unless nobody reads."""
+        if not self.connected:
+            return
+        self.unread += data
+        self.deliver()
+
+    def deliver(self) -> None:
+        while self.connected and self.is_reading and self.unread:
+            data, self.unread = self.unread[:MAX_READ_BYTES], self.unread[MAX_READ_BYTES:]
+            self.protocol.dataReceived(data)
+        if self.connected and self.is_reading and self.end_of_input:
+            half_close: Any = IHalfCloseableProtocol(self.protocol, None)
+            if half_close is None:
+                self.disconnect()
+            else:  # as Twisted has it: nothing more is read, and the rest is up to the protocol
+                self.is_reading = False
+                half_close.readConnectionLost()
+
+
+class ScriptedReactor:
+    """Time in milliseconds that moves only when told to."""
+
+    def __init__(self, port: Callable[[Any], ScriptedPort] = ScriptedPort) -> None:
+        self.now = 1_000_000.0
+        self.make_port = port
+        self.delayed_calls: list[DelayedCall] = []
+        self.pending_connections: list[PendingConnection] = []
+        self.transports: list[ScriptedTransport] = []
+        self.ports: list[Any] = []
+        self.stopped = False
+
+    def callLater(self, seconds: float, function: Callable[..., None], *args: Any) -> DelayedCall:  # noqa: N802
+        delayed_call = DelayedCall(
+            self, self.now + seconds * 1000.0, (lambda: function(*args)) if args else function
+        )
+        self.delayed_calls.append(delayed_call)
+        return delayed_call
+
+    def callFromThread(self, function: Callable[..., None], *args: Any) -> None:  # noqa: N802
+        self.callLater(0, function, *args)
+
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: Any = None) -> PendingConnection:  # noqa: N802
+        connector = PendingConnection(self, (host, port), factory)
+        self.pending_connections.append(connector)
+        return connector
+
+    def listenTCP(self, port: int, factory: Any, backlog: int = 0, interface: str = "") -> ScriptedPort:  # noqa: N802
+        port_object = self.make_port(factory)
+        self.ports.append(port_object)
+        return port_object
+
+    def stop(self) -> None:
+        self.stopped = True
+
+    def attach(self, protocol: Any, address: tuple[str, int] | None) -> ScriptedTransport:
+        transport = ScriptedTransport(self, protocol, address)
+        self.transports.append(transport)
+        protocol.makeConnection(transport)
+        return transport
+
+    def next_call_at(self) -> float | None:
+        return min((c.due_at for c in self.delayed_calls if not c.done), default=None)
+
+    def run_due(self) -> None:
+        """Runs what is due now, and what that sets for now."""
+        for _ in range(10_000):
+            due = [
+                (c.due_at, n, c)
+                for n, c in enumerate(self.delayed_calls)
+                if not c.done and c.due_at <= self.now
+            ]
+            if not due:
+                self.delayed_calls = [c for c in self.delayed_calls if not c.done]
+                return
+            heapq.heapify(due)
+            delayed_call = heapq.heappop(due)[2]
+            delayed_call.done = True
+            delayed_call.function()
+        raise AssertionError("calls are set again and again for the same moment")
+
+    def advance(self, until: float) -> None:
+        while not self.stopped and (due_at := self.next_call_at()) is not None and due_at <= until:
+            self.now = max(due_at, self.now)
+            self.run_due()
+        self.now = until
--- a/meadowpulley/check/shared/__init__.py
+++ b/meadowpulley/model_checking/shared_state_model/__init__.py
@@ -9,7 +9,7 @@
 happen next, and what it costs), `words` (for people), `world` (taking a step).
 """
 
-from meadowpulley.check.shared.scenes import SCENES
-from meadowpulley.check.shared.world import Shared
+from meadowpulley.model_checking.shared_state_model.configurations import CONFIGURATIONS
+from meadowpulley.model_checking.shared_state_model.transitions import SharedStateModel
 
-__all__ = ["SCENES", "Shared"]
+__all__ = ["CONFIGURATIONS", "SharedStateModel"]
--- a/meadowpulley/check/shared/words.py
+++ b/meadowpulley/model_checking/shared_state_model/descriptions.py
@@ -4,11 +4,11 @@
 
 from typing import Any
 
-from meadowpulley.check.shared.scenes import CLASSES
-from meadowpulley.check.shared.state import State
-from meadowpulley.check.worlds import Step
+from meadowpulley.model_checking.model import Step
+from meadowpulley.model_checking.shared_state_model.configurations import CLASSES
+from meadowpulley.model_checking.shared_state_model.state import State
 
-TEXTS = {
+STEP_TEXTS = {
     "out": "the bytes of an attempt of gateway {0} go out",
     "hear": "gateway {0} hears what became of its commit",
     "due": "what is due at gateway {0} happens",
@@ -31,31 +31,31 @@
     "read": "gateway {0} reads the ledger, and is told of it later",
     "end": "all goes on until it is over",
 }
-WAITS = {
+TIME_TEXTS = {
     "next": "time goes on until something happens",
     "turn": "time goes on by a turn of lending",
     "lapse": "time goes on past the lease of one that stands",
 }
-SERVER = {
+SERVER_TEXTS = {
     "run": "runs {0} of gateway {1}",
     "reset": "runs {0} of gateway {1}, and its connection breaks",
     "full": "turns {0} of gateway {1} away",
     "late": "keeps {0} of gateway {1} for later",
     "let_run": "goes on with {0} of gateway {1}",
 }
-LOST = {"before": "never", "after": "before that", "late": "later, perhaps"}
+LOSS_TEXTS = {"before": "never", "after": "before that", "late": "later, perhaps"}
 
 
-def text_of(world: State, step: Step) -> str:
-    who: list[Any] = list(step.who)
-    if step.do in SERVER:
-        attempt = world.arrived[who[0]]
-        return f"server {attempt.server} " + SERVER[step.do].format(attempt.name, attempt.gateway)
-    if step.do == "wait":
-        return WAITS[who[0]]
-    if step.do == "lose":
-        who[1] = LOST[who[1]]
-    text = TEXTS[step.do].format(*who)
-    if step.do in ("ask", "again"):
-        text += f" ({CLASSES[world.scene.kinds[who[1] % len(world.scene.kinds)]].name})"
+def step_text(state: State, step: Step) -> str:
+    arguments: list[Any] = list(step.arguments)
+    if step.action in SERVER_TEXTS:
+        attempt = state.arrived_attempts[arguments[0]]
+        return f"server {attempt.server} " + SERVER_TEXTS[step.action].format(attempt.name, attempt.gateway)
+    if step.action == "wait":
+        return TIME_TEXTS[arguments[0]]
+    if step.action == "lose":
+        arguments[1] = LOSS_TEXTS[arguments[1]]
+    text = STEP_TEXTS[step.action].format(*arguments)
+    if step.action in ("ask", "again"):
+        text += f" ({CLASSES[state.configuration.kinds[arguments[1] % len(state.configuration.kinds)]].name})"
     return text
--- /dev/null
+++ b/meadowpulley/model_checking/shared_state_model/gateway.py
@@ -0,0 +1,507 @@
+"""One gateway of world C: its real stages in a small host, and what is on its way to and from it.
+
+The host does what a gateway's adapter does, one event at a time; what it would hand to the kernel or to the
+ledger waits in queues, so that each hand-over is a step of its own: a commit to be carried out, its answer to
+be heard, a look at the ledger, bytes to go out, a result to be heard.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from typing import Any, Protocol
+
+from meadowpulley.interface import (
+    Cancel,
+    ClientDisconnected,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Fail,
+    Outcome,
+    Phase,
+    Reject,
+    Request,
+    Result,
+    RolloutUpdate,
+    Send,
+    ServerEntry,
+    ServerState,
+    SetTimer,
+    Timer,
+)
+from meadowpulley.ledger import (
+    Commit,
+    CommitCompleted,
+    Incarnation,
+    LedgerChanged,
+    MemoryStore,
+    RenewLease,
+    Scan,
+    ScanCompleted,
+    TransactionOutcome,
+)
+from meadowpulley.ledger.lease_manager import LEASE_OWNER as KEEPER, LeaseManager
+from meadowpulley.lending import LendingStage
+from meadowpulley.model_checking.choices import ScriptedRandom
+from meadowpulley.model_checking.graph import Copier, FormRules, FormWriter, fingerprint_of
+from meadowpulley.model_checking.policy_model.canonical_form import UNCHANGING_POLICY_FIELDS
+from meadowpulley.model_checking.shared_state_model.configurations import (
+    BUILD,
+    LEASES,
+    PATHS,
+    PLAN,
+    SAFE,
+    TAKEOVER,
+    Configuration,
+)
+from meadowpulley.model_checking.shared_state_model.invariant_monitor import InvariantMonitor
+from meadowpulley.policy import RolloutPolicy
+from meadowpulley.takeover import TakeoverStage, model as m
+
+RANDOM = ScriptedRandom()
+RELEASED_BUILD = RolloutUpdate(BUILD, 0, Phase.RELEASED, 1.0, 60_000.0)
+CHANNELS = ("commits", "looks")
+IGNORED_FIELDS = {
+    "RolloutPolicy": UNCHANGING_POLICY_FIELDS | {"rng"},
+    "InFlightRequest": frozenset({"request_class"}),
+    "LeaseManager": frozenset({"_handlers"}),
+    "TakeoverStage": frozenset({"gateway_settings", "handlers", "settings"}),
+    "LendingStage": frozenset({"settings", "priority_weights"}),
+    "TransactionBuilder": frozenset({"actions", "transactions", "intents", "now"}),
+}
+FORM_RULES = FormRules(IGNORED_FIELDS, {})
+COPIER = Copier(shared=(ScriptedRandom,))
+UNCOPIED_FIELDS = ("number", "configuration", "fingerprint_cache")
+
+
+class Environment(Protocol):
+    """What a node sees of its world."""
+
+    now: float
+    store: MemoryStore
+    monitor: InvariantMonitor
+
+    def record_message(self, sender: str, receiver: str, text: str) -> None: ...
+
+    def has_ended(self, request_id: str) -> bool: ...
+
+
+class OutstandingAttempt:
+    """One attempt that the stages sent: its bytes wait, are out, or its outcome was heard."""
+
+    def __init__(self, server: int, sent_at: float) -> None:
+        self.server, self.sent_at = server, sent_at
+
+
+class PendingRequest:
+    """A request in the adapter's table; `client` leaves or never was."""
+
+    def __init__(
+        self,
+        request_id: str,
+        request_index: int,
+        request_class: int,
+        deadline_ms: float,
+        client_waiting: bool,
+    ) -> None:
+        self.request_id, self.request_index, self.request_class, self.deadline_ms, self.client_waiting = (
+            request_id,
+            request_index,
+            request_class,
+            deadline_ms,
+            client_waiting,
+        )
+        self.answered = False
+        self.requested_at, self.response_at = math.inf, math.inf  # by its client, by an instance
+        self.attempt_count = 0
+        self.outstanding_attempts: dict[int, OutstandingAttempt] = {}
+
+
+class SimulatedGateway:
+    def __init__(self, number: int, configuration: Configuration) -> None:
+        self.number, self.configuration = number, configuration
+        self.running, self.stopped = False, False
+        self.killed_at = math.inf  # after a planned stop
+        self.lease_released = False
+        self.incarnation: Incarnation | None = None
+        self.lease_manager: Any = None
+        self.policy: Any = None
+        self.quota_stage: Any = None
+        self.ledger_outbox: deque[Commit | Scan] = deque()  # asked for, not carried out
+        self.delayed_commits: deque[tuple[Incarnation, Commit]] = (
+            deque()
+        )  # not heard of any more, and still on their way
+        self.ledger_replies: deque[CommitCompleted | ScanCompleted] = deque()  # carried out, not heard of
+        self.unsent_attempts: deque[tuple[int, int]] = deque()  # request and attempt: sent, and not out yet
+        self.unheard_outcomes: deque[tuple[int, int, Result, str]] = deque()  # come, and not heard of
+        self.pending_view: LedgerChanged | None = None  # read, and not told
+        self.ledger_version = 0  # up to which it was told of the ledger
+        self.watched_prefixes: tuple[str, ...] | None = None
+        self.timers: list[tuple[float, int]] = []
+        self.pending_requests: dict[int, PendingRequest] = {}
+        self.last_request = 0
+        self.blocked_channels: set[str] = set()  # channels that carry nothing now
+        self.lease_ends_at = -math.inf  # end of its own lease, by its books
+        self.renewals_sent_at: dict[int, float] = {}
+        self.fingerprint_cache: list[int] = []
+        self._events: deque[Any] = deque()
+
+    @property
+    def name(self) -> str:
+        return f"gateway {self.number}"
+
+    @property
+    def knows_it_is_fenced(self) -> bool:
+        return bool(self.lease_manager.fenced)
+
+    def start(self, environment: Environment) -> None:
+        """A life: its own in the ledger, a warm balancer, its lease renewed."""
+        settings = self.configuration.settings(self.number)
+        self.running = True
+        self.incarnation = environment.store.register(f"g{self.number}", LEASES.term_ms)
+        self.policy = RolloutPolicy(settings, 0)
+        self.policy.rng = RANDOM
+        inner_stage: Any = self.policy
+        if self.configuration.lends:
+            inner_stage = self.quota_stage = LendingStage(
+                inner_stage, settings, PLAN, self.incarnation, self.number + 1
+            )
+        self.lease_manager = LeaseManager(self.incarnation, LEASES, inner_stage)
+        if self.configuration.takes_over:
+            self.lease_manager.inner = TakeoverStage(
+                settings, inner_stage, self.incarnation, self.lease_manager.holds_lease, TAKEOVER
+            )
+        entries = tuple(ServerEntry(n, 0, 0, ServerState.READY, BUILD, 1.0, 0, 1.0) for n in (1, 2))
+        self.dispatch(environment, EndpointUpdate(EndpointUpdateKind.CACHED, 1, entries))
+        self.dispatch(environment, RELEASED_BUILD)
+        self.policy.retry_budget = 3.0
+        for action in self.lease_manager.start(environment.now):
+            self._carry_out(environment, action)
+
+    # Events in, actions out
+
+    def dispatch(self, environment: Environment, event: Any) -> None:
+        self._events.append(event)
+        if len(self._events) > 1:
+            return
+        while self._events:
+            event = self._events[0]
+            try:
+                actions = self.lease_manager.handle(environment.now, event)
+            except Exception as error:
+                self._report_violation(environment, "fault", f"{type(error).__name__}: {error}")
+                self._events.clear()
+                return
+            for action in actions:
+                self._carry_out(environment, action)
+            self._events.popleft()
+        if self.quota_stage is not None and self.quota_stage.watched_prefixes() != self.watched_prefixes:
+            self.watched_prefixes, self.ledger_version = (
+                self.quota_stage.watched_prefixes(),
+                0,
+            )  # the ledger is read anew
+
+    def _report_violation(self, environment: Environment, property_name: str, text: str) -> None:
+        environment.monitor.report(property_name, environment.now, self.number, text)
+
+    def _carry_out(self, environment: Environment, action: Any) -> None:
+        if isinstance(action, Commit | Scan):
+            self.ledger_outbox.append(action)
+            if self.is_renewal(action):
+                self.renewals_sent_at[action.ticket] = environment.now
+        elif isinstance(action, Send):
+            self._send_attempt(environment, action)
+        elif isinstance(action, Reject | Fail):
+            self._answer_client(
+                environment, action.request, "refused" if isinstance(action, Reject) else "failed"
+            )
+        elif isinstance(action, m.Deliver):
+            self._answer_client(environment, action.request, action.body.decode())
+        elif isinstance(action, m.Discard):
+            self._finish_request(action.request)
+        elif isinstance(action, m.AdoptRequest):
+            self._adopt(environment, action)
+        elif isinstance(action, SetTimer):
+            due = (environment.now + max(action.delay_ms, 0.0), action.token)
+            if due not in self.timers:
+                self.timers.append(due)
+                self.timers.sort()
+        elif isinstance(action, Cancel):
+            self._cancel(environment, action)
+
+    @staticmethod
+    def is_renewal(command: Commit | Scan) -> bool:
+        if isinstance(command, Scan) or command.owner != KEEPER:
+            return False
+        return all(isinstance(w, RenewLease) for step in command.transactions for w in step.writes)
+
+    @property
+    def hears_renewal(self) -> bool:
+        """Whether what it hears next is of a renewal."""
+        first = self.ledger_replies[0]
+        return first.owner == KEEPER and first.ticket in self.renewals_sent_at
+
+    # Requests
+
+    def receive_request(
+        self, environment: Environment, request_index: int, request_class: int, is_retry: bool
+    ) -> None:
+        self.last_request += 1
+        request_id, deadline_ms = (
+            f"r{request_index}",
+            environment.now + self.configuration.settings(self.number).classes[request_class].deadline_ms,
+        )
+        self.pending_requests[self.last_request] = PendingRequest(
+            request_id, request_index, request_class, deadline_ms, True
+        )
+        self.pending_requests[self.last_request].requested_at = environment.now
+        request = Request(
+            self.last_request,
+            request_class,
+            request_index % 2,
+            request_index + 1,
+            deadline_ms,
+            client_retry=is_retry,
+        )
+        event: Any = request
+        if self.knows_it_is_fenced and request_class == SAFE:
+            environment.monitor.unjournaled.add(request_id)
+        if self.configuration.takes_over:
+            event = m.ClientRequest(
+                request, request_id, "POST", PATHS[request_class], (), request_id.encode()
+            )
+        self.dispatch(environment, event)
+
+    def _adopt(self, environment: Environment, action: m.AdoptRequest) -> None:
+        self.last_request += 1
+        request_index = int(action.request_id[1:])
+        self.pending_requests[self.last_request] = PendingRequest(
+            action.request_id, request_index, action.class_index, action.deadline_ms, False
+        )
+        environment.record_message("ledger", self.name, f"takes {action.request_id} over")
+        self.dispatch(environment, m.AdoptionResult(action.request_id, self.last_request))
+
+    def _send_attempt(self, environment: Environment, action: Send) -> None:
+        pending = self.pending_requests.get(action.request)
+        if pending is None or pending.answered:
+            self._report_violation(environment, "answers", f"request {action.request} is over, and sent")
+            return
+        journaled = (
+            self.configuration.takes_over and pending.request_id not in environment.monitor.unjournaled
+        )
+        if journaled and environment.now >= self.lease_ends_at:
+            self._report_violation(
+                environment, "lease", f"{pending.request_id} is sent, and the lease has run out"
+            )
+        if journaled and self.knows_it_is_fenced:
+            self._report_violation(
+                environment, "lease", f"{pending.request_id} is sent by a life that knows of its end"
+            )
+        pending.outstanding_attempts[pending.attempt_count] = OutstandingAttempt(
+            action.server, environment.now
+        )
+        self.unsent_attempts.append((action.request, pending.attempt_count))
+        pending.attempt_count += 1
+        environment.record_message(self.name, f"server {action.server}", f"{pending.request_id}, decided")
+
+    def _cancel(self, environment: Environment, action: Cancel) -> None:
+        pending = self.pending_requests.get(action.request)
+        if pending is not None and action.attempt in pending.outstanding_attempts:
+            self.finish_attempt(environment, action.request, action.attempt, Result.CANCELLED)
+
+    def _answer_client(self, environment: Environment, request: int, text: str) -> None:
+        pending = self.pending_requests.get(request)
+        if pending is None or pending.answered:
+            self._report_violation(
+                environment, "answers", f"request {request} is answered {text}, and is over"
+            )
+            return
+        environment.record_message(self.name, "clients", f"{pending.request_id}: {text}")
+        if (
+            pending.client_waiting
+            and self.configuration.takes_over
+            and not self._is_stopgap(environment, pending, text)
+        ):
+            environment.monitor.client_answered(
+                environment.now, self.number, pending.request_id, pending.request_class, text
+            )
+        self._finish_request(request)
+
+    def _is_stopgap(self, environment: Environment, pending: PendingRequest, text: str) -> bool:
+        """Answers that a later one may contradict, as docs/design/takeover.md says: those passed while the
+        ledger gave no word of them for `hold_ms`; and `failed` to an ask whose client stops waiting, or by
+        a life that was sealed: others end that work, and it can't learn how."""
+        if text == "failed" and (environment.now >= pending.deadline_ms or self.knows_it_is_fenced):
+            return True
+        since = pending.requested_at if text == "failed" else pending.response_at
+        return environment.now >= since + TAKEOVER.response_hold_ms and not environment.has_ended(
+            pending.request_id
+        )
+
+    def _finish_request(self, request: int) -> None:
+        pending = self.pending_requests.get(request)
+        if pending is not None:
+            pending.answered = True
+            self._forget_if_done(request)
+
+    def _forget_if_done(self, request: int) -> None:
+        pending = self.pending_requests.get(request)
+        if pending is not None and pending.answered and not pending.outstanding_attempts:
+            del self.pending_requests[request]
+
+    def client_disconnects(self, environment: Environment, request: int) -> None:
+        self.pending_requests[request].client_waiting = False
+        self.dispatch(
+            environment,
+            m.ClientDetached(request) if self.configuration.takes_over else ClientDisconnected(request),
+        )
+
+    def finish_attempt(
+        self, environment: Environment, request: int, attempt: int, result: Result, body: str = ""
+    ) -> None:
+        """The one outcome of an attempt; a good answer is shown to the stages first."""
+        pending = self.pending_requests.get(request)
+        if pending is None or attempt not in pending.outstanding_attempts:
+            return
+        if result is Result.OK and not pending.answered:
+            pending.response_at = environment.now
+            if self.configuration.takes_over:
+                self.dispatch(environment, m.ResponseReady(request, 200, (), body.encode()))
+            else:
+                self._answer_client(environment, request, body)
+        pending = self.pending_requests[request]
+        attempt_out = pending.outstanding_attempts.pop(attempt)
+        is_final = pending.answered or result is Result.OK
+        self._forget_if_done(request)
+        elapsed_ms = environment.now - attempt_out.sent_at
+        self.dispatch(
+            environment, Outcome(request, attempt, attempt_out.server, result, elapsed_ms, is_final)
+        )
+
+    # The ledger
+
+    def receive_ledger_reply(self, environment: Environment, event: CommitCompleted | ScanCompleted) -> None:
+        from_lease_manager = isinstance(event, CommitCompleted) and event.owner == KEEPER
+        renewed_at = self.renewals_sent_at.pop(event.ticket, None) if from_lease_manager else None
+        if (
+            renewed_at is not None
+            and isinstance(event, CommitCompleted)
+            and event.results[0].outcome is TransactionOutcome.COMMITTED
+        ):
+            self.lease_ends_at = max(self.lease_ends_at, renewed_at + LEASES.term_ms * LEASES.hold_fraction)
+        self.dispatch(environment, event)
+
+    def read_ledger(self, environment: Environment) -> LedgerChanged:
+        """What it reads of the ledger now."""
+        changes = environment.store.changes(self.ledger_version, self.watched_prefixes or ("",))
+        return LedgerChanged(changes, environment.now)
+
+    def receive_ledger_view(self, environment: Environment, event: LedgerChanged) -> None:
+        self.ledger_version = max(self.ledger_version, event.changes.version)
+        self.dispatch(environment, event)
+
+    # Time
+
+    def next_due(self) -> float:
+        """When something happens by itself; never, in a process that stands."""
+        if not self.running or self.stopped:
+            return math.inf
+        due_times = [self.killed_at, *(at for at, _ in self.timers[:1])]
+        slack_ms = self.configuration.settings(self.number).rules.response_slack_ms
+        for pending in self.pending_requests.values():
+            due_times += [pending.deadline_ms] if pending.outstanding_attempts else []
+            due_times += [] if pending.answered else [pending.deadline_ms + slack_ms]
+        return min(due_times, default=math.inf)
+
+    def run_due(self, environment: Environment) -> None:
+        slack_ms = self.configuration.settings(self.number).rules.response_slack_ms
+        for request, pending in list(self.pending_requests.items()):
+            for attempt in (
+                list(pending.outstanding_attempts) if pending.deadline_ms <= environment.now else ()
+            ):
+                self.finish_attempt(environment, request, attempt, Result.TIMEOUT)
+        while self.timers and self.timers[0][0] <= environment.now:
+            _, token = self.timers.pop(0)
+            self.dispatch(environment, Timer(token))
+        for request, pending in list(self.pending_requests.items()):
+            if not pending.answered and pending.deadline_ms + slack_ms <= environment.now:
+                stalled = (
+                    environment.now > pending.deadline_ms + slack_ms
+                )  # a process that stood still answers as it wakes
+                if not stalled and self.configuration.takes_over:
+                    self._report_violation(
+                        environment,
+                        "answers",
+                        f"{pending.request_id} got no answer by its deadline and slack",
+                    )
+                self._answer_client(environment, request, "failed")
+                self.dispatch(environment, ClientDisconnected(request))
+
+    # Capacity
+
+    def admission_rate(self, now: float) -> float:
+        """Units a second that its lending goes by: what its floor and its grant allow now."""
+        if not self.running or self.quota_stage is None:
+            return 0.0
+        enforcer = self.quota_stage.enforcer
+        granted = enforcer.grant.total if enforcer.grant is not None and now < enforcer.grant_until else 0.0
+        return float(granted + (enforcer.floor if now < enforcer.floor_until else 0.0))
+
+    # Ends
+
+    def stop_process(self) -> None:
+        """The process is gone; what it had handed to the ledger may yet be carried out."""
+        assert self.incarnation is not None
+        self.delayed_commits.extend(
+            (self.incarnation, c) for c in list(self.ledger_outbox)[:1] if isinstance(c, Commit)
+        )
+        surviving = (
+            self.number,
+            self.configuration,
+            self.incarnation,
+            self.delayed_commits,
+            self.last_request,
+        )
+        self.__dict__.update(SimulatedGateway(self.number, self.configuration).__dict__)
+        self.number, self.configuration, self.incarnation, self.delayed_commits, self.last_request = surviving
+
+    def release_lease(self, environment: Environment) -> None:
+        """A planned stop, once nothing is in hand: the lease is given up."""
+        self.lease_released = True
+        if self.quota_stage is not None:
+            for action in self.quota_stage.shut_down(environment.now):
+                self._carry_out(environment, action)
+        for action in self.lease_manager.release_lease():
+            self._carry_out(environment, action)
+
+    @property
+    def idle(self) -> bool:
+        unanswered = any(not s.answered or s.outstanding_attempts for s in self.pending_requests.values())
+        return not (
+            unanswered
+            or self.ledger_outbox
+            or self.ledger_replies
+            or self.unsent_attempts
+            or self.unheard_outcomes
+        )
+
+    # Copies and forms
+
+    def copy(self) -> SimulatedGateway:
+        duplicate: SimulatedGateway = SimulatedGateway.__new__(SimulatedGateway)
+        memo: dict[int, Any] = {}
+        for name, value in self.__dict__.items():
+            if name == "fingerprint_cache":
+                duplicate.fingerprint_cache = []
+            else:
+                duplicate.__dict__[name] = value if name in UNCOPIED_FIELDS else COPIER.copy(value, memo)
+        return duplicate
+
+    def form(self) -> Any:
+        writer = FormWriter(FORM_RULES)
+        return tuple(writer.write(v) for k, v in self.__dict__.items() if k not in UNCOPIED_FIELDS)
+
+    def fingerprint(self) -> int:
+        if not self.fingerprint_cache:
+            self.fingerprint_cache.append(fingerprint_of(self.form()))
+        return self.fingerprint_cache[0]
--- /dev/null
+++ b/meadowpulley/model_checking/shared_state_model/invariant_monitor.py
@@ -0,0 +1,182 @@
+"""The books of world C: what ran at servers, what clients were told, who wrote what into the ledger."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from meadowpulley.ledger import (
+    Commit,
+    Fence,
+    Incarnation,
+    Member,
+    MemoryStore,
+    Record,
+    TransactionOutcome,
+    TransactionResult,
+)
+from meadowpulley.model_checking.properties import Violation
+from meadowpulley.model_checking.shared_state_model.configurations import CLASSES, UNSAFE
+from meadowpulley.takeover.model import RECORD_PREFIX, RequestRecord, RequestState, decode_request_record
+
+
+class InvariantMonitor:
+    """Of all gateways together, by the clients' ids. `broken` is emptied by whoever reads it."""
+
+    def __init__(self) -> None:
+        self.executions: dict[str, int] = {}  # how often at servers
+        self.possible_executions: dict[str, int] = {}  # attempts whose bytes went out, and that may run yet
+        self.answers: dict[str, tuple[str, ...]] = {}  # the answers that clients got, each once
+        self.rejected: set[str] = set()  # whose client was told that it was refused
+        self.unjournaled: set[str] = set()  # safe ones asked of a life that knew of its end: served unwritten
+        self.violations: list[Violation] = []
+
+    def copy(self) -> InvariantMonitor:
+        duplicate = InvariantMonitor()
+        duplicate.executions, duplicate.possible_executions, duplicate.answers = (
+            dict(self.executions),
+            dict(self.possible_executions),
+            dict(self.answers),
+        )
+        duplicate.rejected, duplicate.unjournaled = set(self.rejected), set(self.unjournaled)
+        return duplicate
+
+    def form(self) -> tuple[object, ...]:
+        tables = (self.executions, self.possible_executions, self.answers)
+        return (
+            *(tuple(sorted(t.items())) for t in tables),
+            tuple(sorted(self.rejected)),
+            tuple(sorted(self.unjournaled)),
+        )
+
+    def report(self, property_name: str, now: float, gateway: int, text: str) -> None:
+        self.violations.append(Violation(property_name, now, gateway, text))
+
+    # Effects
+
+    def attempt_sent(self, request_id: str) -> None:
+        self.possible_executions[request_id] = self.possible_executions.get(request_id, 0) + 1
+
+    def attempt_abandoned(self, request_id: str) -> None:
+        """An attempt that will not run any more."""
+        self.possible_executions[request_id] -= 1
+
+    def attempt_executed(self, now: float, request_id: str, request_class: int) -> None:
+        self.attempt_abandoned(request_id)
+        self.executions[request_id] = self.executions.get(request_id, 0) + 1
+        if request_class == UNSAFE and self.executions[request_id] > 1:
+            self.report("executed", now, -1, f"request {request_id} ran {self.executions[request_id]} times")
+        if request_id in self.rejected and request_class != 0:
+            self.report("effects", now, -1, f"request {request_id} was refused, and ran after that")
+
+    # Answers
+
+    def client_answered(
+        self, now: float, gateway: int, request_id: str, request_class: int, text: str
+    ) -> None:
+        """A client is told: `refused`, `failed`, or the body it was served."""
+        if text == "refused":
+            if request_class != 0 and (
+                self.executions.get(request_id, 0) or self.possible_executions.get(request_id, 0)
+            ):
+                self.report("effects", now, gateway, f"request {request_id} may have run, and is refused")
+            self.rejected.add(request_id)
+            return
+        self.rejected.discard(request_id)
+        known_answers = self.answers.get(request_id, ())
+        if text not in known_answers:
+            self.answers[request_id] = (*known_answers, text)
+            if known_answers and request_id not in self.unjournaled:
+                self.report(
+                    "one-answer",
+                    now,
+                    gateway,
+                    f"request {request_id} was answered {known_answers[0]}, now {text}",
+                )
+
+    # The ledger
+
+    def commit(
+        self, now: float, gateway: int, store: MemoryStore, author: Incarnation, commit: Commit
+    ) -> list[TransactionResult]:
+        """Carries a commit out, and looks at what it did."""
+        member = store.members_by_name.get(author.name)
+        fenced = member is None or member.incarnation != author or member.fenced
+        records_before, version = dict(store.records), store.version
+        members = dict(store.members_by_name)
+        results = store.commit(author, commit.transactions)
+        for step, result in zip(commit.transactions, results, strict=True):
+            for write in step.writes if result.outcome is TransactionOutcome.COMMITTED else ():
+                if isinstance(write, Fence) and members[write.incarnation.name].renewal != write.renewal:
+                    self.report(
+                        "sealed", now, gateway, f"life {write.incarnation} had renewed, and is sealed"
+                    )
+        if fenced and (
+            store.version != version or any(d.outcome is TransactionOutcome.COMMITTED for d in results)
+        ):
+            self.report("sealed", now, gateway, f"life {author} was over, and its commit changed the ledger")
+        for key, record in store.records.items():
+            if key.startswith(RECORD_PREFIX) and records_before.get(key) != record:
+                self._check_work(now, gateway, members, records_before.get(key), record)
+        return results
+
+    def _check_work(
+        self,
+        now: float,
+        gateway: int,
+        members: Mapping[str, Member],
+        old_record: Record | None,
+        new_record: Record,
+    ) -> None:
+        """Taken over by one at a time, and an end stays what it was."""
+        if old_record is None:
+            return
+        old_work, new_work = decode_request_record(old_record.value), decode_request_record(new_record.value)
+        request_id = new_record.key[len(RECORD_PREFIX) :]
+        if old_work.state is RequestState.REJECTED and not old_work.grants and new_work.owner_count == 1:
+            return  # it never ran, and is asked anew
+        if old_work.state in (RequestState.SERVED, RequestState.FAILED) and (
+            old_record.writer != new_record.writer or not new_work.is_final
+        ):
+            self.report(
+                "one-answer",
+                now,
+                gateway,
+                f"work {request_id} had ended {old_work.state.value}, and is rewritten",
+            )
+        if old_record.writer != new_record.writer and old_work.state is RequestState.OPEN:
+            member = members.get(old_record.writer.name)
+            if member is not None and member.incarnation == old_record.writer and not member.fenced:
+                text = (
+                    f"work {request_id} of {old_record.writer}, which lives, is taken by {new_record.writer}"
+                )
+                self.report("one-adopter", now, gateway, text)
+        if (
+            old_record.writer != new_record.writer
+            and not old_work.is_final
+            and new_work.owner_count != old_work.owner_count + 1
+        ):
+            self.report(
+                "one-adopter",
+                now,
+                gateway,
+                f"work {request_id}: {old_work.owner_count} lives had it, now {new_work.owner_count}",
+            )
+        if (
+            new_work.owner_count < old_work.owner_count
+            and not (old_record.writer == new_record.writer and new_work.state is RequestState.RELEASED)
+        ) or len(new_work.grants) < self._binding(old_work, new_work):
+            self.report(
+                "effects", now, gateway, f"work {request_id}: attempts that may have run are forgotten"
+            )
+
+    @staticmethod
+    def _binding(old_work: RequestRecord, new_work: RequestRecord) -> int:
+        """Rights of an earlier life stay: only its own may a life take back, once its outcome is known."""
+        request_class = next((c for c in CLASSES if c.name == new_work.class_name), None)
+        return (
+            len(old_work.grants)
+            if request_class is not None
+            and old_work.owner_count < new_work.owner_count
+            and not new_work.is_final
+            else 0
+        )
--- a/meadowpulley/net/capture.py
+++ b/meadowpulley/net/capture.py
@@ -16,11 +16,11 @@
 
 from meadowpulley.interface import Request, Settings
 
-ENV_FILE, ENV_MB = "MEADOWPULLEY_CAPTURE", "MEADOWPULLEY_CAPTURE_MB"
-PENDING = 4096  # notes that wait for the thread, at most
-FLUSH_MS = 500.0
-USUAL_MB = 64.0
-HEAD = 256  # bytes of the first line, which is written again at the end: it counts what was dropped
+ENV_FILE, ENV_MAX_MB = "MEADOWPULLEY_CAPTURE", "MEADOWPULLEY_CAPTURE_MB"
+MAX_PENDING_NOTES = 4096  # notes that wait for the thread, at most
+FLUSH_INTERVAL_MS = 500.0
+DEFAULT_MAX_MB = 64.0
+HEADER_BYTES = 256  # bytes of the first line, which is written again at the end: it counts what was dropped
 
 Note = tuple[float, int, int, float, int, float]  # at, class, key, work hint, bytes, patience
 
@@ -34,42 +34,49 @@
         settings: Settings,
         name: str,
         now: Callable[[], float],
-        run_aside: Callable[[Callable[[], None], Callable[[bool], None]], None],
-        most_mb: float = USUAL_MB,
+        run_in_thread: Callable[[Callable[[], None], Callable[[bool], None]], None],
+        max_mb: float = DEFAULT_MAX_MB,
     ) -> None:
-        self._settings, self._now, self._run_aside = settings, now, run_aside
-        self._name, self._began, self._unix = name, now(), time.time() * 1000.0
+        self._settings, self._now, self._run_in_thread = settings, now, run_in_thread
+        self._name, self._started_at, self._started_unix_ms = name, now(), time.time() * 1000.0
         self._salt = os.urandom(16)
-        self._most = int(most_mb * 1024 * 1024)
+        self._max_bytes = int(max_mb * 1024 * 1024)
         self._site = settings.zones[settings.zone] if settings.zone < len(settings.zones) else ""
         self._pending: list[Note] = []
-        self._size = HEAD
-        self._writing = self._broken = False
+        self._file_bytes = HEADER_BYTES
+        self._writing = self._failed = False
         self.written = self.dropped = 0
         self._file: IO[bytes] = open(path, "wb")  # noqa: SIM115 (closed at the gateway's end)
         self._file.write(self._header())
 
     def _header(self) -> bytes:
-        head = {
+        header = {
             "format": "meadowpulley-load",
             "version": 1,
             "source": self._name[:80],
-            "started": round(self._unix),
+            "started": round(self._started_unix_ms),
             "dropped": self.dropped,
         }
-        return json.dumps(head).encode().ljust(HEAD - 1) + b"\n"
+        return json.dumps(header).encode().ljust(HEADER_BYTES - 1) + b"\n"
 
-    def note(self, request: Request, at: float, size: int) -> None:
+    def record(self, request: Request, arrived_at: float, body_bytes: int) -> None:
         """One request was taken; a client's retry belongs to its first try, which was noted."""
         if request.client_retry:
             return
-        if self._broken or len(self._pending) >= PENDING:
+        if self._failed or len(self._pending) >= MAX_PENDING_NOTES:
             self.dropped += 1
             return
-        hint = request.expected_work_ms or 0.0
-        patience = max(request.deadline_ms - at, 0.0)
+        work_hint_ms = request.expected_work_ms or 0.0
+        remaining_ms = max(request.deadline_ms - arrived_at, 0.0)
         self._pending.append(
-            (max(at - self._began, 0.0), request.class_index, request.key, hint, size, patience)
+            (
+                max(arrived_at - self._started_at, 0.0),
+                request.class_index,
+                request.key,
+                work_hint_ms,
+                body_bytes,
+                remaining_ms,
+            )
         )
 
     def flush(self) -> None:
@@ -78,40 +85,40 @@
             return
         batch, self._pending = self._pending, []
         self._writing = True
-        self._run_aside(lambda: self._write(batch), self._written)
+        self._run_in_thread(lambda: self._write_batch(batch), self._batch_done)
 
-    def _written(self, failed: bool) -> None:
+    def _batch_done(self, failed: bool) -> None:
         self._writing = False
-        self._broken = self._broken or failed
+        self._failed = self._failed or failed
 
-    def _line(self, note: Note) -> bytes:
-        at, cls, key, hint, size, patience = note
-        line: dict[str, Any] = {"at_ms": round(at, 3), "cls": self._settings.classes[cls].name}
+    def _encode(self, note: Note) -> bytes:
+        at, class_index, key, work_hint_ms, body_bytes, remaining_ms = note
+        fields: dict[str, Any] = {"at_ms": round(at, 3), "cls": self._settings.classes[class_index].name}
         if self._site:
-            line["site"] = self._site
+            fields["site"] = self._site
         if key:
             digest = hashlib.blake2b(key.to_bytes(8, "big"), digest_size=7, key=self._salt).digest()
-            line["key"] = int.from_bytes(digest, "big")
-        if hint:
-            line["work_ms"] = round(hint, 3)
-        if size:
-            line["bytes"] = size
-        line["patience_ms"] = round(patience, 3)
-        return json.dumps(line, separators=(",", ":")).encode() + b"\n"
-
-    def _write(self, batch: list[Note]) -> None:
+            fields["key"] = int.from_bytes(digest, "big")
+        if work_hint_ms:
+            fields["work_ms"] = round(work_hint_ms, 3)
+        if body_bytes:
+            fields["bytes"] = body_bytes
+        fields["patience_ms"] = round(remaining_ms, 3)
+        return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
+
+    def _write_batch(self, batch: list[Note]) -> None:
         """In the thread: the lines of a batch, as many as there is room for."""
-        for n, note in enumerate(batch):
-            line = self._line(note)
-            if self._size + len(line) > self._most:
-                self.dropped += len(batch) - n
+        for index, note in enumerate(batch):
+            line = self._encode(note)
+            if self._file_bytes + len(line) > self._max_bytes:
+                self.dropped += len(batch) - index
                 break
             try:
                 self._file.write(line)
             except OSError:
-                self.dropped += len(batch) - n
+                self.dropped += len(batch) - index
                 raise
-            self._size += len(line)
+            self._file_bytes += len(line)
             self.written += 1
         self._file.flush()
 
@@ -119,15 +126,15 @@
         """At the gateway's end: the rest, and the header with what was dropped."""
         batch, self._pending = self._pending, []
         try:
-            if not self._broken and not self._writing:
-                self._write(batch)
+            if not self._failed and not self._writing:
+                self._write_batch(batch)
             else:
                 self.dropped += len(batch)
             self._file.seek(0)
             self._file.write(self._header())
             self._file.close()
         except OSError:
-            self._broken = True
+            self._failed = True
 
 
 def open_capture(
@@ -135,13 +142,13 @@
     settings: Settings,
     name: str,
     now: Callable[[], float],
-    run_aside: Callable[[Callable[[], None], Callable[[bool], None]], None],
+    run_in_thread: Callable[[Callable[[], None], Callable[[bool], None]], None],
 ) -> Capture | None:
     """None where no file is named. Raises OSError or ValueError where what is named can't be used."""
     path = environ.get(ENV_FILE)
     if not path:
         return None
-    most = float(environ.get(ENV_MB) or USUAL_MB)
-    if not 0 < most <= 1e6:
-        raise ValueError(f"{ENV_MB}: {most:g} is no size; give megabytes above 0")
-    return Capture(path, settings, name, now, run_aside, most)
+    max_mb = float(environ.get(ENV_MAX_MB) or DEFAULT_MAX_MB)
+    if not 0 < max_mb <= 1e6:
+        raise ValueError(f"{ENV_MAX_MB}: {max_mb:g} is no size; give megabytes above 0")
+    return Capture(path, settings, name, now, run_in_thread, max_mb)
--- a/meadowpulley/net/counters.py
+++ b/meadowpulley/net/counters.py
@@ -11,11 +11,11 @@
     def __init__(self) -> None:
         self._counts: Counter[str] = Counter()
 
-    def add(self, name: str, many: int = 1) -> None:
-        self._counts[name] += many
+    def add(self, name: str, amount: int = 1) -> None:
+        self._counts[name] += amount
 
     def __getitem__(self, name: str) -> int:
         return self._counts[name]
 
-    def all(self) -> dict[str, int]:
+    def snapshot(self) -> dict[str, int]:
         return dict(sorted(self._counts.items()))
--- a/meadowpulley/net/deadlines.py
+++ b/meadowpulley/net/deadlines.py
@@ -1,4 +1,7 @@
-"""All deadlines of the gateway, in one heap behind one reactor call, and the clock that they run on."""
+"""All deadlines of the gateway, in one heap behind one reactor call, and the clock that they run on.
+
+Times are milliseconds on that clock. Compiled by mypyc.
+"""
 
 from __future__ import annotations
 
@@ -8,93 +11,112 @@
 from collections.abc import Callable
 from typing import Any
 
-LEAST_CLEARED = 64  # called-off deadlines that are worth clearing out of the heap
+MIN_CANCELLED_TO_COMPACT = 64  # fewer cancelled deadlines are not worth a pass over the heap
 
 
 def now_ms() -> float:
+    """Return the monotonic clock's time in milliseconds."""
     return time.monotonic() * 1000.0
 
 
 class Deadline:
-    __slots__ = ("call",)
+    """A callback that runs once, unless it is cancelled before; None once it has run or is cancelled."""
+
+    __slots__ = ("callback",)
 
-    def __init__(self, call: Callable[[], None]) -> None:
-        self.call: Callable[[], None] | None = call
+    def __init__(self, callback: Callable[[], None]) -> None:
+        self.callback: Callable[[], None] | None = callback
 
 
 class Deadlines:
+    """Runs callbacks at their times.
+
+    `report_failure` is called, with a word for the place, while the exception of a callback is handled.
+    """
+
     def __init__(
         self,
         reactor: Any,
-        failed: Callable[[str], None],
+        report_failure: Callable[[str], None],
         clock: Callable[[], float] = now_ms,
     ) -> None:
         self.now = clock
-        self._reactor, self._failed = reactor, failed
+        self._reactor, self._report_failure = reactor, report_failure
         self._heap: list[tuple[float, int, Deadline]] = []  # tuples, since the heap compares them in C
-        self._called_off = self._numbers = 0
+        self._cancelled = self._last_sequence = 0
         self._running = False
-        self.turned_at = math.inf
-        self._armed: Any = None
-        self._armed_for = 0.0
+        self.polled_at = math.inf  # when the reactor last learned which input has come
+        self._reactor_call: Any = None
+        self._reactor_call_at = 0.0
 
     def __len__(self) -> int:
-        return len(self._heap) - self._called_off
-
-    def turn(self) -> None:
-        self.turned_at = self.now()
-
-    def came(self) -> float:
-        """When the input of this turn had come at the latest: in a long turn its last part is read well
-        after that, and a client's time runs from its sending."""
-        return min(self.now(), self.turned_at)
-
-    def at(self, when: float, call: Callable[[], None]) -> Deadline:
-        self._numbers += 1
-        deadline = Deadline(call)
-        heapq.heappush(self._heap, (when, self._numbers, deadline))
+        """Return how many deadlines are pending."""
+        return len(self._heap) - self._cancelled
+
+    def record_poll(self) -> None:
+        """Note that the reactor has learned which input has come, and reads it from now on."""
+        self.polled_at = self.now()
+
+    def arrival_time(self) -> float:
+        """Return when the input of the reactor's present turn had come at the latest.
+
+        In a long turn the last of it is read well after that, and a client's deadline counts from when it
+        was sent.
+        """
+        return min(self.now(), self.polled_at)
+
+    def at(self, when: float, callback: Callable[[], None]) -> Deadline:
+        """Run a callback at a time."""
+        self._last_sequence += 1
+        deadline = Deadline(callback)
+        heapq.heappush(self._heap, (when, self._last_sequence, deadline))
         if not self._running and self._heap[0][2] is deadline:
             self._arm()
         return deadline
 
-    def after(self, delay_ms: float, call: Callable[[], None]) -> Deadline:
-        return self.at(self.now() + max(delay_ms, 0.0), call)
+    def after(self, delay_ms: float, callback: Callable[[], None]) -> Deadline:
+        """Run a callback after a delay; a negative delay counts as 0."""
+        return self.at(self.now() + max(delay_ms, 0.0), callback)
 
-    def call_off(self, deadline: Deadline | None) -> None:
-        if deadline is None or deadline.call is None:
+    def cancel(self, deadline: Deadline | None) -> None:
+        """Cancel a deadline; nothing happens if it is None, has run or is cancelled."""
+        if deadline is None or deadline.callback is None:
             return
-        deadline.call = None
-        self._called_off += 1
-        if self._called_off > max(LEAST_CLEARED, len(self._heap) // 2):
-            self._heap = [entry for entry in self._heap if entry[2].call is not None]
+        deadline.callback = None
+        self._cancelled += 1
+        if self._cancelled > max(MIN_CANCELLED_TO_COMPACT, len(self._heap) // 2):
+            self._heap = [entry for entry in self._heap if entry[2].callback is not None]
             heapq.heapify(self._heap)
-            self._called_off = 0
+            self._cancelled = 0
 
     def run_due(self) -> None:
-        """Runs what is due now; what a call sets for the same moment waits for the next turn."""
+        """Run what is due now.
+
+        What a callback schedules for the same moment waits for the reactor's next turn.
+        """
         if self._running or not self._heap:
             return
-        now, last = self.now(), self._numbers
+        now, last_sequence = self.now(), self._last_sequence
         if self._heap[0][0] > now:
             return
         self._running = True
-        later: list[tuple[float, int, Deadline]] = []
+        postponed: list[tuple[float, int, Deadline]] = []
         try:
             while self._heap and self._heap[0][0] <= now:
                 entry = heapq.heappop(self._heap)
                 deadline = entry[2]
-                if deadline.call is None:
-                    self._called_off = max(self._called_off - 1, 0)
-                elif entry[1] > last:
-                    later.append(entry)
+                if deadline.callback is None:
+                    self._cancelled = max(self._cancelled - 1, 0)
+                elif entry[1] > last_sequence:
+                    postponed.append(entry)
                 else:
-                    call, deadline.call = deadline.call, None
+                    callback, deadline.callback = deadline.callback, None
                     try:
-                        call()
-                    except Exception:  # one broken call must not stop the others, nor the process
-                        self._failed("deadline")
+                        callback()
+                    except Exception:  # one broken callback must not stop the others, nor the process
+                        self._report_failure("deadline")
         finally:
-            for entry in later:
+            for entry in postponed:
                 heapq.heappush(self._heap, entry)
             self._running = False
             self._arm()
@@ -103,56 +125,62 @@
         if not self._heap:
             return
         when = self._heap[0][0]
-        if self._armed is None:
-            self._armed = self._reactor.callLater(max(when - self.now(), 0.0) / 1000.0, self._fire)
-            self._armed_for = when
-        elif when < self._armed_for:
-            self._armed.reset(max(when - self.now(), 0.0) / 1000.0)
-            self._armed_for = when
+        if self._reactor_call is None:
+            self._reactor_call = self._reactor.callLater(max(when - self.now(), 0.0) / 1000.0, self._fire)
+            self._reactor_call_at = when
+        elif when < self._reactor_call_at:
+            self._reactor_call.reset(max(when - self.now(), 0.0) / 1000.0)
+            self._reactor_call_at = when
 
     def _fire(self) -> None:
-        self._armed = None
+        self._reactor_call = None
         self.run_due()
-        if self._armed is None:
+        if self._reactor_call is None:
             self._arm()
 
 
-class Limit:
-    """The limit of one connection, which moves with every request: its place in the heap moves only when it
-    comes due too soon, so that moving it costs no more than a note of the time."""
+class ConnectionTimeout:
+    """The time-out of one connection, which is set anew with every request.
+
+    Its deadline stays where it is in the heap while the time-out moves later, and is scheduled again when it
+    comes due too soon: to set the time-out anew then costs no more than to note the time.
+    """
 
-    __slots__ = ("_call", "_deadlines", "_entry", "_entry_at", "at")
+    __slots__ = ("_callback", "_deadline", "_deadline_at", "_deadlines", "at")
 
     def __init__(self, deadlines: Deadlines) -> None:
         self._deadlines = deadlines
         self.at = math.inf
-        self._entry: Deadline | None = None
-        self._entry_at = math.inf
-        self._call: Callable[[], None] | None = None
+        self._deadline: Deadline | None = None
+        self._deadline_at = math.inf
+        self._callback: Callable[[], None] | None = None
 
-    def set(self, delay_ms: float, call: Callable[[], None]) -> None:
-        self.at, self._call = self._deadlines.now() + delay_ms, call
-        if self._entry is None or self._entry_at > self.at:
-            self._deadlines.call_off(self._entry)
-            self._place()
+    def set(self, delay_ms: float, callback: Callable[[], None]) -> None:
+        """Run a callback after a delay, in place of the one set before."""
+        self.at, self._callback = self._deadlines.now() + delay_ms, callback
+        if self._deadline is None or self._deadline_at > self.at:
+            self._deadlines.cancel(self._deadline)
+            self._schedule()
 
-    def lift(self) -> None:
+    def clear(self) -> None:
+        """Run no callback until the time-out is set anew."""
         self.at = math.inf
 
-    def clear(self) -> None:
-        self.lift()
-        self._deadlines.call_off(self._entry)
-        self._entry = self._call = None
+    def cancel(self) -> None:
+        """Run no callback, and leave nothing in the heap: the connection has ended."""
+        self.clear()
+        self._deadlines.cancel(self._deadline)
+        self._deadline = self._callback = None
 
-    def _place(self) -> None:
-        self._entry_at = self.at
-        self._entry = self._deadlines.at(self.at, self._due)
+    def _schedule(self) -> None:
+        self._deadline_at = self.at
+        self._deadline = self._deadlines.at(self.at, self._expire)
 
-    def _due(self) -> None:
-        self._entry = None
+    def _expire(self) -> None:
+        self._deadline = None
         if self.at <= self._deadlines.now():
-            self.at, call = math.inf, self._call
-            if call is not None:
-                call()
+            self.at, callback = math.inf, self._callback
+            if callback is not None:
+                callback()
         elif self.at < math.inf:
-            self._place()
+            self._schedule()
--- a/meadowpulley/net/hook.py
+++ b/meadowpulley/net/extension.py
@@ -21,7 +21,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
+class Response:
     """A final answer; `headers` are those from end to end, none that tell of the connection or the length."""
 
     status: int
@@ -30,34 +30,34 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Asked:
+class IncomingRequest:
     """A request as it was taken. Times are milliseconds on the gateway's clock."""
 
-    name: str  # the client's own id of it
+    request_id: str  # the client's own id of it
     event: Request  # what the decisions are told: its handle, class, tenant, key and deadline among it
     message: Message  # as it came: method, path with query, headers, body
     arrived_ms: float
-    open: bool  # another request of the same id is owed an answer here
+    is_duplicate: bool  # another request of the same id is owed an answer here
 
 
-Release: TypeAlias = Callable[[Answer], None]
+ReleaseResponse: TypeAlias = Callable[[Response], None]
 
 
-class Hook(Protocol):
-    def asked(self, asked: Asked) -> bool:
+class Extension(Protocol):
+    def on_request(self, incoming: IncomingRequest) -> bool:
         """Whether the decisions are told of a request from a client. Where not, it is the hook's: it has
         called `Requests.settle` for it, or will. Unanswered by its deadline and slack it gets 504, and if its
         client goes the decisions are told `RequestGone`, as of any other. One that is `open` is never started
         a second time: where the hook lets it pass it gets 409."""
 
-    def answering(self, request: int, answer: Answer, release: Release) -> None:
+    def on_response(self, handle: int, response: Response, release: ReleaseResponse) -> None:
         """The final answer of a request is known, and goes out once `release` is called with it, or with
         another in its place, or of itself by the request's deadline and slack. Not called for what the hook
         settled. The handle may be free by now."""
 
-    def left(self, request: int) -> bool:
+    def on_client_disconnected(self, handle: int) -> bool:
         """The client has gone before the answer: whether the work goes on. If so nobody else hears of it, and
         the answer, once it is there, comes to `answering` as any other."""
 
-    def draining(self) -> None:
+    def on_draining(self) -> None:
         """The gateway was told to end: called before any connection is closed for that."""
--- a/meadowpulley/net/host.py
+++ b/meadowpulley/net/gateway_context.py
@@ -14,13 +14,13 @@
 from meadowpulley.net.config import Config
 from meadowpulley.net.counters import Counters
 from meadowpulley.net.deadlines import Deadlines
-from meadowpulley.net.hook import Hook
+from meadowpulley.net.extension import Extension
 
 if TYPE_CHECKING:
     from meadowpulley.net.capture import Capture
 
 
-class Host(Protocol):
+class GatewayContext(Protocol):
     @property
     def config(self) -> Config:
         """Asked for anew each time: a reload replaces it."""
@@ -42,7 +42,7 @@
         """Where what clients ask is noted; None unless a file is named."""
 
     @property
-    def hook(self) -> Hook | None:
+    def extension(self) -> Extension | None:
         """A part beside the intake; None unless one was set."""
 
     @property
@@ -51,11 +51,11 @@
     @property
     def stopping(self) -> bool: ...
 
-    def tell(self, event: Event) -> None:
+    def dispatch(self, event: Event) -> None:
         """Hands an event to the decisions and carries out what they decide; one at a time, in order."""
 
-    def failed(self, where: str) -> None:
+    def log_fault(self, where: str) -> None:
         """Called while an exception is handled: it is logged and counted, and ends nothing."""
 
-    def settled(self) -> None:
+    def stop_if_drained(self) -> None:
         """Called whenever a connection has ended: the last one of a draining gateway ends the gateway."""
--- a/meadowpulley/net/seconds.py
+++ b/meadowpulley/net/interval_metrics.py
@@ -14,28 +14,30 @@
     from meadowpulley.net.counters import Counters
     from meadowpulley.net.gateway import Gateway
 
-LINE_MS = 1000.0
+INTERVAL_MS = 1000.0
 
 
-def held(balancer: Any, now: float) -> dict[str, Any]:
+def policy_snapshot(policy: Any, now: float) -> dict[str, Any]:
     """What a balancer holds: servers by build and state, requests at them and waiting, its room, the news."""
-    servers = list(balancer.servers.values())
+    servers = list(policy.servers.values())
     ready = [s for s in servers if s.state is ServerState.READY]
-    best = balancer.best
+    furthest = policy.furthest_rollout
     return {
         "servers": dict(Counter(f"{s.build}.{s.state.name.lower()}" for s in servers)),
-        "resting": sum(now < s.rest_until for s in ready),
-        "out": len(balancer.attempts),
-        "waiting": len(balancer.waiting),
-        "room": round(min(balancer.room, 1e6), 1),
-        "usual_ms": round(balancer.usual_ms),
-        "odds": round(balancer.odds, 3),
-        "strays": balancer.peers.strays,
-        "news": None if best is None else [best.build, best.stage, best.phase.name.lower(), best.cap],
+        "resting": sum(now < s.ejected_until for s in ready),
+        "out": len(policy.attempts),
+        "waiting": len(policy.waiting),
+        "room": round(min(policy.concurrency_limit, 1e6), 1),
+        "usual_ms": round(policy.mean_latency_ms),
+        "odds": round(policy.trial_probability, 3),
+        "strays": policy.gossip.rejected_digests,
+        "news": None
+        if furthest is None
+        else [furthest.build, furthest.stage, furthest.phase.name.lower(), furthest.cap],
     }
 
 
-class Tap:
+class BuildCounterStage:
     """A stage before the decisions that only counts: sends and outcomes by the build that they were of."""
 
     def __init__(self, inner: Any, counters: Counters) -> None:
@@ -53,28 +55,30 @@
         return actions
 
 
-class Seconds:
+class IntervalMetrics:
     """Writes the lines of one gateway from its start to its end."""
 
     def __init__(self, gateway: Gateway) -> None:
-        self._gateway, self._balancer = gateway, gateway.balancer
-        gateway.balancer = Tap(gateway.balancer, gateway.counters)
-        self._before: dict[str, int] = {}
-        self._next()
+        self._gateway, self._policy = gateway, gateway.pipeline
+        gateway.pipeline = BuildCounterStage(gateway.pipeline, gateway.counters)
+        self._last_counts: dict[str, int] = {}
+        self._schedule()
 
-    def _next(self) -> None:
-        self._gateway.deadlines.after(LINE_MS, self._write)
+    def _schedule(self) -> None:
+        self._gateway.deadlines.after(INTERVAL_MS, self._log_interval)
 
-    def _write(self) -> None:
+    def _log_interval(self) -> None:
         gateway = self._gateway
-        counts = gateway.counters.all()
-        new = {k: n - self._before.get(k, 0) for k, n in counts.items() if n != self._before.get(k, 0)}
-        self._before = counts
+        counts = gateway.counters.snapshot()
+        changes = {
+            k: n - self._last_counts.get(k, 0) for k, n in counts.items() if n != self._last_counts.get(k, 0)
+        }
+        self._last_counts = counts
         gateway.log.info(
             "second",
-            sockets=gateway.instances.sockets,
-            counts=new,
-            held=held(self._balancer, gateway.deadlines.now()),
+            sockets=gateway.instances.open_sockets,
+            counts=changes,
+            held=policy_snapshot(self._policy, gateway.deadlines.now()),
         )
         if not gateway.stopping:
-            self._next()
+            self._schedule()
--- a/meadowpulley/net/ring.py
+++ b/meadowpulley/net/ring.py
@@ -1,79 +1,89 @@
-"""A bounded ring buffer: every connection has one for each direction."""
+"""A bounded ring buffer; every connection has one for each direction. Compiled by mypyc."""
 
 from __future__ import annotations
 
-START = 2048  # bytes a ring holds at first, and again once it is empty: an idle connection costs little
+INITIAL_BYTES = 2048  # the capacity at first, and again once it is empty: an idle connection costs little
 
 
-class RingFullError(Exception):
-    """More bytes came than the ring may ever hold."""
+class RingBufferFullError(Exception):
+    """More bytes were written than the buffer may ever hold."""
 
 
-class Ring:
-    def __init__(self, bound: int) -> None:
-        self.bound = bound
+class RingBuffer:
+    """Bytes in the order in which they were written, in a buffer that grows up to `max_bytes`."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
         self._start, self._size = 0, 0
-        self._bytes = bytearray(min(START, bound))
+        self._bytes = bytearray(min(INITIAL_BYTES, max_bytes))
 
     def __len__(self) -> int:
+        """Return how many bytes it holds."""
         return self._size
 
     @property
-    def room(self) -> int:
-        return self.bound - self._size
+    def free_bytes(self) -> int:
+        """How many bytes more it may hold."""
+        return self.max_bytes - self._size
 
     def write(self, data: bytes) -> None:
+        """Append bytes. Raises RingBufferFullError, and then holds what it held before."""
         size = self._size + len(data)
-        if size > self.bound:
-            raise RingFullError(f"{size} bytes, at most {self.bound} fit")
+        if size > self.max_bytes:
+            raise RingBufferFullError(f"{size} bytes, at most {self.max_bytes} fit")
         capacity = len(self._bytes)
         if size > capacity:
-            grown = bytearray(min(max(2 * capacity, size), self.bound))
+            grown = bytearray(min(max(2 * capacity, size), self.max_bytes))
             grown[: self._size] = self.peek(self._size)
             self._bytes, self._start, capacity = grown, 0, len(grown)
-        at = (self._start + self._size) % capacity
-        first = capacity - at
-        if len(data) <= first:
-            self._bytes[at : at + len(data)] = data
+        offset = (self._start + self._size) % capacity
+        contiguous_bytes = capacity - offset
+        if len(data) <= contiguous_bytes:
+            self._bytes[offset : offset + len(data)] = data
         else:
-            self._bytes[at:] = data[:first]
-            self._bytes[: len(data) - first] = data[first:]
+            self._bytes[offset:] = data[:contiguous_bytes]
+            self._bytes[: len(data) - contiguous_bytes] = data[contiguous_bytes:]
         self._size = size
 
     def peek(self, size: int, skip: int = 0) -> bytes:
-        """Up to `size` bytes after the first `skip`, left where they are."""
+        """Return up to `size` bytes after the first `skip`, and keep them."""
         size = max(min(size, self._size - skip), 0)
         capacity = len(self._bytes)
-        at = (self._start + skip) % capacity
-        if at + size <= capacity:
-            return bytes(self._bytes[at : at + size])
-        return bytes(self._bytes[at:]) + bytes(self._bytes[: at + size - capacity])
+        offset = (self._start + skip) % capacity
+        if offset + size <= capacity:
+            return bytes(self._bytes[offset : offset + size])
+        return bytes(self._bytes[offset:]) + bytes(self._bytes[: offset + size - capacity])
 
     def find(self, needle: bytes, skip: int = 0) -> int:
-        """Where `needle` begins, after the first `skip` bytes; -1 where it is not. What lies behind it is not
-        looked at: many short lines that came at once would each cost the whole of the rest."""
+        """Return where `needle` begins, after the first `skip` bytes; -1 if it is not there.
+
+        The search stops at the first match: many short lines that came at once would otherwise each cost a
+        pass over all of the rest.
+        """
         capacity, end = len(self._bytes), self._start + self._size
-        at = self._bytes.find(needle, self._start + skip, min(end, capacity))
-        if at >= 0 or end <= capacity:
-            return at - self._start if at >= 0 else -1
-        first = capacity - self._start  # bytes before the seam
-        near = max(skip, first - len(needle) + 1)
-        if near < first:
-            at = self.peek(first + len(needle) - 1 - near, near).find(needle)
-            if at >= 0:
-                return at + near
-        at = self._bytes.find(needle, max(skip - first, 0), end - capacity)
-        return at + first if at >= 0 else -1
+        index = self._bytes.find(needle, self._start + skip, min(end, capacity))
+        if index >= 0 or end <= capacity:
+            return index - self._start if index >= 0 else -1
+        bytes_before_wrap = capacity - self._start
+        overlap_start = max(skip, bytes_before_wrap - len(needle) + 1)
+        if overlap_start < bytes_before_wrap:
+            index = self.peek(bytes_before_wrap + len(needle) - 1 - overlap_start, overlap_start).find(needle)
+            if index >= 0:
+                return index + overlap_start
+        index = self._bytes.find(needle, max(skip - bytes_before_wrap, 0), end - capacity)
+        return index + bytes_before_wrap if index >= 0 else -1
 
     def take(self, size: int) -> bytes:
+        """Return up to `size` bytes and remove them."""
         data = self.peek(size)
         self._size -= len(data)
         self._start = (self._start + len(data)) % len(self._bytes)
         if not self._size:
             self._start = 0
-            if len(self._bytes) > START:
-                self._bytes = bytearray(min(START, self.bound))
+            if len(self._bytes) > INITIAL_BYTES:
+                self._bytes = bytearray(min(INITIAL_BYTES, self.max_bytes))
         return data
 
     def clear(self) -> None:
+        """Remove all bytes."""
         self.take(self._size)
--- a/meadowpulley/net/slots.py
+++ b/meadowpulley/net/slots.py
@@ -16,11 +16,11 @@
     """Every slot of the table is taken."""
 
 
-class Slots(Generic[T]):
+class SlotTable(Generic[T]):
     def __init__(self, size: int) -> None:
         self.size = size
         self._items: list[T | None] = [None] * size
-        self._uses = [0] * size
+        self._generations = [0] * size
         self._free = list(range(size - 1, -1, -1))
 
     def __len__(self) -> int:
@@ -38,12 +38,12 @@
             raise SlotsFullError(f"all {self.size} slots are taken")
         slot = self._free.pop()
         self._items[slot] = item
-        self._uses[slot] += 1
-        return self._uses[slot] * self.size + slot
+        self._generations[slot] += 1
+        return self._generations[slot] * self.size + slot
 
     def get(self, handle: int) -> T | None:
-        uses, slot = divmod(handle, self.size)
-        return self._items[slot] if self._uses[slot] == uses else None
+        generation, slot = divmod(handle, self.size)
+        return self._items[slot] if self._generations[slot] == generation else None
 
     def free(self, handle: int) -> T | None:
         """Empties the slot; a handle that no longer holds one frees nothing."""
--- a/meadowpulley/placement/__init__.py
+++ b/meadowpulley/placement/__init__.py
@@ -1,58 +1,71 @@
-"""Placements compared: requests split between placement policies, their completion times compared honestly.
+"""Compare placement policies on live traffic: split requests between them, and estimate the difference.
 
-Off unless an experiment's file is named; the gateway that `run` starts imports none of it. Reading order:
-`policies` (orders of the servers that a request may go to), `definition` and `config` (the file of an
-experiment), `assign` (which arm a unit belongs to), `contrast` (bins behind the mixed Differences-in-Q
-estimate), `counts` (what each life counts, and how it is merged), `mixed` and `estimate` (differences,
-intervals, confidence sequences), `guard` (when an arm must end), `origins` (what takeover knows), `stage`
-(labels and counts, around the decisions), `gateway` (at a gateway on sockets), `summary` (what it came to,
-for readers), `emulated` (experiments on the emulated fleet, and the truth), `supermarket` and `truth` (how
-good the estimates are, in a quick model where the answer is known).
+Off unless an experiment's file is named; the gateway that `run` starts imports none of it. Modules in reading
+order: `policies` (orders of the servers that a request may go to), `definition` and `config` (the file of an
+experiment), `assignment` (which arm a unit belongs to), `time_bins` (short bins behind the mixed
+Differences-in-Q estimate), `counter_records` and `arm_counters` (what each incarnation counts and stores),
+`merged_counters` (the fleet's sums), `differences_in_q` and `estimate` (differences, intervals, confidence
+sequences), `guard` (when an arm must end), `origins` (what takeover knows), `request_tracker` (labels and
+counts requests), `record_writer` (writes to the ledger), `stage` (stands before the rollout policy),
+`gateway` (at a gateway on sockets), `summary` (results for readers), `emulated` (experiments on the emulated
+fleet), `supermarket_model` and `calibration` (how good the estimates are where the answer is known).
 """
 
-from meadowpulley.placement.assign import Assignment
+from meadowpulley.placement.assignment import Assignment
 from meadowpulley.placement.config import read_experiment
-from meadowpulley.placement.counts import Count, Merged, merge, read_count
+from meadowpulley.placement.counter_records import CountersRecord, decode_counters
 from meadowpulley.placement.definition import (
     Arm,
-    End,
+    EndCondition,
     Experiment,
     Guard,
-    check_running,
-    parse_placement,
-    placements,
+    build_placements,
+    check_matches_running,
+    parse_experiment,
 )
-from meadowpulley.placement.estimate import Estimate, mixed, naive, switchback
-from meadowpulley.placement.origins import Origin, Origins
+from meadowpulley.placement.estimate import (
+    Estimate,
+    estimate_mixed,
+    estimate_naive,
+    estimate_switchback,
+)
+from meadowpulley.placement.merged_counters import MergedCounters, merge_counters
+from meadowpulley.placement.origins import OriginLookup, RequestOrigin
 from meadowpulley.placement.policies import POLICIES
 from meadowpulley.placement.stage import PlacementStage
-from meadowpulley.placement.summary import Comparison, Summary, read_summary, summarize, versions
+from meadowpulley.placement.summary import (
+    Comparison,
+    Summary,
+    incarnations_by_version,
+    read_summary,
+    summarize,
+)
 
 __all__ = [
     "POLICIES",
     "Arm",
     "Assignment",
     "Comparison",
-    "Count",
-    "End",
+    "CountersRecord",
+    "EndCondition",
     "Estimate",
     "Experiment",
     "Guard",
-    "Merged",
-    "Origin",
-    "Origins",
+    "MergedCounters",
+    "OriginLookup",
     "PlacementStage",
+    "RequestOrigin",
     "Summary",
-    "check_running",
-    "merge",
-    "mixed",
-    "naive",
-    "parse_placement",
-    "placements",
-    "read_count",
+    "build_placements",
+    "check_matches_running",
+    "decode_counters",
+    "estimate_mixed",
+    "estimate_naive",
+    "estimate_switchback",
+    "incarnations_by_version",
+    "merge_counters",
+    "parse_experiment",
     "read_experiment",
     "read_summary",
     "summarize",
-    "switchback",
-    "versions",
 ]
--- a/meadowpulley/placement/config.py
+++ b/meadowpulley/placement/config.py
@@ -1,6 +1,6 @@
-"""What a gateway is told of an experiment at its start: `MEADOWPULLEY_PLACEMENT` names its file.
+"""Read the file of the experiment that `MEADOWPULLEY_PLACEMENT` names at a gateway's start.
 
-`deploy/placement.env` documents it. Nothing of this package is imported or read unless it is set.
+`deploy/placement.env` documents the variable. Unless it is set, nothing of this package is imported or read.
 """
 
 from __future__ import annotations
@@ -10,20 +10,25 @@
 
 from meadowpulley.fleet import FleetError
 from meadowpulley.interface import Settings
-from meadowpulley.placement.definition import Experiment, parse_placement
+from meadowpulley.placement.definition import Experiment, parse_experiment
 
-ENV = "MEADOWPULLEY_PLACEMENT"
+ENV_VARIABLE = "MEADOWPULLEY_PLACEMENT"
 
 
 def read_experiment(
-    environ: Mapping[str, str], settings: Settings, read: Callable[[Path], bytes] = Path.read_bytes
+    environ: Mapping[str, str], settings: Settings, read_file: Callable[[Path], bytes] = Path.read_bytes
 ) -> Experiment | None:
-    """None where no experiment is wanted. Raises `FleetError`: one line that says what, where, what to do."""
-    where = environ.get(ENV, "")
-    if not where:
+    """Return the experiment; None where no file is named.
+
+    Raises `FleetError` with one line for a file that can't be read or is invalid.
+    """
+    path = environ.get(ENV_VARIABLE, "")
+    if not path:
         return None
     try:
-        raw = read(Path(where))
+        raw = read_file(Path(path))
     except OSError as error:
-        raise FleetError(f"{ENV}: {where}: {error.strerror or error}: name a file that can be read") from None
-    return parse_placement(raw, where, [c.name for c in settings.classes])
+        reason = error.strerror or error
+        raise FleetError(f"{ENV_VARIABLE}: {path}: {reason}: name a file that can be read") from None
+    class_names = [request_class.name for request_class in settings.classes]
+    return parse_experiment(raw, path, class_names)
--- a/meadowpulley/placement/definition.py
+++ b/meadowpulley/placement/definition.py
@@ -1,7 +1,8 @@
-"""The definition of an experiment on placements: a file of intent, checked whole; its hash is its version.
+"""The definition of a placement experiment: a file, validated whole; its hash is the experiment's version.
 
-Every gateway reads the same definition; the hash covers all that it says, so that two gateways with the same
-version assign alike and may add their counts. Which version runs is one record on the ledger.
+Every gateway reads the same definition. The hash covers all that it says, so that two gateways with the same
+version assign alike and may add up their counters. One record in the ledger says which version runs. The
+names of the fields are those of the file.
 """
 
 from __future__ import annotations
@@ -15,18 +16,21 @@
 import xxhash
 from msgspec import Meta, Struct
 
-from meadowpulley.fleet import FleetError, read_intent
-from meadowpulley.fleet.model import Name, Positive, PositiveShare, Whole
+from meadowpulley.fleet import FleetError, read_toml
+from meadowpulley.fleet.model import Name, Positive, PositiveInt, PositiveShare
 from meadowpulley.interface import Placement
-from meadowpulley.placement.policies import OWN, POLICIES
+from meadowpulley.placement.policies import DEFAULT_POLICY, POLICIES
 
 Unit = Literal["request", "key", "tenant", "time"]
 Probability = Annotated[float, Meta(gt=0, lt=0.5)]
+PART_TOLERANCE = 1e-9  # by which the sum of the arms' parts may exceed 1
 
 
 class Arm(Struct, frozen=True, forbid_unknown_fields=True):
-    """A placement policy and its part of the units; the parts of all arms add up to 1 at most. The first arm
-    is the baseline that the others are compared with."""
+    """A placement policy, and its part of the units.
+
+    The parts of all arms add up to 1 at most. The first arm is the baseline of all comparisons.
+    """
 
     name: Name
     policy: str
@@ -34,29 +38,34 @@
 
 
 class Guard(Struct, frozen=True, forbid_unknown_fields=True):
-    """Ends an arm whose mean completion is worse than the baseline's by more than the part `worse` of it,
-    which it may do by mistake with the probability `alpha`, however often it looks."""
+    """When an arm is ended: if its mean cost is above the baseline's by more than the part `worse` of it.
+
+    `alpha` is the probability that an arm is ended by mistake, however often the guard evaluates.
+    """
 
     worse: Positive = 0.1
     alpha: Probability = 0.01
 
 
-class End(Struct, frozen=True, forbid_unknown_fields=True):
-    """When the experiment is over: at a moment, after so many requests of all gateways, or the first."""
+class EndCondition(Struct, frozen=True, forbid_unknown_fields=True):
+    """When the experiment ends: at a time, after a number of requests of all gateways, or at the earlier."""
 
     at: datetime | None = None
-    requests: Whole | None = None
+    requests: PositiveInt | None = None
 
 
 class Experiment(Struct, frozen=True, forbid_unknown_fields=True):
-    """`classes`: names of the classes that take part, all if empty. `carry_ms`: for how long a request is
-    held to burden those after it (the paper's L, as a time: some 30 usual latencies). `block_ms`,
-    `settle_ms`: of a switchback, the length of a time block and its first part that is not compared."""
+    """A placement experiment as its file defines it.
+
+    `classes` names the request classes that take part, all if empty. `carry_ms` is for how long a request is
+    assumed to burden those after it (the paper's L, as a time: some 30 typical latencies). `block_ms` and
+    `settle_ms` are of a switchback: the length of a time block, and of its beginning that is not compared.
+    """
 
     version: int
     name: Name
     arms: Annotated[tuple[Arm, ...], Meta(min_length=2, max_length=16)]
-    end: End
+    end: EndCondition
     unit: Unit = "request"
     classes: tuple[str, ...] = ()
     carry_ms: Positive = 3000.0
@@ -64,90 +73,124 @@
     settle_ms: Annotated[float, Meta(ge=0)] = 10_000.0
     guard: Guard = Guard()
 
-    def odds(self, arm: int) -> float:
-        """The arm's part among itself and the baseline."""
+    def relative_probability(self, arm: int) -> float:
+        """Return an arm's probability among itself and the baseline."""
         return self.arms[arm].part / (self.arms[arm].part + self.arms[0].part)
 
     @property
     def digest(self) -> str:
-        """The hash of all that it says: its version among gateways."""
+        """The hash of the whole definition: its version among gateways."""
         return xxhash.xxh3_128_hexdigest(msgspec.json.encode(self, order="deterministic"))
 
-    def key(self, what: str) -> str:
-        """The ledger's key of one of its records."""
-        return f"placement/{self.name}/{self.digest}/{what}"
+    def record_key(self, name: str) -> str:
+        """Return the ledger's key of one of this version's records."""
+        return f"placement/{self.name}/{self.digest}/{name}"
 
     @property
-    def running(self) -> str:
-        """The ledger's key of the record that holds the whole definition that runs under this name."""
+    def definition_key(self) -> str:
+        """The ledger's key of the definition that runs under this experiment's name."""
         return f"placement/{self.name}/running"
 
 
-def parse_placement(raw: bytes, where: str, classes: Sequence[str] | None = None) -> Experiment:
-    """An experiment's file, checked against the classes of the settings, if given. Raises FleetError."""
-    experiment = read_intent(raw, where, Experiment)
-    check_placement(experiment, where, classes)
+def parse_experiment(raw: bytes, path: str, classes: Sequence[str] | None = None) -> Experiment:
+    """Parse an experiment's file, and check it against the settings' classes, if given.
+
+    Raises `FleetError`.
+    """
+    experiment = read_toml(raw, path, Experiment)
+    validate_experiment(experiment, path, classes)
     return experiment
 
 
-def check_placement(e: Experiment, where: str, classes: Sequence[str] | None = None) -> None:
-    names = [arm.name for arm in e.arms]
-    for n, arm in enumerate(e.arms):
-        path = f"{where}: arms[{n}]"
+def validate_experiment(experiment: Experiment, path: str, classes: Sequence[str] | None = None) -> None:
+    """Raise `FleetError`, one line, for a definition that contradicts itself or the settings' classes."""
+    _validate_arms(experiment, path)
+    _validate_classes(experiment, path, classes)
+    _validate_times(experiment, path)
+
+
+def _validate_arms(experiment: Experiment, path: str) -> None:
+    names = [arm.name for arm in experiment.arms]
+    known = (DEFAULT_POLICY, *POLICIES)
+    for index, arm in enumerate(experiment.arms):
+        arm_path = f"{path}: arms[{index}]"
         if names.count(arm.name) > 1:
-            raise FleetError(f"{path}.name: '{arm.name}' is there twice; names must differ")
-        if arm.policy not in (OWN, *POLICIES):
-            known = ", ".join((OWN, *POLICIES))
-            raise FleetError(f"{path}.policy: '{arm.policy}' is none; known are {known}")
-    total = math.fsum(arm.part for arm in e.arms)
-    if total > 1 + 1e-9:
-        raise FleetError(f"{where}: arms: parts add up to {total:g}, over 1; make them smaller")
-    for name in e.classes:
-        if e.classes.count(name) > 1:
-            raise FleetError(f"{where}: classes: '{name}' is there twice; name each once")
+            raise FleetError(f"{arm_path}.name: '{arm.name}' is there twice; names must differ")
+        if arm.policy not in known:
+            raise FleetError(f"{arm_path}.policy: '{arm.policy}' is none; known are {', '.join(known)}")
+    total = math.fsum(arm.part for arm in experiment.arms)
+    if total > 1 + PART_TOLERANCE:
+        raise FleetError(f"{path}: arms: parts add up to {total:g}, over 1; make them smaller")
+
+
+def _validate_classes(experiment: Experiment, path: str, classes: Sequence[str] | None) -> None:
+    for name in experiment.classes:
+        if experiment.classes.count(name) > 1:
+            raise FleetError(f"{path}: classes: '{name}' is there twice; name each once")
         if classes is not None and name not in classes:
-            raise FleetError(f"{where}: classes: '{name}' is no class; known are {', '.join(classes)}")
-    if e.end.at is None and e.end.requests is None:
-        raise FleetError(f"{where}: end: neither 'at' nor 'requests'; an experiment must end: give one")
-    if e.end.at is not None and e.end.at.tzinfo is None:
-        raise FleetError(f"{where}: end.at: without a zone; write it with one, as 2027-01-31T12:00:00Z")
-    if e.unit == "time" and e.settle_ms >= e.block_ms:
+            raise FleetError(f"{path}: classes: '{name}' is no class; known are {', '.join(classes)}")
+
+
+def _validate_times(experiment: Experiment, path: str) -> None:
+    end = experiment.end
+    if end.at is None and end.requests is None:
+        raise FleetError(f"{path}: end: neither 'at' nor 'requests'; an experiment must end: give one")
+    if end.at is not None and end.at.tzinfo is None:
+        raise FleetError(f"{path}: end.at: without a zone; write it with one, as 2027-01-31T12:00:00Z")
+    if experiment.unit == "time" and experiment.settle_ms >= experiment.block_ms:
         raise FleetError(
-            f"{where}: settle_ms: {e.settle_ms:g} leaves nothing of a block; make it under {e.block_ms:g}"
+            f"{path}: settle_ms: {experiment.settle_ms:g} leaves nothing of a block; "
+            f"make it under {experiment.block_ms:g}"
         )
 
 
-def check_running(mine: Experiment, found: bytes, where: str) -> None:
-    """Whether the definition that runs in the fleet under this name is this one. Raises FleetError."""
-    theirs = read_shared(found)
-    if theirs is None:
-        raise FleetError(f"{where}: name: the fleet's record of '{mine.name}' can't be read; choose another")
-    if theirs.digest != mine.digest:
+def check_matches_running(own: Experiment, stored: bytes, path: str) -> None:
+    """Check that the definition which runs under this name is the own one. Raises `FleetError`."""
+    running = decode_definition(stored)
+    if running is None:
+        raise FleetError(f"{path}: name: the fleet's record of '{own.name}' can't be read; choose another")
+    if running.digest != own.digest:
         raise FleetError(
-            f"{where}: name: '{mine.name}' runs as version {theirs.digest[:8]}, this file is "
-            f"{mine.digest[:8]}; end that one first or choose another name"
+            f"{path}: name: '{own.name}' runs as version {running.digest[:8]}, this file is "
+            f"{own.digest[:8]}; end that one first or choose another name"
         )
 
 
-def read_shared(value: bytes) -> Experiment | None:
-    """A definition as another gateway wrote it to the ledger; None for what is no such thing."""
+def encode_definition(experiment: Experiment) -> bytes:
+    """Encode a definition as its record's value in the ledger."""
+    return msgspec.json.encode(experiment)
+
+
+def decode_definition(value: bytes) -> Experiment | None:
+    """Decode a definition that another gateway wrote to the ledger; None if it is invalid."""
     try:
-        found = msgspec.json.decode(value, type=Experiment)
-        check_placement(found, "ledger")
+        experiment = msgspec.json.decode(value, type=Experiment)
+        validate_experiment(experiment, "ledger")
     except (msgspec.MsgspecError, FleetError):
         return None
-    return found
+    return experiment
+
+
+def arm_labels(experiment: Experiment) -> tuple[int, ...]:
+    """Return `Request.arm` of each arm.
 
+    Arms with a policy come first: their labels are the indices of `build_placements`. Those of the default
+    policy get numbers that no placement has: the rollout policy chooses, and each arm still has its own
+    label.
+    """
+    placed = [index for index, arm in enumerate(experiment.arms) if arm.policy != DEFAULT_POLICY]
+    order = placed + [index for index in range(len(experiment.arms)) if index not in placed]
+    return tuple(order.index(index) + 1 for index in range(len(experiment.arms)))
 
-def labels(e: Experiment) -> tuple[int, ...]:
-    """`Request.arm` of each arm: places in `placements` first, and for arms that leave the choice to the
-    module numbers that no placement has: so the balancer chooses, and each arm's label is still its own."""
-    placed = [n for n, arm in enumerate(e.arms) if arm.policy != OWN]
-    order = placed + [n for n in range(len(e.arms)) if n not in placed]
-    return tuple(order.index(n) + 1 for n in range(len(e.arms)))
 
+def build_placements(experiment: Experiment, seed: int) -> tuple[Placement, ...]:
+    """Return the placements that the rollout policy takes.
 
-def placements(e: Experiment, seed: int) -> tuple[Placement, ...]:
-    """What `Balancer` takes: `placements[n]` orders the servers of requests labelled `n`; nobody asks 0."""
-    made = [POLICIES[arm.policy](seed + n) for n, arm in enumerate(e.arms) if arm.policy != OWN]
-    return (made[0], *made) if made else ()
+    The n-th orders the servers of requests labelled n; no request is labelled 0.
+    """
+    built = [
+        POLICIES[arm.policy](seed + index)
+        for index, arm in enumerate(experiment.arms)
+        if arm.policy != DEFAULT_POLICY
+    ]
+    return (built[0], *built) if built else ()
--- /dev/null
+++ b/meadowpulley/placement/differences_in_q.py
@@ -0,0 +1,148 @@
+"""Sums behind the mixed Differences-in-Q estimate (the paper's (12) to (21), C.3), from the fleet's bins.
+
+An arm's mean Q is compared with the baseline's by the probabilities of the assignment, which are known
+(Horvitz and Thompson 1952), after subtracting an expectation: a plane in the requests outstanding at the
+bin's start and the requests that arrive in its reach, fitted to earlier bins only. Neither depends on arms
+drawn in the bin or later, so that the comparison is unbiased whatever the plane is. Means of short blocks
+in place of the probabilities would be wrong: requests near one of an arm are then a little less often of
+that arm, and their burdens hide a good part of the effect (docs/design/placement.md).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import numpy as np
+import numpy.typing as npt
+
+from meadowpulley.placement.time_bins import LOOKAHEAD_BINS, TimeBin
+
+WARMUP_BINS = 20  # before which no expectation of Q is fitted
+RIDGE = 1e-6  # added to the normalized moments' diagonal, so that the plane is always defined
+MIN_SCALE = 1e-9
+
+Floats = npt.NDArray[np.float64]
+
+
+@dataclass(frozen=True, slots=True)
+class GroupSums:
+    """Sums over one group of units: Q less its expectation, over the probability of its arm.
+
+    The baseline's terms are negative. Q is measured by completion times (`cost`) and by outstanding
+    requests (`outstanding`); squares and products are of the same; the counts are the arm's and the
+    baseline's requests.
+    """
+
+    cost: float
+    outstanding: float
+    cost_squares: float
+    outstanding_squares: float
+    products: float
+    arm_requests: int
+    baseline_requests: int
+
+
+@dataclass(frozen=True, slots=True)
+class QResiduals:
+    """Q less its expectation, by bin; nan at both ends, where it is not known."""
+
+    by_cost: Floats
+    by_outstanding: Floats
+
+
+def fill_gaps(bins: Sequence[TimeBin]) -> list[TimeBin | None]:
+    """Return a bin, or None, for each number from the first to the last."""
+    if not bins:
+        return []
+    by_number = {time_bin.number: time_bin for time_bin in bins}
+    return [by_number.get(number) for number in range(bins[0].number, bins[-1].number + 1)]
+
+
+def _sum_ahead(values: Floats) -> Floats:
+    """Return the sums of each bin and the next `LOOKAHEAD_BINS`; nan where these are not all there."""
+    total = np.concatenate(([0.0], np.cumsum(values)))
+    sums = np.full(len(values), np.nan)
+    complete = len(values) - LOOKAHEAD_BINS
+    if complete > 0:
+        sums[:complete] = total[LOOKAHEAD_BINS + 1 :] - total[:complete]
+    return sums
+
+
+def q_residuals(
+    accepted: Floats, cost_ms: Floats, outstanding_ms: Floats, outstanding_at_start: Floats
+) -> QResiduals:
+    """Return each bin's Q less its expectation, from the fleet's sums by bin; nan where it is not known."""
+    q = np.stack((_sum_ahead(cost_ms), _sum_ahead(outstanding_ms)), axis=1)
+    regressors = np.stack((np.ones(len(accepted)), outstanding_at_start, _sum_ahead(accepted)), axis=1)
+    known = ~np.isnan(regressors[:, 2])
+    known_regressors = np.where(known[:, None], regressors, 0.0)
+    known_q = np.where(known[:, None], q, 0.0)
+    moments = np.cumsum(known_regressors[:, :, None] * known_regressors[:, None, :], axis=0)
+    products = np.cumsum(known_regressors[:, :, None] * known_q[:, None, :], axis=0)
+    residuals = np.full_like(q, np.nan)
+    first = WARMUP_BINS + LOOKAHEAD_BINS + 1
+    if len(regressors) > first + LOOKAHEAD_BINS:
+        # What was known before a bin: the bins whose reach ended before it began.
+        past = slice(first - LOOKAHEAD_BINS - 1, len(regressors) - LOOKAHEAD_BINS - 1)
+        planes = _fit_planes(moments[past], products[past])
+        residuals[first:] = q[first:] - np.einsum("bi,bik->bk", regressors[first:], planes)
+    return QResiduals(residuals[:, 0], residuals[:, 1])
+
+
+def _fit_planes(moments: Floats, products: Floats) -> Floats:
+    """Return the coefficients of a least-squares plane for each bin, with a slight ridge penalty."""
+    scale = np.sqrt(np.einsum("bii->bi", moments)) + MIN_SCALE
+    normalized = moments / (scale[:, :, None] * scale[:, None, :]) + RIDGE * np.eye(3)
+    coefficients = np.linalg.solve(normalized, products / scale[:, :, None]) / scale[:, :, None]
+    return np.asarray(coefficients)
+
+
+def group_sums(
+    residuals: QResiduals, arm_counts: Floats, baseline_counts: Floats, arm_probability: float
+) -> GroupSums:
+    """Return the sums over a group, whose requests of both arms are given by bin.
+
+    `arm_probability` is the arm's probability among itself and the baseline.
+    """
+    known = ~np.isnan(residuals.by_cost)
+    in_arm, in_baseline = arm_counts[known], baseline_counts[known]
+    by_cost, by_outstanding = residuals.by_cost[known], residuals.by_outstanding[known]
+    signed = in_arm / arm_probability - in_baseline / (1 - arm_probability)
+    squared = in_arm / arm_probability**2 + in_baseline / (1 - arm_probability) ** 2
+    return GroupSums(
+        cost=float(signed @ by_cost),
+        outstanding=float(signed @ by_outstanding),
+        cost_squares=float(squared @ (by_cost * by_cost)),
+        outstanding_squares=float(squared @ (by_outstanding * by_outstanding)),
+        products=float(squared @ (by_cost * by_outstanding)),
+        arm_requests=int(in_arm.sum()),
+        baseline_requests=int(in_baseline.sum()),
+    )
+
+
+def sums_by_group(
+    bins: Sequence[TimeBin], metric: int, arm: int, arm_probability: float
+) -> dict[int, GroupSums]:
+    """Return the sums of an arm against the baseline, by group of units."""
+    time_bins = fill_gaps(bins)
+
+    def column(read: Callable[[TimeBin], float]) -> Floats:
+        return np.array([0.0 if time_bin is None else float(read(time_bin)) for time_bin in time_bins])
+
+    def counts_of(group: int, of_arm: int) -> Floats:
+        return column(lambda b: 0 if arm in b.ended_arms else b.arm_counts.get((group, of_arm), 0))
+
+    residuals = q_residuals(
+        column(lambda b: b.accepted[metric]),
+        column(lambda b: b.cost_ms[metric]),
+        column(lambda b: b.outstanding_ms[metric]),
+        column(lambda b: b.outstanding_at_start[metric]),
+    )
+    groups = sorted(
+        {group for time_bin in bins for group, of_arm in time_bin.arm_counts if of_arm in (0, arm)}
+    )
+    return {
+        group: group_sums(residuals, counts_of(group, arm), counts_of(group, 0), arm_probability)
+        for group in groups
+    }
--- a/meadowpulley/placement/emulated.py
+++ b/meadowpulley/placement/emulated.py
@@ -1,7 +1,7 @@
-"""Experiments on the emulated fleet, with real balancers: their stages on a ledger in memory, and the truth.
+"""Run experiments on the emulated fleet, with real rollout policies and a ledger in memory.
 
-`rows` has them as rows of an experiment's table (`meadowpulley experiment compare` reads it): all traffic one
-way, all the other way, and the experiment between them, with the same load and seed.
+`table_rows` returns them as rows of an experiment's table (`meadowpulley experiment compare` reads it): all
+traffic under one arm, all under the other, and the experiment between them, with the same load and seed.
 """
 
 from __future__ import annotations
@@ -11,96 +11,134 @@
 
 from msgspec.structs import replace
 
-from meadowpulley.balance import Balancer
-from meadowpulley.emulator import Scenario, World
-from meadowpulley.experiment import LoadSpec, Row
-from meadowpulley.fleet import Fleet, settings_of
+from meadowpulley.emulator import Emulation, Scenario
+from meadowpulley.experiment import LoadSpec, RunResult
+from meadowpulley.fleet import Fleet, gateway_settings
 from meadowpulley.interface import Settings, Timer
-from meadowpulley.ledger import Changed, Commit, Committed, Life, MemoryStore
-from meadowpulley.placement.definition import Arm, Experiment, placements
-from meadowpulley.placement.stage import TOKEN, PlacementStage
+from meadowpulley.ledger import Commit, CommitCompleted, Incarnation, LedgerChanged, Member, MemoryStore
+from meadowpulley.placement.definition import Arm, Experiment, build_placements
+from meadowpulley.placement.stage import TIMER_TOKEN, PlacementStage
 from meadowpulley.placement.summary import Summary, read_summary
+from meadowpulley.policy import RolloutPolicy
 
-ALMOST_ALL = 1 - 1e-9
+ALMOST_ALL_TRAFFIC = 1 - 1e-9
+NO_TRAFFIC_ARM = "nobody"
+LEASE_TERM_MS = 1000.0
 
 
-class Hosted:
-    """One life of a gateway: the stage around a balancer, its commits carried out at once. It hears of the
-    ledger's changes when its own timer comes."""
+class StageHost:
+    """One incarnation of a gateway: the stage before a rollout policy, its commits carried out at once.
 
-    def __init__(self, store: MemoryStore, life: Life, stage: PlacementStage) -> None:
-        self.store, self.life, self.stage = store, life, stage
-        self.seen = -1
+    It observes the ledger's changes when its own timer fires.
+    """
+
+    def __init__(self, store: MemoryStore, incarnation: Incarnation, stage: PlacementStage) -> None:
+        self.store, self.incarnation, self.stage = store, incarnation, stage
+        self.seen_version = -1
 
     def handle(self, now: float, event: Any) -> list[Any]:
-        found: list[Any] = []
-        if self.seen < 0 or (isinstance(event, Timer) and event.token == TOKEN):
-            changes = self.store.changes(max(self.seen, 0), ("placement/",))
-            self.seen = changes.version
-            found += self._carried_out(now, self.stage.handle(now, Changed(changes)))
-        return found + self._carried_out(now, self.stage.handle(now, event))
-
-    def _carried_out(self, now: float, actions: list[Any]) -> list[Any]:
-        found: list[Any] = []
+        """Return the actions that follow from an event, without those for the ledger."""
+        actions: list[Any] = []
+        is_own_timer = isinstance(event, Timer) and event.token == TIMER_TOKEN
+        if self.seen_version < 0 or is_own_timer:
+            changes = self.store.changes(max(self.seen_version, 0), ("placement/",))
+            self.seen_version = changes.version
+            actions += self._carry_out(now, self.stage.handle(now, LedgerChanged(changes)))
+        return actions + self._carry_out(now, self.stage.handle(now, event))
+
+    def _carry_out(self, now: float, actions: list[Any]) -> list[Any]:
+        others: list[Any] = []
         for action in actions:
             if isinstance(action, Commit):
-                done = tuple(self.store.commit(self.life, action.steps))
-                told = self.stage.handle(now, Committed(action.ticket, done, action.owner))
-                found += self._carried_out(now, told)
+                results = tuple(self.store.commit(self.incarnation, action.transactions))
+                completed = CommitCompleted(action.ticket, results, action.owner)
+                others += self._carry_out(now, self.stage.handle(now, completed))
             else:
-                found.append(action)
-        return found
+                others.append(action)
+        return others
 
 
 @dataclass(frozen=True, slots=True)
-class Played:
-    summary: Summary
-    broken: dict[str, int]  # rules, by how often
-    guarded: tuple[float, ...]  # when the guard ended an arm, in ms
+class EmulatedRun:
+    """What one run came to."""
 
-
-def play(
+    summary: Summary
+    rule_violations: dict[str, int]  # by rule
+    guard_times_ms: tuple[float, ...]  # when the guard ended an arm
+
+
+class _EmulatedGateways:
+    """Builds the gateways of one run, and knows which incarnation of each runs."""
+
+    def __init__(self, experiment: Experiment) -> None:
+        self.experiment = experiment
+        self.store = MemoryStore()
+        self.incarnations: dict[int, Incarnation] = {}  # the latest, by gateway
+
+    def build(self, settings: Settings, seed: int) -> StageHost:
+        """Return a new incarnation of a gateway; an earlier one is dead."""
+        index = settings.gateway_index
+        if index in self.incarnations:
+            self.store.dead_incarnations.add(self.incarnations[index])
+        incarnation = self.store.register(f"gateway-{index}", LEASE_TERM_MS)
+        self.incarnations[index] = incarnation
+        policy = RolloutPolicy(settings, seed, build_placements(self.experiment, seed))
+        stage = PlacementStage(policy, self.experiment, settings, incarnation)
+        return StageHost(self.store, incarnation, stage)
+
+    def live_members(self) -> list[Member]:
+        """Return the members that have not died."""
+        latest = set(self.incarnations.values())
+        return [
+            member
+            for member in self.store.members()
+            if member.incarnation in latest and member.incarnation not in self.store.dead_incarnations
+        ]
+
+
+def run_experiment(
     fleet: Fleet, experiment: Experiment, load: LoadSpec, seed: int, scenario: Scenario | None = None
-) -> Played:
-    """One run of an experiment. The same arguments give the same result, to the last figure."""
-    store = MemoryStore()
-    lives: dict[int, Life] = {}
-
-    def make(settings: Settings, drawn: int) -> Hosted:
-        if settings.gateway_index in lives:
-            store.dead.add(lives[settings.gateway_index])
-        life = lives[settings.gateway_index] = store.begin(f"gateway-{settings.gateway_index}", 1000.0)
-        balancer = Balancer(settings, drawn, placements(experiment, drawn))
-        return Hosted(store, life, PlacementStage(balancer, experiment, settings, life))
-
-    world = World(fleet, load.arrivals(fleet, seed), seed, scenario, make=make)
-    result = world.run()
-    for gateway in world.gateways:  # what was counted since the last write
+) -> EmulatedRun:
+    """Run an experiment once. The same arguments give exactly the same result."""
+    gateways = _EmulatedGateways(experiment)
+    emulation = Emulation(fleet, load.arrivals(fleet, seed), seed, scenario, build_policy=gateways.build)
+    result = emulation.run()
+    for gateway in emulation.gateways:  # what was counted since the last write
         if gateway.alive:
-            gateway.balancer.handle(result.lasted_ms, Timer(TOKEN))
-    living = [m for m in store.members() if m.life == lives[int(m.life.name.rpartition("-")[2])]]
-    members = [m for m in living if m.life not in store.dead]
-    classes = settings_of(fleet, 0).classes
-    summary = read_summary(experiment, classes, store.scan("placement/"), members)
-    guarded = tuple(at for at, what in result.events if "is worse" in what)
-    return Played(summary, dict(result.broken), guarded)
+            gateway.pipeline.handle(result.elapsed_ms, Timer(TIMER_TOKEN))
+    classes = gateway_settings(fleet, 0).classes
+    records = gateways.store.scan("placement/")
+    summary = read_summary(experiment, classes, records, gateways.live_members())
+    guard_times_ms = tuple(at_ms for at_ms, text in result.events if "is worse" in text)
+    return EmulatedRun(summary, dict(result.violation_counts), guard_times_ms)
 
 
-def alone(experiment: Experiment, arm: int) -> Experiment:
-    """The same with all traffic under one arm."""
+def single_arm(experiment: Experiment, arm: int) -> Experiment:
+    """Return the experiment with (almost) all traffic under one arm."""
     chosen = experiment.arms[arm]
-    arms = (Arm(chosen.name, chosen.policy, ALMOST_ALL), Arm("nobody", chosen.policy, 1 - ALMOST_ALL))
+    arms = (
+        Arm(chosen.name, chosen.policy, ALMOST_ALL_TRAFFIC),
+        Arm(NO_TRAFFIC_ARM, chosen.policy, 1 - ALMOST_ALL_TRAFFIC),
+    )
     return replace(experiment, name=f"{experiment.name}-all-{chosen.name}", arms=arms)
 
 
-def rows(fleet: Fleet, experiment: Experiment, load: LoadSpec, seed: int) -> list[Row]:
-    """The truth and the experiment of one seed, as rows of a table."""
-    found = []
-    for of in (alone(experiment, 0), alone(experiment, 1), experiment):
-        played = play(fleet, of, load, seed)
-        figures = played.summary.figures()
-        if of is not experiment:
-            prefix = of.arms[0].name + "."
-            figures = {k.removeprefix(prefix): v for k, v in figures.items() if not k.startswith("nobody")}
-        found.append(Row(of.digest, of.name, seed, figures, played.broken))
-    return found
+def table_rows(fleet: Fleet, experiment: Experiment, load: LoadSpec, seed: int) -> list[RunResult]:
+    """Return the truth and the experiment of one seed, as rows of a table."""
+    rows = []
+    for variant in (single_arm(experiment, 0), single_arm(experiment, 1), experiment):
+        run = run_experiment(fleet, variant, load, seed)
+        figures = run.summary.figures()
+        if variant is not experiment:
+            figures = _single_arm_figures(figures, variant.arms[0].name)
+        rows.append(RunResult(variant.digest, variant.name, seed, figures, run.rule_violations))
+    return rows
+
+
+def _single_arm_figures(figures: dict[str, float], arm: str) -> dict[str, float]:
+    """Drop the figures of the arm without traffic, and the other arm's name."""
+    return {
+        name.removeprefix(f"{arm}."): value
+        for name, value in figures.items()
+        if not name.startswith(NO_TRAFFIC_ARM)
+    }
--- a/meadowpulley/placement/estimate.py
+++ b/meadowpulley/placement/estimate.py
@@ -1,13 +1,16 @@
-"""Estimates from merged counts: naive, mixed Differences-in-Q, switchback; intervals, and confidence
-sequences that hold however often somebody looks. Pure; differences are an arm less the baseline, in ms.
-
-Sources. Mixed Differences-in-Q: the paper's (12) to (21), with the sums of `mixed.py`; its error is that of
-C.3, (45), about what was expected. Confidence sequences: the asymptotic ones of Waudby-Smith, Arbour,
-Sinha, Kennedy and Ramdas, "Time-uniform central limit theory and asymptotic confidence sequences" (Annals of
-Statistics 2024), Theorem 2.2: Robbins' normal mixture with the variance estimated; they cover at all sample
-sizes at once with a probability that tends to the stated one as the first look comes later, so nothing is
-said before `LEAST` requests an arm. Units that share an arm over several requests: delete-a-group jackknife
-over random groups (Wolter, Introduction to Variance Estimation, 2007, chapter 4).
+"""Estimate differences between arms from merged counters: naive, mixed Differences-in-Q, and switchback.
+
+Differences are an arm less the baseline, in ms, each with an interval for one look and a confidence sequence
+that holds at every look.
+
+Sources. Mixed Differences-in-Q: the paper's (12) to (21), with the sums of `differences_in_q.py`; its
+standard error is that of C.3, (45), about what was expected. Confidence sequences: the asymptotic ones of
+Waudby-Smith, Arbour, Sinha, Kennedy and Ramdas, "Time-uniform central limit theory and asymptotic
+confidence sequences" (Annals of Statistics 2024), Theorem 2.2: Robbins' normal mixture with the variance
+estimated; they cover at all sample sizes at once with a probability that tends to the stated one as the
+first look comes later, so that there is no estimate before `MIN_REQUESTS` requests in each arm. Units that
+share an arm over several requests: delete-a-group jackknife over random groups (Wolter, Introduction to
+Variance Estimation, 2007, chapter 4).
 """
 
 from __future__ import annotations
@@ -19,148 +22,239 @@
 import numpy as np
 from scipy import stats
 
-from meadowpulley.placement.counts import Merged, Moment
-from meadowpulley.placement.mixed import Sums, groups_of
+from meadowpulley.placement.counter_records import CostMoments
+from meadowpulley.placement.differences_in_q import GroupSums, sums_by_group
+from meadowpulley.placement.merged_counters import MergedCounters
 
-LEAST = 200  # requests of each arm
-LEAST_BLOCKS = 8  # time blocks of each arm, and random groups with both arms
-SHARPEST = 20_000.0  # requests at which the confidence sequence is narrowest
-SHARPEST_BLOCKS = 100.0
+MIN_REQUESTS = 200  # of each arm
+MIN_BLOCKS = 8  # time blocks of each arm, and random groups with both arms
+NARROWEST_AT_REQUESTS = 20_000.0  # sample size at which the confidence sequence is narrowest
+NARROWEST_AT_BLOCKS = 100.0
+MIN_VARIANCE_RATIO = 1e-9  # of two measures of Q, below which they count as the same
 
 
 @dataclass(frozen=True, slots=True)
 class Estimate:
-    """A difference with its error. `n`: what it rests on (requests or time blocks); `low`, `high`: interval
-    for one look that was settled beforehand; `always_low`, `always_high`: at every look at once."""
+    """A difference with its standard error.
+
+    `sample_size` counts what it rests on (requests or time blocks). `low` and `high` are the interval for one
+    look that was settled beforehand, `sequence_low` and `sequence_high` the one that holds at every look.
+    """
 
     value: float
-    error: float
-    n: int
+    standard_error: float
+    sample_size: int
     low: float
     high: float
-    always_low: float
-    always_high: float
-
-
-NOTHING = Estimate(math.nan, math.inf, 0, -math.inf, math.inf, -math.inf, math.inf)
+    sequence_low: float
+    sequence_high: float
 
 
-def always(error: float, n: float, alpha: float, sharpest: float) -> float:
-    """Half the width of the confidence sequence: two-sided, level 1 - alpha, narrowest at `sharpest`."""
-    rho2 = (-2 * math.log(alpha) + math.log(-2 * math.log(alpha) + 1)) / sharpest
-    reach = n * rho2 + 1
-    return error * math.sqrt(2 * reach / (n * rho2) * math.log(math.sqrt(reach) / alpha))
+NO_ESTIMATE = Estimate(math.nan, math.inf, 0, -math.inf, math.inf, -math.inf, math.inf)
 
 
-def estimate(
-    value: float, error: float, n: int, alpha: float, free: float = math.inf, sharpest: float = SHARPEST
+@dataclass(frozen=True, slots=True)
+class _Sample:
+    """Size, mean, and variance of a single request's cost."""
+
+    size: int
+    mean: float
+    variance: float
+
+
+def sequence_half_width(
+    standard_error: float, sample_size: float, alpha: float, narrowest_at: float
+) -> float:
+    """Return half the width of a two-sided confidence sequence of level 1 - alpha.
+
+    It is tuned to be narrowest at the sample size `narrowest_at` (Theorem 2.2, with rho as in its (12)).
+    """
+    rho_squared = (-2 * math.log(alpha) + math.log(-2 * math.log(alpha) + 1)) / narrowest_at
+    scaled = sample_size * rho_squared + 1
+    return standard_error * math.sqrt(
+        2 * scaled / (sample_size * rho_squared) * math.log(math.sqrt(scaled) / alpha)
+    )
+
+
+def make_estimate(
+    value: float,
+    standard_error: float,
+    sample_size: int,
+    alpha: float,
+    degrees_of_freedom: float = math.inf,
+    narrowest_at: float = NARROWEST_AT_REQUESTS,
 ) -> Estimate:
-    """`free`: degrees of freedom of the error, if few."""
-    if not (math.isfinite(value) and math.isfinite(error)):
-        return NOTHING
-    t = float(stats.t.ppf(1 - alpha / 2, free) if math.isfinite(free) else stats.norm.ppf(1 - alpha / 2))
-    wider = t / float(stats.norm.ppf(1 - alpha / 2))  # few degrees of freedom widen the sequence as well
-    half = wider * always(error, n, alpha, sharpest)
-    return Estimate(value, error, n, value - t * error, value + t * error, value - half, value + half)
-
-
-def _grouped(values: Callable[[int | None], float], groups: Sequence[int]) -> float:
-    """Jackknife error of a figure; `values(k)` is it without group k."""
-    without = np.array([values(k) for k in groups])
+    """Return an estimate with its intervals; `degrees_of_freedom` are those of the error, if few."""
+    if not (math.isfinite(value) and math.isfinite(standard_error)):
+        return NO_ESTIMATE
+    normal = float(stats.norm.ppf(1 - alpha / 2))
+    quantile = normal
+    if math.isfinite(degrees_of_freedom):
+        quantile = float(stats.t.ppf(1 - alpha / 2, degrees_of_freedom))
+    widening = quantile / normal  # few degrees of freedom widen the sequence as well
+    sequence = widening * sequence_half_width(standard_error, sample_size, alpha, narrowest_at)
+    half_width = quantile * standard_error
+    return Estimate(
+        value=value,
+        standard_error=standard_error,
+        sample_size=sample_size,
+        low=value - half_width,
+        high=value + half_width,
+        sequence_low=value - sequence,
+        sequence_high=value + sequence,
+    )
+
+
+def _jackknife_error(value_without: Callable[[int | None], float], groups: Sequence[int]) -> float:
+    """Return the delete-a-group jackknife error; `value_without(k)` is the figure without group k."""
+    without = np.array([value_without(group) for group in groups])
     return float(np.sqrt((len(groups) - 1) / len(groups) * np.sum((without - without.mean()) ** 2)))
 
 
-def _mean(moments: Sequence[Moment]) -> tuple[int, float, float]:
-    """Count, mean, and variance of one."""
-    n = sum(m.n for m in moments)
-    if n < 2:
-        return n, math.nan, math.nan
-    mean = math.fsum(m.total for m in moments) / n
-    return n, mean, max(math.fsum(m.squares for m in moments) - n * mean**2, 0.0) / (n - 1)
-
-
-def mean_ms(merged: Merged, arm: int, metric: int) -> float:
-    """Mean cost of an arm: completion times, and deadlines for what was not served. `metric` 0: all
-    classes, n: the n-th."""
-    return _mean(_of(merged, arm, metric))[1]
+def _sample(moments: Sequence[CostMoments]) -> _Sample:
+    size = sum(part.count for part in moments)
+    if size < 2:
+        return _Sample(size, math.nan, math.nan)
+    mean = math.fsum(part.total_ms for part in moments) / size
+    squares = math.fsum(part.sum_of_squares for part in moments)
+    return _Sample(size, mean, max(squares - size * mean**2, 0.0) / (size - 1))
 
 
-def _of(merged: Merged, arm: int, metric: int, without: int | None = None) -> list[Moment]:
+def _moments_of_arm(
+    merged: MergedCounters, arm: int, metric: int, without_group: int | None = None
+) -> list[CostMoments]:
     return [
-        m
-        for (g, a, c), m in sorted(merged.moments.items())
-        if a == arm and g != without and metric in (0, c + 1)
+        moments
+        for (group, of_arm, class_index), moments in sorted(merged.moments.items())
+        if of_arm == arm and group != without_group and metric in (0, class_index + 1)
     ]
 
 
-def naive(merged: Merged, arm: int, metric: int, alpha: float) -> Estimate:
-    """The difference of mean costs, (9) with the error of (46): as if the arms did not meet."""
-    old, new = _of(merged, 0, metric), _of(merged, arm, metric)
-    (m, before, var_old), (n, after, var_new) = _mean(old), _mean(new)
-    if min(m, n) < LEAST:
-        return NOTHING
-    groups = sorted({x.group for x in old} & {x.group for x in new})
-    if {g for g, _, _ in merged.moments} <= {0}:
-        return estimate(after - before, math.sqrt(var_old / m + var_new / n), m + n, alpha)
-    if len(groups) < LEAST_BLOCKS:
-        return NOTHING
+def mean_cost_ms(merged: MergedCounters, arm: int, metric: int) -> float:
+    """Return the mean cost of an arm: completion times, and deadlines for what was not served.
 
-    def value(k: int | None) -> float:
-        return _mean(_of(merged, arm, metric, k))[1] - _mean(_of(merged, 0, metric, k))[1]
+    `metric` 0 stands for all classes, n for the n-th.
+    """
+    return _sample(_moments_of_arm(merged, arm, metric)).mean
 
-    return estimate(after - before, _grouped(value, groups), m + n, alpha, len(groups) - 1)
 
+def estimate_naive(merged: MergedCounters, arm: int, metric: int, alpha: float) -> Estimate:
+    """Estimate the difference of mean costs as if arms did not interfere: (9), with the error of (46)."""
+    baseline_moments = _moments_of_arm(merged, 0, metric)
+    arm_moments = _moments_of_arm(merged, arm, metric)
+    baseline, treated = _sample(baseline_moments), _sample(arm_moments)
+    if min(baseline.size, treated.size) < MIN_REQUESTS:
+        return NO_ESTIMATE
+    difference, size = treated.mean - baseline.mean, baseline.size + treated.size
+    if {group for group, _, _ in merged.moments} <= {0}:
+        error = math.sqrt(baseline.variance / baseline.size + treated.variance / treated.size)
+        return make_estimate(difference, error, size, alpha)
+    groups = sorted({part.group for part in baseline_moments} & {part.group for part in arm_moments})
+    if len(groups) < MIN_BLOCKS:
+        return NO_ESTIMATE
 
-def mixed(merged: Merged, arm: int, metric: int, alpha: float, odds: float) -> Estimate:
-    """The mixed Differences-in-Q estimate: what all traffic under the arm would cost more than all under the
-    baseline, to first order in their difference. `odds`: part of the arm among both."""
-    return of_sums(groups_of(merged.bins, metric, arm, odds), alpha, _share(merged, metric))
+    def difference_without(group: int | None) -> float:
+        treated_mean = _sample(_moments_of_arm(merged, arm, metric, group)).mean
+        return treated_mean - _sample(_moments_of_arm(merged, 0, metric, group)).mean
 
+    error = _jackknife_error(difference_without, groups)
+    return make_estimate(difference, error, size, alpha, len(groups) - 1)
 
-def of_sums(groups: dict[int, Sums], alpha: float, share: float = 1.0) -> Estimate:
-    """From the sums of each group of units; `share`: of the requests in all that the figure is about."""
-    new, old = sum(s.new for s in groups.values()), sum(s.old for s in groups.values())
-    if min(new, old) < LEAST or not share:
-        return NOTHING
-    ww, qq, wq = (math.fsum(getattr(s, name) for s in groups.values()) for name in ("ww", "qq", "wq"))
-    spread = ww + qq - 2 * wq
-    # (19), but between the two: ours lie so close together that a weight outside follows chance alone.
-    mix = min(max((qq - wq) / spread, 0.0), 1.0) if spread > 1e-9 * ww else 1.0
 
-    def value(k: int | None) -> float:
-        some = [s for g, s in groups.items() if g != k]
-        return math.fsum(mix * s.w + (1 - mix) * s.q for s in some) / sum(s.new + s.old for s in some) / share
-
-    n = new + old
+def estimate_mixed(
+    merged: MergedCounters, arm: int, metric: int, alpha: float, arm_probability: float
+) -> Estimate:
+    """Estimate what all traffic under the arm would cost more than all under the baseline.
+
+    Mixed Differences-in-Q, to first order in the arms' difference. `arm_probability` is the arm's among both.
+    """
+    sums = sums_by_group(merged.bins, metric, arm, arm_probability)
+    return estimate_from_sums(sums, alpha, _class_fraction(merged, metric))
+
+
+def estimate_from_sums(groups: dict[int, GroupSums], alpha: float, class_fraction: float = 1.0) -> Estimate:
+    """Estimate mixed Differences-in-Q from the sums of each group of units.
+
+    `class_fraction` is the fraction of all requests that the figure is about.
+    """
+    arm_requests = sum(sums.arm_requests for sums in groups.values())
+    baseline_requests = sum(sums.baseline_requests for sums in groups.values())
+    if min(arm_requests, baseline_requests) < MIN_REQUESTS or not class_fraction:
+        return NO_ESTIMATE
+    cost_squares = math.fsum(sums.cost_squares for sums in groups.values())
+    outstanding_squares = math.fsum(sums.outstanding_squares for sums in groups.values())
+    products = math.fsum(sums.products for sums in groups.values())
+    cost_weight = _cost_weight(cost_squares, outstanding_squares, products)
+
+    def value_without(left_out: int | None) -> float:
+        some = [sums for group, sums in groups.items() if group != left_out]
+        total = math.fsum(cost_weight * sums.cost + (1 - cost_weight) * sums.outstanding for sums in some)
+        requests = sum(sums.arm_requests + sums.baseline_requests for sums in some)
+        return total / requests / class_fraction
+
+    size = arm_requests + baseline_requests
     if set(groups) == {0}:
-        squares = mix**2 * ww + (1 - mix) ** 2 * qq + 2 * mix * (1 - mix) * wq
-        return estimate(value(None), math.sqrt(max(squares, 0.0)) / n / share, n, alpha)
-    if len(groups) < LEAST_BLOCKS:
-        return NOTHING
-    return estimate(value(None), _grouped(value, sorted(groups)), n, alpha, len(groups) - 1)
-
-
-def _share(merged: Merged, metric: int) -> float:
-    """A class's part of all requests counted."""
+        squares = (
+            cost_weight**2 * cost_squares
+            + (1 - cost_weight) ** 2 * outstanding_squares
+            + 2 * cost_weight * (1 - cost_weight) * products
+        )
+        error = math.sqrt(max(squares, 0.0)) / size / class_fraction
+        return make_estimate(value_without(None), error, size, alpha)
+    if len(groups) < MIN_BLOCKS:
+        return NO_ESTIMATE
+    error = _jackknife_error(value_without, sorted(groups))
+    return make_estimate(value_without(None), error, size, alpha, len(groups) - 1)
+
+
+def _cost_weight(cost_squares: float, outstanding_squares: float, products: float) -> float:
+    """Return the weight of Q by completion times in the mix, the rest being Q by outstanding requests.
+
+    (19), but within 0 and 1: the two measures are so close that a weight outside follows chance alone.
+    """
+    spread = cost_squares + outstanding_squares - 2 * products
+    if spread > MIN_VARIANCE_RATIO * cost_squares:
+        return min(max((outstanding_squares - products) / spread, 0.0), 1.0)
+    return 1.0
+
+
+def _class_fraction(merged: MergedCounters, metric: int) -> float:
+    """Return the fraction of all counted requests that are of a metric's class."""
     if not metric:
         return 1.0
-    every = max(sum(m.n for m in merged.moments.values()), 1)
-    return sum(m.n for (_, _, c), m in merged.moments.items() if c + 1 == metric) / every
-
-
-def switchback(merged: Merged, arm: int, metric: int, alpha: float) -> Estimate:
-    """The difference of block means between the time blocks of two arms, blocks being the units (Bojinov,
-    Simchi-Levi and Zhao 2023; Welch's error)."""
+    total = max(sum(moments.count for moments in merged.moments.values()), 1)
+    in_class = sum(
+        moments.count for (_, _, class_index), moments in merged.moments.items() if class_index + 1 == metric
+    )
+    return in_class / total
+
+
+def estimate_switchback(merged: MergedCounters, arm: int, metric: int, alpha: float) -> Estimate:
+    """Estimate the difference of block means between the time blocks of two arms, blocks being the units.
+
+    Bojinov, Simchi-Levi and Zhao 2023; Welch's error and degrees of freedom.
+    """
+    means = _block_means(merged, metric)
+    samples = [np.array([mean for of_arm, mean in means if of_arm == wanted]) for wanted in (0, arm)]
+    baseline, treated = samples
+    if min(len(baseline), len(treated)) < MIN_BLOCKS:
+        return NO_ESTIMATE
+    variances = [float(sample.var(ddof=1)) / len(sample) for sample in samples]
+    error = math.sqrt(sum(variances))
+    divisor = sum(
+        variance**2 / (len(sample) - 1) for variance, sample in zip(variances, samples, strict=True)
+    )
+    degrees_of_freedom = error**4 / divisor if divisor else math.inf
+    difference = float(treated.mean() - baseline.mean())
+    size = len(baseline) + len(treated)
+    return make_estimate(difference, error, size, alpha, degrees_of_freedom, NARROWEST_AT_BLOCKS)
+
+
+def _block_means(merged: MergedCounters, metric: int) -> list[tuple[int, float]]:
+    """Return the arm and the mean cost of each time block that served a metric's classes."""
     sums: dict[int, tuple[int, int, float]] = {}
-    for (block, cls), b in sorted(merged.blocks.items()):
-        if b.n and metric in (0, cls + 1):
-            _, n, total = sums.get(block, (b.arm, 0, 0.0))
-            sums[block] = (b.arm, n + b.n, total + b.total)
-    old, new = (np.array([t / n for a, n, t in sums.values() if a == k]) for k in (0, arm))
-    if min(len(old), len(new)) < LEAST_BLOCKS:
-        return NOTHING
-    parts = [float(x.var(ddof=1)) / len(x) for x in (old, new)]
-    error = math.sqrt(sum(parts))
-    below = sum(p**2 / (len(x) - 1) for p, x in zip(parts, (old, new), strict=True))
-    free = error**4 / below if below else math.inf
-    return estimate(float(new.mean() - old.mean()), error, len(old) + len(new), alpha, free, SHARPEST_BLOCKS)
+    for (block, class_index), costs in sorted(merged.blocks.items()):
+        if costs.count and metric in (0, class_index + 1):
+            _, count, total_ms = sums.get(block, (costs.arm, 0, 0.0))
+            sums[block] = (costs.arm, count + costs.count, total_ms + costs.total_ms)
+    return [(arm, total_ms / count) for arm, count, total_ms in sums.values()]
--- a/meadowpulley/placement/gateway.py
+++ b/meadowpulley/placement/gateway.py
@@ -1,90 +1,111 @@
-"""An experiment at a gateway on sockets: its file, the definition that runs in the fleet, and its stage.
+"""Start an experiment at a gateway on sockets: its file, the definition that runs in the fleet, its stage.
 
-`joint.py` calls it, where `MEADOWPULLEY_PLACEMENT` names a file.
+The pipeline of stages calls it where `MEADOWPULLEY_PLACEMENT` names a file.
 """
 
 from __future__ import annotations
 
 import time
 from collections.abc import Mapping
+from contextlib import closing
 from typing import Protocol
 
 from meadowpulley.fleet import FleetError
 from meadowpulley.interface import Placement, Settings
-from meadowpulley.ledger import LedgerError, Life, RefusedError, Stage
+from meadowpulley.ledger import Incarnation, LedgerError, LedgerUnusableError, Stage
 from meadowpulley.ledger.config import read_settings
 from meadowpulley.ledger.disk import DiskStore
-from meadowpulley.placement.config import ENV, read_experiment
-from meadowpulley.placement.definition import Experiment, check_running, placements
-from meadowpulley.placement.origins import Left, Origin
+from meadowpulley.placement.config import ENV_VARIABLE, read_experiment
+from meadowpulley.placement.definition import Experiment, build_placements, check_matches_running
+from meadowpulley.placement.origins import Departure, RequestOrigin
 from meadowpulley.placement.stage import PlacementStage
 
 
-class Decisions(Protocol):
+class PlacementTarget(Protocol):
+    """What is needed of the rollout policy."""
+
     placements: dict[int, Placement]  # by arm
 
 
-class First(Protocol):
+class TakeoverOrigin(Protocol):
+    """Who accepted a request first, as takeover names it."""
+
     @property
-    def life(self) -> str: ...
+    def incarnation(self) -> str:
+        """The incarnation that accepted it."""
 
     @property
-    def number(self) -> int: ...
+    def number(self) -> int:
+        """Its number there."""
 
 
-class Takeover(Protocol):
-    """What this needs of the takeover's stage."""
+class TakeoverLookup(Protocol):
+    """What is needed of the takeover stage."""
 
-    def origin_of(self, request: int) -> tuple[First, float] | None: ...
+    def origin_of(self, request: int) -> tuple[TakeoverOrigin, float] | None:
+        """Return a request's origin, and when it was accepted on this gateway's clock (ms)."""
 
-    def moved(self, request: int) -> bool | None: ...
+    def moved(self, request: int) -> bool | None:
+        """Whether a request that left has moved to another gateway; None if it is gone."""
 
 
-def wanted(settings: Settings, environ: Mapping[str, str]) -> Experiment | None:
-    """None where no experiment is. Looks into the ledger, before a life is begun there: a definition that
-    contradicts the one that runs under this name is refused. Raises `RefusedError`, one line."""
+def requested_experiment(settings: Settings, environ: Mapping[str, str]) -> Experiment | None:
+    """Return the experiment that the environment names; None where it names none.
+
+    It looks into the ledger, before an incarnation is registered there, and refuses a definition that
+    contradicts the one that runs under this name. Raises `LedgerUnusableError`, one line.
+    """
     try:
         experiment = read_experiment(environ, settings)
         ledger = read_settings(environ)
         if experiment is None or ledger is None:
             return experiment
-        store = DiskStore(ledger.folder, ledger.installation, ledger.sync, ledger.most_bytes)
-        try:
-            found = store.read(experiment.running)
-        finally:
-            store.close()
-        if found is not None:
-            check_running(experiment, found.value, environ[ENV])
-    except (FleetError, LedgerError) as bad:
-        raise RefusedError(str(bad)) from None
+        with closing(
+            DiskStore(ledger.folder, ledger.installation, ledger.sync, ledger.max_log_bytes)
+        ) as store:
+            running = store.read(experiment.definition_key)
+        if running is not None:
+            check_matches_running(experiment, running.value, environ[ENV_VARIABLE])
+    except (FleetError, LedgerError) as error:
+        raise LedgerUnusableError(str(error)) from None
     return experiment
 
 
-def put_in(
+def install_stage(
     inner: Stage,
-    decisions: Decisions,
+    target: PlacementTarget,
     experiment: Experiment,
     settings: Settings,
-    life: Life,
+    incarnation: Incarnation,
     seed: int,
     now: float,
 ) -> PlacementStage:
-    """The stage round `inner`, and its policies at the decisions. `now`: the gateway's clock, ms. The common
-    time is Unix time as it is now, and goes on by that clock: the machine's may be set later, and jump."""
-    decisions.placements.update(enumerate(placements(experiment, seed)[1:], 1))
-    return PlacementStage(inner, experiment, settings, life, time.time() * 1000.0 - now)
+    """Return the stage before `inner`, and give the rollout policy its placements.
+
+    `now` is the gateway's clock (ms). The time that gateways share is Unix time as it is now, and advances by
+    the gateway's clock: the machine's time may be set, and jump.
+    """
+    target.placements.update(enumerate(build_placements(experiment, seed)[1:], 1))
+    return PlacementStage(inner, experiment, settings, incarnation, time.time() * 1000.0 - now)
 
 
-class TakenOver:
-    """What takeover, a stage further out, knows of requests."""
+class TakeoverOrigins:
+    """What the takeover stage, further out, knows of requests."""
 
-    def __init__(self, takeover: Takeover) -> None:
+    def __init__(self, takeover: TakeoverLookup) -> None:
         self.takeover = takeover
 
-    def origin_of(self, request: int) -> Origin | None:
+    def origin_of(self, request: int) -> RequestOrigin | None:
+        """Return a request's origin; None if nobody else can ever have it."""
         found = self.takeover.origin_of(request)
-        return Origin(found[0].life, found[0].number, found[1]) if found is not None else None
+        if found is None:
+            return None
+        origin, accepted_ms = found
+        return RequestOrigin(origin.incarnation, origin.number, accepted_ms)
 
-    def left(self, request: int) -> Left:
+    def departure(self, request: int) -> Departure:
+        """Return why a request left."""
         moved = self.takeover.moved(request)
-        return "gone" if moved is None else "moved" if moved else "known"
+        if moved is None:
+            return "gone"
+        return "moved" if moved else "known"
--- a/meadowpulley/placement/guard.py
+++ b/meadowpulley/placement/guard.py
@@ -1,37 +1,60 @@
-"""Whether an arm does harm and must end. Pure; `stage.py` has the ledger settle it, once for all gateways.
+"""Whether an arm does harm and must end; the stage has the ledger settle it, once for all gateways.
 
-Two measures are watched, each with half of the guard's alpha, over all arms: the naive difference, which is
-sharp but is blind to what an arm does to the requests of others, and the mixed Differences-in-Q estimate,
-which is not. Both are confidence sequences: looking often makes no false alarm likelier.
+Two measures are evaluated, each with half of the guard's alpha, over all arms: the naive difference, which
+is precise but blind to what an arm costs the requests of others, and the mixed Differences-in-Q estimate,
+which is not. Both are confidence sequences: evaluating often makes no false alarm likelier.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
-from meadowpulley.placement.counts import Merged
 from meadowpulley.placement.definition import Experiment
-from meadowpulley.placement.estimate import Estimate, mean_ms, mixed, naive, switchback
+from meadowpulley.placement.estimate import (
+    Estimate,
+    estimate_mixed,
+    estimate_naive,
+    estimate_switchback,
+    mean_cost_ms,
+)
+from meadowpulley.placement.merged_counters import MergedCounters
 
+MAX_ALPHA = 0.5  # a confidence sequence has no level below that
 
-def harmful(experiment: Experiment, merged: Merged, arm: int) -> str:
-    """Why this arm should end: one line; empty if nothing shows that it should."""
+
+@dataclass(frozen=True, slots=True)
+class _Measure:
+    name: str
+    estimate: Callable[[float], Estimate]  # by alpha
+
+
+def harm_reason(experiment: Experiment, merged: MergedCounters, arm: int) -> str:
+    """Return in one line why an arm should end; empty if nothing shows that it should."""
     guard = experiment.guard
-    odds = experiment.odds(arm)
-    measures: list[tuple[str, Callable[[float], Estimate]]] = [
-        ("as measured", lambda level: naive(merged, arm, 0, level)),
-        ("with what it costs others", lambda level: mixed(merged, arm, 0, level, odds)),
-    ]
-    if experiment.unit == "time":  # requests of one block share an arm: blocks are compared
-        measures = [("by time blocks", lambda level: switchback(merged, arm, 0, level))]
-    alpha = 2 * guard.alpha / (len(measures) * (len(experiment.arms) - 1))  # only harm counts: one side
-    for what, measure in measures:
-        found = measure(min(alpha, 0.5))
-        margin = guard.worse * mean_ms(merged, 0, 0)
-        if found.always_low > margin:
-            of = "blocks" if experiment.unit == "time" else "requests"
+    measures = _measures(experiment, merged, arm)
+    # One-sided, as only harm counts, and shared by all measures and arms.
+    alpha = 2 * guard.alpha / (len(measures) * (len(experiment.arms) - 1))
+    for measure in measures:
+        estimate = measure.estimate(min(alpha, MAX_ALPHA))
+        margin = guard.worse * mean_cost_ms(merged, 0, 0)
+        if estimate.sequence_low > margin:
+            unit = "blocks" if experiment.unit == "time" else "requests"
             return (
-                f"arm '{experiment.arms[arm].name}' is worse {what} by {found.always_low:.0f} ms or more, "
-                f"margin {margin:.0f} ms, after {found.n} {of}"
+                f"arm '{experiment.arms[arm].name}' is worse {measure.name} by "
+                f"{estimate.sequence_low:.0f} ms or more, margin {margin:.0f} ms, "
+                f"after {estimate.sample_size} {unit}"
             )
     return ""
+
+
+def _measures(experiment: Experiment, merged: MergedCounters, arm: int) -> list[_Measure]:
+    if experiment.unit == "time":  # requests of one block share an arm: blocks are compared
+        return [_Measure("by time blocks", lambda alpha: estimate_switchback(merged, arm, 0, alpha))]
+    probability = experiment.relative_probability(arm)
+    return [
+        _Measure("as measured", lambda alpha: estimate_naive(merged, arm, 0, alpha)),
+        _Measure(
+            "with what it costs others", lambda alpha: estimate_mixed(merged, arm, 0, alpha, probability)
+        ),
+    ]
--- a/meadowpulley/placement/origins.py
+++ b/meadowpulley/placement/origins.py
@@ -1,6 +1,6 @@
-"""Where a request began and whether it goes on elsewhere: what takeover knows, and counts rest on.
+"""Where a request began and whether another gateway has it now: what takeover knows, and counters rest on.
 
-`gateway.py` gives a stage takeover's answers; without takeover no request moves, and `Alone` says so.
+`gateway.py` gives a stage takeover's answers; without takeover no request moves (`LocalOrigins`).
 """
 
 from __future__ import annotations
@@ -8,34 +8,40 @@
 from dataclasses import dataclass
 from typing import Literal, Protocol, TypeAlias
 
-# Why the decisions have nothing more to do with a request: it is gone with its client; it moved, another life
-# ends it; its id was known, it never was a request of its own.
-Left: TypeAlias = Literal["gone", "moved", "known"]
+# Why the rollout policy has nothing more to do with a request: "gone" with its client; "moved" to another
+# incarnation, which ends it; "known" already, so that it never was a request of its own.
+Departure: TypeAlias = Literal["gone", "moved", "known"]
 
 
 @dataclass(frozen=True, slots=True)
-class Origin:
-    """Who took a request first: that life, its number there, and when, on this gateway's clock. The numbers
-    of a life start from 0 and rise in the order in which it took its requests."""
+class RequestOrigin:
+    """The incarnation that accepted a request first, its number there, and when (ms, this gateway's clock).
 
-    life: str
+    The numbers of an incarnation start from 0 and rise in the order in which it accepted its requests.
+    """
+
+    incarnation: str
     number: int
-    taken_ms: float
+    accepted_ms: float
+
 
+class OriginLookup(Protocol):
+    """What is known of requests that other incarnations had or will have."""
 
-class Origins(Protocol):
-    def origin_of(self, request: int) -> Origin | None:
-        """Of a request, as it is told to the stage. None: nobody else will ever have it."""
+    def origin_of(self, request: int) -> RequestOrigin | None:
+        """Return a request's origin, when the stage is handed it; None if nobody else can ever have it."""
 
-    def left(self, request: int) -> Left:
-        """Asked when the stage is told `RequestGone`."""
+    def departure(self, request: int) -> Departure:
+        """Return why a request left, when the stage is handed its `ClientDisconnected`."""
 
 
-class Alone:
-    """Of a gateway whose requests are nobody else's."""
+class LocalOrigins:
+    """The answers at a gateway whose requests are nobody else's."""
 
-    def origin_of(self, request: int) -> Origin | None:
+    def origin_of(self, request: int) -> RequestOrigin | None:
+        """Return None: nobody else can have it."""
         return None
 
-    def left(self, request: int) -> Left:
+    def departure(self, request: int) -> Departure:
+        """Return that its client left."""
         return "gone"
