--- a/meadowpulley/placement/summary.py
+++ b/meadowpulley/placement/summary.py
@@ -1,4 +1,4 @@
-"""What an experiment came to, for who reads it: from the ledger's records, as values and as figures by name.
+"""Summarize an experiment from the ledger's records, as values and as figures by name.
 
     records = store.scan(f"placement/{experiment.name}/")
     summary = read_summary(experiment, settings.classes, records, store.members())
@@ -10,83 +10,134 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from types import MappingProxyType
 
+from hdrh.histogram import HdrHistogram
 from scipy import stats
 
 from meadowpulley.interface import RequestClass
 from meadowpulley.ledger.model import Member, Record
-from meadowpulley.placement.contrast import Segment, Total, read_segment
-from meadowpulley.placement.counts import Count, Merged, merge, new_histogram, read_count
+from meadowpulley.placement.arm_counters import new_histogram
+from meadowpulley.placement.counter_records import CountersRecord, RequestEnding, decode_counters
 from meadowpulley.placement.definition import Experiment
-from meadowpulley.placement.estimate import Estimate, mean_ms, mixed, naive, switchback
+from meadowpulley.placement.estimate import (
+    Estimate,
+    estimate_mixed,
+    estimate_naive,
+    estimate_switchback,
+    mean_cost_ms,
+)
+from meadowpulley.placement.merged_counters import MergedCounters, merge_counters
+from meadowpulley.placement.time_bins import BinSegment, BinTotals, decode_segment
 
-ALPHA = 0.05
+DEFAULT_ALPHA = 0.05
 QUANTILES = (50.0, 90.0, 99.0)
-ENDINGS = ("served", "refused", "failed", "gone")
+ALL_CLASSES = ""
 
 
 @dataclass(frozen=True, slots=True)
 class ArmResult:
-    """One arm, and one class or all (""). Milliseconds. Mean and quantiles are over all requests that are
-    over, with the class's deadline for what was not served; `served_ms`: quantiles of the served alone."""
+    """Results of one arm, for one class or all (`ALL_CLASSES`).
+
+    The mean and `completion_quantiles_ms` are over all ended requests, with the class's deadline for those
+    that were not served; `served_quantiles_ms` are over the served alone. `lost` requests were open at
+    incarnations that have ended, and adopted by nobody.
+    """
 
     arm: str
-    cls: str
+    class_name: str
     requests: int
     served: int
-    refused: int
+    rejected: int
     failed: int
-    gone: int
+    disconnected: int
     lost: int
-    open: int
+    still_open: int
     mean_ms: float
-    all_ms: tuple[float, ...]
-    served_ms: tuple[float, ...]
+    completion_quantiles_ms: tuple[float, ...]
+    served_quantiles_ms: tuple[float, ...]
+
+    def figures(self) -> dict[str, float]:
+        """Return every figure, under the names of stored tables."""
+        path = _figure_path(self.arm, self.class_name)
+        figures = {
+            "mean_ms": self.mean_ms,
+            "served": self.served,
+            "refused": self.rejected,
+            "failed": self.failed,
+            "gone": self.disconnected,
+            "lost": self.lost,
+            "open": self.still_open,
+        }
+        named = {path + name: float(value) for name, value in figures.items()}
+        for quantile, value_ms in zip(QUANTILES, self.completion_quantiles_ms, strict=True):
+            named[f"{path}p{quantile:g}_ms"] = value_ms
+        return named
 
 
 @dataclass(frozen=True, slots=True)
 class Comparison:
-    """One arm less the baseline. `best` names the measure that answers the experiment's question."""
+    """One arm less the baseline; `primary_measure` names the estimate that answers the question."""
 
     arm: str
-    cls: str
+    class_name: str
     naive: Estimate
     mixed: Estimate
     switchback: Estimate
-    best: str
+    primary_measure: str
+
+    def figures(self) -> dict[str, float]:
+        """Return every figure, under the names of stored tables."""
+        path = _figure_path(self.arm, self.class_name)
+        named: dict[str, float] = {}
+        for name, estimate in (
+            ("naive", self.naive),
+            ("mixed", self.mixed),
+            ("switchback", self.switchback),
+        ):
+            if estimate.sample_size:
+                named[f"{path}{name}_ms"] = estimate.value
+                named[f"{path}{name}_error_ms"] = estimate.standard_error
+        return named
+
+
+def _figure_path(arm: str, class_name: str) -> str:
+    return f"{arm}.{class_name}." if class_name else f"{arm}."
 
 
 @dataclass(frozen=True, slots=True)
 class Summary:
+    """Results of an experiment.
+
+    `sample_ratio_p_value` is the probability of so uneven a split if the arms' parts were as defined: under
+    0.001 no figure here can be trusted. `ended_arms` are the arms that the guard ended, each with the reason.
+    """
+
     name: str
     version: str
-    lives: int
+    incarnations: int
     requests: int
-    outside: int
-    held: int
+    unassigned: int
+    withheld: int
     adopted: int
-    split_p: float  # chance of so uneven a split if parts were as defined: under 0.001 trust nothing here
+    sample_ratio_p_value: float
     arms: tuple[ArmResult, ...]
     comparisons: tuple[Comparison, ...]
-    ended: tuple[tuple[str, str], ...]  # arms that the guard ended, and why, in one line
+    ended_arms: tuple[tuple[str, str], ...]
 
     def figures(self) -> dict[str, float]:
-        """Every figure by name, as `Row.figures` of an experiment's table has them."""
-        found: dict[str, float] = {"requests": float(self.requests), "split_p": self.split_p}
-        for a in self.arms:
-            path = f"{a.arm}.{a.cls}." if a.cls else f"{a.arm}."
-            found |= {path + name: float(getattr(a, name)) for name in ("mean_ms", *ENDINGS, "lost", "open")}
-            found |= {f"{path}p{q:g}_ms": v for q, v in zip(QUANTILES, a.all_ms, strict=True)}
-        for c in self.comparisons:
-            path = f"{c.arm}.{c.cls}." if c.cls else f"{c.arm}."
-            for name in ("naive", "mixed", "switchback"):
-                e: Estimate = getattr(c, name)
-                if e.n:
-                    found |= {f"{path}{name}_ms": e.value, f"{path}{name}_error_ms": e.error}
-        return found
+        """Return every figure by name, as `Row.figures` of an experiment's table has them."""
+        named: dict[str, float] = {
+            "requests": float(self.requests),
+            "split_p": self.sample_ratio_p_value,
+        }
+        for arm in self.arms:
+            named |= arm.figures()
+        for comparison in self.comparisons:
+            named |= comparison.figures()
+        return named
 
 
 def read_summary(
@@ -95,133 +146,173 @@
     records: Sequence[Record],
     members: Sequence[Member],
 ) -> Summary:
-    """Of a ledger's records (`Store.scan("placement/")`) and members; other versions' records are left out:
-    `versions` names them."""
-    counts = [
-        count
-        for r in records
-        if r.key.startswith(experiment.key("count/")) and (count := read_count(r.value)) is not None
+    """Summarize a ledger's records (`Store.scan("placement/")`) and members.
+
+    Records of other versions are left out: `incarnations_by_version` counts them.
+    """
+    counters = [
+        counters_record
+        for record in _records_below(records, experiment.record_key("count/"))
+        if (counters_record := decode_counters(record.value)) is not None
+    ]
+    segments = [
+        segment
+        for record in _records_below(records, experiment.record_key("bins/"))
+        if (segment := decode_segment(record.value)) is not None
     ]
-    prefix = experiment.key("bins/")
-    segments = [s for r in records if r.key.startswith(prefix) and (s := read_segment(r.value)) is not None]
-    living = {str(m.life) for m in members if not m.sealed}
-    over = ({count.life for count in counts} | {s.life for s in segments}) - living
-    prefix = experiment.key("ended/")
-    ended = {
-        int(r.key.removeprefix(prefix)): r.value.decode(errors="replace")
-        for r in records
-        if r.key.startswith(prefix)
+    live = {str(member.incarnation) for member in members if not member.fenced}
+    known = {counters_record.incarnation for counters_record in counters}
+    known |= {segment.incarnation for segment in segments}
+    prefix = experiment.record_key("ended/")
+    end_reasons = {
+        int(record.key.removeprefix(prefix)): record.value.decode(errors="replace")
+        for record in _records_below(records, prefix)
     }
-    return summarize(experiment, classes, counts, over, ended, segments=segments)
+    return summarize(experiment, classes, counters, known - live, end_reasons, segments=segments)
 
 
-def versions(experiment: Experiment, records: Sequence[Record]) -> dict[str, int]:
-    """How many lives count under each version of an experiment of this name."""
-    found: dict[str, int] = {}
+def _records_below(records: Iterable[Record], prefix: str) -> list[Record]:
+    return [record for record in records if record.key.startswith(prefix)]
+
+
+def incarnations_by_version(experiment: Experiment, records: Sequence[Record]) -> dict[str, int]:
+    """Return how many incarnations count under each version of an experiment of this name."""
+    counts: dict[str, int] = {}
     for record in records:
-        parts = record.key.split("/")
-        if parts[:2] == ["placement", experiment.name] and len(parts) == 5 and parts[3] == "count":
-            found[parts[2]] = found.get(parts[2], 0) + 1
-    return found
+        match record.key.split("/"):
+            case ["placement", experiment.name, version, "count", _]:
+                counts[version] = counts.get(version, 0) + 1
+    return counts
 
 
 def summarize(
     experiment: Experiment,
     classes: Sequence[RequestClass],
-    counts: Sequence[Count],
-    over: Collection[str] = (),
-    ended: Mapping[int, str] = MappingProxyType({}),
-    alpha: float = ALPHA,
-    segments: Sequence[Segment] = (),
+    records: Sequence[CountersRecord],
+    ended: Collection[str] = (),
+    end_reasons: Mapping[int, str] = MappingProxyType({}),
+    alpha: float = DEFAULT_ALPHA,
+    segments: Sequence[BinSegment] = (),
 ) -> Summary:
-    """`counts`: records of any lives, in any order; `over`: lives that have ended."""
-    wanted = experiment.classes or tuple(c.name for c in classes)
-    deadline = {c.name: c.deadline_ms for c in classes}
-    total = Total()
+    """Summarize the records of any incarnations, in any order.
+
+    `ended` are incarnations that run no more, `end_reasons` why the guard ended arms, by their indices.
+    """
+    by_name = {request_class.name: request_class.deadline_ms for request_class in classes}
+    class_names = experiment.classes or tuple(by_name)
+    deadlines_ms = [by_name[name] for name in class_names]
+    totals = BinTotals()
     for segment in segments:
-        total.add(segment)
-    deadlines = {n: deadline[name] for n, name in enumerate(wanted)}
-    merged = merge(counts, over, deadlines, total.known(over))
-    named = ["", *wanted]
+        totals.add(segment)
+    bins = totals.complete_bins(ended)
+    merged = merge_counters(records, ended, dict(enumerate(deadlines_ms)), bins)
+    names = (ALL_CLASSES, *class_names)
     arms = tuple(
-        _arm(experiment, merged, k, metric, named, deadline)
-        for k in range(len(experiment.arms))
-        for metric in range(len(named))
+        _arm_result(experiment.arms[arm].name, merged, arm, metric, names[metric], deadlines_ms)
+        for arm in range(len(experiment.arms))
+        for metric in range(len(names))
     )
     comparisons = tuple(
-        _compare(experiment, merged, k, metric, named[metric], alpha)
-        for k in range(1, len(experiment.arms))
-        for metric in range(len(named))
+        _compare(experiment, merged, arm, metric, names[metric], alpha)
+        for arm in range(1, len(experiment.arms))
+        for metric in range(len(names))
     )
     return Summary(
-        experiment.name,
-        experiment.digest,
-        merged.lives,
-        merged.requests,
-        merged.outside,
-        merged.held,
-        merged.adopted,
-        _split(experiment, arms),
-        arms,
-        comparisons,
-        tuple((experiment.arms[k].name, why) for k, why in sorted(ended.items())),
+        name=experiment.name,
+        version=experiment.digest,
+        incarnations=merged.incarnations,
+        requests=merged.requests,
+        unassigned=merged.unassigned,
+        withheld=merged.withheld,
+        adopted=merged.adopted,
+        sample_ratio_p_value=_sample_ratio_p_value(experiment, arms),
+        arms=arms,
+        comparisons=comparisons,
+        ended_arms=tuple((experiment.arms[arm].name, reason) for arm, reason in sorted(end_reasons.items())),
     )
 
 
-def _arm(
-    e: Experiment, merged: Merged, arm: int, metric: int, named: list[str], deadline: dict[str, float]
+def _arm_result(
+    name: str,
+    merged: MergedCounters,
+    arm: int,
+    metric: int,
+    class_name: str,
+    deadlines_ms: Sequence[float],
 ) -> ArmResult:
-    classes = [n for n in range(len(named) - 1) if metric in (0, n + 1)]
-    cells = [merged.cells[arm, n] for n in classes if (arm, n) in merged.cells]
-    served_by, unserved = new_histogram(), new_histogram()
-    lost = sum(merged.lost[arm, n] for n in classes)
-    for n in classes:
-        if (arm, n) in merged.histograms:
-            served_by.add(merged.histograms[arm, n])
-        cell = merged.cells.get((arm, n))
-        late = (cell.ended - cell.served if cell else 0) + merged.lost[arm, n]
-        if late:
-            unserved.record_value(int(deadline[named[n + 1]] * 1000), late)
-    everything = new_histogram()
-    everything.add(served_by)
-    everything.add(unserved)
-    counts = {how: sum(getattr(cell, how) for cell in cells) for how in ENDINGS}
-    still = sum(merged.open[arm, n] for n in classes)
-    at = [
-        tuple(h.get_value_at_percentile(q) / 1000 if h.get_total_count() else math.nan for q in QUANTILES)
-        for h in (everything, served_by)
-    ]
+    classes = [index for index in range(len(deadlines_ms)) if metric in (0, index + 1)]
+    cells = [merged.cells[arm, index] for index in classes if (arm, index) in merged.cells]
+    counts = {ending: sum(cell.count_of(ending) for cell in cells) for ending in RequestEnding}
+    lost = sum(merged.lost[arm, index] for index in classes)
+    still_open = sum(merged.open_requests[arm, index] for index in classes)
+    served = _served_histogram(merged, arm, classes)
+    completed = _unserved_histogram(merged, arm, classes, deadlines_ms)
+    completed.add(served)
     return ArmResult(
-        e.arms[arm].name,
-        named[metric],
-        sum(counts.values()) + lost + still,
-        counts["served"],
-        counts["refused"],
-        counts["failed"],
-        counts["gone"],
-        lost,
-        still,
-        mean_ms(merged, arm, metric),
-        at[0],
-        at[1],
+        arm=name,
+        class_name=class_name,
+        requests=sum(counts.values()) + lost + still_open,
+        served=counts[RequestEnding.SERVED],
+        rejected=counts[RequestEnding.REJECTED],
+        failed=counts[RequestEnding.FAILED],
+        disconnected=counts[RequestEnding.DISCONNECTED],
+        lost=lost,
+        still_open=still_open,
+        mean_ms=mean_cost_ms(merged, arm, metric),
+        completion_quantiles_ms=_quantiles_ms(completed),
+        served_quantiles_ms=_quantiles_ms(served),
     )
 
 
-def _compare(e: Experiment, merged: Merged, arm: int, metric: int, cls: str, alpha: float) -> Comparison:
-    found = (
-        naive(merged, arm, metric, alpha),
-        mixed(merged, arm, metric, alpha, e.odds(arm)),
-        switchback(merged, arm, metric, alpha),
+def _served_histogram(merged: MergedCounters, arm: int, classes: Sequence[int]) -> HdrHistogram:
+    histogram = new_histogram()
+    for index in classes:
+        if (arm, index) in merged.histograms:
+            histogram.add(merged.histograms[arm, index])
+    return histogram
+
+
+def _unserved_histogram(
+    merged: MergedCounters, arm: int, classes: Sequence[int], deadlines_ms: Sequence[float]
+) -> HdrHistogram:
+    """Return a histogram of requests that were not served, each at its class's deadline."""
+    histogram = new_histogram()
+    for index in classes:
+        cell = merged.cells.get((arm, index))
+        unserved = (cell.ended - cell.served if cell else 0) + merged.lost[arm, index]
+        if unserved:
+            histogram.record_value(int(deadlines_ms[index] * 1000), unserved)
+    return histogram
+
+
+def _quantiles_ms(histogram: HdrHistogram) -> tuple[float, ...]:
+    if not histogram.get_total_count():
+        return (math.nan,) * len(QUANTILES)
+    return tuple(histogram.get_value_at_percentile(quantile) / 1000 for quantile in QUANTILES)
+
+
+def _compare(
+    experiment: Experiment, merged: MergedCounters, arm: int, metric: int, class_name: str, alpha: float
+) -> Comparison:
+    probability = experiment.relative_probability(arm)
+    return Comparison(
+        arm=experiment.arms[arm].name,
+        class_name=class_name,
+        naive=estimate_naive(merged, arm, metric, alpha),
+        mixed=estimate_mixed(merged, arm, metric, alpha, probability),
+        switchback=estimate_switchback(merged, arm, metric, alpha),
+        primary_measure="switchback" if experiment.unit == "time" else "mixed",
     )
-    best = "switchback" if e.unit == "time" else "mixed"
-    return Comparison(e.arms[arm].name, cls, found[0], found[1], found[2], best)
 
 
-def _split(e: Experiment, arms: Sequence[ArmResult]) -> float:
-    """Chi-square test that requests fell on arms as their parts say; for units of one request only."""
-    counts = [a.requests for a in arms if not a.cls]
-    if e.unit != "request" or min(counts) == 0:
+def _sample_ratio_p_value(experiment: Experiment, arms: Sequence[ArmResult]) -> float:
+    """Return the p-value of a chi-square test that requests are split as the arms' parts say.
+
+    It is 1 where units are more than single requests: their counts vary by more than chance.
+    """
+    counts = [arm.requests for arm in arms if arm.class_name == ALL_CLASSES]
+    if experiment.unit != "request" or min(counts) == 0:
         return 1.0
-    parts = [arm.part for arm in e.arms]
+    parts = [arm.part for arm in experiment.arms]
     expected = [sum(counts) * part / math.fsum(parts) for part in parts]
     return float(stats.chisquare(counts, expected).pvalue)
--- /dev/null
+++ b/meadowpulley/placement/time_bins.py
@@ -0,0 +1,211 @@
+"""Short time bins: each gateway records its own, and the bins of all gateways are added up.
+
+The mixed Differences-in-Q estimate rests on them. The paper's equation (12) adds to each request's cost the
+costs of the next L requests, wherever they go. In a fleet those are requests of all gateways, and a policy
+may burden another gateway's requests more than its own, so no gateway can sum alone. Each records, by bins
+on the clock that gateways share, which arms its requests had, what they cost, and how many were outstanding
+(the time integral, for Little's law). The bins of all incarnations are added, and the estimate multiplies
+the arms of a bin with all costs of that bin and the next `LOOKAHEAD_BINS`. Costs of requests that came
+before one in its own bin are in the product too and add no bias: an arm is drawn independently of all that
+was before. A bin is a fifth of the carry time, so that clocks a few milliseconds apart do no harm.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+import msgspec
+from msgspec import Struct
+
+LOOKAHEAD_BINS = 5  # after its own, whose requests a request is assumed to burden: one carry time
+BINS_PER_SEGMENT = 16  # of one record
+MAX_BINS = 4096  # that one incarnation records; the estimate rests on these, all else goes on
+
+
+class TimeBin(Struct, array_like=True):
+    """One incarnation's part of one bin.
+
+    `arm_counts` are the requests accepted by (group, arm), arm -1 for none. `accepted`, `cost_ms`,
+    `outstanding_ms` (requests times ms) and `outstanding_at_start` are by metric: all classes, then each.
+    `ended_arms` got no requests any more for a part of the bin at least: it compares nothing of theirs.
+    """
+
+    number: int
+    arm_counts: dict[tuple[int, int], int]
+    accepted: list[int]
+    cost_ms: list[float]
+    outstanding_ms: list[float]
+    outstanding_at_start: list[int]
+    ended_arms: list[int]
+
+    def copy(self) -> TimeBin:
+        """Return a bin that shares no list with this one."""
+        return TimeBin(
+            self.number,
+            dict(self.arm_counts),
+            list(self.accepted),
+            list(self.cost_ms),
+            list(self.outstanding_ms),
+            list(self.outstanding_at_start),
+            list(self.ended_arms),
+        )
+
+    def add(self, other: TimeBin) -> None:
+        """Add another incarnation's part of the same bin."""
+        self.ended_arms += [arm for arm in other.ended_arms if arm not in self.ended_arms]
+        for key, count in other.arm_counts.items():
+            self.arm_counts[key] = self.arm_counts.get(key, 0) + count
+        for metric in range(len(other.cost_ms)):
+            self.accepted[metric] += other.accepted[metric]
+            self.cost_ms[metric] += other.cost_ms[metric]
+            self.outstanding_ms[metric] += other.outstanding_ms[metric]
+            self.outstanding_at_start[metric] += other.outstanding_at_start[metric]
+
+
+class BinSegment(Struct, array_like=True, frozen=True):
+    """Some successive bins of one incarnation, written once and never changed."""
+
+    incarnation: str
+    bins: list[TimeBin]
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(BinSegment).decode
+
+
+def encode_segment(segment: BinSegment) -> bytes:
+    """Encode a segment as the value of its record."""
+    return _encode(segment)
+
+
+def decode_segment(value: bytes) -> BinSegment | None:
+    """Decode a record's value; None if it is not a segment."""
+    try:
+        return _decode(value)
+    except msgspec.MsgspecError:
+        return None
+
+
+class BinRecorder:
+    """Records one incarnation's bins, by metric: all classes, then each. Times are ms on the shared clock."""
+
+    def __init__(self, incarnation: str, metric_count: int, carry_ms: float) -> None:
+        self.incarnation, self.metric_count = incarnation, metric_count
+        self.bin_width_ms = carry_ms / LOOKAHEAD_BINS
+        self.outstanding = [0] * metric_count
+        self.advanced_to = 0.0
+        self.bins: list[TimeBin] = []  # the last one is not over
+        self.pending: dict[int, int] = {}  # outstanding requests by the bin that accepted them
+        self.ended_arms: list[int] = []
+        self.discarded_bins = 0  # that are in a segment already
+
+    def _start_bin(self, number: int) -> None:
+        no_time = [0.0] * self.metric_count
+        self.bins.append(
+            TimeBin(
+                number,
+                {},
+                [0] * self.metric_count,
+                no_time,
+                list(no_time),
+                list(self.outstanding),
+                list(self.ended_arms),
+            )
+        )
+
+    def advance(self, now: float) -> None:
+        """Advance to `now`. A clock that is set back has no effect until it has caught up."""
+        if not self.bins:
+            self.advanced_to = now
+            self._start_bin(int(now // self.bin_width_ms))
+        while self.advanced_to < now:
+            last = self.bins[-1]
+            bin_end = (last.number + 1) * self.bin_width_ms
+            until = min(bin_end, now)
+            for metric, count in enumerate(self.outstanding):
+                last.outstanding_ms[metric] += count * (until - self.advanced_to)
+            self.advanced_to = until
+            if until == bin_end:
+                self._start_bin(last.number + 1)
+
+    def end_arm(self, arm: int) -> None:
+        """Mark an arm as ended, from the current bin on."""
+        self.ended_arms.append(arm)
+        if self.bins:
+            self.bins[-1].ended_arms.append(arm)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no more bins may be recorded."""
+        return self.discarded_bins + len(self.bins) > MAX_BINS
+
+    def record_accepted(self, now: float, arm: int, class_index: int, group: int) -> int:
+        """Record an accepted request and return its bin's number.
+
+        A request of arm -1 is in no arm, but its cost counts: it bears what others burden it with.
+        """
+        self.advance(now)
+        last = self.bins[-1]
+        last.arm_counts[group, arm] = last.arm_counts.get((group, arm), 0) + 1
+        self.pending[last.number] = self.pending.get(last.number, 0) + 1
+        for metric in (0, class_index + 1):
+            self.outstanding[metric] += 1
+            last.accepted[metric] += 1
+        return last.number
+
+    def record_ended(self, now: float, number: int, class_index: int, cost_ms: float) -> None:
+        """Record the end of a request of that bin, and its cost (its deadline if it was not served)."""
+        self.advance(now)
+        self.pending[number] -= 1
+        time_bin = self.bins[number - self.bins[0].number]
+        for metric in (0, class_index + 1):
+            self.outstanding[metric] -= 1
+            time_bin.cost_ms[metric] += cost_ms
+
+    def next_segment(self) -> BinSegment | None:
+        """Return the next bins, once all of their requests have ended."""
+        first_bins = self.bins[:BINS_PER_SEGMENT]
+        has_pending = any(self.pending.get(time_bin.number) for time_bin in first_bins)
+        if len(self.bins) <= BINS_PER_SEGMENT or has_pending:
+            return None
+        return BinSegment(self.incarnation, first_bins)
+
+    def discard_segment(self) -> None:
+        """Drop the bins of the next segment, once it is kept elsewhere."""
+        for time_bin in self.bins[:BINS_PER_SEGMENT]:
+            self.pending.pop(time_bin.number, None)
+        self.discarded_bins += BINS_PER_SEGMENT
+        del self.bins[:BINS_PER_SEGMENT]
+
+
+class BinTotals:
+    """The sums of all incarnations' bins; segments may come in any order, and more than once."""
+
+    def __init__(self) -> None:
+        self.bins: dict[int, TimeBin] = {}
+        self.last_bin_by_incarnation: dict[str, int] = {}
+        self._added_segments: set[tuple[str, int]] = set()
+
+    def add(self, segment: BinSegment) -> None:
+        """Add a segment, unless it was added before."""
+        incarnation = segment.incarnation
+        key = (incarnation, segment.bins[0].number if segment.bins else -1)
+        if key in self._added_segments or not segment.bins:
+            return
+        self._added_segments.add(key)
+        last = self.last_bin_by_incarnation.get(incarnation, -1)
+        self.last_bin_by_incarnation[incarnation] = max(last, segment.bins[-1].number)
+        for time_bin in segment.bins:
+            total = self.bins.get(time_bin.number)
+            if total is None:
+                self.bins[time_bin.number] = time_bin.copy()
+            else:
+                total.add(time_bin)
+
+    def complete_bins(self, ended: Collection[str]) -> list[TimeBin]:
+        """Return the bins in order, as far as every incarnation that has not `ended` has written its own."""
+        last_of_live = [
+            number for incarnation, number in self.last_bin_by_incarnation.items() if incarnation not in ended
+        ]
+        until = min(last_of_live, default=max(self.last_bin_by_incarnation.values(), default=-1))
+        return [self.bins[number] for number in sorted(self.bins) if number <= until]
--- /dev/null
+++ b/meadowpulley/policy/__init__.py
@@ -0,0 +1,8 @@
+"""Every decision of meadowpulley; its settings, events and actions are in meadowpulley/interface.py.
+
+In reading order: `endpoints`, `outlier_detection`, `routing`, `admission`, `evidence`, `rollout`, `policy`.
+"""
+
+from meadowpulley.policy.policy import LIST_CALL_SPACING_MS, TIMER_TOKEN, RolloutPolicy
+
+__all__ = ["LIST_CALL_SPACING_MS", "TIMER_TOKEN", "RolloutPolicy"]
--- /dev/null
+++ b/meadowpulley/policy/endpoints.py
@@ -0,0 +1,55 @@
+"""Which servers exist, what each can do by its age and kind, and which of them run the build on trial."""
+
+import math
+
+from meadowpulley.interface import EndpointUpdate, EndpointUpdateKind, Phase
+from meadowpulley.state import State
+
+LOCAL_ZONE_FRACTION = 0.5  # of the subset: more would crowd a zone that gets more than its part
+LIST_RETRY_MS = 1500.0  # between the second failed list call in a row and the next
+MAX_STICKY_KEYS = 8000  # beyond it keys that no server needs are forgotten: then older builds get no key
+ROLLBACK_PHASES = (Phase.ROLLING_BACK, Phase.ROLLED_BACK)
+
+
+def is_on_trial(state: State, build: int) -> bool:
+    """Tell whether a build is on trial; while no rollout is known all are."""
+    rollout = state.latest_rollout
+    if rollout is None or build > rollout.build:
+        return True
+    return build == rollout.build and rollout.phase is not Phase.RELEASED
+
+
+def cap_and_stage(state: State, build: int) -> tuple[float, int]:
+    """Return the exposure cap and the stage of a build on trial; an unannounced one is at the first stage."""
+    rollout = state.latest_rollout
+    if rollout is not None and build == rollout.build:
+        return rollout.cap, rollout.stage
+    return (*state.rollout_settings.caps, 0.0)[0], 0
+
+
+def handle_endpoint_update(state: State, update: EndpointUpdate) -> None:
+    """Take in an endpoint list, or the failure of the call for it."""
+    if update.kind in (EndpointUpdateKind.FAILED, EndpointUpdateKind.TIMED_OUT):
+        failed = update.kind is EndpointUpdateKind.FAILED  # each gateway finds a time-out at its own time
+        backoff_ms = LIST_RETRY_MS * min(state.list_failures, 3) * (0.5 + state.rng.random())
+        jitter_ms = state.rng.random() * state.list_jitter_ms * (1 + min(state.list_failures, 1))
+        retry_at = state.now + (max(backoff_ms, jitter_ms) if failed else 0.0)
+        state.resubscribe_at = retry_at if state.settings.must_poll else math.inf
+        state.list_failures += failed
+        return
+    if update.kind is not EndpointUpdateKind.CACHED:
+        state.resubscribe_at, state.list_failures = math.inf, 0
+    state.apply_endpoints(update)
+    partition_servers(state)
+
+
+def partition_servers(state: State) -> None:
+    """Sort the ready servers by arm, after an update of the servers or of the rollout."""
+    ready = state.ready_servers()
+    state.trial_servers = [s for s in ready if is_on_trial(state, s.build)]
+    state.baseline_servers = [s for s in ready if not is_on_trial(state, s.build)]
+    oldest_build = min((s.build for s in ready), default=-1)
+    if len(state.sticky_builds) > MAX_STICKY_KEYS and oldest_build > state.oldest_sticky_build:
+        state.forget_sticky_builds(oldest_build)
+    state.trial_probability_until, state.evaluate_at = -math.inf, min(state.evaluate_at, state.now)
+    state.peak_ready_servers = max(state.peak_ready_servers, len(ready))
--- a/meadowpulley/report/charts.py
+++ b/meadowpulley/report/charts.py
@@ -11,9 +11,9 @@
 matplotlib.use("Agg")
 from matplotlib.figure import Figure
 
-from meadowpulley.emulator import Result
+from meadowpulley.emulator import EmulationResult
 
-SIZE = (8.0, 3.2)  # inches
+FIGURE_INCHES = (8.0, 3.2)  # inches
 DPI = 100
 
 
@@ -49,11 +49,11 @@
     x_label: str,
     y_label: str,
     lines: Sequence[Line],
-    marks: Sequence[tuple[float, str]] = (),
+    vertical_lines: Sequence[tuple[float, str]] = (),
     bands: Sequence[tuple[float, float, str]] = (),
 ) -> Chart:
     """Lines over one axis; `marks` are upright lines with a word, `bands` shaded spans with one."""
-    figure = Figure(figsize=SIZE, layout="constrained")
+    figure = Figure(figsize=FIGURE_INCHES, layout="constrained")
     axes = figure.add_subplot()
     for line in lines:
         [drawn] = axes.plot(line.x, line.y, line.style, label=line.label, linewidth=1.4, markersize=4)
@@ -69,7 +69,7 @@
             ha="center",
             va="bottom",
         )
-    for x, text in marks:
+    for x, text in vertical_lines:
         axes.axvline(x, color="grey", linestyle=":", linewidth=1)
         axes.annotate(
             text, (x, 0.98), xycoords=("data", "axes fraction"), fontsize=7, rotation=90, va="top", ha="right"
@@ -84,18 +84,31 @@
     return Chart(title, _png(figure))
 
 
-def run_charts(result: Result) -> list[Chart]:
+def run_charts(result: EmulationResult) -> list[Chart]:
     """What a run was like, second by second."""
     x = [float(n) for n in range(len(result.seconds))]
     if not x:
         return []
-    marks = [(at / 1000, what) for at, what in result.events if "offered" in what or what.startswith("fault")]
-    kinds = ("asked", "in_aim", "late", "refused", "failed")
-    counts = [Line(k.replace("_", " "), x, [float(getattr(s, k)) for s in result.seconds]) for k in kinds]
+    vertical_lines = [
+        (at / 1000, what) for at, what in result.events if "offered" in what or what.startswith("fault")
+    ]
+    counts = [
+        Line("asked", x, [float(second.calls) for second in result.seconds]),
+        Line("in aim", x, [float(second.within_objective) for second in result.seconds]),
+        Line("late", x, [float(second.late) for second in result.seconds]),
+        Line("refused", x, [float(second.rejected) for second in result.seconds]),
+        Line("failed", x, [float(second.failed) for second in result.seconds]),
+    ]
     stages = [Line("stage", x, [float(s.stage + 1) for s in result.seconds], "-")]
-    worth = [s.worth_got / s.worth_asked if s.worth_asked else 1.0 for s in result.seconds]
+    kept_value = [s.weight_served / s.weight_offered if s.weight_offered else 1.0 for s in result.seconds]
     return [
-        line_chart("Requests by how they ended", "second of the run", "a second", counts, marks),
-        line_chart("Share of worth kept", "second of the run", "share", [Line("worth", x, worth)], marks),
-        line_chart("Stage of the newest build", "second of the run", "stage", stages, marks),
+        line_chart("Requests by how they ended", "second of the run", "a second", counts, vertical_lines),
+        line_chart(
+            "Share of worth kept",
+            "second of the run",
+            "share",
+            [Line("worth", x, kept_value)],
+            vertical_lines,
+        ),
+        line_chart("Stage of the newest build", "second of the run", "stage", stages, vertical_lines),
     ]
--- /dev/null
+++ b/meadowpulley/report/fleet_metrics.py
@@ -0,0 +1,75 @@
+"""A fleet second by second: the gateways' own `second` lines added up. `cli/fleet_log.py` reads the files."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import datetime
+from typing import Any
+
+
+@dataclass(slots=True)
+class FleetInterval:
+    """One second of the fleet: how many gateways wrote a line, counters summed, what they held."""
+
+    gateways: int = 0
+    counters: Counter[str] = field(default_factory=Counter)
+    servers: Counter[str] = field(default_factory=Counter)  # by build and state, summed over gateways
+    outstanding_requests: int = 0  # requests at servers
+    ejected_servers: int = 0  # servers left alone, summed over gateways
+    rollouts: Counter[str] = field(default_factory=Counter)
+    decisions: list[str] = field(default_factory=list)  # what the decisions said
+
+
+def _second_of(event: dict[str, Any]) -> int:
+    return int(datetime.fromisoformat(event["timestamp"]).timestamp())
+
+
+def _parse_interval(event: dict[str, Any]) -> FleetInterval:
+    """What one gateway's line says; raises ValueError, KeyError, TypeError, AttributeError or IndexError."""
+    snapshot = event["held"]
+    rollout = snapshot["news"]
+    return FleetInterval(
+        gateways=1,
+        counters=Counter({str(k): int(n) for k, n in event["counts"].items()}),
+        servers=Counter({str(k): int(n) for k, n in snapshot["servers"].items()}),
+        outstanding_requests=int(snapshot["out"]),
+        ejected_servers=int(snapshot["resting"]),
+        rollouts=Counter(["none" if rollout is None else f"{rollout[0]} stage {rollout[1]} {rollout[2]}"]),
+    )
+
+
+def _merge(total: FleetInterval, interval: FleetInterval) -> None:
+    total.gateways += interval.gateways
+    total.counters.update(interval.counters)
+    total.servers.update(interval.servers)
+    total.outstanding_requests += interval.outstanding_requests
+    total.ejected_servers += interval.ejected_servers
+    total.rollouts.update(interval.rollouts)
+
+
+def aggregate_intervals(lines: Iterable[str]) -> tuple[dict[int, FleetInterval], int]:
+    """Seconds since the epoch to what the fleet did in them, and how many lines could not be read.
+
+    Each line is one of the gateway's log, whatever a collector wrote before its first brace. Lines of other
+    events count as read; those that are no JSON, or lack what a `second` line has, do not.
+    """
+    intervals: dict[int, FleetInterval] = defaultdict(FleetInterval)
+    unreadable = 0
+    for line in lines:
+        brace = line.find("{")
+        try:
+            event = json.loads(line[brace:]) if brace >= 0 else None
+            if not isinstance(event, dict):
+                raise ValueError("no object")
+            if event["event"] == "second":
+                interval = _parse_interval(event)
+                _merge(intervals[_second_of(event)], interval)
+            elif event["event"] == "decision":
+                decision = f"{event['timestamp']} {event['gateway']}: {event['line']}"
+                intervals[_second_of(event)].decisions.append(decision)
+        except (ValueError, KeyError, TypeError, IndexError, AttributeError, RecursionError):
+            unreadable += 1
+    return dict(sorted(intervals.items())), unreadable
--- a/meadowpulley/report/pages.py
+++ b/meadowpulley/report/pages.py
@@ -11,12 +11,12 @@
 
 from jinja2 import Environment, PackageLoader, StrictUndefined
 
-from meadowpulley.emulator import Result
+from meadowpulley.emulator import EmulationResult
 from meadowpulley.report.charts import Chart, run_charts
 
 
 @dataclass(frozen=True, slots=True)
-class TableOf:
+class PageTable:
     columns: Sequence[str]
     rows: Sequence[Sequence[str]]
 
@@ -27,7 +27,7 @@
 
     title: str
     text: Sequence[str] = ()
-    tables: Sequence[TableOf] = ()
+    tables: Sequence[PageTable] = ()
     charts: Sequence[Chart] = ()
 
 
@@ -39,16 +39,16 @@
 
 
 def _environment() -> Environment:
-    env = Environment(
+    environment = Environment(
         loader=PackageLoader("meadowpulley.report"),
         autoescape=lambda name: name is not None and name.endswith(".html.j2"),
         undefined=StrictUndefined,
         trim_blocks=True,
         lstrip_blocks=True,
     )
-    env.filters["data_uri"] = lambda png: "data:image/png;base64," + base64.b64encode(png).decode()
-    env.filters["cell"] = lambda text: str(text).replace("|", "\\|").replace("\n", " ")
-    return env
+    environment.filters["data_uri"] = lambda png: "data:image/png;base64," + base64.b64encode(png).decode()
+    environment.filters["cell"] = lambda text: str(text).replace("|", "\\|").replace("\n", " ")
+    return environment
 
 
 def chart_name(page: Path, chart: Chart) -> str:
@@ -56,10 +56,10 @@
     return f"{page.stem}-{words}.png"
 
 
-def _replace(path: Path, data: bytes) -> None:
-    fresh = path.with_name(f".{path.name}.new")
-    fresh.write_bytes(data)
-    os.replace(fresh, path)
+def _write_atomically(path: Path, data: bytes) -> None:
+    temporary = path.with_name(f".{path.name}.new")
+    temporary.write_bytes(data)
+    os.replace(temporary, path)
 
 
 def write_page(page: Page, path: Path) -> None:
@@ -71,8 +71,8 @@
     if path.suffix == ".md":
         for section in page.sections:
             for chart in section.charts:
-                _replace(path.with_name(names[chart.title]), chart.png)
-    _replace(path, template.render(page=page, names=names).encode())
+                _write_atomically(path.with_name(names[chart.title]), chart.png)
+    _write_atomically(path, template.render(page=page, names=names).encode())
 
 
 SERVER_COLUMNS = (
@@ -88,18 +88,18 @@
 )
 
 
-def run_page(result: Result, title: str) -> Page:
+def run_page(result: EmulationResult, title: str) -> Page:
     """The page of one run."""
     columns = ["class", "asked", "in aim", "late", "refused", "failed", "worth kept", "p50 ms", "p99 ms"]
     rows = [
         [
             c.name,
-            str(c.asked),
-            str(c.in_aim),
+            str(c.calls),
+            str(c.within_objective),
             str(c.late),
-            str(c.refused),
+            str(c.rejected),
             str(c.failed),
-            f"{100 * c.worth_share:.2f}%",
+            f"{100 * c.served_weight_share:.2f}%",
             f"{c.latency_ms(50):.0f}",
             f"{c.latency_ms(99):.0f}",
         ]
@@ -112,31 +112,35 @@
             s.kind,
             str(s.build),
             f"{s.up_ms / 1000:.0f}",
-            f"{100 * s.busy:.1f}%",
+            f"{100 * s.utilisation:.1f}%",
             str(s.served),
-            str(s.turned_away),
-            str(s.most_waiting),
+            str(s.rejected),
+            str(s.max_queued),
         ]
         for s in result.servers
     ]
-    told = [f"{at / 1000:.1f} s: {what}" for at, what in result.events if "votes none" not in what]
-    rules = "All five rules were kept." if not result.broken else f"Rules broken: {dict(result.broken)}."
+    events = [f"{at / 1000:.1f} s: {what}" for at, what in result.events if "votes none" not in what]
+    rules_text = (
+        "All five rules were kept."
+        if not result.violation_counts
+        else f"Rules broken: {dict(result.violation_counts)}."
+    )
     return Page(
         title,
         [
-            f"{result.asks} requests in {result.lasted_ms / 1000:.0f} s, "
-            f"{100 * result.worth_share:.2f}% of their worth kept.",
-            rules,
+            f"{result.calls} requests in {result.elapsed_ms / 1000:.0f} s, "
+            f"{100 * result.served_weight_share:.2f}% of their worth kept.",
+            rules_text,
         ],
         [
-            Section("Answers", tables=[TableOf(columns, rows)], charts=run_charts(result)),
-            Section("Servers", tables=[TableOf(SERVER_COLUMNS, servers)]),
-            Section("What happened", text=told[:200]),
-            *([Section("Breaches", text=result.breaches[:50])] if result.breaches else []),
+            Section("Answers", tables=[PageTable(columns, rows)], charts=run_charts(result)),
+            Section("Servers", tables=[PageTable(SERVER_COLUMNS, servers)]),
+            Section("What happened", text=events[:200]),
+            *([Section("Breaches", text=result.violations[:50])] if result.violations else []),
         ],
     )
 
 
-def write_run_report(result: Result, path: Path, title: str) -> None:
+def write_run_report(result: EmulationResult, path: Path, title: str) -> None:
     """The report of one run, with its charts. Raises as `write_page`."""
     write_page(run_page(result, title), path)
--- a/meadowpulley/report/story.py
+++ b/meadowpulley/report/request_trace.py
@@ -7,44 +7,46 @@
 from dataclasses import dataclass
 from datetime import datetime
 
-_SHOWN_APART = ("event", "level", "timestamp", "gateway", "id", "step", "passed_over")
+_SEPARATE_FIELDS = ("event", "level", "timestamp", "gateway", "id", "step", "passed_over")
 
 
 @dataclass(frozen=True, slots=True, order=True)
-class Step:
+class TraceStep:
     """`at`: seconds since the epoch by the gateway; `line`: where it stood, for steps of one moment."""
 
     at: float
-    line: int
+    line_number: int
     gateway: str
     request: str
     step: str
-    more: str = ""  # name=value, as the gateway wrote them
+    fields: str = ""  # name=value, as the gateway wrote them
 
 
-def read_steps(lines: Iterable[str], wanted: str = "") -> tuple[list[Step], int]:
+def read_steps(lines: Iterable[str], id_prefix: str = "") -> tuple[list[TraceStep], int]:
     """The steps of all ids that begin with `wanted`, by time, and how many lines could not be read.
 
     Whatever a collector wrote before a line's first brace is passed over, as are lines of other events."""
-    steps: list[Step] = []
-    unread = 0
-    for n, line in enumerate(lines):
+    steps: list[TraceStep] = []
+    unreadable = 0
+    for line_number, line in enumerate(lines):
         brace = line.find("{")
         if brace >= 0 and '"story"' not in line:
             continue
         try:
             event = json.loads(line[brace:])
-            if event["event"] != "story" or not event["id"].startswith(wanted):
+            if event["event"] != "story" or not event["id"].startswith(id_prefix):
                 continue
-            more = " ".join(f"{k}={v}" for k, v in event.items() if k not in _SHOWN_APART)
+            fields = " ".join(f"{k}={v}" for k, v in event.items() if k not in _SEPARATE_FIELDS)
             at = datetime.fromisoformat(event["timestamp"]).timestamp()
-            steps.append(Step(at, n, str(event["gateway"]), event["id"], str(event["step"]), more))
+            steps.append(
+                TraceStep(at, line_number, str(event["gateway"]), event["id"], str(event["step"]), fields)
+            )
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
-            unread += 1
-    return sorted(steps), unread
+            unreadable += 1
+    return sorted(steps), unreadable
 
 
-def unended(steps: Iterable[Step]) -> list[str]:
+def unfinished_requests(steps: Iterable[TraceStep]) -> list[str]:
     """Ids that were taken and neither answered nor gone, in the order in which they came."""
     open_ids: dict[str, None] = {}
     for step in steps:
--- a/meadowpulley/rules/checker.py
+++ b/meadowpulley/rules/checker.py
@@ -12,373 +12,438 @@
 from dataclasses import dataclass, field
 
 from meadowpulley.interface import DeduplicationScope, Effect
-from meadowpulley.rules.figures import Figures
-from meadowpulley.rules.together import RuleName, TogetherChecker
+from meadowpulley.rules.parameters import RuleParameters
+from meadowpulley.rules.shared_state import RuleName, SharedStateChecker
 from meadowpulley.rules.trace import (
-    Adopted,
-    Answered,
-    Died,
-    Fell,
-    Gone,
+    AdoptionStarted,
+    AttemptEnded,
+    AttemptSent,
+    ClientDetached,
+    EndpointListed,
+    GatewayCrashed,
+    GatewayPaused,
+    GatewayResumed,
+    GatewayStarted,
+    InstanceOverloaded,
     KeyAnswered,
-    Left,
-    Listed,
-    News,
-    Outcome,
     Record,
-    Sent,
-    Started,
-    Stopped,
-    Taken,
-    Woke,
+    RequestAbandoned,
+    RequestReceived,
+    ResponseSent,
+    RolloutUpdated,
 )
 
-KEPT = 1000  # breaches kept to the letter; the rest are only counted
+MAX_VIOLATIONS = 1000  # breaches kept to the letter; the rest are only counted
 
 
 @dataclass(frozen=True, slots=True)
-class Breach:
+class Violation:
     rule: RuleName
     at: float
     gateway: int  # -1: no single gateway's doing
     text: str
 
     def __str__(self) -> str:
-        who = f" gateway {self.gateway}" if self.gateway >= 0 else ""
-        return f"{self.at / 1000:.3f} s{who}: {self.rule}: {self.text}"
+        origin = f" gateway {self.gateway}" if self.gateway >= 0 else ""
+        return f"{self.at / 1000:.3f} s{origin}: {self.rule}: {self.text}"
 
 
 @dataclass(slots=True)
-class _Try:
+class _ObservedAttempt:
     server: int
     build: int
-    at: float
-    maybe: bool = True  # it ran, may have run, or is still out
+    sent_at: float
+    may_have_executed: bool = True  # it ran, may have run, or is still out
     cell: int = 0
     site: int = 0
     gateway: int = -1
 
 
 @dataclass(slots=True)
-class _Held:
-    taken: Taken
-    tries: list[_Try] = field(default_factory=list)  # with those of other gateways under the same id
-    mine: dict[int, _Try] = field(default_factory=dict)  # this gateway's, by number
+class _OpenRequest:
+    received: RequestReceived
+    attempts: list[_ObservedAttempt] = field(
+        default_factory=list
+    )  # with those of other gateways under the same id
+    own_attempts: dict[int, _ObservedAttempt] = field(default_factory=dict)  # this gateway's, by number
     excused: bool = False  # its time passed while its gateway stood still
 
 
 @dataclass(slots=True)
-class _Known:
+class _KnownServer:
     state: str
     build: int
-    told: float  # when it was last told to be no longer ready
+    removed_at: float  # when it was last told to be no longer ready
     cell: int
     site: int
 
 
-def _place(group: DeduplicationScope, there: _Try | _Known) -> int:
+def _group_member(group: DeduplicationScope, location: _ObservedAttempt | _KnownServer) -> int:
     return {
         DeduplicationScope.ALL: 0,
-        DeduplicationScope.ZONE: there.site,
-        DeduplicationScope.CELL: there.cell,
+        DeduplicationScope.ZONE: location.site,
+        DeduplicationScope.CELL: location.cell,
     }[group]
 
 
-class _Gateway:
+class _GatewayState:
     """The books of one life of one gateway."""
 
     def __init__(self) -> None:
-        self.held: dict[int, _Held] = {}
-        self.over: set[int] = set()
-        self.over_order: deque[tuple[float, int]] = deque()
-        self.stopped_at = math.inf  # since when it stands still
-        self.servers: dict[int, _Known] = {}
-        self.news: list[News] = []
-        self.taken: dict[int, list[float]] = defaultdict(list)
-        self.sent: dict[tuple[int, int], deque[float]] = defaultdict(deque)
-        self.keys: dict[int, dict[int, int]] = defaultdict(dict)  # build -> key -> 1
-
-
-class Checker:
+        self.open_requests: dict[int, _OpenRequest] = {}
+        self.finished: set[int] = set()
+        self.finished_order: deque[tuple[float, int]] = deque()
+        self.paused_at = math.inf  # since when it stands still
+        self.servers: dict[int, _KnownServer] = {}
+        self.rollout_updates: list[RolloutUpdated] = []
+        self.received_at: dict[int, list[float]] = defaultdict(list)
+        self.trial_attempts: dict[tuple[int, int], deque[float]] = defaultdict(deque)
+        self.keys_by_build: dict[int, dict[int, int]] = defaultdict(dict)  # build -> key -> 1
+
+
+class TraceChecker:
     """Feed it a trace with `see`, in order, then `finish`; `breaches` and `counts` tell the rest."""
 
-    def __init__(self, figures: Figures) -> None:
-        self.figures = figures
-        self.breaches: list[Breach] = []
+    def __init__(self, parameters: RuleParameters) -> None:
+        self.parameters = parameters
+        self.violations: list[Violation] = []
         self.counts: Counter[str] = Counter()
-        self.seen = 0
-        self._gateways: dict[int, _Gateway] = defaultdict(_Gateway)
-        self._together = TogetherChecker(figures.shared, self._breach)
-        self._tries: dict[str, list[_Try]] = {}  # by the client's id: of all gateways that had it
+        self.record_count = 0
+        self._gateways: dict[int, _GatewayState] = defaultdict(_GatewayState)
+        self._shared_state = SharedStateChecker(parameters.shared, self._report)
+        self._attempts_by_id: dict[
+            str, list[_ObservedAttempt]
+        ] = {}  # by the client's id: of all gateways that had it
         self._handlers = {
-            Started: self._started,
-            Died: self._died,
-            Taken: self._taken,
-            Sent: self._sent,
-            Outcome: self._outcome,
-            Answered: self._answered,
-            Gone: self._gone,
-            Listed: self._listed,
-            News: self._news,
-            KeyAnswered: self._key,
-            Fell: self._fell,
-            Stopped: self._stopped,
-            Woke: self._woke,
-            Left: self._left,
-            Adopted: self._adopted,
+            GatewayStarted: self._gateway_started,
+            GatewayCrashed: self._gateway_crashed,
+            RequestReceived: self._request_received,
+            AttemptSent: self._attempt_sent,
+            AttemptEnded: self._attempt_ended,
+            ResponseSent: self._response_sent,
+            RequestAbandoned: self._request_abandoned,
+            EndpointListed: self._endpoint_listed,
+            RolloutUpdated: self._rollout_updated,
+            KeyAnswered: self._key_answered,
+            InstanceOverloaded: self._instance_overloaded,
+            GatewayPaused: self._gateway_paused,
+            GatewayResumed: self._gateway_resumed,
+            ClientDetached: self._client_detached,
+            AdoptionStarted: self._adoption_started,
         }
 
     @property
-    def kept(self) -> bool:
+    def holds(self) -> bool:
         return not self.counts
 
-    def see(self, record: Record) -> None:
-        self.seen += 1
+    def observe(self, record: Record) -> None:
+        self.record_count += 1
         handler = self._handlers.get(type(record))
         if handler is not None:
             handler(record)  # type: ignore[operator]
-        self._together.see(record)
+        self._shared_state.observe(record)
 
     def finish(self, at: float) -> None:
         """The trace ends: what is past its time and still owed was lost."""
-        self._together.finish(at)
-        for number, gateway in self._gateways.items():
-            for request, held in list(gateway.held.items()):
-                limit = self._answer_by(held)
-                if at > limit and not held.excused and limit < gateway.stopped_at:
-                    self._breach("answers", limit, number, f"request {request} got no final answer")
-
-    def _breach(self, rule: RuleName, at: float, gateway: int, text: str) -> None:
+        self._shared_state.finish(at)
+        for gateway_number, gateway in self._gateways.items():
+            for number, request in list(gateway.open_requests.items()):
+                deadline = self._response_deadline(request)
+                if at > deadline and not request.excused and deadline < gateway.paused_at:
+                    self._report("answers", deadline, gateway_number, f"request {number} got no final answer")
+
+    def _report(self, rule: RuleName, at: float, gateway: int, text: str) -> None:
         self.counts[rule] += 1
-        if len(self.breaches) < KEPT:
-            self.breaches.append(Breach(rule, at, gateway, text))
+        if len(self.violations) < MAX_VIOLATIONS:
+            self.violations.append(Violation(rule, at, gateway, text))
 
     # One final answer
 
-    def _started(self, r: Started) -> None:
-        self._gateways[r.gateway] = _Gateway()
+    def _gateway_started(self, record: GatewayStarted) -> None:
+        self._gateways[record.gateway] = _GatewayState()
 
-    def _died(self, r: Died) -> None:
-        self._gateways.pop(r.gateway, None)
+    def _gateway_crashed(self, record: GatewayCrashed) -> None:
+        self._gateways.pop(record.gateway, None)
 
-    def _adopted(self, r: Adopted) -> None:
+    def _adoption_started(self, record: AdoptionStarted) -> None:
         """It earns no allowance, its client is elsewhere, and what was tried of it may have run."""
-        taken = Taken(r.at, r.gateway, r.request, r.cls, r.key, r.deadline, r.id)
-        self._gateways[r.gateway].held[r.request] = _Held(
-            taken, self._tries.setdefault(r.id, []), excused=True
+        received = RequestReceived(
+            record.at,
+            record.gateway,
+            record.request,
+            record.class_index,
+            record.key,
+            record.deadline,
+            record.request_id,
+        )
+        self._gateways[record.gateway].open_requests[record.request] = _OpenRequest(
+            received, self._attempts_by_id.setdefault(record.request_id, []), excused=True
         )
 
-    def _left(self, r: Left) -> None:
-        held = self._gateways[r.gateway].held.get(r.request)
-        if held is not None:
-            held.excused = True
+    def _client_detached(self, record: ClientDetached) -> None:
+        request = self._gateways[record.gateway].open_requests.get(record.request)
+        if request is not None:
+            request.excused = True
 
-    def _stopped(self, r: Stopped) -> None:
-        self._gateways[r.gateway].stopped_at = r.at
+    def _gateway_paused(self, record: GatewayPaused) -> None:
+        self._gateways[record.gateway].paused_at = record.at
 
-    def _woke(self, r: Woke) -> None:
-        gateway = self._gateways[r.gateway]
-        for held in gateway.held.values():
-            if gateway.stopped_at < self._answer_by(held) < r.at:
-                held.excused = True
-        gateway.stopped_at = math.inf
+    def _gateway_resumed(self, record: GatewayResumed) -> None:
+        gateway = self._gateways[record.gateway]
+        for request in gateway.open_requests.values():
+            if gateway.paused_at < self._response_deadline(request) < record.at:
+                request.excused = True
+        gateway.paused_at = math.inf
 
-    def _answer_by(self, held: _Held) -> float:
-        return held.taken.deadline + self.figures.answer_slack_ms + self.figures.slack_ms
+    def _response_deadline(self, request: _OpenRequest) -> float:
+        return request.received.deadline + self.parameters.answer_slack_ms + self.parameters.slack_ms
 
-    def _taken(self, r: Taken) -> None:
-        gateway = self._gateways[r.gateway]
-        if r.request in gateway.held or r.request in gateway.over:
-            self._breach("answers", r.at, r.gateway, f"request {r.request} was taken twice")
+    def _request_received(self, record: RequestReceived) -> None:
+        gateway = self._gateways[record.gateway]
+        if record.request in gateway.open_requests or record.request in gateway.finished:
+            self._report("answers", record.at, record.gateway, f"request {record.request} was taken twice")
             return
-        gateway.held[r.request] = _Held(r, self._tries.setdefault(r.id, []) if r.id else [])
-        gateway.taken[self._counted(r.cls)].append(r.at)
-        if len(gateway.taken[self._counted(r.cls)]) > 200_000:
-            del gateway.taken[self._counted(r.cls)][:100_000]
-
-    def _end(self, gateway: _Gateway, request: int, at: float) -> _Held | None:
-        held = gateway.held.pop(request, None)
-        if held is not None:
-            gateway.over.add(request)
-            gateway.over_order.append((at, request))
-            longest = 120_000.0
-            while gateway.over_order and gateway.over_order[0][0] < at - longest:
-                gateway.over.discard(gateway.over_order.popleft()[1])
-        return held
-
-    def _answered(self, r: Answered) -> None:
-        gateway = self._gateways[r.gateway]
-        held = self._end(gateway, r.request, r.at)
-        if held is None:
-            what = "a second answer" if r.request in gateway.over else "an answer that nobody asked for"
-            self._breach("answers", r.at, r.gateway, f"request {r.request} got {what}")
+        gateway.open_requests[record.request] = _OpenRequest(
+            record, self._attempts_by_id.setdefault(record.request_id, []) if record.request_id else []
+        )
+        gateway.received_at[self._exposure_class(record.class_index)].append(record.at)
+        if len(gateway.received_at[self._exposure_class(record.class_index)]) > 200_000:
+            del gateway.received_at[self._exposure_class(record.class_index)][:100_000]
+
+    def _finish_request(self, gateway: _GatewayState, number: int, at: float) -> _OpenRequest | None:
+        request = gateway.open_requests.pop(number, None)
+        if request is not None:
+            gateway.finished.add(number)
+            gateway.finished_order.append((at, number))
+            memory_ms = 120_000.0
+            while gateway.finished_order and gateway.finished_order[0][0] < at - memory_ms:
+                gateway.finished.discard(gateway.finished_order.popleft()[1])
+        return request
+
+    def _response_sent(self, record: ResponseSent) -> None:
+        gateway = self._gateways[record.gateway]
+        request = self._finish_request(gateway, record.request, record.at)
+        if request is None:
+            problem = (
+                "a second answer" if record.request in gateway.finished else "an answer that nobody asked for"
+            )
+            self._report("answers", record.at, record.gateway, f"request {record.request} got {problem}")
             return
-        late = r.at - self._answer_by(held)
-        if late > 1e-6 and not held.excused:
-            self._breach("answers", r.at, r.gateway, f"request {r.request} was answered {late:.1f} ms late")
-        if r.answer == "refused" and self._maybe(r.gateway, held):
-            cls = self.figures.classes[held.taken.cls]
-            everywhere = cls.effect is Effect.IDEMPOTENT_WITH_KEY and cls.group is DeduplicationScope.ALL
-            if cls.effect is not Effect.IDEMPOTENT and not everywhere:
-                self._breach("effects", r.at, r.gateway, f"request {r.request} may have run and was refused")
-
-    def _gone(self, r: Gone) -> None:
-        held = self._end(self._gateways[r.gateway], r.request, r.at)
-        if held is not None and not self._together.wrote(r.gateway, held.taken.id):
-            for tried in held.mine.values():  # its next ask, even here, is another request
-                tried.gateway = -1
+        late_ms = record.at - self._response_deadline(request)
+        if late_ms > 1e-6 and not request.excused:
+            self._report(
+                "answers",
+                record.at,
+                record.gateway,
+                f"request {record.request} was answered {late_ms:.1f} ms late",
+            )
+        if record.response == "refused" and self._possible_executions(record.gateway, request):
+            rules = self.parameters.classes[request.received.class_index]
+            idempotent_everywhere = (
+                rules.effect is Effect.IDEMPOTENT_WITH_KEY and rules.group is DeduplicationScope.ALL
+            )
+            if rules.effect is not Effect.IDEMPOTENT and not idempotent_everywhere:
+                self._report(
+                    "effects",
+                    record.at,
+                    record.gateway,
+                    f"request {record.request} may have run and was refused",
+                )
+
+    def _request_abandoned(self, record: RequestAbandoned) -> None:
+        request = self._finish_request(self._gateways[record.gateway], record.request, record.at)
+        if request is not None and not self._shared_state.recorded(
+            record.gateway, request.received.request_id
+        ):
+            for attempt in request.own_attempts.values():  # its next ask, even here, is another request
+                attempt.gateway = -1
 
     # Effects
 
-    def _outcome(self, r: Outcome) -> None:
-        held = self._gateways[r.gateway].held.get(r.request)
-        tried = held.mine.get(r.attempt) if held is not None else None
-        if tried is not None and not r.ran:
-            tried.maybe = False
-
-    def _sent(self, r: Sent) -> None:
-        gateway = self._gateways[r.gateway]
-        held = gateway.held.get(r.request)
-        if held is None:
-            over = r.request in gateway.over
-            what = "after its final answer" if over else "that the gateway never took"
-            self._breach("answers", r.at, r.gateway, f"request {r.request} was sent {what}")
+    def _attempt_ended(self, record: AttemptEnded) -> None:
+        request = self._gateways[record.gateway].open_requests.get(record.request)
+        attempt = request.own_attempts.get(record.attempt) if request is not None else None
+        if attempt is not None and not record.executed:
+            attempt.may_have_executed = False
+
+    def _attempt_sent(self, record: AttemptSent) -> None:
+        gateway = self._gateways[record.gateway]
+        request = gateway.open_requests.get(record.request)
+        if request is None:
+            finished = record.request in gateway.finished
+            problem = "after its final answer" if finished else "that the gateway never took"
+            self._report("answers", record.at, record.gateway, f"request {record.request} was sent {problem}")
             return
-        known = gateway.servers.get(r.server)
-        self._check_repeat(r, held, known)
-        self._check_drain(r, known)
-        self._check_exposure(r, gateway, held)
+        known = gateway.servers.get(record.server)
+        self._check_retry(record, request, known)
+        self._check_drain(record, known)
+        self._check_exposure(record, gateway, request)
         cell, site = (known.cell, known.site) if known else (0, 0)
-        tried = held.mine[r.attempt] = _Try(r.server, r.build, r.at, True, cell, site, r.gateway)
-        held.tries.append(tried)
+        attempt = request.own_attempts[record.attempt] = _ObservedAttempt(
+            record.server, record.build, record.at, True, cell, site, record.gateway
+        )
+        request.attempts.append(attempt)
 
-    def _maybe(self, gateway: int, held: _Held) -> list[_Try]:
+    def _possible_executions(self, gateway: int, request: _OpenRequest) -> list[_ObservedAttempt]:
         """Attempts that may have run: of this gateway, and of those that had written the same work."""
         return [
             t
-            for t in held.tries
-            if t.maybe and (t.gateway == gateway or self._together.wrote(t.gateway, held.taken.id))
+            for t in request.attempts
+            if t.may_have_executed
+            and (t.gateway == gateway or self._shared_state.recorded(t.gateway, request.received.request_id))
         ]
 
-    def _check_repeat(self, r: Sent, held: _Held, known: _Known | None) -> None:
-        cls = self.figures.classes[held.taken.cls]
-        if cls.effect is Effect.IDEMPOTENT:
+    def _check_retry(self, record: AttemptSent, request: _OpenRequest, known: _KnownServer | None) -> None:
+        rules = self.parameters.classes[request.received.class_index]
+        if rules.effect is Effect.IDEMPOTENT:
             return
-        for earlier in self._maybe(r.gateway, held):
-            if cls.effect is Effect.NON_IDEMPOTENT:
-                self._breach(
-                    "effects", r.at, r.gateway, f"request {r.request} may have run and was sent again"
+        for earlier in self._possible_executions(record.gateway, request):
+            if rules.effect is Effect.NON_IDEMPOTENT:
+                self._report(
+                    "effects",
+                    record.at,
+                    record.gateway,
+                    f"request {record.request} may have run and was sent again",
                 )
                 return
-            same = known is not None and _place(cls.group, earlier) == _place(cls.group, known)
-            if not same or r.at - earlier.at > cls.window_ms:
-                self._breach("effects", r.at, r.gateway, f"keyed request {r.request} left those that know it")
+            same_group = known is not None and _group_member(rules.group, earlier) == _group_member(
+                rules.group, known
+            )
+            if not same_group or record.at - earlier.sent_at > rules.window_ms:
+                self._report(
+                    "effects",
+                    record.at,
+                    record.gateway,
+                    f"keyed request {record.request} left those that know it",
+                )
                 return
 
     # Drains and cold servers
 
-    def _listed(self, r: Listed) -> None:
-        servers = self._gateways[r.gateway].servers
-        known = servers.get(r.server)
-        if r.state == "ready":
-            servers[r.server] = _Known("ready", r.build, math.inf, r.cell, r.site)
+    def _endpoint_listed(self, record: EndpointListed) -> None:
+        servers = self._gateways[record.gateway].servers
+        known = servers.get(record.server)
+        if record.state == "ready":
+            servers[record.server] = _KnownServer("ready", record.build, math.inf, record.cell, record.site)
         elif known is not None:
-            known.told = min(known.told, r.at)
-            known.state = r.state
+            known.removed_at = min(known.removed_at, record.at)
+            known.state = record.state
         else:
-            servers[r.server] = _Known(r.state, r.build, r.at, r.cell, r.site)
+            servers[record.server] = _KnownServer(
+                record.state, record.build, record.at, record.cell, record.site
+            )
 
-    def _check_drain(self, r: Sent, known: _Known | None) -> None:
+    def _check_drain(self, record: AttemptSent, known: _KnownServer | None) -> None:
         if known is None:
-            self._breach(
-                "drains", r.at, r.gateway, f"request {r.request} went to server {r.server}, never listed"
+            self._report(
+                "drains",
+                record.at,
+                record.gateway,
+                f"request {record.request} went to server {record.server}, never listed",
             )
-        elif r.at > known.told + self.figures.drain_grace_ms + self.figures.slack_ms:
-            since = r.at - known.told
-            text = f"request {r.request} went to server {r.server}, told {known.state} {since:.0f} ms before"
-            self._breach("drains", r.at, r.gateway, text)
+        elif record.at > known.removed_at + self.parameters.drain_grace_ms + self.parameters.slack_ms:
+            since_ms = record.at - known.removed_at
+            text = (
+                f"request {record.request} went to server {record.server}, "
+                f"listed as {known.state} {since_ms:.0f} ms before"
+            )
+            self._report("drains", record.at, record.gateway, text)
 
-    def _fell(self, r: Fell) -> None:
-        self._breach("cold", r.at, -1, f"cold server {r.server} was pushed over")
+    def _instance_overloaded(self, record: InstanceOverloaded) -> None:
+        self._report("cold", record.at, -1, f"cold server {record.server} was pushed over")
 
     # Exposure
 
-    def _counted(self, cls: int) -> int:
-        return cls if self.figures.per_class else -1
-
-    def _news(self, r: News) -> None:
-        gateway = self._gateways[r.gateway]
-        gateway.news.append(r)
-        if r.phase in ("going_back", "withdrawn"):
-            gateway.keys.pop(r.build, None)  # it is called back: its keys are free
-        oldest = r.at - self.figures.drain_grace_ms - self.figures.window_ms
-        while len(gateway.news) > 2 and gateway.news[1].at < oldest:
-            gateway.news.pop(0)
-
-    def _key(self, r: KeyAnswered) -> None:
-        gateway = self._gateways[r.gateway]
-        newest = gateway.news[-1] if gateway.news else None
-        called_back = (
+    def _exposure_class(self, class_index: int) -> int:
+        return class_index if self.parameters.per_class else -1
+
+    def _rollout_updated(self, record: RolloutUpdated) -> None:
+        gateway = self._gateways[record.gateway]
+        gateway.rollout_updates.append(record)
+        if record.phase in ("going_back", "withdrawn"):
+            gateway.keys_by_build.pop(record.build, None)  # it is called back: its keys are free
+        oldest = record.at - self.parameters.drain_grace_ms - self.parameters.window_ms
+        while len(gateway.rollout_updates) > 2 and gateway.rollout_updates[1].at < oldest:
+            gateway.rollout_updates.pop(0)
+
+    def _key_answered(self, record: KeyAnswered) -> None:
+        gateway = self._gateways[record.gateway]
+        newest = gateway.rollout_updates[-1] if gateway.rollout_updates else None
+        rolled_back = (
             newest is not None
-            and newest.build == r.build
+            and newest.build == record.build
             and newest.phase
             in (
                 "going_back",
                 "withdrawn",
             )
         )
-        if r.key and not called_back:
-            gateway.keys[r.build][r.key] = 1
+        if record.key and not rolled_back:
+            gateway.keys_by_build[record.build][record.key] = 1
 
-    def _caps(self, gateway: _Gateway, build: int, at: float) -> list[tuple[float, int]]:
+    def _binding_caps(self, gateway: _GatewayState, build: int, at: float) -> list[tuple[float, int]]:
         """Caps and stages of a build that may still be acted on: a lower one binds after the grace."""
-        since = at - self.figures.drain_grace_ms - self.figures.slack_ms
-        found: list[tuple[float, int]] = []
-        for n, news in enumerate(gateway.news):
-            until = gateway.news[n + 1].at if n + 1 < len(gateway.news) else math.inf
+        since = at - self.parameters.drain_grace_ms - self.parameters.slack_ms
+        caps: list[tuple[float, int]] = []
+        for index, update in enumerate(gateway.rollout_updates):
+            until = (
+                gateway.rollout_updates[index + 1].at
+                if index + 1 < len(gateway.rollout_updates)
+                else math.inf
+            )
             if until < since:
                 continue
-            if news.build == build:
-                found.append((news.cap, news.stage))
-            elif news.build < build:
-                found.append((self.figures.first_cap, 0))
-        return found
-
-    def _check_exposure(self, r: Sent, gateway: _Gateway, held: _Held) -> None:
-        newest = gateway.news[-1] if gateway.news else None
-        if self.figures.one_way and held.taken.key:
-            for build in [b for b in gateway.keys if b > r.build]:
-                if held.taken.key in gateway.keys[build] and not self._freed(gateway, build):
+            if update.build == build:
+                caps.append((update.cap, update.stage))
+            elif update.build < build:
+                caps.append((self.parameters.first_cap, 0))
+        return caps
+
+    def _check_exposure(self, record: AttemptSent, gateway: _GatewayState, request: _OpenRequest) -> None:
+        newest = gateway.rollout_updates[-1] if gateway.rollout_updates else None
+        if self.parameters.one_way and request.received.key:
+            for build in [b for b in gateway.keys_by_build if b > record.build]:
+                if request.received.key in gateway.keys_by_build[build] and not self._rolled_back(
+                    gateway, build
+                ):
                     text = (
-                        f"request {r.request}: build {build} answered its key, and it went to build {r.build}"
+                        f"request {record.request}: build {build} answered its key, "
+                        f"and it went to build {record.build}"
                     )
-                    self._breach("one-way", r.at, r.gateway, text)
+                    self._report("one-way", record.at, record.gateway, text)
                     break
         on_trial = (
             newest is None
-            or r.build > newest.build
-            or (r.build == newest.build and newest.phase != "released")
+            or record.build > newest.build
+            or (record.build == newest.build and newest.phase != "released")
         )
         if not on_trial:
             return
-        counted = self._counted(held.taken.cls)
-        sent = gateway.sent[r.build, counted]
-        sent.append(r.at)
-        while sent and sent[0] <= r.at - self.figures.window_ms:
+        exposure_class = self._exposure_class(request.received.class_index)
+        sent = gateway.trial_attempts[record.build, exposure_class]
+        sent.append(record.at)
+        while sent and sent[0] <= record.at - self.parameters.window_ms:
             sent.popleft()
-        caps = self._caps(gateway, r.build, r.at) or [(self.figures.first_cap, 0)]
-        times = gateway.taken[counted]
-        taken = len(times) - bisect_right(times, r.at - self.figures.window_ms)
-        cap = max(cap for cap, _ in caps) + self.figures.over_share
-        most = self.figures.free + self.figures.over_cap + cap * taken
-        if len(sent) > most + 1e-6:
-            text = f"{len(sent)} attempts at build {r.build}, {most:.1f} allowed for {taken} requests"
-            self._breach("exposure", r.at, r.gateway, text)
-        safe = self.figures.classes[held.taken.cls].effect is Effect.IDEMPOTENT
-        if not safe and max(stage for _, stage in caps) < self.figures.guarded_stages:
-            self._breach(
-                "exposure", r.at, r.gateway, f"request {r.request} has an effect, in a guarded stage"
+        caps = self._binding_caps(gateway, record.build, record.at) or [(self.parameters.first_cap, 0)]
+        times = gateway.received_at[exposure_class]
+        received = len(times) - bisect_right(times, record.at - self.parameters.window_ms)
+        cap = max(cap for cap, _ in caps) + self.parameters.extra_share
+        allowed = self.parameters.free_attempts + self.parameters.extra_attempts + cap * received
+        if len(sent) > allowed + 1e-6:
+            text = (
+                f"{len(sent)} attempts at build {record.build}, {allowed:.1f} allowed for {received} requests"
+            )
+            self._report("exposure", record.at, record.gateway, text)
+        safe = self.parameters.classes[request.received.class_index].effect is Effect.IDEMPOTENT
+        if not safe and max(stage for _, stage in caps) < self.parameters.guarded_stages:
+            self._report(
+                "exposure",
+                record.at,
+                record.gateway,
+                f"request {record.request} has an effect, in a guarded stage",
             )
 
-    def _freed(self, gateway: _Gateway, build: int) -> bool:
-        return any(n.build == build and n.phase in ("going_back", "withdrawn") for n in gateway.news)
+    def _rolled_back(self, gateway: _GatewayState, build: int) -> bool:
+        return any(
+            n.build == build and n.phase in ("going_back", "withdrawn") for n in gateway.rollout_updates
+        )
--- /dev/null
+++ b/meadowpulley/rules/shared_state.py
@@ -0,0 +1,264 @@
+"""What must hold of gateways that stand in for each other, over the traces of all of them.
+
+- Work is claimed only once it was given away or its gateway's life is over, no more often than stated, and
+  begun only by who has claimed it: it is taken over at most once at a time.
+- What is written is ended in time while a gateway lives.
+- Whoever asks under one id gets the same answer, or is told that it failed; nobody is told twice otherwise.
+- What all gateways admit is within the capacity; an experiment counts each request once.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Literal
+
+from meadowpulley.rules.trace import (
+    AdoptionStarted,
+    AttemptSent,
+    CapacityUsed,
+    ClientDetached,
+    GatewayCrashed,
+    GatewayFenced,
+    GatewayStarted,
+    OutcomeCounted,
+    Record,
+    RequestAbandoned,
+    RequestClaimed,
+    RequestClosed,
+    RequestReceived,
+    RequestRecorded,
+    RequestReleased,
+    ResponseSent,
+)
+
+RuleName = Literal[
+    "answers",
+    "effects",
+    "drains",
+    "cold",
+    "exposure",
+    "one-way",
+    "takeover",
+    "written",
+    "admissions",
+    "counts",
+]
+ReportViolation = Callable[[RuleName, float, int, str], None]  # rule, when, gateway, what
+
+
+@dataclass(frozen=True, slots=True)
+class SharedStateParameters:
+    end_ms: float = 0.0  # after its deadline by which written work has its end
+    max_incarnations: int = 0  # gateways that may have had one request
+    admissions_per_s: float = math.inf  # units, by all gateways
+    admission_burst: float = 0.0  # and this many more within any time
+
+
+NOT_SHARED = SharedStateParameters()
+
+
+@dataclass(slots=True)
+class _RecordedRequest:
+    deadline: float
+    owner: int
+    released: bool = False  # given away, or its owner's life is over
+    outcome: str = ""
+
+
+class SharedStateChecker:
+    """`see` each record in order, then `finish`; `breach` is told of what does not hold."""
+
+    def __init__(self, parameters: SharedStateParameters, report: ReportViolation) -> None:
+        self.parameters, self._report = parameters, report
+        self._requests: dict[str, _RecordedRequest] = {}
+        self._request_ids: dict[tuple[int, int], str] = {}  # by gateway and request
+        self._sent_here: set[tuple[int, int]] = set()  # requests that were begun, not joined to work in hand
+        self._served_content: dict[str, str] = {}  # content by id
+        self._alive: set[int] = set()  # with a life that is not over
+        self._no_gateway_until = 0.0  # there was none up to then
+        self._level, self._level_at = 0.0, 0.0
+        self._counted: set[tuple[str, str]] = set()
+        self._owners: dict[str, set[int]] = defaultdict(set)  # gateways in whose hands the record was
+        self._handlers = {
+            GatewayStarted: self._gateway_started,
+            GatewayCrashed: self._gateway_crashed,
+            RequestReceived: self._request_received,
+            ResponseSent: self._response_sent,
+            GatewayFenced: self._gateway_fenced,
+            RequestRecorded: self._request_recorded,
+            RequestClaimed: self._request_claimed,
+            RequestReleased: self._request_released,
+            RequestClosed: self._request_closed,
+            AdoptionStarted: self._adoption_started,
+            CapacityUsed: self._capacity_used,
+            OutcomeCounted: self._outcome_counted,
+            ClientDetached: self._client_left,
+            RequestAbandoned: self._client_left,
+            AttemptSent: self._attempt_sent,
+        }
+
+    def observe(self, record: Record) -> None:
+        handler = self._handlers.get(type(record))
+        if handler is not None:
+            handler(record)  # type: ignore[operator]
+
+    def finish(self, at: float) -> None:
+        for request_id, request in self._requests.items():
+            if not request.outcome:
+                self._check_closed_in_time(request_id, request, at)
+
+    def recorded(self, gateway: int, request_id: str) -> bool:
+        """Whether that work was written there. What never was (the ledger lost, the life over) is each
+        gateway's own, as without a ledger: a client's next ask is another request."""
+        return gateway in self._owners.get(request_id, ())
+
+    # Lives
+
+    def _gateway_started(self, record: GatewayStarted) -> None:
+        if not self._alive:
+            self._no_gateway_until = record.at
+        self._alive.add(record.gateway)
+
+    def _gateway_crashed(self, record: GatewayCrashed) -> None:
+        self._alive.discard(record.gateway)
+        self._request_ids = {key: name for key, name in self._request_ids.items() if key[0] != record.gateway}
+
+    def _gateway_fenced(self, record: GatewayFenced) -> None:
+        self._alive.discard(record.gateway)
+        for request in self._requests.values():
+            if request.owner == record.gateway:
+                request.released = True
+
+    # Work
+
+    def _request_received(self, record: RequestReceived) -> None:
+        if record.request_id:
+            self._request_ids[record.gateway, record.request] = record.request_id
+
+    def _attempt_sent(self, record: AttemptSent) -> None:
+        self._sent_here.add((record.gateway, record.request))
+
+    def _client_left(self, record: ClientDetached | RequestAbandoned) -> None:
+        self._request_ids.pop(
+            (record.gateway, record.request), None
+        )  # whatever it is answered from now on is told to nobody
+
+    def _request_recorded(self, record: RequestRecorded) -> None:
+        known = self._requests.get(record.request_id)
+        if known is not None and known.outcome in ("served", "failed"):
+            self._report(
+                "takeover", record.at, record.gateway, f"{record.request_id} has its end, and was begun again"
+            )
+        self._requests[record.request_id] = _RecordedRequest(record.deadline, record.gateway)
+        self._owners[record.request_id].add(record.gateway)
+
+    def _request_claimed(self, record: RequestClaimed) -> None:
+        request = self._requests.get(record.request_id)
+        if request is None or request.outcome:
+            self._report(
+                "takeover",
+                record.at,
+                record.gateway,
+                f"{record.request_id} was claimed, and there is nothing to take over",
+            )
+            return
+        if not request.released:
+            text = f"{record.request_id} was claimed from gateway {request.owner}, whose life is not over"
+            self._report("takeover", record.at, record.gateway, text)
+        if self.parameters.max_incarnations and record.incarnations > self.parameters.max_incarnations:
+            self._report(
+                "takeover",
+                record.at,
+                record.gateway,
+                f"{record.request_id} was taken over for the {record.incarnations - 1}th time",
+            )
+        request.owner, request.released = record.gateway, False
+        self._owners[record.request_id].add(record.gateway)
+
+    def _request_released(self, record: RequestReleased) -> None:
+        request = self._requests.get(record.request_id)
+        if request is not None:
+            request.released = True
+
+    def _adoption_started(self, record: AdoptionStarted) -> None:
+        request = self._requests.get(
+            record.request_id
+        )  # what it is answered is told to nobody, so its request has no id here
+        if request is None or request.owner != record.gateway or request.outcome:
+            self._report(
+                "takeover",
+                record.at,
+                record.gateway,
+                f"{record.request_id} was begun without a claim that holds",
+            )
+
+    def _request_closed(self, record: RequestClosed) -> None:
+        request = self._requests.get(record.request_id)
+        if request is None:
+            return
+        # A gateway that did not know that its write had been carried out may record another end than that, as
+        # long as nobody was told the first one.
+        outcome_reported = (
+            record.request_id in self._served_content
+            if request.outcome == "served"
+            else request.outcome == "failed"
+        )
+        if outcome_reported and request.outcome != record.outcome:
+            self._report(
+                "answers",
+                record.at,
+                record.gateway,
+                f"{record.request_id} was {request.outcome}, and is {record.outcome} now",
+            )
+        request.outcome = record.outcome
+        self._check_closed_in_time(record.request_id, request, record.at)
+
+    def _check_closed_in_time(self, request_id: str, request: _RecordedRequest, at: float) -> None:
+        limit = max(request.deadline, self._no_gateway_until) + self.parameters.end_ms
+        if self.parameters.end_ms and at > limit and (self._alive or request.outcome):
+            problem = f"ended {at - limit:.0f} ms late" if request.outcome else "was never ended"
+            self._report("written", limit, request.owner, f"{request_id} {problem}")
+
+    def _response_sent(self, record: ResponseSent) -> None:
+        request_id = self._request_ids.pop((record.gateway, record.request), "")
+        sent_here = (record.gateway, record.request) in self._sent_here
+        self._sent_here.discard((record.gateway, record.request))
+        if not request_id or (sent_here and not self.recorded(record.gateway, request_id)):
+            return
+        if record.response == "served":
+            first_content = self._served_content.setdefault(request_id, record.content)
+            if first_content != record.content:
+                self._report("answers", record.at, record.gateway, f"{request_id} was answered in two ways")
+        request = self._requests.get(request_id)
+        if request is not None and request.outcome and record.response not in (request.outcome, "failed"):
+            self._report(
+                "answers",
+                record.at,
+                record.gateway,
+                f"{request_id} was {request.outcome}, and is answered {record.response}",
+            )
+
+    # Capacity and counts
+
+    def _capacity_used(self, record: CapacityUsed) -> None:
+        """A bucket that leaks at the capacity: over any time no more comes in than that and the burst."""
+        leaked = self.parameters.admissions_per_s * (record.at - self._level_at) / 1000.0
+        self._level, self._level_at = max(self._level - leaked, 0.0) + record.units, record.at
+        if self._level > self.parameters.admission_burst + 1e-6:
+            excess = self._level - self.parameters.admission_burst
+            self._report(
+                "admissions", record.at, record.gateway, f"{excess:.1f} more than the capacity was admitted"
+            )
+
+    def _outcome_counted(self, record: OutcomeCounted) -> None:
+        if (record.experiment, record.request_id) in self._counted:
+            self._report(
+                "counts",
+                record.at,
+                record.gateway,
+                f"{record.request_id} was counted twice by '{record.experiment}'",
+            )
+        self._counted.add((record.experiment, record.request_id))
--- a/meadowpulley/settings.py
+++ b/meadowpulley/settings.py
@@ -1,11 +1,15 @@
-"""The settings object that a balancer is given, read alike by the simulator's adapter and the gateway."""
+"""Reading of the settings object that a gateway is given, for the simulator's adapter and the real gateway.
+
+Keys that are not known are ignored: later platforms may add some. Keys that are absent take a default.
+"""
 
 from __future__ import annotations
 
 import json
 import math
 import sys
-from typing import Any
+from collections.abc import Mapping
+from typing import Any, TypeVar
 
 from meadowpulley.interface import (
     DeduplicationScope,
@@ -21,15 +25,16 @@
 
 
 class SettingsError(ValueError):
-    """A malformed settings object; the text says what is wrong and where."""
+    """The settings object is malformed; the text says in one line what is wrong and where."""
 
 
-_EFFECTS = {
+T = TypeVar("T")
+_EFFECTS_BY_WORD = {
     "pure": Effect.IDEMPOTENT,
     "token": Effect.IDEMPOTENT_WITH_KEY,
     "side_effect": Effect.NON_IDEMPOTENT,
 }
-COLUMNS = {
+LOAD_REPORT_COLUMNS = {  # the platform's names of the columns of a load report, and the policy's
     "busy_reqs": "in_flight",
     "pending": "queued",
     "cpu_share": "cpu",
@@ -37,187 +42,226 @@
     "served_ps": "served_per_s",
     "failed_ps": "failed_per_s",
 }
-_WEIGHTS = {"off": "none"}
-NO_LEAST = -sys.float_info.max  # taken as something else, and doubted by the gateway
+_WEIGHT_SOURCES = {"off": "none"}
+NO_MINIMUM = -sys.float_info.max  # for numbers that are corrected where they cannot be right
+
 
+class ObjectReader:
+    """Reads the values of one JSON object by their keys.
 
-class Fields:
-    """Reads one settings object: unknown keys are passed over, absent ones take the given value."""
+    `location` names the object in error messages. A key that is absent or null takes the default of its call.
+    Every method raises SettingsError for a value of another type.
+    """
 
-    def __init__(self, raw: Any, where: str) -> None:
+    def __init__(self, raw: Any, location: str) -> None:
         if not isinstance(raw, dict):
-            raise SettingsError(f"{where} is no object")
+            raise SettingsError(f"{location} is no object")
         self._raw: dict[str, Any] = raw
-        self._where = where
+        self._location = location
 
-    def _take(self, key: str, default: Any, kinds: tuple[type, ...]) -> Any:
+    def _value(self, key: str, default: Any, types: tuple[type, ...]) -> Any:
         value = self._raw.get(key)
         if value is None:
             return default
-        if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
-            raise self.wrong(key, f"has the wrong type ({type(value).__name__})")
+        if not isinstance(value, types) or (isinstance(value, bool) and bool not in types):
+            raise self.error(key, f"has the wrong type ({type(value).__name__})")
         return value
 
-    def wrong(self, key: str, what: str) -> SettingsError:
-        return SettingsError(f"{self._where}: '{key}' {what}")
+    def error(self, key: str, problem: str) -> SettingsError:
+        """Return an error about the value of a key."""
+        return SettingsError(f"{self._location}: '{key}' {problem}")
+
+    def number(self, key: str, default: float = 0.0, minimum: float = 0.0) -> float:
+        """Return a finite number of at least `minimum`.
 
-    def number(self, key: str, default: float = 0.0, least: float = 0.0) -> float:
-        """JSON's reader lets NaN and Infinity pass, and whole numbers that no float can hold."""
+        JSON's reader lets NaN and Infinity pass, and integers that no float can hold.
+        """
         try:
-            value = float(self._take(key, default, (int, float)))
+            value = float(self._value(key, default, (int, float)))
         except OverflowError:
             value = math.inf
-        if not least <= value < math.inf:
-            raise self.wrong(key, f"is {value:g}, no figure of {least:g} or more")
+        if not minimum <= value < math.inf:
+            raise self.error(key, f"is {value:g}, no figure of {minimum:g} or more")
         return value
 
-    def whole(self, key: str, default: int = 0, least: float = 0.0) -> int:
-        return int(self.number(key, default, least))
+    def integer(self, key: str, default: int = 0, minimum: float = 0.0) -> int:
+        """Return a number without its fraction."""
+        return int(self.number(key, default, minimum))
 
-    def flag(self, key: str) -> bool:
-        return bool(self._take(key, False, (bool,)))
+    def boolean(self, key: str) -> bool:
+        """Return true or false; false by default."""
+        return bool(self._value(key, False, (bool,)))
 
-    def text(self, key: str, default: str = "") -> str:
-        return str(self._take(key, default, (str,)))
+    def string(self, key: str, default: str = "") -> str:
+        """Return a string."""
+        return str(self._value(key, default, (str,)))
 
-    def items(self, key: str) -> list[Any]:
-        return list(self._take(key, [], (list,)))
+    def array(self, key: str) -> list[Any]:
+        """Return an array's values; none by default."""
+        return list(self._value(key, [], (list,)))
 
-    def numbers(self, key: str) -> tuple[float, ...]:
-        values = self.items(key)
+    def number_array(self, key: str) -> tuple[float, ...]:
+        """Return an array of finite numbers of at least 0."""
+        values = self.array(key)
         if not all(isinstance(value, int | float) for value in values):
-            raise self.wrong(key, "holds something that is no number")
-        return tuple(Fields({key: value}, self._where).number(key) for value in values)
+            raise self.error(key, "holds something that is no number")
+        return tuple(ObjectReader({key: value}, self._location).number(key) for value in values)
 
-    def inner(self, key: str) -> Fields:
-        return Fields(self._take(key, {}, (dict,)), f"{self._where}: '{key}'")
+    def nested(self, key: str) -> ObjectReader:
+        """Return a reader of a nested object; of an empty one by default."""
+        return ObjectReader(self._value(key, {}, (dict,)), f"{self._location}: '{key}'")
 
-    def each(self, key: str) -> list[Fields]:
-        return [Fields(raw, f"{self._where}: '{key}' {n}") for n, raw in enumerate(self.items(key))]
+    def objects(self, key: str) -> list[ObjectReader]:
+        """Return readers of the objects of an array."""
+        return [ObjectReader(raw, f"{self._location}: '{key}' {n}") for n, raw in enumerate(self.array(key))]
 
-    def choice(self, key: str, known: dict[str, Any], default: Any) -> Any:
-        name = self.text(key)
-        if name and name not in known:
-            raise self.wrong(key, f"is '{name}', not one of {', '.join(known)}")
-        return known[name] if name else default
+    def choice(self, key: str, choices: Mapping[str, T], default: T) -> T:
+        """Return what a word stands for; the default for an empty word."""
+        word = self.string(key)
+        if word and word not in choices:
+            raise self.error(key, f"is '{word}', not one of {', '.join(choices)}")
+        return choices[word] if word else default
 
-    def pairs(self) -> tuple[tuple[str, float], ...]:
-        named = [key for key, value in sorted(self._raw.items()) if type(value) in (int, float)]
-        return tuple((key, self.number(key, least=NO_LEAST)) for key in named)
+    def number_items(self) -> tuple[tuple[str, float], ...]:
+        """Return all keys whose values are numbers, in order, with these."""
+        keys = [key for key, value in sorted(self._raw.items()) if type(value) in (int, float)]
+        return tuple((key, self.number(key, minimum=NO_MINIMUM)) for key in keys)
 
 
-def _class(f: Fields) -> RequestClass:
-    groups = {group.value: group for group in DeduplicationScope}
+def _read_request_class(reader: ObjectReader) -> RequestClass:
+    scopes = {scope.value: scope for scope in DeduplicationScope}
     return RequestClass(
-        name=f.text("name"),
-        latency_objective_ms=f.number("target-ms"),
-        deadline_ms=f.number("hard-limit-ms"),
-        effect=f.choice("repeat", _EFFECTS, Effect.NON_IDEMPOTENT),
-        deduplication_scope=f.choice("group", groups, DeduplicationScope.ALL),
-        deduplication_window_ms=f.number("dedup-window-ms"),
-        priority_weight=f.number("worth", 1.0),
-        late_priority_weight=f.number("late-worth"),
-        stream=f.flag("stream"),
-        objective_stretch=f.number("aim-stretch"),
+        name=reader.string("name"),
+        latency_objective_ms=reader.number("target-ms"),
+        deadline_ms=reader.number("hard-limit-ms"),
+        effect=reader.choice("repeat", _EFFECTS_BY_WORD, Effect.NON_IDEMPOTENT),
+        deduplication_scope=reader.choice("group", scopes, DeduplicationScope.ALL),
+        deduplication_window_ms=reader.number("dedup-window-ms"),
+        priority_weight=reader.number("worth", 1.0),
+        late_priority_weight=reader.number("late-worth"),
+        stream=reader.boolean("stream"),
+        objective_stretch=reader.number("aim-stretch"),
     )
 
 
-def _rollout(f: Fields) -> Rollout:
+def _read_rollout(reader: ObjectReader) -> Rollout:
     gates = {gate.value: gate for gate in StageGate}
     return Rollout(
-        gate=f.choice("gate-mode", gates, StageGate.ANY),
-        in_place=f.choice("style", {"beside": False, "in_place": True}, False),
-        stage_shares=f.numbers("steps"),
-        caps=f.numbers("caps"),
-        soak_ms=f.number("soak-ms"),
-        stage_time_ms=f.number("stage-time-ms"),
-        advance_votes=f.whole("on-votes"),
-        hold_votes=f.whole("votes-to-hold"),
-        rollback_votes=f.whole("votes-to-revert"),
-        vote_ttl_ms=f.number("ballot-ttl-ms"),
-        votes_per_s=f.number("votes-per-s"),
-        call_timeout_ms=f.number("api-timeout-ms"),
-        update_period_ms=f.number("news-period-ms"),
-        statistics_period_ms=f.number("metrics-period-ms"),
-        statistics_sample=f.number("sampled-share"),
-        reported_share=f.number("reported-share"),
-        exposure_window_ms=f.number("exposure-window-ms"),
-        exposure_allowance=f.number("free"),
-        exposure_per_class=f.choice("per", {"all": False, "class": True}, False),
-        guarded_stages=f.whole("safe-only-stages"),
-        monotonic_keys=f.flag("one-way"),
-        warm_keys=f.flag("warm-keys"),
-        lag_price=f.number("behind-price"),
-        harm_price=f.number("blast-price"),
+        gate=reader.choice("gate-mode", gates, StageGate.ANY),
+        in_place=reader.choice("style", {"beside": False, "in_place": True}, False),
+        stage_shares=reader.number_array("steps"),
+        caps=reader.number_array("caps"),
+        soak_ms=reader.number("soak-ms"),
+        stage_time_ms=reader.number("stage-time-ms"),
+        advance_votes=reader.integer("on-votes"),
+        hold_votes=reader.integer("votes-to-hold"),
+        rollback_votes=reader.integer("votes-to-revert"),
+        vote_ttl_ms=reader.number("ballot-ttl-ms"),
+        votes_per_s=reader.number("votes-per-s"),
+        call_timeout_ms=reader.number("api-timeout-ms"),
+        update_period_ms=reader.number("news-period-ms"),
+        statistics_period_ms=reader.number("metrics-period-ms"),
+        statistics_sample=reader.number("sampled-share"),
+        reported_share=reader.number("reported-share"),
+        exposure_window_ms=reader.number("exposure-window-ms"),
+        exposure_allowance=reader.number("free"),
+        exposure_per_class=reader.choice("per", {"all": False, "class": True}, False),
+        guarded_stages=reader.integer("safe-only-stages"),
+        monotonic_keys=reader.boolean("one-way"),
+        warm_keys=reader.boolean("warm-keys"),
+        lag_price=reader.number("behind-price"),
+        harm_price=reader.number("blast-price"),
     )
 
 
-def _classes(f: Fields) -> tuple[RequestClass, ...]:
-    """Each found by its name, as the first part of a path: none without one, and no two with the same."""
-    found = dict[str, RequestClass]()
-    for one in f.each("classes"):
-        cls = _class(one)
-        if not cls.name or cls.name in found:
-            raise one.wrong("name", f"is '{cls.name}', that of another class" if cls.name else "is missing")
-        if not cls.deadline_ms:
-            raise one.wrong("hard-limit-ms", "is 0: no answer could come in time")
-        found[cls.name] = cls
-    return tuple(found.values())
+def _read_request_classes(reader: ObjectReader) -> tuple[RequestClass, ...]:
+    """Read the classes, by unique names: a request names its class by the first part of its path."""
+    classes = dict[str, RequestClass]()
+    for class_reader in reader.objects("classes"):
+        request_class = _read_request_class(class_reader)
+        name = request_class.name
+        if not name:
+            raise class_reader.error("name", "is missing")
+        if name in classes:
+            raise class_reader.error("name", f"is '{name}', that of another class")
+        if not request_class.deadline_ms:
+            raise class_reader.error("hard-limit-ms", "is 0: no answer could come in time")
+        classes[name] = request_class
+    return tuple(classes.values())
+
+
+def _read_tenant(reader: ObjectReader) -> Tenant:
+    return Tenant(
+        name=reader.string("name"),
+        share=reader.number("share"),
+        quota_per_s=reader.number("quota-rps"),
+    )
+
 
+def _read_rules(reader: ObjectReader) -> Rules:
+    return Rules(
+        response_slack_ms=reader.number("answer-slack-ms"),
+        max_poll_interval_ms=reader.number("ask-within-ms"),
+        slow_start_initial_fraction=reader.number("cold-from", 1.0),
+        slow_start_ms=reader.number("cold-ms"),
+        overload_multiple=reader.number("fall-multiple", 1.0),
+        overload_window_ms=reader.number("tip-after-ms"),
+        drain_grace_ms=reader.number("stop-sending-within-ms"),
+    )
 
-def parse_settings(raw: bytes, where: str) -> Settings:
+
+def _read_limits(reader: ObjectReader) -> Limits:
+    return Limits(
+        max_attempts=reader.integer("most-tries", 1, minimum=1),
+        hedging=reader.boolean("may-duplicate"),
+        cancellation=reader.boolean("cancelling"),
+        probes=reader.boolean("probing"),
+        gossip=reader.boolean("may-tell"),
+        retry_after=reader.boolean("retry-after"),
+        max_retry_after_ms=reader.number("max-retry-after-ms"),
+        connect_timeout_ms=reader.number("connect-timeout-ms"),
+        max_open_connections=reader.integer("max-open"),
+        idle_timeout_ms=reader.number("conn-idle-ms"),
+    )
+
+
+def parse_settings(encoded: bytes, location: str) -> Settings:
+    """Parse the settings from JSON. Raises SettingsError."""
     try:
-        loaded = json.loads(raw)
+        loaded = json.loads(encoded)
     except (ValueError, RecursionError) as error:
-        raise SettingsError(f"{where}: settings are no JSON: {error}") from None
-    return read_settings(loaded, where)
+        raise SettingsError(f"{location}: settings are no JSON: {error}") from None
+    return read_settings(loaded, location)
+
 
+def read_settings(loaded: Any, location: str) -> Settings:
+    """Read the settings from a decoded JSON value. Raises SettingsError.
 
-def read_settings(loaded: Any, where: str) -> Settings:
-    f = Fields(loaded, f"{where}: settings")
-    rules, bounds, report = f.inner("rules"), f.inner("bounds"), f.inner("report")
-    columns = [str(name) for name in report.items("columns")]
-    balancers = max(f.whole("balancers", 1, NO_LEAST), 1)
+    The index of this gateway is taken modulo the number of gateways: delays that depend on it have to lie
+    within those of the others.
+    """
+    reader = ObjectReader(loaded, f"{location}: settings")
+    report_reader = reader.nested("report")
+    columns = [str(name) for name in report_reader.array("columns")]
+    gateway_count = max(reader.integer("balancers", 1, NO_MINIMUM), 1)
     return Settings(
-        gateway_index=f.whole("me", 0, NO_LEAST)
-        % balancers,  # waits and windows by the number must not be below none
-        gateway_count=balancers,
-        zone=f.whole("az", 0, NO_LEAST),
-        zones=tuple(str(name) for name in f.items("zones")),
-        kinds=tuple(str(name) for name in f.items("machine-types")),
-        tick_ms=f.number("period-ms"),
-        classes=_classes(f),
-        tenants=tuple(
-            Tenant(t.text("name"), t.number("share"), t.number("quota-rps")) for t in f.each("tenants")
-        ),
-        rules=Rules(
-            response_slack_ms=rules.number("answer-slack-ms"),
-            max_poll_interval_ms=rules.number("ask-within-ms"),
-            slow_start_initial_fraction=rules.number("cold-from", 1.0),
-            slow_start_ms=rules.number("cold-ms"),
-            overload_multiple=rules.number("fall-multiple", 1.0),
-            overload_window_ms=rules.number("tip-after-ms"),
-            drain_grace_ms=rules.number("stop-sending-within-ms"),
-        ),
-        limits=Limits(
-            max_attempts=bounds.whole("most-tries", 1, least=1),
-            hedging=bounds.flag("may-duplicate"),
-            cancellation=bounds.flag("cancelling"),
-            probes=bounds.flag("probing"),
-            gossip=bounds.flag("may-tell"),
-            retry_after=bounds.flag("retry-after"),
-            max_retry_after_ms=bounds.number("max-retry-after-ms"),
-            connect_timeout_ms=bounds.number("connect-timeout-ms"),
-            max_open_connections=bounds.whole("max-open"),
-            idle_timeout_ms=bounds.number("conn-idle-ms"),
-        ),
-        rollout=_rollout(f.inner("family-info")),
-        must_poll=f.choice("discovery", {"automatic": False, "subscribe": True}, False),
-        report_columns=tuple(COLUMNS.get(name, name) for name in columns),
-        inline_load_reports=report.text("source") == "inline",
-        weights=_WEIGHTS.get(f.text("weight-source"), f.text("weight-source", "none")),
-        weight_by_work=f.text("worth-by") == "work",
-        over_share_weight=f.number("over-share-worth", 1.0),
-        prices=f.inner("prices").pairs(),
-        goal=f.inner("score-parts").pairs(),
+        gateway_index=reader.integer("me", 0, NO_MINIMUM) % gateway_count,
+        gateway_count=gateway_count,
+        zone=reader.integer("az", 0, NO_MINIMUM),
+        zones=tuple(str(name) for name in reader.array("zones")),
+        kinds=tuple(str(name) for name in reader.array("machine-types")),
+        tick_ms=reader.number("period-ms"),
+        classes=_read_request_classes(reader),
+        tenants=tuple(_read_tenant(tenant_reader) for tenant_reader in reader.objects("tenants")),
+        rules=_read_rules(reader.nested("rules")),
+        limits=_read_limits(reader.nested("bounds")),
+        rollout=_read_rollout(reader.nested("family-info")),
+        must_poll=reader.choice("discovery", {"automatic": False, "subscribe": True}, False),
+        report_columns=tuple(LOAD_REPORT_COLUMNS.get(name, name) for name in columns),
+        inline_load_reports=report_reader.string("source") == "inline",
+        weights=_WEIGHT_SOURCES.get(reader.string("weight-source"), reader.string("weight-source", "none")),
+        weight_by_work=reader.string("worth-by") == "work",
+        over_share_weight=reader.number("over-share-worth", 1.0),
+        prices=reader.nested("prices").number_items(),
+        goal=reader.nested("score-parts").number_items(),
     )
--- a/meadowpulley/settings_types.py
+++ b/meadowpulley/settings_types.py
@@ -1,4 +1,4 @@
-"""What a balancer is told once, at its start: the settings. `meadowpulley/interface.py` names them all."""
+"""The types of the settings that a policy gets at its start; `meadowpulley/interface.py` exports them."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 
 class Effect(Enum):
-    """Whether a request may run more than once."""
+    """Whether a request may be executed more than once: always, with an idempotency key, or never."""
 
     IDEMPOTENT = "safe"
     IDEMPOTENT_WITH_KEY = "keyed"
@@ -15,7 +15,7 @@
 
 
 class DeduplicationScope(Enum):
-    """Which servers drop each other's repeats of a keyed request."""
+    """Which servers share their idempotency keys, so that a retry at another of them has no second effect."""
 
     ALL = "all"
     ZONE = "zone"
@@ -23,7 +23,7 @@
 
 
 class StageGate(Enum):
-    """How votes move a build from stage to stage."""
+    """How votes move a rollout from stage to stage."""
 
     ANY = "any"
     SHARE = "share"
@@ -32,6 +32,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
+    """A class of requests: its latency objective, deadline, idempotency and weight."""
+
     name: str
     latency_objective_ms: float
     deadline_ms: float
@@ -46,6 +48,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
+    """A tenant and the quota that the platform grants it."""
+
     name: str
     share: float = 0.0
     quota_per_s: float = 0.0
@@ -53,6 +57,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Rules:
+    """The rules for slow start, overload, draining and polling that every gateway has to keep."""
+
     response_slack_ms: float = 0.0
     max_poll_interval_ms: float = 0.0
     slow_start_initial_fraction: float = 1.0
@@ -64,6 +70,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
+    """What a gateway may do, and how much of it."""
+
     max_attempts: int = 1
     hedging: bool = False
     cancellation: bool = False
@@ -108,6 +116,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
+    """All settings of one gateway of a deployment."""
+
     gateway_index: int
     gateway_count: int
     zone: int
--- a/meadowpulley/drill/__main__.py
+++ b/meadowpulley/simulator_adapter/__main__.py
@@ -4,18 +4,18 @@
 
 import sys
 
-from meadowpulley.drill.codec import WireError, read_batch
-from meadowpulley.drill.host import Host
+from meadowpulley.simulator_adapter.codec import FrameError, read_batch
+from meadowpulley.simulator_adapter.gateway_host import GatewayHost
 
 
 def main() -> int:
-    host = Host()
+    host = GatewayHost()
     source, sink = sys.stdin.buffer, sys.stdout.buffer
     try:
         while (batch := read_batch(source)) is not None:
-            sink.write(host.reply(batch))
+            sink.write(host.handle_batch(batch))
             sink.flush()
-    except WireError as error:
+    except FrameError as error:
         print(f"meadowpulley: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
--- /dev/null
+++ b/meadowpulley/state/gossip.py
@@ -0,0 +1,138 @@
+"""What the policy keeps of gossip: outcomes to tell the other gateways, and what these have told."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, defaultdict, deque
+from typing import NamedTuple
+
+from meadowpulley.digests import SERVER_MODULUS, TIMEOUT_CLASS, Digest
+from meadowpulley.state.failure_test import ALL_SERVERS, SequentialFailureTest
+
+MAX_UNPUBLISHED = 600  # outcomes that wait for the next digest; beyond it the oldest are dropped
+
+
+class ArmOutcomes(NamedTuple):
+    """Counts of responses of the newest build and of its baseline."""
+
+    succeeded: int
+    failed: int
+    baseline_succeeded: int
+    baseline_failed: int
+
+    @property
+    def baseline_total(self) -> int:
+        """All responses of the baseline."""
+        return self.baseline_succeeded + self.baseline_failed
+
+
+class PooledOutcomes:
+    """The sums of several gateways' digests on one build."""
+
+    def __init__(self, digests: list[Digest]) -> None:
+        self._rows = [row for digest in digests for row in digest.classes]
+        # By server, as digests number it, and class.
+        self.failures_by_server = Counter(failure for digest in digests for failure in digest.failures)
+
+    def of_class(self, class_index: int) -> ArmOutcomes:
+        """Return the counts of one class."""
+        return _add_up([row for row in self._rows if row[0] == class_index])
+
+    def add_to(
+        self, test: SequentialFailureTest, class_index: int, servers: list[int], baseline_rate: float
+    ) -> None:
+        """Add a class's outcomes to a test, for all servers together and for each of the build's."""
+        outcomes = self.of_class(class_index)
+        test.add(class_index, ALL_SERVERS, outcomes.failed, outcomes.succeeded, baseline_rate)
+        for server in servers:
+            failed = self.failures_by_server[server % SERVER_MODULUS, class_index]
+            succeeded = outcomes.succeeded / len(servers)  # by whom is not told: as many by each
+            test.add(class_index, server, failed, succeeded, baseline_rate, server_only=True)
+
+    def timeouts(self) -> ArmOutcomes:
+        """Return how many attempts timed out at warmed-up servers, as counts of `succeeded`."""
+        return self.of_class(TIMEOUT_CLASS)
+
+    def responses(self) -> ArmOutcomes:
+        """Return the counts of all classes together."""
+        return _add_up([row for row in self._rows if row[0] != TIMEOUT_CLASS])
+
+
+class FailureReports(NamedTuple):
+    """How many failed responses gateways told of, and for each server, as digests number it, how many and by
+    how many gateways."""
+
+    total: int
+    failures: Counter[int]
+    senders: Counter[int]
+
+
+def _add_up(rows: list[tuple[int, int, int, int, int]]) -> ArmOutcomes:
+    columns = [sum(row[column] for row in rows) for column in (1, 2, 3, 4)]
+    return ArmOutcomes(*columns)
+
+
+class GossipState:
+    """What gateways tell each other.
+
+    `incarnation` is drawn at the start. `clock_skew_s`: over how many seconds the digests of one second may
+    be spread.
+    """
+
+    def __init__(self, incarnation: int, clock_skew_s: int) -> None:
+        self.incarnation = incarnation
+        self.sequence = 0  # of the last digest that was sent
+        # Class, build, server, failed and succeeded responses.
+        self.unpublished: deque[tuple[int, int, int, int, int]] = deque(maxlen=MAX_UNPUBLISHED)
+        self.last_digest_by_sender: dict[tuple[int, int], int] = {}  # by sender and incarnation
+        self.rejected_digests = 0
+        self.received: list[tuple[int, Digest]] = []  # in this second, with their senders
+        # The baseline's, by class.
+        self.baseline_failure_rates: dict[int, deque[float]] = defaultdict(lambda: deque(maxlen=clock_skew_s))
+        self.last_baseline_fault_at = -math.inf  # when the baseline last failed anywhere
+
+    def next_digest(self, build: int, baseline_build: int, under_evaluation: bool) -> Digest | None:
+        """Return what was seen since the last digest, or None: failures of all builds, all outcomes of those
+        under evaluation."""
+        rows: dict[int, list[int]] = defaultdict(lambda: [0, 0, 0, 0])
+        failures: list[tuple[int, int]] = []
+        for class_index, outcome_build, server, failed, succeeded in self.unpublished:
+            if under_evaluation and outcome_build in (build, baseline_build):
+                column = 0 if outcome_build == build else 2
+                rows[class_index][column] += succeeded
+                rows[class_index][column + 1] += failed
+            failures += [(server % SERVER_MODULUS, class_index)] * failed
+        self.unpublished.clear()
+        if not (rows or failures):
+            return None
+        self.sequence += 1
+        classes = tuple((c, row[0], row[1], row[2], row[3]) for c, row in sorted(rows.items()))
+        return Digest(self.incarnation, self.sequence, build, classes, tuple(failures))
+
+    def has_failures(self) -> bool:
+        """Tell whether a failed response waits for the next digest."""
+        return any(failed for _, _, _, failed, _ in self.unpublished)
+
+    def accept(self, sender: int, digest: Digest, max_incarnations: int) -> bool:
+        """Tell whether a digest is new; the last digest of so many incarnations is remembered."""
+        source = (sender, digest.incarnation)
+        if self.last_digest_by_sender.get(source, -1) >= digest.sequence:
+            return False
+        self.last_digest_by_sender.pop(source, None)
+        self.last_digest_by_sender[source] = digest.sequence
+        if len(self.last_digest_by_sender) > max_incarnations:  # the first are over for the longest time
+            del self.last_digest_by_sender[next(iter(self.last_digest_by_sender))]
+        return True
+
+    def failure_reports(self) -> FailureReports:
+        """Count the failed responses told in this second, by server."""
+        reports = [(server, sender) for sender, digest in self.received for server, _ in digest.failures]
+        failures = Counter(server for server, _ in reports)
+        senders = Counter(server for server, _ in set(reports))
+        return FailureReports(len(reports), failures, senders)
+
+    def take_pooled(self, build: int) -> PooledOutcomes:
+        """Return the sums of this second's digests on the build, and begin the next second."""
+        digests = [digest for _, digest in self.received if digest.build == build]
+        self.received = []
+        return PooledOutcomes(digests)
--- /dev/null
+++ b/meadowpulley/state/servers.py
@@ -0,0 +1,42 @@
+"""What the policy keeps of one server."""
+
+from __future__ import annotations
+
+import math
+
+from meadowpulley.interface import Candidate, DeduplicationScope, ServerEntry, ServerState
+
+
+class Server:
+    """One start of one server: a restart, or another build under the same number, is a new one."""
+
+    def __init__(self, endpoint: ServerEntry) -> None:
+        self.id, self.kind = endpoint.server, endpoint.kind
+        self.cell, self.zone = endpoint.cell, endpoint.zone
+        self.build, self.started_ms, self.state = endpoint.build, endpoint.started_ms, endpoint.state
+        self.outstanding = 0  # attempts of this gateway that have no outcome yet
+        self.slow_start_slot = -1  # the slot of the overload window for which the budget was drawn
+        self.slow_start_budget = -1  # requests that may still be sent in that slot
+        self.failure_rate = 0.0  # exponentially weighted moving average
+        self.ejected_until = 0.0
+        self.ejection_ms = (
+            0.0  # 0 while healthy; else the last ejection's length, and it gets one request at a time
+        )
+        self.last_failure_at = self.last_response_at = -math.inf
+
+    def as_candidate(self, slow_start_fraction: float, mean_latency_ms: float, home_zone: int) -> Candidate:
+        """Return the server as a placement sees it."""
+        identity = (self.id, self.zone, self.cell, self.kind, self.build)
+        load = (self.outstanding, slow_start_fraction, mean_latency_ms)
+        return Candidate(*identity, *load, self.zone == home_zone)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the server takes requests."""
+        return self.state is ServerState.READY
+
+    def in_scope(self, scope: DeduplicationScope, other: Server) -> bool:
+        """Tell whether both servers drop each other's repeats of a request with an idempotency key."""
+        if scope is DeduplicationScope.ZONE:
+            return self.zone == other.zone
+        return scope is DeduplicationScope.ALL or self.cell == other.cell
--- a/meadowpulley/takeover/stage.py
+++ b/meadowpulley/takeover/stage.py
@@ -35,307 +35,369 @@
     Timer,
 )
 from meadowpulley.ledger import (
-    Changed,
     Commit,
-    Committed,
-    Ended,
-    How,
-    LedgerBack,
-    LedgerLost,
-    Life,
+    CommitCompleted,
+    Fenced,
+    Incarnation,
+    LeaseExpired,
+    LedgerChanged,
+    LedgerRecovered,
+    LedgerUnavailable,
     Stage,
-    Suspected,
+    TransactionOutcome,
 )
-from meadowpulley.takeover import adopt, model as m
-from meadowpulley.takeover.answers import Asks, Keeping
-from meadowpulley.takeover.hand import Final, Hand
-from meadowpulley.takeover.hands import Hands
-from meadowpulley.takeover.mirror import Mirror
-from meadowpulley.takeover.model import State
-from meadowpulley.takeover.orphans import Orphans
-from meadowpulley.takeover.turn import For, Turn, What
+from meadowpulley.takeover import adoption, model as m
+from meadowpulley.takeover.duplicate_waiters import DuplicateWaiters, ResponseCache
+from meadowpulley.takeover.journaled_request import FinalResponse, JournaledRequest
+from meadowpulley.takeover.ledger_view import LedgerView
+from meadowpulley.takeover.model import RequestState
+from meadowpulley.takeover.orphan_claims import OrphanClaims
+from meadowpulley.takeover.request_journal import RequestJournal
+from meadowpulley.takeover.transaction_builder import TransactionBuilder, TransactionIntent, TransactionKind
 
-EARLY_MS = 1.0  # by which clocks may wake it before its time
+TIMER_TOLERANCE_MS = 1.0  # by which clocks may wake it before its time
 
 
-class Takeover:
+class TakeoverStage:
     """`may_act(now)`: whether this life's lease holds, asked at the last moment before anything goes out."""
 
     def __init__(
         self,
-        settings: Settings,
+        gateway_settings: Settings,
         inner: Stage,
-        me: Life,
-        may_act: Callable[[float], bool],
-        terms: m.Terms | None = None,
+        incarnation: Incarnation,
+        holds_lease: Callable[[float], bool],
+        settings: m.TakeoverSettings | None = None,
     ) -> None:
-        self.s, self.terms = settings, terms or m.Terms()
-        self.turn, self.mirror = Turn(), Mirror()
-        self.asks = Asks(self.terms, self.mirror)
-        self.keeping = Keeping(self.terms)
-        self.hands = Hands(settings, inner, me, may_act, self.terms, self.turn, self.asks, self.keeping)
-        self.orphans = Orphans(settings, me, self.terms, self.mirror, self.keeping)
-        self.give_at = math.inf  # when what is left is given away, as this gateway stops
-        self.stops = False
+        self.gateway_settings, self.settings = gateway_settings, settings or m.TakeoverSettings()
+        self.builder, self.view = TransactionBuilder(), LedgerView()
+        self.waiters = DuplicateWaiters(self.settings, self.view)
+        self.response_cache = ResponseCache(self.settings)
+        self.journal = RequestJournal(
+            gateway_settings,
+            inner,
+            incarnation,
+            holds_lease,
+            self.settings,
+            self.builder,
+            self.waiters,
+            self.response_cache,
+        )
+        self.orphans = OrphanClaims(
+            gateway_settings, incarnation, self.settings, self.view, self.response_cache
+        )
+        self.release_at_ms = math.inf  # when what is left is given away, as this gateway stops
+        self.shutting_down = False
         # Until then what others have served unwritten, as the ledger was lost, may be asked for once more.
-        self.unsure_until = -math.inf
-        self.timer_at = math.inf
-        self.ticket = 0
-        self.asked: dict[int, list[For]] = {}
+        self.unjournaled_until_ms = -math.inf
+        self.timer_at_ms = math.inf
+        self.last_ticket = 0
+        self.intents_by_ticket: dict[int, list[TransactionIntent]] = {}
         self.handlers: dict[type, Callable[[Any], None]] = {
-            m.Taken: self._taken,
-            m.AnswerReady: self.hands.ready,
-            m.ClientGone: self._client_gone,
-            m.Placed: self._placed,
-            m.Stopping: self._stopping,
-            Outcome: self.hands.outcome,
-            ResponseStarted: self.hands.started,
-            ClientDisconnected: self._request_gone,
-            EndpointUpdate: self._list,
-            Timer: self._tick,
-            Committed: self._committed,
-            Changed: self._changed,
-            Suspected: self._suspected,
-            Ended: self._sealed,
-            LedgerLost: self._ledger_lost,
-            LedgerBack: self._ledger_back,
+            m.ClientRequest: self._on_client_request,
+            m.ResponseReady: self.journal.on_response_ready,
+            m.ClientDetached: self._on_client_detached,
+            m.AdoptionResult: self._on_adoption_result,
+            m.ShutdownNotice: self._on_shutdown_notice,
+            Outcome: self.journal.on_outcome,
+            ResponseStarted: self.journal.on_response_started,
+            ClientDisconnected: self._on_client_disconnected,
+            EndpointUpdate: self._on_endpoint_update,
+            Timer: self._on_timer,
+            CommitCompleted: self._on_committed,
+            LedgerChanged: self._on_changed,
+            LeaseExpired: self._on_lease_expired,
+            Fenced: self._on_fenced,
+            LedgerUnavailable: self._on_ledger_unavailable,
+            LedgerRecovered: self._on_ledger_recovered,
         }
 
     def handle(self, now: float, event: Any) -> list[Any]:
-        turn = self.turn
-        turn.begin(now)
-        self.handlers.get(type(event), self.hands.pass_on)(event)
-        if self.orphans.due_at <= now and not (self.hands.ended or self.hands.lost):
-            if self.stops:  # claims of which it does not know are still its own; the rest is for the others
-                self.orphans.pass_over()
-            adopted = sum(h.request.adopted and not h.told for h in self.hands.by_name.values())
-            self.orphans.look(turn, adopted, self.hands.usual_ms)
-        if turn.steps:
-            self.ticket += 1
-            self.asked[self.ticket] = turn.whys
-            turn.acts.append(Commit(self.ticket, tuple(turn.steps), m.OWNER))
+        builder = self.builder
+        builder.begin(now)
+        self.handlers.get(type(event), self.journal.forward)(event)
+        if self.orphans.due_at_ms <= now and not (self.journal.fenced or self.journal.ledger_unavailable):
+            if (
+                self.shutting_down
+            ):  # claims of which it does not know are still its own; the rest is for the others
+                self.orphans.drop_unclaimed()
+            adopted_count = sum(h.request.adopted and not h.answered for h in self.journal.by_id.values())
+            self.orphans.claim_due(builder, adopted_count, self.journal.typical_latency_ms)
+        if builder.transactions:
+            self.last_ticket += 1
+            self.intents_by_ticket[self.last_ticket] = builder.intents
+            builder.actions.append(Commit(self.last_ticket, tuple(builder.transactions), m.COMMIT_OWNER))
         self._set_timer()
-        return turn.acts
+        return builder.actions
 
     # What its adapter may ask
 
-    def knows(self, name: str) -> bool:
+    def is_known(self, request_id: str) -> bool:
         """Whether a request of that id is in hand here, or waits here for work in hand elsewhere."""
-        return name in self.hands.by_name or name in self.asks.by_name
+        return request_id in self.journal.by_id or request_id in self.waiters.by_id
 
-    def writes(self, cls: int, size: int) -> bool:
+    def is_journaled_class(self, class_index: int, body_bytes: int) -> bool:
         """Whether a request of that class with a body of so many bytes is written down."""
-        which, safe = self.terms.written, self.s.classes[cls].effect is Effect.IDEMPOTENT
-        wanted = which is m.Written.ALL or (which is m.Written.UNREPEATABLE and not safe)
-        return wanted and size <= m.BODY_MAX
+        scope, safe = (
+            self.settings.journal_scope,
+            self.gateway_settings.classes[class_index].effect is Effect.IDEMPOTENT,
+        )
+        in_scope = scope is m.JournalScope.ALL or (scope is m.JournalScope.UNREPEATABLE and not safe)
+        return in_scope and body_bytes <= m.MAX_BODY_BYTES
 
-    def has(self, request: int) -> bool:
+    def is_journaled(self, request: int) -> bool:
         """Whether it is written, or has been: then its answer passes here."""
-        return request in self.hands.by_request
+        return request in self.journal.by_request
 
-    def keeps(self, request: int) -> bool:
+    def continues_without_client(self, request: int) -> bool:
         """Whether the work of this request goes on without its client."""
-        hand = self.hands.by_request.get(request)
-        return hand is not None and not hand.gone
+        entry = self.journal.by_request.get(request)
+        return entry is not None and not entry.relinquished
 
-    def origin_of(self, request: int) -> tuple[m.First, float] | None:
+    def origin_of(self, request: int) -> tuple[m.Origin, float] | None:
         """Who took a written request first, and when on this gateway's clock, no later than it was; None for
         what is not written. For the stages inside this one, from when they are told of it until its end."""
-        hand = self.hands.by_request.get(request)
-        return (hand.first, hand.taken_ms) if hand is not None else None
+        entry = self.journal.by_request.get(request)
+        return (entry.origin, entry.received_at_ms) if entry is not None else None
 
     def moved(self, request: int) -> bool | None:
         """Whether a request of which the stages inside are told that it is gone goes on elsewhere. False: its
         id was known and it never was one of its own. None: it is gone with its client."""
-        hand = self.hands.by_request.get(request)
-        if hand is None or not (hand.gone or hand.giving):
+        entry = self.journal.by_request.get(request)
+        if entry is None or not (entry.relinquished or entry.releasing):
             return None
-        return hand.giving or hand.unsure or hand.version > 0
+        return entry.releasing or entry.write_uncertain or entry.record_version > 0
 
     # Intake
 
-    def _taken(self, t: m.Taken) -> None:
-        r, cls = t.request, self.s.classes[t.request.class_index]
-        safe = cls.effect is Effect.IDEMPOTENT
-        if not self.writes(r.class_index, len(t.body)):
-            self.hands.pass_on(r)
+    def _on_client_request(self, event: m.ClientRequest) -> None:
+        request, request_class = event.request, self.gateway_settings.classes[event.request.class_index]
+        safe = request_class.effect is Effect.IDEMPOTENT
+        if not self.is_journaled_class(request.class_index, len(event.body)):
+            self.journal.forward(request)
             return
-        digest, known = m.digest_of(t.method, t.target, t.body), self.hands.by_name.get(t.name)
+        digest, known = (
+            m.request_digest(event.method, event.target, event.body),
+            self.journal.by_id.get(event.request_id),
+        )
         if known is not None and known.digest == digest:
-            self.hands.join(t.name, r)
-            self.hands.say_again(known)
+            self.journal.add_waiter(event.request_id, request)
+            self.journal.answer_waiters(known)
         elif known is not None:
-            self.turn.acts.append(Fail(r.request))
-        elif (self.hands.lost and r.client_retry) or (self.hands.ended and (r.client_retry or not safe)):
+            self.builder.actions.append(Fail(request.request))
+        elif (self.journal.ledger_unavailable and request.client_retry) or (
+            self.journal.fenced and (request.client_retry or not safe)
+        ):
             # Whether it is in hand elsewhere can't be known; and what ran here unwritten, while the others
             # have the ledger, would run again where its client asks next.
-            self.turn.acts.append(Fail(r.request))
-        elif self.hands.lost or self.hands.ended:
-            self.hands.pass_on(r)  # as without a ledger: nobody adopts what is not written
+            self.builder.actions.append(Fail(request.request))
+        elif self.journal.ledger_unavailable or self.journal.fenced:
+            self.journal.forward(request)  # as without a ledger: nobody adopts what is not written
         else:
-            tenant = self.s.tenants[r.tenant].name if r.tenant < len(self.s.tenants) else ""
-            content = m.Content(m.FORMAT, t.method, t.target, t.headers, t.body)
-            mark = self.turn.mark()
-            first = m.First(str(self.hands.me), mark)
-            hand = Hand(r, t.name, cls, tenant, content, digest, mark, first, self.turn.now)
-            if r.client_retry and not safe and self.turn.now < self.unsure_until:
-                self.hands.fail_unknown(hand)
+            tenant_name = (
+                self.gateway_settings.tenants[request.tenant].name
+                if request.tenant < len(self.gateway_settings.tenants)
+                else ""
+            )
+            content = m.RequestContent(m.RECORD_FORMAT, event.method, event.target, event.headers, event.body)
+            sequence = self.builder.next_sequence()
+            origin = m.Origin(str(self.journal.incarnation), sequence)
+            entry = JournaledRequest(
+                request,
+                event.request_id,
+                request_class,
+                tenant_name,
+                content,
+                digest,
+                sequence,
+                origin,
+                self.builder.now,
+            )
+            if request.client_retry and not safe and self.builder.now < self.unjournaled_until_ms:
+                self.journal.fail_if_unknown(entry)
             else:
-                self.hands.begin(hand)
+                self.journal.start(entry)
 
-    def _list(self, event: EndpointUpdate) -> None:
+    def _on_endpoint_update(self, event: EndpointUpdate) -> None:
         if event.kind is EndpointUpdateKind.FULL or event.kind is EndpointUpdateKind.CACHED:
-            self.hands.servers = {}
-        self.hands.servers |= {e.server: e for e in event.entries}
-        for gone in [e.server for e in event.entries if e.state is ServerState.REMOVED]:
-            del self.hands.servers[gone]
-        self.hands.pass_on(event)
-
-    def _client_gone(self, e: m.ClientGone) -> None:
-        hand = self.hands.by_request.get(e.request)
-        if hand is not None and not hand.gone:
-            hand.client = False  # the work ends once, and its answer is kept
-        elif self.asks.leave(e.request):
-            self.turn.acts.append(m.Drop(e.request))
-        elif hand is None:
-            self.turn.acts.append(m.Drop(e.request))
-            self.hands.pass_on(ClientDisconnected(e.request))
-
-    def _request_gone(self, e: ClientDisconnected) -> None:
+            self.journal.servers = {}
+        self.journal.servers |= {e.server: e for e in event.entries}
+        for server in [e.server for e in event.entries if e.state is ServerState.REMOVED]:
+            del self.journal.servers[server]
+        self.journal.forward(event)
+
+    def _on_client_detached(self, event: m.ClientDetached) -> None:
+        entry = self.journal.by_request.get(event.request)
+        if entry is not None and not entry.relinquished:
+            entry.has_client = False  # the work ends once, and its answer is kept
+        elif self.waiters.remove(event.request):
+            self.builder.actions.append(m.Discard(event.request))
+        elif entry is None:
+            self.builder.actions.append(m.Discard(event.request))
+            self.journal.forward(ClientDisconnected(event.request))
+
+    def _on_client_disconnected(self, event: ClientDisconnected) -> None:
         """The adapter has answered it as failed, past its deadline."""
-        hand = self.hands.by_request.get(e.request)
-        if self.asks.leave(e.request):
+        entry = self.journal.by_request.get(event.request)
+        if self.waiters.remove(event.request):
             return
-        self.hands.pass_on(e)
-        if hand is not None and not hand.gone:
-            hand.told = True
-            hand.earlier_final, hand.final = hand.earlier_final or hand.final, None
-            self.hands.final(hand, Final(State.FAILED, Fail(e.request)))
+        self.journal.forward(event)
+        if entry is not None and not entry.relinquished:
+            entry.answered = True
+            entry.superseded_response, entry.final_response = (
+                entry.superseded_response or entry.final_response,
+                None,
+            )
+            self.journal.finish(entry, FinalResponse(RequestState.FAILED, Fail(event.request)))
 
     # The ledger
 
-    def _committed(self, event: Committed) -> None:
-        if event.owner != m.OWNER:
-            self.hands.pass_on(event)
+    def _on_committed(self, event: CommitCompleted) -> None:
+        if event.owner != m.COMMIT_OWNER:
+            self.journal.forward(event)
             return
-        turn, orphans = self.turn, self.orphans
-        for why, done in zip(self.asked.pop(event.ticket), event.done, strict=True):
-            if done.how is How.SEALED:
-                self.hands.end_life()
-            elif why.what is What.WRITE:
-                self.hands.written(self.hands.by_request.get(why.request), done)
-            elif why.what is What.ANSWER:
-                self.asks.answered(turn, why.name, done)
-            elif why.what is What.CLAIM:
-                orphans.claimed(turn, why.name, done)
-            elif why.what is What.CONTENT:
-                orphans.read(turn, why.name, done)
-            elif why.what is What.OLD:
-                self.keeping.read(turn, why.name, done)
-
-    def _changed(self, event: Changed) -> None:
-        began = self.turn.now if event.began_ms is None else event.began_ms
-        news = self.mirror.changed(began, event.changes)
-        self.turn.acts += [LogLine(line) for line in news.bad]
-        for name in news.names:
-            if name not in self.hands.by_name:
-                self.asks.changed(self.turn, name)
-        self.orphans.changed(self.turn.now, news.names, news.died, self.hands.by_name)
-        self.keeping.inherit(self.turn.now, news.left)
-        self.hands.pass_on(event)
-
-    def _suspected(self, event: Suspected) -> None:
-        self.orphans.suspected(self.turn.now, event.members)
-        self.hands.pass_on(event)
-
-    def _sealed(self, event: Ended) -> None:
-        self.hands.end_life()
-        self.hands.pass_on(event)
-
-    def _ledger_lost(self, event: LedgerLost) -> None:
-        self.hands.lost = True
-        self.hands.pass_on(event)
-
-    def _ledger_back(self, event: LedgerBack) -> None:
-        self.hands.lost = False
-        longest = max(
-            (c.deadline_ms for c in self.s.classes if c.effect is not Effect.IDEMPOTENT), default=0.0
+        builder, orphans = self.builder, self.orphans
+        for intent, result in zip(self.intents_by_ticket.pop(event.ticket), event.results, strict=True):
+            if result.outcome is TransactionOutcome.FENCED:
+                self.journal.fence()
+            elif intent.kind is TransactionKind.WRITE_RECORD:
+                self.journal.on_written(self.journal.by_request.get(intent.request), result)
+            elif intent.kind is TransactionKind.READ_RESPONSE:
+                self.waiters.on_response_read(builder, intent.subject, result)
+            elif intent.kind is TransactionKind.CLAIM:
+                orphans.on_claim_result(builder, intent.subject, result)
+            elif intent.kind is TransactionKind.READ_CONTENT:
+                orphans.on_content_read(builder, intent.subject, result)
+            elif intent.kind is TransactionKind.READ_INHERITED:
+                self.response_cache.on_inherited_read(builder, intent.subject, result)
+
+    def _on_changed(self, event: LedgerChanged) -> None:
+        poll_started_ms = self.builder.now if event.poll_started_ms is None else event.poll_started_ms
+        delta = self.view.apply(poll_started_ms, event.changes)
+        self.builder.actions += [LogLine(line) for line in delta.warnings]
+        for request_id in delta.changed_ids:
+            if request_id not in self.journal.by_id:
+                self.waiters.on_changed(self.builder, request_id)
+        self.orphans.on_changed(
+            self.builder.now, delta.changed_ids, delta.ended_incarnations, self.journal.by_id
+        )
+        self.response_cache.inherit(self.builder.now, delta.abandoned)
+        self.journal.forward(event)
+
+    def _on_lease_expired(self, event: LeaseExpired) -> None:
+        self.orphans.on_lease_expired(self.builder.now, event.members)
+        self.journal.forward(event)
+
+    def _on_fenced(self, event: Fenced) -> None:
+        self.journal.fence()
+        self.journal.forward(event)
+
+    def _on_ledger_unavailable(self, event: LedgerUnavailable) -> None:
+        self.journal.ledger_unavailable = True
+        self.journal.forward(event)
+
+    def _on_ledger_recovered(self, event: LedgerRecovered) -> None:
+        self.journal.ledger_unavailable = False
+        longest_deadline_ms = max(
+            (c.deadline_ms for c in self.gateway_settings.classes if c.effect is not Effect.IDEMPOTENT),
+            default=0.0,
         )
-        self.unsure_until = self.turn.now + longest  # by when the last client of those waits no longer
-        for hand in list(self.hands.by_name.values()):
-            self.hands.flush(hand)
-        self.hands.pass_on(event)
+        self.unjournaled_until_ms = (
+            self.builder.now + longest_deadline_ms
+        )  # by when the last client of those waits no longer
+        for entry in list(self.journal.by_id.values()):
+            self.journal.flush(entry)
+        self.journal.forward(event)
 
     # Taking over, giving away
 
-    def _placed(self, event: m.Placed) -> None:
-        claim = self.orphans.placed(self.turn, event.name, event.request is not None)
+    def _on_adoption_result(self, event: m.AdoptionResult) -> None:
+        claim = self.orphans.on_adoption_result(self.builder, event.request_id, event.request is not None)
         if claim is None or claim.content is None or event.request is None:
             return
-        if self.hands.ended:
-            self.turn.acts.append(m.Drop(event.request))
+        if self.journal.fenced:
+            self.builder.actions.append(m.Discard(event.request))
             return
-        work, (n, cls) = claim.seen.work, self.orphans.classes[claim.seen.work.cls]
-        tenant = self.orphans.tenants.get(work.tenant, len(self.s.tenants))
+        record, (class_index, request_class) = (
+            claim.observed.record,
+            self.orphans.classes[claim.observed.record.class_name],
+        )
+        tenant_index = self.orphans.tenants.get(record.tenant_name, len(self.gateway_settings.tenants))
         request = Request(
             event.request,
-            n,
-            tenant,
-            work.key,
+            class_index,
+            tenant_index,
+            record.key,
             claim.deadline_ms,
-            work.hint_ms,
-            write=work.write,
+            record.expected_work_ms,
+            write=record.write,
             adopted=True,
-            prior_attempt_count=work.tries,
-            prior_attempts=adopt.tried(claim.seen),
-            arm=work.arm,
+            prior_attempt_count=record.attempt_count,
+            prior_attempts=adoption.prior_attempts(claim.observed),
+            arm=record.arm,
+        )
+        received_at_ms = max(claim.observed.not_before_ms - record.elapsed_ms, -m.MAX_DURATION_MS)
+        entry = JournaledRequest(
+            request,
+            event.request_id,
+            request_class,
+            record.tenant_name,
+            claim.content,
+            record.digest,
+            claim.sequence,
+            record.origin,
+            received_at_ms,
         )
-        taken = max(claim.seen.floor_ms - work.waited_ms, -m.LONG_MS)
-        hand = Hand(
-            request, event.name, cls, work.tenant, claim.content, work.digest, claim.mark, work.first, taken
+        entry.owner_count, entry.record_version, entry.content_version = (
+            record.owner_count + 1,
+            claim.record_version,
+            claim.content_version,
         )
-        hand.lives, hand.version, hand.content_version = work.lives + 1, claim.version, claim.content_version
-        hand.earlier, hand.tries, hand.client = claim.rights, work.tries, False
-        self.hands.begin(hand)
-        if self.stops:
-            self.hands.give(hand)
-
-    def _stopping(self, event: m.Stopping) -> None:
-        self.stops = True
-        self.give_at = self.turn.now + max(event.left_ms - self.terms.release_ms, 0.0)
-        for hand in list(self.hands.by_name.values()):
-            if not hand.out and not hand.waiting:
-                self.hands.give(hand)
+        entry.inherited_grants, entry.attempt_count, entry.has_client = (
+            claim.grants,
+            record.attempt_count,
+            False,
+        )
+        self.journal.start(entry)
+        if self.shutting_down:
+            self.journal.release(entry)
+
+    def _on_shutdown_notice(self, event: m.ShutdownNotice) -> None:
+        self.shutting_down = True
+        self.release_at_ms = self.builder.now + max(event.grace_ms - self.settings.shutdown_release_ms, 0.0)
+        for entry in list(self.journal.by_id.values()):
+            if not entry.outstanding_attempts and not entry.pending_sends:
+                self.journal.release(entry)
 
     # Time
 
-    def _tick(self, event: Timer) -> None:
-        if event.token != m.TOKEN:
-            self.hands.pass_on(event)
+    def _on_timer(self, event: Timer) -> None:
+        if event.token != m.TIMER_TOKEN:
+            self.journal.forward(event)
             return
-        turn, now = self.turn, self.turn.now
-        if now > self.timer_at - EARLY_MS:
-            self.timer_at = math.inf
-        while self.hands.due and self.hands.due[0][0] <= now:
-            self.hands.look_at(heapq.heappop(self.hands.due)[1])
-        if now >= self.give_at:
-            self.give_at = math.inf
-            for hand in list(self.hands.by_name.values()):
-                self.hands.give(hand)
-        self.asks.tick(turn)
-        if not (self.hands.lost or self.hands.ended):
-            self.keeping.tick(turn)
+        builder, now = self.builder, self.builder.now
+        if now > self.timer_at_ms - TIMER_TOLERANCE_MS:
+            self.timer_at_ms = math.inf
+        while self.journal.wakeups and self.journal.wakeups[0][0] <= now:
+            self.journal.check_due(heapq.heappop(self.journal.wakeups)[1])
+        if now >= self.release_at_ms:
+            self.release_at_ms = math.inf
+            for entry in list(self.journal.by_id.values()):
+                self.journal.release(entry)
+        self.waiters.on_timer(builder)
+        if not (self.journal.ledger_unavailable or self.journal.fenced):
+            self.response_cache.on_timer(builder)
 
     def _set_timer(self) -> None:
-        now = self.turn.now
-        works = not (self.hands.ended or self.hands.lost)
-        at = min(
-            self.hands.due[0][0] if self.hands.due else math.inf,
-            self.asks.due_at(),
-            self.keeping.due_at() if works else math.inf,
-            self.orphans.due_at if works else math.inf,
-            self.give_at,
+        now = self.builder.now
+        ledger_usable = not (self.journal.fenced or self.journal.ledger_unavailable)
+        due_at_ms = min(
+            self.journal.wakeups[0][0] if self.journal.wakeups else math.inf,
+            self.waiters.due_at_ms(),
+            self.response_cache.due_at_ms() if ledger_usable else math.inf,
+            self.orphans.due_at_ms if ledger_usable else math.inf,
+            self.release_at_ms,
         )
-        if at < self.timer_at:
-            self.timer_at = max(at, now)
-            self.turn.acts.append(SetTimer(self.timer_at - now, m.TOKEN))
+        if due_at_ms < self.timer_at_ms:
+            self.timer_at_ms = max(due_at_ms, now)
+            self.builder.actions.append(SetTimer(self.timer_at_ms - now, m.TIMER_TOKEN))
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from meadowpulley.balance import TICK, Balancer
 from meadowpulley.interface import (
     Action,
     DeduplicationScope,
@@ -30,6 +29,7 @@
     Timer,
     Vote,
 )
+from meadowpulley.policy import TIMER_TOKEN, RolloutPolicy
 
 SAFE, UNSAFE, KEYED = 0, 1, 2
 
@@ -61,53 +61,55 @@
     limits: Limits = LIMITS,
     classes: tuple[RequestClass, ...] = CLASSES,
     must_ask: bool = False,
-    balancers: int = 1,
+    gateway_count: int = 1,
 ) -> Settings:
-    return Settings(0, balancers, 0, ("a", "b"), 5.0, classes, (), RULES, limits, rollout, must_ask)
+    return Settings(0, gateway_count, 0, ("a", "b"), 5.0, classes, (), RULES, limits, rollout, must_ask)
 
 
-def entry(server: int, build: int = 41, started: float = 0.0, **more: int) -> ServerEntry:
-    base = ServerEntry(server, 0, 0, ServerState.READY, build, started, 0, 1.0)
-    return replace(base, **more)  # type: ignore[arg-type]
+def server_entry(server: int, build: int = 41, started_ms: float = 0.0, **changes: int) -> ServerEntry:
+    base = ServerEntry(server, 0, 0, ServerState.READY, build, started_ms, 0, 1.0)
+    return replace(base, **changes)  # type: ignore[arg-type]
 
 
 class Driver:
-    def __init__(self, s: Settings | None = None, seed: int = 7, told: bool = True) -> None:
-        self.b = Balancer(s or settings(), seed)
+    def __init__(self, policy_settings: Settings | None = None, seed: int = 7, released: bool = True) -> None:
+        self.policy = RolloutPolicy(policy_settings or settings(), seed)
         self.now = 0.0
-        self.last = 0
-        self.tries: dict[int, int] = {}
-        if told:
-            self.news(41, 2, 1.0, Phase.RELEASED)
+        self.last_request = 0
+        self.attempt_counts: dict[int, int] = {}
+        if released:
+            self.update_rollout(41, 2, 1.0, Phase.RELEASED)
 
-    def give(self, event: Event) -> list[Action]:
-        return self.b.handle(self.now, event)
+    def handle(self, event: Event) -> list[Action]:
+        return self.policy.handle(self.now, event)
 
-    def listed(
+    def update_endpoints(
         self, entries: Iterable[ServerEntry], kind: EndpointUpdateKind = EndpointUpdateKind.FULL
     ) -> list[Action]:
-        return self.give(EndpointUpdate(kind, 1, tuple(entries)))
+        return self.handle(EndpointUpdate(kind, 1, tuple(entries)))
 
-    def news(
+    def update_rollout(
         self, build: int, stage: int = 0, cap: float = 0.1, phase: Phase = Phase.TRIAL, age: float = 0.0
     ) -> list[Action]:
-        return self.give(RolloutUpdate(build, stage, phase, cap, age))
+        return self.handle(RolloutUpdate(build, stage, phase, cap, age))
 
-    def ask(self, cls: int = SAFE, key: int = 0, left: float | None = None) -> list[Action]:
-        self.last += 1
-        left = CLASSES[cls].deadline_ms if left is None else left
-        return self.give(Request(self.last, cls, 0, key, self.now + left))
+    def request(
+        self, class_index: int = SAFE, key: int = 0, time_left_ms: float | None = None
+    ) -> list[Action]:
+        self.last_request += 1
+        time_left_ms = CLASSES[class_index].deadline_ms if time_left_ms is None else time_left_ms
+        return self.handle(Request(self.last_request, class_index, 0, key, self.now + time_left_ms))
 
-    def end(
-        self, send: Send, result: Result = Result.OK, took: float = 100.0, over: bool | None = None
+    def finish(
+        self, send: Send, result: Result = Result.OK, elapsed_ms: float = 100.0, final: bool | None = None
     ) -> list[Action]:
-        n = self.tries.get(send.request, 0)
-        self.tries[send.request] = n + 1
-        done = result is Result.OK if over is None else over
-        return self.give(Outcome(send.request, n, send.server, result, took, done))
+        attempt = self.attempt_counts.get(send.request, 0)
+        self.attempt_counts[send.request] = attempt + 1
+        is_final = result is Result.OK if final is None else final
+        return self.handle(Outcome(send.request, attempt, send.server, result, elapsed_ms, is_final))
 
-    def tick(self) -> list[Action]:
-        return self.give(Timer(TICK))
+    def fire_timer(self) -> list[Action]:
+        return self.handle(Timer(TIMER_TOKEN))
 
 
 def sends(actions: Iterable[Action]) -> list[Send]:
@@ -118,5 +120,5 @@
     return [a for a in actions if isinstance(a, Vote)]
 
 
-def fleet(d: Driver, count: int = 4, build: int = 41) -> None:
-    d.listed(entry(n, build) for n in range(count))
+def list_servers(driver: Driver, count: int = 4, build: int = 41) -> None:
+    driver.update_endpoints(server_entry(n, build) for n in range(count))
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-NAME = "KNOWN-RED.txt"
-MOST = 3
+FILE_NAME = "KNOWN-RED.txt"
+MAX_ENTRIES = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,25 +24,27 @@
 def read(path: Path) -> list[KnownRed]:
     """The listed tests; none where there is no file. Raises pytest.UsageError, one line."""
     lines = path.read_text().splitlines() if path.exists() else []
-    if len(lines) > MOST:
-        raise pytest.UsageError(f"{NAME}: line {MOST + 1}: {MOST} at most: mend one before another lands")
-    found: list[KnownRed] = []
+    if len(lines) > MAX_ENTRIES:
+        raise pytest.UsageError(
+            f"{FILE_NAME}: line {MAX_ENTRIES + 1}: {MAX_ENTRIES} at most: mend one before another lands"
+        )
+    entries: list[KnownRed] = []
     for number, line in enumerate(lines, 1):
         parts = [part.strip() for part in line.split("|")]
         if len(parts) != 3 or not all(parts):
-            raise pytest.UsageError(f"{NAME}: line {number}: not 'test | cause | issue'")
-        if parts[0] in (known.test for known in found):
-            raise pytest.UsageError(f"{NAME}: line {number}: {parts[0]} is listed twice")
-        found.append(KnownRed(*parts))
-    return found
+            raise pytest.UsageError(f"{FILE_NAME}: line {number}: not 'test | cause | issue'")
+        if parts[0] in (known.test for known in entries):
+            raise pytest.UsageError(f"{FILE_NAME}: line {number}: {parts[0]} is listed twice")
+        entries.append(KnownRed(*parts))
+    return entries
 
 
-def mark(listed: Iterable[KnownRed], items: Iterable[pytest.Item], everything: bool) -> None:
+def apply_marks(listed: Iterable[KnownRed], items: Iterable[pytest.Item], all_collected: bool) -> None:
     """Listed tests have to fail. Raises pytest.UsageError where all were collected and one is not there."""
     by_id = {item.nodeid: item for item in items}
     for known in listed:
         if known.test in by_id:
-            why = f"{known.cause} ({known.issue})"
-            by_id[known.test].add_marker(pytest.mark.xfail(reason=why, strict=True))
-        elif everything:
-            raise pytest.UsageError(f"{NAME}: {known.test}: there is no such test: take its line out")
+            reason = f"{known.cause} ({known.issue})"
+            by_id[known.test].add_marker(pytest.mark.xfail(reason=reason, strict=True))
+        elif all_collected:
+            raise pytest.UsageError(f"{FILE_NAME}: {known.test}: there is no such test: take its line out")
--- a/tests/net_program/conftest.py
+++ b/tests/net_program/conftest.py
@@ -9,24 +9,24 @@
 import pytest
 
 from tests.standins import (
-    Gateway,
+    GatewayProcess,
 )
 
-Start = Callable[..., Gateway]
+StartGateway = Callable[..., GatewayProcess]
 
 
 @pytest.fixture
-def start(tmp_path: Path) -> Iterator[Start]:
+def start(tmp_path: Path) -> Iterator[StartGateway]:
     """Starts gateways; they end with the test."""
-    started: list[Gateway] = []
+    started: list[GatewayProcess] = []
 
-    def begin(*args: Any, wait: bool = True, **more: Any) -> Gateway:
-        gateway = Gateway(tmp_path, *args, **more)
+    def start_gateway(*args: Any, wait: bool = True, **overrides: Any) -> GatewayProcess:
+        gateway = GatewayProcess(tmp_path, *args, **overrides)
         started.append(gateway)
         if wait:
             gateway.wait_for("ready")
         return gateway
 
-    yield begin
+    yield start_gateway
     for gateway in started:
         gateway.stop()
--- /dev/null
+++ b/tests/net_program/test_customer_settings.py
@@ -0,0 +1,285 @@
+"""The program on the settings of customers that nobody has: the rules hold, whatever the figures are."""
+
+from __future__ import annotations
+
+import queue
+import signal
+import socket
+import threading
+from collections import defaultdict
+from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler
+from itertools import accumulate, product
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, Phase, example, given, settings as hypothesis_settings, strategies as st
+
+from tests.net_program.conftest import StartGateway
+from tests.standins import (
+    SETTINGS,
+    TIMEOUT_S,
+    Client,
+    FakeDiscovery,
+    FakeInstance,
+    GatewayProcess,
+    endpoint,
+    respond,
+)
+
+LONG_DEADLINE_MS = 20_000.0  # a deadline that no machine of ours is too busy for
+CLIENT_TIMEOUT_MS = 300  # what a client waits for an answer that comes too late
+CLASS_NAMES = st.tuples(
+    st.from_regex(r"[a-z][a-z0-9]{0,5}", fullmatch=True),
+    st.lists(st.sampled_from(["2", "-b", "-9th", "x", "--", "_", ".", "-"]), max_size=4),
+).map(lambda drawn: list(accumulate([drawn[0], *drawn[1]])))  # each begins with the one before it
+METHODS = {"pure": "GET", "token": "POST", "side_effect": "POST"}
+ALLOWED_METHODS = {"pure": "GET", "token": "POST, PUT", "side_effect": "POST"}
+
+
+@st.composite
+def request_classes(draw: st.DrawFn) -> dict[str, Any]:
+    limit = draw(st.sampled_from([30.0, 90.0, 400.0, 3_000.0, LONG_DEADLINE_MS, LONG_DEADLINE_MS]))
+    return {
+        "repeat": draw(st.sampled_from([*METHODS])),
+        "group": draw(st.sampled_from(["all", "zone", "cell"])),
+        "hard-limit-ms": limit,
+        "target-ms": limit * draw(st.sampled_from([0.2, 0.6])),
+        "dedup-window-ms": draw(st.sampled_from([0.0, 1.0, 20.0, 150.0])),
+        "worth": draw(st.sampled_from([0.0, 0.01, 40.0])),
+    }
+
+
+CUSTOMERS = st.fixed_dictionaries(
+    {
+        "names": CLASS_NAMES,
+        "classes": st.lists(request_classes(), min_size=5, max_size=5),
+        "tenants": st.one_of(st.just([]), CLASS_NAMES),
+        "share": st.sampled_from([0.001, 0.3, 1.0]),
+        "bounds": st.fixed_dictionaries(
+            {
+                "most-tries": st.sampled_from([1, 2, 30]),
+                "connect-timeout-ms": st.sampled_from([20.0, 5000.0]),
+                "conn-idle-ms": st.sampled_from([0.0, 40.0, 600_000.0]),
+                "max-open": st.sampled_from([1, 100_000]),
+                "max-retry-after-ms": st.sampled_from([0.0, 60_000.0]),
+                **{name: st.booleans() for name in ("cancelling", "probing", "may-duplicate", "retry-after")},
+            }
+        ),
+        "grace": st.sampled_from([0.0, 2_000.0]),
+        "discovery": st.sampled_from(["automatic", "subscribe"]),
+        "sockets": st.sampled_from([128, 4096]),
+    }
+)
+
+KEYED_CLASS = {
+    "repeat": "token",
+    "hard-limit-ms": LONG_DEADLINE_MS,
+    "target-ms": LONG_DEADLINE_MS / 2,
+    "dedup-window-ms": 150.0,
+}
+ONE_CELL_CUSTOMER = {  # its first class has the whole budget of repeats, and may repeat in one cell alone
+    "names": ["pay", "pay-2", "pay-2-"],
+    "classes": [KEYED_CLASS | {"group": group} for group in ("cell", "all")],
+    "tenants": ["quay", "quay-2"],
+    "share": 0.3,
+    "grace": 0.0,
+    "discovery": "subscribe",
+    "sockets": 128,
+    "bounds": {"most-tries": 30, "connect-timeout-ms": 5000.0, "conn-idle-ms": 40.0, "may-duplicate": True},
+}
+
+
+class ScriptedInstances:
+    """Two instances in two cells, told by the path what to do with a request; they keep who came where."""
+
+    def __init__(self, windows: dict[str, float]) -> None:
+        self.arrivals: dict[str, list[int]] = defaultdict(list)  # by the id: the cells in which it came
+        self.windows, self.incarnation = windows, 0
+        self.held_requests: queue.Queue[str] = queue.Queue()
+        self.release_held = threading.Event()
+        self.instances = [FakeInstance(self._handler(cell)) for cell in range(2)]
+        self.discovery = FakeDiscovery(self._entries("in_service"))
+
+    def _entries(self, second_state: str) -> list[dict[str, Any]]:
+        self.incarnation += 1  # a fresh start each time: nothing that happened before speaks against them
+        states = ("in_service", second_state)
+        return [
+            endpoint(f"s-{cell}", instance.address, status=states[cell])
+            | {"group": cell, "since_ms": self.incarnation}
+            for cell, instance in enumerate(self.instances)
+        ]
+
+    def restart_instances(self, second_state: str = "in_service") -> None:
+        """Returns once the gateway has read it: it asks for what comes after."""
+        self.discovery.update(self._entries(second_state))
+        while self.discovery.polled_versions.get(timeout=TIMEOUT_S) < self.discovery.index:
+            pass
+
+    def _handler(self, cell: int) -> Callable[[BaseHTTPRequestHandler, bytes], None]:
+        def handle(handler: BaseHTTPRequestHandler, _: bytes) -> None:
+            if handler.path == "/health/live":
+                respond(handler, 200, b"ok\n")
+                return
+            cls, behaviour = handler.path.split("/")[1:3]
+            request_id = handler.headers["X-Txn"]
+            self.arrivals[request_id].append(cell)
+            if behaviour == "hold":
+                self.held_requests.put(request_id)
+                self.release_held.wait(TIMEOUT_S)
+            elif behaviour == "window":  # it was sent before it came, so that its window is over for sure
+                threading.Event().wait(self.windows[cls] / 1000)
+            if behaviour in ("reset", "window"):
+                handler.connection.shutdown(socket.SHUT_RDWR)
+                handler.close_connection = True
+            elif behaviour == "error":
+                respond(handler, 500, b"")
+            elif behaviour == "away":
+                respond(handler, 503, b"", X_Turned_Away="1")
+            else:
+                respond(handler, 200, f"{request_id} {handler.path}".encode())
+
+        return handle
+
+
+class ClientRequest:
+    """One request, from its sending to its one answer."""
+
+    def __init__(
+        self, client: Client, request_class: dict[str, Any], behaviour: str, tenant: str = ""
+    ) -> None:
+        self.client, self.request_class, self.behaviour, self.path = (
+            client,
+            request_class,
+            behaviour,
+            f"/{request_class['name']}/{behaviour}/1?a=b",
+        )
+        times_out = behaviour == "hold" and request_class["hard-limit-ms"] > CLIENT_TIMEOUT_MS
+        wait_ms = CLIENT_TIMEOUT_MS if times_out else request_class["hard-limit-ms"]
+        headers = {"X_Org": tenant} if tenant else {}
+        body = b"" if request_class["repeat"] == "pure" else b"x"
+        client.send(
+            METHODS[request_class["repeat"]], self.path, body, X_Remaining=f"{wait_ms:.0f}m", **headers
+        )
+        self.request_id = f"{client.request_count:016x}"
+
+    def answered(self) -> ClientRequest:
+        self.status, _, self.body = self.client.read_response()
+        return self
+
+    def check(self, arrivals: list[int], max_attempts: int) -> None:
+        """The rules on answers and repeats."""
+        context = (self.path, self.request_class, self.status, self.body, arrivals)
+        repeat, group = self.request_class["repeat"], self.request_class["group"]
+        assert self.status in (200, 502, 503, 504) and len(arrivals) <= max_attempts, context
+        if self.status == 200:  # an answer that was made for this very request
+            assert (
+                self.behaviour in ("ok", "hold") and self.body == f"{self.request_id} {self.path}".encode()
+            ), context
+        if not arrivals or self.behaviour == "away":
+            return  # it never ran: refused or repeated as one likes
+        if repeat == "side_effect":
+            assert len(arrivals) == 1 and self.status != 503, context
+        if repeat == "token":
+            assert len(arrivals) == 1 or self.behaviour != "window", context
+            assert len(set(arrivals)) == 1 or group != "cell", context
+            assert self.status != 503 or group == "all", context
+
+
+def run_customer(gateway: GatewayProcess, fleet: ScriptedInstances, settings: dict[str, Any]) -> None:
+    classes, max_attempts = settings["classes"], settings["bounds"]["most-tries"]
+    tenants = ["", *(t["name"] for t in settings["tenants"]), "nobody"]
+    names = {cls["name"] for cls in classes}
+    client = gateway.client()
+    for cls in classes:
+        status, headers, _ = client.request("DELETE", f"/{cls['name']}/ok")
+        assert status == 405 and headers["allow"] == ALLOWED_METHODS[cls["repeat"]]  # known by its whole name
+    for unknown_name in {f"{name}!" for name in names} | {name[:-1] for name in names} - names:
+        assert client.request("GET", f"/{unknown_name}/ok")[0] == 404
+
+    done = [ClientRequest(client, cls, "ok", tenant).answered() for cls in classes for tenant in tenants]
+    long_deadline_statuses = [
+        asked.status for asked in done if asked.request_class["hard-limit-ms"] == LONG_DEADLINE_MS
+    ]
+    assert set(long_deadline_statuses) == {200}, [
+        (a.path, a.status, fleet.arrivals[a.request_id]) for a in done
+    ]  # all is well yet
+    for cls, what in product(classes, ("reset", "window", "error", "away", "hold")):
+        fleet.restart_instances()
+        done.append(ClientRequest(client, cls, what).answered())
+        if what == "hold":  # the answer that comes too late is no answer to the next
+            fleet.release_held.set()
+            done.append(ClientRequest(client, cls, "ok").answered())
+            fleet.release_held.clear()
+
+    fleet.restart_instances("terminating")
+    drained = [ClientRequest(client, cls, "ok").answered() for cls in classes * 3]
+    fleet.restart_instances("terminating")
+    holder, first = gateway.client(), classes[0]  # which has all the time
+    holder.request_count = client.request_count
+    holder.send(METHODS[first["repeat"]], f"/{first['name']}/hold/2", X_Remaining=f"{LONG_DEADLINE_MS:.0f}m")
+    while fleet.held_requests.get(timeout=TIMEOUT_S) != f"{holder.request_count:016x}":
+        pass
+    gateway.process.send_signal(signal.SIGTERM)
+    gateway.wait_for("draining")
+    fleet.release_held.set()
+    assert holder.read_response()[0] == 200
+    for client_connection in (client, holder):
+        client_connection.reader.close()
+        client_connection.socket.close()
+    counters = gateway.wait_for("counters")
+    assert not [name for name in counters if name.startswith("fault.") or name == "out.second_answers"]
+    assert gateway.process.wait(TIMEOUT_S) == 0
+    for asked in done + drained:
+        asked.check(fleet.arrivals[asked.request_id], max_attempts)
+    assert not any(1 in fleet.arrivals[asked.request_id] for asked in drained)
+
+
+@given(drawn=CUSTOMERS)
+@example(drawn=ONE_CELL_CUSTOMER)
+@hypothesis_settings(
+    derandomize=True,
+    max_examples=7,
+    deadline=None,
+    phases=[Phase.explicit, Phase.generate],
+    suppress_health_check=[HealthCheck.too_slow],
+)
+def test_invariants_hold_for_arbitrary_customer_settings(
+    tmp_path_factory: pytest.TempPathFactory, drawn: dict[str, Any]
+) -> None:
+    named = zip(drawn["names"], drawn["classes"], strict=False)
+    classes = [cls | {"name": name} for name, cls in named]
+    classes[0] |= {"hard-limit-ms": LONG_DEADLINE_MS, "target-ms": LONG_DEADLINE_MS / 2}
+    settings = SETTINGS | {
+        "classes": classes,
+        "bounds": drawn["bounds"],
+        "discovery": drawn["discovery"],
+        "tenants": [{"name": t, "share": drawn["share"], "quota-rps": 0.5} for t in drawn["tenants"]],
+        "rules": SETTINGS["rules"] | {"stop-sending-within-ms": drawn["grace"]},
+    }
+    fleet = ScriptedInstances({cls["name"]: cls["dedup-window-ms"] for cls in classes})
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": drawn["sockets"]}
+    folder = tmp_path_factory.mktemp("customer")
+    known, discovery = fleet.discovery.entries, fleet.discovery.address
+    gateway = GatewayProcess(folder, known, discovery=discovery, settings=settings, limits=limits)
+    try:
+        gateway.wait_for("ready")
+        run_customer(gateway, fleet, settings)
+    finally:
+        gateway.stop()
+
+
+def test_infinite_number_is_rejected_with_its_path_at_start_and_reload(start: StartGateway) -> None:
+    # JSON's reader takes Infinity: the start ended in a traceback, and the reload in a fault.
+    invalid_settings = SETTINGS | {
+        "rules": {**SETTINGS["rules"], "cold-ms": float("inf")},
+        "balancers": float("inf"),
+    }
+    path_in_file = "config.json: config: settings: 'balancers' is inf"
+    rejected = start([], wait=False, settings=invalid_settings)
+    assert path_in_file in rejected.wait_for("plain")["line"]
+    assert rejected.process.wait(TIMEOUT_S) == 2
+    assert rejected.lines.get(timeout=TIMEOUT_S)["event"] == "closed"
+    gateway = start([])
+    gateway.reload(settings=invalid_settings)
+    assert path_in_file in gateway.wait_for("reload refused")["why"]
--- a/tests/net_program/test_instance_races.py
+++ b/tests/net_program/test_instance_races.py
@@ -8,14 +8,17 @@
 
 import pytest
 
-from tests.net_program.conftest import Start
-from tests.standins import Instance, answer, entry
+from tests.net_program.conftest import StartGateway
+from tests.standins import FakeInstance, endpoint, respond
 
 OK = b"HTTP/1.1 200 OK\r\n"
-ENDS = {"reset": struct.pack("ii", 1, 0), "close": struct.pack("ii", 0, 0)}  # SO_LINGER: at once, or in order
+LINGER_OPTIONS = {
+    "reset": struct.pack("ii", 1, 0),
+    "close": struct.pack("ii", 0, 0),
+}  # SO_LINGER: at once, or in order
 
 
-BROKEN = [  # what comes of an answer, and whether a connection that ends in order ends it
+TRUNCATED_RESPONSES = [  # what comes of an answer, and whether a connection that ends in order ends it
     (OK + b"\r\npart", True),
     (b"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\npart", True),
     (b"HTTP/1.1 103 Early Hints\r\n\r\n" + OK + b"\r\npart", True),
@@ -28,24 +31,24 @@
 ]
 
 
-@pytest.mark.parametrize("how", ENDS)
-def test_an_answer_that_breaks_off_is_none(start: Start, how: str) -> None:
+@pytest.mark.parametrize("ending", LINGER_OPTIONS)
+def test_truncated_response_is_not_accepted(start: StartGateway, ending: str) -> None:
     # Only the end of the connection in order ends an answer that no length frames (RFC 9112, 6.3 and 8).
-    def act(handler: BaseHTTPRequestHandler, body: bytes) -> None:
+    def handle(handler: BaseHTTPRequestHandler, body: bytes) -> None:
         if body == b"whole":
-            answer(handler, 200, body)
+            respond(handler, 200, body)
             return
-        handler.wfile.write(BROKEN[int(body)][0])
-        handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ENDS[how])
+        handler.wfile.write(TRUNCATED_RESPONSES[int(body)][0])
+        handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_OPTIONS[ending])
         handler.close_connection = True
         handler.rfile.close()
         handler.connection.close()
 
-    instance = Instance(act)
-    client = start([entry("s-1", instance.address)]).client()
-    for n, (raw, ends_with_it) in enumerate(BROKEN):
-        found = client.ask("POST", "/pay", b"%d" % n)[::2]
-        assert found == ((200, b"part") if ends_with_it and how == "close" else (502, b"")), raw
+    instance = FakeInstance(handle)
+    client = start([endpoint("s-1", instance.address)]).client()
+    for index, (raw, framed_by_close) in enumerate(TRUNCATED_RESPONSES):
+        response = client.request("POST", "/pay", b"%d" % index)[::2]
+        assert response == ((200, b"part") if framed_by_close and ending == "close" else (502, b"")), raw
         for _ in range(3):  # or it counts as out of order
-            assert client.ask("POST", "/pay", b"whole")[0] == 200
-    assert instance.asked.qsize() == 4 * len(BROKEN)  # each once: it may have run
+            assert client.request("POST", "/pay", b"whole")[0] == 200
+    assert instance.received.qsize() == 4 * len(TRUNCATED_RESPONSES)  # each once: it may have run
--- a/tests/net_program/test_list_races.py
+++ b/tests/net_program/test_list_races.py
@@ -6,45 +6,45 @@
 import signal
 import threading
 
-from tests.net_program.conftest import Start
-from tests.net_program.test_around import ask_until_it_serves
-from tests.standins import LIMIT_S, SETTINGS, Discovery, Instance, entry
+from tests.net_program.conftest import StartGateway
+from tests.net_program.test_control_plane import request_until_served
+from tests.standins import SETTINGS, TIMEOUT_S, FakeDiscovery, FakeInstance, endpoint
 
-WAIT_MS, LIMIT_MS = 300.0, 1_800.0  # of a watch by these settings, and until it counts as silent
-AGAIN_MS = 1_100.0  # until the third try of a watch has been made
+LONG_POLL_MS, POLL_TIMEOUT_MS = 300.0, 1_800.0  # of a watch by these settings, and until it counts as silent
+THIRD_ATTEMPT_MS = 1_100.0  # until the third try of a watch has been made
 
 
-def test_an_answer_that_came_in_time_is_read_by_a_gateway_that_is_late(start: Start) -> None:
+def test_delayed_gateway_reads_response_that_arrived_in_time(start: StartGateway) -> None:
     # The call was given up with its answer unread in the kernel, as if discovery had fallen silent.
-    old, new = Instance(), Instance()
-    discovery = Discovery([entry("s-1", old.address)])
-    rules = SETTINGS["rules"] | {"ask-within-ms": WAIT_MS}
+    old, new = FakeInstance(), FakeInstance()
+    discovery = FakeDiscovery([endpoint("s-1", old.address)])
+    rules = SETTINGS["rules"] | {"ask-within-ms": LONG_POLL_MS}
     gateway = start([], discovery=discovery.address, settings=SETTINGS | {"rules": rules})
-    while discovery.asked.get(timeout=LIMIT_S) < 5:
+    while discovery.polled_versions.get(timeout=TIMEOUT_S) < 5:
         pass  # the watch has its first list
     gateway.process.send_signal(signal.SIGSTOP)
     os.waitid(os.P_PID, gateway.process.pid, os.WSTOPPED | os.WNOWAIT)
-    discovery.change([entry("s-2", new.address)])
-    threading.Event().wait((LIMIT_MS + 200.0) / 1000.0)  # the clock runs on
+    discovery.update([endpoint("s-2", new.address)])
+    threading.Event().wait((POLL_TIMEOUT_MS + 200.0) / 1000.0)  # the clock runs on
     gateway.process.send_signal(signal.SIGCONT)
-    ask_until_it_serves(gateway.client(), new)
+    request_until_served(gateway.client(), new)
     os.kill(gateway.process.pid, signal.SIGUSR1)
     assert "list.failed" not in gateway.wait_for("counters")
     assert discovery.connections == 1
 
 
-def test_a_watch_that_sighup_opened_outlives_the_next_try_at_the_old_address(start: Start) -> None:
+def test_watch_opened_by_reload_survives_pending_retry_of_old_address(start: StartGateway) -> None:
     # The try that was pending abandoned it.
-    old, new = Instance(), Instance()
-    gateway = start([entry("s-1", old.address)], settings=SETTINGS | {"discovery": "automatic"})
+    old, new = FakeInstance(), FakeInstance()
+    gateway = start([endpoint("s-1", old.address)], settings=SETTINGS | {"discovery": "automatic"})
     for _ in range(2):  # nobody listens: tried again at once, and then after 0.5 s at the soonest
         gateway.wait_for("discovery call failed")
-    discovery = Discovery([entry("s-1", old.address)])
+    discovery = FakeDiscovery([endpoint("s-1", old.address)])
     gateway.reload(discovery=discovery.address)
-    while discovery.asked.get(timeout=LIMIT_S) < 5:
+    while discovery.polled_versions.get(timeout=TIMEOUT_S) < 5:
         pass  # the watch has its first list
     assert gateway.wait_for("reloaded") and gateway.lines.empty()  # no third failure: the try is pending
-    threading.Event().wait(AGAIN_MS / 1000.0)
-    discovery.change([entry("s-2", new.address)])
-    ask_until_it_serves(gateway.client(), new)
+    threading.Event().wait(THIRD_ATTEMPT_MS / 1000.0)
+    discovery.update([endpoint("s-2", new.address)])
+    request_until_served(gateway.client(), new)
     assert discovery.connections == 1
--- a/tests/net_program/test_serving.py
+++ b/tests/net_program/test_serving.py
@@ -14,77 +14,82 @@
 import pytest
 
 from meadowpulley.__main__ import GC_THRESHOLDS
-from meadowpulley.net.instances import WARM
-from tests.net_program.conftest import Start
+from meadowpulley.net.instance_pools import PRECONNECT_PER_INSTANCE
+from tests.net_program.conftest import StartGateway
 from tests.standins import (
-    LIMIT_S,
     SETTINGS,
-    Instance,
-    answer,
-    entry,
+    TIMEOUT_S,
+    FakeInstance,
+    endpoint,
+    respond,
 )
 
 
-def cut(handler: BaseHTTPRequestHandler, _: bytes) -> None:
+def close_connection(handler: BaseHTTPRequestHandler, _: bytes) -> None:
     handler.connection.shutdown(socket.SHUT_RDWR)
     handler.close_connection = True
 
 
-def garbage(handler: BaseHTTPRequestHandler, _: bytes) -> None:
+def send_garbage(handler: BaseHTTPRequestHandler, _: bytes) -> None:
     handler.wfile.write(b"\x00\x01\x02 not http\r\n\r\n")
 
 
-def test_serves_from_what_it_knows_with_discovery_and_platform_down(start: Start) -> None:
-    instance = Instance()
-    client = start([entry("s-1", instance.address)]).client()
-    assert client.ask("GET", "/health/ready")[0] == 200
-    status, _, body = client.ask("POST", "/pay/now?x=1", b"money", X_Entity="7f3a9c21e0b4d655")
+def test_serves_cached_endpoints_with_discovery_and_platform_down(start: StartGateway) -> None:
+    instance = FakeInstance()
+    client = start([endpoint("s-1", instance.address)]).client()
+    assert client.request("GET", "/health/ready")[0] == 200
+    status, _, body = client.request("POST", "/pay/now?x=1", b"money", X_Entity="7f3a9c21e0b4d655")
     assert (status, body) == (200, b"served money")
-    method, path, headers, sent = instance.asked.get(timeout=LIMIT_S)
+    method, path, headers, sent = instance.received.get(timeout=TIMEOUT_S)
     assert (method, path, sent) == ("POST", "/pay/now?x=1", b"money")
     assert headers["x-txn"] == f"{2:016x}" and headers["x-entity"] == "7f3a9c21e0b4d655"
     assert 0 < int(headers["x-remaining"].removesuffix("u")) <= 4_000_000
     for _ in range(5):
-        assert client.ask("GET", "/look")[0] == 200
-    assert instance.connections <= WARM + 1  # set-up is dear: no request opens one of its own
+        assert client.request("GET", "/look")[0] == 200
+    assert (
+        instance.connections <= PRECONNECT_PER_INSTANCE + 1
+    )  # set-up is dear: no request opens one of its own
 
 
-def test_a_gateway_of_hundreds_opens_no_connection_ahead(start: Start) -> None:
+def test_large_fleet_opens_no_connections_ahead(start: StartGateway) -> None:
     # 206 gateways opened 21,000 connections in their first second, as many as they had requests in all.
-    instance = Instance()
-    client = start([entry("s-1", instance.address)], settings={**SETTINGS, "balancers": 200}).client()
+    instance = FakeInstance()
+    client = start([endpoint("s-1", instance.address)], settings={**SETTINGS, "balancers": 200}).client()
     for _ in range(3):
-        assert client.ask("GET", "/look")[0] == 200
+        assert client.request("GET", "/look")[0] == 200
     assert instance.connections == 1
 
 
-def test_an_unsafe_request_is_never_sent_twice(start: Start) -> None:
-    first, second = Instance(cut), Instance(cut)
-    client = start([entry("s-1", first.address), entry("s-2", second.address)]).client()
-    assert client.ask("POST", "/pay", b"x")[0] == 502
-    assert first.asked.qsize() + second.asked.qsize() == 1
+def test_unsafe_request_is_never_sent_twice(start: StartGateway) -> None:
+    first, second = FakeInstance(close_connection), FakeInstance(close_connection)
+    client = start([endpoint("s-1", first.address), endpoint("s-2", second.address)]).client()
+    assert client.request("POST", "/pay", b"x")[0] == 502
+    assert first.received.qsize() + second.received.qsize() == 1
 
 
-def test_what_was_turned_away_may_go_elsewhere_and_a_refusal_says_when_to_come_back(start: Start) -> None:
-    full = Instance(lambda h, _: answer(h, 503, b"", X_Turned_Away="1"))
-    client = start([entry("s-1", full.address)]).client()
-    status, headers, _ = client.ask("POST", "/pay", b"x")
+def test_rejected_attempt_may_be_retried_and_rejection_carries_retry_after(start: StartGateway) -> None:
+    full = FakeInstance(lambda handler, _: respond(handler, 503, b"", X_Turned_Away="1"))
+    client = start([endpoint("s-1", full.address)]).client()
+    status, headers, _ = client.request("POST", "/pay", b"x")
     assert status == 503 and float(headers["retry-after"]) == 0.5
 
 
-def test_a_refused_connection_never_ran_and_the_next_server_is_tried(start: Start) -> None:
-    well = Instance()
+def test_refused_connection_is_retried_on_another_server(start: StartGateway) -> None:
+    healthy = FakeInstance()
     with socket.create_server(("127.0.0.1", 0)) as closed:
-        dead = f"127.0.0.1:{closed.getsockname()[1]}"
-    client = start([entry("s-1", dead), entry("s-2", well.address)]).client()
-    found = [client.ask("POST", "/pay", b"x")[0] for _ in range(4)]
-    assert found[0] == 200 and set(found) <= {200, 503}  # repeats are few, and what never ran is refused
+        closed_address = f"127.0.0.1:{closed.getsockname()[1]}"
+    client = start([endpoint("s-1", closed_address), endpoint("s-2", healthy.address)]).client()
+    statuses = [client.request("POST", "/pay", b"x")[0] for _ in range(4)]
+    assert statuses[0] == 200 and set(statuses) <= {
+        200,
+        503,
+    }  # repeats are few, and what never ran is refused
 
 
-def test_garbage_from_an_instance_fails_that_attempt_alone(start: Start) -> None:
-    gateway = start([entry("s-1", Instance(garbage).address)])
-    assert gateway.client().ask("POST", "/pay", b"x")[0] == 502
-    assert gateway.client().ask("GET", "/health/ready")[0] == 200
+def test_garbage_from_an_instance_fails_only_that_attempt(start: StartGateway) -> None:
+    gateway = start([endpoint("s-1", FakeInstance(send_garbage).address)])
+    assert gateway.client().request("POST", "/pay", b"x")[0] == 502
+    assert gateway.client().request("GET", "/health/ready")[0] == 200
 
 
 @pytest.mark.parametrize(
@@ -107,67 +112,72 @@
         (b"GET /look HTTP/1.1\r\nHost: a\r\nX-A: " + b"a" * 20_000, 431),
     ],
 )
-def test_bad_requests_get_their_answer_and_a_close(start: Start, raw: bytes, status: int) -> None:
-    instance = Instance()
-    client = start([entry("s-1", instance.address)]).client()
+def test_bad_requests_are_rejected_and_their_connection_closed(
+    start: StartGateway, raw: bytes, status: int
+) -> None:
+    instance = FakeInstance()
+    client = start([endpoint("s-1", instance.address)]).client()
     client.socket.sendall(raw)
-    assert client.answer()[0] == status
-    assert client.answer()[0] == 0
-    assert instance.asked.empty()  # never sent on
+    assert client.read_response()[0] == status
+    assert client.read_response()[0] == 0
+    assert instance.received.empty()  # never sent on
 
 
 @pytest.mark.parametrize(
-    "first", [b"", b"P", b"POST /pay HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nContent-Length: 900\r\n\r\nhalf"]
+    "first_bytes",
+    [b"", b"P", b"POST /pay HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nContent-Length: 900\r\n\r\nhalf"],
 )
-@pytest.mark.parametrize("drip", [b"", b"x"])
-def test_silent_dripping_and_half_sent_clients_are_done_with_in_time(
-    start: Start, first: bytes, drip: bytes
+@pytest.mark.parametrize("trickle", [b"", b"x"])
+def test_silent_slow_and_partial_clients_time_out(
+    start: StartGateway, first_bytes: bytes, trickle: bytes
 ) -> None:
     # They held their connections for 60 s, and 10 s once a byte had come.
     client = start([]).client()
     client.socket.settimeout(0.1)
-    end, got = time.monotonic() + 3.0, b""
-    client.socket.sendall(first)
-    while time.monotonic() < end:
+    give_up_at, received = time.monotonic() + 3.0, b""
+    client.socket.sendall(first_bytes)
+    while time.monotonic() < give_up_at:
         with contextlib.suppress(TimeoutError):
-            got += client.socket.recv(100)
+            received += client.socket.recv(100)
             break
-        client.socket.sendall(drip)
-    assert time.monotonic() < end and got.startswith(b"HTTP/1.1 408" if first or drip else b"")
+        client.socket.sendall(trickle)
+    assert time.monotonic() < give_up_at and received.startswith(
+        b"HTTP/1.1 408" if first_bytes or trickle else b""
+    )
 
 
-def test_a_connection_that_asked_once_and_stays_is_closed_soon(start: Start) -> None:
+def test_idle_client_connection_is_closed(start: StartGateway) -> None:
     # Such connections stay for good, and only a part of the descriptors is there for clients.
-    client = start([entry("s-1", Instance().address)]).client()
-    assert client.ask("POST", "/pay", b"x")[0] == 200
-    began = time.monotonic()
-    assert client.answer()[0] == 0 and 2.0 <= time.monotonic() - began < 3.0
+    client = start([endpoint("s-1", FakeInstance().address)]).client()
+    assert client.request("POST", "/pay", b"x")[0] == 200
+    started_at = time.monotonic()
+    assert client.read_response()[0] == 0 and 2.0 <= time.monotonic() - started_at < 3.0
 
 
-def test_what_ends_in_a_cycle_is_collected_soon() -> None:
+def test_garbage_collector_thresholds_stay_low() -> None:
     # Ended requests and connections stayed until millions of objects had come: memory grew all day long.
     young, middle, old = GC_THRESHOLDS
     assert young * middle * old <= 100_000
 
 
-def test_with_half_the_table_in_use_an_answer_ends_its_connection(start: Start) -> None:
+def test_responses_close_connections_while_half_the_slots_are_used(start: StartGateway) -> None:
     # Found on a recorded day: clients that ask once and stay held all that clients may open, for 2 s each.
-    gateway = start([entry("s-1", Instance().address)])
-    status, headers, _ = gateway.client().ask("POST", "/pay", b"x")
+    gateway = start([endpoint("s-1", FakeInstance().address)])
+    status, headers, _ = gateway.client().request("POST", "/pay", b"x")
     assert status == 200 and "connection" not in headers
-    held = [socket.create_connection(("127.0.0.1", gateway.port), LIMIT_S) for _ in range(75)]
+    idle_connections = [socket.create_connection(("127.0.0.1", gateway.port), TIMEOUT_S) for _ in range(75)]
     client = gateway.client()
-    status, headers, _ = client.ask("POST", "/pay", b"x")
-    assert (status, headers["connection"], client.answer()[0]) == (200, "close", 0)
-    for one in held:
-        one.close()
+    status, headers, _ = client.request("POST", "/pay", b"x")
+    assert (status, headers["connection"], client.read_response()[0]) == (200, "close", 0)
+    for connection in idle_connections:
+        connection.close()
 
 
-def test_a_body_of_60_mb_is_refused_at_its_head_and_not_kept(start: Start) -> None:
+def test_body_of_60_mb_is_rejected_at_its_head_and_not_buffered(start: StartGateway) -> None:
     gateway = start([])
     client = gateway.client()
     client.socket.sendall(b"POST /pay HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\n")
-    assert client.answer()[0] == 413
+    assert client.read_response()[0] == 413
     with pytest.raises(OSError, match=r"reset|Broken"):  # it does not take part for long either
         for _ in range(60):
             client.socket.sendall(bytes(1_000_000))
@@ -175,71 +185,71 @@
     assert int(status.partition("VmHWM:")[2].split()[0]) < 48 * 1024
 
 
-def test_an_id_that_is_open_is_not_sent_again_and_its_own_request_goes_on(start: Start) -> None:
-    go = threading.Event()
+def test_open_id_is_rejected_and_the_first_request_continues(start: StartGateway) -> None:
+    may_respond = threading.Event()
 
     def hold(handler: BaseHTTPRequestHandler, body: bytes) -> None:
-        go.wait(LIMIT_S)
-        answer(handler, 200, body)
+        may_respond.wait(TIMEOUT_S)
+        respond(handler, 200, body)
 
-    instance = Instance(hold)
-    gateway = start([entry("s-1", instance.address)])
-    own, other = gateway.client(), gateway.client()
-    own.send("POST", "/pay", b"own", X_Txn="7f3a")
-    instance.asked.get(timeout=LIMIT_S)
-    assert other.ask("POST", "/pay", b"other", X_Txn="7f3a")[0] == 409
-    go.set()
-    assert own.answer()[::2] == (200, b"own") and instance.asked.empty()
+    instance = FakeInstance(hold)
+    gateway = start([endpoint("s-1", instance.address)])
+    first_client, second_client = gateway.client(), gateway.client()
+    first_client.send("POST", "/pay", b"own", X_Txn="7f3a")
+    instance.received.get(timeout=TIMEOUT_S)
+    assert second_client.request("POST", "/pay", b"other", X_Txn="7f3a")[0] == 409
+    may_respond.set()
+    assert first_client.read_response()[::2] == (200, b"own") and instance.received.empty()
 
 
-def test_hundreds_that_connect_and_say_nothing_keep_nobody_waiting(start: Start) -> None:
+def test_hundreds_of_unused_connections_delay_nobody(start: StartGateway) -> None:
     # Accepting paused with the table full of them, until they had stood idle for a second.
-    gateway = start([entry("s-1", Instance().address)])
-    mute = [socket.create_connection(("127.0.0.1", gateway.port), LIMIT_S) for _ in range(400)]
-    began = time.monotonic()
-    assert gateway.client().ask("POST", "/pay", b"x")[0] == 200
-    assert time.monotonic() - began < 1.0
-    for one in mute:
-        one.close()
+    gateway = start([endpoint("s-1", FakeInstance().address)])
+    unused = [socket.create_connection(("127.0.0.1", gateway.port), TIMEOUT_S) for _ in range(400)]
+    started_at = time.monotonic()
+    assert gateway.client().request("POST", "/pay", b"x")[0] == 200
+    assert time.monotonic() - started_at < 1.0
+    for connection in unused:
+        connection.close()
 
 
-def test_unknown_paths_and_wrong_methods_keep_the_connection(start: Start) -> None:
+def test_unknown_paths_and_wrong_methods_keep_the_connection(start: StartGateway) -> None:
     client = start([]).client()
-    assert client.ask("GET", "/nothing/here")[0] == 404
-    assert client.ask("GET", "/pay")[0] == 405
-    assert client.ask("GET", "/look")[0] == 503  # no server is known: refused, not lost
+    assert client.request("GET", "/nothing/here")[0] == 404
+    assert client.request("GET", "/pay")[0] == 405
+    assert client.request("GET", "/look")[0] == 503  # no server is known: refused, not lost
 
 
-def test_a_client_that_goes_away_ends_its_attempt(start: Start) -> None:
-    gone = threading.Event()
+def test_client_disconnect_ends_its_attempt(start: StartGateway) -> None:
+    disconnected = threading.Event()
 
     def hold(handler: BaseHTTPRequestHandler, _: bytes) -> None:
         with contextlib.suppress(ConnectionResetError):
             assert handler.connection.recv(1) == b""
-        gone.set()
+        disconnected.set()
         handler.close_connection = True
 
-    instance = Instance(hold)
-    client = start([entry("s-1", instance.address)]).client()
+    instance = FakeInstance(hold)
+    client = start([endpoint("s-1", instance.address)]).client()
     client.send("GET", "/look")
-    instance.asked.get(timeout=LIMIT_S)
-    client.file.close()
+    instance.received.get(timeout=TIMEOUT_S)
+    client.reader.close()
     client.socket.close()
-    assert gone.wait(LIMIT_S)
+    assert disconnected.wait(TIMEOUT_S)
 
 
-def test_a_request_past_its_time_is_answered_at_once(start: Start) -> None:
-    held = threading.Event()
+def test_request_past_its_deadline_is_answered_at_once(start: StartGateway) -> None:
+    may_respond = threading.Event()
 
     def hold(handler: BaseHTTPRequestHandler, body: bytes) -> None:
-        held.wait(LIMIT_S)
-        cut(handler, body)
+        may_respond.wait(TIMEOUT_S)
+        close_connection(handler, body)
 
-    instance = Instance(hold)
-    client = start([entry("s-1", instance.address)]).client()
-    status, _, _ = client.ask("POST", "/pay", b"x", X_Remaining="200m")
-    held.set()
-    assert status == 502 and instance.asked.qsize() == 1
+    instance = FakeInstance(hold)
+    client = start([endpoint("s-1", instance.address)]).client()
+    status, _, _ = client.request("POST", "/pay", b"x", X_Remaining="200m")
+    may_respond.set()
+    assert status == 502 and instance.received.qsize() == 1
 
 
 @pytest.mark.parametrize(
@@ -258,36 +268,42 @@
         b"HTTP/1.1 200 OK\r\n" + b"X-Pad: pppppppp\r\n" * 3000,
     ],
 )
-def test_a_spoilt_answer_fails_its_attempt_at_once_and_its_connection_goes(start: Start, raw: bytes) -> None:
+def test_malformed_response_fails_its_attempt_and_closes_the_connection(
+    start: StartGateway, raw: bytes
+) -> None:
     # Noise without an end, and heads and bodies that never end, held a request up until its deadline.
-    gone = threading.Event()
+    disconnected = threading.Event()
 
-    def spoil(handler: BaseHTTPRequestHandler, _: bytes) -> None:
+    def respond_malformed(handler: BaseHTTPRequestHandler, _: bytes) -> None:
         with contextlib.suppress(OSError):
             handler.wfile.write(raw)
-            handler.connection.settimeout(LIMIT_S)
+            handler.connection.settimeout(TIMEOUT_S)
             while handler.connection.recv(100):
                 pass
-        gone.set()
+        disconnected.set()
 
-    gateway = start([entry("s-1", Instance(spoil).address)])
-    assert gateway.client().ask("POST", "/pay", b"x", X_Remaining="4900m")[0] == 502
-    assert gone.wait(LIMIT_S)
+    gateway = start([endpoint("s-1", FakeInstance(respond_malformed).address)])
+    assert gateway.client().request("POST", "/pay", b"x", X_Remaining="4900m")[0] == 502
+    assert disconnected.wait(TIMEOUT_S)
     os.kill(gateway.process.pid, signal.SIGUSR1)
     counters = gateway.wait_for("counters")
     # As one that may have run, which is no error of that instance's build: any instance sends these.
     assert counters["up.garbage"] == counters["up.reset"] == 1 and "up.timeout" not in counters
 
 
-@pytest.mark.parametrize("more", [b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", b"\x00noise\r\n\r\n"])
-def test_a_good_answer_serves_whatever_comes_around_it(start: Start, more: bytes) -> None:
-    def act(handler: BaseHTTPRequestHandler, body: bytes) -> None:
-        ahead = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
+@pytest.mark.parametrize(
+    "trailing_bytes", [b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", b"\x00noise\r\n\r\n"]
+)
+def test_valid_response_is_served_despite_surrounding_bytes(
+    start: StartGateway, trailing_bytes: bytes
+) -> None:
+    def handle(handler: BaseHTTPRequestHandler, body: bytes) -> None:
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
         head = b"HTTP/1.1 200 OK\r\nX-Pressure: busy_reqs=~,?\r\nContent-Length: %d\r\n\r\n" % len(body)
-        handler.wfile.write(ahead + head + body + more)
+        handler.wfile.write(interim + head + body + trailing_bytes)
 
-    instance = Instance(act)
-    client = start([entry("s-1", instance.address)]).client()
-    for n in range(12):
-        assert client.ask("POST", "/pay", b"body %d" % n)[::2] == (200, b"body %d" % n)
+    instance = FakeInstance(handle)
+    client = start([endpoint("s-1", instance.address)]).client()
+    for index in range(12):
+        assert client.request("POST", "/pay", b"body %d" % index)[::2] == (200, b"body %d" % index)
     assert instance.connections >= 12  # none is used again after what came behind
