--- a/tests/net_program/test_signals.py
+++ b/tests/net_program/test_signals.py
@@ -10,12 +10,12 @@
 
 import pytest
 
-from tests.net_program.conftest import Start
-from tests.standins import LIMIT_S, ROOT, Discovery
+from tests.net_program.conftest import StartGateway
+from tests.standins import ROOT, TIMEOUT_S, FakeDiscovery
 
 TERM, HUP, USR1 = signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1
 # Sends the signals once the named step is over, the first time, and in the end SIGTERM once it listens.
-DRIVER = """
+DRIVER_SCRIPT = """
 import gc, os, runpy, signal, sys
 step, numbers, fresh = sys.argv[1], [int(n) for n in sys.argv[2].split(",")], sys.argv[3]
 
@@ -35,7 +35,7 @@
 
 from functools import partial
 from operator import call
-from meadowpulley.net import clients, config, deadlines, gateway
+from meadowpulley.net import client_listener, config, deadlines, gateway
 
 class Finder:
     def find_spec(name, *_):
@@ -58,7 +58,7 @@
         print('{"event": "%s"}' % ("woken" if events else "slept on"), file=sys.stderr, flush=True)
         return events
 
-after(clients.Clients, "listen", lambda *_: os.kill(os.getpid(), signal.SIGTERM))
+after(client_listener.ClientListener, "listen", lambda *_: os.kill(os.getpid(), signal.SIGTERM))
 if step == "imports":
     sys.meta_path.insert(0, Finder)
 elif step == "ended":
@@ -69,19 +69,19 @@
     owner, name = {
         "read": (config, "read_config"), "made": (gateway.Gateway, "__init__"),
         "prepared": (gateway.Gateway, "prepare"), "collected": (gc, "collect"),
-        "first turn": (deadlines.Deadlines, "turn"), "listening": (gateway.Gateway, "listen"),
-        "stopped": (gateway.Gateway, "print_counters"),
+        "first turn": (deadlines.Deadlines, "record_poll"), "listening": (gateway.Gateway, "listen"),
+        "stopped": (gateway.Gateway, "log_counters"),
     }[step]
     after(owner, name, send)
 runpy.run_module("meadowpulley", run_name="__main__", alter_sys=True)
 """
-WHOLE = ["ready", "draining", "stopped", "counters"]
-CASES: list[tuple[str, list[signal.Signals], list[str], int]] = [
-    ("imports", [HUP], WHOLE, 0),  # what it asks for is read anyhow
-    ("read", [HUP], ["reloaded", *WHOLE], 0),
-    ("made", [HUP], ["reloaded", *WHOLE], 0),
-    ("prepared", [HUP], ["reloaded", *WHOLE], 0),
-    ("first turn", [HUP, HUP], ["reloaded", "reloaded", *WHOLE], 0),
+FULL_RUN_EVENTS = ["ready", "draining", "stopped", "counters"]
+SIGNAL_CASES: list[tuple[str, list[signal.Signals], list[str], int]] = [
+    ("imports", [HUP], FULL_RUN_EVENTS, 0),  # what it asks for is read anyhow
+    ("read", [HUP], ["reloaded", *FULL_RUN_EVENTS], 0),
+    ("made", [HUP], ["reloaded", *FULL_RUN_EVENTS], 0),
+    ("prepared", [HUP], ["reloaded", *FULL_RUN_EVENTS], 0),
+    ("first turn", [HUP, HUP], ["reloaded", "reloaded", *FULL_RUN_EVENTS], 0),
     ("read", [TERM], [], -TERM),  # nothing was begun: the usual effect
     ("made", [TERM], [], -TERM),
     ("prepared", [TERM], ["stopped", "counters"], 0),
@@ -89,36 +89,36 @@
     ("first turn", [TERM], ["stopped", "counters"], 0),
     ("prepared", [HUP, TERM], ["reloaded", "stopped", "counters"], 0),
     ("prepared", [TERM, HUP], ["stopped", "counters"], 0),
-    ("listening", [TERM, TERM], WHOLE, 0),
+    ("listening", [TERM, TERM], FULL_RUN_EVENTS, 0),
     ("listening", [HUP], ["ready", "draining", "reloaded", "stopped", "counters"], 0),
-    ("stopped", [HUP, TERM, USR1], WHOLE, 0),
-    ("ended", [HUP], WHOLE, 0),
-    ("ended", [TERM], WHOLE, 0),
-    ("about to wait", [HUP], ["woken", "reloaded", *WHOLE], 0),
+    ("stopped", [HUP, TERM, USR1], FULL_RUN_EVENTS, 0),
+    ("ended", [HUP], FULL_RUN_EVENTS, 0),
+    ("ended", [TERM], FULL_RUN_EVENTS, 0),
+    ("about to wait", [HUP], ["woken", "reloaded", *FULL_RUN_EVENTS], 0),
 ]
 
 
-@pytest.mark.parametrize(("step", "signals", "events", "status"), CASES)
-def test_no_signal_is_forgotten_and_none_ends_it_unwell(
-    start: Start, step: str, signals: list[signal.Signals], events: list[str], status: int
+@pytest.mark.parametrize(("step", "signals", "events", "status"), SIGNAL_CASES)
+def test_signals_take_effect_at_every_step(
+    start: StartGateway, step: str, signals: list[signal.Signals], events: list[str], status: int
 ) -> None:
     # SIGTERM before READY was forgotten: the gateway then listened and served until it was killed. SIGHUP was
     # passed over though the configuration had been read before it.
-    gateway, moved = start([], wait=False), Discovery([])
+    gateway, moved = start([], wait=False), FakeDiscovery([])
     gateway.stop()
-    fresh = gateway.path.with_name("moved.json")
-    fresh.write_text(json.dumps({**gateway.config, "discovery": moved.address}))
-    shown = subprocess.run(
-        [sys.executable, "-c", DRIVER, step, ",".join(str(int(n)) for n in signals), str(fresh)],
+    new_config = gateway.config_path.with_name("moved.json")
+    new_config.write_text(json.dumps({**gateway.config, "discovery": moved.address}))
+    completed = subprocess.run(
+        [sys.executable, "-c", DRIVER_SCRIPT, step, ",".join(str(int(n)) for n in signals), str(new_config)],
         cwd=ROOT,
-        env={**os.environ, "PROXY_CONFIG": str(gateway.path)},
+        env={**os.environ, "PROXY_CONFIG": str(gateway.config_path)},
         stderr=subprocess.PIPE,
         text=True,
-        timeout=LIMIT_S,
+        timeout=TIMEOUT_S,
     )
-    lines = [json.loads(line) for line in shown.stderr.splitlines()]
-    assert shown.returncode == status
-    told = {"reloaded", "woken", "slept on", *WHOLE}
-    assert [line["event"] for line in lines if line["event"] in told] == events
+    lines = [json.loads(line) for line in completed.stderr.splitlines()]
+    assert completed.returncode == status
+    relevant_events = {"reloaded", "woken", "slept on", *FULL_RUN_EVENTS}
+    assert [line["event"] for line in lines if line["event"] in relevant_events] == events
     if "reloaded" in events[:-2] and TERM not in signals:
-        assert moved.asked.get(timeout=LIMIT_S) >= 4
+        assert moved.polled_versions.get(timeout=TIMEOUT_S) >= 4
--- a/tests/processes/ledger_worker.py
+++ b/tests/processes/ledger_worker.py
@@ -9,59 +9,65 @@
 import sys
 from typing import Any
 
-from meadowpulley.ledger import Create, LedgerError, Life, Renew, Replace, Seal, Step
+from meadowpulley.ledger import Create, Fence, Incarnation, LedgerError, RenewLease, Replace, Transaction
 from meadowpulley.ledger.disk import DiskStore
-from meadowpulley.ledger.failpoints import ENV, failpoints
+from meadowpulley.ledger.failpoints import FAILPOINTS_VARIABLE, parse_failpoints
 
 
-class Worker:
-    def __init__(self, folder: str, name: str, most_bytes: int, sync: bool) -> None:
-        fail = failpoints(os.environ.get(ENV, ""))
-        self.store = DiskStore(folder, sync=sync, most_bytes=most_bytes, fail=fail)
-        self.life = self.store.begin(name, 1000.0)
+class LedgerWorker:
+    def __init__(self, folder: str, name: str, max_log_bytes: int, sync: bool) -> None:
+        failpoint = parse_failpoints(os.environ.get(FAILPOINTS_VARIABLE, ""))
+        self.store = DiskStore(folder, sync=sync, max_log_bytes=max_log_bytes, failpoint=failpoint)
+        self.incarnation = self.store.register(name, 1000.0)
 
-    def claim(self, first: int, last: int, group: int) -> list[int]:
+    def claim(self, first: int, last: int, batch_size: int) -> list[int]:
         """Which of the claims it won."""
         won = []
-        for at in range(first, last, group):
-            part = range(at, min(at + group, last))
-            done = self.store.commit(self.life, [Step((Create(f"claim/{n}", b""),)) for n in part])
-            won += [n for n, d in zip(part, done, strict=True) if d.how.value == "won"]
+        for start in range(first, last, batch_size):
+            claims = range(start, min(start + batch_size, last))
+            results = self.store.commit(
+                self.incarnation, [Transaction((Create(f"claim/{n}", b""),)) for n in claims]
+            )
+            won += [n for n, d in zip(claims, results, strict=True) if d.outcome.value == "won"]
         return won
 
     def count(self, times: int) -> list[str]:
         """Adds to its own counter and a common one, of whose value it must know."""
-        found = []
+        outcomes = []
         for _ in range(times):
-            there = self.store.read("common")
-            value = b"%d" % (int(there.value) + 1 if there else 1)
-            common = Replace("common", value, there.version) if there else Create("common", value)
-            mine = Create(f"{self.life}/{int(value)}", b"x" * 200)
-            found.append(self.store.commit(self.life, [Step((common, mine))])[0].how.value)
-        return found
+            record = self.store.read("common")
+            value = b"%d" % (int(record.value) + 1 if record else 1)
+            common = Replace("common", value, record.version) if record else Create("common", value)
+            own = Create(f"{self.incarnation}/{int(value)}", b"x" * 200)
+            outcomes.append(
+                self.store.commit(self.incarnation, [Transaction((common, own))])[0].outcome.value
+            )
+        return outcomes
 
     def renew(self) -> str:
-        return self.store.commit(self.life, [Step((Renew(),))])[0].how.value
+        return self.store.commit(self.incarnation, [Transaction((RenewLease(),))])[0].outcome.value
 
-    def seal(self, name: str, epoch: int, renewal: int) -> str:
-        return self.store.commit(self.life, [Step((Seal(Life(name, epoch), renewal),))])[0].how.value
+    def fence(self, name: str, epoch: int, renewal: int) -> str:
+        return self.store.commit(
+            self.incarnation, [Transaction((Fence(Incarnation(name, epoch), renewal),))]
+        )[0].outcome.value
 
-    def most(self, size: int) -> None:
-        resource.setrlimit(resource.RLIMIT_FSIZE, (size, size))
+    def limit_file_size(self, max_bytes: int) -> None:
+        resource.setrlimit(resource.RLIMIT_FSIZE, (max_bytes, max_bytes))
 
 
 def main() -> None:
-    folder, name, most_bytes, sync = sys.argv[1:]
+    folder, name, max_log_bytes, sync = sys.argv[1:]
     signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
     worker: Any = None
     for line in sys.stdin:
-        call, *given = json.loads(line)
+        call, *arguments = json.loads(line)
         try:
             if worker is None:
-                worker = Worker(folder, name, int(most_bytes), sync == "sync")
-            answer = getattr(worker, call)(*given) if call != "begin" else worker.life.epoch
-        except LedgerError as bad:
-            answer = {"error": str(bad)}
+                worker = LedgerWorker(folder, name, int(max_log_bytes), sync == "sync")
+            answer = getattr(worker, call)(*arguments) if call != "begin" else worker.incarnation.epoch
+        except LedgerError as error:
+            answer = {"error": str(error)}
         print(json.dumps(answer), flush=True)
 
 
--- a/tests/processes/test_lending.py
+++ b/tests/processes/test_lending.py
@@ -11,38 +11,40 @@
 
 import pytest
 
-from meadowpulley.rig.joint import Process, ask, lay_out
-from tests.processes.world import World, until
+from meadowpulley.loopback.gateway_fleet import GatewayProcess, build_layouts, send_request
+from tests.processes.gateway_cluster import GatewayCluster, wait_until
 
 CAPACITY = 60.0  # requests a second, of all gateways
-SAVED_S = 0.5  # what gateways may have saved up of it, and 2 requests each at least
-LATE_S = 0.1  # by which the way from a gateway to the instances' count may differ between two requests
+BURST_S = 0.5  # what gateways may have saved up of it, and 2 requests each at least
+MEASUREMENT_SKEW_S = (
+    0.1  # by which the way from a gateway to the instances' count may differ between two requests
+)
 ENVIRON = {
     "MEADOWPULLEY_LENDING_CAPACITY": f"{CAPACITY:g}",
     "MEADOWPULLEY_LENDING_SHARES": "a=0.5,b=0.5",
     "MEADOWPULLEY_LENDING_TERM_MS": "1000",
     "MEADOWPULLEY_TAKEOVER": "unrepeatable",
 }
-PACE_S = 0.02  # between two asks of a client
+REQUEST_INTERVAL_S = 0.02  # between two asks of a client
 
 
-class Load:
+class ClientLoad:
     """A client of one tenant at each gateway, asking for more than twice the capacity in all."""
 
-    def __init__(self, gateways: list[Process], tenant: str) -> None:
-        self._over, self.said = threading.Event(), Counter[int]()
+    def __init__(self, gateways: list[GatewayProcess], tenant: str) -> None:
+        self._over, self.status_counts = threading.Event(), Counter[int]()
         self._threads = [threading.Thread(target=self._run, args=(g, tenant)) for g in gateways]
         for thread in self._threads:
             thread.start()
 
-    def _run(self, gateway: Process, tenant: str) -> None:
+    def _run(self, gateway: GatewayProcess, tenant: str) -> None:
         for n in itertools.count():
-            if self._over.wait(PACE_S):
+            if self._over.wait(REQUEST_INTERVAL_S):
                 return
-            reply = ask(
-                gateway.address, f"{gateway.name}-{tenant}{n}", "/look/x", tenant=tenant, left_ms=500.0
+            reply = send_request(
+                gateway.address, f"{gateway.name}-{tenant}{n}", "/look/x", tenant=tenant, remaining_ms=500.0
             )
-            self.said[reply.status if reply is not None else 0] += 1
+            self.status_counts[reply.status if reply is not None else 0] += 1
 
     def end(self) -> None:
         self._over.set()
@@ -51,15 +53,15 @@
 
 
 @pytest.fixture
-def world(tmp_path: Path) -> Iterator[World]:
-    lay_out()
-    made = World(tmp_path, 3, ENVIRON)
+def world(tmp_path: Path) -> Iterator[GatewayCluster]:
+    build_layouts()
+    made = GatewayCluster(tmp_path, 3, ENVIRON)
     yield made
     made.stop()
-    assert not [line for p in made.fleet.processes for line in p.told("fault")]
+    assert not [line for p in made.fleet.processes for line in p.events("fault")]
 
 
-def most_over(times: list[float]) -> float:
+def max_excess(times: list[float]) -> float:
     """By how many requests the fullest stretch of time, of any length, was above the capacity."""
     times = sorted(times)
     least, worst = float("inf"), 0.0
@@ -69,34 +71,36 @@
     return worst
 
 
-def test_all_together_admit_no_more_than_the_capacity(world: World) -> None:
+def test_all_together_admit_no_more_than_the_capacity(world: GatewayCluster) -> None:
     gateways = world.fleet.start()
-    load = Load(gateways, "a")  # the other owner is idle: its half can be borrowed
+    load = ClientLoad(gateways, "a")  # the other owner is idle: its half can be borrowed
     try:
 
         def admit(many: int) -> None:
-            wanted = len(world.first) + many
-            until(lambda: len(world.first) >= wanted, f"{many} more admitted of {load.said}")
+            wanted = len(world.first_sent_at) + many
+            wait_until(
+                lambda: len(world.first_sent_at) >= wanted, f"{many} more admitted of {load.status_counts}"
+            )
 
         admit(150)
-        lasted = world.first[-1] - world.first[50]
-        used = (len(world.first) - 50) / lasted / CAPACITY
+        lasted = world.first_sent_at[-1] - world.first_sent_at[50]
+        used = (len(world.first_sent_at) - 50) / lasted / CAPACITY
         assert used > 0.6, f"{used:.2f} of the capacity, more than the tenant's own half"
         gateways[0].kill()
         admit(80)
         gateways[1].signal(signal.SIGSTOP)
         gateways[1].wait_until_stopped()
         admit(80)
-        until(lambda: world.sealed({"g0", "g1"}))
+        wait_until(lambda: world.all_fenced({"g0", "g1"}))
         gateways[1].signal(signal.SIGCONT)
         gateways[1].wait_for("ledger ended")
         world.fleet.launch(0).wait_for("ready")
         admit(200)  # one that woke with what it was granted before would show by now
         gateways[2].signal(signal.SIGTERM)
-        assert gateways[2].ended() == 0
+        assert gateways[2].wait_for_exit() == 0
         admit(20)
     finally:
         load.end()
-    assert load.said[503] > len(world.first) / 2, "there was no more load than capacity"
-    over = most_over(world.first)
-    assert over <= CAPACITY * (SAVED_S + LATE_S) + 2 * 3, f"{over:.1f} above the capacity"
+    assert load.status_counts[503] > len(world.first_sent_at) / 2, "there was no more load than capacity"
+    over = max_excess(world.first_sent_at)
+    assert over <= CAPACITY * (BURST_S + MEASUREMENT_SKEW_S) + 2 * 3, f"{over:.1f} above the capacity"
--- a/tests/processes/test_takeover.py
+++ b/tests/processes/test_takeover.py
@@ -11,90 +11,112 @@
 
 import pytest
 
-from meadowpulley.ledger.failpoints import ENV as FAIL
-from meadowpulley.rig.joint import lay_out
-from tests.processes.world import World, status, until
+from meadowpulley.ledger.failpoints import FAILPOINTS_VARIABLE as FAILPOINTS_VARIABLE
+from meadowpulley.loopback.gateway_fleet import build_layouts
+from tests.processes.gateway_cluster import GatewayCluster, response_status, wait_until
 
-Start = Callable[..., World]
-PATHS = {"look": "/look/hold", "put": "/put/hold", "pay": "/pay/hold"}
-AFTER_LOSS = {"look": (200, 2), "put": (200, 2), "pay": (502, 1)}  # what a survivor says, and attempts in all
+Start = Callable[..., GatewayCluster]
+HELD_PATHS = {"look": "/look/hold", "put": "/put/hold", "pay": "/pay/hold"}
+EXPECTED_AFTER_CRASH = {
+    "look": (200, 2),
+    "put": (200, 2),
+    "pay": (502, 1),
+}  # what a survivor says, and attempts in all
 
 
 @pytest.fixture(scope="module", autouse=True)
-def layouts() -> None:
-    lay_out()
+def lay_out_gateways() -> None:
+    build_layouts()
 
 
 @pytest.fixture
 def start(tmp_path: Path) -> Iterator[Start]:
-    made = list[World]()
+    worlds = list[GatewayCluster]()
 
-    def start(size: int = 3, **environ: str) -> World:
-        made.append(World(tmp_path, size, environ))
-        return made[-1]
+    def start(size: int = 3, **environ: str) -> GatewayCluster:
+        worlds.append(GatewayCluster(tmp_path, size, environ))
+        return worlds[-1]
 
     yield start
-    for world in made:
+    for world in worlds:
         world.stop()
-    faults = [line for world in made for p in world.fleet.processes for line in p.told("fault")]
+    faults = [line for world in worlds for p in world.fleet.processes for line in p.events("fault")]
     assert not faults, faults[0]
 
 
-def test_each_request_is_answered_once_and_its_records_go(start: Start) -> None:
+def test_each_request_is_answered_once_and_its_records_are_removed(start: Start) -> None:
     world = start(MEADOWPULLEY_TAKEOVER_KEEP_MS="1000")
     gateways = world.fleet.start()
-    names = [f"{cls}-{n}" for n in range(6) for cls in PATHS]
-    asked = [world.ask(gateways[n % 3], name, f"/{name[:-2]}/x") for n, name in enumerate(names)]
-    assert [status(a) for a in asked] == [200] * len(names)
-    assert dict(world.sends) == dict.fromkeys(names, 1)
+    request_ids = [f"{cls}-{n}" for n in range(6) for cls in HELD_PATHS]
+    replies = [
+        world.send_request(gateways[n % 3], name, f"/{name[:-2]}/x") for n, name in enumerate(request_ids)
+    ]
+    assert [response_status(a) for a in replies] == [200] * len(request_ids)
+    assert dict(world.send_counts) == dict.fromkeys(request_ids, 1)
     # Asked again at another gateway while it is kept, it is the same answer, and another body is none.
-    again = world.ask(gateways[2], "pay-5", "/pay/x", again=True)
-    assert status(again) == 200 and again.result() == asked[-1].result()
-    assert status(world.ask(gateways[1], "pay-5", "/pay/y", again=True)) == 502
-    assert world.sends["pay-5"] == 1
-    until(lambda: not world.records(), "records removed")
+    repeated = world.send_request(gateways[2], "pay-5", "/pay/x", is_retry=True)
+    assert response_status(repeated) == 200 and repeated.result() == replies[-1].result()
+    assert response_status(world.send_request(gateways[1], "pay-5", "/pay/y", is_retry=True)) == 502
+    assert world.send_counts["pay-5"] == 1
+    wait_until(lambda: not world.takeover_keys(), "records removed")
 
 
-def test_work_of_a_killed_gateway_ends_once_at_a_survivor(start: Start) -> None:
+def test_requests_of_a_killed_gateway_finish_once_at_a_survivor(start: Start) -> None:
     world = start(4)
     gateways = world.fleet.start()
-    asked = {cls: world.ask(gateways[0], cls, path) for cls, path in PATHS.items()}
-    world.wait_for_send(*PATHS)
-    joined = {cls: world.ask(gateways[3], cls, path, again=True) for cls, path in PATHS.items()}
+    replies = {cls: world.send_request(gateways[0], cls, path) for cls, path in HELD_PATHS.items()}
+    world.wait_for_send(*HELD_PATHS)
+    duplicates = {
+        cls: world.send_request(gateways[3], cls, path, is_retry=True) for cls, path in HELD_PATHS.items()
+    }
     gateways[0].kill()
-    assert [status(a) for a in asked.values()] == [0] * 3
-    again = {cls: world.ask(gateways[1], cls, path, again=True) for cls, path in PATHS.items()}
-    for asks in (joined, again):
-        assert {cls: status(a) for cls, a in asks.items()} == {c: s for c, (s, _) in AFTER_LOSS.items()}
-    assert dict(world.sends) == {cls: sends for cls, (_, sends) in AFTER_LOSS.items()}
+    assert [response_status(a) for a in replies.values()] == [0] * 3
+    repeated = {
+        cls: world.send_request(gateways[1], cls, path, is_retry=True) for cls, path in HELD_PATHS.items()
+    }
+    for group in (duplicates, repeated):
+        assert {cls: response_status(a) for cls, a in group.items()} == {
+            c: s for c, (s, _) in EXPECTED_AFTER_CRASH.items()
+        }
+    assert dict(world.send_counts) == {cls: sends for cls, (_, sends) in EXPECTED_AFTER_CRASH.items()}
 
 
 # What a gateway whose life was ended answers to what is new: nothing unwritten that may not be repeated.
-NEW_AFTER_END = {"look": 200, "put": 502, "pay": 502}
+EXPECTED_AFTER_FENCING = {"look": 200, "put": 502, "pay": 502}
 
 
-def test_one_that_stood_still_sends_nothing_more_and_serves_what_may_be_repeated(start: Start) -> None:
+def test_a_resumed_gateway_sends_nothing_more_and_serves_only_safe_requests(start: Start) -> None:
     world = start()
     gateways = world.fleet.start()
-    asked = {cls: world.ask(gateways[0], cls, path) for cls, path in PATHS.items()}
-    world.wait_for_send(*PATHS)
+    replies = {cls: world.send_request(gateways[0], cls, path) for cls, path in HELD_PATHS.items()}
+    world.wait_for_send(*HELD_PATHS)
     gateways[0].signal(signal.SIGSTOP)
     gateways[0].wait_until_stopped()
-    again = {cls: world.ask(gateways[1], cls, path, again=True) for cls, path in PATHS.items()}
-    assert {cls: status(a) for cls, a in again.items()} == {c: s for c, (s, _) in AFTER_LOSS.items()}
+    repeated = {
+        cls: world.send_request(gateways[1], cls, path, is_retry=True) for cls, path in HELD_PATHS.items()
+    }
+    assert {cls: response_status(a) for cls, a in repeated.items()} == {
+        c: s for c, (s, _) in EXPECTED_AFTER_CRASH.items()
+    }
     gateways[0].signal(signal.SIGCONT)
     gateways[0].wait_for("ledger ended")
-    assert [status(a) for a in asked.values()] == [502] * 3  # the others have it: nothing else is known here
-    world.gate.set()
-    assert {cls: status(world.ask(gateways[0], f"new-{cls}", f"/{cls}/x")) for cls in PATHS} == NEW_AFTER_END
-    assert {cls: world.sends[cls] for cls in PATHS} == {cls: sends for cls, (_, sends) in AFTER_LOSS.items()}
+    assert [response_status(a) for a in replies.values()] == [
+        502
+    ] * 3  # the others have it: nothing else is known here
+    world.release_held.set()
+    assert {
+        cls: response_status(world.send_request(gateways[0], f"new-{cls}", f"/{cls}/x")) for cls in HELD_PATHS
+    } == EXPECTED_AFTER_FENCING
+    assert {cls: world.send_counts[cls] for cls in HELD_PATHS} == {
+        cls: sends for cls, (_, sends) in EXPECTED_AFTER_CRASH.items()
+    }
 
 
 # At the first request of a gateway its log is appended to once more: the record, with the right of its first
 # attempt; then its end. What a client that asks at another gets and how often instances were asked; what the
 # own client of a gateway gets that wakes after its life was ended: failed, unless it knows that the end it
 # wrote down counts before the time is over for which it may hold the answer back.
-STEPS = [
+OWNER_FAILPOINTS = [
     ("log.append=kill@2", {"look": (200, 1), "put": (200, 1), "pay": (200, 1)}, set()),
     ("log.appended=kill@2", {"look": (200, 1), "put": (200, 1), "pay": (502, 0)}, set()),
     ("log.append=kill@3", {"look": (200, 2), "put": (200, 2), "pay": (502, 1)}, set()),
@@ -106,37 +128,49 @@
 ]
 
 
-@pytest.mark.parametrize(("step", "expected", "woken"), STEPS, ids=[step for step, _, _ in STEPS])
-def test_gone_at_a_named_step_it_ends_as_far_as_it_is_proven(
-    start: Start, step: str, expected: dict[str, tuple[int, int]], woken: set[int]
+@pytest.mark.parametrize(
+    ("failpoint", "expected", "resumed_statuses"),
+    OWNER_FAILPOINTS,
+    ids=[step for step, _, _ in OWNER_FAILPOINTS],
+)
+def test_an_owner_lost_at_a_failpoint_is_finished_as_its_record_allows(
+    start: Start, failpoint: str, expected: dict[str, tuple[int, int]], resumed_statuses: set[int]
 ) -> None:
     world = start(4)
-    there = world.fleet.launch(0)
-    there.wait_for("ready")
+    survivor = world.fleet.launch(0)
+    survivor.wait_for("ready")
     # Those that stop do so together; a killed one is soon missed, and others append to the log for it.
-    for group in [[*PATHS]] if woken else [[cls] for cls in PATHS]:
-        lost = {cls: world.fleet.launch(1 + [*PATHS].index(cls), {FAIL: step}) for cls in group}
-        for each in lost.values():
-            each.wait_for("ready")
-        first = {cls: world.ask(each, cls, f"/{cls}/x") for cls, each in lost.items()}
-        for each in lost.values():
-            each.wait_until_stopped()
+    for group in [[*HELD_PATHS]] if resumed_statuses else [[cls] for cls in HELD_PATHS]:
+        owners = {
+            cls: world.fleet.launch(1 + [*HELD_PATHS].index(cls), {FAILPOINTS_VARIABLE: failpoint})
+            for cls in group
+        }
+        for gateway in owners.values():
+            gateway.wait_for("ready")
+        replies = {cls: world.send_request(each, cls, f"/{cls}/x") for cls, each in owners.items()}
+        for gateway in owners.values():
+            gateway.wait_until_stopped()
         for cls in group:
-            again = world.ask(there, cls, f"/{cls}/x", again=True)
-            assert (status(again), world.sends[cls]) == expected[cls], cls
-        if woken:
-            until(partial(world.sealed, {each.name for each in lost.values()}))
-        for cls, each in lost.items() if woken else ():
-            each.signal(signal.SIGCONT)
-            assert status(first[cls]) in woken
-            each.wait_for("ledger ended")  # before, its ledger is only away, and it serves on unwritten
-            assert status(world.ask(each, f"new-{cls}", f"/{cls}/x")) == NEW_AFTER_END[cls]
-    assert {cls: (*expected[cls][:1], world.sends[cls]) for cls in PATHS} == expected, "sent after it ended"
+            repeated = world.send_request(survivor, cls, f"/{cls}/x", is_retry=True)
+            assert (response_status(repeated), world.send_counts[cls]) == expected[cls], cls
+        if resumed_statuses:
+            wait_until(partial(world.all_fenced, {each.name for each in owners.values()}))
+        for cls, gateway in owners.items() if resumed_statuses else ():
+            gateway.signal(signal.SIGCONT)
+            assert response_status(replies[cls]) in resumed_statuses
+            gateway.wait_for("ledger ended")  # before, its ledger is only away, and it serves on unwritten
+            assert (
+                response_status(world.send_request(gateway, f"new-{cls}", f"/{cls}/x"))
+                == EXPECTED_AFTER_FENCING[cls]
+            )
+    assert {cls: (*expected[cls][:1], world.send_counts[cls]) for cls in HELD_PATHS} == expected, (
+        "sent after it ended"
+    )
 
 
 # The survivor that seals the lost life and claims all of its work is gone in between: after the first move of
 # the seal; after the seal; before the claims; after them; after the rights of its own attempts were won.
-CLAIMANT = [
+CLAIMANT_FAILPOINTS = [
     "seal.renamed={}@1",
     "log.appended={}@2",
     "log.append={}@3",
@@ -146,112 +180,133 @@
 
 
 @pytest.mark.parametrize("action", ["kill", "stop"])
-@pytest.mark.parametrize("step", CLAIMANT)
-def test_a_claimant_gone_at_a_named_step_leaves_its_work_to_the_next(
-    start: Start, step: str, action: str
+@pytest.mark.parametrize("failpoint", CLAIMANT_FAILPOINTS)
+def test_a_claimant_lost_at_a_failpoint_leaves_its_claims_to_the_next(
+    start: Start, failpoint: str, action: str
 ) -> None:
     world = start()
-    faults = [{}, {FAIL: step.format(action)}, {}]
-    lost, claimant, left = gateways = [world.fleet.launch(n, fault) for n, fault in enumerate(faults)]
-    for each in gateways:
-        each.wait_for("ready")
-    asked = {cls: world.ask(lost, cls, path) for cls, path in PATHS.items()}
-    world.wait_for_send(*PATHS)
-    joined = {cls: world.ask(left, cls, path, again=True) for cls, path in PATHS.items()}
-    lost.kill()
+    faults = [{}, {FAILPOINTS_VARIABLE: failpoint.format(action)}, {}]
+    owner, claimant, survivor = gateways = [world.fleet.launch(n, fault) for n, fault in enumerate(faults)]
+    for gateway in gateways:
+        gateway.wait_for("ready")
+    replies = {cls: world.send_request(owner, cls, path) for cls, path in HELD_PATHS.items()}
+    world.wait_for_send(*HELD_PATHS)
+    duplicates = {
+        cls: world.send_request(survivor, cls, path, is_retry=True) for cls, path in HELD_PATHS.items()
+    }
+    owner.kill()
     claimant.wait_until_stopped()
-    assert {cls: status(a) for cls, a in joined.items()} == {c: s for c, (s, _) in AFTER_LOSS.items()}
+    assert {cls: response_status(a) for cls, a in duplicates.items()} == {
+        c: s for c, (s, _) in EXPECTED_AFTER_CRASH.items()
+    }
     if action == "stop":
-        until(partial(world.sealed, {claimant.name}))
+        wait_until(partial(world.all_fenced, {claimant.name}))
         claimant.signal(signal.SIGCONT)
         claimant.wait_for("ledger ended")
-    assert [status(a) for a in asked.values()] == [0] * 3
-    assert dict(world.sends) == {cls: sends for cls, (_, sends) in AFTER_LOSS.items()}
+    assert [response_status(a) for a in replies.values()] == [0] * 3
+    assert dict(world.send_counts) == {cls: sends for cls, (_, sends) in EXPECTED_AFTER_CRASH.items()}
 
 
 @pytest.mark.parametrize("fault", ["call=error@40+", "log.append=full@3+", "log.append=error@3+"])
-def test_one_without_its_ledger_serves_on(start: Start, fault: str) -> None:
+def test_a_gateway_without_its_ledger_keeps_serving(start: Start, fault: str) -> None:
     world = start(2)
-    whole, cut = world.fleet.launch(0), world.fleet.launch(1, {FAIL: fault})
-    for each in (whole, cut):
-        each.wait_for("ready")
+    intact, disconnected = world.fleet.launch(0), world.fleet.launch(1, {FAILPOINTS_VARIABLE: fault})
+    for gateway in (intact, disconnected):
+        gateway.wait_for("ready")
     numbers = iter(range(1000))
-    until(lambda: status(world.ask(cut, f"first-{next(numbers)}", "/pay/x")) and cut.told("ledger lost"))
-    told = [status(world.ask(cut, f"cut-{n}", "/pay/x")) for n in range(20)]
-    assert told == [200] * 20
-    assert [status(world.ask(whole, f"whole-{n}", "/pay/x")) for n in range(3)] == [200] * 3
-    assert max(world.sends.values()) == 1 and cut.process.poll() is None
-    assert not cut.told("ledger back")
+    wait_until(
+        lambda: (
+            response_status(world.send_request(disconnected, f"first-{next(numbers)}", "/pay/x"))
+            and disconnected.events("ledger lost")
+        )
+    )
+    statuses = [response_status(world.send_request(disconnected, f"cut-{n}", "/pay/x")) for n in range(20)]
+    assert statuses == [200] * 20
+    assert [response_status(world.send_request(intact, f"whole-{n}", "/pay/x")) for n in range(3)] == [
+        200
+    ] * 3
+    assert max(world.send_counts.values()) == 1 and disconnected.process.poll() is None
+    assert not disconnected.events("ledger back")
 
 
-def test_a_file_that_may_not_grow_is_a_ledger_lost_until_writes_go_through(start: Start) -> None:
+def test_a_full_log_file_is_a_lost_ledger_until_writes_succeed(start: Start) -> None:
     world = start(1)
     (gateway,) = world.fleet.start()
-    pid, room = gateway.process.pid, (world.fleet.ledger / "log.00000001").stat().st_size + 700
-    resource.prlimit(pid, resource.RLIMIT_FSIZE, (room, resource.RLIM_INFINITY))
+    pid, size_limit = gateway.process.pid, (world.fleet.ledger / "log.00000001").stat().st_size + 700
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (size_limit, resource.RLIM_INFINITY))
     numbers = iter(range(1000))
-    until(lambda: status(world.ask(gateway, f"a-{next(numbers)}", "/pay/x")) and gateway.told("ledger lost"))
-    assert [status(world.ask(gateway, f"full-{n}", "/pay/x")) for n in range(20)] == [200] * 20
-    assert not gateway.told("ledger back") and max(world.sends.values()) == 1
+    wait_until(
+        lambda: (
+            response_status(world.send_request(gateway, f"a-{next(numbers)}", "/pay/x"))
+            and gateway.events("ledger lost")
+        )
+    )
+    assert [response_status(world.send_request(gateway, f"full-{n}", "/pay/x")) for n in range(20)] == [
+        200
+    ] * 20
+    assert not gateway.events("ledger back") and max(world.send_counts.values()) == 1
     resource.prlimit(pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
     gateway.wait_for("ledger back")
-    assert status(world.ask(gateway, "back", "/pay/x")) == 200
-    assert "takeover/work/back" in world.records()
+    assert response_status(world.send_request(gateway, "back", "/pay/x")) == 200
+    assert "takeover/work/back" in world.takeover_keys()
 
 
-def test_a_folder_that_is_gone_and_comes_back(start: Start) -> None:
+def test_a_ledger_folder_that_disappears_and_returns(start: Start) -> None:
     world = start(2)
     gateways = world.fleet.start()
-    aside = world.fleet.ledger.with_name("aside")
-    world.fleet.ledger.rename(aside)
-    for each in gateways:
-        each.wait_for("ledger lost")
-    assert [status(world.ask(g, f"lost-{g.name}", "/pay/x")) for g in gateways] == [200] * 2
-    aside.rename(world.fleet.ledger)
-    for each in gateways:
-        each.wait_for("ledger back")
-    assert [status(world.ask(g, f"back-{g.name}", "/pay/x")) for g in gateways] == [200] * 2
-    assert any(key.endswith("work/back-g0") for key in world.records())
-
-
-def test_a_planned_restart_of_all_in_turns_loses_nothing(start: Start) -> None:
+    moved = world.fleet.ledger.with_name("aside")
+    world.fleet.ledger.rename(moved)
+    for gateway in gateways:
+        gateway.wait_for("ledger lost")
+    assert [response_status(world.send_request(g, f"lost-{g.name}", "/pay/x")) for g in gateways] == [200] * 2
+    moved.rename(world.fleet.ledger)
+    for gateway in gateways:
+        gateway.wait_for("ledger back")
+    assert [response_status(world.send_request(g, f"back-{g.name}", "/pay/x")) for g in gateways] == [200] * 2
+    assert any(key.endswith("work/back-g0") for key in world.takeover_keys())
+
+
+def test_a_rolling_restart_loses_nothing(start: Start) -> None:
     world = start()
     gateways = world.fleet.start()
-    for n, gateway in enumerate(gateways):
-        names = [f"{cls}-{n}" for cls in PATHS]
-        asked = [world.ask(gateway, name, f"/{name[:-2]}/hold") for name in names]
-        world.wait_for_send(*names)
+    for index, gateway in enumerate(gateways):
+        request_ids = [f"{cls}-{index}" for cls in HELD_PATHS]
+        replies = [world.send_request(gateway, name, f"/{name[:-2]}/hold") for name in request_ids]
+        world.wait_for_send(*request_ids)
         gateway.signal(signal.SIGTERM)
         gateway.wait_for("draining")
-        other = gateways[(n + 1) % 3]
-        joined = [world.ask(other, name, f"/{name[:-2]}/hold", again=True) for name in names]
-        world.gate.set()
-        assert [status(a) for a in (*asked, *joined)] == [200] * 6
-        assert gateway.ended() == 0
-        world.gate.clear()
-        gateways[n] = world.fleet.launch(n)
-        gateways[n].wait_for("ready")
-        assert [status(world.ask(gateways[n], name, f"/{name[:-2]}/hold", again=True)) for name in names] == [
-            200
-        ] * 3
-    assert set(world.sends.values()) == {1}
-
-
-def test_a_name_that_lives_is_not_given_twice(start: Start) -> None:
+        other = gateways[(index + 1) % 3]
+        duplicates = [
+            world.send_request(other, name, f"/{name[:-2]}/hold", is_retry=True) for name in request_ids
+        ]
+        world.release_held.set()
+        assert [response_status(a) for a in (*replies, *duplicates)] == [200] * 6
+        assert gateway.wait_for_exit() == 0
+        world.release_held.clear()
+        gateways[index] = world.fleet.launch(index)
+        gateways[index].wait_for("ready")
+        assert [
+            response_status(world.send_request(gateways[index], name, f"/{name[:-2]}/hold", is_retry=True))
+            for name in request_ids
+        ] == [200] * 3
+    assert set(world.send_counts.values()) == {1}
+
+
+def test_the_name_of_a_living_gateway_is_not_given_twice(start: Start) -> None:
     world = start(2)
     first = world.fleet.launch(0)
     first.wait_for("ready")
     second = world.fleet.launch(1, name="g0")
-    assert second.ended() == 2
-    (line,) = second.told("plain")
+    assert second.wait_for_exit() == 2
+    (line,) = second.events("plain")
     assert (
         line["line"].startswith("meadowpulley: ledger:")
         and "'g0' is taken by a living gateway" in line["line"]
     )
-    assert status(world.ask(first, "a", "/pay/x")) == 200
+    assert response_status(world.send_request(first, "a", "/pay/x")) == 200
 
 
-BAD = [
+INVALID_SETTINGS = [
     ({"MEADOWPULLEY_LEDGER": "/nowhere/ledger"}, "/nowhere/ledger"),
     ({"MEADOWPULLEY_LEDGER": "/dev/null"}, "/dev/null"),
     ({"MEADOWPULLEY_LEDGER_TERM_MS": "100"}, "MEADOWPULLEY_LEDGER_TERM_MS: 100 is too short"),
@@ -266,34 +321,38 @@
 ]
 
 
-def test_settings_that_can_t_be_are_one_line_and_no_success(start: Start) -> None:
+def test_invalid_settings_fail_with_one_line(start: Start) -> None:
     world = start(1)
-    good = world.fleet.launch(0)
-    good.wait_for("ready")
+    running = world.fleet.launch(0)
+    running.wait_for("ready")
     before = sorted(p.name for p in world.fleet.ledger.rglob("*.*"))
-    for environ, said in BAD:
+    for environ, expected in INVALID_SETTINGS:
         process = world.fleet.launch(0, environ, name="other", listen="127.0.0.1:9")
-        assert process.ended() == 2, environ
+        assert process.wait_for_exit() == 2, environ
         lines = [line["line"] for line in process.lines if line["event"] == "plain"]
-        assert len(lines) == 1 and lines[0].startswith("meadowpulley: ") and said in lines[0], (
+        assert len(lines) == 1 and lines[0].startswith("meadowpulley: ") and expected in lines[0], (
             environ,
             lines,
         )
     assert sorted(p.name for p in world.fleet.ledger.rglob("*.*")) == before, "a refused start left a life"
 
 
-@pytest.mark.parametrize("on", [False, True], ids=["off", "on"])
-def test_without_a_ledger_named_nothing_of_it_is_imported_or_opened(start: Start, on: bool) -> None:
+@pytest.mark.parametrize("enabled", [False, True], ids=["off", "on"])
+def test_without_a_ledger_its_parts_are_neither_imported_nor_opened(start: Start, enabled: bool) -> None:
     world = start(1)
-    off = {} if on else {"MEADOWPULLEY_LEDGER": "", "MEADOWPULLEY_TAKEOVER": ""}  # it needs a ledger
-    gateway = world.fleet.launch(0, {**off, "PYTHONVERBOSE": "1"})
+    disabled = (
+        {} if enabled else {"MEADOWPULLEY_LEDGER": "", "MEADOWPULLEY_TAKEOVER": ""}
+    )  # it needs a ledger
+    gateway = world.fleet.launch(0, {**disabled, "PYTHONVERBOSE": "1"})
     gateway.wait_for("ready")
-    assert status(world.ask(gateway, "a", "/pay/x")) == 200
-    said = [line["line"] for line in gateway.told("plain") if line["line"].startswith("import 'meadowpulley")]
-    parts = ("ledger", "takeover", "lending", "joint", "placement")
-    found = {part for part in parts for line in said if f"'meadowpulley.{part}" in line}
-    assert said and found == ({"ledger", "takeover", "joint"} if on else set())
-    fds = Path(f"/proc/{gateway.process.pid}/fd")
-    opened = [os.readlink(fd) for fd in fds.iterdir() if fd.exists()]
-    assert any(name.startswith(str(world.fleet.ledger)) for name in opened) is on
-    assert any(world.fleet.ledger.iterdir()) is on
+    assert response_status(world.send_request(gateway, "a", "/pay/x")) == 200
+    imports = [
+        line["line"] for line in gateway.events("plain") if line["line"].startswith("import 'meadowpulley")
+    ]
+    parts = ("ledger", "takeover", "lending", "stage_pipeline", "placement")
+    found = {part for part in parts for line in imports if f"'meadowpulley.{part}" in line}
+    assert imports and found == ({"ledger", "takeover", "stage_pipeline"} if enabled else set())
+    descriptors = Path(f"/proc/{gateway.process.pid}/fd")
+    opened = [os.readlink(fd) for fd in descriptors.iterdir() if fd.exists()]
+    assert any(name.startswith(str(world.fleet.ledger)) for name in opened) is enabled
+    assert any(world.fleet.ledger.iterdir()) is enabled
--- a/tests/wire.py
+++ b/tests/simulator_frames.py
@@ -37,7 +37,7 @@
     return struct.pack(">d", v)
 
 
-def entry(
+def endpoint(
     server: int, state: int = 2, build: int = 41, started: float = 0.0, cell: int = 0, zone: int = 0
 ) -> bytes:
     return u32(server) + u16(cell) + u8(zone) + u8(state) + f32(build) + f64(started) + u16(0) + f32(1.0)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -18,7 +18,7 @@
 from typing import Any
 
 ROOT = Path(__file__).parent.parent
-LIMIT_S = 20.0
+TIMEOUT_S = 20.0
 RELEASED = {"release": 41, "tranche": 2, "mode": "stable", "exposure": 1.0, "old_ms": 60_000}
 TRIAL = {"release": 42, "tranche": 0, "mode": "canary", "exposure": 0.3, "old_ms": 60_000}
 
@@ -70,13 +70,13 @@
 
 
 # What ends the stand-ins of the test that runs: left open, a run of all tests passed 1,024 descriptors.
-_ends: list[Callable[[], None]] = []
+_cleanups: list[Callable[[], None]] = []
 
 
-def end_all() -> None:
+def stop_all() -> None:
     """Ends them beside whatever comes next, which need not wait for that."""
-    while _ends:
-        threading.Thread(target=_ends.pop(), daemon=True).start()
+    while _cleanups:
+        threading.Thread(target=_cleanups.pop(), daemon=True).start()
 
 
 def free_port() -> int:
@@ -85,7 +85,7 @@
         return int(probe.getsockname()[1])
 
 
-def answer(handler: BaseHTTPRequestHandler, status: int, body: bytes, **headers: str) -> None:
+def respond(handler: BaseHTTPRequestHandler, status: int, body: bytes, **headers: str) -> None:
     handler.send_response(status)
     for name, value in headers.items():
         handler.send_header(name.replace("_", "-"), value)
@@ -94,8 +94,8 @@
     handler.wfile.write(body)
 
 
-class HttpStandIn:
-    def __init__(self, act: Callable[[BaseHTTPRequestHandler, bytes], None]) -> None:
+class FakeHttpServer:
+    def __init__(self, handle: Callable[[BaseHTTPRequestHandler, bytes], None]) -> None:
         self.connections = 0
         outer = self
 
@@ -108,7 +108,7 @@
 
             def do_GET(self) -> None:
                 try:
-                    act(self, self.rfile.read(int(self.headers.get("Content-Length", 0))))
+                    handle(self, self.rfile.read(int(self.headers.get("Content-Length", 0))))
                 except (BrokenPipeError, ConnectionResetError):
                     self.close_connection = True  # the gateway has given it up
 
@@ -122,31 +122,31 @@
         self.server.handle_error = lambda request, client: None  # type: ignore[method-assign,assignment]
         self.address = f"127.0.0.1:{self.server.server_address[1]}"
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
-        _ends.append(self._end)
+        _cleanups.append(self._stop)
 
-    def _end(self) -> None:
+    def _stop(self) -> None:
         self.server.shutdown()
         self.server.server_close()
 
 
-class Instance(HttpStandIn):
+class FakeInstance(FakeHttpServer):
     """Echoes the body, unless told to act otherwise; keeps what it was asked."""
 
-    def __init__(self, act: Callable[[BaseHTTPRequestHandler, bytes], None] | None = None) -> None:
-        self.asked: queue.Queue[tuple[str, str, dict[str, str], bytes]] = queue.Queue()
+    def __init__(self, handle: Callable[[BaseHTTPRequestHandler, bytes], None] | None = None) -> None:
+        self.received: queue.Queue[tuple[str, str, dict[str, str], bytes]] = queue.Queue()
 
-        def take(handler: BaseHTTPRequestHandler, body: bytes) -> None:
+        def record(handler: BaseHTTPRequestHandler, body: bytes) -> None:
             headers = {name.lower(): value for name, value in handler.headers.items()}
-            self.asked.put((handler.command, handler.path, headers, body))
-            if act is None:
-                answer(handler, 200, b"served " + body)
+            self.received.put((handler.command, handler.path, headers, body))
+            if handle is None:
+                respond(handler, 200, b"served " + body)
             else:
-                act(handler, body)
+                handle(handler, body)
 
-        super().__init__(take)
+        super().__init__(record)
 
 
-def entry(name: str, address: str, build: int = 41, status: str = "in_service") -> dict[str, Any]:
+def endpoint(name: str, address: str, build: int = 41, status: str = "in_service") -> dict[str, Any]:
     return {
         "name": name,
         "address": address,
@@ -160,50 +160,50 @@
     }
 
 
-class Discovery(HttpStandIn):
+class FakeDiscovery(FakeHttpServer):
     def __init__(self, entries: list[dict[str, Any]]) -> None:
         self.changed = threading.Condition()
         self.index, self.entries = 5, entries
-        self.garbage = b""  # takes the place of the next answer
-        self.asked: queue.Queue[int] = queue.Queue()  # the versions that calls came with
-        super().__init__(self._act)
+        self.malformed_response = b""  # takes the place of the next answer
+        self.polled_versions: queue.Queue[int] = queue.Queue()  # the versions that calls came with
+        super().__init__(self._handle)
 
-    def change(self, entries: list[dict[str, Any]]) -> None:
+    def update(self, entries: list[dict[str, Any]]) -> None:
         with self.changed:
             self.index, self.entries = self.index + 1, entries
             self.changed.notify_all()
 
-    def _act(self, handler: BaseHTTPRequestHandler, _: bytes) -> None:
+    def _handle(self, handler: BaseHTTPRequestHandler, _: bytes) -> None:
         query = dict(part.split("=") for part in handler.path.partition("?")[2].split("&") if part)
-        after, wait = int(query.get("after", -1)), float(query.get("wait_ms", 0)) / 1000
-        self.asked.put(after)
+        after, wait_s = int(query.get("after", -1)), float(query.get("wait_ms", 0)) / 1000
+        self.polled_versions.put(after)
         with self.changed:
-            self.changed.wait_for(lambda: self.index > after, wait)
-            garbage, self.garbage = self.garbage, b""
-            news = self.entries if self.index > after else []
-            whole = {"index": self.index, "snapshot": bool(news), "endpoints": news}
-        if garbage:
-            handler.wfile.write(garbage)
+            self.changed.wait_for(lambda: self.index > after, wait_s)
+            malformed, self.malformed_response = self.malformed_response, b""
+            endpoints = self.entries if self.index > after else []
+            body = {"index": self.index, "snapshot": bool(endpoints), "endpoints": endpoints}
+        if malformed:
+            handler.wfile.write(malformed)
         else:
-            answer(handler, 200, json.dumps(whole).encode())
+            respond(handler, 200, json.dumps(body).encode())
 
 
-class Platform:
+class FakePlatform:
     """Speaks the line protocol; each of `spoilt` takes the place of the news on one connection, in turn."""
 
-    def __init__(self, news: dict[str, Any], *spoilt: bytes) -> None:
-        self.news, self.spoilt = news, list(spoilt)
-        self.followed: queue.Queue[socket.socket] = queue.Queue()
-        self.may_answer = threading.Event()
-        self.may_answer.set()
+    def __init__(self, rollout: dict[str, Any], *malformed_lines: bytes) -> None:
+        self.rollout, self.malformed_lines = rollout, list(malformed_lines)
+        self.followers: queue.Queue[socket.socket] = queue.Queue()
+        self.may_respond = threading.Event()
+        self.may_respond.set()
         self.closed = threading.Event()
         self.votes: queue.Queue[dict[str, Any]] = queue.Queue()
         self.server = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
-        _ends.append(self._end)
+        _cleanups.append(self._stop)
 
-    def _end(self) -> None:
+    def _stop(self) -> None:
         self.server.shutdown(socket.SHUT_RDWR)  # wakes who accepts
         self.server.close()
 
@@ -224,31 +224,31 @@
                 call = json.loads(line)
                 if call["method"] == "follow":
                     write(id=call["id"], result=True)
-                    if self.spoilt:
-                        connection.sendall(self.spoilt.pop(0))
+                    if self.malformed_lines:
+                        connection.sendall(self.malformed_lines.pop(0))
                     else:
-                        write(method="ROLLOUT", params=self.news)
-                    self.followed.put(connection)
+                        write(method="ROLLOUT", params=self.rollout)
+                    self.followers.put(connection)
                 else:
                     self.votes.put(call["params"])
-                    self.may_answer.wait(LIMIT_S)
-                    write(id=call["id"], result=self.news)
+                    self.may_respond.wait(TIMEOUT_S)
+                    write(id=call["id"], result=self.rollout)
         except OSError:
             pass
         self.closed.set()
 
 
-class Gateway:
+class GatewayProcess:
     """The program, started by the deploy file's `run`."""
 
     def __init__(
         self,
-        folder: Path,
+        directory: Path,
         known: list[dict[str, Any]],
         discovery: str = "",
         platform: str = "",
-        news: dict[str, Any] = RELEASED,
-        **more: Any,
+        rollout: dict[str, Any] = RELEASED,
+        **overrides: Any,
     ) -> None:
         subprocess.run([sys.executable, str(ROOT / "deploy" / "compile.py")], check=True)
         self.port = free_port()
@@ -261,20 +261,20 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
             "peer_listen": f"127.0.0.1:{self.peer_port}",
             "peers": [f"127.0.0.1:{self.peer_port}"],
-            "platform": {"address": platform or f"127.0.0.1:{free_port()}", "news": news},
+            "platform": {"address": platform or f"127.0.0.1:{free_port()}", "news": rollout},
             "known": {"index": 4, "snapshot": True, "endpoints": known},
             "settings": SETTINGS,
-            **more,
+            **overrides,
         }
-        self.path, self.config = folder / "config.json", config
-        self.path.write_text(json.dumps(config))
+        self.config_path, self.config = directory / "config.json", config
+        self.config_path.write_text(json.dumps(config))
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", run],
             cwd=ROOT,
             stderr=subprocess.PIPE,
             text=True,
-            env={**os.environ, "PROXY_CONFIG": str(self.path), "PROXY_DISCOVERY": config["discovery"]},
+            env={**os.environ, "PROXY_CONFIG": str(self.config_path), "PROXY_DISCOVERY": config["discovery"]},
         )
         self.lines: queue.Queue[dict[str, Any]] = queue.Queue()
         threading.Thread(target=self._read, daemon=True).start()
@@ -287,7 +287,7 @@
 
     def wait_for(self, event: str) -> dict[str, Any]:
         while True:
-            line = self.lines.get(timeout=LIMIT_S)
+            line = self.lines.get(timeout=TIMEOUT_S)
             if line["event"] == event:
                 return line
             assert line["event"] != "closed", f"the gateway ended before '{event}'"
@@ -295,47 +295,52 @@
     def client(self) -> Client:
         return Client(self.port)
 
-    def reload(self, raw: str = "", **changed: Any) -> None:
+    def reload(self, raw_text: str = "", **changed: Any) -> None:
         """The operators' way: a new file in the place of the old one, then SIGHUP."""
-        fresh = self.path.with_name("fresh.json")
-        fresh.write_text(raw or json.dumps({**self.config, **changed}))
-        fresh.replace(self.path)
+        new_file = self.config_path.with_name("fresh.json")
+        new_file.write_text(raw_text or json.dumps({**self.config, **changed}))
+        new_file.replace(self.config_path)
         self.process.send_signal(signal.SIGHUP)
 
     def stop(self) -> None:
         if self.process.poll() is None:
             self.process.kill()
-        self.process.wait(LIMIT_S)
+        self.process.wait(TIMEOUT_S)
 
 
 class Client:
     def __init__(self, port: int) -> None:
-        self.socket = socket.create_connection(("127.0.0.1", port), timeout=LIMIT_S)
-        self.file = self.socket.makefile("rb")
-        self.count = 0
+        self.socket = socket.create_connection(("127.0.0.1", port), timeout=TIMEOUT_S)
+        self.reader = self.socket.makefile("rb")
+        self.request_count = 0
 
     def send(self, method: str, path: str, body: bytes = b"", **headers: str) -> None:
-        self.count += 1
-        told = {name.replace("_", "-"): value for name, value in headers.items()}
-        head = {"Host": "app.svc", "X-Txn": f"{self.count:016x}", "X-Remaining": "4000m", **told}
+        self.request_count += 1
+        extra_headers = {name.replace("_", "-"): value for name, value in headers.items()}
+        request_headers = {
+            "Host": "app.svc",
+            "X-Txn": f"{self.request_count:016x}",
+            "X-Remaining": "4000m",
+            **extra_headers,
+        }
         if body:
-            head["Content-Length"] = str(len(body))
-        lines = "".join(f"{name}: {value}\r\n" for name, value in head.items())
+            request_headers["Content-Length"] = str(len(body))
+        lines = "".join(f"{name}: {value}\r\n" for name, value in request_headers.items())
         self.socket.sendall(f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
 
-    def answer(self) -> tuple[int, dict[str, str], bytes]:
+    def read_response(self) -> tuple[int, dict[str, str], bytes]:
         """Status, headers and body; status 0 when the connection ended instead."""
-        start = self.file.readline()
+        start = self.reader.readline()
         if not start:
             return 0, {}, b""
         headers = {}
-        while (line := self.file.readline().strip()) != b"":
+        while (line := self.reader.readline().strip()) != b"":
             name, _, value = line.decode().partition(":")
             headers[name.lower()] = value.strip()
-        return int(start.split()[1]), headers, self.file.read(int(headers.get("content-length", 0)))
+        return int(start.split()[1]), headers, self.reader.read(int(headers.get("content-length", 0)))
 
-    def ask(
+    def request(
         self, method: str, path: str, body: bytes = b"", **headers: str
     ) -> tuple[int, dict[str, str], bytes]:
         self.send(method, path, body, **headers)
-        return self.answer()
+        return self.read_response()
--- a/tests/stories/conftest.py
+++ b/tests/stories/conftest.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.stories.tale import Tale
+from tests.stories.fleet_scenario import FleetScenario
 
 STEPS = tuple(
     f"tests.stories.steps_{name}" for name in ("fleet", "ledger", "takeover", "lending", "placement")
@@ -17,5 +17,5 @@
 
 
 @pytest.fixture
-def tale() -> Tale:
-    return Tale()
+def scenario() -> FleetScenario:
+    return FleetScenario()
--- a/tests/stories/steps_fleet.py
+++ b/tests/stories/steps_fleet.py
@@ -8,14 +8,14 @@
 from msgspec.structs import replace
 from pytest_bdd import given, parsers, then, when
 
-from meadowpulley.emulator import Build, World
-from meadowpulley.emulator.failpoints import STEPS
+from meadowpulley.emulator import Build, Emulation
+from meadowpulley.emulator.failpoints import STEP_DESCRIPTIONS
 from meadowpulley.interface import Phase
-from meadowpulley.rules import Answered, Sent, Taken
+from meadowpulley.rules import AttemptSent, RequestReceived, ResponseSent
+from tests.stories.fleet_scenario import FleetScenario
 from tests.stories.fleets import small_fleet
-from tests.stories.tale import Tale
 
-TROUBLES = {
+SERVER_FAULTS = {
     "vanish": "vanish",
     "crash": "crash",
     "hang": "silence",
@@ -23,7 +23,7 @@
     "lose their answers": "lost_answers",
     "are three times slower": "slowness",
 }
-PARTIES = {"discovery": "discovery_down", "the platform": "platform_down", "datagrams": "peers_lost"}
+SERVICE_FAULTS = {"discovery": "discovery_down", "the platform": "platform_down", "datagrams": "peers_lost"}
 CLASSES = {"look-ups": "look-up", "bookings": "booking", "transfers": "transfer"}
 
 
@@ -31,62 +31,62 @@
 
 
 @given(parsers.parse("a fleet of {count:d} gateways"))
-def a_fleet(tale: Tale, count: int) -> None:
-    tale.fleet = small_fleet(count)
+def a_fleet(scenario: FleetScenario, count: int) -> None:
+    scenario.fleet = small_fleet(count)
 
 
 @given(parsers.parse("{per_s:g} requests a second for {seconds:g} s"))
-def a_load(tale: Tale, per_s: float, seconds: float) -> None:
-    tale.per_s, tale.lasts = per_s, seconds
+def a_load(scenario: FleetScenario, per_s: float, seconds: float) -> None:
+    scenario.per_s, scenario.duration_s = per_s, seconds
 
 
 @given(parsers.parse("{per_s:g} {kind} a second for {seconds:g} s, and nothing else"))
-def a_load_of(tale: Tale, per_s: float, kind: str, seconds: float) -> None:
-    tale.per_s, tale.lasts, tale.only = per_s, seconds, CLASSES[kind]
+def a_load_of(scenario: FleetScenario, per_s: float, kind: str, seconds: float) -> None:
+    scenario.per_s, scenario.duration_s, scenario.only_class = per_s, seconds, CLASSES[kind]
 
 
 @given("clients that never try again")
-def no_retries(tale: Tale) -> None:
-    tale.fleet = replace(tale.fleet, clients=replace(tale.fleet.clients, retries=0))
+def no_retries(scenario: FleetScenario) -> None:
+    scenario.fleet = replace(scenario.fleet, clients=replace(scenario.fleet.clients, retries=0))
 
 
 # When: gateways
 
 
 @when(parsers.parse("gateway {number:d} is killed at {at:g} s"))
-def is_killed(tale: Tale, number: int, at: float) -> None:
-    tale.at(at, lambda world: world.gateways[number - 1].kill())
+def is_killed(scenario: FleetScenario, number: int, at: float) -> None:
+    scenario.call_at(at, lambda world: world.gateways[number - 1].kill())
 
 
 @when(parsers.parse("gateway {number:d} is started again at {at:g} s"))
-def is_started(tale: Tale, number: int, at: float) -> None:
-    tale.at(at, lambda world: world.gateways[number - 1].start())
+def is_started(scenario: FleetScenario, number: int, at: float) -> None:
+    scenario.call_at(at, lambda world: world.gateways[number - 1].start())
 
 
 @when(parsers.parse("gateway {number:d} is told at {at:g} s to stop within {grace:g} s"))
-def is_stopped(tale: Tale, number: int, at: float, grace: float) -> None:
-    tale.at(at, lambda world: world.gateways[number - 1].stop(grace * 1000.0))
+def is_stopped(scenario: FleetScenario, number: int, at: float, grace: float) -> None:
+    scenario.call_at(at, lambda world: world.gateways[number - 1].stop(grace * 1000.0))
 
 
 @when(parsers.parse("gateway {number:d} stands still from {begin:g} s to {end:g} s"))
-def stands_still(tale: Tale, number: int, begin: float, end: float) -> None:
-    tale.at(begin, lambda world: world.gateways[number - 1].pause())
-    tale.at(end, lambda world: world.gateways[number - 1].wake())
+def stands_still(scenario: FleetScenario, number: int, begin: float, end: float) -> None:
+    scenario.call_at(begin, lambda world: world.gateways[number - 1].pause())
+    scenario.call_at(end, lambda world: world.gateways[number - 1].resume())
 
 
 @when(parsers.parse("each gateway in turn is restarted every {every:g} s with {grace:g} s of notice"))
-def rolling_restart(tale: Tale, every: float, grace: float) -> None:
-    for n in range(len(tale.fleet.gateway_sites())):
+def rolling_restart(scenario: FleetScenario, every: float, grace: float) -> None:
+    for n in range(len(scenario.fleet.gateway_sites())):
         begin = 2.0 + every * n
-        tale.at(begin, lambda world, n=n: world.gateways[n].stop(grace * 1000.0))  # type: ignore[misc]
-        tale.at(begin + grace + 0.5, lambda world, n=n: world.gateways[n].start())  # type: ignore[misc]
+        scenario.call_at(begin, lambda world, n=n: world.gateways[n].stop(grace * 1000.0))  # type: ignore[misc]
+        scenario.call_at(begin + grace + 0.5, lambda world, n=n: world.gateways[n].start())  # type: ignore[misc]
 
 
 @when(parsers.re(r"gateway (?P<number>\d+) is killed after (?P<at>[\d.]+) s (?P<moment>when .+)"))
-def is_killed_at_step(tale: Tale, number: str, at: str, moment: str) -> None:
+def is_killed_at_step(scenario: FleetScenario, number: str, at: str, moment: str) -> None:
     step = _step(moment)
-    tale.at(
-        float(at), lambda world: world.failpoints.set(step, lambda gateway: gateway.kill(), int(number) - 1)
+    scenario.call_at(
+        float(at), lambda world: world.failpoints.add(step, lambda gateway: gateway.kill(), int(number) - 1)
     )
 
 
@@ -96,138 +96,142 @@
         r"(?P<moment>when .+)"
     )
 )
-def stands_still_at_step(tale: Tale, number: str, lasts: str, at: str, moment: str) -> None:
+def stands_still_at_step(scenario: FleetScenario, number: str, lasts: str, at: str, moment: str) -> None:
     step = _step(moment)
 
-    def stop(world: World, gateway: Any) -> None:
+    def stop(world: Emulation, gateway: Any) -> None:
         gateway.pause()
-        world.clock.after(float(lasts) * 1000.0, gateway.wake)
+        world.clock.call_later(float(lasts) * 1000.0, gateway.resume)
 
-    tale.at(float(at), lambda world: world.failpoints.set(step, partial(stop, world), int(number) - 1))
+    scenario.call_at(
+        float(at), lambda world: world.failpoints.add(step, partial(stop, world), int(number) - 1)
+    )
 
 
 def _step(moment: str) -> Any:
     """The step that a moment in a story's words names."""
-    return {text: step for step, text in STEPS.items()}[moment.removeprefix("when ")]
+    return {text: step for step, text in STEP_DESCRIPTIONS.items()}[moment.removeprefix("when ")]
 
 
 # When: servers, discovery, the platform
 
 
 @when(parsers.re(r"(?P<part>\d+)% of the servers (?P<what>.+) from (?P<begin>[\d.]+) s to (?P<end>[\d.]+) s"))
-def servers_in_trouble(tale: Tale, part: str, what: str, begin: str, end: str) -> None:
+def servers_in_trouble(scenario: FleetScenario, part: str, what: str, begin: str, end: str) -> None:
     amount = 3.0 if what == "are three times slower" else 1.0
-    tale.fault(TROUBLES[what], float(begin), float(end), part=int(part) / 100, amount=amount)
+    scenario.add_fault(SERVER_FAULTS[what], float(begin), float(end), share=int(part) / 100, amount=amount)
 
 
 @when(parsers.re(r"(?P<what>discovery|the platform|datagrams) .* from (?P<begin>\d+) s to (?P<end>\d+) s"))
-def party_in_trouble(tale: Tale, what: str, begin: str, end: str) -> None:
-    tale.fault(PARTIES[what], float(begin), float(end))
+def party_in_trouble(scenario: FleetScenario, what: str, begin: str, end: str) -> None:
+    scenario.add_fault(SERVICE_FAULTS[what], float(begin), float(end))
 
 
 @when(parsers.parse("lists come {late:g} s late from {begin:g} s to {end:g} s"))
-def late_lists(tale: Tale, late: float, begin: float, end: float) -> None:
-    tale.fault("discovery_stale", begin, end, amount=late * 1000.0)
+def late_lists(scenario: FleetScenario, late: float, begin: float, end: float) -> None:
+    scenario.add_fault("discovery_stale", begin, end, amount=late * 1000.0)
 
 
 @when(parsers.parse("{site} is cut off from the other site from {begin:g} s to {end:g} s"))
-def cut_off(tale: Tale, site: str, begin: float, end: float) -> None:
-    tale.fault("site_cut", begin, end, site=site)
+def cut_off(scenario: FleetScenario, site: str, begin: float, end: float) -> None:
+    scenario.add_fault("site_cut", begin, end, site=site)
 
 
 # When: builds
 
 
 @when(parsers.parse("good build {number:d} is offered at {at:g} s"))
-def good_build(tale: Tale, number: int, at: float) -> None:
-    tale.offer(Build(number), at)
+def good_build(scenario: FleetScenario, number: int, at: float) -> None:
+    scenario.offer_build(Build(number), at)
 
 
 @when(parsers.parse("build {number:d} that fails {percent:d}% of what it is sent is offered at {at:g} s"))
-def failing_build(tale: Tale, number: int, percent: int, at: float) -> None:
-    tale.offer(Build(number, fails=percent / 100), at)
+def failing_build(scenario: FleetScenario, number: int, percent: int, at: float) -> None:
+    scenario.offer_build(Build(number, failure_share=percent / 100), at)
 
 
 @when(parsers.parse("build {number:d} that is {times:g} times slower is offered at {at:g} s"))
-def slow_build(tale: Tale, number: int, times: float, at: float) -> None:
-    tale.offer(Build(number, slow=times), at)
+def slow_build(scenario: FleetScenario, number: int, times: float, at: float) -> None:
+    scenario.offer_build(Build(number, work_factor=times), at)
 
 
 # Then
 
 
 @then("no rule is broken")
-def no_rule_is_broken(tale: Tale) -> None:
-    assert not tale.result.broken, tale.result.breaches[:3]
+def no_rule_is_broken(scenario: FleetScenario) -> None:
+    assert not scenario.result.violation_counts, scenario.result.violations[:3]
 
 
 @then(parsers.parse("at least {percent:g}% of the requests are served"))
-def most_are_served(tale: Tale, percent: float) -> None:
-    ends = tale.ends()
+def most_are_served(scenario: FleetScenario, percent: float) -> None:
+    ends = scenario.outcome_counts()
     assert ends["asked"] > 0
     assert 100.0 * ends["served"] / ends["asked"] >= percent, dict(ends)
 
 
 @then(parsers.parse("at most {percent:g}% of the requests are served"))
-def few_are_served(tale: Tale, percent: float) -> None:
-    ends = tale.ends()
+def few_are_served(scenario: FleetScenario, percent: float) -> None:
+    ends = scenario.outcome_counts()
     assert 100.0 * ends["served"] / ends["asked"] <= percent, dict(ends)
 
 
 @then("every request is served")
-def all_are_served(tale: Tale) -> None:
-    ends = tale.ends()
+def all_are_served(scenario: FleetScenario) -> None:
+    ends = scenario.outcome_counts()
     assert ends["asked"] > 0 and ends["served"] == ends["asked"], dict(ends)
 
 
 @then("some requests are lost")
-def some_are_lost(tale: Tale) -> None:
-    ends = tale.ends()
+def some_are_lost(scenario: FleetScenario) -> None:
+    ends = scenario.outcome_counts()
     assert ends["served"] < ends["asked"], dict(ends)
 
 
 @then("every request that a gateway kept has one answer")
-def one_answer(tale: Tale) -> None:
-    answers = [(r.gateway, r.request) for r in tale.seen(Answered)]
+def one_answer(scenario: FleetScenario) -> None:
+    answers = [(r.gateway, r.request) for r in scenario.records_of(ResponseSent)]
     assert answers and len(answers) == len(set(answers))
-    died = {n for n, g in enumerate(tale.world.gateways) if g.died_at > 0}
-    kept = {(r.gateway, r.request) for r in tale.seen(Taken) if r.gateway not in died}
+    died = {n for n, g in enumerate(scenario.emulation.gateways) if g.crashed_at > 0}
+    kept = {(r.gateway, r.request) for r in scenario.records_of(RequestReceived) if r.gateway not in died}
     assert kept <= set(answers)
 
 
 @then(parsers.parse("gateway {number:d} answers requests again after {at:g} s"))
-def answers_again(tale: Tale, number: int, at: float) -> None:
-    served = [r for r in tale.seen(Answered) if r.gateway == number - 1 and r.answer == "served"]
+def answers_again(scenario: FleetScenario, number: int, at: float) -> None:
+    served = [
+        r for r in scenario.records_of(ResponseSent) if r.gateway == number - 1 and r.answer == "served"
+    ]
     assert any(r.at > at * 1000.0 for r in served)
 
 
 @then(parsers.parse("gateway {number:d} takes no request between {begin:g} s and {end:g} s"))
-def takes_none(tale: Tale, number: int, begin: float, end: float) -> None:
-    taken = [r for r in tale.seen(Taken) if r.gateway == number - 1]
+def takes_none(scenario: FleetScenario, number: int, begin: float, end: float) -> None:
+    taken = [r for r in scenario.records_of(RequestReceived) if r.gateway == number - 1]
     assert taken and not [r for r in taken if begin * 1000.0 <= r.at <= end * 1000.0]
 
 
 @then(parsers.parse("build {number:d} is {phase}"))
-def build_is(tale: Tale, number: int, phase: str) -> None:
-    _ = tale.result
-    stands = {(s.build, s.phase) for s in tale.world.platform.history}
+def build_is(scenario: FleetScenario, number: int, phase: str) -> None:
+    _ = scenario.result
+    stands = {(s.build, s.phase) for s in scenario.emulation.platform.history}
     wanted = {"released": Phase.RELEASED, "withdrawn": Phase.ROLLED_BACK}[phase]
     assert (number, wanted) in stands, stands
 
 
 @then(parsers.parse("build {number:d} never gets more than {percent:g}% of the attempts"))
-def build_share(tale: Tale, number: int, percent: float) -> None:
-    sent = tale.seen(Sent)
+def build_share(scenario: FleetScenario, number: int, percent: float) -> None:
+    sent = scenario.records_of(AttemptSent)
     there = sum(r.build == number for r in sent)
     assert 0 < there <= percent / 100 * len(sent), (there, len(sent))
 
 
 @then("no server is pushed over")
-def none_falls(tale: Tale) -> None:
-    assert not [text for _, text in tale.result.events if "pushed over" in text]
+def none_falls(scenario: FleetScenario) -> None:
+    assert not [text for _, text in scenario.result.events if "pushed over" in text]
 
 
 @then(parsers.parse("no attempt goes to a server of build {number:d} after {at:g} s"))
-def none_to(tale: Tale, number: int, at: float) -> None:
-    sent = [r for r in tale.seen(Sent) if r.build == number]
+def none_to(scenario: FleetScenario, number: int, at: float) -> None:
+    sent = [r for r in scenario.records_of(AttemptSent) if r.build == number]
     assert sent and all(r.at <= at * 1000.0 for r in sent)
--- a/tests/stories/steps_ledger.py
+++ b/tests/stories/steps_ledger.py
@@ -4,19 +4,18 @@
 
 from dataclasses import replace
 from functools import partial
-from typing import Any
 
 from pytest_bdd import given, parsers, then, when
 
-from meadowpulley.emulator import World
-from meadowpulley.emulator.ledger import LedgerFigures, Trouble
-from meadowpulley.emulator.together import Place, Together
-from meadowpulley.ledger import How
+from meadowpulley.emulator import Emulation
+from meadowpulley.emulator.ledger import LedgerFault, LedgerModel
+from meadowpulley.emulator.shared_state import SharedState, StageContext
+from meadowpulley.ledger import MemoryStore, TransactionOutcome
+from tests.stories.fleet_scenario import FleetScenario
 from tests.stories.fleets import small_fleet
-from tests.stories.notebook import Claim, Notebook
-from tests.stories.tale import Tale
+from tests.stories.ledger_recorder import Claim, LedgerRecorder
 
-TROUBLES: dict[str, Trouble] = {
+LEDGER_FAULTS: dict[str, LedgerFault] = {
     "full": "full",
     "read-only": "read-only",
     "gone": "gone",
@@ -26,215 +25,232 @@
 }
 
 
-def notebooks(tale: Tale) -> list[Notebook]:
+def recorders(scenario: FleetScenario) -> list[LedgerRecorder]:
     """One for each life that a gateway began, in their order; of all gateways."""
-    _ = tale.result
-    found: list[Notebook] = tale.notebooks
-    return found
+    _ = scenario.result
+    recorders: list[LedgerRecorder] = scenario.notebooks
+    return recorders
 
 
-def of(tale: Tale, number: int) -> Notebook:
+def latest_recorder(scenario: FleetScenario, number: int) -> LedgerRecorder:
     """Of the last life of a gateway."""
-    return [n for n in notebooks(tale) if n.place.life.name == f"g{number - 1}"][-1]
+    return [n for n in recorders(scenario) if n.place.incarnation.name == f"g{number - 1}"][-1]
 
 
-def first_of(tale: Tale, number: int) -> Notebook:
-    return next(n for n in notebooks(tale) if n.place.life.name == f"g{number - 1}")
+def first_recorder(scenario: FleetScenario, number: int) -> LedgerRecorder:
+    return next(n for n in recorders(scenario) if n.place.incarnation.name == f"g{number - 1}")
 
 
 # Given
 
 
 @given(parsers.parse("a fleet of {count:d} gateways that share a ledger, with leases of {term:g} s"))
-def a_fleet_with_a_ledger(tale: Tale, count: int, term: float) -> None:
-    tale.fleet = small_fleet(count)
+def a_fleet_with_a_ledger(scenario: FleetScenario, count: int, term: float) -> None:
+    scenario.fleet = small_fleet(count)
 
-    def make(place: Place) -> Notebook:
-        notebook = Notebook(place)
-        tale.notebooks.append(notebook)
-        return notebook
+    def make(place: StageContext) -> LedgerRecorder:
+        recorder = LedgerRecorder(place)
+        scenario.notebooks.append(recorder)
+        return recorder
 
-    figures = LedgerFigures(term_ms=term * 1000.0, one_machine=False)
-    tale.together = Together(figures, outside=(make,), prefixes=("story/",))
+    figures = LedgerModel(lease_ms=term * 1000.0, single_host=False)
+    scenario.shared_state = SharedState(figures, outer_stages=(make,), prefixes=("story/",))
 
 
 @given("gateways that run on one machine")
-def one_machine(tale: Tale) -> None:
-    assert tale.together is not None
-    tale.together = replace(tale.together, ledger=replace(tale.together.ledger, one_machine=True))
+def one_machine(scenario: FleetScenario) -> None:
+    assert scenario.shared_state is not None
+    scenario.shared_state = replace(
+        scenario.shared_state, ledger_model=replace(scenario.shared_state.ledger_model, single_host=True)
+    )
 
 
 @given("gateways that may stand on many machines")
-def many_machines(tale: Tale) -> None:
+def many_machines(scenario: FleetScenario) -> None:
     """Then nobody knows of an end before the lease tells."""
-    assert tale.together is not None
-    tale.together = replace(tale.together, ledger=replace(tale.together.ledger, one_machine=False))
+    assert scenario.shared_state is not None
+    scenario.shared_state = replace(
+        scenario.shared_state, ledger_model=replace(scenario.shared_state.ledger_model, single_host=False)
+    )
 
 
 # When
 
 
 @when(parsers.parse("gateway {number:d} claims '{name}' at {at:g} s"))
-def claims(tale: Tale, number: int, name: str, at: float) -> None:
-    tale.at(at, lambda world: world.gateways[number - 1].tell(Claim(name)))
+def claims(scenario: FleetScenario, number: int, name: str, at: float) -> None:
+    scenario.call_at(at, lambda world: world.gateways[number - 1].dispatch(Claim(name)))
 
 
 @when(parsers.parse("all gateways claim '{name}' at {at:g} s"))
-def all_claim(tale: Tale, name: str, at: float) -> None:
-    def claim(world: World) -> None:
+def all_claim(scenario: FleetScenario, name: str, at: float) -> None:
+    def claim(world: Emulation) -> None:
         for gateway in world.gateways:
-            gateway.tell(Claim(name))
+            gateway.dispatch(Claim(name))
 
-    tale.at(at, claim)
+    scenario.call_at(at, claim)
 
 
-@when(parsers.re(r"the ledger is (?P<what>[a-z- ]+) from (?P<begin>[\d.]+) s to (?P<end>[\d.]+) s"))
-def ledger_trouble(tale: Tale, what: str, begin: str, end: str) -> None:
-    tale.at(float(begin), partial(_trouble, TROUBLES[what], None))
-    tale.at(float(end), partial(_trouble, None, None))
+@when(parsers.re(r"the ledger is (?P<fault>[a-z- ]+) from (?P<begin>[\d.]+) s to (?P<end>[\d.]+) s"))
+def ledger_fault(scenario: FleetScenario, fault: str, begin: str, end: str) -> None:
+    scenario.call_at(float(begin), partial(_set_fault, LEDGER_FAULTS[fault], None))
+    scenario.call_at(float(end), partial(_set_fault, None, None))
 
 
 @when(
     parsers.re(
-        r"the ledger is (?P<what>[a-z- ]+) for gateway (?P<number>\d+) from (?P<begin>[\d.]+) s to "
+        r"the ledger is (?P<fault>[a-z- ]+) for gateway (?P<number>\d+) from (?P<begin>[\d.]+) s to "
         r"(?P<end>[\d.]+) s"
     )
 )
-def ledger_trouble_for(tale: Tale, what: str, number: str, begin: str, end: str) -> None:
-    tale.at(float(begin), partial(_trouble, TROUBLES[what], int(number) - 1))
-    tale.at(float(end), partial(_trouble, None, int(number) - 1))
+def ledger_fault_for(scenario: FleetScenario, fault: str, number: str, begin: str, end: str) -> None:
+    scenario.call_at(float(begin), partial(_set_fault, LEDGER_FAULTS[fault], int(number) - 1))
+    scenario.call_at(float(end), partial(_set_fault, None, int(number) - 1))
 
 
-def _trouble(what: Trouble | None, number: int | None, world: World) -> None:
+def _set_fault(fault: LedgerFault | None, number: int | None, world: Emulation) -> None:
     assert world.ledger is not None
-    world.ledger.trouble(what, number)
+    world.ledger.set_fault(fault, number)
 
 
 @when(parsers.parse("{count:d} gateways are killed at {at:g} s"))
-def many_killed(tale: Tale, count: int, at: float) -> None:
-    def kill(world: World) -> None:
+def many_killed(scenario: FleetScenario, count: int, at: float) -> None:
+    def kill(world: Emulation) -> None:
         for gateway in world.gateways[:count]:
             gateway.kill()
 
-    tale.at(at, kill)
+    scenario.call_at(at, kill)
 
 
 # Then
 
 
 @then(parsers.parse("exactly one gateway has '{name}'"))
-def exactly_one(tale: Tale, name: str) -> None:
-    assert sum(n.has(name) for n in notebooks(tale)) == 1
+def exactly_one(scenario: FleetScenario, name: str) -> None:
+    assert sum(n.has(name) for n in recorders(scenario)) == 1
 
 
 @then(parsers.parse("gateway {number:d} has '{name}'"))
-def has(tale: Tale, number: int, name: str) -> None:
-    assert of(tale, number).has(name)
+def has(scenario: FleetScenario, number: int, name: str) -> None:
+    assert latest_recorder(scenario, number).has(name)
 
 
 @then(parsers.parse("gateway {number:d} does not have '{name}'"))
-def has_not(tale: Tale, number: int, name: str) -> None:
-    assert name in of(tale, number).claimed and not of(tale, number).has(name)
+def has_not(scenario: FleetScenario, number: int, name: str) -> None:
+    assert name in latest_recorder(scenario, number).claims and not latest_recorder(scenario, number).has(
+        name
+    )
 
 
 @then(parsers.parse("gateway {number:d} does not know whether it has '{name}'"))
-def knows_not(tale: Tale, number: int, name: str) -> None:
-    assert of(tale, number).done[name].how is How.UNKNOWN
+def outcome_unknown(scenario: FleetScenario, number: int, name: str) -> None:
+    assert latest_recorder(scenario, number).results[name].outcome is TransactionOutcome.UNKNOWN
 
 
 @then(parsers.parse("the ledger says that gateway {number:d} has '{name}'"))
-def ledger_says(tale: Tale, number: int, name: str) -> None:
-    record = _store(tale).read(f"story/{name}")
-    assert record is not None and record.by.name == f"g{number - 1}"
+def ledger_says(scenario: FleetScenario, number: int, name: str) -> None:
+    record = _store(scenario).read(f"story/{name}")
+    assert record is not None and record.writer.name == f"g{number - 1}"
 
 
 @then(parsers.parse("nobody has '{name}'"))
-def nobody_has(tale: Tale, name: str) -> None:
-    assert any(name in n.claimed for n in notebooks(tale))
-    assert _store(tale).read(f"story/{name}") is None
+def nobody_has(scenario: FleetScenario, name: str) -> None:
+    assert any(name in n.claims for n in recorders(scenario))
+    assert _store(scenario).read(f"story/{name}") is None
 
 
-def _store(tale: Tale) -> Any:
-    _ = tale.result
-    assert tale.world.ledger is not None
-    return tale.world.ledger.store
+def _store(scenario: FleetScenario) -> MemoryStore:
+    _ = scenario.result
+    assert scenario.emulation.ledger is not None
+    return scenario.emulation.ledger.store
 
 
 @then("no gateway's life is ended")
-def none_ended(tale: Tale) -> None:
-    _ = notebooks(tale)
-    assert not [m for m in _store(tale).members() if m.sealed]
+def none_fenced(scenario: FleetScenario) -> None:
+    _ = recorders(scenario)
+    assert not [m for m in _store(scenario).members() if m.fenced]
 
 
 @then(parsers.parse("gateway {number:d}'s first life is ended by another within {within:g} s of {at:g} s"))
-def is_ended(tale: Tale, number: int, within: float, at: float) -> None:
-    life = first_of(tale, number).place.life
-    last = next(m for m in _store(tale).members() if m.life.name == life.name)
-    assert last.life != life or last.sealed
-    heard = [
+def is_fenced(scenario: FleetScenario, number: int, within: float, at: float) -> None:
+    incarnation = first_recorder(scenario, number).place.incarnation
+    latest = next(m for m in _store(scenario).members() if m.incarnation.name == incarnation.name)
+    assert latest.incarnation != incarnation or latest.fenced
+    notified_at = [
         when
-        for n in notebooks(tale)
-        for when, member in n.suspected
-        if member.life == life and member.sealed and n.place.life.name != life.name
+        for n in recorders(scenario)
+        for when, member in n.expired_leases
+        if member.incarnation == incarnation
+        and member.fenced
+        and n.place.incarnation.name != incarnation.name
     ]
-    assert heard and at * 1000.0 < min(heard) <= (at + within) * 1000.0, heard
+    assert notified_at and at * 1000.0 < min(notified_at) <= (at + within) * 1000.0, notified_at
 
 
 @then(parsers.parse("all lost lives are ended within {within:g} s of {at:g} s"))
-def all_ended(tale: Tale, within: float, at: float) -> None:
-    dead = [n.place.life for n in notebooks(tale) if not tale.gateway(int(n.place.life.name[1:]) + 1).alive]
-    heard = {m.life: when for n in notebooks(tale) for when, m in reversed(n.suspected) if m.sealed}
-    assert dead and all(heard.get(life, 1e9) <= (at + within) * 1000.0 for life in dead), heard
+def all_fenced(scenario: FleetScenario, within: float, at: float) -> None:
+    dead = [
+        n.place.incarnation
+        for n in recorders(scenario)
+        if not scenario.gateway(int(n.place.incarnation.name[1:]) + 1).alive
+    ]
+    notified_at = {
+        m.incarnation: when for n in recorders(scenario) for when, m in reversed(n.expired_leases) if m.fenced
+    }
+    assert dead and all(notified_at.get(life, 1e9) <= (at + within) * 1000.0 for life in dead), notified_at
 
 
 @then(parsers.parse("gateway {number:d} is told that its life was ended, before it claims anything more"))
-def told_of_its_end(tale: Tale, number: int) -> None:
-    notebook = first_of(tale, number)
-    assert notebook.first_told("Ended") >= 0
-    assert not any(notebook.has(name) for name in notebook.claimed)
+def notified_of_fencing(scenario: FleetScenario, number: int) -> None:
+    recorder = first_recorder(scenario, number)
+    assert recorder.first_notified_at("Fenced") >= 0
+    assert not any(recorder.has(name) for name in recorder.claims)
 
 
 @then(parsers.parse("gateway {number:d} is told that the ledger is lost, and later that it is back"))
-def told_lost_and_back(tale: Tale, number: int) -> None:
-    lost, back = of(tale, number).first_told("LedgerLost"), of(tale, number).first_told("LedgerBack")
-    assert 0 <= lost < back
+def notified_of_loss_and_recovery(scenario: FleetScenario, number: int) -> None:
+    lost, recovered = (
+        latest_recorder(scenario, number).first_notified_at("LedgerUnavailable"),
+        latest_recorder(scenario, number).first_notified_at("LedgerRecovered"),
+    )
+    assert 0 <= lost < recovered
 
 
 @then(parsers.parse("gateway {number:d} is never told that the ledger is lost"))
-def never_lost(tale: Tale, number: int) -> None:
-    assert of(tale, number).first_told("LedgerLost") < 0
+def never_lost(scenario: FleetScenario, number: int) -> None:
+    assert latest_recorder(scenario, number).first_notified_at("LedgerUnavailable") < 0
 
 
 @then(parsers.parse("gateway {number:d} has begun {count:d} lives"))
-def lives(tale: Tale, number: int, count: int) -> None:
-    _ = notebooks(tale)
-    assert tale.gateway(number).lives == count
-    life = tale.gateway(number).life
-    assert life is not None and life.epoch == count
+def incarnation_count(scenario: FleetScenario, number: int, count: int) -> None:
+    _ = recorders(scenario)
+    assert scenario.gateway(number).incarnation_count == count
+    incarnation = scenario.gateway(number).incarnation
+    assert incarnation is not None and incarnation.epoch == count
 
 
 @then(parsers.parse("gateway {number:d} may not act on its lease at {at:g} s"))
-def may_not_act(tale: Tale, number: int, at: float) -> None:
-    assert _may_act(tale, number, at) is False
+def does_not_hold_lease(scenario: FleetScenario, number: int, at: float) -> None:
+    assert _holds_lease(scenario, number, at) is False
 
 
 @then(parsers.parse("gateway {number:d} may act on its lease at {at:g} s"))
-def may_act(tale: Tale, number: int, at: float) -> None:
-    assert _may_act(tale, number, at) is True
+def holds_lease(scenario: FleetScenario, number: int, at: float) -> None:
+    assert _holds_lease(scenario, number, at) is True
 
 
-def _may_act(tale: Tale, number: int, at: float) -> bool:
+def _holds_lease(scenario: FleetScenario, number: int, at: float) -> bool:
     """Asked at that moment: the day is played up to it."""
-    tale.world.run_until(at * 1000.0)
-    return bool(tale.gateway(number).balancer.may_act(at * 1000.0))
+    scenario.emulation.run_until(at * 1000.0)
+    return bool(scenario.gateway(number).pipeline.holds_lease(at * 1000.0))
 
 
 @then(parsers.parse("each gateway asks the ledger at most {count:g} times a second"))
-def operations(tale: Tale, count: float) -> None:
-    _ = notebooks(tale)
-    assert tale.world.ledger is not None
-    operations = tale.world.ledger.operations
-    seconds, gateways = tale.result.lasted_ms / 1000.0, len(tale.world.gateways)
-    asked = operations["groups"] + operations["polls"]
-    assert 0 < asked / seconds / gateways <= count, (asked, seconds)
+def operations_bounded(scenario: FleetScenario, count: float) -> None:
+    _ = recorders(scenario)
+    assert scenario.emulation.ledger is not None
+    operations = scenario.emulation.ledger.operations
+    seconds, gateways = scenario.result.elapsed_ms / 1000.0, len(scenario.emulation.gateways)
+    requests = operations["groups"] + operations["polls"]
+    assert 0 < requests / seconds / gateways <= count, (requests, seconds)
     assert operations["read"] / seconds / gateways <= 4 * count, operations
--- a/tests/takeover_fleet.py
+++ b/tests/takeover_fleet.py
@@ -35,36 +35,36 @@
     Timer,
 )
 from meadowpulley.ledger import (
-    Changed,
     Commit,
-    Committed,
-    Done,
-    How,
-    Keeper,
+    CommitCompleted,
+    LeaseManager,
+    LeaseTimings as Lease,
+    LedgerChanged,
     MemoryStore,
     Replace,
-    Step,
-    Terms as Lease,
-    Watched,
+    Transaction,
+    TransactionOutcome,
+    TransactionResult,
+    WatchRequest,
 )
 from meadowpulley.settings_types import DeduplicationScope, Effect, RequestClass
 from meadowpulley.takeover import (
-    OWNER,
-    WATCHED,
-    Adopt,
-    AnswerReady,
-    Drop,
-    Pass,
-    Placed,
-    Taken,
-    Takeover,
-    Terms,
-    Written,
+    COMMIT_OWNER,
+    WATCHED_PREFIXES,
+    AdoptionResult,
+    AdoptRequest,
+    ClientRequest,
+    Deliver,
+    Discard,
+    JournalScope,
+    ResponseReady,
+    TakeoverSettings,
+    TakeoverStage,
 )
 
-TERM = 1000.0
-LOOK = 20.0
-NEVER_RAN = (Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT)
+LEASE_TERM_MS = 1000.0
+POLL_INTERVAL_MS = 20.0
+NOT_EXECUTED_RESULTS = (Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT)
 CLASSES = (
     RequestClass("read", 200.0, 4000.0, Effect.IDEMPOTENT),
     RequestClass("order", 200.0, 4000.0, Effect.IDEMPOTENT_WITH_KEY, DeduplicationScope.ZONE, 3500.0, 2.0),
@@ -85,239 +85,293 @@
 )
 
 
-class Decisions:
+class ScriptedPolicy:
     """Sends each request to server 1, again where what is proven allows it, three times at most."""
 
     def __init__(self) -> None:
-        self.held: dict[int, Request] = {}
-        self.maybe: dict[int, dict[int, float]] = {}
-        self.tries: Counter[int] = Counter()
-        self.seen: list[Request] = []
-        self.waits = self.refuses = False  # finds no server for now; has no room
+        self.in_flight: dict[int, Request] = {}
+        self.possible_executions: dict[int, dict[int, float]] = {}
+        self.attempt_counts: Counter[int] = Counter()
+        self.received: list[Request] = []
+        self.has_no_server = self.rejects = False  # finds no server for now; has no room
         self.now = 0.0
 
     def handle(self, now: float, event: Any) -> list[Any]:
         self.now = now
         if isinstance(event, Request):
-            if self.refuses:
+            if self.rejects:
                 return [Reject(event.request)]
-            self.held[event.request] = event
-            self.seen.append(event)
-            self.tries[event.request] = event.prior_attempt_count
-            self.maybe[event.request] = {-1 - n: t.sent_ms for n, t in enumerate(event.prior_attempts)}
-            return [] if self.waits else self._next(event)
+            self.in_flight[event.request] = event
+            self.received.append(event)
+            self.attempt_counts[event.request] = event.prior_attempt_count
+            self.possible_executions[event.request] = {
+                -1 - n: t.sent_ms for n, t in enumerate(event.prior_attempts)
+            }
+            return [] if self.has_no_server else self._next(event)
         if isinstance(event, Outcome):
-            if event.result in NEVER_RAN:
-                del self.maybe[event.request][event.attempt]
+            if event.result in NOT_EXECUTED_RESULTS:
+                del self.possible_executions[event.request][event.attempt]
             if event.request_complete:
-                self.held.pop(event.request, None)
-            elif event.request in self.held:
-                return self._next(self.held[event.request])
-        elif isinstance(event, ClientDisconnected) and event.request in self.held:
-            del self.held[event.request]
-            return [Cancel(event.request, n) for n in self.maybe[event.request] if n >= 0]
+                self.in_flight.pop(event.request, None)
+            elif event.request in self.in_flight:
+                return self._next(self.in_flight[event.request])
+        elif isinstance(event, ClientDisconnected) and event.request in self.in_flight:
+            del self.in_flight[event.request]
+            return [Cancel(event.request, n) for n in self.possible_executions[event.request] if n >= 0]
         return []
 
-    def _next(self, r: Request) -> list[Any]:
-        cls, maybe = CLASSES[r.class_index], self.maybe[r.request]
-        late = any(self.now - sent >= cls.deduplication_window_ms for sent in maybe.values())
-        barred = maybe and (
-            cls.effect is Effect.NON_IDEMPOTENT or (cls.effect is Effect.IDEMPOTENT_WITH_KEY and late)
+    def _next(self, request: Request) -> list[Any]:
+        request_class, possible = CLASSES[request.class_index], self.possible_executions[request.request]
+        outside_window = any(
+            self.now - sent >= request_class.deduplication_window_ms for sent in possible.values()
         )
-        if barred or self.tries[r.request] >= 3:
-            del self.held[r.request]
-            return [Fail(r.request) if maybe else Reject(r.request, 100.0)]
-        maybe[self.tries[r.request] - r.prior_attempt_count] = self.now  # each life numbers its own from 0
-        self.tries[r.request] += 1
-        return [Send(r.request, 1)]
+        barred = possible and (
+            request_class.effect is Effect.NON_IDEMPOTENT
+            or (request_class.effect is Effect.IDEMPOTENT_WITH_KEY and outside_window)
+        )
+        if barred or self.attempt_counts[request.request] >= 3:
+            del self.in_flight[request.request]
+            return [Fail(request.request) if possible else Reject(request.request, 100.0)]
+        possible[self.attempt_counts[request.request] - request.prior_attempt_count] = (
+            self.now
+        )  # each life numbers its own from 0
+        self.attempt_counts[request.request] += 1
+        return [Send(request.request, 1)]
 
 
 class Gateway:
     def __init__(self, fleet: Fleet, name: str) -> None:
-        self.fleet, self.name, self.offset = fleet, name, 1e5 * (len(fleet.gateways) + 1)
-        self.life = fleet.store.begin(name, TERM)
-        self.decisions = Decisions()
-        self.keeper = Keeper(self.life, Lease(term_ms=TERM), self.decisions)
-        self.stage = Takeover(SETTINGS, self.decisions, self.life, self.keeper.may_act, fleet.terms)
-        self.keeper.inner = self.stage
-        self.up, self.asleep, self.version, self.requests = True, False, 0, 0
-        self.missed: list[Callable[[], None]] = []
-        self.watched: tuple[str, ...] | None = ()
-        self.held: dict[int, tuple[str, int, float]] = {}  # name, class, deadline
-        self.tries: Counter[int] = Counter()
-        self.said: dict[str, list[str]] = {}  # by name, what its clients were answered
-        self.lines: list[str] = []
+        self.fleet, self.name, self.clock_offset_ms = fleet, name, 1e5 * (len(fleet.gateways) + 1)
+        self.incarnation = fleet.store.register(name, LEASE_TERM_MS)
+        self.decisions = ScriptedPolicy()
+        self.lease_manager = LeaseManager(self.incarnation, Lease(term_ms=LEASE_TERM_MS), self.decisions)
+        self.stage = TakeoverStage(
+            SETTINGS, self.decisions, self.incarnation, self.lease_manager.holds_lease, fleet.settings
+        )
+        self.lease_manager.inner = self.stage
+        self.running, self.paused, self.seen_version, self.last_request = True, False, 0, 0
+        self.deferred_calls: list[Callable[[], None]] = []
+        self.watched_incarnations: tuple[str, ...] | None = ()
+        self.requests_by_handle: dict[int, tuple[str, int, float]] = {}  # name, class, deadline
+        self.attempt_counts: Counter[int] = Counter()
+        self.responses: dict[str, list[str]] = {}  # by name, what its clients were answered
+        self.log_lines: list[str] = []
         self.adopted: set[int] = set()
-        self.over: set[int] = set()
-        self.trouble: str = ""  # "unheard": carried out, answer lost; "cut": not even that; "slow"
-        self.before: Callable[[Any], None] = lambda action: None  # called before each action
-        self.do(self.keeper.start(self.now))
-        self.tell(
+        self.finished: set[int] = set()
+        self.ledger_fault: str = ""  # "unheard": carried out, answer lost; "cut": not even that; "slow"
+        self.before_action: Callable[[Any], None] = lambda action: None  # called before each action
+        self.carry_out_all(self.lease_manager.start(self.now))
+        self.dispatch(
             EndpointUpdate(
                 EndpointUpdateKind.FULL, 1, (ServerEntry(1, 0, 0, ServerState.READY, 7, 0, 0, 1.0),)
             )
         )
-        self.look()
+        self.poll()
 
     @property
     def now(self) -> float:
-        return self.fleet.now + self.offset
+        return self.fleet.now + self.clock_offset_ms
 
-    def tell(self, event: Any) -> None:
-        self.do(self.keeper.handle(self.now, event))
+    def dispatch(self, event: Any) -> None:
+        self.carry_out_all(self.lease_manager.handle(self.now, event))
 
-    def do(self, actions: list[Any]) -> None:
+    def carry_out_all(self, actions: list[Any]) -> None:
         for action in actions:
-            self.before(action)
-            if self.up:
-                self.later(0.0, partial(self.act, action)) if self.asleep else self.act(action)
-
-    def later(self, ms: float, call: Callable[[], None]) -> None:
-        def due() -> None:
-            if self.up:
-                self.missed.append(call) if self.asleep else call()
-
-        self.fleet.at(self.fleet.now + ms, due)
-
-    def wake(self) -> None:
-        self.asleep, missed, self.missed = False, self.missed, []
-        for call in missed:
-            call()
-
-    def look(self) -> None:
-        if self.trouble != "cut":
-            changes = self.fleet.store.changes(self.version, WATCHED, self.watched)
-            self.version = changes.version
-            self.tell(Changed(changes, self.now))
-        self.later(LOOK, self.look)
-
-    def act(self, a: Any) -> None:
-        if isinstance(a, SetTimer):
-            self.later(a.delay_ms, lambda: self.tell(Timer(a.token)))
-        elif isinstance(a, Watched):
-            self.watched = a.names
-        elif isinstance(a, Commit):
-            takes = 400.0 if self.trouble == "slow" else 1.0  # one asked for later may be carried out before
-            self.fleet.at(self.fleet.now + takes, lambda: self.commit(a))
-        elif isinstance(a, Send):
-            n, self.tries[a.request] = self.tries[a.request], self.tries[a.request] + 1
-            name, cls, _ = self.held[a.request]
-            self.fleet.sent.setdefault(name, []).append(self.fleet.now)
-            self.fleet.run(self, a.request, n, name, cls)
-        elif isinstance(a, Adopt):
-            self.requests += 1
-            self.held[self.requests] = (a.name, a.cls, a.deadline_ms)
-            self.adopted.add(self.requests)
-            self.fleet.adopted.append((self.name, a.name))
-            self.tell(Placed(a.name, self.requests))
-        elif isinstance(a, Pass | Reject | Fail):
-            name, _, _ = self.held[a.request]
-            word = f"{a.status} {a.body.decode()}" if isinstance(a, Pass) else type(a).__name__
-            if a.request not in self.adopted:
-                self.said.setdefault(name, []).append(word)
-            assert a.request not in self.over, "answered twice"
-            self.over.add(a.request)
-        elif isinstance(a, LogLine):
-            self.lines.append(a.text)
-        elif isinstance(a, Cancel):
-            self.fleet.cancelled.append((self.held[a.request][0], a.attempt))
+            self.before_action(action)
+            if self.running:
+                self.call_later(0.0, partial(self.carry_out, action)) if self.paused else self.carry_out(
+                    action
+                )
+
+    def call_later(self, delay_ms: float, callback: Callable[[], None]) -> None:
+        def run_or_defer() -> None:
+            if self.running:
+                self.deferred_calls.append(callback) if self.paused else callback()
+
+        self.fleet.call_at(self.fleet.now + delay_ms, run_or_defer)
+
+    def resume(self) -> None:
+        self.paused, deferred, self.deferred_calls = False, self.deferred_calls, []
+        for callback in deferred:
+            callback()
+
+    def poll(self) -> None:
+        if self.ledger_fault != "cut":
+            changes = self.fleet.store.changes(self.seen_version, WATCHED_PREFIXES, self.watched_incarnations)
+            self.seen_version = changes.version
+            self.dispatch(LedgerChanged(changes, self.now))
+        self.call_later(POLL_INTERVAL_MS, self.poll)
+
+    def carry_out(self, action: Any) -> None:
+        if isinstance(action, SetTimer):
+            self.call_later(action.delay_ms, lambda: self.dispatch(Timer(action.token)))
+        elif isinstance(action, WatchRequest):
+            self.watched_incarnations = action.names
+        elif isinstance(action, Commit):
+            delay_ms = (
+                400.0 if self.ledger_fault == "slow" else 1.0
+            )  # one asked for later may be carried out before
+            self.fleet.call_at(self.fleet.now + delay_ms, lambda: self.commit(action))
+        elif isinstance(action, Send):
+            attempt, self.attempt_counts[action.request] = (
+                self.attempt_counts[action.request],
+                self.attempt_counts[action.request] + 1,
+            )
+            request_id, class_index, _ = self.requests_by_handle[action.request]
+            self.fleet.sent_at_ms.setdefault(request_id, []).append(self.fleet.now)
+            self.fleet.execute(self, action.request, attempt, request_id, class_index)
+        elif isinstance(action, AdoptRequest):
+            self.last_request += 1
+            self.requests_by_handle[self.last_request] = (
+                action.request_id,
+                action.class_index,
+                action.deadline_ms,
+            )
+            self.adopted.add(self.last_request)
+            self.fleet.adopted.append((self.name, action.request_id))
+            self.dispatch(AdoptionResult(action.request_id, self.last_request))
+        elif isinstance(action, Deliver | Reject | Fail):
+            request_id, _, _ = self.requests_by_handle[action.request]
+            response = (
+                f"{action.status} {action.body.decode()}"
+                if isinstance(action, Deliver)
+                else type(action).__name__
+            )
+            if action.request not in self.adopted:
+                self.responses.setdefault(request_id, []).append(response)
+            assert action.request not in self.finished, "answered twice"
+            self.finished.add(action.request)
+        elif isinstance(action, LogLine):
+            self.log_lines.append(action.text)
+        elif isinstance(action, Cancel):
+            self.fleet.cancelled.append((self.requests_by_handle[action.request][0], action.attempt))
         else:
-            assert isinstance(a, Drop), a
-
-    def commit(self, a: Commit) -> None:
-        mine = a.owner == OWNER  # the trouble is of this stage's commits, unless it is cut off
-        if self.trouble == "cut":
-            done = [Done(How.UNKNOWN)] * len(a.steps)
+            assert isinstance(action, Discard), action
+
+    def commit(self, action: Commit) -> None:
+        from_takeover = (
+            action.owner == COMMIT_OWNER
+        )  # the trouble is of this stage's commits, unless it is cut off
+        if self.ledger_fault == "cut":
+            results = [TransactionResult(TransactionOutcome.UNKNOWN)] * len(action.transactions)
         else:
-            done = self.fleet.store.commit(self.life, a.steps)
-            self.fleet.steps[a.owner] += len(a.steps)
-            for step in [step for step, d in zip(a.steps, done, strict=True) if d.how is How.WON]:
-                self.fleet.won(self, step)
-            claims = [isinstance(s.writes[0], Replace) for s in a.steps]
-            self.fleet.lost += sum(c and d.how is How.LOST for c, d in zip(claims, done, strict=True))
-            if self.trouble == "unheard" and mine:
-                done = [Done(How.UNKNOWN)] * len(a.steps)
-        self.later(1.0, lambda: self.tell(Committed(a.ticket, tuple(done), a.owner)))
-
-    def ask(self, name: str, cls: int, body: bytes = b"b", left: float = 4000.0, repeat: bool = False) -> int:
-        self.requests += 1
-        request = Request(self.requests, cls, 0, 5, self.now + left, client_retry=repeat)
-        self.held[self.requests] = (name, cls, self.now + left)
-        self.tell(Taken(request, name, "POST", f"/{CLASSES[cls].name}", (), body))
-        return self.requests
+            results = self.fleet.store.commit(self.incarnation, action.transactions)
+            self.fleet.transaction_counts[action.owner] += len(action.transactions)
+            for transaction in [
+                step
+                for step, d in zip(action.transactions, results, strict=True)
+                if d.outcome is TransactionOutcome.COMMITTED
+            ]:
+                self.fleet.on_commit(self, transaction)
+            claims = [isinstance(s.writes[0], Replace) for s in action.transactions]
+            self.fleet.lost_replacements += sum(
+                c and d.outcome is TransactionOutcome.CONFLICT for c, d in zip(claims, results, strict=True)
+            )
+            if self.ledger_fault == "unheard" and from_takeover:
+                results = [TransactionResult(TransactionOutcome.UNKNOWN)] * len(action.transactions)
+        self.call_later(
+            1.0, lambda: self.dispatch(CommitCompleted(action.ticket, tuple(results), action.owner))
+        )
+
+    def submit(
+        self,
+        request_id: str,
+        class_index: int,
+        body: bytes = b"b",
+        remaining_ms: float = 4000.0,
+        repeat: bool = False,
+    ) -> int:
+        self.last_request += 1
+        request = Request(self.last_request, class_index, 0, 5, self.now + remaining_ms, client_retry=repeat)
+        self.requests_by_handle[self.last_request] = (request_id, class_index, self.now + remaining_ms)
+        self.dispatch(ClientRequest(request, request_id, "POST", f"/{CLASSES[class_index].name}", (), body))
+        return self.last_request
 
 
 class Fleet:
-    def __init__(self, names: str = "abc", **terms: Any) -> None:
-        self.now, self.calls, self.numbers = 0.0, list[tuple[float, int, Callable[[], None]]](), 0
-        self.store, self.terms = MemoryStore(), replace(Terms(written=Written.ALL), **terms)
-        self.ran: Counter[str] = Counter()  # runs of each effect
-        self.sent: dict[str, list[float]] = {}  # when its attempts went out
+    def __init__(self, names: str = "abc", **settings: Any) -> None:
+        self.now, self.scheduled, self.last_call_number = (
+            0.0,
+            list[tuple[float, int, Callable[[], None]]](),
+            0,
+        )
+        self.store, self.settings = (
+            MemoryStore(),
+            replace(TakeoverSettings(journal_scope=JournalScope.ALL), **settings),
+        )
+        self.executions: Counter[str] = Counter()  # runs of each effect
+        self.sent_at_ms: dict[str, list[float]] = {}  # when its attempts went out
         self.cancelled: list[tuple[str, int]] = []
-        self.steps: Counter[str] = Counter()
-        self.won: Callable[[Gateway, Step], None] = lambda gateway, step: None  # told of each step won
-        self.lost = 0  # records that had changed when they were to be replaced
+        self.transaction_counts: Counter[str] = Counter()
+        self.on_commit: Callable[[Gateway, Transaction], None] = lambda gateway, step: (
+            None
+        )  # told of each step won
+        self.lost_replacements = 0  # records that had changed when they were to be replaced
         self.adopted: list[tuple[str, str]] = []
-        self.takes_ms = 30.0
-        self.answers = [Result.OK]  # each attempt's in turn, the last again and again
+        self.execution_ms = 30.0
+        self.results = [Result.OK]  # each attempt's in turn, the last again and again
         self.gateways: dict[str, Gateway] = {}
         for name in names:
             self.gateways[name] = Gateway(self, name)
-        self.go(300.0)
+        self.advance(300.0)
 
     def __getitem__(self, name: str) -> Gateway:
         return self.gateways[name]
 
-    def at(self, when: float, call: Callable[[], None]) -> None:
-        self.numbers += 1
-        heapq.heappush(self.calls, (when, self.numbers, call))
+    def call_at(self, at_ms: float, callback: Callable[[], None]) -> None:
+        self.last_call_number += 1
+        heapq.heappush(self.scheduled, (at_ms, self.last_call_number, callback))
 
-    def go(self, ms: float) -> Fleet:
-        until = self.now + ms
-        while self.calls and self.calls[0][0] <= until:
-            self.now, _, call = heapq.heappop(self.calls)
-            call()
-        self.now = until
+    def advance(self, duration_ms: float) -> Fleet:
+        until_ms = self.now + duration_ms
+        while self.scheduled and self.scheduled[0][0] <= until_ms:
+            self.now, _, callback = heapq.heappop(self.scheduled)
+            callback()
+        self.now = until_ms
         return self
 
     def kill(self, name: str) -> None:
-        self[name].up = False
+        self[name].running = False
 
-    def pause(self, name: str, ms: float) -> None:
-        self[name].asleep = True
-        self.at(self.now + ms, self[name].wake)
+    def pause(self, name: str, duration_ms: float) -> None:
+        self[name].paused = True
+        self.call_at(self.now + duration_ms, self[name].resume)
 
-    def run(self, gateway: Gateway, request: int, n: int, name: str, cls: int) -> None:
+    def execute(
+        self, gateway: Gateway, request: int, attempt: int, request_id: str, class_index: int
+    ) -> None:
         """An attempt arrives at the instance; its end is told if its gateway still lives."""
-        result = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
-        self.ran[name] += result not in NEVER_RAN
-        answer = f"run {self.ran[name]}".encode()
+        result = self.results.pop(0) if len(self.results) > 1 else self.results[0]
+        self.executions[request_id] += result not in NOT_EXECUTED_RESULTS
+        body = f"run {self.executions[request_id]}".encode()
 
-        def end() -> None:
+        def finish() -> None:
             served = result is Result.OK
             if served:
-                gateway.tell(AnswerReady(request, 200, (), answer))
-            gateway.tell(Outcome(request, n, 1, result, self.takes_ms, request_complete=served))
+                gateway.dispatch(ResponseReady(request, 200, (), body))
+            gateway.dispatch(Outcome(request, attempt, 1, result, self.execution_ms, request_complete=served))
 
-        gateway.later(self.takes_ms, end)
+        gateway.call_later(self.execution_ms, finish)
 
-    def said(self, name: str) -> list[str]:
+    def responses(self, request_id: str) -> list[str]:
         """What the clients of that id were answered, at whichever gateway."""
-        return [word for g in self.gateways.values() for word in g.said.get(name, [])]
+        return [word for g in self.gateways.values() for word in g.responses.get(request_id, [])]
 
-    def records(self, prefix: str = "takeover/") -> list[str]:
+    def record_keys(self, prefix: str = "takeover/") -> list[str]:
         return [r.key for r in self.store.scan(prefix)]
 
 
-def stop_at(fleet: Fleet, kind: type, skip: int, stop: Callable[[], None], name: str = "a") -> None:
+def interrupt_at(
+    fleet: Fleet, action_type: type, skip: int, interrupt: Callable[[], None], name: str = "a"
+) -> None:
     """Calls `stop` right before that gateway's action of that kind (a commit: of takeover's), once `skip` of
     them have passed."""
-    left = [skip]
+    remaining = [skip]
 
     def before(action: Any) -> None:
-        if isinstance(action, kind) and getattr(action, "owner", OWNER) == OWNER:
-            left[0] -= 1
-            if left[0] == -1:
-                stop()
+        if isinstance(action, action_type) and getattr(action, "owner", COMMIT_OWNER) == COMMIT_OWNER:
+            remaining[0] -= 1
+            if remaining[0] == -1:
+                interrupt()
 
-    fleet[name].before = before
+    fleet[name].before_action = before
--- a/tests/test_adopted.py
+++ b/tests/test_adopted.py
@@ -23,7 +23,7 @@
     ServerState,
     SetTimer,
 )
-from tests.driver import CLASSES, LIMITS, ROLLOUT, SAFE, UNSAFE, Driver, entry, sends, settings
+from tests.driver import CLASSES, LIMITS, ROLLOUT, SAFE, UNSAFE, Driver, sends, server_entry, settings
 
 KEYED, ZONED, CELLED = 2, 3, 4
 MORE = (
@@ -39,53 +39,57 @@
 
 
 def gateway(count: int = 4, rollout: Rollout = ROLLOUT, limits: Limits = LIMITS) -> Driver:
-    d = Driver(settings(classes=MORE, rollout=rollout, limits=limits))
-    d.now = 10_000.0
-    d.listed(entry(n) for n in range(count))
-    return d
+    driver = Driver(settings(classes=MORE, rollout=rollout, limits=limits))
+    driver.now = 10_000.0
+    driver.update_endpoints(server_entry(n) for n in range(count))
+    return driver
 
 
 def adopt(
-    d: Driver, cls: int, tried: Sequence[PriorAttempt] = (), tries: int = 0, key: int = 0
+    driver: Driver,
+    class_index: int,
+    prior_attempts: Sequence[PriorAttempt] = (),
+    attempt_count: int = 0,
+    key: int = 0,
 ) -> list[Action]:
-    d.last += 1
-    tries = max(tries, len(tried))
-    return d.give(
+    driver.last_request += 1
+    attempt_count = max(attempt_count, len(prior_attempts))
+    return driver.handle(
         Request(
-            d.last,
-            cls,
+            driver.last_request,
+            class_index,
             0,
             key,
-            d.now + 2000.0,
+            driver.now + 2000.0,
             adopted=True,
-            prior_attempt_count=tries,
-            prior_attempts=tuple(tried),
+            prior_attempt_count=attempt_count,
+            prior_attempts=tuple(prior_attempts),
         )
     )
 
 
-def became(d: Driver, actions: list[Action]) -> tuple[str, float]:
+def first_decision(driver: Driver, actions: list[Action]) -> tuple[str, float]:
     """What was done with a request first, and how long it took."""
-    began = d.now
-    while d.now <= began + 2000.0:
+    began = driver.now
+    while driver.now <= began + 2000.0:
         for a in actions:
             if isinstance(a, Send | Reject | Fail):
-                return type(a).__name__, d.now - began
-        d.now += 50.0
-        actions = d.tick()
-    return "nothing", d.now - began
+                return type(a).__name__, driver.now - began
+        driver.now += 50.0
+        actions = driver.fire_timer()
+    return "nothing", driver.now - began
 
 
 @pytest.mark.parametrize(
-    ("cls", "tried", "tries", "what", "at_once"),
+    ("class_index", "prior_attempts", "attempt_count", "what", "at_once"),
     [
         (SAFE, [], 0, "Send", True),
         (SAFE, [HERE], 1, "Send", True),
         (SAFE, [HERE, LONG_AGO], MOST - 1, "Send", True),
-        (SAFE, [HERE], MOST, "Refuse", True),
+        (SAFE, [HERE], MOST, "Reject", True),
         (UNSAFE, [], 0, "Send", True),
         (UNSAFE, [], 2, "Send", True),  # two that are known never to have run
-        (UNSAFE, [], MOST, "Refuse", True),
+        (UNSAFE, [], MOST, "Reject", True),
         (UNSAFE, [HERE], 1, "Fail", True),
         (UNSAFE, [LONG_AGO], 1, "Fail", True),
         (KEYED, [HERE], 1, "Send", True),
@@ -102,88 +106,103 @@
     ],
 )
 def test_what_becomes_of_a_request_taken_over(
-    cls: int, tried: list[PriorAttempt], tries: int, what: str, at_once: bool
+    class_index: int, prior_attempts: list[PriorAttempt], attempt_count: int, what: str, at_once: bool
 ) -> None:
-    d = gateway()
-    found, took = became(d, adopt(d, cls, tried, tries))
-    assert (found, took == 0.0) == (what, at_once)
-    assert took <= 250.0 and (found == "Send") == bool(d.b.held)
+    driver = gateway()
+    found, elapsed_ms = first_decision(driver, adopt(driver, class_index, prior_attempts, attempt_count))
+    assert (found, elapsed_ms == 0.0) == (what, at_once)
+    assert elapsed_ms <= 250.0 and (found == "Send") == bool(driver.policy.in_flight)
 
 
 @pytest.mark.parametrize(
-    ("cls", "tried", "answer"),
+    ("class_index", "prior_attempts", "answer"),
     [(SAFE, [HERE], Reject), (UNSAFE, [], Reject), (UNSAFE, [HERE], Fail), (KEYED, [HERE], Fail)],
 )
 def test_without_room_only_what_cannot_have_run_is_refused(
-    cls: int, tried: list[PriorAttempt], answer: type[Action]
+    class_index: int, prior_attempts: list[PriorAttempt], answer: type[Action]
 ) -> None:
-    d = gateway()
-    d.b.room = -1.0
-    assert [type(a) for a in adopt(d, cls, tried) if not isinstance(a, SetTimer)] == [answer]
+    driver = gateway()
+    driver.policy.concurrency_limit = -1.0
+    assert [type(a) for a in adopt(driver, class_index, prior_attempts) if not isinstance(a, SetTimer)] == [
+        answer
+    ]
 
 
 def test_attempts_are_numbered_from_0_here_and_count_with_the_earlier_ones() -> None:
-    d = gateway()
-    d.b.retries_left = 10.0
-    todo = sends(adopt(d, SAFE, [HERE], MOST - 2))
+    driver = gateway()
+    driver.policy.retry_budget = 10.0
+    pending_sends = sends(adopt(driver, SAFE, [HERE], MOST - 2))
     numbers, answers = [], list[Action]()
-    while todo:
-        numbers += [n for _, n in d.b.attempts]
-        answers = d.end(todo[0], Result.ERROR)
-        todo = sends(answers)
+    while pending_sends:
+        numbers += [n for _, n in driver.policy.attempts]
+        answers = driver.finish(pending_sends[0], Result.ERROR)
+        pending_sends = sends(answers)
     assert numbers == [0, 1] and Reject(1, 500.0) in answers
 
 
 def test_a_first_attempt_here_that_never_ran_leaves_the_earlier_life_s_standing() -> None:
-    d = gateway()
-    [send] = sends(adopt(d, KEYED, [replace(HERE, sent_ms=d.now - WINDOW_MS + 100.0)]))
-    d.now += 120.0  # the server's memory of the first is over by now
-    assert Fail(1) in d.end(send, Result.CONNECT_FAILED)
+    driver = gateway()
+    [send] = sends(adopt(driver, KEYED, [replace(HERE, sent_ms=driver.now - WINDOW_MS + 100.0)]))
+    driver.now += 120.0  # the server's memory of the first is over by now
+    assert Fail(1) in driver.finish(send, Result.CONNECT_FAILED)
 
 
 def test_servers_tried_before_come_last() -> None:
     for seed in range(20):
-        d = gateway(3)
-        d.b.rng.seed(seed)
-        [send] = sends(adopt(d, SAFE, [replace(HERE, server=0), replace(HERE, server=2)]))
+        driver = gateway(3)
+        driver.policy.rng.seed(seed)
+        [send] = sends(adopt(driver, SAFE, [replace(HERE, server=0), replace(HERE, server=2)]))
         assert send.server == 1
 
 
 def test_what_it_leaves_is_called_off_here_and_nowhere_else() -> None:
-    d = gateway()
-    [send] = sends(adopt(d, SAFE, [HERE]))
-    assert [a for a in d.give(ClientDisconnected(send.request)) if isinstance(a, Cancel)] == [Cancel(1, 0)]
+    driver = gateway()
+    [send] = sends(adopt(driver, SAFE, [HERE]))
+    assert [a for a in driver.handle(ClientDisconnected(send.request)) if isinstance(a, Cancel)] == [
+        Cancel(1, 0)
+    ]
 
 
 @pytest.mark.parametrize("adopted", [False, True])
 def test_no_allowance_on_the_trial_build_and_no_share_in_what_is_learnt_of_demand(adopted: bool) -> None:
-    d = gateway()
-    d.listed([*(entry(n) for n in range(4)), entry(10, 42, 1.0), entry(11, 42, 1.0)])
-    d.news(42, 1, 0.5)
-    d.b.retries_left = 0.0
+    driver = gateway()
+    driver.update_endpoints(
+        [*(server_entry(n) for n in range(4)), server_entry(10, 42, 1.0), server_entry(11, 42, 1.0)]
+    )
+    driver.update_rollout(42, 1, 0.5)
+    driver.policy.retry_budget = 0.0
     trial = 0
     for _ in range(60):
-        d.now += 10.0
-        for send in sends(adopt(d, SAFE) if adopted else d.ask(SAFE)):
+        driver.now += 10.0
+        for send in sends(adopt(driver, SAFE) if adopted else driver.request(SAFE)):
             trial += send.server >= 10
-            d.end(send)
+            driver.finish(send)
     assert (trial <= ROLLOUT.exposure_allowance) is adopted
-    assert (d.b.taken.value(d.now) == 0.0) is adopted and (d.b.retries_left == 0.0) is adopted
+    assert (driver.policy.request_rate.value(driver.now) == 0.0) is adopted and (
+        driver.policy.retry_budget == 0.0
+    ) is adopted
 
 
 def test_a_key_stays_with_the_trial_build_that_may_have_answered_it() -> None:
     rollout = replace(ROLLOUT, monotonic_keys=True)
-    for tried, least in ((replace(HERE, build=42), 42), (HERE, 41)):
+    for prior_attempts, least in ((replace(HERE, build=42), 42), (HERE, 41)):
         builds = set()
         for seed in range(30):
-            d = gateway(rollout=rollout)
-            d.b.rng.seed(seed)
-            d.listed([*(entry(n) for n in range(4)), entry(10, 42, 1.0), entry(11, 42, 1.0)])
-            d.news(42, 1, 0.5)
-            for send in (*sends(adopt(d, SAFE, [tried], key=5)), *sends(d.ask(SAFE, key=5))):
-                builds.add(d.b.servers[send.server].build)
+            driver = gateway(rollout=rollout)
+            driver.policy.rng.seed(seed)
+            driver.update_endpoints(
+                [*(server_entry(n) for n in range(4)), server_entry(10, 42, 1.0), server_entry(11, 42, 1.0)]
+            )
+            driver.update_rollout(42, 1, 0.5)
+            for send in (
+                *sends(adopt(driver, SAFE, [prior_attempts], key=5)),
+                *sends(driver.request(SAFE, key=5)),
+            ):
+                builds.add(driver.policy.servers[send.server].build)
         assert min(builds) == least and max(builds) == 42
     alone = gateway(rollout=rollout)
-    alone.listed([*(entry(n) for n in range(4)), entry(10, 42, 1.0, state=ServerState.DRAINING)])
-    alone.news(42, 1, 0.5)
-    assert became(alone, adopt(alone, SAFE, [replace(HERE, build=42)], key=5))[0] == "Refuse"
+    alone.update_endpoints(
+        [*(server_entry(n) for n in range(4)), server_entry(10, 42, 1.0, state=ServerState.DRAINING)]
+    )
+    alone.update_rollout(42, 1, 0.5)
+    assert first_decision(alone, adopt(alone, SAFE, [replace(HERE, build=42)], key=5))[0] == "Reject"
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -8,25 +8,25 @@
 import pytest
 from msgspec.structs import replace
 
-from meadowpulley.check import (
+from meadowpulley.model_checking import (
     CheckpointError,
     Coverage,
+    ModelSettings,
     Search,
-    Setting,
-    explore as explorer,
-    make_world,
-    mutate,
-    story as stories,
+    counterexample as stories,
+    make_model,
+    mutation,
+    search as explorer,
 )
-from meadowpulley.check.choices import Choices, ScriptError, alternatives
-from meadowpulley.check.connection import SCENES as CONNECTIONS
-from meadowpulley.check.mutants import MUTANTS
-from meadowpulley.check.plant import hunt_all
-from meadowpulley.check.scenes import SCENES
+from meadowpulley.model_checking.choices import ChoiceScriptError, ScriptedRandom, alternatives
+from meadowpulley.model_checking.connection_model import CONFIGURATIONS as CONNECTIONS
+from meadowpulley.model_checking.mutants import MUTANTS
+from meadowpulley.model_checking.mutation_testing import run_mutants
+from meadowpulley.model_checking.policy_model.configurations import CONFIGURATIONS
 
 KEPT = sorted((Path(__file__).parent / "counterexamples").glob("*.json"))
-TINY = Setting(scene="attempts", gateways=1, servers=2, requests=1, troubles=1, waits=1)
-PAIR = Setting(scene="release", gateways=2, servers=2, requests=2, troubles=0, waits=1)
+TINY = ModelSettings(configuration="attempts", gateways=1, servers=2, requests=1, faults=1, time_advances=1)
+PAIR = ModelSettings(configuration="release", gateways=2, servers=2, requests=2, faults=0, time_advances=1)
 FAST = (
     "unsafe-retried",
     "drain-edge",
@@ -42,7 +42,7 @@
 )
 
 
-def search(setting: Setting, workers: int = 1, **more: Any) -> Coverage:
+def search(setting: ModelSettings, workers: int = 1, **more: Any) -> Coverage:
     one = Search(setting, workers=workers, **more)
     try:
         return one.run()
@@ -50,21 +50,21 @@
         one.close()
 
 
-def end_states(setting: Setting) -> set[Any]:
+def end_states(setting: ModelSettings) -> set[Any]:
     """The states that a search comes to just after time has moved: whatever order led there."""
-    found, world = set(), make_world(setting)
+    found, world = set(), make_model(setting)
     todo, seen = [world], {world.fingerprint()}
     while todo:
         world = todo.pop()
-        for step in world.steps():
+        for step in world.enabled_steps():
             scripts: list[tuple[int, ...]] = [()]
             while scripts:
                 script = scripts.pop()
                 after = world.copy()
-                made, among = after.take(replace(step, draws=script))
+                made, among = after.apply(replace(step, draws=script))
                 scripts += alternatives(made, among, len(script))
                 mark = after.fingerprint()
-                if step.do == "wait":
+                if step.action == "wait":
                     found.add(mark)
                 if mark not in seen:
                     seen.add(mark)
@@ -75,33 +75,35 @@
 # Nothing breaks within small bounds
 
 
-@pytest.mark.parametrize("scene", SCENES)
+@pytest.mark.parametrize("scene", CONFIGURATIONS)
 def test_no_property_of_the_decisions_breaks_within_small_bounds(scene: str) -> None:
-    setting = Setting(scene=scene, gateways=1, servers=2, requests=2, troubles=1, waits=1)
-    coverage = Search(setting, workers=1).run(depth=3 if scene == "all" else 4)
+    setting = ModelSettings(configuration=scene, gateways=1, servers=2, requests=2, faults=1, time_advances=1)
+    coverage = Search(setting, workers=1).run(max_depth=3 if scene == "all" else 4)
     assert coverage.counterexample is None, coverage.counterexample
     assert coverage.states > 50
 
 
 @pytest.mark.parametrize("scene", CONNECTIONS)
 def test_no_property_of_a_connection_breaks_within_small_bounds(scene: str) -> None:
-    setting = Setting(world="connection", scene=scene, servers=1, requests=1, troubles=1, waits=1)
-    coverage = Search(setting, workers=1).run(depth=4)
+    setting = ModelSettings(
+        model="connection", configuration=scene, servers=1, requests=1, faults=1, time_advances=1
+    )
+    coverage = Search(setting, workers=1).run(max_depth=4)
     assert coverage.counterexample is None, coverage.counterexample
     assert coverage.states > 10
 
 
 @pytest.mark.parametrize("file", KEPT, ids=[p.stem for p in KEPT])
 def test_a_kept_counterexample_breaks_nothing_today(file: Path) -> None:
-    assert not stories.broken_of(stories.read_tale(file))
+    assert not stories.violations_of(stories.read_counterexample(file))
 
 
 # Planted bugs
 
 
 def test_planted_bugs_are_found_by_the_property_meant_for_them() -> None:
-    found = hunt_all(FAST, [1, 2], 60.0, workers=4)
-    assert [(c.mutant, c.seed) for c in found if not c.expected] == []
+    found = run_mutants(FAST, [1, 2], 60.0, workers=4)
+    assert [(c.mutant, c.seed) for c in found if not c.as_expected] == []
     shortest = {c.mutant: len(c.steps) for c in found if c.seed == 1}
     assert all(len(c.steps) == shortest[c.mutant] for c in found)  # breadth first: whatever the order
 
@@ -109,14 +111,14 @@
 def test_every_mutant_can_be_planted_and_there_are_enough() -> None:
     assert len(MUTANTS) >= 40
     for mutant in MUTANTS.values():
-        mutate.check(mutant)
+        mutation.check_replacements(mutant)
 
 
 def test_a_mutant_whose_piece_is_gone_is_named() -> None:
     piece = (("no such line", ""),)
-    stale = mutate.Mutant("stale", "", "meadowpulley.balance", piece, ("answers",), "attempts")
-    with pytest.raises(mutate.MutantError, match=r"mutant stale: 'no such line' stands 0 times"):
-        mutate.check(stale)
+    stale = mutation.Mutant("stale", "", ("meadowpulley.policy",), piece, ("answers",), "attempts")
+    with pytest.raises(mutation.MutantError, match=r"mutant stale: 'no such line' stands 0 times"):
+        mutation.check_replacements(stale)
 
 
 # Reductions
@@ -125,7 +127,7 @@
 def test_the_same_is_reached_without_hashing() -> None:
     hashed, whole = search(TINY), search(replace(TINY, hashed=False))
     assert hashed.complete and whole.complete and hashed.states == whole.states
-    assert [v.states for v in hashed.levels] == [v.states for v in whole.levels]
+    assert [v.new_states for v in hashed.levels] == [v.new_states for v in whole.levels]
 
 
 def test_symmetry_merges_states_and_hides_no_kind_of_state() -> None:
@@ -133,20 +135,20 @@
     assert merged.complete and plain.complete and merged.states < plain.states
     named = replace(TINY, symmetry=False)
     kinds = set()
-    todo, seen = [make_world(named)], set()
+    todo, seen = [make_model(named)], set()
     while todo:  # every plain state, written in canonical form, is one of the merged ones
         world = todo.pop()
-        for step in world.steps():
+        for step in world.enabled_steps():
             scripts: list[tuple[int, ...]] = [()]
             while scripts:
                 script = scripts.pop()
                 after: Any = world.copy()
-                made, among = after.take(replace(step, draws=script))
+                made, among = after.apply(replace(step, draws=script))
                 scripts += alternatives(made, among, len(script))
                 mark = after.fingerprint()
-                after.setting = TINY
+                after.settings = TINY
                 kinds.add(after.fingerprint())
-                after.setting = named
+                after.settings = named
                 if mark not in seen:
                     seen.add(mark)
                     todo.append(after)
@@ -155,15 +157,17 @@
 
 def test_the_order_of_gateways_within_a_moment_hides_no_state() -> None:
     plain = replace(PAIR, symmetry=False)
-    ordered, free = end_states(plain), end_states(replace(plain, ordered=False))
+    ordered, free = end_states(plain), end_states(replace(plain, ordered_gateways=False))
     assert ordered == free and len(ordered) > 10
 
 
 def test_workers_and_seeds_change_nothing_but_the_time() -> None:
-    setting = replace(TINY, requests=2, waits=0)
+    setting = replace(TINY, requests=2, time_advances=0)
     one, many = search(setting, seed=1), search(setting, workers=2, seed=9)
     assert one.complete and many.complete
-    assert [(v.states, v.taken) for v in one.levels] == [(v.states, v.taken) for v in many.levels]
+    assert [(v.new_states, v.transitions) for v in one.levels] == [
+        (v.new_states, v.transitions) for v in many.levels
+    ]
 
 
 # Checkpoints and bounds
@@ -172,7 +176,7 @@
 def test_an_interrupted_search_goes_on_from_its_checkpoint(tmp_path: Path) -> None:
     whole, path = search(TINY), tmp_path / "check.point"
     first = Search(TINY, workers=1, checkpoint=path)
-    assert first.run(depth=2).stopped == "the depth of 2 steps"
+    assert first.run(max_depth=2).stop_reason == "the depth of 2 steps"
     second = Search(TINY, workers=1, checkpoint=path)
     done = second.run()
     assert done.complete and done.states == whole.states
@@ -185,42 +189,42 @@
 
 def test_a_checkpoint_of_other_code_is_refused(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     path = tmp_path / "check.point"
-    Search(TINY, workers=1, checkpoint=path).run(depth=1)
+    Search(TINY, workers=1, checkpoint=path).run(max_depth=1)
     monkeypatch.setattr(explorer, "code_digest", lambda: "other")
     with pytest.raises(CheckpointError, match="the code under test has changed"):
         Search(TINY, workers=1, checkpoint=path)
 
 
 def test_seeded_walks_go_deeper_and_are_the_same_again() -> None:
-    setting = replace(PAIR, requests=4, troubles=2, waits=4)
+    setting = replace(PAIR, requests=4, faults=2, time_advances=4)
     walks = [Search(setting, seed=3, workers=1).walk(6, 40) for _ in range(2)]
-    assert walks[0].walked == walks[1].walked > 6 * 5 and walks[0].counterexample is None
+    assert walks[0].walk_steps == walks[1].walk_steps > 6 * 5 and walks[0].counterexample is None
 
 
 def test_paths_are_packed_and_unpacked() -> None:
-    path = explorer.pack(3, (0, 2)) + explorer.pack(700, ()) + explorer.pack(0, (1,))
-    assert explorer.unpack(path) == [(3, (0, 2)), (700, ()), (0, (1,))]
+    path = explorer.pack_step(3, (0, 2)) + explorer.pack_step(700, ()) + explorer.pack_step(0, (1,))
+    assert explorer.unpack_path(path) == [(3, (0, 2)), (700, ()), (0, (1,))]
 
 
 # Chance
 
 
 def test_draws_are_explored_to_the_last() -> None:
-    choices, seen = Choices(), set()
+    choices, seen = ScriptedRandom(), set()
     scripts: list[tuple[int, ...]] = [()]
     while scripts:
         script = scripts.pop()
         choices.begin(script)
         pair = choices.sample([1, 2, 3], 2)
         seen.add((frozenset(pair), choices.random() < 0.5))
-        scripts += alternatives(choices.made, choices.among, len(script))
+        scripts += alternatives(choices.chosen, choices.option_counts, len(script))
     assert len(seen) == 6
 
 
 def test_a_draw_that_nobody_explores_is_named_and_a_script_that_does_not_fit_is_refused() -> None:
-    choices = Choices()
+    choices = ScriptedRandom()
     with pytest.raises(AttributeError, match="'gauss', which is not explored"):
         choices.gauss(0, 1)
     choices.begin((7,))
-    with pytest.raises(ScriptError, match="draw 1 is one of 2, not number 7"):
+    with pytest.raises(ChoiceScriptError, match="draw 1 is one of 2, not number 7"):
         choices.random()
--- a/tests/test_check_rare.py
+++ b/tests/test_check_rare.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from meadowpulley.check import Search, Setting
-from meadowpulley.check.connection import Connection, request_text
-from meadowpulley.check.connection.scenes import GONE_MS, LATE_MS
-from meadowpulley.check.plant import hunt_all
-from meadowpulley.check.worlds import Step
+from meadowpulley.model_checking import ModelSettings, Search
+from meadowpulley.model_checking.connection_model import ConnectionModel, request_bytes_of
+from meadowpulley.model_checking.connection_model.configurations import DISCONNECT_GRACE_MS, LATE_RESPONSE_MS
+from meadowpulley.model_checking.model import Step
+from meadowpulley.model_checking.mutation_testing import run_mutants
 
 DEEP = {"signals": (2, 1), "backlog": (2, 2), "halves": (1, 1), "late": (1, 2), "lists": (1, 1)}
 PLANTED = (
@@ -20,75 +20,90 @@
     "unasked-kept",
     "missing-kept",
 )
-CONNECT, ASK = Step("connect", (0,)), Step("write", (0, len(request_text("get", "c0r0"))))
+CONNECT, ASK = Step("connect", (0,)), Step("write", (0, len(request_bytes_of("get", "c0r0"))))
 
 
-def world(scene: str, *steps: Step) -> Connection:
-    w = Connection(Setting(world="connection", scene=scene, servers=1, requests=1, troubles=3, waits=3))
+def world(scene: str, *steps: Step) -> ConnectionModel:
+    w = ConnectionModel(
+        ModelSettings(
+            model="connection", configuration=scene, servers=1, requests=1, faults=3, time_advances=3
+        )
+    )
     for step in steps:
-        assert step in w.steps(), (step, w.steps())
-        w.take(step)
-        assert not w.broken, w.broken
+        assert step in w.enabled_steps(), (step, w.enabled_steps())
+        w.apply(step)
+        assert not w.violations, w.violations
     return w
 
 
 @pytest.mark.parametrize("scene", DEEP)
 def test_no_order_of_a_rare_moment_breaks_a_property(scene: str) -> None:
-    troubles, waits = DEEP[scene]
-    setting = Setting(world="connection", scene=scene, servers=1, requests=1, troubles=troubles, waits=waits)
+    faults, time_advances = DEEP[scene]
+    setting = ModelSettings(
+        model="connection",
+        configuration=scene,
+        servers=1,
+        requests=1,
+        faults=faults,
+        time_advances=time_advances,
+    )
     coverage = Search(setting, workers=1).run()
     assert coverage.counterexample is None, coverage.counterexample
     assert coverage.complete and coverage.states > 300
 
 
 def test_bugs_planted_in_rare_moments_are_found_by_the_property_meant_for_them() -> None:
-    found = hunt_all(PLANTED, [1], 60.0, workers=2)
-    assert [(c.mutant, c.by, c.text) for c in found if not c.expected or c.how != "exhaustive"] == []
+    found = run_mutants(PLANTED, [1], 60.0, workers=2)
+    assert [
+        (c.mutant, c.violated_property, c.text)
+        for c in found
+        if not c.as_expected or c.search_method != "exhaustive"
+    ] == []
 
 
 def test_a_request_in_the_kernel_is_unread_until_the_reactors_turn() -> None:
     w = world("signals", Step("listen"), CONNECT, Step("unread", (0,)))
-    wire = w.clients[0].wire
-    assert wire is not None and wire.pending and not w.served[0].wire.sent
-    w.take(Step("turn"))
-    assert not wire.pending and w.served[0].wire.sent
+    wire = w.clients[0].transport
+    assert wire is not None and wire.unread and not w.instance_connections[0].transport.received_by_peer
+    w.apply(Step("turn"))
+    assert not wire.unread and w.instance_connections[0].transport.received_by_peer
 
 
 def test_who_waits_to_be_accepted_is_accepted_in_one_turn_and_read_in_the_next() -> None:
     w = world("backlog", Step("queue", (0,)))
-    assert w.clients[0].wire is None and Step("connect", (0,)) not in w.steps()
-    w.take(Step("turn"))
-    assert w.clients[0].wire is not None and not w.served[0].wire.sent
-    w.take(Step("turn"))
-    assert w.served[0].wire.sent
+    assert w.clients[0].transport is None and Step("connect", (0,)) not in w.enabled_steps()
+    w.apply(Step("turn"))
+    assert w.clients[0].transport is not None and not w.instance_connections[0].transport.received_by_peer
+    w.apply(Step("turn"))
+    assert w.instance_connections[0].transport.received_by_peer
 
 
 def test_a_client_is_gone_at_once_if_it_is_read_and_else_once_it_is_written_to() -> None:
     w = world("halves", CONNECT, ASK, Step("leave", (0,)))
-    assert all(k.address for k in w.reactor.wires)
+    assert all(k.address for k in w.reactor.transports)
     w = world("halves", CONNECT, ASK)
-    wire = w.clients[0].wire
+    wire = w.clients[0].transport
     assert wire is not None
     wire.stopReading()
-    w.take(Step("leave", (0,)))
-    assert wire.up and w.now + GONE_MS < w._edge("gone")
-    w.take(Step("answer", (0, "ok")))
-    assert not wire.up
+    w.apply(Step("leave", (0,)))
+    assert wire.connected and w.now + DISCONNECT_GRACE_MS < w._edge_time("gone")
+    w.apply(Step("answer", (0, "ok")))
+    assert not wire.connected
 
 
 def test_a_second_answer_comes_a_few_milliseconds_late_at_most() -> None:
     w = world("late", CONNECT, ASK, Step("answer", (0, "ok")))
-    assert Step("again", (0,)) in w.steps()
-    w.reactor.advance(w.now + LATE_MS + 1.0)
-    assert Step("again", (0,)) not in w.steps()
+    assert Step("again", (0,)) in w.enabled_steps()
+    w.reactor.advance(w.now + LATE_RESPONSE_MS + 1.0)
+    assert Step("again", (0,)) not in w.enabled_steps()
 
 
 def test_an_answer_of_discovery_holds_what_was_true_when_it_was_made() -> None:
     w = world(
         "lists", Step("fetch"), Step("make", (1,)), Step("change", (0, "terminating")), Step("make", (0,))
     )
-    assert [c.made["index"] for c in w.calls if c.made] == [2, 1]
-    w.take(Step("deliver", (0,)))
-    assert list(w.told) == [("127.0.0.1", 9001)]
-    w.take(Step("deliver", (1,)))  # the older list untells nothing
-    assert list(w.told) == [("127.0.0.1", 9001)]
+    assert [c.prepared_response["index"] for c in w.discovery_connections if c.prepared_response] == [2, 1]
+    w.apply(Step("deliver", (0,)))
+    assert list(w.notified_at) == [("127.0.0.1", 9001)]
+    w.apply(Step("deliver", (1,)))  # the older list untells nothing
+    assert list(w.notified_at) == [("127.0.0.1", 9001)]
--- a/tests/test_check_worlds.py
+++ b/tests/test_check_worlds.py
@@ -9,16 +9,16 @@
 import pytest
 from click.testing import CliRunner, Result
 
-from meadowpulley.balance import Balancer
-from meadowpulley.check import Setting, story as stories
-from meadowpulley.check.connection import Connection, cuts_of, request_text
-from meadowpulley.check.decisions import Decisions
-from meadowpulley.check.graph import Copier, Forms, Walker, digest
-from meadowpulley.check.worlds import Step
 from meadowpulley.cli import main
 from meadowpulley.interface import Action, ClientDisconnected, Event, GossipReceived, Request, SendGossip
+from meadowpulley.model_checking import ModelSettings, counterexample as stories
+from meadowpulley.model_checking.connection_model import ConnectionModel, cut_points, request_bytes_of
+from meadowpulley.model_checking.graph import Copier, FormRules, FormWriter, fingerprint_of
+from meadowpulley.model_checking.model import Step
+from meadowpulley.model_checking.policy_model import PolicyModel
+from meadowpulley.policy import RolloutPolicy
 
-TINY = Setting(scene="attempts", gateways=1, servers=2, requests=1, troubles=1, waits=1)
+TINY = ModelSettings(configuration="attempts", gateways=1, servers=2, requests=1, faults=1, time_advances=1)
 
 
 def run(*args: object) -> Result:
@@ -29,30 +29,30 @@
 
 
 def test_a_copy_of_a_balancer_is_its_own_and_decides_the_same() -> None:
-    world = Decisions(Setting(scene="release", gateways=1, requests=3))
-    world.take(Step("ask", (0, 0)))
+    world = PolicyModel(ModelSettings(configuration="release", gateways=1, requests=3))
+    world.apply(Step("ask", (0, 0)))
     twin = world.copy()
     before = world.fingerprint()
     assert twin.fingerprint() == before
-    twin.take(Step("ask", (0, 1)))
+    twin.apply(Step("ask", (0, 1)))
     assert world.fingerprint() == before != twin.fingerprint()
     again = world.copy()
-    again.take(Step("ask", (0, 1)))
+    again.apply(Step("ask", (0, 1)))
     assert again.fingerprint() == twin.fingerprint()
 
 
 def test_a_copied_connection_world_goes_on_as_the_played_one() -> None:
-    setting = Setting(world="connection", scene="unsafe", servers=1, requests=1)
-    length = len(request_text("post", "c0r0"))
+    setting = ModelSettings(model="connection", configuration="unsafe", servers=1, requests=1)
+    length = len(request_bytes_of("post", "c0r0"))
     steps = [Step("connect", (0,)), Step("write", (0, 1)), Step("write", (0, length))]
-    played, copied = Connection(setting), Connection(setting)
+    played, copied = ConnectionModel(setting), ConnectionModel(setting)
     for step in steps:
         copied = copied.copy()
-        assert played.take(step) == copied.take(step) == ((), ())
+        assert played.apply(step) == copied.apply(step) == ((), ())
         assert played.fingerprint() == copied.fingerprint()
-    copied.take(Step("answer", (0, "ok")))
+    copied.apply(Step("answer", (0, "ok")))
     assert played.fingerprint() != copied.fingerprint()
-    assert ("gateway", "client 0", "answers 200") in copied.heard
+    assert ("gateway", "client 0", "answers 200") in copied.messages
 
 
 class Thing:
@@ -67,23 +67,23 @@
     twin = Copier().copy(thing)
     twin.parts.append(4)
     assert twin.me is twin and twin.call() is twin.parts and len(thing.parts) == 2
-    forms = Forms({}, {})
-    assert Walker(forms).walk(thing) != Walker(forms).walk(twin)
-    assert digest(Walker(forms).walk(thing)) == digest(Walker(forms).walk(Thing()))
+    forms = FormRules({}, {})
+    assert FormWriter(forms).write(thing) != FormWriter(forms).write(twin)
+    assert fingerprint_of(FormWriter(forms).write(thing)) == fingerprint_of(FormWriter(forms).write(Thing()))
 
 
 def test_a_new_field_of_the_decisions_makes_another_state() -> None:
-    world = Decisions(TINY)
+    world = PolicyModel(TINY)
     before = world.fingerprint()
-    host = world.hosts[0] = world.hosts[0].copy()
-    host.balancer.some_new_note = 1
+    host = world.gateways[0] = world.gateways[0].copy()
+    host.policy.some_new_note = 1
     assert world.fingerprint() != before
 
 
 # The worlds
 
 
-class Talker(Balancer):
+class Talker(RolloutPolicy):
     """Decisions that tell their peers of each request: today's never do."""
 
     heard = 0
@@ -96,31 +96,35 @@
 
 
 def test_datagrams_arrive_get_lost_and_come_again() -> None:
-    world = Decisions(Setting(scene="all", gateways=2, troubles=3), make=Talker)
-    world.take(Step("ask", (0, 0)))
-    world.take(Step("repeat_datagram", (0, 0)))
-    world.take(Step("datagram", (0, 0)))
-    world.take(Step("ask", (1, 1)))
-    world.take(Step("lose_datagram", (1, 0)))
-    assert [h.balancer.heard for h in world.hosts] == [0, 2]
+    world = PolicyModel(ModelSettings(configuration="all", gateways=2, faults=3), make_policy=Talker)
+    world.apply(Step("ask", (0, 0)))
+    world.apply(Step("repeat_datagram", (0, 0)))
+    world.apply(Step("datagram", (0, 0)))
+    world.apply(Step("ask", (1, 1)))
+    world.apply(Step("lose_datagram", (1, 0)))
+    assert [h.policy.heard for h in world.gateways] == [0, 2]
 
 
 def test_edges_are_met_just_before_at_and_just_after() -> None:
-    world = Decisions(Setting(scene="members", gateways=1, requests=1, troubles=1, waits=9))
-    world.take(Step("drain", (1,)))
-    world.take(Step("list", (0, 1)))
-    places = {s.who: s for s in world.steps() if s.do == "wait" and s.who[0] == "drain"}
+    world = PolicyModel(
+        ModelSettings(configuration="members", gateways=1, requests=1, faults=1, time_advances=9)
+    )
+    world.apply(Step("drain", (1,)))
+    world.apply(Step("list", (0, 1)))
+    places = {
+        s.arguments: s for s in world.enabled_steps() if s.action == "wait" and s.arguments[0] == "drain"
+    }
     assert set(places) == {("drain", "before"), ("drain", "at"), ("drain", "after")}
     began = world.now
     for place, at in (("before", 99.0), ("at", 100.0), ("after", 101.0)):
         twin = world.copy()
-        twin.take(Step("wait", ("drain", place)))
+        twin.apply(Step("wait", ("drain", place)))
         assert twin.now - began == at
 
 
 def test_requests_are_cut_at_the_boundaries_that_matter() -> None:
-    text = request_text("post", "c0r0")
-    cuts = cuts_of(text)
+    text = request_bytes_of("post", "c0r0")
+    cuts = cut_points(text)
     line, head = text.find(b"\r\n"), text.find(b"\r\n\r\n")
     assert {1, line + 1, line + 2, head + 3, head + 4, len(text)} <= set(cuts) and cuts == tuple(sorted(cuts))
 
@@ -147,7 +151,10 @@
 def test_a_kept_counterexample_is_played_by_the_tests(tale: Path, tmp_path: Path) -> None:
     done = run("check", "keep", tale, "--into", tmp_path, "--json")
     kept = Path(json.loads(done.stdout)["file"])
-    assert kept.read_bytes() == tale.read_bytes() and stories.broken_of(stories.read_tale(kept)) == []
+    assert (
+        kept.read_bytes() == tale.read_bytes()
+        and stories.violations_of(stories.read_counterexample(kept)) == []
+    )
     assert run("check", "keep", tale, "--into", tmp_path).exit_code == 2
 
 
@@ -159,14 +166,16 @@
 
 
 def test_shrinking_leaves_out_what_is_not_needed() -> None:
-    class Leaky(Balancer):
+    class Leaky(RolloutPolicy):
         def handle(self, now: float, event: Event) -> list[Action]:  # what left is kept: the planted bug
             return [] if isinstance(event, ClientDisconnected) else super().handle(now, event)
 
-    def worlds(setting: Setting, **_: Any) -> Decisions:
-        return Decisions(setting, make=Leaky)
+    def worlds(setting: ModelSettings, **_: Any) -> PolicyModel:
+        return PolicyModel(setting, make_policy=Leaky)
 
-    setting = Setting(scene="members", gateways=2, servers=1, requests=2, troubles=2, ordered=False)
+    setting = ModelSettings(
+        configuration="members", gateways=2, servers=1, requests=2, faults=2, ordered_gateways=False
+    )
     steps = (
         Step("gone", (1,)),
         Step("ask", (1, 1)),
@@ -175,14 +184,14 @@
         Step("leave", (0, 1)),
     )
     patch = pytest.MonkeyPatch()
-    patch.setattr(stories, "make_world", worlds)
+    patch.setattr(stories, "make_model", worlds)
     try:
-        long = stories.still_breaks(setting, steps, "leftovers")
+        long = stories.violating_prefix(setting, steps, "leftovers")
         assert long is not None and len(long) == 5
-        found = stories.shrink(stories.Tale(1, setting, "leftovers", "", long))
+        found = stories.shrink(stories.Counterexample(1, setting, "leftovers", "", long))
     finally:
         patch.undo()
-    assert [s.do for s in found.steps] == ["gone", "list", "ask", "leave"]
+    assert [s.action for s in found.steps] == ["gone", "list", "ask", "leave"]
 
 
 @pytest.mark.parametrize(
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -8,17 +8,6 @@
 
 import pytest
 
-from meadowpulley.drill.codec import (
-    Batch,
-    Kill,
-    Ledger,
-    Reply,
-    Topology,
-    Up,
-    WireError,
-    read_batch,
-    records,
-)
 from meadowpulley.interface import (
     Action,
     BuildStatistics,
@@ -54,16 +43,27 @@
     Watch,
 )
 from meadowpulley.settings import SettingsError, parse_settings
-from tests import wire
-from tests.wire import event, f32, f64, u8, u16, u32, u64
+from meadowpulley.simulator_adapter.codec import (
+    ActionReply,
+    EventBatch,
+    FrameError,
+    LedgerUpdate,
+    ServerLedger,
+    StartGateway,
+    StopGateway,
+    read_batch,
+    read_records,
+)
+from tests import simulator_frames
+from tests.simulator_frames import event, f32, f64, u8, u16, u32, u64
 
 RID = 0x00006ED05D3A91C4
 
 
 def one(raw: bytes, tail: bytes = b"") -> tuple[int | None, object]:
-    batch = read_batch(io.BytesIO(wire.batch(240.0, [raw], tail)))
+    batch = read_batch(io.BytesIO(simulator_frames.batch(240.0, [raw], tail)))
     assert batch is not None and batch.clock_ms == 240.0
-    [(gateway, record, _)] = list(records(batch))
+    [(gateway, record, _)] = list(read_records(batch))
     return gateway, record
 
 
@@ -77,7 +77,7 @@
 
 
 def test_every_event_is_read() -> None:
-    assert one(event(17, u32(3))) == (3, Kill())
+    assert one(event(17, u32(3))) == (3, StopGateway())
     assert one(event(19, u32(3), u64(77))) == (3, Timer(77))
     assert one(event(25, u32(3), u64(RID))) == (3, ClientDisconnected(RID))
     assert one(event(27, u32(3), u64(RID), u8(1), u32(2), u64(9), f64(5.0), f64(7.0), u8(6))) == (
@@ -101,16 +101,19 @@
     pong = event(16, u32(3), u32(8), u16(200), f64(1.5), u8(1), f32(4.0))
     assert one(pong) == (3, ProbeResult(8, Result.OK, 1.5, (4.0,)))
     assert one(event(20, u32(3), u32(2), u32(1), u32(2)), b"xhi") == (3, GossipReceived(2, b"hi"))
-    assert one(event(29, u32(3), u8(2), u32(5), u32(41))) == (3, Topology(EndpointUpdateKind.CACHED, 5, 41))
+    assert one(event(29, u32(3), u8(2), u32(5), u32(41))) == (
+        3,
+        LedgerUpdate(EndpointUpdateKind.CACHED, 5, 41),
+    )
 
 
 def test_a_ledger_reads_its_entries() -> None:
-    tail = bytes.fromhex("03124a07 0000 00 02 42240000 0000000000000000 0000 3f800000") + wire.entry(
-        9, state=1, build=42, started=6100.0, cell=3, zone=1
-    )
+    tail = bytes.fromhex(
+        "03124a07 0000 00 02 42240000 0000000000000000 0000 3f800000"
+    ) + simulator_frames.endpoint(9, state=1, build=42, started=6100.0, cell=3, zone=1)
     assert one(event(18, u32(2), u32(0), u32(2)), tail) == (
         None,
-        Ledger(
+        ServerLedger(
             2,
             (
                 ServerEntry(0x03124A07, 0, 0, ServerState.READY, 41, 0.0, 0, 1.0),
@@ -122,9 +125,9 @@
 
 def test_an_instance_starts_with_its_settings() -> None:
     report = {"columns": ["busy_reqs", "new"], "source": "inline"}
-    raw = wire.settings(**{"not-yet-known": {"a": 1}, "report": report})
+    raw = simulator_frames.settings(**{"not-yet-known": {"a": 1}, "report": report})
     gateway, up = one(event(22, u32(3), u64(5), u32(0), u32(len(raw))), raw)
-    assert gateway == 3 and isinstance(up, Up) and up.seed == 5
+    assert gateway == 3 and isinstance(up, StartGateway) and up.seed == 5
     s = up.settings
     assert [c.effect for c in s.classes] == [
         Effect.IDEMPOTENT,
@@ -175,7 +178,7 @@
 
 
 def test_every_action_is_written_as_the_tables_say() -> None:
-    reply = Reply()
+    reply = ActionReply()
     actions: list[tuple[Action, bytes]] = [
         (Send(RID, 0x03124A07, 80.0), u8(20) + u32(3) + u64(RID) + u32(0x03124A07) + f64(80.0)),
         (SetTimer(500.0, 77), u8(27) + u32(3) + f64(500.0) + u64(77)),
@@ -193,8 +196,8 @@
         (LogLine("two"), u8(26) + u32(3) + u32(4) + u32(3)),
     ]
     for action, _ in actions:
-        reply.add(3, action)
-    reply.fault(5, "bad")
+        reply.add_action(3, action)
+    reply.add_fault(5, "bad")
     body = b"".join(raw.ljust(32, b"\0") for _, raw in actions)
     body += (u8(28) + u32(5) + u32(7) + u32(3)).ljust(32, b"\0") + b"hiyotwobad"
     assert reply.encode() == u32(8 + len(body)) + u32(len(actions) + 1) + body
@@ -202,8 +205,8 @@
 
 def test_an_empty_batch_and_its_reply() -> None:
     raw = bytes.fromhex("40c06e2000000000 00000010 00000000")
-    assert read_batch(io.BytesIO(raw)) == Batch(8412.25, b"", b"", 0)
-    assert Reply().encode() == bytes.fromhex("00000008 00000000")
+    assert read_batch(io.BytesIO(raw)) == EventBatch(8412.25, b"", b"", 0)
+    assert ActionReply().encode() == bytes.fromhex("00000008 00000000")
 
 
 @pytest.mark.parametrize(
@@ -217,7 +220,7 @@
     ],
 )
 def test_bad_frames_are_named(raw: bytes, text: str) -> None:
-    with pytest.raises(WireError, match=text):
+    with pytest.raises(FrameError, match=text):
         read_batch(io.BytesIO(raw))
 
 
@@ -235,23 +238,23 @@
     ],
 )
 def test_bad_records_are_named(raw: bytes, text: str) -> None:
-    with pytest.raises(WireError, match=text):
+    with pytest.raises(FrameError, match=text):
         one(raw)
 
 
 def run(raw: bytes) -> subprocess.CompletedProcess[bytes]:
-    command = [sys.executable, "-m", "meadowpulley.drill"]
+    command = [sys.executable, "-m", "meadowpulley.simulator_adapter"]
     return subprocess.run(command, input=raw, capture_output=True, timeout=60)
 
 
 def test_the_adapter_ends_cleanly_between_frames_and_in_error_inside_one() -> None:
-    clean = run(wire.batch(1.0, []))
+    clean = run(simulator_frames.batch(1.0, []))
     assert (clean.returncode, clean.stdout, clean.stderr) == (0, bytes.fromhex("0000000800000000"), b"")
-    cut = run(wire.batch(1.0, []) + b"\0\0")
+    cut = run(simulator_frames.batch(1.0, []) + b"\0\0")
     assert cut.returncode != 0 and cut.stderr.count(b"\n") == 1 and b"ended inside" in cut.stderr
 
 
 def test_the_adapter_names_an_unknown_instance_and_writes_no_half_reply() -> None:
-    bad = run(wire.batch(1.0, [event(19, u32(5), u64(1))]))
+    bad = run(simulator_frames.batch(1.0, [event(19, u32(5), u64(1))]))
     assert bad.returncode != 0 and bad.stdout == b""
     assert bad.stderr == b"meadowpulley: record 0 (code 19): no instance 5\n"
--- a/tests/test_compile.py
+++ b/tests/test_compile.py
@@ -9,33 +9,33 @@
 import sys
 from pathlib import Path
 
-from tests.standins import LIMIT_S, ROOT
+from tests.standins import ROOT, TIMEOUT_S
 
 COMPILE = ROOT / "deploy" / "compile.py"
-HOT: tuple[str, ...] = runpy.run_path(str(COMPILE))["HOT"]
+HOT_MODULES: tuple[str, ...] = runpy.run_path(str(COMPILE))["HOT"]
 
 
-def test_a_build_holds_every_hot_module_compiled() -> None:
+def test_a_build_contains_every_hot_module_compiled() -> None:
     subprocess.run([sys.executable, str(COMPILE)], check=True)
-    names = [f"meadowpulley.{name.removesuffix('.py').replace('/', '.')}" for name in HOT]
-    show = "import importlib, sys\nfor n in sys.argv[1:]: print(importlib.import_module(n).__file__)"
-    shown = subprocess.run(
-        [sys.executable, "-P", "-c", show, *names],
+    module_names = [f"meadowpulley.{name.removesuffix('.py').replace('/', '.')}" for name in HOT_MODULES]
+    script = "import importlib, sys\nfor n in sys.argv[1:]: print(importlib.import_module(n).__file__)"
+    result = subprocess.run(
+        [sys.executable, "-P", "-c", script, *module_names],
         cwd=ROOT,
         capture_output=True,
         text=True,
         check=True,
         env={**os.environ, "PYTHONPATH": ".venv/gateway"},
     )
-    plain = [
+    uncompiled = [
         file
-        for file in shown.stdout.split()
+        for file in result.stdout.split()
         if not file.endswith(".so") or not Path(file).is_relative_to(ROOT / ".venv" / "gateway")
     ]
-    assert names and len(shown.stdout.split()) == len(names) and plain == []
+    assert module_names and len(result.stdout.split()) == len(module_names) and uncompiled == []
 
 
-def test_a_plain_build_says_so_each_time_and_is_tried_again(tmp_path: Path) -> None:
+def test_an_uncompiled_build_warns_each_time_and_is_retried(tmp_path: Path) -> None:
     # It was stamped as whole: once compilers were there it stayed plain, and nothing said so any more.
     shutil.copytree(ROOT / "deploy", tmp_path / "deploy")
     shutil.copytree(ROOT / "meadowpulley", tmp_path / "meadowpulley")
@@ -45,20 +45,26 @@
 
     def build(compiler: str) -> str:
         mypyc.write_text(compiler)
-        done = subprocess.run(
+        result = subprocess.run(
             [sys.executable, str(tmp_path / "deploy" / "compile.py")],
             capture_output=True,
             text=True,
             check=True,
             env={**os.environ, "PYTHONPATH": str(mypyc.parent)},
-            timeout=LIMIT_S * 3,
+            timeout=TIMEOUT_S * 3,
         )
-        return done.stderr
+        return result.stderr
 
-    make = "import sys\nfor name in sys.argv[{}:]: open(name.replace('.py', '.cpython.so'), 'w').close()"
-    for broken in ("raise SystemExit(1)", "raise SystemExit(1)", make.format(2)):  # the last leaves one out
+    compiler_template = (
+        "import sys\nfor name in sys.argv[{}:]: open(name.replace('.py', '.cpython.so'), 'w').close()"
+    )
+    for broken in (
+        "raise SystemExit(1)",
+        "raise SystemExit(1)",
+        compiler_template.format(2),
+    ):  # the last leaves one out
         assert "PLAIN" in build(broken) and "slower" in build(broken)
         assert not list((tmp_path / ".venv" / "gateway").rglob("*.so"))
-    assert build(make.format(1)) == ""
-    assert len(list((tmp_path / ".venv" / "gateway").rglob("*.so"))) == len(HOT)
+    assert build(compiler_template.format(1)) == ""
+    assert len(list((tmp_path / ".venv" / "gateway").rglob("*.so"))) == len(HOT_MODULES)
     assert build("raise SystemExit(1)") == ""  # whole: not built again
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -10,8 +10,17 @@
 from click.testing import CliRunner, Result
 
 from meadowpulley.cli import main
-from meadowpulley.experiment import Cell, LoadSpec, Row, Store, interval, paired, run_cells, wilson
-from tests.test_capacity import SMALL, fleet
+from meadowpulley.experiment import (
+    Cell,
+    LoadSpec,
+    ResultStore,
+    RunResult,
+    confidence_interval,
+    paired_differences,
+    run_cells,
+    wilson_interval,
+)
+from tests.test_capacity import SMALL_FLEET, make_fleet
 
 PLAN = """
 version = 1
@@ -29,7 +38,7 @@
 
 
 def cells(seconds: float = 4.0) -> list[Cell]:
-    return [Cell("c", fleet(), LoadSpec(per_s=20.0, seconds=seconds), seed) for seed in (1, 2, 3)]
+    return [Cell("c", make_fleet(), LoadSpec(per_s=20.0, seconds=seconds), seed) for seed in (1, 2, 3)]
 
 
 def run(*args: object) -> Result:
@@ -38,11 +47,11 @@
 
 def test_a_run_that_was_cut_off_goes_on_where_it_was(tmp_path: Path) -> None:
     path = tmp_path / "runs.jsonl"
-    whole = run_cells(cells(), Store(path), workers=1)
+    whole = run_cells(cells(), ResultStore(path), workers=1)
     raw = path.read_bytes()
     for cut in (0, 1, len(raw) // 2, len(raw) - 1, len(raw)):
         path.write_bytes(raw[:cut])
-        store = Store(path)
+        store = ResultStore(path)
         kept = len(store.rows)
         ran: list[int] = []
         again = run_cells(cells(), store, workers=1, progress=lambda done, of, ran=ran: ran.append(done))  # type: ignore[misc]
@@ -55,40 +64,40 @@
 
 
 def test_the_key_of_a_run_is_all_that_decides_it_and_not_its_name() -> None:
-    one = Cell("a", fleet(), LoadSpec(per_s=20.0), 1)
-    assert one.key == Cell("b", fleet(), LoadSpec(per_s=20.0), 1).key
+    one = Cell("a", make_fleet(), LoadSpec(per_s=20.0), 1)
+    assert one.key == Cell("b", make_fleet(), LoadSpec(per_s=20.0), 1).key
     others = [
-        Cell("a", fleet(), LoadSpec(per_s=21.0), 1),
-        Cell("a", fleet(), LoadSpec(per_s=20.0), 2),
-        Cell("a", fleet(name="other"), LoadSpec(per_s=20.0), 1),
-        Cell("a", fleet(), LoadSpec(per_s=20.0), 1, refuses=False),
+        Cell("a", make_fleet(), LoadSpec(per_s=21.0), 1),
+        Cell("a", make_fleet(), LoadSpec(per_s=20.0), 2),
+        Cell("a", make_fleet(name="other"), LoadSpec(per_s=20.0), 1),
+        Cell("a", make_fleet(), LoadSpec(per_s=20.0), 1, limits_concurrency=False),
     ]
     assert len({one.key, *(o.key for o in others)}) == 5
 
 
 def test_pairs_find_a_change_that_the_spread_between_seeds_hides() -> None:
     rows = [
-        Row("", name, seed, {"x": 10.0 * seed + change, "y": 5.0}, {})
+        RunResult("", name, seed, {"x": 10.0 * seed + change, "y": 5.0}, {})
         for seed in range(1, 9)
         for name, change in (("a", 0.0), ("b", 0.5 + 0.01 * seed))
     ]
-    x, y = paired(rows, "a", "b")
-    assert x.clear and x.change.low < 0.545 < x.change.high and x.change.half < 0.05
-    assert not y.clear and y.change.mean == 0
+    x, y = paired_differences(rows, "a", "b")
+    assert x.significant and x.change.low < 0.545 < x.change.high and x.change.half_width < 0.05
+    assert not y.significant and y.change.mean == 0
     with pytest.raises(ValueError, match="share 0 seeds"):
-        paired(rows, "a", "c")
+        paired_differences(rows, "a", "c")
 
 
 def test_intervals() -> None:
-    over = interval([1.0, 2.0, 3.0, 4.0, 5.0])
+    over = confidence_interval([1.0, 2.0, 3.0, 4.0, 5.0])
     assert over.mean == 3.0 and over.low == pytest.approx(3 - 1.963, abs=1e-3)
-    assert interval([1.0]).half == float("inf")
-    none = wilson(0, 100)
+    assert confidence_interval([1.0]).half_width == float("inf")
+    none = wilson_interval(0, 100)
     assert none.low == pytest.approx(0.0, abs=1e-9) and none.high == pytest.approx(0.0370, abs=1e-4)
 
 
 def test_the_commands_run_compare_and_report(tmp_path: Path) -> None:
-    (tmp_path / "small.toml").write_bytes(SMALL)
+    (tmp_path / "small.toml").write_bytes(SMALL_FLEET)
     plan = tmp_path / "two.toml"
     plan.write_text(PLAN)
     out = tmp_path / "out"
@@ -122,7 +131,7 @@
     ],
 )
 def test_a_bad_experiment_is_one_line(tmp_path: Path, old: str, new: str, told: str) -> None:
-    (tmp_path / "small.toml").write_bytes(SMALL)
+    (tmp_path / "small.toml").write_bytes(SMALL_FLEET)
     plan = tmp_path / "bad.toml"
     plan.write_text(PLAN.replace(old, new))
     done = run("experiment", "run", plan, "--out", tmp_path / "out")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,16 +6,16 @@
 
 import pytest
 
-from meadowpulley.cli.demo import FLEET, demo_fleet
+from meadowpulley.cli.demo import FLEET_TOML, demo_fleet
 from meadowpulley.emulator import parse_scenario
-from meadowpulley.fleet import FleetError, parse_fleet, settings_of
+from meadowpulley.fleet import FleetError, gateway_settings, parse_fleet
 from meadowpulley.interface import Effect
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
 
 @pytest.mark.parametrize(
-    ("old", "new", "told"),
+    ("old", "new", "expected"),
     [
         ("version = 1", "", "version: missing; put 'version = 1' at the top"),
         ("version = 1", "version = 7", "version: 7 is not known here"),
@@ -42,16 +42,16 @@
         ("version = 1", "version = ", "no TOML: "),
     ],
 )
-def test_a_bad_fleet_is_one_line_that_names_file_place_and_remedy(old: str, new: str, told: str) -> None:
-    assert old in FLEET
+def test_invalid_fleet_error_names_file_place_and_remedy(old: str, new: str, expected: str) -> None:
+    assert old in FLEET_TOML
     with pytest.raises(FleetError) as error:
-        parse_fleet(FLEET.replace(old, new, 1).encode(), "fleet.toml")
-    assert told in str(error.value) and str(error.value).startswith("fleet.toml: ")
+        parse_fleet(FLEET_TOML.replace(old, new, 1).encode(), "fleet.toml")
+    assert expected in str(error.value) and str(error.value).startswith("fleet.toml: ")
     assert "\n" not in str(error.value)
 
 
 @pytest.mark.parametrize(
-    ("text", "told"),
+    ("text", "expected"),
     [
         ('[[faults]]\nkind = "flood"\nat_ms = 1\nfor_ms = 1', "faults[0].kind: "),
         ('[[faults]]\nkind = "site_cut"\nat_ms = 1\nfor_ms = 1', "faults[0].site: missing"),
@@ -62,22 +62,22 @@
         ('[[releases]]\nat_ms = 1\nbuild = { number = 2, fails_class = "swim" }', "'swim' is no class"),
     ],
 )
-def test_a_bad_scenario_is_one_line_too(text: str, told: str) -> None:
+def test_invalid_scenario_error_names_file_place_and_remedy(text: str, expected: str) -> None:
     with pytest.raises(FleetError) as error:
         parse_scenario(f"version = 1\n{text}\n".encode(), "day.toml", demo_fleet())
-    assert told in str(error.value) and "\n" not in str(error.value)
+    assert expected in str(error.value) and "\n" not in str(error.value)
 
 
-def test_the_examples_are_valid_and_say_what_a_gateway_is_told() -> None:
+def test_examples_are_valid_and_give_gateway_settings() -> None:
     fleet = parse_fleet((EXAMPLES / "three-sites.toml").read_bytes(), "three-sites.toml")
     parse_scenario((EXAMPLES / "hard-day.toml").read_bytes(), "hard-day.toml", fleet)
-    told = settings_of(fleet, 2)
-    assert (told.gateway_index, told.gateway_count, told.zone, told.zones) == (
+    settings = gateway_settings(fleet, 2)
+    assert (settings.gateway_index, settings.gateway_count, settings.zone, settings.zones) == (
         2,
         3,
         2,
         ("hobart-cbd", "glenorchy", "kingston"),
     )
-    assert [c.effect for c in told.classes] == [Effect.IDEMPOTENT, Effect.NON_IDEMPOTENT]
-    assert told.rules.slow_start_initial_fraction == 0.5 and told.rollout.caps == (0.17, 0.68, 1.0)
+    assert [c.effect for c in settings.classes] == [Effect.IDEMPOTENT, Effect.NON_IDEMPOTENT]
+    assert settings.rules.slow_start_initial_fraction == 0.5 and settings.rollout.caps == (0.17, 0.68, 1.0)
     assert fleet.capacity() == 4 * 3 + 2 * 3 + 3 * 2 + 5 * 2
--- a/tests/test_full_fleet.py
+++ b/tests/test_full_fleet.py
@@ -6,59 +6,65 @@
 from dataclasses import replace
 from random import Random
 
-from meadowpulley.balance import TELLERS
 from meadowpulley.interface import EndpointUpdateKind, Reject, Result, Send, SendGossip
-from tests.driver import LIMITS, RULES, SAFE, Driver, entry, sends, settings
+from meadowpulley.policy.evidence import GOSSIP_SENDERS
+from tests.driver import LIMITS, RULES, SAFE, Driver, sends, server_entry, settings
 
 GATEWAYS, SERVERS, ZONES = 200, 100, 3
 FLEET = replace(LIMITS, gossip=True, idle_timeout_ms=30_000.0)
 
 
-def gateway(me: int, cold: bool = False) -> Driver:
+def gateway(gateway_index: int, cold: bool = False) -> Driver:
     """One of many that knows a hundred servers in three zones, the first twenty of them perhaps cold."""
-    wanted = settings(limits=FLEET, balancers=GATEWAYS)
-    d = Driver(replace(wanted, gateway_index=me, zone=me % ZONES, zones=("a", "b", "c")), seed=me)
-    d.now = 10_000.0
-    d.listed(entry(n, started=9_000.0 if cold and n < 20 else 0.0, zone=n % ZONES) for n in range(SERVERS))
-    return d
-
-
-def play(fleet: list[Driver], seconds: float, per_s: float = 2.0) -> list[tuple[Driver, int]]:
+    wanted = settings(limits=FLEET, gateway_count=GATEWAYS)
+    driver = Driver(
+        replace(wanted, gateway_index=gateway_index, zone=gateway_index % ZONES, zones=("a", "b", "c")),
+        seed=gateway_index,
+    )
+    driver.now = 10_000.0
+    driver.update_endpoints(
+        server_entry(n, started_ms=9_000.0 if cold and n < 20 else 0.0, zone=n % ZONES)
+        for n in range(SERVERS)
+    )
+    return driver
+
+
+def run_fleet(fleet: list[Driver], seconds: float, per_s: float = 2.0) -> list[tuple[Driver, int]]:
     """Who sent to whom. Each answer is there before the next request."""
     rng, sent = Random(5), list[tuple[Driver, int]]()
     for _ in range(int(seconds * 20)):
-        for d in fleet:
-            d.now += 50.0
+        for driver in fleet:
+            driver.now += 50.0
             if rng.random() < per_s / 20:
-                for send in sends(d.ask(SAFE)):
-                    sent.append((d, send.server))
-                    d.end(send)
+                for send in sends(driver.request(SAFE)):
+                    sent.append((driver, send.server))
+                    driver.finish(send)
     return sent
 
 
 def test_few_connections_serve_a_fleet_and_its_servers_get_even_shares() -> None:
     # Each request of 200 gateways went to a server that its gateway had not asked before: a connection each.
-    sent = play([gateway(n) for n in range(GATEWAYS)], 15.0)
-    pairs = {(d.b.s.gateway_index, server) for d, server in sent}
+    sent = run_fleet([gateway(n) for n in range(GATEWAYS)], 15.0)
+    pairs = {(d.policy.settings.gateway_index, server) for d, server in sent}
     assert len(pairs) < len(sent) / 2
     shares = Counter(server for _, server in sent)
     assert len(shares) == SERVERS and max(shares.values()) < 2 * len(sent) / SERVERS
 
 
 def test_half_of_the_requests_stay_in_their_zone_so_that_a_cut_costs_less() -> None:
-    sent = play([gateway(n) for n in range(GATEWAYS)], 5.0)
-    assert sum(server % ZONES == d.b.s.zone for d, server in sent) > 0.42 * len(sent)
+    sent = run_fleet([gateway(n) for n in range(GATEWAYS)], 5.0)
+    assert sum(server % ZONES == d.policy.settings.zone for d, server in sent) > 0.42 * len(sent)
 
 
 def test_a_busy_gateway_goes_to_more_servers_than_a_quiet_one() -> None:
-    quiet, busy = ({server for _, server in play([gateway(7)], 10.0, per_s)} for per_s in (1.0, 20.0))
+    quiet, busy = ({server for _, server in run_fleet([gateway(7)], 10.0, per_s)} for per_s in (1.0, 20.0))
     assert len(quiet) <= 8 and len(busy) > 40
 
 
 def test_what_all_send_cold_servers_stays_within_what_they_can_do() -> None:
     fleet = [gateway(n, cold=True) for n in range(GATEWAYS)]
-    play(fleet, 0.5, per_s=8.0)
-    sent = play(
+    run_fleet(fleet, 0.5, per_s=8.0)
+    sent = run_fleet(
         fleet, RULES.overload_window_ms / 1000, per_s=8.0
     )  # they have run for 1.5 to 3 s of the 4 that they are cold
     shares, average = Counter(server for _, server in sent), len(sent) / SERVERS
@@ -69,36 +75,37 @@
 def test_a_quiet_fleet_tells_little_and_failures_are_told_at_once() -> None:
     # 200 that each tell 200 once a second: 40,000 datagrams for 600 requests.
     def told(d: Driver, result: Result) -> int:
-        for send in sends(d.ask(SAFE)):
-            d.end(send, result, over=True)
+        for send in sends(d.request(SAFE)):
+            d.finish(send, result, final=True)
         d.now += 1000.0
-        return sum(isinstance(a, SendGossip) for a in d.tick())
+        return sum(isinstance(a, SendGossip) for a in d.fire_timer())
 
     fleet = [gateway(n) for n in range(GATEWAYS)]
     for d in fleet:
-        d.news(42, 1, 0.5)
-        d.listed([entry(200, 42)], EndpointUpdateKind.INCREMENTAL)
+        d.update_rollout(42, 1, 0.5)
+        d.update_endpoints([server_entry(200, 42)], EndpointUpdateKind.INCREMENTAL)
     quiet = [sum(told(d, Result.OK) for d in fleet) for _ in range(5)]
-    assert 0 < sum(quiet) / len(quiet) < 1.5 * TELLERS
+    assert 0 < sum(quiet) / len(quiet) < 1.5 * GOSSIP_SENDERS
     assert sum(told(d, Result.ERROR) for d in fleet) > 0.9 * GATEWAYS
 
 
 def test_a_late_answer_now_and_then_refuses_nobody() -> None:
     # One late answer while nothing else was out left room for two: with one in twenty late, one in ten was
     # refused by gateways that have three requests in flight on average, now none, now eight.
-    d, rng, asked, refused = gateway(5), Random(1), 0, 0
+    driver, rng, asked, rejected = gateway(5), Random(1), 0, 0
     out: list[tuple[float, int, float, Send]] = []
     for _ in range(20_000):
-        d.now += 10.0
-        d.tick()
-        while out and out[0][0] <= d.now:
-            _, _, took, send = out.pop(0)
-            d.end(send, took=took)
+        driver.now += 10.0
+        driver.fire_timer()
+        while out and out[0][0] <= driver.now:
+            _, _, elapsed_ms, send = out.pop(0)
+            driver.finish(send, elapsed_ms=elapsed_ms)
         if rng.random() < 0.1:
-            acts, asked = d.ask(SAFE), asked + 1
-            refused += sum(isinstance(act, Reject) for act in acts)
-            took = 1500.0 if rng.random() < 0.05 else rng.expovariate(1 / 300.0)
+            actions, asked = driver.request(SAFE), asked + 1
+            rejected += sum(isinstance(act, Reject) for act in actions)
+            elapsed_ms = 1500.0 if rng.random() < 0.05 else rng.expovariate(1 / 300.0)
             out = sorted(
-                [*out, *((d.now + took, asked, took, send) for send in sends(acts))], key=lambda o: o[:2]
+                [*out, *((driver.now + elapsed_ms, asked, elapsed_ms, send) for send in sends(actions))],
+                key=lambda o: o[:2],
             )
-    assert asked > 1000 and refused < 0.03 * asked
+    assert asked > 1000 and rejected < 0.03 * asked
--- /dev/null
+++ b/tests/test_instance_connections.py
@@ -0,0 +1,286 @@
+"""Connections to instances, at moments that cut a turn of the gateway in two: bytes that come between a look
+and what follows it. The gateway's own objects, on the checker's reactor, whose time moves when told to."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from twisted.internet.error import ConnectError
+from twisted.python.failure import Failure
+
+from meadowpulley.interface import Effect, Outcome, Probe, ProbeResult, RequestClass, Result
+from meadowpulley.model_checking.connection_model.configurations import CLASSES
+from meadowpulley.net import protocol
+from meadowpulley.net.http1 import response_bytes
+from meadowpulley.net.instance_connection import PARTIAL_RESPONSE_TIMEOUT_MS, REUSE_DELAY_MS
+from tests.test_net_extension import GatewayBench
+
+FIRST_RESPONSE = response_bytes(200, {}, b"r1")
+
+
+def request_bytes(request_id: str, body: bytes = b"") -> bytes:
+    """One that its client waits 0.9 s for."""
+    headers = (
+        f"host: app.svc\r\n{protocol.REQUEST_ID_HEADER}: {request_id}\r\n"
+        f"{protocol.REMAINING_TIME_HEADER}: 900m\r\n"
+    )
+    content_length = f"content-length: {len(body)}\r\n" if body else ""
+    request_line = "POST /order" if body == b"order" else "POST /pay" if body else "GET /look"
+    return f"{request_line} HTTP/1.1\r\n{headers}{content_length}\r\n".encode() + body
+
+
+def send_request(bench: GatewayBench, request_id: str, body: bytes = b"") -> Any:
+    wire = bench.reactor.attach(bench.reactor.ports[0].factory.buildProtocol(None), None)
+    wire.receive(request_bytes(request_id, body))
+    return wire
+
+
+ORDER_CLASS = RequestClass("order", 200.0, 400.0, Effect.IDEMPOTENT_WITH_KEY, deduplication_window_ms=100.0)
+
+
+def connect_pending(bench: GatewayBench) -> Any:
+    """The connection in the making comes up."""
+    (opening,) = bench.world._pending_instance_connections()
+    return opening.accept()
+
+
+def skip_time(bench: GatewayBench, delay_ms: float) -> None:
+    """The gateway stands still: time goes on, and nothing that is due runs before the next input."""
+    bench.reactor.now += delay_ms
+
+
+# Input that is out of the kernel while what was due before it runs
+
+
+def test_connection_with_unsolicited_input_is_not_reused() -> None:
+    bench = GatewayBench(None)
+    send_request(bench, "r1")
+    bench.respond(b"r1")
+    clients = []
+    bench.gateway.deadlines.after(100.0, lambda: clients.append(send_request(bench, "r2")))
+    skip_time(bench, 101.0)
+    bench.instance.receive(FIRST_RESPONSE)  # run before it: the deadline, and with it the next request
+    assert bench.gateway.counters["up.found_closed"] == 1 and b"r2" not in bench.instance.received_by_peer
+    assert not clients[0].received_by_peer
+
+
+def test_response_remainder_being_read_is_in_time() -> None:
+    bench = GatewayBench(None)
+    client = send_request(bench, "r1")
+    bench.instance.receive(FIRST_RESPONSE[:-1])
+    skip_time(bench, 550.0)
+    bench.instance.receive(FIRST_RESPONSE[-1:])
+    assert client.received_by_peer.endswith(b"r1") and b" 200 " in client.received_by_peer
+
+
+def test_request_being_read_keeps_its_connection() -> None:
+    bench = GatewayBench(None)
+    client = send_request(bench, "r1")
+    bench.respond(b"r1")
+    skip_time(bench, 2101.0)
+    client.receive(request_bytes("r2"))
+    bench.respond(b"r2")
+    assert client.received_by_peer.count(b" 200 ") == 2 and client.received_by_peer.endswith(b"r2")
+
+
+def test_reset_found_by_a_peek_does_not_end_a_response() -> None:
+    bench = GatewayBench(None)
+    client = send_request(bench, "r1")
+    bench.instance.receive(b"HTTP/1.1 200 OK\r\n\r\npart")
+
+    class Reset:
+        """A socket whose error is told once, as the kernel does; after that it only reads as ended."""
+
+        def recv(self, size: int, flags: int) -> bytes:
+            bench.instance.end_of_input = True
+            raise ConnectionResetError
+
+    bench.instance.getHandle = Reset
+    skip_time(bench, 550.0)
+    bench.reactor.run_due()  # the limit of an answer's rest finds the reset before the reactor does
+    bench.instance.deliver()
+    assert not bench.instance.connected and b" 200 " not in client.received_by_peer
+
+
+def test_split_interim_response_starts_no_timeout() -> None:
+    bench = GatewayBench(None)
+    client = send_request(bench, "r1")
+    for piece in (b"HTTP/1.1 103 Early", b" Hints\r\n\r\n"):
+        bench.instance.receive(piece)
+    bench.wait(PARTIAL_RESPONSE_TIMEOUT_MS + 1.0)
+    bench.respond(b"r1")
+    assert client.received_by_peer.endswith(b"r1") and b" 200 " in client.received_by_peer
+
+
+def test_trickled_response_times_out() -> None:
+    bench = GatewayBench(None)
+    client = send_request(bench, "r1", b"money")
+    for n in range(3):  # each drop well within the time
+        bench.instance.receive(FIRST_RESPONSE[n : n + 1])
+        bench.wait(0.8 * PARTIAL_RESPONSE_TIMEOUT_MS)
+    assert not bench.instance.connected and b" 502 " in client.received_by_peer
+
+
+# Answers to a request that the kernel has not taken whole
+
+
+@pytest.mark.parametrize(
+    "raw", [response_bytes(200, {}, b"r0"), response_bytes(500, {}), b"\x00noise\r\n\r\n"]
+)
+def test_input_before_the_request_is_written_is_not_its_response(raw: bytes) -> None:
+    bench = GatewayBench(None)
+    bench.instance.write_blocked = True
+    client = send_request(bench, "r1", b"money")
+    bench.instance.receive(raw)  # a second answer to the request before, say
+    assert (
+        not client.received_by_peer and not bench.instance.connected and not bench.instance.received_by_peer
+    )
+    retry = connect_pending(bench)  # it never ran, so that it may go once more
+    assert retry.received_by_peer.endswith(b"money")
+    retry.receive(FIRST_RESPONSE)
+    assert b" 200 " in client.received_by_peer and client.received_by_peer.endswith(b"r1")
+
+
+# A server that comes back with another build, at the same address, or that drains
+
+
+def replace_server(bench: GatewayBench) -> None:
+    ((server, pool),) = bench.gateway.instances.pools.items()
+    bench.gateway.instances.register(server, pool.address, (42, 5.0))
+
+
+def drain_server(bench: GatewayBench) -> None:
+    bench.gateway.instances.close_idle(next(iter(bench.gateway.instances.pools)))
+
+
+@pytest.mark.parametrize("change_server", [replace_server, drain_server])
+def test_connection_opened_after_its_server_left_carries_nothing(change_server: Any) -> None:
+    bench = GatewayBench(None)
+    send_request(bench, "r1")
+    client = send_request(bench, "r2")  # the one connection is in use: its own is opened
+    change_server(bench)
+    late_connection = connect_pending(bench)
+    assert (
+        not late_connection.connected and not late_connection.received_by_peer and not client.received_by_peer
+    )
+    retry = connect_pending(bench)  # that attempt never ran: the decisions choose anew
+    assert b"r2" in retry.received_by_peer
+
+
+@pytest.mark.parametrize("change_server", [replace_server, drain_server])
+def test_connection_of_a_removed_server_closes_after_its_response(change_server: Any) -> None:
+    bench = GatewayBench(None)
+    client = send_request(bench, "r1")
+    change_server(bench)
+    bench.respond(b"r1")
+    assert (
+        b" 200 " in client.received_by_peer
+        and not bench.instance.connected
+        and bench.gateway.instances.open_sockets == 0
+    )
+
+
+# Connections that fail before whoever asked for them has heard of them
+
+
+@pytest.mark.parametrize("failure", ["told", "raised"])
+def test_immediate_connect_failure_ends_its_attempt(failure: str) -> None:
+    bench = GatewayBench(None)
+    (server,) = bench.gateway.instances.pools
+    bench.gateway.instances.close_idle(server)
+
+    def connect(host: str, port: int, factory: Any, timeout: Any = None) -> None:
+        if failure == "raised":
+            raise OSError("out of ports")
+        factory.clientConnectionFailed(None, Failure(ConnectError()))  # type: ignore[no-untyped-call]
+
+    bench.reactor.connectTCP = connect
+    assert b" 503 " in send_request(bench, "r1", b"money").received_by_peer
+    bench.gateway.attempts.probe(Probe(server))
+    outcomes = [e for e in bench.recorder.events if isinstance(e, Outcome | ProbeResult)]
+    assert len(outcomes) > 1 and isinstance(outcomes[-1], ProbeResult)
+    assert {e.result for e in outcomes} == {Result.CONNECT_FAILED}
+    assert bench.gateway.instances.open_sockets == 0 and not len(bench.gateway.requests.slots)
+    faults = [e.partition(":")[0] for e in bench.world.log.errors]
+    assert faults == (["send"] * (len(outcomes) - 1) + ["probe"] if failure == "raised" else [])
+
+
+# A second answer that comes late, on a connection that has answered
+
+
+@pytest.mark.parametrize("happening", ["nothing", "again", "noise", "end", "replaced", "gone", "gone, again"])
+def test_connection_is_reused_after_a_delay_unless_input_arrives(happening: str) -> None:
+    bench = GatewayBench(None)
+    send_request(bench, "r1")
+    bench.respond(b"r1")
+    client = send_request(bench, "r2")
+    # It waits for this one.
+    assert b"r2" not in bench.instance.received_by_peer and bench.gateway.instances.open_sockets == 1
+    bench.wait(REUSE_DELAY_MS - 1.0)
+    if happening.startswith("gone"):
+        client.disconnect()
+    if happening == "replaced":
+        replace_server(bench)
+    if happening == "end":
+        bench.instance.disconnect()
+    bench.instance.receive(
+        FIRST_RESPONSE if "again" in happening else b"\x00" if happening == "noise" else b""
+    )
+    bench.wait(2.0)
+    reused = happening in ("nothing", "gone")
+    assert bench.instance.connected is reused and (b"r2" in bench.instance.received_by_peer) is (
+        happening == "nothing"
+    )
+    if happening.startswith("gone"):
+        assert bench.gateway.instances.open_sockets == reused and not len(bench.gateway.requests.slots)
+        return
+    (bench.instance if reused else connect_pending(bench)).receive(response_bytes(200, {}, b"r2"))
+    assert client.received_by_peer.count(b" 200 ") == 1 and client.received_by_peer.endswith(b"r2")
+
+
+def test_newest_reusable_connection_is_preferred() -> None:
+    bench = GatewayBench(None)
+    clients = [send_request(bench, "r1"), send_request(bench, "r2")]
+    wires = [bench.instance, connect_pending(bench)]
+    wires[1].receive(response_bytes(200, {}, b"r2"))
+    bench.wait(REUSE_DELAY_MS)
+    bench.respond(b"r1")  # the newest, and it rests
+    send_request(bench, "r3")
+    assert [b"r3" in w.received_by_peer for w in wires] == [False, True] and all(
+        b" 200 " in c.received_by_peer for c in clients
+    )
+
+
+# Further attempts of a keyed request against the window in which what it repeats is known
+
+
+@pytest.mark.parametrize("timing", ["in time", "up late", "up late, and nobody looked", "written late"])
+def test_retry_not_written_within_the_window_is_never_written(
+    timing: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("meadowpulley.model_checking.connection_model.state.CLASSES", (*CLASSES, ORDER_CLASS))
+    bench = GatewayBench(None)
+    send_request(bench, "r1")
+    send_request(bench, "r2")
+    spare, tick = connect_pending(bench), bench.gateway.config.settings.tick_ms
+    spare.receive(response_bytes(200, {}, b"r2"))
+    bench.respond(b"r1")
+    bench.wait(REUSE_DELAY_MS)
+    if timing != "written late":
+        spare.disconnect()
+    spare.write_blocked = True
+    client = send_request(bench, "r3", b"order")
+    assert bench.instance.received_by_peer.endswith(b"order")
+    bench.wait(60.0)
+    bench.instance.disconnect()  # it may have run, and is sent again: 40 ms of the window are left
+    if timing == "up late, and nobody looked":
+        skip_time(bench, 41.0 - tick)
+    else:
+        bench.wait(39.0 - tick if timing == "in time" else 41.0 - tick)
+    if timing == "written late":
+        spare.unblock_writes()
+    openings = bench.world._pending_instance_connections()
+    second = spare if timing == "written late" else connect_pending(bench) if openings else None
+    assert (second is not None and second.received_by_peer.endswith(b"order")) is (timing == "in time")
+    assert bool(client.received_by_peer) is (timing != "in time")  # and not left waiting
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -23,7 +23,7 @@
 WELL = "tests/test_it.py::test_well | a cause | 32"
 
 
-def play(folder: Path, listed: list[str] | None, *arguments: str) -> tuple[int, str]:
+def run_pytest(folder: Path, known_red_lines: list[str] | None, *arguments: str) -> tuple[int, str]:
     tests = folder / "tests"
     tests.mkdir()
     (folder / "pytest.ini").write_text("[pytest]\ntestpaths = tests\naddopts = -p no:cacheprovider\n")
@@ -31,16 +31,16 @@
         (tests / name).write_text((ROOT / "tests" / name).read_text())
     (tests / "__init__.py").write_text("")
     (tests / "test_it.py").write_text(TESTS)
-    if listed is not None:
-        (folder / "KNOWN-RED.txt").write_text("".join(f"{line}\n" for line in listed))
+    if known_red_lines is not None:
+        (folder / "KNOWN-RED.txt").write_text("".join(f"{line}\n" for line in known_red_lines))
     environment = {name: value for name, value in os.environ.items() if not name.startswith("PYTEST")}
     command = [sys.executable, "-m", "pytest", "-q", *arguments]
-    done = subprocess.run(command, cwd=folder, env=environment, capture_output=True, text=True, check=False)
-    return done.returncode, done.stdout + done.stderr
+    result = subprocess.run(command, cwd=folder, env=environment, capture_output=True, text=True, check=False)
+    return result.returncode, result.stdout + result.stderr
 
 
 @pytest.mark.parametrize(
-    ("listed", "status", "said"),
+    ("listed", "status", "message"),
     [
         ([RED, SETUP], 0, "known red: tests/test_it.py::test_red: its cause (32)"),
         (None, 1, "1 failed, 1 passed, 1 error"),
@@ -54,11 +54,13 @@
         ([RED, RED], 4, "line 2: tests/test_it.py::test_red is listed twice"),
     ],
 )
-def test_a_run_stands_by_its_list(tmp_path: Path, listed: list[str] | None, status: int, said: str) -> None:
-    got, shown = play(tmp_path, listed)
-    assert (got, said in shown) == (status, True), shown
+def test_known_red_entries_decide_the_result_of_a_run(
+    tmp_path: Path, listed: list[str] | None, status: int, message: str
+) -> None:
+    exit_code, output = run_pytest(tmp_path, listed)
+    assert (exit_code, message in output) == (status, True), output
 
 
-def test_a_run_of_some_tests_does_not_miss_the_others(tmp_path: Path) -> None:
-    got, shown = play(tmp_path, [RED, SETUP], "tests/test_it.py::test_well")
-    assert (got, "1 passed" in shown) == (0, True), shown
+def test_a_partial_run_does_not_require_the_other_listed_tests(tmp_path: Path) -> None:
+    exit_code, output = run_pytest(tmp_path, [RED, SETUP], "tests/test_it.py::test_well")
+    assert (exit_code, "1 passed" in output) == (0, True), output
