--- a/meadowpulley/model_checking/connection_model/invariants.py
+++ b/meadowpulley/model_checking/connection_model/invariants.py
@@ -29,7 +29,7 @@
         for request, attempt in policy.duplicate_outcomes:
             self._report_violation("outcomes", f"attempt {attempt + 1} of request {request} ended twice")
         policy.duplicate_outcomes.clear()
-        if counters["out.second_answers"]:
+        if counters["out.duplicate_responses"]:
             self._report_violation("answers", "a second final answer was tried")
         if counters["out.overdue"]:
             self._report_violation("answers", "a request had no answer by its deadline and slack")
@@ -166,7 +166,7 @@
         gateway = self.gateway
         counters = gateway.counters.snapshot()
         answered = sum(n for name, n in counters.items() if name[4:].isdigit() and name.startswith("out."))
-        accepted, disconnected = counters.get("in.requests", 0), counters.get("in.gone", 0)
+        accepted, disconnected = counters.get("in.requests", 0), counters.get("in.client_disconnected", 0)
         if answered + disconnected != accepted:
             self._report_violation(
                 "answers",
--- a/meadowpulley/model_checking/connection_mutants.py
+++ b/meadowpulley/model_checking/connection_mutants.py
@@ -26,8 +26,8 @@
         "noise",
         ATTEMPTS,
         (
-            ('"up.garbage")\n        self.connection_lost()\n'),
-            ('"up.garbage")\n        self.finish(Result.CONNECT_FAILED)\n'),
+            ('"up.malformed")\n        self.connection_lost()\n'),
+            ('"up.malformed")\n        self.finish(Result.CONNECT_FAILED)\n'),
         ),
     ),
     connection_mutant(
@@ -115,7 +115,7 @@
         "slots",
         "split",
         REQUESTS,
-        ("remaining = self.open_ids.pop(request_id) - 1", "remaining = self.open_ids[request_id]"),
+        ("remaining = self.open_ids.pop(request.request_id) - 1", "remaining = self.open_ids[request.request_id]"),
         faults=0,
     ),
     connection_mutant(
@@ -284,8 +284,8 @@
         "late",
         INSTANCE_CONNECTION,
         (
-            ('            self.pool.owner.gateway.counters.add("up.unasked")\n            self.abort()\n'),
-            '            self.pool.owner.gateway.counters.add("up.unasked")\n',
+            ('            self.pool.owner.gateway.counters.add("up.unsolicited")\n            self.abort()\n'),
+            '            self.pool.owner.gateway.counters.add("up.unsolicited")\n',
         ),
         servers=1,
     ),
--- a/meadowpulley/net/__init__.py
+++ b/meadowpulley/net/__init__.py
@@ -1,8 +1,16 @@
-"""The real gateway: it translates between sockets and `meadowpulley.interface`, and decides nothing.
+"""The gateway on real sockets: it translates between protocols and `meadowpulley.interface`, and decides
+nothing.
 
-In reading order: `names`, `config`; `deadlines`, `ring`, `slots`, `http1`, `link` (what every connection
-needs); `hook` and `host` (what parts may ask of the gateway); `requests`, `intake`, `client_link`, `clients`
-(who asks); `instance_link`, `instances`, `attempts` (who answers); `entries`, `discovery`; `control`;
-`peers`; `gateway`, which alone knows them all. `counters`, `log`, `capture`, `seconds` and `story` write down
-what happens. Imports go one way.
+Modules in reading order, lowest first; imports go one way:
+
+- `protocol`, `config`: the platform's names, and the configuration.
+- `deadlines`, `ring`, `slots`, `http1`, `connection`: what every connection uses.
+- `extension`, `gateway_context`: what components may use of the gateway.
+- `request_table`, `request_parsing`, `request_admission`: requests.
+- `client_connection`, `client_listener`: clients.
+- `instance_connection`, `instance_pools`, `attempts`: attempts at instances.
+- `endpoint_list`, `discovery_client`, `rollout_client`, `gossip`: discovery, the platform and peers.
+- `gateway`: connects all of them.
+
+`counters`, `log`, `capture`, `interval_metrics` and `request_tracing` record what happens.
 """
--- a/meadowpulley/net/attempts.py
+++ b/meadowpulley/net/attempts.py
@@ -1,4 +1,4 @@
-"""Attempts: requests on their way to an instance, each with one outcome; and probes."""
+"""Attempts: requests on their way to an instance, each with exactly one outcome; and health-check probes."""
 
 from __future__ import annotations
 
@@ -24,6 +24,7 @@
 
 
 def classify_response(response: Message) -> Result:
+    """Return the result that an instance's response stands for."""
     if response.status == 200:
         return Result.OK
     if response.status in (503, 504) and response.headers.get(protocol.REJECTED_HEADER) == "1":
@@ -32,7 +33,7 @@
 
 
 def parse_load_report(text: str, columns: tuple[str, ...]) -> tuple[float, ...]:
-    """A load report, in the order of the settings' columns; nothing unless every column has a number."""
+    """Return the values of a load report in the order of `columns`; empty unless each column has a number."""
     values_by_column: dict[str, float] = {}
     for item in text.split(","):
         name, _, value = item.strip().partition("=")
@@ -45,7 +46,10 @@
 
 
 class Attempt:
-    """One attempt of a request, or a probe when `taken` is None. Times are those of the gateway's clock."""
+    """One attempt of a request, or a probe where `request` is None.
+
+    It is the exchange that an instance connection carries. Times are milliseconds on the gateway's clock.
+    """
 
     def __init__(
         self,
@@ -60,19 +64,21 @@
         self.sent_at, self.deadline = sent_at, deadline
         self.connection: InstanceConnection | None = None
         self.connecting: Deferred[Any] | None = None
-        self.written = self.finished = False  # written: the kernel has the request's last byte
+        self.written = False  # the kernel has the last byte of the request
+        self.finished = False
         self.timeout: Deadline | None = None
         self.connect_timeout: Deadline | None = None
         self.write_timeout: Deadline | None = None
 
     def start(self, pool: ConnectionPool) -> None:
+        """Send the request on a pooled connection, or on a new one."""
         runner = self.runner
         connection = pool.acquire()
         if connection is not None:
             if connection.reusable_at <= runner.gateway.deadlines.now():
-                connection.send_request(self, self._bytes())
+                connection.send_request(self, self._request_bytes())
             else:
-                runner.gateway.counters.add("up.rests")
+                runner.gateway.counters.add("up.reuse_delayed")
                 runner.gateway.deadlines.at(
                     connection.reusable_at, partial(self._connection_reusable, connection)
                 )
@@ -81,17 +87,21 @@
             runner.gateway.counters.add("up.no_socket")
             self.finish(Result.CONNECT_FAILED)
             return
+        self._open_connection(pool)
+
+    def _open_connection(self, pool: ConnectionPool) -> None:
+        runner = self.runner
         connecting = connect(runner.gateway.reactor, pool.address, lambda: InstanceConnection(pool))
         runner.instances.open_sockets += 1
         timeout_ms = runner.limits.connect_timeout_ms
         if timeout_ms > 0:
             self.connect_timeout = runner.gateway.deadlines.after(timeout_ms, self._connect_timed_out)
-        self.connecting = connecting  # before its callbacks, which forget it and may run at once
+        self.connecting = connecting  # set before the callbacks, which clear it and may run at once
         connecting.addCallbacks(self._connected, self._connect_failed)
         connecting.addErrback(self._connect_raised)
 
     def _connection_reusable(self, connection: InstanceConnection) -> None:
-        """The connection that was kept for this attempt may carry it now, if nothing has come on it."""
+        """Use the connection that was reserved for this attempt, if nothing was received on it meanwhile."""
         if self.finished:
             if connection.is_open:
                 connection.pool.release(connection)
@@ -99,7 +109,7 @@
             connection.abort()
             self.finish(Result.CONNECT_FAILED)
         elif connection.is_open and not connection.has_unread_input():
-            connection.send_request(self, self._bytes())
+            connection.send_request(self, self._request_bytes())
         else:
             connection.abort()
             self.runner.start(self, connection.pool, "send")
@@ -108,7 +118,7 @@
         self.runner.gateway.log_fault("connect")
         self.connection_lost()
 
-    def _bytes(self) -> bytes:
+    def _request_bytes(self) -> bytes:
         if self.request is None:
             return request_bytes("GET", protocol.LIVENESS_PATH, {"host": protocol.SERVICE_HOST})
         message = self.request.message
@@ -121,14 +131,14 @@
 
     def _connected(self, connection: InstanceConnection) -> None:
         self.connecting = None
-        self.runner.gateway.deadlines.run_due()  # a connection is input, too
+        self.runner.gateway.deadlines.run_due()  # due deadlines run before a new connection, as before input
         self.runner.gateway.deadlines.cancel(self.connect_timeout)
-        if self.request is not None and self.request.finished:  # its client has gone: nothing is sent for it
+        if self.request is not None and self.request.finished:  # its client is gone: nothing is sent for it
             self.finish(Result.NOT_SENT)
         if self.finished:
             connection.abort()
         elif connection.is_open:
-            connection.send_request(self, self._bytes())
+            connection.send_request(self, self._request_bytes())
         else:
             self.finish(Result.CONNECT_FAILED)
 
@@ -142,32 +152,35 @@
             self.finish(Result.CONNECT_FAILED)
 
     def write_timed_out(self) -> None:
-        """Its last byte has to be out by now, or what it repeats may be forgotten where it arrives."""
+        """End an unwritten attempt at the end of the deduplication window: it might run twice."""
         if not self.written:
             self.runner.gateway.counters.add("up.past_window")
             self.finish(Result.CONNECT_FAILED)
 
     def time_out(self) -> None:
+        """End the attempt at its deadline."""
         self.finish(Result.TIMEOUT if self.written else Result.CONNECT_FAILED)
 
     def cancel(self) -> None:
+        """End the attempt because the policy no longer needs it."""
         self.runner.gateway.counters.add("up.cancelled")
         self.finish(Result.CANCELLED)
 
     def connection_lost(self) -> None:
+        """End the attempt whose connection broke: a request that was written may have been executed."""
         self.finish(Result.RESET if self.written else Result.CONNECT_FAILED)
 
     def malformed_response(self) -> None:
-        """What came is no answer: a request that was written has run, or may have; who spoilt it is not
-        said."""
-        self.runner.gateway.counters.add("up.garbage")
+        """End the attempt whose response can't be parsed; nothing tells whether the instance is to blame."""
+        self.runner.gateway.counters.add("up.malformed")
         self.connection_lost()
 
     def response_received(self, response: Message) -> None:
+        """End the attempt with the instance's response, which also answers the client if it is good."""
         result, request = classify_response(response), self.request
         if not self.written and result is not Result.REJECTED:
-            # An instance begins with the last byte, which it can't have: that answers an earlier request.
-            self.runner.gateway.counters.add("up.unasked")
+            # An instance starts with the last byte, which it can't have: this responds to an earlier request.
+            self.runner.gateway.counters.add("up.unsolicited")
             self.connection_lost()
             return
         if result is Result.OK and request is not None and not request.finished:
@@ -175,45 +188,48 @@
             headers = {"content-type": content_type} if content_type else {}
             request.outstanding.pop(self.number, None)
             self.runner.requests.respond(request, 200, headers, response.body)
-        self.finish(
-            result,
-            parse_load_report(
-                response.headers.get(protocol.LOAD_REPORT_HEADER, ""), self.runner.report_columns
-            ),
-        )
+        load_report = response.headers.get(protocol.LOAD_REPORT_HEADER, "")
+        self.finish(result, parse_load_report(load_report, self.runner.report_columns))
 
-    def finish(self, result: Result, load: tuple[float, ...] = ()) -> None:
-        """The one outcome of an attempt; whatever is left of it on the network is closed."""
+    def finish(self, result: Result, load_report: tuple[float, ...] = ()) -> None:
+        """Report the one outcome of the attempt and close what is left of it on the network."""
         if self.finished:
             return
         self.finished = True
         gateway = self.runner.gateway
-        gateway.deadlines.cancel(self.timeout)
-        gateway.deadlines.cancel(self.connect_timeout)
-        gateway.deadlines.cancel(self.write_timeout)
-        connection, self.connection = self.connection, None
-        if connection is not None and connection.exchange is self:
-            connection.exchange = None
-            connection.abort()
-        if self.connecting is not None:
-            self.connecting.cancel()
+        self._release_resources()
         elapsed_ms, request = gateway.deadlines.now() - self.sent_at, self.request
         gateway.counters.add(f"up.{result.name.lower()}")
         if request is None:
-            gateway.dispatch(ProbeResult(self.server, result, elapsed_ms, load))
+            gateway.dispatch(ProbeResult(self.server, result, elapsed_ms, load_report))
             return
         request.outstanding.pop(self.number, None)
         if result not in _NOT_EXECUTED:
             request.first_execution_at = min(request.first_execution_at, self.sent_at)
-        client_finished = request.finished
+        request_complete = request.finished
         self.runner.requests.free_if_done(request)
         gateway.dispatch(
-            Outcome(request.handle, self.number, self.server, result, elapsed_ms, client_finished, load)
+            Outcome(
+                request.handle, self.number, self.server, result, elapsed_ms, request_complete, load_report
+            )
         )
 
+    def _release_resources(self) -> None:
+        """Cancel the timers, and close the connection or abandon the connection attempt."""
+        deadlines = self.runner.gateway.deadlines
+        deadlines.cancel(self.timeout)
+        deadlines.cancel(self.connect_timeout)
+        deadlines.cancel(self.write_timeout)
+        connection, self.connection = self.connection, None
+        if connection is not None and connection.exchange is self:
+            connection.exchange = None
+            connection.abort()
+        if self.connecting is not None:
+            self.connecting.cancel()
+
 
 class AttemptRunner:
-    """Carries out what the decisions say of attempts and probes."""
+    """Carry out the policy's actions on attempts and probes."""
 
     def __init__(self, gateway: GatewayContext, instances: InstancePools, requests: RequestTable) -> None:
         self.gateway, self.instances, self.requests = gateway, instances, requests
@@ -221,15 +237,16 @@
         self.report_columns = gateway.config.settings.report_columns
 
     def send(self, action: Send) -> None:
+        """Start an attempt of a request."""
         request = self.requests.slots.get(action.request)
         now = self.gateway.deadlines.now()
         if request is None:
             self.gateway.counters.add("up.late_actions")
             return
         number, request.attempt_count = request.attempt_count, request.attempt_count + 1
-        deadline = (
-            request.deadline if action.timeout_ms == 0 else min(request.deadline, now + action.timeout_ms)
-        )
+        deadline = request.deadline
+        if action.timeout_ms != 0:
+            deadline = min(deadline, now + action.timeout_ms)
         write_by = self._write_deadline(request)
         pool = self.instances.pools.get(action.server)
         attempt = Attempt(self, action.server, request, number, now, deadline)
@@ -247,26 +264,28 @@
             self.start(attempt, pool, "send")
 
     def _write_deadline(self, request: AcceptedRequest) -> float:
-        """Until when a further attempt of a keyed request may be written: the decisions look at the window
-        when they send, and its connection may come up, or its body go out, well after that."""
+        """Return until when a further attempt of a request with an idempotency key may be written.
+
+        The policy checks the deduplication window when it sends. The connection may be established, or the
+        body written, well after that.
+        """
         settings = self.gateway.config.settings
         request_class = settings.classes[request.class_index]
         if request_class.effect is not Effect.IDEMPOTENT_WITH_KEY:
             return math.inf
-        return (
-            min([request.first_execution_at, *(a.sent_at for a in request.outstanding.values())])
-            + request_class.deduplication_window_ms
-            - settings.tick_ms
-        )
+        first_sent_at = min([request.first_execution_at, *(a.sent_at for a in request.outstanding.values())])
+        return first_sent_at + request_class.deduplication_window_ms - settings.tick_ms
 
     def start(self, attempt: Attempt, pool: ConnectionPool, fault_name: str) -> None:
+        """Start an attempt. An exception is logged as `fault_name` and ends only the attempt."""
         try:
             attempt.start(pool)
-        except Exception:  # the decisions hear of it, and the request goes on
+        except Exception:
             self.gateway.log_fault(fault_name)
             attempt.connection_lost()
 
     def probe(self, action: Probe) -> None:
+        """Start a health check of a server."""
         now = self.gateway.deadlines.now()
         deadline = now + max(self.limits.connect_timeout_ms, 1.0)
         pool = self.instances.pools.get(action.server)
@@ -279,6 +298,7 @@
         self.start(attempt, pool, "probe")
 
     def cancel(self, action: Cancel) -> None:
+        """Cancel an outstanding attempt."""
         request = self.requests.slots.get(action.request)
         attempt = request.outstanding.get(action.attempt) if request is not None else None
         if attempt is not None:
--- a/meadowpulley/net/capture.py
+++ b/meadowpulley/net/capture.py
@@ -1,8 +1,8 @@
-"""Captured load: what clients asked, noted as it comes and written aside. Off unless a file is named.
+"""Capture of arriving requests into a file that `meadowpulley load` reads. Off unless a file is named.
 
-It never slows or fails a request: notes are bounded, files are written by a thread, and whatever finds no
-room, on the way or on the disk, is dropped and counted. Keys are hashed with a salt of their own, so that a
-capture holds no customer's data. The form is the one that `meadowpulley load` reads.
+Capturing never slows or fails a request: pending records are bounded, a thread writes the file, and whatever
+finds no room in memory or on disk is dropped and counted. Keys are hashed with a salt of the capture, so that
+it holds no customer's data.
 """
 
 from __future__ import annotations
@@ -12,21 +12,36 @@
 import os
 import time
 from collections.abc import Callable, Mapping
-from typing import IO, Any
+from dataclasses import dataclass
+from typing import IO
 
 from meadowpulley.interface import Request, Settings
 
 ENV_FILE, ENV_MAX_MB = "MEADOWPULLEY_CAPTURE", "MEADOWPULLEY_CAPTURE_MB"
-MAX_PENDING_NOTES = 4096  # notes that wait for the thread, at most
+MAX_PENDING_ARRIVALS = 4096  # that wait for the thread
 FLUSH_INTERVAL_MS = 500.0
 DEFAULT_MAX_MB = 64.0
-HEADER_BYTES = 256  # bytes of the first line, which is written again at the end: it counts what was dropped
+MAX_MB = 1e6
+HEADER_BYTES = 256  # of the first line, which is rewritten at the end with the number of dropped arrivals
 
-Note = tuple[float, int, int, float, int, float]  # at, class, key, work hint, bytes, patience
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One captured request. Times are milliseconds; `arrived_ms` counts from the start of the capture."""
+
+    arrived_ms: float
+    class_index: int
+    key: int
+    work_estimate_ms: float  # 0: none was given
+    body_bytes: int
+    remaining_ms: float  # until the deadline
 
 
 class Capture:
-    """`run_aside(work, done)` runs work elsewhere and then calls `done(failed)` in the reactor's turn."""
+    """Record arrivals and write them to a file.
+
+    `run_in_thread(work, done)` runs `work` in a thread and then calls `done(failed)` in the reactor's thread.
+    """
 
     def __init__(
         self,
@@ -37,12 +52,12 @@
         run_in_thread: Callable[[Callable[[], None], Callable[[bool], None]], None],
         max_mb: float = DEFAULT_MAX_MB,
     ) -> None:
-        self._settings, self._now, self._run_in_thread = settings, now, run_in_thread
+        self._settings, self._run_in_thread = settings, run_in_thread
         self._name, self._started_at, self._started_unix_ms = name, now(), time.time() * 1000.0
         self._salt = os.urandom(16)
         self._max_bytes = int(max_mb * 1024 * 1024)
         self._site = settings.zones[settings.zone] if settings.zone < len(settings.zones) else ""
-        self._pending: list[Note] = []
+        self._pending: list[Arrival] = []
         self._file_bytes = HEADER_BYTES
         self._writing = self._failed = False
         self.written = self.dropped = 0
@@ -60,27 +75,24 @@
         return json.dumps(header).encode().ljust(HEADER_BYTES - 1) + b"\n"
 
     def record(self, request: Request, arrived_at: float, body_bytes: int) -> None:
-        """One request was taken; a client's retry belongs to its first try, which was noted."""
+        """Record an accepted request. A client's retry is not recorded: its first attempt was."""
         if request.client_retry:
             return
-        if self._failed or len(self._pending) >= MAX_PENDING_NOTES:
+        if self._failed or len(self._pending) >= MAX_PENDING_ARRIVALS:
             self.dropped += 1
             return
-        work_hint_ms = request.expected_work_ms or 0.0
-        remaining_ms = max(request.deadline_ms - arrived_at, 0.0)
-        self._pending.append(
-            (
-                max(arrived_at - self._started_at, 0.0),
-                request.class_index,
-                request.key,
-                work_hint_ms,
-                body_bytes,
-                remaining_ms,
-            )
+        arrival = Arrival(
+            arrived_ms=max(arrived_at - self._started_at, 0.0),
+            class_index=request.class_index,
+            key=request.key,
+            work_estimate_ms=request.expected_work_ms or 0.0,
+            body_bytes=body_bytes,
+            remaining_ms=max(request.deadline_ms - arrived_at, 0.0),
         )
+        self._pending.append(arrival)
 
     def flush(self) -> None:
-        """Hands what waits to the thread, one batch at a time: a slow disk holds up nothing but itself."""
+        """Pass pending arrivals to the thread, one batch at a time: a slow disk delays nothing else."""
         if self._writing or not self._pending:
             return
         batch, self._pending = self._pending, []
@@ -91,25 +103,28 @@
         self._writing = False
         self._failed = self._failed or failed
 
-    def _encode(self, note: Note) -> bytes:
-        at, class_index, key, work_hint_ms, body_bytes, remaining_ms = note
-        fields: dict[str, Any] = {"at_ms": round(at, 3), "cls": self._settings.classes[class_index].name}
+    def _encode(self, arrival: Arrival) -> bytes:
+        fields: dict[str, float | int | str] = {
+            "at_ms": round(arrival.arrived_ms, 3),
+            "cls": self._settings.classes[arrival.class_index].name,
+        }
         if self._site:
             fields["site"] = self._site
-        if key:
-            digest = hashlib.blake2b(key.to_bytes(8, "big"), digest_size=7, key=self._salt).digest()
+        if arrival.key:
+            key = arrival.key.to_bytes(8, "big")
+            digest = hashlib.blake2b(key, digest_size=7, key=self._salt).digest()
             fields["key"] = int.from_bytes(digest, "big")
-        if work_hint_ms:
-            fields["work_ms"] = round(work_hint_ms, 3)
-        if body_bytes:
-            fields["bytes"] = body_bytes
-        fields["patience_ms"] = round(remaining_ms, 3)
+        if arrival.work_estimate_ms:
+            fields["work_ms"] = round(arrival.work_estimate_ms, 3)
+        if arrival.body_bytes:
+            fields["bytes"] = arrival.body_bytes
+        fields["patience_ms"] = round(arrival.remaining_ms, 3)
         return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
 
-    def _write_batch(self, batch: list[Note]) -> None:
-        """In the thread: the lines of a batch, as many as there is room for."""
-        for index, note in enumerate(batch):
-            line = self._encode(note)
+    def _write_batch(self, batch: list[Arrival]) -> None:
+        """Write the lines of a batch, as many as there is room for. Runs in the thread; raises OSError."""
+        for index, arrival in enumerate(batch):
+            line = self._encode(arrival)
             if self._file_bytes + len(line) > self._max_bytes:
                 self.dropped += len(batch) - index
                 break
@@ -123,7 +138,7 @@
         self._file.flush()
 
     def close(self) -> None:
-        """At the gateway's end: the rest, and the header with what was dropped."""
+        """Write what is pending and the final header. Errors are ignored: the gateway is ending."""
         batch, self._pending = self._pending, []
         try:
             if not self._failed and not self._writing:
@@ -144,11 +159,16 @@
     now: Callable[[], float],
     run_in_thread: Callable[[Callable[[], None], Callable[[bool], None]], None],
 ) -> Capture | None:
-    """None where no file is named. Raises OSError or ValueError where what is named can't be used."""
+    """Open the capture that the environment asks for; None where it names no file.
+
+    Raises:
+        OSError: the file can't be opened.
+        ValueError: the size limit is no number of megabytes above 0.
+    """
     path = environ.get(ENV_FILE)
     if not path:
         return None
     max_mb = float(environ.get(ENV_MAX_MB) or DEFAULT_MAX_MB)
-    if not 0 < max_mb <= 1e6:
+    if not 0 < max_mb <= MAX_MB:
         raise ValueError(f"{ENV_MAX_MB}: {max_mb:g} is no size; give megabytes above 0")
     return Capture(path, settings, name, now, run_in_thread, max_mb)
--- a/meadowpulley/net/client_listener.py
+++ b/meadowpulley/net/client_listener.py
@@ -1,4 +1,4 @@
-"""The clients' connections: those that listen for them, their table, and the room in it."""
+"""The listening socket for clients, the table of their connections, and the eviction of idle ones."""
 
 from __future__ import annotations
 
@@ -19,18 +19,23 @@
 from meadowpulley.net.request_table import RequestTable
 from meadowpulley.net.slots import SlotTable
 
-EVICTABLE_IDLE_MS = 1_000.0  # idle for so long, a connection may go when others wait to be accepted
+EVICTABLE_IDLE_MS = 1_000.0  # a connection idle for so long may be evicted while others wait to be accepted
 EVICTABLE_UNUSED_MS = (
-    20.0  # and one on which nothing ever came: a client that means it sends as soon as it may
+    20.0  # likewise one that never carried input: clients send as soon as they are connected
 )
 LISTEN_BACKLOG = (
-    256  # what waits here counts as taken: better a connection that never comes up than one unheard
+    256  # connections in it count as accepted: a failed connect is better than an unheard request
 )
 ACCEPTS_PER_TURN = 16  # connections accepted in one turn of the reactor
-SPARE_SLOTS = 24  # slots beyond which room is made: a turn accepts half as many before that is seen
+SPARE_SLOTS = 24  # kept free by eviction: a turn accepts half as many before the shortage is seen
 
 
 class ClientListener:
+    """Accept client connections into a table of `size` slots.
+
+    While fewer than `spare_slots` are free, idle connections are evicted and accepting pauses.
+    """
+
     def __init__(
         self, gateway: GatewayContext, admission: RequestAdmission, requests: RequestTable, size: int
     ) -> None:
@@ -38,27 +43,32 @@
         self.connections: SlotTable[ClientConnection] = SlotTable(size)
         self.spare_slots = min(SPARE_SLOTS, size // 3)
         self.accepts_per_turn = min(ACCEPTS_PER_TURN, max(self.spare_slots // 2, 1))
-        self.draining = self._accepting_paused = self._stopping = False
+        self.draining = False
         self.port: Any = None
+        self._accepting_paused = False
+        self._stopping = False
         self._accept_pending: Callable[[], Any] = lambda: None  # the port's own `doRead`
 
     def listen(self) -> None:
+        """Open the listening socket."""
         host, port = self.gateway.config.listen
-        self.port = self.gateway.reactor.listenTCP(
-            port, ConnectionFactory(lambda: ClientConnection(self)), backlog=LISTEN_BACKLOG, interface=host
-        )
+        factory = ConnectionFactory(lambda: ClientConnection(self))
+        self.port = self.gateway.reactor.listenTCP(port, factory, backlog=LISTEN_BACKLOG, interface=host)
         self._accept_pending, self.port.doRead = self.port.doRead, self._accept
 
     def _accept(self) -> None:
-        """Accepts so many at most that the table has room for them: by itself the port takes twenty more in a
-        turn after one in which it took all that it might."""
+        """Accept a limited number of connections, so that the table has slots for them.
+
+        By itself the port accepts twenty more in a turn after one in which it accepted all that it might.
+        """
         self.port.numberAccepts = self.accepts_per_turn
         self._accept_pending()
 
     def connection_opened(self, connection: ClientConnection) -> None:
+        """Store an accepted connection, and make room or pause accepting where slots become few."""
         self.gateway.counters.add("in.connections")
         if self.connections.full:
-            self.gateway.counters.add("in.turned_away")
+            self.gateway.counters.add("in.rejected_connections")
             connection.is_open = False
             connection.transport.abortConnection()
             return
@@ -66,20 +76,24 @@
         if not self._accepting_paused and self._nearly_full:
             self._evict_idle()
             if self._nearly_full:
-                self._accepting_paused = True
-                self.gateway.counters.add("in.pauses")
-                self.gateway.log.warning("accepting paused", connections=len(self.connections))
-                self.port.stopReading()
-                self.gateway.deadlines.after(RECHECK_INTERVAL_MS, self._keep_evicting)
+                self._pause_accepting()
 
     @property
     def half_full(self) -> bool:
+        """Whether more than half of the slots are used."""
         return 2 * len(self.connections) > self.connections.size
 
     @property
     def _nearly_full(self) -> bool:
         return len(self.connections) > self.connections.size - self.spare_slots
 
+    def _pause_accepting(self) -> None:
+        self._accepting_paused = True
+        self.gateway.counters.add("in.pauses")
+        self.gateway.log.warning("accepting_paused", connections=len(self.connections))
+        self.port.stopReading()
+        self.gateway.deadlines.after(RECHECK_INTERVAL_MS, self._keep_evicting)
+
     def _resume_accepting(self) -> None:
         if self._accepting_paused and not self._nearly_full and self.port is not None:
             self._accepting_paused = False
@@ -89,6 +103,7 @@
                 self.port.startReading()
 
     def connection_closed(self, connection: ClientConnection) -> None:
+        """Free the slot of a connection, and disconnect the client from its request."""
         if connection.handle >= 0:
             self.connections.free(connection.handle)
             connection.handle = -1
@@ -99,28 +114,28 @@
         self.gateway.stop_if_drained()
 
     def _evict_idle(self) -> None:
-        """Room for those that wait to be accepted, who may have sent a request by now: first go connections
-        on which the last word is said, then mute ones, then those that have long stood idle, the longest
-        first. Ones used lately stay: a request may be on its way."""
+        """Make room for connections that wait to be accepted, which may have sent a request by now.
+
+        First go lingering connections, then unused ones, then those that have long been idle, the longest
+        first. Recently used ones stay: a request may be on its way.
+        """
         now = self.gateway.deadlines.now()
-        lingering = [link for link in self.connections if link.state is ClientConnectionState.LINGERING]
-        unused = [
-            k
-            for k in self.connections
-            if k.unused and k.is_idle and k.timeout.at < now + FIRST_REQUEST_TIMEOUT_MS - EVICTABLE_UNUSED_MS
-        ]
-        idle = [
-            k
-            for k in self.connections
-            if not k.unused and k.is_idle and k.timeout.at < now + IDLE_TIMEOUT_MS - EVICTABLE_IDLE_MS
-        ]
-        for group in (lingering, unused, idle):
-            for link in sorted(group, key=lambda link: link.timeout.at)[: 2 * self.accepts_per_turn]:
+        idle = [c for c in self.connections if c.is_idle]
+        unused_before = now + FIRST_REQUEST_TIMEOUT_MS - EVICTABLE_UNUSED_MS
+        idle_before = now + IDLE_TIMEOUT_MS - EVICTABLE_IDLE_MS
+        candidates = (
+            [c for c in self.connections if c.state is ClientConnectionState.LINGERING],
+            [c for c in idle if c.unused and c.timeout.at < unused_before],
+            [c for c in idle if not c.unused and c.timeout.at < idle_before],
+        )
+        for group in candidates:
+            for connection in sorted(group, key=lambda c: c.timeout.at)[: 2 * self.accepts_per_turn]:
                 if len(self.connections) <= self.connections.size - self.spare_slots - self.accepts_per_turn:
                     return
-                if link.state is ClientConnectionState.LINGERING or not link.has_unread_input():
-                    self.gateway.counters.add("in.made_room")
-                    link.release_slot()
+                lingering = connection.state is ClientConnectionState.LINGERING
+                if lingering or not connection.has_unread_input():
+                    self.gateway.counters.add("in.evicted")
+                    connection.release_slot()
 
     def _keep_evicting(self) -> None:
         if self._accepting_paused:
@@ -128,8 +143,11 @@
             self.gateway.deadlines.after(RECHECK_INTERVAL_MS, self._keep_evicting)
 
     def drain(self) -> None:
-        """From now on every connection closes once nothing is owed on it. New ones bring what they came for:
-        one closed with no answer is a request refused, one that has had an answer is not."""
+        """Close every connection once nothing is owed on it.
+
+        Unused ones stay: one that is closed without a response is a request refused, while one that has had a
+        response is not.
+        """
         self.draining = True
         self._close_idle(include_unused=False)
 
@@ -139,16 +157,16 @@
                 connection.close_if_idle()
 
     def stop_listening(self) -> None:
-        """Closes the listening socket, with nobody behind it: connections that the kernel has completed count
-        as taken with what came on them, and are accepted first; if need be as soon as there is room."""
+        """Close the listening socket after accepting its whole backlog, as soon as there are slots for it.
+
+        Connections that the kernel has completed count as accepted, with the requests that came on them.
+        """
         self._stopping = True
         while self.port is not None and not self._accepting_paused:
             self._accept()
-            if (
-                self.port.numberAccepts <= self.accepts_per_turn
-            ):  # else it took all that it might, and more may wait
+            if self.port.numberAccepts <= self.accepts_per_turn:  # else more may wait in the backlog
                 port, self.port = self.port, None
-                port.connectionLost(CLOSED_CLEANLY)  # in this turn: by `stopListening` it is the next one
+                port.connectionLost(CLOSED_CLEANLY)  # in this turn; `stopListening` closes in the next one
                 self._close_idle(include_unused=False)
                 self.gateway.deadlines.after(
                     EVICTABLE_UNUSED_MS, partial(self._close_idle, include_unused=True)
--- a/meadowpulley/net/connection.py
+++ b/meadowpulley/net/connection.py
@@ -1,4 +1,4 @@
-"""What every TCP connection of the gateway has in common: a ring in, a ring out, and the way between them."""
+"""The base class of the gateway's TCP connections: a transport with bounded input and output buffers."""
 
 from __future__ import annotations
 
@@ -15,12 +15,12 @@
 from meadowpulley.net.deadlines import ConnectionTimeout, Deadlines
 from meadowpulley.net.ring import RingBuffer, RingBufferFullError
 
-WRITE_CHUNK_BYTES = 64 * 1024  # bytes handed to the transport at a time
+WRITE_CHUNK_BYTES = 64 * 1024  # handed to the transport at a time
 CLOSED_CLEANLY = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
 
 
 class ConnectionFactory(Factory):
-    """Makes the protocol of each connection that a listening port accepts."""
+    """Create the protocol of each connection that a listening port accepts."""
 
     noisy = False
 
@@ -28,11 +28,15 @@
         self.create = create
 
     def buildProtocol(self, addr: Any) -> Connection:  # noqa: N802 (Twisted's name)
+        """Return the protocol of an accepted connection."""
         return self.create()
 
 
 class PendingConnection(ClientFactory):
-    """One connection in the making. `up` gives the link, or fails; cancelling it gives the attempt up."""
+    """One outgoing connection that is being established.
+
+    `established` yields the connection or fails; cancelling it abandons the connection attempt.
+    """
 
     noisy = False
 
@@ -42,25 +46,30 @@
         self.established: Deferred[Any] = Deferred(lambda _: self.connector.disconnect())
 
     def buildProtocol(self, addr: Any) -> Connection:  # noqa: N802
+        """Return the protocol of the connection, which reports to `established` once it is set up."""
         connection = self.create()
         connection.pending = self
         return connection
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: N802
+        """Pass the failure on to `established`."""
         if not self.established.called:
             self.established.errback(reason)
 
 
 def connect(reactor: Any, address: Address, create: Callable[[], Connection]) -> Deferred[Any]:
-    """A connection of the made kind. It has no time limit: whoever asks for it sets a deadline."""
+    """Open a connection whose protocol `create` returns. It has no time limit: the caller sets one."""
     pending = PendingConnection(create)
     pending.connector = reactor.connectTCP(*address, pending, timeout=None)
     return pending.established
 
 
 class Connection(Protocol):
-    """Feeds the transport from the ring, as a pull producer where need be: `flushed` comes once the kernel
-    has it all."""
+    """A TCP connection with bounded buffers. Subclasses override the callbacks at the end of this class.
+
+    Output that the kernel does not take at once goes through the output buffer, with this object as the
+    transport's pull producer; `flushed` is called when the kernel has all of it.
+    """
 
     def __init__(self, deadlines: Deadlines, max_input_bytes: int, max_output_bytes: int) -> None:
         self.deadlines = deadlines
@@ -68,10 +77,13 @@
         self.timeout = ConnectionTimeout(deadlines)
         self.pending: PendingConnection | None = None
         self.transport: Any = None
-        self.is_open = self.was_reset = False  # broken: it did not end, as a reset connection
-        self._producing = self._handling_input = False
+        self.is_open = False
+        self.was_reset = False  # the connection broke rather than being closed by the peer
+        self._producing = False
+        self._handling_input = False
 
     def connectionMade(self) -> None:  # noqa: N802
+        """Set the connection up and report it to whoever opened it."""
         self.is_open = True
         self.transport.setTcpNoDelay(True)
         self.opened()
@@ -80,8 +92,10 @@
             pending.established.callback(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        # What is due runs before new input. It may ask whether this connection is silent, and the kernel no
-        # longer holds what is in hand here: it was closed with a request that had been read.
+        """Buffer input and hand it to `received`, after all deadlines that are due."""
+        # A due deadline may ask whether this connection has unread input. The kernel no longer holds the data
+        # that is being handled here: without this flag a connection was closed with a request that had been
+        # read.
         self._handling_input = True
         self.deadlines.run_due()
         self._handling_input = False
@@ -95,6 +109,7 @@
         self.received()
 
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
+        """Call `closed` and release the buffers."""
         self.is_open = False
         if reason is not None and not isinstance(reason.value, ConnectionDone):
             self.was_reset = True
@@ -104,11 +119,12 @@
         self.output_buffer.clear()
 
     def send(self, data: bytes) -> None:
+        """Write data, which must fit into the output buffer where the kernel does not take it at once."""
         if not self.is_open:
             return
         if not self._producing:
-            # Straight to the kernel: by way of the reactor's next turn, each write costs two changes of what
-            # it polls for. What the kernel does not take goes the long way.
+            # Write to the kernel directly: through the reactor's next turn each write costs two changes of
+            # the set that it polls. The rest takes the long way.
             sent = self.transport.writeSomeData(data)
             if sent == len(data):
                 self.flushed()
@@ -120,6 +136,7 @@
             self.transport.registerProducer(self, False)
 
     def resumeProducing(self) -> None:  # noqa: N802
+        """Write the next chunk of the output buffer."""
         data = self.output_buffer.take(WRITE_CHUNK_BYTES)
         if data:
             self.transport.write(data)
@@ -129,10 +146,11 @@
             self.flushed()
 
     def stopProducing(self) -> None:  # noqa: N802
+        """Stop writing: the connection is lost."""
         self._producing = False
 
     def has_unread_input(self) -> bool:
-        """Whether bytes have come, or the end of the connection, that nothing here has looked at yet."""
+        """Return whether the kernel holds bytes, or the end of the connection, that were not read yet."""
         if self._handling_input:
             return True
         try:
@@ -140,34 +158,38 @@
         except BlockingIOError:
             return False
         except (OSError, AttributeError):
-            self.was_reset = True  # the kernel tells it once: to the next read it is an end like any other
+            self.was_reset = True  # the kernel reports it once: the next read would see an orderly end
             return True
         return True
 
     def close(self) -> None:
-        """Ends the connection in this turn, and in order: what the kernel has of an answer still goes out. By
-        the transport's own way it is the next turn, and what came in between was read and lost."""
+        """Close the connection in this turn; what the kernel holds of a response is still sent.
+
+        The transport's own `loseConnection` closes in the next turn, and input that came in between would be
+        read and lost.
+        """
         self.transport.connectionLost(CLOSED_CLEANLY)
 
     def abort(self) -> None:
-        """Ends the connection at once, whatever is under way."""
+        """Reset the connection at once, whatever is in flight on it."""
         if self.is_open:
             self.is_open = False
             self.transport.abortConnection()
 
-    # What a connection of one kind does; nothing unless it says so.
+    # Callbacks of subclasses. By default they do nothing, and a full input buffer aborts the connection.
 
     def opened(self) -> None:
-        pass
+        """Handle that the connection was established."""
 
     def received(self) -> None:
-        pass
+        """Handle new bytes in the input buffer."""
 
     def flushed(self) -> None:
-        pass
+        """Handle that the kernel has all output."""
 
     def closed(self) -> None:
-        pass
+        """Handle the end of the connection. The input buffer still holds what was not consumed."""
 
     def overflowed(self) -> None:
+        """Handle input that does not fit into the input buffer."""
         self.abort()
--- a/meadowpulley/net/extension.py
+++ b/meadowpulley/net/extension.py
@@ -1,13 +1,14 @@
-"""Where a part that is off by default may stand beside the intake: one object, `Gateway.hook`, usually None.
+"""The extension point beside request admission: an optional object at `Gateway.extension`, None by default.
 
-It sees each request whole before the decisions hear of it, and each final answer before its client does; it
-may answer a request itself, hold an answer until that is recorded, and let work go on without its client.
-What it asks of the gateway: `Requests.settle` answers a request, `Intake.put_in` takes one that no client
-stands behind, `Gateway.carry_out` adds types of action and `Gateway.tell` takes events of any type, for the
-stages round `Gateway.balancer`. With no hook all of it costs the test of one attribute.
+An extension sees each request before the policy and each final response before its client. It may answer a
+request itself, hold a response until that is recorded, and let work continue without its client. It uses
+`RequestTable.complete` to answer a request, `RequestAdmission.adopt` to take over a request without a client
+connection, `Gateway.register_action` to add action types, and `Gateway.dispatch` with events of any type for
+the stages of `Gateway.pipeline`. Without an extension all of this costs the test of one attribute.
 
-All is called in the reactor's turn and must not block. What it raises is logged and counted as `fault.hook`
-(in `asked`: as a fault of the intake, which fails the request), and the gateway goes on as without it.
+Methods are called in the reactor's thread and must not block. Exceptions are logged and counted as
+`fault.extension` (those of `on_request` as `fault.admission`, which fails the request), and the gateway
+continues as without the extension.
 """
 
 from __future__ import annotations
@@ -22,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """A final answer; `headers` are those from end to end, none that tell of the connection or the length."""
+    """A final response. `headers` holds end-to-end headers only: none on the connection or the length."""
 
     status: int
     headers: dict[str, str]
@@ -31,33 +32,43 @@
 
 @dataclass(frozen=True, slots=True)
 class IncomingRequest:
-    """A request as it was taken. Times are milliseconds on the gateway's clock."""
+    """A request as it was accepted. Times are milliseconds on the gateway's clock."""
 
-    request_id: str  # the client's own id of it
-    event: Request  # what the decisions are told: its handle, class, tenant, key and deadline among it
-    message: Message  # as it came: method, path with query, headers, body
+    request_id: str  # chosen by the client
+    event: Request  # as the policy sees it: handle, class, tenant, key and deadline
+    message: Message  # as received: method, path with query, headers, body
     arrived_ms: float
-    is_duplicate: bool  # another request of the same id is owed an answer here
+    is_duplicate: bool  # another request with the same id still awaits its response here
 
 
 ReleaseResponse: TypeAlias = Callable[[Response], None]
 
 
 class Extension(Protocol):
+    """Callbacks of an extension. Requests are named by their handles in the request table."""
+
     def on_request(self, incoming: IncomingRequest) -> bool:
-        """Whether the decisions are told of a request from a client. Where not, it is the hook's: it has
-        called `Requests.settle` for it, or will. Unanswered by its deadline and slack it gets 504, and if its
-        client goes the decisions are told `RequestGone`, as of any other. One that is `open` is never started
-        a second time: where the hook lets it pass it gets 409."""
+        """Return whether the policy shall handle a client's request.
+
+        If not, the extension answers it: it has called `RequestTable.complete`, or will. Unanswered by its
+        deadline and slack, the request gets 504; if its client disconnects, the policy receives
+        `ClientDisconnected` as for any other. A duplicate is never started a second time: where the extension
+        returns True it gets 409.
+        """
 
     def on_response(self, handle: int, response: Response, release: ReleaseResponse) -> None:
-        """The final answer of a request is known, and goes out once `release` is called with it, or with
-        another in its place, or of itself by the request's deadline and slack. Not called for what the hook
-        settled. The handle may be free by now."""
+        """Receive the final response of a request before its client does.
+
+        It is sent once `release` is called with it or with a replacement, at the latest at the request's
+        deadline and slack. Not called for requests that the extension completed. The handle may be free by
+        now.
+        """
 
     def on_client_disconnected(self, handle: int) -> bool:
-        """The client has gone before the answer: whether the work goes on. If so nobody else hears of it, and
-        the answer, once it is there, comes to `answering` as any other."""
+        """Return whether work on a request continues after its client has disconnected.
+
+        If so, nobody else is notified, and its response goes to `on_response` as any other.
+        """
 
     def on_draining(self) -> None:
-        """The gateway was told to end: called before any connection is closed for that."""
+        """Note that the gateway begins to drain; called before any connection is closed for that."""
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -1,4 +1,4 @@
-"""One gateway: its phases, and the one place where events reach the decisions and actions leave them."""
+"""The gateway: its phases, and the place where events reach the policy and its actions are carried out."""
 
 from __future__ import annotations
 
@@ -47,17 +47,17 @@
 if TYPE_CHECKING:
     from meadowpulley.net.capture import Capture
 
-RESERVED_SOCKETS = (
-    32  # descriptors for the program itself, the platform, discovery and connections just ending
-)
-CLIENT_SOCKET_FRACTION = (
-    0.58  # of the others: clients hold a third of all for requests, and the rest of it says nothing
-)
-DRAIN_ACCEPT_MS = 700.0  # after SIGTERM, while connections still come
-TIMER_RETRY_MS = 1000.0  # a timer on which the decisions failed comes again
+RESERVED_SOCKETS = 32  # for the program itself, the platform, discovery and connections that are ending
+# Of the other sockets. Clients hold a third of all connections for requests, and the rest of this carries
+# nothing.
+CLIENT_SOCKET_FRACTION = 0.58
+DRAIN_ACCEPT_MS = 700.0  # after SIGTERM, while connections still arrive
+TIMER_RETRY_MS = 1000.0  # until a timer event on which the policy raised an exception is repeated
 
 
 class GatewayPhase(Enum):
+    """The phases of a gateway, in order."""
+
     STARTING = "starting"
     READY = "ready"
     DRAINING = "draining"
@@ -65,6 +65,12 @@
 
 
 class Gateway:
+    """One gateway: its components, its phases and its event loop.
+
+    `pipeline` is the outermost stage round the policy: stages may be wrapped round it before the start.
+    `extension` and `capture` are None unless something sets them.
+    """
+
     def __init__(
         self,
         config: Config,
@@ -81,13 +87,11 @@
         self._pending_events: deque[Any] = deque()
         self._dispatching = False
         self._accepting = True
-        self.pipeline = self._policy = create_policy(
-            config.settings, config.seed
-        )  # stages before it may be put in
+        self.pipeline = self._policy = create_policy(config.settings, config.seed)
         available = config.max_sockets - RESERVED_SOCKETS
         client_sockets = int(available * CLIENT_SOCKET_FRACTION)
         instance_sockets = available - client_sockets
-        # A request is owed its answer on a client's connection, or outlives it on an instance's.
+        # A request is answered on a client's connection, or outlives it on an instance's.
         self.requests = RequestTable(self, client_sockets + instance_sockets)
         self.admission = RequestAdmission(self, self.requests)
         self.clients = ClientListener(self, self.admission, self.requests, client_sockets)
@@ -96,9 +100,12 @@
         self.discovery = DiscoveryClient(self, self.instances, time.time() * 1000.0 - self.deadlines.now())
         self.rollout_client = RolloutClient(self, lambda name: self.discovery.decoder.server_ids.get(name))
         self.gossip = GossipTransport(self)
-        self.capture: Capture | None = None  # of what clients ask, where one is wanted
-        self.extension: Extension | None = None  # a part beside the intake, where one is wanted
-        self._actions: dict[type, Callable[[Any], None]] = {
+        self.capture: Capture | None = None
+        self.extension: Extension | None = None
+        self._actions = self._action_handlers()
+
+    def _action_handlers(self) -> dict[type, Callable[[Any], None]]:
+        return {
             Send: self.attempts.send,
             Cancel: self.attempts.cancel,
             Reject: self.requests.reject,
@@ -117,25 +124,30 @@
 
     @property
     def ready(self) -> bool:
+        """Whether the gateway accepts and serves requests."""
         return self.phase is GatewayPhase.READY
 
     @property
     def stopping(self) -> bool:
+        """Whether the gateway has stopped."""
         return self.phase is GatewayPhase.STOPPED
 
     def prepare(self) -> None:
-        """All that a start takes from what the configuration holds, but for listening."""
+        """Start all components from the configuration, except for listening."""
         for warning in self.config.warnings:
-            self.log.warning("configuration doubtful", what=warning)
+            self.log.warning("configuration_warning", what=warning)
         self.discovery.start()
         self.instances.preconnect()
         self.rollout_client.start()
         self.gossip.start()
 
     def listen(self) -> None:
-        """Ready, even with discovery and the platform out of reach. Called in a turn of the reactor: whatever
-        waits to be accepted counts as taken, and must not wait for the rest of a start."""
-        if self.phase is not GatewayPhase.STARTING:  # told to end before it was ready
+        """Become ready, even while discovery and the platform are unreachable.
+
+        Call it in a turn of the reactor: connections in the backlog count as accepted and must not wait for
+        the rest of the start.
+        """
+        if self.phase is not GatewayPhase.STARTING:  # stopped before it was ready
             return
         self.clients.listen()
         self.phase = GatewayPhase.READY
@@ -143,9 +155,8 @@
         self.log.info("ready", listen=f"{host}:{port}", clients=self.clients.connections.size)
 
     def drain(self) -> None:
-        if (
-            self.phase is GatewayPhase.STARTING
-        ):  # nobody was let in: nothing is owed, and nothing is taken any more
+        """Begin a graceful shutdown: answer all accepted requests, then stop."""
+        if self.phase is GatewayPhase.STARTING:  # nothing was accepted, and nothing will be
             self._stop()
         if self.phase is not GatewayPhase.READY:
             return
@@ -157,7 +168,7 @@
             try:
                 self.extension.on_draining()
             except Exception:
-                self.log_fault("hook")
+                self.log_fault("extension")
         self.clients.drain()
         self.deadlines.after(DRAIN_ACCEPT_MS, self._stop_accepting)
 
@@ -167,8 +178,7 @@
         self.stop_if_drained()
 
     def stop_if_drained(self) -> None:
-        """Asked whenever a connection ends: the last one of a draining gateway ends the gateway, unless a
-        request without one is still owed an answer."""
+        """Stop a draining gateway once it has no client connection and owes no response."""
         if self.phase is not GatewayPhase.DRAINING or self._accepting:
             return
         if not len(self.clients.connections) and not self.requests.open_ids:
@@ -183,16 +193,19 @@
         self.reactor.callLater(0, self.reactor.stop)
 
     def reload(self) -> None:
-        """The configuration was replaced: where discovery and the platform are now. Nothing else of it is
-        taken over, and what is known, owed and under way stays as it is. Before it is ready too: the file was
-        read before all that a start asks for, and discovery may be gone from where it said."""
+        """Read the configuration again and take over the addresses of discovery and the platform, nothing
+        else.
+
+        Known endpoints and requests in flight stay as they are. This also works before the gateway is ready:
+        discovery may have moved since the file was read.
+        """
         if self.stopping:
             return
         try:
             new_config = self._load_config()
         except ConfigError as error:
-            self.counters.add("reload.refused")
-            self.log.error("reload refused", why=str(error))
+            self.counters.add("reload.rejected")
+            self.log.error("reload_rejected", why=str(error))
             return
         old_config = self.config
         self.config = replace(old_config, discovery=new_config.discovery, platform=new_config.platform)
@@ -204,7 +217,7 @@
             self.rollout_client.address_changed()
 
     def start_capture(self, capture: Capture, interval_ms: float) -> None:
-        """From now on what clients ask is captured."""
+        """Record arriving requests from now on; the capture is flushed at the interval."""
         self.capture = capture
 
         def flush() -> None:
@@ -215,6 +228,7 @@
         self.deadlines.after(interval_ms, flush)
 
     def log_counters(self) -> None:
+        """Log all counters, at SIGUSR1 and at the end."""
         if self.capture is not None:
             self.log.info("capture", written=self.capture.written, dropped=self.capture.dropped)
         dropped = self._policy.gossip.rejected_digests
@@ -222,7 +236,7 @@
         self.log.info("counters", phase=self.phase.value, **self.counters.snapshot(), **extra)
 
     def on_signal(self, number: int, _: Any) -> None:
-        """Signals only wake the reactor: what they ask for runs in its turn."""
+        """Handle a signal: what it asks for runs in the reactor's turn."""
         if number == signal.SIGUSR1:
             self.reactor.callFromThread(self.log_counters)
         elif number == signal.SIGHUP:
@@ -230,23 +244,28 @@
         else:
             self.reactor.callFromThread(self.drain)
 
-    # Between sockets and decisions
+    # Events and actions
 
     def log_fault(self, where: str) -> None:
-        """Called while an exception is handled: it is logged and counted, and ends nothing."""
+        """Log and count the exception that is being handled. `where` names the component."""
         self.counters.add(f"fault.{where}")
         self.log.error("fault", where=where, exc_info=True)
 
     def register_action(self, action_type: type, handler: Callable[[Any], None]) -> None:
-        """From now on actions of a type that stages before the decisions bring along are carried out so.
-        Raises ValueError for a type that is carried out already."""
+        """Carry out actions of a type that stages of the pipeline add.
+
+        Raises:
+            ValueError: the type has a handler already.
+        """
         if action_type in self._actions:
             raise ValueError(f"{action_type.__name__} is carried out already")
         self._actions[action_type] = handler
 
     def dispatch(self, event: object) -> None:
-        """Hands an event, of whatever type the stages before the decisions know, to them and carries out what
-        they decide; one at a time, in order."""
+        """Pass an event to the pipeline and carry out the resulting actions; one event at a time, in order.
+
+        The event may be of any type that a stage of the pipeline handles.
+        """
         self._pending_events.append(event)
         if self._dispatching:
             return
@@ -261,7 +280,7 @@
         try:
             actions = self.pipeline.handle(self.deadlines.now(), event)
         except Exception:
-            self.log_fault("decisions")
+            self.log_fault("policy")
             if isinstance(event, Request | Outcome):
                 self.requests.decision_failed(event.request)
             elif isinstance(event, Timer):
--- a/meadowpulley/net/gateway_context.py
+++ b/meadowpulley/net/gateway_context.py
@@ -1,7 +1,8 @@
-"""What a gateway's parts may ask of the gateway that ties them, and nothing more of it.
+"""The interface through which the gateway's components use the gateway that connects them.
 
-Each part (`clients`, `intake`, `requests`, `instances`, `attempts`, `discovery`, `control`, `peers`) is given
-a `Host`, and by name whichever of the parts below it that it uses; `gateway` alone knows them all.
+Each component (`client_listener`, `request_admission`, `request_table`, `instance_pools`, `attempts`,
+`discovery_client`, `rollout_client`, `gossip`) receives a `GatewayContext` and, by name, the lower components
+that it uses. Only `gateway` knows all of them.
 """
 
 from __future__ import annotations
@@ -21,41 +22,49 @@
 
 
 class GatewayContext(Protocol):
+    """What a component may use of its gateway."""
+
     @property
     def config(self) -> Config:
-        """Asked for anew each time: a reload replaces it."""
+        """The current configuration. Read it anew for each use: a reload replaces it."""
 
     @property
-    def reactor(self) -> Any: ...
+    def reactor(self) -> Any:
+        """The Twisted reactor."""
 
     @property
-    def log(self) -> FilteringBoundLogger: ...
+    def log(self) -> FilteringBoundLogger:
+        """The gateway's log."""
 
     @property
-    def counters(self) -> Counters: ...
+    def counters(self) -> Counters:
+        """The gateway's counters."""
 
     @property
-    def deadlines(self) -> Deadlines: ...
+    def deadlines(self) -> Deadlines:
+        """The gateway's clock and deadline queue."""
 
     @property
     def capture(self) -> Capture | None:
-        """Where what clients ask is noted; None unless a file is named."""
+        """The recorder of arriving requests; None unless a capture file is configured."""
 
     @property
     def extension(self) -> Extension | None:
-        """A part beside the intake; None unless one was set."""
+        """The extension that takes part in request handling; None unless one was installed."""
 
     @property
-    def ready(self) -> bool: ...
+    def ready(self) -> bool:
+        """Whether the gateway accepts and serves requests."""
 
     @property
-    def stopping(self) -> bool: ...
+    def stopping(self) -> bool:
+        """Whether the gateway has stopped."""
 
     def dispatch(self, event: Event) -> None:
-        """Hands an event to the decisions and carries out what they decide; one at a time, in order."""
+        """Pass an event to the pipeline and carry out the resulting actions; one at a time, in order."""
 
     def log_fault(self, where: str) -> None:
-        """Called while an exception is handled: it is logged and counted, and ends nothing."""
+        """Log and count the exception that is being handled. `where` names the component."""
 
     def stop_if_drained(self) -> None:
-        """Called whenever a connection has ended: the last one of a draining gateway ends the gateway."""
+        """Stop a draining gateway when nothing is left to answer. Call it whenever a connection has ended."""
--- a/meadowpulley/net/http1.py
+++ b/meadowpulley/net/http1.py
@@ -1,4 +1,8 @@
-"""HTTP/1.1 messages: a strict parser that reads from a ring, and a writer. Neither does any I/O."""
+"""HTTP/1.1 messages: a strict incremental parser that reads from a ring buffer, and a serializer. No I/O.
+
+The grammar is that of RFC 9112; what it leaves open (obsolete line folding, several lengths, other transfer
+codings) is rejected.
+"""
 
 from __future__ import annotations
 
@@ -10,9 +14,9 @@
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 64 * 1024
-MAX_CHUNK_LINE_BYTES = 1024  # of a chunk's size line or a trailer's line
+MAX_CHUNK_LINE_BYTES = 1024  # a chunk's size line or a trailer's line
 MAX_HEADER_FIELDS = 100
-MAX_READ_BYTES = 64 * 1024  # what the reactor may hand over in one piece
+MAX_READ_BYTES = 64 * 1024  # what the reactor may hand over at once
 MAX_BUFFERED_BYTES = MAX_HEAD_BYTES + MAX_BODY_BYTES + MAX_READ_BYTES
 
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
@@ -43,7 +47,7 @@
 
 
 class BadMessageError(Exception):
-    """What came is no message of the protocol; `status` is the answer that a client gets for it."""
+    """The input is not a valid message; `status` is the response that a client gets for it."""
 
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
@@ -52,7 +56,11 @@
 
 @dataclass(slots=True)
 class Message:
-    """A whole request or answer. Names of headers are in lower case; a repeated one is joined by commas."""
+    """A complete request or response.
+
+    Header names are in lower case; the values of a repeated header are joined by commas. `method` and
+    `target` are empty in responses, `status` is 0 in requests, `minor_version` is that of HTTP/1.x.
+    """
 
     method: str = ""
     target: str = ""
@@ -63,20 +71,20 @@
     keep_alive: bool = True
 
 
-_NO_MESSAGE = Message()  # in place of a message until the head of one has come
+_NO_MESSAGE = Message()  # in place of a message until a head was parsed
 
 
 class _ParserState(Enum):
     HEAD = "head"
-    FIXED_LENGTH = "sized"
+    FIXED_LENGTH = "fixed length"
     CHUNK_SIZE = "chunk size"
     CHUNK_DATA = "chunk data"
     TRAILER = "trailer"
-    UNTIL_CLOSE = "to the end of the connection"
+    UNTIL_CLOSE = "until close"
 
 
 class Parser:
-    """Takes messages of one kind, requests or answers, from a ring, one at a time."""
+    """Parse messages of one kind, requests or responses, from a buffer, one at a time."""
 
     def __init__(
         self, buffer: RingBuffer, expect_requests: bool, max_body_bytes: int = MAX_BODY_BYTES
@@ -93,11 +101,15 @@
 
     @property
     def has_partial_message(self) -> bool:
-        """Whether a part of a message has come."""
+        """Whether a part of a message has arrived."""
         return self._state is not _ParserState.HEAD or len(self._buffer) > 0
 
     def next_message(self) -> Message | None:
-        """The next whole message, or None when more bytes are needed."""
+        """Return the next complete message, or None if more bytes are needed.
+
+        Raises:
+            BadMessageError: the input is malformed or exceeds a limit; the parser can't continue.
+        """
         while True:
             state = self._state
             if state is _ParserState.HEAD:
@@ -124,7 +136,7 @@
                 return None
 
     def end_of_stream(self) -> Message | None:
-        """The connection has ended: the answer that lasted until then, if that is how it was framed."""
+        """Return the response that the end of the connection completes; None if it was framed otherwise."""
         if self._state is _ParserState.UNTIL_CLOSE:
             return self._complete_message(bytes(self._body))
         return None
@@ -141,22 +153,15 @@
             return False
         data = buffer.peek(MAX_HEAD_BYTES + 4)
         if self._expect_requests and self._scanned == 0 and (empty_lines := _EMPTY_LINES.match(data)):
-            buffer.take(empty_lines.end())  # empty lines before a request are passed over, as RFC 9112 has it
+            buffer.take(empty_lines.end())  # RFC 9112, 2.2: empty lines before a request are ignored
             data = data[empty_lines.end() :]
         if not self._expect_requests and not data.startswith(_VERSION_PREFIX[: len(data)]):
-            raise BadMessageError(502, "no status line")  # noise may never end: it is told by its first bytes
+            raise BadMessageError(502, "no status line")  # noise may never end: its first bytes tell it
         if data and not _FIRST_BYTES.match(data):
             raise BadMessageError(400, "no start line")
         end = data.find(b"\r\n\r\n", max(self._scanned - 3, 0))
         if end < 0:
-            if len(buffer) >= MAX_HEAD_BYTES:
-                raise BadMessageError(431, "head too large")
-            # The rest of a head may never come. Once, as its end comes: a head may come byte by byte.
-            if (line_end := data.find(b"\r\n")) > 0 and line_end + 2 > self._scanned:
-                self._parse_start_line(data[:line_end].decode("latin-1"))
-            self._scanned = (
-                0 if data == b"\r" else len(buffer)
-            )  # an empty line may still come before the request
+            self._check_partial_head(data)
             return False
         buffer.take(end + 4)
         line_end = data.find(b"\r\n")
@@ -165,9 +170,25 @@
         lines = data[:end].decode("latin-1").split("\r\n")
         if len(lines) - 1 > MAX_HEADER_FIELDS:
             raise BadMessageError(431, "too many header fields")
-        self._message = message = self._parse_start_line(lines[0])
-        headers, lengths = message.headers, []
+        self._message = self._parse_start_line(lines[0])
         del lines[0]
+        self._choose_framing(self._parse_fields(lines))
+        return True
+
+    def _check_partial_head(self, data: bytes) -> None:
+        """Reject an incomplete head that can't become valid: its end may never come."""
+        buffered = len(self._buffer)
+        if buffered >= MAX_HEAD_BYTES:
+            raise BadMessageError(431, "head too large")
+        # Check the start line only once, when its end arrives: a head may come byte by byte.
+        if (line_end := data.find(b"\r\n")) > 0 and line_end + 2 > self._scanned:
+            self._parse_start_line(data[:line_end].decode("latin-1"))
+        self._scanned = 0 if data == b"\r" else buffered  # an empty line may still precede the request
+
+    def _parse_fields(self, lines: list[str]) -> list[str]:
+        """Store the header fields in the message and return the values of all content-length fields."""
+        headers = self._message.headers
+        lengths: list[str] = []
         for line in lines:
             name, _, value = line.partition(":")
             name, value = name.lower(), value.strip(" \t")
@@ -178,8 +199,7 @@
                     raise BadMessageError(400, "two hosts")
                 value = f"{headers[name]}, {value}"
             headers[name] = value
-        self._choose_framing(lengths)
-        return True
+        return lengths
 
     def _parse_start_line(self, line: str) -> Message:
         matched = (_REQUEST_LINE if self._expect_requests else _STATUS_LINE).fullmatch(line)
@@ -192,6 +212,7 @@
         return Message(status=int(status), minor_version=int(minor_version))
 
     def _choose_framing(self, lengths: list[str]) -> None:
+        """Set the state that reads the body (RFC 9112, 6.3), and what the head says about the connection."""
         message = self._message
         connection = message.headers.get("connection", "").lower()
         options = {o.strip() for o in connection.split(",")} if connection else ()
@@ -208,23 +229,28 @@
                 raise BadMessageError(400, "unknown transfer coding")
             self._state = _ParserState.CHUNK_SIZE
         elif lengths:
-            if not _CONTENT_LENGTH.fullmatch(lengths[0]):
-                raise BadMessageError(400, "malformed length")
-            self._remaining = int(lengths[0])
-            if self._remaining > self._max_body_bytes:
-                raise BadMessageError(413, "body too large")
-            self._state = _ParserState.FIXED_LENGTH
+            self._set_fixed_length(lengths[0])
         elif self._expect_requests or message.status in (204, 304) or message.status < 200:
             self._remaining, self._state = 0, _ParserState.FIXED_LENGTH
         else:
             message.keep_alive = False
             self._state = _ParserState.UNTIL_CLOSE
         if "expect" in message.headers and self._expect_requests:
-            body_present = self._state is _ParserState.FIXED_LENGTH and len(self._buffer) >= self._remaining
-            self.expects_continue = message.headers["expect"].lower() == "100-continue" and not body_present
-            self.expects_continue = (
-                self.expects_continue and message.minor_version == 1
-            )  # RFC 9110, 10.1.1: HTTP/1.0 knows no 1xx
+            self.expects_continue = self._awaits_continue(message)
+
+    def _set_fixed_length(self, length: str) -> None:
+        if not _CONTENT_LENGTH.fullmatch(length):
+            raise BadMessageError(400, "malformed length")
+        self._remaining = int(length)
+        if self._remaining > self._max_body_bytes:
+            raise BadMessageError(413, "body too large")
+        self._state = _ParserState.FIXED_LENGTH
+
+    def _awaits_continue(self, message: Message) -> bool:
+        """Return whether the client waits for an interim response (RFC 9110, 10.1.1: none for HTTP/1.0)."""
+        body_present = self._state is _ParserState.FIXED_LENGTH and len(self._buffer) >= self._remaining
+        expectation = message.headers["expect"].lower()
+        return expectation == "100-continue" and not body_present and message.minor_version == 1
 
     def _take_line(self) -> bytes | None:
         end = self._buffer.find(b"\r\n")
@@ -257,8 +283,11 @@
 
 
 def forwarded_headers(headers: dict[str, str], host: str = "") -> dict[str, str]:
-    """The headers that go from end to end; `host` where there is none: a request of HTTP/1.0 may lack it, one
-    of HTTP/1.1 may not (RFC 9112, 3.2)."""
+    """Return the end-to-end headers of a message.
+
+    `host` is added where there is none: an HTTP/1.0 request may lack it, an HTTP/1.1 request may not (RFC
+    9112, 3.2).
+    """
     excluded = _NOT_FORWARDED
     if "connection" in headers:
         excluded = excluded | {o.strip().lower() for o in headers["connection"].split(",")}
@@ -266,7 +295,7 @@
     return {"host": host, **forwarded} if host and "host" not in forwarded else forwarded
 
 
-def _head_bytes(start_line: str, headers: dict[str, str], body: bytes, with_length: bool) -> bytes:
+def _serialize(start_line: str, headers: dict[str, str], body: bytes, with_length: bool) -> bytes:
     lines = [start_line, *(f"{name}: {value}" for name, value in headers.items())]
     if with_length:
         lines.append(f"content-length: {len(body)}")
@@ -274,11 +303,12 @@
 
 
 def request_bytes(method: str, target: str, headers: dict[str, str], body: bytes = b"") -> bytes:
-    return _head_bytes(f"{method} {target} HTTP/1.1", headers, body, bool(body) or method != "GET")
+    """Serialize a request; its content-length is added."""
+    return _serialize(f"{method} {target} HTTP/1.1", headers, body, bool(body) or method != "GET")
 
 
 def response_bytes(status: int, headers: dict[str, str], body: bytes = b"", close: bool = False) -> bytes:
+    """Serialize a response with its content-length, and with `connection: close` where that is asked for."""
     headers = {**headers, "connection": "close"} if close else headers
-    return _head_bytes(
-        f"HTTP/1.1 {status} {REASON_PHRASES.get(status, 'Unknown')}", headers, body, status >= 200
-    )
+    status_line = f"HTTP/1.1 {status} {REASON_PHRASES.get(status, 'Unknown')}"
+    return _serialize(status_line, headers, body, status >= 200)
--- a/meadowpulley/net/instance_connection.py
+++ b/meadowpulley/net/instance_connection.py
@@ -1,4 +1,4 @@
-"""A connection to an instance, and the pool of those to one address."""
+"""A connection to an instance, and the pool of the connections to one address."""
 
 from __future__ import annotations
 
@@ -18,76 +18,88 @@
     Parser,
 )
 
-PARTIAL_RESPONSE_TIMEOUT_MS = 500.0  # for the rest of an answer that has begun: answers are written whole
-# A second answer may come some milliseconds late (the standing test's page), and nothing in an answer says
-# whose it is: for so long a connection that has answered carries nothing. Under ten by the word, and as much
-# again, since the two need not take the same time through the network.
+PARTIAL_RESPONSE_TIMEOUT_MS = 500.0  # for the rest of a response that has begun: instances write it at once
+# A duplicate response may follow some milliseconds later, and nothing in a response names its request. A
+# connection that has carried a response is therefore not reused for so long. The delay is stated as under 10
+# ms; the same again allows for the two taking different times through the network.
 REUSE_DELAY_MS = 20.0
-IDLE_TIMEOUT_FRACTION = 0.75  # of the time after which an instance may close a connection: ours goes before
+IDLE_TIMEOUT_FRACTION = (
+    0.75  # of the time after which an instance may close an idle connection: close it before
+)
 
 
 class Exchange(Protocol):
-    """What travels on a connection: it hears once what became of it."""
+    """A request on an instance connection; one of the callbacks reports its result."""
 
     connection: InstanceConnection | None
-    written: bool  # the kernel has the request's last byte
+    written: bool  # the kernel has the last byte of the request
 
-    def response_received(self, response: Message) -> None: ...
+    def response_received(self, response: Message) -> None:
+        """Handle a complete response."""
 
-    def connection_lost(self) -> None: ...
+    def connection_lost(self) -> None:
+        """Handle that the connection ended without a response."""
 
-    def malformed_response(self) -> None: ...
+    def malformed_response(self) -> None:
+        """Handle input that is not a valid response."""
 
 
 class PoolOwner(Protocol):
-    """What a pool and its connections ask of whoever keeps the pools."""
+    """What a pool and its connections use of the object that holds the pools."""
 
     gateway: GatewayContext
     idle_timeout_ms: float
 
-    def connection_opened(self, connection: InstanceConnection) -> None: ...
+    def connection_opened(self, connection: InstanceConnection) -> None:
+        """Handle that a connection was established."""
 
-    def connection_closed(self, connection: InstanceConnection) -> None: ...
+    def connection_closed(self, connection: InstanceConnection) -> None:
+        """Handle that a connection has ended."""
 
 
 class InstanceConnectionState(Enum):
+    """Whether a connection carries a request."""
+
     IDLE = "idle"
     BUSY = "busy"
     CLOSED = "closed"
 
 
 class InstanceConnection(Connection):
-    """One connection to an instance; at most one request travels on it at a time."""
+    """One connection to an instance; it carries one request at a time."""
 
     def __init__(self, pool: ConnectionPool) -> None:
-        super().__init__(
-            pool.owner.gateway.deadlines, MAX_BUFFERED_BYTES, MAX_HEAD_BYTES + MAX_BODY_BYTES + MAX_HEAD_BYTES
-        )
+        max_output_bytes = MAX_HEAD_BYTES + MAX_BODY_BYTES + MAX_HEAD_BYTES
+        super().__init__(pool.owner.gateway.deadlines, MAX_BUFFERED_BYTES, max_output_bytes)
         self.pool = pool
         self.parser = Parser(self.input_buffer, expect_requests=False)
         self.state = InstanceConnectionState.IDLE
         self.exchange: Exchange | None = None
         self.handle = -1
-        self.reusable_at = -math.inf  # from then on it may carry a request
+        self.reusable_at = -math.inf  # from when on it may carry a request
 
     def opened(self) -> None:
+        """Report the connection; close it if its pool was retired meanwhile."""
         self.pool.owner.connection_opened(self)
-        if self.pool.retired:  # another build may run there by now, for which its request was not meant
+        if self.pool.retired:  # another build may run there by now, for which the request was not meant
             self.abort()
 
     def send_request(self, exchange: Exchange, data: bytes) -> None:
+        """Write a request whose result goes to `exchange`."""
         self.timeout.clear()
         self.state, self.exchange, exchange.connection = InstanceConnectionState.BUSY, exchange, self
         self.send(data)
 
     def flushed(self) -> None:
+        """Note that the request is written."""
         if self.exchange is not None:
             self.exchange.written = True
 
     def received(self) -> None:
+        """Parse the response, skipping interim ones."""
         exchange = self.exchange
-        if exchange is None:  # nothing was asked for: this connection is not to be trusted
-            self.pool.owner.gateway.counters.add("up.unasked")
+        if exchange is None:  # unsolicited input: the connection can't be trusted
+            self.pool.owner.gateway.counters.add("up.unsolicited")
             self.abort()
             return
         try:
@@ -100,13 +112,13 @@
         if response is not None:
             self._response_received(exchange, response)
         elif not self.parser.has_partial_message:
-            self.timeout.clear()  # what had begun was a 1xx: the answer itself may take its time
+            self.timeout.clear()  # an interim response had begun: the final one may take its time
         elif self.timeout.at == math.inf:
             self.timeout.set(PARTIAL_RESPONSE_TIMEOUT_MS, self._response_incomplete)
 
     def _response_incomplete(self) -> None:
-        """An answer began and did not end: what its head says of its length was wrong."""
-        if self.has_unread_input():  # this gateway is late, not the rest of the answer
+        """Handle a response that began and did not end: the length in its head was wrong."""
+        if self.has_unread_input():  # this gateway is delayed, not the rest of the response
             self.timeout.set(PARTIAL_RESPONSE_TIMEOUT_MS, self._response_incomplete)
         elif self.exchange is not None:
             self.exchange.malformed_response()
@@ -124,6 +136,7 @@
         exchange.response_received(response)
 
     def closed(self) -> None:
+        """Report the end of the connection, which may complete a response."""
         if self.state is InstanceConnectionState.CLOSED:
             return
         self.state = InstanceConnectionState.CLOSED
@@ -131,21 +144,21 @@
         exchange, self.exchange = self.exchange, None
         if exchange is None:
             return
-        response = (
-            None if self.was_reset else self.parser.end_of_stream()
-        )  # a reset is no end of an answer, however framed
+        response = None if self.was_reset else self.parser.end_of_stream()  # a reset completes no response
         if response is not None and exchange.written:
             exchange.response_received(response)
         else:
             exchange.connection_lost()
 
     def abort(self) -> None:
+        """Reset the connection and report its end at once."""
         was_open = self.is_open
         super().abort()
         if was_open:
             self.closed()
 
     def overflowed(self) -> None:
+        """Handle a response that exceeds the input buffer."""
         if self.exchange is not None:
             self.exchange.malformed_response()
         else:
@@ -153,18 +166,21 @@
 
 
 class ConnectionPool:
-    """The connections to one address."""
+    """The connections to one address of one incarnation of a server: its build and the time of its start."""
 
     def __init__(
         self, owner: PoolOwner, server: int, address: Address, incarnation: tuple[int, float] = (0, 0.0)
     ) -> None:
         self.owner, self.server, self.address, self.incarnation = owner, server, address, incarnation
         self.idle: list[InstanceConnection] = []  # oldest first
-        self.retired = False  # the server has gone, or another build runs under its name
+        self.retired = False  # the server was removed, or restarted with another build
 
     def acquire(self) -> InstanceConnection | None:
-        """The newest that may carry a request, or else the one that may soonest: it is kept for whoever takes
-        it, who waits until then rather than open another, of which an instance holds few."""
+        """Remove an idle connection from the pool and return it; None if there is none.
+
+        The newest that may carry a request is preferred, else the one that may soonest: its `reusable_at` is
+        to be awaited, rather than another connection opened, of which an instance accepts few.
+        """
         now = self.owner.gateway.deadlines.now()
         while self.idle:
             reusable = (n for n in range(len(self.idle) - 1, -1, -1) if self.idle[n].reusable_at <= now)
@@ -176,7 +192,8 @@
         return None
 
     def release(self, connection: InstanceConnection) -> None:
-        if self.retired:  # nobody would take it again, nor close it
+        """Return a connection to the pool."""
+        if self.retired:  # nobody would acquire or close it again
             connection.abort()
             return
         self.idle.append(connection)
@@ -184,10 +201,12 @@
             connection.timeout.set(self.owner.idle_timeout_ms * IDLE_TIMEOUT_FRACTION, connection.abort)
 
     def connection_closed(self, connection: InstanceConnection) -> None:
+        """Remove a connection that has ended."""
         if connection in self.idle:
             self.idle.remove(connection)
         self.owner.connection_closed(connection)
 
     def close_idle(self) -> None:
+        """Close all idle connections."""
         for connection in list(self.idle):
             connection.abort()
--- a/meadowpulley/net/instance_pools.py
+++ b/meadowpulley/net/instance_pools.py
@@ -1,4 +1,4 @@
-"""The connections to all instances: where each one is, connections opened ahead, and room for more."""
+"""The connection pools of all instances: their addresses, connections opened ahead, and the socket limit."""
 
 from __future__ import annotations
 
@@ -12,12 +12,14 @@
 from meadowpulley.net.gateway_context import GatewayContext
 from meadowpulley.net.instance_connection import ConnectionPool, InstanceConnection
 
-PRECONNECT_PER_INSTANCE = 4  # connections opened to each instance at the start
-PRECONNECT_FLEET_TOTAL = 12  # by all gateways together: an instance holds few, and each costs it work
-PRECONNECT_TIMEOUT_MS = 1000.0  # for them to come up, where the settings name no time
+PRECONNECT_PER_INSTANCE = 4  # connections opened to each instance at start
+PRECONNECT_FLEET_TOTAL = 12  # by all gateways together: an instance accepts few, and each costs it work
+PRECONNECT_TIMEOUT_MS = 1000.0  # where the settings name no connect time-out
 
 
 class InstancePools:
+    """One pool per server, and a limit on their sockets."""
+
     def __init__(self, gateway: GatewayContext, max_sockets: int) -> None:
         self.gateway, self.max_sockets = gateway, max_sockets
         self.limits = gateway.config.settings.limits
@@ -26,53 +28,69 @@
         self.pools: dict[int, ConnectionPool] = {}  # by the number of the server
 
     def register(self, server: int, address: Address, incarnation: tuple[int, float]) -> None:
-        """Discovery has told where a server is, and which build it runs since when: an id and an address that
-        come back with another one inherit no connection, since those may lead nowhere and never say so."""
+        """Set the address of a server and its incarnation: its build and the time of its start.
+
+        A server that returns with another address or incarnation inherits no connection: old ones may lead
+        nowhere without ever reporting an error.
+        """
         pool = self.pools.get(server)
         if pool is None or (pool.address, pool.incarnation) != (address, incarnation):
             self.remove(server)
             self.pools[server] = ConnectionPool(self, server, address, incarnation)
 
     def remove(self, server: int) -> None:
+        """Retire the pool of a server: idle connections close now, others after their response."""
         pool = self.pools.pop(server, None)
         if pool is not None:
             pool.retired = True
             pool.close_idle()
 
     def close_idle(self, server: int) -> None:
-        """It wants nothing new: what is idle closes now, what is in use with its answer, and a connection in
-        the making carries nothing, however late it comes up. Should it be ready again, it starts anew."""
+        """Replace the pool of a draining server by an empty one.
+
+        Idle connections close now, used ones after their response, and a connection that is being established
+        carries nothing. If the server is ready again it starts with the new pool.
+        """
         pool = self.pools.get(server)
         if pool is not None:
             self.remove(server)
             self.pools[server] = ConnectionPool(self, server, pool.address, pool.incarnation)
 
     def connection_opened(self, connection: InstanceConnection) -> None:
+        """Count a connection."""
         self.gateway.counters.add("up.connections")
 
     def connection_closed(self, connection: InstanceConnection) -> None:
+        """Free the socket of a connection."""
         self.open_sockets -= 1
         self.gateway.stop_if_drained()
 
     def preconnect(self) -> None:
-        """At the start a few connections to each instance are opened ahead: clients come all at once, and a
-        first request that waits for its connection holds up those behind it. Not in a large fleet: 200
-        gateways with few requests each opened as many connections ahead as they had requests in a day."""
-        per_instance = PRECONNECT_FLEET_TOTAL // max(self.gateway.config.settings.gateway_count, 1)
+        """Open a few connections to each instance at start.
+
+        Clients come all at once, and a first request that waits for its connection delays those behind it.
+        Not in a large fleet: 200 gateways with few requests each opened as many connections ahead as they had
+        requests in a day.
+        """
+        fleet_share = PRECONNECT_FLEET_TOTAL // max(self.gateway.config.settings.gateway_count, 1)
         for pool in list(self.pools.values()):
-            for _ in range(
-                min(PRECONNECT_PER_INSTANCE, per_instance, self.max_sockets // (2 * len(self.pools)))
-            ):
-                self.open_sockets += 1
-                connecting = connect(self.gateway.reactor, pool.address, partial(InstanceConnection, pool))
-                timeout_ms = self.limits.connect_timeout_ms or PRECONNECT_TIMEOUT_MS
-                timeout = self.gateway.deadlines.after(timeout_ms, connecting.cancel)
-                connecting.addCallbacks(
-                    self._preconnected,
-                    self._preconnect_failed,
-                    callbackArgs=(pool, timeout),
-                    errbackArgs=(timeout,),
-                )
+            per_instance = min(
+                PRECONNECT_PER_INSTANCE, fleet_share, self.max_sockets // (2 * len(self.pools))
+            )
+            for _ in range(per_instance):
+                self._open_ahead(pool)
+
+    def _open_ahead(self, pool: ConnectionPool) -> None:
+        self.open_sockets += 1
+        connecting = connect(self.gateway.reactor, pool.address, partial(InstanceConnection, pool))
+        timeout_ms = self.limits.connect_timeout_ms or PRECONNECT_TIMEOUT_MS
+        timeout = self.gateway.deadlines.after(timeout_ms, connecting.cancel)
+        connecting.addCallbacks(
+            self._preconnected,
+            self._preconnect_failed,
+            callbackArgs=(pool, timeout),
+            errbackArgs=(timeout,),
+        )
 
     def _preconnected(self, connection: InstanceConnection, pool: ConnectionPool, timeout: Deadline) -> None:
         self.gateway.deadlines.cancel(timeout)
@@ -84,11 +102,14 @@
         self.open_sockets -= 1
 
     def evict_idle(self) -> bool:
-        """Closes the connection that has stood idle longest when all sockets for instances are in use."""
+        """Close the connection that has been idle longest if all sockets are in use.
+
+        Returns whether another connection may be opened.
+        """
         if self.open_sockets < self.max_sockets:
             return True
-        oldest_idle = [pool.idle[0] for pool in self.pools.values() if pool.idle]
-        if not oldest_idle:
+        longest_idle = [pool.idle[0] for pool in self.pools.values() if pool.idle]
+        if not longest_idle:
             return False
-        min(oldest_idle, key=lambda link: link.timeout.at).abort()
+        min(longest_idle, key=lambda connection: connection.timeout.at).abort()
         return True
--- a/meadowpulley/net/interval_metrics.py
+++ b/meadowpulley/net/interval_metrics.py
@@ -1,6 +1,7 @@
-"""One log line a second, where it is asked for: what was counted since the last, and what the decisions hold.
+"""One log line per second with the counters' changes and the state of the policy. Off by default.
 
-Off by default (`MEADOWPULLEY_SECONDS`). `meadowpulley fleet-log` adds the lines of a fleet up.
+The environment variable `MEADOWPULLEY_SECONDS` turns it on; `meadowpulley fleet-log` sums the lines of a
+fleet.
 """
 
 from __future__ import annotations
@@ -15,10 +16,16 @@
     from meadowpulley.net.gateway import Gateway
 
 INTERVAL_MS = 1000.0
+MAX_LOGGED_LIMIT = 1e6  # stands for a concurrency limit that is not reached yet, which JSON can't express
 
 
 def policy_snapshot(policy: Any, now: float) -> dict[str, Any]:
-    """What a balancer holds: servers by build and state, requests at them and waiting, its room, the news."""
+    """Return the log fields that describe the policy's state.
+
+    They are the servers by build and state, ejected servers, outstanding attempts, waiting requests, the
+    concurrency limit, the typical latency, the trial probability, rejected digests, and the furthest rollout
+    update.
+    """
     servers = list(policy.servers.values())
     ready = [s for s in servers if s.state is ServerState.READY]
     furthest = policy.furthest_rollout
@@ -27,7 +34,7 @@
         "resting": sum(now < s.ejected_until for s in ready),
         "out": len(policy.attempts),
         "waiting": len(policy.waiting),
-        "room": round(min(policy.concurrency_limit, 1e6), 1),
+        "room": round(min(policy.concurrency_limit, MAX_LOGGED_LIMIT), 1),
         "usual_ms": round(policy.mean_latency_ms),
         "odds": round(policy.trial_probability, 3),
         "strays": policy.gossip.rejected_digests,
@@ -38,12 +45,13 @@
 
 
 class BuildCounterStage:
-    """A stage before the decisions that only counts: sends and outcomes by the build that they were of."""
+    """A stage of the pipeline that counts sends and outcomes by build, and changes nothing."""
 
     def __init__(self, inner: Any, counters: Counters) -> None:
         self.inner, self._counters = inner, counters
 
     def handle(self, now: float, event: Event) -> list[Action]:
+        """Pass an event to the inner stage; count the outcome that it reports and the sends that result."""
         if isinstance(event, Outcome):
             attempt = self.inner.attempts.get((event.request, event.attempt))
             if attempt is not None:
@@ -56,7 +64,7 @@
 
 
 class IntervalMetrics:
-    """Writes the lines of one gateway from its start to its end."""
+    """Log the metrics of one gateway once per interval, from its start to its end."""
 
     def __init__(self, gateway: Gateway) -> None:
         self._gateway, self._policy = gateway, gateway.pipeline
@@ -71,7 +79,9 @@
         gateway = self._gateway
         counts = gateway.counters.snapshot()
         changes = {
-            k: n - self._last_counts.get(k, 0) for k, n in counts.items() if n != self._last_counts.get(k, 0)
+            name: count - self._last_counts.get(name, 0)
+            for name, count in counts.items()
+            if count != self._last_counts.get(name, 0)
         }
         self._last_counts = counts
         gateway.log.info(
--- a/meadowpulley/net/log.py
+++ b/meadowpulley/net/log.py
@@ -1,4 +1,4 @@
-"""The gateway's log: one line of JSON an event on standard error, few enough that it cannot slow service."""
+"""The gateway's log: a rate-limited line of JSON on standard error for each event."""
 
 from __future__ import annotations
 
@@ -10,14 +10,12 @@
 import structlog
 from structlog.typing import EventDict, FilteringBoundLogger, WrappedLogger
 
-MAX_LINES_PER_SECOND = (
-    20  # of one event name; what is passed over is counted in the next line that is written
-)
-UNLIMITED_EVENTS = ("story",)  # asked for line by line: none of it is passed over
+MAX_LINES_PER_SECOND = 20  # of each event name; the next line that is written counts the suppressed ones
+UNLIMITED_EVENTS = ("story",)  # requested line by line by an operator: none of them is suppressed
 
 
 class EventRateLimiter:
-    """Drops an event that comes too often, so that bad input cannot fill the log."""
+    """A structlog processor that drops events which come too often, so that bad input cannot fill the log."""
 
     def __init__(self) -> None:
         self._second = 0
@@ -33,14 +31,15 @@
             self._suppressed[name] = self._suppressed.get(name, 0) + 1
             raise structlog.DropEvent
         if name in self._suppressed:
-            event["passed_over"] = self._suppressed.pop(name)
+            event["suppressed"] = self._suppressed.pop(name)
         return event
 
 
 class StderrLogger:
-    """Writes lines; a log that nobody reads any more must not end the gateway."""
+    """Write lines to standard error. Errors are ignored: an unread log must not stop the gateway."""
 
     def msg(self, line: str) -> None:
+        """Write one line."""
         try:
             sys.stderr.write(line + "\n")
             sys.stderr.flush()
@@ -51,6 +50,7 @@
 
 
 def open_log(**fields: Any) -> FilteringBoundLogger:
+    """Return a logger that adds `fields` to each of its lines."""
     log: FilteringBoundLogger = structlog.wrap_logger(
         StderrLogger(),
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
--- a/meadowpulley/net/request_admission.py
+++ b/meadowpulley/net/request_admission.py
@@ -1,10 +1,7 @@
-"""Intake: what a client's message asks for, and whether it is taken."""
+"""Admission of requests: validates a client's message and answers it at once or passes it to the policy."""
 
 from __future__ import annotations
 
-import hashlib
-import math
-import re
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -13,13 +10,11 @@
 from meadowpulley.net.extension import Extension, IncomingRequest, Response
 from meadowpulley.net.gateway_context import GatewayContext
 from meadowpulley.net.http1 import BadMessageError, Message
+from meadowpulley.net.request_parsing import is_request_id, parse_key, parse_remaining, parse_work_estimate
 from meadowpulley.net.request_table import AcceptedRequest, RequestTable, ResponseSink
 
-DEADLINE_TOLERANCE_MS = 1_000.0  # what a request may claim beyond its class's limit: clients round
-_REMAINING = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
-_REQUEST_ID = re.compile(r"[!-+\--~]{1,128}")  # neither blanks nor commas: those would be two ids in one
-_HEX_KEY = re.compile(r"[0-9a-fA-F]{1,16}")
-# That one goes on, and an attempt for another would be its second copy.
+DEADLINE_TOLERANCE_MS = 1_000.0  # by which a request may exceed its class's deadline: clients round
+# The first request continues; an attempt for the second would be a duplicate execution.
 _DUPLICATE_ID = f"'{protocol.REQUEST_ID_HEADER}' is that of an open request"
 _ALLOWED_METHODS = {
     Effect.IDEMPOTENT: ("GET",),
@@ -28,32 +23,8 @@
 }
 
 
-def parse_remaining(text: str) -> float:
-    matched = _REMAINING.fullmatch(text)
-    if matched is None:
-        raise BadMessageError(400, f"'{protocol.REMAINING_TIME_HEADER}' is no time")
-    return float(matched[1]) * (1.0 if matched[2] == "m" else 0.001)
-
-
-def parse_key(text: str) -> int:
-    """Keys are numbers to the decisions; one in another form stands for the same number everywhere."""
-    if not text:
-        return 0
-    if _HEX_KEY.fullmatch(text):
-        return int(text, 16)
-    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
-
-
-def parse_work_hint(message: Message) -> float | None:
-    try:
-        hint = float(message.headers[protocol.WORK_ESTIMATE_HEADER])
-    except (KeyError, ValueError):
-        return None
-    return hint if math.isfinite(hint) and hint >= 0 else None
-
-
 class DetachedResponseSink:
-    """Who asked for a request that no client's connection stands behind."""
+    """The response sink of a request without a client connection: the response goes to a callback."""
 
     is_open, closing = True, False
 
@@ -62,83 +33,50 @@
         self._on_response = on_response
 
     def respond(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        """Pass the response to the callback."""
         self.request = None
         self._on_response(Response(status, headers, body))
 
 
 class RequestAdmission:
+    """Decide for each message whether it becomes an accepted request, and register accepted ones."""
+
     def __init__(self, gateway: GatewayContext, requests: RequestTable) -> None:
         self.gateway, self.requests = gateway, requests
-        self.class_indexes = {c.name: n for n, c in enumerate(gateway.config.settings.classes)}
-        self.tenant_indexes = {t.name: n for n, t in enumerate(gateway.config.settings.tenants)}
-        # Whoever names no tenant of ours: place 0 is a tenant's, who would be charged for it.
-        self.unknown_tenant = len(gateway.config.settings.tenants)
+        settings = gateway.config.settings
+        self.class_indexes = {c.name: index for index, c in enumerate(settings.classes)}
+        self.tenant_indexes = {t.name: index for index, t in enumerate(settings.tenants)}
+        # Requests that name no known tenant: index 0 is a tenant's, who would be charged for them.
+        self.unknown_tenant = len(settings.tenants)
 
     def accept(self, sink: ResponseSink, message: Message) -> None:
-        """Answers a message at once, or takes it as a request. Raises BadMessageError."""
-        # Before any answer, a health check's too. One to HEAD ends the connection: its body is not expected.
+        """Answer a message at once, or accept it as a request.
+
+        Raises:
+            BadMessageError: the message is no valid request; the sink has not been answered.
+        """
+        # Before any response, also to a health check. A response to HEAD ends the connection, since its body
+        # is not expected by the client.
         sink.closing = sink.closing or not message.keep_alive or message.method == "HEAD"
         path = message.target.partition("?")[0]
         if not path.startswith("/"):
             raise BadMessageError(400, "the target is no path")
         if path in (protocol.READINESS_PATH, protocol.LIVENESS_PATH):
-            healthy = path == protocol.LIVENESS_PATH or self.gateway.ready
-            sink.respond(200 if healthy else 503, {}, b"ok\n" if healthy else b"not ready\n")
+            self._respond_to_health_check(sink, path)
             return
         class_index = self._class_index(path)
         if class_index is None:
             self.gateway.counters.add("in.unknown_path")
             sink.respond(404, {}, b"unknown path\n")
             return
-        settings = self.gateway.config.settings
-        allowed = _ALLOWED_METHODS[settings.classes[class_index].effect]
         if message.method == "GET" and message.body:
             raise BadMessageError(400, "a GET with a body")
+        allowed = _ALLOWED_METHODS[self.gateway.config.settings.classes[class_index].effect]
         if message.method not in allowed:
             self.gateway.counters.add("in.wrong_method")
             sink.respond(405, {"allow": ", ".join(allowed)}, b"wrong method\n")
             return
-        request = self._create_request(sink, message, class_index)
-        self.gateway.counters.add("in.requests")
-        event = self._request_event(request)
-        if self.gateway.capture is not None:
-            self.gateway.capture.record(event, request.arrived_at, len(message.body))
-        if self.gateway.extension is None or self._allowed_by_extension(
-            self.gateway.extension, sink, request, event
-        ):
-            self.gateway.dispatch(event)
-
-    def _class_index(self, path: str) -> int | None:
-        return self.class_indexes.get(path[1:].partition("/")[0])
-
-    def _request_event(self, request: AcceptedRequest) -> Request:
-        message = request.message
-        return Request(
-            request=request.handle,
-            class_index=request.class_index,
-            tenant=self.tenant_indexes.get(
-                message.headers.get(protocol.TENANT_HEADER, ""), self.unknown_tenant
-            ),
-            key=parse_key(message.headers.get(protocol.ENTITY_KEY_HEADER, "")),
-            deadline_ms=request.deadline,
-            expected_work_ms=parse_work_hint(message),
-            client_retry=message.headers.get(protocol.RESEND_HEADER) == "1",
-            write=message.method != "GET",
-        )
-
-    def _allowed_by_extension(
-        self, extension: Extension, sink: ResponseSink, request: AcceptedRequest, event: Request
-    ) -> bool:
-        request_id = request.message.headers[protocol.REQUEST_ID_HEADER]
-        is_duplicate = self.requests.open_ids[request_id] > 1
-        if not extension.on_request(
-            IncomingRequest(request_id, event, request.message, request.arrived_at, is_duplicate)
-        ):
-            return False
-        if is_duplicate:
-            sink.closing = True
-            self.requests.complete(request.handle, Response(409, {}, _DUPLICATE_ID.encode()))
-        return not is_duplicate
+        self._admit(sink, self._create_request(sink, message, class_index))
 
     def adopt(
         self,
@@ -149,18 +87,23 @@
         prior_attempts: tuple[PriorAttempt, ...] = (),
         arm: int = 0,
     ) -> int:
-        """Takes a request over that a lost gateway had taken, and gives its handle; the deadline is on this
-        gateway's clock, `tries` to `arm` as in `i.Request`. It is shown to the hook only when answered; then
-        `done` has the answer, before this returns where the decisions refuse it at once. Raises ValueError
-        where it has no id or no class takes such a path, SlotsFullError."""
+        """Take over a request that a lost gateway had accepted, and return its handle.
+
+        The deadline is on this gateway's clock; `attempt_count`, `prior_attempts` and `arm` are as in
+        `interface.Request`. The extension sees only its response, which then goes to `on_response`: before
+        this method returns where the policy rejects the request at once.
+
+        Raises:
+            ValueError: the message has no request id, or no class has its path.
+            SlotsFullError: the request table is full.
+        """
         class_index = self._class_index(message.target.partition("?")[0])
-        if class_index is None or not _REQUEST_ID.fullmatch(
-            message.headers.get(protocol.REQUEST_ID_HEADER, "")
-        ):
+        request_id = message.headers.get(protocol.REQUEST_ID_HEADER, "")
+        if class_index is None or not is_request_id(request_id):
             raise ValueError(f"no request of ours: {message.target[:40]!r}")
         sink = DetachedResponseSink(on_response)
         request = AcceptedRequest(message, class_index, sink, self.gateway.deadlines.now(), deadline_ms)
-        request.attempt_count = attempt_count  # attempts are numbered on
+        request.attempt_count = attempt_count  # further attempts continue the numbering
         self.requests.add(request)
         sink.request = request
         self.gateway.counters.add("in.adopted")
@@ -174,25 +117,75 @@
         self.gateway.dispatch(event)
         return request.handle
 
+    def _respond_to_health_check(self, sink: ResponseSink, path: str) -> None:
+        if path == protocol.LIVENESS_PATH or self.gateway.ready:
+            sink.respond(200, {}, b"ok\n")
+        else:
+            sink.respond(503, {}, b"not ready\n")
+
+    def _class_index(self, path: str) -> int | None:
+        return self.class_indexes.get(path[1:].partition("/")[0])
+
     def _create_request(self, sink: ResponseSink, message: Message, class_index: int) -> AcceptedRequest:
+        """Register a request with its deadline. Raises BadMessageError for a bad id or time."""
         request_id = message.headers.get(protocol.REQUEST_ID_HEADER, "")
-        connection_options = {
-            option.strip().lower() for option in message.headers.get("connection", "").split(",")
-        }
-        if (
-            not _REQUEST_ID.fullmatch(request_id) or protocol.REQUEST_ID_HEADER in connection_options
-        ):  # one of this connection alone would not be sent on
+        connection_options = message.headers.get("connection", "").split(",")
+        # An id that is an option of this connection alone would not be forwarded.
+        hop_by_hop = protocol.REQUEST_ID_HEADER in {option.strip().lower() for option in connection_options}
+        if not is_request_id(request_id) or hop_by_hop:
             raise BadMessageError(400, f"no '{protocol.REQUEST_ID_HEADER}', or not just one")
         is_open = request_id in self.requests.open_ids or request_id in self.requests.outstanding_ids
         if is_open and self.gateway.extension is None:
             raise BadMessageError(409, _DUPLICATE_ID)
-        now, settings = self.gateway.deadlines.arrival_time(), self.gateway.config.settings
-        remaining_text = message.headers.get(protocol.REMAINING_TIME_HEADER)
-        max_remaining = settings.classes[class_index].deadline_ms
-        remaining = max_remaining if remaining_text is None else parse_remaining(remaining_text)
-        if remaining > max_remaining + DEADLINE_TOLERANCE_MS:
-            raise BadMessageError(400, f"'{protocol.REMAINING_TIME_HEADER}' is more than its class may take")
-        request = AcceptedRequest(message, class_index, sink, now, now + remaining)
+        arrived_at = self.gateway.deadlines.arrival_time()
+        deadline = arrived_at + self._remaining_ms(message, class_index)
+        request = AcceptedRequest(message, class_index, sink, arrived_at, deadline)
         self.requests.add(request)
         sink.request = request
         return request
+
+    def _remaining_ms(self, message: Message, class_index: int) -> float:
+        """Return the time that is left for a request: what it says, or the deadline of its class."""
+        max_remaining_ms = self.gateway.config.settings.classes[class_index].deadline_ms
+        text = message.headers.get(protocol.REMAINING_TIME_HEADER)
+        remaining_ms = max_remaining_ms if text is None else parse_remaining(text)
+        if remaining_ms > max_remaining_ms + DEADLINE_TOLERANCE_MS:
+            raise BadMessageError(400, f"'{protocol.REMAINING_TIME_HEADER}' is more than its class may take")
+        return remaining_ms
+
+    def _admit(self, sink: ResponseSink, request: AcceptedRequest) -> None:
+        """Pass an accepted request to the policy, unless the extension handles it."""
+        self.gateway.counters.add("in.requests")
+        event = self._request_event(request)
+        if self.gateway.capture is not None:
+            self.gateway.capture.record(event, request.arrived_at, len(request.message.body))
+        extension = self.gateway.extension
+        if extension is None or self._allowed_by_extension(extension, sink, request, event):
+            self.gateway.dispatch(event)
+
+    def _request_event(self, request: AcceptedRequest) -> Request:
+        headers = request.message.headers
+        return Request(
+            request=request.handle,
+            class_index=request.class_index,
+            tenant=self.tenant_indexes.get(headers.get(protocol.TENANT_HEADER, ""), self.unknown_tenant),
+            key=parse_key(headers.get(protocol.ENTITY_KEY_HEADER, "")),
+            deadline_ms=request.deadline,
+            expected_work_ms=parse_work_estimate(request.message),
+            client_retry=headers.get(protocol.RESEND_HEADER) == "1",
+            write=request.message.method != "GET",
+        )
+
+    def _allowed_by_extension(
+        self, extension: Extension, sink: ResponseSink, request: AcceptedRequest, event: Request
+    ) -> bool:
+        """Return whether the policy shall see a request. A duplicate that the extension allows gets 409."""
+        request_id = request.message.headers[protocol.REQUEST_ID_HEADER]
+        is_duplicate = self.requests.open_ids[request_id] > 1
+        incoming = IncomingRequest(request_id, event, request.message, request.arrived_at, is_duplicate)
+        if not extension.on_request(incoming):
+            return False
+        if is_duplicate:
+            sink.closing = True
+            self.requests.complete(request.handle, Response(409, {}, _DUPLICATE_ID.encode()))
+        return not is_duplicate
--- /dev/null
+++ b/meadowpulley/net/request_parsing.py
@@ -0,0 +1,52 @@
+"""Parsing of the values that a request carries in its headers."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import re
+
+from meadowpulley.net import protocol
+from meadowpulley.net.http1 import BadMessageError, Message
+
+_REMAINING = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
+_REQUEST_ID = re.compile(r"[!-+\--~]{1,128}")  # neither blanks nor commas: those would be two ids in one
+_HEX_KEY = re.compile(r"[0-9a-fA-F]{1,16}")
+
+
+def is_request_id(text: str) -> bool:
+    """Return whether a text is a single, well-formed request id."""
+    return _REQUEST_ID.fullmatch(text) is not None
+
+
+def parse_remaining(text: str) -> float:
+    """Return the remaining time of a request in milliseconds.
+
+    Raises:
+        BadMessageError: the text is not a number with the unit 'm' (milliseconds) or 'u' (microseconds).
+    """
+    matched = _REMAINING.fullmatch(text)
+    if matched is None:
+        raise BadMessageError(400, f"'{protocol.REMAINING_TIME_HEADER}' is no time")
+    return float(matched[1]) * (1.0 if matched[2] == "m" else 0.001)
+
+
+def parse_key(text: str) -> int:
+    """Return the number that stands for an entity key in all gateways; 0 for none.
+
+    Up to 16 hexadecimal digits are that number, any other text is hashed to 64 bits.
+    """
+    if not text:
+        return 0
+    if _HEX_KEY.fullmatch(text):
+        return int(text, 16)
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+def parse_work_estimate(message: Message) -> float | None:
+    """Return the client's estimate of the work in milliseconds, or None where it gave no usable one."""
+    try:
+        estimate_ms = float(message.headers[protocol.WORK_ESTIMATE_HEADER])
+    except (KeyError, ValueError):
+        return None
+    return estimate_ms if math.isfinite(estimate_ms) and estimate_ms >= 0 else None
--- a/meadowpulley/net/request_table.py
+++ b/meadowpulley/net/request_table.py
@@ -1,4 +1,4 @@
-"""The requests that the gateway took: each is owed exactly one final answer, by its deadline."""
+"""The accepted requests: each is owed exactly one final response, at the latest at its deadline and slack."""
 
 from __future__ import annotations
 
@@ -16,48 +16,54 @@
 
 
 class ResponseSink(Protocol):
-    """Who asked, and is answered: a client's connection."""
+    """Who sent a request and receives its response: a client's connection, or a stand-in for one."""
 
     is_open: bool
-    request: AcceptedRequest | None
-    closing: bool
+    request: AcceptedRequest | None  # the one that awaits its response
+    closing: bool  # the next response is the last one
 
-    def respond(self, status: int, headers: dict[str, str], body: bytes) -> None: ...
+    def respond(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        """Send a response."""
 
 
 class OutstandingAttempt(Protocol):
-    """An attempt that is out."""
+    """An attempt of a request that has no outcome yet. Times are milliseconds on the gateway's clock."""
 
     sent_at: float
 
-    def time_out(self) -> None: ...
+    def time_out(self) -> None:
+        """End the attempt at its deadline."""
 
-    def cancel(self) -> None: ...
+    def cancel(self) -> None:
+        """End the attempt because its outcome is no longer needed."""
 
 
 class AcceptedRequest:
-    """One request that the gateway took: it is owed exactly one final answer."""
+    """A request that the gateway accepted. Times are milliseconds on the gateway's clock."""
 
     def __init__(
         self, message: Message, class_index: int, sink: ResponseSink, arrived_at: float, deadline: float
     ) -> None:
-        self.message, self.class_index, self.arrived_at, self.deadline = (
-            message,
-            class_index,
-            arrived_at,
-            deadline,
-        )
+        self.message, self.class_index = message, class_index
+        self.arrived_at, self.deadline = arrived_at, deadline
         self.sink: ResponseSink | None = sink
         self.handle = -1
         self.attempt_count = 0
-        self.first_execution_at = math.inf  # when the first attempt was sent that is over and may have run
-        self.outstanding: dict[int, OutstandingAttempt] = {}
-        self.finished = False
+        self.first_execution_at = (
+            math.inf
+        )  # when the first ended attempt was sent that may have been executed
+        self.outstanding: dict[int, OutstandingAttempt] = {}  # by attempt number
+        self.finished = False  # answered, or its client is gone
         self.timeout: Deadline | None = None
 
+    @property
+    def request_id(self) -> str:
+        """The id that the client chose."""
+        return self.message.headers[protocol.REQUEST_ID_HEADER]
+
 
 class HeldResponse:
-    """An answer that the hook may hold: it goes out once, when released or by its deadline and slack."""
+    """A response that the extension may hold, at most until the request's deadline and slack."""
 
     def __init__(
         self, requests: RequestTable, request: AcceptedRequest, sink: ResponseSink | None, response: Response
@@ -68,18 +74,25 @@
         self.timeout = gateway.deadlines.at(release_by, self._release_overdue)
 
     def release(self, response: Response) -> None:
+        """Send the response, or the one that replaces it. Only the first call has an effect."""
         self.requests.gateway.deadlines.cancel(self.timeout)
         self.requests.deliver(self.request, self.sink, response)
 
     def _release_overdue(self) -> None:
-        self.requests.gateway.counters.add("out.held_late")
+        self.requests.gateway.counters.add("out.release_overdue")
         self.release(self.response)
 
 
 class RequestTable:
-    """`table`: all whose slot is in use, the answered ones with an attempt still out among them; `ids`: how
-    many of each id are owed an answer, more than one only where a hook lets them in; `still_out`: the ids of
-    those that are over with an attempt still out, whose second copy another one would be."""
+    """The accepted requests by handle, with their deadlines and final responses.
+
+    Attributes:
+        slots: all requests whose slot is in use, answered ones with an outstanding attempt among them.
+        open_ids: how many requests of each id await a response; more than one only where an extension allows
+        it. outstanding_ids: ids of finished requests with an outstanding attempt, which a request of the same
+        id
+            would duplicate.
+    """
 
     def __init__(self, gateway: GatewayContext, size: int) -> None:
         self.gateway = gateway
@@ -88,74 +101,50 @@
         self.outstanding_ids: set[str] = set()
 
     def add(self, request: AcceptedRequest) -> None:
-        """From now on the request is owed an answer, whatever becomes of it."""
+        """Register a request: from now on it is owed a response. Raises SlotsFullError."""
         request.handle = self.slots.put(request)
-        request_id = request.message.headers[protocol.REQUEST_ID_HEADER]
-        self.open_ids[request_id] = self.open_ids.get(request_id, 0) + 1
+        self.open_ids[request.request_id] = self.open_ids.get(request.request_id, 0) + 1
         request.timeout = self.gateway.deadlines.at(
             request.deadline, partial(self._deadline_reached, request)
         )
 
-    def _deadline_reached(self, request: AcceptedRequest) -> None:
-        """The client stops waiting: attempts end here, and the decisions have a little time left."""
-        slack = self.gateway.config.settings.rules.response_slack_ms
-        # Whatever goes wrong before the answer, this one still comes in time.
-        request.timeout = self.gateway.deadlines.at(
-            request.deadline + slack, partial(self._respond_overdue, request)
-        )
-        for attempt in list(request.outstanding.values()):
-            attempt.time_out()
-
-    def _respond_overdue(self, request: AcceptedRequest) -> None:
-        if request.finished:
-            return
-        self.gateway.counters.add("out.overdue")
-        self.gateway.log.error("request was still unanswered past its deadline", cls=request.class_index)
-        self.respond(request, 504, {}, b"")
-        self.gateway.dispatch(ClientDisconnected(request.handle))
-
     def respond(self, request: AcceptedRequest, status: int, headers: dict[str, str], body: bytes) -> None:
-        """The one final answer; a second one is counted and goes nowhere."""
+        """Give a request its final response; a second one is counted and dropped."""
         if request.finished:
-            self.gateway.counters.add("out.second_answers")
+            self.gateway.counters.add("out.duplicate_responses")
             return
         sink = request.sink
         self._finish(request)
         self.gateway.counters.add(f"out.{status}")
         if self.gateway.extension is not None:
-            self._pass_to_extension(
-                self.gateway.extension, HeldResponse(self, request, sink, Response(status, headers, body))
-            )
+            held = HeldResponse(self, request, sink, Response(status, headers, body))
+            self._pass_to_extension(self.gateway.extension, held)
         elif sink is not None and sink.is_open and sink.request is request:
             sink.respond(status, headers, body)
 
-    def _pass_to_extension(self, extension: Extension, held: HeldResponse) -> None:
-        try:
-            extension.on_response(held.request.handle, held.response, held.release)
-        except Exception:
-            self.gateway.log_fault("hook")
-            held.release(held.response)
-
-    def deliver(self, request: AcceptedRequest, sink: ResponseSink | None, response: Response) -> None:
-        """To whoever still waits for it: once it has an answer a link holds no request, or the next one."""
-        if sink is not None and sink.is_open and sink.request is request:
-            sink.respond(response.status, response.headers, response.body)
-        self.gateway.stop_if_drained()  # no connection may end behind this one
-
     def complete(self, handle: int, response: Response) -> bool:
-        """Gives a request an answer that is known from elsewhere, which the hook is not shown again. Attempts
-        that are out are called off. False: it is over already."""
-        taken = self.slots.get(handle)
-        if taken is None or taken.finished:
+        """Give a request a response that the extension is not shown; outstanding attempts are cancelled.
+
+        Returns False if the request was finished already.
+        """
+        request = self.slots.get(handle)
+        if request is None or request.finished:
             return False
-        sink = taken.sink
-        self._finish(taken)
+        sink = request.sink
+        self._finish(request)
         self.gateway.counters.add(f"out.{response.status}")
-        self.deliver(taken, sink, response)
+        self.deliver(request, sink, response)
         self.gateway.dispatch(ClientDisconnected(handle))
         return True
 
+    def deliver(self, request: AcceptedRequest, sink: ResponseSink | None, response: Response) -> None:
+        """Send a response to its sink, if that still awaits it rather than the next one."""
+        if sink is not None and sink.is_open and sink.request is request:
+            sink.respond(response.status, response.headers, response.body)
+        self.gateway.stop_if_drained()  # a detached request ends without the end of a connection
+
     def reject(self, action: Reject) -> None:
+        """Answer 503, with Retry-After where the policy gives a time."""
         request = self.slots.get(action.request)
         if request is None:
             self.gateway.counters.add("out.late_actions")
@@ -165,6 +154,7 @@
         self.respond(request, 503, headers, b"")
 
     def fail(self, action: Fail) -> None:
+        """Answer 502."""
         request = self.slots.get(action.request)
         if request is None:
             self.gateway.counters.add("out.late_actions")
@@ -172,45 +162,68 @@
         self.respond(request, 502, {}, b"")
 
     def decision_failed(self, handle: int) -> None:
-        """The decisions failed on this request: if nothing is under way for it, it fails now."""
-        taken = self.slots.get(handle)
-        if taken is not None and not taken.finished and not taken.outstanding:
-            self.respond(taken, 502, {}, b"")
+        """Fail a request on which the policy raised an exception, unless an attempt of it is outstanding."""
+        request = self.slots.get(handle)
+        if request is not None and not request.finished and not request.outstanding:
+            self.respond(request, 502, {}, b"")
             self.gateway.dispatch(ClientDisconnected(handle))
 
     def client_disconnected(self, request: AcceptedRequest) -> None:
-        """Its client has gone before the answer."""
+        """Finish a request whose client is gone, unless the extension lets it continue."""
         if request.finished:
             return
-        if self.gateway.extension is not None and self._continues_without_client(
-            self.gateway.extension, request
-        ):
-            self.gateway.counters.add("in.left")
+        extension = self.gateway.extension
+        if extension is not None and self._continues_without_client(extension, request):
+            self.gateway.counters.add("in.continued_without_client")
         else:
-            self.gateway.counters.add("in.gone")
+            self.gateway.counters.add("in.client_disconnected")
             self._finish(request)
             self.gateway.dispatch(ClientDisconnected(request.handle))
 
+    def free_if_done(self, request: AcceptedRequest) -> None:
+        """Free the slot of a request that is finished and has no outstanding attempt."""
+        if request.finished and not request.outstanding:
+            self.slots.free(request.handle)
+            self.outstanding_ids.discard(request.request_id)
+
+    def _deadline_reached(self, request: AcceptedRequest) -> None:
+        """Time out all attempts; the policy has the slack to answer."""
+        slack_ms = self.gateway.config.settings.rules.response_slack_ms
+        # Set first: whatever fails below, the response is sent in time.
+        overdue_at = request.deadline + slack_ms
+        request.timeout = self.gateway.deadlines.at(overdue_at, partial(self._respond_overdue, request))
+        for attempt in list(request.outstanding.values()):
+            attempt.time_out()
+
+    def _respond_overdue(self, request: AcceptedRequest) -> None:
+        """Answer 504 where the policy has not answered: a fault of the gateway."""
+        if request.finished:
+            return
+        self.gateway.counters.add("out.overdue")
+        self.gateway.log.error("response_overdue", class_index=request.class_index)
+        self.respond(request, 504, {}, b"")
+        self.gateway.dispatch(ClientDisconnected(request.handle))
+
+    def _pass_to_extension(self, extension: Extension, held: HeldResponse) -> None:
+        try:
+            extension.on_response(held.request.handle, held.response, held.release)
+        except Exception:
+            self.gateway.log_fault("extension")
+            held.release(held.response)
+
     def _continues_without_client(self, extension: Extension, request: AcceptedRequest) -> bool:
         try:
             return extension.on_client_disconnected(request.handle)
         except Exception:
-            self.gateway.log_fault("hook")
+            self.gateway.log_fault("extension")
             return False
 
     def _finish(self, request: AcceptedRequest) -> None:
         request.finished, request.sink = True, None
-        request_id = request.message.headers[protocol.REQUEST_ID_HEADER]
-        remaining = self.open_ids.pop(request_id) - 1
+        remaining = self.open_ids.pop(request.request_id) - 1
         if remaining:
-            self.open_ids[request_id] = remaining
+            self.open_ids[request.request_id] = remaining
         self.gateway.deadlines.cancel(request.timeout)
         if request.outstanding:
-            self.outstanding_ids.add(request_id)
+            self.outstanding_ids.add(request.request_id)
         self.free_if_done(request)
-
-    def free_if_done(self, request: AcceptedRequest) -> None:
-        """Frees the slot once the answer is out and no attempt is."""
-        if request.finished and not request.outstanding:
-            self.slots.free(request.handle)
-            self.outstanding_ids.discard(request.message.headers[protocol.REQUEST_ID_HEADER])
--- a/meadowpulley/net/request_tracing.py
+++ b/meadowpulley/net/request_tracing.py
@@ -1,7 +1,8 @@
-"""The whole course of single requests, one log line a step, where it is asked for.
+"""Trace of single requests: one log line `story` for each step. Off by default.
 
-Off by default (`MEADOWPULLEY_STORY`: 1 for every request, or beginnings of ids with commas between). Then one
-line `story` for each step: taken, sent, outcome, answered, gone. `meadowpulley story` merges a fleet's logs.
+The environment variable `MEADOWPULLEY_STORY` turns it on: 1 for every request, or prefixes of request ids,
+separated by commas. The steps are taken, sent, outcome, answered, gone, and the policy's reject, fail and
+cancel. `meadowpulley story` merges the logs of a fleet.
 """
 
 from __future__ import annotations
@@ -29,58 +30,63 @@
 
 
 class RequestTracer:
-    """A stage before the decisions that writes down what passes, and changes nothing."""
+    """A stage of the pipeline that logs events and actions of requests, and changes nothing."""
 
     def __init__(self, gateway: Gateway, selection: str) -> None:
         self._gateway, self.inner = gateway, gateway.pipeline
+        prefixes = (prefix.strip() for prefix in selection.split(","))
         self._id_prefixes = (
-            ()
-            if selection == ALL_REQUESTS
-            else tuple(part.strip() for part in selection.split(",") if part.strip())
+            () if selection == ALL_REQUESTS else tuple(prefix for prefix in prefixes if prefix)
         )
         gateway.pipeline = self
-        self._respond, gateway.requests.respond = gateway.requests.respond, self.respond  # type: ignore[method-assign]
+        self._respond = gateway.requests.respond
+        gateway.requests.respond = self.respond  # type: ignore[method-assign]
 
     def handle(self, now: float, event: Event) -> list[Action]:
-        if isinstance(event, Request):
-            self._log_step_of(
-                event.request, "taken", cls=event.class_index, left_ms=round(event.deadline_ms - now)
-            )
-        elif isinstance(event, Outcome):
-            elapsed_ms, result = round(event.elapsed_ms, 1), event.result.name.lower()
-            self._log_step_of(
-                event.request, "outcome", n=event.attempt, to=event.server, result=result, took_ms=elapsed_ms
-            )
-        elif isinstance(event, ClientDisconnected):
-            self._log_step_of(event.request, "gone")
+        """Log an event, pass it to the inner stage and log the resulting actions."""
+        self._log_event(now, event)
         actions: list[Action] = self.inner.handle(now, event)
         for action in actions:
             if isinstance(action, Send):
-                pool = self._gateway.instances.pools.get(action.server)
-                has_idle_connection = pool is not None and bool(pool.idle)
-                self._log_step_of(
-                    action.request,
-                    "sent",
-                    to=action.server,
-                    **self._server_state(action.server),
-                    kept=has_idle_connection,
-                )
+                self._log_send(action)
             elif isinstance(action, Reject | Fail | Cancel):
                 self._log_step_of(action.request, type(action).__name__.lower())
         return actions
 
     def respond(self, request: AcceptedRequest, status: int, headers: dict[str, str], body: bytes) -> None:
-        """In place of the requests' own: the answer goes out first, then its line."""
+        """Send a response in place of the request table, then log it."""
         late_ms = self._gateway.deadlines.now() - request.deadline
         self._respond(request, status, headers, body)
         self._log_step(request, "answered", status=status, late_ms=round(late_ms))
 
-    def _server_state(self, server_id: int) -> dict[str, Any]:
-        """What the decisions hold of a server: enough to see why it was chosen."""
+    def _log_event(self, now: float, event: Event) -> None:
+        if isinstance(event, Request):
+            left_ms = round(event.deadline_ms - now)
+            self._log_step_of(event.request, "taken", cls=event.class_index, left_ms=left_ms)
+        elif isinstance(event, Outcome):
+            self._log_step_of(
+                event.request,
+                "outcome",
+                n=event.attempt,
+                to=event.server,
+                result=event.result.name.lower(),
+                took_ms=round(event.elapsed_ms, 1),
+            )
+        elif isinstance(event, ClientDisconnected):
+            self._log_step_of(event.request, "gone")
+
+    def _log_send(self, action: Send) -> None:
+        pool = self._gateway.instances.pools.get(action.server)
+        has_idle_connection = pool is not None and bool(pool.idle)
+        server_state = self._server_state(action.server)
+        self._log_step_of(action.request, "sent", to=action.server, **server_state, kept=has_idle_connection)
+
+    def _server_state(self, server_id: int) -> dict[str, int]:
+        """Return what the policy holds of a server: enough to see why it was chosen."""
         server = self.inner.servers.get(server_id)
-        return (
-            {} if server is None else {"build": server.build, "zone": server.zone, "out": server.outstanding}
-        )
+        if server is None:
+            return {}
+        return {"build": server.build, "zone": server.zone, "out": server.outstanding}
 
     def _log_step_of(self, handle: int, step: str, **fields: Any) -> None:
         request = self._gateway.requests.slots.get(handle)
--- a/meadowpulley/net/slots.py
+++ b/meadowpulley/net/slots.py
@@ -1,7 +1,7 @@
-"""Numbered slots: connections and requests live in tables of a fixed size, and are known by handles.
+"""Fixed-size tables whose entries are addressed by handles.
 
-A handle names a slot and how often it has been used before, so one that is kept too long finds nothing
-rather than the slot's next tenant.
+A handle combines the index of a slot with the slot's generation, a count of how often it has been used. A
+stale handle therefore finds nothing, rather than the item that uses the slot now.
 """
 
 from __future__ import annotations
@@ -13,10 +13,12 @@
 
 
 class SlotsFullError(Exception):
-    """Every slot of the table is taken."""
+    """All slots of the table are in use."""
 
 
 class SlotTable(Generic[T]):
+    """A table of at most `size` items, each reached by the handle that `put` returned for it."""
+
     def __init__(self, size: int) -> None:
         self.size = size
         self._items: list[T | None] = [None] * size
@@ -31,9 +33,15 @@
 
     @property
     def full(self) -> bool:
+        """Whether no slot is free."""
         return not self._free
 
     def put(self, item: T) -> int:
+        """Store an item and return its handle.
+
+        Raises:
+            SlotsFullError: no slot is free.
+        """
         if not self._free:
             raise SlotsFullError(f"all {self.size} slots are taken")
         slot = self._free.pop()
@@ -42,11 +50,12 @@
         return self._generations[slot] * self.size + slot
 
     def get(self, handle: int) -> T | None:
+        """Return the item of a handle, or None if the handle is stale."""
         generation, slot = divmod(handle, self.size)
         return self._items[slot] if self._generations[slot] == generation else None
 
     def free(self, handle: int) -> T | None:
-        """Empties the slot; a handle that no longer holds one frees nothing."""
+        """Empty the slot of a handle and return its item; a stale handle frees nothing."""
         item = self.get(handle)
         if item is not None:
             slot = handle % self.size
--- a/meadowpulley/report/request_trace.py
+++ b/meadowpulley/report/request_trace.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from datetime import datetime
 
-_SEPARATE_FIELDS = ("event", "level", "timestamp", "gateway", "id", "step", "passed_over")
+_SEPARATE_FIELDS = ("event", "level", "timestamp", "gateway", "id", "step", "suppressed", "passed_over")
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/tests/net_program/test_client_races.py
+++ b/tests/net_program/test_client_races.py
@@ -33,7 +33,7 @@
     instance.received.get(timeout=TIMEOUT_S)
     first.reader.close()
     first.socket.close()
-    while not _counters(gateway).get("in.gone"):
+    while not _counters(gateway).get("in.client_disconnected"):
         pass
     second.send("POST", "/pay", b"second", X_Txn="7f3a")
     if cancellation_allowed:  # the connection of the first attempt is closed: it is out no longer
--- a/tests/net_program/test_control_plane.py
+++ b/tests/net_program/test_control_plane.py
@@ -111,7 +111,7 @@
     client.reader.close()
     client.socket.close()
     counters = gateway.wait_for("counters")
-    assert counters["reload.done"] == 2 and "reload.refused" not in counters
+    assert counters["reload.done"] == 2 and "reload.rejected" not in counters
     assert gateway.process.wait(TIMEOUT_S) == 0
 
 
@@ -121,10 +121,10 @@
     discovery = FakeDiscovery([endpoint("s-1", instance.address)])
     gateway = start([endpoint("s-1", instance.address)], discovery=discovery.address)
     gateway.reload(raw or " ")
-    assert gateway.wait_for("reload refused")["level"] == "error"
+    assert gateway.wait_for("reload_rejected")["level"] == "error"
     assert gateway.client().request("GET", "/look")[0] == 200
     os.kill(gateway.process.pid, signal.SIGUSR1)
-    assert gateway.wait_for("counters")["reload.refused"] == 1
+    assert gateway.wait_for("counters")["reload.rejected"] == 1
 
 
 def test_reload_while_draining_loses_no_request(start: StartGateway) -> None:
@@ -198,7 +198,7 @@
     gateway = start(
         endpoints, wait=False, settings={**SETTINGS, "bounds": bounds, **settings_change}, **overrides
     )
-    assert message in gateway.wait_for("configuration doubtful")["what"]
+    assert message in gateway.wait_for("configuration_warning")["what"]
     gateway.wait_for("ready")
     assert gateway.client().request("GET", "/look")[0] == 200
 
@@ -207,7 +207,7 @@
     instance = FakeInstance()
     endpoints = [endpoint(f"s-{n}", instance.address) for n in range(150)]
     gateway = start(endpoints, wait=False, limits={"sockets": 128})
-    assert "128 'sockets' for 150 instances" in gateway.wait_for("configuration doubtful")["what"]
+    assert "128 'sockets' for 150 instances" in gateway.wait_for("configuration_warning")["what"]
     gateway.wait_for("ready")
     client = gateway.client()
     assert [client.request("GET", "/look")[0] for _ in range(200)] == [200] * 200
--- a/tests/net_program/test_customer_settings.py
+++ b/tests/net_program/test_customer_settings.py
@@ -228,7 +228,7 @@
         client_connection.reader.close()
         client_connection.socket.close()
     counters = gateway.wait_for("counters")
-    assert not [name for name in counters if name.startswith("fault.") or name == "out.second_answers"]
+    assert not [name for name in counters if name.startswith("fault.") or name == "out.duplicate_responses"]
     assert gateway.process.wait(TIMEOUT_S) == 0
     for asked in done + drained:
         asked.check(fleet.arrivals[asked.request_id], max_attempts)
@@ -282,4 +282,4 @@
     assert rejected.lines.get(timeout=TIMEOUT_S)["event"] == "closed"
     gateway = start([])
     gateway.reload(settings=invalid_settings)
-    assert path_in_file in gateway.wait_for("reload refused")["why"]
+    assert path_in_file in gateway.wait_for("reload_rejected")["why"]
--- a/tests/net_program/test_serving.py
+++ b/tests/net_program/test_serving.py
@@ -288,7 +288,7 @@
     os.kill(gateway.process.pid, signal.SIGUSR1)
     counters = gateway.wait_for("counters")
     # As one that may have run, which is no error of that instance's build: any instance sends these.
-    assert counters["up.garbage"] == counters["up.reset"] == 1 and "up.timeout" not in counters
+    assert counters["up.malformed"] == counters["up.reset"] == 1 and "up.timeout" not in counters
 
 
 @pytest.mark.parametrize(
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -189,7 +189,7 @@
         turns.run_until_input(client)
         assert client.read_response()[0] == 200
         disconnect(client)
-    assert not turns.gateway.counters["in.turned_away"] and turns.gateway.counters["in.pauses"]
+    assert not turns.gateway.counters["in.rejected_connections"] and turns.gateway.counters["in.pauses"]
 
 
 class SlowReader(Client):
--- a/tests/test_net_extension.py
+++ b/tests/test_net_extension.py
@@ -175,7 +175,7 @@
         bench.wait(421.0)
     extension.releases[0]()
     assert client.received_by_peer.count(b" 200 ") == 1 and client.received_by_peer.endswith(b"r1")
-    assert bench.gateway.counters["out.held_late"] == (not released)
+    assert bench.gateway.counters["out.release_overdue"] == (not released)
 
 
 @pytest.mark.parametrize("mode", ["no hook", "let pass", "joined"])
@@ -192,7 +192,7 @@
         mode != "joined"
     )
     bench.respond()
-    assert first.received_by_peer.endswith(b"r1") and not bench.gateway.counters["out.second_answers"]
+    assert first.received_by_peer.endswith(b"r1") and not bench.gateway.counters["out.duplicate_responses"]
     if mode == "joined":
         assert [a.is_duplicate for a in extension.incoming] == [False, True] and not second.received_by_peer
         assert bench.gateway.requests.complete(extension.incoming[1].event.request, extension.responses[0])
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -20,7 +20,7 @@
     request_bytes,
     response_bytes,
 )
-from meadowpulley.net.request_admission import parse_key, parse_remaining
+from meadowpulley.net.request_parsing import parse_key, parse_remaining
 from meadowpulley.net.ring import INITIAL_BYTES, RingBuffer, RingBufferFullError
 from meadowpulley.net.slots import SlotsFullError, SlotTable
 
