--- a/meadowpulley/model_checking/connection_mutants.py
+++ b/meadowpulley/model_checking/connection_mutants.py
@@ -115,7 +115,7 @@
         "slots",
         "split",
         REQUESTS,
-        ("remaining = self.open_ids.pop(request.request_id) - 1", "remaining = self.open_ids[request.request_id]"),
+        ("self.open_ids.pop(request.request_id) - 1", "self.open_ids[request.request_id]"),
         faults=0,
     ),
     connection_mutant(
@@ -284,8 +284,8 @@
         "late",
         INSTANCE_CONNECTION,
         (
-            ('            self.pool.owner.gateway.counters.add("up.unsolicited")\n            self.abort()\n'),
-            '            self.pool.owner.gateway.counters.add("up.unsolicited")\n',
+            'counters.add("up.unsolicited")\n            self.abort()\n',
+            'counters.add("up.unsolicited")\n',
         ),
         servers=1,
     ),
