--- a/meadowpulley/capacity/__init__.py
+++ b/meadowpulley/capacity/__init__.py
@@ -1,9 +1,9 @@
-"""The capacity planner: what breaks first, how many servers a goal needs, what losing a site or a spike does.
+"""Capacity planner: bottlenecks, the servers that a goal needs, the loss of a site, and spikes.
 
-Reading order: `queues` (theory, with its sources and ranges), `demand` (what a load asks of a fleet),
-`breaks` (every resource, with the load at which it breaks), `predict` (predictions with intervals: theory
-where it is exact, the emulator where it is not), `needs`, `site`, `spike` (the three questions), `verify` (a
-prediction beside what was measured). All of it is pure but for the processes that run emulations.
+Reading order: `queues` (queueing theory with sources), `demand` (what a load needs), `bottlenecks` (each
+resource and the load at which it is exhausted), `predict` (predictions with intervals: theory where exact,
+else the emulator), `sizing`, `site_loss`, `spike` (the three questions), `verify` (predictions beside
+measurements). All is pure except the processes that run emulations.
 """
 
 from meadowpulley.capacity.bottlenecks import Bottleneck, find_bottlenecks
--- a/meadowpulley/capacity/bottlenecks.py
+++ b/meadowpulley/capacity/bottlenecks.py
@@ -1,8 +1,7 @@
-"""Every resource of a fleet with the multiple of the load at which it breaks, by theory.
+"""Resources of a fleet with the multiple of the load at which each is exhausted, by theory.
 
-A multiple of 1 is the load as it was given, at its busy rate. Requests are taken to spread over servers by
-what each can do, which is what two choices among the emptiest come to; each server then is M/G/c shared
-evenly.
+A multiple of 1 is the given load at its busy rate. Requests are taken to spread over servers in proportion
+to their capacity, which two random choices come close to; each server is M/G/c with shared processors.
 """
 
 from __future__ import annotations
@@ -16,13 +15,13 @@
 from meadowpulley.capacity.queues import mmc_response, overflow_probability, upper_bound
 from meadowpulley.fleet import Fleet, MachineKind
 
-MAX_REJECTED_SHARE = 0.01  # share of arrivals at a full server that counts as broken
+MAX_REJECTED_SHARE = 0.01  # share of rejected arrivals at which a server counts as exhausted
 NEVER = math.inf
-MAX_MULTIPLE = 64.0  # multiples beyond this are not told apart
+MAX_MULTIPLE = 64.0  # larger multiples are not distinguished
 
 
 class Bottleneck(Struct, frozen=True):
-    """One resource: at `multiple` times the load it is used up; `use` is its use now (1: used up)."""
+    """One resource, exhausted at `multiple` times the load; `utilisation` is its use now."""
 
     resource: str
     where: str
@@ -33,13 +32,14 @@
 
     @property
     def margin(self) -> float:
-        """How much more load it bears, as a share of the load now; negative where it is broken already."""
+        """How much more load it bears, as a share of the load now; negative where it is exhausted."""
         return self.multiple - 1.0
 
 
 def first_multiple(broken: Callable[[float], bool]) -> float:
-    """The least multiple at which it is broken, within a part in a thousand; infinity beyond `MOST`. What is
-    broken at some load must be so at every higher one."""
+    """Return the least multiple for which a monotonic predicate holds, within 0.1%; infinity beyond
+    `MAX_MULTIPLE`.
+    """
     if not broken(MAX_MULTIPLE):
         return NEVER
     low, high = 0.0, MAX_MULTIPLE
@@ -50,7 +50,7 @@
 
 
 def server_rate(fleet: Fleet, demand: Demand, kind: MachineKind, multiple: float) -> float:
-    """Requests a millisecond that one server of a kind gets at so many times the busy load."""
+    """Return the requests per millisecond that one server of a kind gets at a multiple of the busy load."""
     share = kind.cores * kind.speed / fleet.capacity()
     return demand.busy_per_s / 1000 * multiple * share
 
@@ -245,7 +245,7 @@
 
 
 def find_bottlenecks(fleet: Fleet, demand: Demand) -> list[Bottleneck]:
-    """All resources, the first to break first."""
+    """Return all resources, the first to be exhausted first."""
     bottlenecks = [
         *_cpu(fleet, demand),
         *_queue_capacity(fleet, demand),
--- a/meadowpulley/capacity/demand.py
+++ b/meadowpulley/capacity/demand.py
@@ -1,5 +1,4 @@
-"""What a load asks of a fleet: rates, work, what remembered keys save, and how busy that makes the
-servers."""
+"""Demand of a load: rates, work, savings by remembered keys, and utilisation."""
 
 from __future__ import annotations
 
@@ -14,15 +13,14 @@
 from meadowpulley.fleet import Fleet
 from meadowpulley.load import Arrival
 
-WINDOWS = 60  # of the load's length, by which its busy times are told
+WINDOWS = 60  # number of windows by which busy times are found
 MIN_WINDOW_MS = 1000.0
 MAX_KEYS = 200_000
 
 
 @dataclass(frozen=True, slots=True)
 class ClassDemand:
-    """Rates are requests a second, work standard-core milliseconds, `core_share` of all that servers can
-    do."""
+    """Demand of one class. `core_share` is its share of all cores."""
 
     name: str
     per_s: float
@@ -32,10 +30,10 @@
 
 
 class Demand(Struct, frozen=True):
-    """`per_s`: mean rate; `busy_per_s`: the rate that only the busiest windows exceed, by `percentile`.
+    """Demand of a load. `busy_per_s` is the rate that only the busiest windows exceed, by `percentile`.
 
-    `saved`: share of work that servers which remember keys are expected to save. `utilisation`: of all cores,
-    at the mean rate; `busy_utilisation`: at the busy one.
+    `work_saved_share` is the share of work that servers are expected to save by remembering keys.
+    `utilisation` is of all cores at the mean rate, `busy_utilisation` at the busy rate.
     """
 
     count: int
@@ -43,23 +41,27 @@
     per_s: float
     percentile: float
     busy_per_s: float
-    busiest_ms: float  # where its busiest window begins
+    busiest_ms: float  # start of the busiest window
     window_s: float
     classes: tuple[ClassDemand, ...]
     sites: dict[str, float]
     work_saved_share: float = field(name="saved")
-    work_ms: float  # mean, after what is saved
+    work_ms: float  # mean, after savings by keys
     utilisation: float
     busy_utilisation: float
 
     @property
     def busy_multiple(self) -> float:
+        """The busy rate as a multiple of the mean rate."""
         return self.busy_per_s / self.per_s if self.per_s else 1.0
 
 
 def saved_by_keys(counts: Counter[int], keyed: int, total: int, seconds: float, fleet: Fleet) -> float:
-    """Share of work saved: a server among n meets a key of rate r again within its memory m with chance
-    1 - exp(-r m / n), arrivals being Poisson and spread evenly over the servers."""
+    """Return the share of work that remembered keys save.
+
+    One of n servers meets a key of rate r again within its memory m with probability 1 - exp(-r m / n),
+    where arrivals are Poisson and spread evenly over the servers.
+    """
     if not fleet.keys.memory_ms or not fleet.keys.work_saved or not keyed or not seconds:
         return 0.0
     memory, servers = fleet.keys.memory_ms / 1000, len(fleet.machines())
@@ -68,7 +70,7 @@
 
 
 def measure_demand(fleet: Fleet, arrivals: Iterable[Arrival], percentile: float = 95.0) -> Demand:
-    """One pass over a load. Raises ValueError, one line, for a class that the fleet does not describe."""
+    """Measure a load in one pass. Raises ValueError for a class that the fleet does not describe."""
     known = {c.name: c for c in fleet.classes}
     counts: Counter[str] = Counter()
     works: Counter[str] = Counter()
--- a/meadowpulley/capacity/predict.py
+++ b/meadowpulley/capacity/predict.py
@@ -1,5 +1,4 @@
-"""Predictions with intervals: by theory where it is exact, by the emulator where it is not. Each says
-which."""
+"""Predictions with intervals: by theory where it is exact, else by the emulator."""
 
 from __future__ import annotations
 
@@ -27,10 +26,10 @@
     0.9,
     1.0,
     1.2,
-)  # of the servers' CPU, along which the curve is drawn
-REQUESTS = 5000.0  # about as many in a run of the emulator
+)  # points of the curve, of the servers' CPU
+REQUESTS = 5000.0  # approximate requests in one emulated run
 SHORTEST_S, LONGEST_S = 20.0, 240.0
-KNEE = 0.99  # share within aim, of the share at the least load, below which the knee is passed
+KNEE = 0.99  # share within the objective, relative to the least load, that marks the knee
 
 
 Estimate: TypeAlias = tuple[float, float, float]  # mean, low and high
@@ -38,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Prediction:
-    """A value with its interval (both ends equal where theory is exact) and what it rests on."""
+    """A value with its interval and its basis; both ends are equal where theory is exact."""
 
     name: str
     value: float
@@ -49,7 +48,7 @@
 
 
 class CurvePoint(Struct, frozen=True):
-    """One load on the curve: shares and milliseconds, each as mean, low and high over the seeds."""
+    """One load on the curve of latency against load; estimates over the seeds."""
 
     multiple: float
     utilisation: float
@@ -59,30 +58,30 @@
     served_per_s: Estimate
     p50_ms: dict[str, Estimate]
     p99_ms: dict[str, Estimate]
-    theory_mean_ms: float  # of the time at servers; infinity beyond saturation
+    theory_mean_ms: float  # mean time at servers; infinity beyond saturation
     gateway_busy: float
     violation_count: int = field(name="broken")
 
 
 class CapacityPlan(Struct, frozen=True):
-    """What a load does to a fleet: its demand, what breaks first, and the curve of latency against load."""
+    """What a load does to a fleet: demand, bottlenecks, and the curve of latency against load."""
 
     fleet: str
     demand: Demand
     bottlenecks: tuple[Bottleneck, ...] = field(name="breaks")
     points: tuple[CurvePoint, ...]
-    knee: float  # the highest utilisation on the curve within aim
+    knee: float  # highest utilisation on the curve before the knee
     predictions: tuple[Prediction, ...]
     seeds: tuple[int, ...]
 
     def table(self) -> dict[str, Any]:
-        """Plain values; what is endless is null, as JSON knows no infinity."""
+        """Return plain values, with null for infinities."""
         found: dict[str, Any] = without_infinities(to_builtins(self))
         return found
 
 
 def without_infinities(value: Any) -> Any:
-    """The same with null for every figure that is not finite."""
+    """Return the value with null in place of each number that is not finite."""
     if isinstance(value, dict):
         return {k: without_infinities(v) for k, v in value.items()}
     if isinstance(value, list | tuple):
@@ -91,12 +90,12 @@
 
 
 def run_length_s(per_s: float, requests: float = REQUESTS) -> float:
-    """How long a run takes for about so many requests, within bounds; seconds."""
+    """Return the seconds that a run needs for about so many requests, within bounds."""
     return round(min(max(requests / max(per_s, 1e-9), SHORTEST_S), LONGEST_S), 1)
 
 
 def load_at_rate(load: LoadSpec, demand: Demand, per_s: float) -> LoadSpec:
-    """A stretch of the load at a rate: a file's busiest stretch scaled to it, else the steady profile."""
+    """Return a stretch of the load at a rate: a file's busiest stretch scaled, else the steady profile."""
     seconds = run_length_s(per_s)
     if load.file:
         seconds = min(seconds, max(demand.seconds - demand.busiest_ms / 1000, demand.window_s))
@@ -106,14 +105,13 @@
 
 
 def estimate(rows: Sequence[RunResult], figure: str) -> Estimate:
-    """Mean, low and high of a figure over seeds."""
+    """Return mean, low and high of a figure over seeds."""
     over = confidence_interval([row.figures[figure] for row in rows])
     return over.mean, over.low, over.high
 
 
 def theory_mean(fleet: Fleet, demand: Demand, per_s: float) -> float:
-    """Mean time at servers by M/G/c shared evenly, milliseconds, requests spread by what each server can
-    do."""
+    """Return the mean time at servers in milliseconds by M/G/c with shared processors."""
     total = 0.0
     for servers in fleet.servers:
         kind = fleet.kind(servers.kind)
@@ -219,7 +217,7 @@
     progress: Callable[[int, int], None] = lambda done, of: None,
     utilisations: Sequence[float] = UTILISATIONS,
 ) -> CapacityPlan:
-    """The plan of a load, at its busy rate, on a fleet. A load of no requests breaks nothing."""
+    """Plan the capacity of a fleet for a load at its busy rate."""
     bottlenecks = tuple(find_bottlenecks(fleet, demand))
     if not demand.count or not demand.busy_utilisation:
         return CapacityPlan(fleet.name, demand, bottlenecks, (), 1.0, (), tuple(seeds))
--- a/meadowpulley/capacity/queues.py
+++ b/meadowpulley/capacity/queues.py
@@ -1,4 +1,4 @@
-"""Queues whose theory is exact or nearly so. Rates and times are in one unit of time throughout."""
+"""Queues whose theory is exact or nearly so. Rates and times use one unit of time throughout."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 def erlang_b(servers: int, offered: float) -> float:
-    """Share of arrivals that M/G/c/c turns away (Erlang 1917), by its stable recursion."""
+    """Return the blocking probability of M/G/c/c (Erlang 1917), by its stable recursion."""
     blocked = 1.0
     for index in range(1, servers + 1):
         blocked = offered * blocked / (index + offered * blocked)
@@ -14,7 +14,7 @@
 
 
 def erlang_c(servers: int, offered: float) -> float:
-    """Share of arrivals that wait in M/M/c (Erlang 1917); 1 at and beyond saturation."""
+    """Return the probability of waiting in M/M/c (Erlang 1917); 1 at and beyond saturation."""
     if offered >= servers:
         return 1.0
     blocked = erlang_b(servers, offered)
@@ -22,10 +22,10 @@
 
 
 def mmc_response(servers: int, per_s: float, service: float) -> float:
-    """Mean time in M/M/c; infinity beyond saturation.
+    """Return the mean response time in M/M/c; infinity beyond saturation.
 
-    By the birth and death of its states it is the mean of M/M/c with evenly shared servers too, and there,
-    being insensitive to the distribution of work (Kelly 1979; Cohen 1979), of M/G/c shared evenly.
+    It is also the mean of M/M/c with shared processors, by the birth and death of its states, and there,
+    being insensitive to the distribution of work (Kelly 1979; Cohen 1979), of M/G/c.
     """
     offered = per_s * service
     if offered >= servers:
@@ -34,7 +34,9 @@
 
 
 def overflow_probability(servers: int, per_s: float, service: float, more_than: int) -> float:
-    """Share of time that M/M/c, and M/G/c shared evenly, holds more than so many requests."""
+    """Return the share of time that M/M/c (or M/G/c with shared processors) holds more than so many
+    requests.
+    """
     offered = per_s * service
     if offered >= servers:
         return 1.0
@@ -50,5 +52,5 @@
 
 
 def upper_bound(mean: float, arrivals: float) -> float:
-    """What a count with a Poisson spread hardly ever exceeds: mean and 4 standard deviations."""
+    """Return mean plus 4 standard deviations of a count with a Poisson spread."""
     return mean + 4 * math.sqrt(max(arrivals, 0.0))
--- a/meadowpulley/capacity/site_loss.py
+++ b/meadowpulley/capacity/site_loss.py
@@ -1,5 +1,4 @@
-"""Losing one site, and its return: what spills, who saturates, what is refused, how many servers would hold
-it."""
+"""Loss and return of one site: load that spills over, saturation, rejections and extra servers."""
 
 from __future__ import annotations
 
@@ -16,18 +15,17 @@
 from meadowpulley.fleet import Fleet
 
 BEFORE_S, AWAY_S, AFTER_S = 10.0, 20.0, 15.0
-SETTLED_S = 6.0  # after the loss, until discovery has told all gateways
-MAX_UTILISATION = 0.85  # utilisation up to which the rest is taken to hold the load
+SETTLED_S = 6.0  # time after the loss until all gateways know of it
+MAX_UTILISATION = 0.85  # utilisation up to which the other sites count as able to carry the load
 
 
 @dataclass(frozen=True, slots=True)
 class SiteLoss:
-    """Shares from 0 to 1; triples are mean, low and high over the seeds, by the emulator.
+    """Result of losing a site. Shares are from 0 to 1; triples are mean, low and high over the seeds.
 
-    `capacity_share`: the site's part of all that servers can do, and so of the work, which spills (theory);
-    `spilled`: attempts a second at the others, once settled, beyond those before, as a share of all before;
-    `rest`: utilisation of the others then; `refused_theory`: share that is beyond them. `more`: servers of
-    each kind, added at the other sites, that would hold it. `pushed_over`: servers that fell over then.
+    `capacity_share` is the site's share of the capacity; `spilled` is what the other sites get more, as a
+    share of all attempts before; `remaining_utilisation` is theirs then, and `rejected_theory` what exceeds
+    it. `extra_servers` of each kind would carry the load.
     """
 
     site: str
@@ -43,17 +41,19 @@
     rejected_away: tuple[float, float, float]
     extra_servers: dict[str, int]
     overloaded_servers: int
-    timeline: tuple[tuple[float, ...], ...]  # by second: asked, in aim, late, refused, failed, worth
+    timeline: tuple[
+        tuple[float, ...], ...
+    ]  # by second: calls, within objective, late, rejected, failed, served weight share
 
 
 def capacity_without(fleet: Fleet, site: str) -> float:
-    """What the servers of the other sites can do, standard cores."""
+    """Return the standard cores of the other sites' servers."""
     others = [s for s in fleet.servers if s.site != site]
     return sum(s.count * fleet.kind(s.kind).cores * fleet.kind(s.kind).speed for s in others)
 
 
 def extra_servers(fleet: Fleet, work: float, remaining: float) -> dict[str, int]:
-    """Of each kind alone, how many more keep the others at `HOLDS` of their work."""
+    """Return, for each kind alone, how many more servers keep the utilisation at `MAX_UTILISATION`."""
     missing = work / MAX_UTILISATION - remaining
     kinds = {s.kind for s in fleet.servers}
     return {k.name: max(math.ceil(missing / (k.cores * k.speed)), 0) for k in fleet.kinds if k.name in kinds}
@@ -62,7 +62,7 @@
 def mean_over(
     rows: Sequence[RunResult], first: float, last: float, column: int
 ) -> tuple[float, float, float]:
-    """Over a span of seconds, weighed by what was asked: the worth kept (column 5), else counts a request."""
+    """Return a column's share of the calls over a span of seconds, weighted by calls."""
     shares = []
     for row in rows:
         span = row.seconds[int(first) : int(last)]
@@ -74,8 +74,7 @@
 
 
 def spilled_share(rows: Sequence[RunResult], site: int) -> tuple[float, float, float]:
-    """What the other sites' servers get more while the site is away, once settled, than before: attempts a
-    second, as a share of all attempts a second before. Mean, low and high over the seeds."""
+    """Return the increase of attempts at the other sites, as a share of all attempts before."""
 
     def per_s(row: RunResult, first: float, last: float) -> list[float]:
         span = [s for s in row.attempts_by_site[int(first) : int(last)] if s]
@@ -101,7 +100,7 @@
     store: ResultStore | None = None,
     progress: Callable[[int, int], None] = lambda done, of: None,
 ) -> SiteLoss:
-    """A whole site vanishes without a word, servers and gateways, and returns with cold ones."""
+    """Predict the loss of a whole site without notice, and its return with servers in slow start."""
     remaining, work = capacity_without(fleet, site), demand.busy_per_s / 1000 * demand.work_ms
     share = 1 - remaining / fleet.capacity()
     remaining_utilisation = work / remaining if remaining else math.inf
@@ -131,6 +130,7 @@
 
 
 def mean_timeline(rows: Sequence[RunResult]) -> tuple[tuple[float, ...], ...]:
+    """Return the mean of each second's columns over the runs."""
     length = min(len(row.seconds) for row in rows)
     return tuple(
         tuple(sum(row.seconds[n][k] for row in rows) / len(rows) for k in range(6)) for n in range(length)
--- a/meadowpulley/capacity/sizing.py
+++ b/meadowpulley/capacity/sizing.py
@@ -1,4 +1,4 @@
-"""How many servers a goal needs: bounded by theory, found by the emulator, or said why no number meets it."""
+"""Number of servers that a goal needs: bounded by theory, found by the emulator."""
 
 from __future__ import annotations
 
@@ -15,15 +15,14 @@
 from meadowpulley.fleet import Fleet, ServerGroup
 
 STAGE_AT_MS = 2000.0
-IDLE_UTILISATION = 0.05  # utilisation at which servers are as good as idle
+IDLE_UTILISATION = 0.05  # utilisation at which servers count as idle
 MAX_SERVERS = 4000
 GATEWAY_SATURATED = 0.9
 
 
 @dataclass(frozen=True, slots=True)
 class Goal:
-    """Share of worth that each class must keep, at the load's busy rate; `rollout`: while a good build is on
-    its way through the stages."""
+    """Share of priority weight that each class must keep at the busy rate; `rollout`: during a rollout."""
 
     served_weight_share: float = 0.99
     rollout: bool = True
@@ -31,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SizingStep:
-    """One number of servers that was tried, with the least class's share of worth (mean, low, high)."""
+    """One number of servers that was tried, with the share of the worst class."""
 
     servers: int
     worst_class: str
@@ -41,8 +40,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SizingResult:
-    """`servers` of `kind` at `site`, beside all others as they are; None where no number of them meets the
-    goal, for the reason in `why`. `floor`: fewer can't do the work at all (theory)."""
+    """Servers of a kind at a site that meet the goal beside all others; None where no number does.
+
+    `minimum` is the number below which the work exceeds the capacity (theory).
+    """
 
     goal: Goal
     site: str
@@ -55,7 +56,7 @@
 
 
 def with_server_count(fleet: Fleet, site: str, kind: str, count: int) -> Fleet:
-    """The fleet with so many servers of a kind at a site, all others unchanged."""
+    """Return the fleet with so many servers of a kind at a site."""
     others = [s for s in fleet.servers if (s.site, s.kind) != (site, kind)]
     group = [ServerGroup(site=site, kind=kind, count=count)] if count else []
     return replace(fleet, servers=(*others, *group))
@@ -120,8 +121,7 @@
     store: ResultStore | None = None,
     progress: Callable[[str], None] = lambda text: None,
 ) -> SizingResult:
-    """The least number of servers of a kind at a site with which every class meets the goal, the mean over
-    the seeds deciding. A goal that idle servers miss is told apart by its cause."""
+    """Find the least number of servers with which every class meets the goal, in the mean over the seeds."""
     search = _Search(fleet, load, demand, goal, site, kind, seeds, workers, store, progress)
     current = sum(s.count for s in fleet.servers if (s.site, s.kind) == (site, kind))
     minimum = _minimum_servers(fleet, demand, site, kind)
--- a/meadowpulley/capacity/spike.py
+++ b/meadowpulley/capacity/spike.py
@@ -1,4 +1,4 @@
-"""A spike of costly requests: the backlog, when it clears, and what refusals save."""
+"""Spike of costly requests: backlog, time to recover, and what rejections save."""
 
 from __future__ import annotations
 
@@ -15,13 +15,13 @@
 from meadowpulley.fleet import Fleet
 
 BEFORE_S, AFTER_S = 10.0, 25.0
-RECOVERED_SHARE = 0.97  # of the share within aim before the spike, for so many seconds on end: it is over
+RECOVERED_SHARE = 0.97  # of the share within the objective before the spike
 RECOVERED_FOR_S = 3
 
 
 @dataclass(frozen=True, slots=True)
 class Spike:
-    """A share of requests costs so many times the usual for a time (milliseconds)."""
+    """A share of requests costs `cost` times the usual for a time (milliseconds)."""
 
     share: float
     cost: float
@@ -30,9 +30,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SpikeResult:
-    """`utilisation` while it lasts. `backlog`: work left at its end, standard-core seconds, and when that
-    clears (seconds after the end), as a fluid would; `held`: as much of it as servers can hold. Triples are
-    mean, low and high over the seeds, by the emulator, with refusals and without."""
+    """Result of a spike. Triples are mean, low and high over the seeds, by the emulator.
+
+    `backlog` is the work left at its end in standard-core seconds, by a fluid model; `queued_backlog` as
+    much of it as servers can hold.
+    """
 
     spike: Spike
     utilisation: float
@@ -44,19 +46,21 @@
     weight_overall: tuple[float, float, float]
     weight_overall_unlimited: tuple[float, float, float]
     rejected_during: tuple[float, float, float]
-    clears_s: float  # mean, after the spike's end; infinity where a run did not see it
+    clears_s: float  # mean, after the end of the spike; infinity where a run did not recover
     clears_unlimited_s: float
     timeline: tuple[tuple[float, ...], ...]
     timeline_unlimited: tuple[tuple[float, ...], ...]
 
     @property
     def saved(self) -> float:
-        """Share of worth that refusals save over the whole run."""
+        """Share of priority weight that rejections save over the whole run."""
         return self.weight_overall[0] - self.weight_overall_unlimited[0]
 
 
 def recovery_s(row: RunResult, end_s: float) -> float:
-    """Seconds after the spike's end until requests are within aim as before, for some seconds on end."""
+    """Return the seconds after the spike until calls are within their objective as before; infinity if
+    never.
+    """
     shares = [s[1] / s[0] if s[0] else 1.0 for s in row.seconds]
     usual = sum(shares[2 : int(BEFORE_S)]) / max(len(shares[2 : int(BEFORE_S)]), 1)
     run = 0
@@ -77,7 +81,7 @@
     store: ResultStore | None = None,
     progress: Callable[[int, int], None] = lambda done, of: None,
 ) -> SpikeResult:
-    """A spike on top of the load's busy rate, with the gateways' refusals and without them."""
+    """Predict a spike on top of the busy rate, with the concurrency limit and without it."""
     length = spike.for_ms / 1000
     utilisation = demand.busy_utilisation * (1 + spike.share * (spike.cost - 1))
     excess = max(utilisation - 1, 0.0) * fleet.capacity() * length
--- a/meadowpulley/capacity/verify.py
+++ b/meadowpulley/capacity/verify.py
@@ -1,7 +1,7 @@
-"""A prediction beside what was measured: the cases that are played, and how far apart the two are.
+"""Predictions beside measurements: the cases, and how far predicted and measured figures differ.
 
-The prediction comes first, from the emulator, on the very arrivals that are then played over loopback; both
-read the same fleet, scaled to what one machine can carry. Nothing here is fitted to what was measured.
+The prediction comes first, from the emulator, on the arrivals that are then played over loopback. Both use
+the same fleet, scaled to what one machine can carry. Nothing is fitted to the measurements.
 """
 
 from __future__ import annotations
@@ -21,19 +21,20 @@
 
 CaseKind = Literal["below", "beyond", "spike", "site", "cold"]
 MAX_ERROR = 0.15
-MIN_SHARE = (
-    0.05  # a share predicted under this is compared as if it were so large: 0.1% beside 0.2% is no miss
-)
-BELOW_KNEE, BEYOND_KNEE = 0.6, 1.3  # utilisation below the knee, unless the load's own is less, and beyond it
-SPIKE_SHAPE = (0.125, 6.0)  # share and cost
-MAX_REQUESTS_PER_S = 420.0  # requests a second that the rig carries on one machine with room to spare
+MIN_SHARE = 0.05  # smaller predicted shares are compared as if they were this large
+BELOW_KNEE, BEYOND_KNEE = (
+    0.6,
+    1.3,
+)  # utilisations of the cases; below the knee the load's own where it is less
+SPIKE_SHAPE = (0.125, 6.0)  # share of requests, and cost factor
+MAX_REQUESTS_PER_S = 420.0  # requests per second that the test bed carries on one machine with a margin
 WARM_UP_MS = 3000.0
-LOOPBACK_MS = 0.05  # one way, as good as none
+LOOPBACK_MS = 0.05  # one way, negligible
 
 
 @dataclass(frozen=True, slots=True)
 class Case:
-    """One run: what is played, and the figures that are compared."""
+    """One run and the figures that are compared."""
 
     name: str
     fleet: Fleet
@@ -44,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Comparison:
-    """One figure of one case. `error`: measured beside predicted, as a share of the predicted."""
+    """One figure of one case, predicted and measured."""
 
     case: str
     figure: str
@@ -56,6 +57,7 @@
 
     @property
     def error(self) -> float:
+        """Difference as a share of the predicted value."""
         share = self.figure.rpartition(".")[2] in ("worth", "in_aim", "refused", "failed", "busy")
         base = max(self.predicted, MIN_SHARE) if share else self.predicted
         return abs(self.measured - self.predicted) / base if base else math.inf
@@ -63,24 +65,25 @@
 
 @dataclass(slots=True)
 class Verdict:
-    """All that was compared. `limits`: why the rig itself was the limit; then there is no verdict."""
+    """All comparisons. With any `limiting_factors` the test bed was the limit, and there is no verdict."""
 
     comparisons: list[Comparison] = field(default_factory=list)
     limiting_factors: list[str] = field(default_factory=list)
-    violations: list[str] = field(default_factory=list)  # of the rules, on sockets
+    violations: list[str] = field(default_factory=list)  # violations of the rules on sockets
 
     @property
     def worst(self) -> float:
+        """Largest error."""
         return max((c.error for c in self.comparisons), default=0.0)
 
     @property
     def holds(self) -> bool:
+        """Whether all errors are within `MAX_ERROR` and no rule was violated."""
         return not self.limiting_factors and not self.violations and self.worst <= MAX_ERROR
 
 
 def scaled_fleet(fleet: Fleet, demand: Demand, most_per_s: float = MAX_REQUESTS_PER_S) -> tuple[Fleet, float]:
-    """The fleet as one machine carries it, and the part of its size that this is: fewer servers and gateways,
-    the same of each, at loopback's distances."""
+    """Return the fleet as one machine carries it, and its share of the described size."""
     work = demand.work_ms or fleet.mean_work_ms()
     max_per_s = BEYOND_KNEE * fleet.capacity() * 1000 / work
     part = min(most_per_s / max_per_s, 1.0)
@@ -98,8 +101,7 @@
 def make_cases(
     fleet: Fleet, load: LoadSpec, demand: Demand, seconds: float, kinds: Sequence[CaseKind]
 ) -> list[Case]:
-    """The cases to play on a fleet, perhaps a scaled one: utilisations are those of the fleet as
-    described."""
+    """Return the cases to play on a fleet."""
     work = demand.work_ms or fleet.mean_work_ms()
     top = fleet.capacity() * 1000 / work
     below = min(demand.busy_utilisation or BELOW_KNEE, BELOW_KNEE)
@@ -142,7 +144,7 @@
 def predict_cases(
     cases: Sequence[Case], seed: int, seeds: int, workers: int | None, store: ResultStore | None = None
 ) -> list[list[RunResult]]:
-    """Each case emulated on the arrivals of `seed`, under several seeds of all that is not the load."""
+    """Emulate each case on the arrivals of `seed`, with several seeds for all else."""
     cells = [
         Cell(c.name, c.fleet, c.load, 1000 + n, c.scenario, from_ms=WARM_UP_MS, load_seed=seed)
         for c in cases
@@ -153,7 +155,7 @@
 
 
 def prediction_table(cases: Sequence[Case], rows: Sequence[Sequence[RunResult]]) -> list[dict[str, Any]]:
-    """The prediction as it is written down before anything is measured."""
+    """Return the predictions as they are stored before the measurement."""
     found = []
     for case, mine in zip(cases, rows, strict=True):
         for figure in case.figures:
@@ -166,7 +168,7 @@
 
 
 def compare(table: Sequence[dict[str, Any]], case: str, measured: dict[str, float]) -> list[Comparison]:
-    """The prediction's figures of one case beside the measured ones."""
+    """Return the comparisons of one case."""
     return [
         Comparison(case, p["figure"], p["value"], p["low"], p["high"], p["by"], measured[p["figure"]])
         for p in table
--- a/meadowpulley/emulator/__init__.py
+++ b/meadowpulley/emulator/__init__.py
@@ -1,14 +1,15 @@
-"""Our own model of the systems that a gateway serves, in virtual time: one seed replays everything.
+"""Model of the systems around a gateway in virtual time; one seed makes a run repeatable.
 
-Reading order: `clock` (virtual time and named random streams), `machine` (a server's cores, slots, queue,
-warm-up and falling over), `builds` (what a release does to the machines that run it), `scenario` (the file
-that says what happens in a run), `faults` (troubles put on and taken off), `network`, `discovery`,
-`platform`, `clients` (the parties around a gateway), `process` (killed, paused and woken), `failpoints`
-(named steps at which that may happen), `held` and `connections` (what a gateway holds), `gateway` (hosts one
-real `Balancer`), `world` (all of them together), `results` (what came of it) and `snapshot` (what a run looks
-like at one moment). Where gateways stand in for each other: `ledger` (the one they share, its troubles, a
-port to it), `together` (the stages round a balancer), `joined` (a gateway whose work is taken over),
-`observed` (what the ledger's records say, for the rules). No part does I/O or reads a clock.
+Reading order: `clock` (virtual time and named random streams), `machine` (cores, slots, queue, slow start
+and overload of one server), `builds` (the effect of a build on the machines that run it), `scenario` (the
+file that describes a run), `faults` (fault injection), `network`, `discovery`, `platform`, `clients` (the
+parties around a gateway), `process` (crash, pause and resume), `failpoints` (named steps at which a fault
+can be set), `requests` and `connection_pool` (state of a gateway), `gateway` (runs one real policy),
+`emulation` (all parts together), `results` and `snapshot`.
+
+Shared state of several gateways: `ledger` (one store, its faults and a port to it), `shared_state` (stages
+around a policy), `takeover_gateway` and `ledger_observer` (trace records read from ledger transactions). No
+module does I/O or reads a clock.
 """
 
 from meadowpulley.emulator.builds import Build
--- a/meadowpulley/emulator/builds.py
+++ b/meadowpulley/emulator/builds.py
@@ -1,4 +1,4 @@
-"""What a release does to the machines that run it."""
+"""Effect of a build on the machines that run it."""
 
 from __future__ import annotations
 
@@ -8,11 +8,12 @@
 
 
 class Build(Struct, frozen=True, forbid_unknown_fields=True):
-    """A build and what is wrong with it, if anything. `speed` is times the fleet's own.
+    """A build and its faults, if it has any. `speed` multiplies the machine's speed.
 
-    `fails`: share of requests that end as errors, of class `fails_class` or of all. `slow`: times the work.
-    Both hold only from `late_ms` after a machine's start, and only where more than `above_busy` of its slots
-    are in use. `drag`: with all traffic on it every server, old and new, is so many times slower.
+    `failure_share` is the share of requests that end as errors, of class `failing_class` or of every class.
+    `work_factor` multiplies the work of a request. Both apply only from `fault_delay_ms` after the start of
+    a machine, and only while more than `fault_utilisation` of its slots are in use. With all traffic on the
+    build, every server of the fleet is `shared_slowdown` times slower.
     """
 
     number: int
@@ -26,11 +27,13 @@
 
     @property
     def faulty(self) -> bool:
+        """Whether the build fails requests or is at least 20% slower than it should be."""
         return self.failure_share > 0 or self.work_factor >= 1.2 or self.shared_slowdown >= 1.2
 
     def fault_active(self, age_ms: float, utilisation: float) -> bool:
-        """Whether its fault shows on a machine of that age whose slots are `busy` in use."""
+        """Return whether the fault shows at an age (ms) with this share of slots in use."""
         return age_ms >= self.fault_delay_ms and utilisation >= self.fault_utilisation
 
     def failure_share_of(self, class_name: str) -> float:
+        """Return the share of requests of a class that fail."""
         return self.failure_share if self.failing_class in (None, class_name) else 0.0
--- a/meadowpulley/emulator/clients.py
+++ b/meadowpulley/emulator/clients.py
@@ -1,5 +1,4 @@
-"""Clients: arrivals that wait for nobody, the front that spreads them over gateways, and their own
-retries."""
+"""Open-loop clients: arrivals, distribution over gateways, deadlines and client-side retries."""
 
 from __future__ import annotations
 
@@ -17,17 +16,18 @@
 
 
 class GatewayEndpoint(Protocol):
-    """A gateway as a client sees it."""
+    """The part of a gateway that clients use."""
 
     number: int
     alive: bool
 
-    def accept(self, request: ClientRequest) -> None: ...
+    def accept(self, request: ClientRequest) -> None:
+        """Receive a complete request."""
 
 
 @dataclass(slots=True, eq=False)
 class ClientCall:
-    """What somebody wants: one arrival and all tries for it."""
+    """One arrival of the load, with all requests that the client sends for it."""
 
     arrival: Arrival
     class_index: int
@@ -35,12 +35,12 @@
     first_sent_at: float
     requests_sent: int = 0
     finished: bool = False
-    request_id: str = ""  # its id on all tries, where gateways stand in for each other
+    request_id: str = ""  # client's id, the same for all requests of the call; empty without shared state
 
 
 @dataclass(slots=True, eq=False)
 class ClientRequest:
-    """One request: a number that never comes twice, and what it asks."""
+    """One request of a call; its number is unique within a run."""
 
     number: int
     call: ClientCall
@@ -52,10 +52,11 @@
 
 
 class SimulatedClients:
-    """Plays a load. `fronts(site)` are the gateways that the front of a site hands connections to.
+    """Plays a load. `gateways_of(site)` lists the gateways that a site's front end may choose.
 
-    `named`: all tries of an ask carry one id. `again_ms`: of silence, after which a client leaves and tries
-    another gateway, 0: never; `leave` tells the gateway that it left.
+    With `stable_request_ids` all requests of a call carry one id. A client that gets no response for
+    `failover_after_ms` disconnects, which `disconnect` reports to the gateway, and sends the call to
+    another gateway; 0 turns this off.
     """
 
     def __init__(
@@ -81,8 +82,8 @@
         self._last_number = 0
         self._class_indexes = {c.name: n for n, c in enumerate(fleet.classes)}
         self._site_indexes = fleet.site_indexes()
-        self.arrivals_done = False  # no arrival is left
-        self.open_calls = 0  # asks that are not over
+        self.arrivals_done = False  # the load is exhausted
+        self.open_calls = 0  # calls that have not ended
         self._schedule_next_arrival()
 
     def _schedule_next_arrival(self) -> None:
@@ -130,12 +131,12 @@
             self._clock.call_later(self._failover_after_ms, lambda: self._fail_over(request))
 
     def next_number(self) -> int:
-        """One that no request had before."""
+        """Return a request number that was not used before."""
         self._last_number += 1
         return self._last_number
 
     def _fail_over(self, request: ClientRequest) -> None:
-        """Silence for too long: it leaves, and asks again under the same id."""
+        """Disconnect after too long a silence and send the call again under the same id."""
         if not request.answered and self._clock.now < request.deadline:
             request.answered = True
             self._disconnect(request)
@@ -143,7 +144,7 @@
             self._send_request(request.call)
 
     def _deliver(self, callback: Callable[[], None]) -> None:
-        """Between a client and its gateway; at once where that takes no time, as on the rig."""
+        """Run a callback after the delay between client and gateway; at once where the delay is 0."""
         delay_ms = self._network.client_one_way()
         if delay_ms > 0:
             self._clock.call_later(delay_ms, callback)
@@ -158,21 +159,21 @@
                 self.connection_lost(request)
 
     def _deadline_passed(self, request: ClientRequest) -> None:
-        """The client's time is over without an answer."""
+        """Give a request up that got no response before its deadline."""
         if request.answered:
             return
         request.answered = True
         self._result.record_unanswered(request.call)
         self._retry_or_end(request.call, 0.0, False)
 
-    # What gateways say
+    # Responses
 
     def respond(self, request: ClientRequest, response: str, retry_after_ms: float) -> None:
-        """The answer leaves the gateway; it reaches the client a little later."""
+        """Send a response to the client; it arrives after the network delay."""
         self._deliver(lambda: self._response_received(request, response, retry_after_ms))
 
     def connection_lost(self, request: ClientRequest) -> None:
-        """The connection broke, or nobody was there."""
+        """Report a broken connection, or a gateway that is not there, to the client."""
         self._deliver(lambda: self._response_received(request, "broke", 0.0))
 
     def _response_received(self, request: ClientRequest, response: str, retry_after_ms: float) -> None:
--- a/meadowpulley/emulator/connection_pool.py
+++ b/meadowpulley/emulator/connection_pool.py
@@ -1,4 +1,4 @@
-"""A gateway's connections to servers: as many as it has slots for, and kept for a while when idle."""
+"""Pool of a gateway's connections to servers, with idle time-out and eviction."""
 
 from __future__ import annotations
 
@@ -7,17 +7,17 @@
 
 
 class ConnectionPool:
-    """One life's. `closed` is told of each that this gateway closes, by its server and how many."""
+    """Connections of one gateway incarnation. `on_closed(server, count)` reports those that it closes."""
 
     def __init__(self, capacity: int, idle_ms: float, on_closed: Callable[[int, int], None]) -> None:
         self.capacity, self._idle_ms, self._on_closed = capacity, idle_ms, on_closed
-        self.open = 0  # idle or not
+        self.open = 0  # idle or in use
         self._idle_since: dict[int, list[float]] = defaultdict(
             list
-        )  # by server: since when each is, newest last
+        )  # start of idle time of each, by server, newest last
 
     def take_idle(self, now: float, server: int) -> bool:
-        """Whether one stood idle that a server has surely not closed; it is in use now."""
+        """Take an idle connection to a server into use; False where none is young enough."""
         idle_since = self._idle_since[server]
         while idle_since and idle_since[0] < now - self._idle_ms * 0.9:
             idle_since.pop(0)
@@ -28,7 +28,7 @@
         return False
 
     def reserve(self) -> bool:
-        """Room for one more, if need be by closing the one that has been idle longest."""
+        """Return whether one more connection fits, closing the longest idle one where needed."""
         if self.open < self.capacity:
             return True
         oldest_idle = [(times[0], server) for server, times in self._idle_since.items() if times]
@@ -40,16 +40,19 @@
         return True
 
     def release(self, now: float, server: int) -> None:
-        """One in use stands idle from now on."""
+        """Return a connection in use to the idle ones."""
         self._idle_since[server].append(now)
 
     def close(self, server: int, count: int = 1) -> None:
+        """Close connections to a server that are not idle."""
         self.open -= count
         self._on_closed(server, count)
 
     def close_idle(self, server: int) -> None:
+        """Close all idle connections to a server."""
         self.close(server, len(self._idle_since.pop(server, [])))
 
     def close_all_idle(self) -> None:
+        """Close all idle connections."""
         for server in list(self._idle_since):
             self.close_idle(server)
--- a/meadowpulley/emulator/discovery.py
+++ b/meadowpulley/emulator/discovery.py
@@ -1,5 +1,4 @@
-"""Discovery: a list that lags behind the servers, asked for as a whole or watched, and out of reach at
-times."""
+"""Simulated discovery service: an endpoint list that lags behind the servers, read whole or watched."""
 
 from __future__ import annotations
 
@@ -16,12 +15,14 @@
 
 @dataclass(slots=True)
 class _Watch:
-    last_version: int  # the version told last
+    """State of one gateway's watch."""
+
+    last_version: int  # version of the latest update
     update_pending: bool = False
 
 
 class SimulatedDiscovery:
-    """Keeps the list as discovery knows it, and tells it to those who ask: `tell(gateway, news)`."""
+    """Keeps the endpoint list and sends updates by `notify(gateway, update)`."""
 
     def __init__(
         self,
@@ -31,34 +32,34 @@
         notify: Callable[[int, EndpointUpdate], None],
     ) -> None:
         self._clock, self._rng, self.model, self._notify_gateway = clock, rng, model, notify
-        self.on_change: Callable[[], None] = lambda: None  # called when the list has changed
+        self.on_change: Callable[[], None] = lambda: None  # called after each published change
         self.unavailable = False
-        self.extra_delay_ms = 0.0  # on top of the usual
+        self.extra_delay_ms = 0.0  # added to the usual delay
         self.version = 1
         self._entries: dict[int, tuple[int, ServerEntry]] = {}
-        self._listed_at: dict[int, float] = {}  # when the latest change of a server is listed
+        self._listed_at: dict[int, float] = {}  # publication time of each server's latest change
         self._watches: dict[int, _Watch] = {}
-        self._stalled_watches: dict[int, _Watch] = {}  # that stand, and tell nothing any more
+        self._stalled_watches: dict[int, _Watch] = {}  # open, but send no updates
         self.on_presumed_update: Callable[[int, EndpointUpdate], None] = lambda gateway, news: (
             None
-        )  # as told, heard or not
+        )  # called with updates that count as known though not received
 
-    # The list
+    # Endpoint list
 
     def current_entries(self) -> tuple[ServerEntry, ...]:
-        """The whole list as it stands."""
+        """Return all entries that are not removed."""
         return tuple(e for _, e in self._entries.values() if e.state is not ServerState.REMOVED)
 
     def changes_since(self, version: int) -> tuple[ServerEntry, ...]:
-        """What changed after a version."""
+        """Return the entries that changed after a version, removed ones included."""
         return tuple(e for v, e in self._entries.values() if v > version)
 
     def add_initial(self, entry: ServerEntry) -> None:
-        """A server that has been listed for long."""
+        """List a server that was there before the run."""
         self._entries[entry.server] = (self.version, entry)
 
     def schedule_change(self, entry: ServerEntry) -> None:
-        """A server has changed; discovery will know of it in its own time, in the order of its changes."""
+        """Publish a changed entry after the service's delay, in the order of the server's changes."""
         is_new = entry.server not in self._listed_at and entry.server not in self._entries
         delay_bounds = self.model.add_delay_ms if is_new else self.model.change_delay_ms
         when = self._clock.now + uniform(self._rng, delay_bounds) + self.extra_delay_ms
@@ -73,18 +74,22 @@
         for gateway, watch in list(self._watches.items()):
             self._schedule_update(gateway, watch)
         for gateway, watch in self._stalled_watches.items():
-            if watch.update_pending:  # the time is over in which it need not have known
+            if watch.update_pending:  # past the time within which it may not know
                 self._presume_known(gateway, watch)
 
-    # Those who ask
+    # Watches
 
     def unsubscribe(self, gateway: int) -> None:
+        """End a gateway's watch."""
         self._watches.pop(gateway, None)
         self._stalled_watches.pop(gateway, None)
 
     def stall_watch(self, gateway: int) -> None:
-        """Its watch stands and tells nothing any more. The gateway finds out once the call is overdue; what
-        it misses counts as told after a while, and so does every later change until it has asked anew."""
+        """Stop a watch from sending updates while its connection stays open.
+
+        The gateway notices when its long poll is overdue. What it misses counts as known to it after a
+        while, and so does each later change until it subscribes again.
+        """
         watch = self._watches.pop(gateway, None)
         if watch is None:
             return
@@ -92,14 +97,17 @@
         remaining_ms = float(self._rng.random()) * self.model.long_poll_ms
 
         def while_stalled(callback: Callable[[], None]) -> Callable[[], None]:
+            """Run a callback only while this watch is still stalled."""
             return lambda: callback() if self._stalled_watches.get(gateway) is stalled else None
 
         def detect() -> None:
+            """Report the time-out to the gateway, which subscribes again."""
             self._notify_gateway(gateway, EndpointUpdate(EndpointUpdateKind.TIMED_OUT, stalled.last_version))
             if not self.model.must_subscribe:
                 self.subscribe(gateway)
 
         def presume_known() -> None:
+            """Count missed and later changes as known from now on."""
             stalled.update_pending = True
             self._presume_known(gateway, stalled)
 
@@ -108,7 +116,7 @@
         self._clock.call_later(max(remaining_ms + after_wait, after_silence), while_stalled(presume_known))
 
     def _presume_known(self, gateway: int, watch: _Watch) -> None:
-        """Drains and ends alone: which build a server runs is a matter of the list that was heard."""
+        """Report missed drains and removals as known. Builds count only from the list that was received."""
         missed, watch.last_version = self.changes_since(watch.last_version), self.version
         removals = tuple(e for e in missed if e.state is not ServerState.READY)
         if removals:
@@ -117,6 +125,7 @@
             )
 
     def subscribe(self, gateway: int) -> None:
+        """Start a gateway's watch; the first update is the full list."""
         self._stalled_watches.pop(gateway, None)
         if self.unavailable:
             self._clock.call_later(self.model.timeout_ms, lambda: self._notify_failure(gateway))
@@ -127,12 +136,13 @@
             self._schedule_update(gateway, watch)
 
     def fetch_full_list(self, gateway: int) -> None:
-        """The whole list, once."""
+        """Send the full list once."""
         self._clock.call_later(
             uniform(self._rng, self.model.update_interval_ms), lambda: self._send_full_list(gateway)
         )
 
     def fail(self) -> None:
+        """Make the service unavailable; open watches fail within the time-out."""
         self.unavailable = True
         for gateway in list(self._watches):
             delay_ms = float(self._rng.random()) * self.model.timeout_ms
--- a/meadowpulley/emulator/emulation.py
+++ b/meadowpulley/emulator/emulation.py
@@ -1,4 +1,4 @@
-"""All parties together, in virtual time, around real balancers. One seed, one run, to the last record."""
+"""An emulated installation in virtual time, around real policies."""
 
 from __future__ import annotations
 
@@ -18,8 +18,9 @@
 from meadowpulley.emulator.requests import Attempt
 from meadowpulley.emulator.results import EmulationResult
 from meadowpulley.emulator.scenario import Scenario
-from meadowpulley.emulator.server_fleet import ServerFleet, SimulatedServer
+from meadowpulley.emulator.server_fleet import ServerFleet
 from meadowpulley.emulator.shared_state import SharedState, StageChain, admission_record
+from meadowpulley.emulator.simulated_server import SimulatedServer
 from meadowpulley.emulator.takeover_gateway import TakeoverGateway
 from meadowpulley.fleet import Fleet, gateway_settings
 from meadowpulley.interface import (
@@ -39,16 +40,15 @@
 from meadowpulley.rules import KeyAnswered, Record, RuleParameters, TraceChecker
 from meadowpulley.takeover import TakeoverStage
 
-FAILURE_DETECTION_MS = 1000.0  # until the front no longer hands clients to a gateway that died
-MAX_TAIL_MS = 30_000.0  # after the last arrival, for what is still open
+FAILURE_DETECTION_MS = 1000.0  # until the front end stops sending clients to a crashed gateway
+MAX_TAIL_MS = 30_000.0  # after the last arrival, for calls that are still open
 
 
 class Emulation(ServerFleet):
-    """A described fleet under a load: `run` plays it to its end, `run_until` in parts.
+    """A described fleet under a load. `run` plays it to its end, `run_until` in parts.
 
-    `make` builds the decisions of a gateway (a real `Balancer` unless a test says otherwise); `together`
-    says what its gateways share, and which stages stand round those decisions; `trace` sees each record of
-    the run. Raises nothing of its own: what goes wrong in a run is its result.
+    `build_policy` makes the policy of a gateway, `shared_state` says what gateways share and which stages
+    surround the policy, and `on_record` receives each trace record.
     """
 
     def __init__(
@@ -76,7 +76,7 @@
         if shared_state is not None:
             self.ledger = SharedLedger(clock, self.streams.stream("ledger"), shared_state.ledger_model)
             self.ledger.on_commit = self._on_commit
-        self.chains: dict[int, StageChain] = {}  # of the last life of each gateway
+        self.chains: dict[int, StageChain] = {}  # stages of each gateway's latest incarnation
         self._ledger_observer = LedgerObserver()
         takeover_enabled = shared_state is not None and shared_state.takeover is not None
         gateway_class = TakeoverGateway if takeover_enabled else SimulatedGateway
@@ -103,17 +103,19 @@
         FaultInjector(self, self.scenario.faults)
         self.schedule()
 
-    # What gateways have together
+    # Shared state
 
     def settings_of(self, number: int) -> Settings:
+        """Return the settings of a gateway."""
         settings = gateway_settings(self.fleet, number)
         return self.shared_state.with_tenants(settings) if self.shared_state is not None else settings
 
     def tenant_of(self, key: int) -> int:
+        """Return the tenant index of a key; 0 without shared state."""
         return self.shared_state.tenant_of(key) if self.shared_state is not None else 0
 
     def build_stages(self, gateway: SimulatedGateway, seed: int) -> tuple[Any, list[Any]]:
-        """What decides in a gateway, its balancer or the outermost stage round it; and its first actions."""
+        """Return the outermost stage of a gateway's new incarnation and its first actions."""
         policy = self.build_policy(gateway.settings, seed)
         if self.shared_state is None or self.ledger is None or gateway.incarnation is None:
             return policy, []
@@ -131,11 +133,13 @@
         return chain.lease_manager, chain.lease_manager.start(self.clock.now)
 
     def takeover_of(self, gateway: SimulatedGateway) -> TakeoverStage:
+        """Return the takeover stage of a gateway."""
         takeover = self.chains[gateway.number].takeover
         assert takeover is not None
         return takeover
 
     def release_lease(self, gateway: SimulatedGateway) -> list[Any]:
+        """Return the actions of a gateway's graceful shutdown."""
         return self.chains[gateway.number].release(self.clock.now)
 
     def _client_disconnected(self, request: ClientRequest) -> None:
@@ -150,20 +154,22 @@
     # Running
 
     def run(self) -> EmulationResult:
-        """Plays all of the load, and what it leaves open."""
+        """Play the whole load and wait for all calls to end."""
         while not self.over:
             self.run_until(self.clock.now + 1000.0)
         return self.finish()
 
     def run_until(self, when: float) -> None:
+        """Run up to a time in milliseconds."""
         self.virtual_clock.run(when)
 
     @property
     def over(self) -> bool:
-        """Whether the last arrival has come and all that it left open is over."""
+        """Whether the last arrival has come and all calls have ended."""
         return self.clients.arrivals_done and not self.clients.open_calls and self.clock.now % 1000.0 == 0.0
 
     def finish(self) -> EmulationResult:
+        """Complete and return the result."""
         result = self.result
         self.collect_results()
         self.checker.finish(self.clock.now)
@@ -175,23 +181,25 @@
     # Records
 
     def record(self, record: Record) -> None:
+        """Check a trace record and pass it on."""
         self.checker.observe(record)
         if self._on_record is not None:
             self._on_record(record)
 
-    # Attempts on their way
+    # Attempts
 
     def transmit(self, gateway: SimulatedGateway, attempt: Attempt, new_connection: bool) -> None:
-        """An attempt leaves its gateway, on a new connection or a kept one."""
+        """Send an attempt to its server, on a new or a reused connection."""
         server = attempt.server
         assert server is not None
         source, destination = gateway.site, server.entry.zone
         lost = server.unreachable or not self.network.reachable(source, destination)
-        if lost:  # a kept connection stays silent until the gateway stops waiting
+        if lost:  # a reused connection stays silent until the gateway's time-out
             if new_connection:
                 timeout_ms = self.fleet.rules.connect_timeout_ms
                 self.clock.call_later(
-                    timeout_ms, lambda: gateway.response_arrived(attempt, AttemptResult.CONNECT_FAILED)
+                    timeout_ms,
+                    partial(gateway.attempts.response_arrived, attempt, AttemptResult.CONNECT_FAILED),
                 )
             return
         delay_ms = self.network.one_way(source, destination)
@@ -216,26 +224,29 @@
         )
 
     def key_answered(self, tag: Any, server: SimulatedServer, key: int) -> None:
+        """Record that a server answered a key."""
         self.record(KeyAnswered(self.clock.now, tag[0].number, key, server.entry.build))
 
     def reply(self, tag: Any, server: SimulatedServer, result: AttemptResult) -> None:
+        """Send a server's result back to the gateway."""
         gateway, attempt = tag
         source, destination = server.entry.zone, gateway.site
         if self.network.reachable(source, destination):
             self.clock.call_later(
-                self.network.one_way(source, destination), lambda: gateway.response_arrived(attempt, result)
+                self.network.one_way(source, destination),
+                partial(gateway.attempts.response_arrived, attempt, result),
             )
 
     def abandon(self, attempt: Attempt) -> None:
-        """Its gateway has given an attempt up, and the server may notice."""
+        """Cancel an attempt's job at its server where that is possible."""
         server, job = attempt.server, attempt.job
         if server is not None and job is not None:
             self.cancel(server, job)
 
-    # Between the parties
+    # Messages
 
     def _gateways_of(self, site: int) -> list[GatewayEndpoint]:
-        """The gateways of a site, else all: dead ones only until the front notices."""
+        """Return a site's gateways, or all; crashed or paused ones only until the front end notices."""
         now = self.clock.now
         available = [
             g
@@ -247,14 +258,17 @@
         return [g for g in available if g.site == site] or list(available)
 
     def send_endpoint_update(self, gateway: int, update: EndpointUpdate) -> None:
+        """Deliver an endpoint update to a gateway."""
         if self.gateways[gateway].alive:
             self.gateways[gateway].dispatch(update)
 
     def send_rollout_update(self, gateway: int, update: RolloutUpdate) -> None:
+        """Deliver a rollout update to a gateway."""
         if self.gateways[gateway].alive:
             self.gateways[gateway].receive_rollout_update(update)
 
     def send_vote(self, gateway: SimulatedGateway, vote: Vote) -> None:
+        """Send a gateway's vote to the platform."""
         self.log_event(
             f"gateway {gateway.number} votes {vote.verdict.name.lower()} on build {vote.build} "
             f"stage {vote.stage}"
@@ -268,12 +282,14 @@
             )
 
             def report_timeout() -> None:
+                """Report the call's time-out to the gateway that sent the vote."""
                 if gateway.alive and gateway.incarnation_count == incarnation:
                     gateway.receive_rollout_update(timed_out)
 
             self.clock.call_later(self.fleet.rollout.call_timeout_ms, report_timeout)
 
     def send_gossip(self, gateway: SimulatedGateway, action: SendGossip) -> None:
+        """Send a gossip message to one gateway or to all others."""
         message = GossipReceived(gateway.number, action.data)
         for other in self.gateways:
             if other is not gateway and action.peer in (None, other.number):
@@ -289,5 +305,5 @@
 def emulate(
     fleet: Fleet, load: Iterable[Arrival], seed: int, scenario: Scenario | None = None
 ) -> EmulationResult:
-    """Plays a load on an emulated fleet. The same arguments give the same result, to the last figure."""
+    """Run a load on an emulated fleet. The same arguments give the same result."""
     return Emulation(fleet, load, seed, scenario).run()
--- a/meadowpulley/emulator/failpoints.py
+++ b/meadowpulley/emulator/failpoints.py
@@ -1,4 +1,4 @@
-"""Named steps of a gateway's work at which a fault can be set: it is killed or paused there, mid-turn."""
+"""Failpoints: named steps of a gateway's work at which it can be killed or paused."""
 
 from __future__ import annotations
 
@@ -25,6 +25,8 @@
 
 @dataclass(slots=True)
 class _Failpoint:
+    """One action, run at a step after `skip` matching steps."""
+
     step: StepName
     action: Callable[[SimulatedGateway], None]
     gateway: int | None
@@ -32,7 +34,7 @@
 
 
 class Failpoints:
-    """Traps that spring once each, at the first step that fits once `skip` such steps have passed."""
+    """A set of failpoints; each runs its action once, at the first matching step after `skip` others."""
 
     def __init__(self) -> None:
         self._failpoints: list[_Failpoint] = []
@@ -44,10 +46,12 @@
         gateway: int | None = None,
         skip: int = 0,
     ) -> None:
+        """Set an action at a step, on one gateway or on whichever reaches it first."""
         self._failpoints.append(_Failpoint(step, action, gateway, skip))
 
     def reached(self, gateway: SimulatedGateway, step: StepName) -> None:
-        if not self._failpoints:  # hot: most runs set none
+        """Run the actions that are set at this step of this gateway."""
+        if not self._failpoints:  # hot path: most runs set none
             return
         for failpoint in [
             t for t in self._failpoints if t.step == step and t.gateway in (None, gateway.number)
--- a/meadowpulley/emulator/faults.py
+++ b/meadowpulley/emulator/faults.py
@@ -1,4 +1,4 @@
-"""Troubles, put on at their time and taken off again. Each acts on the world's parts and on nothing else."""
+"""Fault injection: starts each fault of a scenario at its time and clears it after its duration."""
 
 from __future__ import annotations
 
@@ -10,16 +10,16 @@
 
 if TYPE_CHECKING:
     from meadowpulley.emulator.emulation import Emulation
-    from meadowpulley.emulator.server_fleet import SimulatedServer
+    from meadowpulley.emulator.simulated_server import SimulatedServer
 
 BURST_LENGTH_MS = (
     200.0,
     800.0,
-)  # a neighbour crowds a machine for so long at a time, and then leaves it alone as long
+)  # bounds of the alternating busy and idle times of a noisy neighbour
 
 
 class FaultInjector:
-    """Puts the faults of a scenario on a world, in their order."""
+    """Injects the faults of a scenario into a run, in their order."""
 
     def __init__(self, emulation: Emulation, faults: tuple[Fault, ...]) -> None:
         self._emulation = emulation
@@ -37,7 +37,9 @@
         self._emulation.log_event(f"fault off: {fault.kind}")
 
     def _affected_servers(self, fault: Fault) -> list[SimulatedServer]:
-        """The servers it meets: a share of those that are up, of one site if one is named; at least one."""
+        """Draw the affected servers: a share of those that are up, at the fault's site where it names one;
+        at least one.
+        """
         sites = self._emulation.fleet.site_indexes()
         site = sites[fault.site] if fault.site is not None else None
         servers = [h for h in self._emulation.servers.values() if h.up and site in (None, h.entry.zone)]
@@ -94,7 +96,7 @@
         return self._slow(index, self._affected_servers(fault), fault.amount)
 
     def _dependency(self, index: int, fault: Fault) -> Callable[[], None]:
-        """Something that all servers depend on is slow: those that start meanwhile are slow too."""
+        """Slow all servers down, also those that start while the fault lasts."""
         self._emulation.shared_slowness = fault.amount
         self._emulation.set_slowdown_of_all("dependency", fault.amount)
 
@@ -148,7 +150,7 @@
 
         return clear
 
-    # Parties around them
+    # Services
 
     def _site_cut(self, index: int, fault: Fault) -> Callable[[], None]:
         assert fault.site is not None
@@ -165,7 +167,7 @@
         return clear
 
     def _silent_watches(self, index: int, fault: Fault) -> Callable[[], None]:
-        """A share of the gateways' watches, once; how long that lasts is up to the gateways."""
+        """Stall the watches of a share of the gateways; the gateways decide how long that lasts."""
         gateways = [g.number for g in self._emulation.gateways if g.alive]
         count = min(max(round(fault.share * len(gateways)), 1), len(gateways))
         for number in sorted(int(c) for c in self._rng.permutation(len(gateways))[:count]):
--- a/meadowpulley/emulator/gateway.py
+++ b/meadowpulley/emulator/gateway.py
@@ -1,6 +1,7 @@
-"""Hosts one real `Balancer`, as the gateway on sockets does: events in, actions out, one at a time.
+"""Simulated gateway: runs one real policy as the gateway on sockets does, events in and actions out.
 
-What the gateway itself costs is here too: CPU of a request, connections to servers, slots for requests.
+It also models the gateway's own costs: CPU time of a request, connections to servers and slots for
+requests.
 """
 
 from __future__ import annotations
@@ -10,47 +11,30 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
+from meadowpulley.emulator.attempts import AttemptHandler
 from meadowpulley.emulator.clients import ClientRequest
 from meadowpulley.emulator.connection_pool import ConnectionPool
 from meadowpulley.emulator.failpoints import StepName
+from meadowpulley.emulator.gateway_services import service_handlers
 from meadowpulley.emulator.ledger import LedgerPort
 from meadowpulley.emulator.process import SimulatedProcess
-from meadowpulley.emulator.requests import (
-    CONNECTION_REUSABLE,
-    NOT_EXECUTED,
-    Attempt,
-    InFlightRequest,
-    endpoint_records,
-)
+from meadowpulley.emulator.requests import Attempt, InFlightRequest, endpoint_records
 from meadowpulley.emulator.results import GatewayResult
 from meadowpulley.interface import (
     Cancel,
     ClientDisconnected,
-    CloseIdleConnections,
     EndpointUpdate,
     EndpointUpdateKind,
     Fail,
-    FetchEndpoints,
-    LogLine,
-    Outcome as AttemptOutcome,
-    Probe,
-    ProbeResult,
     Reject,
     Request,
     Result,
     RolloutUpdate,
     Send,
-    SendGossip,
-    SetTimer,
-    Timer,
-    Vote,
-    Watch,
 )
-from meadowpulley.ledger import Commit, Incarnation, LedgerError, Scan, WatchRequest
+from meadowpulley.ledger import Incarnation, LedgerError
 from meadowpulley.rules import (
     PHASE_NAMES,
-    AttemptEnded,
-    AttemptSent,
     GatewayCrashed,
     GatewayPaused,
     GatewayResumed,
@@ -64,11 +48,11 @@
 if TYPE_CHECKING:
     from meadowpulley.emulator.emulation import Emulation
 
-REQUEST_CPU_SHARE = 0.6  # of a request's CPU, the rest is spent on its attempt's answer
+REQUEST_CPU_SHARE = 0.6  # share of a request's CPU spent on receiving it; the rest is spent on the response
 
 
 class SimulatedGateway(SimulatedProcess):
-    """One gateway of the emulated fleet, by its number; `start` and `kill` bound its lives."""
+    """One gateway of the emulated fleet, by its number. `start` and `kill` begin and end an incarnation."""
 
     def __init__(self, emulation: Emulation, number: int) -> None:
         super().__init__(emulation.clock)
@@ -81,46 +65,38 @@
         self.server_slots = max(free - self.client_slots, 1)
         self.request_count = self.attempt_count = self.max_open_connections = self.max_in_flight = 0
         self.cpu_ms = 0.0
-        self.draining = False  # told to stop: the front hands it no more clients
-        self.pipeline: Any = None  # or the outermost stage round it
-        self.incarnation: Incarnation | None = None  # in the ledger, where the fleet shares one
+        self.draining = False  # shutting down: the front end sends it no more clients
+        self.pipeline: Any = None  # the outermost stage, or the policy itself
+        self.incarnation: Incarnation | None = None  # registered in the ledger, where the fleet has one
         self.ledger_port: LedgerPort | None = None
         self.log_lines: list[tuple[float, str]] = []
+        self.attempts = AttemptHandler(self)
         self._action_handlers: dict[type, Callable[[Any], None]] = {
-            Send: self._send,
-            Cancel: self._cancel,
+            Send: self.attempts.send,
+            Cancel: self.attempts.cancel,
             Reject: self._reject,
             Fail: self._fail,
-            Vote: self._vote,
-            SetTimer: self._set_timer,
-            Watch: self._watch,
-            FetchEndpoints: self._fetch,
-            SendGossip: self._send_gossip,
-            CloseIdleConnections: self._close_idle,
-            LogLine: self._log,
-            Probe: self._probe,
-            Commit: self._commit,
-            WatchRequest: self._watched,
-            Scan: self._scan,
+            **service_handlers(self),
         }
 
-    # Life
+    # Lifecycle
 
     def start(self) -> None:
+        """Begin a new incarnation that knows nothing of earlier ones."""
         emulation = self.emulation
         if emulation.ledger is not None:
             try:
                 self.incarnation = emulation.ledger.begin_incarnation(self.number)
-            except LedgerError as error:  # it ends with that line, and whoever runs it starts it again
+            except LedgerError as error:  # the process exits with this message and is started again
                 emulation.log_event(f"gateway {self.number}: {error}")
                 emulation.clock.call_later(emulation.ledger.model.start_retry_ms, self._retry_start)
                 return
         self.begin_incarnation()
         self.draining = False
         self.in_flight: dict[int, InFlightRequest] = {}
-        self.pending_responses = 0  # requests without their final answer
-        self._known_servers: set[int] = set()  # servers it was told of
-        self._known_builds: dict[int, int] = {}  # and their builds, also of those that are gone unheard
+        self.pending_responses = 0  # requests without a final response
+        self._known_servers: set[int] = set()  # servers that were listed
+        self._known_builds: dict[int, int] = {}  # latest known build of each server, also of removed ones
         self.connections = ConnectionPool(
             self.server_slots, emulation.fleet.rules.idle_ms, emulation.connections_closed
         )
@@ -140,6 +116,7 @@
             self.start()
 
     def kill(self) -> None:
+        """Crash: lose all state, break all connections."""
         if not self.alive:
             return
         emulation = self.emulation
@@ -155,21 +132,23 @@
             request.finished = True
             for attempt in list(request.outstanding_attempts.values()):
                 attempt.ended = True
-                self._abandon(attempt)
+                self.attempts.abandon(attempt)
         self.connections.close_all_idle()
         self.in_flight = {}
 
     def stop(self, grace_ms: float) -> None:
-        """A planned stop: the front is told at once, and what is not over within the grace is lost."""
+        """Shut down gracefully: no new clients; what is not finished within the grace period is lost."""
         self.draining = True
         self.clock.call_later(grace_ms, self.in_this_incarnation(self.kill))
 
     def pause(self) -> None:
+        """Suspend the process, as SIGSTOP does."""
         if self.alive and not self.paused:
             self.emulation.record(GatewayPaused(self.clock.now, self.number))
         super().pause()
 
     def resume(self) -> None:
+        """Continue after a pause and handle what came in meanwhile."""
         if self.paused:
             self.emulation.record(GatewayResumed(self.clock.now, self.number))
         super().resume()
@@ -177,7 +156,7 @@
             self._handle_disconnect(request)
 
     def client_disconnected(self, client_request: ClientRequest) -> None:
-        """The client has closed its connection."""
+        """Handle a client that closed its connection."""
         request = self.in_flight.get(client_request.number)
         if request is not None and not self.defer_if_suspended(
             partial(self.client_disconnected, client_request)
@@ -185,7 +164,7 @@
             self._handle_disconnect(request)
 
     def _handle_disconnect(self, request: InFlightRequest) -> None:
-        """Its client is no longer there."""
+        """Finish a request whose client is no longer there."""
         if not request.finished:
             self._finish(request)
             self.emulation.record(
@@ -196,6 +175,7 @@
     # Events and actions
 
     def dispatch(self, event: Any) -> None:
+        """Hand an event to the pipeline and carry out the actions that it returns."""
         if self.defer_if_suspended(partial(self.dispatch, event)):
             return
         if isinstance(event, EndpointUpdate):
@@ -204,10 +184,11 @@
         self.run_actions(self.pipeline.handle(self.clock.now, event), self.execute)
 
     def execute(self, action: Any) -> None:
+        """Carry out one action."""
         self._action_handlers[type(action)](action)
 
-    def _run_on_cpu(self, cost_ms: float, callback: Callable[[], None]) -> None:
-        """Its one thread does things in turn; each costs CPU."""
+    def run_on_cpu(self, cost_ms: float, callback: Callable[[], None]) -> None:
+        """Run a callback after its CPU cost; the gateway has one thread."""
         if cost_ms <= 0:
             callback()
             return
@@ -217,13 +198,13 @@
         self.emulation.clock.call_at(self._cpu_free_at, self.in_this_incarnation(callback))
 
     def record_endpoints(self, event: EndpointUpdate) -> None:
-        """What this gateway was told of servers, or counts as told though it did not hear it."""
+        """Record in the trace what this gateway knows, or is presumed to know, of servers."""
         if event.kind not in (EndpointUpdateKind.FAILED, EndpointUpdateKind.TIMED_OUT):
             for record in endpoint_records(self.clock.now, self.number, self._known_servers, event):
                 self.emulation.record(record)
 
     def receive_rollout_update(self, update: RolloutUpdate) -> None:
-        """News of the newest build, or the answer to a vote."""
+        """Handle a rollout update, or the reply to a vote."""
         if self.defer_if_suspended(partial(self.receive_rollout_update, update)):
             return
         if update.result is Result.OK:
@@ -237,7 +218,7 @@
     # Requests
 
     def accept(self, client_request: ClientRequest) -> None:
-        """A request has come whole; with all slots in use nobody took it."""
+        """Receive a complete request; with all slots in use the connection is refused."""
         if self.defer_if_suspended(partial(self._accept_after_resume, client_request)):
             return
         if self.pending_responses >= self.client_slots:
@@ -265,12 +246,12 @@
         self.emulation.clock.call_at(
             request.deadline, self.in_this_incarnation(partial(self._deadline_passed, request))
         )
-        self._run_on_cpu(
+        self.run_on_cpu(
             self.group.request_cpu_ms * REQUEST_CPU_SHARE, partial(self._dispatch_request, request)
         )
 
     def _accept_after_resume(self, client_request: ClientRequest) -> None:
-        if not client_request.answered:  # else the client has left
+        if not client_request.answered:  # otherwise the client disconnected
             self.accept(client_request)
 
     def _dispatch_request(self, request: InFlightRequest) -> None:
@@ -293,20 +274,20 @@
 
     def _deadline_passed(self, request: InFlightRequest) -> None:
         for attempt in list(request.outstanding_attempts.values()):
-            self._finish_attempt(attempt, Result.TIMEOUT if attempt.connected else Result.CONNECT_FAILED)
+            self.attempts.finish(attempt, Result.TIMEOUT if attempt.connected else Result.CONNECT_FAILED)
         slack_ms = self.settings.rules.response_slack_ms
         self.emulation.clock.call_later(
             slack_ms + 1.0, self.in_this_incarnation(partial(self._response_overdue, request))
         )
 
     def _response_overdue(self, request: InFlightRequest) -> None:
-        """The decisions left it unanswered. The gateway on sockets answers for them; here it is a breach."""
+        """Drop a request that the policy left unanswered; the checker reports a violation."""
         if not request.finished:
             self._finish(request)
             self.dispatch(ClientDisconnected(request.client_request.number))
 
     def interrupted_at(self, step: StepName, callback: Callable[[], None]) -> bool:
-        """A named step is reached, and a fault that was set there stops it: a pause only puts it off."""
+        """Return whether a fault set at this step stops it; after a pause the callback runs later."""
         self.emulation.failpoints.reached(self, step)
         if self.alive and self.paused:
             self._unfinished.append(callback)
@@ -318,8 +299,19 @@
         if not request.outstanding_attempts:
             self.in_flight.pop(request.client_request.number, None)
 
-    def _deliver_response(self, attempt: Attempt) -> None:
-        """A good answer has come, the first of its request."""
+    def remove_attempt(self, attempt: Attempt) -> None:
+        """Remove an ended attempt from its request, and the request where nothing is left of it."""
+        request = attempt.request
+        request.outstanding_attempts.pop(attempt.number, None)
+        if request.finished and not request.outstanding_attempts:
+            self.in_flight.pop(request.client_request.number, None)
+
+    def known_build(self, server: int) -> int:
+        """Return the latest known build of a server, also of a removed one; 0 where unknown."""
+        return self._known_builds.get(server, 0)
+
+    def deliver_response(self, attempt: Attempt) -> None:
+        """Forward the first good response of a request to its client."""
         self._send_response(attempt.request, "served", 0.0)
 
     def _send_response(
@@ -347,146 +339,8 @@
             return
         self._send_response(request, "failed", 0.0)
 
-    # Attempts
-
-    def _send(self, action: Send) -> None:
-        request, emulation = self.in_flight.get(action.request), self.emulation
-        if request is None or self.interrupted_at("send", partial(self._send, action)):
-            return
-        now = self.clock.now
-        number, request.attempt_count = request.attempt_count, request.attempt_count + 1
-        deadline = (
-            request.deadline if action.timeout_ms == 0 else min(request.deadline, now + action.timeout_ms)
-        )
-        server = emulation.servers.get(action.server)
-        attempt = request.outstanding_attempts[number] = Attempt(request, number, server, now, deadline)
-        build = server.entry.build if server is not None else self._known_builds.get(action.server, 0)
-        emulation.record(AttemptSent(now, self.number, action.request, number, action.server, build))
-        self.attempt_count += 1
-        if server is not None:
-            emulation.result.record_attempt(now, server.entry.zone)
-        if deadline < request.deadline:
-            emulation.clock.call_at(
-                deadline, self.in_this_incarnation(partial(self._finish_attempt, attempt, Result.TIMEOUT))
-            )
-        if server is None:
-            self._finish_attempt(attempt, Result.CONNECT_FAILED)
-            return
-        connections = self.connections
-        new_connection = not connections.take_idle(now, action.server)
-        if new_connection and not connections.reserve():
-            self._finish_attempt(attempt, Result.CONNECT_FAILED)
-            return
-        if new_connection:
-            connections.open += 1
-            self.max_open_connections = max(self.max_open_connections, connections.open)
-        attempt.connected = True
-        emulation.transmit(self, attempt, new_connection)
-        emulation.failpoints.reached(self, "sent")
-
-    def _abandon(self, attempt: Attempt) -> None:
-        """An attempt given up closes its connection."""
-        if attempt.connected:
-            attempt.connected = False
-            if attempt.server is not None:
-                self.connections.close(attempt.server.entry.server)
-        self.emulation.abandon(attempt)
-
-    def response_arrived(self, attempt: Attempt, result: Result) -> None:
-        """What came back on an attempt's connection, or that it broke."""
-        if attempt.ended or self.defer_if_suspended(partial(self.response_arrived, attempt, result)):
-            return
-        cpu_ms = (
-            0.0 if result is Result.CONNECT_FAILED else self.group.request_cpu_ms * (1 - REQUEST_CPU_SHARE)
-        )
-        self._run_on_cpu(cpu_ms, partial(self._finish_attempt, attempt, result))
-
-    def _finish_attempt(self, attempt: Attempt, result: Result) -> None:
-        retry = partial(self._finish_attempt, attempt, result)
-        if attempt.ended or self.interrupted_at("outcome", retry):
-            return
-        if result is Result.OK and not attempt.request.finished and self.interrupted_at("answer", retry):
-            return
-        attempt.ended = True
-        now, request = self.clock.now, attempt.request
-        request.outstanding_attempts.pop(attempt.number, None)
-        if request.finished and not request.outstanding_attempts:
-            self.in_flight.pop(request.client_request.number, None)
-        if result in CONNECTION_REUSABLE and attempt.connected and attempt.server is not None:
-            attempt.connected = False
-            self.connections.release(now, attempt.server.entry.server)
-        else:
-            self._abandon(attempt)
-        executed = result not in NOT_EXECUTED
-        if result is Result.OK and not request.finished:
-            self._deliver_response(attempt)
-        self.emulation.record(
-            AttemptEnded(now, self.number, request.client_request.number, attempt.number, executed)
-        )
-        server_id = attempt.server.entry.server if attempt.server is not None else -1
-        request_complete = request.finished or result is Result.OK
-        self.dispatch(
-            AttemptOutcome(
-                request.client_request.number,
-                attempt.number,
-                server_id,
-                result,
-                now - attempt.sent_at,
-                request_complete,
-            )
-        )
-
-    def _cancel(self, action: Cancel) -> None:
-        request = self.in_flight.get(action.request)
-        attempt = request.outstanding_attempts.get(action.attempt) if request is not None else None
-        if attempt is not None:
-            self._finish_attempt(attempt, Result.CANCELLED)
-
-    # The rest
-
-    def _vote(self, vote: Vote) -> None:
-        self.emulation.send_vote(self, vote)
-
-    def _set_timer(self, action: SetTimer) -> None:
-        self.emulation.clock.call_later(
-            action.delay_ms, self.in_this_incarnation(lambda: self.dispatch(Timer(action.token)))
-        )
-
-    def _watch(self, action: Watch) -> None:
-        if action.enabled:
-            self.emulation.discovery.subscribe(self.number)
-        else:
-            self.emulation.discovery.unsubscribe(self.number)
-
-    def _fetch(self, _: FetchEndpoints) -> None:
-        self.emulation.discovery.fetch_full_list(self.number)
-
-    def _send_gossip(self, action: SendGossip) -> None:
-        self.emulation.send_gossip(self, action)
-
-    def _close_idle(self, action: CloseIdleConnections) -> None:
-        self.connections.close_idle(action.server)
-
-    def _commit(self, action: Commit) -> None:
-        if self.ledger_port is not None:
-            self.ledger_port.commit(action)
-
-    def _scan(self, action: Scan) -> None:
-        if self.ledger_port is not None:
-            self.ledger_port.scan(action)
-
-    def _watched(self, action: WatchRequest) -> None:
-        if self.ledger_port is not None:
-            self.ledger_port.watched_members = action.names
-
-    def _probe(self, action: Probe) -> None:
-        self.dispatch(ProbeResult(action.server, Result.CONNECT_FAILED, 0.0))  # described fleets allow none
-
-    def _log(self, action: LogLine) -> None:
-        self.log_lines.append((self.emulation.clock.now, action.text))
-        self.emulation.log_event(f"gateway {self.number}: {action.text}")
-
     def summary(self, elapsed_ms: float) -> GatewayResult:
+        """Return the gateway's figures over a run of `elapsed_ms`."""
         site = self.emulation.fleet.sites[self.site].name
         utilisation = self.cpu_ms / elapsed_ms if elapsed_ms > 0 else math.nan
         return GatewayResult(
--- a/meadowpulley/emulator/ledger.py
+++ b/meadowpulley/emulator/ledger.py
@@ -1,7 +1,8 @@
-"""The ledger that an emulated fleet shares: one store in memory, and a port to it for each life of a gateway.
+"""Simulated ledger of a fleet: one store in memory, and a port to it for each gateway incarnation.
 
-A port groups what one turn of its gateway asks for, sends one group at a time, and answers in virtual time. A
-group whose answer does not come within `wait_ms` is UNKNOWN: it may have been carried out, or may yet be.
+A port collects the commits of one turn into a batch, has one batch outstanding at a time, and answers in
+virtual time. A batch without a result within `timeout_ms` is UNKNOWN: it may have been applied, or may
+still be.
 """
 
 from __future__ import annotations
@@ -48,19 +49,19 @@
 
 @dataclass(frozen=True, slots=True)
 class LedgerModel:
-    """Milliseconds. A life that dies is known to be dead at its next start where all are on one machine."""
+    """Timing of the ledger in milliseconds. On one host a crash is known at the next start."""
 
-    lease_ms: float = 2000.0  # of a gateway's lease
+    lease_ms: float = 2000.0  # term of a gateway's lease
     one_way_ms: tuple[float, float] = (0.5, 2.0)
-    poll_ms: float = 50.0  # between a gateway's looks at what changed
-    timeout_ms: float = 400.0  # for an answer
-    slow_extra_ms: float = 120.0  # more, each way, while it is slow
-    start_retry_ms: float = 250.0  # until a gateway that was refused a life asks again
+    poll_ms: float = 50.0  # interval of polls for changes
+    timeout_ms: float = 400.0  # time-out of a commit
+    slow_extra_ms: float = 120.0  # extra one-way delay while the ledger is slow
+    start_retry_ms: float = 250.0  # delay before a gateway that could not register tries again
     single_host: bool = True
 
 
 class SharedLedger:
-    """The store, and its troubles for all gateways or for some."""
+    """The store, and its faults for all gateways or for single ones."""
 
     def __init__(self, clock: Timeline, rng: np.random.Generator, model: LedgerModel) -> None:
         self.clock, self._rng, self.model = clock, rng, model
@@ -68,13 +69,14 @@
         self.operations: Counter[str] = Counter()
         self.on_commit: Callable[[Incarnation, Transaction], None] = lambda life, step: (
             None
-        )  # told of each step carried out
+        )  # called with each committed transaction
         self._faults: dict[int | None, LedgerFault] = {}
 
     def set_fault(self, fault: LedgerFault | None, gateway: int | None = None) -> None:
-        """Puts a trouble on for one gateway (None: for all), or takes it off.
+        """Set a fault for one gateway (None: for all), or clear it.
 
-        `cut`: nothing gets to the ledger. `unheard`: all gets there, and no answer comes back.
+        With `cut` nothing reaches the ledger. With `unheard` everything reaches it and no response comes
+        back.
         """
         if fault is None:
             self._faults.pop(gateway, None)
@@ -82,18 +84,20 @@
             self._faults[gateway] = fault
 
     def fault_of(self, gateway: int) -> LedgerFault | None:
+        """Return the fault that a gateway sees, if any."""
         return self._faults.get(gateway, self._faults.get(None))
 
     def delay(self, gateway: int) -> float:
+        """Draw the one-way delay between a gateway and the ledger, in milliseconds."""
         slow_ms = self.model.slow_extra_ms if self.fault_of(gateway) == "slow" else 0.0
         return uniform(self._rng, self.model.one_way_ms) + slow_ms
 
     def random_fraction(self) -> float:
-        """Of a time, by chance."""
+        """Draw from the uniform distribution between 0 and 1."""
         return float(self._rng.random())
 
     def begin_incarnation(self, gateway: int) -> Incarnation:
-        """A new life of a gateway. Raises `LedgerError` where it gets none now."""
+        """Register a new incarnation of a gateway. Raises `LedgerError` where that is not possible now."""
         fault = self.fault_of(gateway)
         if fault not in (None, "slow"):
             raise LedgerError(_FAULT_MESSAGES.get(str(fault), "ledger: it does not answer"))
@@ -101,11 +105,12 @@
         return self.store.register(f"g{gateway}", self.model.lease_ms)
 
     def incarnation_ended(self, incarnation: Incarnation) -> None:
+        """Mark an incarnation as dead where all gateways are on one host."""
         if self.model.single_host:
             self.store.dead_incarnations.add(incarnation)
 
     def commit(self, gateway: int, incarnation: Incarnation, group: CommitBatch) -> list[CommitCompleted]:
-        """Carries a group out. Raises `LedgerError` where it can't."""
+        """Apply a batch of transactions. Raises `LedgerError` where the store cannot be written."""
         fault = self.fault_of(gateway)
         if fault in _WRITE_FAULTS:
             raise LedgerError(_FAULT_MESSAGES[str(fault)])
@@ -119,7 +124,7 @@
         return group.completions(results)
 
     def scan(self, gateway: int, prefix: str) -> tuple[Record, ...]:
-        """Raises `LedgerError` where it can't be read."""
+        """Return all records under a prefix. Raises `LedgerError` where the store cannot be read."""
         self._check_read(gateway)
         self.operations["scans"] += 1
         return tuple(self.store.scan(prefix))
@@ -131,7 +136,7 @@
     def changes(
         self, gateway: int, after: int, prefixes: tuple[str, ...], watched: tuple[str, ...] | None
     ) -> Changes:
-        """What changed after a version. Raises `LedgerError` where it can't be read."""
+        """Return the changes after a version. Raises `LedgerError` where the store cannot be read."""
         self._check_read(gateway)
         self.operations["polls"] += 1
         changes = self.store.changes(after, prefixes, watched)
@@ -141,7 +146,7 @@
 
 @dataclass(slots=True)
 class _OutstandingCommit:
-    """A group on its way to the ledger and back."""
+    """A batch on its way to the ledger and back."""
 
     group: CommitBatch
     finished: bool = False
@@ -149,7 +154,7 @@
 
 
 class LedgerPort:
-    """One life's way to the ledger. Its gateway is told only while that life lives and is awake."""
+    """One incarnation's access to the ledger. Results reach it only while it lives and is not paused."""
 
     def __init__(
         self,
@@ -166,20 +171,20 @@
         )
         self._prefixes: tuple[str, ...] = ()
         self.disconnected = False
-        self.watched_members: tuple[str, ...] | None = ()  # members whose renewals are told; None: all
+        self.watched_members: tuple[str, ...] | None = ()  # members whose renewals are reported; None: all
         self._pending_commits = CommitQueue()
-        self._outstanding: _OutstandingCommit | None = None  # one at a time: the next group gathers meanwhile
+        self._outstanding: _OutstandingCommit | None = None  # one at a time; commits queue meanwhile
         self._version = 0
-        # Gateways do not look all at the same moment.
+        # A random phase keeps the gateways' polls apart.
         self._call_later(ledger.model.poll_ms * ledger.random_fraction(), self._poll)
 
     def _call_later(self, delay_ms: float, callback: Callable[[], None]) -> None:
         self.ledger.clock.call_later(delay_ms, self._gateway.in_this_incarnation(callback))
 
-    # Steps
+    # Commits
 
     def commit(self, commit: Commit) -> None:
-        """Commits go out together at the end of the turn, or when the group before them is answered."""
+        """Queue a commit; it is sent at the end of the turn, or when the batch before it is finished."""
         self._pending_commits.add(commit)
         if len(self._pending_commits) == 1 and self._outstanding is None:
             self._call_later(0.0, self._send)
@@ -193,7 +198,7 @@
         commit = self._outstanding = _OutstandingCommit(group)
         gateway_number, ledger = self._gateway.number, self.ledger
         if ledger.fault_of(gateway_number) != "cut":
-            # Also when the gateway is no more: what has left it is carried out.
+            # Also where the gateway crashes: a batch that was sent is applied.
             ledger.clock.call_later(ledger.delay(gateway_number), lambda: self._apply(commit))
         self._call_later(ledger.model.timeout_ms, lambda: self._timed_out(commit))
 
@@ -242,9 +247,10 @@
             self.disconnected = True
             self._gateway.dispatch(LedgerUnavailable(reason))
 
-    # What is there, and what changed
+    # Scans and changes
 
     def scan(self, action: Scan) -> None:
+        """Read all records under a prefix and dispatch the result."""
         gateway_number, ledger = self._gateway.number, self.ledger
         result = ScanCompleted(action.ticket, None, action.owner)
 
@@ -270,10 +276,10 @@
             self._call_later(ledger.delay(gateway_number), lambda: self._read_changes(started_at))
 
     def _read_changes(self, started_at: float) -> None:
-        """The next look begins only once this one was told."""
+        """Read the changes and schedule the next poll."""
         gateway_number, ledger = self._gateway.number, self.ledger
         prefixes = self._watched_prefixes()
-        if prefixes != self._prefixes:  # all there is under them is to be told
+        if prefixes != self._prefixes:  # read everything under the new prefixes
             self._prefixes, self._version = prefixes, 0
         try:
             changes = ledger.changes(gateway_number, self._version, prefixes, self.watched_members)
--- a/meadowpulley/emulator/ledger_observer.py
+++ b/meadowpulley/emulator/ledger_observer.py
@@ -1,4 +1,4 @@
-"""What the records of work in hand say, as lines of the trace: read off the ledger, not told by a gateway."""
+"""Trace records of journaled requests, read from ledger transactions instead of reports of a gateway."""
 
 from __future__ import annotations
 
@@ -20,21 +20,25 @@
 
 @dataclass(slots=True)
 class _KnownRecord:
+    """Latest owner and state of a request's record."""
+
     owner: Incarnation
     state: RequestState
 
 
 def gateway_number(incarnation: Incarnation) -> int:
-    """The gateway whose life it is."""
+    """Return the number of the gateway that an incarnation belongs to."""
     return int(incarnation.name[1:])
 
 
 class LedgerObserver:
+    """Derives trace records from the transactions that the ledger commits."""
+
     def __init__(self) -> None:
         self._known_records: dict[str, _KnownRecord] = {}
 
     def records_of(self, now: float, incarnation: Incarnation, step: Transaction) -> list[Record]:
-        """What a step that was carried out means."""
+        """Return the trace records of one committed transaction."""
         records: list[Record] = []
         for write in step.writes:
             if isinstance(write, Fence):
--- a/meadowpulley/emulator/machine.py
+++ b/meadowpulley/emulator/machine.py
@@ -1,9 +1,9 @@
-"""One server: cores shared evenly by the requests that run, a bounded queue, warm-up, and falling over.
+"""Model of one server: cores shared evenly by running requests, a bounded queue, slow start and overload.
 
-Requests that run share the cores (egalitarian processor sharing, at most a core each), so all attain the same
-service; a request ends when the service attained since it began equals its work (the virtual-time form of
-processor sharing, Parekh and Gallager 1993). With as many slots as cores it is a plain queue with several
-servers. Pure: told the time, it never reads one.
+Running requests share the cores (egalitarian processor sharing, at most one core each), so all attain the
+same service. A request ends when the service attained since it began equals its work (the virtual-time form
+of processor sharing, Parekh and Gallager 1993). With as many slots as cores the model is a queue with
+several servers. It is pure: the time is an argument.
 """
 
 from __future__ import annotations
@@ -19,14 +19,18 @@
 
 
 class OfferResult(Enum):
+    """Answer of a machine to an offered request."""
+
     ACCEPTED = "taken"
-    REJECTED = "full"  # turned away: it never runs
-    DOWN = "down"  # nobody is there
+    REJECTED = "full"  # rejected, never executes
+    DOWN = "down"  # the process is not running
 
 
 @dataclass(slots=True, eq=False)
 class Job:
-    """A request at a server. `work_ms` is standard-core milliseconds, `until` when its sender gives it up."""
+    """A request at a server. `work_ms` is milliseconds of a standard core; after `deadline` its sender no
+    longer waits.
+    """
 
     number: int
     work_ms: float
@@ -35,22 +39,23 @@
     class_index: int = 0
     started_at: float = math.inf
     dropped: bool = False
-    tag: Any = None  # the sender's own
-    finish_service: float = field(default=math.inf)  # attained service at which it ends
+    tag: Any = None  # opaque value of the sender
+    finish_service: float = field(default=math.inf)  # attained service at which the job ends
 
 
 @dataclass(frozen=True, slots=True)
 class CompletedJob:
+    """A job that left the machine. `executed` is False where its deadline passed before it could start."""
+
     job: Job
     at: float
-    executed: bool  # False: its time had passed before it could begin
+    executed: bool  # False: the deadline passed before it could start
 
 
 class Machine:
-    """The life of one start of one server, from `started` (milliseconds) on; `speed` is times a standard
-    core.
+    """One start of one server at `started_at` (milliseconds); `speed` multiplies a standard core's.
 
-    `long_ago`: it started before the run and is warm.
+    A machine with `warmed_up` started before the run and has its full capacity.
     """
 
     def __init__(
@@ -64,40 +69,42 @@
     ) -> None:
         self.kind, self.rules, self.keys = kind, rules, keys
         self.started_at, self.speed, self.warmed_up = started_at, kind.speed * speed, warmed_up
-        self.slowness = 1.0  # times slower than it should be, by faults
+        self.slowness = 1.0  # factor of faults on the service time
         self.draining = self.down = self.overloaded = self.frozen = False
-        self.lost_jobs: list[Job] = []  # what it held when it fell over
+        self.lost_jobs: list[Job] = []  # jobs lost in an overload
         self.running: set[Job] = set()
         self.queued: deque[Job] = deque()
         self.connections = 0
         self.busy_core_ms = self.completed_work_ms = 0.0
         self.max_queued = 0
         self._now = started_at
-        self._service_attained = (
-            0.0  # standard-core milliseconds that each running request got since the start
-        )
+        self._service_attained = 0.0  # standard-core milliseconds per running request since the start
         self._completions: list[tuple[float, int, Job]] = []
         self._completed: list[CompletedJob] = []
-        self._recent_work: deque[tuple[float, float]] = deque()  # work offered lately, while cold
+        self._recent_work: deque[tuple[float, float]] = (
+            deque()
+        )  # work offered within the overload window, during slow start
         self._recent_work_ms = 0.0
-        self._remembered_keys: OrderedDict[int, float] = OrderedDict()  # keys, and when they were last met
+        self._remembered_keys: OrderedDict[int, float] = (
+            OrderedDict()
+        )  # remembered keys with the time of their latest request
 
     @property
     def advanced_to(self) -> float:
-        """The moment up to which its work is known."""
+        """Time up to which the work is accounted for."""
         return self._now
 
-    # Warm-up
+    # Slow start
 
     def slow_start_fraction(self, at: float) -> float:
-        """The part of its capacity that it has by then."""
+        """Return the share of its full capacity that the machine has at a time."""
         if self.warmed_up or at >= self.started_at + self.kind.slow_start_ms:
             return 1.0
         age = max(at - self.started_at, 0.0)
         return self.kind.slow_start_from + (1 - self.kind.slow_start_from) * age / self.kind.slow_start_ms
 
     def _warm_equivalent_ms(self, start: float, end: float) -> float:
-        """The integral of its warmth: linear until it is warm, one from then on."""
+        """Integrate the slow-start fraction: linear during slow start, 1 afterwards."""
         warm_at = -math.inf if self.warmed_up else self.started_at + self.kind.slow_start_ms
         slow_start_end = min(max(warm_at, start), end)
         slow_start_ms = (
@@ -110,7 +117,7 @@
         return slow_start_ms + end - slow_start_end
 
     def _time_of_warm_equivalent(self, start: float, amount: float) -> float:
-        """When the integral of its warmth from `start` on reaches `amount`: the inverse of `_warm_ms`."""
+        """Return when the integral of the slow-start fraction from `start` reaches `amount`."""
         warm_at = -math.inf if self.warmed_up else self.started_at + self.kind.slow_start_ms
         if start >= warm_at:
             return start + amount
@@ -128,7 +135,7 @@
     # Work
 
     def _service_rate(self) -> float:
-        """Standard-core milliseconds that each running request attains in a warm millisecond."""
+        """Return the standard-core milliseconds that each running request attains in a warm millisecond."""
         running, cores = len(self.running), self.kind.cores
         if not running or self.frozen:
             return 0.0
@@ -156,11 +163,11 @@
         return max(self._time_of_warm_equivalent(self._now, remaining / rate), self._now)
 
     def next_event_at(self) -> float:
-        """When the next request ends if nothing else comes; infinity when none runs."""
+        """Return when the next request ends if no other arrives; infinity where none runs."""
         return self._now if self._completed else self._next_completion()
 
     def advance(self, now: float) -> list[CompletedJob]:
-        """What ended up to `now`, in order."""
+        """Run the machine up to `now` and return the completed jobs in order."""
         while (end := self._next_completion()) <= now:
             self._serve_until(end)
             _, _, job = heapq.heappop(self._completions)
@@ -196,7 +203,7 @@
         heapq.heappush(self._completions, (job.finish_service, job.number, job))
 
     def offer(self, now: float, job: Job) -> OfferResult:
-        """A request comes; call `advance(now)` first."""
+        """Offer a request at `now`; call `advance(now)` first."""
         if self.down:
             return OfferResult.DOWN
         self._check_overload(now, job.work_ms)
@@ -212,7 +219,7 @@
         return OfferResult.ACCEPTED
 
     def cancel(self, now: float, job: Job) -> bool:
-        """Its sender no longer wants it; whether it is dropped. Call `advance(now)` first."""
+        """Cancel a job; return whether it is dropped. Call `advance(now)` first."""
         if job in self.running:
             if not self.kind.cancels_running:
                 return False
@@ -227,18 +234,18 @@
         return False
 
     def connect(self) -> bool:
-        """One connection more; False when it holds as many as it can."""
+        """Open one more connection; False where the machine has its maximum."""
         if self.down or self.connections >= self.kind.connections:
             return False
         self.connections += 1
         return True
 
     def set_slowness(self, slowness: float) -> None:
-        """From now on so many times slower; call `advance(now)` first."""
+        """Make the machine so many times slower from now on; call `advance(now)` first."""
         self.slowness = slowness
 
     def stop(self) -> list[Job]:
-        """It dies: what it held is lost with it."""
+        """Stop the process and return the jobs that are lost with it."""
         self.down = True
         lost = [j for j in [*self.running, *self.queued] if not j.dropped]
         for job in lost:
@@ -248,10 +255,10 @@
         self._completions.clear()
         return sorted(lost, key=lambda j: j.number)
 
-    # Falling over
+    # Overload
 
     def _check_overload(self, now: float, work_ms: float) -> None:
-        """Cold, and sent more than a multiple of what it can do at that moment for a time: it falls over."""
+        """Overload a machine in slow start that is sent more than a multiple of its capacity for a time."""
         window_ms = self.rules.overload_window_ms
         if self.warmed_up or now >= self.started_at + self.kind.slow_start_ms + window_ms:
             return
@@ -265,6 +272,6 @@
             self.lost_jobs = self.stop()
 
     def _capacity_equivalent_ms(self, start: float, end: float) -> float:
-        """Warm milliseconds between the two; before its start it counts as it was at its start."""
+        """Integrate the capacity over a span; before its start a machine counts as at its start."""
         before_start = max(min(self.started_at, end) - start, 0.0) * self.kind.slow_start_from
         return before_start + self._warm_equivalent_ms(max(start, self.started_at), end)
--- a/meadowpulley/emulator/platform.py
+++ b/meadowpulley/emulator/platform.py
@@ -1,5 +1,4 @@
-"""The rollout platform: it brings builds in by stages, counts votes, and tells where the newest build
-stands."""
+"""Simulated rollout platform: moves builds through stages, counts votes and sends rollout updates."""
 
 from __future__ import annotations
 
@@ -17,22 +16,21 @@
 
 
 class ServerControl(Protocol):
-    """What the platform can do with the servers."""
+    """Operations of the platform on the servers."""
 
     def start_servers(self, build: Build, count: int, replacing: bool) -> None:
-        """Starts so many servers of a build; where replacing, each drains one of an earlier build once it is
-        up."""
+        """Start servers of a build; with `replacing` each drains one of an earlier build once it is up."""
 
     def drain_builds(self, matches: Callable[[int], bool]) -> None:
-        """Drains all servers whose build's number is meant."""
+        """Drain all servers whose build number matches."""
 
     def serving_count(self, build: int) -> int:
-        """How many servers of a build run."""
+        """Return how many servers of a build are ready."""
 
 
 @dataclass(frozen=True, slots=True)
 class RolloutState:
-    """Where a build stood since a moment (milliseconds)."""
+    """Stage and phase of a build since a time in milliseconds."""
 
     build: int
     stage: int
@@ -42,7 +40,7 @@
 
 
 class RolloutPlatform:
-    """`tell(gateway, news)` reaches a gateway; `servers` are what it acts on; `size` is a full fleet."""
+    """Controls the rollout on `servers`; `notify(gateway, update)` delivers updates."""
 
     def __init__(
         self,
@@ -61,12 +59,12 @@
         self.history: list[RolloutState] = []
         self.unavailable = False
         self.extra_delay_ms = 0.0
-        self.gateways: set[int] = set()  # those that follow its news
+        self.gateways: set[int] = set()  # subscribed gateways
         self._newest_build, self._previous_build = (
             first_build,
             first_build,
-        )  # the newest, and the one that was in service before it
-        self._votes: dict[int, tuple[Verdict, int, int, float]] = {}  # verdict, build, stage, until
+        )  # newest build, and the one released before it
+        self._votes: dict[int, tuple[Verdict, int, int, float]] = {}  # verdict, build, stage, expiry
         self._recent_calls: list[float] = []
         self._last_delivery_at: dict[int, float] = {}
         self._pending_build: Build | None = None
@@ -75,7 +73,7 @@
     # Stages
 
     def offer(self, build: Build) -> None:
-        """The pipeline brings a new build; one still on trial is taken off first."""
+        """Start the rollout of a new build; one still on trial is drained first."""
         if self.unavailable:
             self._pending_build = build
             return
@@ -140,9 +138,9 @@
     # Votes
 
     def vote(self, gateway: int, vote: Vote) -> None:
-        """A vote has arrived. Its answer, if one comes, comes as news that answers it."""
+        """Handle a vote; the reply comes as a rollout update."""
         if self.unavailable:
-            if self._rng.random() < 0.5:  # nobody is told, but it counts
+            if self._rng.random() < 0.5:  # the reply is lost, but the vote counts
                 self._count_vote(gateway, vote)
             return
         now = self._clock.now
@@ -177,7 +175,7 @@
         )
 
     def evaluate(self) -> None:
-        """Whether the votes that stand, or the clock, move the build."""
+        """Advance or roll back the build where votes or time require it."""
         state, model, now = self.state, self.model, self._clock.now
         if self.unavailable or state.phase not in (Phase.TRIAL, Phase.RELEASED):
             return
@@ -204,17 +202,19 @@
             else:
                 self._clock.call_at(ready_at, self.evaluate)
 
-    # News
+    # Updates
 
     def subscribe(self, gateway: int) -> None:
+        """Send rollout updates to a gateway from now on."""
         self.gateways.add(gateway)
 
     def unsubscribe(self, gateway: int) -> None:
+        """Stop updates to a gateway and drop its vote."""
         self.gateways.discard(gateway)
         self._votes.pop(gateway, None)
 
     def current_update(self, result: Result = Result.OK, is_vote_reply: bool = False) -> RolloutUpdate:
-        """Where the newest build stands at this moment."""
+        """Return an update with the current state."""
         state = self.state
         age_ms = min(self._clock.now - state.since, 3_600_000.0)
         return RolloutUpdate(state.build, state.stage, state.phase, state.cap, age_ms, result, is_vote_reply)
@@ -230,12 +230,13 @@
         )
 
     def _deliver(self, gateway: int, delay_ms: float, update: RolloutUpdate) -> None:
-        """In order for each gateway: news is not overtaken by older news."""
+        """Deliver an update after a delay, never before an earlier one to the same gateway."""
         when = max(self._clock.now + delay_ms, self._last_delivery_at.get(gateway, 0.0))
         self._last_delivery_at[gateway] = when
         sent_at = self._clock.now
 
         def arrive() -> None:
+            """Deliver the update with the age that it has on arrival."""
             age_ms = update.age_ms + self._clock.now - sent_at
             delivered = RolloutUpdate(
                 update.build,
@@ -257,9 +258,11 @@
         self._clock.call_later(self.model.update_period_ms, self._broadcast_periodically)
 
     def fail(self) -> None:
+        """Make the platform unavailable."""
         self.unavailable = True
 
     def recover(self) -> None:
+        """Make the platform available again and continue with a build offered meanwhile."""
         self.unavailable = False
         pending, self._pending_build = self._pending_build, None
         if pending is not None:
--- a/meadowpulley/emulator/process.py
+++ b/meadowpulley/emulator/process.py
@@ -1,4 +1,4 @@
-"""A process that can be killed, paused and woken at any moment, also in the middle of a turn."""
+"""A process that can be killed, paused and resumed at any time, also in the middle of a turn."""
 
 from __future__ import annotations
 
@@ -11,43 +11,46 @@
 
 
 class SimulatedProcess:
-    """One life after the other. While paused nothing is handled and everything queues, as under SIGSTOP."""
+    """Incarnations of one process. While paused, as by SIGSTOP, all work queues."""
 
     def __init__(self, clock: Timeline) -> None:
         self.clock = clock
         self.alive = self.paused = False
         self.crashed_at = self.paused_at = -math.inf
         self.incarnation_count = 0
-        self._unfinished: list[Callable[[], None]] = []  # of the turn that a pause has cut in two
+        self._unfinished: list[Callable[[], None]] = []  # rest of the turn that a pause interrupted
         self._deferred: list[Callable[[], None]] = []
 
     def begin_incarnation(self) -> None:
+        """Start a new incarnation."""
         self.incarnation_count += 1
         self.alive, self.paused = True, False
 
     def end_incarnation(self) -> None:
+        """End the incarnation; deferred work is lost."""
         self.alive = self.paused = False
         self.crashed_at = self.clock.now
         self._unfinished, self._deferred = [], []
 
     def in_this_incarnation(self, callback: Callable[[], None]) -> Callable[[], None]:
-        """A call that only the life that set it hears, once it is awake."""
+        """Wrap a callback so that it runs only in this incarnation, and not while paused."""
         incarnation = self.incarnation_count
 
         def guarded() -> None:
+            """Run the callback unless the incarnation ended or is paused."""
             if self.alive and self.incarnation_count == incarnation and not self.defer_if_suspended(callback):
                 callback()
 
         return guarded
 
     def defer_if_suspended(self, callback: Callable[[], None]) -> bool:
-        """Whether this process can't do it now: it never will if it is dead, or will when it wakes."""
+        """Return whether the process cannot act now; a paused one runs the callback on resume."""
         if self.alive and self.paused:
             self._deferred.append(callback)
         return self.paused or not self.alive
 
     def run_actions(self, actions: Sequence[Any], execute: Callable[[Any], None]) -> None:
-        """Does one after the other; a pause or a kill in the middle leaves the rest for later, or undone."""
+        """Carry actions out in order; a pause defers the rest and a crash drops it."""
         incarnation = self.incarnation_count
         for index, action in enumerate(actions):
             if not self.alive or self.incarnation_count != incarnation:
@@ -58,11 +61,12 @@
             execute(action)
 
     def pause(self) -> None:
+        """Suspend the process."""
         if self.alive and not self.paused:
             self.paused, self.paused_at = True, self.clock.now
 
     def resume(self) -> None:
-        """The turn that was cut goes on, then all that came meanwhile is handled, in its order."""
+        """Finish the interrupted turn, then handle what came in meanwhile, in order."""
         if not self.paused:
             return
         self.paused = False
--- a/meadowpulley/emulator/requests.py
+++ b/meadowpulley/emulator/requests.py
@@ -1,4 +1,4 @@
-"""What a gateway of the emulated fleet holds: requests, and their attempts on the way."""
+"""Requests in flight at a simulated gateway, and their attempts."""
 
 from __future__ import annotations
 
@@ -11,15 +11,19 @@
 from meadowpulley.rules import STATE_NAMES, EndpointListed
 
 if TYPE_CHECKING:
-    from meadowpulley.emulator.server_fleet import SimulatedServer
+    from meadowpulley.emulator.simulated_server import SimulatedServer
 
 NOT_EXECUTED = (Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT)
-CONNECTION_REUSABLE = (Result.OK, Result.ERROR, Result.REJECTED)  # the connection is good for more
+CONNECTION_REUSABLE = (
+    Result.OK,
+    Result.ERROR,
+    Result.REJECTED,
+)  # results after which the connection can be reused
 
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """One attempt, from its sending to its one outcome."""
+    """One attempt, from sending it to its single outcome."""
 
     request: InFlightRequest
     number: int
@@ -27,26 +31,26 @@
     sent_at: float
     deadline: float
     ended: bool = False
-    connected: bool = False  # it holds a connection
+    connected: bool = False  # holds a connection
     job: Job | None = None
 
 
 @dataclass(slots=True, eq=False)
 class InFlightRequest:
-    """A request in this gateway's table."""
+    """An entry of a gateway's request table."""
 
     client_request: ClientRequest
     deadline: float
     attempt_count: int = 0
-    response_ready: bool = False  # a good answer has come, and the stages round the decisions have it
-    finished: bool = False  # it has its final answer; attempts may still be out
+    response_ready: bool = False  # the stages have a good response and decide when to deliver it
+    finished: bool = False  # has its final response; attempts may still be outstanding
     outstanding_attempts: dict[int, Attempt] = field(default_factory=dict)
 
 
 def endpoint_records(
     now: float, gateway: int, known_servers: set[int], event: EndpointUpdate
 ) -> list[EndpointListed]:
-    """What a gateway learns by a list, and `known` brought up to it: a whole one lacks what is gone."""
+    """Return the trace records of an endpoint update and bring `known_servers` up to date with it."""
     listed, records = {e.server for e in event.entries}, list[EndpointListed]()
     if event.kind is not EndpointUpdateKind.INCREMENTAL:
         records = [
--- a/meadowpulley/emulator/results.py
+++ b/meadowpulley/emulator/results.py
@@ -1,4 +1,4 @@
-"""What came of a run: by class, by server, by gateway, and second by second."""
+"""Results of a run: by class, by server, by gateway and by second."""
 
 from __future__ import annotations
 
@@ -18,13 +18,13 @@
 
 
 def new_histogram() -> HdrHistogram:
-    """Latencies in microseconds, three digits, up to ten minutes."""
+    """Return a histogram for latencies in microseconds, three digits, up to ten minutes."""
     return HdrHistogram(1, MAX_LATENCY_US, 3)
 
 
 @dataclass(slots=True)
 class ClassResult:
-    """One class of requests: counts of asks (a client's retries belong to its first try), and their worth."""
+    """Counts of one class of calls and their weight; a client's retries belong to their call."""
 
     name: str
     calls: int = 0
@@ -40,19 +40,24 @@
 
     @property
     def served(self) -> int:
+        """Calls that were served, within their objective or late."""
         return self.within_objective + self.late
 
     @property
     def served_weight_share(self) -> float:
+        """Share of the offered priority weight that was served; 1 where none was offered."""
         return self.weight_served / self.weight_offered if self.weight_offered else 1.0
 
     def latency_ms(self, percentile: float) -> float:
-        """Of served asks, from the client's first sending; 0 when none was served."""
+        """Return a percentile of the latency of served calls, from the first request; 0 where none was
+        served.
+        """
         if not self.latency.get_total_count():
             return 0.0
         return float(self.latency.get_value_at_percentile(percentile)) / 1000
 
     def table(self) -> dict[str, Any]:
+        """Return the figures as plain values with the keys of the JSON output."""
         return {
             "class": self.name,
             "asked": self.calls,
@@ -114,8 +119,10 @@
 
 
 class EmulationResult:
-    """Fills while a run goes on. Times are milliseconds; worth is as the fleet's classes have it. Asks that
-    began before `from_ms` count in no class, only by the second."""
+    """Collects the result of a run. Times are milliseconds; weights are the fleet's priority weights.
+
+    Calls that started before `from_ms` count in no class, only by the second.
+    """
 
     def __init__(self, fleet: Fleet, from_ms: float = 0.0) -> None:
         self.fleet, self.from_ms = fleet, from_ms
@@ -128,20 +135,22 @@
         self.violations: list[str] = []
         self.violation_counts: Counter[str] = Counter()
         self.elapsed_ms = 0.0
-        self.used_core_ms = self.available_core_ms = 0.0  # core time in the measured span
+        self.used_core_ms = self.available_core_ms = 0.0  # core time within the measured span
 
     def second(self, at: float) -> SecondResult:
+        """Return the figures of the second that contains a time in milliseconds."""
         index = int(at // 1000)
         while len(self.seconds) <= index:
             self.seconds.append(SecondResult())
         return self.seconds[index]
 
-    # What clients tell
+    # Calls
 
     def _class_result(self, call: ClientCall) -> ClassResult:
         return self.classes[call.class_index] if call.first_sent_at >= self.from_ms else self._uncounted
 
     def record_call(self, call: ClientCall) -> None:
+        """Count a new call."""
         class_result, weight = self._class_result(call), self.fleet.classes[call.class_index].priority_weight
         class_result.calls += 1
         class_result.weight_offered += weight
@@ -150,12 +159,15 @@
         second.weight_offered += weight
 
     def record_retry(self, call: ClientCall) -> None:
+        """Count a client's retry."""
         self._class_result(call).retries += 1
 
     def record_unanswered(self, call: ClientCall) -> None:
+        """Count a request without a response before its deadline."""
         self._class_result(call).unanswered += 1
 
     def record_rejection_or_failure(self, call: ClientCall, rejected: bool) -> None:
+        """Count a call that ended as rejected or failed."""
         class_result, second = self._class_result(call), self.second(call.first_sent_at)
         class_result.rejected += rejected
         class_result.failed += not rejected
@@ -163,6 +175,7 @@
         second.failed += not rejected
 
     def record_end(self, call: ClientCall, took_ms: float | None) -> None:
+        """Count a served call and its latency; None is a call that ended without a response."""
         if took_ms is None:
             return
         request_class, class_result, second = (
@@ -184,33 +197,40 @@
         second.late += not within_objective
         second.weight_served += weight
 
-    # What gateways tell
+    # Attempts
 
     def record_attempt(self, at: float, site: int) -> None:
-        """An attempt begins, at a server of this site."""
+        """Count an attempt by the site of its server."""
         counts = self.second(at).attempts_by_site
         if not counts:
             counts.extend([0] * len(self.fleet.sites))
         counts[site] += 1
 
-    # What it comes to
+    def record_stage(self, since: float, build: int, stage: int, phase: str) -> None:
+        """Note the state of the rollout for all seconds from a time in milliseconds on."""
+        for second in self.seconds[max(int(since // 1000), 0) :]:
+            second.build, second.stage, second.phase = build, stage, phase
+
+    # Totals
 
     @property
     def calls(self) -> int:
+        """Calls of all classes."""
         return sum(c.calls for c in self.classes)
 
     @property
     def served_weight_share(self) -> float:
+        """Share of the offered priority weight that was served, over all classes."""
         offered = sum(c.weight_offered for c in self.classes)
         return sum(c.weight_served for c in self.classes) / offered if offered else 1.0
 
     @property
     def utilisation(self) -> float:
-        """Utilisation of all cores in the measured span; 0 where none was."""
+        """Utilisation of all cores in the measured span; 0 where none was measured."""
         return self.used_core_ms / self.available_core_ms if self.available_core_ms > 0 else 0.0
 
     def utilisation_by(self, dimension: str) -> dict[str, float]:
-        """Mean utilisation by `site` or `kind`, weighed by the time that servers were up and their cores."""
+        """Return the mean utilisation by `site` or `kind`, weighted by core time."""
         available: Counter[str] = Counter()
         used: Counter[str] = Counter()
         for server in self.servers:
@@ -220,7 +240,7 @@
         return {name: used[name] / available[name] if available[name] else 0.0 for name in sorted(available)}
 
     def table(self) -> dict[str, Any]:
-        """All of it as plain values, the same for the same run."""
+        """Return all figures as plain values with the keys of the JSON output."""
         return {
             "fleet": self.fleet.name,
             "lasted_ms": self.elapsed_ms,
--- a/meadowpulley/emulator/scenario.py
+++ b/meadowpulley/emulator/scenario.py
@@ -1,4 +1,4 @@
-"""What happens in a run besides its load: releases and faults, at their times. A file of intent, in TOML."""
+"""Scenario of a run: releases and faults at their times, read from a TOML file."""
 
 from __future__ import annotations
 
@@ -31,16 +31,18 @@
 
 
 class Release(Struct, frozen=True, forbid_unknown_fields=True):
-    """A build offered at `at_ms`; a trial that is still on is then taken off."""
+    """A build offered at `at_ms`; a trial still in progress then ends."""
 
     at_ms: NotNegative
     build: Build
 
 
 class Fault(Struct, frozen=True, forbid_unknown_fields=True):
-    """A trouble from `at_ms` for `for_ms`. `part`: share of the servers (or gateways) it meets, of `site` if
-    one is named. `amount`: share of answers for errors and losses, times slower for slowness, milliseconds
-    for lateness.
+    """A fault from `at_ms` on for `duration_ms`. `share` of the servers (or gateways) is affected, at
+    `site` where one is named.
+
+    `amount` is a share of responses for errors and losses, a factor for slowness, and milliseconds for
+    delays.
     """
 
     kind: FaultKind
@@ -52,6 +54,8 @@
 
 
 class Scenario(Struct, frozen=True, forbid_unknown_fields=True):
+    """Releases and faults of a run, each in order of time."""
+
     version: int = 1
     first_build: int = 1
     releases: tuple[Release, ...] = ()
@@ -59,13 +63,14 @@
 
 
 def parse_scenario(raw: bytes, file_name: str, fleet: Fleet) -> Scenario:
-    """A scenario file, checked against its fleet. Raises FleetError, one line."""
+    """Parse a scenario file and check it against its fleet. Raises `FleetError`."""
     scenario = read_toml(raw, file_name, Scenario)
     check_scenario(scenario, file_name, fleet)
     return scenario
 
 
 def check_scenario(scenario: Scenario, file_name: str, fleet: Fleet) -> None:
+    """Check a scenario against its fleet. Raises `FleetError`."""
     sites, classes = [s.name for s in fleet.sites], [c.name for c in fleet.classes]
     last_build, last_at = scenario.first_build, -1.0
     for index, release in enumerate(scenario.releases):
--- a/meadowpulley/emulator/server_fleet.py
+++ b/meadowpulley/emulator/server_fleet.py
@@ -1,13 +1,14 @@
-"""The servers of a fleet, with the platform and discovery over them: shared by the emulator and by the
-stand-ins on loopback. How requests and replies travel is the rig's own: it calls `offer` and is called by
-`reply`.
+"""Servers of a fleet with discovery and the rollout platform, shared by the emulator and the loopback test
+bed.
+
+How requests and replies travel is up to the subclass: it calls `offer`, and `reply` is called back.
 """
 
 from __future__ import annotations
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -16,8 +17,9 @@
 from meadowpulley.emulator.discovery import SimulatedDiscovery
 from meadowpulley.emulator.machine import Job, Machine, OfferResult
 from meadowpulley.emulator.platform import RolloutPlatform
-from meadowpulley.emulator.results import EmulationResult, ServerResult
+from meadowpulley.emulator.results import EmulationResult
 from meadowpulley.emulator.scenario import Scenario
+from meadowpulley.emulator.simulated_server import SimulatedServer
 from meadowpulley.fleet import Fleet
 from meadowpulley.interface import (
     EndpointUpdate,
@@ -29,32 +31,12 @@
 )
 from meadowpulley.rules import PHASE_NAMES, InstanceOverloaded, Record
 
-SERVERS_PER_CELL = 6  # servers that share a cell
-SHARED_SLOWDOWN_PERIOD_MS = 250.0  # how often a build that slows all servers is weighed by its traffic
-
-
-@dataclass(slots=True, eq=False)
-class SimulatedServer:
-    """A server: its entry as it truly is, its machine, and the troubles on it."""
-
-    entry: ServerEntry
-    build: Build
-    machine: Machine
-    started_at: float
-    position: int  # its place in the described fleet
-    up: bool = True
-    unreachable: bool = False  # it vanished: nobody answers, not even with a refusal
-    absent: bool = False  # it crashed or vanished, and may come back
-    error_rate: float = 0.0
-    response_loss_rate: float = 0.0
-    slowdowns: dict[str, float] = field(default_factory=dict)
-    wakeup_at: float = float("inf")
-    served: int = 0
-    rejected: int = 0
+SERVERS_PER_CELL = 6
+SHARED_SLOWDOWN_PERIOD_MS = 250.0  # interval at which a shared slowdown is weighted by the build's traffic
 
 
 class ServerFleet:
-    """All servers, warm and of the first build at the start. Subclasses say how replies travel."""
+    """All servers, warmed up and of the first build at the start. Subclasses carry the messages."""
 
     def __init__(
         self,
@@ -72,7 +54,7 @@
         self._start_order = [int(n) for n in self._rng.permutation(len(self._machines))]
         self._started_count = self._last_server = self._last_job = 0
         self._attempts_by_build: Counter[int] = Counter()
-        self.servers: dict[int, SimulatedServer] = {}  # those that discovery could name, down or not
+        self.servers: dict[int, SimulatedServer] = {}  # servers that discovery may list, running or not
         self.stopped_servers: list[SimulatedServer] = []
         self.discovery = SimulatedDiscovery(
             clock, streams.stream("discovery"), fleet.discovery, self.send_endpoint_update
@@ -90,90 +72,71 @@
         for position in range(len(self._machines)):
             self.discovery.add_initial(self._add_server(first_build, position, warmed_up=True).entry)
 
-    # What a rig does with them
+    # Hooks of subclasses
 
     def send_endpoint_update(self, gateway: int, update: EndpointUpdate) -> None:
+        """Send an endpoint update to a gateway."""
         raise NotImplementedError
 
     def send_rollout_update(self, gateway: int, update: RolloutUpdate) -> None:
+        """Send a rollout update to a gateway."""
         raise NotImplementedError
 
     def reply(self, tag: Any, server: SimulatedServer, result: AttemptResult) -> None:
-        """What a server says to an attempt, or that its connection broke."""
+        """Return an attempt's result to its sender, or that its connection broke."""
         raise NotImplementedError
 
     def key_answered(self, tag: Any, server: SimulatedServer, key: int) -> None:
-        """A server has answered a request with a key."""
+        """Note that a server answered a request with a key."""
 
     def server_started(self, server: SimulatedServer) -> None:
-        """A server has started."""
+        """Note that a server started."""
 
     def server_stopped(self, server: SimulatedServer) -> None:
-        """A server has stopped, crashed, fallen over or vanished."""
+        """Note that a server stopped, crashed, was overloaded or vanished."""
 
     def record(self, record: Record) -> None:
-        """A line of the trace."""
+        """Write a trace record."""
 
     def log_event(self, text: str) -> None:
+        """Add a line to the events of the result."""
         self.result.events.append((self.clock.now, text))
 
     def schedule(self) -> None:
-        """Sets the scenario's releases on the clock."""
+        """Set the scenario's releases on the clock."""
         for release in self.scenario.releases:
             self.clock.call_at(release.at_ms, partial(self._offer_build, release.build))
 
-    # What came of them
+    # Results
 
     def measure(self, from_ms: float, to_ms: float) -> None:
-        """Between these two moments the use of all cores is measured."""
+        """Measure the utilisation of all cores between two times in milliseconds."""
         self.clock.call_at(from_ms, lambda: self._add_core_time(-1.0))
         self.clock.call_at(to_ms, lambda: self._add_core_time(1.0))
 
     def _add_core_time(self, sign: float) -> None:
-        """Core time used and core time there, of all servers: less what was at the start of the span."""
+        """Add core time used and available since each server's start, with a sign."""
         now = self.clock.now
         for server in [*self.stopped_servers, *self.servers.values()]:
             if server.up:
                 self._finish_jobs(server)
-            until = now if server.up else server.machine.advanced_to
+            until = server.running_until(now)
             self.result.used_core_ms += sign * server.machine.busy_core_ms
             self.result.available_core_ms += (
                 sign * server.machine.kind.cores * max(until - server.started_at, 0.0)
             )
 
     def collect_results(self) -> None:
-        """Fills the result with what the servers did."""
+        """Fill the result with the servers' figures."""
         result, now = self.result, self.clock.now
         result.elapsed_ms = now
         for server in [*self.stopped_servers, *self.servers.values()]:
             if server.up:
                 server.machine.advance(now)
-            result.servers.append(self._server_result(server, now))
+            result.servers.append(server.result(self.fleet, now))
         result.servers.sort(key=lambda s: s.server)
         for rollout in self.platform.history:
-            self._note_stage(rollout.since, rollout.build, rollout.stage, rollout.phase)
-
-    def _server_result(self, server: SimulatedServer, now: float) -> ServerResult:
-        kind = self.fleet.kinds[server.entry.kind]
-        until = now if server.up else server.machine.advanced_to
-        elapsed_ms = max(until - server.started_at, 0.0)
-        utilisation = server.machine.busy_core_ms / (kind.cores * elapsed_ms) if elapsed_ms else 0.0
-        return ServerResult(
-            server.entry.server,
-            self.fleet.sites[server.entry.zone].name,
-            kind.name,
-            server.entry.build,
-            round(elapsed_ms, 3),
-            round(utilisation, 6),
-            server.served,
-            server.rejected,
-            server.machine.max_queued,
-            server.machine.overloaded,
-        )
-
-    def _note_stage(self, since: float, build: int, stage: int, phase: Phase) -> None:
-        for second in self.result.seconds[max(int(since // 1000), 0) :]:
-            second.build, second.stage, second.phase = build, stage, PHASE_NAMES[phase]
+            result.record_stage(rollout.since, rollout.build, rollout.stage, PHASE_NAMES[rollout.phase])
 
     # Servers
 
@@ -202,12 +165,11 @@
         return server
 
     def serving_count(self, build: int) -> int:
-        return sum(
-            h.up and h.entry.build == build and h.entry.state is ServerState.READY
-            for h in self.servers.values()
-        )
+        """Return how many servers of a build are ready."""
+        return sum(server.entry.build == build and server.is_serving for server in self.servers.values())
 
     def start_servers(self, build: Build, count: int, replacing: bool) -> None:
+        """Start servers of a build after their boot time; with `replacing` each drains an older one."""
         for _ in range(count):
             position = self._start_order[self._started_count % len(self._start_order)]
             self._started_count += 1
@@ -217,29 +179,24 @@
     def _boot(self, build: Build, position: int, replacing: bool) -> None:
         rollout = self.platform.state
         if build.number == rollout.build and rollout.phase not in (Phase.TRIAL, Phase.RELEASED):
-            return  # it was called back while this server was starting
+            return  # the build was rolled back while this server was starting
         server = self._add_server(build, position)
         self.discovery.schedule_change(server.entry)
         if replacing:
-            candidates = [
-                h for h in self.servers.values() if h.entry.build != build.number and self._is_serving(h)
-            ]
+            candidates = [h for h in self.servers.values() if h.entry.build != build.number and h.is_serving]
             same_position = [h for h in candidates if h.position == position]
             for old in (same_position or candidates)[:1]:
                 self._drain_server(old)
 
-    @staticmethod
-    def _is_serving(server: SimulatedServer) -> bool:
-        return server.up and server.entry.state is ServerState.READY
-
     def drain_builds(self, matches: Callable[[int], bool]) -> None:
-        for server in [h for h in self.servers.values() if matches(h.entry.build) and self._is_serving(h)]:
+        """Drain all ready servers whose build matches."""
+        for server in [h for h in self.servers.values() if matches(h.entry.build) and h.is_serving]:
             self._drain_server(server)
 
     def _drain_server(self, server: SimulatedServer) -> None:
         server.entry = replace(server.entry, state=ServerState.DRAINING)
         self.discovery.schedule_change(server.entry)
-        # It serves until all who might be told have been told and their grace is over.
+        # Serve until every gateway can have been notified and its drain grace is over.
         latest_notice_ms = self.fleet.discovery.change_delay_ms[1] + self.fleet.rules.drain_grace_ms
         self.clock.call_later(
             max(self.fleet.rollout.drain_ms, latest_notice_ms), partial(self._stop_server, server)
@@ -262,7 +219,7 @@
             self.reply(job.tag, server, AttemptResult.RESET)
 
     def vanish(self, server: SimulatedServer) -> None:
-        """Its machine is gone without a word: open connections stay silent, discovery finds out in time."""
+        """Take a machine away without notice: open connections stay silent until discovery notices."""
         self._finish_jobs(server)
         server.machine.stop()
         server.up, server.unreachable, server.absent = False, True, True
@@ -270,7 +227,7 @@
         self.discovery.schedule_change(replace(server.entry, state=ServerState.REMOVED))
 
     def crash(self, server: SimulatedServer) -> None:
-        """Its process is gone: connections break and new ones are refused; discovery finds out in time."""
+        """End a server's process: connections break and new ones are refused until discovery notices."""
         self._finish_jobs(server)
         self._reset_jobs(server, server.machine.stop())
         server.up, server.absent = False, True
@@ -278,10 +235,10 @@
         self.discovery.schedule_change(replace(server.entry, state=ServerState.REMOVED))
 
     def restart(self, server: SimulatedServer) -> None:
-        """The machine is there again, with a fresh and cold start of the same server."""
+        """Start the same server again after a crash, in slow start."""
         if self.servers.get(server.entry.server) is not server or not server.absent:
             return
-        if server.entry.state is not ServerState.READY:  # it was to be drained: it stays away
+        if server.entry.state is not ServerState.READY:  # was draining: not restarted
             return
         now = self.clock.now
         self.stopped_servers.append(replace(server))
@@ -291,30 +248,25 @@
         server.started_at, server.up, server.unreachable, server.absent = now, True, False, False
         server.served = server.rejected = 0
         server.wakeup_at = float("inf")
-        server.machine.set_slowness(self._combined_slowdown(server))
+        server.machine.set_slowness(server.combined_slowdown)
         self.server_started(server)
         self.discovery.schedule_change(server.entry)
 
     def freeze(self, server: SimulatedServer, frozen: bool) -> None:
+        """Stop or continue the work of a machine whose connections stay open."""
         self._finish_jobs(server)
         server.machine.frozen = frozen
         self._schedule_wakeup(server)
 
-    @staticmethod
-    def _combined_slowdown(server: SimulatedServer) -> float:
-        product = 1.0
-        for factor in server.slowdowns.values():
-            product *= factor
-        return product
-
     def set_slowdown(self, server: SimulatedServer, reason: str, factor: float) -> None:
-        """One reason makes a server so many times slower; reasons multiply. A factor of 1 takes it off."""
+        """Make a server slower for a reason. Factors of several reasons multiply; 1 clears a reason."""
         self._finish_jobs(server)
         server.slowdowns[reason] = factor
-        server.machine.set_slowness(self._combined_slowdown(server))
+        server.machine.set_slowness(server.combined_slowdown)
         self._schedule_wakeup(server)
 
     def set_slowdown_of_all(self, reason: str, factor: float) -> None:
+        """Make all servers slower for a reason."""
         for server in self.servers.values():
             self.set_slowdown(server, reason, factor)
 
@@ -348,8 +300,10 @@
         deadline: float,
         new_connection: bool,
     ) -> Job | None:
-        """A request reaches a server that is up, on a new connection or not. What becomes of it comes by
-        `reply`; the job is None where none was begun."""
+        """Offer a request to a server that is up; the result comes by `reply`.
+
+        Returns the job, or None where none was started.
+        """
         if new_connection and not server.machine.connect():
             server.rejected += 1
             self.reply(tag, server, AttemptResult.REJECTED)
@@ -379,7 +333,7 @@
         return job
 
     def cancel(self, server: SimulatedServer, job: Job) -> None:
-        """Whoever sent it has given it up, and the server may notice."""
+        """Cancel a job whose attempt was given up, where the kind of server notices."""
         if server.up and (server.machine.kind.cancels_running or server.machine.kind.cancels_waiting):
             self._finish_jobs(server)
             server.machine.cancel(self.clock.now, job)
@@ -396,7 +350,7 @@
         return server.build.fault_active(self.clock.now - server.machine.started_at, utilisation)
 
     def _overloaded(self, server: SimulatedServer) -> None:
-        """Pushed over: all that it held is lost with it, and it stays down."""
+        """Take a server down that was overloaded in slow start; its jobs are lost."""
         if server.up:
             server.up = False
             self.record(InstanceOverloaded(self.clock.now, server.entry.server))
@@ -406,8 +360,7 @@
             self.discovery.schedule_change(replace(server.entry, state=ServerState.REMOVED))
 
     def _schedule_wakeup(self, server: SimulatedServer) -> None:
-        """One wake-up is set for a server, at the earliest end that was ever expected; too early ones only
-        look."""
+        """Schedule the next completion of a server, unless an earlier wake-up is set."""
         when = server.machine.next_event_at()
         if when < server.wakeup_at:
             server.wakeup_at = when
@@ -438,7 +391,7 @@
                 self.reply(tag, server, AttemptResult.OK)
 
     def connections_closed(self, server_id: int, count: int) -> None:
-        """Connections to a server were closed."""
+        """Note that a gateway closed connections to a server."""
         server = self.servers.get(server_id)
         if server is not None:
             server.machine.connections = max(server.machine.connections - count, 0)
--- a/meadowpulley/emulator/shared_state.py
+++ b/meadowpulley/emulator/shared_state.py
@@ -1,6 +1,6 @@
-"""What the gateways of an emulated installation have together: a ledger, and the stages that rest on it.
+"""Shared state of an emulated installation: the ledger and the stages that use it.
 
-From the outside: the keeper of the lease, takeover, lending, those named in `inside`, the balancer.
+From the outside in: lease manager, takeover, lending, the stages of `inner_stages`, the policy.
 """
 
 from __future__ import annotations
@@ -16,37 +16,38 @@
 from meadowpulley.rules import CapacityUsed, Record, SharedStateParameters
 from meadowpulley.takeover import TakeoverSettings, TakeoverStage, model
 
-END_SLACK_MS = 1000.0  # beside the terms of the leases of all that had it: to find out, to claim and to end
-MAX_CLAIM_STEPS = 3  # a survivor's place in line, at most, as far as the slack goes
+END_SLACK_MS = 1000.0  # beyond the lease terms of all its owners: to detect, claim and finish
+MAX_CLAIM_STEPS = 3  # longest wait in the claim order that the limit allows for
 
 
 @dataclass(frozen=True, slots=True)
 class StageContext:
-    """Where a stage stands: in which gateway, and before which next one."""
+    """Where a stage is inserted: its gateway's incarnation and the next stage."""
 
     settings: Settings
     seed: int
     incarnation: Incarnation
-    holds_lease: Callable[[float], bool]  # whether this life's lease holds
+    holds_lease: Callable[[float], bool]  # whether this incarnation holds its lease
     inner: Stage
 
 
 @dataclass(frozen=True, slots=True)
 class SharedState:
-    """`inside` and `outside` make more stages, innermost first. Tenants take turns by a request's key."""
+    """What the gateways share. Stage builders are listed innermost first; a call's key selects its tenant."""
 
     ledger_model: LedgerModel = field(default_factory=LedgerModel)
     takeover: TakeoverSettings | None = None
     lending: QuotaPlan | None = None
     inner_stages: tuple[Callable[[StageContext], Stage], ...] = ()
     outer_stages: tuple[Callable[[StageContext], Stage], ...] = ()
-    prefixes: tuple[str, ...] = ()  # beginnings of the keys whose changes these stages must be told of
+    prefixes: tuple[str, ...] = ()  # key prefixes that these stages watch
     tenants: tuple[str, ...] = ()
     client_failover_ms: float = (
-        0.0  # of silence, after which a client asks another gateway under the same id; 0: never
+        0.0  # silence after which a client repeats its request at another gateway; 0: never
     )
 
     def rule_parameters(self) -> SharedStateParameters:
+        """Return the parameters of the rules on shared state."""
         end_ms = 0.0
         if self.takeover is not None:
             claim_ms = MAX_CLAIM_STEPS * self.takeover.claim_stagger_ms
@@ -59,6 +60,7 @@
         return SharedStateParameters(end_ms, max_incarnations, plan.capacity_per_s, burst)
 
     def with_tenants(self, settings: Settings) -> Settings:
+        """Return the settings with the tenants of this installation."""
         return (
             replace(settings, tenants=tuple(Tenant(name) for name in self.tenants))
             if self.tenants
@@ -66,11 +68,12 @@
         )
 
     def tenant_of(self, key: int) -> int:
+        """Return the tenant index of a key."""
         return key % len(self.tenants) if self.tenants else 0
 
 
 class StageChain:
-    """One life's stages; `keeper` is the outermost."""
+    """The stages of one incarnation; `lease_manager` is the outermost."""
 
     def __init__(
         self,
@@ -101,7 +104,7 @@
         self.lease_manager.inner = stage
 
     def watched_prefixes(self) -> tuple[str, ...]:
-        """Beginnings of the keys whose changes the stages must be told of now."""
+        """Return the key prefixes whose changes the stages need now."""
         prefixes: tuple[str, ...] = ()
         if self.takeover is not None:
             prefixes += model.WATCHED_PREFIXES
@@ -110,25 +113,26 @@
         return prefixes + self.shared_state.prefixes
 
     def release(self, now: float) -> list[Any]:
-        """A planned stop: what is held of the capacity goes back, then the lease."""
+        """Return the actions of a graceful shutdown: release quota, then the lease."""
         returned = self.lending.shut_down(now) if self.lending is not None else []
         return [*returned, *self.lease_manager.release_lease()]
 
 
 class AdmissionObserver:
-    """Stands behind lending and tells `note` of each request that it lets through."""
+    """Reports each request that lending admitted to `on_admitted`."""
 
     def __init__(self, inner: Stage, on_admitted: Callable[[float, Any], None]) -> None:
         self.inner, self.on_admitted = inner, on_admitted
 
     def handle(self, now: float, event: Any) -> Any:
+        """Report a request and pass every event on."""
         if isinstance(event, Request):
             self.on_admitted(now, event)
         return self.inner.handle(now, event)
 
 
 def admission_record(now: float, gateway: int, request: Request) -> Record | None:
-    """What a request that lending let through uses of the capacity; nothing where it was admitted before."""
+    """Return the capacity that an admitted request uses; None where it was admitted before."""
     return (
         None
         if request.adopted and (request.prior_attempts or request.prior_attempt_count)
--- a/meadowpulley/emulator/snapshot.py
+++ b/meadowpulley/emulator/snapshot.py
@@ -1,4 +1,4 @@
-"""What a run looks like at one moment, as plain values: the same from an emulation and from loopback."""
+"""Snapshot of a run as plain values, the same from an emulation and from the loopback test bed."""
 
 from __future__ import annotations
 
@@ -15,7 +15,9 @@
 
 
 class ServerSnapshot(Struct, frozen=True):
-    """One server. `slots` and `warm` are shares from 0 to 1; `state` is `down` once it no longer runs."""
+    """One server. `slot_use` and `slow_start_fraction` are from 0 to 1; `state` is `down` once it no longer
+    runs.
+    """
 
     number: int
     site: str
@@ -29,7 +31,7 @@
 
 
 class ClassSnapshot(Struct, frozen=True):
-    """One class since the start; `worth` is the share kept, from 0 to 1."""
+    """One class since the start of the run."""
 
     name: str
     served_weight_share: float
@@ -42,7 +44,7 @@
 
 
 class FleetSnapshot(Struct, frozen=True):
-    """The servers' side, and where the newest build stands. `events`: when (ms) and what, since the start."""
+    """The servers and the rollout. `events` are pairs of time (ms) and text since the start."""
 
     at_ms: float
     build: int
@@ -54,7 +56,7 @@
 
 
 class RunSnapshot(Struct, frozen=True):
-    """Both sides. `broken`: rules broken so far, by how often; None where only the end can tell."""
+    """Servers and clients. `violation_counts` is None where violations are known only at the end."""
 
     title: str
     servers: FleetSnapshot
@@ -63,7 +65,7 @@
 
 
 def fleet_snapshot(fleet: ServerFleet) -> FleetSnapshot:
-    """The park's servers as they are."""
+    """Return the current state of the servers and the rollout."""
     now, rollout = fleet.clock.now, fleet.platform.state
     servers = tuple(
         ServerSnapshot(
@@ -85,7 +87,7 @@
 
 
 def class_snapshots(result: EmulationResult) -> tuple[ClassSnapshot, ...]:
-    """What clients had so far, by class."""
+    """Return the figures of each class so far."""
     return tuple(
         ClassSnapshot(
             c.name,
@@ -102,10 +104,10 @@
 
 
 def stage_text(snapshot: FleetSnapshot) -> str:
-    """Where the newest build stands, in a few words."""
+    """Describe the state of the rollout in a few words."""
     return f"build {snapshot.build} {snapshot.phase}, stage {snapshot.stage + 1}, cap {snapshot.cap:.0%}"
 
 
 def new_events(events: Sequence[tuple[float, str]], shown: int) -> list[str]:
-    """Those after the first `shown`, as lines."""
+    """Return the events after the first `shown`, as lines."""
     return [f"{at / 1000:6.1f} s  {what}" for at, what in events[shown:]]
--- a/meadowpulley/emulator/takeover_gateway.py
+++ b/meadowpulley/emulator/takeover_gateway.py
@@ -1,7 +1,7 @@
-"""A gateway whose work in hand is written down and taken over: what its adapter does beside the usual.
+"""Simulated gateway with a journal of requests that other gateways can take over.
 
-A request is told to the stages with the client's id and all it sent; a good answer is held until they pass it
-on; work of lost gateways gets a slot without a client.
+Events of requests carry the client's request id and content. A good response is held until the stages
+deliver it. Requests of crashed gateways get a slot without a client.
 """
 
 from __future__ import annotations
@@ -20,12 +20,14 @@
 from meadowpulley.takeover import model as m
 
 TARGET = "/"
-RELEASE_BEFORE_END_MS = 60.0  # before its end a gateway that stops gives its lease back
-DRAIN_POLL_MS = 50.0  # between two looks whether all is over, as it stops
+RELEASE_BEFORE_END_MS = 60.0  # a gateway that shuts down releases its lease this long before its end
+DRAIN_POLL_MS = 50.0  # interval of checks whether all requests ended, during shutdown
 STATUS_OK = 200
 
 
 class TakeoverGateway(SimulatedGateway):
+    """A gateway whose pipeline contains the takeover stage."""
+
     def __init__(self, emulation: Any, number: int) -> None:
         super().__init__(emulation, number)
         self._action_handlers |= {
@@ -41,10 +43,10 @@
             super()._request_event(request), request.client_request.request_id, "POST", TARGET, (), body
         )
 
-    # Answers
+    # Responses
 
-    def _deliver_response(self, attempt: Attempt) -> None:
-        """A good answer has come: the stages say when it goes out. A second one of it is of no use."""
+    def deliver_response(self, attempt: Attempt) -> None:
+        """Hand a good response to the stages, which decide when it is delivered; ignore a second one."""
         request = attempt.request
         if not request.response_ready:
             request.response_ready = True
@@ -71,7 +73,7 @@
             self._finish(request)
             self.emulation.record(RequestAbandoned(self.clock.now, self.number, action.request))
 
-    # Clients that leave
+    # Client disconnects
 
     def _handle_disconnect(self, request: InFlightRequest) -> None:
         if request.finished:
@@ -83,7 +85,7 @@
         else:
             super()._handle_disconnect(request)
 
-    # Work of others
+    # Adopted requests
 
     def _adopt(self, action: m.AdoptRequest) -> None:
         now, emulation = self.clock.now, self.emulation
@@ -107,10 +109,10 @@
         )
         self.dispatch(m.AdoptionResult(action.request_id, number))
 
-    # A planned stop
+    # Graceful shutdown
 
     def stop(self, grace_ms: float) -> None:
-        """What can't end in time is given away; the lease is given back before the end."""
+        """Shut down gracefully: release requests that cannot end in time, then the lease."""
         self.leaving = True
         self.dispatch(m.ShutdownNotice(grace_ms))
         self._drain_until(self.clock.now + grace_ms, self.incarnation)
--- a/meadowpulley/experiment/__init__.py
+++ b/meadowpulley/experiment/__init__.py
@@ -1,8 +1,8 @@
-"""Experiments: configurations times seeds, side by side on the cores, kept as tables, compared in pairs.
+"""Experiments: configurations times seeds, run in parallel, stored as tables, compared in pairs.
 
-Reading order: `cells` (one run as a value, and what is measured of it), `plan` (the file of an experiment),
-`runner` (processes and the store that an interrupted run goes on from), `compare` (intervals, paired
-differences), `tables` (CSV, JSON and charts).
+Reading order: `cells` (one run as a value, and its figures), `plan` (the file of an experiment), `runner`
+(processes and the store that an interrupted run continues from), `compare` (intervals, paired differences),
+`tables` (CSV and JSON).
 """
 
 from meadowpulley.experiment.cells import Cell, LoadSpec, RunResult, metrics, run_cell
--- a/meadowpulley/experiment/cells.py
+++ b/meadowpulley/experiment/cells.py
@@ -1,5 +1,4 @@
-"""One emulated run as a value: all that decides its result, to the last figure, and what is measured of
-it."""
+"""One emulated run as a value that determines its result, and the figures of the result."""
 
 from __future__ import annotations
 
@@ -20,11 +19,10 @@
 
 
 class LoadSpec(Struct, frozen=True):
-    """Which load: a file, or a profile at a mean rate (requests a second) for a time; `multiple` scales
-    either.
+    """A load: a file, or a profile at a mean rate (requests per second); `multiple` scales either.
 
-    `digest` stands for a file's contents; of a file, `seconds` from `start_ms` on are played. `costly`: share
-    of the arrivals in a span (milliseconds from the start) that have `cost` times the work.
+    `digest` stands for the contents of a file, of which `seconds` from `start_ms` on are played.
+    `costly_share` of the arrivals in a span have `cost_factor` times the work.
     """
 
     file: str = ""
@@ -40,7 +38,7 @@
     costly_duration_ms: float = field(default=0.0, name="costly_for_ms")
 
     def arrivals(self, fleet: Fleet, seed: int) -> Iterator[Arrival]:
-        """The same for the same fleet and seed."""
+        """Return the arrivals; the same for the same fleet and seed."""
         found = self._base_arrivals(fleet, seed)
         if not self.costly_share:
             return found
@@ -57,8 +55,9 @@
 
 
 class Cell(Struct, frozen=True):
-    """A configuration's name and all that it stands for, with one seed. `refuses` False: a baseline whose
-    gateways never refuse for want of room."""
+    """A named configuration with one seed. Without `limits_concurrency` gateways never reject for lack of
+    capacity.
+    """
 
     name: str
     fleet: Fleet
@@ -66,28 +65,30 @@
     seed: int
     scenario: Scenario = Scenario()
     limits_concurrency: bool = field(default=True, name="refuses")
-    from_ms: float = 0.0  # asks before that are not counted
-    load_seed: int | None = None  # the same load under other seeds
+    from_ms: float = 0.0  # calls before this time are not counted
+    load_seed: int | None = None  # seed of the load where it differs
 
     @property
     def key(self) -> str:
-        """The same for the same run, whatever its name."""
+        """Digest of everything that determines the result; the name is not part of it."""
         plain = msgspec.json.encode(msgspec.structs.replace(self, name=""), order="deterministic")
         return xxhash.xxh3_128_hexdigest(plain)
 
 
 class RunResult(Struct, frozen=True):
-    """What came of a cell."""
+    """Result of a cell, as stored."""
 
     key: str
     name: str
     seed: int
     figures: dict[str, float]
     violation_counts: dict[str, int] = field(name="broken")
-    seconds: tuple[tuple[float, ...], ...] = ()  # asked, in aim, late, refused, failed, worth share
+    seconds: tuple[
+        tuple[float, ...], ...
+    ] = ()  # calls, within objective, late, rejected, failed, served weight share
     attempts_by_site: tuple[tuple[int, ...], ...] = field(
         default=(), name="sent"
-    )  # attempts by second and by the site of the server
+    )  # attempts by second and by site of the server
 
 
 class WithoutConcurrencyLimit(RolloutPolicy):
@@ -98,7 +99,7 @@
 
 
 def metrics(result: EmulationResult) -> dict[str, float]:
-    """Figures of a run by name: shares from 0 to 1, latencies in milliseconds, rates a second."""
+    """Return the figures of a run: shares from 0 to 1, latencies in milliseconds, rates per second."""
     elapsed_s = max(len(result.seconds) - result.from_ms / 1000, 1.0)
     calls = max(result.calls, 1)
     rejected = sum(c.rejected for c in result.classes)
@@ -134,7 +135,7 @@
 
 
 def run_cell(cell: Cell, timeline: bool = False) -> RunResult:
-    """Plays one cell to its end."""
+    """Run one cell to its end."""
     build_policy: Any = RolloutPolicy if cell.limits_concurrency else WithoutConcurrencyLimit
     load = cell.load.arrivals(cell.fleet, cell.seed if cell.load_seed is None else cell.load_seed)
     emulation = Emulation(
--- a/meadowpulley/experiment/compare.py
+++ b/meadowpulley/experiment/compare.py
@@ -1,4 +1,4 @@
-"""Intervals: of a mean over seeds, of paired differences, of a share that was counted."""
+"""Confidence intervals of a mean, of paired differences and of a share."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Interval:
-    """A mean with its two-sided confidence interval; `n` values."""
+    """A mean of `count` values with its two-sided confidence interval."""
 
     mean: float
     low: float
@@ -24,12 +24,13 @@
 
     @property
     def half_width(self) -> float:
+        """Half of the width of the interval."""
         return (self.high - self.low) / 2
 
 
 @dataclass(frozen=True, slots=True)
 class Difference:
-    """Second less first, paired by seed; `clear` where the interval leaves out zero."""
+    """Second less first, paired by seed."""
 
     metric: str
     first: float
@@ -38,12 +39,12 @@
 
     @property
     def significant(self) -> bool:
+        """Whether the interval excludes zero."""
         return self.change.low > 0 or self.change.high < 0
 
 
 def confidence_interval(values: Sequence[float], confidence: float = CONFIDENCE) -> Interval:
-    """Student's t interval of a mean. Of one value nothing is known of its spread: the interval is
-    endless."""
+    """Return Student's t interval of a mean; infinite for a single value."""
     mean, count = float(np.mean(values)), len(values)
     if count < 2:
         return Interval(mean, float("-inf"), float("inf"), count)
@@ -52,7 +53,7 @@
 
 
 def wilson_interval(count: int, total: int, confidence: float = CONFIDENCE) -> Interval:
-    """Wilson's score interval of a share (Wilson 1927)."""
+    """Return Wilson's score interval of a share (Wilson 1927)."""
     if not total:
         return Interval(0.0, 0.0, 1.0, 0)
     quantile, share = float(stats.norm.ppf((1 + confidence) / 2)), count / total
@@ -66,10 +67,7 @@
 
 
 def paired_differences(rows: Sequence[RunResult], first: str, second: str) -> list[Difference]:
-    """Each figure's change from one configuration to another, over the seeds that both have.
-
-    Raises ValueError, one line, where they share fewer than two seeds.
-    """
+    """Return each figure's change between two configurations. Raises ValueError below two common seeds."""
     one = {row.seed: row.figures for row in rows if row.name == first}
     two = {row.seed: row.figures for row in rows if row.name == second}
     seeds = sorted(set(one) & set(two))
--- a/meadowpulley/experiment/plan.py
+++ b/meadowpulley/experiment/plan.py
@@ -1,4 +1,4 @@
-"""The file of an experiment: configurations and seeds, over one described fleet."""
+"""File of an experiment: configurations and seeds over one described fleet."""
 
 from __future__ import annotations
 
@@ -18,8 +18,10 @@
 
 
 class Configuration(Struct, frozen=True, forbid_unknown_fields=True):
-    """One way to run. `share`: mean work asked, of what all servers can do; or `rate`, requests a second; or
-    a `load` file. `servers`: times the servers described, rounded up, for each group."""
+    """One way to run. The load is `share` of the capacity, `rate` requests per second, or a `load` file.
+
+    `servers` multiplies the servers of each group, rounded up.
+    """
 
     name: Name
     share: Positive | None = None
@@ -33,6 +35,8 @@
 
 
 class ExperimentFile(Struct, frozen=True, forbid_unknown_fields=True):
+    """A described experiment."""
+
     version: int
     name: Name
     fleet: str
@@ -43,7 +47,7 @@
 
 
 def with_servers(fleet: Fleet, factor: float) -> Fleet:
-    """The fleet with so many times the servers of each group, rounded up."""
+    """Return the fleet with so many times the servers of each group, rounded up."""
     if factor == 1.0:
         return fleet
     groups = tuple(replace(s, count=max(-(-int(s.count * factor * 1000) // 1000), 1)) for s in fleet.servers)
@@ -51,7 +55,7 @@
 
 
 def parse_experiment(raw: bytes, file_name: str) -> ExperimentFile:
-    """An experiment's file, checked. Raises FleetError, one line."""
+    """Parse and check an experiment file. Raises `FleetError`."""
     plan = read_toml(raw, file_name, ExperimentFile)
     names = [c.name for c in plan.configurations]
     for index, configuration in enumerate(plan.configurations):
@@ -68,8 +72,7 @@
 
 
 def cells_of(plan: ExperimentFile, where: Path, read_file: Callable[[Path], bytes]) -> list[Cell]:
-    """All cells of an experiment, configuration by configuration. Paths in the file are relative to it;
-    `read` fetches a file's bytes."""
+    """Return all cells of an experiment; paths in its file are relative to the file."""
     folder = where.parent
     fleet = parse_fleet(read_file(folder / plan.fleet), str(folder / plan.fleet))
     cells = []
--- a/meadowpulley/experiment/runner.py
+++ b/meadowpulley/experiment/runner.py
@@ -1,5 +1,4 @@
-"""Runs cells side by side in processes of their own; what is done is kept at once, so that a run can go
-on."""
+"""Runs cells in parallel processes and stores each result at once, so that a run can be continued."""
 
 from __future__ import annotations
 
@@ -18,8 +17,10 @@
 
 
 class ResultStore:
-    """Rows by the key of their cell, in a file of JSON lines that only grows. A last line that was cut off,
-    as by a crash, is dropped; `path` None keeps rows in memory only."""
+    """Results by the key of their cell, in a file of JSON lines that only grows.
+
+    An incomplete last line, as after a crash, is dropped. Without a path results are kept in memory only.
+    """
 
     def __init__(self, path: Path | None = None) -> None:
         self.path, self.rows = path, dict[str, RunResult]()
@@ -39,9 +40,11 @@
             os.truncate(path, good)
 
     def get(self, cell: Cell) -> RunResult | None:
+        """Return the stored result of a cell."""
         return self.rows.get(cell.key)
 
     def add(self, row: RunResult) -> None:
+        """Store a result and flush it to disk."""
         self.rows[row.key] = row
         if self.path is not None:
             with open(self.path, "ab") as file:
@@ -57,8 +60,9 @@
     timeline: bool = False,
     progress: Callable[[int, int], None] = lambda done, of: None,
 ) -> list[RunResult]:
-    """Rows of the cells, in their order; those that the store holds are not run again. `workers` 1 runs them
-    in this process."""
+    """Return the results of the cells in order, running only those not stored; `workers` 1 uses this
+    process.
+    """
     cells = list(cells)
     store = store if store is not None else ResultStore()
     todo = {cell.key: cell for cell in cells if store.get(cell) is None}
--- a/meadowpulley/experiment/tables.py
+++ b/meadowpulley/experiment/tables.py
@@ -1,4 +1,4 @@
-"""Tables of an experiment: CSV and JSON with every figure of every run, and a summary with intervals."""
+"""Tables of an experiment: CSV and JSON with every figure, and a summary with intervals."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 def summary_rows(rows: Sequence[RunResult], figures: Sequence[str]) -> list[list[str]]:
-    """A line a configuration: each figure's mean with the half of its interval."""
+    """Return a row per configuration with each figure's mean and half interval."""
     found = []
     for name in dict.fromkeys(row.name for row in rows):
         mine = [row for row in rows if row.name == name]
@@ -37,7 +37,7 @@
 
 
 def write_tables(rows: Sequence[RunResult], folder: Path, about: dict[str, Any]) -> list[Path]:
-    """`table.csv` and `table.json` in a folder; `about` says what was run and how to run it again."""
+    """Write `table.csv` and `table.json`; `about` says what was run and how to repeat it."""
     figures = sorted({name for row in rows for name in row.figures})
     out = io.StringIO()
     writer = csv.writer(out, lineterminator="\n")
--- a/meadowpulley/fleet/__init__.py
+++ b/meadowpulley/fleet/__init__.py
@@ -1,7 +1,7 @@
-"""What a fleet is: one description, read alike by the emulator, the stand-ins on loopback and the planner.
+"""Description of a fleet, shared by the emulator, the loopback test bed and the capacity planner.
 
-Reading order: `model` (the file's form and its checks), `told` (the settings object that a gateway of such a
-fleet is given, in the platform's own form).
+Reading order: `model` (the file format and its checks), `gateway_settings` (the settings object of a
+gateway of such a fleet, in the platform's format).
 """
 
 from meadowpulley.fleet.gateway_settings import gateway_settings, gateway_settings_object
--- a/meadowpulley/fleet/gateway_settings.py
+++ b/meadowpulley/fleet/gateway_settings.py
@@ -1,4 +1,4 @@
-"""What a gateway of a described fleet is told at its start: the platform's settings object."""
+"""Settings of a gateway of a described fleet, as the platform's settings object."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 def gateway_settings_object(fleet: Fleet, gateway_index: int) -> dict[str, Any]:
-    """The settings of gateway number `me` as nested JSON, with the names and units of the platform."""
+    """Return the settings of a gateway as nested JSON, with the platform's names and units."""
     rules, rollout = fleet.rules, fleet.rollout
     return {
         "me": gateway_index,
@@ -83,5 +83,5 @@
 
 
 def gateway_settings(fleet: Fleet, gateway_index: int) -> Settings:
-    """The same, read as the gateway reads it."""
+    """Return the settings of a gateway, parsed as the gateway parses them."""
     return read_settings(gateway_settings_object(fleet, gateway_index), f"gateway {gateway_index}")
--- a/meadowpulley/fleet/model.py
+++ b/meadowpulley/fleet/model.py
@@ -1,6 +1,7 @@
-"""The description of a fleet: sites, machines, classes, gateways and the parties around them.
+"""Description of a fleet: sites, machines, request classes, gateways and the services around them.
 
-Durations are milliseconds, work is milliseconds of one standard core (speed 1), shares run from 0 to 1.
+Durations are milliseconds, work is milliseconds of one standard core (speed 1), shares run from 0 to 1. The
+keys of the file are a stored format; fields with another name in the code name their key.
 """
 
 from __future__ import annotations
@@ -24,12 +25,14 @@
 
 
 class FleetError(ValueError):
-    """A file of intent that can't be used; the text is one line: what, where, and what to do."""
+    """An invalid input file. The text is one line: what, where, and what to do."""
 
 
 class Site(Struct, frozen=True, forbid_unknown_fields=True):
+    """A site and its part of the load, relative to the other sites'."""
+
     name: Name
-    load: Positive = 1.0  # this site's part of the load, against the other sites'
+    load: Positive = 1.0  # weight of this site's load against the other sites'
 
 
 class MachineKind(Struct, frozen=True, forbid_unknown_fields=True):
@@ -40,10 +43,12 @@
     slots: PositiveInt
     queue: Annotated[int, Meta(ge=0)] = 0
     speed: Positive = 1.0
-    thrash: NotNegative = 0.0  # work lost for each request a core that runs beyond `thrash_at` a core
+    thrash: NotNegative = 0.0  # work lost per request and core beyond `thrash_at` requests per core
     thrash_at: Positive = 4.0
-    slow_start_from: PositiveShare = field(default=1.0, name="cold_from")  # part of its capacity at its start
-    slow_start_ms: NotNegative = field(default=0.0, name="cold_ms")  # until it has all of it
+    slow_start_from: PositiveShare = field(
+        default=1.0, name="cold_from"
+    )  # share of the capacity at the start
+    slow_start_ms: NotNegative = field(default=0.0, name="cold_ms")  # length of slow start
     connections: PositiveInt = 10_000
     connect_work_ms: NotNegative = 0.0
     cancels_running: bool = False
@@ -52,6 +57,8 @@
 
 
 class ServerGroup(Struct, frozen=True, forbid_unknown_fields=True):
+    """A number of servers of one kind at one site."""
+
     site: Name
     kind: Name
     count: PositiveInt
@@ -74,45 +81,49 @@
 
 
 class GatewayGroup(Struct, frozen=True, forbid_unknown_fields=True):
+    """A number of equal gateways at one site."""
+
     site: Name
     count: PositiveInt
     cores: Positive = 1.0
-    request_cpu_ms: NotNegative = field(
-        default=0.0, name="request_ms"
-    )  # CPU of one request, from intake to answer
+    request_cpu_ms: NotNegative = field(default=0.0, name="request_ms")  # CPU time of one request
     descriptors: PositiveInt = 1024
     reserved_descriptors: Annotated[int, Meta(ge=0)] = field(
         default=32, name="kept_back"
-    )  # descriptors for other things than requests
+    )  # file descriptors not used for requests
     client_descriptor_share: PositiveShare = (
         field(
             default=0.58, name="client_part"
-        )  # of the others: for clients' connections, the rest for servers'
+        )  # share of the other descriptors for clients; the rest is for servers
     )
     memory_mb: Positive = 192.0
-    base_mb: NotNegative = 28.0  # what it needs before its first request
-    connection_kb: NotNegative = 12.0  # and for each connection
+    base_mb: NotNegative = 28.0  # memory before the first request
+    connection_kb: NotNegative = 12.0  # memory per connection
 
 
 class KeyModel(Struct, frozen=True, forbid_unknown_fields=True):
-    count: Annotated[int, Meta(ge=0)] = 0  # 0: requests carry none
-    skew: NotNegative = 0.6  # Zipf's exponent
-    memory_ms: NotNegative = 0.0  # for which a server remembers a key it met
+    """Distribution of keys, and what servers save by remembering them."""
+
+    count: Annotated[int, Meta(ge=0)] = 0  # 0: requests have no key
+    skew: NotNegative = 0.6  # exponent of Zipf's law
+    memory_ms: NotNegative = 0.0  # how long a server remembers a key
     work_saved: Annotated[float, Meta(ge=0, lt=1)] = field(
         default=0.0, name="gain"
-    )  # part of the work that it then saves
-    max_remembered: PositiveInt = field(default=10_000, name="most")  # keys a server remembers
+    )  # share of the work saved for a remembered key
+    max_remembered: PositiveInt = field(default=10_000, name="most")  # maximum of remembered keys per server
 
 
 class ClientModel(Struct, frozen=True, forbid_unknown_fields=True):
+    """Retry behaviour of clients."""
+
     retries: Annotated[int, Meta(ge=0, le=10)] = 0
     backoff_ms: NotNegative = 100.0
     honours_retry_after: Share = field(default=0.7, name="honours_advice")
-    retries_failed: bool = False  # also what may have run, where its class may run again
+    retries_failed: bool = False  # also requests that may have executed, where their class is idempotent
 
 
 class NetworkModel(Struct, frozen=True, forbid_unknown_fields=True):
-    """One-way times; each message takes up to `jitter` times more, exponentially spread."""
+    """One-way delays; each message takes up to `jitter` times more, exponentially distributed."""
 
     same_site_ms: NotNegative = 0.2
     cross_site_ms: NotNegative = 1.0
@@ -124,29 +135,29 @@
 
 
 class DiscoveryModel(Struct, frozen=True, forbid_unknown_fields=True):
-    add_delay_ms: Range = field(
-        default=(500.0, 1200.0), name="add_ms"
-    )  # until it lists a server that started
+    """Delays of the discovery service."""
+
+    add_delay_ms: Range = field(default=(500.0, 1200.0), name="add_ms")  # delay until a new server is listed
     change_delay_ms: Range = field(
         default=(2200.0, 4900.0), name="notice_ms"
-    )  # until it lists any other change
+    )  # delay until any other change is listed
     update_interval_ms: Range = field(
         default=(190.0, 680.0), name="period_ms"
-    )  # between its answers to one watch
+    )  # interval of updates to one watch
     timeout_ms: Positive = 2000.0
-    long_poll_ms: Positive = field(
-        default=10_000.0, name="wait_ms"
-    )  # how long one call of a watch may wait for news
+    long_poll_ms: Positive = field(default=10_000.0, name="wait_ms")  # longest wait of a long poll
     silence_timeout_ms: Positive = field(
         default=1500.0, name="silent_ms"
-    )  # beyond its wait, until a gateway gives up a call that is silent
+    )  # beyond that wait, until a gateway gives up a silent poll
     presumed_known_ms: Range = field(
         default=(2000.0, 6000.0), name="told_ms"
-    )  # after its wait and its silence: what it misses counts as told
+    )  # after wait and silence: missed changes count as known
     must_subscribe: bool = field(default=True, name="must_ask")
 
 
 class RolloutModel(Struct, frozen=True, forbid_unknown_fields=True):
+    """Stages, votes and delays of the rollout platform."""
+
     stages: tuple[PositiveShare, ...] = (0.1, 0.4, 1.0)
     caps: tuple[Share, ...] = (0.17, 0.68, 1.0)
     gate: Literal["any", "share", "timer"] = "any"
@@ -172,6 +183,8 @@
 
 
 class RuleModel(Struct, frozen=True, forbid_unknown_fields=True):
+    """Parameters of the rules, and features that the gateways may use."""
+
     drain_grace_ms: Positive = 2000.0
     overload_multiple: Annotated[float, Meta(ge=1)] = field(default=2.0, name="fall_multiple")
     overload_window_ms: Positive = field(default=1500.0, name="fall_ms")
@@ -186,6 +199,8 @@
 
 
 class Fleet(Struct, frozen=True, forbid_unknown_fields=True):
+    """A described fleet."""
+
     version: int
     name: Name
     sites: Annotated[tuple[Site, ...], Meta(min_length=1)]
@@ -201,30 +216,33 @@
     rules: RuleModel = RuleModel()
 
     def kind(self, name: str) -> MachineKind:
-        """The kind of machine of that name; KeyError for any other."""
+        """Return the kind of machine with this name; KeyError for any other."""
         return {k.name: k for k in self.kinds}[name]
 
     def site_indexes(self) -> dict[str, int]:
+        """Return the index of each site by its name."""
         return {site.name: n for n, site in enumerate(self.sites)}
 
     def machines(self) -> list[tuple[int, int]]:
-        """Site and kind of each server, by their numbers, in the order of the file."""
+        """Return site and kind indexes of each server, in the order of the file."""
         sites, kinds = self.site_indexes(), {k.name: n for n, k in enumerate(self.kinds)}
         return [(sites[s.site], kinds[s.kind]) for s in self.servers for _ in range(s.count)]
 
     def gateway_sites(self) -> list[int]:
+        """Return the site index of each gateway."""
         sites = self.site_indexes()
         return [sites[g.site] for g in self.gateways for _ in range(g.count)]
 
     def gateway_groups(self) -> list[GatewayGroup]:
+        """Return the group of each gateway."""
         return [g for g in self.gateways for _ in range(g.count)]
 
     def capacity(self) -> float:
-        """Standard-core milliseconds of work that all servers, warm, can do in a millisecond."""
+        """Return the standard cores of all servers, warmed up."""
         return sum(s.count * self.kind(s.kind).cores * self.kind(s.kind).speed for s in self.servers)
 
     def mean_work_ms(self) -> float:
-        """Mean work of a request over the classes' shares, without what remembered keys save."""
+        """Return the mean work of a request over the classes' shares, without savings by keys."""
         total = sum(c.share for c in self.classes)
         return sum(c.share * c.work_ms for c in self.classes) / total
 
@@ -244,7 +262,7 @@
 
 
 def read_toml(raw: bytes, file_name: str, form: type[T]) -> T:
-    """Reads TOML into a checked value of `form`; `where` names the file. Raises FleetError, one line."""
+    """Decode TOML into a checked value of type `form`; `file_name` is for messages. Raises `FleetError`."""
     try:
         loaded = tomllib.loads(raw.decode())
     except UnicodeDecodeError as error:
@@ -279,7 +297,7 @@
 
 
 def parse_fleet(raw: bytes, file_name: str) -> Fleet:
-    """A fleet file, checked in full. `where` names it in errors. Raises FleetError, one line."""
+    """Parse and check a fleet file; `file_name` is for messages. Raises `FleetError`."""
     fleet = read_toml(raw, file_name, Fleet)
     sites, kinds = [s.name for s in fleet.sites], [k.name for k in fleet.kinds]
     _check_unique(sites, "sites", file_name)
--- a/meadowpulley/load/__init__.py
+++ b/meadowpulley/load/__init__.py
@@ -1,7 +1,7 @@
-"""Load: arrivals at gateways, captured or made, in one versioned form that every rig plays.
+"""Load: arrivals at gateways, captured or synthesized, in one versioned format.
 
-Reading order: `arrivals` (one arrival, and the file of them), `profiles` (made loads), `edit` (scaling and
-splicing), `summary` (what a load holds).
+Reading order: `arrivals` (an arrival and the file format), `profiles` (synthesized loads), `edit` (scaling
+and splicing), `summary` (figures of a load).
 """
 
 from meadowpulley.load.arrivals import Arrival, Header, LoadError, LoadReader, read_load, write_load
--- a/meadowpulley/load/arrivals.py
+++ b/meadowpulley/load/arrivals.py
@@ -1,6 +1,7 @@
-"""One arrival, and the file of arrivals: JSON lines, a header first, gzip where the name ends in `.gz`.
+"""Arrivals and their file format: JSON lines after a header, compressed with gzip where the name ends in
+`.gz`.
 
-A file is streamed both ways, so that its length is bounded by the disk and not by memory.
+Files are streamed both ways, so that their length is bounded by the disk and not by memory.
 """
 
 from __future__ import annotations
@@ -18,29 +19,27 @@
 from msgspec.structs import replace
 
 FORMAT_VERSION = 1
-MAX_DISORDER_MS = (
-    1000.0  # an arrival so much before the latest is a clock that jumped, a smaller step is disorder
-)
+MAX_DISORDER_MS = 1000.0  # a larger step back is a clock that jumped, a smaller one is disorder
 
 NotNegative = Annotated[float, Meta(ge=0)]
 
 
 class LoadError(ValueError):
-    """A load that can't be used; the text is one line: what, where, and what to do."""
+    """An invalid load. The text is one line: what, where, and what to do."""
 
 
 class Header(Struct, frozen=True, forbid_unknown_fields=True):
-    """The first line. `started` is Unix time in milliseconds at `at_ms` 0, 0 where that means nothing."""
+    """First line of a load file. `started` is Unix time in milliseconds at `at_ms` 0, or 0 where unknown."""
 
     format: str = "meadowpulley-load"
     version: int = FORMAT_VERSION
     source: str = ""
     started: float = 0.0
-    dropped: int = 0  # arrivals known to be missing, as counted when the capture was closed
+    dropped: int = 0  # arrivals known to be missing, counted at the end of the capture
 
 
 class Arrival(Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
-    """One request as somebody wanted it. `key` is a hash, `work_ms` standard-core milliseconds."""
+    """One request of a load. `key` is a hash, `work_ms` milliseconds of a standard core."""
 
     at_ms: NotNegative
     class_name: str = field(name="cls")
@@ -48,7 +47,7 @@
     key: int = 0
     work_ms: NotNegative = 0.0
     bytes: Annotated[int, Meta(ge=0)] = 0
-    timeout_ms: NotNegative = field(default=0.0, name="patience_ms")  # 0: its class's deadline
+    timeout_ms: NotNegative = field(default=0.0, name="patience_ms")  # 0: the deadline of its class
 
 
 _decode_header = msgspec.json.Decoder(Header).decode
@@ -63,12 +62,13 @@
 
 
 class LoadReader:
-    """Reads a load file, in order of time. Arrivals that come a little out of order are put right within
-    `BACK_MS`; a step further back is a clock that jumped, and the rest is moved on by it (`jumps` counts
-    them).
+    """Reads a load file in order of time.
 
-    Iterating raises LoadError at the first line that can't be read; a last line without its end is a file
-    that was cut off, and is dropped and noted in `truncated`.
+    Arrivals that are out of order by up to `MAX_DISORDER_MS` are sorted. A larger step back is a clock that
+    jumped; later arrivals are shifted by it, and `jumps` counts such steps.
+
+    Iterating raises `LoadError` at the first invalid line. An incomplete last line is dropped and noted in
+    `truncated`.
     """
 
     def __init__(self, path: Path, classes: frozenset[str] | None = None) -> None:
@@ -95,7 +95,7 @@
     def __iter__(self) -> Iterator[Arrival]:
         self.jumps = self.disordered = self.count = 0
         self.truncated = False
-        pending: list[tuple[float, int, Arrival]] = []  # a heap of the latest `BACK_MS`
+        pending: list[tuple[float, int, Arrival]] = []  # heap of the latest `MAX_DISORDER_MS`
         latest, shift_ms = 0.0, 0.0
         for arrival in self._lines():
             at = arrival.at_ms + shift_ms
@@ -145,13 +145,12 @@
 
 
 def read_load(path: Path, classes: frozenset[str] | None = None) -> LoadReader:
-    """A load file, its header checked; iterate for its arrivals. Raises LoadError, one line."""
+    """Open a load file and check its header; iterate for its arrivals. Raises `LoadError`."""
     return LoadReader(path, classes)
 
 
 def write_load(path: Path, arrivals: Iterable[Arrival], header: Header | None = None) -> int:
-    """Writes a load whole or not at all; how many arrivals. Raises OSError where the place can't be
-    written."""
+    """Write a load file atomically and return the number of arrivals. Raises OSError."""
     temporary = path.with_name(f".{path.name}.new{path.suffix}")
     count = 0
     try:
--- a/meadowpulley/load/edit.py
+++ b/meadowpulley/load/edit.py
@@ -1,4 +1,4 @@
-"""Loads changed: more or fewer arrivals, another pace, one behind another. All of it streams."""
+"""Streaming edits of loads: scale, stretch, splice, merge, cut and fill in."""
 
 from __future__ import annotations
 
@@ -16,8 +16,11 @@
 def scaled(
     arrivals: Iterable[Arrival], factor: float, seed: int, spread_ms: float = 1000.0
 ) -> Iterator[Arrival]:
-    """So many times the arrivals at the same pace: copies lie up to `spread_ms` later, so that they make no
-    bursts; a part below one copy is drawn by chance. Keys of copies are kept, as the same customers' are."""
+    """Multiply the number of arrivals at the same pace.
+
+    Copies lie up to `spread_ms` later, so that they form no bursts; a fraction of a copy is drawn at
+    random. Copies keep their keys.
+    """
     rng = np.random.Generator(np.random.PCG64(seed))
     pending: list[tuple[float, int, Arrival]] = []
     last_number = 0
@@ -34,13 +37,13 @@
 
 
 def stretched(arrivals: Iterable[Arrival], factor: float) -> Iterator[Arrival]:
-    """The same arrivals over so many times the length."""
+    """Spread the same arrivals over so many times the length."""
     for arrival in arrivals:
         yield replace(arrival, at_ms=round(arrival.at_ms * factor, 3))
 
 
 def spliced(*parts: Iterable[Arrival], pause_ms: float = 0.0) -> Iterator[Arrival]:
-    """One load behind another, each moved to the end of the one before."""
+    """Append loads to each other, each shifted to the end of the one before."""
     end = 0.0
     for part in parts:
         start = end
@@ -51,8 +54,7 @@
 
 
 def filled_in(arrivals: Iterable[Arrival], fleet: Fleet, seed: int) -> Iterator[Arrival]:
-    """Arrivals without a work hint, as captured ones mostly are, get work drawn from their class's
-    description; those without a site get one by the sites' parts of the load."""
+    """Draw missing work from the classes' distributions and missing sites from the sites' shares."""
     rng = np.random.Generator(np.random.PCG64(np.random.SeedSequence([seed, 0xF111])))
     classes = {c.name: c for c in fleet.classes}
     site_shares = np.cumsum([s.load for s in fleet.sites]) / sum(s.load for s in fleet.sites)
@@ -66,7 +68,7 @@
 
 
 def merged(*parts: Iterable[Arrival], starts: Iterable[float] = ()) -> Iterator[Arrival]:
-    """Several captures of the same time as one, in order; `starts` (Unix ms) puts them on one clock."""
+    """Merge captures in order of time; `starts` (Unix ms) puts them on one clock."""
     start_times = list(starts) or [0.0] * len(parts)
     origin = min(start_times, default=0.0)
     shifted = [_shifted(part, start - origin) for part, start in zip(parts, start_times, strict=True)]
@@ -79,7 +81,7 @@
 
 
 def cut(arrivals: Iterable[Arrival], start_ms: float, span_ms: float) -> Iterator[Arrival]:
-    """The arrivals of a span, moved to begin at 0."""
+    """Keep the arrivals of a span, shifted to start at 0."""
     for arrival in arrivals:
         if arrival.at_ms >= start_ms + span_ms:
             return
@@ -90,9 +92,9 @@
 def costlier(
     arrivals: Iterable[Arrival], share: float, factor: float, start_ms: float, span_ms: float, seed: int
 ) -> Iterator[Arrival]:
-    """In a span, a share of the arrivals has so many times the work; all others stay as they are."""
+    """Multiply the work of a share of the arrivals in a span."""
     rng = np.random.Generator(np.random.PCG64(np.random.SeedSequence([seed, 0xC057])))
     for arrival in arrivals:
-        drawn = rng.random() < share  # drawn for each, so that a longer span changes no earlier one
+        drawn = rng.random() < share  # drawn for each arrival, so that a longer span changes no earlier draw
         inside = start_ms <= arrival.at_ms < start_ms + span_ms
         yield replace(arrival, work_ms=round(arrival.work_ms * factor, 3)) if drawn and inside else arrival
--- a/meadowpulley/load/profiles.py
+++ b/meadowpulley/load/profiles.py
@@ -1,4 +1,4 @@
-"""Made loads: open-loop arrivals of a described fleet, by a profile of the rate over time."""
+"""Synthesized loads: open-loop arrivals of a described fleet with a profile of the rate over time."""
 
 from __future__ import annotations
 
@@ -16,10 +16,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Profile:
-    """How a load runs over its length. `rate(x)`: times the mean, x from 0 to 1; never above `peak`.
+    """Course of a load over its length. `rate(x)` multiplies the mean rate, x from 0 to 1, and is at most
+    `peak`.
 
-    `costly(x)`: share of requests that cost `cost` times the usual; `shift(x)`: part of all load that moves
-    to the first site.
+    `costly_share(x)` of the requests cost `cost_factor` times the usual; `shifted_share(x)` of the load
+    moves to the first site.
     """
 
     name: str
@@ -89,7 +90,7 @@
 
 
 def draw_work(request_class: RequestClass, rng: np.random.Generator) -> float:
-    """Work of one request: its mean is the class's, its coefficient of variation the class's spread."""
+    """Draw the work of one request in milliseconds, with the mean and the spread of its class."""
     if request_class.work == "fixed" or not request_class.spread:
         return request_class.work_ms
     if request_class.work == "exponential":
@@ -99,7 +100,7 @@
 
 
 class KeySampler:
-    """Keys by Zipf's law over a bounded number of them, by inverting its distribution."""
+    """Draws keys by Zipf's law over a bounded number of keys, by inverting its distribution."""
 
     def __init__(self, count: int, skew: float) -> None:
         weights = np.arange(1, count + 1, dtype=float) ** -skew
@@ -110,9 +111,9 @@
 
 
 def synthesize(fleet: Fleet, profile: Profile, per_s: float, seconds: float, seed: int) -> Iterator[Arrival]:
-    """Arrivals of a Poisson process whose rate follows the profile (thinning, Lewis and Shedler 1979).
+    """Generate Poisson arrivals whose rate follows the profile (thinning, Lewis and Shedler 1979).
 
-    `per_s`: mean rate of the steady profile. The same arguments give the same arrivals.
+    `per_s` is the mean rate of the steady profile. The same arguments give the same arrivals.
     """
     rng = np.random.Generator(np.random.PCG64(np.random.SeedSequence([seed, 0x10AD])))
     classes, sites = fleet.classes, fleet.sites
--- a/meadowpulley/load/summary.py
+++ b/meadowpulley/load/summary.py
@@ -1,4 +1,4 @@
-"""What a load holds: rates, classes, sites, keys and work, in bounded memory."""
+"""Figures of a load: rates, classes, sites, keys and work, in bounded memory."""
 
 from __future__ import annotations
 
@@ -10,27 +10,29 @@
 
 from meadowpulley.load.arrivals import Arrival
 
-MAX_KEYS = 200_000  # distinct keys counted to the letter, beyond which it is said that there are more
+MAX_KEYS = 200_000  # distinct keys counted exactly; more are only noted
 
 
 @dataclass(frozen=True, slots=True)
 class ClassSummary:
+    """Figures of one class of a load."""
+
     name: str
     count: int
     share: float
     work_ms: float
-    spread: float  # coefficient of variation of its work
+    spread: float  # coefficient of variation of the work
 
 
 @dataclass(frozen=True, slots=True)
 class LoadSummary:
-    """Rates are per second; `peak_per_s` is the busiest whole second."""
+    """Figures of a load. Rates are per second; `peak_per_s` is the busiest whole second."""
 
     count: int
     seconds: float
     per_s: float
     peak_per_s: float
-    work_per_s: float  # standard-core milliseconds a second
+    work_per_s: float  # standard-core milliseconds per second
     classes: tuple[ClassSummary, ...]
     sites: dict[str, float]
     keys: int
@@ -38,11 +40,12 @@
     bytes: int
 
     def table(self) -> dict[str, Any]:
+        """Return the figures as plain values."""
         return asdict(self)
 
 
 def summarize(arrivals: Iterable[Arrival]) -> LoadSummary:
-    """One pass over a load, in order of time."""
+    """Summarize a load in one pass, in order of time."""
     counts: Counter[str] = Counter()
     sums: dict[str, tuple[float, float]] = {}
     sites: Counter[str] = Counter()
--- a/meadowpulley/loopback/__init__.py
+++ b/meadowpulley/loopback/__init__.py
@@ -1,9 +1,9 @@
-"""The emulated fleet's server model on loopback: real gateways, real connections, servers with set limits.
+"""Test bed on loopback sockets: real gateways and connections, simulated servers with limited capacity.
 
-Reading order: `clock` (the emulator's timeline in real time), `told` (what each process of the rig is told),
-`standins` (instances, discovery and the platform, speaking the platform's protocol), `driver` (open-loop
-clients), `processes` (starts all of it, gateways by `run` of the deploy file, and gathers what came of it).
-Everything stays on 127.0.0.1 and is bounded in time.
+Reading order: `clock` (the emulator's timeline in real time), `messages` (what the processes exchange),
+`services` (servers, discovery and platform in the platform's protocol), `driver` (open-loop clients),
+`runner` (starts all processes and collects the result), `gateway_fleet` (several gateways on one ledger).
+Everything stays on 127.0.0.0/8 and is bounded in time.
 """
 
 from meadowpulley.loopback.messages import LoopbackPlan
