Control plane clients: connection, call, parsing and backoff apart; log events in snake_case

The clients of discovery and the platform each did several jobs in one file of over 370 lines: framing, calls, parsing, retries, and what the policy is told. Each job has a module now: discovery_connection, discovery_call and discovery_client; platform_connection, platform_messages and rollout_client; the backoff that stood twice is one class. Lists, endpoints and vote responses are typed (EndpointList, Endpoint, VoteResponse) in place of tuples. The reactor has left __main__, whose run() was over 40 lines, and configuration errors end it at one place.

What is on the wire and what the clients do is unchanged.

Tests changed: names of events and counters only, and the modules that constants are imported from.

--- a/meadowpulley/__main__.py
+++ b/meadowpulley/__main__.py
@@ -1,100 +1,82 @@
-"""Runs one real gateway until it is told to stop."""
+"""Run one gateway until a signal ends it: `python -m meadowpulley`.
+
+Exit codes: 0 after SIGTERM or SIGINT, 2 if the configuration cannot be used (one line on standard error).
+"""
 
 from __future__ import annotations
 
 import gc
 import os
 import signal
-import socket
 import sys
-import time
 from collections.abc import Callable
-from typing import Any
 
 if __name__ == "__main__":
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # there is nothing to read again yet
-    # The log's library looks for this one, to colour terminals. Where the tools are installed beside it the
-    # gateway would find it, and carry 3 MB more for nothing.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # nothing has been read yet that could be read again
+    # The log's library imports this one, if it is installed, to colour terminals. Beside the tools it would
+    # be found, and cost the gateway 3 MB for nothing.
     sys.modules.setdefault("rich", None)  # type: ignore[arg-type]
 
 from twisted.internet import error, main
-from twisted.internet.epollreactor import EPollReactor
 
-from meadowpulley.net.config import ConfigError, read_config
+from meadowpulley.net.config import Config, ConfigError, read_config
 from meadowpulley.net.gateway import Gateway
 from meadowpulley.net.log import open_log
+from meadowpulley.net.reactor import MonotonicReactor
 
+EXIT_SUCCESS, EXIT_UNUSABLE_CONFIG = 0, 2
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
-LEDGER_DEPENDENT_PREFIXES = (
-    "MEADOWPULLEY_TAKEOVER",
-    "MEADOWPULLEY_LENDING_",
-    "MEADOWPULLEY_PLACEMENT",
-)  # how they begin
+LEDGER_DEPENDENT_PREFIXES = ("MEADOWPULLEY_TAKEOVER", "MEADOWPULLEY_LENDING_", "MEADOWPULLEY_PLACEMENT")
 LISTEN_DELAY_S = 0.001
-GC_THRESHOLDS = (2_000, 5, 5)  # requests and connections end in cycles; what the start leaves is frozen
+GC_THRESHOLDS = (2_000, 5, 5)  # requests and connections end in cycles; what exists after the start is frozen
 
 
-class MonotonicReactor(EPollReactor):  # type: ignore[misc,unused-ignore]
-    """Its timers follow the clock that the gateway follows, which never jumps."""
+def create_gateway(config: Config) -> tuple[Gateway, MonotonicReactor]:
+    """Create a gateway and install the reactor that it runs on."""
+    reactor = MonotonicReactor()
+    main.installReactor(reactor)  # type: ignore[no-untyped-call]
+    gateway = Gateway(config, reactor, open_log(gateway=config.name))
+    reactor.on_poll = gateway.deadlines.record_poll
+    return gateway, reactor
 
-    on_poll: Callable[[], None] = staticmethod(lambda: None)  # called when a turn's input is known
 
-    def __init__(self) -> None:
-        self.reserved_sockets: dict[tuple[str, int], socket.socket] = {}
-        super().__init__()  # type: ignore[no-untyped-call]
+def handle_signals(gateway: Gateway, reactor: MonotonicReactor, early_signals: list[int]) -> None:
+    """Hand signals to the gateway from now on, first those that came while it was created."""
+    # A signal that comes just before the reactor waits for events would otherwise wait as long as it does.
+    signal.set_wakeup_fd(reactor.waker.o, warn_on_full_buffer=False)
+    for number in HANDLED_SIGNALS:
+        signal.signal(number, gateway.on_signal)
+    for early_signal in early_signals:
+        gateway.on_signal(early_signal, None)
 
-    def seconds(self) -> float:
-        return time.monotonic()
 
-    def doPoll(self, timeout: float | None) -> None:  # noqa: N802 (Twisted's name)
-        """As the reactor's own, less the log context that it sets up around every event: nothing here logs
-        by way of it, and it cost a tenth of a request."""
-        timeout_s = -1.0 if timeout is None else timeout
-        events = self._poller.poll(timeout_s, len(self._selectables))
-        self.on_poll()
-        for fd, event in events:
-            selectable = self._selectables.get(fd)
-            if selectable is not None:
-                self._doReadOrWrite(selectable, fd, event)  # type: ignore[no-untyped-call]
+def start_observers(gateway: Gateway, reactor: MonotonicReactor) -> None:
+    """Start what the environment asks for: a capture, metrics of intervals, a trace of requests.
 
-    doIteration = doPoll  # noqa: N815
+    Their modules are imported only then. Raises ConfigError.
+    """
+    try:
+        start_capture(gateway, reactor)
+    except (OSError, ValueError) as cause:
+        raise ConfigError(f"capture: {cause}") from None
+    if os.environ.get("MEADOWPULLEY_SECONDS"):
+        from meadowpulley.net.interval_metrics import IntervalMetrics
 
-    def reserve(self, host: str, port: int) -> None:
-        """Binds an address that is listened on later: until then no connection outwards, its own or another
-        process's, is given that port, and whoever comes is refused. Raises CannotListenError."""
-        reserved = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        reserved.setblocking(False)
-        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            reserved.bind((host, port))
-        except OSError as cause:
-            reserved.close()
-            raise error.CannotListenError(host, port, cause) from None  # type: ignore[no-untyped-call]
-        self.reserved_sockets[host, port] = reserved
-
-    def listenTCP(  # noqa: N802 (Twisted's name)
-        self, port: int, factory: Any, backlog: int = 50, interface: str = ""
-    ) -> Any:
-        reserved = self.reserved_sockets.pop((interface, port), None)
-        if reserved is None:
-            return super().listenTCP(port, factory, backlog, interface)  # type: ignore[no-untyped-call]
-        try:
-            reserved.listen(backlog)
-            return self.adoptStreamPort(reserved.fileno(), reserved.family, factory)  # type: ignore[no-untyped-call]
-        except OSError as cause:
-            raise error.CannotListenError(interface, port, cause) from None  # type: ignore[no-untyped-call]
-        finally:
-            reserved.close()
+        IntervalMetrics(gateway)
+    if traced_ids := os.environ.get("MEADOWPULLEY_STORY"):
+        from meadowpulley.net.request_tracing import RequestTracer
+
+        RequestTracer(gateway, traced_ids)
 
 
 def start_capture(gateway: Gateway, reactor: MonotonicReactor) -> None:
-    """Only where a file is named in the environment: nothing of it is imported else."""
+    """Capture arrivals if the environment names a file for them. Raises OSError or ValueError."""
     if not os.environ.get("MEADOWPULLEY_CAPTURE"):
         return
     from meadowpulley.net.capture import FLUSH_INTERVAL_MS, open_capture
 
     def run_in_thread(task: Callable[[], None], on_done: Callable[[bool], None]) -> None:
-        def run() -> None:
+        def run_task() -> None:
             failed = False
             try:
                 task()
@@ -102,7 +84,7 @@
                 failed = True
             reactor.callFromThread(on_done, failed)
 
-        reactor.callInThread(run)
+        reactor.callInThread(run_task)
 
     config = gateway.config
     capture = open_capture(os.environ, config.settings, config.name, gateway.deadlines.now, run_in_thread)
@@ -111,14 +93,12 @@
 
 
 def start_ledger_stages(gateway: Gateway, reactor: MonotonicReactor) -> Callable[[], None]:
-    """Only where the environment names a ledger: nothing of it is imported else. What comes back is called at
-    the end. Raises LedgerUnusableError or ConfigError, one line."""
+    """Start the stages that share state by way of a ledger, if the environment names one.
+
+    Their modules are imported only then. Returns what to call at the end. Raises ConfigError.
+    """
     if not os.environ.get("MEADOWPULLEY_LEDGER"):
-        for variable in sorted(os.environ):  # one that is set and empty is off
-            if variable.startswith(LEDGER_DEPENDENT_PREFIXES) and os.environ[variable]:
-                raise ConfigError(
-                    f"{variable}: rests on a ledger: set MEADOWPULLEY_LEDGER too, or leave it out"
-                )
+        _reject_ledger_variables()
         return lambda: None
     try:
         from meadowpulley import stage_pipeline
@@ -128,7 +108,14 @@
             " requirements-ledger.txt installed, or leave it out"
         ) from None
 
-    client = stage_pipeline.start_pipeline(gateway, os.environ, gateway.config.seed, reactor)
+    try:
+        client = stage_pipeline.start_pipeline(gateway, os.environ, gateway.config.seed, reactor)
+    except Exception as cause:
+        if (
+            type(cause).__name__ != "LedgerUnusableError"
+        ):  # whose module is imported only where a ledger is named
+            raise
+        raise ConfigError(str(cause)) from None
 
     def close() -> None:
         client.shut_down()
@@ -137,55 +124,29 @@
     return close
 
 
-def run() -> int:
-    early_signals: list[int] = []  # one that comes after the reading asks for another
-    signal.signal(signal.SIGHUP, lambda number, _: early_signals.append(number))
-    try:
-        config = read_config()
-    except ConfigError as cause:
-        print(f"meadowpulley: {cause}", file=sys.stderr)
-        return 2
-    reactor = MonotonicReactor()
-    main.installReactor(reactor)  # type: ignore[no-untyped-call]
-    log = open_log(gateway=config.name)
-    gateway = Gateway(config, reactor, log)
-    reactor.on_poll = gateway.deadlines.record_poll
-    # A signal between the last look for one and the wait for events would otherwise sleep as long as they do.
-    signal.set_wakeup_fd(reactor.waker.o, warn_on_full_buffer=False)
-    for number in HANDLED_SIGNALS:
-        signal.signal(number, gateway.on_signal)
-    for signal_number in early_signals:
-        gateway.on_signal(signal_number, None)
-    try:
-        start_capture(gateway, reactor)
-    except (OSError, ValueError) as cause:
-        print(f"meadowpulley: capture: {cause}", file=sys.stderr)
-        return 2
-    if os.environ.get("MEADOWPULLEY_SECONDS"):
-        from meadowpulley.net.interval_metrics import IntervalMetrics
+def _reject_ledger_variables() -> None:
+    """Raise ConfigError for a variable that needs a ledger; one that is set and empty is off."""
+    for variable in sorted(os.environ):
+        if variable.startswith(LEDGER_DEPENDENT_PREFIXES) and os.environ[variable]:
+            raise ConfigError(f"{variable}: needs a ledger: set MEADOWPULLEY_LEDGER too, or leave it out")
 
-        IntervalMetrics(gateway)
-    if traced_ids := os.environ.get("MEADOWPULLEY_STORY"):
-        from meadowpulley.net.request_tracing import RequestTracer
 
-        RequestTracer(gateway, traced_ids)
-    try:
-        close_ledger = start_ledger_stages(gateway, reactor)
-    except Exception as cause:  # LedgerUnusableError's module is imported only where the parts are on
-        if not isinstance(cause, ConfigError) and type(cause).__name__ != "LedgerUnusableError":
-            raise
-        print(f"meadowpulley: {cause}", file=sys.stderr)
-        return 2
+def prepare(gateway: Gateway, reactor: MonotonicReactor, close_ledger: Callable[[], None]) -> None:
+    """Start all of the gateway but its listening socket. Raises CannotListenError."""
     try:
-        reactor.reserve(*config.listen)  # before the first connection outwards, which might leave from it
+        # Before the first outgoing connection, which may be given the port.
+        reactor.reserve(*gateway.config.listen)
         gateway.prepare()
-    except error.CannotListenError as cause:
-        close_ledger()  # or the name stays taken for as long as a lease lasts
-        print(f"meadowpulley: {cause}", file=sys.stderr)
-        return 2
+    except error.CannotListenError:
+        close_ledger()  # else the gateway's name stays taken for as long as a lease lasts
+        raise
     gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
+
+
+def serve(gateway: Gateway, reactor: MonotonicReactor, close_ledger: Callable[[], None]) -> None:
+    """Listen, and return once the gateway has stopped. Raises CannotListenError."""
     listen_errors: list[error.CannotListenError] = []
 
     def listen() -> None:
@@ -195,20 +156,36 @@
             listen_errors.append(cause)
             reactor.stop()
 
-    # Once all that a start costs is over and the reactor has turned: clients may know the address, and what
-    # came while it still started was read a third of a second late, its deadline counted from then.
+    # In a turn of the reactor, after all that a start costs: clients may know the address already, and what
+    # came during the start was read a third of a second late, with its deadline counted from then.
     reactor.callLater(LISTEN_DELAY_S, listen)
     reactor.run(installSignalHandlers=False)
     close_ledger()
-    for number in HANDLED_SIGNALS:  # the interpreter's end would give them back their usual effect
+    for number in HANDLED_SIGNALS:  # the interpreter's end would restore their default effect
         signal.signal(number, signal.SIG_IGN)
     if listen_errors:
-        print(f"meadowpulley: {listen_errors[0]}", file=sys.stderr)
-        return 2
+        raise listen_errors[0]
+
+
+def run() -> int:
+    """Run one gateway until a signal ends it, and return the exit code."""
+    early_signals: list[int] = []  # those that come after the configuration was read ask for another reading
+    signal.signal(signal.SIGHUP, lambda number, _: early_signals.append(number))
+    try:
+        config = read_config()
+        gateway, reactor = create_gateway(config)
+        handle_signals(gateway, reactor, early_signals)
+        start_observers(gateway, reactor)
+        close_ledger = start_ledger_stages(gateway, reactor)
+        prepare(gateway, reactor, close_ledger)
+        serve(gateway, reactor, close_ledger)
+    except (ConfigError, error.CannotListenError) as cause:
+        print(f"meadowpulley: {cause}", file=sys.stderr)
+        return EXIT_UNUSABLE_CONFIG
     if gateway.capture is not None:
         gateway.capture.close()
     gateway.log_counters()
-    return 0
+    return EXIT_SUCCESS
 
 
 if __name__ == "__main__":
--- a/meadowpulley/cli/fleet_metrics.py
+++ b/meadowpulley/cli/fleet_metrics.py
@@ -28,11 +28,11 @@
     ("silent", ("up.timeout",)),
     ("no conn.", ("up.connect_failed", "up.reset")),
     ("opened", ("up.connections",)),
-    ("list calls", ("list.watches", "list.fetches")),
-    ("failed calls", ("list.failed",)),
-    ("entries", ("list.entries",)),
+    ("list calls", ("discovery.watches", "discovery.fetches")),
+    ("failed calls", ("discovery.failed_calls",)),
+    ("entries", ("discovery.entries",)),
     ("votes", ("platform.votes",)),
-    ("datagrams", ("peers.out",)),
+    ("datagrams", ("gossip.sent",)),
 )
 
 
--- a/meadowpulley/model_checking/connection_mutants.py
+++ b/meadowpulley/model_checking/connection_mutants.py
@@ -299,7 +299,7 @@
             "kind = EndpointUpdateKind.FULL if is_snapshot else EndpointUpdateKind.INCREMENTAL",
             "kind = EndpointUpdateKind.INCREMENTAL",
         ),
-        ("if is_snapshot or kind is EndpointUpdateKind.CACHED:", "if kind is EndpointUpdateKind.CACHED:"),
+        ("if endpoint_list.is_snapshot or is_cached:", "if is_cached:"),
         servers=1,
     ),
 )
--- a/meadowpulley/model_checking/fuzz/control_plane.py
+++ b/meadowpulley/model_checking/fuzz/control_plane.py
@@ -21,7 +21,8 @@
 from meadowpulley.net import protocol
 from meadowpulley.net.counters import Counters
 from meadowpulley.net.endpoint_list import DiscoveryError, EndpointListDecoder
-from meadowpulley.net.rollout_client import PlatformConnection, RolloutClient
+from meadowpulley.net.platform_connection import PlatformConnection
+from meadowpulley.net.rollout_client import RolloutClient
 
 _entry = objects_with(
     **{
--- /dev/null
+++ b/meadowpulley/net/discovery_call.py
@@ -0,0 +1,143 @@
+"""One call to discovery: from the connection, opened if need be, to decoded JSON, within one time-out."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from meadowpulley.interface import EndpointUpdateKind
+from meadowpulley.net.connection import connect
+from meadowpulley.net.deadlines import Deadline
+from meadowpulley.net.discovery_connection import (
+    PARTIAL_RESPONSE_TIMEOUT_MS,
+    DiscoveryConnection,
+    IdleConnectionSlot,
+)
+from meadowpulley.net.gateway_context import GatewayContext
+from meadowpulley.net.http1 import Message
+
+STATUS_OK = 200
+
+
+class DiscoveryCallOwner(Protocol):
+    """What a call needs of the client that makes it."""
+
+    @property
+    def gateway(self) -> GatewayContext: ...
+
+    @property
+    def idle_connection(self) -> IdleConnectionSlot: ...
+
+    @property
+    def lists_applied(self) -> int:
+        """How many lists have been applied so far."""
+
+
+class DiscoveryCall:
+    """Asks discovery once and calls back exactly once, unless it is cancelled.
+
+    `on_success` gets the decoded JSON and how many lists had been applied when the request was written;
+    `on_failure` gets a reason and whether the call failed or timed out.
+    """
+
+    def __init__(
+        self,
+        client: DiscoveryCallOwner,
+        target: str,
+        timeout_ms: float,
+        on_success: Callable[[Any, int], None],
+        on_failure: Callable[[str, EndpointUpdateKind], None],
+    ) -> None:
+        self._client, self._gateway, self._target = client, client.gateway, target
+        self._on_success, self._on_failure = on_success, on_failure
+        self._completed = False
+        self._lists_applied_at_send = 0
+        self._connection: DiscoveryConnection | None = None
+        self._connecting: Deferred[Any] | None = None
+        self._timeout: Deadline = self._gateway.deadlines.after(timeout_ms, self._timed_out)
+
+    def start(self) -> None:
+        """Send the request, on a new connection if there is no idle one.
+
+        To be called once the owner has stored the call, which may fail before this returns.
+        """
+        idle_connection = self._client.idle_connection.take()
+        if idle_connection is not None:
+            self._send_request(idle_connection)
+            return
+        address = self._gateway.config.discovery
+        connecting = connect(
+            self._gateway.reactor, address, lambda: DiscoveryConnection(self._gateway.deadlines)
+        )
+        self._connecting = connecting
+        connecting.addCallbacks(self._send_request, self._connection_failed).addErrback(self._log_fault)
+
+    def cancel(self) -> None:
+        """End the call without calling back."""
+        self._complete()
+        connecting, self._connecting = self._connecting, None
+        connection, self._connection = self._connection, None
+        if connecting is not None:
+            connecting.cancel()
+        if connection is not None:
+            connection.abort()
+
+    def _send_request(self, connection: DiscoveryConnection) -> None:
+        self._connecting = None
+        if self._completed:
+            connection.abort()
+            return
+        self._connection, self._lists_applied_at_send = connection, self._client.lists_applied
+        response = connection.request(self._target)
+        response.addCallbacks(self._handle_response, self._connection_failed).addErrback(self._log_fault)
+
+    def _handle_response(self, message: Message) -> None:
+        if self._completed:
+            return
+        connection, self._connection = self._connection, None
+        if message.status != STATUS_OK:
+            self._fail(f"status {message.status}", connection)
+            return
+        try:
+            raw = json.loads(message.body)
+        except (ValueError, RecursionError):
+            self._fail("no JSON", connection)
+            return
+        self._complete()
+        if connection is not None and connection.is_open:
+            self._client.idle_connection.put(connection)
+        self._on_success(raw, self._lists_applied_at_send)
+
+    def _connection_failed(self, failure: Failure) -> None:
+        self._connecting = None
+        if not self._completed:
+            self._fail(failure.getErrorMessage(), None)
+
+    def _timed_out(self) -> None:
+        connection = self._connection
+        if connection is not None and connection.has_unread_input():  # this gateway is late, not the response
+            self._timeout = self._gateway.deadlines.after(PARTIAL_RESPONSE_TIMEOUT_MS, self._timed_out)
+            return
+        self._fail("no response in time", connection, EndpointUpdateKind.TIMED_OUT)
+
+    def _complete(self) -> None:
+        self._completed = True
+        self._gateway.deadlines.cancel(self._timeout)
+
+    def _fail(
+        self,
+        reason: str,
+        connection: DiscoveryConnection | None,
+        kind: EndpointUpdateKind = EndpointUpdateKind.FAILED,
+    ) -> None:
+        self.cancel()
+        if connection is not None:
+            connection.abort()
+        self._on_failure(reason, kind)
+
+    def _log_fault(self, _: Failure) -> None:
+        self._gateway.log_fault("discovery")
--- a/meadowpulley/net/gossip.py
+++ b/meadowpulley/net/gossip.py
@@ -1,4 +1,4 @@
-"""Datagrams between gateways, where the settings allow them."""
+"""Gossip between gateways: one datagram a digest, where the settings allow it."""
 
 from __future__ import annotations
 
@@ -8,18 +8,22 @@
 
 from meadowpulley.digests import MAX_BYTES
 from meadowpulley.interface import GossipReceived, SendGossip
+from meadowpulley.net.config import Address
 from meadowpulley.net.gateway_context import GatewayContext
 
 
 class GossipTransport(DatagramProtocol):
+    """Sends digests to other gateways, and dispatches those that come from a gateway of the tier."""
+
     noisy = False
 
     def __init__(self, gateway: GatewayContext) -> None:
         self.gateway = gateway
-        self.gateway_ids = {address: n for n, address in enumerate(gateway.config.peers)}
+        self.gateway_ids = {address: index for index, address in enumerate(gateway.config.peers)}
         self.port: Any = None
 
     def start(self) -> None:
+        """Listen for datagrams, if the configuration names an address and the settings allow gossip."""
         address = self.gateway.config.peer_listen
         if address is not None and self.gateway.config.settings.limits.gossip:
             host, port = address
@@ -28,30 +32,35 @@
             )
 
     def stop(self) -> None:
+        """Stop to listen."""
         port, self.port = self.port, None
         if port is not None:
             port.stopListening()
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802 (Twisted's name)
+        """Dispatch a datagram; one that is too long or from an unknown sender is rejected."""
         self.gateway.deadlines.run_due()
         sender = self.gateway_ids.get((addr[0], addr[1]))
         if sender is None or len(datagram) > MAX_BYTES:
-            self.gateway.counters.add("peers.stray")
+            self.gateway.counters.add("gossip.rejected")
             return
-        self.gateway.counters.add("peers.in")
+        self.gateway.counters.add("gossip.received")
         self.gateway.dispatch(GossipReceived(sender, datagram))
 
     def send(self, action: SendGossip) -> None:
-        config = self.gateway.config
-        if action.peer is None:
-            address = config.peers_all
-        else:
-            address = config.peers[action.peer] if 0 <= action.peer < len(config.peers) else None
+        """Send a digest to one gateway or to all; a datagram may get lost, which is counted and no error."""
+        address = self._address_of(action.peer)
         if self.port is None or address is None or len(action.data) > MAX_BYTES:
-            self.gateway.counters.add("peers.not_sent")
+            self.gateway.counters.add("gossip.not_sent")
             return
         try:
             self.port.write(action.data, address)
-            self.gateway.counters.add("peers.out")
-        except OSError:  # a datagram may get lost
-            self.gateway.counters.add("peers.not_sent")
+            self.gateway.counters.add("gossip.sent")
+        except OSError:
+            self.gateway.counters.add("gossip.not_sent")
+
+    def _address_of(self, peer: int | None) -> Address | None:
+        config = self.gateway.config
+        if peer is None:
+            return config.peers_all
+        return config.peers[peer] if 0 <= peer < len(config.peers) else None
--- /dev/null
+++ b/meadowpulley/net/platform_messages.py
@@ -0,0 +1,162 @@
+"""Parsing of the platform's JSON-RPC messages into events of the policy.
+
+No I/O here. Every function raises `MalformedMessageError` for a message that cannot be read.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any, TypeAlias
+
+from meadowpulley.interface import (
+    BuildStatistics,
+    IncorrectResponse,
+    RequestClass,
+    Result,
+    RolloutUpdate,
+    Vote,
+)
+from meadowpulley.net import protocol
+
+JSONRPC_VERSION = "2.0"
+MAX_QUOTED = 40  # characters of a foreign word that an error message quotes
+FIELD_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    OverflowError,
+)  # of a field that is missing or of a wrong type
+
+JsonObject: TypeAlias = dict[str, Any]
+Notification: TypeAlias = RolloutUpdate | BuildStatistics | IncorrectResponse
+
+
+class MalformedMessageError(ValueError):
+    """A message of the platform cannot be read; the text says in one line what is wrong with it."""
+
+
+@dataclass(frozen=True, slots=True)
+class VoteResponse:
+    """The platform's response to a vote: whether it counts, and the rollout state if it does."""
+
+    result: Result
+    update: RolloutUpdate | None = None
+
+
+def encode_call(number: int, method: str, params: JsonObject | None) -> bytes:
+    """Return a JSON-RPC call as one line."""
+    message: JsonObject = {"jsonrpc": JSONRPC_VERSION, "id": number, "method": method}
+    if params is not None:
+        message["params"] = params
+    return json.dumps(message, separators=(",", ":")).encode() + b"\n"
+
+
+def vote_params(vote: Vote) -> JsonObject:
+    """Return the parameters of the call that casts a vote."""
+    return {
+        protocol.MESSAGE_BUILD: vote.build,
+        protocol.ROLLOUT_STAGE: vote.stage,
+        protocol.VOTE_VERDICT: protocol.VOTE_VERDICTS[vote.verdict],
+    }
+
+
+def decode_line(line: bytes) -> JsonObject:
+    """Decode one line; it has to hold a JSON object."""
+    try:
+        message = json.loads(line)
+    except (ValueError, RecursionError):
+        raise MalformedMessageError("a line is no JSON object") from None
+    if not isinstance(message, dict):
+        raise MalformedMessageError("a line is no JSON object")
+    return message
+
+
+def parse_rollout_update(raw: Any, is_vote_reply: bool = False) -> RolloutUpdate:
+    """Parse the state of the newest build: of a notification, a vote's result or the configuration."""
+    try:
+        cap, age_ms = float(raw[protocol.ROLLOUT_CAP]), float(raw[protocol.MESSAGE_AGE])
+        build, stage = int(raw[protocol.MESSAGE_BUILD]), int(raw[protocol.ROLLOUT_STAGE])
+        if not (0.0 <= cap <= 1.0 and math.isfinite(age_ms) and stage >= 0):
+            raise ValueError("a number is out of range")
+        phase = protocol.ROLLOUT_PHASES[raw[protocol.ROLLOUT_PHASE]]
+    except FIELD_ERRORS as error:
+        raise _malformed("rollout update", error) from None
+    return RolloutUpdate(build, stage, phase, cap, max(age_ms, 0.0), Result.OK, is_vote_reply)
+
+
+def parse_vote_response(message: JsonObject) -> VoteResponse:
+    """Parse the response to a vote: an error that the protocol names, or the rollout state."""
+    error = message.get("error")
+    if isinstance(error, dict) and str(error.get("message")) in protocol.VOTE_ERRORS:
+        return VoteResponse(protocol.VOTE_ERRORS[str(error["message"])])
+    return VoteResponse(Result.OK, parse_rollout_update(message.get("result"), is_vote_reply=True))
+
+
+def check_follow_response(message: JsonObject) -> None:
+    """Check that the platform accepted the call that subscribes to notifications."""
+    if message.get("result") is not True:
+        raise MalformedMessageError("the platform did not accept the follow call")
+
+
+class NotificationParser:
+    """Parses notifications into events of the policy.
+
+    `server_id_of` maps an instance's name to the number that the policy knows it by, or None.
+    """
+
+    def __init__(self, classes: Sequence[RequestClass], server_id_of: Callable[[str], int | None]) -> None:
+        self._class_indexes = {request_class.name: index for index, request_class in enumerate(classes)}
+        self._server_id_of = server_id_of
+
+    def parse(self, message: JsonObject) -> Notification | None:
+        """Parse one notification; None for a heartbeat, or one about an instance that is not known here."""
+        method, params = message.get("method"), message.get("params")
+        if method == protocol.ROLLOUT_NOTIFICATION:
+            return parse_rollout_update(params)
+        if method == protocol.STATISTICS_NOTIFICATION:
+            return self._parse_statistics(params)
+        if method == protocol.INCORRECT_RESPONSE_NOTIFICATION:
+            return self._parse_incorrect_response(params)
+        if method == protocol.HEARTBEAT_NOTIFICATION:
+            return None
+        raise MalformedMessageError(f"unknown notification {str(method)[:MAX_QUOTED]!r}")
+
+    def _parse_class(self, raw: Any) -> int:
+        """Return a class's index; the platform names it by its name or its index."""
+        if isinstance(raw, str) and raw in self._class_indexes:
+            return self._class_indexes[raw]
+        if isinstance(raw, int) and 0 <= raw < len(self._class_indexes):
+            return raw
+        raise MalformedMessageError(f"unknown class {str(raw)[:MAX_QUOTED]!r}")
+
+    def _parse_statistics(self, raw: Any) -> BuildStatistics:
+        try:
+            attempts, failed = int(raw[protocol.STATISTICS_ATTEMPTS]), int(raw[protocol.STATISTICS_FAILURES])
+            mean_ms, age_ms = float(raw[protocol.STATISTICS_MEAN_MS]), float(raw[protocol.MESSAGE_AGE])
+            if not (0 <= failed <= attempts and math.isfinite(mean_ms) and math.isfinite(age_ms)):
+                raise ValueError("a number is out of range")
+            build, class_index = (
+                int(raw[protocol.MESSAGE_BUILD]),
+                self._parse_class(raw[protocol.REQUEST_CLASS]),
+            )
+        except FIELD_ERRORS as error:
+            raise _malformed("build statistics", error) from None
+        return BuildStatistics(build, class_index, attempts, failed, mean_ms, age_ms)
+
+    def _parse_incorrect_response(self, raw: Any) -> IncorrectResponse | None:
+        try:
+            server = self._server_id_of(str(raw[protocol.INCORRECT_RESPONSE_SERVER]))
+            class_index, age_ms = (
+                self._parse_class(raw[protocol.REQUEST_CLASS]),
+                float(raw[protocol.MESSAGE_AGE]),
+            )
+        except FIELD_ERRORS as error:
+            raise _malformed("incorrect response", error) from None
+        return None if server is None else IncorrectResponse(server, class_index, age_ms)
+
+
+def _malformed(message: str, error: Exception) -> MalformedMessageError:
+    return MalformedMessageError(f"{message}: {type(error).__name__}: {error}")
--- a/meadowpulley/net/protocol.py
+++ b/meadowpulley/net/protocol.py
@@ -1,19 +1,19 @@
-"""Every name of the protocol in one place: variables, headers, paths, fields and words.
+"""Every name of the wire protocol in one place: variables, headers, paths, fields and words.
 
-Another protocol can be put in front of the gateway by another page like this one.
+A gateway for another protocol needs another module like this one.
 """
 
 from __future__ import annotations
 
 from meadowpulley.interface import Phase, Result, ServerState, Verdict
 
-# What the gateway is told at its start.
+# The gateway's environment.
 ENV_NAME = "PROXY_NAME"
 ENV_LISTEN = "PROXY_LISTEN"
 ENV_DISCOVERY = "PROXY_DISCOVERY"
 ENV_CONFIG = "PROXY_CONFIG"
 
-# Headers, in lower case as the parser keeps them, and as they are written.
+# Headers, in lower case, as the parser keeps them and as they are written; the Host that instances expect.
 REQUEST_ID_HEADER = "x-txn"
 ENTITY_KEY_HEADER = "x-entity"
 TENANT_HEADER = "x-org"
@@ -24,55 +24,50 @@
 REJECTED_HEADER = "x-turned-away"
 SERVICE_HOST = "app.svc"
 
-# Paths.
+# Paths, and the query parameters of the endpoint list.
 READINESS_PATH = "/health/ready"
 LIVENESS_PATH = "/health/live"
 ENDPOINTS_PATH = "/registry/instances"
-AFTER_PARAMETER, WAIT_PARAMETER = "after", "wait_ms"
+AFTER_PARAMETER = "after"
+WAIT_PARAMETER = "wait_ms"
 
-# A list of instances.
-LIST_VERSION, LIST_IS_SNAPSHOT, LIST_ENDPOINTS = "index", "snapshot", "endpoints"
-ENDPOINT_NAME, ENDPOINT_ADDRESS, ENDPOINT_ZONE, ENDPOINT_KIND, ENDPOINT_CELL = (
-    "name",
-    "address",
-    "zone",
-    "type",
-    "group",
-)
-ENDPOINT_STATE, ENDPOINT_WEIGHT, ENDPOINT_STARTED, ENDPOINT_BUILD = (
-    "status",
-    "weight",
-    "since_ms",
-    "revision_no",
-)
+# The endpoint list: its fields, and those of an endpoint.
+LIST_VERSION = "index"
+LIST_IS_SNAPSHOT = "snapshot"
+LIST_ENDPOINTS = "endpoints"
+ENDPOINT_NAME = "name"
+ENDPOINT_ADDRESS = "address"
+ENDPOINT_ZONE = "zone"
+ENDPOINT_KIND = "type"
+ENDPOINT_CELL = "group"
+ENDPOINT_STATE = "status"
+ENDPOINT_WEIGHT = "weight"
+ENDPOINT_STARTED = "since_ms"
+ENDPOINT_BUILD = "revision_no"
 ENDPOINT_STATES = {
     "in_service": ServerState.READY,
     "terminating": ServerState.DRAINING,
     "terminated": ServerState.REMOVED,
 }
 
-# The platform.
-FOLLOW_METHOD, VOTE_METHOD = "follow", "castBallot"
-ROLLOUT_NOTIFICATION, STATISTICS_NOTIFICATION, INCORRECT_RESPONSE_NOTIFICATION, HEARTBEAT_NOTIFICATION = (
-    "ROLLOUT",
-    "SAMPLE",
-    "DISPUTE",
-    "ping",
-)
-MESSAGE_BUILD, ROLLOUT_STAGE, ROLLOUT_PHASE, ROLLOUT_CAP, MESSAGE_AGE = (
-    "release",
-    "tranche",
-    "mode",
-    "exposure",
-    "old_ms",
-)
-VOTE_VERDICT, REQUEST_CLASS = "ruling", "product"
-STATISTICS_ATTEMPTS, STATISTICS_FAILURES, STATISTICS_MEAN_MS, INCORRECT_RESPONSE_SERVER = (
-    "seen",
-    "broken",
-    "took_ms",
-    "unit",
-)
+# The platform: methods, notifications and their fields.
+FOLLOW_METHOD = "follow"
+VOTE_METHOD = "castBallot"
+ROLLOUT_NOTIFICATION = "ROLLOUT"
+STATISTICS_NOTIFICATION = "SAMPLE"
+INCORRECT_RESPONSE_NOTIFICATION = "DISPUTE"
+HEARTBEAT_NOTIFICATION = "ping"
+MESSAGE_BUILD = "release"
+ROLLOUT_STAGE = "tranche"
+ROLLOUT_PHASE = "mode"
+ROLLOUT_CAP = "exposure"
+MESSAGE_AGE = "old_ms"
+VOTE_VERDICT = "ruling"
+REQUEST_CLASS = "product"
+STATISTICS_ATTEMPTS = "seen"
+STATISTICS_FAILURES = "broken"
+STATISTICS_MEAN_MS = "took_ms"
+INCORRECT_RESPONSE_SERVER = "unit"
 ROLLOUT_PHASES = {
     "canary": Phase.TRIAL,
     "reverting": Phase.ROLLING_BACK,
--- a/tests/net_program/test_control_plane.py
+++ b/tests/net_program/test_control_plane.py
@@ -56,7 +56,7 @@
     discovery.malformed_response = malformed
     connections_before = discovery.connections
     discovery.update([endpoint("s-2", new.address)])
-    gateway.wait_for("discovery call failed")
+    gateway.wait_for("discovery_call_failed")
     assert discovery.polled_versions.get(timeout=TIMEOUT_S) == 5  # what was spoilt is asked for again
     request_until_served(gateway.client(), new)
     assert discovery.connections == connections_before + 1
@@ -173,7 +173,7 @@
         stranger.sendto(b"x" * 300, ("127.0.0.1", gateway.peer_port))
         gateway.client().request("GET", "/health/ready")
         os.kill(gateway.process.pid, signal.SIGUSR1)
-        assert gateway.wait_for("counters")["peers.stray"] == 1
+        assert gateway.wait_for("counters")["gossip.rejected"] == 1
 
 
 DOUBTFUL_SETTINGS: list[
@@ -245,4 +245,4 @@
         os.kill(gateway.process.pid, signal.SIGUSR1)
         counters = gateway.wait_for("counters")
     # Again, cut, of another version, older; and one too long to be a digest at all.
-    assert (counters["peers.dropped"], counters["peers.stray"]) == (4, 1)
+    assert (counters["peers.dropped"], counters["gossip.rejected"]) == (4, 1)
--- a/tests/net_program/test_list_races.py
+++ b/tests/net_program/test_list_races.py
@@ -29,7 +29,7 @@
     gateway.process.send_signal(signal.SIGCONT)
     request_until_served(gateway.client(), new)
     os.kill(gateway.process.pid, signal.SIGUSR1)
-    assert "list.failed" not in gateway.wait_for("counters")
+    assert "discovery.failed_calls" not in gateway.wait_for("counters")
     assert discovery.connections == 1
 
 
@@ -38,7 +38,7 @@
     old, new = FakeInstance(), FakeInstance()
     gateway = start([endpoint("s-1", old.address)], settings=SETTINGS | {"discovery": "automatic"})
     for _ in range(2):  # nobody listens: tried again at once, and then after 0.5 s at the soonest
-        gateway.wait_for("discovery call failed")
+        gateway.wait_for("discovery_call_failed")
     discovery = FakeDiscovery([endpoint("s-1", old.address)])
     gateway.reload(discovery=discovery.address)
     while discovery.polled_versions.get(timeout=TIMEOUT_S) < 5:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -14,7 +14,6 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
-from meadowpulley.__main__ import MonotonicReactor
 from meadowpulley.interface import ClientDisconnected, Outcome, Request, Result, Send
 from meadowpulley.model_checking.connection_model.configurations import INSTANCES
 from meadowpulley.net.client_connection import (
@@ -29,6 +28,7 @@
 from meadowpulley.net.config import Config
 from meadowpulley.net.deadlines import now_ms
 from meadowpulley.net.gateway import DRAIN_ACCEPT_MS, Gateway
+from meadowpulley.net.reactor import MonotonicReactor
 from meadowpulley.settings import read_settings
 from tests.standins import SETTINGS, Client, free_port
 from tests.test_net_extension import GatewayBench
--- a/tests/test_fleet_log.py
+++ b/tests/test_fleet_log.py
@@ -20,7 +20,7 @@
 def log_line(gateway: str, timestamp_s: float, list_calls: int, **overrides: Any) -> str:
     news = [42, 1, "trial", 0.5]
     policy_fields = {"servers": {"41.ready": 3}, "out": 2, "resting": 1, "news": news, **overrides}
-    counts = {"list.watches": list_calls, "in.requests": 5}
+    counts = {"discovery.watches": list_calls, "in.requests": 5}
     timestamp = datetime.fromtimestamp(timestamp_s, UTC).isoformat()
     event = {
         "event": "second",
@@ -47,7 +47,7 @@
     ]
     seconds, unreadable = aggregate_intervals(lines)
     assert list(seconds) == [100, 101]
-    assert seconds[100].gateways == 2 and seconds[100].counters["list.watches"] == 3
+    assert seconds[100].gateways == 2 and seconds[100].counters["discovery.watches"] == 3
     assert seconds[100].servers == {"41.ready": 6} and seconds[100].outstanding_requests == 4
     assert seconds[100].rollouts == {"42 stage 1 trial": 2} and seconds[101].rollouts == {"none": 1}
     assert seconds[101].decisions == ["1970-01-01T00:01:41Z n1: back 42"]
--- a/tests/test_rollout_client.py
+++ b/tests/test_rollout_client.py
@@ -9,7 +9,8 @@
 import pytest
 
 from meadowpulley.interface import Result, Verdict, Vote
-from meadowpulley.net.rollout_client import HEARTBEAT_TIMEOUT_MS, RolloutClient
+from meadowpulley.net.platform_connection import HEARTBEAT_TIMEOUT_MS
+from meadowpulley.net.rollout_client import RolloutClient
 from tests.driver import ROLLOUT
 from tests.standins import TRIAL
 from tests.test_discovery import ManualDiscoveryHarness
