--- a/meadowpulley/ledger/config.py
+++ b/meadowpulley/ledger/config.py
@@ -1,6 +1,6 @@
-"""What a gateway is told of its ledger at its start: variables of the environment, checked in full.
+"""The settings of the ledger at a gateway: environment variables, checked in full at the start.
 
-`deploy/ledger.env` documents them. Nothing here is read unless `MEADOWPULLEY_LEDGER` names a folder.
+`deploy/ledger.env` documents them. Nothing is read here unless `MEADOWPULLEY_LEDGER` names a folder.
 """
 
 from __future__ import annotations
@@ -8,37 +8,61 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from meadowpulley.ledger.failpoints import (
-    FAILPOINTS_VARIABLE as ENV_FAILPOINTS,
-    FailpointHook,
-    parse_failpoints,
-)
+from meadowpulley.ledger.failpoints import FAILPOINTS_VARIABLE, FailpointHook, parse_failpoints
 from meadowpulley.ledger.lease_manager import LeaseTimings
 from meadowpulley.ledger.model import LedgerUnusableError
 
 LEDGER_VARIABLE = "MEADOWPULLEY_LEDGER"
+DEFAULT_TERM_MS = 2000.0
+DEFAULT_POLL_INTERVAL_MS = 50.0
+DEFAULT_TIMEOUT_MS = 400.0
+DEFAULT_MAX_LOG_MB = 32.0
 MIN_POLL_INTERVAL_MS = 5.0
+BYTES_PER_MB = 1 << 20
 
 
 @dataclass(frozen=True, slots=True)
 class LedgerSettings:
-    """`wait_ms`: what a look or a group of commits may take before the ledger counts as lost."""
+    """The checked settings of one gateway."""
 
     folder: str
     timings: LeaseTimings
     poll_interval_ms: float
-    timeout_ms: float
-    sync: bool
+    timeout_ms: float  # of a poll or a batch of commits; after it the ledger counts as unavailable
+    sync: bool  # whether acknowledged transactions outlive a crash of the machine
     installation: str
     max_log_bytes: int
     failpoint: FailpointHook
 
     @property
     def commit_timeout_ms(self) -> float:
-        """By when every commit is answered: one may wait for another's whole wait, and then its own."""
+        """By when every commit is answered: it may wait for another job's time-out and then for its own."""
         return 2.0 * self.timeout_ms + self.poll_interval_ms
 
 
+def read_settings(environ: Mapping[str, str]) -> LedgerSettings | None:
+    """Return the settings, or None if no ledger is configured.
+
+    Raises `LedgerUnusableError` with one line that says what is wrong, where, and what to do.
+    """
+    folder = environ.get(LEDGER_VARIABLE, "")
+    if not folder:
+        return None
+    max_log_mb = _read_number(environ, "MB", DEFAULT_MAX_LOG_MB, minimum=1.0)
+    settings = LedgerSettings(
+        folder=folder,
+        timings=LeaseTimings(term_ms=_read_number(environ, "TERM_MS", DEFAULT_TERM_MS, minimum=1.0)),
+        poll_interval_ms=_read_number(environ, "POLL_MS", DEFAULT_POLL_INTERVAL_MS, MIN_POLL_INTERVAL_MS),
+        timeout_ms=_read_number(environ, "WAIT_MS", DEFAULT_TIMEOUT_MS, minimum=1.0),
+        sync=_read_sync(environ),
+        installation=environ.get(f"{LEDGER_VARIABLE}_INSTALLATION", ""),
+        max_log_bytes=int(max_log_mb * BYTES_PER_MB),
+        failpoint=_read_failpoints(environ),
+    )
+    _check_term(settings)
+    return settings
+
+
 def _read_number(environ: Mapping[str, str], name: str, default: float, minimum: float) -> float:
     text = environ.get(f"{LEDGER_VARIABLE}_{name}", "") or str(default)
     try:
@@ -52,30 +76,24 @@
     return value
 
 
-def read_settings(environ: Mapping[str, str]) -> LedgerSettings | None:
-    """None where no ledger is wanted. Raises `RefusedError`: one line that says what, where, what to do."""
-    folder = environ.get(LEDGER_VARIABLE, "")
-    if not folder:
-        return None
-    sync = environ.get(f"{LEDGER_VARIABLE}_SYNC", "") or "0"
-    if sync not in ("0", "1"):
+def _read_sync(environ: Mapping[str, str]) -> bool:
+    text = environ.get(f"{LEDGER_VARIABLE}_SYNC", "") or "0"
+    if text not in ("0", "1"):
         raise LedgerUnusableError(
-            f"{LEDGER_VARIABLE}_SYNC: '{sync}' is neither 0 nor 1: set it, or leave it out"
+            f"{LEDGER_VARIABLE}_SYNC: '{text}' is neither 0 nor 1: set it, or leave it out"
         )
+    return text == "1"
+
+
+def _read_failpoints(environ: Mapping[str, str]) -> FailpointHook:
     try:
-        failpoint = parse_failpoints(environ.get(ENV_FAILPOINTS, ""))
+        return parse_failpoints(environ.get(FAILPOINTS_VARIABLE, ""))
     except ValueError as error:
         raise LedgerUnusableError(str(error)) from None
-    settings = LedgerSettings(
-        folder=folder,
-        timings=LeaseTimings(term_ms=_read_number(environ, "TERM_MS", 2000.0, 1.0)),
-        poll_interval_ms=_read_number(environ, "POLL_MS", 50.0, MIN_POLL_INTERVAL_MS),
-        timeout_ms=_read_number(environ, "WAIT_MS", 400.0, 1.0),
-        sync=sync == "1",
-        installation=environ.get(f"{LEDGER_VARIABLE}_INSTALLATION", ""),
-        max_log_bytes=int(_read_number(environ, "MB", 32.0, 1.0) * (1 << 20)),
-        failpoint=failpoint,
-    )
+
+
+def _check_term(settings: LedgerSettings) -> None:
+    """Check that a renewal which takes as long as it may is answered while the lease still holds."""
     timings = settings.timings
     slack_fraction = timings.hold_fraction - timings.renewal_fraction
     if settings.commit_timeout_ms > slack_fraction * timings.term_ms:
@@ -84,4 +102,3 @@
             f"{LEDGER_VARIABLE}_TERM_MS: {timings.term_ms:g} is too short for renewals that may take"
             f" {settings.commit_timeout_ms:g} ({LEDGER_VARIABLE}_WAIT_MS, _POLL_MS): at least {min_term_ms:g}"
         )
-    return settings
--- a/meadowpulley/ledger/disk.py
+++ b/meadowpulley/ledger/disk.py
@@ -1,10 +1,10 @@
-"""A ledger on a lasting disk, for the processes of one machine: a process stopped or killed anywhere holds
-nothing that another waits for.
+"""A ledger on a local disk, for the processes of one machine.
 
-Records, lives and seals stand in a log that all append to (`log.py`); renewals, which are many, beside it
-as names (`leases.py`). A life is sealed in two moves: its lease can't be renewed any more, then the log
-says so; whoever dies in between has its second move made by the next. Needs a local file system; not for
-use over a network.
+A process that is stopped or killed anywhere holds nothing that another one waits for. Records, registrations
+and fences are entries of a log that all processes append to (`shared_log.py`); renewals, which are many, are
+names of files beside it (`lease_files.py`). An incarnation is fenced in two moves: first its lease can't be
+renewed any more, then the log says so; if a process ends between the two, the next one makes the second. Not
+for use on a network file system.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 
 from meadowpulley.ledger.failpoints import FailpointHook, no_failpoint
 from meadowpulley.ledger.lease_files import LeaseFiles
-from meadowpulley.ledger.log_entries import CommitEntry, RegisterEntry
+from meadowpulley.ledger.log_entries import RENEWED_SINCE
 from meadowpulley.ledger.model import (
     Changes,
     Fence,
@@ -31,18 +31,20 @@
     TransactionOutcome,
     TransactionResult,
 )
-from meadowpulley.ledger.shared_log import SharedLog, read_boot_id
+from meadowpulley.ledger.shared_log import LogSettings, SharedLog, read_boot_id
 
 DEFAULT_MAX_LOG_BYTES = 32 << 20
 VALID_NAME = re.compile(r"[A-Za-z0-9_-][A-Za-z0-9._-]{0,63}")
 
 
 class DiskStore:
-    """`Store` in a folder. Used by one thread at a time. `sync`: what is answered outlives the machine;
-    without it what is answered outlives every process, and the death of the machine sets the ledger back to
-    its lives.
+    """`Store` in a folder, used by one thread at a time.
 
-    Raises `RefusedError` where the folder can't be used.
+    With `sync`, acknowledged transactions outlive a crash of the machine. Without it they outlive every
+    process, and a crash of the machine resets the ledger to its incarnations. `installation` names the one
+    that the folder must belong to (empty: any), `machine_boot_id` the machine's present run (empty: read it).
+
+    Raises `LedgerUnusableError` if the folder can't be used.
     """
 
     def __init__(
@@ -63,15 +65,8 @@
             ) from None
         try:
             with self._os_errors_translated():
-                self._log = SharedLog(
-                    self._folder_fd,
-                    path,
-                    installation,
-                    sync,
-                    max_log_bytes,
-                    machine_boot_id or read_boot_id(),
-                    failpoint,
-                )
+                settings = LogSettings(installation, sync, max_log_bytes, machine_boot_id or read_boot_id())
+                self._log = SharedLog(self._folder_fd, path, settings, failpoint)
                 self._lease_files = LeaseFiles(self._folder_fd, failpoint)
                 self._lease_files.remove_stale(self._log.state.members_by_name)
         except LedgerError as error:
@@ -80,14 +75,17 @@
 
     @property
     def installation(self) -> str:
+        """Name of the installation that the ledger belongs to."""
         return self._log.header.installation
 
     def take_warnings(self) -> list[str]:
+        """Return lines that the operator should read, each of them once."""
         warnings, self._log.torn_frame_warnings = self._log.torn_frame_warnings, []
         return warnings
 
     @contextmanager
     def _os_errors_translated(self) -> Iterator[None]:
+        """Raise an error of the operating system as `LedgerError`."""
         try:
             yield
         except OSError as error:
@@ -95,19 +93,23 @@
 
     @contextmanager
     def _caught_up(self) -> Iterator[None]:
-        """With all that others wrote known; what fails is told in a line."""
+        """Apply what other processes have written, then run the block, with its errors translated."""
         with self._os_errors_translated():
             self._failpoint("call")
-            path_status, folder_status = os.stat(self._path), os.fstat(self._folder_fd)
-            if (path_status.st_dev, path_status.st_ino) != (folder_status.st_dev, folder_status.st_ino):
-                raise LedgerError(f"ledger: {self._path} is another folder now: put it back, or start again")
+            self._check_folder()
             previous_file = self._log.file_name
             self._log.catch_up()
             if self._log.file_name != previous_file:
                 self._lease_files.remove_stale(self._log.state.members_by_name)
             yield
 
+    def _check_folder(self) -> None:
+        path_status, folder_status = os.stat(self._path), os.fstat(self._folder_fd)
+        if not os.path.samestat(path_status, folder_status):
+            raise LedgerError(f"ledger: {self._path} is another folder now: put it back, or start again")
+
     def register(self, name: str, term_ms: float) -> Incarnation:
+        """Register a new incarnation; see `Store.register`."""
         if not VALID_NAME.fullmatch(name):
             raise LedgerUnusableError(
                 f"ledger: the name '{name}' is none of letters, digits, '.', '_' and '-'"
@@ -115,23 +117,25 @@
         with self._caught_up():
             previous = self._log.state.members_by_name.get(name)
             incarnation = Incarnation(name, previous.incarnation.epoch + 1 if previous is not None else 1)
-            is_free = (
-                previous is None
-                or previous.fenced
-                or self._lease_files.has_process_ended(previous.incarnation)
-            )
-            if not is_free or not self._lease_files.acquire(incarnation):
+            if not self._is_free(previous) or not self._lease_files.acquire(incarnation):
                 raise LedgerUnusableError(
                     f"ledger: the name '{name}' is taken by a living gateway: choose another"
                 )
-            if not self._log.propose(RegisterEntry, incarnation, term_ms, sync=True):
+            if not self._log.register(incarnation, term_ms):
                 raise LedgerUnusableError(f"ledger: the name '{name}' was taken meanwhile: choose another")
             self._failpoint("begin.begun")
         return incarnation
 
+    def _is_free(self, previous: Member | None) -> bool:
+        """Return whether a name whose last incarnation is `previous` may be registered again."""
+        return (
+            previous is None or previous.fenced or self._lease_files.has_process_ended(previous.incarnation)
+        )
+
     def commit(
         self, incarnation: Incarnation, transactions: Sequence[Transaction]
     ) -> list[TransactionResult]:
+        """Apply transactions, each by itself; see `Store.commit`."""
         results: list[TransactionResult] = []
         with self._caught_up():
             pending: list[Transaction] = []
@@ -140,7 +144,7 @@
                     pending.append(transaction)
                     continue
                 if len(transaction.writes) > 1:
-                    raise ValueError("Renew stands alone in its step")
+                    raise ValueError("RenewLease must be the only write of its transaction")
                 results += self._propose(incarnation, pending)
                 pending = []
                 results.append(self._renew(incarnation))
@@ -161,65 +165,70 @@
             return []
         if self._is_fenced(incarnation):
             return [TransactionResult(TransactionOutcome.FENCED)] * len(transactions)
-        prepared = tuple(
-            Transaction(
-                tuple(self._stop_renewals(incarnation, w) if isinstance(w, Fence) else w for w in step.writes)
+        prepared = [self._with_renewals_stopped(incarnation, transaction) for transaction in transactions]
+        return self._log.commit(incarnation, prepared)
+
+    def _with_renewals_stopped(self, incarnation: Incarnation, transaction: Transaction) -> Transaction:
+        """Make the first move of each fence in a transaction."""
+        return Transaction(
+            tuple(
+                self._stop_renewals(incarnation, write) if isinstance(write, Fence) else write
+                for write in transaction.writes
             )
-            for step in transactions
         )
-        results = self._log.propose(CommitEntry, incarnation, prepared)
-        assert not isinstance(results, bool)
-        return results
 
     def _stop_renewals(self, incarnation: Incarnation, fence: Fence) -> Fence:
-        """Ends the renewals of a life that is to be sealed. Where its step then loses for another reason,
-        that life finds itself sealed at its next renewal, and somebody seals it on missing that."""
-        if (
-            fence.incarnation != incarnation
-            and not self._is_fenced(fence.incarnation)
-            and not self._lease_files.fence(fence.incarnation, fence.renewal)
-        ):
-            return replace(fence, renewal=-1)
-        return fence
+        """End the renewals of an incarnation that is to be fenced; return the fence to propose.
+
+        If the transaction then fails for another reason, that incarnation finds itself fenced at its next
+        renewal, and another one fences it on missing that renewal.
+        """
+        if fence.incarnation == incarnation or self._is_fenced(fence.incarnation):
+            return fence
+        if self._lease_files.fence(fence.incarnation, fence.renewal):
+            return fence
+        return replace(fence, renewal=RENEWED_SINCE)
 
     def read(self, key: str) -> Record | None:
+        """Return the record of that key, or None."""
         with self._caught_up():
             return self._log.state.read(key)
 
     def scan(self, prefix: str) -> list[Record]:
+        """Return the records whose keys start with `prefix`, sorted by key."""
         with self._caught_up():
             return self._log.state.scan(prefix)
 
     def members(self) -> list[Member]:
+        """Return the last incarnation of every name, sorted by name."""
         with self._caught_up():
             return [self._current_member(name) for name in sorted(self._log.state.members_by_name)]
 
     def _current_member(self, name: str) -> Member:
+        """Return the state of a member with its renewal number, which is not in the log."""
         member = self._log.state.members_by_name[name]
-        lease = None if member.fenced else self._lease_files.read(member.incarnation)
-        return replace(member, renewal=lease[0]) if lease is not None else member
+        status = None if member.fenced else self._lease_files.read(member.incarnation)
+        return replace(member, renewal=status.renewal) if status is not None else member
 
     def changes(
         self, after_version: int, prefixes: Sequence[str] = ("",), watched_names: Sequence[str] | None = None
     ) -> Changes:
+        """Return what changed after a version; see `Store.changes`."""
         with self._caught_up():
             state = self._log.state
             changes = state.changes(after_version, prefixes, ())
-            names = {m.incarnation.name for m in changes.members}
-            names.update(
-                state.members_by_name
-                if watched_names is None
-                else state.members_by_name.keys() & set(watched_names)
-            )
+            names = {member.incarnation.name for member in changes.members}
+            known_names = state.members_by_name.keys()
+            names.update(known_names if watched_names is None else known_names & set(watched_names))
             members = tuple(self._current_member(name) for name in sorted(names))
-            dead = tuple(
-                m.incarnation
-                for m in members
-                if not m.fenced and self._lease_files.has_process_ended(m.incarnation)
-            )
+            dead = tuple(member.incarnation for member in members if self._is_dead(member))
             return replace(changes, members=members, dead_incarnations=dead)
 
+    def _is_dead(self, member: Member) -> bool:
+        return not member.fenced and self._lease_files.has_process_ended(member.incarnation)
+
     def close(self) -> None:
+        """Close the log, release the own leases' locks, and close the folder."""
         self._log.close()
         self._lease_files.close()
         os.close(self._folder_fd)
--- a/meadowpulley/ledger/failpoints.py
+++ b/meadowpulley/ledger/failpoints.py
@@ -1,9 +1,9 @@
-"""Named steps at which a test lets a process die, stop or fail. Nothing but a call to nothing where none is
-set.
+"""Failpoints: named places at which a test lets a process die, stop or fail.
 
-`MEADOWPULLEY_FAILPOINTS="log.appended=kill@3,renew.renamed=stop"`: at the third time that the log was
-appended to, the process kills itself; at the first renewal it stops itself. `call=error@50+` cuts it off
-from the fiftieth call on, `call=slow@50` makes one take so long that a gateway gives the ledger up.
+Where none is set, each costs one call of an empty function. For example,
+`MEADOWPULLEY_FAILPOINTS="log.appended=kill@3,renew.renamed=stop"`: the process kills itself at the third
+append to the log, and stops itself at its first renewal. `call=error@50+` makes every call fail from the
+fiftieth on; `call=slow@50` makes the fiftieth take so long that a gateway counts the ledger as unavailable.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 FAILPOINTS_VARIABLE = "MEADOWPULLEY_FAILPOINTS"
 FAILPOINT_NAMES = (
@@ -36,7 +37,7 @@
 
 
 def no_failpoint(name: str) -> None:
-    """The failpoint of a process that has none."""
+    """Do nothing: the hook of a process without failpoints."""
 
 
 def _raise_os_error(code: int) -> None:
@@ -45,7 +46,7 @@
 
 ACTIONS: dict[str, Callable[[], None]] = {
     "kill": lambda: os.kill(os.getpid(), signal.SIGKILL),
-    # To this thread: sent to the process another one may take it, and this one get a step further.
+    # Sent to this thread: another thread might take a signal to the process, and this one run on.
     "stop": lambda: signal.pthread_kill(threading.get_ident(), signal.SIGSTOP),
     "full": lambda: _raise_os_error(errno.ENOSPC),
     "error": lambda: _raise_os_error(errno.EIO),
@@ -53,11 +54,29 @@
 }
 
 
+@dataclass(slots=True)
+class _Trigger:
+    """When a failpoint acts, and how often it was passed."""
+
+    action: Callable[[], None]
+    count: int
+    repeats: bool  # from `count` on, not only then
+    passes: int = 0
+
+    def hit(self) -> None:
+        self.passes += 1
+        if self.passes == self.count or (self.repeats and self.passes > self.count):
+            self.action()
+
+
 def parse_failpoints(text: str) -> FailpointHook:
-    """Raises ValueError where the text names no step or nothing that can be done there."""
+    """Return the hook for a list of failpoints.
+
+    Raises ValueError if the text names an unknown place or action.
+    """
     if not text:
         return no_failpoint
-    triggers: dict[str, tuple[str, int, bool]] = {}
+    triggers: dict[str, _Trigger] = {}
     for part in text.split(","):
         name, _, definition = part.strip().partition("=")
         action, _, count = definition.partition("@")
@@ -66,14 +85,10 @@
         if name not in FAILPOINT_NAMES or action not in ACTIONS or not count.isdecimal():
             known = ", ".join(FAILPOINT_NAMES)
             raise ValueError(f"{FAILPOINTS_VARIABLE}: '{part}': write STEP=ACTION@COUNT with one of {known}")
-        triggers[name] = (action, int(count), repeats)
-    calls = dict.fromkeys(triggers, 0)
+        triggers[name] = _Trigger(ACTIONS[action], int(count), repeats)
 
     def hit(name: str) -> None:
         if name in triggers:
-            calls[name] += 1
-            action, count, repeats = triggers[name]
-            if calls[name] == count or (repeats and calls[name] > count):
-                ACTIONS[action]()
+            triggers[name].hit()
 
     return hit
--- a/meadowpulley/ledger/log_entries.py
+++ b/meadowpulley/ledger/log_entries.py
@@ -1,7 +1,10 @@
-"""What stands in a line of the log, and how it is carried out: the same in every process that reads it.
+"""The entries of the log: how they are encoded, and how each reader applies them.
 
-An entry is a proposal of a life. Its place in the log decides what became of it, and each reader finds that
-out by itself. After an `End` nothing counts any more: the log goes on in the next generation.
+An entry is a proposal of an incarnation. Its position in the log decides what becomes of it, and every
+reader finds that out by itself. Nothing after an `EndEntry` counts: the log continues in the next generation.
+
+The encoding is a stored format: a msgpack array that starts with the tag of the entry. Its tags stay as they
+are whatever the classes here are called.
 """
 
 from __future__ import annotations
@@ -30,39 +33,51 @@
 
 FORMAT_NAME, FORMAT_VERSION = "meadowpulley-ledger", 1
 
+COMMIT_TAG = "steps"
+REGISTER_TAG = "begin"
+END_TAG = "end"
+HEADER_TAG = "head"
+STATE_TAG = "state"
+
+# `Fence.renewal` of a fence that fails, since the incarnation has renewed its lease in the meantime.
+RENEWED_SINCE = -1
+
 
 @dataclass(frozen=True, slots=True)
 class GenerationHeader:
-    """The first line of every generation."""
+    """The first entry of every generation."""
 
     installation: str
     generation: int
-    sync: bool  # whether what is answered outlives the machine
-    boot_id: str  # of the machine, when the installation's log was begun or set back
+    sync: bool  # whether acknowledged transactions outlive a crash of the machine
+    boot_id: str  # of the machine, when the log of the installation was created or reset
 
 
 @dataclass(frozen=True, slots=True)
 class CommitEntry:
-    """`number` tells the proposals of one process apart. A seal whose life renewed has `renewal` -1."""
+    """Proposes transactions. A fence of an incarnation that has renewed since has `RENEWED_SINCE`."""
 
     incarnation: Incarnation
-    proposal_id: str
+    proposal_id: str  # tells the proposals of one process apart
     transactions: tuple[Transaction, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class RegisterEntry:
+    """Proposes a new incarnation."""
+
     incarnation: Incarnation
     proposal_id: str
-    term_ms: float
+    term_ms: float  # of its lease
 
 
 @dataclass(frozen=True, slots=True)
 class EndEntry:
-    pass
+    """Ends a generation of the log."""
 
 
-LogEntry = CommitEntry | RegisterEntry | EndEntry | GenerationHeader | MemoryStore
+Proposal = CommitEntry | RegisterEntry
+LogEntry = Proposal | EndEntry | GenerationHeader | MemoryStore
 
 _WRITE_DECODERS: dict[str, Callable[..., Write]] = {
     "c": Create,
@@ -91,66 +106,68 @@
 
 
 def encode(entry: LogEntry) -> bytes:
+    """Return the payload of an entry; a `MemoryStore` is the state at the start of a generation."""
     raw: tuple[Any, ...]
     match entry:
         case CommitEntry(writer, proposal_id, transactions):
-            raw = (
-                "steps",
-                writer.name,
-                writer.epoch,
-                proposal_id,
-                [[_encode_write(w) for w in s.writes] for s in transactions],
-            )
+            raw_transactions = [[_encode_write(write) for write in each.writes] for each in transactions]
+            raw = (COMMIT_TAG, writer.name, writer.epoch, proposal_id, raw_transactions)
         case RegisterEntry(incarnation, proposal_id, term_ms):
-            raw = ("begin", incarnation.name, incarnation.epoch, proposal_id, term_ms)
+            raw = (REGISTER_TAG, incarnation.name, incarnation.epoch, proposal_id, term_ms)
         case EndEntry():
-            raw = ("end",)
+            raw = (END_TAG,)
         case GenerationHeader(installation, generation, sync, boot_id):
-            raw = ("head", FORMAT_NAME, FORMAT_VERSION, installation, generation, sync, boot_id)
+            raw = (HEADER_TAG, FORMAT_NAME, FORMAT_VERSION, installation, generation, sync, boot_id)
         case _:
-            raw = ("state", *_encode_state(entry))
+            raw = (STATE_TAG, *_encode_state(entry))
     return msgspec.msgpack.encode(raw)
 
 
 def decode(payload: bytes) -> LogEntry:
-    """Raises ValueError where it is none of ours."""
+    """Return the entry of a payload. Raises ValueError if it is no entry of a ledger of this format."""
     try:
-        kind, *raw = msgspec.msgpack.decode(payload)
-        if kind == "steps":
-            name, epoch, proposal_id, raw_transactions = raw
-            transactions = tuple(
-                Transaction(tuple(_WRITE_DECODERS[w[0]](*w[1:]) for w in writes))
-                for writes in raw_transactions
-            )
-            return CommitEntry(Incarnation(name, epoch), proposal_id, transactions)
-        if kind == "begin":
-            return RegisterEntry(Incarnation(raw[0], raw[1]), raw[2], raw[3])
-        if kind == "end":
-            return EndEntry()
-        if kind == "head":
-            if raw[0] != FORMAT_NAME or raw[1] != FORMAT_VERSION:
-                raise ValueError(f"it is of format {raw[0]} {raw[1]}, not {FORMAT_NAME} {FORMAT_VERSION}")
-            return GenerationHeader(*raw[2:])
-        if kind == "state":
-            return _decode_state(*raw)
+        tag, *fields = msgspec.msgpack.decode(payload)
+        decoder = _ENTRY_DECODERS[tag]
+        return decoder(*fields)
     except (msgspec.DecodeError, TypeError, KeyError, IndexError) as error:
         raise ValueError(f"no entry of a ledger: {error}") from None
-    raise ValueError(f"no entry of a ledger: {kind}")
+
+
+def _decode_commit(name: str, epoch: int, proposal_id: str, raw_transactions: Sequence[Any]) -> CommitEntry:
+    transactions = tuple(
+        Transaction(tuple(_WRITE_DECODERS[tag](*fields) for tag, *fields in writes))
+        for writes in raw_transactions
+    )
+    return CommitEntry(Incarnation(name, epoch), proposal_id, transactions)
+
+
+def _decode_registration(
+    name: str, epoch: int, proposal_id: str, term_ms: float, *_: object
+) -> RegisterEntry:
+    return RegisterEntry(Incarnation(name, epoch), proposal_id, term_ms)
+
+
+def _decode_header(format_name: str, format_version: int, *fields: Any) -> GenerationHeader:
+    if format_name != FORMAT_NAME or format_version != FORMAT_VERSION:
+        raise ValueError(
+            f"it is of format {format_name} {format_version}, not {FORMAT_NAME} {FORMAT_VERSION}"
+        )
+    return GenerationHeader(*fields)
 
 
 def _encode_state(state: MemoryStore) -> tuple[Any, ...]:
     records = [(r.key, r.value, r.version, r.writer.name, r.writer.epoch) for r in state.records.values()]
     members = [
         (
-            m.incarnation.name,
-            m.incarnation.epoch,
-            m.renewal,
-            m.fenced,
-            m.term_ms,
-            m.version,
+            member.incarnation.name,
+            member.incarnation.epoch,
+            member.renewal,
+            member.fenced,
+            member.term_ms,
+            member.version,
             state.membership_versions[name],
         )
-        for name, m in state.members_by_name.items()
+        for name, member in state.members_by_name.items()
     ]
     return (state.version, records, members, state.tombstones, state.compacted_version)
 
@@ -164,40 +181,61 @@
 ) -> MemoryStore:
     state = MemoryStore()
     state.version, state.tombstones, state.compacted_version = version, tombstones, compacted_version
-    state.records = {k: Record(k, value, v, Incarnation(name, epoch)) for k, value, v, name, epoch in records}
-    for name, epoch, renewal, sealed, term_ms, v, membership_version in members:
-        state.members_by_name[name] = Member(Incarnation(name, epoch), renewal, sealed, term_ms, v)
+    for key, value, record_version, name, epoch in records:
+        state.records[key] = Record(key, value, record_version, Incarnation(name, epoch))
+    for name, epoch, renewal, fenced, term_ms, member_version, membership_version in members:
+        incarnation = Incarnation(name, epoch)
+        state.members_by_name[name] = Member(incarnation, renewal, fenced, term_ms, member_version)
         state.membership_versions[name] = membership_version
     state.membership_versions = dict(sorted(state.membership_versions.items(), key=lambda item: item[1]))
     return state
 
 
-def apply_entry(state: MemoryStore, entry: CommitEntry | RegisterEntry) -> list[TransactionResult] | bool:
-    """What became of the steps, or whether the life has begun."""
-    if isinstance(entry, RegisterEntry):
-        previous = state.members_by_name.get(entry.incarnation.name)
-        if entry.incarnation.epoch != (previous.incarnation.epoch + 1 if previous is not None else 1):
-            return False
-        if previous is not None:
-            state.dead_incarnations.add(
-                previous.incarnation
-            )  # whoever proposed it had seen that process ended, or the life sealed
-        state.register(entry.incarnation.name, entry.term_ms)
-        return True
-    results = []
+_ENTRY_DECODERS: dict[str, Callable[..., LogEntry]] = {
+    COMMIT_TAG: _decode_commit,
+    REGISTER_TAG: _decode_registration,
+    END_TAG: lambda *_: EndEntry(),
+    HEADER_TAG: _decode_header,
+    STATE_TAG: _decode_state,
+}
+
+
+def apply_registration(state: MemoryStore, entry: RegisterEntry) -> bool:
+    """Apply a registration to the state of the ledger; return whether the incarnation was registered."""
+    previous = state.members_by_name.get(entry.incarnation.name)
+    next_epoch = previous.incarnation.epoch + 1 if previous is not None else 1
+    if entry.incarnation.epoch != next_epoch:
+        return False
+    if previous is not None:
+        # Whoever proposed this had seen that process ended, or its incarnation fenced.
+        state.dead_incarnations.add(previous.incarnation)
+    state.register(entry.incarnation.name, entry.term_ms)
+    return True
+
+
+def apply_commit(state: MemoryStore, entry: CommitEntry) -> list[TransactionResult]:
+    """Apply proposed transactions to the state of the ledger; return their results."""
+    results = list[TransactionResult]()
     for transaction in entry.transactions:
         for write in transaction.writes:
-            if isinstance(write, Fence) and write.renewal >= 0:
-                member = state.members_by_name.get(write.incarnation.name)
-                if member is not None and member.incarnation == write.incarnation and not member.fenced:
-                    # Renewals stand beside the log; the one that this life can't go beyond any more is here.
-                    state.members_by_name[member.incarnation.name] = replace(member, renewal=write.renewal)
+            if isinstance(write, Fence) and write.renewal > RENEWED_SINCE:
+                _set_last_renewal(state, write)
         results += state.commit(entry.incarnation, [transaction])
     return results
 
 
+def _set_last_renewal(state: MemoryStore, fence: Fence) -> None:
+    """Record the renewal number of an incarnation that is being fenced.
+
+    Renewals are not in the log: the fence names the last one, which that incarnation can't exceed any more.
+    """
+    member = state.members_by_name.get(fence.incarnation.name)
+    if member is not None and member.incarnation == fence.incarnation and not member.fenced:
+        state.members_by_name[member.incarnation.name] = replace(member, renewal=fence.renewal)
+
+
 def state_after_machine_crash(state: MemoryStore) -> MemoryStore:
-    """What is left where the machine died and nothing was to outlive it: that those lives have been."""
+    """Return what remains of a state that was not made durable: its incarnations, fenced, and no record."""
     remaining = MemoryStore()
     remaining.version = remaining.compacted_version = state.version + 1
     for name, member in state.members_by_name.items():
--- a/meadowpulley/ledger/memory.py
+++ b/meadowpulley/ledger/memory.py
@@ -1,13 +1,14 @@
-"""A ledger in memory, for stories, emulator and checker: the meaning of every step, without a disk.
+"""The ledger in memory, which defines what each transaction does.
 
-The backend on a disk carries every step out on one of these, so that both mean the same by a step.
+Scenarios, the emulator and the model checker use it as their store, and the store on a disk applies every
+entry of its log to one of these, so that a transaction means the same in both.
 """
 
 from __future__ import annotations
 
 import copy
 from collections.abc import Sequence
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from meadowpulley.ledger.model import (
     Changes,
@@ -30,11 +31,18 @@
 )
 
 NO_MEMBER = Member(Incarnation("", 0), 0, True, 0.0, 0)
-MAX_TOMBSTONES = 4096  # keys removed, of which late readers are still told one by one
+MAX_TOMBSTONES = 4096  # removed keys that a reader of an old version is still told one by one
+
+
+@dataclass(frozen=True, slots=True)
+class _Conflict:
+    """Why a write failed: the record that it found, if any."""
+
+    existing: Record | None = None
 
 
 class _PendingTransaction:
-    """What a step would change, seen by its later writes, kept apart until all of it has won."""
+    """The changes of a transaction, visible to its own later writes, and kept apart until all succeeded."""
 
     __slots__ = ("changed_members", "members", "records", "store", "version", "writer")
 
@@ -44,47 +52,49 @@
         self.members: dict[str, Member] = {}
         self.changed_members: list[str] = []
 
-    def apply(self, write: Write) -> tuple[Record | None] | None:
-        """Carries a write out, or tells what stood in its way."""
-        kind = type(write)
-        if kind is Fence or kind is RenewLease or kind is ReleaseLease:
-            return self._apply_membership(write)
-        assert isinstance(write, Create | Replace | Remove | CheckVersion)
+    def apply(self, write: Write) -> _Conflict | None:
+        """Apply one write, or return what it conflicts with."""
+        if isinstance(write, Create | Replace | Remove | CheckVersion):
+            return self._apply_to_record(write)
+        if isinstance(write, Fence):
+            return self._fence(write)
+        member = self._member(self.writer.name)
+        if isinstance(write, ReleaseLease):
+            self._end(member)
+        else:
+            self._update_member(replace(member, renewal=member.renewal + 1))
+        return None
+
+    def _apply_to_record(self, write: Create | Replace | Remove | CheckVersion) -> _Conflict | None:
         key = write.key
         existing = self.records[key] if key in self.records else self.store.records.get(key)
         expected_version = 0 if isinstance(write, Create) else write.version
         if expected_version != (existing.version if existing is not None else 0):
-            return (existing,)
+            return _Conflict(existing)
         if isinstance(write, CheckVersion):
             return None
-        if existing is None and kind is not Create:
-            return (None,)
+        if existing is None and not isinstance(write, Create):
+            return _Conflict()
         self.version += 1
-        new_record = (
-            None if isinstance(write, Remove) else Record(key, write.value, self.version, self.writer)
+        if isinstance(write, Remove):
+            self.records[key] = None
+        else:
+            self.records[key] = Record(key, write.value, self.version, self.writer)
+        return None
+
+    def _fence(self, write: Fence) -> _Conflict | None:
+        member = self._member(write.incarnation.name)
+        can_be_fenced = (
+            member.incarnation == write.incarnation and not member.fenced and write.incarnation != self.writer
         )
-        self.records[key] = new_record
+        if not can_be_fenced or member.renewal != write.renewal:
+            return _Conflict()
+        self._end(member)
         return None
 
-    def _apply_membership(self, write: Write) -> tuple[Record | None] | None:
-        if isinstance(write, RenewLease):
-            member = self._member(self.writer.name)
-            self._update_member(replace(member, renewal=member.renewal + 1))
-            return None
-        if isinstance(write, Fence):
-            member = self._member(write.incarnation.name)
-            can_be_fenced = (
-                member.incarnation == write.incarnation
-                and not member.fenced
-                and write.incarnation != self.writer
-            )
-            if not can_be_fenced or member.renewal != write.renewal:
-                return (None,)
-        else:
-            member = self._member(self.writer.name)
+    def _end(self, member: Member) -> None:
         self._update_member(replace(member, fenced=True))
         self.changed_members.append(member.incarnation.name)
-        return None
 
     def _update_member(self, member: Member) -> None:
         self.version += 1
@@ -95,34 +105,33 @@
 
 
 class MemoryStore:
-    """`Store` over plain dictionaries. Whether a life still lives is not a matter of time here: `begin` takes
-    a name over at once where its last life was sealed or `dead` names it, and refuses it else."""
+    """`Store` over plain dictionaries.
+
+    No clock decides here whether an incarnation is alive: `register` takes a name over at once if its last
+    incarnation was fenced or is one of `dead_incarnations`, and rejects it otherwise.
+    """
 
     def __init__(self) -> None:
         self.version = 0
-        self.records: dict[str, Record] = {}  # the last written last
+        self.records: dict[str, Record] = {}  # ordered by version
         self.members_by_name: dict[str, Member] = {}
-        # Names, and at which version their last life began or was sealed, the last one last.
+        # The version at which the last incarnation of a name was registered or fenced, ordered by version.
         self.membership_versions: dict[str, int] = {}
-        self.tombstones: dict[str, int] = {}  # keys removed, and at which version
-        self.compacted_version = 0  # up to which version removed keys are forgotten
-        self.dead_incarnations: set[Incarnation] = (
-            set()
-        )  # processes known to have ended, as a backend on one machine knows them
-        self.fault = ""  # while set, every call fails with it
+        self.tombstones: dict[str, int] = {}  # removed keys, and the version of their removal
+        self.compacted_version = 0  # removals up to this version are forgotten
+        # Whose process is known to have ended: a backend on one machine knows it, a test sets it.
+        self.dead_incarnations: set[Incarnation] = set()
+        self.fault = ""  # while it is set, every call fails with this text
 
     def _check_fault(self) -> None:
         if self.fault:
             raise LedgerError(self.fault)
 
     def register(self, name: str, term_ms: float) -> Incarnation:
+        """Register a new incarnation; see `Store.register`."""
         self._check_fault()
         previous = self.members_by_name.get(name)
-        if (
-            previous is not None
-            and not previous.fenced
-            and previous.incarnation not in self.dead_incarnations
-        ):
+        if previous is not None and not self._has_ended(previous):
             raise LedgerUnusableError(
                 f"ledger: the name '{name}' is taken by a living gateway: choose another"
             )
@@ -133,6 +142,9 @@
         self._record_membership_change(name)
         return incarnation
 
+    def _has_ended(self, member: Member) -> bool:
+        return member.fenced or member.incarnation in self.dead_incarnations
+
     def _record_membership_change(self, name: str) -> None:
         self.membership_versions.pop(name, None)
         self.membership_versions[name] = self.version
@@ -140,21 +152,22 @@
     def commit(
         self, incarnation: Incarnation, transactions: Sequence[Transaction]
     ) -> list[TransactionResult]:
+        """Apply transactions, each by itself; see `Store.commit`."""
         self._check_fault()
-        return [self._commit_transaction(incarnation, step) for step in transactions]
+        return [self._commit_transaction(incarnation, transaction) for transaction in transactions]
 
     def _commit_transaction(self, incarnation: Incarnation, transaction: Transaction) -> TransactionResult:
         member = self.members_by_name.get(incarnation.name)
         if member is None or member.incarnation != incarnation or member.fenced:
             return TransactionResult(TransactionOutcome.FENCED)
         if RenewLease() in transaction.writes and len(transaction.writes) > 1:
-            raise ValueError("Renew stands alone in its step")
+            raise ValueError("RenewLease must be the only write of its transaction")
         pending = _PendingTransaction(self, incarnation)
         for index, write in enumerate(transaction.writes):
             conflict = pending.apply(write)
             if conflict is not None:
                 return TransactionResult(
-                    TransactionOutcome.CONFLICT, failed_write_index=index, existing=conflict[0]
+                    TransactionOutcome.CONFLICT, failed_write_index=index, existing=conflict.existing
                 )
         self._apply(pending)
         return TransactionResult(TransactionOutcome.COMMITTED, version=self.version)
@@ -175,40 +188,54 @@
             self.compacted_version = self.tombstones.pop(next(iter(self.tombstones)))
 
     def read(self, key: str) -> Record | None:
+        """Return the record of that key, or None."""
         self._check_fault()
         return self.records.get(key)
 
     def scan(self, prefix: str) -> list[Record]:
+        """Return the records whose keys start with `prefix`, sorted by key."""
         self._check_fault()
         return [self.records[key] for key in sorted(k for k in self.records if k.startswith(prefix))]
 
     def members(self) -> list[Member]:
+        """Return the last incarnation of every name, sorted by name."""
         self._check_fault()
         return [self.members_by_name[name] for name in sorted(self.members_by_name)]
 
     def changes(
         self, after_version: int, prefixes: Sequence[str] = ("",), watched_names: Sequence[str] | None = None
     ) -> Changes:
+        """Return what changed after a version; see `Store.changes`."""
         self._check_fault()
         is_snapshot = after_version < self.compacted_version or not after_version
         key_prefixes, since_version = tuple(prefixes), 0 if is_snapshot else after_version
+        return Changes(
+            self.version,
+            is_snapshot,
+            self._changed_records(since_version, key_prefixes),
+            () if is_snapshot else self._removed_keys(since_version, key_prefixes),
+            self._changed_members(since_version, watched_names),
+            tuple(sorted(self.dead_incarnations)),
+        )
+
+    def _changed_records(self, since_version: int, key_prefixes: tuple[str, ...]) -> tuple[Record, ...]:
         records = list[Record]()
-        for record in reversed(self.records.values()):  # the last written first: no look at all that is old
+        for record in reversed(self.records.values()):  # the newest first, so that no old record is read
             if record.version <= since_version:
                 break
             if record.key.startswith(key_prefixes):
                 records.append(record)
+        records.sort(key=lambda record: record.version)
+        return tuple(records)
+
+    def _removed_keys(self, since_version: int, key_prefixes: tuple[str, ...]) -> tuple[str, ...]:
         removed_keys = list[str]()
-        if not is_snapshot:
-            for key, version in reversed(self.tombstones.items()):
-                if version <= since_version:
-                    break
-                if key.startswith(key_prefixes):
-                    removed_keys.append(key)
-        records.sort(key=lambda r: r.version)
-        members = self._changed_members(since_version, watched_names)
-        dead = tuple(sorted(self.dead_incarnations))
-        return Changes(self.version, is_snapshot, tuple(records), tuple(sorted(removed_keys)), members, dead)
+        for key, version in reversed(self.tombstones.items()):
+            if version <= since_version:
+                break
+            if key.startswith(key_prefixes):
+                removed_keys.append(key)
+        return tuple(sorted(removed_keys))
 
     def _changed_members(self, since_version: int, watched_names: Sequence[str] | None) -> tuple[Member, ...]:
         if watched_names is None:
@@ -222,18 +249,21 @@
         return tuple(self.members_by_name[name] for name in sorted(names))
 
     def take_warnings(self) -> list[str]:
+        """Return no warnings: there is nothing to warn of in memory."""
         return []
 
     def close(self) -> None:
-        pass
+        """Do nothing: there is nothing to release in memory."""
 
     def copy(self) -> MemoryStore:
-        """An independent one with the same content: values never change, so only the tables are copied."""
+        """Return an independent store with the same content.
+
+        Records and members are immutable, so only the tables are copied.
+        """
         duplicate = copy.copy(self)
-        duplicate.records, duplicate.members_by_name, duplicate.membership_versions = (
-            dict(self.records),
-            dict(self.members_by_name),
-            dict(self.membership_versions),
-        )
-        duplicate.tombstones, duplicate.dead_incarnations = dict(self.tombstones), set(self.dead_incarnations)
+        duplicate.records = dict(self.records)
+        duplicate.members_by_name = dict(self.members_by_name)
+        duplicate.membership_versions = dict(self.membership_versions)
+        duplicate.tombstones = dict(self.tombstones)
+        duplicate.dead_incarnations = set(self.dead_incarnations)
         return duplicate
--- a/meadowpulley/ledger/model.py
+++ b/meadowpulley/ledger/model.py
@@ -1,14 +1,15 @@
-"""What the gateways of an installation share: lives, records, and steps that exactly one of them wins.
-
-A ledger holds records by key. Every write gives its record the ledger's next version, over all keys. A step
-is a few writes that are carried out together or not at all; a write that finds its record changed loses its
-whole step and changes nothing. Each step is committed by a life, and a life that was sealed commits nothing
-any more: whoever was stopped in between finds out at its next step, before it acts on it.
-
-Clocks are never compared between processes. A lease is renewed by its holder, which stops acting a part of
-the term after it *began* its last renewal that was answered; others count it free a whole term and more
-after they first *saw* that renewal, each on its own clock. Times are milliseconds, keys are paths without a
-leading slash.
+"""The model of the ledger: incarnations, records, transactions, and the messages between stages and store.
+
+The ledger maps keys to records. Every write gives its record the ledger's next version, counted over all
+keys. A transaction is a few writes that are applied together or not at all: if one of them finds that its
+record has changed, the whole transaction fails and changes nothing. Each transaction is committed by an
+incarnation of a gateway, and an incarnation that was fenced can commit nothing more, so a gateway that was
+stopped for a while finds out at its next transaction, before it acts on it.
+
+Clocks are never compared between processes. The holder of a lease renews it, and stops acting on it a
+fraction of the term after it *started* its last successful renewal; the others count the lease as expired a
+whole term and a margin after they first *saw* that renewal, each by its own clock (Gray and Cheriton 1989).
+Times are milliseconds; keys are paths without a leading slash.
 """
 
 from __future__ import annotations
@@ -21,7 +22,10 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class Incarnation:
-    """One start of one gateway; `epoch` rises with every start of that name, from 1, never given twice."""
+    """One run of one gateway, from its start to its end.
+
+    `epoch` starts at 1, rises with every start under that name, and is never given twice.
+    """
 
     name: str
     epoch: int
@@ -32,18 +36,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Record:
+    """The value of one key, with the version and the writer of its last write."""
+
     key: str
     value: bytes
-    version: int  # of the ledger, at the write that left it so
-    writer: Incarnation  # who wrote it
+    version: int  # the ledger's version at that write
+    writer: Incarnation
 
 
-# What a step is made of
+# The writes of a transaction
 
 
 @dataclass(frozen=True, slots=True)
 class Create:
-    """Wins if there is no record of that key."""
+    """Create a record; conflicts if the key exists."""
 
     key: str
     value: bytes
@@ -51,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Replace:
-    """Wins if the record is there and still has this version."""
+    """Replace a record; conflicts unless it exists with this version."""
 
     key: str
     value: bytes
@@ -60,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Remove:
-    """Wins if the record is there and still has this version."""
+    """Remove a record; conflicts unless it exists with this version."""
 
     key: str
     version: int
@@ -68,7 +74,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CheckVersion:
-    """Writes nothing; wins if the record still has this version (0: if there is none)."""
+    """Write nothing; conflicts unless the record has this version (0: unless there is no record)."""
 
     key: str
     version: int
@@ -76,9 +82,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Fence:
-    """Ends another life: from now on it commits nothing. Wins for exactly one caller, never for that life.
+    """End another incarnation: from now on it can commit nothing.
 
-    `renewal` is the number of the last renewal that the caller saw: a life that renewed since is not sealed.
+    Succeeds for exactly one caller, and never for that incarnation itself. `renewal` is the number of the
+    last renewal that the caller saw: an incarnation that has renewed its lease since is not fenced.
     """
 
     incarnation: Incarnation
@@ -87,12 +94,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleaseLease:
-    """Ends the life that commits it, as `Seal` does, once whatever stands before it in the step is done."""
+    """End the incarnation that commits this, as `Fence` does, after the earlier writes of the transaction."""
 
 
 @dataclass(frozen=True, slots=True)
 class RenewLease:
-    """Renews the lease of the life that commits it: its renewal number rises by one. Alone in its step."""
+    """Renew the lease of the incarnation that commits this: its renewal number rises by one.
+
+    It must be the only write of its transaction.
+    """
 
 
 Write: TypeAlias = Create | Replace | Remove | CheckVersion | Fence | ReleaseLease | RenewLease
@@ -100,112 +110,128 @@
 
 @dataclass(frozen=True, slots=True)
 class Transaction:
-    """Writes that are carried out together, in this order, or not at all."""
+    """Writes that are applied together, in this order, or not at all."""
 
     writes: tuple[Write, ...]
 
 
 class TransactionOutcome(Enum):
+    """How a transaction ended. The values are the suffixes of the counters `ledger.*`."""
+
     COMMITTED = "won"
-    CONFLICT = "lost"  # a record was not as the step wanted it: nothing was changed
-    FENCED = "sealed"  # the life that committed it has ended: nothing was changed
-    UNKNOWN = "unknown"  # no answer, or none in time: it may have been carried out, or may yet be
+    CONFLICT = "lost"  # a record was not as the transaction expected: nothing was changed
+    FENCED = "sealed"  # the incarnation that committed it has ended: nothing was changed
+    UNKNOWN = "unknown"  # no answer, or none in time: it may have been applied, or may yet be
 
 
 @dataclass(frozen=True, slots=True)
 class TransactionResult:
-    """What became of one step."""
+    """The outcome of one transaction, with the cause of a conflict."""
 
     outcome: TransactionOutcome
-    version: int = 0  # of the ledger, where it won
-    failed_write_index: int = -1  # which of its writes lost
-    existing: Record | None = None  # and what stood there instead, if anything
+    version: int = 0  # of the ledger after it, where it was committed
+    failed_write_index: int = -1  # which of its writes conflicted
+    existing: Record | None = None  # the record which that write found, if any
 
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """A life as the ledger has it."""
+    """The state of an incarnation in the ledger."""
 
     incarnation: Incarnation
-    renewal: int  # how often it was renewed; 0: only begun
+    renewal: int  # how often its lease was renewed; 0 after its registration
     fenced: bool
     term_ms: float  # of its lease
-    version: int
+    version: int  # of the ledger at its last change
 
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """All that changed since a version: records written, keys removed, members begun, renewed or sealed."""
+    """What changed since a version: records written, keys removed, members that changed."""
 
-    version: int  # ask from here next time
-    is_snapshot: bool = False  # all there is now, as too much was forgotten since: what is not in it is gone
+    version: int  # to ask from the next time
+    # Everything there is now, since removals after that version are forgotten: what is not in it was removed.
+    is_snapshot: bool = False
     records: tuple[Record, ...] = ()
     removed_keys: tuple[str, ...] = ()
     members: tuple[Member, ...] = ()
-    dead_incarnations: tuple[
-        Incarnation, ...
-    ] = ()  # lives, not sealed yet, whose process is known to have ended
+    # Incarnations that are not fenced yet and whose process is known to have ended.
+    dead_incarnations: tuple[Incarnation, ...] = ()
 
 
 class LedgerError(Exception):
-    """The ledger gave no answer: full, out of order, gone. Its text is one line: what, where, what to do."""
+    """The ledger failed. The text is one line that says what failed, where, and what to do."""
 
 
 class LedgerUnusableError(LedgerError):
-    """It can't be used at all: foreign, of another version, damaged, the name taken. Nothing was changed."""
+    """The ledger can't be used: foreign, damaged, of another format, or the name is taken.
+
+    Nothing was changed.
+    """
 
 
 @runtime_checkable
 class Store(Protocol):
-    """A ledger, as a backend gives it. Calls may block; whoever must not wait calls it from a thread.
+    """A backend of the ledger. Its calls may block: a reactor calls them from a thread.
 
-    Every call raises `LedgerError` where the backend fails; after that a step that was on its way is UNKNOWN.
+    Every call raises `LedgerError` when the backend fails; a transaction of the failed call is UNKNOWN.
     """
 
     def register(self, name: str, term_ms: float) -> Incarnation:
-        """A new life of that name, with the next epoch. Raises `RefusedError` while an earlier one lives."""
+        """Register a new incarnation of that name, with the next epoch.
+
+        Raises `LedgerUnusableError` while an earlier incarnation of the name is alive.
+        """
 
     def commit(
         self, incarnation: Incarnation, transactions: Sequence[Transaction]
     ) -> list[TransactionResult]:
-        """Carries out the steps, in order and each by itself, made lasting together; what became of each."""
+        """Apply transactions in order, each by itself, and make them durable together.
+
+        Returns one result for each of them.
+        """
 
-    def read(self, key: str) -> Record | None: ...
+    def read(self, key: str) -> Record | None:
+        """Return the record of that key, or None."""
 
     def scan(self, prefix: str) -> list[Record]:
-        """All records whose keys begin so, by key."""
+        """Return the records whose keys start with `prefix`, sorted by key."""
 
     def members(self) -> list[Member]:
-        """The last life of every name."""
+        """Return the last incarnation of every name, sorted by name."""
 
     def changes(
         self, after_version: int, prefixes: Sequence[str] = ("",), watched_names: Sequence[str] | None = None
     ) -> Changes:
-        """What changed after that version, at once; 0 asks for all. Members come whatever the prefixes: all
-        that changed, or, where names are `watched`, those that began or were sealed, and the watched ones as
-        they stand. So what a fleet reads of renewals grows with the fleet and not with its square."""
+        """Return what changed after a version, without waiting; 0 asks for a snapshot.
+
+        Records are those whose keys start with one of `prefixes`. Members come whatever the prefixes: all
+        that changed, or, where `watched_names` are given, those that were registered or fenced, and the
+        watched ones as they are now. So the renewals that a fleet reads grow linearly with it.
+        """
 
     def take_warnings(self) -> list[str]:
-        """Lines that the operator should read, each given once."""
+        """Return lines that the operator should read, each of them once."""
 
-    def close(self) -> None: ...
+    def close(self) -> None:
+        """Release the resources of the store."""
 
 
-# Between a stage and whoever carries out its actions: a stage is pure, has no store, and asks by these.
+# Messages between a stage and its gateway: a stage does no I/O, and asks the ledger by actions.
 
 
 @dataclass(frozen=True, slots=True)
 class Commit:
-    """Action: commit these steps in the next group, in order. Answered by one `Committed` of that ticket."""
+    """Action: commit these transactions, in order, in the next batch; answered by one `CommitCompleted`."""
 
-    ticket: int  # the asking stage's own number; `owner` tells stages apart
+    ticket: int  # a number of the stage's own, which the answer repeats
     transactions: tuple[Transaction, ...]
-    owner: str = ""
+    owner: str = ""  # tells the stages apart
 
 
 @dataclass(frozen=True, slots=True)
 class CommitCompleted:
-    """Event: what became of the steps of one `Commit`, in their order."""
+    """Event: the results of the transactions of one `Commit`, in their order."""
 
     ticket: int
     results: tuple[TransactionResult, ...]
@@ -214,7 +240,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Scan:
-    """Action: all records whose keys begin so, as a sealed life left them. Answered by one `Scanned`."""
+    """Action: read all records whose keys start with `prefix`; answered by one `ScanCompleted`."""
 
     ticket: int
     prefix: str
@@ -223,7 +249,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ScanCompleted:
-    """Event: the records of one `Scan`, by key; None if the ledger gave no answer."""
+    """Event: the records of one `Scan`, sorted by key; None if the ledger did not answer."""
 
     ticket: int
     records: tuple[Record, ...] | None
@@ -232,28 +258,30 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchRequest:
-    """Action: the members whose renewals this gateway wants to be told of from its next look on, one look
-    at a time; None: all of them."""
+    """Action: report the renewals of these members from the next poll on; None: of all members."""
 
     names: tuple[str, ...] | None
 
 
 @dataclass(frozen=True, slots=True)
 class LedgerChanged:
-    """Event: what changed in the ledger, in the order of its versions. Told after each look, also of nothing:
-    that a renewal is still missing says something only if the look began late enough."""
+    """Event: what changed in the ledger, in the order of versions.
+
+    Sent after each poll, also when nothing changed: a missing renewal means something only if the poll
+    started late enough.
+    """
 
     changes: Changes
-    poll_started_ms: float | None = None  # when the look began, by this gateway's clock; None: just now
+    poll_started_ms: float | None = None  # by this gateway's clock; None: just now
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseExpired:
-    """Event: these lives let their leases run out by this gateway's clock, or were sealed (`sealed`).
+    """Event: the leases of these members expired by this gateway's clock, or they were fenced (`fenced`).
 
-    A life that is not sealed yet may renew and act on: what was its own is free once it is sealed. Each is
-    told once as sealed, at the first look those too that were sealed before; not earlier lives of a name
-    begun anew before that: a stage scans its records once at the start.
+    A member that is not fenced yet may still renew its lease: what it owned is free once it is fenced. Each
+    is reported once as fenced; the first poll reports those that were fenced before, too, but no earlier
+    incarnations of a name that was registered again since: a stage scans its records once at the start.
     """
 
     members: tuple[Member, ...]
@@ -261,22 +289,22 @@
 
 @dataclass(frozen=True, slots=True)
 class LedgerUnavailable:
-    """Event: the ledger does not answer. Rights that rest on it end when the own lease does."""
+    """Event: the ledger does not answer. What rests on the own lease ends when that lease does."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
 class LedgerRecovered:
-    """Event: it answers again; this life was not sealed in between."""
+    """Event: the ledger answers again, and this incarnation was not fenced in between."""
 
 
 @dataclass(frozen=True, slots=True)
 class Fenced:
-    """Event: this life was sealed by another. Nothing that rests on the ledger may be begun any more."""
+    """Event: this incarnation was fenced by another. Nothing that rests on the ledger may be started."""
 
 
-# No balancer knows any of these.
+# The policy handles none of these.
 LEDGER_EVENTS = (
     LedgerChanged,
     CommitCompleted,
--- a/meadowpulley/ledger/rendezvous.py
+++ b/meadowpulley/ledger/rendezvous.py
@@ -1,4 +1,4 @@
-"""Who of several lives is the one for a key, found by each of them alone: hashing, no word exchanged."""
+"""Rendezvous hashing: which incarnation is responsible for a key, found by each process alone."""
 
 from __future__ import annotations
 
@@ -7,19 +7,23 @@
 
 from meadowpulley.ledger.model import Incarnation
 
+WEIGHT_BYTES = 8
+
 
 def weight(key: str, incarnation: Incarnation) -> int:
-    """64 bits that say how near a life is to a key; equal at every process and on every machine."""
-    return int.from_bytes(blake2b(f"{key}\0{incarnation}".encode(), digest_size=8).digest())
+    """Return the 64-bit weight of an incarnation for a key, the same in every process on every machine."""
+    return int.from_bytes(blake2b(f"{key}\0{incarnation}".encode(), digest_size=WEIGHT_BYTES).digest())
 
 
 def rendezvous_order(key: str, incarnations: Iterable[Incarnation]) -> list[Incarnation]:
-    """The lives in the order in which they are the ones for that key (rendezvous hashing, Thaler and
-    Ravishankar 1998): without one of them the order of the others stays, so that a lost gateway's keys are
-    spread over all that are left and no other key moves."""
-    return sorted(incarnations, key=lambda life: (-weight(key, life), life))
+    """Return the incarnations in the order in which they are responsible for a key.
+
+    Without one of them the order of the others stays the same (Thaler and Ravishankar 1998), so the keys of
+    a lost gateway are spread over all that remain, and no other key moves.
+    """
+    return sorted(incarnations, key=lambda incarnation: (-weight(key, incarnation), incarnation))
 
 
 def ring_position(incarnation: Incarnation) -> int:
-    """Where a life stands on the ring on which each watches over those before it."""
+    """Return the position of an incarnation on the ring on which each watches its predecessors."""
     return weight("ring", incarnation)
--- a/meadowpulley/model_checking/shared_state_mutants.py
+++ b/meadowpulley/model_checking/shared_state_mutants.py
@@ -62,8 +62,8 @@
         "answers",
         LEASE_KEEPER,
         (
-            ("max(\n                self._lease_held_until, renewal_started + "),
-            "max(self._lease_held_until, now + ",
+            "held_until = renewal_started + ",
+            "held_until = now + ",
         ),
     ),
     shared_state_mutant(
@@ -73,12 +73,8 @@
         "answers",
         LEASE_KEEPER,
         (
-            (
-                "poll_started >= observed.observed_at + observed.member.term_ms * (\n"
-                "                1.0 + self.timings.max_clock_drift\n"
-                "            )"
-            ),
-            "poll_started >= observed.observed_at + observed.member.term_ms * 0.5",
+            "observed.observed_at + self.timings.expiry_of(observed.member.term_ms)",
+            "observed.observed_at + observed.member.term_ms * 0.5",
         ),
     ),
     shared_state_mutant(
--- a/tests/test_ledger_client.py
+++ b/tests/test_ledger_client.py
@@ -30,19 +30,36 @@
     Transaction,
     TransactionOutcome,
 )
-from meadowpulley.ledger.client import JobResult, LedgerClient, WorkerThread, start_ledger
+from meadowpulley.ledger.background_jobs import JobResult, WorkerThread
+from meadowpulley.ledger.client import LedgerClient, start_ledger
 from meadowpulley.ledger.commit_batches import MAX_BATCH_TRANSACTIONS
 from meadowpulley.ledger.config import LedgerSettings, read_settings
 from meadowpulley.ledger.log_entries import CommitEntry, encode
 from meadowpulley.net.counters import Counters
 
 
+class LogRecorder:
+    """A log that keeps the line of each event, or the name of the event."""
+
+    def __init__(self) -> None:
+        self.lines: list[str] = []
+
+    def info(self, event: str, **fields: Any) -> None:
+        self.lines.append(fields.get("line", event))
+
+    def warning(self, event: str, **fields: Any) -> None:
+        self.info(event, **fields)
+
+    def error(self, event: str, **fields: Any) -> None:
+        self.info(event, **fields)
+
+
 class FakeGateway:
-    """A gateway's clock, log and counters, and what it was told."""
+    """A gateway's clock, log and counters, and the events that were dispatched to it."""
 
     def __init__(self) -> None:
-        self.deadlines, self.log, self.counters = self, self, Counters()
-        self.time, self.calls, self.lines = 0.0, list[tuple[float, int, Callable[[], None]]](), list[str]()
+        self.deadlines, self.log, self.counters = self, LogRecorder(), Counters()
+        self.time, self.calls = 0.0, list[tuple[float, int, Callable[[], None]]]()
         self.events, self.forwarded_events = list[Any](), list[Any]()
         self.client: LedgerClient | None = None
         self.call_count = 0
@@ -58,11 +75,6 @@
         self.call_count += 1
         heapq.heappush(self.calls, (self.time + delay_ms, self.call_count, call))
 
-    def info(self, event: str, line: str = "", **fields: Any) -> None:
-        self.lines.append(line or event)
-
-    warning = error = info
-
     def dispatch(self, event: Any) -> None:
         self.events.append(event)
         if self.client is not None and self.client.lease_manager is not None:
@@ -175,7 +187,7 @@
         len(fixture.gateway.events_of(CommitCompleted)) == len(fixture.gateway.events_of(ScanCompleted)) == 50
         and len(fixture.gateway.events_of(LedgerUnavailable)) == 1
     )
-    assert [line for line in fixture.gateway.lines if "No space" in line] == [
+    assert [line for line in fixture.gateway.log.lines if "No space" in line] == [
         f"{fixture.store.fault}; serving on without it"
     ]
     assert not fixture.client.holds_lease(fixture.gateway.time)
@@ -282,7 +294,8 @@
         TransactionOutcome.FENCED
     ] * 2
     assert (
-        sum("was ended by another" in line for line in fixture.gateway.lines) == 1 and not fixture.runner.jobs
+        sum("was ended by another" in line for line in fixture.gateway.log.lines) == 1
+        and not fixture.runner.jobs
     )
     assert fixture.gateway.forwarded_events.count(Fenced()) == 1
 
@@ -293,7 +306,7 @@
     fixture.client.release_lease()
     fixture.client.close()
     assert fixture.store.members_by_name["n"].fenced and fixture.store.read("x/last") is not None
-    assert not any("ended" in line for line in fixture.gateway.lines)
+    assert not any("ended" in line for line in fixture.gateway.log.lines)
 
 
 class FakeReactor:
