Ledger: scenarios and design page in the field's terms; recorder compares event types

Need: the scenarios of the ledger and its design page still spoke of lives, of who may act, and of looks; the recorder compared the names of event classes as strings.

Change: the steps say incarnation, fenced, holds its lease, unavailable and recovered; the page says transaction, frame, generation, fence and lease expiry.

--- a/tests/stories/steps_ledger.py
+++ b/tests/stories/steps_ledger.py
@@ -1,7 +1,8 @@
-"""Steps about what gateways share: lives and their leases, claims, and a ledger in trouble."""
+"""Steps about the state that gateways share: incarnations and leases, claims, and faults of the ledger."""
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 from functools import partial
 
@@ -10,7 +11,7 @@
 from meadowpulley.emulator import Emulation
 from meadowpulley.emulator.ledger import LedgerFault, LedgerModel
 from meadowpulley.emulator.shared_state import SharedState, StageContext
-from meadowpulley.ledger import MemoryStore, TransactionOutcome
+from meadowpulley.ledger import Fenced, LedgerRecovered, LedgerUnavailable, MemoryStore, TransactionOutcome
 from tests.stories.fleet_scenario import FleetScenario
 from tests.stories.fleets import small_fleet
 from tests.stories.ledger_recorder import Claim, LedgerRecorder
@@ -26,19 +27,19 @@
 
 
 def recorders(scenario: FleetScenario) -> list[LedgerRecorder]:
-    """One for each life that a gateway began, in their order; of all gateways."""
+    """Run the scenario; return the recorder of every incarnation of every gateway, in their order."""
     _ = scenario.result
     recorders: list[LedgerRecorder] = scenario.notebooks
     return recorders
 
 
 def latest_recorder(scenario: FleetScenario, number: int) -> LedgerRecorder:
-    """Of the last life of a gateway."""
-    return [n for n in recorders(scenario) if n.place.incarnation.name == f"g{number - 1}"][-1]
+    """Return the recorder of a gateway's last incarnation."""
+    return [n for n in recorders(scenario) if n.context.incarnation.name == f"g{number - 1}"][-1]
 
 
 def first_recorder(scenario: FleetScenario, number: int) -> LedgerRecorder:
-    return next(n for n in recorders(scenario) if n.place.incarnation.name == f"g{number - 1}")
+    return next(n for n in recorders(scenario) if n.context.incarnation.name == f"g{number - 1}")
 
 
 # Given
@@ -48,13 +49,13 @@
 def a_fleet_with_a_ledger(scenario: FleetScenario, count: int, term: float) -> None:
     scenario.fleet = small_fleet(count)
 
-    def make(place: StageContext) -> LedgerRecorder:
-        recorder = LedgerRecorder(place)
+    def make_recorder(context: StageContext) -> LedgerRecorder:
+        recorder = LedgerRecorder(context)
         scenario.notebooks.append(recorder)
         return recorder
 
-    figures = LedgerModel(lease_ms=term * 1000.0, single_host=False)
-    scenario.shared_state = SharedState(figures, outer_stages=(make,), prefixes=("story/",))
+    ledger_model = LedgerModel(lease_ms=term * 1000.0, single_host=False)
+    scenario.shared_state = SharedState(ledger_model, outer_stages=(make_recorder,), prefixes=("story/",))
 
 
 @given("gateways that run on one machine")
@@ -67,7 +68,7 @@
 
 @given("gateways that may stand on many machines")
 def many_machines(scenario: FleetScenario) -> None:
-    """Then nobody knows of an end before the lease tells."""
+    """A process that has ended is then known only by its lease."""
     assert scenario.shared_state is not None
     scenario.shared_state = replace(
         scenario.shared_state, ledger_model=replace(scenario.shared_state.ledger_model, single_host=False)
@@ -137,9 +138,8 @@
 
 @then(parsers.parse("gateway {number:d} does not have '{name}'"))
 def has_not(scenario: FleetScenario, number: int, name: str) -> None:
-    assert name in latest_recorder(scenario, number).claims and not latest_recorder(scenario, number).has(
-        name
-    )
+    recorder = latest_recorder(scenario, number)
+    assert name in recorder.claims and not recorder.has(name)
 
 
 @then(parsers.parse("gateway {number:d} does not know whether it has '{name}'"))
@@ -160,20 +160,21 @@
 
 
 def _store(scenario: FleetScenario) -> MemoryStore:
+    """Run the scenario; return the ledger's store after it."""
     _ = scenario.result
     assert scenario.emulation.ledger is not None
     return scenario.emulation.ledger.store
 
 
-@then("no gateway's life is ended")
-def none_fenced(scenario: FleetScenario) -> None:
+@then("no gateway is fenced")
+def no_gateway_is_fenced(scenario: FleetScenario) -> None:
     _ = recorders(scenario)
     assert not [m for m in _store(scenario).members() if m.fenced]
 
 
-@then(parsers.parse("gateway {number:d}'s first life is ended by another within {within:g} s of {at:g} s"))
-def is_fenced(scenario: FleetScenario, number: int, within: float, at: float) -> None:
-    incarnation = first_recorder(scenario, number).place.incarnation
+@then(parsers.parse("gateway {number:d}'s first incarnation is fenced within {within:g} s of {at:g} s"))
+def first_incarnation_is_fenced(scenario: FleetScenario, number: int, within: float, at: float) -> None:
+    incarnation = first_recorder(scenario, number).context.incarnation
     latest = next(m for m in _store(scenario).members() if m.incarnation.name == incarnation.name)
     assert latest.incarnation != incarnation or latest.fenced
     notified_at = [
@@ -182,46 +183,49 @@
         for when, member in n.expired_leases
         if member.incarnation == incarnation
         and member.fenced
-        and n.place.incarnation.name != incarnation.name
+        and n.context.incarnation.name != incarnation.name
     ]
     assert notified_at and at * 1000.0 < min(notified_at) <= (at + within) * 1000.0, notified_at
 
 
-@then(parsers.parse("all lost lives are ended within {within:g} s of {at:g} s"))
-def all_fenced(scenario: FleetScenario, within: float, at: float) -> None:
+@then(parsers.parse("all lost incarnations are fenced within {within:g} s of {at:g} s"))
+def all_lost_incarnations_are_fenced(scenario: FleetScenario, within: float, at: float) -> None:
     dead = [
-        n.place.incarnation
+        n.context.incarnation
         for n in recorders(scenario)
-        if not scenario.gateway(int(n.place.incarnation.name[1:]) + 1).alive
+        if not scenario.gateway(int(n.context.incarnation.name[1:]) + 1).alive
     ]
     notified_at = {
         m.incarnation: when for n in recorders(scenario) for when, m in reversed(n.expired_leases) if m.fenced
     }
-    assert dead and all(notified_at.get(life, 1e9) <= (at + within) * 1000.0 for life in dead), notified_at
+    until = (at + within) * 1000.0
+    assert dead and all(notified_at.get(incarnation, math.inf) <= until for incarnation in dead), notified_at
 
 
-@then(parsers.parse("gateway {number:d} is told that its life was ended, before it claims anything more"))
+@then(parsers.parse("gateway {number:d} is notified that it was fenced, before it claims anything more"))
 def notified_of_fencing(scenario: FleetScenario, number: int) -> None:
     recorder = first_recorder(scenario, number)
-    assert recorder.first_notified_at("Fenced") >= 0
+    assert recorder.first_notified_at(Fenced) >= 0
     assert not any(recorder.has(name) for name in recorder.claims)
 
 
-@then(parsers.parse("gateway {number:d} is told that the ledger is lost, and later that it is back"))
-def notified_of_loss_and_recovery(scenario: FleetScenario, number: int) -> None:
-    lost, recovered = (
-        latest_recorder(scenario, number).first_notified_at("LedgerUnavailable"),
-        latest_recorder(scenario, number).first_notified_at("LedgerRecovered"),
+@then(
+    parsers.parse(
+        "gateway {number:d} is notified that the ledger is unavailable, and later that it has recovered"
     )
-    assert 0 <= lost < recovered
+)
+def notified_of_loss_and_recovery(scenario: FleetScenario, number: int) -> None:
+    recorder = latest_recorder(scenario, number)
+    unavailable_at = recorder.first_notified_at(LedgerUnavailable)
+    assert 0 <= unavailable_at < recorder.first_notified_at(LedgerRecovered)
 
 
-@then(parsers.parse("gateway {number:d} is never told that the ledger is lost"))
+@then(parsers.parse("gateway {number:d} is never notified that the ledger is unavailable"))
 def never_lost(scenario: FleetScenario, number: int) -> None:
-    assert latest_recorder(scenario, number).first_notified_at("LedgerUnavailable") < 0
+    assert latest_recorder(scenario, number).first_notified_at(LedgerUnavailable) < 0
 
 
-@then(parsers.parse("gateway {number:d} has begun {count:d} lives"))
+@then(parsers.parse("gateway {number:d} has had {count:d} incarnations"))
 def incarnation_count(scenario: FleetScenario, number: int, count: int) -> None:
     _ = recorders(scenario)
     assert scenario.gateway(number).incarnation_count == count
@@ -229,18 +233,18 @@
     assert incarnation is not None and incarnation.epoch == count
 
 
-@then(parsers.parse("gateway {number:d} may not act on its lease at {at:g} s"))
+@then(parsers.parse("gateway {number:d} does not hold its lease at {at:g} s"))
 def does_not_hold_lease(scenario: FleetScenario, number: int, at: float) -> None:
     assert _holds_lease(scenario, number, at) is False
 
 
-@then(parsers.parse("gateway {number:d} may act on its lease at {at:g} s"))
+@then(parsers.parse("gateway {number:d} holds its lease at {at:g} s"))
 def holds_lease(scenario: FleetScenario, number: int, at: float) -> None:
     assert _holds_lease(scenario, number, at) is True
 
 
 def _holds_lease(scenario: FleetScenario, number: int, at: float) -> bool:
-    """Asked at that moment: the day is played up to it."""
+    """Run the scenario up to that moment, and ask the gateway then."""
     scenario.emulation.run_until(at * 1000.0)
     return bool(scenario.gateway(number).pipeline.holds_lease(at * 1000.0))
 
