--- a/meadowpulley/lending/allocator.py
+++ b/meadowpulley/lending/allocator.py
@@ -88,15 +88,15 @@
         total_own = math.fsum(own for _, own, _ in rates)
         total_borrowed = math.fsum(borrowed for _, _, borrowed in rates)
         own_beyond_floor = max(total_own - report.floor_in_use, 0.0)
-        wanted = max(total_own + total_borrowed + allocation.spare_per_gateway - report.floor_in_use, 0.0)
+        entitled = max(total_own + total_borrowed + allocation.spare_per_gateway - report.floor_in_use, 0.0)
         return cls(
             rates=rates,
             total_own=total_own,
             total_borrowed=total_borrowed,
             own_beyond_floor=own_beyond_floor,
-            covered=min(wanted, reserved),
+            covered=min(entitled, reserved),
             own_shortfall=max(own_beyond_floor - reserved, 0.0),
-            borrowed_shortfall=max(wanted - max(reserved, own_beyond_floor), 0.0),
+            borrowed_shortfall=max(entitled - max(reserved, own_beyond_floor), 0.0),
         )
 
 
--- a/meadowpulley/placement/differences_in_q.py
+++ b/meadowpulley/placement/differences_in_q.py
@@ -127,22 +127,35 @@
     """Return the sums of an arm against the baseline, by group of units."""
     time_bins = fill_gaps(bins)
 
-    def column(read: Callable[[TimeBin], float]) -> Floats:
-        return np.array([0.0 if time_bin is None else float(read(time_bin)) for time_bin in time_bins])
-
-    def counts_of(group: int, of_arm: int) -> Floats:
-        return column(lambda b: 0 if arm in b.ended_arms else b.arm_counts.get((group, of_arm), 0))
-
     residuals = q_residuals(
-        column(lambda b: b.accepted[metric]),
-        column(lambda b: b.cost_ms[metric]),
-        column(lambda b: b.outstanding_ms[metric]),
-        column(lambda b: b.outstanding_at_start[metric]),
+        _column(time_bins, lambda time_bin: time_bin.accepted[metric]),
+        _column(time_bins, lambda time_bin: time_bin.cost_ms[metric]),
+        _column(time_bins, lambda time_bin: time_bin.outstanding_ms[metric]),
+        _column(time_bins, lambda time_bin: time_bin.outstanding_at_start[metric]),
     )
     groups = sorted(
         {group for time_bin in bins for group, of_arm in time_bin.arm_counts if of_arm in (0, arm)}
     )
-    return {
-        group: group_sums(residuals, counts_of(group, arm), counts_of(group, 0), arm_probability)
-        for group in groups
-    }
+    sums = {}
+    for group in groups:
+        arm_counts = _compared_counts(time_bins, group, arm, arm)
+        baseline_counts = _compared_counts(time_bins, group, 0, arm)
+        sums[group] = group_sums(residuals, arm_counts, baseline_counts, arm_probability)
+    return sums
+
+
+def _column(time_bins: Sequence[TimeBin | None], read: Callable[[TimeBin], float]) -> Floats:
+    return np.array([0.0 if time_bin is None else float(read(time_bin)) for time_bin in time_bins])
+
+
+def _compared_counts(
+    time_bins: Sequence[TimeBin | None], group: int, counted_arm: int, compared_arm: int
+) -> Floats:
+    """Return an arm's requests by bin; none where the arm that is compared has ended."""
+
+    def count(time_bin: TimeBin) -> int:
+        if compared_arm in time_bin.ended_arms:
+            return 0
+        return time_bin.arm_counts.get((group, counted_arm), 0)
+
+    return _column(time_bins, count)
--- a/meadowpulley/placement/estimate.py
+++ b/meadowpulley/placement/estimate.py
@@ -235,7 +235,7 @@
     Bojinov, Simchi-Levi and Zhao 2023; Welch's error and degrees of freedom.
     """
     means = _block_means(merged, metric)
-    samples = [np.array([mean for of_arm, mean in means if of_arm == wanted]) for wanted in (0, arm)]
+    samples = [np.array([mean for of_arm, mean in means if of_arm == sampled]) for sampled in (0, arm)]
     baseline, treated = samples
     if min(len(baseline), len(treated)) < MIN_BLOCKS:
         return NO_ESTIMATE
--- a/meadowpulley/placement/summary.py
+++ b/meadowpulley/placement/summary.py
@@ -212,11 +212,6 @@
         for arm in range(len(experiment.arms))
         for metric in range(len(names))
     )
-    comparisons = tuple(
-        _compare(experiment, merged, arm, metric, names[metric], alpha)
-        for arm in range(1, len(experiment.arms))
-        for metric in range(len(names))
-    )
     return Summary(
         name=experiment.name,
         version=experiment.digest,
@@ -227,7 +222,7 @@
         adopted=merged.adopted,
         sample_ratio_p_value=_sample_ratio_p_value(experiment, arms),
         arms=arms,
-        comparisons=comparisons,
+        comparisons=_comparisons(experiment, merged, names, alpha),
         ended_arms=tuple((experiment.arms[arm].name, reason) for arm, reason in sorted(end_reasons.items())),
     )
 
@@ -291,6 +286,16 @@
     return tuple(histogram.get_value_at_percentile(quantile) / 1000 for quantile in QUANTILES)
 
 
+def _comparisons(
+    experiment: Experiment, merged: MergedCounters, names: Sequence[str], alpha: float
+) -> tuple[Comparison, ...]:
+    return tuple(
+        _compare(experiment, merged, arm, metric, names[metric], alpha)
+        for arm in range(1, len(experiment.arms))
+        for metric in range(len(names))
+    )
+
+
 def _compare(
     experiment: Experiment, merged: MergedCounters, arm: int, metric: int, class_name: str, alpha: float
 ) -> Comparison:
