--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -23,7 +23,7 @@
 from meadowpulley.interface import Outcome, Result
 from meadowpulley.ledger import Replace, Transaction
 from meadowpulley.takeover import JournalScope, ResponseReady
-from meadowpulley.takeover.model import RECORD_PREFIX, RequestState, decode_request_record
+from meadowpulley.takeover.records import RECORD_PREFIX, RequestState, decode_request_record
 from tests.takeover_fleet import CLASSES, LEASE_TERM_MS, ORDER, PAY, READ, Fleet, Gateway
 
 REQUEST_TIMEOUT_MS = 8000.0  # every request's time
--- a/benchmarks/takeover_processes.py
+++ b/benchmarks/takeover_processes.py
@@ -39,7 +39,7 @@
     send_request,
 )
 from meadowpulley.net import protocol
-from meadowpulley.takeover.model import RECORD_PREFIX, decode_request_record
+from meadowpulley.takeover.records import RECORD_PREFIX, decode_request_record
 from tests.standins import RELEASED, SETTINGS, FakeDiscovery, FakeInstance, FakePlatform, endpoint
 
 GATEWAY_COUNT, INSTANCE_COUNT = 4, 32
--- a/benchmarks/together.py
+++ b/benchmarks/together.py
@@ -38,7 +38,7 @@
     RequestReceived,
 )
 from meadowpulley.takeover import TakeoverSettings
-from meadowpulley.takeover.model import JournalScope
+from meadowpulley.takeover.settings import JournalScope
 
 LEASE_MS, CRASH_AT_MS, CRASHED_SHARE = 2000.0, 6000.0, 0.1
 BOOKING = 1  # its place among the classes
--- a/meadowpulley/emulator/ledger_observer.py
+++ b/meadowpulley/emulator/ledger_observer.py
@@ -13,7 +13,7 @@
     RequestRecorded,
     RequestReleased,
 )
-from meadowpulley.takeover.model import RECORD_PREFIX, RecordError, RequestState, decode_request_record
+from meadowpulley.takeover.records import RECORD_PREFIX, RecordError, RequestState, decode_request_record
 
 _OUTCOMES = {RequestState.SERVED: "served", RequestState.FAILED: "failed", RequestState.REJECTED: "refused"}
 
--- a/meadowpulley/emulator/shared_state.py
+++ b/meadowpulley/emulator/shared_state.py
@@ -14,7 +14,8 @@
 from meadowpulley.ledger import Incarnation, LeaseManager, LeaseTimings as LeaseTerms, Stage
 from meadowpulley.lending import LendingStage, QuotaPlan
 from meadowpulley.rules import CapacityUsed, Record, SharedStateParameters
-from meadowpulley.takeover import TakeoverSettings, TakeoverStage, model
+from meadowpulley.takeover import TakeoverSettings, TakeoverStage
+from meadowpulley.takeover.records import WATCHED_PREFIXES
 
 END_SLACK_MS = 1000.0  # beside the terms of the leases of all that had it: to find out, to claim and to end
 MAX_CLAIM_STEPS = 3  # a survivor's place in line, at most, as far as the slack goes
@@ -104,7 +105,7 @@
         """Beginnings of the keys whose changes the stages must be told of now."""
         prefixes: tuple[str, ...] = ()
         if self.takeover is not None:
-            prefixes += model.WATCHED_PREFIXES
+            prefixes += WATCHED_PREFIXES
         if self.lending is not None:
             prefixes += self.lending.watched_prefixes()
         return prefixes + self.shared_state.prefixes
--- a/meadowpulley/emulator/takeover_gateway.py
+++ b/meadowpulley/emulator/takeover_gateway.py
@@ -17,7 +17,7 @@
 from meadowpulley.ledger import Incarnation
 from meadowpulley.load.arrivals import Arrival
 from meadowpulley.rules import AdoptionStarted, ClientDetached, RequestAbandoned
-from meadowpulley.takeover import model as m
+from meadowpulley.takeover import messages
 
 TARGET = "/"
 RELEASE_BEFORE_END_MS = 60.0  # before its end a gateway that stops gives its lease back
@@ -29,15 +29,15 @@
     def __init__(self, emulation: Any, number: int) -> None:
         super().__init__(emulation, number)
         self._action_handlers |= {
-            m.Deliver: self._deliver,
-            m.Discard: self._discard,
-            m.AdoptRequest: self._adopt,
+            messages.Deliver: self._deliver,
+            messages.Discard: self._discard,
+            messages.AdoptRequest: self._adopt,
         }
 
     def _request_event(self, request: InFlightRequest) -> Any:
         call = request.client_request.call
         body = msgspec.json.encode(call.arrival)
-        return m.ClientRequest(
+        return messages.ClientRequest(
             super()._request_event(request), request.client_request.request_id, "POST", TARGET, (), body
         )
 
@@ -50,9 +50,9 @@
             request.response_ready = True
             server_id = attempt.server.entry.server if attempt.server is not None else -1
             content = f"{request.client_request.number} {attempt.number} {server_id}".encode()
-            self.dispatch(m.ResponseReady(request.client_request.number, STATUS_OK, (), content))
+            self.dispatch(messages.ResponseReady(request.client_request.number, STATUS_OK, (), content))
 
-    def _deliver(self, action: m.Deliver) -> None:
+    def _deliver(self, action: messages.Deliver) -> None:
         request = self.in_flight.get(action.request)
         if (
             request is None
@@ -65,7 +65,7 @@
         else:
             self._send_response(request, "failed", 0.0)
 
-    def _discard(self, action: m.Discard) -> None:
+    def _discard(self, action: messages.Discard) -> None:
         request = self.in_flight.get(action.request)
         if request is not None and not request.finished:
             self._finish(request)
@@ -79,16 +79,16 @@
         number = request.client_request.number
         if self.emulation.takeover_of(self).continues_without_client(number):
             self.emulation.record(ClientDetached(self.clock.now, self.number, number))
-            self.dispatch(m.ClientDetached(number))
+            self.dispatch(messages.ClientDetached(number))
         else:
             super()._handle_disconnect(request)
 
     # Work of others
 
-    def _adopt(self, action: m.AdoptRequest) -> None:
+    def _adopt(self, action: messages.AdoptRequest) -> None:
         now, emulation = self.clock.now, self.emulation
         if self.pending_responses >= self.client_slots:
-            self.dispatch(m.AdoptionResult(action.request_id, None))
+            self.dispatch(messages.AdoptionResult(action.request_id, None))
             return
         arrival = msgspec.json.decode(action.body, type=Arrival)
         call = ClientCall(arrival, action.class_index, self.site, now, finished=True)
@@ -105,14 +105,14 @@
         self.clock.call_at(
             request.deadline, self.in_this_incarnation(partial(self._deadline_passed, request))
         )
-        self.dispatch(m.AdoptionResult(action.request_id, number))
+        self.dispatch(messages.AdoptionResult(action.request_id, number))
 
     # A planned stop
 
     def stop(self, grace_ms: float) -> None:
         """What can't end in time is given away; the lease is given back before the end."""
         self.leaving = True
-        self.dispatch(m.ShutdownNotice(grace_ms))
+        self.dispatch(messages.ShutdownNotice(grace_ms))
         self._drain_until(self.clock.now + grace_ms, self.incarnation)
 
     def _drain_until(self, deadline: float, incarnation: Incarnation | None) -> None:
--- a/meadowpulley/model_checking/shared_state_model/configurations.py
+++ b/meadowpulley/model_checking/shared_state_model/configurations.py
@@ -16,7 +16,7 @@
 )
 from meadowpulley.ledger.lease_manager import LeaseTimings as LeaseTerms
 from meadowpulley.lending import Quota, QuotaPlan
-from meadowpulley.takeover.model import JournalScope, TakeoverSettings
+from meadowpulley.takeover.settings import JournalScope, TakeoverSettings
 
 SAFE, UNSAFE, IDEMPOTENT_WITH_KEY = 0, 1, 2
 BUILD = 41
--- a/meadowpulley/model_checking/shared_state_model/gateway.py
+++ b/meadowpulley/model_checking/shared_state_model/gateway.py
@@ -56,7 +56,16 @@
 )
 from meadowpulley.model_checking.shared_state_model.invariant_monitor import InvariantMonitor
 from meadowpulley.policy import RolloutPolicy
-from meadowpulley.takeover import TakeoverStage, model as m
+from meadowpulley.takeover import TakeoverStage
+from meadowpulley.takeover.messages import (
+    AdoptionResult,
+    AdoptRequest,
+    ClientDetached,
+    ClientRequest,
+    Deliver,
+    Discard,
+    ResponseReady,
+)
 
 RANDOM = ScriptedRandom()
 RELEASED_BUILD = RolloutUpdate(BUILD, 0, Phase.RELEASED, 1.0, 60_000.0)
@@ -65,7 +74,7 @@
     "RolloutPolicy": UNCHANGING_POLICY_FIELDS | {"rng"},
     "InFlightRequest": frozenset({"request_class"}),
     "LeaseManager": frozenset({"_handlers"}),
-    "TakeoverStage": frozenset({"gateway_settings", "handlers", "settings"}),
+    "TakeoverStage": frozenset({"entries", "gateway_settings", "handlers", "settings"}),
     "LendingStage": frozenset({"settings", "priority_weights"}),
     "TransactionBuilder": frozenset({"actions", "transactions", "intents", "now"}),
 }
@@ -215,11 +224,11 @@
             self._answer_client(
                 environment, action.request, "refused" if isinstance(action, Reject) else "failed"
             )
-        elif isinstance(action, m.Deliver):
+        elif isinstance(action, Deliver):
             self._answer_client(environment, action.request, action.body.decode())
-        elif isinstance(action, m.Discard):
+        elif isinstance(action, Discard):
             self._finish_request(action.request)
-        elif isinstance(action, m.AdoptRequest):
+        elif isinstance(action, AdoptRequest):
             self._adopt(environment, action)
         elif isinstance(action, SetTimer):
             due = (environment.now + max(action.delay_ms, 0.0), action.token)
@@ -267,19 +276,17 @@
         if self.knows_it_is_fenced and request_class == SAFE:
             environment.monitor.unjournaled.add(request_id)
         if self.configuration.takes_over:
-            event = m.ClientRequest(
-                request, request_id, "POST", PATHS[request_class], (), request_id.encode()
-            )
+            event = ClientRequest(request, request_id, "POST", PATHS[request_class], (), request_id.encode())
         self.dispatch(environment, event)
 
-    def _adopt(self, environment: Environment, action: m.AdoptRequest) -> None:
+    def _adopt(self, environment: Environment, action: AdoptRequest) -> None:
         self.last_request += 1
         request_index = int(action.request_id[1:])
         self.pending_requests[self.last_request] = PendingRequest(
             action.request_id, request_index, action.class_index, action.deadline_ms, False
         )
         environment.record_message("ledger", self.name, f"takes {action.request_id} over")
-        self.dispatch(environment, m.AdoptionResult(action.request_id, self.last_request))
+        self.dispatch(environment, AdoptionResult(action.request_id, self.last_request))
 
     def _send_attempt(self, environment: Environment, action: Send) -> None:
         pending = self.pending_requests.get(action.request)
@@ -353,7 +360,7 @@
         self.pending_requests[request].client_waiting = False
         self.dispatch(
             environment,
-            m.ClientDetached(request) if self.configuration.takes_over else ClientDisconnected(request),
+            ClientDetached(request) if self.configuration.takes_over else ClientDisconnected(request),
         )
 
     def finish_attempt(
@@ -366,7 +373,7 @@
         if result is Result.OK and not pending.answered:
             pending.response_at = environment.now
             if self.configuration.takes_over:
-                self.dispatch(environment, m.ResponseReady(request, 200, (), body.encode()))
+                self.dispatch(environment, ResponseReady(request, 200, (), body.encode()))
             else:
                 self._answer_client(environment, request, body)
         pending = self.pending_requests[request]
--- a/meadowpulley/model_checking/shared_state_model/invariant_monitor.py
+++ b/meadowpulley/model_checking/shared_state_model/invariant_monitor.py
@@ -16,7 +16,7 @@
 )
 from meadowpulley.model_checking.properties import Violation
 from meadowpulley.model_checking.shared_state_model.configurations import CLASSES, UNSAFE
-from meadowpulley.takeover.model import RECORD_PREFIX, RequestRecord, RequestState, decode_request_record
+from meadowpulley.takeover.records import RECORD_PREFIX, RequestRecord, RequestState, decode_request_record
 
 
 class InvariantMonitor:
--- a/meadowpulley/model_checking/shared_state_model/state.py
+++ b/meadowpulley/model_checking/shared_state_model/state.py
@@ -10,7 +10,7 @@
 from meadowpulley.model_checking.shared_state_model.configurations import CONFIGURATIONS
 from meadowpulley.model_checking.shared_state_model.gateway import FORM_RULES, RANDOM, SimulatedGateway
 from meadowpulley.model_checking.shared_state_model.invariant_monitor import InvariantMonitor
-from meadowpulley.takeover.model import RECORD_PREFIX, decode_request_record
+from meadowpulley.takeover.records import RECORD_PREFIX, decode_request_record
 
 START_MS = 100_000.0
 
--- a/meadowpulley/model_checking/shared_state_model/transitions.py
+++ b/meadowpulley/model_checking/shared_state_model/transitions.py
@@ -27,7 +27,7 @@
 from meadowpulley.model_checking.shared_state_model.enabled_steps import EnabledSteps
 from meadowpulley.model_checking.shared_state_model.gateway import RANDOM, SimulatedGateway
 from meadowpulley.model_checking.shared_state_model.state import Attempt
-from meadowpulley.takeover.model import ShutdownNotice
+from meadowpulley.takeover.messages import ShutdownNotice
 
 STOP_GRACE_MS = 500.0  # between SIGTERM and SIGKILL
 RUN_OUT_MS = max(c.deadline_ms for c in CLASSES) + 4 * LEASE_TERM_MS  # by when everything has met its end
--- a/meadowpulley/model_checking/shared_state_mutants.py
+++ b/meadowpulley/model_checking/shared_state_mutants.py
@@ -112,7 +112,7 @@
         "lease",
         "answers",
         REQUEST_JOURNAL,
-        ("            or not self.holds_lease(now)\n", ""),
+        (" or not self.holds_lease(now):", ":"),
     ),
     shared_state_mutant(
         "told-unrecorded",
@@ -239,8 +239,8 @@
         "keyed",
         ORPHANS,
         (
-            "0.0), MAX_DURATION_MS),\n            grants=claim.grants,\n",
-            "0.0), MAX_DURATION_MS),\n            grants=(),\n",
+            "MAX_DURATION_MS),\n            grants=claim.grants,\n",
+            "MAX_DURATION_MS),\n            grants=(),\n",
         ),
     ),
     shared_state_mutant(
--- a/meadowpulley/stage_pipeline.py
+++ b/meadowpulley/stage_pipeline.py
@@ -1,43 +1,55 @@
-"""What gateways of an installation do together, at a gateway on sockets: the stages that rest on the ledger.
+"""Chains the stages that share a ledger round the policy of a gateway with sockets.
 
-From the outside: what stands between sockets and stages, the keeper of the lease, takeover, lending,
-placements, the decisions. Imported only where `MEADOWPULLEY_LEDGER` names a ledger, and of the rest only what
-is asked for.
+From the outside: the takeover extension, the lease manager, takeover, lending, placement, the policy.
+Imported only where `MEADOWPULLEY_LEDGER` names a ledger; each optional part only where it is asked for.
 """
 
 from __future__ import annotations
 
 import sys
 from collections.abc import Callable, Mapping, Sequence
-from typing import Any, Protocol
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Protocol
 
 from meadowpulley.ledger import LEDGER_EVENTS, Commit, LedgerUnusableError, Stage
 from meadowpulley.ledger.client import LedgerClient, start_ledger
-
-# The ledger's thread waits so long at most for the reactor's to let it run: by default 5 ms, which a written
-# request waits for twice.
+from meadowpulley.settings_types import Settings
+
+if TYPE_CHECKING:
+    from meadowpulley.lending import QuotaPlan
+    from meadowpulley.placement import Experiment, PlacementStage
+    from meadowpulley.takeover import TakeoverSettings
+
+TAKEOVER_PREFIX = "MEADOWPULLEY_TAKEOVER"
+LENDING_PREFIX = "MEADOWPULLEY_LENDING_"
+PLACEMENT_VARIABLE = "MEADOWPULLEY_PLACEMENT"
+# How long the ledger's thread waits at most for the reactor's thread to let it run. A journaled request waits
+# for that twice; Python's default is 5 ms.
 THREAD_SWITCH_INTERVAL_S = 0.0005
-MIN_SHUTDOWN_GRACE_MS = (
-    3_000.0  # planned ends come no sooner after SIGTERM than the longest deadline, and that
-)
+# A gateway is killed no sooner after SIGTERM than this, or than the longest deadline.
+MIN_SHUTDOWN_GRACE_MS = 3_000.0
 
 
 class PolicyStage:
-    """The innermost stage: what is the ledger's own ends here, since the decisions know nothing of it."""
+    """The innermost stage: passes events to the policy, except those of the ledger."""
 
     def __init__(self, policy: Stage) -> None:
         self.policy = policy
 
     def handle(self, now: float, event: Any) -> list[Any]:
+        """Handle one event; return the actions to carry out."""
         return [] if isinstance(event, LEDGER_EVENTS) else self.policy.handle(now, event)
 
 
 class GracefulStage(Protocol):
-    def shut_down(self, now: float) -> list[Any]: ...
+    """A stage that has something to write when its gateway shuts down."""
+
+    def shut_down(self, now: float) -> list[Any]:
+        """Return the last actions of the stage, of which only commits are carried out."""
 
 
 class StagePipeline:
-    """What was started, for the gateway's end. `parting` stages say then what they write last."""
+    """The stages and the ledger of a running gateway, for its shutdown."""
 
     def __init__(
         self, ledger: LedgerClient, graceful_stages: Sequence[GracefulStage], now: Callable[[], float]
@@ -45,7 +57,7 @@
         self.ledger, self.graceful_stages, self.now = ledger, graceful_stages, now
 
     def shut_down(self) -> None:
-        """A planned stop, once nothing is owed any more: what is held goes back at once."""
+        """Commit what the stages write last, and release the lease, once no response is owed any more."""
         for stage in self.graceful_stages:
             for action in stage.shut_down(self.now()):
                 if isinstance(action, Commit):
@@ -53,77 +65,138 @@
         self.ledger.release_lease()
 
     def close(self) -> None:
+        """Stop the ledger's thread."""
         self.ledger.close()
 
 
-def start_pipeline(gateway: Any, environ: Mapping[str, str], seed: int, reactor: Any) -> StagePipeline:
-    """Wraps the stages round the gateway's decisions and starts the ledger; leave and close what comes back
-    at the end.
+@dataclass(frozen=True, slots=True)
+class _PartSettings:
+    """What the environment asks for; None: that part is off."""
 
-    Call it before the reactor runs. Raises `RefusedError`, one line: what is wrong, where, and what to do.
-    """
-    settings = gateway.config.settings
-    takeover_settings = None  # all that can be refused comes before a life is begun
-    if any(name.startswith("MEADOWPULLEY_TAKEOVER") for name in environ):
-        from meadowpulley.takeover.extension import read_settings
-
-        takeover_settings = read_settings(environ)
-    lending_plan = None
-    if any(name.startswith("MEADOWPULLEY_LENDING_") for name in environ):
-        from meadowpulley.lending import QuotaPlanError, read_plan
-
-        try:
-            lending_plan = read_plan(settings, environ)
-        except QuotaPlanError as error:
-            raise LedgerUnusableError(str(error)) from None
-    experiment = None
-    if environ.get("MEADOWPULLEY_PLACEMENT"):
-        try:
-            from meadowpulley.placement import gateway as placement
-        except ModuleNotFoundError as error:
-            raise LedgerUnusableError(
-                f"MEADOWPULLEY_PLACEMENT: {error}: install requirements-placement.txt"
-            ) from None
-        experiment = placement.requested_experiment(settings, environ)
-    ledger = start_ledger(gateway, gateway.config.name, environ, reactor)
-    if ledger is None:
-        raise LedgerUnusableError("MEADOWPULLEY_LEDGER: empty: name a folder, or leave it out")
-    stage: Any = PolicyStage(gateway.pipeline)
-    watch_sources: list[Callable[[], tuple[str, ...]]] = []
-    graceful_stages: list[GracefulStage] = []
-    placement_stage = None
-    if experiment is not None:
-        stage = placement_stage = placement.install_stage(
-            stage, gateway.pipeline, experiment, settings, ledger.incarnation, seed, gateway.deadlines.now()
+    takeover: TakeoverSettings | None
+    lending: QuotaPlan | None
+    placement: Experiment | None
+
+
+def _read_part_settings(settings: Settings, environ: Mapping[str, str]) -> _PartSettings:
+    return _PartSettings(
+        _read_takeover(environ), _read_lending(settings, environ), _read_placement(settings, environ)
+    )
+
+
+def _read_takeover(environ: Mapping[str, str]) -> TakeoverSettings | None:
+    if not any(name.startswith(TAKEOVER_PREFIX) for name in environ):
+        return None
+    from meadowpulley.takeover.settings_reader import read_settings
+
+    return read_settings(environ)
+
+
+def _read_lending(settings: Settings, environ: Mapping[str, str]) -> QuotaPlan | None:
+    if not any(name.startswith(LENDING_PREFIX) for name in environ):
+        return None
+    from meadowpulley.lending import QuotaPlanError, read_plan
+
+    try:
+        return read_plan(settings, environ)
+    except QuotaPlanError as error:
+        raise LedgerUnusableError(str(error)) from None
+
+
+def _read_placement(settings: Settings, environ: Mapping[str, str]) -> Experiment | None:
+    if not environ.get(PLACEMENT_VARIABLE):
+        return None
+    try:
+        from meadowpulley.placement.gateway import requested_experiment
+    except ModuleNotFoundError as error:
+        hint = "install requirements-placement.txt"
+        raise LedgerUnusableError(f"{PLACEMENT_VARIABLE}: {error}: {hint}") from None
+    return requested_experiment(settings, environ)
+
+
+class _PipelineBuilder:
+    """Wraps one stage round the other, from the policy outwards, and installs them at the gateway."""
+
+    def __init__(self, gateway: Any, ledger: LedgerClient, seed: int) -> None:
+        self.gateway, self.ledger, self.seed = gateway, ledger, seed
+        self.settings: Settings = gateway.config.settings
+        self.stage: Stage = PolicyStage(gateway.pipeline)
+        self.graceful_stages: list[GracefulStage] = []
+        self.prefix_sources: list[Callable[[], tuple[str, ...]]] = []
+        self.placement_stage: PlacementStage | None = None
+
+    def add_placement(self, experiment: Experiment) -> None:
+        """Add the stage that assigns requests to the arms of an experiment."""
+        from meadowpulley.placement.gateway import install_stage
+
+        now = self.gateway.deadlines.now()
+        self.stage = self.placement_stage = install_stage(
+            self.stage,
+            self.gateway.pipeline,
+            experiment,
+            self.settings,
+            self.ledger.incarnation,
+            self.seed,
+            now,
         )
-        watch_sources.append(placement_stage.watched_prefixes)
-        graceful_stages.append(placement_stage)
-    if lending_plan is not None:
+        self.prefix_sources.append(self.placement_stage.watched_prefixes)
+        self.graceful_stages.append(self.placement_stage)
+
+    def add_lending(self, plan: QuotaPlan) -> None:
+        """Add the stage that lends quota between tenants."""
         from meadowpulley.lending import LendingStage
 
-        stage = lending = LendingStage(stage, settings, lending_plan, ledger.incarnation, seed)
-        watch_sources.append(lending.watched_prefixes)
-        graceful_stages.append(lending)
-    takeover_stage = None
-    if takeover_settings is not None:
+        stage = LendingStage(self.stage, self.settings, plan, self.ledger.incarnation, self.seed)
+        self.stage = stage
+        self.prefix_sources.append(stage.watched_prefixes)
+        self.graceful_stages.append(stage)
+
+    def install(self, takeover_settings: TakeoverSettings | None) -> None:
+        """Add the takeover stage if it is on, and the lease manager; make them the gateway's pipeline."""
+        if takeover_settings is None:
+            self.gateway.pipeline = self.ledger.wrap(self.stage, self._watched_prefixes)
+            return
         from meadowpulley.takeover.extension import TakeoverExtension
-        from meadowpulley.takeover.model import WATCHED_PREFIXES
+        from meadowpulley.takeover.records import WATCHED_PREFIXES
         from meadowpulley.takeover.stage import TakeoverStage
 
-        stage = takeover_stage = TakeoverStage(
-            settings, stage, ledger.incarnation, ledger.holds_lease, takeover_settings
-        )
-        watch_sources.append(lambda: WATCHED_PREFIXES)
-        if placement_stage is not None:
-            placement_stage.origins = placement.TakeoverOrigins(takeover_stage)
-    gateway.pipeline = keeper_stage = ledger.wrap(
-        stage, lambda: tuple(key for keys in watch_sources for key in keys())
-    )
-    if takeover_stage is not None:
-        longest_deadline_ms = max((c.deadline_ms for c in settings.classes), default=0.0)
-        gateway.pipeline = TakeoverExtension(
-            gateway, takeover_stage, keeper_stage, max(longest_deadline_ms, MIN_SHUTDOWN_GRACE_MS)
-        )
+        incarnation, holds_lease = self.ledger.incarnation, self.ledger.holds_lease
+        stage = TakeoverStage(self.settings, self.stage, incarnation, holds_lease, takeover_settings)
+        self.stage = stage
+        self.prefix_sources.append(lambda: WATCHED_PREFIXES)
+        if self.placement_stage is not None:
+            from meadowpulley.placement.gateway import TakeoverOrigins
+
+            self.placement_stage.origins = TakeoverOrigins(stage)
+        lease_manager = self.ledger.wrap(stage, self._watched_prefixes)
+        extension = TakeoverExtension(self.gateway, stage, lease_manager, self._shutdown_grace_ms())
+        self.gateway.pipeline = extension
+
+    def _watched_prefixes(self) -> tuple[str, ...]:
+        return tuple(prefix for source in self.prefix_sources for prefix in source())
+
+    def _shutdown_grace_ms(self) -> float:
+        longest_deadline_ms = max((c.deadline_ms for c in self.settings.classes), default=0.0)
+        return max(longest_deadline_ms, MIN_SHUTDOWN_GRACE_MS)
+
+
+def start_pipeline(gateway: Any, environ: Mapping[str, str], seed: int, reactor: Any) -> StagePipeline:
+    """Wrap the stages round the gateway's policy and start the ledger, before the reactor runs.
+
+    The caller shuts the returned pipeline down, and closes it, at the end. Raises `LedgerUnusableError` with
+    one line that says what is wrong, where, and what to do.
+    """
+    # All that can be refused comes before an incarnation is registered.
+    parts = _read_part_settings(gateway.config.settings, environ)
+    ledger = start_ledger(gateway, gateway.config.name, environ, reactor)
+    if ledger is None:
+        raise LedgerUnusableError("MEADOWPULLEY_LEDGER: empty: name a folder, or leave it out")
+    builder = _PipelineBuilder(gateway, ledger, seed)
+    if parts.placement is not None:
+        builder.add_placement(parts.placement)
+    if parts.lending is not None:
+        builder.add_lending(parts.lending)
+    builder.install(parts.takeover)
     sys.setswitchinterval(THREAD_SWITCH_INTERVAL_S)
     ledger.start()
-    return StagePipeline(ledger, graceful_stages, gateway.deadlines.now)
+    return StagePipeline(ledger, builder.graceful_stages, gateway.deadlines.now)
--- a/meadowpulley/takeover/adoption.py
+++ b/meadowpulley/takeover/adoption.py
@@ -1,7 +1,8 @@
-"""What a survivor may do with the work of a lost gateway, which of it, and when.
+"""Decides what a survivor may do with the request of a lost gateway, which request, and when.
 
-What it may do follows from what is proven alone. An attempt whose right was won may have run, or may run yet:
-the instance may still be at work, and the lost gateway may only be stopped with the bytes half out.
+What it may do follows from the record alone. An attempt whose grant was committed may have been executed,
+or may be executed yet: the instance may still be at work, and the lost gateway may only be paused with half
+of the bytes sent.
 """
 
 from __future__ import annotations
@@ -13,31 +14,36 @@
 
 from meadowpulley.interface import Effect, PriorAttempt, RequestClass
 from meadowpulley.takeover.ledger_view import ObservedRequest
-from meadowpulley.takeover.model import RequestRecord, RequestState, TakeoverSettings
+from meadowpulley.takeover.records import RequestRecord, RequestState
+from meadowpulley.takeover.settings import TakeoverSettings
 
 
 def remaining_ms(observed: ObservedRequest, now: float, settings: TakeoverSettings) -> float:
-    """Time to the deadline, at most: never more than its writer had left. -inf where nothing bounds it.
+    """Return a lower bound of the time to the client's deadline; -inf where the record's age has no bound.
 
-    The record was made at most `right_ms` before it was carried out, else its writer made it anew; so it is
-    no older than its floor less that, and the writer's clock ran no faster than `drift` allows.
+    The record was made at most `grant_timeout_ms` before it was committed, else its writer made it anew. So
+    it is no older than `not_before_ms` less that, and the writer's clock ran no faster than `clock_drift`
+    allows.
     """
     age_ms = now - observed.not_before_ms + settings.grant_timeout_ms
     return observed.record.remaining_ms * (1 - settings.clock_drift) - age_ms
 
 
 def prior_attempts(observed: ObservedRequest) -> tuple[PriorAttempt, ...]:
-    """The attempts that may have run, each sent no earlier than its time: after its right was won."""
+    """Return the attempts that may have been executed, with a lower bound of the time each was sent."""
     return tuple(
-        PriorAttempt(r.server, r.build, r.zone, r.cell, at)
-        for r, at in zip(observed.record.grants, observed.grants_not_before_ms, strict=True)
+        PriorAttempt(grant.server, grant.build, grant.zone, grant.cell, not_before_ms)
+        for grant, not_before_ms in zip(observed.record.grants, observed.grants_not_before_ms, strict=True)
     )
 
 
 def adoption_decision(
     record: RequestRecord, request_class: RequestClass | None, slack_ms: float, settings: TakeoverSettings
 ) -> RequestState:
-    """OPEN: it may be adopted; else how it ends at once. `spare`: time left beyond what one usually takes."""
+    """Return OPEN if an orphan may be adopted, else the state in which it ends at once.
+
+    `slack_ms` is the remaining time beyond what an attempt of the class usually takes.
+    """
     if request_class is None or record.owner_count >= settings.max_owners:
         return RequestState.FAILED
     if record.grants and request_class.effect is Effect.NON_IDEMPOTENT:
@@ -49,7 +55,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AdoptionCandidate:
-    """What is to be chosen among: one for each piece of work this gateway may claim now."""
+    """An orphan that this gateway may adopt now."""
 
     request_id: str
     slack_ms: float  # until it must be begun
@@ -59,25 +65,26 @@
 def schedule_adoptions(
     candidates: Sequence[AdoptionCandidate], available: float, rate_per_s: float
 ) -> tuple[list[AdoptionCandidate], list[AdoptionCandidate]]:
-    """Nearest deadline first; where not all can be begun in time, the least worth is left out.
+    """Choose what to adopt: nearest deadline first, and least weight left out where time is short.
 
-    `now_left` may be begun at once and `per_s` a second after that. Choosing so is best for pieces of equal
-    length (Moore 1968, for weights Sahni 1976); how long each takes is not known. Returns what to begin, in
-    order, and what cannot be begun in time.
+    `available` candidates may begin at once and `rate_per_s` after that. The choice is optimal for requests
+    of equal length (Moore 1968, with weights Sahni 1976); how long each takes is not known. Returns the
+    candidates to adopt, in order, and those that cannot begin in time.
     """
-    selected: list[tuple[float, int]] = []  # least worth first
-    by_deadline = sorted(candidates, key=lambda o: (o.slack_ms, -o.priority_weight, o.request_id))
+    selected: list[tuple[float, int]] = []  # a heap, least weight first
+    by_deadline = sorted(candidates, key=lambda c: (c.slack_ms, -c.priority_weight, c.request_id))
     for index, candidate in enumerate(by_deadline):
         heapq.heappush(selected, (candidate.priority_weight, index))
         if len(selected) > available + rate_per_s * max(candidate.slack_ms, 0.0) / 1000.0:
             heapq.heappop(selected)
-    chosen_indexes = {n for _, n in selected}
-    missed = [orphan for n, orphan in enumerate(by_deadline) if n not in chosen_indexes]
-    return [orphan for n, orphan in enumerate(by_deadline) if n in chosen_indexes], missed
+    chosen_indexes = {index for _, index in selected}
+    chosen = [candidate for index, candidate in enumerate(by_deadline) if index in chosen_indexes]
+    missed = [candidate for index, candidate in enumerate(by_deadline) if index not in chosen_indexes]
+    return chosen, missed
 
 
 class AdoptionBudget:
-    """Adoptions: so many a second, with no more than a tenth of a second's at once, and so many in hand."""
+    """A token bucket for adoptions: `adoptions_per_s`, and a tenth of a second's worth at once."""
 
     def __init__(self, settings: TakeoverSettings) -> None:
         self.settings = settings
@@ -85,17 +92,17 @@
         self._tokens, self._updated_at_ms = self.burst, -math.inf
 
     def available(self, now: float) -> float:
+        """Return how many adoptions may begin now."""
         if self._updated_at_ms > -math.inf:
-            self._tokens = min(
-                self._tokens + (now - self._updated_at_ms) * self.settings.adoptions_per_s / 1000.0,
-                self.burst,
-            )
+            gained = (now - self._updated_at_ms) * self.settings.adoptions_per_s / 1000.0
+            self._tokens = min(self._tokens + gained, self.burst)
         self._updated_at_ms = now
         return self._tokens
 
     def consume(self, now: float) -> None:
+        """Count one adoption."""
         self._tokens = self.available(now) - 1
 
     def wait_ms(self, now: float) -> float:
-        """Until the next may be begun."""
+        """Return the time until the next adoption may begin."""
         return max(1.0 - self.available(now), 0.0) * 1000.0 / self.settings.adoptions_per_s
--- /dev/null
+++ b/meadowpulley/takeover/entry_factory.py
@@ -0,0 +1,87 @@
+"""Makes journal entries from requests of clients and from claimed orphans."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from meadowpulley.interface import Request, Settings
+from meadowpulley.ledger import Incarnation
+from meadowpulley.takeover import adoption
+from meadowpulley.takeover.journaled_request import JournaledRequest
+from meadowpulley.takeover.messages import ClientRequest
+from meadowpulley.takeover.orphan_claims import Claim
+from meadowpulley.takeover.records import MAX_DURATION_MS, RECORD_FORMAT, Origin, RequestContent
+
+
+@dataclass(frozen=True, slots=True)
+class EntryFactory:
+    """Makes the journal entries of one incarnation.
+
+    Records name classes and tenants; the policy knows them by their index.
+    """
+
+    gateway_settings: Settings
+    incarnation: Incarnation
+
+    def from_client(self, event: ClientRequest, digest: bytes, sequence: int, now: float) -> JournaledRequest:
+        """Make the entry of a request that a client has just sent."""
+        request, tenants = event.request, self.gateway_settings.tenants
+        return JournaledRequest(
+            request=request,
+            request_id=event.request_id,
+            request_class=self.gateway_settings.classes[request.class_index],
+            tenant_name=tenants[request.tenant].name if request.tenant < len(tenants) else "",
+            content=RequestContent(RECORD_FORMAT, event.method, event.target, event.headers, event.body),
+            digest=digest,
+            sequence=sequence,
+            origin=Origin(str(self.incarnation), sequence),
+            received_at_ms=now,
+        )
+
+    def from_claim(self, handle: int, claim: Claim, content: RequestContent) -> JournaledRequest:
+        """Make the entry of a claimed orphan that has a slot now."""
+        record = claim.observed.record
+        request = self._adopted_request(handle, claim)
+        return JournaledRequest(
+            request=request,
+            request_id=claim.observed.request_id,
+            request_class=self.gateway_settings.classes[request.class_index],
+            tenant_name=record.tenant_name,
+            content=content,
+            digest=record.digest,
+            sequence=claim.sequence,
+            origin=record.origin,
+            received_at_ms=max(claim.observed.not_before_ms - record.elapsed_ms, -MAX_DURATION_MS),
+            owner_count=record.owner_count + 1,
+            record_version=claim.record_version,
+            content_version=claim.content_version,
+            inherited_grants=claim.grants,
+            attempt_count=record.attempt_count,
+            has_client=False,
+        )
+
+    def _adopted_request(self, handle: int, claim: Claim) -> Request:
+        record = claim.observed.record
+        return Request(
+            handle,
+            self._class_index(record.class_name),
+            self._tenant_index(record.tenant_name),
+            record.key,
+            claim.deadline_ms,
+            record.expected_work_ms,
+            write=record.write,
+            adopted=True,
+            prior_attempt_count=record.attempt_count,
+            prior_attempts=adoption.prior_attempts(claim.observed),
+            arm=record.arm,
+        )
+
+    def _class_index(self, class_name: str) -> int:
+        """Return the index of a class; an orphan of an unknown class is never adopted."""
+        names = [request_class.name for request_class in self.gateway_settings.classes]
+        return names.index(class_name)
+
+    def _tenant_index(self, tenant_name: str) -> int:
+        """Return the index of a tenant; the number of tenants stands for an unknown one."""
+        names = [tenant.name for tenant in self.gateway_settings.tenants]
+        return names.index(tenant_name) if tenant_name in names else len(names)
--- a/meadowpulley/takeover/journaled_request.py
+++ b/meadowpulley/takeover/journaled_request.py
@@ -1,22 +1,24 @@
-"""One written request in this gateway's hands: what its record should say, and what it is known to say."""
+"""One journaled request of this gateway: what its record should say, and what it is known to say."""
 
 from __future__ import annotations
 
 import math
 from dataclasses import dataclass, field
+from typing import Self
 
-from msgspec.structs import replace as changed
+from msgspec.structs import replace as replace_fields
 
 from meadowpulley.interface import Fail, Reject, Request, RequestClass, Send
 from meadowpulley.ledger import CheckVersion, Create, Record, Remove, Replace, Transaction, Write
-from meadowpulley.takeover.model import (
+from meadowpulley.takeover import records
+from meadowpulley.takeover.messages import Deliver, ResponseReady, deliver
+from meadowpulley.takeover.records import (
     CONTENT_PREFIX,
     MAX_DURATION_MS,
     RECORD_FORMAT,
     RECORD_PREFIX,
     RESPONSE_PREFIX,
     AttemptGrant,
-    Deliver,
     Origin,
     RecordedResponse,
     RequestContent,
@@ -29,7 +31,7 @@
 
 @dataclass(slots=True)
 class PendingSend:
-    """An attempt that the decisions chose, held until its right is won."""
+    """An attempt that the policy chose, held until its grant is committed."""
 
     action: Send
     expires_at_ms: float
@@ -37,65 +39,70 @@
 
 @dataclass(frozen=True, slots=True)
 class FinalResponse:
+    """How a request ends: its state, and the action that answers its own client."""
+
     state: RequestState
-    action: Reject | Fail | Deliver  # what its own client is told
-    response: RecordedResponse | None = None
+    action: Reject | Fail | Deliver
+    response: RecordedResponse | None = None  # to be recorded; None: too long, or there is none
+
+    @classmethod
+    def served(cls, event: ResponseReady) -> Self:
+        """Make one of an instance's good response; a body that is too long is not recorded."""
+        response = None
+        if len(event.body) <= records.MAX_BODY_BYTES:
+            response = RecordedResponse(records.RECORD_FORMAT, event.status, event.headers, event.body)
+        return cls(RequestState.SERVED, deliver(event), response)
 
 
 @dataclass(frozen=True, slots=True)
 class PendingWrite:
-    """A write that is under way: what is proven once it is won."""
+    """A write that is under way, and what it proves once it is committed."""
 
     created_at_ms: float
-    keys: tuple[str, ...] = ()  # what it writes, in order; nothing: it only looks whether the id is known
-    covered_attempts: frozenset[int] = frozenset()  # attempts whose rights are in it
+    keys: tuple[str, ...] = ()  # the prefixes of what it writes, in order; empty: it only looks up the id
+    covered_attempts: frozenset[int] = frozenset()  # attempts whose grants are in it
     final_response: FinalResponse | None = None
     releases: bool = False
 
 
 @dataclass(slots=True, eq=False)
 class JournaledRequest:
+    """A request that this gateway owns. Times are ms on this gateway's clock."""
+
     request: Request
-    request_id: str
+    request_id: str  # given by the client
     request_class: RequestClass
     tenant_name: str
     content: RequestContent
     digest: bytes
     sequence: int
     origin: Origin
-    received_at_ms: float  # on this gateway's clock; of an adopted one no later than it was
+    received_at_ms: float  # of an adopted request: a lower bound
     owner_count: int = 1
-    record_version: int = 0  # of its record; 0: none that is known
+    record_version: int = 0  # 0: no record is known
     content_version: int = 0
     response_version: int = 0
-    write_uncertain: bool = False  # a write may have been carried out
-    inherited_grants: tuple[AttemptGrant, ...] = ()  # attempts of earlier lives that may have run
-    grants: dict[int, AttemptGrant] = field(default_factory=dict)  # this life's, by the decisions' number
-    attempt_count: int = 0  # with those of earlier lives
-    pending_sends: dict[int, PendingSend] = field(default_factory=dict)
-    dispatched_attempts: list[int] = field(
-        default_factory=list
-    )  # the decisions' numbers of what went out, in order
-    outstanding_attempts: set[int] = field(
-        default_factory=set
-    )  # the adapter's numbers of attempts without their outcome
+    write_uncertain: bool = False  # a write with an unknown outcome may have been committed
+    inherited_grants: tuple[AttemptGrant, ...] = ()  # attempts of earlier owners that may have been executed
+    grants: dict[int, AttemptGrant] = field(default_factory=dict)  # of this owner, by the policy's number
+    attempt_count: int = 0  # with those of earlier owners
+    pending_sends: dict[int, PendingSend] = field(default_factory=dict)  # by the policy's number
+    dispatched_attempts: list[int] = field(default_factory=list)  # the policy's numbers, in order of sending
+    outstanding_attempts: set[int] = field(default_factory=set)  # the adapter's numbers
     pending_write: PendingWrite | None = None
-    retry_at_ms: float = math.inf  # when a write whose fate is not known is tried again
+    retry_at_ms: float = math.inf  # when to repeat a write with an unknown outcome
     final_response: FinalResponse | None = None
-    superseded_response: FinalResponse | None = (
-        None  # what `final` stands in for: it may be recorded all the same
-    )
-    hold_until_ms: float = math.inf  # the client gets the final answer by then, recorded or not
-    answered: bool = False  # it has it, or the slot was ended
+    superseded_response: FinalResponse | None = None  # replaced by `final_response`; it may be recorded yet
+    hold_until_ms: float = math.inf  # the client gets the final response by then, recorded or not
+    answered: bool = False  # the client has its final response, or the slot was ended
     has_client: bool = True
-    record_stale: bool = (
-        False  # its last write was carried out long after it was made: the time left in it is late
-    )
-    releasing: bool = False  # to others, as this gateway stops
-    relinquished: bool = False  # no longer this gateway's: only outcomes are still heard of
+    record_stale: bool = False  # the last write was committed late: its remaining time is too long
+    releasing: bool = False  # it is being released to other gateways
+    relinquished: bool = False  # no longer owned: only outcomes of its attempts still matter
 
     @property
     def record_key(self) -> str:
+        """The ledger key of its record."""
         return RECORD_PREFIX + self.request_id
 
     @property
@@ -109,125 +116,134 @@
             or not self.record_version
         )
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the policy has nothing more to decide for it."""
+        return self.relinquished or self.final_response is not None
+
+    def failure(self) -> FinalResponse:
+        """Return the final response of a failed request."""
+        return FinalResponse(RequestState.FAILED, Fail(self.request.request))
+
+    def supersede_final_response(self) -> None:
+        """Make room for another final response; the first one may be recorded all the same."""
+        self.superseded_response = self.superseded_response or self.final_response
+        self.final_response = None
+
     def to_record(self, now: float) -> RequestRecord:
-        """What the record should say now."""
+        """Return what the record should say now."""
         request = self.request
-        state = (
-            self.final_response.state
-            if self.final_response is not None
-            else RequestState.RELEASED
-            if self.releasing
-            else RequestState.OPEN
-        )
-        grants = (*self.inherited_grants, *self.grants.values())
-        remaining_ms, elapsed_ms = (
-            min(max(request.deadline_ms - now, 0.0), MAX_DURATION_MS),
-            min(max(now - self.received_at_ms, 0.0), MAX_DURATION_MS),
-        )
-        expected_work_ms = (
-            min(max(request.expected_work_ms, 0.0), MAX_DURATION_MS)
-            if request.expected_work_ms is not None
-            else None
-        )
+        expected_work_ms = request.expected_work_ms
         return RequestRecord(
-            RECORD_FORMAT,
-            state,
-            self.request_class.name,
-            self.tenant_name,
-            request.key,
-            self.digest,
-            self.sequence,
-            self.origin,
-            remaining_ms,
-            elapsed_ms,
-            expected_work_ms,
-            request.write,
-            request.arm,
-            self.owner_count,
-            self.attempt_count,
-            grants,
+            format_version=RECORD_FORMAT,
+            state=self._current_state(),
+            class_name=self.request_class.name,
+            tenant_name=self.tenant_name,
+            key=request.key,
+            digest=self.digest,
+            sequence=self.sequence,
+            origin=self.origin,
+            remaining_ms=_clamp_duration(request.deadline_ms - now),
+            elapsed_ms=_clamp_duration(now - self.received_at_ms),
+            expected_work_ms=_clamp_duration(expected_work_ms) if expected_work_ms is not None else None,
+            write=request.write,
+            arm=request.arm,
+            owner_count=self.owner_count,
+            attempt_count=self.attempt_count,
+            grants=(*self.inherited_grants, *self.grants.values()),
         )
 
+    def _current_state(self) -> RequestState:
+        if self.final_response is not None:
+            return self.final_response.state
+        return RequestState.RELEASED if self.releasing else RequestState.OPEN
+
     def begin_write(self, now: float) -> Transaction:
-        """The step that makes the record say so; `flight` is what it would prove.
-
-        Where a record of it may yet be created, late, its end is created instead of looked up: then that one
-        loses."""
-        if (
-            self.final_response is not None and not self.record_version and not self.write_uncertain
-        ):  # nothing of it ever went out
-            self.pending_write = PendingWrite(now, final_response=self.final_response)
+        """Return the transaction that brings the record up to date; `pending_write` says what it would prove.
+
+        Where a record of the request may yet be created by a late write, its end is created instead of looked
+        up: then the late write conflicts.
+        """
+        final = self.final_response
+        if final is not None and not self.record_version and not self.write_uncertain:
+            # Nothing of the request was ever sent.
+            self.pending_write = PendingWrite(now, final_response=final)
             return Transaction((CheckVersion(self.record_key, 0),))
-        self.record_stale, value = False, encode_record(self.to_record(now))
-        writes: list[tuple[str, Write]] = [
-            (
-                RECORD_PREFIX,
-                Replace(self.record_key, value, self.record_version)
-                if self.record_version
-                else Create(self.record_key, value),
-            )
-        ]
-        if self.final_response is None and not self.content_version:
-            writes.append(
-                (CONTENT_PREFIX, Create(CONTENT_PREFIX + self.request_id, encode_record(self.content)))
-            )
-        elif self.final_response is not None and self.content_version:
-            writes.append((CONTENT_PREFIX, Remove(CONTENT_PREFIX + self.request_id, self.content_version)))
-        if (
-            self.final_response is not None
-            and self.final_response.response is not None
-            and not self.response_version
-        ):
-            writes.append(
-                (
-                    RESPONSE_PREFIX,
-                    Create(RESPONSE_PREFIX + self.request_id, encode_record(self.final_response.response)),
-                )
-            )
-        keys = tuple(key for key, _ in writes)
-        releases = self.releasing and self.final_response is None
-        self.pending_write = PendingWrite(now, keys, frozenset(self.grants), self.final_response, releases)
+        self.record_stale = False
+        writes = [(RECORD_PREFIX, self._record_write(now)), *self._content_writes(), *self._response_writes()]
+        self.pending_write = PendingWrite(
+            now,
+            tuple(prefix for prefix, _ in writes),
+            frozenset(self.grants),
+            final,
+            releases=self.releasing and final is None,
+        )
         return Transaction(tuple(write for _, write in writes))
 
+    def _record_write(self, now: float) -> Write:
+        value = encode_record(self.to_record(now))
+        if self.record_version:
+            return Replace(self.record_key, value, self.record_version)
+        return Create(self.record_key, value)
+
+    def _content_writes(self) -> list[tuple[str, Write]]:
+        """The content is created with the first record, and removed with the final response."""
+        key = CONTENT_PREFIX + self.request_id
+        if self.final_response is None and not self.content_version:
+            return [(CONTENT_PREFIX, Create(key, encode_record(self.content)))]
+        if self.final_response is not None and self.content_version:
+            return [(CONTENT_PREFIX, Remove(key, self.content_version))]
+        return []
+
+    def _response_writes(self) -> list[tuple[str, Write]]:
+        response = self.final_response.response if self.final_response is not None else None
+        if response is None or self.response_version:
+            return []
+        return [(RESPONSE_PREFIX, Create(RESPONSE_PREFIX + self.request_id, encode_record(response)))]
+
     def apply_commit(self, pending_write: PendingWrite, version: int) -> None:
-        """Each write of a step has the ledger's next version, `version` is that of the last."""
-        self._set_versions(
-            pending_write.keys,
-            version - len(pending_write.keys) + 1,
-            pending_write.final_response is not None,
-        )
+        """Note the versions of a committed write.
+
+        Each write of a transaction has the ledger's next version; `version` is that of the last one.
+        """
+        first_version = version - len(pending_write.keys) + 1
+        self._set_versions(pending_write.keys, first_version, pending_write.final_response is not None)
 
     def reconcile(self, found: Record) -> RequestState | None:
-        """What a record of this life's says, if it is what a write whose fate was not known has left."""
+        """Note the versions of a write with an unknown outcome whose record was found.
+
+        Returns the record's state; None if another incarnation's write, or another request's, has left it.
+        """
         record = decode_request_record(found.value)
-        state, is_final = record.state, record.is_final
         if record.sequence != self.sequence:
             return None
-        content_written = is_final == bool(self.content_version)  # it was removed, or made
-        final_response = self.final_response_for(state)
-        response_written = (
-            final_response is not None and final_response.response is not None
-        )  # a longer one is not kept
-        keys = [
-            RECORD_PREFIX,
-            *([CONTENT_PREFIX] if content_written else []),
-            *([RESPONSE_PREFIX] if response_written else []),
-        ]
+        prefixes = [RECORD_PREFIX]
+        if record.is_final == bool(self.content_version):  # the content was removed, or created
+            prefixes.append(CONTENT_PREFIX)
+        final = self.final_response_for(record.state)
+        if final is not None and final.response is not None:
+            prefixes.append(RESPONSE_PREFIX)
         self.write_uncertain = False
-        self._set_versions(tuple(keys), found.version, is_final)
-        return state
+        self._set_versions(tuple(prefixes), found.version, record.is_final)
+        return record.state
 
     def final_response_for(self, state: RequestState) -> FinalResponse | None:
-        """The final answer with which the record came to say so; None where it is not ended."""
-        candidates = [final for final in (self.final_response, self.superseded_response) if final is not None]
-        return next((final for final in candidates if final.state is state), None)
-
-    def _set_versions(self, keys: tuple[str, ...], first_version: int, is_final: bool) -> None:
-        versions = {key: first_version + n for n, key in enumerate(keys)}
+        """Return the final response with which the record got this state; None where it is not final."""
+        for candidate in (self.final_response, self.superseded_response):
+            if candidate is not None and candidate.state is state:
+                return candidate
+        return None
+
+    def _set_versions(self, prefixes: tuple[str, ...], first_version: int, is_final: bool) -> None:
+        versions = {prefix: first_version + index for index, prefix in enumerate(prefixes)}
         self.record_version = versions.get(RECORD_PREFIX, self.record_version)
         self.content_version = 0 if is_final else versions.get(CONTENT_PREFIX, self.content_version)
         self.response_version = versions.get(RESPONSE_PREFIX, self.response_version)
-        for attempt, grant in self.grants.items():  # a later one is put too early at worst
-            self.grants[attempt] = (
-                grant if grant.granted_version else changed(grant, granted_version=self.record_version)
-            )
+        for attempt, grant in self.grants.items():  # at worst, a later one is dated too early
+            if not grant.granted_version:
+                self.grants[attempt] = replace_fields(grant, granted_version=self.record_version)
+
+
+def _clamp_duration(duration_ms: float) -> float:
+    """Return the duration within the limits of a record."""
+    return min(max(duration_ms, 0.0), MAX_DURATION_MS)
--- a/meadowpulley/takeover/ledger_view.py
+++ b/meadowpulley/takeover/ledger_view.py
@@ -1,8 +1,8 @@
-"""What this gateway has seen of the ledger: the work in hand of all, and who lives.
+"""What this gateway has seen of the ledger: the open requests of all gateways, and the live incarnations.
 
-How old a record is, is bounded by the look it was missing from: one that is new in a look was written after
-the look before it began. So each record has a moment on the own clock before which it was not written; one
-that was there at the first look has none.
+The age of a record is bounded by the poll that did not show it: a record that is new in a poll was written
+after the poll before it started. So each record has a time on the own clock before which it was not
+written; records that were there at the first poll have none.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from meadowpulley.ledger import Changes, Incarnation, Member, Record
-from meadowpulley.takeover.model import (
+from meadowpulley.takeover.records import (
     RECORD_PREFIX,
     RecordError,
     RequestRecord,
@@ -19,133 +19,140 @@
     decode_request_record,
 )
 
-MAX_FINISHED = 4096  # ended records: an ask may find one open that is known to have ended since
+# Finished requests that are remembered: a duplicate may find a record open that has finished since.
+MAX_FINISHED = 4096
 
 
 @dataclass(frozen=True, slots=True)
 class ObservedRequest:
-    """Work in hand, as of one version of its record."""
+    """An open request as of one version of its record. Times are ms on this gateway's clock."""
 
     request_id: str
     record: RequestRecord
     version: int
     owner: Incarnation
-    not_before_ms: float  # written no earlier than this on this gateway's clock; -inf: not known
-    grants_not_before_ms: tuple[float, ...] = ()  # of each right: won no earlier than this
+    not_before_ms: float  # the record was written no earlier than this; -inf: not known
+    grants_not_before_ms: tuple[float, ...] = ()  # each grant was committed no earlier than this
 
 
 @dataclass(slots=True)
 class ViewDelta:
-    """What one look has brought."""
+    """What one poll has changed in the view."""
 
-    changed_ids: list[str] = field(default_factory=list)  # whose records are new or gone
-    warnings: list[str] = field(default_factory=list)  # a line for each that can't be read
+    changed_ids: list[str] = field(default_factory=list)  # requests whose records are new or removed
+    warnings: list[str] = field(default_factory=list)  # a line for each record that cannot be decoded
     ended_incarnations: list[Incarnation] = field(default_factory=list)
-    abandoned: list[tuple[str, int]] = field(
-        default_factory=list
-    )  # ended, their version, and nobody's to remove
+    # Finished requests of ended incarnations, with their versions: nobody removes their records.
+    abandoned: list[tuple[str, int]] = field(default_factory=list)
 
 
 class LedgerView:
+    """The open requests, the last finished ones, and the members, as of the last poll."""
+
     def __init__(self) -> None:
-        self.open_requests: dict[str, ObservedRequest] = {}  # owed an answer
-        self.finished: dict[str, tuple[int, RequestState]] = {}  # the last ones: at which version, and how
-        self.members: dict[str, Member] = {}  # the last life of each name
-        self.started_after_version: dict[Incarnation, int] = {}  # of those seen to begin: after which version
-        self.expired_renewals: dict[Incarnation, int] = {}  # the renewal at which its lease ran out
+        self.open_requests: dict[str, ObservedRequest] = {}
+        self.finished: dict[str, tuple[int, RequestState]] = {}  # version and state of the last ones
+        self.members: dict[str, Member] = {}  # the latest incarnation of each name
+        # For incarnations that were seen to start: the version of the view before that.
+        self.started_after_version: dict[Incarnation, int] = {}
+        self.expired_renewals: dict[Incarnation, int] = {}  # the renewal whose lease expired
         self._version = 0
-        self._last_poll_started_ms = -math.inf  # when the last look began
+        self._last_poll_started_ms = -math.inf
 
     def apply(self, poll_started_ms: float, changes: Changes) -> ViewDelta:
+        """Apply the changes that a poll has brought, and return what is new."""
         delta = ViewDelta()
-        delta.ended_incarnations = [
-            incarnation for member in changes.members for incarnation in self.update_member(member)
-        ]
+        for member in changes.members:
+            delta.ended_incarnations += self.update_member(member)
+        delta.changed_ids = self._remove_missing(changes)
+        for record in changes.records:
+            self._apply_record(record, changes.is_snapshot, delta)
+        self._version = max(self._version, changes.version)
+        self._last_poll_started_ms = poll_started_ms
+        return delta
+
+    def _remove_missing(self, changes: Changes) -> list[str]:
+        """Forget the requests whose records were removed, and return those that were known."""
         if changes.is_snapshot:
             present_keys = {record.key for record in changes.records}
-            removed_ids = [
-                k
-                for known in (self.open_requests, self.finished)
-                for k in known
-                if RECORD_PREFIX + k not in present_keys
-            ]
+            known_ids = [*self.open_requests, *self.finished]
+            removed_ids = [known for known in known_ids if RECORD_PREFIX + known not in present_keys]
         else:
             removed_ids = [
                 key[len(RECORD_PREFIX) :] for key in changes.removed_keys if key.startswith(RECORD_PREFIX)
             ]
-        for request_id in removed_ids:
-            known = self.open_requests.pop(request_id, None) or self.finished.pop(request_id, None)
-            delta.changed_ids += [request_id] if known is not None else []
-        for record in changes.records:
-            if (
-                not record.key.startswith(RECORD_PREFIX)
-                or self.version_of(record.key[len(RECORD_PREFIX) :]) >= record.version
-            ):
-                continue
-            try:
-                delta.changed_ids.append(self._store(record))
-            except RecordError as error:
-                delta.warnings.append(
-                    f"takeover: record {record.key!r} by {record.writer} left alone: {error}"
-                )
-                continue
-            if (
-                changes.is_snapshot
-                and delta.changed_ids[-1] in self.finished
-                and self.has_ended(record.writer)
-            ):
-                delta.abandoned.append((delta.changed_ids[-1], record.version))
-        self._version = max(self._version, changes.version)
-        self._last_poll_started_ms = poll_started_ms
-        return delta
-
-    def _store(self, record: Record) -> str:
-        request_id, request_record = record.key[len(RECORD_PREFIX) :], decode_request_record(record.value)
+        return [request_id for request_id in removed_ids if self._forget(request_id)]
+
+    def _forget(self, request_id: str) -> bool:
+        was_open = self.open_requests.pop(request_id, None) is not None
+        return was_open or self.finished.pop(request_id, None) is not None
+
+    def _apply_record(self, record: Record, is_snapshot: bool, delta: ViewDelta) -> None:
+        if not record.key.startswith(RECORD_PREFIX):
+            return
+        request_id = record.key[len(RECORD_PREFIX) :]
+        if self.version_of(request_id) >= record.version:
+            return
+        try:
+            self._store(request_id, record)
+        except RecordError as error:
+            line = f"takeover: record {record.key!r} by {record.writer} left alone: {error}"
+            delta.warnings.append(line)
+            return
+        delta.changed_ids.append(request_id)
+        if is_snapshot and request_id in self.finished and self.has_ended(record.writer):
+            delta.abandoned.append((request_id, record.version))
+
+    def _store(self, request_id: str, record: Record) -> None:
+        request_record = decode_request_record(record.value)
         previous = self.open_requests.pop(request_id, None)
         self.finished.pop(request_id, None)
         if request_record.is_final:
             self.finished[request_id] = (record.version, request_record.state)
             if len(self.finished) > MAX_FINISHED:
                 del self.finished[next(iter(self.finished))]
-        else:
-            not_before_ms, grants_not_before_ms = (
-                self._not_before_ms(record.version),
-                self._grants_not_before_ms(request_record, record.version, previous),
-            )
-            self.open_requests[request_id] = ObservedRequest(
-                request_id, request_record, record.version, record.writer, not_before_ms, grants_not_before_ms
-            )
-        return request_id
+            return
+        self.open_requests[request_id] = ObservedRequest(
+            request_id,
+            request_record,
+            record.version,
+            record.writer,
+            self._not_before_ms(record.version),
+            self._grants_not_before_ms(request_record, record.version, previous),
+        )
 
     def _not_before_ms(self, version: int) -> float:
+        """Return the time before which this version was not written; -inf: not known."""
         return self._last_poll_started_ms if version > self._version else -math.inf
 
     def _grants_not_before_ms(
         self, record: RequestRecord, version: int, previous: ObservedRequest | None
     ) -> tuple[float, ...]:
-        """When the rights were won at the earliest: what was seen of the record before knows it of some."""
-        known_times = {}
+        """Return the time before which each grant was not committed; the previous observation knows some."""
+        known_times: dict[int, float] = {}
         if previous is not None:
-            known_times = {
-                r.granted_version or previous.version: at
-                for r, at in zip(previous.record.grants, previous.grants_not_before_ms, strict=True)
-            }
+            for grant, not_before_ms in zip(
+                previous.record.grants, previous.grants_not_before_ms, strict=True
+            ):
+                known_times[grant.granted_version or previous.version] = not_before_ms
+        granted_versions = [grant.granted_version or version for grant in record.grants]
         return tuple(
-            known_times[won] if won in known_times else self._not_before_ms(won)
-            for won in (r.granted_version or version for r in record.grants)
+            known_times[granted] if granted in known_times else self._not_before_ms(granted)
+            for granted in granted_versions
         )
 
     def version_of(self, request_id: str) -> int:
+        """Return the version of the last record seen of this request; 0: none."""
         if request_id in self.open_requests:
             return self.open_requests[request_id].version
         return self.finished[request_id][0] if request_id in self.finished else 0
 
     def update_member(self, member: Member) -> list[Incarnation]:
-        """Takes it in unless something newer is known; returns the lives that ended by it."""
+        """Apply a member unless something newer is known; return the incarnations that ended by it."""
         incarnation, known = member.incarnation, self.members.get(member.incarnation.name)
-        known_state = (
-            (known.incarnation.epoch, known.fenced, known.renewal) if known is not None else (0, False, -1)
-        )
+        known_state = (0, False, -1)
+        if known is not None:
+            known_state = (known.incarnation.epoch, known.fenced, known.renewal)
         if (incarnation.epoch, member.fenced, member.renewal) <= known_state:
             return []
         self.members[incarnation.name] = member
@@ -160,30 +167,35 @@
         return ended
 
     def open_ids_of(self, incarnation: Incarnation) -> list[str]:
-        return [seen.request_id for seen in self.open_requests.values() if seen.owner == incarnation]
+        """Return the ids of the open requests that this incarnation owns."""
+        return [
+            observed.request_id for observed in self.open_requests.values() if observed.owner == incarnation
+        ]
 
     def mark_lease_expired(self, member: Member) -> list[Incarnation]:
-        """Its lease ran out by this gateway's clock, or it was sealed; returns the lives that ended by it."""
+        """Note an expired lease or a fence; return the incarnations that ended by it."""
         ended = self.update_member(member)
         if not member.fenced:
             self.expired_renewals[member.incarnation] = member.renewal
         return ended
 
     def has_ended(self, incarnation: Incarnation) -> bool:
-        """Sealed, or followed by another life of its name: it commits nothing any more."""
+        """Return whether it was fenced or replaced: then it commits nothing any more."""
         member = self.members.get(incarnation.name)
         if member is None or member.incarnation.epoch < incarnation.epoch:
             return False
         return member.incarnation.epoch > incarnation.epoch or member.fenced
 
     def existed_before(self, incarnation: Incarnation, version: int) -> bool:
-        """Whether that life was there when this was written, as far as is known: it knows how old it is."""
+        """Return whether it existed, as far as is known, before this version: then it knows its age."""
         return self.started_after_version.get(incarnation, 0) < version
 
     def live_incarnations(self, excluded: Incarnation | None = None) -> list[Incarnation]:
-        """All that neither ended nor let their lease run out."""
+        """Return the incarnations that are not fenced and whose lease has not expired."""
         return [
-            m.incarnation
-            for m in self.members.values()
-            if not m.fenced and m.incarnation not in self.expired_renewals and m.incarnation != excluded
+            member.incarnation
+            for member in self.members.values()
+            if not member.fenced
+            and member.incarnation not in self.expired_renewals
+            and member.incarnation != excluded
         ]
--- a/meadowpulley/takeover/orphan_claims.py
+++ b/meadowpulley/takeover/orphan_claims.py
@@ -1,8 +1,9 @@
-"""The work of lost gateways: whose it is now, and the claims of this gateway.
+"""The orphans of lost gateways: whose they are now, and the claims of this gateway.
 
-Once a lost life is sealed nothing it writes counts any more; then its unanswered records are claimed, each by
-compare-and-set. The survivors stand in line for every piece, by rendezvous hashing; who is next in line waits
-a step longer, so that one that is busy, or dies too, holds nothing up.
+Once a lost incarnation is fenced nothing it writes is committed any more; then its open requests are
+claimed, each by compare-and-set. Rendezvous hashing ranks the survivors for every orphan; each waits
+`claim_stagger_ms` longer than the one before it, so that a gateway that is busy, or crashes too, delays
+nothing for long.
 """
 
 from __future__ import annotations
@@ -11,9 +12,9 @@
 from collections.abc import Container, Mapping
 from dataclasses import dataclass
 
-from msgspec.structs import replace as changed
+from msgspec.structs import replace as replace_fields
 
-from meadowpulley.interface import LogLine, Settings
+from meadowpulley.interface import LogLine, RequestClass, Settings
 from meadowpulley.ledger import (
     CheckVersion,
     Incarnation,
@@ -26,52 +27,56 @@
     rendezvous_order,
 )
 from meadowpulley.takeover import adoption
-from meadowpulley.takeover.duplicate_waiters import CachedResponse, ResponseCache
+from meadowpulley.takeover.adoption import AdoptionBudget, AdoptionCandidate
 from meadowpulley.takeover.ledger_view import LedgerView, ObservedRequest
-from meadowpulley.takeover.model import (
+from meadowpulley.takeover.messages import AdoptRequest
+from meadowpulley.takeover.records import (
     CONTENT_PREFIX,
     MAX_DURATION_MS,
     RECORD_PREFIX,
-    AdoptRequest,
     AttemptGrant,
     RecordError,
     RequestContent,
     RequestState,
-    TakeoverSettings,
     decode_request_content,
     decode_request_record,
     encode_record,
 )
+from meadowpulley.takeover.response_cache import CachedResponse, ResponseCache
+from meadowpulley.takeover.settings import TakeoverSettings
 from meadowpulley.takeover.transaction_builder import TransactionBuilder, TransactionIntent, TransactionKind
 
-MAX_REQUESTS_PER_TURN = 64  # pieces looked at for the first time in one turn, and ended in one
-FULL_RECHECK_MS = 20.0  # between two looks while all adoptions are in use
+MAX_REQUESTS_PER_TURN = 64  # orphans that are ranked, and those that are finished, while one event is handled
+FULL_RECHECK_MS = 20.0  # between two checks while `max_adopted` requests are adopted
+MIN_RECHECK_MS = 1.0
 
 
 @dataclass(slots=True)
 class Claim:
-    """Work this gateway claims, or has claimed and not yet in hand."""
+    """An orphan that this gateway claims, or has claimed and not adopted yet."""
 
     observed: ObservedRequest
     target_state: RequestState  # OPEN: to be adopted; else how it ends
     deadline_ms: float
     sequence: int
-    record_version: int = 0  # of its record once it is won
+    record_version: int = 0  # of its record once the claim is committed
     content: RequestContent | None = None
     content_version: int = 0
-    uncertain: bool = False  # a try of it may have won
+    uncertain: bool = False  # an attempt to write it may have been committed
     retry_at_ms: float = math.inf
 
     @property
     def grants(self) -> tuple[AttemptGrant, ...]:
-        """Those of its work, none of them won by a write of this gateway's."""
+        """The grants of earlier owners, each with the version that granted it."""
         return tuple(
-            changed(r, granted_version=r.granted_version or self.observed.version)
-            for r in self.observed.record.grants
+            replace_fields(grant, granted_version=grant.granted_version or self.observed.version)
+            for grant in self.observed.record.grants
         )
 
 
 class OrphanClaims:
+    """Ranks, claims and finishes orphans, and asks for a slot for those that are adopted."""
+
     def __init__(
         self,
         gateway_settings: Settings,
@@ -80,23 +85,19 @@
         view: LedgerView,
         response_cache: ResponseCache,
     ) -> None:
-        self.classes = {c.name: (n, c) for n, c in enumerate(gateway_settings.classes)}
-        self.tenants = {t.name: n for n, t in enumerate(gateway_settings.tenants)}
-        self.incarnation, self.settings, self.view, self.response_cache = (
-            incarnation,
-            settings,
-            view,
-            response_cache,
-        )
-        self.budget = adoption.AdoptionBudget(settings)
-        self.unranked: dict[str, None] = {}  # orphans whose place in line is not worked out
-        self.claimable_at_ms: dict[str, float] = {}  # those that are, and when this gateway may claim them
+        self.classes = {c.name: (index, c) for index, c in enumerate(gateway_settings.classes)}
+        self.incarnation, self.settings = incarnation, settings
+        self.view, self.response_cache = view, response_cache
+        self.budget = AdoptionBudget(settings)
+        self.unranked: dict[str, None] = {}  # orphans whose ranking is not computed
+        self.claimable_at_ms: dict[str, float] = {}  # ranked orphans, and when this gateway may claim them
         self.claims: dict[str, Claim] = {}
         self.due_at_ms = math.inf
 
     # What is an orphan
 
     def on_lease_expired(self, now: float, members: tuple[Member, ...]) -> None:
+        """Note that the leases of these members expired by this gateway's clock."""
         for member in members:
             for incarnation in self.view.mark_lease_expired(member):
                 self._add_orphans_of(incarnation, now)
@@ -109,7 +110,7 @@
         ended_incarnations: list[Incarnation],
         own_ids: Container[str],
     ) -> None:
-        """These records are new or gone, these lives ended; `mine`: the work in this gateway's hands."""
+        """Update the orphans after a poll. `own_ids`: the requests that this gateway owns."""
         for incarnation in ended_incarnations:
             self._add_orphans_of(incarnation, now)
         if ended_incarnations:
@@ -118,20 +119,15 @@
             observed = self.view.open_requests.get(request_id)
             self.unranked.pop(request_id, None)
             self.claimable_at_ms.pop(request_id, None)
-            if (
-                observed is not None
-                and request_id not in own_ids
-                and request_id not in self.claims
-                and self._is_orphan(observed)
-            ):
+            if observed is None or request_id in own_ids or request_id in self.claims:
+                continue
+            if self._is_orphan(observed):
                 self._add_orphan(request_id, now)
 
     def _is_orphan(self, observed: ObservedRequest) -> bool:
-        return (
-            observed.owner == self.incarnation
-            or observed.record.state is RequestState.RELEASED
-            or self.view.has_ended(observed.owner)
-        )
+        if observed.owner == self.incarnation or observed.record.state is RequestState.RELEASED:
+            return True
+        return self.view.has_ended(observed.owner)
 
     def _add_orphans_of(self, incarnation: Incarnation, now: float) -> None:
         for request_id in self.view.open_ids_of(incarnation):
@@ -139,7 +135,7 @@
                 self._add_orphan(request_id, now)
 
     def _rank_again(self, now: float) -> None:
-        """Fewer stand in line: who comes after the lost ones need not wait for them."""
+        """Rank all orphans again: those ranked behind a lost gateway need not wait for it."""
         for request_id in self.claimable_at_ms:
             self._add_orphan(request_id, now)
 
@@ -148,105 +144,108 @@
         self.due_at_ms = now
 
     def drop_unclaimed(self) -> None:
-        """What is not claimed yet."""
+        """Leave all orphans that are not claimed yet to the other gateways."""
         self.unranked.clear()
         self.claimable_at_ms.clear()
 
-    def _live_incarnations(self, excluded: Incarnation | None = None) -> list[Incarnation]:
-        return list({*self.view.live_incarnations(excluded), self.incarnation})
-
     # Claims
 
     def claim_due(
         self, builder: TransactionBuilder, adopted_count: int, typical_latency_ms: Mapping[str, float]
     ) -> None:
-        """Claims what is due. `adopted`: requests taken over that are in hand; `usual_ms`: how long an
-        attempt takes, by class, as far as it is known."""
+        """Claim the orphans that are due.
+
+        `adopted_count`: adopted requests in flight. `typical_latency_ms`: how long an attempt takes, by
+        class, as far as it is known.
+        """
         now = builder.now
+        self._rank_new(now)
+        self._retry_claims(builder)
+        adopting = sum(claim.target_state is RequestState.OPEN for claim in self.claims.values())
+        free_slots = self.settings.max_adopted - adopted_count - adopting
+        self._claim_ready(builder, free_slots, typical_latency_ms)
+        due_times = [*self.claimable_at_ms.values(), *(claim.retry_at_ms for claim in self.claims.values())]
+        self.due_at_ms = now if self.unranked else min(due_times, default=math.inf)
+        if self.due_at_ms <= now and not self.unranked:
+            full_wait_ms = FULL_RECHECK_MS if free_slots <= 0 else 0.0
+            self.due_at_ms = now + max(full_wait_ms, self.budget.wait_ms(now), MIN_RECHECK_MS)
+
+    def _rank_new(self, now: float) -> None:
         for request_id in list(self.unranked)[:MAX_REQUESTS_PER_TURN]:
             del self.unranked[request_id]
             observed = self.view.open_requests.get(request_id)
             if observed is not None:
-                claimable_at_ms = now + self._rank(observed) * self.settings.claim_stagger_ms
-                self.claimable_at_ms[request_id] = min(
-                    claimable_at_ms, self.claimable_at_ms.get(request_id, math.inf)
-                )
+                at_ms = now + self._rank(observed) * self.settings.claim_stagger_ms
+                self.claimable_at_ms[request_id] = min(at_ms, self.claimable_at_ms.get(request_id, math.inf))
+
+    def _retry_claims(self, builder: TransactionBuilder) -> None:
         for request_id, claim in list(self.claims.items()):
-            if claim.retry_at_ms <= now:
+            if claim.retry_at_ms <= builder.now:
                 claim.retry_at_ms = math.inf
                 self._submit(builder, request_id, claim)
-        free_slots = (
-            self.settings.max_adopted
-            - adopted_count
-            - sum(c.target_state is RequestState.OPEN for c in self.claims.values())
-        )
-        self._claim_ready(builder, free_slots, typical_latency_ms)
-        due_times = [*self.claimable_at_ms.values(), *(c.retry_at_ms for c in self.claims.values())]
-        self.due_at_ms = now if self.unranked else min(due_times, default=math.inf)
-        if self.due_at_ms <= now and not self.unranked:
-            self.due_at_ms = now + max(
-                FULL_RECHECK_MS if free_slots <= 0 else 0.0, self.budget.wait_ms(now), 1.0
-            )
 
     def _rank(self, observed: ObservedRequest) -> int:
-        """How many claim it before this gateway. Those that began later and do not know its age come last."""
+        """Return how many gateways claim it before this one.
+
+        Those that started later, and do not know its age, come last.
+        """
         if observed.owner == self.incarnation and observed.record.state is not RequestState.RELEASED:
             return 0
-        ranking = rendezvous_order(observed.request_id, self._live_incarnations(excluded=observed.owner))
-        ranking.sort(key=lambda life: not self._knows_age(life, observed))
+        survivors = {*self.view.live_incarnations(excluded=observed.owner), self.incarnation}
+        ranking = rendezvous_order(observed.request_id, list(survivors))
+        ranking.sort(key=lambda incarnation: not self._knows_age(incarnation, observed))
         return ranking.index(self.incarnation) if observed.owner != self.incarnation else len(ranking)
 
     def _knows_age(self, incarnation: Incarnation, observed: ObservedRequest) -> bool:
-        return (
-            observed.not_before_ms > -math.inf
-            if incarnation == self.incarnation
-            else self.view.existed_before(incarnation, observed.version)
-        )
+        if incarnation == self.incarnation:
+            return observed.not_before_ms > -math.inf
+        return self.view.existed_before(incarnation, observed.version)
 
     def _claim_ready(
         self, builder: TransactionBuilder, free_slots: int, typical_latency_ms: Mapping[str, float]
     ) -> None:
-        now, candidates = builder.now, []
+        """Claim the orphans whose time has come: finish some at once, and adopt others within the budget."""
+        candidates = self._finish_or_collect(builder, typical_latency_ms)
+        available = self.budget.available(builder.now)
+        adoptable, missed = adoption.schedule_adoptions(candidates, available, self.settings.adoptions_per_s)
+        for candidate in missed[:MAX_REQUESTS_PER_TURN]:
+            observed = self.view.open_requests[candidate.request_id]
+            state = RequestState.FAILED if observed.record.grants else RequestState.REJECTED
+            self._claim(builder, observed, state, builder.now)
+        for candidate in adoptable[: max(free_slots, 0)]:
+            if self.budget.available(builder.now) < 1:
+                break
+            self.budget.consume(builder.now)
+            observed = self.view.open_requests[candidate.request_id]
+            deadline_ms = builder.now + adoption.remaining_ms(observed, builder.now, self.settings)
+            self._claim(builder, observed, RequestState.OPEN, deadline_ms)
+
+    def _finish_or_collect(
+        self, builder: TransactionBuilder, typical_latency_ms: Mapping[str, float]
+    ) -> list[AdoptionCandidate]:
+        """Claim those orphans that end at once; return the ones that may be adopted."""
+        now = builder.now
+        candidates: list[AdoptionCandidate] = []
         finished_count = 0
-        for request_id in [n for n, at in self.claimable_at_ms.items() if at <= now]:
+        for request_id in [request_id for request_id, at_ms in self.claimable_at_ms.items() if at_ms <= now]:
             observed = self.view.open_requests.get(request_id)
             if observed is None:
                 del self.claimable_at_ms[request_id]
                 continue
-            slack_ms = adoption.remaining_ms(observed, now, self.settings) - typical_latency_ms.get(
-                observed.record.class_name, 0.0
-            )
-            _, request_class = self.classes.get(observed.record.class_name, (0, None))
-            target_state = adoption.adoption_decision(observed.record, request_class, slack_ms, self.settings)
-            if target_state is RequestState.OPEN and request_class is not None:
-                candidates.append(
-                    adoption.AdoptionCandidate(request_id, slack_ms, request_class.priority_weight)
-                )
+            slack_ms = adoption.remaining_ms(observed, now, self.settings)
+            slack_ms -= typical_latency_ms.get(observed.record.class_name, 0.0)
+            request_class = self._class_of(observed)
+            state = adoption.adoption_decision(observed.record, request_class, slack_ms, self.settings)
+            if state is RequestState.OPEN and request_class is not None:
+                candidates.append(AdoptionCandidate(request_id, slack_ms, request_class.priority_weight))
             elif finished_count < MAX_REQUESTS_PER_TURN:
                 finished_count += 1
-                self._claim(builder, observed, target_state, now)
-        adoptable, missed = adoption.schedule_adoptions(
-            candidates, self.budget.available(now), self.settings.adoptions_per_s
-        )
-        for candidate in missed[:MAX_REQUESTS_PER_TURN]:
-            observed = self.view.open_requests[candidate.request_id]
-            self._claim(
-                builder,
-                observed,
-                RequestState.FAILED if observed.record.grants else RequestState.REJECTED,
-                now,
-            )
-        for candidate in adoptable[: max(free_slots, 0)]:
-            if self.budget.available(now) < 1:
-                break
-            self.budget.consume(now)
-            observed = self.view.open_requests[candidate.request_id]
-            self._claim(
-                builder,
-                observed,
-                RequestState.OPEN,
-                now + adoption.remaining_ms(observed, now, self.settings),
-            )
+                self._claim(builder, observed, state, now)
+        return candidates
+
+    def _class_of(self, observed: ObservedRequest) -> RequestClass | None:
+        _, request_class = self.classes.get(observed.record.class_name, (0, None))
+        return request_class
 
     def _claim(
         self,
@@ -257,41 +256,34 @@
     ) -> None:
         del self.claimable_at_ms[observed.request_id]
         self.unranked.pop(observed.request_id, None)
-        claim = self.claims[observed.request_id] = Claim(
-            observed, target_state, deadline_ms, builder.next_sequence()
-        )
+        claim = Claim(observed, target_state, deadline_ms, builder.next_sequence())
+        self.claims[observed.request_id] = claim
         self._submit(builder, observed.request_id, claim)
 
     def _submit(self, builder: TransactionBuilder, request_id: str, claim: Claim) -> None:
+        """Write the claim unless it is committed already, and read what the client sent."""
         record, now = claim.observed.record, builder.now
-        claimed_record = changed(
+        elapsed_ms = record.elapsed_ms + max(now - claim.observed.not_before_ms, 0.0)
+        claimed_record = replace_fields(
             record,
             state=claim.target_state,
             owner_count=record.owner_count + 1,
             sequence=claim.sequence,
             remaining_ms=max(claim.deadline_ms - now, 0.0),
-            elapsed_ms=min(record.elapsed_ms + max(now - claim.observed.not_before_ms, 0.0), MAX_DURATION_MS),
+            elapsed_ms=min(elapsed_ms, MAX_DURATION_MS),
             grants=claim.grants,
         )
         if not claim.record_version:
-            builder.add(
-                Transaction(
-                    (
-                        Replace(
-                            RECORD_PREFIX + request_id, encode_record(claimed_record), claim.observed.version
-                        ),
-                    )
-                ),
-                TransactionIntent(TransactionKind.CLAIM, request_id),
-            )
-        builder.add(
-            Transaction((CheckVersion(CONTENT_PREFIX + request_id, 0),)),
-            TransactionIntent(TransactionKind.READ_CONTENT, request_id),
-        )
+            value = encode_record(claimed_record)
+            write = Replace(RECORD_PREFIX + request_id, value, claim.observed.version)
+            builder.add(Transaction((write,)), TransactionIntent(TransactionKind.CLAIM, request_id))
+        read = CheckVersion(CONTENT_PREFIX + request_id, 0)
+        builder.add(Transaction((read,)), TransactionIntent(TransactionKind.READ_CONTENT, request_id))
 
     def on_claim_result(
         self, builder: TransactionBuilder, request_id: str, result: TransactionResult
     ) -> None:
+        """Note whether a claim was committed, or drop one that another gateway has won."""
         claim = self.claims.get(request_id)
         if claim is None:
             return
@@ -300,7 +292,7 @@
         elif result.outcome is TransactionOutcome.UNKNOWN:
             claim.uncertain = True
         elif claim.uncertain and result.existing is not None and self._is_own_claim(claim, result.existing):
-            claim.record_version = result.existing.version  # an earlier try had won after all
+            claim.record_version = result.existing.version  # an earlier attempt was committed after all
         else:
             del self.claims[request_id]
             observed = self.view.open_requests.get(request_id)
@@ -309,7 +301,7 @@
                 and observed.version > claim.observed.version
                 and self._is_orphan(observed)
             ):
-                self._add_orphan(request_id, builder.now)  # seen while the claim was out
+                self._add_orphan(request_id, builder.now)  # it was observed while the claim was under way
 
     def _is_own_claim(self, claim: Claim, found: Record) -> bool:
         return (
@@ -319,7 +311,7 @@
     def on_content_read(
         self, builder: TransactionBuilder, request_id: str, result: TransactionResult
     ) -> None:
-        """What the client had sent is there: from here on it is in hand, or at its end."""
+        """Continue a committed claim with what the client sent: finish it, or ask for a slot."""
         claim = self.claims.get(request_id)
         if claim is None:
             return
@@ -328,45 +320,42 @@
             self.due_at_ms = min(self.due_at_ms, claim.retry_at_ms)
             return
         if result.existing is not None:
-            claim.content_version = result.existing.version
-            try:
-                claim.content = decode_request_content(result.existing.value)
-            except RecordError as error:
-                builder.actions.append(
-                    LogLine(f"takeover: record {result.existing.key!r} left alone: {error}")
-                )
+            self._store_content(builder, claim, result.existing)
         if claim.target_state is not RequestState.OPEN:
             self._finish_claim(builder, request_id, claim)
         elif claim.content is None:
-            builder.actions.append(
-                LogLine(f"takeover: {request_id!r} can't be taken over: its content is not there")
-            )
+            line = f"takeover: request {request_id!r} cannot be adopted: its content is missing"
+            builder.actions.append(LogLine(line))
             self._change_target(builder, request_id, claim, RequestState.FAILED)
         else:
-            class_index, _ = self.classes[claim.observed.record.class_name]
-            content = claim.content
-            builder.actions.append(
-                AdoptRequest(
-                    request_id,
-                    class_index,
-                    claim.deadline_ms,
-                    content.method,
-                    content.target,
-                    content.headers,
-                    content.body,
-                )
-            )
+            builder.actions.append(self._adopt_action(request_id, claim, claim.content))
+
+    def _store_content(self, builder: TransactionBuilder, claim: Claim, found: Record) -> None:
+        claim.content_version = found.version
+        try:
+            claim.content = decode_request_content(found.value)
+        except RecordError as error:
+            builder.actions.append(LogLine(f"takeover: record {found.key!r} left alone: {error}"))
+
+    def _adopt_action(self, request_id: str, claim: Claim, content: RequestContent) -> AdoptRequest:
+        class_index, _ = self.classes[claim.observed.record.class_name]
+        return AdoptRequest(
+            request_id,
+            class_index,
+            claim.deadline_ms,
+            content.method,
+            content.target,
+            content.headers,
+            content.body,
+        )
 
     def _change_target(
         self, builder: TransactionBuilder, request_id: str, claim: Claim, target_state: RequestState
     ) -> None:
-        """What was claimed to be adopted ends instead; or it is free for others, as if never claimed."""
+        """Finish a request that was claimed for adoption, or release it as if it had not been claimed."""
         observed = claim.observed
-        record = changed(
-            observed.record,
-            owner_count=observed.record.owner_count - (target_state is RequestState.RELEASED),
-            grants=claim.grants,
-        )
+        owner_count = observed.record.owner_count - (target_state is RequestState.RELEASED)
+        record = replace_fields(observed.record, owner_count=owner_count, grants=claim.grants)
         updated = ObservedRequest(
             request_id,
             record,
@@ -380,17 +369,18 @@
 
     def _finish_claim(self, builder: TransactionBuilder, request_id: str, claim: Claim) -> None:
         del self.claims[request_id]
-        if claim.target_state is not RequestState.RELEASED:
-            expires_at_ms = builder.now + self.settings.response_retention_ms
-            self.response_cache.add(
-                builder,
-                CachedResponse(request_id, expires_at_ms, claim.record_version, 0, claim.content_version),
-            )
+        if claim.target_state is RequestState.RELEASED:
+            return
+        expires_at_ms = builder.now + self.settings.response_retention_ms
+        entry = CachedResponse(
+            request_id, expires_at_ms, claim.record_version, content_version=claim.content_version
+        )
+        self.response_cache.add(builder, entry)
 
     def on_adoption_result(
         self, builder: TransactionBuilder, request_id: str, has_slot: bool
     ) -> Claim | None:
-        """The claim whose work has its slot now; without one it is free for the others."""
+        """Return the claim whose request has a slot now; without one the request is released."""
         claim = self.claims.get(request_id)
         if claim is None or has_slot:
             return self.claims.pop(request_id, None)
--- a/meadowpulley/takeover/request_journal.py
+++ b/meadowpulley/takeover/request_journal.py
@@ -1,10 +1,10 @@
-"""The written requests in this gateway's hands, between the decisions and the adapter.
+"""The journaled requests of this gateway, between the policy and the adapter.
 
-- A `Send` is held until the record that names its server and build is won, and dropped as MOOT when that
-  takes too long, is lost, or the lease has run out by then.
-- The final answer is held until it is recorded. What is refused before anything of it was written is only
-  looked up: its id may be known by others.
-- The adapter counts the attempts it was told to send, the decisions all that they chose: numbers are
+- A `Send` is held until the record with its grant is committed. It is cancelled, with the result NOT_SENT
+  for the policy, when that takes too long or conflicts, or when the lease has expired by then.
+- The final response is held until it is recorded. For a request that is rejected before anything of it was
+  written, the id is only looked up: other gateways may know it.
+- The adapter numbers the attempts that it was told to send, the policy all that it chose: the numbers are
   translated here.
 """
 
@@ -31,18 +31,34 @@
     Settings,
 )
 from meadowpulley.ledger import Incarnation, Record, Stage, TransactionOutcome, TransactionResult
-from meadowpulley.takeover import model as m
-from meadowpulley.takeover.duplicate_waiters import CachedResponse, DuplicateWaiters, ResponseCache
-from meadowpulley.takeover.journaled_request import FinalResponse, JournaledRequest, PendingSend, PendingWrite
-from meadowpulley.takeover.model import RequestState
+from meadowpulley.takeover.duplicate_waiters import DuplicateWaiters
+from meadowpulley.takeover.journaled_request import (
+    FinalResponse,
+    JournaledRequest,
+    PendingSend,
+    PendingWrite,
+)
+from meadowpulley.takeover.messages import Discard, ResponseReady, deliver
+from meadowpulley.takeover.records import (
+    AttemptGrant,
+    RecordError,
+    RequestRecord,
+    RequestState,
+    decode_request_record,
+)
+from meadowpulley.takeover.response_cache import ResponseCache
+from meadowpulley.takeover.settings import TakeoverSettings
 from meadowpulley.takeover.transaction_builder import TransactionBuilder, TransactionIntent, TransactionKind
 
 NOT_EXECUTED_RESULTS = (Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT)
-LATENCY_EWMA_WEIGHT = 0.1  # weight of the newest
+LATENCY_EWMA_WEIGHT = 0.1  # of the newest attempt
 
 
 class RequestJournal:
-    """`inner` is the next stage; `may_act(now)` whether this life's lease holds."""
+    """Holds sends until they are granted, and final responses until they are recorded.
+
+    `inner` is the next stage; `holds_lease(now)` tells whether the lease of this incarnation holds.
+    """
 
     def __init__(
         self,
@@ -50,28 +66,26 @@
         inner: Stage,
         incarnation: Incarnation,
         holds_lease: Callable[[float], bool],
-        settings: m.TakeoverSettings,
+        settings: TakeoverSettings,
         builder: TransactionBuilder,
         waiters: DuplicateWaiters,
         response_cache: ResponseCache,
     ) -> None:
-        self.inner, self.incarnation, self.holds_lease, self.settings = (
-            inner,
-            incarnation,
-            holds_lease,
-            settings,
-        )
+        self.inner, self.incarnation = inner, incarnation
+        self.holds_lease, self.settings = holds_lease, settings
         self.response_slack_ms = gateway_settings.rules.response_slack_ms
         self.builder, self.waiters, self.response_cache = builder, waiters, response_cache
-        self.by_request: dict[int, JournaledRequest] = {}  # until the last outcome of their attempts
-        self.by_id: dict[str, JournaledRequest] = {}  # those that are this gateway's to end
+        # By handle, until the last outcome of their attempts.
+        self.by_request: dict[int, JournaledRequest] = {}
+        self.by_id: dict[str, JournaledRequest] = {}  # those that this gateway owns
         self.servers: dict[int, ServerEntry] = {}
-        self.typical_latency_ms: dict[str, float] = {}  # of good attempts, by class
-        self.wakeups: list[tuple[float, int]] = []  # when to look at a request; one that is over is passed by
-        self.ledger_unavailable = self.fenced = False  # the ledger does not answer; this life was sealed
+        self.typical_latency_ms: dict[str, float] = {}  # EWMA over good attempts, by class
+        self.wakeups: list[tuple[float, int]] = []  # a heap: when to check a request; it may be over by then
+        self.ledger_unavailable = False
+        self.fenced = False
 
     def forward(self, event: Any) -> None:
-        """To the next stage; what it decides for requests that are not written passes as it is."""
+        """Pass an event to the next stage, and hold what it decides for journaled requests."""
         for action in self.inner.handle(self.builder.now, event):
             concerns_request = isinstance(action, Send | Cancel | Reject | Fail)
             entry = self.by_request.get(action.request) if concerns_request else None
@@ -80,38 +94,41 @@
             elif isinstance(action, Send):
                 self._hold_send(entry, action)
             elif isinstance(action, Cancel):
-                if action.attempt in entry.dispatched_attempts:
-                    self.builder.actions.append(
-                        replace(action, attempt=entry.dispatched_attempts.index(action.attempt))
-                    )
+                self._translate_cancel(entry, action)
             elif not entry.relinquished:
-                state = RequestState.REJECTED if isinstance(action, Reject) else RequestState.FAILED
+                rejected = isinstance(action, Reject)
+                state = RequestState.REJECTED if rejected else RequestState.FAILED
                 self.finish(entry, FinalResponse(state, action))
 
     def start(self, entry: JournaledRequest) -> None:
-        if entry.request_id in self.by_id:  # an ask for what this gateway has just taken over
-            self._lose_ownership(self.by_id[entry.request_id])
-        self.by_request[entry.request.request] = self.by_id[entry.request_id] = entry
+        """Begin a request that a client sent or that this gateway adopts."""
+        known = self.by_id.get(entry.request_id)
+        if known is not None:  # a duplicate of the request that is adopted now came first
+            self._lose_ownership(known)
+        self._add(entry)
         self.forward(entry.request)
         self.flush(entry)
 
     def fail_if_unknown(self, entry: JournaledRequest) -> None:
-        """Only looked up: a record of its id answers it; where there is none it may have run unwritten."""
+        """Fail a request unless a record answers it: it may have been executed unjournaled."""
+        self._add(entry)
+        self.finish(entry, entry.failure())
+
+    def _add(self, entry: JournaledRequest) -> None:
         self.by_request[entry.request.request] = self.by_id[entry.request_id] = entry
-        self.finish(entry, FinalResponse(RequestState.FAILED, Fail(entry.request.request)))
 
     def _resolve_known_id(self, entry: JournaledRequest, found: Record) -> None:
-        """The id of a request just taken has a record already: another gateway's, or of an earlier ask."""
-        record: m.RequestRecord | None = None
+        """Act on the record that the id of a new request has already."""
+        record: RequestRecord | None = None
         try:
-            record = m.decode_request_record(found.value)
-        except m.RecordError as error:
+            record = decode_request_record(found.value)
+        except RecordError as error:
             self.builder.actions.append(LogLine(f"takeover: record {found.key!r} left alone: {error}"))
         if record is None or record.digest != entry.digest:
             self._answer_once(entry, Fail(entry.request.request))
             self._withdraw(entry)
         elif record.state is RequestState.REJECTED and not record.grants and entry.final_response is None:
-            entry.record_version = found.version  # it never ran, and may be asked anew
+            entry.record_version = found.version  # it was never executed, and may be sent again
             self.flush(entry)
         else:
             self._lose_ownership(entry)
@@ -120,42 +137,46 @@
     # Attempts
 
     def _hold_send(self, entry: JournaledRequest, send: Send) -> None:
-        # The decisions number the attempts of each life from 0.
-        attempt, server = (
-            entry.attempt_count - entry.request.prior_attempt_count,
-            self.servers.get(send.server),
-        )
+        # The policy numbers the attempts of each owner from 0.
+        attempt = entry.attempt_count - entry.request.prior_attempt_count
+        server = self.servers.get(send.server)
         location = (server.build, server.zone, server.cell) if server is not None else (0, 0, 0)
         entry.attempt_count += 1
-        entry.grants[attempt] = m.AttemptGrant(send.server, *location)
+        entry.grants[attempt] = AttemptGrant(send.server, *location)
         entry.pending_sends[attempt] = PendingSend(send, self.builder.now + self.settings.grant_timeout_ms)
         self._wake_at(entry.pending_sends[attempt].expires_at_ms, entry)
         self.flush(entry)
 
+    def _translate_cancel(self, entry: JournaledRequest, cancel: Cancel) -> None:
+        if cancel.attempt in entry.dispatched_attempts:
+            sent_index = entry.dispatched_attempts.index(cancel.attempt)
+            self.builder.actions.append(replace(cancel, attempt=sent_index))
+
     def _dispatch(self, entry: JournaledRequest, attempt: int) -> None:
-        """The right is won; one that was stopped since then finds out here, at the last moment."""
+        """Send an attempt whose grant is committed.
+
+        A gateway that was paused since then finds out here, at the last moment.
+        """
         now, deadline_ms = self.builder.now, entry.request.deadline_ms
-        if (
-            self.fenced
-            or entry.final_response is not None
-            or entry.relinquished
-            or now >= deadline_ms
-            or not self.holds_lease(now)
-        ):
+        if self.fenced or entry.is_over or now >= deadline_ms or not self.holds_lease(now):
             self._cancel_pending_send(entry, attempt)
-        else:
-            entry.outstanding_attempts.add(len(entry.dispatched_attempts))
-            entry.dispatched_attempts.append(attempt)
-            self.builder.actions.append(entry.pending_sends.pop(attempt).action)
+            return
+        entry.outstanding_attempts.add(len(entry.dispatched_attempts))
+        entry.dispatched_attempts.append(attempt)
+        self.builder.actions.append(entry.pending_sends.pop(attempt).action)
 
     def _cancel_pending_send(self, entry: JournaledRequest, attempt: int) -> None:
-        """That attempt never goes out; the decisions choose anew."""
+        """Tell the policy that this attempt is never sent; it chooses anew."""
         server = entry.pending_sends.pop(attempt).action.server
         del entry.grants[attempt]
-        finished = entry.relinquished or entry.final_response is not None
-        self.forward(Outcome(entry.request.request, attempt, server, Result.NOT_SENT, 0.0, finished))
+        self.forward(Outcome(entry.request.request, attempt, server, Result.NOT_SENT, 0.0, entry.is_over))
+
+    def _cancel_pending_sends(self, entry: JournaledRequest) -> None:
+        for attempt in list(entry.pending_sends):
+            self._cancel_pending_send(entry, attempt)
 
     def on_outcome(self, outcome: Outcome) -> None:
+        """Note the outcome of an attempt, and forward it under the policy's number."""
         entry = self.by_request.get(outcome.request)
         if entry is None:
             self.forward(outcome)
@@ -163,112 +184,96 @@
         attempt = entry.dispatched_attempts[outcome.attempt]
         entry.outstanding_attempts.discard(outcome.attempt)
         if outcome.result is Result.OK:
-            previous_ms = self.typical_latency_ms.setdefault(entry.request_class.name, outcome.elapsed_ms)
-            self.typical_latency_ms[entry.request_class.name] += LATENCY_EWMA_WEIGHT * (
-                outcome.elapsed_ms - previous_ms
-            )
+            self._record_latency(entry.request_class.name, outcome.elapsed_ms)
         if outcome.result in NOT_EXECUTED_RESULTS:
             entry.grants.pop(attempt, None)
-        finished = outcome.request_complete or entry.final_response is not None or entry.relinquished
-        self.forward(
-            outcome
-            if (attempt, finished) == (outcome.attempt, outcome.request_complete)
-            else replace(outcome, attempt=attempt, request_complete=finished)
-        )
+        finished = outcome.request_complete or entry.is_over
+        if (attempt, finished) != (outcome.attempt, outcome.request_complete):
+            outcome = replace(outcome, attempt=attempt, request_complete=finished)
+        self.forward(outcome)
         self._forget_if_settled(entry)
 
+    def _record_latency(self, class_name: str, elapsed_ms: float) -> None:
+        previous_ms = self.typical_latency_ms.setdefault(class_name, elapsed_ms)
+        self.typical_latency_ms[class_name] += LATENCY_EWMA_WEIGHT * (elapsed_ms - previous_ms)
+
     def on_response_started(self, event: ResponseStarted) -> None:
+        """Forward the start of a response under the policy's number of the attempt."""
         entry = self.by_request.get(event.request)
-        self.forward(
-            event if entry is None else replace(event, attempt=entry.dispatched_attempts[event.attempt])
-        )
+        if entry is not None:
+            event = replace(event, attempt=entry.dispatched_attempts[event.attempt])
+        self.forward(event)
 
-    # Answers
+    # Final responses
 
-    def on_response_ready(self, event: m.ResponseReady) -> None:
+    def on_response_ready(self, event: ResponseReady) -> None:
+        """Hold an instance's good response until it is recorded, if its request is journaled."""
         entry = self.by_request.get(event.request)
         if entry is None:
-            self.builder.actions.append(m.Deliver(event.request, event.status, event.headers, event.body))
+            self.builder.actions.append(deliver(event))
         elif not entry.relinquished:
-            cacheable = (
-                len(event.body) <= m.MAX_BODY_BYTES
-            )  # a longer one is recorded as served, and not kept
-            response = (
-                m.RecordedResponse(m.RECORD_FORMAT, event.status, event.headers, event.body)
-                if cacheable
-                else None
-            )
-            self.finish(
-                entry,
-                FinalResponse(
-                    RequestState.SERVED,
-                    m.Deliver(event.request, event.status, event.headers, event.body),
-                    response,
-                ),
-            )
+            self.finish(entry, FinalResponse.served(event))
 
     def finish(self, entry: JournaledRequest, final_response: FinalResponse) -> None:
+        """Set the final response of a request unless it has one, and write it down."""
         if entry.final_response is None:
             entry.final_response = final_response
+            now = self.builder.now
             latest_ms = entry.request.deadline_ms + self.response_slack_ms / 2
-            entry.hold_until_ms = min(
-                self.builder.now + self.settings.response_hold_ms, max(latest_ms, self.builder.now)
-            )
+            entry.hold_until_ms = min(now + self.settings.response_hold_ms, max(latest_ms, now))
             self._wake_at(entry.hold_until_ms, entry)
-            for attempt in list(entry.pending_sends):
-                self._cancel_pending_send(entry, attempt)
+            self._cancel_pending_sends(entry)
             self.flush(entry)
 
     def _on_hold_expired(self, entry: JournaledRequest) -> None:
-        """The answer is not known to be recorded, and its client can wait no longer. While the lease holds
-        nobody else can have ended this work, unless it was given away, and what was served is told. That it
-        never ran is not: whoever finds its record may yet run it."""
-        final_response, authoritative = (
-            entry.final_response,
-            self.holds_lease(self.builder.now) and not entry.releasing,
-        )
-        if final_response is not None and (
-            final_response.state is RequestState.REJECTED or not authoritative
-        ):
-            entry.superseded_response = entry.superseded_response or final_response
-            entry.final_response = FinalResponse(RequestState.FAILED, Fail(entry.request.request))
+        """Answer a client that can wait no longer, though the final response is not known to be recorded.
+
+        While the lease holds, nobody else can have finished the request unless it was released, and a served
+        response is delivered. A rejection is not: whoever finds the record may yet execute the request.
+        """
+        final_response = entry.final_response
+        authoritative = self.holds_lease(self.builder.now) and not entry.releasing
+        rejected = final_response is not None and final_response.state is RequestState.REJECTED
+        if final_response is not None and (rejected or not authoritative):
+            entry.supersede_final_response()
+            entry.final_response = entry.failure()
         self._send_final_response(entry)
 
+    def on_answered_as_failed(self, entry: JournaledRequest) -> None:
+        """Finish a request that the adapter has answered as failed, past its deadline."""
+        entry.answered = True
+        entry.supersede_final_response()
+        self.finish(entry, entry.failure())
+
     def _send_final_response(self, entry: JournaledRequest) -> None:
-        final_response = entry.final_response
-        assert final_response is not None
-        self._answer_once(entry, final_response.action)
+        assert entry.final_response is not None
+        self._answer_once(entry, entry.final_response.action)
 
     def answer_waiters(self, entry: JournaledRequest) -> None:
-        """To asks that come while what the client was told is still to be recorded; where another end of it
-        may be recorded they wait for the record."""
+        """Answer duplicates before the record, with the response of the client, where it is sure to stand."""
         certain = entry.answered and entry.superseded_response is None and self.holds_lease(self.builder.now)
-        if certain and entry.final_response is not None:
-            self.waiters.answer_all(
-                self.builder, entry.request_id, entry.final_response.state, entry.final_response.response
-            )
+        final = entry.final_response
+        if certain and final is not None:
+            self.waiters.answer_all(self.builder, entry.request_id, final.state, final.response)
 
     def _answer_once(self, entry: JournaledRequest, action: Any) -> None:
-        """The one final answer of its own client, or the end of its slot."""
+        """Give the request's own client its final response, or end its slot, once."""
         if not entry.answered:
             entry.answered = True
             self.builder.actions.append(action)
 
     def _on_recorded(self, entry: JournaledRequest, final_response: FinalResponse) -> None:
-        """This final answer is in the ledger, or stands without one: whoever waits gets it. It is left as it
-        is, also where the own client was told another since: asks that came first have heard it."""
+        """Answer everyone who waits: this final response is in the ledger, or needs no record.
+
+        The record stays as it is, even where the own client got another response since: duplicates may have
+        got this one.
+        """
         self._send_final_response(entry)
         self._relinquish(entry)
         self.waiters.answer_all(self.builder, entry.request_id, final_response.state, final_response.response)
-        if entry.record_version:
-            size = len(final_response.response.body) if final_response.response is not None else 0
-            expires_at_ms = self.builder.now + self.settings.response_retention_ms
-            self.response_cache.add(
-                self.builder,
-                CachedResponse(
-                    entry.request_id, expires_at_ms, entry.record_version, entry.response_version, 0, size
-                ),
-            )
+        self.response_cache.add_finished(self.builder, entry, final_response)
+
+    # Ownership
 
     def _relinquish(self, entry: JournaledRequest) -> None:
         entry.relinquished = True
@@ -281,61 +286,62 @@
             self.by_request.pop(entry.request.request, None)
 
     def _withdraw(self, entry: JournaledRequest) -> None:
-        """The decisions have nothing more to do with it."""
+        """Tell the policy that it has nothing more to do with a request."""
         entry.relinquished = True
         self.forward(ClientDisconnected(entry.request.request))
-        for attempt in list(entry.pending_sends):
-            self._cancel_pending_send(entry, attempt)
+        self._cancel_pending_sends(entry)
         self._relinquish(entry)
 
     def _lose_ownership(self, entry: JournaledRequest) -> None:
-        """Another's now: its client is answered as one that asked again."""
+        """Leave a request to its new owner: its client waits like that of a duplicate."""
         self._withdraw(entry)
         if not entry.answered and entry.has_client and not entry.request.adopted:
             self.add_waiter(entry.request_id, entry.request)
         else:
-            self._answer_once(entry, m.Discard(entry.request.request))
+            self._answer_once(entry, Discard(entry.request.request))
 
-    # Records
+    def release(self, entry: JournaledRequest) -> None:
+        """Release a request to the other gateways, with what its record proves."""
+        if entry.final_response is None and not entry.releasing:
+            entry.releasing = True
+            self.forward(ClientDisconnected(entry.request.request))
+            self._cancel_pending_sends(entry)
+            self.flush(entry)
+
+    def fence(self) -> None:
+        """Fail every request: other gateways own them now, and how they end cannot be known here."""
+        if not self.fenced:
+            self.fenced = True
+            for entry in list(self.by_id.values()):
+                self._answer_once(entry, Fail(entry.request.request))
+                self._withdraw(entry)
+            self.waiters.fail_all(self.builder)
+
+    # Writes
 
     def flush(self, entry: JournaledRequest) -> None:
-        """Writes what is not written, one write at a time."""
-        if (
-            entry.needs_write
-            and entry.pending_write is None
-            and not (entry.relinquished or self.ledger_unavailable or self.fenced)
-        ):
+        """Write what the record lacks, one write at a time."""
+        if self.fenced or self.ledger_unavailable or entry.relinquished:
+            return
+        if entry.needs_write and entry.pending_write is None:
             entry.retry_at_ms = math.inf
-            self.builder.add(
-                entry.begin_write(self.builder.now),
-                TransactionIntent(TransactionKind.WRITE_RECORD, entry.request_id, entry.request.request),
-            )
+            intent = TransactionIntent(TransactionKind.WRITE_RECORD, entry.request_id, entry.request.request)
+            self.builder.add(entry.begin_write(self.builder.now), intent)
 
     def on_written(self, entry: JournaledRequest | None, result: TransactionResult) -> None:
+        """Act on the result of the write that was under way."""
         if entry is None or entry.pending_write is None or entry.relinquished:
             return
         pending_write, entry.pending_write = entry.pending_write, None
         if result.outcome is TransactionOutcome.UNKNOWN:
-            entry.write_uncertain, entry.retry_at_ms = True, self.builder.now + self.settings.retry_delay_ms
+            entry.write_uncertain = True
+            entry.retry_at_ms = self.builder.now + self.settings.retry_delay_ms
             self._wake_at(entry.retry_at_ms, entry)
         elif result.outcome is TransactionOutcome.COMMITTED:
             entry.apply_commit(pending_write, result.version)
             self._on_committed(entry, pending_write)
-        elif result.existing is None or result.existing.key != entry.record_key:
-            self._lose_ownership(entry)
-        elif (
-            entry.write_uncertain
-            and result.existing.writer == self.incarnation
-            and (state := entry.reconcile(result.existing)) is not None
-        ):
-            if (final_response := entry.final_response_for(state)) is not None:
-                self._on_recorded(entry, final_response)
-            else:
-                self.flush(entry)
-        elif not entry.record_version:
-            self._resolve_known_id(entry, result.existing)
         else:
-            self._lose_ownership(entry)
+            self._on_conflict(entry, result.existing)
 
     def _on_committed(self, entry: JournaledRequest, pending_write: PendingWrite) -> None:
         for attempt in sorted(pending_write.covered_attempts & entry.pending_sends.keys()):
@@ -345,30 +351,28 @@
         elif pending_write.final_response is not None:
             self._on_recorded(entry, pending_write.final_response)
         else:
-            entry.record_stale = (
-                self.builder.now - pending_write.created_at_ms > self.settings.grant_timeout_ms
-            )
-            self.flush(entry)
-
-    # Ends
-
-    def release(self, entry: JournaledRequest) -> None:
-        """To the others, with what is proven of it."""
-        if entry.final_response is None and not entry.releasing:
-            entry.releasing = True
-            self.forward(ClientDisconnected(entry.request.request))
-            for attempt in list(entry.pending_sends):
-                self._cancel_pending_send(entry, attempt)
+            age_ms = self.builder.now - pending_write.created_at_ms
+            entry.record_stale = age_ms > self.settings.grant_timeout_ms
             self.flush(entry)
 
-    def fence(self) -> None:
-        """Others have the written work now, and what they do with it can't be known here."""
-        if not self.fenced:
-            self.fenced = True
-            for entry in list(self.by_id.values()):
-                self._answer_once(entry, Fail(entry.request.request))
-                self._withdraw(entry)
-            self.waiters.fail_all(self.builder)
+    def _on_conflict(self, entry: JournaledRequest, existing: Record | None) -> None:
+        """Find out whose record is in the way: an own write with an unknown outcome may have left it."""
+        if existing is None or existing.key != entry.record_key:
+            self._lose_ownership(entry)
+            return
+        state = None
+        if entry.write_uncertain and existing.writer == self.incarnation:
+            state = entry.reconcile(existing)
+        if state is not None:
+            final_response = entry.final_response_for(state)
+            if final_response is not None:
+                self._on_recorded(entry, final_response)
+            else:
+                self.flush(entry)
+        elif not entry.record_version:
+            self._resolve_known_id(entry, existing)
+        else:
+            self._lose_ownership(entry)
 
     # Time
 
@@ -376,16 +380,19 @@
         heapq.heappush(self.wakeups, (wake_at_ms, entry.request.request))
 
     def add_waiter(self, request_id: str, request: Request) -> None:
+        """Let a duplicate wait for the original, until its own deadline."""
         self.waiters.add(request_id, request.request, request.deadline_ms)
         heapq.heappush(self.wakeups, (request.deadline_ms, request.request))
 
-    def check_due(self, request: int) -> None:
-        entry, now = self.by_request.get(request), self.builder.now
+    def check_due(self, handle: int) -> None:
+        """Do what is due for a request: cancel late sends, stop holding a response, repeat a write."""
+        entry, now = self.by_request.get(handle), self.builder.now
         if entry is None or entry.relinquished:
-            self.waiters.fail_overdue(self.builder, request)
+            self.waiters.fail_overdue(self.builder, handle)
             return
-        for n in [n for n, wait in entry.pending_sends.items() if wait.expires_at_ms <= now]:
-            self._cancel_pending_send(entry, n)
+        late = [number for number, pending in entry.pending_sends.items() if pending.expires_at_ms <= now]
+        for attempt in late:
+            self._cancel_pending_send(entry, attempt)
         if entry.hold_until_ms <= now and not entry.answered:
             self._on_hold_expired(entry)
         if entry.retry_at_ms <= now:
--- a/meadowpulley/takeover/transaction_builder.py
+++ b/meadowpulley/takeover/transaction_builder.py
@@ -1,4 +1,4 @@
-"""One turn of the stage: the actions it asks for, and the steps that go into its one commit."""
+"""Collects the actions and transactions that the takeover stage asks for while it handles one event."""
 
 from __future__ import annotations
 
@@ -10,39 +10,53 @@
 
 
 class TransactionKind(Enum):
-    """What a step is for."""
+    """What a transaction is for."""
 
-    WRITE_RECORD = "write"  # the record of a request in hand
-    READ_RESPONSE = "answer"  # an answer is read for asks that wait
-    CLAIM = "claim"
-    READ_CONTENT = "content"  # of claimed work is read
-    REMOVE = "clean"  # a kept record is removed
-    READ_INHERITED = "old"  # what there is of one that a dead life left is read
+    WRITE_RECORD = "write record"  # of a journaled request
+    READ_RESPONSE = "read response"  # for duplicates that wait for it
+    CLAIM = "claim"  # of an orphan
+    READ_CONTENT = "read content"  # of a claimed orphan
+    REMOVE = "remove"  # of records that were kept long enough
+    READ_INHERITED = "read inherited"  # versions of what belongs to a record that an ended incarnation left
 
 
 @dataclass(frozen=True, slots=True)
 class TransactionIntent:
+    """Identifies a transaction when its result comes back.
+
+    `subject` is the client's id of the request, or for READ_INHERITED the key that is read. `request` is the
+    handle of the request for WRITE_RECORD.
+    """
+
     kind: TransactionKind
-    subject: str = ""  # of the work, or of the life
+    subject: str = ""
     request: int = -1
 
 
 @dataclass(slots=True)
 class TransactionBuilder:
+    """The output of the stage for one event, which `begin` starts anew.
+
+    `now` is the time of the event, in ms on the gateway's own clock.
+    """
+
     now: float = 0.0
     actions: list[Any] = field(default_factory=list)
     transactions: list[Transaction] = field(default_factory=list)
-    intents: list[TransactionIntent] = field(default_factory=list)
+    intents: list[TransactionIntent] = field(default_factory=list)  # one for each transaction
     last_sequence: int = 0
 
     def begin(self, now: float) -> None:
-        self.now, self.actions, self.transactions, self.intents = now, [], [], []
+        """Start the output for the next event."""
+        self.now = now
+        self.actions, self.transactions, self.intents = [], [], []
 
     def next_sequence(self) -> int:
-        """A number for a piece of work, never given twice, by which its own writes are known when found."""
+        """Return a new sequence number for a request; a writer recognizes its own records by it."""
         self.last_sequence += 1
         return self.last_sequence
 
     def add(self, transaction: Transaction, intent: TransactionIntent) -> None:
+        """Add a transaction to the commit of this event."""
         self.transactions.append(transaction)
         self.intents.append(intent)
--- a/tests/stories/steps_takeover.py
+++ b/tests/stories/steps_takeover.py
@@ -22,7 +22,7 @@
     ResponseSent,
 )
 from meadowpulley.takeover import TakeoverSettings
-from meadowpulley.takeover.model import JournalScope as Which
+from meadowpulley.takeover.settings import JournalScope as Which
 from tests.stories.fleet_scenario import FleetScenario
 from tests.stories.fleets import small_fleet
 
--- a/tests/test_emulator_shared_state.py
+++ b/tests/test_emulator_shared_state.py
@@ -17,9 +17,11 @@
 from meadowpulley.load import PROFILES, synthesize
 from meadowpulley.policy import RolloutPolicy
 from meadowpulley.takeover import TakeoverSettings, adoption, duplicate_waiters
-from meadowpulley.takeover.model import Deliver, JournalScope, RequestState
+from meadowpulley.takeover.messages import Deliver
 from meadowpulley.takeover.orphan_claims import OrphanClaims
+from meadowpulley.takeover.records import RequestState
 from meadowpulley.takeover.request_journal import RequestJournal
+from meadowpulley.takeover.settings import JournalScope
 from tests.stories.fleets import small_fleet
 
 LEDGER = LedgerModel(lease_ms=800.0)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -17,8 +17,8 @@
     Replace,
     Transaction,
 )
-from meadowpulley.takeover import Deliver, JournalScope, ShutdownNotice, model
-from meadowpulley.takeover.model import RECORD_PREFIX, RequestState, decode_request_record
+from meadowpulley.takeover import Deliver, JournalScope, ShutdownNotice, records
+from meadowpulley.takeover.records import RECORD_PREFIX, RequestState, decode_request_record
 from tests.takeover_fleet import LEASE_TERM_MS, ORDER, PAY, READ, Fleet, Gateway, interrupt_at
 
 SERVED_ONCE = ["200 run 1"]
@@ -362,7 +362,7 @@
 def test_the_record_of_an_oversized_response_is_removed_after_an_unconfirmed_write(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(model, "MAX_BODY_BYTES", len("run 1") - 1)
+    monkeypatch.setattr(records, "MAX_BODY_BYTES", len("run 1") - 1)
     fleet = Fleet(response_retention_ms=1000.0)
     fleet["a"].submit("n", PAY)
     fleet.advance(20)
--- a/tests/test_takeover_extension.py
+++ b/tests/test_takeover_extension.py
@@ -18,8 +18,9 @@
 )
 from meadowpulley.net.gateway import DRAIN_ACCEPT_MS
 from meadowpulley.takeover import AdoptRequest, JournalScope, TakeoverSettings, TakeoverStage
-from meadowpulley.takeover.extension import TakeoverExtension, read_settings
-from meadowpulley.takeover.model import ShutdownNotice
+from meadowpulley.takeover.extension import TakeoverExtension
+from meadowpulley.takeover.messages import ShutdownNotice
+from meadowpulley.takeover.settings_reader import read_settings
 from tests.test_net_extension import GatewayBench as HookBench
 
 
--- a/tests/test_takeover_formats.py
+++ b/tests/test_takeover_formats.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from meadowpulley.takeover.model import (
+from meadowpulley.takeover.records import (
     RECORD_FORMAT,
     AttemptGrant,
     Origin,
--- a/tests/test_takeover_origin.py
+++ b/tests/test_takeover_origin.py
@@ -11,7 +11,7 @@
 from meadowpulley.placement import Arm, EndCondition, Experiment, PlacementStage, Summary, read_summary
 from meadowpulley.placement.gateway import TakeoverOrigins
 from meadowpulley.takeover import ShutdownNotice
-from meadowpulley.takeover.model import Origin, RecordError, decode_request_record, encode_record
+from meadowpulley.takeover.records import Origin, RecordError, decode_request_record, encode_record
 from tests.takeover_fleet import CLASSES, READ, SETTINGS, Fleet, Gateway
 
 CHECKPOINT_INTERVAL_MS = 2000.0  # the stage's, between two records of its counts
