--- a/meadowpulley/policy/admission.py
+++ b/meadowpulley/policy/admission.py
@@ -1,4 +1,4 @@
-"""Requests from their arrival to the one answer: admission, waiting, outcomes, retries, rejection."""
+"""Requests from their arrival to their final response: admission, queueing, outcomes, retries, rejection."""
 
 import math
 
@@ -9,9 +9,9 @@
 from meadowpulley.state import Attempt, InFlightRequest, State
 
 POLL_INTERVAL_MS = 50.0  # between two looks at waiting requests; four times as long for outstanding ones
-WARMED_UP = 0.8  # slow start fraction from which a server tells of its build: colder ones queue up first
-FAILURE_DELAY = 2.0  # typical latencies until a failure counts: quick ones overtake good responses
-LATENCY_EWMA_WEIGHT = 0.05  # weight of the newest response in the typical latencies
+WARMED_UP = 0.8  # slow start fraction from which a server tells of its build: before, requests queue up
+FAILURE_DELAY = 2.0  # mean latencies from sending until a failure counts: errors overtake good responses
+LATENCY_EWMA_WEIGHT = 0.05  # weight of the newest response in the mean latencies
 RETRY_BUDGET_RATIO, MAX_RETRY_BUDGET = 0.1, 10.0  # for each request, at most: they cannot feed an overload
 LIMIT_INCREASE, LIMIT_DECREASE = 0.1, 0.4  # by a response in time, by a late one: one in five is late
 MIN_LIMIT_PER_SERVER = 2.0  # requests in flight per server, of all gateways, that are never too many
@@ -37,7 +37,7 @@
 def route_or_queue(state: State, in_flight: InFlightRequest) -> None:
     """Send the request, or let it wait while it can be answered in time."""
     max_wait_ms = in_flight.request_class.latency_objective_ms * MAX_WAIT_FRACTION
-    last_at = in_flight.request.deadline_ms - 2 * state.poll_interval_ms  # else the answer may be late
+    last_at = in_flight.request.deadline_ms - 2 * state.poll_interval_ms  # else the response may be late
     wait_until = min(in_flight.arrived_at + max_wait_ms, last_at)
     exhausted = in_flight.attempt_count >= state.settings.limits.max_attempts
     executed = bool(in_flight.possible_executions) and in_flight.effect is Effect.NON_IDEMPOTENT
--- a/meadowpulley/policy/endpoints.py
+++ b/meadowpulley/policy/endpoints.py
@@ -1,13 +1,13 @@
-"""Which servers exist, what each can do by its age and kind, and which of them run the build on trial."""
+"""Endpoint lists, when to ask for them again, and which servers run a build on trial."""
 
 import math
 
 from meadowpulley.interface import EndpointUpdate, EndpointUpdateKind, Phase
 from meadowpulley.state import State
 
-LOCAL_ZONE_FRACTION = 0.5  # of the subset: more would crowd a zone that gets more than its part
+LOCAL_ZONE_FRACTION = 0.5  # of the subset: more would overload a zone that has more than its part of requests
 LIST_RETRY_MS = 1500.0  # between the second failed list call in a row and the next
-MAX_STICKY_KEYS = 8000  # beyond it keys that no server needs are forgotten: then older builds get no key
+MAX_STICKY_KEYS = 8000  # beyond it keys that no ready server needs are forgotten: older builds then get none
 ROLLBACK_PHASES = (Phase.ROLLING_BACK, Phase.ROLLED_BACK)
 
 
--- a/meadowpulley/policy/evidence.py
+++ b/meadowpulley/policy/evidence.py
@@ -1,4 +1,4 @@
-"""What outcomes prove of a build: own ones, the platform's, and those that other gateways tell of."""
+"""Evidence against a build, from own outcomes, the platform's statistics and other gateways' digests."""
 
 import math
 
@@ -13,10 +13,10 @@
 FAILURE_RATES = (0.02, 0.8)  # the least that any build may have, the most that a baseline is taken to have
 FAILURE_INCREASE = 0.1  # over the baseline's failure rate: the least that is looked for
 POOLED_FAILURE_INCREASE = 0.04  # and the least in the outcomes of many gateways together
-TIMEOUT_RATE = 0.5  # of requests, to FAILURE_INCREASE of the baseline's: paused and cold servers do less
+TIMEOUT_RATE = 0.5  # of a bad build's requests, FAILURE_INCREASE of others': paused servers cause less
 MAX_SERVER_FAILURE_SHARE = 0.4  # at most: failure rate in the statistics that one broken server explains
 REQUIRED_EVIDENCE = 4.0  # log likelihood ratio, more with many gateways: three failures over the baseline's
-MIN_OWN_EVIDENCE = 0.4  # of that, else statistics prove nothing: they count time-outs of jammed servers
+MIN_OWN_EVIDENCE = 0.4  # of that, else statistics prove nothing: they count time-outs of overloaded servers
 MAX_SERVER_EVIDENCE = 0.25  # of that, at most, from one of many servers: four must fail
 RATE_EWMA_WEIGHTS = (0.05, 0.6)  # in a usual failure rate: of one outcome, and of many together at most
 
@@ -107,6 +107,6 @@
             continue
         rates = state.gossip.baseline_failure_rates[class_index]
         rates.append(min(rate, FAILURE_INCREASE))
-        # Where much fails anyhow, good responses of crowded or cold servers come late and errors do not.
+        # Where much fails anyhow, good responses come late by overload or slow start, and errors do not.
         if rate <= FAILURE_INCREASE:  # else the worst of the seconds that these digests may be about counts
             pooled.add_to(evidence.pooled_failures, class_index, servers, max(rates))
--- a/meadowpulley/policy/outlier_detection.py
+++ b/meadowpulley/policy/outlier_detection.py
@@ -19,7 +19,7 @@
 
 
 def eject(state: State, server: Server) -> None:
-    """Leave a server alone for a while, twice as long as the last time."""
+    """Send nothing to a server for a while, for twice as long as the last time."""
     if state.now >= server.ejected_until:
         server.ejection_ms = min(max(EJECTION_MS[0], 2 * server.ejection_ms), EJECTION_MS[1])
         server.ejected_until = state.now + server.ejection_ms
@@ -30,7 +30,7 @@
     server.last_response_at, failed = state.now, result is not Result.OK
     if result is Result.REJECTED:
         server.ejected_until = max(server.ejected_until, state.now + OVERLOAD_BACKOFF_MS)
-    elif not failed or server.last_failure_at < state.now:  # one event that breaks several is one failure
+    elif not failed or server.last_failure_at < state.now:  # one event may break several attempts
         server.last_failure_at = state.now if failed else server.last_failure_at
         server.failure_rate += FAILURE_EWMA_WEIGHT * (failed - server.failure_rate)
         if server.failure_rate < EJECTION_FAILURE_RATE and not failed:
@@ -42,7 +42,7 @@
 
 
 def eject_unresponsive(state: State) -> None:
-    """Eject servers silent for far longer than usual; no retry, as expensive ones would feed an overload."""
+    """Eject servers without a response for far longer than usual. Retries would feed an overload."""
     for attempt in list(state.attempts.values()):
         objective_ms = attempt.in_flight.request_class.latency_objective_ms  # classes may be 100 times apart
         timeout_ms = min(max(UNRESPONSIVE_LATENCIES * state.mean_latency_ms, objective_ms / 2), objective_ms)
--- a/meadowpulley/policy/policy.py
+++ b/meadowpulley/policy/policy.py
@@ -14,7 +14,7 @@
 
 STALL_MS = 250.0  # a timer that is later than this: the gateway stalled, and attempts only look slow
 MIN_SUBSET_SIZE = 8  # servers that a gateway prefers, at least
-LIST_CALL_SPACING_MS = 100.0  # per other gateway: those that start, or fail, at once call one by one
+LIST_CALL_SPACING_MS = 100.0  # per other gateway: a fleet that starts or fails at once calls one by one
 TIMER_TOKEN = 1  # of the only timer
 
 
@@ -22,7 +22,7 @@
     """Do what is due: list calls, outlier ejection, waiting requests, gossip, evaluation."""
     state.timer_at = math.inf if state.now >= state.timer_at else state.timer_at
     if state.now >= state.resubscribe_at:
-        state.actions.append(interface.Watch())  # a response that never comes is asked for again
+        state.actions.append(interface.Watch())  # repeated should no response come
         state.resubscribe_at = state.now + max(state.rules.max_poll_interval_ms, endpoints.LIST_RETRY_MS)
     eject_unresponsive(state)
     waiting, state.waiting = state.waiting, []
@@ -89,7 +89,7 @@
         # One timer, only while there is something to wait for: an idle policy costs nothing.
         idle_ms = 4 * admission.POLL_INTERVAL_MS if self.attempts else math.inf
         poll_at = now + (self.poll_interval_ms if self.waiting else idle_ms)
-        gossip_at = self.gossip_at if self.gossip.received else math.inf  # if idle too: digests get old
+        gossip_at = self.gossip_at if self.gossip.received else math.inf  # idle or not: digests get old
         due_at = min(self.evaluate_at, self.resubscribe_at, gossip_at, poll_at)
         self.set_timer(max(due_at, now), TIMER_TOKEN)
         return self.actions
--- a/meadowpulley/policy/rollout.py
+++ b/meadowpulley/policy/rollout.py
@@ -12,7 +12,7 @@
 from meadowpulley.state import RATE_MEMORY_MS, Attempt, LatencySamples, Slowdown, State, summarize
 
 MAX_HORIZON = 20  # later requests, at most, whose costs are added to each request's own
-MIN_ALPHA = 0.5  # a gateway that sees little holds hardly any request: its counts say nothing of latency
+MIN_ALPHA = 0.5  # of latency in the mix: a gateway with few requests in flight has no useful queue lengths
 LATENCY_MARGIN = 0.25  # of the baseline's mean latency
 FALLBACK_MS = 4000.0  # after the latest start of a trial server
 MAX_HOLD_MS = 3000.0  # the longest hold of one stage under a timer gate
@@ -38,10 +38,10 @@
     block_ms = max(MIN_BLOCK_MS, TRIALS_PER_BLOCK / max(request_rate * state.trial_probability, 1e-6))
     min_alpha, horizon = 1 - (1 - MIN_ALPHA) * min(load, 1.0), min(math.ceil(load), MAX_HORIZON)
     difference, error, trials, baselines = samples.compare(block_ms, horizon, server_rate, min_alpha)
-    # A slow server or two are no slow build; nor is a crowded one: the margin grows with what it gets.
+    # A slow server or two are no slow build. Nor is an overloaded one: the margin grows with its load.
     servers, soak_ms = state.servers_of(build), state.rollout_settings.soak_ms
     warm = max(sum([state.slow_start_fraction(s, soak_ms) >= WARMED_UP for s in servers]), 1)
-    error *= 1 + state.confidence_z / math.sqrt(4 * max(min(trials, baselines), 1))  # few tell little of it
+    error *= 1 + state.confidence_z / math.sqrt(4 * max(min(trials, baselines), 1))  # its own uncertainty
     error = math.hypot(error, SERVER_LATENCY_SPREAD * samples.baseline_mean / math.sqrt(warm))
     crowding = max(trials * max(len(state.servers) - warm, 1) / max(baselines * warm, 1), 1.0)
     width, margin_ms = state.confidence_z * error, LATENCY_MARGIN * samples.baseline_mean * crowding
@@ -49,8 +49,8 @@
 
 
 def _arm(attempt: Attempt, build: int) -> int:
-    cold = attempt.slow_start_fraction < WARMED_UP
-    excluded = attempt.unattributable or not attempt.randomized or attempt.server.build > build or cold
+    warming_up, newer = attempt.slow_start_fraction < WARMED_UP, attempt.server.build > build
+    excluded = attempt.unattributable or not attempt.randomized or newer or warming_up
     return -1 if excluded else int(attempt.server.build == build)
 
 
--- a/meadowpulley/policy/routing.py
+++ b/meadowpulley/policy/routing.py
@@ -7,13 +7,13 @@
 from meadowpulley.policy.outlier_detection import is_available
 from meadowpulley.state import Attempt, InFlightRequest, Server, State
 
-TRIAL_CAP_FRACTION = 0.8  # of the cap: room for requests that must follow their key or find no other server
+TRIAL_CAP_FRACTION = 0.8  # of the cap: leaves some for requests bound by their key or without another server
 ROLLBACK_UTILIZATION = 0.75  # of the baseline servers, up to which a build that is rolled back gets nothing
 EVALUATION_INTERVAL_MS = 400.0  # between two evaluations of a build
 STICKY_EWMA_WEIGHT = 0.02  # weight of the newest request in the share of those that follow their key
 SLOW_START_MARGIN = 0.6  # of the slow start budget: capacity is only estimated and work is random
-SLOW_START_SLOTS = 4  # of an overload window, each with its own budget: no burst spends that of two windows
-SPARSE_LOAD = 0.3  # own requests in flight per server, under which two are probed before one is chosen
+SLOW_START_SLOTS = 4  # of an overload window, each with its budget: no burst spends that of two windows
+SPARSE_LOAD = 0.3  # own requests in flight per server, below which two servers are probed first
 TIE_BREAK_LOAD = 0.5  # requests: the mean of the random load that tells equally loaded servers apart
 
 
@@ -83,11 +83,11 @@
     """Return the probability that a request whose key binds it to no build goes to the trial build."""
     trial, baseline = state.trial_servers, state.baseline_servers
     cap, _ = cap_and_stage(state, trial[0].build)
-    if state.now >= state.trial_probability_until:  # slow start goes slowly: worked out a few times a second
+    if state.now >= state.trial_probability_until:  # capacities change slowly: computed a few times a second
         state.trial_probability_until = state.now + EVALUATION_INTERVAL_MS
         trial_capacity, baseline_capacity = state.capacity(trial), state.capacity(baseline)
         total, rollout = trial_capacity + baseline_capacity, state.furthest_rollout
-        if rollout is not None and rollout.phase is Phase.ROLLING_BACK:  # what has no room on the baseline
+        if rollout is not None and rollout.phase is Phase.ROLLING_BACK:  # beyond the baseline's capacity
             needed = max(1 - baseline_capacity / (ROLLBACK_UTILIZATION * total), 0.0)
             state.trial_probability = min(needed, cap)
         else:
@@ -109,7 +109,7 @@
     for server in sorted(drawn, key=lambda s: (s.id in attempted, s.id not in subset)):
         if len(allowed) < limit and is_available(state, server) and _may_send(state, in_flight, server):
             allowed.append(server)
-    return [s for s in allowed if s.id not in attempted] or allowed  # chance does not choose one again
+    return [s for s in allowed if s.id not in attempted] or allowed  # chance chooses none twice
 
 
 def route(state: State, in_flight: InFlightRequest) -> bool:
@@ -130,7 +130,7 @@
     first = not in_flight.attempt_count and not in_flight.probed_servers
     if len(candidates) > 1 and limits.probes and load < SPARSE_LOAD and first:
         in_flight.probed_servers, in_flight.randomized = [s.id for s in candidates], randomized
-        state.actions += [Probe(s.id) for s in candidates]  # own counts say nothing: the servers tell
+        state.actions += [Probe(s.id) for s in candidates]  # own counts are too low to tell
         return False
     # Idle servers are chosen by chance, in proportion to what each can do.
     ties = [s.outstanding + TIE_BREAK_LOAD * state.rng.expovariate(1.0) for s in candidates]
--- a/meadowpulley/state/gossip.py
+++ b/meadowpulley/state/gossip.py
@@ -1,4 +1,4 @@
-"""What the policy keeps of gossip: outcomes to tell the other gateways, and what these have told."""
+"""What the policy keeps of gossip: outcomes for the next digest, and the digests of other gateways."""
 
 from __future__ import annotations
 
@@ -46,7 +46,7 @@
         test.add(class_index, ALL_SERVERS, outcomes.failed, outcomes.succeeded, baseline_rate)
         for server in servers:
             failed = self.failures_by_server[server % SERVER_MODULUS, class_index]
-            succeeded = outcomes.succeeded / len(servers)  # by whom is not told: as many by each
+            succeeded = outcomes.succeeded / len(servers)  # digests do not say by which server
             test.add(class_index, server, failed, succeeded, baseline_rate, server_only=True)
 
     def timeouts(self) -> ArmOutcomes:
@@ -59,8 +59,8 @@
 
 
 class FailureReports(NamedTuple):
-    """How many failed responses gateways told of, and for each server, as digests number it, how many and by
-    how many gateways."""
+    """Failed responses in digests: in all, and by server, as digests number it, with the gateways that
+    report them."""
 
     total: int
     failures: Counter[int]
@@ -73,10 +73,10 @@
 
 
 class GossipState:
-    """What gateways tell each other.
+    """What the gateways of a fleet exchange.
 
-    `incarnation` is drawn at the start. `clock_skew_s`: over how many seconds the digests of one second may
-    be spread.
+    `incarnation` is drawn at the start. `clock_skew_s`: the digests that arrive in one second may be about so
+    many seconds.
     """
 
     def __init__(self, incarnation: int, clock_skew_s: int) -> None:
@@ -125,7 +125,7 @@
         return True
 
     def failure_reports(self) -> FailureReports:
-        """Count the failed responses told in this second, by server."""
+        """Count the failed responses in this second's digests, by server."""
         reports = [(server, sender) for sender, digest in self.received for server, _ in digest.failures]
         failures = Counter(server for server, _ in reports)
         senders = Counter(server for server, _ in set(reports))
--- a/meadowpulley/state/rollout.py
+++ b/meadowpulley/state/rollout.py
@@ -26,7 +26,7 @@
         self.sent_windows = event_windows(memory_ms)  # attempts, by exposure class
 
     def add_timeouts(self, timeouts: int, responses: int, usual_rate: float, bad_rate: float) -> None:
-        """Add to the evidence that a share `bad_rate` of the build's requests times out, not `usual_rate`."""
+        """Add to the evidence that the build's requests time out at the bad rate and not at the usual one."""
         timeout_ratio = math.log(bad_rate / usual_rate)
         response_ratio = math.log((1 - bad_rate) / (1 - usual_rate))
         added = self.timeout_evidence + timeouts * timeout_ratio
--- a/meadowpulley/state/state.py
+++ b/meadowpulley/state/state.py
@@ -76,8 +76,10 @@
         self.retry_budget, self.concurrency_limit = 1.0, math.inf
 
     def _init_rollout(self, settings: Settings) -> None:
-        self.latest_rollout: RolloutUpdate | None = None  # as told last, for the rules
-        self.furthest_rollout: RolloutUpdate | None = None  # the furthest known, for evaluation and votes
+        self.latest_rollout: RolloutUpdate | None = None  # the last update, for the rules
+        self.furthest_rollout: RolloutUpdate | None = (
+            None  # the furthest state known, for evaluation and votes
+        )
         self.baseline_build = self.rollback_build = -1  # of the newest build; the one to be rolled back
         self.trial_started_at = self.stage_started_at = 0.0
         self.baseline_latency_ms = self.baseline_request_rate = 0.0  # before the newest build
--- a/tests/test_adopted.py
+++ b/tests/test_adopted.py
@@ -105,7 +105,7 @@
         (CELLED, [HERE, ELSEWHERE], 2, "Fail", False),
     ],
 )
-def test_what_becomes_of_a_request_taken_over(
+def test_decision_on_an_adopted_request(
     class_index: int, prior_attempts: list[PriorAttempt], attempt_count: int, what: str, at_once: bool
 ) -> None:
     driver = gateway()
@@ -118,7 +118,7 @@
     ("class_index", "prior_attempts", "answer"),
     [(SAFE, [HERE], Reject), (UNSAFE, [], Reject), (UNSAFE, [HERE], Fail), (KEYED, [HERE], Fail)],
 )
-def test_without_room_only_what_cannot_have_run_is_refused(
+def test_at_the_concurrency_limit_only_what_was_not_executed_is_rejected(
     class_index: int, prior_attempts: list[PriorAttempt], answer: type[Action]
 ) -> None:
     driver = gateway()
@@ -128,7 +128,7 @@
     ]
 
 
-def test_attempts_are_numbered_from_0_here_and_count_with_the_earlier_ones() -> None:
+def test_attempts_are_numbered_from_0_and_count_with_the_prior_ones() -> None:
     driver = gateway()
     driver.policy.retry_budget = 10.0
     pending_sends = sends(adopt(driver, SAFE, [HERE], MOST - 2))
@@ -140,14 +140,14 @@
     assert numbers == [0, 1] and Reject(1, 500.0) in answers
 
 
-def test_a_first_attempt_here_that_never_ran_leaves_the_earlier_life_s_standing() -> None:
+def test_an_attempt_that_was_not_executed_leaves_the_prior_one_in_place() -> None:
     driver = gateway()
     [send] = sends(adopt(driver, KEYED, [replace(HERE, sent_ms=driver.now - WINDOW_MS + 100.0)]))
     driver.now += 120.0  # the server's memory of the first is over by now
     assert Fail(1) in driver.finish(send, Result.CONNECT_FAILED)
 
 
-def test_servers_tried_before_come_last() -> None:
+def test_servers_of_prior_attempts_come_last() -> None:
     for seed in range(20):
         driver = gateway(3)
         driver.policy.rng.seed(seed)
@@ -155,7 +155,7 @@
         assert send.server == 1
 
 
-def test_what_it_leaves_is_called_off_here_and_nowhere_else() -> None:
+def test_only_own_attempts_are_cancelled() -> None:
     driver = gateway()
     [send] = sends(adopt(driver, SAFE, [HERE]))
     assert [a for a in driver.handle(ClientDisconnected(send.request)) if isinstance(a, Cancel)] == [
@@ -164,7 +164,7 @@
 
 
 @pytest.mark.parametrize("adopted", [False, True])
-def test_no_allowance_on_the_trial_build_and_no_share_in_what_is_learnt_of_demand(adopted: bool) -> None:
+def test_adopted_requests_add_nothing_to_exposure_demand_and_retry_budget(adopted: bool) -> None:
     driver = gateway()
     driver.update_endpoints(
         [*(server_entry(n) for n in range(4)), server_entry(10, 42, 1.0), server_entry(11, 42, 1.0)]
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -25,7 +25,7 @@
     st.lists(st.tuples(BYTES, BYTES, BYTES, BYTES, BYTES), max_size=MAX_CLASSES),
     st.lists(st.tuples(st.integers(0, 65535), BYTES), max_size=MAX_FAILURES),
 )
-def test_a_digest_comes_back_as_it_was_told(
+def test_a_digest_survives_encoding(
     incarnation: int, sequence: int, build: int, classes: list[tuple[int, ...]], failed: list[tuple[int, int]]
 ) -> None:
     digest = Digest(incarnation, sequence, build, tuple(classes), tuple(failed))  # type: ignore[arg-type]
@@ -41,7 +41,7 @@
     assert digest.failures[0] == (70_000 % 65536, 0) and (digest.sequence, digest.build) == (2, 3)
 
 
-def test_a_customer_of_many_classes_is_told_of_the_last_ones_and_of_what_is_lost_too() -> None:
+def test_many_classes_fit_with_the_timeout_class() -> None:
     # Only eight were told, the first by number: LOST stands behind them all, and never came to the others.
     classes = tuple((cls, 1, 2, 3, 4) for cls in (*range(12), TIMEOUT_CLASS))
     digest = decode(encode(Digest(1, 1, 42, classes, ((3, 11),) * MAX_FAILURES)))
--- a/tests/test_full_fleet.py
+++ b/tests/test_full_fleet.py
@@ -42,7 +42,7 @@
     return sent
 
 
-def test_few_connections_serve_a_fleet_and_its_servers_get_even_shares() -> None:
+def test_subsets_need_few_connections_and_give_even_shares() -> None:
     # Each request of 200 gateways went to a server that its gateway had not asked before: a connection each.
     sent = run_fleet([gateway(n) for n in range(GATEWAYS)], 15.0)
     pairs = {(d.policy.settings.gateway_index, server) for d, server in sent}
@@ -51,17 +51,17 @@
     assert len(shares) == SERVERS and max(shares.values()) < 2 * len(sent) / SERVERS
 
 
-def test_half_of_the_requests_stay_in_their_zone_so_that_a_cut_costs_less() -> None:
+def test_half_of_the_requests_stay_in_their_zone() -> None:
     sent = run_fleet([gateway(n) for n in range(GATEWAYS)], 5.0)
     assert sum(server % ZONES == d.policy.settings.zone for d, server in sent) > 0.42 * len(sent)
 
 
-def test_a_busy_gateway_goes_to_more_servers_than_a_quiet_one() -> None:
+def test_the_subset_grows_with_the_request_rate() -> None:
     quiet, busy = ({server for _, server in run_fleet([gateway(7)], 10.0, per_s)} for per_s in (1.0, 20.0))
     assert len(quiet) <= 8 and len(busy) > 40
 
 
-def test_what_all_send_cold_servers_stays_within_what_they_can_do() -> None:
+def test_slow_start_budgets_of_all_gateways_stay_within_capacity() -> None:
     fleet = [gateway(n, cold=True) for n in range(GATEWAYS)]
     run_fleet(fleet, 0.5, per_s=8.0)
     sent = run_fleet(
@@ -72,7 +72,7 @@
     assert max(shares[n] for n in range(20)) <= RULES.overload_multiple * 0.7 * average
 
 
-def test_a_quiet_fleet_tells_little_and_failures_are_told_at_once() -> None:
+def test_a_quiet_fleet_gossips_little_and_failures_at_once() -> None:
     # 200 that each tell 200 once a second: 40,000 datagrams for 600 requests.
     def told(d: Driver, result: Result) -> int:
         for send in sends(d.request(SAFE)):
@@ -89,7 +89,7 @@
     assert sum(told(d, Result.ERROR) for d in fleet) > 0.9 * GATEWAYS
 
 
-def test_a_late_answer_now_and_then_refuses_nobody() -> None:
+def test_occasional_late_responses_reject_few_requests() -> None:
     # One late answer while nothing else was out left room for two: with one in twenty late, one in ten was
     # refused by gateways that have three requests in flight on average, now none, now eight.
     driver, rng, asked, rejected = gateway(5), Random(1), 0, 0
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -46,7 +46,7 @@
     ],
     ids=["empty", "a byte", "cut short", "longer", "another version", "counts that do not fit", "too long"],
 )
-def test_bytes_that_are_no_digest_are_counted_and_change_nothing(data: bytes) -> None:
+def test_malformed_digests_are_counted_and_change_nothing(data: bytes) -> None:
     assert decode(data) is None
     driver = gateway_with_trial(0)
     driver.handle(GossipReceived(3, data))
@@ -120,7 +120,7 @@
     return sum(v.verdict is Verdict.ROLL_BACK and v.build == 42 for v in votes_cast)
 
 
-def test_forty_gateways_find_together_a_build_that_none_finds_alone() -> None:
+def test_forty_gateways_find_together_a_bad_build_that_none_finds_alone() -> None:
     # A build that failed one request in eight was released in ten seconds: each gateway had seen one failure.
     assert not rollback_votes(
         run_fleet([gateway_with_trial(n) for n in range(MANY)], timeouts=1.0, failure_rate=0.125, seconds=6.0)
@@ -146,7 +146,7 @@
             driver.handle(GossipReceived(sender, encode(digest)))
 
 
-def test_what_is_told_again_counts_once() -> None:
+def test_a_repeated_digest_counts_once() -> None:
     found = []
     for times in (1, 3):
         driver = gateway_with_trial(0)
@@ -180,7 +180,7 @@
     assert (strongest_evidence(driver) > 0) == counts
 
 
-def test_one_broken_server_is_not_its_build_however_many_tell_of_it() -> None:
+def test_one_faulty_server_is_not_its_build_however_many_report_it() -> None:
     driver = gateway_with_trial(0)
     gossip_from_all(driver, 1, (SAFE, 4, 1, 20, 0), (100,))
     assert (
@@ -192,7 +192,7 @@
     )
 
 
-def test_a_trouble_that_begins_everywhere_at_once_is_not_the_new_builds() -> None:
+def test_a_fault_that_begins_everywhere_at_once_is_not_the_newest_builds() -> None:
     # Requests that fail at any server came all at once. What was usual for the earlier build was still that
     # of the seconds before: a good build was sent back, and the next one too.
     driver = gateway_with_trial(0)
@@ -220,7 +220,7 @@
     )
 
 
-def test_errors_that_come_and_go_everywhere_are_not_the_new_builds() -> None:
+def test_errors_that_come_and_go_everywhere_are_not_the_newest_builds() -> None:
     # For half a second of every two and a half each server of either build failed a tenth. Hundreds' digests
     # are about five seconds, not all about the same ones: the earlier build's worst of these counts, not the
     # share in the same second, which was lower by the good answers told late.
@@ -232,7 +232,7 @@
     )  # but what fails far more than that still is
 
 
-def test_errors_after_the_earlier_build_has_gone_are_not_held_against_its_last_good_answers() -> None:
+def test_errors_after_the_baseline_has_gone_are_not_compared_with_its_last_good_responses() -> None:
     # A good build was taken off four seconds after its release: the next of such errors met nobody but it.
     driver = gateway_with_trial(0, 200)
     driver.update_rollout(42, 2, 1.0, Phase.RELEASED)
@@ -243,7 +243,7 @@
 
 
 @pytest.mark.parametrize(("bursts", "rolls_back"), [(9, False), (0, True)])
-def test_own_failures_count_against_what_the_earlier_build_failed_elsewhere(
+def test_own_failures_are_compared_with_the_baselines_failures_elsewhere(
     bursts: int, rolls_back: bool
 ) -> None:
     # Of 208 gateways the eight that met most of such a burst sent a good build back after its release.
@@ -267,7 +267,7 @@
     [(75, 20, True), (30, 10, False), (75, 80, False)],
     ids=["the build", "paused and cold machines", "all machines"],
 )
-def test_a_build_whose_requests_time_out_goes_back(
+def test_a_build_whose_requests_time_out_is_rolled_back(
     timeouts: int, baseline_timeouts: int, found: bool
 ) -> None:
     # A build that did a sixth of the work once it was loaded was released, and the fleet served a tenth: no
@@ -280,7 +280,7 @@
     assert (driver.policy.rollback_build == 42) == found
 
 
-def test_time_outs_are_told_by_build_and_accuse_no_server() -> None:
+def test_timeouts_are_reported_by_build_and_not_by_server() -> None:
     driver = gateway_with_trial(0, 2)
     digest = []
     for _ in range(40):
@@ -292,7 +292,7 @@
     assert sum(row[1] + row[3] for row in rows) > 20 and not any(one.failures for one in digest if one)
 
 
-def test_what_is_heard_while_idle_is_looked_at_in_time() -> None:
+def test_digests_received_while_idle_are_evaluated_in_time() -> None:
     # Without requests there was no timer: what others had told minutes ago counted with the next request.
     driver = gateway_with_trial(0)
     driver.now += 60_000.0
@@ -303,14 +303,14 @@
     assert timers and timers[0] <= 1000.0
 
 
-def test_the_lives_that_are_remembered_are_bounded() -> None:
+def test_the_remembered_incarnations_are_bounded() -> None:
     driver = gateway_with_trial(0)
     for incarnation in range(1000):
         driver.handle(GossipReceived(1, encode(Digest(incarnation, 1, 42))))
     assert len(driver.policy.gossip.last_digest_by_sender) <= 4 * MANY
 
 
-def test_where_gateways_may_not_speak_nothing_is_told() -> None:
+def test_without_gossip_no_digest_is_sent() -> None:
     driver = Driver(settings(gateway_count=MANY))
     driver.update_endpoints(server_entry(n) for n in range(4))
     driver.update_rollout(42, 1, 0.5)
@@ -340,7 +340,7 @@
     )
 
 
-def test_a_failing_server_rests_before_each_gateway_has_met_it() -> None:
+def test_a_failing_server_is_ejected_before_each_gateway_has_met_it() -> None:
     # Forty gateways each lost requests to the same failing server until it had failed three of their own.
     driver = gateway_with_trial(0)
     report_failures(driver, 7, range(1, 9))
@@ -348,7 +348,7 @@
     assert all(s.ejected_until <= driver.now for n, s in driver.policy.servers.items() if n != 7)
 
 
-def test_one_gateways_word_or_a_trouble_of_all_servers_rests_nobody() -> None:
+def test_one_gateways_report_or_a_fault_of_all_servers_ejects_none() -> None:
     driver = gateway_with_trial(0)
     for sequence in range(1, 9):
         report_failures(driver, 7, range(1, 2), sequence)
@@ -362,7 +362,7 @@
         assert all(s.ejected_until <= one.now for s in one.policy.servers.values())
 
 
-def test_machines_that_fail_elsewhere_too_excuse_a_build() -> None:
+def test_faulty_servers_of_the_baseline_excuse_a_build() -> None:
     # Six of the new build's servers were among the fleet's broken ones: a good build was sent back.
     for baseline_failed, rolls_back in ((0, True), (3, False)):
         driver = gateway_with_trial(0)
@@ -372,7 +372,7 @@
         assert (driver.policy.rollback_build == 42) == rolls_back
 
 
-def test_own_failures_count_with_those_of_others_whatever_the_servers_number() -> None:
+def test_own_failures_count_with_reported_ones_whatever_the_server_number() -> None:
     # Servers have numbers of 32 bits and are told by 16: a gateway's own digest, unshortened, accused nobody.
     sequence = 7 + 3 * 65536
     driver = Driver(settings(limits=PEERS, gateway_count=2))
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -15,7 +15,7 @@
 ONE = [(0.0, 0)] * 4
 
 
-def test_without_later_costs_and_equal_queues_the_estimate_is_a_plain_difference() -> None:
+def test_without_horizon_and_with_equal_queues_the_estimate_is_a_plain_difference() -> None:
     # Queues all 2: Vq = Cwq = 0, so alpha = 0 / (r²·Vw) = 0 and the mix is the queue alone: difference 0.
     difference, error, trial_count, baseline_count = mixed_q(
         [100, 300, 100, 300], [2] * 4, [0, 1, 0, 1], ONE, 0, 0.01, -math.inf
@@ -23,7 +23,7 @@
     assert (difference, error, trial_count, baseline_count) == (0.0, 0.0, 2, 2)
 
 
-def test_the_mix_by_hand() -> None:
+def test_mixed_q_matches_a_calculation_by_hand() -> None:
     # w = 1, 2, 3, 6 (mean 3), q = 0, 2, 1, 1 (mean 1), r = 1.
     # Sums of squares: w 4+1+0+9 = 14, q 1+1+0+0 = 2, cross 2-1+0+0 = 1.
     # alpha = (2 - 1) / (14 + 2 - 2) = 1/14; mixed = w/14 + 13q/14 = 1/14, 28/14, 16/14, 19/14.
@@ -37,7 +37,7 @@
     assert (trial_count, baseline_count) == (2, 2)
 
 
-def test_sums_take_in_the_next_requests_and_leave_out_the_unfinished_tail() -> None:
+def test_q_function_adds_the_next_requests_and_drops_the_incomplete_tail() -> None:
     # Length 1: Qw = 3, 5, 9 for the first three; queues follow latency, so the mix keeps that order.
     w = [1.0, 2.0, 3.0, 6.0]
     difference, _, trial_count, baseline_count = mixed_q(w, w, [0, 1, 0, 1], ONE, 1, 1.0, -math.inf)
@@ -45,27 +45,27 @@
     assert (trial_count, baseline_count) == (1, 2)
 
 
-def test_what_slows_a_whole_block_stays_out_of_the_contrast() -> None:
+def test_slowness_of_a_whole_block_does_not_count() -> None:
     w = [100.0, 120.0, 1000.0, 1020.0]
     arms, blocks = [0, 1, 0, 1], [(0.0, 0), (0.0, 0), (1.0, 0), (1.0, 0)]
     difference, _, _, _ = mixed_q(w, w, arms, blocks, 0, 1.0, -math.inf)
     assert difference == pytest.approx(20.0)
 
 
-def test_a_least_alpha_keeps_latency_in_the_mix_where_counts_do_not_vary() -> None:
+def test_min_alpha_keeps_latency_in_the_mix_when_queue_lengths_do_not_vary() -> None:
     # A gateway that sees little mostly holds nothing; the formula would then trust the counts alone.
     difference, _, _, _ = mixed_q([100, 300, 100, 300], [0] * 4, [0, 1, 0, 1], ONE, 0, 0.01, 0.5)
     assert difference == pytest.approx(100.0)
 
 
-def test_without_both_builds_in_a_block_nothing_is_known() -> None:
+def test_without_both_builds_in_a_block_there_is_no_estimate() -> None:
     difference, error, trial_count, baseline_count = mixed_q(
         [1.0, 2.0], [1.0, 1.0], [0, 1], [(0.0, 0), (0.0, 1)], 0, 1.0, -math.inf
     )
     assert (difference, error, trial_count, baseline_count) == (0.0, math.inf, 0, 0)
 
 
-def test_three_failures_among_few_prove_a_build_bad_on_its_only_server() -> None:
+def test_three_failures_among_few_condemn_a_build_on_its_only_server() -> None:
     failure_test = new_build_evidence(0.0).own_failures
     for failed in (1, 0, 1, 0, 1):
         assert evidence_ratio(failure_test, 1, False, REQUIRED_EVIDENCE) < 1
@@ -73,7 +73,7 @@
     assert evidence_ratio(failure_test, 1, False, REQUIRED_EVIDENCE) >= 1
 
 
-def test_one_of_several_servers_proves_nothing_and_broken_machines_elsewhere_halve_it() -> None:
+def test_one_of_several_servers_proves_nothing_and_server_faults_halve_its_limit() -> None:
     failure_test = new_build_evidence(0.0).own_failures
     for _ in range(20):
         failure_test.add(0, 7, 1, 0, 0.0)
@@ -91,7 +91,7 @@
     assert evidence_ratio(failure_test, 25, False, REQUIRED_EVIDENCE) < 0.5
 
 
-def test_one_failing_class_is_not_averaged_away_and_a_late_turn_is_seen() -> None:
+def test_one_failing_class_is_not_averaged_away_and_late_failures_are_found() -> None:
     failure_test = new_build_evidence(0.0).own_failures
     for n in range(400):
         failure_test.add(n % 4, 7, 0, 1, 0.0)
@@ -141,7 +141,7 @@
 
 
 @pytest.mark.parametrize("gate", [StageGate.ANY, StageGate.SHARE])
-def test_a_good_build_gets_its_on_vote_by_the_stage_age_and_it_is_renewed(gate: StageGate) -> None:
+def test_a_good_build_gets_an_advance_vote_by_the_stage_age_and_it_is_renewed(gate: StageGate) -> None:
     driver = Driver(settings(rollout=replace(ROLLOUT, gate=gate)))
     start_trial(driver)
     first = run_traffic(driver, 4.2)
@@ -151,7 +151,7 @@
     assert Vote(42, 1, Verdict.ADVANCE) in run_traffic(driver, 1.0)
 
 
-def test_a_vote_without_an_answer_is_sent_again_after_the_call_s_time() -> None:
+def test_an_unanswered_vote_is_sent_again_after_the_call_timeout() -> None:
     driver = Driver()
     start_trial(driver)
     run_traffic(driver, 4.2)
@@ -159,7 +159,7 @@
     assert 1 <= len(again) <= 3 and set(again) == {Vote(42, 1, Verdict.ADVANCE)}
 
 
-def test_a_refused_vote_does_not_count_as_standing() -> None:
+def test_a_rejected_vote_is_not_valid() -> None:
     driver = Driver()
     start_trial(driver)
     [*_, vote] = run_traffic(driver, 4.2)
@@ -167,13 +167,13 @@
     assert Vote(42, 1, Verdict.ADVANCE) in run_traffic(driver, 0.5)
 
 
-def test_a_slow_build_goes_back() -> None:
+def test_a_slow_build_is_rolled_back() -> None:
     driver = Driver()
     start_trial(driver)
     assert Vote(42, 0, Verdict.ROLL_BACK) in run_traffic(driver, 8, slow=400.0)
 
 
-def test_a_build_that_fails_one_class_goes_back_and_stays_condemned() -> None:
+def test_a_build_that_fails_one_class_is_rolled_back_for_good() -> None:
     driver = Driver()
     start_trial(driver)
     assert Vote(42, 0, Verdict.ROLL_BACK) in run_traffic(driver, 4, fail=UNSAFE)
@@ -195,7 +195,7 @@
     assert Verdict.ROLL_BACK not in {v.verdict for v in run_traffic(driver, 8, slow=170.0)}
 
 
-def test_under_a_clock_a_balancer_never_votes_on_and_holds_for_a_while_only() -> None:
+def test_with_a_timer_gate_no_vote_advances_and_holds_end() -> None:
     driver = Driver(settings(rollout=replace(ROLLOUT, gate=StageGate.TIMER, hold_votes=1)))
     start_trial(driver)
     assert not run_traffic(driver, 6)
@@ -207,7 +207,7 @@
         assert verdicts[-1] is not Verdict.HOLD
 
 
-def test_the_back_vote_is_dropped_once_the_build_is_withdrawn() -> None:
+def test_no_rollback_vote_once_the_build_is_rolled_back() -> None:
     driver = Driver()
     start_trial(driver)
     run_traffic(driver, 4, fail=UNSAFE)
@@ -215,7 +215,7 @@
     assert not run_traffic(driver, 2)
 
 
-def test_after_release_failures_still_send_a_build_back() -> None:
+def test_failures_after_the_release_roll_a_build_back() -> None:
     driver = Driver()
     start_trial(driver)
     driver.update_rollout(42, 2, 1.0, Phase.RELEASED)
@@ -237,7 +237,7 @@
     return found
 
 
-def test_a_build_that_slows_all_servers_goes_back() -> None:
+def test_a_build_that_slows_all_servers_is_rolled_back() -> None:
     driver = Driver()
     start_trial(driver)
     assert Vote(42, 0, Verdict.ROLL_BACK) in run_slow_traffic(driver, 12, shared=True)
@@ -252,7 +252,7 @@
     assert Verdict.ROLL_BACK not in {v.verdict for v in after}
 
 
-def test_a_few_answers_that_come_very_late_condemn_no_build() -> None:
+def test_a_few_very_late_responses_condemn_no_build() -> None:
     # Found on a day of silent networks: of 57 answers of a good build three took eighty times the usual, and
     # the mean of all was over the margin.
     driver = Driver()
@@ -278,7 +278,7 @@
     assert runs[0] == runs[1]
 
 
-def test_lasting_slowness_after_release_goes_back_whatever_the_list_says() -> None:
+def test_lasting_slowness_after_the_release_rolls_back_whatever_servers_are_listed() -> None:
     # Found on a drawn day: the list still named earlier servers, and nothing condemned a build that was out.
     driver = Driver()
     start_trial(driver, stage=0)
--- a/tests/test_mixed_classes.py
+++ b/tests/test_mixed_classes.py
@@ -15,7 +15,7 @@
 
 
 @pytest.mark.parametrize(("class_index", "probes"), [(0, True), (1, True), (0, False), (1, False)])
-def test_a_class_of_tens_of_ms_is_sent_where_servers_are_asked_first(class_index: int, probes: bool) -> None:
+def test_a_class_of_tens_of_ms_is_sent_where_servers_are_probed(class_index: int, probes: bool) -> None:
     # A request that waits for two servers' word was given up at once: its deadline less two ticks of 50 ms
     # had passed as it came. Of a class of 90 ms a quarter was served.
     driver = Driver(settings(limits=replace(LIMITS, probes=probes), classes=BOTH))
@@ -30,7 +30,7 @@
 
 
 @pytest.mark.parametrize(("class_index", "ejected"), [(0, True), (1, False)])
-def test_a_server_is_silent_by_the_aim_of_what_it_was_asked(class_index: int, ejected: bool) -> None:
+def test_a_server_is_unresponsive_by_the_objective_of_its_request(class_index: int, ejected: bool) -> None:
     # By the least aim of all classes each request of seconds had its server rested after tens of ms.
     driver = Driver(settings(classes=BOTH))
     list_servers(driver, count=1)
@@ -40,7 +40,7 @@
     assert bool(sends(driver.request(0, time_left_ms=BRIEF.deadline_ms))) is not ejected
 
 
-def test_a_request_of_tens_of_ms_is_looked_at_again_while_it_can_be_in_time() -> None:
+def test_a_request_of_tens_of_ms_is_polled_while_it_can_be_in_time() -> None:
     driver = Driver(settings(limits=replace(LIMITS, probes=True), classes=BOTH))
     list_servers(driver)
     driver.fire_timer()
@@ -52,7 +52,7 @@
 
 
 @pytest.mark.parametrize("time_left_ms", [30.0, 64.0])
-def test_a_request_with_less_left_than_two_ticks_waits_for_what_it_asked(time_left_ms: float) -> None:
+def test_a_request_with_less_time_than_two_polls_waits_for_its_probes(time_left_ms: float) -> None:
     driver = Driver(settings(limits=replace(LIMITS, probes=True), classes=BOTH))
     list_servers(driver)
     [asked, _] = [a.server for a in driver.request(0, time_left_ms=time_left_ms) if isinstance(a, Probe)]
--- a/tests/test_placements_hook.py
+++ b/tests/test_placements_hook.py
@@ -52,7 +52,7 @@
     )
 
 
-def test_arm_0_and_arms_nobody_knows_are_the_module_s_own_choice_draw_for_draw() -> None:
+def test_arm_0_and_unknown_arms_are_the_policys_own_choice_draw_for_draw() -> None:
     plain, with_arms = gateway(), gateway(never, highest_first)
     for n in range(200):
         plain.now = with_arms.now = 10_000.0 + 20.0 * n
@@ -100,7 +100,7 @@
     assert [send.server for send in request_with_arm(driver)] == [3]
 
 
-def test_what_is_left_out_is_not_asked_and_the_request_is_answered_all_the_same() -> None:
+def test_servers_left_out_get_nothing_and_the_request_is_still_answered() -> None:
     driver = gateway(never, no_candidates)
     assert not request_with_arm(driver)
     answers: list[Action] = []
@@ -110,7 +110,7 @@
     assert answers == [Reject(1, 500.0)]
 
 
-def test_a_further_attempt_goes_to_a_server_that_was_not_tried() -> None:
+def test_a_retry_goes_to_another_server() -> None:
     driver = gateway(never, highest_first)
     [first] = request_with_arm(driver)
     [second] = sends(driver.finish(first, Result.CONNECT_FAILED))
@@ -140,7 +140,7 @@
     assert last[0] == replace(seen[0], outstanding=1, typical_latency_ms=80.0) and last[1] == seen[1]
 
 
-def test_the_coin_is_the_same_whatever_the_arm() -> None:
+def test_the_randomization_does_not_depend_on_the_arm() -> None:
     part = []
     for arm in (0, 1):
         trial = 0
@@ -159,7 +159,9 @@
 
 
 @pytest.mark.parametrize(("ejected", "asked"), [((14,), {13}), ((13, 14), set())])
-def test_of_the_trial_build_no_more_than_two_are_looked_at(ejected: tuple[int, ...], asked: set[int]) -> None:
+def test_at_most_two_servers_of_the_trial_build_are_considered(
+    ejected: tuple[int, ...], asked: set[int]
+) -> None:
     driver = gateway(never, highest_first, s=settings(rollout=replace(ROLLOUT, exposure_allowance=1e9)))
     driver.update_endpoints(
         [*(server_entry(n) for n in range(5)), *(server_entry(n, 42, 1.0) for n in range(10, 15))]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -54,7 +54,7 @@
     assert [a for a in driver.request(SAFE, time_left_ms=60.0) if isinstance(a, Reject)] == [Reject(1, 500.0)]
 
 
-def test_a_timeout_at_the_deadline_is_answered_and_never_sent_again() -> None:
+def test_a_timeout_at_the_deadline_is_failed_and_not_retried() -> None:
     driver = Driver()
     list_servers(driver)
     [send] = sends(driver.request(UNSAFE))
@@ -75,7 +75,7 @@
 # No effect happens twice
 
 
-def test_an_unsafe_request_that_may_have_run_is_failed_not_repeated_or_refused() -> None:
+def test_a_non_idempotent_request_that_may_have_been_executed_fails() -> None:
     for result in (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED):
         driver = Driver()
         list_servers(driver)
@@ -84,7 +84,7 @@
 
 
 @pytest.mark.parametrize("result", ONE_MORE)
-def test_an_unsafe_request_that_never_ran_goes_elsewhere(result: Result) -> None:
+def test_a_non_idempotent_request_that_was_not_executed_is_retried(result: Result) -> None:
     driver = Driver()
     list_servers(driver)
     [send] = sends(driver.request(UNSAFE))
@@ -92,7 +92,7 @@
     assert again.server != send.server
 
 
-def test_a_safe_request_is_tried_again_elsewhere() -> None:
+def test_an_idempotent_request_is_retried_elsewhere() -> None:
     driver = Driver()
     list_servers(driver)
     [send] = sends(driver.request(SAFE))
@@ -100,7 +100,7 @@
     assert again.server != send.server
 
 
-def test_a_keyed_request_is_repeated_within_its_window_only() -> None:
+def test_a_request_with_idempotency_key_is_retried_within_its_window_only() -> None:
     for waited, repeated in ((1990.0, True), (1996.0, False), (2100.0, False)):
         driver = Driver()
         list_servers(driver)
@@ -109,7 +109,7 @@
         assert bool(sends(driver.finish(send, Result.ERROR))) is repeated
 
 
-def test_a_keyed_request_stays_in_its_group_and_is_not_refused_outside_all() -> None:
+def test_a_request_with_idempotency_key_stays_in_its_scope_and_fails_outside() -> None:
     keyed = replace(CLASSES[KEYED], deduplication_scope=DeduplicationScope.CELL)
     driver = Driver(settings(classes=(*CLASSES[:2], keyed)))
     driver.update_endpoints([server_entry(1, cell=1), server_entry(2, cell=2)])
@@ -129,7 +129,7 @@
 # Drains are kept
 
 
-def test_nothing_goes_to_a_draining_or_gone_server() -> None:
+def test_nothing_goes_to_a_draining_or_removed_server() -> None:
     driver = Driver()
     driver.update_endpoints([server_entry(1), server_entry(2), server_entry(3)])
     driver.update_endpoints(
@@ -139,7 +139,7 @@
     assert {s.server for _ in range(30) for s in sends(driver.request(SAFE))} <= {3}
 
 
-def test_a_server_missing_from_a_full_list_is_gone_and_a_failed_call_changes_nothing() -> None:
+def test_a_server_missing_from_a_full_list_is_removed_and_a_failed_call_changes_nothing() -> None:
     driver = Driver()
     list_servers(driver, 3)
     driver.update_endpoints([server_entry(2)])
@@ -147,7 +147,7 @@
     assert {s.server for _ in range(20) for s in sends(driver.request(SAFE))} == {2}
 
 
-def test_the_list_is_asked_for_and_asked_again_after_a_failure() -> None:
+def test_the_list_is_called_for_and_again_after_a_failure() -> None:
     driver = Driver(settings(must_ask=True))
     driver.update_endpoints([server_entry(1)], EndpointUpdateKind.CACHED)
     assert Watch() in driver.fire_timer()
@@ -176,7 +176,7 @@
     return got
 
 
-def test_a_cold_server_gets_no_more_than_its_part() -> None:
+def test_a_server_in_slow_start_gets_no_more_than_its_budget() -> None:
     driver = Driver(settings(gateway_count=1))
     list_servers(driver, 4)
     requests_by_server(driver, 400, 20.0)
@@ -187,7 +187,7 @@
     assert 3 < requests_by_server(driver, 74, 20.0).get(9, 0) <= 2.0 * 0.55 * 15
 
 
-def test_what_cold_trial_servers_may_not_have_does_not_crowd_a_warm_one() -> None:
+def test_what_trial_servers_in_slow_start_may_not_have_does_not_overload_a_warm_one() -> None:
     # Found on a day of spoilt answers: two warm trial servers got the part of six cold ones, three times an
     # earlier one's, were slow by that, and a good build went back.
     driver = Driver()
@@ -206,7 +206,7 @@
     assert got[10] < 1.5 * sum(got[n] for n in range(8)) / 8
 
 
-def test_a_restarted_or_reused_id_is_a_new_cold_server() -> None:
+def test_a_restarted_or_reused_id_is_a_new_server_in_slow_start() -> None:
     for again in (server_entry(0, started_ms=9000.0), server_entry(0, build=40, started_ms=9000.0)):
         driver = Driver()
         list_servers(driver, 1)
--- a/tests/test_rules_exposure.py
+++ b/tests/test_rules_exposure.py
@@ -65,7 +65,7 @@
     assert 0 < len(at) <= 2 * 2 + 0.1 * 600
 
 
-def test_no_news_at_all_means_that_every_build_is_on_trial() -> None:
+def test_without_any_rollout_update_every_build_is_on_trial() -> None:
     driver = Driver(released=False)
     list_servers(driver)
     assert len(trial_send_times(driver, 100, 41)) <= 2 + 0.1 * 100
@@ -80,7 +80,7 @@
     assert not trial_send_times(driver, 100, 42)
 
 
-def test_late_news_of_an_earlier_stage_binds_the_cap_but_not_the_judge() -> None:
+def test_a_late_update_of_an_earlier_stage_binds_the_cap_but_not_the_evaluation() -> None:
     driver = Driver()
     list_both_builds(driver)
     driver.update_rollout(42, 1, 0.5)
@@ -100,7 +100,7 @@
     assert trial_send_times(driver, 100, 42, class_index=UNSAFE)
 
 
-def test_a_key_answered_by_the_trial_build_goes_to_no_earlier_one_until_it_goes_back() -> None:
+def test_a_key_answered_by_the_trial_build_stays_there_until_the_rollback() -> None:
     driver = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     list_both_builds(driver)
     driver.update_rollout(42, 1, 0.5)
@@ -157,7 +157,7 @@
     assert sends(driver.request(SAFE, key=5))
 
 
-def test_keys_of_a_build_that_was_taken_off_are_free_when_the_next_comes() -> None:
+def test_keys_of_a_rolled_back_build_are_free_when_the_next_comes() -> None:
     # They stayed bound to later builds than the one in service: nothing but the next trial could serve them.
     driver = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     driver.update_endpoints([server_entry(10, 42)])
@@ -172,7 +172,7 @@
     assert sends(driver.request(SAFE, key=5))
 
 
-def test_a_key_whose_request_is_out_at_the_trial_build_is_bound_already() -> None:
+def test_a_key_with_an_outstanding_attempt_at_the_trial_build_is_bound() -> None:
     # Found on a day of silent networks: the answer was written but never came: no note was made yet.
     driver = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     driver.update_endpoints([server_entry(10, 42)])
@@ -188,7 +188,7 @@
     assert sends(driver.request(SAFE, key=5))
 
 
-def test_what_a_build_answered_before_its_first_news_stays_noted() -> None:
+def test_keys_answered_before_the_first_update_of_a_build_stay_bound() -> None:
     # Found on a long day with late news: the list names a build first, and the news of it cleared its keys.
     driver = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     driver.update_rollout(42, 0, 0.1)
@@ -200,7 +200,7 @@
     assert not sends(driver.request(SAFE, key=5)) and driver.policy.build_evidence[43].sent_windows[-1].times
 
 
-def test_notes_of_keys_windows_and_builds_are_bounded_whatever_comes() -> None:
+def test_state_of_keys_windows_and_builds_is_bounded() -> None:
     # Keys are always new: the notes of a released build grew with every request, for good.
     driver = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
     for build in range(42, 47):
@@ -233,7 +233,7 @@
 # Odd but legal
 
 
-def test_news_and_tallies_of_strange_builds_and_votes_never_sent() -> None:
+def test_updates_and_statistics_of_unknown_builds_and_of_votes_never_sent() -> None:
     driver = Driver(released=False)
     driver.handle(BuildStatistics(99, 0, 0, 0, 0.0, 0.0))
     driver.handle(BuildStatistics(42, 0, 10, 10, 50.0, 0.0))
@@ -260,7 +260,7 @@
     assert len(sends(driver.request(SAFE))) == 1
 
 
-def test_no_classes_and_no_caps_do_not_stop_the_balancer() -> None:
+def test_no_classes_and_no_caps_do_not_stop_the_policy() -> None:
     driver = Driver(settings(classes=(), rollout=Rollout()))
     driver.update_endpoints([server_entry(1)])
     driver.update_rollout(42)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -31,7 +31,7 @@
 MANY = 300
 
 
-def test_allowances_of_hundreds_of_gateways_on_one_cold_server_do_not_add_up() -> None:
+def test_slow_start_budgets_of_hundreds_of_gateways_do_not_add_up() -> None:
     # "At least one" request a gateway let hundreds push one cold server over.
     got = 0
     for seed in range(MANY):
@@ -51,7 +51,7 @@
     assert 10 < got <= 2 * 0.55 * 30 * 1.5
 
 
-def test_a_build_that_was_out_before_is_not_judged_and_its_failures_are_the_usual() -> None:
+def test_the_first_build_is_not_evaluated_and_its_failures_are_the_baseline() -> None:
     # Requests that fail at any server began before the trial: both builds were condemned.
     driver = Driver()
     driver.update_endpoints(server_entry(n) for n in range(4))
@@ -81,7 +81,7 @@
     assert Verdict.ROLL_BACK not in {v.verdict for v in found}
 
 
-def test_quick_errors_do_not_overtake_the_good_answers_sent_with_them() -> None:
+def test_quick_errors_do_not_overtake_the_good_responses_sent_with_them() -> None:
     # While a trial grows, its errors came back at once and its good answers later: it seemed to fail more.
     driver = Driver()
     driver.update_endpoints([server_entry(0), server_entry(1)])
@@ -104,7 +104,7 @@
     assert not driver.policy.pending_outcomes
 
 
-def test_a_tally_proves_nothing_without_own_failures_on_two_servers() -> None:
+def test_platform_statistics_prove_nothing_without_own_failures_on_two_servers() -> None:
     # Time-outs of cold and jammed machines count as failures in a tally: a good build went back.
     failure_test = new_build_evidence(0.0).own_failures
     failure_test.add(0, PLATFORM, 60, 40, 0.1)
@@ -115,7 +115,7 @@
     assert evidence_ratio(failure_test, 8, False, REQUIRED_EVIDENCE) >= 1
 
 
-def test_costs_of_cold_machines_lost_answers_and_broken_machines_stay_out_of_the_contrast() -> None:
+def test_slow_start_and_unattributable_attempts_are_no_samples() -> None:
     driver = Driver()
     driver.update_endpoints([server_entry(0), server_entry(1), server_entry(10, 42, 1.0)])
     driver.update_rollout(42, 1, 0.5)
@@ -131,7 +131,7 @@
     assert estimate_slowdown(driver.policy, 42)[3] == 0
 
 
-def test_votes_of_hundreds_are_spread_over_what_the_platform_takes() -> None:
+def test_votes_of_hundreds_of_gateways_are_spread() -> None:
     at = []
     for gateway_index in (0, MANY // 2, MANY - 1):
         rollout = replace(ROLLOUT, gate=StageGate.SHARE, votes_per_s=100.0)
@@ -145,7 +145,7 @@
     assert at[0] < at[1] < at[2] <= 4500.0
 
 
-def test_a_vote_refused_as_too_many_waits_a_while_before_the_next() -> None:
+def test_a_rejected_vote_backs_off() -> None:
     driver = Driver(settings(rollout=replace(ROLLOUT, gate=StageGate.SHARE), gateway_count=MANY))
     driver.update_endpoints([server_entry(0), server_entry(1, 42, 1.0)])
     driver.update_rollout(42, 1, 0.5)
@@ -159,7 +159,7 @@
 
 
 @pytest.mark.parametrize("load", [(), (0.0, 0.0), (1e30, -1.0)])
-def test_odd_input_leaves_the_balancer_running(load: tuple[float, ...]) -> None:
+def test_odd_input_leaves_the_policy_running(load: tuple[float, ...]) -> None:
     driver = Driver(settings(gateway_count=MANY))
     driver.update_endpoints([server_entry(0), server_entry(1)])
     for data in (b"", b"\x00" * 7, b"\xff" * 256, b"x" * 10_000):
@@ -181,7 +181,7 @@
     assert driver.policy.furthest_rollout is not None and driver.policy.furthest_rollout.build == 41
 
 
-def test_a_choice_of_two_checks_two_servers_whatever_the_fleet(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_choice_of_two_checks_two_servers_in_any_fleet(monkeypatch: pytest.MonkeyPatch) -> None:
     # Compiled, a generator became a list, and every server was checked for every request.
     driver = Driver()
     driver.update_endpoints(server_entry(n) for n in range(MANY))
@@ -196,7 +196,7 @@
     assert len(checked) <= 2 * 4 * MANY and len(chosen) > 0.9 * MANY
 
 
-def test_servers_that_were_not_tried_come_first() -> None:
+def test_servers_without_an_attempt_come_first() -> None:
     for seed in range(30):
         driver = Driver(seed=seed)
         driver.update_endpoints(server_entry(n) for n in range(10))
@@ -238,11 +238,11 @@
     assert maximum <= 16
 
 
-def test_a_small_fleet_asks_for_the_list_soon_and_again_soon_after_a_failure() -> None:
+def test_a_small_fleet_calls_for_the_list_soon_and_again_after_a_failure() -> None:
     asked = list_calls(3, failing_until=350.0)
     assert sum(at < 350.0 for at in asked) >= 3 and max(asked) <= 4000.0
 
 
-def test_without_any_list_a_gateway_of_many_asks_at_once() -> None:
+def test_without_any_list_a_gateway_calls_at_once() -> None:
     driver = Driver(settings(must_ask=True, gateway_count=40), released=False)
     assert any(isinstance(a, Watch) for a in driver.fire_timer())
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -8,7 +8,7 @@
 from tests.driver import LIMITS, RULES, SAFE, Driver, sends, server_entry, settings
 
 
-def test_a_server_that_fails_fast_is_left_and_tried_again_gently() -> None:
+def test_a_server_that_fails_fast_is_ejected_and_tried_by_one_request_at_a_time() -> None:
     driver = Driver()
     driver.update_endpoints(server_entry(n) for n in range(4))
     for _ in range(60):
@@ -33,7 +33,7 @@
     assert not driver.policy.servers[0].ejection_ms
 
 
-def test_no_server_rests_where_most_fail() -> None:
+def test_no_server_is_ejected_where_most_fail() -> None:
     # Resting those that timed out in a jam sent all the load to the few left.
     driver = Driver()
     driver.update_endpoints(server_entry(n) for n in range(4))
@@ -44,7 +44,7 @@
     assert sum(bool(s.ejection_ms) for s in driver.policy.servers.values()) <= 2
 
 
-def test_a_silent_server_rests_and_nothing_is_repeated() -> None:
+def test_an_unresponsive_server_is_ejected_and_nothing_is_retried() -> None:
     driver = Driver()
     driver.update_endpoints([server_entry(0), server_entry(1)])
     for _ in range(40):
@@ -64,7 +64,7 @@
     assert {s.server for _ in range(6) for s in sends(driver.request(SAFE))} == {1}
 
 
-def test_late_answers_narrow_the_room_and_new_requests_are_refused_with_advice() -> None:
+def test_late_responses_lower_the_concurrency_limit_and_requests_are_rejected() -> None:
     driver = Driver()
     driver.update_endpoints(server_entry(n) for n in range(4))
     driver.fire_timer()
@@ -84,7 +84,7 @@
     assert len(rejected) > 15 and {a.retry_after_ms for a in rejected} == {500.0}
 
 
-def test_further_attempts_are_bounded_by_the_requests_taken() -> None:
+def test_retries_are_bounded_by_the_retry_budget() -> None:
     driver = Driver()
     driver.update_endpoints(server_entry(n) for n in range(8))
     attempt_count = 0
@@ -97,14 +97,14 @@
     assert 100 < attempt_count <= 200 * 1.1 + 2
 
 
-def test_the_emptier_of_two_is_mostly_chosen() -> None:
+def test_the_less_loaded_of_two_is_mostly_chosen() -> None:
     driver = Driver()
     driver.update_endpoints([server_entry(0), server_entry(1)])
     held = [s.server for _ in range(40) for s in sends(driver.request(SAFE))]
     assert abs(held.count(0) - held.count(1)) <= 4
 
 
-def test_a_balancer_that_holds_nothing_prefers_faster_kinds_in_proportion() -> None:
+def test_an_idle_policy_prefers_faster_kinds_in_proportion() -> None:
     # Many balancers hold no request most of the time: without this the slower kind got as many and jammed.
     driver = Driver()
     driver.update_endpoints(server_entry(n, kind=n % 2) for n in range(40))
@@ -118,7 +118,7 @@
     assert 1.5 < got[0] / got[1] < 2.7
 
 
-def test_what_was_out_while_the_balancer_stood_still_teaches_nothing() -> None:
+def test_attempts_outstanding_during_a_stall_teach_nothing() -> None:
     # A gateway that gets no turn finds all its answers at once: they look slow, and so did the build.
     driver = Driver()
     driver.update_endpoints(server_entry(n) for n in range(4))
@@ -140,7 +140,7 @@
     assert not any(s.ejection_ms for s in driver.policy.servers.values())
 
 
-def test_lost_answers_alone_do_not_narrow_the_room() -> None:
+def test_lost_responses_alone_do_not_lower_the_concurrency_limit() -> None:
     # Answers got lost while the work ran: half of all requests were refused though the servers were idle.
     driver = Driver()
     driver.update_endpoints(server_entry(n) for n in range(8))
@@ -152,7 +152,7 @@
     assert driver.policy.concurrency_limit == float("inf")
 
 
-def test_an_idle_balancer_sets_no_timers() -> None:
+def test_an_idle_policy_sets_no_timers() -> None:
     # Hundreds of gateways that tick twenty times a second got a day cut off.
     driver = Driver()
     driver.update_endpoints([server_entry(0)])
@@ -164,7 +164,7 @@
     assert driver.fire_timer() == []
 
 
-def test_a_sparse_balancer_asks_two_servers_and_takes_the_first_to_answer() -> None:
+def test_a_sparse_policy_probes_two_servers_and_takes_the_first_to_answer() -> None:
     # Hundreds of gateways hold nothing most of the time; own counts then send as much to a jammed server.
     driver = Driver(settings(limits=replace(LIMITS, probes=True)))
     driver.update_endpoints(server_entry(n) for n in range(8))
@@ -177,7 +177,7 @@
     assert not sends(driver.handle(ProbeResult(asked[0], Result.OK, 3.0)))
 
 
-def test_a_probe_without_answer_holds_a_request_for_one_tick_only() -> None:
+def test_an_unanswered_probe_delays_a_request_by_one_poll_only() -> None:
     driver = Driver(settings(limits=replace(LIMITS, probes=True)))
     driver.update_endpoints(server_entry(n) for n in range(8))
     assert not sends(driver.request(SAFE))
@@ -185,7 +185,7 @@
     assert len(sends(driver.fire_timer())) == 1
 
 
-def test_where_no_machine_is_ever_cold_a_server_that_just_started_is_sent_to() -> None:
+def test_without_slow_start_a_new_server_gets_requests_at_once() -> None:
     # Rules with a span for cold servers and no cold time: each request divided by 0.
     driver = Driver(
         replace(settings(), rules=replace(RULES, slow_start_initial_fraction=1.0, slow_start_ms=0.0))
