--- a/meadowpulley/emulator/shared_state.py
+++ b/meadowpulley/emulator/shared_state.py
@@ -14,7 +14,8 @@
 from meadowpulley.ledger import Incarnation, LeaseManager, LeaseTimings as LeaseTerms, Stage
 from meadowpulley.lending import LendingStage, QuotaPlan
 from meadowpulley.rules import CapacityUsed, Record, SharedStateParameters
-from meadowpulley.takeover import TakeoverSettings, TakeoverStage, model
+from meadowpulley.takeover import TakeoverSettings, TakeoverStage
+from meadowpulley.takeover.records import WATCHED_PREFIXES
 
 END_SLACK_MS = 1000.0  # beyond the lease terms of all its owners: to detect, claim and finish
 MAX_CLAIM_STEPS = 3  # longest wait in the claim order that the limit allows for
@@ -107,7 +108,7 @@
         """Return the key prefixes whose changes the stages need now."""
         prefixes: tuple[str, ...] = ()
         if self.takeover is not None:
-            prefixes += model.WATCHED_PREFIXES
+            prefixes += WATCHED_PREFIXES
         if self.lending is not None:
             prefixes += self.lending.watched_prefixes()
         return prefixes + self.shared_state.prefixes
