--- a/meadowpulley/emulator/discovery.py
+++ b/meadowpulley/emulator/discovery.py
@@ -149,6 +149,10 @@
             self._clock.call_later(delay_ms, partial(self._notify_failure, gateway))
         self._watches.clear()
 
+    def recover(self) -> None:
+        """Make the service available again."""
+        self.unavailable = False
+
     def _notify_failure(self, gateway: int) -> None:
         self._notify_gateway(gateway, EndpointUpdate(EndpointUpdateKind.FAILED, self.version))
 
--- a/meadowpulley/emulator/emulation.py
+++ b/meadowpulley/emulator/emulation.py
@@ -81,27 +81,36 @@
         takeover_enabled = shared_state is not None and shared_state.takeover is not None
         gateway_class = TakeoverGateway if takeover_enabled else SimulatedGateway
         self.gateways = [gateway_class(self, n) for n in range(len(fleet.gateway_sites()))]
+        self.checker = TraceChecker(self._rule_parameters())
+        self.clients = self._build_clients(load, takeover_enabled)
+        self.discovery.on_presumed_update = self._record_presumed_update
+        for gateway in self.gateways:
+            gateway.start()
+        FaultInjector(self, self.scenario.faults)
+        self.schedule()
+
+    def _rule_parameters(self) -> RuleParameters:
         parameters = RuleParameters.from_settings(self.gateways[0].settings)
-        if shared_state is not None:
-            parameters = replace(parameters, shared=shared_state.rule_parameters())
-        self.checker = TraceChecker(parameters)
-        self.clients = SimulatedClients(
-            clock,
+        if self.shared_state is None:
+            return parameters
+        return replace(parameters, shared=self.shared_state.rule_parameters())
+
+    def _build_clients(self, load: Iterable[Arrival], stable_request_ids: bool) -> SimulatedClients:
+        return SimulatedClients(
+            self.virtual_clock,
             self.streams.stream("clients"),
-            fleet,
+            self.fleet,
             self.network,
             iter(load),
             self._gateways_of,
             self.result,
-            takeover_enabled,
-            shared_state.client_failover_ms if shared_state is not None else 0.0,
+            stable_request_ids,
+            self.shared_state.client_failover_ms if self.shared_state is not None else 0.0,
             self._client_disconnected,
         )
-        self.discovery.on_presumed_update = lambda number, news: self.gateways[number].record_endpoints(news)
-        for gateway in self.gateways:
-            gateway.start()
-        FaultInjector(self, self.scenario.faults)
-        self.schedule()
+
+    def _record_presumed_update(self, gateway: int, update: EndpointUpdate) -> None:
+        self.gateways[gateway].record_endpoints(update)
 
     # Shared state
 
--- a/meadowpulley/rules/checker.py
+++ b/meadowpulley/rules/checker.py
@@ -346,18 +346,9 @@
         return caps
 
     def _check_exposure(self, record: AttemptSent, gateway: GatewayState, request: OpenRequest) -> None:
-        newest = gateway.rollout_updates[-1] if gateway.rollout_updates else None
         if self.parameters.one_way and request.received.key:
-            for build in [b for b in gateway.keys_by_build if b > record.build]:
-                if request.received.key in gateway.keys_by_build[build] and not self._rolled_back(
-                    gateway, build
-                ):
-                    text = (
-                        f"request {record.request}: build {build} answered its key, "
-                        f"and it went to build {record.build}"
-                    )
-                    self._report("one-way", record.at, record.gateway, text)
-                    break
+            self._check_monotonic_key(record, gateway, request.received.key)
+        newest = gateway.rollout_updates[-1] if gateway.rollout_updates else None
         on_trial = (
             newest is None
             or record.build > newest.build
@@ -365,29 +356,43 @@
         )
         if not on_trial:
             return
+        caps = self._binding_caps(gateway, record.build, record.at) or [(self.parameters.first_cap, 0)]
+        self._check_cap(record, gateway, request, max(cap for cap, _ in caps))
+        idempotent = self.parameters.classes[request.received.class_index].effect is Effect.IDEMPOTENT
+        if not idempotent and max(stage for _, stage in caps) < self.parameters.guarded_stages:
+            text = f"request {record.request} has an effect, in a guarded stage"
+            self._report("exposure", record.at, record.gateway, text)
+
+    def _check_monotonic_key(self, record: AttemptSent, gateway: GatewayState, key: int) -> None:
+        """Check that a key which a build answered goes to no older one, unless it is rolled back."""
+        for build in [b for b in gateway.keys_by_build if b > record.build]:
+            if key in gateway.keys_by_build[build] and not self._rolled_back(gateway, build):
+                text = (
+                    f"request {record.request}: build {build} answered its key, "
+                    f"and it went to build {record.build}"
+                )
+                self._report("one-way", record.at, record.gateway, text)
+                break
+
+    def _check_cap(
+        self, record: AttemptSent, gateway: GatewayState, request: OpenRequest, cap: float
+    ) -> None:
+        """Check the attempts at a build on trial against its cap, over the exposure window."""
         exposure_class = self._exposure_class(request.received.class_index)
+        start = record.at - self.parameters.window_ms
         sent = gateway.trial_attempts[record.build, exposure_class]
         sent.append(record.at)
-        while sent and sent[0] <= record.at - self.parameters.window_ms:
+        while sent and sent[0] <= start:
             sent.popleft()
-        caps = self._binding_caps(gateway, record.build, record.at) or [(self.parameters.first_cap, 0)]
         times = gateway.received_at[exposure_class]
-        received = len(times) - bisect_right(times, record.at - self.parameters.window_ms)
-        cap = max(cap for cap, _ in caps) + self.parameters.extra_share
-        allowed = self.parameters.free_attempts + self.parameters.extra_attempts + cap * received
+        received = len(times) - bisect_right(times, start)
+        share = cap + self.parameters.extra_share
+        allowed = self.parameters.free_attempts + self.parameters.extra_attempts + share * received
         if len(sent) > allowed + 1e-6:
             text = (
                 f"{len(sent)} attempts at build {record.build}, {allowed:.1f} allowed for {received} requests"
             )
             self._report("exposure", record.at, record.gateway, text)
-        safe = self.parameters.classes[request.received.class_index].effect is Effect.IDEMPOTENT
-        if not safe and max(stage for _, stage in caps) < self.parameters.guarded_stages:
-            self._report(
-                "exposure",
-                record.at,
-                record.gateway,
-                f"request {record.request} has an effect, in a guarded stage",
-            )
 
     def _rolled_back(self, gateway: GatewayState, build: int) -> bool:
         return any(
--- a/tests/stories/steps_fleet.py
+++ b/tests/stories/steps_fleet.py
@@ -200,7 +200,7 @@
 @then(parsers.parse("gateway {number:d} answers requests again after {at:g} s"))
 def answers_again(scenario: FleetScenario, number: int, at: float) -> None:
     served = [
-        r for r in scenario.records_of(ResponseSent) if r.gateway == number - 1 and r.answer == "served"
+        r for r in scenario.records_of(ResponseSent) if r.gateway == number - 1 and r.response == "served"
     ]
     assert any(r.at > at * 1000.0 for r in served)
 
