--- a/benchmarks/takeover_processes.py
+++ b/benchmarks/takeover_processes.py
@@ -3,10 +3,10 @@
     .venv/bin/python benchmarks/takeover_processes.py [--quick] [--seed N] [--rate N]
 
 Gateways by `run` on the joint layout with a ledger on disk; instances and clients in this process, all on
-loopback. A client whose gateway is lost repeats its request, under the same id, at another. How a lost request
-should end follows from its record: one that is not idempotent fails if an attempt was granted, all others are
-served. Then the cost: CPU time of a gateway for a request, takeover off and on in turns. Exit 1 when a rule
-is broken or an objective is missed.
+loopback. A client whose gateway is lost repeats its request, under the same id, at another. How a lost
+request should end follows from its record: one that is not idempotent fails if an attempt was granted, all
+others are served. Then the cost: CPU time of a gateway for a request, takeover off and on in turns. Exit 1
+when a rule is broken or an objective is missed.
 """
 
 from __future__ import annotations
