--- a/benchmarks/lending_faults.py
+++ b/benchmarks/lending_faults.py
@@ -1,4 +1,4 @@
-"""Faults for a fleet of lending stages, by kind and at random: see `lending_fleet`."""
+"""Inject faults into a fleet of lending stages, by kind and at random: see `lending_fleet`."""
 
 from __future__ import annotations
 
@@ -6,13 +6,14 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from benchmarks.lending_fleet import SimulatedFleet, SimulatedGateway
+from benchmarks.lending_fleet import SimulatedFleet
+from benchmarks.lending_gateway import SimulatedGateway
 
 
 def random_faults(
     fleet: SimulatedFleet, seed: int, until_ms: float, each_ms: float, kinds: Sequence[str] = ()
 ) -> Counter[str]:
-    """Schedules faults of these kinds (else all) at random, one about every `each_ms`; how many of each."""
+    """Schedule faults of these kinds (else all) at random, one about every `each_ms`; return their counts."""
     rng, counts, now = Random(seed), Counter[str](), 3000.0
     numbers = range(len(fleet.gateways))
     while (now := now + rng.expovariate(1 / each_ms)) < until_ms:
@@ -35,9 +36,9 @@
 
 
 def _replace_paused(fleet: SimulatedFleet, gateway: SimulatedGateway, at: float, lasts: float) -> None:
-    """Stands still, is sealed and replaced, and wakes beside its successor."""
+    """Pause a gateway, replace it, and resume it beside its successor."""
 
-    def act() -> None:
+    def replace() -> None:
         fleet.pause(gateway)
         before = len(fleet.gateways)
         fleet.restart(gateway)
@@ -45,7 +46,7 @@
             ghost = fleet.gateways[-1]
             fleet.schedule(fleet.now + lasts, lambda: fleet.resume(ghost))
 
-    fleet.schedule(at, act)
+    fleet.schedule(at, replace)
 
 
 def _disconnect(fleet: SimulatedFleet, gateway: SimulatedGateway, at: float, lasts: float) -> None:
@@ -62,15 +63,15 @@
 
 
 def _delay_reads(fleet: SimulatedFleet, gateway: SimulatedGateway, at: float, lasts: float) -> None:
-    """What it reads of the ledger gets to it seconds late."""
+    """Delay what a gateway observes of the ledger by seconds."""
     fleet.schedule(at, setattr, gateway, "read_delay_ms", 0.4 * lasts)
     fleet.schedule(at + lasts, setattr, gateway, "read_delay_ms", 0.0)
 
 
 def _pause_allocator(fleet: SimulatedFleet, gateway: SimulatedGateway, at: float, lasts: float) -> None:
-    """Stops the one that allocates, whoever it is."""
+    """Pause the allocator, whichever gateway it is."""
 
-    def act() -> None:
+    def pause_leader() -> None:
         for candidate in fleet.gateways:
             if (
                 candidate.stage is not None
@@ -79,7 +80,7 @@
             ):
                 _pause(fleet, candidate, fleet.now, lasts)
 
-    fleet.schedule(at, act)
+    fleet.schedule(at, pause_leader)
 
 
 FAULTS: dict[str, Callable[[SimulatedFleet, SimulatedGateway, float, float], None]] = {
--- a/benchmarks/lending_fleet.py
+++ b/benchmarks/lending_fleet.py
@@ -1,10 +1,9 @@
 """A fleet of lending stages in virtual time over a ledger in memory, with faults: for benchmarks and tests.
 
-Each gateway is the real stage over one that admits everything it is handed, on a clock of its own that
-starts anywhere and runs fast or slow within the plan's drift. Commits take milliseconds, news up to a poll.
-Faults are by gateway: `kill`, `restart`, `pause` and `wake`, `cut` and `mend` (from the ledger), and `loses`,
-the part of its commits whose answer is lost: carried out, dropped, or carried out late; `slow_ms`, by which
-what it reads comes late.
+Each gateway is the real stage on a clock of its own, which starts anywhere and runs fast or slow within the
+plan's drift. Commits take milliseconds, changes are observed at the next poll. Faults are by gateway: `kill`,
+`restart`, `pause` and `resume`, `disconnect` and `reconnect` (the ledger), `answer_loss_probability` (of its
+commits, which are then committed, dropped, or committed late), and `read_delay_ms` (of what it observes).
 """
 
 from __future__ import annotations
@@ -19,20 +18,8 @@
 from random import Random
 from typing import Any
 
-from meadowpulley.interface import (
-    Effect,
-    Limits,
-    LogLine,
-    Reject,
-    Request,
-    RequestClass,
-    Rollout,
-    Rules,
-    SetTimer,
-    Settings,
-    Tenant,
-    Timer,
-)
+from benchmarks.lending_gateway import AdmittingStage, SimulatedGateway, plain_settings
+from meadowpulley.interface import LogLine, Reject, Request, SetTimer, Settings, Timer
 from meadowpulley.ledger.memory import MemoryStore
 from meadowpulley.ledger.model import (
     Changes,
@@ -53,49 +40,15 @@
 from meadowpulley.lending import Admission, LendingStage, QuotaPlan
 from meadowpulley.lending.records import ALLOCATOR_KEY, KEY_PREFIX, PLAN_KEY
 
-Rates = Callable[[float, int], dict[int, float]]  # by second and gateway: requests a second by tenant
-ARRIVAL_SLICE_MS = 250.0  # arrivals are drawn for so long ahead
-LEDGER_DELAY_MS = (1.0, 6.0)  # of a commit, an answer and a change
-LEDGER_POLL_MS = 50.0  # between two looks of a gateway at the ledger
-SUM_CHECK_MS = 50.0  # between two looks at the sum of what may be admitted
-
-
-class AdmittingStage:
-    """What stands behind the stage here: it notes what was let through."""
-
-    def __init__(self) -> None:
-        self.admitted: list[Any] = []
-
-    def handle(self, now: float, event: Any) -> list[Any]:
-        if isinstance(event, Request):
-            self.admitted.append(event)
-        return []
-
-
-class SimulatedGateway:
-    def __init__(self, gateway_index: int, rng: Random, drift: float) -> None:
-        self.gateway_index, self.name, self.epoch = gateway_index, f"g{gateway_index}", 0
-        self.speed = 1 + 0.9 * drift * rng.uniform(-1, 1)
-        self.offset = rng.uniform(0, 1e6)
-        self.stage: LendingStage | None = None
-        self.incarnation = Incarnation(self.name, 0)
-        self.inner = AdmittingStage()
-        self.paused, self.disconnected, self.answer_loss_probability, self.read_delay_ms = (
-            False,
-            False,
-            0.0,
-            0.0,
-        )
-        self.deferred_events: list[tuple[Any, int]] = []  # events that came while it stood still
-        self.watched_prefixes: tuple[str, ...] = ()
-        self.seen_version, self.next_read_at = 0, math.inf
-
-    def clock(self, now: float) -> float:
-        return self.offset + self.speed * now
+Rates = Callable[[float, int], dict[int, float]]  # by second and gateway: requests per second by tenant
+ARRIVAL_SLICE_MS = 250.0  # arrivals are drawn so far ahead
+LEDGER_DELAY_MS = (1.0, 6.0)  # of a commit, its result and a change
+LEDGER_POLL_MS = 50.0  # between two reads of a gateway
+SUM_CHECK_MS = 50.0  # between two checks of the sum of what may be admitted
 
 
 class SimulatedFleet:
-    """`rates(second, gateway)` gives what arrives: requests a second by tenant."""
+    """`rates(second, gateway)` returns what arrives: requests per second by tenant."""
 
     def __init__(
         self,
@@ -112,7 +65,7 @@
         self.order, self.requests = count(), count(1)
         self.gateways = [SimulatedGateway(n, self.rng, plan.drift) for n in range(gateways)]
         self.ledger_operations: Counter[str] = Counter()
-        self.bytes_written = 0  # bytes written
+        self.bytes_written = 0
         self.arrived: dict[int, Counter[int]] = defaultdict(Counter)  # by second and tenant
         self.admitted: dict[int, Counter[int]] = defaultdict(Counter)
         self.borrowed: Counter[int] = Counter()
@@ -129,9 +82,11 @@
     # Time
 
     def schedule(self, at_ms: float, callback: Callable[..., Any], *args: Any) -> None:
+        """Call back at a time of the fleet."""
         heapq.heappush(self.queue, (at_ms, next(self.order), callback, args))
 
     def run(self, until_ms: float) -> None:
+        """Run all that is scheduled up to a time."""
         while self.queue and self.queue[0][0] <= until_ms:
             self.now, _, callback, args = heapq.heappop(self.queue)
             callback(*args)
@@ -149,12 +104,8 @@
             AdmittingStage(),
             [],
         )
-        gateway.paused, gateway.disconnected, gateway.seen_version, gateway.watched_prefixes = (
-            False,
-            False,
-            0,
-            (),
-        )
+        gateway.paused = gateway.disconnected = False
+        gateway.seen_version, gateway.watched_prefixes = 0, ()
         own = replace(self.settings, gateway_index=gateway.gateway_index)
         gateway.stage = LendingStage(
             gateway.inner, own, self.plan, gateway.incarnation, self.rng.randrange(1 << 30)
@@ -163,26 +114,23 @@
         self.deliver(gateway, Timer(3))
 
     def kill(self, gateway: SimulatedGateway) -> None:
+        """End the gateway's process."""
         gateway.stage = None
         if self.store.members_by_name[gateway.incarnation.name].incarnation == gateway.incarnation:
             self.store.dead_incarnations.add(gateway.incarnation)
 
     def restart(self, gateway: SimulatedGateway) -> None:
-        """A new life of that name. An earlier one that has not ended is sealed and goes on beside it."""
+        """Start a new incarnation. An earlier one that has not ended is fenced, and runs on beside it."""
         if gateway.stage is not None:
             member = self.store.members_by_name[gateway.incarnation.name]
             others = (
-                o.incarnation
-                for o in self.gateways
-                if self.is_live(o) and o.gateway_index != gateway.gateway_index
+                other.incarnation
+                for other in self.gateways
+                if self.is_live(other) and other.gateway_index != gateway.gateway_index
             )
-            if (
-                self.store.commit(
-                    next(others, gateway.incarnation),
-                    [Transaction((Fence(gateway.incarnation, member.renewal),))],
-                )[0].outcome
-                is not TransactionOutcome.COMMITTED
-            ):
+            fence = Transaction((Fence(gateway.incarnation, member.renewal),))
+            result = self.store.commit(next(others, gateway.incarnation), [fence])[0]
+            if result.outcome is not TransactionOutcome.COMMITTED:
                 return
             ghost = copy(gateway)
             gateway.deferred_events, gateway.next_read_at, gateway.stage = [], math.inf, None
@@ -191,6 +139,7 @@
         self._start(gateway)
 
     def is_live(self, gateway: SimulatedGateway) -> bool:
+        """Whether a gateway's process runs, with its lease and the ledger."""
         return (
             gateway.stage is not None
             and not self.store.members_by_name[gateway.incarnation.name].fenced
@@ -198,9 +147,11 @@
         )
 
     def pause(self, gateway: SimulatedGateway) -> None:
+        """Stop the gateway's process; events wait."""
         gateway.paused = True
 
     def resume(self, gateway: SimulatedGateway) -> None:
+        """Let a paused process go on."""
         gateway.paused = False
         deferred, gateway.deferred_events = gateway.deferred_events, []
         for event, epoch in deferred:
@@ -208,16 +159,19 @@
                 self.deliver(gateway, event)
 
     def disconnect(self, gateway: SimulatedGateway, notified: bool) -> None:
+        """Cut a gateway off from the ledger, with or without its notice."""
         gateway.disconnected = True
         if notified:
             self.deliver(gateway, LedgerUnavailable("cut off"))
 
     def reconnect(self, gateway: SimulatedGateway) -> None:
+        """Connect a gateway to the ledger again."""
         gateway.disconnected = False
         self.deliver(gateway, LedgerRecovered())
         self._watch(gateway, anew=True)
 
     def deliver(self, gateway: SimulatedGateway, event: Any, epoch: int | None = None) -> None:
+        """Hand an event to a gateway's stage, and carry out the actions."""
         if gateway.stage is None or (epoch is not None and epoch != gateway.epoch):
             return
         if gateway.paused:
@@ -247,11 +201,12 @@
     # The ledger
 
     def commit(self, gateway: SimulatedGateway, commit: Commit) -> None:
-        if gateway.disconnected:  # nothing gets there, and no answer comes back
+        """Carry out a gateway's commit, with its faults."""
+        if gateway.disconnected:  # nothing arrives, and no result comes back
             return
         if self.rng.random() < gateway.answer_loss_probability:
             kind = self.rng.randrange(3)
-            if kind:  # carried out now, or long after it was given up
+            if kind:  # committed now, or long after it was given up
                 later = self._after_delay() if kind == 1 else self.now + self.rng.uniform(500, 3000)
                 self.schedule(later, self._apply, gateway.incarnation, commit)
             unknown = CommitCompleted(
@@ -268,29 +223,28 @@
     def _carry_out(
         self, gateway: SimulatedGateway, incarnation: Incarnation, epoch: int, commit: Commit
     ) -> None:
-        done = self._apply(incarnation, commit)
+        results = self._apply(incarnation, commit)
         self.schedule(
             self._after_delay(),
             self.deliver,
             gateway,
-            CommitCompleted(commit.ticket, tuple(done), commit.owner),
+            CommitCompleted(commit.ticket, tuple(results), commit.owner),
             epoch,
         )
 
     def _apply(self, incarnation: Incarnation, commit: Commit) -> list[TransactionResult]:
         before = self.store.version
-        done = self.store.commit(incarnation, commit.transactions)
+        results = self.store.commit(incarnation, commit.transactions)
         self.ledger_operations["commits"] += 1
-        self.ledger_operations["steps"] += len(commit.transactions)
-        self.ledger_operations["lost"] += sum(d.outcome is TransactionOutcome.CONFLICT for d in done)
-        for step in commit.transactions:
-            self.bytes_written += sum(len(getattr(write, "value", b"")) for write in step.writes)
+        self.ledger_operations["transactions"] += len(commit.transactions)
+        conflicts = [result for result in results if result.outcome is TransactionOutcome.CONFLICT]
+        self.ledger_operations["conflicts"] += len(conflicts)
+        for transaction in commit.transactions:
+            self.bytes_written += sum(len(getattr(write, "value", b"")) for write in transaction.writes)
         if self.store.version > before:
-            keys = {
-                getattr(w, "key", "") for s in commit.transactions for w in s.writes if hasattr(w, "value")
-            }
-            self._notify(keys)
-        return done
+            writes = [write for transaction in commit.transactions for write in transaction.writes]
+            self._notify({getattr(write, "key", "") for write in writes if hasattr(write, "value")})
+        return results
 
     def _scan(self, gateway: SimulatedGateway, epoch: int, scan: Scan) -> None:
         found = None if gateway.disconnected else tuple(self.store.scan(scan.prefix))
@@ -322,7 +276,7 @@
         self.ledger_operations["reads"] += 1
         if gateway.watched_prefixes == (KEY_PREFIX,):
             changes = self.store.changes(0 if full else gateway.seen_version, gateway.watched_prefixes)
-        else:  # the same, without looking at every record
+        else:  # the same, without reading every record
             found = [self.store.records[key] for key in gateway.watched_prefixes if key in self.store.records]
             fresh = tuple(
                 sorted(
@@ -336,10 +290,8 @@
             self.schedule(
                 self.now + gateway.read_delay_ms, self.deliver, gateway, LedgerChanged(changes), epoch
             )
-        if (
-            self.store.members_by_name[gateway.incarnation.name].fenced
-            or self.store.members_by_name[gateway.incarnation.name].incarnation != gateway.incarnation
-        ):
+        member = self.store.members_by_name[gateway.incarnation.name]
+        if member.fenced or member.incarnation != gateway.incarnation:
             self.deliver(gateway, Fenced(), epoch)
 
     # Arrivals, and the sum of what is admitted
@@ -359,57 +311,45 @@
         if gateway.stage is None or gateway.paused:
             return
         before = len(gateway.inner.admitted)
-        lent = sum(gateway.stage.admissions[p, Admission.BORROWED] for p in (tenant,))
+        borrowed_before = gateway.stage.admissions[tenant, Admission.BORROWED]
         self.deliver(gateway, Request(next(self.requests), 0, tenant, 0, 1e12))
         if len(gateway.inner.admitted) > before:
             gateway.inner.admitted.clear()
             self.admitted[second][tenant] += 1
-            self.borrowed[tenant] += gateway.stage.admissions[tenant, Admission.BORROWED] - lent
+            self.borrowed[tenant] += gateway.stage.admissions[tenant, Admission.BORROWED] - borrowed_before
             self.count_admission(1.0)
 
     def count_admission(self, cost: float) -> None:
-        """Notes one admission: over every window that ends now, what goes beyond the capacity."""
-        passed = (self.now - self.last_admitted_at) / 1000
-        self.excess = max(self.excess - self.plan.capacity_per_s * passed, 0.0) + cost
+        """Count one admission: over the worst window that ends now, what exceeds the capacity."""
+        elapsed_s = (self.now - self.last_admitted_at) / 1000
+        self.excess = max(self.excess - self.plan.capacity_per_s * elapsed_s, 0.0) + cost
         self.max_excess, self.last_admitted_at = max(self.max_excess, self.excess), self.now
 
     @property
     def stated_burst(self) -> float:
-        """What a window may hold beyond the capacity by the design note: a burst of all, two a gateway."""
+        """What a window may admit beyond the capacity by the design page: one burst, and two per gateway."""
         return self.plan.capacity_per_s * self.plan.burst_ms / 1000 + 2 * len(self.gateways)
 
     def rate_of(self, gateway: SimulatedGateway) -> float:
-        """What a gateway may admit a second, were it to go on right now."""
+        """Return what a gateway may admit per second, if it ran right now."""
         if gateway.stage is None:
             return 0.0
-        holder, now = gateway.stage.enforcer, gateway.clock(self.now)
-        floor = holder.floor if now < holder.floor_until else 0.0
-        return floor + (holder.grant.total if holder.grant is not None and now < holder.grant_until else 0.0)
+        enforcer, now = gateway.stage.enforcer, gateway.clock(self.now)
+        floor = enforcer.floor if now < enforcer.floor_until else 0.0
+        if enforcer.grant is None or now >= enforcer.grant_until:
+            return floor
+        return floor + enforcer.grant.total
 
     def _check_sum(self) -> None:
-        rates = [self.rate_of(g) for g in self.gateways]
+        rates = [self.rate_of(gateway) for gateway in self.gateways]
         self.max_rate_fraction = max(self.max_rate_fraction, math.fsum(rates) / self.limit)
         self.schedule(self.now + SUM_CHECK_MS, self._check_sum)
 
 
 def poisson(rng: Random, mean: float) -> int:
-    """Knuth's way; means here are small."""
-    limit, k, p = math.exp(-mean), 0, rng.random()
-    while p > limit:
-        k, p = k + 1, p * rng.random()
-    return k
-
-
-def plain_settings(plan: QuotaPlan, gateways: int) -> Settings:
-    return Settings(
-        gateway_index=0,
-        gateway_count=gateways,
-        zone=0,
-        zones=("a",),
-        tick_ms=100.0,
-        classes=(RequestClass("read", 500.0, 2000.0, Effect.IDEMPOTENT),),
-        tenants=tuple(Tenant(t.name, t.fraction) for t in plan.tenants),
-        rules=Rules(),
-        limits=Limits(retry_after=True, max_retry_after_ms=10_000.0),
-        rollout=Rollout(),
-    )
+    """Draw a Poisson number by Knuth's method; the means here are small."""
+    limit, number, product = math.exp(-mean), 0, rng.random()
+    while product > limit:
+        number += 1
+        product *= rng.random()
+    return number
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -9,7 +9,7 @@
 import pytest
 from hypothesis import given, settings as hypothesis_settings, strategies as st
 
-from benchmarks.lending_fleet import AdmittingStage, plain_settings
+from benchmarks.lending_gateway import AdmittingStage, plain_settings
 from meadowpulley.interface import (
     ClientDisconnected,
     Fail,
--- a/tests/test_lending_fleet.py
+++ b/tests/test_lending_fleet.py
@@ -194,9 +194,9 @@
         plan = QuotaPlan(1, 10.0 * gateways, gateways, shares)
         fleet = SimulatedFleet(plan, gateways, 1, lambda s, g, a=active: dict.fromkeys(a[g], 1.0))  # type: ignore[misc]
         fleet.run(3000.0)
-        before = fleet.ledger_operations["steps"] + fleet.ledger_operations["read records"]
+        before = fleet.ledger_operations["transactions"] + fleet.ledger_operations["read records"]
         fleet.run(6000.0)
         each[gateways] = (
-            fleet.ledger_operations["steps"] + fleet.ledger_operations["read records"] - before
+            fleet.ledger_operations["transactions"] + fleet.ledger_operations["read records"] - before
         ) / gateways
     assert each[60] < 1.5 * each[10]
