Model checking: prose in standard terms, the policy and stages typed, long functions split

Need: modules spoke of worlds, hosts, books and lives; the policy inside the models was Any, so renames passed by unseen. Change: docstrings of all modules and public names; RolloutPolicy, LeaseManager and LendingStage in place of Any; the start of the connection model is split into its steps; step texts are a table. No step, property or stored name changes.

--- a/meadowpulley/model_checking/__init__.py
+++ b/meadowpulley/model_checking/__init__.py
@@ -1,11 +1,12 @@
-"""Exhaustive small checks: every interleaving of small configurations, on the project's own code.
+"""Model checking: every interleaving of small configurations, on the project's own code.
 
-Reading order: `properties` (what must hold, with its sources), `scenes` (the small configurations),
-`worlds` (what the search needs of a world), `graph` (copies and canonical forms), `choices` (chance as a
-choice point), `decisions` (real balancers), `monitors` (the books of one gateway), `connection` (the real
-classes of `net/` on a scripted transport), `shared` (two gateways on one ledger), `fuzz` (readers of foreign
-bytes), `explore` (the search), `mutate` and `mutants` (bugs planted on purpose), `story` (a counterexample
-for people). Nothing here does I/O but `explore`, which starts workers and keeps checkpoints.
+Reading order: `properties` (what must hold, with its sources), `model` (what the search needs of a model),
+`graph` (copies and canonical forms), `choices` (random draws as choice points), `policy_model` (real
+policies), `invariant_monitor` (what one gateway may do), `connection_model` (the real classes of `net/` on a
+scripted transport), `shared_state_model` (two gateways on one ledger), `fuzz` (readers of foreign bytes),
+`search`, `checkpoint`, `mutation` and `mutants` (planted bugs), `mutation_testing` (whether they are found),
+`counterexample` (a violating path for people). Nothing here does I/O but `search`, which starts workers,
+`checkpoint`, `counterexample` and `mutation`, which read and write files.
 """
 
 from meadowpulley.model_checking.checkpoint import CheckpointError
--- a/meadowpulley/model_checking/connection_model/__init__.py
+++ b/meadowpulley/model_checking/connection_model/__init__.py
@@ -1,13 +1,13 @@
-"""World B: the real classes of `net/`, with the real decisions, on scripted transports and a scripted
-clock.
+"""The connection model: the real classes of `net/` and the real policy, on scripted transports and time.
 
-Clients write their requests in pieces, cut at the boundaries that matter; instances answer whole, in parts,
-too early, twice, late or with noise; both close at any point, clients by halves too; the kernel takes bytes
-or does not, and holds some unread; SIGTERM and SIGHUP come at any point; discovery's answers overtake each
-other; time moves from deadline to deadline. No socket is opened.
+Clients write their requests in pieces, cut at the boundaries that matter; instances answer completely, in
+parts, too early, twice, late or with noise; both close at any point, clients in one direction too; the kernel
+takes bytes or does not, and holds some unread; SIGTERM and SIGHUP come at any point; discovery's answers
+overtake each other; time moves from deadline to deadline. No socket is opened.
 
-Reading order: `scenes`, `parties` (clients, instances, what they write), `state` (one gateway at its start),
-`enabled` (what may happen next), `holds` (what must hold), `world` (taking a step).
+Reading order: `configurations`, `peers` (clients, instances, what they write), `state` (one gateway at its
+start), `enabled_steps` (what may happen next), `invariants` (what must hold), `transitions` (applying
+a step).
 """
 
 from meadowpulley.model_checking.connection_model.configurations import CONFIGURATIONS
--- a/meadowpulley/model_checking/connection_model/configurations.py
+++ b/meadowpulley/model_checking/connection_model/configurations.py
@@ -1,4 +1,4 @@
-"""The scenes of world B, and the settings of its gateway."""
+"""The configurations of the connection model, and the settings of its gateway."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
     faults: frozenset[str]
     split_messages: bool = True  # requests and answers come in pieces
     descriptors: int = 8
-    starts_unready: bool = False  # not ready yet: it listens when told to
+    starts_unready: bool = False  # not ready yet: it listens after a step
     serves_lists: bool = False  # discovery answers
     edges: frozenset[str] = frozenset({"deadline", "end"})  # where time stops; also "gone", "drain", "stop"
 
--- a/meadowpulley/model_checking/connection_model/enabled_steps.py
+++ b/meadowpulley/model_checking/connection_model/enabled_steps.py
@@ -1,4 +1,4 @@
-"""What may happen next in world B."""
+"""What may happen next in the connection model."""
 
 from __future__ import annotations
 
--- a/meadowpulley/model_checking/connection_model/invariants.py
+++ b/meadowpulley/model_checking/connection_model/invariants.py
@@ -1,4 +1,4 @@
-"""What must hold in every state of world B."""
+"""What must hold in every state of the connection model."""
 
 from __future__ import annotations
 
--- a/meadowpulley/model_checking/connection_model/peers.py
+++ b/meadowpulley/model_checking/connection_model/peers.py
@@ -1,4 +1,4 @@
-"""Clients and instances of world B: what they write, and where it is cut."""
+"""Clients, instances and discovery of the connection model: what they write, and where it is cut."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 def request_bytes_of(kind: str, request_id: str) -> bytes:
-    """A request of a script's word."""
+    """Return a request of the kind that a script names."""
     head = f"host: app.svc\r\n{protocol.REQUEST_ID_HEADER}: {request_id}\r\n"
     head += f"{protocol.REMAINING_TIME_HEADER}: 400m\r\n"
     if kind == "get":
@@ -112,7 +112,7 @@
     def __init__(self, transport: ScriptedTransport) -> None:
         self.transport = transport
         self.response_count = 0  # requests
-        self.rejected_requests: list[int] = []  # which of them were told not to have run
+        self.rejected_requests: list[int] = []  # indices of those answered as not executed
         self.unsent_response = b""  # of an answer that has begun
         self.last_response, self.last_response_at = (
             b"",
--- a/meadowpulley/model_checking/connection_model/state.py
+++ b/meadowpulley/model_checking/connection_model/state.py
@@ -1,4 +1,4 @@
-"""A state of world B: one real gateway on a scripted reactor, its clients, its instances."""
+"""A state of the connection model: one real gateway on a scripted reactor, its clients, its instances."""
 
 from __future__ import annotations
 
@@ -16,6 +16,7 @@
     INSTANCES,
     LIMITS,
     RULES,
+    Configuration,
 )
 from meadowpulley.model_checking.connection_model.peers import (
     AcceptBacklog,
@@ -70,7 +71,7 @@
 
 
 class ObservedPolicy(RolloutPolicy):
-    """The real decisions; each attempt's outcomes are counted on their way in."""
+    """The real policy; each attempt's outcomes are counted on their way in."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
         super().__init__(settings, seed)
@@ -87,7 +88,7 @@
 
 
 class ErrorLog:
-    """In place of the log: what was an error is kept."""
+    """Stands in for the log and keeps the errors."""
 
     def __init__(self) -> None:
         self.errors: list[str] = []
@@ -104,6 +105,40 @@
             self.errors.append(f"{fields.get('where')}: {error_type.__name__ if error_type else ''}: {value}")
 
 
+def _initial_config(configuration: Configuration, registry: DiscoveryRegistry) -> Config:
+    """Return the gateway's configuration, with a released build and the endpoint list that it has cached."""
+    rollout_update = {
+        protocol.MESSAGE_BUILD: 41,
+        protocol.ROLLOUT_STAGE: 0,
+        protocol.ROLLOUT_PHASE: "stable",
+        protocol.ROLLOUT_CAP: 1.0,
+        protocol.MESSAGE_AGE: 60_000,
+    }
+    settings = Settings(
+        gateway_index=0,
+        gateway_count=1,
+        zone=0,
+        zones=("a",),
+        tick_ms=5.0,
+        classes=CLASSES,
+        tenants=(),
+        rules=RULES,
+        limits=LIMITS,
+        rollout=Rollout(caps=(1.0,), stage_shares=(1.0,), exposure_window_ms=300.0, exposure_allowance=4.0),
+    )
+    return Config(
+        name="g0",
+        listen=("127.0.0.1", 9000),
+        discovery=DISCOVERY,
+        platform=None,
+        seed=7,
+        max_sockets=RESERVED_SOCKETS + configuration.descriptors,
+        settings=settings,
+        initial_rollout=rollout_update,
+        cached_endpoints=registry.endpoint_list(None),
+    )
+
+
 class State:
     """One gateway, its clients and its instances."""
 
@@ -120,62 +155,39 @@
         self.reactor = ScriptedReactor(AcceptBacklog)
         instances = INSTANCES[: max(min(settings.servers, len(INSTANCES)), 1)]
         self.registry = DiscoveryRegistry(instances)
-        endpoint_list = self.registry.endpoint_list(None)
-        rollout_update = {
-            protocol.MESSAGE_BUILD: 41,
-            protocol.ROLLOUT_STAGE: 0,
-            protocol.ROLLOUT_PHASE: "stable",
-            protocol.ROLLOUT_CAP: 1.0,
-            protocol.MESSAGE_AGE: 60_000,
-        }
-        gateway_settings = Settings(
-            0,
-            1,
-            0,
-            ("a",),
-            5.0,
-            CLASSES,
-            (),
-            RULES,
-            LIMITS,
-            Rollout(caps=(1.0,), stage_shares=(1.0,), exposure_window_ms=300.0, exposure_allowance=4.0),
-        )
-        config = Config(
-            "g0",
-            ("127.0.0.1", 9000),
-            DISCOVERY,
-            None,
-            7,
-            RESERVED_SOCKETS + self.configuration.descriptors,
-            gateway_settings,
-            rollout_update,
-            endpoint_list,
-        )
-        log: Any = self.log
-        self.initial_config = config
-        self.reload_file: Config | None = config  # what a reload finds; None: no file that can be used
+        self.initial_config = _initial_config(self.configuration, self.registry)
+        self.reload_file: Config | None = self.initial_config  # what a reload finds; None: no usable file
         self.discovery_moved = self.stop_requested = self.list_fetched = False
         self.stop_requested_at = math.inf
-        self.notified_at: dict[tuple[str, int], float] = {}  # instances told to drain or to be gone, and when
+        # When the gateway learned that an instance drains or is gone.
+        self.notified_at: dict[tuple[str, int], float] = {}
         self.notified_version = self.registry.version
         self.discovery_connections: list[DiscoveryConnection] = []
-        self.undispatched_requests: frozenset[str] = (
-            frozenset()
-        )  # requests with no attempt yet when their client had gone
-        self.gateway = Gateway(config, self.reactor, log, ObservedPolicy, self._reload_config, self._now)
+        # Requests that had no attempt yet when their client closed its connection.
+        self.undispatched_requests: frozenset[str] = frozenset()
+        self.finished = False
+        self.clients = self._make_clients()
+        self.instance_connections: list[InstanceConnection] = []
+        self._start_gateway()
+
+    def _make_clients(self) -> list[Client]:
+        scripts = self.configuration.scripts
+        return [Client(n, scripts[n % len(scripts)]) for n in range(self.settings.requests)]
+
+    def _start_gateway(self) -> None:
+        """Start the gateway; of the connections to instances that it opens ahead the first comes up."""
+        log: Any = self.log
+        self.gateway = Gateway(
+            self.initial_config, self.reactor, log, ObservedPolicy, self._reload_config, self._now
+        )
         self.gateway.prepare()
         if not self.configuration.starts_unready:
             self.gateway.listen()
-        scripts = [
-            self.configuration.scripts[n % len(self.configuration.scripts)] for n in range(settings.requests)
-        ]
-        self.clients = [Client(n, script) for n, script in enumerate(scripts[: max(settings.requests, 1)])]
-        self.instance_connections: list[InstanceConnection] = []
-        self.finished = False
-        for index, pending in enumerate(
-            list(self._pending_instance_connections())
-        ):  # of those opened ahead the first comes up
-            self._accept_instance_connection(pending) if index == 0 else pending.refuse()
+        for index, pending in enumerate(list(self._pending_instance_connections())):
+            if index == 0:
+                self._accept_instance_connection(pending)
+            else:
+                pending.refuse()
         self.reactor.run_due()
         self._accept_discovery_connections()
         for index in range(len(self.discovery_connections)):  # the first watch asks for what is new at once
@@ -221,7 +233,7 @@
         )
 
     def _deliver_list_response(self, index: int) -> None:
-        """The answer arrives: what a newer one told stays told."""
+        """Deliver the response; what a newer one said stays known."""
         connection = self.discovery_connections[index]
         endpoint_list, connection.prepared_response = connection.prepared_response, None
         assert endpoint_list is not None
--- a/meadowpulley/model_checking/connection_model/transitions.py
+++ b/meadowpulley/model_checking/connection_model/transitions.py
@@ -1,4 +1,4 @@
-"""Taking a step of world B."""
+"""Applying a step of the connection model."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class ConnectionModel(InvariantChecks):
-    """The world: each step is a method."""
+    """The whole model: each step is a method named for it."""
 
     def apply(self, step: Step) -> tuple[Sequence[int], Sequence[int]]:
         """Make a step happen and check all properties; nothing is drawn in this model."""
@@ -171,7 +171,7 @@
         transport.deliver()
 
     def _do_fin(self, index: int) -> None:
-        """It has closed, and the gateway's reactor has not told yet."""
+        """The instance has closed the connection, and the gateway's reactor has not noticed yet."""
         self.faults -= 1
         self.instance_connections[index].transport.end_of_input = True
 
--- a/meadowpulley/model_checking/counterexample.py
+++ b/meadowpulley/model_checking/counterexample.py
@@ -1,4 +1,4 @@
-"""A counterexample for people: a numbered story, a file that plays again, a shorter one, a diagram."""
+"""A counterexample for people: a file that can be replayed, numbered lines, a shorter path, a diagram."""
 
 from __future__ import annotations
 
@@ -88,7 +88,10 @@
 
 
 def replay(counterexample: Counterexample) -> Iterator[TraceStep]:
-    """Plays a tale on today's code, step by step. Raises StoryError where a step is not possible any more."""
+    """Replay a counterexample on today's code, step by step.
+
+    Raises CounterexampleError where a step is not possible any more.
+    """
     model = make_model(counterexample.settings)
     for number, step in enumerate(counterexample.steps, 1):
         if not is_enabled(model, step):
@@ -152,12 +155,12 @@
 
 
 def violations_of(counterexample: Counterexample) -> list[str]:
-    """What a tale breaks on today's code."""
-    return [text for told in replay(counterexample) for text in told.violations]
+    """Return what a counterexample violates on today's code."""
+    return [text for step in replay(counterexample) for text in step.violations]
 
 
 def describe_lines(counterexample: Counterexample) -> list[str]:
-    """The story in plain lines."""
+    """Return the property, and the replay in numbered lines."""
     lines = [
         f"{PROPERTIES[counterexample.property_name].text} ({PROPERTIES[counterexample.property_name].source})"
     ]
@@ -177,10 +180,10 @@
 
 
 def sequence_diagram(counterexample: Counterexample) -> str:
-    """A sequence diagram (SVG) of a tale as it plays today."""
+    """Return a sequence diagram (SVG) of the replay."""
     trace = list(replay(counterexample))
     lanes = sorted(
-        {p for told in trace for who, whom, _ in told.messages for p in (who, whom)}, key=_lane_order
+        {party for step in trace for message in step.messages for party in message[:2]}, key=_lane_order
     )
     x = {name: MARGIN + LANE_WIDTH // 2 + n * LANE_WIDTH for n, name in enumerate(lanes)}
     y, notes, arrows = HEADER_HEIGHT, [], []
--- a/meadowpulley/model_checking/graph.py
+++ b/meadowpulley/model_checking/graph.py
@@ -1,9 +1,8 @@
-"""Copies and canonical forms of objects, so that a state of the real code can be kept, and told from
-others.
+"""Copies and canonical forms of objects, so that a state of the real code can be kept and compared.
 
-Both walk whatever an object holds: a field that is added to the code tomorrow is copied and compared
-without a word here. What never changes (settings, events, functions without captured names) is shared. Each
-class gets its own way once, since this is where the search spends its time.
+Both walk whatever an object holds: a field that is added to the code later is copied and compared without a
+word here. What never changes (settings, events, functions without captured names) is shared. How to handle a
+class is worked out once, since this is where the search spends its time.
 """
 
 from __future__ import annotations
--- a/meadowpulley/model_checking/invariant_monitor.py
+++ b/meadowpulley/model_checking/invariant_monitor.py
@@ -1,4 +1,4 @@
-"""The books of one gateway: the rules checker over its trace, and what the trace does not show."""
+"""The invariants of one gateway: the rules checked over its trace, and what the trace does not show."""
 
 from __future__ import annotations
 
--- a/meadowpulley/model_checking/model.py
+++ b/meadowpulley/model_checking/model.py
@@ -1,4 +1,4 @@
-"""What the explorer needs of a world: enabled steps, taking one, a copy, a fingerprint, what is broken."""
+"""What the search needs of a model: enabled steps, applying one, a copy, a fingerprint, violations."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class Step(Struct, frozen=True):
-    """One step of a world: what happens (`action`), to whom, and what the decisions drew meanwhile."""
+    """One step: what happens (`action`), to whom (`arguments`), and what the policy drew meanwhile."""
 
     action: str = field(name="do")
     arguments: tuple[int | str, ...] = field(default=(), name="who")
@@ -19,44 +19,46 @@
 
 
 class Model(Protocol):
-    """A state of the system. Worlds of one kind and configuration start alike, and steps are all that
-    happens to them."""
+    """A state of the system. Models of the same settings start alike, and change by steps alone."""
 
     violations: list[Violation]
 
     def enabled_steps(self) -> Sequence[Step]:
-        """What may happen next, always in the same order; their `draws` are empty."""
+        """Return what may happen next, always in the same order; their `draws` are empty."""
 
     def apply(self, step: Step) -> tuple[Sequence[int], Sequence[int]]:
-        """Makes a step happen. Returns what was drawn and among how many. Raises LookupError where the step
-        is not enabled."""
+        """Make a step happen; return what was drawn and among how many outcomes each time.
+
+        Raises LookupError where the step is not enabled.
+        """
 
     def copy(self) -> Model:
-        """An independent copy."""
+        """Return an independent copy."""
 
     def fingerprint(self) -> int:
-        """The same for states from which the same can happen."""
+        """Return 64 bits that are the same for states from which the same can happen."""
 
     def describe(self, step: Step) -> str:
-        """A step in the users' words, before it is taken."""
+        """Return a step in words, before it is applied."""
 
     @property
     def messages(self) -> list[tuple[str, str, str]]:
-        """What the last step made parties say to each other: from, to, what."""
+        """What the last step made parties say to each other: sender, receiver, text."""
 
 
 class ModelSettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """Which world, and its bounds. A world's own file says what the names of its scenes mean."""
+    """Which model, and its bounds. Each model's `configurations` says what the configurations mean.
+
+    The encoded names are those of the first version of stored counterexamples.
+    """
 
     model: str = field(default="decisions", name="world")
     configuration: str = field(default="all", name="scene")
     gateways: int = 2
     servers: int = 3
     requests: int = 4
-    faults: int = field(
-        default=2, name="troubles"
-    )  # how many steps that are somebody's failure a path may have
-    time_advances: int = field(default=4, name="waits")  # how often time moves on
+    faults: int = field(default=2, name="troubles")  # steps of a path that are somebody's failure, at most
+    time_advances: int = field(default=4, name="waits")  # how often time moves in a path, at most
     symmetry: bool = True  # states that differ in names alone are one
     ordered_gateways: bool = field(
         default=True, name="ordered"
@@ -70,7 +72,7 @@
 
 
 def make_model(settings: ModelSettings, **options: Any) -> Model:
-    """The start of a world. Raises ValueError naming the setting that can't be."""
+    """Return the start of a model. Raises ValueError, naming a setting that is not known."""
     if settings.model == "decisions":
         from meadowpulley.model_checking.policy_model import PolicyModel
 
--- a/meadowpulley/model_checking/mutation_testing.py
+++ b/meadowpulley/model_checking/mutation_testing.py
@@ -1,4 +1,4 @@
-"""Plays planted bugs, each in a process of its own, and says what caught them."""
+"""Plays planted bugs, each in a process of its own, and reports what caught them."""
 
 from __future__ import annotations
 
--- a/meadowpulley/model_checking/policy_model/canonical_form.py
+++ b/meadowpulley/model_checking/policy_model/canonical_form.py
@@ -1,4 +1,4 @@
-"""How a state of the decisions is copied, told from others and written in canonical form."""
+"""How a state of the policy model is copied, compared and written in canonical form."""
 
 from __future__ import annotations
 
--- a/meadowpulley/model_checking/policy_model/descriptions.py
+++ b/meadowpulley/model_checking/policy_model/descriptions.py
@@ -1,4 +1,4 @@
-"""The steps of world A in the users' words."""
+"""The steps of the policy model in words."""
 
 from __future__ import annotations
 
@@ -16,6 +16,27 @@
     "full": "turns it away as full",
     "connect_failed": "breaks the connection before the last byte",
 }
+STEP_TEXTS = {
+    "answered": "server has answered request {1} of gateway {0}; the answer is under way",
+    "late": "a server answers an attempt that gateway {0} has given up",
+    "leave": "the client of request {1} leaves gateway {0}",
+    "drain": "server {0} begins to drain",
+    "gone": "server {0} is gone",
+    "return": "server {0} starts anew with build {1}",
+    "list": "gateway {0} hears list {1}",
+    "list_failed": "a list call of gateway {0} fails",
+    "whole_list": "gateway {0} hears the whole list as it is now",
+    "stage": "the platform moves the build on",
+    "call_back": "the platform calls the build back",
+    "withdraw": "the platform has withdrawn the build",
+    "count": "the platform counts a vote of gateway {0}",
+    "lose_vote": "a vote of gateway {0} is lost, {2}",
+    "datagram": "a datagram of gateway {0} arrives",
+    "lose_datagram": "a datagram of gateway {0} is lost",
+    "repeat_datagram": "a datagram of gateway {0} arrives, and will again",
+    "kill": "gateway {0} is killed and starts anew with list {1}",
+}
+PLACE_TEXTS = {"before": "just before", "at": "to", "after": "just past", "later": "well past"}
 
 
 def rollout_text(update: RolloutUpdate) -> str:
@@ -38,33 +59,10 @@
             f"server {server} {OUTCOME_TEXTS[arguments[3]]}: request {arguments[1]} of gateway {arguments[0]}"
         )
     if step.action == "wait":
-        place = {"before": "just before", "at": "to", "after": "just past", "later": "well past"}[
-            arguments[1]
-        ]
-        return f"time goes on {place} the next {arguments[0]}"
+        return f"time goes on {PLACE_TEXTS[arguments[1]]} the next {arguments[0]}"
     if step.action in ("news", "lose_news"):
         update = rollout_text(state.gateways[arguments[0]].rollout_updates_due[arguments[1]])
         if step.action == "news":
             return f"gateway {arguments[0]} hears: {update}"
         return f"news is lost on its way to gateway {arguments[0]}: {update}"
-    texts = {
-        "answered": "server has answered request {1} of gateway {0}; the answer is under way",
-        "late": "a server answers an attempt that gateway {0} has given up",
-        "leave": "the client of request {1} leaves gateway {0}",
-        "drain": "server {0} begins to drain",
-        "gone": "server {0} is gone",
-        "return": "server {0} starts anew with build {1}",
-        "list": "gateway {0} hears list {1}",
-        "list_failed": "a list call of gateway {0} fails",
-        "whole_list": "gateway {0} hears the whole list as it is now",
-        "stage": "the platform moves the build on",
-        "call_back": "the platform calls the build back",
-        "withdraw": "the platform has withdrawn the build",
-        "count": "the platform counts a vote of gateway {0}",
-        "lose_vote": "a vote of gateway {0} is lost, {2}",
-        "datagram": "a datagram of gateway {0} arrives",
-        "lose_datagram": "a datagram of gateway {0} is lost",
-        "repeat_datagram": "a datagram of gateway {0} arrives, and will again",
-        "kill": "gateway {0} is killed and starts anew with list {1}",
-    }
-    return texts[step.action].format(*arguments)
+    return STEP_TEXTS[step.action].format(*arguments)
--- a/meadowpulley/model_checking/policy_model/enabled_steps.py
+++ b/meadowpulley/model_checking/policy_model/enabled_steps.py
@@ -1,4 +1,4 @@
-"""What may happen next in world A, and the moments at which time may stop."""
+"""What may happen next in the policy model, and the moments at which time may stop."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
         return self.faults > 0 and fault in self.configuration.faults
 
     def _environment_steps(self) -> Iterator[Step]:
-        """Servers, the platform: whatever they do is told to gateways later."""
+        """Steps of servers and the platform; gateways are notified later."""
         latest_list, rollout = self.server_lists[-1], self.rollout_history[-1]
         for entry in latest_list:
             if self._fault_allowed("drain") and entry.state is ServerState.READY:
--- a/meadowpulley/model_checking/policy_model/gateway.py
+++ b/meadowpulley/model_checking/policy_model/gateway.py
@@ -1,10 +1,11 @@
-"""One gateway of world A: a real balancer in a small host, which carries actions out as the gateway does."""
+"""One gateway of the policy model: a real policy, whose actions are carried out as a gateway does it."""
 
 from __future__ import annotations
 
 import math
 from dataclasses import replace
-from typing import Literal
+from random import Random
+from typing import Literal, cast
 
 from meadowpulley.interface import (
     Action,
@@ -72,9 +73,9 @@
     """One gateway: a real policy, which gets one event at a time and whose actions are carried out."""
 
     def start(self, environment: Environment, version: int, update: RolloutUpdate) -> None:
-        """A life: it knows a list and news, perhaps old ones."""
+        """Start with a list and a state of the rollout, perhaps old ones."""
         self.policy = self.make_policy(self.settings, 0)
-        self.policy.rng = RANDOM
+        self.policy.rng = cast(Random, RANDOM)
         self.monitor.observe(GatewayStarted(environment.now, self.number))
         self.receive_list(environment, version, EndpointUpdateKind.CACHED)
         self.receive_rollout_update(environment, update)
--- a/meadowpulley/model_checking/policy_model/gateway_state.py
+++ b/meadowpulley/model_checking/policy_model/gateway_state.py
@@ -22,6 +22,7 @@
     NAMELESS_FORM_RULES,
 )
 from meadowpulley.model_checking.policy_model.configurations import Configuration
+from meadowpulley.policy import RolloutPolicy
 
 
 class Environment(Protocol):
@@ -59,7 +60,11 @@
 class GatewayState:
     """What one gateway and the parties around it owe each other; copied, and written in canonical form."""
 
-    def __init__(self, number: int, settings: Settings, make_policy: Callable[[Settings, int], Any]) -> None:
+    policy: RolloutPolicy  # since the start
+
+    def __init__(
+        self, number: int, settings: Settings, make_policy: Callable[[Settings, int], RolloutPolicy]
+    ) -> None:
         self.number, self.settings, self.make_policy = number, settings, make_policy
         self.monitor = InvariantMonitor(number, settings)
         self.pending_requests: dict[int, PendingRequest] = {}
@@ -75,7 +80,6 @@
         self.list_requested = False
         self.list_retry_owed = False  # a call failed, and whoever must ask has not asked again
         self.form_cache: dict[Any, Any] = {}  # forms of this state, until it steps
-        self.policy: Any = None
         self._events: deque[Event] = deque()
 
     def copy(self) -> Self:
--- a/meadowpulley/model_checking/policy_model/state.py
+++ b/meadowpulley/model_checking/policy_model/state.py
@@ -1,4 +1,4 @@
-"""A state of world A: gateways, lists, the platform's history, what is left to come."""
+"""A state of the policy model: gateways, endpoint lists, the rollout's history, what is still to come."""
 
 from __future__ import annotations
 
@@ -22,10 +22,10 @@
 
 
 class State:
-    """The world, between steps. Copies share hosts until one of them steps."""
+    """The model between steps. Copies share gateways until one of them steps."""
 
     def __init__(
-        self, settings: ModelSettings, make_policy: Callable[[Settings, int], Any] = RolloutPolicy
+        self, settings: ModelSettings, make_policy: Callable[[Settings, int], RolloutPolicy] = RolloutPolicy
     ) -> None:
         if settings.configuration not in CONFIGURATIONS:
             raise ValueError(
@@ -33,7 +33,7 @@
             )
         self.settings, self.configuration = settings, CONFIGURATIONS[settings.configuration]
         self.now = START_MS
-        self.last_to_step = -1  # who stepped last in this moment; -1: nobody but the parties around
+        self.last_to_step = -1  # the gateway that stepped last in this moment; -1: none did
         self.requests_left = tuple(range(settings.requests))  # requests still to come
         self.faults, self.time_advances = settings.faults, settings.time_advances
         self.violations: list[Violation] = []
@@ -72,7 +72,7 @@
         self.messages.append((sender, receiver, text))
 
     def _stepping_gateway(self, gateway_index: int) -> SimulatedGateway:
-        """A gateway that steps now; other copies of the world keep theirs."""
+        """Return a gateway that steps now; other copies of the model keep theirs."""
         gateway = self.gateways[gateway_index] = self.gateways[gateway_index].copy()
         self.last_to_step = gateway_index
         return gateway
--- a/meadowpulley/model_checking/policy_model/transitions.py
+++ b/meadowpulley/model_checking/policy_model/transitions.py
@@ -1,4 +1,4 @@
-"""Taking a step of world A."""
+"""Applying a step of the policy model."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 
 class PolicyModel(EnabledSteps):
-    """The world: each step is a method."""
+    """The whole model: each step is a method named for it."""
 
     def apply(self, step: Step) -> tuple[Sequence[int], Sequence[int]]:
         """Make a step happen; return what the policy drew and among how many."""
@@ -222,7 +222,7 @@
 
     def _do_kill(self, gateway_index: int, version: int) -> None:
         self._spend_fault()
-        killed = self.gateways[gateway_index]  # its books end with it: what it held is no longer its duty
+        killed = self.gateways[gateway_index]  # its monitor ends with it: it owes nothing any more
         gateway = self.gateways[gateway_index] = SimulatedGateway(
             gateway_index, killed.settings, killed.make_policy
         )
--- a/meadowpulley/model_checking/properties.py
+++ b/meadowpulley/model_checking/properties.py
@@ -1,9 +1,7 @@
-"""What must hold in every state: one entry a property, with its source, and the books that watch some of
-them.
+"""What must hold in every state: one entry a property, with its source.
 
-The five rules are the users' (their brief, paragraphs 22 to 26); `meadowpulley.rules.Checker` keeps the
-books of those that a trace shows. The rest is what a gateway must be to keep them: no timer lost, nothing
-left over.
+The five rules are the users' (their brief, paragraphs 22 to 26); `meadowpulley.rules.TraceChecker` checks
+those that a trace shows. The rest is what a gateway must be to keep them: no timer lost, nothing left over.
 """
 
 from __future__ import annotations
--- a/meadowpulley/model_checking/scripted_reactor.py
+++ b/meadowpulley/model_checking/scripted_reactor.py
@@ -1,5 +1,4 @@
-"""A reactor, ports and transports without sockets or time: what the gateway's classes stand on when
-checked."""
+"""A reactor, ports and transports without sockets or time, on which the gateway's classes run in a model."""
 
 from __future__ import annotations
 
@@ -53,7 +52,7 @@
 
 
 class ScriptedPort:
-    """A listening port; who connects is up to the world."""
+    """A listening port; who connects is up to the model."""
 
     def __init__(self, factory: Any) -> None:
         self.factory = factory
@@ -223,7 +222,7 @@
 
 
 class ScriptedReactor:
-    """Time in milliseconds that moves only when told to."""
+    """A reactor whose time, in milliseconds, moves by `advance` alone."""
 
     def __init__(self, port: Callable[[Any], ScriptedPort] = ScriptedPort) -> None:
         self.now = 1_000_000.0
--- a/meadowpulley/model_checking/search.py
+++ b/meadowpulley/model_checking/search.py
@@ -1,8 +1,8 @@
 """The search: all states level by level, on all cores, or seeded walks far beyond.
 
-Breadth first, so that a counterexample is a shortest one; each level is whole before the next begins (that is
-the deepening), and after each a checkpoint may be written. A node is its path: steps by their place among the
-enabled ones and what was drawn. Workers hold worlds, the searcher holds fingerprints.
+It is breadth first, so that a counterexample is a shortest one. Each level is complete before the next
+begins, and after each a checkpoint may be written. A node is its path: steps by their place among the enabled
+ones and what was drawn. Workers hold models, the searching process holds fingerprints.
 """
 
 from __future__ import annotations
@@ -105,8 +105,10 @@
 
 
 class Expander:
-    """Finds what follows a node. Neighbours in the frontier share most of their path: the worlds along the
-    last one are kept."""
+    """Finds the successors of a node.
+
+    Neighbours in the frontier share most of their path: the models along the last one are kept.
+    """
 
     def __init__(self, settings: ModelSettings) -> None:
         self.settings = settings
--- a/meadowpulley/model_checking/shared_state_model/__init__.py
+++ b/meadowpulley/model_checking/shared_state_model/__init__.py
@@ -1,12 +1,13 @@
-"""World C: two gateways, one ledger, two servers and three requests, with the real stages.
+"""The shared-state model: two gateways, one ledger, two servers and three requests, with the real stages.
 
-Each gateway is the real keeper of its lease round the real stages round the real decisions, on the ledger in
-memory. Explored are kills, stops and wakes at every step, answers of the ledger that are lost or late,
-attempts that run late, clients that ask again, planned stops and new lives. Time stands still but in a step
-of its own.
+Each gateway is the real lease manager round the real stages round the real policy, on the ledger in memory.
+Explored are kills, stops and resumptions at every step, replies of the ledger that are lost or late, attempts
+that run late, clients that ask again, planned stops and new incarnations. Time stands still but in a step of
+its own.
 
-Reading order: `scenes`, `books` (what must hold, watched), `node` (one gateway), `state`, `enabled` (what may
-happen next, and what it costs), `words` (for people), `world` (taking a step).
+Reading order: `configurations`, `invariant_monitor` (what must hold), `gateway_state` and `gateway`, `state`,
+`enabled_steps` (what may happen next, and what it costs), `descriptions` (for people), `transitions`
+(applying a step).
 """
 
 from meadowpulley.model_checking.shared_state_model.configurations import CONFIGURATIONS
--- a/meadowpulley/model_checking/shared_state_model/configurations.py
+++ b/meadowpulley/model_checking/shared_state_model/configurations.py
@@ -1,4 +1,4 @@
-"""The scenes of world C: which requests come, what may go wrong, and the terms, scaled down."""
+"""The configurations of the shared-state model: which requests come, what may fail, scaled-down times."""
 
 from __future__ import annotations
 
--- a/meadowpulley/model_checking/shared_state_model/descriptions.py
+++ b/meadowpulley/model_checking/shared_state_model/descriptions.py
@@ -1,4 +1,4 @@
-"""The steps of world C in the users' words."""
+"""The steps of the shared-state model in words."""
 
 from __future__ import annotations
 
--- a/meadowpulley/model_checking/shared_state_model/enabled_steps.py
+++ b/meadowpulley/model_checking/shared_state_model/enabled_steps.py
@@ -1,9 +1,9 @@
-"""What may happen next in world C.
+"""What may happen next in the shared-state model.
 
-In each state the moves that are under way stand in an order, and the first of them is free: so everything
-goes on by itself, as in a process that nothing disturbs. Any other move, and whatever is somebody's failure,
-costs one of the path's troubles (bounding the delays of a schedule: Emmi, Qadeer, Rakamaric, POPL 2011).
-Clients, time, a wake and whatever was held back and is let go cost nothing, at any point.
+In each state the steps under way stand in an order, and the first of them is free: so everything goes on by
+itself, as in a process that nothing disturbs. Any other step, and whatever is somebody's failure, costs one
+of the path's faults (bounding the delays of a schedule: Emmi, Qadeer, Rakamaric, POPL 2011). Clients, time, a
+resumption and whatever was held back and is let go cost nothing, at any point.
 """
 
 from __future__ import annotations
--- a/meadowpulley/model_checking/shared_state_model/gateway.py
+++ b/meadowpulley/model_checking/shared_state_model/gateway.py
@@ -1,14 +1,15 @@
-"""One gateway of world C: its real stages in a small host, and what is on its way to and from it.
+"""One gateway of the shared-state model: its real stages, and what is on its way to and from it.
 
-The host does what a gateway's adapter does, one event at a time; what it would hand to the kernel or to the
-ledger waits in queues, so that each hand-over is a step of its own: a commit to be carried out, its answer to
-be heard, a look at the ledger, bytes to go out, a result to be heard.
+It does what a gateway's adapter does, one event at a time. What it would hand to the kernel or to the ledger
+waits in queues, so that each hand-over is a step of its own: a commit is carried out, its reply is received,
+the ledger is read, bytes go out, an outcome is received.
 """
 
 from __future__ import annotations
 
 import math
-from typing import Any
+from random import Random
+from typing import Any, cast
 
 from meadowpulley.interface import (
     Cancel,
@@ -61,12 +62,12 @@
     """One gateway: its real stages, one event at a time, and what is on its way to and from it."""
 
     def start(self, environment: Environment) -> None:
-        """A life: its own in the ledger, a warm balancer, its lease renewed."""
+        """Start a new incarnation: registered in the ledger, with a warm policy, its lease renewed."""
         settings = self.configuration.settings(self.number)
         self.running = True
         self.incarnation = environment.store.register(f"g{self.number}", LEASES.term_ms)
         self.policy = RolloutPolicy(settings, 0)
-        self.policy.rng = RANDOM
+        self.policy.rng = cast(Random, RANDOM)
         inner_stage: Any = self.policy
         if self.configuration.lends:
             inner_stage = self.quota_stage = LendingStage(
@@ -239,7 +240,7 @@
     def _is_stopgap(self, environment: Environment, pending: PendingRequest, text: str) -> bool:
         """Answers that a later one may contradict, as docs/design/takeover.md says: those passed while the
         ledger gave no word of them for `hold_ms`; and `failed` to an ask whose client stops waiting, or by
-        a life that was sealed: others end that work, and it can't learn how."""
+        an incarnation that is fenced: others end that work, and it can't learn how."""
         if text == "failed" and (environment.now >= pending.deadline_ms or self.knows_it_is_fenced):
             return True
         since = pending.requested_at if text == "failed" else pending.response_at
@@ -384,5 +385,5 @@
         if self.quota_stage is not None:
             for action in self.quota_stage.shut_down(environment.now):
                 self._carry_out(environment, action)
-        for action in self.lease_manager.release_lease():
-            self._carry_out(environment, action)
+        for command in self.lease_manager.release_lease():
+            self._carry_out(environment, command)
--- a/meadowpulley/model_checking/shared_state_model/gateway_state.py
+++ b/meadowpulley/model_checking/shared_state_model/gateway_state.py
@@ -20,6 +20,8 @@
     Scan,
     ScanCompleted,
 )
+from meadowpulley.ledger.lease_manager import LeaseManager
+from meadowpulley.lending import LendingStage
 from meadowpulley.model_checking.choices import ScriptedRandom
 from meadowpulley.model_checking.graph import Copier, FormRules, FormWriter, fingerprint_of
 from meadowpulley.model_checking.policy_model.canonical_form import UNCHANGING_POLICY_FIELDS
@@ -28,6 +30,7 @@
     Configuration,
 )
 from meadowpulley.model_checking.shared_state_model.invariant_monitor import InvariantMonitor
+from meadowpulley.policy import RolloutPolicy
 
 RANDOM = ScriptedRandom()
 RELEASED_BUILD = RolloutUpdate(BUILD, 0, Phase.RELEASED, 1.0, 60_000.0)
@@ -88,23 +91,24 @@
 class GatewayState:
     """What one gateway and the queues around it hold; copied, and written in canonical form."""
 
+    policy: RolloutPolicy  # since the start
+    lease_manager: LeaseManager  # since the start
+
     def __init__(self, number: int, configuration: Configuration) -> None:
         self.number, self.configuration = number, configuration
         self.running, self.stopped = False, False
         self.killed_at = math.inf  # after a planned stop
         self.lease_released = False
         self.incarnation: Incarnation | None = None
-        self.lease_manager: Any = None
-        self.policy: Any = None
-        self.quota_stage: Any = None
+        self.quota_stage: LendingStage | None = None
         self.ledger_outbox: deque[Commit | Scan] = deque()  # asked for, not carried out
         # Commits that it hears of no more, and that may still be carried out.
         self.delayed_commits: deque[tuple[Incarnation, Commit]] = deque()
         self.ledger_replies: deque[CommitCompleted | ScanCompleted] = deque()  # carried out, not heard of
         self.unsent_attempts: deque[tuple[int, int]] = deque()  # request and attempt: sent, and not out yet
         self.unheard_outcomes: deque[tuple[int, int, Result, str]] = deque()  # come, and not heard of
-        self.pending_view: LedgerChanged | None = None  # read, and not told
-        self.ledger_version = 0  # up to which it was told of the ledger
+        self.pending_view: LedgerChanged | None = None  # read, and not dispatched
+        self.ledger_version = 0  # of the ledger, up to which it was notified
         self.watched_prefixes: tuple[str, ...] | None = None
         self.timers: list[tuple[float, int]] = []
         self.pending_requests: dict[int, PendingRequest] = {}
@@ -123,7 +127,7 @@
     @property
     def knows_it_is_fenced(self) -> bool:
         """Whether it has learned that its incarnation is fenced."""
-        return bool(self.lease_manager.fenced)
+        return self.lease_manager.fenced
 
     @property
     def idle(self) -> bool:
--- a/meadowpulley/model_checking/shared_state_model/invariant_monitor.py
+++ b/meadowpulley/model_checking/shared_state_model/invariant_monitor.py
@@ -1,4 +1,4 @@
-"""The books of world C: what ran at servers, what clients were told, who wrote what into the ledger."""
+"""The invariants of the shared-state model: what ran at servers, what clients got, who wrote the ledger."""
 
 from __future__ import annotations
 
@@ -26,8 +26,10 @@
         self.executions: dict[str, int] = {}  # how often at servers
         self.possible_executions: dict[str, int] = {}  # attempts whose bytes went out, and that may run yet
         self.answers: dict[str, tuple[str, ...]] = {}  # the answers that clients got, each once
-        self.rejected: set[str] = set()  # whose client was told that it was refused
-        self.unjournaled: set[str] = set()  # safe ones asked of a life that knew of its end: served unwritten
+        self.rejected: set[str] = set()  # whose client got a rejection
+        self.unjournaled: set[str] = (
+            set()
+        )  # idempotent ones asked of a fenced incarnation: served without a record
         self.violations: list[Violation] = []
 
     def copy(self) -> InvariantMonitor:
@@ -78,7 +80,7 @@
     def client_answered(
         self, now: float, gateway: int, request_id: str, request_class: int, text: str
     ) -> None:
-        """A client is told: `refused`, `failed`, or the body it was served."""
+        """Check an answer that a client gets: `refused`, `failed`, or the body that it is served."""
         if text == "refused":
             if request_class != 0 and (
                 self.executions.get(request_id, 0) or self.possible_executions.get(request_id, 0)
@@ -176,7 +178,7 @@
 
     @staticmethod
     def _binding(old_work: RequestRecord, new_work: RequestRecord) -> int:
-        """Rights of an earlier life stay: only its own may a life take back, once its outcome is known."""
+        """Return how many grants must stay: an incarnation takes back only its own, by their outcomes."""
         request_class = next((c for c in CLASSES if c.name == new_work.class_name), None)
         return (
             len(old_work.grants)
--- a/meadowpulley/model_checking/shared_state_model/state.py
+++ b/meadowpulley/model_checking/shared_state_model/state.py
@@ -1,4 +1,4 @@
-"""A state of world C: two gateways, one ledger, two servers, and what is on its way between them."""
+"""A state of the shared-state model: gateways, ledger, servers, and what is on its way between them."""
 
 from __future__ import annotations
 
@@ -44,7 +44,7 @@
         self.faults, self.time_advances = settings.faults, settings.time_advances
         self.finished = False
         self.messages: list[tuple[str, str, str]] = []
-        self.own_gateways = {0, 1}  # gateways that no other copy of this world shares
+        self.own_gateways = {0, 1}  # gateways that no other copy of this model shares
         self.monitor = InvariantMonitor()
         self.violations = self.monitor.violations
         self.store = MemoryStore()
--- a/meadowpulley/model_checking/shared_state_model/transitions.py
+++ b/meadowpulley/model_checking/shared_state_model/transitions.py
@@ -1,4 +1,4 @@
-"""Taking a step of world C, and what must hold when all is over."""
+"""Applying a step of the shared-state model, and what must hold when all is over."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
 
 class SharedStateModel(EnabledSteps):
-    """The world: each step is a method."""
+    """The whole model: each step is a method named for it."""
 
     def _settle_initially(self) -> None:
         """Both have renewed their leases and know of each other; what is lent has been granted."""
@@ -76,7 +76,7 @@
         return step != first
 
     def _stepping_gateway(self, gateway_index: int) -> SimulatedGateway:
-        """A gateway that steps now; other copies of the world keep theirs."""
+        """Return a gateway that steps now; other copies of the model keep theirs."""
         if gateway_index not in self.own_gateways:
             self.gateways[gateway_index] = self.gateways[gateway_index].copy()
             self.own_gateways.add(gateway_index)
--- a/meadowpulley/model_checking/shared_state_mutants.py
+++ b/meadowpulley/model_checking/shared_state_mutants.py
@@ -1,4 +1,4 @@
-"""Bugs planted in what the gateways share: the ledger and its keeper, takeover, lending (world C)."""
+"""Bugs planted in what gateways share: the ledger and its lease manager, takeover, lending."""
 
 from __future__ import annotations
 
--- a/tests/test_check_worlds.py
+++ b/tests/test_check_worlds.py
@@ -73,11 +73,12 @@
 
 
 def test_a_new_field_of_the_decisions_makes_another_state() -> None:
-    world = PolicyModel(TINY)
-    before = world.fingerprint()
-    host = world.gateways[0] = world.gateways[0].copy()
-    host.policy.some_new_note = 1
-    assert world.fingerprint() != before
+    model = PolicyModel(TINY)
+    before = model.fingerprint()
+    gateway = model.gateways[0] = model.gateways[0].copy()
+    policy: Any = gateway.policy
+    policy.some_new_note = 1
+    assert model.fingerprint() != before
 
 
 # The worlds
@@ -102,7 +103,8 @@
     world.apply(Step("datagram", (0, 0)))
     world.apply(Step("ask", (1, 1)))
     world.apply(Step("lose_datagram", (1, 0)))
-    assert [h.policy.heard for h in world.gateways] == [0, 2]
+    policies = [gateway.policy for gateway in world.gateways]
+    assert [policy.heard for policy in policies if isinstance(policy, Talker)] == [0, 2]
 
 
 def test_edges_are_met_just_before_at_and_just_after() -> None:
