--- a/meadowpulley/model_checking/shared_state_model/state.py
+++ b/meadowpulley/model_checking/shared_state_model/state.py
@@ -11,7 +11,7 @@
 from meadowpulley.model_checking.shared_state_model.gateway import SimulatedGateway
 from meadowpulley.model_checking.shared_state_model.gateway_state import FORM_RULES, RANDOM
 from meadowpulley.model_checking.shared_state_model.invariant_monitor import InvariantMonitor
-from meadowpulley.takeover.model import RECORD_PREFIX, decode_request_record
+from meadowpulley.takeover.records import RECORD_PREFIX, decode_request_record
 
 START_MS = 100_000.0
 
