Policy: outcome counts are typed

Need: outcomes waited as bare tuples of five and six numbers between policy, state and digests. Change: OutcomeCounts (a frozen dataclass) in their place; GossipState.record_timeout for time-outs; the model checker's canonical form names the server of OutcomeCounts in place of two tuple layouts.

--- a/meadowpulley/model_checking/policy_model/canonical_form.py
+++ b/meadowpulley/model_checking/policy_model/canonical_form.py
@@ -37,16 +37,6 @@
     )
 
 
-def _due_statistics(writer: FormWriter, value: Any) -> Any:
-    return tuple(
-        [(at, cls, build, writer.server_number(s), failed, ok) for at, cls, build, s, failed, ok in value]
-    )
-
-
-def _unpublished(writer: FormWriter, value: Any) -> Any:
-    return tuple([(cls, build, writer.server_number(s), failed, ok) for cls, build, s, failed, ok in value])
-
-
 def _unordered_servers(
     writer: FormWriter, value: Any
 ) -> Any:  # which order servers stand in does not matter: all are drawn
@@ -61,8 +51,7 @@
     ("RolloutPolicy", "servers"): _by_server,
     ("RolloutPolicy", "trial_servers"): _unordered_servers,
     ("RolloutPolicy", "baseline_servers"): _unordered_servers,
-    ("RolloutPolicy", "pending_outcomes"): _due_statistics,
-    ("GossipState", "unpublished"): _unpublished,
+    ("OutcomeCounts", "server"): lambda writer, value: writer.server_number(value),
     ("RolloutPolicy", "sticky_builds"): _by_key,
     ("Server", "id"): lambda writer, value: writer.server_number(value),
     ("InFlightRequest", "attempted_servers"): _servers,
--- a/meadowpulley/policy/admission.py
+++ b/meadowpulley/policy/admission.py
@@ -2,11 +2,10 @@
 
 import math
 
-from meadowpulley.digests import TIMEOUT_CLASS
 from meadowpulley.interface import Cancel, Effect, Fail, Outcome, Reject, Request, RequestClass, Result
 from meadowpulley.policy.outlier_detection import SERVER_FAULT_RATE, update_health
 from meadowpulley.policy.routing import route
-from meadowpulley.state import Attempt, InFlightRequest, State
+from meadowpulley.state import Attempt, InFlightRequest, OutcomeCounts, State
 
 POLL_INTERVAL_MS = 50.0  # between two looks at waiting requests; four times as long for outstanding ones
 WARMED_UP = 0.8  # slow start fraction from which a server tells of its build: before, requests queue up
@@ -108,10 +107,10 @@
         state.bind_key(in_flight, server.build)
     if ok or error:  # a broken connection is the network's or the machine's
         due_at = -math.inf if ok else attempt.sent_at + FAILURE_DELAY * state.mean_latency_ms
-        counts = (in_flight.request.class_index, server.build, server.id, int(error), int(ok))
-        state.pending_outcomes.append((due_at, *counts))
+        counts = OutcomeCounts(in_flight.request.class_index, server.build, server.id, int(error), int(ok))
+        state.pending_outcomes.append((due_at, counts))
     if result is Result.TIMEOUT and attempt.slow_start_fraction >= WARMED_UP and timed:
-        state.gossip.unpublished.append((TIMEOUT_CLASS, server.build, server.id, 0, 1))  # as succeeded ones
+        state.gossip.record_timeout(server)
     if timed:
         _update_concurrency_limit(state, in_flight.request_class, outcome)
     attributable = timed and (ok or (error and server.failure_rate < SERVER_FAULT_RATE))
--- a/meadowpulley/policy/evidence.py
+++ b/meadowpulley/policy/evidence.py
@@ -5,7 +5,7 @@
 from meadowpulley.digests import SERVER_MODULUS, decode, encode
 from meadowpulley.interface import BuildStatistics, GossipReceived, SendGossip
 from meadowpulley.policy.outlier_detection import SERVER_FAULT_RATE, eject
-from meadowpulley.state import PLATFORM, BuildEvidence, SequentialFailureTest, State
+from meadowpulley.state import PLATFORM, BuildEvidence, OutcomeCounts, SequentialFailureTest, State
 
 MIN_SAMPLES = 20  # outcomes per build before the bounds count
 GOSSIP_SENDERS = 40  # gateways that send in GOSSIP_INTERVAL_MS if nothing fails: the load grows by the square
@@ -38,23 +38,24 @@
 def handle_build_statistics(state: State, event: BuildStatistics) -> None:
     """Take in what the platform counted of a build."""
     succeeded = event.attempts - event.failed
-    record_outcomes(state, event.class_index, event.build, PLATFORM, event.failed, succeeded)
+    record_outcomes(state, OutcomeCounts(event.class_index, event.build, PLATFORM, event.failed, succeeded))
 
 
-def record_outcomes(state: State, class_index: int, build: int, server: int, failed: int, ok: int) -> None:
+def record_outcomes(state: State, counts: OutcomeCounts) -> None:
     """Count outcomes against the baseline's rate, the worst that any gateway saw: errors come in bursts."""
-    if server != PLATFORM and state.gossip_at < math.inf:
-        state.gossip.unpublished.append((class_index, build, server, failed, ok))
-    evidence, scope = state.build_evidence[build], (class_index, server == PLATFORM)
-    weight = min(RATE_EWMA_WEIGHTS[0] * (failed + ok), RATE_EWMA_WEIGHTS[1])
-    evidence.update_failure_rate(scope, failed / max(failed + ok, 1), weight)
+    by_platform, total = counts.server == PLATFORM, counts.failed + counts.succeeded
+    if not by_platform and state.gossip_at < math.inf:
+        state.gossip.unpublished.append(counts)
+    evidence, scope = state.build_evidence[counts.build], (counts.class_index, by_platform)
+    weight = min(RATE_EWMA_WEIGHTS[0] * total, RATE_EWMA_WEIGHTS[1])
+    evidence.update_failure_rate(scope, counts.failed / max(total, 1), weight)
     usual = state.build_evidence[state.baseline_build].baseline_failure_rate.get(scope, -1.0)
     rollout = state.furthest_rollout
-    if rollout is not None and build == rollout.build and usual >= 0:
-        share = min(1 / max(len(state.trial_servers), 1), MAX_SERVER_FAILURE_SHARE)
-        worst = max(usual, *state.gossip.baseline_failure_rates[class_index], 0.0)
-        allowed = worst + (share if server == PLATFORM else 0.0)
-        evidence.own_failures.add(class_index, server, failed, ok, allowed)
+    if rollout is not None and counts.build == rollout.build and usual >= 0:
+        share = min(1 / max(len(state.trial_servers), 1), MAX_SERVER_FAILURE_SHARE) if by_platform else 0.0
+        worst = max(usual, *state.gossip.baseline_failure_rates[counts.class_index], 0.0)
+        outcome = (counts.class_index, counts.server, counts.failed, counts.succeeded)
+        evidence.own_failures.add(*outcome, worst + share)
 
 
 def handle_gossip(state: State, event: GossipReceived) -> None:
--- a/meadowpulley/policy/policy.py
+++ b/meadowpulley/policy/policy.py
@@ -83,7 +83,7 @@
         if now > self.timer_at + STALL_MS:
             self.resumed_at = now
         while self.pending_outcomes and self.pending_outcomes[0][0] <= now:
-            evidence.record_outcomes(self, *self.pending_outcomes.popleft()[1:])
+            evidence.record_outcomes(self, self.pending_outcomes.popleft()[1])
         if handler := HANDLERS.get(type(event)):
             handler(self, event)
         # One timer, only while there is something to wait for: an idle policy costs nothing.
--- a/meadowpulley/state/__init__.py
+++ b/meadowpulley/state/__init__.py
@@ -8,7 +8,7 @@
 from meadowpulley.state.averages import WINDOW_MARGIN_MS, DecayingRate, EventWindow
 from meadowpulley.state.estimation import LatencySamples, QDifference, mixed_q
 from meadowpulley.state.failure_test import ALL_SERVERS, PLATFORM, SequentialFailureTest
-from meadowpulley.state.gossip import GossipState, PooledOutcomes
+from meadowpulley.state.gossip import GossipState, OutcomeCounts, PooledOutcomes
 from meadowpulley.state.requests import Attempt, InFlightRequest
 from meadowpulley.state.rollout import BuildEvidence, Slowdown, TrafficPause, VoteState, summarize
 from meadowpulley.state.servers import Server
@@ -26,6 +26,7 @@
     "GossipState",
     "InFlightRequest",
     "LatencySamples",
+    "OutcomeCounts",
     "PooledOutcomes",
     "QDifference",
     "SequentialFailureTest",
--- a/meadowpulley/state/gossip.py
+++ b/meadowpulley/state/gossip.py
@@ -4,14 +4,27 @@
 
 import math
 from collections import Counter, defaultdict, deque
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from meadowpulley.digests import SERVER_MODULUS, TIMEOUT_CLASS, Digest
 from meadowpulley.state.failure_test import ALL_SERVERS, SequentialFailureTest
+from meadowpulley.state.servers import Server
 
 MAX_UNPUBLISHED = 600  # outcomes that wait for the next digest; beyond it the oldest are dropped
 
 
+@dataclass(frozen=True, slots=True)
+class OutcomeCounts:
+    """Responses of one class from one server, or from the platform's statistics."""
+
+    class_index: int
+    build: int
+    server: int
+    failed: int
+    succeeded: int
+
+
 class ArmOutcomes(NamedTuple):
     """Counts of responses of the newest build and of its baseline."""
 
@@ -82,8 +95,7 @@
     def __init__(self, incarnation: int, clock_skew_s: int) -> None:
         self.incarnation = incarnation
         self.sequence = 0  # of the last digest that was sent
-        # Class, build, server, failed and succeeded responses.
-        self.unpublished: deque[tuple[int, int, int, int, int]] = deque(maxlen=MAX_UNPUBLISHED)
+        self.unpublished: deque[OutcomeCounts] = deque(maxlen=MAX_UNPUBLISHED)
         self.last_digest_by_sender: dict[tuple[int, int], int] = {}  # by sender and incarnation
         self.rejected_digests = 0
         self.received: list[tuple[int, Digest]] = []  # in this second, with their senders
@@ -96,12 +108,12 @@
         under evaluation."""
         rows: dict[int, list[int]] = defaultdict(lambda: [0, 0, 0, 0])
         failures: list[tuple[int, int]] = []
-        for class_index, outcome_build, server, failed, succeeded in self.unpublished:
-            if under_evaluation and outcome_build in (build, baseline_build):
-                column = 0 if outcome_build == build else 2
-                rows[class_index][column] += succeeded
-                rows[class_index][column + 1] += failed
-            failures += [(server % SERVER_MODULUS, class_index)] * failed
+        for counts in self.unpublished:
+            if under_evaluation and counts.build in (build, baseline_build):
+                column = 0 if counts.build == build else 2
+                rows[counts.class_index][column] += counts.succeeded
+                rows[counts.class_index][column + 1] += counts.failed
+            failures += [(counts.server % SERVER_MODULUS, counts.class_index)] * counts.failed
         self.unpublished.clear()
         if not (rows or failures):
             return None
@@ -111,7 +123,11 @@
 
     def has_failures(self) -> bool:
         """Tell whether a failed response waits for the next digest."""
-        return any(failed for _, _, _, failed, _ in self.unpublished)
+        return any(counts.failed for counts in self.unpublished)
+
+    def record_timeout(self, server: Server) -> None:
+        """Note a time-out at a warmed-up server for the next digest, as a succeeded response of its class."""
+        self.unpublished.append(OutcomeCounts(TIMEOUT_CLASS, server.build, server.id, 0, 1))
 
     def accept(self, sender: int, digest: Digest, max_incarnations: int) -> bool:
         """Tell whether a digest is new; the last digest of so many incarnations is remembered."""
--- a/meadowpulley/state/state.py
+++ b/meadowpulley/state/state.py
@@ -22,7 +22,7 @@
     Settings,
 )
 from meadowpulley.state.averages import DecayingRate, event_windows
-from meadowpulley.state.gossip import GossipState
+from meadowpulley.state.gossip import GossipState, OutcomeCounts
 from meadowpulley.state.requests import Attempt, InFlightRequest
 from meadowpulley.state.rollout import BuildEvidence, TrafficPause, VoteState, progress
 from meadowpulley.state.servers import Server
@@ -90,8 +90,7 @@
         self.sticky_builds: dict[int, int] = {}  # monotonic keys: the build that may have answered each
         self.oldest_sticky_build = -1  # no key goes to an older one: what these answered is forgotten
         self.traffic_pause = TrafficPause()
-        # When to count which outcome: class, build, server, failed and succeeded responses.
-        self.pending_outcomes: deque[tuple[float, int, int, int, int, int]] = deque()
+        self.pending_outcomes: deque[tuple[float, OutcomeCounts]] = deque()  # when to count which
         self.gossip_at = -math.inf if settings.limits.gossip and self.gateway_count > 1 else math.inf
         self.vote_state = VoteState()
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -26,6 +26,7 @@
     Vote,
 )
 from meadowpulley.policy.evidence import evidence_ratio
+from meadowpulley.state import OutcomeCounts
 from tests.driver import LIMITS, SAFE, UNSAFE, Driver, sends, server_entry, settings, votes
 
 PEERS = replace(LIMITS, gossip=True)
@@ -378,7 +379,7 @@
     driver = Driver(settings(limits=PEERS, gateway_count=2))
     driver.update_endpoints([server_entry(sequence), *(server_entry(n) for n in range(20, 40))])
     driver.fire_timer()
-    driver.policy.gossip.unpublished.extend([(SAFE, 41, sequence, 1, 0)] * 9)
+    driver.policy.gossip.unpublished.extend([OutcomeCounts(SAFE, 41, sequence, 1, 0)] * 9)
     driver.handle(GossipReceived(1, encode(Digest(1, 1, 41, (), ((sequence, SAFE),) * 2))))
     driver.now += 1000.0
     driver.fire_timer()
