--- a/meadowpulley/net/discovery_call.py
+++ b/meadowpulley/net/discovery_call.py
@@ -27,10 +27,12 @@
     """What a call needs of the client that makes it."""
 
     @property
-    def gateway(self) -> GatewayContext: ...
+    def gateway(self) -> GatewayContext:
+        """The gateway that the client is part of."""
 
     @property
-    def idle_connection(self) -> IdleConnectionSlot: ...
+    def idle_connection(self) -> IdleConnectionSlot:
+        """The connection for the next call, if there is one."""
 
     @property
     def lists_applied(self) -> int:
--- a/meadowpulley/net/platform_connection.py
+++ b/meadowpulley/net/platform_connection.py
@@ -35,7 +35,8 @@
     """What a connection to the platform needs of the client that owns it."""
 
     @property
-    def gateway(self) -> GatewayContext: ...
+    def gateway(self) -> GatewayContext:
+        """The gateway that the client is part of."""
 
     def handle_line(self, connection: PlatformConnection, line: bytes) -> None:
         """Handle one line, without its end."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,10 +1,8 @@
-"""The discovery client in bad orders: each call is held, and answered when the test says so."""
+"""The discovery client when calls end in unexpected orders: the test answers each when it wants to."""
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
-from dataclasses import replace
 from itertools import pairwise
 from types import SimpleNamespace
 from typing import Any
@@ -12,80 +10,19 @@
 import pytest
 from twisted.python.failure import Failure
 
-from meadowpulley.interface import EndpointUpdateKind, Event, ServerState
+from meadowpulley.interface import EndpointUpdateKind, ServerState
 from meadowpulley.net.discovery_client import DiscoveryClient
-from tests.standins import endpoint
-from tests.test_watch_timeouts import NOTIFIED_AFTER_SILENCE_MS, RESPONSE_MS, DiscoveryHarness
-
-HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s"
-
-
-def list_body(version: int, *entries: dict[str, Any], is_snapshot: bool = False) -> bytes:
-    return json.dumps({"index": version, "snapshot": is_snapshot, "endpoints": entries}, indent=2).encode()
-
-
-READY_ENTRY, DRAINING_ENTRY = (
-    endpoint("s-1", "127.0.0.1:9"),
-    endpoint("s-1", "127.0.0.1:9", status="terminating"),
+from tests.discovery_harness import (
+    DRAINING_ENTRY,
+    HEAD,
+    NOTIFIED_AFTER_SILENCE_MS,
+    READY_ENTRY,
+    RESPONSE_MS,
+    ManualDiscoveryHarness,
+    ReceivedCall,
+    list_body,
 )
-
-
-class ReceivedCall:
-    """One that came: answered, broken or left alone by the test."""
-
-    def __init__(self, connection: Any, target: str) -> None:
-        self.connection, self.target = connection, target
-
-    def respond(self, body: bytes) -> None:
-        self.connection.dataReceived(HEAD % (len(body), body))
-
-    def break_connection(self) -> None:
-        self.connection.connectionLost()
-
-
-class ManualDiscoveryHarness(DiscoveryHarness):
-    """Pushed lists, and no decisions: what they would be told is kept."""
-
-    def __init__(self, must_poll: bool = False, grace_ms: float = 0.0) -> None:
-        self.calls: list[ReceivedCall] = []
-        self.addresses: dict[int, Any] = {}  # addresses, as the instances' part is told of them
-        self.events: list[Any] = []
-        self.on_event: Callable[[Any], None] = lambda event: None
-        super().__init__(must_poll)
-        driver_settings = self.driver.policy.settings
-        self.gateway.config.settings = replace(
-            driver_settings, rules=replace(driver_settings.rules, drain_grace_ms=grace_ms)
-        )
-        registry: Any = SimpleNamespace(
-            register=lambda server, address, _: self.addresses.update({server: address}),
-            remove=lambda server: self.addresses.pop(server, None),
-            close_idle=lambda _: None,
-        )
-        self.discovery = DiscoveryClient(self.gateway, registry, 0.0)
-
-    def dispatch(self, event: Event) -> None:
-        self.events.append(event)
-        self.on_event(event)
-
-    def _serve(self, connection: Any, transport: Any) -> None:
-        if request := transport.value().decode():
-            transport.clear()
-            self.calls.append(ReceivedCall(connection, request.split(" ")[1].partition("?")[2]))
-        if connection.is_open:
-            self.reactor.callLater(0.01, self._serve, connection, transport)
-
-    def next_call(self) -> ReceivedCall:
-        """The newest, which has to have come since the last look."""
-        known_count = len(self.calls)
-        self.run(20.0)
-        assert len(self.calls) == known_count + 1
-        return self.calls[-1]
-
-    def take_updates(self) -> list[tuple[int, list[ServerState]]]:
-        """Versions and states, of what was told since the last look."""
-        events, self.events = self.events, []
-        return [(event.version, [e.state for e in event.entries]) for event in events]
-
+from tests.standins import endpoint
 
 READY, DRAINING = ServerState.READY, ServerState.DRAINING
 
--- a/tests/test_rollout_client.py
+++ b/tests/test_rollout_client.py
@@ -1,4 +1,4 @@
-"""The connections to the platform in bad orders: the real client on connections that the test writes to."""
+"""The platform client when messages come in unexpected orders, on connections that the test writes to."""
 
 from __future__ import annotations
 
@@ -11,17 +11,16 @@
 from meadowpulley.interface import Result, Verdict, Vote
 from meadowpulley.net.platform_connection import HEARTBEAT_TIMEOUT_MS
 from meadowpulley.net.rollout_client import RolloutClient
+from tests.discovery_harness import FakeTransport, ManualDiscoveryHarness
 from tests.driver import ROLLOUT
 from tests.standins import TRIAL
-from tests.test_discovery import ManualDiscoveryHarness
-from tests.test_watch_timeouts import FakeTransport
 
 VOTE = Vote(42, 0, Verdict.ADVANCE)
 LATER_ROLLOUT = TRIAL | {"tranche": 1, "exposure": 0.1}
 
 
 class RolloutHarness(ManualDiscoveryHarness):
-    """A platform client; each connection it makes comes up at once."""
+    """The real platform client; each connection that it opens is established at once."""
 
     def __init__(self) -> None:
         super().__init__()
