--- a/tests/stories/steps_lending.py
+++ b/tests/stories/steps_lending.py
@@ -81,7 +81,7 @@
     served = [
         r
         for r in scenario.records_of(ResponseSent)
-        if (r.gateway, r.request) in mine and r.answer == "served" and begin * 1e3 <= r.at < end * 1e3
+        if (r.gateway, r.request) in mine and r.response == "served" and begin * 1e3 <= r.at < end * 1e3
     ]
     return len(served) / (end - begin)
 
@@ -107,5 +107,5 @@
 @then("whoever is refused is told at once")
 def refused_at_once(scenario: FleetScenario) -> None:
     taken = {(r.gateway, r.request): r.at for r in scenario.records_of(RequestReceived)}
-    refused = [r for r in scenario.records_of(ResponseSent) if r.answer == "refused"]
+    refused = [r for r in scenario.records_of(ResponseSent) if r.response == "refused"]
     assert refused and all(r.at - taken[r.gateway, r.request] < 1.0 for r in refused)
