--- a/meadowpulley/policy/outlier_detection.py
+++ b/meadowpulley/policy/outlier_detection.py
@@ -46,6 +46,6 @@
     for attempt in list(state.attempts.values()):
         objective_ms = attempt.in_flight.request_class.latency_objective_ms  # classes may be 100 times apart
         timeout_ms = min(max(UNRESPONSIVE_LATENCIES * state.mean_latency_ms, objective_ms / 2), objective_ms)
-        heard_at = max(attempt.server.last_response_at, state.resumed_at)
-        if heard_at < attempt.sent_at < state.now - timeout_ms:
+        responded_at = max(attempt.server.last_response_at, state.resumed_at)
+        if responded_at < attempt.sent_at < state.now - timeout_ms:
             eject(state, attempt.server)
--- a/meadowpulley/state/rollout.py
+++ b/meadowpulley/state/rollout.py
@@ -45,9 +45,9 @@
     mean: float
     deviation: float
 
-    def lower_bound(self, z: float) -> float:
-        """Return the mean less `z` of its standard errors."""
-        return self.mean - z * self.deviation * math.sqrt(self.size) / max(self.size - 1, 1)
+    def lower_bound(self, confidence_z: float) -> float:
+        """Return the mean less so many of its standard errors."""
+        return self.mean - confidence_z * self.deviation * math.sqrt(self.size) / max(self.size - 1, 1)
 
 
 def summarize(values: list[float]) -> Summary:
--- a/meadowpulley/state/state.py
+++ b/meadowpulley/state/state.py
@@ -250,5 +250,8 @@
     def _release_keys_between(self, baseline_build: int, newest_build: int) -> None:
         """Forget which keys are bound to builds that were rolled back."""
         self.oldest_sticky_build = min(self.oldest_sticky_build, baseline_build)
-        kept = {k: b for k, b in self.sticky_builds.items() if b <= baseline_build or b >= newest_build}
-        self.sticky_builds = kept
+        self.sticky_builds = {
+            key: build
+            for key, build in self.sticky_builds.items()
+            if build <= baseline_build or build >= newest_build
+        }
