Model checking tests: models, configurations and counterexamples by their names

Need: the tests still spoke of worlds, tales and scenes, in one-letter names. No assertion changes but in its names.

--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -14,10 +14,10 @@
     ModelSettings,
     Search,
     checkpoint as checkpoints,
-    counterexample as stories,
+    counterexample as counterexamples,
     make_model,
     mutation,
-    search as explorer,
+    search as search_module,
 )
 from meadowpulley.model_checking.choices import ChoiceScriptError, ScriptedRandom, alternatives
 from meadowpulley.model_checking.connection_model import CONFIGURATIONS as CONNECTIONS
@@ -25,7 +25,7 @@
 from meadowpulley.model_checking.mutation_testing import run_mutants
 from meadowpulley.model_checking.policy_model.configurations import CONFIGURATIONS
 
-KEPT = sorted((Path(__file__).parent / "counterexamples").glob("*.json"))
+STORED = sorted((Path(__file__).parent / "counterexamples").glob("*.json"))
 TINY = ModelSettings(configuration="attempts", gateways=1, servers=2, requests=1, faults=1, time_advances=1)
 PAIR = ModelSettings(configuration="release", gateways=2, servers=2, requests=2, faults=0, time_advances=1)
 FAST = (
@@ -43,60 +43,62 @@
 )
 
 
-def search(setting: ModelSettings, workers: int = 1, **more: Any) -> Coverage:
-    one = Search(setting, workers=workers, **more)
+def search(settings: ModelSettings, workers: int = 1, **options: Any) -> Coverage:
+    search_run = Search(settings, workers=workers, **options)
     try:
-        return one.run()
+        return search_run.run()
     finally:
-        one.close()
+        search_run.close()
 
 
-def end_states(setting: ModelSettings) -> set[Any]:
+def end_states(settings: ModelSettings) -> set[Any]:
     """The states that a search comes to just after time has moved: whatever order led there."""
-    found, world = set(), make_model(setting)
-    todo, seen = [world], {world.fingerprint()}
-    while todo:
-        world = todo.pop()
-        for step in world.enabled_steps():
+    found, model = set(), make_model(settings)
+    pending, seen = [model], {model.fingerprint()}
+    while pending:
+        model = pending.pop()
+        for step in model.enabled_steps():
             scripts: list[tuple[int, ...]] = [()]
             while scripts:
                 script = scripts.pop()
-                after = world.copy()
-                made, among = after.apply(replace(step, draws=script))
-                scripts += alternatives(made, among, len(script))
-                mark = after.fingerprint()
+                after = model.copy()
+                chosen, option_counts = after.apply(replace(step, draws=script))
+                scripts += alternatives(chosen, option_counts, len(script))
+                fingerprint = after.fingerprint()
                 if step.action == "wait":
-                    found.add(mark)
-                if mark not in seen:
-                    seen.add(mark)
-                    todo.append(after)
+                    found.add(fingerprint)
+                if fingerprint not in seen:
+                    seen.add(fingerprint)
+                    pending.append(after)
     return found
 
 
 # Nothing breaks within small bounds
 
 
-@pytest.mark.parametrize("scene", CONFIGURATIONS)
-def test_no_property_of_the_decisions_breaks_within_small_bounds(scene: str) -> None:
-    setting = ModelSettings(configuration=scene, gateways=1, servers=2, requests=2, faults=1, time_advances=1)
-    coverage = Search(setting, workers=1).run(max_depth=3 if scene == "all" else 4)
+@pytest.mark.parametrize("configuration", CONFIGURATIONS)
+def test_no_property_of_the_policy_breaks_within_small_bounds(configuration: str) -> None:
+    settings = ModelSettings(
+        configuration=configuration, gateways=1, servers=2, requests=2, faults=1, time_advances=1
+    )
+    coverage = Search(settings, workers=1).run(max_depth=3 if configuration == "all" else 4)
     assert coverage.counterexample is None, coverage.counterexample
     assert coverage.states > 50
 
 
-@pytest.mark.parametrize("scene", CONNECTIONS)
-def test_no_property_of_a_connection_breaks_within_small_bounds(scene: str) -> None:
-    setting = ModelSettings(
-        model="connection", configuration=scene, servers=1, requests=1, faults=1, time_advances=1
+@pytest.mark.parametrize("configuration", CONNECTIONS)
+def test_no_property_of_a_connection_breaks_within_small_bounds(configuration: str) -> None:
+    settings = ModelSettings(
+        model="connection", configuration=configuration, servers=1, requests=1, faults=1, time_advances=1
     )
-    coverage = Search(setting, workers=1).run(max_depth=4)
+    coverage = Search(settings, workers=1).run(max_depth=4)
     assert coverage.counterexample is None, coverage.counterexample
     assert coverage.states > 10
 
 
-@pytest.mark.parametrize("file", KEPT, ids=[p.stem for p in KEPT])
-def test_a_kept_counterexample_breaks_nothing_today(file: Path) -> None:
-    assert not stories.violations_of(stories.read_counterexample(file))
+@pytest.mark.parametrize("file", STORED, ids=[p.stem for p in STORED])
+def test_a_stored_counterexample_violates_nothing_today(file: Path) -> None:
+    assert not counterexamples.violations_of(counterexamples.read_counterexample(file))
 
 
 # Planted bugs
@@ -136,23 +138,23 @@
     assert merged.complete and plain.complete and merged.states < plain.states
     named = replace(TINY, symmetry=False)
     kinds = set()
-    todo, seen = [make_model(named)], set()
-    while todo:  # every plain state, written in canonical form, is one of the merged ones
-        world = todo.pop()
-        for step in world.enabled_steps():
+    pending, seen = [make_model(named)], set()
+    while pending:  # every plain state, written in canonical form, is one of the merged ones
+        model = pending.pop()
+        for step in model.enabled_steps():
             scripts: list[tuple[int, ...]] = [()]
             while scripts:
                 script = scripts.pop()
-                after: Any = world.copy()
-                made, among = after.apply(replace(step, draws=script))
-                scripts += alternatives(made, among, len(script))
-                mark = after.fingerprint()
+                after: Any = model.copy()
+                chosen, option_counts = after.apply(replace(step, draws=script))
+                scripts += alternatives(chosen, option_counts, len(script))
+                fingerprint = after.fingerprint()
                 after.settings = TINY
                 kinds.add(after.fingerprint())
                 after.settings = named
-                if mark not in seen:
-                    seen.add(mark)
-                    todo.append(after)
+                if fingerprint not in seen:
+                    seen.add(fingerprint)
+                    pending.append(after)
     assert len(kinds) == merged.states
 
 
@@ -163,10 +165,10 @@
 
 
 def test_workers_and_seeds_change_nothing_but_the_time() -> None:
-    setting = replace(TINY, requests=2, time_advances=0)
-    one, many = search(setting, seed=1), search(setting, workers=2, seed=9)
-    assert one.complete and many.complete
-    assert [(v.new_states, v.transitions) for v in one.levels] == [
+    settings = replace(TINY, requests=2, time_advances=0)
+    single, many = search(settings, seed=1), search(settings, workers=2, seed=9)
+    assert single.complete and many.complete
+    assert [(v.new_states, v.transitions) for v in single.levels] == [
         (v.new_states, v.transitions) for v in many.levels
     ]
 
@@ -197,14 +199,18 @@
 
 
 def test_seeded_walks_go_deeper_and_are_the_same_again() -> None:
-    setting = replace(PAIR, requests=4, faults=2, time_advances=4)
-    walks = [Search(setting, seed=3, workers=1).walk(6, 40) for _ in range(2)]
+    settings = replace(PAIR, requests=4, faults=2, time_advances=4)
+    walks = [Search(settings, seed=3, workers=1).walk(6, 40) for _ in range(2)]
     assert walks[0].walk_steps == walks[1].walk_steps > 6 * 5 and walks[0].counterexample is None
 
 
 def test_paths_are_packed_and_unpacked() -> None:
-    path = explorer.pack_step(3, (0, 2)) + explorer.pack_step(700, ()) + explorer.pack_step(0, (1,))
-    assert explorer.unpack_path(path) == [(3, (0, 2)), (700, ()), (0, (1,))]
+    path = (
+        search_module.pack_step(3, (0, 2))
+        + search_module.pack_step(700, ())
+        + search_module.pack_step(0, (1,))
+    )
+    assert search_module.unpack_path(path) == [(3, (0, 2)), (700, ()), (0, (1,))]
 
 
 # Chance
--- a/tests/test_check_rare.py
+++ b/tests/test_check_rare.py
@@ -1,4 +1,4 @@
-"""Rare moments in world B: signals, half-closed clients, late second answers, lists that overtake."""
+"""Rare moments in the connection model: signals, half-closed clients, late answers, overtaking lists."""
 
 from __future__ import annotations
 
@@ -20,34 +20,34 @@
     "unasked-kept",
     "missing-kept",
 )
-CONNECT, ASK = Step("connect", (0,)), Step("write", (0, len(request_bytes_of("get", "c0r0"))))
+CONNECT, SEND_REQUEST = Step("connect", (0,)), Step("write", (0, len(request_bytes_of("get", "c0r0"))))
 
 
-def world(scene: str, *steps: Step) -> ConnectionModel:
-    w = ConnectionModel(
+def model_after(configuration: str, *steps: Step) -> ConnectionModel:
+    model = ConnectionModel(
         ModelSettings(
-            model="connection", configuration=scene, servers=1, requests=1, faults=3, time_advances=3
+            model="connection", configuration=configuration, servers=1, requests=1, faults=3, time_advances=3
         )
     )
     for step in steps:
-        assert step in w.enabled_steps(), (step, w.enabled_steps())
-        w.apply(step)
-        assert not w.violations, w.violations
-    return w
+        assert step in model.enabled_steps(), (step, model.enabled_steps())
+        model.apply(step)
+        assert not model.violations, model.violations
+    return model
 
 
-@pytest.mark.parametrize("scene", DEEP)
-def test_no_order_of_a_rare_moment_breaks_a_property(scene: str) -> None:
-    faults, time_advances = DEEP[scene]
-    setting = ModelSettings(
+@pytest.mark.parametrize("configuration", DEEP)
+def test_no_order_of_a_rare_moment_breaks_a_property(configuration: str) -> None:
+    faults, time_advances = DEEP[configuration]
+    settings = ModelSettings(
         model="connection",
-        configuration=scene,
+        configuration=configuration,
         servers=1,
         requests=1,
         faults=faults,
         time_advances=time_advances,
     )
-    coverage = Search(setting, workers=1).run()
+    coverage = Search(settings, workers=1).run()
     assert coverage.counterexample is None, coverage.counterexample
     assert coverage.complete and coverage.states > 300
 
@@ -62,48 +62,54 @@
 
 
 def test_a_request_in_the_kernel_is_unread_until_the_reactors_turn() -> None:
-    w = world("signals", Step("listen"), CONNECT, Step("unread", (0,)))
-    wire = w.clients[0].transport
-    assert wire is not None and wire.unread and not w.instance_connections[0].transport.received_by_peer
-    w.apply(Step("turn"))
-    assert not wire.unread and w.instance_connections[0].transport.received_by_peer
+    model = model_after("signals", Step("listen"), CONNECT, Step("unread", (0,)))
+    wire = model.clients[0].transport
+    assert wire is not None and wire.unread and not model.instance_connections[0].transport.received_by_peer
+    model.apply(Step("turn"))
+    assert not wire.unread and model.instance_connections[0].transport.received_by_peer
 
 
 def test_who_waits_to_be_accepted_is_accepted_in_one_turn_and_read_in_the_next() -> None:
-    w = world("backlog", Step("queue", (0,)))
-    assert w.clients[0].transport is None and Step("connect", (0,)) not in w.enabled_steps()
-    w.apply(Step("turn"))
-    assert w.clients[0].transport is not None and not w.instance_connections[0].transport.received_by_peer
-    w.apply(Step("turn"))
-    assert w.instance_connections[0].transport.received_by_peer
+    model = model_after("backlog", Step("queue", (0,)))
+    assert model.clients[0].transport is None and Step("connect", (0,)) not in model.enabled_steps()
+    model.apply(Step("turn"))
+    assert (
+        model.clients[0].transport is not None
+        and not model.instance_connections[0].transport.received_by_peer
+    )
+    model.apply(Step("turn"))
+    assert model.instance_connections[0].transport.received_by_peer
 
 
 def test_a_client_is_gone_at_once_if_it_is_read_and_else_once_it_is_written_to() -> None:
-    w = world("halves", CONNECT, ASK, Step("leave", (0,)))
-    assert all(k.address for k in w.reactor.transports)
-    w = world("halves", CONNECT, ASK)
-    wire = w.clients[0].transport
+    model = model_after("halves", CONNECT, SEND_REQUEST, Step("leave", (0,)))
+    assert all(k.address for k in model.reactor.transports)
+    model = model_after("halves", CONNECT, SEND_REQUEST)
+    wire = model.clients[0].transport
     assert wire is not None
     wire.stopReading()
-    w.apply(Step("leave", (0,)))
-    assert wire.connected and w.now + DISCONNECT_GRACE_MS < w._edge_time("gone")
-    w.apply(Step("answer", (0, "ok")))
+    model.apply(Step("leave", (0,)))
+    assert wire.connected and model.now + DISCONNECT_GRACE_MS < model._edge_time("gone")
+    model.apply(Step("answer", (0, "ok")))
     assert not wire.connected
 
 
 def test_a_second_answer_comes_a_few_milliseconds_late_at_most() -> None:
-    w = world("late", CONNECT, ASK, Step("answer", (0, "ok")))
-    assert Step("again", (0,)) in w.enabled_steps()
-    w.reactor.advance(w.now + LATE_RESPONSE_MS + 1.0)
-    assert Step("again", (0,)) not in w.enabled_steps()
+    model = model_after("late", CONNECT, SEND_REQUEST, Step("answer", (0, "ok")))
+    assert Step("again", (0,)) in model.enabled_steps()
+    model.reactor.advance(model.now + LATE_RESPONSE_MS + 1.0)
+    assert Step("again", (0,)) not in model.enabled_steps()
 
 
 def test_an_answer_of_discovery_holds_what_was_true_when_it_was_made() -> None:
-    w = world(
+    model = model_after(
         "lists", Step("fetch"), Step("make", (1,)), Step("change", (0, "terminating")), Step("make", (0,))
     )
-    assert [c.prepared_response["index"] for c in w.discovery_connections if c.prepared_response] == [2, 1]
-    w.apply(Step("deliver", (0,)))
-    assert list(w.notified_at) == [("127.0.0.1", 9001)]
-    w.apply(Step("deliver", (1,)))  # the older list untells nothing
-    assert list(w.notified_at) == [("127.0.0.1", 9001)]
+    assert [c.prepared_response["index"] for c in model.discovery_connections if c.prepared_response] == [
+        2,
+        1,
+    ]
+    model.apply(Step("deliver", (0,)))
+    assert list(model.notified_at) == [("127.0.0.1", 9001)]
+    model.apply(Step("deliver", (1,)))  # the older list untells nothing
+    assert list(model.notified_at) == [("127.0.0.1", 9001)]
