--- a/meadowpulley/model_checking/choices.py
+++ b/meadowpulley/model_checking/choices.py
@@ -49,23 +49,23 @@
         self.option_counts.append(option_count)
         return value
 
-    # The part of random.Random that the decisions use
+    # The part of random.Random that the policy uses
 
     def random(self) -> float:
         """Return one of the two ends of the unit interval."""
         return UNIT_INTERVAL_ENDS[self.choose(2)]
 
-    def sample(self, population: Sequence[T], k: int) -> list[T]:
-        """Return `k` of the population in one of the orders that lead to different decisions."""
+    def sample(self, population: Sequence[T], count: int) -> list[T]:
+        """Return `count` of the population in one of the orders that lead to different decisions."""
         self._second_tie_breaker = None
         size = len(population)
         if size <= 2:
-            return list(population)[:k] if k == size else [population[self.choose(size)]][:k]
-        if size == 3 and k >= 2:  # the three turns show every pair
+            return list(population)[:count] if count == size else [population[self.choose(size)]][:count]
+        if size == 3 and count >= 2:  # the three turns show every pair
             rotation = self.choose(3)
-            return [*population[rotation:], *population[:rotation]][:k]
-        orders = list(permutations(range(size), k))
-        return [population[j] for j in orders[self.choose(len(orders))]]
+            return [*population[rotation:], *population[:rotation]][:count]
+        orders = list(permutations(range(size), count))
+        return [population[index] for index in orders[self.choose(len(orders))]]
 
     def expovariate(self, lambd: float) -> float:
         """Drawn for two servers in turn: one draws little, the other much."""
--- a/meadowpulley/model_checking/connection_model/peers.py
+++ b/meadowpulley/model_checking/connection_model/peers.py
@@ -41,9 +41,9 @@
     """Where a message is cut: after its first byte, around each end of its start line and head, in its
     body."""
     line_end, head_end = data.find(b"\r\n"), data.find(b"\r\n\r\n")
-    near_end = {len(data) - k for k in (7, 6, 1) if len(data) - k > head_end + 4}  # around a chunk's end
+    last_cuts = {len(data) - k for k in (7, 6, 1) if len(data) - k > head_end + 4}  # around a chunk's end
     middle = (head_end + 4 + len(data)) // 2
-    cuts = near_end | {
+    cuts = last_cuts | {
         1,
         line_end + 1,
         line_end + 2,
--- a/meadowpulley/model_checking/connection_model/state.py
+++ b/meadowpulley/model_checking/connection_model/state.py
@@ -33,7 +33,7 @@
 from meadowpulley.net import protocol
 from meadowpulley.net.config import Config, ConfigError, parse_address
 from meadowpulley.net.gateway import RESERVED_SOCKETS, Gateway
-from meadowpulley.net.http1 import response_bytes
+from meadowpulley.net.http1 import Message, response_bytes
 from meadowpulley.policy import RolloutPolicy
 
 IGNORED_FIELDS = {
@@ -48,23 +48,30 @@
     "ScriptedTransport": frozenset({"last_sent_at"}),
     "DiscoveryClient": frozenset({"decoder"}),
 }
+
+
+def _write_message(writer: FormWriter, message: Message) -> tuple[object, ...]:
+    """Write a message by value: it says nothing which parsers share the one that stands for none."""
+    head = (message.method, message.target, message.status)
+    return ("message", *head, writer.write(message.headers), message.body)
+
+
 FORM_RULES = FormRules(
     IGNORED_FIELDS,
     {
-        ("Deadlines", "_heap"): lambda w, heap: tuple(
+        ("Deadlines", "_heap"): lambda writer, heap: tuple(
             [
-                (at, w.write(d.callback))
-                for at, n, d in sorted(heap, key=lambda e: e[:2])
-                if d.callback is not None
+                (at, writer.write(deadline.callback))
+                for at, _, deadline in sorted(heap, key=lambda entry: entry[:2])
+                if deadline.callback is not None
             ]
         ),
-        ("Deadlines", "now"): lambda w, _: None,
+        ("Deadlines", "now"): lambda writer, _: None,
     },
     {
-        "RingBuffer": lambda w, ring: ("ring", ring.max_bytes, ring.peek(len(ring))),
-        # by value: which parsers share the message that stands for none says nothing
-        "Message": lambda w, m: ("message", m.method, m.target, m.status, w.write(m.headers), m.body),
-        "Failure": lambda w, failure: ("failure", failure.type.__name__),
+        "RingBuffer": lambda writer, ring: ("ring", ring.max_bytes, ring.peek(len(ring))),
+        "Message": _write_message,
+        "Failure": lambda writer, failure: ("failure", failure.type.__name__),
     },
 )
 _COPIER = Copier()
--- a/meadowpulley/model_checking/fuzz/http.py
+++ b/meadowpulley/model_checking/fuzz/http.py
@@ -151,36 +151,51 @@
 _values = st.one_of(
     _value, st.sampled_from(["0", "5", "chunked", "close", "100-continue", "gzip, chunked", "5, 5"])
 )
-_field = st.tuples(st.one_of(_known, _token), _values).map(lambda f: f"{f[0]}: {f[1]}\r\n".encode("latin-1"))
+_field = st.tuples(st.one_of(_known, _token), _values).map(
+    lambda field: f"{field[0]}: {field[1]}\r\n".encode("latin-1")
+)
 _chunks = st.lists(st.binary(max_size=20), max_size=6).map(
     lambda parts: b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in parts if p) + b"0\r\n\r\n"
 )
 _body = st.one_of(st.just(b""), st.binary(max_size=40), _chunks)
 _start_line = st.one_of(
-    st.builds(lambda m, t, v: f"{m} /{t} HTTP/1.{v}\r\n".encode(), _token, _token, st.sampled_from("0123")),
+    st.builds(
+        lambda method, path, minor: f"{method} /{path} HTTP/1.{minor}\r\n".encode(),
+        _token,
+        _token,
+        st.sampled_from("0123"),
+    ),
     st.sampled_from([b"GET /look HTTP/1.1\r\n", b"POST /pay?w=1 HTTP/1.1\r\n", b"\r\nGET / HTTP/1.1\r\n"]),
 )
 _status_line = st.one_of(
-    st.builds(lambda s, t: f"HTTP/1.1 {s} {t}\r\n".encode(), st.integers(90, 610), _token),
+    st.builds(
+        lambda status, reason: f"HTTP/1.1 {status} {reason}\r\n".encode(), st.integers(90, 610), _token
+    ),
     st.sampled_from([b"HTTP/1.1 200 OK\r\n", b"HTTP/1.0 200\r\n", b"HTTP/1.1 100 Continue\r\n"]),
 )
 
 
 def _message(start_line: st.SearchStrategy[bytes]) -> st.SearchStrategy[bytes]:
-    """Sound messages, sized or chunked, and ones whose head and body have nothing to do with each other."""
+    """Return well-formed messages, sized or chunked, and ones whose head and body do not fit each other."""
     header_fields = st.lists(_field, max_size=6).map(b"".join)
-    unrelated = st.builds(lambda a, f, b: a + f + b"\r\n" + b, start_line, header_fields, _body)
+    unrelated = st.builds(
+        lambda start, fields, body: start + fields + b"\r\n" + body, start_line, header_fields, _body
+    )
     extra_headers = st.lists(st.tuples(_token, _value), max_size=3).map(
         lambda found: b"".join(f"x-{n}: {v}\r\n".encode("latin-1") for n, v in found)
     )
     sized = st.builds(
-        lambda a, f, b: a + b"host: a\r\n" + f + b"content-length: %d\r\n\r\n" % len(b) + b,
+        lambda start, fields, body: (
+            start + b"host: a\r\n" + fields + b"content-length: %d\r\n\r\n" % len(body) + body
+        ),
         start_line,
         extra_headers,
         st.binary(max_size=40),
     )
     chunked = st.builds(
-        lambda a, f, b: a + b"host: a\r\n" + f + b"transfer-encoding: chunked\r\n\r\n" + b,
+        lambda start, fields, body: (
+            start + b"host: a\r\n" + fields + b"transfer-encoding: chunked\r\n\r\n" + body
+        ),
         start_line,
         extra_headers,
         _chunks,
--- a/meadowpulley/model_checking/graph.py
+++ b/meadowpulley/model_checking/graph.py
@@ -320,7 +320,7 @@
             if number is not None:
                 return ("@", number)
             writer.numbers[id(value)] = len(writer.numbers)
-            writer.kept_alive.append(value)
+            writer.referenced.append(value)
             parts = [name]
             if has_dict:
                 for field, part in value.__dict__.items():
@@ -351,7 +351,7 @@
         self.write_functions = rules.write_functions
         self.server_numbers: Mapping[int, int] = server_numbers or {}
         self.numbers: dict[int, int] = {}
-        self.kept_alive: list[Any] = []  # so that no object's number is used twice
+        self.referenced: list[Any] = []  # so that no object's number is used twice
 
     def server_number(self, number: int) -> int:
         """Return the canonical number of a server."""
--- a/meadowpulley/model_checking/mutation_testing.py
+++ b/meadowpulley/model_checking/mutation_testing.py
@@ -96,4 +96,4 @@
             results.append(task.result())
             report_result(results[-1])
     order = {(name, seed): (n, m) for n, name in enumerate(names) for m, seed in enumerate(seeds)}
-    return sorted(results, key=lambda c: order[c.mutant, c.seed])
+    return sorted(results, key=lambda result: order[result.mutant, result.seed])
--- a/meadowpulley/model_checking/policy_model/canonical_form.py
+++ b/meadowpulley/model_checking/policy_model/canonical_form.py
@@ -37,9 +37,8 @@
     )
 
 
-def _unordered_servers(
-    writer: FormWriter, value: Any
-) -> Any:  # which order servers stand in does not matter: all are drawn
+def _unordered_servers(writer: FormWriter, value: Any) -> Any:
+    """Write servers in any order: all are drawn."""
     return tuple(sorted([writer.server_number(s.id) for s in value]))
 
 
--- a/meadowpulley/model_checking/policy_model/configurations.py
+++ b/meadowpulley/model_checking/policy_model/configurations.py
@@ -87,7 +87,7 @@
     limits: Limits = LIMITS
     retry_budget: float = 3.0
     must_poll: bool = False
-    starts_cold: bool = False
+    starts_in_slow_start: bool = False
 
     def settings(self, gateway_index: int, gateway_count: int) -> Settings:
         """Return the settings of one gateway."""
@@ -193,7 +193,7 @@
             (BASELINE_BUILD, BASELINE_BUILD, BASELINE_BUILD),
             frozenset({"gone", "return", "full", "reset"}),
             ("cold", "timer"),
-            starts_cold=True,
+            starts_in_slow_start=True,
         ),
         Configuration(
             "restart",
--- a/meadowpulley/model_checking/policy_model/enabled_steps.py
+++ b/meadowpulley/model_checking/policy_model/enabled_steps.py
@@ -56,7 +56,7 @@
                 if (
                     entry.build == BASELINE_BUILD
                     and entry.state is ServerState.READY
-                    and not self.configuration.starts_cold
+                    and not self.configuration.starts_in_slow_start
                 ):
                     yield Step("return", (entry.server, max(rollout.build, TRIAL_BUILD)))
         if self._fault_allowed("stage") and rollout.phase is Phase.TRIAL:
--- a/meadowpulley/model_checking/policy_model/state.py
+++ b/meadowpulley/model_checking/policy_model/state.py
@@ -42,7 +42,7 @@
         builds = [self.configuration.builds[n % len(self.configuration.builds)] for n in range(count)]
         if TRIAL_BUILD in builds and BASELINE_BUILD not in builds:
             builds[0] = BASELINE_BUILD
-        started_ms = START_MS if self.configuration.starts_cold else 1.0
+        started_ms = START_MS if self.configuration.starts_in_slow_start else 1.0
         initial_list = tuple(self._entry(n + 1, build, started_ms) for n, build in enumerate(builds))
         self.server_lists: tuple[tuple[ServerEntry, ...], ...] = (initial_list,)
         self.rollout_history: tuple[RolloutUpdate, ...] = (self.configuration.rollout_update,)
--- a/meadowpulley/model_checking/shared_state_model/configurations.py
+++ b/meadowpulley/model_checking/shared_state_model/configurations.py
@@ -67,7 +67,7 @@
     takes_over: bool = True
     lends: bool = False
     time_by_rounds: bool = False
-    max_asks: int = 2
+    max_sends: int = 2
 
     def settings(self, gateway_index: int) -> Settings:
         """Return the settings of one gateway."""
--- a/meadowpulley/model_checking/shared_state_model/enabled_steps.py
+++ b/meadowpulley/model_checking/shared_state_model/enabled_steps.py
@@ -39,18 +39,18 @@
             if gateway.running and not gateway.stopped:
                 yield from self._gateway_steps(gateway)
         for index, attempt in enumerate(self.arrived_attempts):
-            if not attempt.is_held:
+            if not attempt.is_delayed:
                 yield Step("run", (index,))
         for gateway in self.gateways:
             if (
                 gateway.running
                 and not gateway.stopped
                 and "looks" not in gateway.blocked_channels
-                and self._has_ledger_news(gateway)
+                and self._has_ledger_changes(gateway)
             ):
                 yield Step("look", (gateway.number,))
 
-    def _has_ledger_news(self, gateway: SimulatedGateway) -> bool:
+    def _has_ledger_changes(self, gateway: SimulatedGateway) -> bool:
         return gateway.pending_view is not None or self.store.version > gateway.ledger_version
 
     def _gateway_steps(self, gateway: SimulatedGateway) -> Iterator[Step]:
@@ -78,7 +78,7 @@
             if gateway.delayed_commits:
                 yield Step("straggle", (gateway.number,))
         for index, attempt in enumerate(self.arrived_attempts):
-            if attempt.is_held:
+            if attempt.is_delayed:
                 yield Step("let_run", (index,))
 
     def _request_steps(self) -> Iterator[Step]:
@@ -110,10 +110,10 @@
 
     def _retry_steps(self, after_loss: bool) -> Iterator[Step]:
         """Clients that ask again, with the same id: those whose gateway was lost, and any others."""
-        for index in sorted({n for n, _ in self.requests_asked}):
-            asked_gateways = [g for m, g in self.requests_asked if m == index]
-            gateway_lost = not self.gateways[asked_gateways[-1]].running  # perhaps the answer was on its way
-            if len(asked_gateways) >= self.configuration.max_asks or after_loss != gateway_lost:
+        for index in sorted({n for n, _ in self.client_sends}):
+            gateways_tried = [g for m, g in self.client_sends if m == index]
+            gateway_lost = not self.gateways[gateways_tried[-1]].running  # perhaps the answer was on its way
+            if len(gateways_tried) >= self.configuration.max_sends or after_loss != gateway_lost:
                 continue
             for gateway in self.gateways:
                 if gateway.running and not gateway.stopped and gateway.killed_at == math.inf:
@@ -131,7 +131,7 @@
             elif "start" in allowed and gateway.incarnation is not None:
                 yield Step("start", (gateway.number,))
         for index, attempt in enumerate(self.arrived_attempts):
-            if not attempt.is_held:
+            if not attempt.is_delayed:
                 yield from (Step(do, (index,)) for do in ("reset", "full", "late") if do in allowed)
 
     def _process_fault_steps(self, gateway: SimulatedGateway) -> Iterator[Step]:
--- a/meadowpulley/model_checking/shared_state_model/invariant_monitor.py
+++ b/meadowpulley/model_checking/shared_state_model/invariant_monitor.py
@@ -105,7 +105,7 @@
     def commit(
         self, now: float, gateway: int, store: MemoryStore, author: Incarnation, commit: Commit
     ) -> list[TransactionResult]:
-        """Carries a commit out, and looks at what it did."""
+        """Carry a commit out, and check what it did."""
         member = store.members_by_name.get(author.name)
         fenced = member is None or member.incarnation != author or member.fenced
         records_before, version = dict(store.records), store.version
@@ -134,47 +134,44 @@
         old_record: Record | None,
         new_record: Record,
     ) -> None:
-        """Taken over by one at a time, and an end stays what it was."""
+        """Check that work is taken over by one at a time, and that a recorded end stays what it was."""
         if old_record is None:
             return
         old_work, new_work = decode_request_record(old_record.value), decode_request_record(new_record.value)
-        request_id = new_record.key[len(RECORD_PREFIX) :]
         if old_work.state is RequestState.REJECTED and not old_work.grants and new_work.owner_count == 1:
             return  # it never ran, and is asked anew
-        if old_work.state in (RequestState.SERVED, RequestState.FAILED) and (
-            old_record.writer != new_record.writer or not new_work.is_final
-        ):
-            self.report(
-                "one-answer",
-                now,
-                gateway,
-                f"work {request_id} had ended {old_work.state.value}, and is rewritten",
-            )
-        if old_record.writer != new_record.writer and old_work.state is RequestState.OPEN:
-            member = members.get(old_record.writer.name)
-            if member is not None and member.incarnation == old_record.writer and not member.fenced:
-                text = (
-                    f"work {request_id} of {old_record.writer}, which lives, is taken by {new_record.writer}"
-                )
-                self.report("one-adopter", now, gateway, text)
-        if (
-            old_record.writer != new_record.writer
-            and not old_work.is_final
-            and new_work.owner_count != old_work.owner_count + 1
-        ):
-            self.report(
-                "one-adopter",
-                now,
-                gateway,
-                f"work {request_id}: {old_work.owner_count} lives had it, now {new_work.owner_count}",
-            )
-        if (
-            new_work.owner_count < old_work.owner_count
-            and not (old_record.writer == new_record.writer and new_work.state is RequestState.RELEASED)
-        ) or len(new_work.grants) < self._binding(old_work, new_work):
-            self.report(
-                "effects", now, gateway, f"work {request_id}: attempts that may have run are forgotten"
-            )
+        name = f"work {new_record.key[len(RECORD_PREFIX) :]}"
+        adopted = old_record.writer != new_record.writer
+        finished = old_work.state in (RequestState.SERVED, RequestState.FAILED)
+        if finished and (adopted or not new_work.is_final):
+            text = f"{name} had ended {old_work.state.value}, and is rewritten"
+            self.report("one-answer", now, gateway, text)
+        if adopted:
+            self._check_adoption(now, gateway, members, old_record, new_record)
+        released = not adopted and new_work.state is RequestState.RELEASED
+        uncounted = new_work.owner_count < old_work.owner_count and not released
+        if uncounted or len(new_work.grants) < self._binding(old_work, new_work):
+            self.report("effects", now, gateway, f"{name}: attempts that may have run are forgotten")
+
+    def _check_adoption(
+        self,
+        now: float,
+        gateway: int,
+        members: Mapping[str, Member],
+        old_record: Record,
+        new_record: Record,
+    ) -> None:
+        """Check that only work of an incarnation that is over is adopted, and that each adoption counts."""
+        old_work, new_work = decode_request_record(old_record.value), decode_request_record(new_record.value)
+        name, owner = f"work {new_record.key[len(RECORD_PREFIX) :]}", old_record.writer
+        member = members.get(owner.name)
+        alive = member is not None and member.incarnation == owner and not member.fenced
+        if alive and old_work.state is RequestState.OPEN:
+            text = f"{name} of {owner}, which lives, is taken by {new_record.writer}"
+            self.report("one-adopter", now, gateway, text)
+        if not old_work.is_final and new_work.owner_count != old_work.owner_count + 1:
+            text = f"{name}: {old_work.owner_count} lives had it, now {new_work.owner_count}"
+            self.report("one-adopter", now, gateway, text)
 
     @staticmethod
     def _binding(old_work: RequestRecord, new_work: RequestRecord) -> int:
--- a/meadowpulley/model_checking/shared_state_model/state.py
+++ b/meadowpulley/model_checking/shared_state_model/state.py
@@ -26,7 +26,7 @@
     request_id: str
     request_class: int
     server: int
-    is_held: bool  # it waits at the server until it is let go
+    is_delayed: bool  # it waits at the server until it is let go
 
 
 class State:
@@ -40,7 +40,7 @@
         self.settings, self.configuration = settings, CONFIGURATIONS[settings.configuration]
         self.now = START_MS
         self.requests_left = tuple(range(settings.requests))  # requests still to come
-        self.requests_asked: tuple[tuple[int, int], ...] = ()  # request and gateway, of every ask
+        self.client_sends: tuple[tuple[int, int], ...] = ()  # request and gateway, of every ask
         self.faults, self.time_advances = settings.faults, settings.time_advances
         self.finished = False
         self.messages: list[tuple[str, str, str]] = []
@@ -91,7 +91,7 @@
         return (
             self.now,
             self.requests_left,
-            self.requests_asked,
+            self.client_sends,
             self.faults,
             self.time_advances,
             self.finished,
--- a/meadowpulley/model_checking/shared_state_model/transitions.py
+++ b/meadowpulley/model_checking/shared_state_model/transitions.py
@@ -196,7 +196,7 @@
         self._send_request(gateway_index, request_index, is_retry=True)
 
     def _send_request(self, gateway_index: int, request_index: int, is_retry: bool) -> None:
-        self.requests_asked = (*self.requests_asked, (request_index, gateway_index))
+        self.client_sends = (*self.client_sends, (request_index, gateway_index))
         self.monitor.rejected.discard(f"r{request_index}")  # refused before, and asked anew
         self.record_message(
             "clients",
@@ -280,15 +280,15 @@
         self.monitor.attempt_abandoned(attempt.request_id)
         self._return_result(attempt, Result.REJECTED)
 
-    def _set_held(self, index: int, is_held: bool) -> None:
-        updated = self.arrived_attempts[index]._replace(is_held=is_held)
+    def _set_delayed(self, index: int, is_delayed: bool) -> None:
+        updated = self.arrived_attempts[index]._replace(is_delayed=is_delayed)
         self.arrived_attempts = (*self.arrived_attempts[:index], updated, *self.arrived_attempts[index + 1 :])
 
     def _do_late(self, index: int) -> None:
-        self._set_held(index, True)
+        self._set_delayed(index, True)
 
     def _do_let_run(self, index: int) -> None:
-        self._set_held(index, False)
+        self._set_delayed(index, False)
 
     # Time
 
--- a/meadowpulley/model_checking/shared_state_mutants.py
+++ b/meadowpulley/model_checking/shared_state_mutants.py
@@ -4,10 +4,10 @@
 
 from meadowpulley.model_checking.mutant_builders import shared_state_mutant
 
-MEMORY, LEASE_KEEPER = "meadowpulley.ledger.memory", "meadowpulley.ledger.lease_manager"
-REQUEST_JOURNAL, ADOPT = "meadowpulley.takeover.request_journal", "meadowpulley.takeover.adoption"
-ORPHANS, MIRROR = "meadowpulley.takeover.orphan_claims", "meadowpulley.takeover.ledger_view"
-ANSWERS, STAGE = "meadowpulley.takeover.duplicate_waiters", "meadowpulley.takeover.stage"
+MEMORY, LEASE_MANAGER = "meadowpulley.ledger.memory", "meadowpulley.ledger.lease_manager"
+REQUEST_JOURNAL, ADOPTION = "meadowpulley.takeover.request_journal", "meadowpulley.takeover.adoption"
+ORPHAN_CLAIMS, LEDGER_VIEW = "meadowpulley.takeover.orphan_claims", "meadowpulley.takeover.ledger_view"
+DUPLICATE_WAITERS, STAGE = "meadowpulley.takeover.duplicate_waiters", "meadowpulley.takeover.stage"
 ALLOCATOR, QUOTA_CLIENT = "meadowpulley.lending.allocator", "meadowpulley.lending.quota_client"
 
 
@@ -60,7 +60,7 @@
         "the own lease counts from the answer to a renewal",
         "lease",
         "answers",
-        LEASE_KEEPER,
+        LEASE_MANAGER,
         (
             "held_until = renewal_started + ",
             "held_until = now + ",
@@ -71,7 +71,7 @@
         "others count a lease free while it holds",
         "lease",
         "answers",
-        LEASE_KEEPER,
+        LEASE_MANAGER,
         (
             "observed.observed_at + self.timings.expiry_of(observed.member.term_ms)",
             "observed.observed_at + observed.member.term_ms * 0.5",
@@ -82,7 +82,7 @@
         "renewals of others are not counted",
         "lease sealed",
         "lives",
-        LEASE_KEEPER,
+        LEASE_MANAGER,
         ("observed.observed_at, observed.expired = now, False", "observed.expired = False"),
         time_advances=4,
     ),
@@ -134,7 +134,7 @@
         "an ask for a recorded answer is answered as failed",
         "one-answer",
         "clients",
-        ANSWERS,
+        DUPLICATE_WAITERS,
         (
             "self.answer_all(builder, request_id, RequestState.SERVED, response)",
             "self.answer_all(builder, request_id, RequestState.SERVED, None)",
@@ -200,7 +200,7 @@
         "unsafe work whose right was won is refused",
         "effects",
         "lives",
-        ADOPT,
+        ADOPTION,
         (
             (
                 "    if record.grants and request_class.effect is Effect.NON_IDEMPOTENT:\n"
@@ -218,7 +218,7 @@
         "work of a suspected life is taken before that is sealed",
         "one-adopter",
         "lives",
-        MIRROR,
+        LEDGER_VIEW,
         ("ended = self.update_member(member)", "ended = [*self.update_member(member), member.incarnation]"),
     ),
     shared_state_mutant(
@@ -226,7 +226,7 @@
         "the end of a life is passed over",
         "work-ends",
         "lives",
-        MIRROR,
+        LEDGER_VIEW,
         (
             "        ended = [incarnation] if member.fenced else []\n",
             "        ended: list[Incarnation] = []\n",
@@ -237,7 +237,7 @@
         "a claim forgets which attempts may have run",
         "effects",
         "keyed",
-        ORPHANS,
+        ORPHAN_CLAIMS,
         (
             "MAX_DURATION_MS),\n            grants=claim.grants,\n",
             "MAX_DURATION_MS),\n            grants=(),\n",
@@ -248,7 +248,7 @@
         "a claim does not count",
         "one-adopter",
         "lives",
-        ORPHANS,
+        ORPHAN_CLAIMS,
         ("owner_count=record.owner_count + 1,", "owner_count=record.owner_count,"),
     ),
     shared_state_mutant(
@@ -256,7 +256,7 @@
         "work that ends by a claim is left as it was",
         "work-ends timers",
         "lives",
-        ORPHANS,
+        ORPHAN_CLAIMS,
         ("            state=claim.target_state,\n", ""),
     ),
     # Lending
