Gateway: DeferredResponse, typed signal handler

Need: names-check still listed a withdrawn word and an untyped frame. Change: HeldResponse is DeferredResponse, the signal handler takes a FrameType. Result: test_net_extension and test_net_parts pass.

--- a/meadowpulley/net/client_connection.py
+++ b/meadowpulley/net/client_connection.py
@@ -125,7 +125,7 @@
         finally:
             self._processing_input = False
         if self.is_open and self.state is ClientConnectionState.WAITING:
-            self._await_rest_of_request()
+            self._await_remaining_request()
 
     def _admit_requests(self, max_requests: int) -> None:
         remaining = max_requests
@@ -153,7 +153,7 @@
         elif self.state in (ClientConnectionState.WAITING, ClientConnectionState.PROCESSING):
             self.respond(502, {}, b"")
 
-    def _await_rest_of_request(self) -> None:
+    def _await_remaining_request(self) -> None:
         if self.parser.expects_continue:
             self.parser.expects_continue = False
             self.send(response_bytes(100, {}))
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -45,6 +45,8 @@
 from meadowpulley.policy import RolloutPolicy
 
 if TYPE_CHECKING:
+    from types import FrameType
+
     from meadowpulley.net.capture import Capture
 
 RESERVED_SOCKETS = 32  # for the program itself, the platform, discovery and connections that are ending
@@ -221,6 +223,7 @@
         self.capture = capture
 
         def flush() -> None:
+            """Flush now, and again after the interval."""
             capture.flush()
             if not self.stopping:
                 self.deadlines.after(interval_ms, flush)
@@ -235,7 +238,7 @@
         extra = {"peers.dropped": dropped} if dropped else {}
         self.log.info("counters", phase=self.phase.value, **self.counters.snapshot(), **extra)
 
-    def on_signal(self, number: int, _: Any) -> None:
+    def on_signal(self, number: int, _: FrameType | None) -> None:
         """Handle a signal: what it asks for runs in the reactor's turn."""
         if number == signal.SIGUSR1:
             self.reactor.callFromThread(self.log_counters)
--- a/meadowpulley/net/request_table.py
+++ b/meadowpulley/net/request_table.py
@@ -62,7 +62,7 @@
         return self.message.headers[protocol.REQUEST_ID_HEADER]
 
 
-class HeldResponse:
+class DeferredResponse:
     """A response that the extension may hold, at most until the request's deadline and slack."""
 
     def __init__(
@@ -117,8 +117,8 @@
         self._finish(request)
         self.gateway.counters.add(f"out.{status}")
         if self.gateway.extension is not None:
-            held = HeldResponse(self, request, sink, Response(status, headers, body))
-            self._pass_to_extension(self.gateway.extension, held)
+            deferred = DeferredResponse(self, request, sink, Response(status, headers, body))
+            self._pass_to_extension(self.gateway.extension, deferred)
         elif sink is not None and sink.is_open and sink.request is request:
             sink.respond(status, headers, body)
 
@@ -204,12 +204,12 @@
         self.respond(request, 504, {}, b"")
         self.gateway.dispatch(ClientDisconnected(request.handle))
 
-    def _pass_to_extension(self, extension: Extension, held: HeldResponse) -> None:
+    def _pass_to_extension(self, extension: Extension, deferred: DeferredResponse) -> None:
         try:
-            extension.on_response(held.request.handle, held.response, held.release)
+            extension.on_response(deferred.request.handle, deferred.response, deferred.release)
         except Exception:
             self.gateway.log_fault("extension")
-            held.release(held.response)
+            deferred.release(deferred.response)
 
     def _continues_without_client(self, extension: Extension, request: AcceptedRequest) -> bool:
         try:
