--- a/meadowpulley/emulator/takeover_gateway.py
+++ b/meadowpulley/emulator/takeover_gateway.py
@@ -1,7 +1,7 @@
-"""A gateway whose work in hand is written down and taken over: what its adapter does beside the usual.
+"""Simulated gateway with a journal of requests that other gateways can take over.
 
-A request is told to the stages with the client's id and all it sent; a good answer is held until they pass it
-on; work of lost gateways gets a slot without a client.
+Events of requests carry the client's request id and content. A good response is held until the stages
+deliver it. Requests of crashed gateways get a slot without a client.
 """
 
 from __future__ import annotations
@@ -17,42 +17,44 @@
 from meadowpulley.ledger import Incarnation
 from meadowpulley.load.arrivals import Arrival
 from meadowpulley.rules import AdoptionStarted, ClientDetached, RequestAbandoned
-from meadowpulley.takeover import model as m
+from meadowpulley.takeover import messages
 
 TARGET = "/"
-RELEASE_BEFORE_END_MS = 60.0  # before its end a gateway that stops gives its lease back
-DRAIN_POLL_MS = 50.0  # between two looks whether all is over, as it stops
+RELEASE_BEFORE_END_MS = 60.0  # a gateway that shuts down releases its lease this long before its end
+DRAIN_POLL_MS = 50.0  # interval of checks whether all requests ended, during shutdown
 STATUS_OK = 200
 
 
 class TakeoverGateway(SimulatedGateway):
+    """A gateway whose pipeline contains the takeover stage."""
+
     def __init__(self, emulation: Any, number: int) -> None:
         super().__init__(emulation, number)
         self._action_handlers |= {
-            m.Deliver: self._deliver,
-            m.Discard: self._discard,
-            m.AdoptRequest: self._adopt,
+            messages.Deliver: self._deliver,
+            messages.Discard: self._discard,
+            messages.AdoptRequest: self._adopt,
         }
 
     def _request_event(self, request: InFlightRequest) -> Any:
         call = request.client_request.call
         body = msgspec.json.encode(call.arrival)
-        return m.ClientRequest(
+        return messages.ClientRequest(
             super()._request_event(request), request.client_request.request_id, "POST", TARGET, (), body
         )
 
-    # Answers
+    # Responses
 
-    def _deliver_response(self, attempt: Attempt) -> None:
-        """A good answer has come: the stages say when it goes out. A second one of it is of no use."""
+    def deliver_response(self, attempt: Attempt) -> None:
+        """Hand a good response to the stages, which decide when it is delivered; ignore a second one."""
         request = attempt.request
         if not request.response_ready:
             request.response_ready = True
             server_id = attempt.server.entry.server if attempt.server is not None else -1
             content = f"{request.client_request.number} {attempt.number} {server_id}".encode()
-            self.dispatch(m.ResponseReady(request.client_request.number, STATUS_OK, (), content))
+            self.dispatch(messages.ResponseReady(request.client_request.number, STATUS_OK, (), content))
 
-    def _deliver(self, action: m.Deliver) -> None:
+    def _deliver(self, action: messages.Deliver) -> None:
         request = self.in_flight.get(action.request)
         if (
             request is None
@@ -65,13 +67,13 @@
         else:
             self._send_response(request, "failed", 0.0)
 
-    def _discard(self, action: m.Discard) -> None:
+    def _discard(self, action: messages.Discard) -> None:
         request = self.in_flight.get(action.request)
         if request is not None and not request.finished:
             self._finish(request)
             self.emulation.record(RequestAbandoned(self.clock.now, self.number, action.request))
 
-    # Clients that leave
+    # Client disconnects
 
     def _handle_disconnect(self, request: InFlightRequest) -> None:
         if request.finished:
@@ -79,16 +81,16 @@
         number = request.client_request.number
         if self.emulation.takeover_of(self).continues_without_client(number):
             self.emulation.record(ClientDetached(self.clock.now, self.number, number))
-            self.dispatch(m.ClientDetached(number))
+            self.dispatch(messages.ClientDetached(number))
         else:
             super()._handle_disconnect(request)
 
-    # Work of others
+    # Adopted requests
 
-    def _adopt(self, action: m.AdoptRequest) -> None:
+    def _adopt(self, action: messages.AdoptRequest) -> None:
         now, emulation = self.clock.now, self.emulation
         if self.pending_responses >= self.client_slots:
-            self.dispatch(m.AdoptionResult(action.request_id, None))
+            self.dispatch(messages.AdoptionResult(action.request_id, None))
             return
         arrival = msgspec.json.decode(action.body, type=Arrival)
         call = ClientCall(arrival, action.class_index, self.site, now, finished=True)
@@ -105,14 +107,14 @@
         self.clock.call_at(
             request.deadline, self.in_this_incarnation(partial(self._deadline_passed, request))
         )
-        self.dispatch(m.AdoptionResult(action.request_id, number))
+        self.dispatch(messages.AdoptionResult(action.request_id, number))
 
-    # A planned stop
+    # Graceful shutdown
 
     def stop(self, grace_ms: float) -> None:
-        """What can't end in time is given away; the lease is given back before the end."""
+        """Shut down gracefully: release requests that cannot end in time, then the lease."""
         self.leaving = True
-        self.dispatch(m.ShutdownNotice(grace_ms))
+        self.dispatch(messages.ShutdownNotice(grace_ms))
         self._drain_until(self.clock.now + grace_ms, self.incarnation)
 
     def _drain_until(self, deadline: float, incarnation: Incarnation | None) -> None:
--- a/meadowpulley/model_checking/choices.py
+++ b/meadowpulley/model_checking/choices.py
@@ -1,11 +1,11 @@
-"""Chance as a choice point: what the decisions draw is explored, not sampled.
+"""Random draws as choice points: what the policy draws is explored, not sampled.
 
-`Choices` stands in the place of the balancer's random numbers. Each draw asks for one of a few outcomes;
-a script says which, and what lies beyond the script is the first outcome. Which outcomes stand for all:
+`ScriptedRandom` stands in for the policy's random numbers. Each draw asks for one of a few outcomes; a script
+says which, and what lies beyond the script is the first outcome. Which outcomes stand for all:
 
 - a number between 0 and 1 is compared with a threshold or rounded: its two ends;
 - the order in which servers are looked at decides only which two are compared: every pair of three;
-- the tie-breaker between two servers: either may win, whatever the two hold.
+- the tie-breaker between two servers: either may win, whatever their load.
 """
 
 from __future__ import annotations
@@ -34,6 +34,7 @@
         self._second_tie_breaker: float | None = None
 
     def begin(self, script: Sequence[int]) -> None:
+        """Start a run that follows the script."""
         self.script, self.chosen, self.option_counts, self._second_tie_breaker = script, [], [], None
 
     def choose(self, option_count: int) -> int:
@@ -51,9 +52,11 @@
     # The part of random.Random that the decisions use
 
     def random(self) -> float:
+        """Return one of the two ends of the unit interval."""
         return UNIT_INTERVAL_ENDS[self.choose(2)]
 
     def sample(self, population: Sequence[T], k: int) -> list[T]:
+        """Return `k` of the population in one of the orders that lead to different decisions."""
         self._second_tie_breaker = None
         size = len(population)
         if size <= 2:
--- a/meadowpulley/model_checking/connection_model/peers.py
+++ b/meadowpulley/model_checking/connection_model/peers.py
@@ -1,4 +1,4 @@
-"""Clients and instances of world B: what they write, and where it is cut."""
+"""Clients, instances and discovery of the connection model: what they write, and where it is cut."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 def request_bytes_of(kind: str, request_id: str) -> bytes:
-    """A request of a script's word."""
+    """Return a request of the kind that a script names."""
     head = f"host: app.svc\r\n{protocol.REQUEST_ID_HEADER}: {request_id}\r\n"
     head += f"{protocol.REMAINING_TIME_HEADER}: 400m\r\n"
     if kind == "get":
@@ -96,9 +96,11 @@
         self.numberAccepts += 20
 
     def stopListening(self) -> None:  # noqa: N802
+        """Close the port."""
         self.connectionLost(None)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Close the port; clients that wait to be accepted are reset."""
         self.is_open = False
         self.reset_clients += [client for client, _ in self.waiting]
         self.waiting = []
@@ -110,7 +112,7 @@
     def __init__(self, transport: ScriptedTransport) -> None:
         self.transport = transport
         self.response_count = 0  # requests
-        self.rejected_requests: list[int] = []  # which of them were told not to have run
+        self.rejected_requests: list[int] = []  # indices of those answered as not executed
         self.unsent_response = b""  # of an answer that has begun
         self.last_response, self.last_response_at = (
             b"",
@@ -128,6 +130,7 @@
         self.states = [("in_service", 1)] * len(addresses)
 
     def set_state(self, index: int, state: str) -> None:
+        """Set the state of an instance, in a new version of the list."""
         self.version += 1
         self.states[index] = state, self.version
 
@@ -160,6 +163,7 @@
         self.prepared_response: dict[str, Any] | None = None
 
     def pending_call(self) -> Message | None:
+        """Return the oldest call that has no response, or None."""
         requests, _ = parse_messages(self.transport.received_by_peer, True)
         return requests[self.response_count] if len(requests) > self.response_count else None
 
--- a/meadowpulley/model_checking/graph.py
+++ b/meadowpulley/model_checking/graph.py
@@ -1,9 +1,8 @@
-"""Copies and canonical forms of objects, so that a state of the real code can be kept, and told from
-others.
+"""Copies and canonical forms of objects, so that a state of the real code can be kept and compared.
 
-Both walk whatever an object holds: a field that is added to the code tomorrow is copied and compared
-without a word here. What never changes (settings, events, functions without captured names) is shared. Each
-class gets its own way once, since this is where the search spends its time.
+Both walk whatever an object holds: a field that is added to the code later is copied and compared without a
+word here. What never changes (settings, events, functions without captured names) is shared. How to handle a
+class is worked out once, since this is where the search spends its time.
 """
 
 from __future__ import annotations
@@ -47,6 +46,7 @@
 
 
 def slots_of(cls: type) -> tuple[str, ...]:
+    """Return the names in the slots of a class and its bases."""
     names: list[str] = []
     for base in cls.__mro__:
         declared = base.__dict__.get("__slots__", ())
@@ -354,13 +354,16 @@
         self.kept_alive: list[Any] = []  # so that no object's number is used twice
 
     def server_number(self, number: int) -> int:
+        """Return the canonical number of a server."""
         return self.server_numbers.get(number, number)
 
     def write(self, value: Any) -> Any:
+        """Return the canonical form of a value."""
         function = self.write_functions[type(value)]
         return value if function is None else function(self, value)
 
     def write_parts(self, values: Iterable[Any]) -> list[Any]:
+        """Return the canonical forms of several values."""
         functions, parts = self.write_functions, []
         for part in values:
             function = functions[type(part)]
--- a/meadowpulley/model_checking/mutation_testing.py
+++ b/meadowpulley/model_checking/mutation_testing.py
@@ -1,4 +1,4 @@
-"""Plays planted bugs, each in a process of its own, and says what caught them."""
+"""Plays planted bugs, each in a process of its own, and reports what caught them."""
 
 from __future__ import annotations
 
@@ -34,6 +34,7 @@
 
 
 def settings_of(mutant: Mutant) -> ModelSettings:
+    """Return the model and the bounds under which a mutant shows."""
     return ModelSettings(
         model=mutant.model,
         configuration=mutant.configuration,
--- a/meadowpulley/model_checking/policy_model/canonical_form.py
+++ b/meadowpulley/model_checking/policy_model/canonical_form.py
@@ -1,4 +1,4 @@
-"""How a state of the decisions is copied, told from others and written in canonical form."""
+"""How a state of the policy model is copied, compared and written in canonical form."""
 
 from __future__ import annotations
 
@@ -37,16 +37,6 @@
     )
 
 
-def _due_statistics(writer: FormWriter, value: Any) -> Any:
-    return tuple(
-        [(at, cls, build, writer.server_number(s), failed, ok) for at, cls, build, s, failed, ok in value]
-    )
-
-
-def _unpublished(writer: FormWriter, value: Any) -> Any:
-    return tuple([(cls, build, writer.server_number(s), failed, ok) for cls, build, s, failed, ok in value])
-
-
 def _unordered_servers(
     writer: FormWriter, value: Any
 ) -> Any:  # which order servers stand in does not matter: all are drawn
@@ -61,15 +51,14 @@
     ("RolloutPolicy", "servers"): _by_server,
     ("RolloutPolicy", "trial_servers"): _unordered_servers,
     ("RolloutPolicy", "baseline_servers"): _unordered_servers,
-    ("RolloutPolicy", "pending_outcomes"): _due_statistics,
-    ("GossipState", "unpublished"): _unpublished,
+    ("OutcomeCounts", "server"): lambda writer, value: writer.server_number(value),
     ("RolloutPolicy", "sticky_builds"): _by_key,
     ("Server", "id"): lambda writer, value: writer.server_number(value),
     ("InFlightRequest", "attempted_servers"): _servers,
     ("InFlightRequest", "probed_servers"): _servers,
     ("SequentialFailureTest", "log_odds"): _evidence_sums,
-    ("_GatewayState", "servers"): _by_server,
-    ("_ObservedAttempt", "server"): lambda writer, value: writer.server_number(value),
+    ("GatewayState", "servers"): _by_server,
+    ("ObservedAttempt", "server"): lambda writer, value: writer.server_number(value),
     ("OutstandingAttempt", "server"): lambda writer, value: writer.server_number(value),
     ("InvariantMonitor", "slow_start_attempts"): lambda writer, value: tuple(
         sorted((writer.server_number(s), n, c) for (s, n), c in value.items())
--- a/meadowpulley/model_checking/policy_model/enabled_steps.py
+++ b/meadowpulley/model_checking/policy_model/enabled_steps.py
@@ -1,4 +1,4 @@
-"""What may happen next in world A, and the moments at which time may stop."""
+"""What may happen next in the policy model, and the moments at which time may stop."""
 
 from __future__ import annotations
 
@@ -24,6 +24,7 @@
     # Steps
 
     def enabled_steps(self) -> list[Step]:
+        """Return the steps that may happen next, in a fixed order."""
         steps: list[Step] = []
         if not self.settings.ordered_gateways or self.last_to_step < 0:
             steps += self._environment_steps()
@@ -38,7 +39,7 @@
         return self.faults > 0 and fault in self.configuration.faults
 
     def _environment_steps(self) -> Iterator[Step]:
-        """Servers, the platform: whatever they do is told to gateways later."""
+        """Steps of servers and the platform; gateways are notified later."""
         latest_list, rollout = self.server_lists[-1], self.rollout_history[-1]
         for entry in latest_list:
             if self._fault_allowed("drain") and entry.state is ServerState.READY:
--- a/meadowpulley/model_checking/policy_model/state.py
+++ b/meadowpulley/model_checking/policy_model/state.py
@@ -1,4 +1,4 @@
-"""A state of world A: gateways, lists, the platform's history, what is left to come."""
+"""A state of the policy model: gateways, endpoint lists, the rollout's history, what is still to come."""
 
 from __future__ import annotations
 
@@ -22,10 +22,10 @@
 
 
 class State:
-    """The world, between steps. Copies share hosts until one of them steps."""
+    """The model between steps. Copies share gateways until one of them steps."""
 
     def __init__(
-        self, settings: ModelSettings, make_policy: Callable[[Settings, int], Any] = RolloutPolicy
+        self, settings: ModelSettings, make_policy: Callable[[Settings, int], RolloutPolicy] = RolloutPolicy
     ) -> None:
         if settings.configuration not in CONFIGURATIONS:
             raise ValueError(
@@ -33,7 +33,7 @@
             )
         self.settings, self.configuration = settings, CONFIGURATIONS[settings.configuration]
         self.now = START_MS
-        self.last_to_step = -1  # who stepped last in this moment; -1: nobody but the parties around
+        self.last_to_step = -1  # the gateway that stepped last in this moment; -1: none did
         self.requests_left = tuple(range(settings.requests))  # requests still to come
         self.faults, self.time_advances = settings.faults, settings.time_advances
         self.violations: list[Violation] = []
@@ -60,6 +60,7 @@
         return ServerEntry(server, 0, 0, ServerState.READY, build, started_ms, 0, 1.0)
 
     def entry_at(self, version: int, server: int) -> ServerEntry | None:
+        """Return the entry of a server in a version of the list, or None."""
         return (
             next((e for e in self.server_lists[version] if e.server == server), None)
             if version >= 0
@@ -67,10 +68,11 @@
         )
 
     def record_message(self, sender: str, receiver: str, text: str) -> None:
+        """Record what one party says to another."""
         self.messages.append((sender, receiver, text))
 
     def _stepping_gateway(self, gateway_index: int) -> SimulatedGateway:
-        """A gateway that steps now; other copies of the world keep theirs."""
+        """Return a gateway that steps now; other copies of the model keep theirs."""
         gateway = self.gateways[gateway_index] = self.gateways[gateway_index].copy()
         self.last_to_step = gateway_index
         return gateway
@@ -89,6 +91,7 @@
     # Copies and forms
 
     def copy(self) -> Self:
+        """Return a copy that shares gateways until one of them steps."""
         duplicate = type(self).__new__(type(self))
         duplicate.__dict__.update(self.__dict__)
         duplicate.gateways, duplicate.violations, duplicate.messages = (
@@ -107,6 +110,7 @@
         return (*self._environment_form(server_numbers), tuple(gateways))
 
     def fingerprint(self) -> int:
+        """Return 64 bits of the canonical form."""
         server_numbers = self._canonical_server_numbers() if self.settings.symmetry else {}
         gateways = [(self._may_step(h), h.fingerprint(server_numbers)) for h in self.gateways]
         if self.settings.symmetry:
--- a/meadowpulley/model_checking/shared_state_model/configurations.py
+++ b/meadowpulley/model_checking/shared_state_model/configurations.py
@@ -1,4 +1,4 @@
-"""The scenes of world C: which requests come, what may go wrong, and the terms, scaled down."""
+"""The configurations of the shared-state model: which requests come, what may fail, scaled-down times."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 )
 from meadowpulley.ledger.lease_manager import LeaseTimings as LeaseTerms
 from meadowpulley.lending import Quota, QuotaPlan
-from meadowpulley.takeover.model import JournalScope, TakeoverSettings
+from meadowpulley.takeover.settings import JournalScope, TakeoverSettings
 
 SAFE, UNSAFE, IDEMPOTENT_WITH_KEY = 0, 1, 2
 BUILD = 41
@@ -70,6 +70,7 @@
     max_asks: int = 2
 
     def settings(self, gateway_index: int) -> Settings:
+        """Return the settings of one gateway."""
         return Settings(gateway_index, 2, 0, ("hobart",), 5.0, CLASSES, TENANTS, RULES, LIMITS, ROLLOUT)
 
 
--- a/meadowpulley/model_checking/shared_state_model/enabled_steps.py
+++ b/meadowpulley/model_checking/shared_state_model/enabled_steps.py
@@ -1,9 +1,9 @@
-"""What may happen next in world C.
+"""What may happen next in the shared-state model.
 
-In each state the moves that are under way stand in an order, and the first of them is free: so everything
-goes on by itself, as in a process that nothing disturbs. Any other move, and whatever is somebody's failure,
-costs one of the path's troubles (bounding the delays of a schedule: Emmi, Qadeer, Rakamaric, POPL 2011).
-Clients, time, a wake and whatever was held back and is let go cost nothing, at any point.
+In each state the steps under way stand in an order, and the first of them is free: so everything goes on by
+itself, as in a process that nothing disturbs. Any other step, and whatever is somebody's failure, costs one
+of the path's faults (bounding the delays of a schedule: Emmi, Qadeer, Rakamaric, POPL 2011). Clients, time, a
+resumption and whatever was held back and is let go cost nothing, at any point.
 """
 
 from __future__ import annotations
@@ -12,7 +12,8 @@
 from collections.abc import Iterator
 
 from meadowpulley.model_checking.model import Step
-from meadowpulley.model_checking.shared_state_model.gateway import CHANNELS, SimulatedGateway
+from meadowpulley.model_checking.shared_state_model.gateway import SimulatedGateway
+from meadowpulley.model_checking.shared_state_model.gateway_state import CHANNELS
 from meadowpulley.model_checking.shared_state_model.state import State
 
 
@@ -20,6 +21,7 @@
     """The steps that are possible in a state."""
 
     def enabled_steps(self) -> list[Step]:
+        """Return the steps that may happen next, in a fixed order."""
         if self.finished:
             return []
         progress = list(self._progress_steps())
--- a/meadowpulley/model_checking/shared_state_model/invariant_monitor.py
+++ b/meadowpulley/model_checking/shared_state_model/invariant_monitor.py
@@ -1,4 +1,4 @@
-"""The books of world C: what ran at servers, what clients were told, who wrote what into the ledger."""
+"""The invariants of the shared-state model: what ran at servers, what clients got, who wrote the ledger."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 )
 from meadowpulley.model_checking.properties import Violation
 from meadowpulley.model_checking.shared_state_model.configurations import CLASSES, UNSAFE
-from meadowpulley.takeover.model import RECORD_PREFIX, RequestRecord, RequestState, decode_request_record
+from meadowpulley.takeover.records import RECORD_PREFIX, RequestRecord, RequestState, decode_request_record
 
 
 class InvariantMonitor:
@@ -26,11 +26,14 @@
         self.executions: dict[str, int] = {}  # how often at servers
         self.possible_executions: dict[str, int] = {}  # attempts whose bytes went out, and that may run yet
         self.answers: dict[str, tuple[str, ...]] = {}  # the answers that clients got, each once
-        self.rejected: set[str] = set()  # whose client was told that it was refused
-        self.unjournaled: set[str] = set()  # safe ones asked of a life that knew of its end: served unwritten
+        self.rejected: set[str] = set()  # whose client got a rejection
+        self.unjournaled: set[str] = (
+            set()
+        )  # idempotent ones asked of a fenced incarnation: served without a record
         self.violations: list[Violation] = []
 
     def copy(self) -> InvariantMonitor:
+        """Return an independent copy."""
         duplicate = InvariantMonitor()
         duplicate.executions, duplicate.possible_executions, duplicate.answers = (
             dict(self.executions),
@@ -41,6 +44,7 @@
         return duplicate
 
     def form(self) -> tuple[object, ...]:
+        """Return the state in canonical form."""
         tables = (self.executions, self.possible_executions, self.answers)
         return (
             *(tuple(sorted(t.items())) for t in tables),
@@ -49,11 +53,13 @@
         )
 
     def report(self, property_name: str, now: float, gateway: int, text: str) -> None:
+        """Report that a property does not hold."""
         self.violations.append(Violation(property_name, now, gateway, text))
 
     # Effects
 
     def attempt_sent(self, request_id: str) -> None:
+        """Note that the bytes of an attempt went out."""
         self.possible_executions[request_id] = self.possible_executions.get(request_id, 0) + 1
 
     def attempt_abandoned(self, request_id: str) -> None:
@@ -61,6 +67,7 @@
         self.possible_executions[request_id] -= 1
 
     def attempt_executed(self, now: float, request_id: str, request_class: int) -> None:
+        """Note that an attempt ran at its server."""
         self.attempt_abandoned(request_id)
         self.executions[request_id] = self.executions.get(request_id, 0) + 1
         if request_class == UNSAFE and self.executions[request_id] > 1:
@@ -73,7 +80,7 @@
     def client_answered(
         self, now: float, gateway: int, request_id: str, request_class: int, text: str
     ) -> None:
-        """A client is told: `refused`, `failed`, or the body it was served."""
+        """Check an answer that a client gets: `refused`, `failed`, or the body that it is served."""
         if text == "refused":
             if request_class != 0 and (
                 self.executions.get(request_id, 0) or self.possible_executions.get(request_id, 0)
@@ -171,7 +178,7 @@
 
     @staticmethod
     def _binding(old_work: RequestRecord, new_work: RequestRecord) -> int:
-        """Rights of an earlier life stay: only its own may a life take back, once its outcome is known."""
+        """Return how many grants must stay: an incarnation takes back only its own, by their outcomes."""
         request_class = next((c for c in CLASSES if c.name == new_work.class_name), None)
         return (
             len(old_work.grants)
--- a/meadowpulley/model_checking/shared_state_model/transitions.py
+++ b/meadowpulley/model_checking/shared_state_model/transitions.py
@@ -1,4 +1,4 @@
-"""Taking a step of world C, and what must hold when all is over."""
+"""Applying a step of the shared-state model, and what must hold when all is over."""
 
 from __future__ import annotations
 
@@ -25,9 +25,10 @@
 )
 from meadowpulley.model_checking.shared_state_model.descriptions import step_text
 from meadowpulley.model_checking.shared_state_model.enabled_steps import EnabledSteps
-from meadowpulley.model_checking.shared_state_model.gateway import RANDOM, SimulatedGateway
+from meadowpulley.model_checking.shared_state_model.gateway import SimulatedGateway
+from meadowpulley.model_checking.shared_state_model.gateway_state import RANDOM
 from meadowpulley.model_checking.shared_state_model.state import Attempt
-from meadowpulley.takeover.model import ShutdownNotice
+from meadowpulley.takeover.messages import ShutdownNotice
 
 STOP_GRACE_MS = 500.0  # between SIGTERM and SIGKILL
 RUN_OUT_MS = max(c.deadline_ms for c in CLASSES) + 4 * LEASE_TERM_MS  # by when everything has met its end
@@ -36,7 +37,7 @@
 
 
 class SharedStateModel(EnabledSteps):
-    """The world: each step is a method."""
+    """The whole model: each step is a method named for it."""
 
     def _settle_initially(self) -> None:
         """Both have renewed their leases and know of each other; what is lent has been granted."""
@@ -46,6 +47,7 @@
             self._settle()
 
     def apply(self, step: Step) -> tuple[Sequence[int], Sequence[int]]:
+        """Make a step happen and check all properties; nothing is drawn in this model."""
         RANDOM.begin(())
         self.messages, self.own_gateways = [], set()
         if self._costs_fault(step):
@@ -74,7 +76,7 @@
         return step != first
 
     def _stepping_gateway(self, gateway_index: int) -> SimulatedGateway:
-        """A gateway that steps now; other copies of the world keep theirs."""
+        """Return a gateway that steps now; other copies of the model keep theirs."""
         if gateway_index not in self.own_gateways:
             self.gateways[gateway_index] = self.gateways[gateway_index].copy()
             self.own_gateways.add(gateway_index)
@@ -368,4 +370,5 @@
     # For people
 
     def describe(self, step: Step) -> str:
+        """Return a step in words, before it is applied."""
         return step_text(self, step)
--- a/meadowpulley/state/state.py
+++ b/meadowpulley/state/state.py
@@ -22,7 +22,7 @@
     Settings,
 )
 from meadowpulley.state.averages import DecayingRate, event_windows
-from meadowpulley.state.gossip import GossipState
+from meadowpulley.state.gossip import GossipState, OutcomeCounts
 from meadowpulley.state.requests import Attempt, InFlightRequest
 from meadowpulley.state.rollout import BuildEvidence, TrafficPause, VoteState, progress
 from meadowpulley.state.servers import Server
@@ -76,8 +76,10 @@
         self.retry_budget, self.concurrency_limit = 1.0, math.inf
 
     def _init_rollout(self, settings: Settings) -> None:
-        self.latest_rollout: RolloutUpdate | None = None  # as told last, for the rules
-        self.furthest_rollout: RolloutUpdate | None = None  # the furthest known, for evaluation and votes
+        self.latest_rollout: RolloutUpdate | None = None  # the last update, for the rules
+        self.furthest_rollout: RolloutUpdate | None = (
+            None  # the furthest state known, for evaluation and votes
+        )
         self.baseline_build = self.rollback_build = -1  # of the newest build; the one to be rolled back
         self.trial_started_at = self.stage_started_at = 0.0
         self.baseline_latency_ms = self.baseline_request_rate = 0.0  # before the newest build
@@ -88,8 +90,7 @@
         self.sticky_builds: dict[int, int] = {}  # monotonic keys: the build that may have answered each
         self.oldest_sticky_build = -1  # no key goes to an older one: what these answered is forgotten
         self.traffic_pause = TrafficPause()
-        # When to count which outcome: class, build, server, failed and succeeded responses.
-        self.pending_outcomes: deque[tuple[float, int, int, int, int, int]] = deque()
+        self.pending_outcomes: deque[tuple[float, OutcomeCounts]] = deque()  # when to count which
         self.gossip_at = -math.inf if settings.limits.gossip and self.gateway_count > 1 else math.inf
         self.vote_state = VoteState()
 
