--- a/benchmarks/gateway_cost.py
+++ b/benchmarks/gateway_cost.py
@@ -19,20 +19,27 @@
 from pathlib import Path
 from tests import standins
 many = int(sys.argv[1])
-instance = standins.Instance()
-gateway = standins.Gateway(Path(tempfile.mkdtemp()), [standins.entry("s-1", instance.address)])
+# Checkouts before the renaming have the first names.
+def pick(old, new):
+    return getattr(standins, new, None) or getattr(standins, old)
+renamed = hasattr(standins, "GatewayProcess")
+send, counter = ("request", "request_count") if renamed else ("ask", "count")
+instance = pick("Instance", "FakeInstance")()
+gateway = pick("Gateway", "GatewayProcess")(
+    Path(tempfile.mkdtemp()), [pick("entry", "endpoint")("s-1", instance.address)]
+)
 try:
     gateway.wait_for("ready")
     clients = [gateway.client() for _ in range(16)]
     def ask(many):
         def one(client):
             for n in range(many // len(clients)):
-                client.count += len(clients) * many
-                assert client.ask("GET", "/look")[0] == 200
+                setattr(client, counter, getattr(client, counter) + len(clients) * many)
+                assert getattr(client, send)("GET", "/look")[0] == 200
         with ThreadPoolExecutor(len(clients)) as pool:
             list(pool.map(one, clients))
     for n, client in enumerate(clients):
-        client.count = n * 10**9
+        setattr(client, counter, n * 10**9)
     def cpu():
         fields = Path(f"/proc/{gateway.process.pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
