--- a/tests/net_program/conftest.py
+++ b/tests/net_program/conftest.py
@@ -8,9 +8,7 @@
 
 import pytest
 
-from tests.standins import (
-    GatewayProcess,
-)
+from tests.standins import GatewayProcess
 
 StartGateway = Callable[..., GatewayProcess]
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,5 +1,7 @@
-"""Stand-ins, written from the protocol, for the parties that a gateway speaks with, and a gateway that is
-started the way the operators start it. Whatever waits here waits for an event, with a limit."""
+"""Fakes of the services that a gateway talks to, and a gateway process started as the operators start it.
+
+The fakes are written from the protocol. Everything here waits for events, with a time-out.
+"""
 
 from __future__ import annotations
 
@@ -69,12 +71,12 @@
 }
 
 
-# What ends the stand-ins of the test that runs: left open, a run of all tests passed 1,024 descriptors.
+# They stop the fakes of the running test: left open, a run of all tests passed 1,024 descriptors.
 _cleanups: list[Callable[[], None]] = []
 
 
 def stop_all() -> None:
-    """Ends them beside whatever comes next, which need not wait for that."""
+    """Stop all fakes in threads of their own: the next test need not wait for that."""
     while _cleanups:
         threading.Thread(target=_cleanups.pop(), daemon=True).start()
 
@@ -95,6 +97,8 @@
 
 
 class FakeHttpServer:
+    """An HTTP server that passes each request to `handle`."""
+
     def __init__(self, handle: Callable[[BaseHTTPRequestHandler, bytes], None]) -> None:
         self.connections = 0
         outer = self
@@ -130,7 +134,7 @@
 
 
 class FakeInstance(FakeHttpServer):
-    """Echoes the body, unless told to act otherwise; keeps what it was asked."""
+    """An instance that echoes the body, or calls `handle`; `received` holds its requests."""
 
     def __init__(self, handle: Callable[[BaseHTTPRequestHandler, bytes], None] | None = None) -> None:
         self.received: queue.Queue[tuple[str, str, dict[str, str], bytes]] = queue.Queue()
@@ -161,11 +165,13 @@
 
 
 class FakeDiscovery(FakeHttpServer):
+    """Discovery, with long polls for changes of the endpoint list."""
+
     def __init__(self, entries: list[dict[str, Any]]) -> None:
         self.changed = threading.Condition()
         self.index, self.entries = 5, entries
-        self.malformed_response = b""  # takes the place of the next answer
-        self.polled_versions: queue.Queue[int] = queue.Queue()  # the versions that calls came with
+        self.malformed_response = b""  # sent in place of the next response
+        self.polled_versions: queue.Queue[int] = queue.Queue()  # the version that each poll gave
         super().__init__(self._handle)
 
     def update(self, entries: list[dict[str, Any]]) -> None:
@@ -309,6 +315,8 @@
 
 
 class Client:
+    """A client's connection; its requests carry a running number as their id."""
+
     def __init__(self, port: int) -> None:
         self.socket = socket.create_connection(("127.0.0.1", port), timeout=TIMEOUT_S)
         self.reader = self.socket.makefile("rb")
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -1,5 +1,4 @@
-"""Clients' connections on real sockets, the reactor's turns taken one at a time: what comes between two of
-them comes there every time."""
+"""Client connections on real sockets, with single reactor turns, so that races are reproducible."""
 
 from __future__ import annotations
 
@@ -35,7 +34,7 @@
 
 
 class RecordingPolicy:
-    """Notes what it is told, and leaves every request waiting for its first attempt."""
+    """A policy that records its events and sends no attempt."""
 
     def __init__(self) -> None:
         self.events: list[Any] = []
@@ -49,7 +48,7 @@
 
 
 def has_input(client: Client) -> bool:
-    """Whether anything has, or the end of its connection. Not by select(), which ends at descriptor 1,023."""
+    """Whether input has arrived, or the end. Uses poll(): select() ends at descriptor 1,023."""
     poll = select.poll()
     poll.register(client.socket, select.POLLIN)
     return bool(poll.poll(0))
@@ -61,6 +60,8 @@
 
 
 class ReactorHarness:
+    """A gateway on real sockets whose reactor runs one turn at a time."""
+
     def __init__(self, sockets: int = 128, **overrides: Any) -> None:
         self.reactor: Any = MonotonicReactor()
         self.clock_offset_ms, self.port = 0.0, free_port()
@@ -347,7 +348,7 @@
 
 
 class SendingPolicy(RecordingPolicy):
-    """Sends every request to one instance and calls nothing off, as where no settings allow it."""
+    """A policy that sends every request to one instance and cancels nothing."""
 
     def __init__(self, server: int) -> None:
         super().__init__()
--- a/tests/test_instance_connections.py
+++ b/tests/test_instance_connections.py
@@ -46,7 +46,7 @@
 
 
 def skip_time(bench: GatewayBench, delay_ms: float) -> None:
-    """The gateway stands still: time goes on, and nothing that is due runs before the next input."""
+    """Let the gateway stall: time advances, and nothing that is due runs before the next input."""
     bench.reactor.now += delay_ms
 
 
--- a/tests/test_net_extension.py
+++ b/tests/test_net_extension.py
@@ -1,4 +1,4 @@
-"""What a part beside the intake sees and may do, on the checker's scripted connections."""
+"""What an extension sees and may do, on the model checker's scripted connections."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class RecordingExtension:
-    """Notes what it is shown; `passes`, `keeps` and `holds` are its answers to the three questions."""
+    """Records its calls; `admits`, `continues` and `holds_responses` decide its answers."""
 
     def __init__(
         self,
@@ -53,7 +53,7 @@
 
 
 class RecordingStage:
-    """A stage before the decisions: notes the events, and knows one type of its own."""
+    """A stage that records events and handles one event type of its own."""
 
     def __init__(self, inner: Any) -> None:
         self.inner, self.events, self.repetitions = inner, list[object](), 1
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -1,4 +1,4 @@
-"""The shape of the source: files that can be read at one sitting, and parts of `net` that import one way."""
+"""Limits on the source: the length of files, and imports of `net` without circles."""
 
 from __future__ import annotations
 
