Loopback: callbacks by their new names, attempts' tags checked by type

Need: a run on loopback failed since the renames: the services reached their connections through Any, and the connections' override of the base class's abort() had kept its old name, drop(). Change: abort() in ClientConnection and InstanceConnection; the services assert the type of a tag; the source text in test_loopback names the classes that exist. Messages say test bed in place of rig.

--- a/meadowpulley/loopback/driver.py
+++ b/meadowpulley/loopback/driver.py
@@ -69,19 +69,19 @@
             message = self.parser.next_message()
         except BadMessageError as error:
             self.endpoint.driver.record_error(f"gateway {self.endpoint.number}: {error}")
-            self.drop()
+            self.abort()
             return
         request, self.request = self.request, None
         if message is None:
             self.request = request
         elif request is None:
-            self.drop()
+            self.abort()
         else:
             if message.keep_alive and not request.answered:
                 self.idle_since = self.endpoint.driver.clock.now
                 self.endpoint.idle.append(self)
             else:
-                self.drop()
+                self.abort()
             self.endpoint.response_received(request, message)
 
     def closed(self) -> None:
@@ -92,7 +92,7 @@
         if request is not None and not request.answered:
             self.endpoint.driver.clients.connection_lost(request)
 
-    def drop(self) -> None:
+    def abort(self) -> None:
         was_up = self.is_open
         super().abort()
         if was_up:
@@ -115,7 +115,7 @@
             if now - connection.idle_since < MAX_IDLE_MS and not connection.has_unread_input():
                 connection.send_request(request)
                 return
-            connection.drop()
+            connection.abort()
         opening = connect(reactor, (self.driver.orders.ports.host, self.port), lambda: ClientConnection(self))
         opening.addCallbacks(
             self._connected, self._connect_failed, callbackArgs=(request,), errbackArgs=(request,)
@@ -123,7 +123,7 @@
 
     def _connected(self, connection: ClientConnection, request: ClientRequest) -> None:
         if request.answered:
-            connection.drop()
+            connection.abort()
         else:
             connection.send_request(request)
 
--- a/meadowpulley/loopback/runner.py
+++ b/meadowpulley/loopback/runner.py
@@ -108,7 +108,7 @@
     def __init__(self, folder: Path, number: int, config: dict[str, Any]) -> None:
         path = folder / f"gateway-{number}.json"
         path.write_text(json.dumps(config))
-        self.log = open(folder / f"gateway-{number}.log", "wb+")  # noqa: SIM115 (closed with the rig)
+        self.log = open(folder / f"gateway-{number}.log", "wb+")  # noqa: SIM115 (closed at the end of the run)
         command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         environ = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
         self.process = subprocess.Popen(
@@ -194,7 +194,7 @@
         message: dict[str, Any] = json.loads(line)
     except ValueError:
         log_tail = log.read_bytes()[-300:].decode(errors="replace")
-        raise LoopbackError(f"a process of the rig did not start: {log_tail!r}") from None
+        raise LoopbackError(f"a process of the test bed did not start: {log_tail!r}") from None
     return message
 
 
@@ -332,9 +332,9 @@
         clients = msgspec.json.decode((folder / "driver.out").read_bytes(), type=ClientsReport)
     except (OSError, msgspec.MsgspecError):
         logs = b"".join((folder / f"{n}.log").read_bytes()[-300:] for n in ("services", "driver"))
-        raise LoopbackError(f"a process of the rig died: {logs.decode(errors='replace')!r}") from None
+        raise LoopbackError(f"a process of the test bed died: {logs.decode(errors='replace')!r}") from None
     limiting_factors = [f"{text}" for text in (*servers.errors, *clients.errors)]
-    for process_name, report in (("the stand-ins", servers), ("the driver", clients)):
+    for process_name, report in (("the services", servers), ("the driver", clients)):
         if report.cpu_s / elapsed_s > MAX_CPU_SHARE:
             limiting_factors.append(f"{process_name} used {report.cpu_s / elapsed_s:.0%} of a core")
         if report.lateness_ms > MAX_LATENESS_MS:
--- a/meadowpulley/loopback/service_connections.py
+++ b/meadowpulley/loopback/service_connections.py
@@ -52,7 +52,7 @@
             message = self.parser.next_message()
         except BadMessageError as error:
             self.services.record_error(f"instance {self.server.entry.server}: {error}")
-            self.drop()
+            self.abort()
             return
         if message is not None:
             self._request_received(message)
@@ -100,7 +100,7 @@
         elif result is AttemptResult.ERROR:
             self.send(response_bytes(500, {}))
         else:
-            self.drop()
+            self.abort()
 
     def closed(self) -> None:
         """Free the connection's slot and cancel its job."""
@@ -113,7 +113,7 @@
         if job is not None and self.reachable:
             self.services.cancel(self.server, job)
 
-    def drop(self) -> None:
+    def abort(self) -> None:
         was_up = self.is_open
         super().abort()
         if was_up:
--- a/meadowpulley/loopback/services.py
+++ b/meadowpulley/loopback/services.py
@@ -114,7 +114,8 @@
 
     def key_answered(self, tag: Any, server: SimulatedServer, key: int) -> None:
         """Record that a server answered a key."""
-        self.record(KeyAnswered(self.clock.now, tag.number, key, server.entry.build))
+        assert isinstance(tag, InstanceConnection)
+        self.record(KeyAnswered(self.clock.now, tag.request_number, key, server.entry.build))
 
     # Hooks of the server fleet
 
@@ -142,11 +143,12 @@
         if listener is not None:
             listener.stopListening()
         for connection in [k for k in self.connections if k.server is server]:
-            connection.drop()
+            connection.abort()
 
     def reply(self, tag: Any, server: SimulatedServer, result: AttemptResult) -> None:
         """Send a result on the connection that asked."""
-        tag.tell(result)
+        assert isinstance(tag, InstanceConnection)
+        tag.respond(result)
 
     def send_endpoint_update(self, gateway: int, update: EndpointUpdate) -> None:
         """Do nothing: updates go to the connections that wait for them."""
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -1,4 +1,4 @@
-"""The rig on loopback: real gateways before the emulator's servers on sockets; and the live screen."""
+"""Loopback test bed: real gateways in front of the emulator's servers on sockets; and the live screen."""
 
 from __future__ import annotations
 
@@ -70,21 +70,21 @@
     assert any(build == 2 for _, build, _, _ in found.stages)
 
 
-MODULES = """
+PRINT_SERVER_ADDRESSES = """
 import sys, msgspec
-from meadowpulley.loopback.messages import Job
-from meadowpulley.loopback.services import StandIns
-rig = StandIns(msgspec.json.decode(sys.stdin.buffer.read(), type=Job))
-print(*rig.addresses.values())
+from meadowpulley.loopback.messages import ProcessOrders
+from meadowpulley.loopback.services import SimulatedServices
+services = SimulatedServices(msgspec.json.decode(sys.stdin.buffer.read(), type=ProcessOrders))
+print(*services.addresses.values())
 """
 
 
 def test_instance_never_binds_a_gateway_port() -> None:
-    # One in some hundred rigs failed so: the kernel chose an instance's port among those that `free_ports`
-    # had found for the gateways, on the same address, before the gateway had bound it.
+    # On one address the kernel could give a server a port that `free_ports` had found for a gateway,
+    # before the gateway had bound it; one run in some hundred failed so.
     host = unique_address()
     ports = Ports(host, instances_address(host), (1,), (2,), (3,), (4,))
-    job = ProcessOrders(
+    orders = ProcessOrders(
         LoopbackPlan(make_fleet(), LoadSpec(per_s=1.0, seconds=1.0), 3, 1, Scenario(), 0.0),
         ports,
         0.0,
@@ -92,7 +92,10 @@
         0.0,
     )
     shown = subprocess.run(
-        [sys.executable, "-c", MODULES], input=msgspec.json.encode(job), capture_output=True, check=True
+        [sys.executable, "-c", PRINT_SERVER_ADDRESSES],
+        input=msgspec.json.encode(orders),
+        capture_output=True,
+        check=True,
     )
     hosts = {address.rpartition(":")[0] for address in shown.stdout.decode().split()}
     assert hosts == {instances_address(host)} and hosts != {host}
