Command line: fleet-metrics and trace-requests, capacity commands split; old names as hidden aliases

`fleet-log` and `story` say little; the commands are fleet-metrics and trace-requests now. The check of a report's path stood three times.

--- a/meadowpulley/cli/emulate.py
+++ b/meadowpulley/cli/emulate.py
@@ -12,7 +12,7 @@
     FILE,
     GOAL_MISSED,
     SUCCESS,
-    InputError,
+    check_report_format,
     console,
     exits_with_code,
     fleet_option,
@@ -104,8 +104,8 @@
     fleet_description = read_fleet(fleet)
     run_scenario = read_scenario(scenario, fleet_description)
     arrivals = open_load(fleet_description, load, profile, rate, seconds, seed)
-    if report is not None and report.suffix not in (".html", ".md"):
-        raise InputError(f"{report}: reports end in .html or .md; name one so")
+    if report is not None:
+        check_report_format(report)
     with ExitStack() as stack:
         write_record = None
         if trace is not None:
--- a/meadowpulley/cli/experiment.py
+++ b/meadowpulley/cli/experiment.py
@@ -10,12 +10,12 @@
 import click
 import msgspec
 
-from meadowpulley.cli.capacity import ProgressBar
 from meadowpulley.cli.common import (
     FILE,
     GOAL_MISSED,
     SUCCESS,
     InputError,
+    check_report_format,
     console,
     exits_with_code,
     json_option,
@@ -23,6 +23,7 @@
     read_bytes,
     show_json,
 )
+from meadowpulley.cli.progress import ProgressBar
 from meadowpulley.experiment import (
     ResultStore,
     RunResult,
@@ -167,8 +168,7 @@
 def report(folder: Path, out: Path) -> int:
     """A page of an experiment's table, with charts over its configurations."""
     rows = read_rows(folder)
-    if out.suffix not in (".html", ".md"):
-        raise InputError(f"{out}: reports end in .html or .md; name one so")
+    check_report_format(out)
     summary = summary_rows(rows, SUMMARY_FIGURES)
     names = list(dict.fromkeys(row.name for row in rows))
     charts = []
--- a/meadowpulley/cli/load.py
+++ b/meadowpulley/cli/load.py
@@ -193,7 +193,7 @@
 ) -> int:
     """Play a load on loopback: real gateways before stand-in servers. Exit code 3 if the rig was the
     limit."""
-    from meadowpulley.cli.capacity import load_spec
+    from meadowpulley.cli.capacity_options import load_spec
     from meadowpulley.cli.view import run_loopback_with_progress
     from meadowpulley.loopback import LoopbackError, LoopbackPlan, run_loopback
 
--- a/meadowpulley/cli/trace_requests.py
+++ b/meadowpulley/cli/trace_requests.py
@@ -1,4 +1,4 @@
-"""`meadowpulley story`: one request's course through all gateways, from their logs."""
+"""`meadowpulley trace-requests`: the course of single requests through all gateways, from their logs."""
 
 from __future__ import annotations
 
@@ -13,26 +13,33 @@
     exits_with_code,
     json_option,
     make_table,
-    read_bytes,
+    read_log_lines,
     show_json,
 )
 from meadowpulley.report.request_trace import read_steps, unfinished_requests
 
+HEADINGS = ["s", "gateway", "id", "step", ""]
 
-@click.command("story")
+
+@click.command("trace-requests")
 @click.argument("logs", nargs=-1, required=True, type=FILE)
-@click.option("--id", "wanted", default="", help="Only ids that begin so; without it, ids that never ended.")
+@click.option(
+    "--id",
+    "id_prefix",
+    default="",
+    envvar="MEADOWPULLEY_STORY_WANTED",
+    help="Only ids that begin so; without it, ids that never ended.",
+)
 @json_option
 @exits_with_code
-def story(logs: tuple[Path, ...], wanted: str, as_json: bool) -> None:
-    """Merges the `story` lines of LOGS, one file a gateway, written with MEADOWPULLEY_STORY=1, by time."""
-    lines = [line for path in logs for line in read_bytes(path).decode(errors="replace").splitlines()]
-    steps, unreadable = read_steps(lines, wanted)
+def trace_requests(logs: tuple[Path, ...], id_prefix: str, as_json: bool) -> None:
+    """Merge the steps of requests in LOGS, one file a gateway, written with MEADOWPULLEY_STORY=1, by time."""
+    steps, unreadable = read_steps(read_log_lines(logs), id_prefix)
     if not steps:
         raise InputError(
-            f"{logs[0]}: no 'story' line of {wanted or 'any id'}; set MEADOWPULLEY_STORY for the gateways"
+            f"{logs[0]}: no 'story' line of {id_prefix or 'any id'}; set MEADOWPULLEY_STORY for the gateways"
         )
-    if not wanted:
+    if not id_prefix:
         unfinished_ids = set(unfinished_requests(steps))
         steps = [step for step in steps if step.request in unfinished_ids]
     if as_json:
@@ -45,6 +52,6 @@
     first = steps[0].at if steps else 0.0
     rows = [[f"{s.at - first:.3f}", s.gateway, s.request, s.step, s.fields] for s in steps]
     output = console()
-    output.print(make_table("Requests through the fleet", ["s", "gateway", "id", "step", ""], rows))
+    output.print(make_table("Requests through the fleet", HEADINGS, rows))
     if unreadable:
         output.print(f"{unreadable} lines could not be read")
--- a/meadowpulley/cli/verify.py
+++ b/meadowpulley/cli/verify.py
@@ -24,12 +24,13 @@
     prediction_table,
     scaled_fleet,
 )
-from meadowpulley.cli.capacity import check_report_path, demand_from_options, load_spec, report_option
+from meadowpulley.cli.capacity_options import demand_from_options, load_spec
 from meadowpulley.cli.common import (
     GOAL_MISSED,
     SUCCESS,
     TEST_BED_LIMITED,
     InputError,
+    check_report_path,
     console,
     exits_with_code,
     fleet_option,
@@ -37,6 +38,7 @@
     make_table,
     percent,
     read_fleet,
+    report_option,
     seed_option,
     show_json,
 )
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -108,3 +108,25 @@
     assert done.exit_code == 0, done.output
     assert "good build 2: released" in done.stdout and "bad build 3: sent back" in done.stdout
     assert report.read_text().count("data:image/png") == 3
+
+
+@pytest.mark.parametrize(
+    ("old_name", "new_name"), [("fleet-log", "fleet-metrics"), ("story", "trace-requests")]
+)
+def test_a_deprecated_command_name_works_with_one_line_of_notice(old_name: str, new_name: str) -> None:
+    old, new = run(old_name, "/nowhere/n0.log"), run(new_name, "/nowhere/n0.log")
+    notice, error = old.stderr.splitlines()
+    assert notice == f"meadowpulley: '{old_name}' is deprecated: use '{new_name}'"
+    assert (old.exit_code, error) == (new.exit_code, new.stderr.strip()) and new.exit_code == 2
+    listed = run("--help").stdout
+    assert f"  {new_name} " in listed and f"  {old_name} " not in listed
+
+
+def test_the_deprecated_variable_of_an_id_still_selects_requests(tmp_path: Path) -> None:
+    log = tmp_path / "n0.log"
+    log.write_text("{}\n")
+    for name, variable in [
+        ("story", "MEADOWPULLEY_STORY_WANTED"),
+        ("trace-requests", "MEADOWPULLEY_STORY_WANTED"),
+    ]:
+        assert "no 'story' line of a-7" in run(name, log, env={variable: "a-7"}).stderr
--- a/tests/test_fleet_log.py
+++ b/tests/test_fleet_metrics.py
@@ -60,14 +60,14 @@
         logs.append(tmp_path / f"n{n}.log")
         logs[-1].write_text("\n".join(log_line(f"n{n}", 50.0 + k, n) for k in range(2)))
     runner = CliRunner()
-    result = runner.invoke(main, ["fleet-log", "--json", *map(str, logs)])
+    result = runner.invoke(main, ["fleet-metrics", "--json", *map(str, logs)])
     rows = json.loads(result.output)["seconds"]
     assert result.exit_code == 0 and [r["list calls"] for r in rows] == [3, 3] and rows[1]["second"] == 1
-    assert runner.invoke(main, ["fleet-log", *map(str, logs)]).exit_code == 0
+    assert runner.invoke(main, ["fleet-metrics", *map(str, logs)]).exit_code == 0
     empty = tmp_path / "empty.log"
     empty.write_text("")
     for path in (empty, tmp_path / "none.log"):
-        failed = runner.invoke(main, ["fleet-log", str(path)])
+        failed = runner.invoke(main, ["fleet-metrics", str(path)])
         assert failed.exit_code == 2 and len(failed.output.strip().splitlines()) == 1
 
 
--- a/tests/test_request_tracing.py
+++ b/tests/test_request_tracing.py
@@ -30,6 +30,6 @@
     assert [s.step for s in first] == ["taken", "sent", "answered"] and "build=" in first[1].fields
     log = tmp_path / "n0.log"
     log.write_text("\n".join(lines[:-1]))  # the last answer is missing
-    result = CliRunner().invoke(main, ["story", "--json", str(log)])
+    result = CliRunner().invoke(main, ["trace-requests", "--json", str(log)])
     assert [s["step"] for s in json.loads(result.output)["steps"]] == ["taken", "sent"]
-    assert CliRunner().invoke(main, ["story", "--id", "none", str(log)]).exit_code == 2
+    assert CliRunner().invoke(main, ["trace-requests", "--id", "none", str(log)]).exit_code == 2
