--- a/tests/discovery_harness.py
+++ b/tests/discovery_harness.py
@@ -62,7 +62,7 @@
 
     def __init__(self, must_poll: bool) -> None:
         self.reactor = MemoryReactorClock()  # type: ignore[no-untyped-call]
-        self.driver = Driver(settings(must_ask=must_poll, gateway_count=200), released=False)
+        self.driver = Driver(settings(must_poll=must_poll, gateway_count=200), released=False)
         self.answered_calls = 0
         self.calls_received = list[tuple[float, float]]()  # when, and for how long it may wait
         self.silent_from = float("inf")  # calls that come after so many answers are never answered
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -1,4 +1,4 @@
-"""Hands events to one balancer and looks at its actions."""
+"""Drives one policy: hands it events and collects its actions."""
 
 from __future__ import annotations
 
@@ -60,10 +60,10 @@
     rollout: Rollout = ROLLOUT,
     limits: Limits = LIMITS,
     classes: tuple[RequestClass, ...] = CLASSES,
-    must_ask: bool = False,
+    must_poll: bool = False,
     gateway_count: int = 1,
 ) -> Settings:
-    return Settings(0, gateway_count, 0, ("a", "b"), 5.0, classes, (), RULES, limits, rollout, must_ask)
+    return Settings(0, gateway_count, 0, ("a", "b"), 5.0, classes, (), RULES, limits, rollout, must_poll)
 
 
 def server_entry(server: int, build: int = 41, started_ms: float = 0.0, **changes: int) -> ServerEntry:
@@ -72,6 +72,8 @@
 
 
 class Driver:
+    """One gateway's policy, with its clock, its requests and the numbers of their attempts."""
+
     def __init__(self, policy_settings: Settings | None = None, seed: int = 7, released: bool = True) -> None:
         self.policy = RolloutPolicy(policy_settings or settings(), seed)
         self.now = 0.0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -148,7 +148,7 @@
 
 
 def test_the_list_is_called_for_and_again_after_a_failure() -> None:
-    driver = Driver(settings(must_ask=True))
+    driver = Driver(settings(must_poll=True))
     driver.update_endpoints([server_entry(1)], EndpointUpdateKind.CACHED)
     assert Watch() in driver.fire_timer()
     driver.update_endpoints([server_entry(1)])
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -210,7 +210,7 @@
     made before `failing_until` fail 50 ms later."""
     asked: list[float] = []
     for seed in range(gateway_count):
-        driver = Driver(settings(must_ask=True, gateway_count=gateway_count), seed=seed)
+        driver = Driver(settings(must_poll=True, gateway_count=gateway_count), seed=seed)
         driver.update_endpoints([server_entry(n) for n in range(4)], EndpointUpdateKind.CACHED)
         while driver.now < last:
             driver.now += 50.0
@@ -244,5 +244,5 @@
 
 
 def test_without_any_list_a_gateway_calls_at_once() -> None:
-    driver = Driver(settings(must_ask=True, gateway_count=40), released=False)
+    driver = Driver(settings(must_poll=True, gateway_count=40), released=False)
     assert any(isinstance(a, Watch) for a in driver.fire_timer())
--- a/tests/test_watch_timeouts.py
+++ b/tests/test_watch_timeouts.py
@@ -66,7 +66,7 @@
 def test_retries_after_a_failure_common_to_all_gateways_are_jittered() -> None:
     # The other half: only silence, which each finds at its own time, is answered at once.
     def backoff_ms(kind: EndpointUpdateKind, seed: int) -> float:
-        driver = Driver(settings(must_ask=True, gateway_count=200), seed=seed)
+        driver = Driver(settings(must_poll=True, gateway_count=200), seed=seed)
         driver.update_endpoints([server_entry(1)])
         driver.update_endpoints([], kind)
         return driver.policy.resubscribe_at - driver.now
