--- a/meadowpulley/report/fleet_metrics.py
+++ b/meadowpulley/report/fleet_metrics.py
@@ -12,15 +12,15 @@
 
 @dataclass(slots=True)
 class FleetInterval:
-    """One second of the fleet: how many gateways wrote a line, counters summed, what they held."""
+    """One second of the fleet, summed over the gateways that wrote a line of metrics for it."""
 
     gateways: int = 0
     counters: Counter[str] = field(default_factory=Counter)
     servers: Counter[str] = field(default_factory=Counter)  # by build and state, summed over gateways
     outstanding_requests: int = 0  # requests at servers
-    ejected_servers: int = 0  # servers left alone, summed over gateways
+    ejected_servers: int = 0  # summed over gateways
     rollouts: Counter[str] = field(default_factory=Counter)
-    decisions: list[str] = field(default_factory=list)  # what the decisions said
+    decisions: list[str] = field(default_factory=list)  # the policy's log lines
 
 
 def _second_of(event: dict[str, Any]) -> int:
--- a/meadowpulley/report/pages.py
+++ b/meadowpulley/report/pages.py
@@ -17,6 +17,8 @@
 
 @dataclass(frozen=True, slots=True)
 class PageTable:
+    """A table of a page; every row has as many cells as there are columns."""
+
     columns: Sequence[str]
     rows: Sequence[Sequence[str]]
 
@@ -33,6 +35,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Page:
+    """A page: its title, paragraphs of a summary, and sections."""
+
     title: str
     summary: Sequence[str] = ()
     sections: Sequence[Section] = field(default_factory=tuple)
@@ -52,6 +56,7 @@
 
 
 def chart_name(page: Path, chart: Chart) -> str:
+    """Return the name of a chart's file beside a Markdown page."""
     words = re.sub(r"[^a-z0-9]+", "-", chart.title.lower()).strip("-")
     return f"{page.stem}-{words}.png"
 
--- a/meadowpulley/report/request_trace.py
+++ b/meadowpulley/report/request_trace.py
@@ -12,7 +12,10 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class TraceStep:
-    """`at`: seconds since the epoch by the gateway; `line`: where it stood, for steps of one moment."""
+    """One step of a request at a gateway.
+
+    `at` is in seconds since the epoch by the gateway's clock; `line_number` orders steps of one moment.
+    """
 
     at: float
     line_number: int
