Loopback: progress reports by a typed clock

Need: the reports of a watched run called the clock through Any by its old names and would have ended it. Change: the clock is a Timeline, entries and updates have their types.

--- a/meadowpulley/loopback/messages.py
+++ b/meadowpulley/loopback/messages.py
@@ -11,8 +11,10 @@
 from msgspec import Struct
 
 from meadowpulley.emulator import ClassSnapshot, Scenario
+from meadowpulley.emulator.clock import Timeline
 from meadowpulley.experiment.cells import LoadSpec
 from meadowpulley.fleet import Fleet
+from meadowpulley.interface import RolloutUpdate, ServerEntry
 
 
 class LoopbackPlan(Struct, frozen=True):
@@ -81,7 +83,7 @@
     errors: list[str]
 
 
-def report_progress(orders: ProcessOrders, clock: Any, snapshot: Callable[[], Struct]) -> None:
+def report_progress(orders: ProcessOrders, clock: Timeline, snapshot: Callable[[], Struct]) -> None:
     """Write a snapshot as a JSON line every `progress_interval_ms`, where the orders ask for it."""
     if orders.progress_interval_ms <= 0:
         return
@@ -91,9 +93,9 @@
         """Append one snapshot and schedule the next."""
         with path.open("ab") as file:
             file.write(msgspec.json.encode(snapshot()) + b"\n")
-        clock.after(orders.progress_interval_ms, write)
+        clock.call_later(orders.progress_interval_ms, write)
 
-    clock.at(0.0, write)
+    clock.call_at(0.0, write)
 
 
 def server_number(name: str) -> int:
@@ -125,7 +127,9 @@
     return f"s-{number}"
 
 
-def entry_object(entry: Any, address: str, zone: str, kind: str, origin_unix_s: float) -> dict[str, Any]:
+def entry_object(
+    entry: ServerEntry, address: str, zone: str, kind: str, origin_unix_s: float
+) -> dict[str, Any]:
     """Return an endpoint entry in discovery's format; `origin_unix_s` is when the run's clock started."""
     from meadowpulley.net import protocol
 
@@ -143,7 +147,7 @@
     }
 
 
-def rollout_object(update: Any) -> dict[str, Any]:
+def rollout_object(update: RolloutUpdate) -> dict[str, Any]:
     """Return a rollout update in the platform's format."""
     from meadowpulley.net import protocol
 
