Lending and placement tests: names and steps in the terms of the field

Need: test names, steps and docstrings still used the withdrawn words; the steps of lending read a field that had moved. Change: names, docstrings and the wording of our own steps; no assertion changed (ResponseSent.answer is now .response).

--- a/tests/processes/test_lending.py
+++ b/tests/processes/test_lending.py
@@ -1,4 +1,4 @@
-"""Capacity lent at several real gateways: what all of them admit together, whatever becomes of one."""
+"""Lending at several real gateways: what all of them admit together, whatever happens to one."""
 
 from __future__ import annotations
 
@@ -14,32 +14,30 @@
 from meadowpulley.loopback.gateway_fleet import GatewayProcess, build_layouts, send_request
 from tests.processes.gateway_cluster import GatewayCluster, wait_until
 
-CAPACITY = 60.0  # requests a second, of all gateways
+CAPACITY = 60.0  # requests per second, of all gateways
 BURST_S = 0.5  # what gateways may have saved up of it, and 2 requests each at least
-MEASUREMENT_SKEW_S = (
-    0.1  # by which the way from a gateway to the instances' count may differ between two requests
-)
+MEASUREMENT_SKEW_S = 0.1  # by which the time from admission to the count may differ between requests
 ENVIRON = {
     "MEADOWPULLEY_LENDING_CAPACITY": f"{CAPACITY:g}",
     "MEADOWPULLEY_LENDING_SHARES": "a=0.5,b=0.5",
     "MEADOWPULLEY_LENDING_TERM_MS": "1000",
     "MEADOWPULLEY_TAKEOVER": "unrepeatable",
 }
-REQUEST_INTERVAL_S = 0.02  # between two asks of a client
+REQUEST_INTERVAL_S = 0.02  # between two requests of a client
 
 
 class ClientLoad:
-    """A client of one tenant at each gateway, asking for more than twice the capacity in all."""
+    """A client of one tenant at each gateway; together they send more than twice the capacity."""
 
     def __init__(self, gateways: list[GatewayProcess], tenant: str) -> None:
-        self._over, self.status_counts = threading.Event(), Counter[int]()
+        self._ended, self.status_counts = threading.Event(), Counter[int]()
         self._threads = [threading.Thread(target=self._run, args=(g, tenant)) for g in gateways]
         for thread in self._threads:
             thread.start()
 
     def _run(self, gateway: GatewayProcess, tenant: str) -> None:
         for n in itertools.count():
-            if self._over.wait(REQUEST_INTERVAL_S):
+            if self._ended.wait(REQUEST_INTERVAL_S):
                 return
             reply = send_request(
                 gateway.address, f"{gateway.name}-{tenant}{n}", "/look/x", tenant=tenant, remaining_ms=500.0
@@ -47,7 +45,7 @@
             self.status_counts[reply.status if reply is not None else 0] += 1
 
     def end(self) -> None:
-        self._over.set()
+        self._ended.set()
         for thread in self._threads:
             thread.join()
 
@@ -62,7 +60,7 @@
 
 
 def max_excess(times: list[float]) -> float:
-    """By how many requests the fullest stretch of time, of any length, was above the capacity."""
+    """Return by how many requests the worst window, of any length, exceeded the capacity."""
     times = sorted(times)
     least, worst = float("inf"), 0.0
     for n, at in enumerate(times):
@@ -76,29 +74,29 @@
     load = ClientLoad(gateways, "a")  # the other owner is idle: its half can be borrowed
     try:
 
-        def admit(many: int) -> None:
-            wanted = len(world.first_sent_at) + many
+        def wait_for_admissions(count: int) -> None:
+            target = len(world.first_sent_at) + count
             wait_until(
-                lambda: len(world.first_sent_at) >= wanted, f"{many} more admitted of {load.status_counts}"
+                lambda: len(world.first_sent_at) >= target, f"{count} more admitted of {load.status_counts}"
             )
 
-        admit(150)
+        wait_for_admissions(150)
         lasted = world.first_sent_at[-1] - world.first_sent_at[50]
         used = (len(world.first_sent_at) - 50) / lasted / CAPACITY
         assert used > 0.6, f"{used:.2f} of the capacity, more than the tenant's own half"
         gateways[0].kill()
-        admit(80)
+        wait_for_admissions(80)
         gateways[1].signal(signal.SIGSTOP)
         gateways[1].wait_until_stopped()
-        admit(80)
+        wait_for_admissions(80)
         wait_until(lambda: world.all_fenced({"g0", "g1"}))
         gateways[1].signal(signal.SIGCONT)
         gateways[1].wait_for("ledger ended")
         world.fleet.launch(0).wait_for("ready")
-        admit(200)  # one that woke with what it was granted before would show by now
+        wait_for_admissions(200)  # a resumed gateway that used its old grant would show by now
         gateways[2].signal(signal.SIGTERM)
         assert gateways[2].wait_for_exit() == 0
-        admit(20)
+        wait_for_admissions(20)
     finally:
         load.end()
     assert load.status_counts[503] > len(world.first_sent_at) / 2, "there was no more load than capacity"
--- a/tests/stories/steps_lending.py
+++ b/tests/stories/steps_lending.py
@@ -1,4 +1,4 @@
-"""Steps about capacity that tenants share, borrow and get back."""
+"""Steps about tenants' quotas, and capacity that they borrow and get back."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
     scenario.shared_state = SharedState(LedgerModel(lease_ms=1000.0), lending=plan)
 
 
-@given(parsers.parse("tenant '{name}' with a share of {percent:g}%"))
+@given(parsers.parse("tenant '{name}' with a quota of {percent:g}%"))
 def a_tenant(scenario: FleetScenario, name: str, percent: float) -> None:
     assert scenario.shared_state is not None and scenario.shared_state.lending is not None
     plan = scenario.shared_state.lending
@@ -50,14 +50,14 @@
 # When
 
 
-@when(parsers.parse("tenant '{name}' asks for {per_s:g} a second from {begin:g} s to {end:g} s"))
+@when(parsers.parse("tenant '{name}' demands {per_s:g} a second from {begin:g} s to {end:g} s"))
 def demand(scenario: FleetScenario, name: str, per_s: float, begin: float, end: float) -> None:
     assert scenario.shared_state is not None
     scenario.demands.append((scenario.shared_state.tenants.index(name), per_s, begin, end))
 
 
-@when(parsers.parse("the share of '{name}' is {percent:g}% and that of '{other}' {rest:g}% from {at:g} s"))
-def new_shares(
+@when(parsers.parse("the quota of '{name}' is {percent:g}% and that of '{other}' {rest:g}% from {at:g} s"))
+def new_quotas(
     scenario: FleetScenario, name: str, percent: float, other: str, rest: float, at: float
 ) -> None:
     def replan(world: Emulation) -> None:
@@ -81,7 +81,7 @@
     served = [
         r
         for r in scenario.records_of(ResponseSent)
-        if (r.gateway, r.request) in mine and r.answer == "served" and begin * 1e3 <= r.at < end * 1e3
+        if (r.gateway, r.request) in mine and r.response == "served" and begin * 1e3 <= r.at < end * 1e3
     ]
     return len(served) / (end - begin)
 
@@ -104,8 +104,8 @@
     assert 0.0 < units / (end - begin) <= per_s, units / (end - begin)
 
 
-@then("whoever is refused is told at once")
-def refused_at_once(scenario: FleetScenario) -> None:
+@then("rejected requests are answered at once")
+def rejected_at_once(scenario: FleetScenario) -> None:
     taken = {(r.gateway, r.request): r.at for r in scenario.records_of(RequestReceived)}
-    refused = [r for r in scenario.records_of(ResponseSent) if r.answer == "refused"]
+    refused = [r for r in scenario.records_of(ResponseSent) if r.response == "refused"]
     assert refused and all(r.at - taken[r.gateway, r.request] < 1.0 for r in refused)
--- a/tests/stories/steps_placement.py
+++ b/tests/stories/steps_placement.py
@@ -1,4 +1,4 @@
-"""Steps about experiments on placements: who is counted where, and what it comes to."""
+"""Steps about placement experiments: which requests are counted where, and the summary."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 from tests.stories.fleets import small_fleet
 
 POLICY = {
-    "the module's own choice": "own",
+    "the default policy": "own",
     "random of two": "two",
     "least outstanding": "least",
     "round robin": "round",
@@ -36,15 +36,15 @@
 }
 
 
-class Labels:
-    """Behind the stage: which key got which arm."""
+class LabelRecorder:
+    """The stage behind the placement stage: records which key got which arm."""
 
     def __init__(self, inner: Any, scenario: FleetScenario) -> None:
-        self.inner, self.tale = inner, scenario
+        self.inner, self.scenario = inner, scenario
 
     def handle(self, now: float, event: Any) -> Any:
         if isinstance(event, Request) and event.arm:
-            self.tale.labelled_keys.append((event.key, event.arm))
+            self.scenario.labelled_keys.append((event.key, event.arm))
         return self.inner.handle(now, event)
 
 
@@ -60,36 +60,38 @@
     scenario.experiment = Experiment(1, "story", arms, EndCondition(requests=100_000), unit or "request")  # type: ignore[arg-type]
     experiment = scenario.experiment
 
-    def make(place: StageContext) -> PlacementStage:
-        return PlacementStage(Labels(place.inner, scenario), experiment, place.settings, place.incarnation)
+    def build_stage(context: StageContext) -> PlacementStage:
+        return PlacementStage(
+            LabelRecorder(context.inner, scenario), experiment, context.settings, context.incarnation
+        )
 
-    def decide(settings: Settings, seed: int) -> Any:
+    def build_policy(settings: Settings, seed: int) -> Any:
         return RolloutPolicy(settings, seed, build_placements(experiment, seed))
 
-    scenario.build_policy = decide
+    scenario.build_policy = build_policy
     figures = LedgerModel(lease_ms=1000.0, single_host=False)
-    scenario.shared_state = SharedState(figures, inner_stages=(make,), prefixes=("placement/",))
+    scenario.shared_state = SharedState(figures, inner_stages=(build_stage,), prefixes=("placement/",))
 
 
 @given("another version of that experiment at the last gateway")
 def another_version(scenario: FleetScenario) -> None:
     assert scenario.shared_state is not None
-    (make,) = scenario.shared_state.inner_stages
+    (build_stage,) = scenario.shared_state.inner_stages
     last = len(scenario.fleet.gateway_sites()) - 1
 
-    def differ(place: StageContext) -> Any:
-        stage: Any = make(place)
-        if place.settings.gateway_index == last:
+    def differ(context: StageContext) -> Any:
+        stage: Any = build_stage(context)
+        if context.settings.gateway_index == last:
             arms = (Arm("first", "own", 0.9), Arm("second", "two", 0.1))
             other = Experiment(1, "story", arms, EndCondition(requests=100_000))
-            stage = PlacementStage(place.inner, other, place.settings, place.incarnation)
+            stage = PlacementStage(context.inner, other, context.settings, context.incarnation)
         return stage
 
     scenario.shared_state = replace(scenario.shared_state, inner_stages=(differ,))
 
 
 def summary(scenario: FleetScenario) -> Summary:
-    """From the ledger's records alone, as an experimenter reads them."""
+    """Summarize the ledger's records, as an experimenter reads them."""
     result, ledger = scenario.result, scenario.emulation.ledger
     assert ledger is not None
     scenario.emulation.run_until(result.elapsed_ms + 5000.0)  # counts are written every 2 s
@@ -127,9 +129,9 @@
     )
 
 
-@then("each key is served by one arm only, at whichever gateway")
+@then("each key is served by one arm only, at every gateway")
 def one_arm_a_key(scenario: FleetScenario) -> None:
-    """By what the arm's stages labelled, read from the assignment that all gateways share."""
+    """Check the labels that all gateways gave."""
     _ = scenario.result
     seen: dict[int, set[int]] = {}
     for key, arm in scenario.labelled_keys:
@@ -137,8 +139,8 @@
     assert len(seen) > 20 and all(len(found) == 1 for found in seen.values())
 
 
-@then(parsers.parse("gateway {number:d} says that its version is not the fleet's"))
-def says_apart(scenario: FleetScenario, number: int) -> None:
+@then(parsers.parse("gateway {number:d} logs that its version is not the fleet's"))
+def logs_conflict(scenario: FleetScenario, number: int) -> None:
     _ = scenario.result
     assert any("is not the fleet's" in text for _, text in scenario.gateway(number).log_lines)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,4 +1,4 @@
-"""Placement experiments: definitions, assignment, policies, and counts that survive the gateways."""
+"""Placement experiments: definitions, assignment, policies, and counters that survive crashes."""
 
 from __future__ import annotations
 
@@ -55,9 +55,9 @@
 # Definitions
 
 
-def test_the_example_is_read_and_its_hash_covers_all_it_says() -> None:
+def test_the_example_is_parsed_and_its_hash_covers_all_fields() -> None:
     found = parse_experiment(EXAMPLE.read_bytes(), "x.toml")
-    assert found == parse_experiment(EXAMPLE.read_bytes() + b"# a remark\n", "y.toml")
+    assert found == parse_experiment(EXAMPLE.read_bytes() + b"# a comment\n", "y.toml")
     assert found.digest != replace(found, carry_ms=found.carry_ms + 1).digest
 
 
@@ -75,16 +75,16 @@
 ]
 
 
-@pytest.mark.parametrize("before, after, said", BAD)
-def test_bad_definitions_are_refused_in_one_line(before: str, after: str, said: str) -> None:
+@pytest.mark.parametrize("before, after, message", BAD)
+def test_invalid_definitions_are_refused_in_one_line(before: str, after: str, message: str) -> None:
     raw = EXAMPLE.read_text()
     assert before in raw
     with pytest.raises(FleetError) as error:
         parse_experiment(raw.replace(before, after, 1).encode(), "x.toml", ["look", "buy"])
-    assert said in str(error.value) and "\n" not in str(error.value)
+    assert message in str(error.value) and "\n" not in str(error.value)
 
 
-def test_a_gateway_reads_the_file_that_a_variable_names_or_none() -> None:
+def test_the_environment_names_the_file_or_none() -> None:
     settings = gateway_settings(demo_fleet(), 0)
     assert read_experiment({}, settings) is None
     assert read_experiment({"MEADOWPULLEY_PLACEMENT": str(EXAMPLE)}, settings) is not None
@@ -104,7 +104,7 @@
 # Assignment
 
 
-def test_arms_follow_unit_and_version_alone_and_come_as_their_parts_say() -> None:
+def test_arms_depend_on_unit_and_version_only_and_match_their_parts() -> None:
     parts = (Arm("a", "two", 0.5), Arm("b", "least", 0.2), Arm("c", "zone", 0.1))
     e = experiment(arms=parts)
     units = [b"%d" % n for n in range(20_000)]
@@ -118,10 +118,10 @@
 
 
 @pytest.mark.parametrize("unit", ["request", "key", "tenant", "time"])
-def test_each_unit_keeps_its_arm_whichever_gateway_asks(unit: Any) -> None:
+def test_a_unit_has_the_same_arm_at_every_gateway(unit: Any) -> None:
     at = Assignment(experiment(unit=unit, block_ms=1000.0, settle_ms=0.0))
     same = [at.unit(request(n, 7), "a.1", 5, 1500.0) for n in (1, 2)]
-    assert same[0] == same[1]  # its number here is not what counts
+    assert same[0] == same[1]  # the gateway's own request number does not count
     other = at.unit(replace_request(request(3, 8), tenant=1), "b.1", 6, 2500.0)
     assert other != same[0]
 
@@ -141,7 +141,7 @@
 
 
 @pytest.mark.parametrize("name", sorted(POLICIES))
-def test_a_policy_orders_all_servers_once_and_replays_from_its_seed(name: str) -> None:
+def test_a_policy_orders_each_server_once_and_is_deterministic(name: str) -> None:
     def play(seed: int) -> list[list[int]]:
         rng, policy = Random(5), POLICIES[name](seed)
         return [list(policy(0.0, request(n, n % 3), candidates(rng, n % 9))) for n in range(60)]
@@ -161,7 +161,7 @@
     assert first["least"] == {0: 4000}
     assert first["two"][0] == pytest.approx(4000 * 18 / 90, rel=0.1) and not first["two"][9]
     assert set(first["round"].values()) == {400}
-    assert set(first["zone"]) == {1, 3, 5, 7}  # of its zone, and never the most crowded of two
+    assert set(first["zone"]) == {1, 3, 5, 7}  # of its zone, and never the busiest of two
     quick, slow = (sum(first["speed"][s] for s in range(10) if s % 2 == kind) for kind in (0, 1))
     assert quick / slow == pytest.approx(2.0, rel=0.1)  # half the latency, twice as often
     assert len(first["key"]) == 1
@@ -172,11 +172,11 @@
     assert all(servers[a] == away[b] for a, b in zip(moved, again, strict=True) if servers[a].server != gone)
 
 
-# Counts
+# Counters
 
 
 def adopted_records(seed: int) -> list[CountersRecord]:
-    """Two lives that die in the middle, adopted by a third, and by a fourth after the third died too."""
+    """Records of two incarnations that crash, and of two that adopt their requests, some of them twice."""
     rng, counters = Random(seed), {name: ArmCounters(name) for name in ("a.1", "b.1", "c.1", "d.1")}
     written: list[CountersRecord] = []
     for n in range(200):
@@ -185,7 +185,7 @@
         for name in ("a.1", "b.1"):
             for number in [k for k in counters[name].open_requests if rng.random() < 0.2]:
                 counters[name].record_ended(number, rng.choice(list(RequestEnding)), 10.0)
-        if n % 37 == 0:  # the last writes are long before the death
+        if n % 37 == 0:  # the last revision is well before the crash
             written += [
                 c for b in counters.values() if (c := decode_counters(b.encode_next_revision())) is not None
             ]
@@ -202,14 +202,14 @@
     return written
 
 
-def test_counts_merge_without_order_and_count_each_request_once() -> None:
+def test_records_merge_in_any_order_and_count_each_request_once() -> None:
     written = adopted_records(1)
     one = merge_counters(written, {"a.1", "b.1"}, {0: 1000.0})
     again = written * 2
     Random(2).shuffle(again)
     two = merge_counters(again, {"a.1", "b.1"}, {0: 1000.0})
     assert (one.cells, one.moments, one.lost) == (two.cells, two.moments, two.lost)
-    # Of each dead life: all up to its last record, once, and what was taken later and adopted, once.
+    # Of each crashed incarnation: all up to its last revision, and what it accepted later and was adopted.
     last = {c.incarnation: c for c in written if c.incarnation in ("a.1", "b.1")}
     late = {
         (e.incarnation, e.number)
@@ -229,19 +229,19 @@
     assert sum(m.total_ms for m in one.moments.values()) >= 1000.0 * sum(one.lost.values())
 
 
-def test_what_a_living_life_holds_is_open_and_damaged_records_are_none() -> None:
-    book = ArmCounters("a.1")
+def test_requests_of_a_live_incarnation_are_open_and_damaged_records_are_ignored() -> None:
+    counters = ArmCounters("a.1")
     for n in range(3):
-        book.record_accepted(OpenRequest(n, 0, 0, 0))
-    book.record_ended(1, RequestEnding.REJECTED, 1000.0)
-    count = decode_counters(book.encode_next_revision())
+        counters.record_accepted(OpenRequest(n, 0, 0, 0))
+    counters.record_ended(1, RequestEnding.REJECTED, 1000.0)
+    count = decode_counters(counters.encode_next_revision())
     assert count is not None
     merged = merge_counters([count], (), {0: 1000.0})
     assert (merged.open_requests[0, 0], merged.cells[0, 0].rejected, merged.requests) == (2, 1, 3)
     assert decode_counters(b"\xc1 nothing") is None
 
 
-def test_the_gateway_that_run_starts_imports_nothing_of_it() -> None:
+def test_the_default_gateway_imports_nothing_of_placement() -> None:
     code = "import sys, meadowpulley.__main__, meadowpulley.net.gateway; print(*sys.modules)"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     names = done.stdout.split()
--- a/tests/test_placement_emulated.py
+++ b/tests/test_placement_emulated.py
@@ -1,4 +1,4 @@
-"""Placement experiments on the emulated fleet with real balancers: rules, deaths, the coin between builds."""
+"""Placement experiments on the emulated fleet with real rollout policies: rules, crashes, drawn builds."""
 
 from __future__ import annotations
 
@@ -40,12 +40,12 @@
 
 
 @pytest.mark.parametrize("policy", sorted(POLICIES))
-def test_rules_hold_under_every_policy_and_deaths_lose_only_what_nobody_wrote(policy: str) -> None:
+def test_rules_hold_under_every_policy_and_crashes_lose_only_unwritten_counts(policy: str) -> None:
     load = LoadSpec(per_s=100.0, seconds=20.0)
     found = run_experiment(FLEET, experiment(policy), load, 3, FAULTS)
     assert not found.rule_violations
     s = found.summary
-    assert s.incarnations == 3 and s.withheld > 0  # the build that went back; before the ledger was known
+    assert s.incarnations == 3 and s.withheld > 0  # during the rollback, and before the ledger was read
     asked = sum(1 for _ in load.arrivals(FLEET, 3))
     lost = sum(a.lost for a in s.arms if not a.class_name)
     assert 0 < lost < 100 and not sum(a.still_open for a in s.arms)
@@ -55,15 +55,17 @@
         assert run_experiment(FLEET, experiment(policy), load, 3, FAULTS) == found
 
 
-def test_the_coin_between_builds_knows_nothing_of_arms() -> None:
+def test_the_drawn_build_is_independent_of_the_arm() -> None:
     e, seen = experiment("two"), Counter[tuple[int, int]]()
     assignment, done = Assignment(e), set[int]()
 
     def make(settings: Any, seed: int) -> PlacementStage:
-        life = Incarnation(f"gateway-{settings.gateway_index}", 1)
-        stage = PlacementStage(RolloutPolicy(settings, seed, build_placements(e, seed)), e, settings, life)
+        incarnation = Incarnation(f"gateway-{settings.gateway_index}", 1)
+        stage = PlacementStage(
+            RolloutPolicy(settings, seed, build_placements(e, seed)), e, settings, incarnation
+        )
         stage.writer.ledger_read = stage.writer.ledger_lost = (
-            True  # it knows of no arm that ended, and asks nothing of a ledger
+            True  # it has no ended arms, and commits nothing
         )
         return stage
 
@@ -87,7 +89,7 @@
     assert stats.chi2_contingency(table).pvalue > 0.01
 
 
-def test_rows_are_read_as_tables_of_experiments(tmp_path: Path) -> None:
+def test_rows_are_written_as_tables_of_experiments(tmp_path: Path) -> None:
     load = LoadSpec(per_s=150.0, seconds=10.0)
     found = [row for seed in (1, 2) for row in table_rows(FLEET, experiment("round", "two"), load, seed)]
     names = list(dict.fromkeys(row.name for row in found))
@@ -99,7 +101,7 @@
     assert (tmp_path / "table.csv").read_text().startswith("configuration,seed,")
 
 
-def test_the_guard_ends_a_harmful_arm_on_real_balancers_and_leaves_equal_ones_alone() -> None:
+def test_the_guard_ends_a_harmful_arm_and_not_an_equal_one() -> None:
     load = LoadSpec(per_s=170.0, seconds=15.0)  # 0.85 of what the fleet can do; requests have no keys
     harmed, equal = (run_experiment(FLEET, experiment(policy, "two"), load, 1) for policy in ("key", "two"))
     assert harmed.guard_times_ms and harmed.summary.ended_arms[0][0] == "new" and not harmed.rule_violations
--- a/tests/test_placement_estimates.py
+++ b/tests/test_placement_estimates.py
@@ -1,4 +1,4 @@
-"""Estimates of placement experiments: against sums done by hand, and where the answer is known."""
+"""Estimates of placement experiments: against direct sums, and where the true difference is known."""
 
 from __future__ import annotations
 
@@ -47,8 +47,7 @@
 def simulated_counters(
     seed: int, direct: float, carried: float, bins: int = 3000, groups: int = 1
 ) -> MergedCounters:
-    """A fleet where a request of arm 1 costs `direct` more, and each request of the next bins a little, which
-    comes to `carried` in all. Half a bin of its own counts as later."""
+    """Counters of a fleet where requests of arm 1 cost `direct` more, and `carried` in later bins."""
     rng, merged = np.random.default_rng(seed), MergedCounters()
     new, old = rng.poisson(5, bins), rng.poisson(5, bins)
     taken = new + old
@@ -68,7 +67,7 @@
     return merged
 
 
-def test_the_mixed_estimate_counts_what_an_arm_costs_others_and_the_naive_one_does_not() -> None:
+def test_the_mixed_estimate_includes_what_an_arm_costs_others() -> None:
     found = [simulated_counters(seed, 2.0, 12.0) for seed in range(30)]
     full = [estimate_mixed(m, 1, 0, 0.05, 0.5) for m in found]
     assert np.mean([e.value for e in full]) == pytest.approx(14.0, abs=4 * full[0].standard_error / 30**0.5)
@@ -77,7 +76,7 @@
     assert np.mean(plain) == pytest.approx(2.0, abs=0.3)
 
 
-def test_reach_is_q_less_a_plane_that_earlier_bins_alone_decide() -> None:
+def test_residuals_are_q_less_a_plane_fitted_to_earlier_bins_only() -> None:
     rng = np.random.default_rng(3)
     taken, still = rng.poisson(9, 60).astype(float), rng.poisson(20, 60).astype(float)
     cost, held = rng.gamma(3, 30, 60), rng.gamma(3, 30, 60)
@@ -95,7 +94,7 @@
             expected = line @ [1, still[b], taken[b : b + LOOKAHEAD_BINS + 1].sum()]
             assert got[b] == pytest.approx(x[b : b + LOOKAHEAD_BINS + 1].sum() - expected, abs=0.05)
     later = cost.copy()
-    later[50] += 1e6  # what comes later changes nothing that was expected before
+    later[50] += 1e6  # later bins change no earlier expectation
     assert np.allclose(
         q_residuals(taken, later, held, still).by_cost[: 50 - LOOKAHEAD_BINS],
         r.by_cost[: 50 - LOOKAHEAD_BINS],
@@ -103,20 +102,20 @@
     )
 
 
-def test_a_class_s_estimate_is_of_its_own_requests() -> None:
+def test_the_estimate_of_a_class_is_per_request_of_that_class() -> None:
     merged = simulated_counters(1, 2.0, 12.0)
     merged.moments[0, 0, 1] = CostMoments(0, 0, 1, 0)
     assert estimate_mixed(merged, 1, 1, 0.05, 0.5).value == pytest.approx(
         estimate_mixed(merged, 1, 0, 0.05, 0.5).value
     )
-    assert estimate_mixed(merged, 1, 2, 0.05, 0.5) == NO_ESTIMATE  # a class that nobody asked for
+    assert estimate_mixed(merged, 1, 2, 0.05, 0.5) == NO_ESTIMATE  # a class without requests
 
 
 # Bins
 
 
 def random_segments(seed: int, life: str = "a.1") -> tuple[list[BinSegment], float, float]:
-    """Segments of a random life; costs and time held of all its requests."""
+    """Return segments of a random incarnation, and its requests' outstanding time and cost."""
     rng, bins, now, held = Random(seed), BinRecorder(life, 2, 500.0), 1000.0, 0.0
     out: list[tuple[float, float, int]] = []
     found: list[BinSegment] = []
@@ -140,12 +139,12 @@
     return found, held, sum(sum(b.cost_ms[0] for b in s.bins) for s in found)
 
 
-def test_bins_are_written_once_all_is_over_and_hold_little_s_law() -> None:
+def test_bins_are_complete_and_obey_littles_law() -> None:
     segments, held, cost = random_segments(1)
-    assert cost == pytest.approx(held)  # each request's time, by when it was taken
+    assert cost == pytest.approx(held)  # each request's time, in the bin that accepted it
     assert sum(b.outstanding_ms[0] for s in segments for b in s.bins) == pytest.approx(
         held
-    )  # and by when it was held
+    )  # and in the bins in which it was outstanding
     numbers = [b.number for s in segments for b in s.bins]
     assert numbers == list(range(numbers[0], numbers[0] + len(numbers)))
     assert sum(sum(b.arm_counts.values()) for s in segments for b in s.bins) == 1500
@@ -159,7 +158,7 @@
     return total.complete_bins(over)
 
 
-def test_bins_of_all_lives_add_up_in_any_order_as_far_as_the_slowest_living_one_told() -> None:
+def test_bins_add_up_in_any_order_as_far_as_every_live_incarnation_has_written() -> None:
     a, b = random_segments(1)[0], random_segments(2, "b.1")[0][:3]
     one = total_bins([*a, *b], set())
     shuffled = [*a, *b] * 2
@@ -171,7 +170,7 @@
     assert one[5].accepted[0] == a[0].bins[5].accepted[0] + b[0].bins[5].accepted[0]
 
 
-def test_a_clock_that_is_set_back_stands_still() -> None:
+def test_a_clock_that_is_set_back_has_no_effect() -> None:
     bins = BinRecorder("a.1", 2, 500.0)
     number = bins.record_accepted(1000.0, 0, 0, 0)
     bins.advance(5000.0)
@@ -183,7 +182,7 @@
 # Errors
 
 
-def test_confidence_sequences_hold_at_every_look_where_intervals_do_not() -> None:
+def test_confidence_sequences_cover_at_every_look_and_intervals_do_not() -> None:
     rng = np.random.default_rng(5)
     n = np.arange(400, 20_001, 200)
     once = kept = 0
@@ -197,7 +196,7 @@
 
 
 def test_units_that_share_an_arm_widen_the_error() -> None:
-    """Keys differ, and their requests share an arm: as single requests they would look far surer."""
+    """Keys differ, and their requests share an arm: as independent ones their error would seem smaller."""
     rng, shared, single = np.random.default_rng(4), MergedCounters(), MergedCounters()
     for key in range(320):
         usual, arm, group = float(rng.normal(100, 30)), key % 2, key % 16
@@ -231,7 +230,7 @@
 # The guard, and the truth
 
 
-def test_the_guard_sees_harm_that_falls_on_others_and_the_naive_difference_hides() -> None:
+def test_the_guard_detects_harm_to_other_requests() -> None:
     arms = (Arm("now", "own", 0.5), Arm("selfish", "least", 0.5))
     e = Experiment(1, "try", arms, EndCondition(requests=10**9))
     assert "with what it costs others" in harm_reason(e, simulated_counters(1, -2.0, 60.0), 1)
@@ -241,7 +240,7 @@
     )
 
 
-def test_where_the_truth_is_known_the_mixed_estimate_is_nearer_to_it() -> None:
+def test_the_mixed_estimate_has_less_bias_where_the_truth_is_known() -> None:
     case = CalibrationCase(ModelSetting(10, 1, 0.85), (TWO_CHOICES, LEAST_OUTSTANDING), arrivals=8000)
     found = calibrate(case, 50, 1, (15.0,))[0]
     plain, full = estimator_quality(found, "naive"), estimator_quality(found, "mixed")
@@ -251,6 +250,6 @@
 
 
 @pytest.mark.parametrize("load", [0.3, 0.6])
-def test_the_model_s_random_placement_is_the_textbook_s_queue(load: float) -> None:
+def test_random_placement_in_the_model_is_an_mm1_queue(load: float) -> None:
     runs = simulate(ModelSetting(10, 2, load), (RANDOM, RANDOM), 0.5, 40, 4000, 1)
     assert mean_sojourn_time(runs).mean() == pytest.approx(1 / (1 - load), rel=0.04)  # M/M/1
--- a/tests/test_placement_gateway.py
+++ b/tests/test_placement_gateway.py
@@ -1,4 +1,4 @@
-"""An experiment at real gateways on the joint layout: one is killed, and each request counts once."""
+"""An experiment at real gateways: one is killed, and each request counts once."""
 
 from __future__ import annotations
 
@@ -59,7 +59,7 @@
 
 
 class ExperimentFleet(GatewayCluster):
-    """Notes which server each request went to first."""
+    """Records which server each request was sent to first."""
 
     def __init__(self, folder: Path, size: int, environ: dict[str, str]) -> None:
         self.server: dict[str, Any] = {}
@@ -90,7 +90,7 @@
             store.close()
 
     def counts(self, e: Experiment) -> dict[str, Any]:
-        """The record of each life."""
+        """Return the counters record of each incarnation."""
         store = DiskStore(str(self.fleet.ledger))
         try:
             found = [decode_counters(record.value) for record in store.scan(e.record_key("count/"))]
@@ -109,7 +109,7 @@
     world.stop()
 
 
-def test_each_request_of_an_experiment_counts_once_though_a_gateway_is_killed(
+def test_each_request_counts_once_when_a_gateway_is_killed(
     experiment: tuple[ExperimentFleet, Experiment], tmp_path: Path
 ) -> None:
     world, e = experiment
@@ -156,16 +156,16 @@
     assert [response_status(answer) for answer in more] == [200] * KEYS
     gateways[2].signal(signal.SIGTERM)
     assert gateways[2].wait_for_exit() == 0
-    assert world.summary(e).requests == REQUEST_COUNT + KEYS  # the last ones are not lost with a planned stop
+    assert world.summary(e).requests == REQUEST_COUNT + KEYS  # a graceful shutdown loses none
 
-    world.fleet.launch(0).wait_for("ready")  # the killed one comes back with the same file
+    world.fleet.launch(0).wait_for("ready")  # the killed gateway restarts with the same file
     other = tmp_path / "other.toml"
     other.write_text(FILE.replace("500.0", "700.0"))
     late = world.fleet.launch(3, {"MEADOWPULLEY_PLACEMENT": str(other)})
     assert late.wait_for_exit() == 2
     (line,) = [line["line"] for line in late.events("plain")]
     assert f"{other}: name: 'try' runs as version {e.digest[:8]}, this file is" in line
-    assert "g3" not in world.gateways()  # and begun no life
+    assert "g3" not in world.gateways()  # and it registered no incarnation
 
 
 BAD = [
@@ -176,7 +176,7 @@
 
 
 @pytest.mark.parametrize(("text", "found"), BAD)
-def test_a_bad_file_is_refused_in_one_line(tmp_path: Path, text: str, found: str) -> None:
+def test_an_invalid_file_is_refused_in_one_line(tmp_path: Path, text: str, found: str) -> None:
     file = tmp_path / "placement.toml"
     if text:
         file.write_text(text)
@@ -187,7 +187,7 @@
     assert "\n" not in str(bad.value) and str(file) in str(bad.value)
 
 
-def test_without_its_libraries_the_start_is_refused_in_one_line() -> None:
+def test_missing_libraries_are_reported_in_one_line() -> None:
     code = (
         "import sys; from types import SimpleNamespace as N; from meadowpulley import stage_pipeline\n"
         "sys.modules['scipy'] = None\n"
--- a/tests/test_placement_stage.py
+++ b/tests/test_placement_stage.py
@@ -1,4 +1,4 @@
-"""The placement stage between events and decisions: labels, counts, the ledger, and gateways that die."""
+"""The placement stage: labels, counters, the ledger, and gateways that crash."""
 
 from __future__ import annotations
 
@@ -50,11 +50,11 @@
 
 SETTINGS = gateway_settings(demo_fleet(), 0)
 ARMS = (Arm("now", "own", 0.5), Arm("other", "least", 0.5))
-OTHER_LABEL = 1  # its label: the module's own choice has one that no placement has
+OTHER_LABEL = 1  # the label of arm "other"; the default policy's label is that of no placement
 
 
 class RecordingStage:
-    """Takes all, and does what a test says."""
+    """Records all events, and returns the actions that a test sets."""
 
     def __init__(self) -> None:
         self.events: list[Any] = []
@@ -67,7 +67,7 @@
 
 
 class StubOrigins:
-    """Of requests taken here their own number, unless told else; none has moved but those in `left_as`."""
+    """Origins: a request's own number unless `known` says otherwise; departures as a test sets them."""
 
     def __init__(self, incarnation: Incarnation, known: dict[int, RequestOrigin]) -> None:
         self.incarnation, self.known, self.departures = incarnation, known, dict[int, Any]()
@@ -80,7 +80,7 @@
 
 
 class StageHarness:
-    """A stage on a shared ledger in memory; `cut` loses the ledger, `kill` all that it had not written."""
+    """A stage on a shared ledger in memory; it may be disconnected from the ledger, or killed."""
 
     def __init__(
         self, store: MemoryStore, name: str, origins: dict[int, RequestOrigin] | None = None, **more: Any
@@ -135,19 +135,19 @@
     return gateway
 
 
-def test_requests_are_labelled_with_their_arm_and_all_else_passes() -> None:
+def test_requests_are_labelled_and_other_events_pass() -> None:
     g = started()
     arms = Counter(g.accept(1.0, n).arm for n in range(400))
     assert set(arms) == {1, 2} and min(arms.values()) > 150
     for event in (Timer(1), ProbeResult(1, Result.OK, 1.0), LedgerUnavailable("gone"), LedgerRecovered()):
         g.deliver(2.0, event)
         assert g.inner.events[-1] == event
-    heard = len(g.inner.events)
+    event_count = len(g.inner.events)
     g.check(3.0)
-    assert len(g.inner.events) == heard  # its own timer is its own
+    assert len(g.inner.events) == event_count  # its own timer does not pass
 
 
-def test_every_end_is_counted_as_what_it_is_and_unserved_ones_cost_their_deadline() -> None:
+def test_every_ending_is_counted_and_unserved_requests_cost_their_deadline() -> None:
     g = started(arms=(Arm("now", "own", 0.999), Arm("other", "own", 0.001)))
     for n in range(5):
         g.accept(0.0, n)
@@ -157,7 +157,7 @@
     g.inner.next_actions = [Fail(2)]
     g.deliver(32.0, Outcome(2, 0, 1, Result.RESET, 32.0, False))
     g.deliver(33.0, ClientDisconnected(3))
-    g.serve(40.0, 0)  # a second answer counts for nothing
+    g.serve(40.0, 0)  # a second response is not counted
     g.check(50.0)
     arm = g.summary().arms[0]
     counts = (arm.served, arm.rejected, arm.failed, arm.disconnected, arm.still_open, arm.requests)
@@ -169,7 +169,7 @@
 
 
 @pytest.mark.parametrize("written", [False, True])
-def test_an_adopted_request_keeps_its_arm_counts_once_and_runs_from_when_it_was_taken(written: bool) -> None:
+def test_an_adopted_request_keeps_its_arm_and_start_and_counts_once(written: bool) -> None:
     first = started()
     arms = {n: first.accept(100.0, n).arm for n in range(20)}
     first.serve(150.0, 0)
@@ -186,13 +186,13 @@
     second.check(1300.0)
     found = second.summary()
     assert found.adopted == 9
-    assert found.requests == (20 if written else 9)  # what nobody wrote down nobody can know
+    assert found.requests == (20 if written else 9)  # what was never written is lost
     ours = [a for a in found.arms if not a.class_name]
     assert sum(a.lost for a in ours) == (10 if written else 0) and not sum(a.still_open for a in ours)
     assert second.stage.tracker.counters.record.adopted_completions[0].cost_ms == 1000.0
 
 
-def test_while_a_build_goes_back_and_before_the_ledger_spoke_no_arm_is_given() -> None:
+def test_no_arm_is_assigned_during_a_rollback_or_before_the_ledger_is_read() -> None:
     g = StageHarness(MemoryStore(), "a")
     assert g.accept(0.0, 1).arm == 0
     g.observe_ledger(1.0)
@@ -207,7 +207,7 @@
     assert g.accept(8.0, 5).arm == 0
 
 
-def test_a_gateway_of_another_version_counts_apart_and_says_so() -> None:
+def test_a_gateway_of_another_version_counts_apart_and_logs_it() -> None:
     a = started()
     a.check(1.0)
     b = started("b", a.store, carry_ms=700.0)
@@ -235,7 +235,7 @@
     b, c = started("b", a.store), started("c", a.store)
     for g in (a, b, c):
         serve_slow_arm(g, 10.0, 0, 1000)
-    for g in (a, b):  # both see it at the same time: one of them decides
+    for g in (a, b):  # both detect it at the same time: one of them decides
         g.check(100.0)
     assert len([r for r in a.store.scan("placement/") if "/ended/" in r.key]) == 1
     assert any("arm 'other' is worse as measured" in line for line in a.log_lines)
@@ -247,7 +247,7 @@
     assert a.summary().ended_arms[0][0] == "other" and "as measured" in a.summary().ended_arms[0][1]
 
 
-def test_a_gateway_that_is_cut_off_ends_an_arm_alone_and_tells_the_ledger_later() -> None:
+def test_a_disconnected_gateway_ends_an_arm_alone_and_records_it_later() -> None:
     a = started()
     a.disconnected = True
     a.deliver(5.0, LedgerUnavailable("full"))
@@ -264,7 +264,7 @@
 @pytest.mark.parametrize(
     "end", [EndCondition(requests=50), EndCondition(at=datetime.fromtimestamp(0.2, UTC))]
 )
-def test_an_experiment_ends_for_all_and_what_is_open_is_still_counted(end: EndCondition) -> None:
+def test_an_experiment_ends_for_all_and_open_requests_still_count(end: EndCondition) -> None:
     a = started(end=end)
     for n in range(60):
         a.accept(100.0, n)
@@ -277,7 +277,7 @@
     assert sum(arm.served for arm in a.summary().arms if not arm.class_name) == 1
 
 
-def test_a_gateway_that_leaves_writes_what_it_has_counted_since_its_last_record() -> None:
+def test_a_graceful_shutdown_writes_the_latest_counters() -> None:
     g = started()
     g.accept(1.0, 1)
     g.check(2.0)
@@ -289,11 +289,11 @@
     assert (sum(a.served for a in arms), sum(a.still_open for a in arms)) == (1, 1)
 
 
-def test_a_write_of_unknown_fate_is_not_written_twice_over() -> None:
+def test_a_write_with_a_lost_result_is_not_counted_twice() -> None:
     a = started()
     a.accept(1.0, 1)
     for action in a.stage.handle(2.0, Timer(4)):
-        if isinstance(action, Commit):  # carried out, but the answer was lost
+        if isinstance(action, Commit):  # committed, but the result was lost
             a.store.commit(a.incarnation, action.transactions)
             a.deliver(
                 3.0,
@@ -307,7 +307,7 @@
     assert a.summary().requests == 2
 
 
-def test_bins_reach_the_ledger_once_each_also_after_it_was_lost() -> None:
+def test_each_bin_reaches_the_ledger_once_also_after_an_outage() -> None:
     a = started(carry_ms=50.0)  # bins of 10 ms
     for n in range(100):
         a.disconnected = 20 <= n < 80
@@ -324,7 +324,7 @@
     assert seen == pytest.approx([4.0] * 96)
 
 
-def test_a_switchback_gives_whole_blocks_to_arms_and_leaves_out_their_beginnings() -> None:
+def test_a_switchback_assigns_whole_blocks_and_omits_their_settling_time() -> None:
     a = started(unit="time", block_ms=1000.0, settle_ms=400.0)
     arms: dict[int, set[int]] = {}
     for n in range(200):
@@ -338,7 +338,7 @@
     assert a.summary().requests == 200 and not a.stage.tracker.bin_recorder.bins
 
 
-def test_who_adopts_a_request_that_was_in_no_arm_does_not_count_it() -> None:
+def test_an_adopted_request_that_was_in_no_arm_is_not_counted() -> None:
     a = started()
     a.deliver(1.0, RolloutUpdate(2, 1, Phase.ROLLING_BACK, 0.0, 0.0))
     assert a.accept(2.0, 1).arm == 0
@@ -351,23 +351,23 @@
     assert (b.summary().requests, b.summary().withheld) == (0, 1)
 
 
-def test_one_living_gateway_judges_for_all_and_another_when_it_is_gone() -> None:
+def test_one_live_gateway_evaluates_and_another_takes_over() -> None:
     store = MemoryStore()
     fleet = [started(name, store) for name in "abcde"]
     for g in fleet:
         g.observe_ledger(1.0)
-    judges = [g for g in fleet if g.stage.is_evaluator]
+    evaluators = [g for g in fleet if g.stage.is_evaluator]
     assert (
-        len(judges) == 1
-        and judges[0].stage.experiment.record_key("bins/") in judges[0].stage.watched_prefixes()
+        len(evaluators) == 1
+        and evaluators[0].stage.experiment.record_key("bins/") in evaluators[0].stage.watched_prefixes()
     )
-    others = [g for g in fleet if g is not judges[0]]
-    for g in others:  # what all saw is judged once: many who look would raise many false alarms
+    others = [g for g in fleet if g is not evaluators[0]]
+    for g in others:  # many evaluators would raise many false alarms
         serve_slow_arm(g, 10.0, 0, 1000)
         g.check(100.0)
     assert not any("worse" in line for g in others for line in g.log_lines)
     assert all(not any("count/" in key for key in g.stage.watched_prefixes()) for g in others)
-    store.commit(others[0].incarnation, [Transaction((Fence(judges[0].incarnation, 0),))])
+    store.commit(others[0].incarnation, [Transaction((Fence(evaluators[0].incarnation, 0),))])
     for g in others:
         g.observe_ledger(2.0)
     assert sum(g.stage.is_evaluator for g in others) == 1
@@ -376,7 +376,7 @@
     assert sum(any("worse" in line for line in g.log_lines) for g in others) == 1
 
 
-def test_what_comes_after_an_arm_ended_is_not_held_against_it() -> None:
+def test_requests_after_an_arms_end_are_not_compared() -> None:
     arms = (Arm("now", "own", 0.4), Arm("bad", "round", 0.3), Arm("good", "least", 0.3))
     a = started(arms=arms, carry_ms=50.0)
     for n in range(6000):
