Ledger: log events in snake_case, one name each

Need: the ledger logged `ledger`, `ledger lost`, `ledger back` and `ledger ended`, phrases that no query of a log store takes as one word, and `ledger` for two different things.

--- a/benchmarks/ledger_gateway.py
+++ b/benchmarks/ledger_gateway.py
@@ -51,7 +51,7 @@
         print(json.dumps({"at": now_ms(), **what}), flush=True)
 
     def info(self, event: str, **fields: Any) -> None:
-        if event != "ledger":
+        if event != "ledger_opened":
             self.report(log=event, **fields)
 
     warning = error = info
--- a/meadowpulley/ledger/client.py
+++ b/meadowpulley/ledger/client.py
@@ -202,7 +202,7 @@
     def _finish_job(self, job: LedgerJob, result: JobResult) -> None:
         self._current_job = None
         for warning in result.warnings:
-            self._gateway.log.warning("ledger", line=warning)
+            self._gateway.log.warning("ledger_warning", line=warning)
         if not job.timed_out:
             self._dispatch_results(job, result)
         if result.error:
@@ -246,13 +246,13 @@
 
     def _mark_recovered(self) -> None:
         self.unavailable, self._probe_bytes, self._next_probe_at = False, MIN_PROBE_BYTES, 0.0
-        self._gateway.log.info("ledger back", folder=self._settings.folder)
+        self._gateway.log.info("ledger_recovered", folder=self._settings.folder)
         self._gateway.dispatch(LedgerRecovered())
 
     def _mark_fenced(self) -> None:
         if not self.fenced and not self._releasing:
             line = f"ledger: {self.incarnation} was ended by another: serving on without it: start anew"
-            self._gateway.log.error("ledger ended", line=line)
+            self._gateway.log.error("ledger_fenced", line=line)
         self.fenced = True
 
     def _mark_unavailable(self, reason: str) -> None:
@@ -261,7 +261,7 @@
         if not self.unavailable:
             self.unavailable = True
             self._gateway.counters.add("ledger.lost_times")
-            self._gateway.log.error("ledger lost", line=f"{reason}; serving on without it")
+            self._gateway.log.error("ledger_unavailable", line=f"{reason}; serving on without it")
             self._gateway.dispatch(LedgerUnavailable(reason))
         self._dispatch_completions(completions)
         for scan in scans:
@@ -308,5 +308,10 @@
     except LedgerError as error:
         store.close()
         raise LedgerUnusableError(str(error)) from None
-    gateway.log.info("ledger", life=str(incarnation), folder=settings.folder, installation=store.installation)
+    gateway.log.info(
+        "ledger_opened",
+        incarnation=str(incarnation),
+        folder=settings.folder,
+        installation=store.installation,
+    )
     return LedgerClient(gateway, store, incarnation, settings, WorkerThread(reactor))
--- a/meadowpulley/ledger/failpoints.py
+++ b/meadowpulley/ledger/failpoints.py
@@ -56,16 +56,17 @@
 
 @dataclass(slots=True)
 class _Trigger:
-    """When a failpoint acts, and how often it was passed."""
+    """When a failpoint acts, and how often it was hit."""
 
     action: Callable[[], None]
     count: int
     repeats: bool  # from `count` on, not only then
-    passes: int = 0
+    hit_count: int = 0
 
     def hit(self) -> None:
-        self.passes += 1
-        if self.passes == self.count or (self.repeats and self.passes > self.count):
+        """Count one hit, and act if it is due."""
+        self.hit_count += 1
+        if self.hit_count == self.count or (self.repeats and self.hit_count > self.count):
             self.action()
 
 
@@ -88,6 +89,7 @@
         triggers[name] = _Trigger(ACTIONS[action], int(count), repeats)
 
     def hit(name: str) -> None:
+        """Act as the failpoint of that name says."""
         if name in triggers:
             triggers[name].hit()
 
--- a/meadowpulley/ledger/lease_manager.py
+++ b/meadowpulley/ledger/lease_manager.py
@@ -80,6 +80,7 @@
     expired: bool = False
 
     def has_state_of(self, member: Member) -> bool:
+        """Return whether `member` is the same incarnation, and fenced or not alike."""
         return self.member.incarnation == member.incarnation and self.member.fenced == member.fenced
 
 
--- a/tests/processes/test_lending.py
+++ b/tests/processes/test_lending.py
@@ -93,7 +93,7 @@
         admit(80)
         wait_until(lambda: world.all_fenced({"g0", "g1"}))
         gateways[1].signal(signal.SIGCONT)
-        gateways[1].wait_for("ledger ended")
+        gateways[1].wait_for("ledger_fenced")
         world.fleet.launch(0).wait_for("ready")
         admit(200)  # one that woke with what it was granted before would show by now
         gateways[2].signal(signal.SIGTERM)
--- a/tests/processes/test_takeover.py
+++ b/tests/processes/test_takeover.py
@@ -99,7 +99,7 @@
         c: s for c, (s, _) in EXPECTED_AFTER_CRASH.items()
     }
     gateways[0].signal(signal.SIGCONT)
-    gateways[0].wait_for("ledger ended")
+    gateways[0].wait_for("ledger_fenced")
     assert [response_status(a) for a in replies.values()] == [
         502
     ] * 3  # the others have it: nothing else is known here
@@ -158,7 +158,7 @@
         for cls, gateway in owners.items() if resumed_statuses else ():
             gateway.signal(signal.SIGCONT)
             assert response_status(replies[cls]) in resumed_statuses
-            gateway.wait_for("ledger ended")  # before, its ledger is only away, and it serves on unwritten
+            gateway.wait_for("ledger_fenced")  # before, its ledger is only away, and it serves on unwritten
             assert (
                 response_status(world.send_request(gateway, f"new-{cls}", f"/{cls}/x"))
                 == EXPECTED_AFTER_FENCING[cls]
@@ -202,7 +202,7 @@
     if action == "stop":
         wait_until(partial(world.all_fenced, {claimant.name}))
         claimant.signal(signal.SIGCONT)
-        claimant.wait_for("ledger ended")
+        claimant.wait_for("ledger_fenced")
     assert [response_status(a) for a in replies.values()] == [0] * 3
     assert dict(world.send_counts) == {cls: sends for cls, (_, sends) in EXPECTED_AFTER_CRASH.items()}
 
@@ -217,7 +217,7 @@
     wait_until(
         lambda: (
             response_status(world.send_request(disconnected, f"first-{next(numbers)}", "/pay/x"))
-            and disconnected.events("ledger lost")
+            and disconnected.events("ledger_unavailable")
         )
     )
     statuses = [response_status(world.send_request(disconnected, f"cut-{n}", "/pay/x")) for n in range(20)]
@@ -226,7 +226,7 @@
         200
     ] * 3
     assert max(world.send_counts.values()) == 1 and disconnected.process.poll() is None
-    assert not disconnected.events("ledger back")
+    assert not disconnected.events("ledger_recovered")
 
 
 def test_a_full_log_file_is_a_lost_ledger_until_writes_succeed(start: Start) -> None:
@@ -238,15 +238,15 @@
     wait_until(
         lambda: (
             response_status(world.send_request(gateway, f"a-{next(numbers)}", "/pay/x"))
-            and gateway.events("ledger lost")
+            and gateway.events("ledger_unavailable")
         )
     )
     assert [response_status(world.send_request(gateway, f"full-{n}", "/pay/x")) for n in range(20)] == [
         200
     ] * 20
-    assert not gateway.events("ledger back") and max(world.send_counts.values()) == 1
+    assert not gateway.events("ledger_recovered") and max(world.send_counts.values()) == 1
     resource.prlimit(pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
-    gateway.wait_for("ledger back")
+    gateway.wait_for("ledger_recovered")
     assert response_status(world.send_request(gateway, "back", "/pay/x")) == 200
     assert "takeover/work/back" in world.takeover_keys()
 
@@ -257,11 +257,11 @@
     moved = world.fleet.ledger.with_name("aside")
     world.fleet.ledger.rename(moved)
     for gateway in gateways:
-        gateway.wait_for("ledger lost")
+        gateway.wait_for("ledger_unavailable")
     assert [response_status(world.send_request(g, f"lost-{g.name}", "/pay/x")) for g in gateways] == [200] * 2
     moved.rename(world.fleet.ledger)
     for gateway in gateways:
-        gateway.wait_for("ledger back")
+        gateway.wait_for("ledger_recovered")
     assert [response_status(world.send_request(g, f"back-{g.name}", "/pay/x")) for g in gateways] == [200] * 2
     assert any(key.endswith("work/back-g0") for key in world.takeover_keys())
 
--- a/tests/test_ledger_client.py
+++ b/tests/test_ledger_client.py
@@ -39,12 +39,14 @@
 
 
 class LogRecorder:
-    """A log that keeps the line of each event, or the name of the event."""
+    """A log that keeps the names of events, and the line of each event that has one."""
 
     def __init__(self) -> None:
+        self.events: list[str] = []
         self.lines: list[str] = []
 
     def info(self, event: str, **fields: Any) -> None:
+        self.events.append(event)
         self.lines.append(fields.get("line", event))
 
     def warning(self, event: str, **fields: Any) -> None:
@@ -196,6 +198,7 @@
     assert len(fixture.gateway.events_of(LedgerRecovered)) == 1 and fixture.client.holds_lease(
         fixture.gateway.time
     )
+    assert fixture.gateway.log.events == ["ledger_unavailable", "ledger_recovered"]
     fixture.commit(99, "x/99")
     fixture.gateway.run(0.0)
     assert fixture.gateway.events_of(CommitCompleted)[-1].results[0].outcome is TransactionOutcome.COMMITTED
@@ -297,6 +300,7 @@
         sum("was ended by another" in line for line in fixture.gateway.log.lines) == 1
         and not fixture.runner.jobs
     )
+    assert fixture.gateway.log.events == ["ledger_fenced"]
     assert fixture.gateway.forwarded_events.count(Fenced()) == 1
 
 
@@ -307,6 +311,7 @@
     fixture.client.close()
     assert fixture.store.members_by_name["n"].fenced and fixture.store.read("x/last") is not None
     assert not any("ended" in line for line in fixture.gateway.log.lines)
+    assert not fixture.gateway.log.events
 
 
 class FakeReactor:
