--- a/meadowpulley/model_checking/choices.py
+++ b/meadowpulley/model_checking/choices.py
@@ -1,11 +1,11 @@
-"""Chance as a choice point: what the decisions draw is explored, not sampled.
+"""Random draws as choice points: what the policy draws is explored, not sampled.
 
-`Choices` stands in the place of the balancer's random numbers. Each draw asks for one of a few outcomes;
-a script says which, and what lies beyond the script is the first outcome. Which outcomes stand for all:
+`ScriptedRandom` stands in for the policy's random numbers. Each draw asks for one of a few outcomes; a script
+says which, and what lies beyond the script is the first outcome. Which outcomes stand for all:
 
 - a number between 0 and 1 is compared with a threshold or rounded: its two ends;
 - the order in which servers are looked at decides only which two are compared: every pair of three;
-- the tie-breaker between two servers: either may win, whatever the two hold.
+- the tie-breaker between two servers: either may win, whatever their load.
 """
 
 from __future__ import annotations
@@ -49,23 +49,23 @@
         self.option_counts.append(option_count)
         return value
 
-    # The part of random.Random that the decisions use
+    # The part of random.Random that the policy uses
 
     def random(self) -> float:
         """Return one of the two ends of the unit interval."""
         return UNIT_INTERVAL_ENDS[self.choose(2)]
 
-    def sample(self, population: Sequence[T], k: int) -> list[T]:
-        """Return `k` of the population in one of the orders that lead to different decisions."""
+    def sample(self, population: Sequence[T], count: int) -> list[T]:
+        """Return `count` of the population in one of the orders that lead to different decisions."""
         self._second_tie_breaker = None
         size = len(population)
         if size <= 2:
-            return list(population)[:k] if k == size else [population[self.choose(size)]][:k]
-        if size == 3 and k >= 2:  # the three turns show every pair
+            return list(population)[:count] if count == size else [population[self.choose(size)]][:count]
+        if size == 3 and count >= 2:  # the three turns show every pair
             rotation = self.choose(3)
-            return [*population[rotation:], *population[:rotation]][:k]
-        orders = list(permutations(range(size), k))
-        return [population[j] for j in orders[self.choose(len(orders))]]
+            return [*population[rotation:], *population[:rotation]][:count]
+        orders = list(permutations(range(size), count))
+        return [population[index] for index in orders[self.choose(len(orders))]]
 
     def expovariate(self, lambd: float) -> float:
         """Drawn for two servers in turn: one draws little, the other much."""
--- a/meadowpulley/model_checking/graph.py
+++ b/meadowpulley/model_checking/graph.py
@@ -1,9 +1,8 @@
-"""Copies and canonical forms of objects, so that a state of the real code can be kept, and told from
-others.
+"""Copies and canonical forms of objects, so that a state of the real code can be kept and compared.
 
-Both walk whatever an object holds: a field that is added to the code tomorrow is copied and compared
-without a word here. What never changes (settings, events, functions without captured names) is shared. Each
-class gets its own way once, since this is where the search spends its time.
+Both walk whatever an object holds: a field that is added to the code later is copied and compared without a
+word here. What never changes (settings, events, functions without captured names) is shared. How to handle a
+class is worked out once, since this is where the search spends its time.
 """
 
 from __future__ import annotations
@@ -321,7 +320,7 @@
             if number is not None:
                 return ("@", number)
             writer.numbers[id(value)] = len(writer.numbers)
-            writer.kept_alive.append(value)
+            writer.referenced.append(value)
             parts = [name]
             if has_dict:
                 for field, part in value.__dict__.items():
@@ -352,7 +351,7 @@
         self.write_functions = rules.write_functions
         self.server_numbers: Mapping[int, int] = server_numbers or {}
         self.numbers: dict[int, int] = {}
-        self.kept_alive: list[Any] = []  # so that no object's number is used twice
+        self.referenced: list[Any] = []  # so that no object's number is used twice
 
     def server_number(self, number: int) -> int:
         """Return the canonical number of a server."""
--- a/meadowpulley/model_checking/mutation_testing.py
+++ b/meadowpulley/model_checking/mutation_testing.py
@@ -1,4 +1,4 @@
-"""Plays planted bugs, each in a process of its own, and says what caught them."""
+"""Plays planted bugs, each in a process of its own, and reports what caught them."""
 
 from __future__ import annotations
 
@@ -96,4 +96,4 @@
             results.append(task.result())
             report_result(results[-1])
     order = {(name, seed): (n, m) for n, name in enumerate(names) for m, seed in enumerate(seeds)}
-    return sorted(results, key=lambda c: order[c.mutant, c.seed])
+    return sorted(results, key=lambda result: order[result.mutant, result.seed])
--- a/meadowpulley/model_checking/shared_state_model/configurations.py
+++ b/meadowpulley/model_checking/shared_state_model/configurations.py
@@ -1,4 +1,4 @@
-"""The scenes of world C: which requests come, what may go wrong, and the terms, scaled down."""
+"""The configurations of the shared-state model: which requests come, what may fail, scaled-down times."""
 
 from __future__ import annotations
 
@@ -67,7 +67,7 @@
     takes_over: bool = True
     lends: bool = False
     time_by_rounds: bool = False
-    max_asks: int = 2
+    max_sends: int = 2
 
     def settings(self, gateway_index: int) -> Settings:
         """Return the settings of one gateway."""
--- a/meadowpulley/model_checking/shared_state_model/transitions.py
+++ b/meadowpulley/model_checking/shared_state_model/transitions.py
@@ -1,4 +1,4 @@
-"""Taking a step of world C, and what must hold when all is over."""
+"""Applying a step of the shared-state model, and what must hold when all is over."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
 
 class SharedStateModel(EnabledSteps):
-    """The world: each step is a method."""
+    """The whole model: each step is a method named for it."""
 
     def _settle_initially(self) -> None:
         """Both have renewed their leases and know of each other; what is lent has been granted."""
@@ -76,7 +76,7 @@
         return step != first
 
     def _stepping_gateway(self, gateway_index: int) -> SimulatedGateway:
-        """A gateway that steps now; other copies of the world keep theirs."""
+        """Return a gateway that steps now; other copies of the model keep theirs."""
         if gateway_index not in self.own_gateways:
             self.gateways[gateway_index] = self.gateways[gateway_index].copy()
             self.own_gateways.add(gateway_index)
@@ -196,7 +196,7 @@
         self._send_request(gateway_index, request_index, is_retry=True)
 
     def _send_request(self, gateway_index: int, request_index: int, is_retry: bool) -> None:
-        self.requests_asked = (*self.requests_asked, (request_index, gateway_index))
+        self.client_sends = (*self.client_sends, (request_index, gateway_index))
         self.monitor.rejected.discard(f"r{request_index}")  # refused before, and asked anew
         self.record_message(
             "clients",
@@ -280,15 +280,15 @@
         self.monitor.attempt_abandoned(attempt.request_id)
         self._return_result(attempt, Result.REJECTED)
 
-    def _set_held(self, index: int, is_held: bool) -> None:
-        updated = self.arrived_attempts[index]._replace(is_held=is_held)
+    def _set_delayed(self, index: int, is_delayed: bool) -> None:
+        updated = self.arrived_attempts[index]._replace(is_delayed=is_delayed)
         self.arrived_attempts = (*self.arrived_attempts[:index], updated, *self.arrived_attempts[index + 1 :])
 
     def _do_late(self, index: int) -> None:
-        self._set_held(index, True)
+        self._set_delayed(index, True)
 
     def _do_let_run(self, index: int) -> None:
-        self._set_held(index, False)
+        self._set_delayed(index, False)
 
     # Time
 
--- a/meadowpulley/policy/evidence.py
+++ b/meadowpulley/policy/evidence.py
@@ -1,11 +1,11 @@
-"""What outcomes prove of a build: own ones, the platform's, and those that other gateways tell of."""
+"""Evidence against a build, from own outcomes, the platform's statistics and other gateways' digests."""
 
 import math
 
 from meadowpulley.digests import SERVER_MODULUS, decode, encode
 from meadowpulley.interface import BuildStatistics, GossipReceived, SendGossip
 from meadowpulley.policy.outlier_detection import SERVER_FAULT_RATE, eject
-from meadowpulley.state import PLATFORM, BuildEvidence, SequentialFailureTest, State
+from meadowpulley.state import PLATFORM, BuildEvidence, OutcomeCounts, SequentialFailureTest, State
 
 MIN_SAMPLES = 20  # outcomes per build before the bounds count
 GOSSIP_SENDERS = 40  # gateways that send in GOSSIP_INTERVAL_MS if nothing fails: the load grows by the square
@@ -13,10 +13,10 @@
 FAILURE_RATES = (0.02, 0.8)  # the least that any build may have, the most that a baseline is taken to have
 FAILURE_INCREASE = 0.1  # over the baseline's failure rate: the least that is looked for
 POOLED_FAILURE_INCREASE = 0.04  # and the least in the outcomes of many gateways together
-TIMEOUT_RATE = 0.5  # of requests, to FAILURE_INCREASE of the baseline's: paused and cold servers do less
+TIMEOUT_RATE = 0.5  # of a bad build's requests, FAILURE_INCREASE of others': paused servers cause less
 MAX_SERVER_FAILURE_SHARE = 0.4  # at most: failure rate in the statistics that one broken server explains
 REQUIRED_EVIDENCE = 4.0  # log likelihood ratio, more with many gateways: three failures over the baseline's
-MIN_OWN_EVIDENCE = 0.4  # of that, else statistics prove nothing: they count time-outs of jammed servers
+MIN_OWN_EVIDENCE = 0.4  # of that, else statistics prove nothing: they count time-outs of overloaded servers
 MAX_SERVER_EVIDENCE = 0.25  # of that, at most, from one of many servers: four must fail
 RATE_EWMA_WEIGHTS = (0.05, 0.6)  # in a usual failure rate: of one outcome, and of many together at most
 
@@ -38,23 +38,24 @@
 def handle_build_statistics(state: State, event: BuildStatistics) -> None:
     """Take in what the platform counted of a build."""
     succeeded = event.attempts - event.failed
-    record_outcomes(state, event.class_index, event.build, PLATFORM, event.failed, succeeded)
+    record_outcomes(state, OutcomeCounts(event.class_index, event.build, PLATFORM, event.failed, succeeded))
 
 
-def record_outcomes(state: State, class_index: int, build: int, server: int, failed: int, ok: int) -> None:
+def record_outcomes(state: State, counts: OutcomeCounts) -> None:
     """Count outcomes against the baseline's rate, the worst that any gateway saw: errors come in bursts."""
-    if server != PLATFORM and state.gossip_at < math.inf:
-        state.gossip.unpublished.append((class_index, build, server, failed, ok))
-    evidence, scope = state.build_evidence[build], (class_index, server == PLATFORM)
-    weight = min(RATE_EWMA_WEIGHTS[0] * (failed + ok), RATE_EWMA_WEIGHTS[1])
-    evidence.update_failure_rate(scope, failed / max(failed + ok, 1), weight)
+    by_platform, total = counts.server == PLATFORM, counts.failed + counts.succeeded
+    if not by_platform and state.gossip_at < math.inf:
+        state.gossip.unpublished.append(counts)
+    evidence, scope = state.build_evidence[counts.build], (counts.class_index, by_platform)
+    weight = min(RATE_EWMA_WEIGHTS[0] * total, RATE_EWMA_WEIGHTS[1])
+    evidence.update_failure_rate(scope, counts.failed / max(total, 1), weight)
     usual = state.build_evidence[state.baseline_build].baseline_failure_rate.get(scope, -1.0)
     rollout = state.furthest_rollout
-    if rollout is not None and build == rollout.build and usual >= 0:
-        share = min(1 / max(len(state.trial_servers), 1), MAX_SERVER_FAILURE_SHARE)
-        worst = max(usual, *state.gossip.baseline_failure_rates[class_index], 0.0)
-        allowed = worst + (share if server == PLATFORM else 0.0)
-        evidence.own_failures.add(class_index, server, failed, ok, allowed)
+    if rollout is not None and counts.build == rollout.build and usual >= 0:
+        share = min(1 / max(len(state.trial_servers), 1), MAX_SERVER_FAILURE_SHARE) if by_platform else 0.0
+        worst = max(usual, *state.gossip.baseline_failure_rates[counts.class_index], 0.0)
+        outcome = (counts.class_index, counts.server, counts.failed, counts.succeeded)
+        evidence.own_failures.add(*outcome, worst + share)
 
 
 def handle_gossip(state: State, event: GossipReceived) -> None:
@@ -107,6 +108,6 @@
             continue
         rates = state.gossip.baseline_failure_rates[class_index]
         rates.append(min(rate, FAILURE_INCREASE))
-        # Where much fails anyhow, good responses of crowded or cold servers come late and errors do not.
+        # Where much fails anyhow, good responses come late by overload or slow start, and errors do not.
         if rate <= FAILURE_INCREASE:  # else the worst of the seconds that these digests may be about counts
             pooled.add_to(evidence.pooled_failures, class_index, servers, max(rates))
--- a/tests/test_fleet_log.py
+++ b/tests/test_fleet_metrics.py
@@ -20,7 +20,7 @@
 def log_line(gateway: str, timestamp_s: float, list_calls: int, **overrides: Any) -> str:
     news = [42, 1, "trial", 0.5]
     policy_fields = {"servers": {"41.ready": 3}, "out": 2, "resting": 1, "news": news, **overrides}
-    counts = {"list.watches": list_calls, "in.requests": 5}
+    counts = {"discovery.watches": list_calls, "in.requests": 5}
     timestamp = datetime.fromtimestamp(timestamp_s, UTC).isoformat()
     event = {
         "event": "second",
@@ -47,7 +47,7 @@
     ]
     seconds, unreadable = aggregate_intervals(lines)
     assert list(seconds) == [100, 101]
-    assert seconds[100].gateways == 2 and seconds[100].counters["list.watches"] == 3
+    assert seconds[100].gateways == 2 and seconds[100].counters["discovery.watches"] == 3
     assert seconds[100].servers == {"41.ready": 6} and seconds[100].outstanding_requests == 4
     assert seconds[100].rollouts == {"42 stage 1 trial": 2} and seconds[101].rollouts == {"none": 1}
     assert seconds[101].decisions == ["1970-01-01T00:01:41Z n1: back 42"]
@@ -60,14 +60,14 @@
         logs.append(tmp_path / f"n{n}.log")
         logs[-1].write_text("\n".join(log_line(f"n{n}", 50.0 + k, n) for k in range(2)))
     runner = CliRunner()
-    result = runner.invoke(main, ["fleet-log", "--json", *map(str, logs)])
+    result = runner.invoke(main, ["fleet-metrics", "--json", *map(str, logs)])
     rows = json.loads(result.output)["seconds"]
     assert result.exit_code == 0 and [r["list calls"] for r in rows] == [3, 3] and rows[1]["second"] == 1
-    assert runner.invoke(main, ["fleet-log", *map(str, logs)]).exit_code == 0
+    assert runner.invoke(main, ["fleet-metrics", *map(str, logs)]).exit_code == 0
     empty = tmp_path / "empty.log"
     empty.write_text("")
     for path in (empty, tmp_path / "none.log"):
-        failed = runner.invoke(main, ["fleet-log", str(path)])
+        failed = runner.invoke(main, ["fleet-metrics", str(path)])
         assert failed.exit_code == 2 and len(failed.output.strip().splitlines()) == 1
 
 
