--- a/tests/processes/test_lending.py
+++ b/tests/processes/test_lending.py
@@ -91,7 +91,7 @@
         wait_for_admissions(80)
         wait_until(lambda: world.all_fenced({"g0", "g1"}))
         gateways[1].signal(signal.SIGCONT)
-        gateways[1].wait_for("ledger ended")
+        gateways[1].wait_for("ledger_fenced")
         world.fleet.launch(0).wait_for("ready")
         wait_for_admissions(200)  # a resumed gateway that used its old grant would show by now
         gateways[2].signal(signal.SIGTERM)
