--- a/tests/stories/conftest.py
+++ b/tests/stories/conftest.py
@@ -1,4 +1,4 @@
-"""The stories' steps are shared: each feature file may use every one."""
+"""Shared steps of the stories: each feature file may use every one."""
 
 from __future__ import annotations
 
--- a/tests/stories/fleet_scenario.py
+++ b/tests/stories/fleet_scenario.py
@@ -1,4 +1,4 @@
-"""One story while it is told: what is given is gathered, and the fleet is built once it is asked about."""
+"""A story's scenario: steps collect its parts, and the fleet is emulated once a step asks for it."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 @dataclass
 class FleetScenario:
-    """Times are seconds, as in the stories."""
+    """Parts of one story. Times are seconds, as in the stories."""
 
     seed: int = 1
     fleet: Fleet = field(default_factory=lambda: small_fleet(2))
@@ -46,6 +46,7 @@
 
     @property
     def emulation(self) -> Emulation:
+        """The emulated fleet, built on first use."""
         if self._emulation is None:
             scenario = Scenario(releases=tuple(self.releases), faults=tuple(self.faults))
             self._emulation = Emulation(
@@ -68,7 +69,7 @@
         return [replace(a, class_name=self.only_class) for a in load] if self.only_class else load
 
     def _by_tenant(self) -> list[Arrival]:
-        """Look-ups at chance moments; their keys tell the tenants, which take turns by them."""
+        """Return look-ups at random times; their keys determine the tenants."""
         rng, found = Random(self.seed), list[Arrival]()
         assert self.shared_state is not None
         sites = [site.name for site in self.fleet.sites]
@@ -81,7 +82,7 @@
 
     @property
     def result(self) -> EmulationResult:
-        """The day played to its end."""
+        """The result of the story, played to its end."""
         if self._result is None:
             self.emulation.run_until(math.ceil(self.emulation.clock.now / 1000.0) * 1000.0)  # a day ends so
             self._result = self.emulation.run()
@@ -91,7 +92,7 @@
         return self.emulation.gateways[number - 1]  # operators count from one
 
     def call_at(self, seconds: float, call: Callable[[Emulation], None]) -> None:
-        """Something is to happen at its time."""
+        """Run a callback on the emulation at a time."""
         self.plans.append(lambda world: world.clock.call_at(seconds * 1000.0, lambda: call(world)))
 
     def add_fault(self, kind: Any, begin: float, end: float, **more: Any) -> None:
@@ -105,7 +106,7 @@
         return [r for r in self.records if type(r) is kind]
 
     def outcome_counts(self) -> Counter[str]:
-        """How asks ended, over all classes."""
+        """Return how calls ended, over all classes."""
         total: Counter[str] = Counter()
         for c in self.result.classes:
             total.update({"served": c.served, "refused": c.rejected, "failed": c.failed, "asked": c.calls})
--- a/tests/stories/fleets.py
+++ b/tests/stories/fleets.py
@@ -1,4 +1,4 @@
-"""The fleets of the stories: small enough that a story of half a minute plays in well under a second."""
+"""Fleets of the stories, small enough that a story of half a minute runs in well under a second."""
 
 from __future__ import annotations
 
@@ -45,6 +45,6 @@
 
 
 def small_fleet(gateways: int, retries: int = 1) -> Fleet:
-    """Two sites, eight servers, and so many gateways, at least two."""
+    """Return two sites with eight servers and a number of gateways, at least two."""
     figures = {"hobart": (gateways + 1) // 2, "kingston": gateways // 2, "retries": retries}
     return parse_fleet((FLEET % figures).encode(), "stories.toml")
--- a/tests/stories/steps_fleet.py
+++ b/tests/stories/steps_fleet.py
@@ -1,4 +1,4 @@
-"""Steps about fleets, loads, faults and what clients got: today's gateways, without anything shared."""
+"""Steps about fleets, loads, faults and what clients got, without shared state."""
 
 from __future__ import annotations
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -1,4 +1,4 @@
-"""The emulated fleet around real decisions: runs that replay, troubles that show, and rules that hold."""
+"""Emulated fleet around the real policy: runs repeat, faults show, and rules hold."""
 
 from __future__ import annotations
 
@@ -140,7 +140,7 @@
 
 
 class DrainIgnoringPolicy(RolloutPolicy):
-    """A planted bug: servers that drain or go stay in use."""
+    """A planted bug: draining and removed servers stay in use."""
 
     def handle(self, now: float, event: Event) -> list[Action]:
         if isinstance(event, EndpointUpdate):
--- a/tests/test_emulator_shared_state.py
+++ b/tests/test_emulator_shared_state.py
@@ -1,4 +1,4 @@
-"""Emulated gateways that stand in for each other: a bug planted in a stage breaks its rule, and is found."""
+"""Emulated gateways with shared state: a bug planted in a stage violates its rule, and is found."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 def run_emulation(
     shared_state: SharedState, seed: int = 4, build_policy: Any = RolloutPolicy
 ) -> EmulationResult:
-    """Two of three gateways fail in turn under load: one sleeps over its lease, one is killed. Then 20 s."""
+    """Fail two of three gateways in turn under load: one is paused beyond its lease, one crashes."""
     fleet = small_fleet(3, retries=3)
     fleet = replace(
         fleet, classes=tuple(replace(c, work_ms=350.0, deadline_ms=5000.0) for c in fleet.classes)
@@ -48,7 +48,7 @@
 
 
 class ForgetfulPolicy(RolloutPolicy):
-    """What earlier lives of a request tried is not looked at."""
+    """A policy that ignores the attempts of earlier incarnations."""
 
     def handle(self, now: float, event: Any) -> list[Action]:
         return super().handle(now, changed(event, prior_attempts=()) if isinstance(event, Request) else event)
--- a/tests/test_emulator_stalled_watches.py
+++ b/tests/test_emulator_stalled_watches.py
@@ -1,4 +1,4 @@
-"""Watches that fall silent in the emulated fleet: drains are kept, since each gateway asks anew in time."""
+"""Stalled watches in the emulated fleet: drains are respected, since each gateway polls again in time."""
 
 from __future__ import annotations
 
@@ -14,8 +14,9 @@
 
 
 def run_emulation(silence_timeout_ms: float, seed: int) -> EmulationResult:
-    """A good build is released at 18 to 22 s, and the earlier one's servers drain, while all watches
-    have been silent since 16 s."""
+    """Release a good build while all watches are stalled since 16 s; the earlier build's servers drain at
+    18 to 22 s.
+    """
     fleet = demo_fleet()
     discovery = replace(
         fleet.discovery, silence_timeout_ms=silence_timeout_ms, change_delay_ms=(500.0, 900.0)
--- a/tests/test_loopback_trace.py
+++ b/tests/test_loopback_trace.py
@@ -1,5 +1,4 @@
-"""What servers and clients of the rig saw, joined into one trace: breaches planted on either side are
-found."""
+"""Traces of services and driver merged into one: violations planted on either side are found."""
 
 from __future__ import annotations
 
