--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -1,9 +1,10 @@
-"""Work in hand while one of four gateways is killed every 5 s: what becomes of it, against an oracle.
+"""Takeover while one of four gateways is killed every 5 s: how requests end, compared with an oracle.
 
     .venv/bin/python benchmarks/takeover.py [--quick] [--seed N] [--rate N] [--one-machine]
 
-In memory, in virtual time: the stages, keepers and a ledger as they are, instances and clients drawn by the
-seed. The oracle knows of each loss at once and begins anew whatever may be. Exit 1 when an aim is missed.
+In memory, in virtual time: the real stages, lease managers and ledger; instances and clients are drawn by the
+seed. The oracle knows of each loss at once and repeats whatever may be repeated. Exit 1 when an objective is
+missed.
 """
 
 from __future__ import annotations
--- a/tests/processes/test_takeover.py
+++ b/tests/processes/test_takeover.py
@@ -1,4 +1,4 @@
-"""Work in hand at several real gateways on one ledger, of which some are killed, stopped or cut off."""
+"""Takeover at several real gateways on one ledger, of which some are killed, paused or cut off."""
 
 from __future__ import annotations
 
@@ -11,17 +11,14 @@
 
 import pytest
 
-from meadowpulley.ledger.failpoints import FAILPOINTS_VARIABLE as FAILPOINTS_VARIABLE
+from meadowpulley.ledger.failpoints import FAILPOINTS_VARIABLE
 from meadowpulley.loopback.gateway_fleet import build_layouts
 from tests.processes.gateway_cluster import GatewayCluster, response_status, wait_until
 
 Start = Callable[..., GatewayCluster]
 HELD_PATHS = {"look": "/look/hold", "put": "/put/hold", "pay": "/pay/hold"}
-EXPECTED_AFTER_CRASH = {
-    "look": (200, 2),
-    "put": (200, 2),
-    "pay": (502, 1),
-}  # what a survivor says, and attempts in all
+# The status at a survivor, and the number of attempts in all.
+EXPECTED_AFTER_CRASH = {"look": (200, 2), "put": (200, 2), "pay": (502, 1)}
 
 
 @pytest.fixture(scope="module", autouse=True)
@@ -53,7 +50,7 @@
     ]
     assert [response_status(a) for a in replies] == [200] * len(request_ids)
     assert dict(world.send_counts) == dict.fromkeys(request_ids, 1)
-    # Asked again at another gateway while it is kept, it is the same answer, and another body is none.
+    # Repeated at another gateway while it is kept, it gets the same response; with another body it fails.
     repeated = world.send_request(gateways[2], "pay-5", "/pay/x", is_retry=True)
     assert response_status(repeated) == 200 and repeated.result() == replies[-1].result()
     assert response_status(world.send_request(gateways[1], "pay-5", "/pay/y", is_retry=True)) == 502
@@ -81,7 +78,7 @@
     assert dict(world.send_counts) == {cls: sends for cls, (_, sends) in EXPECTED_AFTER_CRASH.items()}
 
 
-# What a gateway whose life was ended answers to what is new: nothing unwritten that may not be repeated.
+# What a fenced gateway answers to new requests: it serves only idempotent ones, unjournaled.
 EXPECTED_AFTER_FENCING = {"look": 200, "put": 502, "pay": 502}
 
 
@@ -100,9 +97,8 @@
     }
     gateways[0].signal(signal.SIGCONT)
     gateways[0].wait_for("ledger ended")
-    assert [response_status(a) for a in replies.values()] == [
-        502
-    ] * 3  # the others have it: nothing else is known here
+    # Other gateways own the requests: how they end is not known here.
+    assert [response_status(a) for a in replies.values()] == [502] * 3
     world.release_held.set()
     assert {
         cls: response_status(world.send_request(gateways[0], f"new-{cls}", f"/{cls}/x")) for cls in HELD_PATHS
@@ -112,10 +108,10 @@
     }
 
 
-# At the first request of a gateway its log is appended to once more: the record, with the right of its first
-# attempt; then its end. What a client that asks at another gets and how often instances were asked; what the
-# own client of a gateway gets that wakes after its life was ended: failed, unless it knows that the end it
-# wrote down counts before the time is over for which it may hold the answer back.
+# A failpoint at the first request of a gateway: the second append to its log is the record with the grant
+# of the first attempt, the third is its end. What a client gets that repeats the request elsewhere, and the
+# number of attempts in all; then what the own client of a gateway gets that resumes after it was fenced: a
+# failure, unless the gateway learns that its end of the request is committed before the hold time is over.
 OWNER_FAILPOINTS = [
     ("log.append=kill@2", {"look": (200, 1), "put": (200, 1), "pay": (200, 1)}, set()),
     ("log.appended=kill@2", {"look": (200, 1), "put": (200, 1), "pay": (502, 0)}, set()),
@@ -139,7 +135,7 @@
     world = start(4)
     survivor = world.fleet.launch(0)
     survivor.wait_for("ready")
-    # Those that stop do so together; a killed one is soon missed, and others append to the log for it.
+    # Paused gateways are tested together; a killed one is noticed soon, and others append to the log for it.
     for group in [[*HELD_PATHS]] if resumed_statuses else [[cls] for cls in HELD_PATHS]:
         owners = {
             cls: world.fleet.launch(1 + [*HELD_PATHS].index(cls), {FAILPOINTS_VARIABLE: failpoint})
@@ -158,7 +154,7 @@
         for cls, gateway in owners.items() if resumed_statuses else ():
             gateway.signal(signal.SIGCONT)
             assert response_status(replies[cls]) in resumed_statuses
-            gateway.wait_for("ledger ended")  # before, its ledger is only away, and it serves on unwritten
+            gateway.wait_for("ledger ended")  # before, it serves unjournaled
             assert (
                 response_status(world.send_request(gateway, f"new-{cls}", f"/{cls}/x"))
                 == EXPECTED_AFTER_FENCING[cls]
@@ -168,8 +164,8 @@
     )
 
 
-# The survivor that seals the lost life and claims all of its work is gone in between: after the first move of
-# the seal; after the seal; before the claims; after them; after the rights of its own attempts were won.
+# The survivor that fences the lost incarnation and claims its requests is lost in between: after the first
+# rename of the fence; after the fence; before the claims; after them; after its own attempts were granted.
 CLAIMANT_FAILPOINTS = [
     "seal.renamed={}@1",
     "log.appended={}@2",
@@ -334,15 +330,15 @@
             environ,
             lines,
         )
-    assert sorted(p.name for p in world.fleet.ledger.rglob("*.*")) == before, "a refused start left a life"
+    assert sorted(p.name for p in world.fleet.ledger.rglob("*.*")) == before, (
+        "a refused start has registered an incarnation"
+    )
 
 
 @pytest.mark.parametrize("enabled", [False, True], ids=["off", "on"])
 def test_without_a_ledger_its_parts_are_neither_imported_nor_opened(start: Start, enabled: bool) -> None:
     world = start(1)
-    disabled = (
-        {} if enabled else {"MEADOWPULLEY_LEDGER": "", "MEADOWPULLEY_TAKEOVER": ""}
-    )  # it needs a ledger
+    disabled = {} if enabled else {"MEADOWPULLEY_LEDGER": "", "MEADOWPULLEY_TAKEOVER": ""}
     gateway = world.fleet.launch(0, {**disabled, "PYTHONVERBOSE": "1"})
     gateway.wait_for("ready")
     assert response_status(world.send_request(gateway, "a", "/pay/x")) == 200
--- a/tests/test_takeover_adoption.py
+++ b/tests/test_takeover_adoption.py
@@ -1,4 +1,4 @@
-"""Who takes work over, how many at once, and what is known of its time."""
+"""Which gateway adopts a request, how many at once, and how deadlines and send times are bounded."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
 
 
 def crash_with_waiting_requests(fleet: Fleet, count: int) -> None:
-    """Gateway a dies with so many pieces that wait for a server."""
+    """Kill gateway a with so many requests that wait for a server."""
     fleet["a"].decisions.has_no_server = True
     for n in range(count):
         fleet["a"].submit(f"n{n}", PAY)
--- a/tests/test_takeover_extension.py
+++ b/tests/test_takeover_extension.py
@@ -1,4 +1,4 @@
-"""The takeover's stage at a gateway, on the checker's scripted connections and a ledger in memory."""
+"""The takeover extension at a gateway, on scripted connections and a ledger in memory."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class TakeoverBench(HookBench):
-    """Its ledger carries commits out at once; while `waiting` is a list they wait there."""
+    """A gateway whose ledger commits at once; while `deferred_commits` is a list, commits wait there."""
 
     def __init__(self, written: JournalScope = JournalScope.ALL) -> None:
         super().__init__(None)
@@ -52,7 +52,7 @@
             self.gateway.dispatch(CommitCompleted(commit.ticket, tuple(results), commit.owner))
 
     def sent_requests(self) -> int:
-        """Requests that the instance was sent."""
+        """Return how many requests the instance has received."""
         return int(self.instance.received_by_peer.count(b"HTTP/1.1\r\n"))
 
 
@@ -124,7 +124,7 @@
     (commit,) = bench.deferred_commits
     results = bench.store.commit(bench.incarnation, commit.transactions)
     bench.holds_lease, bench.deferred_commits = False, None
-    bench.wait(310.0)  # its timers come first as it wakes, what became of the write after them
+    bench.wait(310.0)  # when it resumes, its timers come before the result of the write
     assert b" 502 " in client.received_by_peer
     bench.gateway.dispatch(CommitCompleted(commit.ticket, tuple(results), commit.owner))
     assert (
--- a/tests/test_takeover_interleavings.py
+++ b/tests/test_takeover_interleavings.py
@@ -1,4 +1,4 @@
-"""Signals, asks and answers that come between two steps of a hand-over: each order is forced."""
+"""Signals, duplicates and responses that come between two steps of a takeover: each order is forced."""
 
 from __future__ import annotations
 
@@ -12,10 +12,10 @@
 from tests.takeover_fleet import LEASE_TERM_MS, ORDER, PAY, READ, Fleet, LedgerFault, interrupt_at
 
 SERVED_ONCE = "200 run 1"
-CLAIMANT = "c"  # first in line for the id "n"
+CLAIMANT = "c"  # the first in the ranking for the id "n"
 
-# At whose action, the n-th of its kind: the owner's write of the right, its sending, the write of the answer
-# and its passing on; the claimant's claim, its slot, and then the same steps.
+# Gateway, type of action, and how many of them pass before: the owner's write of the grant, its send, the
+# write of the response and its delivery; the claimant's claim, its slot, and then the same steps.
 INTERRUPTION_POINTS = [
     *[("a", step, n) for step, n in ((Commit, 0), (Send, 0), (Commit, 1), (Deliver, 0))],
     *[
@@ -25,7 +25,7 @@
 ]
 
 
-@pytest.mark.parametrize("event", ["told to stop", "asked again"])
+@pytest.mark.parametrize("event", ["shutdown", "duplicate"])
 @pytest.mark.parametrize(("gateway", "step", "skip"), INTERRUPTION_POINTS)
 def test_an_event_between_two_steps_is_answered_by_the_single_execution(
     gateway: str, step: type, skip: int, event: str
@@ -34,7 +34,7 @@
 
     def interrupt() -> None:
         events.append(event)
-        if event == "asked again":
+        if event == "duplicate":
             fleet[gateway].submit("n", PAY)
         else:
             fleet[gateway].dispatch(ShutdownNotice(800.0))
@@ -50,7 +50,7 @@
     fleet.advance(3 * LEASE_TERM_MS)
     fleet["b"].submit("n", PAY)
     fleet.advance(LEASE_TERM_MS)
-    expected = 2 + (gateway == "a") + (event == "asked again")
+    expected = 2 + (gateway == "a") + (event == "duplicate")
     assert events and (fleet.responses("n"), fleet.executions["n"]) == ([SERVED_ONCE] * expected, 1)
     assert fleet["b"].stage.view.open_requests == {}
 
@@ -62,7 +62,7 @@
     def stop() -> None:
         fleet[CLAIMANT].ledger_fault = LedgerFault.UNCONFIRMED
         fleet.call_at(fleet.now + 50.0, partial(setattr, fleet[CLAIMANT], "ledger_fault", LedgerFault.NONE))
-        fleet[CLAIMANT].dispatch(ShutdownNotice(10_000.0))  # it has long requests of its own to end
+        fleet[CLAIMANT].dispatch(ShutdownNotice(10_000.0))  # it has long requests of its own
 
     interrupt_at(fleet, Commit, 0, stop, CLAIMANT)
     fleet["a"].decisions.has_no_server = True
@@ -74,9 +74,10 @@
     assert (fleet.responses("n"), fleet.adopted) == ([SERVED_ONCE], [(CLAIMANT, "n"), ("b", "n")])
 
 
-# An attempt is out (one that can't be called off, as its answer streams) when its gateway gives it away. How
-# the ledger answers that; what its own client is told, and one that asks at another: an answer that comes
-# then and is held for too long need not be the one by which others have ended the work.
+# An attempt is outstanding (one that can't be cancelled, as its response streams) when its gateway releases
+# the request. The ledger's fault; what the own client gets, and one that repeats the request elsewhere: a
+# response that comes then and is held for too long need not be the one with which others have finished the
+# request.
 RELEASED_CASES = [
     (LedgerFault.NONE, READ, "200 run 2", "200 run 2"),
     (LedgerFault.NONE, PAY, "Fail", "Fail"),
@@ -110,7 +111,7 @@
     fleet.advance(20)
     fleet.kill("a")
     fleet.advance(3 * LEASE_TERM_MS)
-    assert fleet.lost_replacements == 20  # claims of the two that came too late
+    assert fleet.lost_replacements == 20  # claims of the two later ones
     assert sorted(name for _, name in fleet.adopted) == sorted(f"n{n}" for n in range(10))
     assert fleet.executions.total() == 10
 
@@ -121,12 +122,12 @@
 def test_a_response_after_the_claim_is_not_delivered(class_index: int, other_response: str) -> None:
     fleet = Fleet()
     fleet["a"].submit("n", class_index)
-    fleet.advance(10)  # its attempt is out
+    fleet.advance(10)  # its attempt is outstanding
     fleet.pause("a", 2 * LEASE_TERM_MS)
     fleet["b"].submit("n", class_index)
     fleet.advance(2 * LEASE_TERM_MS - 50)
     assert fleet.responses("n") == [
         other_response
-    ]  # claimed and ended; the answer lies at a, which wakes now
+    ]  # claimed and finished; a has the response, and resumes now
     fleet.advance(LEASE_TERM_MS)
     assert (fleet["a"].responses["n"], fleet["b"].responses["n"]) == (["Fail"], [other_response])
--- a/tests/test_takeover_origin.py
+++ b/tests/test_takeover_origin.py
@@ -1,4 +1,4 @@
-"""Who took a request first, as takeover tells it, and an experiment's counts that rest on it."""
+"""The origin of a request as takeover keeps it, and the counters of an experiment that rest on it."""
 
 from __future__ import annotations
 
@@ -18,8 +18,10 @@
 
 
 class ExperimentFleet(Fleet):
-    """With a placement stage between each gateway's takeover and its decisions. The numbers of requests fall,
-    as those of slots may."""
+    """A fleet with a placement stage between takeover and the policy of each gateway.
+
+    The handles of requests decrease, as those of slots may.
+    """
 
     def __init__(self, **terms: Any) -> None:
         super().__init__(**terms)
@@ -42,7 +44,7 @@
             self[gateway].submit(f"{prefix}{n}", READ, **more)
 
     def summary(self) -> Summary:
-        """Once all that lives has written its counts."""
+        """Return the summary once every live gateway has written its counters."""
         self.advance(2 * CHECKPOINT_INTERVAL_MS)
         return read_summary(self.experiment, CLASSES, self.store.scan("placement/"), self.store.members())
 
