Policy: the relative failure increase and the weight of slow start come from policy

Need: both tuned values had moved to state/ with the formulas that use them; none may stand there. Change: SequentialFailureTest takes relative_increase, State.capacity takes slow_start_power.

--- a/meadowpulley/policy/evidence.py
+++ b/meadowpulley/policy/evidence.py
@@ -10,7 +10,7 @@
 MIN_SAMPLES = 20  # outcomes per build before the bounds count
 GOSSIP_SENDERS = 40  # gateways that send in GOSSIP_INTERVAL_MS if nothing fails: the load grows by the square
 GOSSIP_INTERVAL_MS = 1000.0  # between two digests of this gateway, and two looks at those of others
-FAILURE_RATES = (0.02, 0.8)  # the least that any build may have, the most that a baseline is taken to have
+FAILURE_RATES = (0.02, 0.8, 0.5)  # least of any build, most of a baseline, least increase relative to it
 FAILURE_INCREASE = 0.1  # over the baseline's failure rate: the least that is looked for
 POOLED_FAILURE_INCREASE = 0.04  # and the least in the outcomes of many gateways together
 TIMEOUT_RATE = 0.5  # of a bad build's requests, FAILURE_INCREASE of others': paused servers cause less
--- a/meadowpulley/policy/routing.py
+++ b/meadowpulley/policy/routing.py
@@ -85,7 +85,7 @@
     cap, _ = cap_and_stage(state, trial[0].build)
     if state.now >= state.trial_probability_until:  # capacities change slowly: computed a few times a second
         state.trial_probability_until = state.now + EVALUATION_INTERVAL_MS
-        trial_capacity, baseline_capacity = state.capacity(trial), state.capacity(baseline)
+        trial_capacity, baseline_capacity = [state.capacity(s, slow_start_power=2) for s in (trial, baseline)]
         total, rollout = trial_capacity + baseline_capacity, state.furthest_rollout
         if rollout is not None and rollout.phase is Phase.ROLLING_BACK:  # beyond the baseline's capacity
             needed = max(1 - baseline_capacity / (ROLLBACK_UTILIZATION * total), 0.0)
--- a/meadowpulley/state/failure_test.py
+++ b/meadowpulley/state/failure_test.py
@@ -13,12 +13,16 @@
 class SequentialFailureTest:
     """CUSUMs of log likelihood ratios, which never fall below 0: one for each class, increase and server.
 
-    `increases`: by how much a bad build's failure rate is above the baseline's, at least. `min_rate` and
-    `max_rate` bound the baseline's rate as the test assumes it.
+    `increases`: by how much a bad build's failure rate is above the baseline's, at least; `relative_increase`
+    is the same as a part of the baseline's rate, and counts where it is more. `min_rate` and `max_rate` bound
+    the baseline's rate as the test assumes it.
     """
 
-    def __init__(self, increases: tuple[float, ...], min_rate: float, max_rate: float) -> None:
-        self.increases, self.min_rate, self.max_rate = increases, min_rate, max_rate
+    def __init__(
+        self, increases: tuple[float, ...], min_rate: float, max_rate: float, relative_increase: float
+    ) -> None:
+        self.increases, self.relative_increase = increases, relative_increase
+        self.min_rate, self.max_rate = min_rate, max_rate
         self.log_odds: dict[tuple[int, float], dict[int, float]] = defaultdict(lambda: defaultdict(float))
 
     def add(
@@ -34,7 +38,7 @@
         scopes = (server,) if server_only or server < 0 else (server, ALL_SERVERS)
         expected = min(max(baseline_rate, self.min_rate), self.max_rate)
         for increase in self.increases:
-            worse = expected + max(increase, expected / 2) * (1 - expected)
+            worse = expected + max(increase, expected * self.relative_increase) * (1 - expected)
             failure_ratio = math.log(worse / expected)
             success_ratio = math.log((1 - worse) / (1 - expected))
             log_ratio = failed * failure_ratio + succeeded * success_ratio
--- a/meadowpulley/state/state.py
+++ b/meadowpulley/state/state.py
@@ -142,10 +142,13 @@
             subset |= dict.fromkeys((servers + servers)[start : start + size], part)
         return subset
 
-    def capacity(self, servers: list[Server]) -> float:
-        """Return what the servers can do together; a server in slow start is slow at any load, so that its
-        fraction counts twice."""
-        return sum([self.relative_capacity(s) * self.slow_start_fraction(s) for s in servers], 0.0)
+    def capacity(self, servers: list[Server], slow_start_power: int) -> float:
+        """Return the capacity of the servers together, with the slow start fraction of each to a power.
+
+        A power above 1 says that a server in slow start is slow at any load.
+        """
+        factor = [self.slow_start_fraction(server) ** (slow_start_power - 1) for server in servers]
+        return sum([self.relative_capacity(s) * f for s, f in zip(servers, factor, strict=True)], 0.0)
 
     def servers_of(self, build: int) -> list[Server]:
         """Return the servers that run the build."""
