Model checking: properties and violations in standard terms

Need: the texts that a violation prints still spoke of lives, seals and keyed requests. Change: texts alone; the names of the properties, which counterexamples store, stay.

--- a/meadowpulley/model_checking/properties.py
+++ b/meadowpulley/model_checking/properties.py
@@ -24,19 +24,19 @@
         Property(
             "answers",
             "rule 1, paragraph 22",
-            "Each request taken gets exactly one final answer before the client's time is up, and nothing is "
+            "Each admitted request gets exactly one final response by its deadline, and nothing is "
             "sent for it after that.",
         ),
         Property(
             "effects",
             "rule 2, paragraph 23",
-            "An unsafe request that may have run is neither sent again nor refused; a keyed one stays"
-            " with those that know it, for as long as they remember.",
+            "A non-idempotent request that may have been executed is neither retried nor rejected; one "
+            "with an idempotency key stays with the servers that know it, for as long as they remember.",
         ),
         Property(
             "executed",
             "rule 2, paragraph 23",
-            "At the servers, no unsafe request runs twice, whatever the gateways know of it.",
+            "At the servers, no non-idempotent request is executed twice, whatever the gateways know of it.",
         ),
         Property(
             "drains",
@@ -47,7 +47,7 @@
         Property(
             "cold",
             "rule 4, paragraph 25",
-            "No gateway sends a cold server more, in a quarter of the span, than its part of what "
+            "No gateway sends a server in slow start more, in a quarter of the window, than its part of what "
             "that server bears, and one request more by chance.",
         ),
         Property(
@@ -81,7 +81,7 @@
         Property(
             "leftovers",
             "records.py",
-            "Once every request has its answer and no attempt is out, a balancer holds no request and"
+            "Once every request has its answer and no attempt is out, a policy holds no request and"
             " no attempt, and counts nothing in flight at any server; what waited is forgotten by the"
             " next tick.",
         ),
@@ -119,7 +119,7 @@
         Property(
             "one-adopter",
             "docs/design/takeover.md",
-            "Work of another life is taken only once that life is over, or has given it away.",
+            "Work of another incarnation is adopted only once that is fenced, or has released it.",
         ),
         Property(
             "work-ends",
@@ -129,12 +129,13 @@
         Property(
             "sealed",
             "ledger/model.py: Seal",
-            "A life that is over changes nothing in the ledger.",
+            "A fenced incarnation changes nothing in the ledger.",
         ),
         Property(
             "lease",
             "ledger/model.py; docs/design/ledger.md",
-            "No written request is sent by a life whose own lease has run out, or that knows of its end.",
+            "No journaled request is sent by an incarnation whose lease has expired or that knows it is "
+            "fenced.",
         ),
         Property(
             "lent",
--- a/meadowpulley/model_checking/shared_state_model/gateway.py
+++ b/meadowpulley/model_checking/shared_state_model/gateway.py
@@ -212,7 +212,9 @@
             )
         if journaled and self.knows_it_is_fenced:
             self._report_violation(
-                environment, "lease", f"{pending.request_id} is sent by a life that knows of its end"
+                environment,
+                "lease",
+                f"{pending.request_id} is sent by an incarnation that knows it is fenced",
             )
         pending.outstanding_attempts[pending.attempt_count] = OutstandingAttempt(
             action.server, environment.now
--- a/meadowpulley/model_checking/shared_state_model/invariant_monitor.py
+++ b/meadowpulley/model_checking/shared_state_model/invariant_monitor.py
@@ -115,12 +115,14 @@
             for write in step.writes if result.outcome is TransactionOutcome.COMMITTED else ():
                 if isinstance(write, Fence) and members[write.incarnation.name].renewal != write.renewal:
                     self.report(
-                        "sealed", now, gateway, f"life {write.incarnation} had renewed, and is sealed"
+                        "sealed", now, gateway, f"incarnation {write.incarnation} had renewed, and is fenced"
                     )
         if fenced and (
             store.version != version or any(d.outcome is TransactionOutcome.COMMITTED for d in results)
         ):
-            self.report("sealed", now, gateway, f"life {author} was over, and its commit changed the ledger")
+            self.report(
+                "sealed", now, gateway, f"incarnation {author} was fenced, and its commit changed the ledger"
+            )
         for key, record in store.records.items():
             if key.startswith(RECORD_PREFIX) and records_before.get(key) != record:
                 self._check_work(now, gateway, members, records_before.get(key), record)
--- a/meadowpulley/model_checking/shared_state_model/transitions.py
+++ b/meadowpulley/model_checking/shared_state_model/transitions.py
@@ -137,7 +137,7 @@
         for gateway in self.gateways:
             if gateway.running and gateway.incarnation == incarnation and self.now < gateway.lease_ends_at:
                 left_ms = gateway.lease_ends_at - self.now
-                text = f"{incarnation} is sealed, and its own lease holds for {left_ms:.0f} ms"
+                text = f"{incarnation} is fenced, and its own lease holds for {left_ms:.0f} ms"
                 self.monitor.report("lease", self.now, gateway.number, text)
 
     def _do_commit(self, gateway_index: int) -> None:
