--- a/meadowpulley/takeover/adoption.py
+++ b/meadowpulley/takeover/adoption.py
@@ -72,7 +72,7 @@
     candidates to adopt, in order, and those that cannot begin in time.
     """
     selected: list[tuple[float, int]] = []  # a heap, least weight first
-    by_deadline = sorted(candidates, key=lambda c: (c.slack_ms, -c.priority_weight, c.request_id))
+    by_deadline = sorted(candidates, key=_deadline_order)
     for index, candidate in enumerate(by_deadline):
         heapq.heappush(selected, (candidate.priority_weight, index))
         if len(selected) > available + rate_per_s * max(candidate.slack_ms, 0.0) / 1000.0:
@@ -83,6 +83,10 @@
     return chosen, missed
 
 
+def _deadline_order(candidate: AdoptionCandidate) -> tuple[float, float, str]:
+    return candidate.slack_ms, -candidate.priority_weight, candidate.request_id
+
+
 class AdoptionBudget:
     """A token bucket for adoptions: `adoptions_per_s`, and a tenth of a second's worth at once."""
 
--- a/meadowpulley/takeover/settings_reader.py
+++ b/meadowpulley/takeover/settings_reader.py
@@ -17,7 +17,7 @@
 class _NumberSetting:
     field: str  # of `TakeoverSettings`
     minimum: float
-    is_whole: bool = False
+    is_integer: bool = False
 
 
 _NUMBER_SETTINGS = {
@@ -25,9 +25,9 @@
     f"{SCOPE_VARIABLE}_HOLD_MS": _NumberSetting("response_hold_ms", 0.0),
     f"{SCOPE_VARIABLE}_STEP_MS": _NumberSetting("claim_stagger_ms", 1.0),
     f"{SCOPE_VARIABLE}_KEEP_MS": _NumberSetting("response_retention_ms", 1000.0),
-    f"{SCOPE_VARIABLE}_IN_HAND": _NumberSetting("max_adopted", 1.0, is_whole=True),
+    f"{SCOPE_VARIABLE}_IN_HAND": _NumberSetting("max_adopted", 1.0, is_integer=True),
     f"{SCOPE_VARIABLE}_PER_S": _NumberSetting("adoptions_per_s", 1.0),
-    f"{SCOPE_VARIABLE}_LIVES": _NumberSetting("max_owners", 1.0, is_whole=True),
+    f"{SCOPE_VARIABLE}_LIVES": _NumberSetting("max_owners", 1.0, is_integer=True),
 }
 
 
@@ -58,4 +58,4 @@
     if not setting.minimum <= value <= MAX_DURATION_MS:
         problem = f"'{text}' is no number from {setting.minimum:g}: set it, or leave it out"
         raise LedgerUnusableError(f"{variable}: {problem}")
-    return int(value) if setting.is_whole else value
+    return int(value) if setting.is_integer else value
--- a/tests/stories/lost_gateways.feature
+++ b/tests/stories/lost_gateways.feature
@@ -1,6 +1,5 @@
-Feature: Gateways that are lost, stopped or stand still
-  What today's gateways do without anything shared: a lost gateway takes its work in hand with it, and harms
-  nobody else's.
+Feature: Gateways that are lost, stopped or paused
+  Gateways that share no state: the requests in flight of a lost gateway are lost with it, and no others.
 
   Background:
     Given a fleet of 4 gateways
@@ -13,7 +12,7 @@
     And every request that a gateway kept has one answer
     And no rule is broken
 
-  Scenario: Work in hand is lost with its gateway where clients never try again
+  Scenario: Requests in flight are lost with their gateway where clients never retry
     Given clients that never try again
     When gateway 1 is killed at 4 s
     Then some requests are lost
@@ -27,13 +26,13 @@
     And gateway 2 answers requests again after 5 s
     And no rule is broken
 
-  Scenario: A stop with notice loses nothing
+  Scenario: A graceful shutdown loses nothing
     When gateway 3 is told at 4 s to stop within 3 s
     Then every request is served
     And gateway 3 takes no request between 4.1 s and 11 s
     And no rule is broken
 
-  Scenario: All gateways are restarted in turn, and nobody notices
+  Scenario: A rolling restart loses next to nothing
     Given 60 requests a second for 14 s
     When each gateway in turn is restarted every 2 s with 1.5 s of notice
     Then at least 99.5% of the requests are served
@@ -56,7 +55,7 @@
       | a final answer is decided, and none of its bytes has gone out    |
       | a final answer has gone out                                      |
 
-  Scenario Outline: A gateway stands still at any step of its work, and goes on as if nothing had been
+  Scenario Outline: A gateway is paused at any step of its work, and goes on when it resumes
     When gateway 1 stands still for 4 s after 3 s when <moment>
     Then at least 93% of the requests are served
     And gateway 1 answers requests again after 8 s
