Ledger: tests and benchmarks described in the field's terms

Need: docstrings, comments and case names of the ledger's tests and benchmarks still spoke of keepers, lives and looks, and public parts of the benchmarks had no docstring.

Change: prose and ids of parametrized cases only; the fleet of test_ledger takes the timer's token from LEASE_TIMER (test_ledger_client still asserts its value). No assertion changed.

--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -1,9 +1,9 @@
-"""What the ledger costs and how soon a lost gateway is found: on a real disk, by processes that share it.
+"""Measures the ledger on a real disk: its cost, and how soon a lost gateway is fenced.
 
     .venv/bin/python benchmarks/ledger.py [--quick] [--seed N] [--folder FOLDER]
 
-Exits with 1 when a rule breaks: a claim with two winners or none, a lost life not ended within its bound, a
-disk that grows beyond what is allowed, or looks whose cost for a member grows with the fleet.
+Exits with 1 when a rule breaks: a claim with two winners or none, a lost gateway that is not fenced within
+its bound, a log that grows beyond its limit, or reads of a member that grow with the fleet.
 """
 
 from __future__ import annotations
@@ -45,7 +45,7 @@
 TERM_MS, POLL_MS = 1000.0, 25.0
 ENVIRON = {"TERM_MS": "1000", "POLL_MS": "25", "WAIT_MS": "230"}
 RECORD_VALUE = bytes(300)
-TRANSACTIONS_PER_SECOND = 600.0  # steps a second of each gateway: of about 200 requests
+TRANSACTIONS_PER_SECOND = 600.0  # of each gateway: those of about 200 requests
 CRASH_FAILPOINTS = (
     "begin.begun",
     "renew.renamed",
@@ -58,6 +58,8 @@
 
 
 class GatewayProcess:
+    """A process of `ledger_gateway.py`, and the JSON lines that it prints."""
+
     def __init__(
         self, folder: Path, name: str, rate: float, failpoints: str = "", log_mb: float = 32.0
     ) -> None:
@@ -73,6 +75,7 @@
         )
 
     def read_event(self, key: str) -> dict[str, Any]:
+        """Return the next line that has this key. Raises RuntimeError if the process ends before."""
         assert self.process.stdout is not None
         for line in self.process.stdout:
             event: dict[str, Any] = json.loads(line)
@@ -81,12 +84,14 @@
         raise RuntimeError(f"a gateway ended without '{key}'")
 
     def finish(self) -> dict[str, Any]:
+        """Let the gateway shut down; return its summary."""
         assert self.process.stdin is not None
         self.process.stdin.write("end\n")
         self.process.stdin.flush()
         return self.read_event("took")
 
     def kill(self) -> None:
+        """Kill the process, and wait for its end."""
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
         self.process.wait()
@@ -94,6 +99,7 @@
 
 @contextmanager
 def gateways(folder: Path, count: int, rate: float) -> Iterator[list[GatewayProcess]]:
+    """Run gateways on one ledger, each with that many transactions a second."""
     processes = [GatewayProcess(folder, f"n{n}", rate) for n in range(count)]
     try:
         for process in processes:
@@ -104,11 +110,11 @@
             process.kill()
 
 
-# What is measured
+# Measurements
 
 
 def measure_commits(base: Path, duration_s: float) -> dict[str, float]:
-    """Steps a second of one process, by group size, and how long a group takes."""
+    """Return the transactions a second of one process, by batch size; print how long a batch takes."""
     rates = {}
     for sync in (False, True):
         for batch_size in (1, 32):
@@ -141,12 +147,13 @@
 
 
 def format_quantiles(values: Sequence[float]) -> str:
+    """Return the median, the 99th percentile and the maximum as text."""
     parts = statistics.quantiles(values, n=1000)
     return f"p50 {parts[499]:.2f}, p99 {parts[989]:.2f}, most {max(values):.2f}"
 
 
 def measure_latency(folder: Path, duration_s: float) -> tuple[float, float]:
-    """Four gateways at 300 steps/s each: how long a step takes, and how late their reactors are."""
+    """Run four gateways; return the 99th percentiles of commit latency and reactor delay, in milliseconds."""
     folder.mkdir()
     with gateways(folder, 4, TRANSACTIONS_PER_SECOND) as processes:
         time.sleep(duration_s)
@@ -165,7 +172,7 @@
 
 
 class VirtualMember:
-    """A keeper on the disk in virtual time."""
+    """A lease manager on the disk, in virtual time."""
 
     def __init__(self, folder: Path, name: str) -> None:
         self.store = DiskStore(str(folder))
@@ -204,7 +211,7 @@
 
 
 def measure_membership_cost(base: Path, seconds: int, generator: random.Random) -> dict[int, float]:
-    """What membership alone costs, in a fleet at rest: for each member and second."""
+    """Return the leases read for each member and second, by fleet size, in a fleet without requests."""
     reads_per_second = {}
     for member_count in (10, 50, 200):
         folder = base / f"growth-{member_count}"
@@ -246,8 +253,11 @@
 
 
 def measure_fencing_delay(base: Path, failpoints: Sequence[str]) -> tuple[list[float], list[float], float]:
-    """From the moment that one of four gateways is gone until all the others know that it was ended. A killed
-    one counts as gone once it is reaped: its locks are free before, by as long as its files take to close."""
+    """Return the times from the loss of one of four gateways until all others know that it was fenced.
+
+    Returned are those of killed gateways, those of stopped ones, and their bound, in milliseconds. A killed
+    gateway counts as lost once it is reaped: its locks are free a little earlier.
+    """
     bound_ms = 2.0 * TERM_MS * 1.02 + 0.3 * TERM_MS + 10 * POLL_MS
     times: dict[str, list[float]] = {"kill": [], "stop": []}
     for action in ("kill", "stop"):
@@ -273,7 +283,7 @@
 
 
 def fill_log(folder: Path) -> None:
-    """So that the next entry of whoever allows 1 MB ends the log."""
+    """Fill the log so that the next entry of a process with a limit of 1 MB ends the generation."""
     store = DiskStore(str(folder))
     incarnation = store.register("filler", 1000.0)
     for n in range(40):
@@ -284,6 +294,7 @@
 
 
 def wait_for_fencing(process: GatewayProcess, incarnation: str) -> float:
+    """Return when a gateway was notified that an incarnation was fenced."""
     while True:
         event = process.read_event("suspected")
         if [incarnation, True] in event["suspected"]:
@@ -291,7 +302,7 @@
 
 
 def measure_compaction(folder: Path, record_count: int) -> tuple[float, float]:
-    """Peak of all that lies in the folder while the log is begun anew again and again."""
+    """Return the peak size of the folder, as a multiple of the limit, and the number of generations."""
     folder.mkdir()
     store, max_bytes, peak = DiskStore(str(folder), max_log_bytes=1 << 20), 1 << 20, 0
     incarnation, reader = store.register("a", 1000.0), DiskStore(str(folder))
@@ -309,7 +320,7 @@
 
 
 def claims_have_one_winner(folder: Path, store_count: int, generator: random.Random) -> bool:
-    """Whether each of 1000 claims, asked for by several in any order, was won by exactly one."""
+    """Return whether each of 1000 claims, made by several stores in random order, has exactly one winner."""
     folder.mkdir()
     stores = [DiskStore(str(folder), max_log_bytes=1 << 16) for _ in range(store_count)]
     incarnations = [store.register(f"n{n}", 1000.0) for n, store in enumerate(stores)]
--- a/benchmarks/ledger_gateway.py
+++ b/benchmarks/ledger_gateway.py
@@ -1,9 +1,8 @@
-"""A gateway without clients, for `ledger.py`: a reactor, the ledger's client, and steps as requests ask for
-them.
+"""A gateway without clients, for `ledger.py`: a reactor, the ledger's client, and transactions at a rate.
 
     python benchmarks/ledger_gateway.py NAME STEPS_A_SECOND
 
-Says what happens as JSON lines, each with its time; a line on its input ends it.
+Prints its events as JSON lines, each with its time; a line on its input ends it.
 """
 
 from __future__ import annotations
@@ -25,10 +24,12 @@
 reactor: Any = found_reactor
 RECORD_VALUE = bytes(300)
 KEY_COUNT = 500
-DELAY_SAMPLE_MS = 10.0  # every so often it looks how late its reactor is
+DELAY_SAMPLE_MS = 10.0  # between two samples of how late the reactor is
 
 
 class Gateway:
+    """The gateway, its log, and its innermost stage."""
+
     def __init__(self, name: str, transactions_per_second: float) -> None:
         self.counters, self.log = Counters(), self
         self.deadlines = Deadlines(
@@ -47,8 +48,9 @@
         self.lease_manager = client.wrap(self, tuple)
         self.report(began=str(client.incarnation))
 
-    def report(self, **what: Any) -> None:
-        print(json.dumps({"at": now_ms(), **what}), flush=True)
+    def report(self, **fields: Any) -> None:
+        """Print one JSON line."""
+        print(json.dumps({"at": now_ms(), **fields}), flush=True)
 
     def info(self, event: str, **fields: Any) -> None:
         if event != "ledger_opened":
@@ -83,7 +85,7 @@
         return []
 
     def _commit_due(self) -> None:
-        """What came due since: a request's record, its right to go out and its end are about three steps."""
+        """Commit the transactions that have come due."""
         while self.next_commit_at <= now_ms():
             self.next_commit_at += 1000.0 / self.transactions_per_second
             self.last_ticket += 1
@@ -100,7 +102,7 @@
         self.next_sample_at = now + DELAY_SAMPLE_MS
         self.deadlines.at(self.next_sample_at, self._sample_delay)
 
-    # As a reader of the reactor: its input ends it
+    # The reactor's reader of the standard input
 
     def fileno(self) -> int:
         return 0
--- a/tests/processes/gateway_cluster.py
+++ b/tests/processes/gateway_cluster.py
@@ -1,4 +1,4 @@
-"""Gateways on one ledger between stand-in instances and clients: what tests of several processes share."""
+"""Gateway processes on one ledger, between fake instances and clients, for tests of several processes."""
 
 from __future__ import annotations
 
@@ -46,7 +46,7 @@
 
 
 def wait_until(condition: Callable[[], Any], description: str = "") -> Any:
-    """What it gives once that is true."""
+    """Return what `condition` returns once that is true; fail after the time-out."""
     deadline = time.monotonic() + TIMEOUT_S
     while not (result := condition()):
         assert time.monotonic() < deadline, f"not so within {TIMEOUT_S:g} s: {description}"
@@ -55,12 +55,15 @@
 
 
 class GatewayCluster:
-    """Instances hold the first attempt of every request whose path ends in `hold` until `gate` is set."""
+    """Gateways whose instances hold back some responses.
+
+    An instance holds the first attempt of each request whose path ends in `hold` until `release_held` is set.
+    """
 
     def __init__(self, folder: Path, gateway_count: int, environ: dict[str, str] | None = None) -> None:
         self.release_held, self._send_recorded = threading.Event(), threading.Condition()
-        self.send_counts: Counter[str] = Counter()  # that reached an instance, by id
-        self.first_sent_at = list[float]()  # when the first of each did
+        self.send_counts: Counter[str] = Counter()  # attempts that reached an instance, by request id
+        self.first_sent_at = list[float]()  # when the first attempt of each request arrived
         instances = [FakeInstance(self._handle_attempt) for _ in range(INSTANCE_COUNT)]
         entries = [endpoint(f"i{n}", each.address) for n, each in enumerate(instances)]
         discovery, platform = FakeDiscovery(entries), FakePlatform(RELEASED)
@@ -94,7 +97,7 @@
     def send_request(
         self, gateway: GatewayProcess, request_id: str, path: str = "/pay/hold", is_retry: bool = False
     ) -> Future[HttpResponse | None]:
-        """A client with that request under that id."""
+        """Send a request from a client of its own."""
         body, key = (
             (b"", "") if path.startswith("/look") else (path.encode(), request_id.encode().hex()[-16:])
         )
@@ -110,7 +113,7 @@
         )
 
     def takeover_keys(self) -> list[str]:
-        """Keys of all that takeover has in the ledger."""
+        """Return the keys of all records of takeover in the ledger."""
         store = DiskStore(str(self.fleet.ledger))
         try:
             return [record.key for record in store.scan("takeover/")]
@@ -118,7 +121,7 @@
             store.close()
 
     def all_fenced(self, names: set[str]) -> bool:
-        """Whether the last lives of all these gateways were ended."""
+        """Return whether the last incarnations of all these gateways are fenced."""
         store = DiskStore(str(self.fleet.ledger))
         try:
             return names <= {member.incarnation.name for member in store.members() if member.fenced}
@@ -132,7 +135,7 @@
 
 
 def response_status(response: Future[HttpResponse | None]) -> int:
-    """Of its one answer; 0 where there was none."""
+    """Return the status of the one response; 0 if there was none."""
     reply = response.result(2 * TIMEOUT_S)
-    assert reply is None or not reply.trailing, f"answered twice: {reply}"
+    assert reply is None or not reply.trailing, f"more than one response: {reply}"
     return reply.status if reply is not None else 0
--- a/tests/processes/ledger_worker.py
+++ b/tests/processes/ledger_worker.py
@@ -1,4 +1,4 @@
-"""One process on a ledger, told what to do by lines: a JSON list of a call, answered by a JSON line each."""
+"""One process on a ledger: reads calls as JSON lists, one a line, and answers each by a JSON line."""
 
 from __future__ import annotations
 
@@ -15,13 +15,15 @@
 
 
 class LedgerWorker:
+    """An incarnation, and the calls that a test makes on it."""
+
     def __init__(self, folder: str, name: str, max_log_bytes: int, sync: bool) -> None:
         failpoint = parse_failpoints(os.environ.get(FAILPOINTS_VARIABLE, ""))
         self.store = DiskStore(folder, sync=sync, max_log_bytes=max_log_bytes, failpoint=failpoint)
         self.incarnation = self.store.register(name, 1000.0)
 
     def claim(self, first: int, last: int, batch_size: int) -> list[int]:
-        """Which of the claims it won."""
+        """Claim a range of numbers; return those that were granted."""
         won = []
         for start in range(first, last, batch_size):
             claims = range(start, min(start + batch_size, last))
@@ -32,7 +34,7 @@
         return won
 
     def count(self, times: int) -> list[str]:
-        """Adds to its own counter and a common one, of whose value it must know."""
+        """Add to an own counter and to a common one, whose value must be known; return the outcomes."""
         outcomes = []
         for _ in range(times):
             record = self.store.read("common")
--- a/tests/processes/test_ledger.py
+++ b/tests/processes/test_ledger.py
@@ -1,4 +1,4 @@
-"""Several processes on one ledger, stopped or killed at every named step: no other waits, nothing breaks."""
+"""Processes on one ledger, stopped or killed at every failpoint: no other waits, and nothing is corrupted."""
 
 from __future__ import annotations
 
@@ -54,7 +54,7 @@
         return self.receive()
 
     def wait_for(self, action: str) -> None:
-        """Until it has killed or stopped itself."""
+        """Wait until the process has killed or stopped itself."""
         _, status = os.waitpid(self.process.pid, os.WUNTRACED)
         assert os.WIFSTOPPED(status) if action == "stop" else os.WIFSIGNALED(status)
 
@@ -101,7 +101,7 @@
     ) == 1
 
 
-# What a process does until its failpoint takes it: `count` goes on through several generations of the log.
+# What a process does until its failpoint: `count` continues through several generations of the log.
 COMMANDS_BY_FAILPOINT = {"renew.renamed": ("renew",), "seal.renamed": ("fence", "prey", 1, 0)}
 
 
@@ -122,11 +122,11 @@
         assert victim.call("begin") == 1
     victim.send(*COMMANDS_BY_FAILPOINT.get(failpoint, ("count", 200)))
     victim.wait_for(action)
-    # The others go on, through new generations, while it is gone, ...
+    # The others continue, through new generations, while it is lost, ...
     for n in range(40):
         (result,) = store.commit(survivor, [Transaction((Create(f"k{n}", b"x" * 200),))])
         assert result.outcome is TransactionOutcome.COMMITTED
-    # ... end the lives that it was about to end, and its own, ...
+    # ... fence the incarnation that it was about to fence, and its own, ...
     assert store.commit(survivor, [Transaction((Fence(prey, 0),))])[0].outcome is TransactionOutcome.COMMITTED
     members = {m.incarnation.name: m for m in store.members()}
     if "victim" in members:
@@ -149,7 +149,7 @@
             assert answer[-1] == "sealed" and answer.count("won") == len(store.scan("victim.1/"))
         assert victim.call("count", 1) == ["sealed"] and victim.call("renew") == "sealed"
     assert {r.key: r for r in store.scan("")} == before
-    # ... and who opens it anew has the same.
+    # ... and a process that opens the ledger anew has the same state.
     reopened = DiskStore(str(tmp_path), sync=True)
     assert reopened.members() == store.members() and encode(reopened._log.state) == encode(store._log.state)
     common = store.read("common")
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,4 +1,4 @@
-"""The keeper: leases, suspicion and who ends a lost life, on clocks of their own in virtual time."""
+"""The lease manager: renewals, expiry and fencing, on clocks of their own in virtual time."""
 
 from __future__ import annotations
 
@@ -29,13 +29,14 @@
     WatchRequest,
     rendezvous_order,
 )
+from meadowpulley.ledger.lease_manager import LEASE_TIMER
 
 TIMINGS = LeaseTimings(term_ms=1000.0)
 POLL_MS, ANSWER_MS = 50.0, 10.0
 
 
 class EventRecorder:
-    """The stage inside: it notes what it is told."""
+    """The stage inside: it records the events that it receives."""
 
     def __init__(self) -> None:
         self.events: list[Any] = []
@@ -46,7 +47,7 @@
 
 
 class Gateway:
-    """A keeper on a clock that starts anywhere and runs up to 1% off, polling a store in memory."""
+    """A lease manager that polls a store in memory, on a clock with any offset and up to 1% drift."""
 
     def __init__(self, fleet: Fleet, name: str) -> None:
         self.fleet, self.inner = fleet, EventRecorder()
@@ -88,7 +89,7 @@
         self.fleet.call_later(ANSWER_MS, lambda: self.finish_poll(LedgerChanged(changes, poll_started)))
 
     def finish_poll(self, event: LedgerChanged) -> None:
-        """What it asks to watch meanwhile, this look did not have yet."""
+        """A watch request made since the poll started applies from the next poll on."""
         if self.is_awake(lambda: self.finish_poll(event)):
             self.dispatch(event)
             self.fleet.call_later(POLL_MS - ANSWER_MS, self.poll)
@@ -116,7 +117,7 @@
 
     def fire_timer(self) -> None:
         if self.is_awake(self.fire_timer):
-            self.dispatch(Timer(5))
+            self.dispatch(Timer(LEASE_TIMER))
 
 
 class Fleet:
@@ -161,10 +162,10 @@
         gateway.killed = True
     for _ in range(40):
         fleet.run(100.0)
-        # Nobody is counted out before it has stopped acting by its own clock, nor is anybody else.
+        # No survivor loses its lease meanwhile.
         for g in survivors:
             assert g.lease_manager.holds_lease(g.now())
-    # Found within two terms and what the others wait for each other.
+    # Found within two terms and the backoff between the others.
     assert sorted(s for g in survivors for s in g.fenced_incarnations) == sorted(
         g.lease_manager.incarnation for g in lost
     )
@@ -177,7 +178,7 @@
             if m.fenced
         }
         assert fenced == {g.lease_manager.incarnation for g in lost}
-    assert fleet.fences == killed_count  # and as each waits for those before it, nobody tries in vain
+    assert fleet.fences == killed_count  # each waits for those before it, so no fence fails
 
 
 def test_membership_reads_grow_linearly_with_the_fleet() -> None:
@@ -224,7 +225,7 @@
     fleet.run(2_000.0)
     for gateway in fleet.gateways:
         gateway.stopped = True
-    fleet.run(400.0)  # short enough that nobody counts anew for that alone
+    fleet.run(400.0)  # short enough that this alone resets no lease
     for gateway in fleet.gateways:
         gateway.stopped, gateway.missed_calls = False, []
         before = {n: s.observed_at for n, s in gateway.lease_manager.observed_members.items()}
--- a/tests/test_ledger_client.py
+++ b/tests/test_ledger_client.py
@@ -1,4 +1,4 @@
-"""The ledger at a gateway: groups by turn, waits that end, faults told once, and settings that can't be."""
+"""The ledger at a gateway: batches by turn, time-outs, faults reported once, and invalid settings."""
 
 from __future__ import annotations
 
@@ -87,7 +87,7 @@
         self.handlers[kind] = handler
 
     def handle(self, now: float, event: Any) -> list[Any]:
-        """As the stages inside."""
+        """Record an event as the stages inside."""
         self.forwarded_events.append(event)
         return []
 
@@ -103,7 +103,7 @@
 
 
 class ManualRunner:
-    """A thread that works when the test wants."""
+    """A background runner whose jobs run when the test wants."""
 
     def __init__(self) -> None:
         self.jobs: list[tuple[Callable[[], JobResult], Callable[[JobResult], None]]] = []
@@ -120,7 +120,7 @@
             on_result(job())
 
     def close(self, timeout_ms: float) -> bool:
-        """The reactor has stopped: nobody is told what became of the jobs."""
+        """Run the jobs without their results, as after the reactor has stopped."""
         for job, _ in self.jobs:
             job()
         return True
@@ -204,9 +204,9 @@
     assert fixture.gateway.events_of(CommitCompleted)[-1].results[0].outcome is TransactionOutcome.COMMITTED
 
 
-# What a disk without room refuses, while all looks succeed: every write, or those that need a new block of
-# it; whether the ledger is lost by such a write, or by a slow look that comes back once the disk is full.
-FULL_DISK_CASES = {"every write": (0, False), "long writes": (2_000, False), "after a slow look": (0, True)}
+# Which writes a full disk rejects while all polls succeed: those of more than so many bytes; and whether the
+# ledger became unavailable by a slow poll that returned once the disk was full, and not by such a write.
+FULL_DISK_CASES = {"every write": (0, False), "long writes": (2_000, False), "after a slow poll": (0, True)}
 
 
 @pytest.mark.parametrize(("free_bytes", "slow_poll"), FULL_DISK_CASES.values(), ids=FULL_DISK_CASES)
@@ -218,7 +218,7 @@
     def commit_to_full_disk(incarnation: Any, transactions: Any) -> Any:
         logged = tuple(
             s for s in transactions if RenewLease() not in s.writes
-        )  # a renewal is a name, and no line
+        )  # a renewal is a rename, and writes nothing to the log
         if logged and len(encode(CommitEntry(incarnation, "", logged))) > free_bytes:
             raise LedgerError("ledger: /l: No space left on device: see to that disk")
         return real(fixture.store, incarnation, transactions)
@@ -237,7 +237,7 @@
             LedgerRecovered
         )
         assert len(fixture.gateway.events_of(LedgerChanged)) == polls, (
-            "nothing rests on looks while it is lost"
+            "polls are not dispatched while the ledger is unavailable"
         )
     fixture.gateway.run(1_000.0)
     assert len(fixture.gateway.events_of(LedgerRecovered)) == 1 and not fixture.store.scan("probe")
@@ -332,7 +332,7 @@
         start_ledger(gateway, "n", environ, reactor)
     client.wrap(gateway, tuple)
     client.start()
-    call, *arguments = reactor.calls.get(timeout=30)  # out of the thread, in the reactor's turn
+    call, *arguments = reactor.calls.get(timeout=30)  # from the thread, for the reactor's turn
     call(*arguments)
     assert (
         gateway.events_of(LedgerChanged)
@@ -358,7 +358,9 @@
     ],
 )
 def test_invalid_settings_are_rejected(name: str, value: str, message: str) -> None:
-    assert read_settings({f"MEADOWPULLEY_{name}": value}) is None  # and read only where there is a ledger
+    assert (
+        read_settings({f"MEADOWPULLEY_{name}": value}) is None
+    )  # settings are read only if a ledger is configured
     with pytest.raises(LedgerUnusableError, match=message) as raised:
         settings(**{f"MEADOWPULLEY_{name}": value})
     assert "\n" not in str(raised.value)
--- a/tests/test_ledger_contract.py
+++ b/tests/test_ledger_contract.py
@@ -1,4 +1,4 @@
-"""What every backend of the ledger owes, one table for all of them."""
+"""The contract of every backend of the ledger, as one table of cases."""
 
 from __future__ import annotations
 
@@ -42,7 +42,7 @@
 
 
 def rolling(folder: Path) -> Store:
-    """With a log that ends after every few entries."""
+    """A store whose log begins a new generation after every few entries."""
     return DiskStore(str(folder), sync=True, max_log_bytes=1)
 
 
@@ -62,7 +62,8 @@
     return result
 
 
-# Steps before, the step that is judged, how it ends and at which write; `v` stands for the version of "k".
+# The writes before, the transaction under test, its outcome and the index of the failed write; `v` is the
+# version of "k".
 Case = tuple[list[Write], Callable[[int], tuple[Write, ...]], TransactionOutcome, int]
 CASES: dict[str, Case] = {
     "create an absent one": ([], lambda v: (Create("k", b"1"),), COMMITTED, -1),
@@ -83,26 +84,41 @@
         -1,
     ),
     "or none": ([Create("k", b"0")], lambda v: (Create("l", b"2"), Create("k", b"1")), CONFLICT, 1),
-    "twice in one step": ([], lambda v: (Create("l", b"1"), Create("l", b"2")), CONFLICT, 1),
+    "create twice in one transaction": ([], lambda v: (Create("l", b"1"), Create("l", b"2")), CONFLICT, 1),
     "removed and made anew": (
         [Create("k", b"0")],
         lambda v: (Remove("k", v), Create("k", b"1")),
         COMMITTED,
         -1,
     ),
-    "seal another": ([], lambda v: (Fence(Incarnation("b", 1), 0), Create("l", b"1")), COMMITTED, -1),
-    "seal one that renewed": ([], lambda v: (Create("l", b"1"), Fence(Incarnation("b", 1), 1)), CONFLICT, 1),
-    "seal an unknown life": ([], lambda v: (Fence(Incarnation("b", 2), 0),), CONFLICT, 0),
-    "seal itself": ([], lambda v: (Fence(Incarnation("a", 1), 0),), CONFLICT, 0),
-    "seal twice in one step": (
+    "fence another": ([], lambda v: (Fence(Incarnation("b", 1), 0), Create("l", b"1")), COMMITTED, -1),
+    "fence one that has renewed": (
+        [],
+        lambda v: (Create("l", b"1"), Fence(Incarnation("b", 1), 1)),
+        CONFLICT,
+        1,
+    ),
+    "fence an unknown incarnation": ([], lambda v: (Fence(Incarnation("b", 2), 0),), CONFLICT, 0),
+    "fence itself": ([], lambda v: (Fence(Incarnation("a", 1), 0),), CONFLICT, 0),
+    "fence twice in one transaction": (
         [],
         lambda v: (Fence(Incarnation("b", 1), 0), Fence(Incarnation("b", 1), 0)),
         CONFLICT,
         1,
     ),
     "renew": ([], lambda v: (RenewLease(),), COMMITTED, -1),
-    "leave after its last word": ([], lambda v: (Create("l", b"1"), ReleaseLease()), COMMITTED, -1),
-    "leave but lose": ([Create("k", b"0")], lambda v: (Create("k", b"1"), ReleaseLease()), CONFLICT, 0),
+    "release the lease after a last write": (
+        [],
+        lambda v: (Create("l", b"1"), ReleaseLease()),
+        COMMITTED,
+        -1,
+    ),
+    "release the lease but conflict": (
+        [Create("k", b"0")],
+        lambda v: (Create("k", b"1"), ReleaseLease()),
+        CONFLICT,
+        0,
+    ),
 }
 
 
@@ -161,7 +177,7 @@
     assert commit_one(store, a, Fence(b, 0)).outcome is CONFLICT  # exactly once
     assert (
         commit_one(store, Incarnation("c", 1), Create("k", b"")).outcome is FENCED
-    )  # a life that never began
+    )  # an incarnation that was never registered
     assert [r.key for r in store.scan("")] == ["first", "last"]
     assert (
         commit_one(store, a, ReleaseLease()).outcome is COMMITTED
--- a/tests/test_ledger_disk.py
+++ b/tests/test_ledger_disk.py
@@ -1,4 +1,4 @@
-"""The ledger on a disk: what it reads after harm, and what outlives a process and what the machine."""
+"""The ledger on a disk: damaged logs, and what outlives a crash of a process or of the machine."""
 
 from __future__ import annotations
 
@@ -50,7 +50,7 @@
         (folder / LOG).write_bytes(data + frame[:cut])
         reopened = DiskStore(str(folder))
         assert encode(reopened._log.state) == (after if cut == len(frame) else before)
-        assert reopened.register("b", 1.0) == Incarnation("b", 1)  # what is appended next ends it
+        assert reopened.register("b", 1.0) == Incarnation("b", 1)  # the next frame ends the torn one
         frame_complete = cut >= len(frame) - 1  # only its last byte was missing
         assert (reopened.read("last") is not None) == frame_complete
         assert bool(reopened.take_warnings()) == (cut > 1 and not frame_complete)
@@ -60,11 +60,11 @@
 def test_damage_before_the_end_is_rejected(tmp_path: Path) -> None:
     create_filled_store(tmp_path / "whole")
     data, generator = (tmp_path / "whole" / LOG).read_bytes(), random.Random(1)
-    end = data[:-1].rindex(b"\n")  # where the last line begins
+    end = data[:-1].rindex(b"\n")  # where the last frame begins
     for n in range(300):
         offset, bit = generator.randrange(1, end - 1), 1 << generator.randrange(8)
         if data[offset - 1 : offset + 1] == b"\n\n" or data[offset : offset + 2] == b"\n\n":
-            continue  # between two lines one line end is enough
+            continue  # between two frames one line end is enough
         damaged = data[:offset] + bytes([data[offset] ^ bit]) + data[offset + 1 :]
         folder = tmp_path / str(n)
         folder.mkdir()
@@ -125,7 +125,7 @@
 
 
 def test_an_old_generation_linked_again_is_not_used(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    """Whoever opens a generation just as it is ended, removed, and linked once more by one who had slept."""
+    """A process opens a generation just as it is ended, removed, and linked again by a resumed process."""
     other = DiskStore(str(tmp_path), max_log_bytes=1)
     incarnation = other.register("a", 1000.0)
     real, reopened_files = os.open, list[str]()
@@ -180,7 +180,7 @@
 def test_durability_after_a_machine_crash(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sync: bool, damaged_tail: bool
 ) -> None:
-    """The machine dies: there is left what was made lasting, and by chance more, half of it bad."""
+    """After a crash of the machine there is what was made durable, and by chance more, some of it damaged."""
     synced_sizes: dict[int, int] = {}
     real = os.fdatasync
 
@@ -200,7 +200,7 @@
         os.truncate(log, synced_sizes[log.stat().st_ino])
     surviving = tmp_path / "left"
     surviving.mkdir()
-    shutil.copy(log, surviving / LOG)  # without the leases, which are not made lasting
+    shutil.copy(log, surviving / LOG)  # without the leases, which are not made durable
     reopened = DiskStore(str(surviving), sync=sync, machine_boot_id="another run of the machine")
     values = {r.key: r.value for r in reopened.scan("")}
     assert (len(values), values.get("k1")) == ((5, b"new") if sync else (0, None))
