Emulator: last short names of callbacks and events

Need: a few lambda and comprehension names still used withdrawn words. Change: update, incarnation, text, process_name.

--- a/meadowpulley/emulator/discovery.py
+++ b/meadowpulley/emulator/discovery.py
@@ -40,7 +40,7 @@
         self._listed_at: dict[int, float] = {}  # publication time of each server's latest change
         self._watches: dict[int, _Watch] = {}
         self._stalled_watches: dict[int, _Watch] = {}  # open, but send no updates
-        self.on_presumed_update: Callable[[int, EndpointUpdate], None] = lambda gateway, news: (
+        self.on_presumed_update: Callable[[int, EndpointUpdate], None] = lambda gateway, update: (
             None
         )  # called with updates that count as known though not received
 
--- a/meadowpulley/emulator/ledger.py
+++ b/meadowpulley/emulator/ledger.py
@@ -67,7 +67,7 @@
         self.clock, self._rng, self.model = clock, rng, model
         self.store = MemoryStore()
         self.operations: Counter[str] = Counter()
-        self.on_commit: Callable[[Incarnation, Transaction], None] = lambda life, step: (
+        self.on_commit: Callable[[Incarnation, Transaction], None] = lambda incarnation, step: (
             None
         )  # called with each committed transaction
         self._faults: dict[int | None, LedgerFault] = {}
--- a/meadowpulley/emulator/results.py
+++ b/meadowpulley/emulator/results.py
@@ -251,7 +251,7 @@
             "servers": [to_builtins(s) for s in self.servers],
             "gateways": [to_builtins(g) for g in self.gateways],
             "seconds": [to_builtins(s) for s in self.seconds],
-            "events": [{"at_ms": at, "what": what} for at, what in self.events],
+            "events": [{"at_ms": at, "what": text} for at, text in self.events],
             "rules_broken": dict(sorted(self.violation_counts.items())),
             "breaches": self.violations,
         }
--- a/meadowpulley/emulator/snapshot.py
+++ b/meadowpulley/emulator/snapshot.py
@@ -82,7 +82,7 @@
         for h in fleet.servers.values()
     )
     phase = PHASE_NAMES[rollout.phase].replace("_", " ")
-    events = tuple((at, what) for at, what in fleet.result.events if "votes none" not in what)
+    events = tuple((at, text) for at, text in fleet.result.events if "votes none" not in text)
     return FleetSnapshot(now, rollout.build, rollout.stage, phase, rollout.cap, servers, events)
 
 
@@ -110,4 +110,4 @@
 
 def new_events(events: Sequence[tuple[float, str]], shown: int) -> list[str]:
     """Return the events after the first `shown`, as lines."""
-    return [f"{at / 1000:6.1f} s  {what}" for at, what in events[shown:]]
+    return [f"{at / 1000:6.1f} s  {text}" for at, text in events[shown:]]
--- a/meadowpulley/loopback/runner.py
+++ b/meadowpulley/loopback/runner.py
@@ -277,8 +277,8 @@
         try:
             # Both processes load their libraries before they get their orders.
             services, driver = start("services"), start("driver")
-            for process, what in ((services, "services"), (driver, "driver")):
-                _read_line(process, folder / f"{what}.log")
+            for process, process_name in ((services, "services"), (driver, "driver")):
+                _read_line(process, folder / f"{process_name}.log")
             origin = time.monotonic() + START_DELAY_S[0] + START_DELAY_S[1] * count
             send_orders(services, "services", origin)
             initial_state = _read_line(services, folder / "services.log")
