--- a/meadowpulley/capacity/bottlenecks.py
+++ b/meadowpulley/capacity/bottlenecks.py
@@ -73,6 +73,7 @@
         def rejected_share(
             load_multiple: float, kind: MachineKind = kind, service: float = service, holds: int = capacity
         ) -> float:
+            """Return the share of requests that a server rejects at a multiple of the load."""
             rate = server_rate(fleet, demand, kind, load_multiple)
             return overflow_probability(kind.cores, rate, service, holds - 1) if service else 0.0
 
@@ -108,6 +109,7 @@
     for kind in fleet.kinds:
 
         def open_connections(load_multiple: float, kind: MachineKind = kind) -> float:
+            """Return an upper bound of the connections to one server at a multiple of the load."""
             each = _in_flight(fleet, demand, kind, load_multiple) / gateways
             return gateways * upper_bound(each, each)
 
@@ -165,6 +167,7 @@
         ):
 
             def open_requests(load_multiple: float, rate: float = rate) -> float:
+                """Return an upper bound of a gateway's open requests at a multiple of the load."""
                 mean = rate * load_multiple * _mean_response_ms(fleet, demand, load_multiple)
                 return upper_bound(mean, mean)
 
@@ -178,6 +181,7 @@
         def memory_mb(
             load_multiple: float, rate: float = rate, group_kb: float = group.connection_kb
         ) -> float:
+            """Return an upper bound of a gateway's memory in MB at a multiple of the load."""
             mean = rate * load_multiple * _mean_response_ms(fleet, demand, load_multiple)
             return group.base_mb + 2 * upper_bound(mean, mean) * group_kb / 1024  # noqa: B023
 
--- a/meadowpulley/capacity/predict.py
+++ b/meadowpulley/capacity/predict.py
@@ -30,7 +30,7 @@
 )  # points of the curve, of the servers' CPU
 REQUESTS = 5000.0  # approximate requests in one emulated run
 SHORTEST_S, LONGEST_S = 20.0, 240.0
-KNEE = 0.99  # share within the objective, relative to the least load, that marks the knee
+KNEE = 0.99  # share within the objective, relative to the least load, that defines the knee
 
 
 Estimate: TypeAlias = tuple[float, float, float]  # mean, low and high
--- a/meadowpulley/capacity/site_loss.py
+++ b/meadowpulley/capacity/site_loss.py
@@ -77,6 +77,7 @@
     """Return the increase of attempts at the other sites, as a share of all attempts before."""
 
     def per_s(row: RunResult, first: float, last: float) -> list[float]:
+        """Return each site's attempts per second between two times, in seconds."""
         span = [s for s in row.attempts_by_site[int(first) : int(last)] if s]
         sites = len(span[0]) if span else site + 1
         return [sum(s[n] for s in span) / (last - first) for n in range(sites)]
@@ -100,7 +101,7 @@
     store: ResultStore | None = None,
     progress: Callable[[int, int], None] = lambda done, of: None,
 ) -> SiteLoss:
-    """Predict the loss of a whole site without notice, and its return with servers in slow start."""
+    """Predict the loss of a complete site without notice, and its return with servers in slow start."""
     remaining, work = capacity_without(fleet, site), demand.busy_per_s / 1000 * demand.work_ms
     share = 1 - remaining / fleet.capacity()
     remaining_utilisation = work / remaining if remaining else math.inf
--- a/meadowpulley/capacity/sizing.py
+++ b/meadowpulley/capacity/sizing.py
@@ -30,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SizingStep:
-    """One number of servers that was tried, with the share of the worst class."""
+    """One number of servers that was evaluated, with the share of the worst class."""
 
     servers: int
     worst_class: str
@@ -91,6 +91,7 @@
         self.rows: dict[int, list[RunResult]] = {}
 
     def evaluate(self, count: int) -> SizingStep:
+        """Return the step for a server count, emulated once per seed and then cached."""
         if count in self.steps:
             return self.steps[count]
         scenario = Scenario()
@@ -127,6 +128,7 @@
     minimum = _minimum_servers(fleet, demand, site, kind)
 
     def result(servers: int | None, reason: str) -> SizingResult:
+        """Return the result for a number of servers, with the steps that the search took."""
         steps = tuple(search.steps[n] for n in sorted(search.steps))
         return SizingResult(goal, site, kind, current, servers, minimum, steps, reason)
 
--- a/meadowpulley/capacity/spike.py
+++ b/meadowpulley/capacity/spike.py
@@ -53,7 +53,7 @@
 
     @property
     def saved(self) -> float:
-        """Share of priority weight that rejections save over the whole run."""
+        """Share of priority weight that rejections save over the complete run."""
         return self.weight_overall[0] - self.weight_overall_unlimited[0]
 
 
--- a/meadowpulley/capacity/verify.py
+++ b/meadowpulley/capacity/verify.py
@@ -109,6 +109,7 @@
     latency = tuple(f"{n}.{q}" for n in names for q in ("p50_ms", "p99_ms"))
 
     def at(utilisation: float, **more: Any) -> LoadSpec:
+        """Return the load scaled to a utilisation, as a fraction of the fleet's capacity."""
         return replace(load_at_rate(load, demand, utilisation * top), seconds=seconds, **more)
 
     middle, third = seconds * 1000 / 3, seconds * 1000 / 3
--- a/meadowpulley/cli/capacity.py
+++ b/meadowpulley/cli/capacity.py
@@ -78,7 +78,7 @@
     type=click.FloatRange(0, 1, min_open=True),
     default=0.99,
     show_default=True,
-    help="Share of worth that each class keeps.",
+    help="Share of its priority weight that each class must have served.",
 )
 @click.option(
     "--rollout/--no-rollout", default=True, show_default=True, help="While a build goes through its stages."
@@ -97,6 +97,7 @@
     study = options.study()
 
     def show_progress(text: str) -> None:
+        """Write a line of progress to standard error if it is a terminal."""
         if sys.stderr.isatty():
             click.echo(text, file=sys.stderr)
 
--- a/meadowpulley/cli/capacity_options.py
+++ b/meadowpulley/cli/capacity_options.py
@@ -57,7 +57,7 @@
 
 
 def seeds_option(command: Callable[..., Any]) -> Callable[..., Any]:
-    """Add the options that say how often a load is emulated, and where the results are kept."""
+    """Add the options that say how often a load is emulated, and where the results are stored."""
     for option in (
         click.option("--seed", type=click.IntRange(0, 2**31), default=1, help="The first seed [1]."),
         click.option("--seeds", type=click.IntRange(2, 1000), default=4, show_default=True, help="How many."),
@@ -92,6 +92,7 @@
         percentile: float,
         **other_options: Any,
     ) -> int:
+        """Read the study that the options describe and pass it to the command."""
         options = StudyOptions(
             fleet=read_fleet(fleet),
             load_file=load,
--- a/meadowpulley/cli/capacity_output.py
+++ b/meadowpulley/cli/capacity_output.py
@@ -89,7 +89,7 @@
 
 
 def show_sizing(result: SizingResult) -> None:
-    """Show how many servers a goal needs, and the numbers that were tried."""
+    """Show how many servers a goal needs, and the numbers that were evaluated."""
     rows = [
         [str(s.servers), s.worst_class, _span_text(s.served_weight_share), "yes" if s.meets else "no"]
         for s in result.steps
--- a/meadowpulley/cli/check.py
+++ b/meadowpulley/cli/check.py
@@ -41,6 +41,7 @@
 
 
 def configuration_names(world: str) -> list[str]:
+    """Return the names of a model's configurations."""
     if world == "decisions":
         from meadowpulley.model_checking.policy_model.configurations import CONFIGURATIONS
 
@@ -56,12 +57,12 @@
 
 @click.group()
 def check() -> None:
-    """Explore small configurations exhaustively, on the real code; find planted bugs; tell
+    """Explore small configurations exhaustively, on the real code; find planted bugs; show
     counterexamples."""
 
 
 class _SearchProgress:
-    """One line that tells how far a search is, on standard error."""
+    """One line on standard error that shows the progress of a search."""
 
     def __init__(self, quiet: bool) -> None:
         self._live = None if quiet else Live(console=Console(stderr=True), transient=True)
@@ -76,6 +77,7 @@
             self._live.stop()
 
     def show(self, name: str, coverage: Coverage) -> None:
+        """Show the depth, states and speed that a search has reached."""
         if self._live is not None and coverage.levels:
             level = coverage.levels[-1]
             speed = coverage.states / max(coverage.elapsed_s, 0.001)
@@ -93,6 +95,7 @@
 
 
 def coverage_fields(coverage: Coverage) -> dict[str, Any]:
+    """Return a search's coverage as JSON fields; durations are in seconds."""
     counterexample = coverage.counterexample
     return {
         "setting": to_builtins(coverage.settings),
@@ -115,6 +118,7 @@
 
 
 def bounds_options(command: Any) -> Any:
+    """Add the options that bound a configuration and its search."""
     for option in (
         click.option("--gateways", type=click.IntRange(1, 8), default=2, show_default=True),
         click.option("--servers", type=click.IntRange(1, 8), default=3, show_default=True),
@@ -265,7 +269,7 @@
     type=click.FloatRange(1, 1e6),
     default=60.0,
     show_default=True,
-    help="Seconds for each search, and as much for walks behind it.",
+    help="Seconds for each search, and as much for random walks after it.",
 )
 @click.option("--workers", type=click.IntRange(1, 1024))
 @click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="Where counterexamples go.")
@@ -280,7 +284,7 @@
     out: Path | None,
     as_json: bool,
 ) -> int:
-    """Plant bugs and look for them. Exit code 1 if one survives."""
+    """Plant bugs and search for them. Exit code 1 if one survives."""
     from meadowpulley.model_checking.mutants import MUTANTS
 
     if only_list:
@@ -301,6 +305,7 @@
     stderr = Console(stderr=True, highlight=False)
 
     def show_result(result: MutationResult) -> None:
+        """Show the result of one mutant on standard error."""
         if not as_json:
             stderr.print(
                 f"{result.mutant}, seed {result.seed}: {result.violated_property or 'survived'} "
@@ -351,13 +356,13 @@
     type=click.Path(file_okay=False, path_type=Path),
     default=Path("tests/corpus"),
     show_default=True,
-    help="Inputs that are played first; what fails is kept there.",
+    help="Inputs that are played first; failing inputs are stored there.",
 )
 @seed_option
 @json_option
 @exits_with_code
 def fuzz(names: tuple[str, ...], examples: int, corpus: Path, seed: int, as_json: bool) -> int:
-    """Feed the readers of foreign bytes made and spoilt input. Exit code 1 if one breaks its word."""
+    """Feed generated and corrupted input to each parser. Exit code 1 if one fails its check."""
     from meadowpulley.model_checking.fuzz import TARGETS, corpus_of, run_target as play
 
     for name in names:
--- a/meadowpulley/cli/common.py
+++ b/meadowpulley/cli/common.py
@@ -41,6 +41,7 @@
 
     @functools.wraps(command)
     def run_command(*args: P.args, **kwargs: P.kwargs) -> None:
+        """Run the command and exit with its code, or with a one-line input error."""
         try:
             code = command(*args, **kwargs)
         except (FleetError, LoadError, InputError) as error:
@@ -63,7 +64,7 @@
 
 
 def read_log_lines(paths: Iterable[Path]) -> list[str]:
-    """Return the lines of log files, one file behind another. Raises InputError."""
+    """Return the lines of log files, one file after another. Raises InputError."""
     return [line for path in paths for line in read_bytes(path).decode(errors="replace").splitlines()]
 
 
--- a/meadowpulley/cli/counterexamples.py
+++ b/meadowpulley/cli/counterexamples.py
@@ -1,4 +1,4 @@
-"""Counterexamples on the command line: played again, shortened, kept, drawn."""
+"""Counterexamples on the command line: replayed, shortened, stored, drawn."""
 
 from __future__ import annotations
 
@@ -42,7 +42,7 @@
 @json_option
 @exits_with_code
 def replay(tale_file: Path, mutated: bool, as_json: bool) -> int:
-    """Play a counterexample on today's code, step by step. Exit code 1 if it still breaks."""
+    """Play a counterexample on today's code, step by step. Exit code 1 if it still fails."""
     counterexample = _plant_mutant(_read_counterexample(tale_file), mutated)
     try:
         steps = list(stories.replay(counterexample))
@@ -109,7 +109,7 @@
 @json_option
 @exits_with_code
 def keep(tale_file: Path, into: Path, as_json: bool) -> int:
-    """Make a counterexample a regression test: the tests play every file kept there."""
+    """Make a counterexample a regression test: the tests play every file stored there."""
     counterexample = _read_counterexample(tale_file)
     into.mkdir(parents=True, exist_ok=True)
     destination = into / tale_file.name
--- a/meadowpulley/cli/demo.py
+++ b/meadowpulley/cli/demo.py
@@ -94,13 +94,13 @@
     show_default=True,
     help="In a terminal: seconds of virtual time in one of real time.",
 )
-@click.option("--sockets", is_flag=True, help="On loopback in real time: real gateways, stand-in servers.")
+@click.option("--sockets", is_flag=True, help="On loopback in real time: real gateways, simulated servers.")
 @click.option("--report", type=FILE, default=Path("demo-report.html"), show_default=True)
 @json_option
 @exits_with_code
 def demo(seed: int, pace: float, sockets: bool, report: Path, as_json: bool) -> int:
-    """Show the main job: a stand-in fleet, gateways and clients, one good build released, one bad one sent
-    back."""
+    """Show the main job: a simulated fleet, gateways and clients, one good build released, one bad one
+    rolled back."""
     fleet = demo_fleet()
     require_writable(report)
     per_s = LOAD_FRACTION * fleet.capacity() * 1000 / fleet.mean_work_ms()
--- a/meadowpulley/cli/emulate.py
+++ b/meadowpulley/cli/emulate.py
@@ -33,6 +33,7 @@
 
 
 def show_result(result: EmulationResult, took_s: float) -> None:
+    """Show the result of a run, which took `took_s` seconds."""
     output = console()
     rows = [
         [
@@ -112,6 +113,7 @@
             file = stack.enter_context(open(require_writable(trace), "wb"))
 
             def write_record(record: Record) -> None:
+                """Write a trace record as one line of the file."""
                 file.write(trace_line(record) + b"\n")
 
         if report is not None:
--- a/meadowpulley/cli/experiment.py
+++ b/meadowpulley/cli/experiment.py
@@ -1,4 +1,4 @@
-"""`meadowpulley experiment`: configurations times seeds, kept as tables, compared in pairs."""
+"""`meadowpulley experiment`: configurations times seeds, stored as tables, compared in pairs."""
 
 from __future__ import annotations
 
@@ -58,6 +58,7 @@
 
 
 def read_rows(folder: Path) -> list[RunResult]:
+    """Return the rows of an experiment's table. Raises InputError."""
     table = folder / "table.json"
     try:
         raw = json.loads(read_bytes(table))
--- a/meadowpulley/cli/load.py
+++ b/meadowpulley/cli/load.py
@@ -43,7 +43,7 @@
 )
 
 MAX_LOOPBACK_S = 600.0  # of a run on loopback
-DEFAULT_LOAD_FRACTION = 0.5  # of what all servers can do, where no rate is given
+DEFAULT_LOAD_FRACTION = 0.5  # of the capacity of all servers, where no rate is set
 
 
 def load_options(command: Callable[..., Any]) -> Callable[..., Any]:
@@ -65,6 +65,7 @@
 def open_load(
     fleet: Fleet, path: Path | None, profile: str, rate: float | None, seconds: float, seed: int
 ) -> Iterator[Arrival]:
+    """Return the arrivals of a load file, or of a profile at `rate` requests per second."""
     if path is not None:
         return iter(read_load(path, frozenset(c.name for c in fleet.classes)))
     per_s = (
@@ -74,7 +75,7 @@
 
 
 def report_written(as_json: bool, out: Path, count: int, description: str, **fields: Any) -> int:
-    """Tells of a load file that was written, to people or to programs."""
+    """Show the summary of a load file that was written, as text or as JSON."""
     if as_json:
         show_json({"file": str(out), "arrivals": count, **fields})
     else:
@@ -84,7 +85,7 @@
 
 @click.group()
 def load() -> None:
-    """Loads: make them, look into them, scale and splice them."""
+    """Loads: make them, inspect them, scale and splice them."""
 
 
 @load.command()
@@ -112,7 +113,7 @@
 @json_option
 @exits_with_code
 def describe(load_file: Path, as_json: bool) -> int:
-    """Tell what a load holds, in one pass and bounded memory."""
+    """Show what a load contains, in one pass and bounded memory."""
     reader = read_load(load_file)
     summary = summarize(reader)
     notes = {
@@ -177,7 +178,7 @@
 @load_options
 @seed_option
 @click.option("--scenario", type=FILE, help="Releases and faults (TOML).")
-@click.option("--live/--no-live", help="Show it as it runs: a screen in a terminal, lines elsewhere.")
+@click.option("--live/--no-live", help="Show it as it runs: a screen in a terminal, lines otherwise.")
 @json_option
 @exits_with_code
 def run(
@@ -191,8 +192,8 @@
     live: bool,
     as_json: bool,
 ) -> int:
-    """Play a load on loopback: real gateways before stand-in servers. Exit code 3 if the rig was the
-    limit."""
+    """Play a load on loopback: real gateways before simulated servers. Exit code 3 if the test
+    bed was the limit."""
     from meadowpulley.cli.capacity_options import load_spec
     from meadowpulley.cli.view import run_loopback_with_progress
     from meadowpulley.loopback import LoopbackError, LoopbackPlan, run_loopback
@@ -269,7 +270,7 @@
     out: Path,
     as_json: bool,
 ) -> int:
-    """Splice loads one behind another, scaled and stretched."""
+    """Splice loads one after another, scaled and stretched."""
     if out.resolve() in [p.resolve() for p in load_files]:
         raise InputError(f"{out}: is one of the loads that are read; name another file")
     readers = [read_load(path) for path in load_files]
--- a/meadowpulley/cli/main.py
+++ b/meadowpulley/cli/main.py
@@ -37,6 +37,7 @@
     assert run_command is not None
 
     def run(*args: Any, **options: Any) -> None:
+        """Show the deprecation notice and run the renamed command."""
         click.echo(f"meadowpulley: '{old_name}' is deprecated: use '{command.name}'", err=True)
         run_command(*args, **options)
 
--- a/meadowpulley/cli/progress.py
+++ b/meadowpulley/cli/progress.py
@@ -11,7 +11,7 @@
 class ProgressBar:
     """Shows how many steps of a computation are completed, if standard error is a terminal.
 
-    Entered as a context, it gives a function to call with the completed and the total number of steps.
+    Entered as a context, it returns a function to call with the completed and the total number of steps.
     """
 
     def __init__(self, text: str) -> None:
@@ -23,6 +23,7 @@
         task = self._progress.add_task(self._text, total=None)
 
         def update(completed: int, total: int) -> None:
+            """Show the completed and the total number of steps."""
             self._progress.update(task, completed=completed, total=total)
 
         return update
--- a/meadowpulley/cli/screen.py
+++ b/meadowpulley/cli/screen.py
@@ -38,6 +38,7 @@
         self._events_shown = 0
 
     def compose(self) -> ComposeResult:
+        """Return the widgets of the screen."""
         yield Header()
         with Horizontal():
             yield DataTable(id="servers", cursor_type="none", zebra_stripes=True)
@@ -48,15 +49,18 @@
         yield Footer()
 
     def on_mount(self) -> None:
+        """Add the table's columns and start the run."""
         table = self.query_one("#servers", DataTable)
         for column in SERVER_COLUMNS:
             table.add_column(column, key=column)
         self.start_run()
 
     def start_run(self) -> None:
+        """Start the run that the screen shows."""
         raise NotImplementedError
 
     def show(self, snapshot_now: RunSnapshot) -> None:
+        """Show a snapshot of the run."""
         self.sub_title = snapshot_now.title
         self.query_one("#stage", Static).update(
             f"{stage_text(snapshot_now.servers)}\n{_rules_text(snapshot_now)}"
@@ -120,8 +124,8 @@
 
 
 class EmulationMonitor(RunMonitor[EmulationResult]):
-    """Plays a world, `pace` seconds of it in one of real time. The result is what it ends with, whole or
-    not."""
+    """Plays a world, `pace` seconds of it in one of real time. The result is what it ends with, complete
+    or not."""
 
     BINDINGS: ClassVar[list[BindingType]] = [
         ("space", "pause", "Pause"),
@@ -137,11 +141,12 @@
         self._target_ms = world.clock.now
 
     def start_run(self) -> None:
+        """Show the start of the emulation and schedule its frames."""
         self.show_world()
         self.set_interval(1 / FRAMES_PER_S, self.step)
 
     def step(self) -> None:
-        """One frame: as much of the run as its pace asks, and never more than a frame's worth at once."""
+        """Advance the run by one frame at its pace, and never by more than two frames' time at once."""
         now = time.monotonic()
         elapsed_s, self._last_frame_at = min(now - self._last_frame_at, 2 / FRAMES_PER_S), now
         if self.paused:
@@ -156,20 +161,25 @@
         self.show_world()
 
     def show_world(self) -> None:
+        """Show the emulation as it is now, with its pace."""
         self.show(snapshot(self.world))
         self.sub_title += f", {self.pace:g} x" + (", paused" if self.paused else "")
 
     def action_leave(self) -> None:
+        """End the run and exit with its result."""
         self.exit(self.world.finish())
 
     def action_pause(self) -> None:
+        """Pause or resume the run."""
         self.paused = not self.paused
         self.show_world()
 
     def action_faster(self) -> None:
+        """Select the next higher pace."""
         self.pace = next((p for p in SPEEDS if p > self.pace), self.pace)
 
     def action_slower(self) -> None:
+        """Select the next lower pace."""
         self.pace = next((p for p in reversed(SPEEDS) if p < self.pace), self.pace)
 
 
@@ -182,6 +192,7 @@
         self.stop_requested = False
 
     def start_run(self) -> None:
+        """Start the run on loopback in a worker thread."""
         self.sub_title = "loopback: starting stand-ins and gateways"
         self.run_worker(self._run, thread=True)
 
@@ -198,6 +209,7 @@
         return not self.stop_requested
 
     def action_leave(self) -> None:
+        """Request the end of the run."""
         self.stop_requested = True
 
 
--- a/meadowpulley/cli/verify.py
+++ b/meadowpulley/cli/verify.py
@@ -102,7 +102,7 @@
     as_json: bool,
 ) -> int:
     """Predict, then measure on loopback through real gateways. Exit code 1 if the worst error is over 15%, 3
-    if the rig itself was the limit."""
+    if the test bed itself was the limit."""
     fleet_description = read_fleet(fleet)
     check_report_path(report)
     spec = load_spec(fleet_description, load, profile, rate, seconds)
--- a/meadowpulley/cli/view.py
+++ b/meadowpulley/cli/view.py
@@ -1,4 +1,4 @@
-"""A run watched as it goes on: the live screen in a terminal, plain lines elsewhere."""
+"""A run watched as it goes on: the live screen in a terminal, plain lines otherwise."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
 
 class TextMonitor:
-    """A run in plain lines: what happened, and every two seconds how it stands."""
+    """A run in plain lines: what happened, and its state every two seconds."""
 
     def __init__(self, out: Console) -> None:
         self.out = out
@@ -46,6 +46,7 @@
         self._last_classes: Sequence[ClassSnapshot] = ()
 
     def show(self, snapshot_now: RunSnapshot) -> bool:
+        """Print new events, and a line of figures every `LINE_INTERVAL_S` seconds."""
         servers = snapshot_now.servers
         for line in new_events(servers.events, self._events_shown):
             self.out.print(line, soft_wrap=True)
@@ -67,6 +68,7 @@
 
 
 def on_terminal() -> bool:
+    """Return whether standard input and standard output are a terminal."""
     return sys.stdout.isatty() and sys.stdin.isatty()
 
 
--- a/meadowpulley/emulator/discovery.py
+++ b/meadowpulley/emulator/discovery.py
@@ -1,4 +1,4 @@
-"""Simulated discovery service: an endpoint list that lags behind the servers, read whole or watched."""
+"""Simulated discovery service: an endpoint list that lags the servers, read in full or watched."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class SimulatedDiscovery:
-    """Keeps the endpoint list and sends updates by `notify(gateway, update)`."""
+    """Maintains the endpoint list and sends updates by `notify(gateway, update)`."""
 
     def __init__(
         self,
--- a/meadowpulley/emulator/emulation.py
+++ b/meadowpulley/emulator/emulation.py
@@ -131,6 +131,7 @@
         number, incarnation = gateway.number, gateway.incarnation
 
         def on_admitted(now: float, request: Request) -> None:
+            """Record the admission of a request at `now` (ms)."""
             record = admission_record(now, number, request)
             if record is not None:
                 self.record(record)
@@ -163,7 +164,7 @@
     # Running
 
     def run(self) -> EmulationResult:
-        """Play the whole load and wait for all calls to end."""
+        """Play the complete load and wait for all calls to end."""
         while not self.over:
             self.run_until(self.clock.now + 1000.0)
         return self.finish()
--- a/meadowpulley/emulator/ledger.py
+++ b/meadowpulley/emulator/ledger.py
@@ -154,7 +154,7 @@
 
 
 class LedgerPort:
-    """One incarnation's access to the ledger. Results reach it only while it lives and is not paused."""
+    """One incarnation's access to the ledger. Results reach it only while it runs and is not paused."""
 
     def __init__(
         self,
@@ -255,6 +255,7 @@
         result = ScanCompleted(action.ticket, None, action.owner)
 
         def read() -> None:
+            """Scan the ledger, as one gateway sees it, for the reply."""
             nonlocal result
             with suppress(LedgerError):
                 result = ScanCompleted(
--- a/meadowpulley/emulator/server_fleet.py
+++ b/meadowpulley/emulator/server_fleet.py
@@ -219,7 +219,7 @@
             self.reply(job.tag, server, AttemptResult.RESET)
 
     def vanish(self, server: SimulatedServer) -> None:
-        """Take a machine away without notice: open connections stay silent until discovery notices."""
+        """Take a machine away without notice: open connections do not respond until discovery notices."""
         self._finish_jobs(server)
         server.machine.stop()
         server.up, server.unreachable, server.absent = False, True, True
@@ -333,7 +333,7 @@
         return job
 
     def cancel(self, server: SimulatedServer, job: Job) -> None:
-        """Cancel a job whose attempt was given up, where the kind of server notices."""
+        """Cancel a job whose attempt was cancelled, where the kind of server notices."""
         if server.up and (server.machine.kind.cancels_running or server.machine.kind.cancels_waiting):
             self._finish_jobs(server)
             server.machine.cancel(self.clock.now, job)
--- a/meadowpulley/emulator/takeover_gateway.py
+++ b/meadowpulley/emulator/takeover_gateway.py
@@ -1,6 +1,6 @@
 """Simulated gateway with a journal of requests that other gateways can take over.
 
-Events of requests carry the client's request id and content. A good response is held until the stages
+Events of requests carry the client's request id and content. A good response is buffered until the stages
 deliver it. Requests of crashed gateways get a slot without a client.
 """
 
--- a/meadowpulley/loopback/driver.py
+++ b/meadowpulley/loopback/driver.py
@@ -93,6 +93,7 @@
             self.endpoint.driver.clients.connection_lost(request)
 
     def abort(self) -> None:
+        """Close the connection at once and report it as closed."""
         was_up = self.is_open
         super().abort()
         if was_up:
--- a/meadowpulley/loopback/messages.py
+++ b/meadowpulley/loopback/messages.py
@@ -84,7 +84,7 @@
 
 
 def report_progress(orders: ProcessOrders, clock: Timeline, snapshot: Callable[[], Struct]) -> None:
-    """Write a snapshot as a JSON line every `progress_interval_ms`, where the orders ask for it."""
+    """Write a snapshot as a JSON line every `progress_interval_ms`, where the orders request it."""
     if orders.progress_interval_ms <= 0:
         return
     path = Path(orders.output_path + ".live")
--- a/meadowpulley/loopback/reactor.py
+++ b/meadowpulley/loopback/reactor.py
@@ -1,7 +1,7 @@
 """Reactor of the test bed with timers that are less than a millisecond late.
 
-The kernel's poll counts whole milliseconds and rounds up, so that each timer was half a millisecond late on
-average, several times on the way of each request. Rounded down, the rest of a millisecond is waited for
+The kernel's poll counts full milliseconds and rounds up, so that each timer was half a millisecond late on
+average, several times on the way of each request. Rounded down, the remaining part is waited for
 actively, which costs CPU that the gateways do not need.
 """
 
@@ -15,7 +15,7 @@
 
 
 class PromptReactor(EPollReactor):  # type: ignore[misc,unused-ignore]
-    """An epoll reactor that rounds its time-outs down to whole milliseconds."""
+    """An epoll reactor that rounds its time-outs down to full milliseconds."""
 
     def doPoll(self, timeout: float | None) -> None:  # noqa: N802 (Twisted's name)
         """Poll once with the time-out rounded down."""
--- a/meadowpulley/loopback/runner.py
+++ b/meadowpulley/loopback/runner.py
@@ -51,7 +51,7 @@
 
 
 class LoopbackError(RuntimeError):
-    """The test bed could not run; the text is one line that says why."""
+    """The test bed could not run; the text is one line with the reason."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,7 +212,7 @@
         return lines[-2] if len(lines) > 1 else b""
 
     def report(self) -> bool:
-        """Report progress; False where the caller wants the run to end."""
+        """Report progress; False where the caller requests the end of the run."""
         servers, clients = self._last_line("services"), self._last_line("driver")
         if not servers or not clients:
             return True
--- a/meadowpulley/loopback/service_connections.py
+++ b/meadowpulley/loopback/service_connections.py
@@ -114,6 +114,7 @@
             self.services.cancel(self.server, job)
 
     def abort(self) -> None:
+        """Close the connection at once and report it as closed."""
         was_up = self.is_open
         super().abort()
         if was_up:
--- a/meadowpulley/loopback/services.py
+++ b/meadowpulley/loopback/services.py
@@ -50,7 +50,7 @@
 
 reactor: Any = install()
 MAX_CONNECTIONS = 8192  # connections of all servers together
-MAX_ERRORS = 20  # errors kept in full
+MAX_ERRORS = 20  # errors recorded in full
 KEEPALIVE_MS = 1000.0
 BACKLOG = 512
 
@@ -146,7 +146,7 @@
             connection.abort()
 
     def reply(self, tag: Any, server: SimulatedServer, result: AttemptResult) -> None:
-        """Send a result on the connection that asked."""
+        """Send a result on the connection of the request."""
         assert isinstance(tag, InstanceConnection)
         tag.respond(result)
 
--- a/meadowpulley/loopback/trace.py
+++ b/meadowpulley/loopback/trace.py
@@ -34,7 +34,7 @@
 
 
 class TraceWriter:
-    """Trace records of one process, kept in memory until its end."""
+    """Trace records of one process, stored in memory until its end."""
 
     def __init__(self) -> None:
         self._lines: list[bytes] = []
--- a/meadowpulley/model_checking/checkpoint.py
+++ b/meadowpulley/model_checking/checkpoint.py
@@ -17,7 +17,7 @@
 
 
 class CheckpointError(ValueError):
-    """A checkpoint that can't be resumed; the text says why, in one line."""
+    """A checkpoint that can't be resumed; the text is one line with the reason."""
 
 
 class Checkpoint(msgspec.Struct, frozen=True):
--- a/meadowpulley/model_checking/choices.py
+++ b/meadowpulley/model_checking/choices.py
@@ -1,10 +1,10 @@
 """Random draws as choice points: what the policy draws is explored, not sampled.
 
-`ScriptedRandom` stands in for the policy's random numbers. Each draw asks for one of a few outcomes; a script
+`ScriptedRandom` replaces the policy's random numbers. Each draw selects one of a few outcomes; a script
 says which, and what lies beyond the script is the first outcome. Which outcomes stand for all:
 
 - a number between 0 and 1 is compared with a threshold or rounded: its two ends;
-- the order in which servers are looked at decides only which two are compared: every pair of three;
+- the order in which servers are examined decides only which two are compared: every pair of three;
 - the tie-breaker between two servers: either may win, whatever their load.
 """
 
--- a/meadowpulley/model_checking/connection_model/invariants.py
+++ b/meadowpulley/model_checking/connection_model/invariants.py
@@ -19,7 +19,7 @@
 
 
 class InvariantChecks(EnabledSteps):
-    """Looks after each step at what clients got, what instances ran and what is left over."""
+    """Checks after each step what clients received, what instances ran and what is left over."""
 
     def _check_invariants(self) -> None:
         for text in self.log.errors:
@@ -75,7 +75,7 @@
             status = responses[index].status
             timed_out = status == 408 and (
                 client.request_index <= index or client.transport.was_write_blocked
-            )  # it really had not come whole
+            )  # it really had not arrived in full
             well_formed = index < len(client.kinds) and client.kinds[index] != "garbage"
             if 400 <= status < 500 and well_formed and not timed_out:
                 self._report_violation(
@@ -111,7 +111,7 @@
                 )
 
     def _check_forwarding(self) -> None:
-        """What became whole at an instance by this step: may it still be sent there, and at all."""
+        """Check that requests completed at an instance by this step may be sent there, and at all."""
         clients_by_request = {request_id: c for c in self.clients for request_id in c.request_ids}
         for connection in self.instance_connections:
             requests, sent_at = (
@@ -149,8 +149,9 @@
             )
 
     def _check_owed_responses(self) -> None:
-        """The gateway has ended, or all is over: whoever wrote a whole request and stayed has its answer,
-        unless the answer before it said that the connection closes, or it does not read."""
+        """The gateway has ended, or all is over: a client that wrote a complete request and
+        stayed has its response, unless the one before it said that the connection closes, or the client does
+        not read."""
         for client in self.clients:
             if client.transport is None or client.stopped_sending or client.transport.was_write_blocked:
                 continue
--- a/meadowpulley/model_checking/connection_model/peers.py
+++ b/meadowpulley/model_checking/connection_model/peers.py
@@ -71,7 +71,7 @@
         self.transport: ScriptedTransport | None = None
         self.stopped_sending = False
         self.closed_at = math.inf  # when it closed its connection
-        self.owed_responses = 0  # requests that were whole before the gateway said that it closes
+        self.owed_responses = 0  # requests that were complete before the gateway said that it closes
         self.response_count = 0
 
 
@@ -118,7 +118,7 @@
             b"",
             -math.inf,
         )  # its last good answer, which may come once more
-        self.seen_requests = 0  # requests that were whole there when the last step was over
+        self.seen_requests = 0  # requests that were complete there when the last step was over
 
 
 class DiscoveryRegistry:
@@ -135,7 +135,7 @@
         self.states[index] = state, self.version
 
     def endpoint_list(self, after_version: int | None) -> dict[str, Any]:
-        """The whole list, or what changed after a version."""
+        """Return the complete list, or what changed after a version."""
         entries = [
             {
                 protocol.ENDPOINT_NAME: f"s{n}",
@@ -169,7 +169,7 @@
 
 
 def parse_messages(data: bytes, requests: bool) -> tuple[list[Message], bool]:
-    """The whole messages in what was sent, and whether the rest is a part of one, or nothing."""
+    """Return the complete messages in `data`, and whether what follows them is part of one or empty."""
     ring = RingBuffer(max(len(data), 1))
     ring.write(data)
     parser = Parser(ring, requests)
--- a/meadowpulley/model_checking/connection_model/transitions.py
+++ b/meadowpulley/model_checking/connection_model/transitions.py
@@ -18,7 +18,7 @@
 
 
 class ConnectionModel(InvariantChecks):
-    """The whole model: each step is a method named for it."""
+    """The complete model: each step is a method named for it."""
 
     def apply(self, step: Step) -> tuple[Sequence[int], Sequence[int]]:
         """Make a step happen and check all properties; nothing is drawn in this model."""
@@ -52,7 +52,7 @@
         client.transport.receive(data)
 
     def _next_request_bytes(self, client: Client, cut: int) -> bytes:
-        """The next bytes that a client writes; a request that is whole now is owed an answer."""
+        """The next bytes that a client writes; a request that is complete now is owed a response."""
         assert client.transport is not None
         data = client.request_texts[client.request_index][client.written_bytes : cut]
         complete = cut == len(client.request_texts[client.request_index])
@@ -66,7 +66,7 @@
         return data
 
     def _do_unread(self, client_index: int) -> None:
-        """A whole request is in the kernel, and the reactor's turn has not come to it."""
+        """A complete request is in the kernel, and the reactor's turn has not come to it."""
         self.faults -= 1
         client = self.clients[client_index]
         assert client.transport is not None
--- a/meadowpulley/model_checking/fuzz/__init__.py
+++ b/meadowpulley/model_checking/fuzz/__init__.py
@@ -1,6 +1,6 @@
-"""Fuzzing at the edges: every reader of bytes that come from elsewhere, by grammar and by spoiling.
+"""Fuzzing of every parser of external bytes, with generated and with corrupted input.
 
-A target takes bytes and raises `FuzzError` where the reader breaks its word: an exception that is not its
+A target takes bytes and raises `FuzzError` where the parser fails a check: an exception that is not its
 own, another result when the same bytes come in other pieces, a message that does not survive being written
 and read again, more work than its bound. Hypothesis makes the bytes and shrinks what fails; the corpus is
 played first.
--- a/meadowpulley/model_checking/fuzz/control_plane.py
+++ b/meadowpulley/model_checking/fuzz/control_plane.py
@@ -95,7 +95,7 @@
         """Ignore a deadline."""
 
     def now(self) -> float:
-        """Return the time, which stands still."""
+        """Return the time, which is constant."""
         return 0.0
 
 
--- a/meadowpulley/model_checking/fuzz/files.py
+++ b/meadowpulley/model_checking/fuzz/files.py
@@ -66,6 +66,7 @@
     """A reader of a file: it may raise its own error alone, whose text is one line."""
 
     def check(data: bytes) -> None:
+        """Read a file with these bytes; raise FuzzError on any unexpected error."""
         handle, path = tempfile.mkstemp(suffix=suffix)
         try:
             with os.fdopen(handle, "wb") as file:
--- a/meadowpulley/model_checking/fuzz/http.py
+++ b/meadowpulley/model_checking/fuzz/http.py
@@ -25,11 +25,11 @@
 
 MAX_BYTES_READ_PER_PIECE = 4 * (
     MAX_HEAD_BYTES + MAX_BODY_BYTES
-)  # bytes that may be looked at for each piece that comes
+)  # bytes that may be scanned for each piece received
 
 
 class CountingRing(RingBuffer):
-    """A ring that counts how many bytes are looked at."""
+    """A ring that counts how many bytes are scanned."""
 
     bytes_read = 0
 
@@ -89,6 +89,7 @@
 
 def _check_http(requests: bool) -> Callable[[bytes], None]:
     def check(data: bytes) -> None:
+        """Parse the bytes at once and in pieces; raise FuzzError if the results differ."""
         data = data[: MAX_HEAD_BYTES + MAX_BODY_BYTES]
         reference = parse_pieces(data, requests, max(len(data), 1))
         for piece in PIECE_SIZES:
--- a/meadowpulley/model_checking/fuzz/runner.py
+++ b/meadowpulley/model_checking/fuzz/runner.py
@@ -10,7 +10,7 @@
 
 
 class FuzzError(AssertionError):
-    """A reader broke its word; the text says how."""
+    """A parser failed its check; the text has the reason."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +36,7 @@
 
 
 def corpus_of(folder: Path, target: str) -> Iterator[tuple[str, bytes]]:
-    """Kept inputs of a target, by name."""
+    """Return the stored inputs of a target, by name."""
     for path in sorted((folder / target).glob("*")):
         yield path.name, path.read_bytes()
 
@@ -65,6 +65,7 @@
     )
     @given(target.inputs)
     def play(data: bytes) -> None:
+        """Check one generated input."""
         result.example_count += 1
         last_input[0] = data
         target.check(data)
--- a/meadowpulley/model_checking/fuzz/strategies.py
+++ b/meadowpulley/model_checking/fuzz/strategies.py
@@ -60,6 +60,7 @@
     """Bytes by a grammar, some of them with pieces cut out, put in, doubled or changed."""
 
     def spoil(data: bytes, position: int, removed_count: int, inserted: bytes) -> bytes:
+        """Return the bytes with some removed and others inserted at a position."""
         position %= len(data) + 1
         return data[:position] + inserted + data[position + removed_count :]
 
--- a/meadowpulley/model_checking/graph.py
+++ b/meadowpulley/model_checking/graph.py
@@ -1,8 +1,8 @@
-"""Copies and canonical forms of objects, so that a state of the real code can be kept and compared.
+"""Copies and canonical forms of objects, so that a state of the real code can be stored and compared.
 
 Both walk whatever an object holds: a field that is added to the code later is copied and compared without a
-word here. What never changes (settings, events, functions without captured names) is shared. How to handle a
-class is worked out once, since this is where the search spends its time.
+change here. What never changes (settings, events, functions without captured names) is shared. The copy and
+write functions of a class are made once, since the search spends most of its time here.
 """
 
 from __future__ import annotations
@@ -118,6 +118,7 @@
         slots, has_dict = slots_of(cls), _has_dict(cls)
 
         def copy(value: Any, memo: dict[int, Any]) -> Any:
+            """Copy an object, or return the copy made before."""
             duplicate = memo.get(id(value))
             if duplicate is not None:
                 return duplicate
@@ -140,6 +141,7 @@
         functions = self._copy_functions
 
         def copy(original: Any, memo: dict[int, Any]) -> Any:
+            """Copy a dict, or return the copy made before."""
             duplicate = memo.get(id(original))
             if duplicate is not None:
                 return duplicate
@@ -157,6 +159,7 @@
         functions = self._copy_functions
 
         def copy(original: Any, memo: dict[int, Any]) -> Any:
+            """Copy a defaultdict, or return the copy made before."""
             duplicate = memo.get(id(original))
             if duplicate is not None:
                 return duplicate
@@ -176,6 +179,7 @@
     @staticmethod
     def _constructor_copier(cls: Callable[[Any], Any]) -> CopyFunction:
         def copy(value: Any, memo: dict[int, Any]) -> Any:
+            """Copy a value by its constructor, or return the copy made before."""
             duplicate = memo.get(id(value))
             if duplicate is None:
                 duplicate = memo[id(value)] = cls(value)
@@ -193,6 +197,7 @@
 
     def _list_copier(self) -> CopyFunction:
         def copy(value: Any, memo: dict[int, Any]) -> Any:
+            """Copy a list, or return the copy made before."""
             duplicate = memo.get(id(value))
             if duplicate is None:
                 duplicate = memo[id(value)] = []
@@ -203,6 +208,7 @@
 
     def _deque_copier(self) -> CopyFunction:
         def copy(value: Any, memo: dict[int, Any]) -> Any:
+            """Copy a deque, or return the copy made before."""
             duplicate = memo.get(id(value))
             if duplicate is None:
                 duplicate = memo[id(value)] = deque(maxlen=value.maxlen)
@@ -213,6 +219,7 @@
 
     def _set_copier(self) -> CopyFunction:
         def copy(value: Any, memo: dict[int, Any]) -> Any:
+            """Copy a set, or return the copy made before."""
             duplicate = memo.get(id(value))
             if duplicate is None:
                 duplicate = memo[id(value)] = set(self._copy_parts(value, memo))
@@ -228,6 +235,7 @@
 
     def _function_copier(self) -> CopyFunction:
         def copy(value: Any, memo: dict[int, Any]) -> Any:
+            """Copy a function, or return the copy made before."""
             if not value.__closure__:
                 return value
             duplicate = memo.get(id(value))
@@ -243,6 +251,7 @@
 
     def _partial_copier(self) -> CopyFunction:
         def copy(value: Any, memo: dict[int, Any]) -> Any:
+            """Copy a partial call with its function and arguments."""
             keywords = {k: self.copy(v, memo) for k, v in value.keywords.items()}
             return partial(self.copy(value.func, memo), *self._copy_parts(value.args, memo), **keywords)
 
@@ -253,8 +262,9 @@
 
 
 class FormRules:
-    """How states are written down: `skip` names fields by class name that hold nothing of the state,
-    `special` those that need renaming or sorting, `whole` classes that are written in a way of their own."""
+    """How states are written down: `ignored_fields` names, by class name, fields that are no part of
+    the state, `field_writers` those that need renaming or sorting, `class_writers` classes with a writer of
+    their own."""
 
     def __init__(
         self,
@@ -316,6 +326,7 @@
         has_dict = _has_dict(cls)
 
         def walk(writer: FormWriter, value: Any) -> Any:
+            """Return the canonical form of an object's fields."""
             number = writer.numbers.get(id(value))
             if number is not None:
                 return ("@", number)
--- a/meadowpulley/model_checking/invariant_monitor.py
+++ b/meadowpulley/model_checking/invariant_monitor.py
@@ -14,7 +14,7 @@
 
 
 class InvariantMonitor:
-    """Feed it records and what attempts do; `broken` tells what did not hold since it was last emptied."""
+    """Feed it records and what attempts do; `violations` lists what failed since it was last emptied."""
 
     def __init__(self, number: int, settings: Settings) -> None:
         self.number, self.settings = number, settings
@@ -52,8 +52,8 @@
         prior_attempts: int,
         past_deadline: bool,
     ) -> None:
-        """An attempt goes out; `copies`: others of its request are out, `tries`: how many went
-        before, `late`: its client has stopped waiting."""
+        """Check an attempt as it is sent. `hedged`: others of its request are outstanding, `prior_attempts`:
+        how many were sent before, `past_deadline`: its client has stopped waiting."""
         limits = self.settings.limits
         if prior_attempts >= limits.max_attempts:
             self.report("attempts", now, f"attempt {prior_attempts + 1}, of {limits.max_attempts} at most")
@@ -65,8 +65,8 @@
             self._check_slow_start(now, server, entry)
 
     def _check_slow_start(self, now: float, server: int, entry: ServerEntry) -> None:
-        """A quarter of the span: the whole fleet's requests shared out evenly, times multiple and the warmth
-        at its end, never less than a gateway's part of one request; and one more by chance."""
+        """A quarter of the span: the fleet's requests divided evenly, times the multiple and the slow-start
+        fraction at its end, never less than a gateway's part of one request; and one more by chance."""
         rules, slot_ms = self.settings.rules, self.settings.rules.overload_window_ms / 4
         age_ms = now - entry.started_ms
         if not entry.started_ms or age_ms >= rules.slow_start_ms:
--- a/meadowpulley/model_checking/model.py
+++ b/meadowpulley/model_checking/model.py
@@ -63,7 +63,7 @@
     ordered_gateways: bool = field(
         default=True, name="ordered"
     )  # gateways step in turn within a moment (their steps commute)
-    hashed: bool = True  # states are told apart by 64 bits; else by their whole form
+    hashed: bool = True  # states are compared by 64 bits; else by their complete form
 
     @property
     def size(self) -> str:
--- a/meadowpulley/model_checking/mutants.py
+++ b/meadowpulley/model_checking/mutants.py
@@ -1,4 +1,4 @@
-"""The catalogue of planted bugs: the model checker is worth what it finds of them.
+"""The catalogue of planted bugs: the model checker is measured by how many it finds.
 
 Each mutant is a small patch of the real code (or of a model of the checker itself), with the properties that
 may catch it and the bounds under which it shows. `meadowpulley check mutants` plays them.
--- a/meadowpulley/model_checking/mutation.py
+++ b/meadowpulley/model_checking/mutation.py
@@ -32,7 +32,7 @@
 
 
 class MutantError(ValueError):
-    """A mutant that can't be planted; the text says why in one line."""
+    """A mutant that can't be planted; the text is one line with the reason."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,7 +154,7 @@
 
 
 def unload_code_under_test() -> None:
-    """What is under test is loaded anew by whoever asks for it next."""
+    """Unload the code under test, so that the next import loads it again."""
     for name in list(sys.modules):
         if any(name == part or name.startswith(part + ".") for part in PACKAGES_UNDER_TEST):
             parent_name, _, child_name = name.rpartition(".")
--- a/meadowpulley/model_checking/mutation_testing.py
+++ b/meadowpulley/model_checking/mutation_testing.py
@@ -47,7 +47,7 @@
 
 
 def run_mutant(name: str, seed: int, budget_s: float) -> MutationResult:
-    """Looks for one mutant in this process, which must not have loaded the code under test for long."""
+    """Search for one mutant in this process, which loads the code under test anew."""
     from meadowpulley.model_checking.mutants import MUTANTS
 
     started_at = time.monotonic()
--- a/meadowpulley/model_checking/policy_model/configurations.py
+++ b/meadowpulley/model_checking/policy_model/configurations.py
@@ -73,8 +73,8 @@
 @dataclass(frozen=True, slots=True)
 class Configuration:
     """`kinds`: class and key of each request, in any order of arrival. `builds`: of the servers at the start.
-    `troubles`: which steps may go wrong, `edges`: which moments time stops at, just before, at and after.
-    `retries`: how many further attempts a gateway has saved up; `turned`: answers it has had before."""
+    `faults`: which steps may fail, `edges`: which moments time stops at, just before, at and after.
+    `retry_budget`: retries that a gateway has saved up at the start."""
 
     name: str
     description: str
--- a/meadowpulley/model_checking/policy_model/gateway.py
+++ b/meadowpulley/model_checking/policy_model/gateway.py
@@ -230,7 +230,7 @@
         self._forget_if_done(request)
         self.dispatch(environment, ClientDisconnected(request))
 
-    # The list and the news
+    # The endpoint list and updates of rollouts
 
     def receive_list(self, environment: Environment, version: int, kind: EndpointUpdateKind) -> None:
         """Receive a version of discovery's list."""
@@ -257,7 +257,7 @@
         self.dispatch(environment, EndpointUpdate(kind, version, entries))
 
     def receive_rollout_update(self, environment: Environment, update: RolloutUpdate) -> None:
-        """Receive where a rollout stands, from the platform."""
+        """Receive the state of a rollout from the platform."""
         if update.result is Result.OK:
             phase = PHASE_WORDS[update.phase]
             self.monitor.observe(
--- a/meadowpulley/model_checking/policy_model/state.py
+++ b/meadowpulley/model_checking/policy_model/state.py
@@ -102,7 +102,7 @@
         return duplicate
 
     def form(self) -> Any:
-        """The whole state in canonical form."""
+        """Return the complete state in canonical form."""
         server_numbers = self._canonical_server_numbers() if self.settings.symmetry else {}
         gateways = [(self._may_step(h), h.form(server_numbers)) for h in self.gateways]
         if self.settings.symmetry:
--- a/meadowpulley/model_checking/policy_model/transitions.py
+++ b/meadowpulley/model_checking/policy_model/transitions.py
@@ -34,7 +34,7 @@
 
 
 class PolicyModel(EnabledSteps):
-    """The whole model: each step is a method named for it."""
+    """The complete model: each step is a method named for it."""
 
     def apply(self, step: Step) -> tuple[Sequence[int], Sequence[int]]:
         """Make a step happen; return what the policy drew and among how many."""
--- a/meadowpulley/model_checking/properties.py
+++ b/meadowpulley/model_checking/properties.py
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Property:
-    """`source`: the rule and paragraph, or the page, that asks for it."""
+    """`source`: the rule and paragraph, or the page, that requires it."""
 
     name: str
     source: str
--- a/meadowpulley/model_checking/rollout_mutants.py
+++ b/meadowpulley/model_checking/rollout_mutants.py
@@ -5,7 +5,7 @@
 from meadowpulley.model_checking.mutant_builders import policy_mutant
 
 ROLLOUT_MUTANTS = (
-    # Cold servers
+    # Servers in slow start
     policy_mutant(
         "cold-uncounted",
         "what a cold server gets is not counted",
--- a/meadowpulley/model_checking/scripted_reactor.py
+++ b/meadowpulley/model_checking/scripted_reactor.py
@@ -10,7 +10,7 @@
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.python.failure import Failure
 
-MAX_READ_BYTES = 64 * 1024  # what the reactor hands over in one piece
+MAX_READ_BYTES = 64 * 1024  # what the reactor delivers in one piece
 
 
 class DelayedCall:
@@ -133,7 +133,7 @@
             self.reactor.callLater(0, self.disconnect)
 
     def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
-        """Register a producer, which is asked for all that the kernel takes."""
+        """Register a producer, which is polled for all that the kernel accepts."""
         self.producer = producer
         if not self.write_blocked:
             self.resume_producer()
@@ -143,7 +143,7 @@
         self.producer = None
 
     def resume_producer(self) -> None:
-        """Ask the producer for bytes while the kernel takes them."""
+        """Request bytes from the producer while the kernel accepts them."""
         while self.producer is not None and not self.write_blocked and self.connected:
             self.producer.resumeProducing()
 
--- a/meadowpulley/model_checking/search.py
+++ b/meadowpulley/model_checking/search.py
@@ -66,7 +66,7 @@
 
 @dataclass(slots=True)
 class Coverage:
-    """What was looked at. `complete`: no state within the setting's bounds was left out."""
+    """What was explored. `complete`: no state within the setting's bounds was left out."""
 
     settings: ModelSettings
     levels: list[Level] = field(default_factory=list)
@@ -89,7 +89,7 @@
 
     @property
     def depth(self) -> int:
-        """The number of whole levels."""
+        """Return the number of complete levels."""
         return self.levels[-1].depth if self.levels else 0
 
 
@@ -107,7 +107,7 @@
 class Expander:
     """Finds the successors of a node.
 
-    Neighbours in the frontier share most of their path: the models along the last one are kept.
+    Neighbours in the frontier share most of their path: the models along the last one are cached.
     """
 
     def __init__(self, settings: ModelSettings) -> None:
@@ -127,7 +127,7 @@
         return model
 
     def expand(self, path: bytes) -> Iterator[tuple[Any, bytes, Violation | None]]:
-        """Each successor: its fingerprint (or whole form), the step that leads there, and what it breaks."""
+        """Each successor: its fingerprint (or full form), the step that leads there, and what it breaks."""
         model = self.model_at(path)
         for index, step in enumerate(model.enabled_steps()):
             scripts: list[tuple[int, ...]] = [()]
@@ -227,7 +227,7 @@
 
 
 class Search:
-    """One exhaustive search. `seed` shuffles the order in which nodes are looked at, which may not matter."""
+    """One exhaustive search. `seed` shuffles the order in which nodes are explored, which may not matter."""
 
     def __init__(
         self,
--- a/meadowpulley/model_checking/shared_state_model/__init__.py
+++ b/meadowpulley/model_checking/shared_state_model/__init__.py
@@ -2,7 +2,7 @@
 
 Each gateway is the real lease manager round the real stages round the real policy, on the ledger in memory.
 Explored are kills, stops and resumptions at every step, replies of the ledger that are lost or late, attempts
-that run late, clients that ask again, planned stops and new incarnations. Time stands still but in a step of
+that run late, clients that retry, planned stops and new incarnations. Time stands still but in a step of
 its own.
 
 Reading order: `configurations`, `invariant_monitor` (what must hold), `gateway_state` and `gateway`, `state`,
--- a/meadowpulley/model_checking/shared_state_model/configurations.py
+++ b/meadowpulley/model_checking/shared_state_model/configurations.py
@@ -54,10 +54,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """`kinds`: classes of the requests, in the order they come. `troubles`: what may go wrong.
+    """`kinds`: classes of the requests, in the order they come. `faults`: what may fail.
 
-    `takes_over`, `lends`: which stages stand round the decisions. `by_turns`: time moves by whole turns of
-    lending alone. `copies`: asks of one request, at most.
+    `takes_over`, `lends`: which stages surround the policy. `time_by_rounds`: time moves by complete
+    rounds of lending alone. `max_sends`: how often a client sends one request, at most.
     """
 
     name: str
--- a/meadowpulley/model_checking/shared_state_model/enabled_steps.py
+++ b/meadowpulley/model_checking/shared_state_model/enabled_steps.py
@@ -109,7 +109,7 @@
             yield Step("end")
 
     def _retry_steps(self, after_loss: bool) -> Iterator[Step]:
-        """Clients that ask again, with the same id: those whose gateway was lost, and any others."""
+        """Clients that retry with the same id: those whose gateway was lost, and any others."""
         for index in sorted({n for n, _ in self.client_sends}):
             gateways_tried = [g for m, g in self.client_sends if m == index]
             gateway_lost = not self.gateways[gateways_tried[-1]].running  # perhaps the answer was on its way
--- a/meadowpulley/model_checking/shared_state_model/gateway.py
+++ b/meadowpulley/model_checking/shared_state_model/gateway.py
@@ -1,7 +1,7 @@
 """One gateway of the shared-state model: its real stages, and what is on its way to and from it.
 
-It does what a gateway's adapter does, one event at a time. What it would hand to the kernel or to the ledger
-waits in queues, so that each hand-over is a step of its own: a commit is carried out, its reply is received,
+It does what a gateway's adapter does, one event at a time. What it would pass to the kernel or to the ledger
+waits in queues, so that each transfer is a step of its own: a commit is carried out, its reply is received,
 the ledger is read, bytes go out, an outcome is received.
 """
 
@@ -325,7 +325,7 @@
     # Time
 
     def next_due(self) -> float:
-        """When something happens by itself; never, in a process that stands."""
+        """Return when something happens by itself; infinity in a process that is stopped."""
         if not self.running or self.stopped:
             return math.inf
         due_times = [self.killed_at, *(at for at, _ in self.timers[:1])]
@@ -350,7 +350,7 @@
             if not pending.answered and pending.deadline_ms + slack_ms <= environment.now:
                 stalled = (
                     environment.now > pending.deadline_ms + slack_ms
-                )  # a process that stood still answers as it wakes
+                )  # a process that was stopped responds as it resumes
                 if not stalled and self.configuration.takes_over:
                     self._report_violation(
                         environment,
--- a/meadowpulley/model_checking/shared_state_model/gateway_state.py
+++ b/meadowpulley/model_checking/shared_state_model/gateway_state.py
@@ -63,7 +63,7 @@
 
 
 class OutstandingAttempt:
-    """One attempt that the stages sent: its bytes wait, are out, or its outcome was heard."""
+    """One attempt that the stages sent: its bytes wait, are out, or its outcome was received."""
 
     def __init__(self, server: int, sent_at: float) -> None:
         self.server, self.sent_at = server, sent_at
@@ -101,12 +101,12 @@
         self.lease_released = False
         self.incarnation: Incarnation | None = None
         self.quota_stage: LendingStage | None = None
-        self.ledger_outbox: deque[Commit | Scan] = deque()  # asked for, not carried out
+        self.ledger_outbox: deque[Commit | Scan] = deque()  # requested, not carried out
         # Commits that it hears of no more, and that may still be carried out.
         self.delayed_commits: deque[tuple[Incarnation, Commit]] = deque()
-        self.ledger_replies: deque[CommitCompleted | ScanCompleted] = deque()  # carried out, not heard of
+        self.ledger_replies: deque[CommitCompleted | ScanCompleted] = deque()  # carried out, not received
         self.unsent_attempts: deque[tuple[int, int]] = deque()  # request and attempt: sent, and not out yet
-        self.unheard_outcomes: deque[tuple[int, int, Result, str]] = deque()  # come, and not heard of
+        self.unheard_outcomes: deque[tuple[int, int, Result, str]] = deque()  # arrived, and not received
         self.pending_view: LedgerChanged | None = None  # read, and not dispatched
         self.ledger_version = 0  # of the ledger, up to which it was notified
         self.watched_prefixes: tuple[str, ...] | None = None
@@ -131,7 +131,7 @@
 
     @property
     def idle(self) -> bool:
-        """Whether nothing is in hand or on its way."""
+        """Return whether nothing is in flight."""
         unanswered = any(not s.answered or s.outstanding_attempts for s in self.pending_requests.values())
         return not (
             unanswered
--- a/meadowpulley/model_checking/shared_state_model/state.py
+++ b/meadowpulley/model_checking/shared_state_model/state.py
@@ -101,7 +101,7 @@
         )
 
     def form(self) -> Any:
-        """Return the whole state in canonical form."""
+        """Return the complete state in canonical form."""
         return self._environment_form(), tuple(n.form() for n in self.gateways)
 
     def fingerprint(self) -> int:
--- a/meadowpulley/model_checking/shared_state_model/transitions.py
+++ b/meadowpulley/model_checking/shared_state_model/transitions.py
@@ -37,7 +37,7 @@
 
 
 class SharedStateModel(EnabledSteps):
-    """The whole model: each step is a method named for it."""
+    """The complete model: each step is a method named for it."""
 
     def _settle_initially(self) -> None:
         """Both have renewed their leases and know of each other; what is lent has been granted."""
@@ -310,7 +310,7 @@
                 return
 
     def _advance_to_next(self, until: float) -> bool:
-        """Time to the next moment at which something is due, and a look of everybody; False: none is left."""
+        """Advance to the next moment at which something is due and poll all gateways; False if none."""
         due_at = min(node.next_due() for node in self.gateways)
         if due_at > until or due_at == math.inf:
             self.now = max(until, self.now) if until < math.inf else self.now
@@ -348,7 +348,7 @@
     # The end
 
     def _do_end(self) -> None:
-        """Everything goes on until all has met its end; then it is looked at."""
+        """Run everything to its end, then check the final state."""
         until = self.now + RUN_OUT_MS
         self._settle()
         while not self.monitor.violations and self._advance_to_next(until):
--- a/meadowpulley/model_checking/shared_state_mutants.py
+++ b/meadowpulley/model_checking/shared_state_mutants.py
@@ -12,7 +12,7 @@
 
 
 SHARED_STATE_MUTANTS = (
-    # The ledger and its keeper
+    # The ledger and its lease manager
     shared_state_mutant(
         "sealed-commits",
         "a life that is over goes on writing",
@@ -178,7 +178,7 @@
         ),
     ),
     # Taking over
-    # The decisions refuse it too, so that they are not told either of what may have run.
+    # The decisions refuse it too, so that they are not notified either of what may have run.
     shared_state_mutant(
         "unsafe-adopted",
         "unsafe work whose right was won is begun anew",
--- a/meadowpulley/placement/__init__.py
+++ b/meadowpulley/placement/__init__.py
@@ -2,11 +2,11 @@
 
 Off unless an experiment's file is named; the gateway that `run` starts imports none of it. Modules in reading
 order: `policies` (orders of the servers that a request may go to), `definition` and `config` (the file of an
-experiment), `assignment` (which arm a unit belongs to), `time_bins` (short bins behind the mixed
+experiment), `assignment` (which arm a unit belongs to), `time_bins` (short bins for the mixed
 Differences-in-Q estimate), `counter_records` and `arm_counters` (what each incarnation counts and stores),
 `merged_counters` (the fleet's sums), `differences_in_q` and `estimate` (differences, intervals, confidence
 sequences), `guard` (when an arm must end), `origins` (what takeover knows), `request_tracker` (labels and
-counts requests), `record_writer` (writes to the ledger), `stage` (stands before the rollout policy),
+counts requests), `record_writer` (writes to the ledger), `stage` (precedes the rollout policy),
 `gateway` (at a gateway on sockets), `summary` (results for readers), `emulated` (experiments on the emulated
 fleet), `supermarket_model` and `calibration` (how good the estimates are where the answer is known).
 """
--- a/meadowpulley/placement/calibration.py
+++ b/meadowpulley/placement/calibration.py
@@ -50,7 +50,7 @@
 
     @property
     def name(self) -> str:
-        """The case in words, without its load."""
+        """Return a description of the case, without its load."""
         setting = self.setting
         skew = f", {setting.zone_skew:.0%} in one zone" if setting.zone_skew != 0.5 else ""
         fleet = f"{setting.servers} servers, {setting.gateways} gateways"
@@ -121,6 +121,7 @@
     in_bins = bin_of < bins
 
     def by_bin(values: Floats) -> Floats:
+        """Return the sum of the values of each time bin."""
         sums = np.bincount(bin_of[in_bins], weights=values[in_bins], minlength=bins)
         return np.asarray(sums, dtype=np.float64)
 
--- a/meadowpulley/placement/definition.py
+++ b/meadowpulley/placement/definition.py
@@ -1,4 +1,4 @@
-"""The definition of a placement experiment: a file, validated whole; its hash is the experiment's version.
+"""The definition of a placement experiment: a validated file, whose hash is the experiment's version.
 
 Every gateway reads the same definition. The hash covers all that it says, so that two gateways with the same
 version assign alike and may add up their counters. One record in the ledger says which version runs. The
@@ -79,7 +79,7 @@
 
     @property
     def digest(self) -> str:
-        """The hash of the whole definition: its version among gateways."""
+        """Return the hash of the complete definition: its version among gateways."""
         return xxhash.xxh3_128_hexdigest(msgspec.json.encode(self, order="deterministic"))
 
     def record_key(self, name: str) -> str:
--- a/meadowpulley/placement/differences_in_q.py
+++ b/meadowpulley/placement/differences_in_q.py
@@ -1,4 +1,4 @@
-"""Sums behind the mixed Differences-in-Q estimate (the paper's (12) to (21), C.3), from the fleet's bins.
+"""Sums for the mixed Differences-in-Q estimate (the paper's (12) to (21), C.3), from the fleet's bins.
 
 An arm's mean Q is compared with the baseline's by the probabilities of the assignment, which are known
 (Horvitz and Thompson 1952), after subtracting an expectation: a plane in the requests outstanding at the
@@ -154,6 +154,7 @@
     """Return an arm's requests by bin; none where the arm that is compared has ended."""
 
     def count(time_bin: TimeBin) -> int:
+        """Return the arm's requests in a bin; 0 once the compared arm has ended."""
         if compared_arm in time_bin.ended_arms:
             return 0
         return time_bin.arm_counts.get((group, counted_arm), 0)
--- a/meadowpulley/placement/estimate.py
+++ b/meadowpulley/placement/estimate.py
@@ -1,14 +1,14 @@
 """Estimate differences between arms from merged counters: naive, mixed Differences-in-Q, and switchback.
 
-Differences are an arm less the baseline, in ms, each with an interval for one look and a confidence sequence
-that holds at every look.
+Differences are an arm less the baseline, in ms, each with an interval for one analysis and a confidence
+sequence that holds at every analysis.
 
 Sources. Mixed Differences-in-Q: the paper's (12) to (21), with the sums of `differences_in_q.py`; its
 standard error is that of C.3, (45), about what was expected. Confidence sequences: the asymptotic ones of
 Waudby-Smith, Arbour, Sinha, Kennedy and Ramdas, "Time-uniform central limit theory and asymptotic
 confidence sequences" (Annals of Statistics 2024), Theorem 2.2: Robbins' normal mixture with the variance
 estimated; they cover at all sample sizes at once with a probability that tends to the stated one as the
-first look comes later, so that there is no estimate before `MIN_REQUESTS` requests in each arm. Units that
+first analysis is later, so that there is no estimate before `MIN_REQUESTS` requests in each arm. Units that
 share an arm over several requests: delete-a-group jackknife over random groups (Wolter, Introduction to
 Variance Estimation, 2007, chapter 4).
 """
@@ -37,8 +37,8 @@
 class Estimate:
     """A difference with its standard error.
 
-    `sample_size` counts what it rests on (requests or time blocks). `low` and `high` are the interval for one
-    look that was settled beforehand, `sequence_low` and `sequence_high` the one that holds at every look.
+    `sample_size` counts what it uses (requests or time blocks). `low` and `high` are the interval for one
+    analysis planned beforehand, `sequence_low` and `sequence_high` the one that holds at every analysis.
     """
 
     value: float
@@ -133,7 +133,7 @@
 def mean_cost_ms(merged: MergedCounters, arm: int, metric: int) -> float:
     """Return the mean cost of an arm: completion times, and deadlines for what was not served.
 
-    `metric` 0 stands for all classes, n for the n-th.
+    `metric` 0 is all classes, n for the n-th.
     """
     return _sample(_moments_of_arm(merged, arm, metric)).mean
 
@@ -154,6 +154,7 @@
         return NO_ESTIMATE
 
     def difference_without(group: int | None) -> float:
+        """Return the difference of the means in ms, leaving one group out."""
         treated_mean = _sample(_moments_of_arm(merged, arm, metric, group)).mean
         return treated_mean - _sample(_moments_of_arm(merged, 0, metric, group)).mean
 
@@ -187,6 +188,7 @@
     cost_weight = _cost_weight(cost_squares, outstanding_squares, products)
 
     def value_without(left_out: int | None) -> float:
+        """Return the mixed estimate, leaving one group out."""
         some = [sums for group, sums in groups.items() if group != left_out]
         total = math.fsum(cost_weight * sums.cost + (1 - cost_weight) * sums.outstanding for sums in some)
         requests = sum(sums.arm_requests + sums.baseline_requests for sums in some)
--- a/meadowpulley/placement/gateway.py
+++ b/meadowpulley/placement/gateway.py
@@ -52,7 +52,7 @@
 def requested_experiment(settings: Settings, environ: Mapping[str, str]) -> Experiment | None:
     """Return the experiment that the environment names; None where it names none.
 
-    It looks into the ledger, before an incarnation is registered there, and refuses a definition that
+    It reads the ledger, before an incarnation is registered there, and refuses a definition that
     contradicts the one that runs under this name. Raises `LedgerUnusableError`, one line.
     """
     try:
--- a/meadowpulley/placement/guard.py
+++ b/meadowpulley/placement/guard.py
@@ -30,7 +30,7 @@
 
 
 def harm_reason(experiment: Experiment, merged: MergedCounters, arm: int) -> str:
-    """Return in one line why an arm should end; empty if nothing shows that it should."""
+    """Return the reason, in one line, for ending an arm; empty if nothing shows that it should."""
     guard = experiment.guard
     measures = _measures(experiment, merged, arm)
     # One-sided, as only harm counts, and shared by all measures and arms.
--- a/meadowpulley/placement/origins.py
+++ b/meadowpulley/placement/origins.py
@@ -1,6 +1,6 @@
-"""Where a request began and whether another gateway has it now: what takeover knows, and counters rest on.
+"""Where a request began and whether another gateway has it now: what takeover knows, and counters use.
 
-`gateway.py` gives a stage takeover's answers; without takeover no request moves (`LocalOrigins`).
+`gateway.py` provides a stage with takeover's answers; without takeover no request moves (`LocalOrigins`).
 """
 
 from __future__ import annotations
--- a/meadowpulley/placement/policies.py
+++ b/meadowpulley/placement/policies.py
@@ -68,6 +68,7 @@
         """Return the servers' indices in order of preference."""
 
         def turn(index: int) -> tuple[bool, int]:
+            """Return the sort key that puts the servers after the last one used first."""
             server = servers[index].server
             return server <= self.last_server, server
 
--- a/meadowpulley/placement/record_writer.py
+++ b/meadowpulley/placement/record_writer.py
@@ -25,7 +25,7 @@
 class RecordWriter:
     """Writes one gateway's records of one experiment.
 
-    `emit` is called with each commit, whose result is handed to `on_committed`.
+    `emit` is called with each commit, whose result is passed to `on_committed`.
     """
 
     def __init__(self, experiment: Experiment, emit: Callable[[Commit], None]) -> None:
@@ -71,7 +71,7 @@
         self._emit(Commit(self._last_ticket, (Transaction((write,)),), OWNER))
 
     def on_committed(self, event: CommitCompleted) -> Record | None:
-        """Take up the result of a commit; returns the record that stood in a write's way, if any."""
+        """Process the result of a commit; return the record that conflicts with a write, if any."""
         name, result = self._pending.pop(event.ticket, ""), event.results[0]
         is_settled = result.outcome in (TransactionOutcome.COMMITTED, TransactionOutcome.CONFLICT)
         if is_settled:  # a conflict is with an own earlier write whose result was lost
--- a/meadowpulley/placement/stage.py
+++ b/meadowpulley/placement/stage.py
@@ -100,10 +100,11 @@
 
     @origins.setter
     def origins(self, origins: OriginLookup) -> None:
+        """Set the lookup of the origins of requests."""
         self.tracker.origins = origins
 
     def handle(self, now: float, event: Any) -> list[Any]:
-        """Return the actions that follow from an event at `now` (ms), here and behind."""
+        """Return the actions that follow from an event at `now` (ms), of this stage and the next ones."""
         self._actions = []
         if isinstance(event, CommitCompleted) and event.owner == OWNER:
             self._on_committed(event)
--- a/meadowpulley/placement/time_bins.py
+++ b/meadowpulley/placement/time_bins.py
@@ -1,6 +1,6 @@
 """Short time bins: each gateway records its own, and the bins of all gateways are added up.
 
-The mixed Differences-in-Q estimate rests on them. The paper's equation (12) adds to each request's cost the
+The mixed Differences-in-Q estimate uses them. The paper's equation (12) adds to each request's cost the
 costs of the next L requests, wherever they go. In a fleet those are requests of all gateways, and a policy
 may burden another gateway's requests more than its own, so no gateway can sum alone. Each records, by bins
 on the clock that gateways share, which arms its requests had, what they cost, and how many were outstanding
@@ -19,7 +19,7 @@
 
 LOOKAHEAD_BINS = 5  # after its own, whose requests a request is assumed to burden: one carry time
 BINS_PER_SEGMENT = 16  # of one record
-MAX_BINS = 4096  # that one incarnation records; the estimate rests on these, all else goes on
+MAX_BINS = 4096  # that one incarnation records; the estimate is based on these, all else goes on
 
 
 class TimeBin(Struct, array_like=True):
@@ -171,7 +171,7 @@
         return BinSegment(self.incarnation, first_bins)
 
     def discard_segment(self) -> None:
-        """Drop the bins of the next segment, once it is kept elsewhere."""
+        """Drop the bins of the next segment, once the record writer has it."""
         for time_bin in self.bins[:BINS_PER_SEGMENT]:
             self.pending.pop(time_bin.number, None)
         self.discarded_bins += BINS_PER_SEGMENT
--- a/meadowpulley/report/__init__.py
+++ b/meadowpulley/report/__init__.py
@@ -1,4 +1,4 @@
-"""Reports: pages from templates with charts, for every rig and tool.
+"""Reports: pages from templates with charts, for every test bed and tool.
 
 Reading order: `charts` (figures as pictures), `pages` (HTML and Markdown).
 """
--- a/meadowpulley/report/capacity.py
+++ b/meadowpulley/report/capacity.py
@@ -24,6 +24,7 @@
 
 
 def plan_charts(plan: CapacityPlan) -> list[Chart]:
+    """Return the charts of a plan; latencies are in ms."""
     x = [100 * p.utilisation for p in plan.points]
     if not x:
         return []
@@ -62,6 +63,7 @@
 
 
 def plan_page(plan: CapacityPlan) -> Page:
+    """Return the page of a capacity plan."""
     demand = plan.demand
     breaks = [
         [
@@ -117,6 +119,7 @@
 
 
 def site_page(fleet: Fleet, demand: Demand, losses: Sequence[SiteLoss]) -> Page:
+    """Return the page of the predicted losses of sites."""
     rows = [
         [
             f.site,
@@ -153,6 +156,7 @@
 
 
 def spike_page(fleet: Fleet, result: SpikeResult) -> Page:
+    """Return the page of a load spike."""
     band = (SPIKE_AT_S, SPIKE_AT_S + result.spike.for_ms / 1000, "spike")
     rows = [
         [
@@ -183,7 +187,7 @@
 
 
 def loopback_page(title: str, measurement: LoopbackResult) -> Page:
-    """A run on loopback: what clients saw, second by second, and where the builds stood."""
+    """A run on loopback: what clients saw, second by second, and the state of the builds."""
     rows = [[name, f"{value:.5g}"] for name, value in sorted(measurement.figures.items())]
     stages = [[f"{at / 1000:.1f}", str(b), str(s + 1), phase] for at, b, s, phase in measurement.stages]
     rules_text = (
--- a/meadowpulley/report/charts.py
+++ b/meadowpulley/report/charts.py
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Line:
-    """One line of a chart. `low` and `high` shade its interval where they are given; `style` as matplotlib
+    """One line of a chart. `low` and `high` shade its interval where they are set; `style` as matplotlib
     has it."""
 
     label: str
@@ -52,7 +52,7 @@
     vertical_lines: Sequence[tuple[float, str]] = (),
     bands: Sequence[tuple[float, float, str]] = (),
 ) -> Chart:
-    """Lines over one axis; `marks` are upright lines with a word, `bands` shaded spans with one."""
+    """Lines over one axis; `vertical_lines` and `bands` (shaded spans) each have a label."""
     figure = Figure(figsize=FIGURE_INCHES, layout="constrained")
     axes = figure.add_subplot()
     for line in lines:
--- a/meadowpulley/report/request_trace.py
+++ b/meadowpulley/report/request_trace.py
@@ -1,4 +1,4 @@
-"""A request's course through a fleet, out of the gateways' `story` lines; `cli/story.py` reads the files."""
+"""A request's course through a fleet, from the `story` lines of its gateways' logs."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 
 def read_steps(lines: Iterable[str], id_prefix: str = "") -> tuple[list[TraceStep], int]:
-    """The steps of all ids that begin with `wanted`, by time, and how many lines could not be read.
+    """The steps of all ids that begin with `id_prefix`, by time, and how many lines could not be read.
 
     Whatever a collector wrote before a line's first brace is passed over, as are lines of other events."""
     steps: list[TraceStep] = []
