--- a/meadowpulley/net/interval_metrics.py
+++ b/meadowpulley/net/interval_metrics.py
@@ -1,6 +1,6 @@
 """One log line per second with the counters' changes and the state of the policy. Off by default.
 
-The environment variable `MEADOWPULLEY_SECONDS` turns it on; `meadowpulley fleet-log` sums the lines of a
+The environment variable `MEADOWPULLEY_SECONDS` turns it on; `meadowpulley fleet-metrics` sums the lines of a
 fleet.
 """
 
--- a/meadowpulley/net/request_tracing.py
+++ b/meadowpulley/net/request_tracing.py
@@ -2,7 +2,7 @@
 
 The environment variable `MEADOWPULLEY_STORY` turns it on: 1 for every request, or prefixes of request ids,
 separated by commas. The steps are taken, sent, outcome, answered, gone, and the policy's reject, fail and
-cancel. `meadowpulley story` merges the logs of a fleet.
+cancel. `meadowpulley trace-requests` merges the logs of a fleet.
 """
 
 from __future__ import annotations
