Reproduction of the drain break, failing: a killed gateway goes on with its old list

A gateway process is killed, its server drains, discovery is crowded, and the gateway comes back with the list of its configuration: it sends to the drained server for as long as discovery does not answer (real processes over loopback).

--- a/tests/discovery_harness.py
+++ b/tests/discovery_harness.py
@@ -60,13 +60,14 @@
 class DiscoveryHarness:
     """The real discovery client and the real policy, with a simulated discovery that answers by itself."""
 
-    def __init__(self, must_poll: bool) -> None:
+    def __init__(self, must_poll: bool, seed: int = 7) -> None:
         self.reactor = MemoryReactorClock()  # type: ignore[no-untyped-call]
-        self.driver = Driver(settings(must_poll=must_poll, gateway_count=200), released=False)
+        self.driver = Driver(settings(must_poll=must_poll, gateway_count=200), seed, released=False)
         self.answered_calls = 0
         self.calls_received = list[tuple[float, float]]()  # when, and for how long it may wait
         self.silent_from = float("inf")  # calls that come after so many answers are never answered
         self.down_until = 0.0  # each call ends in a reset, open ones too
+        self.queue_ms = 0.0  # how long a call waits for that
         self.version, self.updates = 1, list[tuple[float, int]]()
         failures: list[str] = []
         self.gateway: Any = SimpleNamespace(
@@ -118,7 +119,7 @@
     def _serve(self, connection: Any, transport: Any) -> None:
         """Look for calls on a connection every 10 ms, and answer them."""
         if self.now < self.down_until:
-            connection.connectionLost()
+            self.reactor.callLater(self.queue_ms / 1000.0, connection.connectionLost)
             return
         request = transport.value().decode()
         transport.clear()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -21,6 +21,7 @@
 
 ROOT = Path(__file__).parent.parent
 TIMEOUT_S = 20.0
+CROWDED_WAIT_S = 0.3  # how long a crowded discovery keeps a call in its queue
 RELEASED = {"release": 41, "tranche": 2, "mode": "stable", "exposure": 1.0, "old_ms": 60_000}
 TRIAL = {"release": 42, "tranche": 0, "mode": "canary", "exposure": 0.3, "old_ms": 60_000}
 
@@ -171,6 +172,7 @@
         self.changed = threading.Condition()
         self.index, self.entries = 5, entries
         self.malformed_response = b""  # sent in place of the next response
+        self.crowded = False  # each call ends in 503 after it has waited for a while
         self.polled_versions: queue.Queue[int] = queue.Queue()  # the version that each poll gave
         super().__init__(self._handle)
 
@@ -184,7 +186,11 @@
         after, wait_s = int(query.get("after", -1)), float(query.get("wait_ms", 0)) / 1000
         self.polled_versions.put(after)
         with self.changed:
-            self.changed.wait_for(lambda: self.index > after, wait_s)
+            if self.crowded:
+                self.changed.wait_for(lambda: not self.crowded, CROWDED_WAIT_S)
+                respond(handler, 503, b"")
+                return
+            self.changed.wait_for(lambda: self.index > after or self.crowded, wait_s)
             malformed, self.malformed_response = self.malformed_response, b""
             endpoints = self.entries if self.index > after else []
             body = {"index": self.index, "snapshot": bool(endpoints), "endpoints": endpoints}
