What is known of a server is acted on for a bounded time: leases on endpoint lists

A list of any age was used like a fresh one: by a restarted gateway until its first call, up to 5 s later, and by a running one until its next call, up to 10 s after its second failed one. The lines: policy.py (list_jitter_ms), endpoints.py (handle_endpoint_update), routing.py (_may_send). Change: policy/endpoint_lease.py says until when a server may be sent to; what renews that is a list, as of the time at which it was asked for, an open watch, and good responses of the server itself while its connections tell of no restart. _may_send asks it, Send carries the time by which the request has to be written, and net/write_permission.py checks that and the rest at the write. First calls come within 2 s of the start, others within 3 s of a failure. Mutants planted in changed lines follow. Models of the checker whose discovery is silent by design have no drain rule, or a list that is pushed.

--- a/meadowpulley/interface.py
+++ b/meadowpulley/interface.py
@@ -1,5 +1,4 @@
 """The policy's interface: its settings, the events that it handles and the actions that it asks for.
-
 These types know nothing of any wire. An adapter turns a protocol into events, hands them one by one to
 `policy.RolloutPolicy.handle`, and carries out the actions that come back. Times are milliseconds on the clock
 that the adapter passes along with each event; durations are milliseconds too.
@@ -7,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import IntEnum
@@ -99,12 +99,36 @@
     """An update of the endpoint list by discovery.
 
     `entries` holds the whole list, but only what changed where `kind` is INCREMENTAL, and nothing where it is
-    FAILED or TIMED_OUT.
+    FAILED or TIMED_OUT. `as_of_ms`: up to then the list that is known holds all changes, on the clock of the
+    events; None where the transport delivers each change, or a failure, by itself.
     """
 
     kind: EndpointUpdateKind
     version: int
     entries: tuple[ServerEntry, ...] = ()
+    as_of_ms: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointWatchOpened:
+    """Discovery was called for the next change, and responds within `wait_ms`."""
+
+    wait_ms: float
+    as_of_ms: float  # as in `EndpointUpdate`
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointWatchClosed:
+    """No call for the next change is out any more."""
+
+    as_of_ms: float | None  # as in `EndpointUpdate`
+
+
+@dataclass(frozen=True, slots=True)
+class IdleConnectionLost:
+    """A server ended a connection on which nothing was outstanding: it may have ended itself."""
+
+    server: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,6 +274,9 @@
 
 Event: TypeAlias = (
     EndpointUpdate
+    | EndpointWatchOpened
+    | EndpointWatchClosed
+    | IdleConnectionLost
     | Request
     | ResponseStarted
     | Outcome
@@ -268,11 +295,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Starts the next attempt of a request; `limit_ms` 0 lets it run until the client stops waiting."""
+    """Starts the next attempt of a request; `timeout_ms` 0 lets it run until the client stops waiting."""
 
     request: int
     server: int
     timeout_ms: float = 0.0
+    write_by_ms: float = math.inf  # from then on it may not be written, on the clock of the events
 
 
 @dataclass(frozen=True, slots=True)
--- a/meadowpulley/model_checking/connection_mutants.py
+++ b/meadowpulley/model_checking/connection_mutants.py
@@ -59,8 +59,14 @@
         ATTEMPTS,
         (("        if self.connecting is not None:\n            self.connecting.cancel()\n"), ""),
         (
-            ("        if self.finished:\n            connection.abort()\n        elif connection.is_open:"),
-            "        if connection.is_open:",
+            (
+                "        if self.finished:\n            connection.abort()\n"
+                "        else:\n            self._write(connection)\n"
+            ),
+            (
+                "        if connection.is_open:\n"
+                "            connection.send_request(self, self._request_bytes())\n"
+            ),
         ),
         requests=2,
         time_advances=2,
--- a/meadowpulley/model_checking/policy_model/gateway.py
+++ b/meadowpulley/model_checking/policy_model/gateway.py
@@ -13,6 +13,7 @@
     ClientDisconnected,
     EndpointUpdate,
     EndpointUpdateKind,
+    EndpointWatchOpened,
     Event,
     Fail,
     FetchEndpoints,
@@ -78,6 +79,8 @@
         self.policy.rng = cast(Random, RANDOM)
         self.monitor.observe(GatewayStarted(environment.now, self.number))
         self.receive_list(environment, version, EndpointUpdateKind.CACHED)
+        if not environment.configuration.must_poll:  # discovery delivers each change, or a failure
+            self.dispatch(environment, EndpointWatchOpened(math.inf, environment.now))
         self.receive_rollout_update(environment, update)
         self.policy.retry_budget = environment.configuration.retry_budget
 
--- a/meadowpulley/net/attempts.py
+++ b/meadowpulley/net/attempts.py
@@ -18,6 +18,7 @@
 from meadowpulley.net.instance_connection import ConnectionPool, InstanceConnection
 from meadowpulley.net.instance_pools import InstancePools
 from meadowpulley.net.request_table import AcceptedRequest, RequestTable
+from meadowpulley.net.write_permission import WriteConditions, write_refusal
 from meadowpulley.settings import LOAD_REPORT_COLUMNS
 
 _NOT_EXECUTED = (Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT)
@@ -59,9 +60,10 @@
         number: int,
         sent_at: float,
         deadline: float,
+        write_by: float = math.inf,
     ) -> None:
         self.runner, self.server, self.request, self.number = runner, server, request, number
-        self.sent_at, self.deadline = sent_at, deadline
+        self.sent_at, self.deadline, self.write_by = sent_at, deadline, write_by
         self.connection: InstanceConnection | None = None
         self.connecting: Deferred[Any] | None = None
         self.written = False  # the kernel has the last byte of the request
@@ -76,7 +78,7 @@
         connection = pool.acquire()
         if connection is not None:
             if connection.reusable_at <= runner.gateway.deadlines.now():
-                connection.send_request(self, self._request_bytes())
+                self._write(connection)
             else:
                 runner.gateway.counters.add("up.reuse_delayed")
                 runner.gateway.deadlines.at(
@@ -105,15 +107,25 @@
         if self.finished:
             if connection.is_open:
                 connection.pool.release(connection)
-        elif connection.pool.retired:
-            connection.abort()
-            self.finish(Result.CONNECT_FAILED)
-        elif connection.is_open and not connection.has_unread_input():
-            connection.send_request(self, self._request_bytes())
+        elif connection.pool.retired or (connection.is_open and not connection.has_unread_input()):
+            self._write(connection)
         else:
             connection.abort()
             self.runner.start(self, connection.pool, "send")
 
+    def _write(self, connection: InstanceConnection) -> None:
+        """Write the request to the connection, or end the attempt if it may not be written any more."""
+        gateway = self.runner.gateway
+        is_finished = self.request is not None and self.request.finished
+        conditions = WriteConditions(is_finished, self.deadline, self.write_by)
+        refusal = write_refusal(conditions, connection, gateway.deadlines.now())
+        if refusal is None:
+            connection.send_request(self, self._request_bytes())
+            return
+        gateway.counters.add(f"up.not_written.{refusal.value}")
+        connection.abort()
+        self.finish(refusal.result)
+
     def _connect_raised(self, _: Failure) -> None:
         self.runner.gateway.log_fault("connect")
         self.connection_lost()
@@ -133,14 +145,10 @@
         self.connecting = None
         self.runner.gateway.deadlines.run_due()  # due deadlines run before a new connection, as before input
         self.runner.gateway.deadlines.cancel(self.connect_timeout)
-        if self.request is not None and self.request.finished:  # its client is gone: nothing is sent for it
-            self.finish(Result.NOT_SENT)
         if self.finished:
             connection.abort()
-        elif connection.is_open:
-            connection.send_request(self, self._request_bytes())
         else:
-            self.finish(Result.CONNECT_FAILED)
+            self._write(connection)
 
     def _connect_failed(self, _: Failure) -> None:
         self.connecting = None
@@ -247,9 +255,9 @@
         deadline = request.deadline
         if action.timeout_ms != 0:
             deadline = min(deadline, now + action.timeout_ms)
-        write_by = self._write_deadline(request)
+        write_by = min(self._write_deadline(request), action.write_by_ms)
         pool = self.instances.pools.get(action.server)
-        attempt = Attempt(self, action.server, request, number, now, deadline)
+        attempt = Attempt(self, action.server, request, number, now, deadline, write_by)
         request.outstanding[number] = attempt
         if request.finished or deadline <= now or number >= self.limits.max_attempts:
             attempt.finish(Result.NOT_SENT)
--- a/meadowpulley/net/discovery_call.py
+++ b/meadowpulley/net/discovery_call.py
@@ -45,6 +45,7 @@
     """What is known of a call that has ended. Times are milliseconds."""
 
     target: str  # path and query
+    wait_ms: float  # how long discovery was asked to wait for changes
     started_at: float  # on the gateway's clock
     elapsed_ms: float
     was_sent: bool  # the request was handed to a connection that discovery accepted
@@ -55,19 +56,22 @@
     """Asks discovery once and calls back exactly once, unless it is cancelled.
 
     `on_success` gets the decoded JSON and the report of the call; `on_failure` gets a reason, whether the
-    call failed or timed out, and the report.
+    call failed or timed out, and the report. `on_sent` is called once the request was handed to a connection.
     """
 
     def __init__(
         self,
         client: DiscoveryCallOwner,
         target: str,
+        wait_ms: float,
         timeout_ms: float,
         on_success: Callable[[Any, CallReport], None],
         on_failure: Callable[[str, EndpointUpdateKind, CallReport], None],
+        on_sent: Callable[[], None] = lambda: None,
     ) -> None:
         self._client, self._gateway, self._target = client, client.gateway, target
-        self._on_success, self._on_failure = on_success, on_failure
+        self._wait_ms = wait_ms
+        self._on_success, self._on_failure, self._on_sent = on_success, on_failure, on_sent
         self._completed = False
         self._started_at = self._gateway.deadlines.now()
         self._lists_applied_at_send = 0
@@ -111,6 +115,8 @@
         self._was_sent = True
         response = connection.request(self._target)
         response.addCallbacks(self._handle_response, self._connection_failed).addErrback(self._log_fault)
+        if not self._completed:
+            self._on_sent()
 
     def _handle_response(self, message: Message) -> None:
         if self._completed:
@@ -144,7 +150,12 @@
     def _report(self) -> CallReport:
         elapsed_ms = self._gateway.deadlines.now() - self._started_at
         return CallReport(
-            self._target, self._started_at, elapsed_ms, self._was_sent, self._lists_applied_at_send
+            self._target,
+            self._wait_ms,
+            self._started_at,
+            elapsed_ms,
+            self._was_sent,
+            self._lists_applied_at_send,
         )
 
     def _complete(self) -> None:
--- a/meadowpulley/net/discovery_client.py
+++ b/meadowpulley/net/discovery_client.py
@@ -10,7 +10,13 @@
 import random
 from typing import Any, Protocol
 
-from meadowpulley.interface import EndpointUpdate, EndpointUpdateKind, ServerState
+from meadowpulley.interface import (
+    EndpointUpdate,
+    EndpointUpdateKind,
+    EndpointWatchClosed,
+    EndpointWatchOpened,
+    ServerState,
+)
 from meadowpulley.net import protocol
 from meadowpulley.net.backoff import Backoff
 from meadowpulley.net.config import Address
@@ -66,6 +72,7 @@
         self.version = 0  # of the list that the next watch names as known
         self.lists_applied = 0
         self._list_applied_at = -math.inf  # on the gateway's clock
+        self._confirmed_at = -math.inf  # the list in use holds all changes up to then, on the gateway's clock
         self._watched_version = 0  # which the last watch named as known
         self._watch_call: DiscoveryCall | None = None
         self._fetch_call: DiscoveryCall | None = None
@@ -123,6 +130,7 @@
         if self._watch_call is not None:
             self._watch_call.cancel()
             self._watch_call = None
+            self.gateway.dispatch(EndpointWatchClosed(self._as_of_ms()))
         if enabled and not self.gateway.stopping:
             self._update_owed = True
             self._open_watch(0.0)
@@ -134,10 +142,21 @@
         self.gateway.counters.add("discovery.watches")
         timeout_ms = wait_ms + LONG_POLL_GRACE_MS if wait_ms else RESPONSE_GRACE_MS
         self._watch_call = DiscoveryCall(
-            self, target, timeout_ms, self._handle_watch_response, self._watch_failed
+            self,
+            target,
+            wait_ms,
+            timeout_ms,
+            self._handle_watch_response,
+            self._watch_failed,
+            lambda: self._watch_sent(wait_ms),
         )
         self._watch_call.start()
 
+    def _watch_sent(self, wait_ms: float) -> None:
+        """Tell the policy that discovery has a call which waits for changes."""
+        if wait_ms > 0:
+            self.gateway.dispatch(EndpointWatchOpened(wait_ms, self._confirmed_at))
+
     def _handle_watch_response(self, raw: Any, report: CallReport) -> None:
         self._watch_call = None
         try:
@@ -185,7 +204,12 @@
             return
         self.gateway.counters.add("discovery.fetches")
         self._fetch_call = DiscoveryCall(
-            self, protocol.ENDPOINTS_PATH, RESPONSE_GRACE_MS, self._handle_fetch_response, self._fetch_failed
+            self,
+            protocol.ENDPOINTS_PATH,
+            0.0,
+            RESPONSE_GRACE_MS,
+            self._handle_fetch_response,
+            self._fetch_failed,
         )
         self._fetch_call.start()
 
@@ -218,7 +242,14 @@
             list_age_ms=self._list_age_ms(),
         )
         self._update_owed = False
-        self.gateway.dispatch(EndpointUpdate(kind, self.version))
+        self.gateway.dispatch(EndpointUpdate(kind, self.version, as_of_ms=self._as_of_ms()))
+
+    def _as_of_ms(self) -> float | None:
+        """Return up to when the list in use holds all changes, once no call is out.
+
+        None stands for now: where lists are pushed, discovery that fails a call notifies nobody of anything.
+        """
+        return self._confirmed_at if self.gateway.config.settings.must_poll else None
 
     def _discard_malformed(self) -> None:
         """Count a list that cannot be read, and close the connection that it came on."""
@@ -240,6 +271,11 @@
         if endpoint_list.version < self.version and report.lists_applied_at_send < self.lists_applied:
             self.gateway.counters.add("discovery.stale_lists")
             raise StaleListError
+        # A call without a wait is answered as of its arrival at the earliest; one with a wait once it is
+        # over, or once anything changes. How long the response was under way is not known.
+        now = self.gateway.deadlines.now()
+        as_of_ms = max(report.started_at, now - LONG_POLL_GRACE_MS if report.wait_ms else -math.inf)
+        self._confirmed_at = max(self._confirmed_at, as_of_ms)
         self._log_list(endpoint_list, report)
         self._apply_list(endpoint_list, is_cached=False)
 
@@ -307,4 +343,5 @@
         if is_cached:
             kind = EndpointUpdateKind.CACHED
         entries = tuple(endpoint.entry for endpoint in endpoints)
-        self.gateway.dispatch(EndpointUpdate(kind, endpoint_list.version, entries))
+        as_of_ms = None if is_cached else self._confirmed_at
+        self.gateway.dispatch(EndpointUpdate(kind, endpoint_list.version, entries, as_of_ms))
--- a/meadowpulley/net/instance_connection.py
+++ b/meadowpulley/net/instance_connection.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import Protocol
 
+from meadowpulley.interface import IdleConnectionLost
 from meadowpulley.net.config import Address
 from meadowpulley.net.connection import Connection
 from meadowpulley.net.gateway_context import GatewayContext
@@ -77,6 +78,7 @@
         self.exchange: Exchange | None = None
         self.handle = -1
         self.reusable_at = -math.inf  # from when on it may carry a request
+        self.aborted = False  # this gateway ended it
 
     def opened(self) -> None:
         """Report the connection; close it if its pool was retired meanwhile."""
@@ -143,6 +145,8 @@
         self.pool.connection_closed(self)
         exchange, self.exchange = self.exchange, None
         if exchange is None:
+            if not self.aborted:
+                self.pool.ended_by_server()
             return
         response = None if self.was_reset else self.parser.end_of_stream()  # a reset completes no response
         if response is not None and exchange.written:
@@ -152,7 +156,7 @@
 
     def abort(self) -> None:
         """Reset the connection and report its end at once."""
-        was_open = self.is_open
+        was_open, self.aborted = self.is_open, True
         super().abort()
         if was_open:
             self.closed()
@@ -189,6 +193,7 @@
                 return connection
             self.owner.gateway.counters.add("up.found_closed")
             connection.abort()
+            self.ended_by_server()
         return None
 
     def release(self, connection: InstanceConnection) -> None:
@@ -206,6 +211,12 @@
             self.idle.remove(connection)
         self.owner.connection_closed(connection)
 
+    def ended_by_server(self) -> None:
+        """Report that the server has ended a connection on which nothing was outstanding."""
+        self.owner.gateway.counters.add("up.idle_lost")
+        if not self.retired:
+            self.owner.gateway.dispatch(IdleConnectionLost(self.server))
+
     def close_idle(self) -> None:
         """Close all idle connections."""
         for connection in list(self.idle):
--- /dev/null
+++ b/meadowpulley/policy/endpoint_lease.py
@@ -0,0 +1,106 @@
+"""The lease on what is known of the servers: until when a server may be sent to, and what renews that.
+
+Discovery counts a change of the endpoint list as notified to a gateway at a certain time, whether or not it
+arrived. From the drain grace after that time nothing may be sent to a server that drains or is gone. So what
+is known of a server may be acted on until the first change that it could lack binds, and no longer.
+
+Two things renew it: a list, which is true as of the time at which it was asked for, and a good response of
+the server itself, since a draining server rejects what comes. The latter keeps servers in use that respond
+while discovery cannot be reached. It counts only while the server's connections tell of no restart.
+"""
+
+import math
+
+from meadowpulley.interface import LogLine
+from meadowpulley.state import Server, State
+
+# By the platform's protocol page a change counts as notified so long after discovery had it, at the latest;
+# for a call that may wait, so long after its wait is over, if that is later.
+NOTIFICATION_MS = 6_000.0
+LONG_POLL_NOTIFICATION_MS = 2_000.0
+STALL_ALLOWANCE_MS = 150.0  # how long a gateway may be held up between reading its clock and writing
+
+
+def _notification_ms(state: State) -> float:
+    """Return the delay within which changes count as notified; pushed ones count at once."""
+    return NOTIFICATION_MS if state.settings.must_poll else 0.0
+
+
+def _grace_ms(state: State) -> float:
+    """Return how long after its notification a change may still be disregarded, on this gateway's clock."""
+    grace_ms = state.rules.drain_grace_ms
+    return grace_ms - min(STALL_ALLOWANCE_MS + state.settings.tick_ms, grace_ms / 2)
+
+
+def start_from_cache(state: State) -> None:
+    """Take in a list of unknown age: its changes count as notified from the start of the process."""
+    state.list_confirmed_at = max(state.list_confirmed_at, state.now - _notification_ms(state))
+
+
+def confirm_list(state: State, as_of_ms: float | None) -> None:
+    """Take in a list that holds all changes up to a time.
+
+    None where the transport does not tell: it pushes each later change, or a failure.
+    """
+    if as_of_ms is None:
+        state.list_confirmed_at, state.watch_covers_until = state.now, math.inf
+    else:
+        state.list_confirmed_at = max(state.list_confirmed_at, as_of_ms)
+
+
+def watch_opened(state: State, wait_ms: float) -> None:
+    """Note that discovery has a call that it answers within the wait, or sooner if anything changes."""
+    state.watch_covers_until = state.now + wait_ms
+
+
+def watch_ended(state: State, as_of_ms: float | None) -> None:
+    """Note that no call is out any more; the list still holds all changes up to a time, None for now."""
+    state.watch_covers_until = -math.inf
+    state.list_confirmed_at = max(state.list_confirmed_at, state.now if as_of_ms is None else as_of_ms)
+
+
+def record_response(server: Server, sent_at: float, list_confirmed_at: float) -> None:
+    """Take a good response as proof that the server was not draining when the request was sent."""
+    if server.connection_broke_at < list_confirmed_at:  # else it may be another incarnation that responds
+        server.confirmed_at = max(server.confirmed_at, sent_at)
+
+
+def record_broken_connection(state: State, server: Server) -> None:
+    """Note that the server may have ended: until the next list nothing but a list tells of it."""
+    server.connection_broke_at, server.confirmed_at = state.now, -math.inf
+
+
+def list_lease_until(state: State) -> float:
+    """Return until when the endpoint list may be acted on."""
+    notified_at = state.list_confirmed_at + _notification_ms(state)
+    return max(notified_at, state.watch_covers_until + LONG_POLL_NOTIFICATION_MS) + _grace_ms(state)
+
+
+def usable_until(state: State, server: Server) -> float:
+    """Return until when requests may be written to the server, by the list or by its own responses."""
+    if not state.rules.drain_grace_ms:  # a deployment without such a rule
+        return math.inf
+    by_responses = server.confirmed_at + _notification_ms(state) + _grace_ms(state)
+    return max(list_lease_until(state), by_responses)
+
+
+def is_usable(state: State, server: Server) -> bool:
+    """Tell whether what is known of the server may still be acted on."""
+    return state.now < usable_until(state, server)
+
+
+def all_expired(state: State) -> bool:
+    """Tell whether there are ready servers and none may be sent to: no request needs to wait for one."""
+    ready = state.trial_servers + state.baseline_servers
+    return bool(ready) and not any(is_usable(state, server) for server in ready)
+
+
+def log_transitions(state: State) -> None:
+    """Log when the list's lease expires and when it is renewed."""
+    expired = bool(state.rules.drain_grace_ms) and state.now >= list_lease_until(state)
+    if expired == state.list_lease_expired or not state.servers:
+        return
+    state.list_lease_expired = expired
+    age_ms = state.now - state.list_confirmed_at
+    text = f"endpoint list expired, {age_ms:.0f} ms old" if expired else "endpoint list in use again"
+    state.actions.append(LogLine(text))
--- a/meadowpulley/policy/endpoints.py
+++ b/meadowpulley/policy/endpoints.py
@@ -2,11 +2,26 @@
 
 import math
 
-from meadowpulley.interface import EndpointUpdate, EndpointUpdateKind, Phase
+from meadowpulley.interface import (
+    EndpointUpdate,
+    EndpointUpdateKind,
+    EndpointWatchClosed,
+    EndpointWatchOpened,
+    IdleConnectionLost,
+    Phase,
+)
+from meadowpulley.policy import endpoint_lease
+from meadowpulley.policy.endpoint_lease import NOTIFICATION_MS
 from meadowpulley.state import State
 
 LOCAL_ZONE_FRACTION = 0.5  # of the subset: more would overload a zone that has more than its part of requests
 LIST_RETRY_MS = 1500.0  # between the second failed list call in a row and the next
+# The longest pause before the next list call. Changes count as notified 6 s after discovery can be reached:
+# the rest is for a call that was out at that moment and fails, and for the one that follows.
+MAX_LIST_RETRY_MS = NOTIFICATION_MS / 2
+MIN_RETRY_FRACTION = (
+    0.5  # of the longest pause: where it binds, the calls of a fleet are spread over the rest
+)
 MAX_STICKY_KEYS = 8000  # beyond it keys that no ready server needs are forgotten: older builds then get none
 ROLLBACK_PHASES = (Phase.ROLLING_BACK, Phase.ROLLED_BACK)
 
@@ -31,18 +46,41 @@
     """Take in an endpoint list, or the failure of the call for it."""
     if update.kind in (EndpointUpdateKind.FAILED, EndpointUpdateKind.TIMED_OUT):
         failed = update.kind is EndpointUpdateKind.FAILED  # each gateway finds a time-out at its own time
+        endpoint_lease.watch_ended(state, update.as_of_ms)
         backoff_ms = LIST_RETRY_MS * min(state.list_failures, 3) * (0.5 + state.rng.random())
         jitter_ms = state.rng.random() * state.list_jitter_ms * (1 + min(state.list_failures, 1))
-        retry_at = state.now + (max(backoff_ms, jitter_ms) if failed else 0.0)
+        spread = MIN_RETRY_FRACTION + (1 - MIN_RETRY_FRACTION) * state.rng.random()
+        longest_ms = MAX_LIST_RETRY_MS * spread
+        retry_at = state.now + (min(max(backoff_ms, jitter_ms), longest_ms) if failed else 0.0)
         state.resubscribe_at = retry_at if state.settings.must_poll else math.inf
         state.list_failures += failed
         return
-    if update.kind is not EndpointUpdateKind.CACHED:
+    if update.kind is EndpointUpdateKind.CACHED:
+        endpoint_lease.start_from_cache(state)
+    else:
+        endpoint_lease.confirm_list(state, update.as_of_ms)
         state.resubscribe_at, state.list_failures = math.inf, 0
     state.apply_endpoints(update)
     partition_servers(state)
 
 
+def handle_watch_opened(state: State, event: EndpointWatchOpened) -> None:
+    """Take in that discovery has the call for the next change."""
+    endpoint_lease.confirm_list(state, event.as_of_ms)
+    endpoint_lease.watch_opened(state, event.wait_ms)
+
+
+def handle_watch_closed(state: State, event: EndpointWatchClosed) -> None:
+    """Take in that the gateway has ended the call for the next change itself."""
+    endpoint_lease.watch_ended(state, event.as_of_ms)
+
+
+def handle_idle_connection_lost(state: State, event: IdleConnectionLost) -> None:
+    """Take in that a server has ended a connection, as it does when it ends itself."""
+    if server := state.servers.get(event.server):
+        endpoint_lease.record_broken_connection(state, server)
+
+
 def partition_servers(state: State) -> None:
     """Sort the ready servers by arm, after an update of the servers or of the rollout."""
     ready = state.ready_servers()
--- a/meadowpulley/policy/policy.py
+++ b/meadowpulley/policy/policy.py
@@ -8,13 +8,14 @@
 from typing import Any
 
 from meadowpulley import interface
-from meadowpulley.policy import admission, endpoints, evidence, rollout, routing
+from meadowpulley.policy import admission, endpoint_lease, endpoints, evidence, rollout, routing
 from meadowpulley.policy.outlier_detection import eject_unresponsive
 from meadowpulley.state import GossipState, State
 
 STALL_MS = 250.0  # a timer that is later than this: the gateway stalled, and attempts only look slow
 MIN_SUBSET_SIZE = 8  # servers that a gateway prefers, at least
 LIST_CALL_SPACING_MS = 100.0  # per other gateway: a fleet that starts or fails at once calls one by one
+FIRST_LIST_CALL_MS = 2000.0  # by then a gateway that started calls: its cached list is of unknown age
 TIMER_TOKEN = 1  # of the only timer
 
 
@@ -47,6 +48,9 @@
     interface.ResponseStarted: State.mark_streaming,
     interface.Timer: handle_timer,
     interface.EndpointUpdate: endpoints.handle_endpoint_update,
+    interface.EndpointWatchOpened: endpoints.handle_watch_opened,
+    interface.EndpointWatchClosed: endpoints.handle_watch_closed,
+    interface.IdleConnectionLost: endpoints.handle_idle_connection_lost,
     interface.RolloutUpdate: rollout.handle_rollout_update,
     interface.ProbeResult: routing.handle_probe_result,
     interface.GossipReceived: evidence.handle_gossip,
@@ -70,7 +74,7 @@
         self.subset_size = float(MIN_SUBSET_SIZE) if settings.limits.idle_timeout_ms else math.inf
         window_ms = settings.rollout.exposure_window_ms
         self.build_evidence = defaultdict(partial(evidence.new_build_evidence, window_ms))
-        max_jitter_ms = (self.rules.max_poll_interval_ms or math.inf) / 2
+        max_jitter_ms = min((self.rules.max_poll_interval_ms or math.inf) / 2, endpoints.MAX_LIST_RETRY_MS)
         self.list_jitter_ms = min(LIST_CALL_SPACING_MS * (self.gateway_count - 1), max_jitter_ms)
         clock_skew_s = math.ceil(1 + self.gateway_count / evidence.GOSSIP_SENDERS)
         self.gossip = GossipState(Random(seed + 1).getrandbits(32), clock_skew_s)
@@ -79,13 +83,14 @@
         """Take in an event, at a time in ms, and return the actions to carry out."""
         self.now, self.actions = now, []
         if self.resubscribe_at == -math.inf and self.servers:  # discovery serves a fleet's calls in turn
-            self.resubscribe_at = now + self.rng.random() * self.list_jitter_ms
+            self.resubscribe_at = now + self.rng.random() * min(self.list_jitter_ms, FIRST_LIST_CALL_MS)
         if now > self.timer_at + STALL_MS:
             self.resumed_at = now
         while self.pending_outcomes and self.pending_outcomes[0][0] <= now:
             evidence.record_outcomes(self, self.pending_outcomes.popleft()[1])
         if handler := HANDLERS.get(type(event)):
             handler(self, event)
+        endpoint_lease.log_transitions(self)
         # One timer, only while there is something to wait for: an idle policy costs nothing.
         idle_ms = 4 * admission.POLL_INTERVAL_MS if self.attempts else math.inf
         poll_at = now + (self.poll_interval_ms if self.waiting else idle_ms)
--- a/meadowpulley/policy/routing.py
+++ b/meadowpulley/policy/routing.py
@@ -3,6 +3,7 @@
 from statistics import fmean
 
 from meadowpulley.interface import Effect, Phase, Probe, ProbeResult, Result, Send
+from meadowpulley.policy.endpoint_lease import is_usable, usable_until
 from meadowpulley.policy.endpoints import LOCAL_ZONE_FRACTION, ROLLBACK_PHASES, cap_and_stage, is_on_trial
 from meadowpulley.policy.outlier_detection import is_available
 from meadowpulley.state import Attempt, InFlightRequest, Server, State
@@ -26,6 +27,8 @@
         return False
     if not server.is_ready or state.servers.get(server.id) is not server:
         return False
+    if not is_usable(state, server):
+        return False
     if not all([_may_repeat(state, previous, server) for previous in in_flight.possible_executions]):
         return False
     return _within_exposure(state, in_flight, server) and _within_slow_start_budget(state, server)
@@ -156,4 +159,5 @@
     if is_on_trial(state, server.build):
         state.build_evidence[server.build].sent_windows[in_flight.exposure_class].add(state.now)
     # No early time-out: at many sites abandoned work runs on, and repeats feed an overload.
-    state.actions.append(Send(in_flight.request.request, server.id))
+    write_by_ms = usable_until(state, server)
+    state.actions.append(Send(in_flight.request.request, server.id, write_by_ms=write_by_ms))
--- a/meadowpulley/state/servers.py
+++ b/meadowpulley/state/servers.py
@@ -23,6 +23,8 @@
             0.0  # 0 while healthy; else the last ejection's length, and it gets one request at a time
         )
         self.last_failure_at = self.last_response_at = -math.inf
+        self.confirmed_at = -math.inf  # when the latest request was sent that it responded to
+        self.connection_broke_at = -math.inf  # when a connection to it was last refused or lost
 
     def as_candidate(self, slow_start_fraction: float, mean_latency_ms: float, home_zone: int) -> Candidate:
         """Return the server as a placement sees it."""
--- a/meadowpulley/state/state.py
+++ b/meadowpulley/state/state.py
@@ -64,6 +64,9 @@
         self.kind_latency_ms: dict[int, float] = {}  # typical latency by kind of machine, as if warmed up
         self.resubscribe_at = -math.inf if settings.must_poll else math.inf  # when to ask for the list
         self.list_failures = 0
+        self.list_confirmed_at = -math.inf  # the endpoint list holds all changes up to then
+        self.watch_covers_until = -math.inf  # by then discovery responds to the call that is out
+        self.list_lease_expired = False  # as it was last logged
 
     def _init_requests(self) -> None:
         self.in_flight: dict[int, InFlightRequest] = {}
