One check of every send, and of every write; a list that broke off counts as notified

The allowance of 150 ms for a gateway that is held up is one constant, for the drain grace and for deduplication windows, which had 5 ms; prior attempts of lost gateways bind the write too. A call that breaks off (BROKEN) cuts leases to the drain grace, and the next call comes within half of it. An idle connection whose time is over is not reused after a stall.

--- a/meadowpulley/interface.py
+++ b/meadowpulley/interface.py
@@ -1,7 +1,6 @@
 """The policy's interface: its settings, the events that it handles and the actions that it asks for.
-These types know nothing of any wire. An adapter turns a protocol into events, hands them one by one to
-`policy.RolloutPolicy.handle`, and carries out the actions that come back. Times are milliseconds on the clock
-that the adapter passes along with each event; durations are milliseconds too.
+An adapter turns a protocol into events, hands them one by one to `policy.RolloutPolicy.handle`, and carries
+out the actions that come back. Times are milliseconds on the clock that it passes along with each event.
 """
 
 from __future__ import annotations
@@ -72,6 +71,7 @@
     CACHED = 2
     FAILED = 3
     TIMED_OUT = 4  # a poll or a watch got no answer within its time-out
+    BROKEN = 5  # its connection broke, or what came can't be read: a list may have been lost
 
 
 # Events
@@ -99,8 +99,8 @@
     """An update of the endpoint list by discovery.
 
     `entries` holds the whole list, but only what changed where `kind` is INCREMENTAL, and nothing where it is
-    FAILED or TIMED_OUT. `as_of_ms`: up to then the list that is known holds all changes, on the clock of the
-    events; None where the transport delivers each change, or a failure, by itself.
+    FAILED, TIMED_OUT or BROKEN. `as_of_ms`: up to then the list that is known holds all changes, on the clock
+    of the events; None where the transport delivers each change, or a failure, by itself.
     """
 
     kind: EndpointUpdateKind
--- a/meadowpulley/model_checking/policy_model/canonical_form.py
+++ b/meadowpulley/model_checking/policy_model/canonical_form.py
@@ -8,8 +8,18 @@
 from meadowpulley.model_checking.choices import ScriptedRandom
 from meadowpulley.model_checking.graph import Copier, FormRules, FormWriter, WriteFunction
 
+# Fields that stay as they are, and counters by which nothing is decided.
 UNCHANGING_POLICY_FIELDS = frozenset(
-    {"settings", "rules", "rollout_settings", "actions", "gateway_count", "confidence_z", "required_evidence"}
+    {
+        "settings",
+        "rules",
+        "rollout_settings",
+        "actions",
+        "gateway_count",
+        "confidence_z",
+        "required_evidence",
+        "send_refusals",
+    }
 )
 IGNORED_FIELDS = {
     "RolloutPolicy": UNCHANGING_POLICY_FIELDS | {"rng"},
--- a/meadowpulley/net/attempts.py
+++ b/meadowpulley/net/attempts.py
@@ -116,16 +116,25 @@
     def _write(self, connection: InstanceConnection) -> None:
         """Write the request to the connection, or end the attempt if it may not be written any more."""
         gateway = self.runner.gateway
-        is_finished = self.request is not None and self.request.finished
-        conditions = WriteConditions(is_finished, self.deadline, self.write_by)
-        refusal = write_refusal(conditions, connection, gateway.deadlines.now())
+        refusal = write_refusal(self._write_conditions(), connection, gateway.deadlines.now())
         if refusal is None:
             connection.send_request(self, self._request_bytes())
             return
         gateway.counters.add(f"up.not_written.{refusal.value}")
+        if refusal.is_violation:
+            gateway.counters.add(f"violation.{refusal.value}")
+            gateway.log.error("violation", what=refusal.value, server=self.server, attempt=self.number)
         connection.abort()
         self.finish(refusal.result)
 
+    def _write_conditions(self) -> WriteConditions:
+        request = self.request
+        if request is None:
+            return WriteConditions(False, False, self.deadline, self.write_by)
+        effect = self.runner.gateway.config.settings.classes[request.class_index].effect
+        may_have_executed = effect is Effect.NON_IDEMPOTENT and request.may_have_executed(self.number)
+        return WriteConditions(request.finished, may_have_executed, self.deadline, self.write_by)
+
     def _connect_raised(self, _: Failure) -> None:
         self.runner.gateway.log_fault("connect")
         self.connection_lost()
@@ -160,7 +169,7 @@
             self.finish(Result.CONNECT_FAILED)
 
     def write_timed_out(self) -> None:
-        """End an unwritten attempt at the end of the deduplication window: it might run twice."""
+        """End an attempt that is not written by the time the policy gave."""
         if not self.written:
             self.runner.gateway.counters.add("up.past_window")
             self.finish(Result.CONNECT_FAILED)
@@ -255,8 +264,8 @@
         deadline = request.deadline
         if action.timeout_ms != 0:
             deadline = min(deadline, now + action.timeout_ms)
-        write_by = min(self._write_deadline(request), action.write_by_ms)
         pool = self.instances.pools.get(action.server)
+        write_by = action.write_by_ms
         attempt = Attempt(self, action.server, request, number, now, deadline, write_by)
         request.outstanding[number] = attempt
         if request.finished or deadline <= now or number >= self.limits.max_attempts:
@@ -271,19 +280,6 @@
                 attempt.write_timeout = self.gateway.deadlines.at(write_by, attempt.write_timed_out)
             self.start(attempt, pool, "send")
 
-    def _write_deadline(self, request: AcceptedRequest) -> float:
-        """Return until when a further attempt of a request with an idempotency key may be written.
-
-        The policy checks the deduplication window when it sends. The connection may be established, or the
-        body written, well after that.
-        """
-        settings = self.gateway.config.settings
-        request_class = settings.classes[request.class_index]
-        if request_class.effect is not Effect.IDEMPOTENT_WITH_KEY:
-            return math.inf
-        first_sent_at = min([request.first_execution_at, *(a.sent_at for a in request.outstanding.values())])
-        return first_sent_at + request_class.deduplication_window_ms - settings.tick_ms
-
     def start(self, attempt: Attempt, pool: ConnectionPool, fault_name: str) -> None:
         """Start an attempt. An exception is logged as `fault_name` and ends only the attempt."""
         try:
--- a/meadowpulley/net/discovery_client.py
+++ b/meadowpulley/net/discovery_client.py
@@ -166,12 +166,12 @@
             return
         except DiscoveryError as error:
             self._discard_malformed()
-            self._watch_failed(str(error), EndpointUpdateKind.FAILED, report)
+            self._watch_failed(str(error), EndpointUpdateKind.BROKEN, report)
             return
         except Exception:  # a fault of ours: the list was not applied, and nobody else would request it again
             self.gateway.log_fault("discovery")
             if self._watch_call is None:
-                self._watch_failed("a fault of this gateway", EndpointUpdateKind.FAILED, report)
+                self._watch_failed("a fault of this gateway", EndpointUpdateKind.BROKEN, report)
             return
         self._consecutive_failures = 0
         if self._watch_call is None and self._watching and not self.gateway.stopping:
@@ -221,7 +221,7 @@
             self.fetch()
         except DiscoveryError as error:
             self._discard_malformed()
-            self._fetch_failed(str(error), EndpointUpdateKind.FAILED, report)
+            self._fetch_failed(str(error), EndpointUpdateKind.BROKEN, report)
 
     def _fetch_failed(self, reason: str, kind: EndpointUpdateKind, report: CallReport) -> None:
         self._fetch_call = None
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -236,6 +236,7 @@
             self.log.info("capture", written=self.capture.written, dropped=self.capture.dropped)
         dropped = self._policy.gossip.rejected_digests
         extra = {"peers.dropped": dropped} if dropped else {}
+        extra |= {f"send_refused.{name}": count for name, count in self._policy.send_refusals.items()}
         self.log.info("counters", phase=self.phase.value, **self.counters.snapshot(), **extra)
 
     def on_signal(self, number: int, _: FrameType | None) -> None:
--- a/meadowpulley/net/instance_connection.py
+++ b/meadowpulley/net/instance_connection.py
@@ -189,6 +189,9 @@
         while self.idle:
             reusable = (n for n in range(len(self.idle) - 1, -1, -1) if self.idle[n].reusable_at <= now)
             connection = self.idle.pop(next(reusable, 0))
+            if connection.timeout.at <= now:  # this gateway stalled: the instance may close it any moment
+                connection.abort()
+                continue
             if not connection.has_unread_input():
                 return connection
             self.owner.gateway.counters.add("up.found_closed")
--- a/meadowpulley/net/interval_metrics.py
+++ b/meadowpulley/net/interval_metrics.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
@@ -22,7 +23,8 @@
 def policy_snapshot(policy: Any, now: float) -> dict[str, Any]:
     """Return the log fields that describe the policy's state.
 
-    They are the servers by build and state, ejected servers, outstanding attempts, waiting requests, the
+    They are the age of the endpoint list (None while no list is confirmed), refused sends by reason since the
+    start, the servers by build and state, ejected servers, outstanding attempts, waiting requests, the
     concurrency limit, the typical latency, the trial probability, rejected digests, and the furthest rollout
     update.
     """
@@ -30,6 +32,8 @@
     ready = [s for s in servers if s.state is ServerState.READY]
     furthest = policy.furthest_rollout
     return {
+        "list_age_ms": _milliseconds(now - policy.list_confirmed_at),
+        "send_refusals": dict(policy.send_refusals),
         "servers": dict(Counter(f"{s.build}.{s.state.name.lower()}" for s in servers)),
         "resting": sum(now < s.ejected_until for s in ready),
         "out": len(policy.attempts),
@@ -44,6 +48,11 @@
     }
 
 
+def _milliseconds(duration: float) -> int | None:
+    """Round a duration; None for one without end, which JSON can't express."""
+    return round(duration) if math.isfinite(duration) else None
+
+
 class BuildCounterStage:
     """A stage of the pipeline that counts sends and outcomes by build, and changes nothing."""
 
--- a/meadowpulley/net/request_table.py
+++ b/meadowpulley/net/request_table.py
@@ -30,6 +30,7 @@
     """An attempt of a request that has no outcome yet. Times are milliseconds on the gateway's clock."""
 
     sent_at: float
+    written: bool  # the kernel has the last byte of its request
 
     def time_out(self) -> None:
         """End the attempt at its deadline."""
@@ -49,13 +50,16 @@
         self.sink: ResponseSink | None = sink
         self.handle = -1
         self.attempt_count = 0
-        self.first_execution_at = (
-            math.inf
-        )  # when the first ended attempt was sent that may have been executed
+        self.first_execution_at = math.inf  # when the first ended attempt was sent that may have run
         self.outstanding: dict[int, OutstandingAttempt] = {}  # by attempt number
         self.finished = False  # answered, or its client is gone
         self.timeout: Deadline | None = None
 
+    def may_have_executed(self, attempt_number: int) -> bool:
+        """Tell whether another attempt than this one was executed, may have been, or may yet be."""
+        others = (a for number, a in self.outstanding.items() if number != attempt_number)
+        return self.first_execution_at < math.inf or any(attempt.written for attempt in others)
+
     @property
     def request_id(self) -> str:
         """The id that the client chose."""
--- a/meadowpulley/net/write_permission.py
+++ b/meadowpulley/net/write_permission.py
@@ -21,12 +21,22 @@
     ENDPOINT_EXPIRED = "endpoint_expired"
     ENDPOINT_REPLACED = "endpoint_replaced"
     CONNECTION_CLOSED = "connection_closed"
+    MAY_HAVE_EXECUTED = "may_have_executed"
+
+    @property
+    def is_violation(self) -> bool:
+        """Whether the policy should never have sent it: nothing that comes later can have made it wrong."""
+        return self is WriteRefusal.MAY_HAVE_EXECUTED
 
     @property
     def result(self) -> Result:
         """The result of the attempt: whether the instance, or what is known of it, is to blame."""
-        blameless = self in (WriteRefusal.REQUEST_FINISHED, WriteRefusal.DEADLINE_PASSED)
-        return Result.NOT_SENT if blameless else Result.CONNECT_FAILED
+        instance_refused = self in (
+            WriteRefusal.ENDPOINT_EXPIRED,
+            WriteRefusal.ENDPOINT_REPLACED,
+            WriteRefusal.CONNECTION_CLOSED,
+        )
+        return Result.CONNECT_FAILED if instance_refused else Result.NOT_SENT
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +44,7 @@
     """What binds the write of one attempt. Times are milliseconds on the gateway's clock."""
 
     request_finished: bool  # its client has its response, or is gone
+    may_have_executed: bool  # an earlier attempt of a request that must not run twice
     deadline: float  # of the attempt
     write_by: float  # until when the policy allows it
 
@@ -44,6 +55,8 @@
     """Return why an attempt may not be written to a connection at a time; None if it may."""
     if conditions.request_finished:
         return WriteRefusal.REQUEST_FINISHED
+    if conditions.may_have_executed:
+        return WriteRefusal.MAY_HAVE_EXECUTED
     if now >= conditions.deadline:
         return WriteRefusal.DEADLINE_PASSED
     if now >= conditions.write_by:
--- a/meadowpulley/policy/endpoint_lease.py
+++ b/meadowpulley/policy/endpoint_lease.py
@@ -18,7 +18,14 @@
 # for a call that may wait, so long after its wait is over, if that is later.
 NOTIFICATION_MS = 6_000.0
 LONG_POLL_NOTIFICATION_MS = 2_000.0
-STALL_ALLOWANCE_MS = 150.0  # how long a gateway may be held up between reading its clock and writing
+# How long a gateway may be held up between reading its clock and writing: the one allowance for that, of the
+# drain grace and of deduplication windows.
+STALL_ALLOWANCE_MS = 150.0
+
+
+def allowance_ms(state: State, span_ms: float) -> float:
+    """Return by how much sooner than a span of time ends a write has to be decided; half of it at most."""
+    return min(STALL_ALLOWANCE_MS + state.settings.tick_ms, span_ms / 2)
 
 
 def _notification_ms(state: State) -> float:
@@ -29,7 +36,7 @@
 def _grace_ms(state: State) -> float:
     """Return how long after its notification a change may still be disregarded, on this gateway's clock."""
     grace_ms = state.rules.drain_grace_ms
-    return grace_ms - min(STALL_ALLOWANCE_MS + state.settings.tick_ms, grace_ms / 2)
+    return grace_ms - allowance_ms(state, grace_ms)
 
 
 def start_from_cache(state: State) -> None:
@@ -59,6 +66,11 @@
     state.list_confirmed_at = max(state.list_confirmed_at, state.now if as_of_ms is None else as_of_ms)
 
 
+def list_lost(state: State) -> None:
+    """Note that a list may have been written to this gateway and lost: its changes count as notified now."""
+    state.list_lost_at = state.now
+
+
 def record_response(server: Server, sent_at: float, list_confirmed_at: float) -> None:
     """Take a good response as proof that the server was not draining when the request was sent."""
     if server.connection_broke_at < list_confirmed_at:  # else it may be another incarnation that responds
@@ -73,15 +85,21 @@
 def list_lease_until(state: State) -> float:
     """Return until when the endpoint list may be acted on."""
     notified_at = state.list_confirmed_at + _notification_ms(state)
-    return max(notified_at, state.watch_covers_until + LONG_POLL_NOTIFICATION_MS) + _grace_ms(state)
+    until = max(notified_at, state.watch_covers_until + LONG_POLL_NOTIFICATION_MS) + _grace_ms(state)
+    return _unless_lost(state, state.list_confirmed_at, until)
 
 
 def usable_until(state: State, server: Server) -> float:
     """Return until when requests may be written to the server, by the list or by its own responses."""
     if not state.rules.drain_grace_ms:  # a deployment without such a rule
         return math.inf
-    by_responses = server.confirmed_at + _notification_ms(state) + _grace_ms(state)
-    return max(list_lease_until(state), by_responses)
+    until = server.confirmed_at + _notification_ms(state) + _grace_ms(state)
+    return max(list_lease_until(state), _unless_lost(state, server.confirmed_at, until))
+
+
+def _unless_lost(state: State, confirmed_at: float, until: float) -> float:
+    """Cut a lease short where a list was lost since it was renewed."""
+    return min(until, state.list_lost_at + _grace_ms(state)) if confirmed_at < state.list_lost_at else until
 
 
 def is_usable(state: State, server: Server) -> bool:
--- a/meadowpulley/policy/endpoints.py
+++ b/meadowpulley/policy/endpoints.py
@@ -23,6 +23,7 @@
     0.5  # of the longest pause: where it binds, the calls of a fleet are spread over the rest
 )
 MAX_STICKY_KEYS = 8000  # beyond it keys that no ready server needs are forgotten: older builds then get none
+CALL_FAILURES = (EndpointUpdateKind.FAILED, EndpointUpdateKind.TIMED_OUT, EndpointUpdateKind.BROKEN)
 ROLLBACK_PHASES = (Phase.ROLLING_BACK, Phase.ROLLED_BACK)
 
 
@@ -44,16 +45,8 @@
 
 def handle_endpoint_update(state: State, update: EndpointUpdate) -> None:
     """Take in an endpoint list, or the failure of the call for it."""
-    if update.kind in (EndpointUpdateKind.FAILED, EndpointUpdateKind.TIMED_OUT):
-        failed = update.kind is EndpointUpdateKind.FAILED  # each gateway finds a time-out at its own time
-        endpoint_lease.watch_ended(state, update.as_of_ms)
-        backoff_ms = LIST_RETRY_MS * min(state.list_failures, 3) * (0.5 + state.rng.random())
-        jitter_ms = state.rng.random() * state.list_jitter_ms * (1 + min(state.list_failures, 1))
-        spread = MIN_RETRY_FRACTION + (1 - MIN_RETRY_FRACTION) * state.rng.random()
-        longest_ms = MAX_LIST_RETRY_MS * spread
-        retry_at = state.now + (min(max(backoff_ms, jitter_ms), longest_ms) if failed else 0.0)
-        state.resubscribe_at = retry_at if state.settings.must_poll else math.inf
-        state.list_failures += failed
+    if update.kind in CALL_FAILURES:
+        _handle_failed_call(state, update)
         return
     if update.kind is EndpointUpdateKind.CACHED:
         endpoint_lease.start_from_cache(state)
@@ -64,6 +57,23 @@
     partition_servers(state)
 
 
+def _handle_failed_call(state: State, update: EndpointUpdate) -> None:
+    """Plan the next list call, where discovery has to be polled."""
+    endpoint_lease.watch_ended(state, update.as_of_ms)
+    if update.kind is EndpointUpdateKind.BROKEN:
+        endpoint_lease.list_lost(state)
+    delay_ms = 0.0  # each gateway finds a time-out at its own time, and late
+    if update.kind is not EndpointUpdateKind.TIMED_OUT:
+        backoff_ms = LIST_RETRY_MS * min(state.list_failures, 3) * (0.5 + state.rng.random())
+        jitter_ms = state.rng.random() * state.list_jitter_ms * (1 + min(state.list_failures, 1))
+        spread = MIN_RETRY_FRACTION + (1 - MIN_RETRY_FRACTION) * state.rng.random()
+        delay_ms = min(max(backoff_ms, jitter_ms), MAX_LIST_RETRY_MS * spread)
+        if update.kind is EndpointUpdateKind.BROKEN and not state.list_failures:
+            delay_ms = min(delay_ms, state.rng.random() * state.rules.drain_grace_ms / 2)
+        state.list_failures += 1
+    state.resubscribe_at = state.now + delay_ms if state.settings.must_poll else math.inf
+
+
 def handle_watch_opened(state: State, event: EndpointWatchOpened) -> None:
     """Take in that discovery has the call for the next change."""
     endpoint_lease.confirm_list(state, event.as_of_ms)
--- a/meadowpulley/policy/routing.py
+++ b/meadowpulley/policy/routing.py
@@ -1,87 +1,21 @@
-"""Choosing a server for a request and sending it there; `_may_send` is the one check of every send."""
+"""Choosing a server for a request and sending it there, where `send_permission` allows it."""
 
 from statistics import fmean
 
-from meadowpulley.interface import Effect, Phase, Probe, ProbeResult, Result, Send
-from meadowpulley.policy.endpoint_lease import is_usable, usable_until
-from meadowpulley.policy.endpoints import LOCAL_ZONE_FRACTION, ROLLBACK_PHASES, cap_and_stage, is_on_trial
+from meadowpulley.interface import Phase, Probe, ProbeResult, Result, Send
+from meadowpulley.policy.endpoints import LOCAL_ZONE_FRACTION, cap_and_stage, is_on_trial
 from meadowpulley.policy.outlier_detection import is_available
+from meadowpulley.policy.send_permission import may_send, write_by
 from meadowpulley.state import Attempt, InFlightRequest, Server, State
 
 TRIAL_CAP_FRACTION = 0.8  # of the cap: leaves some for requests bound by their key or without another server
 ROLLBACK_UTILIZATION = 0.75  # of the baseline servers, up to which a build that is rolled back gets nothing
 EVALUATION_INTERVAL_MS = 400.0  # between two evaluations of a build
 STICKY_EWMA_WEIGHT = 0.02  # weight of the newest request in the share of those that follow their key
-SLOW_START_MARGIN = 0.6  # of the slow start budget: capacity is only estimated and work is random
-SLOW_START_SLOTS = 4  # of an overload window, each with its budget: no burst spends that of two windows
 SPARSE_LOAD = 0.3  # own requests in flight per server, below which two servers are probed first
 TIE_BREAK_LOAD = 0.5  # requests: the mean of the random load that tells equally loaded servers apart
 
 
-def _may_send(state: State, in_flight: InFlightRequest, server: Server) -> bool:
-    """Check an attempt against all rules; every send passes here."""
-    request, limits = in_flight.request, state.settings.limits
-    if request.request not in state.in_flight or in_flight.streaming or state.now >= request.deadline_ms:
-        return False
-    if in_flight.attempt_count >= limits.max_attempts or (in_flight.outstanding and not limits.hedging):
-        return False
-    if not server.is_ready or state.servers.get(server.id) is not server:
-        return False
-    if not is_usable(state, server):
-        return False
-    if not all([_may_repeat(state, previous, server) for previous in in_flight.possible_executions]):
-        return False
-    return _within_exposure(state, in_flight, server) and _within_slow_start_budget(state, server)
-
-
-def _may_repeat(state: State, previous: Attempt, server: Server) -> bool:
-    """Tell whether a request that an attempt may have executed may be executed at the server too."""
-    request_class = previous.in_flight.request_class
-    if request_class.effect is not Effect.IDEMPOTENT_WITH_KEY:
-        return request_class.effect is Effect.IDEMPOTENT
-    window_ms = request_class.deduplication_window_ms - state.settings.tick_ms
-    in_window = state.now - previous.sent_at < window_ms
-    return in_window and server.in_scope(request_class.deduplication_scope, previous.server)
-
-
-def _within_slow_start_budget(state: State, server: Server) -> bool:
-    """Check this gateway's part, per slot, of what a server in slow start may get."""
-    window_ms = state.rules.overload_window_ms
-    if state.slow_start_fraction(server, window_ms) >= 1.0:
-        return True
-    slot = int(state.now * SLOW_START_SLOTS / window_ms)
-    if server.slow_start_slot != slot:
-        # In an overload hardly any response comes.
-        served = max(state.goodput.value(state.now), state.request_rate.value(state.now) / 2)
-        allowed = state.rules.overload_multiple * state.slow_start_fraction(server, window_ms / 2) * served
-        budget = SLOW_START_MARGIN * (allowed / state.peak_ready_servers) * window_ms / SLOW_START_SLOTS
-        arm = state.trial_servers if is_on_trial(state, server.build) else state.baseline_servers
-        weight = state.subset(arm, LOCAL_ZONE_FRACTION).get(server.id, 1.0)
-        part = max(budget, 1 / state.gateway_count) * weight
-        # Rounded by chance, as the parts of hundreds of gateways add up.
-        server.slow_start_slot, server.slow_start_budget = slot, int(part + state.rng.random())
-    return server.slow_start_budget >= 1
-
-
-def _within_exposure(state: State, in_flight: InFlightRequest, server: Server) -> bool:
-    """Check the build that the request's key is bound to, guarded stages, and the exposure cap."""
-    rollout, settings, key = state.latest_rollout, state.rollout_settings, in_flight.request.key
-    rolled_back = rollout.build if rollout is not None and rollout.phase in ROLLBACK_PHASES else -1
-    newest_build = max(server.build, rolled_back)  # keys of a build that is rolled back are released
-    if key and state.sticky_builds.get(key, state.oldest_sticky_build) > newest_build:
-        return False
-    if not is_on_trial(state, server.build):  # what is outstanding at a later build may be answered by now
-        later = [a.in_flight.request.key for a in state.attempts.values() if a.server.build > newest_build]
-        return not (settings.monotonic_keys and key and key in later)
-    cap, stage = cap_and_stage(state, server.build)
-    if cap <= 0 or (stage < settings.guarded_stages and in_flight.effect is not Effect.IDEMPOTENT):
-        return False
-    exposure_class, tick_ms = in_flight.exposure_class, state.settings.tick_ms
-    requests = state.request_windows[exposure_class].count(state.now, -tick_ms)
-    sent = state.build_evidence[server.build].sent_windows[exposure_class].count(state.now, tick_ms)
-    return sent + 1 <= settings.exposure_allowance + cap * requests
-
-
 def _trial_probability(state: State) -> float:
     """Return the probability that a request whose key binds it to no build goes to the trial build."""
     trial, baseline = state.trial_servers, state.baseline_servers
@@ -110,7 +44,7 @@
         subset, limit = state.subset(group, LOCAL_ZONE_FRACTION), 2
     attempted, allowed = in_flight.attempted_servers, list[Server]()
     for server in sorted(drawn, key=lambda s: (s.id in attempted, s.id not in subset)):
-        if len(allowed) < limit and is_available(state, server) and _may_send(state, in_flight, server):
+        if len(allowed) < limit and is_available(state, server) and may_send(state, in_flight, server):
             allowed.append(server)
     return [s for s in allowed if s.id not in attempted] or allowed  # chance chooses none twice
 
@@ -148,16 +82,15 @@
     """Send the requests that wait for the probe: the first server to answer has the shorter queue."""
     server, ok = state.servers.get(result.server), result.result is Result.OK
     for in_flight in [waiting for waiting in state.waiting if ok and result.server in waiting.probed_servers]:
-        if server and _may_send(state, in_flight, server):
+        if server and may_send(state, in_flight, server):
             state.waiting.remove(in_flight)
             _send(state, in_flight, server, server.outstanding, in_flight.randomized)
 
 
 def _send(state: State, in_flight: InFlightRequest, server: Server, queue: float, randomized: bool) -> None:
-    fraction = state.slow_start_fraction(server)
+    fraction, write_by_ms = state.slow_start_fraction(server), write_by(state, in_flight, server)
     state.add_attempt(Attempt(in_flight, server, queue, state.now, fraction, randomized))
     if is_on_trial(state, server.build):
         state.build_evidence[server.build].sent_windows[in_flight.exposure_class].add(state.now)
     # No early time-out: at many sites abandoned work runs on, and repeats feed an overload.
-    write_by_ms = usable_until(state, server)
     state.actions.append(Send(in_flight.request.request, server.id, write_by_ms=write_by_ms))
--- a/meadowpulley/state/state.py
+++ b/meadowpulley/state/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from random import Random
 from statistics import fmean
 
@@ -66,6 +66,8 @@
         self.list_failures = 0
         self.list_confirmed_at = -math.inf  # the endpoint list holds all changes up to then
         self.watch_covers_until = -math.inf  # by then discovery responds to the call that is out
+        self.list_lost_at = -math.inf  # when a list was last lost that discovery may have written
+        self.send_refusals: Counter[str] = Counter()  # how often which rule did not allow a send
         self.list_lease_expired = False  # as it was last logged
 
     def _init_requests(self) -> None:
--- a/tests/test_endpoint_lease.py
+++ b/tests/test_endpoint_lease.py
@@ -2,9 +2,25 @@
 
 from __future__ import annotations
 
-from meadowpulley.interface import EndpointUpdate, EndpointUpdateKind
-from tests.discovery_harness import NOTIFIED_AFTER_SILENCE_MS, DiscoveryHarness
-from tests.driver import server_entry
+import math
+from dataclasses import replace
+
+import pytest
+
+from meadowpulley.interface import (
+    EndpointUpdate,
+    EndpointUpdateKind,
+    EndpointWatchClosed,
+    EndpointWatchOpened,
+    Event,
+    IdleConnectionLost,
+    Reject,
+    Result,
+)
+from meadowpulley.policy.endpoint_lease import STALL_ALLOWANCE_MS, usable_until
+from meadowpulley.state import Server
+from tests.discovery_harness import NOTIFIED_AFTER_SILENCE_MS, NOTIFIED_AFTER_WAIT_MS, DiscoveryHarness
+from tests.driver import RULES, Driver, sends, server_entry, settings
 
 SEEDS = range(40)
 QUEUE_MS = 2_000.0  # how long discovery keeps a call that it cannot answer
@@ -50,3 +66,160 @@
         if renewed_after > NOTIFIED_AFTER_SILENCE_MS:
             late[seed] = renewed_after
     assert not late
+
+
+CACHED, FULL = EndpointUpdateKind.CACHED, EndpointUpdateKind.FULL
+FAILED, BROKEN = EndpointUpdateKind.FAILED, EndpointUpdateKind.BROKEN
+TICK_MS = 5.0
+GRACE_MS = RULES.drain_grace_ms - STALL_ALLOWANCE_MS - TICK_MS  # that decisions may use up
+LONG_POLL_MS = 10_000.0
+ENTRY = (server_entry(1),)
+
+
+def handle_all(driver: Driver, events: list[tuple[float, Event]]) -> Server:
+    for at, event in events:
+        driver.now = at
+        driver.handle(event)
+    return driver.policy.servers[1]
+
+
+@pytest.mark.parametrize(
+    ("must_poll", "events", "until"),
+    [
+        (True, [(0.0, EndpointUpdate(CACHED, 0, ENTRY))], GRACE_MS),
+        (False, [(0.0, EndpointUpdate(CACHED, 0, ENTRY))], GRACE_MS),
+        # A list is true as of its call, however late it comes.
+        (
+            True,
+            [(900.0, EndpointUpdate(FULL, 1, ENTRY, 100.0))],
+            100.0 + NOTIFIED_AFTER_SILENCE_MS + GRACE_MS,
+        ),
+        (False, [(900.0, EndpointUpdate(FULL, 1, ENTRY, 100.0))], 100.0 + GRACE_MS),
+        (
+            True,
+            [
+                (900.0, EndpointUpdate(FULL, 1, ENTRY, 100.0)),
+                (950.0, EndpointWatchOpened(LONG_POLL_MS, 100.0)),
+            ],
+            950.0 + LONG_POLL_MS + NOTIFIED_AFTER_WAIT_MS + GRACE_MS,
+        ),
+        # A watch that ends early covers nothing any more, whoever ended it.
+        (
+            True,
+            [
+                (900.0, EndpointUpdate(FULL, 1, ENTRY, 100.0)),
+                (950.0, EndpointWatchOpened(LONG_POLL_MS, 100.0)),
+                (2000.0, EndpointUpdate(FAILED, 1, as_of_ms=100.0)),
+            ],
+            100.0 + NOTIFIED_AFTER_SILENCE_MS + GRACE_MS,
+        ),
+        (
+            True,
+            [
+                (900.0, EndpointUpdate(FULL, 1, ENTRY, 100.0)),
+                (950.0, EndpointWatchOpened(LONG_POLL_MS, 100.0)),
+                (2000.0, EndpointWatchClosed(100.0)),
+            ],
+            100.0 + NOTIFIED_AFTER_SILENCE_MS + GRACE_MS,
+        ),
+        # What broke off may have been a list: its changes count as notified, until the next list comes.
+        (
+            True,
+            [
+                (900.0, EndpointUpdate(FULL, 1, ENTRY, 100.0)),
+                (950.0, EndpointWatchOpened(LONG_POLL_MS, 100.0)),
+                (2000.0, EndpointUpdate(BROKEN, 1, as_of_ms=100.0)),
+            ],
+            2000.0 + GRACE_MS,
+        ),
+        (
+            True,
+            [
+                (2000.0, EndpointUpdate(BROKEN, 1, as_of_ms=100.0)),
+                (2200.0, EndpointUpdate(FULL, 1, ENTRY, 2100.0)),
+            ],
+            2100.0 + NOTIFIED_AFTER_SILENCE_MS + GRACE_MS,
+        ),
+        # Failed calls do not renew what was never confirmed.
+        (
+            True,
+            [
+                (0.0, EndpointUpdate(CACHED, 0, ENTRY)),
+                (300.0, EndpointUpdate(FAILED, 0, as_of_ms=-math.inf)),
+            ],
+            GRACE_MS,
+        ),
+        # Discovery that pushes lists and fails a call notifies nobody.
+        (
+            False,
+            [
+                (0.0, EndpointUpdate(FULL, 1, ENTRY, 0.0)),
+                (300.0, EndpointUpdate(FAILED, 1)),
+            ],
+            300.0 + GRACE_MS,
+        ),
+        (False, [(0.0, EndpointUpdate(FULL, 1, ENTRY))], math.inf),
+    ],
+)
+def test_a_list_may_be_acted_on_until_the_first_change_that_it_may_lack_binds(
+    must_poll: bool, events: list[tuple[float, Event]], until: float
+) -> None:
+    driver = Driver(settings(must_poll=must_poll))
+    server = handle_all(driver, events)
+    assert usable_until(driver.policy, server) == until
+    if until < math.inf:
+        driver.now = until - 1.0
+        (send,) = sends(driver.request())
+        assert send.write_by_ms == until
+        driver.finish(send, Result.REJECTED)
+        driver.now = until + 1000.0  # no backoff of the server is left
+        assert [type(action) for action in driver.request() if not sends([action])][:1] == [Reject]
+
+
+@pytest.mark.parametrize("break_by", ["outcome", "idle connection"])
+def test_good_responses_keep_a_server_in_use_until_a_connection_to_it_breaks(break_by: str) -> None:
+    driver = Driver(settings(must_poll=True))
+    server = handle_all(driver, [(0.0, EndpointUpdate(FULL, 1, ENTRY, 0.0))])
+    driver.now = 5000.0
+    (send,) = sends(driver.request())
+    driver.finish(send)
+    proven_until = 5000.0 + NOTIFIED_AFTER_SILENCE_MS + GRACE_MS
+    assert usable_until(driver.policy, server) == proven_until
+    if break_by == "outcome":
+        (send,) = sends(driver.request())
+        driver.finish(send, Result.RESET, final=True)
+    else:
+        driver.handle(IdleConnectionLost(1))
+    assert usable_until(driver.policy, server) == NOTIFIED_AFTER_SILENCE_MS + GRACE_MS
+    for send in sends(driver.request()):  # another incarnation may respond at the address
+        driver.finish(send)
+    assert usable_until(driver.policy, server) == NOTIFIED_AFTER_SILENCE_MS + GRACE_MS
+    driver.now = 5500.0
+    driver.handle(EndpointUpdate(FULL, 2, ENTRY, 5400.0))
+    driver.now = 5600.0
+    for send in sends(driver.request()):
+        driver.finish(send)
+    assert usable_until(driver.policy, server) == 5600.0 + NOTIFIED_AFTER_SILENCE_MS + GRACE_MS
+
+
+def test_without_a_drain_rule_no_list_expires() -> None:
+    base = settings(must_poll=True)
+    driver = Driver(replace(base, rules=replace(base.rules, drain_grace_ms=0.0)))
+    server = handle_all(driver, [(0.0, EndpointUpdate(CACHED, 0, ENTRY))])
+    assert usable_until(driver.policy, server) == math.inf
+
+
+def test_a_lost_list_ends_the_proof_of_responses_before_it_and_is_asked_for_again_within_the_grace() -> None:
+    for seed in SEEDS:
+        driver = Driver(settings(must_poll=True, gateway_count=200), seed)
+        server = handle_all(driver, [(0.0, EndpointUpdate(FULL, 1, ENTRY, 0.0))])
+        driver.now = 500.0
+        (send,) = sends(driver.request())
+        driver.finish(send)
+        driver.now = 1000.0
+        driver.handle(EndpointUpdate(BROKEN, 1, as_of_ms=0.0))
+        assert usable_until(driver.policy, server) == 1000.0 + GRACE_MS
+        assert driver.policy.resubscribe_at <= 1000.0 + RULES.drain_grace_ms / 2
+        (send,) = sends(driver.request())
+        driver.finish(send)
+        assert usable_until(driver.policy, server) == 1000.0 + NOTIFIED_AFTER_SILENCE_MS + GRACE_MS
