A lost list counts as written up to a hold-up earlier; soak's outages end before servers return

A gateway that is held up finds the break up to 150 ms late, and counted the grace from then. Change: the allowance is taken off there too. The soak's plan draws outages with servers that come back some seconds after them, and gateways killed after them; its settings tell of 200 gateways, so calls are spread as there. What was under way at a kill is left out of the trace (two false findings).

--- a/meadowpulley/loopback/runner.py
+++ b/meadowpulley/loopback/runner.py
@@ -174,6 +174,9 @@
     plan: LoopbackPlan, ports: Ports, index: int, cached_endpoints: Any, initial_rollout: Any
 ) -> dict[str, Any]:
     sockets = plan.fleet.gateway_groups()[index].descriptors
+    settings = gateway_settings_object(plan.fleet, index)
+    if plan.declared_gateways:
+        settings["balancers"] = plan.declared_gateways
     return {
         "name": f"g{index}",
         "listen": f"{ports.host}:{ports.clients[index]}",
@@ -184,7 +187,7 @@
         "peers": [f"{ports.host}:{port}" for port in ports.peers],
         "platform": {"address": f"{ports.host}:{ports.platform[index]}", "news": initial_rollout},
         "known": cached_endpoints,
-        "settings": gateway_settings_object(plan.fleet, index),
+        "settings": settings,
     }
 
 
--- a/meadowpulley/loopback/soak.py
+++ b/meadowpulley/loopback/soak.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from random import Random
 
 from meadowpulley.emulator import Build, Fault, Release, Scenario
@@ -31,6 +32,7 @@
 keys = {{ count = 500 }}
 network = {{ same_site_ms = 0.05, cross_site_ms = 0.05, client_ms = 0.0 }}
 discovery = {{ add_ms = [300, 800], notice_ms = [500, 1500], period_ms = [20, 200] }}
+rules = {{ drain_grace_ms = 1000 }}
 rollout = {{ stages = [0.3, 1.0], caps = [0.4, 1.0], boot_ms = [500, 1200], soak_ms = 800, drain_ms = 1500 }}
 
 [[classes]]
@@ -59,6 +61,7 @@
 """
 REQUESTS_PER_GATEWAY_S = 5.0
 START_DELAY_S = 0.15  # for each gateway; they start side by side
+DECLARED_GATEWAYS = 200  # as one of a large fleet a gateway spreads its list calls
 FIRST_FAULT_MS = 1_500.0
 SERVER_FAULTS: tuple[tuple[FaultKind, float, float], ...] = (  # kind, smallest and greatest amount
     ("crash", 1.0, 1.0),
@@ -75,18 +78,16 @@
     return parse_fleet(FLEET_TOML.format(gateways=half, servers=half).encode(), "soak fleet")
 
 
-def _process_faults(rng: Random, gateways: int, duration_ms: float) -> tuple[ProcessFault, ...]:
-    """Draw kills of many at once or restarts one after another, and stalls and reloads of any."""
-    numbers = rng.sample(range(gateways), gateways)
-    ended = numbers[: round(gateways * rng.uniform(0.2, 0.7))]
+def _process_faults(
+    rng: Random, gateways: int, duration_ms: float, ended: tuple[ProcessFault, ...]
+) -> tuple[ProcessFault, ...]:
+    """Draw restarts, one after another, of gateways that no other fault ends, and stalls and reloads."""
+    faults, already_ended = list(ended), {fault.gateway for fault in ended}
+    numbers = [n for n in rng.sample(range(gateways), gateways) if n not in already_ended]
+    restarted = numbers[: round(len(numbers) * rng.uniform(0.0, 0.7))]
     begin = rng.uniform(FIRST_FAULT_MS, duration_ms * 0.6)
-    faults: list[ProcessFault] = []
-    if rng.random() < 0.6:
-        down_ms = rng.uniform(200.0, 3_000.0)
-        faults += [ProcessFault("kill", begin + rng.uniform(0.0, 50.0), n, down_ms) for n in ended]
-    else:
-        spacing_ms = (duration_ms * 0.8 - begin) / len(ended)
-        faults += [ProcessFault("terminate", begin + k * spacing_ms, n) for k, n in enumerate(ended)]
+    spacing_ms = (duration_ms * 0.8 - begin) / max(len(restarted), 1)
+    faults += [ProcessFault("terminate", begin + k * spacing_ms, n) for k, n in enumerate(restarted)]
     for _ in range(gateways):
         at, number = rng.uniform(FIRST_FAULT_MS, duration_ms), rng.randrange(gateways)
         faults.append(ProcessFault("stall", at, number, rng.uniform(20.0, MAX_STALL_MS)))
@@ -96,11 +97,8 @@
 
 
 def _discovery_faults(rng: Random, duration_ms: float) -> tuple[DiscoveryFault, ...]:
-    """Draw an outage in most plans, and spells of crowded, silent and cut calls."""
+    """Draw spells of crowded, silent and cut calls."""
     faults: list[DiscoveryFault] = []
-    if rng.random() < 0.7:
-        at = rng.uniform(FIRST_FAULT_MS, duration_ms * 0.5)
-        faults.append(DiscoveryFault("down", at, rng.uniform(2_000.0, duration_ms * 0.4)))
     for kind in ("crowded", "silent", "cut"):
         if rng.random() < 0.5:
             at, length_ms = rng.uniform(0.0, duration_ms * 0.8), rng.uniform(1_000.0, 6_000.0)
@@ -108,14 +106,46 @@
     return tuple(faults)
 
 
-def _scenario(rng: Random, duration_ms: float) -> Scenario:
+@dataclass(frozen=True, slots=True)
+class _Outage:
+    """An outage of discovery, with what makes it dangerous; all of it empty in some plans."""
+
+    discovery: tuple[DiscoveryFault, ...] = ()
+    servers: tuple[Fault, ...] = ()
+    gateways: tuple[ProcessFault, ...] = ()
+
+
+def _outage(rng: Random, gateways: int, duration_ms: float) -> _Outage:
+    """Draw an outage, servers that end meanwhile and come back at their addresses, and gateways killed after.
+
+    What changed meanwhile counts as notified some seconds after the outage: it ends well before the run does.
+    """
+    if rng.random() < 0.2:
+        return _Outage()
+    at = rng.uniform(FIRST_FAULT_MS, duration_ms * 0.2)
+    length_ms = rng.uniform(2_500.0, duration_ms * 0.3)
+    down = DiscoveryFault("down", at, length_ms)
+    crashes: list[Fault] = []
+    for _ in range(2):  # back some seconds after discovery: until that is known the servers count as gone
+        crash_at = at + length_ms * rng.uniform(0.1, 0.6)
+        gone_ms = at + length_ms - crash_at + rng.uniform(500.0, 5_000.0)
+        crashes.append(Fault("crash", crash_at, gone_ms, 1.0, rng.uniform(0.1, 0.3)))
+    if rng.random() < 0.4:
+        return _Outage((down,), tuple(crashes))
+    killed = rng.sample(range(gateways), round(gateways * rng.uniform(0.3, 0.7)))
+    killed_at, down_ms = at + length_ms + rng.uniform(-500.0, 2_000.0), rng.uniform(200.0, 3_000.0)
+    kills = [ProcessFault("kill", killed_at + rng.uniform(0.0, 50.0), n, down_ms) for n in killed]
+    return _Outage((down,), tuple(crashes), tuple(kills))
+
+
+def _scenario(rng: Random, duration_ms: float, crashes: tuple[Fault, ...]) -> Scenario:
     """Draw a release, good or bad, and faults of the servers.
 
     One release: what binds keys to a build that a newer one supersedes while it is on trial is not settled.
     """
     build = Build(number=2, failure_share=rng.choice((0.0, 0.0, 0.5)))
     releases = (Release(rng.uniform(500.0, duration_ms * 0.3), build),)
-    faults: list[Fault] = []
+    faults = list(crashes)
     for kind, smallest, greatest in SERVER_FAULTS:
         if rng.random() < 0.4:
             at, length_ms = rng.uniform(FIRST_FAULT_MS, duration_ms * 0.8), rng.uniform(1_000.0, 5_000.0)
@@ -127,15 +157,17 @@
 def soak_plan(seed: int, gateways: int, seconds: float) -> LoopbackPlan:
     """Return the plan of a soak run: the same for the same arguments."""
     rng, duration_ms = Random(seed), seconds * 1000.0
+    outage = _outage(rng, gateways, duration_ms)
     load = LoadSpec(per_s=REQUESTS_PER_GATEWAY_S * gateways, seconds=seconds)
     return LoopbackPlan(
         soak_fleet(gateways),
         load,
         seed,
         seed + 1,
-        _scenario(rng, duration_ms),
-        process_faults=_process_faults(rng, gateways, duration_ms),
-        discovery_faults=_discovery_faults(rng, duration_ms),
+        _scenario(rng, duration_ms, outage.servers),
+        process_faults=_process_faults(rng, gateways, duration_ms, outage.gateways),
+        discovery_faults=(*outage.discovery, *_discovery_faults(rng, duration_ms)),
         start_delay_s=START_DELAY_S,
+        declared_gateways=DECLARED_GATEWAYS,
         drained_servers_reject=True,
     )
--- a/meadowpulley/loopback/trace.py
+++ b/meadowpulley/loopback/trace.py
@@ -21,6 +21,7 @@
     KeyAnswered,
     Record,
     RequestReceived,
+    ResponseSent,
     RuleParameters,
     TraceChecker,
     Violation,
@@ -97,15 +98,22 @@
 
 
 def _without_lost(records: Iterable[Record], events: ProcessEvents) -> list[Record]:
-    """Leave out requests that nobody has read, and attempts under way when their gateway was killed."""
+    """Leave out requests that nobody has read, and what was under way when its gateway was killed.
+
+    A request that was attempted has been read, whatever became of its connection.
+    """
+    records = list(records)
+    attempted = {record.request for record in records if isinstance(record, AttemptSent)}
+    dropped = events.dropped_requests - attempted
     kept: list[Record] = []
     received: dict[int, RequestReceived] = {}
     for record in records:
         if isinstance(record, RequestReceived):
-            if record.request in events.dropped_requests:
+            if record.request in dropped:
                 continue
             received[record.request] = record
-        request = received.get(record.request) if isinstance(record, AttemptSent) else None
+        under_way = isinstance(record, AttemptSent | ResponseSent)
+        request = received.get(record.request) if under_way else None  # type: ignore[union-attr]
         if request is not None and any(
             number == request.gateway and request.at <= killed_at <= record.at
             for number, killed_at in events.kills
--- a/meadowpulley/policy/endpoint_lease.py
+++ b/meadowpulley/policy/endpoint_lease.py
@@ -98,8 +98,13 @@
 
 
 def _unless_lost(state: State, confirmed_at: float, until: float) -> float:
-    """Cut a lease short where a list was lost since it was renewed."""
-    return min(until, state.list_lost_at + _grace_ms(state)) if confirmed_at < state.list_lost_at else until
+    """Cut a lease short where a list was lost since it was renewed.
+
+    The loss may have been found as late as this gateway may be held up; the list was written before.
+    """
+    if confirmed_at >= state.list_lost_at:
+        return until
+    return min(until, state.list_lost_at - STALL_ALLOWANCE_MS + _grace_ms(state))
 
 
 def is_usable(state: State, server: Server) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,9 +25,10 @@
 )
 from meadowpulley.loopback.process_faults import judge_broken_requests
 from meadowpulley.loopback.soak import soak_fleet, soak_plan
-from meadowpulley.loopback.trace import merge_traces
+from meadowpulley.loopback.trace import ProcessEvents, TraceWriter, check_traces, merge_traces
 from meadowpulley.rules import (
     AttemptSent,
+    EndpointListed,
     GatewayStarted,
     KeyAnswered,
     RequestReceived,
@@ -101,6 +102,22 @@
     assert (1 in found.killed, 1 in found.crossed) == (judged == "killed", judged == "crossed")
 
 
+@pytest.mark.parametrize(("attempted", "violations"), [(False, {}), (True, {"answers": 1})])
+def test_a_request_that_crossed_a_close_was_not_read_unless_it_was_attempted(
+    tmp_path: Path, attempted: bool, violations: dict[str, int]
+) -> None:
+    servers, clients = TraceWriter(), TraceWriter()
+    servers.record(EndpointListed(0.0, 0, 7, "ready", 1))
+    if attempted:
+        servers.record(AttemptSent(110.0, -1, 1, 0, 7, 1))
+    clients.record(RequestReceived(100.0, 0, 1, 0, 0, 1000.0))
+    servers.write(tmp_path / "servers")
+    clients.write(tmp_path / "clients")
+    events = ProcessEvents(dropped_requests=frozenset({1}))
+    counts, _ = check_traces(soak_fleet(2), tmp_path / "servers", tmp_path / "clients", 9000.0, events)
+    assert counts == violations
+
+
 def test_a_key_answered_through_an_earlier_incarnation_binds_no_later_one() -> None:
     request, answered = RequestReceived(100.0, 0, 5, 0, 9, 2000.0), KeyAnswered(200.0, 5, 9, 2)
     for starts, kept in (([], 1), ([GatewayStarted(400.0, 0)], 1), ([GatewayStarted(150.0, 0)], 0)):
