Soak: a call that discovery rejects or ignores is answered by no later change

The stand-in answered rejected calls of fresh connections at the next change, so its outages leaked (read in a probe: lists written during an outage).

--- a/meadowpulley/loopback/service_connections.py
+++ b/meadowpulley/loopback/service_connections.py
@@ -160,6 +160,7 @@
             self.send(response_bytes(503 if self.services.discovery.unavailable else 404, {}))
             return
         faults, rng = self.services.discovery_faults, self.services.rng
+        self.known_version = -2  # unless this call waits: no change answers it
         if faults.rejects(rng):
             self.services.clock.call_later(QUEUE_MS, lambda: self.send(response_bytes(503, {})))
             return
