--- a/meadowpulley/loopback/runner.py
+++ b/meadowpulley/loopback/runner.py
@@ -30,9 +30,11 @@
     ProcessOrders,
     ServicesReport,
 )
-from meadowpulley.loopback.notifications import Outage, cached_lists, presumed_notifications
-from meadowpulley.loopback.process_faults import ProcessFaultInjector, judge_broken_requests
-from meadowpulley.loopback.trace import ProcessEvents, check_traces
+from meadowpulley.loopback.process_faults import (
+    ProcessFaultInjector,
+    judge_broken_requests,
+)
+from meadowpulley.loopback.rules_check import check_run
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 START_DELAY_S = 2.5  # time from the orders to the first request, besides that of each gateway
@@ -353,22 +355,11 @@
     limiting_factors += [
         f"gateway {n} used {share:.0%} of a core" for n, share in enumerate(cpu) if share > MAX_CPU_SHARE
     ]
-    traces = folder / "services.out.trace", folder / "driver.out.trace"
     judged = judge_broken_requests(clients.broken, injector)
-    outages = [Outage(f.at_ms, f.at_ms + f.duration_ms) for f in plan.discovery_faults if f.kind == "down"]
-    presumed = presumed_notifications(
-        len(cpu), servers.list_changes, servers.lists_written, outages, injector.starts
-    )
-    cached = cached_lists(servers.initial_list, injector.starts)
-    events = ProcessEvents(
-        (*injector.records, *cached, *presumed), tuple(injector.kills), judged.crossed | judged.killed
+    violation_counts, violations = check_run(
+        plan, folder, servers, clients.broken, judged, injector, elapsed_s * 1000
     )
-    violation_counts, violations = check_traces(plan.fleet, *traces, elapsed_s * 1000, events)
     limiting_factors += injector.errors
-    excused = judged.crossed | judged.killed
-    lost = [r for r in clients.broken if r.request not in excused]
-    if lost:
-        violation_counts["lost"] = len(lost)
     figures = {**clients.figures, "busy": servers.utilisation, "gateway_busy": max(cpu)}
     return LoopbackResult(
         figures,
--- a/meadowpulley/loopback/soak.py
+++ b/meadowpulley/loopback/soak.py
@@ -93,7 +93,7 @@
         faults.append(ProcessFault("stall", at, number, rng.uniform(20.0, MAX_STALL_MS)))
     for at in [rng.uniform(FIRST_FAULT_MS, duration_ms) for _ in range(rng.randrange(3))]:
         faults += [ProcessFault("reload", at, n) for n in numbers[::2]]
-    return tuple(sorted(faults, key=lambda f: f.at_ms))
+    return tuple(sorted(faults, key=lambda fault: fault.at_ms))
 
 
 def _discovery_faults(rng: Random, duration_ms: float) -> tuple[DiscoveryFault, ...]:
@@ -128,8 +128,8 @@
     crashes: list[Fault] = []
     for _ in range(2):  # back some seconds after discovery: until that is known the servers count as gone
         crash_at = at + length_ms * rng.uniform(0.1, 0.6)
-        gone_ms = at + length_ms - crash_at + rng.uniform(500.0, 5_000.0)
-        crashes.append(Fault("crash", crash_at, gone_ms, 1.0, rng.uniform(0.1, 0.3)))
+        absence_ms = at + length_ms - crash_at + rng.uniform(500.0, 5_000.0)
+        crashes.append(Fault("crash", crash_at, absence_ms, 1.0, rng.uniform(0.1, 0.3)))
     if rng.random() < 0.4:
         return _Outage((down,), tuple(crashes))
     killed = rng.sample(range(gateways), round(gateways * rng.uniform(0.3, 0.7)))
@@ -151,7 +151,7 @@
             at, length_ms = rng.uniform(FIRST_FAULT_MS, duration_ms * 0.8), rng.uniform(1_000.0, 5_000.0)
             amount, share = rng.uniform(smallest, greatest), rng.uniform(0.05, 0.25)
             faults.append(Fault(kind, at, length_ms, amount, share))
-    return Scenario(releases=releases, faults=tuple(sorted(faults, key=lambda f: f.at_ms)))
+    return Scenario(releases=releases, faults=tuple(sorted(faults, key=lambda fault: fault.at_ms)))
 
 
 def soak_plan(seed: int, gateways: int, seconds: float) -> LoopbackPlan:
--- a/meadowpulley/loopback/trace.py
+++ b/meadowpulley/loopback/trace.py
@@ -84,7 +84,7 @@
                 continue
             record = replace(record, at=at, gateway=gateway)
         records.append(record)
-    records.sort(key=lambda r: r.at)
+    records.sort(key=lambda record: record.at)
     return records
 
 
@@ -105,7 +105,7 @@
     records = list(records)
     attempted = {record.request for record in records if isinstance(record, AttemptSent)}
     dropped = events.dropped_requests - attempted
-    kept: list[Record] = []
+    remaining: list[Record] = []
     received: dict[int, RequestReceived] = {}
     for record in records:
         if isinstance(record, RequestReceived):
@@ -119,8 +119,8 @@
             for number, killed_at in events.kills
         ):
             continue
-        kept.append(record)
-    return kept
+        remaining.append(record)
+    return remaining
 
 
 def check_traces(
@@ -137,7 +137,7 @@
     )
     starts = [record for record in events.records if isinstance(record, GatewayStarted)]
     merged = sorted(
-        [*merge_traces(server_records, client_records, starts), *events.records], key=lambda r: r.at
+        [*merge_traces(server_records, client_records, starts), *events.records], key=lambda record: record.at
     )
     for record in _without_lost(merged, events):
         checker.observe(record)
