Soak: a gateway that ends by itself or hangs in its shutdown is a violation

They are violations now ('processes'), and gateways that ended by themselves are looked for; the list of absences was derivable from the kills.

--- a/meadowpulley/loopback/process_faults.py
+++ b/meadowpulley/loopback/process_faults.py
@@ -74,10 +74,9 @@
     for request in broken:
         absent = any(
             number == request.gateway
-            and ended_at - KILL_SLACK_MS <= request.at
-            and request.written_at <= ended_at + KILL_SLACK_MS
-            and (number, ended_at) in injector.kills
-            for number, ended_at, _ in injector.absences
+            and killed_at - KILL_SLACK_MS <= request.at
+            and request.written_at <= killed_at + KILL_SLACK_MS
+            for number, killed_at in injector.kills
         )
         if absent:
             killed.add(request.request)
@@ -118,7 +117,6 @@
         self._threads: list[threading.Thread] = []
         self._cancelled = threading.Event()
         self.records: list[Record] = []
-        self.absences: list[tuple[int, float, float]] = []  # gateway, end of its process, when ready again
         self.kills: list[tuple[int, float]] = []  # gateway, time
         self.restart_ms: list[float] = []  # from the start of a process until it was ready
         self.errors: list[str] = []
@@ -130,6 +128,12 @@
             self._threads.append(thread)
             thread.start()
 
+    def note_ended(self) -> None:
+        """Note as errors the gateways that have ended by themselves; call it after `join`."""
+        for number, gateway in enumerate(self._gateways):
+            if gateway.process.poll() is not None:
+                self.errors.append(f"gateway {number}: ended by itself, status {gateway.process.returncode}")
+
     def join(self) -> None:
         """Leave out what was not begun, and wait until all else has ended."""
         self._cancelled.set()
@@ -169,19 +173,16 @@
             try:
                 process.wait(self._shutdown_ms / 1000.0)
             except subprocess.TimeoutExpired:
-                killed_at = self._now_ms
                 self.errors.append(
                     f"gateway {fault.gateway}: still ran {self._shutdown_ms:.0f} ms after SIGTERM"
                 )
                 process.kill()
                 process.wait()
-            killed_at = self._now_ms
         else:
             process.kill()
             process.wait()
             self.records.append(GatewayCrashed(killed_at, fault.gateway))
             self.kills.append((fault.gateway, killed_at))
-        self.absences.append((fault.gateway, killed_at, float("inf")))
 
     def _start_again(self, fault: ProcessFault) -> None:
         time.sleep(fault.duration_ms / 1000.0)
@@ -191,7 +192,4 @@
         gateway.wait_ready(time.monotonic() + self._ready_timeout_s)
         ready_at = self._now_ms
         self.restart_ms.append(ready_at - started_at)
-        number, ended_at, _ = next(a for a in reversed(self.absences) if a[0] == fault.gateway)
-        self.absences.remove((number, ended_at, float("inf")))
-        self.absences.append((number, ended_at, started_at))
         self.records.append(GatewayStarted(started_at, fault.gateway))
--- a/meadowpulley/loopback/rules_check.py
+++ b/meadowpulley/loopback/rules_check.py
@@ -39,4 +39,6 @@
     lost_count = sum(request.request not in excused for request in broken)
     if lost_count:
         violation_counts["lost"] = lost_count
+    if injector.errors:  # a gateway that ended by itself, did not end when told to, or was not ready again
+        violation_counts["processes"] = len(injector.errors)
     return violation_counts, violations
--- a/meadowpulley/loopback/runner.py
+++ b/meadowpulley/loopback/runner.py
@@ -315,6 +315,7 @@
             injector.start(plan.process_faults)
             _wait_for_driver(driver, plan.load.seconds + GRACE_S, progress)
             injector.join()
+            injector.note_ended()
             elapsed_s = time.monotonic() - origin
             cpu = [(g.cpu_s() - b) / elapsed_s for g, b in zip(gateways, cpu_at_start, strict=True)]
             memory = [g.memory_mb() for g in gateways]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,7 +23,7 @@
     cached_lists,
     presumed_notifications,
 )
-from meadowpulley.loopback.process_faults import judge_broken_requests
+from meadowpulley.loopback.process_faults import ProcessFaultInjector, judge_broken_requests
 from meadowpulley.loopback.soak import soak_fleet, soak_plan
 from meadowpulley.loopback.trace import ProcessEvents, TraceWriter, check_traces, merge_traces
 from meadowpulley.rules import (
@@ -97,11 +97,20 @@
 def test_a_request_without_a_response_is_lost_unless_its_gateway_was_killed_or_it_crossed_a_close(
     request_: BrokenRequest, judged: str
 ) -> None:
-    injector: Any = SimpleNamespace(absences=[(0, 5000.0, 6000.0)], kills=[(0, 5000.0)])
+    injector: Any = SimpleNamespace(kills=[(0, 5000.0)])
     found = judge_broken_requests([request_], injector)
     assert (1 in found.killed, 1 in found.crossed) == (judged == "killed", judged == "crossed")
 
 
+def test_a_gateway_that_ended_by_itself_is_an_error() -> None:
+    ended = subprocess.Popen([sys.executable, "-c", "raise SystemExit(3)"])
+    ended.wait()
+    gateways: list[Any] = [SimpleNamespace(process=ended)]
+    injector = ProcessFaultInjector(gateways, lambda number: gateways[number], 0.0, 1500.0, 1.0)
+    injector.note_ended()
+    assert injector.errors == ["gateway 0: ended by itself, status 3"]
+
+
 @pytest.mark.parametrize(("attempted", "violations"), [(False, {}), (True, {"answers": 1})])
 def test_a_request_that_crossed_a_close_was_not_read_unless_it_was_attempted(
     tmp_path: Path, attempted: bool, violations: dict[str, int]
