Metrics say what allowed each send: the endpoint list, or a response of the server

Change: endpoint_lease.lease_basis, counted at each send; counters sent_by.* at SIGUSR1 and the end, and in each second's line.

--- a/meadowpulley/model_checking/policy_model/canonical_form.py
+++ b/meadowpulley/model_checking/policy_model/canonical_form.py
@@ -18,6 +18,7 @@
         "gateway_count",
         "confidence_z",
         "required_evidence",
+        "lease_bases",
         "send_refusals",
     }
 )
--- a/meadowpulley/net/interval_metrics.py
+++ b/meadowpulley/net/interval_metrics.py
@@ -34,6 +34,7 @@
     return {
         "list_age_ms": _milliseconds(now - policy.list_confirmed_at),
         "send_refusals": dict(policy.send_refusals),
+        "sent_by": dict(policy.lease_bases),
         "servers": dict(Counter(f"{s.build}.{s.state.name.lower()}" for s in servers)),
         "resting": sum(now < s.ejected_until for s in ready),
         "out": len(policy.attempts),
--- a/meadowpulley/policy/endpoint_lease.py
+++ b/meadowpulley/policy/endpoint_lease.py
@@ -10,6 +10,7 @@
 """
 
 import math
+from enum import Enum
 
 from meadowpulley.interface import LogLine
 from meadowpulley.state import Server, State
@@ -23,6 +24,13 @@
 STALL_ALLOWANCE_MS = 150.0
 
 
+class LeaseBasis(Enum):
+    """What allows requests to be written to a server; the value names its counter."""
+
+    LIST = "list"
+    RESPONSE = "response"
+
+
 def allowance_ms(state: State, span_ms: float) -> float:
     """Return by how much sooner than a span of time ends a write has to be decided; half of it at most."""
     return min(STALL_ALLOWANCE_MS + state.settings.tick_ms, span_ms / 2)
@@ -97,6 +105,12 @@
     return max(list_lease_until(state), _unless_lost(state, server.confirmed_at, until))
 
 
+def lease_basis(state: State) -> LeaseBasis:
+    """Return what a server that may be sent to now is used by: the list, or else its own responses."""
+    listed = not state.rules.drain_grace_ms or state.now < list_lease_until(state)
+    return LeaseBasis.LIST if listed else LeaseBasis.RESPONSE
+
+
 def _unless_lost(state: State, confirmed_at: float, until: float) -> float:
     """Cut a lease short where a list was lost since it was renewed.
 
--- a/meadowpulley/policy/routing.py
+++ b/meadowpulley/policy/routing.py
@@ -3,6 +3,7 @@
 from statistics import fmean
 
 from meadowpulley.interface import Phase, Probe, ProbeResult, Result, Send
+from meadowpulley.policy.endpoint_lease import lease_basis
 from meadowpulley.policy.endpoints import LOCAL_ZONE_FRACTION, cap_and_stage, is_on_trial
 from meadowpulley.policy.outlier_detection import is_available
 from meadowpulley.policy.send_permission import may_send, write_by
@@ -89,6 +90,7 @@
 
 def _send(state: State, in_flight: InFlightRequest, server: Server, queue: float, randomized: bool) -> None:
     fraction, write_by_ms = state.slow_start_fraction(server), write_by(state, in_flight, server)
+    state.lease_bases[lease_basis(state).value] += 1
     state.add_attempt(Attempt(in_flight, server, queue, state.now, fraction, randomized))
     if is_on_trial(state, server.build):
         state.build_evidence[server.build].sent_windows[in_flight.exposure_class].add(state.now)
--- a/meadowpulley/state/state.py
+++ b/meadowpulley/state/state.py
@@ -68,6 +68,7 @@
         self.watch_covers_until = -math.inf  # by then discovery responds to the call that is out
         self.list_lost_at = -math.inf  # when a list was last lost that discovery may have written
         self.send_refusals: Counter[str] = Counter()  # how often which rule did not allow a send
+        self.lease_bases: Counter[str] = Counter()  # how many sends which knowledge of the server allowed
         self.list_lease_expired = False  # as it was last logged
 
     def _init_requests(self) -> None:
