--- a/tests/net_program/test_stale_lists.py
+++ b/tests/net_program/test_stale_lists.py
@@ -60,3 +60,24 @@
             break
         threading.Event().wait(REQUEST_SPACING_S)
     assert status == 200 and new.received.qsize() == 1
+
+
+def test_responses_of_a_later_incarnation_do_not_keep_a_removed_server_in_use(start: StartGateway) -> None:
+    # A gateway was killed. Meanwhile a server drained, ended, and came back at its address; discovery listed
+    # it as gone, and was too crowded to answer. Good responses of the later incarnation kept the server in
+    # use for as long as discovery did not answer.
+    returned, discovery = FakeInstance(), FakeDiscovery([])
+    discovery.crowded = True
+    settings = SETTINGS | {"rules": SETTINGS["rules"] | {"stop-sending-within-ms": GRACE_MS}}
+    cached = [endpoint("s-1", returned.address)]
+    restarted = start(cached, discovery=discovery.address, settings=settings)
+    client, unsent = restarted.client(), 0
+    for _ in range(MAX_REQUESTS):
+        arrived = returned.received.qsize()
+        status = client.request("GET", "/look")[0]
+        unsent = unsent + 1 if status == 503 and returned.received.qsize() == arrived else 0
+        if unsent == QUIET_REQUESTS:
+            break
+        threading.Event().wait(REQUEST_SPACING_S)
+    assert returned.received.qsize() > 0, "the server was in use at first"
+    assert unsent == QUIET_REQUESTS, "requests went on to a server that discovery lists as gone"
--- a/tests/test_endpoint_lease.py
+++ b/tests/test_endpoint_lease.py
@@ -223,3 +223,17 @@
         (send,) = sends(driver.request())
         driver.finish(send)
         assert usable_until(driver.policy, server) == 1000.0 + NOTIFIED_AFTER_SILENCE_MS + GRACE_MS
+
+
+def test_a_response_does_not_renew_the_lease_on_a_server() -> None:
+    # Discovery alone says what is listed. Responses kept servers in use, and with thin traffic nothing told
+    # that the one who responded was a later incarnation, not listed yet.
+    driver = Driver(settings(must_poll=True))
+    server = handle_all(driver, [(0.0, EndpointUpdate(FULL, 1, ENTRY, 0.0))])
+    until = usable_until(driver.policy, server)
+    for driver.now in (1000.0, 5000.0, until - 1.0):
+        (send,) = sends(driver.request())
+        driver.finish(send)
+        assert usable_until(driver.policy, server) == until
+    driver.now = until
+    assert not sends(driver.request())
