Only discovery renews leases; a fleet's list calls fit its capacity; peers confirm lists

Change: responses and broken connections renew and end nothing (IdleConnectionLost is gone). policy/list_calls.py spreads first calls over up to 5 s and repeats failed ones after up to 10 s, by the size of the fleet. What responses carried is now asked from other gateways: policy/list_confirmation.py sends a nonce, the reply holds checksums of 60 parts of the list and how long ago discovery was asked; equal parts are confirmed as of then (247 bytes; sound whatever the network delays). One test held the renewal by responses as right; its opposite is tested. Tests of lists, scale, gossip, compile pass; the whole suite is due.

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -21,6 +21,7 @@
     "__main__.py",
     "digests.py",
     "interface.py",
+    "list_confirmations.py",
     "net",
     "policy",
     "settings.py",
--- a/meadowpulley/interface.py
+++ b/meadowpulley/interface.py
@@ -81,7 +81,8 @@
 class ServerEntry:
     """One server of the endpoint list.
 
-    `started_ms` is on the clock of the events; 0 for a server that is warmed up.
+    `started_ms` is on the clock of the events; 0 for a server that is warmed up. `started_unix_ms` is as
+    discovery writes it, and so the same at every gateway.
     """
 
     server: int
@@ -92,6 +93,7 @@
     started_ms: float
     kind: int
     weight: float
+    started_unix_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,13 +126,6 @@
     as_of_ms: float | None  # as in `EndpointUpdate`
 
 
-@dataclass(frozen=True, slots=True)
-class IdleConnectionLost:
-    """A server ended a connection on which nothing was outstanding: it may have ended itself."""
-
-    server: int
-
-
 @dataclass(frozen=True, slots=True)
 class PriorAttempt:
     """An attempt of the same request by a gateway that is lost: it may have run, or may still run."""
@@ -276,7 +271,6 @@
     EndpointUpdate
     | EndpointWatchOpened
     | EndpointWatchClosed
-    | IdleConnectionLost
     | Request
     | ResponseStarted
     | Outcome
--- a/meadowpulley/net/endpoint_list.py
+++ b/meadowpulley/net/endpoint_list.py
@@ -125,6 +125,7 @@
             started_ms=started_unix_ms - self._clock_offset_ms if started_unix_ms > 0 else 0.0,
             kind=_index_of(raw.get(protocol.ENDPOINT_KIND, ""), self._kind_indexes),
             weight=weight,
+            started_unix_ms=started_unix_ms,
         )
 
 
--- a/meadowpulley/net/instance_connection.py
+++ b/meadowpulley/net/instance_connection.py
@@ -6,7 +6,6 @@
 from enum import Enum
 from typing import Protocol
 
-from meadowpulley.interface import IdleConnectionLost
 from meadowpulley.net.config import Address
 from meadowpulley.net.connection import Connection
 from meadowpulley.net.gateway_context import GatewayContext
@@ -215,10 +214,8 @@
         self.owner.connection_closed(connection)
 
     def ended_by_server(self) -> None:
-        """Report that the server has ended a connection on which nothing was outstanding."""
+        """Count a connection on which nothing was outstanding and which the server has ended."""
         self.owner.gateway.counters.add("up.idle_lost")
-        if not self.retired:
-            self.owner.gateway.dispatch(IdleConnectionLost(self.server))
 
     def close_idle(self) -> None:
         """Close all idle connections."""
--- a/meadowpulley/policy/__init__.py
+++ b/meadowpulley/policy/__init__.py
@@ -3,6 +3,7 @@
 In reading order: `endpoints`, `outlier_detection`, `routing`, `admission`, `evidence`, `rollout`, `policy`.
 """
 
-from meadowpulley.policy.policy import LIST_CALL_SPACING_MS, TIMER_TOKEN, RolloutPolicy
+from meadowpulley.policy.list_calls import LIST_CALL_SPACING_MS
+from meadowpulley.policy.policy import TIMER_TOKEN, RolloutPolicy
 
 __all__ = ["LIST_CALL_SPACING_MS", "TIMER_TOKEN", "RolloutPolicy"]
--- a/meadowpulley/policy/admission.py
+++ b/meadowpulley/policy/admission.py
@@ -3,7 +3,7 @@
 import math
 
 from meadowpulley.interface import Cancel, Effect, Fail, Outcome, Reject, Request, RequestClass, Result
-from meadowpulley.policy.endpoint_lease import all_expired, record_broken_connection, record_response
+from meadowpulley.policy.endpoint_lease import all_expired
 from meadowpulley.policy.outlier_detection import SERVER_FAULT_RATE, update_health
 from meadowpulley.policy.routing import route
 from meadowpulley.state import Attempt, InFlightRequest, OutcomeCounts, State
@@ -18,7 +18,6 @@
 SUBSET_IDLE_FRACTION = 0.1  # of the idle time-out: the subset holds as many servers as requests come in it
 MAX_WAIT_FRACTION = 0.25  # of the latency objective: how long a request may wait for a server
 NEVER_EXECUTED = (Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT)
-CONNECTION_BROKE = (Result.CONNECT_FAILED, Result.RESET, Result.TIMEOUT)  # the server may have ended
 NO_RESPONSE = (*NEVER_EXECUTED, Result.ERROR)
 
 
@@ -105,10 +104,6 @@
     timed = attempt.sent_at >= state.resumed_at  # else nobody knows how long it took: nothing is learnt
     if timed and result not in (Result.CANCELLED, Result.NOT_SENT):
         update_health(state, server, result)
-    if ok:
-        record_response(server, attempt.sent_at, state.list_confirmed_at)
-    elif result in CONNECTION_BROKE:
-        record_broken_connection(state, server)
     state.goodput.value(state.now, float(ok))
     if result not in NO_RESPONSE:
         state.bind_key(in_flight, server.build)
--- a/meadowpulley/policy/endpoint_lease.py
+++ b/meadowpulley/policy/endpoint_lease.py
@@ -4,9 +4,9 @@
 arrived. From the drain grace after that time nothing may be sent to a server that drains or is gone. So what
 is known of a server may be acted on until the first change that it could lack binds, and no longer.
 
-Two things renew it: a list, which is true as of the time at which it was asked for, and a good response of
-the server itself, since a draining server rejects what comes. The latter keeps servers in use that respond
-while discovery cannot be reached. It counts only while the server's connections tell of no restart.
+Only what discovery says renews it, as of the time at which discovery was asked. A response of a server does
+not, good as it may be: it may come from a later incarnation at the same address, which discovery does not
+list yet, and nothing in it says which one responds.
 """
 
 import math
@@ -28,7 +28,7 @@
     """What allows requests to be written to a server; the value names its counter."""
 
     LIST = "list"
-    RESPONSE = "response"
+    PEER = "peer"
 
 
 def allowance_ms(state: State, span_ms: float) -> float:
@@ -79,17 +79,6 @@
     state.list_lost_at = state.now
 
 
-def record_response(server: Server, sent_at: float, list_confirmed_at: float) -> None:
-    """Take a good response as proof that the server was not draining when the request was sent."""
-    if server.connection_broke_at < list_confirmed_at:  # else it may be another incarnation that responds
-        server.confirmed_at = max(server.confirmed_at, sent_at)
-
-
-def record_broken_connection(state: State, server: Server) -> None:
-    """Note that the server may have ended: until the next list nothing but a list tells of it."""
-    server.connection_broke_at, server.confirmed_at = state.now, -math.inf
-
-
 def list_lease_until(state: State) -> float:
     """Return until when the endpoint list may be acted on."""
     notified_at = state.list_confirmed_at + _notification_ms(state)
@@ -98,7 +87,7 @@
 
 
 def usable_until(state: State, server: Server) -> float:
-    """Return until when requests may be written to the server, by the list or by its own responses."""
+    """Return until when requests may be written to the server, by the list or another gateway's word."""
     if not state.rules.drain_grace_ms:  # a deployment without such a rule
         return math.inf
     until = server.confirmed_at + _notification_ms(state) + _grace_ms(state)
@@ -106,9 +95,9 @@
 
 
 def lease_basis(state: State) -> LeaseBasis:
-    """Return what a server that may be sent to now is used by: the list, or else its own responses."""
+    """Return what allows a server to be sent to now: the list, or else what another gateway confirmed."""
     listed = not state.rules.drain_grace_ms or state.now < list_lease_until(state)
-    return LeaseBasis.LIST if listed else LeaseBasis.RESPONSE
+    return LeaseBasis.LIST if listed else LeaseBasis.PEER
 
 
 def _unless_lost(state: State, confirmed_at: float, until: float) -> float:
--- a/meadowpulley/policy/endpoints.py
+++ b/meadowpulley/policy/endpoints.py
@@ -1,4 +1,4 @@
-"""Endpoint lists, when to ask for them again, and which servers run a build on trial."""
+"""Endpoint lists as they come, or fail to come, and which servers run a build on trial."""
 
 import math
 
@@ -7,21 +7,13 @@
     EndpointUpdateKind,
     EndpointWatchClosed,
     EndpointWatchOpened,
-    IdleConnectionLost,
     Phase,
 )
 from meadowpulley.policy import endpoint_lease
-from meadowpulley.policy.endpoint_lease import NOTIFICATION_MS
+from meadowpulley.policy.list_calls import retry_delay_ms
 from meadowpulley.state import State
 
 LOCAL_ZONE_FRACTION = 0.5  # of the subset: more would overload a zone that has more than its part of requests
-LIST_RETRY_MS = 1500.0  # between the second failed list call in a row and the next
-# The longest pause before the next list call. Changes count as notified 6 s after discovery can be reached:
-# the rest is for a call that was out at that moment and fails, and for the one that follows.
-MAX_LIST_RETRY_MS = NOTIFICATION_MS / 2
-MIN_RETRY_FRACTION = (
-    0.5  # of the longest pause: where it binds, the calls of a fleet are spread over the rest
-)
 MAX_STICKY_KEYS = 8000  # beyond it keys that no ready server needs are forgotten: older builds then get none
 CALL_FAILURES = (EndpointUpdateKind.FAILED, EndpointUpdateKind.TIMED_OUT, EndpointUpdateKind.BROKEN)
 ROLLBACK_PHASES = (Phase.ROLLING_BACK, Phase.ROLLED_BACK)
@@ -54,6 +46,7 @@
         endpoint_lease.confirm_list(state, update.as_of_ms)
         state.resubscribe_at, state.list_failures = math.inf, 0
     state.apply_endpoints(update)
+    state.confirmation.checksums = None
     partition_servers(state)
 
 
@@ -62,14 +55,8 @@
     endpoint_lease.watch_ended(state, update.as_of_ms)
     if update.kind is EndpointUpdateKind.BROKEN:
         endpoint_lease.list_lost(state)
-    delay_ms = 0.0  # each gateway finds a time-out at its own time, and late
+    delay_ms = retry_delay_ms(state, update.kind)
     if update.kind is not EndpointUpdateKind.TIMED_OUT:
-        backoff_ms = LIST_RETRY_MS * min(state.list_failures, 3) * (0.5 + state.rng.random())
-        jitter_ms = state.rng.random() * state.list_jitter_ms * (1 + min(state.list_failures, 1))
-        spread = MIN_RETRY_FRACTION + (1 - MIN_RETRY_FRACTION) * state.rng.random()
-        delay_ms = min(max(backoff_ms, jitter_ms), MAX_LIST_RETRY_MS * spread)
-        if update.kind is EndpointUpdateKind.BROKEN and not state.list_failures:
-            delay_ms = min(delay_ms, state.rng.random() * state.rules.drain_grace_ms / 2)
         state.list_failures += 1
     state.resubscribe_at = state.now + delay_ms if state.settings.must_poll else math.inf
 
@@ -85,12 +72,6 @@
     endpoint_lease.watch_ended(state, event.as_of_ms)
 
 
-def handle_idle_connection_lost(state: State, event: IdleConnectionLost) -> None:
-    """Take in that a server has ended a connection, as it does when it ends itself."""
-    if server := state.servers.get(event.server):
-        endpoint_lease.record_broken_connection(state, server)
-
-
 def partition_servers(state: State) -> None:
     """Sort the ready servers by arm, after an update of the servers or of the rollout."""
     ready = state.ready_servers()
--- a/meadowpulley/policy/evidence.py
+++ b/meadowpulley/policy/evidence.py
@@ -58,7 +58,7 @@
         evidence.own_failures.add(*outcome, worst + share)
 
 
-def handle_gossip(state: State, event: GossipReceived) -> None:
+def handle_digest(state: State, event: GossipReceived) -> None:
     """Take in another gateway's digest, once; caps, lists and the vote stay this gateway's own."""
     digest, max_digests = decode(event.data), 4 * state.gateway_count
     own = event.sender == state.settings.gateway_index
--- a/meadowpulley/policy/policy.py
+++ b/meadowpulley/policy/policy.py
@@ -8,23 +8,32 @@
 from typing import Any
 
 from meadowpulley import interface
-from meadowpulley.policy import admission, endpoint_lease, endpoints, evidence, rollout, routing
+from meadowpulley.policy import (
+    admission,
+    endpoint_lease,
+    endpoints,
+    evidence,
+    list_calls,
+    list_confirmation,
+    rollout,
+    routing,
+)
 from meadowpulley.policy.outlier_detection import eject_unresponsive
 from meadowpulley.state import GossipState, State
 
 STALL_MS = 250.0  # a timer that is later than this: the gateway stalled, and attempts only look slow
 MIN_SUBSET_SIZE = 8  # servers that a gateway prefers, at least
-LIST_CALL_SPACING_MS = 100.0  # per other gateway: a fleet that starts or fails at once calls one by one
-FIRST_LIST_CALL_MS = 2000.0  # by then a gateway that started calls: its cached list is of unknown age
 TIMER_TOKEN = 1  # of the only timer
 
 
 def handle_timer(state: State, _: interface.Timer) -> None:
-    """Do what is due: list calls, outlier ejection, waiting requests, gossip, evaluation."""
+    """Do what is due: list calls and queries, outlier ejection, waiting requests, gossip, evaluation."""
     state.timer_at = math.inf if state.now >= state.timer_at else state.timer_at
     if state.now >= state.resubscribe_at:
         state.actions.append(interface.Watch())  # repeated should no response come
-        state.resubscribe_at = state.now + max(state.rules.max_poll_interval_ms, endpoints.LIST_RETRY_MS)
+        state.resubscribe_at = state.now + max(state.rules.max_poll_interval_ms, list_calls.RETRY_MS)
+    if state.now >= list_confirmation.next_query_at(state):
+        list_confirmation.query_gateways(state)
     eject_unresponsive(state)
     waiting, state.waiting = state.waiting, []
     for in_flight in [waiter for waiter in waiting if waiter.request.request in state.in_flight]:
@@ -50,10 +59,9 @@
     interface.EndpointUpdate: endpoints.handle_endpoint_update,
     interface.EndpointWatchOpened: endpoints.handle_watch_opened,
     interface.EndpointWatchClosed: endpoints.handle_watch_closed,
-    interface.IdleConnectionLost: endpoints.handle_idle_connection_lost,
     interface.RolloutUpdate: rollout.handle_rollout_update,
     interface.ProbeResult: routing.handle_probe_result,
-    interface.GossipReceived: evidence.handle_gossip,
+    interface.GossipReceived: list_confirmation.handle_gossip,
     interface.BuildStatistics: evidence.handle_build_statistics,
 }
 
@@ -74,8 +82,6 @@
         self.subset_size = float(MIN_SUBSET_SIZE) if settings.limits.idle_timeout_ms else math.inf
         window_ms = settings.rollout.exposure_window_ms
         self.build_evidence = defaultdict(partial(evidence.new_build_evidence, window_ms))
-        max_jitter_ms = min((self.rules.max_poll_interval_ms or math.inf) / 2, endpoints.MAX_LIST_RETRY_MS)
-        self.list_jitter_ms = min(LIST_CALL_SPACING_MS * (self.gateway_count - 1), max_jitter_ms)
         clock_skew_s = math.ceil(1 + self.gateway_count / evidence.GOSSIP_SENDERS)
         self.gossip = GossipState(Random(seed + 1).getrandbits(32), clock_skew_s)
 
@@ -83,7 +89,7 @@
         """Take in an event, at a time in ms, and return the actions to carry out."""
         self.now, self.actions = now, []
         if self.resubscribe_at == -math.inf and self.servers:  # discovery serves a fleet's calls in turn
-            self.resubscribe_at = now + self.rng.random() * min(self.list_jitter_ms, FIRST_LIST_CALL_MS)
+            self.resubscribe_at = now + list_calls.first_call_delay_ms(self)
         if now > self.timer_at + STALL_MS:
             self.resumed_at = now
         while self.pending_outcomes and self.pending_outcomes[0][0] <= now:
@@ -95,6 +101,7 @@
         idle_ms = 4 * admission.POLL_INTERVAL_MS if self.attempts else math.inf
         poll_at = now + (self.poll_interval_ms if self.waiting else idle_ms)
         gossip_at = self.gossip_at if self.gossip.received else math.inf  # idle or not: digests get old
-        due_at = min(self.evaluate_at, self.resubscribe_at, gossip_at, poll_at)
+        query_at = list_confirmation.next_query_at(self)
+        due_at = min(self.evaluate_at, self.resubscribe_at, gossip_at, poll_at, query_at)
         self.set_timer(max(due_at, now), TIMER_TOKEN)
         return self.actions
--- a/meadowpulley/state/__init__.py
+++ b/meadowpulley/state/__init__.py
@@ -2,7 +2,7 @@
 
 In reading order: `averages` (rates and windows), `servers`, `requests` (with their attempts),
 `failure_test` (a CUSUM), `estimation` (the mixed Differences-in-Q formula), `rollout` (evidence, votes,
-pauses), `gossip`, and `state`, which holds it all.
+pauses), `gossip`, `confirmation`, and `state`, which holds it all.
 """
 
 from meadowpulley.state.averages import WINDOW_MARGIN_MS, DecayingRate, EventWindow
--- a/meadowpulley/state/servers.py
+++ b/meadowpulley/state/servers.py
@@ -14,6 +14,7 @@
         self.id, self.kind = endpoint.server, endpoint.kind
         self.cell, self.zone = endpoint.cell, endpoint.zone
         self.build, self.started_ms, self.state = endpoint.build, endpoint.started_ms, endpoint.state
+        self.started_unix_ms = endpoint.started_unix_ms
         self.outstanding = 0  # attempts of this gateway that have no outcome yet
         self.slow_start_slot = -1  # the slot of the overload window for which the budget was drawn
         self.slow_start_budget = -1  # requests that may still be sent in that slot
@@ -23,8 +24,7 @@
             0.0  # 0 while healthy; else the last ejection's length, and it gets one request at a time
         )
         self.last_failure_at = self.last_response_at = -math.inf
-        self.confirmed_at = -math.inf  # when the latest request was sent that it responded to
-        self.connection_broke_at = -math.inf  # when a connection to it was last refused or lost
+        self.confirmed_at = -math.inf  # discovery listed it as it is known, by what another gateway says
 
     def as_candidate(self, slow_start_fraction: float, mean_latency_ms: float, home_zone: int) -> Candidate:
         """Return the server as a placement sees it."""
--- a/meadowpulley/state/state.py
+++ b/meadowpulley/state/state.py
@@ -22,6 +22,7 @@
     Settings,
 )
 from meadowpulley.state.averages import DecayingRate, event_windows
+from meadowpulley.state.confirmation import ConfirmationState
 from meadowpulley.state.gossip import GossipState, OutcomeCounts
 from meadowpulley.state.requests import Attempt, InFlightRequest
 from meadowpulley.state.rollout import BuildEvidence, TrafficPause, VoteState, progress
@@ -37,7 +38,6 @@
     confidence_z: float  # standard errors between an estimate and its bounds
     required_evidence: float  # log likelihood ratio of failing that condemns a build
     subset_size: float  # how many servers this gateway prefers
-    list_jitter_ms: float  # over which the calls of a fleet for the endpoint list are spread
     poll_interval_ms: float  # between two looks at waiting requests
     build_evidence: defaultdict[int, BuildEvidence]
     gossip: GossipState
@@ -67,6 +67,7 @@
         self.list_confirmed_at = -math.inf  # the endpoint list holds all changes up to then
         self.watch_covers_until = -math.inf  # by then discovery responds to the call that is out
         self.list_lost_at = -math.inf  # when a list was last lost that discovery may have written
+        self.confirmation = ConfirmationState()
         self.send_refusals: Counter[str] = Counter()  # how often which rule did not allow a send
         self.lease_bases: Counter[str] = Counter()  # how many sends which knowledge of the server allowed
         self.list_lease_expired = False  # as it was last logged
--- /dev/null
+++ b/tests/test_list_confirmation.py
@@ -0,0 +1,131 @@
+"""Gateways confirm each other's endpoint lists by what discovery told them, and by nothing else."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from meadowpulley.interface import (
+    Action,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    GossipReceived,
+    SendGossip,
+    ServerEntry,
+    ServerState,
+    Timer,
+)
+from meadowpulley.list_confirmations import (
+    PART_COUNT,
+    ListedServer,
+    ListQuery,
+    ListReply,
+    checksums_of,
+    decode,
+    encode,
+)
+from meadowpulley.policy import TIMER_TOKEN
+from meadowpulley.policy.endpoint_lease import NOTIFICATION_MS, STALL_ALLOWANCE_MS, usable_until
+from tests.driver import LIMITS, RULES, Driver, sends, server_entry, settings
+
+TICK_MS = 5.0
+GRACE_MS = RULES.drain_grace_ms - STALL_ALLOWANCE_MS - TICK_MS
+CACHED, FULL = EndpointUpdateKind.CACHED, EndpointUpdateKind.FULL
+ASKING, REPLYING = 0, 1
+ENTRIES = tuple(replace(server_entry(n, started_ms=5.0), started_unix_ms=5000.0) for n in range(4))
+
+
+def gateway(index: int, entries: tuple[ServerEntry, ...], as_of_ms: float | None) -> Driver:
+    """A gateway of three with a list: that of its configuration, or one that it asked discovery for."""
+    base = settings(must_poll=True, gateway_count=3, limits=replace(LIMITS, gossip=True))
+    driver = Driver(replace(base, gateway_index=index))
+    kind = CACHED if as_of_ms is None else FULL
+    driver.handle(EndpointUpdate(kind, 1, entries, as_of_ms))
+    return driver
+
+
+def queries(actions: list[Action]) -> list[SendGossip]:
+    return [a for a in actions if isinstance(a, SendGossip) and isinstance(decode(a.data), ListQuery)]
+
+
+def exchange(asking: Driver, replying: Driver, asked_at: float, replied_at: float, back_at: float) -> None:
+    """Carry a question to the other gateway, and its reply, if there is one, back."""
+    asking.now = asked_at
+    query = queries(asking.handle(Timer(TIMER_TOKEN)))[0]
+    replying.now = replied_at
+    answers = replying.handle(GossipReceived(ASKING, query.data))
+    asking.now = back_at
+    for answer in [a for a in answers if isinstance(a, SendGossip) and a.peer == ASKING]:
+        asking.handle(GossipReceived(REPLYING, answer.data))
+
+
+def leases(driver: Driver) -> list[float]:
+    return [usable_until(driver.policy, driver.policy.servers[n]) for n in sorted(driver.policy.servers)]
+
+
+@pytest.mark.parametrize("back_at", [150.0, 1500.0])
+def test_a_reply_renews_the_lease_as_of_when_the_other_had_asked_discovery(back_at: float) -> None:
+    asking, replying = gateway(ASKING, ENTRIES, None), gateway(REPLYING, ENTRIES, 40.0)
+    exchange(asking, replying, 100.0, 140.0, back_at)
+    # The list was 100 ms old, rounded up, when the reply was made; that was no earlier than the question.
+    as_of_ms = 100.0 - 101.0
+    assert leases(asking) == [as_of_ms + NOTIFICATION_MS + GRACE_MS] * len(ENTRIES)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": ServerState.DRAINING},
+        {"state": ServerState.REMOVED},
+        {"started_unix_ms": 9000.0},  # ended and back at its address: another incarnation
+        {"build": 42},
+    ],
+)
+def test_a_server_that_the_other_lists_differently_is_not_confirmed(change: dict[str, Any]) -> None:
+    changed = (replace(ENTRIES[0], **change), *ENTRIES[1:])
+    asking, replying = gateway(ASKING, ENTRIES, None), gateway(REPLYING, changed, 90.0)
+    exchange(asking, replying, 100.0, 100.0, 110.0)
+    until = leases(asking)
+    assert until[0] == GRACE_MS
+    assert min(until[1:]) > NOTIFICATION_MS
+    asking.now = GRACE_MS + 100.0
+    assert {send.server for _ in range(30) for send in sends(asking.request())} <= {1, 2, 3}
+
+
+def test_an_old_list_a_late_reply_to_no_question_and_a_foreign_one_confirm_nothing() -> None:
+    asking, replying = gateway(ASKING, ENTRIES, None), gateway(REPLYING, ENTRIES, 0.0)
+    before = leases(asking)
+    exchange(asking, replying, 100.0, NOTIFICATION_MS, NOTIFICATION_MS + 100.0)
+    own = checksums_of(ListedServer(e.server, e.build, e.started_unix_ms) for e in ENTRIES)
+    asking.handle(GossipReceived(REPLYING, encode(ListReply(12345, 0.0, own))))
+    asking.handle(GossipReceived(REPLYING, b"\xa3" + bytes(30)))
+    assert leases(asking) == before
+
+
+def test_gateways_are_asked_only_as_the_lease_ends_and_where_lists_expire() -> None:
+    asking = gateway(ASKING, ENTRIES, 0.0)
+    asking.now = NOTIFICATION_MS + GRACE_MS - 3100.0
+    assert not queries(asking.handle(Timer(TIMER_TOKEN)))
+    asking.now += 200.0
+    assert {query.peer for query in queries(asking.handle(Timer(TIMER_TOKEN)))} == {1, 2}
+    asking.now += 100.0
+    assert not queries(asking.handle(Timer(TIMER_TOKEN)))
+    pushed = Driver(settings(gateway_count=3, limits=replace(LIMITS, gossip=True)))
+    pushed.handle(EndpointUpdate(CACHED, 0, ENTRIES))
+    silent = Driver(settings(must_poll=True, gateway_count=3))
+    silent.handle(EndpointUpdate(CACHED, 0, ENTRIES))
+    for driver in (pushed, silent):
+        driver.now = GRACE_MS
+        assert not queries(driver.handle(Timer(TIMER_TOKEN)))
+
+
+def test_messages_fit_into_a_datagram_and_other_bytes_are_none() -> None:
+    reply = ListReply(7, 1234.2, tuple(range(PART_COUNT)))
+    assert decode(encode(reply)) == replace(reply, age_ms=1235.0)
+    assert decode(encode(replace(reply, age_ms=1e9))) == replace(reply, age_ms=65535.0)
+    assert decode(encode(ListQuery(7))) == ListQuery(7)
+    assert len(encode(reply)) <= 256
+    for data in (b"", encode(reply)[:-1], encode(reply) + b"x", b"\xa1" + encode(reply)[1:]):
+        assert decode(data) is None
