Gateways confirm servers one by one: fingerprints in place of checksums of parts

Cause: a checksum of a part of the list is spoilt by one changed server. Change: a reply names up to 62 ready servers by 32-bit fingerprints of their incarnation, from a number on that the question gives; in fleets with more, the gateway asks for those that it prefers. Nothing confirms the whole list any more.

--- a/meadowpulley/policy/endpoints.py
+++ b/meadowpulley/policy/endpoints.py
@@ -46,7 +46,7 @@
         endpoint_lease.confirm_list(state, update.as_of_ms)
         state.resubscribe_at, state.list_failures = math.inf, 0
     state.apply_endpoints(update)
-    state.confirmation.checksums = None
+    state.confirmation.ready_servers = None
     partition_servers(state)
 
 
--- a/meadowpulley/policy/list_confirmation.py
+++ b/meadowpulley/policy/list_confirmation.py
@@ -1,34 +1,34 @@
-"""Confirming the endpoint list by other gateways, while discovery cannot answer this one in time.
+"""Confirming servers by other gateways, while discovery cannot answer this one in time.
 
 Discovery is asked by many and answers them in turn; what it told one gateway holds for all. A gateway whose
-lease on the list is about to end asks others. A reply confirms the servers of each part of the list that is
-the same at both, as of the time at which the other gateway had asked discovery, and nothing else: neither
-that a server responds, nor anything that is not in this gateway's own list.
+lease on the list is about to end asks others. A reply confirms each server that both know alike, as of the
+time at which the other gateway had asked discovery, and nothing else: neither that a server responds, nor
+anything that is not in this gateway's own list.
 """
 
 import math
+from bisect import bisect_left
 
 from meadowpulley.interface import GossipReceived, SendGossip
 from meadowpulley.list_confirmations import (
     MAX_AGE_MS,
-    ListedServer,
+    MAX_FINGERPRINTS,
     ListQuery,
     ListReply,
-    checksums_of,
     decode,
     encode,
-    part_of,
 )
 from meadowpulley.policy import evidence
 from meadowpulley.policy.endpoint_lease import NOTIFICATION_MS, list_lease_until
-from meadowpulley.state import State
+from meadowpulley.state import Server, State
 
 QUERY_AHEAD_MS = 3_000.0  # before the lease on the list ends: others are asked from then on
 QUERY_INTERVAL_MS = 500.0  # between two rounds of questions
 GATEWAYS_PER_QUERY = 2  # asked in a round: the one that confirmed most lately, and others by chance
 GATEWAYS_PER_URGENT_QUERY = 8  # once the lease has ended: soon after an outage few have a recent list
 MAX_OPEN_QUERIES = 8  # questions whose replies still count
-MAX_REPLY_AGE_MS = NOTIFICATION_MS - 1_000.0  # older lists would renew a lease by less than a second or two
+MAX_QUERIED_RANGES = 4  # of servers, one in a round: they hold this gateway's subset, however many there are
+MAX_REPLY_AGE_MS = NOTIFICATION_MS - 1_000.0  # older lists would renew a lease by a second or two at most
 NONCE_BITS = 32
 
 
@@ -47,21 +47,38 @@
 
 
 def query_gateways(state: State) -> None:
-    """Ask some gateways whether the list is still what discovery says."""
+    """Ask some gateways which servers discovery lists."""
     confirmation = state.confirmation
     confirmation.queried_at = state.now
     nonce = state.rng.getrandbits(NONCE_BITS)
     confirmation.open_queries[nonce] = state.now
     while len(confirmation.open_queries) > MAX_OPEN_QUERIES:
         del confirmation.open_queries[next(iter(confirmation.open_queries))]
-    data = encode(ListQuery(nonce))
+    data = encode(ListQuery(nonce, _first_server(state)))
+    state.actions += [SendGossip(gateway, data) for gateway in _gateways_to_ask(state)]
+
+
+def _first_server(state: State) -> int:
+    """Return the server from which on to ask: where this gateway's subset begins, then the ranges after."""
+    ready, confirmation = _ready_servers(state), state.confirmation
+    if not ready:
+        return 0
+    ranges = min(math.ceil(len(ready) / MAX_FINGERPRINTS), MAX_QUERIED_RANGES)
+    confirmation.queried_range = (confirmation.queried_range + 1) % ranges
+    begin = state.settings.gateway_index * len(ready) // state.gateway_count
+    return ready[(begin + confirmation.queried_range * MAX_FINGERPRINTS) % len(ready)].id
+
+
+def _gateways_to_ask(state: State) -> list[int]:
+    """Return the gateway that confirmed servers last, and others by chance."""
     others = [n for n in range(state.gateway_count) if n != state.settings.gateway_index]
     expired = state.now >= list_lease_until(state)
     count = GATEWAYS_PER_URGENT_QUERY if expired else GATEWAYS_PER_QUERY
     gateways = state.rng.sample(others, min(count, len(others)))
-    if confirmation.last_confirmed_by >= 0 and confirmation.last_confirmed_by not in gateways:
-        gateways[0] = confirmation.last_confirmed_by
-    state.actions += [SendGossip(gateway, data) for gateway in gateways]
+    last_confirmed_by = state.confirmation.last_confirmed_by
+    if last_confirmed_by >= 0 and last_confirmed_by not in gateways:
+        gateways[0] = last_confirmed_by
+    return gateways
 
 
 def handle_gossip(state: State, event: GossipReceived) -> None:
@@ -80,30 +97,28 @@
     age_ms = state.now - state.list_confirmed_at
     if not _is_allowed(state) or age_ms > min(MAX_REPLY_AGE_MS, MAX_AGE_MS):
         return
-    reply = ListReply(query.nonce, age_ms, _own_checksums(state))
+    ready = _ready_servers(state)
+    begin = bisect_left(ready, query.first_server, key=lambda server: server.id)
+    named = (ready[begin:] + ready[:begin])[:MAX_FINGERPRINTS]
+    reply = ListReply(query.nonce, age_ms, tuple([server.fingerprint for server in named]))
     state.actions.append(SendGossip(sender, encode(reply)))
 
 
 def _handle_reply(state: State, sender: int, reply: ListReply) -> None:
-    """Take what another gateway says of the parts of the list that are the same here."""
+    """Take the servers that another gateway knows just as this one does for confirmed."""
     queried_at = state.confirmation.open_queries.get(reply.nonce)
     if queried_at is None:
         return
-    as_of_ms = queried_at - reply.age_ms
-    own = _own_checksums(state)
-    if own == reply.checksums:
-        state.list_confirmed_at = max(state.list_confirmed_at, as_of_ms)
-    for server in state.servers.values():
-        part = part_of(server.id)
-        if own[part] == reply.checksums[part]:
+    as_of_ms, confirmed = queried_at - reply.age_ms, set(reply.fingerprints)
+    for server in _ready_servers(state):
+        if server.fingerprint in confirmed:
             server.confirmed_at = max(server.confirmed_at, as_of_ms)
     state.confirmation.last_confirmed_by = sender
 
 
-def _own_checksums(state: State) -> tuple[int, ...]:
-    """Return the checksums of this gateway's list; they are computed once for each list."""
+def _ready_servers(state: State) -> list[Server]:
+    """Return the ready servers by number; they are sorted once for each list."""
     confirmation = state.confirmation
-    if confirmation.checksums is None:
-        ready = state.ready_servers()
-        confirmation.checksums = checksums_of(ListedServer(s.id, s.build, s.started_unix_ms) for s in ready)
-    return confirmation.checksums
+    if confirmation.ready_servers is None:
+        confirmation.ready_servers = state.ready_servers()
+    return confirmation.ready_servers
--- a/meadowpulley/state/servers.py
+++ b/meadowpulley/state/servers.py
@@ -5,6 +5,7 @@
 import math
 
 from meadowpulley.interface import Candidate, DeduplicationScope, ServerEntry, ServerState
+from meadowpulley.list_confirmations import fingerprint
 
 
 class Server:
@@ -14,7 +15,7 @@
         self.id, self.kind = endpoint.server, endpoint.kind
         self.cell, self.zone = endpoint.cell, endpoint.zone
         self.build, self.started_ms, self.state = endpoint.build, endpoint.started_ms, endpoint.state
-        self.started_unix_ms = endpoint.started_unix_ms
+        self.fingerprint = fingerprint(endpoint.server, endpoint.build, endpoint.started_unix_ms)
         self.outstanding = 0  # attempts of this gateway that have no outcome yet
         self.slow_start_slot = -1  # the slot of the overload window for which the budget was drawn
         self.slow_start_budget = -1  # requests that may still be sent in that slot
--- a/tests/test_list_confirmation.py
+++ b/tests/test_list_confirmation.py
@@ -18,13 +18,12 @@
     Timer,
 )
 from meadowpulley.list_confirmations import (
-    PART_COUNT,
-    ListedServer,
+    MAX_FINGERPRINTS,
     ListQuery,
     ListReply,
-    checksums_of,
     decode,
     encode,
+    fingerprint,
 )
 from meadowpulley.policy import TIMER_TOKEN
 from meadowpulley.policy.endpoint_lease import NOTIFICATION_MS, STALL_ALLOWANCE_MS, usable_until
@@ -98,7 +97,7 @@
     asking, replying = gateway(ASKING, ENTRIES, None), gateway(REPLYING, ENTRIES, 0.0)
     before = leases(asking)
     exchange(asking, replying, 100.0, NOTIFICATION_MS, NOTIFICATION_MS + 100.0)
-    own = checksums_of(ListedServer(e.server, e.build, e.started_unix_ms) for e in ENTRIES)
+    own = tuple(fingerprint(e.server, e.build, e.started_unix_ms) for e in ENTRIES)
     asking.handle(GossipReceived(REPLYING, encode(ListReply(12345, 0.0, own))))
     asking.handle(GossipReceived(REPLYING, b"\xa3" + bytes(30)))
     assert leases(asking) == before
@@ -121,11 +120,24 @@
         assert not queries(driver.handle(Timer(TIMER_TOKEN)))
 
 
+def test_of_many_servers_those_are_asked_for_that_the_gateway_prefers() -> None:
+    count = 50 * MAX_FINGERPRINTS
+    entries = tuple(replace(ENTRIES[0], server=n) for n in range(count))
+    asking, replying = gateway(ASKING, entries, None), gateway(REPLYING, entries, 90.0)
+    exchange(asking, replying, 100.0, 100.0, 110.0)
+    confirmed = {n for n, s in asking.policy.servers.items() if usable_until(asking.policy, s) > GRACE_MS}
+    assert confirmed == set(range(MAX_FINGERPRINTS))
+    exchange(asking, replying, 700.0, 700.0, 710.0)
+    confirmed = {n for n, s in asking.policy.servers.items() if usable_until(asking.policy, s) > GRACE_MS}
+    assert confirmed == set(range(2 * MAX_FINGERPRINTS))
+
+
 def test_messages_fit_into_a_datagram_and_other_bytes_are_none() -> None:
-    reply = ListReply(7, 1234.2, tuple(range(PART_COUNT)))
+    reply = ListReply(7, 1234.2, tuple(range(MAX_FINGERPRINTS)))
     assert decode(encode(reply)) == replace(reply, age_ms=1235.0)
     assert decode(encode(replace(reply, age_ms=1e9))) == replace(reply, age_ms=65535.0)
-    assert decode(encode(ListQuery(7))) == ListQuery(7)
+    assert decode(encode(replace(reply, fingerprints=tuple(range(99))))) == replace(reply, age_ms=1235.0)
+    assert decode(encode(ListQuery(7, 1 << 33))) == ListQuery(7, 0)
     assert len(encode(reply)) <= 256
     for data in (b"", encode(reply)[:-1], encode(reply) + b"x", b"\xa1" + encode(reply)[1:]):
         assert decode(data) is None
