--- a/meadowpulley/model_checking/policy_model/canonical_form.py
+++ b/meadowpulley/model_checking/policy_model/canonical_form.py
@@ -25,6 +25,8 @@
 IGNORED_FIELDS = {
     "RolloutPolicy": UNCHANGING_POLICY_FIELDS | {"rng"},
     "InFlightRequest": frozenset({"request_class"}),
+    "Server": frozenset({"fingerprint"}),  # follows from its number, build and start
+    "ConfirmationState": frozenset({"rng", "ready_servers"}),  # the latter follows from the servers
     "InvariantMonitor": frozenset({"number", "settings"}),
     "TraceChecker": frozenset({"parameters", "counts", "record_count", "_handlers"}),
 }
@@ -76,5 +78,5 @@
 }
 RANDOM = ScriptedRandom()
 FORM_RULES = FormRules(IGNORED_FIELDS, FIELD_WRITERS)
-NAMELESS_FORM_RULES = FormRules({**IGNORED_FIELDS, "Server": frozenset({"id"})}, FIELD_WRITERS)
+NAMELESS_FORM_RULES = FormRules({**IGNORED_FIELDS, "Server": frozenset({"id", "fingerprint"})}, FIELD_WRITERS)
 COPIER = Copier(shared=(ScriptedRandom,))
--- a/meadowpulley/model_checking/request_mutants.py
+++ b/meadowpulley/model_checking/request_mutants.py
@@ -233,8 +233,8 @@
         "drains",
         "members",
         (
-            ("    state.apply_endpoints(update)\n    partition_servers(state)\n"),
-            "    state.apply_endpoints(update)\n",
+            "    state.confirmation.ready_servers = None\n    partition_servers(state)\n",
+            "    state.confirmation.ready_servers = None\n",
         ),
         ("if not server.is_ready or state.servers.get(server.id) is not server:", "if False:"),
         faults=1,
--- a/meadowpulley/policy/endpoints.py
+++ b/meadowpulley/policy/endpoints.py
@@ -42,6 +42,7 @@
         return
     if update.kind is EndpointUpdateKind.CACHED:
         endpoint_lease.start_from_cache(state)
+        state.confirmation.queried_at = state.now  # in a small fleet the first list call is answered sooner
     else:
         endpoint_lease.confirm_list(state, update.as_of_ms)
         state.resubscribe_at, state.list_failures = math.inf, 0
--- a/meadowpulley/policy/list_confirmation.py
+++ b/meadowpulley/policy/list_confirmation.py
@@ -50,7 +50,7 @@
     """Ask some gateways which servers discovery lists."""
     confirmation = state.confirmation
     confirmation.queried_at = state.now
-    nonce = state.rng.getrandbits(NONCE_BITS)
+    nonce = state.confirmation.rng.getrandbits(NONCE_BITS)
     confirmation.open_queries[nonce] = state.now
     while len(confirmation.open_queries) > MAX_OPEN_QUERIES:
         del confirmation.open_queries[next(iter(confirmation.open_queries))]
@@ -74,7 +74,7 @@
     others = [n for n in range(state.gateway_count) if n != state.settings.gateway_index]
     expired = state.now >= list_lease_until(state)
     count = GATEWAYS_PER_URGENT_QUERY if expired else GATEWAYS_PER_QUERY
-    gateways = state.rng.sample(others, min(count, len(others)))
+    gateways = state.confirmation.rng.sample(others, min(count, len(others)))
     last_confirmed_by = state.confirmation.last_confirmed_by
     if last_confirmed_by >= 0 and last_confirmed_by not in gateways:
         gateways[0] = last_confirmed_by
--- a/meadowpulley/state/confirmation.py
+++ b/meadowpulley/state/confirmation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from random import Random
 
 from meadowpulley.state.servers import Server
 
@@ -10,7 +11,8 @@
 class ConfirmationState:
     """The questions that this gateway has asked, and its ready servers. Times are on its clock."""
 
-    def __init__(self) -> None:
+    def __init__(self, rng: Random) -> None:
+        self.rng = rng  # of its own: questions change no other draw
         self.queried_at = -math.inf  # when others were last asked
         self.queried_range = -1  # of the servers, in the last question
         self.open_queries: dict[int, float] = {}  # by nonce, when it was asked; oldest first
--- a/meadowpulley/state/state.py
+++ b/meadowpulley/state/state.py
@@ -29,6 +29,7 @@
 from meadowpulley.state.servers import Server
 
 MAX_SAMPLES = 600  # attempts kept as samples of latency cost
+CONFIRMATION_SEED = 2  # added to the seed: the draws of confirmations are a stream of their own
 RATE_MEMORY_MS = 4000.0  # time constant of the request rate and of the goodput
 
 
@@ -52,11 +53,11 @@
         self.resumed_at = -math.inf  # when this gateway last resumed after a stall
         self.timer_at = self.evaluate_at = math.inf
         self.actions: list[Action] = []
-        self._init_servers(settings)
+        self._init_servers(settings, seed)
         self._init_requests()
         self._init_rollout(settings)
 
-    def _init_servers(self, settings: Settings) -> None:
+    def _init_servers(self, settings: Settings, seed: int) -> None:
         self.servers: dict[int, Server] = {}
         self.trial_servers: list[Server] = []  # ready ones, so that no request looks at the whole fleet
         self.baseline_servers: list[Server] = []
@@ -67,7 +68,7 @@
         self.list_confirmed_at = -math.inf  # the endpoint list holds all changes up to then
         self.watch_covers_until = -math.inf  # by then discovery responds to the call that is out
         self.list_lost_at = -math.inf  # when a list was last lost that discovery may have written
-        self.confirmation = ConfirmationState()
+        self.confirmation = ConfirmationState(Random(seed + CONFIRMATION_SEED))
         self.send_refusals: Counter[str] = Counter()  # how often which rule did not allow a send
         self.lease_bases: Counter[str] = Counter()  # how many sends which knowledge of the server allowed
         self.list_lease_expired = False  # as it was last logged
