--- a/tests/standins.py
+++ b/tests/standins.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 import threading
+import time
 import tomllib
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -298,8 +299,9 @@
         self.lines.put({"event": "closed"})
 
     def wait_for(self, event: str) -> dict[str, Any]:
+        deadline = time.monotonic() + TIMEOUT_S  # in all: other lines may come without end
         while True:
-            line = self.lines.get(timeout=TIMEOUT_S)
+            line = self.lines.get(timeout=max(deadline - time.monotonic(), 0.0))
             if line["event"] == event:
                 return line
             assert line["event"] != "closed", f"the gateway ended before '{event}'"
