--- a/review/common/parties.py
+++ b/review/common/parties.py
@@ -10,11 +10,11 @@
 import time
 from typing import Any
 
-from common.http import BROKEN, read_message, response
+from common.http import BROKEN, Message, read_message, response
 from common.record import Record
 
 HOST = "127.0.0.1"
-KEPT_AFTER_ANSWER_S = 0.5
+SECOND_COPY_LATE_S = (0.001, 0.009)
 
 
 def free_port() -> int:
@@ -24,7 +24,10 @@
 
 
 class Service:
-    """A TCP server at an address of its own."""
+    """A TCP server at an address of its own, with the socket options that a TCP server has by default.
+
+    So Nagle's algorithm is on: a small write waits in the kernel while an earlier one is not acknowledged.
+    """
 
     def __init__(self) -> None:
         self.socket = socket.socket()
@@ -74,6 +77,7 @@
         super().__init__()
         self.record, self.name, self.work_ms, self.rng = record, name, work_ms, rng
         self.draining = False
+        self.second_copies = 0.0  # share of the good answers that come twice
 
     def entry(self, build: int = 41, status: str = "in_service", since_ms: float = 0.0) -> dict[str, Any]:
         return {
@@ -89,33 +93,52 @@
         }
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while True:
-            first = await reader.readexactly(1)
-            began = self.record.now()
-            message = await read_message(reader, first)
-            whole = self.record.now()
-            _, path, _ = message.start.split(" ", 2)
-            if path.startswith("/health"):
-                writer.write(response(200, b"ok"))
-                continue
+        next_byte = asyncio.create_task(reader.readexactly(1))
+        try:
+            while True:
+                first = await next_byte
+                began = self.record.now()
+                message = await read_message(reader, first)
+                next_byte = asyncio.create_task(reader.readexactly(1))
+                answer = await self._answer(message, began)
+                writer.write(answer)
+                if self.second_copies and self.rng.random() < self.second_copies:
+                    await self._answer_again(message, answer, next_byte, writer)
+        finally:
+            next_byte.cancel()
+
+    async def _answer(self, message: Message, began: float) -> bytes:
+        """Work on a request, whose first byte came at the time `began`, and return its answer."""
+        _, path, _ = message.start.split(" ", 2)
+        if path.startswith("/health"):
+            return response(200, b"ok")
+        txn = message.headers.get("x-txn", "")
+        turned_away = self.draining
+        self.record.add(
+            "attempt",
+            instance=self.name,
+            txn=txn,
+            path=path,
+            first_byte=round(began, 4),
+            remaining=message.headers.get("x-remaining", ""),
+            turned_away=turned_away,
+        )
+        if turned_away:
+            return response(503, b"", X_Turned_Away="1")
+        await asyncio.sleep(self.rng.uniform(*self.work_ms) / 1000)
+        self.record.add("ran", instance=self.name, txn=txn)
+        return response(200, f"{self.name} {txn}".encode())
+
+    async def _answer_again(
+        self, message: Message, answer: bytes, next_byte: asyncio.Task[bytes], writer: asyncio.StreamWriter
+    ) -> None:
+        """Write a second copy some milliseconds later, if nothing else waits on the connection by then."""
+        late_s = self.rng.uniform(*SECOND_COPY_LATE_S)
+        await asyncio.wait({next_byte}, timeout=late_s)
+        if not next_byte.done():
+            writer.write(answer)
             txn = message.headers.get("x-txn", "")
-            turned_away = self.draining
-            self.record.add(
-                "attempt",
-                whole,
-                instance=self.name,
-                txn=txn,
-                path=path,
-                first_byte=round(began, 4),
-                remaining=message.headers.get("x-remaining", ""),
-                turned_away=turned_away,
-            )
-            if turned_away:
-                writer.write(response(503, b"", X_Turned_Away="1"))
-                continue
-            await asyncio.sleep(self.rng.uniform(*self.work_ms) / 1000)
-            self.record.add("ran", instance=self.name, txn=txn)
-            writer.write(response(200, f"{self.name} {txn}".encode()))
+            self.record.add("second_copy", instance=self.name, txn=txn, late_ms=round(1000 * late_s, 1))
 
 
 class Discovery:
