No attempt begins for a client that left while the gateway was held up

Cause: a process that wakes finds a request and the end of its connection in the kernel at once. The reactor reads the request first and the policy sends it in the same turn; the end is read in a later turn. The check before a write asked only what had been read. Likewise an attempt's end may be read before the end of the client's connection, and a retry began. Deadlines counted from the end of the poll, so the time of the stall was not taken off.

It is asked when a request is admitted, when an attempt starts and when it is written, which all first attempts, retries and queued requests pass; where the option is unknown, a peek finds an end that comes next. Probes have no client. Counter in.unread_disconnects.

--- a/meadowpulley/model_checking/scripted_reactor.py
+++ b/meadowpulley/model_checking/scripted_reactor.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+import errno
 import heapq
+import os
 from collections.abc import Callable
 from typing import Any
 
@@ -97,6 +99,10 @@
             return self.transport.unread[:size]
         raise BlockingIOError
 
+    def getsockopt(self, level: int, option: int, size: int) -> bytes:
+        """Raise OSError: no option is known here, as on a system without TCP_INFO."""
+        raise OSError(errno.ENOPROTOOPT, os.strerror(errno.ENOPROTOOPT))
+
 
 class ScriptedTransport:
     """The transport of one link, and the other end's view: `sent` is what came there."""
--- a/meadowpulley/net/attempts.py
+++ b/meadowpulley/net/attempts.py
@@ -124,7 +124,8 @@
             return WriteConditions(False, False, self.deadline, self.write_by)
         effect = self.runner.gateway.config.settings.classes[request.class_index].effect
         may_have_executed = effect is Effect.NON_IDEMPOTENT and request.may_have_executed(self.number)
-        return WriteConditions(request.finished, may_have_executed, self.deadline, self.write_by)
+        abandoned = self.runner.requests.finish_if_abandoned(request)
+        return WriteConditions(abandoned, may_have_executed, self.deadline, self.write_by)
 
     def _connect_raised(self, _: Failure) -> None:
         self.runner.gateway.log_fault("connect")
@@ -274,7 +275,8 @@
             self.gateway.counters.add("up.late_actions")
             return
         attempt = self._create_attempt(request, action)
-        is_too_late = request.finished or attempt.deadline <= attempt.sent_at
+        # Check here too, since a request that is refused only when it is written costs its connection.
+        is_too_late = self.requests.finish_if_abandoned(request) or attempt.deadline <= attempt.sent_at
         pool = self.instances.pools.get(action.server)
         if is_too_late or attempt.number >= self.limits.max_attempts:
             attempt.finish(Result.NOT_SENT)
--- a/meadowpulley/net/client_connection.py
+++ b/meadowpulley/net/client_connection.py
@@ -34,6 +34,7 @@
 # lingering connection exceeds this limit, the gateway stops reading, so that the kernel blocks the client's
 # sending. When a connection in another state exceeds the limit, the gateway resets that connection.
 MAX_DISCARDED_BYTES = 256 * 1024
+MIN_INPUT_AGE_MS = 20  # a lower age of input may be the length of the kernel's clock tick, and is taken as 0
 # Maximum number of requests of one connection that a reactor turn processes. Without this limit, clients that
 # send one request at a time would have to wait while a flood of requests on another connection is processed.
 MAX_REQUESTS_PER_TURN = 4
@@ -195,6 +196,18 @@
         self.closing = True
         self.respond(error.status, {}, f"{error}\n".encode())
 
+    def input_arrived_at(self) -> float:
+        """Return when the latest input arrived, in milliseconds on the gateway's clock.
+
+        The deadline of a request counts from its arrival, also if this process was held up before it read
+        the request. Without the kernel's word, the end of the reactor's last poll is the latest time.
+        """
+        latest_at = self.deadlines.arrival_time()
+        info = self.tcp_info()
+        if info is None or info.input_age_ms < MIN_INPUT_AGE_MS:
+            return latest_at
+        return min(latest_at, self.deadlines.now() - info.input_age_ms)
+
     def respond(self, status: int, headers: dict[str, str], body: bytes) -> None:
         """Send the response to the current request."""
         request = self.request
--- a/meadowpulley/net/connection.py
+++ b/meadowpulley/net/connection.py
@@ -16,6 +16,7 @@
 from meadowpulley.net.deadlines import ConnectionTimeout, Deadlines
 from meadowpulley.net.reactor_interface import ClientReactor, Connector
 from meadowpulley.net.ring import RingBuffer, RingBufferFullError
+from meadowpulley.net.tcp_info import TcpInfo, read_tcp_info
 
 WRITE_CHUNK_BYTES = 64 * 1024  # maximum size of one write to the transport
 CLOSED_CLEANLY = Failure(ConnectionDone())  # type: ignore[no-untyped-call]  # Failure() is not annotated
@@ -178,6 +179,32 @@
             return True
         return True
 
+    def tcp_info(self) -> TcpInfo | None:
+        """Return what the kernel knows of the connection, or None if that is unknown."""
+        handle = self.transport.getHandle()
+        return None if handle is None else read_tcp_info(handle)
+
+    def peer_has_closed(self) -> bool:
+        """Return whether the end of the connection has arrived, even if it was not read yet.
+
+        A process that was held up finds a request and the end of its connection in the kernel at once, and
+        the reactor reads the end only in a later turn.
+        """
+        if not self.is_open:
+            return True
+        info = self.tcp_info()
+        return self._end_is_next() if info is None else info.peer_has_closed
+
+    def _end_is_next(self) -> bool:
+        """Return whether the next read would find the end of the connection, and no input before it."""
+        try:
+            return not self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except (OSError, AttributeError):  # AttributeError: the transport has no socket any more
+            self.was_reset = True  # the kernel reports a reset only once, and then a clean end
+            return True
+
     def close(self) -> None:
         """Close the connection in this reactor turn. The kernel still sends the rest of a response.
 
--- a/meadowpulley/net/request_admission.py
+++ b/meadowpulley/net/request_admission.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from typing import Protocol
 
 from meadowpulley.interface import Effect, PriorAttempt, Request
 from meadowpulley.net import protocol
@@ -61,12 +62,23 @@
         self.request: AcceptedRequest | None = None
         self._on_response = on_response
 
+    def peer_has_closed(self) -> bool:
+        """Return False, since no client connection can end."""
+        return False
+
     def respond(self, status: int, headers: dict[str, str], body: bytes) -> None:
         """Pass the response to the callback."""
         self.request = None
         self._on_response(Response(status, headers, body))
 
 
+class RequestSource(ResponseSink, Protocol):
+    """A response sink from which the request was read: a client connection."""
+
+    def input_arrived_at(self) -> float:
+        """Return when the latest input arrived, in milliseconds on the gateway's clock."""
+
+
 def _is_id_hop_by_hop(message: Message) -> bool:
     """Return whether the `connection` header lists the request id header, so that it isn't forwarded."""
     options = message.headers.get("connection", "").split(",")
@@ -87,7 +99,7 @@
         # Index for requests without a known tenant. With index 0, they would be charged to the first tenant.
         self.unknown_tenant = len(settings.tenants)
 
-    def accept(self, sink: ResponseSink, message: Message) -> None:
+    def accept(self, sink: RequestSource, message: Message) -> None:
         """Respond to a message immediately, or accept it as a request.
 
         Raises:
@@ -114,6 +126,9 @@
             self.gateway.counters.add("in.wrong_method")
             sink.respond(405, {"allow": ", ".join(allowed_methods)}, b"wrong method\n")
             return
+        if sink.peer_has_closed():  # nobody waits for a response; the end of the connection is read next
+            self.gateway.counters.add("in.unread_disconnects")
+            return
         self._admit(sink, self._create_request(sink, message, class_index))
 
     def adopt(self, adopted: AdoptedRequest, on_response: Callable[[Response], None]) -> int:
@@ -157,7 +172,7 @@
     def _class_index(self, path: str) -> int | None:
         return self.class_indexes.get(path[1:].partition("/")[0])
 
-    def _create_request(self, sink: ResponseSink, message: Message, class_index: int) -> AcceptedRequest:
+    def _create_request(self, sink: RequestSource, message: Message, class_index: int) -> AcceptedRequest:
         """Add a request to the table. Raises BadMessageError for an invalid id or remaining time."""
         request_id = message.headers.get(protocol.REQUEST_ID_HEADER, "")
         if not is_request_id(request_id) or _is_id_hop_by_hop(message):
@@ -165,7 +180,7 @@
         is_open = request_id in self.requests.open_ids or request_id in self.requests.outstanding_ids
         if is_open and self.gateway.extension is None:
             raise BadMessageError(409, _DUPLICATE_ID)
-        arrived_at = self.gateway.deadlines.arrival_time()
+        arrived_at = sink.input_arrived_at()
         deadline = arrived_at + self._remaining_ms(message, class_index)
         request = AcceptedRequest(message, class_index, sink, arrived_at, deadline)
         self.requests.add(request)
--- a/meadowpulley/net/request_table.py
+++ b/meadowpulley/net/request_table.py
@@ -28,6 +28,9 @@
     def respond(self, status: int, headers: dict[str, str], body: bytes) -> None:
         """Send a response."""
 
+    def peer_has_closed(self) -> bool:
+        """Return whether the client has disconnected, even if that was not read yet."""
+
 
 class OutstandingAttempt(Protocol):
     """An attempt that has no outcome yet. Times are milliseconds on the gateway's clock."""
@@ -197,6 +200,18 @@
             self._finish(request)
             self.gateway.dispatch(ClientDisconnected(request.handle))
 
+    def finish_if_abandoned(self, request: AcceptedRequest) -> bool:
+        """Return whether nobody waits for the response, and finish a request whose client has disconnected.
+
+        A disconnection counts from its arrival, although the gateway may not have read it yet.
+        """
+        sink = request.sink
+        if sink is not None and sink.request is request and sink.peer_has_closed():
+            self.gateway.counters.add("in.unread_disconnects")
+            sink.request = None
+            self.client_disconnected(request)
+        return request.finished
+
     def free_if_done(self, request: AcceptedRequest) -> None:
         """Free the slot of a request that is finished and has no outstanding attempt."""
         if request.finished and not request.outstanding:
