Failed list calls no longer renew a pushed list that is not known to be current

Cause: where lists are pushed, each failed call was taken as proof that the list in use was current now (current_endpoint_list.as_of_ms gave None, endpoint_lease.watch_ended took that for the current time). That holds only for a list that discovery has confirmed, and only while discovery is down. It renewed the list of the configuration, undid the loss of a list, and renewed lists while discovery was up and crowded. Closing a call that was no watch (SIGHUP) did the same.

Change: a failed call that was no watch renews a pushed list as of its start, and only if discovery has confirmed the list, no later list may be lost, and the lease had not ended when the call began. A crowded call waits for longer than a lease lasts, so the lease ends. A watch renews up to its own end. A reset without a byte of an answer is no lost list where lists are pushed, since watches end so when discovery goes down. The lease on the cached list of a pushed deployment counts from the start of the process (net/process_start.py). Polled lists are unchanged.

--- a/meadowpulley/__main__.py
+++ b/meadowpulley/__main__.py
@@ -23,6 +23,7 @@
 from meadowpulley.net.config import Config, ConfigError, read_config
 from meadowpulley.net.gateway import Gateway
 from meadowpulley.net.log import open_log
+from meadowpulley.net.process_start import process_age_ms
 from meadowpulley.net.reactor import MonotonicReactor
 
 EXIT_SUCCESS = 0
@@ -37,7 +38,7 @@
     """Create a gateway and install the reactor that it runs on."""
     reactor = MonotonicReactor()
     main.installReactor(reactor)  # type: ignore[no-untyped-call]  # Twisted's has no types
-    gateway = Gateway(config, reactor, open_log(gateway=config.name))
+    gateway = Gateway(config, reactor, open_log(gateway=config.name), process_age_ms=process_age_ms())
     reactor.on_poll = gateway.deadlines.record_poll
     return gateway, reactor
 
--- a/meadowpulley/interface/events.py
+++ b/meadowpulley/interface/events.py
@@ -33,8 +33,9 @@
 
     `entries` holds the changed servers if `kind` is INCREMENTAL, no servers if `kind` is FAILED, TIMED_OUT
     or BROKEN, and otherwise the complete list. `as_of_ms` is the time, on the clock of the events, up to
-    which the gateway's list contains all changes. `as_of_ms` is None if the transport pushes every change and
-    every failure.
+    which the gateway's list contains all changes. For a CACHED list, whose age is unknown, it is the time at
+    which the process started. If lists are pushed and a call failed, it is the start of the call. `as_of_ms`
+    is None if the transport pushes every change and every failure.
     """
 
     kind: EndpointUpdateKind
--- a/meadowpulley/net/current_endpoint_list.py
+++ b/meadowpulley/net/current_endpoint_list.py
@@ -36,8 +36,11 @@
         update_owed: a watch was started, so the policy gets one update even if nothing changed.
     """
 
-    def __init__(self, gateway: GatewayContext, registry: EndpointRegistry) -> None:
+    def __init__(
+        self, gateway: GatewayContext, registry: EndpointRegistry, process_started_at: float
+    ) -> None:
         self._gateway = gateway
+        self._process_started_at = process_started_at
         self._registry = registry
         self.version = 0
         self.lists_applied = 0
@@ -51,14 +54,14 @@
         self._watched_version = self.version
         return self.version
 
-    def as_of_ms(self) -> float | None:
-        """Return the time up to which the endpoint list in use has all changes; None: up to now.
+    def as_of_ms(self, report: CallReport) -> float:
+        """Return the time up to which the endpoint list in use has all changes, after a call has failed.
 
-        This applies after the last call to discovery has failed or was cancelled. The time is on the
-        gateway's clock (ms) if the settings require polling. Otherwise it is None, because discovery notifies
-        no gateway of any change while calls to it fail.
+        The time is on the gateway's clock (ms). If the settings don't require polling it is the start of the
+        call, which holds only if discovery was down then; the policy decides whether that is so.
         """
-        return self.confirmed_at if self._gateway.config.settings.must_poll else None
+        must_poll = self._gateway.config.settings.must_poll
+        return self.confirmed_at if must_poll else report.started_at
 
     def age_ms(self) -> int | None:
         """Return how long ago the list in use was applied, in ms; None if no list was applied yet."""
@@ -146,7 +149,7 @@
         if not is_cached:
             self.update_owed = False
         entries = tuple(endpoint.entry for endpoint in endpoint_list.endpoints)
-        as_of_ms = None if is_cached else self.confirmed_at
+        as_of_ms = self._process_started_at if is_cached else self.confirmed_at
         kind = _update_kind(endpoint_list, is_cached)
         self._gateway.dispatch(EndpointUpdate(kind, endpoint_list.version, entries, as_of_ms))
 
--- a/meadowpulley/net/discovery_call.py
+++ b/meadowpulley/net/discovery_call.py
@@ -161,10 +161,22 @@
     def _connection_failed(self, failure: Failure) -> None:
         self._connecting = None
         if not self._completed:
-            # Once the request was sent, discovery may have answered it on the connection that broke.
-            kind = EndpointUpdateKind.BROKEN if self._was_sent else EndpointUpdateKind.FAILED
+            kind = EndpointUpdateKind.BROKEN if self._is_response_lost else EndpointUpdateKind.FAILED
             self._fail(failure.getErrorMessage(), None, kind)
 
+    @property
+    def _is_response_lost(self) -> bool:
+        """Whether discovery may have answered the call on the connection that broke.
+
+        Discovery that goes down ends pushed lists' watches in a reset. TCP delivers what was written before
+        it, so that an answer has been lost only if a part of it arrived. A list that is polled counts as
+        notified once it is written, wherever it was lost.
+        """
+        if not self._was_sent:
+            return False
+        has_begun = self._connection is not None and self._connection.response_begun
+        return has_begun or self._gateway.config.settings.must_poll
+
     def _timed_out(self) -> None:
         connection = self._connection
         # If there is unread input, this gateway is late in reading it: the response may have arrived in time.
--- a/meadowpulley/net/discovery_connection.py
+++ b/meadowpulley/net/discovery_connection.py
@@ -25,6 +25,7 @@
         super().__init__(deadlines, MAX_LIST_BYTES, MAX_REQUEST_BYTES)
         self.parser = Parser(self.input_buffer, expect_requests=False, max_body_bytes=MAX_LIST_BYTES)
         self.response: Deferred[Message] | None = None
+        self.response_begun = False  # whether a part of the response to the latest request has arrived
 
     @property
     def is_reusable(self) -> bool:
@@ -35,11 +36,13 @@
         """Send a GET request for a target (path and query)."""
         response: Deferred[Message] = Deferred()
         self.response = response
+        self.response_begun = False
         self.send(request_bytes("GET", target, {"host": protocol.DISCOVERY_HOST}))
         return response
 
     def received(self) -> None:
         """Deliver a complete response, or start the time-out for the rest of a partial one."""
+        self.response_begun = True
         try:
             message = self.parser.next_message()
         except BadMessageError as error:
--- a/meadowpulley/net/endpoint_watch.py
+++ b/meadowpulley/net/endpoint_watch.py
@@ -53,7 +53,7 @@
         if self._call is not None:
             self._call.cancel()
             self._call = None
-            self._gateway.dispatch(EndpointWatchClosed(self._client.current_list.as_of_ms()))
+            self._gateway.dispatch(EndpointWatchClosed(self._client.current_list.confirmed_at))
         if enabled and not self._gateway.stopping:
             self._client.current_list.update_owed = True
             self._open(NO_WAIT_MS)
--- a/meadowpulley/policy/endpoint_lease.py
+++ b/meadowpulley/policy/endpoint_lease.py
@@ -15,6 +15,8 @@
 - if it is polled: until 6 s + g after discovery was asked for it;
 - if a call for the next change is open: until 2 s + g after the end of that call's wait, if that is later;
 - if it is pushed: while the watch is open, and then until g after the watch closed;
+- if it was pushed and discovery is down: until g after the start of the last call that failed, as long as no
+  failed call began after the lease had ended;
 - if it came with the configuration: until g after the start of the process;
 - if a later list may have been lost: at most until g minus 150 ms after the loss was detected.
 """
@@ -75,12 +77,17 @@
 # The following functions renew the lease.
 
 
-def start_from_cache(state: State) -> None:
+def start_from_cache(state: State, started_at: float | None) -> None:
     """Start the lease on a list of unknown age.
 
-    Discovery regards this gateway as notified of all changes to the list when the process starts.
+    If discovery pushes changes, it regards this gateway as notified of all changes to the list when the
+    process starts, at the time `started_at`; None stands for the current time. If the list is polled, the
+    lease starts with the first use of the list.
     """
-    _confirm_as_of(state, state.now - _notification_ms(state))
+    if started_at is None or state.settings.must_poll:
+        _confirm_as_of(state, state.now - _notification_ms(state))
+    else:
+        _confirm_as_of(state, started_at)
 
 
 def confirm_list(state: State, as_of_ms: float | None) -> None:
@@ -95,6 +102,7 @@
         state.endpoint_list.watch_covers_until = math.inf
     else:
         _confirm_as_of(state, as_of_ms)
+    state.endpoint_list.is_confirmed = True
 
 
 def watch_opened(state: State, wait_ms: float) -> None:
@@ -102,13 +110,36 @@
     state.endpoint_list.watch_covers_until = state.now + wait_ms
 
 
-def watch_ended(state: State, as_of_ms: float | None) -> None:
-    """Record that the watch for changes of the endpoint list has ended.
+def watch_ended(state: State, as_of_ms: float | None, is_list_lost: bool = False) -> None:
+    """Record that the watch for changes of the endpoint list has ended, or that a call without one failed.
 
-    The gateway's list holds all changes up to the time `as_of_ms`; None stands for the current time.
+    If the list is polled, it holds all changes up to the time `as_of_ms`. If it is pushed, `as_of_ms` is the
+    start of the failed call. None stands for the current time. `is_list_lost` tells that a list may have been
+    lost on its way.
     """
+    was_watching = state.endpoint_list.watch_covers_until > -math.inf
     state.endpoint_list.watch_covers_until = -math.inf
-    _confirm_as_of(state, state.now if as_of_ms is None else as_of_ms)
+    known_as_of_ms = state.now if as_of_ms is None else as_of_ms
+    if state.settings.must_poll:
+        _confirm_as_of(state, known_as_of_ms)
+    elif was_watching:  # discovery has pushed all changes so far
+        _confirm_as_of(state, state.now - (STALL_ALLOWANCE_MS if is_list_lost else 0.0))
+    else:
+        _confirm_by_failed_call(state, known_as_of_ms)
+
+
+def _confirm_by_failed_call(state: State, called_at: float) -> None:
+    """Renew the lease on a pushed list with a call that failed because discovery is down.
+
+    While discovery is down it learns of no change. A call fails as well if discovery is up but has too many
+    callers; such a call waits for longer than the lease lasts, so that the lease ends. A failed call proves
+    nothing of a list that discovery has not confirmed, of a list after which another one may have been lost,
+    or of the time between the end of the lease and the call.
+    """
+    endpoint_list = state.endpoint_list
+    is_list_lost = endpoint_list.lost_at > endpoint_list.confirmed_at
+    if endpoint_list.is_confirmed and not is_list_lost and called_at < list_lease_until(state):
+        _confirm_as_of(state, called_at)
 
 
 def _confirm_as_of(state: State, as_of_ms: float) -> None:
--- a/meadowpulley/policy/endpoints.py
+++ b/meadowpulley/policy/endpoints.py
@@ -22,7 +22,7 @@
         _handle_failed_call(state, update)
         return
     if update.kind is EndpointUpdateKind.CACHED:
-        endpoint_lease.start_from_cache(state)
+        endpoint_lease.start_from_cache(state, update.as_of_ms)
         # The first query to other gateways is delayed, as if a query had just been sent. In a small fleet,
         # discovery answers the first list call before the delayed query would be sent.
         state.confirmation.queried_at = state.now
@@ -37,8 +37,9 @@
 
 def _handle_failed_call(state: State, update: EndpointUpdate) -> None:
     """End the watch after a failed call, and schedule the next call if discovery has to be polled."""
-    endpoint_lease.watch_ended(state, update.as_of_ms)
-    if update.kind is EndpointUpdateKind.BROKEN:
+    is_list_lost = update.kind is EndpointUpdateKind.BROKEN
+    endpoint_lease.watch_ended(state, update.as_of_ms, is_list_lost)
+    if is_list_lost:
         endpoint_lease.list_lost(state)
     delay_ms = retry_delay_ms(state, update.kind)
     if update.kind is not EndpointUpdateKind.TIMED_OUT:
--- a/meadowpulley/state/endpoint_list.py
+++ b/meadowpulley/state/endpoint_list.py
@@ -11,6 +11,7 @@
     def __init__(self, must_poll: bool) -> None:
         """Start without an endpoint list; `must_poll` is true if discovery does not push updates."""
         self.confirmed_at = -math.inf  # the endpoint list contains all changes up to this time
+        self.is_confirmed = False  # whether discovery has confirmed the list; False for the configuration's
         self.watch_covers_until = -math.inf  # time by which discovery responds to the outstanding watch call
         # When this gateway last noticed that it may have missed an endpoint list sent by discovery.
         self.lost_at = -math.inf
--- a/tests/net_program/test_stale_lists.py
+++ b/tests/net_program/test_stale_lists.py
@@ -91,3 +91,49 @@
     unsent = request_until_unsent(restarted.client(), returned)
     assert returned.received.qsize() > 0, "the gateway sent no request to the server before the grace ended"
     assert unsent == QUIET_REQUESTS, "the gateway kept sending to a server that discovery lists as removed"
+
+
+PUSHED = SETTINGS | {
+    "discovery": "automatic",
+    "rules": SETTINGS["rules"] | {"stop-sending-within-ms": GRACE_MS},
+}
+OUTAGE_CALLS = 12  # failed calls in a row, which take several times as long as a lease
+
+
+def test_failed_calls_do_not_renew_a_cached_list_where_lists_are_pushed(start: StartGateway) -> None:
+    # A gateway that came back during an outage sent to a draining server until discovery was back: each call
+    # that ended in 503 let it use its old list for another 345 ms.
+    old, discovery = DrainingInstance(), FakeDiscovery([])
+    discovery.go_down()
+    old.draining.set()
+    restarted = start([endpoint("s-1", old.address)], discovery=discovery.address, settings=PUSHED)
+    unsent = request_until_unsent(restarted.client(), old)
+    assert unsent == QUIET_REQUESTS, "the gateway kept sending requests to a drained server"
+
+
+def test_crowded_calls_do_not_renew_a_pushed_list(start: StartGateway) -> None:
+    # Discovery that is up and crowded goes on notifying; each 503 let the gateway send for another 345 ms.
+    instance = FakeInstance()
+    discovery = FakeDiscovery([endpoint("s-1", instance.address)])
+    gateway = start([endpoint("s-1", instance.address)], discovery=discovery.address, settings=PUSHED)
+    client = gateway.client()
+    assert client.request("GET", "/look")[0] == 200
+    while discovery.watches == 0:
+        pass
+    discovery.crowd()
+    assert request_until_unsent(client, instance) == QUIET_REQUESTS
+
+
+def test_gateway_with_a_pushed_list_serves_while_discovery_is_down(start: StartGateway) -> None:
+    # While discovery is down it pushes nothing, so that the list which the gateway holds stays current.
+    instance = FakeInstance()
+    discovery = FakeDiscovery([endpoint("s-1", instance.address)])
+    gateway = start([endpoint("s-1", instance.address)], discovery=discovery.address, settings=PUSHED)
+    client = gateway.client()
+    assert client.request("GET", "/look")[0] == 200
+    while discovery.watches == 0:
+        pass
+    discovery.go_down()
+    calls_before = discovery.polled_versions.qsize()
+    while discovery.polled_versions.qsize() < calls_before + OUTAGE_CALLS:
+        assert client.request("GET", "/look")[0] == 200
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -174,6 +174,8 @@
         self.index, self.entries = 5, entries
         self.malformed_response = b""  # sent in place of the next response
         self.crowded = False  # each call ends in 503 after it has waited for a while
+        self.down = False  # each call ends in 503 at once
+        self.watches = 0  # number of calls that waited for changes
         self.polled_versions: queue.Queue[int] = queue.Queue()  # the version that each poll gave
         super().__init__(self._handle)
 
@@ -182,6 +184,18 @@
             self.index, self.entries = self.index + 1, entries
             self.changed.notify_all()
 
+    def crowd(self) -> None:
+        """Answer the watches, and let each further call wait for a while and end in 503."""
+        with self.changed:
+            self.crowded = True
+            self.changed.notify_all()
+
+    def go_down(self) -> None:
+        """End all watches and each further call in 503 at once."""
+        with self.changed:
+            self.down = True
+            self.changed.notify_all()
+
     def _handle(self, handler: BaseHTTPRequestHandler, _: bytes) -> None:
         query = dict(part.split("=") for part in handler.path.partition("?")[2].split("&") if part)
         after, wait_s = int(query.get("after", -1)), float(query.get("wait_ms", 0)) / 1000
@@ -191,7 +205,12 @@
                 self.changed.wait_for(lambda: not self.crowded, CROWDED_WAIT_S)
                 respond(handler, 503, b"")
                 return
-            self.changed.wait_for(lambda: self.index > after or self.crowded, wait_s)
+            self.watches += wait_s > 0
+            if not self.down:
+                self.changed.wait_for(lambda: self.index > after or self.crowded or self.down, wait_s)
+            if self.down:
+                respond(handler, 503, b"")
+                return
             malformed, self.malformed_response = self.malformed_response, b""
             endpoints = self.entries if self.index > after else []
             body = {"index": self.index, "snapshot": bool(endpoints), "endpoints": endpoints}
--- a/tests/test_endpoint_lease.py
+++ b/tests/test_endpoint_lease.py
@@ -82,6 +82,12 @@
 GRACE_MS = RULES.drain_grace_ms - STALL_ALLOWANCE_MS - TICK_MS
 LONG_POLL_MS = 10_000.0
 ENTRY = (server_entry(1),)
+# A list is pushed, and its watch ends as discovery goes down.
+PUSHED_UNTIL_OUTAGE: list[tuple[float, Event]] = [
+    (100.0, EndpointUpdate(FULL, 1, ENTRY, 100.0)),
+    (110.0, EndpointWatchOpened(LONG_POLL_MS, 100.0)),
+    (2000.0, EndpointUpdate(FAILED, 1, as_of_ms=110.0)),
+]
 
 
 def handle_all(driver: Driver, events: list[tuple[float, Event]]) -> Server:
@@ -167,6 +173,60 @@
             300.0 + GRACE_MS,
         ),
         (False, [(0.0, EndpointUpdate(FULL, 1, ENTRY))], math.inf),
+        # While discovery is down it pushes nothing: a gateway with a pushed list goes on using that list.
+        (
+            False,
+            [
+                *PUSHED_UNTIL_OUTAGE,
+                (2200.0, EndpointUpdate(FAILED, 1, as_of_ms=2190.0)),
+                (2400.0, EndpointUpdate(FAILED, 1, as_of_ms=2390.0)),
+            ],
+            2390.0 + GRACE_MS,
+        ),
+        # Each failed call renewed the lease, also on a list that discovery had not confirmed.
+        (
+            False,
+            [
+                (0.0, EndpointUpdate(CACHED, 0, ENTRY)),
+                (300.0, EndpointUpdate(FAILED, 0, as_of_ms=290.0)),
+            ],
+            GRACE_MS,
+        ),
+        # The lease on the list of the configuration began when the list was read, not with the process.
+        (False, [(400.0, EndpointUpdate(CACHED, 0, ENTRY, 100.0))], 100.0 + GRACE_MS),
+        (True, [(400.0, EndpointUpdate(CACHED, 0, ENTRY, 100.0))], 400.0 + GRACE_MS),
+        # A call that waited before it failed may mean that discovery is up and crowded. Calls after the end
+        # of the lease tell nothing of the time in between.
+        (
+            False,
+            [
+                *PUSHED_UNTIL_OUTAGE,
+                (4200.0, EndpointUpdate(FAILED, 1, as_of_ms=2200.0)),
+                (6000.0, EndpointUpdate(FAILED, 1, as_of_ms=5990.0)),
+            ],
+            2200.0 + GRACE_MS,
+        ),
+        # A failed call undid the loss of a list.
+        (
+            False,
+            [
+                *PUSHED_UNTIL_OUTAGE[:-1],
+                (2000.0, EndpointUpdate(BROKEN, 1, as_of_ms=100.0)),
+                (2100.0, EndpointUpdate(FAILED, 1, as_of_ms=2090.0)),
+            ],
+            2000.0 - STALL_ALLOWANCE_MS + GRACE_MS,
+        ),
+        # Closing a call that was no watch renewed the lease, for example at SIGHUP during a first call.
+        (
+            False,
+            [(0.0, EndpointUpdate(CACHED, 0, ENTRY)), (300.0, EndpointWatchClosed(-math.inf))],
+            GRACE_MS,
+        ),
+        (
+            False,
+            [*PUSHED_UNTIL_OUTAGE[:-1], (2000.0, EndpointWatchClosed(100.0))],
+            2000.0 + GRACE_MS,
+        ),
     ],
 )
 def test_the_lease_ends_when_the_first_missed_change_takes_effect(
