A first latency of 0 ms no longer keeps later requests from being sent

Change: State.relative_capacity compares the kinds without those that have no latency; such a kind counts as fastest.

--- a/meadowpulley/state/state.py
+++ b/meadowpulley/state/state.py
@@ -178,9 +178,13 @@
         return initial + (1 - initial) * age_ms / self.rules.slow_start_ms
 
     def relative_capacity(self, server: Server) -> float:
-        """Return a server's capacity relative to a warmed-up server of the fastest machine kind."""
+        """Return a server's capacity relative to a warmed-up server of the fastest machine kind.
+
+        A kind with a latency of 0, by a clock that did not advance, can't be compared with others: it counts
+        as fastest, and the other kinds are compared without it.
+        """
         latency_ms = self.kind_latency_ms.get(server.kind, 0.0)
-        speed = min(self.kind_latency_ms.values()) / latency_ms if latency_ms else 1.0
+        speed = min(filter(None, self.kind_latency_ms.values())) / latency_ms if latency_ms else 1.0
         return self.slow_start_fraction(server) * speed
 
     def capacity(self, servers: list[Server], slow_start_power: int) -> float:
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -8,7 +8,6 @@
 
 import pytest
 
-from meadowpulley.net import process_start
 from meadowpulley.net.process_start import process_age_ms
 
 STARTUP_MS = 200.0
@@ -28,5 +27,5 @@
 ) -> None:
     assert process_age_ms() > 0.0
     shifted = time.monotonic() + 100.0
-    monkeypatch.setattr(process_start.time, "monotonic", lambda: shifted)
+    monkeypatch.setattr(time, "monotonic", lambda: shifted)
     assert process_age_ms() == 0.0
--- a/tests/test_response_without_latency.py
+++ b/tests/test_response_without_latency.py
@@ -17,3 +17,11 @@
         first = sends(driver.request())[0]
         driver.finish(first, elapsed_ms=0.0 if first.server == 1 else 100.0)
     assert sends(driver.request())
+
+
+def test_other_kinds_are_compared_without_the_one_that_has_no_latency() -> None:
+    driver = Driver()
+    driver.update_endpoints([server_entry(number, kind=number) for number in (1, 2, 3)])
+    state = driver.policy
+    state.kind_latency_ms.update({1: 0.0, 2: 100.0, 3: 200.0})
+    assert [state.relative_capacity(state.servers[number]) for number in (1, 2, 3)] == [1.0, 1.0, 0.5]
