--- a/meadowpulley/net/connection.py
+++ b/meadowpulley/net/connection.py
@@ -168,16 +168,18 @@
 
     def has_unread_input(self) -> bool:
         """Return whether input, or the end of the connection, has arrived but was not processed yet."""
-        if self._handling_input:
-            return True
+        return self._handling_input or self._peek() is not None
+
+    def _peek(self) -> bytes | None:
+        """Return the next byte without taking it; empty at the end of the connection, None if there is none."""
         try:
-            self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            next_byte: bytes = self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
-            return False
+            return None
         except (OSError, AttributeError):  # AttributeError: the transport has no socket any more
             self.was_reset = True  # the kernel reports a reset only once, and then a clean end
-            return True
-        return True
+            return b""
+        return next_byte
 
     def tcp_info(self) -> TcpInfo | None:
         """Return what the kernel knows of the connection, or None if that is unknown."""
@@ -193,17 +195,7 @@
         if not self.is_open:
             return True
         info = self.tcp_info()
-        return self._end_is_next() if info is None else info.peer_has_closed
-
-    def _end_is_next(self) -> bool:
-        """Return whether the next read would find the end of the connection, and no input before it."""
-        try:
-            return not self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except (OSError, AttributeError):  # AttributeError: the transport has no socket any more
-            self.was_reset = True  # the kernel reports a reset only once, and then a clean end
-            return True
+        return self._peek() == b"" if info is None else info.peer_has_closed
 
     def close(self) -> None:
         """Close the connection in this reactor turn. The kernel still sends the rest of a response.
