--- a/meadowpulley/net/connection.py
+++ b/meadowpulley/net/connection.py
@@ -171,7 +171,7 @@
         return self._handling_input or self._peek() is not None
 
     def _peek(self) -> bytes | None:
-        """Return the next byte without taking it; empty at the end of the connection, None if there is none."""
+        """Return the next byte without taking it: empty at the end, None if there is no input."""
         try:
             next_byte: bytes = self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
