--- a/meadowpulley/__main__.py
+++ b/meadowpulley/__main__.py
@@ -38,7 +38,8 @@
     """Create a gateway and install the reactor that it runs on."""
     reactor = MonotonicReactor()
     main.installReactor(reactor)  # type: ignore[no-untyped-call]  # Twisted's has no types
-    gateway = Gateway(config, reactor, open_log(gateway=config.name), process_age_ms=process_age_ms())
+    gateway = Gateway(config, reactor, open_log(gateway=config.name))
+    gateway.discovery.current_list.process_started_at = gateway.deadlines.now() - process_age_ms()
     reactor.on_poll = gateway.deadlines.record_poll
     return gateway, reactor
 
--- a/meadowpulley/net/current_endpoint_list.py
+++ b/meadowpulley/net/current_endpoint_list.py
@@ -34,18 +34,17 @@
         lists_applied: how many lists have been applied so far.
         confirmed_at: the list in use includes all changes up to this time.
         update_owed: a watch was started, so the policy gets one update even if nothing changed.
+        process_started_at: when this process started; None if that is unknown.
     """
 
-    def __init__(
-        self, gateway: GatewayContext, registry: EndpointRegistry, process_started_at: float
-    ) -> None:
+    def __init__(self, gateway: GatewayContext, registry: EndpointRegistry) -> None:
         self._gateway = gateway
-        self._process_started_at = process_started_at
         self._registry = registry
         self.version = 0
         self.lists_applied = 0
         self.confirmed_at = -math.inf
         self.update_owed = False
+        self.process_started_at: float | None = None
         self._applied_at = -math.inf
         self._watched_version = 0  # the version after which the last watch requested changes
 
@@ -149,7 +148,7 @@
         if not is_cached:
             self.update_owed = False
         entries = tuple(endpoint.entry for endpoint in endpoint_list.endpoints)
-        as_of_ms = self._process_started_at if is_cached else self.confirmed_at
+        as_of_ms = self.process_started_at if is_cached else self.confirmed_at
         kind = _update_kind(endpoint_list, is_cached)
         self._gateway.dispatch(EndpointUpdate(kind, endpoint_list.version, entries, as_of_ms))
 
--- a/meadowpulley/net/discovery_client.py
+++ b/meadowpulley/net/discovery_client.py
@@ -21,21 +21,14 @@
 class DiscoveryClient:
     """Keeps the endpoint list up to date, and dispatches an `EndpointUpdate` for each change or failure.
 
-    `clock_offset_ms` is Unix time minus the time on the gateway's clock, and `process_started_at` the start
-    of the process on the gateway's clock, in milliseconds.
+    `clock_offset_ms` is Unix time minus the time on the gateway's clock, in milliseconds.
     """
 
-    def __init__(
-        self,
-        gateway: GatewayContext,
-        registry: EndpointRegistry,
-        clock_offset_ms: float,
-        process_started_at: float,
-    ) -> None:
+    def __init__(self, gateway: GatewayContext, registry: EndpointRegistry, clock_offset_ms: float) -> None:
         self.gateway = gateway
         self.decoder = EndpointListDecoder(gateway.config.settings, clock_offset_ms)
         self.idle_connection = IdleConnectionSlot()
-        self.current_list = CurrentEndpointList(gateway, registry, process_started_at)
+        self.current_list = CurrentEndpointList(gateway, registry)
         self._watch = EndpointWatch(self)
         self._fetch = EndpointFetch(self)
 
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -102,7 +102,6 @@
         create_policy: Callable[[Settings, int], RolloutPolicy] = RolloutPolicy,
         load_config: Callable[[], Config] = reload_config,
         clock: Callable[[], float] = now_ms,
-        process_age_ms: float = 0.0,
     ) -> None:
         self.config = config
         # Only gossip needs datagrams, so a reactor without datagram support suffices while gossip is off.
@@ -127,9 +126,7 @@
         self.clients = ClientListener(self, self.admission, self.requests, client_sockets)
         self.instances = InstancePools(self, instance_sockets)
         self.attempts = AttemptRunner(self, self.instances, self.requests)
-        now = self.deadlines.now()
-        clock_offset_ms = time.time() * 1000.0 - now
-        self.discovery = DiscoveryClient(self, self.instances, clock_offset_ms, now - process_age_ms)
+        self.discovery = DiscoveryClient(self, self.instances, time.time() * 1000.0 - self.deadlines.now())
         self.rollout_client = RolloutClient(self, lambda name: self.discovery.decoder.server_ids.get(name))
         self.gossip = GossipTransport(self)
         self.capture: Capture | None = None
--- a/tests/discovery_harness.py
+++ b/tests/discovery_harness.py
@@ -90,7 +90,7 @@
         self.registry: Any = SimpleNamespace(
             register=lambda *_: None, remove=lambda _: None, close_idle=lambda _: None
         )
-        self.discovery = DiscoveryClient(self.gateway, self.registry, 0.0, self.now)
+        self.discovery = DiscoveryClient(self.gateway, self.registry, 0.0)
 
     @property
     def now(self) -> float:
@@ -188,7 +188,7 @@
             remove=lambda server: self.addresses.pop(server, None),
             close_idle=lambda _: None,
         )
-        self.discovery = DiscoveryClient(self.gateway, self.registry, 0.0, self.now)
+        self.discovery = DiscoveryClient(self.gateway, self.registry, 0.0)
 
     def dispatch(self, event: Event) -> None:
         self.events.append(event)
