--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -36,6 +36,7 @@
     "policy/admission.py",
     "policy/concurrency_limit.py",
     "policy/endpoint_lease.py",
+    "policy/endpoint_lease_renewal.py",
     "policy/endpoint_list_confirmation.py",
     "policy/endpoint_poll_backoff.py",
     "policy/endpoints.py",
--- a/meadowpulley/policy/endpoint_lease.py
+++ b/meadowpulley/policy/endpoint_lease.py
@@ -56,7 +56,7 @@
     return min(STALL_ALLOWANCE_MS + state.settings.tick_ms, span_ms / 2)
 
 
-def _notification_ms(state: State) -> float:
+def notification_ms(state: State) -> float:
     """Return the time, in ms, from a change until discovery regards this gateway as notified of it.
 
     The result is 0 if discovery pushes changes.
@@ -74,94 +74,10 @@
     return grace_ms - allowance_ms(state, grace_ms)
 
 
-# The following functions renew the lease.
-
-
-def start_from_cache(state: State, started_at: float | None) -> None:
-    """Start the lease on a list of unknown age.
-
-    If discovery pushes changes, it regards this gateway as notified of all changes to the list when the
-    process starts, at the time `started_at`; None stands for the current time. If the list is polled, the
-    lease starts with the first use of the list.
-    """
-    if started_at is None or state.settings.must_poll:
-        _confirm_as_of(state, state.now - _notification_ms(state))
-    else:
-        _confirm_as_of(state, started_at)
-
-
-def confirm_list(state: State, as_of_ms: float | None) -> None:
-    """Renew the lease with a list that holds all changes up to the time `as_of_ms`.
-
-    `as_of_ms` is None if discovery pushes changes. The gateway then receives every later change, or learns
-    that the watch failed. Such a lease lasts while the watch is open, and after the end of the watch for the
-    drain grace minus the allowance for stalls.
-    """
-    if as_of_ms is None:
-        state.endpoint_list.confirmed_at = state.now
-        state.endpoint_list.watch_covers_until = math.inf
-    else:
-        _confirm_as_of(state, as_of_ms)
-    state.endpoint_list.is_confirmed = True
-
-
-def watch_opened(state: State, wait_ms: float) -> None:
-    """Extend the lease for a call that discovery answers after `wait_ms`, or sooner if the list changes."""
-    state.endpoint_list.watch_covers_until = state.now + wait_ms
-
-
-def watch_ended(state: State, as_of_ms: float | None, is_list_lost: bool = False) -> None:
-    """Record that the watch for changes of the endpoint list has ended, or that a call without one failed.
-
-    If the list is polled, it holds all changes up to the time `as_of_ms`. If it is pushed, `as_of_ms` is the
-    start of the failed call. None stands for the current time. `is_list_lost` tells that a list may have been
-    lost on its way.
-    """
-    was_watching = state.endpoint_list.watch_covers_until > -math.inf
-    state.endpoint_list.watch_covers_until = -math.inf
-    known_as_of_ms = state.now if as_of_ms is None else as_of_ms
-    if state.settings.must_poll:
-        _confirm_as_of(state, known_as_of_ms)
-    elif was_watching:  # discovery has pushed all changes so far
-        _confirm_as_of(state, state.now - (STALL_ALLOWANCE_MS if is_list_lost else 0.0))
-    else:
-        _confirm_by_failed_call(state, known_as_of_ms)
-
-
-def _confirm_by_failed_call(state: State, called_at: float) -> None:
-    """Renew the lease on a pushed list with a call that failed because discovery is down.
-
-    While discovery is down it learns of no change. A call fails as well if discovery is up but has too many
-    callers; such a call waits for longer than the lease lasts, so that the lease ends. A failed call proves
-    nothing of a list that discovery has not confirmed, of a list after which another one may have been lost,
-    or of the time between the end of the lease and the call.
-    """
-    endpoint_list = state.endpoint_list
-    is_list_lost = endpoint_list.lost_at > endpoint_list.confirmed_at
-    if endpoint_list.is_confirmed and not is_list_lost and called_at < list_lease_until(state):
-        _confirm_as_of(state, called_at)
-
-
-def _confirm_as_of(state: State, as_of_ms: float) -> None:
-    state.endpoint_list.confirmed_at = max(state.endpoint_list.confirmed_at, as_of_ms)
-
-
-def list_lost(state: State) -> None:
-    """Record that an endpoint list from discovery may have been lost on its way to this gateway.
-
-    Discovery regards this gateway as notified of the changes in such a list, so the drain grace for them is
-    already running.
-    """
-    state.endpoint_list.lost_at = state.now
-
-
-# The following functions compute when the lease ends.
-
-
 def list_lease_until(state: State) -> float:
     """Return the time until which the lease permits the use of the endpoint list."""
     endpoint_list = state.endpoint_list
-    notified_at = endpoint_list.confirmed_at + _notification_ms(state)
+    notified_at = endpoint_list.confirmed_at + notification_ms(state)
     watch_notified_at = endpoint_list.watch_covers_until + LONG_POLL_NOTIFICATION_MS
     until = max(notified_at, watch_notified_at) + _grace_ms(state)
     return _unless_lost(state, endpoint_list.confirmed_at, until)
@@ -171,7 +87,7 @@
     """Return the time until which the list or a peer's confirmation permits writes to the server."""
     if not state.rules.drain_grace_ms:  # without a drain rule, lists do not expire
         return math.inf
-    until = server.peer_confirmed_at + _notification_ms(state) + _grace_ms(state)
+    until = server.peer_confirmed_at + notification_ms(state) + _grace_ms(state)
     return max(list_lease_until(state), _unless_lost(state, server.peer_confirmed_at, until))
 
 
