One question to the kernel tells whether a request's client waits and since when

Need: admission asked TCP_INFO twice for each request, and two callers handled an unknown answer each; two pairs of tests spelled out the same setting.

Change: Connection.tcp_info always gives an answer, from a peek where the system doesn't tell; input_arrived_at gives None for a client that has left.

--- a/meadowpulley/net/client_connection.py
+++ b/meadowpulley/net/client_connection.py
@@ -196,15 +196,17 @@
         self.closing = True
         self.respond(error.status, {}, f"{error}\n".encode())
 
-    def input_arrived_at(self) -> float:
+    def input_arrived_at(self) -> float | None:
         """Return when the latest input arrived, in milliseconds on the gateway's clock.
 
-        The deadline of a request counts from its arrival, also if this process was held up before it read
-        the request. Without the kernel's word, the end of the reactor's last poll is the latest time.
+        The result is None if the client has disconnected since. The deadline of a request counts from its
+        arrival, also if this process was held up before it read the request.
         """
-        latest_at = self.deadlines.arrival_time()
         info = self.tcp_info()
-        if info is None or info.input_age_ms < MIN_INPUT_AGE_MS:
+        if info.peer_has_closed:
+            return None
+        latest_at = self.deadlines.arrival_time()
+        if info.input_age_ms < MIN_INPUT_AGE_MS:
             return latest_at
         return min(latest_at, self.deadlines.now() - info.input_age_ms)
 
--- a/meadowpulley/net/connection.py
+++ b/meadowpulley/net/connection.py
@@ -181,10 +181,13 @@
             return b""
         return next_byte
 
-    def tcp_info(self) -> TcpInfo | None:
-        """Return what the kernel knows of the connection, or None if that is unknown."""
-        handle = self.transport.getHandle()
-        return None if handle is None else read_tcp_info(handle)
+    def tcp_info(self) -> TcpInfo:
+        """Return what the kernel knows of the connection.
+
+        Where the system doesn't tell, input counts as new, and no end behind unread input is found.
+        """
+        info = read_tcp_info(self.transport.getHandle())
+        return info or TcpInfo(peer_has_closed=self._peek() == b"", input_age_ms=0)
 
     def peer_has_closed(self) -> bool:
         """Return whether the end of the connection has arrived, even if it was not read yet.
@@ -192,10 +195,7 @@
         A process that was held up finds a request and the end of its connection in the kernel at once, and
         the reactor reads the end only in a later turn.
         """
-        if not self.is_open:
-            return True
-        info = self.tcp_info()
-        return self._peek() == b"" if info is None else info.peer_has_closed
+        return not self.is_open or self.tcp_info().peer_has_closed
 
     def close(self) -> None:
         """Close the connection in this reactor turn. The kernel still sends the rest of a response.
--- a/meadowpulley/net/request_admission.py
+++ b/meadowpulley/net/request_admission.py
@@ -75,8 +75,8 @@
 class RequestSource(ResponseSink, Protocol):
     """A response sink from which the request was read: a client connection."""
 
-    def input_arrived_at(self) -> float:
-        """Return when the latest input arrived, in milliseconds on the gateway's clock."""
+    def input_arrived_at(self) -> float | None:
+        """Return when the latest input arrived (ms, gateway's clock); None if the client has disconnected."""
 
 
 def _is_id_hop_by_hop(message: Message) -> bool:
@@ -126,10 +126,11 @@
             self.gateway.counters.add("in.wrong_method")
             sink.respond(405, {"allow": ", ".join(allowed_methods)}, b"wrong method\n")
             return
-        if sink.peer_has_closed():  # nobody waits for a response; the end of the connection is read next
+        arrived_at = sink.input_arrived_at()
+        if arrived_at is None:  # nobody waits for a response; the end of the connection is read next
             self.gateway.counters.add("in.unread_disconnects")
             return
-        self._admit(sink, self._create_request(sink, message, class_index))
+        self._admit(sink, self._create_request(sink, message, class_index, arrived_at))
 
     def adopt(self, adopted: AdoptedRequest, on_response: Callable[[Response], None]) -> int:
         """Take over a request that a failed gateway had accepted, and return its handle.
@@ -172,7 +173,9 @@
     def _class_index(self, path: str) -> int | None:
         return self.class_indexes.get(path[1:].partition("/")[0])
 
-    def _create_request(self, sink: RequestSource, message: Message, class_index: int) -> AcceptedRequest:
+    def _create_request(
+        self, sink: ResponseSink, message: Message, class_index: int, arrived_at: float
+    ) -> AcceptedRequest:
         """Add a request to the table. Raises BadMessageError for an invalid id or remaining time."""
         request_id = message.headers.get(protocol.REQUEST_ID_HEADER, "")
         if not is_request_id(request_id) or _is_id_hop_by_hop(message):
@@ -180,7 +183,6 @@
         is_open = request_id in self.requests.open_ids or request_id in self.requests.outstanding_ids
         if is_open and self.gateway.extension is None:
             raise BadMessageError(409, _DUPLICATE_ID)
-        arrived_at = sink.input_arrived_at()
         deadline = arrived_at + self._remaining_ms(message, class_index)
         request = AcceptedRequest(message, class_index, sink, arrived_at, deadline)
         self.requests.add(request)
--- a/tests/net_program/test_stale_lists.py
+++ b/tests/net_program/test_stale_lists.py
@@ -111,8 +111,8 @@
     assert unsent == QUIET_REQUESTS, "the gateway kept sending requests to a drained server"
 
 
-def test_crowded_calls_do_not_renew_a_pushed_list(start: StartGateway) -> None:
-    # Discovery that is up and crowded goes on notifying; each 503 let the gateway send for another 345 ms.
+def serve_with_pushed_list(start: StartGateway) -> tuple[Client, FakeInstance, FakeDiscovery]:
+    """Start a gateway, serve a request and wait until discovery holds a watch open."""
     instance = FakeInstance()
     discovery = FakeDiscovery([endpoint("s-1", instance.address)])
     gateway = start([endpoint("s-1", instance.address)], discovery=discovery.address, settings=PUSHED)
@@ -120,19 +120,19 @@
     assert client.request("GET", "/look")[0] == 200
     while discovery.watches == 0:
         pass
+    return client, instance, discovery
+
+
+def test_crowded_calls_do_not_renew_a_pushed_list(start: StartGateway) -> None:
+    # Discovery that is up and crowded goes on notifying; each 503 let the gateway send for another 345 ms.
+    client, instance, discovery = serve_with_pushed_list(start)
     discovery.crowd()
     assert request_until_unsent(client, instance) == QUIET_REQUESTS
 
 
 def test_gateway_with_a_pushed_list_serves_while_discovery_is_down(start: StartGateway) -> None:
     # While discovery is down it pushes nothing, so that the list which the gateway holds stays current.
-    instance = FakeInstance()
-    discovery = FakeDiscovery([endpoint("s-1", instance.address)])
-    gateway = start([endpoint("s-1", instance.address)], discovery=discovery.address, settings=PUSHED)
-    client = gateway.client()
-    assert client.request("GET", "/look")[0] == 200
-    while discovery.watches == 0:
-        pass
+    client, _, discovery = serve_with_pushed_list(start)
     discovery.go_down()
     calls_before = discovery.polled_versions.qsize()
     while discovery.polled_versions.qsize() < calls_before + OUTAGE_CALLS:
--- a/tests/test_tcp_info.py
+++ b/tests/test_tcp_info.py
@@ -52,38 +52,30 @@
         assert read_tcp_info(first) is None
 
 
-@pytest.mark.parametrize("knows_tcp_info", [True, False])
-def test_request_of_a_client_that_has_left_is_not_admitted(
-    knows_tcp_info: bool, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    # The policy got the request first and the disconnection in a later turn: an attempt had begun meanwhile.
-    if not knows_tcp_info:
-        monkeypatch.setattr(connection_module, "read_tcp_info", lambda handle: None)
-    harness: Any = ReactorHarness()
-    try:
-        client = harness.client()
-        client.send("GET", "/look")
-        disconnect(client)
-        while harness.connections:
-            harness.run_turns()
-        assert not harness.policy.events
-        assert harness.gateway.counters["in.unread_disconnects"] == 1
-    finally:
-        harness.close()
-
-
-@pytest.mark.parametrize("knows_tcp_info", [True, False])
-def test_request_of_a_client_that_waits_is_admitted(
-    knows_tcp_info: bool, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    if not knows_tcp_info:
+@pytest.fixture(params=[True, False], ids=["tcp_info", "peek"])
+def harness(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> Iterator[Any]:
+    """A gateway on a system that knows TCP_INFO, and on one that doesn't."""
+    if not request.param:
         monkeypatch.setattr(connection_module, "read_tcp_info", lambda handle: None)
-    harness: Any = ReactorHarness()
-    try:
-        client = harness.client()
-        client.send("GET", "/look")
-        while not harness.policy.events:
-            harness.run_turns()
-        assert harness.gateway.counters["in.requests"] == 1
-    finally:
-        harness.close()
+    harness = ReactorHarness()
+    yield harness
+    harness.close()
+
+
+def test_request_of_a_client_that_has_left_is_not_admitted(harness: Any) -> None:
+    # The policy got the request first and the disconnection in a later turn: an attempt had begun meanwhile.
+    client = harness.client()
+    client.send("GET", "/look")
+    disconnect(client)
+    while harness.connections:
+        harness.run_turns()
+    assert not harness.policy.events
+    assert harness.gateway.counters["in.unread_disconnects"] == 1
+
+
+def test_request_of_a_client_that_waits_is_admitted(harness: Any) -> None:
+    client = harness.client()
+    client.send("GET", "/look")
+    while not harness.policy.events:
+        harness.run_turns()
+    assert harness.gateway.counters["in.requests"] == 1
