--- a/tests/net_program/test_client_races.py
+++ b/tests/net_program/test_client_races.py
@@ -64,3 +64,26 @@
     assert client.request("POST", "/pay", b"x", X_Remaining=remaining)[0] in (502, 503, 504)
     assert client.request("POST", "/pay", b"y")[0] == 200
     assert instance.received.get(timeout=TIMEOUT_S)[3] == b"y"
+
+
+@pytest.mark.parametrize("ending", ["left"])
+def test_an_id_whose_request_may_have_run_is_not_run_again(start: StartGateway, ending: str) -> None:
+    def handle(handler: BaseHTTPRequestHandler, body: bytes) -> None:
+        respond(handler, 500 if ending == "failed" else 200, body)
+
+    instance = FakeInstance(handle if ending != "left" else lambda *_: may_respond.wait(TIMEOUT_S) or None)
+    may_respond = threading.Event()
+    gateway = start([endpoint("s-1", instance.address)])
+    first = gateway.client()
+    first.send("POST", "/pay", b"first", X_Txn="7f3a")
+    instance.received.get(timeout=TIMEOUT_S)
+    if ending == "left":
+        first.reader.close()
+        first.socket.close()
+        while not _counters(gateway).get("up.cancelled"):
+            pass
+    else:
+        assert first.read_response()[0] == (502 if ending == "failed" else 200)
+    assert gateway.client().request("POST", "/pay", b"second", X_Txn="7f3a")[0] == 409
+    assert instance.received.empty()
+    may_respond.set()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -351,8 +351,8 @@
 class Client:
     """A client's connection; its requests carry a running number as their id."""
 
-    def __init__(self, port: int) -> None:
-        self.socket = socket.create_connection(("127.0.0.1", port), timeout=TIMEOUT_S)
+    def __init__(self, port: int, timeout_s: float = TIMEOUT_S) -> None:
+        self.socket = socket.create_connection(("127.0.0.1", port), timeout=timeout_s)
         self.reader = self.socket.makefile("rb")
         self.request_count = 0
 
