Calls of a watch pause for 50 ms after five quick answers in a row

Cause: EndpointWatch.call_succeeded opened the next long poll in the same turn, however soon the last one was answered, and a stale list was asked for again at once. Usual changes are read as before. Counter discovery.paced_calls and log event discovery_calls_paced, once a series. test_an_indented_list_is_read_however_it_is_split answered 200 calls 20 ms apart: its discovery now takes 50 ms for each; its checks are the same.

--- a/meadowpulley/net/endpoint_watch.py
+++ b/meadowpulley/net/endpoint_watch.py
@@ -27,6 +27,12 @@
 LONGEST_BACKOFF_MS = 4_000.0
 RETRY_JITTER = (0.5, 1.0)  # the backoff is multiplied by a factor drawn uniformly from this range
 NO_WAIT_MS = 0.0  # discovery answers a call with this wait at once
+QUICK_ANSWER_MS = 50.0  # a call that is answered sooner counts as quick
+# Quick answers in a row that the next call follows at once, so that successive changes are read without a pause.
+MAX_QUICK_ANSWERS = 4
+# The pause before the next call after further quick answers. Discovery counts a watch as ended 200 ms after an
+# answer, of which this process may be held up for 150 ms.
+QUICK_ANSWER_PAUSE_MS = 50.0
 
 
 class EndpointWatch:
@@ -39,6 +45,8 @@
         self._enabled = False  # whether the policy wants a watch
         self._consecutive_failures = 0
         self._retry: Deadline | None = None  # the pending retry after a failed watch
+        self._quick_answers = 0  # number of quick answers in a row
+        self._next_call: Deadline | None = None  # the next call of the watch, during a pause
         rules = self._gateway.config.settings.rules
         longest_backoff_ms = min(rules.drain_grace_ms / 2 or LONGEST_BACKOFF_MS, LONGEST_BACKOFF_MS)
         self._backoff = Backoff(FIRST_BACKOFF_MS, longest_backoff_ms)
@@ -49,7 +57,7 @@
         """Restart the watch if enabled, otherwise end it. Discovery answers its first call at once."""
         self._enabled = enabled
         # A retry left pending would later cancel the newer watch, or open a watch that the policy had ended.
-        self._gateway.deadlines.cancel(self._retry)
+        self._cancel_pending()
         if self._call is not None:
             self._call.cancel()
             self._call = None
@@ -69,11 +77,26 @@
 
     def stop(self) -> None:
         """End the watch without notifying the policy."""
-        self._gateway.deadlines.cancel(self._retry)
+        self._cancel_pending()
         if self._call is not None:
             self._call.cancel()
             self._call = None
 
+    def _cancel_pending(self) -> None:
+        self._gateway.deadlines.cancel(self._retry)
+        self._gateway.deadlines.cancel(self._next_call)
+
+    def _continue(self, wait_ms: float, report: CallReport) -> None:
+        """Open the next call at once, or after a pause if many answers in a row were quick."""
+        self._quick_answers = self._quick_answers + 1 if report.elapsed_ms < QUICK_ANSWER_MS else 0
+        if self._quick_answers <= MAX_QUICK_ANSWERS:
+            self._open(wait_ms)
+            return
+        if self._quick_answers == MAX_QUICK_ANSWERS + 1:
+            self._gateway.log.warning("discovery_calls_paced", version=self._client.current_list.version)
+        self._gateway.counters.add("discovery.paced_calls")
+        self._next_call = self._gateway.deadlines.after(QUICK_ANSWER_PAUSE_MS, lambda: self._open(wait_ms))
+
     def _open(self, wait_ms: float) -> None:
         known_version = self._client.current_list.start_watch()
         query = f"{protocol.AFTER_PARAMETER}={known_version}&{protocol.WAIT_PARAMETER}={wait_ms:.0f}"
@@ -95,7 +118,7 @@
         try:
             self._client.apply_response(raw, report)
         except StaleListError:
-            self._open(NO_WAIT_MS)
+            self._continue(NO_WAIT_MS, report)
             return
         except DiscoveryError as error:
             self._client.discard_malformed()
@@ -114,7 +137,7 @@
             return
         self._consecutive_failures = 0
         if self._call is None and self._enabled and not self._gateway.stopping:
-            self._open(self._long_poll_ms)
+            self._continue(self._long_poll_ms, report)
 
     def call_failed(self, failure: CallFailure) -> None:
         """Report a failed call, and schedule a retry of the watch unless the settings require polling."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,6 +12,7 @@
 
 from meadowpulley.interface import EndpointUpdateKind, ServerState
 from meadowpulley.net.discovery_client import DiscoveryClient
+from meadowpulley.net.endpoint_watch import QUICK_ANSWER_MS
 from tests.discovery_harness import (
     DRAINING_ENTRY,
     HEAD,
@@ -277,6 +278,7 @@
     harness = ManualDiscoveryHarness()
     watch = open_watch(harness, 41, READY_ENTRY)
     for split_at in range(1, len(response)):
+        harness.run(QUICK_ANSWER_MS)  # the next call follows a quick answer after a pause
         for part in (response[:split_at], response[split_at:]):
             watch.connection.dataReceived(part)
         if b"content-length" not in response:
