A memory budget from the limit told; whoever holds most without progress gives way

Cause: nothing read limits.memory_mb. Each of 575 slots had an input buffer of up to 144 KiB, requests held their bodies, responses and output had buffers of their own, and no sum was kept. Reads of 64 KiB and the allocator's heap kept what crowds had used. Change: MemoryBudget is the limit told less what the process needs when it is ready; connections and accepted requests are charged to it. Over it, input ahead of responses is dropped, the oldest partial requests are refused (503), unread responses are reset; a large request that finds no room is refused by its length, before its body is read. Small requests never are. Log event load_shed once a second, counters memory.*, charges and limit on SIGUSR1.

--- a/meadowpulley/net/client_connection.py
+++ b/meadowpulley/net/client_connection.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
-from enum import Enum
+import math
 from typing import Protocol
 
+from meadowpulley.net.client_connection_state import ClientConnectionState
 from meadowpulley.net.connection import Connection
 from meadowpulley.net.gateway_context import GatewayContext
 from meadowpulley.net.http1 import (
+    MAX_BODY_BYTES,
     MAX_BUFFERED_BYTES,
+    MAX_HEAD_BYTES,
     MAX_READ_BYTES,
+    SMALL_MESSAGE_BYTES,
     BadMessageError,
+    Message,
     Parser,
     response_bytes,
 )
+from meadowpulley.net.memory_budget import MemoryUse
 from meadowpulley.net.request_admission import RequestAdmission
 from meadowpulley.net.request_table import NO_HANDLE, AcceptedRequest, RequestTable
 
@@ -38,6 +44,8 @@
 # Maximum number of requests of one connection that a reactor turn processes. Without this limit, clients that
 # send one request at a time would have to wait while a flood of requests on another connection is processed.
 MAX_REQUESTS_PER_TURN = 4
+MAX_OUTPUT_BYTES = 2 * MAX_BODY_BYTES + MAX_HEAD_BYTES
+_NO_MEMORY = "no memory for the request now"
 
 
 class ClientConnectionOwner(Protocol):
@@ -59,31 +67,14 @@
         """Remove a connection that has ended."""
 
 
-class ClientConnectionState(Enum):
-    """State of a client connection, named after what it waits for.
-
-    | from | on | to |
-    | --- | --- | --- |
-    | WAITING | a complete request | PROCESSING |
-    | WAITING | input that is not a valid request | RESPONDING |
-    | WAITING | idle too long, evicted or draining | LINGERING |
-    | PROCESSING | the final response | RESPONDING |
-    | RESPONDING | the kernel has accepted the whole response | WAITING, or LINGERING after the last one |
-
-    The connection may be lost in any state.
-    """
-
-    WAITING = "waiting"  # waits for a request or for the rest of a partial request
-    PROCESSING = "processing"  # waits for the response to an accepted request
-    RESPONDING = "responding"  # waits until the kernel has accepted the whole response
-    LINGERING = "lingering"  # waits, after the last response, for the client to close; discards input
-
-
 class ClientConnection(Connection):
     """A connection on which a client sends one request after another."""
 
+    read_bytes = MAX_READ_BYTES
+
     def __init__(self, owner: ClientConnectionOwner) -> None:
-        super().__init__(owner.gateway.deadlines, MAX_BUFFERED_BYTES, MAX_BUFFERED_BYTES)
+        memory = owner.gateway.memory_budget.open_account(MemoryUse.CLIENT)
+        super().__init__(owner.gateway.deadlines, MAX_BUFFERED_BYTES, MAX_OUTPUT_BYTES, memory)
         self.owner = owner
         self.parser = Parser(self.input_buffer, expect_requests=True)
         self.state = ClientConnectionState.WAITING
@@ -97,6 +88,8 @@
         self._deadline_extended = False
         self._partial_timeout_set = True  # the timeout set in `opened` covers the first request
         self._discarded_bytes = 0
+        self.responding_since = math.inf  # when the current response was begun
+        self.partial_since = math.inf  # when the first part of the partial request was processed
 
     def opened(self) -> None:
         """Register the connection and start the timeout for its first request."""
@@ -123,9 +116,42 @@
         """Whether the next read might not fit into the input buffer."""
         return self.input_buffer.free_bytes < MAX_READ_BYTES
 
+    def held_bytes(self) -> int:
+        """Return the memory in bytes that the connection holds, without that of an accepted request."""
+        return super().held_bytes() + self.parser.held_bytes
+
+    @property
+    def has_partial_request(self) -> bool:
+        """Whether the connection waits for the rest of a request."""
+        return (
+            self.is_open and self.state is ClientConnectionState.WAITING and self.parser.has_partial_message
+        )
+
+    @property
+    def has_input_ahead(self) -> bool:
+        """Whether the client has sent more behind a request that has no response yet."""
+        is_answering = self.state in (ClientConnectionState.PROCESSING, ClientConnectionState.RESPONDING)
+        return self.is_open and is_answering and len(self.input_buffer) > 0
+
+    def drop_input_ahead(self) -> None:
+        """Discard the input behind an open request, and end the connection after its response."""
+        self.closing = True
+        self._discard_input()
+        self.charge_memory()
+
+    def refuse_partial_request(self) -> None:
+        """Refuse a request that is not complete, so that its memory or slot can be used by others."""
+        self._refuse_for_memory()
+        self.input_buffer.clear()
+        self.charge_memory()
+
     def _discard_input(self) -> None:
-        self._discarded_bytes += len(self.input_buffer)
+        discarded_bytes = len(self.input_buffer)
         self.input_buffer.clear()
+        self._count_discarded(discarded_bytes)
+
+    def _count_discarded(self, size: int) -> None:
+        self._discarded_bytes += size
         if self._discarded_bytes <= MAX_DISCARDED_BYTES:
             return
         if self.state is not ClientConnectionState.LINGERING:
@@ -167,11 +193,29 @@
             message = self.parser.next_message()
             if message is None:
                 break
+            self.partial_since = math.inf
             self._partial_timeout_set = False
             self._deadline_extended = False
             self.state = ClientConnectionState.PROCESSING
             self.timeout.clear()
-            self.owner.admission.accept(self, message)
+            if self._has_memory_for(message):
+                self.owner.admission.accept(self, message)
+            else:
+                self._refuse_for_memory()
+
+    def _has_memory_for(self, message: Message) -> bool:
+        size = message.memory_bytes
+        return size <= SMALL_MESSAGE_BYTES or self._make_room_for(size)
+
+    def _make_room_for(self, size: int) -> bool:
+        self.charge_memory()  # the parser may have taken a message from the input buffer
+        return self.owner.gateway.memory_budget.make_room_for(size)
+
+    def _refuse_for_memory(self) -> None:
+        self.owner.gateway.counters.add("memory.refused")
+        self.parser.discard_partial_message()
+        self.closing = True
+        self.respond(503, {}, f"{_NO_MEMORY}\n".encode())
 
     def _handle_admission_fault(self) -> None:
         """Respond with 502 to the request that raised an exception, and end the connection."""
@@ -186,7 +230,16 @@
         if self.parser.expects_continue:
             self.parser.expects_continue = False
             self.send(response_bytes(100, {}))
-        if self.parser.has_partial_message and not self._partial_timeout_set:
+        if not self.parser.has_partial_message:
+            return
+        self.partial_since = min(self.partial_since, self.deadlines.now())
+        missing_bytes = self.parser.missing_body_bytes
+        has_memory = missing_bytes <= SMALL_MESSAGE_BYTES or self._make_room_for(missing_bytes)
+        if not self.has_partial_request:  # making room has refused this very request
+            return
+        if not has_memory:
+            self._refuse_for_memory()
+        elif not self._partial_timeout_set:
             self._partial_timeout_set = True
             self.timeout.set(PARTIAL_REQUEST_TIMEOUT_MS, self._request_timed_out)
 
@@ -215,6 +268,7 @@
         request = self.request
         self.request = None
         self.state = ClientConnectionState.RESPONDING
+        self.responding_since = self.deadlines.now()
         # The number of client connections is limited. While more than half of the slots are in use, close the
         # connection after the response: clients that send one request and stay connected would otherwise
         # occupy all slots.
@@ -244,6 +298,7 @@
         """Shut down sending, and wait a limited time for the client to close the connection."""
         self.state = ClientConnectionState.LINGERING
         self.input_buffer.clear()
+        self.parser.discard_partial_message()
         self.timeout.set(LINGER_TIMEOUT_MS, self.release_slot)
         self.transport.loseWriteConnection()
 
@@ -313,3 +368,6 @@
         super().abort()
         if was_open:
             self.closed()
+            self.input_buffer.clear()
+            self.output_buffer.clear()
+            self.release_memory()
--- a/meadowpulley/net/client_listener.py
+++ b/meadowpulley/net/client_listener.py
@@ -10,10 +10,11 @@
     IDLE_TIMEOUT_MS,
     RECHECK_INTERVAL_MS,
     ClientConnection,
-    ClientConnectionState,
 )
+from meadowpulley.net.client_connection_state import ClientConnectionState
 from meadowpulley.net.connection import CLOSED_CLEANLY, ConnectionFactory
 from meadowpulley.net.gateway_context import GatewayContext
+from meadowpulley.net.load_shedding import LoadShedder
 from meadowpulley.net.reactor_interface import ListeningPort
 from meadowpulley.net.request_admission import RequestAdmission
 from meadowpulley.net.request_table import NO_HANDLE, RequestTable
@@ -53,6 +54,7 @@
         self.port: ListeningPort | None = None
         self._accepting_paused = False
         self._stopping = False
+        self.load_shedder = LoadShedder(gateway, self.connections)
         self._accept_pending: Callable[[], None] = lambda: None  # the original `doRead` of the port
 
     def listen(self) -> None:
--- a/meadowpulley/net/connection.py
+++ b/meadowpulley/net/connection.py
@@ -14,11 +14,13 @@
 
 from meadowpulley.net.config import Address
 from meadowpulley.net.deadlines import ConnectionTimeout, Deadlines
+from meadowpulley.net.memory_budget import MemoryAccount
 from meadowpulley.net.reactor_interface import ClientReactor, Connector
 from meadowpulley.net.ring import RingBuffer, RingBufferFullError
 from meadowpulley.net.tcp_info import TcpInfo, read_tcp_info
 
-WRITE_CHUNK_BYTES = 64 * 1024  # maximum size of one write to the transport
+WRITE_CHUNK_BYTES = 8 * 1024  # maximum size of one write to the transport, which keeps a copy of it
+READ_BYTES = 64 * 1024  # maximum size of one read, unless a subclass sets a smaller one
 CLOSED_CLEANLY = Failure(ConnectionDone())  # type: ignore[no-untyped-call]  # Failure() is not annotated
 
 # Twisted defines the names of the methods that it calls. These names break rule N802 of the linter.
@@ -84,10 +86,20 @@
 
     Output that the kernel doesn't accept immediately is stored in the output buffer, from which this object
     feeds the transport as a pull producer. `flushed` is called when the kernel has accepted all output.
+    What the connection holds is charged to `memory`, if an account is given.
     """
 
-    def __init__(self, deadlines: Deadlines, max_input_bytes: int, max_output_bytes: int) -> None:
+    read_bytes = READ_BYTES
+
+    def __init__(
+        self,
+        deadlines: Deadlines,
+        max_input_bytes: int,
+        max_output_bytes: int,
+        memory: MemoryAccount | None = None,
+    ) -> None:
         self.deadlines = deadlines
+        self.memory = memory
         self.input_buffer = RingBuffer(max_input_bytes)
         self.output_buffer = RingBuffer(max_output_bytes)
         self.timeout = ConnectionTimeout(deadlines)
@@ -96,6 +108,7 @@
         self.transport: Any = None  # Any: Twisted's interface type lacks many methods of TCP transports
         self.is_open = False
         self.was_reset = False  # whether the connection broke instead of being closed by the peer
+        self.last_read_bytes = 0
         self._producing = False
         self._handling_input = False
 
@@ -103,6 +116,7 @@
         """Initialize the connection, call `opened`, and fire `established` if the connection is outgoing."""
         self.is_open = True
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = self.read_bytes
         self.opened()
         pending = self.pending
         self.pending = None
@@ -118,12 +132,16 @@
         self._handling_input = False
         if not self.is_open:
             return
+        self.last_read_bytes = len(data)
         try:
             self.input_buffer.write(data)
         except RingBufferFullError:
             self.overflowed()
             return
         self.received()
+        self.charge_memory()
+        if self.memory is not None and not self.memory.relieve():
+            self.budget_exceeded()
 
     def connectionLost(self, reason: Failure | None = None) -> None:
         """Call `closed` and empty the buffers."""
@@ -134,6 +152,21 @@
         self.closed()
         self.input_buffer.clear()
         self.output_buffer.clear()
+        self.release_memory()
+
+    def held_bytes(self) -> int:
+        """Return the memory in bytes that the connection holds for its peer."""
+        return self.input_buffer.capacity + self.output_buffer.capacity
+
+    def charge_memory(self) -> None:
+        """Charge what the connection holds now."""
+        if self.memory is not None and self.is_open:
+            self.memory.charge(self.held_bytes())
+
+    def release_memory(self) -> None:
+        """Release the whole charge, because the connection has ended."""
+        if self.memory is not None:
+            self.memory.charge(0)
 
     def send(self, data: bytes) -> None:
         """Write data. The part that the kernel doesn't accept immediately must fit into the output buffer."""
@@ -148,6 +181,7 @@
                 return
             data = data[sent:] if isinstance(sent, int) else data
         self.output_buffer.write(data)
+        self.charge_memory()
         if not self._producing:
             self._producing = True
             self.transport.registerProducer(self, False)
@@ -156,6 +190,7 @@
         """Write the next chunk of the output buffer to the transport."""
         data = self.output_buffer.take(WRITE_CHUNK_BYTES)
         if data:
+            self.charge_memory()
             self.transport.write(data)
         elif self._producing:
             self._producing = False
@@ -225,6 +260,9 @@
     def closed(self) -> None:
         """Handle the end of the connection. The input buffer still holds unprocessed input."""
 
+    def budget_exceeded(self) -> None:
+        """Handle that the memory budget is exceeded after a read, although load was shed."""
+
     def overflowed(self) -> None:
         """Handle input that doesn't fit into the input buffer."""
         self.abort()
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -43,6 +43,7 @@
 from meadowpulley.net.gossip import GossipTransport
 from meadowpulley.net.instance_pools import InstancePools
 from meadowpulley.net.log import UNEXPECTED_EXCEPTION_EVENT
+from meadowpulley.net.memory_budget import BYTES_PER_MB, MemoryBudget, budget_bytes
 from meadowpulley.net.reactor_interface import GatewayReactor, StreamReactor
 from meadowpulley.net.request_admission import RequestAdmission
 from meadowpulley.net.request_table import RequestTable
@@ -116,14 +117,17 @@
         self._accepting = True
         self._policy = create_policy(config.settings, config.seed)
         self.pipeline: Any = self._policy  # Any, since each stage adds its own event and action types
+        self.memory_budget = MemoryBudget(int(config.memory_mb * BYTES_PER_MB))
         available = config.max_sockets - RESERVED_SOCKETS
         client_sockets = int(available * CLIENT_SOCKET_FRACTION)
         instance_sockets = available - client_sockets
+        self._max_connections = available
         # Each request holds a client connection, or an instance connection after its client has disconnected,
         # which limits the number of requests.
         self.requests = RequestTable(self, client_sockets + instance_sockets)
         self.admission = RequestAdmission(self, self.requests)
         self.clients = ClientListener(self, self.admission, self.requests, client_sockets)
+        self.memory_budget.shed_load = self.clients.load_shedder.shed
         self.instances = InstancePools(self, instance_sockets)
         self.attempts = AttemptRunner(self, self.instances, self.requests)
         self.discovery = DiscoveryClient(self, self.instances, time.time() * 1000.0 - self.deadlines.now())
@@ -184,10 +188,16 @@
         """
         if self.phase is not GatewayPhase.STARTING:  # the gateway was stopped before it was ready
             return
+        self.memory_budget.limit_bytes = budget_bytes(self.config.memory_mb, self._max_connections)
         self.clients.listen()
         self.phase = GatewayPhase.READY
         host, port = self.config.listen
-        self.log.info("ready", listen=f"{host}:{port}", clients=self.clients.connections.size)
+        self.log.info(
+            "ready",
+            listen=f"{host}:{port}",
+            clients=self.clients.connections.size,
+            memory_budget_bytes=self.memory_budget.limit_bytes,
+        )
 
     def drain(self) -> None:
         """Begin a graceful shutdown: answer all accepted requests, then stop."""
@@ -269,6 +279,11 @@
         dropped = self._policy.gossip.rejected_digests
         extra = {"peers.dropped": dropped} if dropped else {}
         extra |= {f"send_refused.{name}": count for name, count in self._policy.send_refusals.items()}
+        extra |= {f"memory.{use.value}": size for use, size in self.memory_budget.used_by.items()}
+        extra |= {
+            "memory.limit": self.memory_budget.limit_bytes,
+            "memory.peak": self.memory_budget.peak_bytes,
+        }
         extra |= {f"sent_by.{name}": count for name, count in self._policy.sends_by_lease_basis.items()}
         self.log.info("counters", phase=self.phase.value, **self.counters.snapshot(), **extra)
 
--- a/meadowpulley/net/gateway_context.py
+++ b/meadowpulley/net/gateway_context.py
@@ -16,6 +16,7 @@
 from meadowpulley.net.counters import Counters
 from meadowpulley.net.deadlines import Deadlines
 from meadowpulley.net.extension import Extension
+from meadowpulley.net.memory_budget import MemoryBudget
 from meadowpulley.net.reactor_interface import GatewayReactor
 
 if TYPE_CHECKING:
@@ -45,6 +46,10 @@
     def deadlines(self) -> Deadlines:
         """The gateway's clock and deadline queue."""
 
+    @property
+    def memory_budget(self) -> MemoryBudget:
+        """The budget that everything is charged to which peers can fill."""
+
     @property
     def capture(self) -> Capture | None:
         """The recorder of arriving requests; None unless a capture file is configured."""
--- a/meadowpulley/net/http1.py
+++ b/meadowpulley/net/http1.py
@@ -18,7 +18,9 @@
 MAX_BODY_BYTES = 64 * 1024
 MAX_CHUNK_LINE_BYTES = 1024  # maximum length of a chunk-size line or a trailer line
 MAX_HEADER_FIELDS = 100
-MAX_READ_BYTES = 64 * 1024  # maximum size of one read by the reactor
+SMALL_MESSAGE_BYTES = 4 * 1024  # a message up to this size is never refused for lack of memory
+FIELD_OVERHEAD_BYTES = 200  # memory of a parsed header field besides its characters
+MAX_READ_BYTES = 16 * 1024  # maximum size of one read from a client or an instance
 MAX_BUFFERED_BYTES = MAX_HEAD_BYTES + MAX_BODY_BYTES + MAX_READ_BYTES
 
 _LINE_END: Final = b"\r\n"
@@ -78,6 +80,12 @@
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     keep_alive: bool = True
+    head_bytes: int = 0  # size of the head as it was received
+
+    @property
+    def memory_bytes(self) -> int:
+        """Estimate of the memory that the message occupies."""
+        return self.head_bytes + FIELD_OVERHEAD_BYTES * len(self.headers) + len(self.body)
 
 
 _NO_MESSAGE = Message()  # the parser's current message until a head has been parsed
@@ -128,6 +136,7 @@
         self._body = bytearray()
         self._remaining = 0  # length in bytes of the fixed-length body or the current chunk
         self._scanned = 0  # number of bytes already searched for the end of the head
+        self._line_ends = 0  # number of line ends in these bytes
         self.expects_continue = False  # whether the client sends the body only after '100 Continue'
 
     @property
@@ -135,6 +144,22 @@
         """Whether a part of the next message has been received."""
         return self._state is not _ParserState.HEAD or len(self._buffer) > 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the part of a message that was taken from the buffer."""
+        return self._message.memory_bytes + len(self._body)
+
+    def discard_partial_message(self) -> None:
+        """Forget the part of a message that was taken from the buffer. The rest of it can't be parsed."""
+        self._reset()
+
+    @property
+    def missing_body_bytes(self) -> int:
+        """Number of bytes of a body of declared length that were not received yet; 0 for other messages."""
+        if self._state is not _ParserState.FIXED_LENGTH:
+            return 0
+        return max(self._remaining - len(self._buffer), 0)
+
     def next_message(self) -> Message | None:
         """Return the next complete message, or None if more bytes are needed.
 
@@ -191,14 +216,16 @@
         if end < 0:
             self._check_partial_head(data)
             return False
+        # Count before parsing: many short fields would take a hundred times their size while they are parsed.
+        if data.count(_LINE_END, 0, end) > MAX_HEADER_FIELDS:
+            raise BadMessageError(431, "too many header fields")
         self._buffer.take(end + _HEAD_END_BYTES)
         fields_start = data.find(_LINE_END) + _LINE_END_BYTES
         if _HEADER_FIELDS.fullmatch(data, fields_start, end + _LINE_END_BYTES) is None:
             raise BadMessageError(400, "malformed header field")
         lines = data[:end].decode("latin-1").split("\r\n")
-        if len(lines) - 1 > MAX_HEADER_FIELDS:
-            raise BadMessageError(431, "too many header fields")
         self._message = self._parse_start_line(lines[0])
+        self._message.head_bytes = end
         del lines[0]
         self._choose_framing(self._parse_fields(lines))
         return True
@@ -228,6 +255,10 @@
         line_end = data.find(_LINE_END)
         if line_end > 0 and line_end + _LINE_END_BYTES > self._scanned:
             self._parse_start_line(data[:line_end].decode("latin-1"))
+        # The first line end ends the start line. A line end that was split counts with its last byte.
+        self._line_ends += data.count(_LINE_END, max(self._scanned - 1, 0))
+        if self._line_ends > MAX_HEADER_FIELDS + 1:
+            raise BadMessageError(431, "too many header fields")
         # A single CR may be the first half of an empty line, which `_peek_head` removes only while `_scanned`
         # is 0.
         self._scanned = 0 if data == b"\r" else buffered_bytes
--- a/meadowpulley/net/instance_connection.py
+++ b/meadowpulley/net/instance_connection.py
@@ -14,10 +14,13 @@
     MAX_BODY_BYTES,
     MAX_BUFFERED_BYTES,
     MAX_HEAD_BYTES,
+    MAX_READ_BYTES,
+    SMALL_MESSAGE_BYTES,
     BadMessageError,
     Message,
     Parser,
 )
+from meadowpulley.net.memory_budget import MemoryUse
 
 # Maximum time from the first bytes of a response to its end. This time is short, since an instance writes a
 # whole response at once.
@@ -72,9 +75,12 @@
 class InstanceConnection(Connection):
     """A connection to an instance, which carries one request at a time."""
 
+    read_bytes = MAX_READ_BYTES
+
     def __init__(self, pool: ConnectionPool) -> None:
         max_output_bytes = MAX_HEAD_BYTES + MAX_BODY_BYTES + MAX_HEAD_BYTES
-        super().__init__(pool.owner.gateway.deadlines, MAX_BUFFERED_BYTES, max_output_bytes)
+        memory = pool.owner.gateway.memory_budget.open_account(MemoryUse.INSTANCE)
+        super().__init__(pool.owner.gateway.deadlines, MAX_BUFFERED_BYTES, max_output_bytes, memory)
         self.pool = pool
         self.parser = Parser(self.input_buffer, expect_requests=False)
         self.state = InstanceConnectionState.IDLE
@@ -173,6 +179,16 @@
         if was_open:
             self.closed()
 
+    def held_bytes(self) -> int:
+        """Return the memory in bytes that the connection holds for its instance."""
+        return super().held_bytes() + self.parser.held_bytes
+
+    def budget_exceeded(self) -> None:
+        """Give up a large response, since no client can be made to give way any more."""
+        if self.exchange is not None and self.held_bytes() > SMALL_MESSAGE_BYTES:
+            self.pool.owner.gateway.counters.add("memory.shed.responses")
+            self.exchange.malformed_response()
+
     def overflowed(self) -> None:
         """Handle a response that exceeds the input buffer."""
         if self.exchange is not None:
--- a/meadowpulley/net/request_table.py
+++ b/meadowpulley/net/request_table.py
@@ -13,7 +13,8 @@
 from meadowpulley.net.executed_ids import ExecutedIds
 from meadowpulley.net.extension import Extension, Response
 from meadowpulley.net.gateway_context import GatewayContext
-from meadowpulley.net.http1 import Message
+from meadowpulley.net.http1 import SMALL_MESSAGE_BYTES, Message
+from meadowpulley.net.memory_budget import MemoryUse
 from meadowpulley.net.slots import SlotTable
 
 EXECUTED_IDS_PER_MB = (
@@ -67,6 +68,7 @@
     outstanding: dict[int, OutstandingAttempt] = field(default_factory=dict)  # attempts by number
     finished: bool = False  # whether the request has a response, or its client has disconnected
     timeout: Deadline | None = None
+    charged_bytes: int = 0  # memory of the message, if it is charged to the memory budget
 
     def may_have_executed(self, attempt_number: int) -> bool:
         """Return whether any attempt other than `attempt_number` may have executed or may still execute."""
@@ -132,6 +134,10 @@
     def add(self, request: AcceptedRequest) -> None:
         """Add a request and schedule its deadline. Raises SlotsFullError if the table is full."""
         request.handle = self.slots.put(request)
+        size = request.message.memory_bytes
+        if size > SMALL_MESSAGE_BYTES:  # small ones are allowed for with their connections
+            request.charged_bytes = size
+            self.gateway.memory_budget.change(MemoryUse.REQUEST, size)
         self.open_ids[request.request_id] = self.open_ids.get(request.request_id, 0) + 1
         request.timeout = self.gateway.deadlines.at(
             request.deadline, partial(self._deadline_reached, request)
@@ -244,6 +250,9 @@
         """Free the slot of a request that is finished and has no outstanding attempt."""
         if request.finished and not request.outstanding:
             self.slots.free(request.handle)
+            if request.charged_bytes:
+                self.gateway.memory_budget.change(MemoryUse.REQUEST, -request.charged_bytes)
+                request.charged_bytes = 0
             self.outstanding_ids.discard(request.request_id)
 
     def _deadline_reached(self, request: AcceptedRequest) -> None:
--- a/meadowpulley/net/ring.py
+++ b/meadowpulley/net/ring.py
@@ -4,9 +4,12 @@
 
 from meadowpulley.net.errors import NetError
 
-# Initial capacity of a buffer in bytes. An emptied buffer shrinks to this capacity, so that idle connections
-# use little memory.
+# Capacity of a buffer in bytes after its first write. An emptied buffer shrinks to this capacity, so that
+# idle connections use little memory.
 INITIAL_BYTES = 2048
+# A full buffer grows by a quarter of its capacity, or to what is needed, in steps of this many bytes.
+GROWTH_STEP_BYTES = 4096
+GROWTH_DIVISOR = 4
 
 
 class RingBufferFullError(NetError):
@@ -20,7 +23,12 @@
         self.max_bytes = max_bytes
         self._start = 0  # index of the first byte in `_bytes`
         self._size = 0
-        self._bytes = bytearray(min(INITIAL_BYTES, max_bytes))
+        self._bytes = bytearray()
+
+    @property
+    def capacity(self) -> int:
+        """Number of bytes that the buffer has allocated: 0 before its first write."""
+        return len(self._bytes)
 
     def __len__(self) -> int:
         """Return the number of bytes in the buffer."""
@@ -33,6 +41,8 @@
 
     def write(self, data: bytes) -> None:
         """Append bytes. If they don't fit, raise RingBufferFullError and leave the buffer unchanged."""
+        if not data:
+            return
         size = self._size + len(data)
         if size > self.max_bytes:
             raise RingBufferFullError(f"the buffer holds at most {self.max_bytes} bytes, not {size}")
@@ -49,8 +59,11 @@
         self._size = size
 
     def _grow(self, min_capacity: int) -> None:
-        """Double the capacity, or increase it to `min_capacity` if that is more, up to `max_bytes`."""
-        capacity = max(2 * len(self._bytes), min_capacity)
+        """Increase the capacity to at least `min_capacity`, up to `max_bytes`."""
+        capacity = INITIAL_BYTES
+        if min_capacity > INITIAL_BYTES:
+            wanted = max(min_capacity, len(self._bytes) + len(self._bytes) // GROWTH_DIVISOR)
+            capacity = -(-wanted // GROWTH_STEP_BYTES) * GROWTH_STEP_BYTES
         grown = bytearray(min(capacity, self.max_bytes))
         grown[: self._size] = self.peek(self._size)
         self._bytes = grown
@@ -59,6 +72,8 @@
     def peek(self, size: int, skip: int = 0) -> bytes:
         """Return up to `size` bytes after the first `skip` bytes, without removing them."""
         size = max(min(size, self._size - skip), 0)
+        if not size:
+            return b""
         capacity = len(self._bytes)
         offset = (self._start + skip) % capacity
         if offset + size <= capacity:
@@ -88,6 +103,8 @@
     def take(self, size: int) -> bytes:
         """Remove and return up to `size` bytes."""
         data = self.peek(size)
+        if not data:
+            return data
         self._size -= len(data)
         self._start = (self._start + len(data)) % len(self._bytes)
         if not self._size:
