Requests of a client that wrote ahead wait until all of its input was read

Cause: the check for a client's end asks the kernel, which can't know of an end that its full receive buffer has no room for. A client that sends one request at a time never has more unread.

--- a/meadowpulley/net/client_connection.py
+++ b/meadowpulley/net/client_connection.py
@@ -108,9 +108,26 @@
             self.closing = True
             if self.state is ClientConnectionState.WAITING:
                 self._process_input(max_requests=1)
-        if self.state is ClientConnectionState.LINGERING or self._is_input_nearly_full:
+        is_answering = self.state is not ClientConnectionState.WAITING
+        if self.state is ClientConnectionState.LINGERING or (is_answering and self._is_input_nearly_full):
             self._discard_input()
 
+    def overflowed(self) -> None:
+        """Discard input behind the first request, which waits until all input was read."""
+        self.closing = True
+        self._count_discarded(self.last_read_bytes)
+        if self.is_open and self.state is ClientConnectionState.WAITING:
+            self._process_input(max_requests=1)
+
+    @property
+    def _is_more_to_read(self) -> bool:
+        """Whether a client that writes ahead has more unread input, behind which its end may follow.
+
+        The kernel may not know of the end of the connection yet, while its receive buffer is full. A client
+        that sends one request at a time has no input behind that request.
+        """
+        return self.last_read_bytes >= self.read_bytes and self.has_unread_input()
+
     @property
     def _is_input_nearly_full(self) -> bool:
         """Whether the next read might not fit into the input buffer."""
@@ -167,7 +184,7 @@
 
     def _process_input(self, max_requests: int = MAX_REQUESTS_PER_TURN) -> None:
         """Admit up to `max_requests` buffered requests; stop at a request that waits for its response."""
-        if self._processing_input:
+        if self._processing_input or self._is_more_to_read:
             return
         self._processing_input = True
         try:
--- a/tests/net_program/test_stalled_gateway.py
+++ b/tests/net_program/test_stalled_gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
 import threading
@@ -98,6 +99,25 @@
     assert looks_received(instances) == 1
 
 
+def test_no_request_of_a_client_that_wrote_ahead_and_left_during_a_stall_is_sent(start: StartGateway) -> None:
+    # The kernel knows of no end behind input that its full receive buffer has no room for.
+    instance = FakeInstance()
+    gateway = start([endpoint("s-1", instance.address)])
+    leaving, staying = gateway.client(), gateway.client()
+    assert staying.request("POST", "/pay", b"before")[0] == 200
+    with stalled(gateway):
+        leaving.socket.setblocking(False)
+        request_count = 0
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                leaving.send("GET", "/look")
+                request_count += 1
+        leave(leaving)
+    assert request_count
+    assert staying.request("POST", "/pay", b"after")[0] == 200
+    assert looks_received([instance]) == 0
+
+
 def test_time_told_to_an_instance_leaves_out_a_stall(start: StartGateway) -> None:
     # The deadline counted from the end of the stall, and instances were told the full time once more.
     instance = FakeInstance()
