--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -75,6 +75,35 @@
     "unread": Behaviour(_large, reads=False),
 }
 KINDS = (*BEHAVIOURS, "mixed")
+FLOOD_PREFIX = "flood-"  # of a kind that names a flood: one member, on one connection at a time
+FLOOD_BATCH = 8  # requests that a flood sends ahead of their answers
+
+
+def _request(number: int, line: str, *headers: str, body: str = "") -> bytes:
+    name = f"{number:x}-{time.monotonic_ns():x}"
+    lines = [line.format(name=name), "Host: app.svc", f"X-Txn: {name}", f"X-Entity: key-{name}", *headers]
+    return "\r\n".join([*lines, f"Content-Length: {len(body)}", "", body]).encode()
+
+
+# Each sends names that never come again: ids, keys, paths, tenants, labels.
+FLOODS: dict[str, tuple[Callable[[int], bytes], ...]] = {
+    "served": (
+        lambda n: _request(n, "GET /look/{name} HTTP/1.1", f"X-Org: tenant-{n}", f"X-Labels: l{n}={n}"),
+    ),
+    "refused": (
+        lambda n: _request(n, "GET /{name} HTTP/1.1"),
+        lambda n: _request(n, "PUT /look HTTP/1.1"),
+        lambda n: _request(n, "POST /look HTTP/1.1", "X-Remaining: 0m"),
+        lambda n: _request(n, "POST /pay HTTP/1.1", "X-Remaining: 0m", body="x"),
+    ),
+    "unsound": (
+        lambda n: _request(n, "GET /look HTTP/1.1", "X-Txn: second"),
+        lambda n: _request(n, "GET /look HTTP/1.1", "X-Remaining: never"),
+        lambda n: _request(n, "nonsense {name}"),
+        lambda n: b"POST /pay HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n",
+    ),
+    "unread": (lambda n: _request(n, "GET /{name} HTTP/1.1"),),
+}
 
 
 class Member:
@@ -160,6 +189,30 @@
     return report
 
 
+def run_flood(kind: str, port: int, seconds: float) -> CrowdReport:
+    """Send on one connection at full speed, a few requests ahead, and read each answer but for `unread`."""
+    report, number, until = CrowdReport(), 0, time.monotonic() + seconds
+    while time.monotonic() < until:
+        report.connections += 1
+        with (
+            contextlib.suppress(OSError),
+            socket.create_connection(("127.0.0.1", port), OWED_S) as connection,
+        ):
+            while time.monotonic() < until:
+                makers = FLOODS[kind]
+                batch = [makers[(number + k) % len(makers)](number + k) for k in range(FLOOD_BATCH)]
+                number += FLOOD_BATCH
+                connection.sendall(b"".join(batch))
+                missing = 0 if kind == "unread" else FLOOD_BATCH
+                while missing > 0:
+                    data = connection.recv(READ_BYTES)
+                    if not data:
+                        raise ConnectionResetError
+                    missing -= data.count(b"HTTP/1.1 ")
+                    report.in_time += data.count(b"HTTP/1.1 ")
+    return report
+
+
 @contextlib.contextmanager
 def crowd(kind: str, port: int, members: int, seconds: float) -> Iterator[Callable[[], CrowdReport]]:
     """Run a crowd meanwhile; what is yielded waits for its end and returns its report."""
@@ -252,5 +305,9 @@
 
 
 if __name__ == "__main__":
-    result = run_crowd(sys.argv[1], int(sys.argv[2]), int(sys.argv[3]), float(sys.argv[4]))
+    chosen_kind, chosen_port, seconds = sys.argv[1], int(sys.argv[2]), float(sys.argv[4])
+    if chosen_kind.startswith(FLOOD_PREFIX):
+        result = run_flood(chosen_kind.removeprefix(FLOOD_PREFIX), chosen_port, seconds)
+    else:
+        result = run_crowd(chosen_kind, chosen_port, int(sys.argv[3]), seconds)
     print(json.dumps(result.__dict__))
--- a/tests/net_program/test_crowds.py
+++ b/tests/net_program/test_crowds.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.crowd import BEHAVIOURS, MemoryWatch, UsualClients, crowd
+from tests.crowd import BEHAVIOURS, FLOOD_PREFIX, FLOODS, MemoryWatch, UsualClients, crowd
 from tests.net_program.conftest import StartGateway
 from tests.standins import FakeInstance, endpoint
 
@@ -20,6 +20,7 @@
     ("mixed", LEAST_MEMORY_MB, 1024),
     ("mixed", 64, 1024),
     ("mixed", 192, 256),
+    *((FLOOD_PREFIX + kind, LEAST_MEMORY_MB, 256) for kind in FLOODS),
 ]
 
 
