A log that nobody reads no longer stops the gateway

Cause: StderrLogger wrote to a blocking descriptor; it passed over errors, and a full pipe is none. Change: a pipe is opened again without blocking, so that the flag holds for this process alone; what it doesn't take is dropped, and the next line says how many were. A file or terminal is written as before.

--- a/meadowpulley/net/log.py
+++ b/meadowpulley/net/log.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import json
 import logging
+import os
+import stat
 import sys
 import time
 
@@ -11,6 +14,7 @@
 
 UNEXPECTED_EXCEPTION_EVENT = "unexpected_exception"  # logged for a caught bug; the gateway goes on
 MAX_LINES_PER_SECOND = 20  # lines per event name; the next line written says how many were suppressed
+STDERR_DESCRIPTOR = 2
 UNLIMITED_EVENTS = ("request_trace",)  # never suppressed, since an operator asked for every line
 
 
@@ -42,19 +46,47 @@
 
 
 class StderrLogger:
-    """Writes lines to standard error, and ignores errors: an unread log must not stop the gateway."""
+    """Writes lines to standard error without waiting, so that an unread log doesn't stop the gateway.
+
+    Lines that a full pipe doesn't take are dropped; the next line that it takes says how many.
+    """
+
+    def __init__(self) -> None:
+        """Open standard error for writing without waiting."""
+        self._descriptor = _open_stderr()
+        self._dropped_lines = 0
+        self._is_line_open = False  # whether only a part of the last line was written
 
     def msg(self, line: str) -> None:
-        """Write one line and flush it."""
+        """Write one line, or drop it."""
+        if self._dropped_lines:
+            line = json.dumps({"event": "log_lines_dropped", "lines": self._dropped_lines}) + "\n" + line
+        data = ("\n" * self._is_line_open + line + "\n").encode()
         try:
-            sys.stderr.write(line + "\n")
-            sys.stderr.flush()
-        except (OSError, ValueError):
-            pass
+            written_bytes = os.write(self._descriptor, data)
+        except OSError:
+            self._dropped_lines += 1
+            return
+        self._is_line_open = written_bytes < len(data)
+        self._dropped_lines = int(self._is_line_open)
 
     debug = info = warning = error = critical = msg
 
 
+def _open_stderr() -> int:
+    """Return a descriptor of standard error that doesn't block if it is a pipe.
+
+    The pipe is opened again, since the flag would else hold for all processes that share the descriptor.
+    """
+    descriptor = sys.__stderr__.fileno() if sys.__stderr__ is not None else STDERR_DESCRIPTOR
+    try:
+        if stat.S_ISFIFO(os.fstat(descriptor).st_mode):
+            return os.open(f"/proc/self/fd/{descriptor}", os.O_WRONLY | os.O_NONBLOCK | os.O_CLOEXEC)
+    except OSError:
+        pass
+    return descriptor
+
+
 def open_log(**fields: object) -> FilteringBoundLogger:
     """Return a logger that adds `fields` to each of its events."""
     log: FilteringBoundLogger = structlog.wrap_logger(
