A list may take a sixteenth of the memory limit; a longer one is refused in one line

Need: discovery could fill 8 MiB of a gateway that is told 32 MB, and several times that while the list is read. Change: the bound is a sixteenth of limits.memory_mb, 8 MiB at the most: 2 MB at 32 MB, some 8,000 instances. A longer answer fails the call and the last list stays. The test fails on the code before.

--- a/meadowpulley/net/discovery_call.py
+++ b/meadowpulley/net/discovery_call.py
@@ -108,9 +108,11 @@
         if idle_connection is not None:
             self._send_request(idle_connection)
             return
-        address = self._gateway.config.discovery
+        config = self._gateway.config
         connecting = connect(
-            self._gateway.reactor, address, lambda: DiscoveryConnection(self._gateway.deadlines)
+            self._gateway.reactor,
+            config.discovery,
+            lambda: DiscoveryConnection(self._gateway.deadlines, config.memory_mb),
         )
         self._connecting = connecting
         connecting.addCallbacks(self._send_request, self._connection_failed).addErrback(self._log_fault)
--- a/meadowpulley/net/discovery_connection.py
+++ b/meadowpulley/net/discovery_connection.py
@@ -11,19 +11,25 @@
 from meadowpulley.net.deadlines import Deadlines
 from meadowpulley.net.endpoint_list import DiscoveryError
 from meadowpulley.net.http1 import BadMessageError, Message, Parser, request_bytes
+from meadowpulley.net.memory_budget import BYTES_PER_MB
 
 # How long the rest of a partly received response may take. Discovery writes each response in one piece.
 PARTIAL_RESPONSE_TIMEOUT_MS = 500.0
 MAX_LIST_BYTES = 8 * 1024 * 1024  # 8 MiB: enough for a list of thousands of instances
+MAX_LIST_FRACTION = 1 / 16  # of the memory limit: a list takes several times its size while it is read
 MAX_REQUEST_BYTES = 4096
 
 
 class DiscoveryConnection(Connection):
-    """Sends one request at a time, and fires its Deferred with the response or a DiscoveryError."""
+    """Sends one request at a time, and fires its Deferred with the response or a DiscoveryError.
 
-    def __init__(self, deadlines: Deadlines) -> None:
-        super().__init__(deadlines, MAX_LIST_BYTES, MAX_REQUEST_BYTES)
-        self.parser = Parser(self.input_buffer, expect_requests=False, max_body_bytes=MAX_LIST_BYTES)
+    A response may take a sixteenth of `memory_mb` (10^6 bytes), and at most `MAX_LIST_BYTES`.
+    """
+
+    def __init__(self, deadlines: Deadlines, memory_mb: float = math.inf) -> None:
+        max_list_bytes = int(min(MAX_LIST_BYTES, memory_mb * BYTES_PER_MB * MAX_LIST_FRACTION))
+        super().__init__(deadlines, max_list_bytes, MAX_REQUEST_BYTES)
+        self.parser = Parser(self.input_buffer, expect_requests=False, max_body_bytes=max_list_bytes)
         self.response: Deferred[Message] | None = None
         self.response_begun = False  # whether a part of the response to the latest request has arrived
 
@@ -64,7 +70,7 @@
 
     def overflowed(self) -> None:
         """Fail the request when its response exceeds the input buffer."""
-        self._fail("the response is too long")
+        self._fail(f"the response is longer than {self.input_buffer.max_bytes} bytes: raise 'memory_mb'")
         self.abort()
 
     def _response_overdue(self) -> None:
--- a/tests/discovery_harness.py
+++ b/tests/discovery_harness.py
@@ -83,6 +83,7 @@
                 settings=self.driver.policy.settings,
                 discovery=("127.0.0.1", 8500),
                 cached_endpoints=None,
+                memory_mb=32.0,
                 seed=3,
             ),
         )
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -383,3 +383,15 @@
     harness.discovery.watch(True)
     assert not watch.connection.is_open
     assert harness.next_call().target == "after=42&wait_ms=0"
+
+
+def test_a_list_beyond_its_share_of_the_memory_limit_is_refused_and_the_last_one_kept() -> None:
+    harness = ManualDiscoveryHarness()
+    watch = open_watch(harness, 41, READY_ENTRY)
+    watch.respond(list_body(42, DRAINING_ENTRY) + b" " * 2_000_000)
+    assert not watch.connection.is_open
+    assert harness.events[-1].kind is not EndpointUpdateKind.INCREMENTAL
+    assert harness.gateway.counters["discovery.failed_calls"] == 1
+    harness.run(1_000.0)
+    harness.calls[-1].respond(list_body(42, DRAINING_ENTRY) + b" " * 1_000_000)
+    assert harness.take_updates()[-1] == (42, [DRAINING])
