--- a/benchmarks/fault_soak.py
+++ b/benchmarks/fault_soak.py
@@ -46,13 +46,15 @@
         f"seed {seed}: asked {result.figures['asked']:.0f}, served {result.figures['worth']:.3f}, "
         f"crossed {result.crossed_requests}, restarts {len(result.restart_ms)} "
         f"(longest {max(result.restart_ms, default=0.0):.0f} ms), gateway faults {faults}, "
+        f"memory {max(result.memory_mb):.1f} of {plan.memory_mb:.0f} MB, "
         f"broken {result.violation_counts or 'none'}; {', '.join(kinds)}"
         + (f"; test bed: {'; '.join(result.limiting_factors[:3])}" if result.limiting_factors else ""),
         flush=True,
     )
     for violation in result.violations[:5]:
         print(f"    {violation}", flush=True)
-    return BROKEN if result.violation_counts or faults else 0
+    is_over_memory = max(result.memory_mb) > plan.memory_mb
+    return BROKEN if result.violation_counts or faults or is_over_memory else 0
 
 
 def main() -> int:
--- a/meadowpulley/loopback/messages.py
+++ b/meadowpulley/loopback/messages.py
@@ -48,6 +48,7 @@
     discovery_faults: tuple[DiscoveryFault, ...] = ()
     start_delay_s: float = 0.4  # for each gateway, until the first request
     declared_gateways: int = 0  # how many the settings tell of; 0: as many as run
+    memory_mb: float = 192.0  # the limit that each gateway is told
     drained_servers_reject: bool = False  # as the platform's page says; else they serve until they end
 
 
--- a/meadowpulley/loopback/process_faults.py
+++ b/meadowpulley/loopback/process_faults.py
@@ -15,9 +15,11 @@
 
 from msgspec import Struct
 
+from meadowpulley.loopback.crowd import play_crowd
 from meadowpulley.rules import GatewayCrashed, GatewayStarted, Record
 
-ProcessFaultKind = Literal["kill", "terminate", "stall", "reload"]
+ProcessFaultKind = Literal["kill", "terminate", "stall", "reload", "crowd"]
+SERIES_SPACING_S = 0.05  # time between the further signals of a series
 MAX_STALL_MS = 150.0  # longer ones are no fault that a gateway has to withstand without a trace
 SHUTDOWN_MARGIN_MS = 700.0  # from the longest deadline to SIGKILL, at the earliest
 MIN_SHUTDOWN_MS = 3_000.0  # that deadline counts as this at least
@@ -26,12 +28,17 @@
 
 
 class ProcessFault(Struct, frozen=True):
-    """A fault of one gateway at `at_ms`; `duration_ms` is until its restart, or how long it is held up."""
+    """A fault of one gateway at `at_ms`.
+
+    `duration_ms` is until its restart, how long it is held up, or how long a crowd of bad clients stays. In a
+    series SIGTERM is followed by SIGHUP and SIGTERM again, while the gateway drains.
+    """
 
     kind: ProcessFaultKind
     at_ms: float
     gateway: int
     duration_ms: float = 0.0
+    in_series: bool = False
 
 
 class BrokenConnection(Protocol):
@@ -111,12 +118,14 @@
         origin: float,
         longest_deadline_ms: float,
         ready_timeout_s: float,
+        addresses: Sequence[tuple[str, int]] = (),
     ) -> None:
         self._gateways = gateways
         self._restart = restart
         self._origin = origin
         self._shutdown_ms = max(longest_deadline_ms, MIN_SHUTDOWN_MS) + SHUTDOWN_MARGIN_MS
         self._ready_timeout_s = ready_timeout_s
+        self._addresses = addresses  # where clients reach each gateway
         self._threads: list[threading.Thread] = []
         self._cancelled = threading.Event()
         self.records: list[Record] = []
@@ -163,6 +172,8 @@
                 process.send_signal(signal.SIGCONT)
             elif fault.kind == "reload":
                 process.send_signal(signal.SIGHUP)
+            elif fault.kind == "crowd":
+                play_crowd(self._addresses[fault.gateway], fault.duration_ms / 1000.0)
             else:
                 self._end(fault, process)
                 self._start_again(fault)
@@ -173,8 +184,11 @@
         killed_at = self._now_ms
         if fault.kind == "terminate":
             process.send_signal(signal.SIGTERM)
+            if fault.in_series:
+                self._send_series(process)
             try:
-                process.wait(self._shutdown_ms / 1000.0)
+                kill_at = (killed_at + self._shutdown_ms - self._now_ms) / 1000.0
+                process.wait(max(kill_at, 0.0))
             except subprocess.TimeoutExpired:
                 self.errors.append(
                     f"gateway {fault.gateway}: still ran {self._shutdown_ms:.0f} ms after SIGTERM"
@@ -187,6 +201,13 @@
             self.records.append(GatewayCrashed(killed_at, fault.gateway))
             self.kills.append((fault.gateway, killed_at))
 
+    @staticmethod
+    def _send_series(process: subprocess.Popen[bytes]) -> None:
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+            time.sleep(SERIES_SPACING_S)
+            if process.poll() is None:
+                process.send_signal(number)
+
     def _start_again(self, fault: ProcessFault) -> None:
         time.sleep(fault.duration_ms / 1000.0)
         started_at = self._now_ms
--- a/meadowpulley/loopback/runner.py
+++ b/meadowpulley/loopback/runner.py
@@ -184,7 +184,7 @@
         "listen": f"{ports.host}:{ports.clients[index]}",
         "discovery": f"{ports.host}:{ports.discovery[index]}",
         "seed": f"{(plan.seed * 1000003 + index) & 0xFFFFFFFFFFFFFFFF:016x}",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "limits": {"cores": 1.0, "memory_mb": plan.memory_mb, "sockets": sockets},
         "peer_listen": f"{ports.host}:{ports.peers[index]}",
         "peers": [f"{ports.host}:{port}" for port in ports.peers],
         "platform": {"address": f"{ports.host}:{ports.platform[index]}", "news": initial_rollout},
@@ -315,7 +315,10 @@
                 _ProgressReader(folder, title, progress_callback) if progress_callback is not None else None
             )
             deadline_ms = max(c.deadline_ms for c in plan.fleet.classes)
-            injector = ProcessFaultInjector(gateways, start_gateway, origin, deadline_ms, READY_TIMEOUT_S)
+            addresses = [(ports.host, port) for port in ports.clients]
+            injector = ProcessFaultInjector(
+                gateways, start_gateway, origin, deadline_ms, READY_TIMEOUT_S, addresses
+            )
             injector.start(plan.process_faults)
             _wait_for_driver(driver, plan.load.seconds + GRACE_S, progress)
             injector.join()
--- a/meadowpulley/loopback/soak.py
+++ b/meadowpulley/loopback/soak.py
@@ -14,6 +14,7 @@
 from meadowpulley.fleet import Fleet, parse_fleet
 from meadowpulley.loopback.messages import DiscoveryFault, LoopbackPlan
 from meadowpulley.loopback.process_faults import MAX_STALL_MS, ProcessFault
+from meadowpulley.net.config import DEFAULT_MEMORY_MB
 
 FLEET_TOML = """
 version = 1
@@ -63,6 +64,8 @@
 START_DELAY_S = 0.15  # for each gateway; they start side by side
 DECLARED_GATEWAYS = 200  # as one of a large fleet a gateway spreads its list calls
 FIRST_FAULT_MS = 1_500.0
+CROWD_SEEDS = 3  # each third seed has crowds of bad clients
+CROWD_MEMORY_MB = 64.0
 SERVER_FAULTS: tuple[tuple[FaultKind, float, float], ...] = (  # kind, smallest and greatest amount
     ("crash", 1.0, 1.0),
     ("silence", 1.0, 1.0),
@@ -88,7 +91,10 @@
     restarted = numbers[: round(len(numbers) * rng.uniform(0.0, 0.7))]
     begin = rng.uniform(FIRST_FAULT_MS, duration_ms * 0.6)
     spacing_ms = (duration_ms * 0.8 - begin) / max(len(restarted), 1)
-    faults += [ProcessFault("terminate", begin + k * spacing_ms, n) for k, n in enumerate(restarted)]
+    faults += [
+        ProcessFault("terminate", begin + k * spacing_ms, n, in_series=k % 2 == 1)
+        for k, n in enumerate(restarted)
+    ]
     for _ in range(gateways):
         at = rng.uniform(FIRST_FAULT_MS, duration_ms)
         number = rng.randrange(gateways)
@@ -98,6 +104,20 @@
     return tuple(sorted(faults, key=lambda fault: fault.at_ms))
 
 
+def _crowds_and_series(rng: Random, gateways: int, duration_ms: float) -> tuple[ProcessFault, ...]:
+    """Draw crowds at some gateways, with SIGHUP inside and a kill soon after, and series of SIGHUP."""
+    faults: list[ProcessFault] = []
+    for number in rng.sample(range(gateways), max(gateways // 3, 1)):
+        at = rng.uniform(FIRST_FAULT_MS, duration_ms * 0.6)
+        length_ms = rng.uniform(2_000.0, 4_000.0)
+        faults.append(ProcessFault("crowd", at, number, length_ms))
+        reload_at = at + rng.uniform(0.0, length_ms)
+        faults += [ProcessFault("reload", reload_at + k * rng.uniform(0.0, 200.0), number) for k in range(3)]
+        if rng.random() < 0.3:
+            faults.append(ProcessFault("kill", at + rng.uniform(500.0, length_ms), number, 1_000.0))
+    return tuple(faults)
+
+
 def _discovery_faults(rng: Random, duration_ms: float) -> tuple[DiscoveryFault, ...]:
     """Draw spells of crowded, silent and cut calls."""
     faults: list[DiscoveryFault] = []
@@ -165,6 +185,12 @@
     rng = Random(seed)
     duration_ms = seconds * 1000.0
     outage = _outage(rng, gateways, duration_ms)
+    process_faults = _process_faults(rng, gateways, duration_ms, outage.gateways)
+    has_crowd = seed % CROWD_SEEDS == 0
+    if has_crowd:
+        ended = {fault.gateway for fault in process_faults if fault.kind in ("kill", "terminate")}
+        drawn = _crowds_and_series(rng, gateways, duration_ms)
+        process_faults += tuple(f for f in drawn if f.kind != "kill" or f.gateway not in ended)
     load = LoadSpec(per_s=REQUESTS_PER_GATEWAY_S * gateways, seconds=seconds)
     return LoopbackPlan(
         soak_fleet(gateways),
@@ -172,9 +198,10 @@
         seed,
         seed + 1,
         _scenario(rng, duration_ms, outage.servers),
-        process_faults=_process_faults(rng, gateways, duration_ms, outage.gateways),
+        process_faults=tuple(sorted(process_faults, key=lambda fault: fault.at_ms)),
         discovery_faults=(*outage.discovery, *_discovery_faults(rng, duration_ms)),
         start_delay_s=START_DELAY_S,
         declared_gateways=DECLARED_GATEWAYS,
+        memory_mb=CROWD_MEMORY_MB if has_crowd else DEFAULT_MEMORY_MB,
         drained_servers_reject=True,
     )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -139,7 +139,7 @@
     plans = [soak_plan(seed, 24, 25.0) for seed in range(30)]
     kinds = {str(f.kind) for plan in plans for f in plan.process_faults}
     kinds |= {str(f.kind) for plan in plans for f in plan.discovery_faults}
-    assert kinds == {"kill", "terminate", "stall", "reload", "down", "crowded", "silent", "cut"}
+    assert kinds == {"kill", "terminate", "stall", "reload", "crowd", "down", "crowded", "silent", "cut"}
     overlapping = [
         plan
         for plan in plans
@@ -160,9 +160,13 @@
         parse_seeds("one")
 
 
-def test_a_short_soak_keeps_the_rules() -> None:
+@pytest.mark.parametrize("seed", [2, 3], ids=["kills", "crowd"])
+def test_a_short_soak_keeps_the_rules(seed: int) -> None:
     subprocess.run([sys.executable, str(ROOT / "deploy" / "compile.py")], check=True)
-    result = run_loopback(soak_plan(2, 6, 8.0))
+    plan = soak_plan(seed, 6, 8.0)
+    assert (seed == 3) == any(fault.kind == "crowd" for fault in plan.process_faults)
+    result = run_loopback(plan)
+    assert max(result.memory_mb) <= plan.memory_mb
     assert not result.violation_counts, result.violations[:5]
     assert result.restart_ms and math.isfinite(max(result.restart_ms))
     bad = {n for c in result.counters for n in c if n.startswith(("fault.", "violation."))}
