--- a/meadowpulley/loopback/crowd.py
+++ b/meadowpulley/loopback/crowd.py
@@ -54,9 +54,7 @@
         while (now := time.monotonic()) < until:
             for member in [m for m in waiting if m.connect_at <= now]:
                 waiting.remove(member)
-                selector.register(
-                    member.connect(address), selectors.EVENT_READ | selectors.EVENT_WRITE, member
-                )
+                selector.register(member.connect(address), READ_AND_WRITE, member)
                 connections += 1
             for key, events in selector.select(POLL_S):
                 if _has_ended(selector, key, events):
