Keys bound to builds are bounded in a trial that goes on, and beside older servers

Found by reading; 399 keys of 399 requests were stored in the test before. Change: from 20,000 keys on the limit is applied with each outcome, and a build on trial gets no request with a key that is not stored yet; past 40,000 all keys count as bound to the build that answered last, as after a release.

--- a/meadowpulley/policy/exposure.py
+++ b/meadowpulley/policy/exposure.py
@@ -8,7 +8,7 @@
 """
 
 from meadowpulley.interface import Effect
-from meadowpulley.policy.rollout_stage import ROLLBACK_PHASES, is_on_trial, trial_stage
+from meadowpulley.policy.rollout_stage import ROLLBACK_PHASES, is_on_trial, may_bind_key, trial_stage
 from meadowpulley.state import InFlightRequest, Server, State
 
 
@@ -40,8 +40,10 @@
     newest_build = max(server.build, rolled_back)
     if state.sticky_builds.get(key, state.oldest_sticky_build) > newest_build:
         return False
-    if is_on_trial(state, server.build) or not state.rollout_settings.monotonic_keys:
+    if not state.rollout_settings.monotonic_keys:
         return True
+    if is_on_trial(state, server.build):
+        return may_bind_key(state, key)
     # The key is also refused while a request with it is in flight at a newer build. That build may already
     # have answered, and an older build must not answer the same key afterwards.
     attempts = state.attempts.values()
--- a/meadowpulley/policy/outcomes.py
+++ b/meadowpulley/policy/outcomes.py
@@ -10,6 +10,7 @@
 from meadowpulley.policy import concurrency_limit, retry_budget
 from meadowpulley.policy.final_response import cancel_outstanding, give_up
 from meadowpulley.policy.outlier_detection import SERVER_FAULT_RATE, update_health
+from meadowpulley.policy.rollout_stage import bind_key
 from meadowpulley.policy.routing import route
 from meadowpulley.state import Attempt, OutcomeCounts, State
 
@@ -58,7 +59,7 @@
         update_health(state, attempt.server, result)
     state.goodput.add(state.now, float(ok))
     if result not in NO_RESPONSE:
-        state.bind_key(attempt.in_flight, attempt.server.build)
+        bind_key(state, attempt)
     _collect_evidence(state, attempt, outcome)
     if latency_known and result is Result.TIMEOUT and attempt.slow_start_fraction >= WARMED_UP_FRACTION:
         state.gossip.record_timeout(attempt.server)
--- a/meadowpulley/policy/rollout_stage.py
+++ b/meadowpulley/policy/rollout_stage.py
@@ -4,13 +4,16 @@
 from typing import NamedTuple
 
 from meadowpulley.interface import Phase
-from meadowpulley.state import State
+from meadowpulley.state import Attempt, State
 
 # Greatest number of keys that are stored with the build they are bound to. Requests with a bound key go only
 # to that build or to newer builds. If more keys are stored, keys that are bound to the oldest ready build or
 # to older builds are forgotten. This is safe because all ready builds may serve the forgotten keys.
 # Afterwards, builds older than the oldest ready build get no requests with a key.
 MAX_STICKY_KEYS = 8000
+# Number of stored keys from which a build on trial gets no request with a key that is not stored. Each such
+# request would store another key, for as long as the trial lasts.
+MAX_TRIAL_KEYS = 20_000
 ROLLBACK_PHASES = (Phase.ROLLING_BACK, Phase.ROLLED_BACK)
 
 
@@ -49,6 +52,18 @@
     state.peak_ready_servers = max(state.peak_ready_servers, len(ready))
 
 
+def may_bind_key(state: State, key: int) -> bool:
+    """Return whether a request with this key may go to a build on trial, which binds the key to the build."""
+    return key in state.sticky_builds or len(state.sticky_builds) < MAX_TRIAL_KEYS
+
+
+def bind_key(state: State, attempt: Attempt) -> None:
+    """Bind the key of a request to the build that may have answered it."""
+    state.bind_key(attempt.in_flight, attempt.server.build)
+    if len(state.sticky_builds) >= MAX_TRIAL_KEYS:
+        _limit_sticky_keys(state, min([server.build for server in state.ready_servers()], default=-1))
+
+
 def _limit_sticky_keys(state: State, oldest_ready_build: int) -> None:
     """Forget keys that no ready server needs, if too many keys are bound to builds.
 
--- a/meadowpulley/state/state.py
+++ b/meadowpulley/state/state.py
@@ -38,6 +38,9 @@
 CONFIRMATION_SEED = 2  # added to the seed for the separate random generator of list confirmation
 RATE_MEMORY_MS = 4000.0  # time constant of the request rate and of the goodput, in ms
 NO_BUILD = -1
+# Maximum number of keys stored with the build they are bound to. With more, all keys count as bound to the
+# build that answered last, so that older builds get no requests with a key.
+MAX_STORED_KEYS = 40_000
 
 
 class State:
@@ -260,6 +263,8 @@
         key = in_flight.request.key
         if key and build > self.oldest_sticky_build and self.rollout_settings.monotonic_keys:
             self.sticky_builds[key] = max(build, self.sticky_builds.get(key, 0))
+            if len(self.sticky_builds) > MAX_STORED_KEYS:
+                self.forget_sticky_builds(build)
 
     def forget_sticky_builds(self, newest: int) -> None:
         """Drop the keys bound to builds up to `newest`; no key may go to a build older than `newest`."""
--- a/tests/test_rules_exposure.py
+++ b/tests/test_rules_exposure.py
@@ -266,3 +266,37 @@
     driver.update_endpoints([server_entry(1)])
     driver.update_rollout(42)
     driver.fire_timer()
+
+
+def test_a_long_trial_binds_a_bounded_number_of_keys(monkeypatch: pytest.MonkeyPatch) -> None:
+    # While servers of both builds were ready, each new key that was answered was stored, without end.
+    monkeypatch.setattr("meadowpulley.policy.rollout_stage.MAX_TRIAL_KEYS", 20)
+    monkeypatch.setattr("meadowpulley.policy.rollout_stage.MAX_STICKY_KEYS", 10)
+    driver = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
+    list_both_builds(driver)
+    driver.update_rollout(42, 1, 0.5)
+    for key in range(1, 400):
+        driver.now += 20.0
+        [send] = sends(driver.request(SAFE, key=key))
+        driver.finish(send)
+    bound_keys = driver.policy.sticky_builds
+    assert 0 < len(bound_keys) <= 20
+    driver.now += 10_000.0
+    for send in sends(driver.request(SAFE, key=next(iter(bound_keys)))):
+        assert driver.policy.servers[send.server].build == 42
+
+
+def test_keys_of_released_builds_are_bounded_beside_servers_of_an_older_build(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("meadowpulley.state.state.MAX_STORED_KEYS", 20)
+    driver = Driver(settings(rollout=replace(ROLLOUT, monotonic_keys=True)))
+    list_both_builds(driver)
+    driver.update_rollout(42, 2, 1.0, Phase.RELEASED)
+    for key in range(1, 200):
+        driver.now += 20.0
+        for send in sends(driver.request(SAFE, key=key)):
+            driver.finish(send)
+        assert len(driver.policy.sticky_builds) <= 20
+    [send] = sends(driver.request(SAFE, key=1))
+    assert driver.policy.servers[send.server].build == 42
