--- a/benchmarks/crowds.py
+++ b/benchmarks/crowds.py
@@ -4,7 +4,8 @@
 
 A row for each kind. Memory is in MB (10^6 bytes): anonymous before, at most, and 2 s after the crowd. With
 `--busy` so many processes that only count stand beside the gateway on one core.
-`--reload` sends SIGHUP in the crowd.
+`--reload` sends SIGHUP each second of the crowd, `--restart` kills the gateway half way through and starts it
+again at its address.
 """
 
 from __future__ import annotations
@@ -35,6 +36,7 @@
     known = [standins.endpoint(f"s-{n}", instance.address) for n, instance in enumerate(instances)]
     limits = {"cores": 1.0, "memory_mb": arguments.memory_mb, "sockets": arguments.sockets}
     gateway = standins.GatewayProcess(directory, known, limits=limits)
+    peaks: list[MemoryWatch] = []
     busy = [subprocess.Popen([sys.executable, "-c", BUSY_LOOP]) for _ in range(arguments.busy)]
     try:
         if busy:
@@ -47,9 +49,17 @@
         usual = UsualClients(gateway.port)
         if arguments.reload:
             for second in range(1, int(arguments.seconds)):
-                threading.Timer(second, gateway.reload).start()
+                threading.Timer(second, lambda: gateway.reload()).start()
         with crowd(kind, gateway.port, arguments.members, arguments.seconds) as report:
-            usual.run(arguments.seconds)
+            usual.run(arguments.seconds / 2)
+            if arguments.restart:
+                peaks.append(watch)
+                gateway.stop()
+                listen = f"127.0.0.1:{gateway.port}"
+                gateway = standins.GatewayProcess(directory, known, limits=limits, listen=listen)
+                gateway.wait_for("ready")
+                watch = MemoryWatch(gateway.process.pid)
+            usual.run(arguments.seconds / 2)
             ended = report()
         time.sleep(AFTER_S)
         watch.sample()
@@ -67,10 +77,12 @@
         for n, c in counters.items()
         if n.startswith(("memory.", "fault.", "in.pauses", "in.evicted", "in.bad", "in.shed"))
     }
-    anonymous = f"{before / MB:.1f}, {watch.peak_anonymous / MB:.1f}, {watch.anonymous / MB:.1f}"
+    peaks.append(watch)
+    peak_anonymous = max(each.peak_anonymous for each in peaks)
+    anonymous = f"{before / MB:.1f}, {peak_anonymous / MB:.1f}, {watch.anonymous / MB:.1f}"
     got = f"usual {served} of {of}, p99 {usual.p99_ms:.0f} ms {reasons or ''}"
     crowd_got = f"crowd {ended.connections} connections, {ended.in_time} in time, {ended.late} late"
-    resident = f"resident at most {watch.peak_resident / MB:.1f}"
+    resident = f"resident at most {max(each.peak_resident for each in peaks) / MB:.1f}"
     return f"{kind:12} anonymous {anonymous}; {resident}; {got}; {crowd_got}; {notable}"
 
 
@@ -84,6 +96,7 @@
     parser.add_argument("--sockets", type=int, default=1024)
     parser.add_argument("--busy", type=int, default=0)
     parser.add_argument("--reload", action="store_true")
+    parser.add_argument("--restart", action="store_true")
     arguments = parser.parse_args()
     print(f"{vars(arguments)}", flush=True)
     for kind in arguments.kinds.split(","):
