--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from meadowpulley.interface import Request
 from meadowpulley.net.load_shedding import LOG_INTERVAL_MS
 from meadowpulley.net.memory_budget import (
     ADMISSION_FRACTION,
@@ -19,6 +20,7 @@
     MemoryUse,
     budget_bytes,
 )
+from meadowpulley.net.slots import SlotTable
 from tests.standins import Client
 from tests.test_client_connections import ReactorHarness, has_input
 
@@ -187,3 +189,14 @@
             harness.run_turns(TURNS)
         assert len(list(harness.gateway.requests.slots)) == len(newcomers)
         assert 0 < harness.gateway.counters["in.evicted.partial"] <= len(crowd)
+
+
+def test_a_full_table_of_requests_answers_with_an_error_and_forwards_nothing(harness: ReactorHarness) -> None:
+    clients = [harness.client() for _ in range(2)]
+    harness.gateway.requests.slots = SlotTable(1)
+    for client in clients:
+        client.send("POST", "/pay", b"x")
+        harness.run_turns(TURNS)
+    assert clients[1].read_response()[0] == 502
+    assert len(harness.gateway.requests.slots) == 1
+    assert harness.policy.count(Request) == 1
