--- a/meadowpulley/policy/endpoint_lease.py
+++ b/meadowpulley/policy/endpoint_lease.py
@@ -15,8 +15,8 @@
 - if it is polled: until 6 s + g after discovery was asked for it;
 - if a call for the next change is open: until 2 s + g after the end of that call's wait, if that is later;
 - if it is pushed: while the watch is open, and then until g after the watch closed;
-- if it was pushed and discovery is down: until g after the start of the last call that failed, as long as no
-  failed call began after the lease had ended;
+- if it was pushed and discovery is down: until g after the start of the last call that failed at once, as
+  long as each such call began before the lease had ended, or at most 150 ms later;
 - if it came with the configuration: until g after the start of the process;
 - if a later list may have been lost: at most until g minus 150 ms after the loss was detected.
 """
--- a/meadowpulley/policy/endpoint_lease_renewal.py
+++ b/meadowpulley/policy/endpoint_lease_renewal.py
@@ -61,13 +61,15 @@
     """Renew the lease on a pushed list with a call that failed because discovery is down.
 
     While discovery is down it learns of no change. A call fails as well if discovery is up but has too many
-    callers; such a call waits for longer than the lease lasts, so that the lease ends. A failed call proves
-    nothing of a list that discovery has not confirmed, of a list after which another one may have been lost,
-    or of the time between the end of the lease and the call.
+    callers; such a call waits first, and so proves nothing. Nor does a failed call prove anything of a list
+    that discovery has not confirmed, of a list after which another one may have been lost, or of the time
+    between the end of the lease and the call, unless this gateway was held up meanwhile.
     """
     endpoint_list = state.endpoint_list
     is_list_lost = endpoint_list.lost_at > endpoint_list.confirmed_at
-    if endpoint_list.is_confirmed and not is_list_lost and called_at < list_lease_until(state):
+    has_waited = state.now - called_at > STALL_ALLOWANCE_MS
+    is_too_late = called_at >= list_lease_until(state) + STALL_ALLOWANCE_MS
+    if endpoint_list.is_confirmed and not (is_list_lost or has_waited or is_too_late):
         _confirm_as_of(state, called_at)
 
 
