An answer of an instance is acknowledged at once, so that its second copy comes in the rest

Cause: a server without TCP_NODELAY holds a small write back until the write before it is acknowledged; our kernel delays that by up to 40 ms, and a connection is used again after 20 ms: the copy came right behind the next request, and was taken for its answer. Why the change works: TCP_QUICKACK after each answer has the acknowledgement sent at once; the copy comes within the rest and closes the connection. Copies later than the rest stay open.

--- a/meadowpulley/net/connection.py
+++ b/meadowpulley/net/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from collections.abc import Callable
 from typing import Any, Generic, TypeVar
@@ -19,6 +20,7 @@
 from meadowpulley.net.ring import RingBuffer, RingBufferFullError
 from meadowpulley.net.tcp_info import TcpInfo, read_tcp_info
 
+TCP_QUICKACK: int | None = getattr(socket, "TCP_QUICKACK", None)  # not on every system
 WRITE_CHUNK_BYTES = 8 * 1024  # maximum size of one write to the transport, which keeps a copy of it
 READ_BYTES = 64 * 1024  # maximum size of one read, unless a subclass sets a smaller one
 CLOSED_CLEANLY = Failure(ConnectionDone())  # type: ignore[no-untyped-call]  # Failure() is not annotated
@@ -216,6 +218,16 @@
             return b""
         return next_byte
 
+    def acknowledge_input(self) -> None:
+        """Acknowledge the received input at once, where the system allows it.
+
+        Otherwise the kernel delays the acknowledgement by up to 40 ms, and a peer without TCP_NODELAY holds
+        its next small write back until then.
+        """
+        if TCP_QUICKACK is not None:
+            with contextlib.suppress(OSError, AttributeError):
+                self.transport.getHandle().setsockopt(socket.IPPROTO_TCP, TCP_QUICKACK, 1)
+
     def tcp_info(self) -> TcpInfo:
         """Return what the kernel knows of the connection.
 
--- a/meadowpulley/net/instance_connection.py
+++ b/meadowpulley/net/instance_connection.py
@@ -145,6 +145,7 @@
         self.exchange = None
         self.timeout.clear()
         if reusable and self.is_open:
+            self.acknowledge_input()
             self.state = InstanceConnectionState.IDLE
             self.reusable_at = self.deadlines.now() + REUSE_DELAY_MS
             self.pool.release(self)
--- a/tests/net_program/test_instance_races.py
+++ b/tests/net_program/test_instance_races.py
@@ -4,6 +4,7 @@
 
 import socket
 import struct
+import threading
 from http.server import BaseHTTPRequestHandler
 
 import pytest
@@ -56,3 +57,21 @@
         for _ in range(3):  # successes, so that the instance is not ejected as an outlier
             assert client.request("POST", "/pay", b"whole")[0] == 200
     assert instance.received.qsize() == 4 * len(TRUNCATED_RESPONSES)  # no retry: it may have executed
+
+
+def test_second_copy_behind_a_delayed_acknowledgement_is_no_answer_to_the_next_request(
+    start: StartGateway,
+) -> None:
+    # The copy, held back until the answer was acknowledged, came behind the next request as its answer.
+    def answer(handler: BaseHTTPRequestHandler, body: bytes) -> None:
+        response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        handler.wfile.write(response)
+        if body.startswith(b"twice"):
+            threading.Event().wait(0.002)
+            handler.wfile.write(response)
+
+    client = start([endpoint("s-1", FakeInstance(answer).address)]).client()
+    bodies = [b"%s %d" % (b"twice" if number % 20 == 19 else b"once", number) for number in range(60)]
+    for body in bodies:
+        assert client.request("POST", "/pay", body)[::2] == (200, body)
+        threading.Event().wait(0.03)  # longer than a connection rests, shorter than the kernel delays
