--- a/meadowpulley/net/log.py
+++ b/meadowpulley/net/log.py
@@ -14,6 +14,7 @@
 
 UNEXPECTED_EXCEPTION_EVENT = "unexpected_exception"  # logged for a caught bug; the gateway goes on
 MAX_LINES_PER_SECOND = 20  # lines per event name; the next line written says how many were suppressed
+LOG_LINES_DROPPED_EVENT = "log_lines_dropped"
 STDERR_DESCRIPTOR = 2
 UNLIMITED_EVENTS = ("request_trace",)  # never suppressed, since an operator asked for every line
 
@@ -60,7 +61,7 @@
     def msg(self, line: str) -> None:
         """Write one line, or drop it."""
         if self._dropped_lines:
-            line = json.dumps({"event": "log_lines_dropped", "lines": self._dropped_lines}) + "\n" + line
+            line = json.dumps({"event": LOG_LINES_DROPPED_EVENT, "lines": self._dropped_lines}) + "\n" + line
         data = ("\n" * self._is_line_open + line + "\n").encode()
         try:
             written_bytes = os.write(self._descriptor, data)
