Test gateways listen on ports that no outgoing connection is given

Cause: free_port closed the port that the kernel had chosen from its range for outgoing connections; whichever took it before the gateway listened made the gateway exit with 2. Played: with the port taken, the same assertion and status 2. Change: ports come from 10,000 to 31,999, below that range.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -5,10 +5,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import json
 import os
 import queue
+import random
 import signal
 import socket
 import subprocess
@@ -23,6 +25,7 @@
 
 ROOT = Path(__file__).parent.parent
 TIMEOUT_S = 20.0
+GATEWAY_PORTS = (10_000, 32_000)
 CROWDED_WAIT_S = 0.3  # how long a crowded discovery keeps a call in its queue
 RELEASED = {"release": 41, "tranche": 2, "mode": "stable", "exposure": 1.0, "old_ms": 60_000}
 TRIAL = {"release": 42, "tranche": 0, "mode": "canary", "exposure": 0.3, "old_ms": 60_000}
@@ -85,9 +88,12 @@
 
 
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a free port below those that the kernel gives to outgoing connections."""
+    while True:
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            port = random.randrange(*GATEWAY_PORTS)
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 def respond(handler: BaseHTTPRequestHandler, status: int, body: bytes, **headers: str) -> None:
