--- a/tests/standins.py
+++ b/tests/standins.py
@@ -91,9 +91,8 @@
     """Return a free port below those that the kernel gives to outgoing connections."""
     while True:
         with contextlib.suppress(OSError), socket.socket() as probe:
-            port = random.randrange(*GATEWAY_PORTS)
-            probe.bind(("127.0.0.1", port))
-            return port
+            probe.bind(("127.0.0.1", random.randrange(*GATEWAY_PORTS)))
+            return int(probe.getsockname()[1])
 
 
 def respond(handler: BaseHTTPRequestHandler, status: int, body: bytes, **headers: str) -> None:
@@ -368,17 +367,15 @@
 
     @property
     def request_id(self) -> str:
-        """The id of the latest request."""
         return f"{self.number:08x}{self.request_count:08x}"
 
     def send(self, method: str, path: str, body: bytes = b"", **headers: str) -> None:
         self.request_count += 1
-        extra_headers = {name.replace("_", "-"): value for name, value in headers.items()}
         request_headers = {
             "Host": "app.svc",
             "X-Txn": self.request_id,
             "X-Remaining": "4000m",
-            **extra_headers,
+            **{name.replace("_", "-"): value for name, value in headers.items()},
         }
         if body:
             request_headers["Content-Length"] = str(len(body))
