A reload bounds the lease on a polled list: changes count as notified 4 s after SIGHUP

Cause: "What discovery has to tell counts as told 4 s after SIGHUP", but the policy had no event for the signal, so `endpoint_lease` went on with 6 s after the call of the list. In the trace the last list call was sent 0.30 s before SIGHUP, and the sends end 7.55 s after it: 6 s, the grace of 2 s, less 0.155 s. Confirmations by other gateways had the same bound. The calls at the new address renewed nothing and are ruled out as a cause.

Change: the gateway tells the policy of each SIGHUP (`ConfigurationReloaded`), used or refused. `change_notification.earliest_notification_at` gives the first time at which a missed change counts, for lists and for confirmations by other gateways.

--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -34,6 +34,7 @@
     "interface/events.py",
     "interface/vocabulary.py",
     "policy/admission.py",
+    "policy/change_notification.py",
     "policy/concurrency_limit.py",
     "policy/endpoint_lease.py",
     "policy/endpoint_lease_renewal.py",
--- a/meadowpulley/interface/__init__.py
+++ b/meadowpulley/interface/__init__.py
@@ -27,6 +27,7 @@
 from meadowpulley.interface.events import (
     BuildStatistics,
     ClientDisconnected,
+    ConfigurationReloaded,
     EndpointUpdate,
     EndpointWatchClosed,
     EndpointWatchOpened,
@@ -88,6 +89,7 @@
     "Candidate",
     "ClientDisconnected",
     "CloseIdleConnections",
+    "ConfigurationReloaded",
     "DeduplicationScope",
     "Effect",
     "EndpointListExpired",
--- a/meadowpulley/interface/events.py
+++ b/meadowpulley/interface/events.py
@@ -62,6 +62,13 @@
     as_of_ms: float | None  # the gateway's list contains all changes up to this time; None: up to now
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationReloaded:
+    """The gateway was signalled to read its configuration again, whether or not it could use it."""
+
+    requested_at: float  # when the gateway noticed the signal, on the clock of the events
+
+
 @dataclass(frozen=True, slots=True)
 class PriorAttempt:
     """An attempt by a lost gateway; a server may have executed it, or may still execute it."""
@@ -193,6 +200,7 @@
     EndpointUpdate
     | EndpointWatchOpened
     | EndpointWatchClosed
+    | ConfigurationReloaded
     | Request
     | ResponseStarted
     | Outcome
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -16,6 +16,7 @@
     LOG_EVENT_TYPES,
     Cancel,
     CloseIdleConnections,
+    ConfigurationReloaded,
     Fail,
     FetchEndpoints,
     LogEvent,
@@ -237,14 +238,17 @@
         self.log.info("stopped")
         self.reactor.callLater(0, self.reactor.stop)
 
-    def reload(self) -> None:
+    def reload(self, requested_at: float) -> None:
         """Read the configuration again and apply the addresses of discovery and the platform.
 
         Nothing else changes: known endpoints and requests in flight are kept. This also works before the
-        gateway is ready, since discovery may have moved after the file was read.
+        gateway is ready, since discovery may have moved after the file was read. `requested_at` is the time
+        of the signal on the gateway's clock in milliseconds; the policy is told of every signal, as discovery
+        may have moved even if the file is not usable.
         """
         if self.stopping:
             return
+        self.dispatch(ConfigurationReloaded(requested_at))
         try:
             new_config = self._load_config()
         except ConfigError as error:
@@ -292,7 +296,7 @@
         if number == signal.SIGUSR1:
             self.reactor.callFromThread(self.log_counters)
         elif number == signal.SIGHUP:
-            self.reactor.callFromThread(self.reload)
+            self.reactor.callFromThread(self.reload, self.deadlines.now())
         else:
             self.reactor.callFromThread(self.drain)
 
--- a/meadowpulley/policy/endpoint_lease.py
+++ b/meadowpulley/policy/endpoint_lease.py
@@ -12,7 +12,8 @@
 
 If g is the drain grace minus `allowance_ms`, the list may be used
 
-- if it is polled: until 6 s + g after discovery was asked for it;
+- if it is polled: until 6 s + g after discovery was asked for it, or until 4 s + g after a reload if that is
+  earlier and discovery was asked before those 4 s were over;
 - if a call for the next change is open: until 2 s + g after the end of that call's wait, if that is later;
 - if it is pushed: while the watch is open, and then until g after the watch closed;
 - if it was pushed and discovery is down: until g after the start of the last call that failed at once, as
@@ -25,12 +26,9 @@
 from enum import Enum
 
 from meadowpulley.interface import EndpointListExpired, EndpointListRenewed
+from meadowpulley.policy.change_notification import LONG_POLL_NOTIFICATION_MS, earliest_notification_at
 from meadowpulley.state import Server, State
 
-# The platform's protocol page defines when discovery regards a gateway as notified of a change: at the latest
-# 6 s after discovery has the change, or 2 s after the wait of an open long poll is over, if that is later.
-NOTIFICATION_MS = 6_000.0
-LONG_POLL_NOTIFICATION_MS = 2_000.0
 # How long, in ms, a gateway may stall between reading its clock and writing a request. This time is
 # subtracted from the drain grace and from deduplication windows; no other constant allows for such stalls.
 STALL_ALLOWANCE_MS = 150.0
@@ -56,14 +54,6 @@
     return min(STALL_ALLOWANCE_MS + state.settings.tick_ms, span_ms / 2)
 
 
-def notification_ms(state: State) -> float:
-    """Return the time, in ms, from a change until discovery regards this gateway as notified of it.
-
-    The result is 0 if discovery pushes changes.
-    """
-    return NOTIFICATION_MS if state.settings.must_poll else 0.0
-
-
 def _grace_ms(state: State) -> float:
     """Return how long, in ms, this gateway may use a list that lacks a change.
 
@@ -77,7 +67,7 @@
 def list_lease_until(state: State) -> float:
     """Return the time until which the lease permits the use of the endpoint list."""
     endpoint_list = state.endpoint_list
-    notified_at = endpoint_list.confirmed_at + notification_ms(state)
+    notified_at = earliest_notification_at(state, endpoint_list.confirmed_at)
     watch_notified_at = endpoint_list.watch_covers_until + LONG_POLL_NOTIFICATION_MS
     until = max(notified_at, watch_notified_at) + _grace_ms(state)
     return _unless_lost(state, endpoint_list.confirmed_at, until)
@@ -87,7 +77,7 @@
     """Return the time until which the list or a peer's confirmation permits writes to the server."""
     if not state.rules.drain_grace_ms:  # without a drain rule, lists do not expire
         return math.inf
-    until = server.peer_confirmed_at + notification_ms(state) + _grace_ms(state)
+    until = earliest_notification_at(state, server.peer_confirmed_at) + _grace_ms(state)
     return max(list_lease_until(state), _unless_lost(state, server.peer_confirmed_at, until))
 
 
--- a/meadowpulley/policy/endpoint_lease_renewal.py
+++ b/meadowpulley/policy/endpoint_lease_renewal.py
@@ -1,9 +1,11 @@
-"""What renews the lease on the endpoint list; `endpoint_lease` says until when the lease lasts."""
+"""What renews or shortens the lease on the endpoint list; `endpoint_lease` says how long it lasts."""
 
 import math
 
-from meadowpulley.policy.endpoint_lease import STALL_ALLOWANCE_MS, list_lease_until, notification_ms
-from meadowpulley.state import State
+from meadowpulley.interface import ConfigurationReloaded
+from meadowpulley.policy.change_notification import NOTIFICATION_MS, RELOAD_NOTIFICATION_MS, notification_ms
+from meadowpulley.policy.endpoint_lease import STALL_ALLOWANCE_MS, list_lease_until
+from meadowpulley.state import EndpointListState, ReloadWindow, State
 
 
 def start_from_cache(state: State, started_at: float | None) -> None:
@@ -32,6 +34,7 @@
     else:
         _confirm_as_of(state, as_of_ms)
     state.endpoint_list.is_confirmed = True
+    _drop_passed_windows(state.endpoint_list)
 
 
 def watch_opened(state: State, wait_ms: float) -> None:
@@ -84,3 +87,22 @@
     already running.
     """
     state.endpoint_list.lost_at = state.now
+
+
+def handle_reload(state: State, event: ConfigurationReloaded) -> None:
+    """Begin the window of a reload, and drop windows that ended before any list that is still usable.
+
+    A gateway that stalls may notice the signal `STALL_ALLOWANCE_MS` after it was sent.
+    """
+    endpoint_list = state.endpoint_list
+    oldest_end = state.now - NOTIFICATION_MS - state.rules.drain_grace_ms
+    windows = [window for window in endpoint_list.reload_windows if window.ends_at > oldest_end]
+    ends_at = event.requested_at - STALL_ALLOWANCE_MS + RELOAD_NOTIFICATION_MS
+    endpoint_list.reload_windows = [*windows, ReloadWindow(ends_at)]
+
+
+def _drop_passed_windows(endpoint_list: EndpointListState) -> None:
+    """Drop the windows of reloads whose changes the list contains."""
+    confirmed_at = endpoint_list.confirmed_at
+    windows = [window for window in endpoint_list.reload_windows if window.ends_at > confirmed_at]
+    endpoint_list.reload_windows = windows
--- a/meadowpulley/policy/endpoint_list_confirmation.py
+++ b/meadowpulley/policy/endpoint_list_confirmation.py
@@ -19,7 +19,8 @@
     encode,
 )
 from meadowpulley.interface import GossipReceived, SendGossip
-from meadowpulley.policy.endpoint_lease import NOTIFICATION_MS, list_lease_until
+from meadowpulley.policy.change_notification import NOTIFICATION_MS
+from meadowpulley.policy.endpoint_lease import list_lease_until
 from meadowpulley.policy.outcome_gossip import handle_digest
 from meadowpulley.state import Server, State
 
--- a/meadowpulley/policy/policy.py
+++ b/meadowpulley/policy/policy.py
@@ -11,6 +11,7 @@
 from meadowpulley.policy import (
     admission,
     endpoint_lease,
+    endpoint_lease_renewal,
     endpoint_list_confirmation,
     endpoint_poll_backoff,
     endpoints,
@@ -92,6 +93,7 @@
     interface.EndpointUpdate: endpoints.handle_endpoint_update,
     interface.EndpointWatchOpened: endpoints.handle_watch_opened,
     interface.EndpointWatchClosed: endpoints.handle_watch_closed,
+    interface.ConfigurationReloaded: endpoint_lease_renewal.handle_reload,
     interface.RolloutUpdate: voting.handle_rollout_update,
     interface.ProbeResult: health_probes.handle_probe_result,
     interface.GossipReceived: endpoint_list_confirmation.handle_gossip,
--- a/meadowpulley/state/__init__.py
+++ b/meadowpulley/state/__init__.py
@@ -9,7 +9,7 @@
 """
 
 from meadowpulley.state.averages import WINDOW_MARGIN_MS, DecayingRate, EventWindow
-from meadowpulley.state.endpoint_list import EndpointListState
+from meadowpulley.state.endpoint_list import EndpointListState, ReloadWindow
 from meadowpulley.state.estimation import (
     BASELINE_ARM,
     NO_ARM,
@@ -58,6 +58,7 @@
     "PooledOutcomes",
     "QDifference",
     "QMix",
+    "ReloadWindow",
     "SampleSummary",
     "SendConditions",
     "SequentialFailureTest",
--- a/meadowpulley/state/endpoint_list.py
+++ b/meadowpulley/state/endpoint_list.py
@@ -3,6 +3,17 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ReloadWindow:
+    """The time after a reload of the configuration; `ends_at` is in ms on the gateway's clock.
+
+    What discovery has to tell counts as notified at the end of the window.
+    """
+
+    ends_at: float
 
 
 class EndpointListState:
@@ -15,6 +26,7 @@
         self.watch_covers_until = -math.inf  # time by which discovery responds to the outstanding watch call
         # When this gateway last noticed that it may have missed an endpoint list sent by discovery.
         self.lost_at = -math.inf
+        self.reload_windows: list[ReloadWindow] = []  # of recent reloads, in their order
         self.poll_at = -math.inf if must_poll else math.inf  # when to poll discovery for the endpoint list
         self.consecutive_failures = 0
         self.lease_expired = False  # whether the lease on the endpoint list had expired when last logged
--- a/tests/net_program/test_stale_lists.py
+++ b/tests/net_program/test_stale_lists.py
@@ -5,6 +5,9 @@
 import threading
 from http.server import BaseHTTPRequestHandler
 
+import pytest
+
+from tests.discovery_harness import NOTIFIED_AFTER_SILENCE_MS
 from tests.net_program.conftest import StartGateway
 from tests.standins import SETTINGS, Client, FakeDiscovery, FakeInstance, endpoint, respond
 
@@ -93,6 +96,38 @@
     assert unsent == QUIET_REQUESTS, "the gateway kept sending to a server that discovery lists as removed"
 
 
+def request_until(client: Client, done: threading.Event) -> None:
+    """Send requests until `done` is set."""
+    while not done.wait(REQUEST_SPACING_S):
+        client.request("GET", "/look")
+
+
+@pytest.mark.parametrize("file", ["new address", "same address", "not usable"])
+def test_polled_list_is_not_used_after_a_reload_makes_its_changes_count(
+    start: StartGateway, file: str
+) -> None:
+    # Changes count as notified 4 s after SIGHUP at the latest; the list was used for 6 s after its call.
+    instance = DrainingInstance()
+    old, new = (FakeDiscovery([endpoint("s-1", instance.address)]) for _ in range(2))
+    settings = SETTINGS | {"rules": SETTINGS["rules"] | {"stop-sending-within-ms": GRACE_MS}}
+    gateway = start([endpoint("s-1", instance.address)], discovery=old.address, settings=settings)
+    client = gateway.client()
+    while old.watches == 0:
+        assert client.request("GET", "/look")[0] == 200
+    new.crowded = True
+    if file == "not usable":
+        gateway.reload("{no json")
+    else:
+        gateway.reload(discovery=new.address if file == "new address" else old.address)
+    gateway.wait_for("reload_rejected" if file == "not usable" else "reloaded")
+    old.crowd()  # ends the watch
+    expired = threading.Event()
+    threading.Thread(target=request_until, args=(client, expired), daemon=True).start()
+    age_ms = gateway.wait_for("endpoint_list_expired")["age_ms"]
+    expired.set()
+    assert age_ms < NOTIFIED_AFTER_SILENCE_MS
+
+
 PUSHED = SETTINGS | {
     "discovery": "automatic",
     "rules": SETTINGS["rules"] | {"stop-sending-within-ms": GRACE_MS},
--- a/tests/test_list_confirmation.py
+++ b/tests/test_list_confirmation.py
@@ -26,7 +26,8 @@
     Timer,
 )
 from meadowpulley.policy import TIMER_TOKEN
-from meadowpulley.policy.endpoint_lease import NOTIFICATION_MS, STALL_ALLOWANCE_MS, usable_until
+from meadowpulley.policy.change_notification import NOTIFICATION_MS
+from meadowpulley.policy.endpoint_lease import STALL_ALLOWANCE_MS, usable_until
 from tests.driver import LIMITS, RULES, Driver, sends, server_entry, settings
 
 TICK_MS = 5.0
