--- a/meadowpulley/interface/__init__.py
+++ b/meadowpulley/interface/__init__.py
@@ -63,6 +63,7 @@
 from meadowpulley.interface.vocabulary import (
     EndpointUpdateKind,
     Phase,
+    ReloadOutcome,
     Result,
     ServerState,
     Verdict,
@@ -120,6 +121,7 @@
     "QuotaPlanConflict",
     "QuotaPlanInvalid",
     "Reject",
+    "ReloadOutcome",
     "Request",
     "RequestClass",
     "ResponseStarted",
--- a/meadowpulley/interface/events.py
+++ b/meadowpulley/interface/events.py
@@ -5,7 +5,13 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from meadowpulley.interface.vocabulary import EndpointUpdateKind, Phase, Result, ServerState
+from meadowpulley.interface.vocabulary import (
+    EndpointUpdateKind,
+    Phase,
+    ReloadOutcome,
+    Result,
+    ServerState,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +73,7 @@
     """The gateway was signalled to read its configuration again, whether or not it could use it."""
 
     requested_at: float  # when the gateway noticed the signal, on the clock of the events
+    outcome: ReloadOutcome
 
 
 @dataclass(frozen=True, slots=True)
--- a/meadowpulley/interface/vocabulary.py
+++ b/meadowpulley/interface/vocabulary.py
@@ -38,6 +38,14 @@
     ROLLED_BACK = 3
 
 
+class ReloadOutcome(IntEnum):
+    """What a reload of the configuration did to discovery's address."""
+
+    UNCHANGED = 0
+    MOVED = 1
+    REFUSED = 2  # the file was not usable: discovery may have moved to an unknown address
+
+
 class Verdict(IntEnum):
     """A gateway's vote on the current stage of a rollout."""
 
--- a/meadowpulley/net/gateway.py
+++ b/meadowpulley/net/gateway.py
@@ -23,6 +23,7 @@
     Outcome,
     Probe,
     Reject,
+    ReloadOutcome,
     Request,
     Send,
     SendGossip,
@@ -248,18 +249,21 @@
         """
         if self.stopping:
             return
-        self.dispatch(ConfigurationReloaded(requested_at))
         try:
             new_config = self._load_config()
         except ConfigError as error:
             self.counters.add("reload.rejected")
             self.log.error("reload_rejected", why=str(error))
+            self.dispatch(ConfigurationReloaded(requested_at, ReloadOutcome.REFUSED))
             return
         old_config = self.config
         self.config = replace(old_config, discovery=new_config.discovery, platform=new_config.platform)
         self.counters.add("reload.done")
         self.log.info("reloaded", discovery=new_config.discovery, platform=new_config.platform)
-        if new_config.discovery != old_config.discovery:
+        has_moved = new_config.discovery != old_config.discovery
+        outcome = ReloadOutcome.MOVED if has_moved else ReloadOutcome.UNCHANGED
+        self.dispatch(ConfigurationReloaded(requested_at, outcome))
+        if has_moved:
             self.discovery.address_changed()
         if new_config.platform != old_config.platform:
             self.rollout_client.address_changed()
--- a/meadowpulley/policy/change_notification.py
+++ b/meadowpulley/policy/change_notification.py
@@ -9,7 +9,8 @@
 - a new configuration (SIGHUP): what discovery has to tell counts as notified 4 s after the signal.
 
 A reload therefore has a window of 4 s. If the list is polled, changes count as notified at the end of the
-window even if less than 6 s have passed.
+window even if less than 6 s have passed. If it is pushed and discovery has moved, changes made in the window
+count as notified at its end instead of at once. Changes made before the window count as without it.
 """
 
 from meadowpulley.state import State
@@ -33,8 +34,8 @@
     `confirmed_at` is the time, in ms, up to which a list or a confirmation by another gateway contains all
     changes.
     """
-    notified_at = confirmed_at + notification_ms(state)
-    if not state.settings.must_poll:
-        return notified_at
-    windows = state.endpoint_list.reload_windows
-    return min([notified_at, *[window.ends_at for window in windows if confirmed_at < window.ends_at]])
+    windows = [window for window in state.endpoint_list.reload_windows if confirmed_at < window.ends_at]
+    if state.settings.must_poll:
+        return min([confirmed_at + NOTIFICATION_MS, *[window.ends_at for window in windows]])
+    ends = [window.ends_at for window in windows if window.moved_at <= confirmed_at]
+    return min(ends, default=confirmed_at)
--- a/meadowpulley/policy/endpoint_lease.py
+++ b/meadowpulley/policy/endpoint_lease.py
@@ -15,7 +15,8 @@
 - if it is polled: until 6 s + g after discovery was asked for it, or until 4 s + g after a reload if that is
   earlier and discovery was asked before those 4 s were over;
 - if a call for the next change is open: until 2 s + g after the end of that call's wait, if that is later;
-- if it is pushed: while the watch is open, and then until g after the watch closed;
+- if it is pushed: while the watch is open, and then until g after the watch closed, or until 4 s + g after
+  the reload that closed the watch because discovery had moved;
 - if it was pushed and discovery is down: until g after the start of the last call that failed at once, as
   long as each such call began before the lease had ended, or at most 150 ms later;
 - if it came with the configuration: until g after the start of the process;
@@ -54,7 +55,7 @@
     return min(STALL_ALLOWANCE_MS + state.settings.tick_ms, span_ms / 2)
 
 
-def _grace_ms(state: State) -> float:
+def grace_ms(state: State) -> float:
     """Return how long, in ms, this gateway may use a list that lacks a change.
 
     The time begins when discovery regards this gateway as notified of the change, whether or not the change
@@ -69,7 +70,7 @@
     endpoint_list = state.endpoint_list
     notified_at = earliest_notification_at(state, endpoint_list.confirmed_at)
     watch_notified_at = endpoint_list.watch_covers_until + LONG_POLL_NOTIFICATION_MS
-    until = max(notified_at, watch_notified_at) + _grace_ms(state)
+    until = max(notified_at, watch_notified_at) + grace_ms(state)
     return _unless_lost(state, endpoint_list.confirmed_at, until)
 
 
@@ -77,7 +78,7 @@
     """Return the time until which the list or a peer's confirmation permits writes to the server."""
     if not state.rules.drain_grace_ms:  # without a drain rule, lists do not expire
         return math.inf
-    until = earliest_notification_at(state, server.peer_confirmed_at) + _grace_ms(state)
+    until = earliest_notification_at(state, server.peer_confirmed_at) + grace_ms(state)
     return max(list_lease_until(state), _unless_lost(state, server.peer_confirmed_at, until))
 
 
@@ -91,7 +92,7 @@
     lost_at = state.endpoint_list.lost_at
     if confirmed_at >= lost_at:
         return until
-    return min(until, lost_at - STALL_ALLOWANCE_MS + _grace_ms(state))
+    return min(until, lost_at - STALL_ALLOWANCE_MS + grace_ms(state))
 
 
 def lease_basis(state: State) -> LeaseBasis:
--- a/meadowpulley/policy/endpoint_lease_renewal.py
+++ b/meadowpulley/policy/endpoint_lease_renewal.py
@@ -2,9 +2,9 @@
 
 import math
 
-from meadowpulley.interface import ConfigurationReloaded
+from meadowpulley.interface import ConfigurationReloaded, ReloadOutcome
 from meadowpulley.policy.change_notification import NOTIFICATION_MS, RELOAD_NOTIFICATION_MS, notification_ms
-from meadowpulley.policy.endpoint_lease import STALL_ALLOWANCE_MS, list_lease_until
+from meadowpulley.policy.endpoint_lease import STALL_ALLOWANCE_MS, grace_ms
 from meadowpulley.state import EndpointListState, ReloadWindow, State
 
 
@@ -66,12 +66,13 @@
     While discovery is down it learns of no change. A call fails as well if discovery is up but has too many
     callers; such a call waits first, and so proves nothing. Nor does a failed call prove anything of a list
     that discovery has not confirmed, of a list after which another one may have been lost, or of the time
-    between the end of the lease and the call, unless this gateway was held up meanwhile.
+    after the grace that began with the last confirmation, unless this gateway was held up meanwhile.
     """
     endpoint_list = state.endpoint_list
     is_list_lost = endpoint_list.lost_at > endpoint_list.confirmed_at
     has_waited = state.now - called_at > STALL_ALLOWANCE_MS
-    is_too_late = called_at >= list_lease_until(state) + STALL_ALLOWANCE_MS
+    grace_ends_at = endpoint_list.confirmed_at + grace_ms(state)
+    is_too_late = called_at >= grace_ends_at + STALL_ALLOWANCE_MS
     if endpoint_list.is_confirmed and not (is_list_lost or has_waited or is_too_late):
         _confirm_as_of(state, called_at)
 
@@ -98,7 +99,8 @@
     oldest_end = state.now - NOTIFICATION_MS - state.rules.drain_grace_ms
     windows = [window for window in endpoint_list.reload_windows if window.ends_at > oldest_end]
     ends_at = event.requested_at - STALL_ALLOWANCE_MS + RELOAD_NOTIFICATION_MS
-    endpoint_list.reload_windows = [*windows, ReloadWindow(ends_at)]
+    moved_at = event.requested_at if event.outcome is ReloadOutcome.MOVED else math.inf
+    endpoint_list.reload_windows = [*windows, ReloadWindow(moved_at, ends_at)]
 
 
 def _drop_passed_windows(endpoint_list: EndpointListState) -> None:
--- a/meadowpulley/state/endpoint_list.py
+++ b/meadowpulley/state/endpoint_list.py
@@ -8,11 +8,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ReloadWindow:
-    """The time after a reload of the configuration; `ends_at` is in ms on the gateway's clock.
+    """The time after a reload of the configuration, in ms on the gateway's clock.
 
-    What discovery has to tell counts as notified at the end of the window.
+    What discovery has to tell counts as notified at `ends_at`. From `moved_at` on discovery has another
+    address; it is infinity if the reload did not change the address.
     """
 
+    moved_at: float
     ends_at: float
 
 
--- a/tests/net_program/test_stale_lists.py
+++ b/tests/net_program/test_stale_lists.py
@@ -9,9 +9,19 @@
 
 from tests.discovery_harness import NOTIFIED_AFTER_SILENCE_MS
 from tests.net_program.conftest import StartGateway
-from tests.standins import SETTINGS, Client, FakeDiscovery, FakeInstance, endpoint, respond
+from tests.standins import (
+    SETTINGS,
+    Client,
+    FakeDiscovery,
+    FakeInstance,
+    GatewayProcess,
+    endpoint,
+    respond,
+)
 
 GRACE_MS = 500.0
+# Changes after SIGHUP count as notified 4 s after it, less the time in which a gateway may notice it.
+NOTIFIED_AFTER_RELOAD_MS = 3_850.0
 REQUEST_SPACING_S = 0.02
 QUIET_REQUESTS = 30  # consecutive; far longer than a server is avoided after it rejected a request
 MAX_REQUESTS = 250
@@ -96,10 +106,18 @@
     assert unsent == QUIET_REQUESTS, "the gateway kept sending to a server that discovery lists as removed"
 
 
-def request_until(client: Client, done: threading.Event) -> None:
-    """Send requests until `done` is set."""
-    while not done.wait(REQUEST_SPACING_S):
-        client.request("GET", "/look")
+def list_age_at_expiry_ms(gateway: GatewayProcess, client: Client) -> float:
+    """Send requests until the lease on the list has ended; return the list's age on the gateway's clock."""
+    expired = threading.Event()
+
+    def send_requests() -> None:
+        while not expired.wait(REQUEST_SPACING_S):
+            client.request("GET", "/look")
+
+    threading.Thread(target=send_requests, daemon=True).start()
+    age_ms = float(gateway.wait_for("endpoint_list_expired")["age_ms"])
+    expired.set()
+    return age_ms
 
 
 @pytest.mark.parametrize("file", ["new address", "same address", "not usable"])
@@ -121,11 +139,7 @@
         gateway.reload(discovery=new.address if file == "new address" else old.address)
     gateway.wait_for("reload_rejected" if file == "not usable" else "reloaded")
     old.crowd()  # ends the watch
-    expired = threading.Event()
-    threading.Thread(target=request_until, args=(client, expired), daemon=True).start()
-    age_ms = gateway.wait_for("endpoint_list_expired")["age_ms"]
-    expired.set()
-    assert age_ms < NOTIFIED_AFTER_SILENCE_MS
+    assert list_age_at_expiry_ms(gateway, client) < NOTIFIED_AFTER_SILENCE_MS
 
 
 PUSHED = SETTINGS | {
@@ -150,7 +164,7 @@
 
 def serve_with_pushed_list(
     start: StartGateway, grace_ms: float
-) -> tuple[Client, FakeInstance, FakeDiscovery]:
+) -> tuple[GatewayProcess, Client, FakeInstance, FakeDiscovery]:
     """Start a gateway, wait until discovery holds a watch open, and serve a request."""
     instance = FakeInstance()
     discovery = FakeDiscovery([endpoint("s-1", instance.address)])
@@ -160,20 +174,31 @@
     while discovery.watches == 0:
         pass
     assert client.request("GET", "/look")[0] == 200
-    return client, instance, discovery
+    return gateway, client, instance, discovery
 
 
 def test_crowded_calls_do_not_renew_a_pushed_list(start: StartGateway) -> None:
     # Discovery that is up and crowded goes on notifying; each 503 let the gateway send for another 345 ms.
-    client, instance, discovery = serve_with_pushed_list(start, GRACE_MS)
+    _, client, instance, discovery = serve_with_pushed_list(start, GRACE_MS)
     discovery.crowd()
     assert request_until_unsent(client, instance) == QUIET_REQUESTS
 
 
 def test_gateway_with_a_pushed_list_serves_while_discovery_is_down(start: StartGateway) -> None:
     # While discovery is down it pushes nothing, so that the list which the gateway holds stays current.
-    client, _, discovery = serve_with_pushed_list(start, LONG_GRACE_MS)
+    _, client, _, discovery = serve_with_pushed_list(start, LONG_GRACE_MS)
     discovery.go_down()
     calls_before = discovery.polled_versions.qsize()
     while discovery.polled_versions.qsize() < calls_before + OUTAGE_CALLS:
         assert client.request("GET", "/look")[0] == 200
+
+
+def test_pushed_list_is_used_until_changes_count_as_notified_after_discovery_has_moved(
+    start: StartGateway,
+) -> None:
+    # What the agent has counts as notified 4 s after SIGHUP; the list was given up 345 ms after it.
+    gateway, client, instance, _ = serve_with_pushed_list(start, GRACE_MS)
+    crowded = FakeDiscovery([endpoint("s-1", instance.address)])
+    crowded.crowded = True
+    gateway.reload(discovery=crowded.address)
+    assert list_age_at_expiry_ms(gateway, client) >= NOTIFIED_AFTER_RELOAD_MS
--- a/tests/test_reload_notification.py
+++ b/tests/test_reload_notification.py
@@ -16,6 +16,7 @@
     EndpointWatchOpened,
     Event,
     GossipReceived,
+    ReloadOutcome,
     SendGossip,
     Timer,
 )
@@ -25,6 +26,7 @@
 from tests.driver import LIMITS, RULES, Driver, sends, server_entry, settings
 
 FULL, FAILED = EndpointUpdateKind.FULL, EndpointUpdateKind.FAILED
+MOVED, UNCHANGED, REFUSED = ReloadOutcome.MOVED, ReloadOutcome.UNCHANGED, ReloadOutcome.REFUSED
 # By the platform's specification, what discovery has to tell counts as notified 4 s after SIGHUP. A gateway
 # may have noticed the signal late.
 NOTIFIED_AFTER_RELOAD_MS = 4_000.0 - STALL_ALLOWANCE_MS
@@ -38,7 +40,7 @@
 
 Events = list[tuple[float, Event]]
 LIST: Events = [(RELOADED_AT - 50.0, EndpointUpdate(FULL, 1, ENTRY, RELOADED_AT - 100.0))]
-RELOAD: Events = [(RELOADED_AT, ConfigurationReloaded(RELOADED_AT))]
+RELOAD: Events = [(RELOADED_AT, ConfigurationReloaded(RELOADED_AT, MOVED))]
 WATCH_OPENED: Events = [(RELOADED_AT - 10.0, EndpointWatchOpened(LONG_POLL_MS, RELOADED_AT - 100.0))]
 WATCH_CLOSED: Events = [(RELOADED_AT, EndpointWatchClosed(RELOADED_AT - 100.0))]
 
@@ -47,8 +49,8 @@
     return [(asked_at + 10.0, EndpointUpdate(FULL, 2, ENTRY, asked_at))]
 
 
-def reload_at(at: float) -> Events:
-    return [(at, ConfigurationReloaded(at))]
+def reload_at(at: float, outcome: ReloadOutcome = ReloadOutcome.MOVED) -> Events:
+    return [(at, ConfigurationReloaded(at, outcome))]
 
 
 @pytest.mark.parametrize(
@@ -93,8 +95,11 @@
             [*LIST, *RELOAD, *reload_at(RELOADED_AT + 9000.0), *list_of(RELOADED_AT + 9100.0)],
             RELOAD_ENDS_AT + 9000.0,
         ),
+        # The window begins with the signal, whatever the file holds.
+        ([*LIST, *reload_at(RELOADED_AT, UNCHANGED)], RELOAD_ENDS_AT),
+        ([*LIST, *reload_at(RELOADED_AT, REFUSED)], RELOAD_ENDS_AT),
         # The signal was noticed before its event was handled.
-        ([*LIST, (RELOADED_AT + 80.0, ConfigurationReloaded(RELOADED_AT))], RELOAD_ENDS_AT),
+        ([*LIST, (RELOADED_AT + 80.0, ConfigurationReloaded(RELOADED_AT, MOVED))], RELOAD_ENDS_AT),
     ],
 )
 def test_a_polled_list_is_used_until_changes_count_as_notified_after_a_reload(
@@ -111,6 +116,63 @@
     assert not sends(driver.request())
 
 
+def pushed_until_reload(*reloads: float, outcome: ReloadOutcome = MOVED) -> Events:
+    """A list that discovery pushes; each reload closes the watch or the call that is open."""
+    events: Events = [*LIST, *WATCH_OPENED]
+    for at in reloads:
+        events += [*reload_at(at, outcome), (at + 1.0, EndpointWatchClosed(RELOADED_AT - 100.0))]
+    return events
+
+
+def failed_call(called_at: float, failed_at: float) -> Events:
+    return [(failed_at, EndpointUpdate(FAILED, 1, as_of_ms=called_at))]
+
+
+@pytest.mark.parametrize(
+    ("events", "until"),
+    [
+        # Changes from SIGHUP on count as notified 4 s after it; the list was given up after the grace alone.
+        (pushed_until_reload(RELOADED_AT), RELOAD_ENDS_AT),
+        (pushed_until_reload(RELOADED_AT, RELOADED_AT + 400.0), RELOAD_ENDS_AT),
+        # Calls in a crowded queue prove nothing, and no call proves anything of the time after the grace.
+        (
+            [*pushed_until_reload(RELOADED_AT), *failed_call(RELOADED_AT, RELOADED_AT + 2000.0)],
+            RELOAD_ENDS_AT,
+        ),
+        (
+            [*pushed_until_reload(RELOADED_AT), *failed_call(RELOAD_ENDS_AT + 10.0, RELOAD_ENDS_AT + 20.0)],
+            RELOAD_ENDS_AT,
+        ),
+        # Discovery that is down at the new address learns of no change.
+        (
+            [*pushed_until_reload(RELOADED_AT), *failed_call(RELOADED_AT + 10.0, RELOADED_AT + 20.0)],
+            RELOAD_ENDS_AT,
+        ),
+        # Changes before the signal count at once, as they do if discovery has not moved.
+        ([*LIST, *reload_at(RELOADED_AT)], RELOADED_AT - 100.0),
+        (pushed_until_reload(RELOADED_AT, outcome=UNCHANGED), RELOADED_AT + 1.0),
+        (pushed_until_reload(RELOADED_AT, outcome=REFUSED), RELOADED_AT + 1.0),
+        # A watch at the new address reports changes as they are made, also after it has closed.
+        ([*pushed_until_reload(RELOADED_AT), *list_of(RELOADED_AT + 50.0)], RELOAD_ENDS_AT),
+        (
+            [
+                *pushed_until_reload(RELOADED_AT),
+                (RELOADED_AT + 50.0, EndpointWatchOpened(LONG_POLL_MS, RELOADED_AT + 40.0)),
+                *failed_call(RELOADED_AT + 50.0, RELOADED_AT + 5000.0),
+            ],
+            RELOADED_AT + 5000.0,
+        ),
+    ],
+)
+def test_a_pushed_list_is_used_until_changes_count_as_notified_after_a_reload(
+    events: Events, until: float
+) -> None:
+    driver = Driver(settings(must_poll=False))
+    for driver.now, event in events:
+        driver.handle(event)
+    assert usable_until(driver.policy, driver.policy.servers[1]) == until + GRACE_MS
+
+
 def confirm_by_peer(driver: Driver, queried_at: float) -> None:
     """Let the gateway query its peers at `queried_at`, and reply from a list that is as recent."""
     driver.now = queried_at
@@ -144,7 +206,7 @@
     driver = Driver(settings(must_poll=True))
     for number in range(200):
         driver.now = 1000.0 * number
-        driver.handle(ConfigurationReloaded(driver.now))
+        driver.handle(ConfigurationReloaded(driver.now, MOVED))
     assert len(driver.policy.endpoint_list.reload_windows) < 12
     driver.handle(EndpointUpdate(FULL, 1, ENTRY, driver.now + NOTIFIED_AFTER_RELOAD_MS))
     assert not driver.policy.endpoint_list.reload_windows
