After a refused reload, failed calls no longer renew a pushed list

What callers saw: where lists are pushed, a gateway whose new configuration file could not be used went on with its list for good.

Cause: a call that fails at once was taken as proof that discovery is down and learns of no change.

Change: the state says whether the address of discovery is known; a refused reload ends that, the next usable one restores it. Until then failed calls renew nothing.

test_failed_calls_do_not_renew_a_pushed_list_after_a_refused_reload failed before: 0 quiet requests in a row of 30 asked, the gateway kept sending to the draining server.

--- a/meadowpulley/policy/endpoint_lease_renewal.py
+++ b/meadowpulley/policy/endpoint_lease_renewal.py
@@ -64,16 +64,18 @@
     """Renew the lease on a pushed list with a call that failed because discovery is down.
 
     While discovery is down it learns of no change. A call fails as well if discovery is up but has too many
-    callers; such a call waits first, and so proves nothing. Nor does a failed call prove anything of a list
-    that discovery has not confirmed, of a list after which another one may have been lost, or of the time
-    after the grace that began with the last confirmation, unless this gateway was held up meanwhile.
+    callers; such a call waits first, and so proves nothing. It fails at once if discovery has moved and the
+    reload was refused. Nor does a failed call prove anything of a list that discovery has not confirmed, of a
+    list after which another one may have been lost, or of the time after the grace that began with the last
+    confirmation, unless this gateway was held up meanwhile.
     """
     endpoint_list = state.endpoint_list
     is_list_lost = endpoint_list.lost_at > endpoint_list.confirmed_at
     has_waited = state.now - called_at > STALL_ALLOWANCE_MS
     grace_ends_at = endpoint_list.confirmed_at + grace_ms(state)
     is_too_late = called_at >= grace_ends_at + STALL_ALLOWANCE_MS
-    if endpoint_list.is_confirmed and not (is_list_lost or has_waited or is_too_late):
+    is_possible = endpoint_list.is_confirmed and endpoint_list.is_address_known
+    if is_possible and not (is_list_lost or has_waited or is_too_late):
         _confirm_as_of(state, called_at)
 
 
@@ -99,6 +101,7 @@
     oldest_end = state.now - NOTIFICATION_MS - state.rules.drain_grace_ms
     windows = [window for window in endpoint_list.reload_windows if window.ends_at > oldest_end]
     ends_at = event.requested_at - STALL_ALLOWANCE_MS + RELOAD_NOTIFICATION_MS
+    endpoint_list.is_address_known = event.outcome is not ReloadOutcome.REFUSED
     moved_at = event.requested_at if event.outcome is ReloadOutcome.MOVED else math.inf
     endpoint_list.reload_windows = [*windows, ReloadWindow(moved_at, ends_at)]
 
--- a/meadowpulley/state/endpoint_list.py
+++ b/meadowpulley/state/endpoint_list.py
@@ -29,6 +29,9 @@
         # When this gateway last noticed that it may have missed an endpoint list sent by discovery.
         self.lost_at = -math.inf
         self.reload_windows: list[ReloadWindow] = []  # of recent reloads, in their order
+        # Whether the last reload was usable; otherwise discovery may be at an address that this gateway does
+        # not know.
+        self.is_address_known = True
         self.poll_at = -math.inf if must_poll else math.inf  # when to poll discovery for the endpoint list
         self.consecutive_failures = 0
         self.lease_expired = False  # whether the lease on the endpoint list had expired when last logged
--- a/tests/net_program/test_stale_lists.py
+++ b/tests/net_program/test_stale_lists.py
@@ -164,9 +164,9 @@
 
 def serve_with_pushed_list(
     start: StartGateway, grace_ms: float
-) -> tuple[GatewayProcess, Client, FakeInstance, FakeDiscovery]:
+) -> tuple[GatewayProcess, Client, DrainingInstance, FakeDiscovery]:
     """Start a gateway, wait until discovery holds a watch open, and serve a request."""
-    instance = FakeInstance()
+    instance = DrainingInstance()
     discovery = FakeDiscovery([endpoint("s-1", instance.address)])
     settings = PUSHED | {"rules": PUSHED["rules"] | {"stop-sending-within-ms": grace_ms}}
     gateway = start([endpoint("s-1", instance.address)], discovery=discovery.address, settings=settings)
@@ -202,3 +202,13 @@
     crowded.crowded = True
     gateway.reload(discovery=crowded.address)
     assert list_age_at_expiry_ms(gateway, client) >= NOTIFIED_AFTER_RELOAD_MS
+
+
+def test_failed_calls_do_not_renew_a_pushed_list_after_a_refused_reload(start: StartGateway) -> None:
+    # Calls at the address that discovery had left failed at once, as if it were down, and renewed the list.
+    gateway, client, instance, discovery = serve_with_pushed_list(start, GRACE_MS)
+    gateway.reload("{no json")
+    gateway.wait_for("reload_rejected")
+    discovery.go_down()
+    instance.draining.set()
+    assert request_until_unsent(client, instance) == QUIET_REQUESTS
--- a/tests/test_reload_notification.py
+++ b/tests/test_reload_notification.py
@@ -152,6 +152,22 @@
         ([*LIST, *reload_at(RELOADED_AT)], RELOADED_AT - 100.0),
         (pushed_until_reload(RELOADED_AT, outcome=UNCHANGED), RELOADED_AT + 1.0),
         (pushed_until_reload(RELOADED_AT, outcome=REFUSED), RELOADED_AT + 1.0),
+        # The file of the reload was not usable: calls at the old address fail because discovery has moved.
+        (
+            [
+                *pushed_until_reload(RELOADED_AT, outcome=REFUSED),
+                *failed_call(RELOADED_AT + 10.0, RELOADED_AT + 20.0),
+            ],
+            RELOADED_AT + 1.0,
+        ),
+        (
+            [
+                *pushed_until_reload(RELOADED_AT, outcome=REFUSED),
+                *reload_at(RELOADED_AT + 30.0, UNCHANGED),
+                *failed_call(RELOADED_AT + 40.0, RELOADED_AT + 50.0),
+            ],
+            RELOADED_AT + 40.0,
+        ),
         # A watch at the new address reports changes as they are made, also after it has closed.
         ([*pushed_until_reload(RELOADED_AT), *list_of(RELOADED_AT + 50.0)], RELOAD_ENDS_AT),
         (
