Rollout states written to the platform's old address count until the new one sends a state

Need: "News counts as told once it is written to the gateway." At a reload that moved the platform, the old connection was closed at once, with what lay unread on it; with a vote out it stayed open and its notifications were ignored, since the new connection would tell the same. While the new address is slow, a lower cap that the platform had written was thus not kept.

Cause: whether a state may be used was decided by whether the address had changed, and not by whether a later state had come. The same cause let a vote's response on the first of two old connections revert the state that the second one had sent.

Change: a connection is superseded once a connection to a later address has sent a state. Until then its notifications are used; then it is closed when its votes are answered.

Three cases of test_rollout_client.py failed before: no update in place of the lower cap (with and without a vote), and stage 0 with cap 0.3 in place of stage 1 with cap 0.1.

--- a/meadowpulley/net/platform_connection.py
+++ b/meadowpulley/net/platform_connection.py
@@ -59,7 +59,8 @@
         super().__init__(owner.gateway.deadlines, MAX_BUFFERED_BYTES, MAX_BUFFERED_BYTES)
         self.owner = owner
         self.pending_calls: deque[PendingCall] = deque()  # in the order of sending and of the responses
-        self.retired = False  # the platform's address changed; earlier calls are still answered here
+        # Whether a connection to a later address of the platform has received a state of the rollout.
+        self.superseded = False
         self._scanned_bytes = 0  # leading bytes of the input buffer without a line end
         self._line_started = False
 
@@ -67,10 +68,10 @@
         """Start the heartbeat time-out."""
         self._restart_heartbeat_timeout()
 
-    def retire(self) -> None:
-        """Keep the connection only until the votes sent on it are answered; close it if there are none."""
-        self.retired = True
-        if not any(call.vote is not None and not call.completed for call in self.pending_calls):
+    def close_if_unused(self) -> None:
+        """Close the connection if it is superseded and no vote sent on it awaits its response."""
+        awaits_response = any(call.vote is not None and not call.completed for call in self.pending_calls)
+        if self.superseded and not awaits_response:
             self.abort()
 
     def send_call(self, call: PendingCall, method: str, params: JsonObject | None) -> None:
--- a/meadowpulley/net/rollout_client.py
+++ b/meadowpulley/net/rollout_client.py
@@ -45,6 +45,8 @@
 class RolloutClient:
     """Keeps one connection to the platform, which carries notifications and votes.
 
+    After the platform's address has changed, the connection to the old address is retired: its votes are
+    still answered, and its notifications are used until the new address sends a state of the rollout.
     `server_id_of` maps an instance's name to its number, or to None if the instance is unknown.
     """
 
@@ -52,8 +54,8 @@
         self.gateway = gateway
         self.connection: PlatformConnection | None = None
         self._connector = PlatformConnector(gateway, partial(PlatformConnection, self), self._follow)
-        self._retired_connections: list[PlatformConnection] = []
-        self._last_update: _ReceivedUpdate | None = None  # received from the platform's current address
+        self._retired_connections: list[PlatformConnection] = []  # in the order of their addresses
+        self._last_update: _ReceivedUpdate | None = None  # from a connection that was not superseded
         self._last_call_number = 0
         self._notifications = NotificationParser(gateway.config.settings.classes, server_id_of)
 
@@ -81,14 +83,12 @@
         """Connect to the platform at its new address after a reload has changed it.
 
         Votes in flight are neither dropped nor sent twice: the old connection stays open until they are
-        answered.
+        answered. It also stays open until the new address has sent a state: the platform regards this gateway
+        as notified of what it writes to the old connection.
         """
-        connection = self.connection
-        self.connection = None
-        if connection is not None:
-            self._retired_connections.append(connection)
-            connection.retire()
-        self._last_update = None
+        if self.connection is not None:
+            self._retired_connections.append(self.connection)
+            self.connection = None
         self._connector.restart()
 
     # Connection handling
@@ -177,26 +177,33 @@
             message = decode_line(line)
             if "method" not in message:
                 self._handle_response(connection, message)
-            elif not connection.retired:
-                # Notifications on a retired connection are ignored: the new connection receives the same
-                # notifications, and later ones.
-                self._handle_notification(message)
+            elif not connection.superseded:
+                # The connection that superseded this one receives the same notifications, and later ones.
+                self._handle_notification(connection, message)
         except MalformedMessageError as error:
             self.protocol_error(connection, str(error))
             return
-        if connection.retired and not connection.pending_calls:
-            connection.abort()
+        connection.close_if_unused()
 
-    def _handle_notification(self, message: JsonObject) -> None:
+    def _handle_notification(self, connection: PlatformConnection, message: JsonObject) -> None:
         if message["method"] == protocol.ROLLOUT_NOTIFICATION:
             self.gateway.counters.add("platform.rollout_updates")
         event = self._notifications.parse(message)
         if event is None:
             return
         if isinstance(event, RolloutUpdate):
-            self._last_update = _ReceivedUpdate(self.gateway.deadlines.now(), event)
+            self._record_update(connection, event)
         self.gateway.dispatch(event)
 
+    def _record_update(self, connection: PlatformConnection, update: RolloutUpdate) -> None:
+        """Remember the latest update, and close connections to earlier addresses that are not needed."""
+        self._last_update = _ReceivedUpdate(self.gateway.deadlines.now(), update)
+        retired = self._retired_connections
+        earlier = retired[: retired.index(connection)] if connection in retired else retired
+        for earlier_connection in tuple(earlier):
+            earlier_connection.superseded = True
+            earlier_connection.close_if_unused()
+
     def _handle_response(self, connection: PlatformConnection, message: JsonObject) -> None:
         call = self._responded_call(connection, message.get("id"))
         if call.vote is None:
@@ -223,20 +230,17 @@
     ) -> RolloutUpdate | None:
         """Return the update to dispatch for a vote's response; None if a newer one was dispatched.
 
-        A response on a retired connection may be older than an update from the new connection. If it were
+        A response on a superseded connection may be older than an update from a later one. If it were
         dispatched last, the earlier state of a build would raise its cap again. The newer update is therefore
         dispatched as the reply to the vote, unless the vote was completed before.
         """
-        now = self.gateway.deadlines.now()
-        if not connection.retired:
-            self._last_update = _ReceivedUpdate(now, update)
-            return update
-        if self._last_update is None:
+        last = self._last_update
+        if last is None or not connection.superseded:
+            self._record_update(connection, update)
             return update
         if call.completed:
             return None
-        last = self._last_update
-        age_ms = last.update.age_ms + now - last.received_at
+        age_ms = last.update.age_ms + self.gateway.deadlines.now() - last.received_at
         return replace(last.update, age_ms=age_ms, is_vote_reply=True)
 
 
--- a/tests/test_rollout_client.py
+++ b/tests/test_rollout_client.py
@@ -82,6 +82,44 @@
     assert harness.take_rollout_updates() == [(1, 0.1, True, Result.OK)]
 
 
+@pytest.mark.parametrize("has_vote", [False, True], ids=["without a vote", "with a vote"])
+def test_notifications_at_the_old_address_are_used_until_the_new_address_sends_a_state(
+    has_vote: bool,
+) -> None:
+    """A lower cap written to the old connection was ignored or discarded while the new address was slow."""
+    harness = RolloutHarness()
+    old = harness.accept_connection()
+    harness.send(old, id=1, result=True)
+    if has_vote:
+        harness.client.cast_vote(VOTE)
+    harness.client.address_changed()
+    harness.send(old, method="ROLLOUT", params=LATER_ROLLOUT)
+    assert harness.take_rollout_updates() == [(1, 0.1, False, Result.OK)]
+    new = harness.accept_connection()
+    harness.send(new, method="ROLLOUT", params=LATER_ROLLOUT)
+    assert harness.take_rollout_updates() == [(1, 0.1, False, Result.OK)]
+    assert old.is_open is has_vote
+    harness.send(old, method="ROLLOUT", params=TRIAL)
+    assert harness.take_rollout_updates() == []
+
+
+def test_an_older_state_from_the_first_of_two_old_addresses_is_not_used() -> None:
+    """After two changes of the address, a vote's response at the first reverted the second's state."""
+    harness = RolloutHarness()
+    first = harness.accept_connection()
+    harness.send(first, id=1, result=True)
+    harness.client.cast_vote(VOTE)
+    harness.client.address_changed()
+    second = harness.accept_connection()
+    harness.send(second, method="ROLLOUT", params=LATER_ROLLOUT)
+    harness.client.address_changed()
+    harness.take_rollout_updates()
+    harness.send(first, id=2, result=TRIAL)
+    assert harness.take_rollout_updates() == [(1, 0.1, True, Result.OK)]
+    assert second.is_open
+    assert not first.is_open
+
+
 def test_unread_heartbeats_keep_the_connection_of_a_stalled_gateway() -> None:
     """A gateway whose process had been stopped closed the connection as silent and counted votes as lost."""
     harness = RolloutHarness()
