After a stall, lists and rollout states are read ahead of requests

Cause: one poll returns requests and the list together, in the order in which they became ready, and `dataReceived` runs due deadlines, which may send, ahead of the input that it was given.

Change: the connections to discovery and to the platform are marked as control plane; the reactor handles their events first, and their input comes ahead of due deadlines. A poll with a single event is as before.

--- a/meadowpulley/net/connection.py
+++ b/meadowpulley/net/connection.py
@@ -92,6 +92,9 @@
     """
 
     read_bytes = READ_BYTES
+    # Whether the input changes what may be sent to instances; it is handled ahead of other input and of due
+    # deadlines.
+    is_control_plane = False
 
     def __init__(
         self,
@@ -126,14 +129,25 @@
             pending.established.callback(self)
 
     def dataReceived(self, data: bytes) -> None:
-        """Run all due deadlines, then buffer the input and call `received`."""
+        """Run all due deadlines, then buffer the input and call `received`.
+
+        Input of the control plane is handled first, as deadlines that run late may send requests.
+        """
+        if not self.is_control_plane:
+            self._run_due_deadlines()
+        if self.is_open:
+            self._buffer_input(data)
+        if self.is_control_plane:
+            self._run_due_deadlines()
+
+    def _run_due_deadlines(self) -> None:
         # `_handling_input` makes `has_unread_input` return True, although `data` is no longer in the kernel.
         # Otherwise the callback of a due timeout could close a connection whose request has just been read.
         self._handling_input = True
         self.deadlines.run_due()
         self._handling_input = False
-        if not self.is_open:
-            return
+
+    def _buffer_input(self, data: bytes) -> None:
         self.last_read_bytes = len(data)
         try:
             self.input_buffer.write(data)
--- a/meadowpulley/net/discovery_connection.py
+++ b/meadowpulley/net/discovery_connection.py
@@ -26,6 +26,8 @@
     A response may take a sixteenth of `memory_mb` (10^6 bytes), and at most `MAX_LIST_BYTES`.
     """
 
+    is_control_plane = True
+
     def __init__(self, deadlines: Deadlines, memory_mb: float = math.inf) -> None:
         max_list_bytes = int(min(MAX_LIST_BYTES, memory_mb * BYTES_PER_MB * MAX_LIST_FRACTION))
         super().__init__(deadlines, max_list_bytes, MAX_REQUEST_BYTES)
--- a/meadowpulley/net/platform_connection.py
+++ b/meadowpulley/net/platform_connection.py
@@ -55,6 +55,8 @@
 class PlatformConnection(Connection):
     """Sends calls without waiting for earlier responses, and passes received lines to its owner."""
 
+    is_control_plane = True
+
     def __init__(self, owner: PlatformConnectionOwner) -> None:
         super().__init__(owner.gateway.deadlines, MAX_BUFFERED_BYTES, MAX_BUFFERED_BYTES)
         self.owner = owner
--- a/meadowpulley/net/reactor.py
+++ b/meadowpulley/net/reactor.py
@@ -35,7 +35,10 @@
         return time.monotonic()
 
     def doPoll(self, timeout: float | None) -> None:
-        """Wait for events and handle them.
+        """Wait for events and handle them, those of the control plane first.
+
+        After a stall, requests and the endpoint list that was sent after them are ready at once; the list has
+        to be read before the requests are forwarded.
 
         This is Twisted's method without the log context that Twisted sets up around every event: nothing here
         logs through that context, and setting it up took a tenth of the cost of a request.
@@ -43,6 +46,8 @@
         timeout_s = -1.0 if timeout is None else timeout
         events = self._poller.poll(timeout_s, len(self._selectables))
         self.on_poll()
+        if len(events) > 1:
+            events.sort(key=self._is_data_plane)
         for fd, event in events:
             selectable = self._selectables.get(fd)
             if selectable is not None:
@@ -52,6 +57,10 @@
 
     doIteration = doPoll
 
+    def _is_data_plane(self, event: tuple[int, int]) -> bool:
+        protocol = getattr(self._selectables.get(event[0]), "protocol", None)
+        return not getattr(protocol, "is_control_plane", False)
+
     def reserve(self, host: str, port: int) -> None:
         """Bind an address for a later `listenTCP`. Raises CannotListenError.
 
--- a/tests/net_program/test_stalled_gateway.py
+++ b/tests/net_program/test_stalled_gateway.py
@@ -5,22 +5,46 @@
 import contextlib
 import os
 import signal
+import socket
 import threading
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from http.server import BaseHTTPRequestHandler
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from tests.net_program.conftest import StartGateway
-from tests.standins import TIMEOUT_S, Client, FakeInstance, GatewayProcess, endpoint, respond
+from tests.standins import (
+    TIMEOUT_S,
+    Client,
+    FakeDiscovery,
+    FakeInstance,
+    GatewayProcess,
+    endpoint,
+    respond,
+)
 
 STATED_MS = 4_000.0
+CLIENTS = 5
 SLACK_MS = 150.0  # by which the time told to an instance may exceed what is left to the client
 
 
+class CountingDiscovery(FakeDiscovery):
+    """Discovery that delivers its responses at once, and counts them."""
+
+    def __init__(self, entries: list[dict[str, Any]]) -> None:
+        self.lists_written = 0
+        super().__init__(entries)
+
+    def _handle(self, handler: BaseHTTPRequestHandler, body: bytes) -> None:
+        handler.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super()._handle(handler, body)
+        self.lists_written += 1
+
+
 @contextmanager
 def stalled(gateway: GatewayProcess) -> Iterator[None]:
     """Stop the process for the time of the context."""
@@ -143,3 +167,28 @@
     """Return the remaining time that the next received request states."""
     headers = instance.received.get(timeout=TIMEOUT_S)[2]
     return float(headers["x-remaining"].removesuffix("u")) / 1000
+
+
+@pytest.mark.parametrize("status", ["terminating", "terminated"])
+def test_a_list_written_during_a_stall_is_read_before_the_requests(start: StartGateway, status: str) -> None:
+    # A gateway that woke up read the requests that had come before the list, and sent them to the draining
+    # server up to 1.0 s after the list was written (review/8).
+    instance, kept = FakeInstance(), FakeInstance()
+    entries = [endpoint("s-1", instance.address), endpoint("s-2", kept.address, status="terminating")]
+    discovery = CountingDiscovery(entries)
+    gateway = start(entries, discovery=discovery.address)
+    clients = [gateway.client() for _ in range(CLIENTS)]
+    assert clients[0].request("POST", "/pay", b"before")[0] == 200
+    while not discovery.watches:
+        assert clients[0].request("POST", "/pay", b"before")[0] == 200
+    received_bodies(instance)
+    lists_before = discovery.lists_written
+    with stalled(gateway):
+        for client in clients:
+            client.send("POST", "/pay", b"late")
+        discovery.update([endpoint("s-1", instance.address, status=status), endpoint("s-2", kept.address)])
+        while discovery.lists_written == lists_before:
+            time.sleep(0.001)
+    assert {client.read_response()[0] for client in clients} == {200}
+    assert received_bodies(instance) == []
+    assert received_bodies(kept) == [b"late"] * CLIENTS
