A client that wrote ahead waits while input is unread, also after a read that was not full

Seen: test_no_request_of_a_client_that_wrote_ahead_and_left_during_a_stall_is_sent failed once in this work, on the code before it too: one request of the client that had left was sent on.

Cause, by a trace of each time at which requests are processed: 98,304 bytes buffered, 29,586 discarded, a last read of 13,202 bytes and more unread. Requests waited only behind a read that filled its 16 KiB; a shorter one, as the segments fall, let the first request go on, although the end of the connection could still stand behind the unread input.

Change: requests also wait while input is unread and the buffer is nearly full. The question to the kernel is asked in these two cases alone.

--- a/meadowpulley/net/client_connection.py
+++ b/meadowpulley/net/client_connection.py
@@ -126,7 +126,8 @@
         The kernel may not know of the end of the connection yet, while its receive buffer is full. A client
         that sends one request at a time has no input behind that request.
         """
-        return self.last_read_bytes >= self.read_bytes and self.has_unread_input()
+        wrote_ahead = self.last_read_bytes >= self.read_bytes or self._is_input_nearly_full
+        return wrote_ahead and self.has_unread_input()
 
     @property
     def _is_input_nearly_full(self) -> bool:
